Set down the shape: modules, tables, systems, tick

The core holds immutable rows in tables; an enum lists the systems in the order in which each tick runs them.

--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/control/package-info.java
@@ -0,0 +1,2 @@
+/** The order of the systems and the control node that runs them. */
+package org.hibiscususher.core.control;
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/membership/LinkSystem.java
@@ -0,0 +1,46 @@
+package org.hibiscususher.core.membership;
+
+import java.util.List;
+import org.hibiscususher.core.message.Output.SendPeer;
+import org.hibiscususher.core.message.PeerItem;
+import org.hibiscususher.core.message.PeerMessage;
+import org.hibiscususher.core.world.MemberRow;
+import org.hibiscususher.core.world.NodeRow;
+import org.hibiscususher.core.world.Tick;
+import org.hibiscususher.core.world.World;
+
+/** Sends each member one message with all that the tick has to say to it, or a heartbeat. */
+public final class LinkSystem {
+    private LinkSystem() {}
+
+    /** Sends the messages of this tick. */
+    public static void run(Tick tick) {
+        World world = tick.world();
+        for (MemberRow member : world.members().rows()) {
+            List<PeerItem> items = tick.itemsFor(member.member().id());
+            boolean due = tick.nowMs() - member.lastSentMs() >= world.settings().heartbeatMs();
+            if (!items.isEmpty() || due || member.lastSentMs() < 0) {
+                send(tick, member, items);
+            }
+        }
+    }
+
+    private static void send(Tick tick, MemberRow member, List<PeerItem> items) {
+        World world = tick.world();
+        NodeRow node = world.node();
+        long storeAge = node.storeContactMs() < 0 ? -1 : tick.nowMs() - node.storeContactMs();
+        MemberRow sent = member.withSent(tick.nowMs());
+        world.members().put(member.member().id(), sent);
+        PeerMessage message =
+                new PeerMessage(
+                        node.identity().id(),
+                        node.identity().incarnation(),
+                        sent.sent(),
+                        member.received(),
+                        world.membership().record().epoch(),
+                        world.configuration().revision(),
+                        storeAge,
+                        items);
+        tick.emit(new SendPeer(member.member().id(), member.member().address(), message));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/message/AttemptOutcome.java
@@ -0,0 +1,44 @@
+package org.hibiscususher.core.message;
+
+/** How an attempt on a target ended, as the traffic side saw it. */
+public enum AttemptOutcome {
+    /** The whole answer has arrived. */
+    ANSWERED(true, false, false),
+    /** The connection could not be made; no byte was sent. */
+    NOT_CONNECTED(true, true, true),
+    /** The target said in its documented way that it did not run the request. */
+    DECLINED(true, true, false),
+    /** The target closed or broke off after bytes were sent and before an answer began. */
+    BROKEN(true, false, true),
+    /** The answer began and was cut short; the caller has seen an error. */
+    TRUNCATED(true, false, true),
+    /** The longest run time passed without a whole answer, and the connection was closed. */
+    TIMED_OUT(true, false, true),
+    /** The caller went away after bytes were sent; the target may still be running. */
+    CALLER_GONE(false, false, false);
+
+    private final boolean mTargetDone;
+    private final boolean mNotRun;
+    private final boolean mHostFault;
+
+    AttemptOutcome(boolean targetDone, boolean notRun, boolean hostFault) {
+        mTargetDone = targetDone;
+        mNotRun = notRun;
+        mHostFault = hostFault;
+    }
+
+    /** Returns whether the target is known to be no longer busy with the attempt. */
+    public boolean targetDone() {
+        return mTargetDone;
+    }
+
+    /** Returns whether it is certain that the attempt did not run. */
+    public boolean notRun() {
+        return mNotRun;
+    }
+
+    /** Returns whether the outcome counts against the host. */
+    public boolean hostFault() {
+        return mHostFault;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/message/Output.java
@@ -0,0 +1,90 @@
+package org.hibiscususher.core.message;
+
+import java.util.List;
+import org.hibiscususher.core.note.Finding;
+
+/** Something that the process shall do after a tick. */
+public sealed interface Output {
+    /**
+     * Send a request to a target.
+     *
+     * @param requestId the request
+     * @param attempt number of the attempt, from 1
+     * @param host the target host
+     * @param address IP number and port of the target
+     * @param runLimitMs longest run, in milliseconds
+     */
+    record StartAttempt(long requestId, int attempt, String host, String address, int runLimitMs)
+            implements Output {}
+
+    /**
+     * Answer a caller that its request ends without an answer from a target.
+     *
+     * @param requestId the request
+     * @param refusal why
+     */
+    record Refuse(long requestId, Refusal refusal) implements Output {}
+
+    /**
+     * Send a message to another entry.
+     *
+     * @param memberId the member
+     * @param address IP number and port of the member
+     * @param message the message
+     */
+    record SendPeer(String memberId, String address, PeerMessage message) implements Output {}
+
+    /**
+     * Read a record of the platform's store.
+     *
+     * @param callId the call
+     * @param key the key
+     */
+    record ReadRecord(long callId, RecordKey key) implements Output {}
+
+    /**
+     * Write a record of the platform's store if its version is as expected.
+     *
+     * @param callId the call
+     * @param key the key
+     * @param expectedVersion the version last seen, 0 if there is no record
+     * @param value the new value
+     */
+    record SwapRecord(long callId, RecordKey key, long expectedVersion, StoreRecord value)
+            implements Output {}
+
+    /**
+     * Answer an operator's release note.
+     *
+     * @param callId the call
+     * @param result what became of it
+     * @param revision the revision that the note became, or that stands in its way; 0 if none
+     * @param detail one line for the operator
+     * @param findings what is wrong with the note
+     */
+    record AnswerNote(
+            long callId, NoteResult result, long revision, String detail, List<Finding> findings)
+            implements Output {
+        /** Copies the findings. */
+        public AnswerNote {
+            findings = List.copyOf(findings);
+        }
+    }
+
+    /**
+     * Count an event by reason.
+     *
+     * @param counter name of the counter, as {@code refusal.key-missing}
+     */
+    record Count(String counter) implements Output {}
+
+    /**
+     * Log an event.
+     *
+     * @param event one line of {@code key=value} pairs that begins with {@code event=}
+     */
+    record LogEvent(String event) implements Output {}
+
+    /** Nothing is left to finish: the process may exit. */
+    record ShutdownDone() implements Output {}
+}
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/message/RecordKey.java
@@ -0,0 +1,23 @@
+package org.hibiscususher.core.message;
+
+import static java.util.Objects.requireNonNull;
+
+/**
+ * Names a record of the platform's store.
+ *
+ * @param kind the kind
+ * @param name name within the kind; empty where there is one record of the kind
+ */
+public record RecordKey(RecordKind kind, String name) {
+    /** The head of the configuration's history. */
+    public static final RecordKey HEAD = new RecordKey(RecordKind.HEAD, "");
+
+    /** The members and their epoch. */
+    public static final RecordKey MEMBERSHIP = new RecordKey(RecordKind.MEMBERSHIP, "");
+
+    /** Checks the fields. */
+    public RecordKey {
+        requireNonNull(kind);
+        requireNonNull(name);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/message/RecordKind.java
@@ -0,0 +1,9 @@
+package org.hibiscususher.core.message;
+
+/** The kinds of records that the system keeps in the platform's store. */
+public enum RecordKind {
+    /** The head of the configuration's history. */
+    HEAD,
+    /** The members and their epoch. */
+    MEMBERSHIP
+}
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/note/Declarations.java
@@ -0,0 +1,37 @@
+package org.hibiscususher.core.note;
+
+import java.util.List;
+import org.hibiscususher.core.config.HostSpec;
+import org.hibiscususher.core.config.KeySpec;
+import org.hibiscususher.core.config.PoolSpec;
+import org.hibiscususher.core.config.QueueSpec;
+import org.hibiscususher.core.config.TeamSpec;
+
+/**
+ * Whole declarations, as the sections "added" and "changed" of a release note list them.
+ *
+ * @param pools pools
+ * @param hosts hosts
+ * @param teams teams
+ * @param keys keys
+ * @param queues queues
+ */
+public record Declarations(
+        List<Placed<PoolSpec>> pools,
+        List<Placed<HostSpec>> hosts,
+        List<Placed<TeamSpec>> teams,
+        List<Placed<KeySpec>> keys,
+        List<Placed<QueueSpec>> queues) {
+    /** No declarations. */
+    public static final Declarations NONE =
+            new Declarations(List.of(), List.of(), List.of(), List.of(), List.of());
+
+    /** Copies the lists. */
+    public Declarations {
+        pools = List.copyOf(pools);
+        hosts = List.copyOf(hosts);
+        teams = List.copyOf(teams);
+        keys = List.copyOf(keys);
+        queues = List.copyOf(queues);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/note/NoteChecker.java
@@ -0,0 +1,181 @@
+package org.hibiscususher.core.note;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.function.Function;
+import org.hibiscususher.core.config.Configuration;
+import org.hibiscususher.core.config.HostSpec;
+import org.hibiscususher.core.config.KeySpec;
+import org.hibiscususher.core.config.PoolSpec;
+import org.hibiscususher.core.config.QueueSpec;
+import org.hibiscususher.core.config.TeamSpec;
+
+/** Checks a release note as a whole against a configuration and applies it. */
+public final class NoteChecker {
+    private final ReleaseNote mNote;
+    private final Configuration mBefore;
+    private final List<Finding> mFindings = new ArrayList<>();
+    private final Map<String, Place> mPlaces = new HashMap<>();
+
+    private NoteChecker(ReleaseNote note, Configuration before) {
+        mNote = note;
+        mBefore = before;
+    }
+
+    /**
+     * Checks a note and applies it.
+     *
+     * <p>Takes time linear in the size of the note and the configuration.
+     *
+     * @param note the note
+     * @param before the configuration that it applies to
+     * @return every finding, and the configuration that results
+     */
+    public static CheckedNote check(ReleaseNote note, Configuration before) {
+        return new NoteChecker(note, before).run();
+    }
+
+    private CheckedNote run() {
+        Declarations added = mNote.added();
+        Declarations changed = mNote.changed();
+        Withdrawals gone = mNote.withdrawn();
+        SortedMap<String, PoolSpec> pools =
+                apply(
+                        "pool",
+                        mBefore.pools(),
+                        added.pools(),
+                        changed.pools(),
+                        gone.pools(),
+                        PoolSpec::id);
+        SortedMap<String, HostSpec> hosts =
+                apply(
+                        "host",
+                        mBefore.hosts(),
+                        added.hosts(),
+                        changed.hosts(),
+                        gone.hosts(),
+                        HostSpec::id);
+        SortedMap<String, TeamSpec> teams =
+                apply(
+                        "team",
+                        mBefore.teams(),
+                        added.teams(),
+                        changed.teams(),
+                        gone.teams(),
+                        TeamSpec::id);
+        SortedMap<String, KeySpec> keys =
+                apply(
+                        "key",
+                        mBefore.keys(),
+                        added.keys(),
+                        changed.keys(),
+                        gone.keys(),
+                        KeySpec::id);
+        SortedMap<String, QueueSpec> queues =
+                apply(
+                        "queue",
+                        mBefore.queues(),
+                        added.queues(),
+                        changed.queues(),
+                        gone.queues(),
+                        QueueSpec::id);
+        Configuration after =
+                new Configuration(mBefore.revision() + 1, pools, hosts, teams, keys, queues);
+        checkReferences(after);
+        return new CheckedNote(mFindings, after);
+    }
+
+    private <T> SortedMap<String, T> apply(
+            String type,
+            SortedMap<String, T> before,
+            List<Placed<T>> added,
+            List<Placed<T>> changed,
+            List<Placed<String>> withdrawn,
+            Function<T, String> idOf) {
+        SortedMap<String, T> after = new TreeMap<>(before);
+        Map<String, Place> seen = new HashMap<>();
+        for (Placed<T> item : added) {
+            String id = idOf.apply(item.value());
+            note(type, id, item.place(), seen);
+            if (before.containsKey(id)) {
+                find(item.place(), type + " " + id + " exists; list it under \"changed\"");
+            }
+            after.put(id, item.value());
+        }
+        for (Placed<T> item : changed) {
+            String id = idOf.apply(item.value());
+            note(type, id, item.place(), seen);
+            if (!before.containsKey(id)) {
+                find(item.place(), type + " " + id + " does not exist; list it under \"added\"");
+            }
+            after.put(id, item.value());
+        }
+        for (Placed<String> item : withdrawn) {
+            note(type, item.value(), item.place(), seen);
+            if (after.remove(item.value()) == null) {
+                find(item.place(), type + " " + item.value() + " does not exist");
+            }
+        }
+        return after;
+    }
+
+    private void note(String type, String id, Place place, Map<String, Place> seen) {
+        Place earlier = seen.putIfAbsent(id, place);
+        if (earlier != null) {
+            find(place, type + " " + id + " stands in this note already, at " + earlier);
+        }
+        mPlaces.put(type + " " + id, place);
+    }
+
+    private void checkReferences(Configuration after) {
+        Map<String, String> addresses = new HashMap<>();
+        for (HostSpec host : after.hosts().values()) {
+            require(after.pools(), "pool", host.pool(), "host " + host.id());
+            String other = addresses.putIfAbsent(host.address(), host.id());
+            if (other != null) {
+                find(
+                        placeOf("host " + host.id(), "host " + other),
+                        "hosts "
+                                + other
+                                + " and "
+                                + host.id()
+                                + " have the same address "
+                                + host.address());
+            }
+        }
+        for (KeySpec key : after.keys().values()) {
+            require(after.teams(), "team", key.team(), "key " + key.id());
+        }
+        for (QueueSpec queue : after.queues().values()) {
+            require(after.pools(), "pool", queue.pool(), "queue " + queue.id());
+            queue.openTeam()
+                    .ifPresent(t -> require(after.teams(), "team", t, "queue " + queue.id()));
+        }
+    }
+
+    private void require(SortedMap<String, ?> known, String type, String id, String user) {
+        if (!known.containsKey(id)) {
+            find(
+                    placeOf(user, type + " " + id),
+                    user + " needs " + type + " " + id + ", which is not declared");
+        }
+    }
+
+    private Place placeOf(String... names) {
+        for (String name : names) {
+            Place place = mPlaces.get(name);
+            if (place != null) {
+                return place;
+            }
+        }
+        return new Place(mNote.id(), 1, 1);
+    }
+
+    private void find(Place place, String message) {
+        mFindings.add(new Finding(place, message));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/request/Permits.java
@@ -0,0 +1,52 @@
+package org.hibiscususher.core.request;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.hibiscususher.core.config.QueueKind;
+import org.hibiscususher.core.message.PermitKey;
+import org.hibiscususher.core.world.HoldingRow;
+import org.hibiscususher.core.world.RequestRow;
+import org.hibiscususher.core.world.World;
+
+/** Takes permits out of the holdings for an attempt and gives them back. */
+final class Permits {
+    private Permits() {}
+
+    /** Returns the permits that an attempt of a request on a host uses. */
+    static List<PermitKey> needed(RequestRow row, String host) {
+        List<PermitKey> keys = new ArrayList<>(neededAnywhere(row));
+        keys.add(PermitKey.slot(row.pool(), host));
+        return keys;
+    }
+
+    /** Returns the permits that an attempt of a request uses whatever the host. */
+    static List<PermitKey> neededAnywhere(RequestRow row) {
+        return row.kind() == QueueKind.LONG
+                ? List.of(PermitKey.unit(row.team()), PermitKey.longRun(row.pool()))
+                : List.of(PermitKey.unit(row.team()));
+    }
+
+    /** Returns whether one permit of each kind is idle. */
+    static boolean idle(World world, List<PermitKey> keys) {
+        return keys.stream().allMatch(k -> idle(world, k) > 0);
+    }
+
+    /** Returns how many permits of a kind are idle. */
+    static int idle(World world, PermitKey key) {
+        return world.holdings().find(key).map(HoldingRow::idle).orElse(0);
+    }
+
+    /** Takes one permit of each kind into use. */
+    static void use(World world, List<PermitKey> keys) {
+        for (PermitKey key : keys) {
+            world.holdings().update(key, h -> h.withInUse(1));
+        }
+    }
+
+    /** Gives back one permit of each kind. */
+    static void release(World world, List<PermitKey> keys) {
+        for (PermitKey key : keys) {
+            world.holdings().update(key, h -> h.withInUse(-1));
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/request/Refusals.java
@@ -0,0 +1,23 @@
+package org.hibiscususher.core.request;
+
+import org.hibiscususher.core.message.Output.Refuse;
+import org.hibiscususher.core.message.Refusal;
+import org.hibiscususher.core.world.RequestRow;
+import org.hibiscususher.core.world.Tick;
+
+/** Refuses requests and counts the reasons. */
+final class Refusals {
+    private Refusals() {}
+
+    /** Refuses a request of which no attempt was made. */
+    static void refuse(Tick tick, long requestId, Refusal refusal) {
+        tick.count("refusal." + refusal.code());
+        tick.emit(new Refuse(requestId, refusal));
+    }
+
+    /** Refuses a request at hand; says "not run" only if no earlier attempt may have run. */
+    static void refuse(Tick tick, RequestRow row, Refusal refusal) {
+        tick.world().requests().remove(row.id());
+        refuse(tick, row.id(), row.mayHaveRun() ? Refusal.OUTCOME_UNKNOWN : refusal);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/table/Table.java
@@ -0,0 +1,103 @@
+package org.hibiscususher.core.table;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+import java.util.function.UnaryOperator;
+
+/**
+ * Holds immutable rows by id, in insertion order.
+ *
+ * <p>A row is replaced, never changed. Look-up and replacement take constant time. Not thread-safe:
+ * a table belongs to the control thread.
+ *
+ * @param <K> the type of the ids; neither ids nor rows may be null
+ * @param <R> the type of the rows
+ */
+public final class Table<K, R> {
+    private final Map<K, R> mRows = new LinkedHashMap<>();
+    private List<R> mSnapshot = List.of();
+    private boolean mSnapshotStale;
+
+    private Table() {}
+
+    /** Creates an empty table. */
+    public static <K, R> Table<K, R> create() {
+        return new Table<>();
+    }
+
+    /** Returns the row with the given id, or empty. */
+    public Optional<R> find(K id) {
+        return Optional.ofNullable(mRows.get(requireNonNull(id)));
+    }
+
+    /** Returns whether a row with the given id exists. */
+    public boolean contains(K id) {
+        return mRows.containsKey(requireNonNull(id));
+    }
+
+    /** Stores a row under the given id, in place of any earlier one. */
+    public void put(K id, R row) {
+        requireNonNull(row);
+        if (row != mRows.put(requireNonNull(id), row)) {
+            mSnapshotStale = true;
+        }
+    }
+
+    /** Replaces the row with the given id, if there is one, by the result of the operator. */
+    public void update(K id, UnaryOperator<R> operator) {
+        R row = mRows.get(requireNonNull(id));
+        if (row != null) {
+            put(id, operator.apply(row));
+        }
+    }
+
+    /** Removes the row with the given id and returns it, or empty. */
+    public Optional<R> remove(K id) {
+        Optional<R> row = Optional.ofNullable(mRows.remove(requireNonNull(id)));
+        if (row.isPresent()) {
+            mSnapshotStale = true;
+        }
+        return row;
+    }
+
+    /** Removes all rows that match the predicate and returns how many there were. */
+    public int removeIf(Predicate<R> predicate) {
+        int n = mRows.size();
+        mRows.values().removeIf(predicate);
+        n -= mRows.size();
+        if (n > 0) {
+            mSnapshotStale = true;
+        }
+        return n;
+    }
+
+    /**
+     * Returns the rows as they are now, in insertion order of their ids.
+     *
+     * <p>Takes constant time when no row changed since the last call, else linear time. Later
+     * changes do not show in the list.
+     */
+    public List<R> rows() {
+        if (mSnapshotStale) {
+            mSnapshot = List.copyOf(mRows.values());
+            mSnapshotStale = false;
+        }
+        return mSnapshot;
+    }
+
+    /** Returns the number of rows. */
+    public int size() {
+        return mRows.size();
+    }
+
+    /** Removes all rows. */
+    public void clear() {
+        mRows.clear();
+        mSnapshotStale = true;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/table/package-info.java
@@ -0,0 +1,2 @@
+/** Tables: the only mutable containers of the core. */
+package org.hibiscususher.core.table;
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/world/ControlSettings.java
@@ -0,0 +1,27 @@
+package org.hibiscususher.core.world;
+
+/**
+ * Times and limits of the decisions.
+ *
+ * @param heartbeatMs longest time between two messages to a peer, in milliseconds
+ * @param silenceMs a peer that was not heard for this long is silent, in milliseconds
+ * @param freshnessMs an entry that can't vouch for this long admits nothing, in milliseconds
+ * @param rollOutWaitMs longest wait of an operator for a note to be in force, in milliseconds
+ * @param maxAttempts most attempts of a request, 1 or more
+ */
+public record ControlSettings(
+        int heartbeatMs, int silenceMs, int freshnessMs, int rollOutWaitMs, int maxAttempts) {
+    /** The defaults. */
+    public static final ControlSettings DEFAULT = new ControlSettings(200, 2_000, 4_000, 15_000, 3);
+
+    /** Checks that every value is 1 or more. */
+    public ControlSettings {
+        if (heartbeatMs < 1
+                || silenceMs < 1
+                || freshnessMs < 1
+                || rollOutWaitMs < 1
+                || maxAttempts < 1) {
+            throw new IllegalArgumentException("times and limits are 1 or more");
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/world/RevisionRow.java
@@ -0,0 +1,19 @@
+package org.hibiscususher.core.world;
+
+import static java.util.Objects.requireNonNull;
+
+import org.hibiscususher.core.config.Configuration;
+
+/**
+ * The configuration in force here.
+ *
+ * @param configuration the configuration
+ * @param storeVersion version of the head record that it came from, 0 if a peer relayed it
+ * @param sinceMs when it came into force here, in milliseconds of the caller's clock
+ */
+public record RevisionRow(Configuration configuration, long storeVersion, long sinceMs) {
+    /** Checks the fields. */
+    public RevisionRow {
+        requireNonNull(configuration);
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/hibiscususher/wire/package-info.java
@@ -0,0 +1,2 @@
+/** Placeholder. */
+package org.hibiscususher.wire;
