--- a/core/src/main/java/org/hibiscususher/core/control/Phase.java
+++ b/core/src/main/java/org/hibiscususher/core/control/Phase.java
@@ -54,6 +54,12 @@
             PlacementSystem.run(tick);
         }
     },
+    STATUS {
+        @Override
+        void run(Tick tick) {
+            StatusSystem.run(tick);
+        }
+    },
     LINK {
         @Override
         void run(Tick tick) {
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/control/StatusSystem.java
@@ -0,0 +1,55 @@
+package org.hibiscususher.core.control;
+
+import org.hibiscususher.core.message.Input.StatusAsked;
+import org.hibiscususher.core.message.Output.AnswerStatus;
+import org.hibiscususher.core.message.StatusReport;
+import org.hibiscususher.core.world.MemberRow;
+import org.hibiscususher.core.world.NodeRow;
+import org.hibiscususher.core.world.RequestState;
+import org.hibiscususher.core.world.Tick;
+import org.hibiscususher.core.world.World;
+
+/** Answers operators how this entry is. */
+final class StatusSystem {
+    private StatusSystem() {}
+
+    /** Answers the calls that have come since the last tick. */
+    static void run(Tick tick) {
+        for (StatusAsked asked : tick.inputs(StatusAsked.class)) {
+            tick.emit(new AnswerStatus(asked.callId(), report(tick)));
+        }
+    }
+
+    private static StatusReport report(Tick tick) {
+        World world = tick.world();
+        NodeRow node = world.node();
+        int waiting = 0;
+        int running = 0;
+        for (var request : world.requests().rows()) {
+            waiting += request.state() == RequestState.WAITING ? 1 : 0;
+            running += request.state() == RequestState.RUNNING ? 1 : 0;
+        }
+        return new StatusReport(
+                node.identity().id(),
+                node.stage().name().toLowerCase(java.util.Locale.ROOT),
+                world.membership().record().epoch(),
+                world.configuration().revision(),
+                age(tick, node.storeContactMs()),
+                waiting,
+                running,
+                world.members().rows().stream().map(m -> peer(tick, m)).toList());
+    }
+
+    private static StatusReport.Peer peer(Tick tick, MemberRow row) {
+        return new StatusReport.Peer(
+                row.member().id(),
+                row.member().state(),
+                row.member().zone(),
+                row.revision(),
+                age(tick, row.lastHeardMs()));
+    }
+
+    private static long age(Tick tick, long sinceMs) {
+        return sinceMs < 0 ? -1 : tick.nowMs() - sinceMs;
+    }
+}
--- a/core/src/main/java/org/hibiscususher/core/message/Input.java
+++ b/core/src/main/java/org/hibiscususher/core/message/Input.java
@@ -124,4 +124,11 @@
 
     /** The process was asked to stop: finish what runs, then leave. */
     record ShutdownAsked() implements Input {}
+
+    /**
+     * An operator asks how this entry is.
+     *
+     * @param callId the call to answer
+     */
+    record StatusAsked(long callId) implements Input {}
 }
--- a/core/src/main/java/org/hibiscususher/core/message/MemberState.java
+++ b/core/src/main/java/org/hibiscususher/core/message/MemberState.java
@@ -7,7 +7,9 @@
     /** Finishes its work and leaves; allocates nothing. */
     LEAVING(false),
     /** Was not heard for long; may hold permits and may be running work. */
-    SILENT(false);
+    SILENT(false),
+    /** Is proven to have ended; what it held rests until its work must be over. */
+    DEAD(false);
 
     private final boolean mAllocates;
 
@@ -19,4 +21,9 @@
     public boolean allocates() {
         return mAllocates;
     }
+
+    /** Returns whether a member in this state may hold permits and run work. */
+    public boolean mayHold() {
+        return this != DEAD;
+    }
 }
--- a/core/src/main/java/org/hibiscususher/core/message/Output.java
+++ b/core/src/main/java/org/hibiscususher/core/message/Output.java
@@ -87,4 +87,12 @@
 
     /** Nothing is left to finish: the process may exit. */
     record ShutdownDone() implements Output {}
+
+    /**
+     * Answer an operator how this entry is.
+     *
+     * @param callId the call
+     * @param report the answer
+     */
+    record AnswerStatus(long callId, StatusReport report) implements Output {}
 }
--- a/core/src/main/java/org/hibiscususher/core/message/StoreRecord.java
+++ b/core/src/main/java/org/hibiscususher/core/message/StoreRecord.java
@@ -19,6 +19,8 @@
     /**
      * The members and their epoch.
      *
+     * <p>An id may stand more than once, with different incarnations; all but one are then dead.
+     *
      * @param epoch number of the record, from 1; each change adds 1
      * @param members the members by id
      */
--- a/core/src/main/java/org/hibiscususher/core/request/PlacementSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/request/PlacementSystem.java
@@ -74,6 +74,7 @@
         Optional<HostRow> host =
                 world.hosts().rows().stream()
                         .filter(h -> h.pool().equals(row.pool()))
+                        .filter(h -> h.stage().takesWork())
                         .filter(h -> h.restUntilMs() <= tick.nowMs())
                         .filter(h -> h.spec().capacity().fits(row.arrival().needs()))
                         .filter(h -> !row.triedHosts().contains(h.spec().id()))
--- a/core/src/main/java/org/hibiscususher/core/rollout/RollOutSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/rollout/RollOutSystem.java
@@ -24,6 +24,7 @@
 import org.hibiscususher.core.note.CheckedNote;
 import org.hibiscususher.core.note.NoteChecker;
 import org.hibiscususher.core.world.HostRow;
+import org.hibiscususher.core.world.HostStage;
 import org.hibiscususher.core.world.MemberRow;
 import org.hibiscususher.core.world.PendingNoteRow;
 import org.hibiscususher.core.world.PendingNoteState;
@@ -93,7 +94,7 @@
                     world.hosts()
                             .find(spec.id())
                             .map(h -> h.withSpec(spec))
-                            .orElse(new HostRow(spec, spec.pool(), 0, 0));
+                            .orElse(new HostRow(spec, spec.pool(), HostStage.IN_SERVICE, 0, 0));
             world.hosts().put(spec.id(), row);
         }
         tick.emit(new LogEvent("event=in-force revision=" + next.revision()));
--- a/core/src/main/java/org/hibiscususher/core/world/HostRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/HostRow.java
@@ -9,23 +9,31 @@
  *
  * @param spec its declaration
  * @param pool the pool that it serves now
+ * @param stage whether it takes work
  * @param consecutiveFaults attempts in a row that failed through the host's fault
  * @param restUntilMs no attempt is sent before this time, in milliseconds of the caller's clock
  */
-public record HostRow(HostSpec spec, String pool, int consecutiveFaults, long restUntilMs) {
+public record HostRow(
+        HostSpec spec, String pool, HostStage stage, int consecutiveFaults, long restUntilMs) {
     /** Checks the fields. */
     public HostRow {
         requireNonNull(spec);
         requireNonNull(pool);
+        requireNonNull(stage);
     }
 
     /** Returns a copy with another declaration. */
     public HostRow withSpec(HostSpec value) {
-        return new HostRow(value, pool, consecutiveFaults, restUntilMs);
+        return new HostRow(value, pool, stage, consecutiveFaults, restUntilMs);
     }
 
     /** Returns a copy with another record of faults. */
     public HostRow withFaults(int faults, long restUntil) {
-        return new HostRow(spec, pool, faults, restUntil);
+        return new HostRow(spec, pool, stage, faults, restUntil);
+    }
+
+    /** Returns a copy that serves a pool in a stage. */
+    public HostRow withService(String inPool, HostStage inStage) {
+        return new HostRow(spec, inPool, inStage, consecutiveFaults, restUntilMs);
     }
 }
--- /dev/null
+++ b/core/src/test/java/org/hibiscususher/core/note/NoteCheckerTest.java
@@ -0,0 +1,69 @@
+package org.hibiscususher.core.note;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.OptionalLong;
+import org.hibiscususher.core.config.Configuration;
+import org.hibiscususher.core.config.TeamSpec;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class NoteCheckerTest {
+    private static final Place PLACE = new Place("note.yaml", 3, 7);
+
+    private static ReleaseNote note(Declarations added, Withdrawals withdrawn) {
+        return new ReleaseNote(
+                "n1", "anna", "", OptionalLong.empty(), added, Declarations.NONE, withdrawn);
+    }
+
+    private static Declarations team(String id) {
+        return new Declarations(
+                List.of(),
+                List.of(),
+                List.of(new Placed<>(new TeamSpec(id, 1, 4), PLACE)),
+                List.of(),
+                List.of());
+    }
+
+    @Nested
+    class Accepted {
+        @Test
+        void addsToTheRevision() {
+            CheckedNote checked =
+                    NoteChecker.check(note(team("a"), Withdrawals.NONE), Configuration.EMPTY);
+            assertThat(checked.findings()).isEmpty();
+            assertThat(checked.result().revision()).isEqualTo(1);
+            assertThat(checked.result().teams()).containsOnlyKeys("a");
+        }
+    }
+
+    @Nested
+    class Refused {
+        @Test
+        void namesThePlaceOfWhatExists() {
+            Configuration before =
+                    NoteChecker.check(note(team("a"), Withdrawals.NONE), Configuration.EMPTY)
+                            .result();
+            CheckedNote checked = NoteChecker.check(note(team("a"), Withdrawals.NONE), before);
+            assertThat(checked.findings())
+                    .containsExactly(
+                            new Finding(PLACE, "team a exists; list it under \"changed\""));
+        }
+
+        @Test
+        void namesThePlaceOfWhatDoesNotExist() {
+            Withdrawals gone =
+                    new Withdrawals(
+                            List.of(),
+                            List.of(),
+                            List.of(new Placed<>("b", PLACE)),
+                            List.of(),
+                            List.of());
+            CheckedNote checked =
+                    NoteChecker.check(note(Declarations.NONE, gone), Configuration.EMPTY);
+            assertThat(checked.findings())
+                    .containsExactly(new Finding(PLACE, "team b does not exist"));
+        }
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/hibiscususher/wire/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Translates messages between entries to protobuf and back. */
+package org.hibiscususher.wire.peer;
--- /dev/null
+++ b/wire/src/main/java/org/hibiscususher/wire/yaml/Findings.java
@@ -0,0 +1,31 @@
+package org.hibiscususher.wire.yaml;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.hibiscususher.core.note.Finding;
+import org.hibiscususher.core.note.Place;
+import org.snakeyaml.engine.v2.exceptions.Mark;
+
+/** Collects findings in one file. Not thread-safe. */
+final class Findings {
+    private final String mFile;
+    private final List<Finding> mFindings = new ArrayList<>();
+
+    Findings(String file) {
+        mFile = file;
+    }
+
+    void add(Place place, String message) {
+        mFindings.add(new Finding(place, message));
+    }
+
+    Place placeOf(Optional<Mark> mark) {
+        return mark.map(m -> new Place(mFile, m.getLine() + 1, m.getColumn() + 1))
+                .orElse(new Place(mFile, 1, 1));
+    }
+
+    List<Finding> list() {
+        return List.copyOf(mFindings);
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/hibiscususher/wire/yaml/package-info.java
@@ -0,0 +1,2 @@
+/** Reads YAML with the place of every finding. */
+package org.hibiscususher.wire.yaml;
