--- a/cli/src/main/java/org/hibiscususher/cli/package-info.java
+++ b/cli/src/main/java/org/hibiscususher/cli/package-info.java
@@ -1,2 +1,2 @@
-/** Placeholder. */
+/** The operators' command-line tool. */
 package org.hibiscususher.cli;
--- /dev/null
+++ b/daemon/src/main/java/org/hibiscususher/daemon/DaemonMain.java
@@ -0,0 +1,97 @@
+package org.hibiscususher.daemon;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import org.apache.commons.cli.help.HelpFormatter;
+import org.hibiscususher.daemon.settings.ParsedSettings;
+import org.hibiscususher.daemon.settings.SettingsReader;
+
+/**
+ * The command {@code hibiscususherd}.
+ *
+ * <p>Exit codes: 0 after a graceful shutdown or a clean check, 1 if the entry can't start, 2 if the
+ * command line or the settings are wrong.
+ */
+public final class DaemonMain {
+    private static final int EXIT_FAILED = 1;
+    private static final int EXIT_USAGE = 2;
+    private static final String LOG_FORMAT = "%1$tFT%1$tT.%1$tL%1$tz level=%4$s %5$s%6$s%n";
+    private static final String VERSION = "0.1.0";
+
+    private DaemonMain() {}
+
+    /** Runs the daemon until it is asked to stop. */
+    public static void main(String[] args) throws InterruptedException {
+        System.setProperty("java.util.logging.SimpleFormatter.format", LOG_FORMAT);
+        int code = run(args, System.out, System.err);
+        if (code != 0) {
+            System.exit(code);
+        }
+    }
+
+    static int run(String[] args, PrintStream out, PrintStream err) throws InterruptedException {
+        Options options =
+                new Options()
+                        .addOption(null, "config", true, "the settings file (YAML)")
+                        .addOption(null, "check", false, "check the settings and exit")
+                        .addOption(null, "help", false, "show this help")
+                        .addOption(null, "version", false, "show the version");
+        try {
+            CommandLine line = new DefaultParser().parse(options, args);
+            if (line.hasOption("help")) {
+                HelpFormatter.builder()
+                        .get()
+                        .printHelp(
+                                "hibiscususherd --config FILE [--check]", "", options, "", false);
+                return 0;
+            }
+            if (line.hasOption("version")) {
+                out.println("hibiscususherd " + VERSION);
+                return 0;
+            }
+            if (!line.hasOption("config")) {
+                err.println("hibiscususherd: --config FILE is missing; see --help");
+                return EXIT_USAGE;
+            }
+            return start(Path.of(line.getOptionValue("config")), line.hasOption("check"), out, err);
+        } catch (ParseException e) {
+            err.println("hibiscususherd: " + e.getMessage() + "; see --help");
+            return EXIT_USAGE;
+        } catch (IOException e) {
+            err.println("hibiscususherd: " + e.getMessage());
+            return EXIT_FAILED;
+        }
+    }
+
+    private static int start(Path file, boolean checkOnly, PrintStream out, PrintStream err)
+            throws IOException, InterruptedException {
+        ParsedSettings parsed = SettingsReader.read(file.toString(), Files.readString(file));
+        parsed.findings().forEach(err::println);
+        if (!parsed.findings().isEmpty()) {
+            return EXIT_USAGE;
+        }
+        if (checkOnly) {
+            out.println(file + ": no findings");
+            return 0;
+        }
+        Daemon daemon = Daemon.start(parsed.settings());
+        Thread hook =
+                new Thread(
+                        () -> {
+                            try {
+                                daemon.shutDown();
+                            } catch (InterruptedException e) {
+                                Thread.currentThread().interrupt();
+                            }
+                        },
+                        "shutdown");
+        Runtime.getRuntime().addShutdownHook(hook);
+        return 0;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/hibiscususher/daemon/admin/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' HTTP interface. */
+package org.hibiscususher.daemon.admin;
--- /dev/null
+++ b/daemon/src/main/java/org/hibiscususher/daemon/front/package-info.java
@@ -0,0 +1,2 @@
+/** Traffic: callers' requests, targets' answers. */
+package org.hibiscususher.daemon.front;
--- /dev/null
+++ b/daemon/src/main/java/org/hibiscususher/daemon/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Links to the other entries. */
+package org.hibiscususher.daemon.peer;
--- /dev/null
+++ b/daemon/src/main/java/org/hibiscususher/daemon/settings/SettingsReader.java
@@ -0,0 +1,53 @@
+package org.hibiscususher.daemon.settings;
+
+import org.hibiscususher.core.world.ControlSettings;
+import org.hibiscususher.wire.yaml.YamlDocument;
+import org.hibiscususher.wire.yaml.YamlMap;
+
+/** Reads the daemon's settings from YAML. */
+public final class SettingsReader {
+    private static final int MAX_MS = 60_000;
+    private static final int MAX_ATTEMPTS = 10;
+
+    private SettingsReader() {}
+
+    /**
+     * Reads settings.
+     *
+     * @param file name for the findings
+     * @param text the YAML
+     */
+    public static ParsedSettings read(String file, String text) {
+        YamlDocument document = YamlDocument.parse(file, text);
+        YamlMap root = document.root();
+        DaemonSettings settings =
+                new DaemonSettings(
+                        root.name("member"),
+                        root.name("zone"),
+                        root.address("callers"),
+                        root.address("peers"),
+                        root.address("operators"),
+                        root.address("platform"),
+                        control(root.map("control")));
+        root.close("member", "zone", "callers", "peers", "operators", "platform", "control");
+        return new ParsedSettings(settings, document.findings());
+    }
+
+    private static ControlSettings control(YamlMap map) {
+        ControlSettings base = ControlSettings.DEFAULT;
+        ControlSettings read =
+                new ControlSettings(
+                        map.integer("heartbeat ms", 1, MAX_MS, base.heartbeatMs()),
+                        map.integer("silence ms", 1, MAX_MS, base.silenceMs()),
+                        map.integer("freshness ms", 1, MAX_MS, base.freshnessMs()),
+                        map.integer("roll-out wait ms", 1, MAX_MS, base.rollOutWaitMs()),
+                        map.integer("attempts at most", 1, MAX_ATTEMPTS, base.maxAttempts()));
+        map.close(
+                "heartbeat ms",
+                "silence ms",
+                "freshness ms",
+                "roll-out wait ms",
+                "attempts at most");
+        return read;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/hibiscususher/daemon/store/EtcdStore.java
@@ -0,0 +1,145 @@
+package org.hibiscususher.daemon.store;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.channel.EventLoopGroup;
+import io.netty.handler.codec.http.HttpMethod;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.function.Consumer;
+import org.hibiscususher.core.message.PlatformHost;
+import org.hibiscususher.wire.http.HttpCaller;
+import org.hibiscususher.wire.http.HttpReply;
+
+/** Speaks the JSON gateway of the etcd v3 key-value protocol. Thread-safe. */
+public final class EtcdStore implements PlatformStore {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final int CALL_TIMEOUT_MS = 2_000;
+    private static final int STATUS_OK = 200;
+
+    private final EventLoopGroup mGroup;
+    private final String mAddress;
+    private final HttpCaller mCaller;
+
+    private EtcdStore(EventLoopGroup group, String address) {
+        mGroup = group;
+        mAddress = address;
+        mCaller = HttpCaller.create(group, CALL_TIMEOUT_MS);
+    }
+
+    /**
+     * Creates a client; nothing is sent yet.
+     *
+     * @param group event loops that carry the calls; the owner closes them
+     * @param address IP number and port of the store
+     */
+    public static EtcdStore create(EventLoopGroup group, String address) {
+        return new EtcdStore(group, address);
+    }
+
+    @Override
+    public CompletableFuture<Optional<VersionedValue>> get(String key) {
+        return call("/v3/kv/range", object().put("key", encode(key)))
+                .thenApply(
+                        reply ->
+                                reply.path("kvs").isEmpty()
+                                        ? Optional.empty()
+                                        : Optional.of(valueOf(reply.path("kvs").get(0))));
+    }
+
+    @Override
+    public CompletableFuture<Boolean> compareAndSwap(
+            String key, long expectedVersion, byte[] value) {
+        ObjectNode root = object();
+        root.putArray("compare")
+                .addObject()
+                .put("key", encode(key))
+                .put("target", "MOD")
+                .put("result", "EQUAL")
+                .put("mod_revision", Long.toString(expectedVersion));
+        root.putArray("success")
+                .addObject()
+                .putObject("request_put")
+                .put("key", encode(key))
+                .put("value", Base64.getEncoder().encodeToString(value));
+        return call("/v3/kv/txn", root).thenApply(r -> r.path("succeeded").asBoolean());
+    }
+
+    @Override
+    public void watch(String key, Consumer<VersionedValue> consumer) {
+        ObjectNode root = object();
+        root.putObject("create_request").put("key", encode(key)).put("start_revision", "1");
+        EtcdWatch.start(
+                mGroup,
+                mAddress,
+                root.toString().getBytes(StandardCharsets.UTF_8),
+                line -> accept(line, consumer));
+    }
+
+    private static void accept(String line, Consumer<VersionedValue> consumer) {
+        try {
+            for (JsonNode event : MAPPER.readTree(line).path("result").path("events")) {
+                consumer.accept(valueOf(event.path("kv")));
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException("malformed line of a watch", e);
+        }
+    }
+
+    @Override
+    public CompletableFuture<List<PlatformHost>> hosts() {
+        return mCaller.call(mAddress, HttpMethod.GET, "/platform/hosts", new byte[0])
+                .thenApply(EtcdStore::parse)
+                .thenApply(
+                        root -> {
+                            List<PlatformHost> hosts = new ArrayList<>();
+                            for (JsonNode n : root.path("hosts")) {
+                                hosts.add(
+                                        new PlatformHost(
+                                                n.path("id").asText(),
+                                                n.path("leaving").asBoolean(),
+                                                n.path("bootId").asText()));
+                            }
+                            return hosts;
+                        });
+    }
+
+    private CompletableFuture<JsonNode> call(String path, JsonNode body) {
+        byte[] bytes = body.toString().getBytes(StandardCharsets.UTF_8);
+        return mCaller.call(mAddress, HttpMethod.POST, path, bytes).thenApply(EtcdStore::parse);
+    }
+
+    private static JsonNode parse(HttpReply reply) {
+        if (reply.status() != STATUS_OK) {
+            throw new CompletionException(new IOException("store answered " + reply.status()));
+        }
+        try {
+            return MAPPER.readTree(reply.body());
+        } catch (IOException e) {
+            throw new CompletionException(e);
+        }
+    }
+
+    private static VersionedValue valueOf(JsonNode kv) {
+        return new VersionedValue(
+                kv.path("mod_revision").asLong(),
+                Base64.getDecoder().decode(kv.path("value").asText()));
+    }
+
+    private static String encode(String key) {
+        return Base64.getEncoder().encodeToString(key.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static ObjectNode object() {
+        return JsonNodeFactory.instance.objectNode();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/hibiscususher/daemon/store/StoreOutputs.java
@@ -0,0 +1,91 @@
+package org.hibiscususher.daemon.store;
+
+import java.io.IOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.Optional;
+import org.hibiscususher.core.message.Input;
+import org.hibiscususher.core.message.Output.ReadRecord;
+import org.hibiscususher.core.message.Output.SwapRecord;
+import org.hibiscususher.core.message.RecordKey;
+import org.hibiscususher.core.message.SwapResult;
+import org.hibiscususher.core.message.VersionedRecord;
+import org.hibiscususher.daemon.control.Inbox;
+import org.hibiscususher.wire.json.RecordCodec;
+
+/** Carries out the core's calls of the platform's store and gives the answers back as inputs. */
+public final class StoreOutputs {
+    private static final Logger LOG = System.getLogger(StoreOutputs.class.getName());
+
+    private final PlatformStore mStore;
+    private final Inbox mInbox;
+
+    private StoreOutputs(PlatformStore store, Inbox inbox) {
+        mStore = store;
+        mInbox = inbox;
+    }
+
+    /** Creates the link between the core and a store. */
+    public static StoreOutputs create(PlatformStore store, Inbox inbox) {
+        return new StoreOutputs(store, inbox);
+    }
+
+    /** Watches a record. */
+    public void watch(RecordKey key) {
+        mStore.watch(
+                RecordCodec.keyOf(key),
+                value -> {
+                    try {
+                        mInbox.add(new Input.RecordWatched(key, decode(key, value)));
+                    } catch (IOException e) {
+                        LOG.log(Level.ERROR, "event=record-malformed key=" + key.kind(), e);
+                    }
+                });
+    }
+
+    /** Reads a record. */
+    public void read(ReadRecord read) {
+        mStore.get(RecordCodec.keyOf(read.key()))
+                .whenComplete(
+                        (found, failure) -> {
+                            if (failure != null) {
+                                mInbox.add(new Input.StoreFailed(read.callId()));
+                            } else {
+                                answer(read, found);
+                            }
+                        });
+    }
+
+    private void answer(ReadRecord read, Optional<VersionedValue> found) {
+        try {
+            Optional<VersionedRecord> record =
+                    found.isPresent()
+                            ? Optional.of(decode(read.key(), found.get()))
+                            : Optional.empty();
+            mInbox.add(new Input.RecordRead(read.callId(), read.key(), record));
+        } catch (IOException e) {
+            LOG.log(Level.ERROR, "event=record-malformed key=" + read.key().kind(), e);
+            mInbox.add(new Input.StoreFailed(read.callId()));
+        }
+    }
+
+    /** Writes a record if its version is as expected. */
+    public void swap(SwapRecord swap) {
+        mStore.compareAndSwap(
+                        RecordCodec.keyOf(swap.key()),
+                        swap.expectedVersion(),
+                        RecordCodec.encode(swap.value()))
+                .whenComplete(
+                        (swapped, failure) -> {
+                            SwapResult result =
+                                    failure != null
+                                            ? SwapResult.UNKNOWN
+                                            : swapped ? SwapResult.SWAPPED : SwapResult.CONFLICT;
+                            mInbox.add(new Input.RecordSwapped(swap.callId(), swap.key(), result));
+                        });
+    }
+
+    private static VersionedRecord decode(RecordKey key, VersionedValue value) throws IOException {
+        return new VersionedRecord(value.version(), RecordCodec.decode(key, value.value()));
+    }
+}
--- a/standin/src/main/java/org/hibiscususher/standin/package-info.java
+++ b/standin/src/main/java/org/hibiscususher/standin/package-info.java
@@ -1,2 +1,2 @@
-/** Placeholder. */
+/** Stand-ins for the platform, targets and callers; not shipped. */
 package org.hibiscususher.standin;
--- /dev/null
+++ b/standin/src/main/java/org/hibiscususher/standin/quickstart/QuickstartMain.java
@@ -0,0 +1,99 @@
+package org.hibiscususher.standin.quickstart;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.HttpMethod;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.ExecutionException;
+import org.hibiscususher.core.world.ControlSettings;
+import org.hibiscususher.daemon.Daemon;
+import org.hibiscususher.daemon.settings.DaemonSettings;
+import org.hibiscususher.standin.HttpServer;
+import org.hibiscususher.standin.store.StoreMain;
+import org.hibiscususher.standin.target.TargetMain;
+import org.hibiscususher.wire.http.HttpCaller;
+import org.hibiscususher.wire.http.HttpReply;
+
+/** Runs the main job once: store, two targets and a daemon in one process, one request shown. */
+public final class QuickstartMain {
+    private static final int TIMEOUT_MS = 20_000;
+    private static final String ANY_PORT = "127.0.0.1:0";
+
+    private QuickstartMain() {}
+
+    /** Runs the main job and stops. */
+    public static void main(String[] args)
+            throws IOException, InterruptedException, ExecutionException {
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        try (HttpServer store = StoreMain.listen(ANY_PORT);
+                HttpServer first = TargetMain.listen(ANY_PORT, "host-1");
+                HttpServer second = TargetMain.listen(ANY_PORT, "host-2")) {
+            DaemonSettings settings =
+                    new DaemonSettings(
+                            "entry-1",
+                            "zone-1",
+                            freeAddress(),
+                            freeAddress(),
+                            freeAddress(),
+                            store.address(),
+                            ControlSettings.DEFAULT);
+            Daemon daemon = Daemon.start(settings);
+            HttpCaller caller = HttpCaller.create(group, TIMEOUT_MS);
+            String note = note(first.address(), second.address());
+            System.out.println(note);
+            show("release note", caller, settings.operators(), HttpMethod.POST, "/notes", note);
+            show("request", caller, settings.callers(), HttpMethod.GET, "/lookups/seals/42", "");
+            show("refusal", caller, settings.callers(), HttpMethod.GET, "/elsewhere/1", "");
+            daemon.shutDown();
+            System.out.println("stopped");
+        } finally {
+            group.shutdownGracefully(0, TIMEOUT_MS, java.util.concurrent.TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private static void show(
+            String what,
+            HttpCaller caller,
+            String address,
+            HttpMethod method,
+            String path,
+            String body)
+            throws InterruptedException, ExecutionException {
+        byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+        HttpReply reply = caller.call(address, method, path, bytes).get();
+        System.out.println(
+                what
+                        + " -> "
+                        + reply.status()
+                        + " "
+                        + new String(reply.body(), StandardCharsets.UTF_8).strip());
+    }
+
+    private static String note(String first, String second) {
+        return """
+                note: first-note
+                author: quickstart
+                summary: one pool of two hosts, one queue open to all
+                added:
+                  pools:
+                    - name: parts
+                  hosts:
+                    - {name: host-1, address: "%s", zone: zone-1, pool: parts}
+                    - {name: host-2, address: "%s", zone: zone-1, pool: parts}
+                  teams:
+                    - {name: visitors, share: 1, upper limit: 4}
+                  queues:
+                    - {name: lookups, pool: parts, open to all as team: visitors}
+                """
+                .formatted(first, second);
+    }
+
+    private static String freeAddress() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return "127.0.0.1:" + socket.getLocalPort();
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/hibiscususher/standin/store/StoreHandler.java
@@ -0,0 +1,142 @@
+package org.hibiscususher.standin.store;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+
+/** Answers calls of the JSON gateway of the etcd v3 protocol, as far as the system uses it. */
+final class StoreHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private final StoreState mState;
+
+    StoreHandler(StoreState state) {
+        mState = state;
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request)
+            throws IOException {
+        String body = request.content().toString(StandardCharsets.UTF_8);
+        if (request.uri().equals("/fault")) {
+            mState.setFault(StoreFault.valueOf(body.trim()));
+            reply(context, JsonNodeFactory.instance.objectNode());
+            return;
+        }
+        if (!mState.fault().acts()) {
+            return;
+        }
+        JsonNode call = body.isEmpty() ? MAPPER.createObjectNode() : MAPPER.readTree(body);
+        switch (request.uri()) {
+            case "/v3/kv/range" -> replyLater(context, range(call));
+            case "/v3/kv/txn" -> replyLater(context, transact(call));
+            case "/v3/watch" -> watch(context.channel(), call.path("create_request"));
+            case "/platform/hosts" -> {
+                ObjectNode hosts = MAPPER.createObjectNode();
+                hosts.putArray("hosts");
+                replyLater(context, hosts);
+            }
+            default -> context.close();
+        }
+    }
+
+    private ObjectNode range(JsonNode call) {
+        ObjectNode reply = header();
+        mState.entries()
+                .find(call.path("key").asText())
+                .ifPresent(e -> reply.putArray("kvs").add(keyValue(e)));
+        return reply;
+    }
+
+    private ObjectNode transact(JsonNode call) {
+        JsonNode compare = call.path("compare").get(0);
+        JsonNode put = call.path("success").get(0).path("request_put");
+        String key = put.path("key").asText();
+        boolean swapped =
+                mState.swap(key, compare.path("mod_revision").asLong(), put.path("value").asText());
+        if (swapped && mState.fault().shows()) {
+            mState.watches(key).removeIf(c -> !c.isActive());
+            mState.watches(key).forEach(c -> show(c, key));
+        }
+        return header().put("succeeded", swapped);
+    }
+
+    private void watch(Channel channel, JsonNode create) {
+        HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+        HttpUtil.setTransferEncodingChunked(head, true);
+        channel.writeAndFlush(head);
+        String key = create.path("key").asText();
+        mState.watches(key).add(channel);
+        if (mState.entries().contains(key)) {
+            show(channel, key);
+        }
+    }
+
+    private void show(Channel channel, String key) {
+        ObjectNode line = MAPPER.createObjectNode();
+        line.putObject("result")
+                .putArray("events")
+                .addObject()
+                .put("type", "PUT")
+                .set("kv", keyValue(mState.entries().find(key).orElseThrow()));
+        byte[] bytes = (line + "\n").getBytes(StandardCharsets.UTF_8);
+        channel.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)));
+    }
+
+    private ObjectNode header() {
+        ObjectNode reply = MAPPER.createObjectNode();
+        reply.putObject("header").put("revision", Long.toString(mState.revision()));
+        return reply;
+    }
+
+    private static ObjectNode keyValue(StoreState.Entry entry) {
+        return MAPPER.createObjectNode()
+                .put("key", entry.key())
+                .put("value", entry.value())
+                .put("mod_revision", Long.toString(entry.revision()));
+    }
+
+    private void replyLater(ChannelHandlerContext context, JsonNode body) {
+        if (!mState.fault().answers()) {
+            return;
+        }
+        context.executor()
+                .schedule(
+                        () -> reply(context, body),
+                        mState.fault().delayMs(),
+                        TimeUnit.MILLISECONDS);
+    }
+
+    private static void reply(ChannelHandlerContext context, JsonNode body) {
+        FullHttpResponse response =
+                new DefaultFullHttpResponse(
+                        HttpVersion.HTTP_1_1,
+                        HttpResponseStatus.OK,
+                        Unpooled.copiedBuffer(body.toString(), StandardCharsets.UTF_8));
+        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
+        context.writeAndFlush(response);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        context.close();
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/hibiscususher/standin/virtual/EntryCondition.java
@@ -0,0 +1,27 @@
+package org.hibiscususher.standin.virtual;
+
+/** The conditions of an entry's process. */
+public enum EntryCondition {
+    /** Runs. */
+    RUNNING(true, true),
+    /** Stopped by the system for a while; what reaches it waits. */
+    PAUSED(false, true),
+    /** Has ended. */
+    DEAD(false, false);
+
+    private final boolean mRuns;
+    private final boolean mReceives;
+
+    EntryCondition(boolean runs, boolean receives) {
+        mRuns = runs;
+        mReceives = receives;
+    }
+
+    boolean runs() {
+        return mRuns;
+    }
+
+    boolean receives() {
+        return mReceives;
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/hibiscususher/standin/virtual/TargetFault.java
@@ -0,0 +1,44 @@
+package org.hibiscususher.standin.virtual;
+
+import org.hibiscususher.core.message.AttemptOutcome;
+
+/** How a target misbehaves. */
+public enum TargetFault {
+    /** Works. */
+    NONE(true, 1, AttemptOutcome.ANSWERED),
+    /** Takes no connection. */
+    UNREACHABLE(false, 0, AttemptOutcome.NOT_CONNECTED),
+    /** Says that it runs nothing more. */
+    CLOSING(false, 0, AttemptOutcome.DECLINED),
+    /** Runs each request and breaks off before it answers. */
+    FAILING(true, 0.1, AttemptOutcome.BROKEN),
+    /** Runs each request and breaks off in the middle of the answer. */
+    SHORT_BODY(true, 1, AttemptOutcome.TRUNCATED),
+    /** Runs five times as long as usual. */
+    SLOW(true, 5, AttemptOutcome.ANSWERED);
+
+    private final boolean mRuns;
+    private final double mDuration;
+    private final AttemptOutcome mOutcome;
+
+    TargetFault(boolean runs, double duration, AttemptOutcome outcome) {
+        mRuns = runs;
+        mDuration = duration;
+        mOutcome = outcome;
+    }
+
+    /** Returns whether requests run. */
+    boolean runs() {
+        return mRuns;
+    }
+
+    /** Returns the run time as a multiple of the usual one. */
+    double duration() {
+        return mDuration;
+    }
+
+    /** Returns what the entry sees. */
+    AttemptOutcome outcome() {
+        return mOutcome;
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualEntry.java
@@ -0,0 +1,76 @@
+package org.hibiscususher.standin.virtual;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.hibiscususher.core.control.ControlNode;
+import org.hibiscususher.core.message.Input;
+import org.hibiscususher.core.message.Output;
+import org.hibiscususher.core.world.ControlSettings;
+import org.hibiscususher.core.world.NodeIdentity;
+import org.hibiscususher.core.world.World;
+
+/** One entry: the real control node, and the inputs that wait for its next tick. */
+public final class VirtualEntry {
+    private static final long TICK_MS = 10;
+
+    private final NodeIdentity mIdentity;
+    private final ControlNode mNode;
+    private final List<Input> mInputs = new ArrayList<>();
+    private EntryCondition mCondition = EntryCondition.RUNNING;
+    private long mLastTickMs;
+    private long mTicks;
+
+    VirtualEntry(NodeIdentity identity, ControlSettings settings, long nowMs) {
+        mIdentity = identity;
+        mNode = ControlNode.create(identity, settings, nowMs);
+    }
+
+    /** Returns the member id. */
+    public String id() {
+        return mIdentity.id();
+    }
+
+    /** Returns who the process is. */
+    public NodeIdentity identity() {
+        return mIdentity;
+    }
+
+    /** Returns the tables, for reading between ticks. */
+    public World world() {
+        return mNode.world();
+    }
+
+    /** Returns whether the process runs, is paused, or has ended. */
+    public EntryCondition condition() {
+        return mCondition;
+    }
+
+    /** Returns how many ticks have run. */
+    public long ticks() {
+        return mTicks;
+    }
+
+    void setCondition(EntryCondition condition) {
+        mCondition = condition;
+    }
+
+    /** Adds an input for the next tick, unless the process has ended. */
+    void receive(Input input) {
+        if (mCondition.receives()) {
+            mInputs.add(input);
+        }
+    }
+
+    /** Runs a tick if the process runs and one is due. */
+    List<Output> tickIfDue(long nowMs) {
+        boolean due = !mInputs.isEmpty() || nowMs - mLastTickMs >= TICK_MS;
+        if (!mCondition.runs() || !due) {
+            return List.of();
+        }
+        mLastTickMs = nowMs;
+        mTicks++;
+        List<Input> inputs = List.copyOf(mInputs);
+        mInputs.clear();
+        return mNode.tick(nowMs, inputs);
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualSite.java
@@ -0,0 +1,323 @@
+package org.hibiscususher.standin.virtual;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import org.hibiscususher.core.config.Capacity;
+import org.hibiscususher.core.config.KeyDigest;
+import org.hibiscususher.core.message.AttemptOutcome;
+import org.hibiscususher.core.message.Input.AttemptEnded;
+import org.hibiscususher.core.message.Input.HostListRead;
+import org.hibiscususher.core.message.Input.NoteSubmitted;
+import org.hibiscususher.core.message.Input.PeerReceived;
+import org.hibiscususher.core.message.Input.PeerRefused;
+import org.hibiscususher.core.message.Input.RequestArrived;
+import org.hibiscususher.core.message.Input.RequestCancelled;
+import org.hibiscususher.core.message.Input.ShutdownAsked;
+import org.hibiscususher.core.message.Input.TargetDone;
+import org.hibiscususher.core.message.Output;
+import org.hibiscususher.core.message.Output.AnswerNote;
+import org.hibiscususher.core.message.Output.SendPeer;
+import org.hibiscususher.core.message.Output.StartAttempt;
+import org.hibiscususher.core.message.PlatformHost;
+import org.hibiscususher.core.note.ReleaseNote;
+import org.hibiscususher.core.world.ControlSettings;
+import org.hibiscususher.core.world.NodeIdentity;
+
+/**
+ * A site in virtual time: real control nodes, and fakes at their interfaces. Not thread-safe; two
+ * sites with the same seed and the same calls do the same.
+ */
+public final class VirtualSite {
+    private static final long START_MS = 1_000_000;
+    private static final int TARGET_LATENCY_MS = 1;
+
+    private final Timeline mTimeline = new Timeline(START_MS);
+    private final Random mRandom;
+    private final VirtualNetwork mNetwork;
+    private final VirtualStore mStore = new VirtualStore(mTimeline);
+    private final Map<String, VirtualEntry> mEntries = new LinkedHashMap<>();
+    private final Map<String, VirtualTarget> mTargets = new LinkedHashMap<>();
+    private final Map<Long, VirtualRequest> mRequests = new LinkedHashMap<>();
+    private final Map<Long, AnswerNote> mNoteAnswers = new LinkedHashMap<>();
+    private final Map<String, Long> mCounters = new LinkedHashMap<>();
+    private final List<String> mEvents = new ArrayList<>();
+    private final ControlSettings mSettings;
+    private long mIds;
+
+    private VirtualSite(long seed, ControlSettings settings) {
+        mRandom = new Random(seed);
+        mNetwork = new VirtualNetwork(mTimeline, mRandom);
+        mSettings = settings;
+    }
+
+    /** Creates a site without entries. */
+    public static VirtualSite create(long seed, ControlSettings settings) {
+        return new VirtualSite(seed, settings);
+    }
+
+    /** Returns the virtual time in milliseconds. */
+    public long nowMs() {
+        return mTimeline.nowMs();
+    }
+
+    /** Returns the tasks to come. */
+    public Timeline timeline() {
+        return mTimeline;
+    }
+
+    /** Returns the site's one source of chance. */
+    public Random random() {
+        return mRandom;
+    }
+
+    /** Returns the links between entries. */
+    public VirtualNetwork network() {
+        return mNetwork;
+    }
+
+    /** Returns the platform's store. */
+    public VirtualStore store() {
+        return mStore;
+    }
+
+    /** Returns the entries by id, ended ones included until they are started again. */
+    public Map<String, VirtualEntry> entries() {
+        return mEntries;
+    }
+
+    /** Returns the requests by id, in order of arrival. */
+    public Map<Long, VirtualRequest> requests() {
+        return mRequests;
+    }
+
+    /** Returns the answers to release notes by call. */
+    public Map<Long, AnswerNote> noteAnswers() {
+        return mNoteAnswers;
+    }
+
+    /** Returns the counters of all entries, added up. */
+    public Map<String, Long> counters() {
+        return mCounters;
+    }
+
+    /** Returns the events that the entries have logged, each as {@code time entry event}. */
+    public List<String> events() {
+        return mEvents;
+    }
+
+    /** Returns a target, made when it is first asked for. */
+    public VirtualTarget target(String host) {
+        return mTargets.computeIfAbsent(host, VirtualTarget::new);
+    }
+
+    /** Returns the targets by host. */
+    public Map<String, VirtualTarget> targets() {
+        return mTargets;
+    }
+
+    /** Starts an entry, or starts one again that has ended. */
+    public VirtualEntry start(String id, String zone) {
+        NodeIdentity identity = new NodeIdentity(id, nowMs(), id + ":1", zone);
+        VirtualEntry entry = new VirtualEntry(identity, mSettings, nowMs());
+        mEntries.put(id, entry);
+        mStore.watch(id, entry::receive);
+        return entry;
+    }
+
+    /** Ends an entry at once, without a word. */
+    public void kill(String id) {
+        mEntries.get(id).setCondition(EntryCondition.DEAD);
+        mStore.unwatch(id);
+        for (VirtualRequest request : mRequests.values()) {
+            if (request.entry().equals(id) && !request.over()) {
+                request.cancel(nowMs());
+            }
+        }
+    }
+
+    /** Stops an entry's process for a while; what reaches it waits. */
+    public void pause(String id) {
+        mEntries.get(id).setCondition(EntryCondition.PAUSED);
+    }
+
+    /** Lets a paused entry go on. */
+    public void resume(String id) {
+        mEntries.get(id).setCondition(EntryCondition.RUNNING);
+    }
+
+    /** Asks an entry to finish its work and leave. */
+    public void shutDown(String id) {
+        mEntries.get(id).receive(new ShutdownAsked());
+    }
+
+    /** Gives every running entry the platform's list of hosts. */
+    public void showHosts(List<PlatformHost> hosts) {
+        mEntries.values().forEach(e -> e.receive(new HostListRead(hosts)));
+    }
+
+    /** Hands a release note to an entry and returns the id of the call. */
+    public long submit(String entry, ReleaseNote note) {
+        long callId = ++mIds;
+        mEntries.get(entry).receive(new NoteSubmitted(callId, note));
+        return callId;
+    }
+
+    /** Hands a request to an entry, as a caller of a team whose secret is its own name. */
+    public VirtualRequest call(String entry, String queue, String team, int runMs) {
+        return call(entry, queue, team, runMs, true, "");
+    }
+
+    /** Hands a request to an entry, with what decides whether it may run again. */
+    public VirtualRequest call(
+            String entry,
+            String queue,
+            String team,
+            int runMs,
+            boolean idempotent,
+            String idempotencyKey) {
+        RequestArrived arrival =
+                new RequestArrived(
+                        ++mIds,
+                        queue,
+                        Optional.of(KeyDigest.ofSecret(team)),
+                        idempotent,
+                        idempotencyKey,
+                        0,
+                        Capacity.NONE);
+        VirtualRequest request = new VirtualRequest(entry, arrival, team, runMs, nowMs());
+        mRequests.put(arrival.requestId(), request);
+        if (mEntries.get(entry).condition() == EntryCondition.DEAD) {
+            request.cancel(nowMs());
+        } else {
+            mEntries.get(entry).receive(arrival);
+        }
+        return request;
+    }
+
+    /** Lets the caller of a request go away. */
+    public void cancel(VirtualRequest request) {
+        if (request.over()) {
+            return;
+        }
+        request.cancel(nowMs());
+        VirtualEntry entry = mEntries.get(request.entry());
+        long id = request.arrival().requestId();
+        Optional<Integer> attempt = entry.world().requests().find(id).map(r -> r.attempt());
+        entry.receive(
+                attempt.orElse(0) == 0
+                        ? new RequestCancelled(id)
+                        : new AttemptEnded(id, attempt.get(), AttemptOutcome.CALLER_GONE));
+    }
+
+    /** Lets virtual time pass; every entry ticks when it has inputs or a tick is due. */
+    public void run(long ms) {
+        long end = nowMs() + ms;
+        while (nowMs() < end) {
+            mTimeline.advance();
+            for (VirtualEntry entry : List.copyOf(mEntries.values())) {
+                entry.tickIfDue(nowMs()).forEach(o -> carryOut(entry, o));
+            }
+        }
+    }
+
+    private void carryOut(VirtualEntry entry, Output output) {
+        if (output instanceof Output.ReadRecord read) {
+            mStore.read(entry.id(), read, entry::receive);
+        } else if (output instanceof Output.SwapRecord swap) {
+            mStore.swap(entry.id(), swap, entry::receive);
+        } else if (output instanceof SendPeer send) {
+            sendPeer(entry, send);
+        } else if (output instanceof StartAttempt start) {
+            startAttempt(entry, start);
+        } else if (output instanceof Output.Refuse refuse) {
+            VirtualRequest request = mRequests.get(refuse.requestId());
+            if (!request.over()) {
+                request.refuse(refuse.refusal(), nowMs());
+            }
+        } else if (output instanceof AnswerNote answer) {
+            mNoteAnswers.put(answer.callId(), answer);
+        } else if (output instanceof Output.Count count) {
+            mCounters.merge(count.counter(), 1L, Long::sum);
+        } else if (output instanceof Output.LogEvent log) {
+            mEvents.add(nowMs() - START_MS + " " + entry.id() + " " + log.event());
+        } else if (output instanceof Output.ShutdownDone) {
+            entry.setCondition(EntryCondition.DEAD);
+            mStore.unwatch(entry.id());
+        }
+    }
+
+    private void sendPeer(VirtualEntry from, SendPeer send) {
+        mNetwork.send(
+                from.id(),
+                send.memberId(),
+                () -> {
+                    VirtualEntry to = mEntries.get(send.memberId());
+                    if (to == null || to.condition() == EntryCondition.DEAD) {
+                        long incarnation =
+                                from.world()
+                                        .members()
+                                        .find(send.memberId())
+                                        .map(m -> m.member().incarnation())
+                                        .orElse(0L);
+                        from.receive(new PeerRefused(send.memberId(), incarnation));
+                    } else {
+                        to.receive(new PeerReceived(send.message()));
+                    }
+                });
+    }
+
+    private void startAttempt(VirtualEntry entry, StartAttempt start) {
+        VirtualTarget target = target(start.host());
+        VirtualRequest request = mRequests.get(start.requestId());
+        VirtualTarget.RunKey key =
+                new VirtualTarget.RunKey(entry.id(), start.requestId(), start.attempt());
+        mTimeline.after(
+                TARGET_LATENCY_MS,
+                () -> {
+                    TargetFault fault = target.fault();
+                    if (!fault.runs()) {
+                        entry.receive(
+                                new AttemptEnded(
+                                        start.requestId(), start.attempt(), fault.outcome()));
+                        return;
+                    }
+                    request.ran(nowMs());
+                    target.begin(key, request.team());
+                    long durationMs = Math.max(1, (long) (request.runMs() * fault.duration()));
+                    mTimeline.after(durationMs, () -> target.end(key));
+                    long answerMs = durationMs + TARGET_LATENCY_MS;
+                    if (answerMs > start.runLimitMs()) {
+                        mTimeline.after(
+                                start.runLimitMs(),
+                                () -> deliver(entry, request, start, AttemptOutcome.TIMED_OUT));
+                    } else {
+                        mTimeline.after(
+                                answerMs, () -> deliver(entry, request, start, fault.outcome()));
+                    }
+                });
+    }
+
+    private void deliver(
+            VirtualEntry entry,
+            VirtualRequest request,
+            StartAttempt start,
+            AttemptOutcome outcome) {
+        if (entry.condition() == EntryCondition.DEAD) {
+            return;
+        }
+        if (request.cancelled()) {
+            entry.receive(new TargetDone(start.requestId(), start.attempt()));
+            return;
+        }
+        if (!request.over() && outcome == AttemptOutcome.ANSWERED) {
+            request.answer(nowMs());
+        } else if (!request.over() && outcome == AttemptOutcome.TRUNCATED) {
+            request.cutShort(nowMs());
+        }
+        entry.receive(new AttemptEnded(start.requestId(), start.attempt(), outcome));
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualTarget.java
@@ -0,0 +1,58 @@
+package org.hibiscususher.standin.virtual;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** A target host: what runs on it now, and how it misbehaves. */
+public final class VirtualTarget {
+    private final String mId;
+    private final Map<RunKey, String> mRunning = new LinkedHashMap<>();
+    private TargetFault mFault = TargetFault.NONE;
+    private int mMostRunning;
+
+    /** Names one attempt. */
+    record RunKey(String entry, long requestId, int attempt) {}
+
+    VirtualTarget(String id) {
+        mId = id;
+    }
+
+    /** Returns the host's id. */
+    public String id() {
+        return mId;
+    }
+
+    /** Sets how the target misbehaves from now on. */
+    public void setFault(TargetFault fault) {
+        mFault = fault;
+    }
+
+    /** Returns how the target misbehaves. */
+    public TargetFault fault() {
+        return mFault;
+    }
+
+    /** Returns how many requests are running. */
+    public int running() {
+        return mRunning.size();
+    }
+
+    /** Returns how many requests of a team are running. */
+    public int running(String team) {
+        return (int) mRunning.values().stream().filter(team::equals).count();
+    }
+
+    /** Returns the most requests that were running at a time. */
+    public int mostRunning() {
+        return mMostRunning;
+    }
+
+    void begin(RunKey key, String team) {
+        mRunning.put(key, team);
+        mMostRunning = Math.max(mMostRunning, mRunning.size());
+    }
+
+    void end(RunKey key) {
+        mRunning.remove(key);
+    }
+}
