--- a/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualSite.java
+++ b/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualSite.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.function.Consumer;
 import org.hibiscususher.core.config.Capacity;
 import org.hibiscususher.core.config.KeyDigest;
 import org.hibiscususher.core.message.AttemptOutcome;
@@ -46,6 +47,8 @@
     private final Map<String, Long> mCounters = new LinkedHashMap<>();
     private final List<String> mEvents = new ArrayList<>();
     private final ControlSettings mSettings;
+    private Consumer<VirtualEntry> mBeforeTick = entry -> {};
+    private Runnable mAfterStep = () -> {};
     private long mIds;
 
     private VirtualSite(long seed, ControlSettings settings) {
@@ -119,6 +122,16 @@
         return mTargets;
     }
 
+    /** Sets what is done to an entry before each of its ticks; tests break entries by it. */
+    public void setBeforeTick(Consumer<VirtualEntry> action) {
+        mBeforeTick = action;
+    }
+
+    /** Sets what is done after each virtual millisecond; tests check their invariants by it. */
+    public void setAfterStep(Runnable action) {
+        mAfterStep = action;
+    }
+
     /** Starts an entry, or starts one again that has ended. */
     public VirtualEntry start(String id, String zone) {
         NodeIdentity identity = new NodeIdentity(id, nowMs(), id + ":1", zone);
@@ -219,8 +232,10 @@
         while (nowMs() < end) {
             mTimeline.advance();
             for (VirtualEntry entry : List.copyOf(mEntries.values())) {
+                mBeforeTick.accept(entry);
                 entry.tickIfDue(nowMs()).forEach(o -> carryOut(entry, o));
             }
+            mAfterStep.run();
         }
     }
 
@@ -286,7 +301,7 @@
                         return;
                     }
                     request.ran(nowMs());
-                    target.begin(key, request.team());
+                    target.begin(key, request.team(), nowMs());
                     long durationMs = Math.max(1, (long) (request.runMs() * fault.duration()));
                     mTimeline.after(durationMs, () -> target.end(key));
                     long answerMs = durationMs + TARGET_LATENCY_MS;
--- a/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualTarget.java
+++ b/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualTarget.java
@@ -9,6 +9,7 @@
     private final Map<RunKey, String> mRunning = new LinkedHashMap<>();
     private TargetFault mFault = TargetFault.NONE;
     private int mMostRunning;
+    private long mLastBeginMs = -1;
 
     /** Names one attempt. */
     record RunKey(String entry, long requestId, int attempt) {}
@@ -47,7 +48,13 @@
         return mMostRunning;
     }
 
-    void begin(RunKey key, String team) {
+    /** Returns when the last run began, in virtual milliseconds, -1 if none has. */
+    public long lastBeginMs() {
+        return mLastBeginMs;
+    }
+
+    void begin(RunKey key, String team, long nowMs) {
+        mLastBeginMs = nowMs;
         mRunning.put(key, team);
         mMostRunning = Math.max(mMostRunning, mRunning.size());
     }
