Commit the stand-in for targets

The package standin.target was never committed: the ignore pattern target/ matched its folder as well as Maven's output, so a fresh checkout did not compile.

--- /dev/null
+++ b/standin/src/main/java/org/hibiscususher/standin/target/package-info.java
@@ -0,0 +1,2 @@
+/** A stand-in for a target host's executor. */
+package org.hibiscususher.standin.target;
