--- a/cli/src/main/java/org/hibiscususher/cli/Command.java
+++ b/cli/src/main/java/org/hibiscususher/cli/Command.java
@@ -34,7 +34,6 @@
             String file = call.operand();
             byte[] reply = call.post("/notes", Files.readString(Path.of(file)));
             AnswerNote answer = OperatorJson.decodeNoteAnswer(reply);
-            answer.findings().forEach(call.out()::println);
             call.out()
                     .println(
                             answer.result().name().toLowerCase(java.util.Locale.ROOT)
@@ -42,6 +41,7 @@
                                     + answer.revision()
                                     + ": "
                                     + answer.detail());
+            answer.findings().forEach(call.out()::println);
             return switch (answer.result()) {
                 case ACCEPTED -> ExitCode.OK;
                 case WRITTEN -> ExitCode.NOT_CONFIRMED;
--- a/core/src/main/java/org/hibiscususher/core/control/Phase.java
+++ b/core/src/main/java/org/hibiscususher/core/control/Phase.java
@@ -5,8 +5,10 @@
 import org.hibiscususher.core.membership.MembershipSystem;
 import org.hibiscususher.core.request.AdmissionSystem;
 import org.hibiscususher.core.request.PlacementSystem;
+import org.hibiscususher.core.request.RecheckSystem;
 import org.hibiscususher.core.request.RetrySystem;
 import org.hibiscususher.core.rollout.FreshnessSystem;
+import org.hibiscususher.core.rollout.NoteSystem;
 import org.hibiscususher.core.rollout.RollOutSystem;
 import org.hibiscususher.core.world.Tick;
 
@@ -30,6 +32,18 @@
             RollOutSystem.run(tick);
         }
     },
+    NOTE {
+        @Override
+        void run(Tick tick) {
+            NoteSystem.run(tick);
+        }
+    },
+    RECHECK {
+        @Override
+        void run(Tick tick) {
+            RecheckSystem.run(tick);
+        }
+    },
     RETRY {
         @Override
         void run(Tick tick) {
--- a/core/src/main/java/org/hibiscususher/core/message/Input.java
+++ b/core/src/main/java/org/hibiscususher/core/message/Input.java
@@ -119,8 +119,10 @@
      *
      * @param callId the call to answer
      * @param note the note
+     * @param wallMs when it came, in milliseconds since 1970 of the wall clock; for the history
+     *     only
      */
-    record NoteSubmitted(long callId, ReleaseNote note) implements Input {}
+    record NoteSubmitted(long callId, ReleaseNote note, long wallMs) implements Input {}
 
     /** The process was asked to stop: finish what runs, then leave. */
     record ShutdownAsked() implements Input {}
--- a/core/src/main/java/org/hibiscususher/core/message/PeerItem.java
+++ b/core/src/main/java/org/hibiscususher/core/message/PeerItem.java
@@ -1,15 +1,21 @@
 package org.hibiscususher.core.message;
 
-import org.hibiscususher.core.config.Configuration;
+import java.util.List;
+import org.hibiscususher.core.note.AcceptedNote;
 
 /** One thing that an entry tells another. */
 public sealed interface PeerItem {
     /**
-     * Relays the configuration in force.
+     * Relays accepted notes that the receiver is known to lack.
      *
-     * @param configuration the configuration
+     * @param notes notes of consecutive revisions, in order, each with its delta
      */
-    record Relay(Configuration configuration) implements PeerItem {}
+    record Relay(List<AcceptedNote> notes) implements PeerItem {
+        /** Copies the list. */
+        public Relay {
+            notes = List.copyOf(notes);
+        }
+    }
 
     /**
      * Tells the permits' allocator how many of its grants have come back in all.
--- a/core/src/main/java/org/hibiscususher/core/note/CheckedNote.java
+++ b/core/src/main/java/org/hibiscususher/core/note/CheckedNote.java
@@ -4,17 +4,25 @@
 
 import java.util.List;
 import org.hibiscususher.core.config.Configuration;
+import org.hibiscususher.core.config.ConfigurationDelta;
 
 /**
  * A release note after its check.
  *
- * @param findings all that is wrong; empty if the note may be accepted
- * @param result the configuration with the note applied; of use only without findings
+ * @param findings all that was found, in order of place
+ * @param result the configuration with the note applied; of use only without errors
+ * @param delta what leads to the result
  */
-public record CheckedNote(List<Finding> findings, Configuration result) {
+public record CheckedNote(List<Finding> findings, Configuration result, ConfigurationDelta delta) {
     /** Copies the findings. */
     public CheckedNote {
         findings = List.copyOf(findings);
         requireNonNull(result);
+        requireNonNull(delta);
+    }
+
+    /** Returns whether the note may be accepted: there are warnings at most. */
+    public boolean acceptable() {
+        return findings.stream().noneMatch(f -> f.severity() == Severity.ERROR);
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/note/Finding.java
+++ b/core/src/main/java/org/hibiscususher/core/note/Finding.java
@@ -6,17 +6,24 @@
  * Something wrong in a file, with its place.
  *
  * @param place where it is
+ * @param severity how much it matters
  * @param message what is wrong and what was expected
  */
-public record Finding(Place place, String message) {
+public record Finding(Place place, Severity severity, String message) {
     /** Checks the fields. */
     public Finding {
         requireNonNull(place);
+        requireNonNull(severity);
         requireNonNull(message);
     }
 
+    /** Creates an error. */
+    public Finding(Place place, String message) {
+        this(place, Severity.ERROR, message);
+    }
+
     @Override
     public String toString() {
-        return place + ": " + message;
+        return place + ": " + severity.prefix() + message;
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/note/NoteChecker.java
+++ b/core/src/main/java/org/hibiscususher/core/note/NoteChecker.java
@@ -1,13 +1,17 @@
 package org.hibiscususher.core.note;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.function.Function;
 import org.hibiscususher.core.config.Configuration;
+import org.hibiscususher.core.config.ConfigurationDelta;
 import org.hibiscususher.core.config.HostSpec;
 import org.hibiscususher.core.config.KeySpec;
 import org.hibiscususher.core.config.PoolSpec;
@@ -20,6 +24,7 @@
     private final Configuration mBefore;
     private final List<Finding> mFindings = new ArrayList<>();
     private final Map<String, Place> mPlaces = new HashMap<>();
+    private final Set<String> mWithdrawn = new HashSet<>();
 
     private NoteChecker(ReleaseNote note, Configuration before) {
         mNote = note;
@@ -85,8 +90,12 @@
                         QueueSpec::id);
         Configuration after =
                 new Configuration(mBefore.revision() + 1, pools, hosts, teams, keys, queues);
-        checkReferences(after);
-        return new CheckedNote(mFindings, after);
+        ConfigurationDelta delta = ConfigurationDelta.between(mBefore, after);
+        mFindings.addAll(WholeChecker.check(mNote, mBefore, after, mPlaces, mWithdrawn));
+        mFindings.sort(
+                Comparator.comparing((Finding f) -> f.place().line())
+                        .thenComparing(f -> f.place().column()));
+        return new CheckedNote(mFindings, after, delta);
     }
 
     private <T> SortedMap<String, T> apply(
@@ -116,6 +125,7 @@
         }
         for (Placed<String> item : withdrawn) {
             note(type, item.value(), item.place(), seen);
+            mWithdrawn.add(type + " " + item.value());
             if (after.remove(item.value()) == null) {
                 find(item.place(), type + " " + item.value() + " does not exist");
             }
@@ -131,50 +141,6 @@
         mPlaces.put(type + " " + id, place);
     }
 
-    private void checkReferences(Configuration after) {
-        Map<String, String> addresses = new HashMap<>();
-        for (HostSpec host : after.hosts().values()) {
-            require(after.pools(), "pool", host.pool(), "host " + host.id());
-            String other = addresses.putIfAbsent(host.address(), host.id());
-            if (other != null) {
-                find(
-                        placeOf("host " + host.id(), "host " + other),
-                        "hosts "
-                                + other
-                                + " and "
-                                + host.id()
-                                + " have the same address "
-                                + host.address());
-            }
-        }
-        for (KeySpec key : after.keys().values()) {
-            require(after.teams(), "team", key.team(), "key " + key.id());
-        }
-        for (QueueSpec queue : after.queues().values()) {
-            require(after.pools(), "pool", queue.pool(), "queue " + queue.id());
-            queue.openTeam()
-                    .ifPresent(t -> require(after.teams(), "team", t, "queue " + queue.id()));
-        }
-    }
-
-    private void require(SortedMap<String, ?> known, String type, String id, String user) {
-        if (!known.containsKey(id)) {
-            find(
-                    placeOf(user, type + " " + id),
-                    user + " needs " + type + " " + id + ", which is not declared");
-        }
-    }
-
-    private Place placeOf(String... names) {
-        for (String name : names) {
-            Place place = mPlaces.get(name);
-            if (place != null) {
-                return place;
-            }
-        }
-        return new Place(mNote.id(), 1, 1);
-    }
-
     private void find(Place place, String message) {
         mFindings.add(new Finding(place, message));
     }
--- a/core/src/main/java/org/hibiscususher/core/rollout/RollOutSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/rollout/RollOutSystem.java
@@ -1,69 +1,75 @@
 package org.hibiscususher.core.rollout;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import org.hibiscususher.core.config.Configuration;
-import org.hibiscususher.core.config.HostSpec;
-import org.hibiscususher.core.config.KeySpec;
-import org.hibiscususher.core.message.Input.NoteSubmitted;
 import org.hibiscususher.core.message.Input.PeerReceived;
 import org.hibiscususher.core.message.Input.RecordRead;
-import org.hibiscususher.core.message.Input.RecordSwapped;
 import org.hibiscususher.core.message.Input.RecordWatched;
 import org.hibiscususher.core.message.Input.StoreFailed;
-import org.hibiscususher.core.message.NoteResult;
-import org.hibiscususher.core.message.Output.AnswerNote;
-import org.hibiscususher.core.message.Output.LogEvent;
 import org.hibiscususher.core.message.Output.ReadRecord;
-import org.hibiscususher.core.message.Output.SwapRecord;
 import org.hibiscususher.core.message.PeerItem.Relay;
 import org.hibiscususher.core.message.RecordKey;
 import org.hibiscususher.core.message.RecordKind;
+import org.hibiscususher.core.message.StoreRecord;
 import org.hibiscususher.core.message.StoreRecord.HeadRecord;
-import org.hibiscususher.core.message.VersionedRecord;
-import org.hibiscususher.core.note.CheckedNote;
-import org.hibiscususher.core.note.NoteChecker;
-import org.hibiscususher.core.world.HostRow;
-import org.hibiscususher.core.world.HostStage;
+import org.hibiscususher.core.message.StoreRecord.SnapshotRecord;
+import org.hibiscususher.core.note.AcceptedNote;
+import org.hibiscususher.core.world.HeadRow;
 import org.hibiscususher.core.world.MemberRow;
-import org.hibiscususher.core.world.PendingNoteRow;
-import org.hibiscususher.core.world.PendingNoteState;
-import org.hibiscususher.core.world.RevisionRow;
+import org.hibiscususher.core.world.RelayRow;
 import org.hibiscususher.core.world.StoreCallRow;
 import org.hibiscususher.core.world.Tick;
 import org.hibiscususher.core.world.World;
 
-/** Brings accepted release notes into force; revisions only go forward. */
+/**
+ * Follows the configuration's history, by watch, by poll and by what other members relay.
+ *
+ * <p>Only what the store has shown or confirmed is put in force or relayed.
+ */
 public final class RollOutSystem {
+    private static final int POLLS_PER_FRESHNESS = 4;
+    private static final int RETRY_MS = 250;
+    private static final int LOST_CALL_MS = 3_000;
+    private static final int RELAY_DELAY_MS = 100;
+    private static final int RELAY_REPEAT_MS = 1_000;
+    private static final int RELAY_BYTES = 32 * 1024;
+
     private RollOutSystem() {}
 
-    /** Takes in newer revisions and moves operators' notes one step on. */
+    /** Puts newer revisions in force, asks for what is missing and tells members that lag. */
     public static void run(Tick tick) {
-        takeRecords(tick);
+        takeHeads(tick);
         takeRelays(tick);
+        takeSnapshots(tick);
+        clearCalls(tick);
+        follow(tick);
         pollHead(tick);
-        submitNotes(tick);
-        settleReads(tick);
-        settleSwaps(tick);
-        failCalls(tick);
-        confirm(tick);
+        relay(tick);
     }
 
-    private static void takeRecords(Tick tick) {
+    private static void takeHeads(Tick tick) {
         for (RecordWatched watched : tick.inputs(RecordWatched.class)) {
-            take(tick, watched.record());
+            if (watched.key().kind() == RecordKind.HEAD) {
+                takeHead(tick, watched.record().value());
+            }
         }
         for (RecordRead read : tick.inputs(RecordRead.class)) {
-            read.found().ifPresent(r -> take(tick, r));
             if (read.key().kind() == RecordKind.HEAD) {
-                tick.world().storeCalls().remove(RecordKind.HEAD);
+                takeHead(
+                        tick,
+                        read.found().<StoreRecord>map(r -> r.value()).orElse(HeadRecord.EMPTY));
             }
         }
     }
 
-    private static void take(Tick tick, VersionedRecord record) {
-        if (record.value() instanceof HeadRecord head) {
-            putInForce(tick, head.configuration(), record.version());
+    private static void takeHead(Tick tick, StoreRecord record) {
+        if (record instanceof HeadRecord head) {
+            if (head.revision() < tick.world().head().record().revision()) {
+                tick.count("configuration.older-shown");
+            }
+            tick.world().headTable().update(World.SELF, h -> h.seen(head, tick.nowMs()));
         }
     }
 
@@ -71,206 +77,156 @@
         for (PeerReceived received : tick.inputs(PeerReceived.class)) {
             for (var item : received.message().items()) {
                 if (item instanceof Relay relay) {
-                    putInForce(tick, relay.configuration(), 0);
+                    Revisions.advance(tick, relay.notes());
                 }
             }
         }
     }
 
-    /** Puts a configuration in force here if it is newer than the present one. */
-    private static void putInForce(Tick tick, Configuration next, long version) {
-        World world = tick.world();
-        if (next.revision() <= world.configuration().revision()) {
-            return;
-        }
-        world.revisionTable().put(World.SELF, new RevisionRow(next, version, tick.nowMs()));
-        world.keys().clear();
-        for (KeySpec key : next.keys().values()) {
-            world.keys().put(key.digest(), key);
-        }
-        world.hosts().removeIf(h -> !next.hosts().containsKey(h.spec().id()));
-        for (HostSpec spec : next.hosts().values()) {
-            HostRow row =
-                    world.hosts()
-                            .find(spec.id())
-                            .map(h -> h.withSpec(spec))
-                            .orElse(new HostRow(spec, spec.pool(), HostStage.IN_SERVICE, 0, 0));
-            world.hosts().put(spec.id(), row);
-        }
-        tick.emit(new LogEvent("event=in-force revision=" + next.revision()));
-        for (MemberRow member : world.members().rows()) {
-            if (member.revision() < next.revision()) {
-                tick.tell(member.member().id(), new Relay(next));
+    private static void takeSnapshots(Tick tick) {
+        for (RecordRead read : tick.inputs(RecordRead.class)) {
+            if (read.found().isPresent()
+                    && read.found().get().value() instanceof SnapshotRecord snapshot) {
+                takeSnapshot(tick, snapshot.configuration());
             }
         }
     }
 
-    /** Reads the head now and then, since a watch may have frozen. */
-    private static void pollHead(Tick tick) {
-        World world = tick.world();
-        int interval = world.settings().freshnessMs() / 4;
-        Optional<StoreCallRow> call = world.storeCalls().find(RecordKind.HEAD);
-        boolean due =
-                call.map(c -> tick.nowMs() - c.sinceMs() >= interval)
-                        .orElse(tick.nowMs() - world.node().storeContactMs() >= interval);
-        if (due || world.node().storeContactMs() < 0 && call.isEmpty()) {
-            long callId = tick.nextCallId();
-            world.storeCalls().put(RecordKind.HEAD, new StoreCallRow(callId, tick.nowMs()));
-            tick.emit(new ReadRecord(callId, RecordKey.HEAD));
+    /** Puts a snapshot in force with the notes that follow it, as one step. */
+    private static void takeSnapshot(Tick tick, Configuration snapshot) {
+        Configuration next = snapshot;
+        for (AcceptedNote note : tick.world().head().record().notes()) {
+            if (note.revision() == next.revision() + 1 && note.whole()) {
+                next = note.delta().applyTo(next);
+            }
         }
+        Revisions.putInForce(tick, next);
     }
 
-    private static void submitNotes(Tick tick) {
-        for (NoteSubmitted submitted : tick.inputs(NoteSubmitted.class)) {
-            PendingNoteRow row =
-                    new PendingNoteRow(
-                            submitted.callId(),
-                            submitted.note(),
-                            PendingNoteState.READING,
-                            0,
-                            0,
-                            tick.nowMs());
-            readHead(tick, row, PendingNoteState.READING);
+    private static void clearCalls(Tick tick) {
+        for (RecordRead read : tick.inputs(RecordRead.class)) {
+            RecordKind kind = read.key().kind();
+            if (awaits(tick.world(), kind, read.callId())) {
+                endCall(tick, kind, read.found().isPresent());
+            }
+        }
+        for (StoreFailed failed : tick.inputs(StoreFailed.class)) {
+            for (RecordKind kind : List.of(RecordKind.HEAD, RecordKind.SNAPSHOT)) {
+                if (awaits(tick.world(), kind, failed.callId())) {
+                    endCall(tick, kind, false);
+                }
+            }
         }
     }
 
-    private static void readHead(Tick tick, PendingNoteRow row, PendingNoteState state) {
-        long callId = tick.nextCallId();
-        tick.world().pendingNotes().put(row.callId(), row.withState(state, callId, 0));
-        tick.emit(new ReadRecord(callId, RecordKey.HEAD));
+    private static boolean awaits(World world, RecordKind kind, long callId) {
+        return (kind == RecordKind.HEAD || kind == RecordKind.SNAPSHOT)
+                && world.storeCalls().find(kind).filter(c -> c.callId() == callId).isPresent();
     }
 
-    private static void settleReads(Tick tick) {
-        for (RecordRead read : tick.inputs(RecordRead.class)) {
-            for (PendingNoteRow row : tick.world().pendingNotes().rows()) {
-                if (row.storeCallId() == read.callId()) {
-                    proceed(tick, row, read.found());
-                }
-            }
+    /** Lets the next call be made at once, or after a while if this one gave nothing. */
+    private static void endCall(Tick tick, RecordKind kind, boolean found) {
+        if (found) {
+            tick.world().storeCalls().remove(kind);
+        } else {
+            long sinceMs = tick.nowMs() - LOST_CALL_MS + RETRY_MS;
+            tick.world().storeCalls().put(kind, new StoreCallRow(0, sinceMs));
         }
     }
 
-    private static void proceed(Tick tick, PendingNoteRow row, Optional<VersionedRecord> found) {
-        long version = found.map(VersionedRecord::version).orElse(0L);
-        HeadRecord head =
-                found.map(r -> (HeadRecord) r.value())
-                        .orElse(new HeadRecord("", "", "", Configuration.EMPTY));
-        long revision = head.configuration().revision();
-        if (head.noteId().equals(row.note().id())) {
-            rollOut(tick, row, revision);
-            return;
-        }
-        if (row.note().base().isPresent() && row.note().base().getAsLong() != revision) {
-            String detail =
-                    "revision "
-                            + revision
-                            + " by "
-                            + head.author()
-                            + " came first: "
-                            + head.summary();
-            answer(
-                    tick,
-                    row,
-                    new AnswerNote(row.callId(), NoteResult.CONFLICT, revision, detail, List.of()));
-            return;
+    /** Brings the newest known head into force, or asks for the snapshot that is missing. */
+    private static void follow(Tick tick) {
+        World world = tick.world();
+        HeadRecord head = world.head().record();
+        if (head.revision() > world.configuration().revision()) {
+            Revisions.advance(tick, head.notes());
         }
-        CheckedNote checked = NoteChecker.check(row.note(), head.configuration());
-        if (!checked.findings().isEmpty()) {
-            answer(
-                    tick,
-                    row,
-                    new AnswerNote(
-                            row.callId(),
-                            NoteResult.FAULTY,
-                            revision,
-                            "nothing was changed",
-                            checked.findings()));
-            return;
+        if (world.configuration().revision() < head.snapshotRevision()) {
+            ask(tick, new RecordKey(RecordKind.SNAPSHOT, head.snapshot()));
         }
-        long callId = tick.nextCallId();
-        HeadRecord next =
-                new HeadRecord(
-                        row.note().id(),
-                        row.note().author(),
-                        row.note().summary(),
-                        checked.result());
-        tick.world()
-                .pendingNotes()
-                .put(row.callId(), row.withState(PendingNoteState.WRITING, callId, revision + 1));
-        tick.emit(new SwapRecord(callId, RecordKey.HEAD, version, next));
     }
 
-    private static void settleSwaps(Tick tick) {
-        for (RecordSwapped swapped : tick.inputs(RecordSwapped.class)) {
-            for (PendingNoteRow row : tick.world().pendingNotes().rows()) {
-                if (row.storeCallId() != swapped.callId()) {
-                    continue;
-                }
-                switch (swapped.result()) {
-                    case SWAPPED -> rollOut(tick, row, row.revision());
-                    case CONFLICT -> readHead(tick, row, PendingNoteState.READING);
-                    default -> readHead(tick, row, PendingNoteState.SETTLING);
-                }
-            }
+    /** Reads the head now and then, since a watch may have frozen, and when a peer is ahead. */
+    private static void pollHead(Tick tick) {
+        World world = tick.world();
+        HeadRow head = world.head();
+        int interval = world.settings().freshnessMs() / POLLS_PER_FRESHNESS;
+        long revision = world.configuration().revision();
+        boolean behind = world.members().rows().stream().anyMatch(m -> m.revision() > revision);
+        long quietMs = tick.nowMs() - Math.max(head.seenMs(), head.askedMs());
+        if (head.askedMs() < 0 || quietMs >= (behind ? RETRY_MS : interval)) {
+            ask(tick, RecordKey.HEAD);
         }
     }
 
-    private static void rollOut(Tick tick, PendingNoteRow row, long revision) {
-        tick.world()
-                .pendingNotes()
-                .put(row.callId(), row.withState(PendingNoteState.ROLLING_OUT, 0, revision));
-        if (tick.world().configuration().revision() < revision) {
-            tick.emit(new ReadRecord(tick.nextCallId(), RecordKey.HEAD));
+    private static void ask(Tick tick, RecordKey key) {
+        World world = tick.world();
+        Optional<StoreCallRow> call = world.storeCalls().find(key.kind());
+        if (call.isPresent() && tick.nowMs() - call.get().sinceMs() < LOST_CALL_MS) {
+            return;
         }
+        long callId = tick.nextCallId();
+        world.storeCalls().put(key.kind(), new StoreCallRow(callId, tick.nowMs()));
+        if (key.kind() == RecordKind.HEAD) {
+            world.headTable().update(World.SELF, h -> h.asked(tick.nowMs()));
+        }
+        tick.emit(new ReadRecord(callId, key));
     }
 
-    private static void failCalls(Tick tick) {
-        for (StoreFailed failed : tick.inputs(StoreFailed.class)) {
-            for (PendingNoteRow row : tick.world().pendingNotes().rows()) {
-                if (row.storeCallId() == failed.callId()) {
-                    readHead(tick, row, row.state());
-                }
+    /** Relays notes to the members that lag; the members take turns, so that few repeat it. */
+    private static void relay(Tick tick) {
+        World world = tick.world();
+        long revision = world.configuration().revision();
+        for (MemberRow member : world.members().rows()) {
+            if (member.revision() >= revision || !member.member().state().mayHold()) {
+                continue;
+            }
+            long dueMs = world.revision().sinceMs() + turnOf(world, member) * RELAY_DELAY_MS;
+            String id = member.member().id();
+            boolean repeats =
+                    world.relays()
+                            .find(id)
+                            .filter(r -> r.revision() >= revision)
+                            .filter(r -> tick.nowMs() - r.sentMs() < RELAY_REPEAT_MS)
+                            .isPresent();
+            if (tick.nowMs() >= dueMs && !repeats) {
+                relayTo(tick, member);
             }
         }
     }
 
-    /** Answers the operators whose notes are in force everywhere or have waited long enough. */
-    private static void confirm(Tick tick) {
+    /** Sends a member the notes that it lacks, if all of them are remembered here. */
+    static void relayTo(Tick tick, MemberRow member) {
         World world = tick.world();
-        for (PendingNoteRow row : world.pendingNotes().rows()) {
-            boolean rollingOut = row.state() == PendingNoteState.ROLLING_OUT;
-            if (rollingOut && inForceEverywhere(world, row.revision())) {
-                answer(
-                        tick,
-                        row,
-                        new AnswerNote(
-                                row.callId(),
-                                NoteResult.ACCEPTED,
-                                row.revision(),
-                                "in force on every member",
-                                List.of()));
-            } else if (tick.nowMs() - row.sinceMs() >= world.settings().rollOutWaitMs()) {
-                NoteResult result = rollingOut ? NoteResult.WRITTEN : NoteResult.UNAVAILABLE;
-                String detail =
-                        rollingOut
-                                ? "written, but not every member has confirmed it"
-                                : "the platform's store gave no answer; send the same note again";
-                answer(
-                        tick,
-                        row,
-                        new AnswerNote(row.callId(), result, row.revision(), detail, List.of()));
+        String id = member.member().id();
+        long revision = world.configuration().revision();
+        world.relays().put(id, new RelayRow(id, revision, tick.nowMs()));
+        List<AcceptedNote> notes = Revisions.notesAfter(world, member.revision()).orElse(List.of());
+        List<AcceptedNote> sent = new ArrayList<>();
+        int bytes = 0;
+        for (AcceptedNote note : notes) {
+            bytes += note.estimatedBytes();
+            if (bytes > RELAY_BYTES) {
+                break;
             }
+            sent.add(note);
+        }
+        if (!sent.isEmpty()) {
+            tick.count("relay.sent");
+            tick.tell(id, new Relay(sent));
         }
     }
 
-    private static boolean inForceEverywhere(World world, long revision) {
-        return world.configuration().revision() >= revision
-                && world.members().rows().stream().allMatch(m -> m.revision() >= revision);
-    }
-
-    private static void answer(Tick tick, PendingNoteRow row, AnswerNote answer) {
-        tick.world().pendingNotes().remove(row.callId());
-        tick.count("note." + answer.result().name().toLowerCase(java.util.Locale.ROOT));
-        tick.emit(answer);
+    /** Returns the place of this entry among the members that can tell a member, from 1. */
+    private static long turnOf(World world, MemberRow lagging) {
+        String self = world.node().identity().id();
+        long before =
+                world.members().rows().stream()
+                        .filter(m -> m.member().state().allocates())
+                        .filter(m -> !m.member().id().equals(lagging.member().id()))
+                        .filter(m -> m.revision() >= world.configuration().revision())
+                        .filter(m -> m.member().id().compareTo(self) < 0)
+                        .count();
+        return before + 1;
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/world/RequestRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/RequestRow.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.hibiscususher.core.config.QueueKind;
+import org.hibiscususher.core.config.QueueSpec;
 import org.hibiscususher.core.message.Input.RequestArrived;
 import org.hibiscususher.core.message.PermitKey;
 
@@ -111,6 +112,24 @@
                 List.of());
     }
 
+    /** Returns a copy that is admitted to a queue for a team. */
+    public RequestRow admittedTo(QueueSpec queue, String forTeam) {
+        return new RequestRow(
+                arrival,
+                forTeam,
+                queue.pool(),
+                queue.kind(),
+                queue.runLimitMs(),
+                arrivedMs,
+                startByMs,
+                state,
+                attempt,
+                startedMs,
+                mayHaveRun,
+                triedHosts,
+                permits);
+    }
+
     /** Returns the host of the current attempt, or an empty string before the first. */
     public String host() {
         return triedHosts.isEmpty() ? "" : triedHosts.get(triedHosts.size() - 1);
--- a/core/src/main/java/org/hibiscususher/core/world/RevisionRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/RevisionRow.java
@@ -8,10 +8,9 @@
  * The configuration in force here.
  *
  * @param configuration the configuration
- * @param storeVersion version of the head record that it came from, 0 if a peer relayed it
  * @param sinceMs when it came into force here, in milliseconds of the caller's clock
  */
-public record RevisionRow(Configuration configuration, long storeVersion, long sinceMs) {
+public record RevisionRow(Configuration configuration, long sinceMs) {
     /** Checks the fields. */
     public RevisionRow {
         requireNonNull(configuration);
--- a/core/src/main/java/org/hibiscususher/core/world/World.java
+++ b/core/src/main/java/org/hibiscususher/core/world/World.java
@@ -5,6 +5,7 @@
 import org.hibiscususher.core.config.KeySpec;
 import org.hibiscususher.core.message.PermitKey;
 import org.hibiscususher.core.message.RecordKind;
+import org.hibiscususher.core.note.AcceptedNote;
 import org.hibiscususher.core.table.Table;
 
 /**
@@ -18,6 +19,10 @@
 
     private final Table<String, NodeRow> mNode = Table.create();
     private final Table<String, RevisionRow> mRevision = Table.create();
+    private final Table<String, HeadRow> mHead = Table.create();
+    private final Table<Long, AcceptedNote> mRecentNotes = Table.create();
+    private final Table<String, RelayRow> mRelays = Table.create();
+    private final Table<Long, FoldWriteRow> mFoldWrites = Table.create();
     private final Table<String, MembershipRow> mMembership = Table.create();
     private final Table<String, MemberRow> mMembers = Table.create();
     private final Table<KeyDigest, KeySpec> mKeys = Table.create();
@@ -35,7 +40,8 @@
     public static World create(NodeIdentity identity, ControlSettings settings, long nowMs) {
         World world = new World();
         world.mNode.put(SELF, new NodeRow(identity, NodeStage.JOINING, nowMs, -1));
-        world.mRevision.put(SELF, new RevisionRow(Configuration.EMPTY, 0, nowMs));
+        world.mRevision.put(SELF, new RevisionRow(Configuration.EMPTY, nowMs));
+        world.mHead.put(SELF, HeadRow.UNSEEN);
         world.mMembership.put(SELF, MembershipRow.UNSEEN);
         world.mSettings.put(SELF, settings);
         return world;
@@ -66,6 +72,31 @@
         return mRevision;
     }
 
+    /** Returns the newest known head of the configuration's history. */
+    public HeadRow head() {
+        return mHead.find(SELF).orElseThrow();
+    }
+
+    /** Returns the table of the one row about the head. */
+    public Table<String, HeadRow> headTable() {
+        return mHead;
+    }
+
+    /** Returns the newest notes in force here by revision, each with its delta. */
+    public Table<Long, AcceptedNote> recentNotes() {
+        return mRecentNotes;
+    }
+
+    /** Returns what was last relayed, by member. */
+    public Table<String, RelayRow> relays() {
+        return mRelays;
+    }
+
+    /** Returns the records that heads to come will name, by the store call that writes them. */
+    public Table<Long, FoldWriteRow> foldWrites() {
+        return mFoldWrites;
+    }
+
     /** Returns the membership record as last seen. */
     public MembershipRow membership() {
         return mMembership.find(SELF).orElseThrow();
--- a/daemon/src/main/java/org/hibiscususher/daemon/admin/AdminServer.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/admin/AdminServer.java
@@ -111,7 +111,10 @@
                                 0, NoteResult.FAULTY, 0, "nothing was changed", parsed.findings()));
                 return;
             }
-            mCalls.call(id -> new Input.NoteSubmitted(id, parsed.note()))
+            mCalls.call(
+                            id ->
+                                    new Input.NoteSubmitted(
+                                            id, parsed.note(), System.currentTimeMillis()))
                     .thenAccept(a -> answer(context, (AnswerNote) a));
         }
 
--- a/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualSite.java
+++ b/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualSite.java
@@ -175,7 +175,7 @@
     /** Hands a release note to an entry and returns the id of the call. */
     public long submit(String entry, ReleaseNote note) {
         long callId = ++mIds;
-        mEntries.get(entry).receive(new NoteSubmitted(callId, note));
+        mEntries.get(entry).receive(new NoteSubmitted(callId, note, nowMs()));
         return callId;
     }
 
--- a/wire/src/main/java/org/hibiscususher/wire/json/ConfigurationJson.java
+++ b/wire/src/main/java/org/hibiscususher/wire/json/ConfigurationJson.java
@@ -3,13 +3,19 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
 import java.util.Optional;
 import java.util.SortedMap;
 import java.util.TreeMap;
+import java.util.function.BiConsumer;
 import java.util.function.BiFunction;
 import org.hibiscususher.core.config.AvailabilityBudget;
 import org.hibiscususher.core.config.Capacity;
 import org.hibiscususher.core.config.Configuration;
+import org.hibiscususher.core.config.ConfigurationDelta;
+import org.hibiscususher.core.config.Edits;
 import org.hibiscususher.core.config.HostSpec;
 import org.hibiscususher.core.config.KeyDigest;
 import org.hibiscususher.core.config.KeySpec;
@@ -25,20 +31,11 @@
     static ObjectNode write(Configuration configuration) {
         ObjectNode root = JsonNodeFactory.instance.objectNode();
         root.put("revision", configuration.revision());
-        ObjectNode pools = root.putObject("pools");
-        configuration.pools().values().forEach(p -> writePool(pools.putObject(p.id()), p));
-        ObjectNode hosts = root.putObject("hosts");
-        configuration.hosts().values().forEach(h -> writeHost(hosts.putObject(h.id()), h));
-        ObjectNode teams = root.putObject("teams");
-        for (TeamSpec team : configuration.teams().values()) {
-            teams.putObject(team.id()).put("share", team.share()).put("limit", team.upperLimit());
-        }
-        ObjectNode keys = root.putObject("keys");
-        for (KeySpec key : configuration.keys().values()) {
-            keys.putObject(key.id()).put("team", key.team()).put("digest", key.digest().toHex());
-        }
-        ObjectNode queues = root.putObject("queues");
-        configuration.queues().values().forEach(q -> writeQueue(queues.putObject(q.id()), q));
+        writeAll(root, "pools", configuration.pools().values(), ConfigurationJson::writePool);
+        writeAll(root, "hosts", configuration.hosts().values(), ConfigurationJson::writeHost);
+        writeAll(root, "teams", configuration.teams().values(), ConfigurationJson::writeTeam);
+        writeAll(root, "keys", configuration.keys().values(), ConfigurationJson::writeKey);
+        writeAll(root, "queues", configuration.queues().values(), ConfigurationJson::writeQueue);
         return root;
     }
 
@@ -47,20 +44,54 @@
                 root.path("revision").asLong(),
                 each(root.path("pools"), ConfigurationJson::readPool),
                 each(root.path("hosts"), ConfigurationJson::readHost),
-                each(
-                        root.path("teams"),
-                        (id, n) ->
-                                new TeamSpec(id, n.path("share").asInt(), n.path("limit").asInt())),
-                each(
-                        root.path("keys"),
-                        (id, n) ->
-                                new KeySpec(
-                                        id,
-                                        n.path("team").asText(),
-                                        KeyDigest.ofHex(n.path("digest").asText()))),
+                each(root.path("teams"), ConfigurationJson::readTeam),
+                each(root.path("keys"), ConfigurationJson::readKey),
                 each(root.path("queues"), ConfigurationJson::readQueue));
     }
 
+    static ObjectNode writeDelta(ConfigurationDelta delta) {
+        ObjectNode root = JsonNodeFactory.instance.objectNode();
+        writeEdits(root, "pools", delta.pools(), ConfigurationJson::writePool);
+        writeEdits(root, "hosts", delta.hosts(), ConfigurationJson::writeHost);
+        writeEdits(root, "teams", delta.teams(), ConfigurationJson::writeTeam);
+        writeEdits(root, "keys", delta.keys(), ConfigurationJson::writeKey);
+        writeEdits(root, "queues", delta.queues(), ConfigurationJson::writeQueue);
+        return root;
+    }
+
+    static ConfigurationDelta readDelta(JsonNode root) {
+        return new ConfigurationDelta(
+                readEdits(root.path("pools"), ConfigurationJson::readPool),
+                readEdits(root.path("hosts"), ConfigurationJson::readHost),
+                readEdits(root.path("teams"), ConfigurationJson::readTeam),
+                readEdits(root.path("keys"), ConfigurationJson::readKey),
+                readEdits(root.path("queues"), ConfigurationJson::readQueue));
+    }
+
+    private static <T> void writeAll(
+            ObjectNode root, String type, Collection<T> items, BiConsumer<ObjectNode, T> writer) {
+        ObjectNode map = root.putObject(type);
+        for (T item : items) {
+            writer.accept(map, item);
+        }
+    }
+
+    private static <T> void writeEdits(
+            ObjectNode root, String type, Edits<T> edits, BiConsumer<ObjectNode, T> writer) {
+        if (edits.isEmpty()) {
+            return;
+        }
+        ObjectNode node = root.putObject(type);
+        writeAll(node, "put", edits.put(), writer);
+        edits.removed().forEach(node.withArray("removed")::add);
+    }
+
+    private static <T> Edits<T> readEdits(JsonNode node, BiFunction<String, JsonNode, T> reader) {
+        List<String> removed = new ArrayList<>();
+        node.path("removed").forEach(n -> removed.add(n.asText()));
+        return new Edits<>(List.copyOf(each(node.path("put"), reader).values()), removed);
+    }
+
     private static <T> SortedMap<String, T> each(
             JsonNode map, BiFunction<String, JsonNode, T> reader) {
         SortedMap<String, T> read = new TreeMap<>();
@@ -68,8 +99,9 @@
         return read;
     }
 
-    private static void writePool(ObjectNode node, PoolSpec pool) {
-        node.put("quickReserve", pool.quickReserve())
+    private static void writePool(ObjectNode map, PoolSpec pool) {
+        map.putObject(pool.id())
+                .put("quickReserve", pool.quickReserve())
                 .put("maxOut", pool.budget().maxUnavailable())
                 .put("maxOutPerZone", pool.budget().maxUnavailablePerZone())
                 .put("spare", pool.spare());
@@ -84,8 +116,9 @@
                 node.path("spare").asBoolean());
     }
 
-    private static void writeHost(ObjectNode node, HostSpec host) {
-        node.put("address", host.address())
+    private static void writeHost(ObjectNode map, HostSpec host) {
+        map.putObject(host.id())
+                .put("address", host.address())
                 .put("zone", host.zone())
                 .put("rack", host.rack())
                 .put("pool", host.pool())
@@ -109,7 +142,25 @@
                         node.path("accelerators").asInt()));
     }
 
-    private static void writeQueue(ObjectNode node, QueueSpec queue) {
+    private static void writeTeam(ObjectNode map, TeamSpec team) {
+        map.putObject(team.id()).put("share", team.share()).put("limit", team.upperLimit());
+    }
+
+    private static TeamSpec readTeam(String id, JsonNode node) {
+        return new TeamSpec(id, node.path("share").asInt(), node.path("limit").asInt());
+    }
+
+    private static void writeKey(ObjectNode map, KeySpec key) {
+        map.putObject(key.id()).put("team", key.team()).put("digest", key.digest().toHex());
+    }
+
+    private static KeySpec readKey(String id, JsonNode node) {
+        KeyDigest digest = KeyDigest.ofHex(node.path("digest").asText());
+        return new KeySpec(id, node.path("team").asText(), digest);
+    }
+
+    private static void writeQueue(ObjectNode map, QueueSpec queue) {
+        ObjectNode node = map.putObject(queue.id());
         node.put("pool", queue.pool())
                 .put("kind", queue.kind().name())
                 .put("maxWaiting", queue.maxWaiting())
--- a/wire/src/main/java/org/hibiscususher/wire/json/OperatorJson.java
+++ b/wire/src/main/java/org/hibiscususher/wire/json/OperatorJson.java
@@ -15,6 +15,7 @@
 import org.hibiscususher.core.message.StatusReport;
 import org.hibiscususher.core.note.Finding;
 import org.hibiscususher.core.note.Place;
+import org.hibiscususher.core.note.Severity;
 
 /** Translates answers to operators to JSON and back. Thread-safe. */
 public final class OperatorJson {
@@ -34,6 +35,7 @@
                     .put("file", finding.place().file())
                     .put("line", finding.place().line())
                     .put("column", finding.place().column())
+                    .put("severity", finding.severity().name())
                     .put("message", finding.message());
         }
         return bytes(root);
@@ -47,15 +49,19 @@
     public static AnswerNote decodeNoteAnswer(byte[] bytes) throws IOException {
         JsonNode root = MAPPER.readTree(bytes);
         List<Finding> findings = new ArrayList<>();
-        for (JsonNode n : root.path("findings")) {
-            Place place =
-                    new Place(
-                            n.path("file").asText(),
-                            n.path("line").asInt(),
-                            n.path("column").asInt());
-            findings.add(new Finding(place, n.path("message").asText()));
-        }
         try {
+            for (JsonNode n : root.path("findings")) {
+                Place place =
+                        new Place(
+                                n.path("file").asText(),
+                                n.path("line").asInt(),
+                                n.path("column").asInt());
+                findings.add(
+                        new Finding(
+                                place,
+                                Severity.valueOf(n.path("severity").asText()),
+                                n.path("message").asText()));
+            }
             return new AnswerNote(
                     0,
                     NoteResult.valueOf(root.path("result").asText()),
--- a/wire/src/main/java/org/hibiscususher/wire/json/RecordCodec.java
+++ b/wire/src/main/java/org/hibiscususher/wire/json/RecordCodec.java
@@ -8,13 +8,16 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
-import org.hibiscususher.core.config.Configuration;
 import org.hibiscususher.core.message.Member;
 import org.hibiscususher.core.message.MemberState;
 import org.hibiscususher.core.message.RecordKey;
 import org.hibiscususher.core.message.StoreRecord;
 import org.hibiscususher.core.message.StoreRecord.HeadRecord;
+import org.hibiscususher.core.message.StoreRecord.HistoryRecord;
 import org.hibiscususher.core.message.StoreRecord.MembershipRecord;
+import org.hibiscususher.core.message.StoreRecord.NoteRecord;
+import org.hibiscususher.core.message.StoreRecord.SnapshotRecord;
+import org.hibiscususher.core.note.AcceptedNote;
 
 /** Translates records of the platform's store to JSON bytes and back. Thread-safe. */
 public final class RecordCodec {
@@ -29,18 +32,23 @@
         return key.name().isEmpty() ? PREFIX + kind : PREFIX + kind + "/" + key.name();
     }
 
-    /** Returns the record as JSON. */
+    /** Returns the record as JSON; records that may be large are compressed by gzip. */
     public static byte[] encode(StoreRecord record) {
         if (record instanceof HeadRecord head) {
-            return bytes(
-                    object().put("note", head.noteId())
-                            .put("author", head.author())
-                            .put("summary", head.summary())
-                            .set("configuration", ConfigurationJson.write(head.configuration())));
+            return bytes(HistoryJson.writeHead(head));
         }
         if (record instanceof MembershipRecord membership) {
             return bytes(writeMembership(membership));
         }
+        if (record instanceof SnapshotRecord snapshot) {
+            return Gzip.compress(bytes(ConfigurationJson.write(snapshot.configuration())));
+        }
+        if (record instanceof HistoryRecord history) {
+            return Gzip.compress(bytes(HistoryJson.writeHistory(history)));
+        }
+        if (record instanceof NoteRecord note) {
+            return bytes(HistoryJson.writeNoteRecord(note));
+        }
         throw new IllegalArgumentException("no encoding for " + record.getClass());
     }
 
@@ -50,37 +58,36 @@
      * @throws IOException if they stand for none
      */
     public static StoreRecord decode(RecordKey key, byte[] bytes) throws IOException {
-        JsonNode node = MAPPER.readTree(bytes);
         try {
             return switch (key.kind()) {
-                case HEAD ->
-                        new HeadRecord(
-                                node.path("note").asText(),
-                                node.path("author").asText(),
-                                node.path("summary").asText(),
-                                ConfigurationJson.read(node.path("configuration")));
-                case MEMBERSHIP -> readMembership(node);
+                case HEAD -> HistoryJson.readHead(MAPPER.readTree(bytes));
+                case MEMBERSHIP -> readMembership(MAPPER.readTree(bytes));
+                case SNAPSHOT ->
+                        new SnapshotRecord(
+                                ConfigurationJson.read(MAPPER.readTree(Gzip.expand(bytes))));
+                case HISTORY -> HistoryJson.readHistory(MAPPER.readTree(Gzip.expand(bytes)));
+                case NOTE -> HistoryJson.readNoteRecord(MAPPER.readTree(bytes));
             };
         } catch (IllegalArgumentException e) {
             throw new IOException("malformed record " + keyOf(key), e);
         }
     }
 
-    /** Returns a configuration as JSON. */
-    public static byte[] encodeConfiguration(Configuration configuration) {
-        return bytes(ConfigurationJson.write(configuration));
+    /** Returns accepted notes as JSON. */
+    public static byte[] encodeNotes(List<AcceptedNote> notes) {
+        return bytes(HistoryJson.writeNotes(notes));
     }
 
     /**
-     * Returns the configuration that the bytes stand for.
+     * Returns the accepted notes that the bytes stand for.
      *
      * @throws IOException if they stand for none
      */
-    public static Configuration decodeConfiguration(byte[] bytes) throws IOException {
+    public static List<AcceptedNote> decodeNotes(byte[] bytes) throws IOException {
         try {
-            return ConfigurationJson.read(MAPPER.readTree(bytes));
+            return HistoryJson.readNotes(MAPPER.readTree(bytes));
         } catch (IllegalArgumentException e) {
-            throw new IOException("malformed configuration", e);
+            throw new IOException("malformed notes", e);
         }
     }
 
--- a/wire/src/main/java/org/hibiscususher/wire/peer/PeerCodec.java
+++ b/wire/src/main/java/org/hibiscususher/wire/peer/PeerCodec.java
@@ -64,9 +64,7 @@
         Peer.PeerItem.Builder builder = Peer.PeerItem.newBuilder();
         if (item instanceof PeerItem.Relay relay) {
             builder.getRelayBuilder()
-                    .setConfiguration(
-                            ByteString.copyFrom(
-                                    RecordCodec.encodeConfiguration(relay.configuration())));
+                    .setNotes(ByteString.copyFrom(RecordCodec.encodeNotes(relay.notes())));
         } else if (item instanceof PeerItem.Returned returned) {
             builder.getReturnedBuilder()
                     .setEpoch(returned.epoch())
@@ -102,8 +100,7 @@
         return switch (item.getItemCase()) {
             case RELAY ->
                     new PeerItem.Relay(
-                            RecordCodec.decodeConfiguration(
-                                    item.getRelay().getConfiguration().toByteArray()));
+                            RecordCodec.decodeNotes(item.getRelay().getNotes().toByteArray()));
             case RETURNED ->
                     new PeerItem.Returned(
                             item.getReturned().getEpoch(),
