Rebuild the front on attempts with one end each

Answers that end with their connection can't be told from broken ones, so they count as broken. Idle connections serve idempotent requests alone: on one that the target is closing, other work would end as unknown without need. Test buffers are counted after each test, so a leak fails it.

--- a/core/src/main/java/org/hibiscususher/core/message/AttemptOutcome.java
+++ b/core/src/main/java/org/hibiscususher/core/message/AttemptOutcome.java
@@ -4,6 +4,8 @@
 public enum AttemptOutcome {
     /** The whole answer has arrived. */
     ANSWERED(true, false, false),
+    /** The whole answer has arrived and tells of an error of the server. */
+    SERVER_ERROR(true, false, true),
     /** The connection could not be made; no byte was sent. */
     NOT_CONNECTED(true, true, true),
     /** The target said in its documented way that it did not run the request. */
@@ -14,6 +16,8 @@
     TRUNCATED(true, false, true),
     /** The longest run time passed without a whole answer, and the connection was closed. */
     TIMED_OUT(true, false, true),
+    /** The caller went away before any byte was sent. */
+    CANCELLED(true, true, false),
     /** The caller went away after bytes were sent; the target may still be running. */
     CALLER_GONE(false, false, false);
 
--- a/core/src/main/java/org/hibiscususher/core/message/Refusal.java
+++ b/core/src/main/java/org/hibiscususher/core/message/Refusal.java
@@ -24,6 +24,12 @@
     ENTRY_LEAVING(Ran.NOT_RUN),
     /** Every attempt failed before a target took the request. */
     TARGETS_FAILED(Ran.NOT_RUN),
+    /** The request can't be read. */
+    REQUEST_MALFORMED(Ran.NOT_RUN),
+    /** The request's body is larger than the entry takes. */
+    REQUEST_TOO_LARGE(Ran.NOT_RUN),
+    /** The idempotency key is not a UUID of version 7. */
+    IDEMPOTENCY_KEY_MALFORMED(Ran.NOT_RUN),
     /** The entry has more requests at hand than it can hold. */
     ENTRY_OVERLOADED(Ran.NOT_RUN),
     /** The same idempotency key came before; that request ran or may have run. */
--- a/daemon/src/main/java/org/hibiscususher/daemon/Daemon.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/Daemon.java
@@ -45,7 +45,7 @@
 
     private Daemon(DaemonSettings settings) throws IOException {
         mGroup = new MultiThreadIoEventLoopGroup(0, NioIoHandler.newFactory());
-        mExchanges = Exchanges.create(mGroup, mInbox);
+        mExchanges = Exchanges.create(mInbox, mMetrics);
         mCalls = OperatorCalls.create(mInbox);
         mStore = StoreOutputs.create(EtcdStore.create(mGroup, settings.platform()), mInbox);
         for (Refusal refusal : Refusal.values()) {
--- a/daemon/src/main/java/org/hibiscususher/daemon/control/Inbox.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/control/Inbox.java
@@ -39,14 +39,14 @@
     }
 
     /** Takes all inputs out, in order. */
-    List<Input> drain() {
+    public List<Input> drain() {
         List<Input> inputs = new ArrayList<>();
         mQueue.drain(inputs::add, CAPACITY);
         return inputs;
     }
 
     /** Parks the calling thread until an input comes or the time is over. */
-    void await(long maxWaitNs) {
+    public void await(long maxWaitNs) {
         mReader = Thread.currentThread();
         if (mQueue.isEmpty()) {
             LockSupport.parkNanos(this, maxWaitNs);
--- a/daemon/src/main/java/org/hibiscususher/daemon/front/Exchange.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/front/Exchange.java
@@ -1,70 +1,84 @@
 package org.hibiscususher.daemon.front;
 
-import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.util.ReferenceCountUtil;
-import java.nio.charset.StandardCharsets;
-import java.util.concurrent.TimeUnit;
 import org.hibiscususher.core.message.AttemptOutcome;
 import org.hibiscususher.core.message.Input.AttemptEnded;
 import org.hibiscususher.core.message.Input.RequestCancelled;
-import org.hibiscususher.core.message.Input.TargetDone;
 import org.hibiscususher.core.message.Output.StartAttempt;
 import org.hibiscususher.core.message.Refusal;
-import org.hibiscususher.wire.http.Addresses;
 
 /**
- * One request on the traffic side: the caller's connection, and that to the target of the current
- * attempt. All state belongs to the event loop of the caller's connection.
+ * One request on the traffic side: what the caller sent, and the attempt that is under way.
+ *
+ * <p>All state belongs to the event loop of the caller's connection. The request ends once: with an
+ * answer, a refusal, a broken connection, or because its caller went away.
  */
 final class Exchange {
-    private static final String NOT_RUN_HEADER = "Not-Run";
-    private static final int CONNECT_TIMEOUT_MS = 1_000;
-
     private final Exchanges mExchanges;
     private final long mId;
     private final Channel mCaller;
     private final FullHttpRequest mRequest;
-    private final String mTargetPath;
-    private int mAttempt;
-    private boolean mCallerGone;
+    private final ParsedRequest mParsed;
+    private final int mBytes;
+    private Attempt mAttempt;
     private boolean mAnswerBegun;
+    private boolean mOver;
 
-    Exchange(Exchanges exchanges, Channel caller, FullHttpRequest request, String targetPath) {
+    Exchange(Exchanges exchanges, Channel caller, FullHttpRequest request, ParsedRequest parsed) {
         mExchanges = exchanges;
         mId = exchanges.nextId();
         mCaller = caller;
         mRequest = request;
-        mTargetPath = targetPath;
+        mParsed = parsed;
+        mBytes = request.content().readableBytes();
     }
 
     long id() {
         return mId;
     }
 
+    /** Returns the size of the request's body, which is kept until the request ends. */
+    int bytes() {
+        return mBytes;
+    }
+
+    boolean idempotent() {
+        return mParsed.idempotent();
+    }
+
+    HttpMethod method() {
+        return mRequest.method();
+    }
+
     /** Sends the request to a target. May be called on any thread. */
     void start(StartAttempt start) {
-        mCaller.eventLoop().execute(() -> connect(start));
+        mCaller.eventLoop().execute(() -> begin(start));
+    }
+
+    private void begin(StartAttempt start) {
+        if (mOver) {
+            mExchanges.cancelled(start);
+            return;
+        }
+        mAttempt =
+                new Attempt(
+                        this,
+                        start,
+                        mExchanges.inbox(),
+                        mExchanges.connections(mCaller.eventLoop()));
+        mAttempt.begin();
     }
 
     /** Answers the caller without a target. May be called on any thread. */
@@ -72,202 +86,131 @@
         mCaller.eventLoop().execute(() -> answerRefusal(refusal));
     }
 
-    /** Notes that the caller went away. Called on the event loop. */
-    void callerGone() {
-        if (mCallerGone) {
+    private void answerRefusal(Refusal refusal) {
+        if (mOver) {
             return;
         }
-        mCallerGone = true;
-        if (mAttempt == 0) {
-            mExchanges.inbox().add(new RequestCancelled(mId));
-            finish();
+        if (mAnswerBegun) {
+            breakOff();
         } else {
-            mExchanges.inbox().add(new AttemptEnded(mId, mAttempt, AttemptOutcome.CALLER_GONE));
+            mCaller.writeAndFlush(RefusalAnswer.of(mCaller, refusal, mExchanges.leaving()));
         }
+        finish();
     }
 
-    private void connect(StartAttempt start) {
-        mAttempt = start.attempt();
-        if (mCallerGone) {
-            end(start.attempt(), AttemptOutcome.NOT_CONNECTED);
+    /** Notes that the caller went away. Called on the event loop. */
+    void callerGone() {
+        if (mOver) {
             return;
         }
-        new Bootstrap()
-                .group(mCaller.eventLoop())
-                .channel(NioSocketChannel.class)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
-                .handler(
-                        new ChannelInitializer<Channel>() {
-                            @Override
-                            protected void initChannel(Channel channel) {
-                                channel.pipeline()
-                                        .addLast(new HttpClientCodec())
-                                        .addLast(new TargetHandler(start.attempt()));
-                            }
-                        })
-                .connect(Addresses.parse(start.address()))
-                .addListener((ChannelFuture connected) -> connected(start, connected));
-    }
-
-    private void connected(StartAttempt start, ChannelFuture connected) {
-        if (!connected.isSuccess() || mCallerGone) {
-            connected.channel().close();
-            end(start.attempt(), AttemptOutcome.NOT_CONNECTED);
-            return;
+        if (mAttempt == null) {
+            mExchanges.inbox().add(new RequestCancelled(mId));
+        } else {
+            mAttempt.callerGone();
         }
-        FullHttpRequest request =
-                new DefaultFullHttpRequest(
-                        HttpVersion.HTTP_1_1,
-                        mRequest.method(),
-                        mTargetPath,
-                        mRequest.content().retainedDuplicate(),
-                        mRequest.headers().copy(),
-                        mRequest.trailingHeaders().copy());
-        request.headers()
-                .remove(HttpHeaderNames.AUTHORIZATION)
-                .remove(HttpHeaderNames.TRANSFER_ENCODING)
-                .set(HttpHeaderNames.HOST, start.address())
-                .set(HttpHeaderNames.CONTENT_LENGTH, mRequest.content().readableBytes())
-                .set(HttpHeaderNames.CONNECTION, "close");
-        Channel target = connected.channel();
-        target.writeAndFlush(request);
-        target.eventLoop()
-                .schedule(
-                        () -> target.pipeline().get(TargetHandler.class).timeOut(target),
-                        start.runLimitMs(),
-                        TimeUnit.MILLISECONDS);
+        finish();
     }
 
-    private void end(int attempt, AttemptOutcome outcome) {
-        mExchanges.inbox().add(new AttemptEnded(mId, attempt, outcome));
-        if (outcome == AttemptOutcome.ANSWERED
-                || outcome == AttemptOutcome.TRUNCATED
-                || mCallerGone) {
-            finish();
+    /** Returns the request as the target shall get it. */
+    FullHttpRequest requestFor(String address) {
+        HttpHeaders headers = mRequest.headers().copy();
+        MessageHeaders.removeHopByHop(headers);
+        headers.remove(HttpHeaderNames.AUTHORIZATION)
+                .remove(HttpHeaderNames.EXPECT)
+                .remove(HttpHeaderNames.CONTENT_LENGTH)
+                .set(HttpHeaderNames.HOST, address);
+        if (mBytes > 0 || !bodiless(method())) {
+            headers.set(HttpHeaderNames.CONTENT_LENGTH, mBytes);
         }
+        return new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                method(),
+                mParsed.targetPath(),
+                mRequest.content().retainedDuplicate(),
+                headers,
+                DefaultHttpHeadersFactory.trailersFactory().newEmptyHeaders());
     }
 
-    private void finish() {
-        mExchanges.remove(this);
-        ReferenceCountUtil.release(mRequest);
-        FrontHandler.next(mCaller);
+    private static boolean bodiless(HttpMethod method) {
+        return method.equals(HttpMethod.GET) || method.equals(HttpMethod.HEAD);
     }
 
-    private void answerRefusal(Refusal refusal) {
-        if (mCallerGone) {
-            finish();
-            return;
+    /** Passes the head of an answer on to the caller. */
+    void answer(HttpResponse response) {
+        mAnswerBegun = true;
+        HttpHeaders headers = response.headers().copy();
+        boolean chunked = HttpUtil.isTransferEncodingChunked(response);
+        MessageHeaders.removeHopByHop(headers);
+        HttpResponse answer =
+                new DefaultHttpResponse(HttpVersion.HTTP_1_1, response.status(), headers);
+        if (chunked && mRequest.protocolVersion().isKeepAliveDefault()) {
+            HttpUtil.setTransferEncodingChunked(answer, true);
         }
-        String body =
-                "{\"reason\":\""
-                        + refusal.code()
-                        + "\",\"ran\":\""
-                        + refusal.ran().code()
-                        + "\"}\n";
-        FullHttpResponse response =
-                new DefaultFullHttpResponse(
-                        HttpVersion.HTTP_1_1,
-                        RefusalStatus.of(refusal),
-                        Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
-        response.headers()
-                .set(HttpHeaderNames.CONTENT_TYPE, "application/json")
-                .set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes())
-                .set("Refusal-Reason", refusal.code())
-                .set("Ran", refusal.ran().code());
-        mCaller.writeAndFlush(response);
-        finish();
+        if (mExchanges.leaving()) {
+            HttpUtil.setKeepAlive(answer, false);
+        }
+        mCaller.write(answer);
     }
 
-    /** Reads the answer of one attempt. */
-    private final class TargetHandler extends SimpleChannelInboundHandler<HttpObject> {
-        private final int mNumber;
-        private boolean mDeclined;
-        private boolean mOver;
-
-        TargetHandler(int number) {
-            super(false);
-            mNumber = number;
+    /** Passes a part of an answer's body on to the caller. */
+    void answer(HttpContent content) {
+        mCaller.write(content);
+        if (!mCaller.isWritable()) {
+            mCaller.flush();
         }
+    }
 
-        void timeOut(Channel target) {
-            over(target, mAnswerBegun ? AttemptOutcome.TRUNCATED : AttemptOutcome.TIMED_OUT);
-        }
+    void flush() {
+        mCaller.flush();
+    }
 
-        @Override
-        protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
-            if (mOver || mDeclined || mCallerGone) {
-                boolean last = message instanceof LastHttpContent;
-                ReferenceCountUtil.release(message);
-                if (last && mDeclined) {
-                    over(context.channel(), AttemptOutcome.DECLINED);
-                } else if (last) {
-                    over(context.channel(), AttemptOutcome.ANSWERED);
-                }
-                return;
-            }
-            if (message instanceof HttpResponse response) {
-                if (response.headers().contains(NOT_RUN_HEADER)) {
-                    mDeclined = true;
-                } else {
-                    mAnswerBegun = true;
-                    response.headers().remove(HttpHeaderNames.CONNECTION);
-                    if (!HttpUtil.isContentLengthSet(response)) {
-                        HttpUtil.setTransferEncodingChunked(response, true);
-                    }
-                }
-            }
-            if (mDeclined) {
-                boolean last = message instanceof LastHttpContent;
-                ReferenceCountUtil.release(message);
-                if (last) {
-                    over(context.channel(), AttemptOutcome.DECLINED);
-                }
-                return;
-            }
-            forward(context, message);
-        }
+    boolean callerWritable() {
+        return mCaller.isWritable();
+    }
 
-        private void forward(ChannelHandlerContext context, HttpObject message) {
-            boolean last = message instanceof LastHttpContent;
-            if (message instanceof HttpContent || message instanceof HttpResponse) {
-                mCaller.writeAndFlush(message);
-            }
-            context.channel().config().setAutoRead(mCaller.isWritable());
-            if (last) {
-                over(context.channel(), AttemptOutcome.ANSWERED);
-            } else if (!mCaller.isWritable()) {
-                FrontHandler.whenWritable(
-                        mCaller, () -> context.channel().config().setAutoRead(true));
-            }
+    /** Reads more of the answer now that the caller's connection takes it. */
+    void whenWritable() {
+        if (mAttempt != null) {
+            mAttempt.callerWritable();
         }
+    }
 
-        private void over(Channel target, AttemptOutcome outcome) {
-            if (mOver) {
-                return;
+    /** Notes the end of the attempt; the control thread decides what follows. */
+    void attemptEnded(AttemptOutcome outcome) {
+        mAttempt = null;
+        if (mOver) {
+            return;
+        }
+        switch (outcome) {
+            case ANSWERED, SERVER_ERROR -> {
+                mCaller.flush();
+                finish();
             }
-            mOver = true;
-            target.close();
-            if (mCallerGone) {
-                mExchanges.inbox().add(new TargetDone(mId, mNumber));
+            case TRUNCATED -> {
+                breakOff();
                 finish();
-                return;
             }
-            if (outcome == AttemptOutcome.TRUNCATED) {
-                mCaller.close().addListener(ChannelFutureListener.CLOSE);
+            default -> {
+                // The control thread starts another attempt or refuses the request.
             }
-            end(mNumber, outcome);
         }
+    }
 
-        @Override
-        public void channelInactive(ChannelHandlerContext context) {
-            over(
-                    context.channel(),
-                    mAnswerBegun ? AttemptOutcome.TRUNCATED : AttemptOutcome.BROKEN);
-        }
+    /** Resets the connection, so that the caller can't take a part for the whole. */
+    private void breakOff() {
+        mCaller.config().setOption(ChannelOption.SO_LINGER, 0);
+        mCaller.close();
+    }
 
-        @Override
-        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            context.close();
-        }
+    private void finish() {
+        mOver = true;
+        mExchanges.remove(this);
+        mRequest.release();
+        FrontHandler.next(mCaller);
+    }
+
+    /** Returns the report that an attempt never began because its caller had gone. */
+    static AttemptEnded neverBegun(StartAttempt start) {
+        return new AttemptEnded(start.requestId(), start.attempt(), AttemptOutcome.CANCELLED);
     }
 }
--- a/daemon/src/main/java/org/hibiscususher/daemon/front/FrontHandler.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/front/FrontHandler.java
@@ -4,98 +4,95 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.timeout.IdleStateEvent;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.Optional;
-import java.util.Set;
-import org.hibiscususher.core.config.Capacity;
-import org.hibiscususher.core.config.KeyDigest;
-import org.hibiscususher.core.message.Input.RequestArrived;
 import org.hibiscususher.core.message.Refusal;
 
-/** Reads callers' requests from one connection, one at a time. */
+/**
+ * Reads callers' requests from one connection and deals with them one at a time.
+ *
+ * <p>It reads on while a request is under way, to see the caller go, and stops reading once a
+ * further request waits.
+ */
 final class FrontHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
-    private static final String BEARER = "Bearer ";
-    private static final Set<HttpMethod> IDEMPOTENT =
-            Set.of(
-                    HttpMethod.GET,
-                    HttpMethod.HEAD,
-                    HttpMethod.PUT,
-                    HttpMethod.DELETE,
-                    HttpMethod.OPTIONS);
-
     private final Exchanges mExchanges;
+    private final Deque<FullHttpRequest> mPipelined = new ArrayDeque<>();
     private Exchange mCurrent;
-    private Runnable mWhenWritable;
 
     FrontHandler(Exchanges exchanges) {
         super(false);
         mExchanges = exchanges;
     }
 
-    /** Reads the next request of a caller after one has ended. */
+    /** Deals with the next request of a caller after one has ended. */
     static void next(Channel caller) {
         FrontHandler handler = caller.pipeline().get(FrontHandler.class);
         if (handler != null) {
             handler.mCurrent = null;
-            handler.mWhenWritable = null;
-            caller.config().setAutoRead(true);
+            caller.eventLoop().execute(() -> handler.takePipelined(caller));
         }
     }
 
-    /** Runs the task once the caller's connection takes more bytes. */
-    static void whenWritable(Channel caller, Runnable task) {
-        FrontHandler handler = caller.pipeline().get(FrontHandler.class);
-        if (handler != null) {
-            handler.mWhenWritable = task;
+    private void takePipelined(Channel caller) {
+        if (mCurrent != null || !caller.isActive()) {
+            return;
+        }
+        FullHttpRequest request = mPipelined.poll();
+        if (request == null) {
+            caller.config().setAutoRead(true);
+        } else {
+            take(caller, request);
         }
     }
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
-        context.channel().config().setAutoRead(false);
-        String path = request.uri();
-        int end = path.indexOf('/', 1);
-        String queue = end < 0 ? path.substring(1) : path.substring(1, end);
-        String rest = end < 0 ? "/" : path.substring(end);
-        mCurrent = new Exchange(mExchanges, context.channel(), request, rest);
-        HttpHeaders headers = request.headers();
-        RequestArrived arrived =
-                new RequestArrived(
-                        mCurrent.id(),
-                        queue,
-                        digestOf(headers.get(HttpHeaderNames.AUTHORIZATION)),
-                        IDEMPOTENT.contains(request.method()) || headers.contains("Idempotent"),
-                        headers.get("Idempotency-Key", ""),
-                        Math.max(0, headers.getInt("Wait-Limit-Ms", 0)),
-                        new Capacity(
-                                Math.max(0, headers.getInt("Needs-Cores", 0)),
-                                Math.max(0, headers.getInt("Needs-Memory-Gb", 0)),
-                                Math.max(0, headers.getInt("Needs-Accelerators", 0))));
-        if (!mExchanges.add(mCurrent) || !mExchanges.inbox().offer(arrived)) {
-            mCurrent.refuse(Refusal.ENTRY_OVERLOADED);
+        if (mCurrent == null && mPipelined.isEmpty()) {
+            take(context.channel(), request);
+        } else {
+            mPipelined.add(request);
+            context.channel().config().setAutoRead(false);
         }
     }
 
-    private static Optional<KeyDigest> digestOf(String authorization) {
-        if (authorization == null || !authorization.startsWith(BEARER)) {
-            return Optional.empty();
+    private void take(Channel caller, FullHttpRequest request) {
+        Optional<ParsedRequest> parsed = ParsedRequest.of(request);
+        if (parsed.isEmpty()) {
+            request.release();
+            mExchanges.countRefusal(Refusal.REQUEST_MALFORMED);
+            caller.writeAndFlush(RefusalAnswer.of(caller, Refusal.REQUEST_MALFORMED, true));
+            return;
+        }
+        Exchange exchange = new Exchange(mExchanges, caller, request, parsed.get());
+        mCurrent = exchange;
+        if (!mExchanges.add(exchange)
+                || !mExchanges.inbox().offer(parsed.get().arrived(exchange.id()))) {
+            mExchanges.countRefusal(Refusal.ENTRY_OVERLOADED);
+            exchange.refuse(Refusal.ENTRY_OVERLOADED);
         }
-        return Optional.of(KeyDigest.ofSecret(authorization.substring(BEARER.length()).trim()));
     }
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext context) {
-        if (context.channel().isWritable() && mWhenWritable != null) {
-            Runnable task = mWhenWritable;
-            mWhenWritable = null;
-            task.run();
+        if (context.channel().isWritable() && mCurrent != null) {
+            mCurrent.whenWritable();
+        }
+        context.fireChannelWritabilityChanged();
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (event instanceof IdleStateEvent && mCurrent == null) {
+            context.close();
         }
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
+        mPipelined.forEach(FullHttpRequest::release);
+        mPipelined.clear();
         if (mCurrent != null) {
             mCurrent.callerGone();
         }
--- a/daemon/src/main/java/org/hibiscususher/daemon/front/FrontServer.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/front/FrontServer.java
@@ -4,16 +4,24 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpServerKeepAliveHandler;
+import io.netty.handler.timeout.IdleStateHandler;
+import io.netty.util.concurrent.GlobalEventExecutor;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import org.hibiscususher.wire.http.Addresses;
 
 /** Listens for callers. */
 public final class FrontServer {
     private static final int MAX_REQUEST_BYTES = 1024 * 1024;
+    private static final int MAX_CONNECTIONS = 4_096;
+    private static final int IDLE_TIMEOUT_S = 60;
 
     private final Channel mChannel;
 
@@ -25,25 +33,29 @@
      * Starts to listen.
      *
      * @param group event loops; the owner closes them
-     * @param address IP number and port
+     * @param address IP number and port; port 0 takes a free one
      * @param exchanges takes the requests
      * @throws IOException if the address can't be bound
      */
     public static FrontServer listen(EventLoopGroup group, String address, Exchanges exchanges)
             throws IOException {
+        ChannelGroup callers = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
         ChannelFuture bound =
                 new ServerBootstrap()
                         .group(group)
                         .channel(NioServerSocketChannel.class)
+                        .childOption(ChannelOption.ALLOCATOR, exchanges.allocator())
+                        .childOption(ChannelOption.TCP_NODELAY, true)
                         .childHandler(
                                 new ChannelInitializer<Channel>() {
                                     @Override
                                     protected void initChannel(Channel channel) {
-                                        channel.pipeline()
-                                                .addLast(new HttpServerCodec())
-                                                .addLast(
-                                                        new HttpObjectAggregator(MAX_REQUEST_BYTES))
-                                                .addLast(new FrontHandler(exchanges));
+                                        if (callers.size() < MAX_CONNECTIONS) {
+                                            callers.add(channel);
+                                            addHandlers(channel, exchanges);
+                                        } else {
+                                            channel.close();
+                                        }
                                     }
                                 })
                         .bind(Addresses.parse(address))
@@ -54,6 +66,21 @@
         return new FrontServer(bound.channel());
     }
 
+    private static void addHandlers(Channel channel, Exchanges exchanges) {
+        channel.pipeline()
+                .addLast(new IdleStateHandler(0, 0, IDLE_TIMEOUT_S))
+                .addLast(new HttpServerCodec())
+                .addLast(new HttpServerKeepAliveHandler())
+                .addLast(new RequestAggregator(MAX_REQUEST_BYTES, exchanges))
+                .addLast(new FrontHandler(exchanges));
+    }
+
+    /** Returns the IP number and port. */
+    public String address() {
+        InetSocketAddress address = (InetSocketAddress) mChannel.localAddress();
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+
     /** Takes no more connections; those that are open go on. */
     public void stopAccepting() {
         mChannel.close();
--- a/daemon/src/main/java/org/hibiscususher/daemon/front/RefusalStatus.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/front/RefusalStatus.java
@@ -9,6 +9,8 @@
 
     static HttpResponseStatus of(Refusal refusal) {
         return switch (refusal) {
+            case REQUEST_MALFORMED, IDEMPOTENCY_KEY_MALFORMED -> HttpResponseStatus.BAD_REQUEST;
+            case REQUEST_TOO_LARGE -> HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE;
             case KEY_MISSING -> HttpResponseStatus.UNAUTHORIZED;
             case KEY_UNKNOWN -> HttpResponseStatus.FORBIDDEN;
             case QUEUE_UNKNOWN -> HttpResponseStatus.NOT_FOUND;
--- /dev/null
+++ b/daemon/src/main/java/org/hibiscususher/daemon/front/RequestAggregator.java
@@ -0,0 +1,37 @@
+package org.hibiscususher.daemon.front;
+
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import org.hibiscususher.core.message.Refusal;
+
+/** Collects whole requests and refuses those that are too large. */
+final class RequestAggregator extends HttpObjectAggregator {
+    private final Exchanges mExchanges;
+
+    RequestAggregator(int maxBytes, Exchanges exchanges) {
+        super(maxBytes);
+        mExchanges = exchanges;
+    }
+
+    @Override
+    protected Object newContinueResponse(
+            HttpMessage start, int maxContentLength, ChannelPipeline pipeline) {
+        if (HttpUtil.is100ContinueExpected(start)
+                && HttpUtil.getContentLength(start, -1L) > maxContentLength) {
+            mExchanges.countRefusal(Refusal.REQUEST_TOO_LARGE);
+            return RefusalAnswer.of(pipeline.channel(), Refusal.REQUEST_TOO_LARGE, true);
+        }
+        return super.newContinueResponse(start, maxContentLength, pipeline);
+    }
+
+    @Override
+    protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage oversized) {
+        mExchanges.countRefusal(Refusal.REQUEST_TOO_LARGE);
+        context.writeAndFlush(RefusalAnswer.of(context.channel(), Refusal.REQUEST_TOO_LARGE, true))
+                .addListener(ChannelFutureListener.CLOSE);
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/hibiscususher/daemon/front/FrontRig.java
@@ -0,0 +1,112 @@
+package org.hibiscususher.daemon.front;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.TimeUnit;
+import org.hibiscususher.core.message.Input;
+import org.hibiscususher.core.message.Input.AttemptEnded;
+import org.hibiscususher.core.message.Input.RequestArrived;
+import org.hibiscususher.core.message.Output.Refuse;
+import org.hibiscususher.core.message.Output.StartAttempt;
+import org.hibiscususher.core.message.Refusal;
+import org.hibiscususher.daemon.control.Inbox;
+
+/** The real front over sockets, with the test in place of the control thread. */
+final class FrontRig implements AutoCloseable {
+    static final int LONG_RUN_MS = 60_000;
+    private static final long WAIT_NS = TimeUnit.SECONDS.toNanos(10);
+    private static final long POLL_NS = TimeUnit.MILLISECONDS.toNanos(5);
+
+    private final EventLoopGroup mGroup =
+            new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+    private final UnpooledByteBufAllocator mAllocator = new UnpooledByteBufAllocator(true);
+    private final Inbox mInbox = new Inbox();
+    private final Deque<Input> mInputs = new ArrayDeque<>();
+    private final MetricRegistry mMetrics = new MetricRegistry();
+    private final Exchanges mExchanges = Exchanges.create(mInbox, mMetrics, mAllocator);
+    private final FrontServer mServer;
+
+    FrontRig() throws IOException {
+        mServer = FrontServer.listen(mGroup, "127.0.0.1:0", mExchanges);
+    }
+
+    String address() {
+        return mServer.address();
+    }
+
+    Exchanges exchanges() {
+        return mExchanges;
+    }
+
+    long refusals(Refusal refusal) {
+        return mMetrics.counter("refusal." + refusal.code()).getCount();
+    }
+
+    /** Returns the next input, which must be of the given type. */
+    <T extends Input> T next(Class<T> type) {
+        long deadline = System.nanoTime() + WAIT_NS;
+        while (mInputs.isEmpty() && System.nanoTime() < deadline) {
+            mInbox.await(POLL_NS);
+            mInputs.addAll(mInbox.drain());
+        }
+        return type.cast(mInputs.remove());
+    }
+
+    /** Returns the next request. */
+    RequestArrived arrival() {
+        return next(RequestArrived.class);
+    }
+
+    /** Returns the end of the attempt under way. */
+    AttemptEnded ended() {
+        return next(AttemptEnded.class);
+    }
+
+    void start(RequestArrived arrival, int attempt, ScriptedTarget target) {
+        start(arrival, attempt, target.address(), LONG_RUN_MS);
+    }
+
+    void start(RequestArrived arrival, int attempt, String address, int runLimitMs) {
+        mExchanges.start(
+                new StartAttempt(arrival.requestId(), attempt, "host-1", address, runLimitMs));
+    }
+
+    void refuse(RequestArrived arrival, Refusal refusal) {
+        mExchanges.refuse(new Refuse(arrival.requestId(), refusal));
+    }
+
+    /** Returns the bytes of buffers that were taken and not released. */
+    long bytesInUse() {
+        return mAllocator.metric().usedDirectMemory() + mAllocator.metric().usedHeapMemory();
+    }
+
+    /** Waits until no request is at hand and no buffer is in use; returns whether it is so. */
+    boolean becomesIdle() {
+        long deadline = System.nanoTime() + WAIT_NS;
+        while (mExchanges.size() > 0 || bytesInUse() > 0) {
+            if (System.nanoTime() > deadline) {
+                return false;
+            }
+            mInbox.await(POLL_NS);
+        }
+        mInputs.addAll(mInbox.drain());
+        return true;
+    }
+
+    /** Returns how many inputs have come that the test has not taken. */
+    int inputsLeft() {
+        mInputs.addAll(mInbox.drain());
+        return mInputs.size();
+    }
+
+    @Override
+    public void close() {
+        mGroup.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+    }
+}
