Carry members through joining, silence, death and leaving in the record

The record only knew joining and leaving. Members are now marked silent after being unheard (by one responsible member, others staggered behind it), brought back when heard, and marked dead only with proof: a newer incarnation, repeated refused connections, or two host lists without a host that was listed before. Dead members stay listed until the longest run limit and a margin have passed. All changes that are due go into one compare-and-swap.

The same id may now stand twice in the record, so its JSON is a list; an object by id would have dropped the older incarnation.

Messages name the incarnation they are meant for, so that one sent to an earlier process at the same place is not taken for an acknowledgement. Freshness is counted from when a read was sent, or from when a message must at least have been sent, and admission and placement stop without it.

--- a/core/src/main/java/org/hibiscususher/core/escrow/EscrowSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/escrow/EscrowSystem.java
@@ -32,6 +32,7 @@
             }
         }
         if (index < 0) {
+            world.holdings().removeIf(h -> h.inUse() == 0);
             return;
         }
         Set<PermitKey> wanted = new HashSet<>();
--- a/core/src/main/java/org/hibiscususher/core/membership/LinkSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/membership/LinkSystem.java
@@ -4,6 +4,7 @@
 import org.hibiscususher.core.message.Output.SendPeer;
 import org.hibiscususher.core.message.PeerItem;
 import org.hibiscususher.core.message.PeerMessage;
+import org.hibiscususher.core.rollout.Freshness;
 import org.hibiscususher.core.world.MemberRow;
 import org.hibiscususher.core.world.NodeRow;
 import org.hibiscususher.core.world.Tick;
@@ -16,31 +17,38 @@
     /** Sends the messages of this tick. */
     public static void run(Tick tick) {
         World world = tick.world();
+        long heartbeatMs = Links.heartbeatMs(world);
+        long freshAgeMs = Freshness.ageMs(world, tick.nowMs());
         for (MemberRow member : world.members().rows()) {
             List<PeerItem> items = tick.itemsFor(member.member().id());
-            boolean due = tick.nowMs() - member.lastSentMs() >= world.settings().heartbeatMs();
+            boolean due = tick.nowMs() - member.lastSentMs() >= heartbeatMs;
             if (!items.isEmpty() || due || member.lastSentMs() < 0) {
-                send(tick, member, items);
+                send(tick, member, items, freshAgeMs);
             }
         }
     }
 
-    private static void send(Tick tick, MemberRow member, List<PeerItem> items) {
+    private static void send(Tick tick, MemberRow member, List<PeerItem> items, long freshAgeMs) {
         World world = tick.world();
         NodeRow node = world.node();
+        String id = member.member().id();
         long storeAge = node.storeContactMs() < 0 ? -1 : tick.nowMs() - node.storeContactMs();
         MemberRow sent = member.withSent(tick.nowMs());
-        world.members().put(member.member().id(), sent);
+        world.members().put(id, sent);
+        world.evidence().update(id, e -> e.sent(sent.sent(), tick.nowMs()));
         PeerMessage message =
                 new PeerMessage(
                         node.identity().id(),
                         node.identity().incarnation(),
+                        member.member().incarnation(),
                         sent.sent(),
                         member.received(),
                         world.membership().record().epoch(),
                         world.configuration().revision(),
                         storeAge,
+                        freshAgeMs,
+                        world.freshness().knownRevision(),
                         items);
-        tick.emit(new SendPeer(member.member().id(), member.member().address(), message));
+        tick.emit(new SendPeer(id, member.member().address(), message));
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/membership/MembershipSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/membership/MembershipSystem.java
@@ -1,71 +1,61 @@
 package org.hibiscususher.core.membership;
 
-import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import org.hibiscususher.core.message.Input.PeerReceived;
 import org.hibiscususher.core.message.Input.RecordRead;
-import org.hibiscususher.core.message.Input.RecordSwapped;
 import org.hibiscususher.core.message.Input.RecordWatched;
 import org.hibiscususher.core.message.Input.ShutdownAsked;
-import org.hibiscususher.core.message.Input.StoreFailed;
 import org.hibiscususher.core.message.Member;
 import org.hibiscususher.core.message.MemberState;
 import org.hibiscususher.core.message.Output.LogEvent;
-import org.hibiscususher.core.message.Output.ReadRecord;
 import org.hibiscususher.core.message.Output.ShutdownDone;
-import org.hibiscususher.core.message.Output.SwapRecord;
 import org.hibiscususher.core.message.PeerMessage;
-import org.hibiscususher.core.message.RecordKey;
-import org.hibiscususher.core.message.RecordKind;
 import org.hibiscususher.core.message.StoreRecord.MembershipRecord;
 import org.hibiscususher.core.message.VersionedRecord;
+import org.hibiscususher.core.world.DeadMemberRow;
+import org.hibiscususher.core.world.EvidenceRow;
+import org.hibiscususher.core.world.LivenessRow;
 import org.hibiscususher.core.world.MemberRow;
 import org.hibiscususher.core.world.MembershipRow;
-import org.hibiscususher.core.world.NodeIdentity;
 import org.hibiscususher.core.world.NodeRow;
 import org.hibiscususher.core.world.NodeStage;
-import org.hibiscususher.core.world.StoreCallRow;
 import org.hibiscususher.core.world.Tick;
 import org.hibiscususher.core.world.World;
 
-/** Keeps this entry in the membership record while it serves, and follows the record. */
+/** Follows the membership record, and moves this entry through the stages of its life. */
 public final class MembershipSystem {
     private MembershipSystem() {}
 
-    /** Takes in the record and the peers' messages, and joins or leaves where that is due. */
+    /** Takes in the record and the peers' messages, and writes the changes that are due. */
     public static void run(Tick tick) {
-        hearPeers(tick);
+        for (PeerMessage message : Links.accepted(tick)) {
+            hear(tick, message);
+        }
         takeRecords(tick);
-        clearCalls(tick);
+        LifeSigns.take(tick);
         if (!tick.inputs(ShutdownAsked.class).isEmpty()) {
-            tick.world().nodeTable().update(World.SELF, n -> n.withStage(NodeStage.LEAVING));
-            tick.emit(new LogEvent("event=leaving"));
+            enter(tick, NodeStage.LEAVING);
         }
-        writeOwnState(tick);
+        moveOn(tick);
+        confirm(tick);
+        RecordCalls.run(tick);
     }
 
-    private static void hearPeers(Tick tick) {
-        for (PeerReceived received : tick.inputs(PeerReceived.class)) {
-            PeerMessage message = received.message();
-            tick.world().members().update(message.from(), row -> heard(row, message, tick));
-        }
+    private static void hear(Tick tick, PeerMessage message) {
+        World world = tick.world();
+        world.members().update(message.from(), row -> heard(row, message, tick.nowMs()));
+        world.liveness().update(message.from(), l -> l.heard(tick.nowMs()));
     }
 
-    private static MemberRow heard(MemberRow row, PeerMessage message, Tick tick) {
-        if (message.incarnation() < row.member().incarnation()) {
-            return row;
-        }
+    private static MemberRow heard(MemberRow row, PeerMessage message, long nowMs) {
         long contact =
                 message.storeAgeMs() < 0
                         ? row.storeContactMs()
-                        : Math.max(row.storeContactMs(), tick.nowMs() - message.storeAgeMs());
+                        : Math.max(row.storeContactMs(), nowMs - message.storeAgeMs());
         return new MemberRow(
                 row.member(),
-                tick.nowMs(),
+                nowMs,
                 row.lastSentMs(),
                 row.sent(),
                 Math.max(row.received(), message.sequence()),
@@ -91,113 +81,126 @@
             return;
         }
         world.membershipTable().put(World.SELF, new MembershipRow(seen.version(), record));
-        Set<String> ids = new HashSet<>();
+        Set<String> live = new HashSet<>();
+        Set<DeadMemberRow.Key> dead = new HashSet<>();
+        String self = world.node().identity().id();
         for (Member member : record.members()) {
-            if (member.id().equals(world.node().identity().id())) {
-                continue;
+            if (member.state() == MemberState.DEAD) {
+                dead.add(DeadMemberRow.Key.of(member));
+                takeDead(tick, member);
+            } else if (!member.id().equals(self)) {
+                live.add(member.id());
+                takeLive(tick, member);
             }
-            ids.add(member.id());
-            MemberRow row =
-                    world.members()
-                            .find(member.id())
-                            .filter(m -> m.member().incarnation() == member.incarnation())
-                            .map(m -> m.withMember(member))
-                            .orElse(MemberRow.of(member));
-            world.members().put(member.id(), row);
         }
-        world.members().removeIf(m -> !ids.contains(m.member().id()));
+        world.members().removeIf(m -> !live.contains(m.member().id()));
+        world.liveness().removeIf((id, row) -> !live.contains(id));
+        world.evidence().removeIf((id, row) -> !live.contains(id));
+        world.deadMembers().removeIf(d -> !dead.contains(DeadMemberRow.Key.of(d.member())));
         tick.emit(
                 new LogEvent(
                         "event=membership epoch="
                                 + record.epoch()
-                                + " members="
-                                + record.members().size()));
+                                + " live="
+                                + live.size()
+                                + " dead="
+                                + dead.size()));
     }
 
-    private static void clearCalls(Tick tick) {
-        Optional<StoreCallRow> call = tick.world().storeCalls().find(RecordKind.MEMBERSHIP);
-        if (call.isEmpty()) {
-            return;
+    private static void takeDead(Tick tick, Member member) {
+        World world = tick.world();
+        DeadMemberRow.Key key = DeadMemberRow.Key.of(member);
+        if (!world.deadMembers().contains(key)) {
+            long restMs = MembershipChanges.restMs(world);
+            world.deadMembers().put(key, new DeadMemberRow(member, tick.nowMs(), restMs));
         }
-        long callId = call.get().callId();
-        boolean over =
-                tick.inputs(RecordRead.class).stream().anyMatch(r -> r.callId() == callId)
-                        || tick.inputs(RecordSwapped.class).stream()
-                                .anyMatch(s -> s.callId() == callId)
-                        || tick.inputs(StoreFailed.class).stream()
-                                .anyMatch(f -> f.callId() == callId);
-        if (over) {
-            tick.world().storeCalls().remove(RecordKind.MEMBERSHIP);
+    }
+
+    private static void takeLive(Tick tick, Member member) {
+        World world = tick.world();
+        String id = member.id();
+        Optional<MemberRow> known =
+                world.members()
+                        .find(id)
+                        .filter(m -> m.member().incarnation() == member.incarnation());
+        if (known.isPresent()) {
+            world.members().put(id, known.get().withMember(member));
+            world.liveness().update(id, l -> l.withState(member.state(), tick.nowMs()));
+        } else {
+            world.members().put(id, MemberRow.of(member));
+            world.liveness().put(id, LivenessRow.of(member.state(), tick.nowMs()));
+            world.evidence().put(id, EvidenceRow.NONE);
         }
     }
 
-    private static void writeOwnState(Tick tick) {
+    /** Moves this entry to the stage that the record and its own work call for. */
+    private static void moveOn(Tick tick) {
         World world = tick.world();
-        NodeRow node = world.node();
-        Optional<Member> own = own(world);
-        boolean current =
-                own.map(m -> m.incarnation() == node.identity().incarnation()).orElse(false);
-        switch (node.stage()) {
+        Optional<Member> own = MembershipChanges.own(world);
+        noteOwnState(tick, own);
+        boolean idle = world.requests().size() == 0;
+        switch (world.node().stage()) {
             case JOINING -> {
-                if (current) {
-                    world.nodeTable().put(World.SELF, node.withStage(NodeStage.SERVING));
-                    tick.emit(new LogEvent("event=serving"));
-                } else {
-                    swap(tick, memberOf(node.identity(), MemberState.ACTIVE));
+                if (own.isPresent()) {
+                    enter(tick, NodeStage.SERVING);
+                }
+            }
+            case SERVING -> {
+                if (own.isEmpty()) {
+                    enter(tick, NodeStage.EXPELLED);
                 }
             }
             case LEAVING -> {
-                if (own.isEmpty() && world.requests().size() == 0) {
-                    world.nodeTable().put(World.SELF, node.withStage(NodeStage.GONE));
-                    tick.emit(new ShutdownDone());
-                } else if (own.isPresent() && world.requests().size() == 0) {
-                    swap(tick, Optional.empty());
+                if (own.isEmpty() && idle && world.membershipCall().callId() == 0) {
+                    end(tick);
+                }
+            }
+            case EXPELLED -> {
+                if (idle) {
+                    end(tick);
                 }
             }
             default -> {
-                // A serving entry's own state is in the record already.
+                // Nothing is left to do.
             }
         }
     }
 
-    private static Optional<Member> own(World world) {
-        String id = world.node().identity().id();
-        return world.membership().record().members().stream()
-                .filter(m -> m.id().equals(id))
-                .findFirst();
+    private static void noteOwnState(Tick tick, Optional<Member> own) {
+        World world = tick.world();
+        NodeRow node = world.node();
+        boolean active = own.map(m -> m.state() == MemberState.ACTIVE).orElse(false);
+        if (active && node.activeEpoch() == 0) {
+            long epoch = world.membership().record().epoch();
+            world.nodeTable().put(World.SELF, node.withActiveEpoch(epoch));
+        } else if (!active && node.activeEpoch() != 0) {
+            world.nodeTable().put(World.SELF, node.withActiveEpoch(0));
+        }
+    }
+
+    private static void enter(Tick tick, NodeStage stage) {
+        tick.world().nodeTable().update(World.SELF, n -> n.withStage(stage));
+        tick.emit(new LogEvent("event=" + stage.name().toLowerCase(java.util.Locale.ROOT)));
     }
 
-    private static Optional<Member> memberOf(NodeIdentity identity, MemberState state) {
-        return Optional.of(
-                new Member(
-                        identity.id(),
-                        identity.incarnation(),
-                        identity.peerAddress(),
-                        identity.zone(),
-                        state));
+    private static void end(Tick tick) {
+        enter(tick, NodeStage.GONE);
+        tick.emit(new ShutdownDone());
     }
 
-    /** Writes a record with the given state of this entry, after reading the newest one. */
-    private static void swap(Tick tick, Optional<Member> own) {
+    /** Notes when every member that takes work knows that this entry is active. */
+    private static void confirm(Tick tick) {
         World world = tick.world();
-        if (world.storeCalls().contains(RecordKind.MEMBERSHIP)) {
+        NodeRow node = world.node();
+        if (node.confirmed() || node.activeEpoch() == 0) {
             return;
         }
-        long callId = tick.nextCallId();
-        world.storeCalls().put(RecordKind.MEMBERSHIP, new StoreCallRow(callId, tick.nowMs()));
-        boolean justRead =
-                tick.inputs(RecordRead.class).stream()
-                        .anyMatch(r -> r.key().kind() == RecordKind.MEMBERSHIP);
-        if (!justRead) {
-            tick.emit(new ReadRecord(callId, RecordKey.MEMBERSHIP));
-            return;
+        boolean confirmed =
+                world.members().rows().stream()
+                        .filter(m -> m.member().state() != MemberState.SILENT)
+                        .allMatch(m -> m.epoch() >= node.activeEpoch());
+        if (confirmed) {
+            world.nodeTable().put(World.SELF, node.withConfirmed());
         }
-        MembershipRow row = world.membership();
-        List<Member> members = new ArrayList<>(row.record().members());
-        members.removeIf(m -> m.id().equals(world.node().identity().id()));
-        own.ifPresent(members::add);
-        members.sort(Comparator.comparing(Member::id));
-        MembershipRecord next = new MembershipRecord(row.record().epoch() + 1, members);
-        tick.emit(new SwapRecord(callId, RecordKey.MEMBERSHIP, row.version(), next));
     }
 }
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/membership/RecordCalls.java
@@ -0,0 +1,150 @@
+package org.hibiscususher.core.membership;
+
+import java.util.List;
+import org.hibiscususher.core.message.Input.RecordRead;
+import org.hibiscususher.core.message.Input.RecordSwapped;
+import org.hibiscususher.core.message.Input.StoreFailed;
+import org.hibiscususher.core.message.Member;
+import org.hibiscususher.core.message.Output.ReadRecord;
+import org.hibiscususher.core.message.Output.SwapRecord;
+import org.hibiscususher.core.message.RecordKey;
+import org.hibiscususher.core.message.StoreRecord.MembershipRecord;
+import org.hibiscususher.core.message.SwapResult;
+import org.hibiscususher.core.world.MembershipCallRow;
+import org.hibiscususher.core.world.MembershipRow;
+import org.hibiscususher.core.world.NodeIdentity;
+import org.hibiscususher.core.world.NodeStage;
+import org.hibiscususher.core.world.Tick;
+import org.hibiscususher.core.world.World;
+
+/** Reads and writes the membership record, one call at a time and never faster than a bound. */
+final class RecordCalls {
+    /** Time between two reads when nothing calls for one, in milliseconds. */
+    private static final int POLL_MS = 5_000;
+
+    /** Least time between two reads that a peer's newer epoch causes, in milliseconds. */
+    private static final int CATCH_UP_MS = 200;
+
+    /** Wait after the first failure, in milliseconds; doubles with each further one. */
+    private static final int RETRY_MS = 250;
+
+    /** Doublings of that wait at most. */
+    private static final int MAX_DOUBLINGS = 4;
+
+    /** Spread of that wait and of the polls over the members, in milliseconds. */
+    private static final int SPREAD_MS = 500;
+
+    /** Age at which a call counts as failed, in milliseconds. */
+    private static final int CALL_LIMIT_MS = 10_000;
+
+    private RecordCalls() {}
+
+    /** Settles the call that is out and makes the next one that is due. */
+    static void run(Tick tick) {
+        settle(tick);
+        World world = tick.world();
+        MembershipCallRow call = world.membershipCall();
+        NodeStage stage = world.node().stage();
+        boolean out = call.callId() != 0;
+        boolean follows = stage == NodeStage.JOINING || stage.member();
+        if (out || !follows || tick.nowMs() < call.notBeforeMs()) {
+            return;
+        }
+        if (call.readFirst() || pollIsDue(tick, call)) {
+            read(tick);
+            return;
+        }
+        if (stage == NodeStage.JOINING) {
+            outnumber(world);
+        }
+        MembershipRow row = world.membership();
+        List<Member> next = MembershipChanges.next(tick);
+        if (!next.equals(row.record().members())) {
+            swap(tick, row, next);
+        }
+    }
+
+    private static void settle(Tick tick) {
+        long callId = tick.world().membershipCall().callId();
+        if (callId == 0) {
+            return;
+        }
+        for (RecordRead read : tick.inputs(RecordRead.class)) {
+            if (read.callId() == callId) {
+                update(tick, tick.world().membershipCall().answered(true));
+            }
+        }
+        for (RecordSwapped swapped : tick.inputs(RecordSwapped.class)) {
+            if (swapped.callId() != callId) {
+                continue;
+            }
+            String result = swapped.result().name().toLowerCase(java.util.Locale.ROOT);
+            tick.count("membership.write-" + result);
+            if (swapped.result() == SwapResult.UNKNOWN) {
+                fail(tick);
+            } else {
+                update(tick, tick.world().membershipCall().answered(false));
+            }
+        }
+        boolean failed =
+                tick.inputs(StoreFailed.class).stream().anyMatch(f -> f.callId() == callId);
+        boolean late = tick.nowMs() - tick.world().membershipCall().sinceMs() >= CALL_LIMIT_MS;
+        if (tick.world().membershipCall().callId() == callId && (failed || late)) {
+            fail(tick);
+        }
+    }
+
+    private static void fail(Tick tick) {
+        MembershipCallRow call = tick.world().membershipCall();
+        long waitMs = (long) RETRY_MS << Math.min(call.failures(), MAX_DOUBLINGS);
+        tick.count("membership.store-failed");
+        update(tick, call.failed(tick.nowMs() + waitMs + spreadMs(tick.world())));
+    }
+
+    private static long spreadMs(World world) {
+        return Math.floorMod(world.node().identity().id().hashCode(), SPREAD_MS);
+    }
+
+    private static boolean pollIsDue(Tick tick, MembershipCallRow call) {
+        World world = tick.world();
+        long agoMs = tick.nowMs() - call.sinceMs();
+        long epoch = world.membership().record().epoch();
+        boolean behind = world.members().rows().stream().anyMatch(m -> m.epoch() > epoch);
+        return agoMs >= POLL_MS + spreadMs(world) || behind && agoMs >= CATCH_UP_MS;
+    }
+
+    /** Makes this process's incarnation greater than all that the record shows at its id. */
+    private static void outnumber(World world) {
+        NodeIdentity self = world.node().identity();
+        long newest =
+                world.membership().record().members().stream()
+                        .filter(m -> m.id().equals(self.id()))
+                        .mapToLong(Member::incarnation)
+                        .max()
+                        .orElse(self.incarnation() - 1);
+        if (newest >= self.incarnation()) {
+            NodeIdentity next =
+                    new NodeIdentity(self.id(), newest + 1, self.peerAddress(), self.zone());
+            world.nodeTable().update(World.SELF, n -> n.withIdentity(next));
+        }
+    }
+
+    private static void read(Tick tick) {
+        long callId = tick.nextCallId();
+        update(tick, tick.world().membershipCall().called(callId, tick.nowMs()));
+        tick.count("membership.read");
+        tick.emit(new ReadRecord(callId, RecordKey.MEMBERSHIP));
+    }
+
+    private static void swap(Tick tick, MembershipRow row, List<Member> members) {
+        long callId = tick.nextCallId();
+        update(tick, tick.world().membershipCall().called(callId, tick.nowMs()));
+        tick.count("membership.write");
+        MembershipRecord next = new MembershipRecord(row.record().epoch() + 1, members);
+        tick.emit(new SwapRecord(callId, RecordKey.MEMBERSHIP, row.version(), next));
+    }
+
+    private static void update(Tick tick, MembershipCallRow row) {
+        tick.world().membershipCallTable().put(World.SELF, row);
+    }
+}
--- a/core/src/main/java/org/hibiscususher/core/membership/Rendezvous.java
+++ b/core/src/main/java/org/hibiscususher/core/membership/Rendezvous.java
@@ -1,5 +1,6 @@
 package org.hibiscususher.core.membership;
 
+import java.util.Collection;
 import java.util.Optional;
 import org.agrona.collections.Hashing;
 import org.hibiscususher.core.message.Member;
@@ -32,6 +33,17 @@
         return Optional.ofNullable(best);
     }
 
+    /**
+     * Returns how many of the given members come before a member in the order for a name.
+     *
+     * <p>Takes time linear in the number of members.
+     */
+    static int rank(String name, String member, Collection<String> others) {
+        long own = score(name, member);
+        return (int)
+                others.stream().filter(m -> Long.compareUnsigned(score(name, m), own) > 0).count();
+    }
+
     private static long score(String name, String member) {
         long mixed = SEED;
         for (int i = 0; i < name.length(); i++) {
--- a/core/src/main/java/org/hibiscususher/core/message/MemberState.java
+++ b/core/src/main/java/org/hibiscususher/core/message/MemberState.java
@@ -3,13 +3,41 @@
 /** What the other members may expect of a member. */
 public enum MemberState {
     /** Takes work and may allocate. */
-    ACTIVE(true),
+    ACTIVE(true) {
+        @Override
+        public MemberState after(LifeSign sign) {
+            return switch (sign) {
+                case ENDED -> DEAD;
+                case SILENT -> SILENT;
+                default -> this;
+            };
+        }
+    },
     /** Finishes its work and leaves; allocates nothing. */
-    LEAVING(false),
+    LEAVING(false) {
+        @Override
+        public MemberState after(LifeSign sign) {
+            return sign == LifeSign.ENDED ? DEAD : this;
+        }
+    },
     /** Was not heard for long; may hold permits and may be running work. */
-    SILENT(false),
+    SILENT(false) {
+        @Override
+        public MemberState after(LifeSign sign) {
+            return switch (sign) {
+                case ENDED -> DEAD;
+                case HEARD -> ACTIVE;
+                default -> this;
+            };
+        }
+    },
     /** Is proven to have ended; what it held rests until its work must be over. */
-    DEAD(false);
+    DEAD(false) {
+        @Override
+        public MemberState after(LifeSign sign) {
+            return this;
+        }
+    };
 
     private final boolean mAllocates;
 
@@ -17,6 +45,9 @@
         mAllocates = allocates;
     }
 
+    /** Returns the state of a member in this state of which the given sign was seen. */
+    public abstract MemberState after(LifeSign sign);
+
     /** Returns whether permits may be allocated by a member in this state. */
     public boolean allocates() {
         return mAllocates;
--- a/core/src/main/java/org/hibiscususher/core/request/AdmissionSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/request/AdmissionSystem.java
@@ -8,6 +8,7 @@
 import org.hibiscususher.core.message.Input.RequestArrived;
 import org.hibiscususher.core.message.Input.RequestCancelled;
 import org.hibiscususher.core.message.Refusal;
+import org.hibiscususher.core.rollout.Freshness;
 import org.hibiscususher.core.world.HostRow;
 import org.hibiscususher.core.world.RequestRow;
 import org.hibiscususher.core.world.RequestState;
@@ -42,6 +43,9 @@
         if (!world.node().stage().admits()) {
             return Optional.of(Refusal.ENTRY_LEAVING);
         }
+        if (!Freshness.vouches(world, tick.nowMs())) {
+            return Optional.of(Refusal.CONFIGURATION_STALE);
+        }
         QueueSpec queue = world.configuration().queues().get(arrival.queue());
         if (queue == null) {
             return Optional.of(Refusal.QUEUE_UNKNOWN);
--- a/core/src/main/java/org/hibiscususher/core/request/PlacementSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/request/PlacementSystem.java
@@ -12,6 +12,7 @@
 import org.hibiscususher.core.message.Output.StartAttempt;
 import org.hibiscususher.core.message.PermitKey;
 import org.hibiscususher.core.message.Refusal;
+import org.hibiscususher.core.rollout.Freshness;
 import org.hibiscususher.core.world.HostRow;
 import org.hibiscususher.core.world.RequestRow;
 import org.hibiscususher.core.world.RequestState;
@@ -36,7 +37,7 @@
                 lanes.computeIfAbsent(Lane.of(row), l -> new ArrayDeque<>()).add(row);
             }
         }
-        while (!lanes.isEmpty()) {
+        while (!lanes.isEmpty() && Freshness.vouches(world, tick.nowMs())) {
             Lane lane =
                     lanes.keySet().stream()
                             .min(
--- a/core/src/main/java/org/hibiscususher/core/rollout/RollOutSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/rollout/RollOutSystem.java
@@ -18,7 +18,6 @@
 import org.hibiscususher.core.message.Output.SwapRecord;
 import org.hibiscususher.core.message.PeerItem.Relay;
 import org.hibiscususher.core.message.RecordKey;
-import org.hibiscususher.core.message.RecordKind;
 import org.hibiscususher.core.message.StoreRecord.HeadRecord;
 import org.hibiscususher.core.message.VersionedRecord;
 import org.hibiscususher.core.note.CheckedNote;
@@ -29,7 +28,6 @@
 import org.hibiscususher.core.world.PendingNoteRow;
 import org.hibiscususher.core.world.PendingNoteState;
 import org.hibiscususher.core.world.RevisionRow;
-import org.hibiscususher.core.world.StoreCallRow;
 import org.hibiscususher.core.world.Tick;
 import org.hibiscususher.core.world.World;
 
@@ -41,7 +39,6 @@
     public static void run(Tick tick) {
         takeRecords(tick);
         takeRelays(tick);
-        pollHead(tick);
         submitNotes(tick);
         settleReads(tick);
         settleSwaps(tick);
@@ -55,9 +52,6 @@
         }
         for (RecordRead read : tick.inputs(RecordRead.class)) {
             read.found().ifPresent(r -> take(tick, r));
-            if (read.key().kind() == RecordKind.HEAD) {
-                tick.world().storeCalls().remove(RecordKind.HEAD);
-            }
         }
     }
 
@@ -105,21 +99,6 @@
         }
     }
 
-    /** Reads the head now and then, since a watch may have frozen. */
-    private static void pollHead(Tick tick) {
-        World world = tick.world();
-        int interval = world.settings().freshnessMs() / 4;
-        Optional<StoreCallRow> call = world.storeCalls().find(RecordKind.HEAD);
-        boolean due =
-                call.map(c -> tick.nowMs() - c.sinceMs() >= interval)
-                        .orElse(tick.nowMs() - world.node().storeContactMs() >= interval);
-        if (due || world.node().storeContactMs() < 0 && call.isEmpty()) {
-            long callId = tick.nextCallId();
-            world.storeCalls().put(RecordKind.HEAD, new StoreCallRow(callId, tick.nowMs()));
-            tick.emit(new ReadRecord(callId, RecordKey.HEAD));
-        }
-    }
-
     private static void submitNotes(Tick tick) {
         for (NoteSubmitted submitted : tick.inputs(NoteSubmitted.class)) {
             PendingNoteRow row =
--- a/core/src/main/java/org/hibiscususher/core/table/Table.java
+++ b/core/src/main/java/org/hibiscususher/core/table/Table.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BiPredicate;
 import java.util.function.Predicate;
 import java.util.function.UnaryOperator;
 
@@ -76,6 +77,17 @@
         return n;
     }
 
+    /** Removes all rows whose id and row match the predicate and returns how many there were. */
+    public int removeIf(BiPredicate<K, R> predicate) {
+        int n = mRows.size();
+        mRows.entrySet().removeIf(e -> predicate.test(e.getKey(), e.getValue()));
+        n -= mRows.size();
+        if (n > 0) {
+            mSnapshotStale = true;
+        }
+        return n;
+    }
+
     /**
      * Returns the rows as they are now, in insertion order of their ids.
      *
--- a/core/src/main/java/org/hibiscususher/core/world/ControlSettings.java
+++ b/core/src/main/java/org/hibiscususher/core/world/ControlSettings.java
@@ -8,11 +8,18 @@
  * @param freshnessMs an entry that can't vouch for this long admits nothing, in milliseconds
  * @param rollOutWaitMs longest wait of an operator for a note to be in force, in milliseconds
  * @param maxAttempts most attempts of a request, 1 or more
+ * @param pauseMs a process between whose ticks more time passes was paused, in milliseconds
  */
 public record ControlSettings(
-        int heartbeatMs, int silenceMs, int freshnessMs, int rollOutWaitMs, int maxAttempts) {
+        int heartbeatMs,
+        int silenceMs,
+        int freshnessMs,
+        int rollOutWaitMs,
+        int maxAttempts,
+        int pauseMs) {
     /** The defaults. */
-    public static final ControlSettings DEFAULT = new ControlSettings(200, 2_000, 4_000, 15_000, 3);
+    public static final ControlSettings DEFAULT =
+            new ControlSettings(200, 2_000, 4_000, 15_000, 3, 1_000);
 
     /** Checks that every value is 1 or more. */
     public ControlSettings {
@@ -20,7 +27,8 @@
                 || silenceMs < 1
                 || freshnessMs < 1
                 || rollOutWaitMs < 1
-                || maxAttempts < 1) {
+                || maxAttempts < 1
+                || pauseMs < 1) {
             throw new IllegalArgumentException("times and limits are 1 or more");
         }
     }
--- a/core/src/main/java/org/hibiscususher/core/world/World.java
+++ b/core/src/main/java/org/hibiscususher/core/world/World.java
@@ -20,6 +20,12 @@
     private final Table<String, RevisionRow> mRevision = Table.create();
     private final Table<String, MembershipRow> mMembership = Table.create();
     private final Table<String, MemberRow> mMembers = Table.create();
+    private final Table<String, MembershipCallRow> mMembershipCall = Table.create();
+    private final Table<String, LivenessRow> mLiveness = Table.create();
+    private final Table<DeadMemberRow.Key, DeadMemberRow> mDeadMembers = Table.create();
+    private final Table<String, FreshnessRow> mFreshness = Table.create();
+    private final Table<String, EvidenceRow> mEvidence = Table.create();
+    private final Table<Long, StoreCallRow> mHeadReads = Table.create();
     private final Table<KeyDigest, KeySpec> mKeys = Table.create();
     private final Table<String, HostRow> mHosts = Table.create();
     private final Table<PermitKey, HoldingRow> mHoldings = Table.create();
@@ -34,9 +40,11 @@
     /** Creates the tables of an entry that has just started. */
     public static World create(NodeIdentity identity, ControlSettings settings, long nowMs) {
         World world = new World();
-        world.mNode.put(SELF, new NodeRow(identity, NodeStage.JOINING, nowMs, -1));
+        world.mNode.put(SELF, NodeRow.started(identity, nowMs));
         world.mRevision.put(SELF, new RevisionRow(Configuration.EMPTY, 0, nowMs));
         world.mMembership.put(SELF, MembershipRow.UNSEEN);
+        world.mMembershipCall.put(SELF, MembershipCallRow.NONE);
+        world.mFreshness.put(SELF, FreshnessRow.NONE);
         world.mSettings.put(SELF, settings);
         return world;
     }
@@ -76,11 +84,51 @@
         return mMembership;
     }
 
-    /** Returns the other entries by member id. */
+    /** Returns the other entries that may be alive, by member id. */
     public Table<String, MemberRow> members() {
         return mMembers;
     }
 
+    /** Returns how this entry reaches the membership record. */
+    public MembershipCallRow membershipCall() {
+        return mMembershipCall.find(SELF).orElseThrow();
+    }
+
+    /** Returns the table of the one row about calls for the membership record. */
+    public Table<String, MembershipCallRow> membershipCallTable() {
+        return mMembershipCall;
+    }
+
+    /** Returns what speaks for and against each other entry being alive, by member id. */
+    public Table<String, LivenessRow> liveness() {
+        return mLiveness;
+    }
+
+    /** Returns the ended processes that the membership record still shows. */
+    public Table<DeadMemberRow.Key, DeadMemberRow> deadMembers() {
+        return mDeadMembers;
+    }
+
+    /** Returns how current the configuration is known to be from this entry's own reads. */
+    public FreshnessRow freshness() {
+        return mFreshness.find(SELF).orElseThrow();
+    }
+
+    /** Returns the table of the one row about freshness. */
+    public Table<String, FreshnessRow> freshnessTable() {
+        return mFreshness;
+    }
+
+    /** Returns the reads of the head that are out, by call. */
+    public Table<Long, StoreCallRow> headReads() {
+        return mHeadReads;
+    }
+
+    /** Returns what each other entry has said of the configuration, by member id. */
+    public Table<String, EvidenceRow> evidence() {
+        return mEvidence;
+    }
+
     /** Returns the keys in force by the digest of their secret. */
     public Table<KeyDigest, KeySpec> keys() {
         return mKeys;
--- a/wire/src/main/java/org/hibiscususher/wire/json/RecordCodec.java
+++ b/wire/src/main/java/org/hibiscususher/wire/json/RecordCodec.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
@@ -99,9 +100,10 @@
     private static ObjectNode writeMembership(MembershipRecord membership) {
         ObjectNode root = object();
         root.put("epoch", membership.epoch());
-        ObjectNode members = root.putObject("members");
+        ArrayNode members = root.putArray("members");
         for (Member member : membership.members()) {
-            members.putObject(member.id())
+            members.addObject()
+                    .put("id", member.id())
                     .put("incarnation", member.incarnation())
                     .put("address", member.address())
                     .put("zone", member.zone())
@@ -112,19 +114,15 @@
 
     private static MembershipRecord readMembership(JsonNode root) {
         List<Member> members = new ArrayList<>();
-        root.path("members")
-                .properties()
-                .forEach(
-                        e -> {
-                            JsonNode n = e.getValue();
-                            members.add(
-                                    new Member(
-                                            e.getKey(),
-                                            n.path("incarnation").asLong(),
-                                            n.path("address").asText(),
-                                            n.path("zone").asText(),
-                                            MemberState.valueOf(n.path("state").asText())));
-                        });
+        for (JsonNode n : root.path("members")) {
+            members.add(
+                    new Member(
+                            n.path("id").asText(),
+                            n.path("incarnation").asLong(),
+                            n.path("address").asText(),
+                            n.path("zone").asText(),
+                            MemberState.valueOf(n.path("state").asText())));
+        }
         return new MembershipRecord(root.path("epoch").asLong(), members);
     }
 }
--- a/wire/src/main/java/org/hibiscususher/wire/peer/PeerCodec.java
+++ b/wire/src/main/java/org/hibiscususher/wire/peer/PeerCodec.java
@@ -23,11 +23,14 @@
                 Peer.PeerMessage.newBuilder()
                         .setFrom(message.from())
                         .setIncarnation(message.incarnation())
+                        .setToIncarnation(message.toIncarnation())
                         .setSequence(message.sequence())
                         .setAcknowledged(message.acknowledged())
                         .setEpoch(message.epoch())
                         .setRevision(message.revision())
-                        .setStoreAgeMs(message.storeAgeMs());
+                        .setStoreAgeMs(message.storeAgeMs())
+                        .setFreshAgeMs(message.freshAgeMs())
+                        .setKnownRevision(message.knownRevision());
         for (PeerItem item : message.items()) {
             builder.addItems(encodeItem(item));
         }
@@ -49,11 +52,14 @@
             return new PeerMessage(
                     message.getFrom(),
                     message.getIncarnation(),
+                    message.getToIncarnation(),
                     message.getSequence(),
                     message.getAcknowledged(),
                     message.getEpoch(),
                     message.getRevision(),
                     message.getStoreAgeMs(),
+                    message.getFreshAgeMs(),
+                    message.getKnownRevision(),
                     items);
         } catch (InvalidProtocolBufferException | IndexOutOfBoundsException e) {
             throw new IOException("malformed message between entries", e);
