--- a/core/src/main/java/org/hibiscususher/core/rollout/Confirmation.java
+++ b/core/src/main/java/org/hibiscususher/core/rollout/Confirmation.java
@@ -14,7 +14,7 @@
  * @param stopped what is known of each member that has not confirmed it and takes no work
  */
 record Confirmation(List<String> lagging, List<String> stopped) {
-    /** Covers ticks and messages on their way when a member's vouch lapses. */
+    /** Covers clocks that run at slightly different rates. */
     private static final int MARGIN_MS = 500;
 
     private static final double MS_PER_SECOND = 1_000;
@@ -40,8 +40,7 @@
             if (member.revision() >= revision || !mayTakeWork(member)) {
                 continue;
             }
-            long unheardMs = nowMs - Math.max(writtenMs, member.lastHeardMs());
-            boolean lapsed = unheardMs >= world.settings().freshnessMs() + MARGIN_MS;
+            boolean lapsed = nowMs - writtenMs >= Freshness.boundMs(world) + MARGIN_MS;
             (lapsed ? stopped : lagging).add(describe(member, nowMs));
         }
         return new Confirmation(lagging, stopped);
--- a/core/src/main/java/org/hibiscususher/core/rollout/NoteSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/rollout/NoteSystem.java
@@ -146,6 +146,9 @@
 
     /** Checks the note once the configuration that it builds on is in force here. */
     private static void catchUp(Tick tick, PendingNoteRow row) {
+        if (!Freshness.mayWriteHead(tick.world())) {
+            return;
+        }
         long revision = tick.world().configuration().revision();
         long base = row.plan().base().revision();
         if (revision > base) {
@@ -256,7 +259,7 @@
                 fold(tick, write);
             }
         }
-        if (done) {
+        if (done && Freshness.mayWriteHead(tick.world())) {
             writeHead(tick, row);
         }
     }
@@ -285,7 +288,7 @@
         switch (result) {
             case SWAPPED -> {
                 HeadRecord next = row.plan().next();
-                tick.world().headTable().update(World.SELF, h -> h.written(next));
+                tick.world().headTable().update(World.SELF, h -> h.known(next));
                 Revisions.advance(tick, next.notes());
                 for (MemberRow member : tick.world().members().rows()) {
                     RollOutSystem.relayTo(tick, member);
@@ -355,14 +358,22 @@
             List<Finding> warnings = row.plan().warnings();
             answer(tick, row, NoteResult.WRITTEN, row.revision(), detail, warnings);
         } else {
-            String detail =
-                    row.mayBeWritten() || row.state() == PendingNoteState.WRITING
-                            ? "the platform's store did not say whether the note was written;"
-                                    + " send the same note again to learn it"
-                            : "the platform's store gave no answer; nothing was changed, send the"
-                                    + " same note again";
-            answer(tick, row, NoteResult.UNAVAILABLE, 0, detail, List.of());
+            answer(tick, row, NoteResult.UNAVAILABLE, 0, unavailable(world, row), List.of());
+        }
+    }
+
+    private static String unavailable(World world, PendingNoteRow row) {
+        if (row.mayBeWritten() || row.state() == PendingNoteState.WRITING) {
+            return "the platform's store did not say whether the note was written; send the same"
+                    + " note again to learn it";
+        }
+        if (!Freshness.mayWriteHead(world)) {
+            return world.node().identity().id()
+                    + " is not known to every member yet; nothing was changed, send the same note"
+                    + " to another entry";
         }
+        return "the platform's store gave no answer; nothing was changed, send the same note"
+                + " again";
     }
 
     private static Optional<PendingNoteRow> find(Tick tick, long storeCallId) {
--- a/core/src/main/java/org/hibiscususher/core/rollout/RollOutSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/rollout/RollOutSystem.java
@@ -16,7 +16,7 @@
 import org.hibiscususher.core.message.StoreRecord.HeadRecord;
 import org.hibiscususher.core.message.StoreRecord.SnapshotRecord;
 import org.hibiscususher.core.note.AcceptedNote;
-import org.hibiscususher.core.world.HeadRow;
+import org.hibiscususher.core.table.Table;
 import org.hibiscususher.core.world.MemberRow;
 import org.hibiscususher.core.world.RelayRow;
 import org.hibiscususher.core.world.StoreCallRow;
@@ -29,7 +29,6 @@
  * <p>Only what the store has shown or confirmed is put in force or relayed.
  */
 public final class RollOutSystem {
-    private static final int POLLS_PER_FRESHNESS = 4;
     private static final int RETRY_MS = 250;
     private static final int LOST_CALL_MS = 3_000;
     private static final int RELAY_DELAY_MS = 100;
@@ -45,7 +44,6 @@
         takeSnapshots(tick);
         clearCalls(tick);
         follow(tick);
-        pollHead(tick);
         relay(tick);
     }
 
@@ -69,7 +67,7 @@
             if (head.revision() < tick.world().head().record().revision()) {
                 tick.count("configuration.older-shown");
             }
-            tick.world().headTable().update(World.SELF, h -> h.seen(head, tick.nowMs()));
+            tick.world().headTable().update(World.SELF, h -> h.known(head));
         }
     }
 
@@ -103,34 +101,25 @@
         Revisions.putInForce(tick, next);
     }
 
+    /** Lets the next snapshot be asked for at once, or after a while if this one was not found. */
     private static void clearCalls(Tick tick) {
         for (RecordRead read : tick.inputs(RecordRead.class)) {
-            RecordKind kind = read.key().kind();
-            if (awaits(tick.world(), kind, read.callId())) {
-                endCall(tick, kind, read.found().isPresent());
-            }
+            endCall(tick, read.callId(), read.found().isPresent());
         }
         for (StoreFailed failed : tick.inputs(StoreFailed.class)) {
-            for (RecordKind kind : List.of(RecordKind.HEAD, RecordKind.SNAPSHOT)) {
-                if (awaits(tick.world(), kind, failed.callId())) {
-                    endCall(tick, kind, false);
-                }
-            }
+            endCall(tick, failed.callId(), false);
         }
     }
 
-    private static boolean awaits(World world, RecordKind kind, long callId) {
-        return (kind == RecordKind.HEAD || kind == RecordKind.SNAPSHOT)
-                && world.storeCalls().find(kind).filter(c -> c.callId() == callId).isPresent();
-    }
-
-    /** Lets the next call be made at once, or after a while if this one gave nothing. */
-    private static void endCall(Tick tick, RecordKind kind, boolean found) {
-        if (found) {
-            tick.world().storeCalls().remove(kind);
-        } else {
+    private static void endCall(Tick tick, long callId, boolean found) {
+        Table<RecordKind, StoreCallRow> calls = tick.world().storeCalls();
+        boolean ours =
+                calls.find(RecordKind.SNAPSHOT).filter(c -> c.callId() == callId).isPresent();
+        if (ours && found) {
+            calls.remove(RecordKind.SNAPSHOT);
+        } else if (ours) {
             long sinceMs = tick.nowMs() - LOST_CALL_MS + RETRY_MS;
-            tick.world().storeCalls().put(kind, new StoreCallRow(0, sinceMs));
+            calls.put(RecordKind.SNAPSHOT, new StoreCallRow(0, sinceMs));
         }
     }
 
@@ -146,19 +135,6 @@
         }
     }
 
-    /** Reads the head now and then, since a watch may have frozen, and when a peer is ahead. */
-    private static void pollHead(Tick tick) {
-        World world = tick.world();
-        HeadRow head = world.head();
-        int interval = world.settings().freshnessMs() / POLLS_PER_FRESHNESS;
-        long revision = world.configuration().revision();
-        boolean behind = world.members().rows().stream().anyMatch(m -> m.revision() > revision);
-        long quietMs = tick.nowMs() - Math.max(head.seenMs(), head.askedMs());
-        if (head.askedMs() < 0 || quietMs >= (behind ? RETRY_MS : interval)) {
-            ask(tick, RecordKey.HEAD);
-        }
-    }
-
     private static void ask(Tick tick, RecordKey key) {
         World world = tick.world();
         Optional<StoreCallRow> call = world.storeCalls().find(key.kind());
@@ -167,9 +143,6 @@
         }
         long callId = tick.nextCallId();
         world.storeCalls().put(key.kind(), new StoreCallRow(callId, tick.nowMs()));
-        if (key.kind() == RecordKind.HEAD) {
-            world.headTable().update(World.SELF, h -> h.asked(tick.nowMs()));
-        }
         tick.emit(new ReadRecord(callId, key));
     }
 
