Show operators the history, the state in force and why an entry lags

"status" shows for each entry its revision, lag, when it was heard and when the store answered it, and whether this entry takes work.

--- a/cli/src/main/java/org/hibiscususher/cli/CliMain.java
+++ b/cli/src/main/java/org/hibiscususher/cli/CliMain.java
@@ -47,7 +47,8 @@
             }
             String operand = words.get(words.size() - 1);
             String daemon = line.getOptionValue("daemon", DEFAULT_DAEMON);
-            return command.get().run(new Invocation(daemon, operand, in, out));
+            return command.get()
+                    .run(new Invocation(daemon, line.hasOption("daemon"), operand, in, out));
         } catch (ParseException e) {
             err.println("hibiscususher: " + e.getMessage() + "; see --help");
             return ExitCode.USAGE;
@@ -63,7 +64,7 @@
     private static void help(PrintStream out) {
         out.println("usage: hibiscususher [--daemon IP:PORT] COMMAND");
         for (Command command : Command.values()) {
-            out.printf("  %-18s %s%n", command.usage(), command.summary());
+            out.printf("  %-20s %s%n", command.usage(), command.summary());
         }
         out.println("options:");
         out.println("  --daemon IP:PORT   operator address of a daemon (" + DEFAULT_DAEMON + ")");
--- a/core/src/main/java/org/hibiscususher/core/control/Phase.java
+++ b/core/src/main/java/org/hibiscususher/core/control/Phase.java
@@ -8,6 +8,7 @@
 import org.hibiscususher.core.request.RecheckSystem;
 import org.hibiscususher.core.request.RetrySystem;
 import org.hibiscususher.core.rollout.FreshnessSystem;
+import org.hibiscususher.core.rollout.HistorySystem;
 import org.hibiscususher.core.rollout.NoteSystem;
 import org.hibiscususher.core.rollout.RollOutSystem;
 import org.hibiscususher.core.world.Tick;
@@ -38,6 +39,12 @@
             NoteSystem.run(tick);
         }
     },
+    HISTORY {
+        @Override
+        void run(Tick tick) {
+            HistorySystem.run(tick);
+        }
+    },
     RECHECK {
         @Override
         void run(Tick tick) {
--- a/core/src/main/java/org/hibiscususher/core/control/StatusSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/control/StatusSystem.java
@@ -3,6 +3,7 @@
 import org.hibiscususher.core.message.Input.StatusAsked;
 import org.hibiscususher.core.message.Output.AnswerStatus;
 import org.hibiscususher.core.message.StatusReport;
+import org.hibiscususher.core.rollout.Freshness;
 import org.hibiscususher.core.world.MemberRow;
 import org.hibiscususher.core.world.NodeRow;
 import org.hibiscususher.core.world.RequestState;
@@ -34,7 +35,10 @@
                 node.stage().name().toLowerCase(java.util.Locale.ROOT),
                 world.membership().record().epoch(),
                 world.configuration().revision(),
+                Math.max(world.freshness().knownRevision(), world.configuration().revision()),
                 age(tick, node.storeContactMs()),
+                Freshness.ageMs(world, tick.nowMs()),
+                node.stage().admits() && Freshness.vouches(world, tick.nowMs()),
                 waiting,
                 running,
                 world.members().rows().stream().map(m -> peer(tick, m)).toList());
@@ -46,7 +50,8 @@
                 row.member().state(),
                 row.member().zone(),
                 row.revision(),
-                age(tick, row.lastHeardMs()));
+                age(tick, row.lastHeardMs()),
+                age(tick, row.storeContactMs()));
     }
 
     private static long age(Tick tick, long sinceMs) {
--- a/core/src/main/java/org/hibiscususher/core/message/Input.java
+++ b/core/src/main/java/org/hibiscususher/core/message/Input.java
@@ -124,6 +124,30 @@
      */
     record NoteSubmitted(long callId, ReleaseNote note, long wallMs) implements Input {}
 
+    /**
+     * An operator asks what a release note would lead to.
+     *
+     * @param callId the call to answer
+     * @param note the note
+     */
+    record NoteCheckAsked(long callId, ReleaseNote note) implements Input {}
+
+    /**
+     * An operator asks for accepted notes.
+     *
+     * @param callId the call to answer
+     * @param which the revision or the id of one note; empty for the newest ones
+     * @param limit most notes to give, 1 or more
+     */
+    record HistoryAsked(long callId, String which, int limit) implements Input {}
+
+    /**
+     * An operator asks for the configuration in force.
+     *
+     * @param callId the call to answer
+     */
+    record ExportAsked(long callId) implements Input {}
+
     /** The process was asked to stop: finish what runs, then leave. */
     record ShutdownAsked() implements Input {}
 
--- a/core/src/main/java/org/hibiscususher/core/message/Output.java
+++ b/core/src/main/java/org/hibiscususher/core/message/Output.java
@@ -1,6 +1,8 @@
 package org.hibiscususher.core.message;
 
 import java.util.List;
+import org.hibiscususher.core.config.Configuration;
+import org.hibiscususher.core.note.AcceptedNote;
 import org.hibiscususher.core.note.Finding;
 
 /** Something that the process shall do after a tick. */
@@ -71,6 +73,42 @@
         }
     }
 
+    /**
+     * Answer an operator what a release note would lead to.
+     *
+     * @param callId the call
+     * @param revision the revision that the note was checked against
+     * @param findings what was found
+     */
+    record AnswerNoteCheck(long callId, long revision, List<Finding> findings) implements Output {
+        /** Copies the findings. */
+        public AnswerNoteCheck {
+            findings = List.copyOf(findings);
+        }
+    }
+
+    /**
+     * Answer an operator with accepted notes.
+     *
+     * @param callId the call
+     * @param notes the notes, newest first
+     * @param detail one line for the operator if something is missing; else empty
+     */
+    record AnswerHistory(long callId, List<AcceptedNote> notes, String detail) implements Output {
+        /** Copies the notes. */
+        public AnswerHistory {
+            notes = List.copyOf(notes);
+        }
+    }
+
+    /**
+     * Answer an operator with the configuration in force.
+     *
+     * @param callId the call
+     * @param configuration the configuration
+     */
+    record AnswerExport(long callId, Configuration configuration) implements Output {}
+
     /**
      * Count an event by reason.
      *
--- a/core/src/main/java/org/hibiscususher/core/note/Finding.java
+++ b/core/src/main/java/org/hibiscususher/core/note/Finding.java
@@ -2,6 +2,8 @@
 
 import static java.util.Objects.requireNonNull;
 
+import java.util.Comparator;
+
 /**
  * Something wrong in a file, with its place.
  *
@@ -10,6 +12,11 @@
  * @param message what is wrong and what was expected
  */
 public record Finding(Place place, Severity severity, String message) {
+    /** Orders findings in one file by line and column. */
+    public static final Comparator<Finding> BY_PLACE =
+            Comparator.comparingInt((Finding f) -> f.place().line())
+                    .thenComparingInt(f -> f.place().column());
+
     /** Checks the fields. */
     public Finding {
         requireNonNull(place);
--- a/core/src/main/java/org/hibiscususher/core/note/NoteChecker.java
+++ b/core/src/main/java/org/hibiscususher/core/note/NoteChecker.java
@@ -1,7 +1,6 @@
 package org.hibiscususher.core.note;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -92,9 +91,7 @@
                 new Configuration(mBefore.revision() + 1, pools, hosts, teams, keys, queues);
         ConfigurationDelta delta = ConfigurationDelta.between(mBefore, after);
         mFindings.addAll(WholeChecker.check(mNote, mBefore, after, mPlaces, mWithdrawn));
-        mFindings.sort(
-                Comparator.comparing((Finding f) -> f.place().line())
-                        .thenComparing(f -> f.place().column()));
+        mFindings.sort(Finding.BY_PLACE);
         return new CheckedNote(mFindings, after, delta);
     }
 
--- a/core/src/main/java/org/hibiscususher/core/note/WholeChecker.java
+++ b/core/src/main/java/org/hibiscususher/core/note/WholeChecker.java
@@ -37,7 +37,8 @@
         mDelta = ConfigurationDelta.between(before, after);
         mPlaces = places;
         mWithdrawn = withdrawn;
-        mNotePlace = new Place(note.id(), 1, 1);
+        String file = places.values().stream().findFirst().map(Place::file).orElse(note.id());
+        mNotePlace = new Place(file, 1, 1);
     }
 
     /**
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/rollout/HistorySystem.java
@@ -0,0 +1,130 @@
+package org.hibiscususher.core.rollout;
+
+import java.util.List;
+import java.util.Optional;
+import org.hibiscususher.core.message.Input.ExportAsked;
+import org.hibiscususher.core.message.Input.HistoryAsked;
+import org.hibiscususher.core.message.Input.NoteCheckAsked;
+import org.hibiscususher.core.message.Input.RecordRead;
+import org.hibiscususher.core.message.Input.StoreFailed;
+import org.hibiscususher.core.message.Output.AnswerExport;
+import org.hibiscususher.core.message.Output.AnswerHistory;
+import org.hibiscususher.core.message.Output.AnswerNoteCheck;
+import org.hibiscususher.core.message.Output.ReadRecord;
+import org.hibiscususher.core.message.RecordKey;
+import org.hibiscususher.core.message.RecordKind;
+import org.hibiscususher.core.message.StoreRecord.HeadRecord;
+import org.hibiscususher.core.message.StoreRecord.HistoryRecord;
+import org.hibiscususher.core.message.StoreRecord.NoteRecord;
+import org.hibiscususher.core.message.VersionedRecord;
+import org.hibiscususher.core.note.AcceptedNote;
+import org.hibiscususher.core.note.NoteChecker;
+import org.hibiscususher.core.world.HistoryQueryRow;
+import org.hibiscususher.core.world.Tick;
+
+/** Answers operators what is in force, how it came about, and what a note would lead to. */
+public final class HistorySystem {
+    private static final int WAIT_LIMIT_MS = 10_000;
+
+    private HistorySystem() {}
+
+    /** Answers what is known here and reads what is not. */
+    public static void run(Tick tick) {
+        for (ExportAsked asked : tick.inputs(ExportAsked.class)) {
+            tick.emit(new AnswerExport(asked.callId(), tick.world().configuration()));
+        }
+        for (NoteCheckAsked asked : tick.inputs(NoteCheckAsked.class)) {
+            var configuration = tick.world().configuration();
+            var checked = NoteChecker.check(asked.note(), configuration);
+            tick.emit(
+                    new AnswerNoteCheck(
+                            asked.callId(), configuration.revision(), checked.findings()));
+        }
+        for (HistoryAsked asked : tick.inputs(HistoryAsked.class)) {
+            begin(tick, asked);
+        }
+        for (RecordRead read : tick.inputs(RecordRead.class)) {
+            find(tick, read.callId()).ifPresent(q -> settle(tick, q, read.found()));
+        }
+        for (StoreFailed failed : tick.inputs(StoreFailed.class)) {
+            find(tick, failed.callId()).ifPresent(q -> giveUp(tick, q));
+        }
+        for (HistoryQueryRow query : tick.world().historyQueries().rows()) {
+            if (tick.nowMs() - query.sinceMs() >= WAIT_LIMIT_MS) {
+                giveUp(tick, query);
+            }
+        }
+    }
+
+    private static void begin(Tick tick, HistoryAsked asked) {
+        HeadRecord head = tick.world().head().record();
+        List<AcceptedNote> relayed =
+                Revisions.notesAfter(tick.world(), head.revision()).orElse(List.of());
+        HistoryQueryRow query =
+                new HistoryQueryRow(
+                                asked.callId(),
+                                asked.which(),
+                                asked.limit(),
+                                List.of(),
+                                0,
+                                tick.nowMs())
+                        .with(relayed)
+                        .with(head.notes());
+        boolean byId = !asked.which().isEmpty() && !isRevision(asked.which());
+        if (byId && !query.full() && !head.history().isEmpty()) {
+            read(tick, query, new RecordKey(RecordKind.NOTE, asked.which()));
+        } else {
+            goOn(tick, query, head.history());
+        }
+    }
+
+    private static boolean isRevision(String which) {
+        return which.chars().allMatch(Character::isDigit);
+    }
+
+    private static void settle(Tick tick, HistoryQueryRow query, Optional<VersionedRecord> found) {
+        if (found.isEmpty()) {
+            answer(tick, query);
+        } else if (found.get().value() instanceof NoteRecord note) {
+            goOn(tick, query, note.history());
+        } else if (found.get().value() instanceof HistoryRecord history) {
+            goOn(tick, query.with(history.notes()), history.previous());
+        }
+    }
+
+    /** Reads the next older record, unless enough was found or none is left. */
+    private static void goOn(Tick tick, HistoryQueryRow query, String older) {
+        if (query.full() || older.isEmpty()) {
+            answer(tick, query);
+        } else {
+            read(tick, query, new RecordKey(RecordKind.HISTORY, older));
+        }
+    }
+
+    private static void read(Tick tick, HistoryQueryRow query, RecordKey key) {
+        long callId = tick.nextCallId();
+        tick.world().historyQueries().put(query.callId(), query.waitingFor(callId));
+        tick.emit(new ReadRecord(callId, key));
+    }
+
+    private static void answer(Tick tick, HistoryQueryRow query) {
+        boolean missing = !query.which().isEmpty() && query.found().isEmpty();
+        String detail = missing ? "no accepted note has the revision or id " + query.which() : "";
+        end(tick, query, detail);
+    }
+
+    private static void giveUp(Tick tick, HistoryQueryRow query) {
+        end(tick, query, "the platform's store gave no answer; older notes are not shown");
+    }
+
+    private static void end(Tick tick, HistoryQueryRow query, String detail) {
+        tick.world().historyQueries().remove(query.callId());
+        tick.emit(new AnswerHistory(query.callId(), query.found(), detail));
+    }
+
+    private static Optional<HistoryQueryRow> find(Tick tick, long storeCallId) {
+        return tick.world().historyQueries().rows().stream()
+                .filter(q -> q.storeCallId() == storeCallId)
+                .findFirst();
+    }
+}
--- a/core/src/main/java/org/hibiscususher/core/world/World.java
+++ b/core/src/main/java/org/hibiscususher/core/world/World.java
@@ -22,6 +22,7 @@
     private final Table<String, HeadRow> mHead = Table.create();
     private final Table<Long, AcceptedNote> mRecentNotes = Table.create();
     private final Table<String, RelayRow> mRelays = Table.create();
+    private final Table<Long, HistoryQueryRow> mHistoryQueries = Table.create();
     private final Table<Long, FoldWriteRow> mFoldWrites = Table.create();
     private final Table<String, MembershipRow> mMembership = Table.create();
     private final Table<String, MemberRow> mMembers = Table.create();
@@ -105,6 +106,11 @@
         return mFoldWrites;
     }
 
+    /** Returns the operators' questions about accepted notes, by call. */
+    public Table<Long, HistoryQueryRow> historyQueries() {
+        return mHistoryQueries;
+    }
+
     /** Returns the membership record as last seen. */
     public MembershipRow membership() {
         return mMembership.find(SELF).orElseThrow();
--- a/daemon/src/main/java/org/hibiscususher/daemon/Daemon.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/Daemon.java
@@ -86,6 +86,12 @@
             mStore.swap(swap);
         } else if (output instanceof Output.AnswerNote answer) {
             mCalls.answer(answer.callId(), answer);
+        } else if (output instanceof Output.AnswerNoteCheck answer) {
+            mCalls.answer(answer.callId(), answer);
+        } else if (output instanceof Output.AnswerHistory answer) {
+            mCalls.answer(answer.callId(), answer);
+        } else if (output instanceof Output.AnswerExport answer) {
+            mCalls.answer(answer.callId(), answer);
         } else if (output instanceof Output.AnswerStatus answer) {
             mCalls.answer(answer.callId(), answer);
         } else if (output instanceof Output.Count count) {
--- a/daemon/src/main/java/org/hibiscususher/daemon/admin/AdminServer.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/admin/AdminServer.java
@@ -18,20 +18,30 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.QueryStringDecoder;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.function.Function;
+import java.util.function.LongFunction;
 import org.hibiscususher.core.message.Input;
 import org.hibiscususher.core.message.NoteResult;
+import org.hibiscususher.core.message.Output;
+import org.hibiscususher.core.message.Output.AnswerExport;
+import org.hibiscususher.core.message.Output.AnswerHistory;
 import org.hibiscususher.core.message.Output.AnswerNote;
+import org.hibiscususher.core.message.Output.AnswerNoteCheck;
 import org.hibiscususher.core.message.Output.AnswerStatus;
 import org.hibiscususher.wire.http.Addresses;
 import org.hibiscususher.wire.json.OperatorJson;
 import org.hibiscususher.wire.yaml.NoteReader;
+import org.hibiscususher.wire.yaml.NoteWriter;
 import org.hibiscususher.wire.yaml.ParsedNote;
 
 /** Serves operators: release notes, status, metrics. */
 public final class AdminServer {
     private static final int MAX_NOTE_BYTES = 16 * 1024 * 1024;
+    private static final int HISTORY_NOTES = 100;
 
     private AdminServer() {}
 
@@ -79,31 +89,85 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
-            String call = request.method().name() + " " + request.uri();
+            QueryStringDecoder uri = new QueryStringDecoder(request.uri());
+            String call = request.method().name() + " " + uri.path();
             switch (call) {
-                case "POST /notes" -> note(context, request);
+                case "POST /notes" -> note(context, request, uri);
+                case "POST /notes/check" -> check(context, request, uri);
+                case "GET /notes" -> history(context, uri);
+                case "GET /export" ->
+                        ask(
+                                context,
+                                Input.ExportAsked::new,
+                                AnswerExport.class,
+                                a -> text(NoteWriter.write(a.configuration())));
                 case "GET /status" ->
-                        mCalls.call(Input.StatusAsked::new)
-                                .thenAccept(
-                                        a ->
-                                                reply(
-                                                        context,
-                                                        HttpResponseStatus.OK,
-                                                        OperatorJson.encodeStatus(
-                                                                ((AnswerStatus) a).report())));
-                case "GET /metrics" ->
-                        reply(
+                        ask(
                                 context,
-                                HttpResponseStatus.OK,
-                                MetricsPage.of(mMetrics).getBytes(StandardCharsets.UTF_8));
+                                Input.StatusAsked::new,
+                                AnswerStatus.class,
+                                a -> OperatorJson.encodeStatus(a.report()));
+                case "GET /metrics" ->
+                        reply(context, HttpResponseStatus.OK, text(MetricsPage.of(mMetrics)));
                 default -> reply(context, HttpResponseStatus.NOT_FOUND, new byte[0]);
             }
         }
 
-        private void note(ChannelHandlerContext context, FullHttpRequest request) {
+        private <T extends Output> void ask(
+                ChannelHandlerContext context,
+                LongFunction<Input> input,
+                Class<T> type,
+                Function<T, byte[]> encoder) {
+            mCalls.call(input)
+                    .thenAccept(
+                            a ->
+                                    reply(
+                                            context,
+                                            HttpResponseStatus.OK,
+                                            encoder.apply(type.cast(a))));
+        }
+
+        private static byte[] text(String text) {
+            return text.getBytes(StandardCharsets.UTF_8);
+        }
+
+        private static String parameter(QueryStringDecoder uri, String name, String otherwise) {
+            List<String> values = uri.parameters().getOrDefault(name, List.of());
+            return values.isEmpty() ? otherwise : values.get(0);
+        }
+
+        private static ParsedNote parse(FullHttpRequest request, QueryStringDecoder uri) {
             String text = request.content().toString(StandardCharsets.UTF_8);
-            String file = request.headers().get("Note-File", "note");
-            ParsedNote parsed = NoteReader.read(file, text);
+            return NoteReader.read(parameter(uri, "file", "note"), text);
+        }
+
+        private void history(ChannelHandlerContext context, QueryStringDecoder uri) {
+            String which = parameter(uri, "which", "");
+            ask(
+                    context,
+                    id -> new Input.HistoryAsked(id, which, HISTORY_NOTES),
+                    AnswerHistory.class,
+                    OperatorJson::encodeHistory);
+        }
+
+        private void check(
+                ChannelHandlerContext context, FullHttpRequest request, QueryStringDecoder uri) {
+            ParsedNote parsed = parse(request, uri);
+            if (parsed.findings().isEmpty()) {
+                ask(
+                        context,
+                        id -> new Input.NoteCheckAsked(id, parsed.note()),
+                        AnswerNoteCheck.class,
+                        OperatorJson::encodeNoteCheck);
+            } else {
+                AnswerNoteCheck answer = new AnswerNoteCheck(0, 0, parsed.findings());
+                reply(context, HttpResponseStatus.OK, OperatorJson.encodeNoteCheck(answer));
+            }
+        }
+
+        private void note(
+                ChannelHandlerContext context, FullHttpRequest request, QueryStringDecoder uri) {
+            ParsedNote parsed = parse(request, uri);
             if (!parsed.findings().isEmpty()) {
                 answer(
                         context,
@@ -111,10 +175,8 @@
                                 0, NoteResult.FAULTY, 0, "nothing was changed", parsed.findings()));
                 return;
             }
-            mCalls.call(
-                            id ->
-                                    new Input.NoteSubmitted(
-                                            id, parsed.note(), System.currentTimeMillis()))
+            long wallMs = System.currentTimeMillis();
+            mCalls.call(id -> new Input.NoteSubmitted(id, parsed.note(), wallMs))
                     .thenAccept(a -> answer(context, (AnswerNote) a));
         }
 
--- a/wire/src/main/java/org/hibiscususher/wire/json/OperatorJson.java
+++ b/wire/src/main/java/org/hibiscususher/wire/json/OperatorJson.java
@@ -11,7 +11,9 @@
 import java.util.List;
 import org.hibiscususher.core.message.MemberState;
 import org.hibiscususher.core.message.NoteResult;
+import org.hibiscususher.core.message.Output.AnswerHistory;
 import org.hibiscususher.core.message.Output.AnswerNote;
+import org.hibiscususher.core.message.Output.AnswerNoteCheck;
 import org.hibiscususher.core.message.StatusReport;
 import org.hibiscususher.core.note.Finding;
 import org.hibiscususher.core.note.Place;
@@ -29,15 +31,7 @@
         root.put("result", answer.result().name())
                 .put("revision", answer.revision())
                 .put("detail", answer.detail());
-        ArrayNode findings = root.putArray("findings");
-        for (Finding finding : answer.findings()) {
-            findings.addObject()
-                    .put("file", finding.place().file())
-                    .put("line", finding.place().line())
-                    .put("column", finding.place().column())
-                    .put("severity", finding.severity().name())
-                    .put("message", finding.message());
-        }
+        writeFindings(root, answer.findings());
         return bytes(root);
     }
 
@@ -48,31 +42,89 @@
      */
     public static AnswerNote decodeNoteAnswer(byte[] bytes) throws IOException {
         JsonNode root = MAPPER.readTree(bytes);
-        List<Finding> findings = new ArrayList<>();
         try {
-            for (JsonNode n : root.path("findings")) {
-                Place place =
-                        new Place(
-                                n.path("file").asText(),
-                                n.path("line").asInt(),
-                                n.path("column").asInt());
-                findings.add(
-                        new Finding(
-                                place,
-                                Severity.valueOf(n.path("severity").asText()),
-                                n.path("message").asText()));
-            }
             return new AnswerNote(
                     0,
                     NoteResult.valueOf(root.path("result").asText()),
                     root.path("revision").asLong(),
                     root.path("detail").asText(),
-                    findings);
+                    readFindings(root));
         } catch (IllegalArgumentException e) {
             throw new IOException("malformed answer to a release note", e);
         }
     }
 
+    /** Returns the answer to the check of a release note as JSON. */
+    public static byte[] encodeNoteCheck(AnswerNoteCheck answer) {
+        ObjectNode root = JsonNodeFactory.instance.objectNode();
+        root.put("revision", answer.revision());
+        writeFindings(root, answer.findings());
+        return bytes(root);
+    }
+
+    /**
+     * Returns the answer to the check of a release note that the bytes stand for.
+     *
+     * @throws IOException if they stand for none
+     */
+    public static AnswerNoteCheck decodeNoteCheck(byte[] bytes) throws IOException {
+        JsonNode root = MAPPER.readTree(bytes);
+        try {
+            return new AnswerNoteCheck(0, root.path("revision").asLong(), readFindings(root));
+        } catch (IllegalArgumentException e) {
+            throw new IOException("malformed answer to the check of a release note", e);
+        }
+    }
+
+    /** Returns accepted notes as JSON. */
+    public static byte[] encodeHistory(AnswerHistory answer) {
+        ObjectNode root = JsonNodeFactory.instance.objectNode();
+        root.put("detail", answer.detail());
+        root.set("notes", HistoryJson.writeNotes(answer.notes()));
+        return bytes(root);
+    }
+
+    /**
+     * Returns the accepted notes that the bytes stand for.
+     *
+     * @throws IOException if they stand for none
+     */
+    public static AnswerHistory decodeHistory(byte[] bytes) throws IOException {
+        JsonNode root = MAPPER.readTree(bytes);
+        try {
+            return new AnswerHistory(
+                    0, HistoryJson.readNotes(root.path("notes")), root.path("detail").asText());
+        } catch (IllegalArgumentException e) {
+            throw new IOException("malformed history", e);
+        }
+    }
+
+    private static void writeFindings(ObjectNode root, List<Finding> findings) {
+        ArrayNode array = root.putArray("findings");
+        for (Finding finding : findings) {
+            array.addObject()
+                    .put("file", finding.place().file())
+                    .put("line", finding.place().line())
+                    .put("column", finding.place().column())
+                    .put("severity", finding.severity().name())
+                    .put("message", finding.message());
+        }
+    }
+
+    private static List<Finding> readFindings(JsonNode root) {
+        List<Finding> findings = new ArrayList<>();
+        for (JsonNode n : root.path("findings")) {
+            Place place =
+                    new Place(
+                            n.path("file").asText(),
+                            n.path("line").asInt(),
+                            n.path("column").asInt());
+            Severity severity = Severity.valueOf(n.path("severity").asText());
+            findings.add(new Finding(place, severity, n.path("message").asText()));
+        }
+        return findings;
+    }
+
     /** Returns an entry's status as JSON. */
     public static byte[] encodeStatus(StatusReport report) {
         ObjectNode root = JsonNodeFactory.instance.objectNode();
@@ -80,7 +132,10 @@
                 .put("stage", report.stage())
                 .put("epoch", report.epoch())
                 .put("revision", report.revision())
+                .put("newestRevision", report.newestRevision())
                 .put("storeAgeMs", report.storeAgeMs())
+                .put("freshAgeMs", report.freshAgeMs())
+                .put("takesWork", report.takesWork())
                 .put("waiting", report.waiting())
                 .put("running", report.running());
         ArrayNode peers = root.putArray("peers");
@@ -90,7 +145,8 @@
                     .put("state", peer.state().name())
                     .put("zone", peer.zone())
                     .put("revision", peer.revision())
-                    .put("silentMs", peer.silentMs());
+                    .put("silentMs", peer.silentMs())
+                    .put("storeAgeMs", peer.storeAgeMs());
         }
         return bytes(root);
     }
@@ -111,7 +167,8 @@
                                 MemberState.valueOf(n.path("state").asText()),
                                 n.path("zone").asText(),
                                 n.path("revision").asLong(),
-                                n.path("silentMs").asLong()));
+                                n.path("silentMs").asLong(),
+                                n.path("storeAgeMs").asLong()));
             }
         } catch (IllegalArgumentException e) {
             throw new IOException("malformed status", e);
@@ -121,7 +178,10 @@
                 root.path("stage").asText(),
                 root.path("epoch").asLong(),
                 root.path("revision").asLong(),
+                root.path("newestRevision").asLong(),
                 root.path("storeAgeMs").asLong(),
+                root.path("freshAgeMs").asLong(),
+                root.path("takesWork").asBoolean(),
                 root.path("waiting").asInt(),
                 root.path("running").asInt(),
                 peers);
--- a/wire/src/main/java/org/hibiscususher/wire/yaml/Findings.java
+++ b/wire/src/main/java/org/hibiscususher/wire/yaml/Findings.java
@@ -25,7 +25,8 @@
                 .orElse(new Place(mFile, 1, 1));
     }
 
+    /** Returns the findings in order of place. */
     List<Finding> list() {
-        return List.copyOf(mFindings);
+        return mFindings.stream().sorted(Finding.BY_PLACE).toList();
     }
 }
