--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/escrow/Balance.java
@@ -0,0 +1,287 @@
+package org.hibiscususher.core.escrow;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.function.ToDoubleFunction;
+import org.hibiscususher.core.message.GroupKind;
+import org.hibiscususher.core.message.PeerItem.PoolLoad;
+import org.hibiscususher.core.message.PeerItem.Target;
+import org.hibiscususher.core.message.PermitGroup;
+import org.hibiscususher.core.message.PermitKind;
+import org.hibiscususher.core.message.TeamDemand;
+import org.hibiscususher.core.message.TeamLoad;
+import org.hibiscususher.core.world.Account;
+import org.hibiscususher.core.world.AdviceRow;
+import org.hibiscususher.core.world.DemandRow;
+import org.hibiscususher.core.world.LedgerRow;
+import org.hibiscususher.core.world.MemberKey;
+import org.hibiscususher.core.world.TenureRow;
+import org.hibiscususher.core.world.World;
+
+/** Moves the permits of one group towards what its members are due. */
+final class Balance {
+    private static final double STICKINESS = 0.5;
+
+    private final Exchange mExchange;
+    private final TenureRow mTenure;
+    private final List<MemberKey> mMembers;
+
+    private Balance(Exchange exchange, TenureRow tenure) {
+        mExchange = exchange;
+        mTenure = tenure;
+        mMembers = eligible(tenure);
+    }
+
+    /**
+     * Grants what is free to members below their targets and tells those above to return permits.
+     *
+     * @return whether the group needs to be looked at again soon
+     */
+    static boolean run(Exchange exchange, TenureRow tenure) {
+        return new Balance(exchange, tenure).run();
+    }
+
+    private static List<MemberKey> eligible(TenureRow tenure) {
+        List<MemberKey> members = new ArrayList<>();
+        tenure.answers()
+                .forEach(
+                        (member, answer) -> {
+                            if (answer.known()
+                                    && answer.state().allocates()
+                                    && answer.restUntilMs() == TenureRow.NEVER) {
+                                members.add(member);
+                            }
+                        });
+        members.sort(Comparator.comparing(MemberKey::id));
+        return members;
+    }
+
+    private boolean run() {
+        PermitGroup group = mTenure.group();
+        Map<MemberKey, List<TeamDemand>> demands = Demands.of(mExchange, group);
+        demands.keySet().retainAll(mMembers);
+        boolean pool = group.kind() == GroupKind.POOL;
+        PermitKind mainKind = pool ? PermitKind.SLOT : PermitKind.UNIT;
+        int main = available(mainKind);
+        int longRuns = available(PermitKind.LONG_RUN);
+        Fairness fairness = Fairness.of(group, demands, world().configuration(), main, longRuns);
+        int[] mainTargets = targets(mainKind, main, fairness::main);
+        int[] longTargets = targets(PermitKind.LONG_RUN, longRuns, fairness::longRuns);
+        grant(mainKind, mainTargets);
+        grant(PermitKind.LONG_RUN, longTargets);
+        boolean recalls = tellTargets(mainKind, mainTargets, longTargets);
+        if (pool) {
+            tellLoads(demands);
+        }
+        return recalls || !demands.isEmpty();
+    }
+
+    private World world() {
+        return mExchange.world();
+    }
+
+    private List<LedgerRow> rows(PermitKind kind) {
+        return world().ledger().group(mTenure.group()).stream()
+                .filter(r -> r.key().kind() == kind)
+                .toList();
+    }
+
+    /** Returns how many permits the eligible members may hold in all. */
+    private int available(PermitKind kind) {
+        int sum = 0;
+        for (LedgerRow row : rows(kind)) {
+            int elsewhere = 0;
+            for (Account account : row.accounts()) {
+                elsewhere += mMembers.contains(account.member()) ? 0 : account.outstanding();
+            }
+            sum += Math.max(0, Ledgers.bound(world(), mTenure, row) - elsewhere);
+        }
+        return sum;
+    }
+
+    private int[] held(PermitKind kind) {
+        int[] held = new int[mMembers.size()];
+        for (LedgerRow row : rows(kind)) {
+            for (Account account : row.accounts()) {
+                int i = mMembers.indexOf(account.member());
+                if (i >= 0) {
+                    held[i] += account.outstanding();
+                }
+            }
+        }
+        return held;
+    }
+
+    /** Returns whole targets that add up to what there is; what nobody is due is spread evenly. */
+    private int[] targets(PermitKind kind, int available, ToDoubleFunction<MemberKey> due) {
+        int n = mMembers.size();
+        double[] exact = new double[n];
+        double spare = available;
+        for (int i = 0; i < n; i++) {
+            exact[i] = due.applyAsDouble(mMembers.get(i));
+            spare -= exact[i];
+        }
+        int[] held = held(kind);
+        int[] targets = new int[n];
+        Integer[] order = new Integer[n];
+        int left = available;
+        for (int i = 0; i < n; i++) {
+            exact[i] += Math.max(0, spare) / n;
+            targets[i] = (int) exact[i];
+            left -= targets[i];
+            order[i] = i;
+        }
+        Arrays.sort(
+                order,
+                Comparator.comparingDouble(
+                        i -> targets[i] - exact[i] - (held[i] > targets[i] ? STICKINESS : 0)));
+        for (int i = 0; i < Math.min(left, n); i++) {
+            targets[order[i]]++;
+        }
+        return targets;
+    }
+
+    private void grant(PermitKind kind, int[] targets) {
+        int[] missing = held(kind);
+        int most = 0;
+        for (int i = 0; i < targets.length; i++) {
+            missing[i] = targets[i] - missing[i];
+            most = Math.max(most, missing[i]);
+        }
+        if (most == 0) {
+            return;
+        }
+        List<LedgerRow> rows = rows(kind);
+        int[] free = new int[rows.size()];
+        int freeInAll = 0;
+        for (int i = 0; i < free.length; i++) {
+            free[i] = Math.max(0, Ledgers.free(world(), mTenure, rows.get(i)));
+            freeInAll += free[i];
+        }
+        int[][] grants = new int[targets.length][free.length];
+        while (freeInAll > 0) {
+            int member = largest(missing);
+            if (missing[member] <= 0) {
+                break;
+            }
+            int row = largest(free);
+            grants[member][row]++;
+            missing[member]--;
+            free[row]--;
+            freeInAll--;
+        }
+        send(rows, grants);
+    }
+
+    private void send(List<LedgerRow> rows, int[][] grants) {
+        for (int i = 0; i < grants.length; i++) {
+            MemberKey member = mMembers.get(i);
+            long basis = mTenure.answers().get(member).basis();
+            for (int row = 0; row < rows.size(); row++) {
+                if (grants[i][row] > 0) {
+                    Ledgers.grant(mExchange, rows.get(row).key(), member, basis, grants[i][row]);
+                }
+            }
+        }
+    }
+
+    private static int largest(int[] values) {
+        int best = 0;
+        for (int i = 1; i < values.length; i++) {
+            best = values[i] > values[best] ? i : best;
+        }
+        return best;
+    }
+
+    /** Tells targets to those members that would otherwise keep too much or return too much. */
+    private boolean tellTargets(PermitKind mainKind, int[] main, int[] longRuns) {
+        int[] mainHeld = held(mainKind);
+        int[] longHeld = held(PermitKind.LONG_RUN);
+        boolean recalls = false;
+        for (int i = 0; i < main.length; i++) {
+            boolean above = mainHeld[i] > main[i] || longHeld[i] > longRuns[i];
+            recalls |= above;
+            AdviceRow before = advice(mMembers.get(i));
+            boolean changed = before.main() != main[i] || before.longRuns() != longRuns[i];
+            boolean old = mExchange.nowMs() - before.targetMs() >= EscrowTiming.REFRESH_MS;
+            boolean tooLow = before.main() < mainHeld[i] || before.longRuns() < longHeld[i];
+            boolean due = above ? changed || old : tooLow && changed;
+            if (before.targetMs() < 0 || due) {
+                tellTarget(before, main[i], longRuns[i]);
+            }
+        }
+        for (MemberKey leaving : leaving()) {
+            AdviceRow before = advice(leaving);
+            boolean old = mExchange.nowMs() - before.targetMs() >= EscrowTiming.REFRESH_MS;
+            if (before.targetMs() < 0 || old) {
+                tellTarget(before, 0, 0);
+            }
+            recalls = true;
+        }
+        return recalls;
+    }
+
+    /** Returns the members that live, have answered and shall keep nothing. */
+    private List<MemberKey> leaving() {
+        return mTenure.answers().entrySet().stream()
+                .filter(e -> e.getValue().known() && !e.getValue().state().allocates())
+                .filter(e -> e.getValue().restUntilMs() == TenureRow.NEVER)
+                .map(Map.Entry::getKey)
+                .toList();
+    }
+
+    private AdviceRow advice(MemberKey member) {
+        DemandRow.Key key = Demands.keyOf(mTenure.group(), member);
+        return world().advice().find(key).orElse(new AdviceRow(key, -1, List.of(), -1, 0, 0));
+    }
+
+    private void tellTarget(AdviceRow before, int main, int longRuns) {
+        MemberKey member = before.key().member();
+        long basis = mTenure.answers().get(member).basis();
+        world().advice()
+                .put(
+                        before.key(),
+                        new AdviceRow(
+                                before.key(),
+                                before.loadMs(),
+                                before.teams(),
+                                mExchange.nowMs(),
+                                main,
+                                longRuns));
+        mExchange.send(member, new Target(basis, mTenure.group(), main, longRuns));
+    }
+
+    private void tellLoads(Map<MemberKey, List<TeamDemand>> demands) {
+        demands.forEach(
+                (member, teams) -> {
+                    if (teams.stream().anyMatch(t -> t.quickWaiting() + t.longWaiting() > 0)) {
+                        tellLoad(member, Demands.loadElsewhere(demands, member));
+                    }
+                });
+    }
+
+    private void tellLoad(MemberKey member, List<TeamLoad> load) {
+        AdviceRow before = advice(member);
+        long ageMs = mExchange.nowMs() - before.loadMs();
+        boolean due =
+                before.teams().equals(load)
+                        ? ageMs >= EscrowTiming.REFRESH_MS
+                        : ageMs >= EscrowTiming.REPORT_MS;
+        if (before.loadMs() < 0 || due) {
+            world().advice()
+                    .put(
+                            before.key(),
+                            new AdviceRow(
+                                    before.key(),
+                                    mExchange.nowMs(),
+                                    load,
+                                    before.targetMs(),
+                                    before.main(),
+                                    before.longRuns()));
+            mExchange.send(member, new PoolLoad(mTenure.group().name(), load));
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/escrow/Demands.java
@@ -0,0 +1,214 @@
+package org.hibiscususher.core.escrow;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.hibiscususher.core.config.QueueKind;
+import org.hibiscususher.core.message.PeerItem.Demand;
+import org.hibiscususher.core.message.PeerItem.PoolLoad;
+import org.hibiscususher.core.message.PermitGroup;
+import org.hibiscususher.core.message.PermitKind;
+import org.hibiscususher.core.message.TeamDemand;
+import org.hibiscususher.core.message.TeamLoad;
+import org.hibiscususher.core.world.AttachmentRow;
+import org.hibiscususher.core.world.DemandRow;
+import org.hibiscususher.core.world.HoldingRow;
+import org.hibiscususher.core.world.MemberKey;
+import org.hibiscususher.core.world.PoolLoadRow;
+import org.hibiscususher.core.world.ReportRow;
+import org.hibiscususher.core.world.RequestLane;
+import org.hibiscususher.core.world.RequestState;
+import org.hibiscususher.core.world.TenureRow;
+import org.hibiscususher.core.world.World;
+
+/** What entries and allocators tell each other of work waiting and running. */
+final class Demands {
+    /** Units that a team may ask for ahead of the slots that its waiting requests can take. */
+    private static final int UNITS_AHEAD = 2;
+
+    private Demands() {}
+
+    /** Returns the name of a member's demand for a group. */
+    static DemandRow.Key keyOf(PermitGroup group, MemberKey member) {
+        return new DemandRow.Key(group, member);
+    }
+
+    /** Takes in the demand of a member. */
+    static void received(Exchange exchange, Delivery delivery, Demand demand) {
+        World world = exchange.world();
+        Optional<TenureRow> tenure = world.tenures().find(demand.group());
+        if (tenure.isEmpty()) {
+            return;
+        }
+        DemandRow.Key key = keyOf(demand.group(), delivery.from());
+        Optional<DemandRow> before = world.demands().find(key);
+        if (before.isPresent() && before.get().sequence() > delivery.sequence()) {
+            return;
+        }
+        world.demands()
+                .put(
+                        key,
+                        new DemandRow(key, delivery.sequence(), exchange.nowMs(), demand.teams()));
+        boolean changed = before.isEmpty() || !before.get().teams().equals(demand.teams());
+        if (changed) {
+            world.tenures().put(demand.group(), tenure.get().withDue(exchange.nowMs()));
+        }
+    }
+
+    /** Takes in the load of a pool. */
+    static void loaded(Exchange exchange, Delivery delivery, PoolLoad load) {
+        World world = exchange.world();
+        PermitGroup group = PermitGroup.pool(load.pool());
+        boolean followed =
+                world.attachments()
+                        .find(group)
+                        .map(a -> a.allocator().equals(delivery.from()))
+                        .orElse(false);
+        long newest = world.poolLoads().find(load.pool()).map(PoolLoadRow::sequence).orElse(0L);
+        if (followed && newest <= delivery.sequence()) {
+            world.poolLoads()
+                    .put(
+                            load.pool(),
+                            new PoolLoadRow(
+                                    load.pool(),
+                                    delivery.sequence(),
+                                    exchange.nowMs(),
+                                    load.teams()));
+        }
+    }
+
+    /** Reports this entry's demand to the allocators where it has changed, or from time to time. */
+    static void report(Exchange exchange) {
+        World world = exchange.world();
+        Map<PermitGroup, List<TeamDemand>> demands = gather(world);
+        for (ReportRow report : world.reports().rows()) {
+            demands.putIfAbsent(report.group(), List.of());
+        }
+        demands.forEach((group, teams) -> report(exchange, group, teams));
+    }
+
+    private static void report(Exchange exchange, PermitGroup group, List<TeamDemand> teams) {
+        World world = exchange.world();
+        Optional<AttachmentRow> attachment = world.attachments().find(group);
+        if (attachment.isEmpty()) {
+            return;
+        }
+        MemberKey allocator = attachment.get().allocator();
+        Optional<ReportRow> before = world.reports().find(group);
+        if (!due(exchange, before, teams)) {
+            return;
+        }
+        if (teams.isEmpty()) {
+            world.reports().remove(group);
+        } else {
+            world.reports().put(group, new ReportRow(group, allocator, exchange.nowMs(), teams));
+        }
+        exchange.send(allocator, new Demand(group, teams));
+    }
+
+    private static boolean due(
+            Exchange exchange, Optional<ReportRow> before, List<TeamDemand> teams) {
+        if (before.isEmpty()) {
+            return !teams.isEmpty();
+        }
+        long ageMs = exchange.nowMs() - before.get().atMs();
+        if (before.get().teams().equals(teams)) {
+            return ageMs >= EscrowTiming.REFRESH_MS;
+        }
+        return ageMs >= EscrowTiming.REPORT_MS || waits(teams) && !waits(before.get().teams());
+    }
+
+    private static boolean waits(List<TeamDemand> teams) {
+        return teams.stream().anyMatch(t -> t.quickWaiting() + t.longWaiting() > 0);
+    }
+
+    private static Map<PermitGroup, List<TeamDemand>> gather(World world) {
+        Map<String, Map<String, TeamDemand>> pools = new HashMap<>();
+        for (RequestLane lane : world.requests().groups()) {
+            int count = world.requests().group(lane).size();
+            pools.computeIfAbsent(lane.pool(), p -> new TreeMap<>())
+                    .merge(lane.team(), demandOf(lane, count), Demands::sum);
+        }
+        Map<PermitGroup, List<TeamDemand>> demands = new HashMap<>();
+        Map<String, TeamDemand> units = new HashMap<>();
+        pools.forEach(
+                (pool, teams) -> {
+                    demands.put(PermitGroup.pool(pool), List.copyOf(teams.values()));
+                    int ahead = idleSlots(world, pool) + UNITS_AHEAD;
+                    for (TeamDemand team : teams.values()) {
+                        units.merge(team.team(), unitsOf(team, ahead), Demands::sum);
+                    }
+                });
+        units.forEach((team, demand) -> demands.put(PermitGroup.team(team), List.of(demand)));
+        return demands;
+    }
+
+    private static TeamDemand demandOf(RequestLane lane, int count) {
+        int waiting = lane.state() == RequestState.WAITING ? count : 0;
+        int running = count - waiting;
+        return lane.kind() == QueueKind.QUICK
+                ? new TeamDemand(lane.team(), waiting, running, 0, 0)
+                : new TeamDemand(lane.team(), 0, 0, waiting, running);
+    }
+
+    /** Returns the work of both. */
+    static TeamDemand sum(TeamDemand a, TeamDemand b) {
+        return new TeamDemand(
+                a.team(),
+                a.quickWaiting() + b.quickWaiting(),
+                a.quickRunning() + b.quickRunning(),
+                a.longWaiting() + b.longWaiting(),
+                a.longRunning() + b.longRunning());
+    }
+
+    /** Returns the units that a team's work in a pool can use before long. */
+    private static TeamDemand unitsOf(TeamDemand demand, int ahead) {
+        int running = demand.quickRunning() + demand.longRunning();
+        int waiting = demand.quickWaiting() + demand.longWaiting();
+        return new TeamDemand(demand.team(), Math.min(waiting, running + ahead), running, 0, 0);
+    }
+
+    private static int idleSlots(World world, String pool) {
+        int idle = 0;
+        for (HoldingRow holding : world.holdings().group(PermitGroup.pool(pool))) {
+            idle += holding.key().kind() == PermitKind.SLOT ? holding.idle() : 0;
+        }
+        return idle;
+    }
+
+    /** Returns the demand of the members for a group, without what is out of date. */
+    static Map<MemberKey, List<TeamDemand>> of(Exchange exchange, PermitGroup group) {
+        Map<MemberKey, List<TeamDemand>> demands = new HashMap<>();
+        for (DemandRow row : List.copyOf(exchange.world().demands().group(group))) {
+            if (row.teams().isEmpty() || exchange.nowMs() - row.atMs() >= EscrowTiming.EXPIRY_MS) {
+                exchange.world().demands().remove(row.key());
+            } else {
+                demands.put(row.key().member(), row.teams());
+            }
+        }
+        return demands;
+    }
+
+    /** Returns what runs of each team in a pool from other entries than the given one. */
+    static List<TeamLoad> loadElsewhere(
+            Map<MemberKey, List<TeamDemand>> demands, MemberKey member) {
+        Map<String, TeamLoad> loads = new TreeMap<>();
+        demands.forEach(
+                (from, teams) -> {
+                    for (TeamDemand team : from.equals(member) ? List.<TeamDemand>of() : teams) {
+                        TeamLoad load =
+                                new TeamLoad(team.team(), team.quickRunning(), team.longRunning());
+                        loads.merge(team.team(), load, Demands::sum);
+                    }
+                });
+        loads.values().removeIf(l -> l.quick() + l.longRuns() == 0);
+        return new ArrayList<>(loads.values());
+    }
+
+    private static TeamLoad sum(TeamLoad a, TeamLoad b) {
+        return new TeamLoad(a.team(), a.quick() + b.quick(), a.longRuns() + b.longRuns());
+    }
+}
--- a/core/src/main/java/org/hibiscususher/core/escrow/EscrowSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/escrow/EscrowSystem.java
@@ -1,80 +1,100 @@
 package org.hibiscususher.core.escrow;
 
-import java.util.HashSet;
-import java.util.List;
-import java.util.Set;
-import org.hibiscususher.core.config.Configuration;
-import org.hibiscususher.core.config.PoolSpec;
-import org.hibiscususher.core.config.QueueKind;
-import org.hibiscususher.core.config.TeamSpec;
-import org.hibiscususher.core.message.Member;
-import org.hibiscususher.core.message.PermitKey;
-import org.hibiscususher.core.world.HoldingRow;
-import org.hibiscususher.core.world.HostRow;
+import java.util.Optional;
+import org.hibiscususher.core.message.PeerItem;
+import org.hibiscususher.core.message.StoreRecord.MembershipRecord;
+import org.hibiscususher.core.world.EscrowPolicy;
+import org.hibiscususher.core.world.EscrowRow;
 import org.hibiscususher.core.world.Tick;
 import org.hibiscususher.core.world.World;
 
-/** Splits every kind of permit evenly and for good among the members that take work. */
+/**
+ * Keeps permits in escrow: each is held by exactly one entry, or by its allocator.
+ *
+ * <p>As a holder, this entry follows the allocator of each group, reports demand and returns what
+ * it shall not keep. As an allocator, it keeps the ledger of its groups and grants by demand.
+ */
 public final class EscrowSystem {
     private EscrowSystem() {}
 
-    /** Brings this entry's holdings in line with its part of each split. */
+    /** Takes in what the members have sent and passes on what is due. */
     public static void run(Tick tick) {
-        World world = tick.world();
-        List<Member> members =
-                world.membership().record().members().stream()
-                        .filter(m -> m.state().allocates())
-                        .toList();
-        int index = -1;
-        for (int i = 0; i < members.size(); i++) {
-            if (members.get(i).id().equals(world.node().identity().id())) {
-                index = i;
-            }
-        }
-        if (index < 0) {
+        boolean limitsChanged = Totals.refresh(tick);
+        if (tick.world().settings().escrowPolicy() == EscrowPolicy.STATIC_SPLIT) {
+            StaticSplit.run(tick);
             return;
         }
-        Set<PermitKey> wanted = new HashSet<>();
-        Configuration configuration = world.configuration();
-        for (HostRow host : world.hosts().rows()) {
-            PermitKey key = PermitKey.slot(host.pool(), host.spec().id());
-            wanted.add(key);
-            hold(tick, key, part(host.spec().slots(), index, members.size(), key));
-        }
-        for (TeamSpec team : configuration.teams().values()) {
-            PermitKey key = PermitKey.unit(team.id());
-            wanted.add(key);
-            hold(tick, key, part(team.upperLimit(), index, members.size(), key));
-        }
-        for (PoolSpec pool : configuration.pools().values()) {
-            PermitKey key = PermitKey.longRun(pool.id());
-            wanted.add(key);
-            int open = QueueKind.LONG.slotsOpen(slotsOf(world, pool.id()), pool.quickReserve());
-            hold(tick, key, part(open, index, members.size(), key));
+        Exchange exchange = Exchange.of(tick);
+        if (!listed(tick.world(), exchange)) {
+            return;
         }
-        world.holdings().removeIf(h -> !wanted.contains(h.key()) && h.inUse() == 0);
+        follow(exchange, limitsChanged);
+        deliver(exchange);
+        Demands.report(exchange);
+        Holdings.pass(exchange);
+        deliver(exchange);
+        Tenures.pass(exchange);
+        deliver(exchange);
+        Holdings.pass(exchange);
+        deliver(exchange);
     }
 
-    private static int slotsOf(World world, String pool) {
-        return world.hosts().rows().stream()
-                .filter(h -> h.pool().equals(pool))
-                .mapToInt(h -> h.spec().slots())
-                .sum();
+    private static boolean listed(World world, Exchange exchange) {
+        return world.membership().record().members().stream()
+                .anyMatch(
+                        m ->
+                                m.id().equals(exchange.self().id())
+                                        && m.incarnation() == exchange.self().incarnation()
+                                        && m.state().mayHold());
     }
 
-    private static int part(int total, int index, int members, PermitKey key) {
-        int turn = Math.floorMod(index + key.name().hashCode(), members);
-        return total / members + (turn < total % members ? 1 : 0);
+    private static void follow(Exchange exchange, boolean limitsChanged) {
+        World world = exchange.world();
+        MembershipRecord record = world.membership().record();
+        EscrowRow row = world.escrow();
+        if (row.epoch() == record.epoch() && !limitsChanged) {
+            return;
+        }
+        Attachments.follow(exchange);
+        Tenures.follow(exchange);
+        world.escrowTable()
+                .put(
+                        World.SELF,
+                        new EscrowRow(
+                                record.epoch(),
+                                row.revision(),
+                                row.hostsVersion(),
+                                row.longestRunMs()));
+    }
+
+    private static void deliver(Exchange exchange) {
+        Optional<Delivery> next = exchange.next();
+        while (next.isPresent()) {
+            take(exchange, next.get());
+            next = exchange.next();
+        }
     }
 
-    private static void hold(Tick tick, PermitKey key, int part) {
-        HoldingRow row =
-                tick.world().holdings().find(key).orElse(new HoldingRow(key, 0, 0, 0, 0, 0));
-        int granted = Math.max(part, row.inUse());
-        if (granted != row.granted()) {
-            tick.world().holdings().put(key, new HoldingRow(key, 0, granted, 0, row.inUse(), part));
-        } else {
-            tick.world().holdings().put(key, row);
+    private static void take(Exchange exchange, Delivery delivery) {
+        PeerItem item = delivery.item();
+        if (item instanceof PeerItem.Claim claim) {
+            Tenures.claimed(exchange, delivery.from(), claim);
+        } else if (item instanceof PeerItem.ClaimAsked asked) {
+            Attachments.asked(exchange, delivery.from(), asked);
+        } else if (item instanceof PeerItem.Granted granted) {
+            Holdings.granted(exchange, delivery.from(), granted);
+        } else if (item instanceof PeerItem.Returned returned) {
+            Ledgers.returned(exchange, delivery.from(), returned);
+        } else if (item instanceof PeerItem.GrantSeen seen) {
+            Ledgers.grantSeen(exchange, delivery.from(), seen);
+        } else if (item instanceof PeerItem.ReturnSeen seen) {
+            Holdings.returnSeen(exchange, delivery.from(), seen);
+        } else if (item instanceof PeerItem.Target target) {
+            Attachments.targeted(exchange, delivery, target);
+        } else if (item instanceof PeerItem.Demand demand) {
+            Demands.received(exchange, delivery, demand);
+        } else if (item instanceof PeerItem.PoolLoad load) {
+            Demands.loaded(exchange, delivery, load);
         }
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/message/MemberState.java
+++ b/core/src/main/java/org/hibiscususher/core/message/MemberState.java
@@ -26,4 +26,9 @@
     public boolean mayHold() {
         return this != DEAD;
     }
+
+    /** Returns whether a member that was last seen in this state holds nothing once removed. */
+    public boolean provenOver() {
+        return this == LEAVING || this == DEAD;
+    }
 }
--- a/core/src/main/java/org/hibiscususher/core/message/PeerItem.java
+++ b/core/src/main/java/org/hibiscususher/core/message/PeerItem.java
@@ -1,5 +1,6 @@
 package org.hibiscususher.core.message;
 
+import java.util.List;
 import org.hibiscususher.core.config.Configuration;
 
 /** One thing that an entry tells another. */
@@ -12,50 +13,98 @@
     record Relay(Configuration configuration) implements PeerItem {}
 
     /**
-     * Tells the permits' allocator how many of its grants have come back in all.
+     * Tells the allocator of a group what an entry holds when it begins to follow that allocator.
      *
-     * @param epoch the epoch of the grants
+     * <p>The same for every repetition under one basis.
+     *
+     * @param basis the epoch from which the entry counts; higher ones replace lower ones
+     * @param group the group
+     * @param permits what is held, and limits that were higher once
+     */
+    record Claim(long basis, PermitGroup group, List<ClaimedPermit> permits) implements PeerItem {
+        /** Copies the list. */
+        public Claim {
+            permits = List.copyOf(permits);
+        }
+    }
+
+    /**
+     * Asks an entry for a claim under a basis no older than an epoch.
+     *
+     * @param epoch the epoch since which the sender allocates
+     * @param group the group
+     */
+    record ClaimAsked(long epoch, PermitGroup group) implements PeerItem {}
+
+    /**
+     * Tells an entry how many permits it has been granted in all since its claim.
+     *
+     * @param basis the basis of the claim
      * @param permit the permits
-     * @param returned count since the epoch began; only grows
+     * @param granted count; only grows
      */
-    record Returned(long epoch, PermitKey permit, long returned) implements PeerItem {}
+    record Granted(long basis, PermitKey permit, long granted) implements PeerItem {}
 
     /**
-     * Tells an entry how many permits it has been granted in all.
+     * Tells the allocator how many permits have come back in all since the claim.
      *
-     * @param epoch the epoch of the grants
+     * @param basis the basis of the claim
      * @param permit the permits
-     * @param granted count since the epoch began; only grows
-     * @param target how many the entry shall keep; it returns idle ones above that
+     * @param returned count; only grows
      */
-    record Granted(long epoch, PermitKey permit, long granted, int target) implements PeerItem {}
+    record Returned(long basis, PermitKey permit, long returned) implements PeerItem {}
 
     /**
-     * Tells the allocator of a pool how much work of a team and kind an entry has at hand.
+     * Acknowledges {@link Granted}.
      *
-     * @param epoch the epoch
-     * @param pool the pool
-     * @param team the team
-     * @param kind the kind of queue
-     * @param waiting requests waiting
-     * @param running requests running
+     * @param basis the basis of the claim
+     * @param permit the permits
+     * @param granted the count that has been seen
+     */
+    record GrantSeen(long basis, PermitKey permit, long granted) implements PeerItem {}
+
+    /**
+     * Acknowledges {@link Returned}.
+     *
+     * @param basis the basis of the claim
+     * @param permit the permits
+     * @param returned the count that has been seen
+     */
+    record ReturnSeen(long basis, PermitKey permit, long returned) implements PeerItem {}
+
+    /**
+     * Tells an entry how many permits of a group to keep, and that its claim has been taken in.
+     *
+     * @param basis the basis of the claim
+     * @param group the group
+     * @param main how many slots of a pool or units of a team
+     * @param longRuns how many permits for long runs
+     */
+    record Target(long basis, PermitGroup group, int main, int longRuns) implements PeerItem {}
+
+    /**
+     * Tells the allocator of a group how much work an entry has at hand for it.
+     *
+     * @param group the group
+     * @param teams the work by team; teams without work are left out
      */
-    record Demand(
-            long epoch,
-            String pool,
-            String team,
-            org.hibiscususher.core.config.QueueKind kind,
-            int waiting,
-            int running)
-            implements PeerItem {}
+    record Demand(PermitGroup group, List<TeamDemand> teams) implements PeerItem {
+        /** Copies the list. */
+        public Demand {
+            teams = List.copyOf(teams);
+        }
+    }
 
     /**
-     * Tells an entry how much work of a team is running in the whole pool.
+     * Tells an entry how much work runs in a pool from the other entries.
      *
-     * @param epoch the epoch
      * @param pool the pool
-     * @param team the team
-     * @param running requests running
+     * @param teams the work by team; teams without work are left out
      */
-    record PoolLoad(long epoch, String pool, String team, int running) implements PeerItem {}
+    record PoolLoad(String pool, List<TeamLoad> teams) implements PeerItem {
+        /** Copies the list. */
+        public PoolLoad {
+            teams = List.copyOf(teams);
+        }
+    }
 }
--- a/core/src/main/java/org/hibiscususher/core/message/PermitKey.java
+++ b/core/src/main/java/org/hibiscususher/core/message/PermitKey.java
@@ -31,4 +31,9 @@
     public static PermitKey longRun(String pool) {
         return new PermitKey(PermitKind.LONG_RUN, pool, pool);
     }
+
+    /** Returns the group to which the permits belong. */
+    public PermitGroup permitGroup() {
+        return new PermitGroup(kind.groupKind(), group);
+    }
 }
--- a/core/src/main/java/org/hibiscususher/core/request/Permits.java
+++ b/core/src/main/java/org/hibiscususher/core/request/Permits.java
@@ -3,8 +3,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.hibiscususher.core.config.QueueKind;
+import org.hibiscususher.core.message.PermitGroup;
 import org.hibiscususher.core.message.PermitKey;
+import org.hibiscususher.core.message.PermitKind;
 import org.hibiscususher.core.world.HoldingRow;
+import org.hibiscususher.core.world.RequestLane;
 import org.hibiscususher.core.world.RequestRow;
 import org.hibiscususher.core.world.World;
 
@@ -21,9 +24,23 @@
 
     /** Returns the permits that an attempt of a request uses whatever the host. */
     static List<PermitKey> neededAnywhere(RequestRow row) {
-        return row.kind() == QueueKind.LONG
-                ? List.of(PermitKey.unit(row.team()), PermitKey.longRun(row.pool()))
-                : List.of(PermitKey.unit(row.team()));
+        return neededAnywhere(row.lane());
+    }
+
+    /** Returns the permits that each attempt of a lane's requests uses whatever the host. */
+    static List<PermitKey> neededAnywhere(RequestLane lane) {
+        return lane.kind() == QueueKind.LONG
+                ? List.of(PermitKey.unit(lane.team()), PermitKey.longRun(lane.pool()))
+                : List.of(PermitKey.unit(lane.team()));
+    }
+
+    /** Returns how many slots of a pool are idle. */
+    static int idleSlots(World world, String pool) {
+        int idle = 0;
+        for (HoldingRow holding : world.holdings().group(PermitGroup.pool(pool))) {
+            idle += holding.key().kind() == PermitKind.SLOT ? holding.idle() : 0;
+        }
+        return idle;
     }
 
     /** Returns whether one permit of each kind is idle. */
@@ -47,6 +64,7 @@
     static void release(World world, List<PermitKey> keys) {
         for (PermitKey key : keys) {
             world.holdings().update(key, h -> h.withInUse(-1));
+            world.attachments().update(key.permitGroup(), a -> a.withDue(0));
         }
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/request/PlacementSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/request/PlacementSystem.java
@@ -1,111 +1,127 @@
 package org.hibiscususher.core.request;
 
-import java.util.ArrayDeque;
-import java.util.Comparator;
-import java.util.Deque;
-import java.util.LinkedHashMap;
+import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import org.hibiscususher.core.config.QueueKind;
-import org.hibiscususher.core.config.TeamSpec;
+import java.util.Set;
 import org.hibiscususher.core.message.Output.StartAttempt;
 import org.hibiscususher.core.message.PermitKey;
 import org.hibiscususher.core.message.Refusal;
 import org.hibiscususher.core.world.HostRow;
+import org.hibiscususher.core.world.RequestLane;
 import org.hibiscususher.core.world.RequestRow;
-import org.hibiscususher.core.world.RequestState;
 import org.hibiscususher.core.world.Tick;
 import org.hibiscususher.core.world.World;
 
 /** Starts waiting requests on hosts for which this entry holds permits. */
 public final class PlacementSystem {
+    /** How many requests of a lane are tried when the first ones fit no idle host. */
+    private static final int TRIED_PER_LANE = 8;
+
     private PlacementSystem() {}
 
     /** Refuses requests that have waited too long and starts as many others as permits allow. */
     public static void run(Tick tick) {
         World world = tick.world();
-        Map<Lane, Deque<RequestRow>> lanes = new LinkedHashMap<>();
-        for (RequestRow row : world.requests().rows()) {
-            if (!row.state().placeable()) {
-                continue;
-            }
-            if (tick.nowMs() >= row.startByMs()) {
-                Refusals.refuse(tick, row, waitRefusal(world, row));
-            } else {
-                lanes.computeIfAbsent(Lane.of(row), l -> new ArrayDeque<>()).add(row);
+        Set<RequestLane> lanes = new HashSet<>();
+        for (RequestLane lane : List.copyOf(world.requests().groups())) {
+            if (lane.state().placeable()) {
+                refuseLate(tick, lane);
+                lanes.add(lane);
             }
         }
+        lanes.removeIf(l -> !open(world, l));
+        if (lanes.isEmpty()) {
+            return;
+        }
+        LaneOrder order = LaneOrder.of(tick, lanes);
         while (!lanes.isEmpty()) {
-            Lane lane =
-                    lanes.keySet().stream()
-                            .min(
-                                    Comparator.comparing((Lane l) -> l.kind())
-                                            .thenComparing(l -> loadOf(world, l)))
-                            .orElseThrow();
-            Deque<RequestRow> waiting = lanes.get(lane);
-            if (!start(tick, waiting.poll()) || waiting.isEmpty()) {
+            RequestLane lane = order.first(lanes);
+            boolean started = startOne(tick, lane);
+            if (started) {
+                order.started(lane);
+            }
+            if (!started || !open(world, lane)) {
                 lanes.remove(lane);
             }
         }
     }
 
+    private static void refuseLate(Tick tick, RequestLane lane) {
+        List<RequestRow> late = new ArrayList<>();
+        for (RequestRow row : tick.world().requests().group(lane)) {
+            if (tick.nowMs() >= row.startByMs()) {
+                late.add(row);
+            }
+        }
+        for (RequestRow row : late) {
+            Refusals.refuse(tick, row, waitRefusal(tick.world(), row));
+        }
+    }
+
     private static Refusal waitRefusal(World world, RequestRow row) {
         return Permits.idle(world, PermitKey.unit(row.team())) == 0
                 ? Refusal.TEAM_AT_LIMIT
                 : Refusal.WAIT_LIMIT;
     }
 
-    private static double loadOf(World world, Lane lane) {
-        long running =
-                world.requests().rows().stream()
-                        .filter(r -> r.state() == RequestState.RUNNING)
-                        .filter(r -> r.pool().equals(lane.pool()) && r.team().equals(lane.team()))
-                        .count();
-        TeamSpec team = world.configuration().teams().get(lane.team());
-        return team == null ? running : (double) running / team.share();
+    /** Returns whether a lane has requests and the permits that they need on any host. */
+    private static boolean open(World world, RequestLane lane) {
+        return !world.requests().group(lane).isEmpty()
+                && Permits.idle(world, Permits.neededAnywhere(lane))
+                && Permits.idleSlots(world, lane.pool()) > 0;
     }
 
-    private static boolean start(Tick tick, RequestRow row) {
+    private static boolean startOne(Tick tick, RequestLane lane) {
         World world = tick.world();
-        if (!Permits.idle(world, Permits.neededAnywhere(row))) {
-            return false;
+        int tried = 0;
+        for (RequestRow row : world.requests().group(lane)) {
+            Optional<HostRow> host = hostFor(tick, row);
+            if (host.isPresent()) {
+                start(tick, row, host.get());
+                return true;
+            }
+            tried++;
+            if (tried == TRIED_PER_LANE) {
+                return false;
+            }
         }
-        Optional<HostRow> host =
-                world.hosts().rows().stream()
-                        .filter(h -> h.pool().equals(row.pool()))
-                        .filter(h -> h.stage().takesWork())
-                        .filter(h -> h.restUntilMs() <= tick.nowMs())
-                        .filter(h -> h.spec().capacity().fits(row.arrival().needs()))
-                        .filter(h -> !row.triedHosts().contains(h.spec().id()))
-                        .filter(h -> idleSlots(world, h) > 0)
-                        .max(Comparator.comparingInt(h -> idleSlots(world, h)));
-        if (host.isEmpty()) {
-            return false;
+        return false;
+    }
+
+    private static Optional<HostRow> hostFor(Tick tick, RequestRow row) {
+        HostRow best = null;
+        int mostIdle = 0;
+        for (HostRow host : tick.world().hosts().group(row.pool())) {
+            int idle = idleSlots(tick.world(), host);
+            if (idle > mostIdle && takes(tick, host, row)) {
+                best = host;
+                mostIdle = idle;
+            }
         }
-        String id = host.get().spec().id();
+        return Optional.ofNullable(best);
+    }
+
+    private static boolean takes(Tick tick, HostRow host, RequestRow row) {
+        return host.stage().takesWork()
+                && host.restUntilMs() <= tick.nowMs()
+                && host.spec().capacity().fits(row.arrival().needs())
+                && !row.triedHosts().contains(host.spec().id());
+    }
+
+    private static void start(Tick tick, RequestRow row, HostRow host) {
+        String id = host.spec().id();
         List<PermitKey> permits = Permits.needed(row, id);
-        Permits.use(world, permits);
+        Permits.use(tick.world(), permits);
         RequestRow started = row.started(tick.nowMs(), id, permits);
-        world.requests().put(row.id(), started);
+        tick.world().requests().put(row.id(), started);
         tick.emit(
                 new StartAttempt(
-                        row.id(),
-                        started.attempt(),
-                        id,
-                        host.get().spec().address(),
-                        row.runLimitMs()));
-        return true;
+                        row.id(), started.attempt(), id, host.spec().address(), row.runLimitMs()));
     }
 
     private static int idleSlots(World world, HostRow host) {
         return Permits.idle(world, PermitKey.slot(host.pool(), host.spec().id()));
     }
-
-    /** Requests that wait for the same permits, in order of arrival. */
-    private record Lane(QueueKind kind, String pool, String team) {
-        static Lane of(RequestRow row) {
-            return new Lane(row.kind(), row.pool(), row.team());
-        }
-    }
 }
--- a/core/src/main/java/org/hibiscususher/core/table/Table.java
+++ b/core/src/main/java/org/hibiscususher/core/table/Table.java
@@ -2,6 +2,7 @@
 
 import static java.util.Objects.requireNonNull;
 
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -18,12 +19,13 @@
  * @param <K> the type of the ids; neither ids nor rows may be null
  * @param <R> the type of the rows
  */
-public final class Table<K, R> {
+public class Table<K, R> {
     private final Map<K, R> mRows = new LinkedHashMap<>();
     private List<R> mSnapshot = List.of();
     private boolean mSnapshotStale;
+    private long mVersion;
 
-    private Table() {}
+    Table() {}
 
     /** Creates an empty table. */
     public static <K, R> Table<K, R> create() {
@@ -43,8 +45,9 @@
     /** Stores a row under the given id, in place of any earlier one. */
     public void put(K id, R row) {
         requireNonNull(row);
-        if (row != mRows.put(requireNonNull(id), row)) {
-            mSnapshotStale = true;
+        R before = mRows.put(requireNonNull(id), row);
+        if (row != before) {
+            changed(id, before, row);
         }
     }
 
@@ -60,20 +63,23 @@
     public Optional<R> remove(K id) {
         Optional<R> row = Optional.ofNullable(mRows.remove(requireNonNull(id)));
         if (row.isPresent()) {
-            mSnapshotStale = true;
+            changed(id, row.get(), null);
         }
         return row;
     }
 
     /** Removes all rows that match the predicate and returns how many there were. */
     public int removeIf(Predicate<R> predicate) {
-        int n = mRows.size();
-        mRows.values().removeIf(predicate);
-        n -= mRows.size();
-        if (n > 0) {
-            mSnapshotStale = true;
+        int before = mRows.size();
+        Iterator<Map.Entry<K, R>> entries = mRows.entrySet().iterator();
+        while (entries.hasNext()) {
+            Map.Entry<K, R> entry = entries.next();
+            if (predicate.test(entry.getValue())) {
+                entries.remove();
+                changed(entry.getKey(), entry.getValue(), null);
+            }
         }
-        return n;
+        return before - mRows.size();
     }
 
     /**
@@ -97,7 +103,20 @@
 
     /** Removes all rows. */
     public void clear() {
-        mRows.clear();
+        removeIf(row -> true);
+    }
+
+    /** Returns a number that grows with every change. */
+    public long version() {
+        return mVersion;
+    }
+
+    private void changed(K id, R before, R after) {
         mSnapshotStale = true;
+        mVersion++;
+        replaced(id, before, after);
     }
+
+    /** Called after a row was added ({@code before} is null), replaced or removed. */
+    void replaced(K id, R before, R after) {}
 }
--- a/core/src/main/java/org/hibiscususher/core/world/ControlSettings.java
+++ b/core/src/main/java/org/hibiscususher/core/world/ControlSettings.java
@@ -1,5 +1,7 @@
 package org.hibiscususher.core.world;
 
+import static java.util.Objects.requireNonNull;
+
 /**
  * Times and limits of the decisions.
  *
@@ -8,14 +10,22 @@
  * @param freshnessMs an entry that can't vouch for this long admits nothing, in milliseconds
  * @param rollOutWaitMs longest wait of an operator for a note to be in force, in milliseconds
  * @param maxAttempts most attempts of a request, 1 or more
+ * @param escrowPolicy how permits are shared among the entries
  */
 public record ControlSettings(
-        int heartbeatMs, int silenceMs, int freshnessMs, int rollOutWaitMs, int maxAttempts) {
+        int heartbeatMs,
+        int silenceMs,
+        int freshnessMs,
+        int rollOutWaitMs,
+        int maxAttempts,
+        EscrowPolicy escrowPolicy) {
     /** The defaults. */
-    public static final ControlSettings DEFAULT = new ControlSettings(200, 2_000, 4_000, 15_000, 3);
+    public static final ControlSettings DEFAULT =
+            new ControlSettings(200, 2_000, 4_000, 15_000, 3, EscrowPolicy.ESCROW);
 
     /** Checks that every value is 1 or more. */
     public ControlSettings {
+        requireNonNull(escrowPolicy);
         if (heartbeatMs < 1
                 || silenceMs < 1
                 || freshnessMs < 1
@@ -24,4 +34,10 @@
             throw new IllegalArgumentException("times and limits are 1 or more");
         }
     }
+
+    /** Returns a copy with another way to share permits. */
+    public ControlSettings withEscrowPolicy(EscrowPolicy value) {
+        return new ControlSettings(
+                heartbeatMs, silenceMs, freshnessMs, rollOutWaitMs, maxAttempts, value);
+    }
 }
--- a/core/src/main/java/org/hibiscususher/core/world/HoldingRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/HoldingRow.java
@@ -8,26 +8,38 @@
  * Permits that this entry holds.
  *
  * @param key the permits
- * @param epoch the epoch of the counters
- * @param granted count granted since the epoch began
- * @param returned count returned since the epoch began
+ * @param claimed how many were held when the claim to the allocator was made
+ * @param granted count granted since then
+ * @param returned count returned since then
+ * @param returnSeen count returned that the allocator has acknowledged
+ * @param sentMs when the returned count was last sent, -1 if never
  * @param inUse how many of those held are in use by requests
- * @param target how many to keep; idle ones above that go back
  */
 public record HoldingRow(
-        PermitKey key, long epoch, long granted, long returned, int inUse, int target) {
+        PermitKey key,
+        int claimed,
+        long granted,
+        long returned,
+        long returnSeen,
+        long sentMs,
+        int inUse) {
     /** Checks that no more are in use than are held. */
     public HoldingRow {
         requireNonNull(key);
-        if (inUse < 0 || inUse > granted - returned) {
+        if (inUse < 0 || inUse > claimed + granted - returned) {
             throw new IllegalArgumentException(
-                    key + ": " + inUse + " in use of " + (granted - returned));
+                    key + ": " + inUse + " in use of " + (claimed + granted - returned));
         }
     }
 
+    /** Returns the row of permits of which none are held. */
+    public static HoldingRow none(PermitKey key) {
+        return new HoldingRow(key, 0, 0, 0, 0, -1, 0);
+    }
+
     /** Returns how many are held. */
     public int held() {
-        return (int) (granted - returned);
+        return (int) (claimed + granted - returned);
     }
 
     /** Returns how many are held and not in use. */
@@ -35,8 +47,40 @@
         return held() - inUse;
     }
 
+    /** Returns whether the allocator has yet to acknowledge a return. */
+    public boolean unseen() {
+        return returned > returnSeen;
+    }
+
     /** Returns a copy with more, or with a negative number fewer, in use. */
     public HoldingRow withInUse(int change) {
-        return new HoldingRow(key, epoch, granted, returned, inUse + change, target);
+        return new HoldingRow(key, claimed, granted, returned, returnSeen, sentMs, inUse + change);
+    }
+
+    /** Returns a copy that counts from now on. */
+    public HoldingRow rebased() {
+        return new HoldingRow(key, held(), 0, 0, 0, -1, inUse);
+    }
+
+    /** Returns a copy with at least the given count granted. */
+    public HoldingRow withGranted(long count) {
+        long grown = Math.max(granted, count);
+        return new HoldingRow(key, claimed, grown, returned, returnSeen, sentMs, inUse);
+    }
+
+    /** Returns a copy with more returned. */
+    public HoldingRow withReturned(int more) {
+        return new HoldingRow(key, claimed, granted, returned + more, returnSeen, -1, inUse);
+    }
+
+    /** Returns a copy with at least the given count acknowledged. */
+    public HoldingRow withReturnSeen(long count) {
+        long grown = Math.max(returnSeen, count);
+        return new HoldingRow(key, claimed, granted, returned, grown, sentMs, inUse);
+    }
+
+    /** Returns a copy whose returned count was sent at a time. */
+    public HoldingRow withSent(long nowMs) {
+        return new HoldingRow(key, claimed, granted, returned, returnSeen, nowMs, inUse);
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/world/PoolLoadRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/PoolLoadRow.java
@@ -2,29 +2,21 @@
 
 import static java.util.Objects.requireNonNull;
 
+import java.util.List;
+import org.hibiscususher.core.message.TeamLoad;
+
 /**
- * How much of a team's work runs in a whole pool, as its allocator last reported.
+ * How much work runs in a pool from other entries, as its allocator last reported.
  *
- * @param key the pool and team
- * @param running requests running
+ * @param pool the pool
+ * @param sequence of the message that brought it
+ * @param atMs when it came
+ * @param teams the work by team
  */
-public record PoolLoadRow(Key key, int running) {
-    /** Checks the fields. */
+public record PoolLoadRow(String pool, long sequence, long atMs, List<TeamLoad> teams) {
+    /** Copies the list. */
     public PoolLoadRow {
-        requireNonNull(key);
-    }
-
-    /**
-     * Names a pool and a team.
-     *
-     * @param pool the pool
-     * @param team the team
-     */
-    public record Key(String pool, String team) {
-        /** Checks the fields. */
-        public Key {
-            requireNonNull(pool);
-            requireNonNull(team);
-        }
+        requireNonNull(pool);
+        teams = List.copyOf(teams);
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/world/RequestRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/RequestRow.java
@@ -55,6 +55,11 @@
         return arrival.requestId();
     }
 
+    /** Returns the requests with which it competes for permits, or shares them. */
+    public RequestLane lane() {
+        return new RequestLane(state, kind, pool, team);
+    }
+
     /** Returns a copy that runs a further attempt on a host. */
     public RequestRow started(long nowMs, String host, List<PermitKey> using) {
         List<String> tried = new ArrayList<>(triedHosts);
--- a/core/src/main/java/org/hibiscususher/core/world/World.java
+++ b/core/src/main/java/org/hibiscususher/core/world/World.java
@@ -3,8 +3,10 @@
 import org.hibiscususher.core.config.Configuration;
 import org.hibiscususher.core.config.KeyDigest;
 import org.hibiscususher.core.config.KeySpec;
+import org.hibiscususher.core.message.PermitGroup;
 import org.hibiscususher.core.message.PermitKey;
 import org.hibiscususher.core.message.RecordKind;
+import org.hibiscususher.core.table.GroupedTable;
 import org.hibiscususher.core.table.Table;
 
 /**
@@ -21,10 +23,25 @@
     private final Table<String, MembershipRow> mMembership = Table.create();
     private final Table<String, MemberRow> mMembers = Table.create();
     private final Table<KeyDigest, KeySpec> mKeys = Table.create();
-    private final Table<String, HostRow> mHosts = Table.create();
-    private final Table<PermitKey, HoldingRow> mHoldings = Table.create();
-    private final Table<PoolLoadRow.Key, PoolLoadRow> mPoolLoads = Table.create();
-    private final Table<Long, RequestRow> mRequests = Table.create();
+    private final GroupedTable<String, HostRow, String> mHosts =
+            GroupedTable.createBy(HostRow::pool);
+    private final Table<String, EscrowRow> mEscrow = Table.create();
+    private final GroupedTable<PermitKey, TotalRow, PermitGroup> mTotals =
+            GroupedTable.createBy(t -> t.key().permitGroup());
+    private final GroupedTable<PermitKey, HoldingRow, PermitGroup> mHoldings =
+            GroupedTable.createBy(h -> h.key().permitGroup());
+    private final Table<PermitGroup, AttachmentRow> mAttachments = Table.create();
+    private final Table<PermitGroup, ReportRow> mReports = Table.create();
+    private final Table<PermitGroup, TenureRow> mTenures = Table.create();
+    private final GroupedTable<PermitKey, LedgerRow, PermitGroup> mLedger =
+            GroupedTable.createBy(l -> l.key().permitGroup());
+    private final GroupedTable<DemandRow.Key, DemandRow, PermitGroup> mDemands =
+            GroupedTable.createBy(d -> d.key().group());
+    private final GroupedTable<DemandRow.Key, AdviceRow, PermitGroup> mAdvice =
+            GroupedTable.createBy(a -> a.key().group());
+    private final Table<String, PoolLoadRow> mPoolLoads = Table.create();
+    private final GroupedTable<Long, RequestRow, RequestLane> mRequests =
+            GroupedTable.createBy(RequestRow::lane);
     private final Table<Long, PendingNoteRow> mPendingNotes = Table.create();
     private final Table<RecordKind, StoreCallRow> mStoreCalls = Table.create();
     private final Table<String, ControlSettings> mSettings = Table.create();
@@ -37,6 +54,7 @@
         world.mNode.put(SELF, new NodeRow(identity, NodeStage.JOINING, nowMs, -1));
         world.mRevision.put(SELF, new RevisionRow(Configuration.EMPTY, 0, nowMs));
         world.mMembership.put(SELF, MembershipRow.UNSEEN);
+        world.mEscrow.put(SELF, EscrowRow.NONE);
         world.mSettings.put(SELF, settings);
         return world;
     }
@@ -86,23 +104,68 @@
         return mKeys;
     }
 
-    /** Returns the target hosts by id. */
-    public Table<String, HostRow> hosts() {
+    /** Returns the target hosts by id, grouped by the pool that they serve. */
+    public GroupedTable<String, HostRow, String> hosts() {
         return mHosts;
     }
 
+    /** Returns what the escrow has taken in. */
+    public EscrowRow escrow() {
+        return mEscrow.find(SELF).orElseThrow();
+    }
+
+    /** Returns the table of the one row about the escrow. */
+    public Table<String, EscrowRow> escrowTable() {
+        return mEscrow;
+    }
+
+    /** Returns how many permits there may be. */
+    public GroupedTable<PermitKey, TotalRow, PermitGroup> totals() {
+        return mTotals;
+    }
+
     /** Returns the permits that this entry holds. */
-    public Table<PermitKey, HoldingRow> holdings() {
+    public GroupedTable<PermitKey, HoldingRow, PermitGroup> holdings() {
         return mHoldings;
     }
 
-    /** Returns the load of whole pools by team. */
-    public Table<PoolLoadRow.Key, PoolLoadRow> poolLoads() {
+    /** Returns the allocators that this entry follows. */
+    public Table<PermitGroup, AttachmentRow> attachments() {
+        return mAttachments;
+    }
+
+    /** Returns the demand that this entry has reported to allocators. */
+    public Table<PermitGroup, ReportRow> reports() {
+        return mReports;
+    }
+
+    /** Returns the groups of permits that this entry allocates. */
+    public Table<PermitGroup, TenureRow> tenures() {
+        return mTenures;
+    }
+
+    /** Returns the holders of the permits that this entry allocates. */
+    public GroupedTable<PermitKey, LedgerRow, PermitGroup> ledger() {
+        return mLedger;
+    }
+
+    /** Returns the demand of the members for the permits that this entry allocates. */
+    public GroupedTable<DemandRow.Key, DemandRow, PermitGroup> demands() {
+        return mDemands;
+    }
+
+    /** Returns what this entry, as allocator, has told the members. */
+    public GroupedTable<DemandRow.Key, AdviceRow, PermitGroup> advice() {
+        return mAdvice;
+    }
+
+    /** Returns the load that runs in pools from other entries. */
+    public Table<String, PoolLoadRow> poolLoads() {
         return mPoolLoads;
     }
 
-    /** Returns the requests at hand, in order of arrival. */
-    public Table<Long, RequestRow> requests() {
+    /** Returns the requests at hand, in order of arrival, grouped by what they wait for or use. */
+    public GroupedTable<Long, RequestRow, RequestLane> requests() {
         return mRequests;
     }
 
--- a/daemon/src/main/java/org/hibiscususher/daemon/settings/SettingsReader.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/settings/SettingsReader.java
@@ -41,7 +41,8 @@
                         map.integer("silence ms", 1, MAX_MS, base.silenceMs()),
                         map.integer("freshness ms", 1, MAX_MS, base.freshnessMs()),
                         map.integer("roll-out wait ms", 1, MAX_MS, base.rollOutWaitMs()),
-                        map.integer("attempts at most", 1, MAX_ATTEMPTS, base.maxAttempts()));
+                        map.integer("attempts at most", 1, MAX_ATTEMPTS, base.maxAttempts()),
+                        base.escrowPolicy());
         map.close(
                 "heartbeat ms",
                 "silence ms",
--- /dev/null
+++ b/wire/src/main/java/org/hibiscususher/wire/peer/EscrowCodec.java
@@ -0,0 +1,206 @@
+package org.hibiscususher.wire.peer;
+
+import java.io.IOException;
+import java.util.List;
+import org.hibiscususher.core.message.ClaimedPermit;
+import org.hibiscususher.core.message.GroupKind;
+import org.hibiscususher.core.message.PeerItem;
+import org.hibiscususher.core.message.PermitGroup;
+import org.hibiscususher.core.message.PermitKey;
+import org.hibiscususher.core.message.PermitKind;
+import org.hibiscususher.core.message.TeamDemand;
+import org.hibiscususher.core.message.TeamLoad;
+import org.hibiscususher.wire.generated.Peer;
+
+/** Translates the items about permits in escrow. */
+final class EscrowCodec {
+    private EscrowCodec() {}
+
+    /**
+     * Sets the item in the builder.
+     *
+     * @throws IllegalArgumentException if it is not about permits
+     */
+    static void encode(PeerItem item, Peer.PeerItem.Builder builder) {
+        if (item instanceof PeerItem.Claim claim) {
+            builder.setClaim(encodeClaim(claim));
+        } else if (item instanceof PeerItem.ClaimAsked asked) {
+            builder.getClaimAskedBuilder()
+                    .setEpoch(asked.epoch())
+                    .setGroup(encodeGroup(asked.group()));
+        } else if (item instanceof PeerItem.Granted granted) {
+            builder.setGranted(encodeCount(granted.basis(), granted.permit(), granted.granted()));
+        } else if (item instanceof PeerItem.Returned returned) {
+            builder.setReturned(
+                    encodeCount(returned.basis(), returned.permit(), returned.returned()));
+        } else if (item instanceof PeerItem.GrantSeen seen) {
+            builder.setGrantSeen(encodeCount(seen.basis(), seen.permit(), seen.granted()));
+        } else if (item instanceof PeerItem.ReturnSeen seen) {
+            builder.setReturnSeen(encodeCount(seen.basis(), seen.permit(), seen.returned()));
+        } else if (item instanceof PeerItem.Target target) {
+            builder.getTargetBuilder()
+                    .setBasis(target.basis())
+                    .setGroup(encodeGroup(target.group()))
+                    .setMain(target.main())
+                    .setLongRuns(target.longRuns());
+        } else if (item instanceof PeerItem.Demand demand) {
+            builder.setDemand(encodeDemand(demand));
+        } else if (item instanceof PeerItem.PoolLoad load) {
+            builder.setPoolLoad(encodeLoad(load));
+        } else {
+            throw new IllegalArgumentException("no encoding for " + item.getClass());
+        }
+    }
+
+    private static Peer.Claim encodeClaim(PeerItem.Claim claim) {
+        Peer.Claim.Builder builder =
+                Peer.Claim.newBuilder()
+                        .setBasis(claim.basis())
+                        .setGroup(encodeGroup(claim.group()));
+        for (ClaimedPermit permit : claim.permits()) {
+            builder.addPermitsBuilder()
+                    .setPermit(encodePermit(permit.permit()))
+                    .setHeld(permit.held())
+                    .setHighest(permit.highest());
+        }
+        return builder.build();
+    }
+
+    private static Peer.Count encodeCount(long basis, PermitKey permit, long count) {
+        return Peer.Count.newBuilder()
+                .setBasis(basis)
+                .setPermit(encodePermit(permit))
+                .setCount(count)
+                .build();
+    }
+
+    private static Peer.Demand encodeDemand(PeerItem.Demand demand) {
+        Peer.Demand.Builder builder =
+                Peer.Demand.newBuilder().setGroup(encodeGroup(demand.group()));
+        for (TeamDemand team : demand.teams()) {
+            builder.addTeamsBuilder()
+                    .setTeam(team.team())
+                    .setQuickWaiting(team.quickWaiting())
+                    .setQuickRunning(team.quickRunning())
+                    .setLongWaiting(team.longWaiting())
+                    .setLongRunning(team.longRunning());
+        }
+        return builder.build();
+    }
+
+    private static Peer.PoolLoad encodeLoad(PeerItem.PoolLoad load) {
+        Peer.PoolLoad.Builder builder = Peer.PoolLoad.newBuilder().setPool(load.pool());
+        for (TeamLoad team : load.teams()) {
+            builder.addTeamsBuilder()
+                    .setTeam(team.team())
+                    .setQuick(team.quick())
+                    .setLongRuns(team.longRuns());
+        }
+        return builder.build();
+    }
+
+    private static Peer.PermitGroup encodeGroup(PermitGroup group) {
+        return Peer.PermitGroup.newBuilder()
+                .setKind(group.kind().ordinal())
+                .setName(group.name())
+                .build();
+    }
+
+    private static Peer.PermitKey encodePermit(PermitKey key) {
+        Peer.PermitKey.Builder builder =
+                Peer.PermitKey.newBuilder().setKind(key.kind().ordinal()).setGroup(key.group());
+        if (!key.name().equals(key.group())) {
+            builder.setName(key.name());
+        }
+        return builder.build();
+    }
+
+    /**
+     * Returns the item that the protobuf stands for.
+     *
+     * @throws IOException if it is of no known kind
+     */
+    static PeerItem decode(Peer.PeerItem item) throws IOException {
+        return switch (item.getItemCase()) {
+            case CLAIM -> decodeClaim(item.getClaim());
+            case CLAIM_ASKED ->
+                    new PeerItem.ClaimAsked(
+                            item.getClaimAsked().getEpoch(),
+                            decodeGroup(item.getClaimAsked().getGroup()));
+            case GRANTED -> {
+                Peer.Count count = item.getGranted();
+                yield new PeerItem.Granted(
+                        count.getBasis(), decodePermit(count.getPermit()), count.getCount());
+            }
+            case RETURNED -> {
+                Peer.Count count = item.getReturned();
+                yield new PeerItem.Returned(
+                        count.getBasis(), decodePermit(count.getPermit()), count.getCount());
+            }
+            case GRANT_SEEN -> {
+                Peer.Count count = item.getGrantSeen();
+                yield new PeerItem.GrantSeen(
+                        count.getBasis(), decodePermit(count.getPermit()), count.getCount());
+            }
+            case RETURN_SEEN -> {
+                Peer.Count count = item.getReturnSeen();
+                yield new PeerItem.ReturnSeen(
+                        count.getBasis(), decodePermit(count.getPermit()), count.getCount());
+            }
+            case TARGET ->
+                    new PeerItem.Target(
+                            item.getTarget().getBasis(),
+                            decodeGroup(item.getTarget().getGroup()),
+                            item.getTarget().getMain(),
+                            item.getTarget().getLongRuns());
+            case DEMAND -> decodeDemand(item.getDemand());
+            case POOL_LOAD -> decodeLoad(item.getPoolLoad());
+            default -> throw new IOException("unknown item in a message between entries");
+        };
+    }
+
+    private static PeerItem.Claim decodeClaim(Peer.Claim claim) {
+        List<ClaimedPermit> permits =
+                claim.getPermitsList().stream()
+                        .map(
+                                p ->
+                                        new ClaimedPermit(
+                                                decodePermit(p.getPermit()),
+                                                p.getHeld(),
+                                                p.getHighest()))
+                        .toList();
+        return new PeerItem.Claim(claim.getBasis(), decodeGroup(claim.getGroup()), permits);
+    }
+
+    private static PeerItem.Demand decodeDemand(Peer.Demand demand) {
+        List<TeamDemand> teams =
+                demand.getTeamsList().stream()
+                        .map(
+                                t ->
+                                        new TeamDemand(
+                                                t.getTeam(),
+                                                t.getQuickWaiting(),
+                                                t.getQuickRunning(),
+                                                t.getLongWaiting(),
+                                                t.getLongRunning()))
+                        .toList();
+        return new PeerItem.Demand(decodeGroup(demand.getGroup()), teams);
+    }
+
+    private static PeerItem.PoolLoad decodeLoad(Peer.PoolLoad load) {
+        List<TeamLoad> teams =
+                load.getTeamsList().stream()
+                        .map(t -> new TeamLoad(t.getTeam(), t.getQuick(), t.getLongRuns()))
+                        .toList();
+        return new PeerItem.PoolLoad(load.getPool(), teams);
+    }
+
+    private static PermitGroup decodeGroup(Peer.PermitGroup group) {
+        return new PermitGroup(GroupKind.values()[group.getKind()], group.getName());
+    }
+
+    private static PermitKey decodePermit(Peer.PermitKey key) {
+        String name = key.getName().isEmpty() ? key.getGroup() : key.getName();
+        return new PermitKey(PermitKind.values()[key.getKind()], key.getGroup(), name);
+    }
+}
