--- a/core/src/main/java/org/hibiscususher/core/escrow/Balance.java
+++ b/core/src/main/java/org/hibiscususher/core/escrow/Balance.java
@@ -3,8 +3,10 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.ToDoubleFunction;
 import org.hibiscususher.core.message.GroupKind;
 import org.hibiscususher.core.message.PeerItem.PoolLoad;
@@ -28,6 +30,7 @@
     private final Exchange mExchange;
     private final TenureRow mTenure;
     private final List<MemberKey> mMembers;
+    private final Set<MemberKey> mGranted = new HashSet<>();
 
     private Balance(Exchange exchange, TenureRow tenure) {
         mExchange = exchange;
@@ -182,6 +185,7 @@
             long basis = mTenure.answers().get(member).basis();
             for (int row = 0; row < rows.size(); row++) {
                 if (grants[i][row] > 0) {
+                    mGranted.add(member);
                     Ledgers.grant(mExchange, rows.get(row).key(), member, basis, grants[i][row]);
                 }
             }
@@ -196,7 +200,10 @@
         return best;
     }
 
-    /** Tells targets to those members that would otherwise keep too much or return too much. */
+    /**
+     * Tells targets to members that would otherwise keep too much, and with each grant, so that a
+     * lower target that came before does not make the member return the grant.
+     */
     private boolean tellTargets(PermitKind mainKind, int[] main, int[] longRuns) {
         int[] mainHeld = held(mainKind);
         int[] longHeld = held(PermitKind.LONG_RUN);
@@ -207,8 +214,7 @@
             AdviceRow before = advice(mMembers.get(i));
             boolean changed = before.main() != main[i] || before.longRuns() != longRuns[i];
             boolean old = mExchange.nowMs() - before.targetMs() >= EscrowTiming.REFRESH_MS;
-            boolean tooLow = before.main() < mainHeld[i] || before.longRuns() < longHeld[i];
-            boolean due = above ? changed || old : tooLow && changed;
+            boolean due = above && (changed || old) || mGranted.contains(mMembers.get(i));
             if (before.targetMs() < 0 || due) {
                 tellTarget(before, main[i], longRuns[i]);
             }
--- a/core/src/main/java/org/hibiscususher/core/request/PlacementSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/request/PlacementSystem.java
@@ -38,13 +38,12 @@
         LaneOrder order = LaneOrder.of(tick, lanes);
         while (!lanes.isEmpty()) {
             RequestLane lane = order.first(lanes);
-            boolean started = startOne(tick, lane);
-            if (started) {
+            if (open(world, lane) && startOne(tick, lane)) {
                 order.started(lane);
-            }
-            if (!started || !open(world, lane)) {
+            } else {
                 lanes.remove(lane);
             }
+            lanes.removeIf(l -> world.requests().group(l).isEmpty());
         }
     }
 
