--- a/core/src/main/java/org/hibiscususher/core/escrow/EscrowSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/escrow/EscrowSystem.java
@@ -5,6 +5,7 @@
 import org.hibiscususher.core.message.StoreRecord.MembershipRecord;
 import org.hibiscususher.core.world.EscrowPolicy;
 import org.hibiscususher.core.world.EscrowRow;
+import org.hibiscususher.core.world.HoldingRow;
 import org.hibiscususher.core.world.Tick;
 import org.hibiscususher.core.world.World;
 
@@ -26,6 +27,7 @@
         }
         Exchange exchange = Exchange.of(tick);
         if (!listed(tick.world(), exchange)) {
+            withdraw(tick.world());
             return;
         }
         follow(exchange, limitsChanged);
@@ -48,6 +50,26 @@
                                         && m.state().mayHold());
     }
 
+    /** Gives up what a process that is not, or no longer, a member may not use or allocate. */
+    private static void withdraw(World world) {
+        if (world.attachments().size() == 0) {
+            return;
+        }
+        for (HoldingRow row : world.holdings().rows()) {
+            world.holdings().remove(row.key());
+            if (row.inUse() > 0) {
+                world.holdings().put(row.key(), row.withReturned(row.idle()).rebased());
+            }
+        }
+        world.attachments().clear();
+        world.tenures().clear();
+        world.ledger().clear();
+        world.demands().clear();
+        world.advice().clear();
+        world.reports().clear();
+        world.escrowTable().update(World.SELF, EscrowRow::withdrawn);
+    }
+
     private static void follow(Exchange exchange, boolean limitsChanged) {
         World world = exchange.world();
         MembershipRecord record = world.membership().record();
--- a/core/src/main/java/org/hibiscususher/core/request/PlacementSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/request/PlacementSystem.java
@@ -8,6 +8,7 @@
 import org.hibiscususher.core.message.Output.StartAttempt;
 import org.hibiscususher.core.message.PermitKey;
 import org.hibiscususher.core.message.Refusal;
+import org.hibiscususher.core.rollout.Freshness;
 import org.hibiscususher.core.world.HostRow;
 import org.hibiscususher.core.world.RequestLane;
 import org.hibiscususher.core.world.RequestRow;
@@ -32,7 +33,7 @@
             }
         }
         lanes.removeIf(l -> !open(world, l));
-        if (lanes.isEmpty()) {
+        if (lanes.isEmpty() || !Freshness.vouches(world, tick.nowMs())) {
             return;
         }
         LaneOrder order = LaneOrder.of(tick, lanes);
--- a/core/src/main/java/org/hibiscususher/core/world/ControlSettings.java
+++ b/core/src/main/java/org/hibiscususher/core/world/ControlSettings.java
@@ -10,6 +10,7 @@
  * @param freshnessMs an entry that can't vouch for this long admits nothing, in milliseconds
  * @param rollOutWaitMs longest wait of an operator for a note to be in force, in milliseconds
  * @param maxAttempts most attempts of a request, 1 or more
+ * @param pauseMs a process between whose ticks more time passes was paused, in milliseconds
  * @param escrowPolicy how permits are shared among the entries
  */
 public record ControlSettings(
@@ -18,10 +19,11 @@
         int freshnessMs,
         int rollOutWaitMs,
         int maxAttempts,
+        int pauseMs,
         EscrowPolicy escrowPolicy) {
     /** The defaults. */
     public static final ControlSettings DEFAULT =
-            new ControlSettings(200, 2_000, 4_000, 15_000, 3, EscrowPolicy.ESCROW);
+            new ControlSettings(200, 2_000, 4_000, 15_000, 3, 1_000, EscrowPolicy.ESCROW);
 
     /** Checks that every value is 1 or more. */
     public ControlSettings {
@@ -30,7 +32,8 @@
                 || silenceMs < 1
                 || freshnessMs < 1
                 || rollOutWaitMs < 1
-                || maxAttempts < 1) {
+                || maxAttempts < 1
+                || pauseMs < 1) {
             throw new IllegalArgumentException("times and limits are 1 or more");
         }
     }
@@ -38,6 +41,6 @@
     /** Returns a copy with another way to share permits. */
     public ControlSettings withEscrowPolicy(EscrowPolicy value) {
         return new ControlSettings(
-                heartbeatMs, silenceMs, freshnessMs, rollOutWaitMs, maxAttempts, value);
+                heartbeatMs, silenceMs, freshnessMs, rollOutWaitMs, maxAttempts, pauseMs, value);
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/world/EscrowRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/EscrowRow.java
@@ -11,4 +11,9 @@
 public record EscrowRow(long epoch, long revision, long hostsVersion, int longestRunMs) {
     /** The row before anything was taken in. */
     public static final EscrowRow NONE = new EscrowRow(-1, -1, -1, 0);
+
+    /** Returns a copy that has taken in no epoch. */
+    public EscrowRow withdrawn() {
+        return new EscrowRow(-1, revision, hostsVersion, longestRunMs);
+    }
 }
--- a/standin/src/test/java/org/hibiscususher/standin/virtual/EscrowSite.java
+++ b/standin/src/test/java/org/hibiscususher/standin/virtual/EscrowSite.java
@@ -68,7 +68,9 @@
 
     void apply(String note) {
         long call = mSite.submit(firstRunning(), NoteReader.read("note", note).note());
-        mSite.run(500);
+        for (int i = 0; i < 200 && !mSite.noteAnswers().containsKey(call); i++) {
+            mSite.run(100);
+        }
         assertThat(mSite.noteAnswers().get(call).result()).isEqualTo(NoteResult.ACCEPTED);
     }
 
