--- a/core/src/main/java/org/hibiscususher/core/membership/MembershipSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/membership/MembershipSystem.java
@@ -81,6 +81,7 @@
             return;
         }
         world.membershipTable().put(World.SELF, new MembershipRow(seen.version(), record));
+        world.membershipCallTable().update(World.SELF, c -> c.seen());
         Set<String> live = new HashSet<>();
         Set<DeadMemberRow.Key> dead = new HashSet<>();
         String self = world.node().identity().id();
--- a/core/src/main/java/org/hibiscususher/core/membership/RecordCalls.java
+++ b/core/src/main/java/org/hibiscususher/core/membership/RecordCalls.java
@@ -1,6 +1,7 @@
 package org.hibiscususher.core.membership;
 
 import java.util.List;
+import org.agrona.collections.Hashing;
 import org.hibiscususher.core.message.Input.RecordRead;
 import org.hibiscususher.core.message.Input.RecordSwapped;
 import org.hibiscususher.core.message.Input.StoreFailed;
@@ -22,12 +23,18 @@
     /** Time between two reads when nothing calls for one, in milliseconds. */
     private static final int POLL_MS = 5_000;
 
-    /** Least time between two reads that a peer's newer epoch causes, in milliseconds. */
+    /** Wait for a watch before the record is read instead, in milliseconds. */
     private static final int CATCH_UP_MS = 200;
 
     /** Wait after the first failure, in milliseconds; doubles with each further one. */
     private static final int RETRY_MS = 250;
 
+    /** Time from a failed call after which an answer to another one ends the wait. */
+    private static final int CONTACT_WAIT_MS = 1_000;
+
+    /** Spread of the waits after conflicts, in milliseconds; one less than a power of two. */
+    private static final int CONFLICT_MASK = 127;
+
     /** Doublings of that wait at most. */
     private static final int MAX_DOUBLINGS = 4;
 
@@ -47,7 +54,7 @@
         NodeStage stage = world.node().stage();
         boolean out = call.callId() != 0;
         boolean follows = stage == NodeStage.JOINING || stage.member();
-        if (out || !follows || tick.nowMs() < call.notBeforeMs()) {
+        if (out || !follows || waits(tick, call)) {
             return;
         }
         if (call.readFirst() || pollIsDue(tick, call)) {
@@ -64,6 +71,14 @@
         }
     }
 
+    /** Returns whether to leave the store alone; an answer to another call shortens the wait. */
+    private static boolean waits(Tick tick, MembershipCallRow call) {
+        boolean answersAgain =
+                call.failures() > 0
+                        && tick.world().node().storeContactMs() >= call.sinceMs() + CONTACT_WAIT_MS;
+        return tick.nowMs() < call.notBeforeMs() && !answersAgain;
+    }
+
     private static void settle(Tick tick) {
         long callId = tick.world().membershipCall().callId();
         if (callId == 0) {
@@ -71,7 +86,7 @@
         }
         for (RecordRead read : tick.inputs(RecordRead.class)) {
             if (read.callId() == callId) {
-                update(tick, tick.world().membershipCall().answered(true));
+                update(tick, tick.world().membershipCall().read());
             }
         }
         for (RecordSwapped swapped : tick.inputs(RecordSwapped.class)) {
@@ -81,24 +96,32 @@
             String result = swapped.result().name().toLowerCase(java.util.Locale.ROOT);
             tick.count("membership.write-" + result);
             if (swapped.result() == SwapResult.UNKNOWN) {
-                fail(tick);
+                fail(tick, true);
             } else {
-                update(tick, tick.world().membershipCall().answered(false));
+                boolean conflict = swapped.result() == SwapResult.CONFLICT;
+                long waitMs = conflict ? turnMs(tick.world()) : CATCH_UP_MS;
+                update(tick, tick.world().membershipCall().written(tick.nowMs() + waitMs));
             }
         }
         boolean failed =
                 tick.inputs(StoreFailed.class).stream().anyMatch(f -> f.callId() == callId);
         boolean late = tick.nowMs() - tick.world().membershipCall().sinceMs() >= CALL_LIMIT_MS;
         if (tick.world().membershipCall().callId() == callId && (failed || late)) {
-            fail(tick);
+            fail(tick, late);
         }
     }
 
-    private static void fail(Tick tick) {
+    private static void fail(Tick tick, boolean wrote) {
         MembershipCallRow call = tick.world().membershipCall();
         long waitMs = (long) RETRY_MS << Math.min(call.failures(), MAX_DOUBLINGS);
         tick.count("membership.store-failed");
-        update(tick, call.failed(tick.nowMs() + waitMs + spreadMs(tick.world())));
+        update(tick, call.failed(wrote, tick.nowMs() + waitMs + spreadMs(tick.world())));
+    }
+
+    /** Returns how long to wait after a conflict, unlike other members and unlike last time. */
+    private static long turnMs(World world) {
+        long epoch = world.membership().record().epoch();
+        return Hashing.hash(epoch ^ world.node().identity().id().hashCode(), CONFLICT_MASK);
     }
 
     private static long spreadMs(World world) {
--- a/core/src/main/java/org/hibiscususher/core/world/MembershipCallRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/MembershipCallRow.java
@@ -19,13 +19,25 @@
         return new MembershipCallRow(id, nowMs, readFirst, notBeforeMs, failures);
     }
 
-    /** Returns a copy after an answer; another read is needed unless the record is known. */
-    public MembershipCallRow answered(boolean recordKnown) {
-        return new MembershipCallRow(0, sinceMs, !recordKnown, notBeforeMs, 0);
+    /** Returns a copy after the record was read. */
+    public MembershipCallRow read() {
+        return new MembershipCallRow(0, sinceMs, false, 0, 0);
     }
 
-    /** Returns a copy after a call without an answer. */
-    public MembershipCallRow failed(long retryMs) {
-        return new MembershipCallRow(0, sinceMs, true, retryMs, failures + 1);
+    /** Returns a copy after a write or a conflict; unless a watch shows the record it is read. */
+    public MembershipCallRow written(long nextMs) {
+        return new MembershipCallRow(0, sinceMs, true, nextMs, 0);
+    }
+
+    /** Returns a copy after a call without an answer; a write may have taken effect. */
+    public MembershipCallRow failed(boolean wrote, long retryMs) {
+        return new MembershipCallRow(0, sinceMs, readFirst || wrote, retryMs, failures + 1);
+    }
+
+    /** Returns a copy after a newer record has been seen. */
+    public MembershipCallRow seen() {
+        return readFirst
+                ? new MembershipCallRow(callId, sinceMs, false, notBeforeMs, failures)
+                : this;
     }
 }
--- a/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualSite.java
+++ b/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualSite.java
@@ -272,13 +272,8 @@
                 () -> {
                     VirtualEntry to = mEntries.get(send.memberId());
                     if (to == null || to.condition() == EntryCondition.DEAD) {
-                        long incarnation =
-                                from.world()
-                                        .members()
-                                        .find(send.memberId())
-                                        .map(m -> m.member().incarnation())
-                                        .orElse(0L);
-                        from.receive(new PeerRefused(send.memberId(), incarnation));
+                        from.receive(
+                                new PeerRefused(send.memberId(), send.message().toIncarnation()));
                     } else {
                         to.receive(new PeerReceived(send.message()));
                     }
