--- a/core/src/main/java/org/hibiscususher/core/rollout/FreshnessSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/rollout/FreshnessSystem.java
@@ -104,7 +104,7 @@
 
     private static void know(World world, VersionedRecord record) {
         if (record.value() instanceof HeadRecord head) {
-            know(world, head.configuration().revision());
+            know(world, head.revision());
         }
     }
 
@@ -120,7 +120,7 @@
             }
             for (PendingNoteRow note : world.pendingNotes().rows()) {
                 if (note.storeCallId() == swapped.callId()) {
-                    know(world, note.revision());
+                    know(world, note.plan().next().revision());
                 }
             }
         }
--- a/wire/src/main/java/org/hibiscususher/wire/peer/PeerCodec.java
+++ b/wire/src/main/java/org/hibiscususher/wire/peer/PeerCodec.java
@@ -67,9 +67,7 @@
         Peer.PeerItem.Builder builder = Peer.PeerItem.newBuilder();
         if (item instanceof PeerItem.Relay relay) {
             builder.getRelayBuilder()
-                    .setConfiguration(
-                            ByteString.copyFrom(
-                                    RecordCodec.encodeConfiguration(relay.configuration())));
+                    .setNotes(ByteString.copyFrom(RecordCodec.encodeNotes(relay.notes())));
         } else {
             EscrowCodec.encode(item, builder);
         }
@@ -80,8 +78,7 @@
         return switch (item.getItemCase()) {
             case RELAY ->
                     new PeerItem.Relay(
-                            RecordCodec.decodeConfiguration(
-                                    item.getRelay().getConfiguration().toByteArray()));
+                            RecordCodec.decodeNotes(item.getRelay().getNotes().toByteArray()));
             default -> EscrowCodec.decode(item);
         };
     }
