--- a/core/src/main/java/org/hibiscususher/core/world/ControlSettings.java
+++ b/core/src/main/java/org/hibiscususher/core/world/ControlSettings.java
@@ -43,4 +43,10 @@
         return new ControlSettings(
                 heartbeatMs, silenceMs, freshnessMs, rollOutWaitMs, maxAttempts, pauseMs, value);
     }
+
+    /** Returns a copy with another bound of freshness, in milliseconds. */
+    public ControlSettings withFreshness(int value) {
+        return new ControlSettings(
+                heartbeatMs, silenceMs, value, rollOutWaitMs, maxAttempts, pauseMs, escrowPolicy);
+    }
 }
--- a/daemon/src/main/java/org/hibiscususher/daemon/store/EtcdStore.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/store/EtcdStore.java
@@ -12,9 +12,12 @@
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 import org.hibiscususher.core.message.PlatformHost;
 import org.hibiscususher.wire.http.HttpCaller;
@@ -29,6 +32,8 @@
     private final EventLoopGroup mGroup;
     private final String mAddress;
     private final HttpCaller mCaller;
+    private final Set<String> mWatched = ConcurrentHashMap.newKeySet();
+    private final Map<String, VersionedValue> mLastRead = new ConcurrentHashMap<>();
 
     private EtcdStore(EventLoopGroup group, String address) {
         mGroup = group;
@@ -46,14 +51,30 @@
         return new EtcdStore(group, address);
     }
 
+    /**
+     * Reads a value. Of a watched key that was read before, the store is asked for the value only
+     * if it has changed since: such keys are read often.
+     */
     @Override
     public CompletableFuture<Optional<VersionedValue>> get(String key) {
-        return call("/v3/kv/range", object().put("key", encode(key)))
-                .thenApply(
-                        reply ->
-                                reply.path("kvs").isEmpty()
-                                        ? Optional.empty()
-                                        : Optional.of(valueOf(reply.path("kvs").get(0))));
+        VersionedValue last = mLastRead.get(key);
+        ObjectNode range = object().put("key", encode(key));
+        if (last != null) {
+            range.put("min_mod_revision", Long.toString(last.version() + 1));
+        }
+        return call("/v3/kv/range", range).thenApply(reply -> found(key, last, reply));
+    }
+
+    private Optional<VersionedValue> found(String key, VersionedValue last, JsonNode reply) {
+        if (!reply.path("kvs").isEmpty()) {
+            VersionedValue value = valueOf(reply.path("kvs").get(0));
+            if (mWatched.contains(key)) {
+                mLastRead.put(key, value);
+            }
+            return Optional.of(value);
+        }
+        boolean unchanged = last != null && reply.path("count").asLong() > 0;
+        return unchanged ? Optional.of(last) : Optional.empty();
     }
 
     @Override
@@ -76,6 +97,7 @@
 
     @Override
     public void watch(String key, Consumer<VersionedValue> consumer) {
+        mWatched.add(key);
         ObjectNode root = object();
         root.putObject("create_request").put("key", encode(key)).put("start_revision", "1");
         EtcdWatch.start(
--- a/standin/src/main/java/org/hibiscususher/standin/store/StoreHandler.java
+++ b/standin/src/main/java/org/hibiscususher/standin/store/StoreHandler.java
@@ -20,6 +20,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 /** Answers calls of the JSON gateway of the etcd v3 protocol, as far as the system uses it. */
@@ -60,8 +61,12 @@
 
     private ObjectNode range(JsonNode call) {
         ObjectNode reply = header();
-        mState.entries()
-                .find(call.path("key").asText())
+        Optional<StoreState.Entry> entry = mState.entries().find(call.path("key").asText());
+        if (entry.isPresent()) {
+            reply.put("count", "1");
+        }
+        long minRevision = call.path("min_mod_revision").asLong();
+        entry.filter(e -> e.revision() >= minRevision)
                 .ifPresent(e -> reply.putArray("kvs").add(keyValue(e)));
         return reply;
     }
--- a/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualStore.java
+++ b/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualStore.java
@@ -30,6 +30,7 @@
     private final Map<String, Consumer<Input>> mWatchers = new LinkedHashMap<>();
     private final Set<String> mCutOff = new HashSet<>();
     private StoreFault mFault = StoreFault.NONE;
+    private boolean mWatchesFrozen;
     private long mVersion;
     private long mReads;
     private long mWrites;
@@ -43,6 +44,11 @@
         mFault = fault;
     }
 
+    /** Sets whether watches show nothing, whatever the fault. */
+    public void setWatchesFrozen(boolean frozen) {
+        mWatchesFrozen = frozen;
+    }
+
     /** Sets whether an entry can reach the store. */
     public void setReachable(String entry, boolean reachable) {
         if (reachable) {
@@ -123,7 +129,7 @@
 
     private void show(
             String entry, Consumer<Input> receiver, RecordKey key, VersionedRecord record) {
-        if (mFault.shows() && !mCutOff.contains(entry)) {
+        if (mFault.shows() && !mWatchesFrozen && !mCutOff.contains(entry)) {
             mTimeline.after(
                     LATENCY_MS + mFault.delayMs(),
                     () -> receiver.accept(new RecordWatched(key, record)));
--- a/standin/src/test/java/org/hibiscususher/standin/process/WholePathTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/process/WholePathTest.java
@@ -132,6 +132,27 @@
             assertThat(run.exitCode()).isEqualTo(3);
         }
 
+        @Test
+        void seeWhoChangedWhat() throws IOException, InterruptedException {
+            Site.ToolRun list = mSite.tool("entry-3", "note", "history");
+            assertThat(list.output()).contains("opening", "anna", "pools +2, hosts +2");
+            Site.ToolRun one = mSite.tool("entry-3", "note", "show", "opening");
+            assertThat(one.output()).contains("revision: 1", "teams added or changed:");
+            Site.ToolRun none = mSite.tool("entry-3", "note", "show", "nothing");
+            assertThat(none.output()).contains("no accepted note has the revision or id nothing");
+            assertThat(none.exitCode()).isEqualTo(1);
+        }
+
+        @Test
+        void printTheStateInForceAndCheckAgainstIt() throws IOException, InterruptedException {
+            String exported = mSite.tool("entry-2", "export").output();
+            assertThat(exported).contains("- {name: lookups, pool: parts, kind: quick");
+            String file = mSite.note("exported", exported);
+            Site.ToolRun check = mSite.tool("entry-2", "note", "check", file);
+            assertThat(check.output()).contains("host host-1 exists; list it under \"changed\"");
+            assertThat(check.exitCode()).isEqualTo(3);
+        }
+
         @Test
         void seeTheOtherEntries() throws IOException, InterruptedException {
             Site.ToolRun run = mSite.tool("entry-1", "status");
