Decide over a request's life: queues, retries, outliers, keys

Admission counted by scanning all requests per arrival; it now takes one pass a tick. A team alone gets at most two thirds of a queue, and what can't start in time by the run times seen is refused at once. Retries cost tokens that answers bring, and each reason to stop is counted. The scan for abandoned requests went to a table of its own.

Hosts that fail three times in a row rest, within the pool's availability budget, and come back by probes.

A non-idempotent request may carry a UUID of version 7 as its idempotency key. The key's home, by rendezvous, grants it once, and only if every process that may have been the home before is known to grant no more and the key is newer than that. No store write; a home in doubt refuses.

--- a/core/src/main/java/org/hibiscususher/core/control/Phase.java
+++ b/core/src/main/java/org/hibiscususher/core/control/Phase.java
@@ -4,6 +4,8 @@
 import org.hibiscususher.core.membership.LinkSystem;
 import org.hibiscususher.core.membership.MembershipSystem;
 import org.hibiscususher.core.request.AdmissionSystem;
+import org.hibiscususher.core.request.OnceSystem;
+import org.hibiscususher.core.request.OutlierSystem;
 import org.hibiscususher.core.request.PlacementSystem;
 import org.hibiscususher.core.request.RetrySystem;
 import org.hibiscususher.core.rollout.FreshnessSystem;
@@ -30,6 +32,12 @@
             RollOutSystem.run(tick);
         }
     },
+    OUTLIER {
+        @Override
+        void run(Tick tick) {
+            OutlierSystem.run(tick);
+        }
+    },
     RETRY {
         @Override
         void run(Tick tick) {
@@ -48,6 +56,12 @@
             AdmissionSystem.run(tick);
         }
     },
+    ONCE {
+        @Override
+        void run(Tick tick) {
+            OnceSystem.run(tick);
+        }
+    },
     PLACEMENT {
         @Override
         void run(Tick tick) {
--- a/core/src/main/java/org/hibiscususher/core/membership/Rendezvous.java
+++ b/core/src/main/java/org/hibiscususher/core/membership/Rendezvous.java
@@ -33,6 +33,15 @@
         return Optional.ofNullable(best);
     }
 
+    /**
+     * Returns whether a member comes before another in the order for a name.
+     *
+     * <p>If both may allocate, the one that comes later is not responsible for the name.
+     */
+    public static boolean comesBefore(String member, String other, String name) {
+        return Long.compareUnsigned(score(name, member), score(name, other)) > 0;
+    }
+
     /**
      * Returns how many of the given members come before a member in the order for a name.
      *
--- a/core/src/main/java/org/hibiscususher/core/message/AttemptOutcome.java
+++ b/core/src/main/java/org/hibiscususher/core/message/AttemptOutcome.java
@@ -36,6 +36,11 @@
         return mTargetDone;
     }
 
+    /** Returns whether the caller got a whole answer. */
+    public boolean answered() {
+        return this == ANSWERED || this == SERVER_ERROR;
+    }
+
     /** Returns whether it is certain that the attempt did not run. */
     public boolean notRun() {
         return mNotRun;
--- a/core/src/main/java/org/hibiscususher/core/message/PeerItem.java
+++ b/core/src/main/java/org/hibiscususher/core/message/PeerItem.java
@@ -49,6 +49,48 @@
             int running)
             implements PeerItem {}
 
+    /**
+     * Asks the home of an idempotency key whether the key is new, and claims it.
+     *
+     * @param requestId the request at the sender
+     * @param team the team
+     * @param high first 64 bits of the key
+     * @param low last 64 bits of the key
+     * @param askedMs time of the sender's clock, in milliseconds
+     */
+    record OnceAsked(long requestId, String team, long high, long low, long askedMs)
+            implements PeerItem {}
+
+    /**
+     * Answers a claim to an idempotency key.
+     *
+     * @param incarnation incarnation of the claiming entry
+     * @param requestId the request there
+     * @param high first 64 bits of the key
+     * @param low last 64 bits of the key
+     * @param result the answer
+     */
+    record OnceAnswered(long incarnation, long requestId, long high, long low, ClaimResult result)
+            implements PeerItem {}
+
+    /**
+     * Tells the home of an idempotency key that the claiming request ended without a run.
+     *
+     * @param requestId the request at the sender
+     * @param team the team
+     * @param high first 64 bits of the key
+     * @param low last 64 bits of the key
+     */
+    record OnceReleased(long requestId, String team, long high, long low) implements PeerItem {}
+
+    /**
+     * Acknowledges that a claim was released.
+     *
+     * @param incarnation incarnation of the claiming entry
+     * @param requestId the request there
+     */
+    record OnceForgotten(long incarnation, long requestId) implements PeerItem {}
+
     /**
      * Tells an entry how much work of a team is running in the whole pool.
      *
--- a/core/src/main/java/org/hibiscususher/core/request/AdmissionSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/request/AdmissionSystem.java
@@ -1,6 +1,7 @@
 package org.hibiscususher.core.request;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.hibiscususher.core.config.KeySpec;
 import org.hibiscususher.core.config.QueueSpec;
@@ -9,7 +10,8 @@
 import org.hibiscususher.core.message.Input.RequestCancelled;
 import org.hibiscususher.core.message.Refusal;
 import org.hibiscususher.core.rollout.Freshness;
-import org.hibiscususher.core.world.HostRow;
+import org.hibiscususher.core.world.OnceKey;
+import org.hibiscususher.core.world.QueueLoadRow;
 import org.hibiscususher.core.world.RequestRow;
 import org.hibiscususher.core.world.RequestState;
 import org.hibiscususher.core.world.Tick;
@@ -21,24 +23,40 @@
 
     /** Admits or refuses the requests that have arrived, and forgets cancelled ones. */
     public static void run(Tick tick) {
-        for (RequestArrived arrival : tick.inputs(RequestArrived.class)) {
-            Optional<Refusal> refusal = refusalOf(tick, arrival);
-            if (refusal.isPresent()) {
-                Refusals.refuse(tick, arrival.requestId(), refusal.get());
-            } else {
-                admit(tick, arrival);
-            }
+        List<RequestArrived> arrivals = tick.inputs(RequestArrived.class);
+        if (!arrivals.isEmpty()) {
+            takeIn(tick, arrivals);
         }
         for (RequestCancelled cancelled : tick.inputs(RequestCancelled.class)) {
             tick.world()
                     .requests()
                     .find(cancelled.requestId())
-                    .filter(r -> r.state().placeable())
-                    .ifPresent(r -> tick.world().requests().remove(r.id()));
+                    .filter(r -> r.state().unsent())
+                    .ifPresent(r -> cancel(tick, r));
+        }
+    }
+
+    private static void cancel(Tick tick, RequestRow row) {
+        tick.count("request.cancelled");
+        tick.world().requests().remove(row.id());
+        OnceClaims.end(tick, row.id(), row.mayHaveRun());
+    }
+
+    private static void takeIn(Tick tick, List<RequestArrived> arrivals) {
+        WaitingCounts counts = WaitingCounts.of(tick.world());
+        Map<String, PoolView> pools = PoolView.all(tick.world());
+        for (RequestArrived arrival : arrivals) {
+            Optional<Refusal> refusal = refusalOf(tick, arrival, counts, pools);
+            if (refusal.isPresent()) {
+                Refusals.refuse(tick, arrival.requestId(), refusal.get());
+            } else {
+                counts.add(admit(tick, arrival));
+            }
         }
     }
 
-    private static Optional<Refusal> refusalOf(Tick tick, RequestArrived arrival) {
+    private static Optional<Refusal> refusalOf(
+            Tick tick, RequestArrived arrival, WaitingCounts counts, Map<String, PoolView> pools) {
         World world = tick.world();
         if (!world.node().stage().admits()) {
             return Optional.of(Refusal.ENTRY_LEAVING);
@@ -57,28 +75,48 @@
         if (team.isEmpty()) {
             return Optional.of(Refusal.KEY_UNKNOWN);
         }
+        if (claims(arrival) && OnceKey.parse(team.get().id(), arrival.idempotencyKey()).isEmpty()) {
+            return Optional.of(Refusal.IDEMPOTENCY_KEY_MALFORMED);
+        }
         if (team.get().upperLimit() == 0) {
             return Optional.of(Refusal.TEAM_AT_LIMIT);
         }
-        return capacityRefusal(world, arrival, queue);
-    }
-
-    private static Optional<Refusal> capacityRefusal(
-            World world, RequestArrived arrival, QueueSpec queue) {
-        List<HostRow> hosts =
-                world.hosts().rows().stream().filter(h -> h.pool().equals(queue.pool())).toList();
-        if (hosts.isEmpty()) {
+        PoolView pool = PoolView.of(pools, queue.pool());
+        if (!pool.hasHosts()) {
             return Optional.of(Refusal.POOL_EMPTY);
         }
-        if (hosts.stream().noneMatch(h -> h.spec().capacity().fits(arrival.needs()))) {
+        if (!pool.fits(arrival.needs())) {
             return Optional.of(Refusal.NEVER_FITS);
         }
-        long waiting =
-                world.requests().rows().stream()
-                        .filter(r -> r.state().placeable())
-                        .filter(r -> r.arrival().queue().equals(queue.id()))
-                        .count();
-        return waiting >= queue.maxWaiting() ? Optional.of(Refusal.QUEUE_FULL) : Optional.empty();
+        if (!counts.hasPlace(queue, team.get().id())) {
+            return Optional.of(Refusal.QUEUE_FULL);
+        }
+        return waitRefusal(tick, arrival, queue, team.get(), counts, pool);
+    }
+
+    /** Refuses at once what can't start in time, going by the run times seen of late. */
+    private static Optional<Refusal> waitRefusal(
+            Tick tick,
+            RequestArrived arrival,
+            QueueSpec queue,
+            TeamSpec team,
+            WaitingCounts counts,
+            PoolView pool) {
+        World world = tick.world();
+        Optional<QueueLoadRow> load =
+                world.queueLoads().find(queue.id()).filter(QueueLoadRow::known);
+        if (load.isEmpty()) {
+            return Optional.empty();
+        }
+        int waiting = counts.waiting(queue.id(), team.id());
+        double leastMs =
+                pool.leastWaitMs(
+                        world, team.id(), team.upperLimit(), waiting, load.get().meanRunMs());
+        if (leastMs <= waitLimitMs(arrival, queue)) {
+            return Optional.empty();
+        }
+        tick.count("admission.refused-early");
+        return Optional.of(Refusal.WAIT_LIMIT);
     }
 
     private static Optional<TeamSpec> teamOf(World world, RequestArrived arrival, QueueSpec queue) {
@@ -89,13 +127,20 @@
         return team.map(t -> world.configuration().teams().get(t));
     }
 
-    private static void admit(Tick tick, RequestArrived arrival) {
+    private static boolean claims(RequestArrived arrival) {
+        return !arrival.idempotent() && !arrival.idempotencyKey().isEmpty();
+    }
+
+    private static int waitLimitMs(RequestArrived arrival, QueueSpec queue) {
+        return arrival.waitLimitMs() == 0
+                ? queue.waitLimitMs()
+                : Math.min(arrival.waitLimitMs(), queue.waitLimitMs());
+    }
+
+    private static RequestRow admit(Tick tick, RequestArrived arrival) {
         World world = tick.world();
         QueueSpec queue = world.configuration().queues().get(arrival.queue());
-        int waitLimit =
-                arrival.waitLimitMs() == 0
-                        ? queue.waitLimitMs()
-                        : Math.min(arrival.waitLimitMs(), queue.waitLimitMs());
+        boolean claims = claims(arrival);
         RequestRow row =
                 new RequestRow(
                         arrival,
@@ -104,14 +149,18 @@
                         queue.kind(),
                         queue.runLimitMs(),
                         tick.nowMs(),
-                        tick.nowMs() + waitLimit,
-                        RequestState.WAITING,
+                        tick.nowMs() + waitLimitMs(arrival, queue),
+                        claims ? RequestState.CLAIMING : RequestState.WAITING,
                         0,
                         -1,
                         false,
                         List.of(),
                         List.of());
         world.requests().put(arrival.requestId(), row);
+        if (claims) {
+            OnceClaims.open(tick, row);
+        }
         tick.count("request.admitted");
+        return row;
     }
 }
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/request/OnceHome.java
@@ -0,0 +1,206 @@
+package org.hibiscususher.core.request;
+
+import java.util.Optional;
+import org.hibiscususher.core.membership.Rendezvous;
+import org.hibiscususher.core.message.ClaimResult;
+import org.hibiscususher.core.message.Member;
+import org.hibiscususher.core.message.MemberState;
+import org.hibiscususher.core.message.PeerItem.OnceAnswered;
+import org.hibiscususher.core.message.PeerItem.OnceAsked;
+import org.hibiscususher.core.message.PeerItem.OnceForgotten;
+import org.hibiscususher.core.message.PeerItem.OnceReleased;
+import org.hibiscususher.core.message.PeerMessage;
+import org.hibiscususher.core.world.FormerHomeRow;
+import org.hibiscususher.core.world.NodeRow;
+import org.hibiscususher.core.world.OnceKey;
+import org.hibiscususher.core.world.OnceKeyRow;
+import org.hibiscususher.core.world.OnceTenureRow;
+import org.hibiscususher.core.world.Tick;
+import org.hibiscususher.core.world.World;
+
+/**
+ * The home of idempotency keys: remembers them for a while and says whether one is new.
+ *
+ * <p>At any time at most one process grants a key. The home grants it only if every process that
+ * may have been its home before is known to grant it no more, and only if the key was made after
+ * that: an earlier home has then never seen it.
+ */
+final class OnceHome {
+    /** How long keys are remembered, counted from their own time. */
+    private static final long WINDOW_MS = 300_000;
+
+    /** How far a key's time may lie ahead of this entry's clock. */
+    private static final long MAX_AHEAD_MS = 3_000;
+
+    /** How far the clocks of two entries may lie apart. */
+    private static final long MAX_CLOCKS_APART_MS = 2_000;
+
+    private static final long MARGIN_MS = MAX_AHEAD_MS + MAX_CLOCKS_APART_MS;
+    private static final long SWEEP_INTERVAL_MS = 10_000;
+    private static final int MAX_KEYS = 65_536;
+
+    private OnceHome() {}
+
+    /** Answers the claim of another entry. */
+    static void asked(Tick tick, PeerMessage message, OnceAsked asked) {
+        OnceKey key = new OnceKey(asked.team(), asked.high(), asked.low());
+        Optional<ClaimResult> result;
+        if (Math.abs(asked.askedMs() - tick.nowMs()) > MAX_CLOCKS_APART_MS) {
+            tick.count("once.clocks-apart");
+            result = Optional.of(ClaimResult.NOT_VOUCHED);
+        } else {
+            result = claim(tick, key, message.from(), message.incarnation(), asked.requestId());
+        }
+        result.ifPresent(
+                r ->
+                        tick.tell(
+                                message.from(),
+                                new OnceAnswered(
+                                        message.incarnation(),
+                                        asked.requestId(),
+                                        asked.high(),
+                                        asked.low(),
+                                        r)));
+    }
+
+    /** Takes back a key for another entry. */
+    static void released(Tick tick, PeerMessage message, OnceReleased released) {
+        OnceKey key = new OnceKey(released.team(), released.high(), released.low());
+        release(tick, key, message.from(), message.incarnation(), released.requestId());
+        tick.tell(message.from(), new OnceForgotten(message.incarnation(), released.requestId()));
+    }
+
+    /** Returns the answer to a claim, or empty if this entry is not the key's home. */
+    static Optional<ClaimResult> claim(
+            Tick tick, OnceKey key, String member, long incarnation, long requestId) {
+        World world = tick.world();
+        String self = world.node().identity().id();
+        Optional<String> home = Rendezvous.choose(key.homeName(), world.membership().record());
+        if (!home.equals(Optional.of(self))) {
+            return Optional.empty();
+        }
+        Optional<OnceKeyRow> known = world.onceKeys().find(key);
+        ClaimResult result;
+        if (known.isPresent() && known.get().isOf(member, incarnation, requestId)) {
+            result = known.get().released() ? ClaimResult.DUPLICATE : ClaimResult.GRANTED;
+        } else if (known.isPresent() && !known.get().released()) {
+            result = ClaimResult.DUPLICATE;
+        } else if (!vouchesFor(tick, key)) {
+            result = ClaimResult.NOT_VOUCHED;
+        } else {
+            OnceKeyRow row = new OnceKeyRow(key, member, incarnation, requestId, false);
+            world.onceKeys().put(key, row);
+            result = ClaimResult.GRANTED;
+        }
+        tick.count("once." + result.name().toLowerCase(java.util.Locale.ROOT).replace('_', '-'));
+        return Optional.of(result);
+    }
+
+    /** Lets a key be claimed again whose request ended without a run. */
+    static void release(Tick tick, OnceKey key, String member, long incarnation, long requestId) {
+        tick.world()
+                .onceKeys()
+                .find(key)
+                .filter(k -> k.isOf(member, incarnation, requestId))
+                .ifPresent(k -> tick.world().onceKeys().put(key, k.withReleased()));
+    }
+
+    private static boolean vouchesFor(Tick tick, OnceKey key) {
+        World world = tick.world();
+        long sinceMs = world.onceTenure().sinceMs();
+        if (sinceMs < 0 || world.onceKeys().size() >= MAX_KEYS) {
+            return false;
+        }
+        String self = world.node().identity().id();
+        for (FormerHomeRow former : world.formerHomes().rows()) {
+            if (!Rendezvous.comesBefore(former.id(), self, key.homeName())) {
+                continue;
+            }
+            if (!former.settled()) {
+                return false;
+            }
+            sinceMs = Math.max(sinceMs, former.sinceMs());
+        }
+        return key.timeMs() >= sinceMs + MARGIN_MS
+                && key.timeMs() >= tick.nowMs() - WINDOW_MS
+                && key.timeMs() <= tick.nowMs() + MAX_AHEAD_MS;
+    }
+
+    /** Follows the membership record, and forgets old keys now and then. */
+    static void run(Tick tick) {
+        follow(tick);
+        settle(tick);
+        World world = tick.world();
+        if (tick.nowMs() - world.onceTenure().sweptMs() >= SWEEP_INTERVAL_MS) {
+            long oldestMs = tick.nowMs() - WINDOW_MS;
+            world.onceKeys().removeIf(k -> k.key().timeMs() < oldestMs);
+            world.formerHomes().removeIf(f -> f.settled() && f.sinceMs() < oldestMs);
+            world.onceTenureTable().update(World.SELF, t -> t.withSwept(tick.nowMs()));
+        }
+    }
+
+    private static void follow(Tick tick) {
+        World world = tick.world();
+        OnceTenureRow tenure = world.onceTenure();
+        NodeRow node = world.node();
+        long epoch = world.membership().record().epoch();
+        boolean missedOne = epoch > tenure.epoch() + 1;
+        boolean activeAnew = node.activeEpoch() != 0 && node.activeEpoch() > tenure.basisEpoch();
+        if (missedOne || activeAnew || node.activeEpoch() == 0) {
+            long basis = node.activeEpoch() == 0 ? 0 : epoch;
+            world.onceTenureTable().put(World.SELF, tenure.withBasis(basis).withEpoch(epoch));
+            world.formerHomes().clear();
+        } else if (epoch != tenure.epoch()) {
+            world.onceTenureTable().put(World.SELF, tenure.withEpoch(epoch));
+        }
+        if (epoch != tenure.epoch()) {
+            noteFormerHomes(tick, epoch);
+        }
+    }
+
+    private static void noteFormerHomes(Tick tick, long epoch) {
+        World world = tick.world();
+        for (Member member : world.membership().record().members()) {
+            String id = member.id();
+            if (id.equals(world.node().identity().id())) {
+                continue;
+            }
+            if (isActive(world, id)) {
+                world.formerHomes().remove(id);
+            } else if (!world.formerHomes().contains(id)) {
+                world.formerHomes().put(id, new FormerHomeRow(id, epoch, -1));
+            }
+        }
+    }
+
+    private static boolean isActive(World world, String id) {
+        return world.members()
+                .find(id)
+                .filter(m -> m.member().state() == MemberState.ACTIVE)
+                .isPresent();
+    }
+
+    /** Notes who is by now known to have heard that it is no home any more. */
+    private static void settle(Tick tick) {
+        World world = tick.world();
+        OnceTenureRow tenure = world.onceTenure();
+        if (tenure.basisEpoch() > 0 && tenure.sinceMs() < 0) {
+            boolean known =
+                    world.members().rows().stream().allMatch(m -> m.epoch() >= tenure.basisEpoch());
+            if (known) {
+                world.onceTenureTable().put(World.SELF, tenure.withSince(tick.nowMs()));
+            }
+        }
+        for (FormerHomeRow former : world.formerHomes().rows()) {
+            if (!former.settled() && grantsNoMore(world, former)) {
+                FormerHomeRow settled =
+                        new FormerHomeRow(former.id(), former.epoch(), tick.nowMs());
+                world.formerHomes().put(former.id(), settled);
+            }
+        }
+    }
+
+    private static boolean grantsNoMore(World world, FormerHomeRow former) {
+        return world.members().find(former.id()).map(m -> m.epoch() >= former.epoch()).orElse(true);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/request/OnceSystem.java
@@ -0,0 +1,49 @@
+package org.hibiscususher.core.request;
+
+import org.hibiscususher.core.membership.Links;
+import org.hibiscususher.core.message.PeerItem;
+import org.hibiscususher.core.message.PeerItem.OnceAnswered;
+import org.hibiscususher.core.message.PeerItem.OnceAsked;
+import org.hibiscususher.core.message.PeerItem.OnceForgotten;
+import org.hibiscususher.core.message.PeerItem.OnceReleased;
+import org.hibiscususher.core.message.PeerMessage;
+import org.hibiscususher.core.world.OnceClaimStage;
+import org.hibiscususher.core.world.Tick;
+
+/** Lets a non-idempotent request run only if its idempotency key is known to be new. */
+public final class OnceSystem {
+    private OnceSystem() {}
+
+    /** Answers claims as a home, and carries on the claims of requests at hand. */
+    public static void run(Tick tick) {
+        OnceHome.run(tick);
+        for (PeerMessage message : Links.accepted(tick)) {
+            for (PeerItem item : message.items()) {
+                take(tick, message, item);
+            }
+        }
+        OnceClaims.run(tick);
+    }
+
+    private static void take(Tick tick, PeerMessage message, PeerItem item) {
+        if (item instanceof OnceAsked asked) {
+            OnceHome.asked(tick, message, asked);
+        } else if (item instanceof OnceReleased released) {
+            OnceHome.released(tick, message, released);
+        } else if (item instanceof OnceAnswered answered) {
+            OnceClaims.answered(tick, answered);
+        } else if (item instanceof OnceForgotten forgotten) {
+            forgotten(tick, forgotten);
+        }
+    }
+
+    private static void forgotten(Tick tick, OnceForgotten forgotten) {
+        if (forgotten.incarnation() == tick.world().node().identity().incarnation()) {
+            tick.world()
+                    .onceClaims()
+                    .find(forgotten.requestId())
+                    .filter(c -> c.stage() == OnceClaimStage.RELEASING)
+                    .ifPresent(c -> tick.world().onceClaims().remove(c.requestId()));
+        }
+    }
+}
--- a/core/src/main/java/org/hibiscususher/core/request/PlacementSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/request/PlacementSystem.java
@@ -76,7 +76,7 @@
                 world.hosts().rows().stream()
                         .filter(h -> h.pool().equals(row.pool()))
                         .filter(h -> h.stage().takesWork())
-                        .filter(h -> h.restUntilMs() <= tick.nowMs())
+                        .filter(h -> OutlierSystem.mayStart(tick, h, row))
                         .filter(h -> h.spec().capacity().fits(row.arrival().needs()))
                         .filter(h -> !row.triedHosts().contains(h.spec().id()))
                         .filter(h -> idleSlots(world, h) > 0)
@@ -87,6 +87,7 @@
         String id = host.get().spec().id();
         List<PermitKey> permits = Permits.needed(row, id);
         Permits.use(world, permits);
+        OutlierSystem.started(tick, host.get());
         RequestRow started = row.started(tick.nowMs(), id, permits);
         world.requests().put(row.id(), started);
         tick.emit(
--- a/core/src/main/java/org/hibiscususher/core/request/Refusals.java
+++ b/core/src/main/java/org/hibiscususher/core/request/Refusals.java
@@ -18,6 +18,8 @@
     /** Refuses a request at hand; says "not run" only if no earlier attempt may have run. */
     static void refuse(Tick tick, RequestRow row, Refusal refusal) {
         tick.world().requests().remove(row.id());
-        refuse(tick, row.id(), row.mayHaveRun() ? Refusal.OUTCOME_UNKNOWN : refusal);
+        boolean mayHaveRun = row.mayHaveRun() || refusal == Refusal.OUTCOME_UNKNOWN;
+        OnceClaims.end(tick, row.id(), mayHaveRun);
+        refuse(tick, row.id(), mayHaveRun ? Refusal.OUTCOME_UNKNOWN : refusal);
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/request/RetrySystem.java
+++ b/core/src/main/java/org/hibiscususher/core/request/RetrySystem.java
@@ -6,6 +6,8 @@
 import org.hibiscususher.core.message.Input.AttemptEnded;
 import org.hibiscususher.core.message.Input.TargetDone;
 import org.hibiscususher.core.message.Refusal;
+import org.hibiscususher.core.world.AbandonedRow;
+import org.hibiscususher.core.world.QueueLoadRow;
 import org.hibiscususher.core.world.RequestRow;
 import org.hibiscususher.core.world.RequestState;
 import org.hibiscususher.core.world.Tick;
@@ -17,40 +19,46 @@
 
     /** Deals with the attempts that have ended since the last tick. */
     public static void run(Tick tick) {
+        World world = tick.world();
         for (AttemptEnded ended : tick.inputs(AttemptEnded.class)) {
-            tick.world()
-                    .requests()
+            world.requests()
                     .find(ended.requestId())
                     .filter(r -> r.state() == RequestState.RUNNING)
                     .filter(r -> r.attempt() == ended.attempt())
-                    .ifPresent(r -> end(tick, r, ended.outcome()));
+                    .ifPresentOrElse(
+                            r -> end(tick, r, ended.outcome()),
+                            () -> tick.count("attempt.ended-late"));
         }
         for (TargetDone done : tick.inputs(TargetDone.class)) {
-            tick.world()
-                    .requests()
+            world.requests()
                     .find(done.requestId())
                     .filter(r -> r.state() == RequestState.ABANDONED)
                     .filter(r -> r.attempt() == done.attempt())
-                    .ifPresent(r -> forget(tick, r));
+                    .ifPresentOrElse(
+                            r -> forget(tick, r, "attempt.answer-dropped"),
+                            () -> tick.count("attempt.ended-late"));
         }
-        for (RequestRow row : tick.world().requests().rows()) {
-            if (row.state() == RequestState.ABANDONED
-                    && tick.nowMs() - row.startedMs() >= row.runLimitMs()) {
-                forget(tick, row);
+        for (AbandonedRow row : world.abandoned().rows()) {
+            if (tick.nowMs() >= row.untilMs()) {
+                world.requests()
+                        .find(row.requestId())
+                        .ifPresent(r -> forget(tick, r, "attempt.run-limit-passed"));
             }
         }
     }
 
-    private static void forget(Tick tick, RequestRow row) {
+    private static void forget(Tick tick, RequestRow row, String counter) {
+        tick.count(counter);
         Permits.release(tick.world(), row.permits());
         tick.world().requests().remove(row.id());
+        tick.world().abandoned().remove(row.id());
     }
 
     private static void end(Tick tick, RequestRow row, AttemptOutcome outcome) {
         World world = tick.world();
-        tick.count("attempt." + outcome.name().toLowerCase(Locale.ROOT).replace('_', '-'));
+        tick.count("attempt." + code(outcome));
         if (!outcome.targetDone()) {
-            world.requests().put(row.id(), row.withState(RequestState.ABANDONED, row.permits()));
+            abandon(world, row);
             return;
         }
         Permits.release(world, row.permits());
@@ -65,17 +73,58 @@
                 }
             }
             case TIMED_OUT -> Refusals.refuse(tick, ended, Refusal.OUTCOME_UNKNOWN);
-            default -> world.requests().remove(row.id());
+            default -> finish(tick, ended, outcome);
+        }
+    }
+
+    private static void abandon(World world, RequestRow row) {
+        world.requests().put(row.id(), row.withState(RequestState.ABANDONED, row.permits()));
+        long untilMs = row.startedMs() + row.runLimitMs();
+        world.abandoned().put(row.id(), new AbandonedRow(row.id(), untilMs));
+        world.onceClaims().remove(row.id());
+    }
+
+    private static void finish(Tick tick, RequestRow row, AttemptOutcome outcome) {
+        tick.world().requests().remove(row.id());
+        OnceClaims.end(tick, row.id(), row.mayHaveRun() || !outcome.notRun());
+        if (outcome == AttemptOutcome.ANSWERED) {
+            String queue = row.arrival().queue();
+            QueueLoadRow load = loadOf(tick, queue);
+            long runMs = tick.nowMs() - row.startedMs();
+            tick.world().queueLoads().put(queue, load.answered(runMs));
         }
     }
 
+    private static QueueLoadRow loadOf(Tick tick, String queue) {
+        return tick.world()
+                .queueLoads()
+                .find(queue)
+                .orElseGet(() -> QueueLoadRow.of(queue, tick.nowMs()));
+    }
+
     private static void repeat(
             Tick tick, RequestRow row, AttemptOutcome outcome, Refusal otherwise) {
+        RequestRow waiting = row.waitingAgain(!outcome.notRun());
+        String queue = row.arrival().queue();
+        QueueLoadRow load = loadOf(tick, queue).refilled(tick.nowMs());
+        tick.world().queueLoads().put(queue, load);
         if (row.attempt() >= tick.world().settings().maxAttempts()) {
-            Refusals.refuse(tick, row, otherwise);
-            return;
+            tick.count("retry.attempts-spent");
+            Refusals.refuse(tick, waiting, otherwise);
+        } else if (tick.nowMs() >= row.startByMs()) {
+            tick.count("retry.deadline");
+            Refusals.refuse(tick, waiting, otherwise);
+        } else if (!load.allowsRetry()) {
+            tick.count("retry.budget-spent");
+            Refusals.refuse(tick, waiting, otherwise);
+        } else {
+            tick.count("retry." + code(outcome));
+            tick.world().queueLoads().put(queue, load.retried());
+            tick.world().requests().put(row.id(), waiting);
         }
-        tick.count("retry." + outcome.name().toLowerCase(Locale.ROOT).replace('_', '-'));
-        tick.world().requests().put(row.id(), row.waitingAgain(!outcome.notRun()));
+    }
+
+    private static String code(AttemptOutcome outcome) {
+        return outcome.name().toLowerCase(Locale.ROOT).replace('_', '-');
     }
 }
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/request/WaitingCounts.java
@@ -0,0 +1,57 @@
+package org.hibiscususher.core.request;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.hibiscususher.core.config.QueueSpec;
+import org.hibiscususher.core.world.RequestRow;
+import org.hibiscususher.core.world.World;
+
+/**
+ * Counts unsent requests by queue and by team within a queue, for the length of one tick.
+ *
+ * <p>Counting takes one pass over the requests; each admission afterwards takes constant time.
+ */
+final class WaitingCounts {
+    private static final int TEAM_FACTOR = 2;
+
+    private final Map<String, Integer> mByQueue = new HashMap<>();
+    private final Map<QueueTeam, Integer> mByTeam = new HashMap<>();
+
+    private WaitingCounts() {}
+
+    private record QueueTeam(String queue, String team) {}
+
+    /** Counts the requests that are unsent now. */
+    static WaitingCounts of(World world) {
+        WaitingCounts counts = new WaitingCounts();
+        for (RequestRow row : world.requests().rows()) {
+            if (row.state().unsent()) {
+                counts.add(row);
+            }
+        }
+        return counts;
+    }
+
+    void add(RequestRow row) {
+        String queue = row.arrival().queue();
+        mByQueue.merge(queue, 1, Integer::sum);
+        mByTeam.merge(new QueueTeam(queue, row.team()), 1, Integer::sum);
+    }
+
+    /** Returns how many requests of a team wait in a queue. */
+    int waiting(String queue, String team) {
+        return mByTeam.getOrDefault(new QueueTeam(queue, team), 0);
+    }
+
+    /**
+     * Returns whether a queue takes one more request of a team.
+     *
+     * <p>A team may have waiting up to twice as many as there are free places. So a team alone gets
+     * two thirds of the queue, several get equal parts, and some places are always free for a team
+     * that has none waiting.
+     */
+    boolean hasPlace(QueueSpec queue, String team) {
+        int free = queue.maxWaiting() - mByQueue.getOrDefault(queue.id(), 0);
+        return free > 0 && waiting(queue.id(), team) < TEAM_FACTOR * free;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/world/AbandonedRow.java
@@ -0,0 +1,9 @@
+package org.hibiscususher.core.world;
+
+/**
+ * A request whose caller has gone while a target may be busy with it.
+ *
+ * @param requestId the request
+ * @param untilMs when its longest run time is over, in milliseconds of the caller's clock
+ */
+public record AbandonedRow(long requestId, long untilMs) {}
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/world/OnceKey.java
@@ -0,0 +1,55 @@
+package org.hibiscususher.core.world;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.Optional;
+import java.util.UUID;
+
+/**
+ * An idempotency key of a team: a UUID of version 7 (RFC 9562), which carries its time.
+ *
+ * @param team the team
+ * @param high first 64 bits
+ * @param low last 64 bits
+ */
+public record OnceKey(String team, long high, long low) {
+    private static final int TEXT_LENGTH = 36;
+    private static final int TIME_ORDERED_VERSION = 7;
+    private static final int RFC_VARIANT = 2;
+    private static final int TIME_SHIFT = 16;
+
+    /** Checks the fields. */
+    public OnceKey {
+        requireNonNull(team);
+    }
+
+    /** Returns the key that a text stands for, or empty if it is no UUID of version 7. */
+    public static Optional<OnceKey> parse(String team, String text) {
+        if (text.length() != TEXT_LENGTH) {
+            return Optional.empty();
+        }
+        try {
+            UUID id = UUID.fromString(text);
+            boolean ordered = id.version() == TIME_ORDERED_VERSION && id.variant() == RFC_VARIANT;
+            return ordered
+                    ? Optional.of(
+                            new OnceKey(
+                                    team,
+                                    id.getMostSignificantBits(),
+                                    id.getLeastSignificantBits()))
+                    : Optional.empty();
+        } catch (IllegalArgumentException e) {
+            return Optional.empty();
+        }
+    }
+
+    /** Returns when the caller made the key, in milliseconds since 1970 of the caller's clock. */
+    public long timeMs() {
+        return high >>> TIME_SHIFT;
+    }
+
+    /** Returns the name by which the key's home is chosen. */
+    public String homeName() {
+        return "once:" + team + ":" + Long.toHexString(high) + Long.toHexString(low);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/world/OnceKeyRow.java
@@ -0,0 +1,31 @@
+package org.hibiscususher.core.world;
+
+import static java.util.Objects.requireNonNull;
+
+/**
+ * An idempotency key that this entry remembers as its home.
+ *
+ * @param key the key
+ * @param claimant member id of the entry that claimed it
+ * @param incarnation incarnation of that entry
+ * @param requestId the request there
+ * @param released whether that request has ended without a run
+ */
+public record OnceKeyRow(
+        OnceKey key, String claimant, long incarnation, long requestId, boolean released) {
+    /** Checks the fields. */
+    public OnceKeyRow {
+        requireNonNull(key);
+        requireNonNull(claimant);
+    }
+
+    /** Returns whether a request is the one that claimed the key. */
+    public boolean isOf(String member, long memberIncarnation, long request) {
+        return claimant.equals(member) && incarnation == memberIncarnation && requestId == request;
+    }
+
+    /** Returns a copy whose request has ended without a run. */
+    public OnceKeyRow withReleased() {
+        return new OnceKeyRow(key, claimant, incarnation, requestId, true);
+    }
+}
--- a/core/src/main/java/org/hibiscususher/core/world/RequestRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/RequestRow.java
@@ -93,6 +93,11 @@
                 using);
     }
 
+    /** Returns a copy whose idempotency key was found to be new. */
+    public RequestRow claimed() {
+        return withState(RequestState.WAITING, List.of());
+    }
+
     /** Returns a copy that waits for a further attempt. */
     public RequestRow waitingAgain(boolean ranPerhaps) {
         return new RequestRow(
--- a/core/src/main/java/org/hibiscususher/core/world/RequestState.java
+++ b/core/src/main/java/org/hibiscususher/core/world/RequestState.java
@@ -2,6 +2,8 @@
 
 /** The states of a request at hand. */
 public enum RequestState {
+    /** Waits to hear whether its idempotency key is new. */
+    CLAIMING(false),
     /** Waits for permits. */
     WAITING(true),
     /** Was sent to a target. */
@@ -15,6 +17,11 @@
         mPlaceable = placeable;
     }
 
+    /** Returns whether the request has not been sent, or not again. */
+    public boolean unsent() {
+        return this == CLAIMING || this == WAITING;
+    }
+
     /** Returns whether the request may be sent to a target. */
     public boolean placeable() {
         return mPlaceable;
--- a/core/src/main/java/org/hibiscususher/core/world/World.java
+++ b/core/src/main/java/org/hibiscususher/core/world/World.java
@@ -31,6 +31,12 @@
     private final Table<PermitKey, HoldingRow> mHoldings = Table.create();
     private final Table<PoolLoadRow.Key, PoolLoadRow> mPoolLoads = Table.create();
     private final Table<Long, RequestRow> mRequests = Table.create();
+    private final Table<Long, AbandonedRow> mAbandoned = Table.create();
+    private final Table<String, QueueLoadRow> mQueueLoads = Table.create();
+    private final Table<Long, OnceClaimRow> mOnceClaims = Table.create();
+    private final Table<OnceKey, OnceKeyRow> mOnceKeys = Table.create();
+    private final Table<String, OnceTenureRow> mOnceTenure = Table.create();
+    private final Table<String, FormerHomeRow> mFormerHomes = Table.create();
     private final Table<Long, PendingNoteRow> mPendingNotes = Table.create();
     private final Table<RecordKind, StoreCallRow> mStoreCalls = Table.create();
     private final Table<String, ControlSettings> mSettings = Table.create();
@@ -45,6 +51,7 @@
         world.mMembership.put(SELF, MembershipRow.UNSEEN);
         world.mMembershipCall.put(SELF, MembershipCallRow.NONE);
         world.mFreshness.put(SELF, FreshnessRow.NONE);
+        world.mOnceTenure.put(SELF, OnceTenureRow.NONE);
         world.mSettings.put(SELF, settings);
         return world;
     }
@@ -154,6 +161,41 @@
         return mRequests;
     }
 
+    /** Returns the requests that were abandoned while running, by id. */
+    public Table<Long, AbandonedRow> abandoned() {
+        return mAbandoned;
+    }
+
+    /** Returns what was learnt of each queue. */
+    public Table<String, QueueLoadRow> queueLoads() {
+        return mQueueLoads;
+    }
+
+    /** Returns the claims of requests at hand to their idempotency keys, by request. */
+    public Table<Long, OnceClaimRow> onceClaims() {
+        return mOnceClaims;
+    }
+
+    /** Returns the idempotency keys that this entry remembers as their home. */
+    public Table<OnceKey, OnceKeyRow> onceKeys() {
+        return mOnceKeys;
+    }
+
+    /** Returns since when this entry may be the home of idempotency keys. */
+    public OnceTenureRow onceTenure() {
+        return mOnceTenure.find(SELF).orElseThrow();
+    }
+
+    /** Returns the table of the one row about this entry as a home of idempotency keys. */
+    public Table<String, OnceTenureRow> onceTenureTable() {
+        return mOnceTenure;
+    }
+
+    /** Returns the members that were homes of idempotency keys, by member id. */
+    public Table<String, FormerHomeRow> formerHomes() {
+        return mFormerHomes;
+    }
+
     /** Returns the release notes that operators wait for, by call. */
     public Table<Long, PendingNoteRow> pendingNotes() {
         return mPendingNotes;
--- a/standin/src/main/java/org/hibiscususher/standin/virtual/TargetFault.java
+++ b/standin/src/main/java/org/hibiscususher/standin/virtual/TargetFault.java
@@ -12,6 +12,8 @@
     CLOSING(false, 0, AttemptOutcome.DECLINED),
     /** Runs each request and breaks off before it answers. */
     FAILING(true, 0.1, AttemptOutcome.BROKEN),
+    /** Runs each request and answers soon with an error of the server. */
+    ERRORS(true, 0.1, AttemptOutcome.SERVER_ERROR),
     /** Runs each request and breaks off in the middle of the answer. */
     SHORT_BODY(true, 1, AttemptOutcome.TRUNCATED),
     /** Runs five times as long as usual. */
--- a/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualSite.java
+++ b/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualSite.java
@@ -27,6 +27,8 @@
 import org.hibiscususher.core.note.ReleaseNote;
 import org.hibiscususher.core.world.ControlSettings;
 import org.hibiscususher.core.world.NodeIdentity;
+import org.hibiscususher.core.world.RequestRow;
+import org.hibiscususher.core.world.RequestState;
 
 /**
  * A site in virtual time: real control nodes, and fakes at their interfaces. Not thread-safe; two
@@ -219,11 +221,13 @@
         request.cancel(nowMs());
         VirtualEntry entry = mEntries.get(request.entry());
         long id = request.arrival().requestId();
-        Optional<Integer> attempt = entry.world().requests().find(id).map(r -> r.attempt());
+        Optional<RequestRow> running =
+                entry.world().requests().find(id).filter(r -> r.state() == RequestState.RUNNING);
         entry.receive(
-                attempt.orElse(0) == 0
+                running.isEmpty()
                         ? new RequestCancelled(id)
-                        : new AttemptEnded(id, attempt.get(), AttemptOutcome.CALLER_GONE));
+                        : new AttemptEnded(
+                                id, running.get().attempt(), AttemptOutcome.CALLER_GONE));
     }
 
     /** Lets virtual time pass; every entry ticks when it has inputs or a tick is due. */
@@ -288,6 +292,11 @@
     private void startAttempt(VirtualEntry entry, StartAttempt start) {
         VirtualTarget target = target(start.host());
         VirtualRequest request = mRequests.get(start.requestId());
+        if (request.cancelled()) {
+            entry.receive(
+                    new AttemptEnded(start.requestId(), start.attempt(), AttemptOutcome.CANCELLED));
+            return;
+        }
         VirtualTarget.RunKey key =
                 new VirtualTarget.RunKey(entry.id(), start.requestId(), start.attempt());
         mTimeline.after(
@@ -328,7 +337,7 @@
             entry.receive(new TargetDone(start.requestId(), start.attempt()));
             return;
         }
-        if (!request.over() && outcome == AttemptOutcome.ANSWERED) {
+        if (!request.over() && outcome.answered()) {
             request.answer(nowMs());
         } else if (!request.over() && outcome == AttemptOutcome.TRUNCATED) {
             request.cutShort(nowMs());
--- /dev/null
+++ b/standin/src/test/java/org/hibiscususher/standin/request/RequestLifeTest.java
@@ -0,0 +1,226 @@
+package org.hibiscususher.standin.request;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import org.hibiscususher.core.message.Ran;
+import org.hibiscususher.core.message.Refusal;
+import org.hibiscususher.standin.virtual.EntryCondition;
+import org.hibiscususher.standin.virtual.TargetFault;
+import org.hibiscususher.standin.virtual.VirtualRequest;
+import org.hibiscususher.standin.virtual.VirtualSite;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The decisions over a request's life, in virtual time. */
+class RequestLifeTest {
+    private static final int QUIET_MS = 10_000;
+
+    private final VirtualSite mSite = RequestSite.open(11);
+
+    private List<VirtualRequest> calls(int count, String team, int runMs) {
+        List<VirtualRequest> requests = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            requests.add(mSite.call("e1", "lookups", team, runMs));
+        }
+        return requests;
+    }
+
+    private static long refused(List<VirtualRequest> requests, Refusal refusal) {
+        return requests.stream().filter(r -> r.refusal().equals(Optional.of(refusal))).count();
+    }
+
+    @Nested
+    class Outcomes {
+        @ParameterizedTest
+        @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+        void areToldTruthfullyUnderFaults(long seed) {
+            VirtualSite site = RequestSite.open(seed);
+            site.network().setBehaviour(1, 5, 0.05, 0.05);
+            Random random = site.random();
+            for (int step = 0; step < 400; step++) {
+                act(site, random);
+                site.run(random.nextInt(30));
+            }
+            RequestSite.HOSTS.forEach(h -> site.target(h).setFault(TargetFault.NONE));
+            site.run(QUIET_MS);
+            for (VirtualRequest request : site.requests().values()) {
+                check(request);
+            }
+            RequestSite.assertIdle(site);
+        }
+
+        private void act(VirtualSite site, Random random) {
+            String entry = RequestSite.ENTRIES.get(random.nextInt(3));
+            switch (random.nextInt(12)) {
+                case 0 ->
+                        site.target(RequestSite.HOSTS.get(random.nextInt(4)))
+                                .setFault(TargetFault.values()[random.nextInt(7)]);
+                case 1 -> {
+                    List<VirtualRequest> all = new ArrayList<>(site.requests().values());
+                    if (!all.isEmpty()) {
+                        site.cancel(all.get(all.size() - 1 - random.nextInt(all.size() / 2 + 1)));
+                    }
+                }
+                case 2 -> {
+                    if (random.nextInt(20) == 0) {
+                        site.kill("e3");
+                        site.start("e3", "z3");
+                    }
+                }
+                default -> {
+                    String team = random.nextBoolean() ? "fitters" : "hotels";
+                    int count = random.nextInt(8);
+                    for (int i = 0; i < count; i++) {
+                        boolean idempotent = random.nextBoolean();
+                        int runMs = 1 + random.nextInt(random.nextInt(10) == 0 ? 5_000 : 100);
+                        site.call(entry, "lookups", team, runMs, idempotent, "");
+                    }
+                }
+            }
+        }
+
+        private void check(VirtualRequest request) {
+            assertThat(request.over()).isTrue();
+            boolean saysNotRun = request.refusal().map(r -> r.ran() == Ran.NOT_RUN).orElse(false);
+            if (saysNotRun) {
+                assertThat(request.runs()).as("runs of what was not run").isZero();
+            }
+            if (request.answered()) {
+                assertThat(request.runs()).isPositive();
+            }
+            if (!request.arrival().idempotent()) {
+                assertThat(request.runs()).isLessThanOrEqualTo(1);
+            }
+        }
+    }
+
+    @Nested
+    class Queues {
+        @Test
+        void keepPlacesForOtherTeams() {
+            List<VirtualRequest> many = calls(500, "fitters", 500);
+            List<VirtualRequest> few = calls(20, "hotels", 10);
+            mSite.run(3_000);
+            assertThat(refused(many, Refusal.QUEUE_FULL)).isPositive();
+            assertThat(refused(few, Refusal.QUEUE_FULL)).isZero();
+        }
+
+        @Test
+        void refuseAtOnceWhatCannotStartInTime() {
+            calls(20, "fitters", 900);
+            mSite.run(QUIET_MS);
+            List<VirtualRequest> requests = calls(60, "fitters", 900);
+            mSite.run(20);
+            assertThat(refused(requests, Refusal.WAIT_LIMIT)).isPositive();
+            assertThat(mSite.counters().get("admission.refused-early")).isPositive();
+            mSite.run(QUIET_MS);
+            assertThat(requests).filteredOn(VirtualRequest::answered).hasSizeGreaterThan(10);
+        }
+
+        @Test
+        void shedAWaveOfCancellationsInOneTick() {
+            List<VirtualRequest> requests = calls(60, "fitters", 2_000);
+            mSite.run(50);
+            long ran = requests.stream().filter(r -> r.runs() > 0).count();
+            requests.forEach(mSite::cancel);
+            mSite.run(20);
+            assertThat(mSite.entries().get("e1").world().requests().rows())
+                    .hasSize((int) ran)
+                    .allMatch(r -> !r.permits().isEmpty());
+            mSite.run(QUIET_MS);
+            RequestSite.assertIdle(mSite);
+            assertThat(requests.stream().filter(r -> r.runs() > 0).count()).isEqualTo(ran);
+        }
+    }
+
+    @Nested
+    class Retries {
+        @ParameterizedTest
+        @EnumSource(names = {"UNREACHABLE", "CLOSING", "FAILING"})
+        void rescueIdempotentWorkFromAFaultyHost(TargetFault fault) {
+            mSite.target("h1").setFault(fault);
+            List<VirtualRequest> requests = new ArrayList<>();
+            for (int i = 0; i < 50; i++) {
+                requests.addAll(calls(1, "fitters", 20));
+                mSite.run(20);
+            }
+            mSite.run(QUIET_MS);
+            assertThat(requests).allMatch(VirtualRequest::answered);
+        }
+
+        @Test
+        void endWithTheBudgetWhenEveryHostFails() {
+            RequestSite.HOSTS.forEach(h -> mSite.target(h).setFault(TargetFault.FAILING));
+            for (int i = 0; i < 200; i++) {
+                calls(1, "fitters", 10);
+                mSite.run(5);
+            }
+            mSite.run(QUIET_MS);
+            long runs = mSite.requests().values().stream().mapToInt(VirtualRequest::runs).sum();
+            long started = mSite.requests().values().stream().filter(r -> r.runs() > 0).count();
+            assertThat(mSite.counters().get("retry.budget-spent")).isPositive();
+            assertThat(runs).isLessThanOrEqualTo(started + 25);
+        }
+    }
+
+    @Nested
+    class Outliers {
+        @Test
+        void doNotAttractWorkByFailingFast() {
+            mSite.target("h1").setFault(TargetFault.ERRORS);
+            List<VirtualRequest> requests = new ArrayList<>();
+            for (int i = 0; i < 400; i++) {
+                requests.addAll(calls(1, "fitters", 100));
+                mSite.run(10);
+            }
+            long before = mSite.counters().get("attempt.server-error");
+            assertThat(before).isLessThan(20);
+            mSite.target("h1").setFault(TargetFault.NONE);
+            mSite.run(40_000);
+            calls(24, "fitters", 100);
+            mSite.run(50);
+            assertThat(mSite.target("h1").running()).isPositive();
+        }
+
+        @Test
+        void staySetAsideOnlyWithinTheBudget() {
+            mSite.target("h1").setFault(TargetFault.UNREACHABLE);
+            mSite.target("h2").setFault(TargetFault.UNREACHABLE);
+            mSite.target("h3").setFault(TargetFault.UNREACHABLE);
+            for (int i = 0; i < 200; i++) {
+                calls(2, "fitters", 20);
+                mSite.run(10);
+                long resting =
+                        mSite.entries().get("e1").world().hosts().rows().stream()
+                                .filter(h -> h.restUntilMs() > mSite.nowMs() + 150)
+                                .filter(h -> h.consecutiveFaults() >= 3)
+                                .count();
+                assertThat(resting).isLessThanOrEqualTo(1);
+            }
+            assertThat(mSite.counters().get("outlier.budget-spent")).isPositive();
+        }
+    }
+
+    @Nested
+    class LeavingEntries {
+        @Test
+        void finishWhatRunsAndRefuseTheRest() {
+            List<VirtualRequest> running = calls(10, "fitters", 1_500);
+            mSite.run(100);
+            mSite.shutDown("e1");
+            mSite.run(20);
+            VirtualRequest late = mSite.call("e1", "lookups", "fitters", 10);
+            mSite.run(QUIET_MS);
+            assertThat(running).allMatch(VirtualRequest::answered);
+            assertThat(late.refusal()).contains(Refusal.ENTRY_LEAVING);
+            assertThat(mSite.entries().get("e1").condition()).isEqualTo(EntryCondition.DEAD);
+        }
+    }
+}
