Stop an entry without cutting a request

A stop ended the process once the control thread saw no request; the last bytes of an answer to a slow caller could still be unsent, and were cut. The front now counts an answer as at hand until its last write. On a stop it takes no new connections, tells callers on open ones to go elsewhere, and exits with 0; the wait is bounded by the longest run limit and 30 s for leaving the record.

--- a/daemon/src/main/java/org/hibiscususher/daemon/Daemon.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/Daemon.java
@@ -31,6 +31,9 @@
 public final class Daemon implements AutoCloseable {
     private static final Logger LOG = System.getLogger(Daemon.class.getName());
     private static final long CLOSE_TIMEOUT_MS = 2_000;
+    private static final long LEAVE_TIMEOUT_MS = 30_000;
+    private static final long WRITE_TIMEOUT_MS = 5_000;
+    private static final long POLL_MS = 20;
 
     private final EventLoopGroup mGroup;
     private final Inbox mInbox = new Inbox();
@@ -97,12 +100,34 @@
         }
     }
 
-    /** Asks the entry to finish its work and leave; returns when it has left. */
-    public void shutDown() throws InterruptedException {
-        mInbox.add(new Input.ShutdownAsked());
-        mDone.await();
+    /**
+     * Asks the entry to finish its work and leave, and waits until it has left.
+     *
+     * <p>It waits no longer than the longest run limit and some time to leave the membership
+     * record.
+     *
+     * @return whether the entry has finished all and left
+     */
+    public boolean shutDown() throws InterruptedException {
         mFront.stopAccepting();
+        mExchanges.setLeaving();
+        mInbox.add(new Input.ShutdownAsked());
+        long startNs = System.nanoTime();
+        boolean left = mDone.await(POLL_MS, TimeUnit.MILLISECONDS);
+        while (!left && msSince(startNs) < mExchanges.longestRunLimitMs() + LEAVE_TIMEOUT_MS) {
+            left = mDone.await(POLL_MS, TimeUnit.MILLISECONDS);
+        }
+        long leftNs = System.nanoTime();
+        while (mExchanges.size() > 0 && msSince(leftNs) < WRITE_TIMEOUT_MS) {
+            Thread.sleep(POLL_MS);
+        }
+        boolean finished = left && mExchanges.size() == 0;
         close();
+        return finished;
+    }
+
+    private static long msSince(long startNs) {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNs);
     }
 
     @Override
--- a/daemon/src/main/java/org/hibiscususher/daemon/DaemonMain.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/DaemonMain.java
@@ -15,8 +15,8 @@
 /**
  * The command {@code hibiscususherd}.
  *
- * <p>Exit codes: 0 after a graceful shutdown or a clean check, 1 if the entry can't start, 2 if the
- * command line or the settings are wrong.
+ * <p>Exit codes: 0 after a graceful shutdown or a clean check, 1 if the entry can't start or can't
+ * finish its work when asked to stop, 2 if the command line or the settings are wrong.
  */
 public final class DaemonMain {
     private static final int EXIT_FAILED = 1;
@@ -84,11 +84,13 @@
         Thread hook =
                 new Thread(
                         () -> {
+                            int code = EXIT_FAILED;
                             try {
-                                daemon.shutDown();
+                                code = daemon.shutDown() ? 0 : EXIT_FAILED;
                             } catch (InterruptedException e) {
                                 Thread.currentThread().interrupt();
                             }
+                            Runtime.getRuntime().halt(code);
                         },
                         "shutdown");
         Runtime.getRuntime().addShutdownHook(hook);
--- a/daemon/src/main/java/org/hibiscususher/daemon/front/Exchange.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/front/Exchange.java
@@ -1,6 +1,7 @@
 package org.hibiscususher.daemon.front;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
@@ -13,6 +14,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 import org.hibiscususher.core.message.AttemptOutcome;
 import org.hibiscususher.core.message.Input.AttemptEnded;
 import org.hibiscususher.core.message.Input.RequestCancelled;
@@ -93,7 +95,9 @@
         if (mAnswerBegun) {
             breakOff();
         } else {
-            mCaller.writeAndFlush(RefusalAnswer.of(mCaller, refusal, mExchanges.leaving()));
+            mExchanges.track(
+                    mCaller.writeAndFlush(
+                            RefusalAnswer.of(mCaller, refusal, mExchanges.leaving())));
         }
         finish();
     }
@@ -154,7 +158,11 @@
 
     /** Passes a part of an answer's body on to the caller. */
     void answer(HttpContent content) {
-        mCaller.write(content);
+        boolean last = content instanceof LastHttpContent;
+        ChannelFuture written = mCaller.write(content);
+        if (last) {
+            mExchanges.track(written);
+        }
         if (!mCaller.isWritable()) {
             mCaller.flush();
         }
--- a/daemon/src/main/java/org/hibiscususher/daemon/front/Exchanges.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/front/Exchanges.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.MetricRegistry;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.PooledByteBufAllocator;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -22,6 +23,7 @@
     private final Map<EventLoop, TargetConnections> mConnections = new ConcurrentHashMap<>();
     private final AtomicLong mIds = new AtomicLong();
     private final AtomicInteger mCount = new AtomicInteger();
+    private final AtomicInteger mWriting = new AtomicInteger();
     private final AtomicLong mBytes = new AtomicLong();
     private final AtomicInteger mLongestRunLimitMs = new AtomicInteger();
     private final Inbox mInbox;
@@ -78,9 +80,15 @@
         return mLongestRunLimitMs.get();
     }
 
-    /** Returns how many requests are at hand. */
+    /** Returns how many requests are at hand or have an answer that is not wholly written. */
     public int size() {
-        return mCount.get();
+        return mCount.get() + mWriting.get();
+    }
+
+    /** Counts an answer as not wholly written until its last write is done. */
+    void track(ChannelFuture lastWrite) {
+        mWriting.incrementAndGet();
+        lastWrite.addListener((ChannelFuture done) -> mWriting.decrementAndGet());
     }
 
     boolean leaving() {
--- a/standin/src/test/java/org/hibiscususher/standin/process/Site.java
+++ b/standin/src/test/java/org/hibiscususher/standin/process/Site.java
@@ -20,6 +20,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.hibiscususher.cli.CliMain;
 import org.hibiscususher.daemon.DaemonMain;
@@ -119,6 +120,30 @@
         return mHttp.send(request.build(), BodyHandlers.ofString());
     }
 
+    /** Sends a request with a body to a daemon and a run time to the target. */
+    CompletableFuture<HttpResponse<String>> callAsync(
+            String member, String method, String path, String secret, int runMs) {
+        HttpRequest request =
+                HttpRequest.newBuilder(URI.create("http://" + mCallers.get(member) + path))
+                        .timeout(CALL_TIMEOUT)
+                        .method(method, BodyPublishers.ofString("body"))
+                        .header("Authorization", "Bearer " + secret)
+                        .header("Run-Ms", Integer.toString(runMs))
+                        .build();
+        return mHttp.sendAsync(request, BodyHandlers.ofString());
+    }
+
+    /** Waits until a daemon's status contains a text. */
+    void awaitStatus(String member, String text) throws IOException, InterruptedException {
+        long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(START_TIMEOUT_MS);
+        while (!status(member).contains(text)) {
+            if (System.nanoTime() > deadline) {
+                throw new IOException(member + " does not show " + text);
+            }
+            Thread.sleep(POLL_MS);
+        }
+    }
+
     /** Returns a page of a daemon's operator interface. */
     String page(String member, String path) throws IOException, InterruptedException {
         HttpRequest request =
@@ -144,6 +169,16 @@
         return process.waitFor();
     }
 
+    /** Asks a process to stop and returns its exit code, -1 if the wait was interrupted. */
+    int stopped(String name) {
+        try {
+            return stop(name);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return -1;
+        }
+    }
+
     private void java(String name, Class<?> main, String... args) throws IOException {
         mProcesses.put(name, start(mFolder.resolve(name + ".log"), main, args));
     }
--- a/wire/src/main/java/org/hibiscususher/wire/peer/PeerCodec.java
+++ b/wire/src/main/java/org/hibiscususher/wire/peer/PeerCodec.java
@@ -6,7 +6,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.hibiscususher.core.config.QueueKind;
-import org.hibiscususher.core.message.ClaimResult;
 import org.hibiscususher.core.message.PeerItem;
 import org.hibiscususher.core.message.PeerMessage;
 import org.hibiscususher.core.message.PermitKey;
@@ -99,31 +98,7 @@
                     .setPool(load.pool())
                     .setTeam(load.team())
                     .setRunning(load.running());
-        } else if (item instanceof PeerItem.OnceAsked asked) {
-            builder.getOnceAskedBuilder()
-                    .setRequestId(asked.requestId())
-                    .setTeam(asked.team())
-                    .setHigh(asked.high())
-                    .setLow(asked.low())
-                    .setAskedMs(asked.askedMs());
-        } else if (item instanceof PeerItem.OnceAnswered answered) {
-            builder.getOnceAnsweredBuilder()
-                    .setIncarnation(answered.incarnation())
-                    .setRequestId(answered.requestId())
-                    .setHigh(answered.high())
-                    .setLow(answered.low())
-                    .setResult(answered.result().ordinal());
-        } else if (item instanceof PeerItem.OnceReleased released) {
-            builder.getOnceReleasedBuilder()
-                    .setRequestId(released.requestId())
-                    .setTeam(released.team())
-                    .setHigh(released.high())
-                    .setLow(released.low());
-        } else if (item instanceof PeerItem.OnceForgotten forgotten) {
-            builder.getOnceForgottenBuilder()
-                    .setIncarnation(forgotten.incarnation())
-                    .setRequestId(forgotten.requestId());
-        } else {
+        } else if (!OnceItemCodec.encode(item, builder)) {
             throw new IllegalArgumentException("no encoding for " + item.getClass());
         }
         return builder.build();
@@ -160,30 +135,8 @@
                             item.getPoolLoad().getPool(),
                             item.getPoolLoad().getTeam(),
                             item.getPoolLoad().getRunning());
-            case ONCE_ASKED ->
-                    new PeerItem.OnceAsked(
-                            item.getOnceAsked().getRequestId(),
-                            item.getOnceAsked().getTeam(),
-                            item.getOnceAsked().getHigh(),
-                            item.getOnceAsked().getLow(),
-                            item.getOnceAsked().getAskedMs());
-            case ONCE_ANSWERED ->
-                    new PeerItem.OnceAnswered(
-                            item.getOnceAnswered().getIncarnation(),
-                            item.getOnceAnswered().getRequestId(),
-                            item.getOnceAnswered().getHigh(),
-                            item.getOnceAnswered().getLow(),
-                            ClaimResult.values()[item.getOnceAnswered().getResult()]);
-            case ONCE_RELEASED ->
-                    new PeerItem.OnceReleased(
-                            item.getOnceReleased().getRequestId(),
-                            item.getOnceReleased().getTeam(),
-                            item.getOnceReleased().getHigh(),
-                            item.getOnceReleased().getLow());
-            case ONCE_FORGOTTEN ->
-                    new PeerItem.OnceForgotten(
-                            item.getOnceForgotten().getIncarnation(),
-                            item.getOnceForgotten().getRequestId());
+            case ONCE_ASKED, ONCE_ANSWERED, ONCE_RELEASED, ONCE_FORGOTTEN ->
+                    OnceItemCodec.decode(item);
             default -> throw new IOException("unknown item in a message between entries");
         };
     }
