--- a/core/src/main/java/org/hibiscususher/core/control/Phase.java
+++ b/core/src/main/java/org/hibiscususher/core/control/Phase.java
@@ -7,8 +7,10 @@
 import org.hibiscususher.core.request.OnceSystem;
 import org.hibiscususher.core.request.OutlierSystem;
 import org.hibiscususher.core.request.PlacementSystem;
+import org.hibiscususher.core.request.RecheckSystem;
 import org.hibiscususher.core.request.RetrySystem;
 import org.hibiscususher.core.rollout.FreshnessSystem;
+import org.hibiscususher.core.rollout.NoteSystem;
 import org.hibiscususher.core.rollout.RollOutSystem;
 import org.hibiscususher.core.world.Tick;
 
@@ -32,6 +34,18 @@
             RollOutSystem.run(tick);
         }
     },
+    NOTE {
+        @Override
+        void run(Tick tick) {
+            NoteSystem.run(tick);
+        }
+    },
+    RECHECK {
+        @Override
+        void run(Tick tick) {
+            RecheckSystem.run(tick);
+        }
+    },
     OUTLIER {
         @Override
         void run(Tick tick) {
--- a/core/src/main/java/org/hibiscususher/core/request/AdmissionSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/request/AdmissionSystem.java
@@ -1,5 +1,6 @@
 package org.hibiscususher.core.request;
 
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -44,7 +45,7 @@
 
     private static void takeIn(Tick tick, List<RequestArrived> arrivals) {
         WaitingCounts counts = WaitingCounts.of(tick.world());
-        Map<String, PoolView> pools = PoolView.all(tick.world());
+        Map<String, PoolView> pools = new HashMap<>();
         for (RequestArrived arrival : arrivals) {
             Optional<Refusal> refusal = refusalOf(tick, arrival, counts, pools);
             if (refusal.isPresent()) {
@@ -75,13 +76,13 @@
         if (team.isEmpty()) {
             return Optional.of(Refusal.KEY_UNKNOWN);
         }
-        if (claims(arrival) && OnceKey.parse(team.get().id(), arrival.idempotencyKey()).isEmpty()) {
+        if (claims(arrival) && OnceKey.parse(arrival.idempotencyKey()).isEmpty()) {
             return Optional.of(Refusal.IDEMPOTENCY_KEY_MALFORMED);
         }
         if (team.get().upperLimit() == 0) {
             return Optional.of(Refusal.TEAM_AT_LIMIT);
         }
-        PoolView pool = PoolView.of(pools, queue.pool());
+        PoolView pool = pools.computeIfAbsent(queue.pool(), p -> PoolView.of(world, p));
         if (!pool.hasHosts()) {
             return Optional.of(Refusal.POOL_EMPTY);
         }
--- a/core/src/main/java/org/hibiscususher/core/request/OnceClaims.java
+++ b/core/src/main/java/org/hibiscususher/core/request/OnceClaims.java
@@ -26,7 +26,7 @@
 
     /** Opens the claim of a request that was admitted. */
     static void open(Tick tick, RequestRow row) {
-        OnceKey key = OnceKey.parse(row.team(), row.arrival().idempotencyKey()).orElseThrow();
+        OnceKey key = OnceKey.parse(row.arrival().idempotencyKey()).orElseThrow();
         OnceClaimRow claim =
                 new OnceClaimRow(row.id(), key, OnceClaimStage.ASKING, tick.nowMs(), -1);
         tick.world().onceClaims().put(row.id(), claim);
@@ -97,8 +97,8 @@
             tick.tell(
                     home.get(),
                     asking
-                            ? new OnceAsked(id, key.team(), key.high(), key.low(), tick.nowMs())
-                            : new OnceReleased(id, key.team(), key.high(), key.low()));
+                            ? new OnceAsked(id, key.high(), key.low(), tick.nowMs())
+                            : new OnceReleased(id, key.high(), key.low()));
         } else if (asking) {
             OnceHome.claim(tick, key, self.id(), self.incarnation(), id)
                     .ifPresent(r -> settle(tick, claim, r));
--- a/core/src/main/java/org/hibiscususher/core/request/OnceHome.java
+++ b/core/src/main/java/org/hibiscususher/core/request/OnceHome.java
@@ -43,7 +43,7 @@
 
     /** Answers the claim of another entry. */
     static void asked(Tick tick, PeerMessage message, OnceAsked asked) {
-        OnceKey key = new OnceKey(asked.team(), asked.high(), asked.low());
+        OnceKey key = new OnceKey(asked.high(), asked.low());
         Optional<ClaimResult> result;
         if (Math.abs(asked.askedMs() - tick.nowMs()) > MAX_CLOCKS_APART_MS) {
             tick.count("once.clocks-apart");
@@ -65,7 +65,7 @@
 
     /** Takes back a key for another entry. */
     static void released(Tick tick, PeerMessage message, OnceReleased released) {
-        OnceKey key = new OnceKey(released.team(), released.high(), released.low());
+        OnceKey key = new OnceKey(released.high(), released.low());
         release(tick, key, message.from(), message.incarnation(), released.requestId());
         tick.tell(message.from(), new OnceForgotten(message.incarnation(), released.requestId()));
     }
--- a/core/src/main/java/org/hibiscususher/core/request/PoolView.java
+++ b/core/src/main/java/org/hibiscususher/core/request/PoolView.java
@@ -1,12 +1,11 @@
 package org.hibiscususher.core.request;
 
-import java.util.HashMap;
-import java.util.LinkedHashSet;
-import java.util.Map;
+import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
 import org.hibiscususher.core.config.Capacity;
 import org.hibiscususher.core.message.Member;
+import org.hibiscususher.core.message.PermitGroup;
 import org.hibiscususher.core.message.PermitKey;
 import org.hibiscususher.core.message.PermitKind;
 import org.hibiscususher.core.world.HoldingRow;
@@ -22,42 +21,24 @@
  * @param capacities the different capacities of its hosts
  */
 record PoolView(int slots, int held, int entries, Set<Capacity> capacities) {
-    private static final PoolView EMPTY = new PoolView(0, 0, 1, Set.of());
-
     /** Copies the set. */
     PoolView {
         capacities = Set.copyOf(capacities);
     }
 
-    /** Returns a view of each pool that has hosts, in one pass over hosts and holdings. */
-    static Map<String, PoolView> all(World world) {
-        Map<String, Integer> slots = new HashMap<>();
-        Map<String, Set<Capacity>> capacities = new HashMap<>();
-        for (HostRow host : world.hosts().rows()) {
-            int own = host.stage().takesWork() ? host.spec().slots() : 0;
-            slots.merge(host.pool(), own, Integer::sum);
-            capacities
-                    .computeIfAbsent(host.pool(), p -> new LinkedHashSet<>())
-                    .add(host.spec().capacity());
+    /** Returns the view of a pool. */
+    static PoolView of(World world, String pool) {
+        int slots = 0;
+        Set<Capacity> capacities = new HashSet<>();
+        for (HostRow host : world.hosts().group(pool)) {
+            slots += host.stage().takesWork() ? host.spec().slots() : 0;
+            capacities.add(host.spec().capacity());
         }
-        Map<String, Integer> held = new HashMap<>();
-        for (HoldingRow holding : world.holdings().rows()) {
-            if (holding.key().kind() == PermitKind.SLOT) {
-                held.merge(holding.key().group(), holding.held(), Integer::sum);
-            }
+        int held = 0;
+        for (HoldingRow holding : world.holdings().group(PermitGroup.pool(pool))) {
+            held += holding.key().kind() == PermitKind.SLOT ? holding.held() : 0;
         }
-        int entries = entries(world);
-        Map<String, PoolView> views = new HashMap<>();
-        capacities.forEach(
-                (pool, sizes) ->
-                        views.put(
-                                pool,
-                                new PoolView(
-                                        slots.get(pool),
-                                        held.getOrDefault(pool, 0),
-                                        entries,
-                                        sizes)));
-        return views;
+        return new PoolView(slots, held, entries(world), capacities);
     }
 
     private static int entries(World world) {
@@ -69,11 +50,6 @@
         return (int) Math.max(1, active);
     }
 
-    /** Returns the view of a pool, which is empty if the pool has no hosts. */
-    static PoolView of(Map<String, PoolView> views, String pool) {
-        return views.getOrDefault(pool, EMPTY);
-    }
-
     boolean hasHosts() {
         return !capacities.isEmpty();
     }
--- a/core/src/main/java/org/hibiscususher/core/request/WaitingCounts.java
+++ b/core/src/main/java/org/hibiscususher/core/request/WaitingCounts.java
@@ -3,13 +3,14 @@
 import java.util.HashMap;
 import java.util.Map;
 import org.hibiscususher.core.config.QueueSpec;
+import org.hibiscususher.core.world.RequestLane;
 import org.hibiscususher.core.world.RequestRow;
 import org.hibiscususher.core.world.World;
 
 /**
  * Counts unsent requests by queue and by team within a queue, for the length of one tick.
  *
- * <p>Counting takes one pass over the requests; each admission afterwards takes constant time.
+ * <p>Counting takes one pass over those requests; each admission afterwards takes constant time.
  */
 final class WaitingCounts {
     private static final int TEAM_FACTOR = 2;
@@ -24,9 +25,9 @@
     /** Counts the requests that are unsent now. */
     static WaitingCounts of(World world) {
         WaitingCounts counts = new WaitingCounts();
-        for (RequestRow row : world.requests().rows()) {
-            if (row.state().unsent()) {
-                counts.add(row);
+        for (RequestLane lane : world.requests().groups()) {
+            if (lane.state().unsent()) {
+                world.requests().group(lane).forEach(counts::add);
             }
         }
         return counts;
--- a/core/src/main/java/org/hibiscususher/core/world/RequestRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/RequestRow.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.hibiscususher.core.config.QueueKind;
+import org.hibiscususher.core.config.QueueSpec;
 import org.hibiscususher.core.message.Input.RequestArrived;
 import org.hibiscususher.core.message.PermitKey;
 
@@ -55,6 +56,11 @@
         return arrival.requestId();
     }
 
+    /** Returns the requests with which it competes for permits, or shares them. */
+    public RequestLane lane() {
+        return new RequestLane(state, kind, pool, team);
+    }
+
     /** Returns a copy that runs a further attempt on a host. */
     public RequestRow started(long nowMs, String host, List<PermitKey> using) {
         List<String> tried = new ArrayList<>(triedHosts);
@@ -116,6 +122,24 @@
                 List.of());
     }
 
+    /** Returns a copy that is admitted to a queue for a team. */
+    public RequestRow admittedTo(QueueSpec queue, String forTeam) {
+        return new RequestRow(
+                arrival,
+                forTeam,
+                queue.pool(),
+                queue.kind(),
+                queue.runLimitMs(),
+                arrivedMs,
+                startByMs,
+                state,
+                attempt,
+                startedMs,
+                mayHaveRun,
+                triedHosts,
+                permits);
+    }
+
     /** Returns the host of the current attempt, or an empty string before the first. */
     public String host() {
         return triedHosts.isEmpty() ? "" : triedHosts.get(triedHosts.size() - 1);
--- a/standin/src/test/java/org/hibiscususher/standin/request/OnceTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/request/OnceTest.java
@@ -32,7 +32,7 @@
     }
 
     private String homeOf(String key) {
-        OnceKey parsed = OnceKey.parse("fitters", key).orElseThrow();
+        OnceKey parsed = OnceKey.parse(key).orElseThrow();
         return Rendezvous.choose(
                         parsed.homeName(), mSite.entries().get("e1").world().membership().record())
                 .orElseThrow();
--- a/wire/src/main/java/org/hibiscususher/wire/peer/OnceItemCodec.java
+++ b/wire/src/main/java/org/hibiscususher/wire/peer/OnceItemCodec.java
@@ -14,7 +14,6 @@
         if (item instanceof PeerItem.OnceAsked asked) {
             builder.getOnceAskedBuilder()
                     .setRequestId(asked.requestId())
-                    .setTeam(asked.team())
                     .setHigh(asked.high())
                     .setLow(asked.low())
                     .setAskedMs(asked.askedMs());
@@ -28,7 +27,6 @@
         } else if (item instanceof PeerItem.OnceReleased released) {
             builder.getOnceReleasedBuilder()
                     .setRequestId(released.requestId())
-                    .setTeam(released.team())
                     .setHigh(released.high())
                     .setLow(released.low());
         } else if (item instanceof PeerItem.OnceForgotten forgotten) {
@@ -51,7 +49,6 @@
             case ONCE_ASKED ->
                     new PeerItem.OnceAsked(
                             item.getOnceAsked().getRequestId(),
-                            item.getOnceAsked().getTeam(),
                             item.getOnceAsked().getHigh(),
                             item.getOnceAsked().getLow(),
                             item.getOnceAsked().getAskedMs());
@@ -65,7 +62,6 @@
             case ONCE_RELEASED ->
                     new PeerItem.OnceReleased(
                             item.getOnceReleased().getRequestId(),
-                            item.getOnceReleased().getTeam(),
                             item.getOnceReleased().getHigh(),
                             item.getOnceReleased().getLow());
             case ONCE_FORGOTTEN ->
