--- a/core/src/main/java/org/hibiscususher/core/control/Phase.java
+++ b/core/src/main/java/org/hibiscususher/core/control/Phase.java
@@ -4,6 +4,8 @@
 import org.hibiscususher.core.membership.LinkSystem;
 import org.hibiscususher.core.membership.MembershipSystem;
 import org.hibiscususher.core.request.AdmissionSystem;
+import org.hibiscususher.core.request.OnceSystem;
+import org.hibiscususher.core.request.OutlierSystem;
 import org.hibiscususher.core.request.PlacementSystem;
 import org.hibiscususher.core.request.RecheckSystem;
 import org.hibiscususher.core.request.RetrySystem;
@@ -51,6 +53,12 @@
             RecheckSystem.run(tick);
         }
     },
+    OUTLIER {
+        @Override
+        void run(Tick tick) {
+            OutlierSystem.run(tick);
+        }
+    },
     RETRY {
         @Override
         void run(Tick tick) {
@@ -69,6 +77,12 @@
             AdmissionSystem.run(tick);
         }
     },
+    ONCE {
+        @Override
+        void run(Tick tick) {
+            OnceSystem.run(tick);
+        }
+    },
     PLACEMENT {
         @Override
         void run(Tick tick) {
--- a/wire/src/main/java/org/hibiscususher/wire/peer/PeerCodec.java
+++ b/wire/src/main/java/org/hibiscususher/wire/peer/PeerCodec.java
@@ -68,7 +68,7 @@
         if (item instanceof PeerItem.Relay relay) {
             builder.getRelayBuilder()
                     .setNotes(ByteString.copyFrom(RecordCodec.encodeNotes(relay.notes())));
-        } else {
+        } else if (!OnceItemCodec.encode(item, builder)) {
             EscrowCodec.encode(item, builder);
         }
         return builder.build();
@@ -79,6 +79,8 @@
             case RELAY ->
                     new PeerItem.Relay(
                             RecordCodec.decodeNotes(item.getRelay().getNotes().toByteArray()));
+            case ONCE_ASKED, ONCE_ANSWERED, ONCE_RELEASED, ONCE_FORGOTTEN ->
+                    OnceItemCodec.decode(item);
             default -> EscrowCodec.decode(item);
         };
     }
