Link to processes, report refused connections, read the list of hosts

Messages were dropped while a connection was being set up, a refused connection was only logged, and a connection across a healed cut stayed silent for as long as the system waits between retransmissions. A link now belongs to one process (address and incarnation) of a member, sends the newest message once it stands, reports a refusal with the incarnation expected, waits 250 ms before it connects again, is set up anew when the member is not heard for 3 s, and is closed when it is not used. A time-out or an unreachable network is not taken for a refusal.

Each member reads the platform's list every 2 s and 15 ms more for each host in it, which holds the bytes of long lists to some 4 KB a second.

Seen in real processes: a killed entry is proven dead by its port and replaced, a stopped one leaves without a death. What an entry logs while it shuts down is lost, since the JDK ends its log handlers in a shutdown hook of its own.

--- a/core/src/main/java/org/hibiscususher/core/control/Phase.java
+++ b/core/src/main/java/org/hibiscususher/core/control/Phase.java
@@ -1,6 +1,7 @@
 package org.hibiscususher.core.control;
 
 import org.hibiscususher.core.escrow.EscrowSystem;
+import org.hibiscususher.core.membership.HostListSystem;
 import org.hibiscususher.core.membership.LinkSystem;
 import org.hibiscususher.core.membership.MembershipSystem;
 import org.hibiscususher.core.request.AdmissionSystem;
@@ -26,6 +27,12 @@
             MembershipSystem.run(tick);
         }
     },
+    HOST_LIST {
+        @Override
+        void run(Tick tick) {
+            HostListSystem.run(tick);
+        }
+    },
     ROLL_OUT {
         @Override
         void run(Tick tick) {
--- a/core/src/main/java/org/hibiscususher/core/message/Output.java
+++ b/core/src/main/java/org/hibiscususher/core/message/Output.java
@@ -85,6 +85,9 @@
      */
     record LogEvent(String event) implements Output {}
 
+    /** Read the platform's list of hosts. */
+    record ReadHosts() implements Output {}
+
     /** Nothing is left to finish: the process may exit. */
     record ShutdownDone() implements Output {}
 
--- a/core/src/main/java/org/hibiscususher/core/world/World.java
+++ b/core/src/main/java/org/hibiscususher/core/world/World.java
@@ -33,6 +33,7 @@
     private final Table<String, FreshnessRow> mFreshness = Table.create();
     private final Table<String, EvidenceRow> mEvidence = Table.create();
     private final Table<Long, StoreCallRow> mHeadReads = Table.create();
+    private final Table<String, HostListRow> mHostList = Table.create();
     private final Table<KeyDigest, KeySpec> mKeys = Table.create();
     private final GroupedTable<String, HostRow, String> mHosts =
             GroupedTable.createBy(HostRow::pool);
@@ -69,6 +70,7 @@
         world.mEscrow.put(SELF, EscrowRow.NONE);
         world.mMembershipCall.put(SELF, MembershipCallRow.NONE);
         world.mFreshness.put(SELF, FreshnessRow.NONE);
+        world.mHostList.put(SELF, HostListRow.NONE);
         world.mSettings.put(SELF, settings);
         return world;
     }
@@ -168,6 +170,11 @@
         return mFreshness;
     }
 
+    /** Returns the table of the one row about reads of the platform's list of hosts. */
+    public Table<String, HostListRow> hostListTable() {
+        return mHostList;
+    }
+
     /** Returns the reads of the head that are out, by call. */
     public Table<Long, StoreCallRow> headReads() {
         return mHeadReads;
--- a/daemon/src/main/java/org/hibiscususher/daemon/Daemon.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/Daemon.java
@@ -80,6 +80,8 @@
             mExchanges.refuse(refuse);
         } else if (output instanceof Output.SendPeer send) {
             mPeers.send(send);
+        } else if (output instanceof Output.ReadHosts) {
+            mStore.readHosts();
         } else if (output instanceof Output.ReadRecord read) {
             mStore.read(read);
         } else if (output instanceof Output.SwapRecord swap) {
--- a/daemon/src/main/java/org/hibiscususher/daemon/peer/PeerLinks.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/peer/PeerLinks.java
@@ -3,7 +3,6 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -18,11 +17,14 @@
 import java.io.IOException;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
-import java.net.ConnectException;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import org.hibiscususher.core.message.Input;
+import org.hibiscususher.core.message.Input.PeerRefused;
 import org.hibiscususher.core.message.Output.SendPeer;
+import org.hibiscususher.core.message.PeerMessage;
 import org.hibiscususher.daemon.control.Inbox;
 import org.hibiscususher.wire.http.Addresses;
 import org.hibiscususher.wire.peer.PeerCodec;
@@ -30,22 +32,30 @@
 /**
  * Sends messages to other entries and receives theirs, one connection for each direction.
  *
- * <p>Thread-safe. A message that can't be sent at once is dropped: the core's messages are safe to
- * lose.
+ * <p>A message that can't be sent soon is dropped: the core's messages are safe to lose. Messages
+ * are sent from one thread; they arrive on the event loops.
  */
 public final class PeerLinks {
     private static final Logger LOG = System.getLogger(PeerLinks.class.getName());
     private static final int CONNECT_TIMEOUT_MS = 1_000;
+    private static final long RECONNECT_NS = TimeUnit.MILLISECONDS.toNanos(250);
+    private static final long UNHEARD_NS = TimeUnit.SECONDS.toNanos(3);
+    private static final long IDLE_NS = TimeUnit.SECONDS.toNanos(10);
     private static final int MAX_FRAME_BYTES = 4 * 1024 * 1024;
     private static final int LENGTH_BYTES = 4;
 
     private final EventLoopGroup mGroup;
     private final Inbox mInbox;
-    private final Map<String, ChannelFuture> mLinks = new ConcurrentHashMap<>();
+    private final LongSupplier mClock;
+    private final Map<String, PeerLink> mLinks = new ConcurrentHashMap<>();
+    private final Map<String, Long> mHeardNs = new ConcurrentHashMap<>();
+    private long mSweptNs;
 
-    private PeerLinks(EventLoopGroup group, Inbox inbox) {
+    private PeerLinks(EventLoopGroup group, Inbox inbox, LongSupplier clock) {
         mGroup = group;
         mInbox = inbox;
+        mClock = clock;
+        mSweptNs = clock.getAsLong();
     }
 
     /**
@@ -58,12 +68,18 @@
      */
     public static PeerLinks listen(EventLoopGroup group, String address, Inbox inbox)
             throws IOException {
-        PeerLinks links = new PeerLinks(group, inbox);
+        return listen(group, address, inbox, System::nanoTime);
+    }
+
+    /** Listens for other entries, by a clock that gives nanoseconds. */
+    static PeerLinks listen(EventLoopGroup group, String address, Inbox inbox, LongSupplier clock)
+            throws IOException {
+        PeerLinks links = new PeerLinks(group, inbox, clock);
         ChannelFuture bound =
                 new ServerBootstrap()
                         .group(group)
                         .channel(NioServerSocketChannel.class)
-                        .childHandler(links.pipeline(true))
+                        .childHandler(links.pipeline())
                         .bind(Addresses.parse(address))
                         .awaitUninterruptibly();
         if (!bound.isSuccess()) {
@@ -72,39 +88,76 @@
         return links;
     }
 
-    /** Sends a message, or drops it if there is no connection. */
+    /**
+     * Sends a message, or drops it if the connection has no room.
+     *
+     * <p>Never waits: what one peer does not take has no effect on the others.
+     */
     public void send(SendPeer send) {
-        ChannelFuture link = mLinks.computeIfAbsent(send.address(), a -> connect(send));
-        if (!link.isDone()) {
+        long nowNs = mClock.getAsLong();
+        PeerLink link = mLinks.get(send.memberId());
+        if (link != null && !link.leadsTo(send)) {
+            link.close();
+            link = null;
+        }
+        if (link == null) {
+            mLinks.put(send.memberId(), connect(send, nowNs));
+        } else if (mustReconnect(send.memberId(), link, nowNs)) {
+            link.close();
+            mLinks.put(send.memberId(), connect(send, nowNs));
+        } else {
+            link.send(send, nowNs);
+        }
+        closeIdle(nowNs);
+    }
+
+    /** Closes the links over which nothing was sent for long. */
+    private void closeIdle(long nowNs) {
+        if (nowNs - mSweptNs < RECONNECT_NS) {
             return;
         }
-        Channel channel = link.channel();
-        if (!link.isSuccess() || !channel.isActive()) {
-            mLinks.remove(send.address(), link);
-        } else if (channel.isWritable()) {
-            byte[] bytes = PeerCodec.encode(send.message());
-            channel.writeAndFlush(Unpooled.wrappedBuffer(bytes));
+        mSweptNs = nowNs;
+        for (Map.Entry<String, PeerLink> entry : mLinks.entrySet()) {
+            if (nowNs - entry.getValue().usedNs() >= IDLE_NS) {
+                entry.getValue().close();
+                mLinks.remove(entry.getKey());
+                mHeardNs.remove(entry.getKey());
+            }
         }
     }
 
-    private ChannelFuture connect(SendPeer send) {
-        ChannelFuture connecting =
+    /**
+     * Returns whether to set up the connection anew: it broke, or the member is not heard.
+     *
+     * <p>A connection across a cut that has healed would otherwise stay silent for as long as the
+     * system waits between retransmissions.
+     */
+    private boolean mustReconnect(String member, PeerLink link, long nowNs) {
+        long ageNs = nowNs - link.sinceNs();
+        if (link.isBroken()) {
+            return ageNs >= RECONNECT_NS;
+        }
+        long heardNs = Math.max(mHeardNs.getOrDefault(member, link.sinceNs()), link.sinceNs());
+        return nowNs - heardNs >= UNHEARD_NS;
+    }
+
+    private PeerLink connect(SendPeer send, long nowNs) {
+        Bootstrap bootstrap =
                 new Bootstrap()
                         .group(mGroup)
                         .channel(NioSocketChannel.class)
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
-                        .handler(pipeline(false))
-                        .connect(Addresses.parse(send.address()));
-        connecting.addListener(
-                (ChannelFuture done) -> {
-                    if (done.cause() instanceof ConnectException) {
-                        LOG.log(Level.DEBUG, "event=peer-refused member=" + send.memberId());
-                    }
-                });
-        return connecting;
+                        .option(ChannelOption.TCP_NODELAY, true)
+                        .handler(pipeline());
+        return PeerLink.connect(bootstrap, send, nowNs, this::refused);
+    }
+
+    private void refused(PeerRefused refused) {
+        LOG.log(Level.DEBUG, "event=peer-refused member=" + refused.memberId());
+        mInbox.offer(refused);
     }
 
-    private ChannelInitializer<Channel> pipeline(boolean receives) {
+    private ChannelInitializer<Channel> pipeline() {
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel channel) {
@@ -112,10 +165,8 @@
                         .addLast(
                                 new LengthFieldBasedFrameDecoder(
                                         MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
-                        .addLast(new LengthFieldPrepender(LENGTH_BYTES));
-                if (receives) {
-                    channel.pipeline().addLast(new Receiver());
-                }
+                        .addLast(new LengthFieldPrepender(LENGTH_BYTES))
+                        .addLast(new Receiver());
             }
         };
     }
@@ -126,7 +177,9 @@
                 throws IOException {
             byte[] bytes = new byte[frame.readableBytes()];
             frame.readBytes(bytes);
-            mInbox.offer(new Input.PeerReceived(PeerCodec.decode(bytes)));
+            PeerMessage message = PeerCodec.decode(bytes);
+            mHeardNs.put(message.from(), mClock.getAsLong());
+            mInbox.offer(new Input.PeerReceived(message));
         }
 
         @Override
--- a/daemon/src/main/java/org/hibiscususher/daemon/store/StoreOutputs.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/store/StoreOutputs.java
@@ -69,6 +69,17 @@
         }
     }
 
+    /** Reads the platform's list of hosts; a failure gives no input. */
+    public void readHosts() {
+        mStore.hosts()
+                .whenComplete(
+                        (hosts, failure) -> {
+                            if (failure == null) {
+                                mInbox.offer(new Input.HostListRead(hosts));
+                            }
+                        });
+    }
+
     /** Writes a record if its version is as expected. */
     public void swap(SwapRecord swap) {
         mStore.compareAndSwap(
--- a/standin/src/test/java/org/hibiscususher/standin/process/Site.java
+++ b/standin/src/test/java/org/hibiscususher/standin/process/Site.java
@@ -80,13 +80,7 @@
         mOperators.put(member, operators);
         java(member, DaemonMain.class, "--config", file.toString());
         awaitListening(operators);
-        long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(START_TIMEOUT_MS);
-        while (!status(member).contains("\"serving\"")) {
-            if (System.nanoTime() > deadline) {
-                throw new IOException(member + " does not serve: " + status(member));
-            }
-            Thread.sleep(POLL_MS);
-        }
+        awaitStatus(member, "\"serving\"", true);
     }
 
     /** Runs the operators' tool against a daemon and returns its exit code and output. */
@@ -144,6 +138,25 @@
         return process.waitFor();
     }
 
+    /** Ends a process at once. */
+    void kill(String name) {
+        Process process = mProcesses.get(name);
+        process.destroyForcibly();
+        process.onExit().join();
+    }
+
+    /** Waits until a daemon's status contains a text, or no longer does. */
+    void awaitStatus(String member, String text, boolean present)
+            throws IOException, InterruptedException {
+        long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(START_TIMEOUT_MS);
+        while (status(member).contains(text) != present) {
+            if (System.nanoTime() > deadline) {
+                throw new IOException(member + " shows otherwise: " + status(member));
+            }
+            Thread.sleep(POLL_MS);
+        }
+    }
+
     private void java(String name, Class<?> main, String... args) throws IOException {
         mProcesses.put(name, start(mFolder.resolve(name + ".log"), main, args));
     }
