--- a/core/src/main/java/org/hibiscususher/core/request/RecheckSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/request/RecheckSystem.java
@@ -20,7 +20,7 @@
             return;
         }
         for (RequestRow row : world.requests().rows()) {
-            if (row.state().placeable()) {
+            if (row.state().unsent()) {
                 recheck(tick, row);
             }
         }
