Add a load tool; let inputs collect for the control thread

bin/load sends the same open-loop load straight to a target and through one daemon process, in one run.

--- a/daemon/src/main/java/org/hibiscususher/daemon/Daemon.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/Daemon.java
@@ -34,6 +34,7 @@
     private static final long LEAVE_TIMEOUT_MS = 30_000;
     private static final long WRITE_TIMEOUT_MS = 5_000;
     private static final long POLL_MS = 20;
+    private static final int MAX_EVENT_LOOPS = 4;
 
     private final EventLoopGroup mGroup;
     private final Inbox mInbox = new Inbox();
@@ -47,7 +48,7 @@
     private final ControlThread mControl;
 
     private Daemon(DaemonSettings settings) throws IOException {
-        mGroup = new MultiThreadIoEventLoopGroup(0, NioIoHandler.newFactory());
+        mGroup = new MultiThreadIoEventLoopGroup(eventLoops(), NioIoHandler.newFactory());
         mExchanges = Exchanges.create(mInbox, mMetrics);
         mCalls = OperatorCalls.create(mInbox);
         mStore = StoreOutputs.create(EtcdStore.create(mGroup, settings.platform()), mInbox);
@@ -67,6 +68,12 @@
         mStore.watch(RecordKey.MEMBERSHIP);
     }
 
+    /** Returns how many threads carry traffic: few, so that each finds more to do at a time. */
+    private static int eventLoops() {
+        int processors = Runtime.getRuntime().availableProcessors();
+        return Math.max(1, Math.min(MAX_EVENT_LOOPS, processors / 2));
+    }
+
     /**
      * Starts an entry.
      *
--- a/daemon/src/main/java/org/hibiscususher/daemon/control/ControlThread.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/control/ControlThread.java
@@ -5,6 +5,7 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.util.List;
+import java.util.concurrent.locks.LockSupport;
 import org.agrona.concurrent.Agent;
 import org.agrona.concurrent.AgentRunner;
 import org.agrona.concurrent.EpochClock;
@@ -21,6 +22,7 @@
 public final class ControlThread implements AutoCloseable {
     private static final Logger LOG = System.getLogger(ControlThread.class.getName());
     private static final long TICK_MS = 10;
+    private static final long MIN_GAP_NS = 1_000_000;
     private static final long NS_PER_MS = 1_000_000;
 
     private final AgentRunner mRunner;
@@ -54,6 +56,7 @@
         private final Inbox mInbox;
         private final OutputHandler mHandler;
         private long mLastTickMs;
+        private long mLastTickNs = System.nanoTime() - MIN_GAP_NS;
 
         Ticker(ControlNode node, EpochClock clock, Inbox inbox, OutputHandler handler) {
             mNode = node;
@@ -64,18 +67,28 @@
 
         @Override
         public int doWork() {
+            awaitGap();
             List<Input> inputs = mInbox.drain();
             long nowMs = mClock.time();
             if (inputs.isEmpty() && nowMs - mLastTickMs < TICK_MS) {
                 return 0;
             }
             mLastTickMs = nowMs;
+            mLastTickNs = System.nanoTime();
             for (Output output : mNode.tick(nowMs, inputs)) {
                 mHandler.handle(output);
             }
             return inputs.size();
         }
 
+        /** Sleeps until the least time between two ticks has passed, so that inputs collect. */
+        private void awaitGap() {
+            long leftNs = mLastTickNs + MIN_GAP_NS - System.nanoTime();
+            if (leftNs > 0) {
+                LockSupport.parkNanos(this, leftNs);
+            }
+        }
+
         @Override
         public String roleName() {
             return "control";
--- a/daemon/src/main/java/org/hibiscususher/daemon/control/Inbox.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/control/Inbox.java
@@ -51,5 +51,6 @@
         if (mQueue.isEmpty()) {
             LockSupport.parkNanos(this, maxWaitNs);
         }
+        mReader = null;
     }
 }
--- a/daemon/src/test/java/org/hibiscususher/daemon/front/FrontRig.java
+++ b/daemon/src/test/java/org/hibiscususher/daemon/front/FrontRig.java
@@ -99,6 +99,15 @@
         return true;
     }
 
+    /** Waits until that many bytes of buffers are in use; returns whether it is so. */
+    boolean becomesBusy(long bytes) {
+        long deadline = System.nanoTime() + WAIT_NS;
+        while (bytesInUse() < bytes && System.nanoTime() < deadline) {
+            mInbox.await(POLL_NS);
+        }
+        return bytesInUse() >= bytes;
+    }
+
     /** Returns how many inputs have come that the test has not taken. */
     int inputsLeft() {
         mInputs.addAll(mInbox.drain());
--- a/daemon/src/test/java/org/hibiscususher/daemon/front/FrontServerTest.java
+++ b/daemon/src/test/java/org/hibiscususher/daemon/front/FrontServerTest.java
@@ -56,6 +56,25 @@
         return arrival;
     }
 
+    /** Lets the target send a large answer while the test goes on. */
+    private Thread sendInBackground(int size) {
+        Thread sender =
+                new Thread(
+                        () -> {
+                            try {
+                                mTarget.send(
+                                        "HTTP/1.1 200 OK\r\nContent-Length: "
+                                                + size
+                                                + "\r\n\r\n"
+                                                + "x".repeat(size));
+                            } catch (IOException e) {
+                                throw new IllegalStateException(e);
+                            }
+                        });
+        sender.start();
+        return sender;
+    }
+
     private void assertEnded(AttemptOutcome outcome) {
         assertThat(mRig.ended().outcome()).isEqualTo(outcome);
     }
@@ -78,20 +97,7 @@
         void areStreamedNoFasterThanTheCallerReads() throws Exception {
             int size = 32 * 1024 * 1024;
             running(GET);
-            Thread sender =
-                    new Thread(
-                            () -> {
-                                try {
-                                    mTarget.send(
-                                            "HTTP/1.1 200 OK\r\nContent-Length: "
-                                                    + size
-                                                    + "\r\n\r\n"
-                                                    + "x".repeat(size));
-                                } catch (IOException e) {
-                                    throw new IllegalStateException(e);
-                                }
-                            });
-            sender.start();
+            Thread sender = sendInBackground(size);
             mCaller.readTo("\r\n\r\n");
             long most = 0;
             for (int i = 0; i < 64; i++) {
@@ -350,15 +356,16 @@
         }
 
         @Test
-        void inTheMiddleOfALargeAnswerLetTheTargetFinish() throws IOException {
-            int size = 8 * 1024 * 1024;
+        void inTheMiddleOfALargeAnswerLetTheTargetFinish() throws Exception {
+            int size = 32 * 1024 * 1024;
             running(GET);
-            mTarget.send("HTTP/1.1 200 OK\r\nContent-Length: " + size + "\r\n\r\nx");
+            Thread sender = sendInBackground(size);
             mCaller.readTo("x");
+            assertThat(mRig.becomesBusy(64 * 1024)).isTrue();
             mCaller.close();
             assertEnded(AttemptOutcome.CALLER_GONE);
-            mTarget.send("x".repeat(size - 1));
             mRig.next(TargetDone.class);
+            sender.join();
         }
 
         @Test
--- /dev/null
+++ b/standin/src/main/java/org/hibiscususher/standin/load/LoadSite.java
@@ -0,0 +1,136 @@
+package org.hibiscususher.standin.load;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.handler.codec.http.HttpMethod;
+import java.io.File;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.concurrent.ExecutionException;
+import org.hibiscususher.core.config.KeyDigest;
+import org.hibiscususher.daemon.DaemonMain;
+import org.hibiscususher.standin.HttpServer;
+import org.hibiscususher.standin.store.StoreMain;
+import org.hibiscususher.standin.target.TargetMain;
+import org.hibiscususher.wire.http.HttpCaller;
+import org.hibiscususher.wire.http.HttpReply;
+
+/** A store and a target in this process and one daemon in its own, all on loopback addresses. */
+final class LoadSite implements AutoCloseable {
+    static final String SECRET = "load";
+    private static final int TIMEOUT_MS = 30_000;
+    private static final int POLL_MS = 100;
+
+    /** Status for a request without a key on a queue that is in force. */
+    private static final int KEY_MISSING = 401;
+
+    private final HttpServer mStore;
+    private final HttpServer mTarget;
+    private final Process mDaemon;
+    private final String mCallers = freeAddress();
+    private final String mOperators = freeAddress();
+    private final Path mSettings;
+
+    private LoadSite() throws IOException {
+        mStore = StoreMain.listen("127.0.0.1:0");
+        mTarget = TargetMain.listen("127.0.0.1:0", "host-1");
+        mSettings = Files.createTempFile("load", ".yaml");
+        Files.writeString(
+                mSettings,
+                String.join(
+                        "\n",
+                        "member: entry-1",
+                        "zone: zone-1",
+                        "callers: " + mCallers,
+                        "peers: " + freeAddress(),
+                        "operators: " + mOperators,
+                        "platform: " + mStore.address(),
+                        ""));
+        mDaemon =
+                new ProcessBuilder(
+                                System.getProperty("java.home") + File.separator + "bin/java",
+                                "-Xmx256m",
+                                "--add-opens",
+                                "java.base/jdk.internal.misc=ALL-UNNAMED",
+                                "-cp",
+                                System.getProperty("java.class.path"),
+                                DaemonMain.class.getName(),
+                                "--config",
+                                mSettings.toString())
+                        .redirectErrorStream(true)
+                        .redirectOutput(ProcessBuilder.Redirect.DISCARD)
+                        .start();
+    }
+
+    /** Starts the processes and waits until the daemon serves a queue {@code load}. */
+    static LoadSite start(EventLoopGroup group)
+            throws IOException, InterruptedException, ExecutionException {
+        LoadSite site = new LoadSite();
+        HttpCaller caller = HttpCaller.create(group, TIMEOUT_MS);
+        String note =
+                """
+                note: load
+                author: load
+                added:
+                  pools: [{name: pool}]
+                  hosts: [{name: host-1, address: "%s", zone: z1, pool: pool, slots: 512}]
+                  teams: [{name: team, share: 1, upper limit: 1024}]
+                  keys: [{name: key, team: team, digest: %s}]
+                  queues: [{name: load, pool: pool, waiting at most: 10000}]
+                """
+                        .formatted(site.target(), KeyDigest.ofSecret(SECRET).toHex());
+        long deadline = System.nanoTime() + Duration.ofMillis(TIMEOUT_MS).toNanos();
+        boolean ready = false;
+        while (!ready && System.nanoTime() < deadline) {
+            ready = site.accepts(caller, note);
+            Thread.sleep(POLL_MS);
+        }
+        if (!ready) {
+            site.close();
+            throw new IOException("the daemon does not serve");
+        }
+        return site;
+    }
+
+    private boolean accepts(HttpCaller caller, String note) throws InterruptedException {
+        try {
+            byte[] bytes = note.getBytes(StandardCharsets.UTF_8);
+            caller.call(mOperators, HttpMethod.POST, "/notes", bytes).get();
+            HttpReply answer = caller.call(mCallers, HttpMethod.GET, "/load/x", new byte[0]).get();
+            return answer.status() == KEY_MISSING;
+        } catch (ExecutionException e) {
+            return false;
+        }
+    }
+
+    private static String freeAddress() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return "127.0.0.1:" + socket.getLocalPort();
+        }
+    }
+
+    String entry() {
+        return mCallers;
+    }
+
+    String target() {
+        return mTarget.address();
+    }
+
+    /** Returns the processor time that the daemon has used, in milliseconds. */
+    long daemonCpuMs() {
+        return mDaemon.toHandle().info().totalCpuDuration().orElse(Duration.ZERO).toMillis();
+    }
+
+    @Override
+    public void close() throws IOException {
+        mDaemon.destroyForcibly();
+        mStore.close();
+        mTarget.close();
+        Files.deleteIfExists(mSettings);
+    }
+}
