--- a/core/src/main/java/org/hibiscususher/core/escrow/Exchange.java
+++ b/core/src/main/java/org/hibiscususher/core/escrow/Exchange.java
@@ -3,7 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
-import org.hibiscususher.core.message.Input.PeerReceived;
+import org.hibiscususher.core.membership.Links;
 import org.hibiscususher.core.message.PeerItem;
 import org.hibiscususher.core.message.PeerMessage;
 import org.hibiscususher.core.world.MemberKey;
@@ -27,8 +27,7 @@
         NodeIdentity identity = tick.world().node().identity();
         Exchange exchange =
                 new Exchange(tick, new MemberKey(identity.id(), identity.incarnation()));
-        for (PeerReceived received : tick.inputs(PeerReceived.class)) {
-            PeerMessage message = received.message();
+        for (PeerMessage message : Links.accepted(tick)) {
             MemberKey from = new MemberKey(message.from(), message.incarnation());
             for (PeerItem item : message.items()) {
                 exchange.mInbound.add(new Delivery(from, message.sequence(), item));
