--- a/core/src/main/java/org/hibiscususher/core/control/Phase.java
+++ b/core/src/main/java/org/hibiscususher/core/control/Phase.java
@@ -5,10 +5,13 @@
 import org.hibiscususher.core.membership.LinkSystem;
 import org.hibiscususher.core.membership.MembershipSystem;
 import org.hibiscususher.core.request.AdmissionSystem;
+import org.hibiscususher.core.request.OnceSystem;
+import org.hibiscususher.core.request.OutlierSystem;
 import org.hibiscususher.core.request.PlacementSystem;
 import org.hibiscususher.core.request.RecheckSystem;
 import org.hibiscususher.core.request.RetrySystem;
 import org.hibiscususher.core.rollout.FreshnessSystem;
+import org.hibiscususher.core.rollout.HistorySystem;
 import org.hibiscususher.core.rollout.NoteSystem;
 import org.hibiscususher.core.rollout.RollOutSystem;
 import org.hibiscususher.core.world.Tick;
@@ -45,12 +48,24 @@
             NoteSystem.run(tick);
         }
     },
+    HISTORY {
+        @Override
+        void run(Tick tick) {
+            HistorySystem.run(tick);
+        }
+    },
     RECHECK {
         @Override
         void run(Tick tick) {
             RecheckSystem.run(tick);
         }
     },
+    OUTLIER {
+        @Override
+        void run(Tick tick) {
+            OutlierSystem.run(tick);
+        }
+    },
     RETRY {
         @Override
         void run(Tick tick) {
@@ -69,6 +84,12 @@
             AdmissionSystem.run(tick);
         }
     },
+    ONCE {
+        @Override
+        void run(Tick tick) {
+            OnceSystem.run(tick);
+        }
+    },
     PLACEMENT {
         @Override
         void run(Tick tick) {
