Order teams by what they fell short of at this entry

The allocator now tells each entry what each team is due there, and the entry adds up the shortfall over time.

--- a/core/src/main/java/org/hibiscususher/core/escrow/Balance.java
+++ b/core/src/main/java/org/hibiscususher/core/escrow/Balance.java
@@ -1,7 +1,6 @@
 package org.hibiscususher.core.escrow;
 
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
@@ -9,12 +8,12 @@
 import java.util.Set;
 import java.util.function.ToDoubleFunction;
 import org.hibiscususher.core.message.GroupKind;
-import org.hibiscususher.core.message.PeerItem.PoolLoad;
+import org.hibiscususher.core.message.PeerItem.Dues;
 import org.hibiscususher.core.message.PeerItem.Target;
 import org.hibiscususher.core.message.PermitGroup;
 import org.hibiscususher.core.message.PermitKind;
 import org.hibiscususher.core.message.TeamDemand;
-import org.hibiscususher.core.message.TeamLoad;
+import org.hibiscususher.core.message.TeamDue;
 import org.hibiscususher.core.world.Account;
 import org.hibiscususher.core.world.AdviceRow;
 import org.hibiscususher.core.world.DemandRow;
@@ -25,7 +24,8 @@
 
 /** Moves the permits of one group towards what its members are due. */
 final class Balance {
-    private static final double STICKINESS = 0.5;
+    private static final double SLACK_SLOTS = 0.6;
+    private static final double SLACK_PART = 0.1;
 
     private final Exchange mExchange;
     private final TenureRow mTenure;
@@ -77,7 +77,7 @@
         grant(PermitKind.LONG_RUN, longTargets);
         boolean recalls = tellTargets(mainKind, mainTargets, longTargets);
         if (pool) {
-            tellLoads(demands);
+            tellDues(demands, fairness);
         }
         return recalls || !demands.isEmpty();
     }
@@ -118,7 +118,10 @@
         return held;
     }
 
-    /** Returns whole targets that add up to what there is; what nobody is due is spread evenly. */
+    /**
+     * Returns whole targets that add up to what there is, as near to what is held as the dues
+     * allow; what nobody is due is spread evenly.
+     */
     private int[] targets(PermitKind kind, int available, ToDoubleFunction<MemberKey> due) {
         int n = mMembers.size();
         double[] exact = new double[n];
@@ -127,26 +130,36 @@
             exact[i] = due.applyAsDouble(mMembers.get(i));
             spare -= exact[i];
         }
-        int[] held = held(kind);
-        int[] targets = new int[n];
-        Integer[] order = new Integer[n];
-        int left = available;
+        int[] targets = held(kind);
+        int sum = 0;
         for (int i = 0; i < n; i++) {
+            int least = exact[i] > 0 ? 1 : 0;
             exact[i] += Math.max(0, spare) / n;
-            targets[i] = (int) exact[i];
-            left -= targets[i];
-            order[i] = i;
+            double slack = SLACK_SLOTS + SLACK_PART * exact[i];
+            int low = Math.max(least, (int) Math.ceil(exact[i] - slack));
+            targets[i] = Math.max(low, Math.min((int) (exact[i] + slack), targets[i]));
+            sum += targets[i];
         }
-        Arrays.sort(
-                order,
-                Comparator.comparingDouble(
-                        i -> targets[i] - exact[i] - (held[i] > targets[i] ? STICKINESS : 0)));
-        for (int i = 0; i < Math.min(left, n); i++) {
-            targets[order[i]]++;
+        for (; sum > available && n > 0; sum--) {
+            targets[furthestAbove(targets, exact, 1)]--;
+        }
+        for (; sum < available && n > 0; sum++) {
+            targets[furthestAbove(targets, exact, -1)]++;
         }
         return targets;
     }
 
+    /** Returns the member furthest above what it is due, or with sign -1 furthest below. */
+    private static int furthestAbove(int[] targets, double[] exact, int sign) {
+        int best = 0;
+        for (int i = 1; i < exact.length; i++) {
+            if (sign * (targets[i] - exact[i]) > sign * (targets[best] - exact[best])) {
+                best = i;
+            }
+        }
+        return best;
+    }
+
     private void grant(PermitKind kind, int[] targets) {
         int[] missing = held(kind);
         int most = 0;
@@ -252,7 +265,7 @@
                         before.key(),
                         new AdviceRow(
                                 before.key(),
-                                before.loadMs(),
+                                before.duesMs(),
                                 before.teams(),
                                 mExchange.nowMs(),
                                 main,
@@ -260,34 +273,34 @@
         mExchange.send(member, new Target(basis, mTenure.group(), main, longRuns));
     }
 
-    private void tellLoads(Map<MemberKey, List<TeamDemand>> demands) {
+    private void tellDues(Map<MemberKey, List<TeamDemand>> demands, Fairness fairness) {
         demands.forEach(
                 (member, teams) -> {
                     if (teams.stream().anyMatch(t -> t.quickWaiting() + t.longWaiting() > 0)) {
-                        tellLoad(member, Demands.loadElsewhere(demands, member));
+                        tellDues(member, fairness.teams(member));
                     }
                 });
     }
 
-    private void tellLoad(MemberKey member, List<TeamLoad> load) {
+    private void tellDues(MemberKey member, List<TeamDue> dues) {
         AdviceRow before = advice(member);
-        long ageMs = mExchange.nowMs() - before.loadMs();
+        long ageMs = mExchange.nowMs() - before.duesMs();
         boolean due =
-                before.teams().equals(load)
+                before.teams().equals(dues)
                         ? ageMs >= EscrowTiming.REFRESH_MS
-                        : ageMs >= EscrowTiming.REPORT_MS;
-        if (before.loadMs() < 0 || due) {
+                        : ageMs >= EscrowTiming.DUES_MS;
+        if (before.duesMs() < 0 || due) {
             world().advice()
                     .put(
                             before.key(),
                             new AdviceRow(
                                     before.key(),
                                     mExchange.nowMs(),
-                                    load,
+                                    dues,
                                     before.targetMs(),
                                     before.main(),
                                     before.longRuns()));
-            mExchange.send(member, new PoolLoad(mTenure.group().name(), load));
+            mExchange.send(member, new Dues(mTenure.group().name(), dues));
         }
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/escrow/Demands.java
+++ b/core/src/main/java/org/hibiscususher/core/escrow/Demands.java
@@ -1,6 +1,5 @@
 package org.hibiscususher.core.escrow;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -8,16 +7,15 @@
 import java.util.TreeMap;
 import org.hibiscususher.core.config.QueueKind;
 import org.hibiscususher.core.message.PeerItem.Demand;
-import org.hibiscususher.core.message.PeerItem.PoolLoad;
+import org.hibiscususher.core.message.PeerItem.Dues;
 import org.hibiscususher.core.message.PermitGroup;
 import org.hibiscususher.core.message.PermitKind;
 import org.hibiscususher.core.message.TeamDemand;
-import org.hibiscususher.core.message.TeamLoad;
 import org.hibiscususher.core.world.AttachmentRow;
 import org.hibiscususher.core.world.DemandRow;
 import org.hibiscususher.core.world.HoldingRow;
 import org.hibiscususher.core.world.MemberKey;
-import org.hibiscususher.core.world.PoolLoadRow;
+import org.hibiscususher.core.world.PoolDuesRow;
 import org.hibiscususher.core.world.ReportRow;
 import org.hibiscususher.core.world.RequestLane;
 import org.hibiscususher.core.world.RequestState;
@@ -58,25 +56,25 @@
         }
     }
 
-    /** Takes in the load of a pool. */
-    static void loaded(Exchange exchange, Delivery delivery, PoolLoad load) {
+    /** Takes in what the teams are due of a pool at this entry. */
+    static void due(Exchange exchange, Delivery delivery, Dues dues) {
         World world = exchange.world();
-        PermitGroup group = PermitGroup.pool(load.pool());
+        PermitGroup group = PermitGroup.pool(dues.pool());
         boolean followed =
                 world.attachments()
                         .find(group)
                         .map(a -> a.allocator().equals(delivery.from()))
                         .orElse(false);
-        long newest = world.poolLoads().find(load.pool()).map(PoolLoadRow::sequence).orElse(0L);
+        long newest = world.poolDues().find(dues.pool()).map(PoolDuesRow::sequence).orElse(0L);
         if (followed && newest <= delivery.sequence()) {
-            world.poolLoads()
+            world.poolDues()
                     .put(
-                            load.pool(),
-                            new PoolLoadRow(
-                                    load.pool(),
+                            dues.pool(),
+                            new PoolDuesRow(
+                                    dues.pool(),
                                     delivery.sequence(),
                                     exchange.nowMs(),
-                                    load.teams()));
+                                    dues.teams()));
         }
     }
 
@@ -191,24 +189,4 @@
         }
         return demands;
     }
-
-    /** Returns what runs of each team in a pool from other entries than the given one. */
-    static List<TeamLoad> loadElsewhere(
-            Map<MemberKey, List<TeamDemand>> demands, MemberKey member) {
-        Map<String, TeamLoad> loads = new TreeMap<>();
-        demands.forEach(
-                (from, teams) -> {
-                    for (TeamDemand team : from.equals(member) ? List.<TeamDemand>of() : teams) {
-                        TeamLoad load =
-                                new TeamLoad(team.team(), team.quickRunning(), team.longRunning());
-                        loads.merge(team.team(), load, Demands::sum);
-                    }
-                });
-        loads.values().removeIf(l -> l.quick() + l.longRuns() == 0);
-        return new ArrayList<>(loads.values());
-    }
-
-    private static TeamLoad sum(TeamLoad a, TeamLoad b) {
-        return new TeamLoad(a.team(), a.quick() + b.quick(), a.longRuns() + b.longRuns());
-    }
 }
--- a/core/src/main/java/org/hibiscususher/core/escrow/EscrowSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/escrow/EscrowSystem.java
@@ -115,8 +115,8 @@
             Attachments.targeted(exchange, delivery, target);
         } else if (item instanceof PeerItem.Demand demand) {
             Demands.received(exchange, delivery, demand);
-        } else if (item instanceof PeerItem.PoolLoad load) {
-            Demands.loaded(exchange, delivery, load);
+        } else if (item instanceof PeerItem.Dues dues) {
+            Demands.due(exchange, delivery, dues);
         }
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/escrow/EscrowTiming.java
+++ b/core/src/main/java/org/hibiscususher/core/escrow/EscrowTiming.java
@@ -11,6 +11,9 @@
     /** Shortest time between two reports of changed demand or load, in milliseconds. */
     static final int REPORT_MS = 20;
 
+    /** Shortest time between two messages of changed dues, in milliseconds. */
+    static final int DUES_MS = 50;
+
     /** Time after which an unchanged report is repeated, in milliseconds. */
     static final int REFRESH_MS = 300;
 
--- a/core/src/main/java/org/hibiscususher/core/escrow/Fairness.java
+++ b/core/src/main/java/org/hibiscususher/core/escrow/Fairness.java
@@ -10,12 +10,16 @@
 import org.hibiscususher.core.message.GroupKind;
 import org.hibiscususher.core.message.PermitGroup;
 import org.hibiscususher.core.message.TeamDemand;
+import org.hibiscususher.core.message.TeamDue;
 import org.hibiscususher.core.world.MemberKey;
 
 /** Works out how many permits of a group each member is due. */
 final class Fairness {
+    private static final double MILLI = 1_000;
+
     private final Map<MemberKey, Double> mMain = new HashMap<>();
     private final Map<MemberKey, Double> mLongRuns = new HashMap<>();
+    private final Map<MemberKey, List<TeamDue>> mTeams = new HashMap<>();
 
     private Fairness() {}
 
@@ -24,6 +28,11 @@
         return mMain.getOrDefault(member, 0.0);
     }
 
+    /** Returns what the teams are due at a member. */
+    List<TeamDue> teams(MemberKey member) {
+        return mTeams.getOrDefault(member, List.of());
+    }
+
     /** Returns the permits for long runs that a member is due. */
     double longRuns(MemberKey member) {
         return mLongRuns.getOrDefault(member, 0.0);
@@ -91,6 +100,8 @@
                             double longRuns = team.longRuns() * longPart;
                             double part = (team.quick() + longRuns) / wanted;
                             mMain.merge(member, due * part, Double::sum);
+                            mTeams.computeIfAbsent(member, m -> new ArrayList<>())
+                                    .add(new TeamDue(team.team(), (int) (due * part * MILLI)));
                             mLongRuns.merge(member, longRuns, Double::sum);
                         }
                     }
--- a/core/src/main/java/org/hibiscususher/core/message/PeerItem.java
+++ b/core/src/main/java/org/hibiscususher/core/message/PeerItem.java
@@ -96,14 +96,14 @@
     }
 
     /**
-     * Tells an entry how much work runs in a pool from the other entries.
+     * Tells an entry how many slots of a pool each team is due there.
      *
      * @param pool the pool
-     * @param teams the work by team; teams without work are left out
+     * @param teams what the teams are due at that entry; teams that are due nothing are left out
      */
-    record PoolLoad(String pool, List<TeamLoad> teams) implements PeerItem {
+    record Dues(String pool, List<TeamDue> teams) implements PeerItem {
         /** Copies the list. */
-        public PoolLoad {
+        public Dues {
             teams = List.copyOf(teams);
         }
     }
--- a/core/src/main/java/org/hibiscususher/core/message/TeamLoad.java
+++ b/core/src/main/java/org/hibiscususher/core/message/TeamDue.java
@@ -3,15 +3,14 @@
 import static java.util.Objects.requireNonNull;
 
 /**
- * Work of one team that runs in a pool.
+ * What a team is due of a pool at one entry.
  *
  * @param team the team
- * @param quick quick requests
- * @param longRuns long requests
+ * @param milliSlots slots, in thousandths
  */
-public record TeamLoad(String team, int quick, int longRuns) {
+public record TeamDue(String team, int milliSlots) {
     /** Checks the fields. */
-    public TeamLoad {
+    public TeamDue {
         requireNonNull(team);
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/request/LaneOrder.java
+++ b/core/src/main/java/org/hibiscususher/core/request/LaneOrder.java
@@ -3,108 +3,142 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
-import org.hibiscususher.core.config.Configuration;
-import org.hibiscususher.core.config.PoolSpec;
+import java.util.Set;
 import org.hibiscususher.core.config.QueueKind;
 import org.hibiscususher.core.config.TeamSpec;
-import org.hibiscususher.core.message.TeamLoad;
-import org.hibiscususher.core.world.PoolLoadRow;
+import org.hibiscususher.core.message.TeamDue;
+import org.hibiscususher.core.world.CreditRow;
+import org.hibiscususher.core.world.PoolDuesRow;
 import org.hibiscususher.core.world.RequestLane;
 import org.hibiscususher.core.world.RequestRow;
+import org.hibiscususher.core.world.RequestState;
 import org.hibiscususher.core.world.Tick;
 import org.hibiscususher.core.world.World;
 
 /**
  * Orders the lanes of waiting requests.
  *
- * <p>Quick work goes first while a pool runs less of it than its quick reserve. After that the team
- * goes first that runs least in the whole pool for its share, and of one team's work quick work,
- * unless long work has waited for half of its time.
+ * <p>The team goes first whose slots in use at this entry have fallen furthest short of what it was
+ * due here, added up over time. Of one team's work quick work goes first, unless long work has
+ * waited for half of its time.
  */
 final class LaneOrder {
-    private static final int LOAD_EXPIRY_MS = 1_000;
+    private static final int DUES_EXPIRY_MS = 1_000;
+    private static final int LONGEST_STEP_MS = 50;
+    private static final double MOST_CREDIT_MS = 1_000;
+    private static final double START_COST_MS = 50;
+    private static final double MILLI = 1_000;
 
     private final Tick mTick;
-    private final Map<TeamKey, Integer> mRunning = new HashMap<>();
-    private final Map<String, Integer> mQuickRunning = new HashMap<>();
-
-    private record TeamKey(String pool, String team) {}
+    private final Map<CreditRow.Key, Double> mCredits = new HashMap<>();
 
     private LaneOrder(Tick tick) {
         mTick = tick;
     }
 
-    /** Returns the order of lanes by what runs now here, and elsewhere as last reported. */
+    /** Returns the order of the lanes of a tick, and adds up what their teams fell short of. */
     static LaneOrder of(Tick tick, Collection<RequestLane> lanes) {
         LaneOrder order = new LaneOrder(tick);
-        World world = tick.world();
-        for (RequestLane lane : world.requests().groups()) {
-            if (!lane.state().placeable()) {
-                order.add(
-                        lane.pool(), lane.team(), lane.kind(), world.requests().group(lane).size());
+        Set<String> pools = new HashSet<>();
+        lanes.forEach(l -> pools.add(l.pool()));
+        Map<CreditRow.Key, Integer> running = new HashMap<>();
+        for (RequestLane lane : tick.world().requests().groups()) {
+            if (pools.contains(lane.pool())) {
+                int count = lane.state().placeable() ? 0 : order.size(lane);
+                running.merge(new CreditRow.Key(lane.pool(), lane.team()), count, Integer::sum);
             }
         }
-        lanes.stream().map(RequestLane::pool).distinct().forEach(order::addElsewhere);
+        running.forEach(order::addUp);
+        pools.forEach(order::level);
+        tick.world().credits().removeIf(c -> tick.nowMs() - c.atMs() >= DUES_EXPIRY_MS);
         return order;
     }
 
-    private void addElsewhere(String pool) {
-        PoolLoadRow row = mTick.world().poolLoads().find(pool).orElse(null);
-        if (row == null || mTick.nowMs() - row.atMs() >= LOAD_EXPIRY_MS) {
-            return;
+    private int size(RequestLane lane) {
+        return mTick.world().requests().group(lane).size();
+    }
+
+    private void addUp(CreditRow.Key key, int running) {
+        World world = mTick.world();
+        double due = due(key);
+        CreditRow before = world.credits().find(key).orElse(new CreditRow(key, 0, mTick.nowMs()));
+        long stepMs = Math.min(LONGEST_STEP_MS, mTick.nowMs() - before.atMs());
+        double sum = before.slotMs() + (due - running) * stepMs;
+        mCredits.put(key, waits(key) ? sum : 0);
+    }
+
+    private boolean waits(CreditRow.Key key) {
+        for (QueueKind kind : QueueKind.values()) {
+            RequestLane lane = new RequestLane(RequestState.WAITING, kind, key.pool(), key.team());
+            if (size(lane) > 0) {
+                return true;
+            }
         }
-        for (TeamLoad team : row.teams()) {
-            add(pool, team.team(), QueueKind.QUICK, team.quick());
-            add(pool, team.team(), QueueKind.LONG, team.longRuns());
+        return false;
+    }
+
+    /** Takes the mean from the credits of a pool's waiting teams, since only their order counts. */
+    private void level(String pool) {
+        double sum = 0;
+        int teams = 0;
+        for (Map.Entry<CreditRow.Key, Double> entry : mCredits.entrySet()) {
+            if (entry.getKey().pool().equals(pool) && waits(entry.getKey())) {
+                sum += entry.getValue();
+                teams++;
+            }
+        }
+        double mean = teams == 0 ? 0 : sum / teams;
+        for (Map.Entry<CreditRow.Key, Double> entry : mCredits.entrySet()) {
+            CreditRow.Key key = entry.getKey();
+            if (key.pool().equals(pool)) {
+                double credit = waits(key) ? entry.getValue() - mean : 0;
+                double kept = Math.max(-MOST_CREDIT_MS, Math.min(MOST_CREDIT_MS, credit));
+                entry.setValue(kept);
+                mTick.world().credits().put(key, new CreditRow(key, kept, mTick.nowMs()));
+            }
         }
     }
 
-    private void add(String pool, String team, QueueKind kind, int count) {
-        mRunning.merge(new TeamKey(pool, team), count, Integer::sum);
-        if (kind == QueueKind.QUICK) {
-            mQuickRunning.merge(pool, count, Integer::sum);
+    private double due(CreditRow.Key key) {
+        PoolDuesRow row = mTick.world().poolDues().find(key.pool()).orElse(null);
+        if (row == null || mTick.nowMs() - row.atMs() >= DUES_EXPIRY_MS) {
+            TeamSpec team = mTick.world().configuration().teams().get(key.team());
+            return team == null ? 0 : team.share();
         }
+        for (TeamDue due : row.teams()) {
+            if (due.team().equals(key.team())) {
+                return due.milliSlots() / MILLI;
+            }
+        }
+        return 0;
     }
 
     /** Notes that a request of a lane was started. */
     void started(RequestLane lane) {
-        add(lane.pool(), lane.team(), lane.kind(), 1);
+        mCredits.merge(keyOf(lane), -START_COST_MS, Double::sum);
+    }
+
+    private static CreditRow.Key keyOf(RequestLane lane) {
+        return new CreditRow.Key(lane.pool(), lane.team());
     }
 
     /** Returns the lane whose turn it is. */
     RequestLane first(Collection<RequestLane> lanes) {
         return lanes.stream()
                 .min(
-                        Comparator.comparing((RequestLane l) -> !reserved(l))
-                                .thenComparing(this::load)
+                        Comparator.comparingDouble((RequestLane l) -> -mCredits.get(keyOf(l)))
                                 .thenComparing(this::rank)
                                 .thenComparing(RequestLane::pool)
                                 .thenComparing(RequestLane::team))
                 .orElseThrow();
     }
 
-    private boolean reserved(RequestLane lane) {
-        PoolSpec pool = configuration().pools().get(lane.pool());
-        return lane.kind() == QueueKind.QUICK
-                && pool != null
-                && mQuickRunning.getOrDefault(lane.pool(), 0) < pool.quickReserve();
-    }
-
-    private double load(RequestLane lane) {
-        int running = mRunning.getOrDefault(new TeamKey(lane.pool(), lane.team()), 0);
-        TeamSpec team = configuration().teams().get(lane.team());
-        return team == null ? running : (double) running / team.share();
-    }
-
     private int rank(RequestLane lane) {
         RequestRow head = mTick.world().requests().group(lane).iterator().next();
         long half = (head.arrivedMs() + head.startByMs()) / 2;
-        boolean old = lane.kind() == QueueKind.LONG && mTick.nowMs() >= half;
+        boolean old = lane.kind().ordinal() > 0 && mTick.nowMs() >= half;
         return old ? -1 : lane.kind().ordinal();
     }
-
-    private Configuration configuration() {
-        return mTick.world().configuration();
-    }
 }
--- a/core/src/main/java/org/hibiscususher/core/request/PlacementSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/request/PlacementSystem.java
@@ -20,15 +20,22 @@
     /** How many requests of a lane are tried when the first ones fit no idle host. */
     private static final int TRIED_PER_LANE = 8;
 
+    /** Time between two searches for requests that have waited too long, in milliseconds. */
+    private static final int REFUSE_EVERY_MS = 10;
+
     private PlacementSystem() {}
 
     /** Refuses requests that have waited too long and starts as many others as permits allow. */
     public static void run(Tick tick) {
         World world = tick.world();
+        boolean refuses =
+                tick.nowMs() / REFUSE_EVERY_MS != world.node().lastTickMs() / REFUSE_EVERY_MS;
         Set<RequestLane> lanes = new HashSet<>();
         for (RequestLane lane : List.copyOf(world.requests().groups())) {
             if (lane.state().placeable()) {
-                refuseLate(tick, lane);
+                if (refuses) {
+                    refuseLate(tick, lane);
+                }
                 lanes.add(lane);
             }
         }
@@ -44,7 +51,9 @@
             } else {
                 lanes.remove(lane);
             }
-            lanes.removeIf(l -> world.requests().group(l).isEmpty());
+            if (world.requests().group(lane).isEmpty()) {
+                lanes.remove(lane);
+            }
         }
     }
 
--- a/core/src/main/java/org/hibiscususher/core/world/PoolLoadRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/PoolDuesRow.java
@@ -3,19 +3,19 @@
 import static java.util.Objects.requireNonNull;
 
 import java.util.List;
-import org.hibiscususher.core.message.TeamLoad;
+import org.hibiscususher.core.message.TeamDue;
 
 /**
- * How much work runs in a pool from other entries, as its allocator last reported.
+ * What the teams are due of a pool at this entry, as the allocator last reported.
  *
  * @param pool the pool
  * @param sequence of the message that brought it
  * @param atMs when it came
- * @param teams the work by team
+ * @param teams what each team is due
  */
-public record PoolLoadRow(String pool, long sequence, long atMs, List<TeamLoad> teams) {
+public record PoolDuesRow(String pool, long sequence, long atMs, List<TeamDue> teams) {
     /** Copies the list. */
-    public PoolLoadRow {
+    public PoolDuesRow {
         requireNonNull(pool);
         teams = List.copyOf(teams);
     }
--- a/core/src/main/java/org/hibiscususher/core/world/World.java
+++ b/core/src/main/java/org/hibiscususher/core/world/World.java
@@ -45,7 +45,8 @@
             GroupedTable.createBy(d -> d.key().group());
     private final GroupedTable<DemandRow.Key, AdviceRow, PermitGroup> mAdvice =
             GroupedTable.createBy(a -> a.key().group());
-    private final Table<String, PoolLoadRow> mPoolLoads = Table.create();
+    private final Table<String, PoolDuesRow> mPoolDues = Table.create();
+    private final Table<CreditRow.Key, CreditRow> mCredits = Table.create();
     private final GroupedTable<Long, RequestRow, RequestLane> mRequests =
             GroupedTable.createBy(RequestRow::lane);
     private final Table<Long, PendingNoteRow> mPendingNotes = Table.create();
@@ -207,9 +208,14 @@
         return mAdvice;
     }
 
-    /** Returns the load that runs in pools from other entries. */
-    public Table<String, PoolLoadRow> poolLoads() {
-        return mPoolLoads;
+    /** Returns what the teams are due at this entry by pool. */
+    public Table<String, PoolDuesRow> poolDues() {
+        return mPoolDues;
+    }
+
+    /** Returns how far teams have fallen short of what they were due at this entry. */
+    public Table<CreditRow.Key, CreditRow> credits() {
+        return mCredits;
     }
 
     /** Returns the requests at hand, in order of arrival, grouped by what they wait for or use. */
--- a/wire/src/main/java/org/hibiscususher/wire/peer/EscrowCodec.java
+++ b/wire/src/main/java/org/hibiscususher/wire/peer/EscrowCodec.java
@@ -9,7 +9,7 @@
 import org.hibiscususher.core.message.PermitKey;
 import org.hibiscususher.core.message.PermitKind;
 import org.hibiscususher.core.message.TeamDemand;
-import org.hibiscususher.core.message.TeamLoad;
+import org.hibiscususher.core.message.TeamDue;
 import org.hibiscususher.wire.generated.Peer;
 
 /** Translates the items about permits in escrow. */
@@ -45,8 +45,8 @@
                     .setLongRuns(target.longRuns());
         } else if (item instanceof PeerItem.Demand demand) {
             builder.setDemand(encodeDemand(demand));
-        } else if (item instanceof PeerItem.PoolLoad load) {
-            builder.setPoolLoad(encodeLoad(load));
+        } else if (item instanceof PeerItem.Dues dues) {
+            builder.setDues(encodeDues(dues));
         } else {
             throw new IllegalArgumentException("no encoding for " + item.getClass());
         }
@@ -88,13 +88,10 @@
         return builder.build();
     }
 
-    private static Peer.PoolLoad encodeLoad(PeerItem.PoolLoad load) {
-        Peer.PoolLoad.Builder builder = Peer.PoolLoad.newBuilder().setPool(load.pool());
-        for (TeamLoad team : load.teams()) {
-            builder.addTeamsBuilder()
-                    .setTeam(team.team())
-                    .setQuick(team.quick())
-                    .setLongRuns(team.longRuns());
+    private static Peer.Dues encodeDues(PeerItem.Dues dues) {
+        Peer.Dues.Builder builder = Peer.Dues.newBuilder().setPool(dues.pool());
+        for (TeamDue team : dues.teams()) {
+            builder.addTeamsBuilder().setTeam(team.team()).setMilliSlots(team.milliSlots());
         }
         return builder.build();
     }
@@ -154,7 +151,7 @@
                             item.getTarget().getMain(),
                             item.getTarget().getLongRuns());
             case DEMAND -> decodeDemand(item.getDemand());
-            case POOL_LOAD -> decodeLoad(item.getPoolLoad());
+            case DUES -> decodeDues(item.getDues());
             default -> throw new IOException("unknown item in a message between entries");
         };
     }
@@ -187,12 +184,12 @@
         return new PeerItem.Demand(decodeGroup(demand.getGroup()), teams);
     }
 
-    private static PeerItem.PoolLoad decodeLoad(Peer.PoolLoad load) {
-        List<TeamLoad> teams =
-                load.getTeamsList().stream()
-                        .map(t -> new TeamLoad(t.getTeam(), t.getQuick(), t.getLongRuns()))
+    private static PeerItem.Dues decodeDues(Peer.Dues dues) {
+        List<TeamDue> teams =
+                dues.getTeamsList().stream()
+                        .map(t -> new TeamDue(t.getTeam(), t.getMilliSlots()))
                         .toList();
-        return new PeerItem.PoolLoad(load.getPool(), teams);
+        return new PeerItem.Dues(dues.getPool(), teams);
     }
 
     private static PermitGroup decodeGroup(Peer.PermitGroup group) {
