--- a/core/src/main/java/org/hibiscususher/core/escrow/Balance.java
+++ b/core/src/main/java/org/hibiscususher/core/escrow/Balance.java
@@ -133,7 +133,7 @@
         int[] targets = held(kind);
         int sum = 0;
         for (int i = 0; i < n; i++) {
-            int least = exact[i] > 0 ? 1 : 0;
+            int least = spare >= 1 ? (int) Math.ceil(exact[i]) : exact[i] > 0 ? 1 : 0;
             exact[i] += Math.max(0, spare) / n;
             double slack = SLACK_SLOTS + SLACK_PART * exact[i];
             int low = Math.max(least, (int) Math.ceil(exact[i] - slack));
--- a/core/src/main/java/org/hibiscususher/core/message/PeerItem.java
+++ b/core/src/main/java/org/hibiscususher/core/message/PeerItem.java
@@ -1,16 +1,21 @@
 package org.hibiscususher.core.message;
 
 import java.util.List;
-import org.hibiscususher.core.config.Configuration;
+import org.hibiscususher.core.note.AcceptedNote;
 
 /** One thing that an entry tells another. */
 public sealed interface PeerItem {
     /**
-     * Relays the configuration in force.
+     * Relays accepted notes that the receiver is known to lack.
      *
-     * @param configuration the configuration
+     * @param notes notes of consecutive revisions, in order, each with its delta
      */
-    record Relay(Configuration configuration) implements PeerItem {}
+    record Relay(List<AcceptedNote> notes) implements PeerItem {
+        /** Copies the list. */
+        public Relay {
+            notes = List.copyOf(notes);
+        }
+    }
 
     /**
      * Tells the allocator of a group what an entry holds when it begins to follow that allocator.
@@ -107,4 +112,43 @@
             teams = List.copyOf(teams);
         }
     }
+
+    /**
+     * Asks the home of an idempotency key whether the key is new, and claims it.
+     *
+     * @param requestId the request at the sender
+     * @param high first 64 bits of the key
+     * @param low last 64 bits of the key
+     * @param askedMs time of the sender's clock, in milliseconds
+     */
+    record OnceAsked(long requestId, long high, long low, long askedMs) implements PeerItem {}
+
+    /**
+     * Answers a claim to an idempotency key.
+     *
+     * @param incarnation incarnation of the claiming entry
+     * @param requestId the request there
+     * @param high first 64 bits of the key
+     * @param low last 64 bits of the key
+     * @param result the answer
+     */
+    record OnceAnswered(long incarnation, long requestId, long high, long low, ClaimResult result)
+            implements PeerItem {}
+
+    /**
+     * Tells the home of an idempotency key that the claiming request ended without a run.
+     *
+     * @param requestId the request at the sender
+     * @param high first 64 bits of the key
+     * @param low last 64 bits of the key
+     */
+    record OnceReleased(long requestId, long high, long low) implements PeerItem {}
+
+    /**
+     * Acknowledges that a claim was released.
+     *
+     * @param incarnation incarnation of the claiming entry
+     * @param requestId the request there
+     */
+    record OnceForgotten(long incarnation, long requestId) implements PeerItem {}
 }
--- a/core/src/main/java/org/hibiscususher/core/request/PlacementSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/request/PlacementSystem.java
@@ -114,7 +114,7 @@
 
     private static boolean takes(Tick tick, HostRow host, RequestRow row) {
         return host.stage().takesWork()
-                && host.restUntilMs() <= tick.nowMs()
+                && OutlierSystem.mayStart(tick, host, row)
                 && host.spec().capacity().fits(row.arrival().needs())
                 && !row.triedHosts().contains(host.spec().id());
     }
@@ -123,6 +123,7 @@
         String id = host.spec().id();
         List<PermitKey> permits = Permits.needed(row, id);
         Permits.use(tick.world(), permits);
+        OutlierSystem.started(tick, host);
         RequestRow started = row.started(tick.nowMs(), id, permits);
         tick.world().requests().put(row.id(), started);
         tick.emit(
--- a/core/src/main/java/org/hibiscususher/core/world/World.java
+++ b/core/src/main/java/org/hibiscususher/core/world/World.java
@@ -6,6 +6,7 @@
 import org.hibiscususher.core.message.PermitGroup;
 import org.hibiscususher.core.message.PermitKey;
 import org.hibiscususher.core.message.RecordKind;
+import org.hibiscususher.core.note.AcceptedNote;
 import org.hibiscususher.core.table.GroupedTable;
 import org.hibiscususher.core.table.Table;
 
@@ -20,6 +21,11 @@
 
     private final Table<String, NodeRow> mNode = Table.create();
     private final Table<String, RevisionRow> mRevision = Table.create();
+    private final Table<String, HeadRow> mHead = Table.create();
+    private final Table<Long, AcceptedNote> mRecentNotes = Table.create();
+    private final Table<String, RelayRow> mRelays = Table.create();
+    private final Table<Long, HistoryQueryRow> mHistoryQueries = Table.create();
+    private final Table<Long, FoldWriteRow> mFoldWrites = Table.create();
     private final Table<String, MembershipRow> mMembership = Table.create();
     private final Table<String, MemberRow> mMembers = Table.create();
     private final Table<String, MembershipCallRow> mMembershipCall = Table.create();
@@ -49,6 +55,12 @@
     private final Table<CreditRow.Key, CreditRow> mCredits = Table.create();
     private final GroupedTable<Long, RequestRow, RequestLane> mRequests =
             GroupedTable.createBy(RequestRow::lane);
+    private final Table<Long, AbandonedRow> mAbandoned = Table.create();
+    private final Table<String, QueueLoadRow> mQueueLoads = Table.create();
+    private final Table<Long, OnceClaimRow> mOnceClaims = Table.create();
+    private final Table<OnceKey, OnceKeyRow> mOnceKeys = Table.create();
+    private final Table<String, OnceTenureRow> mOnceTenure = Table.create();
+    private final Table<String, FormerHomeRow> mFormerHomes = Table.create();
     private final Table<Long, PendingNoteRow> mPendingNotes = Table.create();
     private final Table<RecordKind, StoreCallRow> mStoreCalls = Table.create();
     private final Table<String, ControlSettings> mSettings = Table.create();
@@ -59,11 +71,13 @@
     public static World create(NodeIdentity identity, ControlSettings settings, long nowMs) {
         World world = new World();
         world.mNode.put(SELF, NodeRow.started(identity, nowMs));
-        world.mRevision.put(SELF, new RevisionRow(Configuration.EMPTY, 0, nowMs));
+        world.mRevision.put(SELF, new RevisionRow(Configuration.EMPTY, nowMs));
+        world.mHead.put(SELF, HeadRow.UNSEEN);
         world.mMembership.put(SELF, MembershipRow.UNSEEN);
         world.mEscrow.put(SELF, EscrowRow.NONE);
         world.mMembershipCall.put(SELF, MembershipCallRow.NONE);
         world.mFreshness.put(SELF, FreshnessRow.NONE);
+        world.mOnceTenure.put(SELF, OnceTenureRow.NONE);
         world.mSettings.put(SELF, settings);
         return world;
     }
@@ -93,6 +107,36 @@
         return mRevision;
     }
 
+    /** Returns the newest known head of the configuration's history. */
+    public HeadRow head() {
+        return mHead.find(SELF).orElseThrow();
+    }
+
+    /** Returns the table of the one row about the head. */
+    public Table<String, HeadRow> headTable() {
+        return mHead;
+    }
+
+    /** Returns the newest notes in force here by revision, each with its delta. */
+    public Table<Long, AcceptedNote> recentNotes() {
+        return mRecentNotes;
+    }
+
+    /** Returns what was last relayed, by member. */
+    public Table<String, RelayRow> relays() {
+        return mRelays;
+    }
+
+    /** Returns the records that heads to come will name, by the store call that writes them. */
+    public Table<Long, FoldWriteRow> foldWrites() {
+        return mFoldWrites;
+    }
+
+    /** Returns the operators' questions about accepted notes, by call. */
+    public Table<Long, HistoryQueryRow> historyQueries() {
+        return mHistoryQueries;
+    }
+
     /** Returns the membership record as last seen. */
     public MembershipRow membership() {
         return mMembership.find(SELF).orElseThrow();
@@ -223,6 +267,41 @@
         return mRequests;
     }
 
+    /** Returns the requests that were abandoned while running, by id. */
+    public Table<Long, AbandonedRow> abandoned() {
+        return mAbandoned;
+    }
+
+    /** Returns what was learnt of each queue. */
+    public Table<String, QueueLoadRow> queueLoads() {
+        return mQueueLoads;
+    }
+
+    /** Returns the claims of requests at hand to their idempotency keys, by request. */
+    public Table<Long, OnceClaimRow> onceClaims() {
+        return mOnceClaims;
+    }
+
+    /** Returns the idempotency keys that this entry remembers as their home. */
+    public Table<OnceKey, OnceKeyRow> onceKeys() {
+        return mOnceKeys;
+    }
+
+    /** Returns since when this entry may be the home of idempotency keys. */
+    public OnceTenureRow onceTenure() {
+        return mOnceTenure.find(SELF).orElseThrow();
+    }
+
+    /** Returns the table of the one row about this entry as a home of idempotency keys. */
+    public Table<String, OnceTenureRow> onceTenureTable() {
+        return mOnceTenure;
+    }
+
+    /** Returns the members that were homes of idempotency keys, by member id. */
+    public Table<String, FormerHomeRow> formerHomes() {
+        return mFormerHomes;
+    }
+
     /** Returns the release notes that operators wait for, by call. */
     public Table<Long, PendingNoteRow> pendingNotes() {
         return mPendingNotes;
--- a/wire/src/main/java/org/hibiscususher/wire/peer/PeerCodec.java
+++ b/wire/src/main/java/org/hibiscususher/wire/peer/PeerCodec.java
@@ -67,10 +67,8 @@
         Peer.PeerItem.Builder builder = Peer.PeerItem.newBuilder();
         if (item instanceof PeerItem.Relay relay) {
             builder.getRelayBuilder()
-                    .setConfiguration(
-                            ByteString.copyFrom(
-                                    RecordCodec.encodeConfiguration(relay.configuration())));
-        } else {
+                    .setNotes(ByteString.copyFrom(RecordCodec.encodeNotes(relay.notes())));
+        } else if (!OnceItemCodec.encode(item, builder)) {
             EscrowCodec.encode(item, builder);
         }
         return builder.build();
@@ -80,8 +78,9 @@
         return switch (item.getItemCase()) {
             case RELAY ->
                     new PeerItem.Relay(
-                            RecordCodec.decodeConfiguration(
-                                    item.getRelay().getConfiguration().toByteArray()));
+                            RecordCodec.decodeNotes(item.getRelay().getNotes().toByteArray()));
+            case ONCE_ASKED, ONCE_ANSWERED, ONCE_RELEASED, ONCE_FORGOTTEN ->
+                    OnceItemCodec.decode(item);
             default -> EscrowCodec.decode(item);
         };
     }
