Keep the pool and outages of hosts in records, and run moves and waves by them

Each host has a record that says which pool it serves; each pool has one that lists its hosts out of service, so that the budget is decided by one compare-and-swap. Entries read all changes once a second and hear of them from the writer. A host without a record takes no work. A withdrawn host keeps its row until its slots are back. Until the escrow's query is there, a host counts as idle by the local holdings alone, so sites of several entries are not safe yet. Lending is not built yet.

--- a/cli/src/main/java/org/hibiscususher/cli/CliMain.java
+++ b/cli/src/main/java/org/hibiscususher/cli/CliMain.java
@@ -45,7 +45,7 @@
                 err.println("hibiscususher: unknown command; see --help");
                 return ExitCode.USAGE;
             }
-            String operand = words.get(words.size() - 1);
+            String operand = command.get().operand(words);
             String daemon = line.getOptionValue("daemon", DEFAULT_DAEMON);
             return command.get().run(new Invocation(daemon, operand, in, out));
         } catch (ParseException e) {
--- a/cli/src/main/java/org/hibiscususher/cli/Command.java
+++ b/cli/src/main/java/org/hibiscususher/cli/Command.java
@@ -59,6 +59,30 @@
             return ExitCode.OK;
         }
     },
+    WAVE_PLAN("wave plan POOL...", "plan to reboot every host of the pools, or of all pools") {
+        @Override
+        ExitCode run(Invocation call) throws IOException {
+            return WaveText.call(call, "plan");
+        }
+    },
+    WAVE_START("wave start", "start or resume the maintenance wave") {
+        @Override
+        ExitCode run(Invocation call) throws IOException {
+            return WaveText.call(call, "start");
+        }
+    },
+    WAVE_PAUSE("wave pause", "take no further host; those that are out come back") {
+        @Override
+        ExitCode run(Invocation call) throws IOException {
+            return WaveText.call(call, "pause");
+        }
+    },
+    WAVE_SHOW("wave show", "show the maintenance wave and the hosts out of service") {
+        @Override
+        ExitCode run(Invocation call) throws IOException {
+            return WaveText.call(call, "show");
+        }
+    },
     KEY("key", "read a secret from standard input and print its digest") {
         @Override
         ExitCode run(Invocation call) throws IOException {
@@ -68,6 +92,8 @@
         }
     };
 
+    private static final String MANY = " POOL...";
+
     private final String mUsage;
     private final String mSummary;
 
@@ -92,15 +118,23 @@
         for (Command command : values()) {
             List<String> name = command.words();
             int operands = command.mUsage.endsWith("FILE") ? 1 : 0;
-            if (words.size() == name.size() + operands
-                    && words.subList(0, name.size()).equals(name)) {
+            boolean counts =
+                    command.mUsage.endsWith(MANY)
+                            ? words.size() >= name.size()
+                            : words.size() == name.size() + operands;
+            if (counts && words.subList(0, name.size()).equals(name)) {
                 return Optional.of(command);
             }
         }
         return Optional.empty();
     }
 
+    /** Returns what follows the command's name, joined by spaces. */
+    String operand(List<String> words) {
+        return String.join(" ", words.subList(words().size(), words.size()));
+    }
+
     private List<String> words() {
-        return List.of(mUsage.replace(" FILE", "").split(" "));
+        return List.of(mUsage.replace(" FILE", "").replace(MANY, "").split(" "));
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/control/Phase.java
+++ b/core/src/main/java/org/hibiscususher/core/control/Phase.java
@@ -1,6 +1,13 @@
 package org.hibiscususher.core.control;
 
 import org.hibiscususher.core.escrow.EscrowSystem;
+import org.hibiscususher.core.maintenance.DrainSystem;
+import org.hibiscususher.core.maintenance.FleetSystem;
+import org.hibiscususher.core.maintenance.FleetWriteSystem;
+import org.hibiscususher.core.maintenance.MoveSystem;
+import org.hibiscususher.core.maintenance.WaveCommandSystem;
+import org.hibiscususher.core.maintenance.WaveSystem;
+import org.hibiscususher.core.maintenance.WaveWatchSystem;
 import org.hibiscususher.core.membership.LinkSystem;
 import org.hibiscususher.core.membership.MembershipSystem;
 import org.hibiscususher.core.request.AdmissionSystem;
@@ -30,6 +37,12 @@
             RollOutSystem.run(tick);
         }
     },
+    FLEET {
+        @Override
+        void run(Tick tick) {
+            FleetSystem.run(tick);
+        }
+    },
     RETRY {
         @Override
         void run(Tick tick) {
@@ -54,6 +67,42 @@
             PlacementSystem.run(tick);
         }
     },
+    DRAIN {
+        @Override
+        void run(Tick tick) {
+            DrainSystem.run(tick);
+        }
+    },
+    MOVE {
+        @Override
+        void run(Tick tick) {
+            MoveSystem.run(tick);
+        }
+    },
+    WAVE {
+        @Override
+        void run(Tick tick) {
+            WaveSystem.run(tick);
+        }
+    },
+    WAVE_WATCH {
+        @Override
+        void run(Tick tick) {
+            WaveWatchSystem.run(tick);
+        }
+    },
+    WAVE_COMMAND {
+        @Override
+        void run(Tick tick) {
+            WaveCommandSystem.run(tick);
+        }
+    },
+    FLEET_WRITE {
+        @Override
+        void run(Tick tick) {
+            FleetWriteSystem.run(tick);
+        }
+    },
     STATUS {
         @Override
         void run(Tick tick) {
--- a/core/src/main/java/org/hibiscususher/core/message/Input.java
+++ b/core/src/main/java/org/hibiscususher/core/message/Input.java
@@ -131,4 +131,41 @@
      * @param callId the call to answer
      */
     record StatusAsked(long callId) implements Input {}
+
+    /**
+     * The answer to {@link Output.ReadFleet}.
+     *
+     * @param callId the call
+     * @param version the store's version at the time of the read
+     * @param records the records that were asked for
+     */
+    record FleetRead(long callId, long version, List<FleetRecord> records) implements Input {
+        /** Copies the list. */
+        public FleetRead {
+            records = List.copyOf(records);
+        }
+    }
+
+    /**
+     * The answer to {@link Output.RebootHost}.
+     *
+     * @param host the host
+     * @param token the token of the call
+     * @param result what is known
+     */
+    record RebootAnswered(String host, String token, RebootResult result) implements Input {}
+
+    /**
+     * An operator gives a command about the maintenance wave.
+     *
+     * @param callId the call to answer
+     * @param command the command
+     * @param pools the pools to plan a wave for; empty for all
+     */
+    record WaveAsked(long callId, WaveCommand command, List<String> pools) implements Input {
+        /** Copies the list. */
+        public WaveAsked {
+            pools = List.copyOf(pools);
+        }
+    }
 }
--- a/core/src/main/java/org/hibiscususher/core/message/Output.java
+++ b/core/src/main/java/org/hibiscususher/core/message/Output.java
@@ -95,4 +95,29 @@
      * @param report the answer
      */
     record AnswerStatus(long callId, StatusReport report) implements Output {}
+
+    /**
+     * Read the records about hosts that have changed.
+     *
+     * @param callId the call
+     * @param sinceVersion records that are no newer than this are left out
+     */
+    record ReadFleet(long callId, long sinceVersion) implements Output {}
+
+    /**
+     * Ask the platform to reboot a host, if its boot id is as expected.
+     *
+     * @param host the host
+     * @param bootId the boot id that it is expected to have
+     * @param token names the reboot; the platform carries out one call with the same token
+     */
+    record RebootHost(String host, String bootId, String token) implements Output {}
+
+    /**
+     * Answer an operator's command about the maintenance wave.
+     *
+     * @param callId the call
+     * @param report the answer
+     */
+    record AnswerWave(long callId, WaveReport report) implements Output {}
 }
--- a/core/src/main/java/org/hibiscususher/core/message/PeerItem.java
+++ b/core/src/main/java/org/hibiscususher/core/message/PeerItem.java
@@ -58,4 +58,19 @@
      * @param running requests running
      */
     record PoolLoad(long epoch, String pool, String team, int running) implements PeerItem {}
+
+    /**
+     * Relays a record about hosts.
+     *
+     * @param record the record
+     */
+    record FleetRelay(FleetRecord record) implements PeerItem {}
+
+    /**
+     * Tells the allocators of spare pools how many hosts a pool is short of.
+     *
+     * @param pool the pool
+     * @param hosts how many hosts it is short of; negative if it has more than it needs
+     */
+    record PoolNeed(String pool, int hosts) implements PeerItem {}
 }
--- a/core/src/main/java/org/hibiscususher/core/rollout/RollOutSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/rollout/RollOutSystem.java
@@ -88,7 +88,6 @@
         for (KeySpec key : next.keys().values()) {
             world.keys().put(key.digest(), key);
         }
-        world.hosts().removeIf(h -> !next.hosts().containsKey(h.spec().id()));
         for (HostSpec spec : next.hosts().values()) {
             HostRow row =
                     world.hosts()
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/world/FleetSyncRow.java
@@ -0,0 +1,49 @@
+package org.hibiscususher.core.world;
+
+/**
+ * How current the records about hosts are.
+ *
+ * @param version the store's version up to which they are complete, 0 before the first read
+ * @param epoch the epoch known when the newest complete read was sent
+ * @param sentMs when the newest read was sent, -1 if none was
+ * @param sentEpoch the epoch known when the newest read was sent
+ * @param callId the read that is out, 0 if none
+ * @param revision the configuration that was last brought together with the records
+ * @param steppedMs when maintenance was last decided, -1 if never
+ */
+public record FleetSyncRow(
+        long version,
+        long epoch,
+        long sentMs,
+        long sentEpoch,
+        long callId,
+        long revision,
+        long steppedMs) {
+    /** The row before the first read. */
+    public static final FleetSyncRow NEVER = new FleetSyncRow(0, 0, -1, 0, 0, 0, -1);
+
+    /** Returns a copy after a read was sent. */
+    public FleetSyncRow sent(long nowMs, long atEpoch, long call) {
+        return new FleetSyncRow(version, epoch, nowMs, atEpoch, call, revision, steppedMs);
+    }
+
+    /** Returns a copy after the read that is out was answered. */
+    public FleetSyncRow answered(long upToVersion) {
+        return new FleetSyncRow(upToVersion, sentEpoch, sentMs, sentEpoch, 0, revision, steppedMs);
+    }
+
+    /** Returns a copy after the read that is out failed. */
+    public FleetSyncRow failed() {
+        return new FleetSyncRow(version, epoch, sentMs, sentEpoch, 0, revision, steppedMs);
+    }
+
+    /** Returns a copy after a configuration was brought together with the records. */
+    public FleetSyncRow withRevision(long value) {
+        return new FleetSyncRow(version, epoch, sentMs, sentEpoch, callId, value, steppedMs);
+    }
+
+    /** Returns a copy after maintenance was decided. */
+    public FleetSyncRow stepped(long nowMs) {
+        return new FleetSyncRow(version, epoch, sentMs, sentEpoch, callId, revision, nowMs);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/world/PoolNeedRow.java
@@ -0,0 +1,18 @@
+package org.hibiscususher.core.world;
+
+import static java.util.Objects.requireNonNull;
+
+/**
+ * How many hosts a pool is short of.
+ *
+ * @param pool the pool
+ * @param hosts how many; negative if it has more than it needs
+ * @param sinceMs since when it has been short or has had too many, in milliseconds
+ * @param heardMs when it was last heard, in milliseconds of the caller's clock
+ */
+public record PoolNeedRow(String pool, int hosts, long sinceMs, long heardMs) {
+    /** Checks the fields. */
+    public PoolNeedRow {
+        requireNonNull(pool);
+    }
+}
--- a/core/src/main/java/org/hibiscususher/core/world/World.java
+++ b/core/src/main/java/org/hibiscususher/core/world/World.java
@@ -3,7 +3,9 @@
 import org.hibiscususher.core.config.Configuration;
 import org.hibiscususher.core.config.KeyDigest;
 import org.hibiscususher.core.config.KeySpec;
+import org.hibiscususher.core.message.FleetRecord;
 import org.hibiscususher.core.message.PermitKey;
+import org.hibiscususher.core.message.RecordKey;
 import org.hibiscususher.core.message.RecordKind;
 import org.hibiscususher.core.table.Table;
 
@@ -27,6 +29,16 @@
     private final Table<Long, RequestRow> mRequests = Table.create();
     private final Table<Long, PendingNoteRow> mPendingNotes = Table.create();
     private final Table<RecordKind, StoreCallRow> mStoreCalls = Table.create();
+    private final Table<RecordKey, FleetRow> mFleet = Table.create();
+    private final Table<String, FleetSyncRow> mFleetSync = Table.create();
+    private final Table<RecordKey, StoreCallRow> mFleetCalls = Table.create();
+    private final Table<RecordKey, FleetRecord> mFleetDrafts = Table.create();
+    private final Table<String, PlatformHostRow> mPlatformHosts = Table.create();
+    private final Table<String, OutageRow> mOutages = Table.create();
+    private final Table<String, RebootRow> mReboots = Table.create();
+    private final Table<String, WaveDoneRow> mWaveDone = Table.create();
+    private final Table<Long, PendingWaveRow> mPendingWaves = Table.create();
+    private final Table<String, PoolNeedRow> mPoolNeeds = Table.create();
     private final Table<String, ControlSettings> mSettings = Table.create();
 
     private World() {}
@@ -37,6 +49,7 @@
         world.mNode.put(SELF, new NodeRow(identity, NodeStage.JOINING, nowMs, -1));
         world.mRevision.put(SELF, new RevisionRow(Configuration.EMPTY, 0, nowMs));
         world.mMembership.put(SELF, MembershipRow.UNSEEN);
+        world.mFleetSync.put(SELF, FleetSyncRow.NEVER);
         world.mSettings.put(SELF, settings);
         return world;
     }
@@ -116,6 +129,61 @@
         return mStoreCalls;
     }
 
+    /** Returns the records about hosts as last seen. */
+    public Table<RecordKey, FleetRow> fleet() {
+        return mFleet;
+    }
+
+    /** Returns how current the records about hosts are. */
+    public FleetSyncRow fleetSync() {
+        return mFleetSync.find(SELF).orElseThrow();
+    }
+
+    /** Returns the table of the one row about how current the records about hosts are. */
+    public Table<String, FleetSyncRow> fleetSyncTable() {
+        return mFleetSync;
+    }
+
+    /** Returns the writes of records about hosts that are out. */
+    public Table<RecordKey, StoreCallRow> fleetCalls() {
+        return mFleetCalls;
+    }
+
+    /** Returns the records about hosts that this tick is about to write. */
+    public Table<RecordKey, FleetRecord> fleetDrafts() {
+        return mFleetDrafts;
+    }
+
+    /** Returns the platform's list of hosts by id. */
+    public Table<String, PlatformHostRow> platformHosts() {
+        return mPlatformHosts;
+    }
+
+    /** Returns the outages under way, by host. */
+    public Table<String, OutageRow> outages() {
+        return mOutages;
+    }
+
+    /** Returns the reboots that this entry has asked for, by host. */
+    public Table<String, RebootRow> reboots() {
+        return mReboots;
+    }
+
+    /** Returns the hosts that are rebooted in the newest wave, by wave and host. */
+    public Table<String, WaveDoneRow> waveDone() {
+        return mWaveDone;
+    }
+
+    /** Returns the operators' commands about the maintenance wave, by call. */
+    public Table<Long, PendingWaveRow> pendingWaves() {
+        return mPendingWaves;
+    }
+
+    /** Returns how many hosts pools are short of, by pool. */
+    public Table<String, PoolNeedRow> poolNeeds() {
+        return mPoolNeeds;
+    }
+
     /** Returns the times and limits of the decisions. */
     public ControlSettings settings() {
         return mSettings.find(SELF).orElseThrow();
--- a/daemon/src/main/java/org/hibiscususher/daemon/Daemon.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/Daemon.java
@@ -84,6 +84,12 @@
             mStore.read(read);
         } else if (output instanceof Output.SwapRecord swap) {
             mStore.swap(swap);
+        } else if (output instanceof Output.ReadFleet read) {
+            mStore.readFleet(read);
+        } else if (output instanceof Output.RebootHost reboot) {
+            mStore.reboot(reboot);
+        } else if (output instanceof Output.AnswerWave answer) {
+            mCalls.answer(answer.callId(), answer);
         } else if (output instanceof Output.AnswerNote answer) {
             mCalls.answer(answer.callId(), answer);
         } else if (output instanceof Output.AnswerStatus answer) {
--- a/daemon/src/main/java/org/hibiscususher/daemon/admin/AdminServer.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/admin/AdminServer.java
@@ -20,10 +20,15 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
 import org.hibiscususher.core.message.Input;
 import org.hibiscususher.core.message.NoteResult;
 import org.hibiscususher.core.message.Output.AnswerNote;
 import org.hibiscususher.core.message.Output.AnswerStatus;
+import org.hibiscususher.core.message.Output.AnswerWave;
+import org.hibiscususher.core.message.WaveCommand;
 import org.hibiscususher.wire.http.Addresses;
 import org.hibiscususher.wire.json.OperatorJson;
 import org.hibiscususher.wire.yaml.NoteReader;
@@ -96,6 +101,7 @@
                                 context,
                                 HttpResponseStatus.OK,
                                 MetricsPage.of(mMetrics).getBytes(StandardCharsets.UTF_8));
+                case "POST /wave" -> wave(context, request);
                 default -> reply(context, HttpResponseStatus.NOT_FOUND, new byte[0]);
             }
         }
@@ -115,6 +121,27 @@
                     .thenAccept(a -> answer(context, (AnswerNote) a));
         }
 
+        private void wave(ChannelHandlerContext context, FullHttpRequest request) {
+            List<String> words =
+                    List.of(request.content().toString(StandardCharsets.UTF_8).trim().split(" +"));
+            Optional<WaveCommand> command =
+                    Arrays.stream(WaveCommand.values())
+                            .filter(c -> c.name().equalsIgnoreCase(words.get(0)))
+                            .findFirst();
+            if (command.isEmpty()) {
+                reply(context, HttpResponseStatus.BAD_REQUEST, new byte[0]);
+                return;
+            }
+            List<String> pools = words.subList(1, words.size());
+            mCalls.call(id -> new Input.WaveAsked(id, command.get(), pools))
+                    .thenAccept(
+                            a ->
+                                    reply(
+                                            context,
+                                            HttpResponseStatus.OK,
+                                            OperatorJson.encodeWave(((AnswerWave) a).report())));
+        }
+
         private static void answer(ChannelHandlerContext context, AnswerNote answer) {
             HttpResponseStatus status =
                     switch (answer.result()) {
--- a/daemon/src/main/java/org/hibiscususher/daemon/store/EtcdStore.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/store/EtcdStore.java
@@ -11,7 +11,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Base64;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
@@ -113,6 +115,39 @@
                         });
     }
 
+    @Override
+    public CompletableFuture<Changes> changes(String prefix, long sinceVersion) {
+        ObjectNode root = object();
+        root.put("key", encode(prefix))
+                .put("range_end", encode(endOf(prefix)))
+                .put("min_mod_revision", Long.toString(sinceVersion + 1));
+        return call("/v3/kv/range", root)
+                .thenApply(
+                        reply -> {
+                            Map<String, VersionedValue> values = new HashMap<>();
+                            for (JsonNode kv : reply.path("kvs")) {
+                                values.put(decode(kv.path("key").asText()), valueOf(kv));
+                            }
+                            long version = reply.path("header").path("revision").asLong();
+                            return new Changes(version, values);
+                        });
+    }
+
+    /** Returns the first key after all that begin with a prefix. */
+    private static String endOf(String prefix) {
+        int last = prefix.length() - 1;
+        return prefix.substring(0, last) + (char) (prefix.charAt(last) + 1);
+    }
+
+    @Override
+    public CompletableFuture<Boolean> reboot(String host, String bootId, String token) {
+        ObjectNode root = object().put("bootId", bootId).put("token", token);
+        byte[] body = root.toString().getBytes(StandardCharsets.UTF_8);
+        return mCaller.call(mAddress, HttpMethod.POST, "/platform/hosts/" + host + "/reboot", body)
+                .thenApply(EtcdStore::parse)
+                .thenApply(reply -> reply.path("accepted").asBoolean());
+    }
+
     private CompletableFuture<JsonNode> call(String path, JsonNode body) {
         byte[] bytes = body.toString().getBytes(StandardCharsets.UTF_8);
         return mCaller.call(mAddress, HttpMethod.POST, path, bytes).thenApply(EtcdStore::parse);
@@ -135,6 +170,10 @@
                 Base64.getDecoder().decode(kv.path("value").asText()));
     }
 
+    private static String decode(String key) {
+        return new String(Base64.getDecoder().decode(key), StandardCharsets.UTF_8);
+    }
+
     private static String encode(String key) {
         return Base64.getEncoder().encodeToString(key.getBytes(StandardCharsets.UTF_8));
     }
--- a/daemon/src/main/java/org/hibiscususher/daemon/store/PlatformStore.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/store/PlatformStore.java
@@ -1,6 +1,7 @@
 package org.hibiscususher.daemon.store;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
@@ -32,4 +33,32 @@
 
     /** Reads the list of live and leaving hosts; fails with an {@link java.io.IOException}. */
     CompletableFuture<List<PlatformHost>> hosts();
+
+    /**
+     * Reads the values whose keys begin with a prefix and that are newer than a version; fails with
+     * an {@link java.io.IOException} if no answer comes.
+     */
+    CompletableFuture<Changes> changes(String prefix, long sinceVersion);
+
+    /**
+     * Reboots a host if its boot id is as expected.
+     *
+     * <p>A repeated call with the same token does nothing more and gives the same answer. Gives
+     * whether the host reboots; fails with an {@link java.io.IOException} if no answer comes, and
+     * then it may be rebooting.
+     */
+    CompletableFuture<Boolean> reboot(String host, String bootId, String token);
+
+    /**
+     * Values that have changed.
+     *
+     * @param version the store's version at the time of the read
+     * @param values the values by key
+     */
+    record Changes(long version, Map<String, VersionedValue> values) {
+        /** Copies the map. */
+        public Changes {
+            values = Map.copyOf(values);
+        }
+    }
 }
--- a/daemon/src/main/java/org/hibiscususher/daemon/store/StoreOutputs.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/store/StoreOutputs.java
@@ -3,10 +3,16 @@
 import java.io.IOException;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
+import org.hibiscususher.core.message.FleetRecord;
 import org.hibiscususher.core.message.Input;
+import org.hibiscususher.core.message.Output.ReadFleet;
 import org.hibiscususher.core.message.Output.ReadRecord;
+import org.hibiscususher.core.message.Output.RebootHost;
 import org.hibiscususher.core.message.Output.SwapRecord;
+import org.hibiscususher.core.message.RebootResult;
 import org.hibiscususher.core.message.RecordKey;
 import org.hibiscususher.core.message.SwapResult;
 import org.hibiscususher.core.message.VersionedRecord;
@@ -85,6 +91,52 @@
                         });
     }
 
+    /** Reads the records about hosts that have changed. */
+    public void readFleet(ReadFleet read) {
+        mStore.changes(RecordCodec.fleetPrefix(), read.sinceVersion())
+                .whenComplete(
+                        (changes, failure) -> {
+                            if (failure != null) {
+                                mInbox.add(new Input.StoreFailed(read.callId()));
+                            } else {
+                                answer(read, changes);
+                            }
+                        });
+    }
+
+    private void answer(ReadFleet read, PlatformStore.Changes changes) {
+        List<FleetRecord> records = new ArrayList<>();
+        changes.values()
+                .forEach(
+                        (name, value) -> {
+                            try {
+                                Optional<RecordKey> key = RecordCodec.parseKey(name);
+                                if (key.isPresent()) {
+                                    records.add(
+                                            new FleetRecord(key.get(), decode(key.get(), value)));
+                                }
+                            } catch (IOException e) {
+                                LOG.log(Level.ERROR, "event=record-malformed key=" + name, e);
+                            }
+                        });
+        mInbox.add(new Input.FleetRead(read.callId(), changes.version(), records));
+    }
+
+    /** Asks the platform to reboot a host. */
+    public void reboot(RebootHost call) {
+        mStore.reboot(call.host(), call.bootId(), call.token())
+                .whenComplete(
+                        (accepted, failure) -> {
+                            RebootResult result =
+                                    failure != null
+                                            ? RebootResult.UNKNOWN
+                                            : accepted
+                                                    ? RebootResult.ACCEPTED
+                                                    : RebootResult.MISMATCH;
+                            mInbox.add(new Input.RebootAnswered(call.host(), call.token(), result));
+                        });
+    }
+
     private static VersionedRecord decode(RecordKey key, VersionedValue value) throws IOException {
         return new VersionedRecord(value.version(), RecordCodec.decode(key, value.value()));
     }
--- a/standin/src/main/java/org/hibiscususher/standin/store/StoreHandler.java
+++ b/standin/src/main/java/org/hibiscususher/standin/store/StoreHandler.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.buffer.Unpooled;
@@ -14,18 +15,24 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.Base64;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /** Answers calls of the JSON gateway of the etcd v3 protocol, as far as the system uses it. */
 final class StoreHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
+    private static final Pattern REBOOT = Pattern.compile("/platform/hosts/([^/]+)/reboot");
+
     private final StoreState mState;
 
     StoreHandler(StoreState state) {
@@ -45,13 +52,27 @@
             return;
         }
         JsonNode call = body.isEmpty() ? MAPPER.createObjectNode() : MAPPER.readTree(body);
+        Matcher reboot = REBOOT.matcher(request.uri());
+        if (reboot.matches()) {
+            boolean accepted =
+                    mState.platformHosts()
+                            .reboot(
+                                    reboot.group(1),
+                                    call.path("bootId").asText(),
+                                    call.path("token").asText());
+            replyLater(context, MAPPER.createObjectNode().put("accepted", accepted));
+            return;
+        }
         switch (request.uri()) {
             case "/v3/kv/range" -> replyLater(context, range(call));
             case "/v3/kv/txn" -> replyLater(context, transact(call));
             case "/v3/watch" -> watch(context.channel(), call.path("create_request"));
             case "/platform/hosts" -> {
+                if (request.method() == HttpMethod.POST) {
+                    mState.platformHosts().replace(call.path("hosts"));
+                }
                 ObjectNode hosts = MAPPER.createObjectNode();
-                hosts.putArray("hosts");
+                mState.platformHosts().writeTo(hosts.putArray("hosts"));
                 replyLater(context, hosts);
             }
             default -> context.close();
@@ -60,12 +81,30 @@
 
     private ObjectNode range(JsonNode call) {
         ObjectNode reply = header();
+        if (call.has("range_end")) {
+            ArrayNode found = reply.putArray("kvs");
+            String first = decode(call.path("key").asText());
+            String end = decode(call.path("range_end").asText());
+            long sinceRevision = call.path("min_mod_revision").asLong();
+            for (StoreState.Entry entry : mState.entries().rows()) {
+                String key = decode(entry.key());
+                boolean within = key.compareTo(first) >= 0 && key.compareTo(end) < 0;
+                if (within && entry.revision() >= sinceRevision) {
+                    found.add(keyValue(entry));
+                }
+            }
+            return reply;
+        }
         mState.entries()
                 .find(call.path("key").asText())
                 .ifPresent(e -> reply.putArray("kvs").add(keyValue(e)));
         return reply;
     }
 
+    private static String decode(String key) {
+        return new String(Base64.getDecoder().decode(key), StandardCharsets.UTF_8);
+    }
+
     private ObjectNode transact(JsonNode call) {
         JsonNode compare = call.path("compare").get(0);
         JsonNode put = call.path("success").get(0).path("request_put");
--- a/standin/src/main/java/org/hibiscususher/standin/store/StoreState.java
+++ b/standin/src/main/java/org/hibiscususher/standin/store/StoreState.java
@@ -11,6 +11,7 @@
 final class StoreState {
     private final Table<String, Entry> mEntries = Table.create();
     private final Map<String, List<Channel>> mWatches = new HashMap<>();
+    private final PlatformHosts mPlatformHosts = new PlatformHosts();
     private StoreFault mFault = StoreFault.NONE;
     private long mRevision;
 
@@ -21,6 +22,10 @@
         return mEntries;
     }
 
+    PlatformHosts platformHosts() {
+        return mPlatformHosts;
+    }
+
     StoreFault fault() {
         return mFault;
     }
--- a/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualSite.java
+++ b/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualSite.java
@@ -19,11 +19,14 @@
 import org.hibiscususher.core.message.Input.RequestCancelled;
 import org.hibiscususher.core.message.Input.ShutdownAsked;
 import org.hibiscususher.core.message.Input.TargetDone;
+import org.hibiscususher.core.message.Input.WaveAsked;
 import org.hibiscususher.core.message.Output;
 import org.hibiscususher.core.message.Output.AnswerNote;
+import org.hibiscususher.core.message.Output.AnswerWave;
 import org.hibiscususher.core.message.Output.SendPeer;
 import org.hibiscususher.core.message.Output.StartAttempt;
 import org.hibiscususher.core.message.PlatformHost;
+import org.hibiscususher.core.message.WaveCommand;
 import org.hibiscususher.core.note.ReleaseNote;
 import org.hibiscususher.core.world.ControlSettings;
 import org.hibiscususher.core.world.NodeIdentity;
@@ -35,11 +38,14 @@
 public final class VirtualSite {
     private static final long START_MS = 1_000_000;
     private static final int TARGET_LATENCY_MS = 1;
+    private static final int LIST_INTERVAL_MS = 1_000;
 
     private final Timeline mTimeline = new Timeline(START_MS);
     private final Random mRandom;
     private final VirtualNetwork mNetwork;
     private final VirtualStore mStore = new VirtualStore(mTimeline);
+    private final VirtualPlatform mPlatform = new VirtualPlatform(mTimeline, this::target);
+    private final Map<Long, AnswerWave> mWaveAnswers = new LinkedHashMap<>();
     private final Map<String, VirtualEntry> mEntries = new LinkedHashMap<>();
     private final Map<String, VirtualTarget> mTargets = new LinkedHashMap<>();
     private final Map<Long, VirtualRequest> mRequests = new LinkedHashMap<>();
@@ -117,6 +123,36 @@
         return mTargets.computeIfAbsent(host, VirtualTarget::new);
     }
 
+    /** Returns the platform's power over target hosts. */
+    public VirtualPlatform platform() {
+        return mPlatform;
+    }
+
+    /** Shows every entry the platform's list once a second, as it was some time before. */
+    public void listHosts(int lagMs) {
+        List<PlatformHost> hosts = new ArrayList<>(mPlatform.hosts());
+        for (VirtualEntry entry : mEntries.values()) {
+            if (entry.condition() != EntryCondition.DEAD) {
+                String bootId = Long.toString(entry.identity().incarnation());
+                hosts.add(new PlatformHost(entry.id(), false, bootId));
+            }
+        }
+        mTimeline.after(lagMs, () -> showHosts(hosts));
+        mTimeline.after(LIST_INTERVAL_MS, () -> listHosts(lagMs));
+    }
+
+    /** Hands an operator's command about the maintenance wave to an entry; returns the call. */
+    public long wave(String entry, WaveCommand command, List<String> pools) {
+        long callId = ++mIds;
+        mEntries.get(entry).receive(new WaveAsked(callId, command, pools));
+        return callId;
+    }
+
+    /** Returns the answers about the maintenance wave by call. */
+    public Map<Long, AnswerWave> waveAnswers() {
+        return mWaveAnswers;
+    }
+
     /** Returns the targets by host. */
     public Map<String, VirtualTarget> targets() {
         return mTargets;
@@ -253,6 +289,12 @@
             if (!request.over()) {
                 request.refuse(refuse.refusal(), nowMs());
             }
+        } else if (output instanceof Output.ReadFleet read) {
+            mStore.readFleet(entry.id(), read, entry::receive);
+        } else if (output instanceof Output.RebootHost reboot) {
+            mPlatform.reboot(reboot, entry::receive);
+        } else if (output instanceof AnswerWave answer) {
+            mWaveAnswers.put(answer.callId(), answer);
         } else if (output instanceof AnswerNote answer) {
             mNoteAnswers.put(answer.callId(), answer);
         } else if (output instanceof Output.Count count) {
--- a/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualStore.java
+++ b/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualStore.java
@@ -8,11 +8,14 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.hibiscususher.core.message.FleetRecord;
 import org.hibiscususher.core.message.Input;
+import org.hibiscususher.core.message.Input.FleetRead;
 import org.hibiscususher.core.message.Input.RecordRead;
 import org.hibiscususher.core.message.Input.RecordSwapped;
 import org.hibiscususher.core.message.Input.RecordWatched;
 import org.hibiscususher.core.message.Input.StoreFailed;
+import org.hibiscususher.core.message.Output.ReadFleet;
 import org.hibiscususher.core.message.Output.ReadRecord;
 import org.hibiscususher.core.message.Output.SwapRecord;
 import org.hibiscususher.core.message.RecordKey;
@@ -67,7 +70,7 @@
         return mWrites;
     }
 
-    /** Gives an entry every record and each later change. */
+    /** Gives an entry every record that is watched, and each later change. */
     void watch(String entry, Consumer<Input> receiver) {
         mWatchers.put(entry, receiver);
         mRecords.forEach((k, r) -> show(entry, receiver, k, r));
@@ -87,6 +90,23 @@
                 receiver);
     }
 
+    void readFleet(String entry, ReadFleet read, Consumer<Input> receiver) {
+        mReads++;
+        Input failed = new StoreFailed(read.callId());
+        reach(entry, () -> changes(read), failed, receiver);
+    }
+
+    private Input changes(ReadFleet read) {
+        List<FleetRecord> found = new ArrayList<>();
+        mRecords.forEach(
+                (key, record) -> {
+                    if (key.kind().fleet() && record.version() > read.sinceVersion()) {
+                        found.add(new FleetRecord(key, record));
+                    }
+                });
+        return new FleetRead(read.callId(), mVersion, found);
+    }
+
     void swap(String entry, SwapRecord swap, Consumer<Input> receiver) {
         mWrites++;
         Input failed = new RecordSwapped(swap.callId(), swap.key(), SwapResult.UNKNOWN);
@@ -123,6 +143,9 @@
 
     private void show(
             String entry, Consumer<Input> receiver, RecordKey key, VersionedRecord record) {
+        if (key.kind().fleet()) {
+            return;
+        }
         if (mFault.shows() && !mCutOff.contains(entry)) {
             mTimeline.after(
                     LATENCY_MS + mFault.delayMs(),
--- a/wire/src/main/java/org/hibiscususher/wire/json/OperatorJson.java
+++ b/wire/src/main/java/org/hibiscususher/wire/json/OperatorJson.java
@@ -13,6 +13,7 @@
 import org.hibiscususher.core.message.NoteResult;
 import org.hibiscususher.core.message.Output.AnswerNote;
 import org.hibiscususher.core.message.StatusReport;
+import org.hibiscususher.core.message.WaveReport;
 import org.hibiscususher.core.note.Finding;
 import org.hibiscususher.core.note.Place;
 
@@ -121,6 +122,55 @@
                 peers);
     }
 
+    /** Returns an answer about the maintenance wave as JSON. */
+    public static byte[] encodeWave(WaveReport report) {
+        ObjectNode root = JsonNodeFactory.instance.objectNode();
+        root.put("ok", report.ok())
+                .put("id", report.id())
+                .put("state", report.state())
+                .put("detail", report.detail())
+                .put("total", report.total())
+                .put("done", report.done());
+        ArrayNode out = root.putArray("out");
+        for (WaveReport.Out host : report.out()) {
+            out.addObject()
+                    .put("host", host.host())
+                    .put("pool", host.pool())
+                    .put("doing", host.doing())
+                    .put("sinceMs", host.sinceMs());
+        }
+        return bytes(root);
+    }
+
+    /**
+     * Returns the answer about the maintenance wave that the bytes stand for.
+     *
+     * @throws IOException if they stand for none
+     */
+    public static WaveReport decodeWave(byte[] bytes) throws IOException {
+        JsonNode root = MAPPER.readTree(bytes);
+        if (!root.path("ok").isBoolean()) {
+            throw new IOException("malformed answer about a maintenance wave");
+        }
+        List<WaveReport.Out> out = new ArrayList<>();
+        for (JsonNode n : root.path("out")) {
+            out.add(
+                    new WaveReport.Out(
+                            n.path("host").asText(),
+                            n.path("pool").asText(),
+                            n.path("doing").asText(),
+                            n.path("sinceMs").asLong()));
+        }
+        return new WaveReport(
+                root.path("ok").asBoolean(),
+                root.path("id").asText(),
+                root.path("state").asText(),
+                root.path("detail").asText(),
+                root.path("total").asInt(),
+                root.path("done").asInt(),
+                out);
+    }
+
     private static byte[] bytes(JsonNode node) {
         return node.toString().getBytes(StandardCharsets.UTF_8);
     }
--- a/wire/src/main/java/org/hibiscususher/wire/json/RecordCodec.java
+++ b/wire/src/main/java/org/hibiscususher/wire/json/RecordCodec.java
@@ -8,10 +8,12 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.hibiscususher.core.config.Configuration;
 import org.hibiscususher.core.message.Member;
 import org.hibiscususher.core.message.MemberState;
 import org.hibiscususher.core.message.RecordKey;
+import org.hibiscususher.core.message.RecordKind;
 import org.hibiscususher.core.message.StoreRecord;
 import org.hibiscususher.core.message.StoreRecord.HeadRecord;
 import org.hibiscususher.core.message.StoreRecord.MembershipRecord;
@@ -25,8 +27,27 @@
 
     /** Returns the key in the platform's store. */
     public static String keyOf(RecordKey key) {
-        String kind = key.kind().name().toLowerCase(java.util.Locale.ROOT);
-        return key.name().isEmpty() ? PREFIX + kind : PREFIX + kind + "/" + key.name();
+        String path = PREFIX + key.kind().path();
+        return key.name().isEmpty() ? path : path + "/" + key.name();
+    }
+
+    /** Returns the prefix of the keys of all records about hosts. */
+    public static String fleetPrefix() {
+        return PREFIX + RecordKind.FLEET_PREFIX;
+    }
+
+    /** Returns the record that a key in the platform's store names, or empty. */
+    public static Optional<RecordKey> parseKey(String key) {
+        for (RecordKind kind : RecordKind.values()) {
+            String path = PREFIX + kind.path();
+            if (key.equals(path)) {
+                return Optional.of(new RecordKey(kind, ""));
+            }
+            if (key.startsWith(path + "/")) {
+                return Optional.of(new RecordKey(kind, key.substring(path.length() + 1)));
+            }
+        }
+        return Optional.empty();
     }
 
     /** Returns the record as JSON. */
@@ -41,6 +62,9 @@
         if (record instanceof MembershipRecord membership) {
             return bytes(writeMembership(membership));
         }
+        if (FleetJson.covers(record)) {
+            return bytes(FleetJson.write(record));
+        }
         throw new IllegalArgumentException("no encoding for " + record.getClass());
     }
 
@@ -60,6 +84,7 @@
                                 node.path("summary").asText(),
                                 ConfigurationJson.read(node.path("configuration")));
                 case MEMBERSHIP -> readMembership(node);
+                case HOST, OUTAGES, WAVE -> FleetJson.read(key, node);
             };
         } catch (IllegalArgumentException e) {
             throw new IOException("malformed record " + keyOf(key), e);
--- a/wire/src/main/java/org/hibiscususher/wire/peer/PeerCodec.java
+++ b/wire/src/main/java/org/hibiscususher/wire/peer/PeerCodec.java
@@ -6,10 +6,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.hibiscususher.core.config.QueueKind;
+import org.hibiscususher.core.message.FleetRecord;
 import org.hibiscususher.core.message.PeerItem;
 import org.hibiscususher.core.message.PeerMessage;
 import org.hibiscususher.core.message.PermitKey;
 import org.hibiscususher.core.message.PermitKind;
+import org.hibiscususher.core.message.RecordKey;
+import org.hibiscususher.core.message.StoreRecord;
+import org.hibiscususher.core.message.VersionedRecord;
 import org.hibiscususher.wire.generated.Peer;
 import org.hibiscususher.wire.json.RecordCodec;
 
@@ -92,6 +96,15 @@
                     .setPool(load.pool())
                     .setTeam(load.team())
                     .setRunning(load.running());
+        } else if (item instanceof PeerItem.FleetRelay relay) {
+            builder.getFleetRelayBuilder()
+                    .setKey(RecordCodec.keyOf(relay.record().key()))
+                    .setVersion(relay.record().record().version())
+                    .setValue(
+                            ByteString.copyFrom(
+                                    RecordCodec.encode(relay.record().record().value())));
+        } else if (item instanceof PeerItem.PoolNeed need) {
+            builder.getPoolNeedBuilder().setPool(need.pool()).setHosts(need.hosts());
         } else {
             throw new IllegalArgumentException("no encoding for " + item.getClass());
         }
@@ -129,10 +142,24 @@
                             item.getPoolLoad().getPool(),
                             item.getPoolLoad().getTeam(),
                             item.getPoolLoad().getRunning());
+            case FLEET_RELAY -> decodeFleetRelay(item.getFleetRelay());
+            case POOL_NEED ->
+                    new PeerItem.PoolNeed(
+                            item.getPoolNeed().getPool(), item.getPoolNeed().getHosts());
             default -> throw new IOException("unknown item in a message between entries");
         };
     }
 
+    private static PeerItem decodeFleetRelay(Peer.FleetRelay relay) throws IOException {
+        RecordKey key =
+                RecordCodec.parseKey(relay.getKey())
+                        .filter(k -> k.kind().fleet())
+                        .orElseThrow(() -> new IOException("unknown record " + relay.getKey()));
+        StoreRecord value = RecordCodec.decode(key, relay.getValue().toByteArray());
+        VersionedRecord record = new VersionedRecord(relay.getVersion(), value);
+        return new PeerItem.FleetRelay(new FleetRecord(key, record));
+    }
+
     private static Peer.PermitKey encodePermit(PermitKey key) {
         Peer.PermitKey.Builder builder =
                 Peer.PermitKey.newBuilder().setKind(key.kind().ordinal()).setGroup(key.group());
