Read the present wave before carrying out a command about it

An entry's view may be a second old, so a pause right after a start was declined. Decisions also wait for a configuration that is vouched for, and for a read that did not fail.

--- a/core/src/main/java/org/hibiscususher/core/maintenance/Fleet.java
+++ b/core/src/main/java/org/hibiscususher/core/maintenance/Fleet.java
@@ -14,6 +14,7 @@
 import org.hibiscususher.core.message.StoreRecord.OutageRecord;
 import org.hibiscususher.core.message.StoreRecord.WaveRecord;
 import org.hibiscususher.core.message.VersionedRecord;
+import org.hibiscususher.core.rollout.Freshness;
 import org.hibiscususher.core.world.FleetSyncRow;
 import org.hibiscususher.core.world.HostRow;
 import org.hibiscususher.core.world.NodeStage;
@@ -36,6 +37,7 @@
         World world = tick.world();
         FleetSyncRow sync = world.fleetSync();
         return world.node().stage() == NodeStage.SERVING
+                && Freshness.vouches(world, tick.nowMs())
                 && sync.callId() == 0
                 && sync.version() > 0
                 && sync.epoch() == world.membership().record().epoch()
--- a/core/src/main/java/org/hibiscususher/core/maintenance/FleetSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/maintenance/FleetSystem.java
@@ -225,11 +225,20 @@
         long epoch = world.membership().record().epoch();
         long ageMs = tick.nowMs() - sync.sentMs();
         boolean out = sync.callId() != 0 && ageMs < POLL_TIMEOUT_MS;
-        boolean wanted = sync.sentMs() < 0 || wrote || epoch != sync.sentEpoch();
+        boolean wanted =
+                sync.sentMs() < 0
+                        || wrote
+                        || epoch != sync.sentEpoch()
+                        || commandWaits(world, sync);
         if (wrote || !out && (wanted || ageMs >= POLL_INTERVAL_MS)) {
             long callId = tick.nextCallId();
             world.fleetSyncTable().update(World.SELF, s -> s.sent(tick.nowMs(), epoch, callId));
             tick.emit(new ReadFleet(callId, sync.version()));
         }
     }
+
+    private static boolean commandWaits(World world, FleetSyncRow sync) {
+        return world.pendingWaves().rows().stream()
+                .anyMatch(r -> r.wanted().isEmpty() && r.sinceMs() >= sync.sentMs());
+    }
 }
--- a/core/src/main/java/org/hibiscususher/core/maintenance/WaveCommandSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/maintenance/WaveCommandSystem.java
@@ -26,12 +26,18 @@
 
     /** Takes the commands that have come and answers those that are settled. */
     public static void run(Tick tick) {
-        settle(tick);
+        for (PendingWaveRow row : tick.world().pendingWaves().rows()) {
+            settle(tick, row);
+        }
         for (WaveAsked asked : tick.inputs(WaveAsked.class)) {
             if (asked.command() == WaveCommand.SHOW) {
                 answer(tick, asked, true, "");
             } else {
-                begin(tick, asked);
+                tick.world()
+                        .pendingWaves()
+                        .put(
+                                asked.callId(),
+                                new PendingWaveRow(asked, Optional.empty(), tick.nowMs()));
             }
         }
     }
@@ -51,16 +57,14 @@
                                 .withState(
                                         asked.command().next(present.get().state()),
                                         "by an operator");
-        world.pendingWaves().put(asked.callId(), new PendingWaveRow(asked, next, tick.nowMs()));
+        world.pendingWaves()
+                .put(asked.callId(), new PendingWaveRow(asked, Optional.of(next), tick.nowMs()));
         Fleet.draft(world, RecordKey.WAVE, next);
     }
 
     private static Optional<String> obstacle(
             Tick tick, WaveAsked asked, Optional<WaveRecord> present) {
         World world = tick.world();
-        if (world.fleetSync().version() == 0) {
-            return Optional.of("this entry has not reached the platform's store yet; try again");
-        }
         if (!Fleet.free(world, RecordKey.WAVE)) {
             return Optional.of("another command is being carried out; try again");
         }
@@ -105,32 +109,26 @@
         return new WaveRecord(ID_PREFIX + (number + 1), WaveState.PLANNED, "", hosts);
     }
 
-    /** Answers the commands whose record stands in the store, came too late or is in doubt. */
-    private static void settle(Tick tick) {
+    /** Begins a command once the present record was read, and answers it once that is settled. */
+    private static void settle(Tick tick, PendingWaveRow row) {
         World world = tick.world();
-        if (world.pendingWaves().size() == 0) {
-            return;
-        }
         boolean conflict =
                 tick.inputs(RecordSwapped.class).stream()
-                        .anyMatch(
-                                s ->
-                                        s.key().equals(RecordKey.WAVE)
-                                                && s.result() == SwapResult.CONFLICT);
-        Optional<WaveRecord> present = Fleet.wave(world);
-        for (PendingWaveRow row : world.pendingWaves().rows()) {
-            if (present.filter(row.wanted()::equals).isPresent()) {
-                answer(tick, row.asked(), true, "");
-            } else if (conflict) {
-                answer(tick, row.asked(), false, "another command came first; look again");
-            } else if (tick.nowMs() - row.sinceMs() >= ANSWER_LIMIT_MS) {
-                answer(
-                        tick,
-                        row.asked(),
-                        false,
-                        "the platform's store gave no answer; the command may have been carried"
-                                + " out: see wave show");
-            }
+                        .filter(s -> s.key().equals(RecordKey.WAVE))
+                        .anyMatch(s -> s.result() == SwapResult.CONFLICT);
+        if (row.wanted().isEmpty() && world.fleetSync().readSince(row.sinceMs())) {
+            begin(tick, row.asked());
+        } else if (row.wanted().isPresent() && row.wanted().equals(Fleet.wave(world))) {
+            answer(tick, row.asked(), true, "");
+        } else if (row.wanted().isPresent() && conflict) {
+            answer(tick, row.asked(), false, "another command came first; look again");
+        } else if (tick.nowMs() - row.sinceMs() >= ANSWER_LIMIT_MS) {
+            answer(
+                    tick,
+                    row.asked(),
+                    false,
+                    "the platform's store gave no answer; the command may have been carried"
+                            + " out: see wave show");
         }
     }
 
--- a/core/src/main/java/org/hibiscususher/core/world/FleetSyncRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/FleetSyncRow.java
@@ -4,7 +4,7 @@
  * How current the records about hosts are.
  *
  * @param version the store's version up to which they are complete, 0 before the first read
- * @param epoch the epoch known when the newest complete read was sent
+ * @param epoch the epoch known when the newest complete read was sent, -1 if the last read failed
  * @param sentMs when the newest read was sent, -1 if none was
  * @param sentEpoch the epoch known when the newest read was sent
  * @param callId the read that is out, 0 if none
@@ -19,9 +19,16 @@
         long callId,
         long revision,
         long steppedMs) {
+    private static final long UNKNOWN_EPOCH = -1;
+
     /** The row before the first read. */
     public static final FleetSyncRow NEVER = new FleetSyncRow(0, 0, -1, 0, 0, 0, -1);
 
+    /** Returns whether a read that was sent after a time was answered and none is out. */
+    public boolean readSince(long timeMs) {
+        return callId == 0 && epoch != UNKNOWN_EPOCH && sentMs > timeMs;
+    }
+
     /** Returns a copy after a read was sent. */
     public FleetSyncRow sent(long nowMs, long atEpoch, long call) {
         return new FleetSyncRow(version, epoch, nowMs, atEpoch, call, revision, steppedMs);
@@ -34,7 +41,7 @@
 
     /** Returns a copy after the read that is out failed. */
     public FleetSyncRow failed() {
-        return new FleetSyncRow(version, epoch, sentMs, sentEpoch, 0, revision, steppedMs);
+        return new FleetSyncRow(version, UNKNOWN_EPOCH, sentMs, sentEpoch, 0, revision, steppedMs);
     }
 
     /** Returns a copy after a configuration was brought together with the records. */
--- a/standin/src/test/java/org/hibiscususher/standin/maintenance/MaintenanceSite.java
+++ b/standin/src/test/java/org/hibiscususher/standin/maintenance/MaintenanceSite.java
@@ -28,6 +28,7 @@
 import org.hibiscususher.standin.virtual.VirtualSite;
 import org.hibiscususher.standin.virtual.VirtualTarget;
 import org.hibiscususher.wire.yaml.NoteReader;
+import org.hibiscususher.wire.yaml.ParsedNote;
 
 /** A site with pools under load whose promises are checked after every virtual millisecond. */
 final class MaintenanceSite {
@@ -76,8 +77,11 @@
     }
 
     void apply(String text) {
-        long call = mSite.submit("e1", NoteReader.read("note", text).note());
+        ParsedNote parsed = NoteReader.read("note", text);
+        assertThat(parsed.findings()).isEmpty();
+        long call = mSite.submit("e1", parsed.note());
         mSite.run(1_500);
+        assertThat(mSite.noteAnswers().get(call).findings()).isEmpty();
         assertThat(mSite.noteAnswers().get(call).result()).isEqualTo(NoteResult.ACCEPTED);
     }
 
@@ -109,8 +113,8 @@
     }
 
     static String hostLine(String id, int i, String pool) {
-        return "    - {name: %s, address: \"127.0.0.1:1\", zone: z%d, pool: %s, slots: 4}\n"
-                .formatted(id, i % 3, pool);
+        return "    - {name: %s, address: \"127.0.0.1:%d\", zone: z%d, pool: %s, slots: 4}\n"
+                .formatted(id, 100 * id.charAt(0) + i, i % 3, pool);
     }
 
     /** Runs with a call at each running entry and queue every 20 ms. */
