--- a/core/src/main/java/org/hibiscususher/core/control/Phase.java
+++ b/core/src/main/java/org/hibiscususher/core/control/Phase.java
@@ -4,6 +4,7 @@
 import org.hibiscususher.core.maintenance.DrainSystem;
 import org.hibiscususher.core.maintenance.FleetSystem;
 import org.hibiscususher.core.maintenance.FleetWriteSystem;
+import org.hibiscususher.core.maintenance.LendSystem;
 import org.hibiscususher.core.maintenance.MoveSystem;
 import org.hibiscususher.core.maintenance.WaveCommandSystem;
 import org.hibiscususher.core.maintenance.WaveSystem;
@@ -79,6 +80,12 @@
             MoveSystem.run(tick);
         }
     },
+    LEND {
+        @Override
+        void run(Tick tick) {
+            LendSystem.run(tick);
+        }
+    },
     WAVE {
         @Override
         void run(Tick tick) {
--- a/core/src/main/java/org/hibiscususher/core/world/ControlSettings.java
+++ b/core/src/main/java/org/hibiscususher/core/world/ControlSettings.java
@@ -1,5 +1,7 @@
 package org.hibiscususher.core.world;
 
+import static java.util.Objects.requireNonNull;
+
 /**
  * Times and limits of the decisions.
  *
@@ -9,6 +11,7 @@
  * @param rollOutWaitMs longest wait of an operator for a note to be in force, in milliseconds
  * @param maxAttempts most attempts of a request, 1 or more
  * @param pauseMs a process between whose ticks more time passes was paused, in milliseconds
+ * @param lendPolicy when spare pools lend hosts
  */
 public record ControlSettings(
         int heartbeatMs,
@@ -16,13 +19,15 @@
         int freshnessMs,
         int rollOutWaitMs,
         int maxAttempts,
-        int pauseMs) {
+        int pauseMs,
+        LendPolicy lendPolicy) {
     /** The defaults. */
     public static final ControlSettings DEFAULT =
-            new ControlSettings(200, 2_000, 4_000, 15_000, 3, 1_000);
+            new ControlSettings(200, 2_000, 4_000, 15_000, 3, 1_000, LendPolicy.HYSTERESIS);
 
     /** Checks that every value is 1 or more. */
     public ControlSettings {
+        requireNonNull(lendPolicy);
         if (heartbeatMs < 1
                 || silenceMs < 1
                 || freshnessMs < 1
@@ -32,4 +37,10 @@
             throw new IllegalArgumentException("times and limits are 1 or more");
         }
     }
+
+    /** Returns a copy with another way to lend hosts. */
+    public ControlSettings withLendPolicy(LendPolicy value) {
+        return new ControlSettings(
+                heartbeatMs, silenceMs, freshnessMs, rollOutWaitMs, maxAttempts, pauseMs, value);
+    }
 }
--- a/daemon/src/main/java/org/hibiscususher/daemon/settings/SettingsReader.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/settings/SettingsReader.java
@@ -42,7 +42,8 @@
                         map.integer("freshness ms", 1, MAX_MS, base.freshnessMs()),
                         map.integer("roll-out wait ms", 1, MAX_MS, base.rollOutWaitMs()),
                         map.integer("attempts at most", 1, MAX_ATTEMPTS, base.maxAttempts()),
-                        map.integer("pause ms", 1, MAX_MS, base.pauseMs()));
+                        map.integer("pause ms", 1, MAX_MS, base.pauseMs()),
+                        base.lendPolicy());
         map.close(
                 "heartbeat ms",
                 "silence ms",
--- /dev/null
+++ b/standin/src/main/java/org/hibiscususher/standin/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Measurements in virtual time. */
+package org.hibiscususher.standin.bench;
