--- a/standin/src/test/java/org/hibiscususher/standin/maintenance/MaintenanceSite.java
+++ b/standin/src/test/java/org/hibiscususher/standin/maintenance/MaintenanceSite.java
@@ -106,7 +106,7 @@
                   hosts:
                 %s  teams: [{name: fitters, share: 1, upper limit: 400}]
                   keys: [{name: k, team: fitters, digest: %s}]
-                  queues: [{name: qa, pool: a}, {name: qb, pool: b}]
+                  queues: [{name: qa, pool: a, run limit ms: 6000}, {name: qb, pool: b, run limit ms: 6000}]
                 """
                         .formatted(hosts, KeyDigest.ofSecret("fitters").toHex()));
         mSite.listHosts(LIST_LAG_MS);
@@ -133,7 +133,12 @@
     }
 
     private VirtualRequest call(VirtualEntry entry, String queue) {
-        return mSite.call(entry.id(), queue, "fitters", 30 + mSite.random().nextInt(60));
+        return mSite.call(entry.id(), queue, "fitters", runMs());
+    }
+
+    /** Returns a run time: mostly short, now and then several seconds. */
+    private int runMs() {
+        return mSite.random().nextInt(50) == 0 ? 4_000 : 30 + mSite.random().nextInt(60);
     }
 
     long startWave() {
--- a/standin/src/test/java/org/hibiscususher/standin/maintenance/MaintenanceTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/maintenance/MaintenanceTest.java
@@ -92,6 +92,34 @@
             assertDone();
         }
 
+        @Test
+        void goOnWhenEntriesDieAndStartAgain() {
+            mSite.startWave();
+            for (String entry : List.of("e1", "e2", "e3")) {
+                mSite.run(7_000);
+                mSite.site().kill(entry);
+                mSite.run(4_000);
+                mSite.site().start(entry, "z1");
+                mSite.run(8_000);
+            }
+            mSite.runWave(WAVE_LIMIT_MS);
+            assertDone();
+        }
+
+        @Test
+        void goOnWhenEntriesArePaused() {
+            mSite.startWave();
+            for (String entry : List.of("e1", "e2", "e3")) {
+                mSite.run(5_000);
+                mSite.site().pause(entry);
+                mSite.run(6_000);
+                mSite.site().resume(entry);
+                mSite.run(3_000);
+            }
+            mSite.runWave(WAVE_LIMIT_MS);
+            assertDone();
+        }
+
         @Test
         void settleLostAnswers() {
             mSite.site().platform().setLosesAnswers(true);
--- a/wire/src/main/java/org/hibiscususher/wire/peer/PeerCodec.java
+++ b/wire/src/main/java/org/hibiscususher/wire/peer/PeerCodec.java
@@ -5,12 +5,9 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
-import org.hibiscususher.core.config.QueueKind;
 import org.hibiscususher.core.message.FleetRecord;
 import org.hibiscususher.core.message.PeerItem;
 import org.hibiscususher.core.message.PeerMessage;
-import org.hibiscususher.core.message.PermitKey;
-import org.hibiscususher.core.message.PermitKind;
 import org.hibiscususher.core.message.RecordKey;
 import org.hibiscususher.core.message.StoreRecord;
 import org.hibiscususher.core.message.VersionedRecord;
@@ -77,31 +74,6 @@
                     .setConfiguration(
                             ByteString.copyFrom(
                                     RecordCodec.encodeConfiguration(relay.configuration())));
-        } else if (item instanceof PeerItem.Returned returned) {
-            builder.getReturnedBuilder()
-                    .setEpoch(returned.epoch())
-                    .setPermit(encodePermit(returned.permit()))
-                    .setReturned(returned.returned());
-        } else if (item instanceof PeerItem.Granted granted) {
-            builder.getGrantedBuilder()
-                    .setEpoch(granted.epoch())
-                    .setPermit(encodePermit(granted.permit()))
-                    .setGranted(granted.granted())
-                    .setTarget(granted.target());
-        } else if (item instanceof PeerItem.Demand demand) {
-            builder.getDemandBuilder()
-                    .setEpoch(demand.epoch())
-                    .setPool(demand.pool())
-                    .setTeam(demand.team())
-                    .setKind(demand.kind().ordinal())
-                    .setWaiting(demand.waiting())
-                    .setRunning(demand.running());
-        } else if (item instanceof PeerItem.PoolLoad load) {
-            builder.getPoolLoadBuilder()
-                    .setEpoch(load.epoch())
-                    .setPool(load.pool())
-                    .setTeam(load.team())
-                    .setRunning(load.running());
         } else if (item instanceof PeerItem.FleetRelay relay) {
             builder.getFleetRelayBuilder()
                     .setKey(RecordCodec.keyOf(relay.record().key()))
@@ -112,7 +84,7 @@
         } else if (item instanceof PeerItem.PoolNeed need) {
             builder.getPoolNeedBuilder().setPool(need.pool()).setHosts(need.hosts());
         } else {
-            throw new IllegalArgumentException("no encoding for " + item.getClass());
+            EscrowCodec.encode(item, builder);
         }
         return builder.build();
     }
@@ -123,36 +95,11 @@
                     new PeerItem.Relay(
                             RecordCodec.decodeConfiguration(
                                     item.getRelay().getConfiguration().toByteArray()));
-            case RETURNED ->
-                    new PeerItem.Returned(
-                            item.getReturned().getEpoch(),
-                            decodePermit(item.getReturned().getPermit()),
-                            item.getReturned().getReturned());
-            case GRANTED ->
-                    new PeerItem.Granted(
-                            item.getGranted().getEpoch(),
-                            decodePermit(item.getGranted().getPermit()),
-                            item.getGranted().getGranted(),
-                            item.getGranted().getTarget());
-            case DEMAND ->
-                    new PeerItem.Demand(
-                            item.getDemand().getEpoch(),
-                            item.getDemand().getPool(),
-                            item.getDemand().getTeam(),
-                            QueueKind.values()[item.getDemand().getKind()],
-                            item.getDemand().getWaiting(),
-                            item.getDemand().getRunning());
-            case POOL_LOAD ->
-                    new PeerItem.PoolLoad(
-                            item.getPoolLoad().getEpoch(),
-                            item.getPoolLoad().getPool(),
-                            item.getPoolLoad().getTeam(),
-                            item.getPoolLoad().getRunning());
             case FLEET_RELAY -> decodeFleetRelay(item.getFleetRelay());
             case POOL_NEED ->
                     new PeerItem.PoolNeed(
                             item.getPoolNeed().getPool(), item.getPoolNeed().getHosts());
-            default -> throw new IOException("unknown item in a message between entries");
+            default -> EscrowCodec.decode(item);
         };
     }
 
@@ -165,18 +112,4 @@
         VersionedRecord record = new VersionedRecord(relay.getVersion(), value);
         return new PeerItem.FleetRelay(new FleetRecord(key, record));
     }
-
-    private static Peer.PermitKey encodePermit(PermitKey key) {
-        Peer.PermitKey.Builder builder =
-                Peer.PermitKey.newBuilder().setKind(key.kind().ordinal()).setGroup(key.group());
-        if (!key.name().equals(key.group())) {
-            builder.setName(key.name());
-        }
-        return builder.build();
-    }
-
-    private static PermitKey decodePermit(Peer.PermitKey key) {
-        String name = key.getName().isEmpty() ? key.getGroup() : key.getName();
-        return new PermitKey(PermitKind.values()[key.getKind()], key.getGroup(), name);
-    }
 }
