--- a/core/src/main/java/org/hibiscususher/core/message/RecordKind.java
+++ b/core/src/main/java/org/hibiscususher/core/message/RecordKind.java
@@ -6,6 +6,12 @@
     HEAD("head"),
     /** The members and their epoch. */
     MEMBERSHIP("membership"),
+    /** A whole configuration; written once. */
+    SNAPSHOT("snapshot"),
+    /** Notes that the head lists no more; written once. */
+    HISTORY("history"),
+    /** Where an older note stands, by the note's id; written once. */
+    NOTE("note"),
     /** Which pool a host serves; one record per host. */
     HOST("fleet/host"),
     /** The hosts of a pool that are taken out of service; one record per pool. */
--- a/wire/src/main/java/org/hibiscususher/wire/peer/PeerCodec.java
+++ b/wire/src/main/java/org/hibiscususher/wire/peer/PeerCodec.java
@@ -71,9 +71,7 @@
         Peer.PeerItem.Builder builder = Peer.PeerItem.newBuilder();
         if (item instanceof PeerItem.Relay relay) {
             builder.getRelayBuilder()
-                    .setConfiguration(
-                            ByteString.copyFrom(
-                                    RecordCodec.encodeConfiguration(relay.configuration())));
+                    .setNotes(ByteString.copyFrom(RecordCodec.encodeNotes(relay.notes())));
         } else if (item instanceof PeerItem.FleetRelay relay) {
             builder.getFleetRelayBuilder()
                     .setKey(RecordCodec.keyOf(relay.record().key()))
@@ -93,8 +91,7 @@
         return switch (item.getItemCase()) {
             case RELAY ->
                     new PeerItem.Relay(
-                            RecordCodec.decodeConfiguration(
-                                    item.getRelay().getConfiguration().toByteArray()));
+                            RecordCodec.decodeNotes(item.getRelay().getNotes().toByteArray()));
             case FLEET_RELAY -> decodeFleetRelay(item.getFleetRelay());
             case POOL_NEED ->
                     new PeerItem.PoolNeed(
