--- a/cli/src/main/java/org/hibiscususher/cli/Command.java
+++ b/cli/src/main/java/org/hibiscususher/cli/Command.java
@@ -98,6 +98,30 @@
             return ExitCode.OK;
         }
     },
+    WAVE_PLAN("wave plan POOL...", "plan to reboot every host of the pools, or of all pools") {
+        @Override
+        ExitCode run(Invocation call) throws IOException {
+            return WaveText.call(call, "plan");
+        }
+    },
+    WAVE_START("wave start", "start or resume the maintenance wave") {
+        @Override
+        ExitCode run(Invocation call) throws IOException {
+            return WaveText.call(call, "start");
+        }
+    },
+    WAVE_PAUSE("wave pause", "take no further host; those that are out come back") {
+        @Override
+        ExitCode run(Invocation call) throws IOException {
+            return WaveText.call(call, "pause");
+        }
+    },
+    WAVE_SHOW("wave show", "show the maintenance wave and the hosts out of service") {
+        @Override
+        ExitCode run(Invocation call) throws IOException {
+            return WaveText.call(call, "show");
+        }
+    },
     KEY("key", "read a secret from standard input and print its digest") {
         @Override
         ExitCode run(Invocation call) throws IOException {
@@ -107,6 +131,8 @@
         }
     };
 
+    private static final String MANY = " POOL...";
+
     private final String mUsage;
     private final String mSummary;
 
@@ -130,9 +156,11 @@
     static Optional<Command> find(List<String> words) {
         for (Command command : values()) {
             List<String> name = command.words();
-            int operands = command.hasOperand() ? 1 : 0;
-            if (words.size() == name.size() + operands
-                    && words.subList(0, name.size()).equals(name)) {
+            boolean counts =
+                    command.mUsage.endsWith(MANY)
+                            ? words.size() >= name.size()
+                            : words.size() == name.size() + (command.hasOperand() ? 1 : 0);
+            if (counts && words.subList(0, name.size()).equals(name)) {
                 return Optional.of(command);
             }
         }
@@ -143,8 +171,13 @@
         return Character.isUpperCase(mUsage.charAt(mUsage.length() - 1));
     }
 
+    /** Returns what follows the command's name, joined by spaces. */
+    String operand(List<String> words) {
+        return String.join(" ", words.subList(words().size(), words.size()));
+    }
+
     private List<String> words() {
-        List<String> words = List.of(mUsage.split(" "));
+        List<String> words = List.of(mUsage.replace(MANY, "").split(" "));
         return hasOperand() ? words.subList(0, words.size() - 1) : words;
     }
 }
--- a/cli/src/main/java/org/hibiscususher/cli/Invocation.java
+++ b/cli/src/main/java/org/hibiscususher/cli/Invocation.java
@@ -46,6 +46,11 @@
         return call(HttpMethod.POST, path + query, body.getBytes(StandardCharsets.UTF_8));
     }
 
+    /** Returns the body of the answer to a POST. */
+    byte[] post(String path, String body) throws IOException {
+        return call(HttpMethod.POST, path, body.getBytes(StandardCharsets.UTF_8));
+    }
+
     private byte[] call(HttpMethod method, String path, byte[] body) throws IOException {
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         try {
--- a/core/src/main/java/org/hibiscususher/core/rollout/Revisions.java
+++ b/core/src/main/java/org/hibiscususher/core/rollout/Revisions.java
@@ -1,10 +1,8 @@
 package org.hibiscususher.core.rollout;
 
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import org.hibiscususher.core.config.Configuration;
 import org.hibiscususher.core.config.HostSpec;
 import org.hibiscususher.core.config.KeySpec;
@@ -84,11 +82,8 @@
         }
     }
 
+    /** Takes in the declared hosts; withdrawn ones stay until they are idle. */
     private static void replaceHosts(World world, Configuration next) {
-        Set<String> gone = new HashSet<>();
-        world.hosts().rows().forEach(h -> gone.add(h.spec().id()));
-        gone.removeAll(next.hosts().keySet());
-        gone.forEach(world.hosts()::remove);
         for (HostSpec spec : next.hosts().values()) {
             Optional<HostRow> row = world.hosts().find(spec.id());
             if (row.isEmpty()) {
--- a/wire/src/main/java/org/hibiscususher/wire/peer/PeerCodec.java
+++ b/wire/src/main/java/org/hibiscususher/wire/peer/PeerCodec.java
@@ -5,8 +5,12 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import org.hibiscususher.core.message.FleetRecord;
 import org.hibiscususher.core.message.PeerItem;
 import org.hibiscususher.core.message.PeerMessage;
+import org.hibiscususher.core.message.RecordKey;
+import org.hibiscususher.core.message.StoreRecord;
+import org.hibiscususher.core.message.VersionedRecord;
 import org.hibiscususher.wire.generated.Peer;
 import org.hibiscususher.wire.json.RecordCodec;
 
@@ -68,6 +72,15 @@
         if (item instanceof PeerItem.Relay relay) {
             builder.getRelayBuilder()
                     .setNotes(ByteString.copyFrom(RecordCodec.encodeNotes(relay.notes())));
+        } else if (item instanceof PeerItem.FleetRelay relay) {
+            builder.getFleetRelayBuilder()
+                    .setKey(RecordCodec.keyOf(relay.record().key()))
+                    .setVersion(relay.record().record().version())
+                    .setValue(
+                            ByteString.copyFrom(
+                                    RecordCodec.encode(relay.record().record().value())));
+        } else if (item instanceof PeerItem.PoolNeed need) {
+            builder.getPoolNeedBuilder().setPool(need.pool()).setHosts(need.hosts());
         } else if (!OnceItemCodec.encode(item, builder)) {
             EscrowCodec.encode(item, builder);
         }
@@ -81,7 +94,21 @@
                             RecordCodec.decodeNotes(item.getRelay().getNotes().toByteArray()));
             case ONCE_ASKED, ONCE_ANSWERED, ONCE_RELEASED, ONCE_FORGOTTEN ->
                     OnceItemCodec.decode(item);
+            case FLEET_RELAY -> decodeFleetRelay(item.getFleetRelay());
+            case POOL_NEED ->
+                    new PeerItem.PoolNeed(
+                            item.getPoolNeed().getPool(), item.getPoolNeed().getHosts());
             default -> EscrowCodec.decode(item);
         };
     }
+
+    private static PeerItem decodeFleetRelay(Peer.FleetRelay relay) throws IOException {
+        RecordKey key =
+                RecordCodec.parseKey(relay.getKey())
+                        .filter(k -> k.kind().fleet())
+                        .orElseThrow(() -> new IOException("unknown record " + relay.getKey()));
+        StoreRecord value = RecordCodec.decode(key, relay.getValue().toByteArray());
+        VersionedRecord record = new VersionedRecord(relay.getVersion(), value);
+        return new PeerItem.FleetRelay(new FleetRecord(key, record));
+    }
 }
