--- a/core/src/main/java/org/hibiscususher/core/control/Phase.java
+++ b/core/src/main/java/org/hibiscususher/core/control/Phase.java
@@ -9,13 +9,17 @@
 import org.hibiscususher.core.maintenance.WaveCommandSystem;
 import org.hibiscususher.core.maintenance.WaveSystem;
 import org.hibiscususher.core.maintenance.WaveWatchSystem;
+import org.hibiscususher.core.membership.HostListSystem;
 import org.hibiscususher.core.membership.LinkSystem;
 import org.hibiscususher.core.membership.MembershipSystem;
 import org.hibiscususher.core.request.AdmissionSystem;
+import org.hibiscususher.core.request.OnceSystem;
+import org.hibiscususher.core.request.OutlierSystem;
 import org.hibiscususher.core.request.PlacementSystem;
 import org.hibiscususher.core.request.RecheckSystem;
 import org.hibiscususher.core.request.RetrySystem;
 import org.hibiscususher.core.rollout.FreshnessSystem;
+import org.hibiscususher.core.rollout.HistorySystem;
 import org.hibiscususher.core.rollout.NoteSystem;
 import org.hibiscususher.core.rollout.RollOutSystem;
 import org.hibiscususher.core.world.Tick;
@@ -34,6 +38,12 @@
             MembershipSystem.run(tick);
         }
     },
+    HOST_LIST {
+        @Override
+        void run(Tick tick) {
+            HostListSystem.run(tick);
+        }
+    },
     ROLL_OUT {
         @Override
         void run(Tick tick) {
@@ -46,6 +56,12 @@
             NoteSystem.run(tick);
         }
     },
+    HISTORY {
+        @Override
+        void run(Tick tick) {
+            HistorySystem.run(tick);
+        }
+    },
     RECHECK {
         @Override
         void run(Tick tick) {
@@ -58,6 +74,12 @@
             FleetSystem.run(tick);
         }
     },
+    OUTLIER {
+        @Override
+        void run(Tick tick) {
+            OutlierSystem.run(tick);
+        }
+    },
     RETRY {
         @Override
         void run(Tick tick) {
@@ -76,6 +98,12 @@
             AdmissionSystem.run(tick);
         }
     },
+    ONCE {
+        @Override
+        void run(Tick tick) {
+            OnceSystem.run(tick);
+        }
+    },
     PLACEMENT {
         @Override
         void run(Tick tick) {
--- a/core/src/main/java/org/hibiscususher/core/message/PeerItem.java
+++ b/core/src/main/java/org/hibiscususher/core/message/PeerItem.java
@@ -101,14 +101,14 @@
     }
 
     /**
-     * Tells an entry how much work runs in a pool from the other entries.
+     * Tells an entry how many slots of a pool each team is due there.
      *
      * @param pool the pool
-     * @param teams the work by team; teams without work are left out
+     * @param teams what the teams are due at that entry; teams that are due nothing are left out
      */
-    record PoolLoad(String pool, List<TeamLoad> teams) implements PeerItem {
+    record Dues(String pool, List<TeamDue> teams) implements PeerItem {
         /** Copies the list. */
-        public PoolLoad {
+        public Dues {
             teams = List.copyOf(teams);
         }
     }
@@ -127,4 +127,43 @@
      * @param hosts how many hosts it is short of; negative if it has more than it needs
      */
     record PoolNeed(String pool, int hosts) implements PeerItem {}
+
+    /**
+     * Asks the home of an idempotency key whether the key is new, and claims it.
+     *
+     * @param requestId the request at the sender
+     * @param high first 64 bits of the key
+     * @param low last 64 bits of the key
+     * @param askedMs time of the sender's clock, in milliseconds
+     */
+    record OnceAsked(long requestId, long high, long low, long askedMs) implements PeerItem {}
+
+    /**
+     * Answers a claim to an idempotency key.
+     *
+     * @param incarnation incarnation of the claiming entry
+     * @param requestId the request there
+     * @param high first 64 bits of the key
+     * @param low last 64 bits of the key
+     * @param result the answer
+     */
+    record OnceAnswered(long incarnation, long requestId, long high, long low, ClaimResult result)
+            implements PeerItem {}
+
+    /**
+     * Tells the home of an idempotency key that the claiming request ended without a run.
+     *
+     * @param requestId the request at the sender
+     * @param high first 64 bits of the key
+     * @param low last 64 bits of the key
+     */
+    record OnceReleased(long requestId, long high, long low) implements PeerItem {}
+
+    /**
+     * Acknowledges that a claim was released.
+     *
+     * @param incarnation incarnation of the claiming entry
+     * @param requestId the request there
+     */
+    record OnceForgotten(long incarnation, long requestId) implements PeerItem {}
 }
--- a/core/src/main/java/org/hibiscususher/core/world/ControlSettings.java
+++ b/core/src/main/java/org/hibiscususher/core/world/ControlSettings.java
@@ -74,4 +74,17 @@
                 lendPolicy,
                 value);
     }
+
+    /** Returns a copy with another bound of freshness, in milliseconds. */
+    public ControlSettings withFreshness(int value) {
+        return new ControlSettings(
+                heartbeatMs,
+                silenceMs,
+                value,
+                rollOutWaitMs,
+                maxAttempts,
+                pauseMs,
+                lendPolicy,
+                escrowPolicy);
+    }
 }
--- a/core/src/main/java/org/hibiscususher/core/world/World.java
+++ b/core/src/main/java/org/hibiscususher/core/world/World.java
@@ -26,6 +26,7 @@
     private final Table<String, HeadRow> mHead = Table.create();
     private final Table<Long, AcceptedNote> mRecentNotes = Table.create();
     private final Table<String, RelayRow> mRelays = Table.create();
+    private final Table<Long, HistoryQueryRow> mHistoryQueries = Table.create();
     private final Table<Long, FoldWriteRow> mFoldWrites = Table.create();
     private final Table<String, MembershipRow> mMembership = Table.create();
     private final Table<String, MemberRow> mMembers = Table.create();
@@ -35,6 +36,7 @@
     private final Table<String, FreshnessRow> mFreshness = Table.create();
     private final Table<String, EvidenceRow> mEvidence = Table.create();
     private final Table<Long, StoreCallRow> mHeadReads = Table.create();
+    private final Table<String, HostListRow> mHostList = Table.create();
     private final Table<KeyDigest, KeySpec> mKeys = Table.create();
     private final GroupedTable<String, HostRow, String> mHosts =
             GroupedTable.createBy(HostRow::pool);
@@ -52,9 +54,16 @@
             GroupedTable.createBy(d -> d.key().group());
     private final GroupedTable<DemandRow.Key, AdviceRow, PermitGroup> mAdvice =
             GroupedTable.createBy(a -> a.key().group());
-    private final Table<String, PoolLoadRow> mPoolLoads = Table.create();
+    private final Table<String, PoolDuesRow> mPoolDues = Table.create();
+    private final Table<CreditRow.Key, CreditRow> mCredits = Table.create();
     private final GroupedTable<Long, RequestRow, RequestLane> mRequests =
             GroupedTable.createBy(RequestRow::lane);
+    private final Table<Long, AbandonedRow> mAbandoned = Table.create();
+    private final Table<String, QueueLoadRow> mQueueLoads = Table.create();
+    private final Table<Long, OnceClaimRow> mOnceClaims = Table.create();
+    private final Table<OnceKey, OnceKeyRow> mOnceKeys = Table.create();
+    private final Table<String, OnceTenureRow> mOnceTenure = Table.create();
+    private final Table<String, FormerHomeRow> mFormerHomes = Table.create();
     private final Table<Long, PendingNoteRow> mPendingNotes = Table.create();
     private final Table<RecordKind, StoreCallRow> mStoreCalls = Table.create();
     private final Table<RecordKey, FleetRow> mFleet = Table.create();
@@ -82,6 +91,8 @@
         world.mEscrow.put(SELF, EscrowRow.NONE);
         world.mMembershipCall.put(SELF, MembershipCallRow.NONE);
         world.mFreshness.put(SELF, FreshnessRow.NONE);
+        world.mOnceTenure.put(SELF, OnceTenureRow.NONE);
+        world.mHostList.put(SELF, HostListRow.NONE);
         world.mSettings.put(SELF, settings);
         return world;
     }
@@ -136,6 +147,11 @@
         return mFoldWrites;
     }
 
+    /** Returns the operators' questions about accepted notes, by call. */
+    public Table<Long, HistoryQueryRow> historyQueries() {
+        return mHistoryQueries;
+    }
+
     /** Returns the membership record as last seen. */
     public MembershipRow membership() {
         return mMembership.find(SELF).orElseThrow();
@@ -181,6 +197,11 @@
         return mFreshness;
     }
 
+    /** Returns the table of the one row about reads of the platform's list of hosts. */
+    public Table<String, HostListRow> hostListTable() {
+        return mHostList;
+    }
+
     /** Returns the reads of the head that are out, by call. */
     public Table<Long, StoreCallRow> headReads() {
         return mHeadReads;
@@ -251,9 +272,14 @@
         return mAdvice;
     }
 
-    /** Returns the load that runs in pools from other entries. */
-    public Table<String, PoolLoadRow> poolLoads() {
-        return mPoolLoads;
+    /** Returns what the teams are due at this entry by pool. */
+    public Table<String, PoolDuesRow> poolDues() {
+        return mPoolDues;
+    }
+
+    /** Returns how far teams have fallen short of what they were due at this entry. */
+    public Table<CreditRow.Key, CreditRow> credits() {
+        return mCredits;
     }
 
     /** Returns the requests at hand, in order of arrival, grouped by what they wait for or use. */
@@ -261,6 +287,41 @@
         return mRequests;
     }
 
+    /** Returns the requests that were abandoned while running, by id. */
+    public Table<Long, AbandonedRow> abandoned() {
+        return mAbandoned;
+    }
+
+    /** Returns what was learnt of each queue. */
+    public Table<String, QueueLoadRow> queueLoads() {
+        return mQueueLoads;
+    }
+
+    /** Returns the claims of requests at hand to their idempotency keys, by request. */
+    public Table<Long, OnceClaimRow> onceClaims() {
+        return mOnceClaims;
+    }
+
+    /** Returns the idempotency keys that this entry remembers as their home. */
+    public Table<OnceKey, OnceKeyRow> onceKeys() {
+        return mOnceKeys;
+    }
+
+    /** Returns since when this entry may be the home of idempotency keys. */
+    public OnceTenureRow onceTenure() {
+        return mOnceTenure.find(SELF).orElseThrow();
+    }
+
+    /** Returns the table of the one row about this entry as a home of idempotency keys. */
+    public Table<String, OnceTenureRow> onceTenureTable() {
+        return mOnceTenure;
+    }
+
+    /** Returns the members that were homes of idempotency keys, by member id. */
+    public Table<String, FormerHomeRow> formerHomes() {
+        return mFormerHomes;
+    }
+
     /** Returns the release notes that operators wait for, by call. */
     public Table<Long, PendingNoteRow> pendingNotes() {
         return mPendingNotes;
--- a/standin/src/main/java/org/hibiscususher/standin/bench/package-info.java
+++ b/standin/src/main/java/org/hibiscususher/standin/bench/package-info.java
@@ -1,2 +1,2 @@
-/** Measurements in virtual time. */
+/** An experiment on nearness to share, waits and stranded slots, in virtual time. */
 package org.hibiscususher.standin.bench;
--- a/standin/src/main/java/org/hibiscususher/standin/store/StoreHandler.java
+++ b/standin/src/main/java/org/hibiscususher/standin/store/StoreHandler.java
@@ -23,6 +23,7 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.Base64;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -95,8 +96,12 @@
             }
             return reply;
         }
-        mState.entries()
-                .find(call.path("key").asText())
+        Optional<StoreState.Entry> entry = mState.entries().find(call.path("key").asText());
+        if (entry.isPresent()) {
+            reply.put("count", "1");
+        }
+        long minRevision = call.path("min_mod_revision").asLong();
+        entry.filter(e -> e.revision() >= minRevision)
                 .ifPresent(e -> reply.putArray("kvs").add(keyValue(e)));
         return reply;
     }
--- a/standin/src/test/java/org/hibiscususher/standin/virtual/EscrowSite.java
+++ b/standin/src/test/java/org/hibiscususher/standin/virtual/EscrowSite.java
@@ -154,6 +154,11 @@
         return held;
     }
 
+    /** Returns how many permits are out by the allocator's ledger, those on their way included. */
+    int outstanding(PermitKey key) {
+        return allocator(key).world().ledger().find(key).orElseThrow().outstanding();
+    }
+
     private void audit() {
         for (VirtualTarget target : mSite.targets().values()) {
             assertThat(target.running()).as("running on " + target.id()).isLessThanOrEqualTo(SLOTS);
--- a/wire/src/main/java/org/hibiscususher/wire/peer/PeerCodec.java
+++ b/wire/src/main/java/org/hibiscususher/wire/peer/PeerCodec.java
@@ -81,7 +81,7 @@
                                     RecordCodec.encode(relay.record().record().value())));
         } else if (item instanceof PeerItem.PoolNeed need) {
             builder.getPoolNeedBuilder().setPool(need.pool()).setHosts(need.hosts());
-        } else {
+        } else if (!OnceItemCodec.encode(item, builder)) {
             EscrowCodec.encode(item, builder);
         }
         return builder.build();
@@ -96,6 +96,8 @@
             case POOL_NEED ->
                     new PeerItem.PoolNeed(
                             item.getPoolNeed().getPool(), item.getPoolNeed().getHosts());
+            case ONCE_ASKED, ONCE_ANSWERED, ONCE_RELEASED, ONCE_FORGOTTEN ->
+                    OnceItemCodec.decode(item);
             default -> EscrowCodec.decode(item);
         };
     }
