--- a/cli/src/main/java/org/hibiscususher/cli/Command.java
+++ b/cli/src/main/java/org/hibiscususher/cli/Command.java
@@ -156,10 +156,11 @@
     static Optional<Command> find(List<String> words) {
         for (Command command : values()) {
             List<String> name = command.words();
+            int operands = command.hasOperand() ? 1 : 0;
             boolean counts =
                     command.mUsage.endsWith(MANY)
                             ? words.size() >= name.size()
-                            : words.size() == name.size() + (command.hasOperand() ? 1 : 0);
+                            : words.size() == name.size() + operands;
             if (counts && words.subList(0, name.size()).equals(name)) {
                 return Optional.of(command);
             }
@@ -167,15 +168,15 @@
         return Optional.empty();
     }
 
-    private boolean hasOperand() {
-        return Character.isUpperCase(mUsage.charAt(mUsage.length() - 1));
-    }
-
     /** Returns what follows the command's name, joined by spaces. */
     String operand(List<String> words) {
         return String.join(" ", words.subList(words().size(), words.size()));
     }
 
+    private boolean hasOperand() {
+        return !mUsage.endsWith(MANY) && Character.isUpperCase(mUsage.charAt(mUsage.length() - 1));
+    }
+
     private List<String> words() {
         List<String> words = List.of(mUsage.replace(MANY, "").split(" "));
         return hasOperand() ? words.subList(0, words.size() - 1) : words;
--- a/core/src/main/java/org/hibiscususher/core/control/Phase.java
+++ b/core/src/main/java/org/hibiscususher/core/control/Phase.java
@@ -68,16 +68,16 @@
             RecheckSystem.run(tick);
         }
     },
-    OUTLIER {
+    FLEET {
         @Override
         void run(Tick tick) {
-            OutlierSystem.run(tick);
+            FleetSystem.run(tick);
         }
     },
-    FLEET {
+    OUTLIER {
         @Override
         void run(Tick tick) {
-            FleetSystem.run(tick);
+            OutlierSystem.run(tick);
         }
     },
     RETRY {
--- a/core/src/main/java/org/hibiscususher/core/message/PeerItem.java
+++ b/core/src/main/java/org/hibiscususher/core/message/PeerItem.java
@@ -113,6 +113,21 @@
         }
     }
 
+    /**
+     * Relays a record about hosts.
+     *
+     * @param record the record
+     */
+    record FleetRelay(FleetRecord record) implements PeerItem {}
+
+    /**
+     * Tells the allocators of spare pools how many hosts a pool is short of.
+     *
+     * @param pool the pool
+     * @param hosts how many hosts it is short of; negative if it has more than it needs
+     */
+    record PoolNeed(String pool, int hosts) implements PeerItem {}
+
     /**
      * Asks the home of an idempotency key whether the key is new, and claims it.
      *
@@ -151,19 +166,4 @@
      * @param requestId the request there
      */
     record OnceForgotten(long incarnation, long requestId) implements PeerItem {}
-
-    /**
-     * Relays a record about hosts.
-     *
-     * @param record the record
-     */
-    record FleetRelay(FleetRecord record) implements PeerItem {}
-
-    /**
-     * Tells the allocators of spare pools how many hosts a pool is short of.
-     *
-     * @param pool the pool
-     * @param hosts how many hosts it is short of; negative if it has more than it needs
-     */
-    record PoolNeed(String pool, int hosts) implements PeerItem {}
 }
--- a/standin/src/main/java/org/hibiscususher/standin/bench/WaveBench.java
+++ b/standin/src/main/java/org/hibiscususher/standin/bench/WaveBench.java
@@ -57,7 +57,7 @@
     }
 
     private void run(String seed) {
-        MaintenanceSite.open(mSite, ENTRIES, POOLS, HOSTS_PER_POOL, ZONES, 0);
+        WaveSite.open(mSite, ENTRIES, POOLS, HOSTS_PER_POOL, ZONES, 0);
         mSite.platform().setRebootMs(REBOOT_MS);
         mSite.listHosts(LIST_LAG_MS);
         load(10_000);
--- a/standin/src/main/java/org/hibiscususher/standin/bench/MaintenanceSite.java
+++ b/standin/src/main/java/org/hibiscususher/standin/bench/WaveSite.java
@@ -6,11 +6,11 @@
 import org.hibiscususher.wire.yaml.NoteReader;
 
 /** Opens sites for the measurements of maintenance. */
-final class MaintenanceSite {
+final class WaveSite {
     private static final int FIRST_PORT = 1_000;
     private static final int SETTLE_MS = 4_000;
 
-    private MaintenanceSite() {}
+    private WaveSite() {}
 
     /**
      * Starts entries and declares pools {@code p0}, {@code p1} and so on, each with hosts of eight
--- a/wire/src/main/java/org/hibiscususher/wire/peer/PeerCodec.java
+++ b/wire/src/main/java/org/hibiscususher/wire/peer/PeerCodec.java
@@ -92,12 +92,12 @@
             case RELAY ->
                     new PeerItem.Relay(
                             RecordCodec.decodeNotes(item.getRelay().getNotes().toByteArray()));
-            case ONCE_ASKED, ONCE_ANSWERED, ONCE_RELEASED, ONCE_FORGOTTEN ->
-                    OnceItemCodec.decode(item);
             case FLEET_RELAY -> decodeFleetRelay(item.getFleetRelay());
             case POOL_NEED ->
                     new PeerItem.PoolNeed(
                             item.getPoolNeed().getPool(), item.getPoolNeed().getHosts());
+            case ONCE_ASKED, ONCE_ANSWERED, ONCE_RELEASED, ONCE_FORGOTTEN ->
+                    OnceItemCodec.decode(item);
             default -> EscrowCodec.decode(item);
         };
     }
