--- a/core/src/main/java/org/hibiscususher/core/rollout/RollOutSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/rollout/RollOutSystem.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import org.hibiscususher.core.config.Configuration;
 import org.hibiscususher.core.message.Input.PeerReceived;
 import org.hibiscususher.core.message.Input.RecordRead;
 import org.hibiscususher.core.message.Input.RecordWatched;
@@ -85,22 +84,11 @@
         for (RecordRead read : tick.inputs(RecordRead.class)) {
             if (read.found().isPresent()
                     && read.found().get().value() instanceof SnapshotRecord snapshot) {
-                takeSnapshot(tick, snapshot.configuration());
+                Revisions.putInForce(tick, snapshot.configuration());
             }
         }
     }
 
-    /** Puts a snapshot in force with the notes that follow it, as one step. */
-    private static void takeSnapshot(Tick tick, Configuration snapshot) {
-        Configuration next = snapshot;
-        for (AcceptedNote note : tick.world().head().record().notes()) {
-            if (note.revision() == next.revision() + 1 && note.whole()) {
-                next = note.delta().applyTo(next);
-            }
-        }
-        Revisions.putInForce(tick, next);
-    }
-
     /** Lets the next snapshot be asked for at once, or after a while if this one was not found. */
     private static void clearCalls(Tick tick) {
         for (RecordRead read : tick.inputs(RecordRead.class)) {
--- a/core/src/test/java/org/hibiscususher/core/rollout/RollOutSystemTest.java
+++ b/core/src/test/java/org/hibiscususher/core/rollout/RollOutSystemTest.java
@@ -117,6 +117,15 @@
             assertInForce(6);
         }
 
+        @Test
+        void neverGoBackToAnOlderSnapshot() {
+            watch(1, head(10, 12));
+            tick(snapshotRead(1, 10));
+            assertInForce(12);
+            tick(snapshotRead(1, 2));
+            assertInForce(12);
+        }
+
         @Test
         void leaveNoGap() {
             watch(1, head(0, 2));
--- a/standin/src/test/java/org/hibiscususher/standin/rollout/RollOutTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/rollout/RollOutTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.List;
 import org.hibiscususher.core.message.NoteResult;
 import org.hibiscususher.core.message.Output.AnswerNote;
 import org.hibiscususher.core.message.Refusal;
@@ -253,6 +254,18 @@
             assertThat(mSite.head().notes().size()).isLessThanOrEqualTo(32);
         }
 
+        @Test
+        void bringsANewEntryIntoTheSameStateFromTheStoreAlone() {
+            mSite.applyTeams(75);
+            for (String other : List.of("e1", "e2", "e3")) {
+                mSite.site().network().setCut(other, "e4", true);
+            }
+            mSite.site().start("e4", "z1");
+            mSite.site().run(1_000);
+            assertThat(mSite.inForce("e4").revision()).isEqualTo(76);
+            assertThat(mSite.statesInForce("e1", "e4")).hasSize(1);
+        }
+
         @ParameterizedTest
         @ValueSource(ints = {1, 3, 5, 6, 7, 8, 9, 10, 11, 12, 14, 16, 20})
         void survivesTheWritersDeathAtEveryStepOfAFold(int deathMs) {
