--- a/daemon/src/test/java/org/hibiscususher/daemon/peer/PeerLinksTest.java
+++ b/daemon/src/test/java/org/hibiscususher/daemon/peer/PeerLinksTest.java
@@ -26,7 +26,8 @@
 import org.junit.jupiter.api.Test;
 
 class PeerLinksTest {
-    private static final long WAIT_NS = TimeUnit.SECONDS.toNanos(10);
+    private static final int WAIT_MS = 10_000;
+    private static final long WAIT_NS = TimeUnit.MILLISECONDS.toNanos(WAIT_MS);
     private static final long POLL_NS = TimeUnit.MILLISECONDS.toNanos(5);
 
     private final EventLoopGroup mGroup =
@@ -142,6 +143,7 @@
         @Test
         void goOverANewLinkWhenThePeerIsNotHeard() throws IOException {
             try (ServerSocket server = new ServerSocket(0, 9, InetAddress.getLoopbackAddress())) {
+                server.setSoTimeout(WAIT_MS);
                 String address = "127.0.0.1:" + server.getLocalPort();
                 send(address, 7, 1);
                 server.accept();
