--- a/core/src/main/java/org/hibiscususher/core/request/PlacementSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/request/PlacementSystem.java
@@ -93,16 +93,34 @@
     private static Optional<HostRow> hostFor(Tick tick, RequestRow row) {
         HostRow best = null;
         int mostIdle = 0;
+        boolean bestElsewhere = false;
+        Set<String> zones = triedZones(tick.world(), row);
         for (HostRow host : tick.world().hosts().group(row.pool())) {
             int idle = idleSlots(tick.world(), host);
-            if (idle > mostIdle && takes(tick, host, row)) {
-                best = host;
-                mostIdle = idle;
+            if (idle > 0 && takes(tick, host, row)) {
+                boolean elsewhere = !zones.contains(host.spec().zone());
+                boolean better = elsewhere == bestElsewhere ? idle > mostIdle : elsewhere;
+                if (better) {
+                    best = host;
+                    mostIdle = idle;
+                    bestElsewhere = elsewhere;
+                }
             }
         }
         return Optional.ofNullable(best);
     }
 
+    /**
+     * Returns the zones of the hosts that were tried: a further attempt goes elsewhere if it can.
+     */
+    private static Set<String> triedZones(World world, RequestRow row) {
+        Set<String> zones = new HashSet<>();
+        for (String host : row.triedHosts()) {
+            world.hosts().find(host).ifPresent(h -> zones.add(h.spec().zone()));
+        }
+        return zones;
+    }
+
     private static boolean takes(Tick tick, HostRow host, RequestRow row) {
         return host.stage().takesWork()
                 && OutlierSystem.mayStart(tick, host, row)
--- a/standin/src/test/java/org/hibiscususher/standin/request/RequestLifeTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/request/RequestLifeTest.java
@@ -155,6 +155,19 @@
             assertThat(requests).allMatch(VirtualRequest::answered);
         }
 
+        @Test
+        void goToAnotherZone() {
+            mSite.target("h1").setFault(TargetFault.FAILING);
+            mSite.target("h2").setFault(TargetFault.FAILING);
+            List<VirtualRequest> requests = new ArrayList<>();
+            for (int i = 0; i < 8; i++) {
+                requests.addAll(calls(1, "fitters", 20));
+                mSite.run(500);
+            }
+            assertThat(requests).allMatch(VirtualRequest::answered);
+            assertThat(requests).extracting(VirtualRequest::runs).contains(2).doesNotContain(3);
+        }
+
         @Test
         void endWithTheBudgetWhenEveryHostFails() {
             RequestSite.HOSTS.forEach(h -> mSite.target(h).setFault(TargetFault.FAILING));
