--- a/standin/src/test/java/org/hibiscususher/standin/maintenance/MaintenanceSite.java
+++ b/standin/src/test/java/org/hibiscususher/standin/maintenance/MaintenanceSite.java
@@ -105,7 +105,9 @@
                   hosts:
                 %s  teams: [{name: fitters, share: 1, upper limit: 400}]
                   keys: [{name: k, team: fitters, digest: %s}]
-                  queues: [{name: qa, pool: a, run limit ms: 6000}, {name: qb, pool: b, run limit ms: 6000}]
+                  queues:
+                    - {name: qa, pool: a, run limit ms: 6000}
+                    - {name: qb, pool: b, run limit ms: 6000}
                 """
                         .formatted(hosts, KeyDigest.ofSecret("fitters").toHex()));
         mSite.listHosts(LIST_LAG_MS);
