--- a/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualRequest.java
+++ b/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualRequest.java
@@ -13,6 +13,7 @@
     private final long mArrivedMs;
     private long mStartedMs = -1;
     private long mEndedMs = -1;
+    private long mLastRunMs = -1;
     private int mRuns;
     private boolean mAnswered;
     private boolean mCutShort;
@@ -57,6 +58,11 @@
         return mStartedMs;
     }
 
+    /** Returns when its last run began, -1 if it did not run. */
+    public long lastRunMs() {
+        return mLastRunMs;
+    }
+
     /** Returns when its caller had an answer or a refusal, -1 if not yet. */
     public long endedMs() {
         return mEndedMs;
@@ -94,6 +100,7 @@
 
     void ran(long nowMs) {
         mRuns++;
+        mLastRunMs = nowMs;
         mStartedMs = mStartedMs < 0 ? nowMs : mStartedMs;
     }
 
--- /dev/null
+++ b/standin/src/test/java/org/hibiscususher/standin/matrix/Scene.java
@@ -0,0 +1,490 @@
+package org.hibiscususher.standin.matrix;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.UUID;
+import java.util.stream.Stream;
+import org.hibiscususher.core.config.Configuration;
+import org.hibiscususher.core.config.KeyDigest;
+import org.hibiscususher.core.config.TeamSpec;
+import org.hibiscususher.core.message.NoteResult;
+import org.hibiscususher.core.message.PlatformHost;
+import org.hibiscususher.core.message.Ran;
+import org.hibiscususher.core.message.Refusal;
+import org.hibiscususher.core.world.ControlSettings;
+import org.hibiscususher.core.world.HostRow;
+import org.hibiscususher.standin.store.StoreFault;
+import org.hibiscususher.standin.virtual.EntryCondition;
+import org.hibiscususher.standin.virtual.TargetFault;
+import org.hibiscususher.standin.virtual.VirtualEntry;
+import org.hibiscususher.standin.virtual.VirtualRequest;
+import org.hibiscususher.standin.virtual.VirtualSite;
+import org.hibiscususher.standin.virtual.VirtualTarget;
+import org.hibiscususher.wire.yaml.NoteReader;
+import org.hibiscususher.wire.yaml.ParsedNote;
+
+/** One cell of the fault matrix: a small site under load, a step, faults, and the checks. */
+final class Scene {
+    static final List<String> TEAMS = List.of("alpha", "beta", "gamma");
+    static final String STRANGER = "stranger";
+    static final int SLOTS = 4;
+    static final int RUN_LIMIT_MS = 1_500;
+
+    private static final long SETTLE_MS = 1_500;
+    private static final long REACH_MS = 2_000;
+    private static final long FAULT_MS = 3_000;
+    private static final long AFTER_MS = 3_000;
+    private static final long QUIET_MS = 9_000;
+    private static final long PROBE_MS = 3_000;
+    private static final long CALL_EVERY_MS = 20;
+    private static final long CHECK_EVERY_MS = 10;
+    private static final long HOST_LIST_EVERY_MS = 500;
+    private static final long RESEND_MS = 50;
+    private static final long RECENT_MS = 8_000;
+    private static final long SECONDS_MS = 5_000;
+    private static final Map<String, String> HOSTS =
+            Map.of(
+                    "h1", "quick", "h2", "quick", "h3", "quick", "h4", "quick", "h5", "long", "h6",
+                    "long");
+
+    private final VirtualSite mSite;
+    private final Random mRandom;
+    private final Map<Promise, String> mViolations = new EnumMap<>(Promise.class);
+    private final Map<String, Long> mRevisions = new HashMap<>();
+    private final Map<String, Integer> mAllowed = new HashMap<>();
+    private final Map<String, Integer> mLimits = new HashMap<>();
+    private final Map<String, Long> mLoweredMs = new HashMap<>();
+    private final Map<String, Long> mDrainedMs = new HashMap<>();
+    private final List<VirtualRequest> mRecent = new ArrayList<>();
+    private final Set<String> mHostList = new LinkedHashSet<>();
+    private long mWithdrawnMs = Long.MAX_VALUE;
+    private int mRemembered;
+    private int mNotes;
+    private boolean mLoaded;
+    private boolean mHostListFrozen;
+
+    Scene(long seed) {
+        mSite = VirtualSite.create(seed, ControlSettings.DEFAULT);
+        mRandom = new Random(seed * 31 + 7);
+    }
+
+    /** The outcome of a scene. */
+    record Outcome(boolean reached, Map<Promise, String> violations, List<String> stuck) {}
+
+    /** Plays the step and the faults, and returns what was violated. */
+    Outcome play(Step step, List<Fault> faults) {
+        open();
+        step.begin(this);
+        long deadline = mSite.nowMs() + REACH_MS;
+        Optional<String> entry = step.reached(this);
+        while (entry.isEmpty() && mSite.nowMs() < deadline) {
+            mSite.run(1);
+            entry = step.reached(this);
+        }
+        String subject = entry.orElse("e1");
+        faults.forEach(f -> f.inject(this, subject));
+        mSite.run(FAULT_MS);
+        mend();
+        mSite.run(AFTER_MS);
+        mLoaded = false;
+        mSite.run(QUIET_MS);
+        return new Outcome(entry.isPresent(), mViolations, stuck());
+    }
+
+    /** Starts the entries, the configuration, the load and the checks. */
+    void open() {
+        for (int i = 1; i <= 4; i++) {
+            mSite.start("e" + i, "z" + (i % 2 + 1));
+        }
+        mSite.setAfterStep(this::afterStep);
+        showHosts();
+        mSite.run(SETTLE_MS);
+        submit("e1", opening());
+        mSite.run(SETTLE_MS);
+        mLoaded = true;
+        callOften();
+        mSite.run(SETTLE_MS);
+    }
+
+    private static String opening() {
+        StringBuilder note = new StringBuilder("note: opening\nauthor: anna\nadded:\n");
+        note.append("  pools:\n    - {name: quick, hosts out at most: 2, ")
+                .append("hosts out at most per zone: 1}\n")
+                .append("    - {name: long, quick reserve: 2}\n  hosts:\n");
+        HOSTS.keySet().stream()
+                .sorted()
+                .forEach(
+                        h ->
+                                note.append("    - {name: ")
+                                        .append(h)
+                                        .append(", address: \"127.0.0.1:")
+                                        .append(h.substring(1))
+                                        .append("\", zone: ")
+                                        .append(zoneOf(h))
+                                        .append(", pool: ")
+                                        .append(HOSTS.get(h))
+                                        .append(", slots: ")
+                                        .append(SLOTS)
+                                        .append("}\n"));
+        note.append("  teams:\n");
+        TEAMS.forEach(
+                t ->
+                        note.append("    - {name: ")
+                                .append(t)
+                                .append(", share: 1, upper limit: 6}\n"));
+        note.append("  keys:\n");
+        TEAMS.forEach(
+                t ->
+                        note.append("    - {name: ")
+                                .append(t)
+                                .append("-key, team: ")
+                                .append(t)
+                                .append(", digest: ")
+                                .append(KeyDigest.ofSecret(t).toHex())
+                                .append("}\n"));
+        return note.append("  queues:\n    - {name: lookups, pool: quick, run limit ms: ")
+                .append(RUN_LIMIT_MS)
+                .append("}\n    - {name: reports, pool: long, kind: long, run limit ms: ")
+                .append(RUN_LIMIT_MS)
+                .append("}\n")
+                .toString();
+    }
+
+    private static String zoneOf(String host) {
+        return "z" + (Integer.parseInt(host.substring(1)) % 2 + 1);
+    }
+
+    VirtualSite site() {
+        return mSite;
+    }
+
+    VirtualEntry entry(String id) {
+        return mSite.entries().get(id);
+    }
+
+    boolean alive(String id) {
+        return entry(id).condition() == EntryCondition.RUNNING;
+    }
+
+    List<String> others(String id) {
+        return mSite.entries().keySet().stream().filter(e -> !e.equals(id)).toList();
+    }
+
+    List<String> hostsOf(String zone) {
+        return HOSTS.keySet().stream().sorted().filter(h -> zoneOf(h).equals(zone)).toList();
+    }
+
+    void remember(int value) {
+        mRemembered = value;
+    }
+
+    int remembered() {
+        return mRemembered;
+    }
+
+    void kill(String id) {
+        if (entry(id).condition() != EntryCondition.DEAD) {
+            mSite.kill(id);
+        }
+    }
+
+    void restart(String id) {
+        if (entry(id).condition() == EntryCondition.DEAD) {
+            mSite.start(id, entry(id).identity().zone());
+        }
+    }
+
+    void breakTargets(TargetFault fault) {
+        HOSTS.keySet().stream()
+                .sorted()
+                .filter(h -> zoneOf(h).equals("z1"))
+                .forEach(h -> mSite.target(h).setFault(fault));
+    }
+
+    /** Ends every fault that does not end by itself. */
+    void mend() {
+        mSite.store().setFault(StoreFault.NONE);
+        mSite.network().mendAll();
+        mSite.network().setBehaviour(1, 0, 0, 0);
+        mHostListFrozen = false;
+        for (VirtualEntry entry : List.copyOf(mSite.entries().values())) {
+            mSite.store().setReachable(entry.id(), true);
+            if (entry.condition() == EntryCondition.PAUSED) {
+                mSite.resume(entry.id());
+            }
+        }
+        mSite.targets().values().forEach(t -> t.setFault(TargetFault.NONE));
+    }
+
+    void freezeHostList() {
+        mHostListFrozen = true;
+    }
+
+    private void showHosts() {
+        if (!mHostListFrozen) {
+            mHostList.clear();
+            mSite.entries().values().stream()
+                    .filter(e -> e.condition() != EntryCondition.DEAD)
+                    .forEach(e -> mHostList.add(e.id()));
+            mHostList.addAll(HOSTS.keySet().stream().sorted().toList());
+        }
+        mSite.showHosts(mHostList.stream().map(h -> new PlatformHost(h, false, "")).toList());
+        mSite.timeline().after(HOST_LIST_EVERY_MS, this::showHosts);
+    }
+
+    String limitNote(String id, int limit) {
+        return limitNote(id, limit, -1);
+    }
+
+    String limitNote(String id, int limit, long base) {
+        return "note: "
+                + id
+                + "\nauthor: carl\n"
+                + (base < 0 ? "" : "base: " + base + "\n")
+                + "changed:\n  teams:\n    - {name: alpha, share: 1, upper limit: "
+                + limit
+                + "}\n";
+    }
+
+    void withdrawKey(String entry) {
+        submit(entry, "note: withdrawal\nauthor: dora\nwithdrawn:\n  keys: [beta-key]\n");
+    }
+
+    void moveHost(String entry, String host, String pool) {
+        submit(
+                entry,
+                "note: move\nauthor: dora\nchanged:\n  hosts:\n    - {name: "
+                        + host
+                        + ", address: \"127.0.0.1:"
+                        + host.substring(1)
+                        + "\", zone: "
+                        + zoneOf(host)
+                        + ", pool: "
+                        + pool
+                        + ", slots: "
+                        + SLOTS
+                        + "}\n");
+    }
+
+    void submit(String entry, String text) {
+        ParsedNote parsed = NoteReader.read("note-" + ++mNotes, text);
+        if (!parsed.findings().isEmpty()) {
+            throw new IllegalArgumentException(parsed.findings().toString());
+        }
+        mSite.submit(entry, parsed.note());
+    }
+
+    /** Hands many requests of one team to an entry. */
+    String burst(String entry, int count) {
+        for (int i = 0; i < count; i++) {
+            call(entry, "alpha");
+        }
+        return entry;
+    }
+
+    private void callOften() {
+        if (mLoaded) {
+            List<String> alive =
+                    mSite.entries().keySet().stream().filter(this::alive).sorted().toList();
+            if (!alive.isEmpty()) {
+                String entry = alive.get(mRandom.nextInt(alive.size()));
+                int dice = mRandom.nextInt(20);
+                call(entry, dice == 0 ? STRANGER : TEAMS.get(dice % TEAMS.size()));
+            }
+        }
+        mSite.timeline().after(CALL_EVERY_MS, this::callOften);
+    }
+
+    private void call(String entry, String team) {
+        boolean slow = mRandom.nextInt(6) == 0;
+        int runMs = slow ? 200 + mRandom.nextInt(400) : 10 + mRandom.nextInt(80);
+        boolean idempotent = mRandom.nextInt(5) < 3;
+        String id = idempotent || mRandom.nextBoolean() ? "" : uuid();
+        send(entry, slow ? "reports" : "lookups", team, runMs, idempotent, id);
+    }
+
+    private void send(
+            String entry, String queue, String team, int runMs, boolean idempotent, String id) {
+        VirtualRequest request = mSite.call(entry, queue, team, runMs, idempotent, id);
+        mRecent.add(request);
+        if (!id.isEmpty()) {
+            mSite.timeline().after(RESEND_MS, () -> sendAgain(request, queue, RESEND_MS));
+        }
+    }
+
+    /** Sends a request with an idempotency key again, once, when its outcome is not known. */
+    private void sendAgain(VirtualRequest request, String queue, long waitedMs) {
+        boolean unknown =
+                request.cancelled()
+                        || request.cutShort()
+                        || request.refusal().map(f -> f.ran() == Ran.MAY_HAVE_RUN).orElse(false);
+        boolean duplicate = request.refusal().filter(Refusal.DUPLICATE::equals).isPresent();
+        if (unknown && !duplicate) {
+            List<String> alive = others(request.entry()).stream().filter(this::alive).toList();
+            if (!alive.isEmpty()) {
+                VirtualRequest again =
+                        mSite.call(
+                                alive.get(mRandom.nextInt(alive.size())),
+                                queue,
+                                request.team(),
+                                request.runMs(),
+                                false,
+                                request.arrival().idempotencyKey());
+                mRecent.add(again);
+            }
+        } else if (!request.over() && waitedMs < RECENT_MS / 2) {
+            mSite.timeline()
+                    .after(RESEND_MS, () -> sendAgain(request, queue, waitedMs + RESEND_MS));
+        }
+    }
+
+    /** Returns a version 7 UUID of the virtual time. */
+    private String uuid() {
+        long high = mSite.nowMs() << 16 | 0x7000L | mRandom.nextInt(1 << 12);
+        long low = 0x8000_0000_0000_0000L | mRandom.nextLong() >>> 2;
+        return new UUID(high, low).toString();
+    }
+
+    Stream<VirtualRequest> recent() {
+        return mRecent.stream();
+    }
+
+    int running(String team) {
+        return mSite.targets().values().stream().mapToInt(t -> t.running(team)).sum();
+    }
+
+    int allowedRunning(String team) {
+        return mAllowed.getOrDefault(team, 0);
+    }
+
+    boolean afterWithdrawal(VirtualRequest request) {
+        return request.team().equals("beta")
+                && mWithdrawnMs != Long.MAX_VALUE
+                && request.startedMs() > mWithdrawnMs + SECONDS_MS;
+    }
+
+    Optional<String> startedOnDrained() {
+        for (Map.Entry<String, Long> drained : mDrainedMs.entrySet()) {
+            VirtualTarget target = mSite.target(drained.getKey());
+            if (target.lastBeginMs() > drained.getValue() + SECONDS_MS) {
+                return Optional.of(target.id() + " got new work in graceful shutdown");
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Notes the revision of a process and returns the highest noted before. */
+    long noteRevision(String process, long revision) {
+        Long before = mRevisions.merge(process, revision, Math::max);
+        return before;
+    }
+
+    long acceptedRevision() {
+        return mSite.noteAnswers().values().stream()
+                .filter(a -> a.result() == NoteResult.ACCEPTED)
+                .mapToLong(a -> a.revision())
+                .max()
+                .orElse(0);
+    }
+
+    boolean admits(VirtualEntry entry) {
+        return entry.condition() == EntryCondition.RUNNING && entry.world().node().stage().admits();
+    }
+
+    private void afterStep() {
+        if (mSite.nowMs() % CHECK_EVERY_MS != 0) {
+            return;
+        }
+        mRecent.removeIf(r -> mSite.nowMs() - r.arrivedMs() > RECENT_MS);
+        followConfiguration();
+        followDrains();
+        for (Promise promise : Promise.values()) {
+            promise.violation(this)
+                    .ifPresent(v -> mViolations.putIfAbsent(promise, mSite.nowMs() + " " + v));
+        }
+    }
+
+    /** Follows the newest configuration that any entry knows. */
+    private void followConfiguration() {
+        Configuration newest = Configuration.EMPTY;
+        for (VirtualEntry entry : mSite.entries().values()) {
+            Configuration seen = entry.world().configuration();
+            newest = seen.revision() > newest.revision() ? seen : newest;
+        }
+        if (newest.revision() > 0 && !newest.keys().containsKey("beta-key")) {
+            mWithdrawnMs = Math.min(mWithdrawnMs, mSite.nowMs());
+        }
+        for (TeamSpec team : newest.teams().values()) {
+            int limit = team.upperLimit();
+            int before = mLimits.getOrDefault(team.id(), limit);
+            if (limit < before) {
+                mLoweredMs.put(team.id(), mSite.nowMs());
+            }
+            mLimits.put(team.id(), limit);
+            boolean grace =
+                    mSite.nowMs() - mLoweredMs.getOrDefault(team.id(), -SECONDS_MS) < SECONDS_MS;
+            int allowed = mAllowed.getOrDefault(team.id(), limit);
+            int kept = grace ? allowed : Math.min(allowed, running(team.id()));
+            mAllowed.put(team.id(), Math.max(limit, kept));
+        }
+    }
+
+    private void followDrains() {
+        for (String host : HOSTS.keySet()) {
+            boolean drained =
+                    mSite.entries().values().stream()
+                            .filter(e -> e.condition() != EntryCondition.DEAD)
+                            .anyMatch(e -> !takesWork(e, host));
+            if (drained) {
+                mDrainedMs.putIfAbsent(host, mSite.nowMs());
+            } else {
+                mDrainedMs.remove(host);
+            }
+        }
+    }
+
+    private static boolean takesWork(VirtualEntry entry, String host) {
+        return entry.world()
+                .hosts()
+                .find(host)
+                .map(HostRow::stage)
+                .map(s -> s.takesWork())
+                .orElse(true);
+    }
+
+    /** Returns what did not end or does not work again after the faults. */
+    private List<String> stuck() {
+        List<String> stuck = new ArrayList<>();
+        mSite.requests().values().stream()
+                .filter(r -> !r.over())
+                .limit(3)
+                .forEach(r -> stuck.add("request " + r.arrival().requestId() + " never ends"));
+        List<VirtualRequest> probes = new ArrayList<>();
+        for (String entry : mSite.entries().keySet()) {
+            if (alive(entry)) {
+                probes.add(mSite.call(entry, "lookups", "gamma", 20));
+                probes.add(mSite.call(entry, "reports", "gamma", 20));
+            }
+        }
+        mSite.run(PROBE_MS);
+        probes.stream()
+                .filter(r -> !r.answered())
+                .limit(3)
+                .forEach(
+                        r ->
+                                stuck.add(
+                                        r.entry()
+                                                + " "
+                                                + r.arrival().queue()
+                                                + " still fails: "
+                                                + r.refusal()));
+        return stuck;
+    }
+}
