--- a/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualEntry.java
+++ b/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualEntry.java
@@ -1,5 +1,7 @@
 package org.hibiscususher.standin.virtual;
 
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
 import java.util.ArrayList;
 import java.util.List;
 import org.hibiscususher.core.control.ControlNode;
@@ -12,6 +14,7 @@
 /** One entry: the real control node, and the inputs that wait for its next tick. */
 public final class VirtualEntry {
     private static final long TICK_MS = 10;
+    private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
 
     private final NodeIdentity mIdentity;
     private final ControlNode mNode;
@@ -19,6 +22,10 @@
     private EntryCondition mCondition = EntryCondition.RUNNING;
     private long mLastTickMs;
     private long mTicks;
+    private long mTickNs;
+    private long mSentBytes;
+    private long mSentMessages;
+    private long mStoreCalls;
 
     VirtualEntry(NodeIdentity identity, ControlSettings settings, long nowMs) {
         mIdentity = identity;
@@ -50,6 +57,35 @@
         return mTicks;
     }
 
+    /** Returns the processor time that the ticks have taken, in nanoseconds. */
+    public long tickNs() {
+        return mTickNs;
+    }
+
+    /** Returns how many bytes of messages to peers have been sent, if the site measures that. */
+    public long sentBytes() {
+        return mSentBytes;
+    }
+
+    /** Returns how many messages to peers have been sent, if the site measures that. */
+    public long sentMessages() {
+        return mSentMessages;
+    }
+
+    /** Returns how many calls of the store have been made. */
+    public long storeCalls() {
+        return mStoreCalls;
+    }
+
+    void addSent(int bytes) {
+        mSentMessages++;
+        mSentBytes += bytes;
+    }
+
+    void addStoreCall() {
+        mStoreCalls++;
+    }
+
     void setCondition(EntryCondition condition) {
         mCondition = condition;
     }
@@ -71,6 +107,9 @@
         mTicks++;
         List<Input> inputs = List.copyOf(mInputs);
         mInputs.clear();
-        return mNode.tick(nowMs, inputs);
+        long startNs = THREADS.getCurrentThreadCpuTime();
+        List<Output> outputs = mNode.tick(nowMs, inputs);
+        mTickNs += THREADS.getCurrentThreadCpuTime() - startNs;
+        return outputs;
     }
 }
--- a/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualSite.java
+++ b/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualSite.java
@@ -27,6 +27,7 @@
 import org.hibiscususher.core.note.ReleaseNote;
 import org.hibiscususher.core.world.ControlSettings;
 import org.hibiscususher.core.world.NodeIdentity;
+import org.hibiscususher.wire.peer.PeerCodec;
 
 /**
  * A site in virtual time: real control nodes, and fakes at their interfaces. Not thread-safe; two
@@ -49,6 +50,7 @@
     private final ControlSettings mSettings;
     private Consumer<VirtualEntry> mBeforeTick = entry -> {};
     private Runnable mAfterStep = () -> {};
+    private boolean mMeasuresBytes;
     private long mIds;
 
     private VirtualSite(long seed, ControlSettings settings) {
@@ -132,6 +134,11 @@
         mAfterStep = action;
     }
 
+    /** Sets whether messages between entries are encoded to count their bytes. */
+    public void setMeasuresBytes(boolean measures) {
+        mMeasuresBytes = measures;
+    }
+
     /** Starts an entry, or starts one again that has ended. */
     public VirtualEntry start(String id, String zone) {
         NodeIdentity identity = new NodeIdentity(id, nowMs(), id + ":1", zone);
@@ -241,8 +248,10 @@
 
     private void carryOut(VirtualEntry entry, Output output) {
         if (output instanceof Output.ReadRecord read) {
+            entry.addStoreCall();
             mStore.read(entry.id(), read, entry::receive);
         } else if (output instanceof Output.SwapRecord swap) {
+            entry.addStoreCall();
             mStore.swap(entry.id(), swap, entry::receive);
         } else if (output instanceof SendPeer send) {
             sendPeer(entry, send);
@@ -266,6 +275,9 @@
     }
 
     private void sendPeer(VirtualEntry from, SendPeer send) {
+        if (mMeasuresBytes) {
+            from.addSent(PeerCodec.encode(send.message()).length);
+        }
         mNetwork.send(
                 from.id(),
                 send.memberId(),
