--- a/standin/src/main/java/org/hibiscususher/standin/target/TargetHandler.java
+++ b/standin/src/main/java/org/hibiscususher/standin/target/TargetHandler.java
@@ -12,16 +12,28 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
 
-/** Answers each request with the host's name, the path and the body, after a run time. */
+/**
+ * Answers each request with the host's name, the path and the body, after a run time, and tells how
+ * many times each named request has run.
+ */
 final class TargetHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
+    private static final String RUNS_PATH = "/stand-in/runs";
+
     private final String mHost;
+    private final RunLog mRuns;
 
-    TargetHandler(String host) {
+    TargetHandler(String host, RunLog runs) {
         mHost = host;
+        mRuns = runs;
     }
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+        if (request.uri().equals(RUNS_PATH)) {
+            reply(context, mRuns.text());
+            return;
+        }
+        mRuns.add(request.headers().get("Request-Name", "-"));
         String answer =
                 mHost
                         + " ran "
--- a/standin/src/main/java/org/hibiscususher/standin/target/TargetMain.java
+++ b/standin/src/main/java/org/hibiscususher/standin/target/TargetMain.java
@@ -14,6 +14,7 @@
 
     /** Starts the stand-in on an address. */
     public static HttpServer listen(String address, String host) throws IOException {
-        return HttpServer.listen(address, () -> new TargetHandler(host));
+        RunLog runs = new RunLog();
+        return HttpServer.listen(address, () -> new TargetHandler(host, runs));
     }
 }
--- a/standin/src/test/java/org/hibiscususher/standin/process/Site.java
+++ b/standin/src/test/java/org/hibiscususher/standin/process/Site.java
@@ -23,6 +23,7 @@
 import java.util.concurrent.TimeUnit;
 import org.hibiscususher.cli.CliMain;
 import org.hibiscususher.daemon.DaemonMain;
+import org.hibiscususher.standin.store.StoreFault;
 import org.hibiscususher.standin.store.StoreMain;
 import org.hibiscususher.standin.target.TargetMain;
 
@@ -60,7 +61,7 @@
         return address;
     }
 
-    /** Starts a daemon and waits until it serves. */
+    /** Starts a daemon at addresses of its own and waits until it serves. */
     void daemon(String member) throws IOException, InterruptedException {
         String callers = freeAddress();
         String operators = freeAddress();
@@ -78,6 +79,13 @@
                         ""));
         mCallers.put(member, callers);
         mOperators.put(member, operators);
+        startAgain(member);
+    }
+
+    /** Starts a daemon at the addresses that it had before and waits until it serves. */
+    void startAgain(String member) throws IOException, InterruptedException {
+        Path file = mFolder.resolve(member + ".yaml");
+        String operators = mOperators.get(member);
         java(member, DaemonMain.class, "--config", file.toString());
         awaitListening(operators);
         long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(START_TIMEOUT_MS);
@@ -89,11 +97,60 @@
         }
     }
 
+    /** Ends a process at once. */
+    void kill(String name) {
+        mProcesses.get(name).destroyForcibly().onExit().join();
+    }
+
+    /** Stops a process until {@link #resume}. */
+    void pause(String name) throws IOException, InterruptedException {
+        signal("-STOP", name);
+    }
+
+    /** Lets a stopped process go on. */
+    void resume(String name) throws IOException, InterruptedException {
+        signal("-CONT", name);
+    }
+
+    private void signal(String signal, String name) throws IOException, InterruptedException {
+        String id = Long.toString(mProcesses.get(name).pid());
+        new ProcessBuilder("kill", signal, id).start().waitFor();
+    }
+
+    /** Sets how the store misbehaves from now on. */
+    void storeFault(StoreFault fault) throws IOException, InterruptedException {
+        HttpRequest request =
+                HttpRequest.newBuilder(URI.create("http://" + mStore + "/fault"))
+                        .POST(BodyPublishers.ofString(fault.name()))
+                        .build();
+        mHttp.send(request, BodyHandlers.discarding());
+    }
+
+    /** Returns how many times each named request has run on a target. */
+    Map<String, Integer> runs(String address) throws IOException, InterruptedException {
+        HttpRequest request =
+                HttpRequest.newBuilder(URI.create("http://" + address + "/stand-in/runs"))
+                        .timeout(CALL_TIMEOUT)
+                        .build();
+        Map<String, Integer> runs = new LinkedHashMap<>();
+        for (String line : mHttp.send(request, BodyHandlers.ofString()).body().split("\n")) {
+            if (!line.isEmpty()) {
+                runs.put(line.split(" ")[0], Integer.valueOf(line.split(" ")[1]));
+            }
+        }
+        return runs;
+    }
+
+    /** Returns where callers connect to a daemon. */
+    String callers(String member) {
+        return mCallers.get(member);
+    }
+
     /** Runs the operators' tool against a daemon and returns its exit code and output. */
     ToolRun tool(String member, String... words) throws IOException, InterruptedException {
         List<String> args = new ArrayList<>(List.of("--daemon", mOperators.get(member)));
         args.addAll(Arrays.asList(words));
-        Path log = mFolder.resolve("tool.log");
+        Path log = Files.createTempFile(mFolder, "tool", ".log");
         Process process = start(log, CliMain.class, args.toArray(String[]::new));
         process.waitFor();
         return new ToolRun(process.exitValue(), Files.readString(log));
