--- a/standin/src/test/java/org/hibiscususher/standin/matrix/Mutant.java
+++ b/standin/src/test/java/org/hibiscususher/standin/matrix/Mutant.java
@@ -121,7 +121,7 @@
             if (entry.ticks() > 300) {
                 entry.world()
                         .revisionTable()
-                        .put(World.SELF, new RevisionRow(Configuration.EMPTY, 0, 0));
+                        .put(World.SELF, new RevisionRow(Configuration.EMPTY, 0));
             }
         }
     };
@@ -143,18 +143,9 @@
     abstract void tamper(VirtualEntry entry);
 
     private static void invent(World world, PermitKey key) {
-        HoldingRow row = world.holdings().find(key).orElse(new HoldingRow(key, 0, 0, 0, 0, 0));
+        HoldingRow row = world.holdings().find(key).orElse(HoldingRow.none(key));
         if (row.held() < INVENTED) {
-            world.holdings()
-                    .put(
-                            key,
-                            new HoldingRow(
-                                    key,
-                                    row.epoch(),
-                                    row.returned() + INVENTED,
-                                    row.returned(),
-                                    row.inUse(),
-                                    INVENTED));
+            world.holdings().put(key, row.withGranted(row.granted() + INVENTED));
         }
     }
 }
