--- a/cli/src/main/java/org/hibiscususher/cli/Command.java
+++ b/cli/src/main/java/org/hibiscususher/cli/Command.java
@@ -1,30 +1,45 @@
 package org.hibiscususher.cli;
 
 import java.io.IOException;
+import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Optional;
 import org.hibiscususher.core.config.KeyDigest;
+import org.hibiscususher.core.message.Output.AnswerHistory;
 import org.hibiscususher.core.message.Output.AnswerNote;
+import org.hibiscususher.core.message.Output.AnswerNoteCheck;
 import org.hibiscususher.core.message.StatusReport;
+import org.hibiscususher.core.note.Finding;
+import org.hibiscususher.core.note.Severity;
 import org.hibiscususher.wire.json.OperatorJson;
 import org.hibiscususher.wire.yaml.NoteReader;
 import org.hibiscususher.wire.yaml.ParsedNote;
 
 /** The tool's commands. */
 enum Command {
-    NOTE_CHECK("note check FILE", "check a release note without sending it") {
+    NOTE_CHECK(
+            "note check FILE",
+            "check a release note without applying it; with --daemon, against the state in force") {
         @Override
         ExitCode run(Invocation call) throws IOException {
             String file = call.operand();
             ParsedNote parsed = NoteReader.read(file, Files.readString(Path.of(file)));
-            parsed.findings().forEach(call.out()::println);
-            if (!parsed.findings().isEmpty()) {
+            List<Finding> findings = parsed.findings();
+            String against = "";
+            if (findings.isEmpty() && call.daemonGiven()) {
+                byte[] reply = call.post("/notes/check", file, Files.readString(Path.of(file)));
+                AnswerNoteCheck answer = OperatorJson.decodeNoteCheck(reply);
+                findings = answer.findings();
+                against = " against revision " + answer.revision();
+            }
+            findings.forEach(call.out()::println);
+            if (findings.stream().anyMatch(f -> f.severity() == Severity.ERROR)) {
                 return ExitCode.FINDINGS;
             }
-            call.out().println(file + ": no findings");
+            call.out().println(file + ": no errors" + against);
             return ExitCode.OK;
         }
     },
@@ -32,7 +47,7 @@
         @Override
         ExitCode run(Invocation call) throws IOException {
             String file = call.operand();
-            byte[] reply = call.post("/notes", Files.readString(Path.of(file)));
+            byte[] reply = call.post("/notes", file, Files.readString(Path.of(file)));
             AnswerNote answer = OperatorJson.decodeNoteAnswer(reply);
             call.out()
                     .println(
@@ -51,6 +66,30 @@
             };
         }
     },
+    NOTE_HISTORY("note history", "list the accepted notes, newest first") {
+        @Override
+        ExitCode run(Invocation call) throws IOException {
+            AnswerHistory answer = OperatorJson.decodeHistory(call.get("/notes"));
+            call.out().print(HistoryText.list(answer));
+            return ExitCode.OK;
+        }
+    },
+    NOTE_SHOW("note show WHICH", "show an accepted note by its revision or id") {
+        @Override
+        ExitCode run(Invocation call) throws IOException {
+            String which = URLEncoder.encode(call.operand(), StandardCharsets.UTF_8);
+            AnswerHistory answer = OperatorJson.decodeHistory(call.get("/notes?which=" + which));
+            call.out().print(HistoryText.show(answer));
+            return answer.notes().isEmpty() ? ExitCode.FAILED : ExitCode.OK;
+        }
+    },
+    EXPORT("export", "print the state in force as one release note") {
+        @Override
+        ExitCode run(Invocation call) throws IOException {
+            call.out().write(call.get("/export"));
+            return ExitCode.OK;
+        }
+    },
     STATUS("status", "show how the entries are") {
         @Override
         ExitCode run(Invocation call) throws IOException {
@@ -59,6 +98,30 @@
             return ExitCode.OK;
         }
     },
+    WAVE_PLAN("wave plan POOL...", "plan to reboot every host of the pools, or of all pools") {
+        @Override
+        ExitCode run(Invocation call) throws IOException {
+            return WaveText.call(call, "plan");
+        }
+    },
+    WAVE_START("wave start", "start or resume the maintenance wave") {
+        @Override
+        ExitCode run(Invocation call) throws IOException {
+            return WaveText.call(call, "start");
+        }
+    },
+    WAVE_PAUSE("wave pause", "take no further host; those that are out come back") {
+        @Override
+        ExitCode run(Invocation call) throws IOException {
+            return WaveText.call(call, "pause");
+        }
+    },
+    WAVE_SHOW("wave show", "show the maintenance wave and the hosts out of service") {
+        @Override
+        ExitCode run(Invocation call) throws IOException {
+            return WaveText.call(call, "show");
+        }
+    },
     KEY("key", "read a secret from standard input and print its digest") {
         @Override
         ExitCode run(Invocation call) throws IOException {
@@ -68,6 +131,8 @@
         }
     };
 
+    private static final String MANY = " POOL...";
+
     private final String mUsage;
     private final String mSummary;
 
@@ -91,16 +156,29 @@
     static Optional<Command> find(List<String> words) {
         for (Command command : values()) {
             List<String> name = command.words();
-            int operands = command.mUsage.endsWith("FILE") ? 1 : 0;
-            if (words.size() == name.size() + operands
-                    && words.subList(0, name.size()).equals(name)) {
+            int operands = command.hasOperand() ? 1 : 0;
+            boolean counts =
+                    command.mUsage.endsWith(MANY)
+                            ? words.size() >= name.size()
+                            : words.size() == name.size() + operands;
+            if (counts && words.subList(0, name.size()).equals(name)) {
                 return Optional.of(command);
             }
         }
         return Optional.empty();
     }
 
+    /** Returns what follows the command's name, joined by spaces. */
+    String operand(List<String> words) {
+        return String.join(" ", words.subList(words().size(), words.size()));
+    }
+
+    private boolean hasOperand() {
+        return !mUsage.endsWith(MANY) && Character.isUpperCase(mUsage.charAt(mUsage.length() - 1));
+    }
+
     private List<String> words() {
-        return List.of(mUsage.replace(" FILE", "").split(" "));
+        List<String> words = List.of(mUsage.replace(MANY, "").split(" "));
+        return hasOperand() ? words.subList(0, words.size() - 1) : words;
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/control/Phase.java
+++ b/core/src/main/java/org/hibiscususher/core/control/Phase.java
@@ -1,13 +1,25 @@
 package org.hibiscususher.core.control;
 
 import org.hibiscususher.core.escrow.EscrowSystem;
+import org.hibiscususher.core.maintenance.DrainSystem;
+import org.hibiscususher.core.maintenance.FleetSystem;
+import org.hibiscususher.core.maintenance.FleetWriteSystem;
+import org.hibiscususher.core.maintenance.LendSystem;
+import org.hibiscususher.core.maintenance.MoveSystem;
+import org.hibiscususher.core.maintenance.WaveCommandSystem;
+import org.hibiscususher.core.maintenance.WaveSystem;
+import org.hibiscususher.core.maintenance.WaveWatchSystem;
+import org.hibiscususher.core.membership.HostListSystem;
 import org.hibiscususher.core.membership.LinkSystem;
 import org.hibiscususher.core.membership.MembershipSystem;
 import org.hibiscususher.core.request.AdmissionSystem;
+import org.hibiscususher.core.request.OnceSystem;
+import org.hibiscususher.core.request.OutlierSystem;
 import org.hibiscususher.core.request.PlacementSystem;
 import org.hibiscususher.core.request.RecheckSystem;
 import org.hibiscususher.core.request.RetrySystem;
 import org.hibiscususher.core.rollout.FreshnessSystem;
+import org.hibiscususher.core.rollout.HistorySystem;
 import org.hibiscususher.core.rollout.NoteSystem;
 import org.hibiscususher.core.rollout.RollOutSystem;
 import org.hibiscususher.core.world.Tick;
@@ -26,6 +38,12 @@
             MembershipSystem.run(tick);
         }
     },
+    HOST_LIST {
+        @Override
+        void run(Tick tick) {
+            HostListSystem.run(tick);
+        }
+    },
     ROLL_OUT {
         @Override
         void run(Tick tick) {
@@ -38,12 +56,30 @@
             NoteSystem.run(tick);
         }
     },
+    HISTORY {
+        @Override
+        void run(Tick tick) {
+            HistorySystem.run(tick);
+        }
+    },
     RECHECK {
         @Override
         void run(Tick tick) {
             RecheckSystem.run(tick);
         }
     },
+    FLEET {
+        @Override
+        void run(Tick tick) {
+            FleetSystem.run(tick);
+        }
+    },
+    OUTLIER {
+        @Override
+        void run(Tick tick) {
+            OutlierSystem.run(tick);
+        }
+    },
     RETRY {
         @Override
         void run(Tick tick) {
@@ -62,12 +98,60 @@
             AdmissionSystem.run(tick);
         }
     },
+    ONCE {
+        @Override
+        void run(Tick tick) {
+            OnceSystem.run(tick);
+        }
+    },
     PLACEMENT {
         @Override
         void run(Tick tick) {
             PlacementSystem.run(tick);
         }
     },
+    DRAIN {
+        @Override
+        void run(Tick tick) {
+            DrainSystem.run(tick);
+        }
+    },
+    MOVE {
+        @Override
+        void run(Tick tick) {
+            MoveSystem.run(tick);
+        }
+    },
+    LEND {
+        @Override
+        void run(Tick tick) {
+            LendSystem.run(tick);
+        }
+    },
+    WAVE {
+        @Override
+        void run(Tick tick) {
+            WaveSystem.run(tick);
+        }
+    },
+    WAVE_WATCH {
+        @Override
+        void run(Tick tick) {
+            WaveWatchSystem.run(tick);
+        }
+    },
+    WAVE_COMMAND {
+        @Override
+        void run(Tick tick) {
+            WaveCommandSystem.run(tick);
+        }
+    },
+    FLEET_WRITE {
+        @Override
+        void run(Tick tick) {
+            FleetWriteSystem.run(tick);
+        }
+    },
     STATUS {
         @Override
         void run(Tick tick) {
--- a/core/src/main/java/org/hibiscususher/core/membership/LifeSigns.java
+++ b/core/src/main/java/org/hibiscususher/core/membership/LifeSigns.java
@@ -101,7 +101,7 @@
                 member.state() == MemberState.ACTIVE
                         && nowMs >= silentMs
                         && world.node().confirmed()
-                        && hearsHalf(tick);
+                        && heardHalfLately(tick);
         return silent && isTurn(tick, member, silentMs) ? LifeSign.SILENT : LifeSign.NONE;
     }
 
@@ -134,6 +134,20 @@
         return 2 * (heard + 1) >= others.size() + 1;
     }
 
+    /**
+     * Returns whether this entry has heard enough members within few heartbeats.
+     *
+     * <p>Members that fall silent together reach the silence limit one after the other; those that
+     * are late already speak neither for this entry nor against the first of them.
+     */
+    private static boolean heardHalfLately(Tick tick) {
+        World world = tick.world();
+        List<MemberRow> others = world.members().rows();
+        long sinceMs = tick.nowMs() - HEARD_HEARTBEATS * Links.heartbeatMs(world);
+        long heard = others.stream().filter(m -> m.lastHeardMs() >= sinceMs).count();
+        return 2 * (heard + 1) >= others.size() + 1;
+    }
+
     /**
      * Returns whether it is this entry's turn to write a change about a member.
      *
--- a/core/src/main/java/org/hibiscususher/core/message/Input.java
+++ b/core/src/main/java/org/hibiscususher/core/message/Input.java
@@ -124,6 +124,30 @@
      */
     record NoteSubmitted(long callId, ReleaseNote note, long wallMs) implements Input {}
 
+    /**
+     * An operator asks what a release note would lead to.
+     *
+     * @param callId the call to answer
+     * @param note the note
+     */
+    record NoteCheckAsked(long callId, ReleaseNote note) implements Input {}
+
+    /**
+     * An operator asks for accepted notes.
+     *
+     * @param callId the call to answer
+     * @param which the revision or the id of one note; empty for the newest ones
+     * @param limit most notes to give, 1 or more
+     */
+    record HistoryAsked(long callId, String which, int limit) implements Input {}
+
+    /**
+     * An operator asks for the configuration in force.
+     *
+     * @param callId the call to answer
+     */
+    record ExportAsked(long callId) implements Input {}
+
     /** The process was asked to stop: finish what runs, then leave. */
     record ShutdownAsked() implements Input {}
 
@@ -133,4 +157,41 @@
      * @param callId the call to answer
      */
     record StatusAsked(long callId) implements Input {}
+
+    /**
+     * The answer to {@link Output.ReadFleet}.
+     *
+     * @param callId the call
+     * @param version the store's version at the time of the read
+     * @param records the records that were asked for
+     */
+    record FleetRead(long callId, long version, List<FleetRecord> records) implements Input {
+        /** Copies the list. */
+        public FleetRead {
+            records = List.copyOf(records);
+        }
+    }
+
+    /**
+     * The answer to {@link Output.RebootHost}.
+     *
+     * @param host the host
+     * @param token the token of the call
+     * @param result what is known
+     */
+    record RebootAnswered(String host, String token, RebootResult result) implements Input {}
+
+    /**
+     * An operator gives a command about the maintenance wave.
+     *
+     * @param callId the call to answer
+     * @param command the command
+     * @param pools the pools to plan a wave for; empty for all
+     */
+    record WaveAsked(long callId, WaveCommand command, List<String> pools) implements Input {
+        /** Copies the list. */
+        public WaveAsked {
+            pools = List.copyOf(pools);
+        }
+    }
 }
--- a/core/src/main/java/org/hibiscususher/core/message/Output.java
+++ b/core/src/main/java/org/hibiscususher/core/message/Output.java
@@ -1,6 +1,8 @@
 package org.hibiscususher.core.message;
 
 import java.util.List;
+import org.hibiscususher.core.config.Configuration;
+import org.hibiscususher.core.note.AcceptedNote;
 import org.hibiscususher.core.note.Finding;
 
 /** Something that the process shall do after a tick. */
@@ -71,6 +73,42 @@
         }
     }
 
+    /**
+     * Answer an operator what a release note would lead to.
+     *
+     * @param callId the call
+     * @param revision the revision that the note was checked against
+     * @param findings what was found
+     */
+    record AnswerNoteCheck(long callId, long revision, List<Finding> findings) implements Output {
+        /** Copies the findings. */
+        public AnswerNoteCheck {
+            findings = List.copyOf(findings);
+        }
+    }
+
+    /**
+     * Answer an operator with accepted notes.
+     *
+     * @param callId the call
+     * @param notes the notes, newest first
+     * @param detail one line for the operator if something is missing; else empty
+     */
+    record AnswerHistory(long callId, List<AcceptedNote> notes, String detail) implements Output {
+        /** Copies the notes. */
+        public AnswerHistory {
+            notes = List.copyOf(notes);
+        }
+    }
+
+    /**
+     * Answer an operator with the configuration in force.
+     *
+     * @param callId the call
+     * @param configuration the configuration
+     */
+    record AnswerExport(long callId, Configuration configuration) implements Output {}
+
     /**
      * Count an event by reason.
      *
@@ -85,6 +123,9 @@
      */
     record LogEvent(String event) implements Output {}
 
+    /** Read the platform's list of hosts. */
+    record ReadHosts() implements Output {}
+
     /** Nothing is left to finish: the process may exit. */
     record ShutdownDone() implements Output {}
 
@@ -95,4 +136,29 @@
      * @param report the answer
      */
     record AnswerStatus(long callId, StatusReport report) implements Output {}
+
+    /**
+     * Read the records about hosts that have changed.
+     *
+     * @param callId the call
+     * @param sinceVersion records that are no newer than this are left out
+     */
+    record ReadFleet(long callId, long sinceVersion) implements Output {}
+
+    /**
+     * Ask the platform to reboot a host, if its boot id is as expected.
+     *
+     * @param host the host
+     * @param bootId the boot id that it is expected to have
+     * @param token names the reboot; the platform carries out one call with the same token
+     */
+    record RebootHost(String host, String bootId, String token) implements Output {}
+
+    /**
+     * Answer an operator's command about the maintenance wave.
+     *
+     * @param callId the call
+     * @param report the answer
+     */
+    record AnswerWave(long callId, WaveReport report) implements Output {}
 }
--- a/core/src/main/java/org/hibiscususher/core/request/PlacementSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/request/PlacementSystem.java
@@ -20,15 +20,22 @@
     /** How many requests of a lane are tried when the first ones fit no idle host. */
     private static final int TRIED_PER_LANE = 8;
 
+    /** Time between two searches for requests that have waited too long, in milliseconds. */
+    private static final int REFUSE_EVERY_MS = 10;
+
     private PlacementSystem() {}
 
     /** Refuses requests that have waited too long and starts as many others as permits allow. */
     public static void run(Tick tick) {
         World world = tick.world();
+        boolean refuses =
+                tick.nowMs() / REFUSE_EVERY_MS != world.node().lastTickMs() / REFUSE_EVERY_MS;
         Set<RequestLane> lanes = new HashSet<>();
         for (RequestLane lane : List.copyOf(world.requests().groups())) {
             if (lane.state().placeable()) {
-                refuseLate(tick, lane);
+                if (refuses) {
+                    refuseLate(tick, lane);
+                }
                 lanes.add(lane);
             }
         }
@@ -44,7 +51,9 @@
             } else {
                 lanes.remove(lane);
             }
-            lanes.removeIf(l -> world.requests().group(l).isEmpty());
+            if (world.requests().group(lane).isEmpty()) {
+                lanes.remove(lane);
+            }
         }
     }
 
@@ -93,19 +102,37 @@
     private static Optional<HostRow> hostFor(Tick tick, RequestRow row) {
         HostRow best = null;
         int mostIdle = 0;
+        boolean bestElsewhere = false;
+        Set<String> zones = triedZones(tick.world(), row);
         for (HostRow host : tick.world().hosts().group(row.pool())) {
             int idle = idleSlots(tick.world(), host);
-            if (idle > mostIdle && takes(tick, host, row)) {
-                best = host;
-                mostIdle = idle;
+            if (idle > 0 && takes(tick, host, row)) {
+                boolean elsewhere = !zones.contains(host.spec().zone());
+                boolean better = elsewhere == bestElsewhere ? idle > mostIdle : elsewhere;
+                if (better) {
+                    best = host;
+                    mostIdle = idle;
+                    bestElsewhere = elsewhere;
+                }
             }
         }
         return Optional.ofNullable(best);
     }
 
+    /**
+     * Returns the zones of the hosts that were tried: a further attempt goes elsewhere if it can.
+     */
+    private static Set<String> triedZones(World world, RequestRow row) {
+        Set<String> zones = new HashSet<>();
+        for (String host : row.triedHosts()) {
+            world.hosts().find(host).ifPresent(h -> zones.add(h.spec().zone()));
+        }
+        return zones;
+    }
+
     private static boolean takes(Tick tick, HostRow host, RequestRow row) {
         return host.stage().takesWork()
-                && host.restUntilMs() <= tick.nowMs()
+                && OutlierSystem.mayStart(tick, host, row)
                 && host.spec().capacity().fits(row.arrival().needs())
                 && !row.triedHosts().contains(host.spec().id());
     }
@@ -114,6 +141,7 @@
         String id = host.spec().id();
         List<PermitKey> permits = Permits.needed(row, id);
         Permits.use(tick.world(), permits);
+        OutlierSystem.started(tick, host);
         RequestRow started = row.started(tick.nowMs(), id, permits);
         tick.world().requests().put(row.id(), started);
         tick.emit(
--- a/core/src/main/java/org/hibiscususher/core/world/World.java
+++ b/core/src/main/java/org/hibiscususher/core/world/World.java
@@ -3,8 +3,10 @@
 import org.hibiscususher.core.config.Configuration;
 import org.hibiscususher.core.config.KeyDigest;
 import org.hibiscususher.core.config.KeySpec;
+import org.hibiscususher.core.message.FleetRecord;
 import org.hibiscususher.core.message.PermitGroup;
 import org.hibiscususher.core.message.PermitKey;
+import org.hibiscususher.core.message.RecordKey;
 import org.hibiscususher.core.message.RecordKind;
 import org.hibiscususher.core.note.AcceptedNote;
 import org.hibiscususher.core.table.GroupedTable;
@@ -24,6 +26,7 @@
     private final Table<String, HeadRow> mHead = Table.create();
     private final Table<Long, AcceptedNote> mRecentNotes = Table.create();
     private final Table<String, RelayRow> mRelays = Table.create();
+    private final Table<Long, HistoryQueryRow> mHistoryQueries = Table.create();
     private final Table<Long, FoldWriteRow> mFoldWrites = Table.create();
     private final Table<String, MembershipRow> mMembership = Table.create();
     private final Table<String, MemberRow> mMembers = Table.create();
@@ -33,6 +36,7 @@
     private final Table<String, FreshnessRow> mFreshness = Table.create();
     private final Table<String, EvidenceRow> mEvidence = Table.create();
     private final Table<Long, StoreCallRow> mHeadReads = Table.create();
+    private final Table<String, HostListRow> mHostList = Table.create();
     private final Table<KeyDigest, KeySpec> mKeys = Table.create();
     private final GroupedTable<String, HostRow, String> mHosts =
             GroupedTable.createBy(HostRow::pool);
@@ -50,11 +54,28 @@
             GroupedTable.createBy(d -> d.key().group());
     private final GroupedTable<DemandRow.Key, AdviceRow, PermitGroup> mAdvice =
             GroupedTable.createBy(a -> a.key().group());
-    private final Table<String, PoolLoadRow> mPoolLoads = Table.create();
+    private final Table<String, PoolDuesRow> mPoolDues = Table.create();
+    private final Table<CreditRow.Key, CreditRow> mCredits = Table.create();
     private final GroupedTable<Long, RequestRow, RequestLane> mRequests =
             GroupedTable.createBy(RequestRow::lane);
+    private final Table<Long, AbandonedRow> mAbandoned = Table.create();
+    private final Table<String, QueueLoadRow> mQueueLoads = Table.create();
+    private final Table<Long, OnceClaimRow> mOnceClaims = Table.create();
+    private final Table<OnceKey, OnceKeyRow> mOnceKeys = Table.create();
+    private final Table<String, OnceTenureRow> mOnceTenure = Table.create();
+    private final Table<String, FormerHomeRow> mFormerHomes = Table.create();
     private final Table<Long, PendingNoteRow> mPendingNotes = Table.create();
     private final Table<RecordKind, StoreCallRow> mStoreCalls = Table.create();
+    private final Table<RecordKey, FleetRow> mFleet = Table.create();
+    private final Table<String, FleetSyncRow> mFleetSync = Table.create();
+    private final Table<RecordKey, StoreCallRow> mFleetCalls = Table.create();
+    private final Table<RecordKey, FleetRecord> mFleetDrafts = Table.create();
+    private final Table<String, PlatformHostRow> mPlatformHosts = Table.create();
+    private final Table<String, OutageRow> mOutages = Table.create();
+    private final Table<String, RebootRow> mReboots = Table.create();
+    private final Table<String, WaveDoneRow> mWaveDone = Table.create();
+    private final Table<Long, PendingWaveRow> mPendingWaves = Table.create();
+    private final Table<String, PoolNeedRow> mPoolNeeds = Table.create();
     private final Table<String, ControlSettings> mSettings = Table.create();
 
     private World() {}
@@ -66,9 +87,12 @@
         world.mRevision.put(SELF, new RevisionRow(Configuration.EMPTY, nowMs));
         world.mHead.put(SELF, HeadRow.UNSEEN);
         world.mMembership.put(SELF, MembershipRow.UNSEEN);
+        world.mFleetSync.put(SELF, FleetSyncRow.NEVER);
         world.mEscrow.put(SELF, EscrowRow.NONE);
         world.mMembershipCall.put(SELF, MembershipCallRow.NONE);
         world.mFreshness.put(SELF, FreshnessRow.NONE);
+        world.mOnceTenure.put(SELF, OnceTenureRow.NONE);
+        world.mHostList.put(SELF, HostListRow.NONE);
         world.mSettings.put(SELF, settings);
         return world;
     }
@@ -123,6 +147,11 @@
         return mFoldWrites;
     }
 
+    /** Returns the operators' questions about accepted notes, by call. */
+    public Table<Long, HistoryQueryRow> historyQueries() {
+        return mHistoryQueries;
+    }
+
     /** Returns the membership record as last seen. */
     public MembershipRow membership() {
         return mMembership.find(SELF).orElseThrow();
@@ -168,6 +197,11 @@
         return mFreshness;
     }
 
+    /** Returns the table of the one row about reads of the platform's list of hosts. */
+    public Table<String, HostListRow> hostListTable() {
+        return mHostList;
+    }
+
     /** Returns the reads of the head that are out, by call. */
     public Table<Long, StoreCallRow> headReads() {
         return mHeadReads;
@@ -238,9 +272,14 @@
         return mAdvice;
     }
 
-    /** Returns the load that runs in pools from other entries. */
-    public Table<String, PoolLoadRow> poolLoads() {
-        return mPoolLoads;
+    /** Returns what the teams are due at this entry by pool. */
+    public Table<String, PoolDuesRow> poolDues() {
+        return mPoolDues;
+    }
+
+    /** Returns how far teams have fallen short of what they were due at this entry. */
+    public Table<CreditRow.Key, CreditRow> credits() {
+        return mCredits;
     }
 
     /** Returns the requests at hand, in order of arrival, grouped by what they wait for or use. */
@@ -248,6 +287,41 @@
         return mRequests;
     }
 
+    /** Returns the requests that were abandoned while running, by id. */
+    public Table<Long, AbandonedRow> abandoned() {
+        return mAbandoned;
+    }
+
+    /** Returns what was learnt of each queue. */
+    public Table<String, QueueLoadRow> queueLoads() {
+        return mQueueLoads;
+    }
+
+    /** Returns the claims of requests at hand to their idempotency keys, by request. */
+    public Table<Long, OnceClaimRow> onceClaims() {
+        return mOnceClaims;
+    }
+
+    /** Returns the idempotency keys that this entry remembers as their home. */
+    public Table<OnceKey, OnceKeyRow> onceKeys() {
+        return mOnceKeys;
+    }
+
+    /** Returns since when this entry may be the home of idempotency keys. */
+    public OnceTenureRow onceTenure() {
+        return mOnceTenure.find(SELF).orElseThrow();
+    }
+
+    /** Returns the table of the one row about this entry as a home of idempotency keys. */
+    public Table<String, OnceTenureRow> onceTenureTable() {
+        return mOnceTenure;
+    }
+
+    /** Returns the members that were homes of idempotency keys, by member id. */
+    public Table<String, FormerHomeRow> formerHomes() {
+        return mFormerHomes;
+    }
+
     /** Returns the release notes that operators wait for, by call. */
     public Table<Long, PendingNoteRow> pendingNotes() {
         return mPendingNotes;
@@ -258,6 +332,61 @@
         return mStoreCalls;
     }
 
+    /** Returns the records about hosts as last seen. */
+    public Table<RecordKey, FleetRow> fleet() {
+        return mFleet;
+    }
+
+    /** Returns how current the records about hosts are. */
+    public FleetSyncRow fleetSync() {
+        return mFleetSync.find(SELF).orElseThrow();
+    }
+
+    /** Returns the table of the one row about how current the records about hosts are. */
+    public Table<String, FleetSyncRow> fleetSyncTable() {
+        return mFleetSync;
+    }
+
+    /** Returns the writes of records about hosts that are out. */
+    public Table<RecordKey, StoreCallRow> fleetCalls() {
+        return mFleetCalls;
+    }
+
+    /** Returns the records about hosts that this tick is about to write. */
+    public Table<RecordKey, FleetRecord> fleetDrafts() {
+        return mFleetDrafts;
+    }
+
+    /** Returns the platform's list of hosts by id. */
+    public Table<String, PlatformHostRow> platformHosts() {
+        return mPlatformHosts;
+    }
+
+    /** Returns the outages under way, by host. */
+    public Table<String, OutageRow> outages() {
+        return mOutages;
+    }
+
+    /** Returns the reboots that this entry has asked for, by host. */
+    public Table<String, RebootRow> reboots() {
+        return mReboots;
+    }
+
+    /** Returns the hosts that are rebooted in the newest wave, by wave and host. */
+    public Table<String, WaveDoneRow> waveDone() {
+        return mWaveDone;
+    }
+
+    /** Returns the operators' commands about the maintenance wave, by call. */
+    public Table<Long, PendingWaveRow> pendingWaves() {
+        return mPendingWaves;
+    }
+
+    /** Returns how many hosts pools are short of, by pool. */
+    public Table<String, PoolNeedRow> poolNeeds() {
+        return mPoolNeeds;
+    }
+
     /** Returns the times and limits of the decisions. */
     public ControlSettings settings() {
         return mSettings.find(SELF).orElseThrow();
--- a/daemon/src/main/java/org/hibiscususher/daemon/Daemon.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/Daemon.java
@@ -31,6 +31,10 @@
 public final class Daemon implements AutoCloseable {
     private static final Logger LOG = System.getLogger(Daemon.class.getName());
     private static final long CLOSE_TIMEOUT_MS = 2_000;
+    private static final long LEAVE_TIMEOUT_MS = 30_000;
+    private static final long WRITE_TIMEOUT_MS = 5_000;
+    private static final long POLL_MS = 20;
+    private static final int MAX_EVENT_LOOPS = 4;
 
     private final EventLoopGroup mGroup;
     private final Inbox mInbox = new Inbox();
@@ -44,7 +48,7 @@
     private final ControlThread mControl;
 
     private Daemon(DaemonSettings settings) throws IOException {
-        mGroup = new MultiThreadIoEventLoopGroup(0, NioIoHandler.newFactory());
+        mGroup = new MultiThreadIoEventLoopGroup(eventLoops(), NioIoHandler.newFactory());
         mExchanges = Exchanges.create(mInbox, mMetrics);
         mCalls = OperatorCalls.create(mInbox);
         mStore = StoreOutputs.create(EtcdStore.create(mGroup, settings.platform()), mInbox);
@@ -64,6 +68,12 @@
         mStore.watch(RecordKey.MEMBERSHIP);
     }
 
+    /** Returns how many threads carry traffic: few, so that each finds more to do at a time. */
+    private static int eventLoops() {
+        int processors = Runtime.getRuntime().availableProcessors();
+        return Math.max(1, Math.min(MAX_EVENT_LOOPS, processors / 2));
+    }
+
     /**
      * Starts an entry.
      *
@@ -80,12 +90,26 @@
             mExchanges.refuse(refuse);
         } else if (output instanceof Output.SendPeer send) {
             mPeers.send(send);
+        } else if (output instanceof Output.ReadHosts) {
+            mStore.readHosts();
         } else if (output instanceof Output.ReadRecord read) {
             mStore.read(read);
         } else if (output instanceof Output.SwapRecord swap) {
             mStore.swap(swap);
+        } else if (output instanceof Output.ReadFleet read) {
+            mStore.readFleet(read);
+        } else if (output instanceof Output.RebootHost reboot) {
+            mStore.reboot(reboot);
+        } else if (output instanceof Output.AnswerWave answer) {
+            mCalls.answer(answer.callId(), answer);
         } else if (output instanceof Output.AnswerNote answer) {
             mCalls.answer(answer.callId(), answer);
+        } else if (output instanceof Output.AnswerNoteCheck answer) {
+            mCalls.answer(answer.callId(), answer);
+        } else if (output instanceof Output.AnswerHistory answer) {
+            mCalls.answer(answer.callId(), answer);
+        } else if (output instanceof Output.AnswerExport answer) {
+            mCalls.answer(answer.callId(), answer);
         } else if (output instanceof Output.AnswerStatus answer) {
             mCalls.answer(answer.callId(), answer);
         } else if (output instanceof Output.Count count) {
@@ -97,12 +121,34 @@
         }
     }
 
-    /** Asks the entry to finish its work and leave; returns when it has left. */
-    public void shutDown() throws InterruptedException {
-        mInbox.add(new Input.ShutdownAsked());
-        mDone.await();
+    /**
+     * Asks the entry to finish its work and leave, and waits until it has left.
+     *
+     * <p>It waits no longer than the longest run limit and some time to leave the membership
+     * record.
+     *
+     * @return whether the entry has finished all and left
+     */
+    public boolean shutDown() throws InterruptedException {
         mFront.stopAccepting();
+        mExchanges.setLeaving();
+        mInbox.add(new Input.ShutdownAsked());
+        long startNs = System.nanoTime();
+        boolean left = mDone.await(POLL_MS, TimeUnit.MILLISECONDS);
+        while (!left && msSince(startNs) < mExchanges.longestRunLimitMs() + LEAVE_TIMEOUT_MS) {
+            left = mDone.await(POLL_MS, TimeUnit.MILLISECONDS);
+        }
+        long leftNs = System.nanoTime();
+        while (mExchanges.size() > 0 && msSince(leftNs) < WRITE_TIMEOUT_MS) {
+            Thread.sleep(POLL_MS);
+        }
+        boolean finished = left && mExchanges.size() == 0;
         close();
+        return finished;
+    }
+
+    private static long msSince(long startNs) {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNs);
     }
 
     @Override
--- a/daemon/src/main/java/org/hibiscususher/daemon/settings/SettingsReader.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/settings/SettingsReader.java
@@ -43,6 +43,7 @@
                         map.integer("roll-out wait ms", 1, MAX_MS, base.rollOutWaitMs()),
                         map.integer("attempts at most", 1, MAX_ATTEMPTS, base.maxAttempts()),
                         map.integer("pause ms", 1, MAX_MS, base.pauseMs()),
+                        base.lendPolicy(),
                         base.escrowPolicy());
         map.close(
                 "heartbeat ms",
--- a/daemon/src/main/java/org/hibiscususher/daemon/store/EtcdStore.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/store/EtcdStore.java
@@ -11,10 +11,14 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Base64;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 import org.hibiscususher.core.message.PlatformHost;
 import org.hibiscususher.wire.http.HttpCaller;
@@ -29,6 +33,8 @@
     private final EventLoopGroup mGroup;
     private final String mAddress;
     private final HttpCaller mCaller;
+    private final Set<String> mWatched = ConcurrentHashMap.newKeySet();
+    private final Map<String, VersionedValue> mLastRead = new ConcurrentHashMap<>();
 
     private EtcdStore(EventLoopGroup group, String address) {
         mGroup = group;
@@ -46,14 +52,30 @@
         return new EtcdStore(group, address);
     }
 
+    /**
+     * Reads a value. Of a watched key that was read before, the store is asked for the value only
+     * if it has changed since: such keys are read often.
+     */
     @Override
     public CompletableFuture<Optional<VersionedValue>> get(String key) {
-        return call("/v3/kv/range", object().put("key", encode(key)))
-                .thenApply(
-                        reply ->
-                                reply.path("kvs").isEmpty()
-                                        ? Optional.empty()
-                                        : Optional.of(valueOf(reply.path("kvs").get(0))));
+        VersionedValue last = mLastRead.get(key);
+        ObjectNode range = object().put("key", encode(key));
+        if (last != null) {
+            range.put("min_mod_revision", Long.toString(last.version() + 1));
+        }
+        return call("/v3/kv/range", range).thenApply(reply -> found(key, last, reply));
+    }
+
+    private Optional<VersionedValue> found(String key, VersionedValue last, JsonNode reply) {
+        if (!reply.path("kvs").isEmpty()) {
+            VersionedValue value = valueOf(reply.path("kvs").get(0));
+            if (mWatched.contains(key)) {
+                mLastRead.put(key, value);
+            }
+            return Optional.of(value);
+        }
+        boolean unchanged = last != null && reply.path("count").asLong() > 0;
+        return unchanged ? Optional.of(last) : Optional.empty();
     }
 
     @Override
@@ -76,6 +98,7 @@
 
     @Override
     public void watch(String key, Consumer<VersionedValue> consumer) {
+        mWatched.add(key);
         ObjectNode root = object();
         root.putObject("create_request").put("key", encode(key)).put("start_revision", "1");
         EtcdWatch.start(
@@ -113,6 +136,39 @@
                         });
     }
 
+    @Override
+    public CompletableFuture<Changes> changes(String prefix, long sinceVersion) {
+        ObjectNode root = object();
+        root.put("key", encode(prefix))
+                .put("range_end", encode(endOf(prefix)))
+                .put("min_mod_revision", Long.toString(sinceVersion + 1));
+        return call("/v3/kv/range", root)
+                .thenApply(
+                        reply -> {
+                            Map<String, VersionedValue> values = new HashMap<>();
+                            for (JsonNode kv : reply.path("kvs")) {
+                                values.put(decode(kv.path("key").asText()), valueOf(kv));
+                            }
+                            long version = reply.path("header").path("revision").asLong();
+                            return new Changes(version, values);
+                        });
+    }
+
+    /** Returns the first key after all that begin with a prefix. */
+    private static String endOf(String prefix) {
+        int last = prefix.length() - 1;
+        return prefix.substring(0, last) + (char) (prefix.charAt(last) + 1);
+    }
+
+    @Override
+    public CompletableFuture<Boolean> reboot(String host, String bootId, String token) {
+        ObjectNode root = object().put("bootId", bootId).put("token", token);
+        byte[] body = root.toString().getBytes(StandardCharsets.UTF_8);
+        return mCaller.call(mAddress, HttpMethod.POST, "/platform/hosts/" + host + "/reboot", body)
+                .thenApply(EtcdStore::parse)
+                .thenApply(reply -> reply.path("accepted").asBoolean());
+    }
+
     private CompletableFuture<JsonNode> call(String path, JsonNode body) {
         byte[] bytes = body.toString().getBytes(StandardCharsets.UTF_8);
         return mCaller.call(mAddress, HttpMethod.POST, path, bytes).thenApply(EtcdStore::parse);
@@ -135,6 +191,10 @@
                 Base64.getDecoder().decode(kv.path("value").asText()));
     }
 
+    private static String decode(String key) {
+        return new String(Base64.getDecoder().decode(key), StandardCharsets.UTF_8);
+    }
+
     private static String encode(String key) {
         return Base64.getEncoder().encodeToString(key.getBytes(StandardCharsets.UTF_8));
     }
--- a/standin/src/test/java/org/hibiscususher/standin/matrix/Mutant.java
+++ b/standin/src/test/java/org/hibiscususher/standin/matrix/Mutant.java
@@ -1,10 +1,15 @@
 package org.hibiscususher.standin.matrix;
 
 import java.util.List;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.hibiscususher.core.config.AvailabilityBudget;
 import org.hibiscususher.core.config.Configuration;
 import org.hibiscususher.core.config.KeyDigest;
 import org.hibiscususher.core.config.KeySpec;
+import org.hibiscususher.core.config.PoolSpec;
 import org.hibiscususher.core.message.PermitKey;
+import org.hibiscususher.core.message.PermitKind;
 import org.hibiscususher.core.world.HoldingRow;
 import org.hibiscususher.core.world.HostStage;
 import org.hibiscususher.core.world.RequestRow;
@@ -114,6 +119,37 @@
             }
         }
     },
+    /** Forgets which slots are out, so that hosts count as idle while they run work. */
+    FORGETS_SLOTS(Promise.NOTHING_CUT) {
+        @Override
+        void tamper(VirtualEntry entry) {
+            entry.world().ledger().rows().stream()
+                    .filter(l -> l.key().kind() == PermitKind.SLOT)
+                    .forEach(l -> entry.world().ledger().remove(l.key()));
+        }
+    },
+    /** Believes that any number of hosts may be down. */
+    IGNORES_BUDGETS(Promise.AVAILABILITY_BUDGET) {
+        @Override
+        void tamper(VirtualEntry entry) {
+            World world = entry.world();
+            Configuration seen = world.configuration();
+            SortedMap<String, PoolSpec> pools = new TreeMap<>();
+            for (PoolSpec pool : seen.pools().values()) {
+                AvailabilityBudget any = new AvailabilityBudget(ANY_NUMBER, ANY_NUMBER);
+                pools.put(pool.id(), new PoolSpec(pool.id(), pool.quickReserve(), any, false));
+            }
+            Configuration loose =
+                    new Configuration(
+                            seen.revision(),
+                            pools,
+                            seen.hosts(),
+                            seen.teams(),
+                            seen.keys(),
+                            seen.queues());
+            world.revisionTable().put(World.SELF, new RevisionRow(loose, 0));
+        }
+    },
     /** Falls back to the configuration before the first note, now and then. */
     GOES_BACK(Promise.FORWARD_ONLY, Promise.IN_FORCE_EVERYWHERE) {
         @Override
@@ -127,6 +163,7 @@
     };
 
     private static final int INVENTED = 40;
+    private static final int ANY_NUMBER = 99;
 
     private final List<Promise> mBroken;
 
@@ -139,6 +176,13 @@
         return mBroken;
     }
 
+    /** Returns the step in which the mutant is looked at. */
+    Step step() {
+        return this == FORGETS_SLOTS || this == IGNORES_BUDGETS
+                ? Step.WAVE_REBOOTING
+                : Step.REQUEST_WAITING;
+    }
+
     /** Breaks an entry before one of its ticks. */
     abstract void tamper(VirtualEntry entry);
 
--- a/standin/src/test/java/org/hibiscususher/standin/matrix/MutantTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/matrix/MutantTest.java
@@ -20,7 +20,7 @@
         void isFound(Mutant mutant) {
             Scene scene = new Scene(SEED);
             scene.site().setBeforeTick(mutant::tamper);
-            Scene.Outcome outcome = scene.play(Step.REQUEST_WAITING, List.of());
+            Scene.Outcome outcome = scene.play(mutant.step(), List.of());
             assertThat(outcome.violations()).containsKeys(mutant.broken().toArray(Promise[]::new));
         }
     }
--- a/standin/src/test/java/org/hibiscususher/standin/matrix/Promise.java
+++ b/standin/src/test/java/org/hibiscususher/standin/matrix/Promise.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -115,6 +116,28 @@
             return scene.startedOnDrained();
         }
     },
+    /** A planned stop cuts no request. */
+    NOTHING_CUT {
+        @Override
+        Optional<String> violation(Scene scene) {
+            return scene.site().platform().violations().stream().findFirst();
+        }
+    },
+    /** Availability budgets hold: few hosts of a pool and of a zone are down for a wave. */
+    AVAILABILITY_BUDGET {
+        @Override
+        Optional<String> violation(Scene scene) {
+            List<String> quick = scene.rebooting("quick");
+            List<String> spread = quick.stream().map(Scene::zoneOf).distinct().toList();
+            boolean holds =
+                    quick.size() <= 2
+                            && spread.size() == quick.size()
+                            && scene.rebooting("long").size() <= 1;
+            return holds
+                    ? Optional.empty()
+                    : Optional.of("down: " + quick + " and " + scene.rebooting("long"));
+        }
+    },
     /** A revision never goes back. */
     FORWARD_ONLY {
         @Override
--- a/standin/src/test/java/org/hibiscususher/standin/matrix/Scene.java
+++ b/standin/src/test/java/org/hibiscususher/standin/matrix/Scene.java
@@ -3,12 +3,10 @@
 import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.HashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
-import java.util.Set;
 import java.util.UUID;
 import java.util.stream.Stream;
 import org.hibiscususher.core.config.Configuration;
@@ -18,6 +16,7 @@
 import org.hibiscususher.core.message.PlatformHost;
 import org.hibiscususher.core.message.Ran;
 import org.hibiscususher.core.message.Refusal;
+import org.hibiscususher.core.message.WaveCommand;
 import org.hibiscususher.core.world.ControlSettings;
 import org.hibiscususher.core.world.HostRow;
 import org.hibiscususher.standin.store.StoreFault;
@@ -47,6 +46,8 @@
     private static final long CHECK_EVERY_MS = 10;
     private static final long HOST_LIST_EVERY_MS = 500;
     private static final long RESEND_MS = 50;
+    private static final long WAVE_START_MS = 300;
+    private static final int REBOOT_MS = 800;
     private static final long RECENT_MS = 8_000;
     private static final long SECONDS_MS = 5_000;
     private static final Map<String, String> HOSTS =
@@ -63,7 +64,7 @@
     private final Map<String, Long> mLoweredMs = new HashMap<>();
     private final Map<String, Long> mDrainedMs = new HashMap<>();
     private final List<VirtualRequest> mRecent = new ArrayList<>();
-    private final Set<String> mHostList = new LinkedHashSet<>();
+    private List<PlatformHost> mHostList = new ArrayList<>();
     private long mWithdrawnMs = Long.MAX_VALUE;
     private int mRemembered;
     private int mNotes;
@@ -100,6 +101,8 @@
 
     /** Starts the entries, the configuration, the load and the checks. */
     void open() {
+        HOSTS.keySet().stream().sorted().forEach(mSite.platform()::add);
+        mSite.platform().setRebootMs(REBOOT_MS);
         for (int i = 1; i <= 4; i++) {
             mSite.start("e" + i, "z" + (i % 2 + 1));
         }
@@ -157,7 +160,7 @@
                 .toString();
     }
 
-    private static String zoneOf(String host) {
+    static String zoneOf(String host) {
         return "z" + (Integer.parseInt(host.substring(1)) % 2 + 1);
     }
 
@@ -204,7 +207,7 @@
     void breakTargets(TargetFault fault) {
         HOSTS.keySet().stream()
                 .sorted()
-                .filter(h -> zoneOf(h).equals("z1"))
+                .filter(h -> zoneOf(h).equals("z1") && !mSite.platform().down(h))
                 .forEach(h -> mSite.target(h).setFault(fault));
     }
 
@@ -220,7 +223,9 @@
                 mSite.resume(entry.id());
             }
         }
-        mSite.targets().values().forEach(t -> t.setFault(TargetFault.NONE));
+        mSite.targets().values().stream()
+                .filter(t -> !mSite.platform().down(t.id()))
+                .forEach(t -> t.setFault(TargetFault.NONE));
     }
 
     void freezeHostList() {
@@ -229,16 +234,34 @@
 
     private void showHosts() {
         if (!mHostListFrozen) {
-            mHostList.clear();
-            mSite.entries().values().stream()
-                    .filter(e -> e.condition() != EntryCondition.DEAD)
-                    .forEach(e -> mHostList.add(e.id()));
-            mHostList.addAll(HOSTS.keySet().stream().sorted().toList());
+            mHostList = new ArrayList<>(mSite.platform().hosts());
+            for (VirtualEntry entry : mSite.entries().values()) {
+                if (entry.condition() != EntryCondition.DEAD) {
+                    String bootId = Long.toString(entry.identity().incarnation());
+                    mHostList.add(new PlatformHost(entry.id(), false, bootId));
+                }
+            }
         }
-        mSite.showHosts(mHostList.stream().map(h -> new PlatformHost(h, false, "")).toList());
+        mSite.showHosts(List.copyOf(mHostList));
         mSite.timeline().after(HOST_LIST_EVERY_MS, this::showHosts);
     }
 
+    /** Plans and starts a wave over all pools. */
+    void startWave(String entry) {
+        mSite.wave(entry, WaveCommand.PLAN, List.of("quick", "long"));
+        mSite.timeline()
+                .after(WAVE_START_MS, () -> mSite.wave(entry, WaveCommand.START, List.of()));
+    }
+
+    /** Returns the hosts of a pool that a wave has taken down and that are not back. */
+    List<String> rebooting(String pool) {
+        return HOSTS.keySet().stream()
+                .sorted()
+                .filter(h -> HOSTS.get(h).equals(pool))
+                .filter(mSite.platform()::down)
+                .toList();
+    }
+
     String limitNote(String id, int limit) {
         return limitNote(id, limit, -1);
     }
--- a/standin/src/test/java/org/hibiscususher/standin/matrix/Step.java
+++ b/standin/src/test/java/org/hibiscususher/standin/matrix/Step.java
@@ -153,6 +153,36 @@
                                     .orElse(false));
         }
     },
+    /** A host is recalled for a wave. */
+    WAVE_RECALLING {
+        @Override
+        void begin(Scene scene) {
+            scene.startWave("e1");
+        }
+
+        @Override
+        Optional<String> reached(Scene scene) {
+            return find(
+                    scene,
+                    e ->
+                            e.world().hosts().rows().stream()
+                                    .anyMatch(h -> h.stage() == HostStage.RECALLED));
+        }
+    },
+    /** A host is rebooting for a wave. */
+    WAVE_REBOOTING {
+        @Override
+        void begin(Scene scene) {
+            scene.startWave("e1");
+        }
+
+        @Override
+        Optional<String> reached(Scene scene) {
+            boolean rebooting =
+                    scene.rebooting("quick").size() + scene.rebooting("long").size() > 0;
+            return rebooting ? Optional.of("e1") : Optional.empty();
+        }
+    },
     /** A new entry joins. */
     MEMBER_JOINING {
         @Override
--- a/standin/src/test/java/org/hibiscususher/standin/virtual/EscrowSite.java
+++ b/standin/src/test/java/org/hibiscususher/standin/virtual/EscrowSite.java
@@ -154,6 +154,17 @@
         return held;
     }
 
+    /** Returns whether the allocator has as many permits out as given within a time. */
+    boolean reaches(PermitKey key, int count, int withinMs) {
+        for (int i = 0; i < withinMs; i++) {
+            mSite.run(1);
+            if (allocator(key).world().ledger().find(key).orElseThrow().outstanding() == count) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private void audit() {
         for (VirtualTarget target : mSite.targets().values()) {
             assertThat(target.running()).as("running on " + target.id()).isLessThanOrEqualTo(SLOTS);
