Keep permits until the target is done, also after the run limit

Ruled out: the escrow's counts, which were right.

Now the caller is told at the limit, the connection is read on and the permits stay in use until the target answers or closes, or four times the limit has passed. The rest after an entry's death counts from the same time.

A fleet read is sent again after 1 s without an answer, not 5 s: an entry that was cut off started work on a draining host more than 5 s after the drain began.

--- a/core/src/main/java/org/hibiscususher/core/escrow/Totals.java
+++ b/core/src/main/java/org/hibiscususher/core/escrow/Totals.java
@@ -30,7 +30,7 @@
         }
         int longest = row.longestRunMs();
         for (QueueSpec queue : configuration.queues().values()) {
-            longest = Math.max(longest, queue.runLimitMs());
+            longest = Math.max(longest, queue.longestRunMs());
         }
         world.escrowTable()
                 .put(
--- a/core/src/main/java/org/hibiscususher/core/maintenance/FleetSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/maintenance/FleetSystem.java
@@ -38,7 +38,7 @@
  */
 public final class FleetSystem {
     private static final int POLL_INTERVAL_MS = 1_000;
-    private static final int POLL_TIMEOUT_MS = 5_000;
+    private static final int POLL_TIMEOUT_MS = 1_000;
 
     private FleetSystem() {}
 
--- a/core/src/main/java/org/hibiscususher/core/membership/MembershipChanges.java
+++ b/core/src/main/java/org/hibiscususher/core/membership/MembershipChanges.java
@@ -37,7 +37,7 @@
     static long restMs(World world) {
         return REST_MARGIN_MS
                 + world.configuration().queues().values().stream()
-                        .mapToInt(QueueSpec::runLimitMs)
+                        .mapToInt(QueueSpec::longestRunMs)
                         .max()
                         .orElse(0);
     }
--- a/core/src/main/java/org/hibiscususher/core/message/AttemptOutcome.java
+++ b/core/src/main/java/org/hibiscususher/core/message/AttemptOutcome.java
@@ -14,8 +14,8 @@
     BROKEN(true, false, true),
     /** The answer began and was cut short; the caller has seen an error. */
     TRUNCATED(true, false, true),
-    /** The longest run time passed without a whole answer, and the connection was closed. */
-    TIMED_OUT(true, false, true),
+    /** The run limit passed and no answer has begun; the target may still be running. */
+    TIMED_OUT(false, false, true),
     /** The caller went away before any byte was sent. */
     CANCELLED(true, true, false),
     /** The caller went away after bytes were sent; the target may still be running. */
--- a/core/src/main/java/org/hibiscususher/core/message/Output.java
+++ b/core/src/main/java/org/hibiscususher/core/message/Output.java
@@ -14,9 +14,16 @@
      * @param attempt number of the attempt, from 1
      * @param host the target host
      * @param address IP number and port of the target
-     * @param runLimitMs longest run, in milliseconds
+     * @param runLimitMs longest that the caller waits for an answer to begin, in milliseconds
+     * @param longestRunMs when the run counts as over whatever the target says, in milliseconds
      */
-    record StartAttempt(long requestId, int attempt, String host, String address, int runLimitMs)
+    record StartAttempt(
+            long requestId,
+            int attempt,
+            String host,
+            String address,
+            int runLimitMs,
+            int longestRunMs)
             implements Output {}
 
     /**
--- a/core/src/main/java/org/hibiscususher/core/request/PlacementSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/request/PlacementSystem.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.hibiscususher.core.config.QueueSpec;
 import org.hibiscususher.core.message.Output.StartAttempt;
 import org.hibiscususher.core.message.PermitKey;
 import org.hibiscususher.core.message.Refusal;
@@ -146,7 +147,12 @@
         tick.world().requests().put(row.id(), started);
         tick.emit(
                 new StartAttempt(
-                        row.id(), started.attempt(), id, host.spec().address(), row.runLimitMs()));
+                        row.id(),
+                        started.attempt(),
+                        id,
+                        host.spec().address(),
+                        row.runLimitMs(),
+                        QueueSpec.longestRunMs(row.runLimitMs())));
     }
 
     private static int idleSlots(World world, HostRow host) {
--- a/core/src/main/java/org/hibiscususher/core/request/RetrySystem.java
+++ b/core/src/main/java/org/hibiscususher/core/request/RetrySystem.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Locale;
+import org.hibiscususher.core.config.QueueSpec;
 import org.hibiscususher.core.message.AttemptOutcome;
 import org.hibiscususher.core.message.Input.AttemptEnded;
 import org.hibiscususher.core.message.Input.TargetDone;
@@ -42,7 +43,7 @@
             if (tick.nowMs() >= row.untilMs()) {
                 world.requests()
                         .find(row.requestId())
-                        .ifPresent(r -> forget(tick, r, "attempt.run-limit-passed"));
+                        .ifPresent(r -> forget(tick, r, "attempt.longest-run-passed"));
             }
         }
     }
@@ -59,6 +60,9 @@
         tick.count("attempt." + code(outcome));
         if (!outcome.targetDone()) {
             abandon(world, row);
+            if (outcome == AttemptOutcome.TIMED_OUT) {
+                Refusals.refuse(tick, row.id(), Refusal.OUTCOME_UNKNOWN);
+            }
             return;
         }
         Permits.release(world, row.permits());
@@ -72,14 +76,13 @@
                     Refusals.refuse(tick, ended, Refusal.OUTCOME_UNKNOWN);
                 }
             }
-            case TIMED_OUT -> Refusals.refuse(tick, ended, Refusal.OUTCOME_UNKNOWN);
             default -> finish(tick, ended, outcome);
         }
     }
 
     private static void abandon(World world, RequestRow row) {
         world.requests().put(row.id(), row.withState(RequestState.ABANDONED, row.permits()));
-        long untilMs = row.startedMs() + row.runLimitMs();
+        long untilMs = row.startedMs() + QueueSpec.longestRunMs(row.runLimitMs());
         world.abandoned().put(row.id(), new AbandonedRow(row.id(), untilMs));
         world.onceClaims().remove(row.id());
     }
--- a/core/src/main/java/org/hibiscususher/core/world/AbandonedRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/AbandonedRow.java
@@ -1,7 +1,7 @@
 package org.hibiscususher.core.world;
 
 /**
- * A request whose caller has gone while a target may be busy with it.
+ * A request whose caller waits no longer while a target may be busy with it.
  *
  * @param requestId the request
  * @param untilMs when its longest run time is over, in milliseconds of the caller's clock
--- a/daemon/src/main/java/org/hibiscususher/daemon/front/Attempt.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/front/Attempt.java
@@ -32,6 +32,7 @@
     private AttemptStage mStage = AttemptStage.CONNECTING;
     private TargetConnection mConnection;
     private Future<?> mRunLimit;
+    private Future<?> mLongestRun;
     private boolean mReused;
     private boolean mWritten;
     private boolean mReusable;
@@ -85,13 +86,25 @@
                                     this::runLimitPassed,
                                     mStart.runLimitMs(),
                                     TimeUnit.MILLISECONDS);
+            mLongestRun =
+                    connection
+                            .eventLoop()
+                            .schedule(
+                                    () -> end(mStage.whenClosed()),
+                                    mStart.longestRunMs(),
+                                    TimeUnit.MILLISECONDS);
         }
         FullHttpRequest request = mExchange.requestFor(mStart.address());
         connection.send(this, request, () -> mWritten = true);
     }
 
+    /** Tells the caller's side that no answer came in time; the target may still be running. */
     private void runLimitPassed() {
-        end(mStage.atRunLimit());
+        if (mStage == AttemptStage.SENT) {
+            mStage = AttemptStage.ABANDONED;
+            mInbox.add(ended(AttemptOutcome.TIMED_OUT));
+            mExchange.attemptEnded(AttemptOutcome.TIMED_OUT);
+        }
     }
 
     /** Takes a part of the target's answer, and releases it. */
@@ -193,7 +206,7 @@
     void callerGone() {
         if (mStage == AttemptStage.CONNECTING) {
             end(AttemptOutcome.CANCELLED);
-        } else if (mStage != AttemptStage.OVER) {
+        } else if (mStage != AttemptStage.OVER && mStage != AttemptStage.ABANDONED) {
             mStage = AttemptStage.ABANDONED;
             mInbox.add(ended(AttemptOutcome.CALLER_GONE));
             callerWritable();
@@ -208,6 +221,7 @@
         mStage = AttemptStage.OVER;
         if (mRunLimit != null) {
             mRunLimit.cancel(false);
+            mLongestRun.cancel(false);
         }
         if (mConnection != null) {
             mConnection.close();
--- a/daemon/src/main/java/org/hibiscususher/daemon/front/Exchanges.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/front/Exchanges.java
@@ -53,7 +53,7 @@
 
     /** Sends a request to a target. */
     public void start(StartAttempt start) {
-        mLongestRunLimitMs.accumulateAndGet(start.runLimitMs(), Math::max);
+        mLongestRunLimitMs.accumulateAndGet(start.longestRunMs(), Math::max);
         Exchange exchange = mExchanges.get(start.requestId());
         if (exchange == null) {
             cancelled(start);
--- a/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualSite.java
+++ b/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualSite.java
@@ -364,9 +364,10 @@
                     mTimeline.after(durationMs, () -> target.end(key));
                     long answerMs = durationMs + TARGET_LATENCY_MS;
                     if (answerMs > start.runLimitMs()) {
+                        mTimeline.after(start.runLimitMs(), () -> timeOut(entry, request, start));
                         mTimeline.after(
-                                start.runLimitMs(),
-                                () -> deliver(entry, request, start, AttemptOutcome.TIMED_OUT));
+                                Math.min(answerMs, start.longestRunMs()),
+                                () -> finishAbandoned(entry, start));
                     } else {
                         mTimeline.after(
                                 answerMs, () -> deliver(entry, request, start, fault.outcome()));
@@ -374,6 +375,19 @@
                 });
     }
 
+    private void timeOut(VirtualEntry entry, VirtualRequest request, StartAttempt start) {
+        if (entry.condition() != EntryCondition.DEAD && !request.cancelled()) {
+            entry.receive(
+                    new AttemptEnded(start.requestId(), start.attempt(), AttemptOutcome.TIMED_OUT));
+        }
+    }
+
+    private void finishAbandoned(VirtualEntry entry, StartAttempt start) {
+        if (entry.condition() != EntryCondition.DEAD) {
+            entry.receive(new TargetDone(start.requestId(), start.attempt()));
+        }
+    }
+
     private void deliver(
             VirtualEntry entry,
             VirtualRequest request,
