Round slots up with the long work that takes them

Cause: targets for slots and for long runs were rounded apart; an entry whose long target was rounded up used the slots that were due to its quick work, while the quick reserve lay idle at others. Ruled out: the quick reserve itself, which stayed free in the sum over the pool.

--- a/core/src/main/java/org/hibiscususher/core/escrow/Balance.java
+++ b/core/src/main/java/org/hibiscususher/core/escrow/Balance.java
@@ -71,8 +71,12 @@
         int main = available(mainKind);
         int longRuns = available(PermitKind.LONG_RUN);
         Fairness fairness = Fairness.of(group, demands, world().configuration(), main, longRuns);
-        int[] mainTargets = targets(mainKind, main, fairness::main);
         int[] longTargets = targets(PermitKind.LONG_RUN, longRuns, fairness::longRuns);
+        int[] mainTargets =
+                targets(
+                        mainKind,
+                        main,
+                        m -> slotsDue(fairness, m, longTargets[mMembers.indexOf(m)]));
         grant(mainKind, mainTargets);
         grant(PermitKind.LONG_RUN, longTargets);
         boolean recalls = tellTargets(mainKind, mainTargets, longTargets);
@@ -82,6 +86,18 @@
         return recalls || !demands.isEmpty();
     }
 
+    /**
+     * Returns how many main permits a member is due when its long work takes whole ones.
+     *
+     * <p>Long targets are whole numbers; a member whose long work is rounded up would otherwise use
+     * the slots that are due to quick work there.
+     */
+    private static double slotsDue(Fairness fairness, MemberKey member, int longTarget) {
+        double longDue = fairness.longRuns(member);
+        double quickDue = fairness.main(member) - longDue;
+        return quickDue + Math.min(longTarget, Math.ceil(longDue));
+    }
+
     private World world() {
         return mExchange.world();
     }
