--- a/standin/src/test/java/org/hibiscususher/standin/golden/Recorder.java
+++ b/standin/src/test/java/org/hibiscususher/standin/golden/Recorder.java
@@ -6,6 +6,8 @@
 import java.util.Map;
 import org.hibiscususher.core.config.KeyDigest;
 import org.hibiscususher.core.message.Output.AnswerNote;
+import org.hibiscususher.core.message.Output.AnswerWave;
+import org.hibiscususher.core.message.WaveCommand;
 import org.hibiscususher.core.world.ControlSettings;
 import org.hibiscususher.standin.store.StoreFault;
 import org.hibiscususher.standin.virtual.VirtualRequest;
@@ -17,6 +19,9 @@
 final class Recorder {
     private static final long SEED = 3;
     private static final int STEP_MS = 10;
+    private static final int REBOOT_MS = 3_000;
+    private static final int LIST_LAG_MS = 200;
+    private static final List<String> HOSTS = List.of("h1", "h2", "h3", "h4", "h5");
 
     private final VirtualSite mSite = VirtualSite.create(SEED, ControlSettings.DEFAULT);
     private final StringBuilder mText = new StringBuilder();
@@ -27,6 +32,9 @@
     private int mRequests;
 
     Recorder() {
+        HOSTS.forEach(mSite.platform()::add);
+        mSite.platform().setRebootMs(REBOOT_MS);
+        mSite.listHosts(LIST_LAG_MS);
         for (String entry : List.of("e1", "e2", "e3")) {
             mSite.start(entry, "z" + entry.substring(1));
         }
@@ -108,6 +116,11 @@
         mOpen.put(mSite.call(entry, queue, team, runMs), name);
     }
 
+    void wave(String entry, WaveCommand command, String... pools) {
+        line("operator says " + command + " to " + entry);
+        mSite.wave(entry, command, List.of(pools));
+    }
+
     /** Lets time pass and writes down what is seen. */
     void run(int ms) {
         for (int i = 0; i < ms / STEP_MS; i++) {
@@ -129,6 +142,12 @@
                 a.findings().forEach(f -> line("  " + f));
             }
         }
+        for (Map.Entry<Long, AnswerWave> answer : mSite.waveAnswers().entrySet()) {
+            if (!mCalls.contains(answer.getKey())) {
+                mCalls.add(answer.getKey());
+                line("answer: " + answer.getValue().report());
+            }
+        }
         for (VirtualRequest request : List.copyOf(mOpen.keySet())) {
             if (request.over()) {
                 line(mOpen.remove(request) + ": " + outcome(request));
--- a/standin/src/test/java/org/hibiscususher/standin/golden/Session.java
+++ b/standin/src/test/java/org/hibiscususher/standin/golden/Session.java
@@ -1,5 +1,6 @@
 package org.hibiscususher.standin.golden;
 
+import org.hibiscususher.core.message.WaveCommand;
 import org.hibiscususher.standin.store.StoreFault;
 
 /** The sessions that are kept as golden files. */
@@ -77,6 +78,21 @@
             recorder.run(300);
         }
     },
+    /** A wave reboots every host of a pool within its budget. */
+    WAVE {
+        @Override
+        void play(Recorder recorder) {
+            recorder.say("a wave over the pool office");
+            recorder.wave("e1", WaveCommand.PLAN, "office");
+            recorder.run(500);
+            recorder.call("e2", "letters", "fitters", 700);
+            recorder.run(20);
+            recorder.wave("e2", WaveCommand.START);
+            recorder.run(20_000);
+            recorder.wave("e3", WaveCommand.SHOW);
+            recorder.run(1_500);
+        }
+    },
     /** An entry is replaced: one leaves, another joins, and one dies. */
     ENTRIES_REPLACED {
         @Override
