--- a/daemon/src/test/java/org/hibiscususher/daemon/settings/SettingsReaderTest.java
+++ b/daemon/src/test/java/org/hibiscususher/daemon/settings/SettingsReaderTest.java
@@ -40,11 +40,11 @@
             assertThat(SettingsReader.read("e1.yaml", text).findings())
                     .extracting(Finding::toString)
                     .containsExactly(
+                            "e1.yaml:1:1: \"platform\" is missing",
                             "e1.yaml:3:10: expected an IP number and port such as"
                                     + " 192.0.2.1:8080, found \"localhost:1\"",
                             "e1.yaml:4:8: expected an IP number and port such as"
                                     + " 192.0.2.1:8080, found \"127.0.0.1:99999\"",
-                            "e1.yaml:1:1: \"platform\" is missing",
                             "e1.yaml:6:25: expected a whole number from 1 to 60000, found"
                                     + " \"soon\"",
                             "e1.yaml:7:1: unknown key \"colour\"; expected one of [member, zone,"
