--- a/core/src/main/java/org/hibiscususher/core/escrow/Attachments.java
+++ b/core/src/main/java/org/hibiscususher/core/escrow/Attachments.java
@@ -1,7 +1,7 @@
 package org.hibiscususher.core.escrow;
 
 import java.util.ArrayList;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -32,7 +32,7 @@
     static void follow(Exchange exchange) {
         World world = exchange.world();
         MembershipRecord record = world.membership().record();
-        Set<PermitGroup> groups = new HashSet<>(world.totals().groups());
+        Set<PermitGroup> groups = new LinkedHashSet<>(world.totals().groups());
         groups.addAll(world.holdings().groups());
         for (PermitGroup group : groups) {
             Optional<MemberKey> allocator = allocatorOf(group, record);
--- a/core/src/main/java/org/hibiscususher/core/escrow/Balance.java
+++ b/core/src/main/java/org/hibiscususher/core/escrow/Balance.java
@@ -2,7 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -30,7 +30,7 @@
     private final Exchange mExchange;
     private final TenureRow mTenure;
     private final List<MemberKey> mMembers;
-    private final Set<MemberKey> mGranted = new HashSet<>();
+    private final Set<MemberKey> mGranted = new LinkedHashSet<>();
 
     private Balance(Exchange exchange, TenureRow tenure) {
         mExchange = exchange;
--- a/core/src/main/java/org/hibiscususher/core/escrow/Demands.java
+++ b/core/src/main/java/org/hibiscususher/core/escrow/Demands.java
@@ -1,6 +1,6 @@
 package org.hibiscususher.core.escrow;
 
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -124,14 +124,14 @@
     }
 
     private static Map<PermitGroup, List<TeamDemand>> gather(World world) {
-        Map<String, Map<String, TeamDemand>> pools = new HashMap<>();
+        Map<String, Map<String, TeamDemand>> pools = new LinkedHashMap<>();
         for (RequestLane lane : world.requests().groups()) {
             int count = world.requests().group(lane).size();
             pools.computeIfAbsent(lane.pool(), p -> new TreeMap<>())
                     .merge(lane.team(), demandOf(lane, count), Demands::sum);
         }
-        Map<PermitGroup, List<TeamDemand>> demands = new HashMap<>();
-        Map<String, TeamDemand> units = new HashMap<>();
+        Map<PermitGroup, List<TeamDemand>> demands = new LinkedHashMap<>();
+        Map<String, TeamDemand> units = new LinkedHashMap<>();
         pools.forEach(
                 (pool, teams) -> {
                     demands.put(PermitGroup.pool(pool), List.copyOf(teams.values()));
@@ -179,7 +179,7 @@
 
     /** Returns the demand of the members for a group, without what is out of date. */
     static Map<MemberKey, List<TeamDemand>> of(Exchange exchange, PermitGroup group) {
-        Map<MemberKey, List<TeamDemand>> demands = new HashMap<>();
+        Map<MemberKey, List<TeamDemand>> demands = new LinkedHashMap<>();
         for (DemandRow row : List.copyOf(exchange.world().demands().group(group))) {
             if (row.teams().isEmpty() || exchange.nowMs() - row.atMs() >= EscrowTiming.EXPIRY_MS) {
                 exchange.world().demands().remove(row.key());
--- a/core/src/main/java/org/hibiscususher/core/escrow/Fairness.java
+++ b/core/src/main/java/org/hibiscususher/core/escrow/Fairness.java
@@ -1,7 +1,7 @@
 package org.hibiscususher.core.escrow;
 
 import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -17,9 +17,9 @@
 final class Fairness {
     private static final double MILLI = 1_000;
 
-    private final Map<MemberKey, Double> mMain = new HashMap<>();
-    private final Map<MemberKey, Double> mLongRuns = new HashMap<>();
-    private final Map<MemberKey, List<TeamDue>> mTeams = new HashMap<>();
+    private final Map<MemberKey, Double> mMain = new LinkedHashMap<>();
+    private final Map<MemberKey, Double> mLongRuns = new LinkedHashMap<>();
+    private final Map<MemberKey, List<TeamDue>> mTeams = new LinkedHashMap<>();
 
     private Fairness() {}
 
--- a/core/src/main/java/org/hibiscususher/core/escrow/Tenures.java
+++ b/core/src/main/java/org/hibiscususher/core/escrow/Tenures.java
@@ -1,6 +1,6 @@
 package org.hibiscususher.core.escrow;
 
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -35,7 +35,7 @@
     static void follow(Exchange exchange) {
         World world = exchange.world();
         MembershipRecord record = world.membership().record();
-        Map<MemberKey, MemberState> listed = new HashMap<>();
+        Map<MemberKey, MemberState> listed = new LinkedHashMap<>();
         for (Member member : record.members()) {
             listed.put(new MemberKey(member.id(), member.incarnation()), member.state());
         }
@@ -59,7 +59,7 @@
 
     private static void begin(
             Exchange exchange, PermitGroup group, long epoch, Map<MemberKey, MemberState> listed) {
-        Map<MemberKey, Answer> answers = new HashMap<>();
+        Map<MemberKey, Answer> answers = new LinkedHashMap<>();
         listed.forEach(
                 (member, state) ->
                         answers.put(member, new Answer(-1, state, restUntil(exchange, state))));
--- a/core/src/main/java/org/hibiscususher/core/escrow/Totals.java
+++ b/core/src/main/java/org/hibiscususher/core/escrow/Totals.java
@@ -1,6 +1,6 @@
 package org.hibiscususher.core.escrow;
 
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import org.hibiscususher.core.config.Configuration;
 import org.hibiscususher.core.config.PoolSpec;
@@ -49,8 +49,8 @@
     }
 
     private static Map<PermitKey, Integer> limits(World world, Configuration configuration) {
-        Map<PermitKey, Integer> limits = new HashMap<>();
-        Map<String, Integer> slots = new HashMap<>();
+        Map<PermitKey, Integer> limits = new LinkedHashMap<>();
+        Map<String, Integer> slots = new LinkedHashMap<>();
         for (HostRow host : world.hosts().rows()) {
             int open = host.stage().takesWork() ? host.spec().slots() : 0;
             limits.put(PermitKey.slot(host.pool(), host.spec().id()), open);
--- a/core/src/main/java/org/hibiscususher/core/maintenance/Fleet.java
+++ b/core/src/main/java/org/hibiscususher/core/maintenance/Fleet.java
@@ -1,7 +1,7 @@
 package org.hibiscususher.core.maintenance;
 
 import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -50,7 +50,7 @@
         if (!current(tick)) {
             return Map.of();
         }
-        Map<String, List<HostRow>> pools = new HashMap<>();
+        Map<String, List<HostRow>> pools = new LinkedHashMap<>();
         for (HostRow host : world.hosts().rows()) {
             pools.computeIfAbsent(host.pool(), p -> new ArrayList<>()).add(host);
         }
--- a/core/src/main/java/org/hibiscususher/core/maintenance/FleetSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/maintenance/FleetSystem.java
@@ -1,6 +1,6 @@
 package org.hibiscususher.core.maintenance;
 
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.Optional;
 import java.util.Set;
 import org.hibiscususher.core.config.Capacity;
@@ -38,13 +38,13 @@
  */
 public final class FleetSystem {
     private static final int POLL_INTERVAL_MS = 1_000;
-    private static final int POLL_TIMEOUT_MS = 1_000;
+    private static final int POLL_TIMEOUT_MS = 1_500;
 
     private FleetSystem() {}
 
     /** Takes in newer records, brings the host rows in line, and asks for changes. */
     public static void run(Tick tick) {
-        Set<String> touched = new HashSet<>();
+        Set<String> touched = new LinkedHashSet<>();
         for (HostListRead read : tick.inputs(HostListRead.class)) {
             takeList(tick, read);
         }
@@ -58,7 +58,7 @@
     }
 
     private static Set<FleetRecord> arrived(Tick tick) {
-        Set<FleetRecord> found = new HashSet<>();
+        Set<FleetRecord> found = new LinkedHashSet<>();
         for (RecordWatched watched : tick.inputs(RecordWatched.class)) {
             if (watched.key().kind().fleet()) {
                 found.add(new FleetRecord(watched.key(), watched.record()));
@@ -127,7 +127,7 @@
 
     private static void takeList(Tick tick, HostListRead read) {
         World world = tick.world();
-        Set<String> listed = new HashSet<>();
+        Set<String> listed = new LinkedHashSet<>();
         for (PlatformHost host : read.hosts()) {
             listed.add(host.id());
             world.platformHosts().put(host.id(), new PlatformHostRow(host, true));
@@ -146,7 +146,7 @@
             return;
         }
         world.fleetSyncTable().update(World.SELF, s -> s.withRevision(revision));
-        Set<String> hosts = new HashSet<>(world.configuration().hosts().keySet());
+        Set<String> hosts = new LinkedHashSet<>(world.configuration().hosts().keySet());
         world.hosts().rows().forEach(h -> hosts.add(h.spec().id()));
         hosts.forEach(h -> apply(tick, h));
     }
--- a/core/src/main/java/org/hibiscususher/core/maintenance/WaveSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/maintenance/WaveSystem.java
@@ -1,7 +1,7 @@
 package org.hibiscususher.core.maintenance;
 
 import java.util.Comparator;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -103,7 +103,7 @@
 
     private static void takeOut(Tick tick, WaveRecord wave, String pool, List<HostRow> hosts) {
         World world = tick.world();
-        Map<String, Integer> waitingByZone = new HashMap<>();
+        Map<String, Integer> waitingByZone = new LinkedHashMap<>();
         List<HostRow> waiting = hosts.stream().filter(h -> waits(tick, wave, h)).toList();
         waiting.forEach(h -> waitingByZone.merge(h.spec().zone(), 1, Integer::sum));
         List<HostRow> order =
--- a/core/src/main/java/org/hibiscususher/core/membership/MembershipSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/membership/MembershipSystem.java
@@ -1,6 +1,6 @@
 package org.hibiscususher.core.membership;
 
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.Optional;
 import java.util.Set;
 import org.hibiscususher.core.message.Input.RecordRead;
@@ -82,8 +82,8 @@
         }
         world.membershipTable().put(World.SELF, new MembershipRow(seen.version(), record));
         world.membershipCallTable().update(World.SELF, c -> c.seen());
-        Set<String> live = new HashSet<>();
-        Set<DeadMemberRow.Key> dead = new HashSet<>();
+        Set<String> live = new LinkedHashSet<>();
+        Set<DeadMemberRow.Key> dead = new LinkedHashSet<>();
         String self = world.node().identity().id();
         for (Member member : record.members()) {
             if (member.state() == MemberState.DEAD) {
--- a/core/src/main/java/org/hibiscususher/core/note/NoteChecker.java
+++ b/core/src/main/java/org/hibiscususher/core/note/NoteChecker.java
@@ -1,8 +1,8 @@
 package org.hibiscususher.core.note;
 
 import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -22,8 +22,8 @@
     private final ReleaseNote mNote;
     private final Configuration mBefore;
     private final List<Finding> mFindings = new ArrayList<>();
-    private final Map<String, Place> mPlaces = new HashMap<>();
-    private final Set<String> mWithdrawn = new HashSet<>();
+    private final Map<String, Place> mPlaces = new LinkedHashMap<>();
+    private final Set<String> mWithdrawn = new LinkedHashSet<>();
 
     private NoteChecker(ReleaseNote note, Configuration before) {
         mNote = note;
@@ -103,7 +103,7 @@
             List<Placed<String>> withdrawn,
             Function<T, String> idOf) {
         SortedMap<String, T> after = new TreeMap<>(before);
-        Map<String, Place> seen = new HashMap<>();
+        Map<String, Place> seen = new LinkedHashMap<>();
         for (Placed<T> item : added) {
             String id = idOf.apply(item.value());
             note(type, id, item.place(), seen);
--- a/core/src/main/java/org/hibiscususher/core/note/WholeChecker.java
+++ b/core/src/main/java/org/hibiscususher/core/note/WholeChecker.java
@@ -1,8 +1,8 @@
 package org.hibiscususher.core.note;
 
 import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -74,7 +74,7 @@
     }
 
     private void checkHosts() {
-        Map<String, String> addresses = new HashMap<>();
+        Map<String, String> addresses = new LinkedHashMap<>();
         for (HostSpec host : mAfter.hosts().values()) {
             String name = "host " + host.id();
             require(mAfter.pools(), "pool", host.pool(), name);
@@ -94,7 +94,7 @@
     }
 
     private void checkKeys() {
-        Map<KeyDigest, String> digests = new HashMap<>();
+        Map<KeyDigest, String> digests = new LinkedHashMap<>();
         for (KeySpec key : mAfter.keys().values()) {
             String name = "key " + key.id();
             require(mAfter.teams(), "team", key.team(), name);
@@ -112,7 +112,7 @@
     }
 
     private void checkQueues() {
-        Set<String> served = new HashSet<>();
+        Set<String> served = new LinkedHashSet<>();
         mAfter.hosts().values().forEach(h -> served.add(h.pool()));
         for (QueueSpec queue : mAfter.queues().values()) {
             String name = "queue " + queue.id();
@@ -129,7 +129,7 @@
     }
 
     private void checkPools() {
-        Map<String, List<HostSpec>> hosts = new HashMap<>();
+        Map<String, List<HostSpec>> hosts = new LinkedHashMap<>();
         for (HostSpec host : mAfter.hosts().values()) {
             hosts.computeIfAbsent(host.pool(), p -> new ArrayList<>()).add(host);
         }
@@ -143,7 +143,7 @@
 
     /** Returns the pools that the note changes, or whose hosts it changes. */
     private Set<String> poolsTouched() {
-        Set<String> touched = new HashSet<>();
+        Set<String> touched = new LinkedHashSet<>();
         mDelta.pools().put().forEach(p -> touched.add(p.id()));
         for (HostSpec host : mDelta.hosts().put()) {
             touched.add(host.pool());
--- a/core/src/main/java/org/hibiscususher/core/request/AdmissionSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/request/AdmissionSystem.java
@@ -1,6 +1,6 @@
 package org.hibiscususher.core.request;
 
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -45,7 +45,7 @@
 
     private static void takeIn(Tick tick, List<RequestArrived> arrivals) {
         WaitingCounts counts = WaitingCounts.of(tick.world());
-        Map<String, PoolView> pools = new HashMap<>();
+        Map<String, PoolView> pools = new LinkedHashMap<>();
         for (RequestArrived arrival : arrivals) {
             Optional<Refusal> refusal = refusalOf(tick, arrival, counts, pools);
             if (refusal.isPresent()) {
--- a/core/src/main/java/org/hibiscususher/core/request/LaneOrder.java
+++ b/core/src/main/java/org/hibiscususher/core/request/LaneOrder.java
@@ -2,8 +2,8 @@
 
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.HashMap;
-import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
 import org.hibiscususher.core.config.QueueKind;
@@ -32,7 +32,7 @@
     private static final double MILLI = 1_000;
 
     private final Tick mTick;
-    private final Map<CreditRow.Key, Double> mCredits = new HashMap<>();
+    private final Map<CreditRow.Key, Double> mCredits = new LinkedHashMap<>();
 
     private LaneOrder(Tick tick) {
         mTick = tick;
@@ -41,9 +41,9 @@
     /** Returns the order of the lanes of a tick, and adds up what their teams fell short of. */
     static LaneOrder of(Tick tick, Collection<RequestLane> lanes) {
         LaneOrder order = new LaneOrder(tick);
-        Set<String> pools = new HashSet<>();
+        Set<String> pools = new LinkedHashSet<>();
         lanes.forEach(l -> pools.add(l.pool()));
-        Map<CreditRow.Key, Integer> running = new HashMap<>();
+        Map<CreditRow.Key, Integer> running = new LinkedHashMap<>();
         for (RequestLane lane : tick.world().requests().groups()) {
             if (pools.contains(lane.pool())) {
                 int count = lane.state().placeable() ? 0 : order.size(lane);
--- a/core/src/main/java/org/hibiscususher/core/request/OutlierSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/request/OutlierSystem.java
@@ -19,7 +19,7 @@
 public final class OutlierSystem {
     private static final int FAULTS_TO_REST = 3;
     private static final int FIRST_REST_MS = 1_000;
-    private static final int MAX_REST_MS = 30_000;
+    private static final int MAX_REST_MS = 5_000;
     private static final int MAX_DOUBLINGS = 5;
 
     /** How long a probe keeps other requests away, unless its end is known before. */
--- a/core/src/main/java/org/hibiscususher/core/request/PlacementSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/request/PlacementSystem.java
@@ -1,7 +1,7 @@
 package org.hibiscususher.core.request;
 
 import java.util.ArrayList;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -31,7 +31,7 @@
         World world = tick.world();
         boolean refuses =
                 tick.nowMs() / REFUSE_EVERY_MS != world.node().lastTickMs() / REFUSE_EVERY_MS;
-        Set<RequestLane> lanes = new HashSet<>();
+        Set<RequestLane> lanes = new LinkedHashSet<>();
         for (RequestLane lane : List.copyOf(world.requests().groups())) {
             if (lane.state().placeable()) {
                 if (refuses) {
@@ -124,7 +124,7 @@
      * Returns the zones of the hosts that were tried: a further attempt goes elsewhere if it can.
      */
     private static Set<String> triedZones(World world, RequestRow row) {
-        Set<String> zones = new HashSet<>();
+        Set<String> zones = new LinkedHashSet<>();
         for (String host : row.triedHosts()) {
             world.hosts().find(host).ifPresent(h -> zones.add(h.spec().zone()));
         }
--- a/core/src/main/java/org/hibiscususher/core/request/PoolView.java
+++ b/core/src/main/java/org/hibiscususher/core/request/PoolView.java
@@ -1,6 +1,6 @@
 package org.hibiscususher.core.request;
 
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.Optional;
 import java.util.Set;
 import org.hibiscususher.core.config.Capacity;
@@ -29,7 +29,7 @@
     /** Returns the view of a pool. */
     static PoolView of(World world, String pool) {
         int slots = 0;
-        Set<Capacity> capacities = new HashSet<>();
+        Set<Capacity> capacities = new LinkedHashSet<>();
         for (HostRow host : world.hosts().group(pool)) {
             slots += host.stage().takesWork() ? host.spec().slots() : 0;
             capacities.add(host.spec().capacity());
--- a/core/src/main/java/org/hibiscususher/core/request/WaitingCounts.java
+++ b/core/src/main/java/org/hibiscususher/core/request/WaitingCounts.java
@@ -1,6 +1,6 @@
 package org.hibiscususher.core.request;
 
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import org.hibiscususher.core.config.QueueSpec;
 import org.hibiscususher.core.world.RequestLane;
@@ -15,8 +15,8 @@
 final class WaitingCounts {
     private static final int TEAM_FACTOR = 2;
 
-    private final Map<String, Integer> mByQueue = new HashMap<>();
-    private final Map<QueueTeam, Integer> mByTeam = new HashMap<>();
+    private final Map<String, Integer> mByQueue = new LinkedHashMap<>();
+    private final Map<QueueTeam, Integer> mByTeam = new LinkedHashMap<>();
 
     private WaitingCounts() {}
 
--- a/core/src/main/java/org/hibiscususher/core/world/TenureRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/TenureRow.java
@@ -2,7 +2,8 @@
 
 import static java.util.Objects.requireNonNull;
 
-import java.util.HashMap;
+import java.util.Collections;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import org.hibiscususher.core.message.MemberState;
 import org.hibiscususher.core.message.PermitGroup;
@@ -28,7 +29,7 @@
     /** Copies the map. */
     public TenureRow {
         requireNonNull(group);
-        answers = Map.copyOf(answers);
+        answers = Collections.unmodifiableMap(new LinkedHashMap<>(answers));
     }
 
     /**
@@ -72,14 +73,14 @@
 
     /** Returns a copy that knows something else of a member. */
     public TenureRow withAnswer(MemberKey member, Answer answer) {
-        Map<MemberKey, Answer> changed = new HashMap<>(answers);
+        Map<MemberKey, Answer> changed = new LinkedHashMap<>(answers);
         changed.put(member, answer);
         return new TenureRow(group, sinceEpoch, changed, dueMs, askedMs);
     }
 
     /** Returns a copy without a member. */
     public TenureRow without(MemberKey member) {
-        Map<MemberKey, Answer> changed = new HashMap<>(answers);
+        Map<MemberKey, Answer> changed = new LinkedHashMap<>(answers);
         changed.remove(member);
         return new TenureRow(group, sinceEpoch, changed, dueMs, askedMs);
     }
--- a/core/src/main/java/org/hibiscususher/core/world/Tick.java
+++ b/core/src/main/java/org/hibiscususher/core/world/Tick.java
@@ -3,7 +3,7 @@
 import static java.util.Objects.requireNonNull;
 
 import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.LongSupplier;
@@ -21,7 +21,7 @@
     private final long mNowMs;
     private final List<Input> mInputs;
     private final LongSupplier mCallIds;
-    private final Map<String, List<PeerItem>> mItems = new HashMap<>();
+    private final Map<String, List<PeerItem>> mItems = new LinkedHashMap<>();
     private final List<Output> mOutputs = new ArrayList<>();
 
     /**
