--- a/core/src/main/java/org/hibiscususher/core/request/PlacementSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/request/PlacementSystem.java
@@ -1,10 +1,11 @@
 package org.hibiscususher.core.request;
 
 import java.util.ArrayList;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.hibiscususher.core.config.QueueSpec;
 import org.hibiscususher.core.message.Output.StartAttempt;
 import org.hibiscususher.core.message.PermitKey;
 import org.hibiscususher.core.message.Refusal;
@@ -30,7 +31,7 @@
         World world = tick.world();
         boolean refuses =
                 tick.nowMs() / REFUSE_EVERY_MS != world.node().lastTickMs() / REFUSE_EVERY_MS;
-        Set<RequestLane> lanes = new HashSet<>();
+        Set<RequestLane> lanes = new LinkedHashSet<>();
         for (RequestLane lane : List.copyOf(world.requests().groups())) {
             if (lane.state().placeable()) {
                 if (refuses) {
@@ -123,7 +124,7 @@
      * Returns the zones of the hosts that were tried: a further attempt goes elsewhere if it can.
      */
     private static Set<String> triedZones(World world, RequestRow row) {
-        Set<String> zones = new HashSet<>();
+        Set<String> zones = new LinkedHashSet<>();
         for (String host : row.triedHosts()) {
             world.hosts().find(host).ifPresent(h -> zones.add(h.spec().zone()));
         }
@@ -146,7 +147,12 @@
         tick.world().requests().put(row.id(), started);
         tick.emit(
                 new StartAttempt(
-                        row.id(), started.attempt(), id, host.spec().address(), row.runLimitMs()));
+                        row.id(),
+                        started.attempt(),
+                        id,
+                        host.spec().address(),
+                        row.runLimitMs(),
+                        QueueSpec.longestRunMs(row.runLimitMs())));
     }
 
     private static int idleSlots(World world, HostRow host) {
--- a/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualSite.java
+++ b/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualSite.java
@@ -32,6 +32,7 @@
 import org.hibiscususher.core.world.NodeIdentity;
 import org.hibiscususher.core.world.RequestRow;
 import org.hibiscususher.core.world.RequestState;
+import org.hibiscususher.wire.peer.PeerCodec;
 
 /**
  * A site in virtual time: real control nodes, and fakes at their interfaces. Not thread-safe; two
@@ -57,6 +58,7 @@
     private final ControlSettings mSettings;
     private Consumer<VirtualEntry> mBeforeTick = entry -> {};
     private Runnable mAfterStep = () -> {};
+    private boolean mMeasuresBytes;
     private long mIds;
 
     private VirtualSite(long seed, ControlSettings settings) {
@@ -170,6 +172,11 @@
         mAfterStep = action;
     }
 
+    /** Sets whether messages between entries are encoded to count their bytes. */
+    public void setMeasuresBytes(boolean measures) {
+        mMeasuresBytes = measures;
+    }
+
     /** Starts an entry, or starts one again that has ended. */
     public VirtualEntry start(String id, String zone) {
         NodeIdentity identity = new NodeIdentity(id, nowMs(), id + ":1", zone);
@@ -281,8 +288,10 @@
 
     private void carryOut(VirtualEntry entry, Output output) {
         if (output instanceof Output.ReadRecord read) {
+            entry.addStoreCall();
             mStore.read(entry.id(), read, entry::receive);
         } else if (output instanceof Output.SwapRecord swap) {
+            entry.addStoreCall();
             mStore.swap(entry.id(), swap, entry::receive);
         } else if (output instanceof SendPeer send) {
             sendPeer(entry, send);
@@ -312,6 +321,9 @@
     }
 
     private void sendPeer(VirtualEntry from, SendPeer send) {
+        if (mMeasuresBytes) {
+            from.addSent(PeerCodec.encode(send.message()).length);
+        }
         mNetwork.send(
                 from.id(),
                 send.memberId(),
@@ -352,9 +364,10 @@
                     mTimeline.after(durationMs, () -> target.end(key));
                     long answerMs = durationMs + TARGET_LATENCY_MS;
                     if (answerMs > start.runLimitMs()) {
+                        mTimeline.after(start.runLimitMs(), () -> timeOut(entry, request, start));
                         mTimeline.after(
-                                start.runLimitMs(),
-                                () -> deliver(entry, request, start, AttemptOutcome.TIMED_OUT));
+                                Math.min(answerMs, start.longestRunMs()),
+                                () -> finishAbandoned(entry, start));
                     } else {
                         mTimeline.after(
                                 answerMs, () -> deliver(entry, request, start, fault.outcome()));
@@ -362,6 +375,19 @@
                 });
     }
 
+    private void timeOut(VirtualEntry entry, VirtualRequest request, StartAttempt start) {
+        if (entry.condition() != EntryCondition.DEAD && !request.cancelled()) {
+            entry.receive(
+                    new AttemptEnded(start.requestId(), start.attempt(), AttemptOutcome.TIMED_OUT));
+        }
+    }
+
+    private void finishAbandoned(VirtualEntry entry, StartAttempt start) {
+        if (entry.condition() != EntryCondition.DEAD) {
+            entry.receive(new TargetDone(start.requestId(), start.attempt()));
+        }
+    }
+
     private void deliver(
             VirtualEntry entry,
             VirtualRequest request,
