Count an ended entry's use of a host only while its runs go on

Cause: the checker of ONE_POOL read the tables of entries that had ended, which never change again; once the rest was over and the move went on, the cells HOST_MOVING with KILLED were reported although nothing of the dead entry ran. The check now asks the target whether runs of that entry go on, which is as strict for work and no longer counts dead tables. Its mutant is still found. All cells with one fault hold after it.

--- a/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualTarget.java
+++ b/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualTarget.java
@@ -43,6 +43,11 @@
         return (int) mRunning.values().stream().filter(team::equals).count();
     }
 
+    /** Returns whether requests that an entry started are running. */
+    public boolean runsFor(String entry) {
+        return mRunning.keySet().stream().anyMatch(k -> k.entry().equals(entry));
+    }
+
     /** Returns the most requests that were running at a time. */
     public int mostRunning() {
         return mMostRunning;
--- a/standin/src/test/java/org/hibiscususher/standin/matrix/Promise.java
+++ b/standin/src/test/java/org/hibiscususher/standin/matrix/Promise.java
@@ -11,6 +11,7 @@
 import org.hibiscususher.core.message.PermitKind;
 import org.hibiscususher.core.message.Ran;
 import org.hibiscususher.core.world.HoldingRow;
+import org.hibiscususher.standin.virtual.EntryCondition;
 import org.hibiscususher.standin.virtual.VirtualEntry;
 import org.hibiscususher.standin.virtual.VirtualRequest;
 
@@ -51,6 +52,10 @@
                     if (key.kind() != PermitKind.SLOT || row.inUse() == 0) {
                         continue;
                     }
+                    boolean ended = entry.condition() == EntryCondition.DEAD;
+                    if (ended && !scene.site().target(key.name()).runsFor(entry.id())) {
+                        continue;
+                    }
                     String other = pools.putIfAbsent(key.name(), key.group());
                     if (other != null && !other.equals(key.group())) {
                         return Optional.of(key.name() + " serves " + other + " and " + key.group());
