--- a/standin/src/test/java/org/hibiscususher/standin/golden/Session.java
+++ b/standin/src/test/java/org/hibiscususher/standin/golden/Session.java
@@ -72,7 +72,8 @@
             recorder.submit(
                     "e1",
                     "note: move\nauthor: berta\nchanged:\n  hosts:\n"
-                            + "    - {name: h1, address: \"192.0.2.1:80\", zone: z1, pool: office}\n");
+                            + "    - {name: h1, address: \"192.0.2.1:80\", zone: z1, "
+                            + "pool: office}\n");
             recorder.run(3_000);
             recorder.call("e1", "letters", "fitters", 50);
             recorder.run(300);
