--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/job/JobQueue.java
@@ -0,0 +1,25 @@
+package org.hibiscususher.core.job;
+
+import static java.util.Objects.requireNonNull;
+
+/**
+ * A queue that takes jobs.
+ *
+ * @param host host name in callers' requests
+ * @param prefix beginning of the paths that lead to the queue
+ * @param open whether the queue takes jobs without a key
+ * @param terms terms of its jobs
+ */
+public record JobQueue(String host, String prefix, boolean open, JobTerms terms) {
+    /** Checks the parts. */
+    public JobQueue {
+        requireNonNull(host);
+        requireNonNull(prefix);
+        requireNonNull(terms);
+    }
+
+    /** Returns the queue's name. */
+    public String name() {
+        return terms.queue();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/job/JobTerms.java
@@ -0,0 +1,27 @@
+package org.hibiscususher.core.job;
+
+import static java.util.Objects.requireNonNull;
+
+/**
+ * The terms under which a job was accepted.
+ *
+ * @param queue name of its queue
+ * @param pool pool whose executors run its tasks
+ * @param priority 0 comes first
+ * @param attempts how many failed runs of a task end the job
+ * @param extension factor on the longest chain within which the job should be done
+ * @param objectiveMs milliseconds that come on top
+ */
+public record JobTerms(
+        String queue, String pool, int priority, int attempts, double extension, long objectiveMs) {
+    /** Checks the parts. */
+    public JobTerms {
+        requireNonNull(queue);
+        requireNonNull(pool);
+    }
+
+    /** Returns within how many milliseconds a job of the given longest chain should be done. */
+    public long objectiveFor(long chainMs) {
+        return (long) (extension * chainMs) + objectiveMs;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/job/ListedEnd.java
@@ -0,0 +1,21 @@
+package org.hibiscususher.core.job;
+
+import static java.util.Objects.requireNonNull;
+
+/**
+ * An end of a run that an executor lists until it is acknowledged.
+ *
+ * @param number position in the executor's list of ends, from 1
+ * @param task the task
+ * @param run number of the run
+ * @param kind how the run ended
+ * @param checkpoint last saved state; empty for none
+ */
+public record ListedEnd(long number, TaskKey task, int run, EndKind kind, String checkpoint) {
+    /** Checks the parts. */
+    public ListedEnd {
+        requireNonNull(task);
+        requireNonNull(kind);
+        requireNonNull(checkpoint);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/job/ListedRun.java
@@ -0,0 +1,21 @@
+package org.hibiscususher.core.job;
+
+import static java.util.Objects.requireNonNull;
+
+/**
+ * A run that an executor lists as running.
+ *
+ * @param task the task
+ * @param run number of the run
+ * @param checkpoint last saved state; empty for none
+ * @param percent part of its full speed at which the run works
+ * @param load tail latency in milliseconds for a task that serves, else thousandths of a core in
+ *     use; -1 if not told
+ */
+public record ListedRun(TaskKey task, int run, String checkpoint, int percent, long load) {
+    /** Checks the parts. */
+    public ListedRun {
+        requireNonNull(task);
+        requireNonNull(checkpoint);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/job/StepSpec.java
@@ -0,0 +1,83 @@
+package org.hibiscususher.core.job;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.List;
+
+/**
+ * A step of a job: a number of equal tasks.
+ *
+ * @param count number of tasks
+ * @param demand what each task takes
+ * @param estimateMs rough time that a task takes, in milliseconds; 0 if unknown
+ * @param after numbers of the steps that have to be done first
+ * @param checkpoints whether tasks save their progress
+ * @param gang whether tasks work only together
+ * @param sameRack whether tasks are slower on more than one rack
+ * @param requiredLabel label that an executor must have; empty for none
+ * @param dataRack rack on which tasks are faster; empty for none
+ * @param maxPerExecutor most tasks of the step on one executor; 0 for no limit
+ * @param speculative whether copies of a task may run in parallel
+ * @param lasting whether tasks run until the job is cancelled
+ * @param image what the tasks run; tasks of one image behave alike
+ * @param goalMs limit of the tail latency of tasks that serve, in milliseconds; 0 for none
+ * @param fills whether tasks take only processor time that others leave
+ * @param maxUnavailable most tasks away at a time because of us; 0 if not limited
+ */
+public record StepSpec(
+        int count,
+        Resources demand,
+        long estimateMs,
+        List<Integer> after,
+        boolean checkpoints,
+        boolean gang,
+        boolean sameRack,
+        String requiredLabel,
+        String dataRack,
+        int maxPerExecutor,
+        boolean speculative,
+        boolean lasting,
+        String image,
+        long goalMs,
+        boolean fills,
+        int maxUnavailable) {
+    /** Checks and copies the parts. */
+    public StepSpec {
+        requireNonNull(demand);
+        requireNonNull(requiredLabel);
+        requireNonNull(dataRack);
+        requireNonNull(image);
+        after = List.copyOf(after);
+    }
+
+    /** Returns a step of ordinary tasks that may run anywhere. */
+    public static StepSpec of(int count, Resources demand, long estimateMs, List<Integer> after) {
+        return new StepSpec(
+                count,
+                demand,
+                estimateMs,
+                after,
+                false,
+                false,
+                false,
+                "",
+                "",
+                0,
+                false,
+                false,
+                "",
+                0,
+                false,
+                0);
+    }
+
+    /** Returns what a task takes of an executor's capacity. */
+    public Resources reserved() {
+        return fills ? demand.withoutCpu() : demand;
+    }
+
+    /** Returns the work of the whole step in core-milliseconds, by its estimate. */
+    public long workMs() {
+        return lasting ? 0 : count * Math.max(1, demand.cpuMillis()) * estimateMs / 1_000;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/job/package-info.java
@@ -0,0 +1,2 @@
+/** Values that describe jobs, their steps, tasks and runs, and the plan that they are under. */
+package org.hibiscususher.core.job;
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/control/NodeSystem.java
@@ -0,0 +1,45 @@
+package org.hibiscususher.core.scheduler.control;
+
+import org.hibiscususher.core.scheduler.message.SchedulerInput.StopAsked;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput.Finish;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput.Ready;
+import org.hibiscususher.core.scheduler.world.NodeStateRow;
+import org.hibiscususher.core.scheduler.world.SchedulerTick;
+import org.hibiscususher.core.scheduler.world.SchedulerWorld;
+import org.hibiscususher.core.scheduler.world.TermRow;
+import org.hibiscususher.core.scheduler.world.TermStage;
+
+/** Tells the balancer whether to send connections, and ends the process in good order. */
+final class NodeSystem {
+    /** Time after which the balancer has surely heard that the process stops, in milliseconds. */
+    private static final long BALANCER_MS = 2_600;
+
+    private NodeSystem() {}
+
+    static void run(SchedulerTick tick) {
+        SchedulerWorld world = tick.world();
+        NodeStateRow node = world.node().get();
+        if (!tick.inputs(StopAsked.class).isEmpty() && node.stopAskedMs() == 0) {
+            tick.log("stop-asked", "owner=" + world.term().get().stage().isOwner());
+            node = new NodeStateRow(node.ready(), tick.nowMs());
+            release(world);
+        }
+        boolean stopping = node.stopAskedMs() != 0;
+        boolean ready = !stopping && world.ownership().get().known();
+        if (ready != node.ready()) {
+            tick.emit(new Ready(ready));
+        }
+        world.node().set(new NodeStateRow(ready, node.stopAskedMs()));
+        boolean owner = world.term().get().owns();
+        if (stopping && !owner && tick.nowMs() - node.stopAskedMs() > BALANCER_MS) {
+            tick.emit(new Finish());
+        }
+    }
+
+    private static void release(SchedulerWorld world) {
+        TermRow term = world.term().get();
+        if (term.stage() == TermStage.OWNING) {
+            world.term().set(term.withStage(TermStage.RELEASING));
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/control/SchedulerPhase.java
@@ -0,0 +1,112 @@
+package org.hibiscususher.core.scheduler.control;
+
+import org.hibiscususher.core.scheduler.executor.DoubtSystem;
+import org.hibiscususher.core.scheduler.executor.ExecutorSystem;
+import org.hibiscususher.core.scheduler.executor.HoldSystem;
+import org.hibiscususher.core.scheduler.executor.PaceSystem;
+import org.hibiscususher.core.scheduler.executor.RunSystem;
+import org.hibiscususher.core.scheduler.job.CallSystem;
+import org.hibiscususher.core.scheduler.job.JobSystem;
+import org.hibiscususher.core.scheduler.placement.PlacementSystem;
+import org.hibiscususher.core.scheduler.term.CommitSystem;
+import org.hibiscususher.core.scheduler.term.TermSystem;
+import org.hibiscususher.core.scheduler.upkeep.HostListSystem;
+import org.hibiscususher.core.scheduler.upkeep.WaveSystem;
+import org.hibiscususher.core.scheduler.world.SchedulerTick;
+
+/** The systems of the scheduler, in the order in which each tick runs them. */
+enum SchedulerPhase {
+    PLAN {
+        @Override
+        void run(SchedulerTick tick) {
+            PlanSystem.run(tick);
+        }
+    },
+    TERM {
+        @Override
+        void run(SchedulerTick tick) {
+            TermSystem.run(tick);
+        }
+    },
+    STORED {
+        @Override
+        void run(SchedulerTick tick) {
+            CommitSystem.takeAnswers(tick);
+        }
+    },
+    EXECUTOR {
+        @Override
+        void run(SchedulerTick tick) {
+            ExecutorSystem.run(tick);
+        }
+    },
+    RUN {
+        @Override
+        void run(SchedulerTick tick) {
+            RunSystem.run(tick);
+        }
+    },
+    DOUBT {
+        @Override
+        void run(SchedulerTick tick) {
+            DoubtSystem.run(tick);
+        }
+    },
+    NODE {
+        @Override
+        void run(SchedulerTick tick) {
+            NodeSystem.run(tick);
+        }
+    },
+    CALL {
+        @Override
+        void run(SchedulerTick tick) {
+            CallSystem.run(tick);
+        }
+    },
+    JOB {
+        @Override
+        void run(SchedulerTick tick) {
+            JobSystem.run(tick);
+        }
+    },
+    HOST_LIST {
+        @Override
+        void run(SchedulerTick tick) {
+            HostListSystem.run(tick);
+        }
+    },
+    WAVE {
+        @Override
+        void run(SchedulerTick tick) {
+            WaveSystem.run(tick);
+        }
+    },
+    PACE {
+        @Override
+        void run(SchedulerTick tick) {
+            PaceSystem.run(tick);
+        }
+    },
+    PLACEMENT {
+        @Override
+        void run(SchedulerTick tick) {
+            PlacementSystem.run(tick);
+        }
+    },
+    HOLD {
+        @Override
+        void run(SchedulerTick tick) {
+            HoldSystem.run(tick);
+        }
+    },
+    COMMIT {
+        @Override
+        void run(SchedulerTick tick) {
+            CommitSystem.send(tick);
+        }
+    };
+
+    /** Runs the system once. */
+    abstract void run(SchedulerTick tick);
+}
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/Ends.java
@@ -0,0 +1,125 @@
+package org.hibiscususher.core.scheduler.executor;
+
+import org.hibiscususher.core.job.EndKind;
+import org.hibiscususher.core.job.JobState;
+import org.hibiscususher.core.job.ListedEnd;
+import org.hibiscususher.core.job.StepKey;
+import org.hibiscususher.core.job.StepSpec;
+import org.hibiscususher.core.job.TaskKey;
+import org.hibiscususher.core.scheduler.job.Jobs;
+import org.hibiscususher.core.scheduler.world.EndKey;
+import org.hibiscususher.core.scheduler.world.EndRow;
+import org.hibiscususher.core.scheduler.world.JobRow;
+import org.hibiscususher.core.scheduler.world.RunRow;
+import org.hibiscususher.core.scheduler.world.SchedulerTick;
+import org.hibiscususher.core.scheduler.world.SchedulerWorld;
+import org.hibiscususher.core.scheduler.world.StopReason;
+import org.hibiscususher.core.scheduler.world.TaskRow;
+
+/** Takes in the ends of runs that executors list. */
+final class Ends {
+    /** Rest before a task runs again whose run failed, in milliseconds. */
+    private static final long FAILED_REST_MS = 20;
+
+    private Ends() {}
+
+    /** Takes in an end that was not taken in before. */
+    static void take(SchedulerTick tick, String executor, ListedEnd end) {
+        SchedulerWorld world = tick.world();
+        JobRow job = world.jobs().find(end.task().jobId()).orElse(null);
+        RunRow run =
+                world.runs()
+                        .find(end.task())
+                        .filter(r -> r.run() == end.run() && r.executor().equals(executor))
+                        .orElse(null);
+        tick.log(
+                "run-ended",
+                "job="
+                        + end.task().jobId()
+                        + " task="
+                        + end.task().text()
+                        + " run="
+                        + end.run()
+                        + " executor="
+                        + executor
+                        + " how="
+                        + end.kind()
+                        + " number="
+                        + end.number()
+                        + " current="
+                        + (run != null));
+        tick.count("run-ended." + end.kind());
+        if (run != null) {
+            world.runs().remove(run.task());
+        }
+        if (job == null || !job.isOpen()) {
+            return;
+        }
+        apply(tick, executor, end, run);
+        long version = world.jobs().find(job.id()).map(JobRow::version).orElse(0L);
+        EndKey key = new EndKey(executor, end.number());
+        world.ends().put(key, new EndRow(key, job.id(), version));
+    }
+
+    private static void apply(SchedulerTick tick, String executor, ListedEnd end, RunRow run) {
+        SchedulerWorld world = tick.world();
+        StepSpec spec = Jobs.specOf(world, end.task().stepKey()).orElse(null);
+        if (spec == null) {
+            return;
+        }
+        if (end.kind() == EndKind.DONE && !spec.lasting()) {
+            done(tick, executor, end, spec);
+            return;
+        }
+        world.tasks().update(end.task(), t -> t.withRun(end.run()));
+        if (end.kind().countsAsAttempt()) {
+            failed(tick, executor, end, spec);
+        }
+        boolean current = run != null || !world.runs().contains(end.task());
+        if (current) {
+            long restMs = end.kind() == EndKind.FAILED && !spec.lasting() ? FAILED_REST_MS : 0;
+            world.tasks()
+                    .update(
+                            end.task(),
+                            t -> t.waiting(tick.nowMs(), restMs, end.checkpoint()).certain());
+        }
+        if (!end.checkpoint().isEmpty() && !spec.lasting()) {
+            world.jobs().update(end.task().jobId(), j -> j.changed(tick.nowMs()));
+        }
+    }
+
+    private static void done(SchedulerTick tick, String executor, ListedEnd end, StepSpec spec) {
+        SchedulerWorld world = tick.world();
+        Standings.done(tick, executor);
+        StepKey step = end.task().stepKey();
+        int first = spec.gang() ? 0 : end.task().index();
+        int last = spec.gang() ? spec.count() - 1 : end.task().index();
+        for (int i = first; i <= last; i++) {
+            TaskKey task = step.task(i);
+            RunRow other = world.runs().find(task).orElse(null);
+            if (other != null && other.run() == end.run()) {
+                world.runs().remove(task);
+            } else if (other != null && other.stage().isWanted()) {
+                Runs.stop(tick, other, StopReason.JOB_ENDED);
+            }
+            Jobs.taskDone(tick, task, true);
+        }
+    }
+
+    private static void failed(SchedulerTick tick, String executor, ListedEnd end, StepSpec spec) {
+        SchedulerWorld world = tick.world();
+        Standings.failed(tick, executor);
+        TaskKey counted = spec.gang() ? end.task().stepKey().task(0) : end.task();
+        TaskRow task = world.tasks().find(counted).orElse(null);
+        if (task == null || spec.lasting() || end.run() <= task.failedRun()) {
+            return;
+        }
+        TaskRow failed = task.withFailure(end.run(), executor);
+        world.tasks().put(counted, failed);
+        JobRow job = world.jobs().find(end.task().jobId()).orElseThrow();
+        world.jobs().put(job.id(), job.changed(tick.nowMs()));
+        if (failed.failures() >= job.terms().attempts()) {
+            Jobs.end(tick, job.id(), JobState.FAILED, "attempts-used task=" + counted.text());
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/ExecutorSystem.java
@@ -0,0 +1,294 @@
+package org.hibiscususher.core.scheduler.executor;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.hibiscususher.core.job.ListedEnd;
+import org.hibiscususher.core.job.ListedRun;
+import org.hibiscususher.core.job.StepSpec;
+import org.hibiscususher.core.job.TaskKey;
+import org.hibiscususher.core.scheduler.job.Jobs;
+import org.hibiscususher.core.scheduler.message.ExecutorReport;
+import org.hibiscususher.core.scheduler.message.HoldFailure;
+import org.hibiscususher.core.scheduler.message.SchedulerInput;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.ExecutorGone;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.ExecutorSeen;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.ExecutorsListed;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.HoldAnswered;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.HoldFailed;
+import org.hibiscususher.core.scheduler.term.StepDown;
+import org.hibiscususher.core.scheduler.world.ContactRow;
+import org.hibiscususher.core.scheduler.world.ExecutorRow;
+import org.hibiscususher.core.scheduler.world.JobRow;
+import org.hibiscususher.core.scheduler.world.RunRow;
+import org.hibiscususher.core.scheduler.world.RunStage;
+import org.hibiscususher.core.scheduler.world.SchedulerTick;
+import org.hibiscususher.core.scheduler.world.SchedulerWorld;
+import org.hibiscususher.core.scheduler.world.StopReason;
+import org.hibiscususher.core.scheduler.world.TaskRow;
+
+/** Takes in what executors say of themselves and of their runs. */
+public final class ExecutorSystem {
+    private static final long RETRY_MS = 100;
+    private static final long UNHEALTHY_RETRY_MS = 250;
+
+    /** Silent readings after which an executor gets no new runs. */
+    private static final int MAX_FAILURES = 1;
+
+    private static final long SILENT_ASIDE_MS = 600;
+
+    /** Time for which a report may be missing before the executor counts as gone. */
+    private static final long MISSING_MS = 2_500;
+
+    private ExecutorSystem() {}
+
+    /** Takes in reports, lists and their absence. */
+    public static void run(SchedulerTick tick) {
+        if (!tick.world().term().get().owns() && !tick.world().term().get().stage().isOwner()) {
+            return;
+        }
+        for (SchedulerInput input : tick.inputs()) {
+            if (input instanceof ExecutorsListed listed) {
+                listed(tick, listed.reports());
+            } else if (input instanceof ExecutorSeen seen) {
+                seen(tick, seen.report());
+            } else if (input instanceof ExecutorGone gone) {
+                missing(tick, gone.id());
+            } else if (input instanceof HoldAnswered answered) {
+                answered(tick, answered);
+            } else if (input instanceof HoldFailed failed) {
+                failed(tick, failed);
+            }
+        }
+        for (ExecutorRow row : tick.world().executors().rows()) {
+            endLeases(tick, row);
+        }
+    }
+
+    private static void listed(SchedulerTick tick, List<ExecutorReport> reports) {
+        Set<String> ids = new HashSet<>();
+        for (ExecutorReport report : reports) {
+            ids.add(report.id());
+            seen(tick, report);
+        }
+        for (ExecutorRow row : tick.world().executors().rows()) {
+            if (!ids.contains(row.id())) {
+                missing(tick, row.id());
+            }
+        }
+    }
+
+    private static void seen(SchedulerTick tick, ExecutorReport report) {
+        SchedulerWorld world = tick.world();
+        ExecutorRow before = world.executors().find(report.id()).orElse(null);
+        ExecutorRow row =
+                before == null ? new ExecutorRow(report, 0, false, false, false, 0) : before;
+        world.executors().put(report.id(), row.withReport(report, tick.nowMs()));
+        if (!world.contacts().contains(report.id())) {
+            world.contacts().put(report.id(), ContactRow.initial(report.id(), 0));
+        }
+        if (before == null || before.report().draining() != report.draining()) {
+            tick.log(
+                    "executor-seen",
+                    "executor="
+                            + report.id()
+                            + " pool="
+                            + report.pool()
+                            + " address="
+                            + report.address()
+                            + " host="
+                            + report.host()
+                            + " labels="
+                            + report.labels()
+                            + " draining="
+                            + report.draining()
+                            + " remaining_ms="
+                            + report.remainingMs());
+        }
+        long bornMs = world.contacts().find(report.id()).map(ContactRow::bornMs).orElse(0L);
+        if (report.bornMs() > bornMs && bornMs != 0) {
+            tick.log("executor-reborn", "executor=" + report.id() + " by=report");
+            Runs.lifeEnded(tick, report.id(), "reborn");
+        }
+    }
+
+    private static void missing(SchedulerTick tick, String id) {
+        ExecutorRow row = tick.world().executors().find(id).orElse(null);
+        if (row == null || row.missingMs() != 0) {
+            return;
+        }
+        tick.log("executor-missing", "executor=" + id + " draining=" + row.report().draining());
+        tick.world().executors().put(id, row.missing(tick.nowMs()));
+    }
+
+    private static void answered(SchedulerTick tick, HoldAnswered answer) {
+        SchedulerWorld world = tick.world();
+        String id = answer.executor();
+        ContactRow contact = world.contacts().find(id).orElse(null);
+        if (contact == null || contact.callId() != answer.callId()) {
+            return;
+        }
+        if (contact.bornMs() != 0 && contact.bornMs() != answer.bornMs()) {
+            tick.log("executor-reborn", "executor=" + id + " by=answer");
+            Runs.lifeEnded(tick, id, "reborn");
+            contact =
+                    ContactRow.initial(id, contact.leaseEndMs())
+                            .sent(answer.callId(), contact.callFence(), contact.sentMs(), 0);
+        }
+        if (contact.answeredMs() == 0 || contact.failures() > MAX_FAILURES) {
+            tick.log(
+                    "executor-reached",
+                    "executor="
+                            + id
+                            + " fence="
+                            + contact.callFence()
+                            + " runs="
+                            + answer.runs().size()
+                            + " ends="
+                            + answer.ends().size());
+        }
+        long sentMs = contact.sentMs();
+        contact = contact.answered(answer.bornMs(), answer.clockMs(), tick.nowMs());
+        world.contacts().put(id, contact);
+        world.executors().update(id, ExecutorRow::answered);
+        Set<TaskKey> told = new HashSet<>();
+        for (ListedEnd end : answer.ends()) {
+            told.add(end.task());
+            if (end.number() > contact.listed()) {
+                Ends.take(tick, id, end);
+                contact = contact.withListed(end.number());
+            }
+        }
+        long listed = contact.listed();
+        world.contacts().update(id, c -> c.withListed(listed));
+        for (ListedRun run : answer.runs()) {
+            told.add(run.task());
+            listedRun(tick, id, run);
+        }
+        vanished(tick, id, told, sentMs);
+    }
+
+    private static void listedRun(SchedulerTick tick, String executor, ListedRun told) {
+        SchedulerWorld world = tick.world();
+        RunRow run = world.runs().find(told.task()).orElse(null);
+        TaskRow task = world.tasks().find(told.task()).orElse(null);
+        boolean same = run != null && run.run() == told.run() && run.executor().equals(executor);
+        if (same) {
+            RunRow next = run.listed(told, tick.nowMs());
+            if (run.stage() == RunStage.SENT) {
+                next = next.running(tick.nowMs());
+                Jobs.begun(tick, told.task().jobId());
+            }
+            world.runs().put(run.task(), next);
+        } else if (run == null && task != null && told.run() >= task.run()) {
+            adopt(tick, executor, told, task);
+        } else {
+            Runs.stopUnknown(tick, executor, told.task(), told.run());
+        }
+    }
+
+    /** Takes over a run that an earlier owner started. */
+    private static void adopt(SchedulerTick tick, String executor, ListedRun told, TaskRow task) {
+        SchedulerWorld world = tick.world();
+        JobRow job = world.jobs().find(told.task().jobId()).orElse(null);
+        StepSpec spec = Jobs.specOf(world, told.task().stepKey()).orElse(null);
+        if (job == null || spec == null) {
+            return;
+        }
+        RunRow run =
+                new RunRow(
+                        told.task(),
+                        told.run(),
+                        executor,
+                        job.team(),
+                        spec.demand(),
+                        spec.reserved(),
+                        RunStage.RUNNING,
+                        StopReason.NONE,
+                        0,
+                        tick.nowMs(),
+                        tick.nowMs(),
+                        told.checkpoint(),
+                        told.percent(),
+                        told.load(),
+                        100,
+                        tick.nowMs());
+        world.runs().put(run.task(), run);
+        world.tasks().put(task.key(), task.active(told.run()));
+        Jobs.begun(tick, job.id());
+        tick.log("run-adopted", Runs.describe(run));
+    }
+
+    /** Finds runs that an executor no longer lists although it knew of them. */
+    private static void vanished(
+            SchedulerTick tick, String executor, Set<TaskKey> told, long sentMs) {
+        for (RunRow run : List.copyOf(tick.world().runs().group(executor))) {
+            boolean known = run.settledMs() != 0 && run.settledMs() < sentMs;
+            if (known && !told.contains(run.task())) {
+                Runs.gone(tick, run, "not-listed", 0);
+            }
+        }
+    }
+
+    private static void failed(SchedulerTick tick, HoldFailed failed) {
+        SchedulerWorld world = tick.world();
+        ContactRow contact = world.contacts().find(failed.executor()).orElse(null);
+        if (contact == null || contact.callId() != failed.callId()) {
+            return;
+        }
+        if (failed.failure() == HoldFailure.FENCED) {
+            if (contact.callFence() == world.term().get().fence()) {
+                StepDown.run(tick, "fenced-by-executor");
+            } else {
+                world.contacts().put(contact.executor(), contact.failed(tick.nowMs()));
+            }
+            return;
+        }
+        if (contact.failures() == 0) {
+            tick.log(
+                    "executor-silent",
+                    "executor="
+                            + failed.executor()
+                            + " failure="
+                            + failed.failure()
+                            + " age_ms="
+                            + (tick.nowMs() - contact.answeredMs())
+                            + " lease_left_ms="
+                            + (contact.leaseEndMs() - tick.nowMs()));
+        }
+        if (failed.failure() == HoldFailure.OTHER_LIFE) {
+            Runs.lifeEnded(tick, failed.executor(), "other-life");
+            world.contacts()
+                    .update(failed.executor(), c -> c.failed(tick.nowMs() + UNHEALTHY_RETRY_MS));
+            return;
+        }
+        boolean silent = failed.failure() == HoldFailure.NO_ANSWER;
+        long nextMs = tick.nowMs() + (silent ? RETRY_MS : UNHEALTHY_RETRY_MS);
+        world.contacts()
+                .put(
+                        failed.executor(),
+                        contact.failed(nextMs).aside(tick.nowMs() + SILENT_ASIDE_MS));
+    }
+
+    /** Ends what a silent executor ran once its lease has surely ended, and forgets the gone. */
+    private static void endLeases(SchedulerTick tick, ExecutorRow row) {
+        SchedulerWorld world = tick.world();
+        ContactRow contact = world.contacts().find(row.id()).orElse(null);
+        if (contact == null || tick.nowMs() <= contact.leaseEndMs()) {
+            return;
+        }
+        if (!world.runs().group(row.id()).isEmpty() && contact.failures() > 0) {
+            for (RunRow run : List.copyOf(world.runs().group(row.id()))) {
+                Runs.gone(tick, run, "lease-ended", 0);
+            }
+        }
+        boolean missing = row.missingMs() != 0 && tick.nowMs() - row.missingMs() > MISSING_MS;
+        if (missing && (contact.failures() > 0 || row.report().address().isEmpty())) {
+            tick.log("executor-gone", "executor=" + row.id());
+            Runs.lifeEnded(tick, row.id(), "executor-gone");
+            world.executors().remove(row.id());
+            world.contacts().remove(row.id());
+            world.standings().remove(row.id());
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/HoldSystem.java
@@ -0,0 +1,100 @@
+package org.hibiscususher.core.scheduler.executor;
+
+import java.util.List;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput.HoldExecutor;
+import org.hibiscususher.core.scheduler.term.Authority;
+import org.hibiscususher.core.scheduler.world.ContactRow;
+import org.hibiscususher.core.scheduler.world.EndRow;
+import org.hibiscususher.core.scheduler.world.ExecutorRow;
+import org.hibiscususher.core.scheduler.world.JobRow;
+import org.hibiscususher.core.scheduler.world.SchedulerTick;
+import org.hibiscususher.core.scheduler.world.SchedulerWorld;
+import org.hibiscususher.core.scheduler.world.TermRow;
+
+/** Reads the executors' lists, extends their leases and acknowledges ends that are stored. */
+public final class HoldSystem {
+    /** How long an executor with runs may wait for an end, in milliseconds. */
+    private static final long BUSY_WAIT_MS = 1_000;
+
+    private static final long IDLE_WAIT_MS = 2_000;
+
+    /** Rest before the next reading while ends can't be acknowledged, in milliseconds. */
+    private static final long UNACKNOWLEDGED_REST_MS = 200;
+
+    /** Slowest pace of an executor's clock against ours, in percent. */
+    private static final long SLOWEST_CLOCK_PERCENT = 97;
+
+    private static final long SLACK_MS = 60;
+
+    private HoldSystem() {}
+
+    /** Sends the readings that are due. */
+    public static void run(SchedulerTick tick) {
+        if (!Authority.mayOrderExecutors(tick)) {
+            return;
+        }
+        for (ExecutorRow row : tick.world().executors().rows()) {
+            ContactRow contact = tick.world().contacts().find(row.id()).orElse(null);
+            if (contact != null
+                    && contact.callId() == 0
+                    && tick.nowMs() >= contact.nextMs()
+                    && !row.report().address().isEmpty()) {
+                hold(tick, row, acknowledge(tick, contact));
+            }
+        }
+    }
+
+    private static ContactRow acknowledge(SchedulerTick tick, ContactRow contact) {
+        SchedulerWorld world = tick.world();
+        ContactRow next = contact.withSeen(0);
+        for (EndRow end : List.copyOf(world.ends().group(contact.executor()))) {
+            long stored =
+                    world.jobs().find(end.job()).map(JobRow::storedVersion).orElse(Long.MAX_VALUE);
+            if (stored < end.version()) {
+                break;
+            }
+            world.ends().remove(end.key());
+            next = next.withSeen(end.key().number());
+        }
+        if (world.ends().group(contact.executor()).isEmpty()) {
+            next = next.withSeen(contact.listed());
+        }
+        return next;
+    }
+
+    private static void hold(SchedulerTick tick, ExecutorRow row, ContactRow contact) {
+        SchedulerWorld world = tick.world();
+        boolean open = !world.ends().group(row.id()).isEmpty();
+        if (open && tick.nowMs() - contact.answeredMs() < UNACKNOWLEDGED_REST_MS) {
+            world.contacts().put(row.id(), contact);
+            return;
+        }
+        TermRow term = world.term().get();
+        boolean first = contact.answeredMs() == 0 || contact.failures() > 0;
+        boolean fresh = contact.fence() == term.fence() && !first && !open;
+        boolean busy = !world.runs().group(row.id()).isEmpty();
+        long waitMs = !fresh ? 0 : busy ? BUSY_WAIT_MS : IDLE_WAIT_MS;
+        boolean extend = contact.answeredMs() != 0;
+        long holdMs = world.settings().timing().holdMs();
+        long deadlineMs = extend ? contact.clockAt(tick.nowMs()) + holdMs : 0;
+        long callId = tick.nextCallId();
+        long leaseEndMs = extend ? leaseEndMs(contact, deadlineMs) : 0;
+        world.contacts()
+                .put(row.id(), contact.sent(callId, term.fence(), tick.nowMs(), leaseEndMs));
+        tick.emit(
+                new HoldExecutor(
+                        callId,
+                        row.id(),
+                        row.report().address(),
+                        term.fence(),
+                        contact.seen(),
+                        deadlineMs,
+                        waitMs));
+    }
+
+    /** Returns when a time on an executor's clock has surely come, on our steady clock. */
+    public static long leaseEndMs(ContactRow contact, long deadlineMs) {
+        long leftMs = (deadlineMs - contact.clockMs()) * 100 / SLOWEST_CLOCK_PERCENT;
+        return contact.clockAtMs() + leftMs + SLACK_MS;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/RunSystem.java
@@ -0,0 +1,104 @@
+package org.hibiscususher.core.scheduler.executor;
+
+import org.hibiscususher.core.scheduler.job.Jobs;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.StartAnswered;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.StopAnswered;
+import org.hibiscususher.core.scheduler.message.StartResult;
+import org.hibiscususher.core.scheduler.message.StopResult;
+import org.hibiscususher.core.scheduler.term.Authority;
+import org.hibiscususher.core.scheduler.term.StepDown;
+import org.hibiscususher.core.scheduler.world.RunRow;
+import org.hibiscususher.core.scheduler.world.RunStage;
+import org.hibiscususher.core.scheduler.world.SchedulerTick;
+import org.hibiscususher.core.scheduler.world.SchedulerWorld;
+import org.hibiscususher.core.scheduler.world.StopReason;
+
+/** Takes in what came of orders to start and stop runs, and repeats orders to stop. */
+public final class RunSystem {
+    private static final long STOP_RETRY_MS = 150;
+    private static final long NO_ROOM_ASIDE_MS = 150;
+    private static final long UNHEALTHY_ASIDE_MS = 500;
+    private static final long INVALID_REST_MS = 1_000;
+
+    /** Time without an answer after which an order to stop is sent again. */
+    private static final long STOP_TIMEOUT_MS = 1_000;
+
+    private RunSystem() {}
+
+    /** Takes in answers, then repeats orders to stop that got none. */
+    public static void run(SchedulerTick tick) {
+        if (!tick.world().term().get().owns()) {
+            return;
+        }
+        for (StartAnswered answer : tick.inputs(StartAnswered.class)) {
+            RunRow run = tick.world().runs().find(answer.task()).orElse(null);
+            if (run != null && run.run() == answer.run() && run.callId() == answer.callId()) {
+                started(tick, run, answer.result());
+            }
+        }
+        for (StopAnswered answer : tick.inputs(StopAnswered.class)) {
+            RunRow run = tick.world().runs().find(answer.task()).orElse(null);
+            if (run != null && run.run() == answer.run() && run.callId() == answer.callId()) {
+                stopped(tick, run, answer.result());
+            }
+        }
+        if (Authority.mayOrderExecutors(tick)) {
+            repeatStops(tick);
+        }
+    }
+
+    private static void started(SchedulerTick tick, RunRow run, StartResult result) {
+        SchedulerWorld world = tick.world();
+        if (result != StartResult.STARTED) {
+            tick.log("start-refused", Runs.describe(run) + " result=" + result);
+            tick.count("start-refused." + result);
+        }
+        switch (result) {
+            case STARTED -> {
+                world.runs().put(run.task(), run.running(tick.nowMs()));
+                Jobs.begun(tick, run.task().jobId());
+            }
+            case NO_ANSWER -> Runs.stop(tick, run, StopReason.UNCERTAIN_START);
+            case FENCED -> StepDown.run(tick, "fenced-by-executor");
+            case OTHER_LIFE -> Runs.lifeEnded(tick, run.executor(), "other-life");
+            case NO_ROOM -> {
+                Standings.aside(tick, run.executor(), NO_ROOM_ASIDE_MS, "no-room");
+                Runs.gone(tick, run, "refused", 0);
+            }
+            case UNHEALTHY -> {
+                Standings.aside(tick, run.executor(), UNHEALTHY_ASIDE_MS, "unhealthy");
+                Runs.gone(tick, run, "refused", 0);
+            }
+            case INVALID -> Runs.gone(tick, run, "refused", INVALID_REST_MS);
+            default -> Runs.gone(tick, run, "refused", 0);
+        }
+    }
+
+    private static void stopped(SchedulerTick tick, RunRow run, StopResult result) {
+        switch (result) {
+            case STOPPED, REFUSED -> {
+                tick.world().runs().put(run.task(), run.settled(tick.nowMs()));
+                hastenReading(tick, run.executor());
+            }
+            case FENCED -> StepDown.run(tick, "fenced-by-executor");
+            case OTHER_LIFE -> Runs.lifeEnded(tick, run.executor(), "other-life");
+            default -> tick.world().runs().put(run.task(), run.settled(0));
+        }
+    }
+
+    private static void hastenReading(SchedulerTick tick, String executor) {
+        tick.world().contacts().update(executor, c -> c.withNext(tick.nowMs()));
+    }
+
+    private static void repeatStops(SchedulerTick tick) {
+        for (RunRow run : tick.world().runs().rows()) {
+            if (run.stage() != RunStage.STOPPING || run.settledMs() != 0) {
+                continue;
+            }
+            long limitMs = run.callId() == 0 ? STOP_RETRY_MS : STOP_TIMEOUT_MS;
+            if (tick.nowMs() - run.sentMs() > limitMs) {
+                Runs.stop(tick, run, run.reason());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/Runs.java
@@ -0,0 +1,89 @@
+package org.hibiscususher.core.scheduler.executor;
+
+import java.util.List;
+import org.hibiscususher.core.job.TaskKey;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput.StopRun;
+import org.hibiscususher.core.scheduler.world.ContactRow;
+import org.hibiscususher.core.scheduler.world.EndRow;
+import org.hibiscususher.core.scheduler.world.ExecutorRow;
+import org.hibiscususher.core.scheduler.world.RunRow;
+import org.hibiscususher.core.scheduler.world.SchedulerTick;
+import org.hibiscususher.core.scheduler.world.SchedulerWorld;
+import org.hibiscususher.core.scheduler.world.StopReason;
+import org.hibiscususher.core.scheduler.world.TaskRow;
+
+/** Changes of runs that more than one system makes. */
+public final class Runs {
+    /** Numbers of runs that a term may give to a task. */
+    private static final int RUNS_PER_TERM = 1_000;
+
+    private Runs() {}
+
+    /** Returns the number of the next run of a task, above all that earlier owners gave. */
+    public static int nextNumber(SchedulerWorld world, TaskRow task) {
+        long floor = (world.term().get().generation() - 1) * RUNS_PER_TERM;
+        return Math.max(task.run(), (int) floor) + 1;
+    }
+
+    /** Orders a run to stop; it stays in the table until its end is known. */
+    public static void stop(SchedulerTick tick, RunRow run, StopReason reason) {
+        SchedulerWorld world = tick.world();
+        long callId = tick.nextCallId();
+        world.runs().put(run.task(), run.stopping(reason, callId, tick.nowMs()));
+        if (reason != run.reason()) {
+            tick.log("stop", describe(run) + " reason=" + reason);
+            tick.count("stop." + reason);
+        }
+        order(tick, callId, run.executor(), run.task(), run.run());
+    }
+
+    /** Orders a run to stop that is in no table. */
+    public static void stopUnknown(SchedulerTick tick, String executor, TaskKey task, int run) {
+        tick.log("stop-unknown", "task=" + task.text() + " run=" + run + " executor=" + executor);
+        order(tick, tick.nextCallId(), executor, task, run);
+    }
+
+    private static void order(
+            SchedulerTick tick, long callId, String executor, TaskKey task, int run) {
+        ExecutorRow row = tick.world().executors().find(executor).orElse(null);
+        if (row != null && !row.report().address().isEmpty()) {
+            long fence = tick.world().term().get().fence();
+            String address = row.report().address();
+            tick.emit(new StopRun(callId, executor, address, fence, task, run));
+        }
+    }
+
+    /** Applies that a run has surely ended or never began; its task waits for the next one. */
+    public static void gone(SchedulerTick tick, RunRow run, String reason, long delayMs) {
+        SchedulerWorld world = tick.world();
+        world.runs().remove(run.task());
+        world.tasks().update(run.task(), t -> t.waiting(tick.nowMs(), delayMs, run.checkpoint()));
+        tick.log("run-gone", describe(run) + " reason=" + reason);
+        tick.count("run-gone." + reason);
+    }
+
+    /** Applies that the life of an executor has ended, and with it everything that ran there. */
+    public static void lifeEnded(SchedulerTick tick, String executor, String reason) {
+        SchedulerWorld world = tick.world();
+        for (RunRow run : List.copyOf(world.runs().group(executor))) {
+            gone(tick, run, reason, 0);
+        }
+        for (EndRow end : List.copyOf(world.ends().group(executor))) {
+            world.ends().remove(end.key());
+        }
+        world.contacts().put(executor, ContactRow.initial(executor, 0));
+        world.executors().update(executor, ExecutorRow::answered);
+    }
+
+    /** Returns a run in the words of the log. */
+    public static String describe(RunRow run) {
+        return "job="
+                + run.task().jobId()
+                + " task="
+                + run.task().text()
+                + " run="
+                + run.run()
+                + " executor="
+                + run.executor();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/Standings.java
@@ -0,0 +1,43 @@
+package org.hibiscususher.core.scheduler.executor;
+
+import org.hibiscususher.core.scheduler.world.SchedulerTick;
+import org.hibiscususher.core.scheduler.world.StandingRow;
+
+/** Keeps count of how runs end on each executor, and sets aside those that fail what they start. */
+final class Standings {
+    /** Failed runs in a row after which an executor is set aside. */
+    private static final int MAX_FAILURES = 2;
+
+    private static final long ASIDE_MS = 1_500;
+    private static final long MAX_ASIDE_MS = 6_000;
+
+    private Standings() {}
+
+    static void done(SchedulerTick tick, String executor) {
+        StandingRow row = find(tick, executor);
+        tick.world().standings().put(executor, new StandingRow(executor, 0, row.done() + 1));
+    }
+
+    static void failed(SchedulerTick tick, String executor) {
+        StandingRow row = find(tick, executor);
+        int failures = row.failuresInRow() + 1;
+        tick.world().standings().put(executor, new StandingRow(executor, failures, row.done()));
+        if (failures >= MAX_FAILURES) {
+            aside(tick, executor, Math.min(MAX_ASIDE_MS, ASIDE_MS * (failures - 1)), "failures");
+        }
+    }
+
+    /** Gives an executor no new runs for some time. */
+    static void aside(SchedulerTick tick, String executor, long forMs, String reason) {
+        long untilMs = tick.nowMs() + forMs;
+        tick.world().contacts().update(executor, c -> c.aside(untilMs));
+        tick.log(
+                "executor-aside",
+                "executor=" + executor + " for_ms=" + forMs + " reason=" + reason);
+        tick.count("executor-aside." + reason);
+    }
+
+    private static StandingRow find(SchedulerTick tick, String executor) {
+        return tick.world().standings().find(executor).orElse(new StandingRow(executor, 0, 0));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/Progress.java
@@ -0,0 +1,95 @@
+package org.hibiscususher.core.scheduler.job;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.hibiscususher.core.job.StepKey;
+import org.hibiscususher.core.scheduler.message.StepMark;
+import org.hibiscususher.core.scheduler.message.StoredRecord;
+import org.hibiscususher.core.scheduler.message.TaskMark;
+import org.hibiscususher.core.scheduler.world.JobRow;
+import org.hibiscususher.core.scheduler.world.SchedulerTick;
+import org.hibiscususher.core.scheduler.world.SchedulerWorld;
+import org.hibiscususher.core.scheduler.world.StepRow;
+import org.hibiscususher.core.scheduler.world.TaskRow;
+
+/** Translates between a job's tables and the record of its progress. */
+public final class Progress {
+    private Progress() {}
+
+    /** Returns the record of how far a job has come. */
+    public static StoredRecord.Progress of(SchedulerWorld world, JobRow job) {
+        List<StepMark> steps = new ArrayList<>();
+        List<TaskMark> tasks = new ArrayList<>();
+        if (!job.state().isFinal()) {
+            for (StepRow step : Jobs.stepsOf(world, job)) {
+                StepKey key = step.key();
+                if (step.done().signum() != 0) {
+                    steps.add(new StepMark(key.occurrence(), key.step(), step.done()));
+                }
+                addTasks(world, job, step, tasks);
+            }
+        }
+        return new StoredRecord.Progress(job.id(), job.state(), steps, tasks);
+    }
+
+    private static void addTasks(
+            SchedulerWorld world, JobRow job, StepRow step, List<TaskMark> marks) {
+        StepKey key = step.key();
+        int count = job.spec().steps().get(key.step()).count();
+        for (int i = 0; i < count; i++) {
+            TaskRow task = world.tasks().find(key.task(i)).orElse(null);
+            if (task != null && (task.failures() > 0 || !task.checkpoint().isEmpty())) {
+                marks.add(
+                        new TaskMark(
+                                key.occurrence(),
+                                key.step(),
+                                i,
+                                task.failures(),
+                                task.failedRun(),
+                                task.checkpoint()));
+            }
+        }
+    }
+
+    /** Puts a job's progress back into the tables. */
+    public static void restore(SchedulerTick tick, StoredRecord.Progress progress) {
+        SchedulerWorld world = tick.world();
+        JobRow job = world.jobs().find(progress.id()).orElse(null);
+        if (job == null) {
+            return;
+        }
+        long endedMs = progress.state().isFinal() ? tick.nowMs() : 0;
+        world.jobs()
+                .put(
+                        job.id(),
+                        job.withState(progress.state(), endedMs)
+                                .withStoredVersion(0, progress.state(), tick.nowMs()));
+        if (progress.state().isFinal()) {
+            return;
+        }
+        Jobs.openDue(tick, job.id());
+        for (StepMark mark : progress.steps()) {
+            StepKey key = new StepKey(job.id(), mark.occurrence(), mark.step());
+            Jobs.markDone(tick, key, mark.done());
+        }
+        for (TaskMark mark : progress.tasks()) {
+            StepKey key = new StepKey(job.id(), mark.occurrence(), mark.step());
+            world.tasks().update(key.task(mark.index()), t -> restored(t, mark));
+        }
+    }
+
+    private static TaskRow restored(TaskRow task, TaskMark mark) {
+        return new TaskRow(
+                task.key(),
+                task.pool(),
+                task.state(),
+                Math.max(task.run(), mark.failedRun()),
+                mark.failures(),
+                mark.failedRun(),
+                mark.checkpoint(),
+                task.readyMs(),
+                task.notBeforeMs(),
+                task.failedOn(),
+                task.doubtful());
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/SchedulerInput.java
@@ -0,0 +1,127 @@
+package org.hibiscususher.core.scheduler.message;
+
+import java.util.List;
+import org.hibiscususher.core.job.JobCall;
+import org.hibiscususher.core.job.JobPlan;
+import org.hibiscususher.core.job.ListedEnd;
+import org.hibiscususher.core.job.ListedRun;
+import org.hibiscususher.core.job.TaskKey;
+
+/** Something that happened, told to the scheduler. */
+public sealed interface SchedulerInput {
+    /** A caller's request came, itself or from another entry; it gets exactly one answer. */
+    record CallReceived(long callId, JobCall call, boolean forwarded) implements SchedulerInput {}
+
+    /** A forwarded request got no answer; {@code sent} tells whether it may have been taken. */
+    record ForwardFailed(long callId, String address, boolean sent) implements SchedulerInput {}
+
+    /** The operators' configuration, with its revision in the store. */
+    record PlanSeen(JobPlan plan, long revision) implements SchedulerInput {}
+
+    /** An operators' order to maintain hosts. */
+    record WaveSeen(WaveOrder wave) implements SchedulerInput {}
+
+    /** The operators withdrew an order to maintain hosts. */
+    record WaveGone(long wave) implements SchedulerInput {}
+
+    /** Who owns the scheduling. */
+    record OwnershipSeen(Ownership ownership) implements SchedulerInput {}
+
+    /** A lease of the store was granted, for {@code ttlMs} from the sending of the call. */
+    record LeaseGranted(long callId, long leaseId, long ttlMs) implements SchedulerInput {}
+
+    /** A lease of the store was not granted. */
+    record LeaseRefused(long callId) implements SchedulerInput {}
+
+    /** A lease was renewed. */
+    record LeaseRenewed(long callId) implements SchedulerInput {}
+
+    /** A lease was not renewed; {@code ended} tells whether the store no longer knows it. */
+    record LeaseNotRenewed(long callId, boolean ended) implements SchedulerInput {}
+
+    /** A commit took effect. */
+    record Committed(long callId, long revision) implements SchedulerInput {}
+
+    /** A commit's conditions did not hold; the guarded records as they are now. */
+    record CommitConflict(long callId, List<LoadedRecord> current) implements SchedulerInput {
+        /** Copies the list. */
+        public CommitConflict {
+            current = List.copyOf(current);
+        }
+    }
+
+    /** A commit failed; {@code uncertain} tells whether it may have taken effect or still may. */
+    record CommitFailed(long callId, boolean uncertain, boolean leaseGone)
+            implements SchedulerInput {}
+
+    /** All records of jobs, executors and waves. */
+    record RecordsLoaded(long callId, List<LoadedRecord> records) implements SchedulerInput {
+        /** Copies the list. */
+        public RecordsLoaded {
+            records = List.copyOf(records);
+        }
+    }
+
+    /** The records could not be read. */
+    record LoadFailed(long callId) implements SchedulerInput {}
+
+    /** All executors that are in the store. */
+    record ExecutorsListed(List<ExecutorReport> reports) implements SchedulerInput {
+        /** Copies the list. */
+        public ExecutorsListed {
+            reports = List.copyOf(reports);
+        }
+    }
+
+    /** An executor's report is new or has changed. */
+    record ExecutorSeen(ExecutorReport report) implements SchedulerInput {}
+
+    /** An executor's report is no longer in the store. */
+    record ExecutorGone(String id) implements SchedulerInput {}
+
+    /** An executor listed its runs and the ends that were not acknowledged. */
+    record HoldAnswered(
+            long callId,
+            String executor,
+            long bornMs,
+            long clockMs,
+            List<ListedRun> runs,
+            List<ListedEnd> ends)
+            implements SchedulerInput {
+        /** Copies the lists. */
+        public HoldAnswered {
+            runs = List.copyOf(runs);
+            ends = List.copyOf(ends);
+        }
+    }
+
+    /** An executor's lists could not be read. */
+    record HoldFailed(long callId, String executor, HoldFailure failure)
+            implements SchedulerInput {}
+
+    /** An order to start a run was answered or not; {@code callId} is that of the order. */
+    record StartAnswered(long callId, TaskKey task, int run, StartResult result)
+            implements SchedulerInput {}
+
+    /** An order to stop a run was answered or not. */
+    record StopAnswered(long callId, TaskKey task, int run, StopResult result)
+            implements SchedulerInput {}
+
+    /** The hosts of all pools. */
+    record HostsListed(long callId, List<HostReport> hosts) implements SchedulerInput {
+        /** Copies the list. */
+        public HostsListed {
+            hosts = List.copyOf(hosts);
+        }
+    }
+
+    /** The hosts could not be listed. */
+    record HostsNotListed(long callId) implements SchedulerInput {}
+
+    /** An order for a host was answered or not. */
+    record HostOrderAnswered(long callId, String host, HostOrderResult result)
+            implements SchedulerInput {}
+
+    /** The process was asked to stop. */
+    record StopAsked() implements SchedulerInput {}
+}
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/SchedulerOutput.java
@@ -0,0 +1,121 @@
+package org.hibiscususher.core.scheduler.message;
+
+import java.util.List;
+import org.hibiscususher.core.job.JobAnswer;
+import org.hibiscususher.core.job.JobCall;
+import org.hibiscususher.core.job.TaskKey;
+
+/** Something that the scheduler wants done. */
+public sealed interface SchedulerOutput {
+    /** Answers a caller. */
+    record Answer(long callId, JobAnswer answer) implements SchedulerOutput {}
+
+    /** Passes a caller's request on to the owner. */
+    record Forward(long callId, String address, JobCall call) implements SchedulerOutput {}
+
+    /** Asks the store for a lease. */
+    record GrantLease(long callId, long ttlMs) implements SchedulerOutput {}
+
+    /** Renews a lease of the store. */
+    record RenewLease(long callId, long leaseId) implements SchedulerOutput {}
+
+    /** Changes records, all or none. */
+    record Commit(
+            long callId,
+            List<RecordGuard> guards,
+            List<RecordWrite> writes,
+            List<RecordName> removals)
+            implements SchedulerOutput {
+        /** Copies the lists. */
+        public Commit {
+            guards = List.copyOf(guards);
+            writes = List.copyOf(writes);
+            removals = List.copyOf(removals);
+        }
+    }
+
+    /** Reads all records of jobs, executors and waves. */
+    record LoadRecords(long callId) implements SchedulerOutput {}
+
+    /** Starts or ends the reports on executors. */
+    record FollowExecutors(boolean on) implements SchedulerOutput {}
+
+    /**
+     * Reads an executor's lists and extends its lease.
+     *
+     * @param callId id of the call
+     * @param executor id of the executor's life
+     * @param address IP number and port
+     * @param fence fence of the orders
+     * @param seen number of the last end that is acknowledged
+     * @param deadlineMs end of the lease on the executor's clock; 0 if it is not extended
+     * @param waitMs how long the executor may wait for an end
+     */
+    record HoldExecutor(
+            long callId,
+            String executor,
+            String address,
+            long fence,
+            long seen,
+            long deadlineMs,
+            long waitMs)
+            implements SchedulerOutput {}
+
+    /**
+     * Starts a run.
+     *
+     * @param callId id of the call
+     * @param executor id of the executor's life
+     * @param address IP number and port
+     * @param fence fence of the order
+     * @param task the task
+     * @param run number of the run
+     * @param text what to run
+     * @param checkpoint saved state to go on from; empty for none
+     * @param deadlineMs until when the order is valid, on the executor's clock
+     */
+    record StartRun(
+            long callId,
+            String executor,
+            String address,
+            long fence,
+            TaskKey task,
+            int run,
+            String text,
+            String checkpoint,
+            long deadlineMs)
+            implements SchedulerOutput {}
+
+    /** Stops a run. */
+    record StopRun(long callId, String executor, String address, long fence, TaskKey task, int run)
+            implements SchedulerOutput {}
+
+    /** Sets the part of its full speed at which a run works. */
+    record PaceRun(String executor, String address, long fence, TaskKey task, int run, int percent)
+            implements SchedulerOutput {}
+
+    /** Lists the hosts of all pools. */
+    record ListHosts(long callId) implements SchedulerOutput {}
+
+    /** Moves a host to a pool. */
+    record MoveHost(long callId, String host, String pool, long fence) implements SchedulerOutput {}
+
+    /** Begins the maintenance of a host. */
+    record MaintainHost(long callId, String host, long wave, long fence)
+            implements SchedulerOutput {}
+
+    /** Tells the balancer whether to send new connections. */
+    record Ready(boolean ready) implements SchedulerOutput {}
+
+    /** Lets the process end. */
+    record Finish() implements SchedulerOutput {}
+
+    /** Writes a line to the log. */
+    record Log(String event, String line) implements SchedulerOutput {}
+
+    /** Counts an event. */
+    record Count(String counter) implements SchedulerOutput {}
+
+    /** Adds a value to a histogram. */
+    record Measure(String histogram, long value) implements SchedulerOutput {}
+}
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/StepMark.java
@@ -0,0 +1,19 @@
+package org.hibiscususher.core.scheduler.message;
+
+import static java.util.Objects.requireNonNull;
+
+import java.math.BigInteger;
+
+/**
+ * The done tasks of a step.
+ *
+ * @param occurrence number of the occurrence
+ * @param step number of the step
+ * @param done a bit for each task that is done
+ */
+public record StepMark(int occurrence, int step, BigInteger done) {
+    /** Checks the parts. */
+    public StepMark {
+        requireNonNull(done);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/StoredRecord.java
@@ -0,0 +1,152 @@
+package org.hibiscususher.core.scheduler.message;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.List;
+import org.hibiscususher.core.job.JobSpec;
+import org.hibiscususher.core.job.JobState;
+import org.hibiscususher.core.job.JobTerms;
+
+/** A record that the scheduler keeps in the store. */
+public sealed interface StoredRecord {
+    /** Returns the record's name. */
+    RecordName name();
+
+    /**
+     * The entry that owns the scheduling.
+     *
+     * @param node the entry
+     * @param incarnation start of its process, in milliseconds since the epoch
+     * @param address where it takes forwarded requests
+     */
+    record Owner(String node, long incarnation, String address) implements StoredRecord {
+        /** Checks the parts. */
+        public Owner {
+            requireNonNull(node);
+            requireNonNull(address);
+        }
+
+        @Override
+        public RecordName name() {
+            return RecordName.OWNER;
+        }
+    }
+
+    /**
+     * The term of the newest owner.
+     *
+     * @param generation how often the ownership was taken
+     * @param node the owner
+     * @param incarnation start of its process, in milliseconds since the epoch
+     * @param released whether the owner gave the ownership up itself
+     */
+    record Term(long generation, String node, long incarnation, boolean released)
+            implements StoredRecord {
+        /** Checks the parts. */
+        public Term {
+            requireNonNull(node);
+        }
+
+        @Override
+        public RecordName name() {
+            return RecordName.TERM;
+        }
+    }
+
+    /**
+     * A job as it was accepted.
+     *
+     * @param id id
+     * @param terms terms
+     * @param team its team; empty if it came without a key
+     * @param spec what was handed in
+     * @param acceptedMs milliseconds since the epoch
+     */
+    record Job(String id, JobTerms terms, String team, JobSpec spec, long acceptedMs)
+            implements StoredRecord {
+        /** Checks the parts. */
+        public Job {
+            requireNonNull(id);
+            requireNonNull(terms);
+            requireNonNull(team);
+            requireNonNull(spec);
+        }
+
+        @Override
+        public RecordName name() {
+            return RecordName.of(RecordKind.JOB, id);
+        }
+    }
+
+    /**
+     * How far a job has come.
+     *
+     * @param id the job
+     * @param state its state
+     * @param steps done tasks
+     * @param tasks what else is remembered of tasks
+     */
+    record Progress(String id, JobState state, List<StepMark> steps, List<TaskMark> tasks)
+            implements StoredRecord {
+        /** Copies the lists. */
+        public Progress {
+            requireNonNull(id);
+            requireNonNull(state);
+            steps = List.copyOf(steps);
+            tasks = List.copyOf(tasks);
+        }
+
+        @Override
+        public RecordName name() {
+            return RecordName.of(RecordKind.PROGRESS, id);
+        }
+    }
+
+    /**
+     * The executors that may run tasks.
+     *
+     * @param executors executors
+     */
+    record Executors(List<UsedExecutor> executors) implements StoredRecord {
+        /** Copies the list. */
+        public Executors {
+            executors = List.copyOf(executors);
+        }
+
+        @Override
+        public RecordName name() {
+            return RecordName.EXECUTORS;
+        }
+    }
+
+    /**
+     * The hosts of a wave whose maintenance has begun.
+     *
+     * @param wave number of the wave
+     * @param begun host ids
+     */
+    record Wave(long wave, List<String> begun) implements StoredRecord {
+        /** Copies the list. */
+        public Wave {
+            begun = List.copyOf(begun);
+        }
+
+        @Override
+        public RecordName name() {
+            return RecordName.of(RecordKind.WAVE, Long.toString(wave));
+        }
+    }
+
+    /**
+     * What operators are told of a wave.
+     *
+     * @param wave number of the wave
+     * @param done whether every host of it has begun its maintenance
+     */
+    record WaveStatus(long wave, boolean done) implements StoredRecord {
+        @Override
+        public RecordName name() {
+            return RecordName.of(RecordKind.WAVE_STATUS, Long.toString(wave));
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/WaveOrder.java
@@ -0,0 +1,18 @@
+package org.hibiscususher.core.scheduler.message;
+
+import java.util.List;
+
+/**
+ * An operator's order to maintain hosts.
+ *
+ * @param wave number of the wave
+ * @param hosts the hosts
+ * @param withinMs time allowed, in milliseconds
+ * @param cap most hosts under maintenance at a time
+ */
+public record WaveOrder(long wave, List<String> hosts, long withinMs, int cap) {
+    /** Copies the list. */
+    public WaveOrder {
+        hosts = List.copyOf(hosts);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/placement/Room.java
@@ -0,0 +1,79 @@
+package org.hibiscususher.core.scheduler.placement;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.hibiscususher.core.job.Resources;
+import org.hibiscususher.core.scheduler.world.ContactRow;
+import org.hibiscususher.core.scheduler.world.ExecutorRow;
+import org.hibiscususher.core.scheduler.world.RunRow;
+import org.hibiscususher.core.scheduler.world.SchedulerTick;
+import org.hibiscususher.core.scheduler.world.SchedulerWorld;
+
+/** What is free on the executors of a pool, while runs are being placed. Not thread-safe. */
+final class Room {
+    private final Map<String, Resources> mFree = new HashMap<>();
+    private final Map<String, ExecutorRow> mExecutors = new LinkedHashMap<>();
+    private final Map<String, Integer> mRuns = new HashMap<>();
+
+    private Room() {}
+
+    /** Returns the room on the executors of a pool that may get new runs. */
+    static Room of(SchedulerTick tick, String pool) {
+        SchedulerWorld world = tick.world();
+        Room room = new Room();
+        for (ExecutorRow row : world.executors().group(pool)) {
+            if (isUsable(tick, row)) {
+                Resources free = row.report().capacity();
+                for (RunRow run : world.runs().group(row.id())) {
+                    free = free.minus(run.reserved());
+                }
+                room.mExecutors.put(row.id(), row);
+                room.mFree.put(row.id(), free);
+                room.mRuns.put(row.id(), world.runs().group(row.id()).size());
+            }
+        }
+        return room;
+    }
+
+    /** Returns whether an executor may get new runs. */
+    static boolean isUsable(SchedulerTick tick, ExecutorRow row) {
+        ContactRow contact = tick.world().contacts().find(row.id()).orElse(null);
+        return contact != null
+                && row.recorded()
+                && !row.cordoned()
+                && !row.report().draining()
+                && row.missingMs() == 0
+                && contact.failures() == 0
+                && contact.answeredMs() != 0
+                && contact.fence() == tick.world().term().get().fence()
+                && contact.asideUntilMs() <= tick.nowMs();
+    }
+
+    /** Returns whether there is no executor. */
+    boolean isEmpty() {
+        return mExecutors.isEmpty();
+    }
+
+    /** Returns the executors. */
+    Collection<ExecutorRow> executors() {
+        return mExecutors.values();
+    }
+
+    /** Returns what is free on an executor. */
+    Resources free(String executor) {
+        return mFree.get(executor);
+    }
+
+    /** Returns how many runs an executor has. */
+    int runs(String executor) {
+        return mRuns.get(executor);
+    }
+
+    /** Takes room for a run. */
+    void take(String executor, Resources reserved) {
+        mFree.merge(executor, reserved, Resources::minus);
+        mRuns.merge(executor, 1, Integer::sum);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/placement/package-info.java
@@ -0,0 +1,2 @@
+/** Which task starts next, and where. */
+package org.hibiscususher.core.scheduler.placement;
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/Commits.java
@@ -0,0 +1,200 @@
+package org.hibiscususher.core.scheduler.term;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+import org.hibiscususher.core.job.CallKind;
+import org.hibiscususher.core.job.JobState;
+import org.hibiscususher.core.scheduler.job.Jobs;
+import org.hibiscususher.core.scheduler.job.Progress;
+import org.hibiscususher.core.scheduler.message.RecordGuard;
+import org.hibiscususher.core.scheduler.message.RecordKind;
+import org.hibiscususher.core.scheduler.message.RecordName;
+import org.hibiscususher.core.scheduler.message.RecordWrite;
+import org.hibiscususher.core.scheduler.message.StoredRecord;
+import org.hibiscususher.core.scheduler.world.CallRow;
+import org.hibiscususher.core.scheduler.world.CallStage;
+import org.hibiscususher.core.scheduler.world.CommitPurpose;
+import org.hibiscususher.core.scheduler.world.CommitRow;
+import org.hibiscususher.core.scheduler.world.JobRow;
+import org.hibiscususher.core.scheduler.world.SchedulerSettings;
+import org.hibiscususher.core.scheduler.world.SchedulerTick;
+import org.hibiscususher.core.scheduler.world.SchedulerWorld;
+import org.hibiscususher.core.scheduler.world.TermRow;
+import org.hibiscususher.core.scheduler.world.TermStage;
+
+/** Builds commits of what waits to be stored, and applies what was stored. */
+final class Commits {
+    /** Most records in a commit: each takes a condition and a write of the store's 32 entries. */
+    private static final int MAX_RECORDS = 14;
+
+    /** Time for which progress is collected before it is stored, in milliseconds. */
+    private static final long PROGRESS_DELAY_MS = 60;
+
+    /** Longest time for which an owner that stops waits for its records, in milliseconds. */
+    private static final long RELEASE_AFTER_MS = 1_000;
+
+    private Commits() {}
+
+    /** Returns the next commit, or empty if nothing has to be stored now. */
+    static Optional<CommitRow> next(SchedulerTick tick) {
+        SchedulerWorld world = tick.world();
+        List<StoredRecord> records = new ArrayList<>();
+        Map<String, Long> versions = new HashMap<>();
+        boolean releasing = world.term().get().stage() == TermStage.RELEASING;
+        addNewJobs(world, records);
+        addProgress(tick, records, versions, JobState::isFinal, 0);
+        addPending(world, records);
+        addProgress(tick, records, versions, s -> true, releasing ? 0 : PROGRESS_DELAY_MS);
+        List<RecordName> removals = new ArrayList<>();
+        world.pendingRemovals().rows();
+        if (records.isEmpty()) {
+            removals.addAll(removable(world));
+        }
+        long stopMs = world.node().get().stopAskedMs();
+        boolean late = tick.nowMs() - stopMs > RELEASE_AFTER_MS;
+        if (releasing && (records.isEmpty() || late)) {
+            return Optional.of(release(tick));
+        }
+        if (records.isEmpty() && removals.isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.of(commit(tick, records, versions, removals));
+    }
+
+    private static void addNewJobs(SchedulerWorld world, List<StoredRecord> records) {
+        for (CallRow call : world.calls().rows()) {
+            if (records.size() >= MAX_RECORDS) {
+                return;
+            }
+            if (call.stage() == CallStage.STORE && call.call().kind() == CallKind.SUBMIT) {
+                world.jobs()
+                        .find(call.job())
+                        .filter(j -> !j.stored())
+                        .map(Commits::record)
+                        .filter(r -> !records.contains(r))
+                        .ifPresent(records::add);
+            }
+        }
+    }
+
+    private static StoredRecord record(JobRow job) {
+        return new StoredRecord.Job(
+                job.id(), job.terms(), job.team(), job.spec(), job.acceptedWallMs());
+    }
+
+    private static void addProgress(
+            SchedulerTick tick,
+            List<StoredRecord> records,
+            Map<String, Long> versions,
+            Predicate<JobState> states,
+            long delayMs) {
+        for (JobRow job : tick.world().jobs().rows()) {
+            if (records.size() >= MAX_RECORDS) {
+                return;
+            }
+            boolean due = tick.nowMs() - job.dirtyMs() >= delayMs;
+            if (job.stored()
+                    && job.isDirty()
+                    && due
+                    && states.test(job.state())
+                    && !versions.containsKey(job.id())) {
+                records.add(Progress.of(tick.world(), job));
+                versions.put(job.id(), job.version());
+            }
+        }
+    }
+
+    private static void addPending(SchedulerWorld world, List<StoredRecord> records) {
+        for (StoredRecord record : world.pendingRecords().rows()) {
+            if (records.size() < MAX_RECORDS) {
+                records.add(record);
+            }
+        }
+    }
+
+    private static List<RecordName> removable(SchedulerWorld world) {
+        List<RecordName> names = new ArrayList<>();
+        for (JobRow job : world.jobs().rows()) {
+            RecordName progress = RecordName.of(RecordKind.PROGRESS, job.id());
+            if (names.size() < MAX_RECORDS - 1 && world.pendingRemovals().contains(progress)) {
+                names.add(RecordName.of(RecordKind.JOB, job.id()));
+                names.add(progress);
+            }
+        }
+        return names;
+    }
+
+    private static CommitRow commit(
+            SchedulerTick tick,
+            List<StoredRecord> records,
+            Map<String, Long> versions,
+            List<RecordName> removals) {
+        SchedulerWorld world = tick.world();
+        List<RecordGuard> guards = new ArrayList<>();
+        List<RecordWrite> writes = new ArrayList<>();
+        guards.add(new RecordGuard(RecordName.TERM, world.term().get().fence()));
+        for (StoredRecord record : records) {
+            guards.add(guard(world, record.name()));
+            writes.add(RecordWrite.of(record));
+        }
+        for (RecordName name : removals) {
+            guards.add(guard(world, name));
+        }
+        return new CommitRow(
+                CommitPurpose.RECORDS,
+                tick.nextCallId(),
+                guards,
+                writes,
+                removals,
+                versions,
+                tick.nowMs(),
+                0,
+                false,
+                1);
+    }
+
+    private static RecordGuard guard(SchedulerWorld world, RecordName name) {
+        return new RecordGuard(name, world.revisions().find(name).orElse(0L));
+    }
+
+    private static CommitRow release(SchedulerTick tick) {
+        TermRow term = tick.world().term().get();
+        SchedulerSettings self = tick.world().settings();
+        StoredRecord.Term released =
+                new StoredRecord.Term(term.generation(), self.node(), self.incarnation(), true);
+        return new CommitRow(
+                CommitPurpose.RELEASE,
+                tick.nextCallId(),
+                List.of(new RecordGuard(RecordName.TERM, term.fence())),
+                List.of(RecordWrite.of(released)),
+                List.of(RecordName.OWNER),
+                Map.of(),
+                tick.nowMs(),
+                0,
+                false,
+                1);
+    }
+
+    /** Applies that a record is stored. */
+    static void stored(SchedulerTick tick, StoredRecord record, Map<String, Long> versions) {
+        SchedulerWorld world = tick.world();
+        if (record instanceof StoredRecord.Job job) {
+            Jobs.stored(tick, job.id());
+        } else if (record instanceof StoredRecord.Progress progress) {
+            Jobs.progressStored(tick, progress, versions.getOrDefault(progress.id(), 0L));
+        } else {
+            if (record instanceof StoredRecord.Executors executors) {
+                executors
+                        .executors()
+                        .forEach(e -> world.executors().update(e.id(), x -> x.withRecorded(true)));
+            }
+            if (world.pendingRecords().find(record.name()).filter(r -> r == record).isPresent()) {
+                world.pendingRecords().remove(record.name());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/StepDown.java
@@ -0,0 +1,38 @@
+package org.hibiscususher.core.scheduler.term;
+
+import org.hibiscususher.core.job.AnswerKind;
+import org.hibiscususher.core.job.JobAnswer;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput.Answer;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput.FollowExecutors;
+import org.hibiscususher.core.scheduler.world.CallRow;
+import org.hibiscususher.core.scheduler.world.CallStage;
+import org.hibiscususher.core.scheduler.world.SchedulerTick;
+import org.hibiscususher.core.scheduler.world.SchedulerWorld;
+import org.hibiscususher.core.scheduler.world.TermRow;
+
+/** Ends the part of an owner. */
+public final class StepDown {
+    private StepDown() {}
+
+    /** Forgets what only an owner keeps; requests that wait for the store get no certain answer. */
+    public static void run(SchedulerTick tick, String reason) {
+        SchedulerWorld world = tick.world();
+        TermRow term = world.term().get();
+        tick.log(
+                "owner-lost",
+                "generation=" + term.generation() + " fence=" + term.fence() + " reason=" + reason);
+        tick.count("owner.lost");
+        for (CallRow call : world.calls().rows()) {
+            if (call.stage() == CallStage.STORE) {
+                tick.emit(
+                        new Answer(
+                                call.callId(),
+                                JobAnswer.refusal(AnswerKind.UNKNOWN, 0, "the owner has changed")));
+                world.calls().remove(call.callId());
+            }
+        }
+        world.clearOwnerTables();
+        world.term().set(TermRow.initial());
+        tick.emit(new FollowExecutors(false));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/Takeover.java
@@ -0,0 +1,119 @@
+package org.hibiscususher.core.scheduler.term;
+
+import java.util.HashSet;
+import java.util.List;
+import org.hibiscususher.core.job.JobState;
+import org.hibiscususher.core.job.Resources;
+import org.hibiscususher.core.scheduler.job.Jobs;
+import org.hibiscususher.core.scheduler.job.Progress;
+import org.hibiscususher.core.scheduler.message.ExecutorReport;
+import org.hibiscususher.core.scheduler.message.LoadedRecord;
+import org.hibiscususher.core.scheduler.message.RecordKind;
+import org.hibiscususher.core.scheduler.message.StoredRecord;
+import org.hibiscususher.core.scheduler.message.UsedExecutor;
+import org.hibiscususher.core.scheduler.world.ContactRow;
+import org.hibiscususher.core.scheduler.world.ExecutorRow;
+import org.hibiscususher.core.scheduler.world.JobRow;
+import org.hibiscususher.core.scheduler.world.SchedulerTick;
+import org.hibiscususher.core.scheduler.world.SchedulerTiming;
+import org.hibiscususher.core.scheduler.world.SchedulerWorld;
+import org.hibiscususher.core.scheduler.world.TermRow;
+import org.hibiscususher.core.scheduler.world.TermStage;
+
+/** Builds the tables of a new owner from the store's records. */
+final class Takeover {
+    /** Slowest pace of an executor's clock against ours, in percent. */
+    private static final long SLOWEST_CLOCK_PERCENT = 97;
+
+    private static final long SLACK_MS = 100;
+
+    private Takeover() {}
+
+    static void load(SchedulerTick tick, List<LoadedRecord> records) {
+        SchedulerWorld world = tick.world();
+        for (LoadedRecord loaded : records) {
+            if (loaded.name().kind() != RecordKind.TERM) {
+                world.revisions().put(loaded.name(), loaded.revision());
+            }
+            if (loaded.record().isEmpty()) {
+                tick.log("record-unreadable", "name=" + loaded.name());
+            }
+        }
+        for (LoadedRecord loaded : records) {
+            if (loaded.record().orElse(null) instanceof StoredRecord.Job job) {
+                world.jobs().put(job.id(), row(tick, job));
+            }
+        }
+        for (LoadedRecord loaded : records) {
+            loaded.record().ifPresent(record -> take(tick, record));
+        }
+        TermRow term = world.term().get();
+        world.term().set(term.withCall(TermStage.OWNING, 0, 0));
+        for (JobRow job : world.jobs().rows()) {
+            Jobs.openDue(tick, job.id());
+        }
+        tick.log(
+                "takeover",
+                "generation="
+                        + term.generation()
+                        + " jobs="
+                        + world.jobs().size()
+                        + " executors="
+                        + world.executors().size()
+                        + " took_ms="
+                        + (tick.nowMs() - term.takenMs()));
+    }
+
+    private static JobRow row(SchedulerTick tick, StoredRecord.Job job) {
+        long ageMs = Math.max(0, tick.wallMs() - job.acceptedMs());
+        return new JobRow(
+                job.id(),
+                job.terms(),
+                job.team(),
+                job.spec(),
+                job.acceptedMs(),
+                tick.nowMs() - ageMs,
+                JobState.QUEUED,
+                true,
+                JobState.QUEUED,
+                0,
+                0,
+                tick.nowMs(),
+                job.spec().steps().size() * job.spec().occurrences(),
+                true,
+                0);
+    }
+
+    private static void take(SchedulerTick tick, StoredRecord record) {
+        SchedulerWorld world = tick.world();
+        if (record instanceof StoredRecord.Progress progress) {
+            Progress.restore(tick, progress);
+        } else if (record instanceof StoredRecord.Executors executors) {
+            executors.executors().forEach(e -> prior(tick, e));
+        } else if (record instanceof StoredRecord.Wave wave) {
+            world.waves().update(wave.wave(), row -> row.withBegun(new HashSet<>(wave.begun())));
+        }
+    }
+
+    private static void prior(SchedulerTick tick, UsedExecutor used) {
+        SchedulerWorld world = tick.world();
+        ExecutorReport report =
+                new ExecutorReport(
+                        used.id(), used.pool(), "", "", "", List.of(), Resources.NONE, true, 0, 0);
+        ExecutorReport known =
+                world.executors().find(used.id()).map(ExecutorRow::report).orElse(report);
+        long missingMs = known.address().isEmpty() ? tick.nowMs() : 0;
+        world.executors().put(used.id(), new ExecutorRow(known, missingMs, true, true, false, 0));
+        ContactRow contact =
+                world.contacts().find(used.id()).orElse(ContactRow.initial(used.id(), 0));
+        world.contacts().put(used.id(), contact.withLeaseEnd(waitUntilMs(tick)));
+    }
+
+    /** Returns until when a silent executor may run what an earlier owner started. */
+    private static long waitUntilMs(SchedulerTick tick) {
+        SchedulerTiming timing = tick.world().settings().timing();
+        TermRow term = tick.world().term().get();
+        long holdMs = timing.holdMs() * 100 / SLOWEST_CLOCK_PERCENT + SLACK_MS;
+        return term.takenMs() + holdMs + (term.predecessorReleased() ? 0 : timing.graceMs());
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/package-info.java
@@ -0,0 +1,2 @@
+/** Who owns the scheduling, and what is written to the store. */
+package org.hibiscususher.core.scheduler.term;
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/Eviction.java
@@ -0,0 +1,61 @@
+package org.hibiscususher.core.scheduler.upkeep;
+
+import java.util.List;
+import org.hibiscususher.core.job.StepKey;
+import org.hibiscususher.core.job.StepSpec;
+import org.hibiscususher.core.job.TaskKey;
+import org.hibiscususher.core.scheduler.executor.Runs;
+import org.hibiscususher.core.scheduler.job.Jobs;
+import org.hibiscususher.core.scheduler.world.RunRow;
+import org.hibiscususher.core.scheduler.world.RunStage;
+import org.hibiscususher.core.scheduler.world.SchedulerTick;
+import org.hibiscususher.core.scheduler.world.SchedulerWorld;
+import org.hibiscususher.core.scheduler.world.StopReason;
+
+/** Empties the executor of a host: what can wait ends by itself, what lasts is moved away. */
+final class Eviction {
+    /** Time after which what still runs is stopped, in milliseconds. */
+    private static final long PATIENCE_MS = 2_500;
+
+    private Eviction() {}
+
+    /** Stops what may be stopped now; returns whether nothing runs there any more. */
+    static boolean run(SchedulerTick tick, String executor, long sinceMs) {
+        SchedulerWorld world = tick.world();
+        boolean late = tick.nowMs() - sinceMs > PATIENCE_MS;
+        for (RunRow run : List.copyOf(world.runs().group(executor))) {
+            StepSpec spec = Jobs.specOf(world, run.task().stepKey()).orElse(null);
+            if (run.stage() != RunStage.RUNNING || spec == null) {
+                continue;
+            }
+            boolean allowed = spec.lasting() ? mayStop(tick, run, spec) : late;
+            if (allowed) {
+                Runs.stop(tick, run, StopReason.EVICTED);
+            }
+        }
+        return world.runs().group(executor).isEmpty();
+    }
+
+    /** Returns whether a lasting task may be away now as well as those that are away already. */
+    private static boolean mayStop(SchedulerTick tick, RunRow run, StepSpec spec) {
+        if (spec.maxUnavailable() <= 0) {
+            return true;
+        }
+        int away = 0;
+        StepKey step = run.task().stepKey();
+        for (int i = 0; i < spec.count(); i++) {
+            if (i != run.task().index() && !isAtWork(tick, step.task(i))) {
+                away++;
+            }
+        }
+        return away < spec.maxUnavailable();
+    }
+
+    private static boolean isAtWork(SchedulerTick tick, TaskKey task) {
+        return tick.world()
+                .runs()
+                .find(task)
+                .filter(r -> r.stage() == RunStage.RUNNING && r.percent() >= 100)
+                .isPresent();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/CallStage.java
@@ -0,0 +1,9 @@
+package org.hibiscususher.core.scheduler.world;
+
+/** What a caller's request waits for. */
+public enum CallStage {
+    /** An owner to forward it to. */
+    OWNER,
+    /** The store. */
+    STORE
+}
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/EndKey.java
@@ -0,0 +1,16 @@
+package org.hibiscususher.core.scheduler.world;
+
+import static java.util.Objects.requireNonNull;
+
+/**
+ * Names an end that is not acknowledged yet.
+ *
+ * @param executor executor
+ * @param number its number there
+ */
+public record EndKey(String executor, long number) {
+    /** Checks the parts. */
+    public EndKey {
+        requireNonNull(executor);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/EndRow.java
@@ -0,0 +1,18 @@
+package org.hibiscususher.core.scheduler.world;
+
+import static java.util.Objects.requireNonNull;
+
+/**
+ * An end that is acknowledged once the store holds what follows from it.
+ *
+ * @param key key
+ * @param job job
+ * @param version version of the job that holds it
+ */
+public record EndRow(EndKey key, String job, long version) {
+    /** Checks the parts. */
+    public EndRow {
+        requireNonNull(key);
+        requireNonNull(job);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/ExecutorRow.java
@@ -0,0 +1,70 @@
+package org.hibiscususher.core.scheduler.world;
+
+import static java.util.Objects.requireNonNull;
+
+import org.hibiscususher.core.scheduler.message.ExecutorReport;
+
+/**
+ * An executor.
+ *
+ * @param report what it says of itself
+ * @param missingMs since when its report is gone; 0 if it is there
+ * @param prior whether an earlier owner may have used it and it has not answered this one yet
+ * @param recorded whether the store names it among the executors in use
+ * @param cordoned whether its host is to be maintained or moved
+ * @param drainingMs since when it drains; 0 if it does not
+ */
+public record ExecutorRow(
+        ExecutorReport report,
+        long missingMs,
+        boolean prior,
+        boolean recorded,
+        boolean cordoned,
+        long drainingMs) {
+    /** Checks the parts. */
+    public ExecutorRow {
+        requireNonNull(report);
+    }
+
+    /** Returns this executor with a newer report. */
+    public ExecutorRow withReport(ExecutorReport newReport, long nowMs) {
+        return new ExecutorRow(
+                newReport,
+                0,
+                prior,
+                recorded,
+                cordoned,
+                newReport.draining() ? (drainingMs == 0 ? nowMs : drainingMs) : 0);
+    }
+
+    /** Returns this executor without its report. */
+    public ExecutorRow missing(long nowMs) {
+        return new ExecutorRow(
+                report, missingMs == 0 ? nowMs : missingMs, prior, recorded, cordoned, drainingMs);
+    }
+
+    /** Returns this executor, known to this owner. */
+    public ExecutorRow answered() {
+        return new ExecutorRow(report, missingMs, false, recorded, cordoned, drainingMs);
+    }
+
+    /** Returns this executor with the store naming it or not. */
+    public ExecutorRow withRecorded(boolean newRecorded) {
+        return new ExecutorRow(report, missingMs, prior, newRecorded, cordoned, drainingMs);
+    }
+
+    /** Returns this executor with its host to be maintained or moved, or not. */
+    public ExecutorRow withCordoned(boolean newCordoned) {
+        return new ExecutorRow(report, missingMs, prior, recorded, newCordoned, drainingMs);
+    }
+
+    /** Returns the id. */
+    public String id() {
+        return report.id();
+    }
+
+    /** Returns the pool. */
+    public String pool() {
+        return report.pool();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/HostTaskRow.java
@@ -0,0 +1,44 @@
+package org.hibiscususher.core.scheduler.world;
+
+import static java.util.Objects.requireNonNull;
+
+/**
+ * The maintenance or move of a host.
+ *
+ * @param host host
+ * @param wave wave; 0 for a move
+ * @param pool pool to move to; empty for maintenance
+ * @param step step
+ * @param callId order that is awaited; 0 for none
+ * @param retryAtMs before when no order is sent
+ * @param sinceMs since when it is in this step
+ * @param executor executor that the host had; empty for none
+ */
+public record HostTaskRow(
+        String host,
+        long wave,
+        String pool,
+        HostStep step,
+        long callId,
+        long retryAtMs,
+        long sinceMs,
+        String executor) {
+    /** Checks the parts. */
+    public HostTaskRow {
+        requireNonNull(host);
+        requireNonNull(pool);
+        requireNonNull(step);
+        requireNonNull(executor);
+    }
+
+    /** Returns this row in another step. */
+    public HostTaskRow withStep(HostStep newStep, long newCallId, long nowMs) {
+        return new HostTaskRow(host, wave, pool, newStep, newCallId, retryAtMs, nowMs, executor);
+    }
+
+    /** Returns this row back at emptying, with no order before a time. */
+    public HostTaskRow retried(long newRetryAtMs) {
+        return new HostTaskRow(
+                host, wave, pool, HostStep.EMPTYING, 0, newRetryAtMs, sinceMs, executor);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/JobRow.java
@@ -0,0 +1,168 @@
+package org.hibiscususher.core.scheduler.world;
+
+import static java.util.Objects.requireNonNull;
+
+import org.hibiscususher.core.job.JobSpec;
+import org.hibiscususher.core.job.JobState;
+import org.hibiscususher.core.job.JobTerms;
+
+/**
+ * A job.
+ *
+ * @param id id
+ * @param terms terms
+ * @param team its team; empty if it came without a key
+ * @param spec what was handed in
+ * @param acceptedWallMs when it came, in milliseconds since the epoch
+ * @param arrivedMs when it came, on the steady clock
+ * @param state state
+ * @param stored whether the store holds the job
+ * @param storedState the state that the store holds
+ * @param version grows with each change that has to be stored
+ * @param storedVersion the version that the store holds
+ * @param dirtyMs since when a change waits to be stored
+ * @param stepsLeft steps of all occurrences that are not done
+ * @param prior whether it was accepted by an earlier owner
+ * @param endedMs when it came to its final state; 0 if it has not
+ */
+public record JobRow(
+        String id,
+        JobTerms terms,
+        String team,
+        JobSpec spec,
+        long acceptedWallMs,
+        long arrivedMs,
+        JobState state,
+        boolean stored,
+        JobState storedState,
+        long version,
+        long storedVersion,
+        long dirtyMs,
+        int stepsLeft,
+        boolean prior,
+        long endedMs) {
+    /** Checks the parts. */
+    public JobRow {
+        requireNonNull(id);
+        requireNonNull(terms);
+        requireNonNull(team);
+        requireNonNull(spec);
+        requireNonNull(state);
+        requireNonNull(storedState);
+    }
+
+    /** Returns this job with another state. */
+    public JobRow withState(JobState newState, long newEndedMs) {
+        return new JobRow(
+                id,
+                terms,
+                team,
+                spec,
+                acceptedWallMs,
+                arrivedMs,
+                newState,
+                stored,
+                storedState,
+                version,
+                storedVersion,
+                dirtyMs,
+                stepsLeft,
+                prior,
+                newEndedMs);
+    }
+
+    /** Returns this job with a change that has to be stored. */
+    public JobRow changed(long nowMs) {
+        return new JobRow(
+                id,
+                terms,
+                team,
+                spec,
+                acceptedWallMs,
+                arrivedMs,
+                state,
+                stored,
+                storedState,
+                version + 1,
+                storedVersion,
+                version == storedVersion ? nowMs : dirtyMs,
+                stepsLeft,
+                prior,
+                endedMs);
+    }
+
+    /** Returns this job held by the store. */
+    public JobRow withStored() {
+        return new JobRow(
+                id,
+                terms,
+                team,
+                spec,
+                acceptedWallMs,
+                arrivedMs,
+                state,
+                true,
+                storedState,
+                version,
+                storedVersion,
+                dirtyMs,
+                stepsLeft,
+                prior,
+                endedMs);
+    }
+
+    /** Returns this job with its progress held by the store. */
+    public JobRow withStoredVersion(long newVersion, JobState newState, long nowMs) {
+        return new JobRow(
+                id,
+                terms,
+                team,
+                spec,
+                acceptedWallMs,
+                arrivedMs,
+                state,
+                stored,
+                newState,
+                version,
+                Math.max(storedVersion, newVersion),
+                nowMs,
+                stepsLeft,
+                prior,
+                endedMs);
+    }
+
+    /** Returns this job with one step less to do. */
+    public JobRow withStepDone() {
+        return new JobRow(
+                id,
+                terms,
+                team,
+                spec,
+                acceptedWallMs,
+                arrivedMs,
+                state,
+                stored,
+                storedState,
+                version,
+                storedVersion,
+                dirtyMs,
+                stepsLeft - 1,
+                prior,
+                endedMs);
+    }
+
+    /** Returns whether a change waits to be stored. */
+    public boolean isDirty() {
+        return version > storedVersion;
+    }
+
+    /** Returns whether the job takes runs now. */
+    public boolean isOpen() {
+        return stored && !state.isFinal();
+    }
+
+    /** Returns the time until which the job should be done, on the steady clock. */
+    public long dueMs() {
+        return arrivedMs + terms.objectiveFor(spec.chainMs());
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/NodeStateRow.java
@@ -0,0 +1,9 @@
+package org.hibiscususher.core.scheduler.world;
+
+/**
+ * What the process tells the balancer and whether it stops.
+ *
+ * @param ready what the balancer was last told
+ * @param stopAskedMs when the process was asked to stop; 0 if it was not
+ */
+public record NodeStateRow(boolean ready, long stopAskedMs) {}
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/RunRow.java
@@ -0,0 +1,164 @@
+package org.hibiscususher.core.scheduler.world;
+
+import static java.util.Objects.requireNonNull;
+
+import org.hibiscususher.core.job.ListedRun;
+import org.hibiscususher.core.job.Resources;
+import org.hibiscususher.core.job.TaskKey;
+
+/**
+ * A run that is under way, or may be.
+ *
+ * @param task task
+ * @param run number
+ * @param executor executor
+ * @param team team that it counts for
+ * @param demand what it takes of the team's limit
+ * @param reserved what it takes of the executor's capacity
+ * @param stage stage
+ * @param reason why it is stopped
+ * @param callId order that is awaited; 0 for none
+ * @param sentMs when the last order was sent
+ * @param settledMs when the last order was answered; 0 if it was not
+ * @param checkpoint last saved state that was listed
+ * @param percent last listed part of its full speed
+ * @param load last listed load; -1 for none
+ * @param pace part of its full speed that it was told
+ * @param progressMs when its listed state last changed
+ */
+public record RunRow(
+        TaskKey task,
+        int run,
+        String executor,
+        String team,
+        Resources demand,
+        Resources reserved,
+        RunStage stage,
+        StopReason reason,
+        long callId,
+        long sentMs,
+        long settledMs,
+        String checkpoint,
+        int percent,
+        long load,
+        int pace,
+        long progressMs) {
+    /** Checks the parts. */
+    public RunRow {
+        requireNonNull(task);
+        requireNonNull(executor);
+        requireNonNull(team);
+        requireNonNull(demand);
+        requireNonNull(reserved);
+        requireNonNull(stage);
+        requireNonNull(reason);
+        requireNonNull(checkpoint);
+    }
+
+    /** Returns this run, known to be on its executor. */
+    public RunRow running(long nowMs) {
+        return new RunRow(
+                task,
+                run,
+                executor,
+                team,
+                demand,
+                reserved,
+                RunStage.RUNNING,
+                reason,
+                0,
+                sentMs,
+                nowMs,
+                checkpoint,
+                percent,
+                load,
+                pace,
+                nowMs);
+    }
+
+    /** Returns this run with an order to stop it sent. */
+    public RunRow stopping(StopReason newReason, long newCallId, long nowMs) {
+        return new RunRow(
+                task,
+                run,
+                executor,
+                team,
+                demand,
+                reserved,
+                RunStage.STOPPING,
+                newReason,
+                newCallId,
+                nowMs,
+                0,
+                checkpoint,
+                percent,
+                load,
+                pace,
+                progressMs);
+    }
+
+    /** Returns this run with its order answered. */
+    public RunRow settled(long nowMs) {
+        return new RunRow(
+                task,
+                run,
+                executor,
+                team,
+                demand,
+                reserved,
+                stage,
+                reason,
+                0,
+                sentMs,
+                nowMs,
+                checkpoint,
+                percent,
+                load,
+                pace,
+                progressMs);
+    }
+
+    /** Returns this run with what its executor lists. */
+    public RunRow listed(ListedRun told, long nowMs) {
+        return new RunRow(
+                task,
+                run,
+                executor,
+                team,
+                demand,
+                reserved,
+                stage,
+                reason,
+                callId,
+                sentMs,
+                settledMs,
+                told.checkpoint().isEmpty() ? checkpoint : told.checkpoint(),
+                told.percent(),
+                told.load(),
+                pace,
+                told.percent() != percent || !told.checkpoint().equals(checkpoint)
+                        ? nowMs
+                        : progressMs);
+    }
+
+    /** Returns this run with another pace. */
+    public RunRow withPace(int newPace) {
+        return new RunRow(
+                task,
+                run,
+                executor,
+                team,
+                demand,
+                reserved,
+                stage,
+                reason,
+                callId,
+                sentMs,
+                settledMs,
+                checkpoint,
+                percent,
+                load,
+                newPace,
+                progressMs);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerSettings.java
@@ -0,0 +1,22 @@
+package org.hibiscususher.core.scheduler.world;
+
+import static java.util.Objects.requireNonNull;
+
+/**
+ * Who the process is, and its times.
+ *
+ * @param node name of the entry
+ * @param incarnation start of the process, in milliseconds since the epoch
+ * @param address where it takes forwarded requests
+ * @param claimDelayMs how long it waits before it takes a free ownership, in milliseconds
+ * @param timing times
+ */
+public record SchedulerSettings(
+        String node, long incarnation, String address, long claimDelayMs, SchedulerTiming timing) {
+    /** Checks the parts. */
+    public SchedulerSettings {
+        requireNonNull(node);
+        requireNonNull(address);
+        requireNonNull(timing);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerWorld.java
@@ -0,0 +1,210 @@
+package org.hibiscususher.core.scheduler.world;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.List;
+import java.util.Optional;
+import org.hibiscususher.core.job.JobPlan;
+import org.hibiscususher.core.job.StepKey;
+import org.hibiscususher.core.job.TaskKey;
+import org.hibiscususher.core.scheduler.message.HostReport;
+import org.hibiscususher.core.scheduler.message.Ownership;
+import org.hibiscususher.core.scheduler.message.RecordName;
+import org.hibiscususher.core.scheduler.message.StoredRecord;
+import org.hibiscususher.core.table.GroupedTable;
+import org.hibiscususher.core.table.SingleRow;
+import org.hibiscususher.core.table.Table;
+
+/** The tables of the scheduler. Not thread-safe: they belong to the control thread. */
+public final class SchedulerWorld {
+    private final SchedulerSettings mSettings;
+    private final SingleRow<TermRow> mTerm = SingleRow.of(TermRow.initial());
+    private final SingleRow<OwnershipRow> mOwnership =
+            SingleRow.of(new OwnershipRow(false, Ownership.NONE, 0));
+    private final SingleRow<RenewalRow> mRenewal = SingleRow.of(new RenewalRow(0, 0));
+    private final SingleRow<ClockRow> mClock = SingleRow.of(new ClockRow(0, 0));
+    private final SingleRow<NodeStateRow> mNode = SingleRow.of(new NodeStateRow(false, 0));
+    private final SingleRow<PlanRow> mPlan = SingleRow.of(new PlanRow(JobPlan.EMPTY, 0));
+    private final SingleRow<StoreRow> mStore = SingleRow.of(new StoreRow(0, 0));
+    private final SingleRow<HostListRow> mHostList = SingleRow.of(new HostListRow(0, 0, 0));
+    private final SingleRow<Optional<CommitRow>> mCommit = SingleRow.of(Optional.empty());
+    private final Table<RecordName, Long> mRevisions = Table.create();
+    private final Table<RecordName, StoredRecord> mPendingRecords = Table.create();
+    private final Table<RecordName, Long> mPendingRemovals = Table.create();
+    private final Table<String, JobRow> mJobs = Table.create();
+    private final Table<StepKey, StepRow> mSteps = Table.create();
+    private final GroupedTable<TaskKey, TaskRow, TaskGroup> mTasks =
+            GroupedTable.createBy(TaskRow::group);
+    private final GroupedTable<TaskKey, RunRow, String> mRuns =
+            GroupedTable.createBy(RunRow::executor);
+    private final GroupedTable<String, ExecutorRow, String> mExecutors =
+            GroupedTable.createBy(ExecutorRow::pool);
+    private final Table<String, ContactRow> mContacts = Table.create();
+    private final Table<String, StandingRow> mStandings = Table.create();
+    private final GroupedTable<EndKey, EndRow, String> mEnds =
+            GroupedTable.createBy(e -> e.key().executor());
+    private final Table<Long, CallRow> mCalls = Table.create();
+    private final Table<Long, WaveRow> mWaves = Table.create();
+    private final Table<String, HostReport> mHosts = Table.create();
+    private final Table<String, HostTaskRow> mHostTasks = Table.create();
+
+    private SchedulerWorld(SchedulerSettings settings) {
+        mSettings = requireNonNull(settings);
+    }
+
+    /** Creates the tables of a process that has just started. */
+    public static SchedulerWorld create(SchedulerSettings settings) {
+        return new SchedulerWorld(settings);
+    }
+
+    /** Returns who the process is, and its times. */
+    public SchedulerSettings settings() {
+        return mSettings;
+    }
+
+    /** Returns the process's part in the ownership. */
+    public SingleRow<TermRow> term() {
+        return mTerm;
+    }
+
+    /** Returns who owns the scheduling. */
+    public SingleRow<OwnershipRow> ownership() {
+        return mOwnership;
+    }
+
+    /** Returns the renewal that is awaited. */
+    public SingleRow<RenewalRow> renewal() {
+        return mRenewal;
+    }
+
+    /** Returns the times of the last tick. */
+    public SingleRow<ClockRow> clock() {
+        return mClock;
+    }
+
+    /** Returns what the process tells the balancer. */
+    public SingleRow<NodeStateRow> node() {
+        return mNode;
+    }
+
+    /** Returns the configuration in force. */
+    public SingleRow<PlanRow> plan() {
+        return mPlan;
+    }
+
+    /** Returns how the store answers. */
+    public SingleRow<StoreRow> store() {
+        return mStore;
+    }
+
+    /** Returns the state of the list of hosts. */
+    public SingleRow<HostListRow> hostList() {
+        return mHostList;
+    }
+
+    /** Returns the commit under way. */
+    public SingleRow<Optional<CommitRow>> commit() {
+        return mCommit;
+    }
+
+    /** Returns the revisions of the records in the store. */
+    public Table<RecordName, Long> revisions() {
+        return mRevisions;
+    }
+
+    /** Returns records that wait to be written, other than those of jobs. */
+    public Table<RecordName, StoredRecord> pendingRecords() {
+        return mPendingRecords;
+    }
+
+    /** Returns the records that wait to be removed, with their revisions. */
+    public Table<RecordName, Long> pendingRemovals() {
+        return mPendingRemovals;
+    }
+
+    /** Returns the jobs by id. */
+    public Table<String, JobRow> jobs() {
+        return mJobs;
+    }
+
+    /** Returns the steps whose turn has come. */
+    public Table<StepKey, StepRow> steps() {
+        return mSteps;
+    }
+
+    /** Returns the tasks whose turn has come and that are not done, by pool and state. */
+    public GroupedTable<TaskKey, TaskRow, TaskGroup> tasks() {
+        return mTasks;
+    }
+
+    /** Returns the runs by task, grouped by executor. */
+    public GroupedTable<TaskKey, RunRow, String> runs() {
+        return mRuns;
+    }
+
+    /** Returns the executors by id, grouped by pool. */
+    public GroupedTable<String, ExecutorRow, String> executors() {
+        return mExecutors;
+    }
+
+    /** Returns the contacts by executor. */
+    public Table<String, ContactRow> contacts() {
+        return mContacts;
+    }
+
+    /** Returns how runs end, by executor. */
+    public Table<String, StandingRow> standings() {
+        return mStandings;
+    }
+
+    /** Returns the ends that are not acknowledged yet, grouped by executor. */
+    public GroupedTable<EndKey, EndRow, String> ends() {
+        return mEnds;
+    }
+
+    /** Returns the callers' requests that wait. */
+    public Table<Long, CallRow> calls() {
+        return mCalls;
+    }
+
+    /** Returns the maintenance waves by number. */
+    public Table<Long, WaveRow> waves() {
+        return mWaves;
+    }
+
+    /** Returns the hosts as last listed. */
+    public Table<String, HostReport> hosts() {
+        return mHosts;
+    }
+
+    /** Returns the hosts that are maintained or moved. */
+    public Table<String, HostTaskRow> hostTasks() {
+        return mHostTasks;
+    }
+
+    /** Forgets everything that only an owner keeps. */
+    public void clearOwnerTables() {
+        mCommit.set(Optional.empty());
+        mHostList.set(new HostListRow(0, 0, 0));
+        for (Table<?, ?> table : ownerTables()) {
+            table.clear();
+        }
+    }
+
+    private List<Table<?, ?>> ownerTables() {
+        return List.of(
+                mRevisions,
+                mPendingRecords,
+                mPendingRemovals,
+                mJobs,
+                mSteps,
+                mTasks,
+                mRuns,
+                mExecutors,
+                mContacts,
+                mStandings,
+                mEnds,
+                mHosts,
+                mHostTasks);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/table/SingleRow.java
@@ -0,0 +1,33 @@
+package org.hibiscususher.core.table;
+
+import static java.util.Objects.requireNonNull;
+
+/**
+ * Holds exactly one immutable row.
+ *
+ * <p>Not thread-safe: it belongs to the control thread.
+ *
+ * @param <R> the type of the row
+ */
+public final class SingleRow<R> {
+    private R mRow;
+
+    private SingleRow(R row) {
+        mRow = requireNonNull(row);
+    }
+
+    /** Creates a holder of the given row. */
+    public static <R> SingleRow<R> of(R row) {
+        return new SingleRow<>(row);
+    }
+
+    /** Returns the row. */
+    public R get() {
+        return mRow;
+    }
+
+    /** Replaces the row. */
+    public void set(R row) {
+        mRow = requireNonNull(row);
+    }
+}
--- a/daemon/src/main/java/org/hibiscususher/daemon/Daemon.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/Daemon.java
@@ -29,6 +29,8 @@
 
 /** One running entry: all its parts, wired together. */
 public final class Daemon implements AutoCloseable {
+    private static final long TICK_MS = 10;
+
     private static final Logger LOG = System.getLogger(Daemon.class.getName());
     private static final long CLOSE_TIMEOUT_MS = 2_000;
     private static final long LEAVE_TIMEOUT_MS = 30_000;
@@ -37,7 +39,7 @@
     private static final int MAX_EVENT_LOOPS = 4;
 
     private final EventLoopGroup mGroup;
-    private final Inbox mInbox = new Inbox();
+    private final Inbox<Input> mInbox = new Inbox<>();
     private final MetricRegistry mMetrics = new MetricRegistry();
     private final CountDownLatch mDone = new CountDownLatch(1);
     private final Exchanges mExchanges;
@@ -63,7 +65,7 @@
         mFront = FrontServer.listen(mGroup, settings.callers(), mExchanges);
         AdminServer.listen(mGroup, settings.operators(), mCalls, mMetrics);
         ControlNode node = ControlNode.create(identity, settings.control(), nowMs);
-        mControl = ControlThread.start(node, clock, mInbox, this::handle);
+        mControl = ControlThread.start(node::tick, clock, mInbox, this::handle, TICK_MS);
         mStore.watch(RecordKey.HEAD);
         mStore.watch(RecordKey.MEMBERSHIP);
     }
--- a/daemon/src/main/java/org/hibiscususher/daemon/admin/OperatorCalls.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/admin/OperatorCalls.java
@@ -13,14 +13,14 @@
 public final class OperatorCalls {
     private final Map<Long, CompletableFuture<Output>> mCalls = new ConcurrentHashMap<>();
     private final AtomicLong mIds = new AtomicLong();
-    private final Inbox mInbox;
+    private final Inbox<Input> mInbox;
 
-    private OperatorCalls(Inbox inbox) {
+    private OperatorCalls(Inbox<Input> inbox) {
         mInbox = inbox;
     }
 
     /** Creates an empty table of calls. */
-    public static OperatorCalls create(Inbox inbox) {
+    public static OperatorCalls create(Inbox<Input> inbox) {
         return new OperatorCalls(inbox);
     }
 
--- a/daemon/src/main/java/org/hibiscususher/daemon/control/ControlThread.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/control/ControlThread.java
@@ -10,9 +10,6 @@
 import org.agrona.concurrent.AgentRunner;
 import org.agrona.concurrent.EpochClock;
 import org.agrona.concurrent.IdleStrategy;
-import org.hibiscususher.core.control.ControlNode;
-import org.hibiscususher.core.message.Input;
-import org.hibiscususher.core.message.Output;
 
 /**
  * The one thread that owns the control state.
@@ -21,7 +18,6 @@
  */
 public final class ControlThread implements AutoCloseable {
     private static final Logger LOG = System.getLogger(ControlThread.class.getName());
-    private static final long TICK_MS = 10;
     private static final long MIN_GAP_NS = 1_000_000;
     private static final long NS_PER_MS = 1_000_000;
 
@@ -31,12 +27,25 @@
         mRunner = runner;
     }
 
-    /** Starts the thread. */
-    public static ControlThread start(
-            ControlNode node, EpochClock clock, Inbox inbox, OutputHandler handler) {
-        Ticker ticker = new Ticker(requireNonNull(node), clock, inbox, handler);
+    /**
+     * Starts the thread.
+     *
+     * @param node control state
+     * @param clock clock of the ticks
+     * @param inbox where inputs come from
+     * @param handler carries out the outputs
+     * @param tickMs longest time between two ticks, in milliseconds
+     */
+    public static <I, O> ControlThread start(
+            Ticking<I, O> node,
+            EpochClock clock,
+            Inbox<I> inbox,
+            OutputHandler<O> handler,
+            long tickMs) {
+        Ticker<I, O> ticker = new Ticker<>(requireNonNull(node), clock, inbox, handler, tickMs);
         AgentRunner runner =
-                new AgentRunner(new InboxIdleStrategy(inbox), ControlThread::fail, null, ticker);
+                new AgentRunner(
+                        new InboxIdleStrategy(inbox, tickMs), ControlThread::fail, null, ticker);
         AgentRunner.startOnThread(runner);
         return new ControlThread(runner);
     }
@@ -50,32 +59,39 @@
         mRunner.close();
     }
 
-    private static final class Ticker implements Agent {
-        private final ControlNode mNode;
+    private static final class Ticker<I, O> implements Agent {
+        private final Ticking<I, O> mNode;
         private final EpochClock mClock;
-        private final Inbox mInbox;
-        private final OutputHandler mHandler;
+        private final Inbox<I> mInbox;
+        private final OutputHandler<O> mHandler;
+        private final long mTickMs;
         private long mLastTickMs;
         private long mLastTickNs = System.nanoTime() - MIN_GAP_NS;
 
-        Ticker(ControlNode node, EpochClock clock, Inbox inbox, OutputHandler handler) {
+        Ticker(
+                Ticking<I, O> node,
+                EpochClock clock,
+                Inbox<I> inbox,
+                OutputHandler<O> handler,
+                long tickMs) {
             mNode = node;
             mClock = clock;
             mInbox = inbox;
             mHandler = handler;
+            mTickMs = tickMs;
         }
 
         @Override
         public int doWork() {
             awaitGap();
-            List<Input> inputs = mInbox.drain();
+            List<I> inputs = mInbox.drain();
             long nowMs = mClock.time();
-            if (inputs.isEmpty() && nowMs - mLastTickMs < TICK_MS) {
+            if (inputs.isEmpty() && nowMs - mLastTickMs < mTickMs) {
                 return 0;
             }
             mLastTickMs = nowMs;
             mLastTickNs = System.nanoTime();
-            for (Output output : mNode.tick(nowMs, inputs)) {
+            for (O output : mNode.tick(nowMs, inputs)) {
                 mHandler.handle(output);
             }
             return inputs.size();
@@ -97,10 +113,12 @@
 
     /** Sleeps until an input comes or the next tick is due. */
     private static final class InboxIdleStrategy implements IdleStrategy {
-        private final Inbox mInbox;
+        private final Inbox<?> mInbox;
+        private final long mTickMs;
 
-        InboxIdleStrategy(Inbox inbox) {
+        InboxIdleStrategy(Inbox<?> inbox, long tickMs) {
             mInbox = inbox;
+            mTickMs = tickMs;
         }
 
         @Override
@@ -112,7 +130,7 @@
 
         @Override
         public void idle() {
-            mInbox.await(TICK_MS * NS_PER_MS);
+            mInbox.await(mTickMs * NS_PER_MS);
         }
 
         @Override
--- a/daemon/src/main/java/org/hibiscususher/daemon/control/Inbox.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/control/Inbox.java
@@ -6,14 +6,17 @@
 import java.util.List;
 import java.util.concurrent.locks.LockSupport;
 import org.agrona.concurrent.ManyToOneConcurrentArrayQueue;
-import org.hibiscususher.core.message.Input;
 
-/** The bounded queue of inputs from all threads to the control thread. Thread-safe. */
-public final class Inbox {
+/**
+ * The bounded queue of inputs from all threads to the control thread. Thread-safe.
+ *
+ * @param <I> the type of the inputs
+ */
+public final class Inbox<I> {
     private static final int CAPACITY = 1 << 17;
     private static final int DROPPABLE_CAPACITY = CAPACITY / 2;
 
-    private final ManyToOneConcurrentArrayQueue<Input> mQueue =
+    private final ManyToOneConcurrentArrayQueue<I> mQueue =
             new ManyToOneConcurrentArrayQueue<>(CAPACITY);
     private volatile Thread mReader;
 
@@ -22,7 +25,7 @@
      *
      * @throws IllegalStateException if the queue is full, which the bound on requests rules out
      */
-    public void add(Input input) {
+    public void add(I input) {
         if (!mQueue.offer(requireNonNull(input))) {
             throw new IllegalStateException("the control thread's inbox is full");
         }
@@ -30,7 +33,7 @@
     }
 
     /** Adds an input unless the queue is half full; returns whether it was added. */
-    public boolean offer(Input input) {
+    public boolean offer(I input) {
         if (mQueue.size() >= DROPPABLE_CAPACITY) {
             return false;
         }
@@ -39,8 +42,8 @@
     }
 
     /** Takes all inputs out, in order. */
-    public List<Input> drain() {
-        List<Input> inputs = new ArrayList<>();
+    public List<I> drain() {
+        List<I> inputs = new ArrayList<>();
         mQueue.drain(inputs::add, CAPACITY);
         return inputs;
     }
--- a/daemon/src/main/java/org/hibiscususher/daemon/control/OutputHandler.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/control/OutputHandler.java
@@ -1,10 +1,12 @@
 package org.hibiscususher.daemon.control;
 
-import org.hibiscususher.core.message.Output;
-
-/** Carries out outputs of ticks. Called on the control thread; must not block. */
+/**
+ * Carries out outputs of ticks. Called on the control thread; must not block.
+ *
+ * @param <O> the type of the outputs
+ */
 @FunctionalInterface
-public interface OutputHandler {
+public interface OutputHandler<O> {
     /** Carries out one output. */
-    void handle(Output output);
+    void handle(O output);
 }
--- /dev/null
+++ b/daemon/src/main/java/org/hibiscususher/daemon/forward/ForwardServer.java
@@ -0,0 +1,77 @@
+package org.hibiscususher.daemon.forward;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.io.IOException;
+import org.hibiscususher.core.job.AnswerKind;
+import org.hibiscususher.core.job.JobAnswer;
+import org.hibiscususher.core.job.JobCall;
+import org.hibiscususher.core.scheduler.message.SchedulerInput;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.CallReceived;
+import org.hibiscususher.daemon.control.Inbox;
+import org.hibiscususher.wire.http.Addresses;
+import org.hibiscususher.wire.scheduler.LinkMessage;
+
+/** Takes requests that other entries pass on. */
+public final class ForwardServer {
+    private ForwardServer() {}
+
+    /**
+     * Starts to listen.
+     *
+     * @param group event loops; the owner closes them
+     * @param address IP number and port
+     * @param calls keeps where answers go
+     * @param inbox takes the requests
+     * @throws IOException if the address can't be bound
+     */
+    public static void listen(
+            EventLoopGroup group, String address, PendingCalls calls, Inbox<SchedulerInput> inbox)
+            throws IOException {
+        ChannelFuture bound =
+                new ServerBootstrap()
+                        .group(group)
+                        .channel(NioServerSocketChannel.class)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childHandler(
+                                new ChannelInitializer<Channel>() {
+                                    @Override
+                                    protected void initChannel(Channel channel) {
+                                        LinkPipeline.add(
+                                                channel, (c, m) -> receive(c, m, calls, inbox));
+                                    }
+                                })
+                        .bind(Addresses.parse(address))
+                        .awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            throw new IOException("can't listen for entries on " + address, bound.cause());
+        }
+    }
+
+    private static void receive(
+            Channel channel, LinkMessage message, PendingCalls calls, Inbox<SchedulerInput> inbox) {
+        message.call().ifPresent(call -> take(channel, message.callId(), call, calls, inbox));
+    }
+
+    private static void take(
+            Channel channel,
+            long remoteId,
+            JobCall call,
+            PendingCalls calls,
+            Inbox<SchedulerInput> inbox) {
+        long id = calls.add(answer -> LinkPipeline.send(channel, LinkMessage.of(remoteId, answer)));
+        if (id == 0 || !inbox.offer(new CallReceived(id, call, true))) {
+            JobAnswer answer =
+                    JobAnswer.refusal(AnswerKind.OVERLOADED, RETRY_AFTER_MS, "too-many-requests");
+            calls.answer(id, answer);
+            LinkPipeline.send(channel, LinkMessage.of(remoteId, answer));
+        }
+    }
+
+    private static final long RETRY_AFTER_MS = 1_000;
+}
--- /dev/null
+++ b/daemon/src/main/java/org/hibiscususher/daemon/forward/package-info.java
@@ -0,0 +1,2 @@
+/** Passes callers' requests on to the owner of the scheduling, and its answers back. */
+package org.hibiscususher.daemon.forward;
--- a/daemon/src/main/java/org/hibiscususher/daemon/front/Attempt.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/front/Attempt.java
@@ -13,6 +13,7 @@
 import io.netty.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import org.hibiscususher.core.message.AttemptOutcome;
+import org.hibiscususher.core.message.Input;
 import org.hibiscususher.core.message.Input.AttemptEnded;
 import org.hibiscususher.core.message.Input.TargetDone;
 import org.hibiscususher.core.message.Output.StartAttempt;
@@ -27,7 +28,7 @@
 final class Attempt {
     private final Exchange mExchange;
     private final StartAttempt mStart;
-    private final Inbox mInbox;
+    private final Inbox<Input> mInbox;
     private final TargetConnections mConnections;
     private AttemptStage mStage = AttemptStage.CONNECTING;
     private TargetConnection mConnection;
@@ -39,7 +40,11 @@
     private boolean mInformational;
     private boolean mServerError;
 
-    Attempt(Exchange exchange, StartAttempt start, Inbox inbox, TargetConnections connections) {
+    Attempt(
+            Exchange exchange,
+            StartAttempt start,
+            Inbox<Input> inbox,
+            TargetConnections connections) {
         mExchange = exchange;
         mStart = start;
         mInbox = inbox;
--- a/daemon/src/main/java/org/hibiscususher/daemon/front/Exchanges.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/front/Exchanges.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import org.hibiscususher.core.message.Input;
 import org.hibiscususher.core.message.Output.Refuse;
 import org.hibiscususher.core.message.Output.StartAttempt;
 import org.hibiscususher.core.message.Refusal;
@@ -26,12 +27,12 @@
     private final AtomicInteger mWriting = new AtomicInteger();
     private final AtomicLong mBytes = new AtomicLong();
     private final AtomicInteger mLongestRunLimitMs = new AtomicInteger();
-    private final Inbox mInbox;
+    private final Inbox<Input> mInbox;
     private final MetricRegistry mMetrics;
     private final ByteBufAllocator mAllocator;
     private volatile boolean mLeaving;
 
-    private Exchanges(Inbox inbox, MetricRegistry metrics, ByteBufAllocator allocator) {
+    private Exchanges(Inbox<Input> inbox, MetricRegistry metrics, ByteBufAllocator allocator) {
         mInbox = inbox;
         mMetrics = metrics;
         mAllocator = allocator;
@@ -43,11 +44,12 @@
      * @param inbox takes what happens to requests
      * @param metrics counts refusals that need no decision of the control thread
      */
-    public static Exchanges create(Inbox inbox, MetricRegistry metrics) {
+    public static Exchanges create(Inbox<Input> inbox, MetricRegistry metrics) {
         return create(inbox, metrics, PooledByteBufAllocator.DEFAULT);
     }
 
-    static Exchanges create(Inbox inbox, MetricRegistry metrics, ByteBufAllocator allocator) {
+    static Exchanges create(
+            Inbox<Input> inbox, MetricRegistry metrics, ByteBufAllocator allocator) {
         return new Exchanges(inbox, metrics, allocator);
     }
 
@@ -95,7 +97,7 @@
         return mLeaving;
     }
 
-    Inbox inbox() {
+    Inbox<Input> inbox() {
         return mInbox;
     }
 
--- /dev/null
+++ b/daemon/src/main/java/org/hibiscususher/daemon/log/package-info.java
@@ -0,0 +1,2 @@
+/** Structured log lines, bounded and never blocking. */
+package org.hibiscususher.daemon.log;
--- a/daemon/src/main/java/org/hibiscususher/daemon/peer/PeerLinks.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/peer/PeerLinks.java
@@ -45,13 +45,13 @@
     private static final int LENGTH_BYTES = 4;
 
     private final EventLoopGroup mGroup;
-    private final Inbox mInbox;
+    private final Inbox<Input> mInbox;
     private final LongSupplier mClock;
     private final Map<String, PeerLink> mLinks = new ConcurrentHashMap<>();
     private final Map<String, Long> mHeardNs = new ConcurrentHashMap<>();
     private long mSweptNs;
 
-    private PeerLinks(EventLoopGroup group, Inbox inbox, LongSupplier clock) {
+    private PeerLinks(EventLoopGroup group, Inbox<Input> inbox, LongSupplier clock) {
         mGroup = group;
         mInbox = inbox;
         mClock = clock;
@@ -66,13 +66,14 @@
      * @param inbox takes the messages
      * @throws IOException if the address can't be bound
      */
-    public static PeerLinks listen(EventLoopGroup group, String address, Inbox inbox)
+    public static PeerLinks listen(EventLoopGroup group, String address, Inbox<Input> inbox)
             throws IOException {
         return listen(group, address, inbox, System::nanoTime);
     }
 
     /** Listens for other entries, by a clock that gives nanoseconds. */
-    static PeerLinks listen(EventLoopGroup group, String address, Inbox inbox, LongSupplier clock)
+    static PeerLinks listen(
+            EventLoopGroup group, String address, Inbox<Input> inbox, LongSupplier clock)
             throws IOException {
         PeerLinks links = new PeerLinks(group, inbox, clock);
         ChannelFuture bound =
--- a/daemon/src/main/java/org/hibiscususher/daemon/store/StoreOutputs.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/store/StoreOutputs.java
@@ -24,15 +24,15 @@
     private static final Logger LOG = System.getLogger(StoreOutputs.class.getName());
 
     private final PlatformStore mStore;
-    private final Inbox mInbox;
+    private final Inbox<Input> mInbox;
 
-    private StoreOutputs(PlatformStore store, Inbox inbox) {
+    private StoreOutputs(PlatformStore store, Inbox<Input> inbox) {
         mStore = store;
         mInbox = inbox;
     }
 
     /** Creates the link between the core and a store. */
-    public static StoreOutputs create(PlatformStore store, Inbox inbox) {
+    public static StoreOutputs create(PlatformStore store, Inbox<Input> inbox) {
         return new StoreOutputs(store, inbox);
     }
 
--- a/daemon/src/test/java/org/hibiscususher/daemon/front/FrontRig.java
+++ b/daemon/src/test/java/org/hibiscususher/daemon/front/FrontRig.java
@@ -27,7 +27,7 @@
     private final EventLoopGroup mGroup =
             new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
     private final UnpooledByteBufAllocator mAllocator = new UnpooledByteBufAllocator(true);
-    private final Inbox mInbox = new Inbox();
+    private final Inbox<Input> mInbox = new Inbox<>();
     private final Deque<Input> mInputs = new ArrayDeque<>();
     private final MetricRegistry mMetrics = new MetricRegistry();
     private final Exchanges mExchanges = Exchanges.create(mInbox, mMetrics, mAllocator);
--- a/daemon/src/test/java/org/hibiscususher/daemon/peer/PeerLinksTest.java
+++ b/daemon/src/test/java/org/hibiscususher/daemon/peer/PeerLinksTest.java
@@ -33,8 +33,8 @@
     private final EventLoopGroup mGroup =
             new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
     private final AtomicLong mClock = new AtomicLong();
-    private final Inbox mInbox = new Inbox();
-    private final Inbox mOtherInbox = new Inbox();
+    private final Inbox<Input> mInbox = new Inbox<>();
+    private final Inbox<Input> mOtherInbox = new Inbox<>();
     private final Deque<Input> mInputs = new ArrayDeque<>();
     private final PeerLinks mLinks = listen(freeAddress(), mInbox);
 
@@ -43,7 +43,7 @@
         mGroup.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
     }
 
-    private PeerLinks listen(String address, Inbox inbox) {
+    private PeerLinks listen(String address, Inbox<Input> inbox) {
         try {
             return PeerLinks.listen(mGroup, address, inbox, mClock::get);
         } catch (IOException e) {
@@ -73,7 +73,7 @@
         mClock.addAndGet(TimeUnit.MILLISECONDS.toNanos(ms));
     }
 
-    private <T extends Input> T next(Inbox inbox, Class<T> type) {
+    private <T extends Input> T next(Inbox<Input> inbox, Class<T> type) {
         long deadline = System.nanoTime() + WAIT_NS;
         while (mInputs.isEmpty() && System.nanoTime() < deadline) {
             inbox.await(POLL_NS);
--- /dev/null
+++ b/wire/src/main/java/org/hibiscususher/wire/scheduler/LinkCodec.java
@@ -0,0 +1,84 @@
+package org.hibiscususher.wire.scheduler;
+
+import java.io.IOException;
+import java.util.Optional;
+import org.hibiscususher.core.job.AnswerKind;
+import org.hibiscususher.core.job.CallKind;
+import org.hibiscususher.core.job.JobAnswer;
+import org.hibiscususher.core.job.JobCall;
+import org.hibiscususher.core.job.JobState;
+import org.hibiscususher.wire.generated.SchedulerProto;
+
+/** Translates messages between entries. */
+public final class LinkCodec {
+    private LinkCodec() {}
+
+    /** Returns a message's bytes. */
+    public static byte[] encode(LinkMessage message) {
+        SchedulerProto.Link.Builder builder =
+                SchedulerProto.Link.newBuilder().setCallId(message.callId());
+        message.call().ifPresent(call -> builder.setCall(encode(call)));
+        message.answer().ifPresent(answer -> builder.setAnswer(encode(answer)));
+        return builder.build().toByteArray();
+    }
+
+    private static SchedulerProto.Call encode(JobCall call) {
+        SchedulerProto.Call.Builder builder =
+                SchedulerProto.Call.newBuilder()
+                        .setKind(call.kind().ordinal())
+                        .setHost(call.host())
+                        .setPath(call.path())
+                        .setKey(call.key());
+        call.spec().ifPresent(spec -> builder.setSpec(SpecCodec.encode(spec)));
+        return builder.build();
+    }
+
+    private static SchedulerProto.Answer encode(JobAnswer answer) {
+        return SchedulerProto.Answer.newBuilder()
+                .setKind(answer.kind().ordinal())
+                .setState(answer.state().ordinal())
+                .setPending(answer.pending())
+                .setRetryAfterMs(answer.retryAfterMs())
+                .setReason(answer.reason())
+                .build();
+    }
+
+    /**
+     * Returns the message that bytes stand for.
+     *
+     * @throws IOException if they stand for none
+     */
+    public static LinkMessage decode(byte[] bytes) throws IOException {
+        SchedulerProto.Link link = SchedulerProto.Link.parseFrom(bytes);
+        return switch (link.getBodyCase()) {
+            case CALL -> LinkMessage.of(link.getCallId(), decode(link.getCall()));
+            case ANSWER -> LinkMessage.of(link.getCallId(), decode(link.getAnswer()));
+            default -> throw new IOException("a message without a body");
+        };
+    }
+
+    private static JobCall decode(SchedulerProto.Call call) throws IOException {
+        return new JobCall(
+                constant(CallKind.values(), call.getKind()),
+                call.getHost(),
+                call.getPath(),
+                call.getKey(),
+                call.hasSpec() ? Optional.of(SpecCodec.decode(call.getSpec())) : Optional.empty());
+    }
+
+    private static JobAnswer decode(SchedulerProto.Answer answer) throws IOException {
+        return new JobAnswer(
+                constant(AnswerKind.values(), answer.getKind()),
+                constant(JobState.values(), answer.getState()),
+                answer.getPending(),
+                answer.getRetryAfterMs(),
+                answer.getReason());
+    }
+
+    static <E> E constant(E[] values, int number) throws IOException {
+        if (number < 0 || number >= values.length) {
+            throw new IOException("unknown constant " + number);
+        }
+        return values[number];
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/hibiscususher/wire/scheduler/StoredRecordCodec.java
@@ -0,0 +1,171 @@
+package org.hibiscususher.wire.scheduler;
+
+import com.google.protobuf.ByteString;
+import java.io.IOException;
+import java.math.BigInteger;
+import java.util.ArrayList;
+import java.util.List;
+import org.hibiscususher.core.job.JobState;
+import org.hibiscususher.core.job.JobTerms;
+import org.hibiscususher.core.scheduler.message.StepMark;
+import org.hibiscususher.core.scheduler.message.StoredRecord;
+import org.hibiscususher.core.scheduler.message.TaskMark;
+import org.hibiscususher.core.scheduler.message.UsedExecutor;
+import org.hibiscususher.wire.generated.SchedulerProto;
+
+/** Translates the scheduler's records in the store. */
+public final class StoredRecordCodec {
+    private StoredRecordCodec() {}
+
+    /**
+     * Returns a record's bytes.
+     *
+     * @throws IllegalArgumentException for a wave's status, which is in the operators' format
+     */
+    public static byte[] encode(StoredRecord record) {
+        SchedulerProto.Record.Builder builder = SchedulerProto.Record.newBuilder();
+        if (record instanceof StoredRecord.Owner owner) {
+            builder.getOwnerBuilder()
+                    .setNode(owner.node())
+                    .setIncarnation(owner.incarnation())
+                    .setAddress(owner.address());
+        } else if (record instanceof StoredRecord.Term term) {
+            builder.getTermBuilder()
+                    .setGeneration(term.generation())
+                    .setNode(term.node())
+                    .setIncarnation(term.incarnation())
+                    .setReleased(term.released());
+        } else if (record instanceof StoredRecord.Job job) {
+            builder.setJob(encode(job));
+        } else if (record instanceof StoredRecord.Progress progress) {
+            builder.setProgress(encode(progress));
+        } else if (record instanceof StoredRecord.Executors executors) {
+            executors
+                    .executors()
+                    .forEach(
+                            e ->
+                                    builder.getExecutorsBuilder()
+                                            .addExecutorsBuilder()
+                                            .setId(e.id())
+                                            .setPool(e.pool()));
+        } else if (record instanceof StoredRecord.Wave wave) {
+            builder.getWaveBuilder().setWave(wave.wave()).addAllBegun(wave.begun());
+        } else {
+            throw new IllegalArgumentException("not stored in this form: " + record.name());
+        }
+        return builder.build().toByteArray();
+    }
+
+    private static SchedulerProto.Job encode(StoredRecord.Job job) {
+        return SchedulerProto.Job.newBuilder()
+                .setId(job.id())
+                .setQueue(job.terms().queue())
+                .setPool(job.terms().pool())
+                .setPriority(job.terms().priority())
+                .setAttempts(job.terms().attempts())
+                .setExtension(job.terms().extension())
+                .setObjectiveMs(job.terms().objectiveMs())
+                .setTeam(job.team())
+                .setSpec(SpecCodec.encode(job.spec()))
+                .setAcceptedMs(job.acceptedMs())
+                .build();
+    }
+
+    private static SchedulerProto.Progress encode(StoredRecord.Progress progress) {
+        SchedulerProto.Progress.Builder builder =
+                SchedulerProto.Progress.newBuilder()
+                        .setId(progress.id())
+                        .setState(progress.state().ordinal());
+        for (StepMark mark : progress.steps()) {
+            builder.addStepsBuilder()
+                    .setOccurrence(mark.occurrence())
+                    .setStep(mark.step())
+                    .setDone(ByteString.copyFrom(mark.done().toByteArray()));
+        }
+        for (TaskMark mark : progress.tasks()) {
+            builder.addTasksBuilder()
+                    .setOccurrence(mark.occurrence())
+                    .setStep(mark.step())
+                    .setIndex(mark.index())
+                    .setFailures(mark.failures())
+                    .setFailedRun(mark.failedRun())
+                    .setCheckpoint(mark.checkpoint());
+        }
+        return builder.build();
+    }
+
+    /**
+     * Returns the record that bytes stand for.
+     *
+     * @throws IOException if they stand for none
+     */
+    public static StoredRecord decode(byte[] bytes) throws IOException {
+        SchedulerProto.Record record = SchedulerProto.Record.parseFrom(bytes);
+        return switch (record.getBodyCase()) {
+            case OWNER ->
+                    new StoredRecord.Owner(
+                            record.getOwner().getNode(),
+                            record.getOwner().getIncarnation(),
+                            record.getOwner().getAddress());
+            case TERM ->
+                    new StoredRecord.Term(
+                            record.getTerm().getGeneration(),
+                            record.getTerm().getNode(),
+                            record.getTerm().getIncarnation(),
+                            record.getTerm().getReleased());
+            case JOB -> decode(record.getJob());
+            case PROGRESS -> decode(record.getProgress());
+            case EXECUTORS -> decode(record.getExecutors());
+            case WAVE ->
+                    new StoredRecord.Wave(
+                            record.getWave().getWave(), record.getWave().getBegunList());
+            default -> throw new IOException("a record without a body");
+        };
+    }
+
+    private static StoredRecord decode(SchedulerProto.Job job) {
+        JobTerms terms =
+                new JobTerms(
+                        job.getQueue(),
+                        job.getPool(),
+                        job.getPriority(),
+                        job.getAttempts(),
+                        job.getExtension(),
+                        job.getObjectiveMs());
+        return new StoredRecord.Job(
+                job.getId(),
+                terms,
+                job.getTeam(),
+                SpecCodec.decode(job.getSpec()),
+                job.getAcceptedMs());
+    }
+
+    private static StoredRecord decode(SchedulerProto.Progress progress) throws IOException {
+        List<StepMark> steps = new ArrayList<>();
+        for (SchedulerProto.StepMark mark : progress.getStepsList()) {
+            BigInteger done = new BigInteger(1, mark.getDone().toByteArray());
+            steps.add(new StepMark(mark.getOccurrence(), mark.getStep(), done));
+        }
+        List<TaskMark> tasks = new ArrayList<>();
+        for (SchedulerProto.TaskMark mark : progress.getTasksList()) {
+            tasks.add(
+                    new TaskMark(
+                            mark.getOccurrence(),
+                            mark.getStep(),
+                            mark.getIndex(),
+                            mark.getFailures(),
+                            mark.getFailedRun(),
+                            mark.getCheckpoint()));
+        }
+        JobState state = LinkCodec.constant(JobState.values(), progress.getState());
+        return new StoredRecord.Progress(progress.getId(), state, steps, tasks);
+    }
+
+    private static StoredRecord decode(SchedulerProto.Executors executors) {
+        List<UsedExecutor> used = new ArrayList<>();
+        executors
+                .getExecutorsList()
+                .forEach(e -> used.add(new UsedExecutor(e.getId(), e.getPool())));
+        return new StoredRecord.Executors(used);
+    }
+}
