Keep what an earlier owner saw done; pause before a commit is tried again

BUDGET: a failed run was counted only if its number was above that of the last one counted, and any end cleared a task's doubt. Ruled out: a late commit (every commit depends on the term's revision). Now a listed run or end of a step begins that step, failed runs are a set, and only the clearing of a pool ends doubt. A failed commit rests for 150 ms.

--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/Ends.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/Ends.java
@@ -55,6 +55,7 @@
         if (job == null || !job.isOpen()) {
             return;
         }
+        Jobs.reach(tick, end.task().stepKey());
         apply(tick, executor, end, run);
         long version = world.jobs().find(job.id()).map(JobRow::version).orElse(0L);
         EndKey key = new EndKey(executor, end.number());
@@ -79,9 +80,7 @@
         if (current) {
             long restMs = end.kind() == EndKind.FAILED && !spec.lasting() ? FAILED_REST_MS : 0;
             world.tasks()
-                    .update(
-                            end.task(),
-                            t -> t.waiting(tick.nowMs(), restMs, end.checkpoint()).certain());
+                    .update(end.task(), t -> t.waiting(tick.nowMs(), restMs, end.checkpoint()));
         }
         if (!end.checkpoint().isEmpty() && !spec.lasting()) {
             world.jobs().update(end.task().jobId(), j -> j.changed(tick.nowMs()));
@@ -111,14 +110,14 @@
         Standings.failed(tick, executor);
         TaskKey counted = spec.gang() ? end.task().stepKey().task(0) : end.task();
         TaskRow task = world.tasks().find(counted).orElse(null);
-        if (task == null || spec.lasting() || end.run() <= task.failedRun()) {
+        if (task == null || spec.lasting() || task.failedRuns().contains(end.run())) {
             return;
         }
         TaskRow failed = task.withFailure(end.run(), executor);
         world.tasks().put(counted, failed);
         JobRow job = world.jobs().find(end.task().jobId()).orElseThrow();
         world.jobs().put(job.id(), job.changed(tick.nowMs()));
-        if (failed.failures() >= job.terms().attempts()) {
+        if (failed.failedRuns().size() >= job.terms().attempts()) {
             Jobs.end(tick, job.id(), JobState.FAILED, "attempts-used task=" + counted.text());
         }
     }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/ExecutorSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/ExecutorSystem.java
@@ -170,6 +170,7 @@
 
     private static void listedRun(SchedulerTick tick, String executor, ListedRun told) {
         SchedulerWorld world = tick.world();
+        Jobs.reach(tick, told.task().stepKey());
         RunRow run = world.runs().find(told.task()).orElse(null);
         TaskRow task = world.tasks().find(told.task()).orElse(null);
         boolean same = run != null && run.run() == told.run() && run.executor().equals(executor);
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/Jobs.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/Jobs.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.hibiscususher.core.job.AnswerKind;
 import org.hibiscususher.core.job.CallKind;
 import org.hibiscususher.core.job.JobAnswer;
@@ -130,8 +131,7 @@
                                     job.terms().pool(),
                                     TaskState.WAITING,
                                     0,
-                                    0,
-                                    0,
+                                    Set.of(),
                                     "",
                                     tick.nowMs(),
                                     0,
@@ -140,6 +140,39 @@
         }
     }
 
+    /**
+     * Begins a step because an executor lists a run of it.
+     *
+     * <p>An earlier owner began the step, so it saw all tasks of the steps before it done, even if
+     * the store does not hold that.
+     */
+    public static void reach(SchedulerTick tick, StepKey key) {
+        JobRow job = tick.world().jobs().find(key.jobId()).orElse(null);
+        if (job == null
+                || !job.isOpen()
+                || tick.world().steps().contains(key)
+                || !isPartOf(job, key)) {
+            return;
+        }
+        for (int before : job.spec().steps().get(key.step()).after()) {
+            reach(tick, key.sibling(before));
+            int count = job.spec().steps().get(before).count();
+            for (int i = 0; i < count; i++) {
+                taskDone(tick, key.sibling(before).task(i), true);
+            }
+        }
+        if (!tick.world().steps().contains(key)) {
+            release(tick, tick.world().jobs().find(job.id()).orElseThrow(), key);
+        }
+    }
+
+    private static boolean isPartOf(JobRow job, StepKey key) {
+        return key.step() >= 0
+                && key.step() < job.spec().steps().size()
+                && key.occurrence() >= 0
+                && key.occurrence() < job.spec().occurrences();
+    }
+
     /** Marks tasks of a step as done that a record names. */
     static void markDone(SchedulerTick tick, StepKey key, BigInteger done) {
         for (int i = 0; i < done.bitLength(); i++) {
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/Progress.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/Progress.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import org.hibiscususher.core.job.StepKey;
 import org.hibiscususher.core.scheduler.message.StepMark;
 import org.hibiscususher.core.scheduler.message.StoredRecord;
@@ -38,14 +39,13 @@
         int count = job.spec().steps().get(key.step()).count();
         for (int i = 0; i < count; i++) {
             TaskRow task = world.tasks().find(key.task(i)).orElse(null);
-            if (task != null && (task.failures() > 0 || !task.checkpoint().isEmpty())) {
+            if (task != null && (!task.failedRuns().isEmpty() || !task.checkpoint().isEmpty())) {
                 marks.add(
                         new TaskMark(
                                 key.occurrence(),
                                 key.step(),
                                 i,
-                                task.failures(),
-                                task.failedRun(),
+                                new ArrayList<>(task.failedRuns()),
                                 task.checkpoint()));
             }
         }
@@ -83,9 +83,8 @@
                 task.key(),
                 task.pool(),
                 task.state(),
-                Math.max(task.run(), mark.failedRun()),
-                mark.failures(),
-                mark.failedRun(),
+                mark.failedRuns().stream().reduce(task.run(), Math::max),
+                Set.copyOf(mark.failedRuns()),
                 mark.checkpoint(),
                 task.readyMs(),
                 task.notBeforeMs(),
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/StoredRecord.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/StoredRecord.java
@@ -39,11 +39,13 @@
      * @param node the owner
      * @param incarnation start of its process, in milliseconds since the epoch
      * @param released whether the owner gave the ownership up itself
+     * @param address where the owner took forwarded requests
      */
-    record Term(long generation, String node, long incarnation, boolean released)
+    record Term(long generation, String node, long incarnation, boolean released, String address)
             implements StoredRecord {
         /** Checks the parts. */
         public Term {
+            requireNonNull(address);
             requireNonNull(node);
         }
 
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/CommitSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/CommitSystem.java
@@ -28,7 +28,7 @@
 
 /** Keeps one commit of records under way, and takes in what came of it. */
 public final class CommitSystem {
-    private static final long RETRY_MS = 60;
+    private static final long RETRY_MS = 150;
 
     /** Time after which a job that could not be stored is refused, in milliseconds. */
     private static final long REFUSE_AFTER_MS = 250;
@@ -62,9 +62,14 @@
             return;
         }
         Optional<CommitRow> under = world.commit().get();
-        if (under.isEmpty()) {
+        StoreRow store = world.store().get();
+        boolean resting =
+                store.failedMs() > store.reachedMs() && tick.nowMs() - store.failedMs() < RETRY_MS;
+        if (under.isEmpty() && !resting) {
             Commits.next(tick).ifPresent(commit -> emit(tick, commit));
-        } else if (under.get().retryAtMs() != 0 && tick.nowMs() >= under.get().retryAtMs()) {
+        } else if (under.isPresent()
+                && under.get().retryAtMs() != 0
+                && tick.nowMs() >= under.get().retryAtMs()) {
             emit(tick, under.get().withRetry(tick.nextCallId()));
         }
     }
@@ -116,10 +121,11 @@
     private static void failed(SchedulerTick tick, CommitFailed failed) {
         SchedulerWorld world = tick.world();
         CommitRow commit = world.commit().get().orElseThrow();
-        world.store().set(new StoreRow(world.store().get().reachedMs(), tick.nowMs()));
+        StoreRow store = world.store().get();
+        world.store().set(new StoreRow(store.reachedMs(), tick.nowMs()));
         CommitRow again = commit.withFailure(tick.nowMs() + RETRY_MS, failed.uncertain());
         tick.count("store.commit-failed");
-        if (commit.tries() == 1) {
+        if (store.failedMs() <= store.reachedMs()) {
             tick.log(
                     "commit-failed",
                     "uncertain="
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/Commits.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/Commits.java
@@ -50,7 +50,6 @@
         addPending(world, records);
         addProgress(tick, records, versions, s -> true, releasing ? 0 : PROGRESS_DELAY_MS);
         List<RecordName> removals = new ArrayList<>();
-        world.pendingRemovals().rows();
         if (records.isEmpty()) {
             removals.addAll(removable(world));
         }
@@ -165,7 +164,8 @@
         TermRow term = tick.world().term().get();
         SchedulerSettings self = tick.world().settings();
         StoredRecord.Term released =
-                new StoredRecord.Term(term.generation(), self.node(), self.incarnation(), true);
+                new StoredRecord.Term(
+                        term.generation(), self.node(), self.incarnation(), true, self.address());
         return new CommitRow(
                 CommitPurpose.RELEASE,
                 tick.nextCallId(),
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/TermSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/TermSystem.java
@@ -161,7 +161,8 @@
         StoredRecord.Owner owner =
                 new StoredRecord.Owner(self.node(), self.incarnation(), self.address());
         StoredRecord.Term next =
-                new StoredRecord.Term(generation, self.node(), self.incarnation(), false);
+                new StoredRecord.Term(
+                        generation, self.node(), self.incarnation(), false, self.address());
         tick.emit(
                 new Commit(
                         callId,
--- a/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/WaveSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/WaveSystem.java
@@ -148,7 +148,9 @@
         boolean fresh = world.hostList().get().listedMs() > row.sinceMs() + RETRY_MS;
         boolean returned =
                 host == null
-                        || host.state() == HostState.UP && !host.executor().equals(row.executor());
+                        || host.state() == HostState.UP
+                                && (row.executor().isEmpty()
+                                        || !host.executor().equals(row.executor()));
         if (fresh && returned) {
             world.hostTasks().remove(row.host());
             tick.log("host-back", "host=" + row.host() + " wave=" + row.wave());
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/TaskRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/TaskRow.java
@@ -2,6 +2,9 @@
 
 import static java.util.Objects.requireNonNull;
 
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.hibiscususher.core.job.TaskKey;
 
 /**
@@ -11,8 +14,7 @@
  * @param pool pool whose executors run it
  * @param state state
  * @param run number of its last run; 0 for none
- * @param failures how many runs failed
- * @param failedRun number of the last run that was counted as failed
+ * @param failedRuns numbers of the runs that failed
  * @param checkpoint last saved state; empty for none
  * @param readyMs since when it waits
  * @param notBeforeMs when it may run next
@@ -24,8 +26,7 @@
         String pool,
         TaskState state,
         int run,
-        int failures,
-        int failedRun,
+        Set<Integer> failedRuns,
         String checkpoint,
         long readyMs,
         long notBeforeMs,
@@ -36,6 +37,7 @@
         requireNonNull(key);
         requireNonNull(pool);
         requireNonNull(state);
+        failedRuns = Set.copyOf(failedRuns);
         requireNonNull(checkpoint);
         requireNonNull(failedOn);
     }
@@ -47,8 +49,7 @@
                 pool,
                 TaskState.ACTIVE,
                 newRun,
-                failures,
-                failedRun,
+                failedRuns,
                 checkpoint,
                 readyMs,
                 notBeforeMs,
@@ -63,8 +64,7 @@
                 pool,
                 TaskState.WAITING,
                 run,
-                failures,
-                failedRun,
+                failedRuns,
                 newCheckpoint.isEmpty() ? checkpoint : newCheckpoint,
                 nowMs,
                 nowMs + delayMs,
@@ -79,8 +79,8 @@
                 pool,
                 state,
                 run,
-                failures + 1,
-                Math.max(failedRun, newFailedRun),
+                Stream.concat(failedRuns.stream(), Stream.of(newFailedRun))
+                        .collect(Collectors.toUnmodifiableSet()),
                 checkpoint,
                 readyMs,
                 notBeforeMs,
@@ -95,8 +95,7 @@
                 pool,
                 state,
                 Math.max(run, newRun),
-                failures,
-                failedRun,
+                failedRuns,
                 checkpoint,
                 readyMs,
                 notBeforeMs,
@@ -111,8 +110,7 @@
                 pool,
                 state,
                 run,
-                failures,
-                failedRun,
+                failedRuns,
                 checkpoint,
                 readyMs,
                 notBeforeMs,
--- a/wire/src/main/java/org/hibiscususher/wire/scheduler/StoredRecordCodec.java
+++ b/wire/src/main/java/org/hibiscususher/wire/scheduler/StoredRecordCodec.java
@@ -34,7 +34,8 @@
                     .setGeneration(term.generation())
                     .setNode(term.node())
                     .setIncarnation(term.incarnation())
-                    .setReleased(term.released());
+                    .setReleased(term.released())
+                    .setAddress(term.address());
         } else if (record instanceof StoredRecord.Job job) {
             builder.setJob(encode(job));
         } else if (record instanceof StoredRecord.Progress progress) {
@@ -87,8 +88,7 @@
                     .setOccurrence(mark.occurrence())
                     .setStep(mark.step())
                     .setIndex(mark.index())
-                    .setFailures(mark.failures())
-                    .setFailedRun(mark.failedRun())
+                    .addAllFailedRuns(mark.failedRuns())
                     .setCheckpoint(mark.checkpoint());
         }
         return builder.build();
@@ -112,7 +112,8 @@
                             record.getTerm().getGeneration(),
                             record.getTerm().getNode(),
                             record.getTerm().getIncarnation(),
-                            record.getTerm().getReleased());
+                            record.getTerm().getReleased(),
+                            record.getTerm().getAddress());
             case JOB -> decode(record.getJob());
             case PROGRESS -> decode(record.getProgress());
             case EXECUTORS -> decode(record.getExecutors());
@@ -153,8 +154,7 @@
                             mark.getOccurrence(),
                             mark.getStep(),
                             mark.getIndex(),
-                            mark.getFailures(),
-                            mark.getFailedRun(),
+                            mark.getFailedRunsList(),
                             mark.getCheckpoint()));
         }
         JobState state = LinkCodec.constant(JobState.values(), progress.getState());
