Move idle hosts to pools whose waiting work would not begin soon; ask an earlier owner to yield

The earlier owner is asked over the link to give no more orders, so that the wait for executors out of reach gets shorter.

--- a/core/src/main/java/org/hibiscususher/core/scheduler/control/SchedulerPhase.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/control/SchedulerPhase.java
@@ -11,6 +11,7 @@
 import org.hibiscususher.core.scheduler.term.CommitSystem;
 import org.hibiscususher.core.scheduler.term.TermSystem;
 import org.hibiscususher.core.scheduler.upkeep.HostListSystem;
+import org.hibiscususher.core.scheduler.upkeep.MoveSystem;
 import org.hibiscususher.core.scheduler.upkeep.WaveSystem;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 
@@ -82,6 +83,12 @@
             WaveSystem.run(tick);
         }
     },
+    MOVE {
+        @Override
+        void run(SchedulerTick tick) {
+            MoveSystem.run(tick);
+        }
+    },
     PACE {
         @Override
         void run(SchedulerTick tick) {
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/ExecutorSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/ExecutorSystem.java
@@ -82,7 +82,9 @@
         SchedulerWorld world = tick.world();
         ExecutorRow before = world.executors().find(report.id()).orElse(null);
         ExecutorRow row =
-                before == null ? new ExecutorRow(report, 0, false, false, false, 0) : before;
+                before == null
+                        ? new ExecutorRow(report, tick.nowMs(), 0, false, false, false, 0)
+                        : before;
         world.executors().put(report.id(), row.withReport(report, tick.nowMs()));
         if (!world.contacts().contains(report.id())) {
             world.contacts().put(report.id(), ContactRow.initial(report.id(), 0));
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/SchedulerInput.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/SchedulerInput.java
@@ -15,6 +15,12 @@
     /** A forwarded request got no answer; {@code sent} tells whether it may have been taken. */
     record ForwardFailed(long callId, String address, boolean sent) implements SchedulerInput {}
 
+    /** A later owner asks this process to give no more orders; it gets one answer. */
+    record YieldAsked(long callId, long generation) implements SchedulerInput {}
+
+    /** The owner before this one surely gives no more orders. */
+    record Yielded(long generation) implements SchedulerInput {}
+
     /** The operators' configuration, with its revision in the store. */
     record PlanSeen(JobPlan plan, long revision) implements SchedulerInput {}
 
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/SchedulerOutput.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/SchedulerOutput.java
@@ -13,6 +13,9 @@
     /** Passes a caller's request on to the owner. */
     record Forward(long callId, String address, JobCall call) implements SchedulerOutput {}
 
+    /** Asks the owner of an earlier term to give no more orders. */
+    record AskYield(String address, long generation) implements SchedulerOutput {}
+
     /** Asks the store for a lease. */
     record GrantLease(long callId, long ttlMs) implements SchedulerOutput {}
 
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/Takeover.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/Takeover.java
@@ -103,12 +103,26 @@
         ExecutorReport known =
                 world.executors().find(used.id()).map(ExecutorRow::report).orElse(report);
         long missingMs = known.address().isEmpty() ? tick.nowMs() : 0;
-        world.executors().put(used.id(), new ExecutorRow(known, missingMs, true, true, false, 0));
+        world.executors()
+                .put(
+                        used.id(),
+                        new ExecutorRow(known, tick.nowMs(), missingMs, true, true, false, 0));
         ContactRow contact =
                 world.contacts().find(used.id()).orElse(ContactRow.initial(used.id(), 0));
         world.contacts().put(used.id(), contact.withLeaseEnd(waitUntilMs(tick)));
     }
 
+    /** Waits less for executors out of reach, now that the earlier owner gives no more orders. */
+    static void shortenWaits(SchedulerTick tick) {
+        SchedulerWorld world = tick.world();
+        long untilMs = waitUntilMs(tick);
+        for (ExecutorRow row : world.executors().rows()) {
+            if (row.prior()) {
+                world.contacts().update(row.id(), c -> c.withLeaseEndAt(untilMs));
+            }
+        }
+    }
+
     /** Returns until when a silent executor may run what an earlier owner started. */
     private static long waitUntilMs(SchedulerTick tick) {
         SchedulerTiming timing = tick.world().settings().timing();
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/TermSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/TermSystem.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.hibiscususher.core.job.AnswerKind;
+import org.hibiscususher.core.job.JobAnswer;
 import org.hibiscususher.core.scheduler.message.Ownership;
 import org.hibiscususher.core.scheduler.message.RecordGuard;
 import org.hibiscususher.core.scheduler.message.RecordName;
@@ -17,6 +19,10 @@
 import org.hibiscususher.core.scheduler.message.SchedulerInput.LoadFailed;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.OwnershipSeen;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.RecordsLoaded;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.YieldAsked;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.Yielded;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput.Answer;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput.AskYield;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.Commit;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.FollowExecutors;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.GrantLease;
@@ -95,6 +101,10 @@
             Takeover.load(tick, loaded.records());
         } else if (input instanceof LoadFailed failed && failed.callId() == awaited) {
             load(tick);
+        } else if (input instanceof YieldAsked asked) {
+            yieldTo(tick, asked);
+        } else if (input instanceof Yielded yielded) {
+            predecessorYielded(tick, yielded.generation());
         } else if (input instanceof LeaseRenewed renewed) {
             renewed(tick, renewed);
         } else if (input instanceof LeaseNotRenewed failed) {
@@ -102,6 +112,24 @@
         }
     }
 
+    private static void yieldTo(SchedulerTick tick, YieldAsked asked) {
+        TermRow term = tick.world().term().get();
+        boolean owner = term.owns() || term.stage().isOwner();
+        if (owner && term.generation() < asked.generation()) {
+            StepDown.run(tick, "yielded-to=" + asked.generation());
+        }
+        tick.emit(new Answer(asked.callId(), JobAnswer.of(AnswerKind.ACCEPTED)));
+    }
+
+    private static void predecessorYielded(SchedulerTick tick, long generation) {
+        TermRow term = tick.world().term().get();
+        if (term.stage().isOwner() && term.generation() == generation) {
+            tick.log("predecessor-yielded", "generation=" + generation);
+            tick.world().term().set(term.withReleasedPredecessor());
+            Takeover.shortenWaits(tick);
+        }
+    }
+
     private static void ownershipSeen(SchedulerTick tick, Ownership seen) {
         SchedulerWorld world = tick.world();
         Ownership before = world.ownership().get().ownership();
@@ -212,6 +240,9 @@
                         + " released="
                         + released);
         tick.count("owner.taken");
+        if (!released) {
+            last.ifPresent(t -> tick.emit(new AskYield(t.address(), generation)));
+        }
         if (!term.keepsState()) {
             world.clearOwnerTables();
             world.revisions().put(RecordName.TERM, revision);
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/HostSteps.java
@@ -0,0 +1,160 @@
+package org.hibiscususher.core.scheduler.upkeep;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.Set;
+import org.hibiscususher.core.scheduler.executor.Runs;
+import org.hibiscususher.core.scheduler.message.HostReport;
+import org.hibiscususher.core.scheduler.message.HostState;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.HostOrderAnswered;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput.MaintainHost;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput.MoveHost;
+import org.hibiscususher.core.scheduler.message.StoredRecord;
+import org.hibiscususher.core.scheduler.world.HostStep;
+import org.hibiscususher.core.scheduler.world.HostTaskRow;
+import org.hibiscususher.core.scheduler.world.SchedulerTick;
+import org.hibiscususher.core.scheduler.world.SchedulerWorld;
+import org.hibiscususher.core.scheduler.world.WaveRow;
+
+/** The steps by which a host is maintained or moved: emptied, ordered away, and back again. */
+final class HostSteps {
+    private static final long ORDER_TIMEOUT_MS = 3_000;
+    private static final long RETRY_MS = 300;
+
+    private HostSteps() {}
+
+    /** Begins with a host: its executor gets no new runs. */
+    static void begin(SchedulerTick tick, HostReport host, long wave, String pool) {
+        SchedulerWorld world = tick.world();
+        world.executors().update(host.executor(), e -> e.withCordoned(true));
+        world.hostTasks()
+                .put(
+                        host.id(),
+                        new HostTaskRow(
+                                host.id(),
+                                wave,
+                                pool,
+                                HostStep.EMPTYING,
+                                0,
+                                0,
+                                tick.nowMs(),
+                                host.executor()));
+        tick.log("host-emptying", describe(host.id(), wave, pool) + " from=" + host.pool());
+    }
+
+    private static String describe(HostTaskRow row) {
+        return describe(row.host(), row.wave(), row.pool());
+    }
+
+    private static String describe(String host, long wave, String pool) {
+        return "host=" + host + (pool.isEmpty() ? " wave=" + wave : " to=" + pool);
+    }
+
+    /** Takes in an answer to an order for a host. */
+    static void answered(SchedulerTick tick, HostOrderAnswered answer) {
+        SchedulerWorld world = tick.world();
+        HostTaskRow row = world.hostTasks().find(answer.host()).orElse(null);
+        if (row == null || row.callId() != answer.callId() || row.step() != HostStep.ORDERED) {
+            return;
+        }
+        tick.log("host-order-answered", describe(row) + " result=" + answer.result());
+        tick.count("host-order." + answer.result());
+        switch (answer.result()) {
+            case DONE -> {
+                begun(tick, row);
+                world.hostTasks().put(row.host(), row.withStep(HostStep.AWAY, 0, tick.nowMs()));
+                Runs.lifeEnded(tick, row.executor(), "host-ordered-away");
+            }
+            case NOT_IN_WAVE, INVALID -> {
+                begun(tick, row);
+                giveUp(tick, row);
+            }
+            default -> retry(tick, row);
+        }
+    }
+
+    /** Notes that the maintenance of a host has begun, or that it never will. */
+    private static void begun(SchedulerTick tick, HostTaskRow row) {
+        SchedulerWorld world = tick.world();
+        WaveRow wave = world.waves().find(row.wave()).orElse(null);
+        if (wave == null) {
+            return;
+        }
+        Set<String> begun = new HashSet<>(wave.begun());
+        begun.add(row.host());
+        world.waves().put(row.wave(), wave.withBegun(begun));
+        StoredRecord record = new StoredRecord.Wave(row.wave(), new ArrayList<>(begun));
+        world.pendingRecords().put(record.name(), record);
+    }
+
+    /** Leaves a host as it is. */
+    static void giveUp(SchedulerTick tick, HostTaskRow row) {
+        tick.world().hostTasks().remove(row.host());
+        tick.world().executors().update(row.executor(), e -> e.withCordoned(false));
+    }
+
+    private static void retry(SchedulerTick tick, HostTaskRow row) {
+        if (row.pool().isEmpty()) {
+            tick.world().hostTasks().put(row.host(), row.retried(tick.nowMs() + RETRY_MS));
+        } else {
+            giveUp(tick, row);
+        }
+    }
+
+    /** Does what is due with a host. */
+    static void advance(SchedulerTick tick, HostTaskRow row) {
+        switch (row.step()) {
+            case EMPTYING -> empty(tick, row);
+            case ORDERED -> {
+                if (tick.nowMs() - row.sinceMs() > ORDER_TIMEOUT_MS) {
+                    retry(tick, row);
+                }
+            }
+            default -> back(tick, row);
+        }
+    }
+
+    private static void empty(SchedulerTick tick, HostTaskRow row) {
+        SchedulerWorld world = tick.world();
+        boolean empty = Eviction.run(tick, row.executor(), row.sinceMs());
+        if (!empty || tick.nowMs() < row.retryAtMs() || !mayGo(world, row)) {
+            return;
+        }
+        long callId = tick.nextCallId();
+        long fence = world.term().get().fence();
+        world.hostTasks().put(row.host(), row.withStep(HostStep.ORDERED, callId, tick.nowMs()));
+        tick.log("host-order", describe(row) + " fence=" + fence);
+        tick.emit(
+                row.pool().isEmpty()
+                        ? new MaintainHost(callId, row.host(), row.wave(), fence)
+                        : new MoveHost(callId, row.host(), row.pool(), fence));
+    }
+
+    /** Returns whether the cap of the host's wave lets it go now. */
+    private static boolean mayGo(SchedulerWorld world, HostTaskRow row) {
+        if (!row.pool().isEmpty()) {
+            return true;
+        }
+        int away = 0;
+        for (HostTaskRow other : world.hostTasks().rows()) {
+            away += other.wave() == row.wave() && other.step() != HostStep.EMPTYING ? 1 : 0;
+        }
+        return away < world.waves().find(row.wave()).map(w -> w.order().cap()).orElse(0);
+    }
+
+    /** Waits until the platform says that the host is up again, with another executor if any. */
+    private static void back(SchedulerTick tick, HostTaskRow row) {
+        SchedulerWorld world = tick.world();
+        HostReport host = world.hosts().find(row.host()).orElse(null);
+        boolean fresh = world.hostList().get().listedMs() > row.sinceMs() + RETRY_MS;
+        boolean returned =
+                host == null
+                        || host.state() == HostState.UP
+                                && (row.executor().isEmpty()
+                                        || !host.executor().equals(row.executor()));
+        if (fresh && returned) {
+            world.hostTasks().remove(row.host());
+            tick.log("host-back", describe(row));
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/MoveSystem.java
@@ -0,0 +1,151 @@
+package org.hibiscususher.core.scheduler.upkeep;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.hibiscususher.core.job.JobPool;
+import org.hibiscususher.core.job.StepSpec;
+import org.hibiscususher.core.scheduler.job.Jobs;
+import org.hibiscususher.core.scheduler.message.HostReport;
+import org.hibiscususher.core.scheduler.message.HostState;
+import org.hibiscususher.core.scheduler.term.Authority;
+import org.hibiscususher.core.scheduler.world.ExecutorRow;
+import org.hibiscususher.core.scheduler.world.HostTaskRow;
+import org.hibiscususher.core.scheduler.world.RunRow;
+import org.hibiscususher.core.scheduler.world.SchedulerTick;
+import org.hibiscususher.core.scheduler.world.SchedulerWorld;
+import org.hibiscususher.core.scheduler.world.TaskGroup;
+import org.hibiscususher.core.scheduler.world.TaskRow;
+import org.hibiscususher.core.scheduler.world.TaskState;
+
+/**
+ * Moves hosts to the pools whose demand rises.
+ *
+ * <p>Answers demand that turns from queue to queue: a pool whose waiting work would not begin soon
+ * gets idle hosts of pools that can do without them, and those of the spare pool.
+ */
+public final class MoveSystem {
+    /** Time within which waiting work should begin, in milliseconds. */
+    private static final long BEGIN_WITHIN_MS = 500;
+
+    /** Part of its use that a pool keeps free before it gives hosts away, in percent. */
+    private static final long RESERVE_PERCENT = 50;
+
+    /** Hosts that a pool keeps in any case. */
+    private static final int KEEP_HOSTS = 2;
+
+    /** Hosts on their way at a time. */
+    private static final int MAX_MOVING = 24;
+
+    /** Time for which a host stays in a pool at least, in milliseconds. */
+    private static final long STAY_MS = 3_000;
+
+    private static final long DEFAULT_HOST_CPU = 64_000;
+
+    private MoveSystem() {}
+
+    /** Runs over the pools. */
+    public static void run(SchedulerTick tick) {
+        SchedulerWorld world = tick.world();
+        if (world.hostList().get().listedMs() == 0 || !Authority.mayOrderHosts(tick)) {
+            return;
+        }
+        long moving = world.hostTasks().rows().stream().filter(t -> !t.pool().isEmpty()).count();
+        Map<String, PoolNeed> needs = needs(tick);
+        for (PoolNeed need : needs.values()) {
+            int missing = need.missing(BEGIN_WITHIN_MS, DEFAULT_HOST_CPU);
+            for (HostReport host : donors(tick, needs, need.pool())) {
+                if (missing <= 0 || moving >= MAX_MOVING) {
+                    break;
+                }
+                HostSteps.begin(tick, host, 0, need.pool());
+                missing--;
+                moving++;
+            }
+        }
+    }
+
+    private static Map<String, PoolNeed> needs(SchedulerTick tick) {
+        SchedulerWorld world = tick.world();
+        Map<String, PoolNeed> needs = new LinkedHashMap<>();
+        for (JobPool pool : world.plan().get().plan().pools()) {
+            if (!pool.spare()) {
+                needs.put(pool.name(), need(tick, pool.name()));
+            }
+        }
+        return needs;
+    }
+
+    private static PoolNeed need(SchedulerTick tick, String pool) {
+        SchedulerWorld world = tick.world();
+        int hosts = 0;
+        long used = 0;
+        long capacity = 0;
+        for (ExecutorRow row : world.executors().group(pool)) {
+            if (row.cordoned() || row.report().draining() || row.missingMs() != 0) {
+                continue;
+            }
+            hosts++;
+            capacity += row.report().capacity().cpuMillis();
+            for (RunRow run : world.runs().group(row.id())) {
+                used += run.reserved().cpuMillis();
+            }
+        }
+        for (HostTaskRow row : world.hostTasks().rows()) {
+            if (row.pool().equals(pool)) {
+                hosts++;
+                capacity += DEFAULT_HOST_CPU;
+            }
+        }
+        long waiting = 0;
+        long work = 0;
+        for (TaskRow task : world.tasks().group(new TaskGroup(pool, TaskState.WAITING))) {
+            StepSpec spec = Jobs.specOf(world, task.key().stepKey()).orElseThrow();
+            if (!task.doubtful()) {
+                waiting += spec.reserved().cpuMillis();
+                work += spec.reserved().cpuMillis() * Math.max(1, spec.estimateMs());
+            }
+        }
+        return new PoolNeed(pool, hosts, used, capacity, waiting, work);
+    }
+
+    /** Returns the idle hosts that a pool may get, those of other pools first. */
+    private static List<HostReport> donors(
+            SchedulerTick tick, Map<String, PoolNeed> needs, String taker) {
+        SchedulerWorld world = tick.world();
+        Map<String, Integer> left = new HashMap<>();
+        needs.forEach(
+                (name, need) ->
+                        left.put(
+                                name, need.surplus(RESERVE_PERCENT, DEFAULT_HOST_CPU, KEEP_HOSTS)));
+        List<HostReport> donors = new ArrayList<>();
+        List<HostReport> spares = new ArrayList<>();
+        for (HostReport host : world.hosts().rows()) {
+            boolean free =
+                    host.state() == HostState.UP
+                            && !host.pool().equals(taker)
+                            && !world.hostTasks().contains(host.id());
+            boolean spare =
+                    world.plan().get().plan().pool(host.pool()).map(JobPool::spare).orElse(false);
+            if (free && spare && host.executor().isEmpty()) {
+                spares.add(host);
+            } else if (free && isIdle(tick, host) && left.getOrDefault(host.pool(), 0) > 0) {
+                left.merge(host.pool(), -1, Integer::sum);
+                donors.add(host);
+            }
+        }
+        donors.addAll(spares);
+        return donors;
+    }
+
+    private static boolean isIdle(SchedulerTick tick, HostReport host) {
+        SchedulerWorld world = tick.world();
+        ExecutorRow row = world.executors().find(host.executor()).orElse(null);
+        return row != null
+                && !row.cordoned()
+                && tick.nowMs() - row.seenMs() > STAY_MS
+                && world.runs().group(row.id()).isEmpty();
+    }
+}
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/ContactRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/ContactRow.java
@@ -187,6 +187,26 @@
                 asideUntilMs);
     }
 
+    /** Returns this contact whose lease has surely ended at a time. */
+    public ContactRow withLeaseEndAt(long newLeaseEndMs) {
+        return new ContactRow(
+                executor,
+                bornMs,
+                fence,
+                clockMs,
+                clockAtMs,
+                newLeaseEndMs,
+                callId,
+                callFence,
+                sentMs,
+                nextMs,
+                answeredMs,
+                failures,
+                seen,
+                listed,
+                asideUntilMs);
+    }
+
     /** Returns this contact without new runs for some time. */
     public ContactRow aside(long untilMs) {
         return new ContactRow(
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/ExecutorRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/ExecutorRow.java
@@ -8,6 +8,7 @@
  * An executor.
  *
  * @param report what it says of itself
+ * @param seenMs when it was first seen
  * @param missingMs since when its report is gone; 0 if it is there
  * @param prior whether an earlier owner may have used it and it has not answered this one yet
  * @param recorded whether the store names it among the executors in use
@@ -16,6 +17,7 @@
  */
 public record ExecutorRow(
         ExecutorReport report,
+        long seenMs,
         long missingMs,
         boolean prior,
         boolean recorded,
@@ -30,6 +32,7 @@
     public ExecutorRow withReport(ExecutorReport newReport, long nowMs) {
         return new ExecutorRow(
                 newReport,
+                seenMs,
                 0,
                 prior,
                 recorded,
@@ -40,22 +43,28 @@
     /** Returns this executor without its report. */
     public ExecutorRow missing(long nowMs) {
         return new ExecutorRow(
-                report, missingMs == 0 ? nowMs : missingMs, prior, recorded, cordoned, drainingMs);
+                report,
+                seenMs,
+                missingMs == 0 ? nowMs : missingMs,
+                prior,
+                recorded,
+                cordoned,
+                drainingMs);
     }
 
     /** Returns this executor, known to this owner. */
     public ExecutorRow answered() {
-        return new ExecutorRow(report, missingMs, false, recorded, cordoned, drainingMs);
+        return new ExecutorRow(report, seenMs, missingMs, false, recorded, cordoned, drainingMs);
     }
 
     /** Returns this executor with the store naming it or not. */
     public ExecutorRow withRecorded(boolean newRecorded) {
-        return new ExecutorRow(report, missingMs, prior, newRecorded, cordoned, drainingMs);
+        return new ExecutorRow(report, seenMs, missingMs, prior, newRecorded, cordoned, drainingMs);
     }
 
     /** Returns this executor with its host to be maintained or moved, or not. */
     public ExecutorRow withCordoned(boolean newCordoned) {
-        return new ExecutorRow(report, missingMs, prior, recorded, newCordoned, drainingMs);
+        return new ExecutorRow(report, seenMs, missingMs, prior, recorded, newCordoned, drainingMs);
     }
 
     /** Returns the id. */
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/TermRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/TermRow.java
@@ -139,4 +139,20 @@
     public boolean owns() {
         return stage == TermStage.OWNING || stage == TermStage.RELEASING || keepsState;
     }
+
+    /** Returns this row with the owner before surely giving no more orders. */
+    public TermRow withReleasedPredecessor() {
+        return new TermRow(
+                stage,
+                generation,
+                fence,
+                leaseId,
+                validUntilMs,
+                takenMs,
+                callId,
+                sentMs,
+                claimAtMs,
+                keepsState,
+                true);
+    }
 }
--- a/daemon/src/main/java/org/hibiscususher/daemon/forward/ForwardClient.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/forward/ForwardClient.java
@@ -14,9 +14,11 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.hibiscususher.core.job.AnswerKind;
 import org.hibiscususher.core.job.JobCall;
 import org.hibiscususher.core.scheduler.message.SchedulerInput;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.ForwardFailed;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.Yielded;
 import org.hibiscususher.daemon.control.Inbox;
 import org.hibiscususher.wire.http.Addresses;
 import org.hibiscususher.wire.scheduler.LinkMessage;
@@ -73,7 +75,31 @@
 
     /** Passes a request on; it ends with an answer or a {@link ForwardFailed}. */
     public void send(long callId, String address, JobCall call) {
-        mLoop.execute(() -> connect(address, connected -> write(connected, callId, address, call)));
+        mLoop.execute(
+                () ->
+                        connect(
+                                address,
+                                connected ->
+                                        write(connected, address, LinkMessage.of(callId, call))));
+    }
+
+    /** Asks the owner of an earlier term to give no more orders; tells when it has agreed. */
+    public void askYield(String address, long generation) {
+        long callId =
+                mCalls.add(
+                        answer -> {
+                            if (answer.kind() == AnswerKind.ACCEPTED) {
+                                mInbox.add(new Yielded(generation));
+                            }
+                        });
+        mLoop.execute(
+                () ->
+                        connect(
+                                address,
+                                connected -> {
+                                    LinkMessage message = LinkMessage.ofYield(callId, generation);
+                                    write(connected, address, message);
+                                }));
     }
 
     private void connect(String address, Consumer<ChannelFuture> then) {
@@ -92,14 +118,15 @@
         mConnecting.addListener(f -> then.accept((ChannelFuture) f));
     }
 
-    private void write(ChannelFuture connected, long callId, String address, JobCall call) {
+    private void write(ChannelFuture connected, String address, LinkMessage message) {
+        long callId = message.callId();
         if (!connected.isSuccess()) {
             mInbox.add(new ForwardFailed(callId, address, false));
             return;
         }
         Channel channel = connected.channel();
         mSent.put(callId, channel);
-        LinkPipeline.send(channel, LinkMessage.of(callId, call));
+        LinkPipeline.send(channel, message);
         mLoop.schedule(() -> timeOut(callId), ANSWER_TIMEOUT_MS, TimeUnit.MILLISECONDS);
     }
 
--- a/daemon/src/main/java/org/hibiscususher/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/forward/ForwardServer.java
@@ -8,11 +8,12 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.io.IOException;
+import java.util.function.LongFunction;
 import org.hibiscususher.core.job.AnswerKind;
 import org.hibiscususher.core.job.JobAnswer;
-import org.hibiscususher.core.job.JobCall;
 import org.hibiscususher.core.scheduler.message.SchedulerInput;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.CallReceived;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.YieldAsked;
 import org.hibiscususher.daemon.control.Inbox;
 import org.hibiscususher.wire.http.Addresses;
 import org.hibiscususher.wire.scheduler.LinkMessage;
@@ -55,17 +56,34 @@
 
     private static void receive(
             Channel channel, LinkMessage message, PendingCalls calls, Inbox<SchedulerInput> inbox) {
-        message.call().ifPresent(call -> take(channel, message.callId(), call, calls, inbox));
+        message.call()
+                .ifPresent(
+                        call ->
+                                take(
+                                        channel,
+                                        message.callId(),
+                                        id -> new CallReceived(id, call, true),
+                                        calls,
+                                        inbox));
+        message.yieldTo()
+                .ifPresent(
+                        generation ->
+                                take(
+                                        channel,
+                                        message.callId(),
+                                        id -> new YieldAsked(id, generation),
+                                        calls,
+                                        inbox));
     }
 
     private static void take(
             Channel channel,
             long remoteId,
-            JobCall call,
+            LongFunction<SchedulerInput> input,
             PendingCalls calls,
             Inbox<SchedulerInput> inbox) {
         long id = calls.add(answer -> LinkPipeline.send(channel, LinkMessage.of(remoteId, answer)));
-        if (id == 0 || !inbox.offer(new CallReceived(id, call, true))) {
+        if (id == 0 || !inbox.offer(input.apply(id))) {
             JobAnswer answer =
                     JobAnswer.refusal(AnswerKind.OVERLOADED, RETRY_AFTER_MS, "too-many-requests");
             calls.answer(id, answer);
--- a/wire/src/main/java/org/hibiscususher/wire/scheduler/LinkCodec.java
+++ b/wire/src/main/java/org/hibiscususher/wire/scheduler/LinkCodec.java
@@ -19,6 +19,8 @@
                 SchedulerProto.Link.newBuilder().setCallId(message.callId());
         message.call().ifPresent(call -> builder.setCall(encode(call)));
         message.answer().ifPresent(answer -> builder.setAnswer(encode(answer)));
+        message.yieldTo()
+                .ifPresent(generation -> builder.getYieldBuilder().setGeneration(generation));
         return builder.build().toByteArray();
     }
 
@@ -53,6 +55,7 @@
         return switch (link.getBodyCase()) {
             case CALL -> LinkMessage.of(link.getCallId(), decode(link.getCall()));
             case ANSWER -> LinkMessage.of(link.getCallId(), decode(link.getAnswer()));
+            case YIELD -> LinkMessage.ofYield(link.getCallId(), link.getYield().getGeneration());
             default -> throw new IOException("a message without a body");
         };
     }
--- a/wire/src/main/java/org/hibiscususher/wire/scheduler/LinkMessage.java
+++ b/wire/src/main/java/org/hibiscususher/wire/scheduler/LinkMessage.java
@@ -3,6 +3,7 @@
 import static java.util.Objects.requireNonNull;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.hibiscususher.core.job.JobAnswer;
 import org.hibiscususher.core.job.JobCall;
 
@@ -12,21 +13,30 @@
  * @param callId id of the request on its connection
  * @param call the request; empty for an answer
  * @param answer the answer; empty for a request
+ * @param yieldTo generation of a later owner that asks to give no more orders; empty for others
  */
-public record LinkMessage(long callId, Optional<JobCall> call, Optional<JobAnswer> answer) {
+public record LinkMessage(
+        long callId, Optional<JobCall> call, Optional<JobAnswer> answer, OptionalLong yieldTo) {
     /** Checks the parts. */
     public LinkMessage {
         requireNonNull(call);
         requireNonNull(answer);
+        requireNonNull(yieldTo);
     }
 
     /** Returns a request. */
     public static LinkMessage of(long callId, JobCall call) {
-        return new LinkMessage(callId, Optional.of(call), Optional.empty());
+        return new LinkMessage(callId, Optional.of(call), Optional.empty(), OptionalLong.empty());
+    }
+
+    /** Returns a request of a later owner to give no more orders. */
+    public static LinkMessage ofYield(long callId, long generation) {
+        return new LinkMessage(
+                callId, Optional.empty(), Optional.empty(), OptionalLong.of(generation));
     }
 
     /** Returns an answer. */
     public static LinkMessage of(long callId, JobAnswer answer) {
-        return new LinkMessage(callId, Optional.empty(), Optional.of(answer));
+        return new LinkMessage(callId, Optional.empty(), Optional.of(answer), OptionalLong.empty());
     }
 }
