--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/Ends.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/Ends.java
@@ -51,6 +51,7 @@
         tick.count("run-ended." + end.kind());
         if (run != null) {
             world.runs().remove(run.task());
+            Standings.ended(tick, executor);
         }
         if (job == null || !job.isOpen()) {
             return;
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/Standings.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/Standings.java
@@ -15,18 +15,28 @@
 
     static void done(SchedulerTick tick, String executor) {
         StandingRow row = find(tick, executor);
-        tick.world().standings().put(executor, new StandingRow(executor, 0, row.done() + 1));
+        tick.world().standings().put(executor, new StandingRow(executor, 0, row.done() + 1, tick.nowMs()));
     }
 
     static void failed(SchedulerTick tick, String executor) {
         StandingRow row = find(tick, executor);
         int failures = row.failuresInRow() + 1;
-        tick.world().standings().put(executor, new StandingRow(executor, failures, row.done()));
+        tick.world().standings().put(executor, new StandingRow(executor, failures, row.done(), tick.nowMs()));
         if (failures >= MAX_FAILURES) {
             aside(tick, executor, Math.min(MAX_ASIDE_MS, ASIDE_MS * (failures - 1)), "failures");
         }
     }
 
+    /** Takes in an end that tells neither for nor against the executor. */
+    static void ended(SchedulerTick tick, String executor) {
+        StandingRow row = find(tick, executor);
+        tick.world()
+                .standings()
+                .put(
+                        executor,
+                        new StandingRow(executor, row.failuresInRow(), row.done(), tick.nowMs()));
+    }
+
     /** Gives an executor no new runs for some time. */
     static void aside(SchedulerTick tick, String executor, long forMs, String reason) {
         long untilMs = tick.nowMs() + forMs;
@@ -38,6 +48,6 @@
     }
 
     private static StandingRow find(SchedulerTick tick, String executor) {
-        return tick.world().standings().find(executor).orElse(new StandingRow(executor, 0, 0));
+        return tick.world().standings().find(executor).orElse(StandingRow.initial(executor));
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/MoveSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/MoveSystem.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.hibiscususher.core.job.JobPool;
 import org.hibiscususher.core.job.StepSpec;
 import org.hibiscususher.core.scheduler.job.Jobs;
@@ -16,6 +17,7 @@
 import org.hibiscususher.core.scheduler.world.RunRow;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
+import org.hibiscususher.core.scheduler.world.StandingRow;
 import org.hibiscususher.core.scheduler.world.TaskGroup;
 import org.hibiscususher.core.scheduler.world.TaskRow;
 import org.hibiscususher.core.scheduler.world.TaskState;
@@ -27,11 +29,11 @@
  * gets idle hosts of pools that can do without them, and those of the spare pool.
  */
 public final class MoveSystem {
-    /** Time within which waiting work should begin, in milliseconds. */
-    private static final long BEGIN_WITHIN_MS = 500;
+    /** Part of what callers hand in that a pool should have beyond it, in percent. */
+    private static final int TAKE_PERCENT = 30;
 
-    /** Part of its use that a pool keeps free before it gives hosts away, in percent. */
-    private static final long RESERVE_PERCENT = 50;
+    /** The same part for a pool that gives hosts away; more, so that hosts don't go to and fro. */
+    private static final int GIVE_PERCENT = 80;
 
     /** Hosts that a pool keeps in any case. */
     private static final int KEEP_HOSTS = 2;
@@ -42,6 +44,9 @@
     /** Time for which a host stays in a pool at least, in milliseconds. */
     private static final long STAY_MS = 3_000;
 
+    /** Time without a run after which a host counts as idle, in milliseconds. */
+    private static final long IDLE_MS = 1_000;
+
     private static final long DEFAULT_HOST_CPU = 64_000;
 
     private MoveSystem() {}
@@ -55,7 +60,7 @@
         long moving = world.hostTasks().rows().stream().filter(t -> !t.pool().isEmpty()).count();
         Map<String, PoolNeed> needs = needs(tick);
         for (PoolNeed need : needs.values()) {
-            int missing = need.missing(BEGIN_WITHIN_MS, DEFAULT_HOST_CPU);
+            int missing = need.missing(TAKE_PERCENT, DEFAULT_HOST_CPU);
             for (HostReport host : donors(tick, needs, need.pool())) {
                 if (missing <= 0 || moving >= MAX_MOVING) {
                     break;
@@ -65,23 +70,40 @@
                 moving++;
             }
         }
+        giveBack(tick, needs(tick));
+    }
+
+    /** Gives hosts that a pool can do without to the spare pool, where they are not paid for. */
+    private static void giveBack(SchedulerTick tick, Map<String, PoolNeed> needs) {
+        SchedulerWorld world = tick.world();
+        Optional<JobPool> spare =
+                world.plan().get().plan().pools().stream().filter(JobPool::spare).findFirst();
+        if (spare.isEmpty()) {
+            return;
+        }
+        for (HostReport host : donors(tick, needs, spare.get().name())) {
+            HostSteps.begin(tick, host, 0, spare.get().name());
+        }
     }
 
     private static Map<String, PoolNeed> needs(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
         Map<String, PoolNeed> needs = new LinkedHashMap<>();
+        Map<String, Long> offered = OfferedLoad.byPool(tick);
         for (JobPool pool : world.plan().get().plan().pools()) {
             if (!pool.spare()) {
-                needs.put(pool.name(), need(tick, pool.name()));
+                needs.put(pool.name(), need(tick, pool.name(), offered));
             }
         }
         return needs;
     }
 
-    private static PoolNeed need(SchedulerTick tick, String pool) {
+    private static PoolNeed need(
+            SchedulerTick tick, String pool, Map<String, Long> offered) {
         SchedulerWorld world = tick.world();
         int hosts = 0;
         long used = 0;
+        long lasting = 0;
         long capacity = 0;
         for (ExecutorRow row : world.executors().group(pool)) {
             if (row.cordoned() || row.report().draining() || row.missingMs() != 0) {
@@ -91,6 +113,7 @@
             capacity += row.report().capacity().cpuMillis();
             for (RunRow run : world.runs().group(row.id())) {
                 used += run.reserved().cpuMillis();
+                lasting += isLasting(world, run) ? run.reserved().cpuMillis() : 0;
             }
         }
         for (HostTaskRow row : world.hostTasks().rows()) {
@@ -100,15 +123,18 @@
             }
         }
         long waiting = 0;
-        long work = 0;
         for (TaskRow task : world.tasks().group(new TaskGroup(pool, TaskState.WAITING))) {
             StepSpec spec = Jobs.specOf(world, task.key().stepKey()).orElseThrow();
             if (!task.doubtful()) {
                 waiting += spec.reserved().cpuMillis();
-                work += spec.reserved().cpuMillis() * Math.max(1, spec.estimateMs());
             }
         }
-        return new PoolNeed(pool, hosts, used, capacity, waiting, work);
+        return new PoolNeed(
+                pool, hosts, used, lasting, capacity, waiting, offered.getOrDefault(pool, 0L));
+    }
+
+    private static boolean isLasting(SchedulerWorld world, RunRow run) {
+        return Jobs.specOf(world, run.task().stepKey()).filter(StepSpec::lasting).isPresent();
     }
 
     /** Returns the idle hosts that a pool may get, those of other pools first. */
@@ -119,7 +145,7 @@
         needs.forEach(
                 (name, need) ->
                         left.put(
-                                name, need.surplus(RESERVE_PERCENT, DEFAULT_HOST_CPU, KEEP_HOSTS)));
+                                name, need.surplus(GIVE_PERCENT, DEFAULT_HOST_CPU, KEEP_HOSTS)));
         List<HostReport> donors = new ArrayList<>();
         List<HostReport> spares = new ArrayList<>();
         for (HostReport host : world.hosts().rows()) {
@@ -143,9 +169,12 @@
     private static boolean isIdle(SchedulerTick tick, HostReport host) {
         SchedulerWorld world = tick.world();
         ExecutorRow row = world.executors().find(host.executor()).orElse(null);
+        long endedMs =
+                world.standings().find(host.executor()).map(StandingRow::endedMs).orElse(0L);
         return row != null
                 && !row.cordoned()
                 && tick.nowMs() - row.seenMs() > STAY_MS
+                && tick.nowMs() - endedMs > IDLE_MS
                 && world.runs().group(row.id()).isEmpty();
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/PoolNeed.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/PoolNeed.java
@@ -8,31 +8,42 @@
  * @param pool the pool
  * @param hosts executors that can take work, and hosts on their way to the pool
  * @param usedCpu processor time that runs reserve, in thousandths of a core
+ * @param lastingCpu part of it that lasting tasks reserve
  * @param capacityCpu processor time of the pool's hosts, in thousandths of a core
  * @param waitingCpu processor time that waiting tasks ask for, in thousandths of a core
- * @param waitingWork work of the waiting tasks, in thousandths of a core times milliseconds
+ * @param offeredCpu processor time that keeps up with what callers hand in, in thousandths of a core
  */
 record PoolNeed(
-        String pool, int hosts, long usedCpu, long capacityCpu, long waitingCpu, long waitingWork) {
+        String pool,
+        int hosts,
+        long usedCpu,
+        long lastingCpu,
+        long capacityCpu,
+        long waitingCpu,
+        long offeredCpu) {
+    private static final int FULL = 100;
+
     /** Checks the parts. */
     PoolNeed {
         requireNonNull(pool);
     }
 
-    /** Returns how many hosts more would let the waiting work begin within the given time. */
-    int missing(long withinMs, long hostCpu) {
-        long freeCpu = capacityCpu - usedCpu;
-        if (waitingCpu <= freeCpu) {
-            return 0;
-        }
-        long neededCpu = Math.min(waitingWork / withinMs, waitingCpu + usedCpu) - capacityCpu;
-        return neededCpu <= 0 ? 0 : (int) ((neededCpu + hostCpu - 1) / hostCpu);
+    /** Returns the processor time that would let all work go on at once or keep up with it. */
+    long wantedCpu(int reservePercent) {
+        long now = usedCpu + waitingCpu;
+        long soon = lastingCpu + offeredCpu * (FULL + reservePercent) / FULL;
+        return Math.max(now, soon);
+    }
+
+    /** Returns how many hosts more the pool can use; 0 while nothing waits. */
+    int missing(int reservePercent, long hostCpu) {
+        long lackCpu = wantedCpu(reservePercent) - capacityCpu;
+        return lackCpu <= 0 ? 0 : (int) ((lackCpu + hostCpu - 1) / hostCpu);
     }
 
-    /** Returns how many hosts the pool can do without, if it keeps a reserve in percent. */
-    int surplus(long reservePercent, long hostCpu, int keep) {
-        long needed = (usedCpu + waitingCpu) * (100 + reservePercent) / 100;
-        int neededHosts = (int) ((needed + hostCpu - 1) / hostCpu);
-        return Math.max(0, hosts - Math.max(keep, neededHosts));
+    /** Returns how many hosts the pool can do without. */
+    int surplus(int reservePercent, long hostCpu, int keep) {
+        int needed = (int) ((wantedCpu(reservePercent) + hostCpu - 1) / hostCpu);
+        return Math.max(0, hosts - Math.max(keep, needed));
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/StandingRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/StandingRow.java
@@ -8,10 +8,16 @@
  * @param executor executor
  * @param failuresInRow failed runs since the last one that was done
  * @param done runs that were done
+ * @param endedMs when a run there last ended; 0 for never
  */
-public record StandingRow(String executor, int failuresInRow, long done) {
+public record StandingRow(String executor, int failuresInRow, long done, long endedMs) {
     /** Checks the parts. */
     public StandingRow {
         requireNonNull(executor);
     }
+
+    /** Returns the standing of an executor on which nothing has run yet. */
+    public static StandingRow initial(String executor) {
+        return new StandingRow(executor, 0, 0, 0);
+    }
 }
