--- a/core/src/main/java/org/hibiscususher/core/scheduler/placement/Site.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/placement/Site.java
@@ -65,6 +65,6 @@
         if (spec.fills()) {
             return rank + runs;
         }
-        return rank + (spec.lasting() ? -free.cpuMillis() : free.cpuMillis()) + 1_000_000_000L;
+        return rank + free.cpuMillis() + 1_000_000_000L;
     }
 }
