--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/ExecutorSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/ExecutorSystem.java
@@ -110,7 +110,7 @@
         long bornMs = world.contacts().find(report.id()).map(ContactRow::bornMs).orElse(0L);
         if (report.bornMs() > bornMs && bornMs != 0) {
             tick.log("executor-reborn", "executor=" + report.id() + " by=report");
-            Runs.lifeEnded(tick, report.id(), "reborn");
+            Runs.reborn(tick, report.id(), "reborn");
         }
     }
 
@@ -132,7 +132,7 @@
         }
         if (contact.bornMs() != 0 && contact.bornMs() != answer.bornMs()) {
             tick.log("executor-reborn", "executor=" + id + " by=answer");
-            Runs.lifeEnded(tick, id, "reborn");
+            Runs.reborn(tick, id, "reborn");
             contact =
                     ContactRow.initial(id, contact.leaseEndMs())
                             .sent(answer.callId(), contact.callFence(), contact.sentMs(), 0);
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/RunSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/RunSystem.java
@@ -11,13 +11,18 @@
 import org.hibiscususher.core.scheduler.world.RunStage;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
-import org.hibiscususher.core.scheduler.world.StopReason;
+import org.hibiscususher.core.scheduler.world.StartKey;
+import org.hibiscususher.core.scheduler.world.UncertainStartRow;
 
 /** Takes in what came of orders to start and stop runs, and repeats orders to stop. */
 public final class RunSystem {
     private static final long STOP_RETRY_MS = 150;
     private static final long NO_ROOM_ASIDE_MS = 150;
     private static final long UNHEALTHY_ASIDE_MS = 500;
+
+    /** Time within which an unanswered order may still be carried out, in milliseconds. */
+    private static final long MAX_LATE_MS = 14_000;
+
     private static final long INVALID_REST_MS = 1_000;
 
     /** Time without an answer after which an order to stop is sent again. */
@@ -37,6 +42,10 @@
             }
         }
         for (StopAnswered answer : tick.inputs(StopAnswered.class)) {
+            if (answer.result() != StopResult.NO_ANSWER) {
+                StartKey key = new StartKey(answer.task(), answer.run());
+                tick.world().uncertainStarts().update(key, r -> r.withOpen(false));
+            }
             RunRow run = tick.world().runs().find(answer.task()).orElse(null);
             if (run != null && run.run() == answer.run() && run.callId() == answer.callId()) {
                 stopped(tick, run, answer.result());
@@ -44,6 +53,7 @@
         }
         if (Authority.mayOrderExecutors(tick)) {
             repeatStops(tick);
+            tellNewLives(tick);
         }
     }
 
@@ -58,7 +68,7 @@
                 world.runs().put(run.task(), run.running(tick.nowMs()));
                 Jobs.begun(tick, run.task().jobId());
             }
-            case NO_ANSWER -> Runs.stop(tick, run, StopReason.UNCERTAIN_START);
+            case NO_ANSWER -> Runs.startUnanswered(tick, run);
             case FENCED -> StepDown.run(tick, "fenced-by-executor");
             case OTHER_LIFE -> Runs.lifeEnded(tick, run.executor(), "other-life");
             case NO_ROOM -> {
@@ -90,6 +100,18 @@
         tick.world().contacts().update(executor, c -> c.withNext(tick.nowMs()));
     }
 
+    /** Tells executors that began another life which runs are not wanted. */
+    private static void tellNewLives(SchedulerTick tick) {
+        for (UncertainStartRow row : tick.world().uncertainStarts().rows()) {
+            if (tick.nowMs() - row.sinceMs() > MAX_LATE_MS) {
+                tick.world().uncertainStarts().remove(row.key());
+            } else if (row.open() && tick.nowMs() - row.orderedMs() > STOP_RETRY_MS) {
+                tick.world().uncertainStarts().put(row.key(), row.ordered(tick.nowMs()));
+                Runs.stopUnknown(tick, row.executor(), row.key().task(), row.key().run());
+            }
+        }
+    }
+
     private static void repeatStops(SchedulerTick tick) {
         for (RunRow run : tick.world().runs().rows()) {
             if (run.stage() != RunStage.STOPPING || run.settledMs() != 0) {
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/Runs.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/Runs.java
@@ -1,5 +1,6 @@
 package org.hibiscususher.core.scheduler.executor;
 
+import java.util.ArrayList;
 import java.util.List;
 import org.hibiscususher.core.job.TaskKey;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.StopRun;
@@ -7,10 +8,13 @@
 import org.hibiscususher.core.scheduler.world.EndRow;
 import org.hibiscususher.core.scheduler.world.ExecutorRow;
 import org.hibiscususher.core.scheduler.world.RunRow;
+import org.hibiscususher.core.scheduler.world.RunStage;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
+import org.hibiscususher.core.scheduler.world.StartKey;
 import org.hibiscususher.core.scheduler.world.StopReason;
 import org.hibiscususher.core.scheduler.world.TaskRow;
+import org.hibiscususher.core.scheduler.world.UncertainStartRow;
 
 /** Changes of runs that more than one system makes. */
 public final class Runs {
@@ -75,6 +79,40 @@
         world.executors().update(executor, ExecutorRow::answered);
     }
 
+    /**
+     * Applies that another life of an executor has begun under the same id.
+     *
+     * <p>An order that the life before did not answer may still reach this one.
+     */
+    public static void reborn(SchedulerTick tick, String executor, String reason) {
+        SchedulerWorld world = tick.world();
+        List<RunRow> uncertain = new ArrayList<>();
+        for (RunRow run : world.runs().group(executor)) {
+            boolean unanswered =
+                    run.stage() == RunStage.SENT || run.reason() == StopReason.UNCERTAIN_START;
+            if (unanswered) {
+                uncertain.add(run);
+            }
+        }
+        uncertain.forEach(run -> world.runs().remove(run.task()));
+        lifeEnded(tick, executor, reason);
+        uncertain.forEach(run -> stop(tick, run, StopReason.UNCERTAIN_START));
+        for (UncertainStartRow row : world.uncertainStarts().rows()) {
+            if (row.executor().equals(executor)) {
+                world.uncertainStarts().put(row.key(), row.withOpen(true));
+            }
+        }
+    }
+
+    /** Notes that an order to start a run was not answered. */
+    static void startUnanswered(SchedulerTick tick, RunRow run) {
+        StartKey key = new StartKey(run.task(), run.run());
+        tick.world()
+                .uncertainStarts()
+                .put(key, new UncertainStartRow(key, run.executor(), tick.nowMs(), false, 0));
+        stop(tick, run, StopReason.UNCERTAIN_START);
+    }
+
     /** Returns a run in the words of the log. */
     public static String describe(RunRow run) {
         return "job="
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/Standings.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/Standings.java
@@ -15,13 +15,17 @@
 
     static void done(SchedulerTick tick, String executor) {
         StandingRow row = find(tick, executor);
-        tick.world().standings().put(executor, new StandingRow(executor, 0, row.done() + 1, tick.nowMs()));
+        tick.world()
+                .standings()
+                .put(executor, new StandingRow(executor, 0, row.done() + 1, tick.nowMs()));
     }
 
     static void failed(SchedulerTick tick, String executor) {
         StandingRow row = find(tick, executor);
         int failures = row.failuresInRow() + 1;
-        tick.world().standings().put(executor, new StandingRow(executor, failures, row.done(), tick.nowMs()));
+        tick.world()
+                .standings()
+                .put(executor, new StandingRow(executor, failures, row.done(), tick.nowMs()));
         if (failures >= MAX_FAILURES) {
             aside(tick, executor, Math.min(MAX_ASIDE_MS, ASIDE_MS * (failures - 1)), "failures");
         }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/TermSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/TermSystem.java
@@ -29,6 +29,7 @@
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.LoadRecords;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.RenewLease;
 import org.hibiscususher.core.scheduler.message.StoredRecord;
+import org.hibiscususher.core.scheduler.world.ClaimRow;
 import org.hibiscususher.core.scheduler.world.ClockRow;
 import org.hibiscususher.core.scheduler.world.OwnershipRow;
 import org.hibiscususher.core.scheduler.world.RenewalRow;
@@ -179,18 +180,18 @@
         SchedulerSettings self = world.settings();
         TermRow term = world.term().get();
         Ownership seen = world.ownership().get().ownership();
-        long generation = seen.term().map(StoredRecord.Term::generation).orElse(0L) + 1;
-        long validUntilMs = term.sentMs() + granted.ttlMs() - LEASE_MARGIN_MS;
+        ClaimRow claim = claimRow(seen, self, term.sentMs() + granted.ttlMs() - LEASE_MARGIN_MS);
         long callId = tick.nextCallId();
-        TermRow claiming =
-                term.withLease(granted.leaseId(), term.keepsState() ? term.validUntilMs() : 0);
-        world.term().set(claiming.withCall(TermStage.CLAIMING, callId, tick.nowMs()));
-        world.renewal().set(new RenewalRow(0, validUntilMs));
+        world.claim().set(claim);
+        world.term()
+                .set(
+                        term.withLease(granted.leaseId(), term.validUntilMs())
+                                .withCall(TermStage.CLAIMING, callId, tick.nowMs()));
         StoredRecord.Owner owner =
                 new StoredRecord.Owner(self.node(), self.incarnation(), self.address());
         StoredRecord.Term next =
                 new StoredRecord.Term(
-                        generation, self.node(), self.incarnation(), false, self.address());
+                        claim.generation(), self.node(), self.incarnation(), false, self.address());
         tick.emit(
                 new Commit(
                         callId,
@@ -201,59 +202,66 @@
                         List.of()));
     }
 
+    private static ClaimRow claimRow(Ownership seen, SchedulerSettings self, long validUntilMs) {
+        Optional<StoredRecord.Term> last = seen.term();
+        return new ClaimRow(
+                last.map(StoredRecord.Term::generation).orElse(0L) + 1,
+                validUntilMs,
+                last.map(StoredRecord.Term::node).orElse(""),
+                last.map(StoredRecord.Term::address).orElse(""),
+                last.map(t -> endedFor(t, self)).orElse(true));
+    }
+
+    /** Returns whether the process of an earlier term surely gives no more orders. */
+    private static boolean endedFor(StoredRecord.Term term, SchedulerSettings self) {
+        return term.released() || term.node().equals(self.node());
+    }
+
     private static void claimed(SchedulerTick tick, long revision) {
         SchedulerWorld world = tick.world();
         TermRow term = world.term().get();
         if (term.stage() != TermStage.CLAIMING) {
             return;
         }
-        Optional<StoredRecord.Term> last = world.ownership().get().ownership().term();
-        long generation = last.map(StoredRecord.Term::generation).orElse(0L) + 1;
-        long validUntilMs = world.renewal().get().sentMs();
-        boolean released = last.map(t -> endedFor(t, world.settings())).orElse(true);
+        ClaimRow claim = world.claim().get();
+        boolean kept = term.keepsState();
         world.renewal().set(new RenewalRow(0, tick.nowMs()));
-        TermRow taken =
-                new TermRow(
-                        term.keepsState() ? TermStage.OWNING : TermStage.LOADING,
-                        generation,
-                        revision,
-                        term.leaseId(),
-                        validUntilMs,
-                        tick.nowMs(),
-                        0,
-                        0,
-                        0,
-                        false,
-                        released);
-        world.term().set(taken);
-        world.revisions().put(RecordName.TERM, revision);
+        world.term()
+                .set(
+                        new TermRow(
+                                kept ? TermStage.OWNING : TermStage.LOADING,
+                                claim.generation(),
+                                revision,
+                                term.leaseId(),
+                                claim.validUntilMs(),
+                                tick.nowMs(),
+                                0,
+                                0,
+                                0,
+                                false,
+                                claim.released()));
         tick.log(
                 "owner-taken",
                 "generation="
-                        + generation
+                        + claim.generation()
                         + " fence="
                         + revision
                         + " kept="
-                        + term.keepsState()
+                        + kept
                         + " predecessor="
-                        + last.map(StoredRecord.Term::node).orElse("none")
+                        + claim.predecessor()
                         + " released="
-                        + released);
+                        + claim.released());
         tick.count("owner.taken");
-        if (!released) {
-            last.ifPresent(t -> tick.emit(new AskYield(t.address(), generation)));
+        if (!claim.released()) {
+            tick.emit(new AskYield(claim.predecessorAddress(), claim.generation()));
         }
-        if (!term.keepsState()) {
+        if (!kept) {
             world.clearOwnerTables();
-            world.revisions().put(RecordName.TERM, revision);
             tick.emit(new FollowExecutors(true));
             load(tick);
         }
-    }
-
-    /** Returns whether the process of an earlier term surely gives no more orders. */
-    private static boolean endedFor(StoredRecord.Term term, SchedulerSettings self) {
-        return term.released() || term.node().equals(self.node());
+        world.revisions().put(RecordName.TERM, revision);
     }
 
     private static void load(SchedulerTick tick) {
--- a/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/MoveSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/MoveSystem.java
@@ -98,8 +98,7 @@
         return needs;
     }
 
-    private static PoolNeed need(
-            SchedulerTick tick, String pool, Map<String, Long> offered) {
+    private static PoolNeed need(SchedulerTick tick, String pool, Map<String, Long> offered) {
         SchedulerWorld world = tick.world();
         int hosts = 0;
         long used = 0;
@@ -144,8 +143,7 @@
         Map<String, Integer> left = new HashMap<>();
         needs.forEach(
                 (name, need) ->
-                        left.put(
-                                name, need.surplus(GIVE_PERCENT, DEFAULT_HOST_CPU, KEEP_HOSTS)));
+                        left.put(name, need.surplus(GIVE_PERCENT, DEFAULT_HOST_CPU, KEEP_HOSTS)));
         List<HostReport> donors = new ArrayList<>();
         List<HostReport> spares = new ArrayList<>();
         for (HostReport host : world.hosts().rows()) {
@@ -169,8 +167,7 @@
     private static boolean isIdle(SchedulerTick tick, HostReport host) {
         SchedulerWorld world = tick.world();
         ExecutorRow row = world.executors().find(host.executor()).orElse(null);
-        long endedMs =
-                world.standings().find(host.executor()).map(StandingRow::endedMs).orElse(0L);
+        long endedMs = world.standings().find(host.executor()).map(StandingRow::endedMs).orElse(0L);
         return row != null
                 && !row.cordoned()
                 && tick.nowMs() - row.seenMs() > STAY_MS
--- a/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/OfferedLoad.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/OfferedLoad.java
@@ -6,7 +6,9 @@
 import org.hibiscususher.core.scheduler.world.JobRow;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 
-/** The work that callers have handed in of late, as the processor time that would keep up with it. */
+/**
+ * The work that callers have handed in of late, as the processor time that would keep up with it.
+ */
 final class OfferedLoad {
     /** Time over which the work that comes is averaged, in milliseconds. */
     private static final long WINDOW_MS = 1_500;
--- a/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/PoolNeed.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/PoolNeed.java
@@ -11,7 +11,8 @@
  * @param lastingCpu part of it that lasting tasks reserve
  * @param capacityCpu processor time of the pool's hosts, in thousandths of a core
  * @param waitingCpu processor time that waiting tasks ask for, in thousandths of a core
- * @param offeredCpu processor time that keeps up with what callers hand in, in thousandths of a core
+ * @param offeredCpu processor time that keeps up with what callers hand in, in thousandths of a
+ *     core
  */
 record PoolNeed(
         String pool,
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/ClaimRow.java
@@ -0,0 +1,28 @@
+package org.hibiscususher.core.scheduler.world;
+
+import static java.util.Objects.requireNonNull;
+
+/**
+ * The claim of the ownership that is under way.
+ *
+ * @param generation number of the term that it would begin
+ * @param validUntilMs until when its lease has surely not ended
+ * @param predecessor owner of the term before; empty if there was none
+ * @param predecessorAddress where that owner takes forwarded requests
+ * @param released whether that owner surely gives no more orders
+ */
+public record ClaimRow(
+        long generation,
+        long validUntilMs,
+        String predecessor,
+        String predecessorAddress,
+        boolean released) {
+    /** No claim. */
+    public static final ClaimRow NONE = new ClaimRow(0, 0, "", "", true);
+
+    /** Checks the parts. */
+    public ClaimRow {
+        requireNonNull(predecessor);
+        requireNonNull(predecessorAddress);
+    }
+}
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerWorld.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerWorld.java
@@ -21,6 +21,7 @@
     private final SingleRow<TermRow> mTerm = SingleRow.of(TermRow.initial());
     private final SingleRow<OwnershipRow> mOwnership =
             SingleRow.of(new OwnershipRow(false, Ownership.NONE, 0));
+    private final SingleRow<ClaimRow> mClaim = SingleRow.of(ClaimRow.NONE);
     private final SingleRow<RenewalRow> mRenewal = SingleRow.of(new RenewalRow(0, 0));
     private final SingleRow<ClockRow> mClock = SingleRow.of(new ClockRow(0, 0));
     private final SingleRow<NodeStateRow> mNode = SingleRow.of(new NodeStateRow(false, 0));
@@ -43,6 +44,7 @@
     private final Table<String, StandingRow> mStandings = Table.create();
     private final GroupedTable<EndKey, EndRow, String> mEnds =
             GroupedTable.createBy(e -> e.key().executor());
+    private final Table<StartKey, UncertainStartRow> mUncertainStarts = Table.create();
     private final Table<Long, CallRow> mCalls = Table.create();
     private final Table<Long, WaveRow> mWaves = Table.create();
     private final Table<String, HostReport> mHosts = Table.create();
@@ -72,6 +74,11 @@
         return mOwnership;
     }
 
+    /** Returns the claim of the ownership that is under way. */
+    public SingleRow<ClaimRow> claim() {
+        return mClaim;
+    }
+
     /** Returns the renewal that is awaited. */
     public SingleRow<RenewalRow> renewal() {
         return mRenewal;
@@ -162,6 +169,11 @@
         return mEnds;
     }
 
+    /** Returns the orders to start runs that were not answered. */
+    public Table<StartKey, UncertainStartRow> uncertainStarts() {
+        return mUncertainStarts;
+    }
+
     /** Returns the callers' requests that wait. */
     public Table<Long, CallRow> calls() {
         return mCalls;
@@ -204,6 +216,7 @@
                 mContacts,
                 mStandings,
                 mEnds,
+                mUncertainStarts,
                 mHosts,
                 mHostTasks);
     }
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/UncertainStartRow.java
@@ -0,0 +1,32 @@
+package org.hibiscususher.core.scheduler.world;
+
+import static java.util.Objects.requireNonNull;
+
+/**
+ * An order to start a run that was not answered: it may still be carried out seconds later, also by
+ * another life of the executor, which knows nothing of an order to stop.
+ *
+ * @param key the order
+ * @param executor the executor
+ * @param sinceMs when it was found to be unanswered
+ * @param open whether the executor's present life has yet to hear that the run is not wanted
+ * @param orderedMs when it was last told
+ */
+public record UncertainStartRow(
+        StartKey key, String executor, long sinceMs, boolean open, long orderedMs) {
+    /** Checks the parts. */
+    public UncertainStartRow {
+        requireNonNull(key);
+        requireNonNull(executor);
+    }
+
+    /** Returns this row with the executor's present life yet to be told, or told. */
+    public UncertainStartRow withOpen(boolean newOpen) {
+        return new UncertainStartRow(key, executor, sinceMs, newOpen, newOpen ? 0 : orderedMs);
+    }
+
+    /** Returns this row with the executor told once more. */
+    public UncertainStartRow ordered(long nowMs) {
+        return new UncertainStartRow(key, executor, sinceMs, open, nowMs);
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/SchedulerSite.java
@@ -0,0 +1,361 @@
+package org.hibiscususher.standin.scheduler;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.hibiscususher.core.job.AnswerKind;
+import org.hibiscususher.core.job.CallKind;
+import org.hibiscususher.core.job.JobAnswer;
+import org.hibiscususher.core.job.JobCall;
+import org.hibiscususher.core.job.JobPlan;
+import org.hibiscususher.core.job.JobPool;
+import org.hibiscususher.core.job.JobQueue;
+import org.hibiscususher.core.job.JobSpec;
+import org.hibiscususher.core.job.JobState;
+import org.hibiscususher.core.job.JobTeam;
+import org.hibiscususher.core.job.JobTerms;
+import org.hibiscususher.core.job.Resources;
+import org.hibiscususher.core.job.StepSpec;
+import org.hibiscususher.core.job.TaskKey;
+import org.hibiscususher.core.scheduler.message.ExecutorReport;
+import org.hibiscususher.core.scheduler.message.SchedulerInput;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.CallReceived;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.ForwardFailed;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.StopAsked;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.YieldAsked;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.Yielded;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput.Forward;
+import org.hibiscususher.core.scheduler.message.WaveOrder;
+
+/** A site in virtual time: entries that run the real scheduler, a store, executors and callers. */
+public final class SchedulerSite {
+    /** Name of the queue's pool. */
+    public static final String POOL = "pool";
+
+    private static final String HOST = "site.example";
+    private static final String PREFIX = "/queue/";
+    private static final String KEY = "secret";
+    private static final String TEAM = "team";
+    private static final int ATTEMPTS = 3;
+    private static final long LINK_MS = 1;
+    private static final long RETRY_MS = 300;
+    private static final int MAX_TRIES = 60;
+    private static final Resources CAPACITY = Resources.of(8_000, 16_000, 0);
+
+    private final SiteClock mClock = new SiteClock();
+    private final Random mRandom;
+    private final RunWatch mWatch = new RunWatch();
+    private final VirtualKv mKv;
+    private final Map<String, VirtualNode> mNodes = new LinkedHashMap<>();
+    private final Map<String, VirtualExecutor> mExecutors = new LinkedHashMap<>();
+    private final Map<String, JobSpec> mSpecs = new HashMap<>();
+    private final Map<Long, Consumer<JobAnswer>> mCalls = new HashMap<>();
+    private final Resources mLimit;
+    private long mNextCall = 1;
+    private int mNextJob;
+
+    private SchedulerSite(int nodes, int executors, Resources limit, long seed) {
+        mRandom = new Random(seed);
+        mKv = new VirtualKv(mClock, mRandom);
+        mLimit = limit;
+        mWatch.limit(TEAM, limit);
+        for (int i = 0; i < executors; i++) {
+            String id = "x" + i;
+            ExecutorReport report =
+                    new ExecutorReport(
+                            id,
+                            POOL,
+                            id + ":1",
+                            "zone",
+                            "h" + i,
+                            List.of("a", "r" + i / 2),
+                            CAPACITY,
+                            false,
+                            0,
+                            1);
+            mExecutors.put(id, new VirtualExecutor(mClock, mRandom, mWatch, report));
+        }
+        for (int i = 0; i < nodes; i++) {
+            mNodes.put("n" + i, new VirtualNode(this, "n" + i));
+        }
+        mKv.onChange(() -> mNodes.values().forEach(n -> mClock.after(LINK_MS, n::storeChanged)));
+        mNodes.values().forEach(VirtualNode::start);
+    }
+
+    /**
+     * Creates a site and starts its entries.
+     *
+     * @param nodes entries
+     * @param executors executors
+     * @param seed of all that is random
+     */
+    public static SchedulerSite of(int nodes, int executors, long seed) {
+        return new SchedulerSite(nodes, executors, Resources.of(1_000_000, 0, 0), seed);
+    }
+
+    /** Creates a site whose team may have only so much running. */
+    public static SchedulerSite limited(int nodes, int executors, Resources limit, long seed) {
+        return new SchedulerSite(nodes, executors, limit, seed);
+    }
+
+    SiteClock clock() {
+        return mClock;
+    }
+
+    VirtualKv kv() {
+        return mKv;
+    }
+
+    VirtualExecutor executor(String id) {
+        return mExecutors.get(id);
+    }
+
+    List<WaveOrder> waves() {
+        return List.of();
+    }
+
+    List<ExecutorReport> reports() {
+        return mExecutors.values().stream().map(VirtualExecutor::report).toList();
+    }
+
+    JobPlan plan() {
+        JobTerms terms = new JobTerms("queue", POOL, 0, ATTEMPTS, 2, 500);
+        return new JobPlan(
+                1,
+                List.of(new JobQueue(HOST, PREFIX, false, terms)),
+                List.of(new JobPool(POOL, true, false)),
+                List.of(new JobTeam(TEAM, 1, mLimit, Set.of(KEY))));
+    }
+
+    StepSpec step(TaskKey task) {
+        return mSpecs.get(task.jobId()).steps().get(task.stepKey().step());
+    }
+
+    /** Returns what callers and executors saw. */
+    public RunWatch watch() {
+        return mWatch;
+    }
+
+    /** Lets time pass. */
+    public void run(long ms) {
+        mClock.runUntil(mClock.nowMs() + ms);
+    }
+
+    /** Does something later. */
+    public void at(long delayMs, Runnable task) {
+        mClock.after(delayMs, task);
+    }
+
+    /** Returns the entry that owns the scheduling, if there is one. */
+    public Optional<String> owner() {
+        return mNodes.values().stream()
+                .filter(VirtualNode::owns)
+                .map(VirtualNode::name)
+                .findFirst();
+    }
+
+    /** Returns the number of entries that believe to own the scheduling. */
+    public long owners() {
+        return mNodes.values().stream().filter(VirtualNode::owns).count();
+    }
+
+    /** Ends an entry at once and starts it again later. */
+    public void kill(String node, long downMs) {
+        mNodes.get(node).kill();
+        mClock.after(downMs, () -> mNodes.get(node).start());
+    }
+
+    /** Ends all entries at once and starts them again later. */
+    public void killAll(long downMs) {
+        mNodes.keySet().forEach(node -> kill(node, downMs));
+    }
+
+    /** Stops an entry from running for a time. */
+    public void freeze(String node, long forMs) {
+        mNodes.get(node).freeze(forMs);
+    }
+
+    /** Asks an entry to stop in good order; it starts again later. */
+    public void stop(String node, long downMs) {
+        mNodes.get(node).add(new StopAsked());
+        mClock.after(downMs, () -> kill(node, 1));
+    }
+
+    /** Takes the store away from everybody for a time. */
+    public void storeDown(long forMs) {
+        mKv.setDown(true);
+        mClock.after(
+                forMs,
+                () -> {
+                    mKv.setDown(false);
+                    mNodes.values().forEach(VirtualNode::storeChanged);
+                });
+    }
+
+    /** Takes the store away from one entry for a time. */
+    public void cutOff(String node, long forMs) {
+        mKv.cutOff(node, true);
+        mClock.after(
+                forMs,
+                () -> {
+                    mKv.cutOff(node, false);
+                    mNodes.get(node).storeChanged();
+                });
+    }
+
+    /** Loses a share of the store's answers for a time. */
+    public void loseAnswers(double share, boolean late, long forMs) {
+        mKv.loseAnswers(share, late);
+        mClock.after(forMs, () -> mKv.loseAnswers(0, false));
+    }
+
+    /** Makes an executor silent for a time; what it runs goes on. */
+    public void darken(String executor, long forMs) {
+        mExecutors.get(executor).setDark(true);
+        mClock.after(forMs, () -> mExecutors.get(executor).setDark(false));
+    }
+
+    /** Makes an executor begin another life. */
+    public void restartExecutor(String executor) {
+        mExecutors.get(executor).restart();
+        mNodes.values().forEach(n -> mClock.after(LINK_MS, n::executorsChanged));
+    }
+
+    /** Makes executors carry out a share of orders late and without an answer. */
+    public void delayOrders(double share, long forMs) {
+        mExecutors.values().forEach(x -> x.setLateShare(share));
+        mClock.after(forMs, () -> mExecutors.values().forEach(x -> x.setLateShare(0)));
+    }
+
+    /** Makes an executor fail all that it starts for a time. */
+    public void failAll(String executor, long forMs) {
+        mExecutors.get(executor).setFailsAll(true);
+        mClock.after(forMs, () -> mExecutors.get(executor).setFailsAll(false));
+    }
+
+    /** Cuts an entry off from an executor for a time. */
+    public void cutLink(String node, String executor, long forMs) {
+        mExecutors.get(executor).cutFrom(node, true);
+        mClock.after(forMs, () -> mExecutors.get(executor).cutFrom(node, false));
+    }
+
+    /** Hands a job in, again and again until it is accepted; returns its id. */
+    public String submit(JobSpec spec) {
+        String id = String.format("%016x", ++mNextJob);
+        mSpecs.put(id, spec);
+        mWatch.submitted(id, spec, TEAM, ATTEMPTS);
+        trySubmit(id, spec, 1);
+        return id;
+    }
+
+    private void trySubmit(String id, JobSpec spec, int attempt) {
+        call(
+                new JobCall(CallKind.SUBMIT, HOST, PREFIX + id, KEY, Optional.of(spec)),
+                answer -> {
+                    mWatch.answered(id, answer.kind());
+                    if (answer.kind() != AnswerKind.ACCEPTED && attempt < MAX_TRIES) {
+                        mClock.after(RETRY_MS, () -> trySubmit(id, spec, attempt + 1));
+                    }
+                });
+    }
+
+    /** Cancels a job, again and again until that is answered. */
+    public void cancel(String id) {
+        call(
+                new JobCall(CallKind.CANCEL, HOST, PREFIX + id, KEY, Optional.empty()),
+                answer -> {
+                    if (answer.kind() == AnswerKind.CANCELLED) {
+                        mWatch.cancelled(id, mClock.nowMs());
+                    } else if (answer.kind() != AnswerKind.NO_JOB) {
+                        mClock.after(RETRY_MS, () -> cancel(id));
+                    }
+                });
+    }
+
+    /** Asks for a job's state; {@code result} gets it unless nobody can tell. */
+    public void query(String id, Consumer<Optional<JobState>> result) {
+        call(
+                new JobCall(CallKind.QUERY, HOST, PREFIX + id, KEY, Optional.empty()),
+                answer -> {
+                    if (answer.kind() == AnswerKind.STATE) {
+                        mWatch.shown(id, answer.state(), mClock.nowMs());
+                        result.accept(Optional.of(answer.state()));
+                    } else if (answer.kind() == AnswerKind.NO_JOB) {
+                        mWatch.unknown(id, mClock.nowMs());
+                    }
+                });
+    }
+
+    /** Returns the state of a job that callers are shown once all is calm. */
+    public JobState stateOf(String id) {
+        List<JobState> states = new ArrayList<>();
+        query(id, state -> state.ifPresent(states::add));
+        run(200);
+        return states.isEmpty() ? JobState.QUEUED : states.get(states.size() - 1);
+    }
+
+    private void call(JobCall call, Consumer<JobAnswer> sink) {
+        List<VirtualNode> up = mNodes.values().stream().filter(VirtualNode::isUp).toList();
+        if (up.isEmpty()) {
+            mClock.after(RETRY_MS, () -> sink.accept(JobAnswer.of(AnswerKind.UNKNOWN)));
+            return;
+        }
+        VirtualNode node = up.get(mRandom.nextInt(up.size()));
+        long id = mNextCall++;
+        boolean[] answered = {false};
+        Consumer<JobAnswer> once =
+                answer -> {
+                    if (!answered[0]) {
+                        answered[0] = true;
+                        sink.accept(answer);
+                    }
+                };
+        mCalls.put(id, once);
+        mClock.after(3_000, () -> once.accept(JobAnswer.of(AnswerKind.UNKNOWN)));
+        node.add(new CallReceived(id, call, false));
+    }
+
+    void answered(String node, long callId, JobAnswer answer) {
+        Consumer<JobAnswer> sink = mCalls.remove(callId);
+        if (sink != null) {
+            mClock.after(LINK_MS, () -> sink.accept(answer));
+        }
+    }
+
+    void forward(VirtualNode from, Forward forward) {
+        VirtualNode to = mNodes.get(forward.address());
+        if (!to.isUp()) {
+            mClock.after(
+                    LINK_MS, () -> from.add(new ForwardFailed(forward.callId(), to.name(), false)));
+        } else {
+            mClock.after(
+                    LINK_MS,
+                    () -> to.add(new CallReceived(forward.callId(), forward.call(), true)));
+        }
+    }
+
+    void askYield(SchedulerOutput.AskYield ask, Consumer<SchedulerInput> answer) {
+        VirtualNode to = mNodes.get(ask.address());
+        if (to.isUp()) {
+            long id = mNextCall++;
+            mCalls.put(id, reply -> answer.accept(new Yielded(ask.generation())));
+            mClock.after(LINK_MS, () -> to.add(new YieldAsked(id, ask.generation())));
+        }
+    }
+
+    /** Returns how many tasks wait at the owner; -1 if there is none. */
+    public int waitingTasks() {
+        return mNodes.values().stream()
+                .filter(VirtualNode::owns)
+                .map(n -> n.world().tasks().size())
+                .findFirst()
+                .orElse(-1);
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualNode.java
@@ -0,0 +1,198 @@
+package org.hibiscususher.standin.scheduler;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.hibiscususher.core.scheduler.control.Scheduler;
+import org.hibiscususher.core.scheduler.message.SchedulerInput;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.ExecutorsListed;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.HostsNotListed;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.OwnershipSeen;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.PlanSeen;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.WaveSeen;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput.Answer;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput.Commit;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput.FollowExecutors;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput.Forward;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput.GrantLease;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput.HoldExecutor;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput.ListHosts;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput.LoadRecords;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput.RenewLease;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput.StartRun;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput.StopRun;
+import org.hibiscususher.core.scheduler.world.SchedulerSettings;
+import org.hibiscususher.core.scheduler.world.SchedulerTiming;
+import org.hibiscususher.core.scheduler.world.SchedulerWorld;
+
+/** An entry: the real scheduler, with its outputs carried out in virtual time. */
+final class VirtualNode {
+    private static final long TICK_MS = 20;
+
+    private final SchedulerSite mSite;
+    private final String mName;
+    private Scheduler mScheduler;
+    private List<SchedulerInput> mInputs = new ArrayList<>();
+    private long mLife;
+    private boolean mUp;
+    private boolean mFrozen;
+    private long mSuspendedMs;
+    private boolean mScheduled;
+    private boolean mFollowing;
+
+    VirtualNode(SchedulerSite site, String name) {
+        mSite = site;
+        mName = name;
+    }
+
+    String name() {
+        return mName;
+    }
+
+    boolean isUp() {
+        return mUp;
+    }
+
+    /** Returns the tables. */
+    SchedulerWorld world() {
+        return mScheduler.world();
+    }
+
+    boolean owns() {
+        return mUp && mScheduler.world().term().get().owns();
+    }
+
+    /** Starts a process that knows nothing. */
+    void start() {
+        mLife++;
+        mUp = true;
+        mFollowing = false;
+        mInputs = new ArrayList<>();
+        mScheduler =
+                Scheduler.create(
+                        new SchedulerSettings(
+                                mName,
+                                mSite.clock().nowMs() + 1,
+                                mName,
+                                Math.floorMod(mName.hashCode(), 40),
+                                SchedulerTiming.USUAL));
+        long life = mLife;
+        add(new PlanSeen(mSite.plan(), 1));
+        mSite.waves().forEach(wave -> add(new WaveSeen(wave)));
+        mSite.clock().after(1, () -> storeChanged());
+        periodic(life);
+    }
+
+    /** Ends the process at once. */
+    void kill() {
+        mUp = false;
+        mLife++;
+    }
+
+    /** Suspends the process for a time, which its steady clock does not count. */
+    void freeze(long forMs) {
+        mFrozen = true;
+        mSuspendedMs += forMs;
+        mSite.clock()
+                .after(
+                        forMs,
+                        () -> {
+                            mFrozen = false;
+                            wake();
+                        });
+    }
+
+    private void periodic(long life) {
+        if (life == mLife) {
+            wake();
+            mSite.clock().after(TICK_MS, () -> periodic(life));
+        }
+    }
+
+    /** Hands an input to the process, if it still is the one that it is meant for. */
+    void add(SchedulerInput input) {
+        mInputs.add(input);
+        wake();
+    }
+
+    private void wake() {
+        if (mUp && !mScheduled && !mFrozen) {
+            mScheduled = true;
+            mSite.clock().after(1, this::tick);
+        }
+    }
+
+    private void tick() {
+        mScheduled = false;
+        if (!mUp || mFrozen) {
+            return;
+        }
+        List<SchedulerInput> inputs = mInputs;
+        mInputs = new ArrayList<>();
+        long nowMs = mSite.clock().nowMs();
+        for (SchedulerOutput output : mScheduler.tick(nowMs - mSuspendedMs, nowMs, inputs)) {
+            carryOut(output);
+        }
+    }
+
+    /** Tells the process what the store holds, as its watches do. */
+    void storeChanged() {
+        if (mUp && !mSite.kv().isAway(mName)) {
+            add(new OwnershipSeen(mSite.kv().ownership()));
+        }
+    }
+
+    /** Tells the owner of the executors, as its watch does. */
+    void executorsChanged() {
+        if (mUp && mFollowing && !mSite.kv().isAway(mName)) {
+            add(new ExecutorsListed(mSite.reports()));
+        }
+    }
+
+    private Consumer<SchedulerInput> answers() {
+        long life = mLife;
+        return input -> {
+            if (life == mLife) {
+                add(input);
+            }
+        };
+    }
+
+    private void carryOut(SchedulerOutput output) {
+        if (output instanceof Answer answer) {
+            mSite.answered(mName, answer.callId(), answer.answer());
+        } else if (output instanceof Forward forward) {
+            mSite.forward(this, forward);
+        } else if (output instanceof SchedulerOutput.AskYield ask) {
+            mSite.askYield(ask, answers());
+        } else if (output instanceof FollowExecutors follow) {
+            mFollowing = follow.on();
+            mSite.clock().after(2, this::executorsChanged);
+        } else if (output instanceof ListHosts list) {
+            answers().accept(new HostsNotListed(list.callId()));
+        } else if (output instanceof GrantLease
+                || output instanceof RenewLease
+                || output instanceof Commit
+                || output instanceof LoadRecords) {
+            mSite.kv().call(mName, output, answers());
+        } else {
+            toExecutor(output);
+        }
+    }
+
+    private void toExecutor(SchedulerOutput output) {
+        String executor = "";
+        if (output instanceof HoldExecutor hold) {
+            executor = hold.executor();
+        } else if (output instanceof StartRun start) {
+            executor = start.executor();
+        } else if (output instanceof StopRun stop) {
+            executor = stop.executor();
+        }
+        VirtualExecutor target = mSite.executor(executor);
+        if (target != null) {
+            target.call(mName, output, mSite::step, answers());
+        }
+    }
+}
