--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/ExecutorSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/ExecutorSystem.java
@@ -287,11 +287,7 @@
         }
         boolean missing = row.missingMs() != 0 && tick.nowMs() - row.missingMs() > MISSING_MS;
         if (missing && (contact.failures() > 0 || row.report().address().isEmpty())) {
-            tick.log("executor-gone", "executor=" + row.id());
-            Runs.lifeEnded(tick, row.id(), "executor-gone");
-            world.executors().remove(row.id());
-            world.contacts().remove(row.id());
-            world.standings().remove(row.id());
+            Runs.executorGone(tick, row.id(), "missing");
         }
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/Runs.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/Runs.java
@@ -79,6 +79,16 @@
         world.executors().update(executor, ExecutorRow::answered);
     }
 
+    /** Applies that an executor has ended for good. */
+    public static void executorGone(SchedulerTick tick, String executor, String reason) {
+        SchedulerWorld world = tick.world();
+        tick.log("executor-gone", "executor=" + executor + " reason=" + reason);
+        lifeEnded(tick, executor, reason);
+        world.executors().remove(executor);
+        world.contacts().remove(executor);
+        world.standings().remove(executor);
+    }
+
     /**
      * Applies that another life of an executor has begun under the same id.
      *
--- a/core/src/main/java/org/hibiscususher/core/scheduler/placement/PlacementSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/placement/PlacementSystem.java
@@ -50,25 +50,22 @@
         }
     }
 
-    /** Has the store name an executor before anything runs on it, for the sake of later owners. */
+    /** Has the store name the executors in use, before anything runs on them. */
     private static void recordExecutors(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
         if (!world.term().get().owns()) {
             return;
         }
-        boolean missing =
-                world.executors().rows().stream().anyMatch(e -> isNew(e) && !e.recorded());
-        if (missing && !world.pendingRecords().contains(RecordName.EXECUTORS)) {
-            List<UsedExecutor> used = new ArrayList<>();
-            for (ExecutorRow row : world.executors().rows()) {
-                used.add(new UsedExecutor(row.id(), row.pool()));
-            }
-            world.pendingRecords().put(RecordName.EXECUTORS, new StoredRecord.Executors(used));
+        List<UsedExecutor> used = new ArrayList<>();
+        for (ExecutorRow row : world.executors().rows()) {
+            used.add(new UsedExecutor(row.id(), row.pool()));
+        }
+        StoredRecord.Executors record = new StoredRecord.Executors(used);
+        boolean same = record.equals(world.usedExecutors().get());
+        if (!same && !world.pendingRecords().contains(RecordName.EXECUTORS)) {
+            world.usedExecutors().set(record);
+            world.pendingRecords().put(RecordName.EXECUTORS, record);
         }
-    }
-
-    private static boolean isNew(ExecutorRow row) {
-        return !row.recorded() && !row.report().address().isEmpty();
     }
 
     private static Map<String, Resources> teamUse(SchedulerWorld world) {
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/CommitSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/CommitSystem.java
@@ -86,10 +86,6 @@
         world.commit().set(Optional.empty());
         world.store().set(new StoreRow(tick.nowMs(), world.store().get().failedMs()));
         tick.emit(new SchedulerOutput.Measure("store.commit", tick.nowMs() - commit.sentMs()));
-        if (commit.purpose() == CommitPurpose.RELEASE) {
-            StepDown.run(tick, "released");
-            return;
-        }
         for (RecordName name : commit.removals()) {
             world.revisions().remove(name);
             world.pendingRemovals().remove(name);
@@ -99,6 +95,9 @@
             world.revisions().put(name, revisions.getOrDefault(name, revision));
             Commits.stored(tick, write.record(), commit.versions());
         }
+        if (commit.purpose() == CommitPurpose.RELEASE) {
+            StepDown.run(tick, "released");
+        }
     }
 
     private static void conflict(SchedulerTick tick, List<LoadedRecord> current) {
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/Commits.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/Commits.java
@@ -29,14 +29,11 @@
 /** Builds commits of what waits to be stored, and applies what was stored. */
 final class Commits {
     /** Most records in a commit: each takes a condition and a write of the store's 32 entries. */
-    private static final int MAX_RECORDS = 14;
+    private static final int MAX_RECORDS = 13;
 
     /** Time for which progress is collected before it is stored, in milliseconds. */
     private static final long PROGRESS_DELAY_MS = 60;
 
-    /** Longest time for which an owner that stops waits for its records, in milliseconds. */
-    private static final long RELEASE_AFTER_MS = 1_000;
-
     private Commits() {}
 
     /** Returns the next commit, or empty if nothing has to be stored now. */
@@ -53,15 +50,11 @@
         if (records.isEmpty()) {
             removals.addAll(removable(world));
         }
-        long stopMs = world.node().get().stopAskedMs();
-        boolean late = tick.nowMs() - stopMs > RELEASE_AFTER_MS;
-        if (releasing && (records.isEmpty() || late)) {
-            return Optional.of(release(tick));
-        }
-        if (records.isEmpty() && removals.isEmpty()) {
-            return Optional.empty();
+        CommitRow commit = commit(tick, records, versions, removals);
+        if (releasing) {
+            return Optional.of(release(tick, commit));
         }
-        return Optional.of(commit(tick, records, versions, removals));
+        return records.isEmpty() && removals.isEmpty() ? Optional.empty() : Optional.of(commit);
     }
 
     private static void addNewJobs(SchedulerWorld world, List<StoredRecord> records) {
@@ -160,20 +153,23 @@
         return new RecordGuard(name, world.revisions().find(name).orElse(0L));
     }
 
-    private static CommitRow release(SchedulerTick tick) {
+    /** Returns a commit that gives the ownership up together with its records. */
+    private static CommitRow release(SchedulerTick tick, CommitRow commit) {
         TermRow term = tick.world().term().get();
         SchedulerSettings self = tick.world().settings();
         StoredRecord.Term released =
                 new StoredRecord.Term(
                         term.generation(), self.node(), self.incarnation(), true, self.address());
+        List<RecordWrite> writes = new ArrayList<>(commit.writes());
+        writes.add(RecordWrite.of(released));
         return new CommitRow(
                 CommitPurpose.RELEASE,
-                tick.nextCallId(),
-                List.of(new RecordGuard(RecordName.TERM, term.fence())),
-                List.of(RecordWrite.of(released)),
+                commit.callId(),
+                commit.guards(),
+                writes,
                 List.of(RecordName.OWNER),
-                Map.of(),
-                tick.nowMs(),
+                commit.versions(),
+                commit.sentMs(),
                 0,
                 false,
                 1);
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/Takeover.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/Takeover.java
@@ -89,6 +89,7 @@
         if (record instanceof StoredRecord.Progress progress) {
             Progress.restore(tick, progress);
         } else if (record instanceof StoredRecord.Executors executors) {
+            world.usedExecutors().set(executors);
             executors.executors().forEach(e -> prior(tick, e));
         } else if (record instanceof StoredRecord.Wave wave) {
             world.waves().update(wave.wave(), row -> row.withBegun(new HashSet<>(wave.begun())));
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/TermSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/TermSystem.java
@@ -180,6 +180,10 @@
         SchedulerSettings self = world.settings();
         TermRow term = world.term().get();
         Ownership seen = world.ownership().get().ownership();
+        if (!isFree(world)) {
+            claimLost(tick);
+            return;
+        }
         ClaimRow claim = claimRow(seen, self, term.sentMs() + granted.ttlMs() - LEASE_MARGIN_MS);
         long callId = tick.nextCallId();
         world.claim().set(claim);
--- a/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/HostSteps.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/HostSteps.java
@@ -63,7 +63,7 @@
             case DONE -> {
                 begun(tick, row);
                 world.hostTasks().put(row.host(), row.withStep(HostStep.AWAY, 0, tick.nowMs()));
-                Runs.lifeEnded(tick, row.executor(), "host-ordered-away");
+                Runs.executorGone(tick, row.executor(), "host-ordered-away");
             }
             case NOT_IN_WAVE, INVALID -> {
                 begun(tick, row);
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerWorld.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerWorld.java
@@ -27,6 +27,8 @@
     private final SingleRow<NodeStateRow> mNode = SingleRow.of(new NodeStateRow(false, 0));
     private final SingleRow<PlanRow> mPlan = SingleRow.of(new PlanRow(JobPlan.EMPTY, 0));
     private final SingleRow<StoreRow> mStore = SingleRow.of(new StoreRow(0, 0));
+    private final SingleRow<StoredRecord.Executors> mUsedExecutors =
+            SingleRow.of(new StoredRecord.Executors(List.of()));
     private final SingleRow<HostListRow> mHostList = SingleRow.of(new HostListRow(0, 0, 0));
     private final SingleRow<Optional<CommitRow>> mCommit = SingleRow.of(Optional.empty());
     private final Table<RecordName, Long> mRevisions = Table.create();
@@ -104,6 +106,11 @@
         return mStore;
     }
 
+    /** Returns the executors in use, as they were last handed to the store. */
+    public SingleRow<StoredRecord.Executors> usedExecutors() {
+        return mUsedExecutors;
+    }
+
     /** Returns the state of the list of hosts. */
     public SingleRow<HostListRow> hostList() {
         return mHostList;
@@ -197,6 +204,7 @@
     /** Forgets everything that only an owner keeps. */
     public void clearOwnerTables() {
         mCommit.set(Optional.empty());
+        mUsedExecutors.set(new StoredRecord.Executors(List.of()));
         mHostList.set(new HostListRow(0, 0, 0));
         for (Table<?, ?> table : ownerTables()) {
             table.clear();
