Size pools for tasks that have to be spread; pass requests on through other entries

Ruled out: the eviction itself, which kept to the step's limit. Now a pool keeps and gets as many hosts as its widest step needs, and a lasting task that waits for 400 ms shows that hosts are missing. Besides, an entry that lost the store passes requests on through a seed, up to three hops.

--- a/core/src/main/java/org/hibiscususher/core/job/JobCall.java
+++ b/core/src/main/java/org/hibiscususher/core/job/JobCall.java
@@ -12,8 +12,10 @@
  * @param path path: a queue's prefix and a job's id
  * @param key secret that came along; empty for none
  * @param spec the job, for {@link CallKind#SUBMIT}
+ * @param hops how many entries have passed the request on
  */
-public record JobCall(CallKind kind, String host, String path, String key, Optional<JobSpec> spec) {
+public record JobCall(
+        CallKind kind, String host, String path, String key, Optional<JobSpec> spec, int hops) {
     /** Checks the parts. */
     public JobCall {
         requireNonNull(kind);
@@ -23,6 +25,17 @@
         requireNonNull(spec);
     }
 
+    /** Returns a request as its caller sent it. */
+    public static JobCall of(
+            CallKind kind, String host, String path, String key, Optional<JobSpec> spec) {
+        return new JobCall(kind, host, path, key, spec, 0);
+    }
+
+    /** Returns this request, passed on once more. */
+    public JobCall passedOn() {
+        return new JobCall(kind, host, path, key, spec, hops + 1);
+    }
+
     @Override
     public String toString() {
         return "JobCall[" + kind + " " + host + path + "]";
--- a/core/src/main/java/org/hibiscususher/core/scheduler/control/NodeSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/control/NodeSystem.java
@@ -1,6 +1,7 @@
 package org.hibiscususher.core.scheduler.control;
 
 import org.hibiscususher.core.scheduler.message.SchedulerInput.StopAsked;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.StoreContact;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.Finish;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.Ready;
 import org.hibiscususher.core.scheduler.world.NodeStateRow;
@@ -21,7 +22,7 @@
         NodeStateRow node = world.node().get();
         if (!tick.inputs(StopAsked.class).isEmpty() && node.stopAskedMs() == 0) {
             tick.log("stop-asked", "owner=" + world.term().get().stage().isOwner());
-            node = new NodeStateRow(node.ready(), tick.nowMs());
+            node = new NodeStateRow(node.ready(), node.storeReached(), tick.nowMs());
             release(world);
         }
         boolean stopping = node.stopAskedMs() != 0;
@@ -29,7 +30,14 @@
         if (ready != node.ready()) {
             tick.emit(new Ready(ready));
         }
-        world.node().set(new NodeStateRow(ready, node.stopAskedMs()));
+        boolean reached = node.storeReached();
+        for (StoreContact contact : tick.inputs(StoreContact.class)) {
+            reached = contact.reached();
+            tick.log(
+                    reached ? "store-reached" : "store-lost",
+                    "stage=" + world.term().get().stage());
+        }
+        world.node().set(new NodeStateRow(ready, reached, node.stopAskedMs()));
         boolean owner = world.term().get().owns();
         if (stopping && !owner && tick.nowMs() - node.stopAskedMs() > BALANCER_MS) {
             tick.emit(new Finish());
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/CallSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/CallSystem.java
@@ -1,5 +1,6 @@
 package org.hibiscususher.core.scheduler.job;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import org.hibiscususher.core.job.AnswerKind;
@@ -25,6 +26,9 @@
 
 /** Answers callers, or passes their requests on to the owner. */
 public final class CallSystem {
+    /** Entries that may pass a request on. */
+    private static final int MAX_HOPS = 3;
+
     /** Longest time for which a request waits for an owner, in milliseconds. */
     private static final long OWNER_WAIT_MS = 120;
 
@@ -47,11 +51,7 @@
             CallRow call =
                     new CallRow(
                             received.callId(), received.call(), "", CallStage.OWNER, tick.nowMs());
-            if (received.forwarded() && !Authority.decides(tick)) {
-                refuse(tick, call, AnswerKind.UNAVAILABLE, "not-the-owner");
-            } else {
-                place(tick, call);
-            }
+            place(tick, call);
         }
         for (ForwardFailed failed : tick.inputs(ForwardFailed.class)) {
             AnswerKind kind = failed.sent() ? AnswerKind.UNKNOWN : AnswerKind.UNAVAILABLE;
@@ -70,8 +70,12 @@
         boolean self = owner.map(o -> o.node().equals(world.settings().node())).orElse(true);
         if (Authority.decides(tick)) {
             decide(tick, call);
-        } else if (!self && !world.term().get().stage().isOwner()) {
-            tick.emit(new Forward(call.callId(), owner.get().address(), call.call()));
+        } else if (!self
+                && !world.term().get().stage().isOwner()
+                && call.call().hops() < MAX_HOPS) {
+            tick.emit(new Forward(call.callId(), owner.get().address(), call.call().passedOn()));
+        } else if (self && call.call().hops() == 0 && !world.node().get().storeReached()) {
+            tick.emit(new Forward(call.callId(), seed(world, call), call.call().passedOn()));
         } else if (tick.nowMs() - call.sinceMs() > OWNER_WAIT_MS) {
             refuse(tick, call, AnswerKind.UNAVAILABLE, "no-owner");
         } else {
@@ -79,6 +83,15 @@
         }
     }
 
+    /** Returns another entry, which may know the owner that this one can't hear of. */
+    private static String seed(SchedulerWorld world, CallRow call) {
+        List<String> seeds = new ArrayList<>(world.settings().seeds());
+        seeds.remove(world.settings().address());
+        return seeds.isEmpty()
+                ? world.settings().address()
+                : seeds.get((int) (call.callId() % seeds.size()));
+    }
+
     private static void refuse(SchedulerTick tick, CallRow call, AnswerKind kind, String reason) {
         tick.log("refused", "call=" + call.call().path() + " kind=" + kind + " reason=" + reason);
         tick.count("refused." + reason);
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/SchedulerInput.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/SchedulerInput.java
@@ -9,8 +9,11 @@
 
 /** Something that happened, told to the scheduler. */
 public sealed interface SchedulerInput {
+    /** The store was reached again, or no longer is. */
+    record StoreContact(boolean reached) implements SchedulerInput {}
+
     /** A caller's request came, itself or from another entry; it gets exactly one answer. */
-    record CallReceived(long callId, JobCall call, boolean forwarded) implements SchedulerInput {}
+    record CallReceived(long callId, JobCall call) implements SchedulerInput {}
 
     /** A forwarded request got no answer; {@code sent} tells whether it may have been taken. */
     record ForwardFailed(long callId, String address, boolean sent) implements SchedulerInput {}
--- a/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/MoveSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/MoveSystem.java
@@ -14,10 +14,12 @@
 import org.hibiscususher.core.scheduler.term.Authority;
 import org.hibiscususher.core.scheduler.world.ExecutorRow;
 import org.hibiscususher.core.scheduler.world.HostTaskRow;
+import org.hibiscususher.core.scheduler.world.JobRow;
 import org.hibiscususher.core.scheduler.world.RunRow;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
 import org.hibiscususher.core.scheduler.world.StandingRow;
+import org.hibiscususher.core.scheduler.world.StepRow;
 import org.hibiscususher.core.scheduler.world.TaskGroup;
 import org.hibiscususher.core.scheduler.world.TaskRow;
 import org.hibiscususher.core.scheduler.world.TaskState;
@@ -47,6 +49,9 @@
     /** Time without a run after which a host counts as idle, in milliseconds. */
     private static final long IDLE_MS = 1_000;
 
+    /** Time after which a lasting task that waits shows that its pool lacks hosts. */
+    private static final long STUCK_MS = 400;
+
     private static final long DEFAULT_HOST_CPU = 64_000;
 
     private MoveSystem() {}
@@ -90,15 +95,20 @@
         SchedulerWorld world = tick.world();
         Map<String, PoolNeed> needs = new LinkedHashMap<>();
         Map<String, Long> offered = OfferedLoad.byPool(tick);
+        Map<String, Integer> spread = spreadHosts(world);
         for (JobPool pool : world.plan().get().plan().pools()) {
             if (!pool.spare()) {
-                needs.put(pool.name(), need(tick, pool.name(), offered));
+                needs.put(pool.name(), need(tick, pool.name(), offered, spread));
             }
         }
         return needs;
     }
 
-    private static PoolNeed need(SchedulerTick tick, String pool, Map<String, Long> offered) {
+    private static PoolNeed need(
+            SchedulerTick tick,
+            String pool,
+            Map<String, Long> offered,
+            Map<String, Integer> spread) {
         SchedulerWorld world = tick.world();
         int hosts = 0;
         long used = 0;
@@ -122,14 +132,38 @@
             }
         }
         long waiting = 0;
+        int stuck = 0;
         for (TaskRow task : world.tasks().group(new TaskGroup(pool, TaskState.WAITING))) {
             StepSpec spec = Jobs.specOf(world, task.key().stepKey()).orElseThrow();
             if (!task.doubtful()) {
                 waiting += spec.reserved().cpuMillis();
+                stuck += spec.lasting() && tick.nowMs() - task.readyMs() > STUCK_MS ? 1 : 0;
             }
         }
         return new PoolNeed(
-                pool, hosts, used, lasting, capacity, waiting, offered.getOrDefault(pool, 0L));
+                pool,
+                hosts,
+                used,
+                lasting,
+                capacity,
+                waiting,
+                spread.getOrDefault(pool, 0),
+                stuck,
+                offered.getOrDefault(pool, 0L));
+    }
+
+    /** Returns for each pool over how many hosts the widest of its steps has to be spread. */
+    private static Map<String, Integer> spreadHosts(SchedulerWorld world) {
+        Map<String, Integer> spread = new HashMap<>();
+        for (StepRow row : world.steps().rows()) {
+            JobRow job = world.jobs().find(row.key().jobId()).orElseThrow();
+            StepSpec spec = job.spec().steps().get(row.key().step());
+            if (spec.maxPerExecutor() > 0 && row.left() > 0) {
+                int hosts = (row.left() + spec.maxPerExecutor() - 1) / spec.maxPerExecutor();
+                spread.merge(job.terms().pool(), hosts, Math::max);
+            }
+        }
+        return spread;
     }
 
     private static boolean isLasting(SchedulerWorld world, RunRow run) {
--- a/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/PoolNeed.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/PoolNeed.java
@@ -11,6 +11,8 @@
  * @param lastingCpu part of it that lasting tasks reserve
  * @param capacityCpu processor time of the pool's hosts, in thousandths of a core
  * @param waitingCpu processor time that waiting tasks ask for, in thousandths of a core
+ * @param spreadHosts hosts over which the widest step has to be spread
+ * @param stuckTasks tasks that have waited for long although nothing but room can hold them up
  * @param offeredCpu processor time that keeps up with what callers hand in, in thousandths of a
  *     core
  */
@@ -21,9 +23,14 @@
         long lastingCpu,
         long capacityCpu,
         long waitingCpu,
+        int spreadHosts,
+        int stuckTasks,
         long offeredCpu) {
     private static final int FULL = 100;
 
+    /** Most hosts that are moved at a time for tasks that have waited for long. */
+    private static final int MAX_FOR_STUCK = 2;
+
     /** Checks the parts. */
     PoolNeed {
         requireNonNull(pool);
@@ -36,15 +43,18 @@
         return Math.max(now, soon);
     }
 
-    /** Returns how many hosts more the pool can use; 0 while nothing waits. */
+    /** Returns how many hosts more the pool can use. */
     int missing(int reservePercent, long hostCpu) {
         long lackCpu = wantedCpu(reservePercent) - capacityCpu;
-        return lackCpu <= 0 ? 0 : (int) ((lackCpu + hostCpu - 1) / hostCpu);
+        int forWork = lackCpu <= 0 ? 0 : (int) ((lackCpu + hostCpu - 1) / hostCpu);
+        int forSpread = Math.max(spreadHosts - hosts, Math.min(stuckTasks, MAX_FOR_STUCK));
+        return Math.max(forWork, forSpread);
     }
 
     /** Returns how many hosts the pool can do without. */
     int surplus(int reservePercent, long hostCpu, int keep) {
         int needed = (int) ((wantedCpu(reservePercent) + hostCpu - 1) / hostCpu);
-        return Math.max(0, hosts - Math.max(keep, needed));
+        int least = Math.max(keep, spreadHosts);
+        return stuckTasks > 0 ? 0 : Math.max(0, hosts - Math.max(least, needed));
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerWorld.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerWorld.java
@@ -24,7 +24,7 @@
     private final SingleRow<ClaimRow> mClaim = SingleRow.of(ClaimRow.NONE);
     private final SingleRow<RenewalRow> mRenewal = SingleRow.of(new RenewalRow(0, 0));
     private final SingleRow<ClockRow> mClock = SingleRow.of(new ClockRow(0, 0));
-    private final SingleRow<NodeStateRow> mNode = SingleRow.of(new NodeStateRow(false, 0));
+    private final SingleRow<NodeStateRow> mNode = SingleRow.of(new NodeStateRow(false, true, 0));
     private final SingleRow<PlanRow> mPlan = SingleRow.of(new PlanRow(JobPlan.EMPTY, 0));
     private final SingleRow<StoreRow> mStore = SingleRow.of(new StoreRow(0, 0));
     private final SingleRow<StoredRecord.Executors> mUsedExecutors =
--- a/daemon/src/main/java/org/hibiscususher/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/forward/ForwardServer.java
@@ -62,7 +62,7 @@
                                 take(
                                         channel,
                                         message.callId(),
-                                        id -> new CallReceived(id, call, true),
+                                        id -> new CallReceived(id, call),
                                         calls,
                                         inbox));
         message.yieldTo()
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/SchedulerSite.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/SchedulerSite.java
@@ -28,6 +28,7 @@
 import org.hibiscususher.core.scheduler.message.SchedulerInput.CallReceived;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.ForwardFailed;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.StopAsked;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.StoreContact;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.YieldAsked;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.Yielded;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput;
@@ -121,6 +122,10 @@
         return List.of();
     }
 
+    List<String> nodes() {
+        return List.copyOf(mNodes.keySet());
+    }
+
     List<ExecutorReport> reports() {
         return mExecutors.values().stream().map(VirtualExecutor::report).toList();
     }
@@ -202,10 +207,12 @@
     /** Takes the store away from one entry for a time. */
     public void cutOff(String node, long forMs) {
         mKv.cutOff(node, true);
+        mNodes.get(node).add(new StoreContact(false));
         mClock.after(
                 forMs,
                 () -> {
                     mKv.cutOff(node, false);
+                    mNodes.get(node).add(new StoreContact(true));
                     mNodes.get(node).storeChanged();
                 });
     }
@@ -257,7 +264,7 @@
 
     private void trySubmit(String id, JobSpec spec, int attempt) {
         call(
-                new JobCall(CallKind.SUBMIT, HOST, PREFIX + id, KEY, Optional.of(spec)),
+                JobCall.of(CallKind.SUBMIT, HOST, PREFIX + id, KEY, Optional.of(spec)),
                 answer -> {
                     mWatch.answered(id, answer.kind());
                     if (answer.kind() != AnswerKind.ACCEPTED && attempt < MAX_TRIES) {
@@ -269,7 +276,7 @@
     /** Cancels a job, again and again until that is answered. */
     public void cancel(String id) {
         call(
-                new JobCall(CallKind.CANCEL, HOST, PREFIX + id, KEY, Optional.empty()),
+                JobCall.of(CallKind.CANCEL, HOST, PREFIX + id, KEY, Optional.empty()),
                 answer -> {
                     if (answer.kind() == AnswerKind.CANCELLED) {
                         mWatch.cancelled(id, mClock.nowMs());
@@ -282,7 +289,7 @@
     /** Asks for a job's state; {@code result} gets it unless nobody can tell. */
     public void query(String id, Consumer<Optional<JobState>> result) {
         call(
-                new JobCall(CallKind.QUERY, HOST, PREFIX + id, KEY, Optional.empty()),
+                JobCall.of(CallKind.QUERY, HOST, PREFIX + id, KEY, Optional.empty()),
                 answer -> {
                     if (answer.kind() == AnswerKind.STATE) {
                         mWatch.shown(id, answer.state(), mClock.nowMs());
@@ -319,7 +326,7 @@
                 };
         mCalls.put(id, once);
         mClock.after(3_000, () -> once.accept(JobAnswer.of(AnswerKind.UNKNOWN)));
-        node.add(new CallReceived(id, call, false));
+        node.add(new CallReceived(id, call));
     }
 
     void answered(String node, long callId, JobAnswer answer) {
@@ -335,9 +342,7 @@
             mClock.after(
                     LINK_MS, () -> from.add(new ForwardFailed(forward.callId(), to.name(), false)));
         } else {
-            mClock.after(
-                    LINK_MS,
-                    () -> to.add(new CallReceived(forward.callId(), forward.call(), true)));
+            mClock.after(LINK_MS, () -> to.add(new CallReceived(forward.callId(), forward.call())));
         }
     }
 
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualNode.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualNode.java
@@ -75,6 +75,7 @@
                                 mName,
                                 mSite.clock().nowMs() + 1,
                                 mName,
+                                mSite.nodes(),
                                 Math.floorMod(mName.hashCode(), 40),
                                 SchedulerTiming.USUAL));
         long life = mLife;
--- a/wire/src/main/java/org/hibiscususher/wire/scheduler/LinkCodec.java
+++ b/wire/src/main/java/org/hibiscususher/wire/scheduler/LinkCodec.java
@@ -30,7 +30,8 @@
                         .setKind(call.kind().ordinal())
                         .setHost(call.host())
                         .setPath(call.path())
-                        .setKey(call.key());
+                        .setKey(call.key())
+                        .setHops(call.hops());
         call.spec().ifPresent(spec -> builder.setSpec(SpecCodec.encode(spec)));
         return builder.build();
     }
@@ -66,7 +67,8 @@
                 call.getHost(),
                 call.getPath(),
                 call.getKey(),
-                call.hasSpec() ? Optional.of(SpecCodec.decode(call.getSpec())) : Optional.empty());
+                call.hasSpec() ? Optional.of(SpecCodec.decode(call.getSpec())) : Optional.empty(),
+                call.getHops());
     }
 
     private static JobAnswer decode(SchedulerProto.Answer answer) throws IOException {
