--- a/core/src/main/java/org/hibiscususher/core/scheduler/control/SchedulerPhase.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/control/SchedulerPhase.java
@@ -5,6 +5,7 @@
 import org.hibiscususher.core.scheduler.executor.HoldSystem;
 import org.hibiscususher.core.scheduler.executor.PaceSystem;
 import org.hibiscususher.core.scheduler.executor.RunSystem;
+import org.hibiscususher.core.scheduler.executor.StallSystem;
 import org.hibiscususher.core.scheduler.job.CallSystem;
 import org.hibiscususher.core.scheduler.job.JobSystem;
 import org.hibiscususher.core.scheduler.placement.PlacementSystem;
@@ -95,6 +96,12 @@
             PaceSystem.run(tick);
         }
     },
+    STALL {
+        @Override
+        void run(SchedulerTick tick) {
+            StallSystem.run(tick);
+        }
+    },
     PLACEMENT {
         @Override
         void run(SchedulerTick tick) {
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/Runs.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/Runs.java
@@ -19,7 +19,7 @@
 /** Changes of runs that more than one system makes. */
 public final class Runs {
     /** Numbers of runs that a term may give to a task. */
-    private static final int RUNS_PER_TERM = 1_000;
+    static final int RUNS_PER_TERM = 1_000;
 
     private Runs() {}
 
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/StallSystem.java
@@ -0,0 +1,102 @@
+package org.hibiscususher.core.scheduler.executor;
+
+import java.util.List;
+import org.hibiscususher.core.job.StepSpec;
+import org.hibiscususher.core.scheduler.job.Jobs;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.HoldAnswered;
+import org.hibiscususher.core.scheduler.term.Authority;
+import org.hibiscususher.core.scheduler.world.RunRow;
+import org.hibiscususher.core.scheduler.world.RunStage;
+import org.hibiscususher.core.scheduler.world.SchedulerTick;
+import org.hibiscususher.core.scheduler.world.StopReason;
+
+/**
+ * Stops runs that stand still or are far slower than they should be, so that they go on elsewhere.
+ *
+ * <p>Answers executors that are slow or hang although they answer well: the progress that they list
+ * tells how long a run will take, against the estimate of its step.
+ */
+public final class StallSystem {
+    /** Time without progress after which a run counts as standing still, in milliseconds. */
+    private static final long STILL_MS = 800;
+
+    /** Progress that a run makes in the time for which its listed progress may stay the same. */
+    private static final int STILL_PERCENT = 5;
+
+    /** The same for a lasting task, which takes some time to start. */
+    private static final long STILL_LASTING_MS = 2_500;
+
+    /** Youngest run whose pace is judged, in milliseconds. */
+    private static final long MIN_AGE_MS = 400;
+
+    /** A run is slow if it would take more than so many times its estimate. */
+    private static final int SLOW_FACTOR = 3;
+
+    private static final long SLOW_SLACK_MS = 500;
+
+    /** Runs of a task in one term that may be stopped for being slow. */
+    private static final int MAX_STOPPED_RUNS = 2;
+
+    private static final long HUNG_ASIDE_MS = 4_000;
+    private static final long SLOW_ASIDE_MS = 2_500;
+    private static final int FULL = 100;
+
+    private StallSystem() {}
+
+    /** Runs over the executors that have just told their runs. */
+    public static void run(SchedulerTick tick) {
+        if (!Authority.mayStart(tick)) {
+            return;
+        }
+        for (HoldAnswered answer : tick.inputs(HoldAnswered.class)) {
+            for (RunRow run : List.copyOf(tick.world().runs().group(answer.executor()))) {
+                StepSpec spec = Jobs.specOf(tick.world(), run.task().stepKey()).orElse(null);
+                if (spec != null && run.stage() == RunStage.RUNNING && run.percent() < FULL) {
+                    judge(tick, run, spec);
+                }
+            }
+        }
+    }
+
+    private static void judge(SchedulerTick tick, RunRow run, StepSpec spec) {
+        long stillMs = tick.nowMs() - run.progressMs();
+        long ageMs = tick.nowMs() - run.settledMs();
+        if (spec.gang() || run.pace() < FULL) {
+            return;
+        }
+        if (stillMs > stillLimitMs(spec)) {
+            stop(tick, run, HUNG_ASIDE_MS, "hung");
+        } else if (!spec.lasting()
+                && isSlow(ageMs, run.percent(), spec.estimateMs())
+                && run.run() % Runs.RUNS_PER_TERM <= MAX_STOPPED_RUNS) {
+            stop(tick, run, SLOW_ASIDE_MS, "slow");
+        }
+    }
+
+    /** Returns for how long a run's listed progress may stay the same. */
+    private static long stillLimitMs(StepSpec spec) {
+        long perPercentMs = spec.estimateMs() / FULL;
+        return spec.lasting() ? STILL_LASTING_MS : Math.max(STILL_MS, STILL_PERCENT * perPercentMs);
+    }
+
+    /**
+     * Returns whether a run would better begin anew elsewhere.
+     *
+     * @param ageMs how long it has run
+     * @param percent part of its work that is done
+     * @param estimateMs how long it should take; 0 if unknown
+     */
+    static boolean isSlow(long ageMs, int percent, long estimateMs) {
+        if (estimateMs <= 0 || ageMs < MIN_AGE_MS) {
+            return false;
+        }
+        long wholeMs = ageMs * FULL / Math.max(1, percent);
+        boolean slow = wholeMs > SLOW_FACTOR * estimateMs + SLOW_SLACK_MS;
+        return slow && wholeMs - ageMs > 2 * estimateMs;
+    }
+
+    private static void stop(SchedulerTick tick, RunRow run, long asideMs, String reason) {
+        Standings.aside(tick, run.executor(), asideMs, reason);
+        Runs.stop(tick, run, StopReason.STALLED);
+    }
+}
--- a/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/MoveSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/MoveSystem.java
@@ -38,7 +38,7 @@
     private static final int GIVE_PERCENT = 80;
 
     /** Hosts that a pool keeps in any case. */
-    private static final int KEEP_HOSTS = 2;
+    private static final int KEEP_HOSTS = 5;
 
     /** Hosts on their way at a time. */
     private static final int MAX_MOVING = 24;
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerWorld.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerWorld.java
@@ -12,25 +12,25 @@
 import org.hibiscususher.core.scheduler.message.RecordName;
 import org.hibiscususher.core.scheduler.message.StoredRecord;
 import org.hibiscususher.core.table.GroupedTable;
-import org.hibiscususher.core.table.SingleRow;
+import org.hibiscususher.core.table.Single;
 import org.hibiscususher.core.table.Table;
 
 /** The tables of the scheduler. Not thread-safe: they belong to the control thread. */
 public final class SchedulerWorld {
     private final SchedulerSettings mSettings;
-    private final SingleRow<TermRow> mTerm = SingleRow.of(TermRow.initial());
-    private final SingleRow<OwnershipRow> mOwnership =
-            SingleRow.of(new OwnershipRow(false, Ownership.NONE, 0));
-    private final SingleRow<ClaimRow> mClaim = SingleRow.of(ClaimRow.NONE);
-    private final SingleRow<RenewalRow> mRenewal = SingleRow.of(new RenewalRow(0, 0));
-    private final SingleRow<ClockRow> mClock = SingleRow.of(new ClockRow(0, 0));
-    private final SingleRow<NodeStateRow> mNode = SingleRow.of(new NodeStateRow(false, true, 0));
-    private final SingleRow<PlanRow> mPlan = SingleRow.of(new PlanRow(JobPlan.EMPTY, 0));
-    private final SingleRow<StoreRow> mStore = SingleRow.of(new StoreRow(0, 0));
-    private final SingleRow<StoredRecord.Executors> mUsedExecutors =
-            SingleRow.of(new StoredRecord.Executors(List.of()));
-    private final SingleRow<HostListRow> mHostList = SingleRow.of(new HostListRow(0, 0, 0));
-    private final SingleRow<Optional<CommitRow>> mCommit = SingleRow.of(Optional.empty());
+    private final Single<TermRow> mTerm = Single.of(TermRow.initial());
+    private final Single<OwnershipRow> mOwnership =
+            Single.of(new OwnershipRow(false, Ownership.NONE, 0));
+    private final Single<ClaimRow> mClaim = Single.of(ClaimRow.NONE);
+    private final Single<RenewalRow> mRenewal = Single.of(new RenewalRow(0, 0));
+    private final Single<ClockRow> mClock = Single.of(new ClockRow(0, 0));
+    private final Single<NodeStateRow> mNode = Single.of(new NodeStateRow(false, true, 0));
+    private final Single<PlanRow> mPlan = Single.of(new PlanRow(JobPlan.EMPTY, 0));
+    private final Single<StoreRow> mStore = Single.of(new StoreRow(0, 0));
+    private final Single<StoredRecord.Executors> mUsedExecutors =
+            Single.of(new StoredRecord.Executors(List.of()));
+    private final Single<HostListRow> mHostList = Single.of(new HostListRow(0, 0, 0));
+    private final Single<Optional<CommitRow>> mCommit = Single.of(Optional.empty());
     private final Table<RecordName, Long> mRevisions = Table.create();
     private final Table<RecordName, StoredRecord> mPendingRecords = Table.create();
     private final Table<RecordName, Long> mPendingRemovals = Table.create();
@@ -67,57 +67,57 @@
     }
 
     /** Returns the process's part in the ownership. */
-    public SingleRow<TermRow> term() {
+    public Single<TermRow> term() {
         return mTerm;
     }
 
     /** Returns who owns the scheduling. */
-    public SingleRow<OwnershipRow> ownership() {
+    public Single<OwnershipRow> ownership() {
         return mOwnership;
     }
 
     /** Returns the claim of the ownership that is under way. */
-    public SingleRow<ClaimRow> claim() {
+    public Single<ClaimRow> claim() {
         return mClaim;
     }
 
     /** Returns the renewal that is awaited. */
-    public SingleRow<RenewalRow> renewal() {
+    public Single<RenewalRow> renewal() {
         return mRenewal;
     }
 
     /** Returns the times of the last tick. */
-    public SingleRow<ClockRow> clock() {
+    public Single<ClockRow> clock() {
         return mClock;
     }
 
     /** Returns what the process tells the balancer. */
-    public SingleRow<NodeStateRow> node() {
+    public Single<NodeStateRow> node() {
         return mNode;
     }
 
     /** Returns the configuration in force. */
-    public SingleRow<PlanRow> plan() {
+    public Single<PlanRow> plan() {
         return mPlan;
     }
 
     /** Returns how the store answers. */
-    public SingleRow<StoreRow> store() {
+    public Single<StoreRow> store() {
         return mStore;
     }
 
     /** Returns the executors in use, as they were last handed to the store. */
-    public SingleRow<StoredRecord.Executors> usedExecutors() {
+    public Single<StoredRecord.Executors> usedExecutors() {
         return mUsedExecutors;
     }
 
     /** Returns the state of the list of hosts. */
-    public SingleRow<HostListRow> hostList() {
+    public Single<HostListRow> hostList() {
         return mHostList;
     }
 
     /** Returns the commit under way. */
-    public SingleRow<Optional<CommitRow>> commit() {
+    public Single<Optional<CommitRow>> commit() {
         return mCommit;
     }
 
--- a/core/src/main/java/org/hibiscususher/core/table/SingleRow.java
+++ b/core/src/main/java/org/hibiscususher/core/table/Single.java
@@ -9,16 +9,16 @@
  *
  * @param <R> the type of the row
  */
-public final class SingleRow<R> {
+public final class Single<R> {
     private R mRow;
 
-    private SingleRow(R row) {
+    private Single(R row) {
         mRow = requireNonNull(row);
     }
 
     /** Creates a holder of the given row. */
-    public static <R> SingleRow<R> of(R row) {
-        return new SingleRow<>(row);
+    public static <R> Single<R> of(R row) {
+        return new Single<>(row);
     }
 
     /** Returns the row. */
--- /dev/null
+++ b/wire/src/test/java/org/hibiscususher/wire/scheduler/StoredRecordCodecTest.java
@@ -0,0 +1,104 @@
+package org.hibiscususher.wire.scheduler;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.IOException;
+import java.math.BigInteger;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+import org.hibiscususher.core.job.AnswerKind;
+import org.hibiscususher.core.job.CallKind;
+import org.hibiscususher.core.job.JobAnswer;
+import org.hibiscususher.core.job.JobCall;
+import org.hibiscususher.core.job.JobSpec;
+import org.hibiscususher.core.job.JobState;
+import org.hibiscususher.core.job.JobTerms;
+import org.hibiscususher.core.job.Resources;
+import org.hibiscususher.core.job.StepSpec;
+import org.hibiscususher.core.scheduler.message.StepMark;
+import org.hibiscususher.core.scheduler.message.StoredRecord;
+import org.hibiscususher.core.scheduler.message.TaskMark;
+import org.hibiscususher.core.scheduler.message.UsedExecutor;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+class StoredRecordCodecTest {
+    private static final StepSpec STEP =
+            new StepSpec(
+                    3,
+                    Resources.of(1, 2, 3),
+                    4,
+                    List.of(0),
+                    true,
+                    true,
+                    true,
+                    "l",
+                    "r",
+                    5,
+                    true,
+                    true,
+                    "i",
+                    6,
+                    true,
+                    7);
+    private static final JobSpec SPEC =
+            new JobSpec(
+                    "text", List.of(StepSpec.of(1, Resources.NONE, 9, List.of()), STEP), 2, 3, 4);
+
+    static Stream<StoredRecord> records() {
+        return Stream.of(
+                new StoredRecord.Owner("n", 5, "a:1"),
+                new StoredRecord.Term(7, "n", 5, true, "a:1"),
+                new StoredRecord.Job("id", new JobTerms("q", "p", 1, 2, 1.6, 600), "t", SPEC, 99),
+                new StoredRecord.Progress(
+                        "id",
+                        JobState.RUNNING,
+                        List.of(new StepMark(1, 0, BigInteger.valueOf(5).shiftLeft(70))),
+                        List.of(new TaskMark(1, 0, 3, List.of(1, 1001), "saved"))),
+                new StoredRecord.Executors(List.of(new UsedExecutor("x", "p"))),
+                new StoredRecord.Wave(3, List.of("h1", "h2")));
+    }
+
+    @Nested
+    class Records {
+        @Test
+        void ofAWavesStatusAreInAnotherFormat() {
+            assertThatThrownBy(() -> StoredRecordCodec.encode(new StoredRecord.WaveStatus(1, true)))
+                    .isInstanceOf(IllegalArgumentException.class);
+        }
+
+        @Test
+        void thatAreNoneAreRefused() {
+            assertThatThrownBy(() -> StoredRecordCodec.decode(new byte[] {1, 2, 3}))
+                    .isInstanceOf(IOException.class);
+            assertThatThrownBy(() -> StoredRecordCodec.decode(new byte[0]))
+                    .isInstanceOf(IOException.class);
+        }
+    }
+
+    @ParameterizedTest
+    @MethodSource("records")
+    void keepsEachRecord(StoredRecord record) throws IOException {
+        assertThat(StoredRecordCodec.decode(StoredRecordCodec.encode(record))).isEqualTo(record);
+    }
+
+    @Nested
+    class Links {
+        @Test
+        void keepRequestsAndAnswers() throws IOException {
+            JobCall call = new JobCall(CallKind.SUBMIT, "h", "/p/", "key", Optional.of(SPEC), 2);
+            JobAnswer answer = JobAnswer.refusal(AnswerKind.OVERLOADED, 1_500, "why");
+            for (LinkMessage message :
+                    List.of(
+                            LinkMessage.of(4, call),
+                            LinkMessage.of(5, answer),
+                            LinkMessage.ofYield(6, 7))) {
+                assertThat(LinkCodec.decode(LinkCodec.encode(message))).isEqualTo(message);
+            }
+        }
+    }
+}
