--- a/cli/src/main/java/org/hibiscususher/cli/Command.java
+++ b/cli/src/main/java/org/hibiscususher/cli/Command.java
@@ -5,8 +5,11 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.Stream;
 import org.hibiscususher.core.config.KeyDigest;
 import org.hibiscususher.core.message.Output.AnswerHistory;
 import org.hibiscususher.core.message.Output.AnswerNote;
@@ -122,6 +125,19 @@
             return WaveText.call(call, "show");
         }
     },
+    TRACE("trace ID FILE...", "print what the logs in the files say of a job, in order") {
+        @Override
+        ExitCode run(Invocation call) throws IOException {
+            String[] words = call.operand().split(" ");
+            List<String> lines = new ArrayList<>();
+            for (String file : Arrays.asList(words).subList(1, words.length)) {
+                lines.addAll(Files.readAllLines(Path.of(file)));
+            }
+            List<String> trace = TraceText.of(words[0], lines);
+            trace.forEach(call.out()::println);
+            return trace.isEmpty() ? ExitCode.FAILED : ExitCode.OK;
+        }
+    },
     KEY("key", "read a secret from standard input and print its digest") {
         @Override
         ExitCode run(Invocation call) throws IOException {
@@ -131,7 +147,7 @@
         }
     };
 
-    private static final String MANY = " POOL...";
+    private static final String MANY = "...";
 
     private final String mUsage;
     private final String mSummary;
@@ -177,8 +193,10 @@
         return !mUsage.endsWith(MANY) && Character.isUpperCase(mUsage.charAt(mUsage.length() - 1));
     }
 
+    /** Returns the command's name: the words of its usage that are not operands. */
     private List<String> words() {
-        List<String> words = List.of(mUsage.replace(MANY, "").split(" "));
-        return hasOperand() ? words.subList(0, words.size() - 1) : words;
+        return Stream.of(mUsage.split(" "))
+                .filter(word -> Character.isLowerCase(word.charAt(0)))
+                .toList();
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/StoredRecord.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/StoredRecord.java
@@ -40,11 +40,20 @@
      * @param incarnation start of its process, in milliseconds since the epoch
      * @param released whether the owner gave the ownership up itself
      * @param address where the owner took forwarded requests
+     * @param open once released: tasks that may run or have ended without the store holding it, by
+     *     their text, and jobs of which this holds for any task, by their id
      */
-    record Term(long generation, String node, long incarnation, boolean released, String address)
+    record Term(
+            long generation,
+            String node,
+            long incarnation,
+            boolean released,
+            String address,
+            List<String> open)
             implements StoredRecord {
         /** Checks the parts. */
         public Term {
+            open = List.copyOf(open);
             requireNonNull(address);
             requireNonNull(node);
         }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/Commits.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/Commits.java
@@ -20,6 +20,7 @@
 import org.hibiscususher.core.scheduler.world.CommitPurpose;
 import org.hibiscususher.core.scheduler.world.CommitRow;
 import org.hibiscususher.core.scheduler.world.JobRow;
+import org.hibiscususher.core.scheduler.world.RunRow;
 import org.hibiscususher.core.scheduler.world.SchedulerSettings;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
@@ -159,7 +160,12 @@
         SchedulerSettings self = tick.world().settings();
         StoredRecord.Term released =
                 new StoredRecord.Term(
-                        term.generation(), self.node(), self.incarnation(), true, self.address());
+                        term.generation(),
+                        self.node(),
+                        self.incarnation(),
+                        true,
+                        self.address(),
+                        open(tick.world(), commit));
         List<RecordWrite> writes = new ArrayList<>(commit.writes());
         writes.add(RecordWrite.of(released));
         return new CommitRow(
@@ -175,6 +181,20 @@
                 1);
     }
 
+    /** Returns what a later owner can't know from the records alone. */
+    private static List<String> open(SchedulerWorld world, CommitRow commit) {
+        List<String> open = new ArrayList<>();
+        for (RunRow run : world.runs().rows()) {
+            open.add(run.task().text());
+        }
+        for (JobRow job : world.jobs().rows()) {
+            if (job.version() > commit.versions().getOrDefault(job.id(), job.storedVersion())) {
+                open.add(job.id());
+            }
+        }
+        return open;
+    }
+
     /** Applies that a record is stored. */
     static void stored(SchedulerTick tick, StoredRecord record, Map<String, Long> versions) {
         SchedulerWorld world = tick.world();
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/Takeover.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/Takeover.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import org.hibiscususher.core.job.JobState;
 import org.hibiscususher.core.job.Resources;
 import org.hibiscususher.core.scheduler.job.Jobs;
@@ -17,6 +18,7 @@
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 import org.hibiscususher.core.scheduler.world.SchedulerTiming;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
+import org.hibiscususher.core.scheduler.world.TaskRow;
 import org.hibiscususher.core.scheduler.world.TermRow;
 import org.hibiscususher.core.scheduler.world.TermStage;
 
@@ -52,6 +54,7 @@
         for (JobRow job : world.jobs().rows()) {
             Jobs.openDue(tick, job.id());
         }
+        world.claim().get().open().ifPresent(open -> clearDoubt(world, new HashSet<>(open)));
         tick.log(
                 "takeover",
                 "generation="
@@ -64,6 +67,15 @@
                         + (tick.nowMs() - term.takenMs()));
     }
 
+    /** Frees tasks of which the earlier owner told that nothing is open. */
+    private static void clearDoubt(SchedulerWorld world, Set<String> open) {
+        for (TaskRow task : world.tasks().rows()) {
+            if (!open.contains(task.key().text()) && !open.contains(task.key().jobId())) {
+                world.tasks().put(task.key(), task.certain());
+            }
+        }
+    }
+
     private static JobRow row(SchedulerTick tick, StoredRecord.Job job) {
         long ageMs = Math.max(0, tick.wallMs() - job.acceptedMs());
         return new JobRow(
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/TermSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/TermSystem.java
@@ -195,7 +195,12 @@
                 new StoredRecord.Owner(self.node(), self.incarnation(), self.address());
         StoredRecord.Term next =
                 new StoredRecord.Term(
-                        claim.generation(), self.node(), self.incarnation(), false, self.address());
+                        claim.generation(),
+                        self.node(),
+                        self.incarnation(),
+                        false,
+                        self.address(),
+                        List.of());
         tick.emit(
                 new Commit(
                         callId,
@@ -213,7 +218,8 @@
                 validUntilMs,
                 last.map(StoredRecord.Term::node).orElse(""),
                 last.map(StoredRecord.Term::address).orElse(""),
-                last.map(t -> endedFor(t, self)).orElse(true));
+                last.map(t -> endedFor(t, self)).orElse(true),
+                last.filter(StoredRecord.Term::released).map(StoredRecord.Term::open));
     }
 
     /** Returns whether the process of an earlier term surely gives no more orders. */
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/ClaimRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/ClaimRow.java
@@ -2,6 +2,10 @@
 
 import static java.util.Objects.requireNonNull;
 
+import java.util.List;
+import java.util.Optional;
+import org.hibiscususher.core.scheduler.message.StoredRecord;
+
 /**
  * The claim of the ownership that is under way.
  *
@@ -10,19 +14,22 @@
  * @param predecessor owner of the term before; empty if there was none
  * @param predecessorAddress where that owner takes forwarded requests
  * @param released whether that owner surely gives no more orders
+ * @param open what that owner left open, if it told; see {@link StoredRecord.Term#open()}
  */
 public record ClaimRow(
         long generation,
         long validUntilMs,
         String predecessor,
         String predecessorAddress,
-        boolean released) {
+        boolean released,
+        Optional<List<String>> open) {
     /** No claim. */
-    public static final ClaimRow NONE = new ClaimRow(0, 0, "", "", true);
+    public static final ClaimRow NONE = new ClaimRow(0, 0, "", "", true, Optional.empty());
 
     /** Checks the parts. */
     public ClaimRow {
         requireNonNull(predecessor);
         requireNonNull(predecessorAddress);
+        requireNonNull(open);
     }
 }
--- a/wire/src/main/java/org/hibiscususher/wire/scheduler/StoredRecordCodec.java
+++ b/wire/src/main/java/org/hibiscususher/wire/scheduler/StoredRecordCodec.java
@@ -35,7 +35,8 @@
                     .setNode(term.node())
                     .setIncarnation(term.incarnation())
                     .setReleased(term.released())
-                    .setAddress(term.address());
+                    .setAddress(term.address())
+                    .addAllOpen(term.open());
         } else if (record instanceof StoredRecord.Job job) {
             builder.setJob(encode(job));
         } else if (record instanceof StoredRecord.Progress progress) {
@@ -113,7 +114,8 @@
                             record.getTerm().getNode(),
                             record.getTerm().getIncarnation(),
                             record.getTerm().getReleased(),
-                            record.getTerm().getAddress());
+                            record.getTerm().getAddress(),
+                            record.getTerm().getOpenList());
             case JOB -> decode(record.getJob());
             case PROGRESS -> decode(record.getProgress());
             case EXECUTORS -> decode(record.getExecutors());
