--- a/core/src/main/java/org/hibiscususher/core/job/JobTerms.java
+++ b/core/src/main/java/org/hibiscususher/core/job/JobTerms.java
@@ -11,9 +11,16 @@
  * @param attempts how many failed runs of a task end the job
  * @param extension factor on the longest chain within which the job should be done
  * @param objectiveMs milliseconds that come on top
+ * @param advised whether only an outside service knows which executors may run a step
  */
 public record JobTerms(
-        String queue, String pool, int priority, int attempts, double extension, long objectiveMs) {
+        String queue,
+        String pool,
+        int priority,
+        int attempts,
+        double extension,
+        long objectiveMs,
+        boolean advised) {
     /** Checks the parts. */
     public JobTerms {
         requireNonNull(queue);
--- a/core/src/main/java/org/hibiscususher/core/scheduler/control/SchedulerPhase.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/control/SchedulerPhase.java
@@ -1,6 +1,7 @@
 package org.hibiscususher.core.scheduler.control;
 
 import org.hibiscususher.core.scheduler.executor.DoubtSystem;
+import org.hibiscususher.core.scheduler.executor.DrainedExecutorSystem;
 import org.hibiscususher.core.scheduler.executor.ExecutorSystem;
 import org.hibiscususher.core.scheduler.executor.HoldSystem;
 import org.hibiscususher.core.scheduler.executor.PaceSystem;
@@ -8,6 +9,7 @@
 import org.hibiscususher.core.scheduler.executor.StallSystem;
 import org.hibiscususher.core.scheduler.job.CallSystem;
 import org.hibiscususher.core.scheduler.job.JobSystem;
+import org.hibiscususher.core.scheduler.placement.AdviceSystem;
 import org.hibiscususher.core.scheduler.placement.PlacementSystem;
 import org.hibiscususher.core.scheduler.term.CommitSystem;
 import org.hibiscususher.core.scheduler.term.TermSystem;
@@ -102,6 +104,18 @@
             StallSystem.run(tick);
         }
     },
+    DRAINED_EXECUTOR {
+        @Override
+        void run(SchedulerTick tick) {
+            DrainedExecutorSystem.run(tick);
+        }
+    },
+    ADVICE {
+        @Override
+        void run(SchedulerTick tick) {
+            AdviceSystem.run(tick);
+        }
+    },
     PLACEMENT {
         @Override
         void run(SchedulerTick tick) {
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/RunSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/RunSystem.java
@@ -79,6 +79,10 @@
                 Standings.aside(tick, run.executor(), UNHEALTHY_ASIDE_MS, "unhealthy");
                 Runs.gone(tick, run, "refused", 0);
             }
+            case NO_TICKET -> {
+                world.advice().remove(run.task().stepKey());
+                Runs.gone(tick, run, "refused", 0);
+            }
             case INVALID -> Runs.gone(tick, run, "refused", INVALID_REST_MS);
             default -> Runs.gone(tick, run, "refused", 0);
         }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/CallSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/CallSystem.java
@@ -93,9 +93,25 @@
     }
 
     private static void refuse(SchedulerTick tick, CallRow call, AnswerKind kind, String reason) {
-        tick.log("refused", "call=" + call.call().path() + " kind=" + kind + " reason=" + reason);
+        refuse(tick, call, kind, reason, RETRY_AFTER_MS);
+    }
+
+    private static void refuse(
+            SchedulerTick tick, CallRow call, AnswerKind kind, String reason, long retryAfterMs) {
+        tick.log(
+                "refused",
+                "call="
+                        + call.call().path()
+                        + " kind="
+                        + kind
+                        + " reason="
+                        + reason
+                        + " plan="
+                        + tick.world().plan().get().plan().version()
+                        + " retry_after_ms="
+                        + retryAfterMs);
         tick.count("refused." + reason);
-        tick.emit(new Answer(call.callId(), JobAnswer.refusal(kind, RETRY_AFTER_MS, reason)));
+        tick.emit(new Answer(call.callId(), JobAnswer.refusal(kind, retryAfterMs, reason)));
     }
 
     private static void decide(SchedulerTick tick, CallRow row) {
@@ -188,10 +204,13 @@
             }
             return;
         }
+        long retryAfterMs = Backlog.retryAfterMs(world, queue.terms().pool(), id);
         JobSpec spec = row.call().spec().orElse(JobSpec.once("", List.of()));
         Optional<String> problem = Admission.problem(world, queue, spec, id);
         if (problem.isPresent()) {
             refuse(tick, row, AnswerKind.INVALID, problem.get());
+        } else if (retryAfterMs > 0 && !spec.isLasting()) {
+            refuse(tick, row, AnswerKind.OVERLOADED, "backlog", retryAfterMs);
         } else if (isStoreAway(tick)) {
             refuse(tick, row, AnswerKind.UNAVAILABLE, "store-away");
         } else {
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/SchedulerInput.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/SchedulerInput.java
@@ -1,10 +1,12 @@
 package org.hibiscususher.core.scheduler.message;
 
 import java.util.List;
+import java.util.Map;
 import org.hibiscususher.core.job.JobCall;
 import org.hibiscususher.core.job.JobPlan;
 import org.hibiscususher.core.job.ListedEnd;
 import org.hibiscususher.core.job.ListedRun;
+import org.hibiscususher.core.job.StepKey;
 import org.hibiscususher.core.job.TaskKey;
 
 /** Something that happened, told to the scheduler. */
@@ -116,6 +118,18 @@
     record StopAnswered(long callId, TaskKey task, int run, StopResult result)
             implements SchedulerInput {}
 
+    /** Which of the executors that were asked for may run a step. */
+    record AdviceGiven(long callId, StepKey step, Map<String, String> tickets, long validMs)
+            implements SchedulerInput {
+        /** Copies the map. */
+        public AdviceGiven {
+            tickets = Map.copyOf(tickets);
+        }
+    }
+
+    /** No advice on a step came. */
+    record AdviceFailed(long callId, StepKey step) implements SchedulerInput {}
+
     /** The hosts of all pools. */
     record HostsListed(long callId, List<HostReport> hosts) implements SchedulerInput {
         /** Copies the list. */
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/SchedulerOutput.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/SchedulerOutput.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import org.hibiscususher.core.job.JobAnswer;
 import org.hibiscususher.core.job.JobCall;
+import org.hibiscususher.core.job.StepKey;
 import org.hibiscususher.core.job.TaskKey;
 
 /** Something that the scheduler wants done. */
@@ -75,6 +76,7 @@
      * @param run number of the run
      * @param text what to run
      * @param checkpoint saved state to go on from; empty for none
+     * @param ticket permission to run the step there; empty if none is needed
      * @param deadlineMs until when the order is valid, on the executor's clock
      */
     record StartRun(
@@ -86,6 +88,7 @@
             int run,
             String text,
             String checkpoint,
+            String ticket,
             long deadlineMs)
             implements SchedulerOutput {}
 
@@ -97,6 +100,14 @@
     record PaceRun(String executor, String address, long fence, TaskKey task, int run, int percent)
             implements SchedulerOutput {}
 
+    /** Asks which of some executors may run a step. */
+    record AskAdvice(long callId, StepKey step, List<String> executors) implements SchedulerOutput {
+        /** Copies the list. */
+        public AskAdvice {
+            executors = List.copyOf(executors);
+        }
+    }
+
     /** Lists the hosts of all pools. */
     record ListHosts(long callId) implements SchedulerOutput {}
 
--- a/core/src/main/java/org/hibiscususher/core/scheduler/placement/PlacementSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/placement/PlacementSystem.java
@@ -119,7 +119,7 @@
         if (!use.staysWithin(limit(world, job.team()))) {
             return false;
         }
-        Optional<ExecutorRow> executor = Site.find(world, room, task, spec);
+        Optional<ExecutorRow> executor = Site.find(tick, room, task, spec);
         if (executor.isEmpty()) {
             return false;
         }
@@ -160,7 +160,7 @@
         }
         List<ExecutorRow> sites = new ArrayList<>();
         for (TaskRow task : members) {
-            Optional<ExecutorRow> site = Site.find(world, room, task, spec);
+            Optional<ExecutorRow> site = Site.find(tick, room, task, spec);
             if (site.isEmpty()) {
                 sites.forEach(s -> room.take(s.id(), Resources.NONE.minus(spec.reserved())));
                 return;
@@ -232,6 +232,7 @@
                         number,
                         job.spec().text(),
                         task.checkpoint(),
+                        AdviceSystem.ticket(tick, task.key().stepKey(), executor.id()).orElse(""),
                         deadlineMs));
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/placement/Site.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/placement/Site.java
@@ -5,6 +5,7 @@
 import org.hibiscususher.core.job.StepKey;
 import org.hibiscususher.core.job.StepSpec;
 import org.hibiscususher.core.scheduler.world.ExecutorRow;
+import org.hibiscususher.core.scheduler.world.SchedulerTick;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
 import org.hibiscususher.core.scheduler.world.TaskRow;
 
@@ -19,13 +20,12 @@
      * comes last; then the one with the most free processor time for tasks that serve, the least
      * for others, so that room for wide tasks stays.
      */
-    static Optional<ExecutorRow> find(
-            SchedulerWorld world, Room room, TaskRow task, StepSpec spec) {
+    static Optional<ExecutorRow> find(SchedulerTick tick, Room room, TaskRow task, StepSpec spec) {
         ExecutorRow best = null;
         long bestRank = Long.MAX_VALUE;
         for (ExecutorRow row : room.executors()) {
             Resources free = room.free(row.id());
-            if (spec.reserved().fitsIn(free) && isAllowed(world, row, task, spec)) {
+            if (spec.reserved().fitsIn(free) && isAllowed(tick, row, task, spec)) {
                 long rank = rank(row, task, spec, free, room.runs(row.id()));
                 if (rank < bestRank) {
                     best = row;
@@ -37,15 +37,21 @@
     }
 
     private static boolean isAllowed(
-            SchedulerWorld world, ExecutorRow row, TaskRow task, StepSpec spec) {
+            SchedulerTick tick, ExecutorRow row, TaskRow task, StepSpec spec) {
         String label = spec.requiredLabel();
         if (!label.isEmpty() && !row.report().labels().contains(label)) {
             return false;
         }
+        StepKey step = task.key().stepKey();
+        SchedulerWorld world = tick.world();
+        boolean advised =
+                world.jobs().find(step.jobId()).filter(j -> j.terms().advised()).isPresent();
+        if (advised && AdviceSystem.ticket(tick, step, row.id()).isEmpty()) {
+            return false;
+        }
         if (spec.maxPerExecutor() <= 0) {
             return true;
         }
-        StepKey step = task.key().stepKey();
         long there =
                 world.runs().group(row.id()).stream()
                         .filter(r -> r.task().stepKey().equals(step))
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/AdviceCallRow.java
@@ -0,0 +1,20 @@
+package org.hibiscususher.core.scheduler.world;
+
+import java.util.List;
+
+/**
+ * The request for advice that is awaited; there is at most one.
+ *
+ * @param callId the call; 0 for none
+ * @param sentMs when it was sent
+ * @param executors executors that it asks for
+ */
+public record AdviceCallRow(long callId, long sentMs, List<String> executors) {
+    /** No request. */
+    public static final AdviceCallRow NONE = new AdviceCallRow(0, 0, List.of());
+
+    /** Copies the list. */
+    public AdviceCallRow {
+        executors = List.copyOf(executors);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/AdviceRow.java
@@ -0,0 +1,25 @@
+package org.hibiscususher.core.scheduler.world;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.Map;
+import java.util.Set;
+import org.hibiscususher.core.job.StepKey;
+
+/**
+ * Which executors may run a step of a queue whose policy is asked elsewhere.
+ *
+ * @param step the step
+ * @param tickets permissions by executor
+ * @param asked executors that were asked for
+ * @param validUntilMs until when the permissions hold
+ */
+public record AdviceRow(
+        StepKey step, Map<String, String> tickets, Set<String> asked, long validUntilMs) {
+    /** Copies the parts. */
+    public AdviceRow {
+        requireNonNull(step);
+        tickets = Map.copyOf(tickets);
+        asked = Set.copyOf(asked);
+    }
+}
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerWorld.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerWorld.java
@@ -47,6 +47,8 @@
     private final GroupedTable<EndKey, EndRow, String> mEnds =
             GroupedTable.createBy(e -> e.key().executor());
     private final Table<StartKey, UncertainStartRow> mUncertainStarts = Table.create();
+    private final Table<StepKey, AdviceRow> mAdvice = Table.create();
+    private final Single<AdviceCallRow> mAdviceCall = Single.of(AdviceCallRow.NONE);
     private final Table<Long, CallRow> mCalls = Table.create();
     private final Table<Long, WaveRow> mWaves = Table.create();
     private final Table<String, HostReport> mHosts = Table.create();
@@ -181,6 +183,16 @@
         return mUncertainStarts;
     }
 
+    /** Returns which executors may run the steps of queues whose policy is asked elsewhere. */
+    public Table<StepKey, AdviceRow> advice() {
+        return mAdvice;
+    }
+
+    /** Returns the request for advice that is awaited. */
+    public Single<AdviceCallRow> adviceCall() {
+        return mAdviceCall;
+    }
+
     /** Returns the callers' requests that wait. */
     public Table<Long, CallRow> calls() {
         return mCalls;
@@ -225,6 +237,7 @@
                 mStandings,
                 mEnds,
                 mUncertainStarts,
+                mAdvice,
                 mHosts,
                 mHostTasks);
     }
--- a/core/src/test/java/org/hibiscususher/core/job/JobPlanTest.java
+++ b/core/src/test/java/org/hibiscususher/core/job/JobPlanTest.java
@@ -16,7 +16,7 @@
                     List.of(new JobTeam("team", 1, Resources.NONE, Set.of("k1", "k2"))));
 
     private static JobQueue queue(String name, String prefix) {
-        return new JobQueue("h", prefix, false, new JobTerms(name, "pool", 0, 2, 1.5, 600));
+        return new JobQueue("h", prefix, false, new JobTerms(name, "pool", 0, 2, 1.5, 600, false));
     }
 
     @Nested
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/SchedulerSite.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/SchedulerSite.java
@@ -131,7 +131,7 @@
     }
 
     JobPlan plan() {
-        JobTerms terms = new JobTerms("queue", POOL, 0, ATTEMPTS, 2, 500);
+        JobTerms terms = new JobTerms("queue", POOL, 0, ATTEMPTS, 2, 500, false);
         return new JobPlan(
                 1,
                 List.of(new JobQueue(HOST, PREFIX, false, terms)),
--- a/wire/src/main/java/org/hibiscususher/wire/scheduler/StoredRecordCodec.java
+++ b/wire/src/main/java/org/hibiscususher/wire/scheduler/StoredRecordCodec.java
@@ -67,6 +67,7 @@
                 .setAttempts(job.terms().attempts())
                 .setExtension(job.terms().extension())
                 .setObjectiveMs(job.terms().objectiveMs())
+                .setAdvised(job.terms().advised())
                 .setTeam(job.team())
                 .setSpec(SpecCodec.encode(job.spec()))
                 .setAcceptedMs(job.acceptedMs())
@@ -134,7 +135,8 @@
                         job.getPriority(),
                         job.getAttempts(),
                         job.getExtension(),
-                        job.getObjectiveMs());
+                        job.getObjectiveMs(),
+                        job.getAdvised());
         return new StoredRecord.Job(
                 job.getId(),
                 terms,
--- a/wire/src/test/java/org/hibiscususher/wire/scheduler/StoredRecordCodecTest.java
+++ b/wire/src/test/java/org/hibiscususher/wire/scheduler/StoredRecordCodecTest.java
@@ -53,7 +53,8 @@
         return Stream.of(
                 new StoredRecord.Owner("n", 5, "a:1"),
                 new StoredRecord.Term(7, "n", 5, true, "a:1", List.of("j", "j.0.0.1")),
-                new StoredRecord.Job("id", new JobTerms("q", "p", 1, 2, 1.6, 600), "t", SPEC, 99),
+                new StoredRecord.Job(
+                        "id", new JobTerms("q", "p", 1, 2, 1.6, 600, true), "t", SPEC, 99),
                 new StoredRecord.Progress(
                         "id",
                         JobState.RUNNING,
