--- a/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/MoveSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/MoveSystem.java
@@ -37,8 +37,8 @@
     /** The same part for a pool that gives hosts away; more, so that hosts don't go to and fro. */
     private static final int GIVE_PERCENT = 80;
 
-    /** Hosts that a pool keeps in any case. */
-    private static final int KEEP_HOSTS = 5;
+    /** Part of an even share of all hosts that a pool keeps in any case, in percent. */
+    private static final int KEEP_PERCENT = 80;
 
     /** Hosts on their way at a time. */
     private static final int MAX_MOVING = 24;
@@ -175,9 +175,9 @@
             SchedulerTick tick, Map<String, PoolNeed> needs, String taker) {
         SchedulerWorld world = tick.world();
         Map<String, Integer> left = new HashMap<>();
+        int keep = keptHosts(world);
         needs.forEach(
-                (name, need) ->
-                        left.put(name, need.surplus(GIVE_PERCENT, DEFAULT_HOST_CPU, KEEP_HOSTS)));
+                (name, need) -> left.put(name, need.surplus(GIVE_PERCENT, DEFAULT_HOST_CPU, keep)));
         List<HostReport> donors = new ArrayList<>();
         List<HostReport> spares = new ArrayList<>();
         for (HostReport host : world.hosts().rows()) {
@@ -198,6 +198,12 @@
         return donors;
     }
 
+    /** Returns how many hosts a pool keeps, so that a surge finds some before others have come. */
+    private static int keptHosts(SchedulerWorld world) {
+        int pools = Math.max(1, world.plan().get().plan().pools().size());
+        return (world.hosts().size() * KEEP_PERCENT / 100 + pools - 1) / pools;
+    }
+
     private static boolean isIdle(SchedulerTick tick, HostReport host) {
         SchedulerWorld world = tick.world();
         ExecutorRow row = world.executors().find(host.executor()).orElse(null);
