--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/CallSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/CallSystem.java
@@ -247,6 +247,6 @@
                         .get()
                         .filter(c -> tick.nowMs() - c.sentMs() > STORE_AWAY_MS)
                         .isPresent();
-        return silent || store.failedMs() > store.reachedMs();
+        return silent || store.isAway(tick.nowMs());
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/SchedulerOutput.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/SchedulerOutput.java
@@ -23,12 +23,13 @@
     /** Renews a lease of the store. */
     record RenewLease(long callId, long leaseId) implements SchedulerOutput {}
 
-    /** Changes records, all or none. */
+    /** Changes records, all or none; the answer is awaited for {@code timeoutMs}. */
     record Commit(
             long callId,
             List<RecordGuard> guards,
             List<RecordWrite> writes,
-            List<RecordName> removals)
+            List<RecordName> removals,
+            int timeoutMs)
             implements SchedulerOutput {
         /** Copies the lists. */
         public Commit {
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/CommitSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/CommitSystem.java
@@ -36,6 +36,8 @@
     /** Time after which a caller is told that the outcome is not known, in milliseconds. */
     private static final long UNKNOWN_AFTER_MS = 1_200;
 
+    private static final int FIRST_TIMEOUT_MS = 320;
+    private static final int MAX_TIMEOUT_MS = 1_500;
     private static final long RETRY_AFTER_MS = 1_000;
 
     private CommitSystem() {}
@@ -63,8 +65,7 @@
         }
         Optional<CommitRow> under = world.commit().get();
         StoreRow store = world.store().get();
-        boolean resting =
-                store.failedMs() > store.reachedMs() && tick.nowMs() - store.failedMs() < RETRY_MS;
+        boolean resting = store.isFailing() && tick.nowMs() - store.failedMs() < RETRY_MS;
         if (under.isEmpty() && !resting) {
             Commits.next(tick).ifPresent(commit -> emit(tick, commit));
         } else if (under.isPresent()
@@ -76,7 +77,18 @@
 
     private static void emit(SchedulerTick tick, CommitRow commit) {
         tick.world().commit().set(Optional.of(commit));
-        tick.emit(new Commit(commit.callId(), commit.guards(), commit.writes(), commit.removals()));
+        tick.emit(
+                new Commit(
+                        commit.callId(),
+                        commit.guards(),
+                        commit.writes(),
+                        commit.removals(),
+                        timeoutMs(commit.tries())));
+    }
+
+    /** Returns how long an answer is awaited: longer with each try, in case the store is slow. */
+    private static int timeoutMs(int tries) {
+        return Math.min(MAX_TIMEOUT_MS, FIRST_TIMEOUT_MS << Math.min(tries - 1, 3));
     }
 
     private static void committed(
@@ -84,7 +96,7 @@
         SchedulerWorld world = tick.world();
         CommitRow commit = world.commit().get().orElseThrow();
         world.commit().set(Optional.empty());
-        world.store().set(new StoreRow(tick.nowMs(), world.store().get().failedMs()));
+        world.store().set(world.store().get().reached(tick.nowMs()));
         tick.emit(new SchedulerOutput.Measure("store.commit", tick.nowMs() - commit.sentMs()));
         for (RecordName name : commit.removals()) {
             world.revisions().remove(name);
@@ -121,10 +133,11 @@
         SchedulerWorld world = tick.world();
         CommitRow commit = world.commit().get().orElseThrow();
         StoreRow store = world.store().get();
-        world.store().set(new StoreRow(store.reachedMs(), tick.nowMs()));
-        CommitRow again = commit.withFailure(tick.nowMs() + RETRY_MS, failed.uncertain());
+        world.store().set(store.failed(tick.nowMs()));
+        long restMs = failed.uncertain() ? 0 : RETRY_MS;
+        CommitRow again = commit.withFailure(tick.nowMs() + restMs, failed.uncertain());
         tick.count("store.commit-failed");
-        if (store.failedMs() <= store.reachedMs()) {
+        if (!store.isFailing()) {
             tick.log(
                     "commit-failed",
                     "uncertain="
@@ -150,7 +163,7 @@
 
     private static void giveUp(SchedulerTick tick, CallRow call, long ageMs) {
         SchedulerWorld world = tick.world();
-        boolean failing = world.store().get().failedMs() > world.store().get().reachedMs();
+        boolean failing = world.store().get().isAway(tick.nowMs());
         boolean sent = isUnderWay(world, call.job());
         boolean submit = call.call().kind() == CallKind.SUBMIT;
         if (submit && failing && !sent) {
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/TermSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/TermSystem.java
@@ -37,7 +37,6 @@
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 import org.hibiscususher.core.scheduler.world.SchedulerTiming;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
-import org.hibiscususher.core.scheduler.world.StoreRow;
 import org.hibiscususher.core.scheduler.world.TermRow;
 import org.hibiscususher.core.scheduler.world.TermStage;
 
@@ -49,6 +48,7 @@
  */
 public final class TermSystem {
     private static final long RETRY_MS = 200;
+    private static final int CLAIM_TIMEOUT_MS = 1_000;
     private static final long CALL_TIMEOUT_MS = 1_500;
 
     /** Part of a lease that is not relied on, in milliseconds. */
@@ -208,7 +208,8 @@
                                 new RecordGuard(RecordName.OWNER, seen.ownerRevision()),
                                 new RecordGuard(RecordName.TERM, seen.termRevision())),
                         List.of(new RecordWrite(owner, granted.leaseId()), RecordWrite.of(next)),
-                        List.of()));
+                        List.of(),
+                        CLAIM_TIMEOUT_MS));
     }
 
     private static ClaimRow claimRow(Ownership seen, SchedulerSettings self, long validUntilMs) {
@@ -299,7 +300,7 @@
         long ttlMs = world.settings().timing().ownerTtlMs();
         world.renewal().set(new RenewalRow(0, renewal.sentMs()));
         world.term().set(term.withValidUntil(renewal.sentMs() + ttlMs - LEASE_MARGIN_MS));
-        world.store().set(new StoreRow(tick.nowMs(), world.store().get().failedMs()));
+        world.store().set(world.store().get().reached(tick.nowMs()));
     }
 
     private static void notRenewed(SchedulerTick tick, LeaseNotRenewed failed) {
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerWorld.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerWorld.java
@@ -26,7 +26,7 @@
     private final Single<ClockRow> mClock = Single.of(new ClockRow(0, 0));
     private final Single<NodeStateRow> mNode = Single.of(new NodeStateRow(false, true, 0));
     private final Single<PlanRow> mPlan = Single.of(new PlanRow(JobPlan.EMPTY, 0));
-    private final Single<StoreRow> mStore = Single.of(new StoreRow(0, 0));
+    private final Single<StoreRow> mStore = Single.of(new StoreRow(0, 0, 0));
     private final Single<StoredRecord.Executors> mUsedExecutors =
             Single.of(new StoredRecord.Executors(List.of()));
     private final Single<HostListRow> mHostList = Single.of(new HostListRow(0, 0, 0));
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/StoreRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/StoreRow.java
@@ -5,5 +5,30 @@
  *
  * @param reachedMs when a commit last took effect
  * @param failedMs when a commit last failed
+ * @param failingSinceMs since when commits have failed without one that took effect; 0 if they
+ *     don't
  */
-public record StoreRow(long reachedMs, long failedMs) {}
+public record StoreRow(long reachedMs, long failedMs, long failingSinceMs) {
+    /** Time of failures after which the store counts as away, in milliseconds. */
+    private static final long AWAY_MS = 400;
+
+    /** Returns this row with a commit that took effect. */
+    public StoreRow reached(long nowMs) {
+        return new StoreRow(nowMs, failedMs, 0);
+    }
+
+    /** Returns this row with a commit that failed. */
+    public StoreRow failed(long nowMs) {
+        return new StoreRow(reachedMs, nowMs, failingSinceMs == 0 ? nowMs : failingSinceMs);
+    }
+
+    /** Returns whether commits fail for so long that the store counts as away. */
+    public boolean isAway(long nowMs) {
+        return failingSinceMs != 0 && nowMs - failingSinceMs > AWAY_MS;
+    }
+
+    /** Returns whether the last commit failed. */
+    public boolean isFailing() {
+        return failingSinceMs != 0;
+    }
+}
