--- /dev/null
+++ b/standin/src/test/java/org/hibiscususher/standin/scheduler/RunWatchTest.java
@@ -0,0 +1,145 @@
+package org.hibiscususher.standin.scheduler;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Optional;
+import org.hibiscususher.core.job.AnswerKind;
+import org.hibiscususher.core.job.EndKind;
+import org.hibiscususher.core.job.JobState;
+import org.hibiscususher.core.job.Resources;
+import org.hibiscususher.core.job.StepKey;
+import org.hibiscususher.core.job.TaskKey;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Shows that each check of the site finds what breaks its promise. */
+class RunWatchTest {
+    private static final String JOB = "0000000000000001";
+    private static final TaskKey FIRST = new StepKey(JOB, 0, 0).task(0);
+    private static final TaskKey SECOND = new StepKey(JOB, 0, 1).task(0);
+
+    private final RunWatch mWatch = new RunWatch();
+
+    @BeforeEach
+    void submit() {
+        mWatch.submitted(JOB, Jobs.twoSteps(1, 100), "team", 2);
+    }
+
+    private void start(TaskKey task, String executor, long nowMs) {
+        mWatch.started(task, executor, false, nowMs);
+    }
+
+    private void end(TaskKey task, String executor, EndKind kind) {
+        mWatch.ended(task, executor, Optional.of(kind));
+    }
+
+    private void assertBroken(SchedulerPromise promise) {
+        assertThat(mWatch.breaches()).extracting(Breach::promise).contains(promise);
+    }
+
+    @Nested
+    class Order {
+        @Test
+        void isKeptByARunAfterAnother() {
+            start(FIRST, "x", 1);
+            end(FIRST, "x", EndKind.DONE);
+            start(SECOND, "x", 2);
+            end(SECOND, "x", EndKind.DONE);
+            mWatch.shown(JOB, JobState.DONE, 3);
+            assertThat(mWatch.breaches()).isEmpty();
+        }
+
+        @Test
+        void isBrokenByAStepBeforeItsTurn() {
+            start(SECOND, "x", 1);
+            assertBroken(SchedulerPromise.STEP_ORDER);
+        }
+    }
+
+    @Nested
+    class Runs {
+        @Test
+        void atTheSameTimeAreFound() {
+            start(FIRST, "x", 1);
+            start(FIRST, "y", 2);
+            assertBroken(SchedulerPromise.ONE_RUN_AT_A_TIME);
+        }
+
+        @Test
+        void afterANotedEndAreFound() {
+            start(FIRST, "x", 1);
+            end(FIRST, "x", EndKind.DONE);
+            mWatch.noted(FIRST);
+            start(FIRST, "x", 2);
+            assertBroken(SchedulerPromise.DONE_STAYS_DONE);
+        }
+
+        @Test
+        void beyondTheAttemptsAreFound() {
+            for (int i = 0; i < 3; i++) {
+                start(FIRST, "x", i);
+                end(FIRST, "x", EndKind.FAILED);
+            }
+            assertBroken(SchedulerPromise.ATTEMPTS);
+        }
+
+        @Test
+        void beyondATeamsLimitAreFound() {
+            mWatch.limit("team", Resources.of(500, 0, 0));
+            start(FIRST, "x", 1);
+            assertBroken(SchedulerPromise.TEAM_LIMIT);
+        }
+
+        @Test
+        void beyondAnExecutorsCapacityAreFound() {
+            mWatch.reserved("x", Resources.of(2, 0, 0), Resources.of(1, 0, 0), 1);
+            assertBroken(SchedulerPromise.CAPACITY);
+        }
+
+        @Test
+        void onADrainingExecutorAreFound() {
+            mWatch.started(FIRST, "x", true, 1);
+            assertBroken(SchedulerPromise.DRAINING_GETS_NOTHING);
+        }
+
+        @Test
+        void longAfterACancellationAreFound() {
+            mWatch.cancelled(JOB, 1_000);
+            start(FIRST, "x", 4_001);
+            assertBroken(SchedulerPromise.CANCELLED_STAYS_CANCELLED);
+        }
+
+        @Test
+        void ofARefusedJobAreFound() {
+            mWatch.answered(JOB, AnswerKind.UNAVAILABLE);
+            start(FIRST, "x", 1);
+            assertBroken(SchedulerPromise.REFUSED_NEVER_RUNS);
+        }
+    }
+
+    @Nested
+    class Answers {
+        @Test
+        void thatShowAnUnfinishedJobAsDoneAreFound() {
+            mWatch.shown(JOB, JobState.DONE, 1);
+            assertBroken(SchedulerPromise.SHOWN_DONE_IS_DONE);
+        }
+
+        @Test
+        void thatDoNotKnowAnAcceptedJobAreFound() {
+            mWatch.answered(JOB, AnswerKind.ACCEPTED);
+            mWatch.unknown(JOB, 1);
+            assertBroken(SchedulerPromise.ACCEPTED_IS_KEPT);
+        }
+    }
+
+    @Nested
+    class Waves {
+        @Test
+        void beyondTheirCapAreFound() {
+            mWatch.away(3, 2, 1);
+            assertBroken(SchedulerPromise.WAVE_CAP);
+        }
+    }
+}
