--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/StallSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/StallSystem.java
@@ -1,6 +1,9 @@
 package org.hibiscususher.core.scheduler.executor;
 
+import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import org.hibiscususher.core.job.StepSpec;
 import org.hibiscususher.core.scheduler.job.Jobs;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.HoldAnswered;
@@ -8,6 +11,8 @@
 import org.hibiscususher.core.scheduler.world.RunRow;
 import org.hibiscususher.core.scheduler.world.RunStage;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
+import org.hibiscususher.core.scheduler.world.SchedulerWorld;
+import org.hibiscususher.core.scheduler.world.StepRow;
 import org.hibiscususher.core.scheduler.world.StopReason;
 
 /**
@@ -35,7 +40,10 @@
     private static final long SLOW_SLACK_MS = 500;
 
     /** Runs of a task in one term that may be stopped for being slow. */
-    private static final int MAX_STOPPED_RUNS = 2;
+    private static final int MAX_STOPPED_RUNS = 1;
+
+    /** Jobs with slow runs on an executor that show that the executor is slow. */
+    private static final int SLOW_JOBS = 2;
 
     private static final long HUNG_ASIDE_MS = 4_000;
     private static final long SLOW_ASIDE_MS = 2_500;
@@ -49,30 +57,63 @@
             return;
         }
         for (HoldAnswered answer : tick.inputs(HoldAnswered.class)) {
-            for (RunRow run : List.copyOf(tick.world().runs().group(answer.executor()))) {
-                StepSpec spec = Jobs.specOf(tick.world(), run.task().stepKey()).orElse(null);
-                if (spec != null && run.stage() == RunStage.RUNNING && run.percent() < FULL) {
-                    judge(tick, run, spec);
-                }
+            List<RunRow> runs = List.copyOf(tick.world().runs().group(answer.executor()));
+            stopHung(tick, runs);
+            stopSlow(tick, answer.executor(), runs);
+        }
+    }
+
+    private static void stopHung(SchedulerTick tick, List<RunRow> runs) {
+        for (RunRow run : runs) {
+            StepSpec spec = Jobs.specOf(tick.world(), run.task().stepKey()).orElse(null);
+            long stillMs = tick.nowMs() - run.progressMs();
+            if (isJudged(run, spec) && stillMs > stillLimitMs(spec)) {
+                Standings.aside(tick, run.executor(), HUNG_ASIDE_MS, "hung");
+                Runs.stop(tick, run, StopReason.STALLED);
             }
         }
     }
 
-    private static void judge(SchedulerTick tick, RunRow run, StepSpec spec) {
-        long stillMs = tick.nowMs() - run.progressMs();
-        long ageMs = tick.nowMs() - run.settledMs();
-        if (spec.gang() || run.pace() < FULL) {
-            return;
+    /** Stops slow runs if it is the executor that is slow, and not the job. */
+    private static void stopSlow(SchedulerTick tick, String executor, List<RunRow> runs) {
+        List<RunRow> slow = new ArrayList<>();
+        Set<String> jobs = new HashSet<>();
+        for (RunRow run : runs) {
+            StepSpec spec = Jobs.specOf(tick.world(), run.task().stepKey()).orElse(null);
+            long ageMs = tick.nowMs() - run.settledMs();
+            if (isJudged(run, spec)
+                    && !spec.lasting()
+                    && isSlow(ageMs, run.percent(), spec.estimateMs())) {
+                slow.add(run);
+                jobs.add(run.task().jobId());
+            }
+        }
+        boolean several = jobs.size() >= SLOW_JOBS;
+        if (several) {
+            Standings.aside(tick, executor, SLOW_ASIDE_MS, "slow");
         }
-        if (stillMs > stillLimitMs(spec)) {
-            stop(tick, run, HUNG_ASIDE_MS, "hung");
-        } else if (!spec.lasting()
-                && isSlow(ageMs, run.percent(), spec.estimateMs())
-                && run.run() % Runs.RUNS_PER_TERM <= MAX_STOPPED_RUNS) {
-            stop(tick, run, SLOW_ASIDE_MS, "slow");
+        for (RunRow run : slow) {
+            boolean first = run.run() % Runs.RUNS_PER_TERM <= MAX_STOPPED_RUNS;
+            if (first && (several || othersAreDone(tick.world(), run))) {
+                Runs.stop(tick, run, StopReason.STALLED);
+            }
         }
     }
 
+    private static boolean isJudged(RunRow run, StepSpec spec) {
+        return spec != null
+                && !spec.gang()
+                && run.stage() == RunStage.RUNNING
+                && run.percent() < FULL
+                && run.pace() >= FULL;
+    }
+
+    /** Returns whether most tasks of the run's step are done already. */
+    private static boolean othersAreDone(SchedulerWorld world, RunRow run) {
+        StepRow step = world.steps().find(run.task().stepKey()).orElse(null);
+        return step != null && step.done().bitCount() > step.left();
+    }
+
     /** Returns for how long a run's listed progress may stay the same. */
     private static long stillLimitMs(StepSpec spec) {
         long perPercentMs = spec.estimateMs() / FULL;
@@ -94,9 +135,4 @@
         boolean slow = wholeMs > SLOW_FACTOR * estimateMs + SLOW_SLACK_MS;
         return slow && wholeMs - ageMs > 2 * estimateMs;
     }
-
-    private static void stop(SchedulerTick tick, RunRow run, long asideMs, String reason) {
-        Standings.aside(tick, run.executor(), asideMs, reason);
-        Runs.stop(tick, run, StopReason.STALLED);
-    }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/Commits.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/Commits.java
@@ -24,6 +24,7 @@
 import org.hibiscususher.core.scheduler.world.SchedulerSettings;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
+import org.hibiscususher.core.scheduler.world.TaskRow;
 import org.hibiscususher.core.scheduler.world.TermRow;
 import org.hibiscususher.core.scheduler.world.TermStage;
 
@@ -187,6 +188,11 @@
         for (RunRow run : world.runs().rows()) {
             open.add(run.task().text());
         }
+        for (TaskRow task : world.tasks().rows()) {
+            if (task.doubtful()) {
+                open.add(task.key().text());
+            }
+        }
         for (JobRow job : world.jobs().rows()) {
             if (job.version() > commit.versions().getOrDefault(job.id(), job.storedVersion())) {
                 open.add(job.id());
--- a/standin/src/test/java/org/hibiscususher/standin/scheduler/SiteFault.java
+++ b/standin/src/test/java/org/hibiscususher/standin/scheduler/SiteFault.java
@@ -85,6 +85,17 @@
         void strike(SchedulerSite site, Random random) {
             site.delayOrders(0.3, 5_000);
         }
+    },
+    OWNERS_STOPPED_IN_SERIES {
+        @Override
+        void strike(SchedulerSite site, Random random) {
+            site.darken("x1", 900);
+            for (int i = 0; i < 3; i++) {
+                site.at(
+                        50 + i * (200 + random.nextInt(200)),
+                        () -> site.owner().ifPresent(owner -> site.stop(owner, 3_500)));
+            }
+        }
     };
 
     /** Makes the fault happen now. */
