--- a/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/MoveSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/MoveSystem.java
@@ -38,7 +38,7 @@
     private static final int GIVE_PERCENT = 80;
 
     /** Part of an even share of all hosts that a pool keeps in any case, in percent. */
-    private static final int KEEP_PERCENT = 80;
+    private static final int KEEP_PERCENT = 50;
 
     /** Hosts on their way at a time. */
     private static final int MAX_MOVING = 24;
