--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/HoldSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/HoldSystem.java
@@ -22,7 +22,7 @@
     private static final long UNACKNOWLEDGED_REST_MS = 200;
 
     /** Slowest pace of an executor's clock against ours, in percent. */
-    private static final long SLOWEST_CLOCK_PERCENT = 97;
+    public static final long SLOWEST_CLOCK_PERCENT = 97;
 
     private static final long SLACK_MS = 60;
 
@@ -46,7 +46,7 @@
 
     private static ContactRow acknowledge(SchedulerTick tick, ContactRow contact) {
         SchedulerWorld world = tick.world();
-        ContactRow next = contact.withSeen(0);
+        ContactRow next = contact;
         for (EndRow end : List.copyOf(world.ends().group(contact.executor()))) {
             long stored =
                     world.jobs().find(end.job()).map(JobRow::storedVersion).orElse(Long.MAX_VALUE);
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/Takeover.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/Takeover.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import org.hibiscususher.core.job.JobState;
 import org.hibiscususher.core.job.Resources;
+import org.hibiscususher.core.scheduler.executor.HoldSystem;
 import org.hibiscususher.core.scheduler.job.Jobs;
 import org.hibiscususher.core.scheduler.job.Progress;
 import org.hibiscususher.core.scheduler.message.ExecutorReport;
@@ -24,9 +25,6 @@
 
 /** Builds the tables of a new owner from the store's records. */
 final class Takeover {
-    /** Slowest pace of an executor's clock against ours, in percent. */
-    private static final long SLOWEST_CLOCK_PERCENT = 97;
-
     private static final long SLACK_MS = 100;
 
     private Takeover() {}
@@ -140,7 +138,7 @@
     private static long waitUntilMs(SchedulerTick tick) {
         SchedulerTiming timing = tick.world().settings().timing();
         TermRow term = tick.world().term().get();
-        long holdMs = timing.holdMs() * 100 / SLOWEST_CLOCK_PERCENT + SLACK_MS;
+        long holdMs = timing.holdMs() * 100 / HoldSystem.SLOWEST_CLOCK_PERCENT + SLACK_MS;
         return term.takenMs() + holdMs + (term.predecessorReleased() ? 0 : timing.graceMs());
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/Eviction.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/Eviction.java
@@ -17,6 +17,11 @@
     /** Time after which what still runs is stopped, in milliseconds. */
     private static final long PATIENCE_MS = 2_500;
 
+    /** Age up to which an executor's last answer tells whether its tasks are at work. */
+    private static final long FRESH_MS = 1_500;
+
+    private static final int FULL = 100;
+
     private Eviction() {}
 
     /** Stops what may be stopped now; returns whether nothing runs there any more. */
@@ -51,11 +56,16 @@
         return away < spec.maxUnavailable();
     }
 
+    /** Returns whether a task is at work, as its executor has told just now. */
     private static boolean isAtWork(SchedulerTick tick, TaskKey task) {
+        RunRow run = tick.world().runs().find(task).orElse(null);
+        if (run == null || run.stage() != RunStage.RUNNING || run.percent() < FULL) {
+            return false;
+        }
         return tick.world()
-                .runs()
-                .find(task)
-                .filter(r -> r.stage() == RunStage.RUNNING && r.percent() >= 100)
+                .contacts()
+                .find(run.executor())
+                .filter(c -> c.failures() == 0 && tick.nowMs() - c.answeredMs() < FRESH_MS)
                 .isPresent();
     }
 }
--- a/daemon/src/main/java/org/hibiscususher/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/forward/ForwardServer.java
@@ -20,6 +20,8 @@
 
 /** Takes requests that other entries pass on. */
 public final class ForwardServer {
+    private static final long RETRY_AFTER_MS = 1_000;
+
     private ForwardServer() {}
 
     /**
@@ -90,6 +92,4 @@
             LinkPipeline.send(channel, LinkMessage.of(remoteId, answer));
         }
     }
-
-    private static final long RETRY_AFTER_MS = 1_000;
 }
