--- a/core/src/main/java/org/hibiscususher/core/scheduler/placement/AdviceSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/placement/AdviceSystem.java
@@ -104,7 +104,7 @@
         List<String> executors = new ArrayList<>();
         for (ExecutorRow row : world.executors().group(task.pool())) {
             boolean open = !fresh || !known.asked().contains(row.id());
-            if (open && executors.size() < MAX_ASKED && Room.isUsable(tick, row)) {
+            if (open && executors.size() < MAX_ASKED && FreeCapacity.isUsable(tick, row)) {
                 executors.add(row.id());
             }
         }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/placement/Site.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/placement/ExecutorChoice.java
@@ -10,8 +10,8 @@
 import org.hibiscususher.core.scheduler.world.TaskRow;
 
 /** Chooses the executor for a task. */
-final class Site {
-    private Site() {}
+final class ExecutorChoice {
+    private ExecutorChoice() {}
 
     /**
      * Returns the executor on which a task runs best, or empty if it fits on none.
@@ -20,7 +20,8 @@
      * comes last; then the one with the most free processor time for tasks that serve, the least
      * for others, so that room for wide tasks stays.
      */
-    static Optional<ExecutorRow> find(SchedulerTick tick, Room room, TaskRow task, StepSpec spec) {
+    static Optional<ExecutorRow> find(
+            SchedulerTick tick, FreeCapacity room, TaskRow task, StepSpec spec) {
         ExecutorRow best = null;
         long bestRank = Long.MAX_VALUE;
         for (ExecutorRow row : room.executors()) {
--- a/core/src/main/java/org/hibiscususher/core/scheduler/placement/Room.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/placement/FreeCapacity.java
@@ -12,17 +12,17 @@
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
 
 /** What is free on the executors of a pool, while runs are being placed. Not thread-safe. */
-final class Room {
+final class FreeCapacity {
     private final Map<String, Resources> mFree = new HashMap<>();
     private final Map<String, ExecutorRow> mExecutors = new LinkedHashMap<>();
     private final Map<String, Integer> mRuns = new HashMap<>();
 
-    private Room() {}
+    private FreeCapacity() {}
 
     /** Returns the room on the executors of a pool that may get new runs. */
-    static Room of(SchedulerTick tick, String pool) {
+    static FreeCapacity of(SchedulerTick tick, String pool) {
         SchedulerWorld world = tick.world();
-        Room room = new Room();
+        FreeCapacity room = new FreeCapacity();
         for (ExecutorRow row : world.executors().group(pool)) {
             if (isUsable(tick, row)) {
                 Resources free = row.report().capacity();
--- a/core/src/main/java/org/hibiscususher/core/scheduler/placement/PlacementSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/placement/PlacementSystem.java
@@ -78,7 +78,7 @@
 
     private static void place(SchedulerTick tick, TaskGroup group, Map<String, Resources> teams) {
         SchedulerWorld world = tick.world();
-        Room room = Room.of(tick, group.pool());
+        FreeCapacity room = FreeCapacity.of(tick, group.pool());
         if (room.isEmpty()) {
             return;
         }
@@ -109,7 +109,7 @@
 
     private static boolean start(
             SchedulerTick tick,
-            Room room,
+            FreeCapacity room,
             Map<String, Resources> teams,
             TaskRow task,
             StepSpec spec) {
@@ -119,7 +119,7 @@
         if (!use.staysWithin(limit(world, job.team()))) {
             return false;
         }
-        Optional<ExecutorRow> executor = Site.find(tick, room, task, spec);
+        Optional<ExecutorRow> executor = ExecutorChoice.find(tick, room, task, spec);
         if (executor.isEmpty()) {
             return false;
         }
@@ -136,7 +136,7 @@
     /** Starts all members of a gang or none. */
     private static void startGang(
             SchedulerTick tick,
-            Room room,
+            FreeCapacity room,
             Map<String, Resources> teams,
             StepKey step,
             StepSpec spec) {
@@ -160,7 +160,7 @@
         }
         List<ExecutorRow> sites = new ArrayList<>();
         for (TaskRow task : members) {
-            Optional<ExecutorRow> site = Site.find(tick, room, task, spec);
+            Optional<ExecutorRow> site = ExecutorChoice.find(tick, room, task, spec);
             if (site.isEmpty()) {
                 sites.forEach(s -> room.take(s.id(), Resources.NONE.minus(spec.reserved())));
                 return;
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/SchedulerSite.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/SchedulerSite.java
@@ -58,6 +58,7 @@
     private final Map<String, VirtualExecutor> mExecutors = new LinkedHashMap<>();
     private final Map<String, JobSpec> mSpecs = new HashMap<>();
     private final Map<Long, Consumer<JobAnswer>> mCalls = new HashMap<>();
+    private final List<String> mLog = new ArrayList<>();
     private final Resources mLimit;
     private long mNextCall = 1;
     private int mNextJob;
@@ -148,6 +149,23 @@
         return mWatch;
     }
 
+    void log(String node, SchedulerOutput.Log line) {
+        mLog.add(
+                "ms="
+                        + mClock.nowMs()
+                        + " node="
+                        + node
+                        + " event="
+                        + line.event()
+                        + " "
+                        + line.line());
+    }
+
+    /** Returns the lines that all entries have written, in order. */
+    public List<String> logLines() {
+        return List.copyOf(mLog);
+    }
+
     /** Lets time pass. */
     public void run(long ms) {
         mClock.runUntil(mClock.nowMs() + ms);
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualNode.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualNode.java
@@ -161,7 +161,9 @@
     }
 
     private void carryOut(SchedulerOutput output) {
-        if (output instanceof Answer answer) {
+        if (output instanceof SchedulerOutput.Log line) {
+            mSite.log(mName, line);
+        } else if (output instanceof Answer answer) {
             mSite.answered(mName, answer.callId(), answer.answer());
         } else if (output instanceof Forward forward) {
             mSite.forward(this, forward);
