Let the lease of a silent executor end: readings of its lists no longer extend it

Cause: each reading of an executor's lists asked for an extension, also those after readings without an answer, and the time at which its lease has surely ended moved on with each. An executor that never answered again was never given up and its tasks never started again. Test: SchedulerSiteTest.Silence, which failed before (the run stayed for 6 s, now it moves).

--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/HoldSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/HoldSystem.java
@@ -74,7 +74,8 @@
         boolean fresh = contact.fence() == term.fence() && !first && !open;
         boolean busy = !world.runs().group(row.id()).isEmpty();
         long waitMs = !fresh ? 0 : busy ? BUSY_WAIT_MS : IDLE_WAIT_MS;
-        boolean extend = contact.answeredMs() != 0;
+        // Orders to a silent executor may arrive, so they must not prolong the wait for its lease.
+        boolean extend = !first;
         long holdMs = world.settings().timing().holdMs();
         long deadlineMs = extend ? contact.clockAt(tick.nowMs()) + holdMs : 0;
         long callId = tick.nextCallId();
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/SchedulerSite.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/SchedulerSite.java
@@ -381,4 +381,14 @@
                 .findFirst()
                 .orElse(-1);
     }
+
+    /** Returns how many runs the owner knows of; 0 if there is no owner. */
+    public int runs() {
+        return owner().map(o -> mNodes.get(o).world().runs().size()).orElse(0);
+    }
+
+    /** Returns how many runs the owner knows of on an executor; 0 if there is no owner. */
+    public int runsOn(String executor) {
+        return owner().map(o -> mNodes.get(o).world().runs().group(executor).size()).orElse(0);
+    }
 }
--- a/standin/src/test/java/org/hibiscususher/standin/scheduler/SchedulerSiteTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/scheduler/SchedulerSiteTest.java
@@ -175,6 +175,24 @@
         }
     }
 
+    @Nested
+    class Silence {
+        /** The load of a day on which a host was ordered away late, just after it got work. */
+        @Test
+        void movesTheWorkOfAnExecutorThatNeverAnswersAgain() {
+            SchedulerSite site = SchedulerSite.of(3, 4, 5);
+            site.run(1_500);
+            site.submit(Jobs.lasting(3));
+            site.run(500);
+            assertThat(site.runsOn("x1")).isPositive();
+            site.darken("x1", 60_000);
+            site.run(6_000);
+            assertThat(site.runsOn("x1")).isZero();
+            assertThat(site.runs()).isEqualTo(3);
+            assertThat(site.watch().breaches()).isEmpty();
+        }
+    }
+
     @Nested
     class Faults {
         static Stream<Arguments> pairs() {
