Let a new owner order hosts at once, but for those that the earlier one may have ordered

Now the store names the hosts for which orders are given before they are given; a new owner rests for these alone, goes by the executors' own start, and counts hosts that the earlier owner sent away against the cap of a wave. An executor that has not told its runs is not emptied.

--- a/core/src/main/java/org/hibiscususher/core/scheduler/control/SchedulerPhase.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/control/SchedulerPhase.java
@@ -14,6 +14,7 @@
 import org.hibiscususher.core.scheduler.term.CommitSystem;
 import org.hibiscususher.core.scheduler.term.TermSystem;
 import org.hibiscususher.core.scheduler.upkeep.HostListSystem;
+import org.hibiscususher.core.scheduler.upkeep.HostOrderSystem;
 import org.hibiscususher.core.scheduler.upkeep.MoveSystem;
 import org.hibiscususher.core.scheduler.upkeep.WaveSystem;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
@@ -92,6 +93,12 @@
             MoveSystem.run(tick);
         }
     },
+    HOST_ORDER {
+        @Override
+        void run(SchedulerTick tick) {
+            HostOrderSystem.run(tick);
+        }
+    },
     PACE {
         @Override
         void run(SchedulerTick tick) {
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/HostState.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/HostState.java
@@ -7,7 +7,7 @@
     /** The host is on its way to another pool. */
     MOVING,
     /** The host is under maintenance. */
-    UPKEEP,
+    MAINTENANCE,
     /** The host is down. */
     DOWN
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/RecordKind.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/RecordKind.java
@@ -14,6 +14,8 @@
     EXECUTORS,
     /** The hosts of a wave whose maintenance has begun. */
     WAVE,
+    /** The hosts for which the owner may have given orders of late. */
+    HOST_ORDERS,
     /** What operators are told of a wave. */
     WAVE_STATUS
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/RecordName.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/RecordName.java
@@ -18,6 +18,9 @@
     /** The record of the executors in use. */
     public static final RecordName EXECUTORS = new RecordName(RecordKind.EXECUTORS, "");
 
+    /** The record of the hosts with orders. */
+    public static final RecordName HOST_ORDERS = new RecordName(RecordKind.HOST_ORDERS, "");
+
     /** Checks the parts. */
     public RecordName {
         requireNonNull(kind);
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/StoredRecord.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/StoredRecord.java
@@ -148,6 +148,24 @@
         }
     }
 
+    /**
+     * The hosts for which the owner may have given orders of late. It names a host before the first
+     * order goes out.
+     *
+     * @param hosts host ids
+     */
+    record HostOrders(List<String> hosts) implements StoredRecord {
+        /** Copies the list. */
+        public HostOrders {
+            hosts = List.copyOf(hosts);
+        }
+
+        @Override
+        public RecordName name() {
+            return RecordName.HOST_ORDERS;
+        }
+    }
+
     /**
      * What operators are told of a wave.
      *
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/Authority.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/Authority.java
@@ -31,11 +31,9 @@
     /** Returns whether the process may give orders for hosts. */
     public static boolean mayOrderHosts(SchedulerTick tick) {
         TermRow term = tick.world().term().get();
-        long restMs = tick.world().settings().timing().hostOrderGapMs();
         return term.stage() == TermStage.OWNING
                 && tick.world().node().get().stopAskedMs() == 0
-                && tick.nowMs() < term.validUntilMs()
-                && (term.generation() == 1 || tick.nowMs() >= term.takenMs() + restMs);
+                && tick.nowMs() < term.validUntilMs();
     }
 
     /** Returns whether the process decides on callers' requests. */
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/Commits.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/Commits.java
@@ -19,6 +19,7 @@
 import org.hibiscususher.core.scheduler.world.CallStage;
 import org.hibiscususher.core.scheduler.world.CommitPurpose;
 import org.hibiscususher.core.scheduler.world.CommitRow;
+import org.hibiscususher.core.scheduler.world.HostOrderRow;
 import org.hibiscususher.core.scheduler.world.JobRow;
 import org.hibiscususher.core.scheduler.world.RunRow;
 import org.hibiscususher.core.scheduler.world.SchedulerSettings;
@@ -214,6 +215,9 @@
                         .executors()
                         .forEach(e -> world.executors().update(e.id(), x -> x.withRecorded(true)));
             }
+            if (record instanceof StoredRecord.HostOrders orders) {
+                orders.hosts().forEach(h -> world.hostOrders().update(h, HostOrderRow::asRecorded));
+            }
             if (world.pendingRecords().find(record.name()).filter(r -> r == record).isPresent()) {
                 world.pendingRecords().remove(record.name());
             }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/Takeover.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/Takeover.java
@@ -15,6 +15,7 @@
 import org.hibiscususher.core.scheduler.message.UsedExecutor;
 import org.hibiscususher.core.scheduler.world.ContactRow;
 import org.hibiscususher.core.scheduler.world.ExecutorRow;
+import org.hibiscususher.core.scheduler.world.HostOrderRow;
 import org.hibiscususher.core.scheduler.world.JobRow;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 import org.hibiscususher.core.scheduler.world.SchedulerTiming;
@@ -101,11 +102,21 @@
         } else if (record instanceof StoredRecord.Executors executors) {
             world.usedExecutors().set(executors);
             executors.executors().forEach(e -> prior(tick, e));
+        } else if (record instanceof StoredRecord.HostOrders orders) {
+            world.recordedHostOrders().set(orders);
+            orders.hosts().forEach(host -> rest(tick, host));
         } else if (record instanceof StoredRecord.Wave wave) {
             world.waves().update(wave.wave(), row -> row.withBegun(new HashSet<>(wave.begun())));
         }
     }
 
+    /** Gives no orders for a host for which the earlier owner may have given one just now. */
+    private static void rest(SchedulerTick tick, String host) {
+        SchedulerWorld world = tick.world();
+        long untilMs = world.term().get().takenMs() + world.settings().timing().hostOrderGapMs();
+        world.hostOrders().put(host, new HostOrderRow(host, true, untilMs, tick.nowMs()));
+    }
+
     private static void prior(SchedulerTick tick, UsedExecutor used) {
         SchedulerWorld world = tick.world();
         ExecutorReport report =
--- a/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/Eviction.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/Eviction.java
@@ -27,6 +27,9 @@
     /** Stops what may be stopped now; returns whether nothing runs there any more. */
     static boolean run(SchedulerTick tick, String executor, long sinceMs) {
         SchedulerWorld world = tick.world();
+        if (!isKnown(world, executor)) {
+            return false;
+        }
         boolean late = tick.nowMs() - sinceMs > PATIENCE_MS;
         for (RunRow run : List.copyOf(world.runs().group(executor))) {
             StepSpec spec = Jobs.specOf(world, run.task().stepKey()).orElse(null);
@@ -41,6 +44,12 @@
         return world.runs().group(executor).isEmpty();
     }
 
+    /** Returns whether it is known what an executor runs. */
+    static boolean isKnown(SchedulerWorld world, String executor) {
+        return !world.executors().contains(executor)
+                || world.contacts().find(executor).filter(c -> c.answeredMs() != 0).isPresent();
+    }
+
     /** Returns whether a lasting task may be away now as well as those that are away already. */
     private static boolean mayStop(SchedulerTick tick, RunRow run, StepSpec spec) {
         if (spec.maxUnavailable() <= 0) {
--- a/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/HostSteps.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/HostSteps.java
@@ -27,6 +27,7 @@
     static void begin(SchedulerTick tick, HostReport host, long wave, String pool) {
         SchedulerWorld world = tick.world();
         world.executors().update(host.executor(), e -> e.withCordoned(true));
+        HostOrderSystem.use(tick, host.id());
         world.hostTasks()
                 .put(
                         host.id(),
@@ -94,6 +95,7 @@
     }
 
     private static void retry(SchedulerTick tick, HostTaskRow row) {
+        HostOrderSystem.use(tick, row.host());
         if (row.pool().isEmpty()) {
             tick.world().hostTasks().put(row.host(), row.retried(tick.nowMs() + RETRY_MS));
         } else {
@@ -117,9 +119,11 @@
     private static void empty(SchedulerTick tick, HostTaskRow row) {
         SchedulerWorld world = tick.world();
         boolean empty = Eviction.run(tick, row.executor(), row.sinceMs());
-        if (!empty || tick.nowMs() < row.retryAtMs() || !mayGo(world, row)) {
+        boolean due = tick.nowMs() >= row.retryAtMs();
+        if (!empty || !due || !mayGo(tick, row) || !HostOrderSystem.mayOrder(tick, row.host())) {
             return;
         }
+        HostOrderSystem.use(tick, row.host());
         long callId = tick.nextCallId();
         long fence = world.term().get().fence();
         world.hostTasks().put(row.host(), row.withStep(HostStep.ORDERED, callId, tick.nowMs()));
@@ -131,15 +135,35 @@
     }
 
     /** Returns whether the cap of the host's wave lets it go now. */
-    private static boolean mayGo(SchedulerWorld world, HostTaskRow row) {
+    private static boolean mayGo(SchedulerTick tick, HostTaskRow row) {
         if (!row.pool().isEmpty()) {
             return true;
         }
-        int away = 0;
-        for (HostTaskRow other : world.hostTasks().rows()) {
+        WaveRow wave = tick.world().waves().find(row.wave()).orElse(null);
+        if (wave == null) {
+            return false;
+        }
+        int away = awayBefore(tick, wave);
+        for (HostTaskRow other : tick.world().hostTasks().rows()) {
             away += other.wave() == row.wave() && other.step() != HostStep.EMPTYING ? 1 : 0;
         }
-        return away < world.waves().find(row.wave()).map(w -> w.order().cap()).orElse(0);
+        return away < wave.order().cap();
+    }
+
+    /** Returns how many hosts of a wave may be away by orders of an earlier owner. */
+    static int awayBefore(SchedulerTick tick, WaveRow wave) {
+        SchedulerWorld world = tick.world();
+        int away = 0;
+        for (String id : wave.order().hosts()) {
+            boolean listed =
+                    world.hosts()
+                            .find(id)
+                            .filter(h -> h.state() == HostState.MAINTENANCE)
+                            .isPresent();
+            boolean known = world.hostTasks().contains(id);
+            away += !known && (listed || HostOrderSystem.isResting(tick, id)) ? 1 : 0;
+        }
+        return away;
     }
 
     /** Waits until the platform says that the host is up again, with another executor if any. */
--- a/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/MoveSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/MoveSystem.java
@@ -184,6 +184,7 @@
             boolean free =
                     host.state() == HostState.UP
                             && !host.pool().equals(taker)
+                            && !HostOrderSystem.isResting(tick, host.id())
                             && !world.hostTasks().contains(host.id());
             boolean spare =
                     world.plan().get().plan().pool(host.pool()).map(JobPool::spare).orElse(false);
@@ -210,8 +211,16 @@
         long endedMs = world.standings().find(host.executor()).map(StandingRow::endedMs).orElse(0L);
         return row != null
                 && !row.cordoned()
-                && tick.nowMs() - row.seenMs() > STAY_MS
+                && Eviction.isKnown(world, row.id())
+                && ageMs(tick, row) > STAY_MS
                 && tick.nowMs() - endedMs > IDLE_MS
                 && world.runs().group(row.id()).isEmpty();
     }
+
+    /** Returns how old an executor is; a new owner goes by the start that it reports. */
+    private static long ageMs(SchedulerTick tick, ExecutorRow row) {
+        long bornMs = row.report().bornMs();
+        long sinceSeenMs = tick.nowMs() - row.seenMs();
+        return bornMs == 0 ? sinceSeenMs : Math.max(sinceSeenMs, tick.wallMs() - bornMs);
+    }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/WaveSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/WaveSystem.java
@@ -51,7 +51,7 @@
             announce(world, number, false);
             world.waves().put(number, wave.asAnnounced());
         }
-        int under = 0;
+        int under = HostSteps.awayBefore(tick, wave);
         for (HostTaskRow row : world.hostTasks().rows()) {
             under += row.wave() == number ? 1 : 0;
         }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerTiming.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerTiming.java
@@ -8,7 +8,8 @@
  * @param graceMs how long an owner whose lease could not be renewed goes on
  * @param holdMs lease of executors, extended again and again
  * @param startValidMs how long an order to start a run is valid
- * @param hostOrderGapMs rest before a new owner gives orders for hosts
+ * @param hostOrderGapMs rest before a new owner gives orders for hosts that the earlier one may
+ *     have ordered
  * @param noticeMs absence after which a lasting task counts as away
  */
 public record SchedulerTiming(
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerWorld.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerWorld.java
@@ -53,6 +53,9 @@
     private final Table<Long, WaveRow> mWaves = Table.create();
     private final Table<String, HostReport> mHosts = Table.create();
     private final Table<String, HostTaskRow> mHostTasks = Table.create();
+    private final Table<String, HostOrderRow> mHostOrders = Table.create();
+    private final Single<StoredRecord.HostOrders> mRecordedHostOrders =
+            Single.of(new StoredRecord.HostOrders(List.of()));
 
     private SchedulerWorld(SchedulerSettings settings) {
         mSettings = requireNonNull(settings);
@@ -213,11 +216,22 @@
         return mHostTasks;
     }
 
+    /** Returns the hosts for which orders may have been given of late. */
+    public Table<String, HostOrderRow> hostOrders() {
+        return mHostOrders;
+    }
+
+    /** Returns the hosts with orders, as they were last handed to the store. */
+    public Single<StoredRecord.HostOrders> recordedHostOrders() {
+        return mRecordedHostOrders;
+    }
+
     /** Forgets everything that only an owner keeps. */
     public void clearOwnerTables() {
         mCommit.set(Optional.empty());
         mUsedExecutors.set(new StoredRecord.Executors(List.of()));
         mHostList.set(new HostListRow(0, 0, 0));
+        mRecordedHostOrders.set(new StoredRecord.HostOrders(List.of()));
         for (Table<?, ?> table : ownerTables()) {
             table.clear();
         }
@@ -239,6 +253,7 @@
                 mUncertainStarts,
                 mAdvice,
                 mHosts,
-                mHostTasks);
+                mHostTasks,
+                mHostOrders);
     }
 }
--- a/wire/src/main/java/org/hibiscususher/wire/scheduler/StoredRecordCodec.java
+++ b/wire/src/main/java/org/hibiscususher/wire/scheduler/StoredRecordCodec.java
@@ -52,6 +52,8 @@
                                             .setPool(e.pool()));
         } else if (record instanceof StoredRecord.Wave wave) {
             builder.getWaveBuilder().setWave(wave.wave()).addAllBegun(wave.begun());
+        } else if (record instanceof StoredRecord.HostOrders orders) {
+            builder.getHostOrdersBuilder().addAllHosts(orders.hosts());
         } else {
             throw new IllegalArgumentException("not stored in this form: " + record.name());
         }
@@ -123,6 +125,7 @@
             case WAVE ->
                     new StoredRecord.Wave(
                             record.getWave().getWave(), record.getWave().getBegunList());
+            case HOST_ORDERS -> new StoredRecord.HostOrders(record.getHostOrders().getHostsList());
             default -> throw new IOException("a record without a body");
         };
     }
--- a/wire/src/test/java/org/hibiscususher/wire/scheduler/StoredRecordCodecTest.java
+++ b/wire/src/test/java/org/hibiscususher/wire/scheduler/StoredRecordCodecTest.java
@@ -61,7 +61,8 @@
                         List.of(new StepMark(1, 0, BigInteger.valueOf(5).shiftLeft(70))),
                         List.of(new TaskMark(1, 0, 3, List.of(1, 1001), "saved"))),
                 new StoredRecord.Executors(List.of(new UsedExecutor("x", "p"))),
-                new StoredRecord.Wave(3, List.of("h1", "h2")));
+                new StoredRecord.Wave(3, List.of("h1", "h2")),
+                new StoredRecord.HostOrders(List.of("h1", "h2")));
     }
 
     @Nested
