Give up silent executors that the list of hosts no longer shows as up

The list of hosts tells which executors are over; it is read while executors are silent. A silent executor no longer counts as capacity when hosts are moved. Test: LostExecutorSystemTest.

--- a/core/src/main/java/org/hibiscususher/core/scheduler/control/SchedulerPhase.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/control/SchedulerPhase.java
@@ -4,6 +4,7 @@
 import org.hibiscususher.core.scheduler.executor.DrainedExecutorSystem;
 import org.hibiscususher.core.scheduler.executor.ExecutorSystem;
 import org.hibiscususher.core.scheduler.executor.HoldSystem;
+import org.hibiscususher.core.scheduler.executor.LostExecutorSystem;
 import org.hibiscususher.core.scheduler.executor.PaceSystem;
 import org.hibiscususher.core.scheduler.executor.RunSystem;
 import org.hibiscususher.core.scheduler.executor.StallSystem;
@@ -81,6 +82,12 @@
             HostListSystem.run(tick);
         }
     },
+    LOST_EXECUTOR {
+        @Override
+        void run(SchedulerTick tick) {
+            LostExecutorSystem.run(tick);
+        }
+    },
     WAVE {
         @Override
         void run(SchedulerTick tick) {
--- a/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/HostListSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/HostListSystem.java
@@ -1,5 +1,6 @@
 package org.hibiscususher.core.scheduler.upkeep;
 
+import org.hibiscususher.core.scheduler.executor.LostExecutorSystem;
 import org.hibiscususher.core.scheduler.message.SchedulerInput;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.HostsListed;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.HostsNotListed;
@@ -9,7 +10,7 @@
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
 import org.hibiscususher.core.scheduler.world.TermStage;
 
-/** Keeps the list of hosts fresh while something is under way with hosts. */
+/** Keeps the list of hosts fresh while something is under way with hosts or executors are lost. */
 public final class HostListSystem {
     private static final long BUSY_MS = 500;
     private static final long IDLE_MS = 10_000;
@@ -32,6 +33,7 @@
         }
         boolean busy =
                 world.hostTasks().size() > 0
+                        || LostExecutorSystem.isWanted(world)
                         || world.waves().rows().stream().anyMatch(w -> !w.done());
         long everyMs = busy ? BUSY_MS : IDLE_MS;
         boolean free = row.callId() == 0 || tick.nowMs() - row.sentMs() > TIMEOUT_MS;
--- a/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/MoveSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/MoveSystem.java
@@ -115,7 +115,9 @@
         long lasting = 0;
         long capacity = 0;
         for (ExecutorRow row : world.executors().group(pool)) {
-            if (row.cordoned() || row.report().draining() || row.missingMs() != 0) {
+            boolean silent =
+                    world.contacts().find(row.id()).filter(c -> c.failures() > 0).isPresent();
+            if (row.cordoned() || row.report().draining() || row.missingMs() != 0 || silent) {
                 continue;
             }
             hosts++;
--- /dev/null
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/executor/LostExecutorSystemTest.java
@@ -0,0 +1,103 @@
+package org.hibiscususher.core.scheduler.executor;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.hibiscususher.core.job.Resources;
+import org.hibiscususher.core.scheduler.message.ExecutorReport;
+import org.hibiscususher.core.scheduler.message.HostReport;
+import org.hibiscususher.core.scheduler.message.HostState;
+import org.hibiscususher.core.scheduler.world.ContactRow;
+import org.hibiscususher.core.scheduler.world.ExecutorRow;
+import org.hibiscususher.core.scheduler.world.HostListRow;
+import org.hibiscususher.core.scheduler.world.SchedulerSettings;
+import org.hibiscususher.core.scheduler.world.SchedulerTick;
+import org.hibiscususher.core.scheduler.world.SchedulerTiming;
+import org.hibiscususher.core.scheduler.world.SchedulerWorld;
+import org.hibiscususher.core.scheduler.world.TermRow;
+import org.hibiscususher.core.scheduler.world.TermStage;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** A new list of hosts; executor x0 works, x1 was used by an earlier owner and is silent. */
+class LostExecutorSystemTest {
+    private static final long NOW_MS = 10_000;
+    private static final long ASKED_MS = NOW_MS - 20;
+
+    private final SchedulerWorld mWorld =
+            SchedulerWorld.create(
+                    new SchedulerSettings("n", 1, "n", List.of(), 0, SchedulerTiming.USUAL));
+
+    @BeforeEach
+    void takeOver() {
+        mWorld.term().set(new TermRow(TermStage.OWNING, 2, 50, 7, NOW_MS, 0, 0, 0, 0, false, true));
+        mWorld.hostList().set(new HostListRow(0, ASKED_MS, NOW_MS));
+        executor("x0", false, 0);
+        executor("x1", true, 1);
+        host("h0", HostState.UP, "x0");
+    }
+
+    private void executor(String id, boolean prior, int failures) {
+        ExecutorReport report =
+                new ExecutorReport(
+                        id, "p", id + ":1", "z", "h", List.of(), Resources.NONE, false, 0, 1);
+        mWorld.executors().put(id, new ExecutorRow(report, 0, 0, prior, true, false, 0));
+        ContactRow contact = ContactRow.initial(id, NOW_MS + 4_000);
+        mWorld.contacts().put(id, failures == 0 ? contact : contact.failed(NOW_MS));
+    }
+
+    private void host(String id, HostState state, String executor) {
+        mWorld.hosts()
+                .put(id, new HostReport(id, "p", state, "z", List.of(), Resources.NONE, executor));
+    }
+
+    private boolean isGivenUp() {
+        LostExecutorSystem.run(new SchedulerTick(mWorld, NOW_MS, NOW_MS, List.of(), () -> 1));
+        assertThat(mWorld.executors().contains("x0")).isTrue();
+        return !mWorld.executors().contains("x1");
+    }
+
+    @Nested
+    class GivesUp {
+        @Test
+        void aSilentExecutorThatIsOnNoHost() {
+            host("h1", HostState.MOVING, "");
+            assertThat(isGivenUp()).isTrue();
+        }
+
+        @Test
+        void aSilentExecutorWhoseHostIsDown() {
+            host("h1", HostState.DOWN, "x1");
+            assertThat(isGivenUp()).isTrue();
+        }
+    }
+
+    @Nested
+    class Keeps {
+        /** It may run on behind a cut. */
+        @Test
+        void aSilentExecutorWhoseHostIsUp() {
+            host("h1", HostState.UP, "x1");
+            assertThat(isGivenUp()).isFalse();
+        }
+
+        @Test
+        void anExecutorThatAnsweredAfterTheListWasAskedFor() {
+            mWorld.contacts().update("x1", c -> c.answered(1, 1, ASKED_MS + 5).failed(NOW_MS));
+            assertThat(isGivenUp()).isFalse();
+        }
+
+        @Test
+        void allExecutorsIfTheListNamesNone() {
+            mWorld.hosts().clear();
+            assertThat(isGivenUp()).isFalse();
+        }
+
+        @Test
+        void allExecutorsUntilANewListComes() {
+            mWorld.hostList().set(new HostListRow(0, ASKED_MS - 500, NOW_MS - 480));
+            assertThat(isGivenUp()).isFalse();
+        }
+    }
+}
