Offer the ownership to an entry that reaches the store while its owner does not

The owner now offers its term to the other entries over their link; one that reaches the store claims it with the same conditions as ever and then asks the old owner to give no more orders.

--- a/core/src/main/java/org/hibiscususher/core/scheduler/control/SchedulerPhase.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/control/SchedulerPhase.java
@@ -13,6 +13,7 @@
 import org.hibiscususher.core.scheduler.placement.AdviceSystem;
 import org.hibiscususher.core.scheduler.placement.PlacementSystem;
 import org.hibiscususher.core.scheduler.term.CommitSystem;
+import org.hibiscususher.core.scheduler.term.OfferSystem;
 import org.hibiscususher.core.scheduler.term.TermSystem;
 import org.hibiscususher.core.scheduler.upkeep.HostListSystem;
 import org.hibiscususher.core.scheduler.upkeep.HostOrderSystem;
@@ -28,6 +29,12 @@
             PlanSystem.run(tick);
         }
     },
+    OFFER {
+        @Override
+        void run(SchedulerTick tick) {
+            OfferSystem.run(tick);
+        }
+    },
     TERM {
         @Override
         void run(SchedulerTick tick) {
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/SchedulerInput.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/SchedulerInput.java
@@ -23,6 +23,9 @@
     /** A later owner asks this process to give no more orders; it gets one answer. */
     record YieldAsked(long callId, long generation) implements SchedulerInput {}
 
+    /** The owner, out of reach of the store, offers the ownership; it gets one answer. */
+    record TermOffered(long callId, long generation) implements SchedulerInput {}
+
     /** The owner before this one surely gives no more orders. */
     record Yielded(long generation) implements SchedulerInput {}
 
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/SchedulerOutput.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/SchedulerOutput.java
@@ -17,6 +17,9 @@
     /** Asks the owner of an earlier term to give no more orders. */
     record AskYield(String address, long generation) implements SchedulerOutput {}
 
+    /** Offer the ownership to an entry that may reach the store. */
+    record OfferTerm(String address, long generation) implements SchedulerOutput {}
+
     /** Asks the store for a lease. */
     record GrantLease(long callId, long ttlMs) implements SchedulerOutput {}
 
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/OfferSystem.java
@@ -0,0 +1,119 @@
+package org.hibiscususher.core.scheduler.term;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.hibiscususher.core.job.AnswerKind;
+import org.hibiscususher.core.job.JobAnswer;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.TermOffered;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput.Answer;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput.OfferTerm;
+import org.hibiscususher.core.scheduler.message.StoredRecord;
+import org.hibiscususher.core.scheduler.world.NodeStateRow;
+import org.hibiscususher.core.scheduler.world.OfferRow;
+import org.hibiscususher.core.scheduler.world.SchedulerTick;
+import org.hibiscususher.core.scheduler.world.SchedulerWorld;
+import org.hibiscususher.core.scheduler.world.TermStage;
+
+/**
+ * Passes the ownership on while the store turns its owner away.
+ *
+ * <p>Answers a store that serves the other entries: without an offer, callers are refused until the
+ * owner's lease has ended. An entry that reaches the store claims the ownership in place of the one
+ * that offers it, and then asks that one to give no more orders.
+ */
+public final class OfferSystem {
+    /** Time out of reach of the store after which the ownership is offered, in milliseconds. */
+    private static final long OFFER_AFTER_MS = 150;
+
+    /** Time between two offers, in milliseconds. */
+    private static final long OFFER_EVERY_MS = 200;
+
+    private OfferSystem() {}
+
+    /** Takes in offers, then offers the own term if that is due. */
+    public static void run(SchedulerTick tick) {
+        for (TermOffered offered : tick.inputs(TermOffered.class)) {
+            take(tick, offered);
+        }
+        SchedulerWorld world = tick.world();
+        OfferRow row = world.offer().get();
+        NodeStateRow node = world.node().get();
+        boolean away = !node.storeReached() && world.term().get().stage() == TermStage.OWNING;
+        if (!away) {
+            if (row.sinceMs() != 0) {
+                world.offer().set(new OfferRow(0, 0, 0, row.takenGeneration()));
+            }
+        } else if (row.sinceMs() == 0) {
+            world.offer().set(new OfferRow(tick.nowMs(), 0, 0, row.takenGeneration()));
+        } else if (tick.nowMs() - row.sinceMs() >= OFFER_AFTER_MS
+                && tick.nowMs() - row.sentMs() >= OFFER_EVERY_MS) {
+            offer(tick, row);
+        }
+    }
+
+    private static void offer(SchedulerTick tick, OfferRow row) {
+        SchedulerWorld world = tick.world();
+        List<String> others = new ArrayList<>(world.settings().seeds());
+        others.remove(world.settings().address());
+        if (others.isEmpty()) {
+            return;
+        }
+        String address = others.get(row.sent() % others.size());
+        long generation = world.term().get().generation();
+        world.offer()
+                .set(
+                        new OfferRow(
+                                row.sinceMs(),
+                                tick.nowMs(),
+                                row.sent() + 1,
+                                row.takenGeneration()));
+        tick.log(
+                "owner-offered",
+                "generation="
+                        + generation
+                        + " to="
+                        + address
+                        + " store_away_ms="
+                        + (tick.nowMs() - row.sinceMs()));
+        tick.count("owner.offered");
+        tick.emit(new OfferTerm(address, generation));
+    }
+
+    private static void take(SchedulerTick tick, TermOffered offered) {
+        SchedulerWorld world = tick.world();
+        tick.emit(new Answer(offered.callId(), JobAnswer.of(AnswerKind.ACCEPTED)));
+        long seen =
+                world.ownership()
+                        .get()
+                        .ownership()
+                        .term()
+                        .map(StoredRecord.Term::generation)
+                        .orElse(0L);
+        boolean free =
+                world.term().get().stage() == TermStage.FOLLOWING
+                        && world.node().get().storeReached()
+                        && world.node().get().stopAskedMs() == 0
+                        && seen == offered.generation();
+        tick.log("offer-received", "generation=" + offered.generation() + " taken=" + free);
+        if (free) {
+            OfferRow row = world.offer().get();
+            world.offer()
+                    .set(
+                            new OfferRow(
+                                    row.sinceMs(), row.sentMs(), row.sent(), offered.generation()));
+            world.term().set(world.term().get().withClaimAt(tick.nowMs()));
+        }
+    }
+
+    /** Returns whether the owner of the term that this process sees has offered it. */
+    static boolean isOffered(SchedulerWorld world) {
+        long taken = world.offer().get().takenGeneration();
+        return taken != 0
+                && world.ownership()
+                        .get()
+                        .ownership()
+                        .term()
+                        .filter(t -> t.generation() == taken)
+                        .isPresent();
+    }
+}
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/TermSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/TermSystem.java
@@ -352,7 +352,8 @@
 
     private static boolean isFree(SchedulerWorld world) {
         Optional<StoredRecord.Owner> owner = world.ownership().get().ownership().owner();
-        return owner.map(o -> o.node().equals(world.settings().node())).orElse(true);
+        boolean own = owner.map(o -> o.node().equals(world.settings().node())).orElse(true);
+        return own || OfferSystem.isOffered(world);
     }
 
     private static void renew(SchedulerTick tick) {
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerWorld.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerWorld.java
@@ -23,6 +23,7 @@
             Single.of(new OwnershipRow(false, Ownership.NONE, 0));
     private final Single<ClaimRow> mClaim = Single.of(ClaimRow.NONE);
     private final Single<RenewalRow> mRenewal = Single.of(new RenewalRow(0, 0));
+    private final Single<OfferRow> mOffer = Single.of(OfferRow.NONE);
     private final Single<ClockRow> mClock = Single.of(new ClockRow(0, 0));
     private final Single<NodeStateRow> mNode = Single.of(new NodeStateRow(false, true, 0));
     private final Single<PlanRow> mPlan = Single.of(new PlanRow(JobPlan.EMPTY, 0));
@@ -91,6 +92,11 @@
         return mRenewal;
     }
 
+    /** Returns the offers of the ownership. */
+    public Single<OfferRow> offer() {
+        return mOffer;
+    }
+
     /** Returns the times of the last tick. */
     public Single<ClockRow> clock() {
         return mClock;
--- a/daemon/src/main/java/org/hibiscususher/daemon/forward/ForwardClient.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/forward/ForwardClient.java
@@ -75,12 +75,7 @@
 
     /** Passes a request on; it ends with an answer or a {@link ForwardFailed}. */
     public void send(long callId, String address, JobCall call) {
-        mLoop.execute(
-                () ->
-                        connect(
-                                address,
-                                connected ->
-                                        write(connected, address, LinkMessage.of(callId, call))));
+        send(address, LinkMessage.of(callId, call));
     }
 
     /** Asks the owner of an earlier term to give no more orders; tells when it has agreed. */
@@ -92,14 +87,17 @@
                                 mInbox.add(new Yielded(generation));
                             }
                         });
-        mLoop.execute(
-                () ->
-                        connect(
-                                address,
-                                connected -> {
-                                    LinkMessage message = LinkMessage.ofYield(callId, generation);
-                                    write(connected, address, message);
-                                }));
+        send(address, LinkMessage.ofYield(callId, generation));
+    }
+
+    /** Offers the ownership to another entry, which does not tell what it makes of it. */
+    public void offer(String address, long generation) {
+        long callId = mCalls.add(answer -> {});
+        send(address, LinkMessage.ofOffer(callId, generation));
+    }
+
+    private void send(String address, LinkMessage message) {
+        mLoop.execute(() -> connect(address, channel -> write(channel, address, message)));
     }
 
     private void connect(String address, Consumer<ChannelFuture> then) {
--- a/daemon/src/main/java/org/hibiscususher/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/forward/ForwardServer.java
@@ -13,6 +13,7 @@
 import org.hibiscususher.core.job.JobAnswer;
 import org.hibiscususher.core.scheduler.message.SchedulerInput;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.CallReceived;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.TermOffered;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.YieldAsked;
 import org.hibiscususher.daemon.control.Inbox;
 import org.hibiscususher.wire.http.Addresses;
@@ -76,6 +77,15 @@
                                         id -> new YieldAsked(id, generation),
                                         calls,
                                         inbox));
+        message.offerOf()
+                .ifPresent(
+                        generation ->
+                                take(
+                                        channel,
+                                        message.callId(),
+                                        id -> new TermOffered(id, generation),
+                                        calls,
+                                        inbox));
     }
 
     private static void take(
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/SchedulerSite.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/SchedulerSite.java
@@ -29,6 +29,7 @@
 import org.hibiscususher.core.scheduler.message.SchedulerInput.ForwardFailed;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.StopAsked;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.StoreContact;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.TermOffered;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.YieldAsked;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.Yielded;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput;
@@ -373,6 +374,14 @@
         }
     }
 
+    void offer(SchedulerOutput.OfferTerm offer) {
+        VirtualNode to = mNodes.get(offer.address());
+        if (to.isUp()) {
+            long id = mNextCall++;
+            mClock.after(LINK_MS, () -> to.add(new TermOffered(id, offer.generation())));
+        }
+    }
+
     /** Returns how many tasks wait at the owner; -1 if there is none. */
     public int waitingTasks() {
         return mNodes.values().stream()
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualNode.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualNode.java
@@ -169,6 +169,8 @@
             mSite.forward(this, forward);
         } else if (output instanceof SchedulerOutput.AskYield ask) {
             mSite.askYield(ask, answers());
+        } else if (output instanceof SchedulerOutput.OfferTerm offer) {
+            mSite.offer(offer);
         } else if (output instanceof FollowExecutors follow) {
             mFollowing = follow.on();
             mSite.clock().after(2, this::executorsChanged);
--- a/standin/src/test/java/org/hibiscususher/standin/scheduler/SchedulerSiteTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/scheduler/SchedulerSiteTest.java
@@ -159,6 +159,21 @@
             assertThat(mSite.owner()).isPresent().isNotEqualTo(Optional.of(before));
         }
 
+        /** The load of a day on which the store turns away the owner alone. */
+        @Test
+        void followsAnOwnerThatTheStoreTurnsAwayBeforeItsLeaseEnds() {
+            mSite.run(1_500);
+            String before = mSite.owner().orElseThrow();
+            String job = mSite.submit(Jobs.oneStep(4, 800));
+            mSite.run(300);
+            mSite.cutOff(before, 8_000);
+            mSite.run(400);
+            assertThat(mSite.owner()).isPresent().isNotEqualTo(Optional.of(before));
+            mSite.run(1_000);
+            assertThat(mSite.stateOf(job)).isEqualTo(JobState.DONE);
+            assertThat(mSite.watch().breaches()).isEmpty();
+        }
+
         /** The load of the first seed that broke: the store is away from the owner alone. */
         @Test
         void keepsTheEndsOfStepsThatTheStoreDoesNotHold() {
--- a/wire/src/main/java/org/hibiscususher/wire/scheduler/LinkCodec.java
+++ b/wire/src/main/java/org/hibiscususher/wire/scheduler/LinkCodec.java
@@ -21,6 +21,8 @@
         message.answer().ifPresent(answer -> builder.setAnswer(encode(answer)));
         message.yieldTo()
                 .ifPresent(generation -> builder.getYieldBuilder().setGeneration(generation));
+        message.offerOf()
+                .ifPresent(generation -> builder.getOfferBuilder().setGeneration(generation));
         return builder.build().toByteArray();
     }
 
@@ -57,6 +59,7 @@
             case CALL -> LinkMessage.of(link.getCallId(), decode(link.getCall()));
             case ANSWER -> LinkMessage.of(link.getCallId(), decode(link.getAnswer()));
             case YIELD -> LinkMessage.ofYield(link.getCallId(), link.getYield().getGeneration());
+            case OFFER -> LinkMessage.ofOffer(link.getCallId(), link.getOffer().getGeneration());
             default -> throw new IOException("a message without a body");
         };
     }
--- a/wire/src/main/java/org/hibiscususher/wire/scheduler/LinkMessage.java
+++ b/wire/src/main/java/org/hibiscususher/wire/scheduler/LinkMessage.java
@@ -14,29 +14,59 @@
  * @param call the request; empty for an answer
  * @param answer the answer; empty for a request
  * @param yieldTo generation of a later owner that asks to give no more orders; empty for others
+ * @param offerOf generation of an owner that offers its ownership; empty for others
  */
 public record LinkMessage(
-        long callId, Optional<JobCall> call, Optional<JobAnswer> answer, OptionalLong yieldTo) {
+        long callId,
+        Optional<JobCall> call,
+        Optional<JobAnswer> answer,
+        OptionalLong yieldTo,
+        OptionalLong offerOf) {
     /** Checks the parts. */
     public LinkMessage {
         requireNonNull(call);
         requireNonNull(answer);
         requireNonNull(yieldTo);
+        requireNonNull(offerOf);
     }
 
     /** Returns a request. */
     public static LinkMessage of(long callId, JobCall call) {
-        return new LinkMessage(callId, Optional.of(call), Optional.empty(), OptionalLong.empty());
+        return new LinkMessage(
+                callId,
+                Optional.of(call),
+                Optional.empty(),
+                OptionalLong.empty(),
+                OptionalLong.empty());
     }
 
     /** Returns a request of a later owner to give no more orders. */
     public static LinkMessage ofYield(long callId, long generation) {
         return new LinkMessage(
-                callId, Optional.empty(), Optional.empty(), OptionalLong.of(generation));
+                callId,
+                Optional.empty(),
+                Optional.empty(),
+                OptionalLong.of(generation),
+                OptionalLong.empty());
+    }
+
+    /** Returns an owner's offer of its ownership. */
+    public static LinkMessage ofOffer(long callId, long generation) {
+        return new LinkMessage(
+                callId,
+                Optional.empty(),
+                Optional.empty(),
+                OptionalLong.empty(),
+                OptionalLong.of(generation));
     }
 
     /** Returns an answer. */
     public static LinkMessage of(long callId, JobAnswer answer) {
-        return new LinkMessage(callId, Optional.empty(), Optional.of(answer), OptionalLong.empty());
+        return new LinkMessage(
+                callId,
+                Optional.empty(),
+                Optional.of(answer),
+                OptionalLong.empty(),
+                OptionalLong.empty());
     }
 }
--- a/wire/src/test/java/org/hibiscususher/wire/scheduler/StoredRecordCodecTest.java
+++ b/wire/src/test/java/org/hibiscususher/wire/scheduler/StoredRecordCodecTest.java
@@ -98,7 +98,8 @@
                     List.of(
                             LinkMessage.of(4, call),
                             LinkMessage.of(5, answer),
-                            LinkMessage.ofYield(6, 7))) {
+                            LinkMessage.ofYield(6, 7),
+                            LinkMessage.ofOffer(8, 9))) {
                 assertThat(LinkCodec.decode(LinkCodec.encode(message))).isEqualTo(message);
             }
         }
