Give each idle host once while hosts are moved, and go by the hosts' own processor time

Two pools that surged in the same tick could each take the whole surplus of a third; a pool's surplus now shrinks with each host given. The size of a host comes from the list instead of a constant. What gives hosts moved out of MoveSystem into Donors. Test: DonorsTest.

--- a/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/MoveSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/MoveSystem.java
@@ -1,16 +1,13 @@
 package org.hibiscususher.core.scheduler.upkeep;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.hibiscususher.core.job.JobPool;
 import org.hibiscususher.core.job.StepSpec;
 import org.hibiscususher.core.scheduler.job.Jobs;
 import org.hibiscususher.core.scheduler.message.HostReport;
-import org.hibiscususher.core.scheduler.message.HostState;
 import org.hibiscususher.core.scheduler.term.Authority;
 import org.hibiscususher.core.scheduler.world.ExecutorRow;
 import org.hibiscususher.core.scheduler.world.HostTaskRow;
@@ -18,7 +15,6 @@
 import org.hibiscususher.core.scheduler.world.RunRow;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
-import org.hibiscususher.core.scheduler.world.StandingRow;
 import org.hibiscususher.core.scheduler.world.StepRow;
 import org.hibiscususher.core.scheduler.world.TaskGroup;
 import org.hibiscususher.core.scheduler.world.TaskRow;
@@ -37,21 +33,13 @@
     /** The same part for a pool that gives hosts away; more, so that hosts don't go to and fro. */
     private static final int GIVE_PERCENT = 80;
 
-    /** Part of an even share of all hosts that a pool keeps in any case, in percent. */
-    private static final int KEEP_PERCENT = 50;
-
     /** Hosts on their way at a time. */
     private static final int MAX_MOVING = 24;
 
-    /** Time for which a host stays in a pool at least, in milliseconds. */
-    private static final long STAY_MS = 3_000;
-
-    /** Time without a run after which a host counts as idle, in milliseconds. */
-    private static final long IDLE_MS = 1_000;
-
     /** Time after which a lasting task that waits shows that its pool lacks hosts. */
     private static final long STUCK_MS = 400;
 
+    /** Processor time of a host while none is listed, in thousandths of a core. */
     private static final long DEFAULT_HOST_CPU = 64_000;
 
     private MoveSystem() {}
@@ -63,42 +51,59 @@
             return;
         }
         long moving = world.hostTasks().rows().stream().filter(t -> !t.pool().isEmpty()).count();
-        Map<String, PoolNeed> needs = needs(tick);
+        long hostCpu = hostCpu(world);
+        Map<String, PoolNeed> needs = needs(tick, hostCpu);
+        Donors donors = Donors.of(tick, needs, GIVE_PERCENT, hostCpu);
         for (PoolNeed need : needs.values()) {
-            int missing = need.missing(TAKE_PERCENT, DEFAULT_HOST_CPU);
-            for (HostReport host : donors(tick, needs, need.pool())) {
-                if (missing <= 0 || moving >= MAX_MOVING) {
+            int missing = need.missing(TAKE_PERCENT, hostCpu);
+            while (missing > 0 && moving < MAX_MOVING) {
+                Optional<HostReport> host = donors.take(need.pool());
+                if (host.isEmpty()) {
                     break;
                 }
-                HostSteps.begin(tick, host, 0, need.pool());
+                HostSteps.begin(tick, host.get(), 0, need.pool());
                 missing--;
                 moving++;
             }
         }
-        giveBack(tick, needs(tick));
+        giveBack(tick, donors);
+    }
+
+    /** Returns the processor time of a host, in thousandths of a core. */
+    private static long hostCpu(SchedulerWorld world) {
+        return (long)
+                world.hosts().rows().stream()
+                        .mapToLong(h -> h.capacity().cpuMillis())
+                        .filter(cpu -> cpu > 0)
+                        .average()
+                        .orElse(DEFAULT_HOST_CPU);
     }
 
     /** Gives hosts that a pool can do without to the spare pool, where they are not paid for. */
-    private static void giveBack(SchedulerTick tick, Map<String, PoolNeed> needs) {
-        SchedulerWorld world = tick.world();
+    private static void giveBack(SchedulerTick tick, Donors donors) {
         Optional<JobPool> spare =
-                world.plan().get().plan().pools().stream().filter(JobPool::spare).findFirst();
+                tick.world().plan().get().plan().pools().stream()
+                        .filter(JobPool::spare)
+                        .findFirst();
         if (spare.isEmpty()) {
             return;
         }
-        for (HostReport host : donors(tick, needs, spare.get().name())) {
-            HostSteps.begin(tick, host, 0, spare.get().name());
+        String pool = spare.get().name();
+        for (Optional<HostReport> host = donors.takeIdle(pool);
+                host.isPresent();
+                host = donors.takeIdle(pool)) {
+            HostSteps.begin(tick, host.get(), 0, pool);
         }
     }
 
-    private static Map<String, PoolNeed> needs(SchedulerTick tick) {
+    private static Map<String, PoolNeed> needs(SchedulerTick tick, long hostCpu) {
         SchedulerWorld world = tick.world();
         Map<String, PoolNeed> needs = new LinkedHashMap<>();
         Map<String, Long> offered = OfferedLoad.byPool(tick);
         Map<String, Integer> spread = spreadHosts(world);
         for (JobPool pool : world.plan().get().plan().pools()) {
             if (!pool.spare()) {
-                needs.put(pool.name(), need(tick, pool.name(), offered, spread));
+                needs.put(pool.name(), need(tick, pool.name(), hostCpu, offered, spread));
             }
         }
         return needs;
@@ -107,6 +112,7 @@
     private static PoolNeed need(
             SchedulerTick tick,
             String pool,
+            long hostCpu,
             Map<String, Long> offered,
             Map<String, Integer> spread) {
         SchedulerWorld world = tick.world();
@@ -130,7 +136,7 @@
         for (HostTaskRow row : world.hostTasks().rows()) {
             if (row.pool().equals(pool)) {
                 hosts++;
-                capacity += DEFAULT_HOST_CPU;
+                capacity += hostCpu;
             }
         }
         long waiting = 0;
@@ -171,58 +177,4 @@
     private static boolean isLasting(SchedulerWorld world, RunRow run) {
         return Jobs.specOf(world, run.task().stepKey()).filter(StepSpec::lasting).isPresent();
     }
-
-    /** Returns the idle hosts that a pool may get, those of other pools first. */
-    private static List<HostReport> donors(
-            SchedulerTick tick, Map<String, PoolNeed> needs, String taker) {
-        SchedulerWorld world = tick.world();
-        Map<String, Integer> left = new HashMap<>();
-        int keep = keptHosts(world);
-        needs.forEach(
-                (name, need) -> left.put(name, need.surplus(GIVE_PERCENT, DEFAULT_HOST_CPU, keep)));
-        List<HostReport> donors = new ArrayList<>();
-        List<HostReport> spares = new ArrayList<>();
-        for (HostReport host : world.hosts().rows()) {
-            boolean free =
-                    host.state() == HostState.UP
-                            && !host.pool().equals(taker)
-                            && !HostOrderSystem.isResting(tick, host.id())
-                            && !world.hostTasks().contains(host.id());
-            boolean spare =
-                    world.plan().get().plan().pool(host.pool()).map(JobPool::spare).orElse(false);
-            if (free && spare && host.executor().isEmpty()) {
-                spares.add(host);
-            } else if (free && isIdle(tick, host) && left.getOrDefault(host.pool(), 0) > 0) {
-                left.merge(host.pool(), -1, Integer::sum);
-                donors.add(host);
-            }
-        }
-        donors.addAll(spares);
-        return donors;
-    }
-
-    /** Returns how many hosts a pool keeps, so that a surge finds some before others have come. */
-    private static int keptHosts(SchedulerWorld world) {
-        int pools = Math.max(1, world.plan().get().plan().pools().size());
-        return (world.hosts().size() * KEEP_PERCENT / 100 + pools - 1) / pools;
-    }
-
-    private static boolean isIdle(SchedulerTick tick, HostReport host) {
-        SchedulerWorld world = tick.world();
-        ExecutorRow row = world.executors().find(host.executor()).orElse(null);
-        long endedMs = world.standings().find(host.executor()).map(StandingRow::endedMs).orElse(0L);
-        return row != null
-                && !row.cordoned()
-                && Eviction.isKnown(world, row.id())
-                && ageMs(tick, row) > STAY_MS
-                && tick.nowMs() - endedMs > IDLE_MS
-                && world.runs().group(row.id()).isEmpty();
-    }
-
-    /** Returns how old an executor is; a new owner goes by the start that it reports. */
-    private static long ageMs(SchedulerTick tick, ExecutorRow row) {
-        long bornMs = row.report().bornMs();
-        long sinceSeenMs = tick.nowMs() - row.seenMs();
-        return bornMs == 0 ? sinceSeenMs : Math.max(sinceSeenMs, tick.wallMs() - bornMs);
-    }
 }
--- /dev/null
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/upkeep/DonorsTest.java
@@ -0,0 +1,104 @@
+package org.hibiscususher.core.scheduler.upkeep;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import org.hibiscususher.core.job.Resources;
+import org.hibiscususher.core.scheduler.message.ExecutorReport;
+import org.hibiscususher.core.scheduler.message.HostReport;
+import org.hibiscususher.core.scheduler.message.HostState;
+import org.hibiscususher.core.scheduler.world.ContactRow;
+import org.hibiscususher.core.scheduler.world.ExecutorRow;
+import org.hibiscususher.core.scheduler.world.HostOrderRow;
+import org.hibiscususher.core.scheduler.world.SchedulerSettings;
+import org.hibiscususher.core.scheduler.world.SchedulerTick;
+import org.hibiscususher.core.scheduler.world.SchedulerTiming;
+import org.hibiscususher.core.scheduler.world.SchedulerWorld;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Two pools surge at the same time; a third needs two of its three hosts. */
+class DonorsTest {
+    private static final long NOW_MS = 100_000;
+    private static final long HOST_CPU = 64_000;
+    private static final Resources CAPACITY = Resources.of(HOST_CPU, 1_000, 0);
+
+    private final SchedulerWorld mWorld =
+            SchedulerWorld.create(
+                    new SchedulerSettings("n", 1, "n", List.of(), 0, SchedulerTiming.USUAL));
+
+    @BeforeEach
+    void start() {
+        for (int i = 0; i < 3; i++) {
+            host("h" + i, "x" + i);
+            executor("x" + i, 1_000);
+        }
+    }
+
+    private void host(String id, String executor) {
+        mWorld.hosts()
+                .put(
+                        id,
+                        new HostReport(
+                                id, "calm", HostState.UP, "z", List.of(), CAPACITY, executor));
+    }
+
+    private void executor(String id, long seenMs) {
+        ExecutorReport report =
+                new ExecutorReport(
+                        id, "calm", id + ":1", "z", "h", List.of(), CAPACITY, false, 0, 0);
+        mWorld.executors().put(id, new ExecutorRow(report, seenMs, 0, false, true, false, 0));
+        mWorld.contacts().put(id, ContactRow.initial(id, 0).answered(1, 1, NOW_MS));
+    }
+
+    private Donors donors() {
+        PoolNeed calm = new PoolNeed("calm", 3, 2 * HOST_CPU, 0, 3 * HOST_CPU, 0, 0, 0, 0);
+        return Donors.of(
+                new SchedulerTick(mWorld, NOW_MS, NOW_MS, List.of(), () -> 1),
+                Map.of("calm", calm),
+                0,
+                HOST_CPU);
+    }
+
+    @Nested
+    class Give {
+        @Test
+        void noMoreThanThePoolCanDoWithout() {
+            Donors donors = donors();
+            assertThat(donors.take("first")).isPresent();
+            assertThat(donors.take("second")).isEmpty();
+        }
+
+        @Test
+        void nothingToTheirOwnPool() {
+            assertThat(donors().take("calm")).isEmpty();
+        }
+
+        @Test
+        void noHostThatCameJustNow() {
+            for (int i = 0; i < 3; i++) {
+                executor("x" + i, NOW_MS - 500);
+            }
+            assertThat(donors().take("first")).isEmpty();
+        }
+
+        @Test
+        void noHostWhoseExecutorHasNotToldItsRuns() {
+            for (int i = 0; i < 3; i++) {
+                mWorld.contacts().put("x" + i, ContactRow.initial("x" + i, 0));
+            }
+            assertThat(donors().take("first")).isEmpty();
+        }
+
+        @Test
+        void noHostThatTheEarlierOwnerMayHaveOrdered() {
+            for (int i = 0; i < 3; i++) {
+                mWorld.hostOrders()
+                        .put("h" + i, new HostOrderRow("h" + i, true, NOW_MS + 1, NOW_MS));
+            }
+            assertThat(donors().take("first")).isEmpty();
+        }
+    }
+}
