--- a/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/HostSteps.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/HostSteps.java
@@ -175,10 +175,19 @@
                 host == null
                         || host.state() == HostState.UP
                                 && (row.executor().isEmpty()
-                                        || !host.executor().equals(row.executor()));
+                                        || !host.executor().equals(row.executor())
+                                        || hasAnswered(world, row));
         if (fresh && returned) {
             world.hostTasks().remove(row.host());
             tick.log("host-back", describe(row));
         }
     }
+
+    /** Returns whether the host's executor lives on: the order was carried out earlier already. */
+    private static boolean hasAnswered(SchedulerWorld world, HostTaskRow row) {
+        return world.contacts()
+                .find(row.executor())
+                .filter(c -> c.answeredMs() > row.sinceMs())
+                .isPresent();
+    }
 }
--- /dev/null
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/upkeep/WaveSystemTest.java
@@ -0,0 +1,123 @@
+package org.hibiscususher.core.scheduler.upkeep;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Set;
+import org.hibiscususher.core.job.Resources;
+import org.hibiscususher.core.scheduler.message.ExecutorReport;
+import org.hibiscususher.core.scheduler.message.HostOrderResult;
+import org.hibiscususher.core.scheduler.message.HostReport;
+import org.hibiscususher.core.scheduler.message.HostState;
+import org.hibiscususher.core.scheduler.message.SchedulerInput;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.HostOrderAnswered;
+import org.hibiscususher.core.scheduler.message.WaveOrder;
+import org.hibiscususher.core.scheduler.world.ContactRow;
+import org.hibiscususher.core.scheduler.world.ExecutorRow;
+import org.hibiscususher.core.scheduler.world.HostListRow;
+import org.hibiscususher.core.scheduler.world.HostOrderRow;
+import org.hibiscususher.core.scheduler.world.HostTaskRow;
+import org.hibiscususher.core.scheduler.world.SchedulerSettings;
+import org.hibiscususher.core.scheduler.world.SchedulerTick;
+import org.hibiscususher.core.scheduler.world.SchedulerTiming;
+import org.hibiscususher.core.scheduler.world.SchedulerWorld;
+import org.hibiscususher.core.scheduler.world.TermRow;
+import org.hibiscususher.core.scheduler.world.TermStage;
+import org.hibiscususher.core.scheduler.world.WaveRow;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** A wave of one host with an idle executor. */
+class WaveSystemTest {
+    private static final long NOW_MS = 10_000;
+    private static final long WAVE = 1;
+
+    private final SchedulerWorld mWorld =
+            SchedulerWorld.create(
+                    new SchedulerSettings("n", 1, "n", List.of(), 0, SchedulerTiming.USUAL));
+    private long mCalls;
+
+    @BeforeEach
+    void start() {
+        mWorld.term()
+                .set(
+                        new TermRow(
+                                TermStage.OWNING,
+                                2,
+                                50,
+                                7,
+                                NOW_MS + 60_000,
+                                0,
+                                0,
+                                0,
+                                0,
+                                false,
+                                true));
+        list(NOW_MS, HostState.UP, "x");
+        executor(NOW_MS - 100);
+        mWorld.hostOrders().put("h", new HostOrderRow("h", true, 0, NOW_MS));
+        WaveOrder order = new WaveOrder(WAVE, List.of("h"), 60_000, 1);
+        mWorld.waves().put(WAVE, new WaveRow(order, NOW_MS, Set.of(), false, true));
+    }
+
+    private void list(long nowMs, HostState state, String executor) {
+        mWorld.hostList().set(new HostListRow(0, nowMs - 10, nowMs));
+        mWorld.hosts()
+                .put(
+                        "h",
+                        new HostReport("h", "p", state, "z", List.of(), Resources.NONE, executor));
+    }
+
+    private void executor(long answeredMs) {
+        ExecutorReport report =
+                new ExecutorReport(
+                        "x", "p", "x:1", "z", "h", List.of(), Resources.NONE, false, 0, 1);
+        mWorld.executors().put("x", new ExecutorRow(report, 0, 0, false, true, false, 0));
+        mWorld.contacts().put("x", ContactRow.initial("x", 0).answered(1, 1, answeredMs));
+    }
+
+    private void tick(long nowMs, SchedulerInput... inputs) {
+        WaveSystem.run(new SchedulerTick(mWorld, nowMs, nowMs, List.of(inputs), () -> ++mCalls));
+    }
+
+    private void orderIsAnswered(HostOrderResult result) {
+        tick(NOW_MS);
+        tick(NOW_MS + 10);
+        long call = mWorld.hostTasks().find("h").map(HostTaskRow::callId).orElseThrow();
+        tick(NOW_MS + 20, new HostOrderAnswered(call, "h", result));
+    }
+
+    private boolean isDone() {
+        return mWorld.waves().find(WAVE).filter(WaveRow::done).isPresent();
+    }
+
+    @Nested
+    class Ends {
+        @Test
+        void onceTheHostIsBackWithAnotherExecutor() {
+            orderIsAnswered(HostOrderResult.DONE);
+            list(NOW_MS + 1_000, HostState.MAINTENANCE, "");
+            tick(NOW_MS + 1_000);
+            assertThat(isDone()).isFalse();
+            list(NOW_MS + 3_000, HostState.UP, "y");
+            tick(NOW_MS + 3_000);
+            tick(NOW_MS + 3_010);
+            assertThat(isDone()).isTrue();
+        }
+
+        /** The order of an earlier owner was carried out, but the store did not learn of it. */
+        @Test
+        void onceTheExecutorOfAHostThatWasMaintainedBeforeAnswers() {
+            orderIsAnswered(HostOrderResult.DONE);
+            list(NOW_MS + 1_000, HostState.UP, "x");
+            tick(NOW_MS + 1_000);
+            assertThat(isDone()).isFalse();
+            executor(NOW_MS + 1_500);
+            list(NOW_MS + 1_600, HostState.UP, "x");
+            tick(NOW_MS + 1_600);
+            tick(NOW_MS + 1_610);
+            assertThat(isDone()).isTrue();
+        }
+    }
+}
