Move hosts sooner to a pool whose demand rises, and keep fewer where it does not

The load that callers hand in is averaged over 1.0 s instead of 1.5 s, a pool takes 45 percent beyond it instead of 30, and keeps 35 percent of an even share instead of 50.

--- a/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/Donors.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/Donors.java
@@ -21,7 +21,7 @@
  */
 final class Donors {
     /** Part of an even share of all hosts that a pool keeps in any case, in percent. */
-    private static final int KEEP_PERCENT = 50;
+    private static final int KEEP_PERCENT = 35;
 
     private static final int FULL = 100;
 
--- a/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/MoveSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/MoveSystem.java
@@ -28,7 +28,7 @@
  */
 public final class MoveSystem {
     /** Part of what callers hand in that a pool should have beyond it, in percent. */
-    private static final int TAKE_PERCENT = 30;
+    private static final int TAKE_PERCENT = 45;
 
     /** The same part for a pool that gives hosts away; more, so that hosts don't go to and fro. */
     private static final int GIVE_PERCENT = 80;
--- a/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/OfferedLoad.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/OfferedLoad.java
@@ -11,7 +11,7 @@
  */
 final class OfferedLoad {
     /** Time over which the work that comes is averaged, in milliseconds. */
-    private static final long WINDOW_MS = 1_500;
+    private static final long WINDOW_MS = 1_000;
 
     private OfferedLoad() {}
 
