Keep a host out of service until an unanswered order for it is answered

Cause: an order without an answer took the host back to be emptied, where it did not count against its wave's cap although it could be away, and a move that might still be carried out was given up, so that the host got work again.

--- a/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/HostSteps.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/HostSteps.java
@@ -66,6 +66,7 @@
                 world.hostTasks().put(row.host(), row.withStep(HostStep.AWAY, 0, tick.nowMs()));
                 Runs.executorGone(tick, row.executor(), "host-ordered-away");
             }
+            case NO_ANSWER -> unanswered(tick, row);
             case NOT_IN_WAVE, INVALID -> {
                 begun(tick, row);
                 giveUp(tick, row);
@@ -97,19 +98,27 @@
     private static void retry(SchedulerTick tick, HostTaskRow row) {
         HostOrderSystem.use(tick, row.host());
         if (row.pool().isEmpty()) {
-            tick.world().hostTasks().put(row.host(), row.retried(tick.nowMs() + RETRY_MS));
+            long atMs = tick.nowMs() + RETRY_MS;
+            tick.world().hostTasks().put(row.host(), row.retried(HostStep.EMPTYING, atMs));
         } else {
             giveUp(tick, row);
         }
     }
 
+    /** Keeps the host out of service until the same order is answered. */
+    private static void unanswered(SchedulerTick tick, HostTaskRow row) {
+        HostOrderSystem.use(tick, row.host());
+        long atMs = tick.nowMs() + RETRY_MS;
+        tick.world().hostTasks().put(row.host(), row.retried(HostStep.UNANSWERED, atMs));
+    }
+
     /** Does what is due with a host. */
     static void advance(SchedulerTick tick, HostTaskRow row) {
         switch (row.step()) {
-            case EMPTYING -> empty(tick, row);
+            case EMPTYING, UNANSWERED -> empty(tick, row);
             case ORDERED -> {
                 if (tick.nowMs() - row.sinceMs() > ORDER_TIMEOUT_MS) {
-                    retry(tick, row);
+                    unanswered(tick, row);
                 }
             }
             default -> back(tick, row);
@@ -136,36 +145,35 @@
 
     /** Returns whether the cap of the host's wave lets it go now. */
     private static boolean mayGo(SchedulerTick tick, HostTaskRow row) {
-        if (!row.pool().isEmpty()) {
+        if (!row.pool().isEmpty() || row.step().mayBeAway()) {
             return true;
         }
         WaveRow wave = tick.world().waves().find(row.wave()).orElse(null);
-        if (wave == null) {
-            return false;
-        }
-        int away = awayBefore(tick, wave);
-        for (HostTaskRow other : tick.world().hostTasks().rows()) {
-            away += other.wave() == row.wave() && other.step() != HostStep.EMPTYING ? 1 : 0;
-        }
-        return away < wave.order().cap();
+        return wave != null && away(tick, wave) < wave.order().cap();
     }
 
-    /** Returns how many hosts of a wave may be away by orders of an earlier owner. */
-    static int awayBefore(SchedulerTick tick, WaveRow wave) {
-        SchedulerWorld world = tick.world();
+    /** Returns how many hosts of a wave may be out of service by orders of any owner. */
+    private static int away(SchedulerTick tick, WaveRow wave) {
         int away = 0;
         for (String id : wave.order().hosts()) {
-            boolean listed =
-                    world.hosts()
-                            .find(id)
-                            .filter(h -> h.state() == HostState.MAINTENANCE)
-                            .isPresent();
-            boolean known = world.hostTasks().contains(id);
-            away += !known && (listed || HostOrderSystem.isResting(tick, id)) ? 1 : 0;
+            boolean ordered =
+                    tick.world().hostTasks().find(id).filter(t -> t.step().mayBeAway()).isPresent();
+            away += ordered || mayBeAwayBefore(tick, id) ? 1 : 0;
         }
         return away;
     }
 
+    /** Returns whether a host may be out of service by an order of an earlier owner. */
+    static boolean mayBeAwayBefore(SchedulerTick tick, String host) {
+        boolean listed =
+                tick.world()
+                        .hosts()
+                        .find(host)
+                        .filter(h -> h.state() == HostState.MAINTENANCE)
+                        .isPresent();
+        return listed || HostOrderSystem.isResting(tick, host);
+    }
+
     /** Waits until the platform says that the host is up again, with another executor if any. */
     private static void back(SchedulerTick tick, HostTaskRow row) {
         SchedulerWorld world = tick.world();
--- a/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/WaveSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/WaveSystem.java
@@ -51,9 +51,11 @@
             announce(world, number, false);
             world.waves().put(number, wave.asAnnounced());
         }
-        int under = HostSteps.awayBefore(tick, wave);
-        for (HostTaskRow row : world.hostTasks().rows()) {
-            under += row.wave() == number ? 1 : 0;
+        int under = 0;
+        for (String host : wave.order().hosts()) {
+            boolean taken =
+                    world.hostTasks().find(host).filter(t -> t.wave() == number).isPresent();
+            under += taken || HostSteps.mayBeAwayBefore(tick, host) ? 1 : 0;
         }
         List<HostReport> next = new ArrayList<>();
         boolean left = false;
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/HostStep.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/HostStep.java
@@ -6,6 +6,13 @@
     EMPTYING,
     /** The order was sent. */
     ORDERED,
+    /** The order was not answered: it may have been carried out, or may be yet. */
+    UNANSWERED,
     /** The order was carried out; the host is not back yet. */
-    AWAY
+    AWAY;
+
+    /** Returns whether the host may be out of service by an order. */
+    public boolean mayBeAway() {
+        return this != EMPTYING;
+    }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/HostTaskRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/HostTaskRow.java
@@ -36,9 +36,8 @@
         return new HostTaskRow(host, wave, pool, newStep, newCallId, retryAtMs, nowMs, executor);
     }
 
-    /** Returns this row back at emptying, with no order before a time. */
-    public HostTaskRow retried(long newRetryAtMs) {
-        return new HostTaskRow(
-                host, wave, pool, HostStep.EMPTYING, 0, newRetryAtMs, sinceMs, executor);
+    /** Returns this row in a step before the next order, which is not sent before a time. */
+    public HostTaskRow retried(HostStep newStep, long newRetryAtMs) {
+        return new HostTaskRow(host, wave, pool, newStep, 0, newRetryAtMs, sinceMs, executor);
     }
 }
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/RunWatch.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/RunWatch.java
@@ -18,6 +18,9 @@
 
 /** Checks what callers and executors see against the promises. */
 public final class RunWatch {
+    /** Time in which only one entry may give orders for a host, in milliseconds. */
+    private static final long HOLDER_MS = 3_000;
+
     /** Time after the answer to a cancellation in which runs may still start, in milliseconds. */
     private static final long CANCEL_MS = 3_000;
 
@@ -35,6 +38,9 @@
     private final Map<String, Long> mCancelled = new HashMap<>();
     private final Map<String, Resources> mTeamUse = new HashMap<>();
     private final Map<String, Resources> mLimits = new HashMap<>();
+    private final Map<String, HostHolder> mHolders = new HashMap<>();
+
+    private record HostHolder(String entry, long orderedMs) {}
 
     /** Sets the most that a team may have running. */
     public void limit(String team, Resources limit) {
@@ -143,6 +149,19 @@
         }
     }
 
+    /** Notes that an entry gives an order for a host. */
+    public void hostOrdered(String host, String entry, long nowMs) {
+        HostHolder before = mHolders.put(host, new HostHolder(entry, nowMs));
+        if (before != null
+                && !before.entry().equals(entry)
+                && nowMs - before.orderedMs() < HOLDER_MS) {
+            breach(
+                    SchedulerPromise.ONE_HOLDER_A_HOST,
+                    nowMs,
+                    host + " is ordered by " + entry + " just after " + before.entry());
+        }
+    }
+
     /** Notes that a run has ended; {@code kind} is empty if it ended with its executor. */
     public void ended(TaskKey task, String executor, Optional<EndKind> kind) {
         Set<String> running = mRunning.getOrDefault(task, new HashSet<>());
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/SchedulerPromise.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/SchedulerPromise.java
@@ -24,6 +24,8 @@
     REFUSED_NEVER_RUNS,
     /** At most the cap's number of a wave's hosts is away. */
     WAVE_CAP,
+    /** Two entries never give orders for the same host within the time of a lease. */
+    ONE_HOLDER_A_HOST,
     /** A draining executor gets no new runs. */
     DRAINING_GETS_NOTHING
 }
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/SchedulerSite.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/SchedulerSite.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -24,16 +25,20 @@
 import org.hibiscususher.core.job.StepSpec;
 import org.hibiscususher.core.job.TaskKey;
 import org.hibiscususher.core.scheduler.message.ExecutorReport;
+import org.hibiscususher.core.scheduler.message.RecordKind;
+import org.hibiscususher.core.scheduler.message.RecordName;
 import org.hibiscususher.core.scheduler.message.SchedulerInput;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.CallReceived;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.ForwardFailed;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.StopAsked;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.StoreContact;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.TermOffered;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.WaveSeen;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.YieldAsked;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.Yielded;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.Forward;
+import org.hibiscususher.core.scheduler.message.StoredRecord;
 import org.hibiscususher.core.scheduler.message.WaveOrder;
 
 /** A site in virtual time: entries that run the real scheduler, a store, executors and callers. */
@@ -47,9 +52,12 @@
     private static final String TEAM = "team";
     private static final int ATTEMPTS = 3;
     private static final long LINK_MS = 1;
+    private static final long WAVE_MS = 60_000;
+    private static final long REPORT_MS = 1_500;
+    private static final long REPORT_LINGERS_MS = 3_500;
     private static final long RETRY_MS = 300;
     private static final int MAX_TRIES = 60;
-    private static final Resources CAPACITY = Resources.of(8_000, 16_000, 0);
+    static final Resources CAPACITY = Resources.of(8_000, 16_000, 0);
 
     private final SiteClock mClock = new SiteClock();
     private final Random mRandom;
@@ -61,6 +69,9 @@
     private final Map<Long, Consumer<JobAnswer>> mCalls = new HashMap<>();
     private final List<String> mLog = new ArrayList<>();
     private final Resources mLimit;
+    private final Set<String> mEnded = new HashSet<>();
+    private Optional<VirtualHosts> mHosts = Optional.empty();
+    private List<WaveOrder> mWaves = List.of();
     private long mNextCall = 1;
     private int mNextJob;
 
@@ -121,7 +132,73 @@
     }
 
     List<WaveOrder> waves() {
-        return List.of();
+        return mWaves;
+    }
+
+    Optional<VirtualHosts> hosts() {
+        return mHosts;
+    }
+
+    /** Has the operators order the maintenance of all hosts, with at most {@code cap} away. */
+    public void beginWave(int cap) {
+        List<String> ids = reports().stream().map(ExecutorReport::host).toList();
+        WaveOrder wave = new WaveOrder(1, ids, WAVE_MS, cap);
+        mHosts = Optional.of(new VirtualHosts(this, mRandom, wave));
+        mWaves = List.of(wave);
+        mNodes.values().stream().filter(VirtualNode::isUp).forEach(n -> n.add(new WaveSeen(wave)));
+        reportAgain();
+    }
+
+    /** Has the executors report as often as they do on the platform, changed or not. */
+    private void reportAgain() {
+        mNodes.values().forEach(VirtualNode::executorsChanged);
+        mClock.after(REPORT_MS, this::reportAgain);
+    }
+
+    /** Returns whether each host of the wave has been maintained, and operators are told so. */
+    public boolean isWaveDone() {
+        StoredRecord status = mKv.record(RecordName.of(RecordKind.WAVE_STATUS, "1")).orElse(null);
+        return mHosts.filter(VirtualHosts::allMaintained).isPresent()
+                && status instanceof StoredRecord.WaveStatus told
+                && told.done();
+    }
+
+    /** Loses a share of the answers to orders for hosts for a time. */
+    public void loseHostAnswers(double share, long forMs) {
+        mHosts.ifPresent(hosts -> hosts.loseAnswers(share));
+        mClock.after(forMs, () -> mHosts.ifPresent(hosts -> hosts.loseAnswers(0)));
+    }
+
+    /** Ends an executor for good; its report lingers for a while. */
+    ExecutorReport endExecutor(String id) {
+        mExecutors.get(id).end();
+        mClock.after(
+                REPORT_LINGERS_MS,
+                () -> {
+                    mEnded.add(id);
+                    mNodes.values().forEach(VirtualNode::executorsChanged);
+                });
+        return mExecutors.get(id).report();
+    }
+
+    /** Begins an executor in place of one that has ended; returns its id. */
+    String addExecutor(ExecutorReport ended) {
+        String id = ended.id() + "n";
+        ExecutorReport report =
+                new ExecutorReport(
+                        id,
+                        ended.pool(),
+                        id + ":1",
+                        ended.zone(),
+                        ended.host(),
+                        ended.labels(),
+                        ended.capacity(),
+                        false,
+                        0,
+                        mClock.nowMs());
+        mExecutors.put(id, new VirtualExecutor(mClock, mRandom, mWatch, report));
+        mNodes.values().forEach(VirtualNode::executorsChanged);
+        return id;
     }
 
     List<String> nodes() {
@@ -129,7 +206,10 @@
     }
 
     List<ExecutorReport> reports() {
-        return mExecutors.values().stream().map(VirtualExecutor::report).toList();
+        return mExecutors.values().stream()
+                .map(VirtualExecutor::report)
+                .filter(report -> !mEnded.contains(report.id()))
+                .toList();
     }
 
     JobPlan plan() {
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualExecutor.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualExecutor.java
@@ -56,6 +56,7 @@
     private double mLateShare;
     private boolean mFailsAll;
     private boolean mDark;
+    private boolean mEnded;
 
     VirtualExecutor(SiteClock clock, Random random, RunWatch watch, ExecutorReport report) {
         mClock = clock;
@@ -91,8 +92,18 @@
         }
     }
 
+    /** Ends everything, for good. */
+    void end() {
+        mRunning.keySet().forEach(task -> mWatch.ended(task, id(), Optional.empty()));
+        mRunning.clear();
+        mEnded = true;
+    }
+
     /** Ends everything and begins another life that knows nothing. */
     void restart() {
+        if (mEnded) {
+            return;
+        }
         mRunning.keySet().forEach(task -> mWatch.ended(task, id(), Optional.empty()));
         mRunning.clear();
         mHighest.clear();
@@ -130,7 +141,7 @@
             Function<TaskKey, StepSpec> steps,
             Consumer<SchedulerInput> answer) {
         boolean order = !(output instanceof HoldExecutor);
-        if (mDark || mCutFrom.contains(node)) {
+        if (mDark || mEnded || mCutFrom.contains(node)) {
             mClock.after(SILENCE_MS, () -> answer.accept(silence(output)));
         } else if (order && mRandom.nextDouble() < mLateShare) {
             long lateMs = MIN_LATE_MS + mRandom.nextInt(LATE_SPREAD_MS);
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualKv.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualKv.java
@@ -170,6 +170,11 @@
                 : new LoadedRecord(name, item.revision(), Optional.of(item.record()));
     }
 
+    /** Returns the record of a name, if there is one. */
+    Optional<StoredRecord> record(RecordName name) {
+        return Optional.ofNullable(mItems.get(name)).map(Item::record);
+    }
+
     private SchedulerInput load(LoadRecords load) {
         List<LoadedRecord> records = new ArrayList<>();
         for (RecordName name : mItems.keySet()) {
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualNode.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualNode.java
@@ -19,6 +19,7 @@
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.HoldExecutor;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.ListHosts;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.LoadRecords;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput.MaintainHost;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.RenewLease;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.StartRun;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.StopRun;
@@ -175,7 +176,12 @@
             mFollowing = follow.on();
             mSite.clock().after(2, this::executorsChanged);
         } else if (output instanceof ListHosts list) {
-            answers().accept(new HostsNotListed(list.callId()));
+            mSite.hosts()
+                    .ifPresentOrElse(
+                            hosts -> hosts.list(list, answers()),
+                            () -> answers().accept(new HostsNotListed(list.callId())));
+        } else if (output instanceof MaintainHost order) {
+            mSite.hosts().ifPresent(hosts -> hosts.maintain(mName, order, answers()));
         } else if (output instanceof GrantLease
                 || output instanceof RenewLease
                 || output instanceof Commit
--- a/standin/src/test/java/org/hibiscususher/standin/scheduler/RunWatchTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/scheduler/RunWatchTest.java
@@ -141,5 +141,15 @@
             mWatch.away(3, 2, 1);
             assertBroken(SchedulerPromise.WAVE_CAP);
         }
+
+        @Test
+        void orderedByTwoEntriesInTurnAreFound() {
+            mWatch.hostOrdered("h", "n0", 1_000);
+            mWatch.hostOrdered("h", "n0", 1_500);
+            mWatch.hostOrdered("h", "n1", 4_600);
+            assertThat(mWatch.breaches()).isEmpty();
+            mWatch.hostOrdered("h", "n0", 5_000);
+            assertBroken(SchedulerPromise.ONE_HOLDER_A_HOST);
+        }
     }
 }
--- a/standin/src/test/java/org/hibiscususher/standin/scheduler/SchedulerSiteTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/scheduler/SchedulerSiteTest.java
@@ -208,6 +208,39 @@
         }
     }
 
+    @Nested
+    class Waves {
+        private static final int CAP = 2;
+
+        @Test
+        void areDoneWhileTheSiteWorks() {
+            SchedulerSite site = SchedulerSite.of(3, 6, 7);
+            List<String> jobs = busyDay(site, new Random(7));
+            site.beginWave(CAP);
+            site.run(DAY_MS + REST_MS);
+            assertThat(site.isWaveDone()).isTrue();
+            assertAllServed(site, jobs);
+        }
+
+        @ParameterizedTest
+        @EnumSource(SiteFault.class)
+        void areDoneWhateverFails(SiteFault fault) {
+            for (int seed = 1; seed <= SEEDS_PER_FAULT; seed++) {
+                Random random = new Random(seed);
+                SchedulerSite site = SchedulerSite.of(4, 6, seed);
+                List<String> jobs = busyDay(site, random);
+                int startMs = 1_000 + random.nextInt(6_000);
+                site.at(startMs, () -> site.beginWave(CAP));
+                site.at(startMs, () -> site.loseHostAnswers(0.3, 5_000));
+                site.at(startMs + random.nextInt(6_000), () -> fault.strike(site, random));
+                site.run(DAY_MS + REST_MS);
+                assertThat(site.watch().breaches()).as("seed " + seed).isEmpty();
+                assertThat(site.isWaveDone()).as("seed " + seed).isTrue();
+                assertAllServed(site, jobs);
+            }
+        }
+    }
+
     @Nested
     class Faults {
         static Stream<Arguments> pairs() {
