--- a/core/src/main/java/org/hibiscususher/core/scheduler/placement/FreeCapacity.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/placement/FreeCapacity.java
@@ -17,6 +17,9 @@
     private final Map<String, ExecutorRow> mExecutors = new LinkedHashMap<>();
     private final Map<String, Integer> mRuns = new HashMap<>();
 
+    /** What last fitted on no executor; room only shrinks, so whatever needs as much won't fit. */
+    private Resources mTooBig;
+
     private FreeCapacity() {}
 
     /** Returns the room on the executors of a pool that may get new runs. */
@@ -51,6 +54,18 @@
                 && contact.asideUntilMs() <= tick.nowMs();
     }
 
+    /** Returns whether some executor has so much free. */
+    boolean mayFit(Resources reserved) {
+        if (mTooBig != null && mTooBig.fitsIn(reserved)) {
+            return false;
+        }
+        boolean fits = mFree.values().stream().anyMatch(reserved::fitsIn);
+        if (!fits) {
+            mTooBig = reserved;
+        }
+        return fits;
+    }
+
     /** Returns whether there is no executor. */
     boolean isEmpty() {
         return mExecutors.isEmpty();
--- a/core/src/main/java/org/hibiscususher/core/scheduler/placement/PlacementSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/placement/PlacementSystem.java
@@ -93,20 +93,29 @@
                 waiting.computeIfAbsent(order, o -> new ArrayList<>()).add(task);
             }
         }
-        Set<StepKey> gangs = new HashSet<>();
+        Set<StepKey> over = new HashSet<>();
         for (List<TaskRow> tasks : waiting.values()) {
             for (TaskRow task : tasks) {
                 StepKey step = task.key().stepKey();
-                StepSpec spec = Jobs.specOf(world, step).orElseThrow();
-                if (!spec.gang()) {
-                    start(tick, room, teams, task, spec);
-                } else if (gangs.add(step)) {
-                    startGang(tick, room, teams, step, spec);
+                if (!over.contains(step) && !placeOne(tick, room, teams, task)) {
+                    over.add(step);
                 }
             }
         }
     }
 
+    /** Starts a task, or its gang; returns whether other tasks of its step may start as well. */
+    private static boolean placeOne(
+            SchedulerTick tick, FreeCapacity room, Map<String, Resources> teams, TaskRow task) {
+        StepKey step = task.key().stepKey();
+        StepSpec spec = Jobs.specOf(tick.world(), step).orElseThrow();
+        if (spec.gang()) {
+            startGang(tick, room, teams, step, spec);
+            return false;
+        }
+        return start(tick, room, teams, task, spec);
+    }
+
     private static boolean start(
             SchedulerTick tick,
             FreeCapacity room,
@@ -119,6 +128,9 @@
         if (!use.staysWithin(limit(world, job.team()))) {
             return false;
         }
+        if (!room.mayFit(spec.reserved())) {
+            return false;
+        }
         Optional<ExecutorRow> executor = ExecutorChoice.find(tick, room, task, spec);
         if (executor.isEmpty()) {
             return false;
--- a/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/MoveSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/MoveSystem.java
@@ -33,6 +33,9 @@
     /** The same part for a pool that gives hosts away; more, so that hosts don't go to and fro. */
     private static final int GIVE_PERCENT = 80;
 
+    /** Time between two decisions, in milliseconds. */
+    private static final long EVERY_MS = 50;
+
     /** Hosts on their way at a time. */
     private static final int MAX_MOVING = 24;
 
@@ -47,9 +50,11 @@
     /** Runs over the pools. */
     public static void run(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
-        if (world.hostList().get().listedMs() == 0 || !Authority.mayOrderHosts(tick)) {
+        boolean due = tick.nowMs() - world.movesDecidedMs().get() >= EVERY_MS;
+        if (!due || world.hostList().get().listedMs() == 0 || !Authority.mayOrderHosts(tick)) {
             return;
         }
+        world.movesDecidedMs().set(tick.nowMs());
         long moving = world.hostTasks().rows().stream().filter(t -> !t.pool().isEmpty()).count();
         long hostCpu = hostCpu(world);
         Map<String, PoolNeed> needs = needs(tick, hostCpu);
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerWorld.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerWorld.java
@@ -54,6 +54,7 @@
     private final Table<Long, WaveRow> mWaves = Table.create();
     private final Table<String, HostReport> mHosts = Table.create();
     private final Table<String, HostTaskRow> mHostTasks = Table.create();
+    private final Single<Long> mMovesDecidedMs = Single.of(0L);
     private final Table<String, HostOrderRow> mHostOrders = Table.create();
     private final Single<StoredRecord.HostOrders> mRecordedHostOrders =
             Single.of(new StoredRecord.HostOrders(List.of()));
@@ -222,6 +223,11 @@
         return mHostTasks;
     }
 
+    /** Returns when moves of hosts were last decided on. */
+    public Single<Long> movesDecidedMs() {
+        return mMovesDecidedMs;
+    }
+
     /** Returns the hosts for which orders may have been given of late. */
     public Table<String, HostOrderRow> hostOrders() {
         return mHostOrders;
--- a/daemon/src/main/java/org/hibiscususher/daemon/control/ControlThread.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/control/ControlThread.java
@@ -18,7 +18,12 @@
  */
 public final class ControlThread implements AutoCloseable {
     private static final Logger LOG = System.getLogger(ControlThread.class.getName());
-    private static final long MIN_GAP_NS = 1_000_000;
+
+    /**
+     * Least rest between two ticks, in nanoseconds; a tick that took longer is followed by as much.
+     */
+    private static final long MIN_REST_NS = 1_000_000;
+
     private static final long NS_PER_MS = 1_000_000;
 
     private final AgentRunner mRunner;
@@ -66,7 +71,7 @@
         private final OutputHandler<O> mHandler;
         private final long mTickMs;
         private long mLastTickMs;
-        private long mLastTickNs = System.nanoTime() - MIN_GAP_NS;
+        private long mNextTickNs = System.nanoTime();
 
         Ticker(
                 Ticking<I, O> node,
@@ -83,23 +88,25 @@
 
         @Override
         public int doWork() {
-            awaitGap();
+            rest();
             List<I> inputs = mInbox.drain();
             long nowMs = mClock.time();
             if (inputs.isEmpty() && nowMs - mLastTickMs < mTickMs) {
                 return 0;
             }
             mLastTickMs = nowMs;
-            mLastTickNs = System.nanoTime();
+            long startNs = System.nanoTime();
             for (O output : mNode.tick(nowMs, inputs)) {
                 mHandler.handle(output);
             }
+            long endNs = System.nanoTime();
+            mNextTickNs = endNs + Math.max(MIN_REST_NS, endNs - startNs);
             return inputs.size();
         }
 
-        /** Sleeps until the least time between two ticks has passed, so that inputs collect. */
-        private void awaitGap() {
-            long leftNs = mLastTickNs + MIN_GAP_NS - System.nanoTime();
+        /** Sleeps until the next tick may begin, so that inputs collect. */
+        private void rest() {
+            long leftNs = mNextTickNs - System.nanoTime();
             if (leftNs > 0) {
                 LockSupport.parkNanos(this, leftNs);
             }
