Let the number of hosts on their way grow with the hosts, and small entries take offers later

At most 24 hosts were on their way at a time, three fifths of a site of 40 hosts but a tenth of one of 247. An entry that takes an offered term now waits as long as for a free one, so that entries with more processor time come first.

--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/OfferSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/OfferSystem.java
@@ -101,7 +101,11 @@
                     .set(
                             new OfferRow(
                                     row.sinceMs(), row.sentMs(), row.sent(), offered.generation()));
-            world.term().set(world.term().get().withClaimAt(tick.nowMs()));
+            world.term()
+                    .set(
+                            world.term()
+                                    .get()
+                                    .withClaimAt(tick.nowMs() + world.settings().claimDelayMs()));
         }
     }
 
--- a/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/MoveSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/MoveSystem.java
@@ -36,8 +36,8 @@
     /** Time between two decisions, in milliseconds. */
     private static final long EVERY_MS = 50;
 
-    /** Hosts on their way at a time. */
-    private static final int MAX_MOVING = 24;
+    /** Part of all hosts that may be on their way at a time, in percent. */
+    private static final int MOVING_PERCENT = 60;
 
     /** Time after which a lasting task that waits shows that its pool lacks hosts. */
     private static final long STUCK_MS = 400;
@@ -56,12 +56,13 @@
         }
         world.movesDecidedMs().set(tick.nowMs());
         long moving = world.hostTasks().rows().stream().filter(t -> !t.pool().isEmpty()).count();
+        long maxMoving = Math.max(1, world.hosts().size() * MOVING_PERCENT / 100);
         long hostCpu = hostCpu(world);
         Map<String, PoolNeed> needs = needs(tick, hostCpu);
         Donors donors = Donors.of(tick, needs, GIVE_PERCENT, hostCpu);
         for (PoolNeed need : needs.values()) {
             int missing = need.missing(TAKE_PERCENT, hostCpu);
-            while (missing > 0 && moving < MAX_MOVING) {
+            while (missing > 0 && moving < maxMoving) {
                 Optional<HostReport> host = donors.take(need.pool());
                 if (host.isEmpty()) {
                     break;
