--- a/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/HostOrderSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/HostOrderSystem.java
@@ -51,6 +51,14 @@
         world.hostOrders().put(host, row.usedAt(tick.nowMs()));
     }
 
+    /** Gives no orders for a host for some time. */
+    static void rest(SchedulerTick tick, String host, long forMs) {
+        long untilMs = tick.nowMs() + forMs;
+        tick.world()
+                .hostOrders()
+                .update(host, row -> new HostOrderRow(host, row.recorded(), untilMs, tick.nowMs()));
+    }
+
     /** Returns whether an order for a host may be given now. */
     static boolean mayOrder(SchedulerTick tick, String host) {
         return tick.world()
@@ -60,7 +68,7 @@
                 .isPresent();
     }
 
-    /** Returns whether an earlier owner may have given orders for a host just before. */
+    /** Returns whether no orders for a host may be given for some time. */
     static boolean isResting(SchedulerTick tick, String host) {
         return tick.world()
                 .hostOrders()
--- a/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/HostSteps.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/HostSteps.java
@@ -21,6 +21,9 @@
     private static final long ORDER_TIMEOUT_MS = 3_000;
     private static final long RETRY_MS = 300;
 
+    /** Time for which a host that could not be moved is left alone, in milliseconds. */
+    private static final long MOVE_REST_MS = 2_000;
+
     private HostSteps() {}
 
     /** Begins with a host: its executor gets no new runs. */
@@ -101,6 +104,7 @@
             long atMs = tick.nowMs() + RETRY_MS;
             tick.world().hostTasks().put(row.host(), row.retried(HostStep.EMPTYING, atMs));
         } else {
+            HostOrderSystem.rest(tick, row.host(), MOVE_REST_MS);
             giveUp(tick, row);
         }
     }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/HostOrderRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/HostOrderRow.java
@@ -7,7 +7,8 @@
  *
  * @param host host
  * @param recorded whether the store names it among the hosts with orders
- * @param notBeforeMs before when no order is given, because an earlier owner may have given one
+ * @param notBeforeMs before when no order is given: an earlier owner may have given one just
+ *     before, or the host was busy
  * @param usedMs when an order was last prepared, given or given up
  */
 public record HostOrderRow(String host, boolean recorded, long notBeforeMs, long usedMs) {
--- a/core/src/test/java/org/hibiscususher/core/scheduler/upkeep/HostOrderSystemTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/upkeep/HostOrderSystemTest.java
@@ -6,15 +6,20 @@
 import java.util.List;
 import java.util.Set;
 import org.hibiscususher.core.job.Resources;
+import org.hibiscususher.core.scheduler.message.HostOrderResult;
 import org.hibiscususher.core.scheduler.message.HostReport;
 import org.hibiscususher.core.scheduler.message.HostState;
 import org.hibiscususher.core.scheduler.message.RecordName;
+import org.hibiscususher.core.scheduler.message.SchedulerInput;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.HostOrderAnswered;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.MaintainHost;
 import org.hibiscususher.core.scheduler.message.StoredRecord;
 import org.hibiscususher.core.scheduler.message.WaveOrder;
 import org.hibiscususher.core.scheduler.world.HostListRow;
 import org.hibiscususher.core.scheduler.world.HostOrderRow;
+import org.hibiscususher.core.scheduler.world.HostStep;
+import org.hibiscususher.core.scheduler.world.HostTaskRow;
 import org.hibiscususher.core.scheduler.world.SchedulerSettings;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 import org.hibiscususher.core.scheduler.world.SchedulerTiming;
@@ -117,6 +122,24 @@
         }
     }
 
+    @Nested
+    class Moves {
+        /** The load of an incident in which a leaving host was ordered away 20 times a second. */
+        @Test
+        void restForAHostThatWasBusy() {
+            HostTaskRow move =
+                    new HostTaskRow("h1", 0, "other", HostStep.ORDERED, 99, 0, NOW_MS, "");
+            mWorld.hostTasks().put("h1", move);
+            mWorld.hostOrders().put("h1", new HostOrderRow("h1", true, 0, NOW_MS));
+            SchedulerInput busy = new HostOrderAnswered(99, "h1", HostOrderResult.BUSY);
+            SchedulerTick tick =
+                    new SchedulerTick(mWorld, NOW_MS, NOW_MS, List.of(busy), () -> ++mCalls);
+            WaveSystem.run(tick);
+            assertThat(mWorld.hostTasks().size()).isZero();
+            assertThat(HostOrderSystem.isResting(tick, "h1")).isTrue();
+        }
+    }
+
     @Nested
     class Cap {
         @Test
