--- a/core/src/main/java/org/hibiscususher/core/scheduler/control/SchedulerPhase.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/control/SchedulerPhase.java
@@ -8,6 +8,10 @@
 import org.hibiscususher.core.scheduler.executor.PaceSystem;
 import org.hibiscususher.core.scheduler.executor.RunSystem;
 import org.hibiscususher.core.scheduler.executor.StallSystem;
+import org.hibiscususher.core.scheduler.host.HostListSystem;
+import org.hibiscususher.core.scheduler.host.HostOrderSystem;
+import org.hibiscususher.core.scheduler.host.MoveSystem;
+import org.hibiscususher.core.scheduler.host.WaveSystem;
 import org.hibiscususher.core.scheduler.job.CallSystem;
 import org.hibiscususher.core.scheduler.job.JobSystem;
 import org.hibiscususher.core.scheduler.placement.AdviceSystem;
@@ -15,10 +19,6 @@
 import org.hibiscususher.core.scheduler.term.CommitSystem;
 import org.hibiscususher.core.scheduler.term.OfferSystem;
 import org.hibiscususher.core.scheduler.term.TermSystem;
-import org.hibiscususher.core.scheduler.upkeep.HostListSystem;
-import org.hibiscususher.core.scheduler.upkeep.HostOrderSystem;
-import org.hibiscususher.core.scheduler.upkeep.MoveSystem;
-import org.hibiscususher.core.scheduler.upkeep.WaveSystem;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 
 /** The systems of the scheduler, in the order in which each tick runs them. */
--- a/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/Donors.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/Donors.java
@@ -1,4 +1,4 @@
-package org.hibiscususher.core.scheduler.upkeep;
+package org.hibiscususher.core.scheduler.host;
 
 import java.util.ArrayList;
 import java.util.HashMap;
--- a/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/HostListSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/HostListSystem.java
@@ -1,4 +1,4 @@
-package org.hibiscususher.core.scheduler.upkeep;
+package org.hibiscususher.core.scheduler.host;
 
 import org.hibiscususher.core.scheduler.executor.LostExecutorSystem;
 import org.hibiscususher.core.scheduler.message.SchedulerInput;
--- a/core/src/main/java/org/hibiscususher/core/scheduler/upkeep/package-info.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/package-info.java
@@ -1,2 +1,2 @@
 /** Maintenance waves and moves of hosts between pools. */
-package org.hibiscususher.core.scheduler.upkeep;
+package org.hibiscususher.core.scheduler.host;
--- a/core/src/test/java/org/hibiscususher/core/scheduler/upkeep/WaveSystemTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/host/WaveSystemTest.java
@@ -1,4 +1,4 @@
-package org.hibiscususher.core.scheduler.upkeep;
+package org.hibiscususher.core.scheduler.host;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
