Count a host against its wave's cap while an earlier order for it is not settled

A host that answers BUSY after an order without an answer may be away by that order; it counts until it is back.

--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/HostSteps.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/HostSteps.java
@@ -42,7 +42,8 @@
                                 0,
                                 0,
                                 tick.nowMs(),
-                                host.executor()));
+                                host.executor(),
+                                false));
         tick.log("host-emptying", describe(host.id(), wave, pool) + " from=" + host.pool());
     }
 
@@ -102,7 +103,7 @@
         HostOrderSystem.use(tick, row.host());
         if (row.pool().isEmpty()) {
             long atMs = tick.nowMs() + RETRY_MS;
-            tick.world().hostTasks().put(row.host(), row.retried(HostStep.EMPTYING, atMs));
+            tick.world().hostTasks().put(row.host(), row.retried(atMs));
         } else {
             HostOrderSystem.rest(tick, row.host(), MOVE_REST_MS);
             giveUp(tick, row);
@@ -113,7 +114,7 @@
     private static void unanswered(SchedulerTick tick, HostTaskRow row) {
         HostOrderSystem.use(tick, row.host());
         long atMs = tick.nowMs() + RETRY_MS;
-        tick.world().hostTasks().put(row.host(), row.retried(HostStep.UNANSWERED, atMs));
+        tick.world().hostTasks().put(row.host(), row.unanswered(atMs));
     }
 
     /** Does what is due with a host. */
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/HostTaskRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/HostTaskRow.java
@@ -13,6 +13,7 @@
  * @param retryAtMs before when no order is sent
  * @param sinceMs since when it is in this step
  * @param executor executor that the host had; empty for none
+ * @param uncertain whether an order for it was not answered and may have been carried out
  */
 public record HostTaskRow(
         String host,
@@ -22,7 +23,8 @@
         long callId,
         long retryAtMs,
         long sinceMs,
-        String executor) {
+        String executor,
+        boolean uncertain) {
     /** Checks the parts. */
     public HostTaskRow {
         requireNonNull(host);
@@ -33,11 +35,20 @@
 
     /** Returns this row in another step. */
     public HostTaskRow withStep(HostStep newStep, long newCallId, long nowMs) {
-        return new HostTaskRow(host, wave, pool, newStep, newCallId, retryAtMs, nowMs, executor);
+        return new HostTaskRow(
+                host, wave, pool, newStep, newCallId, retryAtMs, nowMs, executor, uncertain);
     }
 
-    /** Returns this row in a step before the next order, which is not sent before a time. */
-    public HostTaskRow retried(HostStep newStep, long newRetryAtMs) {
-        return new HostTaskRow(host, wave, pool, newStep, 0, newRetryAtMs, sinceMs, executor);
+    /** Returns this row before the next order, which is not sent before a time. */
+    public HostTaskRow retried(long newRetryAtMs) {
+        HostStep next = uncertain ? HostStep.UNANSWERED : HostStep.EMPTYING;
+        return new HostTaskRow(
+                host, wave, pool, next, 0, newRetryAtMs, sinceMs, executor, uncertain);
+    }
+
+    /** Returns this row with an order that was not answered. */
+    public HostTaskRow unanswered(long newRetryAtMs) {
+        return new HostTaskRow(
+                host, wave, pool, HostStep.UNANSWERED, 0, newRetryAtMs, sinceMs, executor, true);
     }
 }
--- a/core/src/test/java/org/hibiscususher/core/scheduler/host/HostOrderSystemTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/host/HostOrderSystemTest.java
@@ -128,7 +128,7 @@
         @Test
         void restForAHostThatWasBusy() {
             HostTaskRow move =
-                    new HostTaskRow("h1", 0, "other", HostStep.ORDERED, 99, 0, NOW_MS, "");
+                    new HostTaskRow("h1", 0, "other", HostStep.ORDERED, 99, 0, NOW_MS, "", false);
             mWorld.hostTasks().put("h1", move);
             mWorld.hostOrders().put("h1", new HostOrderRow("h1", true, 0, NOW_MS));
             SchedulerInput busy = new HostOrderAnswered(99, "h1", HostOrderResult.BUSY);
@@ -161,6 +161,29 @@
         }
     }
 
+    @Nested
+    class UnansweredOrders {
+        private void answer(long nowMs, HostOrderResult result) {
+            long call = mWorld.hostTasks().find("h1").map(HostTaskRow::callId).orElseThrow();
+            SchedulerInput input = new HostOrderAnswered(call, "h1", result);
+            WaveSystem.run(new SchedulerTick(mWorld, nowMs, nowMs, List.of(input), () -> ++mCalls));
+        }
+
+        @Test
+        void countAgainstTheCapUntilTheHostIsBack() {
+            wave(1);
+            ordered(NOW_MS);
+            store();
+            assertThat(ordered(NOW_MS + 20)).containsExactly("h1");
+            answer(NOW_MS + 40, HostOrderResult.NO_ANSWER);
+            assertThat(ordered(NOW_MS + 60)).isEmpty();
+            assertThat(ordered(NOW_MS + 400)).containsExactly("h1");
+            answer(NOW_MS + 420, HostOrderResult.BUSY);
+            assertThat(ordered(NOW_MS + 440)).isEmpty();
+            assertThat(ordered(NOW_MS + 800)).containsExactly("h1");
+        }
+    }
+
     @Nested
     class Names {
         @Test
