--- a/standin/src/test/java/org/hibiscususher/standin/matrix/Fault.java
+++ b/standin/src/test/java/org/hibiscususher/standin/matrix/Fault.java
@@ -154,8 +154,8 @@
         void inject(Scene scene, String entry) {
             Configuration seen = scene.entry(entry).world().configuration();
             String other = scene.others(entry).get(0);
-            scene.submit(entry, scene.limitNote("race-one", 7, seen.revision()));
-            scene.submit(other, scene.limitNote("race-two", 5, seen.revision()));
+            scene.submit(entry, SceneNotes.limit("race-one", 7, seen.revision()));
+            scene.submit(other, SceneNotes.limit("race-two", 5, seen.revision()));
         }
     },
     /** All entries and targets of a zone are lost. */
--- a/standin/src/test/java/org/hibiscususher/standin/matrix/Scene.java
+++ b/standin/src/test/java/org/hibiscususher/standin/matrix/Scene.java
@@ -7,15 +7,11 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
-import java.util.UUID;
 import java.util.stream.Stream;
 import org.hibiscususher.core.config.Configuration;
-import org.hibiscususher.core.config.KeyDigest;
 import org.hibiscususher.core.config.TeamSpec;
 import org.hibiscususher.core.message.NoteResult;
 import org.hibiscususher.core.message.PlatformHost;
-import org.hibiscususher.core.message.Ran;
-import org.hibiscususher.core.message.Refusal;
 import org.hibiscususher.core.message.WaveCommand;
 import org.hibiscususher.core.world.ControlSettings;
 import org.hibiscususher.core.world.HostRow;
@@ -42,13 +38,10 @@
     private static final long AFTER_MS = 3_000;
     private static final long QUIET_MS = 9_000;
     private static final long PROBE_MS = 3_000;
-    private static final long CALL_EVERY_MS = 20;
     private static final long CHECK_EVERY_MS = 10;
     private static final long HOST_LIST_EVERY_MS = 500;
-    private static final long RESEND_MS = 50;
     private static final long WAVE_START_MS = 300;
     private static final int REBOOT_MS = 800;
-    private static final long RECENT_MS = 8_000;
     private static final long SECONDS_MS = 5_000;
     private static final Map<String, String> HOSTS =
             Map.of(
@@ -56,24 +49,22 @@
                     "long");
 
     private final VirtualSite mSite;
-    private final Random mRandom;
+    private final SceneLoad mLoad;
     private final Map<Promise, String> mViolations = new EnumMap<>(Promise.class);
     private final Map<String, Long> mRevisions = new HashMap<>();
     private final Map<String, Integer> mAllowed = new HashMap<>();
     private final Map<String, Integer> mLimits = new HashMap<>();
     private final Map<String, Long> mLoweredMs = new HashMap<>();
     private final Map<String, Long> mDrainedMs = new HashMap<>();
-    private final List<VirtualRequest> mRecent = new ArrayList<>();
     private List<PlatformHost> mHostList = new ArrayList<>();
     private long mWithdrawnMs = Long.MAX_VALUE;
     private int mRemembered;
     private int mNotes;
-    private boolean mLoaded;
     private boolean mHostListFrozen;
 
     Scene(long seed) {
         mSite = VirtualSite.create(seed, ControlSettings.DEFAULT);
-        mRandom = new Random(seed * 31 + 7);
+        mLoad = new SceneLoad(mSite, new Random(seed * 31 + 7));
     }
 
     /** The outcome of a scene. */
@@ -94,7 +85,7 @@
         mSite.run(FAULT_MS);
         mend();
         mSite.run(AFTER_MS);
-        mLoaded = false;
+        mLoad.stop();
         mSite.run(QUIET_MS);
         return new Outcome(entry.isPresent(), mViolations, stuck());
     }
@@ -109,57 +100,12 @@
         mSite.setAfterStep(this::afterStep);
         showHosts();
         mSite.run(SETTLE_MS);
-        submit("e1", opening());
+        submit("e1", SceneNotes.opening(HOSTS));
         mSite.run(SETTLE_MS);
-        mLoaded = true;
-        callOften();
+        mLoad.start();
         mSite.run(SETTLE_MS);
     }
 
-    private static String opening() {
-        StringBuilder note = new StringBuilder("note: opening\nauthor: anna\nadded:\n");
-        note.append("  pools:\n    - {name: quick, hosts out at most: 2, ")
-                .append("hosts out at most per zone: 1}\n")
-                .append("    - {name: long, quick reserve: 2}\n  hosts:\n");
-        HOSTS.keySet().stream()
-                .sorted()
-                .forEach(
-                        h ->
-                                note.append("    - {name: ")
-                                        .append(h)
-                                        .append(", address: \"127.0.0.1:")
-                                        .append(h.substring(1))
-                                        .append("\", zone: ")
-                                        .append(zoneOf(h))
-                                        .append(", pool: ")
-                                        .append(HOSTS.get(h))
-                                        .append(", slots: ")
-                                        .append(SLOTS)
-                                        .append("}\n"));
-        note.append("  teams:\n");
-        TEAMS.forEach(
-                t ->
-                        note.append("    - {name: ")
-                                .append(t)
-                                .append(", share: 1, upper limit: 6}\n"));
-        note.append("  keys:\n");
-        TEAMS.forEach(
-                t ->
-                        note.append("    - {name: ")
-                                .append(t)
-                                .append("-key, team: ")
-                                .append(t)
-                                .append(", digest: ")
-                                .append(KeyDigest.ofSecret(t).toHex())
-                                .append("}\n"));
-        return note.append("  queues:\n    - {name: lookups, pool: quick, run limit ms: ")
-                .append(RUN_LIMIT_MS)
-                .append("}\n    - {name: reports, pool: long, kind: long, run limit ms: ")
-                .append(RUN_LIMIT_MS)
-                .append("}\n")
-                .toString();
-    }
-
     static String zoneOf(String host) {
         return "z" + (Integer.parseInt(host.substring(1)) % 2 + 1);
     }
@@ -262,38 +208,12 @@
                 .toList();
     }
 
-    String limitNote(String id, int limit) {
-        return limitNote(id, limit, -1);
-    }
-
-    String limitNote(String id, int limit, long base) {
-        return "note: "
-                + id
-                + "\nauthor: carl\n"
-                + (base < 0 ? "" : "base: " + base + "\n")
-                + "changed:\n  teams:\n    - {name: alpha, share: 1, upper limit: "
-                + limit
-                + "}\n";
-    }
-
     void withdrawKey(String entry) {
-        submit(entry, "note: withdrawal\nauthor: dora\nwithdrawn:\n  keys: [beta-key]\n");
+        submit(entry, SceneNotes.withdrawal());
     }
 
     void moveHost(String entry, String host, String pool) {
-        submit(
-                entry,
-                "note: move\nauthor: dora\nchanged:\n  hosts:\n    - {name: "
-                        + host
-                        + ", address: \"127.0.0.1:"
-                        + host.substring(1)
-                        + "\", zone: "
-                        + zoneOf(host)
-                        + ", pool: "
-                        + pool
-                        + ", slots: "
-                        + SLOTS
-                        + "}\n");
+        submit(entry, SceneNotes.move(host, pool));
     }
 
     void submit(String entry, String text) {
@@ -307,76 +227,13 @@
     /** Hands many requests of one team to an entry. */
     String burst(String entry, int count) {
         for (int i = 0; i < count; i++) {
-            call(entry, "alpha");
+            mLoad.call(entry, "alpha");
         }
         return entry;
     }
 
-    private void callOften() {
-        if (mLoaded) {
-            List<String> alive =
-                    mSite.entries().keySet().stream().filter(this::alive).sorted().toList();
-            if (!alive.isEmpty()) {
-                String entry = alive.get(mRandom.nextInt(alive.size()));
-                int dice = mRandom.nextInt(20);
-                call(entry, dice == 0 ? STRANGER : TEAMS.get(dice % TEAMS.size()));
-            }
-        }
-        mSite.timeline().after(CALL_EVERY_MS, this::callOften);
-    }
-
-    private void call(String entry, String team) {
-        boolean slow = mRandom.nextInt(6) == 0;
-        int runMs = slow ? 200 + mRandom.nextInt(400) : 10 + mRandom.nextInt(80);
-        boolean idempotent = mRandom.nextInt(5) < 3;
-        String id = idempotent || mRandom.nextBoolean() ? "" : uuid();
-        send(entry, slow ? "reports" : "lookups", team, runMs, idempotent, id);
-    }
-
-    private void send(
-            String entry, String queue, String team, int runMs, boolean idempotent, String id) {
-        VirtualRequest request = mSite.call(entry, queue, team, runMs, idempotent, id);
-        mRecent.add(request);
-        if (!id.isEmpty()) {
-            mSite.timeline().after(RESEND_MS, () -> sendAgain(request, queue, RESEND_MS));
-        }
-    }
-
-    /** Sends a request with an idempotency key again, once, when its outcome is not known. */
-    private void sendAgain(VirtualRequest request, String queue, long waitedMs) {
-        boolean unknown =
-                request.cancelled()
-                        || request.cutShort()
-                        || request.refusal().map(f -> f.ran() == Ran.MAY_HAVE_RUN).orElse(false);
-        boolean duplicate = request.refusal().filter(Refusal.DUPLICATE::equals).isPresent();
-        if (unknown && !duplicate) {
-            List<String> alive = others(request.entry()).stream().filter(this::alive).toList();
-            if (!alive.isEmpty()) {
-                VirtualRequest again =
-                        mSite.call(
-                                alive.get(mRandom.nextInt(alive.size())),
-                                queue,
-                                request.team(),
-                                request.runMs(),
-                                false,
-                                request.arrival().idempotencyKey());
-                mRecent.add(again);
-            }
-        } else if (!request.over() && waitedMs < RECENT_MS / 2) {
-            mSite.timeline()
-                    .after(RESEND_MS, () -> sendAgain(request, queue, waitedMs + RESEND_MS));
-        }
-    }
-
-    /** Returns a version 7 UUID of the virtual time. */
-    private String uuid() {
-        long high = mSite.nowMs() << 16 | 0x7000L | mRandom.nextInt(1 << 12);
-        long low = 0x8000_0000_0000_0000L | mRandom.nextLong() >>> 2;
-        return new UUID(high, low).toString();
-    }
-
     Stream<VirtualRequest> recent() {
-        return mRecent.stream();
+        return mLoad.recent();
     }
 
     int running(String team) {
@@ -425,7 +282,7 @@
         if (mSite.nowMs() % CHECK_EVERY_MS != 0) {
             return;
         }
-        mRecent.removeIf(r -> mSite.nowMs() - r.arrivedMs() > RECENT_MS);
+        mLoad.forgetOld();
         followConfiguration();
         followDrains();
         for (Promise promise : Promise.values()) {
--- a/standin/src/test/java/org/hibiscususher/standin/matrix/Step.java
+++ b/standin/src/test/java/org/hibiscususher/standin/matrix/Step.java
@@ -55,7 +55,7 @@
     NOTE_READING {
         @Override
         void begin(Scene scene) {
-            scene.submit("e1", scene.limitNote("step", 8));
+            scene.submit("e1", SceneNotes.limit("step", 8));
         }
 
         @Override
@@ -67,7 +67,7 @@
     NOTE_WRITING {
         @Override
         void begin(Scene scene) {
-            scene.submit("e1", scene.limitNote("step", 8));
+            scene.submit("e1", SceneNotes.limit("step", 8));
         }
 
         @Override
@@ -79,7 +79,7 @@
     NOTE_ROLLING_OUT {
         @Override
         void begin(Scene scene) {
-            scene.submit("e1", scene.limitNote("step", 8));
+            scene.submit("e1", SceneNotes.limit("step", 8));
         }
 
         @Override
@@ -104,7 +104,7 @@
         @Override
         void begin(Scene scene) {
             scene.burst("e1", BURST);
-            scene.submit("e1", scene.limitNote("step", 2));
+            scene.submit("e1", SceneNotes.limit("step", 2));
         }
 
         @Override
