--- a/core/src/test/java/org/hibiscususher/core/scheduler/executor/LostExecutorSystemTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/executor/LostExecutorSystemTest.java
@@ -4,18 +4,15 @@
 
 import java.util.List;
 import org.hibiscususher.core.job.Resources;
+import org.hibiscususher.core.scheduler.SchedulerWorlds;
 import org.hibiscususher.core.scheduler.message.ExecutorReport;
 import org.hibiscususher.core.scheduler.message.HostReport;
 import org.hibiscususher.core.scheduler.message.HostState;
 import org.hibiscususher.core.scheduler.world.ContactRow;
 import org.hibiscususher.core.scheduler.world.ExecutorRow;
 import org.hibiscususher.core.scheduler.world.HostListRow;
-import org.hibiscususher.core.scheduler.world.SchedulerSettings;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
-import org.hibiscususher.core.scheduler.world.SchedulerTiming;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
-import org.hibiscususher.core.scheduler.world.TermRow;
-import org.hibiscususher.core.scheduler.world.TermStage;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -25,13 +22,10 @@
     private static final long NOW_MS = 10_000;
     private static final long ASKED_MS = NOW_MS - 20;
 
-    private final SchedulerWorld mWorld =
-            SchedulerWorld.create(
-                    new SchedulerSettings("n", 1, "n", List.of(), 0, SchedulerTiming.USUAL));
+    private final SchedulerWorld mWorld = SchedulerWorlds.ofOwner(NOW_MS);
 
     @BeforeEach
     void takeOver() {
-        mWorld.term().set(new TermRow(TermStage.OWNING, 2, 50, 7, NOW_MS, 0, 0, 0, 0, false, true));
         mWorld.hostList().set(new HostListRow(0, ASKED_MS, NOW_MS));
         executor("x0", false, 0);
         executor("x1", true, 1);
--- a/core/src/test/java/org/hibiscususher/core/scheduler/executor/StallSystemTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/executor/StallSystemTest.java
@@ -10,20 +10,17 @@
 import org.hibiscususher.core.job.Resources;
 import org.hibiscususher.core.job.StepKey;
 import org.hibiscususher.core.job.StepSpec;
+import org.hibiscususher.core.scheduler.SchedulerWorlds;
 import org.hibiscususher.core.scheduler.message.SchedulerInput;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.HoldAnswered;
 import org.hibiscususher.core.scheduler.world.ContactRow;
 import org.hibiscususher.core.scheduler.world.JobRow;
 import org.hibiscususher.core.scheduler.world.RunRow;
 import org.hibiscususher.core.scheduler.world.RunStage;
-import org.hibiscususher.core.scheduler.world.SchedulerSettings;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
-import org.hibiscususher.core.scheduler.world.SchedulerTiming;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
 import org.hibiscususher.core.scheduler.world.StepRow;
 import org.hibiscususher.core.scheduler.world.StopReason;
-import org.hibiscususher.core.scheduler.world.TermRow;
-import org.hibiscususher.core.scheduler.world.TermStage;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -66,26 +63,10 @@
         private static final long ESTIMATE_MS = 500;
         private static final Resources CORE = Resources.of(1_000, 100, 0);
 
-        private final SchedulerWorld mWorld =
-                SchedulerWorld.create(
-                        new SchedulerSettings("n", 1, "n", List.of(), 0, SchedulerTiming.USUAL));
+        private final SchedulerWorld mWorld = SchedulerWorlds.ofOwner(NOW_MS);
 
         @BeforeEach
         void start() {
-            mWorld.term()
-                    .set(
-                            new TermRow(
-                                    TermStage.OWNING,
-                                    1,
-                                    50,
-                                    7,
-                                    NOW_MS + 60_000,
-                                    0,
-                                    0,
-                                    0,
-                                    0,
-                                    false,
-                                    true));
             mWorld.contacts().put("x", ContactRow.initial("x", 0).answered(1, 1, NOW_MS));
         }
 
--- a/core/src/test/java/org/hibiscususher/core/scheduler/host/DonorsTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/host/DonorsTest.java
@@ -5,15 +5,14 @@
 import java.util.List;
 import java.util.Map;
 import org.hibiscususher.core.job.Resources;
+import org.hibiscususher.core.scheduler.SchedulerWorlds;
 import org.hibiscususher.core.scheduler.message.ExecutorReport;
 import org.hibiscususher.core.scheduler.message.HostReport;
 import org.hibiscususher.core.scheduler.message.HostState;
 import org.hibiscususher.core.scheduler.world.ContactRow;
 import org.hibiscususher.core.scheduler.world.ExecutorRow;
 import org.hibiscususher.core.scheduler.world.HostOrderRow;
-import org.hibiscususher.core.scheduler.world.SchedulerSettings;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
-import org.hibiscususher.core.scheduler.world.SchedulerTiming;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -25,9 +24,7 @@
     private static final long HOST_CPU = 64_000;
     private static final Resources CAPACITY = Resources.of(HOST_CPU, 1_000, 0);
 
-    private final SchedulerWorld mWorld =
-            SchedulerWorld.create(
-                    new SchedulerSettings("n", 1, "n", List.of(), 0, SchedulerTiming.USUAL));
+    private final SchedulerWorld mWorld = SchedulerWorlds.ofOwner(NOW_MS);
 
     @BeforeEach
     void start() {
--- a/core/src/test/java/org/hibiscususher/core/scheduler/host/HostOrderSystemTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/host/HostOrderSystemTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Set;
 import org.hibiscususher.core.job.Resources;
+import org.hibiscususher.core.scheduler.SchedulerWorlds;
 import org.hibiscususher.core.scheduler.message.HostOrderResult;
 import org.hibiscususher.core.scheduler.message.HostReport;
 import org.hibiscususher.core.scheduler.message.HostState;
@@ -20,12 +21,9 @@
 import org.hibiscususher.core.scheduler.world.HostOrderRow;
 import org.hibiscususher.core.scheduler.world.HostStep;
 import org.hibiscususher.core.scheduler.world.HostTaskRow;
-import org.hibiscususher.core.scheduler.world.SchedulerSettings;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 import org.hibiscususher.core.scheduler.world.SchedulerTiming;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
-import org.hibiscususher.core.scheduler.world.TermRow;
-import org.hibiscususher.core.scheduler.world.TermStage;
 import org.hibiscususher.core.scheduler.world.WaveRow;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -36,27 +34,11 @@
     private static final long NOW_MS = 10_000;
     private static final long WAVE = 1;
 
-    private final SchedulerWorld mWorld =
-            SchedulerWorld.create(
-                    new SchedulerSettings("n", 1, "n", List.of(), 0, SchedulerTiming.USUAL));
+    private final SchedulerWorld mWorld = SchedulerWorlds.ofOwner(NOW_MS);
     private long mCalls;
 
     @BeforeEach
     void takeOver() {
-        mWorld.term()
-                .set(
-                        new TermRow(
-                                TermStage.OWNING,
-                                2,
-                                50,
-                                7,
-                                NOW_MS + 60_000,
-                                NOW_MS,
-                                0,
-                                0,
-                                0,
-                                false,
-                                true));
         mWorld.hostList().set(new HostListRow(0, NOW_MS, NOW_MS));
         host("h1", HostState.UP);
         host("h2", HostState.UP);
--- a/core/src/test/java/org/hibiscususher/core/scheduler/host/WaveSystemTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/host/WaveSystemTest.java
@@ -5,24 +5,18 @@
 import java.util.List;
 import java.util.Set;
 import org.hibiscususher.core.job.Resources;
-import org.hibiscususher.core.scheduler.message.ExecutorReport;
+import org.hibiscususher.core.scheduler.SchedulerWorlds;
 import org.hibiscususher.core.scheduler.message.HostOrderResult;
 import org.hibiscususher.core.scheduler.message.HostReport;
 import org.hibiscususher.core.scheduler.message.HostState;
 import org.hibiscususher.core.scheduler.message.SchedulerInput;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.HostOrderAnswered;
 import org.hibiscususher.core.scheduler.message.WaveOrder;
-import org.hibiscususher.core.scheduler.world.ContactRow;
-import org.hibiscususher.core.scheduler.world.ExecutorRow;
 import org.hibiscususher.core.scheduler.world.HostListRow;
 import org.hibiscususher.core.scheduler.world.HostOrderRow;
 import org.hibiscususher.core.scheduler.world.HostTaskRow;
-import org.hibiscususher.core.scheduler.world.SchedulerSettings;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
-import org.hibiscususher.core.scheduler.world.SchedulerTiming;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
-import org.hibiscususher.core.scheduler.world.TermRow;
-import org.hibiscususher.core.scheduler.world.TermStage;
 import org.hibiscususher.core.scheduler.world.WaveRow;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -33,27 +27,11 @@
     private static final long NOW_MS = 10_000;
     private static final long WAVE = 1;
 
-    private final SchedulerWorld mWorld =
-            SchedulerWorld.create(
-                    new SchedulerSettings("n", 1, "n", List.of(), 0, SchedulerTiming.USUAL));
+    private final SchedulerWorld mWorld = SchedulerWorlds.ofOwner(NOW_MS);
     private long mCalls;
 
     @BeforeEach
     void start() {
-        mWorld.term()
-                .set(
-                        new TermRow(
-                                TermStage.OWNING,
-                                2,
-                                50,
-                                7,
-                                NOW_MS + 60_000,
-                                0,
-                                0,
-                                0,
-                                0,
-                                false,
-                                true));
         list(NOW_MS, HostState.UP, "x");
         executor(NOW_MS - 100);
         mWorld.hostOrders().put("h", new HostOrderRow("h", true, 0, NOW_MS));
@@ -70,11 +48,7 @@
     }
 
     private void executor(long answeredMs) {
-        ExecutorReport report =
-                new ExecutorReport(
-                        "x", "p", "x:1", "z", "h", List.of(), Resources.NONE, false, 0, 1);
-        mWorld.executors().put("x", new ExecutorRow(report, 0, 0, false, true, false, 0));
-        mWorld.contacts().put("x", ContactRow.initial("x", 0).answered(1, 1, answeredMs));
+        SchedulerWorlds.addExecutor(mWorld, "x", "p", Resources.NONE, answeredMs);
     }
 
     private void tick(long nowMs, SchedulerInput... inputs) {
