--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/SchedulerSite.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/SchedulerSite.java
@@ -1,7 +1,6 @@
 package org.hibiscususher.standin.scheduler;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -10,10 +9,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Consumer;
-import org.hibiscususher.core.job.AnswerKind;
-import org.hibiscususher.core.job.CallKind;
 import org.hibiscususher.core.job.JobAnswer;
-import org.hibiscususher.core.job.JobCall;
 import org.hibiscususher.core.job.JobPlan;
 import org.hibiscususher.core.job.JobPool;
 import org.hibiscususher.core.job.JobQueue;
@@ -46,17 +42,10 @@
     /** Name of the queue's pool. */
     public static final String POOL = "pool";
 
-    private static final String HOST = "site.example";
-    private static final String PREFIX = "/queue/";
-    private static final String KEY = "secret";
-    private static final String TEAM = "team";
-    private static final int ATTEMPTS = 3;
     private static final long LINK_MS = 1;
     private static final long WAVE_MS = 60_000;
     private static final long REPORT_MS = 1_500;
     private static final long REPORT_LINGERS_MS = 3_500;
-    private static final long RETRY_MS = 300;
-    private static final int MAX_TRIES = 60;
     static final Resources CAPACITY = Resources.of(8_000, 16_000, 0);
 
     private final SiteClock mClock = new SiteClock();
@@ -65,21 +54,19 @@
     private final VirtualKv mKv;
     private final Map<String, VirtualNode> mNodes = new LinkedHashMap<>();
     private final Map<String, VirtualExecutor> mExecutors = new LinkedHashMap<>();
-    private final Map<String, JobSpec> mSpecs = new HashMap<>();
-    private final Map<Long, Consumer<JobAnswer>> mCalls = new HashMap<>();
+    private final SiteCallers mCallers;
     private final List<String> mLog = new ArrayList<>();
     private final Resources mLimit;
     private final Set<String> mEnded = new HashSet<>();
     private Optional<VirtualHosts> mHosts = Optional.empty();
     private List<WaveOrder> mWaves = List.of();
-    private long mNextCall = 1;
-    private int mNextJob;
 
     private SchedulerSite(int nodes, int executors, Resources limit, long seed) {
         mRandom = new Random(seed);
+        mCallers = new SiteCallers(this, mRandom);
         mKv = new VirtualKv(mClock, mRandom);
         mLimit = limit;
-        mWatch.limit(TEAM, limit);
+        mWatch.limit(SiteCallers.TEAM, limit);
         for (int i = 0; i < executors; i++) {
             String id = "x" + i;
             ExecutorReport report =
@@ -213,16 +200,16 @@
     }
 
     JobPlan plan() {
-        JobTerms terms = new JobTerms("queue", POOL, 0, ATTEMPTS, 2, 500, false);
+        JobTerms terms = new JobTerms("queue", POOL, 0, SiteCallers.ATTEMPTS, 2, 500, false);
         return new JobPlan(
                 1,
-                List.of(new JobQueue(HOST, PREFIX, false, terms)),
+                List.of(new JobQueue(SiteCallers.HOST, SiteCallers.PREFIX, false, terms)),
                 List.of(new JobPool(POOL, true, false)),
-                List.of(new JobTeam(TEAM, 1, mLimit, Set.of(KEY))));
+                List.of(new JobTeam(SiteCallers.TEAM, 1, mLimit, Set.of(SiteCallers.KEY))));
     }
 
     StepSpec step(TaskKey task) {
-        return mSpecs.get(task.jobId()).steps().get(task.stepKey().step());
+        return mCallers.spec(task.jobId()).steps().get(task.stepKey().step());
     }
 
     /** Returns what callers and executors saw. */
@@ -354,85 +341,29 @@
 
     /** Hands a job in, again and again until it is accepted; returns its id. */
     public String submit(JobSpec spec) {
-        String id = String.format("%016x", ++mNextJob);
-        mSpecs.put(id, spec);
-        mWatch.submitted(id, spec, TEAM, ATTEMPTS);
-        trySubmit(id, spec, 1);
-        return id;
-    }
-
-    private void trySubmit(String id, JobSpec spec, int attempt) {
-        call(
-                JobCall.of(CallKind.SUBMIT, HOST, PREFIX + id, KEY, Optional.of(spec)),
-                answer -> {
-                    mWatch.answered(id, answer.kind());
-                    if (answer.kind() != AnswerKind.ACCEPTED && attempt < MAX_TRIES) {
-                        mClock.after(RETRY_MS, () -> trySubmit(id, spec, attempt + 1));
-                    }
-                });
+        return mCallers.submit(spec);
     }
 
     /** Cancels a job, again and again until that is answered. */
     public void cancel(String id) {
-        call(
-                JobCall.of(CallKind.CANCEL, HOST, PREFIX + id, KEY, Optional.empty()),
-                answer -> {
-                    if (answer.kind() == AnswerKind.CANCELLED) {
-                        mWatch.cancelled(id, mClock.nowMs());
-                    } else if (answer.kind() != AnswerKind.NO_JOB) {
-                        mClock.after(RETRY_MS, () -> cancel(id));
-                    }
-                });
-    }
-
-    /** Asks for a job's state; {@code result} gets it unless nobody can tell. */
-    public void query(String id, Consumer<Optional<JobState>> result) {
-        call(
-                JobCall.of(CallKind.QUERY, HOST, PREFIX + id, KEY, Optional.empty()),
-                answer -> {
-                    if (answer.kind() == AnswerKind.STATE) {
-                        mWatch.shown(id, answer.state(), mClock.nowMs());
-                        result.accept(Optional.of(answer.state()));
-                    } else if (answer.kind() == AnswerKind.NO_JOB) {
-                        mWatch.unknown(id, mClock.nowMs());
-                    }
-                });
+        mCallers.cancel(id);
     }
 
     /** Returns the state of a job that callers are shown once all is calm. */
     public JobState stateOf(String id) {
         List<JobState> states = new ArrayList<>();
-        query(id, state -> state.ifPresent(states::add));
+        mCallers.query(id, state -> state.ifPresent(states::add));
         run(200);
         return states.isEmpty() ? JobState.QUEUED : states.get(states.size() - 1);
     }
 
-    private void call(JobCall call, Consumer<JobAnswer> sink) {
-        List<VirtualNode> up = mNodes.values().stream().filter(VirtualNode::isUp).toList();
-        if (up.isEmpty()) {
-            mClock.after(RETRY_MS, () -> sink.accept(JobAnswer.of(AnswerKind.UNKNOWN)));
-            return;
-        }
-        VirtualNode node = up.get(mRandom.nextInt(up.size()));
-        long id = mNextCall++;
-        boolean[] answered = {false};
-        Consumer<JobAnswer> once =
-                answer -> {
-                    if (!answered[0]) {
-                        answered[0] = true;
-                        sink.accept(answer);
-                    }
-                };
-        mCalls.put(id, once);
-        mClock.after(3_000, () -> once.accept(JobAnswer.of(AnswerKind.UNKNOWN)));
-        node.add(new CallReceived(id, call));
-    }
-
-    void answered(String node, long callId, JobAnswer answer) {
-        Consumer<JobAnswer> sink = mCalls.remove(callId);
-        if (sink != null) {
-            mClock.after(LINK_MS, () -> sink.accept(answer));
-        }
+    void answered(long callId, JobAnswer answer) {
+        mCallers.answered(callId, answer);
+    }
+
+    /** Returns the entries that run. */
+    List<VirtualNode> nodesUp() {
+        return mNodes.values().stream().filter(VirtualNode::isUp).toList();
     }
 
     void forward(VirtualNode from, Forward forward) {
@@ -448,8 +379,7 @@
     void askYield(SchedulerOutput.AskYield ask, Consumer<SchedulerInput> answer) {
         VirtualNode to = mNodes.get(ask.address());
         if (to.isUp()) {
-            long id = mNextCall++;
-            mCalls.put(id, reply -> answer.accept(new Yielded(ask.generation())));
+            long id = mCallers.await(reply -> answer.accept(new Yielded(ask.generation())));
             mClock.after(LINK_MS, () -> to.add(new YieldAsked(id, ask.generation())));
         }
     }
@@ -457,7 +387,7 @@
     void offer(SchedulerOutput.OfferTerm offer) {
         VirtualNode to = mNodes.get(offer.address());
         if (to.isUp()) {
-            long id = mNextCall++;
+            long id = mCallers.await(reply -> {});
             mClock.after(LINK_MS, () -> to.add(new TermOffered(id, offer.generation())));
         }
     }
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualNode.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualNode.java
@@ -165,7 +165,7 @@
         if (output instanceof SchedulerOutput.Log line) {
             mSite.log(mName, line);
         } else if (output instanceof Answer answer) {
-            mSite.answered(mName, answer.callId(), answer.answer());
+            mSite.answered(answer.callId(), answer.answer());
         } else if (output instanceof Forward forward) {
             mSite.forward(this, forward);
         } else if (output instanceof SchedulerOutput.AskYield ask) {
