Say what a daemon printed when it stops answering while a test starts it; list the test that failed once

EntryShutdownTest failed in one of two whole runs side by side: the operator address took a connection and refused the next. Ruled out: a connection of the caller to itself (no case in 1.2 million tries on a free port). Not traced, as the output was not kept; the check is unchanged.

--- a/standin/src/test/java/org/hibiscususher/standin/process/Site.java
+++ b/standin/src/test/java/org/hibiscususher/standin/process/Site.java
@@ -2,6 +2,7 @@
 
 import java.io.File;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -89,7 +90,12 @@
         String operators = mOperators.get(member);
         java(member, DaemonMain.class, "--config", file.toString());
         awaitListening(operators);
-        awaitStatus(member, "\"serving\"", true);
+        try {
+            awaitStatus(member, "\"serving\"", true);
+        } catch (ConnectException e) {
+            boolean ended = !mProcesses.get(member).isAlive();
+            throw new IOException(member + " ended=" + ended + " printed: " + log(member), e);
+        }
     }
 
     /** Ends a process at once. */
