Pin the formats of stored records and of messages between entries

The resource was written by the build before it: every stored record of both stores and every message between entries. Result: FormatTest reads each and writes it again byte for byte (records that are compressed: their contents).

--- /dev/null
+++ b/wire/src/test/java/org/hibiscususher/wire/format/FormatTest.java
@@ -0,0 +1,105 @@
+package org.hibiscususher.wire.format;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.ByteArrayInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.HexFormat;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.zip.GZIPInputStream;
+import org.hibiscususher.core.message.RecordKey;
+import org.hibiscususher.core.message.StoreRecord;
+import org.hibiscususher.core.scheduler.message.StoredRecord;
+import org.hibiscususher.wire.json.RecordCodec;
+import org.hibiscususher.wire.peer.PeerCodec;
+import org.hibiscususher.wire.scheduler.LinkCodec;
+import org.hibiscususher.wire.scheduler.LinkMessage;
+import org.hibiscususher.wire.scheduler.StoredRecordCodec;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Guards the formats of stored records and of messages between entries.
+ *
+ * <p>The resource {@code format/0.1.0.txt} was written by an earlier build. It is never written
+ * anew: a difference means that an entry can no longer read what another build stored or sent.
+ */
+class FormatTest {
+    private static final int GZIP_FIRST_BYTE = 0x1f;
+
+    private static Map<String, byte[]> written() throws IOException {
+        Map<String, byte[]> written = new LinkedHashMap<>();
+        try (InputStream in = FormatTest.class.getResourceAsStream("/format/0.1.0.txt")) {
+            new String(in.readAllBytes(), StandardCharsets.UTF_8)
+                    .lines()
+                    .map(line -> line.split(" "))
+                    .forEach(line -> written.put(line[0], HexFormat.of().parseHex(line[1])));
+        }
+        return written;
+    }
+
+    /** Expands compressed bytes: other versions of the JDK may compress them in another way. */
+    private static byte[] expanded(byte[] bytes) throws IOException {
+        if (bytes.length == 0 || bytes[0] != GZIP_FIRST_BYTE) {
+            return bytes;
+        }
+        try (InputStream in = new GZIPInputStream(new ByteArrayInputStream(bytes))) {
+            return in.readAllBytes();
+        }
+    }
+
+    @Nested
+    class Encode {
+        @Test
+        void writesTheBytesOfTheEarlierBuild() throws IOException {
+            Map<String, byte[]> written = written();
+            Map<String, byte[]> encoded = FormatSamples.encoded();
+            assertThat(encoded.keySet()).containsExactlyElementsOf(written.keySet());
+            for (var entry : encoded.entrySet()) {
+                assertThat(expanded(entry.getValue()))
+                        .as(entry.getKey())
+                        .isEqualTo(expanded(written.get(entry.getKey())));
+            }
+        }
+    }
+
+    @Nested
+    class Decode {
+        @Test
+        void readsRecordsOfTheProductsStore() throws IOException {
+            Map<String, byte[]> written = written();
+            for (var entry : FormatSamples.records().entrySet()) {
+                RecordKey key = entry.getKey();
+                byte[] bytes = written.get(RecordCodec.keyOf(key));
+                StoreRecord record = RecordCodec.decode(key, bytes);
+                assertThat(record).isEqualTo(entry.getValue());
+                assertThat(expanded(RecordCodec.encode(record))).isEqualTo(expanded(bytes));
+            }
+        }
+
+        @Test
+        void readsRecordsOfTheScheduler() throws IOException {
+            Map<String, byte[]> written = written();
+            for (StoredRecord record : FormatSamples.schedulerRecords()) {
+                byte[] bytes = written.get("scheduler/" + record.name().kind());
+                StoredRecord decoded = StoredRecordCodec.decode(bytes);
+                assertThat(decoded).isEqualTo(record);
+                assertThat(StoredRecordCodec.encode(decoded)).isEqualTo(bytes);
+            }
+        }
+
+        @Test
+        void readsMessagesBetweenEntries() throws IOException {
+            Map<String, byte[]> written = written();
+            assertThat(PeerCodec.decode(written.get("peer")))
+                    .isEqualTo(FormatSamples.peerMessage());
+            for (var message : FormatSamples.linkMessages().entrySet()) {
+                LinkMessage decoded = LinkCodec.decode(written.get(message.getKey()));
+                assertThat(decoded).isEqualTo(message.getValue());
+            }
+        }
+    }
+}
