Rename the scheduler's job, term and placement operations

The names of these operations and types were bare verbs (take, reach, end) or named the wrong thing (offer, plan, backlog). They now say what the operation does to the job, the term or the executor. No behaviour changes.

--- a/core/src/main/java/org/hibiscususher/core/scheduler/control/PlanSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/control/ConfigurationSystem.java
@@ -10,8 +10,8 @@
 import org.hibiscususher.core.scheduler.world.WaveRow;
 
 /** Takes in the operators' configuration and their orders for waves. */
-final class PlanSystem {
-    private PlanSystem() {}
+final class ConfigurationSystem {
+    private ConfigurationSystem() {}
 
     static void run(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
--- a/core/src/main/java/org/hibiscususher/core/scheduler/control/NodeSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/control/NodeLifecycleSystem.java
@@ -11,11 +11,11 @@
 import org.hibiscususher.core.scheduler.world.TermStage;
 
 /** Tells the balancer whether to send connections, and ends the process in good order. */
-final class NodeSystem {
+final class NodeLifecycleSystem {
     /** Time after which the balancer has surely heard that the process stops, in milliseconds. */
     private static final long BALANCER_MS = 2_600;
 
-    private NodeSystem() {}
+    private NodeLifecycleSystem() {}
 
     static void run(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
--- a/core/src/main/java/org/hibiscususher/core/scheduler/control/SchedulerPhase.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/control/SchedulerPhase.java
@@ -17,22 +17,22 @@
 import org.hibiscususher.core.scheduler.placement.AdviceSystem;
 import org.hibiscususher.core.scheduler.placement.PlacementSystem;
 import org.hibiscususher.core.scheduler.term.CommitSystem;
-import org.hibiscususher.core.scheduler.term.OfferSystem;
+import org.hibiscususher.core.scheduler.term.HandoverSystem;
 import org.hibiscususher.core.scheduler.term.TermSystem;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 
 /** The systems of the scheduler, in the order in which each tick runs them. */
 enum SchedulerPhase {
-    PLAN {
+    CONFIGURATION {
         @Override
         void run(SchedulerTick tick) {
-            PlanSystem.run(tick);
+            ConfigurationSystem.run(tick);
         }
     },
-    OFFER {
+    HANDOVER {
         @Override
         void run(SchedulerTick tick) {
-            OfferSystem.run(tick);
+            HandoverSystem.run(tick);
         }
     },
     TERM {
@@ -41,10 +41,10 @@
             TermSystem.run(tick);
         }
     },
-    STORED {
+    COMMIT_RESULTS {
         @Override
         void run(SchedulerTick tick) {
-            CommitSystem.takeAnswers(tick);
+            CommitSystem.handleResults(tick);
         }
     },
     EXECUTOR {
@@ -65,10 +65,10 @@
             DoubtSystem.run(tick);
         }
     },
-    NODE {
+    NODE_LIFECYCLE {
         @Override
         void run(SchedulerTick tick) {
-            NodeSystem.run(tick);
+            NodeLifecycleSystem.run(tick);
         }
     },
     CALL {
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/DrainedExecutorSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/DrainedExecutorSystem.java
@@ -19,7 +19,7 @@
 
     /** Runs over the executors that drain. */
     public static void run(SchedulerTick tick) {
-        if (!Authority.mayStart(tick)) {
+        if (!Authority.mayStartRuns(tick)) {
             return;
         }
         for (ExecutorRow row : tick.world().executors().rows()) {
@@ -33,7 +33,7 @@
         SchedulerWorld world = tick.world();
         long leftMs = row.drainingMs() + row.report().remainingMs() - tick.nowMs();
         for (RunRow run : List.copyOf(world.runs().group(row.id()))) {
-            StepSpec spec = Jobs.specOf(world, run.task().stepKey()).orElse(null);
+            StepSpec spec = Jobs.findSpec(world, run.task().stepKey()).orElse(null);
             if (spec != null
                     && run.stage() == RunStage.RUNNING
                     && (spec.lasting() || leftMs < toGoMs(run, spec))) {
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/Ends.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/Ends.java
@@ -56,7 +56,7 @@
         if (job == null || !job.isOpen()) {
             return;
         }
-        Jobs.reach(tick, end.task().stepKey());
+        Jobs.activateForReportedRun(tick, end.task().stepKey());
         apply(tick, executor, end, run);
         long version = world.jobs().find(job.id()).map(JobRow::version).orElse(0L);
         EndKey key = new EndKey(executor, end.number());
@@ -65,7 +65,7 @@
 
     private static void apply(SchedulerTick tick, String executor, ListedEnd end, RunRow run) {
         SchedulerWorld world = tick.world();
-        StepSpec spec = Jobs.specOf(world, end.task().stepKey()).orElse(null);
+        StepSpec spec = Jobs.findSpec(world, end.task().stepKey()).orElse(null);
         if (spec == null) {
             return;
         }
@@ -102,7 +102,7 @@
             } else if (other != null && other.stage().isWanted()) {
                 Runs.stop(tick, other, StopReason.JOB_ENDED);
             }
-            Jobs.taskDone(tick, task, true);
+            Jobs.completeTask(tick, task, true);
         }
     }
 
@@ -119,7 +119,7 @@
         JobRow job = world.jobs().find(end.task().jobId()).orElseThrow();
         world.jobs().put(job.id(), job.changed(tick.nowMs()));
         if (failed.failedRuns().size() >= job.terms().attempts()) {
-            Jobs.end(tick, job.id(), JobState.FAILED, "attempts-used task=" + counted.text());
+            Jobs.finish(tick, job.id(), JobState.FAILED, "attempts-used task=" + counted.text());
         }
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/ExecutorSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/ExecutorSystem.java
@@ -172,7 +172,7 @@
 
     private static void listedRun(SchedulerTick tick, String executor, ListedRun told) {
         SchedulerWorld world = tick.world();
-        Jobs.reach(tick, told.task().stepKey());
+        Jobs.activateForReportedRun(tick, told.task().stepKey());
         RunRow run = world.runs().find(told.task()).orElse(null);
         TaskRow task = world.tasks().find(told.task()).orElse(null);
         boolean same = run != null && run.run() == told.run() && run.executor().equals(executor);
@@ -180,7 +180,7 @@
             RunRow next = run.listed(told, tick.nowMs());
             if (run.stage() == RunStage.SENT) {
                 next = next.running(tick.nowMs());
-                Jobs.begun(tick, told.task().jobId());
+                Jobs.markRunning(tick, told.task().jobId());
             }
             world.runs().put(run.task(), next);
         } else if (run == null && task != null && told.run() >= task.run()) {
@@ -194,7 +194,7 @@
     private static void adopt(SchedulerTick tick, String executor, ListedRun told, TaskRow task) {
         SchedulerWorld world = tick.world();
         JobRow job = world.jobs().find(told.task().jobId()).orElse(null);
-        StepSpec spec = Jobs.specOf(world, told.task().stepKey()).orElse(null);
+        StepSpec spec = Jobs.findSpec(world, told.task().stepKey()).orElse(null);
         if (job == null || spec == null) {
             return;
         }
@@ -218,7 +218,7 @@
                         tick.nowMs());
         world.runs().put(run.task(), run);
         world.tasks().put(task.key(), task.active(told.run()));
-        Jobs.begun(tick, job.id());
+        Jobs.markRunning(tick, job.id());
         tick.log("run-adopted", Runs.describe(run));
     }
 
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/PaceSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/PaceSystem.java
@@ -50,7 +50,7 @@
         long worst = -1;
         List<RunRow> fillers = new ArrayList<>();
         for (RunRow run : world.runs().group(executor.id())) {
-            StepSpec spec = Jobs.specOf(world, run.task().stepKey()).orElse(null);
+            StepSpec spec = Jobs.findSpec(world, run.task().stepKey()).orElse(null);
             if (spec == null || run.stage() != RunStage.RUNNING) {
                 continue;
             }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/RunSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/RunSystem.java
@@ -66,7 +66,7 @@
         switch (result) {
             case STARTED -> {
                 world.runs().put(run.task(), run.running(tick.nowMs()));
-                Jobs.begun(tick, run.task().jobId());
+                Jobs.markRunning(tick, run.task().jobId());
             }
             case NO_ANSWER -> Runs.startUnanswered(tick, run);
             case FENCED -> StepDown.run(tick, "fenced-by-executor");
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/StallSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/StallSystem.java
@@ -53,7 +53,7 @@
 
     /** Runs over the executors that have just told their runs. */
     public static void run(SchedulerTick tick) {
-        if (!Authority.mayStart(tick)) {
+        if (!Authority.mayStartRuns(tick)) {
             return;
         }
         for (HoldAnswered answer : tick.inputs(HoldAnswered.class)) {
@@ -65,7 +65,7 @@
 
     private static void stopHung(SchedulerTick tick, List<RunRow> runs) {
         for (RunRow run : runs) {
-            StepSpec spec = Jobs.specOf(tick.world(), run.task().stepKey()).orElse(null);
+            StepSpec spec = Jobs.findSpec(tick.world(), run.task().stepKey()).orElse(null);
             long stillMs = tick.nowMs() - run.progressMs();
             if (isJudged(run, spec) && stillMs > stillLimitMs(spec)) {
                 Standings.aside(tick, run.executor(), HUNG_ASIDE_MS, "hung");
@@ -79,7 +79,7 @@
         List<RunRow> slow = new ArrayList<>();
         Set<String> jobs = new HashSet<>();
         for (RunRow run : runs) {
-            StepSpec spec = Jobs.specOf(tick.world(), run.task().stepKey()).orElse(null);
+            StepSpec spec = Jobs.findSpec(tick.world(), run.task().stepKey()).orElse(null);
             long ageMs = tick.nowMs() - run.settledMs();
             if (isJudged(run, spec)
                     && !spec.lasting()
--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/Eviction.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/Eviction.java
@@ -32,7 +32,7 @@
         }
         boolean late = tick.nowMs() - sinceMs > PATIENCE_MS;
         for (RunRow run : List.copyOf(world.runs().group(executor))) {
-            StepSpec spec = Jobs.specOf(world, run.task().stepKey()).orElse(null);
+            StepSpec spec = Jobs.findSpec(world, run.task().stepKey()).orElse(null);
             if (run.stage() != RunStage.RUNNING || spec == null) {
                 continue;
             }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/MoveSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/MoveSystem.java
@@ -148,7 +148,7 @@
         long waiting = 0;
         int stuck = 0;
         for (TaskRow task : world.tasks().group(new TaskGroup(pool, TaskState.WAITING))) {
-            StepSpec spec = Jobs.specOf(world, task.key().stepKey()).orElseThrow();
+            StepSpec spec = Jobs.findSpec(world, task.key().stepKey()).orElseThrow();
             if (!task.doubtful()) {
                 waiting += spec.reserved().cpuMillis();
                 stuck += spec.lasting() && tick.nowMs() - task.readyMs() > STUCK_MS ? 1 : 0;
@@ -181,6 +181,6 @@
     }
 
     private static boolean isLasting(SchedulerWorld world, RunRow run) {
-        return Jobs.specOf(world, run.task().stepKey()).filter(StepSpec::lasting).isPresent();
+        return Jobs.findSpec(world, run.task().stepKey()).filter(StepSpec::lasting).isPresent();
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/Backlog.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/BacklogLimit.java
@@ -14,7 +14,7 @@
  * of the pool, tells how long a new job would wait. Callers are told to come back when the backlog
  * has shrunk, each at another time, so that they do not come together.
  */
-final class Backlog {
+final class BacklogLimit {
     /** Longest time that the work of a pool may wait, in milliseconds. */
     private static final long MAX_WAIT_MS = 15_000;
 
@@ -22,7 +22,7 @@
     private static final long MIN_RETRY_AFTER_MS = 1_000;
     private static final int SPREAD_MS = 2_000;
 
-    private Backlog() {}
+    private BacklogLimit() {}
 
     /** Returns when the caller of a job should come back, or 0 if the job is taken now. */
     static long retryAfterMs(SchedulerWorld world, String pool, String job) {
@@ -32,7 +32,7 @@
         }
         long work = 0;
         for (TaskRow task : world.tasks().group(new TaskGroup(pool, TaskState.WAITING))) {
-            StepSpec spec = Jobs.specOf(world, task.key().stepKey()).orElseThrow();
+            StepSpec spec = Jobs.findSpec(world, task.key().stepKey()).orElseThrow();
             work += spec.lasting() ? 0 : spec.reserved().cpuMillis() * spec.estimateMs();
         }
         return cpu == 0 ? 0 : retryAfterMs(work / cpu, job.hashCode());
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/CallSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/CallSystem.java
@@ -68,7 +68,7 @@
         SchedulerWorld world = tick.world();
         Optional<StoredRecord.Owner> owner = world.ownership().get().ownership().owner();
         boolean self = owner.map(o -> o.node().equals(world.settings().node())).orElse(true);
-        if (Authority.decides(tick)) {
+        if (Authority.mayDecideRequests(tick)) {
             decide(tick, call);
         } else if (!self
                 && !world.term().get().stage().isOwner()
@@ -179,7 +179,7 @@
         } else if (job.get().storedState().isFinal()) {
             tick.emit(new Answer(row.callId(), JobAnswer.of(AnswerKind.CANCELLED)));
         } else {
-            Jobs.end(tick, id, JobState.CANCELLED, "caller");
+            Jobs.finish(tick, id, JobState.CANCELLED, "caller");
             await(tick, row, id);
         }
     }
@@ -204,9 +204,9 @@
             }
             return;
         }
-        long retryAfterMs = Backlog.retryAfterMs(world, queue.terms().pool(), id);
+        long retryAfterMs = BacklogLimit.retryAfterMs(world, queue.terms().pool(), id);
         JobSpec spec = row.call().spec().orElse(JobSpec.once("", List.of()));
-        Optional<String> problem = Admission.problem(world, queue, spec, id);
+        Optional<String> problem = JobValidation.findProblem(world, queue, spec, id);
         if (problem.isPresent()) {
             refuse(tick, row, AnswerKind.INVALID, problem.get());
         } else if (retryAfterMs > 0 && !spec.isLasting()) {
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/Progress.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/JobProgress.java
@@ -14,15 +14,15 @@
 import org.hibiscususher.core.scheduler.world.TaskRow;
 
 /** Translates between a job's tables and the record of its progress. */
-public final class Progress {
-    private Progress() {}
+public final class JobProgress {
+    private JobProgress() {}
 
     /** Returns the record of how far a job has come. */
-    public static StoredRecord.Progress of(SchedulerWorld world, JobRow job) {
+    public static StoredRecord.Progress toRecord(SchedulerWorld world, JobRow job) {
         List<StepMark> steps = new ArrayList<>();
         List<TaskMark> tasks = new ArrayList<>();
         if (!job.state().isFinal()) {
-            for (StepRow step : Jobs.stepsOf(world, job)) {
+            for (StepRow step : Jobs.activatedSteps(world, job)) {
                 StepKey key = step.key();
                 if (step.done().signum() != 0) {
                     steps.add(new StepMark(key.occurrence(), key.step(), step.done()));
@@ -67,10 +67,10 @@
         if (progress.state().isFinal()) {
             return;
         }
-        Jobs.openDue(tick, job.id());
+        Jobs.activateDueOccurrences(tick, job.id());
         for (StepMark mark : progress.steps()) {
             StepKey key = new StepKey(job.id(), mark.occurrence(), mark.step());
-            Jobs.markDone(tick, key, mark.done());
+            Jobs.completeTasks(tick, key, mark.done());
         }
         for (TaskMark mark : progress.tasks()) {
             StepKey key = new StepKey(job.id(), mark.occurrence(), mark.step());
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/JobSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/JobSystem.java
@@ -21,7 +21,7 @@
         }
         for (JobRow job : world.jobs().rows()) {
             if (job.isOpen() && job.spec().isTimed()) {
-                Jobs.openDue(tick, job.id());
+                Jobs.activateDueOccurrences(tick, job.id());
             } else if (job.state().isFinal() && tick.nowMs() - job.endedMs() > KEEP_MS) {
                 forget(world, job);
             }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/Admission.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/JobValidation.java
@@ -6,15 +6,16 @@
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
 
 /** Decides whether a job can be taken at all. */
-final class Admission {
+final class JobValidation {
     private static final int ID_LENGTH = 16;
     private static final int MAX_TEXT_BYTES = 4_000;
 
-    private Admission() {}
+    private JobValidation() {}
 
     /** Returns why a job can never run, or empty. */
-    static Optional<String> problem(SchedulerWorld world, JobQueue queue, JobSpec spec, String id) {
-        if (id.length() != ID_LENGTH || !id.chars().allMatch(Admission::isHexDigit)) {
+    static Optional<String> findProblem(
+            SchedulerWorld world, JobQueue queue, JobSpec spec, String id) {
+        if (id.length() != ID_LENGTH || !id.chars().allMatch(JobValidation::isHexDigit)) {
             return Optional.of("id-is-not-16-hex-digits");
         }
         if (spec.text().length() > MAX_TEXT_BYTES) {
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/Jobs.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/Jobs.java
@@ -31,7 +31,7 @@
     private Jobs() {}
 
     /** Applies that the store holds a new job: its callers hear of it, its first steps begin. */
-    public static void stored(SchedulerTick tick, String id) {
+    public static void markStored(SchedulerTick tick, String id) {
         SchedulerWorld world = tick.world();
         JobRow job = world.jobs().find(id).orElse(null);
         if (job == null) {
@@ -54,11 +54,11 @@
                         + (tick.nowMs() - job.arrivedMs()));
         tick.count("accepted");
         answer(tick, id, CallKind.SUBMIT, JobAnswer.of(AnswerKind.ACCEPTED));
-        openDue(tick, id);
+        activateDueOccurrences(tick, id);
     }
 
     /** Applies that the store holds a job's progress. */
-    public static void progressStored(
+    public static void markProgressStored(
             SchedulerTick tick, StoredRecord.Progress progress, long version) {
         SchedulerWorld world = tick.world();
         world.jobs()
@@ -83,7 +83,7 @@
     }
 
     /** Begins the occurrences of a job that are due. */
-    public static void openDue(SchedulerTick tick, String id) {
+    public static void activateDueOccurrences(SchedulerTick tick, String id) {
         SchedulerWorld world = tick.world();
         JobRow job = world.jobs().find(id).orElse(null);
         if (job == null || !job.isOpen()) {
@@ -146,7 +146,7 @@
      * <p>An earlier owner began the step, so it saw all tasks of the steps before it done, even if
      * the store does not hold that.
      */
-    public static void reach(SchedulerTick tick, StepKey key) {
+    public static void activateForReportedRun(SchedulerTick tick, StepKey key) {
         JobRow job = tick.world().jobs().find(key.jobId()).orElse(null);
         if (job == null
                 || !job.isOpen()
@@ -155,10 +155,10 @@
             return;
         }
         for (int before : job.spec().steps().get(key.step()).after()) {
-            reach(tick, key.sibling(before));
+            activateForReportedRun(tick, key.sibling(before));
             int count = job.spec().steps().get(before).count();
             for (int i = 0; i < count; i++) {
-                taskDone(tick, key.sibling(before).task(i), true);
+                completeTask(tick, key.sibling(before).task(i), true);
             }
         }
         if (!tick.world().steps().contains(key)) {
@@ -174,10 +174,10 @@
     }
 
     /** Marks tasks of a step as done that a record names. */
-    static void markDone(SchedulerTick tick, StepKey key, BigInteger done) {
+    static void completeTasks(SchedulerTick tick, StepKey key, BigInteger done) {
         for (int i = 0; i < done.bitLength(); i++) {
             if (done.testBit(i)) {
-                taskDone(tick, key.task(i), false);
+                completeTask(tick, key.task(i), false);
             }
         }
     }
@@ -188,7 +188,7 @@
      * @param news whether the store does not hold it yet
      * @return whether the task was not done before
      */
-    public static boolean taskDone(SchedulerTick tick, TaskKey key, boolean news) {
+    public static boolean completeTask(SchedulerTick tick, TaskKey key, boolean news) {
         SchedulerWorld world = tick.world();
         StepRow step = world.steps().find(key.stepKey()).orElse(null);
         JobRow job = world.jobs().find(key.jobId()).orElse(null);
@@ -204,14 +204,14 @@
         if (after.left() == 0) {
             releaseReady(tick, changed, step.key());
             if (changed.stepsLeft() == 0) {
-                end(tick, job.id(), JobState.DONE, "all-tasks-done");
+                finish(tick, job.id(), JobState.DONE, "all-tasks-done");
             }
         }
         return true;
     }
 
     /** Applies that a task's run has begun. */
-    public static void begun(SchedulerTick tick, String id) {
+    public static void markRunning(SchedulerTick tick, String id) {
         SchedulerWorld world = tick.world();
         JobRow job = world.jobs().find(id).orElse(null);
         if (job != null && job.state() == JobState.QUEUED) {
@@ -221,7 +221,7 @@
     }
 
     /** Brings a job to a final state: its runs are stopped, no more are started. */
-    public static void end(SchedulerTick tick, String id, JobState state, String reason) {
+    public static void finish(SchedulerTick tick, String id, JobState state, String reason) {
         SchedulerWorld world = tick.world();
         JobRow job = world.jobs().find(id).orElse(null);
         if (job == null || job.state().isFinal()) {
@@ -241,7 +241,7 @@
                         + " objective_ms="
                         + (job.dueMs() - job.arrivedMs()));
         tick.count("ended." + state);
-        for (StepRow step : stepsOf(world, job)) {
+        for (StepRow step : activatedSteps(world, job)) {
             int count = job.spec().steps().get(step.key().step()).count();
             for (int i = 0; i < count; i++) {
                 TaskKey task = step.key().task(i);
@@ -256,7 +256,7 @@
     }
 
     /** Returns the steps of a job whose turn has come. */
-    public static List<StepRow> stepsOf(SchedulerWorld world, JobRow job) {
+    public static List<StepRow> activatedSteps(SchedulerWorld world, JobRow job) {
         List<StepRow> found = new ArrayList<>();
         for (int k = 0; k < job.spec().occurrences(); k++) {
             for (int i = 0; i < job.spec().steps().size(); i++) {
@@ -267,7 +267,7 @@
     }
 
     /** Returns what a step asks for, if its job is known. */
-    public static Optional<StepSpec> specOf(SchedulerWorld world, StepKey key) {
+    public static Optional<StepSpec> findSpec(SchedulerWorld world, StepKey key) {
         return world.jobs().find(key.jobId()).map(j -> j.spec().steps().get(key.step()));
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/placement/AdviceSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/placement/AdviceSystem.java
@@ -48,7 +48,7 @@
         }
         AdviceCallRow call = world.adviceCall().get();
         boolean free = call.callId() == 0 || tick.nowMs() - call.sentMs() > TIMEOUT_MS;
-        if (free && Authority.mayStart(tick)) {
+        if (free && Authority.mayStartRuns(tick)) {
             askNext(tick);
         }
     }
@@ -104,7 +104,7 @@
         List<String> executors = new ArrayList<>();
         for (ExecutorRow row : world.executors().group(task.pool())) {
             boolean open = !fresh || !known.asked().contains(row.id());
-            if (open && executors.size() < MAX_ASKED && FreeCapacity.isUsable(tick, row)) {
+            if (open && executors.size() < MAX_ASKED && FreeCapacity.acceptsRuns(tick, row)) {
                 executors.add(row.id());
             }
         }
@@ -118,7 +118,7 @@
     }
 
     /** Returns the permission to run a step on an executor, or empty if there is none. */
-    static Optional<String> ticket(SchedulerTick tick, StepKey step, String executor) {
+    static Optional<String> placementToken(SchedulerTick tick, StepKey step, String executor) {
         return tick.world()
                 .advice()
                 .find(step)
--- a/core/src/main/java/org/hibiscususher/core/scheduler/placement/ExecutorChoice.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/placement/ExecutorSelector.java
@@ -10,8 +10,8 @@
 import org.hibiscususher.core.scheduler.world.TaskRow;
 
 /** Chooses the executor for a task. */
-final class ExecutorChoice {
-    private ExecutorChoice() {}
+final class ExecutorSelector {
+    private ExecutorSelector() {}
 
     /**
      * Returns the executor on which a task runs best, or empty if it fits on none.
@@ -20,14 +20,14 @@
      * comes last; then the one with the most free processor time for tasks that serve, the least
      * for others, so that room for wide tasks stays.
      */
-    static Optional<ExecutorRow> find(
+    static Optional<ExecutorRow> select(
             SchedulerTick tick, FreeCapacity room, TaskRow task, StepSpec spec) {
         ExecutorRow best = null;
         long bestRank = Long.MAX_VALUE;
         for (ExecutorRow row : room.executors()) {
             Resources free = room.free(row.id());
             if (spec.reserved().fitsIn(free) && isAllowed(tick, row, task, spec)) {
-                long rank = rank(row, task, spec, free, room.runs(row.id()));
+                long rank = rank(row, task, spec, free, room.runCount(row.id()));
                 if (rank < bestRank) {
                     best = row;
                     bestRank = rank;
@@ -47,7 +47,7 @@
         SchedulerWorld world = tick.world();
         boolean advised =
                 world.jobs().find(step.jobId()).filter(j -> j.terms().advised()).isPresent();
-        if (advised && AdviceSystem.ticket(tick, step, row.id()).isEmpty()) {
+        if (advised && AdviceSystem.placementToken(tick, step, row.id()).isEmpty()) {
             return false;
         }
         if (spec.maxPerExecutor() <= 0) {
--- a/core/src/main/java/org/hibiscususher/core/scheduler/placement/FreeCapacity.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/placement/FreeCapacity.java
@@ -27,7 +27,7 @@
         SchedulerWorld world = tick.world();
         FreeCapacity room = new FreeCapacity();
         for (ExecutorRow row : world.executors().group(pool)) {
-            if (isUsable(tick, row)) {
+            if (acceptsRuns(tick, row)) {
                 Resources free = row.report().capacity();
                 for (RunRow run : world.runs().group(row.id())) {
                     free = free.minus(run.reserved());
@@ -41,7 +41,7 @@
     }
 
     /** Returns whether an executor may get new runs. */
-    static boolean isUsable(SchedulerTick tick, ExecutorRow row) {
+    static boolean acceptsRuns(SchedulerTick tick, ExecutorRow row) {
         ContactRow contact = tick.world().contacts().find(row.id()).orElse(null);
         return contact != null
                 && row.recorded()
@@ -82,12 +82,12 @@
     }
 
     /** Returns how many runs an executor has. */
-    int runs(String executor) {
+    int runCount(String executor) {
         return mRuns.get(executor);
     }
 
     /** Takes room for a run. */
-    void take(String executor, Resources reserved) {
+    void reserve(String executor, Resources reserved) {
         mFree.merge(executor, reserved, Resources::minus);
         mRuns.merge(executor, 1, Integer::sum);
     }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/placement/PlacementSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/placement/PlacementSystem.java
@@ -39,7 +39,7 @@
     /** Runs over the pools that have waiting tasks. */
     public static void run(SchedulerTick tick) {
         recordExecutors(tick);
-        if (!Authority.mayStart(tick)) {
+        if (!Authority.mayStartRuns(tick)) {
             return;
         }
         Map<String, Resources> teams = teamUse(tick.world());
@@ -82,14 +82,14 @@
         if (room.isEmpty()) {
             return;
         }
-        Map<StartOrder, List<TaskRow>> waiting = new TreeMap<>();
-        Map<String, StartOrder> orders = new HashMap<>();
+        Map<StartPriority, List<TaskRow>> waiting = new TreeMap<>();
+        Map<String, StartPriority> orders = new HashMap<>();
         for (TaskRow task : world.tasks().group(group)) {
             JobRow job = world.jobs().find(task.key().jobId()).orElse(null);
             if (job != null && !task.doubtful() && task.notBeforeMs() <= tick.nowMs()) {
-                StartOrder order =
+                StartPriority order =
                         orders.computeIfAbsent(
-                                job.id(), id -> StartOrder.of(world, job, tick.nowMs()));
+                                job.id(), id -> StartPriority.of(world, job, tick.nowMs()));
                 waiting.computeIfAbsent(order, o -> new ArrayList<>()).add(task);
             }
         }
@@ -108,7 +108,7 @@
     private static boolean placeOne(
             SchedulerTick tick, FreeCapacity room, Map<String, Resources> teams, TaskRow task) {
         StepKey step = task.key().stepKey();
-        StepSpec spec = Jobs.specOf(tick.world(), step).orElseThrow();
+        StepSpec spec = Jobs.findSpec(tick.world(), step).orElseThrow();
         if (spec.gang()) {
             startGang(tick, room, teams, step, spec);
             return false;
@@ -131,11 +131,11 @@
         if (!room.mayFit(spec.reserved())) {
             return false;
         }
-        Optional<ExecutorRow> executor = ExecutorChoice.find(tick, room, task, spec);
+        Optional<ExecutorRow> executor = ExecutorSelector.select(tick, room, task, spec);
         if (executor.isEmpty()) {
             return false;
         }
-        room.take(executor.get().id(), spec.reserved());
+        room.reserve(executor.get().id(), spec.reserved());
         teams.put(job.team(), use);
         order(tick, job, task, spec, executor.get(), Runs.nextNumber(world, task));
         return true;
@@ -172,12 +172,12 @@
         }
         List<ExecutorRow> sites = new ArrayList<>();
         for (TaskRow task : members) {
-            Optional<ExecutorRow> site = ExecutorChoice.find(tick, room, task, spec);
+            Optional<ExecutorRow> site = ExecutorSelector.select(tick, room, task, spec);
             if (site.isEmpty()) {
-                sites.forEach(s -> room.take(s.id(), Resources.NONE.minus(spec.reserved())));
+                sites.forEach(s -> room.reserve(s.id(), Resources.NONE.minus(spec.reserved())));
                 return;
             }
-            room.take(site.get().id(), spec.reserved());
+            room.reserve(site.get().id(), spec.reserved());
             sites.add(site.get());
         }
         teams.put(job.team(), use);
@@ -244,7 +244,8 @@
                         number,
                         job.spec().text(),
                         task.checkpoint(),
-                        AdviceSystem.ticket(tick, task.key().stepKey(), executor.id()).orElse(""),
+                        AdviceSystem.placementToken(tick, task.key().stepKey(), executor.id())
+                                .orElse(""),
                         deadlineMs));
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/placement/StartOrder.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/placement/StartPriority.java
@@ -19,10 +19,10 @@
  * @param workLeft work left in the job, in core-milliseconds
  * @param arrivedMs when the job came
  */
-record StartOrder(boolean lasting, int priority, boolean hopeful, long workLeft, long arrivedMs)
-        implements Comparable<StartOrder> {
+record StartPriority(boolean lasting, int priority, boolean hopeful, long workLeft, long arrivedMs)
+        implements Comparable<StartPriority> {
     /** Returns the place of a job's tasks. */
-    static StartOrder of(SchedulerWorld world, JobRow job, long nowMs) {
+    static StartPriority of(SchedulerWorld world, JobRow job, long nowMs) {
         long chainMs = 0;
         long work = 0;
         for (int i = 0; i < job.spec().steps().size(); i++) {
@@ -33,12 +33,12 @@
             chainMs += left > 0 ? step.estimateMs() : 0;
         }
         boolean hopeful = nowMs + chainMs <= job.dueMs();
-        return new StartOrder(
+        return new StartPriority(
                 job.spec().isLasting(), job.terms().priority(), hopeful, work, job.arrivedMs());
     }
 
     @Override
-    public int compareTo(StartOrder other) {
+    public int compareTo(StartPriority other) {
         int order = Boolean.compare(other.lasting, lasting);
         order = order != 0 ? order : Integer.compare(priority, other.priority);
         order = order != 0 ? order : Boolean.compare(other.hopeful, hopeful);
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/Authority.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/Authority.java
@@ -22,7 +22,7 @@
     }
 
     /** Returns whether the process may start runs. */
-    public static boolean mayStart(SchedulerTick tick) {
+    public static boolean mayStartRuns(SchedulerTick tick) {
         return mayOrderExecutors(tick)
                 && tick.world().term().get().stage() != TermStage.RELEASING
                 && tick.world().node().get().stopAskedMs() == 0;
@@ -37,7 +37,7 @@
     }
 
     /** Returns whether the process decides on callers' requests. */
-    public static boolean decides(SchedulerTick tick) {
+    public static boolean mayDecideRequests(SchedulerTick tick) {
         TermRow term = tick.world().term().get();
         return term.owns() && term.stage() != TermStage.RELEASING;
     }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/CommitSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/CommitSystem.java
@@ -43,7 +43,7 @@
     private CommitSystem() {}
 
     /** Takes in the answers to the commit that is under way. */
-    public static void takeAnswers(SchedulerTick tick) {
+    public static void handleResults(SchedulerTick tick) {
         for (SchedulerInput input : tick.inputs()) {
             long awaited = tick.world().commit().get().map(CommitRow::callId).orElse(0L);
             if (input instanceof Committed done && done.callId() == awaited) {
@@ -105,7 +105,7 @@
         for (RecordWrite write : commit.writes()) {
             RecordName name = write.record().name();
             world.revisions().put(name, revisions.getOrDefault(name, revision));
-            Commits.stored(tick, write.record(), commit.versions());
+            Commits.applyStored(tick, write.record(), commit.versions());
         }
         if (commit.purpose() == CommitPurpose.RELEASE) {
             StepDown.run(tick, "released");
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/Commits.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/Commits.java
@@ -8,8 +8,8 @@
 import java.util.function.Predicate;
 import org.hibiscususher.core.job.CallKind;
 import org.hibiscususher.core.job.JobState;
+import org.hibiscususher.core.scheduler.job.JobProgress;
 import org.hibiscususher.core.scheduler.job.Jobs;
-import org.hibiscususher.core.scheduler.job.Progress;
 import org.hibiscususher.core.scheduler.message.RecordGuard;
 import org.hibiscususher.core.scheduler.message.RecordKind;
 import org.hibiscususher.core.scheduler.message.RecordName;
@@ -97,7 +97,7 @@
                     && due
                     && states.test(job.state())
                     && !versions.containsKey(job.id())) {
-                records.add(Progress.of(tick.world(), job));
+                records.add(JobProgress.toRecord(tick.world(), job));
                 versions.put(job.id(), job.version());
             }
         }
@@ -203,12 +203,12 @@
     }
 
     /** Applies that a record is stored. */
-    static void stored(SchedulerTick tick, StoredRecord record, Map<String, Long> versions) {
+    static void applyStored(SchedulerTick tick, StoredRecord record, Map<String, Long> versions) {
         SchedulerWorld world = tick.world();
         if (record instanceof StoredRecord.Job job) {
-            Jobs.stored(tick, job.id());
+            Jobs.markStored(tick, job.id());
         } else if (record instanceof StoredRecord.Progress progress) {
-            Jobs.progressStored(tick, progress, versions.getOrDefault(progress.id(), 0L));
+            Jobs.markProgressStored(tick, progress, versions.getOrDefault(progress.id(), 0L));
         } else {
             if (record instanceof StoredRecord.Executors executors) {
                 executors
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/OfferSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/HandoverSystem.java
@@ -21,14 +21,14 @@
  * owner's lease has ended. An entry that reaches the store claims the ownership in place of the one
  * that offers it, and then asks that one to give no more orders.
  */
-public final class OfferSystem {
+public final class HandoverSystem {
     /** Time out of reach of the store after which the ownership is offered, in milliseconds. */
     private static final long OFFER_AFTER_MS = 150;
 
     /** Time between two offers, in milliseconds. */
     private static final long OFFER_EVERY_MS = 200;
 
-    private OfferSystem() {}
+    private HandoverSystem() {}
 
     /** Takes in offers, then offers the own term if that is due. */
     public static void run(SchedulerTick tick) {
@@ -110,7 +110,7 @@
     }
 
     /** Returns whether the owner of the term that this process sees has offered it. */
-    static boolean isOffered(SchedulerWorld world) {
+    static boolean isHandoverOffered(SchedulerWorld world) {
         long taken = world.offer().get().takenGeneration();
         return taken != 0
                 && world.ownership()
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/Takeover.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/Takeover.java
@@ -6,8 +6,8 @@
 import org.hibiscususher.core.job.JobState;
 import org.hibiscususher.core.job.Resources;
 import org.hibiscususher.core.scheduler.executor.HoldSystem;
+import org.hibiscususher.core.scheduler.job.JobProgress;
 import org.hibiscususher.core.scheduler.job.Jobs;
-import org.hibiscususher.core.scheduler.job.Progress;
 import org.hibiscususher.core.scheduler.message.ExecutorReport;
 import org.hibiscususher.core.scheduler.message.LoadedRecord;
 import org.hibiscususher.core.scheduler.message.RecordKind;
@@ -30,7 +30,7 @@
 
     private Takeover() {}
 
-    static void load(SchedulerTick tick, List<LoadedRecord> records) {
+    static void restore(SchedulerTick tick, List<LoadedRecord> records) {
         SchedulerWorld world = tick.world();
         for (LoadedRecord loaded : records) {
             if (loaded.name().kind() != RecordKind.TERM) {
@@ -51,7 +51,7 @@
         TermRow term = world.term().get();
         world.term().set(term.withCall(TermStage.OWNING, 0, 0));
         for (JobRow job : world.jobs().rows()) {
-            Jobs.openDue(tick, job.id());
+            Jobs.activateDueOccurrences(tick, job.id());
         }
         world.claim().get().open().ifPresent(open -> clearDoubt(world, new HashSet<>(open)));
         tick.log(
@@ -98,7 +98,7 @@
     private static void take(SchedulerTick tick, StoredRecord record) {
         SchedulerWorld world = tick.world();
         if (record instanceof StoredRecord.Progress progress) {
-            Progress.restore(tick, progress);
+            JobProgress.restore(tick, progress);
         } else if (record instanceof StoredRecord.Executors executors) {
             world.usedExecutors().set(executors);
             executors.executors().forEach(e -> prior(tick, e));
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/TermSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/TermSystem.java
@@ -99,7 +99,7 @@
         } else if (input instanceof CommitFailed failed && failed.callId() == awaited) {
             retryLater(tick);
         } else if (input instanceof RecordsLoaded loaded && loaded.callId() == awaited) {
-            Takeover.load(tick, loaded.records());
+            Takeover.restore(tick, loaded.records());
         } else if (input instanceof LoadFailed failed && failed.callId() == awaited) {
             load(tick);
         } else if (input instanceof YieldAsked asked) {
@@ -353,7 +353,7 @@
     private static boolean isFree(SchedulerWorld world) {
         Optional<StoredRecord.Owner> owner = world.ownership().get().ownership().owner();
         boolean own = owner.map(o -> o.node().equals(world.settings().node())).orElse(true);
-        return own || OfferSystem.isOffered(world);
+        return own || HandoverSystem.isHandoverOffered(world);
     }
 
     private static void renew(SchedulerTick tick) {
--- a/core/src/test/java/org/hibiscususher/core/scheduler/job/BacklogTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/job/BacklogLimitTest.java
@@ -7,19 +7,19 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
-class BacklogTest {
+class BacklogLimitTest {
     @Nested
     class RetryAfterMs {
         @Test
         void isNothingWhileTheWorkBeginsSoon() {
-            assertThat(Backlog.retryAfterMs(14_000, 5)).isZero();
+            assertThat(BacklogLimit.retryAfterMs(14_000, 5)).isZero();
         }
 
         @Test
         void growsWithTheBacklog() {
-            assertThat(Backlog.retryAfterMs(20_000, 0)).isEqualTo(5_000);
-            assertThat(Backlog.retryAfterMs(15_001, 0)).isEqualTo(1_000);
-            assertThat(Backlog.retryAfterMs(90_000, 0)).isEqualTo(10_000);
+            assertThat(BacklogLimit.retryAfterMs(20_000, 0)).isEqualTo(5_000);
+            assertThat(BacklogLimit.retryAfterMs(15_001, 0)).isEqualTo(1_000);
+            assertThat(BacklogLimit.retryAfterMs(90_000, 0)).isEqualTo(10_000);
         }
     }
 
@@ -30,7 +30,9 @@
         void comesBackAtManyTimes() {
             Set<Long> times = new HashSet<>();
             for (int i = 0; i < 100; i++) {
-                times.add(Backlog.retryAfterMs(30_000, Integer.toHexString(i * 7919).hashCode()));
+                times.add(
+                        BacklogLimit.retryAfterMs(
+                                30_000, Integer.toHexString(i * 7919).hashCode()));
             }
             assertThat(times.size()).isGreaterThan(50);
         }
--- a/core/src/test/java/org/hibiscususher/core/scheduler/placement/StartOrderTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/placement/StartPriorityTest.java
@@ -9,20 +9,20 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
-class StartOrderTest {
+class StartPriorityTest {
     private static final int SLOTS = 20;
 
-    private static StartOrder order(boolean hopeful, long work, long arrivedMs) {
-        return new StartOrder(false, 0, hopeful, work, arrivedMs);
+    private static StartPriority order(boolean hopeful, long work, long arrivedMs) {
+        return new StartPriority(false, 0, hopeful, work, arrivedMs);
     }
 
     @Nested
     class Comparison {
         @Test
         void putsLastingAndUrgentWorkFirst() {
-            StartOrder lasting = new StartOrder(true, 0, true, 0, 9);
-            StartOrder urgent = new StartOrder(false, 0, false, 9, 9);
-            StartOrder other = new StartOrder(false, 1, true, 1, 1);
+            StartPriority lasting = new StartPriority(true, 0, true, 0, 9);
+            StartPriority urgent = new StartPriority(false, 0, false, 9, 9);
+            StartPriority other = new StartPriority(false, 1, true, 1, 1);
             assertThat(lasting).isLessThan(urgent);
             assertThat(urgent).isLessThan(other);
         }
@@ -74,7 +74,7 @@
             return job[1] * SLOTS * 16 / 10 / SLOTS + 600;
         }
 
-        private StartOrder place(long[] job, long nowMs) {
+        private StartPriority place(long[] job, long nowMs) {
             return order(nowMs + job[1] <= job[0] + dueMs(job), job[1], job[0]);
         }
 
