--- a/core/src/main/java/org/hibiscususher/core/job/ListedEnd.java
+++ b/core/src/main/java/org/hibiscususher/core/job/FinishedRun.java
@@ -11,9 +11,9 @@
  * @param kind how the run ended
  * @param checkpoint last saved state; empty for none
  */
-public record ListedEnd(long number, TaskKey task, int run, EndKind kind, String checkpoint) {
+public record FinishedRun(long number, TaskKey task, int run, RunOutcome kind, String checkpoint) {
     /** Checks the parts. */
-    public ListedEnd {
+    public FinishedRun {
         requireNonNull(task);
         requireNonNull(kind);
         requireNonNull(checkpoint);
--- a/core/src/main/java/org/hibiscususher/core/job/JobPlan.java
+++ b/core/src/main/java/org/hibiscususher/core/job/JobConfiguration.java
@@ -13,13 +13,14 @@
  * @param pools pools
  * @param teams teams
  */
-public record JobPlan(
+public record JobConfiguration(
         long version, List<JobQueue> queues, List<JobPool> pools, List<JobTeam> teams) {
     /** A plan without anything. */
-    public static final JobPlan EMPTY = new JobPlan(0, List.of(), List.of(), List.of());
+    public static final JobConfiguration EMPTY =
+            new JobConfiguration(0, List.of(), List.of(), List.of());
 
     /** Copies the lists. */
-    public JobPlan {
+    public JobConfiguration {
         queues = List.copyOf(queues);
         pools = List.copyOf(pools);
         teams = List.copyOf(teams);
--- a/core/src/main/java/org/hibiscususher/core/job/JobTerms.java
+++ b/core/src/main/java/org/hibiscususher/core/job/JobPolicy.java
@@ -13,7 +13,7 @@
  * @param objectiveMs milliseconds that come on top
  * @param advised whether only an outside service knows which executors may run a step
  */
-public record JobTerms(
+public record JobPolicy(
         String queue,
         String pool,
         int priority,
@@ -22,7 +22,7 @@
         long objectiveMs,
         boolean advised) {
     /** Checks the parts. */
-    public JobTerms {
+    public JobPolicy {
         requireNonNull(queue);
         requireNonNull(pool);
     }
--- a/core/src/main/java/org/hibiscususher/core/job/JobQueue.java
+++ b/core/src/main/java/org/hibiscususher/core/job/JobQueue.java
@@ -10,7 +10,7 @@
  * @param open whether the queue takes jobs without a key
  * @param terms terms of its jobs
  */
-public record JobQueue(String host, String prefix, boolean open, JobTerms terms) {
+public record JobQueue(String host, String prefix, boolean open, JobPolicy terms) {
     /** Checks the parts. */
     public JobQueue {
         requireNonNull(host);
--- a/core/src/main/java/org/hibiscususher/core/job/JobCall.java
+++ b/core/src/main/java/org/hibiscususher/core/job/JobRequest.java
@@ -11,13 +11,18 @@
  * @param host host name that the request was sent to
  * @param path path: a queue's prefix and a job's id
  * @param key secret that came along; empty for none
- * @param spec the job, for {@link CallKind#SUBMIT}
+ * @param spec the job, for {@link JobRequestKind#SUBMIT}
  * @param hops how many entries have passed the request on
  */
-public record JobCall(
-        CallKind kind, String host, String path, String key, Optional<JobSpec> spec, int hops) {
+public record JobRequest(
+        JobRequestKind kind,
+        String host,
+        String path,
+        String key,
+        Optional<JobSpec> spec,
+        int hops) {
     /** Checks the parts. */
-    public JobCall {
+    public JobRequest {
         requireNonNull(kind);
         requireNonNull(host);
         requireNonNull(path);
@@ -26,18 +31,18 @@
     }
 
     /** Returns a request as its caller sent it. */
-    public static JobCall of(
-            CallKind kind, String host, String path, String key, Optional<JobSpec> spec) {
-        return new JobCall(kind, host, path, key, spec, 0);
+    public static JobRequest of(
+            JobRequestKind kind, String host, String path, String key, Optional<JobSpec> spec) {
+        return new JobRequest(kind, host, path, key, spec, 0);
     }
 
     /** Returns this request, passed on once more. */
-    public JobCall passedOn() {
-        return new JobCall(kind, host, path, key, spec, hops + 1);
+    public JobRequest passedOn() {
+        return new JobRequest(kind, host, path, key, spec, hops + 1);
     }
 
     @Override
     public String toString() {
-        return "JobCall[" + kind + " " + host + path + "]";
+        return "JobRequest[" + kind + " " + host + path + "]";
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/job/CallKind.java
+++ b/core/src/main/java/org/hibiscususher/core/job/JobRequestKind.java
@@ -1,7 +1,7 @@
 package org.hibiscususher.core.job;
 
 /** What a caller wants. */
-public enum CallKind {
+public enum JobRequestKind {
     /** Hands a job in. */
     SUBMIT,
     /** Asks for a job's state or, without an id, for a queue's number of pending jobs. */
--- a/core/src/main/java/org/hibiscususher/core/job/AnswerKind.java
+++ b/core/src/main/java/org/hibiscususher/core/job/JobResponseKind.java
@@ -1,7 +1,7 @@
 package org.hibiscususher.core.job;
 
 /** The answers to a caller's request. */
-public enum AnswerKind {
+public enum JobResponseKind {
     /** The job is stored and will be run. */
     ACCEPTED,
     /** The job's state. */
--- a/core/src/main/java/org/hibiscususher/core/job/ListedRun.java
+++ b/core/src/main/java/org/hibiscususher/core/job/ReportedRun.java
@@ -12,9 +12,9 @@
  * @param load tail latency in milliseconds for a task that serves, else thousandths of a core in
  *     use; -1 if not told
  */
-public record ListedRun(TaskKey task, int run, String checkpoint, int percent, long load) {
+public record ReportedRun(TaskKey task, int run, String checkpoint, int percent, long load) {
     /** Checks the parts. */
-    public ListedRun {
+    public ReportedRun {
         requireNonNull(task);
         requireNonNull(checkpoint);
     }
--- a/core/src/main/java/org/hibiscususher/core/job/EndKind.java
+++ b/core/src/main/java/org/hibiscususher/core/job/RunOutcome.java
@@ -1,7 +1,7 @@
 package org.hibiscususher.core.job;
 
 /** How a run ended. */
-public enum EndKind {
+public enum RunOutcome {
     /** The task is done. */
     DONE,
     /** The run failed, by its own fault or the executor's. */
--- a/core/src/main/java/org/hibiscususher/core/scheduler/control/NodeSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/control/NodeSystem.java
@@ -1,9 +1,9 @@
 package org.hibiscususher.core.scheduler.control;
 
-import org.hibiscususher.core.scheduler.message.SchedulerInput.StopAsked;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.StoreContact;
-import org.hibiscususher.core.scheduler.message.SchedulerOutput.Finish;
-import org.hibiscususher.core.scheduler.message.SchedulerOutput.Ready;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.ShutdownRequested;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.StoreReachabilityChanged;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput.ReportReadiness;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput.Terminate;
 import org.hibiscususher.core.scheduler.world.NodeStateRow;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
@@ -20,7 +20,7 @@
     static void run(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
         NodeStateRow node = world.node().get();
-        if (!tick.inputs(StopAsked.class).isEmpty() && node.stopAskedMs() == 0) {
+        if (!tick.inputs(ShutdownRequested.class).isEmpty() && node.stopAskedMs() == 0) {
             tick.log("stop-asked", "owner=" + world.term().get().stage().isOwner());
             node = new NodeStateRow(node.ready(), node.storeReached(), tick.nowMs());
             release(world);
@@ -28,10 +28,10 @@
         boolean stopping = node.stopAskedMs() != 0;
         boolean ready = !stopping && world.ownership().get().known();
         if (ready != node.ready()) {
-            tick.emit(new Ready(ready));
+            tick.emit(new ReportReadiness(ready));
         }
         boolean reached = node.storeReached();
-        for (StoreContact contact : tick.inputs(StoreContact.class)) {
+        for (StoreReachabilityChanged contact : tick.inputs(StoreReachabilityChanged.class)) {
             reached = contact.reached();
             tick.log(
                     reached ? "store-reached" : "store-lost",
@@ -40,7 +40,7 @@
         world.node().set(new NodeStateRow(ready, reached, node.stopAskedMs()));
         boolean owner = world.term().get().owns();
         if (stopping && !owner && tick.nowMs() - node.stopAskedMs() > BALANCER_MS) {
-            tick.emit(new Finish());
+            tick.emit(new Terminate());
         }
     }
 
--- a/core/src/main/java/org/hibiscususher/core/scheduler/control/PlanSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/control/PlanSystem.java
@@ -1,10 +1,10 @@
 package org.hibiscususher.core.scheduler.control;
 
 import java.util.Set;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.PlanSeen;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.WaveGone;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.ConfigurationSeen;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.WaveSeen;
-import org.hibiscususher.core.scheduler.world.PlanRow;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.WaveWithdrawn;
+import org.hibiscususher.core.scheduler.world.ConfigurationRow;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
 import org.hibiscususher.core.scheduler.world.WaveRow;
@@ -15,10 +15,10 @@
 
     static void run(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
-        for (PlanSeen seen : tick.inputs(PlanSeen.class)) {
-            PlanRow before = world.plan().get();
+        for (ConfigurationSeen seen : tick.inputs(ConfigurationSeen.class)) {
+            ConfigurationRow before = world.plan().get();
             if (seen.plan().version() > before.plan().version()) {
-                world.plan().set(new PlanRow(seen.plan(), seen.revision()));
+                world.plan().set(new ConfigurationRow(seen.plan(), seen.revision()));
                 tick.log(
                         "plan-in-force",
                         "version="
@@ -50,7 +50,7 @@
                         .put(wave, new WaveRow(seen.wave(), tick.nowMs(), Set.of(), false, false));
             }
         }
-        for (WaveGone gone : tick.inputs(WaveGone.class)) {
+        for (WaveWithdrawn gone : tick.inputs(WaveWithdrawn.class)) {
             tick.log("wave-withdrawn", "wave=" + gone.wave());
             world.waves().remove(gone.wave());
         }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/DoubtSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/DoubtSystem.java
@@ -1,8 +1,8 @@
 package org.hibiscususher.core.scheduler.executor;
 
 import java.util.List;
-import org.hibiscususher.core.scheduler.world.ContactRow;
 import org.hibiscususher.core.scheduler.world.ExecutorRow;
+import org.hibiscususher.core.scheduler.world.ExecutorSessionRow;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
 import org.hibiscususher.core.scheduler.world.TaskGroup;
@@ -38,7 +38,8 @@
     private static boolean isClear(SchedulerTick tick, String pool) {
         SchedulerWorld world = tick.world();
         for (ExecutorRow row : world.executors().group(pool)) {
-            long untilMs = world.contacts().find(row.id()).map(ContactRow::leaseEndMs).orElse(0L);
+            long untilMs =
+                    world.contacts().find(row.id()).map(ExecutorSessionRow::leaseEndMs).orElse(0L);
             if (row.prior() && tick.nowMs() <= untilMs) {
                 return false;
             }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/Ends.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/Ends.java
@@ -1,14 +1,14 @@
 package org.hibiscususher.core.scheduler.executor;
 
-import org.hibiscususher.core.job.EndKind;
+import org.hibiscususher.core.job.FinishedRun;
 import org.hibiscususher.core.job.JobState;
-import org.hibiscususher.core.job.ListedEnd;
+import org.hibiscususher.core.job.RunOutcome;
 import org.hibiscususher.core.job.StepKey;
 import org.hibiscususher.core.job.StepSpec;
 import org.hibiscususher.core.job.TaskKey;
 import org.hibiscususher.core.scheduler.job.Jobs;
-import org.hibiscususher.core.scheduler.world.EndKey;
-import org.hibiscususher.core.scheduler.world.EndRow;
+import org.hibiscususher.core.scheduler.world.FinishedRunKey;
+import org.hibiscususher.core.scheduler.world.FinishedRunRow;
 import org.hibiscususher.core.scheduler.world.JobRow;
 import org.hibiscususher.core.scheduler.world.RunRow;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
@@ -24,7 +24,7 @@
     private Ends() {}
 
     /** Takes in an end that was not taken in before. */
-    static void take(SchedulerTick tick, String executor, ListedEnd end) {
+    static void take(SchedulerTick tick, String executor, FinishedRun end) {
         SchedulerWorld world = tick.world();
         JobRow job = world.jobs().find(end.task().jobId()).orElse(null);
         RunRow run =
@@ -59,17 +59,17 @@
         Jobs.reach(tick, end.task().stepKey());
         apply(tick, executor, end, run);
         long version = world.jobs().find(job.id()).map(JobRow::version).orElse(0L);
-        EndKey key = new EndKey(executor, end.number());
-        world.ends().put(key, new EndRow(key, job.id(), version));
+        FinishedRunKey key = new FinishedRunKey(executor, end.number());
+        world.ends().put(key, new FinishedRunRow(key, job.id(), version));
     }
 
-    private static void apply(SchedulerTick tick, String executor, ListedEnd end, RunRow run) {
+    private static void apply(SchedulerTick tick, String executor, FinishedRun end, RunRow run) {
         SchedulerWorld world = tick.world();
         StepSpec spec = Jobs.specOf(world, end.task().stepKey()).orElse(null);
         if (spec == null) {
             return;
         }
-        if (end.kind() == EndKind.DONE && !spec.lasting()) {
+        if (end.kind() == RunOutcome.DONE && !spec.lasting()) {
             done(tick, executor, end, spec);
             return;
         }
@@ -79,7 +79,7 @@
         }
         boolean current = run != null || !world.runs().contains(end.task());
         if (current) {
-            long restMs = end.kind() == EndKind.FAILED && !spec.lasting() ? FAILED_REST_MS : 0;
+            long restMs = end.kind() == RunOutcome.FAILED && !spec.lasting() ? FAILED_REST_MS : 0;
             world.tasks()
                     .update(end.task(), t -> t.waiting(tick.nowMs(), restMs, end.checkpoint()));
         }
@@ -88,7 +88,7 @@
         }
     }
 
-    private static void done(SchedulerTick tick, String executor, ListedEnd end, StepSpec spec) {
+    private static void done(SchedulerTick tick, String executor, FinishedRun end, StepSpec spec) {
         SchedulerWorld world = tick.world();
         Standings.done(tick, executor);
         StepKey step = end.task().stepKey();
@@ -106,7 +106,8 @@
         }
     }
 
-    private static void failed(SchedulerTick tick, String executor, ListedEnd end, StepSpec spec) {
+    private static void failed(
+            SchedulerTick tick, String executor, FinishedRun end, StepSpec spec) {
         SchedulerWorld world = tick.world();
         Standings.failed(tick, executor);
         TaskKey counted = spec.gang() ? end.task().stepKey().task(0) : end.task();
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/ExecutorSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/ExecutorSystem.java
@@ -3,22 +3,22 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import org.hibiscususher.core.job.ListedEnd;
-import org.hibiscususher.core.job.ListedRun;
+import org.hibiscususher.core.job.FinishedRun;
+import org.hibiscususher.core.job.ReportedRun;
 import org.hibiscususher.core.job.StepSpec;
 import org.hibiscususher.core.job.TaskKey;
 import org.hibiscususher.core.scheduler.job.Jobs;
 import org.hibiscususher.core.scheduler.message.ExecutorReport;
-import org.hibiscususher.core.scheduler.message.HoldFailure;
+import org.hibiscususher.core.scheduler.message.HeartbeatFailure;
 import org.hibiscususher.core.scheduler.message.SchedulerInput;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.ExecutorGone;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.ExecutorSeen;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.ExecutorsListed;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.HoldAnswered;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.HoldFailed;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.HeartbeatAnswered;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.HeartbeatFailed;
 import org.hibiscususher.core.scheduler.term.StepDown;
-import org.hibiscususher.core.scheduler.world.ContactRow;
 import org.hibiscususher.core.scheduler.world.ExecutorRow;
+import org.hibiscususher.core.scheduler.world.ExecutorSessionRow;
 import org.hibiscususher.core.scheduler.world.JobRow;
 import org.hibiscususher.core.scheduler.world.RunRow;
 import org.hibiscususher.core.scheduler.world.RunStage;
@@ -54,9 +54,9 @@
                 seen(tick, seen.report());
             } else if (input instanceof ExecutorGone gone) {
                 missing(tick, gone.id());
-            } else if (input instanceof HoldAnswered answered) {
+            } else if (input instanceof HeartbeatAnswered answered) {
                 answered(tick, answered);
-            } else if (input instanceof HoldFailed failed) {
+            } else if (input instanceof HeartbeatFailed failed) {
                 failed(tick, failed);
             }
         }
@@ -87,7 +87,7 @@
                         : before;
         world.executors().put(report.id(), row.withReport(report, tick.nowMs()));
         if (!world.contacts().contains(report.id())) {
-            world.contacts().put(report.id(), ContactRow.initial(report.id(), 0));
+            world.contacts().put(report.id(), ExecutorSessionRow.initial(report.id(), 0));
         }
         if (before == null || before.report().draining() != report.draining()) {
             tick.log(
@@ -107,7 +107,7 @@
                             + " remaining_ms="
                             + report.remainingMs());
         }
-        long bornMs = world.contacts().find(report.id()).map(ContactRow::bornMs).orElse(0L);
+        long bornMs = world.contacts().find(report.id()).map(ExecutorSessionRow::bornMs).orElse(0L);
         if (report.bornMs() > bornMs && bornMs != 0) {
             tick.log("executor-reborn", "executor=" + report.id() + " by=report");
             Runs.reborn(tick, report.id(), "reborn");
@@ -123,10 +123,10 @@
         tick.world().executors().put(id, row.missing(tick.nowMs()));
     }
 
-    private static void answered(SchedulerTick tick, HoldAnswered answer) {
+    private static void answered(SchedulerTick tick, HeartbeatAnswered answer) {
         SchedulerWorld world = tick.world();
         String id = answer.executor();
-        ContactRow contact = world.contacts().find(id).orElse(null);
+        ExecutorSessionRow contact = world.contacts().find(id).orElse(null);
         if (contact == null || contact.callId() != answer.callId()) {
             return;
         }
@@ -134,7 +134,7 @@
             tick.log("executor-reborn", "executor=" + id + " by=answer");
             Runs.reborn(tick, id, "reborn");
             contact =
-                    ContactRow.initial(id, contact.leaseEndMs())
+                    ExecutorSessionRow.initial(id, contact.leaseEndMs())
                             .sent(answer.callId(), contact.callFence(), contact.sentMs(), 0);
         }
         if (contact.answeredMs() == 0 || contact.failures() > MAX_FAILURES) {
@@ -154,7 +154,7 @@
         world.contacts().put(id, contact);
         world.executors().update(id, ExecutorRow::answered);
         Set<TaskKey> told = new HashSet<>();
-        for (ListedEnd end : answer.ends()) {
+        for (FinishedRun end : answer.ends()) {
             told.add(end.task());
             if (end.number() > contact.listed()) {
                 Ends.take(tick, id, end);
@@ -163,14 +163,14 @@
         }
         long listed = contact.listed();
         world.contacts().update(id, c -> c.withListed(listed));
-        for (ListedRun run : answer.runs()) {
+        for (ReportedRun run : answer.runs()) {
             told.add(run.task());
             listedRun(tick, id, run);
         }
         vanished(tick, id, told, sentMs);
     }
 
-    private static void listedRun(SchedulerTick tick, String executor, ListedRun told) {
+    private static void listedRun(SchedulerTick tick, String executor, ReportedRun told) {
         SchedulerWorld world = tick.world();
         Jobs.reach(tick, told.task().stepKey());
         RunRow run = world.runs().find(told.task()).orElse(null);
@@ -191,7 +191,7 @@
     }
 
     /** Takes over a run that an earlier owner started. */
-    private static void adopt(SchedulerTick tick, String executor, ListedRun told, TaskRow task) {
+    private static void adopt(SchedulerTick tick, String executor, ReportedRun told, TaskRow task) {
         SchedulerWorld world = tick.world();
         JobRow job = world.jobs().find(told.task().jobId()).orElse(null);
         StepSpec spec = Jobs.specOf(world, told.task().stepKey()).orElse(null);
@@ -233,13 +233,13 @@
         }
     }
 
-    private static void failed(SchedulerTick tick, HoldFailed failed) {
+    private static void failed(SchedulerTick tick, HeartbeatFailed failed) {
         SchedulerWorld world = tick.world();
-        ContactRow contact = world.contacts().find(failed.executor()).orElse(null);
+        ExecutorSessionRow contact = world.contacts().find(failed.executor()).orElse(null);
         if (contact == null || contact.callId() != failed.callId()) {
             return;
         }
-        if (failed.failure() == HoldFailure.FENCED) {
+        if (failed.failure() == HeartbeatFailure.FENCED) {
             if (contact.callFence() == world.term().get().fence()) {
                 StepDown.run(tick, "fenced-by-executor");
             } else {
@@ -259,13 +259,13 @@
                             + " lease_left_ms="
                             + (contact.leaseEndMs() - tick.nowMs()));
         }
-        if (failed.failure() == HoldFailure.OTHER_LIFE) {
+        if (failed.failure() == HeartbeatFailure.OTHER_LIFE) {
             Runs.lifeEnded(tick, failed.executor(), "other-life");
             world.contacts()
                     .update(failed.executor(), c -> c.failed(tick.nowMs() + UNHEALTHY_RETRY_MS));
             return;
         }
-        boolean silent = failed.failure() == HoldFailure.NO_ANSWER;
+        boolean silent = failed.failure() == HeartbeatFailure.NO_ANSWER;
         long nextMs = tick.nowMs() + (silent ? RETRY_MS : UNHEALTHY_RETRY_MS);
         world.contacts()
                 .put(
@@ -276,7 +276,7 @@
     /** Ends what a silent executor ran once its lease has surely ended, and forgets the gone. */
     private static void endLeases(SchedulerTick tick, ExecutorRow row) {
         SchedulerWorld world = tick.world();
-        ContactRow contact = world.contacts().find(row.id()).orElse(null);
+        ExecutorSessionRow contact = world.contacts().find(row.id()).orElse(null);
         if (contact == null || tick.nowMs() <= contact.leaseEndMs()) {
             return;
         }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/HoldSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/HoldSystem.java
@@ -1,11 +1,11 @@
 package org.hibiscususher.core.scheduler.executor;
 
 import java.util.List;
-import org.hibiscususher.core.scheduler.message.SchedulerOutput.HoldExecutor;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput.SendHeartbeat;
 import org.hibiscususher.core.scheduler.term.Authority;
-import org.hibiscususher.core.scheduler.world.ContactRow;
-import org.hibiscususher.core.scheduler.world.EndRow;
 import org.hibiscususher.core.scheduler.world.ExecutorRow;
+import org.hibiscususher.core.scheduler.world.ExecutorSessionRow;
+import org.hibiscususher.core.scheduler.world.FinishedRunRow;
 import org.hibiscususher.core.scheduler.world.JobRow;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
@@ -34,7 +34,7 @@
             return;
         }
         for (ExecutorRow row : tick.world().executors().rows()) {
-            ContactRow contact = tick.world().contacts().find(row.id()).orElse(null);
+            ExecutorSessionRow contact = tick.world().contacts().find(row.id()).orElse(null);
             if (contact != null
                     && contact.callId() == 0
                     && tick.nowMs() >= contact.nextMs()
@@ -44,10 +44,10 @@
         }
     }
 
-    private static ContactRow acknowledge(SchedulerTick tick, ContactRow contact) {
+    private static ExecutorSessionRow acknowledge(SchedulerTick tick, ExecutorSessionRow contact) {
         SchedulerWorld world = tick.world();
-        ContactRow next = contact;
-        for (EndRow end : List.copyOf(world.ends().group(contact.executor()))) {
+        ExecutorSessionRow next = contact;
+        for (FinishedRunRow end : List.copyOf(world.ends().group(contact.executor()))) {
             long stored =
                     world.jobs().find(end.job()).map(JobRow::storedVersion).orElse(Long.MAX_VALUE);
             if (stored < end.version()) {
@@ -62,7 +62,7 @@
         return next;
     }
 
-    private static void hold(SchedulerTick tick, ExecutorRow row, ContactRow contact) {
+    private static void hold(SchedulerTick tick, ExecutorRow row, ExecutorSessionRow contact) {
         SchedulerWorld world = tick.world();
         boolean open = !world.ends().group(row.id()).isEmpty();
         if (open && tick.nowMs() - contact.answeredMs() < UNACKNOWLEDGED_REST_MS) {
@@ -83,7 +83,7 @@
         world.contacts()
                 .put(row.id(), contact.sent(callId, term.fence(), tick.nowMs(), leaseEndMs));
         tick.emit(
-                new HoldExecutor(
+                new SendHeartbeat(
                         callId,
                         row.id(),
                         row.report().address(),
@@ -94,7 +94,7 @@
     }
 
     /** Returns when a time on an executor's clock has surely come, on our steady clock. */
-    public static long leaseEndMs(ContactRow contact, long deadlineMs) {
+    public static long leaseEndMs(ExecutorSessionRow contact, long deadlineMs) {
         long leftMs = (deadlineMs - contact.clockMs()) * 100 / SLOWEST_CLOCK_PERCENT;
         return contact.clockAtMs() + leftMs + SLACK_MS;
     }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/LostExecutorSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/LostExecutorSystem.java
@@ -4,8 +4,8 @@
 import java.util.Map;
 import org.hibiscususher.core.scheduler.message.HostReport;
 import org.hibiscususher.core.scheduler.message.HostState;
-import org.hibiscususher.core.scheduler.world.ContactRow;
 import org.hibiscususher.core.scheduler.world.ExecutorRow;
+import org.hibiscususher.core.scheduler.world.ExecutorSessionRow;
 import org.hibiscususher.core.scheduler.world.HostListRow;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
@@ -55,12 +55,13 @@
     }
 
     private static boolean isSilent(SchedulerWorld world, ExecutorRow row) {
-        ContactRow contact = world.contacts().find(row.id()).orElse(null);
+        ExecutorSessionRow contact = world.contacts().find(row.id()).orElse(null);
         return contact != null && (contact.failures() > 0 || row.missingMs() != 0);
     }
 
     private static boolean isSilentSince(SchedulerWorld world, ExecutorRow row, long sentMs) {
-        long answeredMs = world.contacts().find(row.id()).map(ContactRow::answeredMs).orElse(0L);
+        long answeredMs =
+                world.contacts().find(row.id()).map(ExecutorSessionRow::answeredMs).orElse(0L);
         return isSilent(world, row) && answeredMs < sentMs && row.seenMs() < sentMs;
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/PaceSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/PaceSystem.java
@@ -4,8 +4,8 @@
 import java.util.List;
 import org.hibiscususher.core.job.StepSpec;
 import org.hibiscususher.core.scheduler.job.Jobs;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.HoldAnswered;
-import org.hibiscususher.core.scheduler.message.SchedulerOutput.PaceRun;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.HeartbeatAnswered;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput.ThrottleRun;
 import org.hibiscususher.core.scheduler.term.Authority;
 import org.hibiscususher.core.scheduler.world.ExecutorRow;
 import org.hibiscususher.core.scheduler.world.RunRow;
@@ -37,7 +37,7 @@
         if (!Authority.mayOrderExecutors(tick)) {
             return;
         }
-        for (HoldAnswered answer : tick.inputs(HoldAnswered.class)) {
+        for (HeartbeatAnswered answer : tick.inputs(HeartbeatAnswered.class)) {
             ExecutorRow executor = tick.world().executors().find(answer.executor()).orElse(null);
             if (executor != null) {
                 pace(tick, executor);
@@ -88,7 +88,7 @@
         tick.world().runs().put(run.task(), run.withPace(pace));
         tick.count("pace");
         tick.emit(
-                new PaceRun(
+                new ThrottleRun(
                         executor.id(),
                         executor.report().address(),
                         tick.world().term().get().fence(),
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/Runs.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/Runs.java
@@ -4,9 +4,9 @@
 import java.util.List;
 import org.hibiscususher.core.job.TaskKey;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.StopRun;
-import org.hibiscususher.core.scheduler.world.ContactRow;
-import org.hibiscususher.core.scheduler.world.EndRow;
 import org.hibiscususher.core.scheduler.world.ExecutorRow;
+import org.hibiscususher.core.scheduler.world.ExecutorSessionRow;
+import org.hibiscususher.core.scheduler.world.FinishedRunRow;
 import org.hibiscususher.core.scheduler.world.RunRow;
 import org.hibiscususher.core.scheduler.world.RunStage;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
@@ -72,10 +72,10 @@
         for (RunRow run : List.copyOf(world.runs().group(executor))) {
             gone(tick, run, reason, 0);
         }
-        for (EndRow end : List.copyOf(world.ends().group(executor))) {
+        for (FinishedRunRow end : List.copyOf(world.ends().group(executor))) {
             world.ends().remove(end.key());
         }
-        world.contacts().put(executor, ContactRow.initial(executor, 0));
+        world.contacts().put(executor, ExecutorSessionRow.initial(executor, 0));
         world.executors().update(executor, ExecutorRow::answered);
     }
 
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/StallSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/StallSystem.java
@@ -6,7 +6,7 @@
 import java.util.Set;
 import org.hibiscususher.core.job.StepSpec;
 import org.hibiscususher.core.scheduler.job.Jobs;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.HoldAnswered;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.HeartbeatAnswered;
 import org.hibiscususher.core.scheduler.term.Authority;
 import org.hibiscususher.core.scheduler.world.RunRow;
 import org.hibiscususher.core.scheduler.world.RunStage;
@@ -56,7 +56,7 @@
         if (!Authority.mayStart(tick)) {
             return;
         }
-        for (HoldAnswered answer : tick.inputs(HoldAnswered.class)) {
+        for (HeartbeatAnswered answer : tick.inputs(HeartbeatAnswered.class)) {
             List<RunRow> runs = List.copyOf(tick.world().runs().group(answer.executor()));
             stopHung(tick, runs);
             stopSlow(tick, answer.executor(), runs);
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/Standings.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/Standings.java
@@ -1,7 +1,7 @@
 package org.hibiscususher.core.scheduler.executor;
 
+import org.hibiscususher.core.scheduler.world.ExecutorHealthRow;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
-import org.hibiscususher.core.scheduler.world.StandingRow;
 
 /** Keeps count of how runs end on each executor, and sets aside those that fail what they start. */
 final class Standings {
@@ -14,18 +14,18 @@
     private Standings() {}
 
     static void done(SchedulerTick tick, String executor) {
-        StandingRow row = find(tick, executor);
+        ExecutorHealthRow row = find(tick, executor);
         tick.world()
                 .standings()
-                .put(executor, new StandingRow(executor, 0, row.done() + 1, tick.nowMs()));
+                .put(executor, new ExecutorHealthRow(executor, 0, row.done() + 1, tick.nowMs()));
     }
 
     static void failed(SchedulerTick tick, String executor) {
-        StandingRow row = find(tick, executor);
+        ExecutorHealthRow row = find(tick, executor);
         int failures = row.failuresInRow() + 1;
         tick.world()
                 .standings()
-                .put(executor, new StandingRow(executor, failures, row.done(), tick.nowMs()));
+                .put(executor, new ExecutorHealthRow(executor, failures, row.done(), tick.nowMs()));
         if (failures >= MAX_FAILURES) {
             aside(tick, executor, Math.min(MAX_ASIDE_MS, ASIDE_MS * (failures - 1)), "failures");
         }
@@ -33,12 +33,13 @@
 
     /** Takes in an end that tells neither for nor against the executor. */
     static void ended(SchedulerTick tick, String executor) {
-        StandingRow row = find(tick, executor);
+        ExecutorHealthRow row = find(tick, executor);
         tick.world()
                 .standings()
                 .put(
                         executor,
-                        new StandingRow(executor, row.failuresInRow(), row.done(), tick.nowMs()));
+                        new ExecutorHealthRow(
+                                executor, row.failuresInRow(), row.done(), tick.nowMs()));
     }
 
     /** Gives an executor no new runs for some time. */
@@ -51,7 +52,7 @@
         tick.count("executor-aside." + reason);
     }
 
-    private static StandingRow find(SchedulerTick tick, String executor) {
-        return tick.world().standings().find(executor).orElse(StandingRow.initial(executor));
+    private static ExecutorHealthRow find(SchedulerTick tick, String executor) {
+        return tick.world().standings().find(executor).orElse(ExecutorHealthRow.initial(executor));
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/Donors.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/Donors.java
@@ -8,10 +8,10 @@
 import org.hibiscususher.core.job.JobPool;
 import org.hibiscususher.core.scheduler.message.HostReport;
 import org.hibiscususher.core.scheduler.message.HostState;
+import org.hibiscususher.core.scheduler.world.ExecutorHealthRow;
 import org.hibiscususher.core.scheduler.world.ExecutorRow;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
-import org.hibiscususher.core.scheduler.world.StandingRow;
 
 /**
  * The idle hosts that pools can do without, while hosts are moved.
@@ -83,7 +83,8 @@
     private static boolean isIdle(SchedulerTick tick, HostReport host) {
         SchedulerWorld world = tick.world();
         ExecutorRow row = world.executors().find(host.executor()).orElse(null);
-        long endedMs = world.standings().find(host.executor()).map(StandingRow::endedMs).orElse(0L);
+        long endedMs =
+                world.standings().find(host.executor()).map(ExecutorHealthRow::endedMs).orElse(0L);
         return row != null
                 && !row.cordoned()
                 && Eviction.isKnown(world, row.id())
--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/HostListSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/HostListSystem.java
@@ -2,8 +2,8 @@
 
 import org.hibiscususher.core.scheduler.executor.LostExecutorSystem;
 import org.hibiscususher.core.scheduler.message.SchedulerInput;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.HostListFailed;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.HostsListed;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.HostsNotListed;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.ListHosts;
 import org.hibiscususher.core.scheduler.world.HostListRow;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
@@ -27,7 +27,7 @@
                 world.hosts().clear();
                 listed.hosts().forEach(h -> world.hosts().put(h.id(), h));
                 row = new HostListRow(0, row.sentMs(), tick.nowMs());
-            } else if (input instanceof HostsNotListed failed && failed.callId() == row.callId()) {
+            } else if (input instanceof HostListFailed failed && failed.callId() == row.callId()) {
                 row = new HostListRow(0, row.sentMs(), row.listedMs());
             }
         }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/HostSteps.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/HostSteps.java
@@ -10,8 +10,8 @@
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.MaintainHost;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.MoveHost;
 import org.hibiscususher.core.scheduler.message.StoredRecord;
-import org.hibiscususher.core.scheduler.world.HostStep;
-import org.hibiscususher.core.scheduler.world.HostTaskRow;
+import org.hibiscususher.core.scheduler.world.HostOperationRow;
+import org.hibiscususher.core.scheduler.world.HostOperationStep;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
 import org.hibiscususher.core.scheduler.world.WaveRow;
@@ -34,11 +34,11 @@
         world.hostTasks()
                 .put(
                         host.id(),
-                        new HostTaskRow(
+                        new HostOperationRow(
                                 host.id(),
                                 wave,
                                 pool,
-                                HostStep.EMPTYING,
+                                HostOperationStep.EMPTYING,
                                 0,
                                 0,
                                 tick.nowMs(),
@@ -47,7 +47,7 @@
         tick.log("host-emptying", describe(host.id(), wave, pool) + " from=" + host.pool());
     }
 
-    private static String describe(HostTaskRow row) {
+    private static String describe(HostOperationRow row) {
         return describe(row.host(), row.wave(), row.pool());
     }
 
@@ -58,8 +58,10 @@
     /** Takes in an answer to an order for a host. */
     static void answered(SchedulerTick tick, HostOrderAnswered answer) {
         SchedulerWorld world = tick.world();
-        HostTaskRow row = world.hostTasks().find(answer.host()).orElse(null);
-        if (row == null || row.callId() != answer.callId() || row.step() != HostStep.ORDERED) {
+        HostOperationRow row = world.hostTasks().find(answer.host()).orElse(null);
+        if (row == null
+                || row.callId() != answer.callId()
+                || row.step() != HostOperationStep.ORDERED) {
             return;
         }
         tick.log("host-order-answered", describe(row) + " result=" + answer.result());
@@ -67,7 +69,8 @@
         switch (answer.result()) {
             case DONE -> {
                 begun(tick, row);
-                world.hostTasks().put(row.host(), row.withStep(HostStep.AWAY, 0, tick.nowMs()));
+                world.hostTasks()
+                        .put(row.host(), row.withStep(HostOperationStep.AWAY, 0, tick.nowMs()));
                 Runs.executorGone(tick, row.executor(), "host-ordered-away");
             }
             case NO_ANSWER -> unanswered(tick, row);
@@ -80,7 +83,7 @@
     }
 
     /** Notes that the maintenance of a host has begun, or that it never will. */
-    private static void begun(SchedulerTick tick, HostTaskRow row) {
+    private static void begun(SchedulerTick tick, HostOperationRow row) {
         SchedulerWorld world = tick.world();
         WaveRow wave = world.waves().find(row.wave()).orElse(null);
         if (wave == null) {
@@ -94,12 +97,12 @@
     }
 
     /** Leaves a host as it is. */
-    static void giveUp(SchedulerTick tick, HostTaskRow row) {
+    static void giveUp(SchedulerTick tick, HostOperationRow row) {
         tick.world().hostTasks().remove(row.host());
         tick.world().executors().update(row.executor(), e -> e.withCordoned(false));
     }
 
-    private static void retry(SchedulerTick tick, HostTaskRow row) {
+    private static void retry(SchedulerTick tick, HostOperationRow row) {
         HostOrderSystem.use(tick, row.host());
         if (row.pool().isEmpty()) {
             long atMs = tick.nowMs() + RETRY_MS;
@@ -111,14 +114,14 @@
     }
 
     /** Keeps the host out of service until the same order is answered. */
-    private static void unanswered(SchedulerTick tick, HostTaskRow row) {
+    private static void unanswered(SchedulerTick tick, HostOperationRow row) {
         HostOrderSystem.use(tick, row.host());
         long atMs = tick.nowMs() + RETRY_MS;
         tick.world().hostTasks().put(row.host(), row.unanswered(atMs));
     }
 
     /** Does what is due with a host. */
-    static void advance(SchedulerTick tick, HostTaskRow row) {
+    static void advance(SchedulerTick tick, HostOperationRow row) {
         switch (row.step()) {
             case EMPTYING, UNANSWERED -> empty(tick, row);
             case ORDERED -> {
@@ -130,7 +133,7 @@
         }
     }
 
-    private static void empty(SchedulerTick tick, HostTaskRow row) {
+    private static void empty(SchedulerTick tick, HostOperationRow row) {
         SchedulerWorld world = tick.world();
         boolean empty = Eviction.run(tick, row.executor(), row.sinceMs());
         boolean due = tick.nowMs() >= row.retryAtMs();
@@ -140,7 +143,8 @@
         HostOrderSystem.use(tick, row.host());
         long callId = tick.nextCallId();
         long fence = world.term().get().fence();
-        world.hostTasks().put(row.host(), row.withStep(HostStep.ORDERED, callId, tick.nowMs()));
+        world.hostTasks()
+                .put(row.host(), row.withStep(HostOperationStep.ORDERED, callId, tick.nowMs()));
         tick.log("host-order", describe(row) + " fence=" + fence);
         tick.emit(
                 row.pool().isEmpty()
@@ -149,7 +153,7 @@
     }
 
     /** Returns whether the cap of the host's wave lets it go now. */
-    private static boolean mayGo(SchedulerTick tick, HostTaskRow row) {
+    private static boolean mayGo(SchedulerTick tick, HostOperationRow row) {
         if (!row.pool().isEmpty() || row.step().mayBeAway()) {
             return true;
         }
@@ -180,7 +184,7 @@
     }
 
     /** Waits until the platform says that the host is up again, with another executor if any. */
-    private static void back(SchedulerTick tick, HostTaskRow row) {
+    private static void back(SchedulerTick tick, HostOperationRow row) {
         SchedulerWorld world = tick.world();
         HostReport host = world.hosts().find(row.host()).orElse(null);
         boolean fresh = world.hostList().get().listedMs() > row.sinceMs() + RETRY_MS;
@@ -197,7 +201,7 @@
     }
 
     /** Returns whether the host's executor lives on: the order was carried out earlier already. */
-    private static boolean hasAnswered(SchedulerWorld world, HostTaskRow row) {
+    private static boolean hasAnswered(SchedulerWorld world, HostOperationRow row) {
         return world.contacts()
                 .find(row.executor())
                 .filter(c -> c.answeredMs() > row.sinceMs())
--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/MoveSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/MoveSystem.java
@@ -10,7 +10,7 @@
 import org.hibiscususher.core.scheduler.message.HostReport;
 import org.hibiscususher.core.scheduler.term.Authority;
 import org.hibiscususher.core.scheduler.world.ExecutorRow;
-import org.hibiscususher.core.scheduler.world.HostTaskRow;
+import org.hibiscususher.core.scheduler.world.HostOperationRow;
 import org.hibiscususher.core.scheduler.world.JobRow;
 import org.hibiscususher.core.scheduler.world.RunRow;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
@@ -139,7 +139,7 @@
                 lasting += isLasting(world, run) ? run.reserved().cpuMillis() : 0;
             }
         }
-        for (HostTaskRow row : world.hostTasks().rows()) {
+        for (HostOperationRow row : world.hostTasks().rows()) {
             if (row.pool().equals(pool)) {
                 hosts++;
                 capacity += hostCpu;
--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/WaveSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/WaveSystem.java
@@ -8,7 +8,7 @@
 import org.hibiscususher.core.scheduler.message.SchedulerInput.HostOrderAnswered;
 import org.hibiscususher.core.scheduler.message.StoredRecord;
 import org.hibiscususher.core.scheduler.term.Authority;
-import org.hibiscususher.core.scheduler.world.HostTaskRow;
+import org.hibiscususher.core.scheduler.world.HostOperationRow;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
 import org.hibiscususher.core.scheduler.world.WaveRow;
@@ -39,7 +39,7 @@
                 advance(tick, wave);
             }
         }
-        for (HostTaskRow row : world.hostTasks().rows()) {
+        for (HostOperationRow row : world.hostTasks().rows()) {
             HostSteps.advance(tick, row);
         }
     }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/CallSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/CallSystem.java
@@ -3,26 +3,26 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import org.hibiscususher.core.job.AnswerKind;
-import org.hibiscususher.core.job.JobAnswer;
-import org.hibiscususher.core.job.JobCall;
-import org.hibiscususher.core.job.JobPlan;
+import org.hibiscususher.core.job.JobConfiguration;
 import org.hibiscususher.core.job.JobQueue;
+import org.hibiscususher.core.job.JobRequest;
+import org.hibiscususher.core.job.JobResponse;
+import org.hibiscususher.core.job.JobResponseKind;
 import org.hibiscususher.core.job.JobSpec;
 import org.hibiscususher.core.job.JobState;
 import org.hibiscususher.core.job.JobTeam;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.CallReceived;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.ForwardFailed;
-import org.hibiscususher.core.scheduler.message.SchedulerOutput.Answer;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.RequestReceived;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.Forward;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput.Respond;
 import org.hibiscususher.core.scheduler.message.StoredRecord;
 import org.hibiscususher.core.scheduler.term.Authority;
-import org.hibiscususher.core.scheduler.world.CallRow;
-import org.hibiscususher.core.scheduler.world.CallStage;
 import org.hibiscususher.core.scheduler.world.JobRow;
+import org.hibiscususher.core.scheduler.world.PendingRequestRow;
+import org.hibiscususher.core.scheduler.world.PendingRequestStage;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
-import org.hibiscususher.core.scheduler.world.StoreRow;
+import org.hibiscususher.core.scheduler.world.StoreHealthRow;
 
 /** Answers callers, or passes their requests on to the owner. */
 public final class CallSystem {
@@ -41,30 +41,35 @@
 
     /** Takes in new requests and those that wait for an owner. */
     public static void run(SchedulerTick tick) {
-        for (CallRow call : tick.world().calls().rows()) {
-            if (call.stage() == CallStage.OWNER) {
+        for (PendingRequestRow call : tick.world().calls().rows()) {
+            if (call.stage() == PendingRequestStage.OWNER) {
                 tick.world().calls().remove(call.callId());
                 place(tick, call);
             }
         }
-        for (CallReceived received : tick.inputs(CallReceived.class)) {
-            CallRow call =
-                    new CallRow(
-                            received.callId(), received.call(), "", CallStage.OWNER, tick.nowMs());
+        for (RequestReceived received : tick.inputs(RequestReceived.class)) {
+            PendingRequestRow call =
+                    new PendingRequestRow(
+                            received.callId(),
+                            received.call(),
+                            "",
+                            PendingRequestStage.OWNER,
+                            tick.nowMs());
             place(tick, call);
         }
         for (ForwardFailed failed : tick.inputs(ForwardFailed.class)) {
-            AnswerKind kind = failed.sent() ? AnswerKind.UNKNOWN : AnswerKind.UNAVAILABLE;
+            JobResponseKind kind =
+                    failed.sent() ? JobResponseKind.UNKNOWN : JobResponseKind.UNAVAILABLE;
             tick.log("forward-failed", "address=" + failed.address() + " sent=" + failed.sent());
             tick.count("refused.forward-failed");
             tick.emit(
-                    new Answer(
+                    new Respond(
                             failed.callId(),
-                            JobAnswer.refusal(kind, RETRY_AFTER_MS, "owner-away")));
+                            JobResponse.refusal(kind, RETRY_AFTER_MS, "owner-away")));
         }
     }
 
-    private static void place(SchedulerTick tick, CallRow call) {
+    private static void place(SchedulerTick tick, PendingRequestRow call) {
         SchedulerWorld world = tick.world();
         Optional<StoredRecord.Owner> owner = world.ownership().get().ownership().owner();
         boolean self = owner.map(o -> o.node().equals(world.settings().node())).orElse(true);
@@ -77,14 +82,14 @@
         } else if (self && call.call().hops() == 0 && !world.node().get().storeReached()) {
             tick.emit(new Forward(call.callId(), seed(world, call), call.call().passedOn()));
         } else if (tick.nowMs() - call.sinceMs() > OWNER_WAIT_MS) {
-            refuse(tick, call, AnswerKind.UNAVAILABLE, "no-owner");
+            refuse(tick, call, JobResponseKind.UNAVAILABLE, "no-owner");
         } else {
             world.calls().put(call.callId(), call);
         }
     }
 
     /** Returns another entry, which may know the owner that this one can't hear of. */
-    private static String seed(SchedulerWorld world, CallRow call) {
+    private static String seed(SchedulerWorld world, PendingRequestRow call) {
         List<String> seeds = new ArrayList<>(world.settings().seeds());
         seeds.remove(world.settings().address());
         return seeds.isEmpty()
@@ -92,12 +97,17 @@
                 : seeds.get((int) (call.callId() % seeds.size()));
     }
 
-    private static void refuse(SchedulerTick tick, CallRow call, AnswerKind kind, String reason) {
+    private static void refuse(
+            SchedulerTick tick, PendingRequestRow call, JobResponseKind kind, String reason) {
         refuse(tick, call, kind, reason, RETRY_AFTER_MS);
     }
 
     private static void refuse(
-            SchedulerTick tick, CallRow call, AnswerKind kind, String reason, long retryAfterMs) {
+            SchedulerTick tick,
+            PendingRequestRow call,
+            JobResponseKind kind,
+            String reason,
+            long retryAfterMs) {
         tick.log(
                 "refused",
                 "call="
@@ -111,24 +121,24 @@
                         + " retry_after_ms="
                         + retryAfterMs);
         tick.count("refused." + reason);
-        tick.emit(new Answer(call.callId(), JobAnswer.refusal(kind, retryAfterMs, reason)));
+        tick.emit(new Respond(call.callId(), JobResponse.refusal(kind, retryAfterMs, reason)));
     }
 
-    private static void decide(SchedulerTick tick, CallRow row) {
-        JobCall call = row.call();
-        JobPlan plan = tick.world().plan().get().plan();
+    private static void decide(SchedulerTick tick, PendingRequestRow row) {
+        JobRequest call = row.call();
+        JobConfiguration plan = tick.world().plan().get().plan();
         if (plan.version() == 0) {
-            refuse(tick, row, AnswerKind.UNAVAILABLE, "no-plan");
+            refuse(tick, row, JobResponseKind.UNAVAILABLE, "no-plan");
             return;
         }
         Optional<JobQueue> queue = plan.route(call.host(), call.path());
         if (queue.isEmpty()) {
-            refuse(tick, row, AnswerKind.NO_QUEUE, "no-queue");
+            refuse(tick, row, JobResponseKind.NO_QUEUE, "no-queue");
             return;
         }
         Optional<JobTeam> team = plan.teamOfKey(call.key());
         if (team.isEmpty() && !queue.get().open()) {
-            refuse(tick, row, AnswerKind.NO_KEY, "no-key");
+            refuse(tick, row, JobResponseKind.NO_KEY, "no-key");
             return;
         }
         String id = call.path().substring(queue.get().prefix().length());
@@ -139,18 +149,19 @@
         }
     }
 
-    private static void query(SchedulerTick tick, CallRow row, JobQueue queue, String id) {
+    private static void query(
+            SchedulerTick tick, PendingRequestRow row, JobQueue queue, String id) {
         if (id.isEmpty()) {
             long pending =
                     tick.world().jobs().rows().stream().filter(j -> isPending(j, queue)).count();
-            tick.emit(new Answer(row.callId(), JobAnswer.ofPending(pending)));
+            tick.emit(new Respond(row.callId(), JobResponse.ofPending(pending)));
             return;
         }
-        JobAnswer answer =
+        JobResponse answer =
                 find(tick, queue, id)
-                        .map(j -> JobAnswer.ofState(shown(j)))
-                        .orElse(JobAnswer.of(AnswerKind.NO_JOB));
-        tick.emit(new Answer(row.callId(), answer));
+                        .map(j -> JobResponse.ofState(shown(j)))
+                        .orElse(JobResponse.of(JobResponseKind.NO_JOB));
+        tick.emit(new Respond(row.callId(), answer));
     }
 
     private static boolean isPending(JobRow job, JobQueue queue) {
@@ -172,33 +183,43 @@
         return told ? job.state() : JobState.RUNNING;
     }
 
-    private static void cancel(SchedulerTick tick, CallRow row, JobQueue queue, String id) {
+    private static void cancel(
+            SchedulerTick tick, PendingRequestRow row, JobQueue queue, String id) {
         Optional<JobRow> job = find(tick, queue, id);
         if (job.isEmpty()) {
-            tick.emit(new Answer(row.callId(), JobAnswer.of(AnswerKind.NO_JOB)));
+            tick.emit(new Respond(row.callId(), JobResponse.of(JobResponseKind.NO_JOB)));
         } else if (job.get().storedState().isFinal()) {
-            tick.emit(new Answer(row.callId(), JobAnswer.of(AnswerKind.CANCELLED)));
+            tick.emit(new Respond(row.callId(), JobResponse.of(JobResponseKind.CANCELLED)));
         } else {
             Jobs.end(tick, id, JobState.CANCELLED, "caller");
             await(tick, row, id);
         }
     }
 
-    private static void await(SchedulerTick tick, CallRow row, String id) {
+    private static void await(SchedulerTick tick, PendingRequestRow row, String id) {
         tick.world()
                 .calls()
                 .put(
                         row.callId(),
-                        new CallRow(row.callId(), row.call(), id, CallStage.STORE, tick.nowMs()));
+                        new PendingRequestRow(
+                                row.callId(),
+                                row.call(),
+                                id,
+                                PendingRequestStage.STORE,
+                                tick.nowMs()));
     }
 
     private static void submit(
-            SchedulerTick tick, CallRow row, JobQueue queue, Optional<JobTeam> team, String id) {
+            SchedulerTick tick,
+            PendingRequestRow row,
+            JobQueue queue,
+            Optional<JobTeam> team,
+            String id) {
         SchedulerWorld world = tick.world();
         Optional<JobRow> known = world.jobs().find(id);
         if (known.isPresent()) {
             if (known.get().stored()) {
-                tick.emit(new Answer(row.callId(), JobAnswer.of(AnswerKind.ACCEPTED)));
+                tick.emit(new Respond(row.callId(), JobResponse.of(JobResponseKind.ACCEPTED)));
             } else {
                 await(tick, row, id);
             }
@@ -208,11 +229,11 @@
         JobSpec spec = row.call().spec().orElse(JobSpec.once("", List.of()));
         Optional<String> problem = Admission.problem(world, queue, spec, id);
         if (problem.isPresent()) {
-            refuse(tick, row, AnswerKind.INVALID, problem.get());
+            refuse(tick, row, JobResponseKind.INVALID, problem.get());
         } else if (retryAfterMs > 0 && !spec.isLasting()) {
-            refuse(tick, row, AnswerKind.OVERLOADED, "backlog", retryAfterMs);
+            refuse(tick, row, JobResponseKind.OVERLOADED, "backlog", retryAfterMs);
         } else if (isStoreAway(tick)) {
-            refuse(tick, row, AnswerKind.UNAVAILABLE, "store-away");
+            refuse(tick, row, JobResponseKind.UNAVAILABLE, "store-away");
         } else {
             world.jobs().put(id, newJob(tick, queue, team, spec, id));
             await(tick, row, id);
@@ -240,7 +261,7 @@
     }
 
     private static boolean isStoreAway(SchedulerTick tick) {
-        StoreRow store = tick.world().store().get();
+        StoreHealthRow store = tick.world().store().get();
         boolean silent =
                 tick.world()
                         .commit()
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/Jobs.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/Jobs.java
@@ -5,20 +5,20 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import org.hibiscususher.core.job.AnswerKind;
-import org.hibiscususher.core.job.CallKind;
-import org.hibiscususher.core.job.JobAnswer;
+import org.hibiscususher.core.job.JobRequestKind;
+import org.hibiscususher.core.job.JobResponse;
+import org.hibiscususher.core.job.JobResponseKind;
 import org.hibiscususher.core.job.JobState;
 import org.hibiscususher.core.job.StepKey;
 import org.hibiscususher.core.job.StepSpec;
 import org.hibiscususher.core.job.TaskKey;
 import org.hibiscususher.core.scheduler.executor.Runs;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput;
-import org.hibiscususher.core.scheduler.message.SchedulerOutput.Answer;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput.Respond;
 import org.hibiscususher.core.scheduler.message.StoredRecord;
-import org.hibiscususher.core.scheduler.world.CallRow;
-import org.hibiscususher.core.scheduler.world.CallStage;
 import org.hibiscususher.core.scheduler.world.JobRow;
+import org.hibiscususher.core.scheduler.world.PendingRequestRow;
+import org.hibiscususher.core.scheduler.world.PendingRequestStage;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
 import org.hibiscususher.core.scheduler.world.StepRow;
@@ -53,7 +53,7 @@
                         + " age_ms="
                         + (tick.nowMs() - job.arrivedMs()));
         tick.count("accepted");
-        answer(tick, id, CallKind.SUBMIT, JobAnswer.of(AnswerKind.ACCEPTED));
+        answer(tick, id, JobRequestKind.SUBMIT, JobResponse.of(JobResponseKind.ACCEPTED));
         openDue(tick, id);
     }
 
@@ -66,17 +66,22 @@
                         progress.id(),
                         j -> j.withStoredVersion(version, progress.state(), tick.nowMs()));
         if (progress.state().isFinal()) {
-            answer(tick, progress.id(), CallKind.CANCEL, JobAnswer.of(AnswerKind.CANCELLED));
+            answer(
+                    tick,
+                    progress.id(),
+                    JobRequestKind.CANCEL,
+                    JobResponse.of(JobResponseKind.CANCELLED));
         }
     }
 
-    private static void answer(SchedulerTick tick, String id, CallKind kind, JobAnswer answer) {
+    private static void answer(
+            SchedulerTick tick, String id, JobRequestKind kind, JobResponse answer) {
         SchedulerWorld world = tick.world();
-        for (CallRow call : world.calls().rows()) {
-            if (call.stage() == CallStage.STORE
+        for (PendingRequestRow call : world.calls().rows()) {
+            if (call.stage() == PendingRequestStage.STORE
                     && call.job().equals(id)
                     && call.call().kind() == kind) {
-                tick.emit(new Answer(call.callId(), answer));
+                tick.emit(new Respond(call.callId(), answer));
                 world.calls().remove(call.callId());
             }
         }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/Progress.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/Progress.java
@@ -4,9 +4,9 @@
 import java.util.List;
 import java.util.Set;
 import org.hibiscususher.core.job.StepKey;
-import org.hibiscususher.core.scheduler.message.StepMark;
+import org.hibiscususher.core.scheduler.message.StepProgress;
 import org.hibiscususher.core.scheduler.message.StoredRecord;
-import org.hibiscususher.core.scheduler.message.TaskMark;
+import org.hibiscususher.core.scheduler.message.TaskProgress;
 import org.hibiscususher.core.scheduler.world.JobRow;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
@@ -19,13 +19,13 @@
 
     /** Returns the record of how far a job has come. */
     public static StoredRecord.Progress of(SchedulerWorld world, JobRow job) {
-        List<StepMark> steps = new ArrayList<>();
-        List<TaskMark> tasks = new ArrayList<>();
+        List<StepProgress> steps = new ArrayList<>();
+        List<TaskProgress> tasks = new ArrayList<>();
         if (!job.state().isFinal()) {
             for (StepRow step : Jobs.stepsOf(world, job)) {
                 StepKey key = step.key();
                 if (step.done().signum() != 0) {
-                    steps.add(new StepMark(key.occurrence(), key.step(), step.done()));
+                    steps.add(new StepProgress(key.occurrence(), key.step(), step.done()));
                 }
                 addTasks(world, job, step, tasks);
             }
@@ -34,14 +34,14 @@
     }
 
     private static void addTasks(
-            SchedulerWorld world, JobRow job, StepRow step, List<TaskMark> marks) {
+            SchedulerWorld world, JobRow job, StepRow step, List<TaskProgress> marks) {
         StepKey key = step.key();
         int count = job.spec().steps().get(key.step()).count();
         for (int i = 0; i < count; i++) {
             TaskRow task = world.tasks().find(key.task(i)).orElse(null);
             if (task != null && (!task.failedRuns().isEmpty() || !task.checkpoint().isEmpty())) {
                 marks.add(
-                        new TaskMark(
+                        new TaskProgress(
                                 key.occurrence(),
                                 key.step(),
                                 i,
@@ -68,17 +68,17 @@
             return;
         }
         Jobs.openDue(tick, job.id());
-        for (StepMark mark : progress.steps()) {
+        for (StepProgress mark : progress.steps()) {
             StepKey key = new StepKey(job.id(), mark.occurrence(), mark.step());
             Jobs.markDone(tick, key, mark.done());
         }
-        for (TaskMark mark : progress.tasks()) {
+        for (TaskProgress mark : progress.tasks()) {
             StepKey key = new StepKey(job.id(), mark.occurrence(), mark.step());
             world.tasks().update(key.task(mark.index()), t -> restored(t, mark));
         }
     }
 
-    private static TaskRow restored(TaskRow task, TaskMark mark) {
+    private static TaskRow restored(TaskRow task, TaskProgress mark) {
         return new TaskRow(
                 task.key(),
                 task.pool(),
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/HoldFailure.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/HeartbeatFailure.java
@@ -1,7 +1,7 @@
 package org.hibiscususher.core.scheduler.message;
 
 /** Why an executor's lists could not be read. */
-public enum HoldFailure {
+public enum HeartbeatFailure {
     /** No answer came. */
     NO_ANSWER,
     /** The executor has seen a later owner. */
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/SchedulerInput.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/SchedulerInput.java
@@ -2,41 +2,41 @@
 
 import java.util.List;
 import java.util.Map;
-import org.hibiscususher.core.job.JobCall;
-import org.hibiscususher.core.job.JobPlan;
-import org.hibiscususher.core.job.ListedEnd;
-import org.hibiscususher.core.job.ListedRun;
+import org.hibiscususher.core.job.FinishedRun;
+import org.hibiscususher.core.job.JobConfiguration;
+import org.hibiscususher.core.job.JobRequest;
+import org.hibiscususher.core.job.ReportedRun;
 import org.hibiscususher.core.job.StepKey;
 import org.hibiscususher.core.job.TaskKey;
 
 /** Something that happened, told to the scheduler. */
 public sealed interface SchedulerInput {
     /** The store was reached again, or no longer is. */
-    record StoreContact(boolean reached) implements SchedulerInput {}
+    record StoreReachabilityChanged(boolean reached) implements SchedulerInput {}
 
     /** A caller's request came, itself or from another entry; it gets exactly one answer. */
-    record CallReceived(long callId, JobCall call) implements SchedulerInput {}
+    record RequestReceived(long callId, JobRequest call) implements SchedulerInput {}
 
     /** A forwarded request got no answer; {@code sent} tells whether it may have been taken. */
     record ForwardFailed(long callId, String address, boolean sent) implements SchedulerInput {}
 
     /** A later owner asks this process to give no more orders; it gets one answer. */
-    record YieldAsked(long callId, long generation) implements SchedulerInput {}
+    record RelinquishRequested(long callId, long generation) implements SchedulerInput {}
 
     /** The owner, out of reach of the store, offers the ownership; it gets one answer. */
-    record TermOffered(long callId, long generation) implements SchedulerInput {}
+    record HandoverOffered(long callId, long generation) implements SchedulerInput {}
 
     /** The owner before this one surely gives no more orders. */
-    record Yielded(long generation) implements SchedulerInput {}
+    record PredecessorRelinquished(long generation) implements SchedulerInput {}
 
     /** The operators' configuration, with its revision in the store. */
-    record PlanSeen(JobPlan plan, long revision) implements SchedulerInput {}
+    record ConfigurationSeen(JobConfiguration plan, long revision) implements SchedulerInput {}
 
     /** An operators' order to maintain hosts. */
     record WaveSeen(WaveOrder wave) implements SchedulerInput {}
 
     /** The operators withdrew an order to maintain hosts. */
-    record WaveGone(long wave) implements SchedulerInput {}
+    record WaveWithdrawn(long wave) implements SchedulerInput {}
 
     /** Who owns the scheduling. */
     record OwnershipSeen(Ownership ownership) implements SchedulerInput {}
@@ -94,23 +94,23 @@
     record ExecutorGone(String id) implements SchedulerInput {}
 
     /** An executor listed its runs and the ends that were not acknowledged. */
-    record HoldAnswered(
+    record HeartbeatAnswered(
             long callId,
             String executor,
             long bornMs,
             long clockMs,
-            List<ListedRun> runs,
-            List<ListedEnd> ends)
+            List<ReportedRun> runs,
+            List<FinishedRun> ends)
             implements SchedulerInput {
         /** Copies the lists. */
-        public HoldAnswered {
+        public HeartbeatAnswered {
             runs = List.copyOf(runs);
             ends = List.copyOf(ends);
         }
     }
 
     /** An executor's lists could not be read. */
-    record HoldFailed(long callId, String executor, HoldFailure failure)
+    record HeartbeatFailed(long callId, String executor, HeartbeatFailure failure)
             implements SchedulerInput {}
 
     /** An order to start a run was answered or not; {@code callId} is that of the order. */
@@ -122,10 +122,10 @@
             implements SchedulerInput {}
 
     /** Which of the executors that were asked for may run a step. */
-    record AdviceGiven(long callId, StepKey step, Map<String, String> tickets, long validMs)
+    record AdviceReceived(long callId, StepKey step, Map<String, String> tickets, long validMs)
             implements SchedulerInput {
         /** Copies the map. */
-        public AdviceGiven {
+        public AdviceReceived {
             tickets = Map.copyOf(tickets);
         }
     }
@@ -142,12 +142,12 @@
     }
 
     /** The hosts could not be listed. */
-    record HostsNotListed(long callId) implements SchedulerInput {}
+    record HostListFailed(long callId) implements SchedulerInput {}
 
     /** An order for a host was answered or not. */
     record HostOrderAnswered(long callId, String host, HostOrderResult result)
             implements SchedulerInput {}
 
     /** The process was asked to stop. */
-    record StopAsked() implements SchedulerInput {}
+    record ShutdownRequested() implements SchedulerInput {}
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/SchedulerOutput.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/SchedulerOutput.java
@@ -1,24 +1,24 @@
 package org.hibiscususher.core.scheduler.message;
 
 import java.util.List;
-import org.hibiscususher.core.job.JobAnswer;
-import org.hibiscususher.core.job.JobCall;
+import org.hibiscususher.core.job.JobRequest;
+import org.hibiscususher.core.job.JobResponse;
 import org.hibiscususher.core.job.StepKey;
 import org.hibiscususher.core.job.TaskKey;
 
 /** Something that the scheduler wants done. */
 public sealed interface SchedulerOutput {
     /** Answers a caller. */
-    record Answer(long callId, JobAnswer answer) implements SchedulerOutput {}
+    record Respond(long callId, JobResponse answer) implements SchedulerOutput {}
 
     /** Passes a caller's request on to the owner. */
-    record Forward(long callId, String address, JobCall call) implements SchedulerOutput {}
+    record Forward(long callId, String address, JobRequest call) implements SchedulerOutput {}
 
     /** Asks the owner of an earlier term to give no more orders. */
-    record AskYield(String address, long generation) implements SchedulerOutput {}
+    record AskRelinquish(String address, long generation) implements SchedulerOutput {}
 
     /** Offer the ownership to an entry that may reach the store. */
-    record OfferTerm(String address, long generation) implements SchedulerOutput {}
+    record OfferHandover(String address, long generation) implements SchedulerOutput {}
 
     /** Asks the store for a lease. */
     record GrantLease(long callId, long ttlMs) implements SchedulerOutput {}
@@ -46,7 +46,7 @@
     record LoadRecords(long callId) implements SchedulerOutput {}
 
     /** Starts or ends the reports on executors. */
-    record FollowExecutors(boolean on) implements SchedulerOutput {}
+    record WatchExecutors(boolean on) implements SchedulerOutput {}
 
     /**
      * Reads an executor's lists and extends its lease.
@@ -59,7 +59,7 @@
      * @param deadlineMs end of the lease on the executor's clock; 0 if it is not extended
      * @param waitMs how long the executor may wait for an end
      */
-    record HoldExecutor(
+    record SendHeartbeat(
             long callId,
             String executor,
             String address,
@@ -101,13 +101,15 @@
             implements SchedulerOutput {}
 
     /** Sets the part of its full speed at which a run works. */
-    record PaceRun(String executor, String address, long fence, TaskKey task, int run, int percent)
+    record ThrottleRun(
+            String executor, String address, long fence, TaskKey task, int run, int percent)
             implements SchedulerOutput {}
 
     /** Asks which of some executors may run a step. */
-    record AskAdvice(long callId, StepKey step, List<String> executors) implements SchedulerOutput {
+    record RequestAdvice(long callId, StepKey step, List<String> executors)
+            implements SchedulerOutput {
         /** Copies the list. */
-        public AskAdvice {
+        public RequestAdvice {
             executors = List.copyOf(executors);
         }
     }
@@ -123,10 +125,10 @@
             implements SchedulerOutput {}
 
     /** Tells the balancer whether to send new connections. */
-    record Ready(boolean ready) implements SchedulerOutput {}
+    record ReportReadiness(boolean ready) implements SchedulerOutput {}
 
     /** Lets the process end. */
-    record Finish() implements SchedulerOutput {}
+    record Terminate() implements SchedulerOutput {}
 
     /** Writes a line to the log. */
     record Log(String event, String line) implements SchedulerOutput {}
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/StepMark.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/StepProgress.java
@@ -11,9 +11,9 @@
  * @param step number of the step
  * @param done a bit for each task that is done
  */
-public record StepMark(int occurrence, int step, BigInteger done) {
+public record StepProgress(int occurrence, int step, BigInteger done) {
     /** Checks the parts. */
-    public StepMark {
+    public StepProgress {
         requireNonNull(done);
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/StoredRecord.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/StoredRecord.java
@@ -3,9 +3,9 @@
 import static java.util.Objects.requireNonNull;
 
 import java.util.List;
+import org.hibiscususher.core.job.JobPolicy;
 import org.hibiscususher.core.job.JobSpec;
 import org.hibiscususher.core.job.JobState;
-import org.hibiscususher.core.job.JobTerms;
 
 /** A record that the scheduler keeps in the store. */
 public sealed interface StoredRecord {
@@ -73,7 +73,7 @@
      * @param spec what was handed in
      * @param acceptedMs milliseconds since the epoch
      */
-    record Job(String id, JobTerms terms, String team, JobSpec spec, long acceptedMs)
+    record Job(String id, JobPolicy terms, String team, JobSpec spec, long acceptedMs)
             implements StoredRecord {
         /** Checks the parts. */
         public Job {
@@ -97,7 +97,7 @@
      * @param steps done tasks
      * @param tasks what else is remembered of tasks
      */
-    record Progress(String id, JobState state, List<StepMark> steps, List<TaskMark> tasks)
+    record Progress(String id, JobState state, List<StepProgress> steps, List<TaskProgress> tasks)
             implements StoredRecord {
         /** Copies the lists. */
         public Progress {
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/TaskMark.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/TaskProgress.java
@@ -13,10 +13,10 @@
  * @param failedRuns numbers of its runs that failed
  * @param checkpoint last saved state; empty for none
  */
-public record TaskMark(
+public record TaskProgress(
         int occurrence, int step, int index, List<Integer> failedRuns, String checkpoint) {
     /** Checks the parts. */
-    public TaskMark {
+    public TaskProgress {
         failedRuns = List.copyOf(failedRuns);
         requireNonNull(checkpoint);
     }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/placement/AdviceSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/placement/AdviceSystem.java
@@ -10,10 +10,10 @@
 import org.hibiscususher.core.job.StepKey;
 import org.hibiscususher.core.scheduler.message.SchedulerInput;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.AdviceFailed;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.AdviceGiven;
-import org.hibiscususher.core.scheduler.message.SchedulerOutput.AskAdvice;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.AdviceReceived;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput.RequestAdvice;
 import org.hibiscususher.core.scheduler.term.Authority;
-import org.hibiscususher.core.scheduler.world.AdviceCallRow;
+import org.hibiscususher.core.scheduler.world.AdviceRequestRow;
 import org.hibiscususher.core.scheduler.world.AdviceRow;
 import org.hibiscususher.core.scheduler.world.ExecutorRow;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
@@ -38,22 +38,22 @@
     public static void run(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
         for (SchedulerInput input : tick.inputs()) {
-            AdviceCallRow call = world.adviceCall().get();
-            if (input instanceof AdviceGiven given && given.callId() == call.callId()) {
+            AdviceRequestRow call = world.adviceCall().get();
+            if (input instanceof AdviceReceived given && given.callId() == call.callId()) {
                 take(tick, given, call);
             } else if (input instanceof AdviceFailed failed && failed.callId() == call.callId()) {
                 tick.log("advice-failed", "step=" + failed.step());
-                world.adviceCall().set(AdviceCallRow.NONE);
+                world.adviceCall().set(AdviceRequestRow.NONE);
             }
         }
-        AdviceCallRow call = world.adviceCall().get();
+        AdviceRequestRow call = world.adviceCall().get();
         boolean free = call.callId() == 0 || tick.nowMs() - call.sentMs() > TIMEOUT_MS;
         if (free && Authority.mayStart(tick)) {
             askNext(tick);
         }
     }
 
-    private static void take(SchedulerTick tick, AdviceGiven given, AdviceCallRow call) {
+    private static void take(SchedulerTick tick, AdviceReceived given, AdviceRequestRow call) {
         SchedulerWorld world = tick.world();
         AdviceRow before = world.advice().find(given.step()).orElse(null);
         boolean fresh = before != null && before.validUntilMs() > tick.nowMs();
@@ -64,7 +64,7 @@
         long untilMs = call.sentMs() + given.validMs() - MARGIN_MS;
         long validUntilMs = fresh ? Math.min(before.validUntilMs(), untilMs) : untilMs;
         world.advice().put(given.step(), new AdviceRow(given.step(), tickets, asked, validUntilMs));
-        world.adviceCall().set(AdviceCallRow.NONE);
+        world.adviceCall().set(AdviceRequestRow.NONE);
         tick.log(
                 "advice",
                 "step="
@@ -112,8 +112,8 @@
             return false;
         }
         long callId = tick.nextCallId();
-        world.adviceCall().set(new AdviceCallRow(callId, tick.nowMs(), executors));
-        tick.emit(new AskAdvice(callId, step, executors));
+        world.adviceCall().set(new AdviceRequestRow(callId, tick.nowMs(), executors));
+        tick.emit(new RequestAdvice(callId, step, executors));
         return true;
     }
 
--- a/core/src/main/java/org/hibiscususher/core/scheduler/placement/FreeCapacity.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/placement/FreeCapacity.java
@@ -5,8 +5,8 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import org.hibiscususher.core.job.Resources;
-import org.hibiscususher.core.scheduler.world.ContactRow;
 import org.hibiscususher.core.scheduler.world.ExecutorRow;
+import org.hibiscususher.core.scheduler.world.ExecutorSessionRow;
 import org.hibiscususher.core.scheduler.world.RunRow;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
@@ -42,7 +42,7 @@
 
     /** Returns whether an executor may get new runs. */
     static boolean isUsable(SchedulerTick tick, ExecutorRow row) {
-        ContactRow contact = tick.world().contacts().find(row.id()).orElse(null);
+        ExecutorSessionRow contact = tick.world().contacts().find(row.id()).orElse(null);
         return contact != null
                 && row.recorded()
                 && !row.cordoned()
--- a/core/src/main/java/org/hibiscususher/core/scheduler/placement/PlacementSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/placement/PlacementSystem.java
@@ -20,8 +20,8 @@
 import org.hibiscususher.core.scheduler.message.StoredRecord;
 import org.hibiscususher.core.scheduler.message.UsedExecutor;
 import org.hibiscususher.core.scheduler.term.Authority;
-import org.hibiscususher.core.scheduler.world.ContactRow;
 import org.hibiscususher.core.scheduler.world.ExecutorRow;
+import org.hibiscususher.core.scheduler.world.ExecutorSessionRow;
 import org.hibiscususher.core.scheduler.world.JobRow;
 import org.hibiscususher.core.scheduler.world.RunRow;
 import org.hibiscususher.core.scheduler.world.RunStage;
@@ -194,7 +194,7 @@
             ExecutorRow executor,
             int number) {
         SchedulerWorld world = tick.world();
-        ContactRow contact = world.contacts().find(executor.id()).orElseThrow();
+        ExecutorSessionRow contact = world.contacts().find(executor.id()).orElseThrow();
         long fence = world.term().get().fence();
         long callId = tick.nextCallId();
         long deadlineMs = contact.clockAt(tick.nowMs()) + world.settings().timing().startValidMs();
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/CommitSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/CommitSystem.java
@@ -4,9 +4,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import org.hibiscususher.core.job.AnswerKind;
-import org.hibiscususher.core.job.CallKind;
-import org.hibiscususher.core.job.JobAnswer;
+import org.hibiscususher.core.job.JobRequestKind;
+import org.hibiscususher.core.job.JobResponse;
+import org.hibiscususher.core.job.JobResponseKind;
 import org.hibiscususher.core.scheduler.message.LoadedRecord;
 import org.hibiscususher.core.scheduler.message.RecordKind;
 import org.hibiscususher.core.scheduler.message.RecordName;
@@ -16,15 +16,15 @@
 import org.hibiscususher.core.scheduler.message.SchedulerInput.CommitFailed;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.Committed;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput;
-import org.hibiscususher.core.scheduler.message.SchedulerOutput.Answer;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.Commit;
-import org.hibiscususher.core.scheduler.world.CallRow;
-import org.hibiscususher.core.scheduler.world.CallStage;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput.Respond;
 import org.hibiscususher.core.scheduler.world.CommitPurpose;
 import org.hibiscususher.core.scheduler.world.CommitRow;
+import org.hibiscususher.core.scheduler.world.PendingRequestRow;
+import org.hibiscususher.core.scheduler.world.PendingRequestStage;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
-import org.hibiscususher.core.scheduler.world.StoreRow;
+import org.hibiscususher.core.scheduler.world.StoreHealthRow;
 
 /** Keeps one commit of records under way, and takes in what came of it. */
 public final class CommitSystem {
@@ -64,7 +64,7 @@
             return;
         }
         Optional<CommitRow> under = world.commit().get();
-        StoreRow store = world.store().get();
+        StoreHealthRow store = world.store().get();
         boolean resting = store.isFailing() && tick.nowMs() - store.failedMs() < RETRY_MS;
         if (under.isEmpty() && !resting) {
             Commits.next(tick).ifPresent(commit -> emit(tick, commit));
@@ -132,7 +132,7 @@
     private static void failed(SchedulerTick tick, CommitFailed failed) {
         SchedulerWorld world = tick.world();
         CommitRow commit = world.commit().get().orElseThrow();
-        StoreRow store = world.store().get();
+        StoreHealthRow store = world.store().get();
         world.store().set(store.failed(tick.nowMs()));
         long restMs = failed.uncertain() ? 0 : RETRY_MS;
         CommitRow again = commit.withFailure(tick.nowMs() + restMs, failed.uncertain());
@@ -153,24 +153,24 @@
     /** Answers callers whose jobs could not be stored in time. */
     private static void giveUpWaiting(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
-        for (CallRow call : world.calls().rows()) {
+        for (PendingRequestRow call : world.calls().rows()) {
             long ageMs = tick.nowMs() - call.sinceMs();
-            if (call.stage() == CallStage.STORE && ageMs > REFUSE_AFTER_MS) {
+            if (call.stage() == PendingRequestStage.STORE && ageMs > REFUSE_AFTER_MS) {
                 giveUp(tick, call, ageMs);
             }
         }
     }
 
-    private static void giveUp(SchedulerTick tick, CallRow call, long ageMs) {
+    private static void giveUp(SchedulerTick tick, PendingRequestRow call, long ageMs) {
         SchedulerWorld world = tick.world();
         boolean failing = world.store().get().isAway(tick.nowMs());
         boolean sent = isUnderWay(world, call.job());
-        boolean submit = call.call().kind() == CallKind.SUBMIT;
+        boolean submit = call.call().kind() == JobRequestKind.SUBMIT;
         if (submit && failing && !sent) {
             world.jobs().remove(call.job());
-            answer(tick, call, AnswerKind.UNAVAILABLE, "store-away");
+            answer(tick, call, JobResponseKind.UNAVAILABLE, "store-away");
         } else if (ageMs > UNKNOWN_AFTER_MS) {
-            answer(tick, call, AnswerKind.UNKNOWN, "store-silent");
+            answer(tick, call, JobResponseKind.UNKNOWN, "store-silent");
         }
     }
 
@@ -181,10 +181,11 @@
                 .anyMatch(w -> w.record().name().equals(name));
     }
 
-    private static void answer(SchedulerTick tick, CallRow call, AnswerKind kind, String reason) {
+    private static void answer(
+            SchedulerTick tick, PendingRequestRow call, JobResponseKind kind, String reason) {
         tick.world().calls().remove(call.callId());
         tick.log("refused", "job=" + call.job() + " kind=" + kind + " reason=" + reason);
         tick.count("refused." + reason);
-        tick.emit(new Answer(call.callId(), JobAnswer.refusal(kind, RETRY_AFTER_MS, reason)));
+        tick.emit(new Respond(call.callId(), JobResponse.refusal(kind, RETRY_AFTER_MS, reason)));
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/Commits.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/Commits.java
@@ -6,7 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Predicate;
-import org.hibiscususher.core.job.CallKind;
+import org.hibiscususher.core.job.JobRequestKind;
 import org.hibiscususher.core.job.JobState;
 import org.hibiscususher.core.scheduler.job.Jobs;
 import org.hibiscususher.core.scheduler.job.Progress;
@@ -15,12 +15,12 @@
 import org.hibiscususher.core.scheduler.message.RecordName;
 import org.hibiscususher.core.scheduler.message.RecordWrite;
 import org.hibiscususher.core.scheduler.message.StoredRecord;
-import org.hibiscususher.core.scheduler.world.CallRow;
-import org.hibiscususher.core.scheduler.world.CallStage;
 import org.hibiscususher.core.scheduler.world.CommitPurpose;
 import org.hibiscususher.core.scheduler.world.CommitRow;
 import org.hibiscususher.core.scheduler.world.HostOrderRow;
 import org.hibiscususher.core.scheduler.world.JobRow;
+import org.hibiscususher.core.scheduler.world.PendingRequestRow;
+import org.hibiscususher.core.scheduler.world.PendingRequestStage;
 import org.hibiscususher.core.scheduler.world.RunRow;
 import org.hibiscususher.core.scheduler.world.SchedulerSettings;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
@@ -61,11 +61,12 @@
     }
 
     private static void addNewJobs(SchedulerWorld world, List<StoredRecord> records) {
-        for (CallRow call : world.calls().rows()) {
+        for (PendingRequestRow call : world.calls().rows()) {
             if (records.size() >= MAX_RECORDS) {
                 return;
             }
-            if (call.stage() == CallStage.STORE && call.call().kind() == CallKind.SUBMIT) {
+            if (call.stage() == PendingRequestStage.STORE
+                    && call.call().kind() == JobRequestKind.SUBMIT) {
                 world.jobs()
                         .find(call.job())
                         .filter(j -> !j.stored())
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/OfferSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/OfferSystem.java
@@ -2,14 +2,14 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import org.hibiscususher.core.job.AnswerKind;
-import org.hibiscususher.core.job.JobAnswer;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.TermOffered;
-import org.hibiscususher.core.scheduler.message.SchedulerOutput.Answer;
-import org.hibiscususher.core.scheduler.message.SchedulerOutput.OfferTerm;
+import org.hibiscususher.core.job.JobResponse;
+import org.hibiscususher.core.job.JobResponseKind;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.HandoverOffered;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput.OfferHandover;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput.Respond;
 import org.hibiscususher.core.scheduler.message.StoredRecord;
+import org.hibiscususher.core.scheduler.world.HandoverRow;
 import org.hibiscususher.core.scheduler.world.NodeStateRow;
-import org.hibiscususher.core.scheduler.world.OfferRow;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
 import org.hibiscususher.core.scheduler.world.TermStage;
@@ -32,26 +32,26 @@
 
     /** Takes in offers, then offers the own term if that is due. */
     public static void run(SchedulerTick tick) {
-        for (TermOffered offered : tick.inputs(TermOffered.class)) {
+        for (HandoverOffered offered : tick.inputs(HandoverOffered.class)) {
             take(tick, offered);
         }
         SchedulerWorld world = tick.world();
-        OfferRow row = world.offer().get();
+        HandoverRow row = world.offer().get();
         NodeStateRow node = world.node().get();
         boolean away = !node.storeReached() && world.term().get().stage() == TermStage.OWNING;
         if (!away) {
             if (row.sinceMs() != 0) {
-                world.offer().set(new OfferRow(0, 0, 0, row.takenGeneration()));
+                world.offer().set(new HandoverRow(0, 0, 0, row.takenGeneration()));
             }
         } else if (row.sinceMs() == 0) {
-            world.offer().set(new OfferRow(tick.nowMs(), 0, 0, row.takenGeneration()));
+            world.offer().set(new HandoverRow(tick.nowMs(), 0, 0, row.takenGeneration()));
         } else if (tick.nowMs() - row.sinceMs() >= OFFER_AFTER_MS
                 && tick.nowMs() - row.sentMs() >= OFFER_EVERY_MS) {
             offer(tick, row);
         }
     }
 
-    private static void offer(SchedulerTick tick, OfferRow row) {
+    private static void offer(SchedulerTick tick, HandoverRow row) {
         SchedulerWorld world = tick.world();
         List<String> others = new ArrayList<>(world.settings().seeds());
         others.remove(world.settings().address());
@@ -62,7 +62,7 @@
         long generation = world.term().get().generation();
         world.offer()
                 .set(
-                        new OfferRow(
+                        new HandoverRow(
                                 row.sinceMs(),
                                 tick.nowMs(),
                                 row.sent() + 1,
@@ -76,12 +76,12 @@
                         + " store_away_ms="
                         + (tick.nowMs() - row.sinceMs()));
         tick.count("owner.offered");
-        tick.emit(new OfferTerm(address, generation));
+        tick.emit(new OfferHandover(address, generation));
     }
 
-    private static void take(SchedulerTick tick, TermOffered offered) {
+    private static void take(SchedulerTick tick, HandoverOffered offered) {
         SchedulerWorld world = tick.world();
-        tick.emit(new Answer(offered.callId(), JobAnswer.of(AnswerKind.ACCEPTED)));
+        tick.emit(new Respond(offered.callId(), JobResponse.of(JobResponseKind.ACCEPTED)));
         long seen =
                 world.ownership()
                         .get()
@@ -96,10 +96,10 @@
                         && seen == offered.generation();
         tick.log("offer-received", "generation=" + offered.generation() + " taken=" + free);
         if (free) {
-            OfferRow row = world.offer().get();
+            HandoverRow row = world.offer().get();
             world.offer()
                     .set(
-                            new OfferRow(
+                            new HandoverRow(
                                     row.sinceMs(), row.sentMs(), row.sent(), offered.generation()));
             world.term()
                     .set(
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/StepDown.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/StepDown.java
@@ -1,11 +1,11 @@
 package org.hibiscususher.core.scheduler.term;
 
-import org.hibiscususher.core.job.AnswerKind;
-import org.hibiscususher.core.job.JobAnswer;
-import org.hibiscususher.core.scheduler.message.SchedulerOutput.Answer;
-import org.hibiscususher.core.scheduler.message.SchedulerOutput.FollowExecutors;
-import org.hibiscususher.core.scheduler.world.CallRow;
-import org.hibiscususher.core.scheduler.world.CallStage;
+import org.hibiscususher.core.job.JobResponse;
+import org.hibiscususher.core.job.JobResponseKind;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput.Respond;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput.WatchExecutors;
+import org.hibiscususher.core.scheduler.world.PendingRequestRow;
+import org.hibiscususher.core.scheduler.world.PendingRequestStage;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
 import org.hibiscususher.core.scheduler.world.TermRow;
@@ -22,17 +22,18 @@
                 "owner-lost",
                 "generation=" + term.generation() + " fence=" + term.fence() + " reason=" + reason);
         tick.count("owner.lost");
-        for (CallRow call : world.calls().rows()) {
-            if (call.stage() == CallStage.STORE) {
+        for (PendingRequestRow call : world.calls().rows()) {
+            if (call.stage() == PendingRequestStage.STORE) {
                 tick.emit(
-                        new Answer(
+                        new Respond(
                                 call.callId(),
-                                JobAnswer.refusal(AnswerKind.UNKNOWN, 0, "the owner has changed")));
+                                JobResponse.refusal(
+                                        JobResponseKind.UNKNOWN, 0, "the owner has changed")));
                 world.calls().remove(call.callId());
             }
         }
         world.clearOwnerTables();
         world.term().set(TermRow.initial());
-        tick.emit(new FollowExecutors(false));
+        tick.emit(new WatchExecutors(false));
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/Takeover.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/Takeover.java
@@ -13,8 +13,8 @@
 import org.hibiscususher.core.scheduler.message.RecordKind;
 import org.hibiscususher.core.scheduler.message.StoredRecord;
 import org.hibiscususher.core.scheduler.message.UsedExecutor;
-import org.hibiscususher.core.scheduler.world.ContactRow;
 import org.hibiscususher.core.scheduler.world.ExecutorRow;
+import org.hibiscususher.core.scheduler.world.ExecutorSessionRow;
 import org.hibiscususher.core.scheduler.world.HostOrderRow;
 import org.hibiscususher.core.scheduler.world.JobRow;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
@@ -129,8 +129,8 @@
                 .put(
                         used.id(),
                         new ExecutorRow(known, tick.nowMs(), missingMs, true, true, false, 0));
-        ContactRow contact =
-                world.contacts().find(used.id()).orElse(ContactRow.initial(used.id(), 0));
+        ExecutorSessionRow contact =
+                world.contacts().find(used.id()).orElse(ExecutorSessionRow.initial(used.id(), 0));
         world.contacts().put(used.id(), contact.withLeaseEnd(waitUntilMs(tick)));
     }
 
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/TermSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/TermSystem.java
@@ -2,8 +2,8 @@
 
 import java.util.List;
 import java.util.Optional;
-import org.hibiscususher.core.job.AnswerKind;
-import org.hibiscususher.core.job.JobAnswer;
+import org.hibiscususher.core.job.JobResponse;
+import org.hibiscususher.core.job.JobResponseKind;
 import org.hibiscususher.core.scheduler.message.Ownership;
 import org.hibiscususher.core.scheduler.message.RecordGuard;
 import org.hibiscususher.core.scheduler.message.RecordName;
@@ -18,21 +18,21 @@
 import org.hibiscususher.core.scheduler.message.SchedulerInput.LeaseRenewed;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.LoadFailed;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.OwnershipSeen;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.PredecessorRelinquished;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.RecordsLoaded;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.YieldAsked;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.Yielded;
-import org.hibiscususher.core.scheduler.message.SchedulerOutput.Answer;
-import org.hibiscususher.core.scheduler.message.SchedulerOutput.AskYield;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.RelinquishRequested;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput.AskRelinquish;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.Commit;
-import org.hibiscususher.core.scheduler.message.SchedulerOutput.FollowExecutors;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.GrantLease;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.LoadRecords;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.RenewLease;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput.Respond;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput.WatchExecutors;
 import org.hibiscususher.core.scheduler.message.StoredRecord;
-import org.hibiscususher.core.scheduler.world.ClaimRow;
-import org.hibiscususher.core.scheduler.world.ClockRow;
+import org.hibiscususher.core.scheduler.world.LastTickRow;
+import org.hibiscususher.core.scheduler.world.LeaseRenewalRow;
+import org.hibiscususher.core.scheduler.world.OwnershipClaimRow;
 import org.hibiscususher.core.scheduler.world.OwnershipRow;
-import org.hibiscususher.core.scheduler.world.RenewalRow;
 import org.hibiscususher.core.scheduler.world.SchedulerSettings;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 import org.hibiscususher.core.scheduler.world.SchedulerTiming;
@@ -70,8 +70,8 @@
 
     private static void noticeSuspension(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
-        ClockRow before = world.clock().get();
-        world.clock().set(new ClockRow(tick.nowMs(), tick.wallMs()));
+        LastTickRow before = world.clock().get();
+        world.clock().set(new LastTickRow(tick.nowMs(), tick.wallMs()));
         long passedMs = tick.nowMs() - before.nowMs();
         long wallMs = tick.wallMs() - before.wallMs();
         if (before.wallMs() != 0
@@ -80,7 +80,7 @@
             tick.log("suspended", "steady_ms=" + passedMs + " wall_ms=" + wallMs);
             long graceMs = world.settings().timing().graceMs();
             world.term().set(world.term().get().withValidUntil(tick.nowMs() - graceMs));
-            world.renewal().set(new RenewalRow(0, 0));
+            world.renewal().set(new LeaseRenewalRow(0, 0));
         }
     }
 
@@ -102,9 +102,9 @@
             Takeover.load(tick, loaded.records());
         } else if (input instanceof LoadFailed failed && failed.callId() == awaited) {
             load(tick);
-        } else if (input instanceof YieldAsked asked) {
+        } else if (input instanceof RelinquishRequested asked) {
             yieldTo(tick, asked);
-        } else if (input instanceof Yielded yielded) {
+        } else if (input instanceof PredecessorRelinquished yielded) {
             predecessorYielded(tick, yielded.generation());
         } else if (input instanceof LeaseRenewed renewed) {
             renewed(tick, renewed);
@@ -113,13 +113,13 @@
         }
     }
 
-    private static void yieldTo(SchedulerTick tick, YieldAsked asked) {
+    private static void yieldTo(SchedulerTick tick, RelinquishRequested asked) {
         TermRow term = tick.world().term().get();
         boolean owner = term.owns() || term.stage().isOwner();
         if (owner && term.generation() < asked.generation()) {
             StepDown.run(tick, "yielded-to=" + asked.generation());
         }
-        tick.emit(new Answer(asked.callId(), JobAnswer.of(AnswerKind.ACCEPTED)));
+        tick.emit(new Respond(asked.callId(), JobResponse.of(JobResponseKind.ACCEPTED)));
     }
 
     private static void predecessorYielded(SchedulerTick tick, long generation) {
@@ -184,7 +184,8 @@
             claimLost(tick);
             return;
         }
-        ClaimRow claim = claimRow(seen, self, term.sentMs() + granted.ttlMs() - LEASE_MARGIN_MS);
+        OwnershipClaimRow claim =
+                claimRow(seen, self, term.sentMs() + granted.ttlMs() - LEASE_MARGIN_MS);
         long callId = tick.nextCallId();
         world.claim().set(claim);
         world.term()
@@ -212,9 +213,10 @@
                         CLAIM_TIMEOUT_MS));
     }
 
-    private static ClaimRow claimRow(Ownership seen, SchedulerSettings self, long validUntilMs) {
+    private static OwnershipClaimRow claimRow(
+            Ownership seen, SchedulerSettings self, long validUntilMs) {
         Optional<StoredRecord.Term> last = seen.term();
-        return new ClaimRow(
+        return new OwnershipClaimRow(
                 last.map(StoredRecord.Term::generation).orElse(0L) + 1,
                 validUntilMs,
                 last.map(StoredRecord.Term::node).orElse(""),
@@ -234,9 +236,9 @@
         if (term.stage() != TermStage.CLAIMING) {
             return;
         }
-        ClaimRow claim = world.claim().get();
+        OwnershipClaimRow claim = world.claim().get();
         boolean kept = term.keepsState();
-        world.renewal().set(new RenewalRow(0, tick.nowMs()));
+        world.renewal().set(new LeaseRenewalRow(0, tick.nowMs()));
         world.term()
                 .set(
                         new TermRow(
@@ -265,11 +267,11 @@
                         + claim.released());
         tick.count("owner.taken");
         if (!claim.released()) {
-            tick.emit(new AskYield(claim.predecessorAddress(), claim.generation()));
+            tick.emit(new AskRelinquish(claim.predecessorAddress(), claim.generation()));
         }
         if (!kept) {
             world.clearOwnerTables();
-            tick.emit(new FollowExecutors(true));
+            tick.emit(new WatchExecutors(true));
             load(tick);
         }
         world.revisions().put(RecordName.TERM, revision);
@@ -292,24 +294,24 @@
 
     private static void renewed(SchedulerTick tick, LeaseRenewed renewed) {
         SchedulerWorld world = tick.world();
-        RenewalRow renewal = world.renewal().get();
+        LeaseRenewalRow renewal = world.renewal().get();
         TermRow term = world.term().get();
         if (renewal.callId() != renewed.callId() || !term.stage().isOwner()) {
             return;
         }
         long ttlMs = world.settings().timing().ownerTtlMs();
-        world.renewal().set(new RenewalRow(0, renewal.sentMs()));
+        world.renewal().set(new LeaseRenewalRow(0, renewal.sentMs()));
         world.term().set(term.withValidUntil(renewal.sentMs() + ttlMs - LEASE_MARGIN_MS));
         world.store().set(world.store().get().reached(tick.nowMs()));
     }
 
     private static void notRenewed(SchedulerTick tick, LeaseNotRenewed failed) {
         SchedulerWorld world = tick.world();
-        RenewalRow renewal = world.renewal().get();
+        LeaseRenewalRow renewal = world.renewal().get();
         if (renewal.callId() != failed.callId()) {
             return;
         }
-        world.renewal().set(new RenewalRow(0, renewal.sentMs()));
+        world.renewal().set(new LeaseRenewalRow(0, renewal.sentMs()));
         if (failed.ended() && world.term().get().stage() == TermStage.OWNING) {
             leaseEnded(tick);
         }
@@ -358,13 +360,13 @@
 
     private static void renew(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
-        RenewalRow renewal = world.renewal().get();
+        LeaseRenewalRow renewal = world.renewal().get();
         SchedulerTiming timing = world.settings().timing();
         long sinceMs = tick.nowMs() - renewal.sentMs();
         boolean due = renewal.callId() == 0 ? sinceMs >= timing.renewMs() : sinceMs >= RETRY_MS * 3;
         if (due) {
             long callId = tick.nextCallId();
-            world.renewal().set(new RenewalRow(callId, tick.nowMs()));
+            world.renewal().set(new LeaseRenewalRow(callId, tick.nowMs()));
             tick.emit(new RenewLease(callId, world.term().get().leaseId()));
         }
     }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/AdviceCallRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/AdviceRequestRow.java
@@ -9,12 +9,12 @@
  * @param sentMs when it was sent
  * @param executors executors that it asks for
  */
-public record AdviceCallRow(long callId, long sentMs, List<String> executors) {
+public record AdviceRequestRow(long callId, long sentMs, List<String> executors) {
     /** No request. */
-    public static final AdviceCallRow NONE = new AdviceCallRow(0, 0, List.of());
+    public static final AdviceRequestRow NONE = new AdviceRequestRow(0, 0, List.of());
 
     /** Copies the list. */
-    public AdviceCallRow {
+    public AdviceRequestRow {
         executors = List.copyOf(executors);
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/PlanRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/ConfigurationRow.java
@@ -2,7 +2,7 @@
 
 import static java.util.Objects.requireNonNull;
 
-import org.hibiscususher.core.job.JobPlan;
+import org.hibiscususher.core.job.JobConfiguration;
 
 /**
  * The configuration in force.
@@ -10,9 +10,9 @@
  * @param plan configuration; without a version until one was read
  * @param revision its revision in the store
  */
-public record PlanRow(JobPlan plan, long revision) {
+public record ConfigurationRow(JobConfiguration plan, long revision) {
     /** Checks the parts. */
-    public PlanRow {
+    public ConfigurationRow {
         requireNonNull(plan);
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/StandingRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/ExecutorHealthRow.java
@@ -10,14 +10,14 @@
  * @param done runs that were done
  * @param endedMs when a run there last ended; 0 for never
  */
-public record StandingRow(String executor, int failuresInRow, long done, long endedMs) {
+public record ExecutorHealthRow(String executor, int failuresInRow, long done, long endedMs) {
     /** Checks the parts. */
-    public StandingRow {
+    public ExecutorHealthRow {
         requireNonNull(executor);
     }
 
     /** Returns the standing of an executor on which nothing has run yet. */
-    public static StandingRow initial(String executor) {
-        return new StandingRow(executor, 0, 0, 0);
+    public static ExecutorHealthRow initial(String executor) {
+        return new ExecutorHealthRow(executor, 0, 0, 0);
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/ContactRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/ExecutorSessionRow.java
@@ -21,7 +21,7 @@
  * @param listed number of the last end that was taken in
  * @param asideUntilMs until when it gets no new runs
  */
-public record ContactRow(
+public record ExecutorSessionRow(
         String executor,
         long bornMs,
         long fence,
@@ -38,18 +38,18 @@
         long listed,
         long asideUntilMs) {
     /** Checks the parts. */
-    public ContactRow {
+    public ExecutorSessionRow {
         requireNonNull(executor);
     }
 
     /** Returns the contact with an executor that has not answered yet. */
-    public static ContactRow initial(String executor, long leaseEndMs) {
-        return new ContactRow(executor, 0, 0, 0, 0, leaseEndMs, 0, 0, 0, 0, 0, 0, 0, 0, 0);
+    public static ExecutorSessionRow initial(String executor, long leaseEndMs) {
+        return new ExecutorSessionRow(executor, 0, 0, 0, 0, leaseEndMs, 0, 0, 0, 0, 0, 0, 0, 0, 0);
     }
 
     /** Returns this contact with a reading sent. */
-    public ContactRow sent(long newCallId, long newFence, long nowMs, long newLeaseEndMs) {
-        return new ContactRow(
+    public ExecutorSessionRow sent(long newCallId, long newFence, long nowMs, long newLeaseEndMs) {
+        return new ExecutorSessionRow(
                 executor,
                 bornMs,
                 fence,
@@ -68,8 +68,8 @@
     }
 
     /** Returns this contact with an answer. */
-    public ContactRow answered(long newBornMs, long newClockMs, long nowMs) {
-        return new ContactRow(
+    public ExecutorSessionRow answered(long newBornMs, long newClockMs, long nowMs) {
+        return new ExecutorSessionRow(
                 executor,
                 newBornMs,
                 callFence,
@@ -88,8 +88,8 @@
     }
 
     /** Returns this contact with a reading that failed. */
-    public ContactRow failed(long newNextMs) {
-        return new ContactRow(
+    public ExecutorSessionRow failed(long newNextMs) {
+        return new ExecutorSessionRow(
                 executor,
                 bornMs,
                 fence,
@@ -108,8 +108,8 @@
     }
 
     /** Returns this contact with ends taken in. */
-    public ContactRow withListed(long newListed) {
-        return new ContactRow(
+    public ExecutorSessionRow withListed(long newListed) {
+        return new ExecutorSessionRow(
                 executor,
                 bornMs,
                 fence,
@@ -128,8 +128,8 @@
     }
 
     /** Returns this contact with ends acknowledged. */
-    public ContactRow withSeen(long newSeen) {
-        return new ContactRow(
+    public ExecutorSessionRow withSeen(long newSeen) {
+        return new ExecutorSessionRow(
                 executor,
                 bornMs,
                 fence,
@@ -148,8 +148,8 @@
     }
 
     /** Returns this contact with the next reading not before a time. */
-    public ContactRow withNext(long newNextMs) {
-        return new ContactRow(
+    public ExecutorSessionRow withNext(long newNextMs) {
+        return new ExecutorSessionRow(
                 executor,
                 bornMs,
                 fence,
@@ -168,8 +168,8 @@
     }
 
     /** Returns this contact with a lease that may last longer. */
-    public ContactRow withLeaseEnd(long newLeaseEndMs) {
-        return new ContactRow(
+    public ExecutorSessionRow withLeaseEnd(long newLeaseEndMs) {
+        return new ExecutorSessionRow(
                 executor,
                 bornMs,
                 fence,
@@ -188,8 +188,8 @@
     }
 
     /** Returns this contact whose lease has surely ended at a time. */
-    public ContactRow withLeaseEndAt(long newLeaseEndMs) {
-        return new ContactRow(
+    public ExecutorSessionRow withLeaseEndAt(long newLeaseEndMs) {
+        return new ExecutorSessionRow(
                 executor,
                 bornMs,
                 fence,
@@ -208,8 +208,8 @@
     }
 
     /** Returns this contact without new runs for some time. */
-    public ContactRow aside(long untilMs) {
-        return new ContactRow(
+    public ExecutorSessionRow aside(long untilMs) {
+        return new ExecutorSessionRow(
                 executor,
                 bornMs,
                 fence,
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/EndKey.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/FinishedRunKey.java
@@ -8,9 +8,9 @@
  * @param executor executor
  * @param number its number there
  */
-public record EndKey(String executor, long number) {
+public record FinishedRunKey(String executor, long number) {
     /** Checks the parts. */
-    public EndKey {
+    public FinishedRunKey {
         requireNonNull(executor);
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/EndRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/FinishedRunRow.java
@@ -9,9 +9,9 @@
  * @param job job
  * @param version version of the job that holds it
  */
-public record EndRow(EndKey key, String job, long version) {
+public record FinishedRunRow(FinishedRunKey key, String job, long version) {
     /** Checks the parts. */
-    public EndRow {
+    public FinishedRunRow {
         requireNonNull(key);
         requireNonNull(job);
     }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/OfferRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/HandoverRow.java
@@ -9,7 +9,7 @@
  * @param takenGeneration generation of the term that its owner has offered to this process; 0 for
  *     none
  */
-public record OfferRow(long sinceMs, long sentMs, int sent, long takenGeneration) {
+public record HandoverRow(long sinceMs, long sentMs, int sent, long takenGeneration) {
     /** No offer. */
-    public static final OfferRow NONE = new OfferRow(0, 0, 0, 0);
+    public static final HandoverRow NONE = new HandoverRow(0, 0, 0, 0);
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/HostTaskRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/HostOperationRow.java
@@ -15,18 +15,18 @@
  * @param executor executor that the host had; empty for none
  * @param uncertain whether an order for it was not answered and may have been carried out
  */
-public record HostTaskRow(
+public record HostOperationRow(
         String host,
         long wave,
         String pool,
-        HostStep step,
+        HostOperationStep step,
         long callId,
         long retryAtMs,
         long sinceMs,
         String executor,
         boolean uncertain) {
     /** Checks the parts. */
-    public HostTaskRow {
+    public HostOperationRow {
         requireNonNull(host);
         requireNonNull(pool);
         requireNonNull(step);
@@ -34,21 +34,30 @@
     }
 
     /** Returns this row in another step. */
-    public HostTaskRow withStep(HostStep newStep, long newCallId, long nowMs) {
-        return new HostTaskRow(
+    public HostOperationRow withStep(HostOperationStep newStep, long newCallId, long nowMs) {
+        return new HostOperationRow(
                 host, wave, pool, newStep, newCallId, retryAtMs, nowMs, executor, uncertain);
     }
 
     /** Returns this row before the next order, which is not sent before a time. */
-    public HostTaskRow retried(long newRetryAtMs) {
-        HostStep next = uncertain ? HostStep.UNANSWERED : HostStep.EMPTYING;
-        return new HostTaskRow(
+    public HostOperationRow retried(long newRetryAtMs) {
+        HostOperationStep next =
+                uncertain ? HostOperationStep.UNANSWERED : HostOperationStep.EMPTYING;
+        return new HostOperationRow(
                 host, wave, pool, next, 0, newRetryAtMs, sinceMs, executor, uncertain);
     }
 
     /** Returns this row with an order that was not answered. */
-    public HostTaskRow unanswered(long newRetryAtMs) {
-        return new HostTaskRow(
-                host, wave, pool, HostStep.UNANSWERED, 0, newRetryAtMs, sinceMs, executor, true);
+    public HostOperationRow unanswered(long newRetryAtMs) {
+        return new HostOperationRow(
+                host,
+                wave,
+                pool,
+                HostOperationStep.UNANSWERED,
+                0,
+                newRetryAtMs,
+                sinceMs,
+                executor,
+                true);
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/HostStep.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/HostOperationStep.java
@@ -1,7 +1,7 @@
 package org.hibiscususher.core.scheduler.world;
 
 /** What is under way with a host. */
-public enum HostStep {
+public enum HostOperationStep {
     /** It is being emptied. */
     EMPTYING,
     /** The order was sent. */
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/JobRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/JobRow.java
@@ -2,9 +2,9 @@
 
 import static java.util.Objects.requireNonNull;
 
+import org.hibiscususher.core.job.JobPolicy;
 import org.hibiscususher.core.job.JobSpec;
 import org.hibiscususher.core.job.JobState;
-import org.hibiscususher.core.job.JobTerms;
 
 /**
  * A job.
@@ -27,7 +27,7 @@
  */
 public record JobRow(
         String id,
-        JobTerms terms,
+        JobPolicy terms,
         String team,
         JobSpec spec,
         long acceptedWallMs,
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/ClockRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/LastTickRow.java
@@ -6,4 +6,4 @@
  * @param nowMs milliseconds of the steady clock
  * @param wallMs milliseconds since the epoch
  */
-public record ClockRow(long nowMs, long wallMs) {}
+public record LastTickRow(long nowMs, long wallMs) {}
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/RenewalRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/LeaseRenewalRow.java
@@ -6,4 +6,4 @@
  * @param callId store call; 0 for none
  * @param sentMs when the last one was sent
  */
-public record RenewalRow(long callId, long sentMs) {}
+public record LeaseRenewalRow(long callId, long sentMs) {}
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/ClaimRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/OwnershipClaimRow.java
@@ -16,7 +16,7 @@
  * @param released whether that owner surely gives no more orders
  * @param open what that owner left open, if it told; see {@link StoredRecord.Term#open()}
  */
-public record ClaimRow(
+public record OwnershipClaimRow(
         long generation,
         long validUntilMs,
         String predecessor,
@@ -24,10 +24,11 @@
         boolean released,
         Optional<List<String>> open) {
     /** No claim. */
-    public static final ClaimRow NONE = new ClaimRow(0, 0, "", "", true, Optional.empty());
+    public static final OwnershipClaimRow NONE =
+            new OwnershipClaimRow(0, 0, "", "", true, Optional.empty());
 
     /** Checks the parts. */
-    public ClaimRow {
+    public OwnershipClaimRow {
         requireNonNull(predecessor);
         requireNonNull(predecessorAddress);
         requireNonNull(open);
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/CallRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/PendingRequestRow.java
@@ -2,7 +2,7 @@
 
 import static java.util.Objects.requireNonNull;
 
-import org.hibiscususher.core.job.JobCall;
+import org.hibiscususher.core.job.JobRequest;
 
 /**
  * A caller's request that waits.
@@ -13,9 +13,10 @@
  * @param stage what it waits for
  * @param sinceMs since when
  */
-public record CallRow(long callId, JobCall call, String job, CallStage stage, long sinceMs) {
+public record PendingRequestRow(
+        long callId, JobRequest call, String job, PendingRequestStage stage, long sinceMs) {
     /** Checks the parts. */
-    public CallRow {
+    public PendingRequestRow {
         requireNonNull(call);
         requireNonNull(job);
         requireNonNull(stage);
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/CallStage.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/PendingRequestStage.java
@@ -1,7 +1,7 @@
 package org.hibiscususher.core.scheduler.world;
 
 /** What a caller's request waits for. */
-public enum CallStage {
+public enum PendingRequestStage {
     /** An owner to forward it to. */
     OWNER,
     /** The store. */
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/RunRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/RunRow.java
@@ -2,7 +2,7 @@
 
 import static java.util.Objects.requireNonNull;
 
-import org.hibiscususher.core.job.ListedRun;
+import org.hibiscususher.core.job.ReportedRun;
 import org.hibiscususher.core.job.Resources;
 import org.hibiscususher.core.job.TaskKey;
 
@@ -119,7 +119,7 @@
     }
 
     /** Returns this run with what its executor lists. */
-    public RunRow listed(ListedRun told, long nowMs) {
+    public RunRow listed(ReportedRun told, long nowMs) {
         return new RunRow(
                 task,
                 run,
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerWorld.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerWorld.java
@@ -4,7 +4,7 @@
 
 import java.util.List;
 import java.util.Optional;
-import org.hibiscususher.core.job.JobPlan;
+import org.hibiscususher.core.job.JobConfiguration;
 import org.hibiscususher.core.job.StepKey;
 import org.hibiscususher.core.job.TaskKey;
 import org.hibiscususher.core.scheduler.message.HostReport;
@@ -21,13 +21,14 @@
     private final Single<TermRow> mTerm = Single.of(TermRow.initial());
     private final Single<OwnershipRow> mOwnership =
             Single.of(new OwnershipRow(false, Ownership.NONE, 0));
-    private final Single<ClaimRow> mClaim = Single.of(ClaimRow.NONE);
-    private final Single<RenewalRow> mRenewal = Single.of(new RenewalRow(0, 0));
-    private final Single<OfferRow> mOffer = Single.of(OfferRow.NONE);
-    private final Single<ClockRow> mClock = Single.of(new ClockRow(0, 0));
+    private final Single<OwnershipClaimRow> mClaim = Single.of(OwnershipClaimRow.NONE);
+    private final Single<LeaseRenewalRow> mRenewal = Single.of(new LeaseRenewalRow(0, 0));
+    private final Single<HandoverRow> mOffer = Single.of(HandoverRow.NONE);
+    private final Single<LastTickRow> mClock = Single.of(new LastTickRow(0, 0));
     private final Single<NodeStateRow> mNode = Single.of(new NodeStateRow(false, true, 0));
-    private final Single<PlanRow> mPlan = Single.of(new PlanRow(JobPlan.EMPTY, 0));
-    private final Single<StoreRow> mStore = Single.of(new StoreRow(0, 0, 0));
+    private final Single<ConfigurationRow> mPlan =
+            Single.of(new ConfigurationRow(JobConfiguration.EMPTY, 0));
+    private final Single<StoreHealthRow> mStore = Single.of(new StoreHealthRow(0, 0, 0));
     private final Single<StoredRecord.Executors> mUsedExecutors =
             Single.of(new StoredRecord.Executors(List.of()));
     private final Single<HostListRow> mHostList = Single.of(new HostListRow(0, 0, 0));
@@ -43,17 +44,17 @@
             GroupedTable.createBy(RunRow::executor);
     private final GroupedTable<String, ExecutorRow, String> mExecutors =
             GroupedTable.createBy(ExecutorRow::pool);
-    private final Table<String, ContactRow> mContacts = Table.create();
-    private final Table<String, StandingRow> mStandings = Table.create();
-    private final GroupedTable<EndKey, EndRow, String> mEnds =
+    private final Table<String, ExecutorSessionRow> mContacts = Table.create();
+    private final Table<String, ExecutorHealthRow> mStandings = Table.create();
+    private final GroupedTable<FinishedRunKey, FinishedRunRow, String> mEnds =
             GroupedTable.createBy(e -> e.key().executor());
     private final Table<StartKey, UncertainStartRow> mUncertainStarts = Table.create();
     private final Table<StepKey, AdviceRow> mAdvice = Table.create();
-    private final Single<AdviceCallRow> mAdviceCall = Single.of(AdviceCallRow.NONE);
-    private final Table<Long, CallRow> mCalls = Table.create();
+    private final Single<AdviceRequestRow> mAdviceCall = Single.of(AdviceRequestRow.NONE);
+    private final Table<Long, PendingRequestRow> mCalls = Table.create();
     private final Table<Long, WaveRow> mWaves = Table.create();
     private final Table<String, HostReport> mHosts = Table.create();
-    private final Table<String, HostTaskRow> mHostTasks = Table.create();
+    private final Table<String, HostOperationRow> mHostTasks = Table.create();
     private final Single<Long> mMovesDecidedMs = Single.of(0L);
     private final Table<String, HostOrderRow> mHostOrders = Table.create();
     private final Single<StoredRecord.HostOrders> mRecordedHostOrders =
@@ -84,22 +85,22 @@
     }
 
     /** Returns the claim of the ownership that is under way. */
-    public Single<ClaimRow> claim() {
+    public Single<OwnershipClaimRow> claim() {
         return mClaim;
     }
 
     /** Returns the renewal that is awaited. */
-    public Single<RenewalRow> renewal() {
+    public Single<LeaseRenewalRow> renewal() {
         return mRenewal;
     }
 
     /** Returns the offers of the ownership. */
-    public Single<OfferRow> offer() {
+    public Single<HandoverRow> offer() {
         return mOffer;
     }
 
     /** Returns the times of the last tick. */
-    public Single<ClockRow> clock() {
+    public Single<LastTickRow> clock() {
         return mClock;
     }
 
@@ -109,12 +110,12 @@
     }
 
     /** Returns the configuration in force. */
-    public Single<PlanRow> plan() {
+    public Single<ConfigurationRow> plan() {
         return mPlan;
     }
 
     /** Returns how the store answers. */
-    public Single<StoreRow> store() {
+    public Single<StoreHealthRow> store() {
         return mStore;
     }
 
@@ -174,17 +175,17 @@
     }
 
     /** Returns the contacts by executor. */
-    public Table<String, ContactRow> contacts() {
+    public Table<String, ExecutorSessionRow> contacts() {
         return mContacts;
     }
 
     /** Returns how runs end, by executor. */
-    public Table<String, StandingRow> standings() {
+    public Table<String, ExecutorHealthRow> standings() {
         return mStandings;
     }
 
     /** Returns the ends that are not acknowledged yet, grouped by executor. */
-    public GroupedTable<EndKey, EndRow, String> ends() {
+    public GroupedTable<FinishedRunKey, FinishedRunRow, String> ends() {
         return mEnds;
     }
 
@@ -199,12 +200,12 @@
     }
 
     /** Returns the request for advice that is awaited. */
-    public Single<AdviceCallRow> adviceCall() {
+    public Single<AdviceRequestRow> adviceCall() {
         return mAdviceCall;
     }
 
     /** Returns the callers' requests that wait. */
-    public Table<Long, CallRow> calls() {
+    public Table<Long, PendingRequestRow> calls() {
         return mCalls;
     }
 
@@ -219,7 +220,7 @@
     }
 
     /** Returns the hosts that are maintained or moved. */
-    public Table<String, HostTaskRow> hostTasks() {
+    public Table<String, HostOperationRow> hostTasks() {
         return mHostTasks;
     }
 
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/StoreRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/StoreHealthRow.java
@@ -8,18 +8,18 @@
  * @param failingSinceMs since when commits have failed without one that took effect; 0 if they
  *     don't
  */
-public record StoreRow(long reachedMs, long failedMs, long failingSinceMs) {
+public record StoreHealthRow(long reachedMs, long failedMs, long failingSinceMs) {
     /** Time of failures after which the store counts as away, in milliseconds. */
     private static final long AWAY_MS = 400;
 
     /** Returns this row with a commit that took effect. */
-    public StoreRow reached(long nowMs) {
-        return new StoreRow(nowMs, failedMs, 0);
+    public StoreHealthRow reached(long nowMs) {
+        return new StoreHealthRow(nowMs, failedMs, 0);
     }
 
     /** Returns this row with a commit that failed. */
-    public StoreRow failed(long nowMs) {
-        return new StoreRow(reachedMs, nowMs, failingSinceMs == 0 ? nowMs : failingSinceMs);
+    public StoreHealthRow failed(long nowMs) {
+        return new StoreHealthRow(reachedMs, nowMs, failingSinceMs == 0 ? nowMs : failingSinceMs);
     }
 
     /** Returns whether commits fail for so long that the store counts as away. */
--- a/core/src/test/java/org/hibiscususher/core/job/JobPlanTest.java
+++ b/core/src/test/java/org/hibiscususher/core/job/JobConfigurationTest.java
@@ -7,16 +7,16 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
-class JobPlanTest {
-    private static final JobPlan PLAN =
-            new JobPlan(
+class JobConfigurationTest {
+    private static final JobConfiguration PLAN =
+            new JobConfiguration(
                     3,
                     List.of(queue("short", "/a/"), queue("long", "/a/b/")),
                     List.of(new JobPool("pool", true, false)),
                     List.of(new JobTeam("team", 1, Resources.NONE, Set.of("k1", "k2"))));
 
     private static JobQueue queue(String name, String prefix) {
-        return new JobQueue("h", prefix, false, new JobTerms(name, "pool", 0, 2, 1.5, 600, false));
+        return new JobQueue("h", prefix, false, new JobPolicy(name, "pool", 0, 2, 1.5, 600, false));
     }
 
     @Nested
--- a/core/src/test/java/org/hibiscususher/core/scheduler/SchedulerWorlds.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/SchedulerWorlds.java
@@ -3,8 +3,8 @@
 import java.util.List;
 import org.hibiscususher.core.job.Resources;
 import org.hibiscususher.core.scheduler.message.ExecutorReport;
-import org.hibiscususher.core.scheduler.world.ContactRow;
 import org.hibiscususher.core.scheduler.world.ExecutorRow;
+import org.hibiscususher.core.scheduler.world.ExecutorSessionRow;
 import org.hibiscususher.core.scheduler.world.SchedulerSettings;
 import org.hibiscususher.core.scheduler.world.SchedulerTiming;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
@@ -46,6 +46,6 @@
         ExecutorReport report =
                 new ExecutorReport(id, pool, id + ":1", "z", "h", List.of(), capacity, false, 0, 0);
         world.executors().put(id, new ExecutorRow(report, 1, 0, false, true, false, 0));
-        world.contacts().put(id, ContactRow.initial(id, 0).answered(1, 1, answeredMs));
+        world.contacts().put(id, ExecutorSessionRow.initial(id, 0).answered(1, 1, answeredMs));
     }
 }
--- a/core/src/test/java/org/hibiscususher/core/scheduler/executor/LostExecutorSystemTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/executor/LostExecutorSystemTest.java
@@ -8,8 +8,8 @@
 import org.hibiscususher.core.scheduler.message.ExecutorReport;
 import org.hibiscususher.core.scheduler.message.HostReport;
 import org.hibiscususher.core.scheduler.message.HostState;
-import org.hibiscususher.core.scheduler.world.ContactRow;
 import org.hibiscususher.core.scheduler.world.ExecutorRow;
+import org.hibiscususher.core.scheduler.world.ExecutorSessionRow;
 import org.hibiscususher.core.scheduler.world.HostListRow;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
@@ -37,7 +37,7 @@
                 new ExecutorReport(
                         id, "p", id + ":1", "z", "h", List.of(), Resources.NONE, false, 0, 1);
         mWorld.executors().put(id, new ExecutorRow(report, 0, 0, prior, true, false, 0));
-        ContactRow contact = ContactRow.initial(id, NOW_MS + 4_000);
+        ExecutorSessionRow contact = ExecutorSessionRow.initial(id, NOW_MS + 4_000);
         mWorld.contacts().put(id, failures == 0 ? contact : contact.failed(NOW_MS));
     }
 
--- a/core/src/test/java/org/hibiscususher/core/scheduler/executor/StallSystemTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/executor/StallSystemTest.java
@@ -4,16 +4,16 @@
 
 import java.math.BigInteger;
 import java.util.List;
+import org.hibiscususher.core.job.JobPolicy;
 import org.hibiscususher.core.job.JobSpec;
 import org.hibiscususher.core.job.JobState;
-import org.hibiscususher.core.job.JobTerms;
 import org.hibiscususher.core.job.Resources;
 import org.hibiscususher.core.job.StepKey;
 import org.hibiscususher.core.job.StepSpec;
 import org.hibiscususher.core.scheduler.SchedulerWorlds;
 import org.hibiscususher.core.scheduler.message.SchedulerInput;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.HoldAnswered;
-import org.hibiscususher.core.scheduler.world.ContactRow;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.HeartbeatAnswered;
+import org.hibiscususher.core.scheduler.world.ExecutorSessionRow;
 import org.hibiscususher.core.scheduler.world.JobRow;
 import org.hibiscususher.core.scheduler.world.RunRow;
 import org.hibiscususher.core.scheduler.world.RunStage;
@@ -67,13 +67,13 @@
 
         @BeforeEach
         void start() {
-            mWorld.contacts().put("x", ContactRow.initial("x", 0).answered(1, 1, NOW_MS));
+            mWorld.contacts().put("x", ExecutorSessionRow.initial("x", 0).answered(1, 1, NOW_MS));
         }
 
         private StepKey job(String id, int percent, long changedMs) {
             JobSpec spec =
                     JobSpec.once("run", List.of(StepSpec.of(1, CORE, ESTIMATE_MS, List.of())));
-            JobTerms terms = new JobTerms("q", "p", 0, 2, 1, 500, false);
+            JobPolicy terms = new JobPolicy("q", "p", 0, 2, 1, 500, false);
             mWorld.jobs()
                     .put(
                             id,
@@ -119,7 +119,7 @@
         }
 
         private List<StopReason> reasons() {
-            SchedulerInput answer = new HoldAnswered(1, "x", 1, 1, List.of(), List.of());
+            SchedulerInput answer = new HeartbeatAnswered(1, "x", 1, 1, List.of(), List.of());
             StallSystem.run(new SchedulerTick(mWorld, NOW_MS, NOW_MS, List.of(answer), () -> 1));
             return mWorld.runs().rows().stream().map(RunRow::reason).toList();
         }
--- a/core/src/test/java/org/hibiscususher/core/scheduler/host/DonorsTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/host/DonorsTest.java
@@ -9,8 +9,8 @@
 import org.hibiscususher.core.scheduler.message.ExecutorReport;
 import org.hibiscususher.core.scheduler.message.HostReport;
 import org.hibiscususher.core.scheduler.message.HostState;
-import org.hibiscususher.core.scheduler.world.ContactRow;
 import org.hibiscususher.core.scheduler.world.ExecutorRow;
+import org.hibiscususher.core.scheduler.world.ExecutorSessionRow;
 import org.hibiscususher.core.scheduler.world.HostOrderRow;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
@@ -47,7 +47,7 @@
                 new ExecutorReport(
                         id, "calm", id + ":1", "z", "h", List.of(), CAPACITY, false, 0, 0);
         mWorld.executors().put(id, new ExecutorRow(report, seenMs, 0, false, true, false, 0));
-        mWorld.contacts().put(id, ContactRow.initial(id, 0).answered(1, 1, NOW_MS));
+        mWorld.contacts().put(id, ExecutorSessionRow.initial(id, 0).answered(1, 1, NOW_MS));
     }
 
     private Donors donors() {
@@ -84,7 +84,7 @@
         @Test
         void noHostWhoseExecutorHasNotToldItsRuns() {
             for (int i = 0; i < 3; i++) {
-                mWorld.contacts().put("x" + i, ContactRow.initial("x" + i, 0));
+                mWorld.contacts().put("x" + i, ExecutorSessionRow.initial("x" + i, 0));
             }
             assertThat(donors().take("first")).isEmpty();
         }
--- a/core/src/test/java/org/hibiscususher/core/scheduler/host/EvictionTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/host/EvictionTest.java
@@ -4,17 +4,17 @@
 
 import java.math.BigInteger;
 import java.util.List;
+import org.hibiscususher.core.job.JobPolicy;
 import org.hibiscususher.core.job.JobSpec;
 import org.hibiscususher.core.job.JobState;
-import org.hibiscususher.core.job.JobTerms;
-import org.hibiscususher.core.job.ListedRun;
+import org.hibiscususher.core.job.ReportedRun;
 import org.hibiscususher.core.job.Resources;
 import org.hibiscususher.core.job.StepKey;
 import org.hibiscususher.core.job.StepSpec;
 import org.hibiscususher.core.scheduler.message.ExecutorReport;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.StopRun;
-import org.hibiscususher.core.scheduler.world.ContactRow;
 import org.hibiscususher.core.scheduler.world.ExecutorRow;
+import org.hibiscususher.core.scheduler.world.ExecutorSessionRow;
 import org.hibiscususher.core.scheduler.world.JobRow;
 import org.hibiscususher.core.scheduler.world.RunRow;
 import org.hibiscususher.core.scheduler.world.RunStage;
@@ -53,7 +53,7 @@
                         STEP.jobId(),
                         new JobRow(
                                 STEP.jobId(),
-                                new JobTerms("q", "pool", 0, 2, 1, 500, false),
+                                new JobPolicy("q", "pool", 0, 2, 1, 500, false),
                                 "team",
                                 spec,
                                 0,
@@ -81,7 +81,7 @@
         mWorld.contacts()
                 .put(
                         id,
-                        ContactRow.initial(id, 0)
+                        ExecutorSessionRow.initial(id, 0)
                                 .sent(1, 1, NOW_MS - 200, 0)
                                 .answered(1, 1, NOW_MS - 100));
     }
@@ -123,7 +123,7 @@
             mWorld.runs()
                     .update(
                             STEP.task(1),
-                            r -> r.listed(new ListedRun(STEP.task(1), 1, "", 40, -1), NOW_MS));
+                            r -> r.listed(new ReportedRun(STEP.task(1), 1, "", 40, -1), NOW_MS));
             assertThat(stops()).isFalse();
         }
 
@@ -139,7 +139,7 @@
             mWorld.contacts()
                     .put(
                             "x1",
-                            ContactRow.initial("x1", 0)
+                            ExecutorSessionRow.initial("x1", 0)
                                     .sent(1, 1, NOW_MS - 3_000, 0)
                                     .answered(1, 1, NOW_MS - 2_900));
             assertThat(stops()).isFalse();
--- a/core/src/test/java/org/hibiscususher/core/scheduler/host/HostOrderSystemTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/host/HostOrderSystemTest.java
@@ -18,9 +18,9 @@
 import org.hibiscususher.core.scheduler.message.StoredRecord;
 import org.hibiscususher.core.scheduler.message.WaveOrder;
 import org.hibiscususher.core.scheduler.world.HostListRow;
+import org.hibiscususher.core.scheduler.world.HostOperationRow;
+import org.hibiscususher.core.scheduler.world.HostOperationStep;
 import org.hibiscususher.core.scheduler.world.HostOrderRow;
-import org.hibiscususher.core.scheduler.world.HostStep;
-import org.hibiscususher.core.scheduler.world.HostTaskRow;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 import org.hibiscususher.core.scheduler.world.SchedulerTiming;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
@@ -109,8 +109,9 @@
         /** The load of an incident in which a leaving host was ordered away 20 times a second. */
         @Test
         void restForAHostThatWasBusy() {
-            HostTaskRow move =
-                    new HostTaskRow("h1", 0, "other", HostStep.ORDERED, 99, 0, NOW_MS, "", false);
+            HostOperationRow move =
+                    new HostOperationRow(
+                            "h1", 0, "other", HostOperationStep.ORDERED, 99, 0, NOW_MS, "", false);
             mWorld.hostTasks().put("h1", move);
             mWorld.hostOrders().put("h1", new HostOrderRow("h1", true, 0, NOW_MS));
             SchedulerInput busy = new HostOrderAnswered(99, "h1", HostOrderResult.BUSY);
@@ -146,7 +147,7 @@
     @Nested
     class UnansweredOrders {
         private void answer(long nowMs, HostOrderResult result) {
-            long call = mWorld.hostTasks().find("h1").map(HostTaskRow::callId).orElseThrow();
+            long call = mWorld.hostTasks().find("h1").map(HostOperationRow::callId).orElseThrow();
             SchedulerInput input = new HostOrderAnswered(call, "h1", result);
             WaveSystem.run(new SchedulerTick(mWorld, nowMs, nowMs, List.of(input), () -> ++mCalls));
         }
--- a/core/src/test/java/org/hibiscususher/core/scheduler/host/WaveSystemTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/host/WaveSystemTest.java
@@ -13,8 +13,8 @@
 import org.hibiscususher.core.scheduler.message.SchedulerInput.HostOrderAnswered;
 import org.hibiscususher.core.scheduler.message.WaveOrder;
 import org.hibiscususher.core.scheduler.world.HostListRow;
+import org.hibiscususher.core.scheduler.world.HostOperationRow;
 import org.hibiscususher.core.scheduler.world.HostOrderRow;
-import org.hibiscususher.core.scheduler.world.HostTaskRow;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
 import org.hibiscususher.core.scheduler.world.WaveRow;
@@ -58,7 +58,7 @@
     private void orderIsAnswered(HostOrderResult result) {
         tick(NOW_MS);
         tick(NOW_MS + 10);
-        long call = mWorld.hostTasks().find("h").map(HostTaskRow::callId).orElseThrow();
+        long call = mWorld.hostTasks().find("h").map(HostOperationRow::callId).orElseThrow();
         tick(NOW_MS + 20, new HostOrderAnswered(call, "h", result));
     }
 
--- a/daemon/src/main/java/org/hibiscususher/daemon/forward/ForwardClient.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/forward/ForwardClient.java
@@ -14,11 +14,11 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import org.hibiscususher.core.job.AnswerKind;
-import org.hibiscususher.core.job.JobCall;
+import org.hibiscususher.core.job.JobRequest;
+import org.hibiscususher.core.job.JobResponseKind;
 import org.hibiscususher.core.scheduler.message.SchedulerInput;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.ForwardFailed;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.Yielded;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.PredecessorRelinquished;
 import org.hibiscususher.daemon.control.Inbox;
 import org.hibiscususher.wire.http.Addresses;
 import org.hibiscususher.wire.scheduler.LinkMessage;
@@ -74,7 +74,7 @@
     }
 
     /** Passes a request on; it ends with an answer or a {@link ForwardFailed}. */
-    public void send(long callId, String address, JobCall call) {
+    public void send(long callId, String address, JobRequest call) {
         send(address, LinkMessage.of(callId, call));
     }
 
@@ -83,8 +83,8 @@
         long callId =
                 mCalls.add(
                         answer -> {
-                            if (answer.kind() == AnswerKind.ACCEPTED) {
-                                mInbox.add(new Yielded(generation));
+                            if (answer.kind() == JobResponseKind.ACCEPTED) {
+                                mInbox.add(new PredecessorRelinquished(generation));
                             }
                         });
         send(address, LinkMessage.ofYield(callId, generation));
--- a/daemon/src/main/java/org/hibiscususher/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/forward/ForwardServer.java
@@ -9,12 +9,12 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.io.IOException;
 import java.util.function.LongFunction;
-import org.hibiscususher.core.job.AnswerKind;
-import org.hibiscususher.core.job.JobAnswer;
+import org.hibiscususher.core.job.JobResponse;
+import org.hibiscususher.core.job.JobResponseKind;
 import org.hibiscususher.core.scheduler.message.SchedulerInput;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.CallReceived;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.TermOffered;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.YieldAsked;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.HandoverOffered;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.RelinquishRequested;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.RequestReceived;
 import org.hibiscususher.daemon.control.Inbox;
 import org.hibiscususher.wire.http.Addresses;
 import org.hibiscususher.wire.scheduler.LinkMessage;
@@ -65,7 +65,7 @@
                                 take(
                                         channel,
                                         message.callId(),
-                                        id -> new CallReceived(id, call),
+                                        id -> new RequestReceived(id, call),
                                         calls,
                                         inbox));
         message.yieldTo()
@@ -74,7 +74,7 @@
                                 take(
                                         channel,
                                         message.callId(),
-                                        id -> new YieldAsked(id, generation),
+                                        id -> new RelinquishRequested(id, generation),
                                         calls,
                                         inbox));
         message.offerOf()
@@ -83,7 +83,7 @@
                                 take(
                                         channel,
                                         message.callId(),
-                                        id -> new TermOffered(id, generation),
+                                        id -> new HandoverOffered(id, generation),
                                         calls,
                                         inbox));
     }
@@ -96,8 +96,9 @@
             Inbox<SchedulerInput> inbox) {
         long id = calls.add(answer -> LinkPipeline.send(channel, LinkMessage.of(remoteId, answer)));
         if (id == 0 || !inbox.offer(input.apply(id))) {
-            JobAnswer answer =
-                    JobAnswer.refusal(AnswerKind.OVERLOADED, RETRY_AFTER_MS, "too-many-requests");
+            JobResponse answer =
+                    JobResponse.refusal(
+                            JobResponseKind.OVERLOADED, RETRY_AFTER_MS, "too-many-requests");
             calls.answer(id, answer);
             LinkPipeline.send(channel, LinkMessage.of(remoteId, answer));
         }
--- a/daemon/src/main/java/org/hibiscususher/daemon/forward/PendingCalls.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/forward/PendingCalls.java
@@ -6,13 +6,13 @@
 import java.util.concurrent.ConcurrentMap;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
-import org.hibiscususher.core.job.JobAnswer;
+import org.hibiscususher.core.job.JobResponse;
 
 /** The requests that were handed to the control thread and wait for an answer. Thread-safe. */
 public final class PendingCalls {
     private static final int MAX_PENDING = 20_000;
 
-    private final ConcurrentMap<Long, Consumer<JobAnswer>> mSinks = new ConcurrentHashMap<>();
+    private final ConcurrentMap<Long, Consumer<JobResponse>> mSinks = new ConcurrentHashMap<>();
     private final AtomicLong mNextId = new AtomicLong();
 
     /**
@@ -20,7 +20,7 @@
      *
      * @param sink takes the answer, on any thread
      */
-    public long add(Consumer<JobAnswer> sink) {
+    public long add(Consumer<JobResponse> sink) {
         if (mSinks.size() >= MAX_PENDING) {
             return 0;
         }
@@ -30,8 +30,8 @@
     }
 
     /** Hands an answer to where it goes; an id that is not known is passed over. */
-    public void answer(long id, JobAnswer answer) {
-        Consumer<JobAnswer> sink = mSinks.remove(id);
+    public void answer(long id, JobResponse answer) {
+        Consumer<JobResponse> sink = mSinks.remove(id);
         if (sink != null) {
             sink.accept(answer);
         }
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/RunWatch.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/RunWatch.java
@@ -7,11 +7,11 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import org.hibiscususher.core.job.AnswerKind;
-import org.hibiscususher.core.job.EndKind;
+import org.hibiscususher.core.job.JobResponseKind;
 import org.hibiscususher.core.job.JobSpec;
 import org.hibiscususher.core.job.JobState;
 import org.hibiscususher.core.job.Resources;
+import org.hibiscususher.core.job.RunOutcome;
 import org.hibiscususher.core.job.StepKey;
 import org.hibiscususher.core.job.StepSpec;
 import org.hibiscususher.core.job.TaskKey;
@@ -55,7 +55,7 @@
     }
 
     /** Notes the answer to a job. */
-    public void answered(String job, AnswerKind kind) {
+    public void answered(String job, JobResponseKind kind) {
         switch (kind) {
             case ACCEPTED -> mAccepted.add(job);
             case UNKNOWN -> mUncertain.add(job);
@@ -163,14 +163,15 @@
     }
 
     /** Notes that a run has ended; {@code kind} is empty if it ended with its executor. */
-    public void ended(TaskKey task, String executor, Optional<EndKind> kind) {
+    public void ended(TaskKey task, String executor, Optional<RunOutcome> kind) {
         Set<String> running = mRunning.getOrDefault(task, new HashSet<>());
         if (running.remove(executor)) {
             StepSpec step = mSpecs.get(task.jobId()).steps().get(task.stepKey().step());
             mTeamUse.merge(mTeams.get(task.jobId()), step.demand(), Resources::minus);
         }
-        kind.filter(k -> k == EndKind.DONE).ifPresent(k -> mDone.add(task));
-        kind.filter(k -> k == EndKind.FAILED).ifPresent(k -> mFailed.merge(task, 1, Integer::sum));
+        kind.filter(k -> k == RunOutcome.DONE).ifPresent(k -> mDone.add(task));
+        kind.filter(k -> k == RunOutcome.FAILED)
+                .ifPresent(k -> mFailed.merge(task, 1, Integer::sum));
     }
 
     /** Notes that an end as done was acknowledged to its executor. */
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/SchedulerSite.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/SchedulerSite.java
@@ -9,14 +9,14 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Consumer;
-import org.hibiscususher.core.job.JobAnswer;
-import org.hibiscususher.core.job.JobPlan;
+import org.hibiscususher.core.job.JobConfiguration;
+import org.hibiscususher.core.job.JobPolicy;
 import org.hibiscususher.core.job.JobPool;
 import org.hibiscususher.core.job.JobQueue;
+import org.hibiscususher.core.job.JobResponse;
 import org.hibiscususher.core.job.JobSpec;
 import org.hibiscususher.core.job.JobState;
 import org.hibiscususher.core.job.JobTeam;
-import org.hibiscususher.core.job.JobTerms;
 import org.hibiscususher.core.job.Resources;
 import org.hibiscususher.core.job.StepSpec;
 import org.hibiscususher.core.job.TaskKey;
@@ -24,14 +24,14 @@
 import org.hibiscususher.core.scheduler.message.RecordKind;
 import org.hibiscususher.core.scheduler.message.RecordName;
 import org.hibiscususher.core.scheduler.message.SchedulerInput;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.CallReceived;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.ForwardFailed;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.StopAsked;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.StoreContact;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.TermOffered;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.HandoverOffered;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.PredecessorRelinquished;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.RelinquishRequested;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.RequestReceived;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.ShutdownRequested;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.StoreReachabilityChanged;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.WaveSeen;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.YieldAsked;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.Yielded;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.Forward;
 import org.hibiscususher.core.scheduler.message.StoredRecord;
@@ -199,9 +199,9 @@
                 .toList();
     }
 
-    JobPlan plan() {
-        JobTerms terms = new JobTerms("queue", POOL, 0, SiteCallers.ATTEMPTS, 2, 500, false);
-        return new JobPlan(
+    JobConfiguration plan() {
+        JobPolicy terms = new JobPolicy("queue", POOL, 0, SiteCallers.ATTEMPTS, 2, 500, false);
+        return new JobConfiguration(
                 1,
                 List.of(new JobQueue(SiteCallers.HOST, SiteCallers.PREFIX, false, terms)),
                 List.of(new JobPool(POOL, true, false)),
@@ -275,7 +275,7 @@
 
     /** Asks an entry to stop in good order; it starts again later. */
     public void stop(String node, long downMs) {
-        mNodes.get(node).add(new StopAsked());
+        mNodes.get(node).add(new ShutdownRequested());
         mClock.after(downMs, () -> kill(node, 1));
     }
 
@@ -293,12 +293,12 @@
     /** Takes the store away from one entry for a time. */
     public void cutOff(String node, long forMs) {
         mKv.cutOff(node, true);
-        mNodes.get(node).add(new StoreContact(false));
+        mNodes.get(node).add(new StoreReachabilityChanged(false));
         mClock.after(
                 forMs,
                 () -> {
                     mKv.cutOff(node, false);
-                    mNodes.get(node).add(new StoreContact(true));
+                    mNodes.get(node).add(new StoreReachabilityChanged(true));
                     mNodes.get(node).storeChanged();
                 });
     }
@@ -357,7 +357,7 @@
         return states.isEmpty() ? JobState.QUEUED : states.get(states.size() - 1);
     }
 
-    void answered(long callId, JobAnswer answer) {
+    void answered(long callId, JobResponse answer) {
         mCallers.answered(callId, answer);
     }
 
@@ -372,23 +372,26 @@
             mClock.after(
                     LINK_MS, () -> from.add(new ForwardFailed(forward.callId(), to.name(), false)));
         } else {
-            mClock.after(LINK_MS, () -> to.add(new CallReceived(forward.callId(), forward.call())));
+            mClock.after(
+                    LINK_MS, () -> to.add(new RequestReceived(forward.callId(), forward.call())));
         }
     }
 
-    void askYield(SchedulerOutput.AskYield ask, Consumer<SchedulerInput> answer) {
+    void askYield(SchedulerOutput.AskRelinquish ask, Consumer<SchedulerInput> answer) {
         VirtualNode to = mNodes.get(ask.address());
         if (to.isUp()) {
-            long id = mCallers.await(reply -> answer.accept(new Yielded(ask.generation())));
-            mClock.after(LINK_MS, () -> to.add(new YieldAsked(id, ask.generation())));
+            long id =
+                    mCallers.await(
+                            reply -> answer.accept(new PredecessorRelinquished(ask.generation())));
+            mClock.after(LINK_MS, () -> to.add(new RelinquishRequested(id, ask.generation())));
         }
     }
 
-    void offer(SchedulerOutput.OfferTerm offer) {
+    void offer(SchedulerOutput.OfferHandover offer) {
         VirtualNode to = mNodes.get(offer.address());
         if (to.isUp()) {
             long id = mCallers.await(reply -> {});
-            mClock.after(LINK_MS, () -> to.add(new TermOffered(id, offer.generation())));
+            mClock.after(LINK_MS, () -> to.add(new HandoverOffered(id, offer.generation())));
         }
     }
 
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/SiteCallers.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/SiteCallers.java
@@ -6,13 +6,13 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.function.Consumer;
-import org.hibiscususher.core.job.AnswerKind;
-import org.hibiscususher.core.job.CallKind;
-import org.hibiscususher.core.job.JobAnswer;
-import org.hibiscususher.core.job.JobCall;
+import org.hibiscususher.core.job.JobRequest;
+import org.hibiscususher.core.job.JobRequestKind;
+import org.hibiscususher.core.job.JobResponse;
+import org.hibiscususher.core.job.JobResponseKind;
 import org.hibiscususher.core.job.JobSpec;
 import org.hibiscususher.core.job.JobState;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.CallReceived;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.RequestReceived;
 
 /** The callers of a site: they hand jobs in, cancel them and ask for them, and try again. */
 final class SiteCallers {
@@ -32,7 +32,7 @@
     private final RunWatch mWatch;
     private final Random mRandom;
     private final Map<String, JobSpec> mSpecs = new HashMap<>();
-    private final Map<Long, Consumer<JobAnswer>> mCalls = new HashMap<>();
+    private final Map<Long, Consumer<JobResponse>> mCalls = new HashMap<>();
     private long mNextCall = 1;
     private int mNextJob;
 
@@ -49,15 +49,15 @@
     }
 
     /** Returns the id of a new call; {@code sink} gets its answer. */
-    long await(Consumer<JobAnswer> sink) {
+    long await(Consumer<JobResponse> sink) {
         long id = mNextCall++;
         mCalls.put(id, sink);
         return id;
     }
 
     /** Takes in the answer to a call. */
-    void answered(long callId, JobAnswer answer) {
-        Consumer<JobAnswer> sink = mCalls.remove(callId);
+    void answered(long callId, JobResponse answer) {
+        Consumer<JobResponse> sink = mCalls.remove(callId);
         if (sink != null) {
             mClock.after(LINK_MS, () -> sink.accept(answer));
         }
@@ -74,10 +74,10 @@
 
     private void trySubmit(String id, JobSpec spec, int attempt) {
         call(
-                JobCall.of(CallKind.SUBMIT, HOST, PREFIX + id, KEY, Optional.of(spec)),
+                JobRequest.of(JobRequestKind.SUBMIT, HOST, PREFIX + id, KEY, Optional.of(spec)),
                 answer -> {
                     mWatch.answered(id, answer.kind());
-                    if (answer.kind() != AnswerKind.ACCEPTED && attempt < MAX_TRIES) {
+                    if (answer.kind() != JobResponseKind.ACCEPTED && attempt < MAX_TRIES) {
                         mClock.after(RETRY_MS, () -> trySubmit(id, spec, attempt + 1));
                     }
                 });
@@ -86,11 +86,11 @@
     /** Cancels a job, again and again until that is answered. */
     void cancel(String id) {
         call(
-                JobCall.of(CallKind.CANCEL, HOST, PREFIX + id, KEY, Optional.empty()),
+                JobRequest.of(JobRequestKind.CANCEL, HOST, PREFIX + id, KEY, Optional.empty()),
                 answer -> {
-                    if (answer.kind() == AnswerKind.CANCELLED) {
+                    if (answer.kind() == JobResponseKind.CANCELLED) {
                         mWatch.cancelled(id, mClock.nowMs());
-                    } else if (answer.kind() != AnswerKind.NO_JOB) {
+                    } else if (answer.kind() != JobResponseKind.NO_JOB) {
                         mClock.after(RETRY_MS, () -> cancel(id));
                     }
                 });
@@ -99,26 +99,26 @@
     /** Asks for a job's state; {@code result} gets it unless nobody can tell. */
     void query(String id, Consumer<Optional<JobState>> result) {
         call(
-                JobCall.of(CallKind.QUERY, HOST, PREFIX + id, KEY, Optional.empty()),
+                JobRequest.of(JobRequestKind.QUERY, HOST, PREFIX + id, KEY, Optional.empty()),
                 answer -> {
-                    if (answer.kind() == AnswerKind.STATE) {
+                    if (answer.kind() == JobResponseKind.STATE) {
                         mWatch.shown(id, answer.state(), mClock.nowMs());
                         result.accept(Optional.of(answer.state()));
-                    } else if (answer.kind() == AnswerKind.NO_JOB) {
+                    } else if (answer.kind() == JobResponseKind.NO_JOB) {
                         mWatch.unknown(id, mClock.nowMs());
                     }
                 });
     }
 
-    private void call(JobCall call, Consumer<JobAnswer> sink) {
+    private void call(JobRequest call, Consumer<JobResponse> sink) {
         List<VirtualNode> up = mSite.nodesUp();
         if (up.isEmpty()) {
-            mClock.after(RETRY_MS, () -> sink.accept(JobAnswer.of(AnswerKind.UNKNOWN)));
+            mClock.after(RETRY_MS, () -> sink.accept(JobResponse.of(JobResponseKind.UNKNOWN)));
             return;
         }
         VirtualNode node = up.get(mRandom.nextInt(up.size()));
         boolean[] answered = {false};
-        Consumer<JobAnswer> once =
+        Consumer<JobResponse> once =
                 answer -> {
                     if (!answered[0]) {
                         answered[0] = true;
@@ -126,7 +126,7 @@
                     }
                 };
         long id = await(once);
-        mClock.after(TIMEOUT_MS, () -> once.accept(JobAnswer.of(AnswerKind.UNKNOWN)));
-        node.add(new CallReceived(id, call));
+        mClock.after(TIMEOUT_MS, () -> once.accept(JobResponse.of(JobResponseKind.UNKNOWN)));
+        node.add(new RequestReceived(id, call));
     }
 }
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualExecutor.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualExecutor.java
@@ -11,21 +11,21 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Function;
-import org.hibiscususher.core.job.EndKind;
-import org.hibiscususher.core.job.ListedEnd;
-import org.hibiscususher.core.job.ListedRun;
+import org.hibiscususher.core.job.FinishedRun;
+import org.hibiscususher.core.job.ReportedRun;
 import org.hibiscususher.core.job.Resources;
+import org.hibiscususher.core.job.RunOutcome;
 import org.hibiscususher.core.job.StepSpec;
 import org.hibiscususher.core.job.TaskKey;
 import org.hibiscususher.core.scheduler.message.ExecutorReport;
-import org.hibiscususher.core.scheduler.message.HoldFailure;
+import org.hibiscususher.core.scheduler.message.HeartbeatFailure;
 import org.hibiscususher.core.scheduler.message.SchedulerInput;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.HoldAnswered;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.HoldFailed;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.HeartbeatAnswered;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.HeartbeatFailed;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.StartAnswered;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.StopAnswered;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput;
-import org.hibiscususher.core.scheduler.message.SchedulerOutput.HoldExecutor;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput.SendHeartbeat;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.StartRun;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.StopRun;
 import org.hibiscususher.core.scheduler.message.StartResult;
@@ -45,7 +45,7 @@
     private final RunWatch mWatch;
     private final Map<TaskKey, Active> mRunning = new LinkedHashMap<>();
     private final Map<TaskKey, Integer> mHighest = new HashMap<>();
-    private final List<ListedEnd> mEnds = new ArrayList<>();
+    private final List<FinishedRun> mEnds = new ArrayList<>();
     private final List<Runnable> mWaiting = new ArrayList<>();
     private final Set<String> mCutFrom = new HashSet<>();
     private ExecutorReport mReport;
@@ -140,7 +140,7 @@
             SchedulerOutput output,
             Function<TaskKey, StepSpec> steps,
             Consumer<SchedulerInput> answer) {
-        boolean order = !(output instanceof HoldExecutor);
+        boolean order = !(output instanceof SendHeartbeat);
         if (mDark || mEnded || mCutFrom.contains(node)) {
             mClock.after(SILENCE_MS, () -> answer.accept(silence(output)));
         } else if (order && mRandom.nextDouble() < mLateShare) {
@@ -159,8 +159,8 @@
     }
 
     private static SchedulerInput silence(SchedulerOutput output) {
-        if (output instanceof HoldExecutor hold) {
-            return new HoldFailed(hold.callId(), hold.executor(), HoldFailure.NO_ANSWER);
+        if (output instanceof SendHeartbeat hold) {
+            return new HeartbeatFailed(hold.callId(), hold.executor(), HeartbeatFailure.NO_ANSWER);
         } else if (output instanceof StartRun start) {
             return new StartAnswered(
                     start.callId(), start.task(), start.run(), StartResult.NO_ANSWER);
@@ -173,7 +173,7 @@
             SchedulerOutput output,
             Function<TaskKey, StepSpec> steps,
             Consumer<SchedulerInput> answer) {
-        if (output instanceof HoldExecutor hold) {
+        if (output instanceof SendHeartbeat hold) {
             hold(hold, answer);
         } else if (output instanceof StartRun start) {
             StartResult result = start(start, steps.apply(start.task()));
@@ -183,15 +183,15 @@
         }
     }
 
-    private void hold(HoldExecutor hold, Consumer<SchedulerInput> answer) {
+    private void hold(SendHeartbeat hold, Consumer<SchedulerInput> answer) {
         if (hold.fence() < mFence) {
-            answer.accept(new HoldFailed(hold.callId(), id(), HoldFailure.FENCED));
+            answer.accept(new HeartbeatFailed(hold.callId(), id(), HeartbeatFailure.FENCED));
             return;
         }
         mFence = hold.fence();
         extend(hold.deadlineMs());
-        for (ListedEnd end : mEnds) {
-            if (end.number() <= hold.seen() && end.kind() == EndKind.DONE) {
+        for (FinishedRun end : mEnds) {
+            if (end.number() <= hold.seen() && end.kind() == RunOutcome.DONE) {
                 mWatch.noted(end.task());
             }
         }
@@ -212,12 +212,13 @@
         }
     }
 
-    private HoldAnswered lists(HoldExecutor hold) {
-        List<ListedRun> runs = new ArrayList<>();
+    private HeartbeatAnswered lists(SendHeartbeat hold) {
+        List<ReportedRun> runs = new ArrayList<>();
         mRunning.forEach(
                 (task, active) ->
-                        runs.add(new ListedRun(task, active.run(), active.checkpoint(), 100, -1)));
-        return new HoldAnswered(hold.callId(), id(), mBornMs, clockMs(), runs, mEnds);
+                        runs.add(
+                                new ReportedRun(task, active.run(), active.checkpoint(), 100, -1)));
+        return new HeartbeatAnswered(hold.callId(), id(), mBornMs, clockMs(), runs, mEnds);
     }
 
     private void extend(long deadlineMs) {
@@ -230,7 +231,7 @@
                     () -> {
                         if (bornMs == mBornMs && clockMs() > mLeaseEndMs) {
                             List.copyOf(mRunning.keySet())
-                                    .forEach(task -> end(task, EndKind.LAPSED));
+                                    .forEach(task -> end(task, RunOutcome.LAPSED));
                         }
                     });
         }
@@ -263,7 +264,7 @@
         mWatch.started(start.task(), id(), mReport.draining(), mClock.nowMs());
         long bornMs = mBornMs;
         if (!step.lasting()) {
-            EndKind kind = mFailsAll ? EndKind.FAILED : EndKind.DONE;
+            RunOutcome kind = mFailsAll ? RunOutcome.FAILED : RunOutcome.DONE;
             mClock.after(
                     Math.max(1, step.estimateMs()),
                     () -> {
@@ -290,17 +291,17 @@
                     () -> {
                         Active now = mRunning.get(stop.task());
                         if (now != null && now.run() == stop.run()) {
-                            end(stop.task(), EndKind.STOPPED);
+                            end(stop.task(), RunOutcome.STOPPED);
                         }
                     });
         }
         return StopResult.STOPPED;
     }
 
-    private void end(TaskKey task, EndKind kind) {
+    private void end(TaskKey task, RunOutcome kind) {
         Active active = mRunning.remove(task);
         mHighest.merge(task, active.run(), Math::max);
-        mEnds.add(new ListedEnd(++mEndNumber, task, active.run(), kind, ""));
+        mEnds.add(new FinishedRun(++mEndNumber, task, active.run(), kind, ""));
         mWatch.ended(task, id(), Optional.of(kind));
         List<Runnable> waiting = List.copyOf(mWaiting);
         mWaiting.clear();
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualNode.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualNode.java
@@ -5,24 +5,24 @@
 import java.util.function.Consumer;
 import org.hibiscususher.core.scheduler.control.Scheduler;
 import org.hibiscususher.core.scheduler.message.SchedulerInput;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.ConfigurationSeen;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.ExecutorsListed;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.HostsNotListed;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.HostListFailed;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.OwnershipSeen;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.PlanSeen;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.WaveSeen;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput;
-import org.hibiscususher.core.scheduler.message.SchedulerOutput.Answer;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.Commit;
-import org.hibiscususher.core.scheduler.message.SchedulerOutput.FollowExecutors;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.Forward;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.GrantLease;
-import org.hibiscususher.core.scheduler.message.SchedulerOutput.HoldExecutor;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.ListHosts;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.LoadRecords;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.MaintainHost;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.RenewLease;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput.Respond;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput.SendHeartbeat;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.StartRun;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.StopRun;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput.WatchExecutors;
 import org.hibiscususher.core.scheduler.world.SchedulerSettings;
 import org.hibiscususher.core.scheduler.world.SchedulerTiming;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
@@ -80,7 +80,7 @@
                                 Math.floorMod(mName.hashCode(), 40),
                                 SchedulerTiming.USUAL));
         long life = mLife;
-        add(new PlanSeen(mSite.plan(), 1));
+        add(new ConfigurationSeen(mSite.plan(), 1));
         mSite.waves().forEach(wave -> add(new WaveSeen(wave)));
         mSite.clock().after(1, () -> storeChanged());
         periodic(life);
@@ -164,22 +164,22 @@
     private void carryOut(SchedulerOutput output) {
         if (output instanceof SchedulerOutput.Log line) {
             mSite.log(mName, line);
-        } else if (output instanceof Answer answer) {
+        } else if (output instanceof Respond answer) {
             mSite.answered(answer.callId(), answer.answer());
         } else if (output instanceof Forward forward) {
             mSite.forward(this, forward);
-        } else if (output instanceof SchedulerOutput.AskYield ask) {
+        } else if (output instanceof SchedulerOutput.AskRelinquish ask) {
             mSite.askYield(ask, answers());
-        } else if (output instanceof SchedulerOutput.OfferTerm offer) {
+        } else if (output instanceof SchedulerOutput.OfferHandover offer) {
             mSite.offer(offer);
-        } else if (output instanceof FollowExecutors follow) {
+        } else if (output instanceof WatchExecutors follow) {
             mFollowing = follow.on();
             mSite.clock().after(2, this::executorsChanged);
         } else if (output instanceof ListHosts list) {
             mSite.hosts()
                     .ifPresentOrElse(
                             hosts -> hosts.list(list, answers()),
-                            () -> answers().accept(new HostsNotListed(list.callId())));
+                            () -> answers().accept(new HostListFailed(list.callId())));
         } else if (output instanceof MaintainHost order) {
             mSite.hosts().ifPresent(hosts -> hosts.maintain(mName, order, answers()));
         } else if (output instanceof GrantLease
@@ -194,7 +194,7 @@
 
     private void toExecutor(SchedulerOutput output) {
         String executor = "";
-        if (output instanceof HoldExecutor hold) {
+        if (output instanceof SendHeartbeat hold) {
             executor = hold.executor();
         } else if (output instanceof StartRun start) {
             executor = start.executor();
--- a/standin/src/test/java/org/hibiscususher/standin/scheduler/RunWatchTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/scheduler/RunWatchTest.java
@@ -3,10 +3,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.Optional;
-import org.hibiscususher.core.job.AnswerKind;
-import org.hibiscususher.core.job.EndKind;
+import org.hibiscususher.core.job.JobResponseKind;
 import org.hibiscususher.core.job.JobState;
 import org.hibiscususher.core.job.Resources;
+import org.hibiscususher.core.job.RunOutcome;
 import org.hibiscususher.core.job.StepKey;
 import org.hibiscususher.core.job.TaskKey;
 import org.junit.jupiter.api.BeforeEach;
@@ -30,7 +30,7 @@
         mWatch.started(task, executor, false, nowMs);
     }
 
-    private void end(TaskKey task, String executor, EndKind kind) {
+    private void end(TaskKey task, String executor, RunOutcome kind) {
         mWatch.ended(task, executor, Optional.of(kind));
     }
 
@@ -43,9 +43,9 @@
         @Test
         void isKeptByARunAfterAnother() {
             start(FIRST, "x", 1);
-            end(FIRST, "x", EndKind.DONE);
+            end(FIRST, "x", RunOutcome.DONE);
             start(SECOND, "x", 2);
-            end(SECOND, "x", EndKind.DONE);
+            end(SECOND, "x", RunOutcome.DONE);
             mWatch.shown(JOB, JobState.DONE, 3);
             assertThat(mWatch.breaches()).isEmpty();
         }
@@ -69,7 +69,7 @@
         @Test
         void afterANotedEndAreFound() {
             start(FIRST, "x", 1);
-            end(FIRST, "x", EndKind.DONE);
+            end(FIRST, "x", RunOutcome.DONE);
             mWatch.noted(FIRST);
             start(FIRST, "x", 2);
             assertBroken(SchedulerPromise.DONE_STAYS_DONE);
@@ -79,7 +79,7 @@
         void beyondTheAttemptsAreFound() {
             for (int i = 0; i < 3; i++) {
                 start(FIRST, "x", i);
-                end(FIRST, "x", EndKind.FAILED);
+                end(FIRST, "x", RunOutcome.FAILED);
             }
             assertBroken(SchedulerPromise.ATTEMPTS);
         }
@@ -112,7 +112,7 @@
 
         @Test
         void ofARefusedJobAreFound() {
-            mWatch.answered(JOB, AnswerKind.UNAVAILABLE);
+            mWatch.answered(JOB, JobResponseKind.UNAVAILABLE);
             start(FIRST, "x", 1);
             assertBroken(SchedulerPromise.REFUSED_NEVER_RUNS);
         }
@@ -128,7 +128,7 @@
 
         @Test
         void thatDoNotKnowAnAcceptedJobAreFound() {
-            mWatch.answered(JOB, AnswerKind.ACCEPTED);
+            mWatch.answered(JOB, JobResponseKind.ACCEPTED);
             mWatch.unknown(JOB, 1);
             assertBroken(SchedulerPromise.ACCEPTED_IS_KEPT);
         }
--- a/wire/src/main/java/org/hibiscususher/wire/scheduler/LinkCodec.java
+++ b/wire/src/main/java/org/hibiscususher/wire/scheduler/LinkCodec.java
@@ -2,10 +2,10 @@
 
 import java.io.IOException;
 import java.util.Optional;
-import org.hibiscususher.core.job.AnswerKind;
-import org.hibiscususher.core.job.CallKind;
-import org.hibiscususher.core.job.JobAnswer;
-import org.hibiscususher.core.job.JobCall;
+import org.hibiscususher.core.job.JobRequest;
+import org.hibiscususher.core.job.JobRequestKind;
+import org.hibiscususher.core.job.JobResponse;
+import org.hibiscususher.core.job.JobResponseKind;
 import org.hibiscususher.core.job.JobState;
 import org.hibiscususher.wire.generated.SchedulerProto;
 
@@ -26,7 +26,7 @@
         return builder.build().toByteArray();
     }
 
-    private static SchedulerProto.Call encode(JobCall call) {
+    private static SchedulerProto.Call encode(JobRequest call) {
         SchedulerProto.Call.Builder builder =
                 SchedulerProto.Call.newBuilder()
                         .setKind(call.kind().ordinal())
@@ -38,7 +38,7 @@
         return builder.build();
     }
 
-    private static SchedulerProto.Answer encode(JobAnswer answer) {
+    private static SchedulerProto.Answer encode(JobResponse answer) {
         return SchedulerProto.Answer.newBuilder()
                 .setKind(answer.kind().ordinal())
                 .setState(answer.state().ordinal())
@@ -64,9 +64,9 @@
         };
     }
 
-    private static JobCall decode(SchedulerProto.Call call) throws IOException {
-        return new JobCall(
-                constant(CallKind.values(), call.getKind()),
+    private static JobRequest decode(SchedulerProto.Call call) throws IOException {
+        return new JobRequest(
+                constant(JobRequestKind.values(), call.getKind()),
                 call.getHost(),
                 call.getPath(),
                 call.getKey(),
@@ -74,9 +74,9 @@
                 call.getHops());
     }
 
-    private static JobAnswer decode(SchedulerProto.Answer answer) throws IOException {
-        return new JobAnswer(
-                constant(AnswerKind.values(), answer.getKind()),
+    private static JobResponse decode(SchedulerProto.Answer answer) throws IOException {
+        return new JobResponse(
+                constant(JobResponseKind.values(), answer.getKind()),
                 constant(JobState.values(), answer.getState()),
                 answer.getPending(),
                 answer.getRetryAfterMs(),
--- a/wire/src/main/java/org/hibiscususher/wire/scheduler/LinkMessage.java
+++ b/wire/src/main/java/org/hibiscususher/wire/scheduler/LinkMessage.java
@@ -4,8 +4,8 @@
 
 import java.util.Optional;
 import java.util.OptionalLong;
-import org.hibiscususher.core.job.JobAnswer;
-import org.hibiscususher.core.job.JobCall;
+import org.hibiscususher.core.job.JobRequest;
+import org.hibiscususher.core.job.JobResponse;
 
 /**
  * A request that one entry passes on to another, or the answer to it.
@@ -18,8 +18,8 @@
  */
 public record LinkMessage(
         long callId,
-        Optional<JobCall> call,
-        Optional<JobAnswer> answer,
+        Optional<JobRequest> call,
+        Optional<JobResponse> answer,
         OptionalLong yieldTo,
         OptionalLong offerOf) {
     /** Checks the parts. */
@@ -31,7 +31,7 @@
     }
 
     /** Returns a request. */
-    public static LinkMessage of(long callId, JobCall call) {
+    public static LinkMessage of(long callId, JobRequest call) {
         return new LinkMessage(
                 callId,
                 Optional.of(call),
@@ -61,7 +61,7 @@
     }
 
     /** Returns an answer. */
-    public static LinkMessage of(long callId, JobAnswer answer) {
+    public static LinkMessage of(long callId, JobResponse answer) {
         return new LinkMessage(
                 callId,
                 Optional.empty(),
--- a/wire/src/main/java/org/hibiscususher/wire/scheduler/StoredRecordCodec.java
+++ b/wire/src/main/java/org/hibiscususher/wire/scheduler/StoredRecordCodec.java
@@ -5,11 +5,11 @@
 import java.math.BigInteger;
 import java.util.ArrayList;
 import java.util.List;
+import org.hibiscususher.core.job.JobPolicy;
 import org.hibiscususher.core.job.JobState;
-import org.hibiscususher.core.job.JobTerms;
-import org.hibiscususher.core.scheduler.message.StepMark;
+import org.hibiscususher.core.scheduler.message.StepProgress;
 import org.hibiscususher.core.scheduler.message.StoredRecord;
-import org.hibiscususher.core.scheduler.message.TaskMark;
+import org.hibiscususher.core.scheduler.message.TaskProgress;
 import org.hibiscususher.core.scheduler.message.UsedExecutor;
 import org.hibiscususher.wire.generated.SchedulerProto;
 
@@ -81,13 +81,13 @@
                 SchedulerProto.Progress.newBuilder()
                         .setId(progress.id())
                         .setState(progress.state().ordinal());
-        for (StepMark mark : progress.steps()) {
+        for (StepProgress mark : progress.steps()) {
             builder.addStepsBuilder()
                     .setOccurrence(mark.occurrence())
                     .setStep(mark.step())
                     .setDone(ByteString.copyFrom(mark.done().toByteArray()));
         }
-        for (TaskMark mark : progress.tasks()) {
+        for (TaskProgress mark : progress.tasks()) {
             builder.addTasksBuilder()
                     .setOccurrence(mark.occurrence())
                     .setStep(mark.step())
@@ -131,8 +131,8 @@
     }
 
     private static StoredRecord decode(SchedulerProto.Job job) {
-        JobTerms terms =
-                new JobTerms(
+        JobPolicy terms =
+                new JobPolicy(
                         job.getQueue(),
                         job.getPool(),
                         job.getPriority(),
@@ -149,15 +149,15 @@
     }
 
     private static StoredRecord decode(SchedulerProto.Progress progress) throws IOException {
-        List<StepMark> steps = new ArrayList<>();
+        List<StepProgress> steps = new ArrayList<>();
         for (SchedulerProto.StepMark mark : progress.getStepsList()) {
             BigInteger done = new BigInteger(1, mark.getDone().toByteArray());
-            steps.add(new StepMark(mark.getOccurrence(), mark.getStep(), done));
+            steps.add(new StepProgress(mark.getOccurrence(), mark.getStep(), done));
         }
-        List<TaskMark> tasks = new ArrayList<>();
+        List<TaskProgress> tasks = new ArrayList<>();
         for (SchedulerProto.TaskMark mark : progress.getTasksList()) {
             tasks.add(
-                    new TaskMark(
+                    new TaskProgress(
                             mark.getOccurrence(),
                             mark.getStep(),
                             mark.getIndex(),
--- a/wire/src/test/java/org/hibiscususher/wire/format/FormatSamples.java
+++ b/wire/src/test/java/org/hibiscususher/wire/format/FormatSamples.java
@@ -19,13 +19,13 @@
 import org.hibiscususher.core.config.QueueKind;
 import org.hibiscususher.core.config.QueueSpec;
 import org.hibiscususher.core.config.TeamSpec;
-import org.hibiscususher.core.job.AnswerKind;
-import org.hibiscususher.core.job.CallKind;
-import org.hibiscususher.core.job.JobAnswer;
-import org.hibiscususher.core.job.JobCall;
+import org.hibiscususher.core.job.JobPolicy;
+import org.hibiscususher.core.job.JobRequest;
+import org.hibiscususher.core.job.JobRequestKind;
+import org.hibiscususher.core.job.JobResponse;
+import org.hibiscususher.core.job.JobResponseKind;
 import org.hibiscususher.core.job.JobSpec;
 import org.hibiscususher.core.job.JobState;
-import org.hibiscususher.core.job.JobTerms;
 import org.hibiscususher.core.job.Resources;
 import org.hibiscususher.core.job.StepSpec;
 import org.hibiscususher.core.message.ClaimResult;
@@ -46,9 +46,9 @@
 import org.hibiscususher.core.message.VersionedRecord;
 import org.hibiscususher.core.message.WaveState;
 import org.hibiscususher.core.note.AcceptedNote;
-import org.hibiscususher.core.scheduler.message.StepMark;
+import org.hibiscususher.core.scheduler.message.StepProgress;
 import org.hibiscususher.core.scheduler.message.StoredRecord;
-import org.hibiscususher.core.scheduler.message.TaskMark;
+import org.hibiscususher.core.scheduler.message.TaskProgress;
 import org.hibiscususher.core.scheduler.message.UsedExecutor;
 import org.hibiscususher.wire.json.RecordCodec;
 import org.hibiscususher.wire.peer.PeerCodec;
@@ -196,12 +196,12 @@
                 new StoredRecord.Owner("n", 5, "a:1"),
                 new StoredRecord.Term(7, "n", 5, true, "a:1", List.of("j", "j.0.0.1")),
                 new StoredRecord.Job(
-                        "id", new JobTerms("q", "p", 1, 2, 1.6, 600, true), "t", SPEC, 99),
+                        "id", new JobPolicy("q", "p", 1, 2, 1.6, 600, true), "t", SPEC, 99),
                 new StoredRecord.Progress(
                         "id",
                         JobState.CANCELLED,
-                        List.of(new StepMark(1, 0, BigInteger.valueOf(5).shiftLeft(70))),
-                        List.of(new TaskMark(1, 0, 3, List.of(1, 1001), "saved"))),
+                        List.of(new StepProgress(1, 0, BigInteger.valueOf(5).shiftLeft(70))),
+                        List.of(new TaskProgress(1, 0, 3, List.of(1, 1001), "saved"))),
                 new StoredRecord.Executors(List.of(new UsedExecutor("x", "p"))),
                 new StoredRecord.Wave(3, List.of("h1", "h2")),
                 new StoredRecord.HostOrders(List.of("h1", "h2")));
@@ -250,14 +250,15 @@
     /** Returns the calls and answers that entries forward to the owner of the scheduling. */
     static Map<String, LinkMessage> linkMessages() {
         Map<String, LinkMessage> messages = new LinkedHashMap<>();
-        for (CallKind kind : CallKind.values()) {
+        for (JobRequestKind kind : JobRequestKind.values()) {
             messages.put(
                     "call-" + kind,
-                    LinkMessage.of(4, new JobCall(kind, "h", "/p/", "key", Optional.of(SPEC), 2)));
+                    LinkMessage.of(
+                            4, new JobRequest(kind, "h", "/p/", "key", Optional.of(SPEC), 2)));
         }
-        for (AnswerKind kind : AnswerKind.values()) {
+        for (JobResponseKind kind : JobResponseKind.values()) {
             messages.put(
-                    "answer-" + kind, LinkMessage.of(5, JobAnswer.refusal(kind, 1_500, "why")));
+                    "answer-" + kind, LinkMessage.of(5, JobResponse.refusal(kind, 1_500, "why")));
         }
         messages.put("yield", LinkMessage.ofYield(6, 7));
         messages.put("offer", LinkMessage.ofOffer(8, 9));
--- a/wire/src/test/java/org/hibiscususher/wire/scheduler/StoredRecordCodecTest.java
+++ b/wire/src/test/java/org/hibiscususher/wire/scheduler/StoredRecordCodecTest.java
@@ -8,18 +8,18 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.stream.Stream;
-import org.hibiscususher.core.job.AnswerKind;
-import org.hibiscususher.core.job.CallKind;
-import org.hibiscususher.core.job.JobAnswer;
-import org.hibiscususher.core.job.JobCall;
+import org.hibiscususher.core.job.JobPolicy;
+import org.hibiscususher.core.job.JobRequest;
+import org.hibiscususher.core.job.JobRequestKind;
+import org.hibiscususher.core.job.JobResponse;
+import org.hibiscususher.core.job.JobResponseKind;
 import org.hibiscususher.core.job.JobSpec;
 import org.hibiscususher.core.job.JobState;
-import org.hibiscususher.core.job.JobTerms;
 import org.hibiscususher.core.job.Resources;
 import org.hibiscususher.core.job.StepSpec;
-import org.hibiscususher.core.scheduler.message.StepMark;
+import org.hibiscususher.core.scheduler.message.StepProgress;
 import org.hibiscususher.core.scheduler.message.StoredRecord;
-import org.hibiscususher.core.scheduler.message.TaskMark;
+import org.hibiscususher.core.scheduler.message.TaskProgress;
 import org.hibiscususher.core.scheduler.message.UsedExecutor;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -54,12 +54,12 @@
                 new StoredRecord.Owner("n", 5, "a:1"),
                 new StoredRecord.Term(7, "n", 5, true, "a:1", List.of("j", "j.0.0.1")),
                 new StoredRecord.Job(
-                        "id", new JobTerms("q", "p", 1, 2, 1.6, 600, true), "t", SPEC, 99),
+                        "id", new JobPolicy("q", "p", 1, 2, 1.6, 600, true), "t", SPEC, 99),
                 new StoredRecord.Progress(
                         "id",
                         JobState.RUNNING,
-                        List.of(new StepMark(1, 0, BigInteger.valueOf(5).shiftLeft(70))),
-                        List.of(new TaskMark(1, 0, 3, List.of(1, 1001), "saved"))),
+                        List.of(new StepProgress(1, 0, BigInteger.valueOf(5).shiftLeft(70))),
+                        List.of(new TaskProgress(1, 0, 3, List.of(1, 1001), "saved"))),
                 new StoredRecord.Executors(List.of(new UsedExecutor("x", "p"))),
                 new StoredRecord.Wave(3, List.of("h1", "h2")),
                 new StoredRecord.HostOrders(List.of("h1", "h2")));
@@ -92,8 +92,9 @@
     class Links {
         @Test
         void keepRequestsAndAnswers() throws IOException {
-            JobCall call = new JobCall(CallKind.SUBMIT, "h", "/p/", "key", Optional.of(SPEC), 2);
-            JobAnswer answer = JobAnswer.refusal(AnswerKind.OVERLOADED, 1_500, "why");
+            JobRequest call =
+                    new JobRequest(JobRequestKind.SUBMIT, "h", "/p/", "key", Optional.of(SPEC), 2);
+            JobResponse answer = JobResponse.refusal(JobResponseKind.OVERLOADED, 1_500, "why");
             for (LinkMessage message :
                     List.of(
                             LinkMessage.of(4, call),
