--- a/core/src/main/java/org/hibiscususher/core/scheduler/control/SchedulerPhase.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/control/SchedulerPhase.java
@@ -12,7 +12,7 @@
 import org.hibiscususher.core.scheduler.host.HostOrderSystem;
 import org.hibiscususher.core.scheduler.host.MoveSystem;
 import org.hibiscususher.core.scheduler.host.WaveSystem;
-import org.hibiscususher.core.scheduler.job.CallSystem;
+import org.hibiscususher.core.scheduler.job.JobRequestSystem;
 import org.hibiscususher.core.scheduler.job.JobSystem;
 import org.hibiscususher.core.scheduler.placement.AdviceSystem;
 import org.hibiscususher.core.scheduler.placement.PlacementSystem;
@@ -71,10 +71,10 @@
             NodeLifecycleSystem.run(tick);
         }
     },
-    CALL {
+    JOB_REQUEST {
         @Override
         void run(SchedulerTick tick) {
-            CallSystem.run(tick);
+            JobRequestSystem.run(tick);
         }
     },
     JOB {
