Name the escrow queries, the fleet record synchronization and the wave monitor after what they do

Escrow -> EscrowQueries with allBack -> allSlotsReturned, FleetSystem -> FleetSyncSystem, WaveWatchSystem -> WaveMonitorSystem (a watch is a subscription to the store elsewhere). No behaviour changes.

--- a/core/src/main/java/org/hibiscususher/core/control/Phase.java
+++ b/core/src/main/java/org/hibiscususher/core/control/Phase.java
@@ -2,13 +2,13 @@
 
 import org.hibiscususher.core.escrow.EscrowSystem;
 import org.hibiscususher.core.maintenance.DrainSystem;
-import org.hibiscususher.core.maintenance.FleetSystem;
+import org.hibiscususher.core.maintenance.FleetSyncSystem;
 import org.hibiscususher.core.maintenance.FleetWriteSystem;
 import org.hibiscususher.core.maintenance.LendSystem;
 import org.hibiscususher.core.maintenance.MoveSystem;
 import org.hibiscususher.core.maintenance.WaveCommandSystem;
+import org.hibiscususher.core.maintenance.WaveMonitorSystem;
 import org.hibiscususher.core.maintenance.WaveSystem;
-import org.hibiscususher.core.maintenance.WaveWatchSystem;
 import org.hibiscususher.core.membership.HostListSystem;
 import org.hibiscususher.core.membership.LinkSystem;
 import org.hibiscususher.core.membership.MembershipSystem;
@@ -71,7 +71,7 @@
     FLEET {
         @Override
         void run(Tick tick) {
-            FleetSystem.run(tick);
+            FleetSyncSystem.run(tick);
         }
     },
     OUTLIER {
@@ -137,7 +137,7 @@
     WAVE_WATCH {
         @Override
         void run(Tick tick) {
-            WaveWatchSystem.run(tick);
+            WaveMonitorSystem.run(tick);
         }
     },
     WAVE_COMMAND {
--- a/core/src/main/java/org/hibiscususher/core/escrow/Tenures.java
+++ b/core/src/main/java/org/hibiscususher/core/escrow/Tenures.java
@@ -233,7 +233,7 @@
     }
 
     /** Returns whether nothing of a permit is held, in doubt or resting. */
-    static boolean allBack(World world, PermitKey key) {
+    static boolean allReturned(World world, PermitKey key) {
         Optional<TenureRow> tenure = world.tenures().find(key.permitGroup());
         if (tenure.isEmpty() || tenure.get().inDoubt()) {
             return false;
--- a/core/src/main/java/org/hibiscususher/core/maintenance/DrainSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/maintenance/DrainSystem.java
@@ -2,7 +2,7 @@
 
 import java.util.Optional;
 import org.hibiscususher.core.config.QueueSpec;
-import org.hibiscususher.core.escrow.Escrow;
+import org.hibiscususher.core.escrow.EscrowQueries;
 import org.hibiscususher.core.message.Outage;
 import org.hibiscususher.core.message.Output.LogEvent;
 import org.hibiscususher.core.message.RecordKey;
@@ -46,7 +46,7 @@
         World world = tick.world();
         String id = host.spec().id();
         Optional<HostRecord> record = Fleet.hostRecord(world, id);
-        if (record.isEmpty() || !Escrow.allBack(world, id)) {
+        if (record.isEmpty() || !EscrowQueries.allSlotsReturned(world, id)) {
             return;
         }
         Optional<Outage> outage = Fleet.outage(world, id);
--- a/core/src/main/java/org/hibiscususher/core/maintenance/FleetSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/maintenance/FleetSyncSystem.java
@@ -36,11 +36,11 @@
  * <p>Records only go forward by version. They come from a read of all changes once a second, from
  * the entry that wrote them, or from a watch, whichever is first.
  */
-public final class FleetSystem {
+public final class FleetSyncSystem {
     private static final int POLL_INTERVAL_MS = 1_000;
     private static final int POLL_TIMEOUT_MS = 1_500;
 
-    private FleetSystem() {}
+    private FleetSyncSystem() {}
 
     /** Takes in newer records, brings the host rows in line, and asks for changes. */
     public static void run(Tick tick) {
--- a/core/src/main/java/org/hibiscususher/core/maintenance/WaveWatchSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/maintenance/WaveMonitorSystem.java
@@ -16,14 +16,14 @@
 import org.hibiscususher.core.world.World;
 
 /** Pauses a maintenance wave that goes bad, and ends one that has reached every host. */
-public final class WaveWatchSystem {
+public final class WaveMonitorSystem {
     /** Longest time from idle to rebooted before a host counts as failed. */
     private static final int REBOOT_LIMIT_MS = 120_000;
 
     private static final int RECENT_HOSTS = 10;
     private static final int MAX_FAILED = 2;
 
-    private WaveWatchSystem() {}
+    private WaveMonitorSystem() {}
 
     /** Looks after the wave if this entry is the one to do so. */
     public static void run(Tick tick) {
--- a/core/src/main/java/org/hibiscususher/core/maintenance/WaveReports.java
+++ b/core/src/main/java/org/hibiscususher/core/maintenance/WaveReports.java
@@ -49,6 +49,6 @@
         if (row.outage().reason() == OutageReason.MOVE) {
             return "moves to pool " + row.outage().target();
         }
-        return WaveWatchSystem.late(tick, row) ? "does not come back from its reboot" : "reboots";
+        return WaveMonitorSystem.late(tick, row) ? "does not come back from its reboot" : "reboots";
     }
 }
--- a/standin/src/test/java/org/hibiscususher/standin/virtual/EscrowTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/virtual/EscrowTest.java
@@ -4,7 +4,7 @@
 
 import java.util.Random;
 import org.hibiscususher.core.config.QueueSpec;
-import org.hibiscususher.core.escrow.Escrow;
+import org.hibiscususher.core.escrow.EscrowQueries;
 import org.hibiscususher.core.message.MemberState;
 import org.hibiscususher.core.message.PermitKey;
 import org.hibiscususher.core.world.HostStage;
@@ -140,10 +140,11 @@
             mEscrow.setStage("h1", HostStage.RECALLED);
             for (int i = 0; i < 600; i++) {
                 mSite.run(1);
-                boolean back = Escrow.allBack(mEscrow.allocator(H1).world(), "h1");
+                boolean back = EscrowQueries.allSlotsReturned(mEscrow.allocator(H1).world(), "h1");
                 assertThat(back && mSite.target("h1").running() > 0).isFalse();
             }
-            assertThat(Escrow.allBack(mEscrow.allocator(H1).world(), "h1")).isTrue();
+            assertThat(EscrowQueries.allSlotsReturned(mEscrow.allocator(H1).world(), "h1"))
+                    .isTrue();
             assertThat(mEscrow.held(H1)).isZero();
             mEscrow.setStage("h1", HostStage.IN_SERVICE);
             assertThat(mEscrow.reaches(H1, EscrowSite.SLOTS, 300)).isTrue();
