--- a/core/src/main/java/org/hibiscususher/core/scheduler/control/SchedulerPhase.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/control/SchedulerPhase.java
@@ -1,16 +1,16 @@
 package org.hibiscususher.core.scheduler.control;
 
-import org.hibiscususher.core.scheduler.executor.DoubtSystem;
-import org.hibiscususher.core.scheduler.executor.DrainedExecutorSystem;
+import org.hibiscususher.core.scheduler.executor.DrainingExecutorSystem;
 import org.hibiscususher.core.scheduler.executor.ExecutorSystem;
-import org.hibiscususher.core.scheduler.executor.HoldSystem;
+import org.hibiscususher.core.scheduler.executor.HeartbeatSystem;
 import org.hibiscususher.core.scheduler.executor.LostExecutorSystem;
-import org.hibiscususher.core.scheduler.executor.PaceSystem;
-import org.hibiscususher.core.scheduler.executor.RunSystem;
-import org.hibiscususher.core.scheduler.executor.StallSystem;
+import org.hibiscususher.core.scheduler.executor.RunOrderSystem;
+import org.hibiscususher.core.scheduler.executor.StragglerSystem;
+import org.hibiscususher.core.scheduler.executor.ThrottleSystem;
+import org.hibiscususher.core.scheduler.executor.UncertainTaskSystem;
 import org.hibiscususher.core.scheduler.host.HostListSystem;
+import org.hibiscususher.core.scheduler.host.HostMoveSystem;
 import org.hibiscususher.core.scheduler.host.HostOrderSystem;
-import org.hibiscususher.core.scheduler.host.MoveSystem;
 import org.hibiscususher.core.scheduler.host.WaveSystem;
 import org.hibiscususher.core.scheduler.job.CallSystem;
 import org.hibiscususher.core.scheduler.job.JobSystem;
@@ -56,13 +56,13 @@
     RUN {
         @Override
         void run(SchedulerTick tick) {
-            RunSystem.run(tick);
+            RunOrderSystem.run(tick);
         }
     },
     DOUBT {
         @Override
         void run(SchedulerTick tick) {
-            DoubtSystem.run(tick);
+            UncertainTaskSystem.run(tick);
         }
     },
     NODE {
@@ -104,7 +104,7 @@
     MOVE {
         @Override
         void run(SchedulerTick tick) {
-            MoveSystem.run(tick);
+            HostMoveSystem.run(tick);
         }
     },
     HOST_ORDER {
@@ -116,19 +116,19 @@
     PACE {
         @Override
         void run(SchedulerTick tick) {
-            PaceSystem.run(tick);
+            ThrottleSystem.run(tick);
         }
     },
     STALL {
         @Override
         void run(SchedulerTick tick) {
-            StallSystem.run(tick);
+            StragglerSystem.run(tick);
         }
     },
     DRAINED_EXECUTOR {
         @Override
         void run(SchedulerTick tick) {
-            DrainedExecutorSystem.run(tick);
+            DrainingExecutorSystem.run(tick);
         }
     },
     ADVICE {
@@ -146,7 +146,7 @@
     HOLD {
         @Override
         void run(SchedulerTick tick) {
-            HoldSystem.run(tick);
+            HeartbeatSystem.run(tick);
         }
     },
     COMMIT {
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/DrainedExecutorSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/DrainingExecutorSystem.java
@@ -12,10 +12,10 @@
 import org.hibiscususher.core.scheduler.world.StopReason;
 
 /** Moves runs away from executors that leave before the runs can end. */
-public final class DrainedExecutorSystem {
+public final class DrainingExecutorSystem {
     private static final int FULL = 100;
 
-    private DrainedExecutorSystem() {}
+    private DrainingExecutorSystem() {}
 
     /** Runs over the executors that drain. */
     public static void run(SchedulerTick tick) {
@@ -37,7 +37,7 @@
             if (spec != null
                     && run.stage() == RunStage.RUNNING
                     && (spec.lasting() || leftMs < toGoMs(run, spec))) {
-                Runs.stop(tick, run, StopReason.EVICTED);
+                RunLifecycle.requestStop(tick, run, StopReason.EVICTED);
             }
         }
     }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/Standings.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/ExecutorHealth.java
@@ -4,36 +4,37 @@
 import org.hibiscususher.core.scheduler.world.StandingRow;
 
 /** Keeps count of how runs end on each executor, and sets aside those that fail what they start. */
-final class Standings {
+final class ExecutorHealth {
     /** Failed runs in a row after which an executor is set aside. */
     private static final int MAX_FAILURES = 2;
 
     private static final long ASIDE_MS = 1_500;
     private static final long MAX_ASIDE_MS = 6_000;
 
-    private Standings() {}
+    private ExecutorHealth() {}
 
-    static void done(SchedulerTick tick, String executor) {
-        StandingRow row = find(tick, executor);
+    static void recordSuccess(SchedulerTick tick, String executor) {
+        StandingRow row = findOrInitial(tick, executor);
         tick.world()
                 .standings()
                 .put(executor, new StandingRow(executor, 0, row.done() + 1, tick.nowMs()));
     }
 
-    static void failed(SchedulerTick tick, String executor) {
-        StandingRow row = find(tick, executor);
+    static void recordFailure(SchedulerTick tick, String executor) {
+        StandingRow row = findOrInitial(tick, executor);
         int failures = row.failuresInRow() + 1;
         tick.world()
                 .standings()
                 .put(executor, new StandingRow(executor, failures, row.done(), tick.nowMs()));
         if (failures >= MAX_FAILURES) {
-            aside(tick, executor, Math.min(MAX_ASIDE_MS, ASIDE_MS * (failures - 1)), "failures");
+            quarantine(
+                    tick, executor, Math.min(MAX_ASIDE_MS, ASIDE_MS * (failures - 1)), "failures");
         }
     }
 
     /** Takes in an end that tells neither for nor against the executor. */
-    static void ended(SchedulerTick tick, String executor) {
-        StandingRow row = find(tick, executor);
+    static void recordEnd(SchedulerTick tick, String executor) {
+        StandingRow row = findOrInitial(tick, executor);
         tick.world()
                 .standings()
                 .put(
@@ -42,7 +43,7 @@
     }
 
     /** Gives an executor no new runs for some time. */
-    static void aside(SchedulerTick tick, String executor, long forMs, String reason) {
+    static void quarantine(SchedulerTick tick, String executor, long forMs, String reason) {
         long untilMs = tick.nowMs() + forMs;
         tick.world().contacts().update(executor, c -> c.aside(untilMs));
         tick.log(
@@ -51,7 +52,7 @@
         tick.count("executor-aside." + reason);
     }
 
-    private static StandingRow find(SchedulerTick tick, String executor) {
+    private static StandingRow findOrInitial(SchedulerTick tick, String executor) {
         return tick.world().standings().find(executor).orElse(StandingRow.initial(executor));
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/ExecutorSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/ExecutorSystem.java
@@ -110,7 +110,7 @@
         long bornMs = world.contacts().find(report.id()).map(ContactRow::bornMs).orElse(0L);
         if (report.bornMs() > bornMs && bornMs != 0) {
             tick.log("executor-reborn", "executor=" + report.id() + " by=report");
-            Runs.reborn(tick, report.id(), "reborn");
+            RunLifecycle.handleRestart(tick, report.id(), "reborn");
         }
     }
 
@@ -132,7 +132,7 @@
         }
         if (contact.bornMs() != 0 && contact.bornMs() != answer.bornMs()) {
             tick.log("executor-reborn", "executor=" + id + " by=answer");
-            Runs.reborn(tick, id, "reborn");
+            RunLifecycle.handleRestart(tick, id, "reborn");
             contact =
                     ContactRow.initial(id, contact.leaseEndMs())
                             .sent(answer.callId(), contact.callFence(), contact.sentMs(), 0);
@@ -157,7 +157,7 @@
         for (ListedEnd end : answer.ends()) {
             told.add(end.task());
             if (end.number() > contact.listed()) {
-                Ends.take(tick, id, end);
+                FinishedRuns.apply(tick, id, end);
                 contact = contact.withListed(end.number());
             }
         }
@@ -186,7 +186,7 @@
         } else if (run == null && task != null && told.run() >= task.run()) {
             adopt(tick, executor, told, task);
         } else {
-            Runs.stopUnknown(tick, executor, told.task(), told.run());
+            RunLifecycle.requestStopOfUnknownRun(tick, executor, told.task(), told.run());
         }
     }
 
@@ -219,7 +219,7 @@
         world.runs().put(run.task(), run);
         world.tasks().put(task.key(), task.active(told.run()));
         Jobs.begun(tick, job.id());
-        tick.log("run-adopted", Runs.describe(run));
+        tick.log("run-adopted", RunLifecycle.describe(run));
     }
 
     /** Finds runs that an executor no longer lists although it knew of them. */
@@ -228,7 +228,7 @@
         for (RunRow run : List.copyOf(tick.world().runs().group(executor))) {
             boolean known = run.settledMs() != 0 && run.settledMs() < sentMs;
             if (known && !told.contains(run.task())) {
-                Runs.gone(tick, run, "not-listed", 0);
+                RunLifecycle.removeAndRequeue(tick, run, "not-listed", 0);
             }
         }
     }
@@ -260,7 +260,7 @@
                             + (contact.leaseEndMs() - tick.nowMs()));
         }
         if (failed.failure() == HoldFailure.OTHER_LIFE) {
-            Runs.lifeEnded(tick, failed.executor(), "other-life");
+            RunLifecycle.endIncarnation(tick, failed.executor(), "other-life");
             world.contacts()
                     .update(failed.executor(), c -> c.failed(tick.nowMs() + UNHEALTHY_RETRY_MS));
             return;
@@ -282,12 +282,12 @@
         }
         if (!world.runs().group(row.id()).isEmpty() && contact.failures() > 0) {
             for (RunRow run : List.copyOf(world.runs().group(row.id()))) {
-                Runs.gone(tick, run, "lease-ended", 0);
+                RunLifecycle.removeAndRequeue(tick, run, "lease-ended", 0);
             }
         }
         boolean missing = row.missingMs() != 0 && tick.nowMs() - row.missingMs() > MISSING_MS;
         if (missing && (contact.failures() > 0 || row.report().address().isEmpty())) {
-            Runs.executorGone(tick, row.id(), "missing");
+            RunLifecycle.removeExecutor(tick, row.id(), "missing");
         }
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/Ends.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/FinishedRuns.java
@@ -17,14 +17,14 @@
 import org.hibiscususher.core.scheduler.world.TaskRow;
 
 /** Takes in the ends of runs that executors list. */
-final class Ends {
+final class FinishedRuns {
     /** Rest before a task runs again whose run failed, in milliseconds. */
     private static final long FAILED_REST_MS = 20;
 
-    private Ends() {}
+    private FinishedRuns() {}
 
     /** Takes in an end that was not taken in before. */
-    static void take(SchedulerTick tick, String executor, ListedEnd end) {
+    static void apply(SchedulerTick tick, String executor, ListedEnd end) {
         SchedulerWorld world = tick.world();
         JobRow job = world.jobs().find(end.task().jobId()).orElse(null);
         RunRow run =
@@ -51,7 +51,7 @@
         tick.count("run-ended." + end.kind());
         if (run != null) {
             world.runs().remove(run.task());
-            Standings.ended(tick, executor);
+            ExecutorHealth.recordEnd(tick, executor);
         }
         if (job == null || !job.isOpen()) {
             return;
@@ -90,7 +90,7 @@
 
     private static void done(SchedulerTick tick, String executor, ListedEnd end, StepSpec spec) {
         SchedulerWorld world = tick.world();
-        Standings.done(tick, executor);
+        ExecutorHealth.recordSuccess(tick, executor);
         StepKey step = end.task().stepKey();
         int first = spec.gang() ? 0 : end.task().index();
         int last = spec.gang() ? spec.count() - 1 : end.task().index();
@@ -100,7 +100,7 @@
             if (other != null && other.run() == end.run()) {
                 world.runs().remove(task);
             } else if (other != null && other.stage().isWanted()) {
-                Runs.stop(tick, other, StopReason.JOB_ENDED);
+                RunLifecycle.requestStop(tick, other, StopReason.JOB_ENDED);
             }
             Jobs.taskDone(tick, task, true);
         }
@@ -108,7 +108,7 @@
 
     private static void failed(SchedulerTick tick, String executor, ListedEnd end, StepSpec spec) {
         SchedulerWorld world = tick.world();
-        Standings.failed(tick, executor);
+        ExecutorHealth.recordFailure(tick, executor);
         TaskKey counted = spec.gang() ? end.task().stepKey().task(0) : end.task();
         TaskRow task = world.tasks().find(counted).orElse(null);
         if (task == null || spec.lasting() || task.failedRuns().contains(end.run())) {
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/HoldSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/HeartbeatSystem.java
@@ -12,7 +12,7 @@
 import org.hibiscususher.core.scheduler.world.TermRow;
 
 /** Reads the executors' lists, extends their leases and acknowledges ends that are stored. */
-public final class HoldSystem {
+public final class HeartbeatSystem {
     /** How long an executor with runs may wait for an end, in milliseconds. */
     private static final long BUSY_WAIT_MS = 1_000;
 
@@ -22,11 +22,11 @@
     private static final long UNACKNOWLEDGED_REST_MS = 200;
 
     /** Slowest pace of an executor's clock against ours, in percent. */
-    public static final long SLOWEST_CLOCK_PERCENT = 97;
+    public static final long MIN_CLOCK_RATE_PERCENT = 97;
 
     private static final long SLACK_MS = 60;
 
-    private HoldSystem() {}
+    private HeartbeatSystem() {}
 
     /** Sends the readings that are due. */
     public static void run(SchedulerTick tick) {
@@ -95,7 +95,7 @@
 
     /** Returns when a time on an executor's clock has surely come, on our steady clock. */
     public static long leaseEndMs(ContactRow contact, long deadlineMs) {
-        long leftMs = (deadlineMs - contact.clockMs()) * 100 / SLOWEST_CLOCK_PERCENT;
+        long leftMs = (deadlineMs - contact.clockMs()) * 100 / MIN_CLOCK_RATE_PERCENT;
         return contact.clockAtMs() + leftMs + SLACK_MS;
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/LostExecutorSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/LostExecutorSystem.java
@@ -38,14 +38,14 @@
             HostReport host = hosts.get(row.id());
             boolean up = host != null && host.state() == HostState.UP;
             if (complete && !up && isSilentSince(world, row, list.sentMs())) {
-                Runs.executorGone(
+                RunLifecycle.removeExecutor(
                         tick, row.id(), host == null ? "on-no-host" : "host-" + host.state());
             }
         }
     }
 
     /** Returns whether there is an executor out of reach on which something may run. */
-    public static boolean isWanted(SchedulerWorld world) {
+    public static boolean needsHostList(SchedulerWorld world) {
         return world.executors().rows().stream()
                 .anyMatch(row -> isSilent(world, row) && mayRun(world, row));
     }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/Runs.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/RunLifecycle.java
@@ -17,20 +17,20 @@
 import org.hibiscususher.core.scheduler.world.UncertainStartRow;
 
 /** Changes of runs that more than one system makes. */
-public final class Runs {
+public final class RunLifecycle {
     /** Numbers of runs that a term may give to a task. */
     static final int RUNS_PER_TERM = 1_000;
 
-    private Runs() {}
+    private RunLifecycle() {}
 
     /** Returns the number of the next run of a task, above all that earlier owners gave. */
-    public static int nextNumber(SchedulerWorld world, TaskRow task) {
+    public static int nextRunNumber(SchedulerWorld world, TaskRow task) {
         long floor = (world.term().get().generation() - 1) * RUNS_PER_TERM;
         return Math.max(task.run(), (int) floor) + 1;
     }
 
     /** Orders a run to stop; it stays in the table until its end is known. */
-    public static void stop(SchedulerTick tick, RunRow run, StopReason reason) {
+    public static void requestStop(SchedulerTick tick, RunRow run, StopReason reason) {
         SchedulerWorld world = tick.world();
         long callId = tick.nextCallId();
         world.runs().put(run.task(), run.stopping(reason, callId, tick.nowMs()));
@@ -42,7 +42,8 @@
     }
 
     /** Orders a run to stop that is in no table. */
-    public static void stopUnknown(SchedulerTick tick, String executor, TaskKey task, int run) {
+    public static void requestStopOfUnknownRun(
+            SchedulerTick tick, String executor, TaskKey task, int run) {
         tick.log("stop-unknown", "task=" + task.text() + " run=" + run + " executor=" + executor);
         order(tick, tick.nextCallId(), executor, task, run);
     }
@@ -58,7 +59,8 @@
     }
 
     /** Applies that a run has surely ended or never began; its task waits for the next one. */
-    public static void gone(SchedulerTick tick, RunRow run, String reason, long delayMs) {
+    public static void removeAndRequeue(
+            SchedulerTick tick, RunRow run, String reason, long delayMs) {
         SchedulerWorld world = tick.world();
         world.runs().remove(run.task());
         world.tasks().update(run.task(), t -> t.waiting(tick.nowMs(), delayMs, run.checkpoint()));
@@ -67,10 +69,10 @@
     }
 
     /** Applies that the life of an executor has ended, and with it everything that ran there. */
-    public static void lifeEnded(SchedulerTick tick, String executor, String reason) {
+    public static void endIncarnation(SchedulerTick tick, String executor, String reason) {
         SchedulerWorld world = tick.world();
         for (RunRow run : List.copyOf(world.runs().group(executor))) {
-            gone(tick, run, reason, 0);
+            removeAndRequeue(tick, run, reason, 0);
         }
         for (EndRow end : List.copyOf(world.ends().group(executor))) {
             world.ends().remove(end.key());
@@ -80,10 +82,10 @@
     }
 
     /** Applies that an executor has ended for good. */
-    public static void executorGone(SchedulerTick tick, String executor, String reason) {
+    public static void removeExecutor(SchedulerTick tick, String executor, String reason) {
         SchedulerWorld world = tick.world();
         tick.log("executor-gone", "executor=" + executor + " reason=" + reason);
-        lifeEnded(tick, executor, reason);
+        endIncarnation(tick, executor, reason);
         world.executors().remove(executor);
         world.contacts().remove(executor);
         world.standings().remove(executor);
@@ -94,7 +96,7 @@
      *
      * <p>An order that the life before did not answer may still reach this one.
      */
-    public static void reborn(SchedulerTick tick, String executor, String reason) {
+    public static void handleRestart(SchedulerTick tick, String executor, String reason) {
         SchedulerWorld world = tick.world();
         List<RunRow> uncertain = new ArrayList<>();
         for (RunRow run : world.runs().group(executor)) {
@@ -105,8 +107,8 @@
             }
         }
         uncertain.forEach(run -> world.runs().remove(run.task()));
-        lifeEnded(tick, executor, reason);
-        uncertain.forEach(run -> stop(tick, run, StopReason.UNCERTAIN_START));
+        endIncarnation(tick, executor, reason);
+        uncertain.forEach(run -> requestStop(tick, run, StopReason.UNCERTAIN_START));
         for (UncertainStartRow row : world.uncertainStarts().rows()) {
             if (row.executor().equals(executor)) {
                 world.uncertainStarts().put(row.key(), row.withOpen(true));
@@ -115,12 +117,12 @@
     }
 
     /** Notes that an order to start a run was not answered. */
-    static void startUnanswered(SchedulerTick tick, RunRow run) {
+    static void handleUnansweredStart(SchedulerTick tick, RunRow run) {
         StartKey key = new StartKey(run.task(), run.run());
         tick.world()
                 .uncertainStarts()
                 .put(key, new UncertainStartRow(key, run.executor(), tick.nowMs(), false, 0));
-        stop(tick, run, StopReason.UNCERTAIN_START);
+        requestStop(tick, run, StopReason.UNCERTAIN_START);
     }
 
     /** Returns a run in the words of the log. */
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/RunSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/RunOrderSystem.java
@@ -15,7 +15,7 @@
 import org.hibiscususher.core.scheduler.world.UncertainStartRow;
 
 /** Takes in what came of orders to start and stop runs, and repeats orders to stop. */
-public final class RunSystem {
+public final class RunOrderSystem {
     private static final long STOP_RETRY_MS = 150;
     private static final long NO_ROOM_ASIDE_MS = 150;
     private static final long UNHEALTHY_ASIDE_MS = 500;
@@ -28,7 +28,7 @@
     /** Time without an answer after which an order to stop is sent again. */
     private static final long STOP_TIMEOUT_MS = 1_000;
 
-    private RunSystem() {}
+    private RunOrderSystem() {}
 
     /** Takes in answers, then repeats orders to stop that got none. */
     public static void run(SchedulerTick tick) {
@@ -60,7 +60,7 @@
     private static void started(SchedulerTick tick, RunRow run, StartResult result) {
         SchedulerWorld world = tick.world();
         if (result != StartResult.STARTED) {
-            tick.log("start-refused", Runs.describe(run) + " result=" + result);
+            tick.log("start-refused", RunLifecycle.describe(run) + " result=" + result);
             tick.count("start-refused." + result);
         }
         switch (result) {
@@ -68,23 +68,23 @@
                 world.runs().put(run.task(), run.running(tick.nowMs()));
                 Jobs.begun(tick, run.task().jobId());
             }
-            case NO_ANSWER -> Runs.startUnanswered(tick, run);
+            case NO_ANSWER -> RunLifecycle.handleUnansweredStart(tick, run);
             case FENCED -> StepDown.run(tick, "fenced-by-executor");
-            case OTHER_LIFE -> Runs.lifeEnded(tick, run.executor(), "other-life");
+            case OTHER_LIFE -> RunLifecycle.endIncarnation(tick, run.executor(), "other-life");
             case NO_ROOM -> {
-                Standings.aside(tick, run.executor(), NO_ROOM_ASIDE_MS, "no-room");
-                Runs.gone(tick, run, "refused", 0);
+                ExecutorHealth.quarantine(tick, run.executor(), NO_ROOM_ASIDE_MS, "no-room");
+                RunLifecycle.removeAndRequeue(tick, run, "refused", 0);
             }
             case UNHEALTHY -> {
-                Standings.aside(tick, run.executor(), UNHEALTHY_ASIDE_MS, "unhealthy");
-                Runs.gone(tick, run, "refused", 0);
+                ExecutorHealth.quarantine(tick, run.executor(), UNHEALTHY_ASIDE_MS, "unhealthy");
+                RunLifecycle.removeAndRequeue(tick, run, "refused", 0);
             }
             case NO_TICKET -> {
                 world.advice().remove(run.task().stepKey());
-                Runs.gone(tick, run, "refused", 0);
+                RunLifecycle.removeAndRequeue(tick, run, "refused", 0);
             }
-            case INVALID -> Runs.gone(tick, run, "refused", INVALID_REST_MS);
-            default -> Runs.gone(tick, run, "refused", 0);
+            case INVALID -> RunLifecycle.removeAndRequeue(tick, run, "refused", INVALID_REST_MS);
+            default -> RunLifecycle.removeAndRequeue(tick, run, "refused", 0);
         }
     }
 
@@ -95,7 +95,7 @@
                 hastenReading(tick, run.executor());
             }
             case FENCED -> StepDown.run(tick, "fenced-by-executor");
-            case OTHER_LIFE -> Runs.lifeEnded(tick, run.executor(), "other-life");
+            case OTHER_LIFE -> RunLifecycle.endIncarnation(tick, run.executor(), "other-life");
             default -> tick.world().runs().put(run.task(), run.settled(0));
         }
     }
@@ -111,7 +111,8 @@
                 tick.world().uncertainStarts().remove(row.key());
             } else if (row.open() && tick.nowMs() - row.orderedMs() > STOP_RETRY_MS) {
                 tick.world().uncertainStarts().put(row.key(), row.ordered(tick.nowMs()));
-                Runs.stopUnknown(tick, row.executor(), row.key().task(), row.key().run());
+                RunLifecycle.requestStopOfUnknownRun(
+                        tick, row.executor(), row.key().task(), row.key().run());
             }
         }
     }
@@ -123,7 +124,7 @@
             }
             long limitMs = run.callId() == 0 ? STOP_RETRY_MS : STOP_TIMEOUT_MS;
             if (tick.nowMs() - run.sentMs() > limitMs) {
-                Runs.stop(tick, run, run.reason());
+                RunLifecycle.requestStop(tick, run, run.reason());
             }
         }
     }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/StallSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/StragglerSystem.java
@@ -21,7 +21,7 @@
  * <p>Answers executors that are slow or hang although they answer well: the progress that they list
  * tells how long a run will take, against the estimate of its step.
  */
-public final class StallSystem {
+public final class StragglerSystem {
     /** Time without progress after which a run counts as standing still, in milliseconds. */
     private static final long STILL_MS = 800;
 
@@ -49,7 +49,7 @@
     private static final long SLOW_ASIDE_MS = 2_500;
     private static final int FULL = 100;
 
-    private StallSystem() {}
+    private StragglerSystem() {}
 
     /** Runs over the executors that have just told their runs. */
     public static void run(SchedulerTick tick) {
@@ -68,8 +68,8 @@
             StepSpec spec = Jobs.specOf(tick.world(), run.task().stepKey()).orElse(null);
             long stillMs = tick.nowMs() - run.progressMs();
             if (isJudged(run, spec) && stillMs > stillLimitMs(spec)) {
-                Standings.aside(tick, run.executor(), HUNG_ASIDE_MS, "hung");
-                Runs.stop(tick, run, StopReason.STALLED);
+                ExecutorHealth.quarantine(tick, run.executor(), HUNG_ASIDE_MS, "hung");
+                RunLifecycle.requestStop(tick, run, StopReason.STALLED);
             }
         }
     }
@@ -90,12 +90,12 @@
         }
         boolean several = jobs.size() >= SLOW_JOBS;
         if (several) {
-            Standings.aside(tick, executor, SLOW_ASIDE_MS, "slow");
+            ExecutorHealth.quarantine(tick, executor, SLOW_ASIDE_MS, "slow");
         }
         for (RunRow run : slow) {
-            boolean first = run.run() % Runs.RUNS_PER_TERM <= MAX_STOPPED_RUNS;
+            boolean first = run.run() % RunLifecycle.RUNS_PER_TERM <= MAX_STOPPED_RUNS;
             if (first && (several || othersAreDone(tick.world(), run))) {
-                Runs.stop(tick, run, StopReason.STALLED);
+                RunLifecycle.requestStop(tick, run, StopReason.STALLED);
             }
         }
     }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/PaceSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/ThrottleSystem.java
@@ -19,7 +19,7 @@
  * <p>Answers load that changes within seconds: a serving task's tail latency near its goal slows
  * the fillers beside it at once; they speed up again in small steps while it stays well below.
  */
-public final class PaceSystem {
+public final class ThrottleSystem {
     private static final int FULL = 100;
 
     /** Tail latency from which fillers are slowed down, in percent of the goal. */
@@ -30,7 +30,7 @@
 
     private static final int STEP_UP = 20;
 
-    private PaceSystem() {}
+    private ThrottleSystem() {}
 
     /** Runs over the executors that have just told their runs. */
     public static void run(SchedulerTick tick) {
@@ -61,7 +61,7 @@
             }
         }
         for (RunRow run : fillers) {
-            set(tick, executor, run, next(run.pace(), worst));
+            set(tick, executor, run, nextSpeedPercent(run.pace(), worst));
         }
     }
 
@@ -71,7 +71,7 @@
      * @param pace its pace in percent
      * @param worst worst tail latency beside it, in percent of the goal; -1 if nothing serves there
      */
-    static int next(int pace, long worst) {
+    static int nextSpeedPercent(int pace, long worst) {
         if (worst >= FULL) {
             return 0;
         }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/DoubtSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/UncertainTaskSystem.java
@@ -15,8 +15,8 @@
  * <p>A pool is clear once each executor that the earlier owner used has told what it runs, or what
  * it runs has surely ended.
  */
-public final class DoubtSystem {
-    private DoubtSystem() {}
+public final class UncertainTaskSystem {
+    private UncertainTaskSystem() {}
 
     /** Runs over the pools that have doubtful tasks. */
     public static void run(SchedulerTick tick) {
--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/Eviction.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/Eviction.java
@@ -4,7 +4,7 @@
 import org.hibiscususher.core.job.StepKey;
 import org.hibiscususher.core.job.StepSpec;
 import org.hibiscususher.core.job.TaskKey;
-import org.hibiscususher.core.scheduler.executor.Runs;
+import org.hibiscususher.core.scheduler.executor.RunLifecycle;
 import org.hibiscususher.core.scheduler.job.Jobs;
 import org.hibiscususher.core.scheduler.world.RunRow;
 import org.hibiscususher.core.scheduler.world.RunStage;
@@ -25,9 +25,9 @@
     private Eviction() {}
 
     /** Stops what may be stopped now; returns whether nothing runs there any more. */
-    static boolean run(SchedulerTick tick, String executor, long sinceMs) {
+    static boolean evict(SchedulerTick tick, String executor, long sinceMs) {
         SchedulerWorld world = tick.world();
-        if (!isKnown(world, executor)) {
+        if (!areRunsKnown(world, executor)) {
             return false;
         }
         boolean late = tick.nowMs() - sinceMs > PATIENCE_MS;
@@ -38,14 +38,14 @@
             }
             boolean allowed = spec.lasting() ? mayStop(tick, run, spec) : late;
             if (allowed) {
-                Runs.stop(tick, run, StopReason.EVICTED);
+                RunLifecycle.requestStop(tick, run, StopReason.EVICTED);
             }
         }
         return world.runs().group(executor).isEmpty();
     }
 
     /** Returns whether it is known what an executor runs. */
-    static boolean isKnown(SchedulerWorld world, String executor) {
+    static boolean areRunsKnown(SchedulerWorld world, String executor) {
         return !world.executors().contains(executor)
                 || world.contacts().find(executor).filter(c -> c.answeredMs() != 0).isPresent();
     }
@@ -58,7 +58,7 @@
         int away = 0;
         StepKey step = run.task().stepKey();
         for (int i = 0; i < spec.count(); i++) {
-            if (i != run.task().index() && !isAtWork(tick, step.task(i))) {
+            if (i != run.task().index() && !isAvailable(tick, step.task(i))) {
                 away++;
             }
         }
@@ -66,7 +66,7 @@
     }
 
     /** Returns whether a task is at work, as its executor has told just now. */
-    private static boolean isAtWork(SchedulerTick tick, TaskKey task) {
+    private static boolean isAvailable(SchedulerTick tick, TaskKey task) {
         RunRow run = tick.world().runs().find(task).orElse(null);
         if (run == null || run.stage() != RunStage.RUNNING || run.percent() < FULL) {
             return false;
--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/HostListSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/HostListSystem.java
@@ -33,7 +33,7 @@
         }
         boolean busy =
                 world.hostTasks().size() > 0
-                        || LostExecutorSystem.isWanted(world)
+                        || LostExecutorSystem.needsHostList(world)
                         || world.waves().rows().stream().anyMatch(w -> !w.done());
         long everyMs = busy ? BUSY_MS : IDLE_MS;
         boolean free = row.callId() == 0 || tick.nowMs() - row.sentMs() > TIMEOUT_MS;
--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/MoveSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/HostMoveSystem.java
@@ -26,7 +26,7 @@
  * <p>Answers demand that turns from queue to queue: a pool whose waiting work would not begin soon
  * gets idle hosts of pools that can do without them, and those of the spare pool.
  */
-public final class MoveSystem {
+public final class HostMoveSystem {
     /** Part of what callers hand in that a pool should have beyond it, in percent. */
     private static final int TAKE_PERCENT = 45;
 
@@ -45,7 +45,7 @@
     /** Processor time of a host while none is listed, in thousandths of a core. */
     private static final long DEFAULT_HOST_CPU = 64_000;
 
-    private MoveSystem() {}
+    private HostMoveSystem() {}
 
     /** Runs over the pools. */
     public static void run(SchedulerTick tick) {
@@ -58,16 +58,16 @@
         long moving = world.hostTasks().rows().stream().filter(t -> !t.pool().isEmpty()).count();
         long maxMoving = Math.max(1, world.hosts().size() * MOVING_PERCENT / 100);
         long hostCpu = hostCpu(world);
-        Map<String, PoolNeed> needs = needs(tick, hostCpu);
-        Donors donors = Donors.of(tick, needs, GIVE_PERCENT, hostCpu);
-        for (PoolNeed need : needs.values()) {
-            int missing = need.missing(TAKE_PERCENT, hostCpu);
+        Map<String, PoolDemand> needs = needs(tick, hostCpu);
+        MovableHosts donors = MovableHosts.select(tick, needs, GIVE_PERCENT, hostCpu);
+        for (PoolDemand need : needs.values()) {
+            int missing = need.missingHosts(TAKE_PERCENT, hostCpu);
             while (missing > 0 && moving < maxMoving) {
-                Optional<HostReport> host = donors.take(need.pool());
+                Optional<HostReport> host = donors.pollHostFor(need.pool());
                 if (host.isEmpty()) {
                     break;
                 }
-                HostSteps.begin(tick, host.get(), 0, need.pool());
+                HostTaskLifecycle.begin(tick, host.get(), 0, need.pool());
                 missing--;
                 moving++;
             }
@@ -86,7 +86,7 @@
     }
 
     /** Gives hosts that a pool can do without to the spare pool, where they are not paid for. */
-    private static void giveBack(SchedulerTick tick, Donors donors) {
+    private static void giveBack(SchedulerTick tick, MovableHosts donors) {
         Optional<JobPool> spare =
                 tick.world().plan().get().plan().pools().stream()
                         .filter(JobPool::spare)
@@ -95,16 +95,16 @@
             return;
         }
         String pool = spare.get().name();
-        for (Optional<HostReport> host = donors.takeIdle(pool);
+        for (Optional<HostReport> host = donors.pollIdleHostFor(pool);
                 host.isPresent();
-                host = donors.takeIdle(pool)) {
-            HostSteps.begin(tick, host.get(), 0, pool);
+                host = donors.pollIdleHostFor(pool)) {
+            HostTaskLifecycle.begin(tick, host.get(), 0, pool);
         }
     }
 
-    private static Map<String, PoolNeed> needs(SchedulerTick tick, long hostCpu) {
+    private static Map<String, PoolDemand> needs(SchedulerTick tick, long hostCpu) {
         SchedulerWorld world = tick.world();
-        Map<String, PoolNeed> needs = new LinkedHashMap<>();
+        Map<String, PoolDemand> needs = new LinkedHashMap<>();
         Map<String, Long> offered = OfferedLoad.byPool(tick);
         Map<String, Integer> spread = spreadHosts(world);
         for (JobPool pool : world.plan().get().plan().pools()) {
@@ -115,7 +115,7 @@
         return needs;
     }
 
-    private static PoolNeed need(
+    private static PoolDemand need(
             SchedulerTick tick,
             String pool,
             long hostCpu,
@@ -154,7 +154,7 @@
                 stuck += spec.lasting() && tick.nowMs() - task.readyMs() > STUCK_MS ? 1 : 0;
             }
         }
-        return new PoolNeed(
+        return new PoolDemand(
                 pool,
                 hosts,
                 used,
--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/HostOrderSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/HostOrderSystem.java
@@ -44,7 +44,7 @@
     }
 
     /** Notes that orders for a host are to be given, or were given just now. */
-    static void use(SchedulerTick tick, String host) {
+    static void recordUse(SchedulerTick tick, String host) {
         SchedulerWorld world = tick.world();
         HostOrderRow row =
                 world.hostOrders().find(host).orElse(new HostOrderRow(host, false, 0, 0));
@@ -52,7 +52,7 @@
     }
 
     /** Gives no orders for a host for some time. */
-    static void rest(SchedulerTick tick, String host, long forMs) {
+    static void deferOrders(SchedulerTick tick, String host, long forMs) {
         long untilMs = tick.nowMs() + forMs;
         tick.world()
                 .hostOrders()
@@ -69,7 +69,7 @@
     }
 
     /** Returns whether no orders for a host may be given for some time. */
-    static boolean isResting(SchedulerTick tick, String host) {
+    static boolean isDeferred(SchedulerTick tick, String host) {
         return tick.world()
                 .hostOrders()
                 .find(host)
--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/HostSteps.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/HostTaskLifecycle.java
@@ -3,7 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.Set;
-import org.hibiscususher.core.scheduler.executor.Runs;
+import org.hibiscususher.core.scheduler.executor.RunLifecycle;
 import org.hibiscususher.core.scheduler.message.HostReport;
 import org.hibiscususher.core.scheduler.message.HostState;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.HostOrderAnswered;
@@ -17,20 +17,20 @@
 import org.hibiscususher.core.scheduler.world.WaveRow;
 
 /** The steps by which a host is maintained or moved: emptied, ordered away, and back again. */
-final class HostSteps {
+final class HostTaskLifecycle {
     private static final long ORDER_TIMEOUT_MS = 3_000;
     private static final long RETRY_MS = 300;
 
     /** Time for which a host that could not be moved is left alone, in milliseconds. */
     private static final long MOVE_REST_MS = 2_000;
 
-    private HostSteps() {}
+    private HostTaskLifecycle() {}
 
     /** Begins with a host: its executor gets no new runs. */
     static void begin(SchedulerTick tick, HostReport host, long wave, String pool) {
         SchedulerWorld world = tick.world();
         world.executors().update(host.executor(), e -> e.withCordoned(true));
-        HostOrderSystem.use(tick, host.id());
+        HostOrderSystem.recordUse(tick, host.id());
         world.hostTasks()
                 .put(
                         host.id(),
@@ -56,7 +56,7 @@
     }
 
     /** Takes in an answer to an order for a host. */
-    static void answered(SchedulerTick tick, HostOrderAnswered answer) {
+    static void handleOrderResult(SchedulerTick tick, HostOrderAnswered answer) {
         SchedulerWorld world = tick.world();
         HostTaskRow row = world.hostTasks().find(answer.host()).orElse(null);
         if (row == null || row.callId() != answer.callId() || row.step() != HostStep.ORDERED) {
@@ -68,12 +68,12 @@
             case DONE -> {
                 begun(tick, row);
                 world.hostTasks().put(row.host(), row.withStep(HostStep.AWAY, 0, tick.nowMs()));
-                Runs.executorGone(tick, row.executor(), "host-ordered-away");
+                RunLifecycle.removeExecutor(tick, row.executor(), "host-ordered-away");
             }
             case NO_ANSWER -> unanswered(tick, row);
             case NOT_IN_WAVE, INVALID -> {
                 begun(tick, row);
-                giveUp(tick, row);
+                abandon(tick, row);
             }
             default -> retry(tick, row);
         }
@@ -94,25 +94,25 @@
     }
 
     /** Leaves a host as it is. */
-    static void giveUp(SchedulerTick tick, HostTaskRow row) {
+    static void abandon(SchedulerTick tick, HostTaskRow row) {
         tick.world().hostTasks().remove(row.host());
         tick.world().executors().update(row.executor(), e -> e.withCordoned(false));
     }
 
     private static void retry(SchedulerTick tick, HostTaskRow row) {
-        HostOrderSystem.use(tick, row.host());
+        HostOrderSystem.recordUse(tick, row.host());
         if (row.pool().isEmpty()) {
             long atMs = tick.nowMs() + RETRY_MS;
             tick.world().hostTasks().put(row.host(), row.retried(atMs));
         } else {
-            HostOrderSystem.rest(tick, row.host(), MOVE_REST_MS);
-            giveUp(tick, row);
+            HostOrderSystem.deferOrders(tick, row.host(), MOVE_REST_MS);
+            abandon(tick, row);
         }
     }
 
     /** Keeps the host out of service until the same order is answered. */
     private static void unanswered(SchedulerTick tick, HostTaskRow row) {
-        HostOrderSystem.use(tick, row.host());
+        HostOrderSystem.recordUse(tick, row.host());
         long atMs = tick.nowMs() + RETRY_MS;
         tick.world().hostTasks().put(row.host(), row.unanswered(atMs));
     }
@@ -132,12 +132,12 @@
 
     private static void empty(SchedulerTick tick, HostTaskRow row) {
         SchedulerWorld world = tick.world();
-        boolean empty = Eviction.run(tick, row.executor(), row.sinceMs());
+        boolean empty = Eviction.evict(tick, row.executor(), row.sinceMs());
         boolean due = tick.nowMs() >= row.retryAtMs();
         if (!empty || !due || !mayGo(tick, row) || !HostOrderSystem.mayOrder(tick, row.host())) {
             return;
         }
-        HostOrderSystem.use(tick, row.host());
+        HostOrderSystem.recordUse(tick, row.host());
         long callId = tick.nextCallId();
         long fence = world.term().get().fence();
         world.hostTasks().put(row.host(), row.withStep(HostStep.ORDERED, callId, tick.nowMs()));
@@ -163,20 +163,20 @@
         for (String id : wave.order().hosts()) {
             boolean ordered =
                     tick.world().hostTasks().find(id).filter(t -> t.step().mayBeAway()).isPresent();
-            away += ordered || mayBeAwayBefore(tick, id) ? 1 : 0;
+            away += ordered || mayBeOutByEarlierOwner(tick, id) ? 1 : 0;
         }
         return away;
     }
 
     /** Returns whether a host may be out of service by an order of an earlier owner. */
-    static boolean mayBeAwayBefore(SchedulerTick tick, String host) {
+    static boolean mayBeOutByEarlierOwner(SchedulerTick tick, String host) {
         boolean listed =
                 tick.world()
                         .hosts()
                         .find(host)
                         .filter(h -> h.state() == HostState.MAINTENANCE)
                         .isPresent();
-        return listed || HostOrderSystem.isResting(tick, host);
+        return listed || HostOrderSystem.isDeferred(tick, host);
     }
 
     /** Waits until the platform says that the host is up again, with another executor if any. */
--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/Donors.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/MovableHosts.java
@@ -19,7 +19,7 @@
  * <p>Each host is given once, and a pool gives no more than its surplus, to however many others.
  * Not thread-safe.
  */
-final class Donors {
+final class MovableHosts {
     /** Part of an even share of all hosts that a pool keeps in any case, in percent. */
     private static final int KEEP_PERCENT = 35;
 
@@ -35,7 +35,7 @@
     private final List<HostReport> mIdle = new ArrayList<>();
     private final List<HostReport> mSpare = new ArrayList<>();
 
-    private Donors() {}
+    private MovableHosts() {}
 
     /**
      * Returns the hosts that may be moved now.
@@ -45,18 +45,18 @@
      * @param reservePercent part of what callers hand in that a pool keeps beyond it
      * @param hostCpu processor time of a host, in thousandths of a core
      */
-    static Donors of(
-            SchedulerTick tick, Map<String, PoolNeed> needs, int reservePercent, long hostCpu) {
+    static MovableHosts select(
+            SchedulerTick tick, Map<String, PoolDemand> needs, int reservePercent, long hostCpu) {
         SchedulerWorld world = tick.world();
-        Donors donors = new Donors();
+        MovableHosts donors = new MovableHosts();
         int keep = keptHosts(world);
         needs.forEach(
                 (pool, need) ->
-                        donors.mLeft.put(pool, need.surplus(reservePercent, hostCpu, keep)));
+                        donors.mLeft.put(pool, need.surplusHosts(reservePercent, hostCpu, keep)));
         for (HostReport host : world.hosts().rows()) {
             if (host.state() != HostState.UP
                     || world.hostTasks().contains(host.id())
-                    || HostOrderSystem.isResting(tick, host.id())) {
+                    || HostOrderSystem.isDeferred(tick, host.id())) {
                 continue;
             }
             if (isSpare(world, host)) {
@@ -86,7 +86,7 @@
         long endedMs = world.standings().find(host.executor()).map(StandingRow::endedMs).orElse(0L);
         return row != null
                 && !row.cordoned()
-                && Eviction.isKnown(world, row.id())
+                && Eviction.areRunsKnown(world, row.id())
                 && ageMs(tick, row) > STAY_MS
                 && tick.nowMs() - endedMs > IDLE_MS
                 && world.runs().group(row.id()).isEmpty();
@@ -100,13 +100,13 @@
     }
 
     /** Takes an idle host of another pool that can do without it, or else one of the spare pool. */
-    Optional<HostReport> take(String taker) {
-        Optional<HostReport> idle = takeIdle(taker);
+    Optional<HostReport> pollHostFor(String taker) {
+        Optional<HostReport> idle = pollIdleHostFor(taker);
         return idle.isPresent() || mSpare.isEmpty() ? idle : Optional.of(mSpare.remove(0));
     }
 
     /** Takes an idle host of another pool that can do without it. */
-    Optional<HostReport> takeIdle(String taker) {
+    Optional<HostReport> pollIdleHostFor(String taker) {
         for (HostReport host : mIdle) {
             if (!host.pool().equals(taker) && mLeft.getOrDefault(host.pool(), 0) > 0) {
                 mLeft.merge(host.pool(), -1, Integer::sum);
--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/PoolNeed.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/PoolDemand.java
@@ -16,7 +16,7 @@
  * @param offeredCpu processor time that keeps up with what callers hand in, in thousandths of a
  *     core
  */
-record PoolNeed(
+record PoolDemand(
         String pool,
         int hosts,
         long usedCpu,
@@ -32,28 +32,28 @@
     private static final int MAX_FOR_STUCK = 2;
 
     /** Checks the parts. */
-    PoolNeed {
+    PoolDemand {
         requireNonNull(pool);
     }
 
     /** Returns the processor time that would let all work go on at once or keep up with it. */
-    long wantedCpu(int reservePercent) {
+    long wantedCpuMillis(int reservePercent) {
         long now = usedCpu + waitingCpu;
         long soon = lastingCpu + offeredCpu * (FULL + reservePercent) / FULL;
         return Math.max(now, soon);
     }
 
     /** Returns how many hosts more the pool can use. */
-    int missing(int reservePercent, long hostCpu) {
-        long lackCpu = wantedCpu(reservePercent) - capacityCpu;
+    int missingHosts(int reservePercent, long hostCpu) {
+        long lackCpu = wantedCpuMillis(reservePercent) - capacityCpu;
         int forWork = lackCpu <= 0 ? 0 : (int) ((lackCpu + hostCpu - 1) / hostCpu);
         int forSpread = Math.max(spreadHosts - hosts, Math.min(stuckTasks, MAX_FOR_STUCK));
         return Math.max(forWork, forSpread);
     }
 
     /** Returns how many hosts the pool can do without. */
-    int surplus(int reservePercent, long hostCpu, int keep) {
-        int needed = (int) ((wantedCpu(reservePercent) + hostCpu - 1) / hostCpu);
+    int surplusHosts(int reservePercent, long hostCpu, int keep) {
+        int needed = (int) ((wantedCpuMillis(reservePercent) + hostCpu - 1) / hostCpu);
         int least = Math.max(keep, spreadHosts);
         return stuckTasks > 0 ? 0 : Math.max(0, hosts - Math.max(least, needed));
     }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/WaveSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/WaveSystem.java
@@ -29,7 +29,7 @@
     public static void run(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
         for (HostOrderAnswered answer : tick.inputs(HostOrderAnswered.class)) {
-            HostSteps.answered(tick, answer);
+            HostTaskLifecycle.handleOrderResult(tick, answer);
         }
         if (world.hostList().get().listedMs() == 0 || !Authority.mayOrderHosts(tick)) {
             return;
@@ -40,7 +40,7 @@
             }
         }
         for (HostTaskRow row : world.hostTasks().rows()) {
-            HostSteps.advance(tick, row);
+            HostTaskLifecycle.advance(tick, row);
         }
     }
 
@@ -55,7 +55,7 @@
         for (String host : wave.order().hosts()) {
             boolean taken =
                     world.hostTasks().find(host).filter(t -> t.wave() == number).isPresent();
-            under += taken || HostSteps.mayBeAwayBefore(tick, host) ? 1 : 0;
+            under += taken || HostTaskLifecycle.mayBeOutByEarlierOwner(tick, host) ? 1 : 0;
         }
         List<HostReport> next = new ArrayList<>();
         boolean left = false;
@@ -72,7 +72,7 @@
         next.sort(Comparator.comparingInt(h -> world.runs().group(h.executor()).size()));
         for (HostReport host : next) {
             if (under < wave.order().cap() + AHEAD) {
-                HostSteps.begin(tick, host, number, "");
+                HostTaskLifecycle.begin(tick, host, number, "");
                 under++;
             }
         }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/Jobs.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/Jobs.java
@@ -12,7 +12,7 @@
 import org.hibiscususher.core.job.StepKey;
 import org.hibiscususher.core.job.StepSpec;
 import org.hibiscususher.core.job.TaskKey;
-import org.hibiscususher.core.scheduler.executor.Runs;
+import org.hibiscususher.core.scheduler.executor.RunLifecycle;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.Answer;
 import org.hibiscususher.core.scheduler.message.StoredRecord;
@@ -249,7 +249,7 @@
                 world.runs()
                         .find(task)
                         .filter(r -> r.stage().isWanted())
-                        .ifPresent(r -> Runs.stop(tick, r, StopReason.JOB_ENDED));
+                        .ifPresent(r -> RunLifecycle.requestStop(tick, r, StopReason.JOB_ENDED));
             }
             world.steps().remove(step.key());
         }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/placement/PlacementSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/placement/PlacementSystem.java
@@ -12,8 +12,8 @@
 import org.hibiscususher.core.job.Resources;
 import org.hibiscususher.core.job.StepKey;
 import org.hibiscususher.core.job.StepSpec;
-import org.hibiscususher.core.scheduler.executor.HoldSystem;
-import org.hibiscususher.core.scheduler.executor.Runs;
+import org.hibiscususher.core.scheduler.executor.HeartbeatSystem;
+import org.hibiscususher.core.scheduler.executor.RunLifecycle;
 import org.hibiscususher.core.scheduler.job.Jobs;
 import org.hibiscususher.core.scheduler.message.RecordName;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.StartRun;
@@ -137,7 +137,7 @@
         }
         room.take(executor.get().id(), spec.reserved());
         teams.put(job.team(), use);
-        order(tick, job, task, spec, executor.get(), Runs.nextNumber(world, task));
+        order(tick, job, task, spec, executor.get(), RunLifecycle.nextRunNumber(world, task));
         return true;
     }
 
@@ -168,7 +168,7 @@
                 return;
             }
             members.add(task);
-            run = Math.max(run, Runs.nextNumber(world, task));
+            run = Math.max(run, RunLifecycle.nextRunNumber(world, task));
         }
         List<ExecutorRow> sites = new ArrayList<>();
         for (TaskRow task : members) {
@@ -201,7 +201,7 @@
         world.contacts()
                 .put(
                         executor.id(),
-                        contact.withLeaseEnd(HoldSystem.leaseEndMs(contact, deadlineMs)));
+                        contact.withLeaseEnd(HeartbeatSystem.leaseEndMs(contact, deadlineMs)));
         world.tasks().put(task.key(), task.active(number));
         RunRow run =
                 new RunRow(
@@ -224,7 +224,7 @@
         world.runs().put(task.key(), run);
         tick.log(
                 "start",
-                Runs.describe(run)
+                RunLifecycle.describe(run)
                         + " fence="
                         + fence
                         + " waited_ms="
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/Takeover.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/Takeover.java
@@ -5,7 +5,7 @@
 import java.util.Set;
 import org.hibiscususher.core.job.JobState;
 import org.hibiscususher.core.job.Resources;
-import org.hibiscususher.core.scheduler.executor.HoldSystem;
+import org.hibiscususher.core.scheduler.executor.HeartbeatSystem;
 import org.hibiscususher.core.scheduler.job.Jobs;
 import org.hibiscususher.core.scheduler.job.Progress;
 import org.hibiscususher.core.scheduler.message.ExecutorReport;
@@ -149,7 +149,7 @@
     private static long waitUntilMs(SchedulerTick tick) {
         SchedulerTiming timing = tick.world().settings().timing();
         TermRow term = tick.world().term().get();
-        long holdMs = timing.holdMs() * 100 / HoldSystem.SLOWEST_CLOCK_PERCENT + SLACK_MS;
+        long holdMs = timing.holdMs() * 100 / HeartbeatSystem.MIN_CLOCK_RATE_PERCENT + SLACK_MS;
         return term.takenMs() + holdMs + (term.predecessorReleased() ? 0 : timing.graceMs());
     }
 }
--- a/core/src/test/java/org/hibiscususher/core/scheduler/executor/StallSystemTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/executor/StragglerSystemTest.java
@@ -25,33 +25,33 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
-class StallSystemTest {
+class StragglerSystemTest {
     /** Executors that take six times as long, among sound ones. */
     @Nested
     class IsSlow {
         @Test
         void findsARunThatTakesSixTimesItsEstimate() {
-            assertThat(StallSystem.isSlow(1_000, 26, 640)).isTrue();
+            assertThat(StragglerSystem.isSlow(1_000, 26, 640)).isTrue();
         }
 
         @Test
         void sparesARunThatIsALittleLate() {
-            assertThat(StallSystem.isSlow(1_000, 70, 640)).isFalse();
+            assertThat(StragglerSystem.isSlow(1_000, 70, 640)).isFalse();
         }
 
         @Test
         void sparesARunThatIsNearlyDone() {
-            assertThat(StallSystem.isSlow(3_500, 90, 640)).isFalse();
+            assertThat(StragglerSystem.isSlow(3_500, 90, 640)).isFalse();
         }
 
         @Test
         void judgesNoYoungRun() {
-            assertThat(StallSystem.isSlow(200, 0, 640)).isFalse();
+            assertThat(StragglerSystem.isSlow(200, 0, 640)).isFalse();
         }
 
         @Test
         void judgesNoRunWithoutAnEstimate() {
-            assertThat(StallSystem.isSlow(9_000, 1, 0)).isFalse();
+            assertThat(StragglerSystem.isSlow(9_000, 1, 0)).isFalse();
         }
     }
 
@@ -120,7 +120,8 @@
 
         private List<StopReason> reasons() {
             SchedulerInput answer = new HoldAnswered(1, "x", 1, 1, List.of(), List.of());
-            StallSystem.run(new SchedulerTick(mWorld, NOW_MS, NOW_MS, List.of(answer), () -> 1));
+            StragglerSystem.run(
+                    new SchedulerTick(mWorld, NOW_MS, NOW_MS, List.of(answer), () -> 1));
             return mWorld.runs().rows().stream().map(RunRow::reason).toList();
         }
 
--- a/core/src/test/java/org/hibiscususher/core/scheduler/host/EvictionTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/host/EvictionTest.java
@@ -107,7 +107,7 @@
     }
 
     private boolean stops() {
-        Eviction.run(mTick, "x0", NOW_MS);
+        Eviction.evict(mTick, "x0", NOW_MS);
         return mTick.outputs().stream().anyMatch(StopRun.class::isInstance);
     }
 
--- a/core/src/test/java/org/hibiscususher/core/scheduler/host/HostOrderSystemTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/host/HostOrderSystemTest.java
@@ -118,7 +118,7 @@
                     new SchedulerTick(mWorld, NOW_MS, NOW_MS, List.of(busy), () -> ++mCalls);
             WaveSystem.run(tick);
             assertThat(mWorld.hostTasks().size()).isZero();
-            assertThat(HostOrderSystem.isResting(tick, "h1")).isTrue();
+            assertThat(HostOrderSystem.isDeferred(tick, "h1")).isTrue();
         }
     }
 
@@ -170,7 +170,7 @@
     class Names {
         @Test
         void goOnceNoOrderWasGivenForLong() {
-            HostOrderSystem.use(
+            HostOrderSystem.recordUse(
                     new SchedulerTick(mWorld, NOW_MS, NOW_MS, List.of(), () -> 1), "h1");
             ordered(NOW_MS);
             store();
--- a/core/src/test/java/org/hibiscususher/core/scheduler/host/DonorsTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/host/MovableHostsTest.java
@@ -19,7 +19,7 @@
 import org.junit.jupiter.api.Test;
 
 /** Two pools surge at the same time; a third needs two of its three hosts. */
-class DonorsTest {
+class MovableHostsTest {
     private static final long NOW_MS = 100_000;
     private static final long HOST_CPU = 64_000;
     private static final Resources CAPACITY = Resources.of(HOST_CPU, 1_000, 0);
@@ -50,9 +50,9 @@
         mWorld.contacts().put(id, ContactRow.initial(id, 0).answered(1, 1, NOW_MS));
     }
 
-    private Donors donors() {
-        PoolNeed calm = new PoolNeed("calm", 3, 2 * HOST_CPU, 0, 3 * HOST_CPU, 0, 0, 0, 0);
-        return Donors.of(
+    private MovableHosts donors() {
+        PoolDemand calm = new PoolDemand("calm", 3, 2 * HOST_CPU, 0, 3 * HOST_CPU, 0, 0, 0, 0);
+        return MovableHosts.select(
                 new SchedulerTick(mWorld, NOW_MS, NOW_MS, List.of(), () -> 1),
                 Map.of("calm", calm),
                 0,
@@ -63,14 +63,14 @@
     class Give {
         @Test
         void noMoreThanThePoolCanDoWithout() {
-            Donors donors = donors();
-            assertThat(donors.take("first")).isPresent();
-            assertThat(donors.take("second")).isEmpty();
+            MovableHosts donors = donors();
+            assertThat(donors.pollHostFor("first")).isPresent();
+            assertThat(donors.pollHostFor("second")).isEmpty();
         }
 
         @Test
         void nothingToTheirOwnPool() {
-            assertThat(donors().take("calm")).isEmpty();
+            assertThat(donors().pollHostFor("calm")).isEmpty();
         }
 
         @Test
@@ -78,7 +78,7 @@
             for (int i = 0; i < 3; i++) {
                 executor("x" + i, NOW_MS - 500);
             }
-            assertThat(donors().take("first")).isEmpty();
+            assertThat(donors().pollHostFor("first")).isEmpty();
         }
 
         @Test
@@ -86,7 +86,7 @@
             for (int i = 0; i < 3; i++) {
                 mWorld.contacts().put("x" + i, ContactRow.initial("x" + i, 0));
             }
-            assertThat(donors().take("first")).isEmpty();
+            assertThat(donors().pollHostFor("first")).isEmpty();
         }
 
         @Test
@@ -95,7 +95,7 @@
                 mWorld.hostOrders()
                         .put("h" + i, new HostOrderRow("h" + i, true, NOW_MS + 1, NOW_MS));
             }
-            assertThat(donors().take("first")).isEmpty();
+            assertThat(donors().pollHostFor("first")).isEmpty();
         }
     }
 }
--- a/core/src/test/java/org/hibiscususher/core/scheduler/host/PoolNeedTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/host/PoolDemandTest.java
@@ -5,12 +5,13 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
-class PoolNeedTest {
+class PoolDemandTest {
     private static final long HOST_CPU = 64_000;
     private static final int RESERVE_PERCENT = 30;
 
-    private static PoolNeed need(int hosts, long usedCores, long waitingCores, long offeredCores) {
-        return new PoolNeed(
+    private static PoolDemand need(
+            int hosts, long usedCores, long waitingCores, long offeredCores) {
+        return new PoolDemand(
                 "pool",
                 hosts,
                 usedCores * 1_000,
@@ -27,17 +28,17 @@
     class Surge {
         @Test
         void asksForTheHostsThatKeepUpWithIt() {
-            assertThat(need(2, 10, 0, 500).missing(RESERVE_PERCENT, HOST_CPU)).isEqualTo(9);
+            assertThat(need(2, 10, 0, 500).missingHosts(RESERVE_PERCENT, HOST_CPU)).isEqualTo(9);
         }
 
         @Test
         void asksForTheHostsOfWhatWaitsAlready() {
-            assertThat(need(2, 128, 300, 0).missing(RESERVE_PERCENT, HOST_CPU)).isEqualTo(5);
+            assertThat(need(2, 128, 300, 0).missingHosts(RESERVE_PERCENT, HOST_CPU)).isEqualTo(5);
         }
 
         @Test
         void givesNothingAway() {
-            assertThat(need(12, 100, 0, 500).surplus(80, HOST_CPU, 2)).isZero();
+            assertThat(need(12, 100, 0, 500).surplusHosts(80, HOST_CPU, 2)).isZero();
         }
     }
 
@@ -45,29 +46,29 @@
     class Valley {
         @Test
         void givesAwayWhatIsNotNeeded() {
-            assertThat(need(12, 20, 0, 10).surplus(80, HOST_CPU, 2)).isEqualTo(10);
+            assertThat(need(12, 20, 0, 10).surplusHosts(80, HOST_CPU, 2)).isEqualTo(10);
         }
 
         @Test
         void keepsTheLeastNumber() {
-            assertThat(need(3, 0, 0, 0).surplus(80, HOST_CPU, 2)).isEqualTo(1);
+            assertThat(need(3, 0, 0, 0).surplusHosts(80, HOST_CPU, 2)).isEqualTo(1);
         }
     }
 
     /** Five tasks of which no two may share an executor, in a pool that was shrunk to two hosts. */
     @Nested
     class Spread {
-        private final PoolNeed mNeed =
-                new PoolNeed("pool", 2, 12_000, 12_000, 2 * HOST_CPU, 18_000, 5, 3, 0);
+        private final PoolDemand mNeed =
+                new PoolDemand("pool", 2, 12_000, 12_000, 2 * HOST_CPU, 18_000, 5, 3, 0);
 
         @Test
         void asksForAsManyHostsAsTheWidestStepNeeds() {
-            assertThat(mNeed.missing(RESERVE_PERCENT, HOST_CPU)).isEqualTo(3);
+            assertThat(mNeed.missingHosts(RESERVE_PERCENT, HOST_CPU)).isEqualTo(3);
         }
 
         @Test
         void givesNothingAwayWhileTasksWait() {
-            assertThat(mNeed.surplus(80, HOST_CPU, 2)).isZero();
+            assertThat(mNeed.surplusHosts(80, HOST_CPU, 2)).isZero();
         }
     }
 }
