--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/ExecutorHealth.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/ExecutorHealth.java
@@ -1,7 +1,7 @@
 package org.hibiscususher.core.scheduler.executor;
 
+import org.hibiscususher.core.scheduler.world.ExecutorHealthRow;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
-import org.hibiscususher.core.scheduler.world.StandingRow;
 
 /** Keeps count of how runs end on each executor, and sets aside those that fail what they start. */
 final class ExecutorHealth {
@@ -17,7 +17,7 @@
         StandingRow row = findOrInitial(tick, executor);
         tick.world()
                 .standings()
-                .put(executor, new StandingRow(executor, 0, row.done() + 1, tick.nowMs()));
+                .put(executor, new ExecutorHealthRow(executor, 0, row.done() + 1, tick.nowMs()));
     }
 
     static void recordFailure(SchedulerTick tick, String executor) {
@@ -25,7 +25,7 @@
         int failures = row.failuresInRow() + 1;
         tick.world()
                 .standings()
-                .put(executor, new StandingRow(executor, failures, row.done(), tick.nowMs()));
+                .put(executor, new ExecutorHealthRow(executor, failures, row.done(), tick.nowMs()));
         if (failures >= MAX_FAILURES) {
             quarantine(
                     tick, executor, Math.min(MAX_ASIDE_MS, ASIDE_MS * (failures - 1)), "failures");
@@ -39,7 +39,8 @@
                 .standings()
                 .put(
                         executor,
-                        new StandingRow(executor, row.failuresInRow(), row.done(), tick.nowMs()));
+                        new ExecutorHealthRow(
+                                executor, row.failuresInRow(), row.done(), tick.nowMs()));
     }
 
     /** Gives an executor no new runs for some time. */
--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/WaveSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/WaveSystem.java
@@ -8,7 +8,7 @@
 import org.hibiscususher.core.scheduler.message.SchedulerInput.HostOrderAnswered;
 import org.hibiscususher.core.scheduler.message.StoredRecord;
 import org.hibiscususher.core.scheduler.term.Authority;
-import org.hibiscususher.core.scheduler.world.HostTaskRow;
+import org.hibiscususher.core.scheduler.world.HostOperationRow;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
 import org.hibiscususher.core.scheduler.world.WaveRow;
