--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/ExecutorHealth.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/ExecutorHealth.java
@@ -14,14 +14,14 @@
     private ExecutorHealth() {}
 
     static void recordSuccess(SchedulerTick tick, String executor) {
-        StandingRow row = findOrInitial(tick, executor);
+        ExecutorHealthRow row = findOrInitial(tick, executor);
         tick.world()
                 .standings()
                 .put(executor, new ExecutorHealthRow(executor, 0, row.done() + 1, tick.nowMs()));
     }
 
     static void recordFailure(SchedulerTick tick, String executor) {
-        StandingRow row = findOrInitial(tick, executor);
+        ExecutorHealthRow row = findOrInitial(tick, executor);
         int failures = row.failuresInRow() + 1;
         tick.world()
                 .standings()
@@ -34,7 +34,7 @@
 
     /** Takes in an end that tells neither for nor against the executor. */
     static void recordEnd(SchedulerTick tick, String executor) {
-        StandingRow row = findOrInitial(tick, executor);
+        ExecutorHealthRow row = findOrInitial(tick, executor);
         tick.world()
                 .standings()
                 .put(
@@ -53,7 +53,7 @@
         tick.count("executor-aside." + reason);
     }
 
-    private static StandingRow findOrInitial(SchedulerTick tick, String executor) {
-        return tick.world().standings().find(executor).orElse(StandingRow.initial(executor));
+    private static ExecutorHealthRow findOrInitial(SchedulerTick tick, String executor) {
+        return tick.world().standings().find(executor).orElse(ExecutorHealthRow.initial(executor));
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/ExecutorSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/ExecutorSystem.java
@@ -259,7 +259,7 @@
                             + " lease_left_ms="
                             + (contact.leaseEndMs() - tick.nowMs()));
         }
-        if (failed.failure() == HoldFailure.OTHER_LIFE) {
+        if (failed.failure() == HeartbeatFailure.OTHER_LIFE) {
             RunLifecycle.endIncarnation(tick, failed.executor(), "other-life");
             world.contacts()
                     .update(failed.executor(), c -> c.failed(tick.nowMs() + UNHEALTHY_RETRY_MS));
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/FinishedRuns.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/FinishedRuns.java
@@ -24,7 +24,7 @@
     private FinishedRuns() {}
 
     /** Takes in an end that was not taken in before. */
-    static void apply(SchedulerTick tick, String executor, ListedEnd end) {
+    static void apply(SchedulerTick tick, String executor, FinishedRun end) {
         SchedulerWorld world = tick.world();
         JobRow job = world.jobs().find(end.task().jobId()).orElse(null);
         RunRow run =
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/HeartbeatSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/HeartbeatSystem.java
@@ -94,7 +94,7 @@
     }
 
     /** Returns when a time on an executor's clock has surely come, on our steady clock. */
-    public static long leaseEndMs(ContactRow contact, long deadlineMs) {
+    public static long leaseEndMs(ExecutorSessionRow contact, long deadlineMs) {
         long leftMs = (deadlineMs - contact.clockMs()) * 100 / MIN_CLOCK_RATE_PERCENT;
         return contact.clockAtMs() + leftMs + SLACK_MS;
     }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/HostMoveSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/HostMoveSystem.java
@@ -67,7 +67,7 @@
                 if (host.isEmpty()) {
                     break;
                 }
-                HostTaskLifecycle.begin(tick, host.get(), 0, need.pool());
+                HostOperations.begin(tick, host.get(), 0, need.pool());
                 missing--;
                 moving++;
             }
@@ -98,7 +98,7 @@
         for (Optional<HostReport> host = donors.pollIdleHostFor(pool);
                 host.isPresent();
                 host = donors.pollIdleHostFor(pool)) {
-            HostTaskLifecycle.begin(tick, host.get(), 0, pool);
+            HostOperations.begin(tick, host.get(), 0, pool);
         }
     }
 
--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/HostTaskLifecycle.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/HostOperations.java
@@ -17,14 +17,14 @@
 import org.hibiscususher.core.scheduler.world.WaveRow;
 
 /** The steps by which a host is maintained or moved: emptied, ordered away, and back again. */
-final class HostTaskLifecycle {
+final class HostOperations {
     private static final long ORDER_TIMEOUT_MS = 3_000;
     private static final long RETRY_MS = 300;
 
     /** Time for which a host that could not be moved is left alone, in milliseconds. */
     private static final long MOVE_REST_MS = 2_000;
 
-    private HostTaskLifecycle() {}
+    private HostOperations() {}
 
     /** Begins with a host: its executor gets no new runs. */
     static void begin(SchedulerTick tick, HostReport host, long wave, String pool) {
@@ -69,7 +69,8 @@
         switch (answer.result()) {
             case DONE -> {
                 begun(tick, row);
-                world.hostTasks().put(row.host(), row.withStep(HostStep.AWAY, 0, tick.nowMs()));
+                world.hostTasks()
+                        .put(row.host(), row.withStep(HostOperationStep.AWAY, 0, tick.nowMs()));
                 RunLifecycle.removeExecutor(tick, row.executor(), "host-ordered-away");
             }
             case NO_ANSWER -> unanswered(tick, row);
@@ -96,12 +97,12 @@
     }
 
     /** Leaves a host as it is. */
-    static void abandon(SchedulerTick tick, HostTaskRow row) {
+    static void abandon(SchedulerTick tick, HostOperationRow row) {
         tick.world().hostTasks().remove(row.host());
         tick.world().executors().update(row.executor(), e -> e.withCordoned(false));
     }
 
-    private static void retry(SchedulerTick tick, HostTaskRow row) {
+    private static void retry(SchedulerTick tick, HostOperationRow row) {
         HostOrderSystem.recordUse(tick, row.host());
         if (row.pool().isEmpty()) {
             long atMs = tick.nowMs() + RETRY_MS;
@@ -113,7 +114,7 @@
     }
 
     /** Keeps the host out of service until the same order is answered. */
-    private static void unanswered(SchedulerTick tick, HostTaskRow row) {
+    private static void unanswered(SchedulerTick tick, HostOperationRow row) {
         HostOrderSystem.recordUse(tick, row.host());
         long atMs = tick.nowMs() + RETRY_MS;
         tick.world().hostTasks().put(row.host(), row.unanswered(atMs));
--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/WaveSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/WaveSystem.java
@@ -29,7 +29,7 @@
     public static void run(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
         for (HostOrderAnswered answer : tick.inputs(HostOrderAnswered.class)) {
-            HostTaskLifecycle.handleOrderResult(tick, answer);
+            HostOperations.handleOrderResult(tick, answer);
         }
         if (world.hostList().get().listedMs() == 0 || !Authority.mayOrderHosts(tick)) {
             return;
@@ -39,8 +39,8 @@
                 advance(tick, wave);
             }
         }
-        for (HostTaskRow row : world.hostTasks().rows()) {
-            HostTaskLifecycle.advance(tick, row);
+        for (HostOperationRow row : world.hostTasks().rows()) {
+            HostOperations.advance(tick, row);
         }
     }
 
@@ -55,7 +55,7 @@
         for (String host : wave.order().hosts()) {
             boolean taken =
                     world.hostTasks().find(host).filter(t -> t.wave() == number).isPresent();
-            under += taken || HostTaskLifecycle.mayBeOutByEarlierOwner(tick, host) ? 1 : 0;
+            under += taken || HostOperations.mayBeOutByEarlierOwner(tick, host) ? 1 : 0;
         }
         List<HostReport> next = new ArrayList<>();
         boolean left = false;
@@ -72,7 +72,7 @@
         next.sort(Comparator.comparingInt(h -> world.runs().group(h.executor()).size()));
         for (HostReport host : next) {
             if (under < wave.order().cap() + AHEAD) {
-                HostTaskLifecycle.begin(tick, host, number, "");
+                HostOperations.begin(tick, host, number, "");
                 under++;
             }
         }
--- a/core/src/test/java/org/hibiscususher/core/scheduler/executor/StragglerSystemTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/executor/StragglerSystemTest.java
@@ -119,7 +119,7 @@
         }
 
         private List<StopReason> reasons() {
-            SchedulerInput answer = new HoldAnswered(1, "x", 1, 1, List.of(), List.of());
+            SchedulerInput answer = new HeartbeatAnswered(1, "x", 1, 1, List.of(), List.of());
             StragglerSystem.run(
                     new SchedulerTick(mWorld, NOW_MS, NOW_MS, List.of(answer), () -> 1));
             return mWorld.runs().rows().stream().map(RunRow::reason).toList();
