--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/DrainedExecutorSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/DrainingExecutorSystem.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 import org.hibiscususher.core.job.StepSpec;
-import org.hibiscususher.core.scheduler.job.Jobs;
+import org.hibiscususher.core.scheduler.job.JobLifecycle;
 import org.hibiscususher.core.scheduler.term.Authority;
 import org.hibiscususher.core.scheduler.world.ExecutorRow;
 import org.hibiscususher.core.scheduler.world.RunRow;
@@ -12,10 +12,10 @@
 import org.hibiscususher.core.scheduler.world.StopReason;
 
 /** Moves runs away from executors that leave before the runs can end. */
-public final class DrainedExecutorSystem {
+public final class DrainingExecutorSystem {
     private static final int FULL = 100;
 
-    private DrainedExecutorSystem() {}
+    private DrainingExecutorSystem() {}
 
     /** Runs over the executors that drain. */
     public static void run(SchedulerTick tick) {
@@ -33,11 +33,11 @@
         SchedulerWorld world = tick.world();
         long leftMs = row.drainingMs() + row.report().remainingMs() - tick.nowMs();
         for (RunRow run : List.copyOf(world.runs().group(row.id()))) {
-            StepSpec spec = Jobs.findSpec(world, run.task().stepKey()).orElse(null);
+            StepSpec spec = JobLifecycle.findSpec(world, run.task().stepKey()).orElse(null);
             if (spec != null
                     && run.stage() == RunStage.RUNNING
                     && (spec.lasting() || leftMs < toGoMs(run, spec))) {
-                Runs.stop(tick, run, StopReason.EVICTED);
+                RunLifecycle.requestStop(tick, run, StopReason.EVICTED);
             }
         }
     }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/ExecutorSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/ExecutorSystem.java
@@ -7,7 +7,7 @@
 import org.hibiscususher.core.job.ReportedRun;
 import org.hibiscususher.core.job.StepSpec;
 import org.hibiscususher.core.job.TaskKey;
-import org.hibiscususher.core.scheduler.job.Jobs;
+import org.hibiscususher.core.scheduler.job.JobLifecycle;
 import org.hibiscususher.core.scheduler.message.ExecutorReport;
 import org.hibiscususher.core.scheduler.message.HeartbeatFailure;
 import org.hibiscususher.core.scheduler.message.SchedulerInput;
@@ -110,7 +110,7 @@
         long bornMs = world.contacts().find(report.id()).map(ExecutorSessionRow::bornMs).orElse(0L);
         if (report.bornMs() > bornMs && bornMs != 0) {
             tick.log("executor-reborn", "executor=" + report.id() + " by=report");
-            Runs.reborn(tick, report.id(), "reborn");
+            RunLifecycle.handleRestart(tick, report.id(), "reborn");
         }
     }
 
@@ -132,7 +132,7 @@
         }
         if (contact.bornMs() != 0 && contact.bornMs() != answer.bornMs()) {
             tick.log("executor-reborn", "executor=" + id + " by=answer");
-            Runs.reborn(tick, id, "reborn");
+            RunLifecycle.handleRestart(tick, id, "reborn");
             contact =
                     ExecutorSessionRow.initial(id, contact.leaseEndMs())
                             .sent(answer.callId(), contact.callFence(), contact.sentMs(), 0);
@@ -157,7 +157,7 @@
         for (FinishedRun end : answer.ends()) {
             told.add(end.task());
             if (end.number() > contact.listed()) {
-                Ends.take(tick, id, end);
+                FinishedRuns.apply(tick, id, end);
                 contact = contact.withListed(end.number());
             }
         }
@@ -172,7 +172,7 @@
 
     private static void listedRun(SchedulerTick tick, String executor, ReportedRun told) {
         SchedulerWorld world = tick.world();
-        Jobs.activateForReportedRun(tick, told.task().stepKey());
+        JobLifecycle.activateForReportedRun(tick, told.task().stepKey());
         RunRow run = world.runs().find(told.task()).orElse(null);
         TaskRow task = world.tasks().find(told.task()).orElse(null);
         boolean same = run != null && run.run() == told.run() && run.executor().equals(executor);
@@ -180,13 +180,13 @@
             RunRow next = run.listed(told, tick.nowMs());
             if (run.stage() == RunStage.SENT) {
                 next = next.running(tick.nowMs());
-                Jobs.markRunning(tick, told.task().jobId());
+                JobLifecycle.markRunning(tick, told.task().jobId());
             }
             world.runs().put(run.task(), next);
         } else if (run == null && task != null && told.run() >= task.run()) {
             adopt(tick, executor, told, task);
         } else {
-            Runs.stopUnknown(tick, executor, told.task(), told.run());
+            RunLifecycle.requestStopOfUnknownRun(tick, executor, told.task(), told.run());
         }
     }
 
@@ -194,7 +194,7 @@
     private static void adopt(SchedulerTick tick, String executor, ReportedRun told, TaskRow task) {
         SchedulerWorld world = tick.world();
         JobRow job = world.jobs().find(told.task().jobId()).orElse(null);
-        StepSpec spec = Jobs.findSpec(world, told.task().stepKey()).orElse(null);
+        StepSpec spec = JobLifecycle.findSpec(world, told.task().stepKey()).orElse(null);
         if (job == null || spec == null) {
             return;
         }
@@ -218,8 +218,8 @@
                         tick.nowMs());
         world.runs().put(run.task(), run);
         world.tasks().put(task.key(), task.active(told.run()));
-        Jobs.markRunning(tick, job.id());
-        tick.log("run-adopted", Runs.describe(run));
+        JobLifecycle.markRunning(tick, job.id());
+        tick.log("run-adopted", RunLifecycle.describe(run));
     }
 
     /** Finds runs that an executor no longer lists although it knew of them. */
@@ -228,7 +228,7 @@
         for (RunRow run : List.copyOf(tick.world().runs().group(executor))) {
             boolean known = run.settledMs() != 0 && run.settledMs() < sentMs;
             if (known && !told.contains(run.task())) {
-                Runs.gone(tick, run, "not-listed", 0);
+                RunLifecycle.removeAndRequeue(tick, run, "not-listed", 0);
             }
         }
     }
@@ -260,7 +260,7 @@
                             + (contact.leaseEndMs() - tick.nowMs()));
         }
         if (failed.failure() == HeartbeatFailure.OTHER_LIFE) {
-            Runs.lifeEnded(tick, failed.executor(), "other-life");
+            RunLifecycle.endIncarnation(tick, failed.executor(), "other-life");
             world.contacts()
                     .update(failed.executor(), c -> c.failed(tick.nowMs() + UNHEALTHY_RETRY_MS));
             return;
@@ -282,12 +282,12 @@
         }
         if (!world.runs().group(row.id()).isEmpty() && contact.failures() > 0) {
             for (RunRow run : List.copyOf(world.runs().group(row.id()))) {
-                Runs.gone(tick, run, "lease-ended", 0);
+                RunLifecycle.removeAndRequeue(tick, run, "lease-ended", 0);
             }
         }
         boolean missing = row.missingMs() != 0 && tick.nowMs() - row.missingMs() > MISSING_MS;
         if (missing && (contact.failures() > 0 || row.report().address().isEmpty())) {
-            Runs.executorGone(tick, row.id(), "missing");
+            RunLifecycle.removeExecutor(tick, row.id(), "missing");
         }
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/Ends.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/FinishedRuns.java
@@ -6,7 +6,7 @@
 import org.hibiscususher.core.job.StepKey;
 import org.hibiscususher.core.job.StepSpec;
 import org.hibiscususher.core.job.TaskKey;
-import org.hibiscususher.core.scheduler.job.Jobs;
+import org.hibiscususher.core.scheduler.job.JobLifecycle;
 import org.hibiscususher.core.scheduler.world.FinishedRunKey;
 import org.hibiscususher.core.scheduler.world.FinishedRunRow;
 import org.hibiscususher.core.scheduler.world.JobRow;
@@ -17,14 +17,14 @@
 import org.hibiscususher.core.scheduler.world.TaskRow;
 
 /** Takes in the ends of runs that executors list. */
-final class Ends {
+final class FinishedRuns {
     /** Rest before a task runs again whose run failed, in milliseconds. */
     private static final long FAILED_REST_MS = 20;
 
-    private Ends() {}
+    private FinishedRuns() {}
 
     /** Takes in an end that was not taken in before. */
-    static void take(SchedulerTick tick, String executor, FinishedRun end) {
+    static void apply(SchedulerTick tick, String executor, FinishedRun end) {
         SchedulerWorld world = tick.world();
         JobRow job = world.jobs().find(end.task().jobId()).orElse(null);
         RunRow run =
@@ -51,12 +51,12 @@
         tick.count("run-ended." + end.kind());
         if (run != null) {
             world.runs().remove(run.task());
-            Standings.ended(tick, executor);
+            ExecutorHealth.recordEnd(tick, executor);
         }
         if (job == null || !job.isOpen()) {
             return;
         }
-        Jobs.activateForReportedRun(tick, end.task().stepKey());
+        JobLifecycle.activateForReportedRun(tick, end.task().stepKey());
         apply(tick, executor, end, run);
         long version = world.jobs().find(job.id()).map(JobRow::version).orElse(0L);
         FinishedRunKey key = new FinishedRunKey(executor, end.number());
@@ -65,7 +65,7 @@
 
     private static void apply(SchedulerTick tick, String executor, FinishedRun end, RunRow run) {
         SchedulerWorld world = tick.world();
-        StepSpec spec = Jobs.findSpec(world, end.task().stepKey()).orElse(null);
+        StepSpec spec = JobLifecycle.findSpec(world, end.task().stepKey()).orElse(null);
         if (spec == null) {
             return;
         }
@@ -90,7 +90,7 @@
 
     private static void done(SchedulerTick tick, String executor, FinishedRun end, StepSpec spec) {
         SchedulerWorld world = tick.world();
-        Standings.done(tick, executor);
+        ExecutorHealth.recordSuccess(tick, executor);
         StepKey step = end.task().stepKey();
         int first = spec.gang() ? 0 : end.task().index();
         int last = spec.gang() ? spec.count() - 1 : end.task().index();
@@ -100,16 +100,16 @@
             if (other != null && other.run() == end.run()) {
                 world.runs().remove(task);
             } else if (other != null && other.stage().isWanted()) {
-                Runs.stop(tick, other, StopReason.JOB_ENDED);
+                RunLifecycle.requestStop(tick, other, StopReason.JOB_ENDED);
             }
-            Jobs.completeTask(tick, task, true);
+            JobLifecycle.completeTask(tick, task, true);
         }
     }
 
     private static void failed(
             SchedulerTick tick, String executor, FinishedRun end, StepSpec spec) {
         SchedulerWorld world = tick.world();
-        Standings.failed(tick, executor);
+        ExecutorHealth.recordFailure(tick, executor);
         TaskKey counted = spec.gang() ? end.task().stepKey().task(0) : end.task();
         TaskRow task = world.tasks().find(counted).orElse(null);
         if (task == null || spec.lasting() || task.failedRuns().contains(end.run())) {
@@ -120,7 +120,8 @@
         JobRow job = world.jobs().find(end.task().jobId()).orElseThrow();
         world.jobs().put(job.id(), job.changed(tick.nowMs()));
         if (failed.failedRuns().size() >= job.terms().attempts()) {
-            Jobs.finish(tick, job.id(), JobState.FAILED, "attempts-used task=" + counted.text());
+            JobLifecycle.finish(
+                    tick, job.id(), JobState.FAILED, "attempts-used task=" + counted.text());
         }
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/Jobs.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/JobLifecycle.java
@@ -12,7 +12,7 @@
 import org.hibiscususher.core.job.StepKey;
 import org.hibiscususher.core.job.StepSpec;
 import org.hibiscususher.core.job.TaskKey;
-import org.hibiscususher.core.scheduler.executor.Runs;
+import org.hibiscususher.core.scheduler.executor.RunLifecycle;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.Respond;
 import org.hibiscususher.core.scheduler.message.StoredRecord;
@@ -27,8 +27,8 @@
 import org.hibiscususher.core.scheduler.world.TaskState;
 
 /** The life of a job: steps whose turn comes, tasks that are done, and the job's end. */
-public final class Jobs {
-    private Jobs() {}
+public final class JobLifecycle {
+    private JobLifecycle() {}
 
     /** Applies that the store holds a new job: its callers hear of it, its first steps begin. */
     public static void markStored(SchedulerTick tick, String id) {
@@ -254,7 +254,7 @@
                 world.runs()
                         .find(task)
                         .filter(r -> r.stage().isWanted())
-                        .ifPresent(r -> Runs.stop(tick, r, StopReason.JOB_ENDED));
+                        .ifPresent(r -> RunLifecycle.requestStop(tick, r, StopReason.JOB_ENDED));
             }
             world.steps().remove(step.key());
         }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/JobProgress.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/JobProgress.java
@@ -22,7 +22,7 @@
         List<StepProgress> steps = new ArrayList<>();
         List<TaskProgress> tasks = new ArrayList<>();
         if (!job.state().isFinal()) {
-            for (StepRow step : Jobs.activatedSteps(world, job)) {
+            for (StepRow step : JobLifecycle.activatedSteps(world, job)) {
                 StepKey key = step.key();
                 if (step.done().signum() != 0) {
                     steps.add(new StepProgress(key.occurrence(), key.step(), step.done()));
@@ -67,10 +67,10 @@
         if (progress.state().isFinal()) {
             return;
         }
-        Jobs.activateDueOccurrences(tick, job.id());
+        JobLifecycle.activateDueOccurrences(tick, job.id());
         for (StepProgress mark : progress.steps()) {
             StepKey key = new StepKey(job.id(), mark.occurrence(), mark.step());
-            Jobs.completeTasks(tick, key, mark.done());
+            JobLifecycle.completeTasks(tick, key, mark.done());
         }
         for (TaskProgress mark : progress.tasks()) {
             StepKey key = new StepKey(job.id(), mark.occurrence(), mark.step());
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/JobRequestSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/JobRequestSystem.java
@@ -191,7 +191,7 @@
         } else if (job.get().storedState().isFinal()) {
             tick.emit(new Respond(row.callId(), JobResponse.of(JobResponseKind.CANCELLED)));
         } else {
-            Jobs.finish(tick, id, JobState.CANCELLED, "caller");
+            JobLifecycle.finish(tick, id, JobState.CANCELLED, "caller");
             await(tick, row, id);
         }
     }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/Commits.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/Commits.java
@@ -8,8 +8,8 @@
 import java.util.function.Predicate;
 import org.hibiscususher.core.job.JobRequestKind;
 import org.hibiscususher.core.job.JobState;
+import org.hibiscususher.core.scheduler.job.JobLifecycle;
 import org.hibiscususher.core.scheduler.job.JobProgress;
-import org.hibiscususher.core.scheduler.job.Jobs;
 import org.hibiscususher.core.scheduler.message.RecordGuard;
 import org.hibiscususher.core.scheduler.message.RecordKind;
 import org.hibiscususher.core.scheduler.message.RecordName;
@@ -207,9 +207,10 @@
     static void applyStored(SchedulerTick tick, StoredRecord record, Map<String, Long> versions) {
         SchedulerWorld world = tick.world();
         if (record instanceof StoredRecord.Job job) {
-            Jobs.markStored(tick, job.id());
+            JobLifecycle.markStored(tick, job.id());
         } else if (record instanceof StoredRecord.Progress progress) {
-            Jobs.markProgressStored(tick, progress, versions.getOrDefault(progress.id(), 0L));
+            JobLifecycle.markProgressStored(
+                    tick, progress, versions.getOrDefault(progress.id(), 0L));
         } else {
             if (record instanceof StoredRecord.Executors executors) {
                 executors
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/Takeover.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/Takeover.java
@@ -5,9 +5,9 @@
 import java.util.Set;
 import org.hibiscususher.core.job.JobState;
 import org.hibiscususher.core.job.Resources;
-import org.hibiscususher.core.scheduler.executor.HoldSystem;
+import org.hibiscususher.core.scheduler.executor.HeartbeatSystem;
+import org.hibiscususher.core.scheduler.job.JobLifecycle;
 import org.hibiscususher.core.scheduler.job.JobProgress;
-import org.hibiscususher.core.scheduler.job.Jobs;
 import org.hibiscususher.core.scheduler.message.ExecutorReport;
 import org.hibiscususher.core.scheduler.message.LoadedRecord;
 import org.hibiscususher.core.scheduler.message.RecordKind;
@@ -51,7 +51,7 @@
         TermRow term = world.term().get();
         world.term().set(term.withCall(TermStage.OWNING, 0, 0));
         for (JobRow job : world.jobs().rows()) {
-            Jobs.activateDueOccurrences(tick, job.id());
+            JobLifecycle.activateDueOccurrences(tick, job.id());
         }
         world.claim().get().open().ifPresent(open -> clearDoubt(world, new HashSet<>(open)));
         tick.log(
@@ -149,7 +149,7 @@
     private static long waitUntilMs(SchedulerTick tick) {
         SchedulerTiming timing = tick.world().settings().timing();
         TermRow term = tick.world().term().get();
-        long holdMs = timing.holdMs() * 100 / HoldSystem.SLOWEST_CLOCK_PERCENT + SLACK_MS;
+        long holdMs = timing.holdMs() * 100 / HeartbeatSystem.MIN_CLOCK_RATE_PERCENT + SLACK_MS;
         return term.takenMs() + holdMs + (term.predecessorReleased() ? 0 : timing.graceMs());
     }
 }
