--- a/core/src/main/java/org/hibiscususher/core/job/FinishedRun.java
+++ b/core/src/main/java/org/hibiscususher/core/job/FinishedRun.java
@@ -5,17 +5,18 @@
 /**
  * An end of a run that an executor lists until it is acknowledged.
  *
- * @param number position in the executor's list of ends, from 1
+ * @param sequence position in the executor's list of ends, from 1
  * @param task the task
  * @param run number of the run
- * @param kind how the run ended
+ * @param outcome how the run ended
  * @param checkpoint last saved state; empty for none
  */
-public record FinishedRun(long number, TaskKey task, int run, RunOutcome kind, String checkpoint) {
+public record FinishedRun(
+        long sequence, TaskKey task, int run, RunOutcome outcome, String checkpoint) {
     /** Checks the parts. */
     public FinishedRun {
         requireNonNull(task);
-        requireNonNull(kind);
+        requireNonNull(outcome);
         requireNonNull(checkpoint);
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/job/JobPool.java
+++ b/core/src/main/java/org/hibiscususher/core/job/JobPool.java
@@ -6,10 +6,10 @@
  * A pool of executors.
  *
  * @param name name
- * @param guarded whether executors themselves reject what doesn't fit
+ * @param enforcesCapacity whether executors themselves reject what doesn't fit
  * @param spare whether the pool's hosts are switched off until they are moved elsewhere
  */
-public record JobPool(String name, boolean guarded, boolean spare) {
+public record JobPool(String name, boolean enforcesCapacity, boolean spare) {
     /** Checks the parts. */
     public JobPool {
         requireNonNull(name);
--- a/core/src/main/java/org/hibiscususher/core/job/JobQueue.java
+++ b/core/src/main/java/org/hibiscususher/core/job/JobQueue.java
@@ -7,19 +7,19 @@
  *
  * @param host host name in callers' requests
  * @param prefix beginning of the paths that lead to the queue
- * @param open whether the queue takes jobs without a key
- * @param terms terms of its jobs
+ * @param allowsAnonymous whether the queue takes jobs without a key
+ * @param policy terms of its jobs
  */
-public record JobQueue(String host, String prefix, boolean open, JobPolicy terms) {
+public record JobQueue(String host, String prefix, boolean allowsAnonymous, JobPolicy policy) {
     /** Checks the parts. */
     public JobQueue {
         requireNonNull(host);
         requireNonNull(prefix);
-        requireNonNull(terms);
+        requireNonNull(policy);
     }
 
     /** Returns the queue's name. */
     public String name() {
-        return terms.queue();
+        return policy.queue();
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/job/JobRequest.java
+++ b/core/src/main/java/org/hibiscususher/core/job/JobRequest.java
@@ -37,7 +37,7 @@
     }
 
     /** Returns this request, passed on once more. */
-    public JobRequest passedOn() {
+    public JobRequest forwarded() {
         return new JobRequest(kind, host, path, key, spec, hops + 1);
     }
 
--- a/core/src/main/java/org/hibiscususher/core/job/JobSpec.java
+++ b/core/src/main/java/org/hibiscususher/core/job/JobSpec.java
@@ -7,23 +7,23 @@
 /**
  * What a caller hands in as one job.
  *
- * @param text what executors are told to run, as the caller wrote it
+ * @param payload what executors are told to run, as the caller wrote it
  * @param steps the steps
  * @param repeats how many times the steps run; 0 if once and at once
  * @param startMs when the first occurrence is due, in milliseconds since the epoch
  * @param intervalMs milliseconds between two occurrences
  */
 public record JobSpec(
-        String text, List<StepSpec> steps, int repeats, long startMs, long intervalMs) {
+        String payload, List<StepSpec> steps, int repeats, long startMs, long intervalMs) {
     /** Copies the steps. */
     public JobSpec {
-        requireNonNull(text);
+        requireNonNull(payload);
         steps = List.copyOf(steps);
     }
 
     /** Returns a job that runs once and at once. */
-    public static JobSpec once(String text, List<StepSpec> steps) {
-        return new JobSpec(text, steps, 0, 0, 0);
+    public static JobSpec once(String payload, List<StepSpec> steps) {
+        return new JobSpec(payload, steps, 0, 0, 0);
     }
 
     /** Returns how many times the steps run. */
@@ -32,33 +32,33 @@
     }
 
     /** Returns whether the steps run at set times. */
-    public boolean isTimed() {
+    public boolean isScheduled() {
         return repeats > 0;
     }
 
     /** Returns when an occurrence is due, in milliseconds since the epoch; 0 if at once. */
-    public long dueMs(int occurrence) {
-        return isTimed() ? startMs + occurrence * intervalMs : 0;
+    public long scheduledMs(int occurrence) {
+        return isScheduled() ? startMs + occurrence * intervalMs : 0;
     }
 
     /** Returns whether a step runs until the job is cancelled. */
-    public boolean isLasting() {
-        return steps.stream().anyMatch(StepSpec::lasting);
+    public boolean isService() {
+        return steps.stream().anyMatch(StepSpec::service);
     }
 
     /** Returns the work of one occurrence in core-milliseconds, by the estimates. */
-    public long workMs() {
-        return steps.stream().mapToLong(StepSpec::workMs).sum();
+    public long workCoreMs() {
+        return steps.stream().mapToLong(StepSpec::workCoreMs).sum();
     }
 
     /** Returns the length of the longest chain of steps in milliseconds, by the estimates. */
-    public long chainMs() {
+    public long criticalPathMs() {
         long[] ends = new long[steps.size()];
         long longest = 0;
         for (int i = 0; i < ends.length; i++) {
             StepSpec step = steps.get(i);
             long start = 0;
-            for (int before : step.after()) {
+            for (int before : step.dependsOn()) {
                 start = Math.max(start, ends[before]);
             }
             ends[i] = start + step.estimateMs();
@@ -72,7 +72,7 @@
      *
      * <p>A step may only wait for steps before it.
      */
-    public String problem() {
+    public String validationError() {
         if (steps.isEmpty()) {
             return "a job needs a step";
         }
@@ -81,7 +81,7 @@
             if (step.count() < 1) {
                 return "step " + i + " has no tasks";
             }
-            for (int before : step.after()) {
+            for (int before : step.dependsOn()) {
                 if (before < 0 || before >= i) {
                     return "step " + i + " waits for step " + before;
                 }
--- a/core/src/main/java/org/hibiscususher/core/job/JobTeam.java
+++ b/core/src/main/java/org/hibiscususher/core/job/JobTeam.java
@@ -14,7 +14,7 @@
  */
 public record JobTeam(String name, long weight, Resources limit, Set<String> keys) {
     /** The name under which jobs of open queues run that came without a key. */
-    public static final String NOBODY = "";
+    public static final String ANONYMOUS = "";
 
     /** Copies the keys. */
     public JobTeam {
--- a/core/src/main/java/org/hibiscususher/core/job/StepSpec.java
+++ b/core/src/main/java/org/hibiscususher/core/job/StepSpec.java
@@ -10,36 +10,36 @@
  * @param count number of tasks
  * @param demand what each task takes
  * @param estimateMs rough time that a task takes, in milliseconds; 0 if unknown
- * @param after numbers of the steps that have to be done first
- * @param checkpoints whether tasks save their progress
+ * @param dependsOn numbers of the steps that have to be done first
+ * @param savesCheckpoints whether tasks save their progress
  * @param gang whether tasks work only together
  * @param sameRack whether tasks are slower on more than one rack
  * @param requiredLabel label that an executor must have; empty for none
  * @param dataRack rack on which tasks are faster; empty for none
  * @param maxPerExecutor most tasks of the step on one executor; 0 for no limit
  * @param speculative whether copies of a task may run in parallel
- * @param lasting whether tasks run until the job is cancelled
+ * @param service whether tasks run until the job is cancelled
  * @param image what the tasks run; tasks of one image behave alike
- * @param goalMs limit of the tail latency of tasks that serve, in milliseconds; 0 for none
- * @param fills whether tasks take only processor time that others leave
+ * @param latencyGoalMs limit of the tail latency of tasks that serve, in milliseconds; 0 for none
+ * @param bestEffortCpu whether tasks take only processor time that others leave
  * @param maxUnavailable most tasks away at a time because of us; 0 if not limited
  */
 public record StepSpec(
         int count,
         Resources demand,
         long estimateMs,
-        List<Integer> after,
-        boolean checkpoints,
+        List<Integer> dependsOn,
+        boolean savesCheckpoints,
         boolean gang,
         boolean sameRack,
         String requiredLabel,
         String dataRack,
         int maxPerExecutor,
         boolean speculative,
-        boolean lasting,
+        boolean service,
         String image,
-        long goalMs,
-        boolean fills,
+        long latencyGoalMs,
+        boolean bestEffortCpu,
         int maxUnavailable) {
     /** Checks and copies the parts. */
     public StepSpec {
@@ -47,16 +47,17 @@
         requireNonNull(requiredLabel);
         requireNonNull(dataRack);
         requireNonNull(image);
-        after = List.copyOf(after);
+        dependsOn = List.copyOf(dependsOn);
     }
 
     /** Returns a step of ordinary tasks that may run anywhere. */
-    public static StepSpec of(int count, Resources demand, long estimateMs, List<Integer> after) {
+    public static StepSpec of(
+            int count, Resources demand, long estimateMs, List<Integer> dependsOn) {
         return new StepSpec(
                 count,
                 demand,
                 estimateMs,
-                after,
+                dependsOn,
                 false,
                 false,
                 false,
@@ -73,11 +74,11 @@
 
     /** Returns what a task takes of an executor's capacity. */
     public Resources reserved() {
-        return fills ? demand.withoutCpu() : demand;
+        return bestEffortCpu ? demand.withoutCpu() : demand;
     }
 
     /** Returns the work of the whole step in core-milliseconds, by its estimate. */
-    public long workMs() {
-        return lasting ? 0 : count * Math.max(1, demand.cpuMillis()) * estimateMs / 1_000;
+    public long workCoreMs() {
+        return service ? 0 : count * Math.max(1, demand.cpuMillis()) * estimateMs / 1_000;
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/control/ConfigurationSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/control/ConfigurationSystem.java
@@ -16,38 +16,39 @@
     static void run(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
         for (ConfigurationSeen seen : tick.inputs(ConfigurationSeen.class)) {
-            ConfigurationRow before = world.plan().get();
-            if (seen.plan().version() > before.plan().version()) {
-                world.plan().set(new ConfigurationRow(seen.plan(), seen.revision()));
+            ConfigurationRow before = world.configuration().get();
+            if (seen.configuration().version() > before.configuration().version()) {
+                world.configuration()
+                        .set(new ConfigurationRow(seen.configuration(), seen.revision()));
                 tick.log(
                         "plan-in-force",
                         "version="
-                                + seen.plan().version()
+                                + seen.configuration().version()
                                 + " before="
-                                + before.plan().version()
+                                + before.configuration().version()
                                 + " revision="
                                 + seen.revision()
                                 + " queues="
-                                + seen.plan().queues().size()
+                                + seen.configuration().queues().size()
                                 + " teams="
-                                + seen.plan().teams().size());
+                                + seen.configuration().teams().size());
             }
         }
         for (WaveSeen seen : tick.inputs(WaveSeen.class)) {
-            long wave = seen.wave().wave();
+            long wave = seen.order().wave();
             if (!world.waves().contains(wave)) {
                 tick.log(
                         "wave-seen",
                         "wave="
                                 + wave
                                 + " hosts="
-                                + seen.wave().hosts().size()
+                                + seen.order().hosts().size()
                                 + " cap="
-                                + seen.wave().cap()
+                                + seen.order().maxConcurrentHosts()
                                 + " within_ms="
-                                + seen.wave().withinMs());
+                                + seen.order().timeLimitMs());
                 world.waves()
-                        .put(wave, new WaveRow(seen.wave(), tick.nowMs(), Set.of(), false, false));
+                        .put(wave, new WaveRow(seen.order(), tick.nowMs(), Set.of(), false, false));
             }
         }
         for (WaveWithdrawn gone : tick.inputs(WaveWithdrawn.class)) {
--- a/core/src/main/java/org/hibiscususher/core/scheduler/control/NodeLifecycleSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/control/NodeLifecycleSystem.java
@@ -19,27 +19,27 @@
 
     static void run(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
-        NodeStateRow node = world.node().get();
-        if (!tick.inputs(ShutdownRequested.class).isEmpty() && node.stopAskedMs() == 0) {
+        NodeStateRow node = world.nodeState().get();
+        if (!tick.inputs(ShutdownRequested.class).isEmpty() && node.shutdownRequestedMs() == 0) {
             tick.log("stop-asked", "owner=" + world.term().get().stage().isOwner());
-            node = new NodeStateRow(node.ready(), node.storeReached(), tick.nowMs());
+            node = new NodeStateRow(node.ready(), node.storeReachable(), tick.nowMs());
             release(world);
         }
-        boolean stopping = node.stopAskedMs() != 0;
+        boolean stopping = node.shutdownRequestedMs() != 0;
         boolean ready = !stopping && world.ownership().get().known();
         if (ready != node.ready()) {
             tick.emit(new ReportReadiness(ready));
         }
-        boolean reached = node.storeReached();
+        boolean reached = node.storeReachable();
         for (StoreReachabilityChanged contact : tick.inputs(StoreReachabilityChanged.class)) {
-            reached = contact.reached();
+            reached = contact.reachable();
             tick.log(
                     reached ? "store-reached" : "store-lost",
                     "stage=" + world.term().get().stage());
         }
-        world.node().set(new NodeStateRow(ready, reached, node.stopAskedMs()));
-        boolean owner = world.term().get().owns();
-        if (stopping && !owner && tick.nowMs() - node.stopAskedMs() > BALANCER_MS) {
+        world.nodeState().set(new NodeStateRow(ready, reached, node.shutdownRequestedMs()));
+        boolean owner = world.term().get().isScheduling();
+        if (stopping && !owner && tick.nowMs() - node.shutdownRequestedMs() > BALANCER_MS) {
             tick.emit(new Terminate());
         }
     }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/DrainingExecutorSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/DrainingExecutorSystem.java
@@ -23,7 +23,7 @@
             return;
         }
         for (ExecutorRow row : tick.world().executors().rows()) {
-            if (row.drainingMs() != 0) {
+            if (row.drainingSinceMs() != 0) {
                 empty(tick, row);
             }
         }
@@ -31,12 +31,12 @@
 
     private static void empty(SchedulerTick tick, ExecutorRow row) {
         SchedulerWorld world = tick.world();
-        long leftMs = row.drainingMs() + row.report().remainingMs() - tick.nowMs();
+        long leftMs = row.drainingSinceMs() + row.report().remainingMs() - tick.nowMs();
         for (RunRow run : List.copyOf(world.runs().group(row.id()))) {
             StepSpec spec = JobLifecycle.findSpec(world, run.task().stepKey()).orElse(null);
             if (spec != null
                     && run.stage() == RunStage.RUNNING
-                    && (spec.lasting() || leftMs < toGoMs(run, spec))) {
+                    && (spec.service() || leftMs < toGoMs(run, spec))) {
                 RunLifecycle.requestStop(tick, run, StopReason.EVICTED);
             }
         }
@@ -44,6 +44,6 @@
 
     /** Returns how long a run still takes, by its estimate and its progress. */
     private static long toGoMs(RunRow run, StepSpec spec) {
-        return spec.estimateMs() * (FULL - Math.min(FULL, run.percent())) / FULL;
+        return spec.estimateMs() * (FULL - Math.min(FULL, run.speedPercent())) / FULL;
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/ExecutorHealth.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/ExecutorHealth.java
@@ -16,16 +16,21 @@
     static void recordSuccess(SchedulerTick tick, String executor) {
         ExecutorHealthRow row = findOrInitial(tick, executor);
         tick.world()
-                .standings()
-                .put(executor, new ExecutorHealthRow(executor, 0, row.done() + 1, tick.nowMs()));
+                .executorHealth()
+                .put(
+                        executor,
+                        new ExecutorHealthRow(executor, 0, row.completedRuns() + 1, tick.nowMs()));
     }
 
     static void recordFailure(SchedulerTick tick, String executor) {
         ExecutorHealthRow row = findOrInitial(tick, executor);
-        int failures = row.failuresInRow() + 1;
+        int failures = row.consecutiveFailures() + 1;
         tick.world()
-                .standings()
-                .put(executor, new ExecutorHealthRow(executor, failures, row.done(), tick.nowMs()));
+                .executorHealth()
+                .put(
+                        executor,
+                        new ExecutorHealthRow(
+                                executor, failures, row.completedRuns(), tick.nowMs()));
         if (failures >= MAX_FAILURES) {
             quarantine(
                     tick, executor, Math.min(MAX_ASIDE_MS, ASIDE_MS * (failures - 1)), "failures");
@@ -36,17 +41,20 @@
     static void recordEnd(SchedulerTick tick, String executor) {
         ExecutorHealthRow row = findOrInitial(tick, executor);
         tick.world()
-                .standings()
+                .executorHealth()
                 .put(
                         executor,
                         new ExecutorHealthRow(
-                                executor, row.failuresInRow(), row.done(), tick.nowMs()));
+                                executor,
+                                row.consecutiveFailures(),
+                                row.completedRuns(),
+                                tick.nowMs()));
     }
 
     /** Gives an executor no new runs for some time. */
     static void quarantine(SchedulerTick tick, String executor, long forMs, String reason) {
         long untilMs = tick.nowMs() + forMs;
-        tick.world().contacts().update(executor, c -> c.aside(untilMs));
+        tick.world().executorSessions().update(executor, c -> c.quarantinedUntil(untilMs));
         tick.log(
                 "executor-aside",
                 "executor=" + executor + " for_ms=" + forMs + " reason=" + reason);
@@ -54,6 +62,9 @@
     }
 
     private static ExecutorHealthRow findOrInitial(SchedulerTick tick, String executor) {
-        return tick.world().standings().find(executor).orElse(ExecutorHealthRow.initial(executor));
+        return tick.world()
+                .executorHealth()
+                .find(executor)
+                .orElse(ExecutorHealthRow.initial(executor));
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/ExecutorSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/ExecutorSystem.java
@@ -44,7 +44,8 @@
 
     /** Takes in reports, lists and their absence. */
     public static void run(SchedulerTick tick) {
-        if (!tick.world().term().get().owns() && !tick.world().term().get().stage().isOwner()) {
+        if (!tick.world().term().get().isScheduling()
+                && !tick.world().term().get().stage().isOwner()) {
             return;
         }
         for (SchedulerInput input : tick.inputs()) {
@@ -86,8 +87,8 @@
                         ? new ExecutorRow(report, tick.nowMs(), 0, false, false, false, 0)
                         : before;
         world.executors().put(report.id(), row.withReport(report, tick.nowMs()));
-        if (!world.contacts().contains(report.id())) {
-            world.contacts().put(report.id(), ExecutorSessionRow.initial(report.id(), 0));
+        if (!world.executorSessions().contains(report.id())) {
+            world.executorSessions().put(report.id(), ExecutorSessionRow.initial(report.id(), 0));
         }
         if (before == null || before.report().draining() != report.draining()) {
             tick.log(
@@ -107,8 +108,12 @@
                             + " remaining_ms="
                             + report.remainingMs());
         }
-        long bornMs = world.contacts().find(report.id()).map(ExecutorSessionRow::bornMs).orElse(0L);
-        if (report.bornMs() > bornMs && bornMs != 0) {
+        long bornMs =
+                world.executorSessions()
+                        .find(report.id())
+                        .map(ExecutorSessionRow::startedAtMs)
+                        .orElse(0L);
+        if (report.startedAtMs() > bornMs && bornMs != 0) {
             tick.log("executor-reborn", "executor=" + report.id() + " by=report");
             RunLifecycle.handleRestart(tick, report.id(), "reborn");
         }
@@ -116,28 +121,29 @@
 
     private static void missing(SchedulerTick tick, String id) {
         ExecutorRow row = tick.world().executors().find(id).orElse(null);
-        if (row == null || row.missingMs() != 0) {
+        if (row == null || row.missingSinceMs() != 0) {
             return;
         }
         tick.log("executor-missing", "executor=" + id + " draining=" + row.report().draining());
-        tick.world().executors().put(id, row.missing(tick.nowMs()));
+        tick.world().executors().put(id, row.withoutReport(tick.nowMs()));
     }
 
     private static void answered(SchedulerTick tick, HeartbeatAnswered answer) {
         SchedulerWorld world = tick.world();
         String id = answer.executor();
-        ExecutorSessionRow contact = world.contacts().find(id).orElse(null);
+        ExecutorSessionRow contact = world.executorSessions().find(id).orElse(null);
         if (contact == null || contact.callId() != answer.callId()) {
             return;
         }
-        if (contact.bornMs() != 0 && contact.bornMs() != answer.bornMs()) {
+        if (contact.startedAtMs() != 0 && contact.startedAtMs() != answer.startedAtMs()) {
             tick.log("executor-reborn", "executor=" + id + " by=answer");
             RunLifecycle.handleRestart(tick, id, "reborn");
             contact =
                     ExecutorSessionRow.initial(id, contact.leaseEndMs())
-                            .sent(answer.callId(), contact.callFence(), contact.sentMs(), 0);
+                            .withHeartbeatSent(
+                                    answer.callId(), contact.callFence(), contact.sentMs(), 0);
         }
-        if (contact.answeredMs() == 0 || contact.failures() > MAX_FAILURES) {
+        if (contact.answeredMs() == 0 || contact.consecutiveFailures() > MAX_FAILURES) {
             tick.log(
                     "executor-reached",
                     "executor="
@@ -147,22 +153,24 @@
                             + " runs="
                             + answer.runs().size()
                             + " ends="
-                            + answer.ends().size());
+                            + answer.finishedRuns().size());
         }
         long sentMs = contact.sentMs();
-        contact = contact.answered(answer.bornMs(), answer.clockMs(), tick.nowMs());
-        world.contacts().put(id, contact);
-        world.executors().update(id, ExecutorRow::answered);
+        contact =
+                contact.withHeartbeatAnswered(
+                        answer.startedAtMs(), answer.executorClockMs(), tick.nowMs());
+        world.executorSessions().put(id, contact);
+        world.executors().update(id, ExecutorRow::asConfirmed);
         Set<TaskKey> told = new HashSet<>();
-        for (FinishedRun end : answer.ends()) {
+        for (FinishedRun end : answer.finishedRuns()) {
             told.add(end.task());
-            if (end.number() > contact.listed()) {
+            if (end.sequence() > contact.appliedSequence()) {
                 FinishedRuns.apply(tick, id, end);
-                contact = contact.withListed(end.number());
+                contact = contact.withAppliedSequence(end.sequence());
             }
         }
-        long listed = contact.listed();
-        world.contacts().update(id, c -> c.withListed(listed));
+        long listed = contact.appliedSequence();
+        world.executorSessions().update(id, c -> c.withAppliedSequence(listed));
         for (ReportedRun run : answer.runs()) {
             told.add(run.task());
             listedRun(tick, id, run);
@@ -177,13 +185,13 @@
         TaskRow task = world.tasks().find(told.task()).orElse(null);
         boolean same = run != null && run.run() == told.run() && run.executor().equals(executor);
         if (same) {
-            RunRow next = run.listed(told, tick.nowMs());
+            RunRow next = run.withReport(told, tick.nowMs());
             if (run.stage() == RunStage.SENT) {
-                next = next.running(tick.nowMs());
+                next = next.asRunning(tick.nowMs());
                 JobLifecycle.markRunning(tick, told.task().jobId());
             }
             world.runs().put(run.task(), next);
-        } else if (run == null && task != null && told.run() >= task.run()) {
+        } else if (run == null && task != null && told.run() >= task.lastRun()) {
             adopt(tick, executor, told, task);
         } else {
             RunLifecycle.requestStopOfUnknownRun(tick, executor, told.task(), told.run());
@@ -212,12 +220,12 @@
                         tick.nowMs(),
                         tick.nowMs(),
                         told.checkpoint(),
-                        told.percent(),
+                        told.speedPercent(),
                         told.load(),
                         100,
                         tick.nowMs());
         world.runs().put(run.task(), run);
-        world.tasks().put(task.key(), task.active(told.run()));
+        world.tasks().put(task.key(), task.asActive(told.run()));
         JobLifecycle.markRunning(tick, job.id());
         tick.log("run-adopted", RunLifecycle.describe(run));
     }
@@ -226,7 +234,7 @@
     private static void vanished(
             SchedulerTick tick, String executor, Set<TaskKey> told, long sentMs) {
         for (RunRow run : List.copyOf(tick.world().runs().group(executor))) {
-            boolean known = run.settledMs() != 0 && run.settledMs() < sentMs;
+            boolean known = run.orderAnsweredMs() != 0 && run.orderAnsweredMs() < sentMs;
             if (known && !told.contains(run.task())) {
                 RunLifecycle.removeAndRequeue(tick, run, "not-listed", 0);
             }
@@ -235,7 +243,7 @@
 
     private static void failed(SchedulerTick tick, HeartbeatFailed failed) {
         SchedulerWorld world = tick.world();
-        ExecutorSessionRow contact = world.contacts().find(failed.executor()).orElse(null);
+        ExecutorSessionRow contact = world.executorSessions().find(failed.executor()).orElse(null);
         if (contact == null || contact.callId() != failed.callId()) {
             return;
         }
@@ -243,11 +251,12 @@
             if (contact.callFence() == world.term().get().fence()) {
                 StepDown.run(tick, "fenced-by-executor");
             } else {
-                world.contacts().put(contact.executor(), contact.failed(tick.nowMs()));
+                world.executorSessions()
+                        .put(contact.executor(), contact.withHeartbeatFailed(tick.nowMs()));
             }
             return;
         }
-        if (contact.failures() == 0) {
+        if (contact.consecutiveFailures() == 0) {
             tick.log(
                     "executor-silent",
                     "executor="
@@ -261,32 +270,36 @@
         }
         if (failed.failure() == HeartbeatFailure.OTHER_LIFE) {
             RunLifecycle.endIncarnation(tick, failed.executor(), "other-life");
-            world.contacts()
-                    .update(failed.executor(), c -> c.failed(tick.nowMs() + UNHEALTHY_RETRY_MS));
+            world.executorSessions()
+                    .update(
+                            failed.executor(),
+                            c -> c.withHeartbeatFailed(tick.nowMs() + UNHEALTHY_RETRY_MS));
             return;
         }
         boolean silent = failed.failure() == HeartbeatFailure.NO_ANSWER;
         long nextMs = tick.nowMs() + (silent ? RETRY_MS : UNHEALTHY_RETRY_MS);
-        world.contacts()
+        world.executorSessions()
                 .put(
                         failed.executor(),
-                        contact.failed(nextMs).aside(tick.nowMs() + SILENT_ASIDE_MS));
+                        contact.withHeartbeatFailed(nextMs)
+                                .quarantinedUntil(tick.nowMs() + SILENT_ASIDE_MS));
     }
 
     /** Ends what a silent executor ran once its lease has surely ended, and forgets the gone. */
     private static void endLeases(SchedulerTick tick, ExecutorRow row) {
         SchedulerWorld world = tick.world();
-        ExecutorSessionRow contact = world.contacts().find(row.id()).orElse(null);
+        ExecutorSessionRow contact = world.executorSessions().find(row.id()).orElse(null);
         if (contact == null || tick.nowMs() <= contact.leaseEndMs()) {
             return;
         }
-        if (!world.runs().group(row.id()).isEmpty() && contact.failures() > 0) {
+        if (!world.runs().group(row.id()).isEmpty() && contact.consecutiveFailures() > 0) {
             for (RunRow run : List.copyOf(world.runs().group(row.id()))) {
                 RunLifecycle.removeAndRequeue(tick, run, "lease-ended", 0);
             }
         }
-        boolean missing = row.missingMs() != 0 && tick.nowMs() - row.missingMs() > MISSING_MS;
-        if (missing && (contact.failures() > 0 || row.report().address().isEmpty())) {
+        boolean missing =
+                row.missingSinceMs() != 0 && tick.nowMs() - row.missingSinceMs() > MISSING_MS;
+        if (missing && (contact.consecutiveFailures() > 0 || row.report().address().isEmpty())) {
             RunLifecycle.removeExecutor(tick, row.id(), "missing");
         }
     }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/FinishedRuns.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/FinishedRuns.java
@@ -43,24 +43,24 @@
                         + " executor="
                         + executor
                         + " how="
-                        + end.kind()
+                        + end.outcome()
                         + " number="
-                        + end.number()
+                        + end.sequence()
                         + " current="
                         + (run != null));
-        tick.count("run-ended." + end.kind());
+        tick.count("run-ended." + end.outcome());
         if (run != null) {
             world.runs().remove(run.task());
             ExecutorHealth.recordEnd(tick, executor);
         }
-        if (job == null || !job.isOpen()) {
+        if (job == null || !job.acceptsRuns()) {
             return;
         }
         JobLifecycle.activateForReportedRun(tick, end.task().stepKey());
         apply(tick, executor, end, run);
         long version = world.jobs().find(job.id()).map(JobRow::version).orElse(0L);
-        FinishedRunKey key = new FinishedRunKey(executor, end.number());
-        world.ends().put(key, new FinishedRunRow(key, job.id(), version));
+        FinishedRunKey key = new FinishedRunKey(executor, end.sequence());
+        world.finishedRuns().put(key, new FinishedRunRow(key, job.id(), version));
     }
 
     private static void apply(SchedulerTick tick, String executor, FinishedRun end, RunRow run) {
@@ -69,22 +69,23 @@
         if (spec == null) {
             return;
         }
-        if (end.kind() == RunOutcome.DONE && !spec.lasting()) {
+        if (end.outcome() == RunOutcome.DONE && !spec.service()) {
             done(tick, executor, end, spec);
             return;
         }
-        world.tasks().update(end.task(), t -> t.withRun(end.run()));
-        if (end.kind().countsAsAttempt()) {
+        world.tasks().update(end.task(), t -> t.withRunAtLeast(end.run()));
+        if (end.outcome().countsAsAttempt()) {
             failed(tick, executor, end, spec);
         }
         boolean current = run != null || !world.runs().contains(end.task());
         if (current) {
-            long restMs = end.kind() == RunOutcome.FAILED && !spec.lasting() ? FAILED_REST_MS : 0;
+            long restMs =
+                    end.outcome() == RunOutcome.FAILED && !spec.service() ? FAILED_REST_MS : 0;
             world.tasks()
-                    .update(end.task(), t -> t.waiting(tick.nowMs(), restMs, end.checkpoint()));
+                    .update(end.task(), t -> t.asWaiting(tick.nowMs(), restMs, end.checkpoint()));
         }
-        if (!end.checkpoint().isEmpty() && !spec.lasting()) {
-            world.jobs().update(end.task().jobId(), j -> j.changed(tick.nowMs()));
+        if (!end.checkpoint().isEmpty() && !spec.service()) {
+            world.jobs().update(end.task().jobId(), j -> j.withChange(tick.nowMs()));
         }
     }
 
@@ -112,14 +113,14 @@
         ExecutorHealth.recordFailure(tick, executor);
         TaskKey counted = spec.gang() ? end.task().stepKey().task(0) : end.task();
         TaskRow task = world.tasks().find(counted).orElse(null);
-        if (task == null || spec.lasting() || task.failedRuns().contains(end.run())) {
+        if (task == null || spec.service() || task.failedRuns().contains(end.run())) {
             return;
         }
         TaskRow failed = task.withFailure(end.run(), executor);
         world.tasks().put(counted, failed);
         JobRow job = world.jobs().find(end.task().jobId()).orElseThrow();
-        world.jobs().put(job.id(), job.changed(tick.nowMs()));
-        if (failed.failedRuns().size() >= job.terms().attempts()) {
+        world.jobs().put(job.id(), job.withChange(tick.nowMs()));
+        if (failed.failedRuns().size() >= job.policy().maxFailures()) {
             JobLifecycle.finish(
                     tick, job.id(), JobState.FAILED, "attempts-used task=" + counted.text());
         }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/HeartbeatSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/HeartbeatSystem.java
@@ -34,10 +34,11 @@
             return;
         }
         for (ExecutorRow row : tick.world().executors().rows()) {
-            ExecutorSessionRow contact = tick.world().contacts().find(row.id()).orElse(null);
+            ExecutorSessionRow contact =
+                    tick.world().executorSessions().find(row.id()).orElse(null);
             if (contact != null
                     && contact.callId() == 0
-                    && tick.nowMs() >= contact.nextMs()
+                    && tick.nowMs() >= contact.nextHeartbeatMs()
                     && !row.report().address().isEmpty()) {
                 hold(tick, row, acknowledge(tick, contact));
             }
@@ -47,55 +48,57 @@
     private static ExecutorSessionRow acknowledge(SchedulerTick tick, ExecutorSessionRow contact) {
         SchedulerWorld world = tick.world();
         ExecutorSessionRow next = contact;
-        for (FinishedRunRow end : List.copyOf(world.ends().group(contact.executor()))) {
+        for (FinishedRunRow end : List.copyOf(world.finishedRuns().group(contact.executor()))) {
             long stored =
                     world.jobs().find(end.job()).map(JobRow::storedVersion).orElse(Long.MAX_VALUE);
-            if (stored < end.version()) {
+            if (stored < end.jobVersion()) {
                 break;
             }
-            world.ends().remove(end.key());
-            next = next.withSeen(end.key().number());
+            world.finishedRuns().remove(end.key());
+            next = next.withAcknowledgedSequence(end.key().sequence());
         }
-        if (world.ends().group(contact.executor()).isEmpty()) {
-            next = next.withSeen(contact.listed());
+        if (world.finishedRuns().group(contact.executor()).isEmpty()) {
+            next = next.withAcknowledgedSequence(contact.appliedSequence());
         }
         return next;
     }
 
     private static void hold(SchedulerTick tick, ExecutorRow row, ExecutorSessionRow contact) {
         SchedulerWorld world = tick.world();
-        boolean open = !world.ends().group(row.id()).isEmpty();
+        boolean open = !world.finishedRuns().group(row.id()).isEmpty();
         if (open && tick.nowMs() - contact.answeredMs() < UNACKNOWLEDGED_REST_MS) {
-            world.contacts().put(row.id(), contact);
+            world.executorSessions().put(row.id(), contact);
             return;
         }
         TermRow term = world.term().get();
-        boolean first = contact.answeredMs() == 0 || contact.failures() > 0;
-        boolean fresh = contact.fence() == term.fence() && !first && !open;
+        boolean first = contact.answeredMs() == 0 || contact.consecutiveFailures() > 0;
+        boolean fresh = contact.confirmedFence() == term.fence() && !first && !open;
         boolean busy = !world.runs().group(row.id()).isEmpty();
         long waitMs = !fresh ? 0 : busy ? BUSY_WAIT_MS : IDLE_WAIT_MS;
         // Orders to a silent executor may arrive, so they must not prolong the wait for its lease.
         boolean extend = !first;
-        long holdMs = world.settings().timing().holdMs();
-        long deadlineMs = extend ? contact.clockAt(tick.nowMs()) + holdMs : 0;
+        long holdMs = world.settings().timing().executorLeaseMs();
+        long deadlineMs = extend ? contact.executorClockAt(tick.nowMs()) + holdMs : 0;
         long callId = tick.nextCallId();
         long leaseEndMs = extend ? leaseEndMs(contact, deadlineMs) : 0;
-        world.contacts()
-                .put(row.id(), contact.sent(callId, term.fence(), tick.nowMs(), leaseEndMs));
+        world.executorSessions()
+                .put(
+                        row.id(),
+                        contact.withHeartbeatSent(callId, term.fence(), tick.nowMs(), leaseEndMs));
         tick.emit(
                 new SendHeartbeat(
                         callId,
                         row.id(),
                         row.report().address(),
                         term.fence(),
-                        contact.seen(),
+                        contact.acknowledgedSequence(),
                         deadlineMs,
                         waitMs));
     }
 
     /** Returns when a time on an executor's clock has surely come, on our steady clock. */
     public static long leaseEndMs(ExecutorSessionRow contact, long deadlineMs) {
-        long leftMs = (deadlineMs - contact.clockMs()) * 100 / MIN_CLOCK_RATE_PERCENT;
-        return contact.clockAtMs() + leftMs + SLACK_MS;
+        long leftMs = (deadlineMs - contact.executorClockMs()) * 100 / MIN_CLOCK_RATE_PERCENT;
+        return contact.clockReadAtMs() + leftMs + SLACK_MS;
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/LostExecutorSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/LostExecutorSystem.java
@@ -23,7 +23,7 @@
     public static void run(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
         HostListRow list = world.hostList().get();
-        if (list.listedMs() != tick.nowMs() || !world.term().get().owns()) {
+        if (list.listedMs() != tick.nowMs() || !world.term().get().isScheduling()) {
             return;
         }
         Map<String, HostReport> hosts = new HashMap<>();
@@ -51,17 +51,20 @@
     }
 
     private static boolean mayRun(SchedulerWorld world, ExecutorRow row) {
-        return row.prior() || !world.runs().group(row.id()).isEmpty();
+        return row.inherited() || !world.runs().group(row.id()).isEmpty();
     }
 
     private static boolean isSilent(SchedulerWorld world, ExecutorRow row) {
-        ExecutorSessionRow contact = world.contacts().find(row.id()).orElse(null);
-        return contact != null && (contact.failures() > 0 || row.missingMs() != 0);
+        ExecutorSessionRow contact = world.executorSessions().find(row.id()).orElse(null);
+        return contact != null && (contact.consecutiveFailures() > 0 || row.missingSinceMs() != 0);
     }
 
     private static boolean isSilentSince(SchedulerWorld world, ExecutorRow row, long sentMs) {
         long answeredMs =
-                world.contacts().find(row.id()).map(ExecutorSessionRow::answeredMs).orElse(0L);
+                world.executorSessions()
+                        .find(row.id())
+                        .map(ExecutorSessionRow::answeredMs)
+                        .orElse(0L);
         return isSilent(world, row) && answeredMs < sentMs && row.seenMs() < sentMs;
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/RunLifecycle.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/RunLifecycle.java
@@ -26,14 +26,14 @@
     /** Returns the number of the next run of a task, above all that earlier owners gave. */
     public static int nextRunNumber(SchedulerWorld world, TaskRow task) {
         long floor = (world.term().get().generation() - 1) * RUNS_PER_TERM;
-        return Math.max(task.run(), (int) floor) + 1;
+        return Math.max(task.lastRun(), (int) floor) + 1;
     }
 
     /** Orders a run to stop; it stays in the table until its end is known. */
     public static void requestStop(SchedulerTick tick, RunRow run, StopReason reason) {
         SchedulerWorld world = tick.world();
         long callId = tick.nextCallId();
-        world.runs().put(run.task(), run.stopping(reason, callId, tick.nowMs()));
+        world.runs().put(run.task(), run.asStopping(reason, callId, tick.nowMs()));
         if (reason != run.reason()) {
             tick.log("stop", describe(run) + " reason=" + reason);
             tick.count("stop." + reason);
@@ -63,7 +63,7 @@
             SchedulerTick tick, RunRow run, String reason, long delayMs) {
         SchedulerWorld world = tick.world();
         world.runs().remove(run.task());
-        world.tasks().update(run.task(), t -> t.waiting(tick.nowMs(), delayMs, run.checkpoint()));
+        world.tasks().update(run.task(), t -> t.asWaiting(tick.nowMs(), delayMs, run.checkpoint()));
         tick.log("run-gone", describe(run) + " reason=" + reason);
         tick.count("run-gone." + reason);
     }
@@ -74,11 +74,11 @@
         for (RunRow run : List.copyOf(world.runs().group(executor))) {
             removeAndRequeue(tick, run, reason, 0);
         }
-        for (FinishedRunRow end : List.copyOf(world.ends().group(executor))) {
-            world.ends().remove(end.key());
+        for (FinishedRunRow end : List.copyOf(world.finishedRuns().group(executor))) {
+            world.finishedRuns().remove(end.key());
         }
-        world.contacts().put(executor, ExecutorSessionRow.initial(executor, 0));
-        world.executors().update(executor, ExecutorRow::answered);
+        world.executorSessions().put(executor, ExecutorSessionRow.initial(executor, 0));
+        world.executors().update(executor, ExecutorRow::asConfirmed);
     }
 
     /** Applies that an executor has ended for good. */
@@ -87,8 +87,8 @@
         tick.log("executor-gone", "executor=" + executor + " reason=" + reason);
         endIncarnation(tick, executor, reason);
         world.executors().remove(executor);
-        world.contacts().remove(executor);
-        world.standings().remove(executor);
+        world.executorSessions().remove(executor);
+        world.executorHealth().remove(executor);
     }
 
     /**
@@ -111,7 +111,7 @@
         uncertain.forEach(run -> requestStop(tick, run, StopReason.UNCERTAIN_START));
         for (UncertainStartRow row : world.uncertainStarts().rows()) {
             if (row.executor().equals(executor)) {
-                world.uncertainStarts().put(row.key(), row.withOpen(true));
+                world.uncertainStarts().put(row.key(), row.withCancelPending(true));
             }
         }
     }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/RunOrderSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/RunOrderSystem.java
@@ -32,7 +32,7 @@
 
     /** Takes in answers, then repeats orders to stop that got none. */
     public static void run(SchedulerTick tick) {
-        if (!tick.world().term().get().owns()) {
+        if (!tick.world().term().get().isScheduling()) {
             return;
         }
         for (StartAnswered answer : tick.inputs(StartAnswered.class)) {
@@ -44,7 +44,7 @@
         for (StopAnswered answer : tick.inputs(StopAnswered.class)) {
             if (answer.result() != StopResult.NO_ANSWER) {
                 StartKey key = new StartKey(answer.task(), answer.run());
-                tick.world().uncertainStarts().update(key, r -> r.withOpen(false));
+                tick.world().uncertainStarts().update(key, r -> r.withCancelPending(false));
             }
             RunRow run = tick.world().runs().find(answer.task()).orElse(null);
             if (run != null && run.run() == answer.run() && run.callId() == answer.callId()) {
@@ -65,7 +65,7 @@
         }
         switch (result) {
             case STARTED -> {
-                world.runs().put(run.task(), run.running(tick.nowMs()));
+                world.runs().put(run.task(), run.asRunning(tick.nowMs()));
                 JobLifecycle.markRunning(tick, run.task().jobId());
             }
             case NO_ANSWER -> RunLifecycle.handleUnansweredStart(tick, run);
@@ -91,17 +91,17 @@
     private static void stopped(SchedulerTick tick, RunRow run, StopResult result) {
         switch (result) {
             case STOPPED, REFUSED -> {
-                tick.world().runs().put(run.task(), run.settled(tick.nowMs()));
+                tick.world().runs().put(run.task(), run.withOrderAnswered(tick.nowMs()));
                 hastenReading(tick, run.executor());
             }
             case FENCED -> StepDown.run(tick, "fenced-by-executor");
             case OTHER_LIFE -> RunLifecycle.endIncarnation(tick, run.executor(), "other-life");
-            default -> tick.world().runs().put(run.task(), run.settled(0));
+            default -> tick.world().runs().put(run.task(), run.withOrderAnswered(0));
         }
     }
 
     private static void hastenReading(SchedulerTick tick, String executor) {
-        tick.world().contacts().update(executor, c -> c.withNext(tick.nowMs()));
+        tick.world().executorSessions().update(executor, c -> c.withNextHeartbeat(tick.nowMs()));
     }
 
     /** Tells executors that began another life which runs are not wanted. */
@@ -109,8 +109,8 @@
         for (UncertainStartRow row : tick.world().uncertainStarts().rows()) {
             if (tick.nowMs() - row.sinceMs() > MAX_LATE_MS) {
                 tick.world().uncertainStarts().remove(row.key());
-            } else if (row.open() && tick.nowMs() - row.orderedMs() > STOP_RETRY_MS) {
-                tick.world().uncertainStarts().put(row.key(), row.ordered(tick.nowMs()));
+            } else if (row.cancelPending() && tick.nowMs() - row.cancelSentMs() > STOP_RETRY_MS) {
+                tick.world().uncertainStarts().put(row.key(), row.withCancelSent(tick.nowMs()));
                 RunLifecycle.requestStopOfUnknownRun(
                         tick, row.executor(), row.key().task(), row.key().run());
             }
@@ -119,7 +119,7 @@
 
     private static void repeatStops(SchedulerTick tick) {
         for (RunRow run : tick.world().runs().rows()) {
-            if (run.stage() != RunStage.STOPPING || run.settledMs() != 0) {
+            if (run.stage() != RunStage.STOPPING || run.orderAnsweredMs() != 0) {
                 continue;
             }
             long limitMs = run.callId() == 0 ? STOP_RETRY_MS : STOP_TIMEOUT_MS;
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/StragglerSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/StragglerSystem.java
@@ -66,7 +66,7 @@
     private static void stopHung(SchedulerTick tick, List<RunRow> runs) {
         for (RunRow run : runs) {
             StepSpec spec = JobLifecycle.findSpec(tick.world(), run.task().stepKey()).orElse(null);
-            long stillMs = tick.nowMs() - run.progressMs();
+            long stillMs = tick.nowMs() - run.lastProgressMs();
             if (isJudged(run, spec) && stillMs > stillLimitMs(spec)) {
                 ExecutorHealth.quarantine(tick, run.executor(), HUNG_ASIDE_MS, "hung");
                 RunLifecycle.requestStop(tick, run, StopReason.STALLED);
@@ -80,10 +80,10 @@
         Set<String> jobs = new HashSet<>();
         for (RunRow run : runs) {
             StepSpec spec = JobLifecycle.findSpec(tick.world(), run.task().stepKey()).orElse(null);
-            long ageMs = tick.nowMs() - run.settledMs();
+            long ageMs = tick.nowMs() - run.orderAnsweredMs();
             if (isJudged(run, spec)
-                    && !spec.lasting()
-                    && isSlow(ageMs, run.percent(), spec.estimateMs())) {
+                    && !spec.service()
+                    && isSlow(ageMs, run.speedPercent(), spec.estimateMs())) {
                 slow.add(run);
                 jobs.add(run.task().jobId());
             }
@@ -104,20 +104,20 @@
         return spec != null
                 && !spec.gang()
                 && run.stage() == RunStage.RUNNING
-                && run.percent() < FULL
-                && run.pace() >= FULL;
+                && run.speedPercent() < FULL
+                && run.speedLimitPercent() >= FULL;
     }
 
     /** Returns whether most tasks of the run's step are done already. */
     private static boolean othersAreDone(SchedulerWorld world, RunRow run) {
         StepRow step = world.steps().find(run.task().stepKey()).orElse(null);
-        return step != null && step.done().bitCount() > step.left();
+        return step != null && step.doneTasks().bitCount() > step.remaining();
     }
 
     /** Returns for how long a run's listed progress may stay the same. */
     private static long stillLimitMs(StepSpec spec) {
         long perPercentMs = spec.estimateMs() / FULL;
-        return spec.lasting() ? STILL_LASTING_MS : Math.max(STILL_MS, STILL_PERCENT * perPercentMs);
+        return spec.service() ? STILL_LASTING_MS : Math.max(STILL_MS, STILL_PERCENT * perPercentMs);
     }
 
     /**
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/ThrottleSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/ThrottleSystem.java
@@ -54,14 +54,14 @@
             if (spec == null || run.stage() != RunStage.RUNNING) {
                 continue;
             }
-            if (spec.fills()) {
+            if (spec.bestEffortCpu()) {
                 fillers.add(run);
-            } else if (spec.goalMs() > 0 && run.load() >= 0) {
-                worst = Math.max(worst, run.load() * 100 / spec.goalMs());
+            } else if (spec.latencyGoalMs() > 0 && run.load() >= 0) {
+                worst = Math.max(worst, run.load() * 100 / spec.latencyGoalMs());
             }
         }
         for (RunRow run : fillers) {
-            set(tick, executor, run, nextSpeedPercent(run.pace(), worst));
+            set(tick, executor, run, nextSpeedPercent(run.speedLimitPercent(), worst));
         }
     }
 
@@ -82,10 +82,10 @@
     }
 
     private static void set(SchedulerTick tick, ExecutorRow executor, RunRow run, int pace) {
-        if (pace == run.pace()) {
+        if (pace == run.speedLimitPercent()) {
             return;
         }
-        tick.world().runs().put(run.task(), run.withPace(pace));
+        tick.world().runs().put(run.task(), run.withSpeedLimit(pace));
         tick.count("pace");
         tick.emit(
                 new ThrottleRun(
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/UncertainTaskSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/UncertainTaskSystem.java
@@ -21,14 +21,14 @@
     /** Runs over the pools that have doubtful tasks. */
     public static void run(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
-        if (!world.term().get().owns()) {
+        if (!world.term().get().isScheduling()) {
             return;
         }
         for (TaskGroup group : List.copyOf(world.tasks().groups())) {
             if (group.state() == TaskState.WAITING && isClear(tick, group.pool())) {
                 for (TaskRow task : List.copyOf(world.tasks().group(group))) {
-                    if (task.doubtful()) {
-                        world.tasks().put(task.key(), task.certain());
+                    if (task.uncertain()) {
+                        world.tasks().put(task.key(), task.asCertain());
                     }
                 }
             }
@@ -39,8 +39,11 @@
         SchedulerWorld world = tick.world();
         for (ExecutorRow row : world.executors().group(pool)) {
             long untilMs =
-                    world.contacts().find(row.id()).map(ExecutorSessionRow::leaseEndMs).orElse(0L);
-            if (row.prior() && tick.nowMs() <= untilMs) {
+                    world.executorSessions()
+                            .find(row.id())
+                            .map(ExecutorSessionRow::leaseEndMs)
+                            .orElse(0L);
+            if (row.inherited() && tick.nowMs() <= untilMs) {
                 return false;
             }
         }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/Eviction.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/Eviction.java
@@ -36,7 +36,7 @@
             if (run.stage() != RunStage.RUNNING || spec == null) {
                 continue;
             }
-            boolean allowed = spec.lasting() ? mayStop(tick, run, spec) : late;
+            boolean allowed = spec.service() ? mayStop(tick, run, spec) : late;
             if (allowed) {
                 RunLifecycle.requestStop(tick, run, StopReason.EVICTED);
             }
@@ -47,7 +47,10 @@
     /** Returns whether it is known what an executor runs. */
     static boolean areRunsKnown(SchedulerWorld world, String executor) {
         return !world.executors().contains(executor)
-                || world.contacts().find(executor).filter(c -> c.answeredMs() != 0).isPresent();
+                || world.executorSessions()
+                        .find(executor)
+                        .filter(c -> c.answeredMs() != 0)
+                        .isPresent();
     }
 
     /** Returns whether a lasting task may be away now as well as those that are away already. */
@@ -68,13 +71,16 @@
     /** Returns whether a task is at work, as its executor has told just now. */
     private static boolean isAvailable(SchedulerTick tick, TaskKey task) {
         RunRow run = tick.world().runs().find(task).orElse(null);
-        if (run == null || run.stage() != RunStage.RUNNING || run.percent() < FULL) {
+        if (run == null || run.stage() != RunStage.RUNNING || run.speedPercent() < FULL) {
             return false;
         }
         return tick.world()
-                .contacts()
+                .executorSessions()
                 .find(run.executor())
-                .filter(c -> c.failures() == 0 && tick.nowMs() - c.answeredMs() < FRESH_MS)
+                .filter(
+                        c ->
+                                c.consecutiveFailures() == 0
+                                        && tick.nowMs() - c.answeredMs() < FRESH_MS)
                 .isPresent();
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/HostListSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/HostListSystem.java
@@ -32,7 +32,7 @@
             }
         }
         boolean busy =
-                world.hostTasks().size() > 0
+                world.hostOperations().size() > 0
                         || LostExecutorSystem.needsHostList(world)
                         || world.waves().rows().stream().anyMatch(w -> !w.done());
         long everyMs = busy ? BUSY_MS : IDLE_MS;
--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/HostMoveSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/HostMoveSystem.java
@@ -55,7 +55,10 @@
             return;
         }
         world.movesDecidedMs().set(tick.nowMs());
-        long moving = world.hostTasks().rows().stream().filter(t -> !t.pool().isEmpty()).count();
+        long moving =
+                world.hostOperations().rows().stream()
+                        .filter(t -> !t.destinationPool().isEmpty())
+                        .count();
         long maxMoving = Math.max(1, world.hosts().size() * MOVING_PERCENT / 100);
         long hostCpu = hostCpu(world);
         Map<String, PoolDemand> needs = needs(tick, hostCpu);
@@ -88,7 +91,7 @@
     /** Gives hosts that a pool can do without to the spare pool, where they are not paid for. */
     private static void giveBack(SchedulerTick tick, MovableHosts donors) {
         Optional<JobPool> spare =
-                tick.world().plan().get().plan().pools().stream()
+                tick.world().configuration().get().configuration().pools().stream()
                         .filter(JobPool::spare)
                         .findFirst();
         if (spare.isEmpty()) {
@@ -107,7 +110,7 @@
         Map<String, PoolDemand> needs = new LinkedHashMap<>();
         Map<String, Long> offered = OfferedLoad.byPool(tick);
         Map<String, Integer> spread = spreadHosts(world);
-        for (JobPool pool : world.plan().get().plan().pools()) {
+        for (JobPool pool : world.configuration().get().configuration().pools()) {
             if (!pool.spare()) {
                 needs.put(pool.name(), need(tick, pool.name(), hostCpu, offered, spread));
             }
@@ -128,8 +131,11 @@
         long capacity = 0;
         for (ExecutorRow row : world.executors().group(pool)) {
             boolean silent =
-                    world.contacts().find(row.id()).filter(c -> c.failures() > 0).isPresent();
-            if (row.cordoned() || row.report().draining() || row.missingMs() != 0 || silent) {
+                    world.executorSessions()
+                            .find(row.id())
+                            .filter(c -> c.consecutiveFailures() > 0)
+                            .isPresent();
+            if (row.cordoned() || row.report().draining() || row.missingSinceMs() != 0 || silent) {
                 continue;
             }
             hosts++;
@@ -139,8 +145,8 @@
                 lasting += isLasting(world, run) ? run.reserved().cpuMillis() : 0;
             }
         }
-        for (HostOperationRow row : world.hostTasks().rows()) {
-            if (row.pool().equals(pool)) {
+        for (HostOperationRow row : world.hostOperations().rows()) {
+            if (row.destinationPool().equals(pool)) {
                 hosts++;
                 capacity += hostCpu;
             }
@@ -149,9 +155,9 @@
         int stuck = 0;
         for (TaskRow task : world.tasks().group(new TaskGroup(pool, TaskState.WAITING))) {
             StepSpec spec = JobLifecycle.findSpec(world, task.key().stepKey()).orElseThrow();
-            if (!task.doubtful()) {
+            if (!task.uncertain()) {
                 waiting += spec.reserved().cpuMillis();
-                stuck += spec.lasting() && tick.nowMs() - task.readyMs() > STUCK_MS ? 1 : 0;
+                stuck += spec.service() && tick.nowMs() - task.readySinceMs() > STUCK_MS ? 1 : 0;
             }
         }
         return new PoolDemand(
@@ -172,9 +178,9 @@
         for (StepRow row : world.steps().rows()) {
             JobRow job = world.jobs().find(row.key().jobId()).orElseThrow();
             StepSpec spec = job.spec().steps().get(row.key().step());
-            if (spec.maxPerExecutor() > 0 && row.left() > 0) {
-                int hosts = (row.left() + spec.maxPerExecutor() - 1) / spec.maxPerExecutor();
-                spread.merge(job.terms().pool(), hosts, Math::max);
+            if (spec.maxPerExecutor() > 0 && row.remaining() > 0) {
+                int hosts = (row.remaining() + spec.maxPerExecutor() - 1) / spec.maxPerExecutor();
+                spread.merge(job.policy().pool(), hosts, Math::max);
             }
         }
         return spread;
@@ -182,7 +188,7 @@
 
     private static boolean isLasting(SchedulerWorld world, RunRow run) {
         return JobLifecycle.findSpec(world, run.task().stepKey())
-                .filter(StepSpec::lasting)
+                .filter(StepSpec::service)
                 .isPresent();
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/HostOperations.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/HostOperations.java
@@ -31,7 +31,7 @@
         SchedulerWorld world = tick.world();
         world.executors().update(host.executor(), e -> e.withCordoned(true));
         HostOrderSystem.recordUse(tick, host.id());
-        world.hostTasks()
+        world.hostOperations()
                 .put(
                         host.id(),
                         new HostOperationRow(
@@ -48,7 +48,7 @@
     }
 
     private static String describe(HostOperationRow row) {
-        return describe(row.host(), row.wave(), row.pool());
+        return describe(row.host(), row.wave(), row.destinationPool());
     }
 
     private static String describe(String host, long wave, String pool) {
@@ -58,7 +58,7 @@
     /** Takes in an answer to an order for a host. */
     static void handleOrderResult(SchedulerTick tick, HostOrderAnswered answer) {
         SchedulerWorld world = tick.world();
-        HostOperationRow row = world.hostTasks().find(answer.host()).orElse(null);
+        HostOperationRow row = world.hostOperations().find(answer.host()).orElse(null);
         if (row == null
                 || row.callId() != answer.callId()
                 || row.step() != HostOperationStep.ORDERED) {
@@ -69,7 +69,7 @@
         switch (answer.result()) {
             case DONE -> {
                 begun(tick, row);
-                world.hostTasks()
+                world.hostOperations()
                         .put(row.host(), row.withStep(HostOperationStep.AWAY, 0, tick.nowMs()));
                 RunLifecycle.removeExecutor(tick, row.executor(), "host-ordered-away");
             }
@@ -98,15 +98,15 @@
 
     /** Leaves a host as it is. */
     static void abandon(SchedulerTick tick, HostOperationRow row) {
-        tick.world().hostTasks().remove(row.host());
+        tick.world().hostOperations().remove(row.host());
         tick.world().executors().update(row.executor(), e -> e.withCordoned(false));
     }
 
     private static void retry(SchedulerTick tick, HostOperationRow row) {
         HostOrderSystem.recordUse(tick, row.host());
-        if (row.pool().isEmpty()) {
+        if (row.destinationPool().isEmpty()) {
             long atMs = tick.nowMs() + RETRY_MS;
-            tick.world().hostTasks().put(row.host(), row.retried(atMs));
+            tick.world().hostOperations().put(row.host(), row.withRetryAt(atMs));
         } else {
             HostOrderSystem.deferOrders(tick, row.host(), MOVE_REST_MS);
             abandon(tick, row);
@@ -117,7 +117,7 @@
     private static void unanswered(SchedulerTick tick, HostOperationRow row) {
         HostOrderSystem.recordUse(tick, row.host());
         long atMs = tick.nowMs() + RETRY_MS;
-        tick.world().hostTasks().put(row.host(), row.unanswered(atMs));
+        tick.world().hostOperations().put(row.host(), row.asUnanswered(atMs));
     }
 
     /** Does what is due with a host. */
@@ -143,22 +143,22 @@
         HostOrderSystem.recordUse(tick, row.host());
         long callId = tick.nextCallId();
         long fence = world.term().get().fence();
-        world.hostTasks()
+        world.hostOperations()
                 .put(row.host(), row.withStep(HostOperationStep.ORDERED, callId, tick.nowMs()));
         tick.log("host-order", describe(row) + " fence=" + fence);
         tick.emit(
-                row.pool().isEmpty()
+                row.destinationPool().isEmpty()
                         ? new MaintainHost(callId, row.host(), row.wave(), fence)
-                        : new MoveHost(callId, row.host(), row.pool(), fence));
+                        : new MoveHost(callId, row.host(), row.destinationPool(), fence));
     }
 
     /** Returns whether the cap of the host's wave lets it go now. */
     private static boolean mayGo(SchedulerTick tick, HostOperationRow row) {
-        if (!row.pool().isEmpty() || row.step().mayBeAway()) {
+        if (!row.destinationPool().isEmpty() || row.step().mayBeOutOfService()) {
             return true;
         }
         WaveRow wave = tick.world().waves().find(row.wave()).orElse(null);
-        return wave != null && away(tick, wave) < wave.order().cap();
+        return wave != null && away(tick, wave) < wave.order().maxConcurrentHosts();
     }
 
     /** Returns how many hosts of a wave may be out of service by orders of any owner. */
@@ -166,7 +166,11 @@
         int away = 0;
         for (String id : wave.order().hosts()) {
             boolean ordered =
-                    tick.world().hostTasks().find(id).filter(t -> t.step().mayBeAway()).isPresent();
+                    tick.world()
+                            .hostOperations()
+                            .find(id)
+                            .filter(t -> t.step().mayBeOutOfService())
+                            .isPresent();
             away += ordered || mayBeOutByEarlierOwner(tick, id) ? 1 : 0;
         }
         return away;
@@ -195,14 +199,14 @@
                                         || !host.executor().equals(row.executor())
                                         || hasAnswered(world, row));
         if (fresh && returned) {
-            world.hostTasks().remove(row.host());
+            world.hostOperations().remove(row.host());
             tick.log("host-back", describe(row));
         }
     }
 
     /** Returns whether the host's executor lives on: the order was carried out earlier already. */
     private static boolean hasAnswered(SchedulerWorld world, HostOperationRow row) {
-        return world.contacts()
+        return world.executorSessions()
                 .find(row.executor())
                 .filter(c -> c.answeredMs() > row.sinceMs())
                 .isPresent();
--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/HostOrderSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/HostOrderSystem.java
@@ -23,13 +23,13 @@
     /** Runs over the hosts with orders. */
     public static void run(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
-        if (!world.term().get().owns()) {
+        if (!world.term().get().isScheduling()) {
             return;
         }
         List<String> hosts = new ArrayList<>();
         for (HostOrderRow row : world.hostOrders().rows()) {
             boolean over = tick.nowMs() - row.usedMs() > KEEP_MS;
-            if (over && !world.hostTasks().contains(row.host())) {
+            if (over && !world.hostOperations().contains(row.host())) {
                 world.hostOrders().remove(row.host());
             } else {
                 hosts.add(row.host());
@@ -48,7 +48,7 @@
         SchedulerWorld world = tick.world();
         HostOrderRow row =
                 world.hostOrders().find(host).orElse(new HostOrderRow(host, false, 0, 0));
-        world.hostOrders().put(host, row.usedAt(tick.nowMs()));
+        world.hostOrders().put(host, row.withUsedAt(tick.nowMs()));
     }
 
     /** Gives no orders for a host for some time. */
--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/MovableHosts.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/MovableHosts.java
@@ -55,7 +55,7 @@
                         donors.mLeft.put(pool, need.surplusHosts(reservePercent, hostCpu, keep)));
         for (HostReport host : world.hosts().rows()) {
             if (host.state() != HostState.UP
-                    || world.hostTasks().contains(host.id())
+                    || world.hostOperations().contains(host.id())
                     || HostOrderSystem.isDeferred(tick, host.id())) {
                 continue;
             }
@@ -70,13 +70,18 @@
 
     private static boolean isSpare(SchedulerWorld world, HostReport host) {
         boolean spare =
-                world.plan().get().plan().pool(host.pool()).map(JobPool::spare).orElse(false);
+                world.configuration()
+                        .get()
+                        .configuration()
+                        .pool(host.pool())
+                        .map(JobPool::spare)
+                        .orElse(false);
         return spare && host.executor().isEmpty();
     }
 
     /** Returns how many hosts a pool keeps, so that a surge finds some before others have come. */
     private static int keptHosts(SchedulerWorld world) {
-        int pools = Math.max(1, world.plan().get().plan().pools().size());
+        int pools = Math.max(1, world.configuration().get().configuration().pools().size());
         return (world.hosts().size() * KEEP_PERCENT / FULL + pools - 1) / pools;
     }
 
@@ -84,7 +89,10 @@
         SchedulerWorld world = tick.world();
         ExecutorRow row = world.executors().find(host.executor()).orElse(null);
         long endedMs =
-                world.standings().find(host.executor()).map(ExecutorHealthRow::endedMs).orElse(0L);
+                world.executorHealth()
+                        .find(host.executor())
+                        .map(ExecutorHealthRow::lastFinishedMs)
+                        .orElse(0L);
         return row != null
                 && !row.cordoned()
                 && Eviction.areRunsKnown(world, row.id())
@@ -95,7 +103,7 @@
 
     /** Returns how old an executor is; a new owner goes by the start that it reports. */
     private static long ageMs(SchedulerTick tick, ExecutorRow row) {
-        long bornMs = row.report().bornMs();
+        long bornMs = row.report().startedAtMs();
         long sinceSeenMs = tick.nowMs() - row.seenMs();
         return bornMs == 0 ? sinceSeenMs : Math.max(sinceSeenMs, tick.wallMs() - bornMs);
     }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/OfferedLoad.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/OfferedLoad.java
@@ -25,7 +25,7 @@
                 break;
             }
             // Work is in core-milliseconds: a second of it within a second takes one core.
-            load.merge(job.terms().pool(), job.spec().workMs() * 1_000 / WINDOW_MS, Long::sum);
+            load.merge(job.policy().pool(), job.spec().workCoreMs() * 1_000 / WINDOW_MS, Long::sum);
         }
         return load;
     }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/WaveSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/WaveSystem.java
@@ -39,7 +39,7 @@
                 advance(tick, wave);
             }
         }
-        for (HostOperationRow row : world.hostTasks().rows()) {
+        for (HostOperationRow row : world.hostOperations().rows()) {
             HostOperations.advance(tick, row);
         }
     }
@@ -54,7 +54,7 @@
         int under = 0;
         for (String host : wave.order().hosts()) {
             boolean taken =
-                    world.hostTasks().find(host).filter(t -> t.wave() == number).isPresent();
+                    world.hostOperations().find(host).filter(t -> t.wave() == number).isPresent();
             under += taken || HostOperations.mayBeOutByEarlierOwner(tick, host) ? 1 : 0;
         }
         List<HostReport> next = new ArrayList<>();
@@ -62,7 +62,7 @@
         for (String host : wave.order().hosts()) {
             boolean open = !wave.begun().contains(host);
             left |= open;
-            if (open && !world.hostTasks().contains(host)) {
+            if (open && !world.hostOperations().contains(host)) {
                 world.hosts()
                         .find(host)
                         .filter(h -> h.state() == HostState.UP)
@@ -71,7 +71,7 @@
         }
         next.sort(Comparator.comparingInt(h -> world.runs().group(h.executor()).size()));
         for (HostReport host : next) {
-            if (under < wave.order().cap() + AHEAD) {
+            if (under < wave.order().maxConcurrentHosts() + AHEAD) {
                 HostOperations.begin(tick, host, number, "");
                 under++;
             }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/BacklogLimit.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/BacklogLimit.java
@@ -33,7 +33,7 @@
         long work = 0;
         for (TaskRow task : world.tasks().group(new TaskGroup(pool, TaskState.WAITING))) {
             StepSpec spec = JobLifecycle.findSpec(world, task.key().stepKey()).orElseThrow();
-            work += spec.lasting() ? 0 : spec.reserved().cpuMillis() * spec.estimateMs();
+            work += spec.service() ? 0 : spec.reserved().cpuMillis() * spec.estimateMs();
         }
         return cpu == 0 ? 0 : retryAfterMs(work / cpu, job.hashCode());
     }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/JobLifecycle.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/JobLifecycle.java
@@ -37,19 +37,19 @@
         if (job == null) {
             return;
         }
-        world.jobs().put(id, job.withStored());
+        world.jobs().put(id, job.asStored());
         tick.log(
                 "accepted",
                 "job="
                         + id
                         + " queue="
-                        + job.terms().queue()
+                        + job.policy().queue()
                         + " team="
                         + job.team()
                         + " tasks="
                         + job.spec().steps().stream().mapToInt(StepSpec::count).sum()
                         + " plan="
-                        + world.plan().get().plan().version()
+                        + world.configuration().get().configuration().version()
                         + " age_ms="
                         + (tick.nowMs() - job.arrivedMs()));
         tick.count("accepted");
@@ -77,12 +77,12 @@
     private static void answer(
             SchedulerTick tick, String id, JobRequestKind kind, JobResponse answer) {
         SchedulerWorld world = tick.world();
-        for (PendingRequestRow call : world.calls().rows()) {
+        for (PendingRequestRow call : world.pendingRequests().rows()) {
             if (call.stage() == PendingRequestStage.STORE
                     && call.job().equals(id)
-                    && call.call().kind() == kind) {
+                    && call.request().kind() == kind) {
                 tick.emit(new Respond(call.callId(), answer));
-                world.calls().remove(call.callId());
+                world.pendingRequests().remove(call.callId());
             }
         }
     }
@@ -91,12 +91,12 @@
     public static void activateDueOccurrences(SchedulerTick tick, String id) {
         SchedulerWorld world = tick.world();
         JobRow job = world.jobs().find(id).orElse(null);
-        if (job == null || !job.isOpen()) {
+        if (job == null || !job.acceptsRuns()) {
             return;
         }
         for (int k = 0; k < job.spec().occurrences(); k++) {
             StepKey first = new StepKey(id, k, 0);
-            if (job.spec().dueMs(k) > tick.wallMs()) {
+            if (job.spec().scheduledMs(k) > tick.wallMs()) {
                 return;
             }
             if (!world.steps().contains(first)) {
@@ -110,7 +110,7 @@
         for (int i = 0; i < job.spec().steps().size(); i++) {
             StepKey key = any.sibling(i);
             boolean ready =
-                    job.spec().steps().get(i).after().stream()
+                    job.spec().steps().get(i).dependsOn().stream()
                             .allMatch(before -> isDone(tick.world(), any.sibling(before)));
             if (ready && !tick.world().steps().contains(key)) {
                 release(tick, job, key);
@@ -119,7 +119,7 @@
     }
 
     private static boolean isDone(SchedulerWorld world, StepKey key) {
-        return world.steps().find(key).filter(s -> s.left() == 0).isPresent();
+        return world.steps().find(key).filter(s -> s.remaining() == 0).isPresent();
     }
 
     private static void release(SchedulerTick tick, JobRow job, StepKey key) {
@@ -133,7 +133,7 @@
                             task,
                             new TaskRow(
                                     task,
-                                    job.terms().pool(),
+                                    job.policy().pool(),
                                     TaskState.WAITING,
                                     0,
                                     Set.of(),
@@ -141,7 +141,7 @@
                                     tick.nowMs(),
                                     0,
                                     "",
-                                    job.prior()));
+                                    job.inherited()));
         }
     }
 
@@ -154,12 +154,12 @@
     public static void activateForReportedRun(SchedulerTick tick, StepKey key) {
         JobRow job = tick.world().jobs().find(key.jobId()).orElse(null);
         if (job == null
-                || !job.isOpen()
+                || !job.acceptsRuns()
                 || tick.world().steps().contains(key)
                 || !isPartOf(job, key)) {
             return;
         }
-        for (int before : job.spec().steps().get(key.step()).after()) {
+        for (int before : job.spec().steps().get(key.step()).dependsOn()) {
             activateForReportedRun(tick, key.sibling(before));
             int count = job.spec().steps().get(before).count();
             for (int i = 0; i < count; i++) {
@@ -197,18 +197,18 @@
         SchedulerWorld world = tick.world();
         StepRow step = world.steps().find(key.stepKey()).orElse(null);
         JobRow job = world.jobs().find(key.jobId()).orElse(null);
-        if (step == null || job == null || step.done().testBit(key.index())) {
+        if (step == null || job == null || step.doneTasks().testBit(key.index())) {
             return false;
         }
         world.tasks().remove(key);
-        StepRow after = step.withDone(key.index());
+        StepRow after = step.withTaskDone(key.index());
         world.steps().put(step.key(), after);
-        JobRow changed = news ? job.changed(tick.nowMs()) : job;
-        changed = after.left() == 0 ? changed.withStepDone() : changed;
+        JobRow changed = news ? job.withChange(tick.nowMs()) : job;
+        changed = after.remaining() == 0 ? changed.withStepDone() : changed;
         world.jobs().put(job.id(), changed);
-        if (after.left() == 0) {
+        if (after.remaining() == 0) {
             releaseReady(tick, changed, step.key());
-            if (changed.stepsLeft() == 0) {
+            if (changed.remainingSteps() == 0) {
                 finish(tick, job.id(), JobState.DONE, "all-tasks-done");
             }
         }
@@ -220,7 +220,7 @@
         SchedulerWorld world = tick.world();
         JobRow job = world.jobs().find(id).orElse(null);
         if (job != null && job.state() == JobState.QUEUED) {
-            world.jobs().put(id, job.withState(JobState.RUNNING, 0).changed(tick.nowMs()));
+            world.jobs().put(id, job.withState(JobState.RUNNING, 0).withChange(tick.nowMs()));
             tick.emit(new SchedulerOutput.Measure("job.wait", tick.nowMs() - job.arrivedMs()));
         }
     }
@@ -232,7 +232,7 @@
         if (job == null || job.state().isFinal()) {
             return;
         }
-        world.jobs().put(id, job.withState(state, tick.nowMs()).changed(tick.nowMs()));
+        world.jobs().put(id, job.withState(state, tick.nowMs()).withChange(tick.nowMs()));
         tick.log(
                 "ended",
                 "job="
@@ -244,7 +244,7 @@
                         + " age_ms="
                         + (tick.nowMs() - job.arrivedMs())
                         + " objective_ms="
-                        + (job.dueMs() - job.arrivedMs()));
+                        + (job.deadlineMs() - job.arrivedMs()));
         tick.count("ended." + state);
         for (StepRow step : activatedSteps(world, job)) {
             int count = job.spec().steps().get(step.key().step()).count();
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/JobProgress.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/JobProgress.java
@@ -24,8 +24,8 @@
         if (!job.state().isFinal()) {
             for (StepRow step : JobLifecycle.activatedSteps(world, job)) {
                 StepKey key = step.key();
-                if (step.done().signum() != 0) {
-                    steps.add(new StepProgress(key.occurrence(), key.step(), step.done()));
+                if (step.doneTasks().signum() != 0) {
+                    steps.add(new StepProgress(key.occurrence(), key.step(), step.doneTasks()));
                 }
                 addTasks(world, job, step, tasks);
             }
@@ -83,12 +83,12 @@
                 task.key(),
                 task.pool(),
                 task.state(),
-                mark.failedRuns().stream().reduce(task.run(), Math::max),
+                mark.failedRuns().stream().reduce(task.lastRun(), Math::max),
                 Set.copyOf(mark.failedRuns()),
                 mark.checkpoint(),
-                task.readyMs(),
+                task.readySinceMs(),
                 task.notBeforeMs(),
-                task.failedOn(),
-                task.doubtful());
+                task.lastFailedExecutor(),
+                task.uncertain());
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/JobRequestSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/JobRequestSystem.java
@@ -41,9 +41,9 @@
 
     /** Takes in new requests and those that wait for an owner. */
     public static void run(SchedulerTick tick) {
-        for (PendingRequestRow call : tick.world().calls().rows()) {
+        for (PendingRequestRow call : tick.world().pendingRequests().rows()) {
             if (call.stage() == PendingRequestStage.OWNER) {
-                tick.world().calls().remove(call.callId());
+                tick.world().pendingRequests().remove(call.callId());
                 place(tick, call);
             }
         }
@@ -51,7 +51,7 @@
             PendingRequestRow call =
                     new PendingRequestRow(
                             received.callId(),
-                            received.call(),
+                            received.request(),
                             "",
                             PendingRequestStage.OWNER,
                             tick.nowMs());
@@ -59,8 +59,10 @@
         }
         for (ForwardFailed failed : tick.inputs(ForwardFailed.class)) {
             JobResponseKind kind =
-                    failed.sent() ? JobResponseKind.UNKNOWN : JobResponseKind.UNAVAILABLE;
-            tick.log("forward-failed", "address=" + failed.address() + " sent=" + failed.sent());
+                    failed.maybeReceived() ? JobResponseKind.UNKNOWN : JobResponseKind.UNAVAILABLE;
+            tick.log(
+                    "forward-failed",
+                    "address=" + failed.address() + " sent=" + failed.maybeReceived());
             tick.count("refused.forward-failed");
             tick.emit(
                     new Respond(
@@ -77,14 +79,17 @@
             decide(tick, call);
         } else if (!self
                 && !world.term().get().stage().isOwner()
-                && call.call().hops() < MAX_HOPS) {
-            tick.emit(new Forward(call.callId(), owner.get().address(), call.call().passedOn()));
-        } else if (self && call.call().hops() == 0 && !world.node().get().storeReached()) {
-            tick.emit(new Forward(call.callId(), seed(world, call), call.call().passedOn()));
+                && call.request().hops() < MAX_HOPS) {
+            tick.emit(
+                    new Forward(call.callId(), owner.get().address(), call.request().forwarded()));
+        } else if (self
+                && call.request().hops() == 0
+                && !world.nodeState().get().storeReachable()) {
+            tick.emit(new Forward(call.callId(), seed(world, call), call.request().forwarded()));
         } else if (tick.nowMs() - call.sinceMs() > OWNER_WAIT_MS) {
             refuse(tick, call, JobResponseKind.UNAVAILABLE, "no-owner");
         } else {
-            world.calls().put(call.callId(), call);
+            world.pendingRequests().put(call.callId(), call);
         }
     }
 
@@ -111,13 +116,13 @@
         tick.log(
                 "refused",
                 "call="
-                        + call.call().path()
+                        + call.request().path()
                         + " kind="
                         + kind
                         + " reason="
                         + reason
                         + " plan="
-                        + tick.world().plan().get().plan().version()
+                        + tick.world().configuration().get().configuration().version()
                         + " retry_after_ms="
                         + retryAfterMs);
         tick.count("refused." + reason);
@@ -125,8 +130,8 @@
     }
 
     private static void decide(SchedulerTick tick, PendingRequestRow row) {
-        JobRequest call = row.call();
-        JobConfiguration plan = tick.world().plan().get().plan();
+        JobRequest call = row.request();
+        JobConfiguration plan = tick.world().configuration().get().configuration();
         if (plan.version() == 0) {
             refuse(tick, row, JobResponseKind.UNAVAILABLE, "no-plan");
             return;
@@ -137,7 +142,7 @@
             return;
         }
         Optional<JobTeam> team = plan.teamOfKey(call.key());
-        if (team.isEmpty() && !queue.get().open()) {
+        if (team.isEmpty() && !queue.get().allowsAnonymous()) {
             refuse(tick, row, JobResponseKind.NO_KEY, "no-key");
             return;
         }
@@ -167,14 +172,14 @@
     private static boolean isPending(JobRow job, JobQueue queue) {
         return job.stored()
                 && job.state() == JobState.QUEUED
-                && job.terms().queue().equals(queue.name());
+                && job.policy().queue().equals(queue.name());
     }
 
     private static Optional<JobRow> find(SchedulerTick tick, JobQueue queue, String id) {
         return tick.world()
                 .jobs()
                 .find(id)
-                .filter(j -> j.stored() && j.terms().queue().equals(queue.name()));
+                .filter(j -> j.stored() && j.policy().queue().equals(queue.name()));
     }
 
     /** Returns the state that callers are told: a final one only once it is stored. */
@@ -198,12 +203,12 @@
 
     private static void await(SchedulerTick tick, PendingRequestRow row, String id) {
         tick.world()
-                .calls()
+                .pendingRequests()
                 .put(
                         row.callId(),
                         new PendingRequestRow(
                                 row.callId(),
-                                row.call(),
+                                row.request(),
                                 id,
                                 PendingRequestStage.STORE,
                                 tick.nowMs()));
@@ -225,12 +230,12 @@
             }
             return;
         }
-        long retryAfterMs = BacklogLimit.retryAfterMs(world, queue.terms().pool(), id);
-        JobSpec spec = row.call().spec().orElse(JobSpec.once("", List.of()));
+        long retryAfterMs = BacklogLimit.retryAfterMs(world, queue.policy().pool(), id);
+        JobSpec spec = row.request().spec().orElse(JobSpec.once("", List.of()));
         Optional<String> problem = JobValidation.findProblem(world, queue, spec, id);
         if (problem.isPresent()) {
             refuse(tick, row, JobResponseKind.INVALID, problem.get());
-        } else if (retryAfterMs > 0 && !spec.isLasting()) {
+        } else if (retryAfterMs > 0 && !spec.isService()) {
             refuse(tick, row, JobResponseKind.OVERLOADED, "backlog", retryAfterMs);
         } else if (isStoreAway(tick)) {
             refuse(tick, row, JobResponseKind.UNAVAILABLE, "store-away");
@@ -244,8 +249,8 @@
             SchedulerTick tick, JobQueue queue, Optional<JobTeam> team, JobSpec spec, String id) {
         return new JobRow(
                 id,
-                queue.terms(),
-                team.map(JobTeam::name).orElse(JobTeam.NOBODY),
+                queue.policy(),
+                team.map(JobTeam::name).orElse(JobTeam.ANONYMOUS),
                 spec,
                 tick.wallMs(),
                 tick.nowMs(),
@@ -261,13 +266,13 @@
     }
 
     private static boolean isStoreAway(SchedulerTick tick) {
-        StoreHealthRow store = tick.world().store().get();
+        StoreHealthRow store = tick.world().storeHealth().get();
         boolean silent =
                 tick.world()
                         .commit()
                         .get()
                         .filter(c -> tick.nowMs() - c.sentMs() > STORE_AWAY_MS)
                         .isPresent();
-        return silent || store.isAway(tick.nowMs());
+        return silent || store.isUnreachable(tick.nowMs());
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/JobSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/JobSystem.java
@@ -16,11 +16,11 @@
     /** Runs over all jobs. */
     public static void run(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
-        if (!world.term().get().owns()) {
+        if (!world.term().get().isScheduling()) {
             return;
         }
         for (JobRow job : world.jobs().rows()) {
-            if (job.isOpen() && job.spec().isTimed()) {
+            if (job.acceptsRuns() && job.spec().isScheduled()) {
                 JobLifecycle.activateDueOccurrences(tick, job.id());
             } else if (job.state().isFinal() && tick.nowMs() - job.endedMs() > KEEP_MS) {
                 forget(world, job);
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/JobValidation.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/JobValidation.java
@@ -18,10 +18,10 @@
         if (id.length() != ID_LENGTH || !id.chars().allMatch(JobValidation::isHexDigit)) {
             return Optional.of("id-is-not-16-hex-digits");
         }
-        if (spec.text().length() > MAX_TEXT_BYTES) {
+        if (spec.payload().length() > MAX_TEXT_BYTES) {
             return Optional.of("text-too-long");
         }
-        if (!spec.problem().isEmpty()) {
+        if (!spec.validationError().isEmpty()) {
             return Optional.of("malformed-steps");
         }
         return Optional.empty();
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/ExecutorReport.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/ExecutorReport.java
@@ -17,7 +17,7 @@
  * @param capacity what it can run
  * @param draining whether it takes no more work
  * @param remainingMs least time until it leaves, in milliseconds, while it drains
- * @param bornMs start of its life, in milliseconds since the epoch; 0 if not told
+ * @param startedAtMs start of its life, in milliseconds since the epoch; 0 if not told
  */
 public record ExecutorReport(
         String id,
@@ -29,7 +29,7 @@
         Resources capacity,
         boolean draining,
         long remainingMs,
-        long bornMs) {
+        long startedAtMs) {
     /** Checks the parts. */
     public ExecutorReport {
         requireNonNull(id);
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/SchedulerInput.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/SchedulerInput.java
@@ -12,13 +12,17 @@
 /** Something that happened, told to the scheduler. */
 public sealed interface SchedulerInput {
     /** The store was reached again, or no longer is. */
-    record StoreReachabilityChanged(boolean reached) implements SchedulerInput {}
+    record StoreReachabilityChanged(boolean reachable) implements SchedulerInput {}
 
     /** A caller's request came, itself or from another entry; it gets exactly one answer. */
-    record RequestReceived(long callId, JobRequest call) implements SchedulerInput {}
+    record RequestReceived(long callId, JobRequest request) implements SchedulerInput {}
 
-    /** A forwarded request got no answer; {@code sent} tells whether it may have been taken. */
-    record ForwardFailed(long callId, String address, boolean sent) implements SchedulerInput {}
+    /**
+     * A forwarded request got no answer; {@code maybeReceived} tells whether it may have been
+     * taken.
+     */
+    record ForwardFailed(long callId, String address, boolean maybeReceived)
+            implements SchedulerInput {}
 
     /** A later owner asks this process to give no more orders; it gets one answer. */
     record RelinquishRequested(long callId, long generation) implements SchedulerInput {}
@@ -30,10 +34,11 @@
     record PredecessorRelinquished(long generation) implements SchedulerInput {}
 
     /** The operators' configuration, with its revision in the store. */
-    record ConfigurationSeen(JobConfiguration plan, long revision) implements SchedulerInput {}
+    record ConfigurationSeen(JobConfiguration configuration, long revision)
+            implements SchedulerInput {}
 
     /** An operators' order to maintain hosts. */
-    record WaveSeen(WaveOrder wave) implements SchedulerInput {}
+    record WaveSeen(WaveOrder order) implements SchedulerInput {}
 
     /** The operators withdrew an order to maintain hosts. */
     record WaveWithdrawn(long wave) implements SchedulerInput {}
@@ -50,8 +55,8 @@
     /** A lease was renewed. */
     record LeaseRenewed(long callId) implements SchedulerInput {}
 
-    /** A lease was not renewed; {@code ended} tells whether the store no longer knows it. */
-    record LeaseNotRenewed(long callId, boolean ended) implements SchedulerInput {}
+    /** A lease was not renewed; {@code expired} tells whether the store no longer knows it. */
+    record LeaseNotRenewed(long callId, boolean expired) implements SchedulerInput {}
 
     /** A commit took effect. */
     record Committed(long callId, long revision) implements SchedulerInput {}
@@ -65,7 +70,7 @@
     }
 
     /** A commit failed; {@code uncertain} tells whether it may have taken effect or still may. */
-    record CommitFailed(long callId, boolean uncertain, boolean leaseGone)
+    record CommitFailed(long callId, boolean uncertain, boolean leaseExpired)
             implements SchedulerInput {}
 
     /** All records of jobs, executors and waves. */
@@ -97,15 +102,15 @@
     record HeartbeatAnswered(
             long callId,
             String executor,
-            long bornMs,
-            long clockMs,
+            long startedAtMs,
+            long executorClockMs,
             List<ReportedRun> runs,
-            List<FinishedRun> ends)
+            List<FinishedRun> finishedRuns)
             implements SchedulerInput {
         /** Copies the lists. */
         public HeartbeatAnswered {
             runs = List.copyOf(runs);
-            ends = List.copyOf(ends);
+            finishedRuns = List.copyOf(finishedRuns);
         }
     }
 
@@ -122,11 +127,11 @@
             implements SchedulerInput {}
 
     /** Which of the executors that were asked for may run a step. */
-    record AdviceReceived(long callId, StepKey step, Map<String, String> tickets, long validMs)
+    record AdviceReceived(long callId, StepKey step, Map<String, String> tokens, long validMs)
             implements SchedulerInput {
         /** Copies the map. */
         public AdviceReceived {
-            tickets = Map.copyOf(tickets);
+            tokens = Map.copyOf(tokens);
         }
     }
 
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/SchedulerOutput.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/SchedulerOutput.java
@@ -9,10 +9,10 @@
 /** Something that the scheduler wants done. */
 public sealed interface SchedulerOutput {
     /** Answers a caller. */
-    record Respond(long callId, JobResponse answer) implements SchedulerOutput {}
+    record Respond(long callId, JobResponse response) implements SchedulerOutput {}
 
     /** Passes a caller's request on to the owner. */
-    record Forward(long callId, String address, JobRequest call) implements SchedulerOutput {}
+    record Forward(long callId, String address, JobRequest request) implements SchedulerOutput {}
 
     /** Asks the owner of an earlier term to give no more orders. */
     record AskRelinquish(String address, long generation) implements SchedulerOutput {}
@@ -46,7 +46,7 @@
     record LoadRecords(long callId) implements SchedulerOutput {}
 
     /** Starts or ends the reports on executors. */
-    record WatchExecutors(boolean on) implements SchedulerOutput {}
+    record WatchExecutors(boolean enabled) implements SchedulerOutput {}
 
     /**
      * Reads an executor's lists and extends its lease.
@@ -55,8 +55,8 @@
      * @param executor id of the executor's life
      * @param address IP number and port
      * @param fence fence of the orders
-     * @param seen number of the last end that is acknowledged
-     * @param deadlineMs end of the lease on the executor's clock; 0 if it is not extended
+     * @param acknowledgedSequence number of the last end that is acknowledged
+     * @param leaseDeadlineMs end of the lease on the executor's clock; 0 if it is not extended
      * @param waitMs how long the executor may wait for an end
      */
     record SendHeartbeat(
@@ -64,8 +64,8 @@
             String executor,
             String address,
             long fence,
-            long seen,
-            long deadlineMs,
+            long acknowledgedSequence,
+            long leaseDeadlineMs,
             long waitMs)
             implements SchedulerOutput {}
 
@@ -78,9 +78,9 @@
      * @param fence fence of the order
      * @param task the task
      * @param run number of the run
-     * @param text what to run
+     * @param payload what to run
      * @param checkpoint saved state to go on from; empty for none
-     * @param ticket permission to run the step there; empty if none is needed
+     * @param placementToken permission to run the step there; empty if none is needed
      * @param deadlineMs until when the order is valid, on the executor's clock
      */
     record StartRun(
@@ -90,9 +90,9 @@
             long fence,
             TaskKey task,
             int run,
-            String text,
+            String payload,
             String checkpoint,
-            String ticket,
+            String placementToken,
             long deadlineMs)
             implements SchedulerOutput {}
 
@@ -102,7 +102,7 @@
 
     /** Sets the part of its full speed at which a run works. */
     record ThrottleRun(
-            String executor, String address, long fence, TaskKey task, int run, int percent)
+            String executor, String address, long fence, TaskKey task, int run, int speedPercent)
             implements SchedulerOutput {}
 
     /** Asks which of some executors may run a step. */
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/StoredRecord.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/StoredRecord.java
@@ -40,8 +40,8 @@
      * @param incarnation start of its process, in milliseconds since the epoch
      * @param released whether the owner gave the ownership up itself
      * @param address where the owner took forwarded requests
-     * @param open once released: tasks that may run or have ended without the store holding it, by
-     *     their text, and jobs of which this holds for any task, by their id
+     * @param unsettled once released: tasks that may run or have ended without the store holding
+     *     it, by their text, and jobs of which this holds for any task, by their id
      */
     record Term(
             long generation,
@@ -49,11 +49,11 @@
             long incarnation,
             boolean released,
             String address,
-            List<String> open)
+            List<String> unsettled)
             implements StoredRecord {
         /** Checks the parts. */
         public Term {
-            open = List.copyOf(open);
+            unsettled = List.copyOf(unsettled);
             requireNonNull(address);
             requireNonNull(node);
         }
@@ -68,17 +68,17 @@
      * A job as it was accepted.
      *
      * @param id id
-     * @param terms terms
+     * @param policy terms
      * @param team its team; empty if it came without a key
      * @param spec what was handed in
      * @param acceptedMs milliseconds since the epoch
      */
-    record Job(String id, JobPolicy terms, String team, JobSpec spec, long acceptedMs)
+    record Job(String id, JobPolicy policy, String team, JobSpec spec, long acceptedMs)
             implements StoredRecord {
         /** Checks the parts. */
         public Job {
             requireNonNull(id);
-            requireNonNull(terms);
+            requireNonNull(policy);
             requireNonNull(team);
             requireNonNull(spec);
         }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/WaveOrder.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/WaveOrder.java
@@ -7,10 +7,10 @@
  *
  * @param wave number of the wave
  * @param hosts the hosts
- * @param withinMs time allowed, in milliseconds
- * @param cap most hosts under maintenance at a time
+ * @param timeLimitMs time allowed, in milliseconds
+ * @param maxConcurrentHosts most hosts under maintenance at a time
  */
-public record WaveOrder(long wave, List<String> hosts, long withinMs, int cap) {
+public record WaveOrder(long wave, List<String> hosts, long timeLimitMs, int maxConcurrentHosts) {
     /** Copies the list. */
     public WaveOrder {
         hosts = List.copyOf(hosts);
--- a/core/src/main/java/org/hibiscususher/core/scheduler/placement/AdviceSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/placement/AdviceSystem.java
@@ -38,15 +38,15 @@
     public static void run(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
         for (SchedulerInput input : tick.inputs()) {
-            AdviceRequestRow call = world.adviceCall().get();
+            AdviceRequestRow call = world.adviceRequest().get();
             if (input instanceof AdviceReceived given && given.callId() == call.callId()) {
                 take(tick, given, call);
             } else if (input instanceof AdviceFailed failed && failed.callId() == call.callId()) {
                 tick.log("advice-failed", "step=" + failed.step());
-                world.adviceCall().set(AdviceRequestRow.NONE);
+                world.adviceRequest().set(AdviceRequestRow.NONE);
             }
         }
-        AdviceRequestRow call = world.adviceCall().get();
+        AdviceRequestRow call = world.adviceRequest().get();
         boolean free = call.callId() == 0 || tick.nowMs() - call.sentMs() > TIMEOUT_MS;
         if (free && Authority.mayStartRuns(tick)) {
             askNext(tick);
@@ -57,20 +57,20 @@
         SchedulerWorld world = tick.world();
         AdviceRow before = world.advice().find(given.step()).orElse(null);
         boolean fresh = before != null && before.validUntilMs() > tick.nowMs();
-        Map<String, String> tickets = new HashMap<>(fresh ? before.tickets() : Map.of());
-        Set<String> asked = new HashSet<>(fresh ? before.asked() : Set.of());
-        tickets.putAll(given.tickets());
+        Map<String, String> tickets = new HashMap<>(fresh ? before.tokens() : Map.of());
+        Set<String> asked = new HashSet<>(fresh ? before.requested() : Set.of());
+        tickets.putAll(given.tokens());
         asked.addAll(call.executors());
         long untilMs = call.sentMs() + given.validMs() - MARGIN_MS;
         long validUntilMs = fresh ? Math.min(before.validUntilMs(), untilMs) : untilMs;
         world.advice().put(given.step(), new AdviceRow(given.step(), tickets, asked, validUntilMs));
-        world.adviceCall().set(AdviceRequestRow.NONE);
+        world.adviceRequest().set(AdviceRequestRow.NONE);
         tick.log(
                 "advice",
                 "step="
                         + given.step()
                         + " allowed="
-                        + given.tickets().size()
+                        + given.tokens().size()
                         + " asked="
                         + call.executors().size()
                         + " valid_ms="
@@ -87,9 +87,9 @@
                 boolean advised =
                         world.jobs()
                                 .find(task.key().jobId())
-                                .filter(j -> j.terms().advised())
+                                .filter(j -> j.policy().needsPlacementToken())
                                 .isPresent();
-                if (advised && !task.doubtful() && ask(tick, task)) {
+                if (advised && !task.uncertain() && ask(tick, task)) {
                     return;
                 }
             }
@@ -103,7 +103,7 @@
         boolean fresh = known != null && known.validUntilMs() > tick.nowMs();
         List<String> executors = new ArrayList<>();
         for (ExecutorRow row : world.executors().group(task.pool())) {
-            boolean open = !fresh || !known.asked().contains(row.id());
+            boolean open = !fresh || !known.requested().contains(row.id());
             if (open && executors.size() < MAX_ASKED && FreeCapacity.acceptsRuns(tick, row)) {
                 executors.add(row.id());
             }
@@ -112,7 +112,7 @@
             return false;
         }
         long callId = tick.nextCallId();
-        world.adviceCall().set(new AdviceRequestRow(callId, tick.nowMs(), executors));
+        world.adviceRequest().set(new AdviceRequestRow(callId, tick.nowMs(), executors));
         tick.emit(new RequestAdvice(callId, step, executors));
         return true;
     }
@@ -123,6 +123,6 @@
                 .advice()
                 .find(step)
                 .filter(a -> a.validUntilMs() > tick.nowMs())
-                .map(a -> a.tickets().get(executor));
+                .map(a -> a.tokens().get(executor));
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/placement/ExecutorSelector.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/placement/ExecutorSelector.java
@@ -46,7 +46,10 @@
         StepKey step = task.key().stepKey();
         SchedulerWorld world = tick.world();
         boolean advised =
-                world.jobs().find(step.jobId()).filter(j -> j.terms().advised()).isPresent();
+                world.jobs()
+                        .find(step.jobId())
+                        .filter(j -> j.policy().needsPlacementToken())
+                        .isPresent();
         if (advised && AdviceSystem.placementToken(tick, step, row.id()).isEmpty()) {
             return false;
         }
@@ -63,13 +66,13 @@
     private static long rank(
             ExecutorRow row, TaskRow task, StepSpec spec, Resources free, int runs) {
         long rank = 0;
-        if (row.id().equals(task.failedOn())) {
+        if (row.id().equals(task.lastFailedExecutor())) {
             rank += 4_000_000_000L;
         }
         if (!spec.dataRack().isEmpty() && !row.report().labels().contains(spec.dataRack())) {
             rank += 2_000_000_000L;
         }
-        if (spec.fills()) {
+        if (spec.bestEffortCpu()) {
             return rank + runs;
         }
         return rank + free.cpuMillis() + 1_000_000_000L;
--- a/core/src/main/java/org/hibiscususher/core/scheduler/placement/FreeCapacity.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/placement/FreeCapacity.java
@@ -42,16 +42,16 @@
 
     /** Returns whether an executor may get new runs. */
     static boolean acceptsRuns(SchedulerTick tick, ExecutorRow row) {
-        ExecutorSessionRow contact = tick.world().contacts().find(row.id()).orElse(null);
+        ExecutorSessionRow contact = tick.world().executorSessions().find(row.id()).orElse(null);
         return contact != null
                 && row.recorded()
                 && !row.cordoned()
                 && !row.report().draining()
-                && row.missingMs() == 0
-                && contact.failures() == 0
+                && row.missingSinceMs() == 0
+                && contact.consecutiveFailures() == 0
                 && contact.answeredMs() != 0
-                && contact.fence() == tick.world().term().get().fence()
-                && contact.asideUntilMs() <= tick.nowMs();
+                && contact.confirmedFence() == tick.world().term().get().fence()
+                && contact.quarantinedUntilMs() <= tick.nowMs();
     }
 
     /** Returns whether some executor has so much free. */
--- a/core/src/main/java/org/hibiscususher/core/scheduler/placement/PlacementSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/placement/PlacementSystem.java
@@ -53,7 +53,7 @@
     /** Has the store name the executors in use, before anything runs on them. */
     private static void recordExecutors(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
-        if (!world.term().get().owns()) {
+        if (!world.term().get().isScheduling()) {
             return;
         }
         List<UsedExecutor> used = new ArrayList<>();
@@ -86,7 +86,7 @@
         Map<String, StartPriority> orders = new HashMap<>();
         for (TaskRow task : world.tasks().group(group)) {
             JobRow job = world.jobs().find(task.key().jobId()).orElse(null);
-            if (job != null && !task.doubtful() && task.notBeforeMs() <= tick.nowMs()) {
+            if (job != null && !task.uncertain() && task.notBeforeMs() <= tick.nowMs()) {
                 StartPriority order =
                         orders.computeIfAbsent(
                                 job.id(), id -> StartPriority.of(world, job, tick.nowMs()));
@@ -142,7 +142,12 @@
     }
 
     private static Resources limit(SchedulerWorld world, String team) {
-        return world.plan().get().plan().team(team).map(JobTeam::limit).orElse(Resources.NONE);
+        return world.configuration()
+                .get()
+                .configuration()
+                .team(team)
+                .map(JobTeam::limit)
+                .orElse(Resources.NONE);
     }
 
     /** Starts all members of a gang or none. */
@@ -164,7 +169,7 @@
         int run = 0;
         for (int i = 0; i < spec.count(); i++) {
             TaskRow task = world.tasks().find(step.task(i)).orElse(null);
-            if (task == null || task.state() != TaskState.WAITING || task.doubtful()) {
+            if (task == null || task.state() != TaskState.WAITING || task.uncertain()) {
                 return;
             }
             members.add(task);
@@ -194,15 +199,17 @@
             ExecutorRow executor,
             int number) {
         SchedulerWorld world = tick.world();
-        ExecutorSessionRow contact = world.contacts().find(executor.id()).orElseThrow();
+        ExecutorSessionRow contact = world.executorSessions().find(executor.id()).orElseThrow();
         long fence = world.term().get().fence();
         long callId = tick.nextCallId();
-        long deadlineMs = contact.clockAt(tick.nowMs()) + world.settings().timing().startValidMs();
-        world.contacts()
+        long deadlineMs =
+                contact.executorClockAt(tick.nowMs()) + world.settings().timing().startValidMs();
+        world.executorSessions()
                 .put(
                         executor.id(),
-                        contact.withLeaseEnd(HeartbeatSystem.leaseEndMs(contact, deadlineMs)));
-        world.tasks().put(task.key(), task.active(number));
+                        contact.withLeaseExtendedTo(
+                                HeartbeatSystem.leaseEndMs(contact, deadlineMs)));
+        world.tasks().put(task.key(), task.asActive(number));
         RunRow run =
                 new RunRow(
                         task.key(),
@@ -228,11 +235,11 @@
                         + " fence="
                         + fence
                         + " waited_ms="
-                        + (tick.nowMs() - task.readyMs())
+                        + (tick.nowMs() - task.readySinceMs())
                         + " executor_age_ms="
                         + (tick.nowMs() - contact.answeredMs())
                         + " plan="
-                        + world.plan().get().plan().version());
+                        + world.configuration().get().configuration().version());
         tick.count("start");
         tick.emit(
                 new StartRun(
@@ -242,7 +249,7 @@
                         fence,
                         task.key(),
                         number,
-                        job.spec().text(),
+                        job.spec().payload(),
                         task.checkpoint(),
                         AdviceSystem.placementToken(tick, task.key().stepKey(), executor.id())
                                 .orElse(""),
--- a/core/src/main/java/org/hibiscususher/core/scheduler/placement/StartPriority.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/placement/StartPriority.java
@@ -28,13 +28,13 @@
         for (int i = 0; i < job.spec().steps().size(); i++) {
             StepSpec step = job.spec().steps().get(i);
             StepRow row = world.steps().find(new StepKey(job.id(), 0, i)).orElse(null);
-            int left = row == null ? step.count() : row.left();
-            work += step.workMs() * left / step.count();
+            int left = row == null ? step.count() : row.remaining();
+            work += step.workCoreMs() * left / step.count();
             chainMs += left > 0 ? step.estimateMs() : 0;
         }
-        boolean hopeful = nowMs + chainMs <= job.dueMs();
+        boolean hopeful = nowMs + chainMs <= job.deadlineMs();
         return new StartPriority(
-                job.spec().isLasting(), job.terms().priority(), hopeful, work, job.arrivedMs());
+                job.spec().isService(), job.policy().priority(), hopeful, work, job.arrivedMs());
     }
 
     @Override
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/Authority.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/Authority.java
@@ -17,28 +17,28 @@
      */
     public static boolean mayOrderExecutors(SchedulerTick tick) {
         TermRow term = tick.world().term().get();
-        long graceMs = tick.world().settings().timing().graceMs();
-        return term.owns() && tick.nowMs() < term.validUntilMs() + graceMs;
+        long graceMs = tick.world().settings().timing().ownerGraceMs();
+        return term.isScheduling() && tick.nowMs() < term.validUntilMs() + graceMs;
     }
 
     /** Returns whether the process may start runs. */
     public static boolean mayStartRuns(SchedulerTick tick) {
         return mayOrderExecutors(tick)
                 && tick.world().term().get().stage() != TermStage.RELEASING
-                && tick.world().node().get().stopAskedMs() == 0;
+                && tick.world().nodeState().get().shutdownRequestedMs() == 0;
     }
 
     /** Returns whether the process may give orders for hosts. */
     public static boolean mayOrderHosts(SchedulerTick tick) {
         TermRow term = tick.world().term().get();
         return term.stage() == TermStage.OWNING
-                && tick.world().node().get().stopAskedMs() == 0
+                && tick.world().nodeState().get().shutdownRequestedMs() == 0
                 && tick.nowMs() < term.validUntilMs();
     }
 
     /** Returns whether the process decides on callers' requests. */
     public static boolean mayDecideRequests(SchedulerTick tick) {
         TermRow term = tick.world().term().get();
-        return term.owns() && term.stage() != TermStage.RELEASING;
+        return term.isScheduling() && term.stage() != TermStage.RELEASING;
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/CommitSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/CommitSystem.java
@@ -60,12 +60,12 @@
     /** Sends the next commit, or the one under way again. */
     public static void send(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
-        if (!world.term().get().owns()) {
+        if (!world.term().get().isScheduling()) {
             return;
         }
         Optional<CommitRow> under = world.commit().get();
-        StoreHealthRow store = world.store().get();
-        boolean resting = store.isFailing() && tick.nowMs() - store.failedMs() < RETRY_MS;
+        StoreHealthRow store = world.storeHealth().get();
+        boolean resting = store.isFailing() && tick.nowMs() - store.lastFailureMs() < RETRY_MS;
         if (under.isEmpty() && !resting) {
             Commits.next(tick).ifPresent(commit -> emit(tick, commit));
         } else if (under.isPresent()
@@ -83,7 +83,7 @@
                         commit.guards(),
                         commit.writes(),
                         commit.removals(),
-                        timeoutMs(commit.tries())));
+                        timeoutMs(commit.attempts())));
     }
 
     /** Returns how long an answer is awaited: longer with each try, in case the store is slow. */
@@ -96,7 +96,7 @@
         SchedulerWorld world = tick.world();
         CommitRow commit = world.commit().get().orElseThrow();
         world.commit().set(Optional.empty());
-        world.store().set(world.store().get().reached(tick.nowMs()));
+        world.storeHealth().set(world.storeHealth().get().withSuccess(tick.nowMs()));
         tick.emit(new SchedulerOutput.Measure("store.commit", tick.nowMs() - commit.sentMs()));
         for (RecordName name : commit.removals()) {
             world.revisions().remove(name);
@@ -132,8 +132,8 @@
     private static void failed(SchedulerTick tick, CommitFailed failed) {
         SchedulerWorld world = tick.world();
         CommitRow commit = world.commit().get().orElseThrow();
-        StoreHealthRow store = world.store().get();
-        world.store().set(store.failed(tick.nowMs()));
+        StoreHealthRow store = world.storeHealth().get();
+        world.storeHealth().set(store.withFailure(tick.nowMs()));
         long restMs = failed.uncertain() ? 0 : RETRY_MS;
         CommitRow again = commit.withFailure(tick.nowMs() + restMs, failed.uncertain());
         tick.count("store.commit-failed");
@@ -153,7 +153,7 @@
     /** Answers callers whose jobs could not be stored in time. */
     private static void giveUpWaiting(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
-        for (PendingRequestRow call : world.calls().rows()) {
+        for (PendingRequestRow call : world.pendingRequests().rows()) {
             long ageMs = tick.nowMs() - call.sinceMs();
             if (call.stage() == PendingRequestStage.STORE && ageMs > REFUSE_AFTER_MS) {
                 giveUp(tick, call, ageMs);
@@ -163,9 +163,9 @@
 
     private static void giveUp(SchedulerTick tick, PendingRequestRow call, long ageMs) {
         SchedulerWorld world = tick.world();
-        boolean failing = world.store().get().isAway(tick.nowMs());
+        boolean failing = world.storeHealth().get().isUnreachable(tick.nowMs());
         boolean sent = isUnderWay(world, call.job());
-        boolean submit = call.call().kind() == JobRequestKind.SUBMIT;
+        boolean submit = call.request().kind() == JobRequestKind.SUBMIT;
         if (submit && failing && !sent) {
             world.jobs().remove(call.job());
             answer(tick, call, JobResponseKind.UNAVAILABLE, "store-away");
@@ -183,7 +183,7 @@
 
     private static void answer(
             SchedulerTick tick, PendingRequestRow call, JobResponseKind kind, String reason) {
-        tick.world().calls().remove(call.callId());
+        tick.world().pendingRequests().remove(call.callId());
         tick.log("refused", "job=" + call.job() + " kind=" + kind + " reason=" + reason);
         tick.count("refused." + reason);
         tick.emit(new Respond(call.callId(), JobResponse.refusal(kind, RETRY_AFTER_MS, reason)));
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/Commits.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/Commits.java
@@ -61,12 +61,12 @@
     }
 
     private static void addNewJobs(SchedulerWorld world, List<StoredRecord> records) {
-        for (PendingRequestRow call : world.calls().rows()) {
+        for (PendingRequestRow call : world.pendingRequests().rows()) {
             if (records.size() >= MAX_RECORDS) {
                 return;
             }
             if (call.stage() == PendingRequestStage.STORE
-                    && call.call().kind() == JobRequestKind.SUBMIT) {
+                    && call.request().kind() == JobRequestKind.SUBMIT) {
                 world.jobs()
                         .find(call.job())
                         .filter(j -> !j.stored())
@@ -79,7 +79,7 @@
 
     private static StoredRecord record(JobRow job) {
         return new StoredRecord.Job(
-                job.id(), job.terms(), job.team(), job.spec(), job.acceptedWallMs());
+                job.id(), job.policy(), job.team(), job.spec(), job.acceptedWallMs());
     }
 
     private static void addProgress(
@@ -92,7 +92,7 @@
             if (records.size() >= MAX_RECORDS) {
                 return;
             }
-            boolean due = tick.nowMs() - job.dirtyMs() >= delayMs;
+            boolean due = tick.nowMs() - job.dirtySinceMs() >= delayMs;
             if (job.stored()
                     && job.isDirty()
                     && due
@@ -191,7 +191,7 @@
             open.add(run.task().text());
         }
         for (TaskRow task : world.tasks().rows()) {
-            if (task.doubtful()) {
+            if (task.uncertain()) {
                 open.add(task.key().text());
             }
         }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/HandoverSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/HandoverSystem.java
@@ -36,17 +36,17 @@
             take(tick, offered);
         }
         SchedulerWorld world = tick.world();
-        HandoverRow row = world.offer().get();
-        NodeStateRow node = world.node().get();
-        boolean away = !node.storeReached() && world.term().get().stage() == TermStage.OWNING;
+        HandoverRow row = world.handover().get();
+        NodeStateRow node = world.nodeState().get();
+        boolean away = !node.storeReachable() && world.term().get().stage() == TermStage.OWNING;
         if (!away) {
-            if (row.sinceMs() != 0) {
-                world.offer().set(new HandoverRow(0, 0, 0, row.takenGeneration()));
+            if (row.unreachableSinceMs() != 0) {
+                world.handover().set(new HandoverRow(0, 0, 0, row.acceptedGeneration()));
             }
-        } else if (row.sinceMs() == 0) {
-            world.offer().set(new HandoverRow(tick.nowMs(), 0, 0, row.takenGeneration()));
-        } else if (tick.nowMs() - row.sinceMs() >= OFFER_AFTER_MS
-                && tick.nowMs() - row.sentMs() >= OFFER_EVERY_MS) {
+        } else if (row.unreachableSinceMs() == 0) {
+            world.handover().set(new HandoverRow(tick.nowMs(), 0, 0, row.acceptedGeneration()));
+        } else if (tick.nowMs() - row.unreachableSinceMs() >= OFFER_AFTER_MS
+                && tick.nowMs() - row.lastOfferMs() >= OFFER_EVERY_MS) {
             offer(tick, row);
         }
     }
@@ -58,15 +58,15 @@
         if (others.isEmpty()) {
             return;
         }
-        String address = others.get(row.sent() % others.size());
+        String address = others.get(row.offersSent() % others.size());
         long generation = world.term().get().generation();
-        world.offer()
+        world.handover()
                 .set(
                         new HandoverRow(
-                                row.sinceMs(),
+                                row.unreachableSinceMs(),
                                 tick.nowMs(),
-                                row.sent() + 1,
-                                row.takenGeneration()));
+                                row.offersSent() + 1,
+                                row.acceptedGeneration()));
         tick.log(
                 "owner-offered",
                 "generation="
@@ -74,7 +74,7 @@
                         + " to="
                         + address
                         + " store_away_ms="
-                        + (tick.nowMs() - row.sinceMs()));
+                        + (tick.nowMs() - row.unreachableSinceMs()));
         tick.count("owner.offered");
         tick.emit(new OfferHandover(address, generation));
     }
@@ -91,16 +91,19 @@
                         .orElse(0L);
         boolean free =
                 world.term().get().stage() == TermStage.FOLLOWING
-                        && world.node().get().storeReached()
-                        && world.node().get().stopAskedMs() == 0
+                        && world.nodeState().get().storeReachable()
+                        && world.nodeState().get().shutdownRequestedMs() == 0
                         && seen == offered.generation();
         tick.log("offer-received", "generation=" + offered.generation() + " taken=" + free);
         if (free) {
-            HandoverRow row = world.offer().get();
-            world.offer()
+            HandoverRow row = world.handover().get();
+            world.handover()
                     .set(
                             new HandoverRow(
-                                    row.sinceMs(), row.sentMs(), row.sent(), offered.generation()));
+                                    row.unreachableSinceMs(),
+                                    row.lastOfferMs(),
+                                    row.offersSent(),
+                                    offered.generation()));
             world.term()
                     .set(
                             world.term()
@@ -111,7 +114,7 @@
 
     /** Returns whether the owner of the term that this process sees has offered it. */
     static boolean isHandoverOffered(SchedulerWorld world) {
-        long taken = world.offer().get().takenGeneration();
+        long taken = world.handover().get().acceptedGeneration();
         return taken != 0
                 && world.ownership()
                         .get()
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/StepDown.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/StepDown.java
@@ -22,14 +22,14 @@
                 "owner-lost",
                 "generation=" + term.generation() + " fence=" + term.fence() + " reason=" + reason);
         tick.count("owner.lost");
-        for (PendingRequestRow call : world.calls().rows()) {
+        for (PendingRequestRow call : world.pendingRequests().rows()) {
             if (call.stage() == PendingRequestStage.STORE) {
                 tick.emit(
                         new Respond(
                                 call.callId(),
                                 JobResponse.refusal(
                                         JobResponseKind.UNKNOWN, 0, "the owner has changed")));
-                world.calls().remove(call.callId());
+                world.pendingRequests().remove(call.callId());
             }
         }
         world.clearOwnerTables();
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/Takeover.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/Takeover.java
@@ -53,7 +53,10 @@
         for (JobRow job : world.jobs().rows()) {
             JobLifecycle.activateDueOccurrences(tick, job.id());
         }
-        world.claim().get().open().ifPresent(open -> clearDoubt(world, new HashSet<>(open)));
+        world.ownershipClaim()
+                .get()
+                .unsettled()
+                .ifPresent(open -> clearDoubt(world, new HashSet<>(open)));
         tick.log(
                 "takeover",
                 "generation="
@@ -63,14 +66,14 @@
                         + " executors="
                         + world.executors().size()
                         + " took_ms="
-                        + (tick.nowMs() - term.takenMs()));
+                        + (tick.nowMs() - term.startedAtMs()));
     }
 
     /** Frees tasks of which the earlier owner told that nothing is open. */
     private static void clearDoubt(SchedulerWorld world, Set<String> open) {
         for (TaskRow task : world.tasks().rows()) {
             if (!open.contains(task.key().text()) && !open.contains(task.key().jobId())) {
-                world.tasks().put(task.key(), task.certain());
+                world.tasks().put(task.key(), task.asCertain());
             }
         }
     }
@@ -79,7 +82,7 @@
         long ageMs = Math.max(0, tick.wallMs() - job.acceptedMs());
         return new JobRow(
                 job.id(),
-                job.terms(),
+                job.policy(),
                 job.team(),
                 job.spec(),
                 job.acceptedMs(),
@@ -113,7 +116,8 @@
     /** Gives no orders for a host for which the earlier owner may have given one just now. */
     private static void rest(SchedulerTick tick, String host) {
         SchedulerWorld world = tick.world();
-        long untilMs = world.term().get().takenMs() + world.settings().timing().hostOrderGapMs();
+        long untilMs =
+                world.term().get().startedAtMs() + world.settings().timing().hostOrderGapMs();
         world.hostOrders().put(host, new HostOrderRow(host, true, untilMs, tick.nowMs()));
     }
 
@@ -130,8 +134,10 @@
                         used.id(),
                         new ExecutorRow(known, tick.nowMs(), missingMs, true, true, false, 0));
         ExecutorSessionRow contact =
-                world.contacts().find(used.id()).orElse(ExecutorSessionRow.initial(used.id(), 0));
-        world.contacts().put(used.id(), contact.withLeaseEnd(waitUntilMs(tick)));
+                world.executorSessions()
+                        .find(used.id())
+                        .orElse(ExecutorSessionRow.initial(used.id(), 0));
+        world.executorSessions().put(used.id(), contact.withLeaseExtendedTo(waitUntilMs(tick)));
     }
 
     /** Waits less for executors out of reach, now that the earlier owner gives no more orders. */
@@ -139,8 +145,8 @@
         SchedulerWorld world = tick.world();
         long untilMs = waitUntilMs(tick);
         for (ExecutorRow row : world.executors().rows()) {
-            if (row.prior()) {
-                world.contacts().update(row.id(), c -> c.withLeaseEndAt(untilMs));
+            if (row.inherited()) {
+                world.executorSessions().update(row.id(), c -> c.withLeaseEndAt(untilMs));
             }
         }
     }
@@ -149,7 +155,10 @@
     private static long waitUntilMs(SchedulerTick tick) {
         SchedulerTiming timing = tick.world().settings().timing();
         TermRow term = tick.world().term().get();
-        long holdMs = timing.holdMs() * 100 / HeartbeatSystem.MIN_CLOCK_RATE_PERCENT + SLACK_MS;
-        return term.takenMs() + holdMs + (term.predecessorReleased() ? 0 : timing.graceMs());
+        long holdMs =
+                timing.executorLeaseMs() * 100 / HeartbeatSystem.MIN_CLOCK_RATE_PERCENT + SLACK_MS;
+        return term.startedAtMs()
+                + holdMs
+                + (term.predecessorReleased() ? 0 : timing.ownerGraceMs());
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/TermSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/TermSystem.java
@@ -70,17 +70,17 @@
 
     private static void noticeSuspension(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
-        LastTickRow before = world.clock().get();
-        world.clock().set(new LastTickRow(tick.nowMs(), tick.wallMs()));
+        LastTickRow before = world.lastTick().get();
+        world.lastTick().set(new LastTickRow(tick.nowMs(), tick.wallMs()));
         long passedMs = tick.nowMs() - before.nowMs();
         long wallMs = tick.wallMs() - before.wallMs();
         if (before.wallMs() != 0
                 && wallMs - passedMs > SUSPENSION_MS
-                && world.term().get().owns()) {
+                && world.term().get().isScheduling()) {
             tick.log("suspended", "steady_ms=" + passedMs + " wall_ms=" + wallMs);
-            long graceMs = world.settings().timing().graceMs();
+            long graceMs = world.settings().timing().ownerGraceMs();
             world.term().set(world.term().get().withValidUntil(tick.nowMs() - graceMs));
-            world.renewal().set(new LeaseRenewalRow(0, 0));
+            world.leaseRenewal().set(new LeaseRenewalRow(0, 0));
         }
     }
 
@@ -115,7 +115,7 @@
 
     private static void yieldTo(SchedulerTick tick, RelinquishRequested asked) {
         TermRow term = tick.world().term().get();
-        boolean owner = term.owns() || term.stage().isOwner();
+        boolean owner = term.isScheduling() || term.stage().isOwner();
         if (owner && term.generation() < asked.generation()) {
             StepDown.run(tick, "yielded-to=" + asked.generation());
         }
@@ -126,7 +126,7 @@
         TermRow term = tick.world().term().get();
         if (term.stage().isOwner() && term.generation() == generation) {
             tick.log("predecessor-yielded", "generation=" + generation);
-            tick.world().term().set(term.withReleasedPredecessor());
+            tick.world().term().set(term.withPredecessorReleased());
             Takeover.shortenWaits(tick);
         }
     }
@@ -146,7 +146,7 @@
                             + seen.term().map(StoredRecord.Term::generation).orElse(0L));
         }
         TermRow term = world.term().get();
-        boolean owner = term.owns() || term.stage().isOwner();
+        boolean owner = term.isScheduling() || term.stage().isOwner();
         if (!owner || seen.termRevision() < term.fence()) {
             return;
         }
@@ -164,7 +164,7 @@
                 .term()
                 .set(
                         term.withCall(TermStage.FOLLOWING, 0, 0)
-                                .withKeptState(true)
+                                .withRetainedTables(true)
                                 .withClaimAt(tick.nowMs()));
     }
 
@@ -187,7 +187,7 @@
         OwnershipClaimRow claim =
                 claimRow(seen, self, term.sentMs() + granted.ttlMs() - LEASE_MARGIN_MS);
         long callId = tick.nextCallId();
-        world.claim().set(claim);
+        world.ownershipClaim().set(claim);
         world.term()
                 .set(
                         term.withLease(granted.leaseId(), term.validUntilMs())
@@ -222,7 +222,7 @@
                 last.map(StoredRecord.Term::node).orElse(""),
                 last.map(StoredRecord.Term::address).orElse(""),
                 last.map(t -> endedFor(t, self)).orElse(true),
-                last.filter(StoredRecord.Term::released).map(StoredRecord.Term::open));
+                last.filter(StoredRecord.Term::released).map(StoredRecord.Term::unsettled));
     }
 
     /** Returns whether the process of an earlier term surely gives no more orders. */
@@ -236,9 +236,9 @@
         if (term.stage() != TermStage.CLAIMING) {
             return;
         }
-        OwnershipClaimRow claim = world.claim().get();
-        boolean kept = term.keepsState();
-        world.renewal().set(new LeaseRenewalRow(0, tick.nowMs()));
+        OwnershipClaimRow claim = world.ownershipClaim().get();
+        boolean kept = term.retainsTables();
+        world.leaseRenewal().set(new LeaseRenewalRow(0, tick.nowMs()));
         world.term()
                 .set(
                         new TermRow(
@@ -252,7 +252,7 @@
                                 0,
                                 0,
                                 false,
-                                claim.released()));
+                                claim.predecessorReleased()));
         tick.log(
                 "owner-taken",
                 "generation="
@@ -264,9 +264,9 @@
                         + " predecessor="
                         + claim.predecessor()
                         + " released="
-                        + claim.released());
+                        + claim.predecessorReleased());
         tick.count("owner.taken");
-        if (!claim.released()) {
+        if (!claim.predecessorReleased()) {
             tick.emit(new AskRelinquish(claim.predecessorAddress(), claim.generation()));
         }
         if (!kept) {
@@ -294,25 +294,25 @@
 
     private static void renewed(SchedulerTick tick, LeaseRenewed renewed) {
         SchedulerWorld world = tick.world();
-        LeaseRenewalRow renewal = world.renewal().get();
+        LeaseRenewalRow renewal = world.leaseRenewal().get();
         TermRow term = world.term().get();
         if (renewal.callId() != renewed.callId() || !term.stage().isOwner()) {
             return;
         }
         long ttlMs = world.settings().timing().ownerTtlMs();
-        world.renewal().set(new LeaseRenewalRow(0, renewal.sentMs()));
+        world.leaseRenewal().set(new LeaseRenewalRow(0, renewal.sentMs()));
         world.term().set(term.withValidUntil(renewal.sentMs() + ttlMs - LEASE_MARGIN_MS));
-        world.store().set(world.store().get().reached(tick.nowMs()));
+        world.storeHealth().set(world.storeHealth().get().withSuccess(tick.nowMs()));
     }
 
     private static void notRenewed(SchedulerTick tick, LeaseNotRenewed failed) {
         SchedulerWorld world = tick.world();
-        LeaseRenewalRow renewal = world.renewal().get();
+        LeaseRenewalRow renewal = world.leaseRenewal().get();
         if (renewal.callId() != failed.callId()) {
             return;
         }
-        world.renewal().set(new LeaseRenewalRow(0, renewal.sentMs()));
-        if (failed.ended() && world.term().get().stage() == TermStage.OWNING) {
+        world.leaseRenewal().set(new LeaseRenewalRow(0, renewal.sentMs()));
+        if (failed.expired() && world.term().get().stage() == TermStage.OWNING) {
             leaseEnded(tick);
         }
     }
@@ -334,9 +334,9 @@
         SchedulerWorld world = tick.world();
         TermRow term = world.term().get();
         OwnershipRow seen = world.ownership().get();
-        boolean stopping = world.node().get().stopAskedMs() != 0;
-        if (!seen.known() || stopping && !term.keepsState() || !isFree(world)) {
-            if (term.claimAtMs() != 0 && !term.keepsState()) {
+        boolean stopping = world.nodeState().get().shutdownRequestedMs() != 0;
+        if (!seen.known() || stopping && !term.retainsTables() || !isFree(world)) {
+            if (term.claimAtMs() != 0 && !term.retainsTables()) {
                 world.term().set(term.withClaimAt(0));
             }
             return;
@@ -360,13 +360,16 @@
 
     private static void renew(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
-        LeaseRenewalRow renewal = world.renewal().get();
+        LeaseRenewalRow renewal = world.leaseRenewal().get();
         SchedulerTiming timing = world.settings().timing();
         long sinceMs = tick.nowMs() - renewal.sentMs();
-        boolean due = renewal.callId() == 0 ? sinceMs >= timing.renewMs() : sinceMs >= RETRY_MS * 3;
+        boolean due =
+                renewal.callId() == 0
+                        ? sinceMs >= timing.renewalIntervalMs()
+                        : sinceMs >= RETRY_MS * 3;
         if (due) {
             long callId = tick.nextCallId();
-            world.renewal().set(new LeaseRenewalRow(callId, tick.nowMs()));
+            world.leaseRenewal().set(new LeaseRenewalRow(callId, tick.nowMs()));
             tick.emit(new RenewLease(callId, world.term().get().leaseId()));
         }
     }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/AdviceRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/AdviceRow.java
@@ -10,16 +10,16 @@
  * Which executors may run a step of a queue whose policy is asked elsewhere.
  *
  * @param step the step
- * @param tickets permissions by executor
- * @param asked executors that were asked for
+ * @param tokens permissions by executor
+ * @param requested executors that were asked for
  * @param validUntilMs until when the permissions hold
  */
 public record AdviceRow(
-        StepKey step, Map<String, String> tickets, Set<String> asked, long validUntilMs) {
+        StepKey step, Map<String, String> tokens, Set<String> requested, long validUntilMs) {
     /** Copies the parts. */
     public AdviceRow {
         requireNonNull(step);
-        tickets = Map.copyOf(tickets);
-        asked = Set.copyOf(asked);
+        tokens = Map.copyOf(tokens);
+        requested = Set.copyOf(requested);
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/CommitRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/CommitRow.java
@@ -20,7 +20,7 @@
  * @param sentMs when it was first sent
  * @param retryAtMs when to send it again; 0 if an answer is awaited
  * @param uncertain whether a try of it may have taken effect
- * @param tries how often it was sent
+ * @param attempts how often it was sent
  */
 public record CommitRow(
         CommitPurpose purpose,
@@ -32,7 +32,7 @@
         long sentMs,
         long retryAtMs,
         boolean uncertain,
-        int tries) {
+        int attempts) {
     /** Checks the parts. */
     public CommitRow {
         requireNonNull(purpose);
@@ -45,8 +45,16 @@
     /** Returns this row sent once more. */
     public CommitRow withRetry(long newCallId) {
         return new CommitRow(
-                purpose, newCallId, guards, writes, removals, versions, sentMs, 0, uncertain,
-                tries + 1);
+                purpose,
+                newCallId,
+                guards,
+                writes,
+                removals,
+                versions,
+                sentMs,
+                0,
+                uncertain,
+                attempts + 1);
     }
 
     /** Returns this row to be sent again later. */
@@ -61,6 +69,6 @@
                 sentMs,
                 newRetryAtMs,
                 uncertain || newUncertain,
-                tries);
+                attempts);
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/ConfigurationRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/ConfigurationRow.java
@@ -7,12 +7,12 @@
 /**
  * The configuration in force.
  *
- * @param plan configuration; without a version until one was read
+ * @param configuration configuration; without a version until one was read
  * @param revision its revision in the store
  */
-public record ConfigurationRow(JobConfiguration plan, long revision) {
+public record ConfigurationRow(JobConfiguration configuration, long revision) {
     /** Checks the parts. */
     public ConfigurationRow {
-        requireNonNull(plan);
+        requireNonNull(configuration);
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/ExecutorHealthRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/ExecutorHealthRow.java
@@ -6,11 +6,12 @@
  * How the runs on an executor end.
  *
  * @param executor executor
- * @param failuresInRow failed runs since the last one that was done
- * @param done runs that were done
- * @param endedMs when a run there last ended; 0 for never
+ * @param consecutiveFailures failed runs since the last one that was done
+ * @param completedRuns runs that were done
+ * @param lastFinishedMs when a run there last ended; 0 for never
  */
-public record ExecutorHealthRow(String executor, int failuresInRow, long done, long endedMs) {
+public record ExecutorHealthRow(
+        String executor, int consecutiveFailures, long completedRuns, long lastFinishedMs) {
     /** Checks the parts. */
     public ExecutorHealthRow {
         requireNonNull(executor);
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/ExecutorRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/ExecutorRow.java
@@ -9,20 +9,20 @@
  *
  * @param report what it says of itself
  * @param seenMs when it was first seen
- * @param missingMs since when its report is gone; 0 if it is there
- * @param prior whether an earlier owner may have used it and it has not answered this one yet
+ * @param missingSinceMs since when its report is gone; 0 if it is there
+ * @param inherited whether an earlier owner may have used it and it has not answered this one yet
  * @param recorded whether the store names it among the executors in use
  * @param cordoned whether its host is to be maintained or moved
- * @param drainingMs since when it drains; 0 if it does not
+ * @param drainingSinceMs since when it drains; 0 if it does not
  */
 public record ExecutorRow(
         ExecutorReport report,
         long seenMs,
-        long missingMs,
-        boolean prior,
+        long missingSinceMs,
+        boolean inherited,
         boolean recorded,
         boolean cordoned,
-        long drainingMs) {
+        long drainingSinceMs) {
     /** Checks the parts. */
     public ExecutorRow {
         requireNonNull(report);
@@ -34,37 +34,40 @@
                 newReport,
                 seenMs,
                 0,
-                prior,
+                inherited,
                 recorded,
                 cordoned,
-                newReport.draining() ? (drainingMs == 0 ? nowMs : drainingMs) : 0);
+                newReport.draining() ? (drainingSinceMs == 0 ? nowMs : drainingSinceMs) : 0);
     }
 
     /** Returns this executor without its report. */
-    public ExecutorRow missing(long nowMs) {
+    public ExecutorRow withoutReport(long nowMs) {
         return new ExecutorRow(
                 report,
                 seenMs,
-                missingMs == 0 ? nowMs : missingMs,
-                prior,
+                missingSinceMs == 0 ? nowMs : missingSinceMs,
+                inherited,
                 recorded,
                 cordoned,
-                drainingMs);
+                drainingSinceMs);
     }
 
     /** Returns this executor, known to this owner. */
-    public ExecutorRow answered() {
-        return new ExecutorRow(report, seenMs, missingMs, false, recorded, cordoned, drainingMs);
+    public ExecutorRow asConfirmed() {
+        return new ExecutorRow(
+                report, seenMs, missingSinceMs, false, recorded, cordoned, drainingSinceMs);
     }
 
     /** Returns this executor with the store naming it or not. */
     public ExecutorRow withRecorded(boolean newRecorded) {
-        return new ExecutorRow(report, seenMs, missingMs, prior, newRecorded, cordoned, drainingMs);
+        return new ExecutorRow(
+                report, seenMs, missingSinceMs, inherited, newRecorded, cordoned, drainingSinceMs);
     }
 
     /** Returns this executor with its host to be maintained or moved, or not. */
     public ExecutorRow withCordoned(boolean newCordoned) {
-        return new ExecutorRow(report, seenMs, missingMs, prior, recorded, newCordoned, drainingMs);
+        return new ExecutorRow(
+                report, seenMs, missingSinceMs, inherited, recorded, newCordoned, drainingSinceMs);
     }
 
     /** Returns the id. */
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/ExecutorSessionRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/ExecutorSessionRow.java
@@ -6,37 +6,37 @@
  * The contact with an executor.
  *
  * @param executor executor
- * @param bornMs start of its life, in milliseconds since the epoch; 0 if not known
- * @param fence highest fence that it has surely seen from this owner; 0 for none
- * @param clockMs its clock at the last answer
- * @param clockAtMs when that answer came
+ * @param startedAtMs start of its life, in milliseconds since the epoch; 0 if not known
+ * @param confirmedFence highest fence that it has surely seen from this owner; 0 for none
+ * @param executorClockMs its clock at the last answer
+ * @param clockReadAtMs when that answer came
  * @param leaseEndMs when its lease has surely ended; 0 if it has none
  * @param callId reading of its lists that is awaited; 0 for none
  * @param callFence fence of that reading
  * @param sentMs when that reading was sent
- * @param nextMs when to read next
+ * @param nextHeartbeatMs when to read next
  * @param answeredMs when it last answered; 0 for never
- * @param failures readings without an answer in a row
- * @param seen number of the last end that was acknowledged
- * @param listed number of the last end that was taken in
- * @param asideUntilMs until when it gets no new runs
+ * @param consecutiveFailures readings without an answer in a row
+ * @param acknowledgedSequence number of the last end that was acknowledged
+ * @param appliedSequence number of the last end that was taken in
+ * @param quarantinedUntilMs until when it gets no new runs
  */
 public record ExecutorSessionRow(
         String executor,
-        long bornMs,
-        long fence,
-        long clockMs,
-        long clockAtMs,
+        long startedAtMs,
+        long confirmedFence,
+        long executorClockMs,
+        long clockReadAtMs,
         long leaseEndMs,
         long callId,
         long callFence,
         long sentMs,
-        long nextMs,
+        long nextHeartbeatMs,
         long answeredMs,
-        int failures,
-        long seen,
-        long listed,
-        long asideUntilMs) {
+        int consecutiveFailures,
+        long acknowledgedSequence,
+        long appliedSequence,
+        long quarantinedUntilMs) {
     /** Checks the parts. */
     public ExecutorSessionRow {
         requireNonNull(executor);
@@ -48,32 +48,34 @@
     }
 
     /** Returns this contact with a reading sent. */
-    public ExecutorSessionRow sent(long newCallId, long newFence, long nowMs, long newLeaseEndMs) {
+    public ExecutorSessionRow withHeartbeatSent(
+            long newCallId, long newConfirmedFence, long nowMs, long newLeaseEndMs) {
         return new ExecutorSessionRow(
                 executor,
-                bornMs,
-                fence,
-                clockMs,
-                clockAtMs,
+                startedAtMs,
+                confirmedFence,
+                executorClockMs,
+                clockReadAtMs,
                 Math.max(leaseEndMs, newLeaseEndMs),
                 newCallId,
-                newFence,
+                newConfirmedFence,
                 nowMs,
-                nextMs,
+                nextHeartbeatMs,
                 answeredMs,
-                failures,
-                seen,
-                listed,
-                asideUntilMs);
+                consecutiveFailures,
+                acknowledgedSequence,
+                appliedSequence,
+                quarantinedUntilMs);
     }
 
     /** Returns this contact with an answer. */
-    public ExecutorSessionRow answered(long newBornMs, long newClockMs, long nowMs) {
+    public ExecutorSessionRow withHeartbeatAnswered(
+            long newStartedAtMs, long newExecutorClockMs, long nowMs) {
         return new ExecutorSessionRow(
                 executor,
-                newBornMs,
+                newStartedAtMs,
                 callFence,
-                newClockMs,
+                newExecutorClockMs,
                 nowMs,
                 leaseEndMs,
                 0,
@@ -82,153 +84,153 @@
                 nowMs,
                 nowMs,
                 0,
-                seen,
-                listed,
-                asideUntilMs);
+                acknowledgedSequence,
+                appliedSequence,
+                quarantinedUntilMs);
     }
 
     /** Returns this contact with a reading that failed. */
-    public ExecutorSessionRow failed(long newNextMs) {
+    public ExecutorSessionRow withHeartbeatFailed(long newNextHeartbeatMs) {
         return new ExecutorSessionRow(
                 executor,
-                bornMs,
-                fence,
-                clockMs,
-                clockAtMs,
+                startedAtMs,
+                confirmedFence,
+                executorClockMs,
+                clockReadAtMs,
                 leaseEndMs,
                 0,
                 callFence,
                 sentMs,
-                newNextMs,
+                newNextHeartbeatMs,
                 answeredMs,
-                failures + 1,
-                seen,
-                listed,
-                asideUntilMs);
+                consecutiveFailures + 1,
+                acknowledgedSequence,
+                appliedSequence,
+                quarantinedUntilMs);
     }
 
     /** Returns this contact with ends taken in. */
-    public ExecutorSessionRow withListed(long newListed) {
+    public ExecutorSessionRow withAppliedSequence(long newAppliedSequence) {
         return new ExecutorSessionRow(
                 executor,
-                bornMs,
-                fence,
-                clockMs,
-                clockAtMs,
+                startedAtMs,
+                confirmedFence,
+                executorClockMs,
+                clockReadAtMs,
                 leaseEndMs,
                 callId,
                 callFence,
                 sentMs,
-                nextMs,
+                nextHeartbeatMs,
                 answeredMs,
-                failures,
-                seen,
-                Math.max(listed, newListed),
-                asideUntilMs);
+                consecutiveFailures,
+                acknowledgedSequence,
+                Math.max(appliedSequence, newAppliedSequence),
+                quarantinedUntilMs);
     }
 
     /** Returns this contact with ends acknowledged. */
-    public ExecutorSessionRow withSeen(long newSeen) {
+    public ExecutorSessionRow withAcknowledgedSequence(long newAcknowledgedSequence) {
         return new ExecutorSessionRow(
                 executor,
-                bornMs,
-                fence,
-                clockMs,
-                clockAtMs,
+                startedAtMs,
+                confirmedFence,
+                executorClockMs,
+                clockReadAtMs,
                 leaseEndMs,
                 callId,
                 callFence,
                 sentMs,
-                nextMs,
+                nextHeartbeatMs,
                 answeredMs,
-                failures,
-                Math.max(seen, newSeen),
-                listed,
-                asideUntilMs);
+                consecutiveFailures,
+                Math.max(acknowledgedSequence, newAcknowledgedSequence),
+                appliedSequence,
+                quarantinedUntilMs);
     }
 
     /** Returns this contact with the next reading not before a time. */
-    public ExecutorSessionRow withNext(long newNextMs) {
+    public ExecutorSessionRow withNextHeartbeat(long newNextHeartbeatMs) {
         return new ExecutorSessionRow(
                 executor,
-                bornMs,
-                fence,
-                clockMs,
-                clockAtMs,
+                startedAtMs,
+                confirmedFence,
+                executorClockMs,
+                clockReadAtMs,
                 leaseEndMs,
                 callId,
                 callFence,
                 sentMs,
-                newNextMs,
+                newNextHeartbeatMs,
                 answeredMs,
-                failures,
-                seen,
-                listed,
-                asideUntilMs);
+                consecutiveFailures,
+                acknowledgedSequence,
+                appliedSequence,
+                quarantinedUntilMs);
     }
 
     /** Returns this contact with a lease that may last longer. */
-    public ExecutorSessionRow withLeaseEnd(long newLeaseEndMs) {
+    public ExecutorSessionRow withLeaseExtendedTo(long newLeaseEndMs) {
         return new ExecutorSessionRow(
                 executor,
-                bornMs,
-                fence,
-                clockMs,
-                clockAtMs,
+                startedAtMs,
+                confirmedFence,
+                executorClockMs,
+                clockReadAtMs,
                 Math.max(leaseEndMs, newLeaseEndMs),
                 callId,
                 callFence,
                 sentMs,
-                nextMs,
+                nextHeartbeatMs,
                 answeredMs,
-                failures,
-                seen,
-                listed,
-                asideUntilMs);
+                consecutiveFailures,
+                acknowledgedSequence,
+                appliedSequence,
+                quarantinedUntilMs);
     }
 
     /** Returns this contact whose lease has surely ended at a time. */
     public ExecutorSessionRow withLeaseEndAt(long newLeaseEndMs) {
         return new ExecutorSessionRow(
                 executor,
-                bornMs,
-                fence,
-                clockMs,
-                clockAtMs,
+                startedAtMs,
+                confirmedFence,
+                executorClockMs,
+                clockReadAtMs,
                 newLeaseEndMs,
                 callId,
                 callFence,
                 sentMs,
-                nextMs,
+                nextHeartbeatMs,
                 answeredMs,
-                failures,
-                seen,
-                listed,
-                asideUntilMs);
+                consecutiveFailures,
+                acknowledgedSequence,
+                appliedSequence,
+                quarantinedUntilMs);
     }
 
     /** Returns this contact without new runs for some time. */
-    public ExecutorSessionRow aside(long untilMs) {
+    public ExecutorSessionRow quarantinedUntil(long untilMs) {
         return new ExecutorSessionRow(
                 executor,
-                bornMs,
-                fence,
-                clockMs,
-                clockAtMs,
+                startedAtMs,
+                confirmedFence,
+                executorClockMs,
+                clockReadAtMs,
                 leaseEndMs,
                 callId,
                 callFence,
                 sentMs,
-                nextMs,
+                nextHeartbeatMs,
                 answeredMs,
-                failures,
-                seen,
-                listed,
-                Math.max(asideUntilMs, untilMs));
+                consecutiveFailures,
+                acknowledgedSequence,
+                appliedSequence,
+                Math.max(quarantinedUntilMs, untilMs));
     }
 
     /** Returns the executor's clock at the given time of ours. */
-    public long clockAt(long nowMs) {
-        return clockMs + nowMs - clockAtMs;
+    public long executorClockAt(long nowMs) {
+        return executorClockMs + nowMs - clockReadAtMs;
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/FinishedRunKey.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/FinishedRunKey.java
@@ -6,9 +6,9 @@
  * Names an end that is not acknowledged yet.
  *
  * @param executor executor
- * @param number its number there
+ * @param sequence its number there
  */
-public record FinishedRunKey(String executor, long number) {
+public record FinishedRunKey(String executor, long sequence) {
     /** Checks the parts. */
     public FinishedRunKey {
         requireNonNull(executor);
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/FinishedRunRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/FinishedRunRow.java
@@ -7,9 +7,9 @@
  *
  * @param key key
  * @param job job
- * @param version version of the job that holds it
+ * @param jobVersion version of the job that holds it
  */
-public record FinishedRunRow(FinishedRunKey key, String job, long version) {
+public record FinishedRunRow(FinishedRunKey key, String job, long jobVersion) {
     /** Checks the parts. */
     public FinishedRunRow {
         requireNonNull(key);
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/HostOperationRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/HostOperationRow.java
@@ -7,7 +7,7 @@
  *
  * @param host host
  * @param wave wave; 0 for a move
- * @param pool pool to move to; empty for maintenance
+ * @param destinationPool pool to move to; empty for maintenance
  * @param step step
  * @param callId order that is awaited; 0 for none
  * @param retryAtMs before when no order is sent
@@ -18,7 +18,7 @@
 public record HostOperationRow(
         String host,
         long wave,
-        String pool,
+        String destinationPool,
         HostOperationStep step,
         long callId,
         long retryAtMs,
@@ -28,7 +28,7 @@
     /** Checks the parts. */
     public HostOperationRow {
         requireNonNull(host);
-        requireNonNull(pool);
+        requireNonNull(destinationPool);
         requireNonNull(step);
         requireNonNull(executor);
     }
@@ -36,23 +36,31 @@
     /** Returns this row in another step. */
     public HostOperationRow withStep(HostOperationStep newStep, long newCallId, long nowMs) {
         return new HostOperationRow(
-                host, wave, pool, newStep, newCallId, retryAtMs, nowMs, executor, uncertain);
+                host,
+                wave,
+                destinationPool,
+                newStep,
+                newCallId,
+                retryAtMs,
+                nowMs,
+                executor,
+                uncertain);
     }
 
     /** Returns this row before the next order, which is not sent before a time. */
-    public HostOperationRow retried(long newRetryAtMs) {
+    public HostOperationRow withRetryAt(long newRetryAtMs) {
         HostOperationStep next =
                 uncertain ? HostOperationStep.UNANSWERED : HostOperationStep.EMPTYING;
         return new HostOperationRow(
-                host, wave, pool, next, 0, newRetryAtMs, sinceMs, executor, uncertain);
+                host, wave, destinationPool, next, 0, newRetryAtMs, sinceMs, executor, uncertain);
     }
 
     /** Returns this row with an order that was not answered. */
-    public HostOperationRow unanswered(long newRetryAtMs) {
+    public HostOperationRow asUnanswered(long newRetryAtMs) {
         return new HostOperationRow(
                 host,
                 wave,
-                pool,
+                destinationPool,
                 HostOperationStep.UNANSWERED,
                 0,
                 newRetryAtMs,
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/HostOperationStep.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/HostOperationStep.java
@@ -12,7 +12,7 @@
     AWAY;
 
     /** Returns whether the host may be out of service by an order. */
-    public boolean mayBeAway() {
+    public boolean mayBeOutOfService() {
         return this != EMPTYING;
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/HostOrderRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/HostOrderRow.java
@@ -23,7 +23,7 @@
     }
 
     /** Returns this row, used at a later time. */
-    public HostOrderRow usedAt(long nowMs) {
+    public HostOrderRow withUsedAt(long nowMs) {
         return new HostOrderRow(host, recorded, notBeforeMs, nowMs);
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/JobRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/JobRow.java
@@ -10,7 +10,7 @@
  * A job.
  *
  * @param id id
- * @param terms terms
+ * @param policy terms
  * @param team its team; empty if it came without a key
  * @param spec what was handed in
  * @param acceptedWallMs when it came, in milliseconds since the epoch
@@ -20,14 +20,14 @@
  * @param storedState the state that the store holds
  * @param version grows with each change that has to be stored
  * @param storedVersion the version that the store holds
- * @param dirtyMs since when a change waits to be stored
- * @param stepsLeft steps of all occurrences that are not done
- * @param prior whether it was accepted by an earlier owner
+ * @param dirtySinceMs since when a change waits to be stored
+ * @param remainingSteps steps of all occurrences that are not done
+ * @param inherited whether it was accepted by an earlier owner
  * @param endedMs when it came to its final state; 0 if it has not
  */
 public record JobRow(
         String id,
-        JobPolicy terms,
+        JobPolicy policy,
         String team,
         JobSpec spec,
         long acceptedWallMs,
@@ -37,14 +37,14 @@
         JobState storedState,
         long version,
         long storedVersion,
-        long dirtyMs,
-        int stepsLeft,
-        boolean prior,
+        long dirtySinceMs,
+        int remainingSteps,
+        boolean inherited,
         long endedMs) {
     /** Checks the parts. */
     public JobRow {
         requireNonNull(id);
-        requireNonNull(terms);
+        requireNonNull(policy);
         requireNonNull(team);
         requireNonNull(spec);
         requireNonNull(state);
@@ -55,7 +55,7 @@
     public JobRow withState(JobState newState, long newEndedMs) {
         return new JobRow(
                 id,
-                terms,
+                policy,
                 team,
                 spec,
                 acceptedWallMs,
@@ -65,17 +65,17 @@
                 storedState,
                 version,
                 storedVersion,
-                dirtyMs,
-                stepsLeft,
-                prior,
+                dirtySinceMs,
+                remainingSteps,
+                inherited,
                 newEndedMs);
     }
 
     /** Returns this job with a change that has to be stored. */
-    public JobRow changed(long nowMs) {
+    public JobRow withChange(long nowMs) {
         return new JobRow(
                 id,
-                terms,
+                policy,
                 team,
                 spec,
                 acceptedWallMs,
@@ -85,17 +85,17 @@
                 storedState,
                 version + 1,
                 storedVersion,
-                version == storedVersion ? nowMs : dirtyMs,
-                stepsLeft,
-                prior,
+                version == storedVersion ? nowMs : dirtySinceMs,
+                remainingSteps,
+                inherited,
                 endedMs);
     }
 
     /** Returns this job held by the store. */
-    public JobRow withStored() {
+    public JobRow asStored() {
         return new JobRow(
                 id,
-                terms,
+                policy,
                 team,
                 spec,
                 acceptedWallMs,
@@ -105,9 +105,9 @@
                 storedState,
                 version,
                 storedVersion,
-                dirtyMs,
-                stepsLeft,
-                prior,
+                dirtySinceMs,
+                remainingSteps,
+                inherited,
                 endedMs);
     }
 
@@ -115,7 +115,7 @@
     public JobRow withStoredVersion(long newVersion, JobState newState, long nowMs) {
         return new JobRow(
                 id,
-                terms,
+                policy,
                 team,
                 spec,
                 acceptedWallMs,
@@ -126,8 +126,8 @@
                 version,
                 Math.max(storedVersion, newVersion),
                 nowMs,
-                stepsLeft,
-                prior,
+                remainingSteps,
+                inherited,
                 endedMs);
     }
 
@@ -135,7 +135,7 @@
     public JobRow withStepDone() {
         return new JobRow(
                 id,
-                terms,
+                policy,
                 team,
                 spec,
                 acceptedWallMs,
@@ -145,9 +145,9 @@
                 storedState,
                 version,
                 storedVersion,
-                dirtyMs,
-                stepsLeft - 1,
-                prior,
+                dirtySinceMs,
+                remainingSteps - 1,
+                inherited,
                 endedMs);
     }
 
@@ -157,12 +157,12 @@
     }
 
     /** Returns whether the job takes runs now. */
-    public boolean isOpen() {
+    public boolean acceptsRuns() {
         return stored && !state.isFinal();
     }
 
     /** Returns the time until which the job should be done, on the steady clock. */
-    public long dueMs() {
-        return arrivedMs + terms.objectiveFor(spec.chainMs());
+    public long deadlineMs() {
+        return arrivedMs + policy.objectiveFor(spec.criticalPathMs());
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/NodeStateRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/NodeStateRow.java
@@ -4,7 +4,7 @@
  * What the process tells the balancer and whether it stops.
  *
  * @param ready what the balancer was last told
- * @param storeReached whether the store was reached last
- * @param stopAskedMs when the process was asked to stop; 0 if it was not
+ * @param storeReachable whether the store was reached last
+ * @param shutdownRequestedMs when the process was asked to stop; 0 if it was not
  */
-public record NodeStateRow(boolean ready, boolean storeReached, long stopAskedMs) {}
+public record NodeStateRow(boolean ready, boolean storeReachable, long shutdownRequestedMs) {}
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/OwnershipClaimRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/OwnershipClaimRow.java
@@ -13,16 +13,16 @@
  * @param validUntilMs until when its lease has surely not ended
  * @param predecessor owner of the term before; empty if there was none
  * @param predecessorAddress where that owner takes forwarded requests
- * @param released whether that owner surely gives no more orders
- * @param open what that owner left open, if it told; see {@link StoredRecord.Term#open()}
+ * @param predecessorReleased whether that owner surely gives no more orders
+ * @param unsettled what that owner left open, if it told; see {@link StoredRecord.Term#unsettled()}
  */
 public record OwnershipClaimRow(
         long generation,
         long validUntilMs,
         String predecessor,
         String predecessorAddress,
-        boolean released,
-        Optional<List<String>> open) {
+        boolean predecessorReleased,
+        Optional<List<String>> unsettled) {
     /** No claim. */
     public static final OwnershipClaimRow NONE =
             new OwnershipClaimRow(0, 0, "", "", true, Optional.empty());
@@ -31,6 +31,6 @@
     public OwnershipClaimRow {
         requireNonNull(predecessor);
         requireNonNull(predecessorAddress);
-        requireNonNull(open);
+        requireNonNull(unsettled);
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/PendingRequestRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/PendingRequestRow.java
@@ -8,16 +8,16 @@
  * A caller's request that waits.
  *
  * @param callId id
- * @param call request
+ * @param request request
  * @param job the job that has to be stored; empty for none
  * @param stage what it waits for
  * @param sinceMs since when
  */
 public record PendingRequestRow(
-        long callId, JobRequest call, String job, PendingRequestStage stage, long sinceMs) {
+        long callId, JobRequest request, String job, PendingRequestStage stage, long sinceMs) {
     /** Checks the parts. */
     public PendingRequestRow {
-        requireNonNull(call);
+        requireNonNull(request);
         requireNonNull(job);
         requireNonNull(stage);
     }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/RunRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/RunRow.java
@@ -19,12 +19,12 @@
  * @param reason why it is stopped
  * @param callId order that is awaited; 0 for none
  * @param sentMs when the last order was sent
- * @param settledMs when the last order was answered; 0 if it was not
+ * @param orderAnsweredMs when the last order was answered; 0 if it was not
  * @param checkpoint last saved state that was listed
- * @param percent last listed part of its full speed
+ * @param speedPercent last listed part of its full speed
  * @param load last listed load; -1 for none
- * @param pace part of its full speed that it was told
- * @param progressMs when its listed state last changed
+ * @param speedLimitPercent part of its full speed that it was told
+ * @param lastProgressMs when its listed state last changed
  */
 public record RunRow(
         TaskKey task,
@@ -37,12 +37,12 @@
         StopReason reason,
         long callId,
         long sentMs,
-        long settledMs,
+        long orderAnsweredMs,
         String checkpoint,
-        int percent,
+        int speedPercent,
         long load,
-        int pace,
-        long progressMs) {
+        int speedLimitPercent,
+        long lastProgressMs) {
     /** Checks the parts. */
     public RunRow {
         requireNonNull(task);
@@ -56,7 +56,7 @@
     }
 
     /** Returns this run, known to be on its executor. */
-    public RunRow running(long nowMs) {
+    public RunRow asRunning(long nowMs) {
         return new RunRow(
                 task,
                 run,
@@ -70,14 +70,14 @@
                 sentMs,
                 nowMs,
                 checkpoint,
-                percent,
+                speedPercent,
                 load,
-                pace,
+                speedLimitPercent,
                 nowMs);
     }
 
     /** Returns this run with an order to stop it sent. */
-    public RunRow stopping(StopReason newReason, long newCallId, long nowMs) {
+    public RunRow asStopping(StopReason newReason, long newCallId, long nowMs) {
         return new RunRow(
                 task,
                 run,
@@ -91,14 +91,14 @@
                 nowMs,
                 0,
                 checkpoint,
-                percent,
+                speedPercent,
                 load,
-                pace,
-                progressMs);
+                speedLimitPercent,
+                lastProgressMs);
     }
 
     /** Returns this run with its order answered. */
-    public RunRow settled(long nowMs) {
+    public RunRow withOrderAnswered(long nowMs) {
         return new RunRow(
                 task,
                 run,
@@ -112,14 +112,14 @@
                 sentMs,
                 nowMs,
                 checkpoint,
-                percent,
+                speedPercent,
                 load,
-                pace,
-                progressMs);
+                speedLimitPercent,
+                lastProgressMs);
     }
 
     /** Returns this run with what its executor lists. */
-    public RunRow listed(ReportedRun told, long nowMs) {
+    public RunRow withReport(ReportedRun told, long nowMs) {
         return new RunRow(
                 task,
                 run,
@@ -131,18 +131,18 @@
                 reason,
                 callId,
                 sentMs,
-                settledMs,
+                orderAnsweredMs,
                 told.checkpoint().isEmpty() ? checkpoint : told.checkpoint(),
-                told.percent(),
+                told.speedPercent(),
                 told.load(),
-                pace,
-                told.percent() != percent || !told.checkpoint().equals(checkpoint)
+                speedLimitPercent,
+                told.speedPercent() != speedPercent || !told.checkpoint().equals(checkpoint)
                         ? nowMs
-                        : progressMs);
+                        : lastProgressMs);
     }
 
     /** Returns this run with another pace. */
-    public RunRow withPace(int newPace) {
+    public RunRow withSpeedLimit(int newSpeedLimitPercent) {
         return new RunRow(
                 task,
                 run,
@@ -154,11 +154,11 @@
                 reason,
                 callId,
                 sentMs,
-                settledMs,
+                orderAnsweredMs,
                 checkpoint,
-                percent,
+                speedPercent,
                 load,
-                newPace,
-                progressMs);
+                newSpeedLimitPercent,
+                lastProgressMs);
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerWorld.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerWorld.java
@@ -85,37 +85,37 @@
     }
 
     /** Returns the claim of the ownership that is under way. */
-    public Single<OwnershipClaimRow> claim() {
+    public Single<OwnershipClaimRow> ownershipClaim() {
         return mClaim;
     }
 
     /** Returns the renewal that is awaited. */
-    public Single<LeaseRenewalRow> renewal() {
+    public Single<LeaseRenewalRow> leaseRenewal() {
         return mRenewal;
     }
 
     /** Returns the offers of the ownership. */
-    public Single<HandoverRow> offer() {
+    public Single<HandoverRow> handover() {
         return mOffer;
     }
 
     /** Returns the times of the last tick. */
-    public Single<LastTickRow> clock() {
+    public Single<LastTickRow> lastTick() {
         return mClock;
     }
 
     /** Returns what the process tells the balancer. */
-    public Single<NodeStateRow> node() {
+    public Single<NodeStateRow> nodeState() {
         return mNode;
     }
 
     /** Returns the configuration in force. */
-    public Single<ConfigurationRow> plan() {
+    public Single<ConfigurationRow> configuration() {
         return mPlan;
     }
 
     /** Returns how the store answers. */
-    public Single<StoreHealthRow> store() {
+    public Single<StoreHealthRow> storeHealth() {
         return mStore;
     }
 
@@ -175,17 +175,17 @@
     }
 
     /** Returns the contacts by executor. */
-    public Table<String, ExecutorSessionRow> contacts() {
+    public Table<String, ExecutorSessionRow> executorSessions() {
         return mContacts;
     }
 
     /** Returns how runs end, by executor. */
-    public Table<String, ExecutorHealthRow> standings() {
+    public Table<String, ExecutorHealthRow> executorHealth() {
         return mStandings;
     }
 
     /** Returns the ends that are not acknowledged yet, grouped by executor. */
-    public GroupedTable<FinishedRunKey, FinishedRunRow, String> ends() {
+    public GroupedTable<FinishedRunKey, FinishedRunRow, String> finishedRuns() {
         return mEnds;
     }
 
@@ -200,12 +200,12 @@
     }
 
     /** Returns the request for advice that is awaited. */
-    public Single<AdviceRequestRow> adviceCall() {
+    public Single<AdviceRequestRow> adviceRequest() {
         return mAdviceCall;
     }
 
     /** Returns the callers' requests that wait. */
-    public Table<Long, PendingRequestRow> calls() {
+    public Table<Long, PendingRequestRow> pendingRequests() {
         return mCalls;
     }
 
@@ -220,7 +220,7 @@
     }
 
     /** Returns the hosts that are maintained or moved. */
-    public Table<String, HostOperationRow> hostTasks() {
+    public Table<String, HostOperationRow> hostOperations() {
         return mHostTasks;
     }
 
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/StepRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/StepRow.java
@@ -9,20 +9,20 @@
  * A step whose turn has come.
  *
  * @param key key
- * @param done a bit for each task that is done
- * @param left tasks that are not done
+ * @param doneTasks a bit for each task that is done
+ * @param remaining tasks that are not done
  * @param gangFailures how often it failed as a gang
  */
-public record StepRow(StepKey key, BigInteger done, int left, int gangFailures) {
+public record StepRow(StepKey key, BigInteger doneTasks, int remaining, int gangFailures) {
     /** Checks the parts. */
     public StepRow {
         requireNonNull(key);
-        requireNonNull(done);
+        requireNonNull(doneTasks);
     }
 
     /** Returns this step with one more task done. */
-    public StepRow withDone(int index) {
-        return new StepRow(key, done.setBit(index), left - 1, gangFailures);
+    public StepRow withTaskDone(int index) {
+        return new StepRow(key, doneTasks.setBit(index), remaining - 1, gangFailures);
     }
 
     /** Returns this step with all tasks done. */
@@ -33,6 +33,6 @@
 
     /** Returns this step with one more failure as a gang. */
     public StepRow withGangFailure() {
-        return new StepRow(key, done, left, gangFailures + 1);
+        return new StepRow(key, doneTasks, remaining, gangFailures + 1);
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/StoreHealthRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/StoreHealthRow.java
@@ -3,27 +3,28 @@
 /**
  * How the store answers.
  *
- * @param reachedMs when a commit last took effect
- * @param failedMs when a commit last failed
+ * @param lastSuccessMs when a commit last took effect
+ * @param lastFailureMs when a commit last failed
  * @param failingSinceMs since when commits have failed without one that took effect; 0 if they
  *     don't
  */
-public record StoreHealthRow(long reachedMs, long failedMs, long failingSinceMs) {
+public record StoreHealthRow(long lastSuccessMs, long lastFailureMs, long failingSinceMs) {
     /** Time of failures after which the store counts as away, in milliseconds. */
     private static final long AWAY_MS = 400;
 
     /** Returns this row with a commit that took effect. */
-    public StoreHealthRow reached(long nowMs) {
-        return new StoreHealthRow(nowMs, failedMs, 0);
+    public StoreHealthRow withSuccess(long nowMs) {
+        return new StoreHealthRow(nowMs, lastFailureMs, 0);
     }
 
     /** Returns this row with a commit that failed. */
-    public StoreHealthRow failed(long nowMs) {
-        return new StoreHealthRow(reachedMs, nowMs, failingSinceMs == 0 ? nowMs : failingSinceMs);
+    public StoreHealthRow withFailure(long nowMs) {
+        return new StoreHealthRow(
+                lastSuccessMs, nowMs, failingSinceMs == 0 ? nowMs : failingSinceMs);
     }
 
     /** Returns whether commits fail for so long that the store counts as away. */
-    public boolean isAway(long nowMs) {
+    public boolean isUnreachable(long nowMs) {
         return failingSinceMs != 0 && nowMs - failingSinceMs > AWAY_MS;
     }
 
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/TaskRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/TaskRow.java
@@ -13,25 +13,25 @@
  * @param key key
  * @param pool pool whose executors run it
  * @param state state
- * @param run number of its last run; 0 for none
+ * @param lastRun number of its last run; 0 for none
  * @param failedRuns numbers of the runs that failed
  * @param checkpoint last saved state; empty for none
- * @param readyMs since when it waits
+ * @param readySinceMs since when it waits
  * @param notBeforeMs when it may run next
- * @param failedOn executor on which it failed last; empty for none
- * @param doubtful whether a run of an earlier owner may be under way
+ * @param lastFailedExecutor executor on which it failed last; empty for none
+ * @param uncertain whether a run of an earlier owner may be under way
  */
 public record TaskRow(
         TaskKey key,
         String pool,
         TaskState state,
-        int run,
+        int lastRun,
         Set<Integer> failedRuns,
         String checkpoint,
-        long readyMs,
+        long readySinceMs,
         long notBeforeMs,
-        String failedOn,
-        boolean doubtful) {
+        String lastFailedExecutor,
+        boolean uncertain) {
     /** Checks the parts. */
     public TaskRow {
         requireNonNull(key);
@@ -39,37 +39,37 @@
         requireNonNull(state);
         failedRuns = Set.copyOf(failedRuns);
         requireNonNull(checkpoint);
-        requireNonNull(failedOn);
+        requireNonNull(lastFailedExecutor);
     }
 
     /** Returns this task with a run under way. */
-    public TaskRow active(int newRun) {
+    public TaskRow asActive(int newLastRun) {
         return new TaskRow(
                 key,
                 pool,
                 TaskState.ACTIVE,
-                newRun,
+                newLastRun,
                 failedRuns,
                 checkpoint,
-                readyMs,
+                readySinceMs,
                 notBeforeMs,
-                failedOn,
+                lastFailedExecutor,
                 false);
     }
 
     /** Returns this task waiting for another run. */
-    public TaskRow waiting(long nowMs, long delayMs, String newCheckpoint) {
+    public TaskRow asWaiting(long nowMs, long delayMs, String newCheckpoint) {
         return new TaskRow(
                 key,
                 pool,
                 TaskState.WAITING,
-                run,
+                lastRun,
                 failedRuns,
                 newCheckpoint.isEmpty() ? checkpoint : newCheckpoint,
                 nowMs,
                 nowMs + delayMs,
-                failedOn,
-                doubtful);
+                lastFailedExecutor,
+                uncertain);
     }
 
     /** Returns this task with one more failed run. */
@@ -78,43 +78,43 @@
                 key,
                 pool,
                 state,
-                run,
+                lastRun,
                 Stream.concat(failedRuns.stream(), Stream.of(newFailedRun))
                         .collect(Collectors.toUnmodifiableSet()),
                 checkpoint,
-                readyMs,
+                readySinceMs,
                 notBeforeMs,
                 executor,
-                doubtful);
+                uncertain);
     }
 
     /** Returns this task with a higher number of its last run. */
-    public TaskRow withRun(int newRun) {
+    public TaskRow withRunAtLeast(int newLastRun) {
         return new TaskRow(
                 key,
                 pool,
                 state,
-                Math.max(run, newRun),
+                Math.max(lastRun, newLastRun),
                 failedRuns,
                 checkpoint,
-                readyMs,
+                readySinceMs,
                 notBeforeMs,
-                failedOn,
-                doubtful);
+                lastFailedExecutor,
+                uncertain);
     }
 
     /** Returns this task without doubt on a run of an earlier owner. */
-    public TaskRow certain() {
+    public TaskRow asCertain() {
         return new TaskRow(
                 key,
                 pool,
                 state,
-                run,
+                lastRun,
                 failedRuns,
                 checkpoint,
-                readyMs,
+                readySinceMs,
                 notBeforeMs,
-                failedOn,
+                lastFailedExecutor,
                 false);
     }
 
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/TermRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/TermRow.java
@@ -10,11 +10,11 @@
  * @param fence fence of its orders: the revision at which it became the owner
  * @param leaseId lease of the ownership
  * @param validUntilMs until when the lease has surely not ended
- * @param takenMs when the term began
+ * @param startedAtMs when the term began
  * @param callId store call that is awaited; 0 for none
  * @param sentMs when that call was sent
  * @param claimAtMs when to try to become the owner; 0 if not set
- * @param keepsState whether the process owned the term before and its tables hold
+ * @param retainsTables whether the process owned the term before and its tables hold
  * @param predecessorReleased whether the owner before surely gives no more orders
  */
 public record TermRow(
@@ -23,11 +23,11 @@
         long fence,
         long leaseId,
         long validUntilMs,
-        long takenMs,
+        long startedAtMs,
         long callId,
         long sentMs,
         long claimAtMs,
-        boolean keepsState,
+        boolean retainsTables,
         boolean predecessorReleased) {
     /** Checks the parts. */
     public TermRow {
@@ -47,11 +47,11 @@
                 fence,
                 leaseId,
                 validUntilMs,
-                takenMs,
+                startedAtMs,
                 callId,
                 sentMs,
                 claimAtMs,
-                keepsState,
+                retainsTables,
                 predecessorReleased);
     }
 
@@ -63,11 +63,11 @@
                 fence,
                 leaseId,
                 validUntilMs,
-                takenMs,
+                startedAtMs,
                 newCallId,
                 newSentMs,
                 claimAtMs,
-                keepsState,
+                retainsTables,
                 predecessorReleased);
     }
 
@@ -79,11 +79,11 @@
                 fence,
                 leaseId,
                 validUntilMs,
-                takenMs,
+                startedAtMs,
                 callId,
                 sentMs,
                 newClaimAtMs,
-                keepsState,
+                retainsTables,
                 predecessorReleased);
     }
 
@@ -95,11 +95,11 @@
                 fence,
                 newLeaseId,
                 newValidUntilMs,
-                takenMs,
+                startedAtMs,
                 callId,
                 sentMs,
                 claimAtMs,
-                keepsState,
+                retainsTables,
                 predecessorReleased);
     }
 
@@ -111,48 +111,48 @@
                 fence,
                 leaseId,
                 newValidUntilMs,
-                takenMs,
+                startedAtMs,
                 callId,
                 sentMs,
                 claimAtMs,
-                keepsState,
+                retainsTables,
                 predecessorReleased);
     }
 
     /** Returns this row with the scheduling owned and the tables held. */
-    public TermRow withKeptState(boolean newKeepsState) {
+    public TermRow withRetainedTables(boolean newRetainsTables) {
         return new TermRow(
                 stage,
                 generation,
                 fence,
                 leaseId,
                 validUntilMs,
-                takenMs,
+                startedAtMs,
                 callId,
                 sentMs,
                 claimAtMs,
-                newKeepsState,
+                newRetainsTables,
                 predecessorReleased);
     }
 
     /** Returns whether the process decides on jobs, in its own term or while it takes it again. */
-    public boolean owns() {
-        return stage == TermStage.OWNING || stage == TermStage.RELEASING || keepsState;
+    public boolean isScheduling() {
+        return stage == TermStage.OWNING || stage == TermStage.RELEASING || retainsTables;
     }
 
     /** Returns this row with the owner before surely giving no more orders. */
-    public TermRow withReleasedPredecessor() {
+    public TermRow withPredecessorReleased() {
         return new TermRow(
                 stage,
                 generation,
                 fence,
                 leaseId,
                 validUntilMs,
-                takenMs,
+                startedAtMs,
                 callId,
                 sentMs,
                 claimAtMs,
-                keepsState,
+                retainsTables,
                 true);
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/UncertainStartRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/UncertainStartRow.java
@@ -9,11 +9,12 @@
  * @param key the order
  * @param executor the executor
  * @param sinceMs when it was found to be unanswered
- * @param open whether the executor's present life has yet to hear that the run is not wanted
- * @param orderedMs when it was last told
+ * @param cancelPending whether the executor's present life has yet to hear that the run is not
+ *     wanted
+ * @param cancelSentMs when it was last told
  */
 public record UncertainStartRow(
-        StartKey key, String executor, long sinceMs, boolean open, long orderedMs) {
+        StartKey key, String executor, long sinceMs, boolean cancelPending, long cancelSentMs) {
     /** Checks the parts. */
     public UncertainStartRow {
         requireNonNull(key);
@@ -21,12 +22,13 @@
     }
 
     /** Returns this row with the executor's present life yet to be told, or told. */
-    public UncertainStartRow withOpen(boolean newOpen) {
-        return new UncertainStartRow(key, executor, sinceMs, newOpen, newOpen ? 0 : orderedMs);
+    public UncertainStartRow withCancelPending(boolean newCancelPending) {
+        return new UncertainStartRow(
+                key, executor, sinceMs, newCancelPending, newCancelPending ? 0 : cancelSentMs);
     }
 
     /** Returns this row with the executor told once more. */
-    public UncertainStartRow ordered(long nowMs) {
-        return new UncertainStartRow(key, executor, sinceMs, open, nowMs);
+    public UncertainStartRow withCancelSent(long nowMs) {
+        return new UncertainStartRow(key, executor, sinceMs, cancelPending, nowMs);
     }
 }
--- a/core/src/test/java/org/hibiscususher/core/job/JobConfigurationTest.java
+++ b/core/src/test/java/org/hibiscususher/core/job/JobConfigurationTest.java
@@ -51,7 +51,7 @@
     class Objective {
         @Test
         void isTheExtendedChainAndTheSlack() {
-            assertThat(PLAN.queues().get(0).terms().objectiveFor(1_000)).isEqualTo(2_100);
+            assertThat(PLAN.queues().get(0).policy().objectiveFor(1_000)).isEqualTo(2_100);
         }
     }
 }
--- a/core/src/test/java/org/hibiscususher/core/job/JobSpecTest.java
+++ b/core/src/test/java/org/hibiscususher/core/job/JobSpecTest.java
@@ -19,7 +19,7 @@
         void isTheLongestPathThroughTheSteps() {
             JobSpec spec =
                     JobSpec.once("x", List.of(step(2, 100), step(9, 500), step(1, 50, 0, 1)));
-            assertThat(spec.chainMs()).isEqualTo(550);
+            assertThat(spec.criticalPathMs()).isEqualTo(550);
         }
     }
 
@@ -27,7 +27,7 @@
     class WorkMs {
         @Test
         void countsCoresTimesTime() {
-            assertThat(JobSpec.once("x", List.of(step(4, 250))).workMs()).isEqualTo(1_000);
+            assertThat(JobSpec.once("x", List.of(step(4, 250))).workCoreMs()).isEqualTo(1_000);
         }
     }
 
@@ -35,22 +35,25 @@
     class Problem {
         @Test
         void isNoneForStepsThatWaitForEarlierOnes() {
-            assertThat(JobSpec.once("x", List.of(step(1, 1), step(1, 1, 0))).problem()).isEmpty();
+            assertThat(JobSpec.once("x", List.of(step(1, 1), step(1, 1, 0))).validationError())
+                    .isEmpty();
         }
 
         @Test
         void isAStepThatWaitsForItselfOrALaterOne() {
-            assertThat(JobSpec.once("x", List.of(step(1, 1, 0))).problem()).contains("step 0");
+            assertThat(JobSpec.once("x", List.of(step(1, 1, 0))).validationError())
+                    .contains("step 0");
         }
 
         @Test
         void isAStepWithoutTasks() {
-            assertThat(JobSpec.once("x", List.of(step(0, 1))).problem()).contains("no tasks");
+            assertThat(JobSpec.once("x", List.of(step(0, 1))).validationError())
+                    .contains("no tasks");
         }
 
         @Test
         void isAJobWithoutSteps() {
-            assertThat(JobSpec.once("x", List.of()).problem()).isNotEmpty();
+            assertThat(JobSpec.once("x", List.of()).validationError()).isNotEmpty();
         }
     }
 }
--- a/core/src/test/java/org/hibiscususher/core/scheduler/SchedulerWorlds.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/SchedulerWorlds.java
@@ -22,7 +22,7 @@
     public static SchedulerWorld ofOwner(long nowMs) {
         SchedulerWorld world =
                 SchedulerWorld.create(
-                        new SchedulerSettings("n", 1, "n", List.of(), 0, SchedulerTiming.USUAL));
+                        new SchedulerSettings("n", 1, "n", List.of(), 0, SchedulerTiming.DEFAULT));
         world.term()
                 .set(
                         new TermRow(
@@ -46,6 +46,7 @@
         ExecutorReport report =
                 new ExecutorReport(id, pool, id + ":1", "z", "h", List.of(), capacity, false, 0, 0);
         world.executors().put(id, new ExecutorRow(report, 1, 0, false, true, false, 0));
-        world.contacts().put(id, ExecutorSessionRow.initial(id, 0).answered(1, 1, answeredMs));
+        world.executorSessions()
+                .put(id, ExecutorSessionRow.initial(id, 0).withHeartbeatAnswered(1, 1, answeredMs));
     }
 }
--- a/core/src/test/java/org/hibiscususher/core/scheduler/executor/LostExecutorSystemTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/executor/LostExecutorSystemTest.java
@@ -38,7 +38,8 @@
                         id, "p", id + ":1", "z", "h", List.of(), Resources.NONE, false, 0, 1);
         mWorld.executors().put(id, new ExecutorRow(report, 0, 0, prior, true, false, 0));
         ExecutorSessionRow contact = ExecutorSessionRow.initial(id, NOW_MS + 4_000);
-        mWorld.contacts().put(id, failures == 0 ? contact : contact.failed(NOW_MS));
+        mWorld.executorSessions()
+                .put(id, failures == 0 ? contact : contact.withHeartbeatFailed(NOW_MS));
     }
 
     private void host(String id, HostState state, String executor) {
@@ -78,7 +79,12 @@
 
         @Test
         void anExecutorThatAnsweredAfterTheListWasAskedFor() {
-            mWorld.contacts().update("x1", c -> c.answered(1, 1, ASKED_MS + 5).failed(NOW_MS));
+            mWorld.executorSessions()
+                    .update(
+                            "x1",
+                            c ->
+                                    c.withHeartbeatAnswered(1, 1, ASKED_MS + 5)
+                                            .withHeartbeatFailed(NOW_MS));
             assertThat(isGivenUp()).isFalse();
         }
 
