--- a/core/src/test/java/org/hibiscususher/core/scheduler/executor/StragglerSystemTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/executor/StragglerSystemTest.java
@@ -67,7 +67,10 @@
 
         @BeforeEach
         void start() {
-            mWorld.contacts().put("x", ExecutorSessionRow.initial("x", 0).answered(1, 1, NOW_MS));
+            mWorld.executorSessions()
+                    .put(
+                            "x",
+                            ExecutorSessionRow.initial("x", 0).withHeartbeatAnswered(1, 1, NOW_MS));
         }
 
         private StepKey job(String id, int percent, long changedMs) {
@@ -126,7 +129,7 @@
         }
 
         private boolean isAside() {
-            return mWorld.contacts().find("x").orElseThrow().asideUntilMs() > NOW_MS;
+            return mWorld.executorSessions().find("x").orElseThrow().quarantinedUntilMs() > NOW_MS;
         }
 
         @Test
@@ -156,7 +159,7 @@
         @Test
         void noRunThatWasToldToWorkSlowly() {
             StepKey step = job("a", 20, NOW_MS - 1_500);
-            mWorld.runs().update(step.task(0), r -> r.withPace(50));
+            mWorld.runs().update(step.task(0), r -> r.withSpeedLimit(50));
             assertThat(reasons()).containsOnly(StopReason.NONE);
         }
     }
--- a/core/src/test/java/org/hibiscususher/core/scheduler/host/EvictionTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/host/EvictionTest.java
@@ -37,7 +37,7 @@
 
     private final SchedulerWorld mWorld =
             SchedulerWorld.create(
-                    new SchedulerSettings("n", 1, "n", List.of(), 0, SchedulerTiming.USUAL));
+                    new SchedulerSettings("n", 1, "n", List.of(), 0, SchedulerTiming.DEFAULT));
     private final SchedulerTick mTick =
             new SchedulerTick(mWorld, NOW_MS, NOW_MS, List.of(), () -> 7);
 
@@ -78,12 +78,12 @@
         ExecutorReport report =
                 new ExecutorReport(id, "pool", id + ":1", "z", "h", List.of(), CORE, false, 0, 1);
         mWorld.executors().put(id, new ExecutorRow(report, 0, 0, false, true, false, 0));
-        mWorld.contacts()
+        mWorld.executorSessions()
                 .put(
                         id,
                         ExecutorSessionRow.initial(id, 0)
-                                .sent(1, 1, NOW_MS - 200, 0)
-                                .answered(1, 1, NOW_MS - 100));
+                                .withHeartbeatSent(1, 1, NOW_MS - 200, 0)
+                                .withHeartbeatAnswered(1, 1, NOW_MS - 100));
     }
 
     private static RunRow run(int index) {
@@ -123,25 +123,27 @@
             mWorld.runs()
                     .update(
                             STEP.task(1),
-                            r -> r.listed(new ReportedRun(STEP.task(1), 1, "", 40, -1), NOW_MS));
+                            r ->
+                                    r.withReport(
+                                            new ReportedRun(STEP.task(1), 1, "", 40, -1), NOW_MS));
             assertThat(stops()).isFalse();
         }
 
         /** What a silent executor listed last says nothing of now. */
         @Test
         void noTaskWhileTheExecutorOfAnotherIsSilent() {
-            mWorld.contacts().update("x1", c -> c.failed(NOW_MS));
+            mWorld.executorSessions().update("x1", c -> c.withHeartbeatFailed(NOW_MS));
             assertThat(stops()).isFalse();
         }
 
         @Test
         void noTaskWhileTheExecutorOfAnotherHasLongSaidNothing() {
-            mWorld.contacts()
+            mWorld.executorSessions()
                     .put(
                             "x1",
                             ExecutorSessionRow.initial("x1", 0)
-                                    .sent(1, 1, NOW_MS - 3_000, 0)
-                                    .answered(1, 1, NOW_MS - 2_900));
+                                    .withHeartbeatSent(1, 1, NOW_MS - 3_000, 0)
+                                    .withHeartbeatAnswered(1, 1, NOW_MS - 2_900));
             assertThat(stops()).isFalse();
         }
     }
--- a/core/src/test/java/org/hibiscususher/core/scheduler/host/HostOrderSystemTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/host/HostOrderSystemTest.java
@@ -75,7 +75,7 @@
     }
 
     private void rest(String host) {
-        long untilMs = NOW_MS + SchedulerTiming.USUAL.hostOrderGapMs();
+        long untilMs = NOW_MS + SchedulerTiming.DEFAULT.hostOrderGapMs();
         mWorld.hostOrders().put(host, new HostOrderRow(host, true, untilMs, NOW_MS));
     }
 
@@ -99,7 +99,7 @@
             ordered(NOW_MS);
             store();
             assertThat(ordered(NOW_MS + 20)).containsExactly("h2");
-            long gapMs = SchedulerTiming.USUAL.hostOrderGapMs();
+            long gapMs = SchedulerTiming.DEFAULT.hostOrderGapMs();
             assertThat(ordered(NOW_MS + gapMs)).containsExactly("h1");
         }
     }
@@ -112,13 +112,13 @@
             HostOperationRow move =
                     new HostOperationRow(
                             "h1", 0, "other", HostOperationStep.ORDERED, 99, 0, NOW_MS, "", false);
-            mWorld.hostTasks().put("h1", move);
+            mWorld.hostOperations().put("h1", move);
             mWorld.hostOrders().put("h1", new HostOrderRow("h1", true, 0, NOW_MS));
             SchedulerInput busy = new HostOrderAnswered(99, "h1", HostOrderResult.BUSY);
             SchedulerTick tick =
                     new SchedulerTick(mWorld, NOW_MS, NOW_MS, List.of(busy), () -> ++mCalls);
             WaveSystem.run(tick);
-            assertThat(mWorld.hostTasks().size()).isZero();
+            assertThat(mWorld.hostOperations().size()).isZero();
             assertThat(HostOrderSystem.isDeferred(tick, "h1")).isTrue();
         }
     }
@@ -147,7 +147,8 @@
     @Nested
     class UnansweredOrders {
         private void answer(long nowMs, HostOrderResult result) {
-            long call = mWorld.hostTasks().find("h1").map(HostOperationRow::callId).orElseThrow();
+            long call =
+                    mWorld.hostOperations().find("h1").map(HostOperationRow::callId).orElseThrow();
             SchedulerInput input = new HostOrderAnswered(call, "h1", result);
             WaveSystem.run(new SchedulerTick(mWorld, nowMs, nowMs, List.of(input), () -> ++mCalls));
         }
--- a/core/src/test/java/org/hibiscususher/core/scheduler/host/MovableHostsTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/host/MovableHostsTest.java
@@ -47,7 +47,8 @@
                 new ExecutorReport(
                         id, "calm", id + ":1", "z", "h", List.of(), CAPACITY, false, 0, 0);
         mWorld.executors().put(id, new ExecutorRow(report, seenMs, 0, false, true, false, 0));
-        mWorld.contacts().put(id, ExecutorSessionRow.initial(id, 0).answered(1, 1, NOW_MS));
+        mWorld.executorSessions()
+                .put(id, ExecutorSessionRow.initial(id, 0).withHeartbeatAnswered(1, 1, NOW_MS));
     }
 
     private MovableHosts donors() {
@@ -84,7 +85,7 @@
         @Test
         void noHostWhoseExecutorHasNotToldItsRuns() {
             for (int i = 0; i < 3; i++) {
-                mWorld.contacts().put("x" + i, ExecutorSessionRow.initial("x" + i, 0));
+                mWorld.executorSessions().put("x" + i, ExecutorSessionRow.initial("x" + i, 0));
             }
             assertThat(donors().pollHostFor("first")).isEmpty();
         }
--- a/core/src/test/java/org/hibiscususher/core/scheduler/host/WaveSystemTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/host/WaveSystemTest.java
@@ -58,7 +58,7 @@
     private void orderIsAnswered(HostOrderResult result) {
         tick(NOW_MS);
         tick(NOW_MS + 10);
-        long call = mWorld.hostTasks().find("h").map(HostOperationRow::callId).orElseThrow();
+        long call = mWorld.hostOperations().find("h").map(HostOperationRow::callId).orElseThrow();
         tick(NOW_MS + 20, new HostOrderAnswered(call, "h", result));
     }
 
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/RunWatch.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/RunWatch.java
@@ -104,12 +104,12 @@
         if (mNoted.contains(task)) {
             breach(SchedulerPromise.DONE_STAYS_DONE, nowMs, task.text());
         }
-        for (int before : step.after()) {
+        for (int before : step.dependsOn()) {
             if (!isStepDone(task.stepKey().sibling(before))) {
                 breach(SchedulerPromise.STEP_ORDER, nowMs, task.text());
             }
         }
-        if (!step.lasting() && mFailed.getOrDefault(task, 0) >= mAttempts.get(job)) {
+        if (!step.service() && mFailed.getOrDefault(task, 0) >= mAttempts.get(job)) {
             breach(SchedulerPromise.ATTEMPTS, nowMs, task.text());
         }
         if (nowMs - mCancelled.getOrDefault(job, nowMs) > CANCEL_MS) {
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/SchedulerSite.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/SchedulerSite.java
@@ -373,7 +373,8 @@
                     LINK_MS, () -> from.add(new ForwardFailed(forward.callId(), to.name(), false)));
         } else {
             mClock.after(
-                    LINK_MS, () -> to.add(new RequestReceived(forward.callId(), forward.call())));
+                    LINK_MS,
+                    () -> to.add(new RequestReceived(forward.callId(), forward.request())));
         }
     }
 
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualExecutor.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualExecutor.java
@@ -63,7 +63,7 @@
         mRandom = random;
         mWatch = watch;
         mReport = report;
-        mBornMs = report.bornMs();
+        mBornMs = report.startedAtMs();
     }
 
     private record Active(int run, StepSpec step, String checkpoint) {}
@@ -189,13 +189,13 @@
             return;
         }
         mFence = hold.fence();
-        extend(hold.deadlineMs());
+        extend(hold.leaseDeadlineMs());
         for (FinishedRun end : mEnds) {
-            if (end.number() <= hold.seen() && end.kind() == RunOutcome.DONE) {
+            if (end.sequence() <= hold.acknowledgedSequence() && end.outcome() == RunOutcome.DONE) {
                 mWatch.noted(end.task());
             }
         }
-        mEnds.removeIf(end -> end.number() <= hold.seen());
+        mEnds.removeIf(end -> end.sequence() <= hold.acknowledgedSequence());
         boolean[] answered = {false};
         Runnable reply =
                 () -> {
@@ -263,7 +263,7 @@
         mRunning.put(start.task(), new Active(start.run(), step, start.checkpoint()));
         mWatch.started(start.task(), id(), mReport.draining(), mClock.nowMs());
         long bornMs = mBornMs;
-        if (!step.lasting()) {
+        if (!step.service()) {
             RunOutcome kind = mFailsAll ? RunOutcome.FAILED : RunOutcome.DONE;
             mClock.after(
                     Math.max(1, step.estimateMs()),
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualHosts.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualHosts.java
@@ -103,7 +103,7 @@
         }
         mMaintained.add(host);
         mAway.add(host);
-        mWatch.away(mAway.size(), mWave.cap(), mClock.nowMs());
+        mWatch.away(mAway.size(), mWave.maxConcurrentHosts(), mClock.nowMs());
         ExecutorReport ended = mSite.endExecutor(mExecutors.get(host));
         mClock.after(
                 MAINTENANCE_MS,
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualKv.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualKv.java
@@ -136,7 +136,7 @@
         if (!mLeases.containsKey(renew.leaseId())) {
             return new LeaseNotRenewed(renew.callId(), true);
         }
-        long ttlMs = SchedulerTiming.USUAL.ownerTtlMs();
+        long ttlMs = SchedulerTiming.DEFAULT.ownerTtlMs();
         mLeases.put(renew.leaseId(), mClock.nowMs() + ttlMs);
         mClock.after(ttlMs + 1, this::endLeases);
         return new LeaseRenewed(renew.callId());
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualNode.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualNode.java
@@ -61,7 +61,7 @@
     }
 
     boolean owns() {
-        return mUp && mScheduler.world().term().get().owns();
+        return mUp && mScheduler.world().term().get().isScheduling();
     }
 
     /** Starts a process that knows nothing. */
@@ -78,7 +78,7 @@
                                 mName,
                                 mSite.nodes(),
                                 Math.floorMod(mName.hashCode(), 40),
-                                SchedulerTiming.USUAL));
+                                SchedulerTiming.DEFAULT));
         long life = mLife;
         add(new ConfigurationSeen(mSite.plan(), 1));
         mSite.waves().forEach(wave -> add(new WaveSeen(wave)));
@@ -165,7 +165,7 @@
         if (output instanceof SchedulerOutput.Log line) {
             mSite.log(mName, line);
         } else if (output instanceof Respond answer) {
-            mSite.answered(answer.callId(), answer.answer());
+            mSite.answered(answer.callId(), answer.response());
         } else if (output instanceof Forward forward) {
             mSite.forward(this, forward);
         } else if (output instanceof SchedulerOutput.AskRelinquish ask) {
@@ -173,7 +173,7 @@
         } else if (output instanceof SchedulerOutput.OfferHandover offer) {
             mSite.offer(offer);
         } else if (output instanceof WatchExecutors follow) {
-            mFollowing = follow.on();
+            mFollowing = follow.enabled();
             mSite.clock().after(2, this::executorsChanged);
         } else if (output instanceof ListHosts list) {
             mSite.hosts()
--- a/wire/src/main/java/org/hibiscususher/wire/scheduler/SpecCodec.java
+++ b/wire/src/main/java/org/hibiscususher/wire/scheduler/SpecCodec.java
@@ -14,7 +14,7 @@
     static SchedulerProto.Spec encode(JobSpec spec) {
         SchedulerProto.Spec.Builder builder =
                 SchedulerProto.Spec.newBuilder()
-                        .setText(spec.text())
+                        .setText(spec.payload())
                         .setRepeats(spec.repeats())
                         .setStartMs(spec.startMs())
                         .setIntervalMs(spec.intervalMs());
@@ -29,18 +29,18 @@
                 .setMemoryMb(step.demand().memoryMb())
                 .setGpus(step.demand().gpus())
                 .setEstimateMs(step.estimateMs())
-                .addAllAfter(step.after())
-                .setCheckpoints(step.checkpoints())
+                .addAllAfter(step.dependsOn())
+                .setCheckpoints(step.savesCheckpoints())
                 .setGang(step.gang())
                 .setSameRack(step.sameRack())
                 .setRequiredLabel(step.requiredLabel())
                 .setDataRack(step.dataRack())
                 .setMaxPerExecutor(step.maxPerExecutor())
                 .setSpeculative(step.speculative())
-                .setLasting(step.lasting())
+                .setLasting(step.service())
                 .setImage(step.image())
-                .setGoalMs(step.goalMs())
-                .setFills(step.fills())
+                .setGoalMs(step.latencyGoalMs())
+                .setFills(step.bestEffortCpu())
                 .setMaxUnavailable(step.maxUnavailable())
                 .build();
     }
--- a/wire/src/main/java/org/hibiscususher/wire/scheduler/StoredRecordCodec.java
+++ b/wire/src/main/java/org/hibiscususher/wire/scheduler/StoredRecordCodec.java
@@ -36,7 +36,7 @@
                     .setIncarnation(term.incarnation())
                     .setReleased(term.released())
                     .setAddress(term.address())
-                    .addAllOpen(term.open());
+                    .addAllOpen(term.unsettled());
         } else if (record instanceof StoredRecord.Job job) {
             builder.setJob(encode(job));
         } else if (record instanceof StoredRecord.Progress progress) {
@@ -63,13 +63,13 @@
     private static SchedulerProto.Job encode(StoredRecord.Job job) {
         return SchedulerProto.Job.newBuilder()
                 .setId(job.id())
-                .setQueue(job.terms().queue())
-                .setPool(job.terms().pool())
-                .setPriority(job.terms().priority())
-                .setAttempts(job.terms().attempts())
-                .setExtension(job.terms().extension())
-                .setObjectiveMs(job.terms().objectiveMs())
-                .setAdvised(job.terms().advised())
+                .setQueue(job.policy().queue())
+                .setPool(job.policy().pool())
+                .setPriority(job.policy().priority())
+                .setAttempts(job.policy().maxFailures())
+                .setExtension(job.policy().criticalPathFactor())
+                .setObjectiveMs(job.policy().slackMs())
+                .setAdvised(job.policy().needsPlacementToken())
                 .setTeam(job.team())
                 .setSpec(SpecCodec.encode(job.spec()))
                 .setAcceptedMs(job.acceptedMs())
