Name the remaining scheduler inputs, stages and times after what they mean

StartAnswered also stood for orders that were never answered, and sinceMs did not say since when of what. They become StartCallCompleted, waitingSinceMs, stepSinceMs and so on; no behaviour changes.

--- a/core/src/main/java/org/hibiscususher/core/job/JobConfiguration.java
+++ b/core/src/main/java/org/hibiscususher/core/job/JobConfiguration.java
@@ -30,9 +30,9 @@
     public Optional<JobQueue> route(String host, String path) {
         JobQueue best = null;
         for (JobQueue queue : queues) {
-            if (queue.host().equals(host)
-                    && path.startsWith(queue.prefix())
-                    && (best == null || queue.prefix().length() > best.prefix().length())) {
+            if (queue.hostName().equals(host)
+                    && path.startsWith(queue.pathPrefix())
+                    && (best == null || queue.pathPrefix().length() > best.pathPrefix().length())) {
                 best = queue;
             }
         }
@@ -40,8 +40,8 @@
     }
 
     /** Returns the team that a key belongs to, or empty. */
-    public Optional<JobTeam> teamOfKey(String key) {
-        return teams.stream().filter(t -> t.keys().contains(key)).findFirst();
+    public Optional<JobTeam> teamByApiKey(String key) {
+        return teams.stream().filter(t -> t.apiKeys().contains(key)).findFirst();
     }
 
     /** Returns the team with the given name, or empty. */
--- a/core/src/main/java/org/hibiscususher/core/job/JobQueue.java
+++ b/core/src/main/java/org/hibiscususher/core/job/JobQueue.java
@@ -5,16 +5,17 @@
 /**
  * A queue that takes jobs.
  *
- * @param host host name in callers' requests
- * @param prefix beginning of the paths that lead to the queue
+ * @param hostName host name in callers' requests
+ * @param pathPrefix beginning of the paths that lead to the queue
  * @param allowsAnonymous whether the queue takes jobs without a key
  * @param policy terms of its jobs
  */
-public record JobQueue(String host, String prefix, boolean allowsAnonymous, JobPolicy policy) {
+public record JobQueue(
+        String hostName, String pathPrefix, boolean allowsAnonymous, JobPolicy policy) {
     /** Checks the parts. */
     public JobQueue {
-        requireNonNull(host);
-        requireNonNull(prefix);
+        requireNonNull(hostName);
+        requireNonNull(pathPrefix);
         requireNonNull(policy);
     }
 
--- a/core/src/main/java/org/hibiscususher/core/job/JobTeam.java
+++ b/core/src/main/java/org/hibiscususher/core/job/JobTeam.java
@@ -10,9 +10,9 @@
  * @param name name
  * @param weight share when all is full
  * @param limit most that may run at a time; parts of 0 are not limited
- * @param keys secrets that callers show
+ * @param apiKeys secrets that callers show
  */
-public record JobTeam(String name, long weight, Resources limit, Set<String> keys) {
+public record JobTeam(String name, long weight, Resources limit, Set<String> apiKeys) {
     /** The name under which jobs of open queues run that came without a key. */
     public static final String ANONYMOUS = "";
 
@@ -20,7 +20,7 @@
     public JobTeam {
         requireNonNull(name);
         requireNonNull(limit);
-        keys = Set.copyOf(keys);
+        apiKeys = Set.copyOf(apiKeys);
     }
 
     @Override
--- a/core/src/main/java/org/hibiscususher/core/scheduler/control/ConfigurationSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/control/ConfigurationSystem.java
@@ -1,8 +1,8 @@
 package org.hibiscususher.core.scheduler.control;
 
 import java.util.Set;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.ConfigurationSeen;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.WaveSeen;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.ConfigurationUpdated;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.WaveOrdered;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.WaveWithdrawn;
 import org.hibiscususher.core.scheduler.world.ConfigurationRow;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
@@ -15,7 +15,7 @@
 
     static void run(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
-        for (ConfigurationSeen seen : tick.inputs(ConfigurationSeen.class)) {
+        for (ConfigurationUpdated seen : tick.inputs(ConfigurationUpdated.class)) {
             ConfigurationRow before = world.configuration().get();
             if (seen.configuration().version() > before.configuration().version()) {
                 world.configuration()
@@ -34,7 +34,7 @@
                                 + seen.configuration().teams().size());
             }
         }
-        for (WaveSeen seen : tick.inputs(WaveSeen.class)) {
+        for (WaveOrdered seen : tick.inputs(WaveOrdered.class)) {
             long wave = seen.order().wave();
             if (!world.waves().contains(wave)) {
                 tick.log(
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/ExecutorSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/ExecutorSystem.java
@@ -11,8 +11,8 @@
 import org.hibiscususher.core.scheduler.message.ExecutorReport;
 import org.hibiscususher.core.scheduler.message.HeartbeatFailure;
 import org.hibiscususher.core.scheduler.message.SchedulerInput;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.ExecutorGone;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.ExecutorSeen;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.ExecutorRemoved;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.ExecutorUpdated;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.ExecutorsListed;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.HeartbeatAnswered;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.HeartbeatFailed;
@@ -51,9 +51,9 @@
         for (SchedulerInput input : tick.inputs()) {
             if (input instanceof ExecutorsListed listed) {
                 listed(tick, listed.reports());
-            } else if (input instanceof ExecutorSeen seen) {
+            } else if (input instanceof ExecutorUpdated seen) {
                 seen(tick, seen.report());
-            } else if (input instanceof ExecutorGone gone) {
+            } else if (input instanceof ExecutorRemoved gone) {
                 missing(tick, gone.id());
             } else if (input instanceof HeartbeatAnswered answered) {
                 answered(tick, answered);
@@ -132,7 +132,7 @@
         SchedulerWorld world = tick.world();
         String id = answer.executor();
         ExecutorSessionRow contact = world.executorSessions().find(id).orElse(null);
-        if (contact == null || contact.callId() != answer.callId()) {
+        if (contact == null || contact.heartbeatCallId() != answer.callId()) {
             return;
         }
         if (contact.startedAtMs() != 0 && contact.startedAtMs() != answer.startedAtMs()) {
@@ -141,21 +141,24 @@
             contact =
                     ExecutorSessionRow.initial(id, contact.leaseEndMs())
                             .withHeartbeatSent(
-                                    answer.callId(), contact.callFence(), contact.sentMs(), 0);
+                                    answer.callId(),
+                                    contact.heartbeatFence(),
+                                    contact.heartbeatSentMs(),
+                                    0);
         }
-        if (contact.answeredMs() == 0 || contact.consecutiveFailures() > MAX_FAILURES) {
+        if (contact.lastAnswerMs() == 0 || contact.consecutiveFailures() > MAX_FAILURES) {
             tick.log(
                     "executor-reached",
                     "executor="
                             + id
                             + " fence="
-                            + contact.callFence()
+                            + contact.heartbeatFence()
                             + " runs="
                             + answer.runs().size()
                             + " ends="
                             + answer.finishedRuns().size());
         }
-        long sentMs = contact.sentMs();
+        long sentMs = contact.heartbeatSentMs();
         contact =
                 contact.withHeartbeatAnswered(
                         answer.startedAtMs(), answer.executorClockMs(), tick.nowMs());
@@ -244,11 +247,11 @@
     private static void failed(SchedulerTick tick, HeartbeatFailed failed) {
         SchedulerWorld world = tick.world();
         ExecutorSessionRow contact = world.executorSessions().find(failed.executor()).orElse(null);
-        if (contact == null || contact.callId() != failed.callId()) {
+        if (contact == null || contact.heartbeatCallId() != failed.callId()) {
             return;
         }
         if (failed.failure() == HeartbeatFailure.FENCED) {
-            if (contact.callFence() == world.term().get().fence()) {
+            if (contact.heartbeatFence() == world.term().get().fence()) {
                 StepDown.run(tick, "fenced-by-executor");
             } else {
                 world.executorSessions()
@@ -264,7 +267,7 @@
                             + " failure="
                             + failed.failure()
                             + " age_ms="
-                            + (tick.nowMs() - contact.answeredMs())
+                            + (tick.nowMs() - contact.lastAnswerMs())
                             + " lease_left_ms="
                             + (contact.leaseEndMs() - tick.nowMs()));
         }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/HeartbeatSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/HeartbeatSystem.java
@@ -37,7 +37,7 @@
             ExecutorSessionRow contact =
                     tick.world().executorSessions().find(row.id()).orElse(null);
             if (contact != null
-                    && contact.callId() == 0
+                    && contact.heartbeatCallId() == 0
                     && tick.nowMs() >= contact.nextHeartbeatMs()
                     && !row.report().address().isEmpty()) {
                 hold(tick, row, acknowledge(tick, contact));
@@ -66,12 +66,12 @@
     private static void hold(SchedulerTick tick, ExecutorRow row, ExecutorSessionRow contact) {
         SchedulerWorld world = tick.world();
         boolean open = !world.finishedRuns().group(row.id()).isEmpty();
-        if (open && tick.nowMs() - contact.answeredMs() < UNACKNOWLEDGED_REST_MS) {
+        if (open && tick.nowMs() - contact.lastAnswerMs() < UNACKNOWLEDGED_REST_MS) {
             world.executorSessions().put(row.id(), contact);
             return;
         }
         TermRow term = world.term().get();
-        boolean first = contact.answeredMs() == 0 || contact.consecutiveFailures() > 0;
+        boolean first = contact.lastAnswerMs() == 0 || contact.consecutiveFailures() > 0;
         boolean fresh = contact.confirmedFence() == term.fence() && !first && !open;
         boolean busy = !world.runs().group(row.id()).isEmpty();
         long waitMs = !fresh ? 0 : busy ? BUSY_WAIT_MS : IDLE_WAIT_MS;
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/LostExecutorSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/LostExecutorSystem.java
@@ -63,8 +63,8 @@
         long answeredMs =
                 world.executorSessions()
                         .find(row.id())
-                        .map(ExecutorSessionRow::answeredMs)
+                        .map(ExecutorSessionRow::lastAnswerMs)
                         .orElse(0L);
-        return isSilent(world, row) && answeredMs < sentMs && row.seenMs() < sentMs;
+        return isSilent(world, row) && answeredMs < sentMs && row.firstSeenMs() < sentMs;
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/RunOrderSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/RunOrderSystem.java
@@ -1,8 +1,8 @@
 package org.hibiscususher.core.scheduler.executor;
 
 import org.hibiscususher.core.scheduler.job.JobLifecycle;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.StartAnswered;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.StopAnswered;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.StartCallCompleted;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.StopCallCompleted;
 import org.hibiscususher.core.scheduler.message.StartResult;
 import org.hibiscususher.core.scheduler.message.StopResult;
 import org.hibiscususher.core.scheduler.term.Authority;
@@ -35,13 +35,13 @@
         if (!tick.world().term().get().isScheduling()) {
             return;
         }
-        for (StartAnswered answer : tick.inputs(StartAnswered.class)) {
+        for (StartCallCompleted answer : tick.inputs(StartCallCompleted.class)) {
             RunRow run = tick.world().runs().find(answer.task()).orElse(null);
             if (run != null && run.run() == answer.run() && run.callId() == answer.callId()) {
                 started(tick, run, answer.result());
             }
         }
-        for (StopAnswered answer : tick.inputs(StopAnswered.class)) {
+        for (StopCallCompleted answer : tick.inputs(StopCallCompleted.class)) {
             if (answer.result() != StopResult.NO_ANSWER) {
                 StartKey key = new StartKey(answer.task(), answer.run());
                 tick.world().uncertainStarts().update(key, r -> r.withCancelPending(false));
@@ -107,7 +107,7 @@
     /** Tells executors that began another life which runs are not wanted. */
     private static void tellNewLives(SchedulerTick tick) {
         for (UncertainStartRow row : tick.world().uncertainStarts().rows()) {
-            if (tick.nowMs() - row.sinceMs() > MAX_LATE_MS) {
+            if (tick.nowMs() - row.detectedMs() > MAX_LATE_MS) {
                 tick.world().uncertainStarts().remove(row.key());
             } else if (row.cancelPending() && tick.nowMs() - row.cancelSentMs() > STOP_RETRY_MS) {
                 tick.world().uncertainStarts().put(row.key(), row.withCancelSent(tick.nowMs()));
--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/Eviction.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/Eviction.java
@@ -49,7 +49,7 @@
         return !world.executors().contains(executor)
                 || world.executorSessions()
                         .find(executor)
-                        .filter(c -> c.answeredMs() != 0)
+                        .filter(c -> c.lastAnswerMs() != 0)
                         .isPresent();
     }
 
@@ -80,7 +80,7 @@
                 .filter(
                         c ->
                                 c.consecutiveFailures() == 0
-                                        && tick.nowMs() - c.answeredMs() < FRESH_MS)
+                                        && tick.nowMs() - c.lastAnswerMs() < FRESH_MS)
                 .isPresent();
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/HostOperations.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/HostOperations.java
@@ -6,7 +6,7 @@
 import org.hibiscususher.core.scheduler.executor.RunLifecycle;
 import org.hibiscususher.core.scheduler.message.HostReport;
 import org.hibiscususher.core.scheduler.message.HostState;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.HostOrderAnswered;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.HostOrderCompleted;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.MaintainHost;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.MoveHost;
 import org.hibiscususher.core.scheduler.message.StoredRecord;
@@ -56,7 +56,7 @@
     }
 
     /** Takes in an answer to an order for a host. */
-    static void handleOrderResult(SchedulerTick tick, HostOrderAnswered answer) {
+    static void handleOrderResult(SchedulerTick tick, HostOrderCompleted answer) {
         SchedulerWorld world = tick.world();
         HostOperationRow row = world.hostOperations().find(answer.host()).orElse(null);
         if (row == null
@@ -89,9 +89,9 @@
         if (wave == null) {
             return;
         }
-        Set<String> begun = new HashSet<>(wave.begun());
+        Set<String> begun = new HashSet<>(wave.startedHosts());
         begun.add(row.host());
-        world.waves().put(row.wave(), wave.withBegun(begun));
+        world.waves().put(row.wave(), wave.withStartedHosts(begun));
         StoredRecord record = new StoredRecord.Wave(row.wave(), new ArrayList<>(begun));
         world.pendingRecords().put(record.name(), record);
     }
@@ -125,7 +125,7 @@
         switch (row.step()) {
             case EMPTYING, UNANSWERED -> empty(tick, row);
             case ORDERED -> {
-                if (tick.nowMs() - row.sinceMs() > ORDER_TIMEOUT_MS) {
+                if (tick.nowMs() - row.stepSinceMs() > ORDER_TIMEOUT_MS) {
                     unanswered(tick, row);
                 }
             }
@@ -135,7 +135,7 @@
 
     private static void empty(SchedulerTick tick, HostOperationRow row) {
         SchedulerWorld world = tick.world();
-        boolean empty = Eviction.evict(tick, row.executor(), row.sinceMs());
+        boolean empty = Eviction.evict(tick, row.executor(), row.stepSinceMs());
         boolean due = tick.nowMs() >= row.retryAtMs();
         if (!empty || !due || !mayGo(tick, row) || !HostOrderSystem.mayOrder(tick, row.host())) {
             return;
@@ -191,7 +191,7 @@
     private static void back(SchedulerTick tick, HostOperationRow row) {
         SchedulerWorld world = tick.world();
         HostReport host = world.hosts().find(row.host()).orElse(null);
-        boolean fresh = world.hostList().get().listedMs() > row.sinceMs() + RETRY_MS;
+        boolean fresh = world.hostList().get().listedMs() > row.stepSinceMs() + RETRY_MS;
         boolean returned =
                 host == null
                         || host.state() == HostState.UP
@@ -208,7 +208,7 @@
     private static boolean hasAnswered(SchedulerWorld world, HostOperationRow row) {
         return world.executorSessions()
                 .find(row.executor())
-                .filter(c -> c.answeredMs() > row.sinceMs())
+                .filter(c -> c.lastAnswerMs() > row.stepSinceMs())
                 .isPresent();
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/MovableHosts.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/MovableHosts.java
@@ -104,7 +104,7 @@
     /** Returns how old an executor is; a new owner goes by the start that it reports. */
     private static long ageMs(SchedulerTick tick, ExecutorRow row) {
         long bornMs = row.report().startedAtMs();
-        long sinceSeenMs = tick.nowMs() - row.seenMs();
+        long sinceSeenMs = tick.nowMs() - row.firstSeenMs();
         return bornMs == 0 ? sinceSeenMs : Math.max(sinceSeenMs, tick.wallMs() - bornMs);
     }
 
--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/WaveSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/WaveSystem.java
@@ -5,7 +5,7 @@
 import java.util.List;
 import org.hibiscususher.core.scheduler.message.HostReport;
 import org.hibiscususher.core.scheduler.message.HostState;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.HostOrderAnswered;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.HostOrderCompleted;
 import org.hibiscususher.core.scheduler.message.StoredRecord;
 import org.hibiscususher.core.scheduler.term.Authority;
 import org.hibiscususher.core.scheduler.world.HostOperationRow;
@@ -28,7 +28,7 @@
     /** Runs over the waves and the hosts under way. */
     public static void run(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
-        for (HostOrderAnswered answer : tick.inputs(HostOrderAnswered.class)) {
+        for (HostOrderCompleted answer : tick.inputs(HostOrderCompleted.class)) {
             HostOperations.handleOrderResult(tick, answer);
         }
         if (world.hostList().get().listedMs() == 0 || !Authority.mayOrderHosts(tick)) {
@@ -60,7 +60,7 @@
         List<HostReport> next = new ArrayList<>();
         boolean left = false;
         for (String host : wave.order().hosts()) {
-            boolean open = !wave.begun().contains(host);
+            boolean open = !wave.startedHosts().contains(host);
             left |= open;
             if (open && !world.hostOperations().contains(host)) {
                 world.hosts()
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/JobLifecycle.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/JobLifecycle.java
@@ -78,7 +78,7 @@
             SchedulerTick tick, String id, JobRequestKind kind, JobResponse answer) {
         SchedulerWorld world = tick.world();
         for (PendingRequestRow call : world.pendingRequests().rows()) {
-            if (call.stage() == PendingRequestStage.STORE
+            if (call.stage() == PendingRequestStage.AWAITING_STORE
                     && call.job().equals(id)
                     && call.request().kind() == kind) {
                 tick.emit(new Respond(call.callId(), answer));
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/JobProgress.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/JobProgress.java
@@ -70,7 +70,7 @@
         JobLifecycle.activateDueOccurrences(tick, job.id());
         for (StepProgress mark : progress.steps()) {
             StepKey key = new StepKey(job.id(), mark.occurrence(), mark.step());
-            JobLifecycle.completeTasks(tick, key, mark.done());
+            JobLifecycle.completeTasks(tick, key, mark.doneTasks());
         }
         for (TaskProgress mark : progress.tasks()) {
             StepKey key = new StepKey(job.id(), mark.occurrence(), mark.step());
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/JobRequestSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/JobRequestSystem.java
@@ -42,7 +42,7 @@
     /** Takes in new requests and those that wait for an owner. */
     public static void run(SchedulerTick tick) {
         for (PendingRequestRow call : tick.world().pendingRequests().rows()) {
-            if (call.stage() == PendingRequestStage.OWNER) {
+            if (call.stage() == PendingRequestStage.AWAITING_OWNER) {
                 tick.world().pendingRequests().remove(call.callId());
                 place(tick, call);
             }
@@ -53,7 +53,7 @@
                             received.callId(),
                             received.request(),
                             "",
-                            PendingRequestStage.OWNER,
+                            PendingRequestStage.AWAITING_OWNER,
                             tick.nowMs());
             place(tick, call);
         }
@@ -86,7 +86,7 @@
                 && call.request().hops() == 0
                 && !world.nodeState().get().storeReachable()) {
             tick.emit(new Forward(call.callId(), seed(world, call), call.request().forwarded()));
-        } else if (tick.nowMs() - call.sinceMs() > OWNER_WAIT_MS) {
+        } else if (tick.nowMs() - call.waitingSinceMs() > OWNER_WAIT_MS) {
             refuse(tick, call, JobResponseKind.UNAVAILABLE, "no-owner");
         } else {
             world.pendingRequests().put(call.callId(), call);
@@ -136,17 +136,17 @@
             refuse(tick, row, JobResponseKind.UNAVAILABLE, "no-plan");
             return;
         }
-        Optional<JobQueue> queue = plan.route(call.host(), call.path());
+        Optional<JobQueue> queue = plan.route(call.hostName(), call.path());
         if (queue.isEmpty()) {
             refuse(tick, row, JobResponseKind.NO_QUEUE, "no-queue");
             return;
         }
-        Optional<JobTeam> team = plan.teamOfKey(call.key());
+        Optional<JobTeam> team = plan.teamByApiKey(call.apiKey());
         if (team.isEmpty() && !queue.get().allowsAnonymous()) {
             refuse(tick, row, JobResponseKind.NO_KEY, "no-key");
             return;
         }
-        String id = call.path().substring(queue.get().prefix().length());
+        String id = call.path().substring(queue.get().pathPrefix().length());
         switch (call.kind()) {
             case SUBMIT -> submit(tick, row, queue.get(), team, id);
             case QUERY -> query(tick, row, queue.get(), id);
@@ -210,7 +210,7 @@
                                 row.callId(),
                                 row.request(),
                                 id,
-                                PendingRequestStage.STORE,
+                                PendingRequestStage.AWAITING_STORE,
                                 tick.nowMs()));
     }
 
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/SchedulerInput.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/SchedulerInput.java
@@ -34,23 +34,23 @@
     record PredecessorRelinquished(long generation) implements SchedulerInput {}
 
     /** The operators' configuration, with its revision in the store. */
-    record ConfigurationSeen(JobConfiguration configuration, long revision)
+    record ConfigurationUpdated(JobConfiguration configuration, long revision)
             implements SchedulerInput {}
 
     /** An operators' order to maintain hosts. */
-    record WaveSeen(WaveOrder order) implements SchedulerInput {}
+    record WaveOrdered(WaveOrder order) implements SchedulerInput {}
 
     /** The operators withdrew an order to maintain hosts. */
     record WaveWithdrawn(long wave) implements SchedulerInput {}
 
     /** Who owns the scheduling. */
-    record OwnershipSeen(Ownership ownership) implements SchedulerInput {}
+    record OwnershipUpdated(Ownership ownership) implements SchedulerInput {}
 
     /** A lease of the store was granted, for {@code ttlMs} from the sending of the call. */
     record LeaseGranted(long callId, long leaseId, long ttlMs) implements SchedulerInput {}
 
     /** A lease of the store was not granted. */
-    record LeaseRefused(long callId) implements SchedulerInput {}
+    record LeaseDenied(long callId) implements SchedulerInput {}
 
     /** A lease was renewed. */
     record LeaseRenewed(long callId) implements SchedulerInput {}
@@ -93,10 +93,10 @@
     }
 
     /** An executor's report is new or has changed. */
-    record ExecutorSeen(ExecutorReport report) implements SchedulerInput {}
+    record ExecutorUpdated(ExecutorReport report) implements SchedulerInput {}
 
     /** An executor's report is no longer in the store. */
-    record ExecutorGone(String id) implements SchedulerInput {}
+    record ExecutorRemoved(String id) implements SchedulerInput {}
 
     /** An executor listed its runs and the ends that were not acknowledged. */
     record HeartbeatAnswered(
@@ -119,11 +119,11 @@
             implements SchedulerInput {}
 
     /** An order to start a run was answered or not; {@code callId} is that of the order. */
-    record StartAnswered(long callId, TaskKey task, int run, StartResult result)
+    record StartCallCompleted(long callId, TaskKey task, int run, StartResult result)
             implements SchedulerInput {}
 
     /** An order to stop a run was answered or not. */
-    record StopAnswered(long callId, TaskKey task, int run, StopResult result)
+    record StopCallCompleted(long callId, TaskKey task, int run, StopResult result)
             implements SchedulerInput {}
 
     /** Which of the executors that were asked for may run a step. */
@@ -150,7 +150,7 @@
     record HostListFailed(long callId) implements SchedulerInput {}
 
     /** An order for a host was answered or not. */
-    record HostOrderAnswered(long callId, String host, HostOrderResult result)
+    record HostOrderCompleted(long callId, String host, HostOrderResult result)
             implements SchedulerInput {}
 
     /** The process was asked to stop. */
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/StepProgress.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/StepProgress.java
@@ -9,11 +9,11 @@
  *
  * @param occurrence number of the occurrence
  * @param step number of the step
- * @param done a bit for each task that is done
+ * @param doneTasks a bit for each task that is done
  */
-public record StepProgress(int occurrence, int step, BigInteger done) {
+public record StepProgress(int occurrence, int step, BigInteger doneTasks) {
     /** Checks the parts. */
     public StepProgress {
-        requireNonNull(done);
+        requireNonNull(doneTasks);
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/StoredRecord.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/StoredRecord.java
@@ -134,12 +134,12 @@
      * The hosts of a wave whose maintenance has begun.
      *
      * @param wave number of the wave
-     * @param begun host ids
+     * @param startedHosts host ids
      */
-    record Wave(long wave, List<String> begun) implements StoredRecord {
+    record Wave(long wave, List<String> startedHosts) implements StoredRecord {
         /** Copies the list. */
         public Wave {
-            begun = List.copyOf(begun);
+            startedHosts = List.copyOf(startedHosts);
         }
 
         @Override
--- a/core/src/main/java/org/hibiscususher/core/scheduler/placement/FreeCapacity.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/placement/FreeCapacity.java
@@ -49,7 +49,7 @@
                 && !row.report().draining()
                 && row.missingSinceMs() == 0
                 && contact.consecutiveFailures() == 0
-                && contact.answeredMs() != 0
+                && contact.lastAnswerMs() != 0
                 && contact.confirmedFence() == tick.world().term().get().fence()
                 && contact.quarantinedUntilMs() <= tick.nowMs();
     }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/placement/PlacementSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/placement/PlacementSystem.java
@@ -237,7 +237,7 @@
                         + " waited_ms="
                         + (tick.nowMs() - task.readySinceMs())
                         + " executor_age_ms="
-                        + (tick.nowMs() - contact.answeredMs())
+                        + (tick.nowMs() - contact.lastAnswerMs())
                         + " plan="
                         + world.configuration().get().configuration().version());
         tick.count("start");
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/CommitSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/CommitSystem.java
@@ -154,8 +154,8 @@
     private static void giveUpWaiting(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
         for (PendingRequestRow call : world.pendingRequests().rows()) {
-            long ageMs = tick.nowMs() - call.sinceMs();
-            if (call.stage() == PendingRequestStage.STORE && ageMs > REFUSE_AFTER_MS) {
+            long ageMs = tick.nowMs() - call.waitingSinceMs();
+            if (call.stage() == PendingRequestStage.AWAITING_STORE && ageMs > REFUSE_AFTER_MS) {
                 giveUp(tick, call, ageMs);
             }
         }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/Commits.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/Commits.java
@@ -65,7 +65,7 @@
             if (records.size() >= MAX_RECORDS) {
                 return;
             }
-            if (call.stage() == PendingRequestStage.STORE
+            if (call.stage() == PendingRequestStage.AWAITING_STORE
                     && call.request().kind() == JobRequestKind.SUBMIT) {
                 world.jobs()
                         .find(call.job())
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/StepDown.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/StepDown.java
@@ -23,7 +23,7 @@
                 "generation=" + term.generation() + " fence=" + term.fence() + " reason=" + reason);
         tick.count("owner.lost");
         for (PendingRequestRow call : world.pendingRequests().rows()) {
-            if (call.stage() == PendingRequestStage.STORE) {
+            if (call.stage() == PendingRequestStage.AWAITING_STORE) {
                 tick.emit(
                         new Respond(
                                 call.callId(),
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/Takeover.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/Takeover.java
@@ -109,7 +109,10 @@
             world.recordedHostOrders().set(orders);
             orders.hosts().forEach(host -> rest(tick, host));
         } else if (record instanceof StoredRecord.Wave wave) {
-            world.waves().update(wave.wave(), row -> row.withBegun(new HashSet<>(wave.begun())));
+            world.waves()
+                    .update(
+                            wave.wave(),
+                            row -> row.withStartedHosts(new HashSet<>(wave.startedHosts())));
         }
     }
 
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/TermSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/TermSystem.java
@@ -12,12 +12,12 @@
 import org.hibiscususher.core.scheduler.message.SchedulerInput.CommitConflict;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.CommitFailed;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.Committed;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.LeaseDenied;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.LeaseGranted;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.LeaseNotRenewed;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.LeaseRefused;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.LeaseRenewed;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.LoadFailed;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.OwnershipSeen;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.OwnershipUpdated;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.PredecessorRelinquished;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.RecordsLoaded;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.RelinquishRequested;
@@ -86,11 +86,11 @@
 
     private static void take(SchedulerTick tick, SchedulerInput input) {
         long awaited = tick.world().term().get().callId();
-        if (input instanceof OwnershipSeen seen) {
+        if (input instanceof OwnershipUpdated seen) {
             ownershipSeen(tick, seen.ownership());
         } else if (input instanceof LeaseGranted granted && granted.callId() == awaited) {
             claim(tick, granted);
-        } else if (input instanceof LeaseRefused refused && refused.callId() == awaited) {
+        } else if (input instanceof LeaseDenied refused && refused.callId() == awaited) {
             retryLater(tick);
         } else if (input instanceof Committed done && done.callId() == awaited) {
             claimed(tick, done.revision());
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/ExecutorRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/ExecutorRow.java
@@ -8,7 +8,7 @@
  * An executor.
  *
  * @param report what it says of itself
- * @param seenMs when it was first seen
+ * @param firstSeenMs when it was first seen
  * @param missingSinceMs since when its report is gone; 0 if it is there
  * @param inherited whether an earlier owner may have used it and it has not answered this one yet
  * @param recorded whether the store names it among the executors in use
@@ -17,7 +17,7 @@
  */
 public record ExecutorRow(
         ExecutorReport report,
-        long seenMs,
+        long firstSeenMs,
         long missingSinceMs,
         boolean inherited,
         boolean recorded,
@@ -32,7 +32,7 @@
     public ExecutorRow withReport(ExecutorReport newReport, long nowMs) {
         return new ExecutorRow(
                 newReport,
-                seenMs,
+                firstSeenMs,
                 0,
                 inherited,
                 recorded,
@@ -44,7 +44,7 @@
     public ExecutorRow withoutReport(long nowMs) {
         return new ExecutorRow(
                 report,
-                seenMs,
+                firstSeenMs,
                 missingSinceMs == 0 ? nowMs : missingSinceMs,
                 inherited,
                 recorded,
@@ -55,19 +55,31 @@
     /** Returns this executor, known to this owner. */
     public ExecutorRow asConfirmed() {
         return new ExecutorRow(
-                report, seenMs, missingSinceMs, false, recorded, cordoned, drainingSinceMs);
+                report, firstSeenMs, missingSinceMs, false, recorded, cordoned, drainingSinceMs);
     }
 
     /** Returns this executor with the store naming it or not. */
     public ExecutorRow withRecorded(boolean newRecorded) {
         return new ExecutorRow(
-                report, seenMs, missingSinceMs, inherited, newRecorded, cordoned, drainingSinceMs);
+                report,
+                firstSeenMs,
+                missingSinceMs,
+                inherited,
+                newRecorded,
+                cordoned,
+                drainingSinceMs);
     }
 
     /** Returns this executor with its host to be maintained or moved, or not. */
     public ExecutorRow withCordoned(boolean newCordoned) {
         return new ExecutorRow(
-                report, seenMs, missingSinceMs, inherited, recorded, newCordoned, drainingSinceMs);
+                report,
+                firstSeenMs,
+                missingSinceMs,
+                inherited,
+                recorded,
+                newCordoned,
+                drainingSinceMs);
     }
 
     /** Returns the id. */
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/HostOperationRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/HostOperationRow.java
@@ -11,7 +11,7 @@
  * @param step step
  * @param callId order that is awaited; 0 for none
  * @param retryAtMs before when no order is sent
- * @param sinceMs since when it is in this step
+ * @param stepSinceMs since when it is in this step
  * @param executor executor that the host had; empty for none
  * @param uncertain whether an order for it was not answered and may have been carried out
  */
@@ -22,7 +22,7 @@
         HostOperationStep step,
         long callId,
         long retryAtMs,
-        long sinceMs,
+        long stepSinceMs,
         String executor,
         boolean uncertain) {
     /** Checks the parts. */
@@ -52,7 +52,15 @@
         HostOperationStep next =
                 uncertain ? HostOperationStep.UNANSWERED : HostOperationStep.EMPTYING;
         return new HostOperationRow(
-                host, wave, destinationPool, next, 0, newRetryAtMs, sinceMs, executor, uncertain);
+                host,
+                wave,
+                destinationPool,
+                next,
+                0,
+                newRetryAtMs,
+                stepSinceMs,
+                executor,
+                uncertain);
     }
 
     /** Returns this row with an order that was not answered. */
@@ -64,7 +72,7 @@
                 HostOperationStep.UNANSWERED,
                 0,
                 newRetryAtMs,
-                sinceMs,
+                stepSinceMs,
                 executor,
                 true);
     }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/OwnershipRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/OwnershipRow.java
@@ -9,9 +9,9 @@
  *
  * @param known whether the store has told it yet
  * @param ownership what it told
- * @param sinceMs when it was told
+ * @param updatedMs when it was told
  */
-public record OwnershipRow(boolean known, Ownership ownership, long sinceMs) {
+public record OwnershipRow(boolean known, Ownership ownership, long updatedMs) {
     /** Checks the parts. */
     public OwnershipRow {
         requireNonNull(ownership);
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/PendingRequestRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/PendingRequestRow.java
@@ -11,10 +11,14 @@
  * @param request request
  * @param job the job that has to be stored; empty for none
  * @param stage what it waits for
- * @param sinceMs since when
+ * @param waitingSinceMs since when
  */
 public record PendingRequestRow(
-        long callId, JobRequest request, String job, PendingRequestStage stage, long sinceMs) {
+        long callId,
+        JobRequest request,
+        String job,
+        PendingRequestStage stage,
+        long waitingSinceMs) {
     /** Checks the parts. */
     public PendingRequestRow {
         requireNonNull(request);
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/PendingRequestStage.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/PendingRequestStage.java
@@ -3,7 +3,7 @@
 /** What a caller's request waits for. */
 public enum PendingRequestStage {
     /** An owner to forward it to. */
-    OWNER,
+    AWAITING_OWNER,
     /** The store. */
-    STORE
+    AWAITING_STORE
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/UncertainStartRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/UncertainStartRow.java
@@ -8,13 +8,13 @@
  *
  * @param key the order
  * @param executor the executor
- * @param sinceMs when it was found to be unanswered
+ * @param detectedMs when it was found to be unanswered
  * @param cancelPending whether the executor's present life has yet to hear that the run is not
  *     wanted
  * @param cancelSentMs when it was last told
  */
 public record UncertainStartRow(
-        StartKey key, String executor, long sinceMs, boolean cancelPending, long cancelSentMs) {
+        StartKey key, String executor, long detectedMs, boolean cancelPending, long cancelSentMs) {
     /** Checks the parts. */
     public UncertainStartRow {
         requireNonNull(key);
@@ -24,11 +24,11 @@
     /** Returns this row with the executor's present life yet to be told, or told. */
     public UncertainStartRow withCancelPending(boolean newCancelPending) {
         return new UncertainStartRow(
-                key, executor, sinceMs, newCancelPending, newCancelPending ? 0 : cancelSentMs);
+                key, executor, detectedMs, newCancelPending, newCancelPending ? 0 : cancelSentMs);
     }
 
     /** Returns this row with the executor told once more. */
     public UncertainStartRow withCancelSent(long nowMs) {
-        return new UncertainStartRow(key, executor, sinceMs, cancelPending, nowMs);
+        return new UncertainStartRow(key, executor, detectedMs, cancelPending, nowMs);
     }
 }
--- a/core/src/test/java/org/hibiscususher/core/job/JobConfigurationTest.java
+++ b/core/src/test/java/org/hibiscususher/core/job/JobConfigurationTest.java
@@ -37,8 +37,8 @@
     class Keys {
         @Test
         void nameTheirTeam() {
-            assertThat(PLAN.teamOfKey("k2").map(JobTeam::name)).contains("team");
-            assertThat(PLAN.teamOfKey("unknown")).isEmpty();
+            assertThat(PLAN.teamByApiKey("k2").map(JobTeam::name)).contains("team");
+            assertThat(PLAN.teamByApiKey("unknown")).isEmpty();
         }
 
         @Test
--- a/core/src/test/java/org/hibiscususher/core/scheduler/host/HostOrderSystemTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/host/HostOrderSystemTest.java
@@ -12,7 +12,7 @@
 import org.hibiscususher.core.scheduler.message.HostState;
 import org.hibiscususher.core.scheduler.message.RecordName;
 import org.hibiscususher.core.scheduler.message.SchedulerInput;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.HostOrderAnswered;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.HostOrderCompleted;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.MaintainHost;
 import org.hibiscususher.core.scheduler.message.StoredRecord;
@@ -114,7 +114,7 @@
                             "h1", 0, "other", HostOperationStep.ORDERED, 99, 0, NOW_MS, "", false);
             mWorld.hostOperations().put("h1", move);
             mWorld.hostOrders().put("h1", new HostOrderRow("h1", true, 0, NOW_MS));
-            SchedulerInput busy = new HostOrderAnswered(99, "h1", HostOrderResult.BUSY);
+            SchedulerInput busy = new HostOrderCompleted(99, "h1", HostOrderResult.BUSY);
             SchedulerTick tick =
                     new SchedulerTick(mWorld, NOW_MS, NOW_MS, List.of(busy), () -> ++mCalls);
             WaveSystem.run(tick);
@@ -149,7 +149,7 @@
         private void answer(long nowMs, HostOrderResult result) {
             long call =
                     mWorld.hostOperations().find("h1").map(HostOperationRow::callId).orElseThrow();
-            SchedulerInput input = new HostOrderAnswered(call, "h1", result);
+            SchedulerInput input = new HostOrderCompleted(call, "h1", result);
             WaveSystem.run(new SchedulerTick(mWorld, nowMs, nowMs, List.of(input), () -> ++mCalls));
         }
 
--- a/core/src/test/java/org/hibiscususher/core/scheduler/host/WaveSystemTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/host/WaveSystemTest.java
@@ -10,7 +10,7 @@
 import org.hibiscususher.core.scheduler.message.HostReport;
 import org.hibiscususher.core.scheduler.message.HostState;
 import org.hibiscususher.core.scheduler.message.SchedulerInput;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.HostOrderAnswered;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.HostOrderCompleted;
 import org.hibiscususher.core.scheduler.message.WaveOrder;
 import org.hibiscususher.core.scheduler.world.HostListRow;
 import org.hibiscususher.core.scheduler.world.HostOperationRow;
@@ -59,7 +59,7 @@
         tick(NOW_MS);
         tick(NOW_MS + 10);
         long call = mWorld.hostOperations().find("h").map(HostOperationRow::callId).orElseThrow();
-        tick(NOW_MS + 20, new HostOrderAnswered(call, "h", result));
+        tick(NOW_MS + 20, new HostOrderCompleted(call, "h", result));
     }
 
     private boolean isDone() {
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/SchedulerSite.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/SchedulerSite.java
@@ -31,7 +31,7 @@
 import org.hibiscususher.core.scheduler.message.SchedulerInput.RequestReceived;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.ShutdownRequested;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.StoreReachabilityChanged;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.WaveSeen;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.WaveOrdered;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.Forward;
 import org.hibiscususher.core.scheduler.message.StoredRecord;
@@ -132,7 +132,9 @@
         WaveOrder wave = new WaveOrder(1, ids, WAVE_MS, cap);
         mHosts = Optional.of(new VirtualHosts(this, mRandom, wave));
         mWaves = List.of(wave);
-        mNodes.values().stream().filter(VirtualNode::isUp).forEach(n -> n.add(new WaveSeen(wave)));
+        mNodes.values().stream()
+                .filter(VirtualNode::isUp)
+                .forEach(n -> n.add(new WaveOrdered(wave)));
         reportAgain();
     }
 
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualExecutor.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualExecutor.java
@@ -22,8 +22,8 @@
 import org.hibiscususher.core.scheduler.message.SchedulerInput;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.HeartbeatAnswered;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.HeartbeatFailed;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.StartAnswered;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.StopAnswered;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.StartCallCompleted;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.StopCallCompleted;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.SendHeartbeat;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.StartRun;
@@ -162,11 +162,11 @@
         if (output instanceof SendHeartbeat hold) {
             return new HeartbeatFailed(hold.callId(), hold.executor(), HeartbeatFailure.NO_ANSWER);
         } else if (output instanceof StartRun start) {
-            return new StartAnswered(
+            return new StartCallCompleted(
                     start.callId(), start.task(), start.run(), StartResult.NO_ANSWER);
         }
         StopRun stop = (StopRun) output;
-        return new StopAnswered(stop.callId(), stop.task(), stop.run(), StopResult.NO_ANSWER);
+        return new StopCallCompleted(stop.callId(), stop.task(), stop.run(), StopResult.NO_ANSWER);
     }
 
     private void carryOut(
@@ -177,9 +177,11 @@
             hold(hold, answer);
         } else if (output instanceof StartRun start) {
             StartResult result = start(start, steps.apply(start.task()));
-            answer.accept(new StartAnswered(start.callId(), start.task(), start.run(), result));
+            answer.accept(
+                    new StartCallCompleted(start.callId(), start.task(), start.run(), result));
         } else if (output instanceof StopRun stop) {
-            answer.accept(new StopAnswered(stop.callId(), stop.task(), stop.run(), stop(stop)));
+            answer.accept(
+                    new StopCallCompleted(stop.callId(), stop.task(), stop.run(), stop(stop)));
         }
     }
 
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualHosts.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualHosts.java
@@ -13,7 +13,7 @@
 import org.hibiscususher.core.scheduler.message.HostReport;
 import org.hibiscususher.core.scheduler.message.HostState;
 import org.hibiscususher.core.scheduler.message.SchedulerInput;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.HostOrderAnswered;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.HostOrderCompleted;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.HostsListed;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.ListHosts;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.MaintainHost;
@@ -90,7 +90,7 @@
                             lost ? SILENCE_MS : ANSWER_MS,
                             () ->
                                     answer.accept(
-                                            new HostOrderAnswered(
+                                            new HostOrderCompleted(
                                                     order.callId(), order.host(), told)));
                 });
     }
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualKv.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualKv.java
@@ -20,9 +20,9 @@
 import org.hibiscususher.core.scheduler.message.SchedulerInput.CommitConflict;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.CommitFailed;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.Committed;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.LeaseDenied;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.LeaseGranted;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.LeaseNotRenewed;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.LeaseRefused;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.LeaseRenewed;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.LoadFailed;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.RecordsLoaded;
@@ -108,7 +108,7 @@
 
     private static SchedulerInput failure(SchedulerOutput output, boolean uncertain) {
         if (output instanceof GrantLease grant) {
-            return new LeaseRefused(grant.callId());
+            return new LeaseDenied(grant.callId());
         } else if (output instanceof RenewLease renew) {
             return new LeaseNotRenewed(renew.callId(), false);
         } else if (output instanceof Commit commit) {
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualNode.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualNode.java
@@ -5,11 +5,11 @@
 import java.util.function.Consumer;
 import org.hibiscususher.core.scheduler.control.Scheduler;
 import org.hibiscususher.core.scheduler.message.SchedulerInput;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.ConfigurationSeen;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.ConfigurationUpdated;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.ExecutorsListed;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.HostListFailed;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.OwnershipSeen;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.WaveSeen;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.OwnershipUpdated;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.WaveOrdered;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.Commit;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.Forward;
@@ -80,8 +80,8 @@
                                 Math.floorMod(mName.hashCode(), 40),
                                 SchedulerTiming.DEFAULT));
         long life = mLife;
-        add(new ConfigurationSeen(mSite.plan(), 1));
-        mSite.waves().forEach(wave -> add(new WaveSeen(wave)));
+        add(new ConfigurationUpdated(mSite.plan(), 1));
+        mSite.waves().forEach(wave -> add(new WaveOrdered(wave)));
         mSite.clock().after(1, () -> storeChanged());
         periodic(life);
     }
@@ -141,7 +141,7 @@
     /** Tells the process what the store holds, as its watches do. */
     void storeChanged() {
         if (mUp && !mSite.kv().isAway(mName)) {
-            add(new OwnershipSeen(mSite.kv().ownership()));
+            add(new OwnershipUpdated(mSite.kv().ownership()));
         }
     }
 
--- a/wire/src/main/java/org/hibiscususher/wire/scheduler/LinkCodec.java
+++ b/wire/src/main/java/org/hibiscususher/wire/scheduler/LinkCodec.java
@@ -30,9 +30,9 @@
         SchedulerProto.Call.Builder builder =
                 SchedulerProto.Call.newBuilder()
                         .setKind(call.kind().ordinal())
-                        .setHost(call.host())
+                        .setHost(call.hostName())
                         .setPath(call.path())
-                        .setKey(call.key())
+                        .setKey(call.apiKey())
                         .setHops(call.hops());
         call.spec().ifPresent(spec -> builder.setSpec(SpecCodec.encode(spec)));
         return builder.build();
--- a/wire/src/main/java/org/hibiscususher/wire/scheduler/StoredRecordCodec.java
+++ b/wire/src/main/java/org/hibiscususher/wire/scheduler/StoredRecordCodec.java
@@ -51,7 +51,7 @@
                                             .setId(e.id())
                                             .setPool(e.pool()));
         } else if (record instanceof StoredRecord.Wave wave) {
-            builder.getWaveBuilder().setWave(wave.wave()).addAllBegun(wave.begun());
+            builder.getWaveBuilder().setWave(wave.wave()).addAllBegun(wave.startedHosts());
         } else if (record instanceof StoredRecord.HostOrders orders) {
             builder.getHostOrdersBuilder().addAllHosts(orders.hosts());
         } else {
@@ -85,7 +85,7 @@
             builder.addStepsBuilder()
                     .setOccurrence(mark.occurrence())
                     .setStep(mark.step())
-                    .setDone(ByteString.copyFrom(mark.done().toByteArray()));
+                    .setDone(ByteString.copyFrom(mark.doneTasks().toByteArray()));
         }
         for (TaskProgress mark : progress.tasks()) {
             builder.addTasksBuilder()
