Name the reported percentage of a run after what it holds

ReportedRun and RunRow called it part of the run's full speed, but every reader uses it as the part of the work that is done (StragglerSystem, DrainingExecutorSystem, Eviction). It is progressPercent now.

--- a/core/src/main/java/org/hibiscususher/core/job/ReportedRun.java
+++ b/core/src/main/java/org/hibiscususher/core/job/ReportedRun.java
@@ -8,11 +8,11 @@
  * @param task the task
  * @param run number of the run
  * @param checkpoint last saved state; empty for none
- * @param speedPercent part of its full speed at which the run works
+ * @param progressPercent part of its full speed at which the run works
  * @param load tail latency in milliseconds for a task that serves, else thousandths of a core in
  *     use; -1 if not told
  */
-public record ReportedRun(TaskKey task, int run, String checkpoint, int speedPercent, long load) {
+public record ReportedRun(TaskKey task, int run, String checkpoint, int progressPercent, long load) {
     /** Checks the parts. */
     public ReportedRun {
         requireNonNull(task);
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/DrainingExecutorSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/DrainingExecutorSystem.java
@@ -44,6 +44,6 @@
 
     /** Returns how long a run still takes, by its estimate and its progress. */
     private static long toGoMs(RunRow run, StepSpec spec) {
-        return spec.estimateMs() * (FULL - Math.min(FULL, run.speedPercent())) / FULL;
+        return spec.estimateMs() * (FULL - Math.min(FULL, run.progressPercent())) / FULL;
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/ExecutorSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/ExecutorSystem.java
@@ -223,7 +223,7 @@
                         tick.nowMs(),
                         tick.nowMs(),
                         told.checkpoint(),
-                        told.speedPercent(),
+                        told.progressPercent(),
                         told.load(),
                         100,
                         tick.nowMs());
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/StragglerSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/StragglerSystem.java
@@ -83,7 +83,7 @@
             long ageMs = tick.nowMs() - run.orderAnsweredMs();
             if (isJudged(run, spec)
                     && !spec.service()
-                    && isSlow(ageMs, run.speedPercent(), spec.estimateMs())) {
+                    && isSlow(ageMs, run.progressPercent(), spec.estimateMs())) {
                 slow.add(run);
                 jobs.add(run.task().jobId());
             }
@@ -104,7 +104,7 @@
         return spec != null
                 && !spec.gang()
                 && run.stage() == RunStage.RUNNING
-                && run.speedPercent() < FULL
+                && run.progressPercent() < FULL
                 && run.speedLimitPercent() >= FULL;
     }
 
--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/Eviction.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/Eviction.java
@@ -71,7 +71,7 @@
     /** Returns whether a task is at work, as its executor has told just now. */
     private static boolean isAvailable(SchedulerTick tick, TaskKey task) {
         RunRow run = tick.world().runs().find(task).orElse(null);
-        if (run == null || run.stage() != RunStage.RUNNING || run.speedPercent() < FULL) {
+        if (run == null || run.stage() != RunStage.RUNNING || run.progressPercent() < FULL) {
             return false;
         }
         return tick.world()
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/RunRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/RunRow.java
@@ -21,7 +21,7 @@
  * @param sentMs when the last order was sent
  * @param orderAnsweredMs when the last order was answered; 0 if it was not
  * @param checkpoint last saved state that was listed
- * @param speedPercent last listed part of its full speed
+ * @param progressPercent last listed part of its full speed
  * @param load last listed load; -1 for none
  * @param speedLimitPercent part of its full speed that it was told
  * @param lastProgressMs when its listed state last changed
@@ -39,7 +39,7 @@
         long sentMs,
         long orderAnsweredMs,
         String checkpoint,
-        int speedPercent,
+        int progressPercent,
         long load,
         int speedLimitPercent,
         long lastProgressMs) {
@@ -70,7 +70,7 @@
                 sentMs,
                 nowMs,
                 checkpoint,
-                speedPercent,
+                progressPercent,
                 load,
                 speedLimitPercent,
                 nowMs);
@@ -91,7 +91,7 @@
                 nowMs,
                 0,
                 checkpoint,
-                speedPercent,
+                progressPercent,
                 load,
                 speedLimitPercent,
                 lastProgressMs);
@@ -112,7 +112,7 @@
                 sentMs,
                 nowMs,
                 checkpoint,
-                speedPercent,
+                progressPercent,
                 load,
                 speedLimitPercent,
                 lastProgressMs);
@@ -133,10 +133,10 @@
                 sentMs,
                 orderAnsweredMs,
                 told.checkpoint().isEmpty() ? checkpoint : told.checkpoint(),
-                told.speedPercent(),
+                told.progressPercent(),
                 told.load(),
                 speedLimitPercent,
-                told.speedPercent() != speedPercent || !told.checkpoint().equals(checkpoint)
+                told.progressPercent() != progressPercent || !told.checkpoint().equals(checkpoint)
                         ? nowMs
                         : lastProgressMs);
     }
@@ -156,7 +156,7 @@
                 sentMs,
                 orderAnsweredMs,
                 checkpoint,
-                speedPercent,
+                progressPercent,
                 load,
                 newSpeedLimitPercent,
                 lastProgressMs);
