--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/AdviceRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/AdviceRow.java
@@ -7,16 +7,19 @@
 import org.hibiscususher.core.job.StepKey;
 
 /**
- * Which executors may run a step of a queue whose policy is asked elsewhere.
+ * The executors on which an external service allows a step to run.
+ *
+ * <p>Only steps of queues whose policy requires placement tokens have such a row.
  *
  * @param step the step
- * @param tokens permissions by executor
- * @param requested executors that were asked for
- * @param validUntilMs until when the permissions hold
+ * @param tokens placement tokens by executor id, for the executors that the service allows
+ * @param requested ids of all executors that the service was asked about; those without a token are
+ *     not allowed
+ * @param validUntilMs until when the tokens may be used, in milliseconds of the steady clock
  */
 public record AdviceRow(
         StepKey step, Map<String, String> tokens, Set<String> requested, long validUntilMs) {
-    /** Copies the parts. */
+    /** Rejects null components and copies the collections. */
     public AdviceRow {
         requireNonNull(step);
         tokens = Map.copyOf(tokens);
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/CommitPurpose.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/CommitPurpose.java
@@ -1,9 +1,9 @@
 package org.hibiscususher.core.scheduler.world;
 
-/** What a commit is for. */
+/** The purpose of a commit. */
 public enum CommitPurpose {
-    /** Writes records of jobs, executors and waves. */
+    /** Writes or removes records of jobs, executors, hosts and waves. */
     RECORDS,
-    /** Gives the ownership up. */
+    /** Writes the last records together with the end of this process's term. */
     RELEASE
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/CommitRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/CommitRow.java
@@ -9,18 +9,19 @@
 import org.hibiscususher.core.scheduler.message.RecordWrite;
 
 /**
- * The commit that is under way; there is at most one.
+ * The commit in flight; there is at most one.
  *
- * @param purpose what it is for
- * @param callId store call
- * @param guards conditions
+ * @param purpose the purpose
+ * @param callId id of the last attempt's store call
+ * @param guards revisions that the records must have for the commit to take effect
  * @param writes records to write
- * @param removals records to remove
- * @param versions for each job whose progress it writes, the version
- * @param sentMs when it was first sent
- * @param retryAtMs when to send it again; 0 if an answer is awaited
- * @param uncertain whether a try of it may have taken effect
- * @param attempts how often it was sent
+ * @param removals names of the records to remove
+ * @param versions version of the progress written, by job id
+ * @param sentMs when the first attempt was sent, in milliseconds of the steady clock
+ * @param retryAtMs when to send the next attempt; 0 while a reply is awaited
+ * @param uncertain whether an attempt without a reply may have taken effect; a conflict then means
+ *     that it did, because the commit itself changed the revisions that it requires
+ * @param attempts number of attempts sent
  */
 public record CommitRow(
         CommitPurpose purpose,
@@ -33,7 +34,7 @@
         long retryAtMs,
         boolean uncertain,
         int attempts) {
-    /** Checks the parts. */
+    /** Rejects null components and copies the collections. */
     public CommitRow {
         requireNonNull(purpose);
         guards = List.copyOf(guards);
@@ -42,7 +43,7 @@
         versions = Map.copyOf(versions);
     }
 
-    /** Returns this row sent once more. */
+    /** Returns this commit after sending another attempt. */
     public CommitRow withRetry(long newCallId) {
         return new CommitRow(
                 purpose,
@@ -57,7 +58,12 @@
                 attempts + 1);
     }
 
-    /** Returns this row to be sent again later. */
+    /**
+     * Returns this commit after a failed attempt.
+     *
+     * @param newRetryAtMs when to send the next attempt, in milliseconds of the steady clock
+     * @param newUncertain whether the failed attempt may have taken effect
+     */
     public CommitRow withFailure(long newRetryAtMs, boolean newUncertain) {
         return new CommitRow(
                 purpose,
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/ConfigurationRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/ConfigurationRow.java
@@ -7,11 +7,11 @@
 /**
  * The configuration in force.
  *
- * @param configuration configuration; without a version until one was read
- * @param revision its revision in the store
+ * @param configuration the configuration; version 0 until one has been read
+ * @param revision revision of its record in the store
  */
 public record ConfigurationRow(JobConfiguration configuration, long revision) {
-    /** Checks the parts. */
+    /** Rejects null components. */
     public ConfigurationRow {
         requireNonNull(configuration);
     }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/ExecutorSessionRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/ExecutorSessionRow.java
@@ -3,23 +3,33 @@
 import static java.util.Objects.requireNonNull;
 
 /**
- * The contact with an executor.
+ * This owner's session with an executor: the heartbeats that renew the executor's lease and read
+ * its lists of runs.
  *
- * @param executor executor
- * @param startedAtMs start of its life, in milliseconds since the epoch; 0 if not known
- * @param confirmedFence highest fence that it has surely seen from this owner; 0 for none
- * @param executorClockMs its clock at the last answer
- * @param clockReadAtMs when that answer came
- * @param leaseEndMs when its lease has surely ended; 0 if it has none
- * @param heartbeatCallId reading of its lists that is awaited; 0 for none
- * @param heartbeatFence fence of that reading
- * @param heartbeatSentMs when that reading was sent
- * @param nextHeartbeatMs when to read next
- * @param lastAnswerMs when it last answered; 0 for never
- * @param consecutiveFailures readings without an answer in a row
- * @param acknowledgedSequence number of the last end that was acknowledged
- * @param appliedSequence number of the last end that was taken in
- * @param quarantinedUntilMs until when it gets no new runs
+ * <p>An executor ends its runs when its lease expires on its own clock. The owner can't observe
+ * that moment, so it keeps the time by which the lease has certainly expired on the owner's clock:
+ * restarting the runs of a silent executor before then could run a task twice.
+ *
+ * <p>Times without another unit are milliseconds of this process's steady clock.
+ *
+ * @param executor executor id
+ * @param startedAtMs start time of the executor's process, in milliseconds since the epoch, which
+ *     tells its incarnations apart; 0 if not known
+ * @param confirmedFence highest fence of this owner that the executor has certainly seen; 0 for
+ *     none
+ * @param executorClockMs time on the executor's own clock at its last answer, in milliseconds
+ * @param clockReadAtMs when that answer arrived
+ * @param leaseEndMs when the lease has certainly expired; 0 if the executor has none
+ * @param heartbeatCallId id of the heartbeat in flight; 0 for none
+ * @param heartbeatFence fence that the last heartbeat carried
+ * @param heartbeatSentMs when the last heartbeat was sent
+ * @param nextHeartbeatMs earliest time of the next heartbeat
+ * @param lastAnswerMs when the executor last answered a heartbeat; 0 for never
+ * @param consecutiveFailures failed heartbeats since the last answer
+ * @param acknowledgedSequence highest sequence number of a finished run that this owner
+ *     acknowledges, so that the executor stops listing the run
+ * @param appliedSequence highest sequence number of a finished run that the tables reflect
+ * @param quarantinedUntilMs until when no new runs are started on the executor
  */
 public record ExecutorSessionRow(
         String executor,
@@ -37,19 +47,32 @@
         long acknowledgedSequence,
         long appliedSequence,
         long quarantinedUntilMs) {
-    /** Checks the parts. */
+    /** Rejects null components. */
     public ExecutorSessionRow {
         requireNonNull(executor);
     }
 
-    /** Returns the contact with an executor that has not answered yet. */
+    /**
+     * Returns the session with an executor that has not answered this owner yet.
+     *
+     * @param executor executor id
+     * @param leaseEndMs when a lease that it may hold has certainly expired; 0 if it has none
+     */
     public static ExecutorSessionRow initial(String executor, long leaseEndMs) {
         return new ExecutorSessionRow(executor, 0, 0, 0, 0, leaseEndMs, 0, 0, 0, 0, 0, 0, 0, 0, 0);
     }
 
-    /** Returns this contact with a reading sent. */
+    /**
+     * Returns this session after sending a heartbeat.
+     *
+     * @param newHeartbeatCallId id of the heartbeat
+     * @param newFence fence that the heartbeat carries
+     * @param nowMs the current time
+     * @param newLeaseEndMs when the renewed lease has certainly expired; 0 if the heartbeat renews
+     *     none
+     */
     public ExecutorSessionRow withHeartbeatSent(
-            long newHeartbeatCallId, long newConfirmedFence, long nowMs, long newLeaseEndMs) {
+            long newHeartbeatCallId, long newFence, long nowMs, long newLeaseEndMs) {
         return new ExecutorSessionRow(
                 executor,
                 startedAtMs,
@@ -58,7 +81,7 @@
                 clockReadAtMs,
                 Math.max(leaseEndMs, newLeaseEndMs),
                 newHeartbeatCallId,
-                newConfirmedFence,
+                newFence,
                 nowMs,
                 nextHeartbeatMs,
                 lastAnswerMs,
@@ -68,7 +91,14 @@
                 quarantinedUntilMs);
     }
 
-    /** Returns this contact with an answer. */
+    /**
+     * Returns this session after an answer, which confirms the fence of the heartbeat. The next
+     * heartbeat may be sent at once.
+     *
+     * @param newStartedAtMs start time of the executor's process, in milliseconds since the epoch
+     * @param newExecutorClockMs time on the executor's clock, in milliseconds
+     * @param nowMs the current time
+     */
     public ExecutorSessionRow withHeartbeatAnswered(
             long newStartedAtMs, long newExecutorClockMs, long nowMs) {
         return new ExecutorSessionRow(
@@ -89,7 +119,11 @@
                 quarantinedUntilMs);
     }
 
-    /** Returns this contact with a reading that failed. */
+    /**
+     * Returns this session after a failed heartbeat.
+     *
+     * @param newNextHeartbeatMs earliest time of the next heartbeat
+     */
     public ExecutorSessionRow withHeartbeatFailed(long newNextHeartbeatMs) {
         return new ExecutorSessionRow(
                 executor,
@@ -109,7 +143,7 @@
                 quarantinedUntilMs);
     }
 
-    /** Returns this contact with ends taken in. */
+    /** Returns this session with at least the given sequence number applied to the tables. */
     public ExecutorSessionRow withAppliedSequence(long newAppliedSequence) {
         return new ExecutorSessionRow(
                 executor,
@@ -129,7 +163,7 @@
                 quarantinedUntilMs);
     }
 
-    /** Returns this contact with ends acknowledged. */
+    /** Returns this session with at least the given sequence number acknowledged. */
     public ExecutorSessionRow withAcknowledgedSequence(long newAcknowledgedSequence) {
         return new ExecutorSessionRow(
                 executor,
@@ -149,7 +183,7 @@
                 quarantinedUntilMs);
     }
 
-    /** Returns this contact with the next reading not before a time. */
+    /** Returns this session with the next heartbeat not before the given time. */
     public ExecutorSessionRow withNextHeartbeat(long newNextHeartbeatMs) {
         return new ExecutorSessionRow(
                 executor,
@@ -169,7 +203,7 @@
                 quarantinedUntilMs);
     }
 
-    /** Returns this contact with a lease that may last longer. */
+    /** Returns this session with the lease expired no earlier than the given time. */
     public ExecutorSessionRow withLeaseExtendedTo(long newLeaseEndMs) {
         return new ExecutorSessionRow(
                 executor,
@@ -189,7 +223,10 @@
                 quarantinedUntilMs);
     }
 
-    /** Returns this contact whose lease has surely ended at a time. */
+    /**
+     * Returns this session with the lease certainly expired at the given time, which may be earlier
+     * than before.
+     */
     public ExecutorSessionRow withLeaseEndAt(long newLeaseEndMs) {
         return new ExecutorSessionRow(
                 executor,
@@ -209,7 +246,7 @@
                 quarantinedUntilMs);
     }
 
-    /** Returns this contact without new runs for some time. */
+    /** Returns this session with no new runs at least until the given time. */
     public ExecutorSessionRow quarantinedUntil(long untilMs) {
         return new ExecutorSessionRow(
                 executor,
@@ -229,7 +266,10 @@
                 Math.max(quarantinedUntilMs, untilMs));
     }
 
-    /** Returns the executor's clock at the given time of ours. */
+    /**
+     * Returns an estimate of the executor's clock at a time of this process's steady clock, from
+     * its last answer.
+     */
     public long executorClockAt(long nowMs) {
         return executorClockMs + nowMs - clockReadAtMs;
     }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/FinishedRunKey.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/FinishedRunKey.java
@@ -3,13 +3,13 @@
 import static java.util.Objects.requireNonNull;
 
 /**
- * Names an end that is not acknowledged yet.
+ * Identifies a finished run that an executor lists until it is acknowledged.
  *
- * @param executor executor
- * @param sequence its number there
+ * @param executor executor id
+ * @param sequence sequence number in that executor's list
  */
 public record FinishedRunKey(String executor, long sequence) {
-    /** Checks the parts. */
+    /** Rejects null components. */
     public FinishedRunKey {
         requireNonNull(executor);
     }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/HostListRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/HostListRow.java
@@ -1,10 +1,10 @@
 package org.hibiscususher.core.scheduler.world;
 
 /**
- * The list of hosts.
+ * The state of the periodic listing of hosts. Times are milliseconds of the steady clock.
  *
- * @param callId reading that is awaited; 0 for none
- * @param sentMs when it was sent
- * @param listedMs when the list last came; 0 for never
+ * @param callId id of the listing in flight; 0 for none
+ * @param sentMs when a listing was last requested; 0 for never
+ * @param listedMs when a list last arrived; 0 for never
  */
 public record HostListRow(long callId, long sentMs, long listedMs) {}
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/HostOperationRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/HostOperationRow.java
@@ -3,17 +3,18 @@
 import static java.util.Objects.requireNonNull;
 
 /**
- * The maintenance or move of a host.
+ * The maintenance of a host, or its move to another pool.
  *
- * @param host host
- * @param wave wave; 0 for a move
- * @param destinationPool pool to move to; empty for maintenance
- * @param step step
- * @param callId order that is awaited; 0 for none
- * @param retryAtMs before when no order is sent
- * @param stepSinceMs since when it is in this step
- * @param executor executor that the host had; empty for none
- * @param uncertain whether an order for it was not answered and may have been carried out
+ * @param host host id
+ * @param wave number of the maintenance wave; 0 for a move
+ * @param destinationPool pool to which the host moves; empty for maintenance
+ * @param step current step
+ * @param callId id of the order in flight; 0 for none
+ * @param retryAtMs earliest time of the next order, in milliseconds of the steady clock
+ * @param stepSinceMs when the current step began, in milliseconds of the steady clock
+ * @param executor id of the executor that the host had at the beginning; empty for none
+ * @param uncertain whether an order got no answer and may have been carried out, so that the host
+ *     may be out of service until one is answered
  */
 public record HostOperationRow(
         String host,
@@ -25,7 +26,7 @@
         long stepSinceMs,
         String executor,
         boolean uncertain) {
-    /** Checks the parts. */
+    /** Rejects null components. */
     public HostOperationRow {
         requireNonNull(host);
         requireNonNull(destinationPool);
@@ -33,7 +34,7 @@
         requireNonNull(executor);
     }
 
-    /** Returns this row in another step. */
+    /** Returns this operation in another step, which begins now. */
     public HostOperationRow withStep(HostOperationStep newStep, long newCallId, long nowMs) {
         return new HostOperationRow(
                 host,
@@ -47,7 +48,10 @@
                 uncertain);
     }
 
-    /** Returns this row before the next order, which is not sent before a time. */
+    /**
+     * Returns this operation with its next order not before the given time, the host counting as
+     * out of service if an earlier order is uncertain.
+     */
     public HostOperationRow withRetryAt(long newRetryAtMs) {
         HostOperationStep next =
                 uncertain ? HostOperationStep.UNANSWERED : HostOperationStep.EMPTYING;
@@ -63,7 +67,10 @@
                 uncertain);
     }
 
-    /** Returns this row with an order that was not answered. */
+    /**
+     * Returns this operation after an order without an answer, with the next one not before the
+     * given time.
+     */
     public HostOperationRow asUnanswered(long newRetryAtMs) {
         return new HostOperationRow(
                 host,
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/JobRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/JobRow.java
@@ -9,21 +9,24 @@
 /**
  * A job.
  *
- * @param id id
- * @param policy terms
- * @param team its team; empty if it came without a key
- * @param spec what was handed in
- * @param acceptedWallMs when it came, in milliseconds since the epoch
- * @param arrivedMs when it came, on the steady clock
- * @param state state
+ * @param id job id
+ * @param policy policy of its queue when it was accepted
+ * @param team name of its team; empty if the caller sent no known API key
+ * @param spec what the caller submitted
+ * @param acceptedWallMs when it arrived, in milliseconds since the epoch
+ * @param arrivedMs when it arrived, in milliseconds of the steady clock
+ * @param state current state
  * @param stored whether the store holds the job
- * @param storedState the state that the store holds
- * @param version grows with each change that has to be stored
- * @param storedVersion the version that the store holds
- * @param dirtySinceMs since when a change waits to be stored
- * @param remainingSteps steps of all occurrences that are not done
- * @param inherited whether it was accepted by an earlier owner
- * @param endedMs when it came to its final state; 0 if it has not
+ * @param storedState state that the store holds
+ * @param version version of the job's progress, raised by each change that must be stored
+ * @param storedVersion version that the store holds
+ * @param dirtySinceMs since when a change has waited to be stored, in milliseconds of the steady
+ *     clock; counted anew after each commit
+ * @param remainingSteps number of steps that are not done, over all occurrences
+ * @param inherited whether an earlier owner accepted it, so that runs unknown to this owner may be
+ *     in progress
+ * @param endedMs when it reached a final state, in milliseconds of the steady clock; 0 if it has
+ *     not
  */
 public record JobRow(
         String id,
@@ -41,7 +44,7 @@
         int remainingSteps,
         boolean inherited,
         long endedMs) {
-    /** Checks the parts. */
+    /** Rejects null components. */
     public JobRow {
         requireNonNull(id);
         requireNonNull(policy);
@@ -51,7 +54,13 @@
         requireNonNull(storedState);
     }
 
-    /** Returns this job with another state. */
+    /**
+     * Returns this job in another state.
+     *
+     * @param newState the state
+     * @param newEndedMs when it reached a final state, in milliseconds of the steady clock; 0 if
+     *     the state is not final
+     */
     public JobRow withState(JobState newState, long newEndedMs) {
         return new JobRow(
                 id,
@@ -71,7 +80,7 @@
                 newEndedMs);
     }
 
-    /** Returns this job with a change that has to be stored. */
+    /** Returns this job with a change that must be stored. */
     public JobRow withChange(long nowMs) {
         return new JobRow(
                 id,
@@ -91,7 +100,7 @@
                 endedMs);
     }
 
-    /** Returns this job held by the store. */
+    /** Returns this job once the store holds it. */
     public JobRow asStored() {
         return new JobRow(
                 id,
@@ -111,7 +120,7 @@
                 endedMs);
     }
 
-    /** Returns this job with its progress held by the store. */
+    /** Returns this job once the store holds a version of its progress with the given state. */
     public JobRow withStoredVersion(long newVersion, JobState newState, long nowMs) {
         return new JobRow(
                 id,
@@ -131,7 +140,7 @@
                 endedMs);
     }
 
-    /** Returns this job with one step less to do. */
+    /** Returns this job with one step fewer to do. */
     public JobRow withStepDone() {
         return new JobRow(
                 id,
@@ -151,17 +160,17 @@
                 endedMs);
     }
 
-    /** Returns whether a change waits to be stored. */
+    /** Returns whether a change must still be stored. */
     public boolean isDirty() {
         return version > storedVersion;
     }
 
-    /** Returns whether the job takes runs now. */
+    /** Returns whether runs of the job may be started now. */
     public boolean acceptsRuns() {
         return stored && !state.isFinal();
     }
 
-    /** Returns the time until which the job should be done, on the steady clock. */
+    /** Returns the time by which the job should be done, in milliseconds of the steady clock. */
     public long deadlineMs() {
         return arrivedMs + policy.objectiveFor(spec.criticalPathMs());
     }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/LeaseRenewalRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/LeaseRenewalRow.java
@@ -1,9 +1,10 @@
 package org.hibiscususher.core.scheduler.world;
 
 /**
- * The renewal of the ownership's lease that is awaited.
+ * The renewal of the owner's lease.
  *
- * @param callId store call; 0 for none
- * @param sentMs when the last one was sent
+ * @param callId id of the renewal in flight; 0 for none
+ * @param sentMs when the last renewal was sent, in milliseconds of the steady clock; a renewed
+ *     lease lasts from then
  */
 public record LeaseRenewalRow(long callId, long sentMs) {}
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/NodeStateRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/NodeStateRow.java
@@ -1,10 +1,11 @@
 package org.hibiscususher.core.scheduler.world;
 
 /**
- * What the process tells the balancer and whether it stops.
+ * Readiness, store connection and shutdown of this process.
  *
- * @param ready what the balancer was last told
- * @param storeReachable whether the store was reached last
- * @param shutdownRequestedMs when the process was asked to stop; 0 if it was not
+ * @param ready whether the load balancer was last told to send new connections
+ * @param storeReachable whether the store was reachable when last reported
+ * @param shutdownRequestedMs when the process was asked to stop, in milliseconds of the steady
+ *     clock; 0 if it was not
  */
 public record NodeStateRow(boolean ready, boolean storeReachable, long shutdownRequestedMs) {}
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/OwnershipClaimRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/OwnershipClaimRow.java
@@ -7,14 +7,18 @@
 import org.hibiscususher.core.scheduler.message.StoredRecord;
 
 /**
- * The claim of the ownership that is under way.
+ * The last attempt of this process to become the owner of the scheduling.
  *
- * @param generation number of the term that it would begin
- * @param validUntilMs until when its lease has surely not ended
- * @param predecessor owner of the term before; empty if there was none
- * @param predecessorAddress where that owner takes forwarded requests
- * @param predecessorReleased whether that owner surely gives no more orders
- * @param unsettled what that owner left open, if it told; see {@link StoredRecord.Term#unsettled()}
+ * @param generation number of the term that the claim begins
+ * @param validUntilMs until when the lease that the claim relies on certainly holds, in
+ *     milliseconds of the steady clock
+ * @param predecessor node name of the previous term's owner; empty if there was none
+ * @param predecessorAddress IP number and port at which that owner accepts forwarded requests;
+ *     empty if there was none
+ * @param predecessorReleased whether that owner certainly sends no more orders: it released the
+ *     ownership, ran on this node, or never existed
+ * @param unsettled what that owner reported as unsettled when it released the ownership, see {@link
+ *     StoredRecord.Term#unsettled()}; empty if it did not release
  */
 public record OwnershipClaimRow(
         long generation,
@@ -23,11 +27,11 @@
         String predecessorAddress,
         boolean predecessorReleased,
         Optional<List<String>> unsettled) {
-    /** No claim. */
+    /** No attempt yet. */
     public static final OwnershipClaimRow NONE =
             new OwnershipClaimRow(0, 0, "", "", true, Optional.empty());
 
-    /** Checks the parts. */
+    /** Rejects null components. */
     public OwnershipClaimRow {
         requireNonNull(predecessor);
         requireNonNull(predecessorAddress);
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/OwnershipRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/OwnershipRow.java
@@ -5,14 +5,14 @@
 import org.hibiscususher.core.scheduler.message.Ownership;
 
 /**
- * Who owns the scheduling, as last told by the store.
+ * The owner of the scheduling, as last reported by the store.
  *
- * @param known whether the store has told it yet
- * @param ownership what it told
- * @param updatedMs when it was told
+ * @param known whether the store has reported it yet
+ * @param ownership what it reported
+ * @param updatedMs when it reported that, in milliseconds of the steady clock
  */
 public record OwnershipRow(boolean known, Ownership ownership, long updatedMs) {
-    /** Checks the parts. */
+    /** Rejects null components. */
     public OwnershipRow {
         requireNonNull(ownership);
     }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/PendingRequestRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/PendingRequestRow.java
@@ -5,13 +5,14 @@
 import org.hibiscususher.core.job.JobRequest;
 
 /**
- * A caller's request that waits.
+ * A caller's request that has not been answered yet.
  *
- * @param callId id
- * @param request request
- * @param job the job that has to be stored; empty for none
- * @param stage what it waits for
- * @param waitingSinceMs since when
+ * @param callId id that the response names
+ * @param request the request
+ * @param job id of the job whose record must be stored before the response is sent; empty while the
+ *     request waits for an owner
+ * @param stage what the request waits for
+ * @param waitingSinceMs since when it has waited for that, in milliseconds of the steady clock
  */
 public record PendingRequestRow(
         long callId,
@@ -19,7 +20,7 @@
         String job,
         PendingRequestStage stage,
         long waitingSinceMs) {
-    /** Checks the parts. */
+    /** Rejects null components. */
     public PendingRequestRow {
         requireNonNull(request);
         requireNonNull(job);
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/RunRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/RunRow.java
@@ -7,24 +7,25 @@
 import org.hibiscususher.core.job.TaskKey;
 
 /**
- * A run that is under way, or may be.
+ * A run that is in progress, or may be. Times are milliseconds of the steady clock.
  *
- * @param task task
- * @param run number
- * @param executor executor
- * @param team team that it counts for
- * @param demand what it takes of the team's limit
- * @param reserved what it takes of the executor's capacity
+ * @param task task that it runs
+ * @param run number of the run, higher than that of the task's earlier runs
+ * @param executor executor id
+ * @param team name of the team whose limit it counts against
+ * @param demand resources that count against the team's limit
+ * @param reserved resources that it reserves on the executor
  * @param stage stage
- * @param reason why it is stopped
- * @param callId order that is awaited; 0 for none
+ * @param reason why it is being stopped; {@link StopReason#NONE} if it is not
+ * @param callId id of the order in flight; 0 for none
  * @param sentMs when the last order was sent
  * @param orderAnsweredMs when the last order was answered; 0 if it was not
- * @param checkpoint last saved state that was listed
- * @param progressPercent last listed part of its full speed
- * @param load last listed load; -1 for none
- * @param speedLimitPercent part of its full speed that it was told
- * @param lastProgressMs when its listed state last changed
+ * @param checkpoint last saved state that the executor reported; empty for none
+ * @param progressPercent part of the work done, as last reported; below 100 for a service task that
+ *     does not serve yet
+ * @param load last reported load, see {@link ReportedRun#load()}; -1 for none
+ * @param speedLimitPercent part of its full speed to which it has been throttled; 100 if it is not
+ * @param lastProgressMs when its reported progress or saved state last changed
  */
 public record RunRow(
         TaskKey task,
@@ -43,7 +44,7 @@
         long load,
         int speedLimitPercent,
         long lastProgressMs) {
-    /** Checks the parts. */
+    /** Rejects null components. */
     public RunRow {
         requireNonNull(task);
         requireNonNull(executor);
@@ -55,7 +56,7 @@
         requireNonNull(checkpoint);
     }
 
-    /** Returns this run, known to be on its executor. */
+    /** Returns this run, confirmed to be on its executor. */
     public RunRow asRunning(long nowMs) {
         return new RunRow(
                 task,
@@ -76,7 +77,7 @@
                 nowMs);
     }
 
-    /** Returns this run with an order to stop it sent. */
+    /** Returns this run after sending an order to stop it. */
     public RunRow asStopping(StopReason newReason, long newCallId, long nowMs) {
         return new RunRow(
                 task,
@@ -97,7 +98,11 @@
                 lastProgressMs);
     }
 
-    /** Returns this run with its order answered. */
+    /**
+     * Returns this run after the call of its last order completed.
+     *
+     * @param nowMs the current time; 0 if the order got no answer, so that it is sent again
+     */
     public RunRow withOrderAnswered(long nowMs) {
         return new RunRow(
                 task,
@@ -118,8 +123,8 @@
                 lastProgressMs);
     }
 
-    /** Returns this run with what its executor lists. */
-    public RunRow withReport(ReportedRun told, long nowMs) {
+    /** Returns this run with what its executor reports of it. */
+    public RunRow withReport(ReportedRun report, long nowMs) {
         return new RunRow(
                 task,
                 run,
@@ -132,16 +137,17 @@
                 callId,
                 sentMs,
                 orderAnsweredMs,
-                told.checkpoint().isEmpty() ? checkpoint : told.checkpoint(),
-                told.progressPercent(),
-                told.load(),
+                report.checkpoint().isEmpty() ? checkpoint : report.checkpoint(),
+                report.progressPercent(),
+                report.load(),
                 speedLimitPercent,
-                told.progressPercent() != progressPercent || !told.checkpoint().equals(checkpoint)
+                report.progressPercent() != progressPercent
+                                || !report.checkpoint().equals(checkpoint)
                         ? nowMs
                         : lastProgressMs);
     }
 
-    /** Returns this run with another pace. */
+    /** Returns this run throttled to a part of its full speed, in percent. */
     public RunRow withSpeedLimit(int newSpeedLimitPercent) {
         return new RunRow(
                 task,
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/RunStage.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/RunStage.java
@@ -1,12 +1,12 @@
 package org.hibiscususher.core.scheduler.world;
 
-/** Where a run stands. */
+/** The stage of a run. */
 public enum RunStage {
-    /** The order to start it was sent. */
+    /** The start order has been sent and not been answered. */
     SENT(true),
-    /** It is on its executor. */
+    /** The run is on its executor. */
     RUNNING(true),
-    /** It is to be stopped, whether it has begun or not. */
+    /** The run is to be stopped, whether it has started or not. */
     STOPPING(false);
 
     private final boolean mWanted;
@@ -15,7 +15,7 @@
         mWanted = wanted;
     }
 
-    /** Returns whether the run is meant to go on. */
+    /** Returns whether the run is meant to continue. */
     public boolean isWanted() {
         return mWanted;
     }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerSettings.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerSettings.java
@@ -5,14 +5,16 @@
 import java.util.List;
 
 /**
- * Who the process is, and its times.
+ * Identity and timing of the process.
  *
- * @param node name of the entry
- * @param incarnation start of the process, in milliseconds since the epoch
- * @param address where it takes forwarded requests
- * @param seeds where some other entries take forwarded requests
- * @param claimDelayMs how long it waits before it takes a free ownership, in milliseconds
- * @param timing times
+ * @param node name of the entry that the process is
+ * @param incarnation start time of the process, in milliseconds since the epoch
+ * @param address IP number and port at which it accepts forwarded requests
+ * @param seeds addresses at which some entries, possibly including this one, accept forwarded
+ *     requests
+ * @param claimDelayMs how long it waits before it claims an ownership that nobody holds or that is
+ *     offered to it, in milliseconds; differs between entries to avoid simultaneous claims
+ * @param timing intervals and time limits
  */
 public record SchedulerSettings(
         String node,
@@ -21,7 +23,7 @@
         List<String> seeds,
         long claimDelayMs,
         SchedulerTiming timing) {
-    /** Checks the parts. */
+    /** Rejects null components and copies the list. */
     public SchedulerSettings {
         requireNonNull(node);
         requireNonNull(address);
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerTick.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerTick.java
@@ -9,7 +9,7 @@
 import org.hibiscususher.core.scheduler.message.SchedulerOutput;
 
 /**
- * One run of all systems of the scheduler: the times, what happened, and what is to be done.
+ * One pass of the scheduler's systems over the tables: its times, inputs and outputs.
  *
  * <p>Not thread-safe.
  */
@@ -25,10 +25,10 @@
      * Creates a tick.
      *
      * @param world the tables
-     * @param nowMs milliseconds of a steady clock
-     * @param wallMs milliseconds since the epoch
-     * @param inputs what happened since the last tick, in order
-     * @param callIds gives ids of calls
+     * @param nowMs current time in milliseconds of a steady clock
+     * @param wallMs current time in milliseconds since the epoch
+     * @param inputs what has happened since the last tick, in order
+     * @param callIds supplies ids of calls, each only once
      */
     public SchedulerTick(
             SchedulerWorld world,
@@ -48,12 +48,12 @@
         return mWorld;
     }
 
-    /** Returns the time in milliseconds of the steady clock. */
+    /** Returns the current time in milliseconds of the steady clock. */
     public long nowMs() {
         return mNowMs;
     }
 
-    /** Returns the time in milliseconds since the epoch. */
+    /** Returns the current time in milliseconds since the epoch. */
     public long wallMs() {
         return mWallMs;
     }
@@ -74,27 +74,32 @@
         return mInputs;
     }
 
-    /** Adds something to be done. */
+    /** Adds an output. */
     public void emit(SchedulerOutput output) {
         mOutputs.add(requireNonNull(output));
     }
 
-    /** Writes a line to the log; {@code line} holds key=value pairs. */
+    /**
+     * Writes a structured log line.
+     *
+     * @param event name of the event
+     * @param line the line's {@code key=value} pairs, separated by spaces
+     */
     public void log(String event, String line) {
         emit(new SchedulerOutput.Log(event, line));
     }
 
-    /** Counts an event. */
+    /** Increments a counter. */
     public void count(String counter) {
         emit(new SchedulerOutput.Count(counter));
     }
 
-    /** Returns an id for a call, unique in this process. */
+    /** Returns a call id that is unique in this process. */
     public long nextCallId() {
         return mCallIds.getAsLong();
     }
 
-    /** Returns what is to be done, in order. */
+    /** Returns the outputs, in order. */
     public List<SchedulerOutput> outputs() {
         return List.copyOf(mOutputs);
     }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerTiming.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerTiming.java
@@ -1,16 +1,18 @@
 package org.hibiscususher.core.scheduler.world;
 
 /**
- * Times of the scheduler, all in milliseconds.
+ * Intervals and time limits of the scheduler, all in milliseconds.
  *
- * @param ownerTtlMs lease of the ownership
+ * @param ownerTtlMs duration of the owner's lease
  * @param renewalIntervalMs time between two renewals of it
- * @param ownerGraceMs how long an owner whose lease could not be renewed goes on
- * @param executorLeaseMs lease of executors, extended again and again
- * @param startValidMs how long an order to start a run is valid
- * @param hostOrderGapMs rest before a new owner gives orders for hosts that the earlier one may
- *     have ordered
- * @param unavailableAfterMs absence after which a lasting task counts as away
+ * @param ownerGraceMs how long an owner that can't renew its lease continues to send orders to
+ *     executors; a later owner waits that long before it restarts runs of executors out of its
+ *     reach
+ * @param executorLeaseMs duration of an executor's lease, renewed by heartbeats
+ * @param startValidMs how long an executor may carry out a start order after it was sent
+ * @param hostOrderGapMs how long a new owner waits before it orders a host that the earlier owner
+ *     may have ordered
+ * @param unavailableAfterMs absence after which a service task counts as unavailable
  */
 public record SchedulerTiming(
         long ownerTtlMs,
@@ -20,7 +22,7 @@
         long startValidMs,
         long hostOrderGapMs,
         long unavailableAfterMs) {
-    /** The usual times. */
+    /** The default times. */
     public static final SchedulerTiming DEFAULT =
             new SchedulerTiming(1_500, 400, 5_000, 4_000, 1_500, 3_200, 4_500);
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerWorld.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerWorld.java
@@ -21,14 +21,14 @@
     private final Single<TermRow> mTerm = Single.of(TermRow.initial());
     private final Single<OwnershipRow> mOwnership =
             Single.of(new OwnershipRow(false, Ownership.NONE, 0));
-    private final Single<OwnershipClaimRow> mClaim = Single.of(OwnershipClaimRow.NONE);
-    private final Single<LeaseRenewalRow> mRenewal = Single.of(new LeaseRenewalRow(0, 0));
-    private final Single<HandoverRow> mOffer = Single.of(HandoverRow.NONE);
-    private final Single<LastTickRow> mClock = Single.of(new LastTickRow(0, 0));
-    private final Single<NodeStateRow> mNode = Single.of(new NodeStateRow(false, true, 0));
-    private final Single<ConfigurationRow> mPlan =
+    private final Single<OwnershipClaimRow> mOwnershipClaim = Single.of(OwnershipClaimRow.NONE);
+    private final Single<LeaseRenewalRow> mLeaseRenewal = Single.of(new LeaseRenewalRow(0, 0));
+    private final Single<HandoverRow> mHandover = Single.of(HandoverRow.NONE);
+    private final Single<LastTickRow> mLastTick = Single.of(new LastTickRow(0, 0));
+    private final Single<NodeStateRow> mNodeState = Single.of(new NodeStateRow(false, true, 0));
+    private final Single<ConfigurationRow> mConfiguration =
             Single.of(new ConfigurationRow(JobConfiguration.EMPTY, 0));
-    private final Single<StoreHealthRow> mStore = Single.of(new StoreHealthRow(0, 0, 0));
+    private final Single<StoreHealthRow> mStoreHealth = Single.of(new StoreHealthRow(0, 0, 0));
     private final Single<StoredRecord.Executors> mUsedExecutors =
             Single.of(new StoredRecord.Executors(List.of()));
     private final Single<HostListRow> mHostList = Single.of(new HostListRow(0, 0, 0));
@@ -44,17 +44,17 @@
             GroupedTable.createBy(RunRow::executor);
     private final GroupedTable<String, ExecutorRow, String> mExecutors =
             GroupedTable.createBy(ExecutorRow::pool);
-    private final Table<String, ExecutorSessionRow> mContacts = Table.create();
-    private final Table<String, ExecutorHealthRow> mStandings = Table.create();
-    private final GroupedTable<FinishedRunKey, FinishedRunRow, String> mEnds =
+    private final Table<String, ExecutorSessionRow> mExecutorSessions = Table.create();
+    private final Table<String, ExecutorHealthRow> mExecutorHealth = Table.create();
+    private final GroupedTable<FinishedRunKey, FinishedRunRow, String> mFinishedRuns =
             GroupedTable.createBy(e -> e.key().executor());
     private final Table<StartKey, UncertainStartRow> mUncertainStarts = Table.create();
     private final Table<StepKey, AdviceRow> mAdvice = Table.create();
-    private final Single<AdviceRequestRow> mAdviceCall = Single.of(AdviceRequestRow.NONE);
-    private final Table<Long, PendingRequestRow> mCalls = Table.create();
+    private final Single<AdviceRequestRow> mAdviceRequest = Single.of(AdviceRequestRow.NONE);
+    private final Table<Long, PendingRequestRow> mPendingRequests = Table.create();
     private final Table<Long, WaveRow> mWaves = Table.create();
     private final Table<String, HostReport> mHosts = Table.create();
-    private final Table<String, HostOperationRow> mHostTasks = Table.create();
+    private final Table<String, HostOperationRow> mHostOperations = Table.create();
     private final Single<Long> mMovesDecidedMs = Single.of(0L);
     private final Table<String, HostOrderRow> mHostOrders = Table.create();
     private final Single<StoredRecord.HostOrders> mRecordedHostOrders =
@@ -69,7 +69,7 @@
         return new SchedulerWorld(settings);
     }
 
-    /** Returns who the process is, and its times. */
+    /** Returns the identity and timing of the process. */
     public SchedulerSettings settings() {
         return mSettings;
     }
@@ -79,72 +79,75 @@
         return mTerm;
     }
 
-    /** Returns who owns the scheduling. */
+    /** Returns the owner of the scheduling, as last reported by the store. */
     public Single<OwnershipRow> ownership() {
         return mOwnership;
     }
 
-    /** Returns the claim of the ownership that is under way. */
+    /** Returns the last attempt of this process to become the owner. */
     public Single<OwnershipClaimRow> ownershipClaim() {
-        return mClaim;
+        return mOwnershipClaim;
     }
 
-    /** Returns the renewal that is awaited. */
+    /** Returns the renewal of the owner's lease. */
     public Single<LeaseRenewalRow> leaseRenewal() {
-        return mRenewal;
+        return mLeaseRenewal;
     }
 
     /** Returns the offers of the ownership. */
     public Single<HandoverRow> handover() {
-        return mOffer;
+        return mHandover;
     }
 
-    /** Returns the times of the last tick. */
+    /** Returns the times of the previous tick. */
     public Single<LastTickRow> lastTick() {
-        return mClock;
+        return mLastTick;
     }
 
-    /** Returns what the process tells the balancer. */
+    /** Returns readiness, store connection and shutdown of the process. */
     public Single<NodeStateRow> nodeState() {
-        return mNode;
+        return mNodeState;
     }
 
     /** Returns the configuration in force. */
     public Single<ConfigurationRow> configuration() {
-        return mPlan;
+        return mConfiguration;
     }
 
-    /** Returns how the store answers. */
+    /** Returns whether commits to the store succeed. */
     public Single<StoreHealthRow> storeHealth() {
-        return mStore;
+        return mStoreHealth;
     }
 
-    /** Returns the executors in use, as they were last handed to the store. */
+    /** Returns the executors in use, as last submitted to the store. */
     public Single<StoredRecord.Executors> usedExecutors() {
         return mUsedExecutors;
     }
 
-    /** Returns the state of the list of hosts. */
+    /** Returns the state of the periodic listing of hosts. */
     public Single<HostListRow> hostList() {
         return mHostList;
     }
 
-    /** Returns the commit under way. */
+    /** Returns the commit in flight. */
     public Single<Optional<CommitRow>> commit() {
         return mCommit;
     }
 
-    /** Returns the revisions of the records in the store. */
+    /** Returns the revisions of the stored records. */
     public Table<RecordName, Long> revisions() {
         return mRevisions;
     }
 
-    /** Returns records that wait to be written, other than those of jobs. */
+    /** Returns the records that must be written, other than those of jobs. */
     public Table<RecordName, StoredRecord> pendingRecords() {
         return mPendingRecords;
     }
 
-    /** Returns the records that wait to be removed, with their revisions. */
+    /**
+     * Returns the progress records that must be removed together with their jobs, by name; the
+     * values are not used.
+     */
     public Table<RecordName, Long> pendingRemovals() {
         return mPendingRemovals;
     }
@@ -154,12 +157,12 @@
         return mJobs;
     }
 
-    /** Returns the steps whose turn has come. */
+    /** Returns the activated steps by key. */
     public Table<StepKey, StepRow> steps() {
         return mSteps;
     }
 
-    /** Returns the tasks whose turn has come and that are not done, by pool and state. */
+    /** Returns the tasks of activated steps that are not done, grouped by pool and state. */
     public GroupedTable<TaskKey, TaskRow, TaskGroup> tasks() {
         return mTasks;
     }
@@ -174,39 +177,39 @@
         return mExecutors;
     }
 
-    /** Returns the contacts by executor. */
+    /** Returns the sessions with executors by executor id. */
     public Table<String, ExecutorSessionRow> executorSessions() {
-        return mContacts;
+        return mExecutorSessions;
     }
 
-    /** Returns how runs end, by executor. */
+    /** Returns how runs finish, by executor id. */
     public Table<String, ExecutorHealthRow> executorHealth() {
-        return mStandings;
+        return mExecutorHealth;
     }
 
-    /** Returns the ends that are not acknowledged yet, grouped by executor. */
+    /** Returns the finished runs that are not acknowledged yet, grouped by executor. */
     public GroupedTable<FinishedRunKey, FinishedRunRow, String> finishedRuns() {
-        return mEnds;
+        return mFinishedRuns;
     }
 
-    /** Returns the orders to start runs that were not answered. */
+    /** Returns the start orders that got no answer. */
     public Table<StartKey, UncertainStartRow> uncertainStarts() {
         return mUncertainStarts;
     }
 
-    /** Returns which executors may run the steps of queues whose policy is asked elsewhere. */
+    /** Returns the executors on which an external service allows a step to run, by step. */
     public Table<StepKey, AdviceRow> advice() {
         return mAdvice;
     }
 
-    /** Returns the request for advice that is awaited. */
+    /** Returns the advice request in flight. */
     public Single<AdviceRequestRow> adviceRequest() {
-        return mAdviceCall;
+        return mAdviceRequest;
     }
 
-    /** Returns the callers' requests that wait. */
+    /** Returns the callers' requests that are not answered yet, by call id. */
     public Table<Long, PendingRequestRow> pendingRequests() {
-        return mCalls;
+        return mPendingRequests;
     }
 
     /** Returns the maintenance waves by number. */
@@ -214,32 +217,32 @@
         return mWaves;
     }
 
-    /** Returns the hosts as last listed. */
+    /** Returns the hosts by id, as last listed. */
     public Table<String, HostReport> hosts() {
         return mHosts;
     }
 
-    /** Returns the hosts that are maintained or moved. */
+    /** Returns the maintenance and moves in progress, by host id. */
     public Table<String, HostOperationRow> hostOperations() {
-        return mHostTasks;
+        return mHostOperations;
     }
 
-    /** Returns when moves of hosts were last decided on. */
+    /** Returns when moves of hosts were last decided on, in milliseconds of the steady clock. */
     public Single<Long> movesDecidedMs() {
         return mMovesDecidedMs;
     }
 
-    /** Returns the hosts for which orders may have been given of late. */
+    /** Returns the hosts that may have been ordered recently, by host id. */
     public Table<String, HostOrderRow> hostOrders() {
         return mHostOrders;
     }
 
-    /** Returns the hosts with orders, as they were last handed to the store. */
+    /** Returns the hosts with orders, as last submitted to the store. */
     public Single<StoredRecord.HostOrders> recordedHostOrders() {
         return mRecordedHostOrders;
     }
 
-    /** Forgets everything that only an owner keeps. */
+    /** Clears everything that only an owner keeps. */
     public void clearOwnerTables() {
         mCommit.set(Optional.empty());
         mUsedExecutors.set(new StoredRecord.Executors(List.of()));
@@ -260,13 +263,13 @@
                 mTasks,
                 mRuns,
                 mExecutors,
-                mContacts,
-                mStandings,
-                mEnds,
+                mExecutorSessions,
+                mExecutorHealth,
+                mFinishedRuns,
                 mUncertainStarts,
                 mAdvice,
                 mHosts,
-                mHostTasks,
+                mHostOperations,
                 mHostOrders);
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/StartKey.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/StartKey.java
@@ -5,13 +5,13 @@
 import org.hibiscususher.core.job.TaskKey;
 
 /**
- * Names an order to start a run.
+ * Identifies an order to start a run.
  *
  * @param task the task
  * @param run number of the run
  */
 public record StartKey(TaskKey task, int run) {
-    /** Checks the parts. */
+    /** Rejects null components. */
     public StartKey {
         requireNonNull(task);
     }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/StopReason.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/StopReason.java
@@ -1,17 +1,17 @@
 package org.hibiscususher.core.scheduler.world;
 
-/** Why a run is stopped. */
+/** Why a run is being stopped. */
 public enum StopReason {
-    /** It is not stopped. */
+    /** It is not being stopped. */
     NONE,
-    /** The order to start it was not answered. */
+    /** Its start order got no answer, so it may or may not be on the executor. */
     UNCERTAIN_START,
-    /** The job has come to its end. */
+    /** Its job has ended, or another run has completed its task. */
     JOB_ENDED,
-    /** The executor or its host is leaving. */
+    /** Its executor is draining, or its host is to be maintained or moved. */
     EVICTED,
-    /** The run makes no progress. */
+    /** It makes no progress or is far slower than estimated. */
     STALLED,
-    /** Urgent work needs the room. */
+    /** Urgent work needs its capacity. */
     PREEMPTED
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/TaskGroup.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/TaskGroup.java
@@ -3,13 +3,13 @@
 import static java.util.Objects.requireNonNull;
 
 /**
- * The tasks of a pool that are in one state.
+ * The key of the tasks of one pool that are in one state.
  *
- * @param pool pool
- * @param state state
+ * @param pool pool name
+ * @param state the state
  */
 public record TaskGroup(String pool, TaskState state) {
-    /** Checks the parts. */
+    /** Rejects null components. */
     public TaskGroup {
         requireNonNull(pool);
         requireNonNull(state);
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/TaskRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/TaskRow.java
@@ -8,18 +8,19 @@
 import org.hibiscususher.core.job.TaskKey;
 
 /**
- * A task of a step whose turn has come, until it is done.
+ * A task of an activated step, until it is done. Times are milliseconds of the steady clock.
  *
- * @param key key
+ * @param key task key
  * @param pool pool whose executors run it
- * @param state state
- * @param lastRun number of its last run; 0 for none
- * @param failedRuns numbers of the runs that failed
- * @param checkpoint last saved state; empty for none
- * @param readySinceMs since when it waits
- * @param notBeforeMs when it may run next
- * @param lastFailedExecutor executor on which it failed last; empty for none
- * @param uncertain whether a run of an earlier owner may be under way
+ * @param state whether a run of it is in progress
+ * @param lastRun highest number of a run of it; 0 for none
+ * @param failedRuns numbers of the runs that count as failed attempts
+ * @param checkpoint last saved state, from which the next run continues; empty for none
+ * @param readySinceMs since when it has waited for a run
+ * @param notBeforeMs earliest time of the next run
+ * @param lastFailedExecutor id of the executor on which it last failed; empty for none
+ * @param uncertain whether a run that an earlier owner started may be in progress on an executor
+ *     that has not answered; starting the task now could run it twice
  */
 public record TaskRow(
         TaskKey key,
@@ -32,7 +33,7 @@
         long notBeforeMs,
         String lastFailedExecutor,
         boolean uncertain) {
-    /** Checks the parts. */
+    /** Rejects null components and copies the set. */
     public TaskRow {
         requireNonNull(key);
         requireNonNull(pool);
@@ -42,7 +43,7 @@
         requireNonNull(lastFailedExecutor);
     }
 
-    /** Returns this task with a run under way. */
+    /** Returns this task with the given run in progress. */
     public TaskRow asActive(int newLastRun) {
         return new TaskRow(
                 key,
@@ -57,7 +58,13 @@
                 false);
     }
 
-    /** Returns this task waiting for another run. */
+    /**
+     * Returns this task waiting for another run.
+     *
+     * @param nowMs the current time
+     * @param delayMs how long the next run is delayed, in milliseconds
+     * @param newCheckpoint state that the last run saved; empty to keep the one before
+     */
     public TaskRow asWaiting(long nowMs, long delayMs, String newCheckpoint) {
         return new TaskRow(
                 key,
@@ -72,7 +79,7 @@
                 uncertain);
     }
 
-    /** Returns this task with one more failed run. */
+    /** Returns this task with another failed attempt, on the given executor. */
     public TaskRow withFailure(int newFailedRun, String executor) {
         return new TaskRow(
                 key,
@@ -88,7 +95,7 @@
                 uncertain);
     }
 
-    /** Returns this task with a higher number of its last run. */
+    /** Returns this task with its highest run number not below the given one. */
     public TaskRow withRunAtLeast(int newLastRun) {
         return new TaskRow(
                 key,
@@ -103,7 +110,7 @@
                 uncertain);
     }
 
-    /** Returns this task without doubt on a run of an earlier owner. */
+    /** Returns this task once no run of an earlier owner can be in progress unnoticed. */
     public TaskRow asCertain() {
         return new TaskRow(
                 key,
@@ -118,7 +125,7 @@
                 false);
     }
 
-    /** Returns the tasks that this one is found with. */
+    /** Returns the group that the task belongs to. */
     public TaskGroup group() {
         return new TaskGroup(pool, state);
     }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/TaskState.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/TaskState.java
@@ -1,9 +1,9 @@
 package org.hibiscususher.core.scheduler.world;
 
-/** Where a task of a step whose turn has come stands. */
+/** Whether a task of an activated step runs. */
 public enum TaskState {
-    /** No run of it is under way. */
+    /** No run of it is in progress. */
     WAITING,
-    /** A run of it is under way, or may be. */
+    /** A run of it is in progress, or may be. */
     ACTIVE
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/TermRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/TermRow.java
@@ -3,19 +3,25 @@
 import static java.util.Objects.requireNonNull;
 
 /**
- * The ownership as this process sees its own part in it.
+ * This process's part in the ownership of the scheduling. Times are milliseconds of the steady
+ * clock.
  *
- * @param stage where the process stands
- * @param generation number of its term
- * @param fence fence of its orders: the revision at which it became the owner
- * @param leaseId lease of the ownership
- * @param validUntilMs until when the lease has surely not ended
- * @param startedAtMs when the term began
- * @param callId store call that is awaited; 0 for none
+ * <p>At most one process is the owner according to the store. An earlier owner may not know yet
+ * that it has been replaced; its orders carry a lower fence, which executors and hosts reject once
+ * they have seen a higher one.
+ *
+ * @param stage stage
+ * @param generation number of its term; 0 if it has none
+ * @param fence fence of its orders: the store revision at which it became the owner
+ * @param leaseId store lease that its ownership depends on
+ * @param validUntilMs until when that lease certainly holds
+ * @param startedAtMs when its term began
+ * @param callId id of the store call in flight; 0 for none
  * @param sentMs when that call was sent
- * @param claimAtMs when to try to become the owner; 0 if not set
- * @param retainsTables whether the process owned the term before and its tables hold
- * @param predecessorReleased whether the owner before surely gives no more orders
+ * @param claimAtMs when to claim the ownership; 0 if no claim is planned
+ * @param retainsTables whether it was the owner until its lease expired, and keeps its tables while
+ *     it claims the ownership again
+ * @param predecessorReleased whether the previous term's owner certainly sends no more orders
  */
 public record TermRow(
         TermStage stage,
@@ -29,7 +35,7 @@
         long claimAtMs,
         boolean retainsTables,
         boolean predecessorReleased) {
-    /** Checks the parts. */
+    /** Rejects null components. */
     public TermRow {
         requireNonNull(stage);
     }
@@ -39,7 +45,7 @@
         return new TermRow(TermStage.FOLLOWING, 0, 0, 0, 0, 0, 0, 0, 0, false, true);
     }
 
-    /** Returns this row with another stage. */
+    /** Returns this row in another stage. */
     public TermRow withStage(TermStage newStage) {
         return new TermRow(
                 newStage,
@@ -55,7 +61,7 @@
                 predecessorReleased);
     }
 
-    /** Returns this row with an awaited store call. */
+    /** Returns this row in another stage with a store call in flight. */
     public TermRow withCall(TermStage newStage, long newCallId, long newSentMs) {
         return new TermRow(
                 newStage,
@@ -71,7 +77,7 @@
                 predecessorReleased);
     }
 
-    /** Returns this row with a time of the next claim. */
+    /** Returns this row with the time of the next claim; 0 for none. */
     public TermRow withClaimAt(long newClaimAtMs) {
         return new TermRow(
                 stage,
@@ -87,7 +93,7 @@
                 predecessorReleased);
     }
 
-    /** Returns this row with a lease of the store. */
+    /** Returns this row with another store lease. */
     public TermRow withLease(long newLeaseId, long newValidUntilMs) {
         return new TermRow(
                 stage,
@@ -103,7 +109,7 @@
                 predecessorReleased);
     }
 
-    /** Returns this row with a later end of the lease. */
+    /** Returns this row with the lease certain to hold until the given time. */
     public TermRow withValidUntil(long newValidUntilMs) {
         return new TermRow(
                 stage,
@@ -119,7 +125,7 @@
                 predecessorReleased);
     }
 
-    /** Returns this row with the scheduling owned and the tables held. */
+    /** Returns this row with the tables of the last term retained or not. */
     public TermRow withRetainedTables(boolean newRetainsTables) {
         return new TermRow(
                 stage,
@@ -135,12 +141,18 @@
                 predecessorReleased);
     }
 
-    /** Returns whether the process decides on jobs, in its own term or while it takes it again. */
+    /**
+     * Returns whether the process makes scheduling decisions: as the owner with its tables loaded,
+     * or with the retained tables of its last term while it claims the ownership again.
+     *
+     * <p>Differs from {@link TermStage#isOwner()}, which holds while an owner loads its tables and
+     * not while it claims the ownership again.
+     */
     public boolean isScheduling() {
         return stage == TermStage.OWNING || stage == TermStage.RELEASING || retainsTables;
     }
 
-    /** Returns this row with the owner before surely giving no more orders. */
+    /** Returns this row with the previous owner certain to send no more orders. */
     public TermRow withPredecessorReleased() {
         return new TermRow(
                 stage,
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/TermStage.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/TermStage.java
@@ -1,18 +1,18 @@
 package org.hibiscususher.core.scheduler.world;
 
-/** Where a process stands in the ownership. */
+/** The stage of a process in taking, holding and releasing the ownership. */
 public enum TermStage {
-    /** Another process owns the scheduling, or nobody does. */
+    /** Another process is the owner, or none is. */
     FOLLOWING(false),
-    /** Waits for a lease of the store. */
+    /** Awaits a store lease for its claim. */
     LEASING(false),
-    /** Tries to become the owner. */
+    /** Awaits the commit that makes it the owner. */
     CLAIMING(false),
-    /** Is the owner and reads what is stored. */
+    /** Is the owner and reads the stored records. */
     LOADING(true),
-    /** Is the owner. */
+    /** Is the owner and schedules. */
     OWNING(true),
-    /** Is the owner and gives the ownership up. */
+    /** Is the owner and releases the ownership. */
     RELEASING(true);
 
     private final boolean mOwner;
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/UncertainStartRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/UncertainStartRow.java
@@ -3,31 +3,34 @@
 import static java.util.Objects.requireNonNull;
 
 /**
- * An order to start a run that was not answered: it may still be carried out seconds later, also by
- * another life of the executor, which knows nothing of an order to stop.
+ * An order to start a run that got no answer.
+ *
+ * <p>The executor may still carry it out seconds later, and so may its next incarnation, which
+ * knows nothing of a stop order to the previous one. Each incarnation that starts in that time is
+ * therefore sent a stop order.
  *
  * @param key the order
- * @param executor the executor
- * @param detectedMs when it was found to be unanswered
- * @param cancelPending whether the executor's present life has yet to hear that the run is not
- *     wanted
- * @param cancelSentMs when it was last told
+ * @param executor executor id
+ * @param detectedMs when the answer was found to be missing, in milliseconds of the steady clock
+ * @param cancelPending whether the executor's current incarnation must still be sent a stop order
+ * @param cancelSentMs when that order was last sent, in milliseconds of the steady clock; 0 for not
+ *     yet
  */
 public record UncertainStartRow(
         StartKey key, String executor, long detectedMs, boolean cancelPending, long cancelSentMs) {
-    /** Checks the parts. */
+    /** Rejects null components. */
     public UncertainStartRow {
         requireNonNull(key);
         requireNonNull(executor);
     }
 
-    /** Returns this row with the executor's present life yet to be told, or told. */
+    /** Returns this row with a stop order to the current incarnation pending or confirmed. */
     public UncertainStartRow withCancelPending(boolean newCancelPending) {
         return new UncertainStartRow(
                 key, executor, detectedMs, newCancelPending, newCancelPending ? 0 : cancelSentMs);
     }
 
-    /** Returns this row with the executor told once more. */
+    /** Returns this row after sending a stop order. */
     public UncertainStartRow withCancelSent(long nowMs) {
         return new UncertainStartRow(key, executor, detectedMs, cancelPending, nowMs);
     }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/WaveRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/WaveRow.java
@@ -8,11 +8,12 @@
 /**
  * A maintenance wave.
  *
- * @param order the order
- * @param firstSeenMs when it was seen
- * @param startedHosts hosts whose maintenance has begun or that are gone
- * @param done whether all hosts have begun
- * @param announced whether operators are told that it runs
+ * @param order the operators' order
+ * @param firstSeenMs when the order was first seen, in milliseconds of the steady clock
+ * @param startedHosts ids of the hosts whose maintenance has started, or of which the platform says
+ *     that it can't
+ * @param done whether all hosts have been maintained, but for those that can't be
+ * @param announced whether a status for operators shows that the wave is running
  */
 public record WaveRow(
         WaveOrder order,
@@ -20,23 +21,23 @@
         Set<String> startedHosts,
         boolean done,
         boolean announced) {
-    /** Checks the parts. */
+    /** Rejects null components and copies the set. */
     public WaveRow {
         requireNonNull(order);
         startedHosts = Set.copyOf(startedHosts);
     }
 
-    /** Returns this wave with more hosts begun. */
+    /** Returns this wave with another set of started hosts. */
     public WaveRow withStartedHosts(Set<String> newStartedHosts) {
         return new WaveRow(order, firstSeenMs, newStartedHosts, done, announced);
     }
 
-    /** Returns this wave, told to operators. */
+    /** Returns this wave with its running status announced to operators. */
     public WaveRow asAnnounced() {
         return new WaveRow(order, firstSeenMs, startedHosts, done, true);
     }
 
-    /** Returns this wave with all hosts begun. */
+    /** Returns this wave, completed. */
     public WaveRow asDone() {
         return new WaveRow(order, firstSeenMs, startedHosts, true, announced);
     }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/package-info.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/package-info.java
@@ -1,2 +1,2 @@
-/** The tables of the scheduler, the rows in them, and a tick over them. */
+/** The tables of the scheduler, their rows, and a tick of the systems over them. */
 package org.hibiscususher.core.scheduler.world;
