--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/ExecutorReport.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/ExecutorReport.java
@@ -6,18 +6,18 @@
 import org.hibiscususher.core.job.Resources;
 
 /**
- * What an executor says of itself in the store.
+ * An executor's description of itself, which it keeps in the store.
  *
- * @param id id
- * @param pool its pool
- * @param address IP number and port
+ * @param id executor id
+ * @param pool name of its pool
+ * @param address IP number and port at which it accepts orders; empty if not known
  * @param zone availability zone
- * @param host the host that it is a life of; empty if not told
- * @param labels its labels
- * @param capacity what it can run
- * @param draining whether it takes no more work
- * @param remainingMs least time until it leaves, in milliseconds, while it drains
- * @param startedAtMs start of its life, in milliseconds since the epoch; 0 if not told
+ * @param host id of the host that it runs on; empty if not reported
+ * @param labels labels that steps may require or prefer, such as that of its rack
+ * @param capacity resources that its runs may reserve together
+ * @param draining whether it accepts no new runs because it is about to shut down
+ * @param remainingMs least time until it shuts down, in milliseconds, while it is draining
+ * @param startedAtMs start time of its process, in milliseconds since the epoch; 0 if not reported
  */
 public record ExecutorReport(
         String id,
@@ -30,7 +30,7 @@
         boolean draining,
         long remainingMs,
         long startedAtMs) {
-    /** Checks the parts. */
+    /** Rejects null components and copies the list. */
     public ExecutorReport {
         requireNonNull(id);
         requireNonNull(pool);
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/HeartbeatFailure.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/HeartbeatFailure.java
@@ -1,13 +1,15 @@
 package org.hibiscususher.core.scheduler.message;
 
-/** Why an executor's lists could not be read. */
+/** Why a heartbeat to an executor failed. */
 public enum HeartbeatFailure {
-    /** No answer came. */
+    /** No answer arrived. */
     NO_ANSWER,
-    /** The executor has seen a later owner. */
+    /**
+     * The executor has seen a higher fence than the heartbeat's, because a newer term has begun.
+     */
     FENCED,
-    /** Another life of the executor answered. */
+    /** Another incarnation of the executor answered; the runs of the expected one have ended. */
     OTHER_LIFE,
-    /** The executor answered that it can't serve now. */
+    /** The executor answered with an error, or its answer could not be read. */
     UNHEALTHY
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/HostOrderResult.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/HostOrderResult.java
@@ -1,19 +1,19 @@
 package org.hibiscususher.core.scheduler.message;
 
-/** What came of an order to move or maintain a host. */
+/** The result of an order to move or maintain a host. */
 public enum HostOrderResult {
-    /** The order is carried out, or was before. */
+    /** The order has been carried out, by this call or an earlier one. */
     DONE,
-    /** The host is not up, or is leaving. */
+    /** The host is not up, or is already leaving. */
     BUSY,
-    /** A later owner has given orders for the host. */
+    /** A later owner has ordered the host. */
     FENCED,
     /** The host does not belong to the wave. */
     NOT_IN_WAVE,
-    /** There is no such host, or the pool can't have it. */
+    /** The host does not exist, or the pool can't have it. */
     INVALID,
-    /** The platform takes no more calls now; nothing was done. */
+    /** The platform limits the rate of calls; nothing was done. */
     REFUSED,
-    /** No answer came: the order may have been carried out. */
+    /** No answer arrived: the order may have been carried out, or may still be. */
     NO_ANSWER
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/HostReport.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/HostReport.java
@@ -6,15 +6,15 @@
 import org.hibiscususher.core.job.Resources;
 
 /**
- * A host as the platform lists it.
+ * A host as listed by the platform.
  *
- * @param id id
- * @param pool its pool
- * @param state its state
+ * @param id host id
+ * @param pool name of its pool
+ * @param state state
  * @param zone availability zone
- * @param labels labels
- * @param capacity what an executor on it can run
- * @param executor id of its executor; empty for none
+ * @param labels labels of the host
+ * @param capacity resources that an executor on it can offer
+ * @param executor id of the executor on it; empty for none
  */
 public record HostReport(
         String id,
@@ -24,7 +24,7 @@
         List<String> labels,
         Resources capacity,
         String executor) {
-    /** Checks the parts. */
+    /** Rejects null components and copies the list. */
     public HostReport {
         requireNonNull(id);
         requireNonNull(pool);
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/HostState.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/HostState.java
@@ -1,10 +1,10 @@
 package org.hibiscususher.core.scheduler.message;
 
-/** What the platform says of a host. */
+/** The state of a host, as listed by the platform. */
 public enum HostState {
-    /** The host is up. */
+    /** The host is in service. */
     UP,
-    /** The host is on its way to another pool. */
+    /** The host is being moved to another pool. */
     MOVING,
     /** The host is under maintenance. */
     MAINTENANCE,
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/LoadedRecord.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/LoadedRecord.java
@@ -5,14 +5,14 @@
 import java.util.Optional;
 
 /**
- * A record as the store holds it.
+ * A record read from the store.
  *
- * @param name its name
- * @param revision revision of its last change; 0 if there is no such record
- * @param record the record; empty if there is none or it can't be read
+ * @param name record name
+ * @param revision store revision of its last change; 0 if there is no such record
+ * @param record the record; empty if it does not exist or can't be decoded
  */
 public record LoadedRecord(RecordName name, long revision, Optional<StoredRecord> record) {
-    /** Checks the parts. */
+    /** Rejects null components. */
     public LoadedRecord {
         requireNonNull(name);
         requireNonNull(record);
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/RecordGuard.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/RecordGuard.java
@@ -3,13 +3,13 @@
 import static java.util.Objects.requireNonNull;
 
 /**
- * A condition of a commit: a record is at a revision.
+ * A precondition of a commit: the record must be at the revision.
  *
- * @param name the record
- * @param revision its revision; 0 if it must not exist
+ * @param name record name
+ * @param revision store revision; 0 if the record must not exist
  */
 public record RecordGuard(RecordName name, long revision) {
-    /** Checks the parts. */
+    /** Rejects null components. */
     public RecordGuard {
         requireNonNull(name);
     }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/RecordKind.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/RecordKind.java
@@ -2,20 +2,22 @@
 
 /** The kinds of records that the scheduler keeps in the store. */
 public enum RecordKind {
-    /** Who owns the scheduling; ends with the owner's lease. */
+    /** The owner of the scheduling; the store removes it when the owner's lease expires. */
     OWNER,
-    /** How often the ownership has changed, and who had it last. */
+    /**
+     * The newest term of the ownership: its generation and owner. It outlives the owner's record.
+     */
     TERM,
     /** A job as it was accepted. */
     JOB,
-    /** How far a job has come. */
+    /** The state of a job and the progress of its tasks. */
     PROGRESS,
-    /** The executors that may run tasks. */
+    /** The executors on which runs may be in progress. */
     EXECUTORS,
-    /** The hosts of a wave whose maintenance has begun. */
+    /** The hosts of a wave whose maintenance has started. */
     WAVE,
-    /** The hosts for which the owner may have given orders of late. */
+    /** The hosts that the owner may have ordered recently. */
     HOST_ORDERS,
-    /** What operators are told of a wave. */
+    /** The status of a wave, for operators. */
     WAVE_STATUS
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/RecordWrite.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/RecordWrite.java
@@ -3,18 +3,18 @@
 import static java.util.Objects.requireNonNull;
 
 /**
- * A write of a commit.
+ * A record that a commit writes.
  *
  * @param record the record
- * @param leaseId lease that the record ends with; 0 for none
+ * @param leaseId store lease on whose expiry the record is removed; 0 for none
  */
 public record RecordWrite(StoredRecord record, long leaseId) {
-    /** Checks the parts. */
+    /** Rejects null components. */
     public RecordWrite {
         requireNonNull(record);
     }
 
-    /** Returns a write of a record that stays. */
+    /** Returns a write of a record without a lease. */
     public static RecordWrite of(StoredRecord record) {
         return new RecordWrite(record, 0);
     }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/SchedulerInput.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/SchedulerInput.java
@@ -9,59 +9,133 @@
 import org.hibiscususher.core.job.StepKey;
 import org.hibiscususher.core.job.TaskKey;
 
-/** Something that happened, told to the scheduler. */
+/** An event that the scheduler handles in its next tick. */
 public sealed interface SchedulerInput {
-    /** The store was reached again, or no longer is. */
+    /**
+     * The connection to the store was restored or lost.
+     *
+     * @param reachable whether the store is reachable now
+     */
     record StoreReachabilityChanged(boolean reachable) implements SchedulerInput {}
 
-    /** A caller's request came, itself or from another entry; it gets exactly one answer. */
+    /**
+     * A request arrived from a caller or from another entry; it gets exactly one response.
+     *
+     * @param callId id that the response must name
+     * @param request the request
+     */
     record RequestReceived(long callId, JobRequest request) implements SchedulerInput {}
 
     /**
-     * A forwarded request got no answer; {@code maybeReceived} tells whether it may have been
-     * taken.
+     * A forwarded request got no response.
+     *
+     * @param callId id of the request
+     * @param address address to which it was forwarded
+     * @param maybeReceived whether the other entry may have received it, so that its outcome is
+     *     unknown
      */
     record ForwardFailed(long callId, String address, boolean maybeReceived)
             implements SchedulerInput {}
 
-    /** A later owner asks this process to give no more orders; it gets one answer. */
+    /**
+     * A later owner asks this process to send no more orders; it gets exactly one response.
+     *
+     * @param callId id that the response must name
+     * @param generation generation of the later owner's term
+     */
     record RelinquishRequested(long callId, long generation) implements SchedulerInput {}
 
-    /** The owner, out of reach of the store, offers the ownership; it gets one answer. */
+    /**
+     * An owner that can't reach the store offers the ownership; it gets exactly one response.
+     *
+     * @param callId id that the response must name
+     * @param generation generation of the term that it offers to end
+     */
     record HandoverOffered(long callId, long generation) implements SchedulerInput {}
 
-    /** The owner before this one surely gives no more orders. */
+    /**
+     * The previous owner confirmed that it sends no more orders.
+     *
+     * @param generation generation of this process's term, for which it was asked
+     */
     record PredecessorRelinquished(long generation) implements SchedulerInput {}
 
-    /** The operators' configuration, with its revision in the store. */
+    /**
+     * The operators' configuration was read.
+     *
+     * @param configuration the configuration
+     * @param revision store revision of its record
+     */
     record ConfigurationUpdated(JobConfiguration configuration, long revision)
             implements SchedulerInput {}
 
-    /** An operators' order to maintain hosts. */
+    /**
+     * The operators' order for a maintenance wave was read.
+     *
+     * @param order the order
+     */
     record WaveOrdered(WaveOrder order) implements SchedulerInput {}
 
-    /** The operators withdrew an order to maintain hosts. */
+    /**
+     * The operators withdrew a maintenance wave.
+     *
+     * @param wave number of the wave
+     */
     record WaveWithdrawn(long wave) implements SchedulerInput {}
 
-    /** Who owns the scheduling. */
+    /**
+     * The records of the ownership were read.
+     *
+     * @param ownership their content
+     */
     record OwnershipUpdated(Ownership ownership) implements SchedulerInput {}
 
-    /** A lease of the store was granted, for {@code ttlMs} from the sending of the call. */
+    /**
+     * The store granted a lease.
+     *
+     * @param callId id of the call
+     * @param leaseId id of the lease
+     * @param ttlMs duration of the lease, in milliseconds; to be safe, counted from when the call
+     *     was sent
+     */
     record LeaseGranted(long callId, long leaseId, long ttlMs) implements SchedulerInput {}
 
-    /** A lease of the store was not granted. */
+    /**
+     * A requested lease was not granted.
+     *
+     * @param callId id of the call
+     */
     record LeaseDenied(long callId) implements SchedulerInput {}
 
-    /** A lease was renewed. */
+    /**
+     * The store renewed a lease.
+     *
+     * @param callId id of the call
+     */
     record LeaseRenewed(long callId) implements SchedulerInput {}
 
-    /** A lease was not renewed; {@code expired} tells whether the store no longer knows it. */
+    /**
+     * A lease was not renewed.
+     *
+     * @param callId id of the call
+     * @param expired whether the store no longer knows the lease
+     */
     record LeaseNotRenewed(long callId, boolean expired) implements SchedulerInput {}
 
-    /** A commit took effect. */
+    /**
+     * A commit took effect.
+     *
+     * @param callId id of the call
+     * @param revision store revision of the commit, which its records now have
+     */
     record Committed(long callId, long revision) implements SchedulerInput {}
 
-    /** A commit's conditions did not hold; the guarded records as they are now. */
+    /**
+     * A commit had no effect because a guard did not hold.
+     *
+     * @param callId id of the call
+     * @param current the guarded records as they are now
+     */
     record CommitConflict(long callId, List<LoadedRecord> current) implements SchedulerInput {
         /** Copies the list. */
         public CommitConflict {
@@ -69,11 +143,22 @@
         }
     }
 
-    /** A commit failed; {@code uncertain} tells whether it may have taken effect or still may. */
+    /**
+     * A commit failed, or got no answer.
+     *
+     * @param callId id of the call
+     * @param uncertain whether it may have taken effect or may still
+     * @param leaseExpired whether it failed because the store no longer knows a lease that it names
+     */
     record CommitFailed(long callId, boolean uncertain, boolean leaseExpired)
             implements SchedulerInput {}
 
-    /** All records of jobs, executors and waves. */
+    /**
+     * All records of the scheduler were read.
+     *
+     * @param callId id of the call
+     * @param records the records
+     */
     record RecordsLoaded(long callId, List<LoadedRecord> records) implements SchedulerInput {
         /** Copies the list. */
         public RecordsLoaded {
@@ -81,10 +166,18 @@
         }
     }
 
-    /** The records could not be read. */
+    /**
+     * The records could not be read.
+     *
+     * @param callId id of the call
+     */
     record LoadFailed(long callId) implements SchedulerInput {}
 
-    /** All executors that are in the store. */
+    /**
+     * All executors' reports in the store were read.
+     *
+     * @param reports the reports
+     */
     record ExecutorsListed(List<ExecutorReport> reports) implements SchedulerInput {
         /** Copies the list. */
         public ExecutorsListed {
@@ -92,13 +185,30 @@
         }
     }
 
-    /** An executor's report is new or has changed. */
+    /**
+     * An executor's report was added to the store or changed there.
+     *
+     * @param report the report
+     */
     record ExecutorUpdated(ExecutorReport report) implements SchedulerInput {}
 
-    /** An executor's report is no longer in the store. */
+    /**
+     * An executor's report was removed from the store.
+     *
+     * @param id executor id
+     */
     record ExecutorRemoved(String id) implements SchedulerInput {}
 
-    /** An executor listed its runs and the ends that were not acknowledged. */
+    /**
+     * An executor answered a heartbeat.
+     *
+     * @param callId id of the call
+     * @param executor executor id
+     * @param startedAtMs start time of the executor's process, in milliseconds since the epoch
+     * @param executorClockMs time on the executor's clock, in milliseconds
+     * @param runs runs that are in progress there
+     * @param finishedRuns finished runs that are not acknowledged
+     */
     record HeartbeatAnswered(
             long callId,
             String executor,
@@ -114,19 +224,47 @@
         }
     }
 
-    /** An executor's lists could not be read. */
+    /**
+     * A heartbeat to an executor failed.
+     *
+     * @param callId id of the call
+     * @param executor executor id
+     * @param failure why it failed
+     */
     record HeartbeatFailed(long callId, String executor, HeartbeatFailure failure)
             implements SchedulerInput {}
 
-    /** An order to start a run was answered or not; {@code callId} is that of the order. */
+    /**
+     * The call that carried a start order completed, with or without an answer.
+     *
+     * @param callId id of the call
+     * @param task the task
+     * @param run number of the run
+     * @param result the result
+     */
     record StartCallCompleted(long callId, TaskKey task, int run, StartResult result)
             implements SchedulerInput {}
 
-    /** An order to stop a run was answered or not. */
+    /**
+     * The call that carried a stop order completed, with or without an answer.
+     *
+     * @param callId id of the call
+     * @param task the task
+     * @param run number of the run
+     * @param result the result
+     */
     record StopCallCompleted(long callId, TaskKey task, int run, StopResult result)
             implements SchedulerInput {}
 
-    /** Which of the executors that were asked for may run a step. */
+    /**
+     * The external service answered which of the requested executors may run a step.
+     *
+     * @param callId id of the call
+     * @param step the step
+     * @param tokens placement token by executor id, for the executors that may run the step
+     * @param validMs how long the tokens are valid, in milliseconds; to be safe, counted from when
+     *     the call was sent
+     */
     record AdviceReceived(long callId, StepKey step, Map<String, String> tokens, long validMs)
             implements SchedulerInput {
         /** Copies the map. */
@@ -135,10 +273,20 @@
         }
     }
 
-    /** No advice on a step came. */
+    /**
+     * The external service gave no advice on a step.
+     *
+     * @param callId id of the call
+     * @param step the step
+     */
     record AdviceFailed(long callId, StepKey step) implements SchedulerInput {}
 
-    /** The hosts of all pools. */
+    /**
+     * The platform listed the hosts.
+     *
+     * @param callId id of the call
+     * @param hosts hosts of all pools
+     */
     record HostsListed(long callId, List<HostReport> hosts) implements SchedulerInput {
         /** Copies the list. */
         public HostsListed {
@@ -146,10 +294,20 @@
         }
     }
 
-    /** The hosts could not be listed. */
+    /**
+     * The hosts could not be listed.
+     *
+     * @param callId id of the call
+     */
     record HostListFailed(long callId) implements SchedulerInput {}
 
-    /** An order for a host was answered or not. */
+    /**
+     * The call that carried an order for a host completed, with or without an answer.
+     *
+     * @param callId id of the call
+     * @param host host id
+     * @param result the result
+     */
     record HostOrderCompleted(long callId, String host, HostOrderResult result)
             implements SchedulerInput {}
 
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/SchedulerOutput.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/SchedulerOutput.java
@@ -6,27 +6,69 @@
 import org.hibiscususher.core.job.StepKey;
 import org.hibiscususher.core.job.TaskKey;
 
-/** Something that the scheduler wants done. */
+/**
+ * An action that the scheduler requests. The process around it carries it out and reports the
+ * result as a {@link SchedulerInput}.
+ */
 public sealed interface SchedulerOutput {
-    /** Answers a caller. */
+    /**
+     * Responds to a request.
+     *
+     * @param callId id of the request
+     * @param response the response
+     */
     record Respond(long callId, JobResponse response) implements SchedulerOutput {}
 
-    /** Passes a caller's request on to the owner. */
+    /**
+     * Forwards a caller's request to the owner, or to an entry that may know it.
+     *
+     * @param callId id of the request, for the response
+     * @param address IP number and port of the entry
+     * @param request the request
+     */
     record Forward(long callId, String address, JobRequest request) implements SchedulerOutput {}
 
-    /** Asks the owner of an earlier term to give no more orders. */
+    /**
+     * Asks the owner of the previous term to send no more orders.
+     *
+     * @param address IP number and port of that owner
+     * @param generation generation of the new term
+     */
     record AskRelinquish(String address, long generation) implements SchedulerOutput {}
 
-    /** Offer the ownership to an entry that may reach the store. */
+    /**
+     * Offers the ownership to an entry that may reach the store.
+     *
+     * @param address IP number and port of the entry
+     * @param generation generation of the term on offer
+     */
     record OfferHandover(String address, long generation) implements SchedulerOutput {}
 
-    /** Asks the store for a lease. */
+    /**
+     * Requests a lease from the store.
+     *
+     * @param callId id of the call
+     * @param ttlMs duration of the lease, in milliseconds
+     */
     record GrantLease(long callId, long ttlMs) implements SchedulerOutput {}
 
-    /** Renews a lease of the store. */
+    /**
+     * Renews a lease of the store.
+     *
+     * @param callId id of the call
+     * @param leaseId id of the lease
+     */
     record RenewLease(long callId, long leaseId) implements SchedulerOutput {}
 
-    /** Changes records, all or none; the answer is awaited for {@code timeoutMs}. */
+    /**
+     * Writes and removes records atomically if all guards hold.
+     *
+     * @param callId id of the call
+     * @param guards revisions that records must have
+     * @param writes records to write
+     * @param removals names of the records to remove
+     * @param timeoutMs how long to wait for an answer, in milliseconds
+     */
     record Commit(
             long callId,
             List<RecordGuard> guards,
@@ -42,22 +84,32 @@
         }
     }
 
-    /** Reads all records of jobs, executors and waves. */
+    /**
+     * Reads all records of the scheduler.
+     *
+     * @param callId id of the call
+     */
     record LoadRecords(long callId) implements SchedulerOutput {}
 
-    /** Starts or ends the reports on executors. */
+    /**
+     * Starts or stops watching the executors' reports in the store.
+     *
+     * @param enabled whether to watch them
+     */
     record WatchExecutors(boolean enabled) implements SchedulerOutput {}
 
     /**
-     * Reads an executor's lists and extends its lease.
+     * Reads an executor's lists of runs and renews its lease.
      *
      * @param callId id of the call
-     * @param executor id of the executor's life
-     * @param address IP number and port
-     * @param fence fence of the orders
-     * @param acknowledgedSequence number of the last end that is acknowledged
-     * @param leaseDeadlineMs end of the lease on the executor's clock; 0 if it is not extended
-     * @param waitMs how long the executor may wait for an end
+     * @param executor executor id; a later incarnation with another id rejects the call
+     * @param address IP number and port of the executor
+     * @param fence fence of this owner
+     * @param acknowledgedSequence highest sequence number of a finished run that is acknowledged
+     * @param leaseDeadlineMs when the renewed lease expires, on the executor's clock in
+     *     milliseconds; 0 if the lease is not renewed
+     * @param waitMs how long the executor may delay its answer until a run finishes, in
+     *     milliseconds
      */
     record SendHeartbeat(
             long callId,
@@ -70,18 +122,19 @@
             implements SchedulerOutput {}
 
     /**
-     * Starts a run.
+     * Orders an executor to start a run.
      *
      * @param callId id of the call
-     * @param executor id of the executor's life
-     * @param address IP number and port
-     * @param fence fence of the order
+     * @param executor executor id; a later incarnation with another id rejects the order
+     * @param address IP number and port of the executor
+     * @param fence fence of this owner
      * @param task the task
      * @param run number of the run
-     * @param payload what to run
-     * @param checkpoint saved state to go on from; empty for none
-     * @param placementToken permission to run the step there; empty if none is needed
-     * @param deadlineMs until when the order is valid, on the executor's clock
+     * @param payload what to run, as the caller wrote it
+     * @param checkpoint saved state from which to continue; empty for none
+     * @param placementToken token that allows the step to run there; empty if none is needed
+     * @param deadlineMs until when the executor may carry out the order, on its own clock in
+     *     milliseconds
      */
     record StartRun(
             long callId,
@@ -96,16 +149,41 @@
             long deadlineMs)
             implements SchedulerOutput {}
 
-    /** Stops a run. */
+    /**
+     * Orders an executor to stop a run.
+     *
+     * @param callId id of the call
+     * @param executor executor id; a later incarnation with another id rejects the order
+     * @param address IP number and port of the executor
+     * @param fence fence of this owner
+     * @param task the task
+     * @param run number of the run
+     */
     record StopRun(long callId, String executor, String address, long fence, TaskKey task, int run)
             implements SchedulerOutput {}
 
-    /** Sets the part of its full speed at which a run works. */
+    /**
+     * Orders an executor to limit the speed of a run. The order needs no answer: the next lists
+     * show its effect.
+     *
+     * @param executor executor id; a later incarnation with another id rejects the order
+     * @param address IP number and port of the executor
+     * @param fence fence of this owner
+     * @param task the task
+     * @param run number of the run
+     * @param speedPercent part of its full speed at which the run may work
+     */
     record ThrottleRun(
             String executor, String address, long fence, TaskKey task, int run, int speedPercent)
             implements SchedulerOutput {}
 
-    /** Asks which of some executors may run a step. */
+    /**
+     * Asks the external service which executors may run a step.
+     *
+     * @param callId id of the call
+     * @param step the step
+     * @param executors ids of the executors in question
+     */
     record RequestAdvice(long callId, StepKey step, List<String> executors)
             implements SchedulerOutput {
         /** Copies the list. */
@@ -114,28 +192,64 @@
         }
     }
 
-    /** Lists the hosts of all pools. */
+    /**
+     * Lists the hosts of all pools.
+     *
+     * @param callId id of the call
+     */
     record ListHosts(long callId) implements SchedulerOutput {}
 
-    /** Moves a host to a pool. */
+    /**
+     * Orders the platform to move a host to another pool.
+     *
+     * @param callId id of the call
+     * @param host host id
+     * @param pool destination
+     * @param fence fence of this owner
+     */
     record MoveHost(long callId, String host, String pool, long fence) implements SchedulerOutput {}
 
-    /** Begins the maintenance of a host. */
+    /**
+     * Orders the platform to start the maintenance of a host.
+     *
+     * @param callId id of the call
+     * @param host host id
+     * @param wave number of the wave that the host belongs to
+     * @param fence fence of this owner
+     */
     record MaintainHost(long callId, String host, long wave, long fence)
             implements SchedulerOutput {}
 
-    /** Tells the balancer whether to send new connections. */
+    /**
+     * Tells the load balancer whether to send new connections.
+     *
+     * @param ready whether to send them
+     */
     record ReportReadiness(boolean ready) implements SchedulerOutput {}
 
-    /** Lets the process end. */
+    /** Ends the process. */
     record Terminate() implements SchedulerOutput {}
 
-    /** Writes a line to the log. */
+    /**
+     * Writes a structured log line.
+     *
+     * @param event name of the event
+     * @param line the line's {@code key=value} pairs, separated by spaces
+     */
     record Log(String event, String line) implements SchedulerOutput {}
 
-    /** Counts an event. */
+    /**
+     * Increments a counter.
+     *
+     * @param counter name of the counter
+     */
     record Count(String counter) implements SchedulerOutput {}
 
-    /** Adds a value to a histogram. */
+    /**
+     * Adds a value to a histogram.
+     *
+     * @param histogram name of the histogram
+     * @param value the value
+     */
     record Measure(String histogram, long value) implements SchedulerOutput {}
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/StartResult.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/StartResult.java
@@ -1,26 +1,26 @@
 package org.hibiscususher.core.scheduler.message;
 
-/** What came of an order to start a run. */
+/** The result of an order to start a run. */
 public enum StartResult {
-    /** The run is there. */
+    /** The run is on the executor. */
     STARTED(false),
-    /** The executor has seen a later owner. */
+    /** The executor has seen a higher fence, that of a later owner. */
     FENCED(false),
-    /** The run's number is not above that of an earlier one. */
+    /** The executor knows a run of the task with this or a higher number. */
     OLD(false),
-    /** The order came after the time until which it was valid. */
+    /** The order arrived after its deadline. */
     LATE(false),
-    /** The executor has no room. */
+    /** The executor lacks free capacity. */
     NO_ROOM(false),
-    /** The permission to run the step there is missing or has ended. */
+    /** The placement token is missing or has expired. */
     NO_TICKET(false),
     /** The executor can't serve now; it has done nothing. */
     UNHEALTHY(false),
-    /** Another life of the executor answered. */
+    /** Another incarnation of the executor answered. */
     OTHER_LIFE(false),
     /** The executor does not understand the order. */
     INVALID(false),
-    /** No answer came: the order may have been carried out, or may be later. */
+    /** No usable answer arrived: the order may have been carried out, or may still be. */
     NO_ANSWER(true);
 
     private final boolean mUncertain;
@@ -29,7 +29,10 @@
         mUncertain = uncertain;
     }
 
-    /** Returns whether the run may be there or still come. */
+    /**
+     * Returns whether the run may be on the executor or may still start there, although the order
+     * was not confirmed.
+     */
     public boolean isUncertain() {
         return mUncertain;
     }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/StepProgress.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/StepProgress.java
@@ -5,14 +5,14 @@
 import java.math.BigInteger;
 
 /**
- * The done tasks of a step.
+ * The done tasks of a step, in a job's progress record.
  *
- * @param occurrence number of the occurrence
- * @param step number of the step
- * @param doneTasks a bit for each task that is done
+ * @param occurrence number of the occurrence, from 0
+ * @param step number of the step, from 0
+ * @param doneTasks a bit for each done task, at the task's index
  */
 public record StepProgress(int occurrence, int step, BigInteger doneTasks) {
-    /** Checks the parts. */
+    /** Rejects null components. */
     public StepProgress {
         requireNonNull(doneTasks);
     }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/StopResult.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/StopResult.java
@@ -1,15 +1,15 @@
 package org.hibiscususher.core.scheduler.message;
 
-/** What came of an order to stop a run. */
+/** The result of an order to stop a run. */
 public enum StopResult {
-    /** The run ends, or will never begin. */
+    /** The run is being stopped, or will never start. */
     STOPPED,
-    /** The executor has seen a later owner. */
+    /** The executor has seen a higher fence, that of a later owner. */
     FENCED,
-    /** Another life of the executor answered; the run has ended with its own. */
+    /** Another incarnation of the executor answered; the run ended with its own. */
     OTHER_LIFE,
-    /** The executor refused for another reason. */
+    /** The executor rejected the order for another reason. */
     REFUSED,
-    /** No answer came. */
+    /** No usable answer arrived. */
     NO_ANSWER
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/StoredRecord.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/StoredRecord.java
@@ -13,14 +13,14 @@
     RecordName name();
 
     /**
-     * The entry that owns the scheduling.
+     * The entry that is the owner of the scheduling.
      *
-     * @param node the entry
-     * @param incarnation start of its process, in milliseconds since the epoch
-     * @param address where it takes forwarded requests
+     * @param node name of the entry
+     * @param incarnation start time of its process, in milliseconds since the epoch
+     * @param address IP number and port at which it accepts forwarded requests
      */
     record Owner(String node, long incarnation, String address) implements StoredRecord {
-        /** Checks the parts. */
+        /** Rejects null components. */
         public Owner {
             requireNonNull(node);
             requireNonNull(address);
@@ -33,15 +33,16 @@
     }
 
     /**
-     * The term of the newest owner.
+     * The newest term of the ownership.
      *
-     * @param generation how often the ownership was taken
-     * @param node the owner
-     * @param incarnation start of its process, in milliseconds since the epoch
-     * @param released whether the owner gave the ownership up itself
-     * @param address where the owner took forwarded requests
-     * @param unsettled once released: tasks that may run or have ended without the store holding
-     *     it, by their text, and jobs of which this holds for any task, by their id
+     * @param generation number of the term; each new owner raises it by one
+     * @param node name of the owner's entry
+     * @param incarnation start time of the owner's process, in milliseconds since the epoch
+     * @param released whether the owner has released the ownership, so that it sends no more orders
+     * @param address IP number and port at which the owner accepts forwarded requests
+     * @param unsettled once released, what the next owner can't learn from the store: tasks, by
+     *     their text, that may be running or whose outcome is not stored, and jobs, by id, for
+     *     which that holds for any task. The next owner may start all others at once.
      */
     record Term(
             long generation,
@@ -51,7 +52,7 @@
             String address,
             List<String> unsettled)
             implements StoredRecord {
-        /** Checks the parts. */
+        /** Rejects null components and copies the list. */
         public Term {
             unsettled = List.copyOf(unsettled);
             requireNonNull(address);
@@ -67,15 +68,15 @@
     /**
      * A job as it was accepted.
      *
-     * @param id id
-     * @param policy terms
-     * @param team its team; empty if it came without a key
-     * @param spec what was handed in
-     * @param acceptedMs milliseconds since the epoch
+     * @param id job id
+     * @param policy policy of its queue at that time
+     * @param team name of its team; empty if the caller sent no known API key
+     * @param spec what the caller submitted
+     * @param acceptedMs when it arrived, in milliseconds since the epoch
      */
     record Job(String id, JobPolicy policy, String team, JobSpec spec, long acceptedMs)
             implements StoredRecord {
-        /** Checks the parts. */
+        /** Rejects null components. */
         public Job {
             requireNonNull(id);
             requireNonNull(policy);
@@ -90,16 +91,16 @@
     }
 
     /**
-     * How far a job has come.
+     * The progress of a job.
      *
-     * @param id the job
-     * @param state its state
-     * @param steps done tasks
-     * @param tasks what else is remembered of tasks
+     * @param id job id
+     * @param state state of the job
+     * @param steps done tasks of each activated step
+     * @param tasks state of the tasks that are not done but have failed or saved their state
      */
     record Progress(String id, JobState state, List<StepProgress> steps, List<TaskProgress> tasks)
             implements StoredRecord {
-        /** Copies the lists. */
+        /** Rejects null components and copies the lists. */
         public Progress {
             requireNonNull(id);
             requireNonNull(state);
@@ -114,9 +115,10 @@
     }
 
     /**
-     * The executors that may run tasks.
+     * The executors on which runs may be in progress. An executor is named here before the first
+     * run is started on it, so that a new owner knows where runs may be.
      *
-     * @param executors executors
+     * @param executors the executors
      */
     record Executors(List<UsedExecutor> executors) implements StoredRecord {
         /** Copies the list. */
@@ -131,10 +133,10 @@
     }
 
     /**
-     * The hosts of a wave whose maintenance has begun.
+     * The hosts of a wave whose maintenance has started.
      *
      * @param wave number of the wave
-     * @param startedHosts host ids
+     * @param startedHosts ids of these hosts and of those that the platform can't maintain
      */
     record Wave(long wave, List<String> startedHosts) implements StoredRecord {
         /** Copies the list. */
@@ -149,8 +151,8 @@
     }
 
     /**
-     * The hosts for which the owner may have given orders of late. It names a host before the first
-     * order goes out.
+     * The hosts that the owner may have ordered recently. A host is named here before its first
+     * order is sent, so that a new owner can wait before it orders the host as well.
      *
      * @param hosts host ids
      */
@@ -167,10 +169,10 @@
     }
 
     /**
-     * What operators are told of a wave.
+     * The status of a wave, for operators.
      *
      * @param wave number of the wave
-     * @param done whether every host of it has begun its maintenance
+     * @param done whether all its hosts have been maintained, but for those that can't be
      */
     record WaveStatus(long wave, boolean done) implements StoredRecord {
         @Override
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/UsedExecutor.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/UsedExecutor.java
@@ -3,13 +3,13 @@
 import static java.util.Objects.requireNonNull;
 
 /**
- * An executor that may run tasks.
+ * An executor on which runs may be in progress.
  *
- * @param id id
- * @param pool its pool
+ * @param id executor id
+ * @param pool name of its pool
  */
 public record UsedExecutor(String id, String pool) {
-    /** Checks the parts. */
+    /** Rejects null components. */
     public UsedExecutor {
         requireNonNull(id);
         requireNonNull(pool);
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/package-info.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/package-info.java
@@ -1,2 +1,2 @@
-/** What the scheduler is told, what it wants done, and the records it keeps in the store. */
+/** Inputs and outputs of the scheduler, and the records that it keeps in the store. */
 package org.hibiscususher.core.scheduler.message;
