Describe jobs, their configuration and the reports on runs

Components say what they hold, in which unit and with which special values; the tests are named after the behaviour they check.

--- a/core/src/main/java/org/hibiscususher/core/job/JobConfiguration.java
+++ b/core/src/main/java/org/hibiscususher/core/job/JobConfiguration.java
@@ -8,14 +8,14 @@
 /**
  * The operators' configuration of queues, pools and teams.
  *
- * @param version the operators' number of the configuration; grows
- * @param queues queues
- * @param pools pools
- * @param teams teams
+ * @param version number that operators raise with each change; 0 if there is no configuration
+ * @param queues the queues
+ * @param pools the pools
+ * @param teams the teams
  */
 public record JobConfiguration(
         long version, List<JobQueue> queues, List<JobPool> pools, List<JobTeam> teams) {
-    /** A plan without anything. */
+    /** An empty configuration, in force until one is read. */
     public static final JobConfiguration EMPTY =
             new JobConfiguration(0, List.of(), List.of(), List.of());
 
@@ -26,7 +26,10 @@
         teams = List.copyOf(teams);
     }
 
-    /** Returns the queue with the longest prefix that a request's path begins with, or empty. */
+    /**
+     * Returns the queue of a request: the one with the longest matching path prefix under the host
+     * name, or empty if none matches.
+     */
     public Optional<JobQueue> route(String host, String path) {
         JobQueue best = null;
         for (JobQueue queue : queues) {
@@ -39,7 +42,7 @@
         return Optional.ofNullable(best);
     }
 
-    /** Returns the team that a key belongs to, or empty. */
+    /** Returns the team that an API key belongs to, or empty. */
     public Optional<JobTeam> teamByApiKey(String key) {
         return teams.stream().filter(t -> t.apiKeys().contains(key)).findFirst();
     }
@@ -56,10 +59,10 @@
 
     /** Returns the teams by name. */
     public Map<String, JobTeam> teamsByName() {
-        Map<String, JobTeam> found = new HashMap<>();
+        Map<String, JobTeam> byName = new HashMap<>();
         for (JobTeam team : teams) {
-            found.put(team.name(), team);
+            byName.put(team.name(), team);
         }
-        return found;
+        return byName;
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/job/JobPolicy.java
+++ b/core/src/main/java/org/hibiscususher/core/job/JobPolicy.java
@@ -3,15 +3,17 @@
 import static java.util.Objects.requireNonNull;
 
 /**
- * The terms under which a job was accepted.
+ * The policy of a queue, which each of its jobs keeps as it was on acceptance.
  *
- * @param queue name of its queue
- * @param pool pool whose executors run its tasks
- * @param priority 0 comes first
- * @param maxFailures how many failed runs of a task end the job
- * @param criticalPathFactor factor on the longest chain within which the job should be done
- * @param slackMs milliseconds that come on top
- * @param needsPlacementToken whether only an outside service knows which executors may run a step
+ * @param queue queue name
+ * @param pool pool whose executors run the tasks
+ * @param priority priority of the jobs, 0 being the highest
+ * @param maxFailures number of failed runs of one task at which its job fails
+ * @param criticalPathFactor factor on the duration of a job's critical path, in the time allowed to
+ *     complete it
+ * @param slackMs time allowed in addition, in milliseconds
+ * @param needsPlacementToken whether a step may run only on executors for which an external service
+ *     gives a placement token
  */
 public record JobPolicy(
         String queue,
@@ -21,14 +23,18 @@
         double criticalPathFactor,
         long slackMs,
         boolean needsPlacementToken) {
-    /** Checks the parts. */
+    /** Rejects null components. */
     public JobPolicy {
         requireNonNull(queue);
         requireNonNull(pool);
     }
 
-    /** Returns within how many milliseconds a job of the given longest chain should be done. */
-    public long objectiveFor(long chainMs) {
-        return (long) (criticalPathFactor * chainMs) + slackMs;
+    /**
+     * Returns the time within which a job should complete, in milliseconds.
+     *
+     * @param criticalPathMs estimated duration of the job's critical path, in milliseconds
+     */
+    public long objectiveFor(long criticalPathMs) {
+        return (long) (criticalPathFactor * criticalPathMs) + slackMs;
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/job/JobPool.java
+++ b/core/src/main/java/org/hibiscususher/core/job/JobPool.java
@@ -5,12 +5,12 @@
 /**
  * A pool of executors.
  *
- * @param name name
- * @param enforcesCapacity whether executors themselves reject what doesn't fit
- * @param spare whether the pool's hosts are switched off until they are moved elsewhere
+ * @param name pool name
+ * @param enforcesCapacity whether its executors reject runs that exceed their capacity
+ * @param spare whether its hosts are switched off until they are moved to another pool
  */
 public record JobPool(String name, boolean enforcesCapacity, boolean spare) {
-    /** Checks the parts. */
+    /** Rejects null components. */
     public JobPool {
         requireNonNull(name);
     }
--- a/core/src/main/java/org/hibiscususher/core/job/JobQueue.java
+++ b/core/src/main/java/org/hibiscususher/core/job/JobQueue.java
@@ -3,23 +3,23 @@
 import static java.util.Objects.requireNonNull;
 
 /**
- * A queue that takes jobs.
+ * A queue to which callers submit jobs.
  *
- * @param hostName host name in callers' requests
- * @param pathPrefix beginning of the paths that lead to the queue
- * @param allowsAnonymous whether the queue takes jobs without a key
- * @param policy terms of its jobs
+ * @param hostName host name of requests to the queue
+ * @param pathPrefix prefix of the paths of requests to the queue
+ * @param allowsAnonymous whether the queue accepts jobs without an API key
+ * @param policy policy of its jobs
  */
 public record JobQueue(
         String hostName, String pathPrefix, boolean allowsAnonymous, JobPolicy policy) {
-    /** Checks the parts. */
+    /** Rejects null components. */
     public JobQueue {
         requireNonNull(hostName);
         requireNonNull(pathPrefix);
         requireNonNull(policy);
     }
 
-    /** Returns the queue's name. */
+    /** Returns the name of the queue. */
     public String name() {
         return policy.queue();
     }
--- a/core/src/main/java/org/hibiscususher/core/job/JobRequest.java
+++ b/core/src/main/java/org/hibiscususher/core/job/JobRequest.java
@@ -7,12 +7,13 @@
 /**
  * A caller's request about jobs.
  *
- * @param kind what is wanted
- * @param hostName host name that the request was sent to
- * @param path path: a queue's prefix and a job's id
- * @param apiKey secret that came along; empty for none
- * @param spec the job, for {@link JobRequestKind#SUBMIT}
- * @param hops how many entries have passed the request on
+ * @param kind kind of request
+ * @param hostName host name to which the request was addressed
+ * @param path path of the request: the prefix of a queue, followed by a job id or nothing
+ * @param apiKey API key of the caller's team; empty for none
+ * @param spec the job, for {@link JobRequestKind#SUBMIT}; else empty
+ * @param hops number of entries that have forwarded the request, which is limited so that it can't
+ *     go round in circles
  */
 public record JobRequest(
         JobRequestKind kind,
@@ -21,7 +22,7 @@
         String apiKey,
         Optional<JobSpec> spec,
         int hops) {
-    /** Checks the parts. */
+    /** Rejects null components. */
     public JobRequest {
         requireNonNull(kind);
         requireNonNull(hostName);
@@ -40,7 +41,7 @@
         return new JobRequest(kind, hostName, path, apiKey, spec, 0);
     }
 
-    /** Returns this request, passed on once more. */
+    /** Returns this request as forwarded by another entry. */
     public JobRequest forwarded() {
         return new JobRequest(kind, hostName, path, apiKey, spec, hops + 1);
     }
--- a/core/src/main/java/org/hibiscususher/core/job/JobRequestKind.java
+++ b/core/src/main/java/org/hibiscususher/core/job/JobRequestKind.java
@@ -1,10 +1,10 @@
 package org.hibiscususher.core.job;
 
-/** What a caller wants. */
+/** The kinds of requests about jobs. */
 public enum JobRequestKind {
-    /** Hands a job in. */
+    /** Submits a job. */
     SUBMIT,
-    /** Asks for a job's state or, without an id, for a queue's number of pending jobs. */
+    /** Queries the state of a job or, without a job id, the number of pending jobs of a queue. */
     QUERY,
     /** Cancels a job. */
     CANCEL
--- a/core/src/main/java/org/hibiscususher/core/job/JobResponse.java
+++ b/core/src/main/java/org/hibiscususher/core/job/JobResponse.java
@@ -3,39 +3,45 @@
 import static java.util.Objects.requireNonNull;
 
 /**
- * An answer to a caller.
+ * The response to a request about jobs.
  *
- * @param kind kind
- * @param state the job's state, for {@link JobResponseKind#STATE}
- * @param pending number of pending jobs, for {@link JobResponseKind#PENDING}
- * @param retryAfterMs when to come back, in milliseconds; 0 if not told
- * @param reason why, in a few words; empty if nothing is wrong
+ * @param kind kind of response
+ * @param state state of the job, for {@link JobResponseKind#STATE}; else without meaning
+ * @param pending number of pending jobs, for {@link JobResponseKind#PENDING}; else 0
+ * @param retryAfterMs when the caller may retry, in milliseconds from now; 0 for no hint
+ * @param reason why the request was refused, in a few words; empty if it was not
  */
 public record JobResponse(
         JobResponseKind kind, JobState state, long pending, long retryAfterMs, String reason) {
-    /** Checks the parts. */
+    /** Rejects null components. */
     public JobResponse {
         requireNonNull(kind);
         requireNonNull(state);
         requireNonNull(reason);
     }
 
-    /** Returns an answer that needs no more words. */
+    /** Returns a response that consists of its kind. */
     public static JobResponse of(JobResponseKind kind) {
         return new JobResponse(kind, JobState.QUEUED, 0, 0, "");
     }
 
-    /** Returns an answer with a job's state. */
+    /** Returns a response with the state of a job. */
     public static JobResponse ofState(JobState state) {
         return new JobResponse(JobResponseKind.STATE, state, 0, 0, "");
     }
 
-    /** Returns an answer with a number of pending jobs. */
+    /** Returns a response with a number of pending jobs. */
     public static JobResponse ofPending(long pending) {
         return new JobResponse(JobResponseKind.PENDING, JobState.QUEUED, pending, 0, "");
     }
 
-    /** Returns a refusal. */
+    /**
+     * Returns a refusal.
+     *
+     * @param kind kind of response
+     * @param retryAfterMs when the caller may retry, in milliseconds from now; 0 for no hint
+     * @param reason why the request is refused, in a few words
+     */
     public static JobResponse refusal(JobResponseKind kind, long retryAfterMs, String reason) {
         return new JobResponse(kind, JobState.QUEUED, 0, retryAfterMs, reason);
     }
--- a/core/src/main/java/org/hibiscususher/core/job/JobResponseKind.java
+++ b/core/src/main/java/org/hibiscususher/core/job/JobResponseKind.java
@@ -1,27 +1,30 @@
 package org.hibiscususher.core.job;
 
-/** The answers to a caller's request. */
+/** The kinds of responses to a request about jobs. */
 public enum JobResponseKind {
-    /** The job is stored and will be run. */
+    /** The job is stored and will run. */
     ACCEPTED,
-    /** The job's state. */
+    /** The state of the job. */
     STATE,
-    /** A queue's number of pending jobs. */
+    /** The number of pending jobs of the queue. */
     PENDING,
-    /** The job is cancelled. */
+    /** The job is cancelled, or had ended before. */
     CANCELLED,
-    /** There is no such queue. */
+    /** No queue has this host name and path. */
     NO_QUEUE,
-    /** There is no such job. */
+    /** The queue has no such job. */
     NO_JOB,
-    /** The key is not known. */
+    /** The API key is missing or unknown, and the queue requires one. */
     NO_KEY,
-    /** The request can't be understood or the job can never run. */
+    /** The request is malformed, or the job can never run. */
     INVALID,
-    /** The job was not taken because of too much work; it has not run. */
+    /** The request was rejected because of the load; a submitted job has not run. */
     OVERLOADED,
-    /** The job was not taken because a part of the system is away; it has not run. */
+    /**
+     * The request was rejected because a part of the system is unavailable; a submitted job has not
+     * run.
+     */
     UNAVAILABLE,
-    /** It is not known whether the request took effect. */
+    /** It is unknown whether the request took effect. */
     UNKNOWN
 }
--- a/core/src/main/java/org/hibiscususher/core/job/JobSpec.java
+++ b/core/src/main/java/org/hibiscususher/core/job/JobSpec.java
@@ -5,38 +5,38 @@
 import java.util.List;
 
 /**
- * What a caller hands in as one job.
+ * A job as submitted by a caller.
  *
- * @param payload what executors are told to run, as the caller wrote it
+ * @param payload what executors are to run, as the caller wrote it
  * @param steps the steps
- * @param repeats how many times the steps run; 0 if once and at once
- * @param startMs when the first occurrence is due, in milliseconds since the epoch
- * @param intervalMs milliseconds between two occurrences
+ * @param repeats number of occurrences of a scheduled job; 0 if the steps run once, at once
+ * @param startMs time of the first occurrence, in milliseconds since the epoch
+ * @param intervalMs time between two occurrences, in milliseconds
  */
 public record JobSpec(
         String payload, List<StepSpec> steps, int repeats, long startMs, long intervalMs) {
-    /** Copies the steps. */
+    /** Rejects null components and copies the list. */
     public JobSpec {
         requireNonNull(payload);
         steps = List.copyOf(steps);
     }
 
-    /** Returns a job that runs once and at once. */
+    /** Returns a job whose steps run once, at once. */
     public static JobSpec once(String payload, List<StepSpec> steps) {
         return new JobSpec(payload, steps, 0, 0, 0);
     }
 
-    /** Returns how many times the steps run. */
+    /** Returns the number of occurrences of the steps. */
     public int occurrences() {
         return Math.max(1, repeats);
     }
 
-    /** Returns whether the steps run at set times. */
+    /** Returns whether the occurrences start at set times. */
     public boolean isScheduled() {
         return repeats > 0;
     }
 
-    /** Returns when an occurrence is due, in milliseconds since the epoch; 0 if at once. */
+    /** Returns when an occurrence starts, in milliseconds since the epoch; 0 if at once. */
     public long scheduledMs(int occurrence) {
         return isScheduled() ? startMs + occurrence * intervalMs : 0;
     }
@@ -46,44 +46,48 @@
         return steps.stream().anyMatch(StepSpec::service);
     }
 
-    /** Returns the work of one occurrence in core-milliseconds, by the estimates. */
+    /** Returns the estimated work of one occurrence, in core-milliseconds. */
     public long workCoreMs() {
         return steps.stream().mapToLong(StepSpec::workCoreMs).sum();
     }
 
-    /** Returns the length of the longest chain of steps in milliseconds, by the estimates. */
+    /** Returns the estimated duration of the longest chain of dependent steps, in milliseconds. */
     public long criticalPathMs() {
-        long[] ends = new long[steps.size()];
-        long longest = 0;
-        for (int i = 0; i < ends.length; i++) {
+        long[] finishMs = new long[steps.size()];
+        long longestMs = 0;
+        for (int i = 0; i < finishMs.length; i++) {
             StepSpec step = steps.get(i);
-            long start = 0;
-            for (int before : step.dependsOn()) {
-                start = Math.max(start, ends[before]);
+            long startMs = 0;
+            for (int dependency : step.dependsOn()) {
+                startMs = Math.max(startMs, finishMs[dependency]);
             }
-            ends[i] = start + step.estimateMs();
-            longest = Math.max(longest, ends[i]);
+            finishMs[i] = startMs + step.estimateMs();
+            longestMs = Math.max(longestMs, finishMs[i]);
         }
-        return longest;
+        return longestMs;
     }
 
     /**
-     * Returns what is wrong with the job, or an empty string.
+     * Returns what is wrong with the job, or an empty string if it is valid.
      *
-     * <p>A step may only wait for steps before it.
+     * <p>A step may depend on earlier steps only, which rules out cycles.
      */
     public String validationError() {
         if (steps.isEmpty()) {
-            return "a job needs a step";
+            return "a job must have a step";
         }
         for (int i = 0; i < steps.size(); i++) {
             StepSpec step = steps.get(i);
             if (step.count() < 1) {
                 return "step " + i + " has no tasks";
             }
-            for (int before : step.dependsOn()) {
-                if (before < 0 || before >= i) {
-                    return "step " + i + " waits for step " + before;
+            for (int dependency : step.dependsOn()) {
+                if (dependency < 0 || dependency >= i) {
+                    return "step "
+                            + i
+                            + " depends on step "
+                            + dependency
+                            + ", which does not precede it";
                 }
             }
         }
--- a/core/src/main/java/org/hibiscususher/core/job/JobState.java
+++ b/core/src/main/java/org/hibiscususher/core/job/JobState.java
@@ -1,6 +1,6 @@
 package org.hibiscususher.core.job;
 
-/** What callers are told of a job. */
+/** The state of a job, as reported to callers. */
 public enum JobState {
     /** No task has started. */
     QUEUED,
@@ -8,12 +8,12 @@
     RUNNING,
     /** All tasks are done. */
     DONE,
-    /** A task failed as often as its queue allows. */
+    /** A task failed as often as the policy allows. */
     FAILED,
     /** The caller cancelled the job. */
     CANCELLED;
 
-    /** Returns whether the job takes no more runs. */
+    /** Returns whether the job has ended, so that it gets no more runs. */
     public boolean isFinal() {
         return this != QUEUED && this != RUNNING;
     }
--- a/core/src/main/java/org/hibiscususher/core/job/JobTeam.java
+++ b/core/src/main/java/org/hibiscususher/core/job/JobTeam.java
@@ -5,18 +5,18 @@
 import java.util.Set;
 
 /**
- * A team that hands in jobs.
+ * A team that submits jobs.
  *
- * @param name name
- * @param weight share when all is full
- * @param limit most that may run at a time; parts of 0 are not limited
- * @param apiKeys secrets that callers show
+ * @param name team name
+ * @param weight share of the resources when demand exceeds them, relative to other teams
+ * @param limit most resources that its runs may use at a time; 0 for no limit on a kind of resource
+ * @param apiKeys secrets by which its callers identify themselves; not shown in the text form
  */
 public record JobTeam(String name, long weight, Resources limit, Set<String> apiKeys) {
-    /** The name under which jobs of open queues run that came without a key. */
+    /** The team name of jobs that were submitted without an API key. */
     public static final String ANONYMOUS = "";
 
-    /** Copies the keys. */
+    /** Rejects null components and copies the set. */
     public JobTeam {
         requireNonNull(name);
         requireNonNull(limit);
--- a/core/src/main/java/org/hibiscususher/core/job/ReportedRun.java
+++ b/core/src/main/java/org/hibiscususher/core/job/ReportedRun.java
@@ -3,17 +3,19 @@
 import static java.util.Objects.requireNonNull;
 
 /**
- * A run that an executor lists as running.
+ * A run that an executor reports as being in progress.
  *
  * @param task the task
  * @param run number of the run
  * @param checkpoint last saved state; empty for none
- * @param progressPercent part of its full speed at which the run works
- * @param load tail latency in milliseconds for a task that serves, else thousandths of a core in
- *     use; -1 if not told
+ * @param progressPercent part of the work done; below 100 for a service task that does not serve
+ *     yet
+ * @param load tail latency in milliseconds for a task that serves requests, else processor use in
+ *     thousandths of a core; -1 if not reported
  */
-public record ReportedRun(TaskKey task, int run, String checkpoint, int progressPercent, long load) {
-    /** Checks the parts. */
+public record ReportedRun(
+        TaskKey task, int run, String checkpoint, int progressPercent, long load) {
+    /** Rejects null components. */
     public ReportedRun {
         requireNonNull(task);
         requireNonNull(checkpoint);
--- a/core/src/main/java/org/hibiscususher/core/job/Resources.java
+++ b/core/src/main/java/org/hibiscususher/core/job/Resources.java
@@ -1,14 +1,14 @@
 package org.hibiscususher.core.job;
 
 /**
- * An amount of processor, memory and accelerators.
+ * An amount of processor time, memory and accelerators.
  *
  * @param cpuMillis thousandths of a core
- * @param memoryMb megabytes
- * @param gpus accelerators
+ * @param memoryMb megabytes of memory
+ * @param gpus number of accelerators
  */
 public record Resources(long cpuMillis, long memoryMb, long gpus) {
-    /** Nothing. */
+    /** The empty amount. */
     public static final Resources NONE = new Resources(0, 0, 0);
 
     /** Returns an amount. */
@@ -28,7 +28,7 @@
                 cpuMillis - other.cpuMillis, memoryMb - other.memoryMb, gpus - other.gpus);
     }
 
-    /** Returns this amount several times. */
+    /** Returns this amount multiplied by a number. */
     public Resources times(long n) {
         return new Resources(cpuMillis * n, memoryMb * n, gpus * n);
     }
@@ -38,12 +38,17 @@
         return new Resources(0, memoryMb, gpus);
     }
 
-    /** Returns whether no part of this amount exceeds that of the other one. */
-    public boolean fitsIn(Resources room) {
-        return cpuMillis <= room.cpuMillis && memoryMb <= room.memoryMb && gpus <= room.gpus;
+    /** Returns whether no part of this amount exceeds that of the given capacity. */
+    public boolean fitsIn(Resources capacity) {
+        return cpuMillis <= capacity.cpuMillis
+                && memoryMb <= capacity.memoryMb
+                && gpus <= capacity.gpus;
     }
 
-    /** Returns whether this amount stays within a limit whose parts count only if above 0. */
+    /**
+     * Returns whether no part of this amount exceeds that of a limit, whose parts of 0 or less mean
+     * no limit.
+     */
     public boolean staysWithin(Resources limit) {
         return within(cpuMillis, limit.cpuMillis)
                 && within(memoryMb, limit.memoryMb)
--- a/core/src/main/java/org/hibiscususher/core/job/RunOutcome.java
+++ b/core/src/main/java/org/hibiscususher/core/job/RunOutcome.java
@@ -1,21 +1,24 @@
 package org.hibiscususher.core.job;
 
-/** How a run ended. */
+/** How a run finished. */
 public enum RunOutcome {
-    /** The task is done. */
+    /** It completed its task. */
     DONE,
-    /** The run failed, by its own fault or the executor's. */
+    /** It failed, because of the task or the executor. */
     FAILED,
-    /** The run was stopped by an order. */
+    /** It was stopped by an order. */
     STOPPED,
-    /** The executor's lease ended. */
+    /** The executor ended it because its lease expired. */
     LAPSED,
-    /** Another member of the gang ended. */
+    /** It ended because another member of its gang ended. */
     BROKEN,
-    /** Other members of the gang did not come in time. */
+    /** It ended because other members of its gang did not arrive in time. */
     ALONE;
 
-    /** Returns whether the end counts as one of the task's attempts. */
+    /**
+     * Returns whether the run counts towards the failures that its job may have, see {@link
+     * JobPolicy#maxFailures()}.
+     */
     public boolean countsAsAttempt() {
         return this == FAILED;
     }
--- a/core/src/main/java/org/hibiscususher/core/job/StepSpec.java
+++ b/core/src/main/java/org/hibiscususher/core/job/StepSpec.java
@@ -5,24 +5,26 @@
 import java.util.List;
 
 /**
- * A step of a job: a number of equal tasks.
+ * A step of a job: a number of tasks that are alike.
  *
  * @param count number of tasks
- * @param demand what each task takes
- * @param estimateMs rough time that a task takes, in milliseconds; 0 if unknown
- * @param dependsOn numbers of the steps that have to be done first
- * @param savesCheckpoints whether tasks save their progress
- * @param gang whether tasks work only together
- * @param sameRack whether tasks are slower on more than one rack
+ * @param demand resources of a task
+ * @param estimateMs rough duration of a task, in milliseconds; 0 if unknown
+ * @param dependsOn numbers of the steps that must be done first
+ * @param savesCheckpoints whether tasks save their state, from which another run can continue
+ * @param gang whether the tasks can only run all at the same time
+ * @param sameRack whether tasks are slower when they are spread over several racks
  * @param requiredLabel label that an executor must have; empty for none
- * @param dataRack rack on which tasks are faster; empty for none
- * @param maxPerExecutor most tasks of the step on one executor; 0 for no limit
+ * @param dataRack label of the rack on which tasks are faster; empty for none
+ * @param maxPerExecutor how many tasks of the step one executor may run; 0 for no limit
  * @param speculative whether copies of a task may run in parallel
  * @param service whether tasks run until the job is cancelled
- * @param image what the tasks run; tasks of one image behave alike
- * @param latencyGoalMs limit of the tail latency of tasks that serve, in milliseconds; 0 for none
- * @param bestEffortCpu whether tasks take only processor time that others leave
- * @param maxUnavailable most tasks away at a time because of us; 0 if not limited
+ * @param image software that the tasks run; tasks of the same image behave alike
+ * @param latencyGoalMs upper limit of the tail latency of tasks that serve requests, in
+ *     milliseconds; 0 for none
+ * @param bestEffortCpu whether tasks use only processor time that others leave, and reserve none
+ * @param maxUnavailable how many tasks may be unavailable at a time because the scheduler stops
+ *     them; 0 for no limit
  */
 public record StepSpec(
         int count,
@@ -41,7 +43,7 @@
         long latencyGoalMs,
         boolean bestEffortCpu,
         int maxUnavailable) {
-    /** Checks and copies the parts. */
+    /** Rejects null components and copies the list. */
     public StepSpec {
         requireNonNull(demand);
         requireNonNull(requiredLabel);
@@ -50,7 +52,7 @@
         dependsOn = List.copyOf(dependsOn);
     }
 
-    /** Returns a step of ordinary tasks that may run anywhere. */
+    /** Returns a step of ordinary tasks that may run on any executor. */
     public static StepSpec of(
             int count, Resources demand, long estimateMs, List<Integer> dependsOn) {
         return new StepSpec(
@@ -72,12 +74,15 @@
                 0);
     }
 
-    /** Returns what a task takes of an executor's capacity. */
+    /** Returns the resources that a task reserves on an executor. */
     public Resources reserved() {
         return bestEffortCpu ? demand.withoutCpu() : demand;
     }
 
-    /** Returns the work of the whole step in core-milliseconds, by its estimate. */
+    /**
+     * Returns the estimated work of the whole step, in core-milliseconds; 0 for a service step,
+     * which has no end.
+     */
     public long workCoreMs() {
         return service ? 0 : count * Math.max(1, demand.cpuMillis()) * estimateMs / 1_000;
     }
--- a/core/src/main/java/org/hibiscususher/core/job/TaskKey.java
+++ b/core/src/main/java/org/hibiscususher/core/job/TaskKey.java
@@ -3,13 +3,13 @@
 import static java.util.Objects.requireNonNull;
 
 /**
- * Names a task.
+ * Identifies a task.
  *
- * @param stepKey the step that the task belongs to
- * @param index number of the task in its step, from 0
+ * @param stepKey key of its step
+ * @param index index of the task in its step, from 0
  */
 public record TaskKey(StepKey stepKey, int index) {
-    /** Checks the parts. */
+    /** Rejects null components. */
     public TaskKey {
         requireNonNull(stepKey);
     }
@@ -19,7 +19,10 @@
         return stepKey.jobId();
     }
 
-    /** Returns the key in the form job.occurrence.step.index, as logs show it. */
+    /**
+     * Returns the key in the form {@code job.occurrence.step.index}, which logs, executors and
+     * stored records use.
+     */
     public String text() {
         return stepKey.jobId() + '.' + stepKey.occurrence() + '.' + stepKey.step() + '.' + index;
     }
--- a/core/src/main/java/org/hibiscususher/core/job/package-info.java
+++ b/core/src/main/java/org/hibiscususher/core/job/package-info.java
@@ -1,2 +1,2 @@
-/** Values that describe jobs, their steps, tasks and runs, and the plan that they are under. */
+/** Jobs with their steps, tasks and runs, requests about them, and their configuration. */
 package org.hibiscususher.core.job;
--- a/core/src/test/java/org/hibiscususher/core/job/JobConfigurationTest.java
+++ b/core/src/test/java/org/hibiscususher/core/job/JobConfigurationTest.java
@@ -8,7 +8,7 @@
 import org.junit.jupiter.api.Test;
 
 class JobConfigurationTest {
-    private static final JobConfiguration PLAN =
+    private static final JobConfiguration CONFIGURATION =
             new JobConfiguration(
                     3,
                     List.of(queue("short", "/a/"), queue("long", "/a/b/")),
@@ -22,36 +22,36 @@
     @Nested
     class Route {
         @Test
-        void takesTheLongestPrefix() {
-            assertThat(PLAN.route("h", "/a/b/0123").map(JobQueue::name)).contains("long");
-            assertThat(PLAN.route("h", "/a/0123").map(JobQueue::name)).contains("short");
+        void choosesTheLongestMatchingPrefix() {
+            assertThat(CONFIGURATION.route("h", "/a/b/0123").map(JobQueue::name)).contains("long");
+            assertThat(CONFIGURATION.route("h", "/a/0123").map(JobQueue::name)).contains("short");
         }
 
         @Test
-        void findsNothingOnAnotherHost() {
-            assertThat(PLAN.route("other", "/a/0123")).isEmpty();
+        void isEmptyForAnotherHostName() {
+            assertThat(CONFIGURATION.route("other", "/a/0123")).isEmpty();
         }
     }
 
     @Nested
-    class Keys {
+    class ApiKeys {
         @Test
-        void nameTheirTeam() {
-            assertThat(PLAN.teamByApiKey("k2").map(JobTeam::name)).contains("team");
-            assertThat(PLAN.teamByApiKey("unknown")).isEmpty();
+        void identifyTheirTeam() {
+            assertThat(CONFIGURATION.teamByApiKey("k2").map(JobTeam::name)).contains("team");
+            assertThat(CONFIGURATION.teamByApiKey("unknown")).isEmpty();
         }
 
         @Test
-        void doNotShowInTheText() {
-            assertThat(PLAN.teams().toString()).doesNotContain("k1");
+        void areAbsentFromTheTextForm() {
+            assertThat(CONFIGURATION.teams().toString()).doesNotContain("k1");
         }
     }
 
     @Nested
     class Objective {
         @Test
-        void isTheExtendedChainAndTheSlack() {
-            assertThat(PLAN.queues().get(0).policy().objectiveFor(1_000)).isEqualTo(2_100);
+        void isTheScaledCriticalPathPlusTheSlack() {
+            assertThat(CONFIGURATION.queues().get(0).policy().objectiveFor(1_000)).isEqualTo(2_100);
         }
     }
 }
--- a/core/src/test/java/org/hibiscususher/core/job/JobSpecTest.java
+++ b/core/src/test/java/org/hibiscususher/core/job/JobSpecTest.java
@@ -9,14 +9,14 @@
 class JobSpecTest {
     private static final Resources CORE = Resources.of(1_000, 100, 0);
 
-    private static StepSpec step(int count, long estimateMs, Integer... after) {
-        return StepSpec.of(count, CORE, estimateMs, List.of(after));
+    private static StepSpec step(int count, long estimateMs, Integer... dependsOn) {
+        return StepSpec.of(count, CORE, estimateMs, List.of(dependsOn));
     }
 
     @Nested
-    class ChainMs {
+    class CriticalPathMs {
         @Test
-        void isTheLongestPathThroughTheSteps() {
+        void isTheLongestChainOfDependentSteps() {
             JobSpec spec =
                     JobSpec.once("x", List.of(step(2, 100), step(9, 500), step(1, 50, 0, 1)));
             assertThat(spec.criticalPathMs()).isEqualTo(550);
@@ -24,35 +24,35 @@
     }
 
     @Nested
-    class WorkMs {
+    class WorkCoreMs {
         @Test
-        void countsCoresTimesTime() {
+        void isCoresTimesDuration() {
             assertThat(JobSpec.once("x", List.of(step(4, 250))).workCoreMs()).isEqualTo(1_000);
         }
     }
 
     @Nested
-    class Problem {
+    class ValidationError {
         @Test
-        void isNoneForStepsThatWaitForEarlierOnes() {
+        void isEmptyForDependenciesOnEarlierSteps() {
             assertThat(JobSpec.once("x", List.of(step(1, 1), step(1, 1, 0))).validationError())
                     .isEmpty();
         }
 
         @Test
-        void isAStepThatWaitsForItselfOrALaterOne() {
+        void reportsAStepThatDependsOnItself() {
             assertThat(JobSpec.once("x", List.of(step(1, 1, 0))).validationError())
                     .contains("step 0");
         }
 
         @Test
-        void isAStepWithoutTasks() {
+        void reportsAStepWithoutTasks() {
             assertThat(JobSpec.once("x", List.of(step(0, 1))).validationError())
                     .contains("no tasks");
         }
 
         @Test
-        void isAJobWithoutSteps() {
+        void reportsAJobWithoutSteps() {
             assertThat(JobSpec.once("x", List.of()).validationError()).isNotEmpty();
         }
     }
