--- a/core/src/main/java/org/hibiscususher/core/job/JobConfiguration.java
+++ b/core/src/main/java/org/hibiscususher/core/job/JobConfiguration.java
@@ -9,9 +9,9 @@
  * The operators' configuration of queues, pools and teams.
  *
  * @param version number that operators raise with each change; 0 if there is no configuration
- * @param queues the queues
- * @param pools the pools
- * @param teams the teams
+ * @param queues queues to which callers submit jobs
+ * @param pools pools of executors that run their tasks
+ * @param teams customers, with their API keys and limits
  */
 public record JobConfiguration(
         long version, List<JobQueue> queues, List<JobPool> pools, List<JobTeam> teams) {
--- a/core/src/main/java/org/hibiscususher/core/job/JobSpec.java
+++ b/core/src/main/java/org/hibiscususher/core/job/JobSpec.java
@@ -8,7 +8,7 @@
  * A job as submitted by a caller.
  *
  * @param payload what executors are to run, as the caller wrote it
- * @param steps the steps
+ * @param steps steps of each occurrence, which refer to each other by their position, from 0
  * @param repeats number of occurrences of a scheduled job; 0 if the steps run once, at once
  * @param startMs time of the first occurrence, in milliseconds since the epoch
  * @param intervalMs time between two occurrences, in milliseconds
--- a/core/src/main/java/org/hibiscususher/core/job/ReportedRun.java
+++ b/core/src/main/java/org/hibiscususher/core/job/ReportedRun.java
@@ -5,7 +5,7 @@
 /**
  * A run that an executor reports as being in progress.
  *
- * @param task the task
+ * @param task task that the run executes
  * @param run number of the run
  * @param checkpoint last saved state; empty for none
  * @param progressPercent part of the work done; below 100 for a service task that does not serve
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/HostReport.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/HostReport.java
@@ -10,7 +10,7 @@
  *
  * @param id host id
  * @param pool name of its pool
- * @param state state
+ * @param state whether the host is in service
  * @param zone availability zone
  * @param labels labels of the host
  * @param capacity resources that an executor on it can offer
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/RecordWrite.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/RecordWrite.java
@@ -5,7 +5,7 @@
 /**
  * A record that a commit writes.
  *
- * @param record the record
+ * @param record new content; it replaces the record of the same name
  * @param leaseId store lease on whose expiry the record is removed; 0 for none
  */
 public record RecordWrite(StoredRecord record, long leaseId) {
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/SchedulerInput.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/SchedulerInput.java
@@ -22,7 +22,7 @@
      * A request arrived from a caller or from another entry; it gets exactly one response.
      *
      * @param callId id that the response must name
-     * @param request the request
+     * @param request request; it carries the number of entries that have forwarded it
      */
     record RequestReceived(long callId, JobRequest request) implements SchedulerInput {}
 
@@ -63,7 +63,8 @@
     /**
      * The operators' configuration was read.
      *
-     * @param configuration the configuration
+     * @param configuration configuration as read; an older version than the one in force has no
+     *     effect
      * @param revision store revision of its record
      */
     record ConfigurationUpdated(JobConfiguration configuration, long revision)
@@ -72,7 +73,7 @@
     /**
      * The operators' order for a maintenance wave was read.
      *
-     * @param order the order
+     * @param order hosts and limits of the wave
      */
     record WaveOrdered(WaveOrder order) implements SchedulerInput {}
 
@@ -157,7 +158,7 @@
      * All records of the scheduler were read.
      *
      * @param callId id of the call
-     * @param records the records
+     * @param records records read, including those that can't be decoded
      */
     record RecordsLoaded(long callId, List<LoadedRecord> records) implements SchedulerInput {
         /** Copies the list. */
@@ -176,7 +177,7 @@
     /**
      * All executors' reports in the store were read.
      *
-     * @param reports the reports
+     * @param reports reports of all executors; an executor without one is missing
      */
     record ExecutorsListed(List<ExecutorReport> reports) implements SchedulerInput {
         /** Copies the list. */
@@ -188,7 +189,7 @@
     /**
      * An executor's report was added to the store or changed there.
      *
-     * @param report the report
+     * @param report new content of the report
      */
     record ExecutorUpdated(ExecutorReport report) implements SchedulerInput {}
 
@@ -238,9 +239,9 @@
      * The call that carried a start order completed, with or without an answer.
      *
      * @param callId id of the call
-     * @param task the task
+     * @param task task that the run executes
      * @param run number of the run
-     * @param result the result
+     * @param result result of the call, which may be that no answer arrived
      */
     record StartCallCompleted(long callId, TaskKey task, int run, StartResult result)
             implements SchedulerInput {}
@@ -249,9 +250,9 @@
      * The call that carried a stop order completed, with or without an answer.
      *
      * @param callId id of the call
-     * @param task the task
+     * @param task task that the run executes
      * @param run number of the run
-     * @param result the result
+     * @param result result of the call, which may be that no answer arrived
      */
     record StopCallCompleted(long callId, TaskKey task, int run, StopResult result)
             implements SchedulerInput {}
@@ -260,7 +261,7 @@
      * The external service answered which of the requested executors may run a step.
      *
      * @param callId id of the call
-     * @param step the step
+     * @param step step that the request was about
      * @param tokens placement token by executor id, for the executors that may run the step
      * @param validMs how long the tokens are valid, in milliseconds; to be safe, counted from when
      *     the call was sent
@@ -277,7 +278,7 @@
      * The external service gave no advice on a step.
      *
      * @param callId id of the call
-     * @param step the step
+     * @param step step that the request was about
      */
     record AdviceFailed(long callId, StepKey step) implements SchedulerInput {}
 
@@ -306,7 +307,7 @@
      *
      * @param callId id of the call
      * @param host host id
-     * @param result the result
+     * @param result result of the call, which may be that no answer arrived
      */
     record HostOrderCompleted(long callId, String host, HostOrderResult result)
             implements SchedulerInput {}
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/SchedulerOutput.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/SchedulerOutput.java
@@ -15,7 +15,7 @@
      * Responds to a request.
      *
      * @param callId id of the request
-     * @param response the response
+     * @param response response to return to the caller or the forwarding entry
      */
     record Respond(long callId, JobResponse response) implements SchedulerOutput {}
 
@@ -24,7 +24,7 @@
      *
      * @param callId id of the request, for the response
      * @param address IP number and port of the entry
-     * @param request the request
+     * @param request request, with its hop already counted
      */
     record Forward(long callId, String address, JobRequest request) implements SchedulerOutput {}
 
@@ -128,7 +128,7 @@
      * @param executor executor id; a later incarnation with another id rejects the order
      * @param address IP number and port of the executor
      * @param fence fence of this owner
-     * @param task the task
+     * @param task task that the run executes
      * @param run number of the run
      * @param payload what to run, as the caller wrote it
      * @param checkpoint saved state from which to continue; empty for none
@@ -156,7 +156,7 @@
      * @param executor executor id; a later incarnation with another id rejects the order
      * @param address IP number and port of the executor
      * @param fence fence of this owner
-     * @param task the task
+     * @param task task that the run executes
      * @param run number of the run
      */
     record StopRun(long callId, String executor, String address, long fence, TaskKey task, int run)
@@ -169,7 +169,7 @@
      * @param executor executor id; a later incarnation with another id rejects the order
      * @param address IP number and port of the executor
      * @param fence fence of this owner
-     * @param task the task
+     * @param task task that the run executes
      * @param run number of the run
      * @param speedPercent part of its full speed at which the run may work
      */
@@ -181,7 +181,7 @@
      * Asks the external service which executors may run a step.
      *
      * @param callId id of the call
-     * @param step the step
+     * @param step step to be placed
      * @param executors ids of the executors in question
      */
     record RequestAdvice(long callId, StepKey step, List<String> executors)
@@ -249,7 +249,7 @@
      * Adds a value to a histogram.
      *
      * @param histogram name of the histogram
-     * @param value the value
+     * @param value value to add, in the unit of the histogram
      */
     record Measure(String histogram, long value) implements SchedulerOutput {}
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/StoredRecord.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/StoredRecord.java
@@ -118,7 +118,7 @@
      * The executors on which runs may be in progress. An executor is named here before the first
      * run is started on it, so that a new owner knows where runs may be.
      *
-     * @param executors the executors
+     * @param executors executors of all pools
      */
     record Executors(List<UsedExecutor> executors) implements StoredRecord {
         /** Copies the list. */
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/AdviceRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/AdviceRow.java
@@ -11,7 +11,7 @@
  *
  * <p>Only steps of queues whose policy requires placement tokens have such a row.
  *
- * @param step the step
+ * @param step step that the executors may run
  * @param tokens placement tokens by executor id, for the executors that the service allows
  * @param requested ids of all executors that the service was asked about; those without a token are
  *     not allowed
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/CommitRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/CommitRow.java
@@ -11,7 +11,7 @@
 /**
  * The commit in flight; there is at most one.
  *
- * @param purpose the purpose
+ * @param purpose whether it also ends this process's term
  * @param callId id of the last attempt's store call
  * @param guards revisions that the records must have for the commit to take effect
  * @param writes records to write
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/HostOperationRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/HostOperationRow.java
@@ -8,7 +8,7 @@
  * @param host host id
  * @param wave number of the maintenance wave; 0 for a move
  * @param destinationPool pool to which the host moves; empty for maintenance
- * @param step current step
+ * @param step how far the operation has come
  * @param callId id of the order in flight; 0 for none
  * @param retryAtMs earliest time of the next order, in milliseconds of the steady clock
  * @param stepSinceMs when the current step began, in milliseconds of the steady clock
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/JobRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/JobRow.java
@@ -15,7 +15,7 @@
  * @param spec what the caller submitted
  * @param acceptedWallMs when it arrived, in milliseconds since the epoch
  * @param arrivedMs when it arrived, in milliseconds of the steady clock
- * @param state current state
+ * @param state state that this owner has determined; callers see a final one only once it is stored
  * @param stored whether the store holds the job
  * @param storedState state that the store holds
  * @param version version of the job's progress, raised by each change that must be stored
@@ -57,7 +57,7 @@
     /**
      * Returns this job in another state.
      *
-     * @param newState the state
+     * @param newState state to change to
      * @param newEndedMs when it reached a final state, in milliseconds of the steady clock; 0 if
      *     the state is not final
      */
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/PendingRequestRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/PendingRequestRow.java
@@ -8,7 +8,7 @@
  * A caller's request that has not been answered yet.
  *
  * @param callId id that the response names
- * @param request the request
+ * @param request request as it arrived
  * @param job id of the job whose record must be stored before the response is sent; empty while the
  *     request waits for an owner
  * @param stage what the request waits for
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/RunRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/RunRow.java
@@ -15,7 +15,7 @@
  * @param team name of the team whose limit it counts against
  * @param demand resources that count against the team's limit
  * @param reserved resources that it reserves on the executor
- * @param stage stage
+ * @param stage whether it is being started, running or being stopped
  * @param reason why it is being stopped; {@link StopReason#NONE} if it is not
  * @param callId id of the order in flight; 0 for none
  * @param sentMs when the last order was sent
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/StartKey.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/StartKey.java
@@ -7,7 +7,7 @@
 /**
  * Identifies an order to start a run.
  *
- * @param task the task
+ * @param task task that the run executes
  * @param run number of the run
  */
 public record StartKey(TaskKey task, int run) {
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/TaskGroup.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/TaskGroup.java
@@ -6,7 +6,7 @@
  * The key of the tasks of one pool that are in one state.
  *
  * @param pool pool name
- * @param state the state
+ * @param state whether runs of the tasks are in progress
  */
 public record TaskGroup(String pool, TaskState state) {
     /** Rejects null components. */
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/TermRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/TermRow.java
@@ -10,7 +10,7 @@
  * that it has been replaced; its orders carry a lower fence, which executors and hosts reject once
  * they have seen a higher one.
  *
- * @param stage stage
+ * @param stage how far it is in taking, holding or releasing the ownership
  * @param generation number of its term; 0 if it has none
  * @param fence fence of its orders: the store revision at which it became the owner
  * @param leaseId store lease that its ownership depends on
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/UncertainStartRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/UncertainStartRow.java
@@ -9,7 +9,7 @@
  * knows nothing of a stop order to the previous one. Each incarnation that starts in that time is
  * therefore sent a stop order.
  *
- * @param key the order
+ * @param key task and number of the run that the order was for
  * @param executor executor id
  * @param detectedMs when the answer was found to be missing, in milliseconds of the steady clock
  * @param cancelPending whether the executor's current incarnation must still be sent a stop order
