Reword the ownership code in terms of leases, fences and commits

The comments told the rule but not the hazard it guards against, and private names were bare verbs. They now name the hazard and the effect. No behaviour changes.

--- a/core/src/main/java/org/hibiscususher/core/scheduler/package-info.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/package-info.java
@@ -1,2 +1,5 @@
-/** The scheduler of jobs: one owner at a time decides, every other entry forwards to it. */
+/**
+ * The job scheduler. At any time one entry, the owner, accepts jobs and assigns their tasks to
+ * executors; every other entry forwards callers' requests to it.
+ */
 package org.hibiscususher.core.scheduler;
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/Authority.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/Authority.java
@@ -4,16 +4,23 @@
 import org.hibiscususher.core.scheduler.world.TermRow;
 import org.hibiscususher.core.scheduler.world.TermStage;
 
-/** Tells what an owner may do, by the age of its last contact with the store. */
+/**
+ * Decides which actions the owner may take, depending on its stage and on how long ago it last
+ * renewed its lease in the store.
+ *
+ * <p>An owner that can't reach the store may already have been replaced without knowing it. The
+ * limits keep it from acting on the same tasks and hosts as its successor.
+ */
 public final class Authority {
     private Authority() {}
 
     /**
-     * Returns whether the process may give orders to executors.
+     * Returns whether the process may send orders and heartbeats to executors.
      *
-     * <p>An owner whose lease could not be renewed goes on for the time of grace: executors refuse
-     * its orders once a later owner has reached them, and a later owner waits for that time before
-     * it starts what an executor out of its reach may run.
+     * <p>An owner whose lease could not be renewed continues for a grace period, in which a later
+     * owner may be active as well. Two rules prevent that a task runs twice: an executor that a
+     * later owner has reached rejects the orders of the earlier one by their fence, and a later
+     * owner waits for the grace period before it restarts tasks of executors that it can't reach.
      */
     public static boolean mayOrderExecutors(SchedulerTick tick) {
         TermRow term = tick.world().term().get();
@@ -21,14 +28,20 @@
         return term.isScheduling() && tick.nowMs() < term.validUntilMs() + graceMs;
     }
 
-    /** Returns whether the process may start runs. */
+    /**
+     * Returns whether the process may start runs: as {@link #mayOrderExecutors}, but not while it
+     * releases the ownership or shuts down.
+     */
     public static boolean mayStartRuns(SchedulerTick tick) {
         return mayOrderExecutors(tick)
                 && tick.world().term().get().stage() != TermStage.RELEASING
                 && tick.world().nodeState().get().shutdownRequestedMs() == 0;
     }
 
-    /** Returns whether the process may give orders for hosts. */
+    /**
+     * Returns whether the process may order host moves and maintenance: only while its lease is
+     * surely valid, without a grace period.
+     */
     public static boolean mayOrderHosts(SchedulerTick tick) {
         TermRow term = tick.world().term().get();
         return term.stage() == TermStage.OWNING
@@ -36,7 +49,7 @@
                 && tick.nowMs() < term.validUntilMs();
     }
 
-    /** Returns whether the process decides on callers' requests. */
+    /** Returns whether the process answers callers' requests itself instead of forwarding them. */
     public static boolean mayDecideRequests(SchedulerTick tick) {
         TermRow term = tick.world().term().get();
         return term.isScheduling() && term.stage() != TermStage.RELEASING;
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/CommitSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/CommitSystem.java
@@ -26,52 +26,61 @@
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
 import org.hibiscususher.core.scheduler.world.StoreHealthRow;
 
-/** Keeps one commit of records under way, and takes in what came of it. */
+/**
+ * Sends the owner's commits to the store and applies their results.
+ *
+ * <p>At most one commit is in flight, because each is conditional on the revisions that the one
+ * before it produced. A commit that may have taken effect is sent again unchanged until its outcome
+ * is known; building a new one from the tables could store a state that contradicts it.
+ */
 public final class CommitSystem {
+    /** Time before the next commit after one that surely failed, in milliseconds. */
     private static final long RETRY_MS = 150;
 
-    /** Time after which a job that could not be stored is refused, in milliseconds. */
-    private static final long REFUSE_AFTER_MS = 250;
+    /** Time after which a job that surely was not stored is rejected, in milliseconds. */
+    private static final long REJECT_AFTER_MS = 250;
 
-    /** Time after which a caller is told that the outcome is not known, in milliseconds. */
+    /** Time after which a caller gets the answer that the outcome is unknown, in milliseconds. */
     private static final long UNKNOWN_AFTER_MS = 1_200;
 
     private static final int FIRST_TIMEOUT_MS = 320;
     private static final int MAX_TIMEOUT_MS = 1_500;
+
+    /** When a rejected caller should try again, in milliseconds. */
     private static final long RETRY_AFTER_MS = 1_000;
 
     private CommitSystem() {}
 
-    /** Takes in the answers to the commit that is under way. */
+    /** Applies the store's answer to the commit in flight, then answers overdue requests. */
     public static void handleResults(SchedulerTick tick) {
         for (SchedulerInput input : tick.inputs()) {
             long awaited = tick.world().commit().get().map(CommitRow::callId).orElse(0L);
-            if (input instanceof Committed done && done.callId() == awaited) {
-                committed(tick, done.revision(), Map.of());
+            if (input instanceof Committed committed && committed.callId() == awaited) {
+                applyCommitted(tick, committed.revision(), Map.of());
             } else if (input instanceof CommitConflict conflict && conflict.callId() == awaited) {
-                conflict(tick, conflict.current());
+                applyConflict(tick, conflict.current());
             } else if (input instanceof CommitFailed failed && failed.callId() == awaited) {
-                failed(tick, failed);
+                applyFailure(tick, failed);
             }
         }
-        giveUpWaiting(tick);
+        answerOverdueRequests(tick);
     }
 
-    /** Sends the next commit, or the one under way again. */
+    /** Sends the next commit, or repeats the one in flight if that is due. */
     public static void send(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
         if (!world.term().get().isScheduling()) {
             return;
         }
-        Optional<CommitRow> under = world.commit().get();
+        Optional<CommitRow> inFlight = world.commit().get();
         StoreHealthRow store = world.storeHealth().get();
-        boolean resting = store.isFailing() && tick.nowMs() - store.lastFailureMs() < RETRY_MS;
-        if (under.isEmpty() && !resting) {
+        boolean backingOff = store.isFailing() && tick.nowMs() - store.lastFailureMs() < RETRY_MS;
+        if (inFlight.isEmpty() && !backingOff) {
             Commits.next(tick).ifPresent(commit -> emit(tick, commit));
-        } else if (under.isPresent()
-                && under.get().retryAtMs() != 0
-                && tick.nowMs() >= under.get().retryAtMs()) {
-            emit(tick, under.get().withRetry(tick.nextCallId()));
+        } else if (inFlight.isPresent()
+                && inFlight.get().retryAtMs() != 0
+                && tick.nowMs() >= inFlight.get().retryAtMs()) {
+            emit(tick, inFlight.get().withRetry(tick.nextCallId()));
         }
     }
 
@@ -86,12 +95,21 @@
                         timeoutMs(commit.attempts())));
     }
 
-    /** Returns how long an answer is awaited: longer with each try, in case the store is slow. */
-    private static int timeoutMs(int tries) {
-        return Math.min(MAX_TIMEOUT_MS, FIRST_TIMEOUT_MS << Math.min(tries - 1, 3));
+    /**
+     * Returns the time limit of an attempt; it doubles with each attempt, in case the store is
+     * slow.
+     */
+    private static int timeoutMs(int attempt) {
+        return Math.min(MAX_TIMEOUT_MS, FIRST_TIMEOUT_MS << Math.min(attempt - 1, 3));
     }
 
-    private static void committed(
+    /**
+     * Applies that the commit in flight took effect.
+     *
+     * @param revision revision of the commit; 0 if it is not known
+     * @param revisions revisions of single records, which take precedence
+     */
+    private static void applyCommitted(
             SchedulerTick tick, long revision, Map<RecordName, Long> revisions) {
         SchedulerWorld world = tick.world();
         CommitRow commit = world.commit().get().orElseThrow();
@@ -112,7 +130,15 @@
         }
     }
 
-    private static void conflict(SchedulerTick tick, List<LoadedRecord> current) {
+    /**
+     * Applies that the conditions of the commit did not hold.
+     *
+     * <p>If the term record has changed, a later owner exists. Otherwise only this process can have
+     * changed the records: if an earlier attempt of this commit may have taken effect, it has.
+     *
+     * @param current the guarded records as the store holds them now
+     */
+    private static void applyConflict(SchedulerTick tick, List<LoadedRecord> current) {
         SchedulerWorld world = tick.world();
         CommitRow commit = world.commit().get().orElseThrow();
         Map<RecordName, Long> revisions = new HashMap<>();
@@ -121,7 +147,7 @@
         if (revisions.getOrDefault(RecordName.TERM, fence) != fence) {
             StepDown.run(tick, "later-term");
         } else if (commit.uncertain()) {
-            committed(tick, 0, revisions);
+            applyCommitted(tick, 0, revisions);
         } else {
             tick.log("commit-conflict", "records=" + revisions);
             revisions.forEach((name, revision) -> world.revisions().put(name, revision));
@@ -129,13 +155,16 @@
         }
     }
 
-    private static void failed(SchedulerTick tick, CommitFailed failed) {
+    /**
+     * Applies a failed attempt; the commit is kept for a repetition if it may have taken effect.
+     */
+    private static void applyFailure(SchedulerTick tick, CommitFailed failed) {
         SchedulerWorld world = tick.world();
         CommitRow commit = world.commit().get().orElseThrow();
         StoreHealthRow store = world.storeHealth().get();
         world.storeHealth().set(store.withFailure(tick.nowMs()));
-        long restMs = failed.uncertain() ? 0 : RETRY_MS;
-        CommitRow again = commit.withFailure(tick.nowMs() + restMs, failed.uncertain());
+        long delayMs = failed.uncertain() ? 0 : RETRY_MS;
+        CommitRow updated = commit.withFailure(tick.nowMs() + delayMs, failed.uncertain());
         tick.count("store.commit-failed");
         if (!store.isFailing()) {
             tick.log(
@@ -147,45 +176,52 @@
                             + " age_ms="
                             + (tick.nowMs() - commit.sentMs()));
         }
-        world.commit().set(again.uncertain() ? Optional.of(again) : Optional.empty());
+        world.commit().set(updated.uncertain() ? Optional.of(updated) : Optional.empty());
     }
 
-    /** Answers callers whose jobs could not be stored in time. */
-    private static void giveUpWaiting(SchedulerTick tick) {
+    /** Answers callers whose requests could not be stored in time. */
+    private static void answerOverdueRequests(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
-        for (PendingRequestRow call : world.pendingRequests().rows()) {
-            long ageMs = tick.nowMs() - call.waitingSinceMs();
-            if (call.stage() == PendingRequestStage.AWAITING_STORE && ageMs > REFUSE_AFTER_MS) {
-                giveUp(tick, call, ageMs);
+        for (PendingRequestRow request : world.pendingRequests().rows()) {
+            long ageMs = tick.nowMs() - request.waitingSinceMs();
+            if (request.stage() == PendingRequestStage.AWAITING_STORE && ageMs > REJECT_AFTER_MS) {
+                answerIfOverdue(tick, request, ageMs);
             }
         }
     }
 
-    private static void giveUp(SchedulerTick tick, PendingRequestRow call, long ageMs) {
+    /**
+     * Rejects a submission that surely was not stored because the store is unreachable, or answers
+     * that the outcome is unknown once the request has waited for long.
+     *
+     * @param ageMs how long the request has waited for the store
+     */
+    private static void answerIfOverdue(SchedulerTick tick, PendingRequestRow request, long ageMs) {
         SchedulerWorld world = tick.world();
-        boolean failing = world.storeHealth().get().isUnreachable(tick.nowMs());
-        boolean sent = isUnderWay(world, call.job());
-        boolean submit = call.request().kind() == JobRequestKind.SUBMIT;
-        if (submit && failing && !sent) {
-            world.jobs().remove(call.job());
-            answer(tick, call, JobResponseKind.UNAVAILABLE, "store-away");
+        boolean unreachable = world.storeHealth().get().isUnreachable(tick.nowMs());
+        boolean inFlight = isInFlight(world, request.job());
+        boolean submit = request.request().kind() == JobRequestKind.SUBMIT;
+        if (submit && unreachable && !inFlight) {
+            world.jobs().remove(request.job());
+            respond(tick, request, JobResponseKind.UNAVAILABLE, "store-away");
         } else if (ageMs > UNKNOWN_AFTER_MS) {
-            answer(tick, call, JobResponseKind.UNKNOWN, "store-silent");
+            respond(tick, request, JobResponseKind.UNKNOWN, "store-silent");
         }
     }
 
-    private static boolean isUnderWay(SchedulerWorld world, String job) {
+    /** Returns whether the commit in flight writes a job's record. */
+    private static boolean isInFlight(SchedulerWorld world, String job) {
         RecordName name = RecordName.of(RecordKind.JOB, job);
         return world.commit().get().stream()
                 .flatMap(c -> c.writes().stream())
                 .anyMatch(w -> w.record().name().equals(name));
     }
 
-    private static void answer(
-            SchedulerTick tick, PendingRequestRow call, JobResponseKind kind, String reason) {
-        tick.world().pendingRequests().remove(call.callId());
-        tick.log("refused", "job=" + call.job() + " kind=" + kind + " reason=" + reason);
+    private static void respond(
+            SchedulerTick tick, PendingRequestRow request, JobResponseKind kind, String reason) {
+        tick.world().pendingRequests().remove(request.callId());
+        tick.log("refused", "job=" + request.job() + " kind=" + kind + " reason=" + reason);
         tick.count("refused." + reason);
-        tick.emit(new Respond(call.callId(), JobResponse.refusal(kind, RETRY_AFTER_MS, reason)));
+        tick.emit(new Respond(request.callId(), JobResponse.refusal(kind, RETRY_AFTER_MS, reason)));
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/Commits.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/Commits.java
@@ -29,17 +29,25 @@
 import org.hibiscususher.core.scheduler.world.TermRow;
 import org.hibiscususher.core.scheduler.world.TermStage;
 
-/** Builds commits of what waits to be stored, and applies what was stored. */
+/** Builds commits from the changes that have to be stored, and updates the tables afterwards. */
 final class Commits {
-    /** Most records in a commit: each takes a condition and a write of the store's 32 entries. */
+    /**
+     * Most records in a commit: each needs a condition and a write, of the 32 entries that the
+     * store accepts in a transaction.
+     */
     private static final int MAX_RECORDS = 13;
 
-    /** Time for which progress is collected before it is stored, in milliseconds. */
+    /** Time for which progress of a job is batched before it is stored, in milliseconds. */
     private static final long PROGRESS_DELAY_MS = 60;
 
     private Commits() {}
 
-    /** Returns the next commit, or empty if nothing has to be stored now. */
+    /**
+     * Returns the next commit, or empty if nothing has to be stored now.
+     *
+     * <p>What callers wait for comes first: new jobs, then jobs that have reached a final state.
+     * Records are removed only if there is nothing to write.
+     */
     static Optional<CommitRow> next(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
         List<StoredRecord> records = new ArrayList<>();
@@ -47,52 +55,59 @@
         boolean releasing = world.term().get().stage() == TermStage.RELEASING;
         addNewJobs(world, records);
         addProgress(tick, records, versions, JobState::isFinal, 0);
-        addPending(world, records);
+        addPendingRecords(world, records);
         addProgress(tick, records, versions, s -> true, releasing ? 0 : PROGRESS_DELAY_MS);
         List<RecordName> removals = new ArrayList<>();
         if (records.isEmpty()) {
-            removals.addAll(removable(world));
+            removals.addAll(removableRecords(world));
         }
-        CommitRow commit = commit(tick, records, versions, removals);
+        CommitRow commit = toCommit(tick, records, versions, removals);
         if (releasing) {
-            return Optional.of(release(tick, commit));
+            return Optional.of(toRelease(tick, commit));
         }
         return records.isEmpty() && removals.isEmpty() ? Optional.empty() : Optional.of(commit);
     }
 
     private static void addNewJobs(SchedulerWorld world, List<StoredRecord> records) {
-        for (PendingRequestRow call : world.pendingRequests().rows()) {
+        for (PendingRequestRow request : world.pendingRequests().rows()) {
             if (records.size() >= MAX_RECORDS) {
                 return;
             }
-            if (call.stage() == PendingRequestStage.AWAITING_STORE
-                    && call.request().kind() == JobRequestKind.SUBMIT) {
+            if (request.stage() == PendingRequestStage.AWAITING_STORE
+                    && request.request().kind() == JobRequestKind.SUBMIT) {
                 world.jobs()
-                        .find(call.job())
+                        .find(request.job())
                         .filter(j -> !j.stored())
-                        .map(Commits::record)
+                        .map(Commits::toRecord)
                         .filter(r -> !records.contains(r))
                         .ifPresent(records::add);
             }
         }
     }
 
-    private static StoredRecord record(JobRow job) {
+    private static StoredRecord toRecord(JobRow job) {
         return new StoredRecord.Job(
                 job.id(), job.policy(), job.team(), job.spec(), job.acceptedWallMs());
     }
 
+    /**
+     * Adds the progress of jobs that have changed.
+     *
+     * @param versions receives the version of each job that was added, by job id
+     * @param states which states of jobs to include
+     * @param minAgeMs how long a change must have waited, in milliseconds
+     */
     private static void addProgress(
             SchedulerTick tick,
             List<StoredRecord> records,
             Map<String, Long> versions,
             Predicate<JobState> states,
-            long delayMs) {
+            long minAgeMs) {
         for (JobRow job : tick.world().jobs().rows()) {
             if (records.size() >= MAX_RECORDS) {
                 return;
             }
-            boolean due = tick.nowMs() - job.dirtySinceMs() >= delayMs;
+            boolean due = tick.nowMs() - job.dirtySinceMs() >= minAgeMs;
             if (job.stored()
                     && job.isDirty()
                     && due
@@ -104,7 +119,7 @@
         }
     }
 
-    private static void addPending(SchedulerWorld world, List<StoredRecord> records) {
+    private static void addPendingRecords(SchedulerWorld world, List<StoredRecord> records) {
         for (StoredRecord record : world.pendingRecords().rows()) {
             if (records.size() < MAX_RECORDS) {
                 records.add(record);
@@ -112,7 +127,8 @@
         }
     }
 
-    private static List<RecordName> removable(SchedulerWorld world) {
+    /** Returns the records of jobs whose retention has ended, both of a job or none. */
+    private static List<RecordName> removableRecords(SchedulerWorld world) {
         List<RecordName> names = new ArrayList<>();
         for (JobRow job : world.jobs().rows()) {
             RecordName progress = RecordName.of(RecordKind.PROGRESS, job.id());
@@ -124,7 +140,7 @@
         return names;
     }
 
-    private static CommitRow commit(
+    private static CommitRow toCommit(
             SchedulerTick tick,
             List<StoredRecord> records,
             Map<String, Long> versions,
@@ -157,8 +173,8 @@
         return new RecordGuard(name, world.revisions().find(name).orElse(0L));
     }
 
-    /** Returns a commit that gives the ownership up together with its records. */
-    private static CommitRow release(SchedulerTick tick, CommitRow commit) {
+    /** Returns the given commit extended so that it also releases the ownership. */
+    private static CommitRow toRelease(SchedulerTick tick, CommitRow commit) {
         TermRow term = tick.world().term().get();
         SchedulerSettings self = tick.world().settings();
         StoredRecord.Term released =
@@ -168,7 +184,7 @@
                         self.incarnation(),
                         true,
                         self.address(),
-                        open(tick.world(), commit));
+                        unsettled(tick.world(), commit));
         List<RecordWrite> writes = new ArrayList<>(commit.writes());
         writes.add(RecordWrite.of(released));
         return new CommitRow(
@@ -184,26 +200,33 @@
                 1);
     }
 
-    /** Returns what a later owner can't know from the records alone. */
-    private static List<String> open(SchedulerWorld world, CommitRow commit) {
-        List<String> open = new ArrayList<>();
+    /**
+     * Returns what a later owner can't see from the stored records: the text of the keys of tasks
+     * that have a run or may have one, and the ids of jobs with changes that are not stored.
+     */
+    private static List<String> unsettled(SchedulerWorld world, CommitRow commit) {
+        List<String> unsettled = new ArrayList<>();
         for (RunRow run : world.runs().rows()) {
-            open.add(run.task().text());
+            unsettled.add(run.task().text());
         }
         for (TaskRow task : world.tasks().rows()) {
             if (task.uncertain()) {
-                open.add(task.key().text());
+                unsettled.add(task.key().text());
             }
         }
         for (JobRow job : world.jobs().rows()) {
             if (job.version() > commit.versions().getOrDefault(job.id(), job.storedVersion())) {
-                open.add(job.id());
+                unsettled.add(job.id());
             }
         }
-        return open;
+        return unsettled;
     }
 
-    /** Applies that a record is stored. */
+    /**
+     * Updates the tables after a record has been stored.
+     *
+     * @param versions versions of the jobs whose progress the commit wrote, by job id
+     */
     static void applyStored(SchedulerTick tick, StoredRecord record, Map<String, Long> versions) {
         SchedulerWorld world = tick.world();
         if (record instanceof StoredRecord.Job job) {
@@ -220,6 +243,7 @@
             if (record instanceof StoredRecord.HostOrders orders) {
                 orders.hosts().forEach(h -> world.hostOrders().update(h, HostOrderRow::asRecorded));
             }
+            // A newer record of the same name may have been queued since the commit was sent.
             if (world.pendingRecords().find(record.name()).filter(r -> r == record).isPresent()) {
                 world.pendingRecords().remove(record.name());
             }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/HandoverSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/HandoverSystem.java
@@ -15,43 +15,45 @@
 import org.hibiscususher.core.scheduler.world.TermStage;
 
 /**
- * Passes the ownership on while the store turns its owner away.
+ * Hands the ownership over to another entry while the owner can't reach the store.
  *
- * <p>Answers a store that serves the other entries: without an offer, callers are refused until the
- * owner's lease has ended. An entry that reaches the store claims the ownership in place of the one
- * that offers it, and then asks that one to give no more orders.
+ * <p>Guards against an outage that affects the owner alone: without a handover, callers would be
+ * rejected until the owner's lease has expired, although other entries reach the store. The owner
+ * offers its term to one entry after the other. An entry that reaches the store claims the
+ * ownership in place of the owner, and then asks it to send no more orders.
  */
 public final class HandoverSystem {
-    /** Time out of reach of the store after which the ownership is offered, in milliseconds. */
+    /** How long the store must be unreachable before the ownership is offered, in milliseconds. */
     private static final long OFFER_AFTER_MS = 150;
 
-    /** Time between two offers, in milliseconds. */
-    private static final long OFFER_EVERY_MS = 200;
+    /** Time between two offers, each to another entry, in milliseconds. */
+    private static final long OFFER_INTERVAL_MS = 200;
 
     private HandoverSystem() {}
 
-    /** Takes in offers, then offers the own term if that is due. */
+    /** Answers the offers of other entries, then sends an offer if that is due. */
     public static void run(SchedulerTick tick) {
         for (HandoverOffered offered : tick.inputs(HandoverOffered.class)) {
-            take(tick, offered);
+            applyOffer(tick, offered);
         }
         SchedulerWorld world = tick.world();
         HandoverRow row = world.handover().get();
         NodeStateRow node = world.nodeState().get();
-        boolean away = !node.storeReachable() && world.term().get().stage() == TermStage.OWNING;
-        if (!away) {
+        boolean unreachable =
+                !node.storeReachable() && world.term().get().stage() == TermStage.OWNING;
+        if (!unreachable) {
             if (row.unreachableSinceMs() != 0) {
                 world.handover().set(new HandoverRow(0, 0, 0, row.acceptedGeneration()));
             }
         } else if (row.unreachableSinceMs() == 0) {
             world.handover().set(new HandoverRow(tick.nowMs(), 0, 0, row.acceptedGeneration()));
         } else if (tick.nowMs() - row.unreachableSinceMs() >= OFFER_AFTER_MS
-                && tick.nowMs() - row.lastOfferMs() >= OFFER_EVERY_MS) {
-            offer(tick, row);
+                && tick.nowMs() - row.lastOfferMs() >= OFFER_INTERVAL_MS) {
+            sendOffer(tick, row);
         }
     }
 
-    private static void offer(SchedulerTick tick, HandoverRow row) {
+    private static void sendOffer(SchedulerTick tick, HandoverRow row) {
         SchedulerWorld world = tick.world();
         List<String> others = new ArrayList<>(world.settings().seeds());
         others.remove(world.settings().address());
@@ -79,23 +81,23 @@
         tick.emit(new OfferHandover(address, generation));
     }
 
-    private static void take(SchedulerTick tick, HandoverOffered offered) {
+    private static void applyOffer(SchedulerTick tick, HandoverOffered offered) {
         SchedulerWorld world = tick.world();
         tick.emit(new Respond(offered.callId(), JobResponse.of(JobResponseKind.ACCEPTED)));
-        long seen =
+        long currentGeneration =
                 world.ownership()
                         .get()
                         .ownership()
                         .term()
                         .map(StoredRecord.Term::generation)
                         .orElse(0L);
-        boolean free =
+        boolean accepted =
                 world.term().get().stage() == TermStage.FOLLOWING
                         && world.nodeState().get().storeReachable()
                         && world.nodeState().get().shutdownRequestedMs() == 0
-                        && seen == offered.generation();
-        tick.log("offer-received", "generation=" + offered.generation() + " taken=" + free);
-        if (free) {
+                        && currentGeneration == offered.generation();
+        tick.log("offer-received", "generation=" + offered.generation() + " taken=" + accepted);
+        if (accepted) {
             HandoverRow row = world.handover().get();
             world.handover()
                     .set(
@@ -112,15 +114,18 @@
         }
     }
 
-    /** Returns whether the owner of the term that this process sees has offered it. */
+    /**
+     * Returns whether the current owner, as last read from the store, has offered this process its
+     * term.
+     */
     static boolean isHandoverOffered(SchedulerWorld world) {
-        long taken = world.handover().get().acceptedGeneration();
-        return taken != 0
+        long accepted = world.handover().get().acceptedGeneration();
+        return accepted != 0
                 && world.ownership()
                         .get()
                         .ownership()
                         .term()
-                        .filter(t -> t.generation() == taken)
+                        .filter(t -> t.generation() == accepted)
                         .isPresent();
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/StepDown.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/StepDown.java
@@ -10,11 +10,18 @@
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
 import org.hibiscususher.core.scheduler.world.TermRow;
 
-/** Ends the part of an owner. */
+/** Ends this process's ownership of the scheduling. */
 public final class StepDown {
     private StepDown() {}
 
-    /** Forgets what only an owner keeps; requests that wait for the store get no certain answer. */
+    /**
+     * Clears the tables that only an owner keeps and returns to the stage FOLLOWING.
+     *
+     * <p>Requests that wait for a commit are answered as UNKNOWN: the commit may have taken effect
+     * without this process learning of it.
+     *
+     * @param reason why the ownership ended, for the log
+     */
     public static void run(SchedulerTick tick, String reason) {
         SchedulerWorld world = tick.world();
         TermRow term = world.term().get();
@@ -22,14 +29,14 @@
                 "owner-lost",
                 "generation=" + term.generation() + " fence=" + term.fence() + " reason=" + reason);
         tick.count("owner.lost");
-        for (PendingRequestRow call : world.pendingRequests().rows()) {
-            if (call.stage() == PendingRequestStage.AWAITING_STORE) {
+        for (PendingRequestRow request : world.pendingRequests().rows()) {
+            if (request.stage() == PendingRequestStage.AWAITING_STORE) {
                 tick.emit(
                         new Respond(
-                                call.callId(),
+                                request.callId(),
                                 JobResponse.refusal(
                                         JobResponseKind.UNKNOWN, 0, "the owner has changed")));
-                world.pendingRequests().remove(call.callId());
+                world.pendingRequests().remove(request.callId());
             }
         }
         world.clearOwnerTables();
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/Takeover.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/Takeover.java
@@ -24,12 +24,25 @@
 import org.hibiscususher.core.scheduler.world.TermRow;
 import org.hibiscususher.core.scheduler.world.TermStage;
 
-/** Builds the tables of a new owner from the store's records. */
+/**
+ * Rebuilds the owner's tables from the stored records after a process has become the owner.
+ *
+ * <p>Runs that an earlier owner started may still be under way, also on executors that this owner
+ * can't reach. Their tasks are restored as uncertain and must not be started again before the
+ * executor's lease from the earlier owner has expired; otherwise a task could run twice.
+ */
 final class Takeover {
-    private static final long SLACK_MS = 100;
+    /** Allowance on top of the longest time that an executor's lease can last. */
+    private static final long LEASE_SLACK_MS = 100;
 
     private Takeover() {}
 
+    /**
+     * Fills the tables and moves the term to the stage OWNING.
+     *
+     * @param records all records of jobs, executors and waves; those that could not be decoded have
+     *     no content and are only logged
+     */
     static void restore(SchedulerTick tick, List<LoadedRecord> records) {
         SchedulerWorld world = tick.world();
         for (LoadedRecord loaded : records) {
@@ -42,11 +55,12 @@
         }
         for (LoadedRecord loaded : records) {
             if (loaded.record().orElse(null) instanceof StoredRecord.Job job) {
-                world.jobs().put(job.id(), row(tick, job));
+                world.jobs().put(job.id(), toRow(tick, job));
             }
         }
+        // Progress records need the rows of their jobs, which the loop above has added.
         for (LoadedRecord loaded : records) {
-            loaded.record().ifPresent(record -> take(tick, record));
+            loaded.record().ifPresent(record -> restoreRecord(tick, record));
         }
         TermRow term = world.term().get();
         world.term().set(term.withCall(TermStage.OWNING, 0, 0));
@@ -56,7 +70,7 @@
         world.ownershipClaim()
                 .get()
                 .unsettled()
-                .ifPresent(open -> clearDoubt(world, new HashSet<>(open)));
+                .ifPresent(unsettled -> clearUncertain(world, new HashSet<>(unsettled)));
         tick.log(
                 "takeover",
                 "generation="
@@ -69,16 +83,20 @@
                         + (tick.nowMs() - term.startedAtMs()));
     }
 
-    /** Frees tasks of which the earlier owner told that nothing is open. */
-    private static void clearDoubt(SchedulerWorld world, Set<String> open) {
+    /**
+     * Marks as certain all tasks that the earlier owner did not report as unsettled on its release.
+     *
+     * @param unsettled text of task keys, and ids of jobs all of whose tasks are unsettled
+     */
+    private static void clearUncertain(SchedulerWorld world, Set<String> unsettled) {
         for (TaskRow task : world.tasks().rows()) {
-            if (!open.contains(task.key().text()) && !open.contains(task.key().jobId())) {
+            if (!unsettled.contains(task.key().text()) && !unsettled.contains(task.key().jobId())) {
                 world.tasks().put(task.key(), task.asCertain());
             }
         }
     }
 
-    private static JobRow row(SchedulerTick tick, StoredRecord.Job job) {
+    private static JobRow toRow(SchedulerTick tick, StoredRecord.Job job) {
         long ageMs = Math.max(0, tick.wallMs() - job.acceptedMs());
         return new JobRow(
                 job.id(),
@@ -98,16 +116,16 @@
                 0);
     }
 
-    private static void take(SchedulerTick tick, StoredRecord record) {
+    private static void restoreRecord(SchedulerTick tick, StoredRecord record) {
         SchedulerWorld world = tick.world();
         if (record instanceof StoredRecord.Progress progress) {
             JobProgress.restore(tick, progress);
         } else if (record instanceof StoredRecord.Executors executors) {
             world.usedExecutors().set(executors);
-            executors.executors().forEach(e -> prior(tick, e));
+            executors.executors().forEach(e -> inheritExecutor(tick, e));
         } else if (record instanceof StoredRecord.HostOrders orders) {
             world.recordedHostOrders().set(orders);
-            orders.hosts().forEach(host -> rest(tick, host));
+            orders.hosts().forEach(host -> delayHostOrders(tick, host));
         } else if (record instanceof StoredRecord.Wave wave) {
             world.waves()
                     .update(
@@ -116,37 +134,49 @@
         }
     }
 
-    /** Gives no orders for a host for which the earlier owner may have given one just now. */
-    private static void rest(SchedulerTick tick, String host) {
+    /**
+     * Delays orders for a host for which the earlier owner may have sent one shortly before the
+     * takeover, so that the two orders don't overlap.
+     */
+    private static void delayHostOrders(SchedulerTick tick, String host) {
         SchedulerWorld world = tick.world();
         long untilMs =
                 world.term().get().startedAtMs() + world.settings().timing().hostOrderGapMs();
         world.hostOrders().put(host, new HostOrderRow(host, true, untilMs, tick.nowMs()));
     }
 
-    private static void prior(SchedulerTick tick, UsedExecutor used) {
+    /**
+     * Adds an executor on which an earlier owner may have started runs. An executor whose report
+     * has not been seen yet gets a placeholder without capacity and counts as missing.
+     */
+    private static void inheritExecutor(SchedulerTick tick, UsedExecutor used) {
         SchedulerWorld world = tick.world();
-        ExecutorReport report =
+        ExecutorReport placeholder =
                 new ExecutorReport(
                         used.id(), used.pool(), "", "", "", List.of(), Resources.NONE, true, 0, 0);
-        ExecutorReport known =
-                world.executors().find(used.id()).map(ExecutorRow::report).orElse(report);
-        long missingMs = known.address().isEmpty() ? tick.nowMs() : 0;
+        ExecutorReport report =
+                world.executors().find(used.id()).map(ExecutorRow::report).orElse(placeholder);
+        long missingSinceMs = report.address().isEmpty() ? tick.nowMs() : 0;
         world.executors()
                 .put(
                         used.id(),
-                        new ExecutorRow(known, tick.nowMs(), missingMs, true, true, false, 0));
-        ExecutorSessionRow contact =
+                        new ExecutorRow(
+                                report, tick.nowMs(), missingSinceMs, true, true, false, 0));
+        ExecutorSessionRow session =
                 world.executorSessions()
                         .find(used.id())
                         .orElse(ExecutorSessionRow.initial(used.id(), 0));
-        world.executorSessions().put(used.id(), contact.withLeaseExtendedTo(waitUntilMs(tick)));
+        world.executorSessions()
+                .put(used.id(), session.withLeaseExtendedTo(inheritedLeaseEndMs(tick)));
     }
 
-    /** Waits less for executors out of reach, now that the earlier owner gives no more orders. */
-    static void shortenWaits(SchedulerTick tick) {
+    /**
+     * Takes the grace period off the lease ends of inherited executors, after the earlier owner has
+     * confirmed that it sends no more orders.
+     */
+    static void shortenLeaseWaits(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
-        long untilMs = waitUntilMs(tick);
+        long untilMs = inheritedLeaseEndMs(tick);
         for (ExecutorRow row : world.executors().rows()) {
             if (row.inherited()) {
                 world.executorSessions().update(row.id(), c -> c.withLeaseEndAt(untilMs));
@@ -154,14 +184,22 @@
         }
     }
 
-    /** Returns until when a silent executor may run what an earlier owner started. */
-    private static long waitUntilMs(SchedulerTick tick) {
+    /**
+     * Returns until when an unreachable executor may still run tasks of an earlier owner, on the
+     * steady clock.
+     *
+     * <p>The earlier owner may have renewed the executor's lease just before this term started and,
+     * unless it is known to have stopped, may do so for its grace period after that. The executor
+     * measures the lease on its own clock, which may be slower than this one.
+     */
+    private static long inheritedLeaseEndMs(SchedulerTick tick) {
         SchedulerTiming timing = tick.world().settings().timing();
         TermRow term = tick.world().term().get();
-        long holdMs =
-                timing.executorLeaseMs() * 100 / HeartbeatSystem.MIN_CLOCK_RATE_PERCENT + SLACK_MS;
+        long maxLeaseMs =
+                timing.executorLeaseMs() * 100 / HeartbeatSystem.MIN_CLOCK_RATE_PERCENT
+                        + LEASE_SLACK_MS;
         return term.startedAtMs()
-                + holdMs
+                + maxLeaseMs
                 + (term.predecessorReleased() ? 0 : timing.ownerGraceMs());
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/TermSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/TermSystem.java
@@ -41,97 +41,115 @@
 import org.hibiscususher.core.scheduler.world.TermStage;
 
 /**
- * Takes, keeps and gives up the ownership.
+ * Acquires, renews and loses the ownership of the scheduling.
  *
- * <p>The owner's record lies in the store under a lease. Taking it also raises the generation in
- * the term's record, on whose revision every later commit of the owner depends.
+ * <p>The owner record is bound to a lease of the store: when the owner stops renewing the lease,
+ * the store removes the record and another entry may claim the ownership. A claim also writes the
+ * term record with the next generation. The revision of that write is the fence: every later commit
+ * of the owner is conditional on it, so an owner that was replaced without noticing, for example
+ * while its process was suspended, can't change the stored state any more.
  */
 public final class TermSystem {
+    /** Time before a failed claim is tried again, in milliseconds. */
     private static final long RETRY_MS = 200;
+
+    /** Time limit of the commit that claims the ownership, in milliseconds. */
     private static final int CLAIM_TIMEOUT_MS = 1_000;
+
+    /** Time after which a claim is abandoned if the store has not answered, in milliseconds. */
     private static final long CALL_TIMEOUT_MS = 1_500;
 
-    /** Part of a lease that is not relied on, in milliseconds. */
+    /** Part at the end of a lease in which the owner doesn't rely on it, in milliseconds. */
     private static final long LEASE_MARGIN_MS = 200;
 
-    /** Wall-clock time beyond steady time that shows that the process was suspended. */
+    /**
+     * By how much more the wall clock must advance between two ticks than the steady clock to count
+     * as a suspension of the process, in milliseconds.
+     */
     private static final long SUSPENSION_MS = 400;
 
     private TermSystem() {}
 
-    /** Takes in what the store says, and does what is due. */
+    /** Applies the inputs that concern the ownership, then sends the calls that are due. */
     public static void run(SchedulerTick tick) {
-        noticeSuspension(tick);
+        detectSuspension(tick);
         for (SchedulerInput input : tick.inputs()) {
-            take(tick, input);
+            apply(tick, input);
         }
         advance(tick);
     }
 
-    private static void noticeSuspension(SchedulerTick tick) {
+    /**
+     * Withdraws the authority of an owner whose process was suspended, until the lease is renewed.
+     *
+     * <p>The steady clock may stand still during a suspension, so that the lease still looks valid
+     * on it although it has expired in the store.
+     */
+    private static void detectSuspension(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
         LastTickRow before = world.lastTick().get();
         world.lastTick().set(new LastTickRow(tick.nowMs(), tick.wallMs()));
-        long passedMs = tick.nowMs() - before.nowMs();
+        long steadyMs = tick.nowMs() - before.nowMs();
         long wallMs = tick.wallMs() - before.wallMs();
         if (before.wallMs() != 0
-                && wallMs - passedMs > SUSPENSION_MS
+                && wallMs - steadyMs > SUSPENSION_MS
                 && world.term().get().isScheduling()) {
-            tick.log("suspended", "steady_ms=" + passedMs + " wall_ms=" + wallMs);
+            tick.log("suspended", "steady_ms=" + steadyMs + " wall_ms=" + wallMs);
             long graceMs = world.settings().timing().ownerGraceMs();
             world.term().set(world.term().get().withValidUntil(tick.nowMs() - graceMs));
             world.leaseRenewal().set(new LeaseRenewalRow(0, 0));
         }
     }
 
-    private static void take(SchedulerTick tick, SchedulerInput input) {
+    private static void apply(SchedulerTick tick, SchedulerInput input) {
         long awaited = tick.world().term().get().callId();
-        if (input instanceof OwnershipUpdated seen) {
-            ownershipSeen(tick, seen.ownership());
+        if (input instanceof OwnershipUpdated updated) {
+            applyOwnership(tick, updated.ownership());
         } else if (input instanceof LeaseGranted granted && granted.callId() == awaited) {
             claim(tick, granted);
-        } else if (input instanceof LeaseDenied refused && refused.callId() == awaited) {
+        } else if (input instanceof LeaseDenied denied && denied.callId() == awaited) {
             retryLater(tick);
-        } else if (input instanceof Committed done && done.callId() == awaited) {
-            claimed(tick, done.revision());
+        } else if (input instanceof Committed committed && committed.callId() == awaited) {
+            completeClaim(tick, committed.revision());
         } else if (input instanceof CommitConflict conflict && conflict.callId() == awaited) {
-            claimLost(tick);
+            abandonClaim(tick);
         } else if (input instanceof CommitFailed failed && failed.callId() == awaited) {
             retryLater(tick);
         } else if (input instanceof RecordsLoaded loaded && loaded.callId() == awaited) {
             Takeover.restore(tick, loaded.records());
         } else if (input instanceof LoadFailed failed && failed.callId() == awaited) {
             load(tick);
-        } else if (input instanceof RelinquishRequested asked) {
-            yieldTo(tick, asked);
-        } else if (input instanceof PredecessorRelinquished yielded) {
-            predecessorYielded(tick, yielded.generation());
+        } else if (input instanceof RelinquishRequested requested) {
+            relinquish(tick, requested);
+        } else if (input instanceof PredecessorRelinquished relinquished) {
+            applyPredecessorRelinquished(tick, relinquished.generation());
         } else if (input instanceof LeaseRenewed renewed) {
-            renewed(tick, renewed);
+            applyRenewal(tick, renewed);
         } else if (input instanceof LeaseNotRenewed failed) {
-            notRenewed(tick, failed);
+            applyRenewalFailure(tick, failed);
         }
     }
 
-    private static void yieldTo(SchedulerTick tick, RelinquishRequested asked) {
+    /** Steps down on request of a later owner, which then knows that this one has stopped. */
+    private static void relinquish(SchedulerTick tick, RelinquishRequested requested) {
         TermRow term = tick.world().term().get();
         boolean owner = term.isScheduling() || term.stage().isOwner();
-        if (owner && term.generation() < asked.generation()) {
-            StepDown.run(tick, "yielded-to=" + asked.generation());
+        if (owner && term.generation() < requested.generation()) {
+            StepDown.run(tick, "yielded-to=" + requested.generation());
         }
-        tick.emit(new Respond(asked.callId(), JobResponse.of(JobResponseKind.ACCEPTED)));
+        tick.emit(new Respond(requested.callId(), JobResponse.of(JobResponseKind.ACCEPTED)));
     }
 
-    private static void predecessorYielded(SchedulerTick tick, long generation) {
+    private static void applyPredecessorRelinquished(SchedulerTick tick, long generation) {
         TermRow term = tick.world().term().get();
         if (term.stage().isOwner() && term.generation() == generation) {
             tick.log("predecessor-yielded", "generation=" + generation);
             tick.world().term().set(term.withPredecessorReleased());
-            Takeover.shortenWaits(tick);
+            Takeover.shortenLeaseWaits(tick);
         }
     }
 
-    private static void ownershipSeen(SchedulerTick tick, Ownership seen) {
+    private static void applyOwnership(SchedulerTick tick, Ownership seen) {
         SchedulerWorld world = tick.world();
         Ownership before = world.ownership().get().ownership();
         world.ownership().set(new OwnershipRow(true, seen, tick.nowMs()));
@@ -153,11 +171,15 @@
         if (seen.termRevision() > term.fence() && !term.stage().equals(TermStage.CLAIMING)) {
             StepDown.run(tick, "later-owner");
         } else if (seen.owner().isEmpty() && term.stage() == TermStage.OWNING) {
-            leaseEnded(tick);
+            reclaimExpiredLease(tick);
         }
     }
 
-    private static void leaseEnded(SchedulerTick tick) {
+    /**
+     * Claims the ownership again at once after the lease has expired in the store while no other
+     * entry has claimed it. The tables are kept: nobody else can have changed the records.
+     */
+    private static void reclaimExpiredLease(SchedulerTick tick) {
         TermRow term = tick.world().term().get();
         tick.log("owner-lease-ended", "generation=" + term.generation());
         tick.world()
@@ -175,13 +197,18 @@
                 .set(term.withCall(TermStage.FOLLOWING, 0, 0).withClaimAt(tick.nowMs() + RETRY_MS));
     }
 
+    /**
+     * Claims the ownership under a lease that was just granted. The commit takes effect only if the
+     * owner and term records are still those on which the claim was decided, so of several entries
+     * that claim at the same time one succeeds.
+     */
     private static void claim(SchedulerTick tick, LeaseGranted granted) {
         SchedulerWorld world = tick.world();
         SchedulerSettings self = world.settings();
         TermRow term = world.term().get();
         Ownership seen = world.ownership().get().ownership();
-        if (!isFree(world)) {
-            claimLost(tick);
+        if (!mayClaim(world)) {
+            abandonClaim(tick);
             return;
         }
         OwnershipClaimRow claim =
@@ -215,34 +242,38 @@
 
     private static OwnershipClaimRow claimRow(
             Ownership seen, SchedulerSettings self, long validUntilMs) {
-        Optional<StoredRecord.Term> last = seen.term();
+        Optional<StoredRecord.Term> previous = seen.term();
         return new OwnershipClaimRow(
-                last.map(StoredRecord.Term::generation).orElse(0L) + 1,
+                previous.map(StoredRecord.Term::generation).orElse(0L) + 1,
                 validUntilMs,
-                last.map(StoredRecord.Term::node).orElse(""),
-                last.map(StoredRecord.Term::address).orElse(""),
-                last.map(t -> endedFor(t, self)).orElse(true),
-                last.filter(StoredRecord.Term::released).map(StoredRecord.Term::unsettled));
+                previous.map(StoredRecord.Term::node).orElse(""),
+                previous.map(StoredRecord.Term::address).orElse(""),
+                previous.map(t -> hasStopped(t, self)).orElse(true),
+                previous.filter(StoredRecord.Term::released).map(StoredRecord.Term::unsettled));
     }
 
-    /** Returns whether the process of an earlier term surely gives no more orders. */
-    private static boolean endedFor(StoredRecord.Term term, SchedulerSettings self) {
+    /**
+     * Returns whether the owner of an earlier term surely sends no more orders: it released the
+     * ownership, or it ran on this entry and thus is this process or one that this process
+     * replaced.
+     */
+    private static boolean hasStopped(StoredRecord.Term term, SchedulerSettings self) {
         return term.released() || term.node().equals(self.node());
     }
 
-    private static void claimed(SchedulerTick tick, long revision) {
+    private static void completeClaim(SchedulerTick tick, long revision) {
         SchedulerWorld world = tick.world();
         TermRow term = world.term().get();
         if (term.stage() != TermStage.CLAIMING) {
             return;
         }
         OwnershipClaimRow claim = world.ownershipClaim().get();
-        boolean kept = term.retainsTables();
+        boolean tablesKept = term.retainsTables();
         world.leaseRenewal().set(new LeaseRenewalRow(0, tick.nowMs()));
         world.term()
                 .set(
                         new TermRow(
-                                kept ? TermStage.OWNING : TermStage.LOADING,
+                                tablesKept ? TermStage.OWNING : TermStage.LOADING,
                                 claim.generation(),
                                 revision,
                                 term.leaseId(),
@@ -260,7 +291,7 @@
                         + " fence="
                         + revision
                         + " kept="
-                        + kept
+                        + tablesKept
                         + " predecessor="
                         + claim.predecessor()
                         + " released="
@@ -269,7 +300,7 @@
         if (!claim.predecessorReleased()) {
             tick.emit(new AskRelinquish(claim.predecessorAddress(), claim.generation()));
         }
-        if (!kept) {
+        if (!tablesKept) {
             world.clearOwnerTables();
             tick.emit(new WatchExecutors(true));
             load(tick);
@@ -277,6 +308,7 @@
         world.revisions().put(RecordName.TERM, revision);
     }
 
+    /** Reads the stored records of jobs, executors and waves, also after a failed attempt. */
     private static void load(SchedulerTick tick) {
         long callId = tick.nextCallId();
         TermRow term = tick.world().term().get();
@@ -284,7 +316,7 @@
         tick.emit(new LoadRecords(callId));
     }
 
-    private static void claimLost(SchedulerTick tick) {
+    private static void abandonClaim(SchedulerTick tick) {
         TermRow term = tick.world().term().get();
         tick.log("claim-lost", "generation=" + term.generation());
         tick.world()
@@ -292,7 +324,7 @@
                 .set(term.withCall(TermStage.FOLLOWING, 0, 0).withClaimAt(tick.nowMs() + RETRY_MS));
     }
 
-    private static void renewed(SchedulerTick tick, LeaseRenewed renewed) {
+    private static void applyRenewal(SchedulerTick tick, LeaseRenewed renewed) {
         SchedulerWorld world = tick.world();
         LeaseRenewalRow renewal = world.leaseRenewal().get();
         TermRow term = world.term().get();
@@ -305,7 +337,7 @@
         world.storeHealth().set(world.storeHealth().get().withSuccess(tick.nowMs()));
     }
 
-    private static void notRenewed(SchedulerTick tick, LeaseNotRenewed failed) {
+    private static void applyRenewalFailure(SchedulerTick tick, LeaseNotRenewed failed) {
         SchedulerWorld world = tick.world();
         LeaseRenewalRow renewal = world.leaseRenewal().get();
         if (renewal.callId() != failed.callId()) {
@@ -313,37 +345,43 @@
         }
         world.leaseRenewal().set(new LeaseRenewalRow(0, renewal.sentMs()));
         if (failed.expired() && world.term().get().stage() == TermStage.OWNING) {
-            leaseEnded(tick);
+            reclaimExpiredLease(tick);
         }
     }
 
+    /** Sends the call that the current stage needs now, if any. */
     private static void advance(SchedulerTick tick) {
         TermRow term = tick.world().term().get();
         switch (term.stage()) {
-            case FOLLOWING -> follow(tick);
+            case FOLLOWING -> claimIfPossible(tick);
             case LEASING, CLAIMING -> {
                 if (tick.nowMs() - term.sentMs() > CALL_TIMEOUT_MS) {
                     retryLater(tick);
                 }
             }
-            default -> renew(tick);
+            default -> renewIfDue(tick);
         }
     }
 
-    private static void follow(SchedulerTick tick) {
+    /**
+     * Asks for the lease of a claim once the claim delay has passed. The delay differs between
+     * entries, so that they don't all claim a free ownership at the same time.
+     */
+    private static void claimIfPossible(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
         TermRow term = world.term().get();
-        OwnershipRow seen = world.ownership().get();
+        OwnershipRow ownership = world.ownership().get();
         boolean stopping = world.nodeState().get().shutdownRequestedMs() != 0;
-        if (!seen.known() || stopping && !term.retainsTables() || !isFree(world)) {
+        if (!ownership.known() || stopping && !term.retainsTables() || !mayClaim(world)) {
             if (term.claimAtMs() != 0 && !term.retainsTables()) {
                 world.term().set(term.withClaimAt(0));
             }
             return;
         }
         if (term.claimAtMs() == 0) {
-            boolean own = seen.ownership().owner().isPresent();
-            long delayMs = own ? 0 : world.settings().claimDelayMs();
+            // The recorded owner is this entry, or it has offered a handover.
+            boolean recorded = ownership.ownership().owner().isPresent();
+            long delayMs = recorded ? 0 : world.settings().claimDelayMs();
             world.term().set(term.withClaimAt(tick.nowMs() + delayMs));
         } else if (tick.nowMs() >= term.claimAtMs()) {
             long callId = tick.nextCallId();
@@ -352,21 +390,26 @@
         }
     }
 
-    private static boolean isFree(SchedulerWorld world) {
+    /**
+     * Returns whether this entry may claim the ownership: nobody owns it, the recorded owner is
+     * this entry, or the owner has offered a handover to this process.
+     */
+    private static boolean mayClaim(SchedulerWorld world) {
         Optional<StoredRecord.Owner> owner = world.ownership().get().ownership().owner();
-        boolean own = owner.map(o -> o.node().equals(world.settings().node())).orElse(true);
-        return own || HandoverSystem.isHandoverOffered(world);
+        boolean ownOrNone = owner.map(o -> o.node().equals(world.settings().node())).orElse(true);
+        return ownOrNone || HandoverSystem.isHandoverOffered(world);
     }
 
-    private static void renew(SchedulerTick tick) {
+    /** Renews the lease at its interval, or again if the last call has not been answered. */
+    private static void renewIfDue(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
         LeaseRenewalRow renewal = world.leaseRenewal().get();
         SchedulerTiming timing = world.settings().timing();
-        long sinceMs = tick.nowMs() - renewal.sentMs();
+        long elapsedMs = tick.nowMs() - renewal.sentMs();
         boolean due =
                 renewal.callId() == 0
-                        ? sinceMs >= timing.renewalIntervalMs()
-                        : sinceMs >= RETRY_MS * 3;
+                        ? elapsedMs >= timing.renewalIntervalMs()
+                        : elapsedMs >= RETRY_MS * 3;
         if (due) {
             long callId = tick.nextCallId();
             world.leaseRenewal().set(new LeaseRenewalRow(callId, tick.nowMs()));
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/package-info.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/package-info.java
@@ -1,2 +1,5 @@
-/** Who owns the scheduling, and what is written to the store. */
+/**
+ * Ownership of the scheduling: how an entry acquires, renews, hands over and loses it, and the
+ * commits by which the owner writes its state to the store.
+ */
 package org.hibiscususher.core.scheduler.term;
