Reword the job, request and tick code of the scheduler

Comments described steps whose turn comes and jobs that are taken. They now use activation, acceptance, rejection and retention. No behaviour changes.

--- a/core/src/main/java/org/hibiscususher/core/scheduler/control/ConfigurationSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/control/ConfigurationSystem.java
@@ -9,51 +9,53 @@
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
 import org.hibiscususher.core.scheduler.world.WaveRow;
 
-/** Takes in the operators' configuration and their orders for waves. */
+/** Applies new configurations and the operators' orders to start or withdraw maintenance waves. */
 final class ConfigurationSystem {
     private ConfigurationSystem() {}
 
     static void run(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
-        for (ConfigurationUpdated seen : tick.inputs(ConfigurationUpdated.class)) {
-            ConfigurationRow before = world.configuration().get();
-            if (seen.configuration().version() > before.configuration().version()) {
+        for (ConfigurationUpdated update : tick.inputs(ConfigurationUpdated.class)) {
+            ConfigurationRow current = world.configuration().get();
+            if (update.configuration().version() > current.configuration().version()) {
                 world.configuration()
-                        .set(new ConfigurationRow(seen.configuration(), seen.revision()));
+                        .set(new ConfigurationRow(update.configuration(), update.revision()));
                 tick.log(
                         "plan-in-force",
                         "version="
-                                + seen.configuration().version()
+                                + update.configuration().version()
                                 + " before="
-                                + before.configuration().version()
+                                + current.configuration().version()
                                 + " revision="
-                                + seen.revision()
+                                + update.revision()
                                 + " queues="
-                                + seen.configuration().queues().size()
+                                + update.configuration().queues().size()
                                 + " teams="
-                                + seen.configuration().teams().size());
+                                + update.configuration().teams().size());
             }
         }
-        for (WaveOrdered seen : tick.inputs(WaveOrdered.class)) {
-            long wave = seen.order().wave();
+        for (WaveOrdered ordered : tick.inputs(WaveOrdered.class)) {
+            long wave = ordered.order().wave();
             if (!world.waves().contains(wave)) {
                 tick.log(
                         "wave-seen",
                         "wave="
                                 + wave
                                 + " hosts="
-                                + seen.order().hosts().size()
+                                + ordered.order().hosts().size()
                                 + " cap="
-                                + seen.order().maxConcurrentHosts()
+                                + ordered.order().maxConcurrentHosts()
                                 + " within_ms="
-                                + seen.order().timeLimitMs());
+                                + ordered.order().timeLimitMs());
                 world.waves()
-                        .put(wave, new WaveRow(seen.order(), tick.nowMs(), Set.of(), false, false));
+                        .put(
+                                wave,
+                                new WaveRow(ordered.order(), tick.nowMs(), Set.of(), false, false));
             }
         }
-        for (WaveWithdrawn gone : tick.inputs(WaveWithdrawn.class)) {
-            tick.log("wave-withdrawn", "wave=" + gone.wave());
-            world.waves().remove(gone.wave());
+        for (WaveWithdrawn withdrawn : tick.inputs(WaveWithdrawn.class)) {
+            tick.log("wave-withdrawn", "wave=" + withdrawn.wave());
+            world.waves().remove(withdrawn.wave());
         }
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/control/Scheduler.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/control/Scheduler.java
@@ -11,9 +11,10 @@
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
 
 /**
- * The tables of the scheduler in one process, and the systems that run over them.
+ * The scheduler of one process: its tables, and the systems that run over them each tick.
  *
- * <p>A tick depends on nothing but the tables, the times and the inputs. Not thread-safe.
+ * <p>A tick is deterministic: it depends only on the tables, the given times and the inputs, and
+ * performs no input or output itself. Not thread-safe; used by the control thread only.
  */
 public final class Scheduler {
     private final SchedulerWorld mWorld;
@@ -23,7 +24,7 @@
         mWorld = world;
     }
 
-    /** Creates the scheduler of a process that has just started. */
+    /** Creates the scheduler of a process that has just started; it owns nothing yet. */
     public static Scheduler create(SchedulerSettings settings) {
         return new Scheduler(SchedulerWorld.create(requireNonNull(settings)));
     }
@@ -33,8 +34,8 @@
      *
      * @param nowMs milliseconds of a steady clock; never decreases
      * @param wallMs milliseconds since the epoch
-     * @param inputs what happened since the last tick, in order
-     * @return what is to be done, in order
+     * @param inputs events since the last tick, in order
+     * @return actions for the caller to perform, in order
      */
     public List<SchedulerOutput> tick(long nowMs, long wallMs, List<SchedulerInput> inputs) {
         SchedulerTick tick =
--- a/core/src/main/java/org/hibiscususher/core/scheduler/control/SchedulerPhase.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/control/SchedulerPhase.java
@@ -21,7 +21,12 @@
 import org.hibiscususher.core.scheduler.term.TermSystem;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 
-/** The systems of the scheduler, in the order in which each tick runs them. */
+/**
+ * The systems of the scheduler, in the order in which each tick runs them.
+ *
+ * <p>Configuration, ownership and results of the store come first, because all other systems depend
+ * on them. The commit comes last, so that it covers the changes of the whole tick.
+ */
 enum SchedulerPhase {
     CONFIGURATION {
         @Override
@@ -53,13 +58,13 @@
             ExecutorSystem.run(tick);
         }
     },
-    RUN {
+    RUN_ORDER {
         @Override
         void run(SchedulerTick tick) {
             RunOrderSystem.run(tick);
         }
     },
-    DOUBT {
+    UNCERTAIN_TASK {
         @Override
         void run(SchedulerTick tick) {
             UncertainTaskSystem.run(tick);
@@ -101,7 +106,7 @@
             WaveSystem.run(tick);
         }
     },
-    MOVE {
+    HOST_MOVE {
         @Override
         void run(SchedulerTick tick) {
             HostMoveSystem.run(tick);
@@ -113,19 +118,19 @@
             HostOrderSystem.run(tick);
         }
     },
-    PACE {
+    THROTTLE {
         @Override
         void run(SchedulerTick tick) {
             ThrottleSystem.run(tick);
         }
     },
-    STALL {
+    STRAGGLER {
         @Override
         void run(SchedulerTick tick) {
             StragglerSystem.run(tick);
         }
     },
-    DRAINED_EXECUTOR {
+    DRAINING_EXECUTOR {
         @Override
         void run(SchedulerTick tick) {
             DrainingExecutorSystem.run(tick);
@@ -143,7 +148,7 @@
             PlacementSystem.run(tick);
         }
     },
-    HOLD {
+    HEARTBEAT {
         @Override
         void run(SchedulerTick tick) {
             HeartbeatSystem.run(tick);
--- a/core/src/main/java/org/hibiscususher/core/scheduler/control/package-info.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/control/package-info.java
@@ -1,2 +1,5 @@
-/** The systems of the scheduler in their order. */
+/**
+ * The scheduler's tick: all systems in the order in which they run, and those of the process
+ * itself.
+ */
 package org.hibiscususher.core.scheduler.control;
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/BacklogLimit.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/BacklogLimit.java
@@ -8,47 +8,53 @@
 import org.hibiscususher.core.scheduler.world.TaskState;
 
 /**
- * Turns jobs away that a pool could not begin for a long time.
+ * Rejects new jobs of a pool whose backlog is too long.
  *
- * <p>Answers demand beyond what all hosts can hold: the work that waits, against the processor time
- * of the pool, tells how long a new job would wait. Callers are told to come back when the backlog
- * has shrunk, each at another time, so that they do not come together.
+ * <p>Guards against demand beyond the capacity of all hosts, under which jobs would wait longer and
+ * longer. The expected wait of a new job is the estimated work of the waiting tasks divided by the
+ * processor capacity of the pool. Rejected callers are told to retry when the backlog should have
+ * shrunk, with a jitter so that they don't all return at the same time.
  */
 final class BacklogLimit {
-    /** Longest time that the work of a pool may wait, in milliseconds. */
+    /** Longest expected wait with which jobs are accepted, in milliseconds. */
     private static final long MAX_WAIT_MS = 15_000;
 
     private static final long MAX_RETRY_AFTER_MS = 10_000;
     private static final long MIN_RETRY_AFTER_MS = 1_000;
-    private static final int SPREAD_MS = 2_000;
+
+    /** Range of the jitter that is added to the retry time, in milliseconds. */
+    private static final int RETRY_JITTER_MS = 2_000;
 
     private BacklogLimit() {}
 
-    /** Returns when the caller of a job should come back, or 0 if the job is taken now. */
+    /**
+     * Returns after how many milliseconds the caller of a job should retry, or 0 if the job is
+     * accepted. Service tasks don't count towards the backlog, since they have no end.
+     */
     static long retryAfterMs(SchedulerWorld world, String pool, String job) {
-        long cpu = 0;
+        long cpuMillis = 0;
         for (ExecutorRow row : world.executors().group(pool)) {
-            cpu += row.report().capacity().cpuMillis();
+            cpuMillis += row.report().capacity().cpuMillis();
         }
-        long work = 0;
+        long workMillis = 0;
         for (TaskRow task : world.tasks().group(new TaskGroup(pool, TaskState.WAITING))) {
             StepSpec spec = JobLifecycle.findSpec(world, task.key().stepKey()).orElseThrow();
-            work += spec.service() ? 0 : spec.reserved().cpuMillis() * spec.estimateMs();
+            workMillis += spec.service() ? 0 : spec.reserved().cpuMillis() * spec.estimateMs();
         }
-        return cpu == 0 ? 0 : retryAfterMs(work / cpu, job.hashCode());
+        return cpuMillis == 0 ? 0 : retryAfterMs(workMillis / cpuMillis, job.hashCode());
     }
 
     /**
-     * Returns when a caller should come back, or 0 if its job is taken now.
+     * Returns after how many milliseconds a caller should retry, or 0 if its job is accepted.
      *
-     * @param waitMs how long the work that waits takes
-     * @param seed spreads the times of several callers
+     * @param waitMs expected wait of a new job, in milliseconds
+     * @param jitterSeed decides the jitter; should differ between callers
      */
-    static long retryAfterMs(long waitMs, int seed) {
+    static long retryAfterMs(long waitMs, int jitterSeed) {
         if (waitMs <= MAX_WAIT_MS) {
             return 0;
         }
         long afterMs = Math.max(MIN_RETRY_AFTER_MS, waitMs - MAX_WAIT_MS);
-        return Math.min(MAX_RETRY_AFTER_MS, afterMs) + Math.floorMod(seed, SPREAD_MS);
+        return Math.min(MAX_RETRY_AFTER_MS, afterMs) + Math.floorMod(jitterSeed, RETRY_JITTER_MS);
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/JobLifecycle.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/JobLifecycle.java
@@ -26,11 +26,18 @@
 import org.hibiscususher.core.scheduler.world.TaskRow;
 import org.hibiscususher.core.scheduler.world.TaskState;
 
-/** The life of a job: steps whose turn comes, tasks that are done, and the job's end. */
+/**
+ * Changes of a job's state: acceptance, activation of steps, completion of tasks, and the job's
+ * end.
+ *
+ * <p>A step is activated, that is, gets rows for itself and its tasks, when all steps that it
+ * depends on are done. Callers are answered only after the store holds the change, so that a
+ * takeover can't undo what a caller was told.
+ */
 public final class JobLifecycle {
     private JobLifecycle() {}
 
-    /** Applies that the store holds a new job: its callers hear of it, its first steps begin. */
+    /** Marks a new job as stored, answers its submission, and activates its first steps. */
     public static void markStored(SchedulerTick tick, String id) {
         SchedulerWorld world = tick.world();
         JobRow job = world.jobs().find(id).orElse(null);
@@ -53,11 +60,15 @@
                         + " age_ms="
                         + (tick.nowMs() - job.arrivedMs()));
         tick.count("accepted");
-        answer(tick, id, JobRequestKind.SUBMIT, JobResponse.of(JobResponseKind.ACCEPTED));
+        respond(tick, id, JobRequestKind.SUBMIT, JobResponse.of(JobResponseKind.ACCEPTED));
         activateDueOccurrences(tick, id);
     }
 
-    /** Applies that the store holds a job's progress. */
+    /**
+     * Marks a job's progress as stored; if the job is finished, answers requests to cancel it.
+     *
+     * @param version version of the job that the record shows
+     */
     public static void markProgressStored(
             SchedulerTick tick, StoredRecord.Progress progress, long version) {
         SchedulerWorld world = tick.world();
@@ -66,7 +77,7 @@
                         progress.id(),
                         j -> j.withStoredVersion(version, progress.state(), tick.nowMs()));
         if (progress.state().isFinal()) {
-            answer(
+            respond(
                     tick,
                     progress.id(),
                     JobRequestKind.CANCEL,
@@ -74,46 +85,51 @@
         }
     }
 
-    private static void answer(
-            SchedulerTick tick, String id, JobRequestKind kind, JobResponse answer) {
+    /** Answers the requests of one kind that wait until a job is stored. */
+    private static void respond(
+            SchedulerTick tick, String id, JobRequestKind kind, JobResponse response) {
         SchedulerWorld world = tick.world();
-        for (PendingRequestRow call : world.pendingRequests().rows()) {
-            if (call.stage() == PendingRequestStage.AWAITING_STORE
-                    && call.job().equals(id)
-                    && call.request().kind() == kind) {
-                tick.emit(new Respond(call.callId(), answer));
-                world.pendingRequests().remove(call.callId());
+        for (PendingRequestRow request : world.pendingRequests().rows()) {
+            if (request.stage() == PendingRequestStage.AWAITING_STORE
+                    && request.job().equals(id)
+                    && request.request().kind() == kind) {
+                tick.emit(new Respond(request.callId(), response));
+                world.pendingRequests().remove(request.callId());
             }
         }
     }
 
-    /** Begins the occurrences of a job that are due. */
+    /** Activates the first steps of those occurrences of a job that are due. */
     public static void activateDueOccurrences(SchedulerTick tick, String id) {
         SchedulerWorld world = tick.world();
         JobRow job = world.jobs().find(id).orElse(null);
         if (job == null || !job.acceptsRuns()) {
             return;
         }
-        for (int k = 0; k < job.spec().occurrences(); k++) {
-            StepKey first = new StepKey(id, k, 0);
-            if (job.spec().scheduledMs(k) > tick.wallMs()) {
+        for (int occurrence = 0; occurrence < job.spec().occurrences(); occurrence++) {
+            StepKey first = new StepKey(id, occurrence, 0);
+            if (job.spec().scheduledMs(occurrence) > tick.wallMs()) {
                 return;
             }
             if (!world.steps().contains(first)) {
-                releaseReady(tick, job, first);
+                activateReadySteps(tick, job, first);
             }
         }
     }
 
-    /** Begins the steps of an occurrence that wait for no step that is not done. */
-    private static void releaseReady(SchedulerTick tick, JobRow job, StepKey any) {
+    /**
+     * Activates the steps of an occurrence whose dependencies are all done.
+     *
+     * @param any any step of the occurrence
+     */
+    private static void activateReadySteps(SchedulerTick tick, JobRow job, StepKey any) {
         for (int i = 0; i < job.spec().steps().size(); i++) {
             StepKey key = any.sibling(i);
             boolean ready =
                     job.spec().steps().get(i).dependsOn().stream()
-                            .allMatch(before -> isDone(tick.world(), any.sibling(before)));
+                            .allMatch(dependency -> isDone(tick.world(), any.sibling(dependency)));
             if (ready && !tick.world().steps().contains(key)) {
-                release(tick, job, key);
+                activateStep(tick, job, key);
             }
         }
     }
@@ -122,7 +138,8 @@
         return world.steps().find(key).filter(s -> s.remaining() == 0).isPresent();
     }
 
-    private static void release(SchedulerTick tick, JobRow job, StepKey key) {
+    /** Adds the rows of a step and of its tasks, which then wait for executors. */
+    private static void activateStep(SchedulerTick tick, JobRow job, StepKey key) {
         SchedulerWorld world = tick.world();
         int count = job.spec().steps().get(key.step()).count();
         world.steps().put(key, new StepRow(key, BigInteger.ZERO, count, 0));
@@ -146,10 +163,11 @@
     }
 
     /**
-     * Begins a step because an executor lists a run of it.
+     * Activates a step because an executor reports a run of it.
      *
-     * <p>An earlier owner began the step, so it saw all tasks of the steps before it done, even if
-     * the store does not hold that.
+     * <p>The earlier owner that started the run had activated the step, so all steps that it
+     * depends on were done, even if the store doesn't show that yet. They are marked as done here;
+     * otherwise their tasks would run a second time.
      */
     public static void activateForReportedRun(SchedulerTick tick, StepKey key) {
         JobRow job = tick.world().jobs().find(key.jobId()).orElse(null);
@@ -159,15 +177,15 @@
                 || !isPartOf(job, key)) {
             return;
         }
-        for (int before : job.spec().steps().get(key.step()).dependsOn()) {
-            activateForReportedRun(tick, key.sibling(before));
-            int count = job.spec().steps().get(before).count();
+        for (int dependency : job.spec().steps().get(key.step()).dependsOn()) {
+            activateForReportedRun(tick, key.sibling(dependency));
+            int count = job.spec().steps().get(dependency).count();
             for (int i = 0; i < count; i++) {
-                completeTask(tick, key.sibling(before).task(i), true);
+                completeTask(tick, key.sibling(dependency).task(i), true);
             }
         }
         if (!tick.world().steps().contains(key)) {
-            release(tick, tick.world().jobs().find(job.id()).orElseThrow(), key);
+            activateStep(tick, tick.world().jobs().find(job.id()).orElseThrow(), key);
         }
     }
 
@@ -178,7 +196,11 @@
                 && key.occurrence() < job.spec().occurrences();
     }
 
-    /** Marks tasks of a step as done that a record names. */
+    /**
+     * Marks tasks of a step as done, as restored from the store.
+     *
+     * @param done a bit for each task that is done, by its index in the step
+     */
     static void completeTasks(SchedulerTick tick, StepKey key, BigInteger done) {
         for (int i = 0; i < done.bitLength(); i++) {
             if (done.testBit(i)) {
@@ -188,12 +210,13 @@
     }
 
     /**
-     * Applies that a task is done.
+     * Marks a task as done, activates the steps that become ready, and finishes the job with its
+     * last step.
      *
-     * @param news whether the store does not hold it yet
-     * @return whether the task was not done before
+     * @param toBeStored whether the store doesn't show yet that the task is done
+     * @return whether the task was not marked as done before
      */
-    public static boolean completeTask(SchedulerTick tick, TaskKey key, boolean news) {
+    public static boolean completeTask(SchedulerTick tick, TaskKey key, boolean toBeStored) {
         SchedulerWorld world = tick.world();
         StepRow step = world.steps().find(key.stepKey()).orElse(null);
         JobRow job = world.jobs().find(key.jobId()).orElse(null);
@@ -201,21 +224,21 @@
             return false;
         }
         world.tasks().remove(key);
-        StepRow after = step.withTaskDone(key.index());
-        world.steps().put(step.key(), after);
-        JobRow changed = news ? job.withChange(tick.nowMs()) : job;
-        changed = after.remaining() == 0 ? changed.withStepDone() : changed;
-        world.jobs().put(job.id(), changed);
-        if (after.remaining() == 0) {
-            releaseReady(tick, changed, step.key());
-            if (changed.remainingSteps() == 0) {
+        StepRow updatedStep = step.withTaskDone(key.index());
+        world.steps().put(step.key(), updatedStep);
+        JobRow updatedJob = toBeStored ? job.withChange(tick.nowMs()) : job;
+        updatedJob = updatedStep.remaining() == 0 ? updatedJob.withStepDone() : updatedJob;
+        world.jobs().put(job.id(), updatedJob);
+        if (updatedStep.remaining() == 0) {
+            activateReadySteps(tick, updatedJob, step.key());
+            if (updatedJob.remainingSteps() == 0) {
                 finish(tick, job.id(), JobState.DONE, "all-tasks-done");
             }
         }
         return true;
     }
 
-    /** Applies that a task's run has begun. */
+    /** Moves a job from QUEUED to RUNNING when the first run of one of its tasks has started. */
     public static void markRunning(SchedulerTick tick, String id) {
         SchedulerWorld world = tick.world();
         JobRow job = world.jobs().find(id).orElse(null);
@@ -225,7 +248,13 @@
         }
     }
 
-    /** Brings a job to a final state: its runs are stopped, no more are started. */
+    /**
+     * Moves a job to a final state, removes its steps and tasks, and stops its runs. Does nothing
+     * if the job is unknown or already final.
+     *
+     * @param state the final state
+     * @param reason why, for the log
+     */
     public static void finish(SchedulerTick tick, String id, JobState state, String reason) {
         SchedulerWorld world = tick.world();
         JobRow job = world.jobs().find(id).orElse(null);
@@ -260,18 +289,18 @@
         }
     }
 
-    /** Returns the steps of a job whose turn has come. */
+    /** Returns the steps of a job that have been activated, of all occurrences, also those done. */
     public static List<StepRow> activatedSteps(SchedulerWorld world, JobRow job) {
         List<StepRow> found = new ArrayList<>();
-        for (int k = 0; k < job.spec().occurrences(); k++) {
+        for (int occurrence = 0; occurrence < job.spec().occurrences(); occurrence++) {
             for (int i = 0; i < job.spec().steps().size(); i++) {
-                world.steps().find(new StepKey(job.id(), k, i)).ifPresent(found::add);
+                world.steps().find(new StepKey(job.id(), occurrence, i)).ifPresent(found::add);
             }
         }
         return found;
     }
 
-    /** Returns what a step asks for, if its job is known. */
+    /** Returns the specification of a step, or empty if its job is unknown. */
     public static Optional<StepSpec> findSpec(SchedulerWorld world, StepKey key) {
         return world.jobs().find(key.jobId()).map(j -> j.spec().steps().get(key.step()));
     }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/JobProgress.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/JobProgress.java
@@ -13,11 +13,11 @@
 import org.hibiscususher.core.scheduler.world.StepRow;
 import org.hibiscususher.core.scheduler.world.TaskRow;
 
-/** Translates between a job's tables and the record of its progress. */
+/** Converts between the rows of a job and its stored progress record. */
 public final class JobProgress {
     private JobProgress() {}
 
-    /** Returns the record of how far a job has come. */
+    /** Returns the progress record of a job; that of a finished job holds only its state. */
     public static StoredRecord.Progress toRecord(SchedulerWorld world, JobRow job) {
         List<StepProgress> steps = new ArrayList<>();
         List<TaskProgress> tasks = new ArrayList<>();
@@ -34,13 +34,13 @@
     }
 
     private static void addTasks(
-            SchedulerWorld world, JobRow job, StepRow step, List<TaskProgress> marks) {
+            SchedulerWorld world, JobRow job, StepRow step, List<TaskProgress> tasks) {
         StepKey key = step.key();
         int count = job.spec().steps().get(key.step()).count();
         for (int i = 0; i < count; i++) {
             TaskRow task = world.tasks().find(key.task(i)).orElse(null);
             if (task != null && (!task.failedRuns().isEmpty() || !task.checkpoint().isEmpty())) {
-                marks.add(
+                tasks.add(
                         new TaskProgress(
                                 key.occurrence(),
                                 key.step(),
@@ -51,7 +51,10 @@
         }
     }
 
-    /** Puts a job's progress back into the tables. */
+    /**
+     * Applies a stored progress record to the tables of a new owner. A record without a job row is
+     * ignored.
+     */
     public static void restore(SchedulerTick tick, StoredRecord.Progress progress) {
         SchedulerWorld world = tick.world();
         JobRow job = world.jobs().find(progress.id()).orElse(null);
@@ -68,24 +71,25 @@
             return;
         }
         JobLifecycle.activateDueOccurrences(tick, job.id());
-        for (StepProgress mark : progress.steps()) {
-            StepKey key = new StepKey(job.id(), mark.occurrence(), mark.step());
-            JobLifecycle.completeTasks(tick, key, mark.doneTasks());
+        for (StepProgress step : progress.steps()) {
+            StepKey key = new StepKey(job.id(), step.occurrence(), step.step());
+            JobLifecycle.completeTasks(tick, key, step.doneTasks());
         }
-        for (TaskProgress mark : progress.tasks()) {
-            StepKey key = new StepKey(job.id(), mark.occurrence(), mark.step());
-            world.tasks().update(key.task(mark.index()), t -> restored(t, mark));
+        for (TaskProgress task : progress.tasks()) {
+            StepKey key = new StepKey(job.id(), task.occurrence(), task.step());
+            world.tasks().update(key.task(task.index()), row -> restored(row, task));
         }
     }
 
-    private static TaskRow restored(TaskRow task, TaskProgress mark) {
+    /** Returns a task's row with its stored failed runs and checkpoint. */
+    private static TaskRow restored(TaskRow task, TaskProgress stored) {
         return new TaskRow(
                 task.key(),
                 task.pool(),
                 task.state(),
-                mark.failedRuns().stream().reduce(task.lastRun(), Math::max),
-                Set.copyOf(mark.failedRuns()),
-                mark.checkpoint(),
+                stored.failedRuns().stream().reduce(task.lastRun(), Math::max),
+                Set.copyOf(stored.failedRuns()),
+                stored.checkpoint(),
                 task.readySinceMs(),
                 task.notBeforeMs(),
                 task.lastFailedExecutor(),
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/JobRequestSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/JobRequestSystem.java
@@ -24,38 +24,46 @@
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
 import org.hibiscususher.core.scheduler.world.StoreHealthRow;
 
-/** Answers callers, or passes their requests on to the owner. */
+/**
+ * Answers callers' requests on the owner, and forwards them to the owner on every other entry.
+ *
+ * <p>Submissions and cancellations are answered only after their effect is stored, so that a
+ * takeover can't undo what a caller was told.
+ */
 public final class JobRequestSystem {
-    /** Entries that may pass a request on. */
+    /** How often a request may be forwarded; ends loops while entries disagree on the owner. */
     private static final int MAX_HOPS = 3;
 
-    /** Longest time for which a request waits for an owner, in milliseconds. */
+    /** Longest time for which a request waits until there is an owner, in milliseconds. */
     private static final long OWNER_WAIT_MS = 120;
 
-    /** Age of a commit beyond which the store counts as away, in milliseconds. */
-    private static final long STORE_AWAY_MS = 700;
+    /** Age of a commit without result above which the store counts as unreachable. */
+    private static final long STORE_UNREACHABLE_MS = 700;
 
+    /** When a rejected caller should try again, in milliseconds. */
     private static final long RETRY_AFTER_MS = 1_000;
 
     private JobRequestSystem() {}
 
-    /** Takes in new requests and those that wait for an owner. */
+    /**
+     * Handles new requests, those that wait for an owner, and those that could not be forwarded.
+     */
     public static void run(SchedulerTick tick) {
-        for (PendingRequestRow call : tick.world().pendingRequests().rows()) {
-            if (call.stage() == PendingRequestStage.AWAITING_OWNER) {
-                tick.world().pendingRequests().remove(call.callId());
-                place(tick, call);
+        for (PendingRequestRow pending : tick.world().pendingRequests().rows()) {
+            if (pending.stage() == PendingRequestStage.AWAITING_OWNER) {
+                tick.world().pendingRequests().remove(pending.callId());
+                route(tick, pending);
             }
         }
         for (RequestReceived received : tick.inputs(RequestReceived.class)) {
-            PendingRequestRow call =
+            PendingRequestRow pending =
                     new PendingRequestRow(
                             received.callId(),
                             received.request(),
                             "",
                             PendingRequestStage.AWAITING_OWNER,
                             tick.nowMs());
-            place(tick, call);
+            route(tick, pending);
         }
         for (ForwardFailed failed : tick.inputs(ForwardFailed.class)) {
             JobResponseKind kind =
@@ -71,52 +79,63 @@
         }
     }
 
-    private static void place(SchedulerTick tick, PendingRequestRow call) {
+    /** Decides on a request, forwards it, rejects it, or keeps it until there is an owner. */
+    private static void route(SchedulerTick tick, PendingRequestRow pending) {
         SchedulerWorld world = tick.world();
         Optional<StoredRecord.Owner> owner = world.ownership().get().ownership().owner();
-        boolean self = owner.map(o -> o.node().equals(world.settings().node())).orElse(true);
+        boolean selfOrNone = owner.map(o -> o.node().equals(world.settings().node())).orElse(true);
         if (Authority.mayDecideRequests(tick)) {
-            decide(tick, call);
-        } else if (!self
+            handle(tick, pending);
+        } else if (!selfOrNone
                 && !world.term().get().stage().isOwner()
-                && call.request().hops() < MAX_HOPS) {
+                && pending.request().hops() < MAX_HOPS) {
             tick.emit(
-                    new Forward(call.callId(), owner.get().address(), call.request().forwarded()));
-        } else if (self
-                && call.request().hops() == 0
+                    new Forward(
+                            pending.callId(),
+                            owner.get().address(),
+                            pending.request().forwarded()));
+        } else if (selfOrNone
+                && pending.request().hops() == 0
                 && !world.nodeState().get().storeReachable()) {
-            tick.emit(new Forward(call.callId(), seed(world, call), call.request().forwarded()));
-        } else if (tick.nowMs() - call.waitingSinceMs() > OWNER_WAIT_MS) {
-            refuse(tick, call, JobResponseKind.UNAVAILABLE, "no-owner");
+            tick.emit(
+                    new Forward(
+                            pending.callId(),
+                            otherEntry(world, pending),
+                            pending.request().forwarded()));
+        } else if (tick.nowMs() - pending.waitingSinceMs() > OWNER_WAIT_MS) {
+            reject(tick, pending, JobResponseKind.UNAVAILABLE, "no-owner");
         } else {
-            world.pendingRequests().put(call.callId(), call);
+            world.pendingRequests().put(pending.callId(), pending);
         }
     }
 
-    /** Returns another entry, which may know the owner that this one can't hear of. */
-    private static String seed(SchedulerWorld world, PendingRequestRow call) {
+    /**
+     * Returns the address of another entry. It may know the owner, which this entry can't read from
+     * the store. Without other entries, returns the own address.
+     */
+    private static String otherEntry(SchedulerWorld world, PendingRequestRow pending) {
         List<String> seeds = new ArrayList<>(world.settings().seeds());
         seeds.remove(world.settings().address());
         return seeds.isEmpty()
                 ? world.settings().address()
-                : seeds.get((int) (call.callId() % seeds.size()));
+                : seeds.get((int) (pending.callId() % seeds.size()));
     }
 
-    private static void refuse(
-            SchedulerTick tick, PendingRequestRow call, JobResponseKind kind, String reason) {
-        refuse(tick, call, kind, reason, RETRY_AFTER_MS);
+    private static void reject(
+            SchedulerTick tick, PendingRequestRow pending, JobResponseKind kind, String reason) {
+        reject(tick, pending, kind, reason, RETRY_AFTER_MS);
     }
 
-    private static void refuse(
+    private static void reject(
             SchedulerTick tick,
-            PendingRequestRow call,
+            PendingRequestRow pending,
             JobResponseKind kind,
             String reason,
             long retryAfterMs) {
         tick.log(
                 "refused",
                 "call="
-                        + call.request().path()
+                        + pending.request().path()
                         + " kind="
                         + kind
                         + " reason="
@@ -126,47 +145,49 @@
                         + " retry_after_ms="
                         + retryAfterMs);
         tick.count("refused." + reason);
-        tick.emit(new Respond(call.callId(), JobResponse.refusal(kind, retryAfterMs, reason)));
+        tick.emit(new Respond(pending.callId(), JobResponse.refusal(kind, retryAfterMs, reason)));
     }
 
-    private static void decide(SchedulerTick tick, PendingRequestRow row) {
-        JobRequest call = row.request();
-        JobConfiguration plan = tick.world().configuration().get().configuration();
-        if (plan.version() == 0) {
-            refuse(tick, row, JobResponseKind.UNAVAILABLE, "no-plan");
+    /** Finds the queue and the team of a request, and carries it out. */
+    private static void handle(SchedulerTick tick, PendingRequestRow pending) {
+        JobRequest request = pending.request();
+        JobConfiguration configuration = tick.world().configuration().get().configuration();
+        if (configuration.version() == 0) {
+            reject(tick, pending, JobResponseKind.UNAVAILABLE, "no-plan");
             return;
         }
-        Optional<JobQueue> queue = plan.route(call.hostName(), call.path());
+        Optional<JobQueue> queue = configuration.route(request.hostName(), request.path());
         if (queue.isEmpty()) {
-            refuse(tick, row, JobResponseKind.NO_QUEUE, "no-queue");
+            reject(tick, pending, JobResponseKind.NO_QUEUE, "no-queue");
             return;
         }
-        Optional<JobTeam> team = plan.teamByApiKey(call.apiKey());
+        Optional<JobTeam> team = configuration.teamByApiKey(request.apiKey());
         if (team.isEmpty() && !queue.get().allowsAnonymous()) {
-            refuse(tick, row, JobResponseKind.NO_KEY, "no-key");
+            reject(tick, pending, JobResponseKind.NO_KEY, "no-key");
             return;
         }
-        String id = call.path().substring(queue.get().pathPrefix().length());
-        switch (call.kind()) {
-            case SUBMIT -> submit(tick, row, queue.get(), team, id);
-            case QUERY -> query(tick, row, queue.get(), id);
-            default -> cancel(tick, row, queue.get(), id);
+        String id = request.path().substring(queue.get().pathPrefix().length());
+        switch (request.kind()) {
+            case SUBMIT -> submit(tick, pending, queue.get(), team, id);
+            case QUERY -> query(tick, pending, queue.get(), id);
+            default -> cancel(tick, pending, queue.get(), id);
         }
     }
 
+    /** Returns a job's state or, if no job is named, how many jobs of the queue are waiting. */
     private static void query(
-            SchedulerTick tick, PendingRequestRow row, JobQueue queue, String id) {
+            SchedulerTick tick, PendingRequestRow pending, JobQueue queue, String id) {
         if (id.isEmpty()) {
-            long pending =
+            long queuedJobs =
                     tick.world().jobs().rows().stream().filter(j -> isPending(j, queue)).count();
-            tick.emit(new Respond(row.callId(), JobResponse.ofPending(pending)));
+            tick.emit(new Respond(pending.callId(), JobResponse.ofPending(queuedJobs)));
             return;
         }
-        JobResponse answer =
+        JobResponse response =
                 find(tick, queue, id)
-                        .map(j -> JobResponse.ofState(shown(j)))
+                        .map(j -> JobResponse.ofState(visibleState(j)))
                         .orElse(JobResponse.of(JobResponseKind.NO_JOB));
-        tick.emit(new Respond(row.callId(), answer));
+        tick.emit(new Respond(pending.callId(), response));
     }
 
     private static boolean isPending(JobRow job, JobQueue queue) {
@@ -182,41 +203,47 @@
                 .filter(j -> j.stored() && j.policy().queue().equals(queue.name()));
     }
 
-    /** Returns the state that callers are told: a final one only once it is stored. */
-    private static JobState shown(JobRow job) {
-        boolean told = !job.state().isFinal() || job.storedState() == job.state();
-        return told ? job.state() : JobState.RUNNING;
+    /**
+     * Returns the state that callers may see. A final state is shown only once it is stored,
+     * because the next owner would continue the job otherwise.
+     */
+    private static JobState visibleState(JobRow job) {
+        boolean visible = !job.state().isFinal() || job.storedState() == job.state();
+        return visible ? job.state() : JobState.RUNNING;
     }
 
+    /** Cancels a job; a job that is already final gets the same answer. */
     private static void cancel(
-            SchedulerTick tick, PendingRequestRow row, JobQueue queue, String id) {
+            SchedulerTick tick, PendingRequestRow pending, JobQueue queue, String id) {
         Optional<JobRow> job = find(tick, queue, id);
         if (job.isEmpty()) {
-            tick.emit(new Respond(row.callId(), JobResponse.of(JobResponseKind.NO_JOB)));
+            tick.emit(new Respond(pending.callId(), JobResponse.of(JobResponseKind.NO_JOB)));
         } else if (job.get().storedState().isFinal()) {
-            tick.emit(new Respond(row.callId(), JobResponse.of(JobResponseKind.CANCELLED)));
+            tick.emit(new Respond(pending.callId(), JobResponse.of(JobResponseKind.CANCELLED)));
         } else {
             JobLifecycle.finish(tick, id, JobState.CANCELLED, "caller");
-            await(tick, row, id);
+            awaitStore(tick, pending, id);
         }
     }
 
-    private static void await(SchedulerTick tick, PendingRequestRow row, String id) {
+    /** Keeps a request until the store holds the job's change. */
+    private static void awaitStore(SchedulerTick tick, PendingRequestRow pending, String id) {
         tick.world()
                 .pendingRequests()
                 .put(
-                        row.callId(),
+                        pending.callId(),
                         new PendingRequestRow(
-                                row.callId(),
-                                row.request(),
+                                pending.callId(),
+                                pending.request(),
                                 id,
                                 PendingRequestStage.AWAITING_STORE,
                                 tick.nowMs()));
     }
 
+    /** Accepts a new job if it is valid and can be stored; repeating a submission is harmless. */
     private static void submit(
             SchedulerTick tick,
-            PendingRequestRow row,
+            PendingRequestRow pending,
             JobQueue queue,
             Optional<JobTeam> team,
             String id) {
@@ -224,24 +251,24 @@
         Optional<JobRow> known = world.jobs().find(id);
         if (known.isPresent()) {
             if (known.get().stored()) {
-                tick.emit(new Respond(row.callId(), JobResponse.of(JobResponseKind.ACCEPTED)));
+                tick.emit(new Respond(pending.callId(), JobResponse.of(JobResponseKind.ACCEPTED)));
             } else {
-                await(tick, row, id);
+                awaitStore(tick, pending, id);
             }
             return;
         }
         long retryAfterMs = BacklogLimit.retryAfterMs(world, queue.policy().pool(), id);
-        JobSpec spec = row.request().spec().orElse(JobSpec.once("", List.of()));
+        JobSpec spec = pending.request().spec().orElse(JobSpec.once("", List.of()));
         Optional<String> problem = JobValidation.findProblem(world, queue, spec, id);
         if (problem.isPresent()) {
-            refuse(tick, row, JobResponseKind.INVALID, problem.get());
+            reject(tick, pending, JobResponseKind.INVALID, problem.get());
         } else if (retryAfterMs > 0 && !spec.isService()) {
-            refuse(tick, row, JobResponseKind.OVERLOADED, "backlog", retryAfterMs);
-        } else if (isStoreAway(tick)) {
-            refuse(tick, row, JobResponseKind.UNAVAILABLE, "store-away");
+            reject(tick, pending, JobResponseKind.OVERLOADED, "backlog", retryAfterMs);
+        } else if (isStoreUnreachable(tick)) {
+            reject(tick, pending, JobResponseKind.UNAVAILABLE, "store-away");
         } else {
             world.jobs().put(id, newJob(tick, queue, team, spec, id));
-            await(tick, row, id);
+            awaitStore(tick, pending, id);
         }
     }
 
@@ -265,14 +292,14 @@
                 0);
     }
 
-    private static boolean isStoreAway(SchedulerTick tick) {
+    private static boolean isStoreUnreachable(SchedulerTick tick) {
         StoreHealthRow store = tick.world().storeHealth().get();
-        boolean silent =
+        boolean commitOverdue =
                 tick.world()
                         .commit()
                         .get()
-                        .filter(c -> tick.nowMs() - c.sentMs() > STORE_AWAY_MS)
+                        .filter(c -> tick.nowMs() - c.sentMs() > STORE_UNREACHABLE_MS)
                         .isPresent();
-        return silent || store.isUnreachable(tick.nowMs());
+        return commitOverdue || store.isUnreachable(tick.nowMs());
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/JobSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/JobSystem.java
@@ -6,14 +6,14 @@
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
 
-/** Begins occurrences when they are due, and forgets jobs that ended long ago. */
+/** Activates the occurrences of scheduled jobs when they are due, and removes old finished jobs. */
 public final class JobSystem {
-    /** Time for which callers can ask for the state of a job that has ended, in milliseconds. */
-    private static final long KEEP_MS = 180_000;
+    /** Time for which callers can query a job after it has finished, in milliseconds. */
+    private static final long RETENTION_MS = 180_000;
 
     private JobSystem() {}
 
-    /** Runs over all jobs. */
+    /** Processes all jobs; only the owner does so. */
     public static void run(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
         if (!world.term().get().isScheduling()) {
@@ -22,13 +22,17 @@
         for (JobRow job : world.jobs().rows()) {
             if (job.acceptsRuns() && job.spec().isScheduled()) {
                 JobLifecycle.activateDueOccurrences(tick, job.id());
-            } else if (job.state().isFinal() && tick.nowMs() - job.endedMs() > KEEP_MS) {
-                forget(world, job);
+            } else if (job.state().isFinal() && tick.nowMs() - job.endedMs() > RETENTION_MS) {
+                removeFinished(world, job);
             }
         }
     }
 
-    private static void forget(SchedulerWorld world, JobRow job) {
+    /**
+     * Requests the removal of a job's records, or removes its row once the store no longer has
+     * them. A row removed earlier would leave records that the next owner loads again.
+     */
+    private static void removeFinished(SchedulerWorld world, JobRow job) {
         RecordName progress = RecordName.of(RecordKind.PROGRESS, job.id());
         if (!world.revisions().contains(progress)) {
             world.jobs().remove(job.id());
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/package-info.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/package-info.java
@@ -1,2 +1,2 @@
-/** Callers' requests and the life of jobs. */
+/** Callers' requests, and the lifecycle of jobs from their acceptance to their removal. */
 package org.hibiscususher.core.scheduler.job;
