Reword task placement in terms of priority, capacity and placement tokens

Comments spoke of room, hope and advice without the rule behind them. They now state the order, the cost of an executor and the hazards. Named the constants of the executor's cost; the values are unchanged. Test names state what holds.

--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/JobRequestSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/JobRequestSystem.java
@@ -37,7 +37,7 @@
     /** Longest time for which a request waits until there is an owner, in milliseconds. */
     private static final long OWNER_WAIT_MS = 120;
 
-    /** Age of a commit without result above which the store counts as unreachable. */
+    /** Age of an unanswered commit above which the store counts as unreachable, in milliseconds. */
     private static final long STORE_UNREACHABLE_MS = 700;
 
     /** When a rejected caller should try again, in milliseconds. */
@@ -272,6 +272,7 @@
         }
     }
 
+    /** Returns the row of a job that is not stored yet. */
     private static JobRow newJob(
             SchedulerTick tick, JobQueue queue, Optional<JobTeam> team, JobSpec spec, String id) {
         return new JobRow(
--- a/core/src/main/java/org/hibiscususher/core/scheduler/placement/AdviceSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/placement/AdviceSystem.java
@@ -22,89 +22,115 @@
 import org.hibiscususher.core.scheduler.world.TaskRow;
 import org.hibiscususher.core.scheduler.world.TaskState;
 
-/** Asks which executors may run the steps of queues whose policy only an outside service knows. */
+/**
+ * Requests placement tokens for the steps of queues whose placement policy only an outside service
+ * knows.
+ *
+ * <p>A token permits the runs of one step on one executor for a limited time; without it, no run of
+ * the step is started there. One request is in flight at a time.
+ */
 public final class AdviceSystem {
-    /** Most executors that a request asks for: the answer takes time for each. */
-    private static final int MAX_ASKED = 30;
+    /** Most executors in a request; the service needs time for each of them. */
+    private static final int MAX_EXECUTORS_PER_REQUEST = 30;
 
+    /** Time after which an unanswered request is abandoned, in milliseconds. */
     private static final long TIMEOUT_MS = 3_000;
 
-    /** Time before the end of a permission from which it is not relied on, in milliseconds. */
-    private static final long MARGIN_MS = 300;
+    /** Part at the end of a token's validity in which the token is not used, in milliseconds. */
+    private static final long VALIDITY_MARGIN_MS = 300;
 
     private AdviceSystem() {}
 
-    /** Takes in advice, and asks for the next step that needs some. */
+    /** Stores the tokens received, then sends the next request if none is in flight. */
     public static void run(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
         for (SchedulerInput input : tick.inputs()) {
-            AdviceRequestRow call = world.adviceRequest().get();
-            if (input instanceof AdviceReceived given && given.callId() == call.callId()) {
-                take(tick, given, call);
-            } else if (input instanceof AdviceFailed failed && failed.callId() == call.callId()) {
+            AdviceRequestRow request = world.adviceRequest().get();
+            if (input instanceof AdviceReceived received && received.callId() == request.callId()) {
+                storeTokens(tick, received, request);
+            } else if (input instanceof AdviceFailed failed
+                    && failed.callId() == request.callId()) {
                 tick.log("advice-failed", "step=" + failed.step());
                 world.adviceRequest().set(AdviceRequestRow.NONE);
             }
         }
-        AdviceRequestRow call = world.adviceRequest().get();
-        boolean free = call.callId() == 0 || tick.nowMs() - call.sentMs() > TIMEOUT_MS;
-        if (free && Authority.mayStartRuns(tick)) {
-            askNext(tick);
+        AdviceRequestRow request = world.adviceRequest().get();
+        boolean idle = request.callId() == 0 || tick.nowMs() - request.sentMs() > TIMEOUT_MS;
+        if (idle && Authority.mayStartRuns(tick)) {
+            requestNext(tick);
         }
     }
 
-    private static void take(SchedulerTick tick, AdviceReceived given, AdviceRequestRow call) {
+    /**
+     * Adds received tokens to those of earlier requests for the step that are still valid. All
+     * tokens of a step then expire with the first of them.
+     */
+    private static void storeTokens(
+            SchedulerTick tick, AdviceReceived received, AdviceRequestRow request) {
         SchedulerWorld world = tick.world();
-        AdviceRow before = world.advice().find(given.step()).orElse(null);
-        boolean fresh = before != null && before.validUntilMs() > tick.nowMs();
-        Map<String, String> tickets = new HashMap<>(fresh ? before.tokens() : Map.of());
-        Set<String> asked = new HashSet<>(fresh ? before.requested() : Set.of());
-        tickets.putAll(given.tokens());
-        asked.addAll(call.executors());
-        long untilMs = call.sentMs() + given.validMs() - MARGIN_MS;
-        long validUntilMs = fresh ? Math.min(before.validUntilMs(), untilMs) : untilMs;
-        world.advice().put(given.step(), new AdviceRow(given.step(), tickets, asked, validUntilMs));
+        AdviceRow before = world.advice().find(received.step()).orElse(null);
+        boolean stillValid = before != null && before.validUntilMs() > tick.nowMs();
+        Map<String, String> tokens = new HashMap<>(stillValid ? before.tokens() : Map.of());
+        Set<String> requested = new HashSet<>(stillValid ? before.requested() : Set.of());
+        tokens.putAll(received.tokens());
+        requested.addAll(request.executors());
+        long untilMs = request.sentMs() + received.validMs() - VALIDITY_MARGIN_MS;
+        long validUntilMs = stillValid ? Math.min(before.validUntilMs(), untilMs) : untilMs;
+        world.advice()
+                .put(
+                        received.step(),
+                        new AdviceRow(received.step(), tokens, requested, validUntilMs));
         world.adviceRequest().set(AdviceRequestRow.NONE);
         tick.log(
                 "advice",
                 "step="
-                        + given.step()
+                        + received.step()
                         + " allowed="
-                        + given.tokens().size()
+                        + received.tokens().size()
                         + " asked="
-                        + call.executors().size()
+                        + request.executors().size()
                         + " valid_ms="
-                        + given.validMs());
+                        + received.validMs());
     }
 
-    private static void askNext(SchedulerTick tick) {
+    /**
+     * Sends a request for the first waiting task that needs a token and has executors to ask for.
+     */
+    private static void requestNext(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
         for (TaskGroup group : world.tasks().groups()) {
             if (group.state() != TaskState.WAITING) {
                 continue;
             }
             for (TaskRow task : world.tasks().group(group)) {
-                boolean advised =
+                boolean needsToken =
                         world.jobs()
                                 .find(task.key().jobId())
                                 .filter(j -> j.policy().needsPlacementToken())
                                 .isPresent();
-                if (advised && !task.uncertain() && ask(tick, task)) {
+                if (needsToken && !task.uncertain() && request(tick, task)) {
                     return;
                 }
             }
         }
     }
 
-    private static boolean ask(SchedulerTick tick, TaskRow task) {
+    /**
+     * Requests tokens for a task's step on executors that have not been asked for yet.
+     *
+     * @return whether a request was sent
+     */
+    private static boolean request(SchedulerTick tick, TaskRow task) {
         SchedulerWorld world = tick.world();
         StepKey step = task.key().stepKey();
         AdviceRow known = world.advice().find(step).orElse(null);
-        boolean fresh = known != null && known.validUntilMs() > tick.nowMs();
+        boolean stillValid = known != null && known.validUntilMs() > tick.nowMs();
         List<String> executors = new ArrayList<>();
         for (ExecutorRow row : world.executors().group(task.pool())) {
-            boolean open = !fresh || !known.requested().contains(row.id());
-            if (open && executors.size() < MAX_ASKED && FreeCapacity.acceptsRuns(tick, row)) {
+            boolean isNew = !stillValid || !known.requested().contains(row.id());
+            if (isNew
+                    && executors.size() < MAX_EXECUTORS_PER_REQUEST
+                    && FreeCapacity.acceptsRuns(tick, row)) {
                 executors.add(row.id());
             }
         }
@@ -117,7 +143,7 @@
         return true;
     }
 
-    /** Returns the permission to run a step on an executor, or empty if there is none. */
+    /** Returns the valid token for the runs of a step on an executor, or empty if there is none. */
     static Optional<String> placementToken(SchedulerTick tick, StepKey step, String executor) {
         return tick.world()
                 .advice()
--- a/core/src/main/java/org/hibiscususher/core/scheduler/placement/ExecutorSelector.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/placement/ExecutorSelector.java
@@ -9,34 +9,48 @@
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
 import org.hibiscususher.core.scheduler.world.TaskRow;
 
-/** Chooses the executor for a task. */
+/** Selects the executor for a task. */
 final class ExecutorSelector {
+    /** Added to the cost of the executor on which the task failed last; outweighs all else. */
+    private static final long FAILED_EXECUTOR_COST = 4_000_000_000L;
+
+    /** Added to the cost of executors on another rack than the task's data. */
+    private static final long OTHER_RACK_COST = 2_000_000_000L;
+
+    /** Added for tasks that reserve processor time; the same for all executors of a selection. */
+    private static final long RESERVED_CPU_COST = 1_000_000_000L;
+
     private ExecutorSelector() {}
 
     /**
-     * Returns the executor on which a task runs best, or empty if it fits on none.
+     * Returns the executor with the lowest cost for a task, or empty if the task fits on none.
+     *
+     * <p>Executors on the rack of the task's data are preferred, and the one on which the task
+     * failed last is the last choice. Among equals, a best-effort task gets the executor with the
+     * fewest runs; any other task gets the one with the least free processor time, so that large
+     * free shares remain for tasks that need many cores.
      *
-     * <p>The rack that the task's data lies on comes first; an executor on which the task failed
-     * comes last; then the one with the most free processor time for tasks that serve, the least
-     * for others, so that room for wide tasks stays.
+     * @param capacity free capacity of the task's pool
+     * @param spec the step of the task
      */
     static Optional<ExecutorRow> select(
-            SchedulerTick tick, FreeCapacity room, TaskRow task, StepSpec spec) {
+            SchedulerTick tick, FreeCapacity capacity, TaskRow task, StepSpec spec) {
         ExecutorRow best = null;
-        long bestRank = Long.MAX_VALUE;
-        for (ExecutorRow row : room.executors()) {
-            Resources free = room.free(row.id());
+        long lowestCost = Long.MAX_VALUE;
+        for (ExecutorRow row : capacity.executors()) {
+            Resources free = capacity.free(row.id());
             if (spec.reserved().fitsIn(free) && isAllowed(tick, row, task, spec)) {
-                long rank = rank(row, task, spec, free, room.runCount(row.id()));
-                if (rank < bestRank) {
+                long cost = cost(row, task, spec, free, capacity.runCount(row.id()));
+                if (cost < lowestCost) {
                     best = row;
-                    bestRank = rank;
+                    lowestCost = cost;
                 }
             }
         }
         return Optional.ofNullable(best);
     }
 
+    /** Returns whether label, placement token and the limit per executor permit a run. */
     private static boolean isAllowed(
             SchedulerTick tick, ExecutorRow row, TaskRow task, StepSpec spec) {
         String label = spec.requiredLabel();
@@ -45,36 +59,36 @@
         }
         StepKey step = task.key().stepKey();
         SchedulerWorld world = tick.world();
-        boolean advised =
+        boolean needsToken =
                 world.jobs()
                         .find(step.jobId())
                         .filter(j -> j.policy().needsPlacementToken())
                         .isPresent();
-        if (advised && AdviceSystem.placementToken(tick, step, row.id()).isEmpty()) {
+        if (needsToken && AdviceSystem.placementToken(tick, step, row.id()).isEmpty()) {
             return false;
         }
         if (spec.maxPerExecutor() <= 0) {
             return true;
         }
-        long there =
+        long runsOfStep =
                 world.runs().group(row.id()).stream()
                         .filter(r -> r.task().stepKey().equals(step))
                         .count();
-        return there < spec.maxPerExecutor();
+        return runsOfStep < spec.maxPerExecutor();
     }
 
-    private static long rank(
-            ExecutorRow row, TaskRow task, StepSpec spec, Resources free, int runs) {
-        long rank = 0;
+    private static long cost(
+            ExecutorRow row, TaskRow task, StepSpec spec, Resources free, int runCount) {
+        long cost = 0;
         if (row.id().equals(task.lastFailedExecutor())) {
-            rank += 4_000_000_000L;
+            cost += FAILED_EXECUTOR_COST;
         }
         if (!spec.dataRack().isEmpty() && !row.report().labels().contains(spec.dataRack())) {
-            rank += 2_000_000_000L;
+            cost += OTHER_RACK_COST;
         }
         if (spec.bestEffortCpu()) {
-            return rank + runs;
+            return cost + runCount;
         }
-        return rank + free.cpuMillis() + 1_000_000_000L;
+        return cost + free.cpuMillis() + RESERVED_CPU_COST;
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/placement/FreeCapacity.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/placement/FreeCapacity.java
@@ -11,84 +11,101 @@
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
 
-/** What is free on the executors of a pool, while runs are being placed. Not thread-safe. */
+/**
+ * Free capacity of the executors of a pool that accept runs, kept up to date while runs are placed
+ * within a tick. Not thread-safe.
+ */
 final class FreeCapacity {
     private final Map<String, Resources> mFree = new HashMap<>();
     private final Map<String, ExecutorRow> mExecutors = new LinkedHashMap<>();
-    private final Map<String, Integer> mRuns = new HashMap<>();
+    private final Map<String, Integer> mRunCounts = new HashMap<>();
 
-    /** What last fitted on no executor; room only shrinks, so whatever needs as much won't fit. */
-    private Resources mTooBig;
+    /**
+     * The last demand that fitted on no executor, or null. From one check to the next, free
+     * capacity never grows, so a demand of at least this size need not be checked again.
+     */
+    private Resources mUnfitting;
 
     private FreeCapacity() {}
 
-    /** Returns the room on the executors of a pool that may get new runs. */
+    /** Returns the free capacity of the executors of a pool that accept runs. */
     static FreeCapacity of(SchedulerTick tick, String pool) {
         SchedulerWorld world = tick.world();
-        FreeCapacity room = new FreeCapacity();
+        FreeCapacity capacity = new FreeCapacity();
         for (ExecutorRow row : world.executors().group(pool)) {
             if (acceptsRuns(tick, row)) {
                 Resources free = row.report().capacity();
                 for (RunRow run : world.runs().group(row.id())) {
                     free = free.minus(run.reserved());
                 }
-                room.mExecutors.put(row.id(), row);
-                room.mFree.put(row.id(), free);
-                room.mRuns.put(row.id(), world.runs().group(row.id()).size());
+                capacity.mExecutors.put(row.id(), row);
+                capacity.mFree.put(row.id(), free);
+                capacity.mRunCounts.put(row.id(), world.runs().group(row.id()).size());
             }
         }
-        return room;
+        return capacity;
     }
 
-    /** Returns whether an executor may get new runs. */
+    /**
+     * Returns whether an executor accepts runs.
+     *
+     * <p>The store must name it among the executors in use, and it must have confirmed this owner's
+     * fence, so that it rejects orders of an earlier owner. It must also be answering, and be
+     * neither draining, quarantined, nor on a host that is about to leave service.
+     */
     static boolean acceptsRuns(SchedulerTick tick, ExecutorRow row) {
-        ExecutorSessionRow contact = tick.world().executorSessions().find(row.id()).orElse(null);
-        return contact != null
+        ExecutorSessionRow session = tick.world().executorSessions().find(row.id()).orElse(null);
+        return session != null
                 && row.recorded()
                 && !row.cordoned()
                 && !row.report().draining()
                 && row.missingSinceMs() == 0
-                && contact.consecutiveFailures() == 0
-                && contact.lastAnswerMs() != 0
-                && contact.confirmedFence() == tick.world().term().get().fence()
-                && contact.quarantinedUntilMs() <= tick.nowMs();
+                && session.consecutiveFailures() == 0
+                && session.lastAnswerMs() != 0
+                && session.confirmedFence() == tick.world().term().get().fence()
+                && session.quarantinedUntilMs() <= tick.nowMs();
     }
 
-    /** Returns whether some executor has so much free. */
+    /** Returns whether a demand fits on some executor, going by its size alone. */
     boolean mayFit(Resources reserved) {
-        if (mTooBig != null && mTooBig.fitsIn(reserved)) {
+        if (mUnfitting != null && mUnfitting.fitsIn(reserved)) {
             return false;
         }
         boolean fits = mFree.values().stream().anyMatch(reserved::fitsIn);
         if (!fits) {
-            mTooBig = reserved;
+            mUnfitting = reserved;
         }
         return fits;
     }
 
-    /** Returns whether there is no executor. */
+    /** Returns whether no executor of the pool accepts runs. */
     boolean isEmpty() {
         return mExecutors.isEmpty();
     }
 
-    /** Returns the executors. */
+    /** Returns the executors that accept runs. */
     Collection<ExecutorRow> executors() {
         return mExecutors.values();
     }
 
-    /** Returns what is free on an executor. */
+    /** Returns the free capacity of an executor. */
     Resources free(String executor) {
         return mFree.get(executor);
     }
 
-    /** Returns how many runs an executor has. */
+    /** Returns how many runs an executor has, with those placed in this tick. */
     int runCount(String executor) {
-        return mRuns.get(executor);
+        return mRunCounts.get(executor);
     }
 
-    /** Takes room for a run. */
+    /**
+     * Reserves capacity for a run and counts the run.
+     *
+     * @param reserved amount to reserve; a negative amount gives capacity back, but also counts as
+     *     a run
+     */
     void reserve(String executor, Resources reserved) {
         mFree.merge(executor, reserved, Resources::minus);
-        mRuns.merge(executor, 1, Integer::sum);
+        mRunCounts.merge(executor, 1, Integer::sum);
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/placement/PlacementSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/placement/PlacementSystem.java
@@ -32,35 +32,39 @@
 import org.hibiscususher.core.scheduler.world.TaskRow;
 import org.hibiscususher.core.scheduler.world.TaskState;
 
-/** Starts waiting tasks where there is room. */
+/** Starts waiting tasks on executors that have enough free capacity, within the limits of teams. */
 public final class PlacementSystem {
     private PlacementSystem() {}
 
-    /** Runs over the pools that have waiting tasks. */
+    /** Records the executors in use, then places the waiting tasks of each pool. */
     public static void run(SchedulerTick tick) {
         recordExecutors(tick);
         if (!Authority.mayStartRuns(tick)) {
             return;
         }
-        Map<String, Resources> teams = teamUse(tick.world());
+        Map<String, Resources> teamUsage = usageByTeam(tick.world());
         for (TaskGroup group : List.copyOf(tick.world().tasks().groups())) {
             if (group.state() == TaskState.WAITING) {
-                place(tick, group, teams);
+                placeTasks(tick, group, teamUsage);
             }
         }
     }
 
-    /** Has the store name the executors in use, before anything runs on them. */
+    /**
+     * Queues a record of the executors in use when they have changed. An executor gets runs only
+     * once the store names it, so that the next owner knows every executor that may still be
+     * running tasks.
+     */
     private static void recordExecutors(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
         if (!world.term().get().isScheduling()) {
             return;
         }
-        List<UsedExecutor> used = new ArrayList<>();
+        List<UsedExecutor> executors = new ArrayList<>();
         for (ExecutorRow row : world.executors().rows()) {
-            used.add(new UsedExecutor(row.id(), row.pool()));
+            executors.add(new UsedExecutor(row.id(), row.pool()));
         }
-        StoredRecord.Executors record = new StoredRecord.Executors(used);
+        StoredRecord.Executors record = new StoredRecord.Executors(executors);
         boolean same = record.equals(world.usedExecutors().get());
         if (!same && !world.pendingRecords().contains(RecordName.EXECUTORS)) {
             world.usedExecutors().set(record);
@@ -68,80 +72,93 @@
         }
     }
 
-    private static Map<String, Resources> teamUse(SchedulerWorld world) {
-        Map<String, Resources> use = new HashMap<>();
+    /** Returns the demand of all runs, by team. */
+    private static Map<String, Resources> usageByTeam(SchedulerWorld world) {
+        Map<String, Resources> usage = new HashMap<>();
         for (RunRow run : world.runs().rows()) {
-            use.merge(run.team(), run.demand(), Resources::plus);
+            usage.merge(run.team(), run.demand(), Resources::plus);
         }
-        return use;
+        return usage;
     }
 
-    private static void place(SchedulerTick tick, TaskGroup group, Map<String, Resources> teams) {
+    /**
+     * Places the waiting tasks of a pool in the order of their priority. Once a task can't be
+     * placed, the other tasks of its step are skipped, since they have the same demand.
+     */
+    private static void placeTasks(
+            SchedulerTick tick, TaskGroup group, Map<String, Resources> teamUsage) {
         SchedulerWorld world = tick.world();
-        FreeCapacity room = FreeCapacity.of(tick, group.pool());
-        if (room.isEmpty()) {
+        FreeCapacity capacity = FreeCapacity.of(tick, group.pool());
+        if (capacity.isEmpty()) {
             return;
         }
         Map<StartPriority, List<TaskRow>> waiting = new TreeMap<>();
-        Map<String, StartPriority> orders = new HashMap<>();
+        Map<String, StartPriority> priorities = new HashMap<>();
         for (TaskRow task : world.tasks().group(group)) {
             JobRow job = world.jobs().find(task.key().jobId()).orElse(null);
             if (job != null && !task.uncertain() && task.notBeforeMs() <= tick.nowMs()) {
-                StartPriority order =
-                        orders.computeIfAbsent(
+                StartPriority priority =
+                        priorities.computeIfAbsent(
                                 job.id(), id -> StartPriority.of(world, job, tick.nowMs()));
-                waiting.computeIfAbsent(order, o -> new ArrayList<>()).add(task);
+                waiting.computeIfAbsent(priority, p -> new ArrayList<>()).add(task);
             }
         }
-        Set<StepKey> over = new HashSet<>();
+        Set<StepKey> skippedSteps = new HashSet<>();
         for (List<TaskRow> tasks : waiting.values()) {
             for (TaskRow task : tasks) {
                 StepKey step = task.key().stepKey();
-                if (!over.contains(step) && !placeOne(tick, room, teams, task)) {
-                    over.add(step);
+                if (!skippedSteps.contains(step)
+                        && !placeTaskOrGang(tick, capacity, teamUsage, task)) {
+                    skippedSteps.add(step);
                 }
             }
         }
     }
 
-    /** Starts a task, or its gang; returns whether other tasks of its step may start as well. */
-    private static boolean placeOne(
-            SchedulerTick tick, FreeCapacity room, Map<String, Resources> teams, TaskRow task) {
+    /**
+     * Starts a task, or its whole gang; returns whether further tasks of its step may be placed.
+     */
+    private static boolean placeTaskOrGang(
+            SchedulerTick tick,
+            FreeCapacity capacity,
+            Map<String, Resources> teamUsage,
+            TaskRow task) {
         StepKey step = task.key().stepKey();
         StepSpec spec = JobLifecycle.findSpec(tick.world(), step).orElseThrow();
         if (spec.gang()) {
-            startGang(tick, room, teams, step, spec);
+            placeGang(tick, capacity, teamUsage, step, spec);
             return false;
         }
-        return start(tick, room, teams, task, spec);
+        return placeTask(tick, capacity, teamUsage, task, spec);
     }
 
-    private static boolean start(
+    /** Starts a task if its team's limit and the capacity allow it; returns whether it did. */
+    private static boolean placeTask(
             SchedulerTick tick,
-            FreeCapacity room,
-            Map<String, Resources> teams,
+            FreeCapacity capacity,
+            Map<String, Resources> teamUsage,
             TaskRow task,
             StepSpec spec) {
         SchedulerWorld world = tick.world();
         JobRow job = world.jobs().find(task.key().jobId()).orElseThrow();
-        Resources use = teams.getOrDefault(job.team(), Resources.NONE).plus(spec.demand());
-        if (!use.staysWithin(limit(world, job.team()))) {
+        Resources usage = teamUsage.getOrDefault(job.team(), Resources.NONE).plus(spec.demand());
+        if (!usage.staysWithin(teamLimit(world, job.team()))) {
             return false;
         }
-        if (!room.mayFit(spec.reserved())) {
+        if (!capacity.mayFit(spec.reserved())) {
             return false;
         }
-        Optional<ExecutorRow> executor = ExecutorSelector.select(tick, room, task, spec);
+        Optional<ExecutorRow> executor = ExecutorSelector.select(tick, capacity, task, spec);
         if (executor.isEmpty()) {
             return false;
         }
-        room.reserve(executor.get().id(), spec.reserved());
-        teams.put(job.team(), use);
-        order(tick, job, task, spec, executor.get(), RunLifecycle.nextRunNumber(world, task));
+        capacity.reserve(executor.get().id(), spec.reserved());
+        teamUsage.put(job.team(), usage);
+        sendStart(tick, job, task, spec, executor.get(), RunLifecycle.nextRunNumber(world, task));
         return true;
     }
 
-    private static Resources limit(SchedulerWorld world, String team) {
+    private static Resources teamLimit(SchedulerWorld world, String team) {
         return world.configuration()
                 .get()
                 .configuration()
@@ -150,70 +167,75 @@
                 .orElse(Resources.NONE);
     }
 
-    /** Starts all members of a gang or none. */
-    private static void startGang(
+    /** Starts all tasks of a gang in one tick, or none of them if they don't all fit. */
+    private static void placeGang(
             SchedulerTick tick,
-            FreeCapacity room,
-            Map<String, Resources> teams,
+            FreeCapacity capacity,
+            Map<String, Resources> teamUsage,
             StepKey step,
             StepSpec spec) {
         SchedulerWorld world = tick.world();
         JobRow job = world.jobs().find(step.jobId()).orElseThrow();
-        Resources use =
-                teams.getOrDefault(job.team(), Resources.NONE)
+        Resources usage =
+                teamUsage
+                        .getOrDefault(job.team(), Resources.NONE)
                         .plus(spec.demand().times(spec.count()));
-        if (!use.staysWithin(limit(world, job.team()))) {
+        if (!usage.staysWithin(teamLimit(world, job.team()))) {
             return;
         }
         List<TaskRow> members = new ArrayList<>();
-        int run = 0;
+        int runNumber = 0;
         for (int i = 0; i < spec.count(); i++) {
             TaskRow task = world.tasks().find(step.task(i)).orElse(null);
             if (task == null || task.state() != TaskState.WAITING || task.uncertain()) {
                 return;
             }
             members.add(task);
-            run = Math.max(run, RunLifecycle.nextRunNumber(world, task));
+            runNumber = Math.max(runNumber, RunLifecycle.nextRunNumber(world, task));
         }
-        List<ExecutorRow> sites = new ArrayList<>();
+        List<ExecutorRow> selected = new ArrayList<>();
         for (TaskRow task : members) {
-            Optional<ExecutorRow> site = ExecutorSelector.select(tick, room, task, spec);
-            if (site.isEmpty()) {
-                sites.forEach(s -> room.reserve(s.id(), Resources.NONE.minus(spec.reserved())));
+            Optional<ExecutorRow> executor = ExecutorSelector.select(tick, capacity, task, spec);
+            if (executor.isEmpty()) {
+                selected.forEach(
+                        e -> capacity.reserve(e.id(), Resources.NONE.minus(spec.reserved())));
                 return;
             }
-            room.reserve(site.get().id(), spec.reserved());
-            sites.add(site.get());
+            capacity.reserve(executor.get().id(), spec.reserved());
+            selected.add(executor.get());
         }
-        teams.put(job.team(), use);
+        teamUsage.put(job.team(), usage);
         for (int i = 0; i < members.size(); i++) {
-            order(tick, job, members.get(i), spec, sites.get(i), run);
+            sendStart(tick, job, members.get(i), spec, selected.get(i), runNumber);
         }
     }
 
-    private static void order(
+    /** Sends the order to start a run, and adds the run to the tables. */
+    private static void sendStart(
             SchedulerTick tick,
             JobRow job,
             TaskRow task,
             StepSpec spec,
             ExecutorRow executor,
-            int number) {
+            int runNumber) {
         SchedulerWorld world = tick.world();
-        ExecutorSessionRow contact = world.executorSessions().find(executor.id()).orElseThrow();
+        ExecutorSessionRow session = world.executorSessions().find(executor.id()).orElseThrow();
         long fence = world.term().get().fence();
         long callId = tick.nextCallId();
+        // The executor may start the run until this time on its own clock, so it counts as holding
+        // a lease until then.
         long deadlineMs =
-                contact.executorClockAt(tick.nowMs()) + world.settings().timing().startValidMs();
+                session.executorClockAt(tick.nowMs()) + world.settings().timing().startValidMs();
         world.executorSessions()
                 .put(
                         executor.id(),
-                        contact.withLeaseExtendedTo(
-                                HeartbeatSystem.leaseEndMs(contact, deadlineMs)));
-        world.tasks().put(task.key(), task.asActive(number));
+                        session.withLeaseExtendedTo(
+                                HeartbeatSystem.leaseEndMs(session, deadlineMs)));
+        world.tasks().put(task.key(), task.asActive(runNumber));
         RunRow run =
                 new RunRow(
                         task.key(),
-                        number,
+                        runNumber,
                         executor.id(),
                         job.team(),
                         spec.demand(),
@@ -237,7 +259,7 @@
                         + " waited_ms="
                         + (tick.nowMs() - task.readySinceMs())
                         + " executor_age_ms="
-                        + (tick.nowMs() - contact.lastAnswerMs())
+                        + (tick.nowMs() - session.lastAnswerMs())
                         + " plan="
                         + world.configuration().get().configuration().version());
         tick.count("start");
@@ -248,7 +270,7 @@
                         executor.report().address(),
                         fence,
                         task.key(),
-                        number,
+                        runNumber,
                         job.spec().payload(),
                         task.checkpoint(),
                         AdviceSystem.placementToken(tick, task.key().stepKey(), executor.id())
--- a/core/src/main/java/org/hibiscususher/core/scheduler/placement/StartPriority.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/placement/StartPriority.java
@@ -7,44 +7,59 @@
 import org.hibiscususher.core.scheduler.world.StepRow;
 
 /**
- * The order in which waiting tasks of a pool start.
+ * Decides the order in which the waiting tasks of a pool start; the least one starts first.
  *
- * <p>Answers queues that ask for several times what their pool holds, for some seconds: lasting and
- * urgent work first; then jobs that can still be done in time, those with the least work left
- * first, so that most jobs are in time; then the rest, oldest first, so that none starves.
+ * <p>Services come first, then queues of higher priority. Within a priority, jobs that can still
+ * meet their deadline come first, those with the least remaining work ahead, because this lets the
+ * most jobs meet it when demand is several times the pool's capacity for some seconds. The other
+ * jobs follow, oldest first, so that none of them starves.
  *
- * @param lasting whether the task runs until its job is cancelled
- * @param priority priority of the job's queue
- * @param hopeful whether the job can still be done in time
- * @param workLeft work left in the job, in core-milliseconds
- * @param arrivedMs when the job came
+ * @param service whether the task runs until its job is cancelled
+ * @param queuePriority priority of the job's queue; 0 comes first
+ * @param canMeetDeadline whether the job can still finish by its deadline, going by its estimates
+ * @param remainingCoreMs estimated remaining work of the job, in core-milliseconds
+ * @param arrivedMs when the job arrived, on the steady clock
  */
-record StartPriority(boolean lasting, int priority, boolean hopeful, long workLeft, long arrivedMs)
+record StartPriority(
+        boolean service,
+        int queuePriority,
+        boolean canMeetDeadline,
+        long remainingCoreMs,
+        long arrivedMs)
         implements Comparable<StartPriority> {
-    /** Returns the place of a job's tasks. */
+    /**
+     * Returns the priority of a job's tasks. For a scheduled job, the remaining work is that of its
+     * first occurrence.
+     *
+     * @param nowMs the time on the steady clock
+     */
     static StartPriority of(SchedulerWorld world, JobRow job, long nowMs) {
-        long chainMs = 0;
-        long work = 0;
+        long remainingMs = 0;
+        long remainingCoreMs = 0;
         for (int i = 0; i < job.spec().steps().size(); i++) {
             StepSpec step = job.spec().steps().get(i);
             StepRow row = world.steps().find(new StepKey(job.id(), 0, i)).orElse(null);
-            int left = row == null ? step.count() : row.remaining();
-            work += step.workCoreMs() * left / step.count();
-            chainMs += left > 0 ? step.estimateMs() : 0;
+            int remainingTasks = row == null ? step.count() : row.remaining();
+            remainingCoreMs += step.workCoreMs() * remainingTasks / step.count();
+            remainingMs += remainingTasks > 0 ? step.estimateMs() : 0;
         }
-        boolean hopeful = nowMs + chainMs <= job.deadlineMs();
+        boolean canMeetDeadline = nowMs + remainingMs <= job.deadlineMs();
         return new StartPriority(
-                job.spec().isService(), job.policy().priority(), hopeful, work, job.arrivedMs());
+                job.spec().isService(),
+                job.policy().priority(),
+                canMeetDeadline,
+                remainingCoreMs,
+                job.arrivedMs());
     }
 
     @Override
     public int compareTo(StartPriority other) {
-        int order = Boolean.compare(other.lasting, lasting);
-        order = order != 0 ? order : Integer.compare(priority, other.priority);
-        order = order != 0 ? order : Boolean.compare(other.hopeful, hopeful);
-        if (order == 0 && hopeful) {
-            order = Long.compare(workLeft, other.workLeft);
+        int result = Boolean.compare(other.service, service);
+        result = result != 0 ? result : Integer.compare(queuePriority, other.queuePriority);
+        result = result != 0 ? result : Boolean.compare(other.canMeetDeadline, canMeetDeadline);
+        if (result == 0 && canMeetDeadline) {
+            result = Long.compare(remainingCoreMs, other.remainingCoreMs);
         }
-        return order != 0 ? order : Long.compare(arrivedMs, other.arrivedMs);
+        return result != 0 ? result : Long.compare(arrivedMs, other.arrivedMs);
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/placement/package-info.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/placement/package-info.java
@@ -1,2 +1,2 @@
-/** Which task starts next, and where. */
+/** Placement: which waiting tasks start next, and on which executors. */
 package org.hibiscususher.core.scheduler.placement;
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/Authority.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/Authority.java
@@ -18,7 +18,7 @@
      * Returns whether the process may send orders and heartbeats to executors.
      *
      * <p>An owner whose lease could not be renewed continues for a grace period, in which a later
-     * owner may be active as well. Two rules prevent that a task runs twice: an executor that a
+     * owner may be active as well. Two rules keep a task from running twice: an executor that a
      * later owner has reached rejects the orders of the earlier one by their fence, and a later
      * owner waits for the grace period before it restarts tasks of executors that it can't reach.
      */
--- a/core/src/test/java/org/hibiscususher/core/scheduler/SchedulerWorlds.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/SchedulerWorlds.java
@@ -11,14 +11,16 @@
 import org.hibiscususher.core.scheduler.world.TermRow;
 import org.hibiscususher.core.scheduler.world.TermStage;
 
-/** Tables for tests of single systems. */
+/** Creates the tables that tests of single systems start from. */
 public final class SchedulerWorlds {
     private static final long FENCE = 50;
     private static final long LEASE_MS = 60_000;
 
     private SchedulerWorlds() {}
 
-    /** Returns the tables of an owner that has just taken its second term. */
+    /**
+     * Returns the tables of an owner in generation 2, whose lease was granted at the given time.
+     */
     public static SchedulerWorld ofOwner(long nowMs) {
         SchedulerWorld world =
                 SchedulerWorld.create(
@@ -40,7 +42,11 @@
         return world;
     }
 
-    /** Adds an executor that answered at a time. */
+    /**
+     * Adds an executor that the store names among those in use.
+     *
+     * @param answeredMs when it last answered a heartbeat
+     */
     public static void addExecutor(
             SchedulerWorld world, String id, String pool, Resources capacity, long answeredMs) {
         ExecutorReport report =
--- a/core/src/test/java/org/hibiscususher/core/scheduler/job/BacklogLimitTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/job/BacklogLimitTest.java
@@ -11,23 +11,25 @@
     @Nested
     class RetryAfterMs {
         @Test
-        void isNothingWhileTheWorkBeginsSoon() {
+        void isZeroWhileExpectedWaitIsBelowLimit() {
             assertThat(BacklogLimit.retryAfterMs(14_000, 5)).isZero();
         }
 
         @Test
-        void growsWithTheBacklog() {
+        void growsWithBacklogWithinItsBounds() {
             assertThat(BacklogLimit.retryAfterMs(20_000, 0)).isEqualTo(5_000);
             assertThat(BacklogLimit.retryAfterMs(15_001, 0)).isEqualTo(1_000);
             assertThat(BacklogLimit.retryAfterMs(90_000, 0)).isEqualTo(10_000);
         }
     }
 
-    /** A hundred callers that are turned away at the same moment. */
+    /**
+     * Guards against rejected callers that all retry at the same time and overload the pool again.
+     */
     @Nested
-    class Crowd {
+    class Jitter {
         @Test
-        void comesBackAtManyTimes() {
+        void spreadsRetriesOfCallersRejectedTogether() {
             Set<Long> times = new HashSet<>();
             for (int i = 0; i < 100; i++) {
                 times.add(
--- a/core/src/test/java/org/hibiscususher/core/scheduler/placement/StartPriorityTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/placement/StartPriorityTest.java
@@ -12,40 +12,46 @@
 class StartPriorityTest {
     private static final int SLOTS = 20;
 
-    private static StartPriority order(boolean hopeful, long work, long arrivedMs) {
-        return new StartPriority(false, 0, hopeful, work, arrivedMs);
+    private static StartPriority priority(
+            boolean canMeetDeadline, long remainingCoreMs, long arrivedMs) {
+        return new StartPriority(false, 0, canMeetDeadline, remainingCoreMs, arrivedMs);
     }
 
     @Nested
     class Comparison {
         @Test
-        void putsLastingAndUrgentWorkFirst() {
-            StartPriority lasting = new StartPriority(true, 0, true, 0, 9);
+        void putsServicesAndUrgentQueuesFirst() {
+            StartPriority service = new StartPriority(true, 0, true, 0, 9);
             StartPriority urgent = new StartPriority(false, 0, false, 9, 9);
             StartPriority other = new StartPriority(false, 1, true, 1, 1);
-            assertThat(lasting).isLessThan(urgent);
+            assertThat(service).isLessThan(urgent);
             assertThat(urgent).isLessThan(other);
         }
 
         @Test
-        void putsTheLeastWorkFirstAmongHopefulJobs() {
-            assertThat(order(true, 10, 5)).isLessThan(order(true, 20, 1));
+        void putsLeastRemainingWorkFirstAmongJobsThatCanMeetTheirDeadline() {
+            assertThat(priority(true, 10, 5)).isLessThan(priority(true, 20, 1));
         }
 
         @Test
-        void putsTheOldestFirstAmongLateJobs() {
-            assertThat(order(false, 20, 1)).isLessThan(order(false, 10, 5));
-            assertThat(order(true, 100, 9)).isLessThan(order(false, 1, 1));
+        void putsOldestFirstAmongJobsThatMissTheirDeadline() {
+            assertThat(priority(false, 20, 1)).isLessThan(priority(false, 10, 5));
+            assertThat(priority(true, 100, 9)).isLessThan(priority(false, 1, 1));
         }
     }
 
-    /** A queue that asks for four times what its pool holds, for four and a half seconds. */
+    /** Jobs that demand four times the capacity of their pool, for 4.5 seconds. */
     @Nested
-    class Surge {
-        /** Returns how many jobs of a surge are done in time if they start in the given order. */
-        private int inTime(List<long[]> jobs, boolean decided) {
+    class Overload {
+        /**
+         * Returns how many jobs meet their deadline when they run one after another.
+         *
+         * @param jobs arrival time and duration of each job, in milliseconds
+         * @param byPriority whether they start by priority instead of first come, first served
+         */
+        private int countInTime(List<long[]> jobs, boolean byPriority) {
             long nowMs = 0;
-            int served = 0;
+            int inTime = 0;
             List<long[]> waiting = new ArrayList<>();
             int next = 0;
             while (next < jobs.size() || !waiting.isEmpty()) {
@@ -57,35 +63,37 @@
                     continue;
                 }
                 long[] first = waiting.get(0);
-                if (decided) {
+                if (byPriority) {
                     long now = nowMs;
                     first =
                             Collections.min(
-                                    waiting, (a, b) -> place(a, now).compareTo(place(b, now)));
+                                    waiting,
+                                    (a, b) -> priorityOf(a, now).compareTo(priorityOf(b, now)));
                 }
                 waiting.remove(first);
                 nowMs += first[1];
-                served += nowMs <= first[0] + dueMs(first) ? 1 : 0;
+                inTime += nowMs <= first[0] + objectiveMs(first) ? 1 : 0;
             }
-            return served;
+            return inTime;
         }
 
-        private long dueMs(long[] job) {
+        /** Returns the time from the arrival of a job to its deadline. */
+        private long objectiveMs(long[] job) {
             return job[1] * SLOTS * 16 / 10 / SLOTS + 600;
         }
 
-        private StartPriority place(long[] job, long nowMs) {
-            return order(nowMs + job[1] <= job[0] + dueMs(job), job[1], job[0]);
+        private StartPriority priorityOf(long[] job, long nowMs) {
+            return priority(nowMs + job[1] <= job[0] + objectiveMs(job), job[1], job[0]);
         }
 
         @Test
-        void leavesMoreJobsInTimeThanFirstComeFirstServed() {
+        void meetsMoreThanTwiceTheDeadlinesOfFirstComeFirstServed() {
             Random random = new Random(7);
             List<long[]> jobs = new ArrayList<>();
             for (long atMs = 0; atMs < 4_500; atMs += 25) {
                 jobs.add(new long[] {atMs, 20 + random.nextInt(160)});
             }
-            assertThat(inTime(jobs, true)).isGreaterThan(2 * inTime(jobs, false));
+            assertThat(countInTime(jobs, true)).isGreaterThan(2 * countInTime(jobs, false));
         }
     }
 }
