--- a/core/src/main/java/org/hibiscususher/core/scheduler/control/NodeLifecycleSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/control/NodeLifecycleSystem.java
@@ -19,7 +19,8 @@
  */
 final class NodeLifecycleSystem {
     /**
-     * Time within which the balancer surely notices that the process is not ready, in milliseconds.
+     * Time within which the balancer is certain to notice that the process is not ready, in
+     * milliseconds.
      */
     private static final long BALANCER_NOTICE_MS = 2_600;
 
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/JobLifecycle.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/JobLifecycle.java
@@ -32,7 +32,7 @@
  *
  * <p>A step is activated, that is, gets rows for itself and its tasks, when all steps that it
  * depends on are done. Callers are answered only after the store holds the change, so that a
- * takeover can't undo what a caller was told.
+ * takeover can't contradict an answer already given.
  */
 public final class JobLifecycle {
     private JobLifecycle() {}
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/JobRequestSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/JobRequestSystem.java
@@ -28,7 +28,7 @@
  * Answers callers' requests on the owner, and forwards them to the owner on every other entry.
  *
  * <p>Submissions and cancellations are answered only after their effect is stored, so that a
- * takeover can't undo what a caller was told.
+ * takeover can't contradict an answer already given.
  */
 public final class JobRequestSystem {
     /** How often a request may be forwarded; ends loops while entries disagree on the owner. */
@@ -190,6 +190,7 @@
         tick.emit(new Respond(pending.callId(), response));
     }
 
+    /** Returns whether a job of the queue is accepted but has not started. */
     private static boolean isPending(JobRow job, JobQueue queue) {
         return job.stored()
                 && job.state() == JobState.QUEUED
@@ -226,7 +227,7 @@
         }
     }
 
-    /** Keeps a request until the store holds the job's change. */
+    /** Keeps a request until the store holds the change of the job, or until it is overdue. */
     private static void awaitStore(SchedulerTick tick, PendingRequestRow pending, String id) {
         tick.world()
                 .pendingRequests()
@@ -248,9 +249,9 @@
             Optional<JobTeam> team,
             String id) {
         SchedulerWorld world = tick.world();
-        Optional<JobRow> known = world.jobs().find(id);
-        if (known.isPresent()) {
-            if (known.get().stored()) {
+        Optional<JobRow> existing = world.jobs().find(id);
+        if (existing.isPresent()) {
+            if (existing.get().stored()) {
                 tick.emit(new Respond(pending.callId(), JobResponse.of(JobResponseKind.ACCEPTED)));
             } else {
                 awaitStore(tick, pending, id);
@@ -293,6 +294,7 @@
                 0);
     }
 
+    /** Returns whether commits keep failing, or one has been unanswered for too long. */
     private static boolean isStoreUnreachable(SchedulerTick tick) {
         StoreHealthRow store = tick.world().storeHealth().get();
         boolean commitOverdue =
--- a/core/src/main/java/org/hibiscususher/core/scheduler/placement/AdviceSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/placement/AdviceSystem.java
@@ -62,20 +62,20 @@
     }
 
     /**
-     * Adds received tokens to those of earlier requests for the step that are still valid. All
-     * tokens of a step then expire with the first of them.
+     * Adds received tokens to those of earlier requests for the step that are still valid. A step's
+     * tokens share one expiry time, the earliest.
      */
     private static void storeTokens(
             SchedulerTick tick, AdviceReceived received, AdviceRequestRow request) {
         SchedulerWorld world = tick.world();
-        AdviceRow before = world.advice().find(received.step()).orElse(null);
-        boolean stillValid = before != null && before.validUntilMs() > tick.nowMs();
-        Map<String, String> tokens = new HashMap<>(stillValid ? before.tokens() : Map.of());
-        Set<String> requested = new HashSet<>(stillValid ? before.requested() : Set.of());
+        AdviceRow earlier = world.advice().find(received.step()).orElse(null);
+        boolean stillValid = earlier != null && earlier.validUntilMs() > tick.nowMs();
+        Map<String, String> tokens = new HashMap<>(stillValid ? earlier.tokens() : Map.of());
+        Set<String> requested = new HashSet<>(stillValid ? earlier.requested() : Set.of());
         tokens.putAll(received.tokens());
         requested.addAll(request.executors());
         long untilMs = request.sentMs() + received.validMs() - VALIDITY_MARGIN_MS;
-        long validUntilMs = stillValid ? Math.min(before.validUntilMs(), untilMs) : untilMs;
+        long validUntilMs = stillValid ? Math.min(earlier.validUntilMs(), untilMs) : untilMs;
         world.advice()
                 .put(
                         received.step(),
@@ -123,11 +123,11 @@
     private static boolean request(SchedulerTick tick, TaskRow task) {
         SchedulerWorld world = tick.world();
         StepKey step = task.key().stepKey();
-        AdviceRow known = world.advice().find(step).orElse(null);
-        boolean stillValid = known != null && known.validUntilMs() > tick.nowMs();
+        AdviceRow earlier = world.advice().find(step).orElse(null);
+        boolean stillValid = earlier != null && earlier.validUntilMs() > tick.nowMs();
         List<String> executors = new ArrayList<>();
         for (ExecutorRow row : world.executors().group(task.pool())) {
-            boolean isNew = !stillValid || !known.requested().contains(row.id());
+            boolean isNew = !stillValid || !earlier.requested().contains(row.id());
             if (isNew
                     && executors.size() < MAX_EXECUTORS_PER_REQUEST
                     && FreeCapacity.acceptsRuns(tick, row)) {
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/Authority.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/Authority.java
@@ -40,7 +40,7 @@
 
     /**
      * Returns whether the process may order host moves and maintenance: only while its lease is
-     * surely valid, without a grace period.
+     * certainly valid, without a grace period.
      */
     public static boolean mayOrderHosts(SchedulerTick tick) {
         TermRow term = tick.world().term().get();
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/CommitSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/CommitSystem.java
@@ -34,16 +34,18 @@
  * is known; building a new one from the tables could store a state that contradicts it.
  */
 public final class CommitSystem {
-    /** Time before the next commit after one that surely failed, in milliseconds. */
+    /** Time before the next commit after one that certainly failed, in milliseconds. */
     private static final long RETRY_MS = 150;
 
-    /** Time after which a job that surely was not stored is rejected, in milliseconds. */
+    /** Time after which a job that certainly was not stored is rejected, in milliseconds. */
     private static final long REJECT_AFTER_MS = 250;
 
     /** Time after which a caller gets the answer that the outcome is unknown, in milliseconds. */
     private static final long UNKNOWN_AFTER_MS = 1_200;
 
+    /** Time limit of the first attempt of a commit, in milliseconds. */
     private static final int FIRST_TIMEOUT_MS = 320;
+
     private static final int MAX_TIMEOUT_MS = 1_500;
 
     /** When a rejected caller should try again, in milliseconds. */
@@ -96,8 +98,8 @@
     }
 
     /**
-     * Returns the time limit of an attempt; it doubles with each attempt, in case the store is
-     * slow.
+     * Returns the time limit of an attempt; it doubles with each attempt, up to a maximum, so that
+     * a slow store gets the time to answer.
      */
     private static int timeoutMs(int attempt) {
         return Math.min(MAX_TIMEOUT_MS, FIRST_TIMEOUT_MS << Math.min(attempt - 1, 3));
@@ -106,8 +108,8 @@
     /**
      * Applies that the commit in flight took effect.
      *
-     * @param revision revision of the commit; 0 if it is not known
-     * @param revisions revisions of single records, which take precedence
+     * @param revision revision of the commit; 0 if unknown, because a conflict showed the success
+     * @param revisions revisions of single records by name, which take precedence
      */
     private static void applyCommitted(
             SchedulerTick tick, long revision, Map<RecordName, Long> revisions) {
@@ -191,8 +193,8 @@
     }
 
     /**
-     * Rejects a submission that surely was not stored because the store is unreachable, or answers
-     * that the outcome is unknown once the request has waited for long.
+     * Rejects a submission that certainly was not stored because the store is unreachable, or
+     * answers that the outcome is unknown once the request has waited for long.
      *
      * @param ageMs how long the request has waited for the store
      */
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/TermSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/TermSystem.java
@@ -87,11 +87,11 @@
      */
     private static void detectSuspension(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
-        LastTickRow before = world.lastTick().get();
+        LastTickRow last = world.lastTick().get();
         world.lastTick().set(new LastTickRow(tick.nowMs(), tick.wallMs()));
-        long steadyMs = tick.nowMs() - before.nowMs();
-        long wallMs = tick.wallMs() - before.wallMs();
-        if (before.wallMs() != 0
+        long steadyMs = tick.nowMs() - last.nowMs();
+        long wallMs = tick.wallMs() - last.wallMs();
+        if (last.wallMs() != 0
                 && wallMs - steadyMs > SUSPENSION_MS
                 && world.term().get().isScheduling()) {
             tick.log("suspended", "steady_ms=" + steadyMs + " wall_ms=" + wallMs);
@@ -140,6 +140,7 @@
         tick.emit(new Respond(requested.callId(), JobResponse.of(JobResponseKind.ACCEPTED)));
     }
 
+    /** Applies that the predecessor has confirmed that it sends no more orders. */
     private static void applyPredecessorRelinquished(SchedulerTick tick, long generation) {
         TermRow term = tick.world().term().get();
         if (term.stage().isOwner() && term.generation() == generation) {
@@ -149,28 +150,33 @@
         }
     }
 
-    private static void applyOwnership(SchedulerTick tick, Ownership seen) {
+    /**
+     * Applies what the store reports of the ownership: steps down if a later owner exists, and
+     * claims again if the own lease has expired.
+     */
+    private static void applyOwnership(SchedulerTick tick, Ownership updated) {
         SchedulerWorld world = tick.world();
-        Ownership before = world.ownership().get().ownership();
-        world.ownership().set(new OwnershipRow(true, seen, tick.nowMs()));
-        if (!seen.owner().equals(before.owner())) {
+        Ownership previous = world.ownership().get().ownership();
+        world.ownership().set(new OwnershipRow(true, updated, tick.nowMs()));
+        if (!updated.owner().equals(previous.owner())) {
             tick.log(
                     "owner-seen",
                     "node="
-                            + seen.owner().map(StoredRecord.Owner::node).orElse("none")
+                            + updated.owner().map(StoredRecord.Owner::node).orElse("none")
                             + " revision="
-                            + seen.ownerRevision()
+                            + updated.ownerRevision()
                             + " generation="
-                            + seen.term().map(StoredRecord.Term::generation).orElse(0L));
+                            + updated.term().map(StoredRecord.Term::generation).orElse(0L));
         }
         TermRow term = world.term().get();
         boolean owner = term.isScheduling() || term.stage().isOwner();
-        if (!owner || seen.termRevision() < term.fence()) {
+        // A report that is older than the own claim says nothing about it.
+        if (!owner || updated.termRevision() < term.fence()) {
             return;
         }
-        if (seen.termRevision() > term.fence() && !term.stage().equals(TermStage.CLAIMING)) {
+        if (updated.termRevision() > term.fence() && !term.stage().equals(TermStage.CLAIMING)) {
             StepDown.run(tick, "later-owner");
-        } else if (seen.owner().isEmpty() && term.stage() == TermStage.OWNING) {
+        } else if (updated.owner().isEmpty() && term.stage() == TermStage.OWNING) {
             reclaimExpiredLease(tick);
         }
     }
@@ -190,6 +196,7 @@
                                 .withClaimAt(tick.nowMs()));
     }
 
+    /** Returns to the stage FOLLOWING, to claim again after {@link #RETRY_MS}. */
     private static void retryLater(SchedulerTick tick) {
         TermRow term = tick.world().term().get();
         tick.world()
@@ -206,13 +213,13 @@
         SchedulerWorld world = tick.world();
         SchedulerSettings self = world.settings();
         TermRow term = world.term().get();
-        Ownership seen = world.ownership().get().ownership();
+        Ownership current = world.ownership().get().ownership();
         if (!mayClaim(world)) {
             abandonClaim(tick);
             return;
         }
         OwnershipClaimRow claim =
-                claimRow(seen, self, term.sentMs() + granted.ttlMs() - LEASE_MARGIN_MS);
+                toClaimRow(current, self, term.sentMs() + granted.ttlMs() - LEASE_MARGIN_MS);
         long callId = tick.nextCallId();
         world.ownershipClaim().set(claim);
         world.term()
@@ -233,16 +240,16 @@
                 new Commit(
                         callId,
                         List.of(
-                                new RecordGuard(RecordName.OWNER, seen.ownerRevision()),
-                                new RecordGuard(RecordName.TERM, seen.termRevision())),
+                                new RecordGuard(RecordName.OWNER, current.ownerRevision()),
+                                new RecordGuard(RecordName.TERM, current.termRevision())),
                         List.of(new RecordWrite(owner, granted.leaseId()), RecordWrite.of(next)),
                         List.of(),
                         CLAIM_TIMEOUT_MS));
     }
 
-    private static OwnershipClaimRow claimRow(
-            Ownership seen, SchedulerSettings self, long validUntilMs) {
-        Optional<StoredRecord.Term> previous = seen.term();
+    private static OwnershipClaimRow toClaimRow(
+            Ownership current, SchedulerSettings self, long validUntilMs) {
+        Optional<StoredRecord.Term> previous = current.term();
         return new OwnershipClaimRow(
                 previous.map(StoredRecord.Term::generation).orElse(0L) + 1,
                 validUntilMs,
@@ -253,7 +260,7 @@
     }
 
     /**
-     * Returns whether the owner of an earlier term surely sends no more orders: it released the
+     * Returns whether the owner of an earlier term is known to send no more orders: it released the
      * ownership, or it ran on this entry and thus is this process or one that this process
      * replaced.
      */
@@ -261,6 +268,12 @@
         return term.released() || term.node().equals(self.node());
     }
 
+    /**
+     * Starts the new term. The owner restores its tables from the store, unless it kept them while
+     * its own lease had expired; a predecessor that may still be active is asked to relinquish.
+     *
+     * @param revision revision of the claim, which becomes the fence of the term
+     */
     private static void completeClaim(SchedulerTick tick, long revision) {
         SchedulerWorld world = tick.world();
         TermRow term = world.term().get();
@@ -316,6 +329,7 @@
         tick.emit(new LoadRecords(callId));
     }
 
+    /** Abandons a claim that another entry has won or that is no longer allowed. */
     private static void abandonClaim(SchedulerTick tick) {
         TermRow term = tick.world().term().get();
         tick.log("claim-lost", "generation=" + term.generation());
@@ -324,6 +338,10 @@
                 .set(term.withCall(TermStage.FOLLOWING, 0, 0).withClaimAt(tick.nowMs() + RETRY_MS));
     }
 
+    /**
+     * Extends the lease, counted from when the renewal was sent: the store may have renewed it
+     * right then, long before its answer arrived.
+     */
     private static void applyRenewal(SchedulerTick tick, LeaseRenewed renewed) {
         SchedulerWorld world = tick.world();
         LeaseRenewalRow renewal = world.leaseRenewal().get();
@@ -337,6 +355,7 @@
         world.storeHealth().set(world.storeHealth().get().withSuccess(tick.nowMs()));
     }
 
+    /** Claims again if the store no longer has the lease; any other failure is retried. */
     private static void applyRenewalFailure(SchedulerTick tick, LeaseNotRenewed failed) {
         SchedulerWorld world = tick.world();
         LeaseRenewalRow renewal = world.leaseRenewal().get();
@@ -379,7 +398,7 @@
             return;
         }
         if (term.claimAtMs() == 0) {
-            // The recorded owner is this entry, or it has offered a handover.
+            // Without delay if an owner is recorded: it is this entry or has offered a handover.
             boolean recorded = ownership.ownership().owner().isPresent();
             long delayMs = recorded ? 0 : world.settings().claimDelayMs();
             world.term().set(term.withClaimAt(tick.nowMs() + delayMs));
