--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/ExecutorHealth.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/ExecutorHealth.java
@@ -3,16 +3,24 @@
 import org.hibiscususher.core.scheduler.world.ExecutorHealthRow;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 
-/** Keeps count of how runs end on each executor, and sets aside those that fail what they start. */
+/**
+ * Records how runs end on each executor, and quarantines executors on which runs keep failing.
+ *
+ * <p>A faulty executor fails its runs early and so is free again soon: without a quarantine it
+ * would receive, and fail, more and more of the waiting tasks.
+ */
 final class ExecutorHealth {
-    /** Failed runs in a row after which an executor is set aside. */
+    /** Failed runs in a row from which an executor is quarantined. */
     private static final int MAX_FAILURES = 2;
 
-    private static final long ASIDE_MS = 1_500;
-    private static final long MAX_ASIDE_MS = 6_000;
+    /** Duration of the first quarantine in milliseconds; each further failure adds as much. */
+    private static final long QUARANTINE_MS = 1_500;
+
+    private static final long MAX_QUARANTINE_MS = 6_000;
 
     private ExecutorHealth() {}
 
+    /** Records a run that completed its task. */
     static void recordSuccess(SchedulerTick tick, String executor) {
         ExecutorHealthRow row = findOrInitial(tick, executor);
         tick.world()
@@ -22,6 +30,7 @@
                         new ExecutorHealthRow(executor, 0, row.completedRuns() + 1, tick.nowMs()));
     }
 
+    /** Records a failed run, and quarantines the executor after several in a row. */
     static void recordFailure(SchedulerTick tick, String executor) {
         ExecutorHealthRow row = findOrInitial(tick, executor);
         int failures = row.consecutiveFailures() + 1;
@@ -33,11 +42,14 @@
                                 executor, failures, row.completedRuns(), tick.nowMs()));
         if (failures >= MAX_FAILURES) {
             quarantine(
-                    tick, executor, Math.min(MAX_ASIDE_MS, ASIDE_MS * (failures - 1)), "failures");
+                    tick,
+                    executor,
+                    Math.min(MAX_QUARANTINE_MS, QUARANTINE_MS * (failures - 1)),
+                    "failures");
         }
     }
 
-    /** Takes in an end that tells neither for nor against the executor. */
+    /** Records the end of a run, but not whether it counts for or against the executor. */
     static void recordEnd(SchedulerTick tick, String executor) {
         ExecutorHealthRow row = findOrInitial(tick, executor);
         tick.world()
@@ -51,10 +63,15 @@
                                 tick.nowMs()));
     }
 
-    /** Gives an executor no new runs for some time. */
+    /**
+     * Gives an executor no new runs for some time.
+     *
+     * @param forMs duration in milliseconds; a longer quarantine in effect stays
+     * @param reason cause for the log and the counter
+     */
     static void quarantine(SchedulerTick tick, String executor, long forMs, String reason) {
         long untilMs = tick.nowMs() + forMs;
-        tick.world().executorSessions().update(executor, c -> c.quarantinedUntil(untilMs));
+        tick.world().executorSessions().update(executor, s -> s.quarantinedUntil(untilMs));
         tick.log(
                 "executor-aside",
                 "executor=" + executor + " for_ms=" + forMs + " reason=" + reason);
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/ExecutorSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/ExecutorSystem.java
@@ -27,22 +27,35 @@
 import org.hibiscususher.core.scheduler.world.StopReason;
 import org.hibiscususher.core.scheduler.world.TaskRow;
 
-/** Takes in what executors say of themselves and of their runs. */
+/**
+ * Applies what executors report about themselves and about their runs.
+ *
+ * <p>Registrations come from the store, lists of runs from heartbeats. The run of a task is dropped
+ * only when its executor no longer lists it, has restarted, or is silent with a lease that has
+ * certainly expired: a task that is started again earlier could run twice.
+ */
 public final class ExecutorSystem {
-    private static final long RETRY_MS = 100;
-    private static final long UNHEALTHY_RETRY_MS = 250;
+    /** Delay of the next heartbeat after one without a response, in milliseconds. */
+    private static final long NO_RESPONSE_DELAY_MS = 100;
 
-    /** Silent readings after which an executor gets no new runs. */
-    private static final int MAX_FAILURES = 1;
+    /** Delay of the next heartbeat after one that the executor rejected, in milliseconds. */
+    private static final long REJECTED_DELAY_MS = 250;
 
-    private static final long SILENT_ASIDE_MS = 600;
+    /** Failed heartbeats in a row up to which a recovery is not logged. */
+    private static final int MAX_UNLOGGED_FAILURES = 1;
 
-    /** Time for which a report may be missing before the executor counts as gone. */
-    private static final long MISSING_MS = 2_500;
+    /** Time without new runs after a failed heartbeat, in milliseconds. */
+    private static final long SILENT_QUARANTINE_MS = 600;
+
+    /**
+     * Time for which the registration of a silent executor may be missing before it is removed, in
+     * milliseconds.
+     */
+    private static final long MAX_MISSING_MS = 2_500;
 
     private ExecutorSystem() {}
 
-    /** Takes in reports, lists and their absence. */
+    /** Applies registrations and heartbeat results, then expires leases. */
     public static void run(SchedulerTick tick) {
         if (!tick.world().term().get().isScheduling()
                 && !tick.world().term().get().stage().isOwner()) {
@@ -50,36 +63,38 @@
         }
         for (SchedulerInput input : tick.inputs()) {
             if (input instanceof ExecutorsListed listed) {
-                listed(tick, listed.reports());
+                applyRegistrations(tick, listed.reports());
             } else if (input instanceof ExecutorUpdated seen) {
-                seen(tick, seen.report());
+                applyRegistration(tick, seen.report());
             } else if (input instanceof ExecutorRemoved gone) {
-                missing(tick, gone.id());
+                markMissing(tick, gone.id());
             } else if (input instanceof HeartbeatAnswered answered) {
-                answered(tick, answered);
+                applyHeartbeat(tick, answered);
             } else if (input instanceof HeartbeatFailed failed) {
-                failed(tick, failed);
+                applyFailure(tick, failed);
             }
         }
         for (ExecutorRow row : tick.world().executors().rows()) {
-            endLeases(tick, row);
+            expireLease(tick, row);
         }
     }
 
-    private static void listed(SchedulerTick tick, List<ExecutorReport> reports) {
+    /** Applies the complete list of registrations in the store. */
+    private static void applyRegistrations(SchedulerTick tick, List<ExecutorReport> reports) {
         Set<String> ids = new HashSet<>();
         for (ExecutorReport report : reports) {
             ids.add(report.id());
-            seen(tick, report);
+            applyRegistration(tick, report);
         }
         for (ExecutorRow row : tick.world().executors().rows()) {
             if (!ids.contains(row.id())) {
-                missing(tick, row.id());
+                markMissing(tick, row.id());
             }
         }
     }
 
-    private static void seen(SchedulerTick tick, ExecutorReport report) {
+    /** Applies the registration of one executor. */
+    private static void applyRegistration(SchedulerTick tick, ExecutorReport report) {
         SchedulerWorld world = tick.world();
         ExecutorRow before = world.executors().find(report.id()).orElse(null);
         ExecutorRow row =
@@ -108,18 +123,19 @@
                             + " remaining_ms="
                             + report.remainingMs());
         }
-        long bornMs =
+        long knownStartMs =
                 world.executorSessions()
                         .find(report.id())
                         .map(ExecutorSessionRow::startedAtMs)
                         .orElse(0L);
-        if (report.startedAtMs() > bornMs && bornMs != 0) {
+        if (report.startedAtMs() > knownStartMs && knownStartMs != 0) {
             tick.log("executor-reborn", "executor=" + report.id() + " by=report");
             RunLifecycle.handleRestart(tick, report.id(), "reborn");
         }
     }
 
-    private static void missing(SchedulerTick tick, String id) {
+    /** Applies that the registration of an executor is no longer in the store. */
+    private static void markMissing(SchedulerTick tick, String id) {
         ExecutorRow row = tick.world().executors().find(id).orElse(null);
         if (row == null || row.missingSinceMs() != 0) {
             return;
@@ -128,91 +144,95 @@
         tick.world().executors().put(id, row.withoutReport(tick.nowMs()));
     }
 
-    private static void answered(SchedulerTick tick, HeartbeatAnswered answer) {
+    /** Applies the response to the heartbeat that is awaited; ignores any other. */
+    private static void applyHeartbeat(SchedulerTick tick, HeartbeatAnswered answer) {
         SchedulerWorld world = tick.world();
         String id = answer.executor();
-        ExecutorSessionRow contact = world.executorSessions().find(id).orElse(null);
-        if (contact == null || contact.heartbeatCallId() != answer.callId()) {
+        ExecutorSessionRow session = world.executorSessions().find(id).orElse(null);
+        if (session == null || session.heartbeatCallId() != answer.callId()) {
             return;
         }
-        if (contact.startedAtMs() != 0 && contact.startedAtMs() != answer.startedAtMs()) {
+        if (session.startedAtMs() != 0 && session.startedAtMs() != answer.startedAtMs()) {
             tick.log("executor-reborn", "executor=" + id + " by=answer");
             RunLifecycle.handleRestart(tick, id, "reborn");
-            contact =
-                    ExecutorSessionRow.initial(id, contact.leaseEndMs())
+            session =
+                    ExecutorSessionRow.initial(id, session.leaseEndMs())
                             .withHeartbeatSent(
                                     answer.callId(),
-                                    contact.heartbeatFence(),
-                                    contact.heartbeatSentMs(),
+                                    session.heartbeatFence(),
+                                    session.heartbeatSentMs(),
                                     0);
         }
-        if (contact.lastAnswerMs() == 0 || contact.consecutiveFailures() > MAX_FAILURES) {
+        if (session.lastAnswerMs() == 0 || session.consecutiveFailures() > MAX_UNLOGGED_FAILURES) {
             tick.log(
                     "executor-reached",
                     "executor="
                             + id
                             + " fence="
-                            + contact.heartbeatFence()
+                            + session.heartbeatFence()
                             + " runs="
                             + answer.runs().size()
                             + " ends="
                             + answer.finishedRuns().size());
         }
-        long sentMs = contact.heartbeatSentMs();
-        contact =
-                contact.withHeartbeatAnswered(
+        long sentMs = session.heartbeatSentMs();
+        session =
+                session.withHeartbeatAnswered(
                         answer.startedAtMs(), answer.executorClockMs(), tick.nowMs());
-        world.executorSessions().put(id, contact);
+        world.executorSessions().put(id, session);
         world.executors().update(id, ExecutorRow::asConfirmed);
-        Set<TaskKey> told = new HashSet<>();
-        for (FinishedRun end : answer.finishedRuns()) {
-            told.add(end.task());
-            if (end.sequence() > contact.appliedSequence()) {
-                FinishedRuns.apply(tick, id, end);
-                contact = contact.withAppliedSequence(end.sequence());
+        Set<TaskKey> reportedTasks = new HashSet<>();
+        for (FinishedRun finished : answer.finishedRuns()) {
+            reportedTasks.add(finished.task());
+            if (finished.sequence() > session.appliedSequence()) {
+                FinishedRuns.apply(tick, id, finished);
+                session = session.withAppliedSequence(finished.sequence());
             }
         }
-        long listed = contact.appliedSequence();
-        world.executorSessions().update(id, c -> c.withAppliedSequence(listed));
+        long appliedSequence = session.appliedSequence();
+        world.executorSessions().update(id, s -> s.withAppliedSequence(appliedSequence));
         for (ReportedRun run : answer.runs()) {
-            told.add(run.task());
-            listedRun(tick, id, run);
+            reportedTasks.add(run.task());
+            applyRun(tick, id, run);
         }
-        vanished(tick, id, told, sentMs);
+        requeueUnlistedRuns(tick, id, reportedTasks, sentMs);
     }
 
-    private static void listedRun(SchedulerTick tick, String executor, ReportedRun told) {
+    /** Applies a run that an executor lists; orders it to stop if no task needs it. */
+    private static void applyRun(SchedulerTick tick, String executor, ReportedRun reported) {
         SchedulerWorld world = tick.world();
-        JobLifecycle.activateForReportedRun(tick, told.task().stepKey());
-        RunRow run = world.runs().find(told.task()).orElse(null);
-        TaskRow task = world.tasks().find(told.task()).orElse(null);
-        boolean same = run != null && run.run() == told.run() && run.executor().equals(executor);
+        JobLifecycle.activateForReportedRun(tick, reported.task().stepKey());
+        RunRow run = world.runs().find(reported.task()).orElse(null);
+        TaskRow task = world.tasks().find(reported.task()).orElse(null);
+        boolean same =
+                run != null && run.run() == reported.run() && run.executor().equals(executor);
         if (same) {
-            RunRow next = run.withReport(told, tick.nowMs());
+            RunRow next = run.withReport(reported, tick.nowMs());
             if (run.stage() == RunStage.SENT) {
                 next = next.asRunning(tick.nowMs());
-                JobLifecycle.markRunning(tick, told.task().jobId());
+                JobLifecycle.markRunning(tick, reported.task().jobId());
             }
             world.runs().put(run.task(), next);
-        } else if (run == null && task != null && told.run() >= task.lastRun()) {
-            adopt(tick, executor, told, task);
+        } else if (run == null && task != null && reported.run() >= task.lastRun()) {
+            adoptRun(tick, executor, reported, task);
         } else {
-            RunLifecycle.requestStopOfUnknownRun(tick, executor, told.task(), told.run());
+            RunLifecycle.requestStopOfUnknownRun(tick, executor, reported.task(), reported.run());
         }
     }
 
-    /** Takes over a run that an earlier owner started. */
-    private static void adopt(SchedulerTick tick, String executor, ReportedRun told, TaskRow task) {
+    /** Adds a run that an earlier owner started to the tables. */
+    private static void adoptRun(
+            SchedulerTick tick, String executor, ReportedRun reported, TaskRow task) {
         SchedulerWorld world = tick.world();
-        JobRow job = world.jobs().find(told.task().jobId()).orElse(null);
-        StepSpec spec = JobLifecycle.findSpec(world, told.task().stepKey()).orElse(null);
+        JobRow job = world.jobs().find(reported.task().jobId()).orElse(null);
+        StepSpec spec = JobLifecycle.findSpec(world, reported.task().stepKey()).orElse(null);
         if (job == null || spec == null) {
             return;
         }
         RunRow run =
                 new RunRow(
-                        told.task(),
-                        told.run(),
+                        reported.task(),
+                        reported.run(),
                         executor,
                         job.team(),
                         spec.demand(),
@@ -222,44 +242,51 @@
                         0,
                         tick.nowMs(),
                         tick.nowMs(),
-                        told.checkpoint(),
-                        told.speedPercent(),
-                        told.load(),
+                        reported.checkpoint(),
+                        reported.speedPercent(),
+                        reported.load(),
                         100,
                         tick.nowMs());
         world.runs().put(run.task(), run);
-        world.tasks().put(task.key(), task.asActive(told.run()));
+        world.tasks().put(task.key(), task.asActive(reported.run()));
         JobLifecycle.markRunning(tick, job.id());
         tick.log("run-adopted", RunLifecycle.describe(run));
     }
 
-    /** Finds runs that an executor no longer lists although it knew of them. */
-    private static void vanished(
-            SchedulerTick tick, String executor, Set<TaskKey> told, long sentMs) {
+    /**
+     * Requeues the tasks of runs that the executor no longer lists.
+     *
+     * @param reportedTasks tasks whose runs the executor has listed as running or finished
+     * @param sentMs when the heartbeat was sent; a run that was confirmed later may be missing from
+     *     the list although it is there
+     */
+    private static void requeueUnlistedRuns(
+            SchedulerTick tick, String executor, Set<TaskKey> reportedTasks, long sentMs) {
         for (RunRow run : List.copyOf(tick.world().runs().group(executor))) {
             boolean known = run.orderAnsweredMs() != 0 && run.orderAnsweredMs() < sentMs;
-            if (known && !told.contains(run.task())) {
+            if (known && !reportedTasks.contains(run.task())) {
                 RunLifecycle.removeAndRequeue(tick, run, "not-listed", 0);
             }
         }
     }
 
-    private static void failed(SchedulerTick tick, HeartbeatFailed failed) {
+    /** Applies the failure of the heartbeat that is awaited; ignores any other. */
+    private static void applyFailure(SchedulerTick tick, HeartbeatFailed failed) {
         SchedulerWorld world = tick.world();
-        ExecutorSessionRow contact = world.executorSessions().find(failed.executor()).orElse(null);
-        if (contact == null || contact.heartbeatCallId() != failed.callId()) {
+        ExecutorSessionRow session = world.executorSessions().find(failed.executor()).orElse(null);
+        if (session == null || session.heartbeatCallId() != failed.callId()) {
             return;
         }
         if (failed.failure() == HeartbeatFailure.FENCED) {
-            if (contact.heartbeatFence() == world.term().get().fence()) {
+            if (session.heartbeatFence() == world.term().get().fence()) {
                 StepDown.run(tick, "fenced-by-executor");
             } else {
                 world.executorSessions()
-                        .put(contact.executor(), contact.withHeartbeatFailed(tick.nowMs()));
+                        .put(session.executor(), session.withHeartbeatFailed(tick.nowMs()));
             }
             return;
         }
-        if (contact.consecutiveFailures() == 0) {
+        if (session.consecutiveFailures() == 0) {
             tick.log(
                     "executor-silent",
                     "executor="
@@ -267,42 +294,45 @@
                             + " failure="
                             + failed.failure()
                             + " age_ms="
-                            + (tick.nowMs() - contact.lastAnswerMs())
+                            + (tick.nowMs() - session.lastAnswerMs())
                             + " lease_left_ms="
-                            + (contact.leaseEndMs() - tick.nowMs()));
+                            + (session.leaseEndMs() - tick.nowMs()));
         }
         if (failed.failure() == HeartbeatFailure.OTHER_LIFE) {
             RunLifecycle.endIncarnation(tick, failed.executor(), "other-life");
             world.executorSessions()
                     .update(
                             failed.executor(),
-                            c -> c.withHeartbeatFailed(tick.nowMs() + UNHEALTHY_RETRY_MS));
+                            s -> s.withHeartbeatFailed(tick.nowMs() + REJECTED_DELAY_MS));
             return;
         }
         boolean silent = failed.failure() == HeartbeatFailure.NO_ANSWER;
-        long nextMs = tick.nowMs() + (silent ? RETRY_MS : UNHEALTHY_RETRY_MS);
+        long nextMs = tick.nowMs() + (silent ? NO_RESPONSE_DELAY_MS : REJECTED_DELAY_MS);
         world.executorSessions()
                 .put(
                         failed.executor(),
-                        contact.withHeartbeatFailed(nextMs)
-                                .quarantinedUntil(tick.nowMs() + SILENT_ASIDE_MS));
+                        session.withHeartbeatFailed(nextMs)
+                                .quarantinedUntil(tick.nowMs() + SILENT_QUARANTINE_MS));
     }
 
-    /** Ends what a silent executor ran once its lease has surely ended, and forgets the gone. */
-    private static void endLeases(SchedulerTick tick, ExecutorRow row) {
+    /**
+     * Requeues the runs of a silent executor once its lease has certainly expired, and removes the
+     * executor if its registration is missing too.
+     */
+    private static void expireLease(SchedulerTick tick, ExecutorRow row) {
         SchedulerWorld world = tick.world();
-        ExecutorSessionRow contact = world.executorSessions().find(row.id()).orElse(null);
-        if (contact == null || tick.nowMs() <= contact.leaseEndMs()) {
+        ExecutorSessionRow session = world.executorSessions().find(row.id()).orElse(null);
+        if (session == null || tick.nowMs() <= session.leaseEndMs()) {
             return;
         }
-        if (!world.runs().group(row.id()).isEmpty() && contact.consecutiveFailures() > 0) {
+        if (!world.runs().group(row.id()).isEmpty() && session.consecutiveFailures() > 0) {
             for (RunRow run : List.copyOf(world.runs().group(row.id()))) {
                 RunLifecycle.removeAndRequeue(tick, run, "lease-ended", 0);
             }
         }
         boolean missing =
-                row.missingSinceMs() != 0 && tick.nowMs() - row.missingSinceMs() > MISSING_MS;
-        if (missing && (contact.consecutiveFailures() > 0 || row.report().address().isEmpty())) {
+                row.missingSinceMs() != 0 && tick.nowMs() - row.missingSinceMs() > MAX_MISSING_MS;
+        if (missing && (session.consecutiveFailures() > 0 || row.report().address().isEmpty())) {
             RunLifecycle.removeExecutor(tick, row.id(), "missing");
         }
     }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/FinishedRuns.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/FinishedRuns.java
@@ -16,39 +16,50 @@
 import org.hibiscususher.core.scheduler.world.StopReason;
 import org.hibiscususher.core.scheduler.world.TaskRow;
 
-/** Takes in the ends of runs that executors list. */
+/**
+ * Applies the outcomes of finished runs that executors report.
+ *
+ * <p>An executor reports each finished run until it is acknowledged. An outcome that was
+ * acknowledged before the store held it would be lost if this owner failed, so each one is kept
+ * with the version of its job that contains it, and {@link HeartbeatSystem} acknowledges it once
+ * the store holds that version.
+ */
 final class FinishedRuns {
-    /** Rest before a task runs again whose run failed, in milliseconds. */
-    private static final long FAILED_REST_MS = 20;
+    /** Delay before the task of a failed run starts again, in milliseconds. */
+    private static final long RETRY_DELAY_MS = 20;
 
     private FinishedRuns() {}
 
-    /** Takes in an end that was not taken in before. */
-    static void apply(SchedulerTick tick, String executor, FinishedRun end) {
+    /**
+     * Applies a finished run that was not applied before.
+     *
+     * @param executor id of the executor that reports it
+     */
+    static void apply(SchedulerTick tick, String executor, FinishedRun finished) {
         SchedulerWorld world = tick.world();
-        JobRow job = world.jobs().find(end.task().jobId()).orElse(null);
+        JobRow job = world.jobs().find(finished.task().jobId()).orElse(null);
         RunRow run =
                 world.runs()
-                        .find(end.task())
-                        .filter(r -> r.run() == end.run() && r.executor().equals(executor))
+                        .find(finished.task())
+                        .filter(r -> r.run() == finished.run() && r.executor().equals(executor))
                         .orElse(null);
         tick.log(
                 "run-ended",
                 "job="
-                        + end.task().jobId()
+                        + finished.task().jobId()
                         + " task="
-                        + end.task().text()
+                        + finished.task().text()
                         + " run="
-                        + end.run()
+                        + finished.run()
                         + " executor="
                         + executor
                         + " how="
-                        + end.outcome()
+                        + finished.outcome()
                         + " number="
-                        + end.sequence()
+                        + finished.sequence()
                         + " current="
                         + (run != null));
-        tick.count("run-ended." + end.outcome());
+        tick.count("run-ended." + finished.outcome());
         if (run != null) {
             world.runs().remove(run.task());
             ExecutorHealth.recordEnd(tick, executor);
@@ -56,49 +67,57 @@
         if (job == null || !job.acceptsRuns()) {
             return;
         }
-        JobLifecycle.activateForReportedRun(tick, end.task().stepKey());
-        apply(tick, executor, end, run);
+        JobLifecycle.activateForReportedRun(tick, finished.task().stepKey());
+        applyToTask(tick, executor, finished, run);
         long version = world.jobs().find(job.id()).map(JobRow::version).orElse(0L);
-        FinishedRunKey key = new FinishedRunKey(executor, end.sequence());
+        FinishedRunKey key = new FinishedRunKey(executor, finished.sequence());
         world.finishedRuns().put(key, new FinishedRunRow(key, job.id(), version));
     }
 
-    private static void apply(SchedulerTick tick, String executor, FinishedRun end, RunRow run) {
+    private static void applyToTask(
+            SchedulerTick tick, String executor, FinishedRun finished, RunRow run) {
         SchedulerWorld world = tick.world();
-        StepSpec spec = JobLifecycle.findSpec(world, end.task().stepKey()).orElse(null);
+        StepSpec spec = JobLifecycle.findSpec(world, finished.task().stepKey()).orElse(null);
         if (spec == null) {
             return;
         }
-        if (end.outcome() == RunOutcome.DONE && !spec.service()) {
-            done(tick, executor, end, spec);
+        if (finished.outcome() == RunOutcome.DONE && !spec.service()) {
+            completeTask(tick, executor, finished, spec);
             return;
         }
-        world.tasks().update(end.task(), t -> t.withRunAtLeast(end.run()));
-        if (end.outcome().countsAsAttempt()) {
-            failed(tick, executor, end, spec);
+        world.tasks().update(finished.task(), t -> t.withRunAtLeast(finished.run()));
+        if (finished.outcome().countsAsAttempt()) {
+            countFailure(tick, executor, finished, spec);
         }
-        boolean current = run != null || !world.runs().contains(end.task());
+        // A report of an old run must not make a task wait that has a newer run.
+        boolean current = run != null || !world.runs().contains(finished.task());
         if (current) {
-            long restMs =
-                    end.outcome() == RunOutcome.FAILED && !spec.service() ? FAILED_REST_MS : 0;
+            long delayMs =
+                    finished.outcome() == RunOutcome.FAILED && !spec.service() ? RETRY_DELAY_MS : 0;
             world.tasks()
-                    .update(end.task(), t -> t.asWaiting(tick.nowMs(), restMs, end.checkpoint()));
+                    .update(
+                            finished.task(),
+                            t -> t.asWaiting(tick.nowMs(), delayMs, finished.checkpoint()));
         }
-        if (!end.checkpoint().isEmpty() && !spec.service()) {
-            world.jobs().update(end.task().jobId(), j -> j.withChange(tick.nowMs()));
+        if (!finished.checkpoint().isEmpty() && !spec.service()) {
+            world.jobs().update(finished.task().jobId(), j -> j.withChange(tick.nowMs()));
         }
     }
 
-    private static void done(SchedulerTick tick, String executor, FinishedRun end, StepSpec spec) {
+    /**
+     * Applies that a task is done; a gang is done as a whole. Stops other runs of the same task.
+     */
+    private static void completeTask(
+            SchedulerTick tick, String executor, FinishedRun finished, StepSpec spec) {
         SchedulerWorld world = tick.world();
         ExecutorHealth.recordSuccess(tick, executor);
-        StepKey step = end.task().stepKey();
-        int first = spec.gang() ? 0 : end.task().index();
-        int last = spec.gang() ? spec.count() - 1 : end.task().index();
-        for (int i = first; i <= last; i++) {
+        StepKey step = finished.task().stepKey();
+        int firstIndex = spec.gang() ? 0 : finished.task().index();
+        int lastIndex = spec.gang() ? spec.count() - 1 : finished.task().index();
+        for (int i = firstIndex; i <= lastIndex; i++) {
             TaskKey task = step.task(i);
             RunRow other = world.runs().find(task).orElse(null);
-            if (other != null && other.run() == end.run()) {
+            if (other != null && other.run() == finished.run()) {
                 world.runs().remove(task);
             } else if (other != null && other.stage().isWanted()) {
                 RunLifecycle.requestStop(tick, other, StopReason.JOB_ENDED);
@@ -107,18 +126,19 @@
         }
     }
 
-    private static void failed(
-            SchedulerTick tick, String executor, FinishedRun end, StepSpec spec) {
+    /** Counts a failed run, and ends the job as failed when the task has no attempts left. */
+    private static void countFailure(
+            SchedulerTick tick, String executor, FinishedRun finished, StepSpec spec) {
         SchedulerWorld world = tick.world();
         ExecutorHealth.recordFailure(tick, executor);
-        TaskKey counted = spec.gang() ? end.task().stepKey().task(0) : end.task();
+        TaskKey counted = spec.gang() ? finished.task().stepKey().task(0) : finished.task();
         TaskRow task = world.tasks().find(counted).orElse(null);
-        if (task == null || spec.service() || task.failedRuns().contains(end.run())) {
+        if (task == null || spec.service() || task.failedRuns().contains(finished.run())) {
             return;
         }
-        TaskRow failed = task.withFailure(end.run(), executor);
+        TaskRow failed = task.withFailure(finished.run(), executor);
         world.tasks().put(counted, failed);
-        JobRow job = world.jobs().find(end.task().jobId()).orElseThrow();
+        JobRow job = world.jobs().find(finished.task().jobId()).orElseThrow();
         world.jobs().put(job.id(), job.withChange(tick.nowMs()));
         if (failed.failedRuns().size() >= job.policy().maxFailures()) {
             JobLifecycle.finish(
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/HeartbeatSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/HeartbeatSystem.java
@@ -11,94 +11,122 @@
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
 import org.hibiscususher.core.scheduler.world.TermRow;
 
-/** Reads the executors' lists, extends their leases and acknowledges ends that are stored. */
+/**
+ * Sends heartbeats to executors.
+ *
+ * <p>A heartbeat extends the executor's lease, acknowledges the finished runs whose outcomes the
+ * store holds, and returns the executor's runs. It is a long poll: the executor may hold the
+ * response back until a run finishes. An executor whose lease expires stops its runs, so that they
+ * can restart elsewhere.
+ */
 public final class HeartbeatSystem {
-    /** How long an executor with runs may wait for an end, in milliseconds. */
+    /** How long an executor with runs may hold its response back, in milliseconds. */
     private static final long BUSY_WAIT_MS = 1_000;
 
+    /** The same for an executor without runs. */
     private static final long IDLE_WAIT_MS = 2_000;
 
-    /** Rest before the next reading while ends can't be acknowledged, in milliseconds. */
-    private static final long UNACKNOWLEDGED_REST_MS = 200;
+    /**
+     * Delay of the next heartbeat while finished runs can't be acknowledged, in milliseconds. Until
+     * then the executor lists them in each response and holds none back.
+     */
+    private static final long UNACKNOWLEDGED_DELAY_MS = 200;
 
-    /** Slowest pace of an executor's clock against ours, in percent. */
+    /**
+     * Lowest rate of an executor's clock against ours that leases allow for, in percent. A lease
+     * that is measured by a slow clock lasts longer on ours.
+     */
     public static final long MIN_CLOCK_RATE_PERCENT = 97;
 
-    private static final long SLACK_MS = 60;
+    /** Margin after the computed end of a lease, in milliseconds. */
+    private static final long LEASE_MARGIN_MS = 60;
 
     private HeartbeatSystem() {}
 
-    /** Sends the readings that are due. */
+    /** Sends the heartbeats that are due. */
     public static void run(SchedulerTick tick) {
         if (!Authority.mayOrderExecutors(tick)) {
             return;
         }
         for (ExecutorRow row : tick.world().executors().rows()) {
-            ExecutorSessionRow contact =
+            ExecutorSessionRow session =
                     tick.world().executorSessions().find(row.id()).orElse(null);
-            if (contact != null
-                    && contact.heartbeatCallId() == 0
-                    && tick.nowMs() >= contact.nextHeartbeatMs()
+            if (session != null
+                    && session.heartbeatCallId() == 0
+                    && tick.nowMs() >= session.nextHeartbeatMs()
                     && !row.report().address().isEmpty()) {
-                hold(tick, row, acknowledge(tick, contact));
+                sendHeartbeat(tick, row, acknowledge(tick, session));
             }
         }
     }
 
-    private static ExecutorSessionRow acknowledge(SchedulerTick tick, ExecutorSessionRow contact) {
+    /** Acknowledges finished runs in order, up to the first whose outcome is not stored yet. */
+    private static ExecutorSessionRow acknowledge(SchedulerTick tick, ExecutorSessionRow session) {
         SchedulerWorld world = tick.world();
-        ExecutorSessionRow next = contact;
-        for (FinishedRunRow end : List.copyOf(world.finishedRuns().group(contact.executor()))) {
-            long stored =
-                    world.jobs().find(end.job()).map(JobRow::storedVersion).orElse(Long.MAX_VALUE);
-            if (stored < end.jobVersion()) {
+        ExecutorSessionRow next = session;
+        for (FinishedRunRow finished :
+                List.copyOf(world.finishedRuns().group(session.executor()))) {
+            long storedVersion =
+                    world.jobs()
+                            .find(finished.job())
+                            .map(JobRow::storedVersion)
+                            .orElse(Long.MAX_VALUE);
+            if (storedVersion < finished.jobVersion()) {
                 break;
             }
-            world.finishedRuns().remove(end.key());
-            next = next.withAcknowledgedSequence(end.key().sequence());
+            world.finishedRuns().remove(finished.key());
+            next = next.withAcknowledgedSequence(finished.key().sequence());
         }
-        if (world.finishedRuns().group(contact.executor()).isEmpty()) {
-            next = next.withAcknowledgedSequence(contact.appliedSequence());
+        if (world.finishedRuns().group(session.executor()).isEmpty()) {
+            next = next.withAcknowledgedSequence(session.appliedSequence());
         }
         return next;
     }
 
-    private static void hold(SchedulerTick tick, ExecutorRow row, ExecutorSessionRow contact) {
+    private static void sendHeartbeat(
+            SchedulerTick tick, ExecutorRow row, ExecutorSessionRow session) {
         SchedulerWorld world = tick.world();
-        boolean open = !world.finishedRuns().group(row.id()).isEmpty();
-        if (open && tick.nowMs() - contact.lastAnswerMs() < UNACKNOWLEDGED_REST_MS) {
-            world.executorSessions().put(row.id(), contact);
+        boolean unacknowledged = !world.finishedRuns().group(row.id()).isEmpty();
+        if (unacknowledged && tick.nowMs() - session.lastAnswerMs() < UNACKNOWLEDGED_DELAY_MS) {
+            world.executorSessions().put(row.id(), session);
             return;
         }
         TermRow term = world.term().get();
-        boolean first = contact.lastAnswerMs() == 0 || contact.consecutiveFailures() > 0;
-        boolean fresh = contact.confirmedFence() == term.fence() && !first && !open;
+        boolean unconfirmed = session.lastAnswerMs() == 0 || session.consecutiveFailures() > 0;
+        boolean mayWait =
+                session.confirmedFence() == term.fence() && !unconfirmed && !unacknowledged;
         boolean busy = !world.runs().group(row.id()).isEmpty();
-        long waitMs = !fresh ? 0 : busy ? BUSY_WAIT_MS : IDLE_WAIT_MS;
-        // Orders to a silent executor may arrive, so they must not prolong the wait for its lease.
-        boolean extend = !first;
-        long holdMs = world.settings().timing().executorLeaseMs();
-        long deadlineMs = extend ? contact.executorClockAt(tick.nowMs()) + holdMs : 0;
+        long waitMs = !mayWait ? 0 : busy ? BUSY_WAIT_MS : IDLE_WAIT_MS;
+        // A heartbeat to a silent executor may arrive. It must not extend the lease, whose end is
+        // what the runs of the executor have to wait for before they can restart elsewhere.
+        boolean extend = !unconfirmed;
+        long leaseMs = world.settings().timing().executorLeaseMs();
+        long deadlineMs = extend ? session.executorClockAt(tick.nowMs()) + leaseMs : 0;
         long callId = tick.nextCallId();
-        long leaseEndMs = extend ? leaseEndMs(contact, deadlineMs) : 0;
+        long leaseEndMs = extend ? leaseEndMs(session, deadlineMs) : 0;
         world.executorSessions()
                 .put(
                         row.id(),
-                        contact.withHeartbeatSent(callId, term.fence(), tick.nowMs(), leaseEndMs));
+                        session.withHeartbeatSent(callId, term.fence(), tick.nowMs(), leaseEndMs));
         tick.emit(
                 new SendHeartbeat(
                         callId,
                         row.id(),
                         row.report().address(),
                         term.fence(),
-                        contact.acknowledgedSequence(),
+                        session.acknowledgedSequence(),
                         deadlineMs,
                         waitMs));
     }
 
-    /** Returns when a time on an executor's clock has surely come, on our steady clock. */
-    public static long leaseEndMs(ExecutorSessionRow contact, long deadlineMs) {
-        long leftMs = (deadlineMs - contact.executorClockMs()) * 100 / MIN_CLOCK_RATE_PERCENT;
-        return contact.clockReadAtMs() + leftMs + SLACK_MS;
+    /**
+     * Returns the time on our steady clock at which a lease has certainly expired.
+     *
+     * @param session session with the executor, which relates its clock to ours
+     * @param deadlineMs end of the lease on the executor's clock, in milliseconds
+     */
+    public static long leaseEndMs(ExecutorSessionRow session, long deadlineMs) {
+        long leftMs = (deadlineMs - session.executorClockMs()) * 100 / MIN_CLOCK_RATE_PERCENT;
+        return session.clockReadAtMs() + leftMs + LEASE_MARGIN_MS;
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/LostExecutorSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/LostExecutorSystem.java
@@ -11,15 +11,17 @@
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
 
 /**
- * Gives up silent executors whose hosts have ended them, as the list of hosts tells.
+ * Removes silent executors that, by the platform's list of hosts, no longer run.
  *
- * <p>Answers hosts that lose power or were ordered away by an earlier owner: without the list, what
- * ran there could only begin anew once its lease has surely ended.
+ * <p>This covers hosts that lose power or that an earlier owner has ordered out of service. Without
+ * the list, their tasks could restart only once the executor's lease has certainly expired. A
+ * silent executor on a host that is up is kept, since it may still run behind a network partition;
+ * so are all executors if the list names none of them, since such a list may be incomplete.
  */
 public final class LostExecutorSystem {
     private LostExecutorSystem() {}
 
-    /** Runs over the silent executors when a list of hosts has come. */
+    /** Removes lost executors if a list of hosts has arrived in this tick. */
     public static void run(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
         HostListRow list = world.hostList().get();
@@ -32,39 +34,44 @@
                 hosts.put(host.executor(), host);
             }
         }
-        boolean complete =
+        boolean namesAnyExecutor =
                 world.executors().rows().stream().anyMatch(e -> hosts.containsKey(e.id()));
         for (ExecutorRow row : world.executors().rows()) {
             HostReport host = hosts.get(row.id());
             boolean up = host != null && host.state() == HostState.UP;
-            if (complete && !up && isSilentSince(world, row, list.sentMs())) {
+            if (namesAnyExecutor && !up && isSilentSince(world, row, list.sentMs())) {
                 RunLifecycle.removeExecutor(
                         tick, row.id(), host == null ? "on-no-host" : "host-" + host.state());
             }
         }
     }
 
-    /** Returns whether there is an executor out of reach on which something may run. */
+    /** Returns whether a fresh list of hosts is needed: a silent executor may still have runs. */
     public static boolean needsHostList(SchedulerWorld world) {
         return world.executors().rows().stream()
-                .anyMatch(row -> isSilent(world, row) && mayRun(world, row));
+                .anyMatch(row -> isSilent(world, row) && mayHaveRuns(world, row));
     }
 
-    private static boolean mayRun(SchedulerWorld world, ExecutorRow row) {
+    private static boolean mayHaveRuns(SchedulerWorld world, ExecutorRow row) {
         return row.inherited() || !world.runs().group(row.id()).isEmpty();
     }
 
     private static boolean isSilent(SchedulerWorld world, ExecutorRow row) {
-        ExecutorSessionRow contact = world.executorSessions().find(row.id()).orElse(null);
-        return contact != null && (contact.consecutiveFailures() > 0 || row.missingSinceMs() != 0);
+        ExecutorSessionRow session = world.executorSessions().find(row.id()).orElse(null);
+        return session != null && (session.consecutiveFailures() > 0 || row.missingSinceMs() != 0);
     }
 
+    /**
+     * Returns whether an executor is silent and has not responded since the list was requested.
+     *
+     * @param sentMs when the list was requested; it may not show an executor seen later
+     */
     private static boolean isSilentSince(SchedulerWorld world, ExecutorRow row, long sentMs) {
-        long answeredMs =
+        long lastAnswerMs =
                 world.executorSessions()
                         .find(row.id())
                         .map(ExecutorSessionRow::lastAnswerMs)
                         .orElse(0L);
-        return isSilent(world, row) && answeredMs < sentMs && row.firstSeenMs() < sentMs;
+        return isSilent(world, row) && lastAnswerMs < sentMs && row.firstSeenMs() < sentMs;
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/RunLifecycle.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/RunLifecycle.java
@@ -16,20 +16,30 @@
 import org.hibiscususher.core.scheduler.world.TaskRow;
 import org.hibiscususher.core.scheduler.world.UncertainStartRow;
 
-/** Changes of runs that more than one system makes. */
+/** Transitions of runs and executors that several systems apply. */
 public final class RunLifecycle {
-    /** Numbers of runs that a term may give to a task. */
+    /**
+     * Run numbers that a term may give to a task.
+     *
+     * <p>Each term has a range of its own, since an executor rejects a run whose number is not
+     * above earlier ones, and a new owner may not know the last number that its predecessor gave.
+     */
     static final int RUNS_PER_TERM = 1_000;
 
     private RunLifecycle() {}
 
-    /** Returns the number of the next run of a task, above all that earlier owners gave. */
+    /** Returns the number of the next run of a task, above all numbers that earlier owners gave. */
     public static int nextRunNumber(SchedulerWorld world, TaskRow task) {
-        long floor = (world.term().get().generation() - 1) * RUNS_PER_TERM;
-        return Math.max(task.lastRun(), (int) floor) + 1;
+        long lastEarlierNumber = (world.term().get().generation() - 1) * RUNS_PER_TERM;
+        return Math.max(task.lastRun(), (int) lastEarlierNumber) + 1;
     }
 
-    /** Orders a run to stop; it stays in the table until its end is known. */
+    /**
+     * Orders a run to stop.
+     *
+     * <p>The run stays in the table until its outcome is known: until then it uses capacity, and
+     * its task must not start again.
+     */
     public static void requestStop(SchedulerTick tick, RunRow run, StopReason reason) {
         SchedulerWorld world = tick.world();
         long callId = tick.nextCallId();
@@ -38,17 +48,17 @@
             tick.log("stop", describe(run) + " reason=" + reason);
             tick.count("stop." + reason);
         }
-        order(tick, callId, run.executor(), run.task(), run.run());
+        emitStop(tick, callId, run.executor(), run.task(), run.run());
     }
 
-    /** Orders a run to stop that is in no table. */
+    /** Orders a run to stop that an executor has but the table of runs does not. */
     public static void requestStopOfUnknownRun(
             SchedulerTick tick, String executor, TaskKey task, int run) {
         tick.log("stop-unknown", "task=" + task.text() + " run=" + run + " executor=" + executor);
-        order(tick, tick.nextCallId(), executor, task, run);
+        emitStop(tick, tick.nextCallId(), executor, task, run);
     }
 
-    private static void order(
+    private static void emitStop(
             SchedulerTick tick, long callId, String executor, TaskKey task, int run) {
         ExecutorRow row = tick.world().executors().find(executor).orElse(null);
         if (row != null && !row.report().address().isEmpty()) {
@@ -58,7 +68,12 @@
         }
     }
 
-    /** Applies that a run has surely ended or never began; its task waits for the next one. */
+    /**
+     * Removes a run that has certainly ended or never started, and lets its task start again.
+     *
+     * @param reason cause for the log and the counter
+     * @param delayMs delay before the task may start again, in milliseconds
+     */
     public static void removeAndRequeue(
             SchedulerTick tick, RunRow run, String reason, long delayMs) {
         SchedulerWorld world = tick.world();
@@ -68,20 +83,29 @@
         tick.count("run-gone." + reason);
     }
 
-    /** Applies that the life of an executor has ended, and with it everything that ran there. */
+    /**
+     * Applies that an incarnation of an executor has ended, and with it all its runs. Finished runs
+     * that were not acknowledged yet are dropped, since nothing lists them any more.
+     *
+     * @param reason cause for the log and the counter
+     */
     public static void endIncarnation(SchedulerTick tick, String executor, String reason) {
         SchedulerWorld world = tick.world();
         for (RunRow run : List.copyOf(world.runs().group(executor))) {
             removeAndRequeue(tick, run, reason, 0);
         }
-        for (FinishedRunRow end : List.copyOf(world.finishedRuns().group(executor))) {
-            world.finishedRuns().remove(end.key());
+        for (FinishedRunRow finished : List.copyOf(world.finishedRuns().group(executor))) {
+            world.finishedRuns().remove(finished.key());
         }
         world.executorSessions().put(executor, ExecutorSessionRow.initial(executor, 0));
         world.executors().update(executor, ExecutorRow::asConfirmed);
     }
 
-    /** Applies that an executor has ended for good. */
+    /**
+     * Removes an executor that has ended for good, and requeues its runs.
+     *
+     * @param reason cause for the log and the counter
+     */
     public static void removeExecutor(SchedulerTick tick, String executor, String reason) {
         SchedulerWorld world = tick.world();
         tick.log("executor-gone", "executor=" + executor + " reason=" + reason);
@@ -92,9 +116,13 @@
     }
 
     /**
-     * Applies that another life of an executor has begun under the same id.
+     * Applies that an executor has restarted under the same id.
+     *
+     * <p>A start order that the earlier incarnation did not answer may still reach the new one. Its
+     * run is therefore ordered to stop instead of being requeued: otherwise the task could run
+     * twice.
      *
-     * <p>An order that the life before did not answer may still reach this one.
+     * @param reason cause for the log and the counter
      */
     public static void handleRestart(SchedulerTick tick, String executor, String reason) {
         SchedulerWorld world = tick.world();
@@ -116,7 +144,7 @@
         }
     }
 
-    /** Notes that an order to start a run was not answered. */
+    /** Records a start order that got no response, and orders its run to stop. */
     static void handleUnansweredStart(SchedulerTick tick, RunRow run) {
         StartKey key = new StartKey(run.task(), run.run());
         tick.world()
@@ -125,7 +153,7 @@
         requestStop(tick, run, StopReason.UNCERTAIN_START);
     }
 
-    /** Returns a run in the words of the log. */
+    /** Returns the fields that identify a run in log lines. */
     public static String describe(RunRow run) {
         return "job="
                 + run.task().jobId()
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/RunOrderSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/RunOrderSystem.java
@@ -14,23 +14,35 @@
 import org.hibiscususher.core.scheduler.world.StartKey;
 import org.hibiscususher.core.scheduler.world.UncertainStartRow;
 
-/** Takes in what came of orders to start and stop runs, and repeats orders to stop. */
+/**
+ * Applies the results of orders to start and stop runs, and repeats stop orders.
+ *
+ * <p>A start order without a response may still be carried out seconds later, also by an executor
+ * that has restarted and knows nothing of a stop order sent before. Until it can no longer arrive,
+ * its run is stopped again after each restart of the executor: otherwise the task could run twice.
+ */
 public final class RunOrderSystem {
+    /** Delay before a failed stop order is repeated, in milliseconds. */
     private static final long STOP_RETRY_MS = 150;
-    private static final long NO_ROOM_ASIDE_MS = 150;
-    private static final long UNHEALTHY_ASIDE_MS = 500;
 
-    /** Time within which an unanswered order may still be carried out, in milliseconds. */
-    private static final long MAX_LATE_MS = 14_000;
+    /** Time without new runs after an executor rejected a run that did not fit, in milliseconds. */
+    private static final long NO_ROOM_QUARANTINE_MS = 150;
 
-    private static final long INVALID_REST_MS = 1_000;
+    /** Time without new runs after an executor reported itself unhealthy, in milliseconds. */
+    private static final long UNHEALTHY_QUARANTINE_MS = 500;
 
-    /** Time without an answer after which an order to stop is sent again. */
+    /** Time within which a start order without a response may be carried out, in milliseconds. */
+    private static final long MAX_START_DELAY_MS = 14_000;
+
+    /** Delay before a task starts again whose order was invalid, in milliseconds. */
+    private static final long INVALID_RETRY_DELAY_MS = 1_000;
+
+    /** Time without a response after which a stop order is repeated, in milliseconds. */
     private static final long STOP_TIMEOUT_MS = 1_000;
 
     private RunOrderSystem() {}
 
-    /** Takes in answers, then repeats orders to stop that got none. */
+    /** Applies the results of orders, then repeats stop orders that had none. */
     public static void run(SchedulerTick tick) {
         if (!tick.world().term().get().isScheduling()) {
             return;
@@ -38,7 +50,7 @@
         for (StartCallCompleted answer : tick.inputs(StartCallCompleted.class)) {
             RunRow run = tick.world().runs().find(answer.task()).orElse(null);
             if (run != null && run.run() == answer.run() && run.callId() == answer.callId()) {
-                started(tick, run, answer.result());
+                applyStartResult(tick, run, answer.result());
             }
         }
         for (StopCallCompleted answer : tick.inputs(StopCallCompleted.class)) {
@@ -48,16 +60,16 @@
             }
             RunRow run = tick.world().runs().find(answer.task()).orElse(null);
             if (run != null && run.run() == answer.run() && run.callId() == answer.callId()) {
-                stopped(tick, run, answer.result());
+                applyStopResult(tick, run, answer.result());
             }
         }
         if (Authority.mayOrderExecutors(tick)) {
             repeatStops(tick);
-            tellNewLives(tick);
+            stopUncertainStarts(tick);
         }
     }
 
-    private static void started(SchedulerTick tick, RunRow run, StartResult result) {
+    private static void applyStartResult(SchedulerTick tick, RunRow run, StartResult result) {
         SchedulerWorld world = tick.world();
         if (result != StartResult.STARTED) {
             tick.log("start-refused", RunLifecycle.describe(run) + " result=" + result);
@@ -72,27 +84,29 @@
             case FENCED -> StepDown.run(tick, "fenced-by-executor");
             case OTHER_LIFE -> RunLifecycle.endIncarnation(tick, run.executor(), "other-life");
             case NO_ROOM -> {
-                ExecutorHealth.quarantine(tick, run.executor(), NO_ROOM_ASIDE_MS, "no-room");
+                ExecutorHealth.quarantine(tick, run.executor(), NO_ROOM_QUARANTINE_MS, "no-room");
                 RunLifecycle.removeAndRequeue(tick, run, "refused", 0);
             }
             case UNHEALTHY -> {
-                ExecutorHealth.quarantine(tick, run.executor(), UNHEALTHY_ASIDE_MS, "unhealthy");
+                ExecutorHealth.quarantine(
+                        tick, run.executor(), UNHEALTHY_QUARANTINE_MS, "unhealthy");
                 RunLifecycle.removeAndRequeue(tick, run, "refused", 0);
             }
             case NO_TICKET -> {
                 world.advice().remove(run.task().stepKey());
                 RunLifecycle.removeAndRequeue(tick, run, "refused", 0);
             }
-            case INVALID -> RunLifecycle.removeAndRequeue(tick, run, "refused", INVALID_REST_MS);
+            case INVALID ->
+                    RunLifecycle.removeAndRequeue(tick, run, "refused", INVALID_RETRY_DELAY_MS);
             default -> RunLifecycle.removeAndRequeue(tick, run, "refused", 0);
         }
     }
 
-    private static void stopped(SchedulerTick tick, RunRow run, StopResult result) {
+    private static void applyStopResult(SchedulerTick tick, RunRow run, StopResult result) {
         switch (result) {
             case STOPPED, REFUSED -> {
                 tick.world().runs().put(run.task(), run.withOrderAnswered(tick.nowMs()));
-                hastenReading(tick, run.executor());
+                requestHeartbeat(tick, run.executor());
             }
             case FENCED -> StepDown.run(tick, "fenced-by-executor");
             case OTHER_LIFE -> RunLifecycle.endIncarnation(tick, run.executor(), "other-life");
@@ -100,14 +114,18 @@
         }
     }
 
-    private static void hastenReading(SchedulerTick tick, String executor) {
-        tick.world().executorSessions().update(executor, c -> c.withNextHeartbeat(tick.nowMs()));
+    /** Makes the next heartbeat due now, since it reports how the stopped run ended. */
+    private static void requestHeartbeat(SchedulerTick tick, String executor) {
+        tick.world().executorSessions().update(executor, s -> s.withNextHeartbeat(tick.nowMs()));
     }
 
-    /** Tells executors that began another life which runs are not wanted. */
-    private static void tellNewLives(SchedulerTick tick) {
+    /**
+     * Repeats the stop orders for uncertain starts on executors that have restarted, and drops the
+     * starts that can no longer be carried out.
+     */
+    private static void stopUncertainStarts(SchedulerTick tick) {
         for (UncertainStartRow row : tick.world().uncertainStarts().rows()) {
-            if (tick.nowMs() - row.detectedMs() > MAX_LATE_MS) {
+            if (tick.nowMs() - row.detectedMs() > MAX_START_DELAY_MS) {
                 tick.world().uncertainStarts().remove(row.key());
             } else if (row.cancelPending() && tick.nowMs() - row.cancelSentMs() > STOP_RETRY_MS) {
                 tick.world().uncertainStarts().put(row.key(), row.withCancelSent(tick.nowMs()));
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/ThrottleSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/ThrottleSystem.java
@@ -14,25 +14,28 @@
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
 
 /**
- * Slows down filling tasks where they make a serving task miss its goal.
+ * Throttles best-effort runs that make a task on the same executor miss its latency goal.
  *
- * <p>Answers load that changes within seconds: a serving task's tail latency near its goal slows
- * the fillers beside it at once; they speed up again in small steps while it stays well below.
+ * <p>Best-effort runs use the processor time that other tasks leave, and the load of these changes
+ * within seconds. A tail latency near its goal halves the speed of the best-effort runs at once,
+ * and one at the goal pauses them. They speed up again in small steps while the latency stays well
+ * below the goal.
  */
 public final class ThrottleSystem {
-    private static final int FULL = 100;
+    private static final int FULL_PERCENT = 100;
 
-    /** Tail latency from which fillers are slowed down, in percent of the goal. */
-    private static final long SLOW_FROM_PERCENT = 80;
+    /** Tail latency from which best-effort runs slow down, in percent of the goal. */
+    private static final long SLOW_DOWN_FROM_PERCENT = 80;
 
-    /** Tail latency below which fillers speed up, in percent of the goal. */
-    private static final long SPEED_BELOW_PERCENT = 55;
+    /** Tail latency below which best-effort runs speed up, in percent of the goal. */
+    private static final long SPEED_UP_BELOW_PERCENT = 55;
 
-    private static final int STEP_UP = 20;
+    /** Increase of speed per heartbeat, in percent of full speed. */
+    private static final int SPEED_UP_STEP_PERCENT = 20;
 
     private ThrottleSystem() {}
 
-    /** Runs over the executors that have just told their runs. */
+    /** Throttles on each executor that has responded to a heartbeat in this tick. */
     public static void run(SchedulerTick tick) {
         if (!Authority.mayOrderExecutors(tick)) {
             return;
@@ -40,52 +43,56 @@
         for (HeartbeatAnswered answer : tick.inputs(HeartbeatAnswered.class)) {
             ExecutorRow executor = tick.world().executors().find(answer.executor()).orElse(null);
             if (executor != null) {
-                pace(tick, executor);
+                throttle(tick, executor);
             }
         }
     }
 
-    private static void pace(SchedulerTick tick, ExecutorRow executor) {
+    private static void throttle(SchedulerTick tick, ExecutorRow executor) {
         SchedulerWorld world = tick.world();
-        long worst = -1;
-        List<RunRow> fillers = new ArrayList<>();
+        long worstPercent = -1;
+        List<RunRow> bestEffortRuns = new ArrayList<>();
         for (RunRow run : world.runs().group(executor.id())) {
             StepSpec spec = JobLifecycle.findSpec(world, run.task().stepKey()).orElse(null);
             if (spec == null || run.stage() != RunStage.RUNNING) {
                 continue;
             }
             if (spec.bestEffortCpu()) {
-                fillers.add(run);
+                bestEffortRuns.add(run);
             } else if (spec.latencyGoalMs() > 0 && run.load() >= 0) {
-                worst = Math.max(worst, run.load() * 100 / spec.latencyGoalMs());
+                worstPercent = Math.max(worstPercent, run.load() * 100 / spec.latencyGoalMs());
             }
         }
-        for (RunRow run : fillers) {
-            set(tick, executor, run, nextSpeedPercent(run.speedLimitPercent(), worst));
+        for (RunRow run : bestEffortRuns) {
+            setSpeed(tick, executor, run, nextSpeedPercent(run.speedLimitPercent(), worstPercent));
         }
     }
 
     /**
-     * Returns the next pace of a filler.
+     * Returns the next speed of a best-effort run, in percent of its full speed; 0 pauses it.
      *
-     * @param pace its pace in percent
-     * @param worst worst tail latency beside it, in percent of the goal; -1 if nothing serves there
+     * @param speedPercent its speed now, in percent of its full speed
+     * @param worstPercent highest tail latency on its executor, in percent of the goal; -1 if no
+     *     task there has a goal
      */
-    static int nextSpeedPercent(int pace, long worst) {
-        if (worst >= FULL) {
+    static int nextSpeedPercent(int speedPercent, long worstPercent) {
+        if (worstPercent >= FULL_PERCENT) {
             return 0;
         }
-        if (worst >= SLOW_FROM_PERCENT) {
-            return pace / 2;
+        if (worstPercent >= SLOW_DOWN_FROM_PERCENT) {
+            return speedPercent / 2;
         }
-        return worst < SPEED_BELOW_PERCENT ? Math.min(FULL, pace + STEP_UP) : pace;
+        return worstPercent < SPEED_UP_BELOW_PERCENT
+                ? Math.min(FULL_PERCENT, speedPercent + SPEED_UP_STEP_PERCENT)
+                : speedPercent;
     }
 
-    private static void set(SchedulerTick tick, ExecutorRow executor, RunRow run, int pace) {
-        if (pace == run.speedLimitPercent()) {
+    private static void setSpeed(
+            SchedulerTick tick, ExecutorRow executor, RunRow run, int speedPercent) {
+        if (speedPercent == run.speedLimitPercent()) {
             return;
         }
-        tick.world().runs().put(run.task(), run.withSpeedLimit(pace));
+        tick.world().runs().put(run.task(), run.withSpeedLimit(speedPercent));
         tick.count("pace");
         tick.emit(
                 new ThrottleRun(
@@ -94,6 +101,6 @@
                         tick.world().term().get().fence(),
                         run.task(),
                         run.run(),
-                        pace));
+                        speedPercent));
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/UncertainTaskSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/UncertainTaskSystem.java
@@ -10,22 +10,23 @@
 import org.hibiscususher.core.scheduler.world.TaskState;
 
 /**
- * Frees tasks that an executor out of reach may run for an earlier owner.
+ * Lets tasks start again that an unreachable executor may still run for an earlier owner.
  *
- * <p>A pool is clear once each executor that the earlier owner used has told what it runs, or what
- * it runs has surely ended.
+ * <p>A new owner does not know what its predecessor started on executors that have not responded
+ * yet, so starting a task at once could run it twice. The tasks of a pool stay uncertain until each
+ * executor that the predecessor used has reported its runs or its lease has certainly expired.
  */
 public final class UncertainTaskSystem {
     private UncertainTaskSystem() {}
 
-    /** Runs over the pools that have doubtful tasks. */
+    /** Marks the waiting tasks of each pool as certain once nothing unknown can run there. */
     public static void run(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
         if (!world.term().get().isScheduling()) {
             return;
         }
         for (TaskGroup group : List.copyOf(world.tasks().groups())) {
-            if (group.state() == TaskState.WAITING && isClear(tick, group.pool())) {
+            if (group.state() == TaskState.WAITING && isResolved(tick, group.pool())) {
                 for (TaskRow task : List.copyOf(world.tasks().group(group))) {
                     if (task.uncertain()) {
                         world.tasks().put(task.key(), task.asCertain());
@@ -35,15 +36,16 @@
         }
     }
 
-    private static boolean isClear(SchedulerTick tick, String pool) {
+    /** Returns whether no executor of a pool can still run something for an earlier owner. */
+    private static boolean isResolved(SchedulerTick tick, String pool) {
         SchedulerWorld world = tick.world();
         for (ExecutorRow row : world.executors().group(pool)) {
-            long untilMs =
+            long leaseEndMs =
                     world.executorSessions()
                             .find(row.id())
                             .map(ExecutorSessionRow::leaseEndMs)
                             .orElse(0L);
-            if (row.inherited() && tick.nowMs() <= untilMs) {
+            if (row.inherited() && tick.nowMs() <= leaseEndMs) {
                 return false;
             }
         }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/package-info.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/package-info.java
@@ -1,2 +1,5 @@
-/** Contact with executors: leases, lists of runs, orders and their ends. */
+/**
+ * Executors and their runs: heartbeats and leases, start and stop orders, outcomes of runs,
+ * throttling, and the detection of stragglers and lost executors.
+ */
 package org.hibiscususher.core.scheduler.executor;
--- a/core/src/test/java/org/hibiscususher/core/scheduler/executor/LostExecutorSystemTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/executor/LostExecutorSystemTest.java
@@ -17,87 +17,89 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
-/** A new list of hosts; executor x0 works, x1 was used by an earlier owner and is silent. */
+/** A new list of hosts; executor x0 responds, x1 was used by an earlier owner and is silent. */
 class LostExecutorSystemTest {
     private static final long NOW_MS = 10_000;
-    private static final long ASKED_MS = NOW_MS - 20;
+    private static final long REQUESTED_MS = NOW_MS - 20;
 
     private final SchedulerWorld mWorld = SchedulerWorlds.ofOwner(NOW_MS);
 
     @BeforeEach
-    void takeOver() {
-        mWorld.hostList().set(new HostListRow(0, ASKED_MS, NOW_MS));
-        executor("x0", false, 0);
-        executor("x1", true, 1);
-        host("h0", HostState.UP, "x0");
+    void setUp() {
+        mWorld.hostList().set(new HostListRow(0, REQUESTED_MS, NOW_MS));
+        addExecutor("x0", false, 0);
+        addExecutor("x1", true, 1);
+        addHost("h0", HostState.UP, "x0");
     }
 
-    private void executor(String id, boolean prior, int failures) {
+    private void addExecutor(String id, boolean prior, int failures) {
         ExecutorReport report =
                 new ExecutorReport(
                         id, "p", id + ":1", "z", "h", List.of(), Resources.NONE, false, 0, 1);
         mWorld.executors().put(id, new ExecutorRow(report, 0, 0, prior, true, false, 0));
-        ExecutorSessionRow contact = ExecutorSessionRow.initial(id, NOW_MS + 4_000);
+        ExecutorSessionRow session = ExecutorSessionRow.initial(id, NOW_MS + 4_000);
         mWorld.executorSessions()
-                .put(id, failures == 0 ? contact : contact.withHeartbeatFailed(NOW_MS));
+                .put(id, failures == 0 ? session : session.withHeartbeatFailed(NOW_MS));
     }
 
-    private void host(String id, HostState state, String executor) {
+    private void addHost(String id, HostState state, String executorId) {
         mWorld.hosts()
-                .put(id, new HostReport(id, "p", state, "z", List.of(), Resources.NONE, executor));
+                .put(
+                        id,
+                        new HostReport(id, "p", state, "z", List.of(), Resources.NONE, executorId));
     }
 
-    private boolean isGivenUp() {
+    private boolean isRemoved() {
         LostExecutorSystem.run(new SchedulerTick(mWorld, NOW_MS, NOW_MS, List.of(), () -> 1));
         assertThat(mWorld.executors().contains("x0")).isTrue();
         return !mWorld.executors().contains("x1");
     }
 
     @Nested
-    class GivesUp {
+    class Removes {
         @Test
-        void aSilentExecutorThatIsOnNoHost() {
-            host("h1", HostState.MOVING, "");
-            assertThat(isGivenUp()).isTrue();
+        void silentExecutorOnNoHost() {
+            addHost("h1", HostState.MOVING, "");
+            assertThat(isRemoved()).isTrue();
         }
 
         @Test
-        void aSilentExecutorWhoseHostIsDown() {
-            host("h1", HostState.DOWN, "x1");
-            assertThat(isGivenUp()).isTrue();
+        void silentExecutorOnHostThatIsDown() {
+            addHost("h1", HostState.DOWN, "x1");
+            assertThat(isRemoved()).isTrue();
         }
     }
 
     @Nested
     class Keeps {
-        /** It may run on behind a cut. */
+        /** It may still run behind a network partition. */
         @Test
-        void aSilentExecutorWhoseHostIsUp() {
-            host("h1", HostState.UP, "x1");
-            assertThat(isGivenUp()).isFalse();
+        void silentExecutorOnHostThatIsUp() {
+            addHost("h1", HostState.UP, "x1");
+            assertThat(isRemoved()).isFalse();
         }
 
         @Test
-        void anExecutorThatAnsweredAfterTheListWasAskedFor() {
+        void executorThatRespondedAfterListWasRequested() {
             mWorld.executorSessions()
                     .update(
                             "x1",
                             c ->
-                                    c.withHeartbeatAnswered(1, 1, ASKED_MS + 5)
+                                    c.withHeartbeatAnswered(1, 1, REQUESTED_MS + 5)
                                             .withHeartbeatFailed(NOW_MS));
-            assertThat(isGivenUp()).isFalse();
+            assertThat(isRemoved()).isFalse();
         }
 
         @Test
-        void allExecutorsIfTheListNamesNone() {
+        void allExecutorsIfListNamesNone() {
             mWorld.hosts().clear();
-            assertThat(isGivenUp()).isFalse();
+            assertThat(isRemoved()).isFalse();
         }
 
         @Test
-        void allExecutorsUntilANewListComes() {
-            mWorld.hostList().set(new HostListRow(0, ASKED_MS - 500, NOW_MS - 480));
-            assertThat(isGivenUp()).isFalse();
+        void allExecutorsUntilNewListArrives() {
+            mWorld.hostList().set(new HostListRow(0, REQUESTED_MS - 500, NOW_MS - 480));
+            assertThat(isRemoved()).isFalse();
         }
     }
 }
--- a/core/src/test/java/org/hibiscususher/core/scheduler/executor/StragglerSystemTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/executor/StragglerSystemTest.java
@@ -26,38 +26,38 @@
 import org.junit.jupiter.api.Test;
 
 class StragglerSystemTest {
-    /** Executors that take six times as long, among sound ones. */
+    /** Runs with an estimate of 640 ms; a slow executor takes six times as long. */
     @Nested
     class IsSlow {
         @Test
-        void findsARunThatTakesSixTimesItsEstimate() {
+        void flagsRunAtSixTimesItsEstimate() {
             assertThat(StragglerSystem.isSlow(1_000, 26, 640)).isTrue();
         }
 
         @Test
-        void sparesARunThatIsALittleLate() {
+        void sparesSlightlyLateRun() {
             assertThat(StragglerSystem.isSlow(1_000, 70, 640)).isFalse();
         }
 
         @Test
-        void sparesARunThatIsNearlyDone() {
+        void sparesRunNearCompletion() {
             assertThat(StragglerSystem.isSlow(3_500, 90, 640)).isFalse();
         }
 
         @Test
-        void judgesNoYoungRun() {
+        void ignoresYoungRun() {
             assertThat(StragglerSystem.isSlow(200, 0, 640)).isFalse();
         }
 
         @Test
-        void judgesNoRunWithoutAnEstimate() {
+        void ignoresRunWithoutEstimate() {
             assertThat(StragglerSystem.isSlow(9_000, 1, 0)).isFalse();
         }
     }
 
-    /** Two jobs of one task each on an executor; they should take 500 ms and have run for 2 s. */
+    /** Jobs of one task each on one executor; they are estimated at 500 ms and have run for 2 s. */
     @Nested
-    class Judges {
+    class RunsOfExecutor {
         private static final long NOW_MS = 10_000;
         private static final long STARTED_MS = NOW_MS - 2_000;
         private static final long ESTIMATE_MS = 500;
@@ -66,14 +66,14 @@
         private final SchedulerWorld mWorld = SchedulerWorlds.ofOwner(NOW_MS);
 
         @BeforeEach
-        void start() {
+        void setUp() {
             mWorld.executorSessions()
                     .put(
                             "x",
                             ExecutorSessionRow.initial("x", 0).withHeartbeatAnswered(1, 1, NOW_MS));
         }
 
-        private StepKey job(String id, int percent, long changedMs) {
+        private StepKey addJob(String id, int percent, long lastProgressMs) {
             JobSpec spec =
                     JobSpec.once("run", List.of(StepSpec.of(1, CORE, ESTIMATE_MS, List.of())));
             JobPolicy terms = new JobPolicy("q", "p", 0, 2, 1, 500, false);
@@ -117,50 +117,50 @@
                                     percent,
                                     -1,
                                     100,
-                                    changedMs));
+                                    lastProgressMs));
             return step;
         }
 
-        private List<StopReason> reasons() {
+        private List<StopReason> stopReasons() {
             SchedulerInput answer = new HeartbeatAnswered(1, "x", 1, 1, List.of(), List.of());
             StragglerSystem.run(
                     new SchedulerTick(mWorld, NOW_MS, NOW_MS, List.of(answer), () -> 1));
             return mWorld.runs().rows().stream().map(RunRow::reason).toList();
         }
 
-        private boolean isAside() {
+        private boolean isQuarantined() {
             return mWorld.executorSessions().find("x").orElseThrow().quarantinedUntilMs() > NOW_MS;
         }
 
         @Test
-        void theExecutorSlowIfRunsOfTwoJobsAre() {
-            job("a", 20, NOW_MS);
-            job("b", 30, NOW_MS);
-            assertThat(reasons()).containsOnly(StopReason.STALLED);
-            assertThat(isAside()).isTrue();
+        void slowInTwoJobsAreStoppedWithQuarantine() {
+            addJob("a", 20, NOW_MS);
+            addJob("b", 30, NOW_MS);
+            assertThat(stopReasons()).containsOnly(StopReason.STALLED);
+            assertThat(isQuarantined()).isTrue();
         }
 
         @Test
-        void theJobSlowIfItIsTheOnlyOne() {
-            job("a", 20, NOW_MS);
-            job("b", 95, NOW_MS);
-            assertThat(reasons()).containsOnly(StopReason.NONE);
-            assertThat(isAside()).isFalse();
+        void slowInOneJobAreSpared() {
+            addJob("a", 20, NOW_MS);
+            addJob("b", 95, NOW_MS);
+            assertThat(stopReasons()).containsOnly(StopReason.NONE);
+            assertThat(isQuarantined()).isFalse();
         }
 
         @Test
-        void aRunHungThatMakesNoProgressAtAll() {
-            job("a", 20, NOW_MS - 1_500);
-            job("b", 95, NOW_MS);
-            assertThat(reasons()).containsExactly(StopReason.STALLED, StopReason.NONE);
-            assertThat(isAside()).isTrue();
+        void hungAreStoppedWithQuarantine() {
+            addJob("a", 20, NOW_MS - 1_500);
+            addJob("b", 95, NOW_MS);
+            assertThat(stopReasons()).containsExactly(StopReason.STALLED, StopReason.NONE);
+            assertThat(isQuarantined()).isTrue();
         }
 
         @Test
-        void noRunThatWasToldToWorkSlowly() {
-            StepKey step = job("a", 20, NOW_MS - 1_500);
+        void throttledAreSpared() {
+            StepKey step = addJob("a", 20, NOW_MS - 1_500);
             mWorld.runs().update(step.task(0), r -> r.withSpeedLimit(50));
-            assertThat(reasons()).containsOnly(StopReason.NONE);
+            assertThat(stopReasons()).containsOnly(StopReason.NONE);
         }
     }
 }
--- a/core/src/test/java/org/hibiscususher/core/scheduler/executor/ThrottleSystemTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/executor/ThrottleSystemTest.java
@@ -7,24 +7,24 @@
 
 class ThrottleSystemTest {
     @Nested
-    class Next {
+    class NextSpeed {
         @Test
-        void stopsFillersOnceATailReachesItsGoal() {
+        void pausesAtTheGoal() {
             assertThat(ThrottleSystem.nextSpeedPercent(100, 100)).isZero();
         }
 
         @Test
-        void slowsFillersNearTheGoal() {
+        void halvesNearTheGoal() {
             assertThat(ThrottleSystem.nextSpeedPercent(80, 85)).isEqualTo(40);
         }
 
         @Test
-        void leavesFillersWhereTheyAreInBetween() {
+        void keepsSpeedBetweenTheThresholds() {
             assertThat(ThrottleSystem.nextSpeedPercent(40, 70)).isEqualTo(40);
         }
 
         @Test
-        void speedsFillersUpInStepsWellBelowTheGoal() {
+        void speedsUpInStepsWellBelowTheGoal() {
             assertThat(ThrottleSystem.nextSpeedPercent(40, 20)).isEqualTo(60);
             assertThat(ThrottleSystem.nextSpeedPercent(90, -1)).isEqualTo(100);
         }
