--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/Eviction.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/Eviction.java
@@ -12,31 +12,42 @@
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
 import org.hibiscususher.core.scheduler.world.StopReason;
 
-/** Empties the executor of a host: what can wait ends by itself, what lasts is moved away. */
+/**
+ * Empties the executor of a host that is about to go out of service.
+ *
+ * <p>Runs that end by themselves get some time to finish. Service tasks are stopped, but never more
+ * of a step at a time than may be unavailable: stopping all of them at once would interrupt the
+ * service that they provide.
+ */
 final class Eviction {
-    /** Time after which what still runs is stopped, in milliseconds. */
-    private static final long PATIENCE_MS = 2_500;
+    /** Time that runs get to finish by themselves, in milliseconds. */
+    private static final long MAX_WAIT_MS = 2_500;
 
-    /** Age up to which an executor's last answer tells whether its tasks are at work. */
-    private static final long FRESH_MS = 1_500;
+    /** Age up to which a heartbeat response shows that tasks are available, in milliseconds. */
+    private static final long MAX_RESPONSE_AGE_MS = 1_500;
 
-    private static final int FULL = 100;
+    private static final int FULL_PERCENT = 100;
 
     private Eviction() {}
 
-    /** Stops what may be stopped now; returns whether nothing runs there any more. */
+    /**
+     * Orders the runs to stop that may be stopped now.
+     *
+     * @param sinceMs when the eviction began, on the steady clock
+     * @return whether the executor certainly has no runs any more
+     */
     static boolean evict(SchedulerTick tick, String executor, long sinceMs) {
         SchedulerWorld world = tick.world();
         if (!areRunsKnown(world, executor)) {
             return false;
         }
-        boolean late = tick.nowMs() - sinceMs > PATIENCE_MS;
+        boolean overdue = tick.nowMs() - sinceMs > MAX_WAIT_MS;
         for (RunRow run : List.copyOf(world.runs().group(executor))) {
             StepSpec spec = JobLifecycle.findSpec(world, run.task().stepKey()).orElse(null);
             if (run.stage() != RunStage.RUNNING || spec == null) {
                 continue;
             }
-            boolean allowed = spec.service() ? mayStop(tick, run, spec) : late;
+            boolean allowed = spec.service() ? mayBecomeUnavailable(tick, run, spec) : overdue;
             if (allowed) {
                 RunLifecycle.requestStop(tick, run, StopReason.EVICTED);
             }
@@ -44,43 +55,46 @@
         return world.runs().group(executor).isEmpty();
     }
 
-    /** Returns whether it is known what an executor runs. */
+    /**
+     * Returns whether the runs of an executor are known to this owner: it has responded to a
+     * heartbeat, or it does not exist.
+     */
     static boolean areRunsKnown(SchedulerWorld world, String executor) {
         return !world.executors().contains(executor)
                 || world.executorSessions()
                         .find(executor)
-                        .filter(c -> c.lastAnswerMs() != 0)
+                        .filter(s -> s.lastAnswerMs() != 0)
                         .isPresent();
     }
 
-    /** Returns whether a lasting task may be away now as well as those that are away already. */
-    private static boolean mayStop(SchedulerTick tick, RunRow run, StepSpec spec) {
+    /** Returns whether the limit of a step lets one more of its tasks become unavailable. */
+    private static boolean mayBecomeUnavailable(SchedulerTick tick, RunRow run, StepSpec spec) {
         if (spec.maxUnavailable() <= 0) {
             return true;
         }
-        int away = 0;
+        int unavailable = 0;
         StepKey step = run.task().stepKey();
         for (int i = 0; i < spec.count(); i++) {
             if (i != run.task().index() && !isAvailable(tick, step.task(i))) {
-                away++;
+                unavailable++;
             }
         }
-        return away < spec.maxUnavailable();
+        return unavailable < spec.maxUnavailable();
     }
 
-    /** Returns whether a task is at work, as its executor has told just now. */
+    /** Returns whether a task is fully up, by a recent heartbeat response of its executor. */
     private static boolean isAvailable(SchedulerTick tick, TaskKey task) {
         RunRow run = tick.world().runs().find(task).orElse(null);
-        if (run == null || run.stage() != RunStage.RUNNING || run.speedPercent() < FULL) {
+        if (run == null || run.stage() != RunStage.RUNNING || run.speedPercent() < FULL_PERCENT) {
             return false;
         }
         return tick.world()
                 .executorSessions()
                 .find(run.executor())
                 .filter(
-                        c ->
-                                c.consecutiveFailures() == 0
-                                        && tick.nowMs() - c.lastAnswerMs() < FRESH_MS)
+                        s ->
+                                s.consecutiveFailures() == 0
+                                        && tick.nowMs() - s.lastAnswerMs() < MAX_RESPONSE_AGE_MS)
                 .isPresent();
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/HostListSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/HostListSystem.java
@@ -10,15 +10,23 @@
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
 import org.hibiscususher.core.scheduler.world.TermStage;
 
-/** Keeps the list of hosts fresh while something is under way with hosts or executors are lost. */
+/**
+ * Requests the platform's list of hosts: often while hosts are maintained or moved or executors are
+ * silent, and rarely otherwise.
+ */
 public final class HostListSystem {
-    private static final long BUSY_MS = 500;
-    private static final long IDLE_MS = 10_000;
+    /** Time between two requests while decisions depend on the list, in milliseconds. */
+    private static final long BUSY_INTERVAL_MS = 500;
+
+    /** Time between two requests otherwise, in milliseconds. */
+    private static final long IDLE_INTERVAL_MS = 10_000;
+
+    /** Time after which a request without a response may be repeated, in milliseconds. */
     private static final long TIMEOUT_MS = 2_000;
 
     private HostListSystem() {}
 
-    /** Takes in lists, and asks for the next one when it is due. */
+    /** Applies the lists that have arrived, and requests the next one when it is due. */
     public static void run(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
         HostListRow row = world.hostList().get();
@@ -35,10 +43,10 @@
                 world.hostOperations().size() > 0
                         || LostExecutorSystem.needsHostList(world)
                         || world.waves().rows().stream().anyMatch(w -> !w.done());
-        long everyMs = busy ? BUSY_MS : IDLE_MS;
-        boolean free = row.callId() == 0 || tick.nowMs() - row.sentMs() > TIMEOUT_MS;
-        boolean due = row.sentMs() == 0 || tick.nowMs() - row.sentMs() >= everyMs;
-        if (free && due && world.term().get().stage() == TermStage.OWNING) {
+        long intervalMs = busy ? BUSY_INTERVAL_MS : IDLE_INTERVAL_MS;
+        boolean noneAwaited = row.callId() == 0 || tick.nowMs() - row.sentMs() > TIMEOUT_MS;
+        boolean due = row.sentMs() == 0 || tick.nowMs() - row.sentMs() >= intervalMs;
+        if (noneAwaited && due && world.term().get().stage() == TermStage.OWNING) {
             long callId = tick.nextCallId();
             row = new HostListRow(callId, tick.nowMs(), row.listedMs());
             tick.emit(new ListHosts(callId));
--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/HostMoveSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/HostMoveSystem.java
@@ -23,73 +23,74 @@
 /**
  * Moves hosts to the pools whose demand rises.
  *
- * <p>Answers demand that turns from queue to queue: a pool whose waiting work would not begin soon
- * gets idle hosts of pools that can do without them, and those of the spare pool.
+ * <p>Demand shifts from queue to queue. A pool whose waiting work would not start soon gets idle
+ * hosts of pools with a surplus, and hosts of the spare pool.
  */
 public final class HostMoveSystem {
-    /** Part of what callers hand in that a pool should have beyond it, in percent. */
-    private static final int TAKE_PERCENT = 45;
+    /** Capacity that a pool should have on top of its offered load, in percent of the load. */
+    private static final int DEMAND_RESERVE_PERCENT = 45;
 
-    /** The same part for a pool that gives hosts away; more, so that hosts don't go to and fro. */
-    private static final int GIVE_PERCENT = 80;
+    /** The same for a pool that loses hosts; higher, so that hosts don't move back and forth. */
+    private static final int SURPLUS_RESERVE_PERCENT = 80;
 
-    /** Time between two decisions, in milliseconds. */
-    private static final long EVERY_MS = 50;
+    /** Time between two rounds of moves, in milliseconds. */
+    private static final long INTERVAL_MS = 50;
 
-    /** Part of all hosts that may be on their way at a time, in percent. */
-    private static final int MOVING_PERCENT = 60;
+    /** Part of all hosts that may be moving at a time, in percent. */
+    private static final int MAX_MOVING_PERCENT = 60;
 
-    /** Time after which a lasting task that waits shows that its pool lacks hosts. */
-    private static final long STUCK_MS = 400;
+    /** Waiting time of a service task from which its pool lacks hosts, in milliseconds. */
+    private static final long MIN_STUCK_MS = 400;
 
-    /** Processor time of a host while none is listed, in thousandths of a core. */
-    private static final long DEFAULT_HOST_CPU = 64_000;
+    /** Processor capacity assumed while no host is listed, in thousandths of a core. */
+    private static final long DEFAULT_HOST_CPU_MILLIS = 64_000;
 
     private HostMoveSystem() {}
 
-    /** Runs over the pools. */
+    /** Begins the moves that are due. */
     public static void run(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
-        boolean due = tick.nowMs() - world.movesDecidedMs().get() >= EVERY_MS;
+        boolean due = tick.nowMs() - world.movesDecidedMs().get() >= INTERVAL_MS;
         if (!due || world.hostList().get().listedMs() == 0 || !Authority.mayOrderHosts(tick)) {
             return;
         }
         world.movesDecidedMs().set(tick.nowMs());
         long moving =
                 world.hostOperations().rows().stream()
-                        .filter(t -> !t.destinationPool().isEmpty())
+                        .filter(o -> !o.destinationPool().isEmpty())
                         .count();
-        long maxMoving = Math.max(1, world.hosts().size() * MOVING_PERCENT / 100);
-        long hostCpu = hostCpu(world);
-        Map<String, PoolDemand> needs = needs(tick, hostCpu);
-        MovableHosts donors = MovableHosts.select(tick, needs, GIVE_PERCENT, hostCpu);
-        for (PoolDemand need : needs.values()) {
-            int missing = need.missingHosts(TAKE_PERCENT, hostCpu);
+        long maxMoving = Math.max(1, world.hosts().size() * MAX_MOVING_PERCENT / 100);
+        long hostCpuMillis = hostCpuMillis(world);
+        Map<String, PoolDemand> demands = demands(tick, hostCpuMillis);
+        MovableHosts movable =
+                MovableHosts.select(tick, demands, SURPLUS_RESERVE_PERCENT, hostCpuMillis);
+        for (PoolDemand demand : demands.values()) {
+            int missing = demand.missingHosts(DEMAND_RESERVE_PERCENT, hostCpuMillis);
             while (missing > 0 && moving < maxMoving) {
-                Optional<HostReport> host = donors.pollHostFor(need.pool());
+                Optional<HostReport> host = movable.pollHostFor(demand.pool());
                 if (host.isEmpty()) {
                     break;
                 }
-                HostOperations.begin(tick, host.get(), 0, need.pool());
+                HostOperations.begin(tick, host.get(), 0, demand.pool());
                 missing--;
                 moving++;
             }
         }
-        giveBack(tick, donors);
+        returnToSparePool(tick, movable);
     }
 
-    /** Returns the processor time of a host, in thousandths of a core. */
-    private static long hostCpu(SchedulerWorld world) {
+    /** Returns the average processor capacity of a host, in thousandths of a core. */
+    private static long hostCpuMillis(SchedulerWorld world) {
         return (long)
                 world.hosts().rows().stream()
                         .mapToLong(h -> h.capacity().cpuMillis())
                         .filter(cpu -> cpu > 0)
                         .average()
-                        .orElse(DEFAULT_HOST_CPU);
+                        .orElse(DEFAULT_HOST_CPU_MILLIS);
     }
 
-    /** Gives hosts that a pool can do without to the spare pool, where they are not paid for. */
-    private static void giveBack(SchedulerTick tick, MovableHosts donors) {
+    /** Moves the remaining surplus to the spare pool, where hosts are not paid for. */
+    private static void returnToSparePool(SchedulerTick tick, MovableHosts movable) {
         Optional<JobPool> spare =
                 tick.world().configuration().get().configuration().pools().stream()
                         .filter(JobPool::spare)
@@ -98,95 +99,106 @@
             return;
         }
         String pool = spare.get().name();
-        for (Optional<HostReport> host = donors.pollIdleHostFor(pool);
+        for (Optional<HostReport> host = movable.pollIdleHostFor(pool);
                 host.isPresent();
-                host = donors.pollIdleHostFor(pool)) {
+                host = movable.pollIdleHostFor(pool)) {
             HostOperations.begin(tick, host.get(), 0, pool);
         }
     }
 
-    private static Map<String, PoolDemand> needs(SchedulerTick tick, long hostCpu) {
+    /** Returns the demand of each pool by name, without the spare pool. */
+    private static Map<String, PoolDemand> demands(SchedulerTick tick, long hostCpuMillis) {
         SchedulerWorld world = tick.world();
-        Map<String, PoolDemand> needs = new LinkedHashMap<>();
-        Map<String, Long> offered = OfferedLoad.byPool(tick);
-        Map<String, Integer> spread = spreadHosts(world);
+        Map<String, PoolDemand> demands = new LinkedHashMap<>();
+        Map<String, Long> offeredLoad = OfferedLoad.byPool(tick);
+        Map<String, Integer> spreadHosts = minHostsBySpread(world);
         for (JobPool pool : world.configuration().get().configuration().pools()) {
             if (!pool.spare()) {
-                needs.put(pool.name(), need(tick, pool.name(), hostCpu, offered, spread));
+                demands.put(
+                        pool.name(),
+                        demandOf(tick, pool.name(), hostCpuMillis, offeredLoad, spreadHosts));
             }
         }
-        return needs;
+        return demands;
     }
 
-    private static PoolDemand need(
+    /**
+     * Measures the demand of a pool. Executors that get no new runs now, because they are silent,
+     * draining, cordoned or no longer registered, don't count.
+     */
+    private static PoolDemand demandOf(
             SchedulerTick tick,
             String pool,
-            long hostCpu,
-            Map<String, Long> offered,
-            Map<String, Integer> spread) {
+            long hostCpuMillis,
+            Map<String, Long> offeredLoad,
+            Map<String, Integer> spreadHosts) {
         SchedulerWorld world = tick.world();
         int hosts = 0;
-        long used = 0;
-        long lasting = 0;
-        long capacity = 0;
+        long usedCpuMillis = 0;
+        long serviceCpuMillis = 0;
+        long capacityCpuMillis = 0;
         for (ExecutorRow row : world.executors().group(pool)) {
-            boolean silent =
+            boolean isSilent =
                     world.executorSessions()
                             .find(row.id())
-                            .filter(c -> c.consecutiveFailures() > 0)
+                            .filter(s -> s.consecutiveFailures() > 0)
                             .isPresent();
-            if (row.cordoned() || row.report().draining() || row.missingSinceMs() != 0 || silent) {
+            if (row.cordoned()
+                    || row.report().draining()
+                    || row.missingSinceMs() != 0
+                    || isSilent) {
                 continue;
             }
             hosts++;
-            capacity += row.report().capacity().cpuMillis();
+            capacityCpuMillis += row.report().capacity().cpuMillis();
             for (RunRow run : world.runs().group(row.id())) {
-                used += run.reserved().cpuMillis();
-                lasting += isLasting(world, run) ? run.reserved().cpuMillis() : 0;
+                usedCpuMillis += run.reserved().cpuMillis();
+                serviceCpuMillis += isService(world, run) ? run.reserved().cpuMillis() : 0;
             }
         }
         for (HostOperationRow row : world.hostOperations().rows()) {
             if (row.destinationPool().equals(pool)) {
                 hosts++;
-                capacity += hostCpu;
+                capacityCpuMillis += hostCpuMillis;
             }
         }
-        long waiting = 0;
-        int stuck = 0;
+        long waitingCpuMillis = 0;
+        int stuckTasks = 0;
         for (TaskRow task : world.tasks().group(new TaskGroup(pool, TaskState.WAITING))) {
             StepSpec spec = JobLifecycle.findSpec(world, task.key().stepKey()).orElseThrow();
             if (!task.uncertain()) {
-                waiting += spec.reserved().cpuMillis();
-                stuck += spec.service() && tick.nowMs() - task.readySinceMs() > STUCK_MS ? 1 : 0;
+                waitingCpuMillis += spec.reserved().cpuMillis();
+                stuckTasks +=
+                        spec.service() && tick.nowMs() - task.readySinceMs() > MIN_STUCK_MS ? 1 : 0;
             }
         }
         return new PoolDemand(
                 pool,
                 hosts,
-                used,
-                lasting,
-                capacity,
-                waiting,
-                spread.getOrDefault(pool, 0),
-                stuck,
-                offered.getOrDefault(pool, 0L));
+                usedCpuMillis,
+                serviceCpuMillis,
+                capacityCpuMillis,
+                waitingCpuMillis,
+                spreadHosts.getOrDefault(pool, 0),
+                stuckTasks,
+                offeredLoad.getOrDefault(pool, 0L));
     }
 
-    /** Returns for each pool over how many hosts the widest of its steps has to be spread. */
-    private static Map<String, Integer> spreadHosts(SchedulerWorld world) {
-        Map<String, Integer> spread = new HashMap<>();
+    /** Returns for each pool how many hosts the limit of tasks per executor requires at least. */
+    private static Map<String, Integer> minHostsBySpread(SchedulerWorld world) {
+        Map<String, Integer> spreadHosts = new HashMap<>();
         for (StepRow row : world.steps().rows()) {
             JobRow job = world.jobs().find(row.key().jobId()).orElseThrow();
             StepSpec spec = job.spec().steps().get(row.key().step());
             if (spec.maxPerExecutor() > 0 && row.remaining() > 0) {
                 int hosts = (row.remaining() + spec.maxPerExecutor() - 1) / spec.maxPerExecutor();
-                spread.merge(job.policy().pool(), hosts, Math::max);
+                spreadHosts.merge(job.policy().pool(), hosts, Math::max);
             }
         }
-        return spread;
+        return spreadHosts;
     }
 
-    private static boolean isLasting(SchedulerWorld world, RunRow run) {
+    private static boolean isService(SchedulerWorld world, RunRow run) {
         return JobLifecycle.findSpec(world, run.task().stepKey())
                 .filter(StepSpec::service)
                 .isPresent();
--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/HostOperations.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/HostOperations.java
@@ -16,17 +16,35 @@
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
 import org.hibiscususher.core.scheduler.world.WaveRow;
 
-/** The steps by which a host is maintained or moved: emptied, ordered away, and back again. */
+/**
+ * The operations that maintain a host or move it to another pool: its executor is emptied, the
+ * platform is ordered to take the host out of service, and the host returns.
+ *
+ * <p>An order without a response may have been carried out. The host counts against its wave's cap
+ * until the same order is answered, since otherwise more hosts than the cap could be out of
+ * service.
+ */
 final class HostOperations {
+    /** Time after which an order counts as unanswered, in milliseconds. */
     private static final long ORDER_TIMEOUT_MS = 3_000;
-    private static final long RETRY_MS = 300;
 
-    /** Time for which a host that could not be moved is left alone, in milliseconds. */
-    private static final long MOVE_REST_MS = 2_000;
+    /** Delay before an order is repeated, in milliseconds. */
+    private static final long RETRY_DELAY_MS = 300;
+
+    /**
+     * Time without orders for a host that could not be moved, in milliseconds. Without it a host
+     * that was already leaving got 20 orders a second.
+     */
+    private static final long FAILED_MOVE_DELAY_MS = 2_000;
 
     private HostOperations() {}
 
-    /** Begins with a host: its executor gets no new runs. */
+    /**
+     * Begins an operation: the host's executor gets no new runs.
+     *
+     * @param wave number of the wave; 0 for a move
+     * @param pool pool to move the host to; empty for maintenance
+     */
     static void begin(SchedulerTick tick, HostReport host, long wave, String pool) {
         SchedulerWorld world = tick.world();
         world.executors().update(host.executor(), e -> e.withCordoned(true));
@@ -55,7 +73,7 @@
         return "host=" + host + (pool.isEmpty() ? " wave=" + wave : " to=" + pool);
     }
 
-    /** Takes in an answer to an order for a host. */
+    /** Applies the result of the order that is awaited for a host; ignores any other. */
     static void handleOrderResult(SchedulerTick tick, HostOrderCompleted answer) {
         SchedulerWorld world = tick.world();
         HostOperationRow row = world.hostOperations().find(answer.host()).orElse(null);
@@ -68,76 +86,84 @@
         tick.count("host-order." + answer.result());
         switch (answer.result()) {
             case DONE -> {
-                begun(tick, row);
+                recordStarted(tick, row);
                 world.hostOperations()
                         .put(row.host(), row.withStep(HostOperationStep.AWAY, 0, tick.nowMs()));
                 RunLifecycle.removeExecutor(tick, row.executor(), "host-ordered-away");
             }
-            case NO_ANSWER -> unanswered(tick, row);
+            case NO_ANSWER -> markUnanswered(tick, row);
             case NOT_IN_WAVE, INVALID -> {
-                begun(tick, row);
+                recordStarted(tick, row);
                 abandon(tick, row);
             }
             default -> retry(tick, row);
         }
     }
 
-    /** Notes that the maintenance of a host has begun, or that it never will. */
-    private static void begun(SchedulerTick tick, HostOperationRow row) {
+    /**
+     * Records that the maintenance of a host has begun or never will, so that no later owner orders
+     * it again.
+     */
+    private static void recordStarted(SchedulerTick tick, HostOperationRow row) {
         SchedulerWorld world = tick.world();
         WaveRow wave = world.waves().find(row.wave()).orElse(null);
         if (wave == null) {
             return;
         }
-        Set<String> begun = new HashSet<>(wave.startedHosts());
-        begun.add(row.host());
-        world.waves().put(row.wave(), wave.withStartedHosts(begun));
-        StoredRecord record = new StoredRecord.Wave(row.wave(), new ArrayList<>(begun));
+        Set<String> startedHosts = new HashSet<>(wave.startedHosts());
+        startedHosts.add(row.host());
+        world.waves().put(row.wave(), wave.withStartedHosts(startedHosts));
+        StoredRecord record = new StoredRecord.Wave(row.wave(), new ArrayList<>(startedHosts));
         world.pendingRecords().put(record.name(), record);
     }
 
-    /** Leaves a host as it is. */
+    /** Ends an operation without effect: the host's executor gets new runs again. */
     static void abandon(SchedulerTick tick, HostOperationRow row) {
         tick.world().hostOperations().remove(row.host());
         tick.world().executors().update(row.executor(), e -> e.withCordoned(false));
     }
 
+    /** Schedules an order for maintenance again, but abandons a move. */
     private static void retry(SchedulerTick tick, HostOperationRow row) {
         HostOrderSystem.recordUse(tick, row.host());
         if (row.destinationPool().isEmpty()) {
-            long atMs = tick.nowMs() + RETRY_MS;
+            long atMs = tick.nowMs() + RETRY_DELAY_MS;
             tick.world().hostOperations().put(row.host(), row.withRetryAt(atMs));
         } else {
-            HostOrderSystem.deferOrders(tick, row.host(), MOVE_REST_MS);
+            HostOrderSystem.deferOrders(tick, row.host(), FAILED_MOVE_DELAY_MS);
             abandon(tick, row);
         }
     }
 
-    /** Keeps the host out of service until the same order is answered. */
-    private static void unanswered(SchedulerTick tick, HostOperationRow row) {
+    /** Counts the host as out of service until the same order is answered. */
+    private static void markUnanswered(SchedulerTick tick, HostOperationRow row) {
         HostOrderSystem.recordUse(tick, row.host());
-        long atMs = tick.nowMs() + RETRY_MS;
+        long atMs = tick.nowMs() + RETRY_DELAY_MS;
         tick.world().hostOperations().put(row.host(), row.asUnanswered(atMs));
     }
 
-    /** Does what is due with a host. */
+    /** Advances an operation by the step that is due, if any. */
     static void advance(SchedulerTick tick, HostOperationRow row) {
         switch (row.step()) {
-            case EMPTYING, UNANSWERED -> empty(tick, row);
+            case EMPTYING, UNANSWERED -> emptyHost(tick, row);
             case ORDERED -> {
                 if (tick.nowMs() - row.stepSinceMs() > ORDER_TIMEOUT_MS) {
-                    unanswered(tick, row);
+                    markUnanswered(tick, row);
                 }
             }
-            default -> back(tick, row);
+            default -> finishIfBack(tick, row);
         }
     }
 
-    private static void empty(SchedulerTick tick, HostOperationRow row) {
+    /** Evicts the host's runs, and sends the order once the host is empty and may go. */
+    private static void emptyHost(SchedulerTick tick, HostOperationRow row) {
         SchedulerWorld world = tick.world();
-        boolean empty = Eviction.evict(tick, row.executor(), row.stepSinceMs());
+        boolean isEmpty = Eviction.evict(tick, row.executor(), row.stepSinceMs());
         boolean due = tick.nowMs() >= row.retryAtMs();
-        if (!empty || !due || !mayGo(tick, row) || !HostOrderSystem.mayOrder(tick, row.host())) {
+        if (!isEmpty
+                || !due
+                || !mayLeaveService(tick, row)
+                || !HostOrderSystem.mayOrder(tick, row.host())) {
             return;
         }
         HostOrderSystem.recordUse(tick, row.host());
@@ -152,31 +178,31 @@
                         : new MoveHost(callId, row.host(), row.destinationPool(), fence));
     }
 
-    /** Returns whether the cap of the host's wave lets it go now. */
-    private static boolean mayGo(SchedulerTick tick, HostOperationRow row) {
+    /** Returns whether the cap of the host's wave allows it to go out of service now. */
+    private static boolean mayLeaveService(SchedulerTick tick, HostOperationRow row) {
         if (!row.destinationPool().isEmpty() || row.step().mayBeOutOfService()) {
             return true;
         }
         WaveRow wave = tick.world().waves().find(row.wave()).orElse(null);
-        return wave != null && away(tick, wave) < wave.order().maxConcurrentHosts();
+        return wave != null && countOutOfService(tick, wave) < wave.order().maxConcurrentHosts();
     }
 
     /** Returns how many hosts of a wave may be out of service by orders of any owner. */
-    private static int away(SchedulerTick tick, WaveRow wave) {
-        int away = 0;
+    private static int countOutOfService(SchedulerTick tick, WaveRow wave) {
+        int count = 0;
         for (String id : wave.order().hosts()) {
             boolean ordered =
                     tick.world()
                             .hostOperations()
                             .find(id)
-                            .filter(t -> t.step().mayBeOutOfService())
+                            .filter(o -> o.step().mayBeOutOfService())
                             .isPresent();
-            away += ordered || mayBeOutByEarlierOwner(tick, id) ? 1 : 0;
+            count += ordered || mayBeOutByEarlierOwner(tick, id) ? 1 : 0;
         }
-        return away;
+        return count;
     }
 
-    /** Returns whether a host may be out of service by an order of an earlier owner. */
+    /** Returns whether a host may be out of service because of an order of an earlier owner. */
     static boolean mayBeOutByEarlierOwner(SchedulerTick tick, String host) {
         boolean listed =
                 tick.world()
@@ -187,28 +213,35 @@
         return listed || HostOrderSystem.isDeferred(tick, host);
     }
 
-    /** Waits until the platform says that the host is up again, with another executor if any. */
-    private static void back(SchedulerTick tick, HostOperationRow row) {
+    /**
+     * Ends the operation once the platform lists the host as up again, with a new executor if it
+     * had one. A host that is no longer listed counts as returned.
+     */
+    private static void finishIfBack(SchedulerTick tick, HostOperationRow row) {
         SchedulerWorld world = tick.world();
         HostReport host = world.hosts().find(row.host()).orElse(null);
-        boolean fresh = world.hostList().get().listedMs() > row.stepSinceMs() + RETRY_MS;
+        boolean listedSince =
+                world.hostList().get().listedMs() > row.stepSinceMs() + RETRY_DELAY_MS;
         boolean returned =
                 host == null
                         || host.state() == HostState.UP
                                 && (row.executor().isEmpty()
                                         || !host.executor().equals(row.executor())
-                                        || hasAnswered(world, row));
-        if (fresh && returned) {
+                                        || hasResponded(world, row));
+        if (listedSince && returned) {
             world.hostOperations().remove(row.host());
             tick.log("host-back", describe(row));
         }
     }
 
-    /** Returns whether the host's executor lives on: the order was carried out earlier already. */
-    private static boolean hasAnswered(SchedulerWorld world, HostOperationRow row) {
+    /**
+     * Returns whether the host's executor has responded since the order was answered. It has if an
+     * earlier owner's order was carried out already, so that this one had no effect.
+     */
+    private static boolean hasResponded(SchedulerWorld world, HostOperationRow row) {
         return world.executorSessions()
                 .find(row.executor())
-                .filter(c -> c.lastAnswerMs() > row.stepSinceMs())
+                .filter(s -> s.lastAnswerMs() > row.stepSinceMs())
                 .isPresent();
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/HostOrderSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/HostOrderSystem.java
@@ -9,18 +9,20 @@
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
 
 /**
- * Has the store name the hosts for which orders are given, before they are given.
+ * Records in the store which hosts receive orders, before the orders are sent.
  *
- * <p>Two owners that follow each other must not both order the same host within a short time. A new
- * owner rests for the hosts that the store names and orders all others at once.
+ * <p>Two successive owners must not both send orders for the same host within a short time: an
+ * order of the first may still be under way, so the host could go out of service twice. A new owner
+ * therefore delays orders for the hosts that the store names, and may send orders for all other
+ * hosts at once.
  */
 public final class HostOrderSystem {
-    /** Time for which a host stays named after its last order, in milliseconds. */
-    private static final long KEEP_MS = 4_000;
+    /** Time for which a host stays recorded after its last order, in milliseconds. */
+    private static final long RETENTION_MS = 4_000;
 
     private HostOrderSystem() {}
 
-    /** Runs over the hosts with orders. */
+    /** Drops hosts whose last order is old, and queues a changed record to be stored. */
     public static void run(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
         if (!world.term().get().isScheduling()) {
@@ -28,22 +30,22 @@
         }
         List<String> hosts = new ArrayList<>();
         for (HostOrderRow row : world.hostOrders().rows()) {
-            boolean over = tick.nowMs() - row.usedMs() > KEEP_MS;
-            if (over && !world.hostOperations().contains(row.host())) {
+            boolean expired = tick.nowMs() - row.usedMs() > RETENTION_MS;
+            if (expired && !world.hostOperations().contains(row.host())) {
                 world.hostOrders().remove(row.host());
             } else {
                 hosts.add(row.host());
             }
         }
         StoredRecord.HostOrders record = new StoredRecord.HostOrders(hosts);
-        boolean same = record.equals(world.recordedHostOrders().get());
-        if (!same && !world.pendingRecords().contains(RecordName.HOST_ORDERS)) {
+        boolean unchanged = record.equals(world.recordedHostOrders().get());
+        if (!unchanged && !world.pendingRecords().contains(RecordName.HOST_ORDERS)) {
             world.recordedHostOrders().set(record);
             world.pendingRecords().put(RecordName.HOST_ORDERS, record);
         }
     }
 
-    /** Notes that orders for a host are to be given, or were given just now. */
+    /** Marks a host as one whose order is prepared or was sent just now. */
     static void recordUse(SchedulerTick tick, String host) {
         SchedulerWorld world = tick.world();
         HostOrderRow row =
@@ -51,7 +53,7 @@
         world.hostOrders().put(host, row.withUsedAt(tick.nowMs()));
     }
 
-    /** Gives no orders for a host for some time. */
+    /** Delays further orders for a host by the given number of milliseconds. */
     static void deferOrders(SchedulerTick tick, String host, long forMs) {
         long untilMs = tick.nowMs() + forMs;
         tick.world()
@@ -59,7 +61,7 @@
                 .update(host, row -> new HostOrderRow(host, row.recorded(), untilMs, tick.nowMs()));
     }
 
-    /** Returns whether an order for a host may be given now. */
+    /** Returns whether an order for a host may be sent: the store names it and no delay runs. */
     static boolean mayOrder(SchedulerTick tick, String host) {
         return tick.world()
                 .hostOrders()
@@ -68,7 +70,7 @@
                 .isPresent();
     }
 
-    /** Returns whether no orders for a host may be given for some time. */
+    /** Returns whether orders for a host are still delayed. */
     static boolean isDeferred(SchedulerTick tick, String host) {
         return tick.world()
                 .hostOrders()
--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/OfferedLoad.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/OfferedLoad.java
@@ -6,16 +6,14 @@
 import org.hibiscususher.core.scheduler.world.JobRow;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 
-/**
- * The work that callers have handed in of late, as the processor time that would keep up with it.
- */
+/** The offered load of each pool: the processor capacity that keeps up with recently sent jobs. */
 final class OfferedLoad {
-    /** Time over which the work that comes is averaged, in milliseconds. */
+    /** Time over which arriving work is averaged, in milliseconds. */
     private static final long WINDOW_MS = 1_000;
 
     private OfferedLoad() {}
 
-    /** Returns the load by pool, in thousandths of a core. */
+    /** Returns the offered load by name of pool, in thousandths of a core. */
     static Map<String, Long> byPool(SchedulerTick tick) {
         Map<String, Long> load = new HashMap<>();
         List<JobRow> jobs = tick.world().jobs().rows();
@@ -24,7 +22,7 @@
             if (tick.nowMs() - job.arrivedMs() > WINDOW_MS) {
                 break;
             }
-            // Work is in core-milliseconds: a second of it within a second takes one core.
+            // Work is in core-milliseconds: 1,000 of them that arrive per second take one core.
             load.merge(job.policy().pool(), job.spec().workCoreMs() * 1_000 / WINDOW_MS, Long::sum);
         }
         return load;
--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/PoolDemand.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/PoolDemand.java
@@ -3,58 +3,81 @@
 import static java.util.Objects.requireNonNull;
 
 /**
- * How well a pool's hosts match its work.
+ * The demand of a pool, and the capacity that it has.
  *
- * @param pool the pool
- * @param hosts executors that can take work, and hosts on their way to the pool
- * @param usedCpu processor time that runs reserve, in thousandths of a core
- * @param lastingCpu part of it that lasting tasks reserve
- * @param capacityCpu processor time of the pool's hosts, in thousandths of a core
- * @param waitingCpu processor time that waiting tasks ask for, in thousandths of a core
- * @param spreadHosts hosts over which the widest step has to be spread
- * @param stuckTasks tasks that have waited for long although nothing but room can hold them up
- * @param offeredCpu processor time that keeps up with what callers hand in, in thousandths of a
- *     core
+ * @param pool name of the pool
+ * @param hosts executors that accept runs, plus hosts that are moving to the pool
+ * @param usedCpuMillis processor capacity that runs reserve, in thousandths of a core
+ * @param serviceCpuMillis part of {@code usedCpuMillis} that service tasks reserve, in thousandths
+ *     of a core
+ * @param capacityCpuMillis processor capacity of the pool's hosts, in thousandths of a core
+ * @param waitingCpuMillis processor capacity that waiting tasks ask for, in thousandths of a core
+ * @param spreadHosts fewest hosts that satisfy the limits of tasks per executor
+ * @param stuckTasks service tasks that have waited so long that free capacity must be missing
+ * @param offeredCpuMillis offered load: processor capacity that keeps up with arriving jobs, in
+ *     thousandths of a core
  */
 record PoolDemand(
         String pool,
         int hosts,
-        long usedCpu,
-        long lastingCpu,
-        long capacityCpu,
-        long waitingCpu,
+        long usedCpuMillis,
+        long serviceCpuMillis,
+        long capacityCpuMillis,
+        long waitingCpuMillis,
         int spreadHosts,
         int stuckTasks,
-        long offeredCpu) {
-    private static final int FULL = 100;
+        long offeredCpuMillis) {
+    private static final int FULL_PERCENT = 100;
 
-    /** Most hosts that are moved at a time for tasks that have waited for long. */
-    private static final int MAX_FOR_STUCK = 2;
+    /** Maximum number of hosts that a round of moves adds for stuck tasks. */
+    private static final int MAX_HOSTS_FOR_STUCK = 2;
 
     /** Checks the parts. */
     PoolDemand {
         requireNonNull(pool);
     }
 
-    /** Returns the processor time that would let all work go on at once or keep up with it. */
+    /**
+     * Returns the processor capacity that the pool should have, in thousandths of a core: enough
+     * for all runs and waiting tasks now, and for service tasks and the offered load soon.
+     *
+     * @param reservePercent capacity on top of the offered load, in percent of it
+     */
     long wantedCpuMillis(int reservePercent) {
-        long now = usedCpu + waitingCpu;
-        long soon = lastingCpu + offeredCpu * (FULL + reservePercent) / FULL;
-        return Math.max(now, soon);
+        long nowCpuMillis = usedCpuMillis + waitingCpuMillis;
+        long soonCpuMillis =
+                serviceCpuMillis
+                        + offeredCpuMillis * (FULL_PERCENT + reservePercent) / FULL_PERCENT;
+        return Math.max(nowCpuMillis, soonCpuMillis);
     }
 
-    /** Returns how many hosts more the pool can use. */
-    int missingHosts(int reservePercent, long hostCpu) {
-        long lackCpu = wantedCpuMillis(reservePercent) - capacityCpu;
-        int forWork = lackCpu <= 0 ? 0 : (int) ((lackCpu + hostCpu - 1) / hostCpu);
-        int forSpread = Math.max(spreadHosts - hosts, Math.min(stuckTasks, MAX_FOR_STUCK));
+    /**
+     * Returns how many hosts the pool lacks.
+     *
+     * @param reservePercent capacity on top of the offered load, in percent of it
+     * @param hostCpuMillis processor capacity of a host, in thousandths of a core
+     */
+    int missingHosts(int reservePercent, long hostCpuMillis) {
+        long missingCpuMillis = wantedCpuMillis(reservePercent) - capacityCpuMillis;
+        int forWork =
+                missingCpuMillis <= 0
+                        ? 0
+                        : (int) ((missingCpuMillis + hostCpuMillis - 1) / hostCpuMillis);
+        int forSpread = Math.max(spreadHosts - hosts, Math.min(stuckTasks, MAX_HOSTS_FOR_STUCK));
         return Math.max(forWork, forSpread);
     }
 
-    /** Returns how many hosts the pool can do without. */
-    int surplusHosts(int reservePercent, long hostCpu, int keep) {
-        int needed = (int) ((wantedCpuMillis(reservePercent) + hostCpu - 1) / hostCpu);
-        int least = Math.max(keep, spreadHosts);
-        return stuckTasks > 0 ? 0 : Math.max(0, hosts - Math.max(least, needed));
+    /**
+     * Returns how many hosts the pool can lose; 0 while it has stuck tasks.
+     *
+     * @param reservePercent capacity on top of the offered load, in percent of it
+     * @param hostCpuMillis processor capacity of a host, in thousandths of a core
+     * @param keptHosts number of hosts that the pool keeps in any case
+     */
+    int surplusHosts(int reservePercent, long hostCpuMillis, int keptHosts) {
+        int neededHosts =
+                (int) ((wantedCpuMillis(reservePercent) + hostCpuMillis - 1) / hostCpuMillis);
+        int minHosts = Math.max(keptHosts, spreadHosts);
+        return stuckTasks > 0 ? 0 : Math.max(0, hosts - Math.max(minHosts, neededHosts));
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/WaveSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/WaveSystem.java
@@ -14,18 +14,18 @@
 import org.hibiscususher.core.scheduler.world.WaveRow;
 
 /**
- * Has the hosts of a wave maintained in time, with at most its cap away at once.
+ * Maintains the hosts of waves in time, with at most a wave's cap of hosts out of service at once.
  *
- * <p>Hosts are emptied a few ahead of the cap, those with the least work first, so that the next
- * one is empty when another comes back.
+ * <p>Emptying a host takes a while, so hosts are emptied ahead of the cap, those with the fewest
+ * runs first: the next one is then empty when another returns.
  */
 public final class WaveSystem {
-    /** Hosts that are emptied beyond the cap. */
-    private static final int AHEAD = 1;
+    /** Number of hosts that are emptied beyond the cap. */
+    private static final int HOSTS_AHEAD = 1;
 
     private WaveSystem() {}
 
-    /** Runs over the waves and the hosts under way. */
+    /** Applies the results of orders, then advances the waves and all operations on hosts. */
     public static void run(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
         for (HostOrderCompleted answer : tick.inputs(HostOrderCompleted.class)) {
@@ -44,46 +44,48 @@
         }
     }
 
+    /** Begins operations on hosts as the cap allows, and ends the wave when none is left. */
     private static void advance(SchedulerTick tick, WaveRow wave) {
         SchedulerWorld world = tick.world();
         long number = wave.order().wave();
         if (!wave.announced()) {
-            announce(world, number, false);
+            recordStatus(world, number, false);
             world.waves().put(number, wave.asAnnounced());
         }
-        int under = 0;
+        int inProgress = 0;
         for (String host : wave.order().hosts()) {
-            boolean taken =
-                    world.hostOperations().find(host).filter(t -> t.wave() == number).isPresent();
-            under += taken || HostOperations.mayBeOutByEarlierOwner(tick, host) ? 1 : 0;
+            boolean isInProgress =
+                    world.hostOperations().find(host).filter(o -> o.wave() == number).isPresent();
+            inProgress += isInProgress || HostOperations.mayBeOutByEarlierOwner(tick, host) ? 1 : 0;
         }
-        List<HostReport> next = new ArrayList<>();
-        boolean left = false;
+        List<HostReport> candidates = new ArrayList<>();
+        boolean hostsLeft = false;
         for (String host : wave.order().hosts()) {
-            boolean open = !wave.startedHosts().contains(host);
-            left |= open;
-            if (open && !world.hostOperations().contains(host)) {
+            boolean notStarted = !wave.startedHosts().contains(host);
+            hostsLeft |= notStarted;
+            if (notStarted && !world.hostOperations().contains(host)) {
                 world.hosts()
                         .find(host)
                         .filter(h -> h.state() == HostState.UP)
-                        .ifPresent(next::add);
+                        .ifPresent(candidates::add);
             }
         }
-        next.sort(Comparator.comparingInt(h -> world.runs().group(h.executor()).size()));
-        for (HostReport host : next) {
-            if (under < wave.order().maxConcurrentHosts() + AHEAD) {
+        candidates.sort(Comparator.comparingInt(h -> world.runs().group(h.executor()).size()));
+        for (HostReport host : candidates) {
+            if (inProgress < wave.order().maxConcurrentHosts() + HOSTS_AHEAD) {
                 HostOperations.begin(tick, host, number, "");
-                under++;
+                inProgress++;
             }
         }
-        if (!left && under == 0) {
-            announce(world, number, true);
+        if (!hostsLeft && inProgress == 0) {
+            recordStatus(world, number, true);
             world.waves().update(number, WaveRow::asDone);
             tick.log("wave-done", "wave=" + number);
         }
     }
 
-    private static void announce(SchedulerWorld world, long wave, boolean done) {
+    /** Queues the status of a wave to be stored, where operators read it. */
+    private static void recordStatus(SchedulerWorld world, long wave, boolean done) {
         StoredRecord status = new StoredRecord.WaveStatus(wave, done);
         world.pendingRecords().put(status.name(), status);
     }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/package-info.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/package-info.java
@@ -1,2 +1,2 @@
-/** Maintenance waves and moves of hosts between pools. */
+/** Maintenance waves, and moves of hosts between pools to follow their demand. */
 package org.hibiscususher.core.scheduler.host;
--- a/core/src/test/java/org/hibiscususher/core/scheduler/host/EvictionTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/host/EvictionTest.java
@@ -28,7 +28,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
-/** A lasting step of which one task may be away, on three executors. */
+/** A step of three service tasks on three executors, of which one may be unavailable at a time. */
 class EvictionTest {
     private static final long NOW_MS = 10_000;
     private static final int TASKS = 3;
@@ -42,7 +42,7 @@
             new SchedulerTick(mWorld, NOW_MS, NOW_MS, List.of(), () -> 7);
 
     @BeforeEach
-    void start() {
+    void setUp() {
         StepSpec step =
                 new StepSpec(
                         TASKS, CORE, 0, List.of(), false, false, false, "", "", 1, false, true,
@@ -69,12 +69,12 @@
                                 0));
         mWorld.steps().put(STEP, new StepRow(STEP, BigInteger.ZERO, TASKS, 0));
         for (int i = 0; i < TASKS; i++) {
-            executor("x" + i);
+            addExecutor("x" + i);
             mWorld.runs().put(STEP.task(i), run(i));
         }
     }
 
-    private void executor(String id) {
+    private void addExecutor(String id) {
         ExecutorReport report =
                 new ExecutorReport(id, "pool", id + ":1", "z", "h", List.of(), CORE, false, 0, 1);
         mWorld.executors().put(id, new ExecutorRow(report, 0, 0, false, true, false, 0));
@@ -106,7 +106,7 @@
                 0);
     }
 
-    private boolean stops() {
+    private boolean isStopped() {
         Eviction.evict(mTick, "x0", NOW_MS);
         return mTick.outputs().stream().anyMatch(StopRun.class::isInstance);
     }
@@ -114,37 +114,39 @@
     @Nested
     class Stops {
         @Test
-        void aTaskWhileAllOthersAreAtWork() {
-            assertThat(stops()).isTrue();
+        void taskWhileAllOthersAreAvailable() {
+            assertThat(isStopped()).isTrue();
         }
 
         @Test
-        void noTaskWhileAnotherIsStarting() {
+        void noTaskWhileAnotherStarts() {
             mWorld.runs()
                     .update(
                             STEP.task(1),
                             r ->
                                     r.withReport(
                                             new ReportedRun(STEP.task(1), 1, "", 40, -1), NOW_MS));
-            assertThat(stops()).isFalse();
+            assertThat(isStopped()).isFalse();
         }
 
-        /** What a silent executor listed last says nothing of now. */
+        /**
+         * The last response of a silent executor does not show that its task is still available.
+         */
         @Test
-        void noTaskWhileTheExecutorOfAnotherIsSilent() {
+        void noTaskWhileExecutorOfAnotherIsSilent() {
             mWorld.executorSessions().update("x1", c -> c.withHeartbeatFailed(NOW_MS));
-            assertThat(stops()).isFalse();
+            assertThat(isStopped()).isFalse();
         }
 
         @Test
-        void noTaskWhileTheExecutorOfAnotherHasLongSaidNothing() {
+        void noTaskWhileLastResponseForAnotherIsOld() {
             mWorld.executorSessions()
                     .put(
                             "x1",
                             ExecutorSessionRow.initial("x1", 0)
                                     .withHeartbeatSent(1, 1, NOW_MS - 3_000, 0)
                                     .withHeartbeatAnswered(1, 1, NOW_MS - 2_900));
-            assertThat(stops()).isFalse();
+            assertThat(isStopped()).isFalse();
         }
     }
 }
--- a/core/src/test/java/org/hibiscususher/core/scheduler/host/HostOrderSystemTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/host/HostOrderSystemTest.java
@@ -29,7 +29,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
-/** An owner that has just taken over, and a wave of hosts without executors. */
+/** A new owner, and a wave of two hosts without executors. */
 class HostOrderSystemTest {
     private static final long NOW_MS = 10_000;
     private static final long WAVE = 1;
@@ -38,22 +38,22 @@
     private long mCalls;
 
     @BeforeEach
-    void takeOver() {
+    void setUp() {
         mWorld.hostList().set(new HostListRow(0, NOW_MS, NOW_MS));
-        host("h1", HostState.UP);
-        host("h2", HostState.UP);
+        addHost("h1", HostState.UP);
+        addHost("h2", HostState.UP);
     }
 
-    private void host(String id, HostState state) {
+    private void addHost(String id, HostState state) {
         mWorld.hosts().put(id, new HostReport(id, "p", state, "z", List.of(), Resources.NONE, ""));
     }
 
-    private void wave(int cap) {
+    private void addWave(int cap) {
         WaveOrder order = new WaveOrder(WAVE, List.of("h1", "h2"), 60_000, cap);
         mWorld.waves().put(WAVE, new WaveRow(order, NOW_MS, Set.of(), false, true));
     }
 
-    private List<String> ordered(long nowMs) {
+    private List<String> runAndGetOrderedHosts(long nowMs) {
         SchedulerTick tick = new SchedulerTick(mWorld, nowMs, nowMs, List.of(), () -> ++mCalls);
         WaveSystem.run(tick);
         HostOrderSystem.run(tick);
@@ -66,49 +66,49 @@
         return hosts;
     }
 
-    /** Applies that the store holds what waits to be written. */
-    private void store() {
+    /** Applies that the store holds the pending record of hosts with orders. */
+    private void applyStored() {
         mWorld.pendingRecords().remove(RecordName.HOST_ORDERS);
         for (HostOrderRow row : mWorld.hostOrders().rows()) {
             mWorld.hostOrders().put(row.host(), row.asRecorded());
         }
     }
 
-    private void rest(String host) {
+    private void delayOrders(String id) {
         long untilMs = NOW_MS + SchedulerTiming.DEFAULT.hostOrderGapMs();
-        mWorld.hostOrders().put(host, new HostOrderRow(host, true, untilMs, NOW_MS));
+        mWorld.hostOrders().put(id, new HostOrderRow(id, true, untilMs, NOW_MS));
     }
 
     @Nested
     class Orders {
         @Test
         void waitUntilTheStoreNamesTheHost() {
-            wave(2);
-            assertThat(ordered(NOW_MS)).isEmpty();
-            assertThat(ordered(NOW_MS + 20)).isEmpty();
+            addWave(2);
+            assertThat(runAndGetOrderedHosts(NOW_MS)).isEmpty();
+            assertThat(runAndGetOrderedHosts(NOW_MS + 20)).isEmpty();
             assertThat(mWorld.pendingRecords().find(RecordName.HOST_ORDERS))
                     .contains(new StoredRecord.HostOrders(List.of("h1", "h2")));
-            store();
-            assertThat(ordered(NOW_MS + 40)).containsExactly("h1", "h2");
+            applyStored();
+            assertThat(runAndGetOrderedHosts(NOW_MS + 40)).containsExactly("h1", "h2");
         }
 
         @Test
-        void restForHostsThatTheEarlierOwnerMayHaveOrdered() {
-            rest("h1");
-            wave(2);
-            ordered(NOW_MS);
-            store();
-            assertThat(ordered(NOW_MS + 20)).containsExactly("h2");
+        void waitForHostsThatTheEarlierOwnerMayHaveOrdered() {
+            delayOrders("h1");
+            addWave(2);
+            runAndGetOrderedHosts(NOW_MS);
+            applyStored();
+            assertThat(runAndGetOrderedHosts(NOW_MS + 20)).containsExactly("h2");
             long gapMs = SchedulerTiming.DEFAULT.hostOrderGapMs();
-            assertThat(ordered(NOW_MS + gapMs)).containsExactly("h1");
+            assertThat(runAndGetOrderedHosts(NOW_MS + gapMs)).containsExactly("h1");
         }
     }
 
     @Nested
     class Moves {
-        /** The load of an incident in which a leaving host was ordered away 20 times a second. */
+        /** Without the delay, a host that was already leaving got 20 move orders a second. */
         @Test
-        void restForAHostThatWasBusy() {
+        void areDelayedForHostThatWasBusy() {
             HostOperationRow move =
                     new HostOperationRow(
                             "h1", 0, "other", HostOperationStep.ORDERED, 99, 0, NOW_MS, "", false);
@@ -127,26 +127,26 @@
     class Cap {
         @Test
         void countsHostsThatTheEarlierOwnerMayHaveOrdered() {
-            rest("h1");
-            wave(1);
-            ordered(NOW_MS);
-            store();
-            assertThat(ordered(NOW_MS + 20)).isEmpty();
+            delayOrders("h1");
+            addWave(1);
+            runAndGetOrderedHosts(NOW_MS);
+            applyStored();
+            assertThat(runAndGetOrderedHosts(NOW_MS + 20)).isEmpty();
         }
 
         @Test
-        void countsHostsThatTheEarlierOwnerHasSentAway() {
-            host("h1", HostState.MAINTENANCE);
-            wave(1);
-            ordered(NOW_MS);
-            store();
-            assertThat(ordered(NOW_MS + 20)).isEmpty();
+        void countsHostsThatTheEarlierOwnerPutUnderMaintenance() {
+            addHost("h1", HostState.MAINTENANCE);
+            addWave(1);
+            runAndGetOrderedHosts(NOW_MS);
+            applyStored();
+            assertThat(runAndGetOrderedHosts(NOW_MS + 20)).isEmpty();
         }
     }
 
     @Nested
     class UnansweredOrders {
-        private void answer(long nowMs, HostOrderResult result) {
+        private void completeOrder(long nowMs, HostOrderResult result) {
             long call =
                     mWorld.hostOperations().find("h1").map(HostOperationRow::callId).orElseThrow();
             SchedulerInput input = new HostOrderCompleted(call, "h1", result);
@@ -155,28 +155,28 @@
 
         @Test
         void countAgainstTheCapUntilTheHostIsBack() {
-            wave(1);
-            ordered(NOW_MS);
-            store();
-            assertThat(ordered(NOW_MS + 20)).containsExactly("h1");
-            answer(NOW_MS + 40, HostOrderResult.NO_ANSWER);
-            assertThat(ordered(NOW_MS + 60)).isEmpty();
-            assertThat(ordered(NOW_MS + 400)).containsExactly("h1");
-            answer(NOW_MS + 420, HostOrderResult.BUSY);
-            assertThat(ordered(NOW_MS + 440)).isEmpty();
-            assertThat(ordered(NOW_MS + 800)).containsExactly("h1");
+            addWave(1);
+            runAndGetOrderedHosts(NOW_MS);
+            applyStored();
+            assertThat(runAndGetOrderedHosts(NOW_MS + 20)).containsExactly("h1");
+            completeOrder(NOW_MS + 40, HostOrderResult.NO_ANSWER);
+            assertThat(runAndGetOrderedHosts(NOW_MS + 60)).isEmpty();
+            assertThat(runAndGetOrderedHosts(NOW_MS + 400)).containsExactly("h1");
+            completeOrder(NOW_MS + 420, HostOrderResult.BUSY);
+            assertThat(runAndGetOrderedHosts(NOW_MS + 440)).isEmpty();
+            assertThat(runAndGetOrderedHosts(NOW_MS + 800)).containsExactly("h1");
         }
     }
 
     @Nested
-    class Names {
+    class RecordedHosts {
         @Test
-        void goOnceNoOrderWasGivenForLong() {
+        void areDroppedOnceTheirLastOrderIsOld() {
             HostOrderSystem.recordUse(
                     new SchedulerTick(mWorld, NOW_MS, NOW_MS, List.of(), () -> 1), "h1");
-            ordered(NOW_MS);
-            store();
-            ordered(NOW_MS + 60_000);
+            runAndGetOrderedHosts(NOW_MS);
+            applyStored();
+            runAndGetOrderedHosts(NOW_MS + 60_000);
             assertThat(mWorld.hostOrders().size()).isZero();
             assertThat(mWorld.pendingRecords().find(RecordName.HOST_ORDERS))
                     .contains(new StoredRecord.HostOrders(List.of()));
--- a/core/src/test/java/org/hibiscususher/core/scheduler/host/MovableHostsTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/host/MovableHostsTest.java
@@ -18,7 +18,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
-/** Two pools surge at the same time; a third needs two of its three hosts. */
+/** Two pools ask for hosts at the same time; a third pool needs two of its three hosts. */
 class MovableHostsTest {
     private static final long NOW_MS = 100_000;
     private static final long HOST_CPU = 64_000;
@@ -27,22 +27,22 @@
     private final SchedulerWorld mWorld = SchedulerWorlds.ofOwner(NOW_MS);
 
     @BeforeEach
-    void start() {
+    void setUp() {
         for (int i = 0; i < 3; i++) {
-            host("h" + i, "x" + i);
-            executor("x" + i, 1_000);
+            addHost("h" + i, "x" + i);
+            addExecutor("x" + i, 1_000);
         }
     }
 
-    private void host(String id, String executor) {
+    private void addHost(String id, String executorId) {
         mWorld.hosts()
                 .put(
                         id,
                         new HostReport(
-                                id, "calm", HostState.UP, "z", List.of(), CAPACITY, executor));
+                                id, "calm", HostState.UP, "z", List.of(), CAPACITY, executorId));
     }
 
-    private void executor(String id, long seenMs) {
+    private void addExecutor(String id, long seenMs) {
         ExecutorReport report =
                 new ExecutorReport(
                         id, "calm", id + ":1", "z", "h", List.of(), CAPACITY, false, 0, 0);
@@ -51,7 +51,7 @@
                 .put(id, ExecutorSessionRow.initial(id, 0).withHeartbeatAnswered(1, 1, NOW_MS));
     }
 
-    private MovableHosts donors() {
+    private MovableHosts select() {
         PoolDemand calm = new PoolDemand("calm", 3, 2 * HOST_CPU, 0, 3 * HOST_CPU, 0, 0, 0, 0);
         return MovableHosts.select(
                 new SchedulerTick(mWorld, NOW_MS, NOW_MS, List.of(), () -> 1),
@@ -61,42 +61,42 @@
     }
 
     @Nested
-    class Give {
+    class PollHostFor {
         @Test
-        void noMoreThanThePoolCanDoWithout() {
-            MovableHosts donors = donors();
-            assertThat(donors.pollHostFor("first")).isPresent();
-            assertThat(donors.pollHostFor("second")).isEmpty();
+        void returnsNoMoreHostsThanTheSurplus() {
+            MovableHosts movable = select();
+            assertThat(movable.pollHostFor("first")).isPresent();
+            assertThat(movable.pollHostFor("second")).isEmpty();
         }
 
         @Test
-        void nothingToTheirOwnPool() {
-            assertThat(donors().pollHostFor("calm")).isEmpty();
+        void returnsNoHostOfTheSamePool() {
+            assertThat(select().pollHostFor("calm")).isEmpty();
         }
 
         @Test
-        void noHostThatCameJustNow() {
+        void skipsHostThatJoinedJustNow() {
             for (int i = 0; i < 3; i++) {
-                executor("x" + i, NOW_MS - 500);
+                addExecutor("x" + i, NOW_MS - 500);
             }
-            assertThat(donors().pollHostFor("first")).isEmpty();
+            assertThat(select().pollHostFor("first")).isEmpty();
         }
 
         @Test
-        void noHostWhoseExecutorHasNotToldItsRuns() {
+        void skipsHostWhoseRunsAreUnknown() {
             for (int i = 0; i < 3; i++) {
                 mWorld.executorSessions().put("x" + i, ExecutorSessionRow.initial("x" + i, 0));
             }
-            assertThat(donors().pollHostFor("first")).isEmpty();
+            assertThat(select().pollHostFor("first")).isEmpty();
         }
 
         @Test
-        void noHostThatTheEarlierOwnerMayHaveOrdered() {
+        void skipsHostThatTheEarlierOwnerMayHaveOrdered() {
             for (int i = 0; i < 3; i++) {
                 mWorld.hostOrders()
                         .put("h" + i, new HostOrderRow("h" + i, true, NOW_MS + 1, NOW_MS));
             }
-            assertThat(donors().pollHostFor("first")).isEmpty();
+            assertThat(select().pollHostFor("first")).isEmpty();
         }
     }
 }
--- a/core/src/test/java/org/hibiscususher/core/scheduler/host/PoolDemandTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/host/PoolDemandTest.java
@@ -9,7 +9,7 @@
     private static final long HOST_CPU = 64_000;
     private static final int RESERVE_PERCENT = 30;
 
-    private static PoolDemand need(
+    private static PoolDemand demand(
             int hosts, long usedCores, long waitingCores, long offeredCores) {
         return new PoolDemand(
                 "pool",
@@ -23,52 +23,52 @@
                 offeredCores * 1_000);
     }
 
-    /** A queue whose demand rises from a twentieth of its mean to five times it. */
+    /** Demand that has risen from a twentieth of its mean to five times the mean. */
     @Nested
     class Surge {
         @Test
-        void asksForTheHostsThatKeepUpWithIt() {
-            assertThat(need(2, 10, 0, 500).missingHosts(RESERVE_PERCENT, HOST_CPU)).isEqualTo(9);
+        void lacksHostsForTheOfferedLoad() {
+            assertThat(demand(2, 10, 0, 500).missingHosts(RESERVE_PERCENT, HOST_CPU)).isEqualTo(9);
         }
 
         @Test
-        void asksForTheHostsOfWhatWaitsAlready() {
-            assertThat(need(2, 128, 300, 0).missingHosts(RESERVE_PERCENT, HOST_CPU)).isEqualTo(5);
+        void lacksHostsForWaitingTasks() {
+            assertThat(demand(2, 128, 300, 0).missingHosts(RESERVE_PERCENT, HOST_CPU)).isEqualTo(5);
         }
 
         @Test
-        void givesNothingAway() {
-            assertThat(need(12, 100, 0, 500).surplusHosts(80, HOST_CPU, 2)).isZero();
+        void hasNoSurplus() {
+            assertThat(demand(12, 100, 0, 500).surplusHosts(80, HOST_CPU, 2)).isZero();
         }
     }
 
     @Nested
-    class Valley {
+    class LowDemand {
         @Test
-        void givesAwayWhatIsNotNeeded() {
-            assertThat(need(12, 20, 0, 10).surplusHosts(80, HOST_CPU, 2)).isEqualTo(10);
+        void hasSurplusBeyondItsNeed() {
+            assertThat(demand(12, 20, 0, 10).surplusHosts(80, HOST_CPU, 2)).isEqualTo(10);
         }
 
         @Test
-        void keepsTheLeastNumber() {
-            assertThat(need(3, 0, 0, 0).surplusHosts(80, HOST_CPU, 2)).isEqualTo(1);
+        void keepsMinimumNumberOfHosts() {
+            assertThat(demand(3, 0, 0, 0).surplusHosts(80, HOST_CPU, 2)).isEqualTo(1);
         }
     }
 
-    /** Five tasks of which no two may share an executor, in a pool that was shrunk to two hosts. */
+    /** Five service tasks, at most one of them per executor, in a pool of two hosts. */
     @Nested
     class Spread {
-        private final PoolDemand mNeed =
+        private final PoolDemand mDemand =
                 new PoolDemand("pool", 2, 12_000, 12_000, 2 * HOST_CPU, 18_000, 5, 3, 0);
 
         @Test
-        void asksForAsManyHostsAsTheWidestStepNeeds() {
-            assertThat(mNeed.missingHosts(RESERVE_PERCENT, HOST_CPU)).isEqualTo(3);
+        void lacksHostsForTheLimitPerExecutor() {
+            assertThat(mDemand.missingHosts(RESERVE_PERCENT, HOST_CPU)).isEqualTo(3);
         }
 
         @Test
-        void givesNothingAwayWhileTasksWait() {
-            assertThat(mNeed.surplusHosts(80, HOST_CPU, 2)).isZero();
+        void hasNoSurplusWhileTasksAreStuck() {
+            assertThat(mDemand.surplusHosts(80, HOST_CPU, 2)).isZero();
         }
     }
 }
--- a/core/src/test/java/org/hibiscususher/core/scheduler/host/WaveSystemTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/host/WaveSystemTest.java
@@ -31,35 +31,36 @@
     private long mCalls;
 
     @BeforeEach
-    void start() {
-        list(NOW_MS, HostState.UP, "x");
-        executor(NOW_MS - 100);
+    void setUp() {
+        listHost(NOW_MS, HostState.UP, "x");
+        addExecutor(NOW_MS - 100);
         mWorld.hostOrders().put("h", new HostOrderRow("h", true, 0, NOW_MS));
         WaveOrder order = new WaveOrder(WAVE, List.of("h"), 60_000, 1);
         mWorld.waves().put(WAVE, new WaveRow(order, NOW_MS, Set.of(), false, true));
     }
 
-    private void list(long nowMs, HostState state, String executor) {
+    private void listHost(long nowMs, HostState state, String executorId) {
         mWorld.hostList().set(new HostListRow(0, nowMs - 10, nowMs));
         mWorld.hosts()
                 .put(
                         "h",
-                        new HostReport("h", "p", state, "z", List.of(), Resources.NONE, executor));
+                        new HostReport(
+                                "h", "p", state, "z", List.of(), Resources.NONE, executorId));
     }
 
-    private void executor(long answeredMs) {
+    private void addExecutor(long answeredMs) {
         SchedulerWorlds.addExecutor(mWorld, "x", "p", Resources.NONE, answeredMs);
     }
 
-    private void tick(long nowMs, SchedulerInput... inputs) {
+    private void runSystem(long nowMs, SchedulerInput... inputs) {
         WaveSystem.run(new SchedulerTick(mWorld, nowMs, nowMs, List.of(inputs), () -> ++mCalls));
     }
 
-    private void orderIsAnswered(HostOrderResult result) {
-        tick(NOW_MS);
-        tick(NOW_MS + 10);
+    private void completeOrder(HostOrderResult result) {
+        runSystem(NOW_MS);
+        runSystem(NOW_MS + 10);
         long call = mWorld.hostOperations().find("h").map(HostOperationRow::callId).orElseThrow();
-        tick(NOW_MS + 20, new HostOrderCompleted(call, "h", result));
+        runSystem(NOW_MS + 20, new HostOrderCompleted(call, "h", result));
     }
 
     private boolean isDone() {
@@ -69,28 +70,28 @@
     @Nested
     class Ends {
         @Test
-        void onceTheHostIsBackWithAnotherExecutor() {
-            orderIsAnswered(HostOrderResult.DONE);
-            list(NOW_MS + 1_000, HostState.MAINTENANCE, "");
-            tick(NOW_MS + 1_000);
+        void onceTheHostIsBackWithNewExecutor() {
+            completeOrder(HostOrderResult.DONE);
+            listHost(NOW_MS + 1_000, HostState.MAINTENANCE, "");
+            runSystem(NOW_MS + 1_000);
             assertThat(isDone()).isFalse();
-            list(NOW_MS + 3_000, HostState.UP, "y");
-            tick(NOW_MS + 3_000);
-            tick(NOW_MS + 3_010);
+            listHost(NOW_MS + 3_000, HostState.UP, "y");
+            runSystem(NOW_MS + 3_000);
+            runSystem(NOW_MS + 3_010);
             assertThat(isDone()).isTrue();
         }
 
-        /** The order of an earlier owner was carried out, but the store did not learn of it. */
+        /** An earlier owner's order was carried out, but the store does not hold that. */
         @Test
-        void onceTheExecutorOfAHostThatWasMaintainedBeforeAnswers() {
-            orderIsAnswered(HostOrderResult.DONE);
-            list(NOW_MS + 1_000, HostState.UP, "x");
-            tick(NOW_MS + 1_000);
+        void onceTheExecutorOfAnAlreadyMaintainedHostResponds() {
+            completeOrder(HostOrderResult.DONE);
+            listHost(NOW_MS + 1_000, HostState.UP, "x");
+            runSystem(NOW_MS + 1_000);
             assertThat(isDone()).isFalse();
-            executor(NOW_MS + 1_500);
-            list(NOW_MS + 1_600, HostState.UP, "x");
-            tick(NOW_MS + 1_600);
-            tick(NOW_MS + 1_610);
+            addExecutor(NOW_MS + 1_500);
+            listHost(NOW_MS + 1_600, HostState.UP, "x");
+            runSystem(NOW_MS + 1_600);
+            runSystem(NOW_MS + 1_610);
             assertThat(isDone()).isTrue();
         }
     }
