--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/ExecutorSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/ExecutorSystem.java
@@ -32,7 +32,8 @@
  *
  * <p>Registrations come from the store, lists of runs from heartbeats. The run of a task is dropped
  * only when its executor no longer lists it, has restarted, or is silent with a lease that has
- * certainly expired: a task that is started again earlier could run twice.
+ * certainly expired: a task that is started again earlier could run twice. {@link
+ * LostExecutorSystem} shortens the wait when the executor's host is known to have ended it.
  */
 public final class ExecutorSystem {
     /** Delay of the next heartbeat after one without a response, in milliseconds. */
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/HeartbeatSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/HeartbeatSystem.java
@@ -27,8 +27,9 @@
     private static final long IDLE_WAIT_MS = 2_000;
 
     /**
-     * Delay of the next heartbeat while finished runs can't be acknowledged, in milliseconds. Until
-     * then the executor lists them in each response and holds none back.
+     * Delay of the next heartbeat while finished runs can't be acknowledged yet, in milliseconds.
+     * The executor responds at once while it has such runs, so without a delay heartbeats would
+     * follow each other without a pause.
      */
     private static final long UNACKNOWLEDGED_DELAY_MS = 200;
 
@@ -97,8 +98,8 @@
                 session.confirmedFence() == term.fence() && !unconfirmed && !unacknowledged;
         boolean busy = !world.runs().group(row.id()).isEmpty();
         long waitMs = !mayWait ? 0 : busy ? BUSY_WAIT_MS : IDLE_WAIT_MS;
-        // A heartbeat to a silent executor may arrive. It must not extend the lease, whose end is
-        // what the runs of the executor have to wait for before they can restart elsewhere.
+        // A heartbeat to a silent executor may arrive although no response does. It must not extend
+        // the lease: the tasks there can restart elsewhere only once the lease has expired.
         boolean extend = !unconfirmed;
         long leaseMs = world.settings().timing().executorLeaseMs();
         long deadlineMs = extend ? session.executorClockAt(tick.nowMs()) + leaseMs : 0;
--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/Eviction.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/Eviction.java
@@ -82,7 +82,7 @@
         return unavailable < spec.maxUnavailable();
     }
 
-    /** Returns whether a task is fully up, by a recent heartbeat response of its executor. */
+    /** Returns whether a task is fully available, by a recent response of its executor. */
     private static boolean isAvailable(SchedulerTick tick, TaskKey task) {
         RunRow run = tick.world().runs().find(task).orElse(null);
         if (run == null || run.stage() != RunStage.RUNNING || run.speedPercent() < FULL_PERCENT) {
--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/HostOperations.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/HostOperations.java
@@ -123,7 +123,7 @@
         tick.world().executors().update(row.executor(), e -> e.withCordoned(false));
     }
 
-    /** Schedules an order for maintenance again, but abandons a move. */
+    /** Schedules a maintenance order again after a delay, but abandons a move. */
     private static void retry(SchedulerTick tick, HostOperationRow row) {
         HostOrderSystem.recordUse(tick, row.host());
         if (row.destinationPool().isEmpty()) {
@@ -202,7 +202,10 @@
         return count;
     }
 
-    /** Returns whether a host may be out of service because of an order of an earlier owner. */
+    /**
+     * Returns whether a host may be out of service because of an order of an earlier owner: it is
+     * listed as under maintenance, or orders for it are delayed.
+     */
     static boolean mayBeOutByEarlierOwner(SchedulerTick tick, String host) {
         boolean listed =
                 tick.world()
--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/PoolDemand.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/PoolDemand.java
@@ -32,7 +32,7 @@
     /** Maximum number of hosts that a round of moves adds for stuck tasks. */
     private static final int MAX_HOSTS_FOR_STUCK = 2;
 
-    /** Checks the parts. */
+    /** Rejects a null name. */
     PoolDemand {
         requireNonNull(pool);
     }
