--- a/core/src/main/java/org/hibiscususher/core/scheduler/control/PlanSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/control/ConfigurationSystem.java
@@ -1,56 +1,57 @@
 package org.hibiscususher.core.scheduler.control;
 
 import java.util.Set;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.PlanSeen;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.WaveGone;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.WaveSeen;
-import org.hibiscususher.core.scheduler.world.PlanRow;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.ConfigurationUpdated;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.WaveOrdered;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.WaveWithdrawn;
+import org.hibiscususher.core.scheduler.world.ConfigurationRow;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
 import org.hibiscususher.core.scheduler.world.WaveRow;
 
 /** Takes in the operators' configuration and their orders for waves. */
-final class PlanSystem {
-    private PlanSystem() {}
+final class ConfigurationSystem {
+    private ConfigurationSystem() {}
 
     static void run(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
-        for (PlanSeen seen : tick.inputs(PlanSeen.class)) {
-            PlanRow before = world.plan().get();
-            if (seen.plan().version() > before.plan().version()) {
-                world.plan().set(new PlanRow(seen.plan(), seen.revision()));
+        for (ConfigurationUpdated seen : tick.inputs(ConfigurationUpdated.class)) {
+            ConfigurationRow before = world.configuration().get();
+            if (seen.configuration().version() > before.configuration().version()) {
+                world.configuration()
+                        .set(new ConfigurationRow(seen.configuration(), seen.revision()));
                 tick.log(
                         "plan-in-force",
                         "version="
-                                + seen.plan().version()
+                                + seen.configuration().version()
                                 + " before="
-                                + before.plan().version()
+                                + before.configuration().version()
                                 + " revision="
                                 + seen.revision()
                                 + " queues="
-                                + seen.plan().queues().size()
+                                + seen.configuration().queues().size()
                                 + " teams="
-                                + seen.plan().teams().size());
+                                + seen.configuration().teams().size());
             }
         }
-        for (WaveSeen seen : tick.inputs(WaveSeen.class)) {
-            long wave = seen.wave().wave();
+        for (WaveOrdered seen : tick.inputs(WaveOrdered.class)) {
+            long wave = seen.order().wave();
             if (!world.waves().contains(wave)) {
                 tick.log(
                         "wave-seen",
                         "wave="
                                 + wave
                                 + " hosts="
-                                + seen.wave().hosts().size()
+                                + seen.order().hosts().size()
                                 + " cap="
-                                + seen.wave().cap()
+                                + seen.order().maxConcurrentHosts()
                                 + " within_ms="
-                                + seen.wave().withinMs());
+                                + seen.order().timeLimitMs());
                 world.waves()
-                        .put(wave, new WaveRow(seen.wave(), tick.nowMs(), Set.of(), false, false));
+                        .put(wave, new WaveRow(seen.order(), tick.nowMs(), Set.of(), false, false));
             }
         }
-        for (WaveGone gone : tick.inputs(WaveGone.class)) {
+        for (WaveWithdrawn gone : tick.inputs(WaveWithdrawn.class)) {
             tick.log("wave-withdrawn", "wave=" + gone.wave());
             world.waves().remove(gone.wave());
         }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/control/NodeSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/control/NodeLifecycleSystem.java
@@ -1,9 +1,9 @@
 package org.hibiscususher.core.scheduler.control;
 
-import org.hibiscususher.core.scheduler.message.SchedulerInput.StopAsked;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.StoreContact;
-import org.hibiscususher.core.scheduler.message.SchedulerOutput.Finish;
-import org.hibiscususher.core.scheduler.message.SchedulerOutput.Ready;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.ShutdownRequested;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.StoreReachabilityChanged;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput.ReportReadiness;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput.Terminate;
 import org.hibiscususher.core.scheduler.world.NodeStateRow;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
@@ -11,36 +11,36 @@
 import org.hibiscususher.core.scheduler.world.TermStage;
 
 /** Tells the balancer whether to send connections, and ends the process in good order. */
-final class NodeSystem {
+final class NodeLifecycleSystem {
     /** Time after which the balancer has surely heard that the process stops, in milliseconds. */
     private static final long BALANCER_MS = 2_600;
 
-    private NodeSystem() {}
+    private NodeLifecycleSystem() {}
 
     static void run(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
-        NodeStateRow node = world.node().get();
-        if (!tick.inputs(StopAsked.class).isEmpty() && node.stopAskedMs() == 0) {
+        NodeStateRow node = world.nodeState().get();
+        if (!tick.inputs(ShutdownRequested.class).isEmpty() && node.shutdownRequestedMs() == 0) {
             tick.log("stop-asked", "owner=" + world.term().get().stage().isOwner());
-            node = new NodeStateRow(node.ready(), node.storeReached(), tick.nowMs());
+            node = new NodeStateRow(node.ready(), node.storeReachable(), tick.nowMs());
             release(world);
         }
-        boolean stopping = node.stopAskedMs() != 0;
+        boolean stopping = node.shutdownRequestedMs() != 0;
         boolean ready = !stopping && world.ownership().get().known();
         if (ready != node.ready()) {
-            tick.emit(new Ready(ready));
+            tick.emit(new ReportReadiness(ready));
         }
-        boolean reached = node.storeReached();
-        for (StoreContact contact : tick.inputs(StoreContact.class)) {
-            reached = contact.reached();
+        boolean reached = node.storeReachable();
+        for (StoreReachabilityChanged contact : tick.inputs(StoreReachabilityChanged.class)) {
+            reached = contact.reachable();
             tick.log(
                     reached ? "store-reached" : "store-lost",
                     "stage=" + world.term().get().stage());
         }
-        world.node().set(new NodeStateRow(ready, reached, node.stopAskedMs()));
-        boolean owner = world.term().get().owns();
-        if (stopping && !owner && tick.nowMs() - node.stopAskedMs() > BALANCER_MS) {
-            tick.emit(new Finish());
+        world.nodeState().set(new NodeStateRow(ready, reached, node.shutdownRequestedMs()));
+        boolean owner = world.term().get().isScheduling();
+        if (stopping && !owner && tick.nowMs() - node.shutdownRequestedMs() > BALANCER_MS) {
+            tick.emit(new Terminate());
         }
     }
 
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/ExecutorSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/ExecutorSystem.java
@@ -3,22 +3,22 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import org.hibiscususher.core.job.ListedEnd;
-import org.hibiscususher.core.job.ListedRun;
+import org.hibiscususher.core.job.FinishedRun;
+import org.hibiscususher.core.job.ReportedRun;
 import org.hibiscususher.core.job.StepSpec;
 import org.hibiscususher.core.job.TaskKey;
-import org.hibiscususher.core.scheduler.job.Jobs;
+import org.hibiscususher.core.scheduler.job.JobLifecycle;
 import org.hibiscususher.core.scheduler.message.ExecutorReport;
-import org.hibiscususher.core.scheduler.message.HoldFailure;
+import org.hibiscususher.core.scheduler.message.HeartbeatFailure;
 import org.hibiscususher.core.scheduler.message.SchedulerInput;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.ExecutorGone;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.ExecutorSeen;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.ExecutorRemoved;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.ExecutorUpdated;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.ExecutorsListed;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.HoldAnswered;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.HoldFailed;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.HeartbeatAnswered;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.HeartbeatFailed;
 import org.hibiscususher.core.scheduler.term.StepDown;
-import org.hibiscususher.core.scheduler.world.ContactRow;
 import org.hibiscususher.core.scheduler.world.ExecutorRow;
+import org.hibiscususher.core.scheduler.world.ExecutorSessionRow;
 import org.hibiscususher.core.scheduler.world.JobRow;
 import org.hibiscususher.core.scheduler.world.RunRow;
 import org.hibiscususher.core.scheduler.world.RunStage;
@@ -44,19 +44,20 @@
 
     /** Takes in reports, lists and their absence. */
     public static void run(SchedulerTick tick) {
-        if (!tick.world().term().get().owns() && !tick.world().term().get().stage().isOwner()) {
+        if (!tick.world().term().get().isScheduling()
+                && !tick.world().term().get().stage().isOwner()) {
             return;
         }
         for (SchedulerInput input : tick.inputs()) {
             if (input instanceof ExecutorsListed listed) {
                 listed(tick, listed.reports());
-            } else if (input instanceof ExecutorSeen seen) {
+            } else if (input instanceof ExecutorUpdated seen) {
                 seen(tick, seen.report());
-            } else if (input instanceof ExecutorGone gone) {
+            } else if (input instanceof ExecutorRemoved gone) {
                 missing(tick, gone.id());
-            } else if (input instanceof HoldAnswered answered) {
+            } else if (input instanceof HeartbeatAnswered answered) {
                 answered(tick, answered);
-            } else if (input instanceof HoldFailed failed) {
+            } else if (input instanceof HeartbeatFailed failed) {
                 failed(tick, failed);
             }
         }
@@ -86,8 +87,8 @@
                         ? new ExecutorRow(report, tick.nowMs(), 0, false, false, false, 0)
                         : before;
         world.executors().put(report.id(), row.withReport(report, tick.nowMs()));
-        if (!world.contacts().contains(report.id())) {
-            world.contacts().put(report.id(), ContactRow.initial(report.id(), 0));
+        if (!world.executorSessions().contains(report.id())) {
+            world.executorSessions().put(report.id(), ExecutorSessionRow.initial(report.id(), 0));
         }
         if (before == null || before.report().draining() != report.draining()) {
             tick.log(
@@ -107,94 +108,104 @@
                             + " remaining_ms="
                             + report.remainingMs());
         }
-        long bornMs = world.contacts().find(report.id()).map(ContactRow::bornMs).orElse(0L);
-        if (report.bornMs() > bornMs && bornMs != 0) {
+        long bornMs =
+                world.executorSessions()
+                        .find(report.id())
+                        .map(ExecutorSessionRow::startedAtMs)
+                        .orElse(0L);
+        if (report.startedAtMs() > bornMs && bornMs != 0) {
             tick.log("executor-reborn", "executor=" + report.id() + " by=report");
-            Runs.reborn(tick, report.id(), "reborn");
+            RunLifecycle.handleRestart(tick, report.id(), "reborn");
         }
     }
 
     private static void missing(SchedulerTick tick, String id) {
         ExecutorRow row = tick.world().executors().find(id).orElse(null);
-        if (row == null || row.missingMs() != 0) {
+        if (row == null || row.missingSinceMs() != 0) {
             return;
         }
         tick.log("executor-missing", "executor=" + id + " draining=" + row.report().draining());
-        tick.world().executors().put(id, row.missing(tick.nowMs()));
+        tick.world().executors().put(id, row.withoutReport(tick.nowMs()));
     }
 
-    private static void answered(SchedulerTick tick, HoldAnswered answer) {
+    private static void answered(SchedulerTick tick, HeartbeatAnswered answer) {
         SchedulerWorld world = tick.world();
         String id = answer.executor();
-        ContactRow contact = world.contacts().find(id).orElse(null);
-        if (contact == null || contact.callId() != answer.callId()) {
+        ExecutorSessionRow contact = world.executorSessions().find(id).orElse(null);
+        if (contact == null || contact.heartbeatCallId() != answer.callId()) {
             return;
         }
-        if (contact.bornMs() != 0 && contact.bornMs() != answer.bornMs()) {
+        if (contact.startedAtMs() != 0 && contact.startedAtMs() != answer.startedAtMs()) {
             tick.log("executor-reborn", "executor=" + id + " by=answer");
-            Runs.reborn(tick, id, "reborn");
+            RunLifecycle.handleRestart(tick, id, "reborn");
             contact =
-                    ContactRow.initial(id, contact.leaseEndMs())
-                            .sent(answer.callId(), contact.callFence(), contact.sentMs(), 0);
+                    ExecutorSessionRow.initial(id, contact.leaseEndMs())
+                            .withHeartbeatSent(
+                                    answer.callId(),
+                                    contact.heartbeatFence(),
+                                    contact.heartbeatSentMs(),
+                                    0);
         }
-        if (contact.answeredMs() == 0 || contact.failures() > MAX_FAILURES) {
+        if (contact.lastAnswerMs() == 0 || contact.consecutiveFailures() > MAX_FAILURES) {
             tick.log(
                     "executor-reached",
                     "executor="
                             + id
                             + " fence="
-                            + contact.callFence()
+                            + contact.heartbeatFence()
                             + " runs="
                             + answer.runs().size()
                             + " ends="
-                            + answer.ends().size());
+                            + answer.finishedRuns().size());
         }
-        long sentMs = contact.sentMs();
-        contact = contact.answered(answer.bornMs(), answer.clockMs(), tick.nowMs());
-        world.contacts().put(id, contact);
-        world.executors().update(id, ExecutorRow::answered);
+        long sentMs = contact.heartbeatSentMs();
+        contact =
+                contact.withHeartbeatAnswered(
+                        answer.startedAtMs(), answer.executorClockMs(), tick.nowMs());
+        world.executorSessions().put(id, contact);
+        world.executors().update(id, ExecutorRow::asConfirmed);
         Set<TaskKey> told = new HashSet<>();
-        for (ListedEnd end : answer.ends()) {
+        for (FinishedRun end : answer.finishedRuns()) {
             told.add(end.task());
-            if (end.number() > contact.listed()) {
-                Ends.take(tick, id, end);
-                contact = contact.withListed(end.number());
+            if (end.sequence() > contact.appliedSequence()) {
+                FinishedRuns.apply(tick, id, end);
+                contact = contact.withAppliedSequence(end.sequence());
             }
         }
-        long listed = contact.listed();
-        world.contacts().update(id, c -> c.withListed(listed));
-        for (ListedRun run : answer.runs()) {
+        long listed = contact.appliedSequence();
+        world.executorSessions().update(id, c -> c.withAppliedSequence(listed));
+        for (ReportedRun run : answer.runs()) {
             told.add(run.task());
             listedRun(tick, id, run);
         }
         vanished(tick, id, told, sentMs);
     }
 
-    private static void listedRun(SchedulerTick tick, String executor, ListedRun told) {
+    private static void listedRun(SchedulerTick tick, String executor, ReportedRun told) {
         SchedulerWorld world = tick.world();
-        Jobs.reach(tick, told.task().stepKey());
+        JobLifecycle.activateForReportedRun(tick, told.task().stepKey());
         RunRow run = world.runs().find(told.task()).orElse(null);
         TaskRow task = world.tasks().find(told.task()).orElse(null);
         boolean same = run != null && run.run() == told.run() && run.executor().equals(executor);
         if (same) {
-            RunRow next = run.listed(told, tick.nowMs());
+            RunRow next = run.withReport(told, tick.nowMs());
             if (run.stage() == RunStage.SENT) {
-                next = next.running(tick.nowMs());
-                Jobs.begun(tick, told.task().jobId());
+                next = next.asRunning(tick.nowMs());
+                JobLifecycle.markRunning(tick, told.task().jobId());
             }
             world.runs().put(run.task(), next);
-        } else if (run == null && task != null && told.run() >= task.run()) {
+        } else if (run == null && task != null && told.run() >= task.lastRun()) {
             adopt(tick, executor, told, task);
         } else {
-            Runs.stopUnknown(tick, executor, told.task(), told.run());
+            RunLifecycle.requestStopOfUnknownRun(tick, executor, told.task(), told.run());
         }
     }
 
     /** Takes over a run that an earlier owner started. */
-    private static void adopt(SchedulerTick tick, String executor, ListedRun told, TaskRow task) {
+    private static void adopt(SchedulerTick tick, String executor, ReportedRun told, TaskRow task) {
         SchedulerWorld world = tick.world();
         JobRow job = world.jobs().find(told.task().jobId()).orElse(null);
-        StepSpec spec = Jobs.specOf(world, told.task().stepKey()).orElse(null);
+        StepSpec spec = JobLifecycle.findSpec(world, told.task().stepKey()).orElse(null);
         if (job == null || spec == null) {
             return;
         }
@@ -212,42 +223,43 @@
                         tick.nowMs(),
                         tick.nowMs(),
                         told.checkpoint(),
-                        told.percent(),
+                        told.speedPercent(),
                         told.load(),
                         100,
                         tick.nowMs());
         world.runs().put(run.task(), run);
-        world.tasks().put(task.key(), task.active(told.run()));
-        Jobs.begun(tick, job.id());
-        tick.log("run-adopted", Runs.describe(run));
+        world.tasks().put(task.key(), task.asActive(told.run()));
+        JobLifecycle.markRunning(tick, job.id());
+        tick.log("run-adopted", RunLifecycle.describe(run));
     }
 
     /** Finds runs that an executor no longer lists although it knew of them. */
     private static void vanished(
             SchedulerTick tick, String executor, Set<TaskKey> told, long sentMs) {
         for (RunRow run : List.copyOf(tick.world().runs().group(executor))) {
-            boolean known = run.settledMs() != 0 && run.settledMs() < sentMs;
+            boolean known = run.orderAnsweredMs() != 0 && run.orderAnsweredMs() < sentMs;
             if (known && !told.contains(run.task())) {
-                Runs.gone(tick, run, "not-listed", 0);
+                RunLifecycle.removeAndRequeue(tick, run, "not-listed", 0);
             }
         }
     }
 
-    private static void failed(SchedulerTick tick, HoldFailed failed) {
+    private static void failed(SchedulerTick tick, HeartbeatFailed failed) {
         SchedulerWorld world = tick.world();
-        ContactRow contact = world.contacts().find(failed.executor()).orElse(null);
-        if (contact == null || contact.callId() != failed.callId()) {
+        ExecutorSessionRow contact = world.executorSessions().find(failed.executor()).orElse(null);
+        if (contact == null || contact.heartbeatCallId() != failed.callId()) {
             return;
         }
-        if (failed.failure() == HoldFailure.FENCED) {
-            if (contact.callFence() == world.term().get().fence()) {
+        if (failed.failure() == HeartbeatFailure.FENCED) {
+            if (contact.heartbeatFence() == world.term().get().fence()) {
                 StepDown.run(tick, "fenced-by-executor");
             } else {
-                world.contacts().put(contact.executor(), contact.failed(tick.nowMs()));
+                world.executorSessions()
+                        .put(contact.executor(), contact.withHeartbeatFailed(tick.nowMs()));
             }
             return;
         }
-        if (contact.failures() == 0) {
+        if (contact.consecutiveFailures() == 0) {
             tick.log(
                     "executor-silent",
                     "executor="
@@ -255,39 +267,43 @@
                             + " failure="
                             + failed.failure()
                             + " age_ms="
-                            + (tick.nowMs() - contact.answeredMs())
+                            + (tick.nowMs() - contact.lastAnswerMs())
                             + " lease_left_ms="
                             + (contact.leaseEndMs() - tick.nowMs()));
         }
-        if (failed.failure() == HoldFailure.OTHER_LIFE) {
-            Runs.lifeEnded(tick, failed.executor(), "other-life");
-            world.contacts()
-                    .update(failed.executor(), c -> c.failed(tick.nowMs() + UNHEALTHY_RETRY_MS));
+        if (failed.failure() == HeartbeatFailure.OTHER_LIFE) {
+            RunLifecycle.endIncarnation(tick, failed.executor(), "other-life");
+            world.executorSessions()
+                    .update(
+                            failed.executor(),
+                            c -> c.withHeartbeatFailed(tick.nowMs() + UNHEALTHY_RETRY_MS));
             return;
         }
-        boolean silent = failed.failure() == HoldFailure.NO_ANSWER;
+        boolean silent = failed.failure() == HeartbeatFailure.NO_ANSWER;
         long nextMs = tick.nowMs() + (silent ? RETRY_MS : UNHEALTHY_RETRY_MS);
-        world.contacts()
+        world.executorSessions()
                 .put(
                         failed.executor(),
-                        contact.failed(nextMs).aside(tick.nowMs() + SILENT_ASIDE_MS));
+                        contact.withHeartbeatFailed(nextMs)
+                                .quarantinedUntil(tick.nowMs() + SILENT_ASIDE_MS));
     }
 
     /** Ends what a silent executor ran once its lease has surely ended, and forgets the gone. */
     private static void endLeases(SchedulerTick tick, ExecutorRow row) {
         SchedulerWorld world = tick.world();
-        ContactRow contact = world.contacts().find(row.id()).orElse(null);
+        ExecutorSessionRow contact = world.executorSessions().find(row.id()).orElse(null);
         if (contact == null || tick.nowMs() <= contact.leaseEndMs()) {
             return;
         }
-        if (!world.runs().group(row.id()).isEmpty() && contact.failures() > 0) {
+        if (!world.runs().group(row.id()).isEmpty() && contact.consecutiveFailures() > 0) {
             for (RunRow run : List.copyOf(world.runs().group(row.id()))) {
-                Runs.gone(tick, run, "lease-ended", 0);
+                RunLifecycle.removeAndRequeue(tick, run, "lease-ended", 0);
             }
         }
-        boolean missing = row.missingMs() != 0 && tick.nowMs() - row.missingMs() > MISSING_MS;
-        if (missing && (contact.failures() > 0 || row.report().address().isEmpty())) {
-            Runs.executorGone(tick, row.id(), "missing");
+        boolean missing =
+                row.missingSinceMs() != 0 && tick.nowMs() - row.missingSinceMs() > MISSING_MS;
+        if (missing && (contact.consecutiveFailures() > 0 || row.report().address().isEmpty())) {
+            RunLifecycle.removeExecutor(tick, row.id(), "missing");
         }
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/LostExecutorSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/LostExecutorSystem.java
@@ -4,8 +4,8 @@
 import java.util.Map;
 import org.hibiscususher.core.scheduler.message.HostReport;
 import org.hibiscususher.core.scheduler.message.HostState;
-import org.hibiscususher.core.scheduler.world.ContactRow;
 import org.hibiscususher.core.scheduler.world.ExecutorRow;
+import org.hibiscususher.core.scheduler.world.ExecutorSessionRow;
 import org.hibiscususher.core.scheduler.world.HostListRow;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
@@ -23,7 +23,7 @@
     public static void run(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
         HostListRow list = world.hostList().get();
-        if (list.listedMs() != tick.nowMs() || !world.term().get().owns()) {
+        if (list.listedMs() != tick.nowMs() || !world.term().get().isScheduling()) {
             return;
         }
         Map<String, HostReport> hosts = new HashMap<>();
@@ -38,29 +38,33 @@
             HostReport host = hosts.get(row.id());
             boolean up = host != null && host.state() == HostState.UP;
             if (complete && !up && isSilentSince(world, row, list.sentMs())) {
-                Runs.executorGone(
+                RunLifecycle.removeExecutor(
                         tick, row.id(), host == null ? "on-no-host" : "host-" + host.state());
             }
         }
     }
 
     /** Returns whether there is an executor out of reach on which something may run. */
-    public static boolean isWanted(SchedulerWorld world) {
+    public static boolean needsHostList(SchedulerWorld world) {
         return world.executors().rows().stream()
                 .anyMatch(row -> isSilent(world, row) && mayRun(world, row));
     }
 
     private static boolean mayRun(SchedulerWorld world, ExecutorRow row) {
-        return row.prior() || !world.runs().group(row.id()).isEmpty();
+        return row.inherited() || !world.runs().group(row.id()).isEmpty();
     }
 
     private static boolean isSilent(SchedulerWorld world, ExecutorRow row) {
-        ContactRow contact = world.contacts().find(row.id()).orElse(null);
-        return contact != null && (contact.failures() > 0 || row.missingMs() != 0);
+        ExecutorSessionRow contact = world.executorSessions().find(row.id()).orElse(null);
+        return contact != null && (contact.consecutiveFailures() > 0 || row.missingSinceMs() != 0);
     }
 
     private static boolean isSilentSince(SchedulerWorld world, ExecutorRow row, long sentMs) {
-        long answeredMs = world.contacts().find(row.id()).map(ContactRow::answeredMs).orElse(0L);
-        return isSilent(world, row) && answeredMs < sentMs && row.seenMs() < sentMs;
+        long answeredMs =
+                world.executorSessions()
+                        .find(row.id())
+                        .map(ExecutorSessionRow::lastAnswerMs)
+                        .orElse(0L);
+        return isSilent(world, row) && answeredMs < sentMs && row.firstSeenMs() < sentMs;
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/Runs.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/RunLifecycle.java
@@ -4,9 +4,9 @@
 import java.util.List;
 import org.hibiscususher.core.job.TaskKey;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.StopRun;
-import org.hibiscususher.core.scheduler.world.ContactRow;
-import org.hibiscususher.core.scheduler.world.EndRow;
 import org.hibiscususher.core.scheduler.world.ExecutorRow;
+import org.hibiscususher.core.scheduler.world.ExecutorSessionRow;
+import org.hibiscususher.core.scheduler.world.FinishedRunRow;
 import org.hibiscususher.core.scheduler.world.RunRow;
 import org.hibiscususher.core.scheduler.world.RunStage;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
@@ -17,23 +17,23 @@
 import org.hibiscususher.core.scheduler.world.UncertainStartRow;
 
 /** Changes of runs that more than one system makes. */
-public final class Runs {
+public final class RunLifecycle {
     /** Numbers of runs that a term may give to a task. */
     static final int RUNS_PER_TERM = 1_000;
 
-    private Runs() {}
+    private RunLifecycle() {}
 
     /** Returns the number of the next run of a task, above all that earlier owners gave. */
-    public static int nextNumber(SchedulerWorld world, TaskRow task) {
+    public static int nextRunNumber(SchedulerWorld world, TaskRow task) {
         long floor = (world.term().get().generation() - 1) * RUNS_PER_TERM;
-        return Math.max(task.run(), (int) floor) + 1;
+        return Math.max(task.lastRun(), (int) floor) + 1;
     }
 
     /** Orders a run to stop; it stays in the table until its end is known. */
-    public static void stop(SchedulerTick tick, RunRow run, StopReason reason) {
+    public static void requestStop(SchedulerTick tick, RunRow run, StopReason reason) {
         SchedulerWorld world = tick.world();
         long callId = tick.nextCallId();
-        world.runs().put(run.task(), run.stopping(reason, callId, tick.nowMs()));
+        world.runs().put(run.task(), run.asStopping(reason, callId, tick.nowMs()));
         if (reason != run.reason()) {
             tick.log("stop", describe(run) + " reason=" + reason);
             tick.count("stop." + reason);
@@ -42,7 +42,8 @@
     }
 
     /** Orders a run to stop that is in no table. */
-    public static void stopUnknown(SchedulerTick tick, String executor, TaskKey task, int run) {
+    public static void requestStopOfUnknownRun(
+            SchedulerTick tick, String executor, TaskKey task, int run) {
         tick.log("stop-unknown", "task=" + task.text() + " run=" + run + " executor=" + executor);
         order(tick, tick.nextCallId(), executor, task, run);
     }
@@ -58,35 +59,36 @@
     }
 
     /** Applies that a run has surely ended or never began; its task waits for the next one. */
-    public static void gone(SchedulerTick tick, RunRow run, String reason, long delayMs) {
+    public static void removeAndRequeue(
+            SchedulerTick tick, RunRow run, String reason, long delayMs) {
         SchedulerWorld world = tick.world();
         world.runs().remove(run.task());
-        world.tasks().update(run.task(), t -> t.waiting(tick.nowMs(), delayMs, run.checkpoint()));
+        world.tasks().update(run.task(), t -> t.asWaiting(tick.nowMs(), delayMs, run.checkpoint()));
         tick.log("run-gone", describe(run) + " reason=" + reason);
         tick.count("run-gone." + reason);
     }
 
     /** Applies that the life of an executor has ended, and with it everything that ran there. */
-    public static void lifeEnded(SchedulerTick tick, String executor, String reason) {
+    public static void endIncarnation(SchedulerTick tick, String executor, String reason) {
         SchedulerWorld world = tick.world();
         for (RunRow run : List.copyOf(world.runs().group(executor))) {
-            gone(tick, run, reason, 0);
+            removeAndRequeue(tick, run, reason, 0);
         }
-        for (EndRow end : List.copyOf(world.ends().group(executor))) {
-            world.ends().remove(end.key());
+        for (FinishedRunRow end : List.copyOf(world.finishedRuns().group(executor))) {
+            world.finishedRuns().remove(end.key());
         }
-        world.contacts().put(executor, ContactRow.initial(executor, 0));
-        world.executors().update(executor, ExecutorRow::answered);
+        world.executorSessions().put(executor, ExecutorSessionRow.initial(executor, 0));
+        world.executors().update(executor, ExecutorRow::asConfirmed);
     }
 
     /** Applies that an executor has ended for good. */
-    public static void executorGone(SchedulerTick tick, String executor, String reason) {
+    public static void removeExecutor(SchedulerTick tick, String executor, String reason) {
         SchedulerWorld world = tick.world();
         tick.log("executor-gone", "executor=" + executor + " reason=" + reason);
-        lifeEnded(tick, executor, reason);
+        endIncarnation(tick, executor, reason);
         world.executors().remove(executor);
-        world.contacts().remove(executor);
-        world.standings().remove(executor);
+        world.executorSessions().remove(executor);
+        world.executorHealth().remove(executor);
     }
 
     /**
@@ -94,7 +96,7 @@
      *
      * <p>An order that the life before did not answer may still reach this one.
      */
-    public static void reborn(SchedulerTick tick, String executor, String reason) {
+    public static void handleRestart(SchedulerTick tick, String executor, String reason) {
         SchedulerWorld world = tick.world();
         List<RunRow> uncertain = new ArrayList<>();
         for (RunRow run : world.runs().group(executor)) {
@@ -105,22 +107,22 @@
             }
         }
         uncertain.forEach(run -> world.runs().remove(run.task()));
-        lifeEnded(tick, executor, reason);
-        uncertain.forEach(run -> stop(tick, run, StopReason.UNCERTAIN_START));
+        endIncarnation(tick, executor, reason);
+        uncertain.forEach(run -> requestStop(tick, run, StopReason.UNCERTAIN_START));
         for (UncertainStartRow row : world.uncertainStarts().rows()) {
             if (row.executor().equals(executor)) {
-                world.uncertainStarts().put(row.key(), row.withOpen(true));
+                world.uncertainStarts().put(row.key(), row.withCancelPending(true));
             }
         }
     }
 
     /** Notes that an order to start a run was not answered. */
-    static void startUnanswered(SchedulerTick tick, RunRow run) {
+    static void handleUnansweredStart(SchedulerTick tick, RunRow run) {
         StartKey key = new StartKey(run.task(), run.run());
         tick.world()
                 .uncertainStarts()
                 .put(key, new UncertainStartRow(key, run.executor(), tick.nowMs(), false, 0));
-        stop(tick, run, StopReason.UNCERTAIN_START);
+        requestStop(tick, run, StopReason.UNCERTAIN_START);
     }
 
     /** Returns a run in the words of the log. */
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/StallSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/StragglerSystem.java
@@ -5,8 +5,8 @@
 import java.util.List;
 import java.util.Set;
 import org.hibiscususher.core.job.StepSpec;
-import org.hibiscususher.core.scheduler.job.Jobs;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.HoldAnswered;
+import org.hibiscususher.core.scheduler.job.JobLifecycle;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.HeartbeatAnswered;
 import org.hibiscususher.core.scheduler.term.Authority;
 import org.hibiscususher.core.scheduler.world.RunRow;
 import org.hibiscususher.core.scheduler.world.RunStage;
@@ -21,7 +21,7 @@
  * <p>Answers executors that are slow or hang although they answer well: the progress that they list
  * tells how long a run will take, against the estimate of its step.
  */
-public final class StallSystem {
+public final class StragglerSystem {
     /** Time without progress after which a run counts as standing still, in milliseconds. */
     private static final long STILL_MS = 800;
 
@@ -49,14 +49,14 @@
     private static final long SLOW_ASIDE_MS = 2_500;
     private static final int FULL = 100;
 
-    private StallSystem() {}
+    private StragglerSystem() {}
 
     /** Runs over the executors that have just told their runs. */
     public static void run(SchedulerTick tick) {
-        if (!Authority.mayStart(tick)) {
+        if (!Authority.mayStartRuns(tick)) {
             return;
         }
-        for (HoldAnswered answer : tick.inputs(HoldAnswered.class)) {
+        for (HeartbeatAnswered answer : tick.inputs(HeartbeatAnswered.class)) {
             List<RunRow> runs = List.copyOf(tick.world().runs().group(answer.executor()));
             stopHung(tick, runs);
             stopSlow(tick, answer.executor(), runs);
@@ -65,11 +65,11 @@
 
     private static void stopHung(SchedulerTick tick, List<RunRow> runs) {
         for (RunRow run : runs) {
-            StepSpec spec = Jobs.specOf(tick.world(), run.task().stepKey()).orElse(null);
-            long stillMs = tick.nowMs() - run.progressMs();
+            StepSpec spec = JobLifecycle.findSpec(tick.world(), run.task().stepKey()).orElse(null);
+            long stillMs = tick.nowMs() - run.lastProgressMs();
             if (isJudged(run, spec) && stillMs > stillLimitMs(spec)) {
-                Standings.aside(tick, run.executor(), HUNG_ASIDE_MS, "hung");
-                Runs.stop(tick, run, StopReason.STALLED);
+                ExecutorHealth.quarantine(tick, run.executor(), HUNG_ASIDE_MS, "hung");
+                RunLifecycle.requestStop(tick, run, StopReason.STALLED);
             }
         }
     }
@@ -79,23 +79,23 @@
         List<RunRow> slow = new ArrayList<>();
         Set<String> jobs = new HashSet<>();
         for (RunRow run : runs) {
-            StepSpec spec = Jobs.specOf(tick.world(), run.task().stepKey()).orElse(null);
-            long ageMs = tick.nowMs() - run.settledMs();
+            StepSpec spec = JobLifecycle.findSpec(tick.world(), run.task().stepKey()).orElse(null);
+            long ageMs = tick.nowMs() - run.orderAnsweredMs();
             if (isJudged(run, spec)
-                    && !spec.lasting()
-                    && isSlow(ageMs, run.percent(), spec.estimateMs())) {
+                    && !spec.service()
+                    && isSlow(ageMs, run.speedPercent(), spec.estimateMs())) {
                 slow.add(run);
                 jobs.add(run.task().jobId());
             }
         }
         boolean several = jobs.size() >= SLOW_JOBS;
         if (several) {
-            Standings.aside(tick, executor, SLOW_ASIDE_MS, "slow");
+            ExecutorHealth.quarantine(tick, executor, SLOW_ASIDE_MS, "slow");
         }
         for (RunRow run : slow) {
-            boolean first = run.run() % Runs.RUNS_PER_TERM <= MAX_STOPPED_RUNS;
+            boolean first = run.run() % RunLifecycle.RUNS_PER_TERM <= MAX_STOPPED_RUNS;
             if (first && (several || othersAreDone(tick.world(), run))) {
-                Runs.stop(tick, run, StopReason.STALLED);
+                RunLifecycle.requestStop(tick, run, StopReason.STALLED);
             }
         }
     }
@@ -104,20 +104,20 @@
         return spec != null
                 && !spec.gang()
                 && run.stage() == RunStage.RUNNING
-                && run.percent() < FULL
-                && run.pace() >= FULL;
+                && run.speedPercent() < FULL
+                && run.speedLimitPercent() >= FULL;
     }
 
     /** Returns whether most tasks of the run's step are done already. */
     private static boolean othersAreDone(SchedulerWorld world, RunRow run) {
         StepRow step = world.steps().find(run.task().stepKey()).orElse(null);
-        return step != null && step.done().bitCount() > step.left();
+        return step != null && step.doneTasks().bitCount() > step.remaining();
     }
 
     /** Returns for how long a run's listed progress may stay the same. */
     private static long stillLimitMs(StepSpec spec) {
         long perPercentMs = spec.estimateMs() / FULL;
-        return spec.lasting() ? STILL_LASTING_MS : Math.max(STILL_MS, STILL_PERCENT * perPercentMs);
+        return spec.service() ? STILL_LASTING_MS : Math.max(STILL_MS, STILL_PERCENT * perPercentMs);
     }
 
     /**
--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/HostListSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/HostListSystem.java
@@ -2,8 +2,8 @@
 
 import org.hibiscususher.core.scheduler.executor.LostExecutorSystem;
 import org.hibiscususher.core.scheduler.message.SchedulerInput;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.HostListFailed;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.HostsListed;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.HostsNotListed;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.ListHosts;
 import org.hibiscususher.core.scheduler.world.HostListRow;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
@@ -27,13 +27,13 @@
                 world.hosts().clear();
                 listed.hosts().forEach(h -> world.hosts().put(h.id(), h));
                 row = new HostListRow(0, row.sentMs(), tick.nowMs());
-            } else if (input instanceof HostsNotListed failed && failed.callId() == row.callId()) {
+            } else if (input instanceof HostListFailed failed && failed.callId() == row.callId()) {
                 row = new HostListRow(0, row.sentMs(), row.listedMs());
             }
         }
         boolean busy =
-                world.hostTasks().size() > 0
-                        || LostExecutorSystem.isWanted(world)
+                world.hostOperations().size() > 0
+                        || LostExecutorSystem.needsHostList(world)
                         || world.waves().rows().stream().anyMatch(w -> !w.done());
         long everyMs = busy ? BUSY_MS : IDLE_MS;
         boolean free = row.callId() == 0 || tick.nowMs() - row.sentMs() > TIMEOUT_MS;
--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/WaveSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/WaveSystem.java
@@ -5,10 +5,10 @@
 import java.util.List;
 import org.hibiscususher.core.scheduler.message.HostReport;
 import org.hibiscususher.core.scheduler.message.HostState;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.HostOrderAnswered;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.HostOrderCompleted;
 import org.hibiscususher.core.scheduler.message.StoredRecord;
 import org.hibiscususher.core.scheduler.term.Authority;
-import org.hibiscususher.core.scheduler.world.HostTaskRow;
+import org.hibiscususher.core.scheduler.world.HostOperationRow;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
 import org.hibiscususher.core.scheduler.world.WaveRow;
@@ -28,8 +28,8 @@
     /** Runs over the waves and the hosts under way. */
     public static void run(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
-        for (HostOrderAnswered answer : tick.inputs(HostOrderAnswered.class)) {
-            HostSteps.answered(tick, answer);
+        for (HostOrderCompleted answer : tick.inputs(HostOrderCompleted.class)) {
+            HostOperations.handleOrderResult(tick, answer);
         }
         if (world.hostList().get().listedMs() == 0 || !Authority.mayOrderHosts(tick)) {
             return;
@@ -39,8 +39,8 @@
                 advance(tick, wave);
             }
         }
-        for (HostTaskRow row : world.hostTasks().rows()) {
-            HostSteps.advance(tick, row);
+        for (HostOperationRow row : world.hostOperations().rows()) {
+            HostOperations.advance(tick, row);
         }
     }
 
@@ -54,15 +54,15 @@
         int under = 0;
         for (String host : wave.order().hosts()) {
             boolean taken =
-                    world.hostTasks().find(host).filter(t -> t.wave() == number).isPresent();
-            under += taken || HostSteps.mayBeAwayBefore(tick, host) ? 1 : 0;
+                    world.hostOperations().find(host).filter(t -> t.wave() == number).isPresent();
+            under += taken || HostOperations.mayBeOutByEarlierOwner(tick, host) ? 1 : 0;
         }
         List<HostReport> next = new ArrayList<>();
         boolean left = false;
         for (String host : wave.order().hosts()) {
-            boolean open = !wave.begun().contains(host);
+            boolean open = !wave.startedHosts().contains(host);
             left |= open;
-            if (open && !world.hostTasks().contains(host)) {
+            if (open && !world.hostOperations().contains(host)) {
                 world.hosts()
                         .find(host)
                         .filter(h -> h.state() == HostState.UP)
@@ -71,8 +71,8 @@
         }
         next.sort(Comparator.comparingInt(h -> world.runs().group(h.executor()).size()));
         for (HostReport host : next) {
-            if (under < wave.order().cap() + AHEAD) {
-                HostSteps.begin(tick, host, number, "");
+            if (under < wave.order().maxConcurrentHosts() + AHEAD) {
+                HostOperations.begin(tick, host, number, "");
                 under++;
             }
         }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/placement/AdviceSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/placement/AdviceSystem.java
@@ -10,10 +10,10 @@
 import org.hibiscususher.core.job.StepKey;
 import org.hibiscususher.core.scheduler.message.SchedulerInput;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.AdviceFailed;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.AdviceGiven;
-import org.hibiscususher.core.scheduler.message.SchedulerOutput.AskAdvice;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.AdviceReceived;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput.RequestAdvice;
 import org.hibiscususher.core.scheduler.term.Authority;
-import org.hibiscususher.core.scheduler.world.AdviceCallRow;
+import org.hibiscususher.core.scheduler.world.AdviceRequestRow;
 import org.hibiscususher.core.scheduler.world.AdviceRow;
 import org.hibiscususher.core.scheduler.world.ExecutorRow;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
@@ -38,39 +38,39 @@
     public static void run(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
         for (SchedulerInput input : tick.inputs()) {
-            AdviceCallRow call = world.adviceCall().get();
-            if (input instanceof AdviceGiven given && given.callId() == call.callId()) {
+            AdviceRequestRow call = world.adviceRequest().get();
+            if (input instanceof AdviceReceived given && given.callId() == call.callId()) {
                 take(tick, given, call);
             } else if (input instanceof AdviceFailed failed && failed.callId() == call.callId()) {
                 tick.log("advice-failed", "step=" + failed.step());
-                world.adviceCall().set(AdviceCallRow.NONE);
+                world.adviceRequest().set(AdviceRequestRow.NONE);
             }
         }
-        AdviceCallRow call = world.adviceCall().get();
+        AdviceRequestRow call = world.adviceRequest().get();
         boolean free = call.callId() == 0 || tick.nowMs() - call.sentMs() > TIMEOUT_MS;
-        if (free && Authority.mayStart(tick)) {
+        if (free && Authority.mayStartRuns(tick)) {
             askNext(tick);
         }
     }
 
-    private static void take(SchedulerTick tick, AdviceGiven given, AdviceCallRow call) {
+    private static void take(SchedulerTick tick, AdviceReceived given, AdviceRequestRow call) {
         SchedulerWorld world = tick.world();
         AdviceRow before = world.advice().find(given.step()).orElse(null);
         boolean fresh = before != null && before.validUntilMs() > tick.nowMs();
-        Map<String, String> tickets = new HashMap<>(fresh ? before.tickets() : Map.of());
-        Set<String> asked = new HashSet<>(fresh ? before.asked() : Set.of());
-        tickets.putAll(given.tickets());
+        Map<String, String> tickets = new HashMap<>(fresh ? before.tokens() : Map.of());
+        Set<String> asked = new HashSet<>(fresh ? before.requested() : Set.of());
+        tickets.putAll(given.tokens());
         asked.addAll(call.executors());
         long untilMs = call.sentMs() + given.validMs() - MARGIN_MS;
         long validUntilMs = fresh ? Math.min(before.validUntilMs(), untilMs) : untilMs;
         world.advice().put(given.step(), new AdviceRow(given.step(), tickets, asked, validUntilMs));
-        world.adviceCall().set(AdviceCallRow.NONE);
+        world.adviceRequest().set(AdviceRequestRow.NONE);
         tick.log(
                 "advice",
                 "step="
                         + given.step()
                         + " allowed="
-                        + given.tickets().size()
+                        + given.tokens().size()
                         + " asked="
                         + call.executors().size()
                         + " valid_ms="
@@ -87,9 +87,9 @@
                 boolean advised =
                         world.jobs()
                                 .find(task.key().jobId())
-                                .filter(j -> j.terms().advised())
+                                .filter(j -> j.policy().needsPlacementToken())
                                 .isPresent();
-                if (advised && !task.doubtful() && ask(tick, task)) {
+                if (advised && !task.uncertain() && ask(tick, task)) {
                     return;
                 }
             }
@@ -103,8 +103,8 @@
         boolean fresh = known != null && known.validUntilMs() > tick.nowMs();
         List<String> executors = new ArrayList<>();
         for (ExecutorRow row : world.executors().group(task.pool())) {
-            boolean open = !fresh || !known.asked().contains(row.id());
-            if (open && executors.size() < MAX_ASKED && FreeCapacity.isUsable(tick, row)) {
+            boolean open = !fresh || !known.requested().contains(row.id());
+            if (open && executors.size() < MAX_ASKED && FreeCapacity.acceptsRuns(tick, row)) {
                 executors.add(row.id());
             }
         }
@@ -112,17 +112,17 @@
             return false;
         }
         long callId = tick.nextCallId();
-        world.adviceCall().set(new AdviceCallRow(callId, tick.nowMs(), executors));
-        tick.emit(new AskAdvice(callId, step, executors));
+        world.adviceRequest().set(new AdviceRequestRow(callId, tick.nowMs(), executors));
+        tick.emit(new RequestAdvice(callId, step, executors));
         return true;
     }
 
     /** Returns the permission to run a step on an executor, or empty if there is none. */
-    static Optional<String> ticket(SchedulerTick tick, StepKey step, String executor) {
+    static Optional<String> placementToken(SchedulerTick tick, StepKey step, String executor) {
         return tick.world()
                 .advice()
                 .find(step)
                 .filter(a -> a.validUntilMs() > tick.nowMs())
-                .map(a -> a.tickets().get(executor));
+                .map(a -> a.tokens().get(executor));
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/placement/FreeCapacity.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/placement/FreeCapacity.java
@@ -5,8 +5,8 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import org.hibiscususher.core.job.Resources;
-import org.hibiscususher.core.scheduler.world.ContactRow;
 import org.hibiscususher.core.scheduler.world.ExecutorRow;
+import org.hibiscususher.core.scheduler.world.ExecutorSessionRow;
 import org.hibiscususher.core.scheduler.world.RunRow;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
@@ -27,7 +27,7 @@
         SchedulerWorld world = tick.world();
         FreeCapacity room = new FreeCapacity();
         for (ExecutorRow row : world.executors().group(pool)) {
-            if (isUsable(tick, row)) {
+            if (acceptsRuns(tick, row)) {
                 Resources free = row.report().capacity();
                 for (RunRow run : world.runs().group(row.id())) {
                     free = free.minus(run.reserved());
@@ -41,17 +41,17 @@
     }
 
     /** Returns whether an executor may get new runs. */
-    static boolean isUsable(SchedulerTick tick, ExecutorRow row) {
-        ContactRow contact = tick.world().contacts().find(row.id()).orElse(null);
+    static boolean acceptsRuns(SchedulerTick tick, ExecutorRow row) {
+        ExecutorSessionRow contact = tick.world().executorSessions().find(row.id()).orElse(null);
         return contact != null
                 && row.recorded()
                 && !row.cordoned()
                 && !row.report().draining()
-                && row.missingMs() == 0
-                && contact.failures() == 0
-                && contact.answeredMs() != 0
-                && contact.fence() == tick.world().term().get().fence()
-                && contact.asideUntilMs() <= tick.nowMs();
+                && row.missingSinceMs() == 0
+                && contact.consecutiveFailures() == 0
+                && contact.lastAnswerMs() != 0
+                && contact.confirmedFence() == tick.world().term().get().fence()
+                && contact.quarantinedUntilMs() <= tick.nowMs();
     }
 
     /** Returns whether some executor has so much free. */
@@ -82,12 +82,12 @@
     }
 
     /** Returns how many runs an executor has. */
-    int runs(String executor) {
+    int runCount(String executor) {
         return mRuns.get(executor);
     }
 
     /** Takes room for a run. */
-    void take(String executor, Resources reserved) {
+    void reserve(String executor, Resources reserved) {
         mFree.merge(executor, reserved, Resources::minus);
         mRuns.merge(executor, 1, Integer::sum);
     }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/placement/PlacementSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/placement/PlacementSystem.java
@@ -12,16 +12,16 @@
 import org.hibiscususher.core.job.Resources;
 import org.hibiscususher.core.job.StepKey;
 import org.hibiscususher.core.job.StepSpec;
-import org.hibiscususher.core.scheduler.executor.HoldSystem;
-import org.hibiscususher.core.scheduler.executor.Runs;
-import org.hibiscususher.core.scheduler.job.Jobs;
+import org.hibiscususher.core.scheduler.executor.HeartbeatSystem;
+import org.hibiscususher.core.scheduler.executor.RunLifecycle;
+import org.hibiscususher.core.scheduler.job.JobLifecycle;
 import org.hibiscususher.core.scheduler.message.RecordName;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.StartRun;
 import org.hibiscususher.core.scheduler.message.StoredRecord;
 import org.hibiscususher.core.scheduler.message.UsedExecutor;
 import org.hibiscususher.core.scheduler.term.Authority;
-import org.hibiscususher.core.scheduler.world.ContactRow;
 import org.hibiscususher.core.scheduler.world.ExecutorRow;
+import org.hibiscususher.core.scheduler.world.ExecutorSessionRow;
 import org.hibiscususher.core.scheduler.world.JobRow;
 import org.hibiscususher.core.scheduler.world.RunRow;
 import org.hibiscususher.core.scheduler.world.RunStage;
@@ -39,7 +39,7 @@
     /** Runs over the pools that have waiting tasks. */
     public static void run(SchedulerTick tick) {
         recordExecutors(tick);
-        if (!Authority.mayStart(tick)) {
+        if (!Authority.mayStartRuns(tick)) {
             return;
         }
         Map<String, Resources> teams = teamUse(tick.world());
@@ -53,7 +53,7 @@
     /** Has the store name the executors in use, before anything runs on them. */
     private static void recordExecutors(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
-        if (!world.term().get().owns()) {
+        if (!world.term().get().isScheduling()) {
             return;
         }
         List<UsedExecutor> used = new ArrayList<>();
@@ -82,14 +82,14 @@
         if (room.isEmpty()) {
             return;
         }
-        Map<StartOrder, List<TaskRow>> waiting = new TreeMap<>();
-        Map<String, StartOrder> orders = new HashMap<>();
+        Map<StartPriority, List<TaskRow>> waiting = new TreeMap<>();
+        Map<String, StartPriority> orders = new HashMap<>();
         for (TaskRow task : world.tasks().group(group)) {
             JobRow job = world.jobs().find(task.key().jobId()).orElse(null);
-            if (job != null && !task.doubtful() && task.notBeforeMs() <= tick.nowMs()) {
-                StartOrder order =
+            if (job != null && !task.uncertain() && task.notBeforeMs() <= tick.nowMs()) {
+                StartPriority order =
                         orders.computeIfAbsent(
-                                job.id(), id -> StartOrder.of(world, job, tick.nowMs()));
+                                job.id(), id -> StartPriority.of(world, job, tick.nowMs()));
                 waiting.computeIfAbsent(order, o -> new ArrayList<>()).add(task);
             }
         }
@@ -108,7 +108,7 @@
     private static boolean placeOne(
             SchedulerTick tick, FreeCapacity room, Map<String, Resources> teams, TaskRow task) {
         StepKey step = task.key().stepKey();
-        StepSpec spec = Jobs.specOf(tick.world(), step).orElseThrow();
+        StepSpec spec = JobLifecycle.findSpec(tick.world(), step).orElseThrow();
         if (spec.gang()) {
             startGang(tick, room, teams, step, spec);
             return false;
@@ -131,18 +131,23 @@
         if (!room.mayFit(spec.reserved())) {
             return false;
         }
-        Optional<ExecutorRow> executor = ExecutorChoice.find(tick, room, task, spec);
+        Optional<ExecutorRow> executor = ExecutorSelector.select(tick, room, task, spec);
         if (executor.isEmpty()) {
             return false;
         }
-        room.take(executor.get().id(), spec.reserved());
+        room.reserve(executor.get().id(), spec.reserved());
         teams.put(job.team(), use);
-        order(tick, job, task, spec, executor.get(), Runs.nextNumber(world, task));
+        order(tick, job, task, spec, executor.get(), RunLifecycle.nextRunNumber(world, task));
         return true;
     }
 
     private static Resources limit(SchedulerWorld world, String team) {
-        return world.plan().get().plan().team(team).map(JobTeam::limit).orElse(Resources.NONE);
+        return world.configuration()
+                .get()
+                .configuration()
+                .team(team)
+                .map(JobTeam::limit)
+                .orElse(Resources.NONE);
     }
 
     /** Starts all members of a gang or none. */
@@ -164,20 +169,20 @@
         int run = 0;
         for (int i = 0; i < spec.count(); i++) {
             TaskRow task = world.tasks().find(step.task(i)).orElse(null);
-            if (task == null || task.state() != TaskState.WAITING || task.doubtful()) {
+            if (task == null || task.state() != TaskState.WAITING || task.uncertain()) {
                 return;
             }
             members.add(task);
-            run = Math.max(run, Runs.nextNumber(world, task));
+            run = Math.max(run, RunLifecycle.nextRunNumber(world, task));
         }
         List<ExecutorRow> sites = new ArrayList<>();
         for (TaskRow task : members) {
-            Optional<ExecutorRow> site = ExecutorChoice.find(tick, room, task, spec);
+            Optional<ExecutorRow> site = ExecutorSelector.select(tick, room, task, spec);
             if (site.isEmpty()) {
-                sites.forEach(s -> room.take(s.id(), Resources.NONE.minus(spec.reserved())));
+                sites.forEach(s -> room.reserve(s.id(), Resources.NONE.minus(spec.reserved())));
                 return;
             }
-            room.take(site.get().id(), spec.reserved());
+            room.reserve(site.get().id(), spec.reserved());
             sites.add(site.get());
         }
         teams.put(job.team(), use);
@@ -194,15 +199,17 @@
             ExecutorRow executor,
             int number) {
         SchedulerWorld world = tick.world();
-        ContactRow contact = world.contacts().find(executor.id()).orElseThrow();
+        ExecutorSessionRow contact = world.executorSessions().find(executor.id()).orElseThrow();
         long fence = world.term().get().fence();
         long callId = tick.nextCallId();
-        long deadlineMs = contact.clockAt(tick.nowMs()) + world.settings().timing().startValidMs();
-        world.contacts()
+        long deadlineMs =
+                contact.executorClockAt(tick.nowMs()) + world.settings().timing().startValidMs();
+        world.executorSessions()
                 .put(
                         executor.id(),
-                        contact.withLeaseEnd(HoldSystem.leaseEndMs(contact, deadlineMs)));
-        world.tasks().put(task.key(), task.active(number));
+                        contact.withLeaseExtendedTo(
+                                HeartbeatSystem.leaseEndMs(contact, deadlineMs)));
+        world.tasks().put(task.key(), task.asActive(number));
         RunRow run =
                 new RunRow(
                         task.key(),
@@ -224,15 +231,15 @@
         world.runs().put(task.key(), run);
         tick.log(
                 "start",
-                Runs.describe(run)
+                RunLifecycle.describe(run)
                         + " fence="
                         + fence
                         + " waited_ms="
-                        + (tick.nowMs() - task.readyMs())
+                        + (tick.nowMs() - task.readySinceMs())
                         + " executor_age_ms="
-                        + (tick.nowMs() - contact.answeredMs())
+                        + (tick.nowMs() - contact.lastAnswerMs())
                         + " plan="
-                        + world.plan().get().plan().version());
+                        + world.configuration().get().configuration().version());
         tick.count("start");
         tick.emit(
                 new StartRun(
@@ -242,9 +249,10 @@
                         fence,
                         task.key(),
                         number,
-                        job.spec().text(),
+                        job.spec().payload(),
                         task.checkpoint(),
-                        AdviceSystem.ticket(tick, task.key().stepKey(), executor.id()).orElse(""),
+                        AdviceSystem.placementToken(tick, task.key().stepKey(), executor.id())
+                                .orElse(""),
                         deadlineMs));
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/Commits.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/Commits.java
@@ -6,21 +6,21 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Predicate;
-import org.hibiscususher.core.job.CallKind;
+import org.hibiscususher.core.job.JobRequestKind;
 import org.hibiscususher.core.job.JobState;
-import org.hibiscususher.core.scheduler.job.Jobs;
-import org.hibiscususher.core.scheduler.job.Progress;
+import org.hibiscususher.core.scheduler.job.JobLifecycle;
+import org.hibiscususher.core.scheduler.job.JobProgress;
 import org.hibiscususher.core.scheduler.message.RecordGuard;
 import org.hibiscususher.core.scheduler.message.RecordKind;
 import org.hibiscususher.core.scheduler.message.RecordName;
 import org.hibiscususher.core.scheduler.message.RecordWrite;
 import org.hibiscususher.core.scheduler.message.StoredRecord;
-import org.hibiscususher.core.scheduler.world.CallRow;
-import org.hibiscususher.core.scheduler.world.CallStage;
 import org.hibiscususher.core.scheduler.world.CommitPurpose;
 import org.hibiscususher.core.scheduler.world.CommitRow;
 import org.hibiscususher.core.scheduler.world.HostOrderRow;
 import org.hibiscususher.core.scheduler.world.JobRow;
+import org.hibiscususher.core.scheduler.world.PendingRequestRow;
+import org.hibiscususher.core.scheduler.world.PendingRequestStage;
 import org.hibiscususher.core.scheduler.world.RunRow;
 import org.hibiscususher.core.scheduler.world.SchedulerSettings;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
@@ -61,11 +61,12 @@
     }
 
     private static void addNewJobs(SchedulerWorld world, List<StoredRecord> records) {
-        for (CallRow call : world.calls().rows()) {
+        for (PendingRequestRow call : world.pendingRequests().rows()) {
             if (records.size() >= MAX_RECORDS) {
                 return;
             }
-            if (call.stage() == CallStage.STORE && call.call().kind() == CallKind.SUBMIT) {
+            if (call.stage() == PendingRequestStage.AWAITING_STORE
+                    && call.request().kind() == JobRequestKind.SUBMIT) {
                 world.jobs()
                         .find(call.job())
                         .filter(j -> !j.stored())
@@ -78,7 +79,7 @@
 
     private static StoredRecord record(JobRow job) {
         return new StoredRecord.Job(
-                job.id(), job.terms(), job.team(), job.spec(), job.acceptedWallMs());
+                job.id(), job.policy(), job.team(), job.spec(), job.acceptedWallMs());
     }
 
     private static void addProgress(
@@ -91,13 +92,13 @@
             if (records.size() >= MAX_RECORDS) {
                 return;
             }
-            boolean due = tick.nowMs() - job.dirtyMs() >= delayMs;
+            boolean due = tick.nowMs() - job.dirtySinceMs() >= delayMs;
             if (job.stored()
                     && job.isDirty()
                     && due
                     && states.test(job.state())
                     && !versions.containsKey(job.id())) {
-                records.add(Progress.of(tick.world(), job));
+                records.add(JobProgress.toRecord(tick.world(), job));
                 versions.put(job.id(), job.version());
             }
         }
@@ -190,7 +191,7 @@
             open.add(run.task().text());
         }
         for (TaskRow task : world.tasks().rows()) {
-            if (task.doubtful()) {
+            if (task.uncertain()) {
                 open.add(task.key().text());
             }
         }
@@ -203,12 +204,13 @@
     }
 
     /** Applies that a record is stored. */
-    static void stored(SchedulerTick tick, StoredRecord record, Map<String, Long> versions) {
+    static void applyStored(SchedulerTick tick, StoredRecord record, Map<String, Long> versions) {
         SchedulerWorld world = tick.world();
         if (record instanceof StoredRecord.Job job) {
-            Jobs.stored(tick, job.id());
+            JobLifecycle.markStored(tick, job.id());
         } else if (record instanceof StoredRecord.Progress progress) {
-            Jobs.progressStored(tick, progress, versions.getOrDefault(progress.id(), 0L));
+            JobLifecycle.markProgressStored(
+                    tick, progress, versions.getOrDefault(progress.id(), 0L));
         } else {
             if (record instanceof StoredRecord.Executors executors) {
                 executors
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/TermSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/TermSystem.java
@@ -2,8 +2,8 @@
 
 import java.util.List;
 import java.util.Optional;
-import org.hibiscususher.core.job.AnswerKind;
-import org.hibiscususher.core.job.JobAnswer;
+import org.hibiscususher.core.job.JobResponse;
+import org.hibiscususher.core.job.JobResponseKind;
 import org.hibiscususher.core.scheduler.message.Ownership;
 import org.hibiscususher.core.scheduler.message.RecordGuard;
 import org.hibiscususher.core.scheduler.message.RecordName;
@@ -12,27 +12,27 @@
 import org.hibiscususher.core.scheduler.message.SchedulerInput.CommitConflict;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.CommitFailed;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.Committed;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.LeaseDenied;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.LeaseGranted;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.LeaseNotRenewed;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.LeaseRefused;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.LeaseRenewed;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.LoadFailed;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.OwnershipSeen;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.OwnershipUpdated;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.PredecessorRelinquished;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.RecordsLoaded;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.YieldAsked;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.Yielded;
-import org.hibiscususher.core.scheduler.message.SchedulerOutput.Answer;
-import org.hibiscususher.core.scheduler.message.SchedulerOutput.AskYield;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.RelinquishRequested;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput.AskRelinquish;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.Commit;
-import org.hibiscususher.core.scheduler.message.SchedulerOutput.FollowExecutors;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.GrantLease;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.LoadRecords;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.RenewLease;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput.Respond;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput.WatchExecutors;
 import org.hibiscususher.core.scheduler.message.StoredRecord;
-import org.hibiscususher.core.scheduler.world.ClaimRow;
-import org.hibiscususher.core.scheduler.world.ClockRow;
+import org.hibiscususher.core.scheduler.world.LastTickRow;
+import org.hibiscususher.core.scheduler.world.LeaseRenewalRow;
+import org.hibiscususher.core.scheduler.world.OwnershipClaimRow;
 import org.hibiscususher.core.scheduler.world.OwnershipRow;
-import org.hibiscususher.core.scheduler.world.RenewalRow;
 import org.hibiscususher.core.scheduler.world.SchedulerSettings;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 import org.hibiscususher.core.scheduler.world.SchedulerTiming;
@@ -70,27 +70,27 @@
 
     private static void noticeSuspension(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
-        ClockRow before = world.clock().get();
-        world.clock().set(new ClockRow(tick.nowMs(), tick.wallMs()));
+        LastTickRow before = world.lastTick().get();
+        world.lastTick().set(new LastTickRow(tick.nowMs(), tick.wallMs()));
         long passedMs = tick.nowMs() - before.nowMs();
         long wallMs = tick.wallMs() - before.wallMs();
         if (before.wallMs() != 0
                 && wallMs - passedMs > SUSPENSION_MS
-                && world.term().get().owns()) {
+                && world.term().get().isScheduling()) {
             tick.log("suspended", "steady_ms=" + passedMs + " wall_ms=" + wallMs);
-            long graceMs = world.settings().timing().graceMs();
+            long graceMs = world.settings().timing().ownerGraceMs();
             world.term().set(world.term().get().withValidUntil(tick.nowMs() - graceMs));
-            world.renewal().set(new RenewalRow(0, 0));
+            world.leaseRenewal().set(new LeaseRenewalRow(0, 0));
         }
     }
 
     private static void take(SchedulerTick tick, SchedulerInput input) {
         long awaited = tick.world().term().get().callId();
-        if (input instanceof OwnershipSeen seen) {
+        if (input instanceof OwnershipUpdated seen) {
             ownershipSeen(tick, seen.ownership());
         } else if (input instanceof LeaseGranted granted && granted.callId() == awaited) {
             claim(tick, granted);
-        } else if (input instanceof LeaseRefused refused && refused.callId() == awaited) {
+        } else if (input instanceof LeaseDenied refused && refused.callId() == awaited) {
             retryLater(tick);
         } else if (input instanceof Committed done && done.callId() == awaited) {
             claimed(tick, done.revision());
@@ -99,12 +99,12 @@
         } else if (input instanceof CommitFailed failed && failed.callId() == awaited) {
             retryLater(tick);
         } else if (input instanceof RecordsLoaded loaded && loaded.callId() == awaited) {
-            Takeover.load(tick, loaded.records());
+            Takeover.restore(tick, loaded.records());
         } else if (input instanceof LoadFailed failed && failed.callId() == awaited) {
             load(tick);
-        } else if (input instanceof YieldAsked asked) {
+        } else if (input instanceof RelinquishRequested asked) {
             yieldTo(tick, asked);
-        } else if (input instanceof Yielded yielded) {
+        } else if (input instanceof PredecessorRelinquished yielded) {
             predecessorYielded(tick, yielded.generation());
         } else if (input instanceof LeaseRenewed renewed) {
             renewed(tick, renewed);
@@ -113,20 +113,20 @@
         }
     }
 
-    private static void yieldTo(SchedulerTick tick, YieldAsked asked) {
+    private static void yieldTo(SchedulerTick tick, RelinquishRequested asked) {
         TermRow term = tick.world().term().get();
-        boolean owner = term.owns() || term.stage().isOwner();
+        boolean owner = term.isScheduling() || term.stage().isOwner();
         if (owner && term.generation() < asked.generation()) {
             StepDown.run(tick, "yielded-to=" + asked.generation());
         }
-        tick.emit(new Answer(asked.callId(), JobAnswer.of(AnswerKind.ACCEPTED)));
+        tick.emit(new Respond(asked.callId(), JobResponse.of(JobResponseKind.ACCEPTED)));
     }
 
     private static void predecessorYielded(SchedulerTick tick, long generation) {
         TermRow term = tick.world().term().get();
         if (term.stage().isOwner() && term.generation() == generation) {
             tick.log("predecessor-yielded", "generation=" + generation);
-            tick.world().term().set(term.withReleasedPredecessor());
+            tick.world().term().set(term.withPredecessorReleased());
             Takeover.shortenWaits(tick);
         }
     }
@@ -146,7 +146,7 @@
                             + seen.term().map(StoredRecord.Term::generation).orElse(0L));
         }
         TermRow term = world.term().get();
-        boolean owner = term.owns() || term.stage().isOwner();
+        boolean owner = term.isScheduling() || term.stage().isOwner();
         if (!owner || seen.termRevision() < term.fence()) {
             return;
         }
@@ -164,7 +164,7 @@
                 .term()
                 .set(
                         term.withCall(TermStage.FOLLOWING, 0, 0)
-                                .withKeptState(true)
+                                .withRetainedTables(true)
                                 .withClaimAt(tick.nowMs()));
     }
 
@@ -184,9 +184,10 @@
             claimLost(tick);
             return;
         }
-        ClaimRow claim = claimRow(seen, self, term.sentMs() + granted.ttlMs() - LEASE_MARGIN_MS);
+        OwnershipClaimRow claim =
+                claimRow(seen, self, term.sentMs() + granted.ttlMs() - LEASE_MARGIN_MS);
         long callId = tick.nextCallId();
-        world.claim().set(claim);
+        world.ownershipClaim().set(claim);
         world.term()
                 .set(
                         term.withLease(granted.leaseId(), term.validUntilMs())
@@ -212,15 +213,16 @@
                         CLAIM_TIMEOUT_MS));
     }
 
-    private static ClaimRow claimRow(Ownership seen, SchedulerSettings self, long validUntilMs) {
+    private static OwnershipClaimRow claimRow(
+            Ownership seen, SchedulerSettings self, long validUntilMs) {
         Optional<StoredRecord.Term> last = seen.term();
-        return new ClaimRow(
+        return new OwnershipClaimRow(
                 last.map(StoredRecord.Term::generation).orElse(0L) + 1,
                 validUntilMs,
                 last.map(StoredRecord.Term::node).orElse(""),
                 last.map(StoredRecord.Term::address).orElse(""),
                 last.map(t -> endedFor(t, self)).orElse(true),
-                last.filter(StoredRecord.Term::released).map(StoredRecord.Term::open));
+                last.filter(StoredRecord.Term::released).map(StoredRecord.Term::unsettled));
     }
 
     /** Returns whether the process of an earlier term surely gives no more orders. */
@@ -234,9 +236,9 @@
         if (term.stage() != TermStage.CLAIMING) {
             return;
         }
-        ClaimRow claim = world.claim().get();
-        boolean kept = term.keepsState();
-        world.renewal().set(new RenewalRow(0, tick.nowMs()));
+        OwnershipClaimRow claim = world.ownershipClaim().get();
+        boolean kept = term.retainsTables();
+        world.leaseRenewal().set(new LeaseRenewalRow(0, tick.nowMs()));
         world.term()
                 .set(
                         new TermRow(
@@ -250,7 +252,7 @@
                                 0,
                                 0,
                                 false,
-                                claim.released()));
+                                claim.predecessorReleased()));
         tick.log(
                 "owner-taken",
                 "generation="
@@ -262,14 +264,14 @@
                         + " predecessor="
                         + claim.predecessor()
                         + " released="
-                        + claim.released());
+                        + claim.predecessorReleased());
         tick.count("owner.taken");
-        if (!claim.released()) {
-            tick.emit(new AskYield(claim.predecessorAddress(), claim.generation()));
+        if (!claim.predecessorReleased()) {
+            tick.emit(new AskRelinquish(claim.predecessorAddress(), claim.generation()));
         }
         if (!kept) {
             world.clearOwnerTables();
-            tick.emit(new FollowExecutors(true));
+            tick.emit(new WatchExecutors(true));
             load(tick);
         }
         world.revisions().put(RecordName.TERM, revision);
@@ -292,25 +294,25 @@
 
     private static void renewed(SchedulerTick tick, LeaseRenewed renewed) {
         SchedulerWorld world = tick.world();
-        RenewalRow renewal = world.renewal().get();
+        LeaseRenewalRow renewal = world.leaseRenewal().get();
         TermRow term = world.term().get();
         if (renewal.callId() != renewed.callId() || !term.stage().isOwner()) {
             return;
         }
         long ttlMs = world.settings().timing().ownerTtlMs();
-        world.renewal().set(new RenewalRow(0, renewal.sentMs()));
+        world.leaseRenewal().set(new LeaseRenewalRow(0, renewal.sentMs()));
         world.term().set(term.withValidUntil(renewal.sentMs() + ttlMs - LEASE_MARGIN_MS));
-        world.store().set(world.store().get().reached(tick.nowMs()));
+        world.storeHealth().set(world.storeHealth().get().withSuccess(tick.nowMs()));
     }
 
     private static void notRenewed(SchedulerTick tick, LeaseNotRenewed failed) {
         SchedulerWorld world = tick.world();
-        RenewalRow renewal = world.renewal().get();
+        LeaseRenewalRow renewal = world.leaseRenewal().get();
         if (renewal.callId() != failed.callId()) {
             return;
         }
-        world.renewal().set(new RenewalRow(0, renewal.sentMs()));
-        if (failed.ended() && world.term().get().stage() == TermStage.OWNING) {
+        world.leaseRenewal().set(new LeaseRenewalRow(0, renewal.sentMs()));
+        if (failed.expired() && world.term().get().stage() == TermStage.OWNING) {
             leaseEnded(tick);
         }
     }
@@ -332,9 +334,9 @@
         SchedulerWorld world = tick.world();
         TermRow term = world.term().get();
         OwnershipRow seen = world.ownership().get();
-        boolean stopping = world.node().get().stopAskedMs() != 0;
-        if (!seen.known() || stopping && !term.keepsState() || !isFree(world)) {
-            if (term.claimAtMs() != 0 && !term.keepsState()) {
+        boolean stopping = world.nodeState().get().shutdownRequestedMs() != 0;
+        if (!seen.known() || stopping && !term.retainsTables() || !isFree(world)) {
+            if (term.claimAtMs() != 0 && !term.retainsTables()) {
                 world.term().set(term.withClaimAt(0));
             }
             return;
@@ -353,18 +355,21 @@
     private static boolean isFree(SchedulerWorld world) {
         Optional<StoredRecord.Owner> owner = world.ownership().get().ownership().owner();
         boolean own = owner.map(o -> o.node().equals(world.settings().node())).orElse(true);
-        return own || OfferSystem.isOffered(world);
+        return own || HandoverSystem.isHandoverOffered(world);
     }
 
     private static void renew(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
-        RenewalRow renewal = world.renewal().get();
+        LeaseRenewalRow renewal = world.leaseRenewal().get();
         SchedulerTiming timing = world.settings().timing();
         long sinceMs = tick.nowMs() - renewal.sentMs();
-        boolean due = renewal.callId() == 0 ? sinceMs >= timing.renewMs() : sinceMs >= RETRY_MS * 3;
+        boolean due =
+                renewal.callId() == 0
+                        ? sinceMs >= timing.renewalIntervalMs()
+                        : sinceMs >= RETRY_MS * 3;
         if (due) {
             long callId = tick.nextCallId();
-            world.renewal().set(new RenewalRow(callId, tick.nowMs()));
+            world.leaseRenewal().set(new LeaseRenewalRow(callId, tick.nowMs()));
             tick.emit(new RenewLease(callId, world.term().get().leaseId()));
         }
     }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/CallRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/PendingRequestRow.java
@@ -2,21 +2,26 @@
 
 import static java.util.Objects.requireNonNull;
 
-import org.hibiscususher.core.job.JobCall;
+import org.hibiscususher.core.job.JobRequest;
 
 /**
  * A caller's request that waits.
  *
  * @param callId id
- * @param call request
+ * @param request request
  * @param job the job that has to be stored; empty for none
  * @param stage what it waits for
- * @param sinceMs since when
+ * @param waitingSinceMs since when
  */
-public record CallRow(long callId, JobCall call, String job, CallStage stage, long sinceMs) {
+public record PendingRequestRow(
+        long callId,
+        JobRequest request,
+        String job,
+        PendingRequestStage stage,
+        long waitingSinceMs) {
     /** Checks the parts. */
-    public CallRow {
-        requireNonNull(call);
+    public PendingRequestRow {
+        requireNonNull(request);
         requireNonNull(job);
         requireNonNull(stage);
     }
