--- a/core/src/main/java/org/hibiscususher/core/escrow/Ledgers.java
+++ b/core/src/main/java/org/hibiscususher/core/escrow/AllocationLedger.java
@@ -16,12 +16,12 @@
 import org.hibiscususher.core.world.World;
 
 /** The ledger of the permits that this entry allocates. */
-final class Ledgers {
-    private Ledgers() {}
+final class AllocationLedger {
+    private AllocationLedger() {}
 
     /** Takes in a return and acknowledges it. */
-    static void returned(Exchange exchange, MemberKey from, Returned returned) {
-        if (change(
+    static void applyReturn(MessageExchange exchange, MemberKey from, Returned returned) {
+        if (updateAccount(
                 exchange,
                 from,
                 returned.permit(),
@@ -36,12 +36,13 @@
     }
 
     /** Takes in that a member has seen a grant. */
-    static void grantSeen(Exchange exchange, MemberKey from, GrantSeen seen) {
-        change(exchange, from, seen.permit(), seen.basis(), a -> a.withGrantSeen(seen.granted()));
+    static void applyGrantAck(MessageExchange exchange, MemberKey from, GrantSeen seen) {
+        updateAccount(
+                exchange, from, seen.permit(), seen.basis(), a -> a.withGrantSeen(seen.granted()));
     }
 
-    private static boolean change(
-            Exchange exchange,
+    private static boolean updateAccount(
+            MessageExchange exchange,
             MemberKey from,
             PermitKey key,
             long basis,
@@ -55,18 +56,18 @@
     }
 
     /** Returns how many permits may be granted now; negative if too many are out. */
-    static int free(World world, TenureRow tenure, LedgerRow row) {
-        return bound(world, tenure, row) - row.outstanding();
+    static int grantable(World world, TenureRow tenure, LedgerRow row) {
+        return limit(world, tenure, row) - row.outstanding();
     }
 
     /** Returns how many permits may be out among the members that have answered. */
-    static int bound(World world, TenureRow tenure, LedgerRow row) {
+    static int limit(World world, TenureRow tenure, LedgerRow row) {
         int total = world.totals().find(row.key()).map(TotalRow::total).orElse(0);
         return total - (tenure.inDoubt() ? row.unclaimed() : 0);
     }
 
     /** Makes sure that each permit of a group that may exist has a row. */
-    static void open(World world, TenureRow tenure) {
+    static void ensureRows(World world, TenureRow tenure) {
         for (TotalRow total : List.copyOf(world.totals().group(tenure.group()))) {
             if (!world.ledger().contains(total.key())) {
                 world.ledger()
@@ -76,7 +77,8 @@
     }
 
     /** Grants permits to a member that has answered. */
-    static void grant(Exchange exchange, PermitKey key, MemberKey member, long basis, int count) {
+    static void grant(
+            MessageExchange exchange, PermitKey key, MemberKey member, long basis, int count) {
         LedgerRow row = exchange.world().ledger().find(key).orElseThrow();
         Account account = row.account(member).orElse(Account.of(member, basis, 0));
         Account grown = account.withGranted(count).withSent(exchange.nowMs());
@@ -85,25 +87,25 @@
     }
 
     /** Sends the grants of a group again that were not acknowledged; returns if there are any. */
-    static boolean resend(Exchange exchange, TenureRow tenure) {
+    static boolean resendGrants(MessageExchange exchange, TenureRow tenure) {
         boolean unseen = false;
         for (LedgerRow row : List.copyOf(exchange.world().ledger().group(tenure.group()))) {
             for (Account account : row.accounts()) {
-                if (account.unseen() && !resting(tenure, account.member())) {
+                if (account.unseen() && !awaitsReclaim(tenure, account.member())) {
                     unseen = true;
-                    resend(exchange, row.key(), account);
+                    resendGrants(exchange, row.key(), account);
                 }
             }
         }
         return unseen;
     }
 
-    private static boolean resting(TenureRow tenure, MemberKey member) {
+    private static boolean awaitsReclaim(TenureRow tenure, MemberKey member) {
         TenureRow.Answer answer = tenure.answers().get(member);
         return answer == null || answer.restUntilMs() != TenureRow.NEVER;
     }
 
-    private static void resend(Exchange exchange, PermitKey key, Account account) {
+    private static void resendGrants(MessageExchange exchange, PermitKey key, Account account) {
         if (exchange.nowMs() - account.sentMs() < EscrowTiming.RESEND_MS) {
             return;
         }
--- a/core/src/main/java/org/hibiscususher/core/escrow/Attachments.java
+++ b/core/src/main/java/org/hibiscususher/core/escrow/AllocatorBindings.java
@@ -25,11 +25,11 @@
  * basis. When it changes, they are frozen into a claim: nothing that was granted under the former
  * basis is taken any more.
  */
-final class Attachments {
-    private Attachments() {}
+final class AllocatorBindings {
+    private AllocatorBindings() {}
 
     /** Attaches to the allocators of the newest membership record. */
-    static void follow(Exchange exchange) {
+    static void rebind(MessageExchange exchange) {
         World world = exchange.world();
         MembershipRecord record = world.membership().record();
         Set<PermitGroup> groups = new LinkedHashSet<>(world.totals().groups());
@@ -39,7 +39,7 @@
             Optional<MemberKey> followed =
                     world.attachments().find(group).map(AttachmentRow::allocator);
             if (allocator.isPresent() && !allocator.equals(followed)) {
-                attach(world, group, allocator.get(), record.epoch());
+                bind(world, group, allocator.get(), record.epoch());
             }
         }
     }
@@ -56,7 +56,7 @@
                 .map(m -> new MemberKey(m.id(), m.incarnation()));
     }
 
-    private static void attach(World world, PermitGroup group, MemberKey allocator, long epoch) {
+    private static void bind(World world, PermitGroup group, MemberKey allocator, long epoch) {
         for (HoldingRow holding : List.copyOf(world.holdings().group(group))) {
             if (holding.held() == 0) {
                 world.holdings().remove(holding.key());
@@ -69,7 +69,7 @@
     }
 
     /** Attaches anew, if the record allows it, to an allocator that has no current claim. */
-    static void asked(Exchange exchange, MemberKey from, ClaimAsked asked) {
+    static void handleClaimRequest(MessageExchange exchange, MemberKey from, ClaimAsked asked) {
         World world = exchange.world();
         MembershipRecord record = world.membership().record();
         PermitGroup group = asked.group();
@@ -82,13 +82,13 @@
                 row.map(a -> a.allocator().equals(from) && a.basis() >= asked.epoch())
                         .orElse(false);
         if (!current) {
-            attach(world, group, from, record.epoch());
+            bind(world, group, from, record.epoch());
         }
-        claim(exchange, world.attachments().find(group).orElseThrow());
+        sendClaim(exchange, world.attachments().find(group).orElseThrow());
     }
 
     /** Sends the claim of a group; it is the same each time under one basis. */
-    static void claim(Exchange exchange, AttachmentRow row) {
+    static void sendClaim(MessageExchange exchange, AttachmentRow row) {
         World world = exchange.world();
         List<ClaimedPermit> permits = new ArrayList<>();
         for (HoldingRow holding : world.holdings().group(row.group())) {
@@ -109,7 +109,7 @@
     }
 
     /** Takes in how many permits of a group to keep. */
-    static void targeted(Exchange exchange, Delivery delivery, Target target) {
+    static void applyTarget(MessageExchange exchange, ReceivedItem delivery, Target target) {
         exchange.world()
                 .attachments()
                 .find(target.group())
--- a/core/src/main/java/org/hibiscususher/core/escrow/Tenures.java
+++ b/core/src/main/java/org/hibiscususher/core/escrow/AllocatorTerms.java
@@ -28,11 +28,11 @@
  * Until every member that may hold permits of the group has claimed under a basis no older than the
  * tenure, what is unclaimed counts as held.
  */
-final class Tenures {
-    private Tenures() {}
+final class AllocatorTerms {
+    private AllocatorTerms() {}
 
     /** Begins, goes on with and ends tenures as the newest membership record demands. */
-    static void follow(Exchange exchange) {
+    static void update(MessageExchange exchange) {
         World world = exchange.world();
         MembershipRecord record = world.membership().record();
         Map<MemberKey, MemberState> listed = new LinkedHashMap<>();
@@ -40,33 +40,37 @@
             listed.put(new MemberKey(member.id(), member.incarnation()), member.state());
         }
         for (TenureRow tenure : world.tenures().rows()) {
-            if (own(exchange, tenure.group(), record)) {
-                world.tenures().put(tenure.group(), goOn(exchange, tenure, listed));
+            if (isAllocator(exchange, tenure.group(), record)) {
+                world.tenures().put(tenure.group(), renew(exchange, tenure, listed));
             } else {
                 end(world, tenure.group());
             }
         }
         for (PermitGroup group : world.totals().groups()) {
-            if (!world.tenures().contains(group) && own(exchange, group, record)) {
+            if (!world.tenures().contains(group) && isAllocator(exchange, group, record)) {
                 begin(exchange, group, record.epoch(), listed);
             }
         }
     }
 
-    private static boolean own(Exchange exchange, PermitGroup group, MembershipRecord record) {
-        return Attachments.allocatorOf(group, record).equals(Optional.of(exchange.self()));
+    private static boolean isAllocator(
+            MessageExchange exchange, PermitGroup group, MembershipRecord record) {
+        return AllocatorBindings.allocatorOf(group, record).equals(Optional.of(exchange.self()));
     }
 
     private static void begin(
-            Exchange exchange, PermitGroup group, long epoch, Map<MemberKey, MemberState> listed) {
+            MessageExchange exchange,
+            PermitGroup group,
+            long epoch,
+            Map<MemberKey, MemberState> listed) {
         Map<MemberKey, Answer> answers = new LinkedHashMap<>();
         listed.forEach(
                 (member, state) ->
-                        answers.put(member, new Answer(-1, state, restUntil(exchange, state))));
+                        answers.put(member, new Answer(-1, state, reclaimTimeMs(exchange, state))));
         exchange.world().tenures().put(group, new TenureRow(group, epoch, answers, 0, -1));
     }
 
-    private static long restUntil(Exchange exchange, MemberState state) {
+    private static long reclaimTimeMs(MessageExchange exchange, MemberState state) {
         return state.mayHold()
                 ? TenureRow.NEVER
                 : exchange.nowMs() + exchange.world().escrow().longestRunMs();
@@ -81,34 +85,34 @@
         world.advice().removeIf(a -> a.key().group().equals(group));
     }
 
-    private static TenureRow goOn(
-            Exchange exchange, TenureRow tenure, Map<MemberKey, MemberState> listed) {
+    private static TenureRow renew(
+            MessageExchange exchange, TenureRow tenure, Map<MemberKey, MemberState> listed) {
         TenureRow changed = tenure.withDue(0);
         for (Map.Entry<MemberKey, Answer> entry : tenure.answers().entrySet()) {
             MemberKey member = entry.getKey();
             Answer answer = entry.getValue();
             MemberState state = listed.get(member);
             if (state == null && answer.state().provenOver()) {
-                changed = forget(exchange.world(), changed, member);
+                changed = reclaim(exchange.world(), changed, member);
             } else {
-                changed = changed.withAnswer(member, renewed(exchange, answer, state));
+                changed = changed.withAnswer(member, updated(exchange, answer, state));
             }
         }
         return changed;
     }
 
     /** Returns what is known of a member that is listed in a state, or no longer (null). */
-    private static Answer renewed(Exchange exchange, Answer answer, MemberState state) {
+    private static Answer updated(MessageExchange exchange, Answer answer, MemberState state) {
         MemberState resting = state == null ? MemberState.DEAD : state;
         long rest =
                 answer.restUntilMs() == TenureRow.NEVER
-                        ? restUntil(exchange, resting)
+                        ? reclaimTimeMs(exchange, resting)
                         : answer.restUntilMs();
         return new Answer(answer.basis(), state == null ? answer.state() : state, rest);
     }
 
     /** Frees what a member held. */
-    private static TenureRow forget(World world, TenureRow tenure, MemberKey member) {
+    private static TenureRow reclaim(World world, TenureRow tenure, MemberKey member) {
         for (LedgerRow row : List.copyOf(world.ledger().group(tenure.group()))) {
             if (row.account(member).isPresent()) {
                 world.ledger().put(row.key(), row.without(member));
@@ -118,23 +122,23 @@
     }
 
     /** Takes in a claim of a member of the record and acknowledges it with targets. */
-    static void claimed(Exchange exchange, MemberKey from, Claim claim) {
+    static void applyClaim(MessageExchange exchange, MemberKey from, Claim claim) {
         World world = exchange.world();
         Optional<TenureRow> found = world.tenures().find(claim.group());
         if (found.isEmpty() || claim.basis() < found.get().sinceEpoch() || !mayClaim(world, from)) {
             return;
         }
         TenureRow tenure = found.get();
-        Ledgers.open(world, tenure);
+        AllocationLedger.ensureRows(world, tenure);
         Answer before = tenure.answers().get(from);
         if (before == null || before.basis() < claim.basis()) {
             boolean first = before == null || !before.known();
-            enter(world, claim, from, first && before != null);
+            recordClaim(world, claim, from, first && before != null);
             MemberState state = before == null ? MemberState.ACTIVE : before.state();
             long rest = before == null ? TenureRow.NEVER : before.restUntilMs();
             tenure = tenure.withAnswer(from, new Answer(claim.basis(), state, rest));
         }
-        world.advice().remove(Demands.keyOf(claim.group(), from));
+        world.advice().remove(DemandReports.keyOf(claim.group(), from));
         world.tenures().put(claim.group(), tenure.withDue(exchange.nowMs()));
     }
 
@@ -147,7 +151,8 @@
                                         && m.state().mayHold());
     }
 
-    private static void enter(World world, Claim claim, MemberKey from, boolean fromUnclaimed) {
+    private static void recordClaim(
+            World world, Claim claim, MemberKey from, boolean fromUnclaimed) {
         for (LedgerRow row : List.copyOf(world.ledger().group(claim.group()))) {
             if (row.account(from).isPresent()) {
                 world.ledger().put(row.key(), row.without(from));
@@ -158,7 +163,7 @@
             if (!world.ledger().contains(key)) {
                 world.ledger().put(key, new LedgerRow(key, 0, List.of()));
             }
-            Totals.raiseHighest(world, key, permit.highest());
+            PermitLimits.raiseHighest(world, key, permit.highest());
             LedgerRow row = world.ledger().find(key).orElseThrow();
             if (permit.held() > 0) {
                 row = row.withAccount(Account.of(from, claim.basis(), permit.held()));
@@ -168,22 +173,22 @@
     }
 
     /** Looks at the groups that are due: asks for claims, frees what has rested, and balances. */
-    static void pass(Exchange exchange) {
+    static void runDue(MessageExchange exchange) {
         for (TenureRow row : exchange.world().tenures().rows()) {
             if (row.dueMs() <= exchange.nowMs()) {
-                pass(exchange, row);
+                runDue(exchange, row);
             }
         }
     }
 
-    private static void pass(Exchange exchange, TenureRow row) {
+    private static void runDue(MessageExchange exchange, TenureRow row) {
         World world = exchange.world();
-        Ledgers.open(world, row);
-        TenureRow tenure = endRests(exchange, row);
-        tenure = ask(exchange, tenure);
+        AllocationLedger.ensureRows(world, row);
+        TenureRow tenure = reclaimDue(exchange, row);
+        tenure = requestClaims(exchange, tenure);
         world.tenures().put(tenure.group(), tenure);
-        boolean active = Balance.run(exchange, tenure);
-        boolean unseen = Ledgers.resend(exchange, tenure);
+        boolean active = PermitBalancer.run(exchange, tenure);
+        boolean unseen = AllocationLedger.resendGrants(exchange, tenure);
         long next = TenureRow.NEVER;
         for (Answer answer : tenure.answers().values()) {
             next = Math.min(next, answer.restUntilMs());
@@ -194,17 +199,17 @@
         world.tenures().put(tenure.group(), tenure.withNextDue(next));
     }
 
-    private static TenureRow endRests(Exchange exchange, TenureRow row) {
+    private static TenureRow reclaimDue(MessageExchange exchange, TenureRow row) {
         TenureRow tenure = row;
         for (Map.Entry<MemberKey, Answer> entry : row.answers().entrySet()) {
             if (entry.getValue().restUntilMs() <= exchange.nowMs()) {
-                tenure = forget(exchange.world(), tenure, entry.getKey());
+                tenure = reclaim(exchange.world(), tenure, entry.getKey());
             }
         }
         return tenure;
     }
 
-    private static TenureRow ask(Exchange exchange, TenureRow tenure) {
+    private static TenureRow requestClaims(MessageExchange exchange, TenureRow tenure) {
         boolean due =
                 tenure.askedMs() < 0
                         || exchange.nowMs() - tenure.askedMs() >= EscrowTiming.ASK_AGAIN_MS;
@@ -214,7 +219,7 @@
         tenure.answers()
                 .forEach(
                         (member, answer) -> {
-                            if (!answer.known() && hears(exchange, member)) {
+                            if (!answer.known() && isHeard(exchange, member)) {
                                 exchange.send(
                                         member,
                                         new ClaimAsked(tenure.sinceEpoch(), tenure.group()));
@@ -223,7 +228,7 @@
         return tenure.withAsked(exchange.nowMs());
     }
 
-    private static boolean hears(Exchange exchange, MemberKey member) {
+    private static boolean isHeard(MessageExchange exchange, MemberKey member) {
         World world = exchange.world();
         Optional<MemberRow> row = world.members().find(member.id());
         return member.equals(exchange.self())
--- a/core/src/main/java/org/hibiscususher/core/escrow/Demands.java
+++ b/core/src/main/java/org/hibiscususher/core/escrow/DemandReports.java
@@ -23,11 +23,11 @@
 import org.hibiscususher.core.world.World;
 
 /** What entries and allocators tell each other of work waiting and running. */
-final class Demands {
+final class DemandReports {
     /** Units that a team may ask for ahead of the slots that its waiting requests can take. */
     private static final int UNITS_AHEAD = 2;
 
-    private Demands() {}
+    private DemandReports() {}
 
     /** Returns the name of a member's demand for a group. */
     static DemandRow.Key keyOf(PermitGroup group, MemberKey member) {
@@ -35,7 +35,7 @@
     }
 
     /** Takes in the demand of a member. */
-    static void received(Exchange exchange, Delivery delivery, Demand demand) {
+    static void applyDemand(MessageExchange exchange, ReceivedItem delivery, Demand demand) {
         World world = exchange.world();
         Optional<TenureRow> tenure = world.tenures().find(demand.group());
         if (tenure.isEmpty()) {
@@ -57,7 +57,7 @@
     }
 
     /** Takes in what the teams are due of a pool at this entry. */
-    static void due(Exchange exchange, Delivery delivery, Dues dues) {
+    static void due(MessageExchange exchange, ReceivedItem delivery, Dues dues) {
         World world = exchange.world();
         PermitGroup group = PermitGroup.pool(dues.pool());
         boolean followed =
@@ -79,16 +79,17 @@
     }
 
     /** Reports this entry's demand to the allocators where it has changed, or from time to time. */
-    static void report(Exchange exchange) {
+    static void reportChanges(MessageExchange exchange) {
         World world = exchange.world();
-        Map<PermitGroup, List<TeamDemand>> demands = gather(world);
+        Map<PermitGroup, List<TeamDemand>> demands = localDemand(world);
         for (ReportRow report : world.reports().rows()) {
             demands.putIfAbsent(report.group(), List.of());
         }
         demands.forEach((group, teams) -> report(exchange, group, teams));
     }
 
-    private static void report(Exchange exchange, PermitGroup group, List<TeamDemand> teams) {
+    private static void report(
+            MessageExchange exchange, PermitGroup group, List<TeamDemand> teams) {
         World world = exchange.world();
         Optional<AttachmentRow> attachment = world.attachments().find(group);
         if (attachment.isEmpty()) {
@@ -96,7 +97,7 @@
         }
         MemberKey allocator = attachment.get().allocator();
         Optional<ReportRow> before = world.reports().find(group);
-        if (!due(exchange, before, teams)) {
+        if (!isReportDue(exchange, before, teams)) {
             return;
         }
         if (teams.isEmpty()) {
@@ -107,8 +108,8 @@
         exchange.send(allocator, new Demand(group, teams));
     }
 
-    private static boolean due(
-            Exchange exchange, Optional<ReportRow> before, List<TeamDemand> teams) {
+    private static boolean isReportDue(
+            MessageExchange exchange, Optional<ReportRow> before, List<TeamDemand> teams) {
         if (before.isEmpty()) {
             return !teams.isEmpty();
         }
@@ -116,19 +117,20 @@
         if (before.get().teams().equals(teams)) {
             return ageMs >= EscrowTiming.REFRESH_MS;
         }
-        return ageMs >= EscrowTiming.REPORT_MS || waits(teams) && !waits(before.get().teams());
+        return ageMs >= EscrowTiming.REPORT_MS
+                || hasWaiting(teams) && !hasWaiting(before.get().teams());
     }
 
-    private static boolean waits(List<TeamDemand> teams) {
+    private static boolean hasWaiting(List<TeamDemand> teams) {
         return teams.stream().anyMatch(t -> t.quickWaiting() + t.longWaiting() > 0);
     }
 
-    private static Map<PermitGroup, List<TeamDemand>> gather(World world) {
+    private static Map<PermitGroup, List<TeamDemand>> localDemand(World world) {
         Map<String, Map<String, TeamDemand>> pools = new LinkedHashMap<>();
         for (RequestLane lane : world.requests().groups()) {
             int count = world.requests().group(lane).size();
             pools.computeIfAbsent(lane.pool(), p -> new TreeMap<>())
-                    .merge(lane.team(), demandOf(lane, count), Demands::sum);
+                    .merge(lane.team(), requestDemand(lane, count), DemandReports::sum);
         }
         Map<PermitGroup, List<TeamDemand>> demands = new LinkedHashMap<>();
         Map<String, TeamDemand> units = new LinkedHashMap<>();
@@ -137,14 +139,14 @@
                     demands.put(PermitGroup.pool(pool), List.copyOf(teams.values()));
                     int ahead = idleSlots(world, pool) + UNITS_AHEAD;
                     for (TeamDemand team : teams.values()) {
-                        units.merge(team.team(), unitsOf(team, ahead), Demands::sum);
+                        units.merge(team.team(), unitDemand(team, ahead), DemandReports::sum);
                     }
                 });
         units.forEach((team, demand) -> demands.put(PermitGroup.team(team), List.of(demand)));
         return demands;
     }
 
-    private static TeamDemand demandOf(RequestLane lane, int count) {
+    private static TeamDemand requestDemand(RequestLane lane, int count) {
         int waiting = lane.state() == RequestState.WAITING ? count : 0;
         int running = count - waiting;
         return lane.kind() == QueueKind.QUICK
@@ -163,7 +165,7 @@
     }
 
     /** Returns the units that a team's work in a pool can use before long. */
-    private static TeamDemand unitsOf(TeamDemand demand, int ahead) {
+    private static TeamDemand unitDemand(TeamDemand demand, int ahead) {
         int running = demand.quickRunning() + demand.longRunning();
         int waiting = demand.quickWaiting() + demand.longWaiting();
         return new TeamDemand(demand.team(), Math.min(waiting, running + ahead), running, 0, 0);
@@ -178,7 +180,8 @@
     }
 
     /** Returns the demand of the members for a group, without what is out of date. */
-    static Map<MemberKey, List<TeamDemand>> of(Exchange exchange, PermitGroup group) {
+    static Map<MemberKey, List<TeamDemand>> currentByMember(
+            MessageExchange exchange, PermitGroup group) {
         Map<MemberKey, List<TeamDemand>> demands = new LinkedHashMap<>();
         for (DemandRow row : List.copyOf(exchange.world().demands().group(group))) {
             if (row.teams().isEmpty() || exchange.nowMs() - row.atMs() >= EscrowTiming.EXPIRY_MS) {
--- a/core/src/main/java/org/hibiscususher/core/escrow/Fairness.java
+++ b/core/src/main/java/org/hibiscususher/core/escrow/Entitlements.java
@@ -14,14 +14,14 @@
 import org.hibiscususher.core.world.MemberKey;
 
 /** Works out how many permits of a group each member is due. */
-final class Fairness {
+final class Entitlements {
     private static final double MILLI = 1_000;
 
     private final Map<MemberKey, Double> mMain = new LinkedHashMap<>();
     private final Map<MemberKey, Double> mLongRuns = new LinkedHashMap<>();
     private final Map<MemberKey, List<TeamDue>> mTeams = new LinkedHashMap<>();
 
-    private Fairness() {}
+    private Entitlements() {}
 
     /** Returns the slots or units that a member is due. */
     double main(MemberKey member) {
@@ -48,7 +48,7 @@
      * @param main slots or units that there are
      * @param longRuns permits for long runs that there are
      */
-    static Fairness of(
+    static Entitlements of(
             PermitGroup group,
             Map<MemberKey, List<TeamDemand>> demands,
             Configuration configuration,
@@ -56,7 +56,7 @@
             int longRuns) {
         Map<String, TeamDemand> totals = new TreeMap<>();
         for (List<TeamDemand> teams : demands.values()) {
-            teams.forEach(t -> totals.merge(t.team(), t, Demands::sum));
+            teams.forEach(t -> totals.merge(t.team(), t, DemandReports::sum));
         }
         List<TeamDemand> teams = new ArrayList<>(totals.values());
         double[] weights = new double[teams.size()];
@@ -72,14 +72,14 @@
         }
         double[] longDues =
                 group.kind() == GroupKind.POOL
-                        ? MaxMin.dues(longDemand, weights, longRuns)
+                        ? MaxMinFairness.allocate(longDemand, weights, longRuns)
                         : longDemand;
         double[] wanted = new double[weights.length];
         for (int i = 0; i < wanted.length; i++) {
             wanted[i] = Math.min(limits[i], quick[i] + longDues[i]);
         }
-        double[] dues = MaxMin.dues(wanted, weights, main);
-        Fairness fairness = new Fairness();
+        double[] dues = MaxMinFairness.allocate(wanted, weights, main);
+        Entitlements fairness = new Entitlements();
         for (int i = 0; i < dues.length; i++) {
             fairness.spread(demands, teams.get(i), dues[i], longDues[i]);
         }
--- a/core/src/main/java/org/hibiscususher/core/escrow/EscrowQueries.java
+++ b/core/src/main/java/org/hibiscususher/core/escrow/EscrowQueries.java
@@ -17,7 +17,7 @@
     public static boolean allSlotsReturned(World world, String host) {
         return world.hosts()
                 .find(host)
-                .map(h -> Tenures.allReturned(world, PermitKey.slot(h.pool(), host)))
+                .map(h -> AllocatorTerms.allReturned(world, PermitKey.slot(h.pool(), host)))
                 .orElse(false);
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/escrow/EscrowSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/escrow/EscrowSystem.java
@@ -20,28 +20,28 @@
 
     /** Takes in what the members have sent and passes on what is due. */
     public static void run(Tick tick) {
-        boolean limitsChanged = Totals.refresh(tick);
+        boolean limitsChanged = PermitLimits.update(tick);
         if (tick.world().settings().escrowPolicy() == EscrowPolicy.STATIC_SPLIT) {
             StaticSplit.run(tick);
             return;
         }
-        Exchange exchange = Exchange.of(tick);
-        if (!listed(tick.world(), exchange)) {
-            withdraw(tick.world());
+        MessageExchange exchange = MessageExchange.of(tick);
+        if (!isMember(tick.world(), exchange)) {
+            relinquishAll(tick.world());
             return;
         }
-        follow(exchange, limitsChanged);
-        deliver(exchange);
-        Demands.report(exchange);
-        Holdings.pass(exchange);
-        deliver(exchange);
-        Tenures.pass(exchange);
-        deliver(exchange);
-        Holdings.pass(exchange);
-        deliver(exchange);
+        updateRoles(exchange, limitsChanged);
+        handleReceived(exchange);
+        DemandReports.reportChanges(exchange);
+        Holdings.runDue(exchange);
+        handleReceived(exchange);
+        AllocatorTerms.runDue(exchange);
+        handleReceived(exchange);
+        Holdings.runDue(exchange);
+        handleReceived(exchange);
     }
 
-    private static boolean listed(World world, Exchange exchange) {
+    private static boolean isMember(World world, MessageExchange exchange) {
         return world.membership().record().members().stream()
                 .anyMatch(
                         m ->
@@ -51,7 +51,7 @@
     }
 
     /** Gives up what a process that is not, or no longer, a member may not use or allocate. */
-    private static void withdraw(World world) {
+    private static void relinquishAll(World world) {
         if (world.attachments().size() == 0) {
             return;
         }
@@ -70,15 +70,15 @@
         world.escrowTable().update(World.SELF, EscrowRow::withdrawn);
     }
 
-    private static void follow(Exchange exchange, boolean limitsChanged) {
+    private static void updateRoles(MessageExchange exchange, boolean limitsChanged) {
         World world = exchange.world();
         MembershipRecord record = world.membership().record();
         EscrowRow row = world.escrow();
         if (row.epoch() == record.epoch() && !limitsChanged) {
             return;
         }
-        Attachments.follow(exchange);
-        Tenures.follow(exchange);
+        AllocatorBindings.rebind(exchange);
+        AllocatorTerms.update(exchange);
         world.escrowTable()
                 .put(
                         World.SELF,
@@ -89,34 +89,34 @@
                                 row.longestRunMs()));
     }
 
-    private static void deliver(Exchange exchange) {
-        Optional<Delivery> next = exchange.next();
+    private static void handleReceived(MessageExchange exchange) {
+        Optional<ReceivedItem> next = exchange.poll();
         while (next.isPresent()) {
-            take(exchange, next.get());
-            next = exchange.next();
+            handle(exchange, next.get());
+            next = exchange.poll();
         }
     }
 
-    private static void take(Exchange exchange, Delivery delivery) {
+    private static void handle(MessageExchange exchange, ReceivedItem delivery) {
         PeerItem item = delivery.item();
         if (item instanceof PeerItem.Claim claim) {
-            Tenures.claimed(exchange, delivery.from(), claim);
+            AllocatorTerms.applyClaim(exchange, delivery.from(), claim);
         } else if (item instanceof PeerItem.ClaimAsked asked) {
-            Attachments.asked(exchange, delivery.from(), asked);
+            AllocatorBindings.handleClaimRequest(exchange, delivery.from(), asked);
         } else if (item instanceof PeerItem.Granted granted) {
-            Holdings.granted(exchange, delivery.from(), granted);
+            Holdings.applyGrant(exchange, delivery.from(), granted);
         } else if (item instanceof PeerItem.Returned returned) {
-            Ledgers.returned(exchange, delivery.from(), returned);
+            AllocationLedger.applyReturn(exchange, delivery.from(), returned);
         } else if (item instanceof PeerItem.GrantSeen seen) {
-            Ledgers.grantSeen(exchange, delivery.from(), seen);
+            AllocationLedger.applyGrantAck(exchange, delivery.from(), seen);
         } else if (item instanceof PeerItem.ReturnSeen seen) {
-            Holdings.returnSeen(exchange, delivery.from(), seen);
+            Holdings.applyReturnAck(exchange, delivery.from(), seen);
         } else if (item instanceof PeerItem.Target target) {
-            Attachments.targeted(exchange, delivery, target);
+            AllocatorBindings.applyTarget(exchange, delivery, target);
         } else if (item instanceof PeerItem.Demand demand) {
-            Demands.received(exchange, delivery, demand);
+            DemandReports.applyDemand(exchange, delivery, demand);
         } else if (item instanceof PeerItem.Dues dues) {
-            Demands.due(exchange, delivery, dues);
+            DemandReports.due(exchange, delivery, dues);
         }
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/escrow/Holdings.java
+++ b/core/src/main/java/org/hibiscususher/core/escrow/Holdings.java
@@ -21,8 +21,8 @@
     private Holdings() {}
 
     /** Takes in a grant of the allocator that this entry follows, and acknowledges it. */
-    static void granted(Exchange exchange, MemberKey from, Granted granted) {
-        if (!follows(exchange, from, granted.permit(), granted.basis())) {
+    static void applyGrant(MessageExchange exchange, MemberKey from, Granted granted) {
+        if (!isCurrent(exchange, from, granted.permit(), granted.basis())) {
             return;
         }
         World world = exchange.world();
@@ -34,75 +34,77 @@
     }
 
     /** Takes in that the allocator has seen a return. */
-    static void returnSeen(Exchange exchange, MemberKey from, ReturnSeen seen) {
-        if (follows(exchange, from, seen.permit(), seen.basis())) {
+    static void applyReturnAck(MessageExchange exchange, MemberKey from, ReturnSeen seen) {
+        if (isCurrent(exchange, from, seen.permit(), seen.basis())) {
             exchange.world()
                     .holdings()
                     .update(seen.permit(), h -> h.withReturnSeen(seen.returned()));
         }
     }
 
-    private static boolean follows(Exchange exchange, MemberKey from, PermitKey key, long basis) {
+    private static boolean isCurrent(
+            MessageExchange exchange, MemberKey from, PermitKey key, long basis) {
         Optional<AttachmentRow> row = exchange.world().attachments().find(key.permitGroup());
         return row.isPresent() && row.get().allocator().equals(from) && row.get().basis() == basis;
     }
 
     /** Looks at the groups that are due: sends claims and returns, again where that is needed. */
-    static void pass(Exchange exchange) {
+    static void runDue(MessageExchange exchange) {
         for (AttachmentRow row : exchange.world().attachments().rows()) {
             if (row.dueMs() <= exchange.nowMs()) {
-                pass(exchange, row);
+                runDue(exchange, row);
             }
         }
     }
 
-    private static void pass(Exchange exchange, AttachmentRow row) {
+    private static void runDue(MessageExchange exchange, AttachmentRow row) {
         World world = exchange.world();
-        if (!row.answered() && due(exchange, row.claimSentMs(), EscrowTiming.ASK_AGAIN_MS)) {
-            Attachments.claim(exchange, row);
+        if (!row.answered() && isDue(exchange, row.claimSentMs(), EscrowTiming.ASK_AGAIN_MS)) {
+            AllocatorBindings.sendClaim(exchange, row);
         }
         if (row.answered()) {
-            giveBack(world, row);
+            returnExcess(world, row);
         }
         boolean unseen = !row.answered();
         for (HoldingRow holding : List.copyOf(world.holdings().group(row.group()))) {
             if (holding.unseen()) {
                 unseen = true;
-                resend(exchange, row, holding);
+                resendReturn(exchange, row, holding);
             }
         }
         long next = unseen ? exchange.nowMs() + EscrowTiming.RESEND_MS : AttachmentRow.NEVER;
         world.attachments().update(row.group(), a -> a.withNextDue(next));
     }
 
-    private static boolean due(Exchange exchange, long sentMs, int intervalMs) {
+    private static boolean isDue(MessageExchange exchange, long sentMs, int intervalMs) {
         return sentMs < 0 || exchange.nowMs() - sentMs >= intervalMs;
     }
 
-    private static void resend(Exchange exchange, AttachmentRow row, HoldingRow holding) {
-        if (due(exchange, holding.sentMs(), EscrowTiming.RESEND_MS)) {
+    private static void resendReturn(
+            MessageExchange exchange, AttachmentRow row, HoldingRow holding) {
+        if (isDue(exchange, holding.sentMs(), EscrowTiming.RESEND_MS)) {
             exchange.world().holdings().put(holding.key(), holding.withSent(exchange.nowMs()));
             exchange.send(
                     row.allocator(), new Returned(row.basis(), holding.key(), holding.returned()));
         }
     }
 
-    private static void giveBack(World world, AttachmentRow row) {
+    private static void returnExcess(World world, AttachmentRow row) {
         List<HoldingRow> main = new ArrayList<>();
         List<HoldingRow> longRuns = new ArrayList<>();
         for (HoldingRow holding : List.copyOf(world.holdings().group(row.group()))) {
-            HoldingRow kept = giveBackUnusable(world, holding);
+            HoldingRow kept = returnUnusable(world, holding);
             if (kept.key().kind() == PermitKind.LONG_RUN) {
                 longRuns.add(kept);
             } else {
                 main.add(kept);
             }
         }
-        giveBackAbove(world, main, row.mainTarget());
-        giveBackAbove(world, longRuns, row.longTarget());
+        returnAboveTarget(world, main, row.mainTarget());
+        returnAboveTarget(world, longRuns, row.longTarget());
     }
 
-    private static HoldingRow giveBackUnusable(World world, HoldingRow holding) {
+    private static HoldingRow returnUnusable(World world, HoldingRow holding) {
         boolean usable = world.totals().find(holding.key()).map(TotalRow::total).orElse(0) > 0;
         if (usable || holding.idle() == 0) {
             return holding;
@@ -112,7 +114,7 @@
         return kept;
     }
 
-    private static void giveBackAbove(World world, List<HoldingRow> rows, int target) {
+    private static void returnAboveTarget(World world, List<HoldingRow> rows, int target) {
         int excess = -target;
         for (HoldingRow row : rows) {
             excess += row.held();
--- a/core/src/main/java/org/hibiscususher/core/escrow/MaxMin.java
+++ b/core/src/main/java/org/hibiscususher/core/escrow/MaxMinFairness.java
@@ -1,8 +1,8 @@
 package org.hibiscususher.core.escrow;
 
 /** Weighted max-min fairness. */
-final class MaxMin {
-    private MaxMin() {}
+final class MaxMinFairness {
+    private MaxMinFairness() {}
 
     /**
      * Returns what each party is due: no more than it demands, and otherwise in proportion to its
@@ -14,7 +14,7 @@
      * @param weights weight of each party, above 0
      * @param capacity what there is to share, 0 or more
      */
-    static double[] dues(double[] demands, double[] weights, double capacity) {
+    static double[] allocate(double[] demands, double[] weights, double capacity) {
         double[] dues = new double[demands.length];
         boolean[] met = new boolean[demands.length];
         double left = Math.max(0, capacity);
--- a/core/src/main/java/org/hibiscususher/core/escrow/Exchange.java
+++ b/core/src/main/java/org/hibiscususher/core/escrow/MessageExchange.java
@@ -12,25 +12,25 @@
 import org.hibiscususher.core.world.World;
 
 /** The items that one tick receives and sends; those to this entry itself never leave it. */
-final class Exchange {
+final class MessageExchange {
     private final Tick mTick;
     private final MemberKey mSelf;
-    private final Deque<Delivery> mInbound = new ArrayDeque<>();
+    private final Deque<ReceivedItem> mInbound = new ArrayDeque<>();
 
-    private Exchange(Tick tick, MemberKey self) {
+    private MessageExchange(Tick tick, MemberKey self) {
         mTick = tick;
         mSelf = self;
     }
 
     /** Creates the exchange of a tick with what members of the record have sent. */
-    static Exchange of(Tick tick) {
+    static MessageExchange of(Tick tick) {
         NodeIdentity identity = tick.world().node().identity();
-        Exchange exchange =
-                new Exchange(tick, new MemberKey(identity.id(), identity.incarnation()));
+        MessageExchange exchange =
+                new MessageExchange(tick, new MemberKey(identity.id(), identity.incarnation()));
         for (PeerMessage message : Links.accepted(tick)) {
             MemberKey from = new MemberKey(message.from(), message.incarnation());
             for (PeerItem item : message.items()) {
-                exchange.mInbound.add(new Delivery(from, message.sequence(), item));
+                exchange.mInbound.add(new ReceivedItem(from, message.sequence(), item));
             }
         }
         return exchange;
@@ -59,14 +59,14 @@
     /** Sends an item to a member, which may be this entry. */
     void send(MemberKey to, PeerItem item) {
         if (to.equals(mSelf)) {
-            mInbound.add(new Delivery(mSelf, nowMs(), item));
+            mInbound.add(new ReceivedItem(mSelf, nowMs(), item));
         } else {
             mTick.tell(to.id(), item);
         }
     }
 
     /** Returns the next item received, or empty. */
-    Optional<Delivery> next() {
+    Optional<ReceivedItem> poll() {
         return Optional.ofNullable(mInbound.poll());
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/escrow/Balance.java
+++ b/core/src/main/java/org/hibiscususher/core/escrow/PermitBalancer.java
@@ -23,19 +23,19 @@
 import org.hibiscususher.core.world.World;
 
 /** Moves the permits of one group towards what its members are due. */
-final class Balance {
+final class PermitBalancer {
     private static final double SLACK_SLOTS = 0.6;
     private static final double SLACK_PART = 0.1;
 
-    private final Exchange mExchange;
+    private final MessageExchange mExchange;
     private final TenureRow mTenure;
     private final List<MemberKey> mMembers;
     private final Set<MemberKey> mGranted = new LinkedHashSet<>();
 
-    private Balance(Exchange exchange, TenureRow tenure) {
+    private PermitBalancer(MessageExchange exchange, TenureRow tenure) {
         mExchange = exchange;
         mTenure = tenure;
-        mMembers = eligible(tenure);
+        mMembers = eligibleMembers(tenure);
     }
 
     /**
@@ -43,11 +43,11 @@
      *
      * @return whether the group needs to be looked at again soon
      */
-    static boolean run(Exchange exchange, TenureRow tenure) {
-        return new Balance(exchange, tenure).run();
+    static boolean run(MessageExchange exchange, TenureRow tenure) {
+        return new PermitBalancer(exchange, tenure).run();
     }
 
-    private static List<MemberKey> eligible(TenureRow tenure) {
+    private static List<MemberKey> eligibleMembers(TenureRow tenure) {
         List<MemberKey> members = new ArrayList<>();
         tenure.answers()
                 .forEach(
@@ -64,24 +64,25 @@
 
     private boolean run() {
         PermitGroup group = mTenure.group();
-        Map<MemberKey, List<TeamDemand>> demands = Demands.of(mExchange, group);
+        Map<MemberKey, List<TeamDemand>> demands = DemandReports.currentByMember(mExchange, group);
         demands.keySet().retainAll(mMembers);
         boolean pool = group.kind() == GroupKind.POOL;
         PermitKind mainKind = pool ? PermitKind.SLOT : PermitKind.UNIT;
         int main = available(mainKind);
         int longRuns = available(PermitKind.LONG_RUN);
-        Fairness fairness = Fairness.of(group, demands, world().configuration(), main, longRuns);
-        int[] longTargets = targets(PermitKind.LONG_RUN, longRuns, fairness::longRuns);
+        Entitlements fairness =
+                Entitlements.of(group, demands, world().configuration(), main, longRuns);
+        int[] longTargets = wholeTargets(PermitKind.LONG_RUN, longRuns, fairness::longRuns);
         int[] mainTargets =
-                targets(
+                wholeTargets(
                         mainKind,
                         main,
-                        m -> slotsDue(fairness, m, longTargets[mMembers.indexOf(m)]));
+                        m -> mainEntitlement(fairness, m, longTargets[mMembers.indexOf(m)]));
         grant(mainKind, mainTargets);
         grant(PermitKind.LONG_RUN, longTargets);
-        boolean recalls = tellTargets(mainKind, mainTargets, longTargets);
+        boolean recalls = sendTargets(mainKind, mainTargets, longTargets);
         if (pool) {
-            tellDues(demands, fairness);
+            sendEntitlements(demands, fairness);
         }
         return recalls || !demands.isEmpty();
     }
@@ -92,7 +93,7 @@
      * <p>Long targets are whole numbers; a member whose long work is rounded up would otherwise use
      * the slots that are due to quick work there.
      */
-    private static double slotsDue(Fairness fairness, MemberKey member, int longTarget) {
+    private static double mainEntitlement(Entitlements fairness, MemberKey member, int longTarget) {
         double longDue = fairness.longRuns(member);
         double quickDue = fairness.main(member) - longDue;
         return quickDue + Math.min(longTarget, Math.ceil(longDue));
@@ -102,7 +103,7 @@
         return mExchange.world();
     }
 
-    private List<LedgerRow> rows(PermitKind kind) {
+    private List<LedgerRow> ledgerRows(PermitKind kind) {
         return world().ledger().group(mTenure.group()).stream()
                 .filter(r -> r.key().kind() == kind)
                 .toList();
@@ -111,19 +112,19 @@
     /** Returns how many permits the eligible members may hold in all. */
     private int available(PermitKind kind) {
         int sum = 0;
-        for (LedgerRow row : rows(kind)) {
+        for (LedgerRow row : ledgerRows(kind)) {
             int elsewhere = 0;
             for (Account account : row.accounts()) {
                 elsewhere += mMembers.contains(account.member()) ? 0 : account.outstanding();
             }
-            sum += Math.max(0, Ledgers.bound(world(), mTenure, row) - elsewhere);
+            sum += Math.max(0, AllocationLedger.limit(world(), mTenure, row) - elsewhere);
         }
         return sum;
     }
 
     private int[] held(PermitKind kind) {
         int[] held = new int[mMembers.size()];
-        for (LedgerRow row : rows(kind)) {
+        for (LedgerRow row : ledgerRows(kind)) {
             for (Account account : row.accounts()) {
                 int i = mMembers.indexOf(account.member());
                 if (i >= 0) {
@@ -138,7 +139,7 @@
      * Returns whole targets that add up to what there is, as near to what is held as the dues
      * allow; what nobody is due is spread evenly.
      */
-    private int[] targets(PermitKind kind, int available, ToDoubleFunction<MemberKey> due) {
+    private int[] wholeTargets(PermitKind kind, int available, ToDoubleFunction<MemberKey> due) {
         int n = mMembers.size();
         double[] exact = new double[n];
         double spare = available;
@@ -157,16 +158,16 @@
             sum += targets[i];
         }
         for (; sum > available && n > 0; sum--) {
-            targets[furthestAbove(targets, exact, 1)]--;
+            targets[indexFurthestAbove(targets, exact, 1)]--;
         }
         for (; sum < available && n > 0; sum++) {
-            targets[furthestAbove(targets, exact, -1)]++;
+            targets[indexFurthestAbove(targets, exact, -1)]++;
         }
         return targets;
     }
 
     /** Returns the member furthest above what it is due, or with sign -1 furthest below. */
-    private static int furthestAbove(int[] targets, double[] exact, int sign) {
+    private static int indexFurthestAbove(int[] targets, double[] exact, int sign) {
         int best = 0;
         for (int i = 1; i < exact.length; i++) {
             if (sign * (targets[i] - exact[i]) > sign * (targets[best] - exact[best])) {
@@ -186,42 +187,43 @@
         if (most == 0) {
             return;
         }
-        List<LedgerRow> rows = rows(kind);
+        List<LedgerRow> rows = ledgerRows(kind);
         int[] free = new int[rows.size()];
         int freeInAll = 0;
         for (int i = 0; i < free.length; i++) {
-            free[i] = Math.max(0, Ledgers.free(world(), mTenure, rows.get(i)));
+            free[i] = Math.max(0, AllocationLedger.grantable(world(), mTenure, rows.get(i)));
             freeInAll += free[i];
         }
         int[][] grants = new int[targets.length][free.length];
         while (freeInAll > 0) {
-            int member = largest(missing);
+            int member = indexOfLargest(missing);
             if (missing[member] <= 0) {
                 break;
             }
-            int row = largest(free);
+            int row = indexOfLargest(free);
             grants[member][row]++;
             missing[member]--;
             free[row]--;
             freeInAll--;
         }
-        send(rows, grants);
+        sendGrants(rows, grants);
     }
 
-    private void send(List<LedgerRow> rows, int[][] grants) {
+    private void sendGrants(List<LedgerRow> rows, int[][] grants) {
         for (int i = 0; i < grants.length; i++) {
             MemberKey member = mMembers.get(i);
             long basis = mTenure.answers().get(member).basis();
             for (int row = 0; row < rows.size(); row++) {
                 if (grants[i][row] > 0) {
                     mGranted.add(member);
-                    Ledgers.grant(mExchange, rows.get(row).key(), member, basis, grants[i][row]);
+                    AllocationLedger.grant(
+                            mExchange, rows.get(row).key(), member, basis, grants[i][row]);
                 }
             }
         }
     }
 
-    private static int largest(int[] values) {
+    private static int indexOfLargest(int[] values) {
         int best = 0;
         for (int i = 1; i < values.length; i++) {
             best = values[i] > values[best] ? i : best;
@@ -233,26 +235,26 @@
      * Tells targets to members that would otherwise keep too much, and with each grant, so that a
      * lower target that came before does not make the member return the grant.
      */
-    private boolean tellTargets(PermitKind mainKind, int[] main, int[] longRuns) {
+    private boolean sendTargets(PermitKind mainKind, int[] main, int[] longRuns) {
         int[] mainHeld = held(mainKind);
         int[] longHeld = held(PermitKind.LONG_RUN);
         boolean recalls = false;
         for (int i = 0; i < main.length; i++) {
             boolean above = mainHeld[i] > main[i] || longHeld[i] > longRuns[i];
             recalls |= above;
-            AdviceRow before = advice(mMembers.get(i));
+            AdviceRow before = lastSent(mMembers.get(i));
             boolean changed = before.main() != main[i] || before.longRuns() != longRuns[i];
             boolean old = mExchange.nowMs() - before.targetMs() >= EscrowTiming.REFRESH_MS;
             boolean due = above && (changed || old) || mGranted.contains(mMembers.get(i));
             if (before.targetMs() < 0 || due) {
-                tellTarget(before, main[i], longRuns[i]);
+                sendTarget(before, main[i], longRuns[i]);
             }
         }
-        for (MemberKey leaving : leaving()) {
-            AdviceRow before = advice(leaving);
+        for (MemberKey leaving : membersToDrain()) {
+            AdviceRow before = lastSent(leaving);
             boolean old = mExchange.nowMs() - before.targetMs() >= EscrowTiming.REFRESH_MS;
             if (before.targetMs() < 0 || old) {
-                tellTarget(before, 0, 0);
+                sendTarget(before, 0, 0);
             }
             recalls = true;
         }
@@ -260,7 +262,7 @@
     }
 
     /** Returns the members that live, have answered and shall keep nothing. */
-    private List<MemberKey> leaving() {
+    private List<MemberKey> membersToDrain() {
         return mTenure.answers().entrySet().stream()
                 .filter(e -> e.getValue().known() && !e.getValue().state().allocates())
                 .filter(e -> e.getValue().restUntilMs() == TenureRow.NEVER)
@@ -268,12 +270,12 @@
                 .toList();
     }
 
-    private AdviceRow advice(MemberKey member) {
-        DemandRow.Key key = Demands.keyOf(mTenure.group(), member);
+    private AdviceRow lastSent(MemberKey member) {
+        DemandRow.Key key = DemandReports.keyOf(mTenure.group(), member);
         return world().advice().find(key).orElse(new AdviceRow(key, -1, List.of(), -1, 0, 0));
     }
 
-    private void tellTarget(AdviceRow before, int main, int longRuns) {
+    private void sendTarget(AdviceRow before, int main, int longRuns) {
         MemberKey member = before.key().member();
         long basis = mTenure.answers().get(member).basis();
         world().advice()
@@ -289,17 +291,17 @@
         mExchange.send(member, new Target(basis, mTenure.group(), main, longRuns));
     }
 
-    private void tellDues(Map<MemberKey, List<TeamDemand>> demands, Fairness fairness) {
+    private void sendEntitlements(Map<MemberKey, List<TeamDemand>> demands, Entitlements fairness) {
         demands.forEach(
                 (member, teams) -> {
                     if (teams.stream().anyMatch(t -> t.quickWaiting() + t.longWaiting() > 0)) {
-                        tellDues(member, fairness.teams(member));
+                        sendEntitlements(member, fairness.teams(member));
                     }
                 });
     }
 
-    private void tellDues(MemberKey member, List<TeamDue> dues) {
-        AdviceRow before = advice(member);
+    private void sendEntitlements(MemberKey member, List<TeamDue> dues) {
+        AdviceRow before = lastSent(member);
         long ageMs = mExchange.nowMs() - before.duesMs();
         boolean due =
                 before.teams().equals(dues)
--- a/core/src/main/java/org/hibiscususher/core/escrow/Totals.java
+++ b/core/src/main/java/org/hibiscususher/core/escrow/PermitLimits.java
@@ -16,11 +16,11 @@
 import org.hibiscususher.core.world.World;
 
 /** Derives how many permits there may be from the configuration and the hosts in service. */
-final class Totals {
-    private Totals() {}
+final class PermitLimits {
+    private PermitLimits() {}
 
     /** Brings the limits up to date and returns whether anything they derive from has changed. */
-    static boolean refresh(Tick tick) {
+    static boolean update(Tick tick) {
         World world = tick.world();
         EscrowRow row = world.escrow();
         Configuration configuration = world.configuration();
@@ -44,7 +44,7 @@
         for (TotalRow total : world.totals().rows()) {
             limits.putIfAbsent(total.key(), 0);
         }
-        limits.forEach((key, limit) -> set(world, key, limit));
+        limits.forEach((key, limit) -> setLimit(world, key, limit));
         return true;
     }
 
@@ -67,7 +67,7 @@
         return limits;
     }
 
-    private static void set(World world, PermitKey key, int limit) {
+    private static void setLimit(World world, PermitKey key, int limit) {
         TotalRow before = world.totals().find(key).orElse(new TotalRow(key, 0, 0));
         if (before.total() == limit && world.totals().contains(key)) {
             return;
--- a/core/src/main/java/org/hibiscususher/core/escrow/Delivery.java
+++ b/core/src/main/java/org/hibiscususher/core/escrow/ReceivedItem.java
@@ -10,4 +10,4 @@
  * @param sequence number of the sender's message
  * @param item the item
  */
-record Delivery(MemberKey from, long sequence, PeerItem item) {}
+record ReceivedItem(MemberKey from, long sequence, PeerItem item) {}
--- a/core/src/main/java/org/hibiscususher/core/escrow/StaticSplit.java
+++ b/core/src/main/java/org/hibiscususher/core/escrow/StaticSplit.java
@@ -25,16 +25,16 @@
             return;
         }
         for (TotalRow total : world.totals().rows()) {
-            hold(world, total.key(), part(total, index, members.size()));
+            setHeld(world, total.key(), share(total, index, members.size()));
         }
     }
 
-    private static int part(TotalRow row, int index, int members) {
+    private static int share(TotalRow row, int index, int members) {
         int turn = Math.floorMod(index + row.key().name().hashCode(), members);
         return row.total() / members + (turn < row.total() % members ? 1 : 0);
     }
 
-    private static void hold(World world, PermitKey key, int part) {
+    private static void setHeld(World world, PermitKey key, int part) {
         HoldingRow row = world.holdings().find(key).orElse(HoldingRow.none(key));
         int held = Math.max(part, row.inUse());
         if (held != row.held()) {
--- a/core/src/main/java/org/hibiscususher/core/maintenance/Budget.java
+++ b/core/src/main/java/org/hibiscususher/core/maintenance/BudgetCheck.java
@@ -9,8 +9,8 @@
 import org.hibiscususher.core.world.World;
 
 /** Tells whether a pool's availability budget lets one more host go out of service. */
-final class Budget {
-    private Budget() {}
+final class BudgetCheck {
+    private BudgetCheck() {}
 
     /**
      * Returns whether a host may be taken out of service.
@@ -26,7 +26,7 @@
         int inPool = 0;
         int inZone = 0;
         for (HostRow host : hosts) {
-            if (host.spec().id().equals(candidate.spec().id()) || available(tick, host)) {
+            if (host.spec().id().equals(candidate.spec().id()) || isAvailable(tick, host)) {
                 continue;
             }
             inPool++;
@@ -36,17 +36,17 @@
     }
 
     /** Returns whether a host takes work: in service, not set aside, not lost. */
-    static boolean available(Tick tick, HostRow host) {
+    static boolean isAvailable(Tick tick, HostRow host) {
         World world = tick.world();
         String id = host.spec().id();
         return host.stage().takesWork()
-                && Fleet.outage(world, id).isEmpty()
+                && FleetRecords.outage(world, id).isEmpty()
                 && host.restUntilMs() <= tick.nowMs()
-                && !lost(world, id);
+                && !isLost(world, id);
     }
 
     /** Returns whether the platform's list shows that a host is gone or going. */
-    static boolean lost(World world, String host) {
+    static boolean isLost(World world, String host) {
         return world.platformHosts().find(host).filter(PlatformHostRow::lost).isPresent();
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/maintenance/DrainSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/maintenance/DrainSystem.java
@@ -20,18 +20,18 @@
 
     /** Marks idle hosts as idle and drops withdrawn ones. */
     public static void run(Tick tick) {
-        if (!MaintenanceStep.due(tick)) {
+        if (!MaintenanceSchedule.isDue(tick)) {
             return;
         }
         World world = tick.world();
-        Fleet.decidedPools(tick)
+        FleetRecords.decidablePools(tick)
                 .forEach(
                         (pool, hosts) ->
                                 hosts.stream()
                                         .filter(h -> !h.stage().takesWork())
-                                        .forEach(h -> settle(tick, pool, h)));
+                                        .forEach(h -> finishDrain(tick, pool, h)));
         for (OutageRow row : world.outages().rows()) {
-            if (!row.outage().idle() && !row.reported() && late(tick, row)) {
+            if (!row.outage().idle() && !row.reported() && isOverdue(tick, row)) {
                 world.outages()
                         .put(
                                 row.host(),
@@ -42,31 +42,31 @@
         }
     }
 
-    private static void settle(Tick tick, String pool, HostRow host) {
+    private static void finishDrain(Tick tick, String pool, HostRow host) {
         World world = tick.world();
         String id = host.spec().id();
-        Optional<HostRecord> record = Fleet.hostRecord(world, id);
+        Optional<HostRecord> record = FleetRecords.hostRecord(world, id);
         if (record.isEmpty() || !EscrowQueries.allSlotsReturned(world, id)) {
             return;
         }
-        Optional<Outage> outage = Fleet.outage(world, id);
+        Optional<Outage> outage = FleetRecords.outage(world, id);
         if (outage.isPresent() && !outage.get().idle()) {
-            Fleet.draftOutage(world, pool, id, outage.get().withIdle());
+            FleetRecords.draftOutage(world, pool, id, outage.get().withIdle());
         }
         boolean withdrawn = !world.configuration().hosts().containsKey(id);
-        if (withdrawn && Fleet.free(world, RecordKey.host(id))) {
+        if (withdrawn && FleetRecords.canDraft(world, RecordKey.host(id))) {
             HostRecord next =
                     new HostRecord(id, "", record.get().declared(), record.get().generation() + 1);
-            Fleet.draft(world, RecordKey.host(id), next);
+            FleetRecords.draft(world, RecordKey.host(id), next);
         }
     }
 
-    private static boolean late(Tick tick, OutageRow row) {
+    private static boolean isOverdue(Tick tick, OutageRow row) {
         return tick.nowMs() - row.sinceMs()
-                > longestRunMs(tick.world(), row.host()) + LATE_MARGIN_MS;
+                > maxRunLimitMs(tick.world(), row.host()) + LATE_MARGIN_MS;
     }
 
-    private static int longestRunMs(World world, String host) {
+    private static int maxRunLimitMs(World world, String host) {
         String pool = world.hosts().find(host).map(HostRow::pool).orElse("");
         return world.configuration().queues().values().stream()
                 .filter(q -> q.pool().equals(pool))
--- a/core/src/main/java/org/hibiscususher/core/maintenance/Fleet.java
+++ b/core/src/main/java/org/hibiscususher/core/maintenance/FleetRecords.java
@@ -22,18 +22,18 @@
 import org.hibiscususher.core.world.World;
 
 /** Reads the records about hosts, and drafts their next versions. */
-final class Fleet {
-    private Fleet() {}
+final class FleetRecords {
+    private FleetRecords() {}
 
     /** Returns whether this entry is the allocator of a pool, which alone decides for its hosts. */
-    static boolean responsible(World world, String pool) {
+    static boolean isResponsible(World world, String pool) {
         return Rendezvous.choose("pool:" + pool, world.membership().record())
                 .filter(world.node().identity().id()::equals)
                 .isPresent();
     }
 
     /** Returns whether this entry serves and its view of the records is complete and current. */
-    static boolean current(Tick tick) {
+    static boolean isCurrent(Tick tick) {
         World world = tick.world();
         FleetSyncRow sync = world.fleetSync();
         return world.node().stage() == NodeStage.SERVING
@@ -45,9 +45,9 @@
     }
 
     /** Returns the hosts of each pool that this entry decides for and has no write out for. */
-    static Map<String, List<HostRow>> decidedPools(Tick tick) {
+    static Map<String, List<HostRow>> decidablePools(Tick tick) {
         World world = tick.world();
-        if (!current(tick)) {
+        if (!isCurrent(tick)) {
             return Map.of();
         }
         Map<String, List<HostRow>> pools = new LinkedHashMap<>();
@@ -58,7 +58,7 @@
                 .removeIf(
                         p ->
                                 world.fleetCalls().contains(RecordKey.outages(p))
-                                        || !responsible(world, p));
+                                        || !isResponsible(world, p));
         return pools;
     }
 
@@ -69,12 +69,12 @@
 
     /** Returns the record of a host, be it withdrawn or not, or empty. */
     static Optional<HostRecord> lastHostRecord(World world, String host) {
-        return find(world, RecordKey.host(host)).map(HostRecord.class::cast);
+        return latest(world, RecordKey.host(host)).map(HostRecord.class::cast);
     }
 
     /** Returns the record of a pool's outages, with the changes drafted in this tick. */
     static OutageRecord outages(World world, String pool) {
-        return find(world, RecordKey.outages(pool))
+        return latest(world, RecordKey.outages(pool))
                 .map(OutageRecord.class::cast)
                 .orElseGet(() -> OutageRecord.empty(pool));
     }
@@ -91,11 +91,11 @@
 
     /** Returns the newest wave, or empty. */
     static Optional<WaveRecord> wave(World world) {
-        return find(world, RecordKey.WAVE).map(WaveRecord.class::cast);
+        return latest(world, RecordKey.WAVE).map(WaveRecord.class::cast);
     }
 
     /** Returns whether a record has no write out and none drafted in this tick. */
-    static boolean free(World world, RecordKey key) {
+    static boolean canDraft(World world, RecordKey key) {
         return !world.fleetCalls().contains(key) && !world.fleetDrafts().contains(key);
     }
 
@@ -114,7 +114,7 @@
         return world.fleet().find(key).map(r -> r.record().record().version()).orElse(0L);
     }
 
-    private static Optional<StoreRecord> find(World world, RecordKey key) {
+    private static Optional<StoreRecord> latest(World world, RecordKey key) {
         return world.fleetDrafts()
                 .find(key)
                 .or(() -> world.fleet().find(key).map(r -> r.record()))
--- a/core/src/main/java/org/hibiscususher/core/maintenance/FleetSyncSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/maintenance/FleetSyncSystem.java
@@ -46,18 +46,18 @@
     public static void run(Tick tick) {
         Set<String> touched = new LinkedHashSet<>();
         for (HostListRead read : tick.inputs(HostListRead.class)) {
-            takeList(tick, read);
+            applyHostList(tick, read);
         }
-        for (FleetRecord record : arrived(tick)) {
-            take(tick, record, touched);
+        for (FleetRecord record : receivedRecords(tick)) {
+            applyRecord(tick, record, touched);
         }
-        boolean wrote = endCalls(tick);
-        touched.forEach(h -> apply(tick, h));
+        boolean wrote = completeCalls(tick);
+        touched.forEach(h -> updateHost(tick, h));
         applyConfiguration(tick);
         poll(tick, wrote);
     }
 
-    private static Set<FleetRecord> arrived(Tick tick) {
+    private static Set<FleetRecord> receivedRecords(Tick tick) {
         Set<FleetRecord> found = new LinkedHashSet<>();
         for (RecordWatched watched : tick.inputs(RecordWatched.class)) {
             if (watched.key().kind().fleet()) {
@@ -80,7 +80,7 @@
         return found;
     }
 
-    private static void take(Tick tick, FleetRecord record, Set<String> touched) {
+    private static void applyRecord(Tick tick, FleetRecord record, Set<String> touched) {
         World world = tick.world();
         Optional<FleetRow> old = world.fleet().find(record.key());
         long known = old.map(r -> r.record().record().version()).orElse(0L);
@@ -90,28 +90,28 @@
         world.fleet().put(record.key(), new FleetRow(record, tick.nowMs()));
         if (record.record().value() instanceof HostRecord host) {
             touched.add(host.host());
-            relayOwn(tick, host.pool(), record);
+            relayIfResponsible(tick, host.pool(), record);
         } else if (record.record().value() instanceof OutageRecord outages) {
             old.map(r -> (OutageRecord) r.record().record().value())
                     .ifPresent(o -> touched.addAll(o.outages().keySet()));
             touched.addAll(outages.outages().keySet());
-            WaveDone.note(tick, outages);
-            relayOwn(tick, outages.pool(), record);
+            RebootedHosts.record(tick, outages);
+            relayIfResponsible(tick, outages.pool(), record);
         } else if (record.record().value() instanceof WaveRecord wave) {
-            WaveDone.keep(world, wave.id());
+            RebootedHosts.retainOnly(world, wave.id());
         }
     }
 
     /** Tells the others of a record of a pool that this entry decides for, and so has written. */
-    private static void relayOwn(Tick tick, String pool, FleetRecord record) {
-        if (!pool.isEmpty() && Fleet.responsible(tick.world(), pool)) {
+    private static void relayIfResponsible(Tick tick, String pool, FleetRecord record) {
+        if (!pool.isEmpty() && FleetRecords.isResponsible(tick.world(), pool)) {
             for (MemberRow member : tick.world().members().rows()) {
                 tick.tell(member.member().id(), new FleetRelay(record));
             }
         }
     }
 
-    private static boolean endCalls(Tick tick) {
+    private static boolean completeCalls(Tick tick) {
         World world = tick.world();
         boolean wrote = false;
         for (RecordSwapped swapped : tick.inputs(RecordSwapped.class)) {
@@ -125,7 +125,7 @@
         return wrote;
     }
 
-    private static void takeList(Tick tick, HostListRead read) {
+    private static void applyHostList(Tick tick, HostListRead read) {
         World world = tick.world();
         Set<String> listed = new LinkedHashSet<>();
         for (PlatformHost host : read.hosts()) {
@@ -148,15 +148,15 @@
         world.fleetSyncTable().update(World.SELF, s -> s.withRevision(revision));
         Set<String> hosts = new LinkedHashSet<>(world.configuration().hosts().keySet());
         world.hosts().rows().forEach(h -> hosts.add(h.spec().id()));
-        hosts.forEach(h -> apply(tick, h));
+        hosts.forEach(h -> updateHost(tick, h));
     }
 
     /** Sets the pool and stage of a host, or drops it when it is withdrawn and idle. */
-    private static void apply(Tick tick, String host) {
+    private static void updateHost(Tick tick, String host) {
         World world = tick.world();
         HostSpec spec = world.configuration().hosts().get(host);
-        Optional<HostRecord> record = Fleet.hostRecord(world, host);
-        noteOutage(tick, host);
+        Optional<HostRecord> record = FleetRecords.hostRecord(world, host);
+        updateOutage(tick, host);
         if (spec == null && record.isEmpty()) {
             world.hosts().remove(host);
             return;
@@ -169,7 +169,7 @@
                         .orElseGet(
                                 () ->
                                         new HostRow(
-                                                spec == null ? withdrawn(host, pool) : spec,
+                                                spec == null ? placeholderSpec(host, pool) : spec,
                                                 pool,
                                                 stage,
                                                 0,
@@ -183,7 +183,7 @@
         if (!recorded) {
             return HostStage.OUT;
         }
-        Optional<Outage> outage = Fleet.outage(world, host);
+        Optional<Outage> outage = FleetRecords.outage(world, host);
         if (outage.isPresent()) {
             return outage.get().idle() ? HostStage.OUT : HostStage.RECALLED;
         }
@@ -191,13 +191,13 @@
     }
 
     /** Returns a stand-in for the declaration of a host whose declaration was never seen here. */
-    private static HostSpec withdrawn(String host, String pool) {
+    private static HostSpec placeholderSpec(String host, String pool) {
         return new HostSpec(host, "", "", "", pool, 1, Capacity.NONE);
     }
 
-    private static void noteOutage(Tick tick, String host) {
+    private static void updateOutage(Tick tick, String host) {
         World world = tick.world();
-        Optional<Outage> outage = Fleet.outage(world, host);
+        Optional<Outage> outage = FleetRecords.outage(world, host);
         if (outage.isEmpty()) {
             world.outages().remove(host);
             world.reboots().remove(host);
@@ -229,7 +229,7 @@
                 sync.sentMs() < 0
                         || wrote
                         || epoch != sync.sentEpoch()
-                        || commandWaits(world, sync);
+                        || commandNeedsRead(world, sync);
         if (wrote || !out && (wanted || ageMs >= POLL_INTERVAL_MS)) {
             long callId = tick.nextCallId();
             world.fleetSyncTable().update(World.SELF, s -> s.sent(tick.nowMs(), epoch, callId));
@@ -237,7 +237,7 @@
         }
     }
 
-    private static boolean commandWaits(World world, FleetSyncRow sync) {
+    private static boolean commandNeedsRead(World world, FleetSyncRow sync) {
         return world.pendingWaves().rows().stream()
                 .anyMatch(r -> r.wanted().isEmpty() && r.sinceMs() >= sync.sentMs());
     }
--- a/core/src/main/java/org/hibiscususher/core/maintenance/FleetWriteSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/maintenance/FleetWriteSystem.java
@@ -12,7 +12,7 @@
 
     /** Writes the drafts. */
     public static void run(Tick tick) {
-        MaintenanceStep.end(tick);
+        MaintenanceSchedule.complete(tick);
         World world = tick.world();
         for (FleetRecord draft : world.fleetDrafts().rows()) {
             long callId = tick.nextCallId();
--- a/core/src/main/java/org/hibiscususher/core/maintenance/LendSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/maintenance/LendSystem.java
@@ -43,7 +43,7 @@
         for (PeerReceived received : tick.inputs(PeerReceived.class)) {
             for (var item : received.message().items()) {
                 if (item instanceof PoolNeed need) {
-                    note(tick, need.pool(), need.hosts());
+                    recordNeed(tick, need.pool(), need.hosts());
                 }
             }
         }
@@ -51,14 +51,14 @@
                 world.settings().lendPolicy() != LendPolicy.NONE
                         && world.configuration().pools().values().stream()
                                 .anyMatch(PoolSpec::spare);
-        if (!MaintenanceStep.due(tick) || !lends) {
+        if (!MaintenanceSchedule.isDue(tick) || !lends) {
             return;
         }
-        Map<String, List<HostRow>> pools = Fleet.decidedPools(tick);
-        pools.forEach((pool, hosts) -> measure(tick, pool, hosts));
+        Map<String, List<HostRow>> pools = FleetRecords.decidablePools(tick);
+        pools.forEach((pool, hosts) -> updateNeed(tick, pool, hosts));
         pools.forEach(
                 (pool, hosts) -> {
-                    if (Fleet.free(world, RecordKey.outages(pool))) {
+                    if (FleetRecords.canDraft(world, RecordKey.outages(pool))) {
                         sendBack(tick, pool, hosts);
                     }
                     PoolSpec spec = world.configuration().pools().get(pool);
@@ -70,7 +70,7 @@
     }
 
     /** Notes a pool's need; the time since when it has held starts anew when its sign changes. */
-    private static void note(Tick tick, String pool, int hosts) {
+    private static void recordNeed(Tick tick, String pool, int hosts) {
         World world = tick.world();
         long sinceMs =
                 world.poolNeeds()
@@ -81,27 +81,27 @@
         world.poolNeeds().put(pool, new PoolNeedRow(pool, hosts, sinceMs, tick.nowMs()));
     }
 
-    private static void measure(Tick tick, String pool, List<HostRow> hosts) {
+    private static void updateNeed(Tick tick, String pool, List<HostRow> hosts) {
         World world = tick.world();
         int before = world.poolNeeds().find(pool).map(PoolNeedRow::hosts).orElse(0);
-        int need = need(tick, pool, hosts);
-        note(tick, pool, need);
-        boolean turn = tick.nowMs() / TELL_INTERVAL_MS != lastStep(world) / TELL_INTERVAL_MS;
+        int need = hostsNeeded(tick, pool, hosts);
+        recordNeed(tick, pool, need);
+        boolean turn = tick.nowMs() / TELL_INTERVAL_MS != lastDecidedMs(world) / TELL_INTERVAL_MS;
         if (need != before || need > 0 && turn) {
-            tellLenders(tick, pool, need);
+            notifyLenders(tick, pool, need);
         }
     }
 
-    private static long lastStep(World world) {
+    private static long lastDecidedMs(World world) {
         return world.fleetSync().steppedMs();
     }
 
     /** Returns how many hosts a pool is short of; negative if it can do without some. */
-    private static int need(Tick tick, String pool, List<HostRow> hosts) {
+    private static int hostsNeeded(Tick tick, String pool, List<HostRow> hosts) {
         int slots = 0;
         int inService = 0;
         for (HostRow host : hosts) {
-            if (Budget.available(tick, host)) {
+            if (BudgetCheck.isAvailable(tick, host)) {
                 slots += host.spec().slots();
                 inService++;
             }
@@ -110,7 +110,7 @@
             return hosts.isEmpty() ? 0 : 1;
         }
         int perHost = Math.max(1, slots / inService);
-        int demand = PoolDemand.of(tick.world(), pool);
+        int demand = PoolDemand.requests(tick.world(), pool);
         if (demand > slots) {
             return (demand - slots + perHost - 1) / perHost;
         }
@@ -118,7 +118,7 @@
         return -Math.max(0, (slots - wanted) / perHost);
     }
 
-    private static void tellLenders(Tick tick, String pool, int need) {
+    private static void notifyLenders(Tick tick, String pool, int need) {
         World world = tick.world();
         String self = world.node().identity().id();
         for (PoolSpec spec : world.configuration().pools().values()) {
@@ -136,7 +136,7 @@
         Optional<PoolNeedRow> borrower =
                 world.poolNeeds().rows().stream()
                         .filter(r -> !r.pool().equals(pool))
-                        .filter(r -> r.hosts() > onTheWay(world, r.pool()))
+                        .filter(r -> r.hosts() > inboundHosts(world, r.pool()))
                         .filter(
                                 r ->
                                         tick.nowMs() - r.sinceMs()
@@ -146,10 +146,10 @@
             return;
         }
         hosts.stream()
-                .filter(h -> movable(tick, pool, hosts, h))
+                .filter(h -> isMovable(tick, pool, hosts, h))
                 .filter(h -> !record(world, h).lent())
                 .findFirst()
-                .ifPresent(h -> move(tick, pool, h, borrower.get().pool()));
+                .ifPresent(h -> startMove(tick, pool, h, borrower.get().pool()));
     }
 
     private static void sendBack(Tick tick, String pool, List<HostRow> hosts) {
@@ -163,39 +163,39 @@
                                         tick.nowMs() - r.sinceMs()
                                                 >= world.settings().lendPolicy().enoughMs());
         hosts.stream()
-                .filter(h -> movable(tick, pool, hosts, h))
+                .filter(h -> isMovable(tick, pool, hosts, h))
                 .filter(h -> record(world, h).lent())
                 .filter(h -> own.isPresent() || isShort(world, record(world, h).declared()))
                 .findFirst()
-                .ifPresent(h -> move(tick, pool, h, record(world, h).declared()));
+                .ifPresent(h -> startMove(tick, pool, h, record(world, h).declared()));
     }
 
     private static boolean isShort(World world, String pool) {
         return world.poolNeeds().find(pool).filter(r -> r.hosts() > 0).isPresent();
     }
 
-    private static boolean movable(Tick tick, String pool, List<HostRow> hosts, HostRow host) {
+    private static boolean isMovable(Tick tick, String pool, List<HostRow> hosts, HostRow host) {
         World world = tick.world();
         String id = host.spec().id();
-        return Budget.available(tick, host)
-                && Fleet.hostRecord(world, id).isPresent()
-                && Fleet.free(world, RecordKey.host(id))
-                && Budget.allows(tick, pool, hosts, host);
+        return BudgetCheck.isAvailable(tick, host)
+                && FleetRecords.hostRecord(world, id).isPresent()
+                && FleetRecords.canDraft(world, RecordKey.host(id))
+                && BudgetCheck.allows(tick, pool, hosts, host);
     }
 
-    private static void move(Tick tick, String pool, HostRow host, String target) {
+    private static void startMove(Tick tick, String pool, HostRow host, String target) {
         World world = tick.world();
         String id = host.spec().id();
         long generation = record(world, host).generation();
-        Fleet.draftOutage(world, pool, id, Outage.move(generation, target));
+        FleetRecords.draftOutage(world, pool, id, Outage.move(generation, target));
         tick.count(record(world, host).lent() ? "host.sent-back" : "host.lent");
     }
 
     private static HostRecord record(World world, HostRow host) {
-        return Fleet.hostRecord(world, host.spec().id()).orElseThrow();
+        return FleetRecords.hostRecord(world, host.spec().id()).orElseThrow();
     }
 
-    private static int onTheWay(World world, String pool) {
+    private static int inboundHosts(World world, String pool) {
         int count = 0;
         for (OutageRow row : world.outages().rows()) {
             boolean moves = row.outage().reason() == OutageReason.MOVE;
--- a/core/src/main/java/org/hibiscususher/core/maintenance/MoveSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/maintenance/MoveSystem.java
@@ -26,50 +26,52 @@
 
     /** Places new hosts and moves others one step on. */
     public static void run(Tick tick) {
-        if (!MaintenanceStep.due(tick) || !Fleet.current(tick)) {
+        if (!MaintenanceSchedule.isDue(tick) || !FleetRecords.isCurrent(tick)) {
             return;
         }
-        placeNew(tick);
-        Map<String, List<HostRow>> pools = Fleet.decidedPools(tick);
-        pools.forEach((pool, hosts) -> hosts.forEach(h -> move(tick, pool, hosts, h)));
+        assignNewHosts(tick);
+        Map<String, List<HostRow>> pools = FleetRecords.decidablePools(tick);
+        pools.forEach((pool, hosts) -> hosts.forEach(h -> advance(tick, pool, hosts, h)));
     }
 
-    private static void placeNew(Tick tick) {
+    private static void assignNewHosts(Tick tick) {
         World world = tick.world();
         int placed = 0;
         for (HostRow host : world.hosts().rows()) {
             String id = host.spec().id();
-            boolean isNew = Fleet.hostRecord(world, id).isEmpty();
+            boolean isNew = FleetRecords.hostRecord(world, id).isEmpty();
             if (placed == MAX_PLACED_PER_STEP) {
                 return;
             }
             if (isNew
-                    && Fleet.free(world, RecordKey.host(id))
-                    && Fleet.responsible(world, host.spec().pool())) {
+                    && FleetRecords.canDraft(world, RecordKey.host(id))
+                    && FleetRecords.isResponsible(world, host.spec().pool())) {
                 long generation =
-                        Fleet.lastHostRecord(world, id).map(HostRecord::generation).orElse(0L);
+                        FleetRecords.lastHostRecord(world, id)
+                                .map(HostRecord::generation)
+                                .orElse(0L);
                 String pool = host.spec().pool();
-                Fleet.draft(
+                FleetRecords.draft(
                         world, RecordKey.host(id), new HostRecord(id, pool, pool, generation + 1));
                 placed++;
             }
         }
     }
 
-    private static void move(Tick tick, String pool, List<HostRow> hosts, HostRow host) {
+    private static void advance(Tick tick, String pool, List<HostRow> hosts, HostRow host) {
         World world = tick.world();
         String id = host.spec().id();
         HostSpec spec = world.configuration().hosts().get(id);
-        Optional<HostRecord> record = Fleet.hostRecord(world, id);
-        if (spec == null || record.isEmpty() || !Fleet.free(world, RecordKey.host(id))) {
+        Optional<HostRecord> record = FleetRecords.hostRecord(world, id);
+        if (spec == null || record.isEmpty() || !FleetRecords.canDraft(world, RecordKey.host(id))) {
             return;
         }
-        Optional<Outage> outage = Fleet.outage(world, id);
+        Optional<Outage> outage = FleetRecords.outage(world, id);
         if (outage.isPresent()) {
-            boolean written = Fleet.free(world, RecordKey.outages(pool));
+            boolean written = FleetRecords.canDraft(world, RecordKey.outages(pool));
             if (written && outage.get().reason() == OutageReason.MOVE && outage.get().idle()) {
-                String target = targetOf(world, outage.get(), spec);
-                rewrite(world, record.get(), target, spec);
+                String target = targetPool(world, outage.get(), spec);
+                draftPool(world, record.get(), target, spec);
                 tick.count("host.moved");
             }
             return;
@@ -78,21 +80,21 @@
             return;
         }
         if (record.get().pool().equals(spec.pool())) {
-            rewrite(world, record.get(), spec.pool(), spec);
-        } else if (Budget.allows(tick, pool, hosts, host)) {
+            draftPool(world, record.get(), spec.pool(), spec);
+        } else if (BudgetCheck.allows(tick, pool, hosts, host)) {
             Outage move = Outage.move(record.get().generation(), spec.pool());
-            Fleet.draftOutage(world, pool, id, move);
+            FleetRecords.draftOutage(world, pool, id, move);
         }
     }
 
-    private static String targetOf(World world, Outage outage, HostSpec spec) {
+    private static String targetPool(World world, Outage outage, HostSpec spec) {
         return world.configuration().pools().containsKey(outage.target())
                 ? outage.target()
                 : spec.pool();
     }
 
-    private static void rewrite(World world, HostRecord record, String pool, HostSpec spec) {
+    private static void draftPool(World world, HostRecord record, String pool, HostSpec spec) {
         HostRecord next = new HostRecord(record.host(), pool, spec.pool(), record.generation() + 1);
-        Fleet.draft(world, RecordKey.host(record.host()), next);
+        FleetRecords.draft(world, RecordKey.host(record.host()), next);
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/maintenance/PoolDemand.java
+++ b/core/src/main/java/org/hibiscususher/core/maintenance/PoolDemand.java
@@ -10,7 +10,7 @@
     private PoolDemand() {}
 
     /** Returns the requests of a pool that wait or run, as the entries last reported. */
-    static int of(World world, String pool) {
+    static int requests(World world, String pool) {
         int count = 0;
         for (DemandRow row : world.demands().group(PermitGroup.pool(pool))) {
             for (TeamDemand team : row.teams()) {
--- a/core/src/main/java/org/hibiscususher/core/maintenance/WaveDone.java
+++ b/core/src/main/java/org/hibiscususher/core/maintenance/RebootedHosts.java
@@ -6,11 +6,11 @@
 import org.hibiscususher.core.world.World;
 
 /** Keeps the hosts that are rebooted in the newest wave, in the order in which they came back. */
-final class WaveDone {
-    private WaveDone() {}
+final class RebootedHosts {
+    private RebootedHosts() {}
 
     /** Adds what a pool's record shows for the first time. */
-    static void note(Tick tick, OutageRecord record) {
+    static void record(Tick tick, OutageRecord record) {
         World world = tick.world();
         if (record.wave().isEmpty()) {
             return;
@@ -24,7 +24,7 @@
     }
 
     /** Forgets all waves but one. */
-    static void keep(World world, String wave) {
+    static void retainOnly(World world, String wave) {
         world.waveDone().removeIf(r -> !r.wave().equals(wave));
     }
 
--- a/core/src/main/java/org/hibiscususher/core/maintenance/WaveCommandSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/maintenance/WaveCommandSystem.java
@@ -27,11 +27,11 @@
     /** Takes the commands that have come and answers those that are settled. */
     public static void run(Tick tick) {
         for (PendingWaveRow row : tick.world().pendingWaves().rows()) {
-            settle(tick, row);
+            advance(tick, row);
         }
         for (WaveAsked asked : tick.inputs(WaveAsked.class)) {
             if (asked.command() == WaveCommand.SHOW) {
-                answer(tick, asked, true, "");
+                reply(tick, asked, true, "");
             } else {
                 tick.world()
                         .pendingWaves()
@@ -42,30 +42,30 @@
         }
     }
 
-    private static void begin(Tick tick, WaveAsked asked) {
+    private static void execute(Tick tick, WaveAsked asked) {
         World world = tick.world();
-        Optional<WaveRecord> present = Fleet.wave(world);
-        Optional<String> obstacle = obstacle(tick, asked, present);
+        Optional<WaveRecord> present = FleetRecords.wave(world);
+        Optional<String> obstacle = rejectionReason(tick, asked, present);
         if (obstacle.isPresent()) {
-            answer(tick, asked, false, obstacle.get());
+            reply(tick, asked, false, obstacle.get());
             return;
         }
         WaveRecord next =
                 asked.command() == WaveCommand.PLAN
-                        ? plan(world, asked, present)
+                        ? newWave(world, asked, present)
                         : present.orElseThrow()
                                 .withState(
                                         asked.command().next(present.get().state()),
                                         "by an operator");
         world.pendingWaves()
                 .put(asked.callId(), new PendingWaveRow(asked, Optional.of(next), tick.nowMs()));
-        Fleet.draft(world, RecordKey.WAVE, next);
+        FleetRecords.draft(world, RecordKey.WAVE, next);
     }
 
-    private static Optional<String> obstacle(
+    private static Optional<String> rejectionReason(
             Tick tick, WaveAsked asked, Optional<WaveRecord> present) {
         World world = tick.world();
-        if (!Fleet.free(world, RecordKey.WAVE)) {
+        if (!FleetRecords.canDraft(world, RecordKey.WAVE)) {
             return Optional.of("another command is being carried out; try again");
         }
         Optional<String> unknown =
@@ -97,7 +97,7 @@
         };
     }
 
-    private static WaveRecord plan(World world, WaveAsked asked, Optional<WaveRecord> present) {
+    private static WaveRecord newWave(World world, WaveAsked asked, Optional<WaveRecord> present) {
         int number =
                 present.map(w -> Integer.parseInt(w.id().substring(ID_PREFIX.length()))).orElse(0);
         SortedSet<String> hosts = new TreeSet<>();
@@ -110,20 +110,20 @@
     }
 
     /** Begins a command once the present record was read, and answers it once that is settled. */
-    private static void settle(Tick tick, PendingWaveRow row) {
+    private static void advance(Tick tick, PendingWaveRow row) {
         World world = tick.world();
         boolean conflict =
                 tick.inputs(RecordSwapped.class).stream()
                         .filter(s -> s.key().equals(RecordKey.WAVE))
                         .anyMatch(s -> s.result() == SwapResult.CONFLICT);
         if (row.wanted().isEmpty() && world.fleetSync().readSince(row.sinceMs())) {
-            begin(tick, row.asked());
-        } else if (row.wanted().isPresent() && row.wanted().equals(Fleet.wave(world))) {
-            answer(tick, row.asked(), true, "");
+            execute(tick, row.asked());
+        } else if (row.wanted().isPresent() && row.wanted().equals(FleetRecords.wave(world))) {
+            reply(tick, row.asked(), true, "");
         } else if (row.wanted().isPresent() && conflict) {
-            answer(tick, row.asked(), false, "another command came first; look again");
+            reply(tick, row.asked(), false, "another command came first; look again");
         } else if (tick.nowMs() - row.sinceMs() >= ANSWER_LIMIT_MS) {
-            answer(
+            reply(
                     tick,
                     row.asked(),
                     false,
@@ -132,7 +132,7 @@
         }
     }
 
-    private static void answer(Tick tick, WaveAsked asked, boolean ok, String detail) {
+    private static void reply(Tick tick, WaveAsked asked, boolean ok, String detail) {
         tick.world().pendingWaves().remove(asked.callId());
         tick.count("wave.command-" + (ok ? "ok" : "declined"));
         tick.emit(new AnswerWave(asked.callId(), WaveReports.of(tick, ok, detail)));
--- a/core/src/main/java/org/hibiscususher/core/maintenance/WaveMonitorSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/maintenance/WaveMonitorSystem.java
@@ -27,29 +27,29 @@
 
     /** Looks after the wave if this entry is the one to do so. */
     public static void run(Tick tick) {
-        if (!MaintenanceStep.due(tick) || !Fleet.current(tick)) {
+        if (!MaintenanceSchedule.isDue(tick) || !FleetRecords.isCurrent(tick)) {
             return;
         }
         World world = tick.world();
-        Optional<WaveRecord> wave = Fleet.wave(world).filter(w -> w.state().takesHosts());
+        Optional<WaveRecord> wave = FleetRecords.wave(world).filter(w -> w.state().takesHosts());
         boolean own =
                 wave.flatMap(w -> Rendezvous.choose("wave:" + w.id(), world.membership().record()))
                         .filter(world.node().identity().id()::equals)
                         .isPresent();
-        if (!own || !Fleet.free(world, RecordKey.WAVE)) {
+        if (!own || !FleetRecords.canDraft(world, RecordKey.WAVE)) {
             return;
         }
-        List<String> failed = failed(tick, wave.get());
+        List<String> failed = failedHosts(tick, wave.get());
         if (failed.size() >= MAX_FAILED) {
             String detail = "hosts failed in the wave: " + String.join(", ", failed);
-            write(tick, wave.get().withState(WaveState.PAUSED, detail));
-        } else if (finished(world, wave.get())) {
-            write(tick, wave.get().withState(WaveState.DONE, ""));
+            draftState(tick, wave.get().withState(WaveState.PAUSED, detail));
+        } else if (isComplete(world, wave.get())) {
+            draftState(tick, wave.get().withState(WaveState.DONE, ""));
         }
     }
 
-    private static void write(Tick tick, WaveRecord next) {
-        Fleet.draft(tick.world(), RecordKey.WAVE, next);
+    private static void draftState(Tick tick, WaveRecord next) {
+        FleetRecords.draft(tick.world(), RecordKey.WAVE, next);
         tick.count("wave." + next.state().name().toLowerCase(java.util.Locale.ROOT));
         tick.emit(
                 new LogEvent(
@@ -63,11 +63,11 @@
     }
 
     /** Returns the hosts that do not come back, and those that came back lately and fail. */
-    private static List<String> failed(Tick tick, WaveRecord wave) {
+    private static List<String> failedHosts(Tick tick, WaveRecord wave) {
         World world = tick.world();
         List<String> failed = new ArrayList<>();
         for (OutageRow row : world.outages().rows()) {
-            if (row.outage().reason() == OutageReason.WAVE && late(tick, row)) {
+            if (row.outage().reason() == OutageReason.WAVE && isRebootOverdue(tick, row)) {
                 failed.add(row.host());
             }
         }
@@ -76,7 +76,7 @@
         for (WaveDoneRow row : done.subList(Math.max(0, done.size() - RECENT_HOSTS), done.size())) {
             Optional<HostRow> host = world.hosts().find(row.host());
             boolean resting = host.filter(h -> h.restUntilMs() > tick.nowMs()).isPresent();
-            if (resting || Budget.lost(world, row.host())) {
+            if (resting || BudgetCheck.isLost(world, row.host())) {
                 failed.add(row.host());
             }
         }
@@ -84,17 +84,17 @@
     }
 
     /** Returns whether a host takes too long to come back from its reboot. */
-    static boolean late(Tick tick, OutageRow row) {
+    static boolean isRebootOverdue(Tick tick, OutageRow row) {
         return row.outage().idle() && tick.nowMs() - row.sinceMs() > REBOOT_LIMIT_MS;
     }
 
-    private static boolean finished(World world, WaveRecord wave) {
+    private static boolean isComplete(World world, WaveRecord wave) {
         boolean out =
                 world.outages().rows().stream()
                         .anyMatch(o -> o.outage().reason() == OutageReason.WAVE);
         return !out
                 && wave.hosts().stream()
                         .filter(h -> world.configuration().hosts().containsKey(h))
-                        .allMatch(h -> WaveDone.contains(world, wave.id(), h));
+                        .allMatch(h -> RebootedHosts.contains(world, wave.id(), h));
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/maintenance/WaveReports.java
+++ b/core/src/main/java/org/hibiscususher/core/maintenance/WaveReports.java
@@ -19,7 +19,7 @@
     /** Returns how the wave stands; an empty detail gives that of the wave. */
     static WaveReport of(Tick tick, boolean ok, String detail) {
         World world = tick.world();
-        Optional<WaveRecord> wave = Fleet.wave(world);
+        Optional<WaveRecord> wave = FleetRecords.wave(world);
         List<WaveReport.Out> out =
                 world.outages().rows().stream()
                         .sorted(Comparator.comparing(OutageRow::host))
@@ -31,16 +31,17 @@
                 wave.map(w -> w.state().name().toLowerCase(Locale.ROOT)).orElse(""),
                 detail.isEmpty() ? wave.map(WaveRecord::detail).orElse("") : detail,
                 wave.map(w -> w.hosts().size()).orElse(0),
-                wave.map(w -> WaveDone.count(world, w.id())).orElse(0),
+                wave.map(w -> RebootedHosts.count(world, w.id())).orElse(0),
                 out);
     }
 
     private static WaveReport.Out out(Tick tick, OutageRow row) {
         String pool = tick.world().hosts().find(row.host()).map(HostRow::pool).orElse("");
-        return new WaveReport.Out(row.host(), pool, doing(tick, row), tick.nowMs() - row.sinceMs());
+        return new WaveReport.Out(
+                row.host(), pool, activity(tick, row), tick.nowMs() - row.sinceMs());
     }
 
-    private static String doing(Tick tick, OutageRow row) {
+    private static String activity(Tick tick, OutageRow row) {
         if (!row.outage().idle()) {
             return row.reported()
                     ? "finishes its work, longer than it may run"
@@ -49,6 +50,8 @@
         if (row.outage().reason() == OutageReason.MOVE) {
             return "moves to pool " + row.outage().target();
         }
-        return WaveMonitorSystem.late(tick, row) ? "does not come back from its reboot" : "reboots";
+        return WaveMonitorSystem.isRebootOverdue(tick, row)
+                ? "does not come back from its reboot"
+                : "reboots";
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/maintenance/WaveSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/maintenance/WaveSystem.java
@@ -37,22 +37,22 @@
     /** Takes hosts out, asks for reboots, and puts hosts that are back into service. */
     public static void run(Tick tick) {
         for (RebootAnswered answered : tick.inputs(RebootAnswered.class)) {
-            noteAnswer(tick, answered);
+            recordResult(tick, answered);
         }
-        if (!MaintenanceStep.due(tick)) {
+        if (!MaintenanceSchedule.isDue(tick)) {
             return;
         }
-        Optional<WaveRecord> wave = Fleet.wave(tick.world());
+        Optional<WaveRecord> wave = FleetRecords.wave(tick.world());
         if (wave.isPresent()) {
-            Map<String, List<HostRow>> pools = Fleet.decidedPools(tick);
-            pools.forEach((pool, hosts) -> bringBack(tick, wave.get(), pool));
+            Map<String, List<HostRow>> pools = FleetRecords.decidablePools(tick);
+            pools.forEach((pool, hosts) -> rebootIdleHosts(tick, wave.get(), pool));
             if (wave.get().state().takesHosts()) {
-                pools.forEach((pool, hosts) -> takeOut(tick, wave.get(), pool, hosts));
+                pools.forEach((pool, hosts) -> takeHostsOut(tick, wave.get(), pool, hosts));
             }
         }
     }
 
-    private static void noteAnswer(Tick tick, RebootAnswered answered) {
+    private static void recordResult(Tick tick, RebootAnswered answered) {
         tick.count("reboot." + answered.result().name().toLowerCase(java.util.Locale.ROOT));
         World world = tick.world();
         world.reboots()
@@ -63,21 +63,21 @@
                         r -> world.reboots().put(answered.host(), r.withResult(answered.result())));
     }
 
-    private static void bringBack(Tick tick, WaveRecord wave, String pool) {
+    private static void rebootIdleHosts(Tick tick, WaveRecord wave, String pool) {
         World world = tick.world();
-        if (!Fleet.free(world, RecordKey.outages(pool))) {
+        if (!FleetRecords.canDraft(world, RecordKey.outages(pool))) {
             return;
         }
-        OutageRecord record = Fleet.outages(world, pool);
+        OutageRecord record = FleetRecords.outages(world, pool);
         for (String host : record.outages().keySet()) {
-            Fleet.outage(world, host)
+            FleetRecords.outage(world, host)
                     .filter(o -> o.reason() == OutageReason.WAVE && o.idle())
                     .filter(o -> o.equals(record.outages().get(host)))
-                    .ifPresent(o -> reboot(tick, wave, pool, host, o));
+                    .ifPresent(o -> advanceReboot(tick, wave, pool, host, o));
         }
     }
 
-    private static void reboot(
+    private static void advanceReboot(
             Tick tick, WaveRecord wave, String pool, String host, Outage outage) {
         World world = tick.world();
         String token = wave.id() + "/" + host;
@@ -88,23 +88,23 @@
         boolean due = row.sentMs() < 0 || tick.nowMs() - row.sentMs() >= REBOOT_RETRY_MS;
         if (row.result() == RebootResult.ACCEPTED) {
             if (booted) {
-                OutageRecord next = Fleet.outages(world, pool).withDone(wave.id(), host);
-                Fleet.draft(world, RecordKey.outages(pool), next);
+                OutageRecord next = FleetRecords.outages(world, pool).withDone(wave.id(), host);
+                FleetRecords.draft(world, RecordKey.outages(pool), next);
                 tick.count("wave.host-back");
             }
         } else if (row.result() == RebootResult.MISMATCH && booted) {
             world.reboots().remove(host);
-            Fleet.draftOutage(world, pool, host, outage.withBootId(bootId.get()));
+            FleetRecords.draftOutage(world, pool, host, outage.withBootId(bootId.get()));
         } else if (due) {
             world.reboots().put(host, new RebootRow(token, row.result(), tick.nowMs()));
             tick.emit(new RebootHost(host, outage.bootId(), token));
         }
     }
 
-    private static void takeOut(Tick tick, WaveRecord wave, String pool, List<HostRow> hosts) {
+    private static void takeHostsOut(Tick tick, WaveRecord wave, String pool, List<HostRow> hosts) {
         World world = tick.world();
         Map<String, Integer> waitingByZone = new LinkedHashMap<>();
-        List<HostRow> waiting = hosts.stream().filter(h -> waits(tick, wave, h)).toList();
+        List<HostRow> waiting = hosts.stream().filter(h -> isEligible(tick, wave, h)).toList();
         waiting.forEach(h -> waitingByZone.merge(h.spec().zone(), 1, Integer::sum));
         List<HostRow> order =
                 waiting.stream()
@@ -115,31 +115,31 @@
                         .toList();
         for (HostRow host : order) {
             String id = host.spec().id();
-            if (outInWave(world) >= FIRST_HOSTS + WaveDone.count(world, wave.id())) {
+            if (hostsOut(world) >= FIRST_HOSTS + RebootedHosts.count(world, wave.id())) {
                 return;
             }
-            if (Budget.allows(tick, pool, hosts, host)) {
-                long generation = Fleet.hostRecord(world, id).orElseThrow().generation();
+            if (BudgetCheck.allows(tick, pool, hosts, host)) {
+                long generation = FleetRecords.hostRecord(world, id).orElseThrow().generation();
                 Outage outage = Outage.reboot(generation, bootId(world, id).orElseThrow());
-                Fleet.draftOutage(world, pool, id, outage);
+                FleetRecords.draftOutage(world, pool, id, outage);
             }
         }
     }
 
     /** Returns whether a host is still to be rebooted and can be taken out now. */
-    private static boolean waits(Tick tick, WaveRecord wave, HostRow host) {
+    private static boolean isEligible(Tick tick, WaveRecord wave, HostRow host) {
         World world = tick.world();
         String id = host.spec().id();
         return wave.hosts().contains(id)
                 && host.stage().takesWork()
-                && Fleet.hostRecord(world, id).isPresent()
-                && Fleet.outage(world, id).isEmpty()
-                && !WaveDone.contains(world, wave.id(), id)
-                && !Budget.lost(world, id)
+                && FleetRecords.hostRecord(world, id).isPresent()
+                && FleetRecords.outage(world, id).isEmpty()
+                && !RebootedHosts.contains(world, wave.id(), id)
+                && !BudgetCheck.isLost(world, id)
                 && bootId(world, id).isPresent();
     }
 
-    private static int outInWave(World world) {
+    private static int hostsOut(World world) {
         int listed =
                 (int)
                         world.outages().rows().stream()
@@ -150,17 +150,17 @@
                         .map(d -> d.record().value())
                         .filter(OutageRecord.class::isInstance)
                         .map(OutageRecord.class::cast)
-                        .mapToInt(r -> draftedIn(world, r))
+                        .mapToInt(r -> newlyDrafted(world, r))
                         .sum();
         return listed + drafted;
     }
 
-    private static int draftedIn(World world, OutageRecord record) {
+    private static int newlyDrafted(World world, OutageRecord record) {
         return (int)
                 record.outages().entrySet().stream()
                         .filter(e -> e.getValue().reason() == OutageReason.WAVE)
                         .filter(e -> !world.outages().contains(e.getKey()))
-                        .filter(e -> Fleet.outage(world, e.getKey()).isPresent())
+                        .filter(e -> FleetRecords.outage(world, e.getKey()).isPresent())
                         .count();
     }
 
