--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/Ends.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/FinishedRuns.java
@@ -6,7 +6,7 @@
 import org.hibiscususher.core.job.StepKey;
 import org.hibiscususher.core.job.StepSpec;
 import org.hibiscususher.core.job.TaskKey;
-import org.hibiscususher.core.scheduler.job.Jobs;
+import org.hibiscususher.core.scheduler.job.JobLifecycle;
 import org.hibiscususher.core.scheduler.world.FinishedRunKey;
 import org.hibiscususher.core.scheduler.world.FinishedRunRow;
 import org.hibiscususher.core.scheduler.world.JobRow;
@@ -17,14 +17,14 @@
 import org.hibiscususher.core.scheduler.world.TaskRow;
 
 /** Takes in the ends of runs that executors list. */
-final class Ends {
+final class FinishedRuns {
     /** Rest before a task runs again whose run failed, in milliseconds. */
     private static final long FAILED_REST_MS = 20;
 
-    private Ends() {}
+    private FinishedRuns() {}
 
     /** Takes in an end that was not taken in before. */
-    static void take(SchedulerTick tick, String executor, FinishedRun end) {
+    static void apply(SchedulerTick tick, String executor, FinishedRun end) {
         SchedulerWorld world = tick.world();
         JobRow job = world.jobs().find(end.task().jobId()).orElse(null);
         RunRow run =
@@ -43,54 +43,55 @@
                         + " executor="
                         + executor
                         + " how="
-                        + end.kind()
+                        + end.outcome()
                         + " number="
-                        + end.number()
+                        + end.sequence()
                         + " current="
                         + (run != null));
-        tick.count("run-ended." + end.kind());
+        tick.count("run-ended." + end.outcome());
         if (run != null) {
             world.runs().remove(run.task());
-            Standings.ended(tick, executor);
+            ExecutorHealth.recordEnd(tick, executor);
         }
-        if (job == null || !job.isOpen()) {
+        if (job == null || !job.acceptsRuns()) {
             return;
         }
-        Jobs.reach(tick, end.task().stepKey());
+        JobLifecycle.activateForReportedRun(tick, end.task().stepKey());
         apply(tick, executor, end, run);
         long version = world.jobs().find(job.id()).map(JobRow::version).orElse(0L);
-        FinishedRunKey key = new FinishedRunKey(executor, end.number());
-        world.ends().put(key, new FinishedRunRow(key, job.id(), version));
+        FinishedRunKey key = new FinishedRunKey(executor, end.sequence());
+        world.finishedRuns().put(key, new FinishedRunRow(key, job.id(), version));
     }
 
     private static void apply(SchedulerTick tick, String executor, FinishedRun end, RunRow run) {
         SchedulerWorld world = tick.world();
-        StepSpec spec = Jobs.specOf(world, end.task().stepKey()).orElse(null);
+        StepSpec spec = JobLifecycle.findSpec(world, end.task().stepKey()).orElse(null);
         if (spec == null) {
             return;
         }
-        if (end.kind() == RunOutcome.DONE && !spec.lasting()) {
+        if (end.outcome() == RunOutcome.DONE && !spec.service()) {
             done(tick, executor, end, spec);
             return;
         }
-        world.tasks().update(end.task(), t -> t.withRun(end.run()));
-        if (end.kind().countsAsAttempt()) {
+        world.tasks().update(end.task(), t -> t.withRunAtLeast(end.run()));
+        if (end.outcome().countsAsAttempt()) {
             failed(tick, executor, end, spec);
         }
         boolean current = run != null || !world.runs().contains(end.task());
         if (current) {
-            long restMs = end.kind() == RunOutcome.FAILED && !spec.lasting() ? FAILED_REST_MS : 0;
+            long restMs =
+                    end.outcome() == RunOutcome.FAILED && !spec.service() ? FAILED_REST_MS : 0;
             world.tasks()
-                    .update(end.task(), t -> t.waiting(tick.nowMs(), restMs, end.checkpoint()));
+                    .update(end.task(), t -> t.asWaiting(tick.nowMs(), restMs, end.checkpoint()));
         }
-        if (!end.checkpoint().isEmpty() && !spec.lasting()) {
-            world.jobs().update(end.task().jobId(), j -> j.changed(tick.nowMs()));
+        if (!end.checkpoint().isEmpty() && !spec.service()) {
+            world.jobs().update(end.task().jobId(), j -> j.withChange(tick.nowMs()));
         }
     }
 
     private static void done(SchedulerTick tick, String executor, FinishedRun end, StepSpec spec) {
         SchedulerWorld world = tick.world();
-        Standings.done(tick, executor);
+        ExecutorHealth.recordSuccess(tick, executor);
         StepKey step = end.task().stepKey();
         int first = spec.gang() ? 0 : end.task().index();
         int last = spec.gang() ? spec.count() - 1 : end.task().index();
@@ -100,27 +101,28 @@
             if (other != null && other.run() == end.run()) {
                 world.runs().remove(task);
             } else if (other != null && other.stage().isWanted()) {
-                Runs.stop(tick, other, StopReason.JOB_ENDED);
+                RunLifecycle.requestStop(tick, other, StopReason.JOB_ENDED);
             }
-            Jobs.taskDone(tick, task, true);
+            JobLifecycle.completeTask(tick, task, true);
         }
     }
 
     private static void failed(
             SchedulerTick tick, String executor, FinishedRun end, StepSpec spec) {
         SchedulerWorld world = tick.world();
-        Standings.failed(tick, executor);
+        ExecutorHealth.recordFailure(tick, executor);
         TaskKey counted = spec.gang() ? end.task().stepKey().task(0) : end.task();
         TaskRow task = world.tasks().find(counted).orElse(null);
-        if (task == null || spec.lasting() || task.failedRuns().contains(end.run())) {
+        if (task == null || spec.service() || task.failedRuns().contains(end.run())) {
             return;
         }
         TaskRow failed = task.withFailure(end.run(), executor);
         world.tasks().put(counted, failed);
         JobRow job = world.jobs().find(end.task().jobId()).orElseThrow();
-        world.jobs().put(job.id(), job.changed(tick.nowMs()));
-        if (failed.failedRuns().size() >= job.terms().attempts()) {
-            Jobs.end(tick, job.id(), JobState.FAILED, "attempts-used task=" + counted.text());
+        world.jobs().put(job.id(), job.withChange(tick.nowMs()));
+        if (failed.failedRuns().size() >= job.policy().maxFailures()) {
+            JobLifecycle.finish(
+                    tick, job.id(), JobState.FAILED, "attempts-used task=" + counted.text());
         }
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/PaceSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/ThrottleSystem.java
@@ -3,7 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.hibiscususher.core.job.StepSpec;
-import org.hibiscususher.core.scheduler.job.Jobs;
+import org.hibiscususher.core.scheduler.job.JobLifecycle;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.HeartbeatAnswered;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.ThrottleRun;
 import org.hibiscususher.core.scheduler.term.Authority;
@@ -19,7 +19,7 @@
  * <p>Answers load that changes within seconds: a serving task's tail latency near its goal slows
  * the fillers beside it at once; they speed up again in small steps while it stays well below.
  */
-public final class PaceSystem {
+public final class ThrottleSystem {
     private static final int FULL = 100;
 
     /** Tail latency from which fillers are slowed down, in percent of the goal. */
@@ -30,7 +30,7 @@
 
     private static final int STEP_UP = 20;
 
-    private PaceSystem() {}
+    private ThrottleSystem() {}
 
     /** Runs over the executors that have just told their runs. */
     public static void run(SchedulerTick tick) {
@@ -50,18 +50,18 @@
         long worst = -1;
         List<RunRow> fillers = new ArrayList<>();
         for (RunRow run : world.runs().group(executor.id())) {
-            StepSpec spec = Jobs.specOf(world, run.task().stepKey()).orElse(null);
+            StepSpec spec = JobLifecycle.findSpec(world, run.task().stepKey()).orElse(null);
             if (spec == null || run.stage() != RunStage.RUNNING) {
                 continue;
             }
-            if (spec.fills()) {
+            if (spec.bestEffortCpu()) {
                 fillers.add(run);
-            } else if (spec.goalMs() > 0 && run.load() >= 0) {
-                worst = Math.max(worst, run.load() * 100 / spec.goalMs());
+            } else if (spec.latencyGoalMs() > 0 && run.load() >= 0) {
+                worst = Math.max(worst, run.load() * 100 / spec.latencyGoalMs());
             }
         }
         for (RunRow run : fillers) {
-            set(tick, executor, run, next(run.pace(), worst));
+            set(tick, executor, run, nextSpeedPercent(run.speedLimitPercent(), worst));
         }
     }
 
@@ -71,7 +71,7 @@
      * @param pace its pace in percent
      * @param worst worst tail latency beside it, in percent of the goal; -1 if nothing serves there
      */
-    static int next(int pace, long worst) {
+    static int nextSpeedPercent(int pace, long worst) {
         if (worst >= FULL) {
             return 0;
         }
@@ -82,10 +82,10 @@
     }
 
     private static void set(SchedulerTick tick, ExecutorRow executor, RunRow run, int pace) {
-        if (pace == run.pace()) {
+        if (pace == run.speedLimitPercent()) {
             return;
         }
-        tick.world().runs().put(run.task(), run.withPace(pace));
+        tick.world().runs().put(run.task(), run.withSpeedLimit(pace));
         tick.count("pace");
         tick.emit(
                 new ThrottleRun(
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/Progress.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/JobProgress.java
@@ -14,18 +14,18 @@
 import org.hibiscususher.core.scheduler.world.TaskRow;
 
 /** Translates between a job's tables and the record of its progress. */
-public final class Progress {
-    private Progress() {}
+public final class JobProgress {
+    private JobProgress() {}
 
     /** Returns the record of how far a job has come. */
-    public static StoredRecord.Progress of(SchedulerWorld world, JobRow job) {
+    public static StoredRecord.Progress toRecord(SchedulerWorld world, JobRow job) {
         List<StepProgress> steps = new ArrayList<>();
         List<TaskProgress> tasks = new ArrayList<>();
         if (!job.state().isFinal()) {
-            for (StepRow step : Jobs.stepsOf(world, job)) {
+            for (StepRow step : JobLifecycle.activatedSteps(world, job)) {
                 StepKey key = step.key();
-                if (step.done().signum() != 0) {
-                    steps.add(new StepProgress(key.occurrence(), key.step(), step.done()));
+                if (step.doneTasks().signum() != 0) {
+                    steps.add(new StepProgress(key.occurrence(), key.step(), step.doneTasks()));
                 }
                 addTasks(world, job, step, tasks);
             }
@@ -67,10 +67,10 @@
         if (progress.state().isFinal()) {
             return;
         }
-        Jobs.openDue(tick, job.id());
+        JobLifecycle.activateDueOccurrences(tick, job.id());
         for (StepProgress mark : progress.steps()) {
             StepKey key = new StepKey(job.id(), mark.occurrence(), mark.step());
-            Jobs.markDone(tick, key, mark.done());
+            JobLifecycle.completeTasks(tick, key, mark.done());
         }
         for (TaskProgress mark : progress.tasks()) {
             StepKey key = new StepKey(job.id(), mark.occurrence(), mark.step());
@@ -83,12 +83,12 @@
                 task.key(),
                 task.pool(),
                 task.state(),
-                mark.failedRuns().stream().reduce(task.run(), Math::max),
+                mark.failedRuns().stream().reduce(task.lastRun(), Math::max),
                 Set.copyOf(mark.failedRuns()),
                 mark.checkpoint(),
-                task.readyMs(),
+                task.readySinceMs(),
                 task.notBeforeMs(),
-                task.failedOn(),
-                task.doubtful());
+                task.lastFailedExecutor(),
+                task.uncertain());
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/placement/ExecutorChoice.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/placement/ExecutorSelector.java
@@ -10,8 +10,8 @@
 import org.hibiscususher.core.scheduler.world.TaskRow;
 
 /** Chooses the executor for a task. */
-final class ExecutorChoice {
-    private ExecutorChoice() {}
+final class ExecutorSelector {
+    private ExecutorSelector() {}
 
     /**
      * Returns the executor on which a task runs best, or empty if it fits on none.
@@ -20,14 +20,14 @@
      * comes last; then the one with the most free processor time for tasks that serve, the least
      * for others, so that room for wide tasks stays.
      */
-    static Optional<ExecutorRow> find(
+    static Optional<ExecutorRow> select(
             SchedulerTick tick, FreeCapacity room, TaskRow task, StepSpec spec) {
         ExecutorRow best = null;
         long bestRank = Long.MAX_VALUE;
         for (ExecutorRow row : room.executors()) {
             Resources free = room.free(row.id());
             if (spec.reserved().fitsIn(free) && isAllowed(tick, row, task, spec)) {
-                long rank = rank(row, task, spec, free, room.runs(row.id()));
+                long rank = rank(row, task, spec, free, room.runCount(row.id()));
                 if (rank < bestRank) {
                     best = row;
                     bestRank = rank;
@@ -46,8 +46,11 @@
         StepKey step = task.key().stepKey();
         SchedulerWorld world = tick.world();
         boolean advised =
-                world.jobs().find(step.jobId()).filter(j -> j.terms().advised()).isPresent();
-        if (advised && AdviceSystem.ticket(tick, step, row.id()).isEmpty()) {
+                world.jobs()
+                        .find(step.jobId())
+                        .filter(j -> j.policy().needsPlacementToken())
+                        .isPresent();
+        if (advised && AdviceSystem.placementToken(tick, step, row.id()).isEmpty()) {
             return false;
         }
         if (spec.maxPerExecutor() <= 0) {
@@ -63,13 +66,13 @@
     private static long rank(
             ExecutorRow row, TaskRow task, StepSpec spec, Resources free, int runs) {
         long rank = 0;
-        if (row.id().equals(task.failedOn())) {
+        if (row.id().equals(task.lastFailedExecutor())) {
             rank += 4_000_000_000L;
         }
         if (!spec.dataRack().isEmpty() && !row.report().labels().contains(spec.dataRack())) {
             rank += 2_000_000_000L;
         }
-        if (spec.fills()) {
+        if (spec.bestEffortCpu()) {
             return rank + runs;
         }
         return rank + free.cpuMillis() + 1_000_000_000L;
--- a/core/src/main/java/org/hibiscususher/core/scheduler/placement/StartOrder.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/placement/StartPriority.java
@@ -19,26 +19,26 @@
  * @param workLeft work left in the job, in core-milliseconds
  * @param arrivedMs when the job came
  */
-record StartOrder(boolean lasting, int priority, boolean hopeful, long workLeft, long arrivedMs)
-        implements Comparable<StartOrder> {
+record StartPriority(boolean lasting, int priority, boolean hopeful, long workLeft, long arrivedMs)
+        implements Comparable<StartPriority> {
     /** Returns the place of a job's tasks. */
-    static StartOrder of(SchedulerWorld world, JobRow job, long nowMs) {
+    static StartPriority of(SchedulerWorld world, JobRow job, long nowMs) {
         long chainMs = 0;
         long work = 0;
         for (int i = 0; i < job.spec().steps().size(); i++) {
             StepSpec step = job.spec().steps().get(i);
             StepRow row = world.steps().find(new StepKey(job.id(), 0, i)).orElse(null);
-            int left = row == null ? step.count() : row.left();
-            work += step.workMs() * left / step.count();
+            int left = row == null ? step.count() : row.remaining();
+            work += step.workCoreMs() * left / step.count();
             chainMs += left > 0 ? step.estimateMs() : 0;
         }
-        boolean hopeful = nowMs + chainMs <= job.dueMs();
-        return new StartOrder(
-                job.spec().isLasting(), job.terms().priority(), hopeful, work, job.arrivedMs());
+        boolean hopeful = nowMs + chainMs <= job.deadlineMs();
+        return new StartPriority(
+                job.spec().isService(), job.policy().priority(), hopeful, work, job.arrivedMs());
     }
 
     @Override
-    public int compareTo(StartOrder other) {
+    public int compareTo(StartPriority other) {
         int order = Boolean.compare(other.lasting, lasting);
         order = order != 0 ? order : Integer.compare(priority, other.priority);
         order = order != 0 ? order : Boolean.compare(other.hopeful, hopeful);
