--- a/core/src/main/java/org/hibiscususher/core/escrow/AllocationLedger.java
+++ b/core/src/main/java/org/hibiscususher/core/escrow/AllocationLedger.java
@@ -15,11 +15,22 @@
 import org.hibiscususher.core.world.TotalRow;
 import org.hibiscususher.core.world.World;
 
-/** The ledger of the permits that this entry allocates. */
+/**
+ * The permits of the groups that this entry allocates, with an account of each member that holds
+ * some.
+ *
+ * <p>An account never shows less than its member holds: a grant is entered before it is sent, and a
+ * return only after it was received. Otherwise a lost or late message would let the same permit be
+ * granted twice.
+ */
 final class AllocationLedger {
     private AllocationLedger() {}
 
-    /** Takes in a return and acknowledges it. */
+    /**
+     * Enters a return and acknowledges it.
+     *
+     * <p>Ignored if the sender has no account under the claim epoch of the message.
+     */
     static void applyReturn(MessageExchange exchange, MemberKey from, Returned returned) {
         if (updateAccount(
                 exchange,
@@ -35,40 +46,52 @@
         }
     }
 
-    /** Takes in that a member has seen a grant. */
+    /** Records that a member has received a grant, so that it is sent no more. */
     static void applyGrantAck(MessageExchange exchange, MemberKey from, GrantSeen seen) {
         updateAccount(
                 exchange, from, seen.permit(), seen.basis(), a -> a.withGrantSeen(seen.granted()));
     }
 
+    /**
+     * Updates the account of a member if it has one under a claim epoch; returns whether it has.
+     */
     private static boolean updateAccount(
             MessageExchange exchange,
             MemberKey from,
             PermitKey key,
-            long basis,
-            UnaryOperator<Account> change) {
+            long claimEpoch,
+            UnaryOperator<Account> update) {
         Optional<LedgerRow> row = exchange.world().ledger().find(key);
         Optional<Account> account =
-                row.flatMap(r -> r.account(from)).filter(a -> a.basis() == basis);
+                row.flatMap(r -> r.account(from)).filter(a -> a.basis() == claimEpoch);
         account.ifPresent(
-                a -> exchange.world().ledger().put(key, row.get().withAccount(change.apply(a))));
+                a -> exchange.world().ledger().put(key, row.get().withAccount(update.apply(a))));
         return account.isPresent();
     }
 
-    /** Returns how many permits may be granted now; negative if too many are out. */
-    static int grantable(World world, TenureRow tenure, LedgerRow row) {
-        return limit(world, tenure, row) - row.outstanding();
+    /**
+     * Returns how many permits of a row may be granted now; negative if the members hold more than
+     * the limit, as after it was lowered.
+     */
+    static int grantable(World world, TenureRow term, LedgerRow row) {
+        return limit(world, term, row) - row.outstanding();
     }
 
-    /** Returns how many permits may be out among the members that have answered. */
-    static int limit(World world, TenureRow tenure, LedgerRow row) {
+    /**
+     * Returns how many permits the members that have sent a claim may hold together: the limit in
+     * force, less what the others may hold.
+     */
+    static int limit(World world, TenureRow term, LedgerRow row) {
         int total = world.totals().find(row.key()).map(TotalRow::total).orElse(0);
-        return total - (tenure.inDoubt() ? row.unclaimed() : 0);
+        return total - (term.inDoubt() ? row.unclaimed() : 0);
     }
 
-    /** Makes sure that each permit of a group that may exist has a row. */
-    static void ensureRows(World world, TenureRow tenure) {
-        for (TotalRow total : List.copyOf(world.totals().group(tenure.group()))) {
+    /**
+     * Adds the missing rows of a group. All permits of a new row count as unclaimed, up to the
+     * highest limit known.
+     */
+    static void ensureRows(World world, TenureRow term) {
+        for (TotalRow total : List.copyOf(world.totals().group(term.group()))) {
             if (!world.ledger().contains(total.key())) {
                 world.ledger()
                         .put(total.key(), new LedgerRow(total.key(), total.highest(), List.of()));
@@ -76,37 +99,47 @@
         }
     }
 
-    /** Grants permits to a member that has answered. */
+    /**
+     * Grants permits to a member that has sent a claim.
+     *
+     * @param claimEpoch the epoch of the member's claim
+     * @param count how many permits to add to those granted before
+     */
     static void grant(
-            MessageExchange exchange, PermitKey key, MemberKey member, long basis, int count) {
+            MessageExchange exchange, PermitKey key, MemberKey member, long claimEpoch, int count) {
         LedgerRow row = exchange.world().ledger().find(key).orElseThrow();
-        Account account = row.account(member).orElse(Account.of(member, basis, 0));
-        Account grown = account.withGranted(count).withSent(exchange.nowMs());
-        exchange.world().ledger().put(key, row.withAccount(grown));
-        exchange.send(member, new Granted(basis, key, grown.granted()));
+        Account account = row.account(member).orElse(Account.of(member, claimEpoch, 0));
+        Account increased = account.withGranted(count).withSent(exchange.nowMs());
+        exchange.world().ledger().put(key, row.withAccount(increased));
+        exchange.send(member, new Granted(claimEpoch, key, increased.granted()));
     }
 
-    /** Sends the grants of a group again that were not acknowledged; returns if there are any. */
-    static boolean resendGrants(MessageExchange exchange, TenureRow tenure) {
-        boolean unseen = false;
-        for (LedgerRow row : List.copyOf(exchange.world().ledger().group(tenure.group()))) {
+    /**
+     * Resends the grants of a group that were not acknowledged in time.
+     *
+     * @return whether any grant of the group is still unacknowledged, resent or not
+     */
+    static boolean resendGrants(MessageExchange exchange, TenureRow term) {
+        boolean unacknowledged = false;
+        for (LedgerRow row : List.copyOf(exchange.world().ledger().group(term.group()))) {
             for (Account account : row.accounts()) {
-                if (account.unseen() && !awaitsReclaim(tenure, account.member())) {
-                    unseen = true;
-                    resendGrants(exchange, row.key(), account);
+                if (account.unseen() && !awaitsReclaim(term, account.member())) {
+                    unacknowledged = true;
+                    resendGrant(exchange, row.key(), account);
                 }
             }
         }
-        return unseen;
+        return unacknowledged;
     }
 
-    private static boolean awaitsReclaim(TenureRow tenure, MemberKey member) {
-        TenureRow.Answer answer = tenure.answers().get(member);
-        return answer == null || answer.restUntilMs() != TenureRow.NEVER;
+    /** Returns whether a member's process has ended, so that its permits wait to be reclaimed. */
+    private static boolean awaitsReclaim(TenureRow term, MemberKey member) {
+        TenureRow.Answer status = term.answers().get(member);
+        return status == null || status.restUntilMs() != TenureRow.NEVER;
     }
 
-    private static void resendGrants(MessageExchange exchange, PermitKey key, Account account) {
-        if (exchange.nowMs() - account.sentMs() < EscrowTiming.RESEND_MS) {
+    private static void resendGrant(MessageExchange exchange, PermitKey key, Account account) {
+        if (exchange.nowMs() - account.sentMs() < EscrowTiming.RESEND_INTERVAL_MS) {
             return;
         }
         Account sent = account.withSent(exchange.nowMs());
--- a/core/src/main/java/org/hibiscususher/core/escrow/AllocatorBindings.java
+++ b/core/src/main/java/org/hibiscususher/core/escrow/AllocatorBindings.java
@@ -19,16 +19,22 @@
 import org.hibiscususher.core.world.World;
 
 /**
- * Follows the allocator of each group.
+ * Binds this entry to the allocator of each group of permits.
  *
- * <p>While the allocator of a group stays the same, the holdings go on counting from the same
- * basis. When it changes, they are frozen into a claim: nothing that was granted under the former
- * basis is taken any more.
+ * <p>While the allocator of a group stays the same, grants and returns are counted from one claim.
+ * When it changes, the current holdings become a new claim with a higher claim epoch, and the
+ * counts restart at 0. Messages under an earlier claim epoch are ignored from then on: a late grant
+ * of the former allocator would add permits that the new one doesn't know of, and the limit could
+ * be exceeded.
  */
 final class AllocatorBindings {
     private AllocatorBindings() {}
 
-    /** Attaches to the allocators of the newest membership record. */
+    /**
+     * Binds each group to its allocator by the newest membership record.
+     *
+     * <p>A group without an allocator keeps its binding.
+     */
     static void rebind(MessageExchange exchange) {
         World world = exchange.world();
         MembershipRecord record = world.membership().record();
@@ -36,15 +42,18 @@
         groups.addAll(world.holdings().groups());
         for (PermitGroup group : groups) {
             Optional<MemberKey> allocator = allocatorOf(group, record);
-            Optional<MemberKey> followed =
+            Optional<MemberKey> bound =
                     world.attachments().find(group).map(AttachmentRow::allocator);
-            if (allocator.isPresent() && !allocator.equals(followed)) {
+            if (allocator.isPresent() && !allocator.equals(bound)) {
                 bind(world, group, allocator.get(), record.epoch());
             }
         }
     }
 
-    /** Returns the process that allocates a group, or empty if none may. */
+    /**
+     * Returns the process that allocates a group by a membership record, or empty if no member may
+     * allocate.
+     */
     static Optional<MemberKey> allocatorOf(PermitGroup group, MembershipRecord record) {
         return Rendezvous.choose(group.hashedName(), record)
                 .flatMap(
@@ -56,6 +65,11 @@
                 .map(m -> new MemberKey(m.id(), m.incarnation()));
     }
 
+    /**
+     * Binds a group to an allocator, to which it has sent no claim yet.
+     *
+     * @param epoch epoch of the claim to be sent
+     */
     private static void bind(World world, PermitGroup group, MemberKey allocator, long epoch) {
         for (HoldingRow holding : List.copyOf(world.holdings().group(group))) {
             if (holding.held() == 0) {
@@ -68,26 +82,37 @@
         world.reports().remove(group);
     }
 
-    /** Attaches anew, if the record allows it, to an allocator that has no current claim. */
-    static void handleClaimRequest(MessageExchange exchange, MemberKey from, ClaimAsked asked) {
+    /**
+     * Sends a claim to an allocator that lacks one, with a new claim epoch if the present one is
+     * older than the allocator's term.
+     *
+     * <p>Ignored unless the membership record known here is at least as new as the request and
+     * names the sender as the group's allocator.
+     */
+    static void handleClaimRequest(MessageExchange exchange, MemberKey from, ClaimAsked request) {
         World world = exchange.world();
         MembershipRecord record = world.membership().record();
-        PermitGroup group = asked.group();
-        if (record.epoch() < asked.epoch()
+        PermitGroup group = request.group();
+        if (record.epoch() < request.epoch()
                 || !allocatorOf(group, record).equals(Optional.of(from))) {
             return;
         }
         Optional<AttachmentRow> row = world.attachments().find(group);
-        boolean current =
-                row.map(a -> a.allocator().equals(from) && a.basis() >= asked.epoch())
+        boolean claimCurrent =
+                row.map(a -> a.allocator().equals(from) && a.basis() >= request.epoch())
                         .orElse(false);
-        if (!current) {
+        if (!claimCurrent) {
             bind(world, group, from, record.epoch());
         }
         sendClaim(exchange, world.attachments().find(group).orElseThrow());
     }
 
-    /** Sends the claim of a group; it is the same each time under one basis. */
+    /**
+     * Sends the claim of a group. Each repetition under one claim epoch is the same.
+     *
+     * <p>The claim also lists permits whose limit was once higher than now, even if this entry
+     * holds none: other members may hold permits of that time, which the allocator has to count.
+     */
     static void sendClaim(MessageExchange exchange, AttachmentRow row) {
         World world = exchange.world();
         List<ClaimedPermit> permits = new ArrayList<>();
@@ -108,14 +133,19 @@
         exchange.send(row.allocator(), new Claim(row.basis(), row.group(), permits));
     }
 
-    /** Takes in how many permits of a group to keep. */
-    static void applyTarget(MessageExchange exchange, ReceivedItem delivery, Target target) {
+    /**
+     * Applies how many permits of a group to keep, which also acknowledges the claim.
+     *
+     * <p>Ignored if it is not from the present allocator, if it was sent under another claim epoch,
+     * or if a later message has brought targets already.
+     */
+    static void applyTarget(MessageExchange exchange, ReceivedItem received, Target target) {
         exchange.world()
                 .attachments()
                 .find(target.group())
-                .filter(a -> a.allocator().equals(delivery.from()))
+                .filter(a -> a.allocator().equals(received.from()))
                 .filter(a -> a.basis() == target.basis())
-                .filter(a -> a.sequence() <= delivery.sequence())
+                .filter(a -> a.sequence() <= received.sequence())
                 .ifPresent(
                         a ->
                                 exchange.world()
@@ -123,7 +153,7 @@
                                         .put(
                                                 a.group(),
                                                 a.withTargets(
-                                                        delivery.sequence(),
+                                                        received.sequence(),
                                                         target.main(),
                                                         target.longRuns())));
     }
--- a/core/src/main/java/org/hibiscususher/core/escrow/AllocatorTerms.java
+++ b/core/src/main/java/org/hibiscususher/core/escrow/AllocatorTerms.java
@@ -22,16 +22,17 @@
 import org.hibiscususher.core.world.World;
 
 /**
- * The groups that this entry allocates.
+ * The terms of this entry as allocator of groups of permits.
  *
- * <p>A tenure lasts while each membership record seen names this entry as the group's allocator.
- * Until every member that may hold permits of the group has claimed under a basis no older than the
- * tenure, what is unclaimed counts as held.
+ * <p>A term lasts while each membership record seen names this entry as the group's allocator. A
+ * new allocator doesn't know what its predecessors have granted. Until every member that may hold
+ * permits of the group has sent a claim under an epoch no older than the term, all permits that may
+ * exist and aren't claimed count as held; otherwise a permit could be granted twice.
  */
 final class AllocatorTerms {
     private AllocatorTerms() {}
 
-    /** Begins, goes on with and ends tenures as the newest membership record demands. */
+    /** Begins, updates and ends terms by the newest membership record. */
     static void update(MessageExchange exchange) {
         World world = exchange.world();
         MembershipRecord record = world.membership().record();
@@ -39,11 +40,11 @@
         for (Member member : record.members()) {
             listed.put(new MemberKey(member.id(), member.incarnation()), member.state());
         }
-        for (TenureRow tenure : world.tenures().rows()) {
-            if (isAllocator(exchange, tenure.group(), record)) {
-                world.tenures().put(tenure.group(), renew(exchange, tenure, listed));
+        for (TenureRow term : world.tenures().rows()) {
+            if (isAllocator(exchange, term.group(), record)) {
+                world.tenures().put(term.group(), renew(exchange, term, listed));
             } else {
-                end(world, tenure.group());
+                end(world, term.group());
             }
         }
         for (PermitGroup group : world.totals().groups()) {
@@ -58,24 +59,38 @@
         return AllocatorBindings.allocatorOf(group, record).equals(Optional.of(exchange.self()));
     }
 
+    /**
+     * Begins a term, in which no member has sent a claim yet.
+     *
+     * @param epoch epoch of the membership record that makes this entry the allocator
+     * @param listed the members of that record with their states
+     */
     private static void begin(
             MessageExchange exchange,
             PermitGroup group,
             long epoch,
             Map<MemberKey, MemberState> listed) {
-        Map<MemberKey, Answer> answers = new LinkedHashMap<>();
+        Map<MemberKey, Answer> statuses = new LinkedHashMap<>();
         listed.forEach(
                 (member, state) ->
-                        answers.put(member, new Answer(-1, state, reclaimTimeMs(exchange, state))));
-        exchange.world().tenures().put(group, new TenureRow(group, epoch, answers, 0, -1));
+                        statuses.put(
+                                member, new Answer(-1, state, reclaimTimeMs(exchange, state))));
+        exchange.world().tenures().put(group, new TenureRow(group, epoch, statuses, 0, -1));
     }
 
+    /**
+     * Returns when the permits of a member may be reclaimed, in milliseconds of the tick's clock.
+     *
+     * <p>{@link TenureRow#NEVER} while its process may run. The requests of a process that has
+     * ended may still run on their hosts, so its permits count as held for the longest run.
+     */
     private static long reclaimTimeMs(MessageExchange exchange, MemberState state) {
         return state.mayHold()
                 ? TenureRow.NEVER
                 : exchange.nowMs() + exchange.world().escrow().longestRunMs();
     }
 
+    /** Ends a term and drops what belongs to it; the next allocator collects claims itself. */
     private static void end(World world, PermitGroup group) {
         world.tenures().remove(group);
         for (LedgerRow row : List.copyOf(world.ledger().group(group))) {
@@ -85,61 +100,78 @@
         world.advice().removeIf(a -> a.key().group().equals(group));
     }
 
+    /**
+     * Returns a term that is due at once, with the members' statuses by the newest record.
+     *
+     * <p>A member that is no longer listed after it was leaving or dead holds nothing: it is
+     * removed from the record only then.
+     */
     private static TenureRow renew(
-            MessageExchange exchange, TenureRow tenure, Map<MemberKey, MemberState> listed) {
-        TenureRow changed = tenure.withDue(0);
-        for (Map.Entry<MemberKey, Answer> entry : tenure.answers().entrySet()) {
+            MessageExchange exchange, TenureRow term, Map<MemberKey, MemberState> listed) {
+        TenureRow changed = term.withDue(0);
+        for (Map.Entry<MemberKey, Answer> entry : term.answers().entrySet()) {
             MemberKey member = entry.getKey();
-            Answer answer = entry.getValue();
+            Answer status = entry.getValue();
             MemberState state = listed.get(member);
-            if (state == null && answer.state().provenOver()) {
+            if (state == null && status.state().provenOver()) {
                 changed = reclaim(exchange.world(), changed, member);
             } else {
-                changed = changed.withAnswer(member, updated(exchange, answer, state));
+                changed = changed.withAnswer(member, updated(exchange, status, state));
             }
         }
         return changed;
     }
 
-    /** Returns what is known of a member that is listed in a state, or no longer (null). */
-    private static Answer updated(MessageExchange exchange, Answer answer, MemberState state) {
-        MemberState resting = state == null ? MemberState.DEAD : state;
-        long rest =
-                answer.restUntilMs() == TenureRow.NEVER
-                        ? reclaimTimeMs(exchange, resting)
-                        : answer.restUntilMs();
-        return new Answer(answer.basis(), state == null ? answer.state() : state, rest);
+    /**
+     * Returns the status of a member by the newest membership record.
+     *
+     * @param state the member's state there; null if it is no longer listed, which counts as dead
+     */
+    private static Answer updated(MessageExchange exchange, Answer status, MemberState state) {
+        MemberState effectiveState = state == null ? MemberState.DEAD : state;
+        long reclaimMs =
+                status.restUntilMs() == TenureRow.NEVER
+                        ? reclaimTimeMs(exchange, effectiveState)
+                        : status.restUntilMs();
+        return new Answer(status.basis(), state == null ? status.state() : state, reclaimMs);
     }
 
-    /** Frees what a member held. */
-    private static TenureRow reclaim(World world, TenureRow tenure, MemberKey member) {
-        for (LedgerRow row : List.copyOf(world.ledger().group(tenure.group()))) {
+    /** Removes a member from a term, and what it held from the ledger. */
+    private static TenureRow reclaim(World world, TenureRow term, MemberKey member) {
+        for (LedgerRow row : List.copyOf(world.ledger().group(term.group()))) {
             if (row.account(member).isPresent()) {
                 world.ledger().put(row.key(), row.without(member));
             }
         }
-        return tenure.without(member);
+        return term.without(member);
     }
 
-    /** Takes in a claim of a member of the record and acknowledges it with targets. */
+    /**
+     * Enters a claim in the ledger and makes the group due, so that targets are sent. They
+     * acknowledge the claim.
+     *
+     * <p>Ignored if this entry does not allocate the group, if the claim epoch is older than the
+     * term, or if the sender is not a member that may hold permits. A repeated claim changes no
+     * account but is acknowledged again.
+     */
     static void applyClaim(MessageExchange exchange, MemberKey from, Claim claim) {
         World world = exchange.world();
         Optional<TenureRow> found = world.tenures().find(claim.group());
         if (found.isEmpty() || claim.basis() < found.get().sinceEpoch() || !mayClaim(world, from)) {
             return;
         }
-        TenureRow tenure = found.get();
-        AllocationLedger.ensureRows(world, tenure);
-        Answer before = tenure.answers().get(from);
-        if (before == null || before.basis() < claim.basis()) {
-            boolean first = before == null || !before.known();
-            recordClaim(world, claim, from, first && before != null);
-            MemberState state = before == null ? MemberState.ACTIVE : before.state();
-            long rest = before == null ? TenureRow.NEVER : before.restUntilMs();
-            tenure = tenure.withAnswer(from, new Answer(claim.basis(), state, rest));
+        TenureRow term = found.get();
+        AllocationLedger.ensureRows(world, term);
+        Answer previous = term.answers().get(from);
+        if (previous == null || previous.basis() < claim.basis()) {
+            boolean firstClaim = previous == null || !previous.known();
+            recordClaim(world, claim, from, firstClaim && previous != null);
+            MemberState state = previous == null ? MemberState.ACTIVE : previous.state();
+            long reclaimMs = previous == null ? TenureRow.NEVER : previous.restUntilMs();
+            term = term.withAnswer(from, new Answer(claim.basis(), state, reclaimMs));
         }
         world.advice().remove(DemandReports.keyOf(claim.group(), from));
-        world.tenures().put(claim.group(), tenure.withDue(exchange.nowMs()));
+        world.tenures().put(claim.group(), term.withDue(exchange.nowMs()));
     }
 
     private static boolean mayClaim(World world, MemberKey member) {
@@ -151,6 +183,12 @@
                                         && m.state().mayHold());
     }
 
+    /**
+     * Replaces the accounts of a member by its claim.
+     *
+     * @param fromUnclaimed whether the ledger has so far counted what the member claims as
+     *     unclaimed
+     */
     private static void recordClaim(
             World world, Claim claim, MemberKey from, boolean fromUnclaimed) {
         for (LedgerRow row : List.copyOf(world.ledger().group(claim.group()))) {
@@ -172,62 +210,67 @@
         }
     }
 
-    /** Looks at the groups that are due: asks for claims, frees what has rested, and balances. */
+    /**
+     * Processes the groups that are due: reclaims the permits of ended members, requests missing
+     * claims, balances the permits and resends grants.
+     */
     static void runDue(MessageExchange exchange) {
         for (TenureRow row : exchange.world().tenures().rows()) {
             if (row.dueMs() <= exchange.nowMs()) {
-                runDue(exchange, row);
+                process(exchange, row);
             }
         }
     }
 
-    private static void runDue(MessageExchange exchange, TenureRow row) {
+    private static void process(MessageExchange exchange, TenureRow row) {
         World world = exchange.world();
         AllocationLedger.ensureRows(world, row);
-        TenureRow tenure = reclaimDue(exchange, row);
-        tenure = requestClaims(exchange, tenure);
-        world.tenures().put(tenure.group(), tenure);
-        boolean active = PermitBalancer.run(exchange, tenure);
-        boolean unseen = AllocationLedger.resendGrants(exchange, tenure);
-        long next = TenureRow.NEVER;
-        for (Answer answer : tenure.answers().values()) {
-            next = Math.min(next, answer.restUntilMs());
+        TenureRow term = reclaimDue(exchange, row);
+        term = requestClaims(exchange, term);
+        world.tenures().put(term.group(), term);
+        boolean active = PermitBalancer.run(exchange, term);
+        boolean unacknowledged = AllocationLedger.resendGrants(exchange, term);
+        long nextDueMs = TenureRow.NEVER;
+        for (Answer status : term.answers().values()) {
+            nextDueMs = Math.min(nextDueMs, status.restUntilMs());
         }
-        if (active || unseen || tenure.inDoubt()) {
-            next = Math.min(next, exchange.nowMs() + EscrowTiming.RESEND_MS);
+        if (active || unacknowledged || term.inDoubt()) {
+            nextDueMs = Math.min(nextDueMs, exchange.nowMs() + EscrowTiming.RESEND_INTERVAL_MS);
         }
-        world.tenures().put(tenure.group(), tenure.withNextDue(next));
+        world.tenures().put(term.group(), term.withNextDue(nextDueMs));
     }
 
+    /** Reclaims the permits of ended members whose longest run must be over. */
     private static TenureRow reclaimDue(MessageExchange exchange, TenureRow row) {
-        TenureRow tenure = row;
+        TenureRow term = row;
         for (Map.Entry<MemberKey, Answer> entry : row.answers().entrySet()) {
             if (entry.getValue().restUntilMs() <= exchange.nowMs()) {
-                tenure = reclaim(exchange.world(), tenure, entry.getKey());
+                term = reclaim(exchange.world(), term, entry.getKey());
             }
         }
-        return tenure;
+        return term;
     }
 
-    private static TenureRow requestClaims(MessageExchange exchange, TenureRow tenure) {
-        boolean due =
-                tenure.askedMs() < 0
-                        || exchange.nowMs() - tenure.askedMs() >= EscrowTiming.ASK_AGAIN_MS;
-        if (!due || !tenure.inDoubt()) {
-            return tenure;
+    /** Requests the missing claims, at intervals, from the members that are heard. */
+    private static TenureRow requestClaims(MessageExchange exchange, TenureRow term) {
+        boolean requestDue =
+                term.askedMs() < 0
+                        || exchange.nowMs() - term.askedMs() >= EscrowTiming.CLAIM_RETRY_MS;
+        if (!requestDue || !term.inDoubt()) {
+            return term;
         }
-        tenure.answers()
+        term.answers()
                 .forEach(
-                        (member, answer) -> {
-                            if (!answer.known() && isHeard(exchange, member)) {
+                        (member, status) -> {
+                            if (!status.known() && isHeard(exchange, member)) {
                                 exchange.send(
-                                        member,
-                                        new ClaimAsked(tenure.sinceEpoch(), tenure.group()));
+                                        member, new ClaimAsked(term.sinceEpoch(), term.group()));
                             }
                         });
-        return tenure.withAsked(exchange.nowMs());
+        return term.withAsked(exchange.nowMs());
     }
 
+    /** Returns whether a member has been heard within the silence limit, or is this process. */
     private static boolean isHeard(MessageExchange exchange, MemberKey member) {
         World world = exchange.world();
         Optional<MemberRow> row = world.members().find(member.id());
@@ -237,14 +280,19 @@
                         .orElse(false);
     }
 
-    /** Returns whether nothing of a permit is held, in doubt or resting. */
+    /**
+     * Returns whether this entry knows as allocator that no member holds any of the given permits
+     * and that none may be granted.
+     *
+     * <p>False while a claim is missing, and until the permits of a dead member are reclaimed.
+     */
     static boolean allReturned(World world, PermitKey key) {
-        Optional<TenureRow> tenure = world.tenures().find(key.permitGroup());
-        if (tenure.isEmpty() || tenure.get().inDoubt()) {
+        Optional<TenureRow> term = world.tenures().find(key.permitGroup());
+        if (term.isEmpty() || term.get().inDoubt()) {
             return false;
         }
-        boolean out = world.ledger().find(key).map(l -> l.outstanding() > 0).orElse(false);
-        boolean open = world.totals().find(key).map(TotalRow::total).orElse(0) > 0;
-        return !out && !open;
+        boolean held = world.ledger().find(key).map(l -> l.outstanding() > 0).orElse(false);
+        boolean mayBeGranted = world.totals().find(key).map(TotalRow::total).orElse(0) > 0;
+        return !held && !mayBeGranted;
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/escrow/DemandReports.java
+++ b/core/src/main/java/org/hibiscususher/core/escrow/DemandReports.java
@@ -22,63 +22,79 @@
 import org.hibiscususher.core.world.TenureRow;
 import org.hibiscususher.core.world.World;
 
-/** What entries and allocators tell each other of work waiting and running. */
+/**
+ * The demand that members report to allocators, and the entitlements that allocators report back.
+ *
+ * <p>Reports may be lost, so they are repeated while there is demand, and expire when they are not:
+ * the demand of an entry that has ended must not hold back permits from the others.
+ */
 final class DemandReports {
-    /** Units that a team may ask for ahead of the slots that its waiting requests can take. */
+    /** Units that a team may request beyond the slots that its waiting requests could use soon. */
     private static final int UNITS_AHEAD = 2;
 
     private DemandReports() {}
 
-    /** Returns the name of a member's demand for a group. */
+    /** Returns the key of a member's rows for a group. */
     static DemandRow.Key keyOf(PermitGroup group, MemberKey member) {
         return new DemandRow.Key(group, member);
     }
 
-    /** Takes in the demand of a member. */
-    static void applyDemand(MessageExchange exchange, ReceivedItem delivery, Demand demand) {
+    /**
+     * Stores the demand of a member for a group that this entry allocates, and makes the group due
+     * if it has changed. Ignored if a later message has brought demand already.
+     */
+    static void applyDemand(MessageExchange exchange, ReceivedItem received, Demand demand) {
         World world = exchange.world();
-        Optional<TenureRow> tenure = world.tenures().find(demand.group());
-        if (tenure.isEmpty()) {
+        Optional<TenureRow> term = world.tenures().find(demand.group());
+        if (term.isEmpty()) {
             return;
         }
-        DemandRow.Key key = keyOf(demand.group(), delivery.from());
-        Optional<DemandRow> before = world.demands().find(key);
-        if (before.isPresent() && before.get().sequence() > delivery.sequence()) {
+        DemandRow.Key key = keyOf(demand.group(), received.from());
+        Optional<DemandRow> previous = world.demands().find(key);
+        if (previous.isPresent() && previous.get().sequence() > received.sequence()) {
             return;
         }
         world.demands()
                 .put(
                         key,
-                        new DemandRow(key, delivery.sequence(), exchange.nowMs(), demand.teams()));
-        boolean changed = before.isEmpty() || !before.get().teams().equals(demand.teams());
+                        new DemandRow(key, received.sequence(), exchange.nowMs(), demand.teams()));
+        boolean changed = previous.isEmpty() || !previous.get().teams().equals(demand.teams());
         if (changed) {
-            world.tenures().put(demand.group(), tenure.get().withDue(exchange.nowMs()));
+            world.tenures().put(demand.group(), term.get().withDue(exchange.nowMs()));
         }
     }
 
-    /** Takes in what the teams are due of a pool at this entry. */
-    static void due(MessageExchange exchange, ReceivedItem delivery, Dues dues) {
+    /**
+     * Stores the teams' entitlements to slots of a pool at this entry. Ignored if they are not from
+     * the pool's present allocator, or if a later message has brought some already.
+     */
+    static void applyEntitlements(
+            MessageExchange exchange, ReceivedItem received, Dues entitlements) {
         World world = exchange.world();
-        PermitGroup group = PermitGroup.pool(dues.pool());
-        boolean followed =
+        PermitGroup group = PermitGroup.pool(entitlements.pool());
+        boolean fromAllocator =
                 world.attachments()
                         .find(group)
-                        .map(a -> a.allocator().equals(delivery.from()))
+                        .map(a -> a.allocator().equals(received.from()))
                         .orElse(false);
-        long newest = world.poolDues().find(dues.pool()).map(PoolDuesRow::sequence).orElse(0L);
-        if (followed && newest <= delivery.sequence()) {
+        long lastSequence =
+                world.poolDues().find(entitlements.pool()).map(PoolDuesRow::sequence).orElse(0L);
+        if (fromAllocator && lastSequence <= received.sequence()) {
             world.poolDues()
                     .put(
-                            dues.pool(),
+                            entitlements.pool(),
                             new PoolDuesRow(
-                                    dues.pool(),
-                                    delivery.sequence(),
+                                    entitlements.pool(),
+                                    received.sequence(),
                                     exchange.nowMs(),
-                                    dues.teams()));
+                                    entitlements.teams()));
         }
     }
 
-    /** Reports this entry's demand to the allocators where it has changed, or from time to time. */
+    /**
+     * Reports this entry's demand to the allocators of the groups where it has changed or where the
+     * last report is to be repeated.
+     */
     static void reportChanges(MessageExchange exchange) {
         World world = exchange.world();
         Map<PermitGroup, List<TeamDemand>> demands = localDemand(world);
@@ -91,13 +107,13 @@
     private static void report(
             MessageExchange exchange, PermitGroup group, List<TeamDemand> teams) {
         World world = exchange.world();
-        Optional<AttachmentRow> attachment = world.attachments().find(group);
-        if (attachment.isEmpty()) {
+        Optional<AttachmentRow> binding = world.attachments().find(group);
+        if (binding.isEmpty()) {
             return;
         }
-        MemberKey allocator = attachment.get().allocator();
-        Optional<ReportRow> before = world.reports().find(group);
-        if (!isReportDue(exchange, before, teams)) {
+        MemberKey allocator = binding.get().allocator();
+        Optional<ReportRow> previous = world.reports().find(group);
+        if (!isReportDue(exchange, previous, teams)) {
             return;
         }
         if (teams.isEmpty()) {
@@ -108,23 +124,31 @@
         exchange.send(allocator, new Demand(group, teams));
     }
 
+    /**
+     * Returns whether demand is to be reported. The first waiting request is reported at once, as
+     * it may need a permit that another entry holds.
+     *
+     * @param previous the last report to the present allocator, empty if there is none
+     * @param teams the present demand
+     */
     private static boolean isReportDue(
-            MessageExchange exchange, Optional<ReportRow> before, List<TeamDemand> teams) {
-        if (before.isEmpty()) {
+            MessageExchange exchange, Optional<ReportRow> previous, List<TeamDemand> teams) {
+        if (previous.isEmpty()) {
             return !teams.isEmpty();
         }
-        long ageMs = exchange.nowMs() - before.get().atMs();
-        if (before.get().teams().equals(teams)) {
-            return ageMs >= EscrowTiming.REFRESH_MS;
+        long ageMs = exchange.nowMs() - previous.get().atMs();
+        if (previous.get().teams().equals(teams)) {
+            return ageMs >= EscrowTiming.REFRESH_INTERVAL_MS;
         }
-        return ageMs >= EscrowTiming.REPORT_MS
-                || hasWaiting(teams) && !hasWaiting(before.get().teams());
+        return ageMs >= EscrowTiming.REPORT_INTERVAL_MS
+                || hasWaiting(teams) && !hasWaiting(previous.get().teams());
     }
 
     private static boolean hasWaiting(List<TeamDemand> teams) {
         return teams.stream().anyMatch(t -> t.quickWaiting() + t.longWaiting() > 0);
     }
 
+    /** Returns the demand of the requests at this entry, for pools and for teams. */
     private static Map<PermitGroup, List<TeamDemand>> localDemand(World world) {
         Map<String, Map<String, TeamDemand>> pools = new LinkedHashMap<>();
         for (RequestLane lane : world.requests().groups()) {
@@ -146,6 +170,7 @@
         return demands;
     }
 
+    /** Returns the demand of the given number of requests of one scheduling class. */
     private static TeamDemand requestDemand(RequestLane lane, int count) {
         int waiting = lane.state() == RequestState.WAITING ? count : 0;
         int running = count - waiting;
@@ -154,7 +179,7 @@
                 : new TeamDemand(lane.team(), 0, 0, waiting, running);
     }
 
-    /** Returns the work of both. */
+    /** Returns the sum of two demands of one team. */
     static TeamDemand sum(TeamDemand a, TeamDemand b) {
         return new TeamDemand(
                 a.team(),
@@ -164,7 +189,14 @@
                 a.longRunning() + b.longRunning());
     }
 
-    /** Returns the units that a team's work in a pool can use before long. */
+    /**
+     * Returns the units that a team's requests in a pool can use soon.
+     *
+     * <p>More would only be kept from other entries: a waiting request needs a slot as well, and
+     * gets an idle one or that of a request that finishes.
+     *
+     * @param ahead how many waiting requests count beyond the number of those running
+     */
     private static TeamDemand unitDemand(TeamDemand demand, int ahead) {
         int running = demand.quickRunning() + demand.longRunning();
         int waiting = demand.quickWaiting() + demand.longWaiting();
@@ -179,12 +211,13 @@
         return idle;
     }
 
-    /** Returns the demand of the members for a group, without what is out of date. */
+    /** Returns the members' demand for a group, and removes empty and expired rows. */
     static Map<MemberKey, List<TeamDemand>> currentByMember(
             MessageExchange exchange, PermitGroup group) {
         Map<MemberKey, List<TeamDemand>> demands = new LinkedHashMap<>();
         for (DemandRow row : List.copyOf(exchange.world().demands().group(group))) {
-            if (row.teams().isEmpty() || exchange.nowMs() - row.atMs() >= EscrowTiming.EXPIRY_MS) {
+            if (row.teams().isEmpty()
+                    || exchange.nowMs() - row.atMs() >= EscrowTiming.DEMAND_EXPIRY_MS) {
                 exchange.world().demands().remove(row.key());
             } else {
                 demands.put(row.key().member(), row.teams());
--- a/core/src/main/java/org/hibiscususher/core/escrow/Entitlements.java
+++ b/core/src/main/java/org/hibiscususher/core/escrow/Entitlements.java
@@ -13,8 +13,13 @@
 import org.hibiscususher.core.message.TeamDue;
 import org.hibiscususher.core.world.MemberKey;
 
-/** Works out how many permits of a group each member is due. */
+/**
+ * How many permits of one group each member and each team is entitled to.
+ *
+ * <p>Entitlements are fractions of permits; {@link PermitBalancer} turns them into whole targets.
+ */
 final class Entitlements {
+    /** Thousandths of a slot, in which teams' entitlements are sent, per slot. */
     private static final double MILLI = 1_000;
 
     private final Map<MemberKey, Double> mMain = new LinkedHashMap<>();
@@ -23,30 +28,35 @@
 
     private Entitlements() {}
 
-    /** Returns the slots or units that a member is due. */
+    /**
+     * Returns a member's entitlement to slots of the pool or units of the team, 0 without demand.
+     */
     double main(MemberKey member) {
         return mMain.getOrDefault(member, 0.0);
     }
 
-    /** Returns what the teams are due at a member. */
+    /** Returns the teams' entitlements at a member; teams without demand there are left out. */
     List<TeamDue> teams(MemberKey member) {
         return mTeams.getOrDefault(member, List.of());
     }
 
-    /** Returns the permits for long runs that a member is due. */
+    /** Returns a member's entitlement to permits for long runs, 0 without demand. */
     double longRuns(MemberKey member) {
         return mLongRuns.getOrDefault(member, 0.0);
     }
 
     /**
-     * Returns what the members are due by weighted max-min fairness over the teams' shares: each
-     * team's due goes to the members in proportion to their parts of the team's demand.
+     * Computes the entitlements by weighted max-min fairness among the teams.
+     *
+     * <p>The weight of a team is its share. Its entitlement is divided among the members in
+     * proportion to its demand at each. A team missing from the configuration is entitled to no
+     * slots or units.
      *
-     * @param group the group
+     * @param group the pool or team whose permits are shared
      * @param demands demand by member
-     * @param configuration gives shares and upper limits
-     * @param main slots or units that there are
-     * @param longRuns permits for long runs that there are
+     * @param configuration gives the teams' shares and upper limits
+     * @param main how many slots or units there are to share
+     * @param longRuns how many permits for long runs there are to share; unused for a team's group
      */
     static Entitlements of(
             PermitGroup group,
@@ -70,38 +80,45 @@
             quick[i] = teams.get(i).quick();
             longDemand[i] = teams.get(i).longRuns();
         }
-        double[] longDues =
+        double[] longEntitled =
                 group.kind() == GroupKind.POOL
                         ? MaxMinFairness.allocate(longDemand, weights, longRuns)
                         : longDemand;
         double[] wanted = new double[weights.length];
         for (int i = 0; i < wanted.length; i++) {
-            wanted[i] = Math.min(limits[i], quick[i] + longDues[i]);
+            wanted[i] = Math.min(limits[i], quick[i] + longEntitled[i]);
         }
-        double[] dues = MaxMinFairness.allocate(wanted, weights, main);
-        Entitlements fairness = new Entitlements();
-        for (int i = 0; i < dues.length; i++) {
-            fairness.spread(demands, teams.get(i), dues[i], longDues[i]);
+        double[] entitled = MaxMinFairness.allocate(wanted, weights, main);
+        Entitlements entitlements = new Entitlements();
+        for (int i = 0; i < entitled.length; i++) {
+            entitlements.spread(demands, teams.get(i), entitled[i], longEntitled[i]);
         }
-        return fairness;
+        return entitlements;
     }
 
+    /**
+     * Divides the entitlement of a team among the members in proportion to its demand at each.
+     *
+     * @param total the team's demand at all members
+     * @param entitled the team's slots or units
+     * @param longEntitled the team's permits for long runs
+     */
     private void spread(
             Map<MemberKey, List<TeamDemand>> demands,
             TeamDemand total,
-            double due,
-            double longDue) {
-        double longPart = total.longRuns() == 0 ? 0 : longDue / total.longRuns();
-        double wanted = total.quick() + longDue;
+            double entitled,
+            double longEntitled) {
+        double longFraction = total.longRuns() == 0 ? 0 : longEntitled / total.longRuns();
+        double wanted = total.quick() + longEntitled;
         demands.forEach(
                 (member, teams) -> {
                     for (TeamDemand team : teams) {
                         if (team.team().equals(total.team()) && wanted > 0) {
-                            double longRuns = team.longRuns() * longPart;
+                            double longRuns = team.longRuns() * longFraction;
                             double part = (team.quick() + longRuns) / wanted;
-                            mMain.merge(member, due * part, Double::sum);
+                            mMain.merge(member, entitled * part, Double::sum);
                             mTeams.computeIfAbsent(member, m -> new ArrayList<>())
-                                    .add(new TeamDue(team.team(), (int) (due * part * MILLI)));
+                                    .add(new TeamDue(team.team(), (int) (entitled * part * MILLI)));
                             mLongRuns.merge(member, longRuns, Double::sum);
                         }
                     }
--- a/core/src/main/java/org/hibiscususher/core/escrow/EscrowQueries.java
+++ b/core/src/main/java/org/hibiscususher/core/escrow/EscrowQueries.java
@@ -3,16 +3,17 @@
 import org.hibiscususher.core.message.PermitKey;
 import org.hibiscususher.core.world.World;
 
-/** Answers questions of other parts about permits. */
+/** Queries about permits for other packages. */
 public final class EscrowQueries {
     private EscrowQueries() {}
 
     /**
-     * Returns whether a host that was recalled is idle: all its slots are back with its pool's
-     * allocator.
+     * Returns whether a recalled host is idle: all its slots have been returned to the allocator of
+     * its pool.
      *
-     * <p>True only on that allocator, once every member that may hold has answered it and nothing
-     * is held, in doubt or resting. False while the host takes work.
+     * <p>True only on that allocator, once every member that may hold permits has sent its claim,
+     * none holds a slot of the host, and the slots of dead members have been reclaimed. False while
+     * the host accepts work, and for an unknown host.
      */
     public static boolean allSlotsReturned(World world, String host) {
         return world.hosts()
--- a/core/src/main/java/org/hibiscususher/core/escrow/EscrowSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/escrow/EscrowSystem.java
@@ -10,15 +10,23 @@
 import org.hibiscususher.core.world.World;
 
 /**
- * Keeps permits in escrow: each is held by exactly one entry, or by its allocator.
+ * Holds permits in escrow: each is held by exactly one entry, or is free at the allocator of its
+ * group, so that an entry starts requests without asking the others and no limit is exceeded.
  *
- * <p>As a holder, this entry follows the allocator of each group, reports demand and returns what
- * it shall not keep. As an allocator, it keeps the ledger of its groups and grants by demand.
+ * <p>As a holder, this entry is bound to the allocator of each group, reports its demand and
+ * returns permits above its targets. As an allocator, it keeps the ledger of its groups and grants
+ * permits by demand.
  */
 public final class EscrowSystem {
     private EscrowSystem() {}
 
-    /** Takes in what the members have sent and passes on what is due. */
+    /**
+     * Updates limits and roles, applies the members' messages and sends those that are due.
+     *
+     * <p>Messages of this entry to itself are handled within the tick, so they are drained after
+     * each step that may send some; holdings run twice to handle targets that this entry has just
+     * sent itself.
+     */
     public static void run(Tick tick) {
         boolean limitsChanged = PermitLimits.update(tick);
         if (tick.world().settings().escrowPolicy() == EscrowPolicy.STATIC_SPLIT) {
@@ -50,7 +58,12 @@
                                         && m.state().mayHold());
     }
 
-    /** Gives up what a process that is not, or no longer, a member may not use or allocate. */
+    /**
+     * Drops the permits not in use and all roles of a process that is not, or no longer, a member.
+     *
+     * <p>Permits in use stay until their requests end; their allocator counts them as held until
+     * those runs must be over.
+     */
     private static void relinquishAll(World world) {
         if (world.attachments().size() == 0) {
             return;
@@ -70,6 +83,7 @@
         world.escrowTable().update(World.SELF, EscrowRow::withdrawn);
     }
 
+    /** Updates bindings and terms after a new membership record or a change of the limits. */
     private static void updateRoles(MessageExchange exchange, boolean limitsChanged) {
         World world = exchange.world();
         MembershipRecord record = world.membership().record();
@@ -97,26 +111,26 @@
         }
     }
 
-    private static void handle(MessageExchange exchange, ReceivedItem delivery) {
-        PeerItem item = delivery.item();
+    private static void handle(MessageExchange exchange, ReceivedItem received) {
+        PeerItem item = received.item();
         if (item instanceof PeerItem.Claim claim) {
-            AllocatorTerms.applyClaim(exchange, delivery.from(), claim);
-        } else if (item instanceof PeerItem.ClaimAsked asked) {
-            AllocatorBindings.handleClaimRequest(exchange, delivery.from(), asked);
+            AllocatorTerms.applyClaim(exchange, received.from(), claim);
+        } else if (item instanceof PeerItem.ClaimAsked request) {
+            AllocatorBindings.handleClaimRequest(exchange, received.from(), request);
         } else if (item instanceof PeerItem.Granted granted) {
-            Holdings.applyGrant(exchange, delivery.from(), granted);
+            Holdings.applyGrant(exchange, received.from(), granted);
         } else if (item instanceof PeerItem.Returned returned) {
-            AllocationLedger.applyReturn(exchange, delivery.from(), returned);
-        } else if (item instanceof PeerItem.GrantSeen seen) {
-            AllocationLedger.applyGrantAck(exchange, delivery.from(), seen);
-        } else if (item instanceof PeerItem.ReturnSeen seen) {
-            Holdings.applyReturnAck(exchange, delivery.from(), seen);
+            AllocationLedger.applyReturn(exchange, received.from(), returned);
+        } else if (item instanceof PeerItem.GrantSeen ack) {
+            AllocationLedger.applyGrantAck(exchange, received.from(), ack);
+        } else if (item instanceof PeerItem.ReturnSeen ack) {
+            Holdings.applyReturnAck(exchange, received.from(), ack);
         } else if (item instanceof PeerItem.Target target) {
-            AllocatorBindings.applyTarget(exchange, delivery, target);
+            AllocatorBindings.applyTarget(exchange, received, target);
         } else if (item instanceof PeerItem.Demand demand) {
-            DemandReports.applyDemand(exchange, delivery, demand);
-        } else if (item instanceof PeerItem.Dues dues) {
-            DemandReports.due(exchange, delivery, dues);
+            DemandReports.applyDemand(exchange, received, demand);
+        } else if (item instanceof PeerItem.Dues entitlements) {
+            DemandReports.applyEntitlements(exchange, received, entitlements);
         }
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/escrow/Holdings.java
+++ b/core/src/main/java/org/hibiscususher/core/escrow/Holdings.java
@@ -16,11 +16,20 @@
 import org.hibiscususher.core.world.TotalRow;
 import org.hibiscususher.core.world.World;
 
-/** The permits that this entry holds: takes grants in and returns what it shall not keep. */
+/**
+ * The permits that this entry holds: applies grants, and returns permits that it is not to keep.
+ *
+ * <p>A permit is returned only while no request uses it, and is no longer held once the return is
+ * sent. Grants and returns are sent as counts since the claim, so that messages may be lost,
+ * repeated and reordered without a permit being lost or counted twice.
+ */
 final class Holdings {
     private Holdings() {}
 
-    /** Takes in a grant of the allocator that this entry follows, and acknowledges it. */
+    /**
+     * Applies a grant and acknowledges it. Ignored unless it is from the present allocator under
+     * the present claim epoch.
+     */
     static void applyGrant(MessageExchange exchange, MemberKey from, Granted granted) {
         if (!isCurrent(exchange, from, granted.permit(), granted.basis())) {
             return;
@@ -33,47 +42,57 @@
         exchange.send(from, new GrantSeen(granted.basis(), key, granted.granted()));
     }
 
-    /** Takes in that the allocator has seen a return. */
-    static void applyReturnAck(MessageExchange exchange, MemberKey from, ReturnSeen seen) {
-        if (isCurrent(exchange, from, seen.permit(), seen.basis())) {
-            exchange.world()
-                    .holdings()
-                    .update(seen.permit(), h -> h.withReturnSeen(seen.returned()));
+    /**
+     * Records that the allocator has received a return. Ignored unless it is from the present
+     * allocator under the present claim epoch.
+     */
+    static void applyReturnAck(MessageExchange exchange, MemberKey from, ReturnSeen ack) {
+        if (isCurrent(exchange, from, ack.permit(), ack.basis())) {
+            exchange.world().holdings().update(ack.permit(), h -> h.withReturnSeen(ack.returned()));
         }
     }
 
+    /** Returns whether a message is from the present allocator under the present claim epoch. */
     private static boolean isCurrent(
-            MessageExchange exchange, MemberKey from, PermitKey key, long basis) {
+            MessageExchange exchange, MemberKey from, PermitKey key, long claimEpoch) {
         Optional<AttachmentRow> row = exchange.world().attachments().find(key.permitGroup());
-        return row.isPresent() && row.get().allocator().equals(from) && row.get().basis() == basis;
+        return row.isPresent()
+                && row.get().allocator().equals(from)
+                && row.get().basis() == claimEpoch;
     }
 
-    /** Looks at the groups that are due: sends claims and returns, again where that is needed. */
+    /**
+     * Processes the groups that are due: sends claims and returns, and resends those that were not
+     * acknowledged.
+     */
     static void runDue(MessageExchange exchange) {
         for (AttachmentRow row : exchange.world().attachments().rows()) {
             if (row.dueMs() <= exchange.nowMs()) {
-                runDue(exchange, row);
+                process(exchange, row);
             }
         }
     }
 
-    private static void runDue(MessageExchange exchange, AttachmentRow row) {
+    private static void process(MessageExchange exchange, AttachmentRow row) {
         World world = exchange.world();
-        if (!row.answered() && isDue(exchange, row.claimSentMs(), EscrowTiming.ASK_AGAIN_MS)) {
+        if (!row.answered() && isDue(exchange, row.claimSentMs(), EscrowTiming.CLAIM_RETRY_MS)) {
             AllocatorBindings.sendClaim(exchange, row);
         }
         if (row.answered()) {
             returnExcess(world, row);
         }
-        boolean unseen = !row.answered();
+        boolean unacknowledged = !row.answered();
         for (HoldingRow holding : List.copyOf(world.holdings().group(row.group()))) {
             if (holding.unseen()) {
-                unseen = true;
+                unacknowledged = true;
                 resendReturn(exchange, row, holding);
             }
         }
-        long next = unseen ? exchange.nowMs() + EscrowTiming.RESEND_MS : AttachmentRow.NEVER;
-        world.attachments().update(row.group(), a -> a.withNextDue(next));
+        long nextDueMs =
+                unacknowledged
+                        ? exchange.nowMs() + EscrowTiming.RESEND_INTERVAL_MS
+                        : AttachmentRow.NEVER;
+        world.attachments().update(row.group(), a -> a.withNextDue(nextDueMs));
     }
 
     private static boolean isDue(MessageExchange exchange, long sentMs, int intervalMs) {
@@ -82,28 +101,30 @@
 
     private static void resendReturn(
             MessageExchange exchange, AttachmentRow row, HoldingRow holding) {
-        if (isDue(exchange, holding.sentMs(), EscrowTiming.RESEND_MS)) {
+        if (isDue(exchange, holding.sentMs(), EscrowTiming.RESEND_INTERVAL_MS)) {
             exchange.world().holdings().put(holding.key(), holding.withSent(exchange.nowMs()));
             exchange.send(
                     row.allocator(), new Returned(row.basis(), holding.key(), holding.returned()));
         }
     }
 
+    /** Returns the idle permits that are unusable or above the targets of a group. */
     private static void returnExcess(World world, AttachmentRow row) {
-        List<HoldingRow> main = new ArrayList<>();
-        List<HoldingRow> longRuns = new ArrayList<>();
+        List<HoldingRow> mainRows = new ArrayList<>();
+        List<HoldingRow> longRunRows = new ArrayList<>();
         for (HoldingRow holding : List.copyOf(world.holdings().group(row.group()))) {
             HoldingRow kept = returnUnusable(world, holding);
             if (kept.key().kind() == PermitKind.LONG_RUN) {
-                longRuns.add(kept);
+                longRunRows.add(kept);
             } else {
-                main.add(kept);
+                mainRows.add(kept);
             }
         }
-        returnAboveTarget(world, main, row.mainTarget());
-        returnAboveTarget(world, longRuns, row.longTarget());
+        returnAboveTarget(world, mainRows, row.mainTarget());
+        returnAboveTarget(world, longRunRows, row.longTarget());
     }
 
+    /** Returns the idle permits of a row whose limit is 0, such as the slots of a recalled host. */
     private static HoldingRow returnUnusable(World world, HoldingRow holding) {
         boolean usable = world.totals().find(holding.key()).map(TotalRow::total).orElse(0) > 0;
         if (usable || holding.idle() == 0) {
@@ -114,19 +135,20 @@
         return kept;
     }
 
+    /** Returns idle permits above a target, one at a time from the row with the most idle ones. */
     private static void returnAboveTarget(World world, List<HoldingRow> rows, int target) {
         int excess = -target;
         for (HoldingRow row : rows) {
             excess += row.held();
         }
         while (excess > 0) {
-            HoldingRow most =
+            HoldingRow mostIdle =
                     rows.stream().max(Comparator.comparing(HoldingRow::idle)).orElseThrow();
-            if (most.idle() == 0) {
+            if (mostIdle.idle() == 0) {
                 return;
             }
-            HoldingRow kept = most.withReturned(1);
-            rows.set(rows.indexOf(most), kept);
+            HoldingRow kept = mostIdle.withReturned(1);
+            rows.set(rows.indexOf(mostIdle), kept);
             world.holdings().put(kept.key(), kept);
             excess--;
         }
--- a/core/src/main/java/org/hibiscususher/core/escrow/MessageExchange.java
+++ b/core/src/main/java/org/hibiscususher/core/escrow/MessageExchange.java
@@ -11,7 +11,12 @@
 import org.hibiscususher.core.world.Tick;
 import org.hibiscususher.core.world.World;
 
-/** The items that one tick receives and sends; those to this entry itself never leave it. */
+/**
+ * The items that the escrow receives and sends in one tick.
+ *
+ * <p>Items that this entry sends itself, as when it allocates a group of which it holds permits,
+ * are added to the received ones and never leave the process.
+ */
 final class MessageExchange {
     private final Tick mTick;
     private final MemberKey mSelf;
@@ -22,7 +27,9 @@
         mSelf = self;
     }
 
-    /** Creates the exchange of a tick with what members of the record have sent. */
+    /**
+     * Creates the exchange of a tick with the items of the messages that are accepted, in order.
+     */
     static MessageExchange of(Tick tick) {
         NodeIdentity identity = tick.world().node().identity();
         MessageExchange exchange =
@@ -36,27 +43,31 @@
         return exchange;
     }
 
-    /** Returns the tick. */
+    /** Returns the tick whose items are exchanged. */
     Tick tick() {
         return mTick;
     }
 
-    /** Returns the tables. */
+    /** Returns the tables of this entry. */
     World world() {
         return mTick.world();
     }
 
-    /** Returns the time in milliseconds. */
+    /** Returns the time of the tick in milliseconds of the caller's clock. */
     long nowMs() {
         return mTick.nowMs();
     }
 
-    /** Returns this process. */
+    /** Returns the key of this process as a member. */
     MemberKey self() {
         return mSelf;
     }
 
-    /** Sends an item to a member, which may be this entry. */
+    /**
+     * Sends an item to a member, which may be this entry.
+     *
+     * <p>The time of the tick serves as the sequence number of items to this entry itself.
+     */
     void send(MemberKey to, PeerItem item) {
         if (to.equals(mSelf)) {
             mInbound.add(new ReceivedItem(mSelf, nowMs(), item));
@@ -65,7 +76,7 @@
         }
     }
 
-    /** Returns the next item received, or empty. */
+    /** Removes and returns the next item received, or returns empty if there is none. */
     Optional<ReceivedItem> poll() {
         return Optional.ofNullable(mInbound.poll());
     }
--- a/core/src/main/java/org/hibiscususher/core/escrow/PermitBalancer.java
+++ b/core/src/main/java/org/hibiscususher/core/escrow/PermitBalancer.java
@@ -22,39 +22,47 @@
 import org.hibiscususher.core.world.TenureRow;
 import org.hibiscususher.core.world.World;
 
-/** Moves the permits of one group towards what its members are due. */
+/**
+ * Moves the permits of one group towards the entitlements of its members: grants free permits, and
+ * sends each member a target that says how many to keep.
+ */
 final class PermitBalancer {
-    private static final double SLACK_SLOTS = 0.6;
-    private static final double SLACK_PART = 0.1;
+    /** Constant part of the tolerance by which what a member holds may differ from its part. */
+    private static final double TOLERANCE_PERMITS = 0.6;
+
+    /** Part of the tolerance in proportion to the member's part, as a fraction of it. */
+    private static final double TOLERANCE_FRACTION = 0.1;
 
     private final MessageExchange mExchange;
-    private final TenureRow mTenure;
+    private final TenureRow mTerm;
     private final List<MemberKey> mMembers;
     private final Set<MemberKey> mGranted = new LinkedHashSet<>();
 
-    private PermitBalancer(MessageExchange exchange, TenureRow tenure) {
+    private PermitBalancer(MessageExchange exchange, TenureRow term) {
         mExchange = exchange;
-        mTenure = tenure;
-        mMembers = eligibleMembers(tenure);
+        mTerm = term;
+        mMembers = eligibleMembers(term);
     }
 
     /**
-     * Grants what is free to members below their targets and tells those above to return permits.
+     * Grants free permits to members below their targets and has those above return permits.
      *
-     * @return whether the group needs to be looked at again soon
+     * @return whether the group is to be balanced again soon: there is demand, or permits are to be
+     *     returned
      */
-    static boolean run(MessageExchange exchange, TenureRow tenure) {
-        return new PermitBalancer(exchange, tenure).run();
+    static boolean run(MessageExchange exchange, TenureRow term) {
+        return new PermitBalancer(exchange, term).run();
     }
 
-    private static List<MemberKey> eligibleMembers(TenureRow tenure) {
+    /** Returns the members that may be granted permits: active ones whose claim is known, by id. */
+    private static List<MemberKey> eligibleMembers(TenureRow term) {
         List<MemberKey> members = new ArrayList<>();
-        tenure.answers()
+        term.answers()
                 .forEach(
-                        (member, answer) -> {
-                            if (answer.known()
-                                    && answer.state().allocates()
-                                    && answer.restUntilMs() == TenureRow.NEVER) {
+                        (member, status) -> {
+                            if (status.known()
+                                    && status.state().allocates()
+                                    && status.restUntilMs() == TenureRow.NEVER) {
                                 members.add(member);
                             }
                         });
@@ -63,40 +71,41 @@
     }
 
     private boolean run() {
-        PermitGroup group = mTenure.group();
+        PermitGroup group = mTerm.group();
         Map<MemberKey, List<TeamDemand>> demands = DemandReports.currentByMember(mExchange, group);
         demands.keySet().retainAll(mMembers);
         boolean pool = group.kind() == GroupKind.POOL;
         PermitKind mainKind = pool ? PermitKind.SLOT : PermitKind.UNIT;
         int main = available(mainKind);
         int longRuns = available(PermitKind.LONG_RUN);
-        Entitlements fairness =
+        Entitlements entitlements =
                 Entitlements.of(group, demands, world().configuration(), main, longRuns);
-        int[] longTargets = wholeTargets(PermitKind.LONG_RUN, longRuns, fairness::longRuns);
+        int[] longTargets = wholeTargets(PermitKind.LONG_RUN, longRuns, entitlements::longRuns);
         int[] mainTargets =
                 wholeTargets(
                         mainKind,
                         main,
-                        m -> mainEntitlement(fairness, m, longTargets[mMembers.indexOf(m)]));
+                        m -> mainEntitlement(entitlements, m, longTargets[mMembers.indexOf(m)]));
         grant(mainKind, mainTargets);
         grant(PermitKind.LONG_RUN, longTargets);
-        boolean recalls = sendTargets(mainKind, mainTargets, longTargets);
+        boolean returnsExpected = sendTargets(mainKind, mainTargets, longTargets);
         if (pool) {
-            sendEntitlements(demands, fairness);
+            sendEntitlements(demands, entitlements);
         }
-        return recalls || !demands.isEmpty();
+        return returnsExpected || !demands.isEmpty();
     }
 
     /**
-     * Returns how many main permits a member is due when its long work takes whole ones.
+     * Returns a member's entitlement to slots or units with its long runs counted in whole permits.
      *
-     * <p>Long targets are whole numbers; a member whose long work is rounded up would otherwise use
-     * the slots that are due to quick work there.
+     * <p>Targets for long runs are whole numbers. If one is rounded up, the additional long run
+     * would otherwise use a slot that quick requests at the member are entitled to.
      */
-    private static double mainEntitlement(Entitlements fairness, MemberKey member, int longTarget) {
-        double longDue = fairness.longRuns(member);
-        double quickDue = fairness.main(member) - longDue;
-        return quickDue + Math.min(longTarget, Math.ceil(longDue));
+    private static double mainEntitlement(
+            Entitlements entitlements, MemberKey member, int longTarget) {
+        double longEntitlement = entitlements.longRuns(member);
+        double quickEntitlement = entitlements.main(member) - longEntitlement;
+        return quickEntitlement + Math.min(longTarget, Math.ceil(longEntitlement));
     }
 
     private World world() {
@@ -104,12 +113,12 @@
     }
 
     private List<LedgerRow> ledgerRows(PermitKind kind) {
-        return world().ledger().group(mTenure.group()).stream()
+        return world().ledger().group(mTerm.group()).stream()
                 .filter(r -> r.key().kind() == kind)
                 .toList();
     }
 
-    /** Returns how many permits the eligible members may hold in all. */
+    /** Returns how many permits of a kind the eligible members may hold together. */
     private int available(PermitKind kind) {
         int sum = 0;
         for (LedgerRow row : ledgerRows(kind)) {
@@ -117,11 +126,12 @@
             for (Account account : row.accounts()) {
                 elsewhere += mMembers.contains(account.member()) ? 0 : account.outstanding();
             }
-            sum += Math.max(0, AllocationLedger.limit(world(), mTenure, row) - elsewhere);
+            sum += Math.max(0, AllocationLedger.limit(world(), mTerm, row) - elsewhere);
         }
         return sum;
     }
 
+    /** Returns how many permits of a kind each eligible member holds at most. */
     private int[] held(PermitKind kind) {
         int[] held = new int[mMembers.size()];
         for (LedgerRow row : ledgerRows(kind)) {
@@ -136,25 +146,32 @@
     }
 
     /**
-     * Returns whole targets that add up to what there is, as near to what is held as the dues
-     * allow; what nobody is due is spread evenly.
+     * Returns a whole target for each eligible member; together they make up the available permits.
+     *
+     * <p>Permits that no member is entitled to are spread evenly. A target stays at what the member
+     * holds while that is within a tolerance of its exact part, so that small changes of demand
+     * don't move permits to and fro.
+     *
+     * @param available how many permits of the kind the eligible members may hold together
+     * @param entitlement gives the entitlement of a member, in permits
      */
-    private int[] wholeTargets(PermitKind kind, int available, ToDoubleFunction<MemberKey> due) {
+    private int[] wholeTargets(
+            PermitKind kind, int available, ToDoubleFunction<MemberKey> entitlement) {
         int n = mMembers.size();
         double[] exact = new double[n];
         double spare = available;
         for (int i = 0; i < n; i++) {
-            exact[i] = due.applyAsDouble(mMembers.get(i));
+            exact[i] = entitlement.applyAsDouble(mMembers.get(i));
             spare -= exact[i];
         }
         int[] targets = held(kind);
         int sum = 0;
         for (int i = 0; i < n; i++) {
-            int least = spare >= 1 ? (int) Math.ceil(exact[i]) : exact[i] > 0 ? 1 : 0;
+            int minimum = spare >= 1 ? (int) Math.ceil(exact[i]) : exact[i] > 0 ? 1 : 0;
             exact[i] += Math.max(0, spare) / n;
-            double slack = SLACK_SLOTS + SLACK_PART * exact[i];
-            int low = Math.max(least, (int) Math.ceil(exact[i] - slack));
-            targets[i] = Math.max(low, Math.min((int) (exact[i] + slack), targets[i]));
+            double tolerance = TOLERANCE_PERMITS + TOLERANCE_FRACTION * exact[i];
+            int lowest = Math.max(minimum, (int) Math.ceil(exact[i] - tolerance));
+            targets[i] = Math.max(lowest, Math.min((int) (exact[i] + tolerance), targets[i]));
             sum += targets[i];
         }
         for (; sum > available && n > 0; sum--) {
@@ -166,7 +183,11 @@
         return targets;
     }
 
-    /** Returns the member furthest above what it is due, or with sign -1 furthest below. */
+    /**
+     * Returns the index of the member whose target is furthest above its exact part.
+     *
+     * @param sign 1, or -1 for the member furthest below
+     */
     private static int indexFurthestAbove(int[] targets, double[] exact, int sign) {
         int best = 0;
         for (int i = 1; i < exact.length; i++) {
@@ -177,25 +198,29 @@
         return best;
     }
 
+    /**
+     * Grants free permits one by one, each to the member that lacks most for its target, from the
+     * row with the most free ones, which spreads a member's slots over the hosts.
+     */
     private void grant(PermitKind kind, int[] targets) {
         int[] missing = held(kind);
-        int most = 0;
+        int mostMissing = 0;
         for (int i = 0; i < targets.length; i++) {
             missing[i] = targets[i] - missing[i];
-            most = Math.max(most, missing[i]);
+            mostMissing = Math.max(mostMissing, missing[i]);
         }
-        if (most == 0) {
+        if (mostMissing == 0) {
             return;
         }
         List<LedgerRow> rows = ledgerRows(kind);
         int[] free = new int[rows.size()];
-        int freeInAll = 0;
+        int totalFree = 0;
         for (int i = 0; i < free.length; i++) {
-            free[i] = Math.max(0, AllocationLedger.grantable(world(), mTenure, rows.get(i)));
-            freeInAll += free[i];
+            free[i] = Math.max(0, AllocationLedger.grantable(world(), mTerm, rows.get(i)));
+            totalFree += free[i];
         }
         int[][] grants = new int[targets.length][free.length];
-        while (freeInAll > 0) {
+        while (totalFree > 0) {
             int member = indexOfLargest(missing);
             if (missing[member] <= 0) {
                 break;
@@ -204,7 +229,7 @@
             grants[member][row]++;
             missing[member]--;
             free[row]--;
-            freeInAll--;
+            totalFree--;
         }
         sendGrants(rows, grants);
     }
@@ -212,12 +237,12 @@
     private void sendGrants(List<LedgerRow> rows, int[][] grants) {
         for (int i = 0; i < grants.length; i++) {
             MemberKey member = mMembers.get(i);
-            long basis = mTenure.answers().get(member).basis();
+            long claimEpoch = mTerm.answers().get(member).basis();
             for (int row = 0; row < rows.size(); row++) {
                 if (grants[i][row] > 0) {
                     mGranted.add(member);
                     AllocationLedger.grant(
-                            mExchange, rows.get(row).key(), member, basis, grants[i][row]);
+                            mExchange, rows.get(row).key(), member, claimEpoch, grants[i][row]);
                 }
             }
         }
@@ -232,93 +257,102 @@
     }
 
     /**
-     * Tells targets to members that would otherwise keep too much, and with each grant, so that a
-     * lower target that came before does not make the member return the grant.
+     * Sends targets to members that hold more than theirs, and to members that were just granted
+     * permits: a lower target sent before would make them return the grant. A member that was never
+     * sent a target gets one in any case, as it acknowledges the member's claim.
+     *
+     * @return whether any member has permits to return
      */
     private boolean sendTargets(PermitKind mainKind, int[] main, int[] longRuns) {
         int[] mainHeld = held(mainKind);
         int[] longHeld = held(PermitKind.LONG_RUN);
-        boolean recalls = false;
+        boolean returnsExpected = false;
         for (int i = 0; i < main.length; i++) {
             boolean above = mainHeld[i] > main[i] || longHeld[i] > longRuns[i];
-            recalls |= above;
-            AdviceRow before = lastSent(mMembers.get(i));
-            boolean changed = before.main() != main[i] || before.longRuns() != longRuns[i];
-            boolean old = mExchange.nowMs() - before.targetMs() >= EscrowTiming.REFRESH_MS;
-            boolean due = above && (changed || old) || mGranted.contains(mMembers.get(i));
-            if (before.targetMs() < 0 || due) {
-                sendTarget(before, main[i], longRuns[i]);
+            returnsExpected |= above;
+            AdviceRow last = lastSent(mMembers.get(i));
+            boolean changed = last.main() != main[i] || last.longRuns() != longRuns[i];
+            boolean stale = mExchange.nowMs() - last.targetMs() >= EscrowTiming.REFRESH_INTERVAL_MS;
+            boolean due = above && (changed || stale) || mGranted.contains(mMembers.get(i));
+            if (last.targetMs() < 0 || due) {
+                sendTarget(last, main[i], longRuns[i]);
             }
         }
-        for (MemberKey leaving : membersToDrain()) {
-            AdviceRow before = lastSent(leaving);
-            boolean old = mExchange.nowMs() - before.targetMs() >= EscrowTiming.REFRESH_MS;
-            if (before.targetMs() < 0 || old) {
-                sendTarget(before, 0, 0);
+        for (MemberKey member : membersToDrain()) {
+            AdviceRow last = lastSent(member);
+            boolean stale = mExchange.nowMs() - last.targetMs() >= EscrowTiming.REFRESH_INTERVAL_MS;
+            if (last.targetMs() < 0 || stale) {
+                sendTarget(last, 0, 0);
             }
-            recalls = true;
+            returnsExpected = true;
         }
-        return recalls;
+        return returnsExpected;
     }
 
-    /** Returns the members that live, have answered and shall keep nothing. */
+    /**
+     * Returns the members that have sent a claim and are to return everything: those whose process
+     * may run but whose state, leaving or silent, allows them no new permits.
+     */
     private List<MemberKey> membersToDrain() {
-        return mTenure.answers().entrySet().stream()
+        return mTerm.answers().entrySet().stream()
                 .filter(e -> e.getValue().known() && !e.getValue().state().allocates())
                 .filter(e -> e.getValue().restUntilMs() == TenureRow.NEVER)
                 .map(Map.Entry::getKey)
                 .toList();
     }
 
+    /** Returns the targets and entitlements last sent to a member. */
     private AdviceRow lastSent(MemberKey member) {
-        DemandRow.Key key = DemandReports.keyOf(mTenure.group(), member);
+        DemandRow.Key key = DemandReports.keyOf(mTerm.group(), member);
         return world().advice().find(key).orElse(new AdviceRow(key, -1, List.of(), -1, 0, 0));
     }
 
-    private void sendTarget(AdviceRow before, int main, int longRuns) {
-        MemberKey member = before.key().member();
-        long basis = mTenure.answers().get(member).basis();
+    private void sendTarget(AdviceRow last, int main, int longRuns) {
+        MemberKey member = last.key().member();
+        long claimEpoch = mTerm.answers().get(member).basis();
         world().advice()
                 .put(
-                        before.key(),
+                        last.key(),
                         new AdviceRow(
-                                before.key(),
-                                before.duesMs(),
-                                before.teams(),
+                                last.key(),
+                                last.duesMs(),
+                                last.teams(),
                                 mExchange.nowMs(),
                                 main,
                                 longRuns));
-        mExchange.send(member, new Target(basis, mTenure.group(), main, longRuns));
+        mExchange.send(member, new Target(claimEpoch, mTerm.group(), main, longRuns));
     }
 
-    private void sendEntitlements(Map<MemberKey, List<TeamDemand>> demands, Entitlements fairness) {
+    /** Sends the teams' entitlements to the members where requests wait. */
+    private void sendEntitlements(
+            Map<MemberKey, List<TeamDemand>> demands, Entitlements entitlements) {
         demands.forEach(
                 (member, teams) -> {
                     if (teams.stream().anyMatch(t -> t.quickWaiting() + t.longWaiting() > 0)) {
-                        sendEntitlements(member, fairness.teams(member));
+                        sendEntitlements(member, entitlements.teams(member));
                     }
                 });
     }
 
-    private void sendEntitlements(MemberKey member, List<TeamDue> dues) {
-        AdviceRow before = lastSent(member);
-        long ageMs = mExchange.nowMs() - before.duesMs();
+    private void sendEntitlements(MemberKey member, List<TeamDue> teams) {
+        AdviceRow last = lastSent(member);
+        long ageMs = mExchange.nowMs() - last.duesMs();
         boolean due =
-                before.teams().equals(dues)
-                        ? ageMs >= EscrowTiming.REFRESH_MS
-                        : ageMs >= EscrowTiming.DUES_MS;
-        if (before.duesMs() < 0 || due) {
+                last.teams().equals(teams)
+                        ? ageMs >= EscrowTiming.REFRESH_INTERVAL_MS
+                        : ageMs >= EscrowTiming.ENTITLEMENT_INTERVAL_MS;
+        if (last.duesMs() < 0 || due) {
             world().advice()
                     .put(
-                            before.key(),
+                            last.key(),
                             new AdviceRow(
-                                    before.key(),
+                                    last.key(),
                                     mExchange.nowMs(),
-                                    dues,
-                                    before.targetMs(),
-                                    before.main(),
-                                    before.longRuns()));
-            mExchange.send(member, new Dues(mTenure.group().name(), dues));
+                                    teams,
+                                    last.targetMs(),
+                                    last.main(),
+                                    last.longRuns()));
+            mExchange.send(member, new Dues(mTerm.group().name(), teams));
         }
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/escrow/PermitLimits.java
+++ b/core/src/main/java/org/hibiscususher/core/escrow/PermitLimits.java
@@ -15,11 +15,25 @@
 import org.hibiscususher.core.world.TotalRow;
 import org.hibiscususher.core.world.World;
 
-/** Derives how many permits there may be from the configuration and the hosts in service. */
+/**
+ * Derives the limit of each permit, which is how many of it may exist, from the configuration and
+ * the hosts in service.
+ *
+ * <p>The highest limit ever known is kept beside the one in force: after a limit was lowered,
+ * members may still hold permits that were granted under the higher one, and an allocator has to
+ * count them until it has all claims.
+ */
 final class PermitLimits {
     private PermitLimits() {}
 
-    /** Brings the limits up to date and returns whether anything they derive from has changed. */
+    /**
+     * Updates the limits if the configuration or the hosts have changed.
+     *
+     * <p>The longest run never decreases, as requests that were started under an earlier
+     * configuration may still run.
+     *
+     * @return whether the configuration or the hosts have changed since the last update
+     */
     static boolean update(Tick tick) {
         World world = tick.world();
         EscrowRow row = world.escrow();
@@ -28,9 +42,9 @@
                 && row.hostsVersion() == world.hosts().version()) {
             return false;
         }
-        int longest = row.longestRunMs();
+        int longestRunMs = row.longestRunMs();
         for (QueueSpec queue : configuration.queues().values()) {
-            longest = Math.max(longest, queue.longestRunMs());
+            longestRunMs = Math.max(longestRunMs, queue.longestRunMs());
         }
         world.escrowTable()
                 .put(
@@ -39,7 +53,7 @@
                                 row.epoch(),
                                 configuration.revision(),
                                 world.hosts().version(),
-                                longest));
+                                longestRunMs));
         Map<PermitKey, Integer> limits = limits(world, configuration);
         for (TotalRow total : world.totals().rows()) {
             limits.putIfAbsent(total.key(), 0);
@@ -50,42 +64,47 @@
 
     private static Map<PermitKey, Integer> limits(World world, Configuration configuration) {
         Map<PermitKey, Integer> limits = new LinkedHashMap<>();
-        Map<String, Integer> slots = new LinkedHashMap<>();
+        Map<String, Integer> slotsByPool = new LinkedHashMap<>();
         for (HostRow host : world.hosts().rows()) {
-            int open = host.stage().takesWork() ? host.spec().slots() : 0;
-            limits.put(PermitKey.slot(host.pool(), host.spec().id()), open);
-            slots.merge(host.pool(), open, Integer::sum);
+            int limit = host.stage().takesWork() ? host.spec().slots() : 0;
+            limits.put(PermitKey.slot(host.pool(), host.spec().id()), limit);
+            slotsByPool.merge(host.pool(), limit, Integer::sum);
         }
         for (TeamSpec team : configuration.teams().values()) {
             limits.put(PermitKey.unit(team.id()), team.upperLimit());
         }
         for (PoolSpec pool : configuration.pools().values()) {
-            int open =
-                    QueueKind.LONG.slotsOpen(slots.getOrDefault(pool.id(), 0), pool.quickReserve());
-            limits.put(PermitKey.longRun(pool.id()), open);
+            int limit =
+                    QueueKind.LONG.slotsOpen(
+                            slotsByPool.getOrDefault(pool.id(), 0), pool.quickReserve());
+            limits.put(PermitKey.longRun(pool.id()), limit);
         }
         return limits;
     }
 
+    /** Sets a limit and makes its group due, for the holder and for the allocator. */
     private static void setLimit(World world, PermitKey key, int limit) {
-        TotalRow before = world.totals().find(key).orElse(new TotalRow(key, 0, 0));
-        if (before.total() == limit && world.totals().contains(key)) {
+        TotalRow previous = world.totals().find(key).orElse(new TotalRow(key, 0, 0));
+        if (previous.total() == limit && world.totals().contains(key)) {
             return;
         }
-        world.totals().put(key, new TotalRow(key, limit, before.highest()));
+        world.totals().put(key, new TotalRow(key, limit, previous.highest()));
         raiseHighest(world, key, limit);
         PermitGroup group = key.permitGroup();
         world.attachments().update(group, a -> a.withDue(0));
         world.tenures().update(group, t -> t.withDue(0));
     }
 
-    /** Notes that there may once have been as many permits as given. */
+    /**
+     * Records that as many permits as given may have existed. Those above the highest limit known
+     * before count as unclaimed.
+     */
     static void raiseHighest(World world, PermitKey key, int limit) {
         TotalRow row = world.totals().find(key).orElse(new TotalRow(key, 0, 0));
         if (limit > row.highest()) {
             world.totals().put(key, new TotalRow(key, row.total(), limit));
-            int more = limit - row.highest();
-            world.ledger().update(key, l -> l.withUnclaimed(more));
+            int increase = limit - row.highest();
+            world.ledger().update(key, l -> l.withUnclaimed(increase));
         }
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/escrow/ReceivedItem.java
+++ b/core/src/main/java/org/hibiscususher/core/escrow/ReceivedItem.java
@@ -4,10 +4,11 @@
 import org.hibiscususher.core.world.MemberKey;
 
 /**
- * An item with its sender.
+ * An item of a message with its sender.
  *
- * @param from the sender
- * @param sequence number of the sender's message
- * @param item the item
+ * @param from the process that has sent it, possibly this one
+ * @param sequence number of the message that brought it; grows from message to message of a sender,
+ *     so that an item that was overtaken by a later one can be told
+ * @param item what the sender reports or requests
  */
 record ReceivedItem(MemberKey from, long sequence, PeerItem item) {}
--- a/core/src/main/java/org/hibiscususher/core/escrow/StaticSplit.java
+++ b/core/src/main/java/org/hibiscususher/core/escrow/StaticSplit.java
@@ -8,11 +8,17 @@
 import org.hibiscususher.core.world.TotalRow;
 import org.hibiscususher.core.world.World;
 
-/** Splits every kind of permit evenly and for good among the members that take work. */
+/**
+ * Splits the permits evenly and permanently among the active members, whatever their demand.
+ *
+ * <p>This is the baseline that the escrow is measured against.
+ */
 final class StaticSplit {
     private StaticSplit() {}
 
-    /** Brings this entry's holdings in line with its part of each split. */
+    /**
+     * Sets this entry's holdings to its shares. Does nothing if this entry is not an active member.
+     */
     static void run(Tick tick) {
         World world = tick.world();
         List<String> members =
@@ -29,14 +35,23 @@
         }
     }
 
+    /**
+     * Returns a member's share of the permits of a row.
+     *
+     * <p>Shares differ by 1 at most. The members that get the larger ones vary with the name of the
+     * permits, so that no member gets the larger share of every host.
+     *
+     * @param index index of the member among the active ones
+     */
     private static int share(TotalRow row, int index, int members) {
-        int turn = Math.floorMod(index + row.key().name().hashCode(), members);
-        return row.total() / members + (turn < row.total() % members ? 1 : 0);
+        int position = Math.floorMod(index + row.key().name().hashCode(), members);
+        return row.total() / members + (position < row.total() % members ? 1 : 0);
     }
 
-    private static void setHeld(World world, PermitKey key, int part) {
+    /** Sets how many permits are held: the share, or more while more are in use. */
+    private static void setHeld(World world, PermitKey key, int share) {
         HoldingRow row = world.holdings().find(key).orElse(HoldingRow.none(key));
-        int held = Math.max(part, row.inUse());
+        int held = Math.max(share, row.inUse());
         if (held != row.held()) {
             world.holdings().put(key, new HoldingRow(key, held, 0, 0, 0, -1, row.inUse()));
         }
--- a/core/src/main/java/org/hibiscususher/core/escrow/package-info.java
+++ b/core/src/main/java/org/hibiscususher/core/escrow/package-info.java
@@ -1,2 +1,5 @@
-/** Permits in escrow: who holds which slots, units and long-run permits. */
+/**
+ * Permits in escrow: distributes the slots of hosts, the units of teams and the permits for long
+ * runs among the entries, so that their limits are never exceeded.
+ */
 package org.hibiscususher.core.escrow;
