Reword the maintenance package in terms of the field

Comments and operator messages now name draining, moves, lending, budgets and reboots in usual terms, with the reason for each rule and constant. Texts in stored records, log keys, counters and the activity texts of wave reports stay as they are. Locals and constants are renamed along. No behaviour changes apart from the wording of rejected wave commands.

--- a/core/src/main/java/org/hibiscususher/core/maintenance/BudgetCheck.java
+++ b/core/src/main/java/org/hibiscususher/core/maintenance/BudgetCheck.java
@@ -8,34 +8,39 @@
 import org.hibiscususher.core.world.Tick;
 import org.hibiscususher.core.world.World;
 
-/** Tells whether a pool's availability budget lets one more host go out of service. */
+/** Checks whether a pool's availability budget lets one more host go out of service. */
 final class BudgetCheck {
     private BudgetCheck() {}
 
     /**
      * Returns whether a host may be taken out of service.
      *
-     * <p>Counts every other host of the pool that is unavailable for whatever reason. Takes time
-     * linear in the hosts of the pool.
+     * <p>Every other host of the pool that is unavailable counts, whatever the reason: the budget
+     * protects the pool's capacity, and a failed host lowers it as much as one in maintenance. A
+     * pool missing from the configuration may have one host out. Takes time linear in the hosts of
+     * the pool.
      *
-     * @param hosts all hosts of the pool
+     * @param pool id of the pool that the candidate serves
+     * @param hosts all hosts that serve the pool
+     * @param candidate the host to take out; not counted itself
      */
     static boolean allows(Tick tick, String pool, List<HostRow> hosts, HostRow candidate) {
         PoolSpec spec = tick.world().configuration().pools().get(pool);
         AvailabilityBudget budget = spec == null ? AvailabilityBudget.ONE_HOST : spec.budget();
-        int inPool = 0;
-        int inZone = 0;
+        int unavailableInPool = 0;
+        int unavailableInZone = 0;
         for (HostRow host : hosts) {
             if (host.spec().id().equals(candidate.spec().id()) || isAvailable(tick, host)) {
                 continue;
             }
-            inPool++;
-            inZone += host.spec().zone().equals(candidate.spec().zone()) ? 1 : 0;
+            unavailableInPool++;
+            unavailableInZone += host.spec().zone().equals(candidate.spec().zone()) ? 1 : 0;
         }
-        return inPool < budget.maxUnavailable() && inZone < budget.maxUnavailablePerZone();
+        return unavailableInPool < budget.maxUnavailable()
+                && unavailableInZone < budget.maxUnavailablePerZone();
     }
 
-    /** Returns whether a host takes work: in service, not set aside, not lost. */
+    /** Returns whether a host can run work: in service, not quarantined, not lost. */
     static boolean isAvailable(Tick tick, HostRow host) {
         World world = tick.world();
         String id = host.spec().id();
@@ -45,7 +50,11 @@
                 && !isLost(world, id);
     }
 
-    /** Returns whether the platform's list shows that a host is gone or going. */
+    /**
+     * Returns whether a host is missing from the platform's newest list, or is listed as leaving.
+     *
+     * <p>False for a host that was never listed.
+     */
     static boolean isLost(World world, String host) {
         return world.platformHosts().find(host).filter(PlatformHostRow::lost).isPresent();
     }
--- a/core/src/main/java/org/hibiscususher/core/maintenance/DrainSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/maintenance/DrainSystem.java
@@ -12,13 +12,20 @@
 import org.hibiscususher.core.world.Tick;
 import org.hibiscususher.core.world.World;
 
-/** Ends graceful shutdowns: finds the hosts whose slots are all back, and reports late ones. */
+/**
+ * Completes the draining of hosts: detects hosts whose slots have all been returned, and reports
+ * hosts that drain for longer than the run limits of their pool allow.
+ */
 public final class DrainSystem {
+    /** Time beyond the longest run limit before a draining host is reported as late. */
     private static final int LATE_MARGIN_MS = 10_000;
 
     private DrainSystem() {}
 
-    /** Marks idle hosts as idle and drops withdrawn ones. */
+    /**
+     * Records which draining hosts are idle, removes idle ones that are withdrawn from the
+     * configuration, and reports late ones once.
+     */
     public static void run(Tick tick) {
         if (!MaintenanceSchedule.isDue(tick)) {
             return;
@@ -42,6 +49,10 @@
         }
     }
 
+    /**
+     * Records that a draining host is idle, once all its slots have been returned; if it is
+     * withdrawn from the configuration, removes it from its pool.
+     */
     private static void finishDrain(Tick tick, String pool, HostRow host) {
         World world = tick.world();
         String id = host.spec().id();
@@ -66,6 +77,7 @@
                 > maxRunLimitMs(tick.world(), row.host()) + LATE_MARGIN_MS;
     }
 
+    /** Returns the longest run limit of the queues of the pool that a host serves, 0 if none. */
     private static int maxRunLimitMs(World world, String host) {
         String pool = world.hosts().find(host).map(HostRow::pool).orElse("");
         return world.configuration().queues().values().stream()
--- a/core/src/main/java/org/hibiscususher/core/maintenance/FleetSyncSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/maintenance/FleetSyncSystem.java
@@ -31,32 +31,40 @@
 import org.hibiscususher.core.world.World;
 
 /**
- * Follows the records about hosts and sets the pool and stage of each host by them.
+ * Keeps the stored records about hosts up to date, and derives the pool and stage of each host from
+ * them.
  *
- * <p>Records only go forward by version. They come from a read of all changes once a second, from
- * the entry that wrote them, or from a watch, whichever is first.
+ * <p>A record arrives by a read of all changes once a second, from the entry that wrote it, or from
+ * a watch, whichever is first. So it may arrive more than once and late; only a higher version than
+ * the one known is applied, as a host would otherwise go back to a former pool or outage.
  */
 public final class FleetSyncSystem {
+    /** Time between two reads of the changes. */
     private static final int POLL_INTERVAL_MS = 1_000;
+
+    /** Time after which an unanswered read is replaced by another. */
     private static final int POLL_TIMEOUT_MS = 1_500;
 
     private FleetSyncSystem() {}
 
-    /** Takes in newer records, brings the host rows in line, and asks for changes. */
+    /**
+     * Applies newer records, updates the rows of the hosts that they concern, and reads changes.
+     */
     public static void run(Tick tick) {
-        Set<String> touched = new LinkedHashSet<>();
+        Set<String> changedHosts = new LinkedHashSet<>();
         for (HostListRead read : tick.inputs(HostListRead.class)) {
             applyHostList(tick, read);
         }
         for (FleetRecord record : receivedRecords(tick)) {
-            applyRecord(tick, record, touched);
+            applyRecord(tick, record, changedHosts);
         }
         boolean wrote = completeCalls(tick);
-        touched.forEach(h -> updateHost(tick, h));
+        changedHosts.forEach(h -> updateHost(tick, h));
         applyConfiguration(tick);
         poll(tick, wrote);
     }
 
+    /** Returns the records that have arrived in this tick, and records that a read was answered. */
     private static Set<FleetRecord> receivedRecords(Tick tick) {
         Set<FleetRecord> found = new LinkedHashSet<>();
         for (RecordWatched watched : tick.inputs(RecordWatched.class)) {
@@ -80,21 +88,26 @@
         return found;
     }
 
-    private static void applyRecord(Tick tick, FleetRecord record, Set<String> touched) {
+    /**
+     * Stores a record if it is newer than the one known.
+     *
+     * @param changedHosts collects the hosts whose pool or stage may have changed
+     */
+    private static void applyRecord(Tick tick, FleetRecord record, Set<String> changedHosts) {
         World world = tick.world();
-        Optional<FleetRow> old = world.fleet().find(record.key());
-        long known = old.map(r -> r.record().record().version()).orElse(0L);
-        if (record.record().version() <= known) {
+        Optional<FleetRow> previous = world.fleet().find(record.key());
+        long knownVersion = previous.map(r -> r.record().record().version()).orElse(0L);
+        if (record.record().version() <= knownVersion) {
             return;
         }
         world.fleet().put(record.key(), new FleetRow(record, tick.nowMs()));
         if (record.record().value() instanceof HostRecord host) {
-            touched.add(host.host());
+            changedHosts.add(host.host());
             relayIfResponsible(tick, host.pool(), record);
         } else if (record.record().value() instanceof OutageRecord outages) {
-            old.map(r -> (OutageRecord) r.record().record().value())
-                    .ifPresent(o -> touched.addAll(o.outages().keySet()));
-            touched.addAll(outages.outages().keySet());
+            previous.map(r -> (OutageRecord) r.record().record().value())
+                    .ifPresent(o -> changedHosts.addAll(o.outages().keySet()));
+            changedHosts.addAll(outages.outages().keySet());
             RebootedHosts.record(tick, outages);
             relayIfResponsible(tick, outages.pool(), record);
         } else if (record.record().value() instanceof WaveRecord wave) {
@@ -102,7 +115,10 @@
         }
     }
 
-    /** Tells the others of a record of a pool that this entry decides for, and so has written. */
+    /**
+     * Relays a record of a pool that this entry is responsible for to the other members: it has
+     * most likely written it, and they then need not wait for their next read.
+     */
     private static void relayIfResponsible(Tick tick, String pool, FleetRecord record) {
         if (!pool.isEmpty() && FleetRecords.isResponsible(tick.world(), pool)) {
             for (MemberRow member : tick.world().members().rows()) {
@@ -111,6 +127,7 @@
         }
     }
 
+    /** Clears the calls to the store that have ended, and returns whether one was a write. */
     private static boolean completeCalls(Tick tick) {
         World world = tick.world();
         boolean wrote = false;
@@ -151,7 +168,10 @@
         hosts.forEach(h -> updateHost(tick, h));
     }
 
-    /** Sets the pool and stage of a host, or drops it when it is withdrawn and idle. */
+    /**
+     * Updates the row of a host by the configuration and the records, or removes it if neither has
+     * the host.
+     */
     private static void updateHost(Tick tick, String host) {
         World world = tick.world();
         HostSpec spec = world.configuration().hosts().get(host);
@@ -179,6 +199,12 @@
         }
     }
 
+    /**
+     * Returns the stage of a host.
+     *
+     * @param declared whether the configuration has the host
+     * @param recorded whether the host has a record that assigns it to a pool
+     */
     private static HostStage stageOf(World world, String host, boolean declared, boolean recorded) {
         if (!recorded) {
             return HostStage.OUT;
@@ -190,11 +216,15 @@
         return declared ? HostStage.IN_SERVICE : HostStage.RECALLED;
     }
 
-    /** Returns a stand-in for the declaration of a host whose declaration was never seen here. */
+    /**
+     * Returns a placeholder for the declaration of a host that has a record but is not in the
+     * configuration, as after this entry has started while the withdrawn host drains.
+     */
     private static HostSpec placeholderSpec(String host, String pool) {
         return new HostSpec(host, "", "", "", pool, 1, Capacity.NONE);
     }
 
+    /** Updates the row of a host's outage; its time starts anew with each step of the outage. */
     private static void updateOutage(Tick tick, String host) {
         World world = tick.world();
         Optional<Outage> outage = FleetRecords.outage(world, host);
@@ -203,9 +233,9 @@
             world.reboots().remove(host);
             return;
         }
-        boolean same =
+        boolean unchanged =
                 world.outages().find(host).filter(r -> r.outage().equals(outage.get())).isPresent();
-        if (!same) {
+        if (!unchanged) {
             world.outages().put(host, new OutageRow(host, outage.get(), tick.nowMs(), false));
             tick.emit(
                     new LogEvent(
@@ -218,25 +248,29 @@
         }
     }
 
-    /** Reads all changes now and then, after each write, and when the epoch has changed. */
+    /**
+     * Reads all changes since the last read: at intervals, after each write, when the epoch has
+     * changed, and when a command waits for the present wave.
+     */
     private static void poll(Tick tick, boolean wrote) {
         World world = tick.world();
         FleetSyncRow sync = world.fleetSync();
         long epoch = world.membership().record().epoch();
         long ageMs = tick.nowMs() - sync.sentMs();
-        boolean out = sync.callId() != 0 && ageMs < POLL_TIMEOUT_MS;
+        boolean pending = sync.callId() != 0 && ageMs < POLL_TIMEOUT_MS;
         boolean wanted =
                 sync.sentMs() < 0
                         || wrote
                         || epoch != sync.sentEpoch()
                         || commandNeedsRead(world, sync);
-        if (wrote || !out && (wanted || ageMs >= POLL_INTERVAL_MS)) {
+        if (wrote || !pending && (wanted || ageMs >= POLL_INTERVAL_MS)) {
             long callId = tick.nextCallId();
             world.fleetSyncTable().update(World.SELF, s -> s.sent(tick.nowMs(), epoch, callId));
             tick.emit(new ReadFleet(callId, sync.version()));
         }
     }
 
+    /** Returns whether a command waits for a read and none was sent since it came. */
     private static boolean commandNeedsRead(World world, FleetSyncRow sync) {
         return world.pendingWaves().rows().stream()
                 .anyMatch(r -> r.wanted().isEmpty() && r.sinceMs() >= sync.sentMs());
--- a/core/src/main/java/org/hibiscususher/core/maintenance/FleetWriteSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/maintenance/FleetWriteSystem.java
@@ -6,11 +6,16 @@
 import org.hibiscususher.core.world.Tick;
 import org.hibiscususher.core.world.World;
 
-/** Writes the records about hosts that this tick has drafted, each by one compare-and-swap. */
+/**
+ * Writes the records about hosts that were drafted in this tick, each by one compare-and-swap.
+ *
+ * <p>If another process has written the record since, the swap fails and the decision is made again
+ * on the newer record.
+ */
 public final class FleetWriteSystem {
     private FleetWriteSystem() {}
 
-    /** Writes the drafts. */
+    /** Sends the drafts to the store and clears them; ends the step of the maintenance systems. */
     public static void run(Tick tick) {
         MaintenanceSchedule.complete(tick);
         World world = tick.world();
--- a/core/src/main/java/org/hibiscususher/core/maintenance/LendSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/maintenance/LendSystem.java
@@ -20,24 +20,31 @@
 import org.hibiscususher.core.world.World;
 
 /**
- * Lends hosts of spare pools to pools that are short, and sends them back.
+ * Lends hosts of spare pools to pools that lack capacity, and sends them back.
  *
- * <p>The allocator of a spare pool decides what it lends; the allocator of the borrowing pool
- * decides when a host goes back. Both ways are moves, within the budget of the pool that the host
- * leaves.
+ * <p>The allocator of a spare pool decides which hosts it lends; the allocator of the borrowing
+ * pool decides when a host goes back, since only the allocator of the pool that a host serves may
+ * take it out of service. Both directions are moves, within the availability budget of the pool
+ * that the host leaves.
  */
 public final class LendSystem {
-    private static final int TELL_INTERVAL_MS = 1_000;
-    private static final int FORGET_MS = 3_000;
+    /** Time between two messages to lenders about an unchanged lack of hosts. */
+    private static final int NEED_REPEAT_MS = 1_000;
 
-    /** Demand up to this part of a pool's slots, in percent, counts as enough to do without. */
-    private static final int FULL_PERCENT = 80;
+    /** Time after which a need that was not reported again is dropped. */
+    private static final int NEED_EXPIRY_MS = 3_000;
+
+    /** Utilization of its slots, in percent, that a pool may reach by giving hosts away. */
+    private static final int MAX_UTILIZATION_PERCENT = 80;
 
     private static final int PERCENT = 100;
 
     private LendSystem() {}
 
-    /** Measures the needs of the pools, lends one host per spare pool and sends one back. */
+    /**
+     * Updates the needs of the pools that this entry decides for, sends back at most one host of
+     * each and lends at most one host of each spare pool.
+     */
     public static void run(Tick tick) {
         World world = tick.world();
         for (PeerReceived received : tick.inputs(PeerReceived.class)) {
@@ -47,11 +54,11 @@
                 }
             }
         }
-        boolean lends =
+        boolean lendingEnabled =
                 world.settings().lendPolicy() != LendPolicy.NONE
                         && world.configuration().pools().values().stream()
                                 .anyMatch(PoolSpec::spare);
-        if (!MaintenanceSchedule.isDue(tick) || !lends) {
+        if (!MaintenanceSchedule.isDue(tick) || !lendingEnabled) {
             return;
         }
         Map<String, List<HostRow>> pools = FleetRecords.decidablePools(tick);
@@ -66,10 +73,14 @@
                         lend(tick, pool, hosts);
                     }
                 });
-        world.poolNeeds().removeIf(r -> tick.nowMs() - r.heardMs() > FORGET_MS);
+        world.poolNeeds().removeIf(r -> tick.nowMs() - r.heardMs() > NEED_EXPIRY_MS);
     }
 
-    /** Notes a pool's need; the time since when it has held starts anew when its sign changes. */
+    /**
+     * Stores the need of a pool. Its start time is kept until the sign of the need changes.
+     *
+     * @param hosts how many hosts the pool lacks; negative if it has hosts to spare
+     */
     private static void recordNeed(Tick tick, String pool, int hosts) {
         World world = tick.world();
         long sinceMs =
@@ -81,13 +92,14 @@
         world.poolNeeds().put(pool, new PoolNeedRow(pool, hosts, sinceMs, tick.nowMs()));
     }
 
+    /** Computes and stores the need of a pool, and reports it to lenders if it has changed. */
     private static void updateNeed(Tick tick, String pool, List<HostRow> hosts) {
         World world = tick.world();
         int before = world.poolNeeds().find(pool).map(PoolNeedRow::hosts).orElse(0);
         int need = hostsNeeded(tick, pool, hosts);
         recordNeed(tick, pool, need);
-        boolean turn = tick.nowMs() / TELL_INTERVAL_MS != lastDecidedMs(world) / TELL_INTERVAL_MS;
-        if (need != before || need > 0 && turn) {
+        boolean repeatDue = tick.nowMs() / NEED_REPEAT_MS != lastDecidedMs(world) / NEED_REPEAT_MS;
+        if (need != before || need > 0 && repeatDue) {
             notifyLenders(tick, pool, need);
         }
     }
@@ -96,28 +108,34 @@
         return world.fleetSync().steppedMs();
     }
 
-    /** Returns how many hosts a pool is short of; negative if it can do without some. */
+    /**
+     * Returns how many hosts a pool lacks; negative if it has hosts to spare.
+     *
+     * <p>A pool none of whose hosts is available lacks one, as its demand can't be converted to
+     * hosts.
+     */
     private static int hostsNeeded(Tick tick, String pool, List<HostRow> hosts) {
         int slots = 0;
-        int inService = 0;
+        int available = 0;
         for (HostRow host : hosts) {
             if (BudgetCheck.isAvailable(tick, host)) {
                 slots += host.spec().slots();
-                inService++;
+                available++;
             }
         }
-        if (inService == 0) {
+        if (available == 0) {
             return hosts.isEmpty() ? 0 : 1;
         }
-        int perHost = Math.max(1, slots / inService);
+        int perHost = Math.max(1, slots / available);
         int demand = PoolDemand.requests(tick.world(), pool);
         if (demand > slots) {
             return (demand - slots + perHost - 1) / perHost;
         }
-        int wanted = demand * PERCENT / FULL_PERCENT;
-        return -Math.max(0, (slots - wanted) / perHost);
+        int slotsNeeded = demand * PERCENT / MAX_UTILIZATION_PERCENT;
+        return -Math.max(0, (slots - slotsNeeded) / perHost);
     }
 
+    /** Reports a pool's need to the allocators of the spare pools. */
     private static void notifyLenders(Tick tick, String pool, int need) {
         World world = tick.world();
         String self = world.node().identity().id();
@@ -130,9 +148,13 @@
         }
     }
 
+    /**
+     * Lends a host of a spare pool to the pool that lacks most, if it has lacked hosts for long
+     * enough and the spare pool itself has hosts to spare.
+     */
     private static void lend(Tick tick, String pool, List<HostRow> hosts) {
         World world = tick.world();
-        int own = world.poolNeeds().find(pool).map(PoolNeedRow::hosts).orElse(0);
+        int ownNeed = world.poolNeeds().find(pool).map(PoolNeedRow::hosts).orElse(0);
         Optional<PoolNeedRow> borrower =
                 world.poolNeeds().rows().stream()
                         .filter(r -> !r.pool().equals(pool))
@@ -142,7 +164,7 @@
                                         tick.nowMs() - r.sinceMs()
                                                 >= world.settings().lendPolicy().shortMs())
                         .max(Comparator.comparingInt(PoolNeedRow::hosts));
-        if (own >= 0 || borrower.isEmpty()) {
+        if (ownNeed >= 0 || borrower.isEmpty()) {
             return;
         }
         hosts.stream()
@@ -152,9 +174,13 @@
                 .ifPresent(h -> startMove(tick, pool, h, borrower.get().pool()));
     }
 
+    /**
+     * Sends a borrowed host back to its declared pool, if the borrower has had hosts to spare for
+     * long, or at once if the declared pool lacks hosts.
+     */
     private static void sendBack(Tick tick, String pool, List<HostRow> hosts) {
         World world = tick.world();
-        Optional<PoolNeedRow> own =
+        Optional<PoolNeedRow> ownNeed =
                 world.poolNeeds()
                         .find(pool)
                         .filter(r -> r.hosts() < 0)
@@ -165,15 +191,16 @@
         hosts.stream()
                 .filter(h -> isMovable(tick, pool, hosts, h))
                 .filter(h -> record(world, h).lent())
-                .filter(h -> own.isPresent() || isShort(world, record(world, h).declared()))
+                .filter(h -> ownNeed.isPresent() || lacksHosts(world, record(world, h).declared()))
                 .findFirst()
                 .ifPresent(h -> startMove(tick, pool, h, record(world, h).declared()));
     }
 
-    private static boolean isShort(World world, String pool) {
+    private static boolean lacksHosts(World world, String pool) {
         return world.poolNeeds().find(pool).filter(r -> r.hosts() > 0).isPresent();
     }
 
+    /** Returns whether a host is available and may be taken out of service by the pool's budget. */
     private static boolean isMovable(Tick tick, String pool, List<HostRow> hosts, HostRow host) {
         World world = tick.world();
         String id = host.spec().id();
@@ -183,6 +210,7 @@
                 && BudgetCheck.allows(tick, pool, hosts, host);
     }
 
+    /** Takes a host out of service in its pool, to move to another. */
     private static void startMove(Tick tick, String pool, HostRow host, String target) {
         World world = tick.world();
         String id = host.spec().id();
@@ -195,6 +223,9 @@
         return FleetRecords.hostRecord(world, host.spec().id()).orElseThrow();
     }
 
+    /**
+     * Returns how many hosts are moving to a pool. They count, as it would otherwise get too many.
+     */
     private static int inboundHosts(World world, String pool) {
         int count = 0;
         for (OutageRow row : world.outages().rows()) {
--- a/core/src/main/java/org/hibiscususher/core/maintenance/MoveSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/maintenance/MoveSystem.java
@@ -13,18 +13,20 @@
 import org.hibiscususher.core.world.World;
 
 /**
- * Brings hosts into the pools in which they are declared.
+ * Assigns hosts to the pools in which they are declared.
  *
- * <p>A move is: take the host out of service in its pool, wait until it is idle, write its new pool
- * by one compare-and-swap. The outage in the old pool names the generation of the host's record, so
- * that it ends with that write.
+ * <p>A move takes the host out of service in its pool, waits until it is idle, and then writes its
+ * new pool by one compare-and-swap. So a host never runs work of two pools at the same time. The
+ * outage in the old pool names the generation of the host's record and ends with that write: no
+ * second write is needed that could be lost.
  */
 public final class MoveSystem {
-    private static final int MAX_PLACED_PER_STEP = 5;
+    /** Bounds the writes to the store when many hosts are declared at once. */
+    private static final int MAX_ASSIGNED_PER_STEP = 5;
 
     private MoveSystem() {}
 
-    /** Places new hosts and moves others one step on. */
+    /** Assigns new hosts to their pools and advances the moves of the others by one step. */
     public static void run(Tick tick) {
         if (!MaintenanceSchedule.isDue(tick) || !FleetRecords.isCurrent(tick)) {
             return;
@@ -34,13 +36,17 @@
         pools.forEach((pool, hosts) -> hosts.forEach(h -> advance(tick, pool, hosts, h)));
     }
 
+    /**
+     * Drafts the records of hosts that have none or were withdrawn, for the pools that this entry
+     * is responsible for.
+     */
     private static void assignNewHosts(Tick tick) {
         World world = tick.world();
-        int placed = 0;
+        int assigned = 0;
         for (HostRow host : world.hosts().rows()) {
             String id = host.spec().id();
             boolean isNew = FleetRecords.hostRecord(world, id).isEmpty();
-            if (placed == MAX_PLACED_PER_STEP) {
+            if (assigned == MAX_ASSIGNED_PER_STEP) {
                 return;
             }
             if (isNew
@@ -53,11 +59,18 @@
                 String pool = host.spec().pool();
                 FleetRecords.draft(
                         world, RecordKey.host(id), new HostRecord(id, pool, pool, generation + 1));
-                placed++;
+                assigned++;
             }
         }
     }
 
+    /**
+     * Advances a host by one step: assigns an idle host to the pool that it moves to, or takes a
+     * host out of service whose declared pool has changed.
+     *
+     * <p>A host that is lent has another pool than the declared one, but stays until its
+     * declaration changes; {@link LendSystem} sends it back.
+     */
     private static void advance(Tick tick, String pool, List<HostRow> hosts, HostRow host) {
         World world = tick.world();
         String id = host.spec().id();
@@ -68,8 +81,10 @@
         }
         Optional<Outage> outage = FleetRecords.outage(world, id);
         if (outage.isPresent()) {
-            boolean written = FleetRecords.canDraft(world, RecordKey.outages(pool));
-            if (written && outage.get().reason() == OutageReason.MOVE && outage.get().idle()) {
+            boolean outagesWritten = FleetRecords.canDraft(world, RecordKey.outages(pool));
+            if (outagesWritten
+                    && outage.get().reason() == OutageReason.MOVE
+                    && outage.get().idle()) {
                 String target = targetPool(world, outage.get(), spec);
                 draftPool(world, record.get(), target, spec);
                 tick.count("host.moved");
@@ -87,6 +102,7 @@
         }
     }
 
+    /** Returns the pool that a move leads to: its target, or the declared pool if that is gone. */
     private static String targetPool(World world, Outage outage, HostSpec spec) {
         return world.configuration().pools().containsKey(outage.target())
                 ? outage.target()
--- a/core/src/main/java/org/hibiscususher/core/maintenance/PoolDemand.java
+++ b/core/src/main/java/org/hibiscususher/core/maintenance/PoolDemand.java
@@ -5,11 +5,14 @@
 import org.hibiscususher.core.world.DemandRow;
 import org.hibiscususher.core.world.World;
 
-/** Tells how much work a pool has, on the pool's allocator. */
+/** The demand for a pool as known to the pool's allocator. */
 final class PoolDemand {
     private PoolDemand() {}
 
-    /** Returns the requests of a pool that wait or run, as the entries last reported. */
+    /**
+     * Returns how many requests of a pool wait or run, by the entries' last reports; 0 on an entry
+     * that is not the pool's allocator.
+     */
     static int requests(World world, String pool) {
         int count = 0;
         for (DemandRow row : world.demands().group(PermitGroup.pool(pool))) {
--- a/core/src/main/java/org/hibiscususher/core/maintenance/RebootedHosts.java
+++ b/core/src/main/java/org/hibiscususher/core/maintenance/RebootedHosts.java
@@ -5,11 +5,14 @@
 import org.hibiscususher.core.world.WaveDoneRow;
 import org.hibiscususher.core.world.World;
 
-/** Keeps the hosts that are rebooted in the newest wave, in the order in which they came back. */
+/**
+ * The hosts that were rebooted in the newest wave and are in service again, in the order in which
+ * this entry learned of them.
+ */
 final class RebootedHosts {
     private RebootedHosts() {}
 
-    /** Adds what a pool's record shows for the first time. */
+    /** Adds the hosts that a pool's record lists as rebooted and that aren't known as such yet. */
     static void record(Tick tick, OutageRecord record) {
         World world = tick.world();
         if (record.wave().isEmpty()) {
@@ -23,17 +26,17 @@
         }
     }
 
-    /** Forgets all waves but one. */
+    /** Removes the hosts of all waves but the given one. */
     static void retainOnly(World world, String wave) {
         world.waveDone().removeIf(r -> !r.wave().equals(wave));
     }
 
-    /** Returns whether a host is rebooted in a wave. */
+    /** Returns whether a host was rebooted in a wave and is in service again. */
     static boolean contains(World world, String wave, String host) {
         return world.waveDone().contains(key(wave, host));
     }
 
-    /** Returns how many hosts are rebooted in a wave. */
+    /** Returns how many hosts were rebooted in a wave and are in service again. */
     static int count(World world, String wave) {
         return (int) world.waveDone().rows().stream().filter(r -> r.wave().equals(wave)).count();
     }
--- a/core/src/main/java/org/hibiscususher/core/maintenance/WaveCommandSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/maintenance/WaveCommandSystem.java
@@ -17,73 +17,89 @@
 import org.hibiscususher.core.world.Tick;
 import org.hibiscususher.core.world.World;
 
-/** Carries out operators' commands about the maintenance wave. */
+/**
+ * Executes operators' commands about the maintenance wave.
+ *
+ * <p>A command is decided on a record that was read after the command came, and is answered once
+ * its write is seen in the store or has failed. An earlier record could lack another operator's
+ * command, and an earlier answer could report a write that never took place.
+ */
 public final class WaveCommandSystem {
-    private static final int ANSWER_LIMIT_MS = 10_000;
+    /** Time after which a command is answered even if its result is not known. */
+    private static final int REPLY_TIMEOUT_MS = 10_000;
+
     private static final String ID_PREFIX = "wave-";
 
     private WaveCommandSystem() {}
 
-    /** Takes the commands that have come and answers those that are settled. */
+    /**
+     * Advances the pending commands and accepts new ones; a command to show the wave is answered.
+     */
     public static void run(Tick tick) {
         for (PendingWaveRow row : tick.world().pendingWaves().rows()) {
             advance(tick, row);
         }
-        for (WaveAsked asked : tick.inputs(WaveAsked.class)) {
-            if (asked.command() == WaveCommand.SHOW) {
-                reply(tick, asked, true, "");
+        for (WaveAsked request : tick.inputs(WaveAsked.class)) {
+            if (request.command() == WaveCommand.SHOW) {
+                reply(tick, request, true, "");
             } else {
                 tick.world()
                         .pendingWaves()
                         .put(
-                                asked.callId(),
-                                new PendingWaveRow(asked, Optional.empty(), tick.nowMs()));
+                                request.callId(),
+                                new PendingWaveRow(request, Optional.empty(), tick.nowMs()));
             }
         }
     }
 
-    private static void execute(Tick tick, WaveAsked asked) {
+    /** Drafts the wave that a command leads to, or rejects the command. */
+    private static void execute(Tick tick, WaveAsked request) {
         World world = tick.world();
-        Optional<WaveRecord> present = FleetRecords.wave(world);
-        Optional<String> obstacle = rejectionReason(tick, asked, present);
-        if (obstacle.isPresent()) {
-            reply(tick, asked, false, obstacle.get());
+        Optional<WaveRecord> current = FleetRecords.wave(world);
+        Optional<String> rejection = rejectionReason(tick, request, current);
+        if (rejection.isPresent()) {
+            reply(tick, request, false, rejection.get());
             return;
         }
         WaveRecord next =
-                asked.command() == WaveCommand.PLAN
-                        ? newWave(world, asked, present)
-                        : present.orElseThrow()
+                request.command() == WaveCommand.PLAN
+                        ? newWave(world, request, current)
+                        : current.orElseThrow()
                                 .withState(
-                                        asked.command().next(present.get().state()),
+                                        request.command().next(current.get().state()),
                                         "by an operator");
         world.pendingWaves()
-                .put(asked.callId(), new PendingWaveRow(asked, Optional.of(next), tick.nowMs()));
+                .put(
+                        request.callId(),
+                        new PendingWaveRow(request, Optional.of(next), tick.nowMs()));
         FleetRecords.draft(world, RecordKey.WAVE, next);
     }
 
+    /** Returns why a command can't be executed, for the operator, or empty if it can. */
     private static Optional<String> rejectionReason(
-            Tick tick, WaveAsked asked, Optional<WaveRecord> present) {
+            Tick tick, WaveAsked request, Optional<WaveRecord> current) {
         World world = tick.world();
         if (!FleetRecords.canDraft(world, RecordKey.WAVE)) {
-            return Optional.of("another command is being carried out; try again");
+            return Optional.of("another command is being executed; try again");
         }
         Optional<String> unknown =
-                asked.pools().stream()
+                request.pools().stream()
                         .filter(p -> !world.configuration().pools().containsKey(p))
                         .findFirst();
         if (unknown.isPresent()) {
-            return Optional.of("there is no pool " + unknown.get());
+            return Optional.of("unknown pool " + unknown.get());
         }
-        WaveState state = present.map(WaveRecord::state).orElse(WaveState.DONE);
+        WaveState state = current.map(WaveRecord::state).orElse(WaveState.DONE);
         boolean busy =
                 state.takesHosts()
                         || world.outages().rows().stream()
                                 .anyMatch(o -> o.outage().reason() == OutageReason.WAVE);
-        return switch (asked.command()) {
+        return switch (request.command()) {
             case PLAN ->
                     busy
-                            ? Optional.of("the present wave still has hosts out; pause it first")
+                            ? Optional.of(
+                                    "the current wave is running or has hosts out of service;"
+                                            + " pause it first")
                             : Optional.empty();
             case START ->
                     state == WaveState.DONE
@@ -97,19 +113,27 @@
         };
     }
 
-    private static WaveRecord newWave(World world, WaveAsked asked, Optional<WaveRecord> present) {
+    /**
+     * Returns a planned wave, with the next number, over the hosts declared in the requested pools,
+     * or over all hosts if none is given.
+     */
+    private static WaveRecord newWave(
+            World world, WaveAsked request, Optional<WaveRecord> current) {
         int number =
-                present.map(w -> Integer.parseInt(w.id().substring(ID_PREFIX.length()))).orElse(0);
+                current.map(w -> Integer.parseInt(w.id().substring(ID_PREFIX.length()))).orElse(0);
         SortedSet<String> hosts = new TreeSet<>();
         for (HostSpec spec : world.configuration().hosts().values()) {
-            if (asked.pools().isEmpty() || asked.pools().contains(spec.pool())) {
+            if (request.pools().isEmpty() || request.pools().contains(spec.pool())) {
                 hosts.add(spec.id());
             }
         }
         return new WaveRecord(ID_PREFIX + (number + 1), WaveState.PLANNED, "", hosts);
     }
 
-    /** Begins a command once the present record was read, and answers it once that is settled. */
+    /**
+     * Executes a command once the present record was read, and answers it once the result of its
+     * write is known or too much time has passed.
+     */
     private static void advance(Tick tick, PendingWaveRow row) {
         World world = tick.world();
         boolean conflict =
@@ -121,20 +145,24 @@
         } else if (row.wanted().isPresent() && row.wanted().equals(FleetRecords.wave(world))) {
             reply(tick, row.asked(), true, "");
         } else if (row.wanted().isPresent() && conflict) {
-            reply(tick, row.asked(), false, "another command came first; look again");
-        } else if (tick.nowMs() - row.sinceMs() >= ANSWER_LIMIT_MS) {
             reply(
                     tick,
                     row.asked(),
                     false,
-                    "the platform's store gave no answer; the command may have been carried"
-                            + " out: see wave show");
+                    "another command was executed first; show the wave and try again");
+        } else if (tick.nowMs() - row.sinceMs() >= REPLY_TIMEOUT_MS) {
+            reply(
+                    tick,
+                    row.asked(),
+                    false,
+                    "the platform's store didn't answer; the command may have been executed:"
+                            + " see wave show");
         }
     }
 
-    private static void reply(Tick tick, WaveAsked asked, boolean ok, String detail) {
-        tick.world().pendingWaves().remove(asked.callId());
+    private static void reply(Tick tick, WaveAsked request, boolean ok, String detail) {
+        tick.world().pendingWaves().remove(request.callId());
         tick.count("wave.command-" + (ok ? "ok" : "declined"));
-        tick.emit(new AnswerWave(asked.callId(), WaveReports.of(tick, ok, detail)));
+        tick.emit(new AnswerWave(request.callId(), WaveReports.of(tick, ok, detail)));
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/maintenance/WaveMonitorSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/maintenance/WaveMonitorSystem.java
@@ -15,32 +15,40 @@
 import org.hibiscususher.core.world.WaveDoneRow;
 import org.hibiscususher.core.world.World;
 
-/** Pauses a maintenance wave that goes bad, and ends one that has reached every host. */
+/**
+ * Pauses a maintenance wave whose hosts fail, and completes one that has rebooted every host.
+ *
+ * <p>Without the pause, a fault that comes with the reboot would take more and more hosts. One
+ * member, chosen by the wave's id, does this, since the failures of all pools count together.
+ */
 public final class WaveMonitorSystem {
-    /** Longest time from idle to rebooted before a host counts as failed. */
-    private static final int REBOOT_LIMIT_MS = 120_000;
+    /** Longest time from idle to rebooted, in milliseconds, before a host counts as failed. */
+    private static final int REBOOT_TIMEOUT_MS = 120_000;
 
+    /** How many of the hosts that came back last are checked for failures. */
     private static final int RECENT_HOSTS = 10;
-    private static final int MAX_FAILED = 2;
+
+    /** Failed hosts at which the wave is paused. */
+    private static final int FAILED_HOSTS_TO_PAUSE = 2;
 
     private WaveMonitorSystem() {}
 
-    /** Looks after the wave if this entry is the one to do so. */
+    /** Checks the running wave, if this entry is the member that monitors it. */
     public static void run(Tick tick) {
         if (!MaintenanceSchedule.isDue(tick) || !FleetRecords.isCurrent(tick)) {
             return;
         }
         World world = tick.world();
         Optional<WaveRecord> wave = FleetRecords.wave(world).filter(w -> w.state().takesHosts());
-        boolean own =
+        boolean isMonitor =
                 wave.flatMap(w -> Rendezvous.choose("wave:" + w.id(), world.membership().record()))
                         .filter(world.node().identity().id()::equals)
                         .isPresent();
-        if (!own || !FleetRecords.canDraft(world, RecordKey.WAVE)) {
+        if (!isMonitor || !FleetRecords.canDraft(world, RecordKey.WAVE)) {
             return;
         }
         List<String> failed = failedHosts(tick, wave.get());
-        if (failed.size() >= MAX_FAILED) {
+        if (failed.size() >= FAILED_HOSTS_TO_PAUSE) {
             String detail = "hosts failed in the wave: " + String.join(", ", failed);
             draftState(tick, wave.get().withState(WaveState.PAUSED, detail));
         } else if (isComplete(world, wave.get())) {
@@ -48,6 +56,7 @@
         }
     }
 
+    /** Drafts the wave's record in another state, and logs the change. */
     private static void draftState(Tick tick, WaveRecord next) {
         FleetRecords.draft(tick.world(), RecordKey.WAVE, next);
         tick.count("wave." + next.state().name().toLowerCase(java.util.Locale.ROOT));
@@ -62,7 +71,10 @@
                                 + "\""));
     }
 
-    /** Returns the hosts that do not come back, and those that came back lately and fail. */
+    /**
+     * Returns the hosts whose reboot is overdue, and those of the last to come back that are
+     * quarantined or lost.
+     */
     private static List<String> failedHosts(Tick tick, WaveRecord wave) {
         World world = tick.world();
         List<String> failed = new ArrayList<>();
@@ -71,28 +83,33 @@
                 failed.add(row.host());
             }
         }
-        List<WaveDoneRow> done =
+        List<WaveDoneRow> rebooted =
                 world.waveDone().rows().stream().filter(r -> r.wave().equals(wave.id())).toList();
-        for (WaveDoneRow row : done.subList(Math.max(0, done.size() - RECENT_HOSTS), done.size())) {
+        for (WaveDoneRow row :
+                rebooted.subList(Math.max(0, rebooted.size() - RECENT_HOSTS), rebooted.size())) {
             Optional<HostRow> host = world.hosts().find(row.host());
-            boolean resting = host.filter(h -> h.restUntilMs() > tick.nowMs()).isPresent();
-            if (resting || BudgetCheck.isLost(world, row.host())) {
+            boolean quarantined = host.filter(h -> h.restUntilMs() > tick.nowMs()).isPresent();
+            if (quarantined || BudgetCheck.isLost(world, row.host())) {
                 failed.add(row.host());
             }
         }
         return failed;
     }
 
-    /** Returns whether a host takes too long to come back from its reboot. */
+    /** Returns whether an idle host has been out of service for longer than a reboot may take. */
     static boolean isRebootOverdue(Tick tick, OutageRow row) {
-        return row.outage().idle() && tick.nowMs() - row.sinceMs() > REBOOT_LIMIT_MS;
+        return row.outage().idle() && tick.nowMs() - row.sinceMs() > REBOOT_TIMEOUT_MS;
     }
 
+    /**
+     * Returns whether no host is out of service for a wave, and all hosts of the wave that are
+     * still in the configuration were rebooted.
+     */
     private static boolean isComplete(World world, WaveRecord wave) {
-        boolean out =
+        boolean hostsOut =
                 world.outages().rows().stream()
                         .anyMatch(o -> o.outage().reason() == OutageReason.WAVE);
-        return !out
+        return !hostsOut
                 && wave.hosts().stream()
                         .filter(h -> world.configuration().hosts().containsKey(h))
                         .allMatch(h -> RebootedHosts.contains(world, wave.id(), h));
--- a/core/src/main/java/org/hibiscususher/core/maintenance/WaveReports.java
+++ b/core/src/main/java/org/hibiscususher/core/maintenance/WaveReports.java
@@ -12,11 +12,16 @@
 import org.hibiscususher.core.world.Tick;
 import org.hibiscususher.core.world.World;
 
-/** Describes the maintenance wave to operators. */
+/** Builds the reports about the maintenance wave that operators get. */
 final class WaveReports {
     private WaveReports() {}
 
-    /** Returns how the wave stands; an empty detail gives that of the wave. */
+    /**
+     * Returns a report of the newest wave and of all hosts out of service, by host.
+     *
+     * @param ok whether the command that is answered was executed
+     * @param detail text for the operator; if empty, the report has the detail of the wave's record
+     */
     static WaveReport of(Tick tick, boolean ok, String detail) {
         World world = tick.world();
         Optional<WaveRecord> wave = FleetRecords.wave(world);
@@ -41,6 +46,7 @@
                 row.host(), pool, activity(tick, row), tick.nowMs() - row.sinceMs());
     }
 
+    /** Returns what a host out of service is doing, for operators. */
     private static String activity(Tick tick, OutageRow row) {
         if (!row.outage().idle()) {
             return row.reported()
--- a/core/src/main/java/org/hibiscususher/core/maintenance/WaveSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/maintenance/WaveSystem.java
@@ -23,21 +23,30 @@
 /**
  * Reboots the hosts of a maintenance wave, each once, within the availability budgets.
  *
- * <p>The allocator of each pool runs the wave there, so pools go on side by side. What it has done
- * stands in the pool's record, so that its successor goes on from there.
+ * <p>The allocator of each pool runs the wave in that pool, so pools proceed in parallel. Progress
+ * is in the pool's stored record, so that a new allocator continues from there and reboots no host
+ * a second time.
  */
 public final class WaveSystem {
-    /** Hosts that may be out before the first has come back; grows with each that comes back. */
-    private static final int FIRST_HOSTS = 4;
+    /**
+     * How many hosts of a wave may be out of service before the first is back; each that comes back
+     * allows one more, so that few hosts are lost if reboots fail.
+     */
+    private static final int INITIAL_MAX_HOSTS_OUT = 4;
 
+    /** Time after which a call to reboot a host is repeated, under the same token. */
     private static final int REBOOT_RETRY_MS = 3_000;
 
     private WaveSystem() {}
 
-    /** Takes hosts out, asks for reboots, and puts hosts that are back into service. */
+    /**
+     * Takes hosts out of service, requests their reboots, and returns rebooted hosts to service.
+     *
+     * <p>Hosts that are out come back also while the wave is paused.
+     */
     public static void run(Tick tick) {
-        for (RebootAnswered answered : tick.inputs(RebootAnswered.class)) {
-            recordResult(tick, answered);
+        for (RebootAnswered response : tick.inputs(RebootAnswered.class)) {
+            recordResult(tick, response);
         }
         if (!MaintenanceSchedule.isDue(tick)) {
             return;
@@ -52,17 +61,23 @@
         }
     }
 
-    private static void recordResult(Tick tick, RebootAnswered answered) {
-        tick.count("reboot." + answered.result().name().toLowerCase(java.util.Locale.ROOT));
+    /**
+     * Stores the result of the newest call to reboot a host.
+     *
+     * <p>Once a call was accepted, a later answer to a repeated one doesn't replace that.
+     */
+    private static void recordResult(Tick tick, RebootAnswered response) {
+        tick.count("reboot." + response.result().name().toLowerCase(java.util.Locale.ROOT));
         World world = tick.world();
         world.reboots()
-                .find(answered.host())
-                .filter(r -> r.token().equals(answered.token()))
+                .find(response.host())
+                .filter(r -> r.token().equals(response.token()))
                 .filter(r -> r.result() != RebootResult.ACCEPTED)
                 .ifPresent(
-                        r -> world.reboots().put(answered.host(), r.withResult(answered.result())));
+                        r -> world.reboots().put(response.host(), r.withResult(response.result())));
     }
 
+    /** Advances the reboots of the pool's hosts that are out for a wave and idle. */
     private static void rebootIdleHosts(Tick tick, WaveRecord wave, String pool) {
         World world = tick.world();
         if (!FleetRecords.canDraft(world, RecordKey.outages(pool))) {
@@ -77,6 +92,14 @@
         }
     }
 
+    /**
+     * Advances the reboot of an idle host by a step.
+     *
+     * <p>The platform reboots a host only if its boot id is the one given, and once for a token. So
+     * repeated calls reboot it once, also after an answer was lost. A host is back when the
+     * platform lists another boot id. If the boot id given is outdated because the host has booted
+     * on its own, the new one is recorded and the reboot is requested again.
+     */
     private static void advanceReboot(
             Tick tick, WaveRecord wave, String pool, String host, Outage outage) {
         World world = tick.world();
@@ -84,38 +107,42 @@
         RebootRow row =
                 world.reboots().find(host).orElse(new RebootRow(token, RebootResult.UNKNOWN, -1));
         Optional<String> bootId = bootId(world, host);
-        boolean booted = bootId.filter(b -> !b.equals(outage.bootId())).isPresent();
-        boolean due = row.sentMs() < 0 || tick.nowMs() - row.sentMs() >= REBOOT_RETRY_MS;
+        boolean rebooted = bootId.filter(b -> !b.equals(outage.bootId())).isPresent();
+        boolean callDue = row.sentMs() < 0 || tick.nowMs() - row.sentMs() >= REBOOT_RETRY_MS;
         if (row.result() == RebootResult.ACCEPTED) {
-            if (booted) {
+            if (rebooted) {
                 OutageRecord next = FleetRecords.outages(world, pool).withDone(wave.id(), host);
                 FleetRecords.draft(world, RecordKey.outages(pool), next);
                 tick.count("wave.host-back");
             }
-        } else if (row.result() == RebootResult.MISMATCH && booted) {
+        } else if (row.result() == RebootResult.MISMATCH && rebooted) {
             world.reboots().remove(host);
             FleetRecords.draftOutage(world, pool, host, outage.withBootId(bootId.get()));
-        } else if (due) {
+        } else if (callDue) {
             world.reboots().put(host, new RebootRow(token, row.result(), tick.nowMs()));
             tick.emit(new RebootHost(host, outage.bootId(), token));
         }
     }
 
+    /**
+     * Takes as many hosts of a pool out of service as the wave and the budget allow, first those of
+     * the zones with most hosts left: under a budget per zone, these take longest.
+     */
     private static void takeHostsOut(Tick tick, WaveRecord wave, String pool, List<HostRow> hosts) {
         World world = tick.world();
-        Map<String, Integer> waitingByZone = new LinkedHashMap<>();
-        List<HostRow> waiting = hosts.stream().filter(h -> isEligible(tick, wave, h)).toList();
-        waiting.forEach(h -> waitingByZone.merge(h.spec().zone(), 1, Integer::sum));
+        Map<String, Integer> eligibleByZone = new LinkedHashMap<>();
+        List<HostRow> eligible = hosts.stream().filter(h -> isEligible(tick, wave, h)).toList();
+        eligible.forEach(h -> eligibleByZone.merge(h.spec().zone(), 1, Integer::sum));
         List<HostRow> order =
-                waiting.stream()
+                eligible.stream()
                         .sorted(
                                 Comparator.comparingInt(
-                                                (HostRow h) -> -waitingByZone.get(h.spec().zone()))
+                                                (HostRow h) -> -eligibleByZone.get(h.spec().zone()))
                                         .thenComparing(h -> h.spec().id()))
                         .toList();
         for (HostRow host : order) {
             String id = host.spec().id();
-            if (hostsOut(world) >= FIRST_HOSTS + RebootedHosts.count(world, wave.id())) {
+            if (hostsOut(world) >= INITIAL_MAX_HOSTS_OUT + RebootedHosts.count(world, wave.id())) {
                 return;
             }
             if (BudgetCheck.allows(tick, pool, hosts, host)) {
@@ -126,7 +153,11 @@
         }
     }
 
-    /** Returns whether a host is still to be rebooted and can be taken out now. */
+    /**
+     * Returns whether a host is in the wave, was not rebooted yet and can be taken out now.
+     *
+     * <p>A host whose boot id isn't known has to wait: its reboot could not be detected.
+     */
     private static boolean isEligible(Tick tick, WaveRecord wave, HostRow host) {
         World world = tick.world();
         String id = host.spec().id();
@@ -139,6 +170,7 @@
                 && bootId(world, id).isPresent();
     }
 
+    /** Returns how many hosts are out of service for a wave, or are to be by this tick's drafts. */
     private static int hostsOut(World world) {
         int listed =
                 (int)
@@ -155,6 +187,7 @@
         return listed + drafted;
     }
 
+    /** Returns how many hosts a draft takes out for a wave that weren't out before. */
     private static int newlyDrafted(World world, OutageRecord record) {
         return (int)
                 record.outages().entrySet().stream()
@@ -164,7 +197,10 @@
                         .count();
     }
 
-    /** Returns the boot id that the platform's newest list shows for a host that is not going. */
+    /**
+     * Returns the boot id in the platform's newest list, or empty if it isn't known or the host is
+     * gone or leaving.
+     */
     private static Optional<String> bootId(World world, String host) {
         return world.platformHosts()
                 .find(host)
--- a/core/src/main/java/org/hibiscususher/core/maintenance/package-info.java
+++ b/core/src/main/java/org/hibiscususher/core/maintenance/package-info.java
@@ -1,2 +1,5 @@
-/** Graceful shutdown, moves of hosts between pools, and maintenance waves. */
+/**
+ * Draining of hosts, moves and lending of hosts between pools, and maintenance waves that reboot
+ * hosts within the pools' availability budgets.
+ */
 package org.hibiscususher.core.maintenance;
