--- a/core/src/main/java/org/hibiscususher/core/maintenance/WaveCommandSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/maintenance/WaveCommandSystem.java
@@ -80,14 +80,14 @@
             Tick tick, WaveAsked request, Optional<WaveRecord> current) {
         World world = tick.world();
         if (!FleetRecords.canDraft(world, RecordKey.WAVE)) {
-            return Optional.of("another command is being executed; try again");
+            return Optional.of("another command is being carried out; try again");
         }
         Optional<String> unknown =
                 request.pools().stream()
                         .filter(p -> !world.configuration().pools().containsKey(p))
                         .findFirst();
         if (unknown.isPresent()) {
-            return Optional.of("unknown pool " + unknown.get());
+            return Optional.of("there is no pool " + unknown.get());
         }
         WaveState state = current.map(WaveRecord::state).orElse(WaveState.DONE);
         boolean busy =
@@ -97,9 +97,7 @@
         return switch (request.command()) {
             case PLAN ->
                     busy
-                            ? Optional.of(
-                                    "the current wave is running or has hosts out of service;"
-                                            + " pause it first")
+                            ? Optional.of("the present wave still has hosts out; pause it first")
                             : Optional.empty();
             case START ->
                     state == WaveState.DONE
@@ -145,18 +143,14 @@
         } else if (row.wanted().isPresent() && row.wanted().equals(FleetRecords.wave(world))) {
             reply(tick, row.asked(), true, "");
         } else if (row.wanted().isPresent() && conflict) {
-            reply(
-                    tick,
-                    row.asked(),
-                    false,
-                    "another command was executed first; show the wave and try again");
+            reply(tick, row.asked(), false, "another command came first; look again");
         } else if (tick.nowMs() - row.sinceMs() >= REPLY_TIMEOUT_MS) {
             reply(
                     tick,
                     row.asked(),
                     false,
-                    "the platform's store didn't answer; the command may have been executed:"
-                            + " see wave show");
+                    "the platform's store gave no answer; the command may have been carried"
+                            + " out: see wave show");
         }
     }
 
