--- a/core/src/main/java/org/hibiscususher/core/escrow/ReceivedItem.java
+++ b/core/src/main/java/org/hibiscususher/core/escrow/ReceivedItem.java
@@ -8,7 +8,7 @@
  *
  * @param from the process that has sent it, possibly this one
  * @param sequence number of the message that brought it; grows from message to message of a sender,
- *     so that an item that was overtaken by a later one can be told
+ *     so that an item older than one already applied is detected
  * @param item what the sender reports or requests
  */
 record ReceivedItem(MemberKey from, long sequence, PeerItem item) {}
--- a/core/src/main/java/org/hibiscususher/core/maintenance/FleetSyncSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/maintenance/FleetSyncSystem.java
@@ -64,7 +64,7 @@
         poll(tick, wrote);
     }
 
-    /** Returns the records that have arrived in this tick, and records that a read was answered. */
+    /** Returns the records received in this tick, and marks the pending read as answered. */
     private static Set<FleetRecord> receivedRecords(Tick tick) {
         Set<FleetRecord> found = new LinkedHashSet<>();
         for (RecordWatched watched : tick.inputs(RecordWatched.class)) {
--- a/core/src/main/java/org/hibiscususher/core/maintenance/WaveMonitorSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/maintenance/WaveMonitorSystem.java
@@ -18,7 +18,7 @@
 /**
  * Pauses a maintenance wave whose hosts fail, and completes one that has rebooted every host.
  *
- * <p>Without the pause, a fault that comes with the reboot would take more and more hosts. One
+ * <p>Without the pause, a fault that the reboot triggers would take down more and more hosts. One
  * member, chosen by the wave's id, does this, since the failures of all pools count together.
  */
 public final class WaveMonitorSystem {
