--- a/core/src/main/java/org/hibiscususher/core/escrow/EscrowSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/escrow/EscrowSystem.java
@@ -10,38 +10,46 @@
 import org.hibiscususher.core.world.World;
 
 /**
- * Keeps permits in escrow: each is held by exactly one entry, or by its allocator.
+ * Holds permits in escrow: each is held by exactly one entry, or is free at the allocator of its
+ * group, so that an entry starts requests without asking the others and no limit is exceeded.
  *
- * <p>As a holder, this entry follows the allocator of each group, reports demand and returns what
- * it shall not keep. As an allocator, it keeps the ledger of its groups and grants by demand.
+ * <p>As a holder, this entry is bound to the allocator of each group, reports its demand and
+ * returns permits above its targets. As an allocator, it keeps the ledger of its groups and grants
+ * permits by demand.
  */
 public final class EscrowSystem {
     private EscrowSystem() {}
 
-    /** Takes in what the members have sent and passes on what is due. */
+    /**
+     * Updates limits and roles, applies the members' messages and sends those that are due.
+     *
+     * <p>Messages of this entry to itself are handled within the tick, so they are drained after
+     * each step that may send some; holdings run twice to handle targets that this entry has just
+     * sent itself.
+     */
     public static void run(Tick tick) {
-        boolean limitsChanged = Totals.refresh(tick);
+        boolean limitsChanged = PermitLimits.update(tick);
         if (tick.world().settings().escrowPolicy() == EscrowPolicy.STATIC_SPLIT) {
             StaticSplit.run(tick);
             return;
         }
-        Exchange exchange = Exchange.of(tick);
-        if (!listed(tick.world(), exchange)) {
-            withdraw(tick.world());
+        MessageExchange exchange = MessageExchange.of(tick);
+        if (!isMember(tick.world(), exchange)) {
+            relinquishAll(tick.world());
             return;
         }
-        follow(exchange, limitsChanged);
-        deliver(exchange);
-        Demands.report(exchange);
-        Holdings.pass(exchange);
-        deliver(exchange);
-        Tenures.pass(exchange);
-        deliver(exchange);
-        Holdings.pass(exchange);
-        deliver(exchange);
+        updateRoles(exchange, limitsChanged);
+        handleReceived(exchange);
+        DemandReports.reportChanges(exchange);
+        Holdings.runDue(exchange);
+        handleReceived(exchange);
+        AllocatorTerms.runDue(exchange);
+        handleReceived(exchange);
+        Holdings.runDue(exchange);
+        handleReceived(exchange);
     }
 
-    private static boolean listed(World world, Exchange exchange) {
+    private static boolean isMember(World world, MessageExchange exchange) {
         return world.membership().record().members().stream()
                 .anyMatch(
                         m ->
@@ -50,8 +58,13 @@
                                         && m.state().mayHold());
     }
 
-    /** Gives up what a process that is not, or no longer, a member may not use or allocate. */
-    private static void withdraw(World world) {
+    /**
+     * Drops the permits not in use and all roles of a process that is not, or no longer, a member.
+     *
+     * <p>Permits in use stay until their requests end; their allocator counts them as held until
+     * those runs must be over.
+     */
+    private static void relinquishAll(World world) {
         if (world.attachments().size() == 0) {
             return;
         }
@@ -70,15 +83,16 @@
         world.escrowTable().update(World.SELF, EscrowRow::withdrawn);
     }
 
-    private static void follow(Exchange exchange, boolean limitsChanged) {
+    /** Updates bindings and terms after a new membership record or a change of the limits. */
+    private static void updateRoles(MessageExchange exchange, boolean limitsChanged) {
         World world = exchange.world();
         MembershipRecord record = world.membership().record();
         EscrowRow row = world.escrow();
         if (row.epoch() == record.epoch() && !limitsChanged) {
             return;
         }
-        Attachments.follow(exchange);
-        Tenures.follow(exchange);
+        AllocatorBindings.rebind(exchange);
+        AllocatorTerms.update(exchange);
         world.escrowTable()
                 .put(
                         World.SELF,
@@ -89,34 +103,34 @@
                                 row.longestRunMs()));
     }
 
-    private static void deliver(Exchange exchange) {
-        Optional<Delivery> next = exchange.next();
+    private static void handleReceived(MessageExchange exchange) {
+        Optional<ReceivedItem> next = exchange.poll();
         while (next.isPresent()) {
-            take(exchange, next.get());
-            next = exchange.next();
+            handle(exchange, next.get());
+            next = exchange.poll();
         }
     }
 
-    private static void take(Exchange exchange, Delivery delivery) {
-        PeerItem item = delivery.item();
+    private static void handle(MessageExchange exchange, ReceivedItem received) {
+        PeerItem item = received.item();
         if (item instanceof PeerItem.Claim claim) {
-            Tenures.claimed(exchange, delivery.from(), claim);
-        } else if (item instanceof PeerItem.ClaimAsked asked) {
-            Attachments.asked(exchange, delivery.from(), asked);
+            AllocatorTerms.applyClaim(exchange, received.from(), claim);
+        } else if (item instanceof PeerItem.ClaimAsked request) {
+            AllocatorBindings.handleClaimRequest(exchange, received.from(), request);
         } else if (item instanceof PeerItem.Granted granted) {
-            Holdings.granted(exchange, delivery.from(), granted);
+            Holdings.applyGrant(exchange, received.from(), granted);
         } else if (item instanceof PeerItem.Returned returned) {
-            Ledgers.returned(exchange, delivery.from(), returned);
-        } else if (item instanceof PeerItem.GrantSeen seen) {
-            Ledgers.grantSeen(exchange, delivery.from(), seen);
-        } else if (item instanceof PeerItem.ReturnSeen seen) {
-            Holdings.returnSeen(exchange, delivery.from(), seen);
+            AllocationLedger.applyReturn(exchange, received.from(), returned);
+        } else if (item instanceof PeerItem.GrantSeen ack) {
+            AllocationLedger.applyGrantAck(exchange, received.from(), ack);
+        } else if (item instanceof PeerItem.ReturnSeen ack) {
+            Holdings.applyReturnAck(exchange, received.from(), ack);
         } else if (item instanceof PeerItem.Target target) {
-            Attachments.targeted(exchange, delivery, target);
+            AllocatorBindings.applyTarget(exchange, received, target);
         } else if (item instanceof PeerItem.Demand demand) {
-            Demands.received(exchange, delivery, demand);
-        } else if (item instanceof PeerItem.Dues dues) {
-            Demands.due(exchange, delivery, dues);
+            DemandReports.applyDemand(exchange, received, demand);
+        } else if (item instanceof PeerItem.Dues entitlements) {
+            DemandReports.applyEntitlements(exchange, received, entitlements);
         }
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/escrow/Holdings.java
+++ b/core/src/main/java/org/hibiscususher/core/escrow/Holdings.java
@@ -16,13 +16,22 @@
 import org.hibiscususher.core.world.TotalRow;
 import org.hibiscususher.core.world.World;
 
-/** The permits that this entry holds: takes grants in and returns what it shall not keep. */
+/**
+ * The permits that this entry holds: applies grants, and returns permits that it is not to keep.
+ *
+ * <p>A permit is returned only while no request uses it, and is no longer held once the return is
+ * sent. Grants and returns are sent as counts since the claim, so that messages may be lost,
+ * repeated and reordered without a permit being lost or counted twice.
+ */
 final class Holdings {
     private Holdings() {}
 
-    /** Takes in a grant of the allocator that this entry follows, and acknowledges it. */
-    static void granted(Exchange exchange, MemberKey from, Granted granted) {
-        if (!follows(exchange, from, granted.permit(), granted.basis())) {
+    /**
+     * Applies a grant and acknowledges it. Ignored unless it is from the present allocator under
+     * the present claim epoch.
+     */
+    static void applyGrant(MessageExchange exchange, MemberKey from, Granted granted) {
+        if (!isCurrent(exchange, from, granted.permit(), granted.basis())) {
             return;
         }
         World world = exchange.world();
@@ -33,76 +42,90 @@
         exchange.send(from, new GrantSeen(granted.basis(), key, granted.granted()));
     }
 
-    /** Takes in that the allocator has seen a return. */
-    static void returnSeen(Exchange exchange, MemberKey from, ReturnSeen seen) {
-        if (follows(exchange, from, seen.permit(), seen.basis())) {
-            exchange.world()
-                    .holdings()
-                    .update(seen.permit(), h -> h.withReturnSeen(seen.returned()));
+    /**
+     * Records that the allocator has received a return. Ignored unless it is from the present
+     * allocator under the present claim epoch.
+     */
+    static void applyReturnAck(MessageExchange exchange, MemberKey from, ReturnSeen ack) {
+        if (isCurrent(exchange, from, ack.permit(), ack.basis())) {
+            exchange.world().holdings().update(ack.permit(), h -> h.withReturnSeen(ack.returned()));
         }
     }
 
-    private static boolean follows(Exchange exchange, MemberKey from, PermitKey key, long basis) {
+    /** Returns whether a message is from the present allocator under the present claim epoch. */
+    private static boolean isCurrent(
+            MessageExchange exchange, MemberKey from, PermitKey key, long claimEpoch) {
         Optional<AttachmentRow> row = exchange.world().attachments().find(key.permitGroup());
-        return row.isPresent() && row.get().allocator().equals(from) && row.get().basis() == basis;
+        return row.isPresent()
+                && row.get().allocator().equals(from)
+                && row.get().basis() == claimEpoch;
     }
 
-    /** Looks at the groups that are due: sends claims and returns, again where that is needed. */
-    static void pass(Exchange exchange) {
+    /**
+     * Processes the groups that are due: sends claims and returns, and resends those that were not
+     * acknowledged.
+     */
+    static void runDue(MessageExchange exchange) {
         for (AttachmentRow row : exchange.world().attachments().rows()) {
             if (row.dueMs() <= exchange.nowMs()) {
-                pass(exchange, row);
+                process(exchange, row);
             }
         }
     }
 
-    private static void pass(Exchange exchange, AttachmentRow row) {
+    private static void process(MessageExchange exchange, AttachmentRow row) {
         World world = exchange.world();
-        if (!row.answered() && due(exchange, row.claimSentMs(), EscrowTiming.ASK_AGAIN_MS)) {
-            Attachments.claim(exchange, row);
+        if (!row.answered() && isDue(exchange, row.claimSentMs(), EscrowTiming.CLAIM_RETRY_MS)) {
+            AllocatorBindings.sendClaim(exchange, row);
         }
         if (row.answered()) {
-            giveBack(world, row);
+            returnExcess(world, row);
         }
-        boolean unseen = !row.answered();
+        boolean unacknowledged = !row.answered();
         for (HoldingRow holding : List.copyOf(world.holdings().group(row.group()))) {
             if (holding.unseen()) {
-                unseen = true;
-                resend(exchange, row, holding);
+                unacknowledged = true;
+                resendReturn(exchange, row, holding);
             }
         }
-        long next = unseen ? exchange.nowMs() + EscrowTiming.RESEND_MS : AttachmentRow.NEVER;
-        world.attachments().update(row.group(), a -> a.withNextDue(next));
+        long nextDueMs =
+                unacknowledged
+                        ? exchange.nowMs() + EscrowTiming.RESEND_INTERVAL_MS
+                        : AttachmentRow.NEVER;
+        world.attachments().update(row.group(), a -> a.withNextDue(nextDueMs));
     }
 
-    private static boolean due(Exchange exchange, long sentMs, int intervalMs) {
+    private static boolean isDue(MessageExchange exchange, long sentMs, int intervalMs) {
         return sentMs < 0 || exchange.nowMs() - sentMs >= intervalMs;
     }
 
-    private static void resend(Exchange exchange, AttachmentRow row, HoldingRow holding) {
-        if (due(exchange, holding.sentMs(), EscrowTiming.RESEND_MS)) {
+    private static void resendReturn(
+            MessageExchange exchange, AttachmentRow row, HoldingRow holding) {
+        if (isDue(exchange, holding.sentMs(), EscrowTiming.RESEND_INTERVAL_MS)) {
             exchange.world().holdings().put(holding.key(), holding.withSent(exchange.nowMs()));
             exchange.send(
                     row.allocator(), new Returned(row.basis(), holding.key(), holding.returned()));
         }
     }
 
-    private static void giveBack(World world, AttachmentRow row) {
-        List<HoldingRow> main = new ArrayList<>();
-        List<HoldingRow> longRuns = new ArrayList<>();
+    /** Returns the idle permits that are unusable or above the targets of a group. */
+    private static void returnExcess(World world, AttachmentRow row) {
+        List<HoldingRow> mainRows = new ArrayList<>();
+        List<HoldingRow> longRunRows = new ArrayList<>();
         for (HoldingRow holding : List.copyOf(world.holdings().group(row.group()))) {
-            HoldingRow kept = giveBackUnusable(world, holding);
+            HoldingRow kept = returnUnusable(world, holding);
             if (kept.key().kind() == PermitKind.LONG_RUN) {
-                longRuns.add(kept);
+                longRunRows.add(kept);
             } else {
-                main.add(kept);
+                mainRows.add(kept);
             }
         }
-        giveBackAbove(world, main, row.mainTarget());
-        giveBackAbove(world, longRuns, row.longTarget());
+        returnAboveTarget(world, mainRows, row.mainTarget());
+        returnAboveTarget(world, longRunRows, row.longTarget());
     }
 
-    private static HoldingRow giveBackUnusable(World world, HoldingRow holding) {
+    /** Returns the idle permits of a row whose limit is 0, such as the slots of a recalled host. */
+    private static HoldingRow returnUnusable(World world, HoldingRow holding) {
         boolean usable = world.totals().find(holding.key()).map(TotalRow::total).orElse(0) > 0;
         if (usable || holding.idle() == 0) {
             return holding;
@@ -112,19 +135,20 @@
         return kept;
     }
 
-    private static void giveBackAbove(World world, List<HoldingRow> rows, int target) {
+    /** Returns idle permits above a target, one at a time from the row with the most idle ones. */
+    private static void returnAboveTarget(World world, List<HoldingRow> rows, int target) {
         int excess = -target;
         for (HoldingRow row : rows) {
             excess += row.held();
         }
         while (excess > 0) {
-            HoldingRow most =
+            HoldingRow mostIdle =
                     rows.stream().max(Comparator.comparing(HoldingRow::idle)).orElseThrow();
-            if (most.idle() == 0) {
+            if (mostIdle.idle() == 0) {
                 return;
             }
-            HoldingRow kept = most.withReturned(1);
-            rows.set(rows.indexOf(most), kept);
+            HoldingRow kept = mostIdle.withReturned(1);
+            rows.set(rows.indexOf(mostIdle), kept);
             world.holdings().put(kept.key(), kept);
             excess--;
         }
--- a/core/src/main/java/org/hibiscususher/core/maintenance/DrainSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/maintenance/DrainSystem.java
@@ -12,26 +12,33 @@
 import org.hibiscususher.core.world.Tick;
 import org.hibiscususher.core.world.World;
 
-/** Ends graceful shutdowns: finds the hosts whose slots are all back, and reports late ones. */
+/**
+ * Completes the draining of hosts: detects hosts whose slots have all been returned, and reports
+ * hosts that drain for longer than the run limits of their pool allow.
+ */
 public final class DrainSystem {
+    /** Time beyond the longest run limit before a draining host is reported as late. */
     private static final int LATE_MARGIN_MS = 10_000;
 
     private DrainSystem() {}
 
-    /** Marks idle hosts as idle and drops withdrawn ones. */
+    /**
+     * Records which draining hosts are idle, removes idle ones that are withdrawn from the
+     * configuration, and reports late ones once.
+     */
     public static void run(Tick tick) {
-        if (!MaintenanceStep.due(tick)) {
+        if (!MaintenanceSchedule.isDue(tick)) {
             return;
         }
         World world = tick.world();
-        Fleet.decidedPools(tick)
+        FleetRecords.decidablePools(tick)
                 .forEach(
                         (pool, hosts) ->
                                 hosts.stream()
                                         .filter(h -> !h.stage().takesWork())
-                                        .forEach(h -> settle(tick, pool, h)));
+                                        .forEach(h -> finishDrain(tick, pool, h)));
         for (OutageRow row : world.outages().rows()) {
-            if (!row.outage().idle() && !row.reported() && late(tick, row)) {
+            if (!row.outage().idle() && !row.reported() && isOverdue(tick, row)) {
                 world.outages()
                         .put(
                                 row.host(),
@@ -42,31 +49,36 @@
         }
     }
 
-    private static void settle(Tick tick, String pool, HostRow host) {
+    /**
+     * Records that a draining host is idle, once all its slots have been returned; if it is
+     * withdrawn from the configuration, removes it from its pool.
+     */
+    private static void finishDrain(Tick tick, String pool, HostRow host) {
         World world = tick.world();
         String id = host.spec().id();
-        Optional<HostRecord> record = Fleet.hostRecord(world, id);
+        Optional<HostRecord> record = FleetRecords.hostRecord(world, id);
         if (record.isEmpty() || !EscrowQueries.allSlotsReturned(world, id)) {
             return;
         }
-        Optional<Outage> outage = Fleet.outage(world, id);
+        Optional<Outage> outage = FleetRecords.outage(world, id);
         if (outage.isPresent() && !outage.get().idle()) {
-            Fleet.draftOutage(world, pool, id, outage.get().withIdle());
+            FleetRecords.draftOutage(world, pool, id, outage.get().withIdle());
         }
         boolean withdrawn = !world.configuration().hosts().containsKey(id);
-        if (withdrawn && Fleet.free(world, RecordKey.host(id))) {
+        if (withdrawn && FleetRecords.canDraft(world, RecordKey.host(id))) {
             HostRecord next =
                     new HostRecord(id, "", record.get().declared(), record.get().generation() + 1);
-            Fleet.draft(world, RecordKey.host(id), next);
+            FleetRecords.draft(world, RecordKey.host(id), next);
         }
     }
 
-    private static boolean late(Tick tick, OutageRow row) {
+    private static boolean isOverdue(Tick tick, OutageRow row) {
         return tick.nowMs() - row.sinceMs()
-                > longestRunMs(tick.world(), row.host()) + LATE_MARGIN_MS;
+                > maxRunLimitMs(tick.world(), row.host()) + LATE_MARGIN_MS;
     }
 
-    private static int longestRunMs(World world, String host) {
+    /** Returns the longest run limit of the queues of the pool that a host serves, 0 if none. */
+    private static int maxRunLimitMs(World world, String host) {
         String pool = world.hosts().find(host).map(HostRow::pool).orElse("");
         return world.configuration().queues().values().stream()
                 .filter(q -> q.pool().equals(pool))
--- a/core/src/main/java/org/hibiscususher/core/maintenance/MoveSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/maintenance/MoveSystem.java
@@ -13,63 +13,80 @@
 import org.hibiscususher.core.world.World;
 
 /**
- * Brings hosts into the pools in which they are declared.
+ * Assigns hosts to the pools in which they are declared.
  *
- * <p>A move is: take the host out of service in its pool, wait until it is idle, write its new pool
- * by one compare-and-swap. The outage in the old pool names the generation of the host's record, so
- * that it ends with that write.
+ * <p>A move takes the host out of service in its pool, waits until it is idle, and then writes its
+ * new pool by one compare-and-swap. So a host never runs work of two pools at the same time. The
+ * outage in the old pool names the generation of the host's record and ends with that write: no
+ * second write is needed that could be lost.
  */
 public final class MoveSystem {
-    private static final int MAX_PLACED_PER_STEP = 5;
+    /** Bounds the writes to the store when many hosts are declared at once. */
+    private static final int MAX_ASSIGNED_PER_STEP = 5;
 
     private MoveSystem() {}
 
-    /** Places new hosts and moves others one step on. */
+    /** Assigns new hosts to their pools and advances the moves of the others by one step. */
     public static void run(Tick tick) {
-        if (!MaintenanceStep.due(tick) || !Fleet.current(tick)) {
+        if (!MaintenanceSchedule.isDue(tick) || !FleetRecords.isCurrent(tick)) {
             return;
         }
-        placeNew(tick);
-        Map<String, List<HostRow>> pools = Fleet.decidedPools(tick);
-        pools.forEach((pool, hosts) -> hosts.forEach(h -> move(tick, pool, hosts, h)));
+        assignNewHosts(tick);
+        Map<String, List<HostRow>> pools = FleetRecords.decidablePools(tick);
+        pools.forEach((pool, hosts) -> hosts.forEach(h -> advance(tick, pool, hosts, h)));
     }
 
-    private static void placeNew(Tick tick) {
+    /**
+     * Drafts the records of hosts that have none or were withdrawn, for the pools that this entry
+     * is responsible for.
+     */
+    private static void assignNewHosts(Tick tick) {
         World world = tick.world();
-        int placed = 0;
+        int assigned = 0;
         for (HostRow host : world.hosts().rows()) {
             String id = host.spec().id();
-            boolean isNew = Fleet.hostRecord(world, id).isEmpty();
-            if (placed == MAX_PLACED_PER_STEP) {
+            boolean isNew = FleetRecords.hostRecord(world, id).isEmpty();
+            if (assigned == MAX_ASSIGNED_PER_STEP) {
                 return;
             }
             if (isNew
-                    && Fleet.free(world, RecordKey.host(id))
-                    && Fleet.responsible(world, host.spec().pool())) {
+                    && FleetRecords.canDraft(world, RecordKey.host(id))
+                    && FleetRecords.isResponsible(world, host.spec().pool())) {
                 long generation =
-                        Fleet.lastHostRecord(world, id).map(HostRecord::generation).orElse(0L);
+                        FleetRecords.lastHostRecord(world, id)
+                                .map(HostRecord::generation)
+                                .orElse(0L);
                 String pool = host.spec().pool();
-                Fleet.draft(
+                FleetRecords.draft(
                         world, RecordKey.host(id), new HostRecord(id, pool, pool, generation + 1));
-                placed++;
+                assigned++;
             }
         }
     }
 
-    private static void move(Tick tick, String pool, List<HostRow> hosts, HostRow host) {
+    /**
+     * Advances a host by one step: assigns an idle host to the pool that it moves to, or takes a
+     * host out of service whose declared pool has changed.
+     *
+     * <p>A host that is lent has another pool than the declared one, but stays until its
+     * declaration changes; {@link LendSystem} sends it back.
+     */
+    private static void advance(Tick tick, String pool, List<HostRow> hosts, HostRow host) {
         World world = tick.world();
         String id = host.spec().id();
         HostSpec spec = world.configuration().hosts().get(id);
-        Optional<HostRecord> record = Fleet.hostRecord(world, id);
-        if (spec == null || record.isEmpty() || !Fleet.free(world, RecordKey.host(id))) {
+        Optional<HostRecord> record = FleetRecords.hostRecord(world, id);
+        if (spec == null || record.isEmpty() || !FleetRecords.canDraft(world, RecordKey.host(id))) {
             return;
         }
-        Optional<Outage> outage = Fleet.outage(world, id);
+        Optional<Outage> outage = FleetRecords.outage(world, id);
         if (outage.isPresent()) {
-            boolean written = Fleet.free(world, RecordKey.outages(pool));
-            if (written && outage.get().reason() == OutageReason.MOVE && outage.get().idle()) {
-                String target = targetOf(world, outage.get(), spec);
-                rewrite(world, record.get(), target, spec);
+            boolean outagesWritten = FleetRecords.canDraft(world, RecordKey.outages(pool));
+            if (outagesWritten
+                    && outage.get().reason() == OutageReason.MOVE
+                    && outage.get().idle()) {
+                String target = targetPool(world, outage.get(), spec);
+                draftPool(world, record.get(), target, spec);
                 tick.count("host.moved");
             }
             return;
@@ -78,21 +95,22 @@
             return;
         }
         if (record.get().pool().equals(spec.pool())) {
-            rewrite(world, record.get(), spec.pool(), spec);
-        } else if (Budget.allows(tick, pool, hosts, host)) {
+            draftPool(world, record.get(), spec.pool(), spec);
+        } else if (BudgetCheck.allows(tick, pool, hosts, host)) {
             Outage move = Outage.move(record.get().generation(), spec.pool());
-            Fleet.draftOutage(world, pool, id, move);
+            FleetRecords.draftOutage(world, pool, id, move);
         }
     }
 
-    private static String targetOf(World world, Outage outage, HostSpec spec) {
+    /** Returns the pool that a move leads to: its target, or the declared pool if that is gone. */
+    private static String targetPool(World world, Outage outage, HostSpec spec) {
         return world.configuration().pools().containsKey(outage.target())
                 ? outage.target()
                 : spec.pool();
     }
 
-    private static void rewrite(World world, HostRecord record, String pool, HostSpec spec) {
+    private static void draftPool(World world, HostRecord record, String pool, HostSpec spec) {
         HostRecord next = new HostRecord(record.host(), pool, spec.pool(), record.generation() + 1);
-        Fleet.draft(world, RecordKey.host(record.host()), next);
+        FleetRecords.draft(world, RecordKey.host(record.host()), next);
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/maintenance/WaveReports.java
+++ b/core/src/main/java/org/hibiscususher/core/maintenance/WaveReports.java
@@ -12,14 +12,19 @@
 import org.hibiscususher.core.world.Tick;
 import org.hibiscususher.core.world.World;
 
-/** Describes the maintenance wave to operators. */
+/** Builds the reports about the maintenance wave that operators get. */
 final class WaveReports {
     private WaveReports() {}
 
-    /** Returns how the wave stands; an empty detail gives that of the wave. */
+    /**
+     * Returns a report of the newest wave and of all hosts out of service, by host.
+     *
+     * @param ok whether the command that is answered was executed
+     * @param detail text for the operator; if empty, the report has the detail of the wave's record
+     */
     static WaveReport of(Tick tick, boolean ok, String detail) {
         World world = tick.world();
-        Optional<WaveRecord> wave = Fleet.wave(world);
+        Optional<WaveRecord> wave = FleetRecords.wave(world);
         List<WaveReport.Out> out =
                 world.outages().rows().stream()
                         .sorted(Comparator.comparing(OutageRow::host))
@@ -31,16 +36,18 @@
                 wave.map(w -> w.state().name().toLowerCase(Locale.ROOT)).orElse(""),
                 detail.isEmpty() ? wave.map(WaveRecord::detail).orElse("") : detail,
                 wave.map(w -> w.hosts().size()).orElse(0),
-                wave.map(w -> WaveDone.count(world, w.id())).orElse(0),
+                wave.map(w -> RebootedHosts.count(world, w.id())).orElse(0),
                 out);
     }
 
     private static WaveReport.Out out(Tick tick, OutageRow row) {
         String pool = tick.world().hosts().find(row.host()).map(HostRow::pool).orElse("");
-        return new WaveReport.Out(row.host(), pool, doing(tick, row), tick.nowMs() - row.sinceMs());
+        return new WaveReport.Out(
+                row.host(), pool, activity(tick, row), tick.nowMs() - row.sinceMs());
     }
 
-    private static String doing(Tick tick, OutageRow row) {
+    /** Returns what a host out of service is doing, for operators. */
+    private static String activity(Tick tick, OutageRow row) {
         if (!row.outage().idle()) {
             return row.reported()
                     ? "finishes its work, longer than it may run"
@@ -49,6 +56,8 @@
         if (row.outage().reason() == OutageReason.MOVE) {
             return "moves to pool " + row.outage().target();
         }
-        return WaveMonitorSystem.late(tick, row) ? "does not come back from its reboot" : "reboots";
+        return WaveMonitorSystem.isRebootOverdue(tick, row)
+                ? "does not come back from its reboot"
+                : "reboots";
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/maintenance/WaveSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/maintenance/WaveSystem.java
@@ -23,123 +23,155 @@
 /**
  * Reboots the hosts of a maintenance wave, each once, within the availability budgets.
  *
- * <p>The allocator of each pool runs the wave there, so pools go on side by side. What it has done
- * stands in the pool's record, so that its successor goes on from there.
+ * <p>The allocator of each pool runs the wave in that pool, so pools proceed in parallel. Progress
+ * is in the pool's stored record, so that a new allocator continues from there and reboots no host
+ * a second time.
  */
 public final class WaveSystem {
-    /** Hosts that may be out before the first has come back; grows with each that comes back. */
-    private static final int FIRST_HOSTS = 4;
+    /**
+     * How many hosts of a wave may be out of service before the first is back; each that comes back
+     * allows one more, so that few hosts are lost if reboots fail.
+     */
+    private static final int INITIAL_MAX_HOSTS_OUT = 4;
 
+    /** Time after which a call to reboot a host is repeated, under the same token. */
     private static final int REBOOT_RETRY_MS = 3_000;
 
     private WaveSystem() {}
 
-    /** Takes hosts out, asks for reboots, and puts hosts that are back into service. */
+    /**
+     * Takes hosts out of service, requests their reboots, and returns rebooted hosts to service.
+     *
+     * <p>Hosts that are out come back also while the wave is paused.
+     */
     public static void run(Tick tick) {
-        for (RebootAnswered answered : tick.inputs(RebootAnswered.class)) {
-            noteAnswer(tick, answered);
+        for (RebootAnswered response : tick.inputs(RebootAnswered.class)) {
+            recordResult(tick, response);
         }
-        if (!MaintenanceStep.due(tick)) {
+        if (!MaintenanceSchedule.isDue(tick)) {
             return;
         }
-        Optional<WaveRecord> wave = Fleet.wave(tick.world());
+        Optional<WaveRecord> wave = FleetRecords.wave(tick.world());
         if (wave.isPresent()) {
-            Map<String, List<HostRow>> pools = Fleet.decidedPools(tick);
-            pools.forEach((pool, hosts) -> bringBack(tick, wave.get(), pool));
+            Map<String, List<HostRow>> pools = FleetRecords.decidablePools(tick);
+            pools.forEach((pool, hosts) -> rebootIdleHosts(tick, wave.get(), pool));
             if (wave.get().state().takesHosts()) {
-                pools.forEach((pool, hosts) -> takeOut(tick, wave.get(), pool, hosts));
+                pools.forEach((pool, hosts) -> takeHostsOut(tick, wave.get(), pool, hosts));
             }
         }
     }
 
-    private static void noteAnswer(Tick tick, RebootAnswered answered) {
-        tick.count("reboot." + answered.result().name().toLowerCase(java.util.Locale.ROOT));
+    /**
+     * Stores the result of the newest call to reboot a host.
+     *
+     * <p>Once a call was accepted, a later answer to a repeated one doesn't replace that.
+     */
+    private static void recordResult(Tick tick, RebootAnswered response) {
+        tick.count("reboot." + response.result().name().toLowerCase(java.util.Locale.ROOT));
         World world = tick.world();
         world.reboots()
-                .find(answered.host())
-                .filter(r -> r.token().equals(answered.token()))
+                .find(response.host())
+                .filter(r -> r.token().equals(response.token()))
                 .filter(r -> r.result() != RebootResult.ACCEPTED)
                 .ifPresent(
-                        r -> world.reboots().put(answered.host(), r.withResult(answered.result())));
+                        r -> world.reboots().put(response.host(), r.withResult(response.result())));
     }
 
-    private static void bringBack(Tick tick, WaveRecord wave, String pool) {
+    /** Advances the reboots of the pool's hosts that are out for a wave and idle. */
+    private static void rebootIdleHosts(Tick tick, WaveRecord wave, String pool) {
         World world = tick.world();
-        if (!Fleet.free(world, RecordKey.outages(pool))) {
+        if (!FleetRecords.canDraft(world, RecordKey.outages(pool))) {
             return;
         }
-        OutageRecord record = Fleet.outages(world, pool);
+        OutageRecord record = FleetRecords.outages(world, pool);
         for (String host : record.outages().keySet()) {
-            Fleet.outage(world, host)
+            FleetRecords.outage(world, host)
                     .filter(o -> o.reason() == OutageReason.WAVE && o.idle())
                     .filter(o -> o.equals(record.outages().get(host)))
-                    .ifPresent(o -> reboot(tick, wave, pool, host, o));
+                    .ifPresent(o -> advanceReboot(tick, wave, pool, host, o));
         }
     }
 
-    private static void reboot(
+    /**
+     * Advances the reboot of an idle host by a step.
+     *
+     * <p>The platform reboots a host only if its boot id is the one given, and once for a token. So
+     * repeated calls reboot it once, also after an answer was lost. A host is back when the
+     * platform lists another boot id. If the boot id given is outdated because the host has booted
+     * on its own, the new one is recorded and the reboot is requested again.
+     */
+    private static void advanceReboot(
             Tick tick, WaveRecord wave, String pool, String host, Outage outage) {
         World world = tick.world();
         String token = wave.id() + "/" + host;
         RebootRow row =
                 world.reboots().find(host).orElse(new RebootRow(token, RebootResult.UNKNOWN, -1));
         Optional<String> bootId = bootId(world, host);
-        boolean booted = bootId.filter(b -> !b.equals(outage.bootId())).isPresent();
-        boolean due = row.sentMs() < 0 || tick.nowMs() - row.sentMs() >= REBOOT_RETRY_MS;
+        boolean rebooted = bootId.filter(b -> !b.equals(outage.bootId())).isPresent();
+        boolean callDue = row.sentMs() < 0 || tick.nowMs() - row.sentMs() >= REBOOT_RETRY_MS;
         if (row.result() == RebootResult.ACCEPTED) {
-            if (booted) {
-                OutageRecord next = Fleet.outages(world, pool).withDone(wave.id(), host);
-                Fleet.draft(world, RecordKey.outages(pool), next);
+            if (rebooted) {
+                OutageRecord next = FleetRecords.outages(world, pool).withDone(wave.id(), host);
+                FleetRecords.draft(world, RecordKey.outages(pool), next);
                 tick.count("wave.host-back");
             }
-        } else if (row.result() == RebootResult.MISMATCH && booted) {
+        } else if (row.result() == RebootResult.MISMATCH && rebooted) {
             world.reboots().remove(host);
-            Fleet.draftOutage(world, pool, host, outage.withBootId(bootId.get()));
-        } else if (due) {
+            FleetRecords.draftOutage(world, pool, host, outage.withBootId(bootId.get()));
+        } else if (callDue) {
             world.reboots().put(host, new RebootRow(token, row.result(), tick.nowMs()));
             tick.emit(new RebootHost(host, outage.bootId(), token));
         }
     }
 
-    private static void takeOut(Tick tick, WaveRecord wave, String pool, List<HostRow> hosts) {
+    /**
+     * Takes as many hosts of a pool out of service as the wave and the budget allow, first those of
+     * the zones with most hosts left: under a budget per zone, these take longest.
+     */
+    private static void takeHostsOut(Tick tick, WaveRecord wave, String pool, List<HostRow> hosts) {
         World world = tick.world();
-        Map<String, Integer> waitingByZone = new LinkedHashMap<>();
-        List<HostRow> waiting = hosts.stream().filter(h -> waits(tick, wave, h)).toList();
-        waiting.forEach(h -> waitingByZone.merge(h.spec().zone(), 1, Integer::sum));
+        Map<String, Integer> eligibleByZone = new LinkedHashMap<>();
+        List<HostRow> eligible = hosts.stream().filter(h -> isEligible(tick, wave, h)).toList();
+        eligible.forEach(h -> eligibleByZone.merge(h.spec().zone(), 1, Integer::sum));
         List<HostRow> order =
-                waiting.stream()
+                eligible.stream()
                         .sorted(
                                 Comparator.comparingInt(
-                                                (HostRow h) -> -waitingByZone.get(h.spec().zone()))
+                                                (HostRow h) -> -eligibleByZone.get(h.spec().zone()))
                                         .thenComparing(h -> h.spec().id()))
                         .toList();
         for (HostRow host : order) {
             String id = host.spec().id();
-            if (outInWave(world) >= FIRST_HOSTS + WaveDone.count(world, wave.id())) {
+            if (hostsOut(world) >= INITIAL_MAX_HOSTS_OUT + RebootedHosts.count(world, wave.id())) {
                 return;
             }
-            if (Budget.allows(tick, pool, hosts, host)) {
-                long generation = Fleet.hostRecord(world, id).orElseThrow().generation();
+            if (BudgetCheck.allows(tick, pool, hosts, host)) {
+                long generation = FleetRecords.hostRecord(world, id).orElseThrow().generation();
                 Outage outage = Outage.reboot(generation, bootId(world, id).orElseThrow());
-                Fleet.draftOutage(world, pool, id, outage);
+                FleetRecords.draftOutage(world, pool, id, outage);
             }
         }
     }
 
-    /** Returns whether a host is still to be rebooted and can be taken out now. */
-    private static boolean waits(Tick tick, WaveRecord wave, HostRow host) {
+    /**
+     * Returns whether a host is in the wave, was not rebooted yet and can be taken out now.
+     *
+     * <p>A host whose boot id isn't known has to wait: its reboot could not be detected.
+     */
+    private static boolean isEligible(Tick tick, WaveRecord wave, HostRow host) {
         World world = tick.world();
         String id = host.spec().id();
         return wave.hosts().contains(id)
                 && host.stage().takesWork()
-                && Fleet.hostRecord(world, id).isPresent()
-                && Fleet.outage(world, id).isEmpty()
-                && !WaveDone.contains(world, wave.id(), id)
-                && !Budget.lost(world, id)
+                && FleetRecords.hostRecord(world, id).isPresent()
+                && FleetRecords.outage(world, id).isEmpty()
+                && !RebootedHosts.contains(world, wave.id(), id)
+                && !BudgetCheck.isLost(world, id)
                 && bootId(world, id).isPresent();
     }
 
-    private static int outInWave(World world) {
+    /** Returns how many hosts are out of service for a wave, or are to be by this tick's drafts. */
+    private static int hostsOut(World world) {
         int listed =
                 (int)
                         world.outages().rows().stream()
@@ -150,21 +182,25 @@
                         .map(d -> d.record().value())
                         .filter(OutageRecord.class::isInstance)
                         .map(OutageRecord.class::cast)
-                        .mapToInt(r -> draftedIn(world, r))
+                        .mapToInt(r -> newlyDrafted(world, r))
                         .sum();
         return listed + drafted;
     }
 
-    private static int draftedIn(World world, OutageRecord record) {
+    /** Returns how many hosts a draft takes out for a wave that weren't out before. */
+    private static int newlyDrafted(World world, OutageRecord record) {
         return (int)
                 record.outages().entrySet().stream()
                         .filter(e -> e.getValue().reason() == OutageReason.WAVE)
                         .filter(e -> !world.outages().contains(e.getKey()))
-                        .filter(e -> Fleet.outage(world, e.getKey()).isPresent())
+                        .filter(e -> FleetRecords.outage(world, e.getKey()).isPresent())
                         .count();
     }
 
-    /** Returns the boot id that the platform's newest list shows for a host that is not going. */
+    /**
+     * Returns the boot id in the platform's newest list, or empty if it isn't known or the host is
+     * gone or leaving.
+     */
     private static Optional<String> bootId(World world, String host) {
         return world.platformHosts()
                 .find(host)
