--- a/core/src/main/java/org/hibiscususher/core/job/JobPlan.java
+++ b/core/src/main/java/org/hibiscususher/core/job/JobConfiguration.java
@@ -13,13 +13,14 @@
  * @param pools pools
  * @param teams teams
  */
-public record JobPlan(
+public record JobConfiguration(
         long version, List<JobQueue> queues, List<JobPool> pools, List<JobTeam> teams) {
     /** A plan without anything. */
-    public static final JobPlan EMPTY = new JobPlan(0, List.of(), List.of(), List.of());
+    public static final JobConfiguration EMPTY =
+            new JobConfiguration(0, List.of(), List.of(), List.of());
 
     /** Copies the lists. */
-    public JobPlan {
+    public JobConfiguration {
         queues = List.copyOf(queues);
         pools = List.copyOf(pools);
         teams = List.copyOf(teams);
@@ -29,9 +30,9 @@
     public Optional<JobQueue> route(String host, String path) {
         JobQueue best = null;
         for (JobQueue queue : queues) {
-            if (queue.host().equals(host)
-                    && path.startsWith(queue.prefix())
-                    && (best == null || queue.prefix().length() > best.prefix().length())) {
+            if (queue.hostName().equals(host)
+                    && path.startsWith(queue.pathPrefix())
+                    && (best == null || queue.pathPrefix().length() > best.pathPrefix().length())) {
                 best = queue;
             }
         }
@@ -39,8 +40,8 @@
     }
 
     /** Returns the team that a key belongs to, or empty. */
-    public Optional<JobTeam> teamOfKey(String key) {
-        return teams.stream().filter(t -> t.keys().contains(key)).findFirst();
+    public Optional<JobTeam> teamByApiKey(String key) {
+        return teams.stream().filter(t -> t.apiKeys().contains(key)).findFirst();
     }
 
     /** Returns the team with the given name, or empty. */
--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/Eviction.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/Eviction.java
@@ -4,8 +4,8 @@
 import org.hibiscususher.core.job.StepKey;
 import org.hibiscususher.core.job.StepSpec;
 import org.hibiscususher.core.job.TaskKey;
-import org.hibiscususher.core.scheduler.executor.Runs;
-import org.hibiscususher.core.scheduler.job.Jobs;
+import org.hibiscususher.core.scheduler.executor.RunLifecycle;
+import org.hibiscususher.core.scheduler.job.JobLifecycle;
 import org.hibiscususher.core.scheduler.world.RunRow;
 import org.hibiscususher.core.scheduler.world.RunStage;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
@@ -25,29 +25,32 @@
     private Eviction() {}
 
     /** Stops what may be stopped now; returns whether nothing runs there any more. */
-    static boolean run(SchedulerTick tick, String executor, long sinceMs) {
+    static boolean evict(SchedulerTick tick, String executor, long sinceMs) {
         SchedulerWorld world = tick.world();
-        if (!isKnown(world, executor)) {
+        if (!areRunsKnown(world, executor)) {
             return false;
         }
         boolean late = tick.nowMs() - sinceMs > PATIENCE_MS;
         for (RunRow run : List.copyOf(world.runs().group(executor))) {
-            StepSpec spec = Jobs.specOf(world, run.task().stepKey()).orElse(null);
+            StepSpec spec = JobLifecycle.findSpec(world, run.task().stepKey()).orElse(null);
             if (run.stage() != RunStage.RUNNING || spec == null) {
                 continue;
             }
-            boolean allowed = spec.lasting() ? mayStop(tick, run, spec) : late;
+            boolean allowed = spec.service() ? mayStop(tick, run, spec) : late;
             if (allowed) {
-                Runs.stop(tick, run, StopReason.EVICTED);
+                RunLifecycle.requestStop(tick, run, StopReason.EVICTED);
             }
         }
         return world.runs().group(executor).isEmpty();
     }
 
     /** Returns whether it is known what an executor runs. */
-    static boolean isKnown(SchedulerWorld world, String executor) {
+    static boolean areRunsKnown(SchedulerWorld world, String executor) {
         return !world.executors().contains(executor)
-                || world.contacts().find(executor).filter(c -> c.answeredMs() != 0).isPresent();
+                || world.executorSessions()
+                        .find(executor)
+                        .filter(c -> c.lastAnswerMs() != 0)
+                        .isPresent();
     }
 
     /** Returns whether a lasting task may be away now as well as those that are away already. */
@@ -58,7 +61,7 @@
         int away = 0;
         StepKey step = run.task().stepKey();
         for (int i = 0; i < spec.count(); i++) {
-            if (i != run.task().index() && !isAtWork(tick, step.task(i))) {
+            if (i != run.task().index() && !isAvailable(tick, step.task(i))) {
                 away++;
             }
         }
@@ -66,15 +69,18 @@
     }
 
     /** Returns whether a task is at work, as its executor has told just now. */
-    private static boolean isAtWork(SchedulerTick tick, TaskKey task) {
+    private static boolean isAvailable(SchedulerTick tick, TaskKey task) {
         RunRow run = tick.world().runs().find(task).orElse(null);
-        if (run == null || run.stage() != RunStage.RUNNING || run.percent() < FULL) {
+        if (run == null || run.stage() != RunStage.RUNNING || run.speedPercent() < FULL) {
             return false;
         }
         return tick.world()
-                .contacts()
+                .executorSessions()
                 .find(run.executor())
-                .filter(c -> c.failures() == 0 && tick.nowMs() - c.answeredMs() < FRESH_MS)
+                .filter(
+                        c ->
+                                c.consecutiveFailures() == 0
+                                        && tick.nowMs() - c.lastAnswerMs() < FRESH_MS)
                 .isPresent();
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/MoveSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/HostMoveSystem.java
@@ -6,11 +6,11 @@
 import java.util.Optional;
 import org.hibiscususher.core.job.JobPool;
 import org.hibiscususher.core.job.StepSpec;
-import org.hibiscususher.core.scheduler.job.Jobs;
+import org.hibiscususher.core.scheduler.job.JobLifecycle;
 import org.hibiscususher.core.scheduler.message.HostReport;
 import org.hibiscususher.core.scheduler.term.Authority;
 import org.hibiscususher.core.scheduler.world.ExecutorRow;
-import org.hibiscususher.core.scheduler.world.HostTaskRow;
+import org.hibiscususher.core.scheduler.world.HostOperationRow;
 import org.hibiscususher.core.scheduler.world.JobRow;
 import org.hibiscususher.core.scheduler.world.RunRow;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
@@ -26,7 +26,7 @@
  * <p>Answers demand that turns from queue to queue: a pool whose waiting work would not begin soon
  * gets idle hosts of pools that can do without them, and those of the spare pool.
  */
-public final class MoveSystem {
+public final class HostMoveSystem {
     /** Part of what callers hand in that a pool should have beyond it, in percent. */
     private static final int TAKE_PERCENT = 45;
 
@@ -45,7 +45,7 @@
     /** Processor time of a host while none is listed, in thousandths of a core. */
     private static final long DEFAULT_HOST_CPU = 64_000;
 
-    private MoveSystem() {}
+    private HostMoveSystem() {}
 
     /** Runs over the pools. */
     public static void run(SchedulerTick tick) {
@@ -55,19 +55,22 @@
             return;
         }
         world.movesDecidedMs().set(tick.nowMs());
-        long moving = world.hostTasks().rows().stream().filter(t -> !t.pool().isEmpty()).count();
+        long moving =
+                world.hostOperations().rows().stream()
+                        .filter(t -> !t.destinationPool().isEmpty())
+                        .count();
         long maxMoving = Math.max(1, world.hosts().size() * MOVING_PERCENT / 100);
         long hostCpu = hostCpu(world);
-        Map<String, PoolNeed> needs = needs(tick, hostCpu);
-        Donors donors = Donors.of(tick, needs, GIVE_PERCENT, hostCpu);
-        for (PoolNeed need : needs.values()) {
-            int missing = need.missing(TAKE_PERCENT, hostCpu);
+        Map<String, PoolDemand> needs = needs(tick, hostCpu);
+        MovableHosts donors = MovableHosts.select(tick, needs, GIVE_PERCENT, hostCpu);
+        for (PoolDemand need : needs.values()) {
+            int missing = need.missingHosts(TAKE_PERCENT, hostCpu);
             while (missing > 0 && moving < maxMoving) {
-                Optional<HostReport> host = donors.take(need.pool());
+                Optional<HostReport> host = donors.pollHostFor(need.pool());
                 if (host.isEmpty()) {
                     break;
                 }
-                HostSteps.begin(tick, host.get(), 0, need.pool());
+                HostOperations.begin(tick, host.get(), 0, need.pool());
                 missing--;
                 moving++;
             }
@@ -86,28 +89,28 @@
     }
 
     /** Gives hosts that a pool can do without to the spare pool, where they are not paid for. */
-    private static void giveBack(SchedulerTick tick, Donors donors) {
+    private static void giveBack(SchedulerTick tick, MovableHosts donors) {
         Optional<JobPool> spare =
-                tick.world().plan().get().plan().pools().stream()
+                tick.world().configuration().get().configuration().pools().stream()
                         .filter(JobPool::spare)
                         .findFirst();
         if (spare.isEmpty()) {
             return;
         }
         String pool = spare.get().name();
-        for (Optional<HostReport> host = donors.takeIdle(pool);
+        for (Optional<HostReport> host = donors.pollIdleHostFor(pool);
                 host.isPresent();
-                host = donors.takeIdle(pool)) {
-            HostSteps.begin(tick, host.get(), 0, pool);
+                host = donors.pollIdleHostFor(pool)) {
+            HostOperations.begin(tick, host.get(), 0, pool);
         }
     }
 
-    private static Map<String, PoolNeed> needs(SchedulerTick tick, long hostCpu) {
+    private static Map<String, PoolDemand> needs(SchedulerTick tick, long hostCpu) {
         SchedulerWorld world = tick.world();
-        Map<String, PoolNeed> needs = new LinkedHashMap<>();
+        Map<String, PoolDemand> needs = new LinkedHashMap<>();
         Map<String, Long> offered = OfferedLoad.byPool(tick);
         Map<String, Integer> spread = spreadHosts(world);
-        for (JobPool pool : world.plan().get().plan().pools()) {
+        for (JobPool pool : world.configuration().get().configuration().pools()) {
             if (!pool.spare()) {
                 needs.put(pool.name(), need(tick, pool.name(), hostCpu, offered, spread));
             }
@@ -115,7 +118,7 @@
         return needs;
     }
 
-    private static PoolNeed need(
+    private static PoolDemand need(
             SchedulerTick tick,
             String pool,
             long hostCpu,
@@ -128,8 +131,11 @@
         long capacity = 0;
         for (ExecutorRow row : world.executors().group(pool)) {
             boolean silent =
-                    world.contacts().find(row.id()).filter(c -> c.failures() > 0).isPresent();
-            if (row.cordoned() || row.report().draining() || row.missingMs() != 0 || silent) {
+                    world.executorSessions()
+                            .find(row.id())
+                            .filter(c -> c.consecutiveFailures() > 0)
+                            .isPresent();
+            if (row.cordoned() || row.report().draining() || row.missingSinceMs() != 0 || silent) {
                 continue;
             }
             hosts++;
@@ -139,8 +145,8 @@
                 lasting += isLasting(world, run) ? run.reserved().cpuMillis() : 0;
             }
         }
-        for (HostTaskRow row : world.hostTasks().rows()) {
-            if (row.pool().equals(pool)) {
+        for (HostOperationRow row : world.hostOperations().rows()) {
+            if (row.destinationPool().equals(pool)) {
                 hosts++;
                 capacity += hostCpu;
             }
@@ -148,13 +154,13 @@
         long waiting = 0;
         int stuck = 0;
         for (TaskRow task : world.tasks().group(new TaskGroup(pool, TaskState.WAITING))) {
-            StepSpec spec = Jobs.specOf(world, task.key().stepKey()).orElseThrow();
-            if (!task.doubtful()) {
+            StepSpec spec = JobLifecycle.findSpec(world, task.key().stepKey()).orElseThrow();
+            if (!task.uncertain()) {
                 waiting += spec.reserved().cpuMillis();
-                stuck += spec.lasting() && tick.nowMs() - task.readyMs() > STUCK_MS ? 1 : 0;
+                stuck += spec.service() && tick.nowMs() - task.readySinceMs() > STUCK_MS ? 1 : 0;
             }
         }
-        return new PoolNeed(
+        return new PoolDemand(
                 pool,
                 hosts,
                 used,
@@ -172,15 +178,17 @@
         for (StepRow row : world.steps().rows()) {
             JobRow job = world.jobs().find(row.key().jobId()).orElseThrow();
             StepSpec spec = job.spec().steps().get(row.key().step());
-            if (spec.maxPerExecutor() > 0 && row.left() > 0) {
-                int hosts = (row.left() + spec.maxPerExecutor() - 1) / spec.maxPerExecutor();
-                spread.merge(job.terms().pool(), hosts, Math::max);
+            if (spec.maxPerExecutor() > 0 && row.remaining() > 0) {
+                int hosts = (row.remaining() + spec.maxPerExecutor() - 1) / spec.maxPerExecutor();
+                spread.merge(job.policy().pool(), hosts, Math::max);
             }
         }
         return spread;
     }
 
     private static boolean isLasting(SchedulerWorld world, RunRow run) {
-        return Jobs.specOf(world, run.task().stepKey()).filter(StepSpec::lasting).isPresent();
+        return JobLifecycle.findSpec(world, run.task().stepKey())
+                .filter(StepSpec::service)
+                .isPresent();
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/Jobs.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/JobLifecycle.java
@@ -5,20 +5,20 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import org.hibiscususher.core.job.AnswerKind;
-import org.hibiscususher.core.job.CallKind;
-import org.hibiscususher.core.job.JobAnswer;
+import org.hibiscususher.core.job.JobRequestKind;
+import org.hibiscususher.core.job.JobResponse;
+import org.hibiscususher.core.job.JobResponseKind;
 import org.hibiscususher.core.job.JobState;
 import org.hibiscususher.core.job.StepKey;
 import org.hibiscususher.core.job.StepSpec;
 import org.hibiscususher.core.job.TaskKey;
-import org.hibiscususher.core.scheduler.executor.Runs;
+import org.hibiscususher.core.scheduler.executor.RunLifecycle;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput;
-import org.hibiscususher.core.scheduler.message.SchedulerOutput.Answer;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput.Respond;
 import org.hibiscususher.core.scheduler.message.StoredRecord;
-import org.hibiscususher.core.scheduler.world.CallRow;
-import org.hibiscususher.core.scheduler.world.CallStage;
 import org.hibiscususher.core.scheduler.world.JobRow;
+import org.hibiscususher.core.scheduler.world.PendingRequestRow;
+import org.hibiscususher.core.scheduler.world.PendingRequestStage;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
 import org.hibiscususher.core.scheduler.world.StepRow;
@@ -27,38 +27,38 @@
 import org.hibiscususher.core.scheduler.world.TaskState;
 
 /** The life of a job: steps whose turn comes, tasks that are done, and the job's end. */
-public final class Jobs {
-    private Jobs() {}
+public final class JobLifecycle {
+    private JobLifecycle() {}
 
     /** Applies that the store holds a new job: its callers hear of it, its first steps begin. */
-    public static void stored(SchedulerTick tick, String id) {
+    public static void markStored(SchedulerTick tick, String id) {
         SchedulerWorld world = tick.world();
         JobRow job = world.jobs().find(id).orElse(null);
         if (job == null) {
             return;
         }
-        world.jobs().put(id, job.withStored());
+        world.jobs().put(id, job.asStored());
         tick.log(
                 "accepted",
                 "job="
                         + id
                         + " queue="
-                        + job.terms().queue()
+                        + job.policy().queue()
                         + " team="
                         + job.team()
                         + " tasks="
                         + job.spec().steps().stream().mapToInt(StepSpec::count).sum()
                         + " plan="
-                        + world.plan().get().plan().version()
+                        + world.configuration().get().configuration().version()
                         + " age_ms="
                         + (tick.nowMs() - job.arrivedMs()));
         tick.count("accepted");
-        answer(tick, id, CallKind.SUBMIT, JobAnswer.of(AnswerKind.ACCEPTED));
-        openDue(tick, id);
+        answer(tick, id, JobRequestKind.SUBMIT, JobResponse.of(JobResponseKind.ACCEPTED));
+        activateDueOccurrences(tick, id);
     }
 
     /** Applies that the store holds a job's progress. */
-    public static void progressStored(
+    public static void markProgressStored(
             SchedulerTick tick, StoredRecord.Progress progress, long version) {
         SchedulerWorld world = tick.world();
         world.jobs()
@@ -66,32 +66,37 @@
                         progress.id(),
                         j -> j.withStoredVersion(version, progress.state(), tick.nowMs()));
         if (progress.state().isFinal()) {
-            answer(tick, progress.id(), CallKind.CANCEL, JobAnswer.of(AnswerKind.CANCELLED));
+            answer(
+                    tick,
+                    progress.id(),
+                    JobRequestKind.CANCEL,
+                    JobResponse.of(JobResponseKind.CANCELLED));
         }
     }
 
-    private static void answer(SchedulerTick tick, String id, CallKind kind, JobAnswer answer) {
+    private static void answer(
+            SchedulerTick tick, String id, JobRequestKind kind, JobResponse answer) {
         SchedulerWorld world = tick.world();
-        for (CallRow call : world.calls().rows()) {
-            if (call.stage() == CallStage.STORE
+        for (PendingRequestRow call : world.pendingRequests().rows()) {
+            if (call.stage() == PendingRequestStage.AWAITING_STORE
                     && call.job().equals(id)
-                    && call.call().kind() == kind) {
-                tick.emit(new Answer(call.callId(), answer));
-                world.calls().remove(call.callId());
+                    && call.request().kind() == kind) {
+                tick.emit(new Respond(call.callId(), answer));
+                world.pendingRequests().remove(call.callId());
             }
         }
     }
 
     /** Begins the occurrences of a job that are due. */
-    public static void openDue(SchedulerTick tick, String id) {
+    public static void activateDueOccurrences(SchedulerTick tick, String id) {
         SchedulerWorld world = tick.world();
         JobRow job = world.jobs().find(id).orElse(null);
-        if (job == null || !job.isOpen()) {
+        if (job == null || !job.acceptsRuns()) {
             return;
         }
         for (int k = 0; k < job.spec().occurrences(); k++) {
             StepKey first = new StepKey(id, k, 0);
-            if (job.spec().dueMs(k) > tick.wallMs()) {
+            if (job.spec().scheduledMs(k) > tick.wallMs()) {
                 return;
             }
             if (!world.steps().contains(first)) {
@@ -105,7 +110,7 @@
         for (int i = 0; i < job.spec().steps().size(); i++) {
             StepKey key = any.sibling(i);
             boolean ready =
-                    job.spec().steps().get(i).after().stream()
+                    job.spec().steps().get(i).dependsOn().stream()
                             .allMatch(before -> isDone(tick.world(), any.sibling(before)));
             if (ready && !tick.world().steps().contains(key)) {
                 release(tick, job, key);
@@ -114,7 +119,7 @@
     }
 
     private static boolean isDone(SchedulerWorld world, StepKey key) {
-        return world.steps().find(key).filter(s -> s.left() == 0).isPresent();
+        return world.steps().find(key).filter(s -> s.remaining() == 0).isPresent();
     }
 
     private static void release(SchedulerTick tick, JobRow job, StepKey key) {
@@ -128,7 +133,7 @@
                             task,
                             new TaskRow(
                                     task,
-                                    job.terms().pool(),
+                                    job.policy().pool(),
                                     TaskState.WAITING,
                                     0,
                                     Set.of(),
@@ -136,7 +141,7 @@
                                     tick.nowMs(),
                                     0,
                                     "",
-                                    job.prior()));
+                                    job.inherited()));
         }
     }
 
@@ -146,19 +151,19 @@
      * <p>An earlier owner began the step, so it saw all tasks of the steps before it done, even if
      * the store does not hold that.
      */
-    public static void reach(SchedulerTick tick, StepKey key) {
+    public static void activateForReportedRun(SchedulerTick tick, StepKey key) {
         JobRow job = tick.world().jobs().find(key.jobId()).orElse(null);
         if (job == null
-                || !job.isOpen()
+                || !job.acceptsRuns()
                 || tick.world().steps().contains(key)
                 || !isPartOf(job, key)) {
             return;
         }
-        for (int before : job.spec().steps().get(key.step()).after()) {
-            reach(tick, key.sibling(before));
+        for (int before : job.spec().steps().get(key.step()).dependsOn()) {
+            activateForReportedRun(tick, key.sibling(before));
             int count = job.spec().steps().get(before).count();
             for (int i = 0; i < count; i++) {
-                taskDone(tick, key.sibling(before).task(i), true);
+                completeTask(tick, key.sibling(before).task(i), true);
             }
         }
         if (!tick.world().steps().contains(key)) {
@@ -174,10 +179,10 @@
     }
 
     /** Marks tasks of a step as done that a record names. */
-    static void markDone(SchedulerTick tick, StepKey key, BigInteger done) {
+    static void completeTasks(SchedulerTick tick, StepKey key, BigInteger done) {
         for (int i = 0; i < done.bitLength(); i++) {
             if (done.testBit(i)) {
-                taskDone(tick, key.task(i), false);
+                completeTask(tick, key.task(i), false);
             }
         }
     }
@@ -188,46 +193,46 @@
      * @param news whether the store does not hold it yet
      * @return whether the task was not done before
      */
-    public static boolean taskDone(SchedulerTick tick, TaskKey key, boolean news) {
+    public static boolean completeTask(SchedulerTick tick, TaskKey key, boolean news) {
         SchedulerWorld world = tick.world();
         StepRow step = world.steps().find(key.stepKey()).orElse(null);
         JobRow job = world.jobs().find(key.jobId()).orElse(null);
-        if (step == null || job == null || step.done().testBit(key.index())) {
+        if (step == null || job == null || step.doneTasks().testBit(key.index())) {
             return false;
         }
         world.tasks().remove(key);
-        StepRow after = step.withDone(key.index());
+        StepRow after = step.withTaskDone(key.index());
         world.steps().put(step.key(), after);
-        JobRow changed = news ? job.changed(tick.nowMs()) : job;
-        changed = after.left() == 0 ? changed.withStepDone() : changed;
+        JobRow changed = news ? job.withChange(tick.nowMs()) : job;
+        changed = after.remaining() == 0 ? changed.withStepDone() : changed;
         world.jobs().put(job.id(), changed);
-        if (after.left() == 0) {
+        if (after.remaining() == 0) {
             releaseReady(tick, changed, step.key());
-            if (changed.stepsLeft() == 0) {
-                end(tick, job.id(), JobState.DONE, "all-tasks-done");
+            if (changed.remainingSteps() == 0) {
+                finish(tick, job.id(), JobState.DONE, "all-tasks-done");
             }
         }
         return true;
     }
 
     /** Applies that a task's run has begun. */
-    public static void begun(SchedulerTick tick, String id) {
+    public static void markRunning(SchedulerTick tick, String id) {
         SchedulerWorld world = tick.world();
         JobRow job = world.jobs().find(id).orElse(null);
         if (job != null && job.state() == JobState.QUEUED) {
-            world.jobs().put(id, job.withState(JobState.RUNNING, 0).changed(tick.nowMs()));
+            world.jobs().put(id, job.withState(JobState.RUNNING, 0).withChange(tick.nowMs()));
             tick.emit(new SchedulerOutput.Measure("job.wait", tick.nowMs() - job.arrivedMs()));
         }
     }
 
     /** Brings a job to a final state: its runs are stopped, no more are started. */
-    public static void end(SchedulerTick tick, String id, JobState state, String reason) {
+    public static void finish(SchedulerTick tick, String id, JobState state, String reason) {
         SchedulerWorld world = tick.world();
         JobRow job = world.jobs().find(id).orElse(null);
         if (job == null || job.state().isFinal()) {
             return;
         }
-        world.jobs().put(id, job.withState(state, tick.nowMs()).changed(tick.nowMs()));
+        world.jobs().put(id, job.withState(state, tick.nowMs()).withChange(tick.nowMs()));
         tick.log(
                 "ended",
                 "job="
@@ -239,9 +244,9 @@
                         + " age_ms="
                         + (tick.nowMs() - job.arrivedMs())
                         + " objective_ms="
-                        + (job.dueMs() - job.arrivedMs()));
+                        + (job.deadlineMs() - job.arrivedMs()));
         tick.count("ended." + state);
-        for (StepRow step : stepsOf(world, job)) {
+        for (StepRow step : activatedSteps(world, job)) {
             int count = job.spec().steps().get(step.key().step()).count();
             for (int i = 0; i < count; i++) {
                 TaskKey task = step.key().task(i);
@@ -249,14 +254,14 @@
                 world.runs()
                         .find(task)
                         .filter(r -> r.stage().isWanted())
-                        .ifPresent(r -> Runs.stop(tick, r, StopReason.JOB_ENDED));
+                        .ifPresent(r -> RunLifecycle.requestStop(tick, r, StopReason.JOB_ENDED));
             }
             world.steps().remove(step.key());
         }
     }
 
     /** Returns the steps of a job whose turn has come. */
-    public static List<StepRow> stepsOf(SchedulerWorld world, JobRow job) {
+    public static List<StepRow> activatedSteps(SchedulerWorld world, JobRow job) {
         List<StepRow> found = new ArrayList<>();
         for (int k = 0; k < job.spec().occurrences(); k++) {
             for (int i = 0; i < job.spec().steps().size(); i++) {
@@ -267,7 +272,7 @@
     }
 
     /** Returns what a step asks for, if its job is known. */
-    public static Optional<StepSpec> specOf(SchedulerWorld world, StepKey key) {
+    public static Optional<StepSpec> findSpec(SchedulerWorld world, StepKey key) {
         return world.jobs().find(key.jobId()).map(j -> j.spec().steps().get(key.step()));
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/SchedulerInput.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/SchedulerInput.java
@@ -2,56 +2,61 @@
 
 import java.util.List;
 import java.util.Map;
-import org.hibiscususher.core.job.JobCall;
-import org.hibiscususher.core.job.JobPlan;
-import org.hibiscususher.core.job.ListedEnd;
-import org.hibiscususher.core.job.ListedRun;
+import org.hibiscususher.core.job.FinishedRun;
+import org.hibiscususher.core.job.JobConfiguration;
+import org.hibiscususher.core.job.JobRequest;
+import org.hibiscususher.core.job.ReportedRun;
 import org.hibiscususher.core.job.StepKey;
 import org.hibiscususher.core.job.TaskKey;
 
 /** Something that happened, told to the scheduler. */
 public sealed interface SchedulerInput {
     /** The store was reached again, or no longer is. */
-    record StoreContact(boolean reached) implements SchedulerInput {}
+    record StoreReachabilityChanged(boolean reachable) implements SchedulerInput {}
 
     /** A caller's request came, itself or from another entry; it gets exactly one answer. */
-    record CallReceived(long callId, JobCall call) implements SchedulerInput {}
+    record RequestReceived(long callId, JobRequest request) implements SchedulerInput {}
 
-    /** A forwarded request got no answer; {@code sent} tells whether it may have been taken. */
-    record ForwardFailed(long callId, String address, boolean sent) implements SchedulerInput {}
+    /**
+     * A forwarded request got no answer; {@code maybeReceived} tells whether it may have been
+     * taken.
+     */
+    record ForwardFailed(long callId, String address, boolean maybeReceived)
+            implements SchedulerInput {}
 
     /** A later owner asks this process to give no more orders; it gets one answer. */
-    record YieldAsked(long callId, long generation) implements SchedulerInput {}
+    record RelinquishRequested(long callId, long generation) implements SchedulerInput {}
 
     /** The owner, out of reach of the store, offers the ownership; it gets one answer. */
-    record TermOffered(long callId, long generation) implements SchedulerInput {}
+    record HandoverOffered(long callId, long generation) implements SchedulerInput {}
 
     /** The owner before this one surely gives no more orders. */
-    record Yielded(long generation) implements SchedulerInput {}
+    record PredecessorRelinquished(long generation) implements SchedulerInput {}
 
     /** The operators' configuration, with its revision in the store. */
-    record PlanSeen(JobPlan plan, long revision) implements SchedulerInput {}
+    record ConfigurationUpdated(JobConfiguration configuration, long revision)
+            implements SchedulerInput {}
 
     /** An operators' order to maintain hosts. */
-    record WaveSeen(WaveOrder wave) implements SchedulerInput {}
+    record WaveOrdered(WaveOrder order) implements SchedulerInput {}
 
     /** The operators withdrew an order to maintain hosts. */
-    record WaveGone(long wave) implements SchedulerInput {}
+    record WaveWithdrawn(long wave) implements SchedulerInput {}
 
     /** Who owns the scheduling. */
-    record OwnershipSeen(Ownership ownership) implements SchedulerInput {}
+    record OwnershipUpdated(Ownership ownership) implements SchedulerInput {}
 
     /** A lease of the store was granted, for {@code ttlMs} from the sending of the call. */
     record LeaseGranted(long callId, long leaseId, long ttlMs) implements SchedulerInput {}
 
     /** A lease of the store was not granted. */
-    record LeaseRefused(long callId) implements SchedulerInput {}
+    record LeaseDenied(long callId) implements SchedulerInput {}
 
     /** A lease was renewed. */
     record LeaseRenewed(long callId) implements SchedulerInput {}
 
-    /** A lease was not renewed; {@code ended} tells whether the store no longer knows it. */
-    record LeaseNotRenewed(long callId, boolean ended) implements SchedulerInput {}
+    /** A lease was not renewed; {@code expired} tells whether the store no longer knows it. */
+    record LeaseNotRenewed(long callId, boolean expired) implements SchedulerInput {}
 
     /** A commit took effect. */
     record Committed(long callId, long revision) implements SchedulerInput {}
@@ -65,7 +70,7 @@
     }
 
     /** A commit failed; {@code uncertain} tells whether it may have taken effect or still may. */
-    record CommitFailed(long callId, boolean uncertain, boolean leaseGone)
+    record CommitFailed(long callId, boolean uncertain, boolean leaseExpired)
             implements SchedulerInput {}
 
     /** All records of jobs, executors and waves. */
@@ -88,45 +93,45 @@
     }
 
     /** An executor's report is new or has changed. */
-    record ExecutorSeen(ExecutorReport report) implements SchedulerInput {}
+    record ExecutorUpdated(ExecutorReport report) implements SchedulerInput {}
 
     /** An executor's report is no longer in the store. */
-    record ExecutorGone(String id) implements SchedulerInput {}
+    record ExecutorRemoved(String id) implements SchedulerInput {}
 
     /** An executor listed its runs and the ends that were not acknowledged. */
-    record HoldAnswered(
+    record HeartbeatAnswered(
             long callId,
             String executor,
-            long bornMs,
-            long clockMs,
-            List<ListedRun> runs,
-            List<ListedEnd> ends)
+            long startedAtMs,
+            long executorClockMs,
+            List<ReportedRun> runs,
+            List<FinishedRun> finishedRuns)
             implements SchedulerInput {
         /** Copies the lists. */
-        public HoldAnswered {
+        public HeartbeatAnswered {
             runs = List.copyOf(runs);
-            ends = List.copyOf(ends);
+            finishedRuns = List.copyOf(finishedRuns);
         }
     }
 
     /** An executor's lists could not be read. */
-    record HoldFailed(long callId, String executor, HoldFailure failure)
+    record HeartbeatFailed(long callId, String executor, HeartbeatFailure failure)
             implements SchedulerInput {}
 
     /** An order to start a run was answered or not; {@code callId} is that of the order. */
-    record StartAnswered(long callId, TaskKey task, int run, StartResult result)
+    record StartCallCompleted(long callId, TaskKey task, int run, StartResult result)
             implements SchedulerInput {}
 
     /** An order to stop a run was answered or not. */
-    record StopAnswered(long callId, TaskKey task, int run, StopResult result)
+    record StopCallCompleted(long callId, TaskKey task, int run, StopResult result)
             implements SchedulerInput {}
 
     /** Which of the executors that were asked for may run a step. */
-    record AdviceGiven(long callId, StepKey step, Map<String, String> tickets, long validMs)
+    record AdviceReceived(long callId, StepKey step, Map<String, String> tokens, long validMs)
             implements SchedulerInput {
         /** Copies the map. */
-        public AdviceGiven {
-            tickets = Map.copyOf(tickets);
+        public AdviceReceived {
+            tokens = Map.copyOf(tokens);
         }
     }
 
@@ -142,12 +147,12 @@
     }
 
     /** The hosts could not be listed. */
-    record HostsNotListed(long callId) implements SchedulerInput {}
+    record HostListFailed(long callId) implements SchedulerInput {}
 
     /** An order for a host was answered or not. */
-    record HostOrderAnswered(long callId, String host, HostOrderResult result)
+    record HostOrderCompleted(long callId, String host, HostOrderResult result)
             implements SchedulerInput {}
 
     /** The process was asked to stop. */
-    record StopAsked() implements SchedulerInput {}
+    record ShutdownRequested() implements SchedulerInput {}
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/StoredRecord.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/StoredRecord.java
@@ -3,9 +3,9 @@
 import static java.util.Objects.requireNonNull;
 
 import java.util.List;
+import org.hibiscususher.core.job.JobPolicy;
 import org.hibiscususher.core.job.JobSpec;
 import org.hibiscususher.core.job.JobState;
-import org.hibiscususher.core.job.JobTerms;
 
 /** A record that the scheduler keeps in the store. */
 public sealed interface StoredRecord {
@@ -40,8 +40,8 @@
      * @param incarnation start of its process, in milliseconds since the epoch
      * @param released whether the owner gave the ownership up itself
      * @param address where the owner took forwarded requests
-     * @param open once released: tasks that may run or have ended without the store holding it, by
-     *     their text, and jobs of which this holds for any task, by their id
+     * @param unsettled once released: tasks that may run or have ended without the store holding
+     *     it, by their text, and jobs of which this holds for any task, by their id
      */
     record Term(
             long generation,
@@ -49,11 +49,11 @@
             long incarnation,
             boolean released,
             String address,
-            List<String> open)
+            List<String> unsettled)
             implements StoredRecord {
         /** Checks the parts. */
         public Term {
-            open = List.copyOf(open);
+            unsettled = List.copyOf(unsettled);
             requireNonNull(address);
             requireNonNull(node);
         }
@@ -68,17 +68,17 @@
      * A job as it was accepted.
      *
      * @param id id
-     * @param terms terms
+     * @param policy terms
      * @param team its team; empty if it came without a key
      * @param spec what was handed in
      * @param acceptedMs milliseconds since the epoch
      */
-    record Job(String id, JobTerms terms, String team, JobSpec spec, long acceptedMs)
+    record Job(String id, JobPolicy policy, String team, JobSpec spec, long acceptedMs)
             implements StoredRecord {
         /** Checks the parts. */
         public Job {
             requireNonNull(id);
-            requireNonNull(terms);
+            requireNonNull(policy);
             requireNonNull(team);
             requireNonNull(spec);
         }
@@ -97,7 +97,7 @@
      * @param steps done tasks
      * @param tasks what else is remembered of tasks
      */
-    record Progress(String id, JobState state, List<StepMark> steps, List<TaskMark> tasks)
+    record Progress(String id, JobState state, List<StepProgress> steps, List<TaskProgress> tasks)
             implements StoredRecord {
         /** Copies the lists. */
         public Progress {
@@ -134,12 +134,12 @@
      * The hosts of a wave whose maintenance has begun.
      *
      * @param wave number of the wave
-     * @param begun host ids
+     * @param startedHosts host ids
      */
-    record Wave(long wave, List<String> begun) implements StoredRecord {
+    record Wave(long wave, List<String> startedHosts) implements StoredRecord {
         /** Copies the list. */
         public Wave {
-            begun = List.copyOf(begun);
+            startedHosts = List.copyOf(startedHosts);
         }
 
         @Override
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/OfferSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/HandoverSystem.java
@@ -2,14 +2,14 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import org.hibiscususher.core.job.AnswerKind;
-import org.hibiscususher.core.job.JobAnswer;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.TermOffered;
-import org.hibiscususher.core.scheduler.message.SchedulerOutput.Answer;
-import org.hibiscususher.core.scheduler.message.SchedulerOutput.OfferTerm;
+import org.hibiscususher.core.job.JobResponse;
+import org.hibiscususher.core.job.JobResponseKind;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.HandoverOffered;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput.OfferHandover;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput.Respond;
 import org.hibiscususher.core.scheduler.message.StoredRecord;
+import org.hibiscususher.core.scheduler.world.HandoverRow;
 import org.hibiscususher.core.scheduler.world.NodeStateRow;
-import org.hibiscususher.core.scheduler.world.OfferRow;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
 import org.hibiscususher.core.scheduler.world.TermStage;
@@ -21,52 +21,52 @@
  * owner's lease has ended. An entry that reaches the store claims the ownership in place of the one
  * that offers it, and then asks that one to give no more orders.
  */
-public final class OfferSystem {
+public final class HandoverSystem {
     /** Time out of reach of the store after which the ownership is offered, in milliseconds. */
     private static final long OFFER_AFTER_MS = 150;
 
     /** Time between two offers, in milliseconds. */
     private static final long OFFER_EVERY_MS = 200;
 
-    private OfferSystem() {}
+    private HandoverSystem() {}
 
     /** Takes in offers, then offers the own term if that is due. */
     public static void run(SchedulerTick tick) {
-        for (TermOffered offered : tick.inputs(TermOffered.class)) {
+        for (HandoverOffered offered : tick.inputs(HandoverOffered.class)) {
             take(tick, offered);
         }
         SchedulerWorld world = tick.world();
-        OfferRow row = world.offer().get();
-        NodeStateRow node = world.node().get();
-        boolean away = !node.storeReached() && world.term().get().stage() == TermStage.OWNING;
+        HandoverRow row = world.handover().get();
+        NodeStateRow node = world.nodeState().get();
+        boolean away = !node.storeReachable() && world.term().get().stage() == TermStage.OWNING;
         if (!away) {
-            if (row.sinceMs() != 0) {
-                world.offer().set(new OfferRow(0, 0, 0, row.takenGeneration()));
+            if (row.unreachableSinceMs() != 0) {
+                world.handover().set(new HandoverRow(0, 0, 0, row.acceptedGeneration()));
             }
-        } else if (row.sinceMs() == 0) {
-            world.offer().set(new OfferRow(tick.nowMs(), 0, 0, row.takenGeneration()));
-        } else if (tick.nowMs() - row.sinceMs() >= OFFER_AFTER_MS
-                && tick.nowMs() - row.sentMs() >= OFFER_EVERY_MS) {
+        } else if (row.unreachableSinceMs() == 0) {
+            world.handover().set(new HandoverRow(tick.nowMs(), 0, 0, row.acceptedGeneration()));
+        } else if (tick.nowMs() - row.unreachableSinceMs() >= OFFER_AFTER_MS
+                && tick.nowMs() - row.lastOfferMs() >= OFFER_EVERY_MS) {
             offer(tick, row);
         }
     }
 
-    private static void offer(SchedulerTick tick, OfferRow row) {
+    private static void offer(SchedulerTick tick, HandoverRow row) {
         SchedulerWorld world = tick.world();
         List<String> others = new ArrayList<>(world.settings().seeds());
         others.remove(world.settings().address());
         if (others.isEmpty()) {
             return;
         }
-        String address = others.get(row.sent() % others.size());
+        String address = others.get(row.offersSent() % others.size());
         long generation = world.term().get().generation();
-        world.offer()
+        world.handover()
                 .set(
-                        new OfferRow(
-                                row.sinceMs(),
+                        new HandoverRow(
+                                row.unreachableSinceMs(),
                                 tick.nowMs(),
-                                row.sent() + 1,
-                                row.takenGeneration()));
+                                row.offersSent() + 1,
+                                row.acceptedGeneration()));
         tick.log(
                 "owner-offered",
                 "generation="
@@ -74,14 +74,14 @@
                         + " to="
                         + address
                         + " store_away_ms="
-                        + (tick.nowMs() - row.sinceMs()));
+                        + (tick.nowMs() - row.unreachableSinceMs()));
         tick.count("owner.offered");
-        tick.emit(new OfferTerm(address, generation));
+        tick.emit(new OfferHandover(address, generation));
     }
 
-    private static void take(SchedulerTick tick, TermOffered offered) {
+    private static void take(SchedulerTick tick, HandoverOffered offered) {
         SchedulerWorld world = tick.world();
-        tick.emit(new Answer(offered.callId(), JobAnswer.of(AnswerKind.ACCEPTED)));
+        tick.emit(new Respond(offered.callId(), JobResponse.of(JobResponseKind.ACCEPTED)));
         long seen =
                 world.ownership()
                         .get()
@@ -91,16 +91,19 @@
                         .orElse(0L);
         boolean free =
                 world.term().get().stage() == TermStage.FOLLOWING
-                        && world.node().get().storeReached()
-                        && world.node().get().stopAskedMs() == 0
+                        && world.nodeState().get().storeReachable()
+                        && world.nodeState().get().shutdownRequestedMs() == 0
                         && seen == offered.generation();
         tick.log("offer-received", "generation=" + offered.generation() + " taken=" + free);
         if (free) {
-            OfferRow row = world.offer().get();
-            world.offer()
+            HandoverRow row = world.handover().get();
+            world.handover()
                     .set(
-                            new OfferRow(
-                                    row.sinceMs(), row.sentMs(), row.sent(), offered.generation()));
+                            new HandoverRow(
+                                    row.unreachableSinceMs(),
+                                    row.lastOfferMs(),
+                                    row.offersSent(),
+                                    offered.generation()));
             world.term()
                     .set(
                             world.term()
@@ -110,8 +113,8 @@
     }
 
     /** Returns whether the owner of the term that this process sees has offered it. */
-    static boolean isOffered(SchedulerWorld world) {
-        long taken = world.offer().get().takenGeneration();
+    static boolean isHandoverOffered(SchedulerWorld world) {
+        long taken = world.handover().get().acceptedGeneration();
         return taken != 0
                 && world.ownership()
                         .get()
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/EndKey.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/FinishedRunKey.java
@@ -6,11 +6,11 @@
  * Names an end that is not acknowledged yet.
  *
  * @param executor executor
- * @param number its number there
+ * @param sequence its number there
  */
-public record EndKey(String executor, long number) {
+public record FinishedRunKey(String executor, long sequence) {
     /** Checks the parts. */
-    public EndKey {
+    public FinishedRunKey {
         requireNonNull(executor);
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/HostStep.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/HostOperationStep.java
@@ -1,7 +1,7 @@
 package org.hibiscususher.core.scheduler.world;
 
 /** What is under way with a host. */
-public enum HostStep {
+public enum HostOperationStep {
     /** It is being emptied. */
     EMPTYING,
     /** The order was sent. */
@@ -12,7 +12,7 @@
     AWAY;
 
     /** Returns whether the host may be out of service by an order. */
-    public boolean mayBeAway() {
+    public boolean mayBeOutOfService() {
         return this != EMPTYING;
     }
 }
--- a/core/src/test/java/org/hibiscususher/core/scheduler/executor/StallSystemTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/executor/StragglerSystemTest.java
@@ -4,16 +4,16 @@
 
 import java.math.BigInteger;
 import java.util.List;
+import org.hibiscususher.core.job.JobPolicy;
 import org.hibiscususher.core.job.JobSpec;
 import org.hibiscususher.core.job.JobState;
-import org.hibiscususher.core.job.JobTerms;
 import org.hibiscususher.core.job.Resources;
 import org.hibiscususher.core.job.StepKey;
 import org.hibiscususher.core.job.StepSpec;
 import org.hibiscususher.core.scheduler.SchedulerWorlds;
 import org.hibiscususher.core.scheduler.message.SchedulerInput;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.HoldAnswered;
-import org.hibiscususher.core.scheduler.world.ContactRow;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.HeartbeatAnswered;
+import org.hibiscususher.core.scheduler.world.ExecutorSessionRow;
 import org.hibiscususher.core.scheduler.world.JobRow;
 import org.hibiscususher.core.scheduler.world.RunRow;
 import org.hibiscususher.core.scheduler.world.RunStage;
@@ -25,33 +25,33 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
-class StallSystemTest {
+class StragglerSystemTest {
     /** Executors that take six times as long, among sound ones. */
     @Nested
     class IsSlow {
         @Test
         void findsARunThatTakesSixTimesItsEstimate() {
-            assertThat(StallSystem.isSlow(1_000, 26, 640)).isTrue();
+            assertThat(StragglerSystem.isSlow(1_000, 26, 640)).isTrue();
         }
 
         @Test
         void sparesARunThatIsALittleLate() {
-            assertThat(StallSystem.isSlow(1_000, 70, 640)).isFalse();
+            assertThat(StragglerSystem.isSlow(1_000, 70, 640)).isFalse();
         }
 
         @Test
         void sparesARunThatIsNearlyDone() {
-            assertThat(StallSystem.isSlow(3_500, 90, 640)).isFalse();
+            assertThat(StragglerSystem.isSlow(3_500, 90, 640)).isFalse();
         }
 
         @Test
         void judgesNoYoungRun() {
-            assertThat(StallSystem.isSlow(200, 0, 640)).isFalse();
+            assertThat(StragglerSystem.isSlow(200, 0, 640)).isFalse();
         }
 
         @Test
         void judgesNoRunWithoutAnEstimate() {
-            assertThat(StallSystem.isSlow(9_000, 1, 0)).isFalse();
+            assertThat(StragglerSystem.isSlow(9_000, 1, 0)).isFalse();
         }
     }
 
@@ -67,13 +67,16 @@
 
         @BeforeEach
         void start() {
-            mWorld.contacts().put("x", ContactRow.initial("x", 0).answered(1, 1, NOW_MS));
+            mWorld.executorSessions()
+                    .put(
+                            "x",
+                            ExecutorSessionRow.initial("x", 0).withHeartbeatAnswered(1, 1, NOW_MS));
         }
 
         private StepKey job(String id, int percent, long changedMs) {
             JobSpec spec =
                     JobSpec.once("run", List.of(StepSpec.of(1, CORE, ESTIMATE_MS, List.of())));
-            JobTerms terms = new JobTerms("q", "p", 0, 2, 1, 500, false);
+            JobPolicy terms = new JobPolicy("q", "p", 0, 2, 1, 500, false);
             mWorld.jobs()
                     .put(
                             id,
@@ -119,13 +122,14 @@
         }
 
         private List<StopReason> reasons() {
-            SchedulerInput answer = new HoldAnswered(1, "x", 1, 1, List.of(), List.of());
-            StallSystem.run(new SchedulerTick(mWorld, NOW_MS, NOW_MS, List.of(answer), () -> 1));
+            SchedulerInput answer = new HeartbeatAnswered(1, "x", 1, 1, List.of(), List.of());
+            StragglerSystem.run(
+                    new SchedulerTick(mWorld, NOW_MS, NOW_MS, List.of(answer), () -> 1));
             return mWorld.runs().rows().stream().map(RunRow::reason).toList();
         }
 
         private boolean isAside() {
-            return mWorld.contacts().find("x").orElseThrow().asideUntilMs() > NOW_MS;
+            return mWorld.executorSessions().find("x").orElseThrow().quarantinedUntilMs() > NOW_MS;
         }
 
         @Test
@@ -155,7 +159,7 @@
         @Test
         void noRunThatWasToldToWorkSlowly() {
             StepKey step = job("a", 20, NOW_MS - 1_500);
-            mWorld.runs().update(step.task(0), r -> r.withPace(50));
+            mWorld.runs().update(step.task(0), r -> r.withSpeedLimit(50));
             assertThat(reasons()).containsOnly(StopReason.NONE);
         }
     }
--- a/core/src/test/java/org/hibiscususher/core/scheduler/host/EvictionTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/host/EvictionTest.java
@@ -4,17 +4,17 @@
 
 import java.math.BigInteger;
 import java.util.List;
+import org.hibiscususher.core.job.JobPolicy;
 import org.hibiscususher.core.job.JobSpec;
 import org.hibiscususher.core.job.JobState;
-import org.hibiscususher.core.job.JobTerms;
-import org.hibiscususher.core.job.ListedRun;
+import org.hibiscususher.core.job.ReportedRun;
 import org.hibiscususher.core.job.Resources;
 import org.hibiscususher.core.job.StepKey;
 import org.hibiscususher.core.job.StepSpec;
 import org.hibiscususher.core.scheduler.message.ExecutorReport;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.StopRun;
-import org.hibiscususher.core.scheduler.world.ContactRow;
 import org.hibiscususher.core.scheduler.world.ExecutorRow;
+import org.hibiscususher.core.scheduler.world.ExecutorSessionRow;
 import org.hibiscususher.core.scheduler.world.JobRow;
 import org.hibiscususher.core.scheduler.world.RunRow;
 import org.hibiscususher.core.scheduler.world.RunStage;
@@ -37,7 +37,7 @@
 
     private final SchedulerWorld mWorld =
             SchedulerWorld.create(
-                    new SchedulerSettings("n", 1, "n", List.of(), 0, SchedulerTiming.USUAL));
+                    new SchedulerSettings("n", 1, "n", List.of(), 0, SchedulerTiming.DEFAULT));
     private final SchedulerTick mTick =
             new SchedulerTick(mWorld, NOW_MS, NOW_MS, List.of(), () -> 7);
 
@@ -53,7 +53,7 @@
                         STEP.jobId(),
                         new JobRow(
                                 STEP.jobId(),
-                                new JobTerms("q", "pool", 0, 2, 1, 500, false),
+                                new JobPolicy("q", "pool", 0, 2, 1, 500, false),
                                 "team",
                                 spec,
                                 0,
@@ -78,12 +78,12 @@
         ExecutorReport report =
                 new ExecutorReport(id, "pool", id + ":1", "z", "h", List.of(), CORE, false, 0, 1);
         mWorld.executors().put(id, new ExecutorRow(report, 0, 0, false, true, false, 0));
-        mWorld.contacts()
+        mWorld.executorSessions()
                 .put(
                         id,
-                        ContactRow.initial(id, 0)
-                                .sent(1, 1, NOW_MS - 200, 0)
-                                .answered(1, 1, NOW_MS - 100));
+                        ExecutorSessionRow.initial(id, 0)
+                                .withHeartbeatSent(1, 1, NOW_MS - 200, 0)
+                                .withHeartbeatAnswered(1, 1, NOW_MS - 100));
     }
 
     private static RunRow run(int index) {
@@ -107,7 +107,7 @@
     }
 
     private boolean stops() {
-        Eviction.run(mTick, "x0", NOW_MS);
+        Eviction.evict(mTick, "x0", NOW_MS);
         return mTick.outputs().stream().anyMatch(StopRun.class::isInstance);
     }
 
@@ -123,25 +123,27 @@
             mWorld.runs()
                     .update(
                             STEP.task(1),
-                            r -> r.listed(new ListedRun(STEP.task(1), 1, "", 40, -1), NOW_MS));
+                            r ->
+                                    r.withReport(
+                                            new ReportedRun(STEP.task(1), 1, "", 40, -1), NOW_MS));
             assertThat(stops()).isFalse();
         }
 
         /** What a silent executor listed last says nothing of now. */
         @Test
         void noTaskWhileTheExecutorOfAnotherIsSilent() {
-            mWorld.contacts().update("x1", c -> c.failed(NOW_MS));
+            mWorld.executorSessions().update("x1", c -> c.withHeartbeatFailed(NOW_MS));
             assertThat(stops()).isFalse();
         }
 
         @Test
         void noTaskWhileTheExecutorOfAnotherHasLongSaidNothing() {
-            mWorld.contacts()
+            mWorld.executorSessions()
                     .put(
                             "x1",
-                            ContactRow.initial("x1", 0)
-                                    .sent(1, 1, NOW_MS - 3_000, 0)
-                                    .answered(1, 1, NOW_MS - 2_900));
+                            ExecutorSessionRow.initial("x1", 0)
+                                    .withHeartbeatSent(1, 1, NOW_MS - 3_000, 0)
+                                    .withHeartbeatAnswered(1, 1, NOW_MS - 2_900));
             assertThat(stops()).isFalse();
         }
     }
--- a/core/src/test/java/org/hibiscususher/core/scheduler/host/HostOrderSystemTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/host/HostOrderSystemTest.java
@@ -12,15 +12,15 @@
 import org.hibiscususher.core.scheduler.message.HostState;
 import org.hibiscususher.core.scheduler.message.RecordName;
 import org.hibiscususher.core.scheduler.message.SchedulerInput;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.HostOrderAnswered;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.HostOrderCompleted;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.MaintainHost;
 import org.hibiscususher.core.scheduler.message.StoredRecord;
 import org.hibiscususher.core.scheduler.message.WaveOrder;
 import org.hibiscususher.core.scheduler.world.HostListRow;
+import org.hibiscususher.core.scheduler.world.HostOperationRow;
+import org.hibiscususher.core.scheduler.world.HostOperationStep;
 import org.hibiscususher.core.scheduler.world.HostOrderRow;
-import org.hibiscususher.core.scheduler.world.HostStep;
-import org.hibiscususher.core.scheduler.world.HostTaskRow;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 import org.hibiscususher.core.scheduler.world.SchedulerTiming;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
@@ -75,7 +75,7 @@
     }
 
     private void rest(String host) {
-        long untilMs = NOW_MS + SchedulerTiming.USUAL.hostOrderGapMs();
+        long untilMs = NOW_MS + SchedulerTiming.DEFAULT.hostOrderGapMs();
         mWorld.hostOrders().put(host, new HostOrderRow(host, true, untilMs, NOW_MS));
     }
 
@@ -99,7 +99,7 @@
             ordered(NOW_MS);
             store();
             assertThat(ordered(NOW_MS + 20)).containsExactly("h2");
-            long gapMs = SchedulerTiming.USUAL.hostOrderGapMs();
+            long gapMs = SchedulerTiming.DEFAULT.hostOrderGapMs();
             assertThat(ordered(NOW_MS + gapMs)).containsExactly("h1");
         }
     }
@@ -109,16 +109,17 @@
         /** The load of an incident in which a leaving host was ordered away 20 times a second. */
         @Test
         void restForAHostThatWasBusy() {
-            HostTaskRow move =
-                    new HostTaskRow("h1", 0, "other", HostStep.ORDERED, 99, 0, NOW_MS, "", false);
-            mWorld.hostTasks().put("h1", move);
+            HostOperationRow move =
+                    new HostOperationRow(
+                            "h1", 0, "other", HostOperationStep.ORDERED, 99, 0, NOW_MS, "", false);
+            mWorld.hostOperations().put("h1", move);
             mWorld.hostOrders().put("h1", new HostOrderRow("h1", true, 0, NOW_MS));
-            SchedulerInput busy = new HostOrderAnswered(99, "h1", HostOrderResult.BUSY);
+            SchedulerInput busy = new HostOrderCompleted(99, "h1", HostOrderResult.BUSY);
             SchedulerTick tick =
                     new SchedulerTick(mWorld, NOW_MS, NOW_MS, List.of(busy), () -> ++mCalls);
             WaveSystem.run(tick);
-            assertThat(mWorld.hostTasks().size()).isZero();
-            assertThat(HostOrderSystem.isResting(tick, "h1")).isTrue();
+            assertThat(mWorld.hostOperations().size()).isZero();
+            assertThat(HostOrderSystem.isDeferred(tick, "h1")).isTrue();
         }
     }
 
@@ -146,8 +147,9 @@
     @Nested
     class UnansweredOrders {
         private void answer(long nowMs, HostOrderResult result) {
-            long call = mWorld.hostTasks().find("h1").map(HostTaskRow::callId).orElseThrow();
-            SchedulerInput input = new HostOrderAnswered(call, "h1", result);
+            long call =
+                    mWorld.hostOperations().find("h1").map(HostOperationRow::callId).orElseThrow();
+            SchedulerInput input = new HostOrderCompleted(call, "h1", result);
             WaveSystem.run(new SchedulerTick(mWorld, nowMs, nowMs, List.of(input), () -> ++mCalls));
         }
 
@@ -170,7 +172,7 @@
     class Names {
         @Test
         void goOnceNoOrderWasGivenForLong() {
-            HostOrderSystem.use(
+            HostOrderSystem.recordUse(
                     new SchedulerTick(mWorld, NOW_MS, NOW_MS, List.of(), () -> 1), "h1");
             ordered(NOW_MS);
             store();
--- a/core/src/test/java/org/hibiscususher/core/scheduler/host/DonorsTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/host/MovableHostsTest.java
@@ -9,8 +9,8 @@
 import org.hibiscususher.core.scheduler.message.ExecutorReport;
 import org.hibiscususher.core.scheduler.message.HostReport;
 import org.hibiscususher.core.scheduler.message.HostState;
-import org.hibiscususher.core.scheduler.world.ContactRow;
 import org.hibiscususher.core.scheduler.world.ExecutorRow;
+import org.hibiscususher.core.scheduler.world.ExecutorSessionRow;
 import org.hibiscususher.core.scheduler.world.HostOrderRow;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
@@ -19,7 +19,7 @@
 import org.junit.jupiter.api.Test;
 
 /** Two pools surge at the same time; a third needs two of its three hosts. */
-class DonorsTest {
+class MovableHostsTest {
     private static final long NOW_MS = 100_000;
     private static final long HOST_CPU = 64_000;
     private static final Resources CAPACITY = Resources.of(HOST_CPU, 1_000, 0);
@@ -47,12 +47,13 @@
                 new ExecutorReport(
                         id, "calm", id + ":1", "z", "h", List.of(), CAPACITY, false, 0, 0);
         mWorld.executors().put(id, new ExecutorRow(report, seenMs, 0, false, true, false, 0));
-        mWorld.contacts().put(id, ContactRow.initial(id, 0).answered(1, 1, NOW_MS));
+        mWorld.executorSessions()
+                .put(id, ExecutorSessionRow.initial(id, 0).withHeartbeatAnswered(1, 1, NOW_MS));
     }
 
-    private Donors donors() {
-        PoolNeed calm = new PoolNeed("calm", 3, 2 * HOST_CPU, 0, 3 * HOST_CPU, 0, 0, 0, 0);
-        return Donors.of(
+    private MovableHosts donors() {
+        PoolDemand calm = new PoolDemand("calm", 3, 2 * HOST_CPU, 0, 3 * HOST_CPU, 0, 0, 0, 0);
+        return MovableHosts.select(
                 new SchedulerTick(mWorld, NOW_MS, NOW_MS, List.of(), () -> 1),
                 Map.of("calm", calm),
                 0,
@@ -63,14 +64,14 @@
     class Give {
         @Test
         void noMoreThanThePoolCanDoWithout() {
-            Donors donors = donors();
-            assertThat(donors.take("first")).isPresent();
-            assertThat(donors.take("second")).isEmpty();
+            MovableHosts donors = donors();
+            assertThat(donors.pollHostFor("first")).isPresent();
+            assertThat(donors.pollHostFor("second")).isEmpty();
         }
 
         @Test
         void nothingToTheirOwnPool() {
-            assertThat(donors().take("calm")).isEmpty();
+            assertThat(donors().pollHostFor("calm")).isEmpty();
         }
 
         @Test
@@ -78,15 +79,15 @@
             for (int i = 0; i < 3; i++) {
                 executor("x" + i, NOW_MS - 500);
             }
-            assertThat(donors().take("first")).isEmpty();
+            assertThat(donors().pollHostFor("first")).isEmpty();
         }
 
         @Test
         void noHostWhoseExecutorHasNotToldItsRuns() {
             for (int i = 0; i < 3; i++) {
-                mWorld.contacts().put("x" + i, ContactRow.initial("x" + i, 0));
+                mWorld.executorSessions().put("x" + i, ExecutorSessionRow.initial("x" + i, 0));
             }
-            assertThat(donors().take("first")).isEmpty();
+            assertThat(donors().pollHostFor("first")).isEmpty();
         }
 
         @Test
@@ -95,7 +96,7 @@
                 mWorld.hostOrders()
                         .put("h" + i, new HostOrderRow("h" + i, true, NOW_MS + 1, NOW_MS));
             }
-            assertThat(donors().take("first")).isEmpty();
+            assertThat(donors().pollHostFor("first")).isEmpty();
         }
     }
 }
