--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/Eviction.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/Eviction.java
@@ -85,7 +85,9 @@
     /** Returns whether a task is fully available, by a recent response of its executor. */
     private static boolean isAvailable(SchedulerTick tick, TaskKey task) {
         RunRow run = tick.world().runs().find(task).orElse(null);
-        if (run == null || run.stage() != RunStage.RUNNING || run.progressPercent() < FULL_PERCENT) {
+        if (run == null
+                || run.stage() != RunStage.RUNNING
+                || run.progressPercent() < FULL_PERCENT) {
             return false;
         }
         return tick.world()
