--- a/core/src/main/java/org/hibiscususher/core/config/QueueKind.java
+++ b/core/src/main/java/org/hibiscususher/core/config/QueueKind.java
@@ -5,7 +5,7 @@
     /** Short look-ups: may take every slot of the pool. */
     QUICK {
         @Override
-        public int slotsOpen(int poolSlots, int quickReserve) {
+        public int maxSlots(int poolSlots, int quickReserve) {
             return poolSlots;
         }
     },
@@ -13,11 +13,11 @@
     /** Long runs: leave the pool's quick reserve free. */
     LONG {
         @Override
-        public int slotsOpen(int poolSlots, int quickReserve) {
+        public int maxSlots(int poolSlots, int quickReserve) {
             return Math.max(0, poolSlots - quickReserve);
         }
     };
 
     /** Returns how many of the pool's slots work of this kind may hold at a time. */
-    public abstract int slotsOpen(int poolSlots, int quickReserve);
+    public abstract int maxSlots(int poolSlots, int quickReserve);
 }
--- a/core/src/main/java/org/hibiscususher/core/control/Phase.java
+++ b/core/src/main/java/org/hibiscususher/core/control/Phase.java
@@ -10,14 +10,14 @@
 import org.hibiscususher.core.maintenance.WaveMonitorSystem;
 import org.hibiscususher.core.maintenance.WaveSystem;
 import org.hibiscususher.core.membership.HostListSystem;
-import org.hibiscususher.core.membership.LinkSystem;
 import org.hibiscususher.core.membership.MembershipSystem;
+import org.hibiscususher.core.membership.PeerMessageSystem;
 import org.hibiscususher.core.request.AdmissionSystem;
-import org.hibiscususher.core.request.OnceSystem;
+import org.hibiscususher.core.request.IdempotencySystem;
 import org.hibiscususher.core.request.OutlierSystem;
 import org.hibiscususher.core.request.PlacementSystem;
-import org.hibiscususher.core.request.RecheckSystem;
 import org.hibiscususher.core.request.RetrySystem;
+import org.hibiscususher.core.request.RevalidationSystem;
 import org.hibiscususher.core.rollout.FreshnessSystem;
 import org.hibiscususher.core.rollout.HistorySystem;
 import org.hibiscususher.core.rollout.NoteSystem;
@@ -62,10 +62,10 @@
             HistorySystem.run(tick);
         }
     },
-    RECHECK {
+    REVALIDATION {
         @Override
         void run(Tick tick) {
-            RecheckSystem.run(tick);
+            RevalidationSystem.run(tick);
         }
     },
     FLEET {
@@ -98,10 +98,10 @@
             AdmissionSystem.run(tick);
         }
     },
-    ONCE {
+    IDEMPOTENCY {
         @Override
         void run(Tick tick) {
-            OnceSystem.run(tick);
+            IdempotencySystem.run(tick);
         }
     },
     PLACEMENT {
@@ -134,7 +134,7 @@
             WaveSystem.run(tick);
         }
     },
-    WAVE_WATCH {
+    WAVE_MONITOR {
         @Override
         void run(Tick tick) {
             WaveMonitorSystem.run(tick);
@@ -158,10 +158,10 @@
             StatusSystem.run(tick);
         }
     },
-    LINK {
+    PEER_MESSAGE {
         @Override
         void run(Tick tick) {
-            LinkSystem.run(tick);
+            PeerMessageSystem.run(tick);
         }
     };
 
--- a/core/src/main/java/org/hibiscususher/core/escrow/AllocatorBindings.java
+++ b/core/src/main/java/org/hibiscususher/core/escrow/AllocatorBindings.java
@@ -5,7 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import org.hibiscususher.core.membership.Rendezvous;
+import org.hibiscususher.core.membership.RendezvousHash;
 import org.hibiscususher.core.message.ClaimedPermit;
 import org.hibiscususher.core.message.PeerItem.Claim;
 import org.hibiscususher.core.message.PeerItem.ClaimAsked;
@@ -55,7 +55,7 @@
      * allocate.
      */
     static Optional<MemberKey> allocatorOf(PermitGroup group, MembershipRecord record) {
-        return Rendezvous.choose(group.hashedName(), record)
+        return RendezvousHash.choose(group.hashedName(), record)
                 .flatMap(
                         id ->
                                 record.members().stream()
--- a/core/src/main/java/org/hibiscususher/core/escrow/MessageExchange.java
+++ b/core/src/main/java/org/hibiscususher/core/escrow/MessageExchange.java
@@ -3,7 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
-import org.hibiscususher.core.membership.Links;
+import org.hibiscususher.core.membership.PeerMessages;
 import org.hibiscususher.core.message.PeerItem;
 import org.hibiscususher.core.message.PeerMessage;
 import org.hibiscususher.core.world.MemberKey;
@@ -34,7 +34,7 @@
         NodeIdentity identity = tick.world().node().identity();
         MessageExchange exchange =
                 new MessageExchange(tick, new MemberKey(identity.id(), identity.incarnation()));
-        for (PeerMessage message : Links.accepted(tick)) {
+        for (PeerMessage message : PeerMessages.accepted(tick)) {
             MemberKey from = new MemberKey(message.from(), message.incarnation());
             for (PeerItem item : message.items()) {
                 exchange.mInbound.add(new ReceivedItem(from, message.sequence(), item));
--- a/core/src/main/java/org/hibiscususher/core/escrow/PermitLimits.java
+++ b/core/src/main/java/org/hibiscususher/core/escrow/PermitLimits.java
@@ -75,7 +75,7 @@
         }
         for (PoolSpec pool : configuration.pools().values()) {
             int limit =
-                    QueueKind.LONG.slotsOpen(
+                    QueueKind.LONG.maxSlots(
                             slotsByPool.getOrDefault(pool.id(), 0), pool.quickReserve());
             limits.put(PermitKey.longRun(pool.id()), limit);
         }
--- a/core/src/main/java/org/hibiscususher/core/maintenance/FleetRecords.java
+++ b/core/src/main/java/org/hibiscususher/core/maintenance/FleetRecords.java
@@ -5,7 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import org.hibiscususher.core.membership.Rendezvous;
+import org.hibiscususher.core.membership.RendezvousHash;
 import org.hibiscususher.core.message.FleetRecord;
 import org.hibiscususher.core.message.Outage;
 import org.hibiscususher.core.message.RecordKey;
@@ -35,7 +35,7 @@
      * of service: two entries deciding at the same time could together exceed the pool's budget.
      */
     static boolean isResponsible(World world, String pool) {
-        return Rendezvous.choose("pool:" + pool, world.membership().record())
+        return RendezvousHash.choose("pool:" + pool, world.membership().record())
                 .filter(world.node().identity().id()::equals)
                 .isPresent();
     }
--- a/core/src/main/java/org/hibiscususher/core/maintenance/LendSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/maintenance/LendSystem.java
@@ -5,7 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.hibiscususher.core.config.PoolSpec;
-import org.hibiscususher.core.membership.Rendezvous;
+import org.hibiscususher.core.membership.RendezvousHash;
 import org.hibiscususher.core.message.Input.PeerReceived;
 import org.hibiscususher.core.message.Outage;
 import org.hibiscususher.core.message.OutageReason;
@@ -141,7 +141,7 @@
         String self = world.node().identity().id();
         for (PoolSpec spec : world.configuration().pools().values()) {
             if (spec.spare() && !spec.id().equals(pool)) {
-                Rendezvous.choose("pool:" + spec.id(), world.membership().record())
+                RendezvousHash.choose("pool:" + spec.id(), world.membership().record())
                         .filter(m -> !m.equals(self))
                         .ifPresent(m -> tick.tell(m, new PoolNeed(pool, need)));
             }
--- a/core/src/main/java/org/hibiscususher/core/maintenance/WaveMonitorSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/maintenance/WaveMonitorSystem.java
@@ -3,7 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import org.hibiscususher.core.membership.Rendezvous;
+import org.hibiscususher.core.membership.RendezvousHash;
 import org.hibiscususher.core.message.OutageReason;
 import org.hibiscususher.core.message.Output.LogEvent;
 import org.hibiscususher.core.message.RecordKey;
@@ -41,7 +41,10 @@
         World world = tick.world();
         Optional<WaveRecord> wave = FleetRecords.wave(world).filter(w -> w.state().takesHosts());
         boolean isMonitor =
-                wave.flatMap(w -> Rendezvous.choose("wave:" + w.id(), world.membership().record()))
+                wave.flatMap(
+                                w ->
+                                        RendezvousHash.choose(
+                                                "wave:" + w.id(), world.membership().record()))
                         .filter(world.node().identity().id()::equals)
                         .isPresent();
         if (!isMonitor || !FleetRecords.canDraft(world, RecordKey.WAVE)) {
--- a/core/src/main/java/org/hibiscususher/core/membership/LifeSigns.java
+++ b/core/src/main/java/org/hibiscususher/core/membership/FailureDetector.java
@@ -17,7 +17,7 @@
 import org.hibiscususher.core.world.World;
 
 /** Collects signs of other entries' life and end, and decides when this entry acts on them. */
-final class LifeSigns {
+final class FailureDetector {
     /** Refused connections that prove an end. */
     private static final int REFUSALS = 3;
 
@@ -33,10 +33,10 @@
     /** Time that the member next in order leaves to the one before it, in milliseconds. */
     private static final int STAGGER_MS = 500;
 
-    private LifeSigns() {}
+    private FailureDetector() {}
 
     /** Takes in this tick's refused connections and lists of the platform's hosts. */
-    static void take(Tick tick) {
+    static void update(Tick tick) {
         World world = tick.world();
         for (PeerRefused refused : tick.inputs(PeerRefused.class)) {
             world.members()
@@ -66,7 +66,7 @@
         String id = member.member().id();
         tick.world().liveness().update(id, l -> l.listed(shown));
         boolean missing = tick.world().liveness().find(id).orElseThrow().missing() >= MISSING_LISTS;
-        if (missing && !Links.hears(tick.world(), member, tick.nowMs())) {
+        if (missing && !PeerMessages.isHeard(tick.world(), member, tick.nowMs())) {
             end(tick, id, "not-listed");
         }
     }
@@ -81,7 +81,7 @@
     }
 
     /** Returns the sign of a member on which this entry should act now. */
-    static LifeSign of(Tick tick, Member member) {
+    static LifeSign evaluate(Tick tick, Member member) {
         World world = tick.world();
         long nowMs = tick.nowMs();
         MemberRow row = world.members().find(member.id()).orElseThrow();
@@ -93,7 +93,7 @@
             boolean heard =
                     life.backMs() >= 0
                             && nowMs - row.lastHeardMs()
-                                    <= HEARD_HEARTBEATS * Links.heartbeatMs(world);
+                                    <= HEARD_HEARTBEATS * PeerMessages.heartbeatMs(world);
             return heard && isTurn(tick, member, life.backMs()) ? LifeSign.HEARD : LifeSign.NONE;
         }
         long silentMs = silentSinceMs(world, row, life);
@@ -109,7 +109,7 @@
     private static long silentSinceMs(World world, MemberRow row, LivenessRow life) {
         NodeRow node = world.node();
         long last = Math.max(row.lastHeardMs(), Math.max(life.sinceMs(), node.resumedMs()));
-        return last + (Links.silenceMs(world) << life.recoveries());
+        return last + (PeerMessages.silenceMs(world) << life.recoveries());
     }
 
     /**
@@ -117,20 +117,22 @@
      *
      * <p>The others do it when they hear it; it waits for them first.
      */
-    static boolean ownRecovery(Tick tick) {
+    static boolean shouldRestoreSelf(Tick tick) {
         World world = tick.world();
         boolean othersCan =
                 world.members().rows().stream()
                         .filter(m -> m.member().state() == MemberState.ACTIVE)
-                        .anyMatch(m -> Links.hears(world, m, tick.nowMs()));
-        return !othersCan && hearsHalf(tick);
+                        .anyMatch(m -> PeerMessages.isHeard(world, m, tick.nowMs()));
+        return !othersCan && hearsAtLeastHalf(tick);
     }
 
     /** Returns whether this entry hears enough members to trust that it is not itself cut off. */
-    static boolean hearsHalf(Tick tick) {
+    static boolean hearsAtLeastHalf(Tick tick) {
         List<MemberRow> others = tick.world().members().rows();
         long heard =
-                others.stream().filter(m -> Links.hears(tick.world(), m, tick.nowMs())).count();
+                others.stream()
+                        .filter(m -> PeerMessages.isHeard(tick.world(), m, tick.nowMs()))
+                        .count();
         return 2 * (heard + 1) >= others.size() + 1;
     }
 
@@ -143,7 +145,7 @@
     private static boolean heardHalfLately(Tick tick) {
         World world = tick.world();
         List<MemberRow> others = world.members().rows();
-        long sinceMs = tick.nowMs() - HEARD_HEARTBEATS * Links.heartbeatMs(world);
+        long sinceMs = tick.nowMs() - HEARD_HEARTBEATS * PeerMessages.heartbeatMs(world);
         long heard = others.stream().filter(m -> m.lastHeardMs() >= sinceMs).count();
         return 2 * (heard + 1) >= others.size() + 1;
     }
@@ -160,10 +162,10 @@
                 world.members().rows().stream()
                         .filter(m -> m.member().state() == MemberState.ACTIVE)
                         .filter(m -> !m.member().id().equals(about.id()))
-                        .filter(m -> Links.hears(world, m, tick.nowMs()))
+                        .filter(m -> PeerMessages.isHeard(world, m, tick.nowMs()))
                         .map(m -> m.member().id())
                         .toList();
-        int rank = Rendezvous.rank(about.id(), world.node().identity().id(), others);
+        int rank = RendezvousHash.rank(about.id(), world.node().identity().id(), others);
         return tick.nowMs() - dueMs >= (long) STAGGER_MS * rank;
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/membership/MembershipChanges.java
+++ b/core/src/main/java/org/hibiscususher/core/membership/MembershipChanges.java
@@ -25,7 +25,7 @@
     private MembershipChanges() {}
 
     /** Returns the record's entry of this very process unless it is shown as dead. */
-    static Optional<Member> own(World world) {
+    static Optional<Member> findSelf(World world) {
         NodeIdentity self = world.node().identity();
         return world.membership().record().members().stream()
                 .filter(m -> m.id().equals(self.id()) && m.incarnation() == self.incarnation())
@@ -34,7 +34,7 @@
     }
 
     /** Returns how long what a member held rests after its end, in milliseconds. */
-    static long restMs(World world) {
+    static long retentionMs(World world) {
         return REST_MARGIN_MS
                 + world.configuration().queues().values().stream()
                         .mapToInt(QueueSpec::longestRunMs)
@@ -43,10 +43,10 @@
     }
 
     /** Returns the members as they should stand in the record, in order. */
-    static List<Member> next(Tick tick) {
+    static List<Member> nextMembers(Tick tick) {
         List<Member> next = new ArrayList<>();
         for (Member member : tick.world().membership().record().members()) {
-            next(tick, member).ifPresent(next::add);
+            nextMembers(tick, member).ifPresent(next::add);
         }
         if (tick.world().node().stage() == NodeStage.JOINING) {
             next.add(memberOf(tick.world().node().identity()));
@@ -55,18 +55,18 @@
         return next;
     }
 
-    private static Optional<Member> next(Tick tick, Member member) {
+    private static Optional<Member> nextMembers(Tick tick, Member member) {
         World world = tick.world();
         if (world.node().stage() == NodeStage.JOINING) {
             return Optional.of(replaces(world.node().identity(), member) ? dead(member) : member);
         }
-        if (own(world).filter(member::equals).isPresent()) {
+        if (findSelf(world).filter(member::equals).isPresent()) {
             return nextOwn(tick, member);
         }
         if (member.state() == MemberState.DEAD) {
             return rested(tick, member) ? Optional.empty() : Optional.of(member);
         }
-        MemberState state = member.state().after(LifeSigns.of(tick, member));
+        MemberState state = member.state().after(FailureDetector.evaluate(tick, member));
         return Optional.of(withState(member, state));
     }
 
@@ -81,7 +81,8 @@
                     ? Optional.empty()
                     : Optional.of(withState(own, MemberState.LEAVING));
         }
-        boolean recovers = own.state() == MemberState.SILENT && LifeSigns.ownRecovery(tick);
+        boolean recovers =
+                own.state() == MemberState.SILENT && FailureDetector.shouldRestoreSelf(tick);
         return Optional.of(recovers ? withState(own, MemberState.ACTIVE) : own);
     }
 
@@ -107,8 +108,8 @@
         if (row.isEmpty()) {
             return false;
         }
-        long dueMs = row.get().sinceMs() + Math.max(row.get().restMs(), restMs(world));
-        return tick.nowMs() >= dueMs && LifeSigns.isTurn(tick, member, dueMs);
+        long dueMs = row.get().sinceMs() + Math.max(row.get().restMs(), retentionMs(world));
+        return tick.nowMs() >= dueMs && FailureDetector.isTurn(tick, member, dueMs);
     }
 
     private static Member memberOf(NodeIdentity identity) {
--- a/core/src/main/java/org/hibiscususher/core/membership/RecordCalls.java
+++ b/core/src/main/java/org/hibiscususher/core/membership/MembershipStoreCalls.java
@@ -19,7 +19,7 @@
 import org.hibiscususher.core.world.World;
 
 /** Reads and writes the membership record, one call at a time and never faster than a bound. */
-final class RecordCalls {
+final class MembershipStoreCalls {
     /** Time between two reads when nothing calls for one, in milliseconds. */
     private static final int POLL_MS = 5_000;
 
@@ -44,7 +44,7 @@
     /** Age at which a call counts as failed, in milliseconds. */
     private static final int CALL_LIMIT_MS = 10_000;
 
-    private RecordCalls() {}
+    private MembershipStoreCalls() {}
 
     /** Settles the call that is out and makes the next one that is due. */
     static void run(Tick tick) {
@@ -65,7 +65,7 @@
             outnumber(world);
         }
         MembershipRow row = world.membership();
-        List<Member> next = MembershipChanges.next(tick);
+        List<Member> next = MembershipChanges.nextMembers(tick);
         if (!next.equals(row.record().members())) {
             swap(tick, row, next);
         }
--- a/core/src/main/java/org/hibiscususher/core/membership/MembershipSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/membership/MembershipSystem.java
@@ -29,17 +29,17 @@
 
     /** Takes in the record and the peers' messages, and writes the changes that are due. */
     public static void run(Tick tick) {
-        for (PeerMessage message : Links.accepted(tick)) {
+        for (PeerMessage message : PeerMessages.accepted(tick)) {
             hear(tick, message);
         }
         takeRecords(tick);
-        LifeSigns.take(tick);
+        FailureDetector.update(tick);
         if (!tick.inputs(ShutdownAsked.class).isEmpty()) {
             enter(tick, NodeStage.LEAVING);
         }
         moveOn(tick);
         confirm(tick);
-        RecordCalls.run(tick);
+        MembershipStoreCalls.run(tick);
     }
 
     private static void hear(Tick tick, PeerMessage message) {
@@ -112,7 +112,7 @@
         World world = tick.world();
         DeadMemberRow.Key key = DeadMemberRow.Key.of(member);
         if (!world.deadMembers().contains(key)) {
-            long restMs = MembershipChanges.restMs(world);
+            long restMs = MembershipChanges.retentionMs(world);
             world.deadMembers().put(key, new DeadMemberRow(member, tick.nowMs(), restMs));
         }
     }
@@ -137,7 +137,7 @@
     /** Moves this entry to the stage that the record and its own work call for. */
     private static void moveOn(Tick tick) {
         World world = tick.world();
-        Optional<Member> own = MembershipChanges.own(world);
+        Optional<Member> own = MembershipChanges.findSelf(world);
         noteOwnState(tick, own);
         boolean idle = world.requests().size() == 0;
         switch (world.node().stage()) {
--- a/core/src/main/java/org/hibiscususher/core/membership/LinkSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/membership/PeerMessageSystem.java
@@ -11,13 +11,13 @@
 import org.hibiscususher.core.world.World;
 
 /** Sends each member one message with all that the tick has to say to it, or a heartbeat. */
-public final class LinkSystem {
-    private LinkSystem() {}
+public final class PeerMessageSystem {
+    private PeerMessageSystem() {}
 
     /** Sends the messages of this tick. */
     public static void run(Tick tick) {
         World world = tick.world();
-        long heartbeatMs = Links.heartbeatMs(world);
+        long heartbeatMs = PeerMessages.heartbeatMs(world);
         long freshAgeMs = Freshness.ageMs(world, tick.nowMs());
         for (MemberRow member : world.members().rows()) {
             List<PeerItem> items = tick.itemsFor(member.member().id());
--- a/core/src/main/java/org/hibiscususher/core/membership/Links.java
+++ b/core/src/main/java/org/hibiscususher/core/membership/PeerMessages.java
@@ -9,7 +9,7 @@
 import org.hibiscususher.core.world.World;
 
 /** What holds for the links between entries. */
-public final class Links {
+public final class PeerMessages {
     /**
      * Time between two heartbeats for each other member, in milliseconds; bounds the heartbeats of
      * an entry to 62 a second.
@@ -19,7 +19,7 @@
     /** Heartbeats that may be missing before a member counts as silent. */
     private static final int HEARTBEATS_PER_SILENCE = 3;
 
-    private Links() {}
+    private PeerMessages() {}
 
     /** Returns the longest time between two messages to a peer, in milliseconds. */
     public static long heartbeatMs(World world) {
@@ -37,7 +37,7 @@
      * Returns whether a message comes from the process that the membership record shows, and was
      * meant for this process and not for an earlier one at the same place.
      */
-    public static boolean accepts(World world, PeerMessage message) {
+    public static boolean isCurrent(World world, PeerMessage message) {
         return message.toIncarnation() == world.node().identity().incarnation()
                 && world.members()
                         .find(message.from())
@@ -49,12 +49,12 @@
     public static List<PeerMessage> accepted(Tick tick) {
         return tick.inputs(PeerReceived.class).stream()
                 .map(PeerReceived::message)
-                .filter(m -> accepts(tick.world(), m))
+                .filter(m -> isCurrent(tick.world(), m))
                 .toList();
     }
 
     /** Returns whether a member has been heard within the silence limit. */
-    static boolean hears(World world, MemberRow member, long nowMs) {
+    static boolean isHeard(World world, MemberRow member, long nowMs) {
         return member.lastHeardMs() >= 0 && nowMs - member.lastHeardMs() < silenceMs(world);
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/membership/Rendezvous.java
+++ b/core/src/main/java/org/hibiscususher/core/membership/RendezvousHash.java
@@ -7,10 +7,10 @@
 import org.hibiscususher.core.message.StoreRecord.MembershipRecord;
 
 /** Chooses a member for a name by rendezvous hashing, the same on every entry of an epoch. */
-public final class Rendezvous {
+public final class RendezvousHash {
     private static final long SEED = 0x9E3779B97F4A7C15L;
 
-    private Rendezvous() {}
+    private RendezvousHash() {}
 
     /**
      * Returns the id of the member that is responsible for a name, or empty if none may allocate.
@@ -38,7 +38,7 @@
      *
      * <p>If both may allocate, the one that comes later is not responsible for the name.
      */
-    public static boolean comesBefore(String member, String other, String name) {
+    public static boolean ranksAbove(String member, String other, String name) {
         return Long.compareUnsigned(score(name, member), score(name, other)) > 0;
     }
 
--- a/core/src/main/java/org/hibiscususher/core/request/AdmissionSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/request/AdmissionSystem.java
@@ -40,12 +40,12 @@
     private static void cancel(Tick tick, RequestRow row) {
         tick.count("request.cancelled");
         tick.world().requests().remove(row.id());
-        OnceClaims.end(tick, row.id(), row.mayHaveRun());
+        IdempotencyKeyClaims.close(tick, row.id(), row.mayHaveRun());
     }
 
     private static void takeIn(Tick tick, List<RequestArrived> arrivals) {
         WaitingCounts counts = WaitingCounts.of(tick.world());
-        Map<String, PoolView> pools = new LinkedHashMap<>();
+        Map<String, PoolCapacity> pools = new LinkedHashMap<>();
         for (RequestArrived arrival : arrivals) {
             Optional<Refusal> refusal = refusalOf(tick, arrival, counts, pools);
             if (refusal.isPresent()) {
@@ -57,7 +57,10 @@
     }
 
     private static Optional<Refusal> refusalOf(
-            Tick tick, RequestArrived arrival, WaitingCounts counts, Map<String, PoolView> pools) {
+            Tick tick,
+            RequestArrived arrival,
+            WaitingCounts counts,
+            Map<String, PoolCapacity> pools) {
         World world = tick.world();
         if (!world.node().stage().admits()) {
             return Optional.of(Refusal.ENTRY_LEAVING);
@@ -82,14 +85,14 @@
         if (team.get().upperLimit() == 0) {
             return Optional.of(Refusal.TEAM_AT_LIMIT);
         }
-        PoolView pool = pools.computeIfAbsent(queue.pool(), p -> PoolView.of(world, p));
+        PoolCapacity pool = pools.computeIfAbsent(queue.pool(), p -> PoolCapacity.of(world, p));
         if (!pool.hasHosts()) {
             return Optional.of(Refusal.POOL_EMPTY);
         }
         if (!pool.fits(arrival.needs())) {
             return Optional.of(Refusal.NEVER_FITS);
         }
-        if (!counts.hasPlace(queue, team.get().id())) {
+        if (!counts.hasFreePlace(queue, team.get().id())) {
             return Optional.of(Refusal.QUEUE_FULL);
         }
         return waitRefusal(tick, arrival, queue, team.get(), counts, pool);
@@ -102,7 +105,7 @@
             QueueSpec queue,
             TeamSpec team,
             WaitingCounts counts,
-            PoolView pool) {
+            PoolCapacity pool) {
         World world = tick.world();
         Optional<QueueLoadRow> load =
                 world.queueLoads().find(queue.id()).filter(QueueLoadRow::known);
@@ -111,7 +114,7 @@
         }
         int waiting = counts.waiting(queue.id(), team.id());
         double leastMs =
-                pool.leastWaitMs(
+                pool.minWaitMs(
                         world, team.id(), team.upperLimit(), waiting, load.get().meanRunMs());
         if (leastMs <= waitLimitMs(arrival, queue)) {
             return Optional.empty();
@@ -159,7 +162,7 @@
                         List.of());
         world.requests().put(arrival.requestId(), row);
         if (claims) {
-            OnceClaims.open(tick, row);
+            IdempotencyKeyClaims.open(tick, row);
         }
         tick.count("request.admitted");
         return row;
--- a/core/src/main/java/org/hibiscususher/core/request/OnceClaims.java
+++ b/core/src/main/java/org/hibiscususher/core/request/IdempotencyKeyClaims.java
@@ -1,7 +1,7 @@
 package org.hibiscususher.core.request;
 
 import java.util.Optional;
-import org.hibiscususher.core.membership.Rendezvous;
+import org.hibiscususher.core.membership.RendezvousHash;
 import org.hibiscususher.core.message.ClaimResult;
 import org.hibiscususher.core.message.PeerItem.OnceAnswered;
 import org.hibiscususher.core.message.PeerItem.OnceAsked;
@@ -17,12 +17,12 @@
 import org.hibiscususher.core.world.World;
 
 /** The claims of requests at hand to their idempotency keys: asks, takes answers, gives back. */
-final class OnceClaims {
+final class IdempotencyKeyClaims {
     private static final int REPEAT_MS = 100;
     private static final int ASK_LIMIT_MS = 1_000;
     private static final int RELEASE_LIMIT_MS = 3_000;
 
-    private OnceClaims() {}
+    private IdempotencyKeyClaims() {}
 
     /** Opens the claim of a request that was admitted. */
     static void open(Tick tick, RequestRow row) {
@@ -33,7 +33,7 @@
     }
 
     /** Ends the claim of a request, if it has one; gives the key back if nothing ran. */
-    static void end(Tick tick, long requestId, boolean mayHaveRun) {
+    static void close(Tick tick, long requestId, boolean mayHaveRun) {
         if (mayHaveRun) {
             tick.world().onceClaims().remove(requestId);
         } else {
@@ -87,7 +87,7 @@
         World world = tick.world();
         OnceKey key = claim.key();
         NodeIdentity self = world.node().identity();
-        Optional<String> home = Rendezvous.choose(key.homeName(), world.membership().record());
+        Optional<String> home = RendezvousHash.choose(key.homeName(), world.membership().record());
         if (home.isEmpty()) {
             return;
         }
@@ -100,16 +100,16 @@
                             ? new OnceAsked(id, key.high(), key.low(), tick.nowMs())
                             : new OnceReleased(id, key.high(), key.low()));
         } else if (asking) {
-            OnceHome.claim(tick, key, self.id(), self.incarnation(), id)
+            IdempotencyKeyCoordinator.claim(tick, key, self.id(), self.incarnation(), id)
                     .ifPresent(r -> settle(tick, claim, r));
         } else {
-            OnceHome.release(tick, key, self.id(), self.incarnation(), id);
+            IdempotencyKeyCoordinator.release(tick, key, self.id(), self.incarnation(), id);
             world.onceClaims().remove(id);
         }
     }
 
     /** Takes the answer of a home. */
-    static void answered(Tick tick, OnceAnswered answer) {
+    static void onResult(Tick tick, OnceAnswered answer) {
         NodeIdentity self = tick.world().node().identity();
         if (answer.incarnation() != self.incarnation()) {
             return;
--- a/core/src/main/java/org/hibiscususher/core/request/OnceHome.java
+++ b/core/src/main/java/org/hibiscususher/core/request/IdempotencyKeyCoordinator.java
@@ -1,7 +1,7 @@
 package org.hibiscususher.core.request;
 
 import java.util.Optional;
-import org.hibiscususher.core.membership.Rendezvous;
+import org.hibiscususher.core.membership.RendezvousHash;
 import org.hibiscususher.core.message.ClaimResult;
 import org.hibiscususher.core.message.Member;
 import org.hibiscususher.core.message.MemberState;
@@ -25,7 +25,7 @@
  * may have been its home before is known to grant it no more, and only if the key was made after
  * that: an earlier home has then never seen it.
  */
-final class OnceHome {
+final class IdempotencyKeyCoordinator {
     /** How long keys are remembered, counted from their own time. */
     private static final long WINDOW_MS = 300_000;
 
@@ -39,10 +39,10 @@
     private static final long SWEEP_INTERVAL_MS = 10_000;
     private static final int MAX_KEYS = 65_536;
 
-    private OnceHome() {}
+    private IdempotencyKeyCoordinator() {}
 
     /** Answers the claim of another entry. */
-    static void asked(Tick tick, PeerMessage message, OnceAsked asked) {
+    static void onClaim(Tick tick, PeerMessage message, OnceAsked asked) {
         OnceKey key = new OnceKey(asked.high(), asked.low());
         Optional<ClaimResult> result;
         if (Math.abs(asked.askedMs() - tick.nowMs()) > MAX_CLOCKS_APART_MS) {
@@ -64,7 +64,7 @@
     }
 
     /** Takes back a key for another entry. */
-    static void released(Tick tick, PeerMessage message, OnceReleased released) {
+    static void onRelease(Tick tick, PeerMessage message, OnceReleased released) {
         OnceKey key = new OnceKey(released.high(), released.low());
         release(tick, key, message.from(), message.incarnation(), released.requestId());
         tick.tell(message.from(), new OnceForgotten(message.incarnation(), released.requestId()));
@@ -75,7 +75,7 @@
             Tick tick, OnceKey key, String member, long incarnation, long requestId) {
         World world = tick.world();
         String self = world.node().identity().id();
-        Optional<String> home = Rendezvous.choose(key.homeName(), world.membership().record());
+        Optional<String> home = RendezvousHash.choose(key.homeName(), world.membership().record());
         if (!home.equals(Optional.of(self))) {
             return Optional.empty();
         }
@@ -113,7 +113,7 @@
         }
         String self = world.node().identity().id();
         for (FormerHomeRow former : world.formerHomes().rows()) {
-            if (!Rendezvous.comesBefore(former.id(), self, key.homeName())) {
+            if (!RendezvousHash.ranksAbove(former.id(), self, key.homeName())) {
                 continue;
             }
             if (!former.settled()) {
--- a/core/src/main/java/org/hibiscususher/core/request/OnceSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/request/IdempotencySystem.java
@@ -1,6 +1,6 @@
 package org.hibiscususher.core.request;
 
-import org.hibiscususher.core.membership.Links;
+import org.hibiscususher.core.membership.PeerMessages;
 import org.hibiscususher.core.message.PeerItem;
 import org.hibiscususher.core.message.PeerItem.OnceAnswered;
 import org.hibiscususher.core.message.PeerItem.OnceAsked;
@@ -11,27 +11,27 @@
 import org.hibiscususher.core.world.Tick;
 
 /** Lets a non-idempotent request run only if its idempotency key is known to be new. */
-public final class OnceSystem {
-    private OnceSystem() {}
+public final class IdempotencySystem {
+    private IdempotencySystem() {}
 
     /** Answers claims as a home, and carries on the claims of requests at hand. */
     public static void run(Tick tick) {
-        OnceHome.run(tick);
-        for (PeerMessage message : Links.accepted(tick)) {
+        IdempotencyKeyCoordinator.run(tick);
+        for (PeerMessage message : PeerMessages.accepted(tick)) {
             for (PeerItem item : message.items()) {
                 take(tick, message, item);
             }
         }
-        OnceClaims.run(tick);
+        IdempotencyKeyClaims.run(tick);
     }
 
     private static void take(Tick tick, PeerMessage message, PeerItem item) {
         if (item instanceof OnceAsked asked) {
-            OnceHome.asked(tick, message, asked);
+            IdempotencyKeyCoordinator.onClaim(tick, message, asked);
         } else if (item instanceof OnceReleased released) {
-            OnceHome.released(tick, message, released);
+            IdempotencyKeyCoordinator.onRelease(tick, message, released);
         } else if (item instanceof OnceAnswered answered) {
-            OnceClaims.answered(tick, answered);
+            IdempotencyKeyClaims.onResult(tick, answered);
         } else if (item instanceof OnceForgotten forgotten) {
             forgotten(tick, forgotten);
         }
--- a/core/src/main/java/org/hibiscususher/core/request/OutlierSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/request/OutlierSystem.java
@@ -134,7 +134,7 @@
     }
 
     /** Returns whether a host that takes work may get this request now. */
-    static boolean mayStart(Tick tick, HostRow host, RequestRow row) {
+    static boolean allowsStart(Tick tick, HostRow host, RequestRow row) {
         long restedMs = tick.nowMs() - host.restUntilMs();
         if (restedMs < 0) {
             return false;
@@ -145,7 +145,7 @@
     }
 
     /** Notes that a request was started on a host: a probe keeps further ones away for a while. */
-    static void started(Tick tick, HostRow host) {
+    static void recordStart(Tick tick, HostRow host) {
         if (host.consecutiveFaults() >= FAULTS_TO_REST) {
             tick.count("outlier.probe");
             int restMs = budgetAllows(tick, host) ? PROBE_MS : PACE_MS;
--- a/core/src/main/java/org/hibiscususher/core/request/Permits.java
+++ b/core/src/main/java/org/hibiscususher/core/request/Permits.java
@@ -17,18 +17,18 @@
 
     /** Returns the permits that an attempt of a request on a host uses. */
     static List<PermitKey> needed(RequestRow row, String host) {
-        List<PermitKey> keys = new ArrayList<>(neededAnywhere(row));
+        List<PermitKey> keys = new ArrayList<>(neededOnAnyHost(row));
         keys.add(PermitKey.slot(row.pool(), host));
         return keys;
     }
 
     /** Returns the permits that an attempt of a request uses whatever the host. */
-    static List<PermitKey> neededAnywhere(RequestRow row) {
-        return neededAnywhere(row.lane());
+    static List<PermitKey> neededOnAnyHost(RequestRow row) {
+        return neededOnAnyHost(row.lane());
     }
 
     /** Returns the permits that each attempt of a lane's requests uses whatever the host. */
-    static List<PermitKey> neededAnywhere(RequestLane lane) {
+    static List<PermitKey> neededOnAnyHost(RequestLane lane) {
         return lane.kind() == QueueKind.LONG
                 ? List.of(PermitKey.unit(lane.team()), PermitKey.longRun(lane.pool()))
                 : List.of(PermitKey.unit(lane.team()));
--- a/core/src/main/java/org/hibiscususher/core/request/PlacementSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/request/PlacementSystem.java
@@ -44,11 +44,11 @@
         if (lanes.isEmpty() || !Freshness.vouches(world, tick.nowMs())) {
             return;
         }
-        LaneOrder order = LaneOrder.of(tick, lanes);
+        SchedulingOrder order = SchedulingOrder.of(tick, lanes);
         while (!lanes.isEmpty()) {
-            RequestLane lane = order.first(lanes);
+            RequestLane lane = order.next(lanes);
             if (open(world, lane) && startOne(tick, lane)) {
-                order.started(lane);
+                order.recordStart(lane);
             } else {
                 lanes.remove(lane);
             }
@@ -79,7 +79,7 @@
     /** Returns whether a lane has requests and the permits that they need on any host. */
     private static boolean open(World world, RequestLane lane) {
         return !world.requests().group(lane).isEmpty()
-                && Permits.idle(world, Permits.neededAnywhere(lane))
+                && Permits.idle(world, Permits.neededOnAnyHost(lane))
                 && Permits.idleSlots(world, lane.pool()) > 0;
     }
 
@@ -133,7 +133,7 @@
 
     private static boolean takes(Tick tick, HostRow host, RequestRow row) {
         return host.stage().takesWork()
-                && OutlierSystem.mayStart(tick, host, row)
+                && OutlierSystem.allowsStart(tick, host, row)
                 && host.spec().capacity().fits(row.arrival().needs())
                 && !row.triedHosts().contains(host.spec().id());
     }
@@ -142,7 +142,7 @@
         String id = host.spec().id();
         List<PermitKey> permits = Permits.needed(row, id);
         Permits.use(tick.world(), permits);
-        OutlierSystem.started(tick, host);
+        OutlierSystem.recordStart(tick, host);
         RequestRow started = row.started(tick.nowMs(), id, permits);
         tick.world().requests().put(row.id(), started);
         tick.emit(
--- a/core/src/main/java/org/hibiscususher/core/request/PoolView.java
+++ b/core/src/main/java/org/hibiscususher/core/request/PoolCapacity.java
@@ -20,14 +20,14 @@
  * @param entries how many entries take work
  * @param capacities the different capacities of its hosts
  */
-record PoolView(int slots, int held, int entries, Set<Capacity> capacities) {
+record PoolCapacity(int slots, int held, int entries, Set<Capacity> capacities) {
     /** Copies the set. */
-    PoolView {
+    PoolCapacity {
         capacities = Set.copyOf(capacities);
     }
 
     /** Returns the view of a pool. */
-    static PoolView of(World world, String pool) {
+    static PoolCapacity of(World world, String pool) {
         int slots = 0;
         Set<Capacity> capacities = new LinkedHashSet<>();
         for (HostRow host : world.hosts().group(pool)) {
@@ -38,7 +38,7 @@
         for (HoldingRow holding : world.holdings().group(PermitGroup.pool(pool))) {
             held += holding.key().kind() == PermitKind.SLOT ? holding.held() : 0;
         }
-        return new PoolView(slots, held, entries(world), capacities);
+        return new PoolCapacity(slots, held, entries(world), capacities);
     }
 
     private static int entries(World world) {
@@ -62,7 +62,7 @@
      * Returns the least time that requests of one team take to get through this entry, in
      * milliseconds: as if no other team asked and this entry had its even part of the pool.
      */
-    double leastWaitMs(World world, String team, int upperLimit, int waiting, double meanRunMs) {
+    double minWaitMs(World world, String team, int upperLimit, int waiting, double meanRunMs) {
         int ownUnits =
                 Optional.of(PermitKey.unit(team))
                         .flatMap(k -> world.holdings().find(k))
--- a/core/src/main/java/org/hibiscususher/core/request/Refusals.java
+++ b/core/src/main/java/org/hibiscususher/core/request/Refusals.java
@@ -19,7 +19,7 @@
     static void refuse(Tick tick, RequestRow row, Refusal refusal) {
         tick.world().requests().remove(row.id());
         boolean mayHaveRun = row.mayHaveRun() || refusal == Refusal.OUTCOME_UNKNOWN;
-        OnceClaims.end(tick, row.id(), mayHaveRun);
+        IdempotencyKeyClaims.close(tick, row.id(), mayHaveRun);
         refuse(tick, row.id(), mayHaveRun ? Refusal.OUTCOME_UNKNOWN : refusal);
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/request/RetrySystem.java
+++ b/core/src/main/java/org/hibiscususher/core/request/RetrySystem.java
@@ -89,7 +89,7 @@
 
     private static void finish(Tick tick, RequestRow row, AttemptOutcome outcome) {
         tick.world().requests().remove(row.id());
-        OnceClaims.end(tick, row.id(), row.mayHaveRun() || !outcome.notRun());
+        IdempotencyKeyClaims.close(tick, row.id(), row.mayHaveRun() || !outcome.notRun());
         if (outcome == AttemptOutcome.ANSWERED) {
             String queue = row.arrival().queue();
             QueueLoadRow load = loadOf(tick, queue);
--- a/core/src/main/java/org/hibiscususher/core/request/RecheckSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/request/RevalidationSystem.java
@@ -10,8 +10,8 @@
 import org.hibiscususher.core.world.World;
 
 /** Checks waiting requests again when a new revision has come into force. */
-public final class RecheckSystem {
-    private RecheckSystem() {}
+public final class RevalidationSystem {
+    private RevalidationSystem() {}
 
     /** Refuses waiting requests whose key, team or queue is gone, and moves the others along. */
     public static void run(Tick tick) {
--- a/core/src/main/java/org/hibiscususher/core/request/LaneOrder.java
+++ b/core/src/main/java/org/hibiscususher/core/request/SchedulingOrder.java
@@ -24,7 +24,7 @@
  * due here, added up over time. Of one team's work quick work goes first, unless long work has
  * waited for half of its time.
  */
-final class LaneOrder {
+final class SchedulingOrder {
     private static final int DUES_EXPIRY_MS = 1_000;
     private static final int LONGEST_STEP_MS = 50;
     private static final double MOST_CREDIT_MS = 1_000;
@@ -34,13 +34,13 @@
     private final Tick mTick;
     private final Map<CreditRow.Key, Double> mCredits = new LinkedHashMap<>();
 
-    private LaneOrder(Tick tick) {
+    private SchedulingOrder(Tick tick) {
         mTick = tick;
     }
 
     /** Returns the order of the lanes of a tick, and adds up what their teams fell short of. */
-    static LaneOrder of(Tick tick, Collection<RequestLane> lanes) {
-        LaneOrder order = new LaneOrder(tick);
+    static SchedulingOrder of(Tick tick, Collection<RequestLane> lanes) {
+        SchedulingOrder order = new SchedulingOrder(tick);
         Set<String> pools = new LinkedHashSet<>();
         lanes.forEach(l -> pools.add(l.pool()));
         Map<CreditRow.Key, Integer> running = new LinkedHashMap<>();
@@ -116,7 +116,7 @@
     }
 
     /** Notes that a request of a lane was started. */
-    void started(RequestLane lane) {
+    void recordStart(RequestLane lane) {
         mCredits.merge(keyOf(lane), -START_COST_MS, Double::sum);
     }
 
@@ -125,7 +125,7 @@
     }
 
     /** Returns the lane whose turn it is. */
-    RequestLane first(Collection<RequestLane> lanes) {
+    RequestLane next(Collection<RequestLane> lanes) {
         return lanes.stream()
                 .min(
                         Comparator.comparingDouble((RequestLane l) -> -mCredits.get(keyOf(l)))
--- a/core/src/main/java/org/hibiscususher/core/request/WaitingCounts.java
+++ b/core/src/main/java/org/hibiscususher/core/request/WaitingCounts.java
@@ -51,7 +51,7 @@
      * two thirds of the queue, several get equal parts, and some places are always free for a team
      * that has none waiting.
      */
-    boolean hasPlace(QueueSpec queue, String team) {
+    boolean hasFreePlace(QueueSpec queue, String team) {
         int free = queue.maxWaiting() - mByQueue.getOrDefault(queue.id(), 0);
         return free > 0 && waiting(queue.id(), team) < TEAM_FACTOR * free;
     }
--- a/core/src/main/java/org/hibiscususher/core/rollout/FreshnessSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/rollout/FreshnessSystem.java
@@ -1,6 +1,6 @@
 package org.hibiscususher.core.rollout;
 
-import org.hibiscususher.core.membership.Links;
+import org.hibiscususher.core.membership.PeerMessages;
 import org.hibiscususher.core.message.Input.RecordRead;
 import org.hibiscususher.core.message.Input.RecordSwapped;
 import org.hibiscususher.core.message.Input.RecordWatched;
@@ -52,7 +52,7 @@
         noteContact(tick);
         takeReads(tick);
         takeSwaps(tick);
-        for (PeerMessage message : Links.accepted(tick)) {
+        for (PeerMessage message : PeerMessages.accepted(tick)) {
             takeMessage(tick, message);
         }
         vouch(tick);
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerWorld.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerWorld.java
@@ -12,27 +12,32 @@
 import org.hibiscususher.core.scheduler.message.RecordName;
 import org.hibiscususher.core.scheduler.message.StoredRecord;
 import org.hibiscususher.core.table.GroupedTable;
-import org.hibiscususher.core.table.Single;
+import org.hibiscususher.core.table.SingleRowTable;
 import org.hibiscususher.core.table.Table;
 
 /** The tables of the scheduler. Not thread-safe: they belong to the control thread. */
 public final class SchedulerWorld {
     private final SchedulerSettings mSettings;
-    private final Single<TermRow> mTerm = Single.of(TermRow.initial());
-    private final Single<OwnershipRow> mOwnership =
-            Single.of(new OwnershipRow(false, Ownership.NONE, 0));
-    private final Single<OwnershipClaimRow> mOwnershipClaim = Single.of(OwnershipClaimRow.NONE);
-    private final Single<LeaseRenewalRow> mLeaseRenewal = Single.of(new LeaseRenewalRow(0, 0));
-    private final Single<HandoverRow> mHandover = Single.of(HandoverRow.NONE);
-    private final Single<LastTickRow> mLastTick = Single.of(new LastTickRow(0, 0));
-    private final Single<NodeStateRow> mNodeState = Single.of(new NodeStateRow(false, true, 0));
-    private final Single<ConfigurationRow> mConfiguration =
-            Single.of(new ConfigurationRow(JobConfiguration.EMPTY, 0));
-    private final Single<StoreHealthRow> mStoreHealth = Single.of(new StoreHealthRow(0, 0, 0));
-    private final Single<StoredRecord.Executors> mUsedExecutors =
-            Single.of(new StoredRecord.Executors(List.of()));
-    private final Single<HostListRow> mHostList = Single.of(new HostListRow(0, 0, 0));
-    private final Single<Optional<CommitRow>> mCommit = Single.of(Optional.empty());
+    private final SingleRowTable<TermRow> mTerm = SingleRowTable.of(TermRow.initial());
+    private final SingleRowTable<OwnershipRow> mOwnership =
+            SingleRowTable.of(new OwnershipRow(false, Ownership.NONE, 0));
+    private final SingleRowTable<OwnershipClaimRow> mOwnershipClaim =
+            SingleRowTable.of(OwnershipClaimRow.NONE);
+    private final SingleRowTable<LeaseRenewalRow> mLeaseRenewal =
+            SingleRowTable.of(new LeaseRenewalRow(0, 0));
+    private final SingleRowTable<HandoverRow> mHandover = SingleRowTable.of(HandoverRow.NONE);
+    private final SingleRowTable<LastTickRow> mLastTick = SingleRowTable.of(new LastTickRow(0, 0));
+    private final SingleRowTable<NodeStateRow> mNodeState =
+            SingleRowTable.of(new NodeStateRow(false, true, 0));
+    private final SingleRowTable<ConfigurationRow> mConfiguration =
+            SingleRowTable.of(new ConfigurationRow(JobConfiguration.EMPTY, 0));
+    private final SingleRowTable<StoreHealthRow> mStoreHealth =
+            SingleRowTable.of(new StoreHealthRow(0, 0, 0));
+    private final SingleRowTable<StoredRecord.Executors> mUsedExecutors =
+            SingleRowTable.of(new StoredRecord.Executors(List.of()));
+    private final SingleRowTable<HostListRow> mHostList =
+            SingleRowTable.of(new HostListRow(0, 0, 0));
+    private final SingleRowTable<Optional<CommitRow>> mCommit = SingleRowTable.of(Optional.empty());
     private final Table<RecordName, Long> mRevisions = Table.create();
     private final Table<RecordName, StoredRecord> mPendingRecords = Table.create();
     private final Table<RecordName, Long> mPendingRemovals = Table.create();
@@ -50,15 +55,16 @@
             GroupedTable.createBy(e -> e.key().executor());
     private final Table<StartKey, UncertainStartRow> mUncertainStarts = Table.create();
     private final Table<StepKey, AdviceRow> mAdvice = Table.create();
-    private final Single<AdviceRequestRow> mAdviceRequest = Single.of(AdviceRequestRow.NONE);
+    private final SingleRowTable<AdviceRequestRow> mAdviceRequest =
+            SingleRowTable.of(AdviceRequestRow.NONE);
     private final Table<Long, PendingRequestRow> mPendingRequests = Table.create();
     private final Table<Long, WaveRow> mWaves = Table.create();
     private final Table<String, HostReport> mHosts = Table.create();
     private final Table<String, HostOperationRow> mHostOperations = Table.create();
-    private final Single<Long> mMovesDecidedMs = Single.of(0L);
+    private final SingleRowTable<Long> mMovesDecidedMs = SingleRowTable.of(0L);
     private final Table<String, HostOrderRow> mHostOrders = Table.create();
-    private final Single<StoredRecord.HostOrders> mRecordedHostOrders =
-            Single.of(new StoredRecord.HostOrders(List.of()));
+    private final SingleRowTable<StoredRecord.HostOrders> mRecordedHostOrders =
+            SingleRowTable.of(new StoredRecord.HostOrders(List.of()));
 
     private SchedulerWorld(SchedulerSettings settings) {
         mSettings = requireNonNull(settings);
@@ -75,62 +81,62 @@
     }
 
     /** Returns the process's part in the ownership. */
-    public Single<TermRow> term() {
+    public SingleRowTable<TermRow> term() {
         return mTerm;
     }
 
     /** Returns the owner of the scheduling, as last reported by the store. */
-    public Single<OwnershipRow> ownership() {
+    public SingleRowTable<OwnershipRow> ownership() {
         return mOwnership;
     }
 
     /** Returns the last attempt of this process to become the owner. */
-    public Single<OwnershipClaimRow> ownershipClaim() {
+    public SingleRowTable<OwnershipClaimRow> ownershipClaim() {
         return mOwnershipClaim;
     }
 
     /** Returns the renewal of the owner's lease. */
-    public Single<LeaseRenewalRow> leaseRenewal() {
+    public SingleRowTable<LeaseRenewalRow> leaseRenewal() {
         return mLeaseRenewal;
     }
 
     /** Returns the offers of the ownership. */
-    public Single<HandoverRow> handover() {
+    public SingleRowTable<HandoverRow> handover() {
         return mHandover;
     }
 
     /** Returns the times of the previous tick. */
-    public Single<LastTickRow> lastTick() {
+    public SingleRowTable<LastTickRow> lastTick() {
         return mLastTick;
     }
 
     /** Returns readiness, store connection and shutdown of the process. */
-    public Single<NodeStateRow> nodeState() {
+    public SingleRowTable<NodeStateRow> nodeState() {
         return mNodeState;
     }
 
     /** Returns the configuration in force. */
-    public Single<ConfigurationRow> configuration() {
+    public SingleRowTable<ConfigurationRow> configuration() {
         return mConfiguration;
     }
 
     /** Returns whether commits to the store succeed. */
-    public Single<StoreHealthRow> storeHealth() {
+    public SingleRowTable<StoreHealthRow> storeHealth() {
         return mStoreHealth;
     }
 
     /** Returns the executors in use, as last submitted to the store. */
-    public Single<StoredRecord.Executors> usedExecutors() {
+    public SingleRowTable<StoredRecord.Executors> usedExecutors() {
         return mUsedExecutors;
     }
 
     /** Returns the state of the periodic listing of hosts. */
-    public Single<HostListRow> hostList() {
+    public SingleRowTable<HostListRow> hostList() {
         return mHostList;
     }
 
     /** Returns the commit in flight. */
-    public Single<Optional<CommitRow>> commit() {
+    public SingleRowTable<Optional<CommitRow>> commit() {
         return mCommit;
     }
 
@@ -203,7 +209,7 @@
     }
 
     /** Returns the advice request in flight. */
-    public Single<AdviceRequestRow> adviceRequest() {
+    public SingleRowTable<AdviceRequestRow> adviceRequest() {
         return mAdviceRequest;
     }
 
@@ -228,7 +234,7 @@
     }
 
     /** Returns when moves of hosts were last decided on, in milliseconds of the steady clock. */
-    public Single<Long> movesDecidedMs() {
+    public SingleRowTable<Long> movesDecidedMs() {
         return mMovesDecidedMs;
     }
 
@@ -238,7 +244,7 @@
     }
 
     /** Returns the hosts with orders, as last submitted to the store. */
-    public Single<StoredRecord.HostOrders> recordedHostOrders() {
+    public SingleRowTable<StoredRecord.HostOrders> recordedHostOrders() {
         return mRecordedHostOrders;
     }
 
--- a/core/src/main/java/org/hibiscususher/core/table/GroupedTable.java
+++ b/core/src/main/java/org/hibiscususher/core/table/GroupedTable.java
@@ -43,7 +43,7 @@
     }
 
     @Override
-    void replaced(K id, R before, R after) {
+    void onChange(K id, R before, R after) {
         G from = before == null ? null : mGroupOf.apply(before);
         G to = after == null ? null : mGroupOf.apply(after);
         if (from != null && !from.equals(to)) {
--- a/core/src/main/java/org/hibiscususher/core/table/Single.java
+++ b/core/src/main/java/org/hibiscususher/core/table/SingleRowTable.java
@@ -9,16 +9,16 @@
  *
  * @param <R> the type of the row
  */
-public final class Single<R> {
+public final class SingleRowTable<R> {
     private R mRow;
 
-    private Single(R row) {
+    private SingleRowTable(R row) {
         mRow = requireNonNull(row);
     }
 
     /** Creates a holder of the given row. */
-    public static <R> Single<R> of(R row) {
-        return new Single<>(row);
+    public static <R> SingleRowTable<R> of(R row) {
+        return new SingleRowTable<>(row);
     }
 
     /** Returns the row. */
--- a/core/src/main/java/org/hibiscususher/core/table/Table.java
+++ b/core/src/main/java/org/hibiscususher/core/table/Table.java
@@ -126,9 +126,9 @@
     private void changed(K id, R before, R after) {
         mSnapshotStale = true;
         mVersion++;
-        replaced(id, before, after);
+        onChange(id, before, after);
     }
 
     /** Called after a row was added ({@code before} is null), replaced or removed. */
-    void replaced(K id, R before, R after) {}
+    void onChange(K id, R before, R after) {}
 }
--- a/core/src/test/java/org/hibiscususher/core/membership/LinksTest.java
+++ b/core/src/test/java/org/hibiscususher/core/membership/PeerMessagesTest.java
@@ -14,7 +14,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
-class LinksTest {
+class PeerMessagesTest {
     private final World mWorld =
             World.create(new NodeIdentity("e1", 10, "e1:1", "z"), ControlSettings.DEFAULT, 0);
 
@@ -25,7 +25,7 @@
     }
 
     private boolean accepts(String from, long incarnation, long toIncarnation) {
-        return Links.accepts(
+        return PeerMessages.isCurrent(
                 mWorld,
                 new PeerMessage(
                         from, incarnation, toIncarnation, 1, 0, 1, 0, -1, -1, 0, List.of()));
@@ -51,13 +51,13 @@
     class Heartbeats {
         @Test
         void comeSeldomerInALargeSite() {
-            assertThat(Links.heartbeatMs(mWorld)).isEqualTo(200);
+            assertThat(PeerMessages.heartbeatMs(mWorld)).isEqualTo(200);
             for (int i = 3; i <= 64; i++) {
                 Member peer = new Member("e" + i, 20, "e:1", "z", MemberState.ACTIVE);
                 mWorld.members().put("e" + i, MemberRow.of(peer));
             }
-            assertThat(Links.heartbeatMs(mWorld)).isEqualTo(63 * 16);
-            assertThat(Links.silenceMs(mWorld)).isEqualTo(3 * 63 * 16);
+            assertThat(PeerMessages.heartbeatMs(mWorld)).isEqualTo(63 * 16);
+            assertThat(PeerMessages.silenceMs(mWorld)).isEqualTo(3 * 63 * 16);
         }
     }
 }
--- a/standin/src/test/java/org/hibiscususher/standin/request/OnceTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/request/OnceTest.java
@@ -7,7 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
-import org.hibiscususher.core.membership.Rendezvous;
+import org.hibiscususher.core.membership.RendezvousHash;
 import org.hibiscususher.core.message.Refusal;
 import org.hibiscususher.core.world.OnceKey;
 import org.hibiscususher.standin.virtual.EntryCondition;
@@ -33,7 +33,7 @@
 
     private String homeOf(String key) {
         OnceKey parsed = OnceKey.parse(key).orElseThrow();
-        return Rendezvous.choose(
+        return RendezvousHash.choose(
                         parsed.homeName(), mSite.entries().get("e1").world().membership().record())
                 .orElseThrow();
     }
--- a/standin/src/test/java/org/hibiscususher/standin/virtual/Members.java
+++ b/standin/src/test/java/org/hibiscususher/standin/virtual/Members.java
@@ -7,7 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.hibiscususher.core.config.KeyDigest;
-import org.hibiscususher.core.membership.Rendezvous;
+import org.hibiscususher.core.membership.RendezvousHash;
 import org.hibiscususher.core.message.MemberState;
 import org.hibiscususher.core.message.PlatformHost;
 import org.hibiscususher.core.message.RecordKey;
@@ -50,7 +50,7 @@
             }
             mEpochs.put(entry, record.epoch());
             for (String group : GROUPS) {
-                if (Rendezvous.choose(group, record).equals(Optional.of(entry.id()))) {
+                if (RendezvousHash.choose(group, record).equals(Optional.of(entry.id()))) {
                     VirtualEntry other =
                             mAllocators.putIfAbsent(record.epoch() + " " + group, entry);
                     assertThat(other == null || other == entry)
