Rename the daemon's and the tool's types to terms of the field

Exchanges, Ticking, StoreOutputs, TargetConnections, RefusalAnswer and the tool's *Text classes had names that only their author could resolve. They become ExchangeTable, TickHandler, StoreOutputHandler, TargetConnectionPool, RefusalResponse, JobTrace, StatusFormatter, HistoryFormatter and WaveCalls. No behaviour changes.

--- a/cli/src/main/java/org/hibiscususher/cli/Command.java
+++ b/cli/src/main/java/org/hibiscususher/cli/Command.java
@@ -73,7 +73,7 @@
         @Override
         ExitCode run(Invocation call) throws IOException {
             AnswerHistory answer = OperatorJson.decodeHistory(call.get("/notes"));
-            call.out().print(HistoryText.list(answer));
+            call.out().print(HistoryFormatter.list(answer));
             return ExitCode.OK;
         }
     },
@@ -82,7 +82,7 @@
         ExitCode run(Invocation call) throws IOException {
             String which = URLEncoder.encode(call.operand(), StandardCharsets.UTF_8);
             AnswerHistory answer = OperatorJson.decodeHistory(call.get("/notes?which=" + which));
-            call.out().print(HistoryText.show(answer));
+            call.out().print(HistoryFormatter.show(answer));
             return answer.notes().isEmpty() ? ExitCode.FAILED : ExitCode.OK;
         }
     },
@@ -97,32 +97,32 @@
         @Override
         ExitCode run(Invocation call) throws IOException {
             StatusReport report = OperatorJson.decodeStatus(call.get("/status"));
-            call.out().print(StatusText.of(report));
+            call.out().print(StatusFormatter.of(report));
             return ExitCode.OK;
         }
     },
     WAVE_PLAN("wave plan POOL...", "plan to reboot every host of the pools, or of all pools") {
         @Override
         ExitCode run(Invocation call) throws IOException {
-            return WaveText.call(call, "plan");
+            return WaveCalls.call(call, "plan");
         }
     },
     WAVE_START("wave start", "start or resume the maintenance wave") {
         @Override
         ExitCode run(Invocation call) throws IOException {
-            return WaveText.call(call, "start");
+            return WaveCalls.call(call, "start");
         }
     },
     WAVE_PAUSE("wave pause", "take no further host; those that are out come back") {
         @Override
         ExitCode run(Invocation call) throws IOException {
-            return WaveText.call(call, "pause");
+            return WaveCalls.call(call, "pause");
         }
     },
     WAVE_SHOW("wave show", "show the maintenance wave and the hosts out of service") {
         @Override
         ExitCode run(Invocation call) throws IOException {
-            return WaveText.call(call, "show");
+            return WaveCalls.call(call, "show");
         }
     },
     TRACE("trace ID FILE...", "print what the logs in the files say of a job, in order") {
@@ -133,7 +133,7 @@
             for (String file : Arrays.asList(words).subList(1, words.length)) {
                 lines.addAll(Files.readAllLines(Path.of(file)));
             }
-            List<String> trace = TraceText.of(words[0], lines);
+            List<String> trace = JobTrace.of(words[0], lines);
             trace.forEach(call.out()::println);
             return trace.isEmpty() ? ExitCode.FAILED : ExitCode.OK;
         }
--- a/cli/src/main/java/org/hibiscususher/cli/HistoryText.java
+++ b/cli/src/main/java/org/hibiscususher/cli/HistoryFormatter.java
@@ -9,11 +9,11 @@
 import org.hibiscususher.wire.yaml.NoteWriter;
 
 /** Writes accepted notes for a terminal. */
-final class HistoryText {
+final class HistoryFormatter {
     private static final DateTimeFormatter TIME =
             DateTimeFormatter.ofPattern("yyyy-MM-dd HH:mm:ss'Z'").withZone(ZoneOffset.UTC);
 
-    private HistoryText() {}
+    private HistoryFormatter() {}
 
     /** Returns one line a note. */
     static String list(AnswerHistory answer) {
--- a/cli/src/main/java/org/hibiscususher/cli/TraceText.java
+++ b/cli/src/main/java/org/hibiscususher/cli/JobTrace.java
@@ -14,7 +14,7 @@
  * <p>Lines that name the job come with those that changed what the processes believed meanwhile:
  * who owns the scheduling, whether the store was reached, and how the job's executors were.
  */
-final class TraceText {
+final class JobTrace {
     /** Time around the job's own lines from which other lines are taken, in milliseconds. */
     private static final long AROUND_MS = 3_000;
 
@@ -31,7 +31,7 @@
                     "commit-failed",
                     "suspended");
 
-    private TraceText() {}
+    private JobTrace() {}
 
     private record Line(long atMs, String node, String event, String rest) {
         boolean names(String id) {
--- a/cli/src/main/java/org/hibiscususher/cli/StatusText.java
+++ b/cli/src/main/java/org/hibiscususher/cli/StatusFormatter.java
@@ -4,11 +4,11 @@
 import org.hibiscususher.core.message.StatusReport;
 
 /** Writes an entry's status for a terminal. */
-final class StatusText {
+final class StatusFormatter {
     private static final double MS_PER_SECOND = 1_000;
     private static final String ROW = "  %-16s  %-8s  %-12s  %8s  %-11s  %-11s  %s";
 
-    private StatusText() {}
+    private StatusFormatter() {}
 
     static String of(StatusReport report) {
         StringBuilder text = new StringBuilder();
--- a/cli/src/main/java/org/hibiscususher/cli/WaveText.java
+++ b/cli/src/main/java/org/hibiscususher/cli/WaveCalls.java
@@ -6,10 +6,10 @@
 import org.hibiscususher.wire.json.OperatorJson;
 
 /** Sends commands about the maintenance wave and writes the answers for a terminal. */
-final class WaveText {
+final class WaveCalls {
     private static final int MS_PER_SECOND = 1_000;
 
-    private WaveText() {}
+    private WaveCalls() {}
 
     /** Sends a command and prints the answer. */
     static ExitCode call(Invocation call, String command) throws IOException {
--- a/cli/src/test/java/org/hibiscususher/cli/TraceTextTest.java
+++ b/cli/src/test/java/org/hibiscususher/cli/JobTraceTest.java
@@ -6,7 +6,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
-class TraceTextTest {
+class JobTraceTest {
     private static final List<String> LOGS =
             List.of(
                     "   1.2 e1 ms=5000 node=e1 event=start job=aa task=aa.0.0.0 executor=x1",
@@ -20,7 +20,7 @@
 
     @Nested
     class Trace {
-        private final List<String> mTrace = TraceText.of("aa", LOGS);
+        private final List<String> mTrace = JobTrace.of("aa", LOGS);
 
         @Test
         void tellsTheJobsOwnLinesInTheirOrder() {
@@ -37,7 +37,7 @@
 
         @Test
         void isEmptyForAnUnknownId() {
-            assertThat(TraceText.of("cc", LOGS)).isEmpty();
+            assertThat(JobTrace.of("cc", LOGS)).isEmpty();
         }
     }
 }
--- a/daemon/src/main/java/org/hibiscususher/daemon/Daemon.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/Daemon.java
@@ -20,12 +20,12 @@
 import org.hibiscususher.daemon.control.ControlThread;
 import org.hibiscususher.daemon.control.Inbox;
 import org.hibiscususher.daemon.control.MonotonicClock;
-import org.hibiscususher.daemon.front.Exchanges;
+import org.hibiscususher.daemon.front.ExchangeTable;
 import org.hibiscususher.daemon.front.FrontServer;
 import org.hibiscususher.daemon.peer.PeerLinks;
 import org.hibiscususher.daemon.settings.DaemonSettings;
 import org.hibiscususher.daemon.store.EtcdStore;
-import org.hibiscususher.daemon.store.StoreOutputs;
+import org.hibiscususher.daemon.store.StoreOutputHandler;
 
 /** One running entry: all its parts, wired together. */
 public final class Daemon implements AutoCloseable {
@@ -42,18 +42,18 @@
     private final Inbox<Input> mInbox = new Inbox<>();
     private final MetricRegistry mMetrics = new MetricRegistry();
     private final CountDownLatch mDone = new CountDownLatch(1);
-    private final Exchanges mExchanges;
+    private final ExchangeTable mExchanges;
     private final OperatorCalls mCalls;
-    private final StoreOutputs mStore;
+    private final StoreOutputHandler mStore;
     private final PeerLinks mPeers;
     private final FrontServer mFront;
     private final ControlThread mControl;
 
     private Daemon(DaemonSettings settings) throws IOException {
         mGroup = new MultiThreadIoEventLoopGroup(eventLoops(), NioIoHandler.newFactory());
-        mExchanges = Exchanges.create(mInbox, mMetrics);
+        mExchanges = ExchangeTable.create(mInbox, mMetrics);
         mCalls = OperatorCalls.create(mInbox);
-        mStore = StoreOutputs.create(EtcdStore.create(mGroup, settings.platform()), mInbox);
+        mStore = StoreOutputHandler.create(EtcdStore.create(mGroup, settings.platform()), mInbox);
         for (Refusal refusal : Refusal.values()) {
             mMetrics.counter("refusal." + refusal.code());
         }
@@ -103,17 +103,17 @@
         } else if (output instanceof Output.RebootHost reboot) {
             mStore.reboot(reboot);
         } else if (output instanceof Output.AnswerWave answer) {
-            mCalls.answer(answer.callId(), answer);
+            mCalls.complete(answer.callId(), answer);
         } else if (output instanceof Output.AnswerNote answer) {
-            mCalls.answer(answer.callId(), answer);
+            mCalls.complete(answer.callId(), answer);
         } else if (output instanceof Output.AnswerNoteCheck answer) {
-            mCalls.answer(answer.callId(), answer);
+            mCalls.complete(answer.callId(), answer);
         } else if (output instanceof Output.AnswerHistory answer) {
-            mCalls.answer(answer.callId(), answer);
+            mCalls.complete(answer.callId(), answer);
         } else if (output instanceof Output.AnswerExport answer) {
-            mCalls.answer(answer.callId(), answer);
+            mCalls.complete(answer.callId(), answer);
         } else if (output instanceof Output.AnswerStatus answer) {
-            mCalls.answer(answer.callId(), answer);
+            mCalls.complete(answer.callId(), answer);
         } else if (output instanceof Output.Count count) {
             mMetrics.counter(count.counter()).inc();
         } else if (output instanceof Output.LogEvent log) {
--- a/daemon/src/main/java/org/hibiscususher/daemon/admin/OperatorCalls.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/admin/OperatorCalls.java
@@ -25,7 +25,7 @@
     }
 
     /** Answers a call. */
-    public void answer(long callId, Output answer) {
+    public void complete(long callId, Output answer) {
         CompletableFuture<Output> call = mCalls.remove(callId);
         if (call != null) {
             call.complete(answer);
--- a/daemon/src/main/java/org/hibiscususher/daemon/control/ControlThread.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/control/ControlThread.java
@@ -42,7 +42,7 @@
      * @param tickMs longest time between two ticks, in milliseconds
      */
     public static <I, O> ControlThread start(
-            Ticking<I, O> node,
+            TickHandler<I, O> node,
             EpochClock clock,
             Inbox<I> inbox,
             OutputHandler<O> handler,
@@ -65,7 +65,7 @@
     }
 
     private static final class Ticker<I, O> implements Agent {
-        private final Ticking<I, O> mNode;
+        private final TickHandler<I, O> mNode;
         private final EpochClock mClock;
         private final Inbox<I> mInbox;
         private final OutputHandler<O> mHandler;
@@ -74,7 +74,7 @@
         private long mNextTickNs = System.nanoTime();
 
         Ticker(
-                Ticking<I, O> node,
+                TickHandler<I, O> node,
                 EpochClock clock,
                 Inbox<I> inbox,
                 OutputHandler<O> handler,
--- a/daemon/src/main/java/org/hibiscususher/daemon/control/Ticking.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/control/TickHandler.java
@@ -9,7 +9,7 @@
  * @param <O> the type of the outputs
  */
 @FunctionalInterface
-public interface Ticking<I, O> {
+public interface TickHandler<I, O> {
     /**
      * Runs every system once.
      *
--- a/daemon/src/main/java/org/hibiscususher/daemon/forward/ForwardClient.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/forward/ForwardClient.java
@@ -26,7 +26,7 @@
 /**
  * Passes requests on to the entry that owns the scheduling, over one connection.
  *
- * <p>All state belongs to one event loop; {@link #send} may be called on any thread.
+ * <p>All state belongs to one event loop; {@link #forward} may be called on any thread.
  */
 public final class ForwardClient {
     private static final int CONNECT_TIMEOUT_MS = 300;
@@ -74,14 +74,14 @@
     }
 
     /** Passes a request on; it ends with an answer or a {@link ForwardFailed}. */
-    public void send(long callId, String address, JobRequest call) {
+    public void forward(long callId, String address, JobRequest call) {
         send(address, LinkMessage.of(callId, call));
     }
 
     /** Asks the owner of an earlier term to give no more orders; tells when it has agreed. */
-    public void askYield(String address, long generation) {
+    public void requestRelinquish(String address, long generation) {
         long callId =
-                mCalls.add(
+                mCalls.register(
                         answer -> {
                             if (answer.kind() == JobResponseKind.ACCEPTED) {
                                 mInbox.add(new PredecessorRelinquished(generation));
@@ -91,8 +91,8 @@
     }
 
     /** Offers the ownership to another entry, which does not tell what it makes of it. */
-    public void offer(String address, long generation) {
-        long callId = mCalls.add(answer -> {});
+    public void offerHandover(String address, long generation) {
+        long callId = mCalls.register(answer -> {});
         send(address, LinkMessage.ofOffer(callId, generation));
     }
 
@@ -130,7 +130,7 @@
 
     private void received(LinkMessage message) {
         if (mSent.remove(message.callId()) != null) {
-            message.answer().ifPresent(answer -> mCalls.answer(message.callId(), answer));
+            message.answer().ifPresent(answer -> mCalls.complete(message.callId(), answer));
         }
     }
 
--- a/daemon/src/main/java/org/hibiscususher/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/forward/ForwardServer.java
@@ -94,12 +94,14 @@
             LongFunction<SchedulerInput> input,
             PendingCalls calls,
             Inbox<SchedulerInput> inbox) {
-        long id = calls.add(answer -> LinkPipeline.send(channel, LinkMessage.of(remoteId, answer)));
+        long id =
+                calls.register(
+                        answer -> LinkPipeline.send(channel, LinkMessage.of(remoteId, answer)));
         if (id == 0 || !inbox.offer(input.apply(id))) {
             JobResponse answer =
                     JobResponse.refusal(
                             JobResponseKind.OVERLOADED, RETRY_AFTER_MS, "too-many-requests");
-            calls.answer(id, answer);
+            calls.complete(id, answer);
             LinkPipeline.send(channel, LinkMessage.of(remoteId, answer));
         }
     }
--- a/daemon/src/main/java/org/hibiscususher/daemon/forward/PendingCalls.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/forward/PendingCalls.java
@@ -20,7 +20,7 @@
      *
      * @param sink takes the answer, on any thread
      */
-    public long add(Consumer<JobResponse> sink) {
+    public long register(Consumer<JobResponse> sink) {
         if (mSinks.size() >= MAX_PENDING) {
             return 0;
         }
@@ -30,7 +30,7 @@
     }
 
     /** Hands an answer to where it goes; an id that is not known is passed over. */
-    public void answer(long id, JobResponse answer) {
+    public void complete(long id, JobResponse answer) {
         Consumer<JobResponse> sink = mSinks.remove(id);
         if (sink != null) {
             sink.accept(answer);
--- a/daemon/src/main/java/org/hibiscususher/daemon/front/Attempt.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/front/Attempt.java
@@ -29,7 +29,7 @@
     private final Exchange mExchange;
     private final StartAttempt mStart;
     private final Inbox<Input> mInbox;
-    private final TargetConnections mConnections;
+    private final TargetConnectionPool mConnections;
     private AttemptStage mStage = AttemptStage.CONNECTING;
     private TargetConnection mConnection;
     private Future<?> mRunLimit;
@@ -44,7 +44,7 @@
             Exchange exchange,
             StartAttempt start,
             Inbox<Input> inbox,
-            TargetConnections connections) {
+            TargetConnectionPool connections) {
         mExchange = exchange;
         mStart = start;
         mInbox = inbox;
--- a/daemon/src/main/java/org/hibiscususher/daemon/front/Exchange.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/front/Exchange.java
@@ -28,7 +28,7 @@
  * answer, a refusal, a broken connection, or because its caller went away.
  */
 final class Exchange {
-    private final Exchanges mExchanges;
+    private final ExchangeTable mExchanges;
     private final long mId;
     private final Channel mCaller;
     private final FullHttpRequest mRequest;
@@ -38,7 +38,11 @@
     private boolean mAnswerBegun;
     private boolean mOver;
 
-    Exchange(Exchanges exchanges, Channel caller, FullHttpRequest request, ParsedRequest parsed) {
+    Exchange(
+            ExchangeTable exchanges,
+            Channel caller,
+            FullHttpRequest request,
+            ParsedRequest parsed) {
         mExchanges = exchanges;
         mId = exchanges.nextId();
         mCaller = caller;
@@ -97,7 +101,7 @@
         } else {
             mExchanges.track(
                     mCaller.writeAndFlush(
-                            RefusalAnswer.of(mCaller, refusal, mExchanges.leaving())));
+                            RefusalResponse.of(mCaller, refusal, mExchanges.leaving())));
         }
         finish();
     }
--- a/daemon/src/main/java/org/hibiscususher/daemon/front/Exchanges.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/front/ExchangeTable.java
@@ -16,12 +16,12 @@
 import org.hibiscususher.daemon.control.Inbox;
 
 /** The requests at hand on the traffic side, by id, within bounds. Thread-safe. */
-public final class Exchanges {
+public final class ExchangeTable {
     private static final int MAX_EXCHANGES = 16_384;
     private static final int MAX_BODY_BYTES = 64 * 1024 * 1024;
 
     private final Map<Long, Exchange> mExchanges = new ConcurrentHashMap<>();
-    private final Map<EventLoop, TargetConnections> mConnections = new ConcurrentHashMap<>();
+    private final Map<EventLoop, TargetConnectionPool> mConnections = new ConcurrentHashMap<>();
     private final AtomicLong mIds = new AtomicLong();
     private final AtomicInteger mCount = new AtomicInteger();
     private final AtomicInteger mWriting = new AtomicInteger();
@@ -32,7 +32,7 @@
     private final ByteBufAllocator mAllocator;
     private volatile boolean mLeaving;
 
-    private Exchanges(Inbox<Input> inbox, MetricRegistry metrics, ByteBufAllocator allocator) {
+    private ExchangeTable(Inbox<Input> inbox, MetricRegistry metrics, ByteBufAllocator allocator) {
         mInbox = inbox;
         mMetrics = metrics;
         mAllocator = allocator;
@@ -44,13 +44,13 @@
      * @param inbox takes what happens to requests
      * @param metrics counts refusals that need no decision of the control thread
      */
-    public static Exchanges create(Inbox<Input> inbox, MetricRegistry metrics) {
+    public static ExchangeTable create(Inbox<Input> inbox, MetricRegistry metrics) {
         return create(inbox, metrics, PooledByteBufAllocator.DEFAULT);
     }
 
-    static Exchanges create(
+    static ExchangeTable create(
             Inbox<Input> inbox, MetricRegistry metrics, ByteBufAllocator allocator) {
-        return new Exchanges(inbox, metrics, allocator);
+        return new ExchangeTable(inbox, metrics, allocator);
     }
 
     /** Sends a request to a target. */
@@ -106,8 +106,8 @@
     }
 
     /** Returns the connections to targets of an event loop; for use on that loop alone. */
-    TargetConnections connections(EventLoop loop) {
-        return mConnections.computeIfAbsent(loop, l -> new TargetConnections(l, mAllocator));
+    TargetConnectionPool connections(EventLoop loop) {
+        return mConnections.computeIfAbsent(loop, l -> new TargetConnectionPool(l, mAllocator));
     }
 
     long nextId() {
--- a/daemon/src/main/java/org/hibiscususher/daemon/front/FrontHandler.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/front/FrontHandler.java
@@ -17,11 +17,11 @@
  * further request waits.
  */
 final class FrontHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
-    private final Exchanges mExchanges;
+    private final ExchangeTable mExchanges;
     private final Deque<FullHttpRequest> mPipelined = new ArrayDeque<>();
     private Exchange mCurrent;
 
-    FrontHandler(Exchanges exchanges) {
+    FrontHandler(ExchangeTable exchanges) {
         super(false);
         mExchanges = exchanges;
     }
@@ -62,7 +62,7 @@
         if (parsed.isEmpty()) {
             request.release();
             mExchanges.countRefusal(Refusal.REQUEST_MALFORMED);
-            caller.writeAndFlush(RefusalAnswer.of(caller, Refusal.REQUEST_MALFORMED, true));
+            caller.writeAndFlush(RefusalResponse.of(caller, Refusal.REQUEST_MALFORMED, true));
             return;
         }
         Exchange exchange = new Exchange(mExchanges, caller, request, parsed.get());
--- a/daemon/src/main/java/org/hibiscususher/daemon/front/FrontServer.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/front/FrontServer.java
@@ -37,7 +37,7 @@
      * @param exchanges takes the requests
      * @throws IOException if the address can't be bound
      */
-    public static FrontServer listen(EventLoopGroup group, String address, Exchanges exchanges)
+    public static FrontServer listen(EventLoopGroup group, String address, ExchangeTable exchanges)
             throws IOException {
         ChannelGroup callers = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
         ChannelFuture bound =
@@ -66,7 +66,7 @@
         return new FrontServer(bound.channel());
     }
 
-    private static void addHandlers(Channel channel, Exchanges exchanges) {
+    private static void addHandlers(Channel channel, ExchangeTable exchanges) {
         channel.pipeline()
                 .addLast(new IdleStateHandler(0, 0, IDLE_TIMEOUT_S))
                 .addLast(new HttpServerCodec())
--- a/daemon/src/main/java/org/hibiscususher/daemon/front/RefusalAnswer.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/front/RefusalResponse.java
@@ -10,8 +10,8 @@
 import org.hibiscususher.core.message.Refusal;
 
 /** Builds the answers that tell callers of refusals. */
-final class RefusalAnswer {
-    private RefusalAnswer() {}
+final class RefusalResponse {
+    private RefusalResponse() {}
 
     /** Returns the answer; it ends the caller's connection if so asked. */
     static FullHttpResponse of(Channel caller, Refusal refusal, boolean closing) {
--- a/daemon/src/main/java/org/hibiscususher/daemon/front/RequestAggregator.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/front/RequestAggregator.java
@@ -10,9 +10,9 @@
 
 /** Collects whole requests and refuses those that are too large. */
 final class RequestAggregator extends HttpObjectAggregator {
-    private final Exchanges mExchanges;
+    private final ExchangeTable mExchanges;
 
-    RequestAggregator(int maxBytes, Exchanges exchanges) {
+    RequestAggregator(int maxBytes, ExchangeTable exchanges) {
         super(maxBytes);
         mExchanges = exchanges;
     }
@@ -23,7 +23,7 @@
         if (HttpUtil.is100ContinueExpected(start)
                 && HttpUtil.getContentLength(start, -1L) > maxContentLength) {
             mExchanges.countRefusal(Refusal.REQUEST_TOO_LARGE);
-            return RefusalAnswer.of(pipeline.channel(), Refusal.REQUEST_TOO_LARGE, true);
+            return RefusalResponse.of(pipeline.channel(), Refusal.REQUEST_TOO_LARGE, true);
         }
         return super.newContinueResponse(start, maxContentLength, pipeline);
     }
@@ -31,7 +31,8 @@
     @Override
     protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage oversized) {
         mExchanges.countRefusal(Refusal.REQUEST_TOO_LARGE);
-        context.writeAndFlush(RefusalAnswer.of(context.channel(), Refusal.REQUEST_TOO_LARGE, true))
+        context.writeAndFlush(
+                        RefusalResponse.of(context.channel(), Refusal.REQUEST_TOO_LARGE, true))
                 .addListener(ChannelFutureListener.CLOSE);
     }
 }
--- a/daemon/src/main/java/org/hibiscususher/daemon/front/TargetConnection.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/front/TargetConnection.java
@@ -11,13 +11,13 @@
 
 /** A connection to a target, which carries one attempt at a time. Belongs to its event loop. */
 final class TargetConnection extends SimpleChannelInboundHandler<HttpObject> {
-    private final TargetConnections mOwner;
+    private final TargetConnectionPool mOwner;
     private final String mAddress;
     private Channel mChannel;
     private Attempt mAttempt;
     private long mIdleSinceNs;
 
-    TargetConnection(TargetConnections owner, String address) {
+    TargetConnection(TargetConnectionPool owner, String address) {
         super(false);
         mOwner = owner;
         mAddress = address;
--- a/daemon/src/main/java/org/hibiscususher/daemon/front/TargetConnections.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/front/TargetConnectionPool.java
@@ -18,7 +18,7 @@
 import org.hibiscususher.wire.http.Addresses;
 
 /** Makes and keeps the connections to targets of one event loop, to which it belongs. */
-final class TargetConnections {
+final class TargetConnectionPool {
     private static final int CONNECT_TIMEOUT_MS = 1_000;
     private static final int MAX_IDLE = 256;
     private static final int MAX_IDLE_PER_ADDRESS = 8;
@@ -31,7 +31,7 @@
     private int mIdleCount;
     private boolean mSweeping;
 
-    TargetConnections(EventLoop loop, ByteBufAllocator allocator) {
+    TargetConnectionPool(EventLoop loop, ByteBufAllocator allocator) {
         mLoop = loop;
         mBootstrap =
                 new Bootstrap()
--- a/daemon/src/main/java/org/hibiscususher/daemon/store/StoreOutputs.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/store/StoreOutputHandler.java
@@ -20,20 +20,20 @@
 import org.hibiscususher.wire.json.RecordCodec;
 
 /** Carries out the core's calls of the platform's store and gives the answers back as inputs. */
-public final class StoreOutputs {
-    private static final Logger LOG = System.getLogger(StoreOutputs.class.getName());
+public final class StoreOutputHandler {
+    private static final Logger LOG = System.getLogger(StoreOutputHandler.class.getName());
 
     private final PlatformStore mStore;
     private final Inbox<Input> mInbox;
 
-    private StoreOutputs(PlatformStore store, Inbox<Input> inbox) {
+    private StoreOutputHandler(PlatformStore store, Inbox<Input> inbox) {
         mStore = store;
         mInbox = inbox;
     }
 
     /** Creates the link between the core and a store. */
-    public static StoreOutputs create(PlatformStore store, Inbox<Input> inbox) {
-        return new StoreOutputs(store, inbox);
+    public static StoreOutputHandler create(PlatformStore store, Inbox<Input> inbox) {
+        return new StoreOutputHandler(store, inbox);
     }
 
     /** Watches a record. */
--- a/daemon/src/test/java/org/hibiscususher/daemon/front/FrontAttemptsTest.java
+++ b/daemon/src/test/java/org/hibiscususher/daemon/front/FrontAttemptsTest.java
@@ -20,7 +20,7 @@
             RequestArrived arrival = sent(POST);
             String address = mTarget.address();
             mTarget.close();
-            mRig.start(arrival, 1, address, FrontRig.LONG_RUN_MS);
+            mRig.start(arrival, 1, address, FrontHarness.LONG_RUN_MS);
             assertEnded(AttemptOutcome.NOT_CONNECTED);
             mRig.refuse(arrival, Refusal.TARGETS_FAILED);
             assertThat(mCaller.readTo("}\n")).startsWith("HTTP/1.1 502").endsWith(NOT_RUN);
--- a/daemon/src/test/java/org/hibiscususher/daemon/front/FrontFixture.java
+++ b/daemon/src/test/java/org/hibiscususher/daemon/front/FrontFixture.java
@@ -16,13 +16,13 @@
     static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
     static final String NOT_RUN = "\"ran\":\"not-run\"}\n";
 
-    FrontRig mRig;
+    FrontHarness mRig;
     ScriptedTarget mTarget;
     CallerSocket mCaller;
 
     @BeforeEach
     void open() throws IOException {
-        mRig = new FrontRig();
+        mRig = new FrontHarness();
         mTarget = new ScriptedTarget();
         mCaller = new CallerSocket(mRig.address());
     }
--- a/daemon/src/test/java/org/hibiscususher/daemon/front/FrontRig.java
+++ b/daemon/src/test/java/org/hibiscususher/daemon/front/FrontHarness.java
@@ -19,7 +19,7 @@
 import org.hibiscususher.daemon.control.Inbox;
 
 /** The real front over sockets, with the test in place of the control thread. */
-final class FrontRig implements AutoCloseable {
+final class FrontHarness implements AutoCloseable {
     static final int LONG_RUN_MS = 60_000;
     private static final long WAIT_NS = TimeUnit.SECONDS.toNanos(10);
     private static final long POLL_NS = TimeUnit.MILLISECONDS.toNanos(5);
@@ -30,10 +30,10 @@
     private final Inbox<Input> mInbox = new Inbox<>();
     private final Deque<Input> mInputs = new ArrayDeque<>();
     private final MetricRegistry mMetrics = new MetricRegistry();
-    private final Exchanges mExchanges = Exchanges.create(mInbox, mMetrics, mAllocator);
+    private final ExchangeTable mExchanges = ExchangeTable.create(mInbox, mMetrics, mAllocator);
     private final FrontServer mServer;
 
-    FrontRig() throws IOException {
+    FrontHarness() throws IOException {
         mServer = FrontServer.listen(mGroup, "127.0.0.1:0", mExchanges);
     }
 
@@ -41,7 +41,7 @@
         return mServer.address();
     }
 
-    Exchanges exchanges() {
+    ExchangeTable exchanges() {
         return mExchanges;
     }
 
--- a/daemon/src/test/java/org/hibiscususher/daemon/front/FrontCallersTest.java
+++ b/daemon/src/test/java/org/hibiscususher/daemon/front/FrontRequestsTest.java
@@ -13,7 +13,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** What callers send. */
-class FrontCallersTest extends FrontFixture {
+class FrontRequestsTest extends FrontFixture {
     @Nested
     class Callers {
         @Test
--- a/daemon/src/test/java/org/hibiscususher/daemon/front/FrontAnswersTest.java
+++ b/daemon/src/test/java/org/hibiscususher/daemon/front/FrontResponsesTest.java
@@ -12,7 +12,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Answers of targets on their way to callers, whole and broken. */
-class FrontAnswersTest extends FrontFixture {
+class FrontResponsesTest extends FrontFixture {
     @Nested
     class Answers {
         @Test
