Name the types of notes and roll-out by the terms of the field

Place and Placed said nothing of source files, CheckedNote held no note, and Revisions, Confirmation and HistorySystem did not name what they do. They are now SourceLocation, Located, NoteCheckResult, ActiveConfiguration, RollOutConfirmation and ConfigurationQuerySystem; record components and Freshness follow. No text that leaves the process changes.

--- a/cli/src/main/java/org/hibiscususher/cli/HistoryText.java
+++ b/cli/src/main/java/org/hibiscususher/cli/HistoryText.java
@@ -26,7 +26,7 @@
                             time(note),
                             note.author(),
                             note.id(),
-                            note.changes(),
+                            note.changeSummary(),
                             note.summary()));
         }
         return text.append(detail(answer)).toString();
@@ -41,9 +41,9 @@
             text.append("author: ").append(note.author()).append('\n');
             text.append("summary: ").append(note.summary()).append('\n');
             text.append("written: ").append(time(note)).append('\n');
-            text.append("changes: ").append(note.changes()).append('\n');
+            text.append("changes: ").append(note.changeSummary()).append('\n');
             text.append(
-                    note.whole()
+                    note.hasDelta()
                             ? NoteWriter.write(note.delta())
                             : "too large to list; \"export\" shows the state in force\n");
         }
--- a/core/src/main/java/org/hibiscususher/core/control/Phase.java
+++ b/core/src/main/java/org/hibiscususher/core/control/Phase.java
@@ -18,9 +18,9 @@
 import org.hibiscususher.core.request.PlacementSystem;
 import org.hibiscususher.core.request.RecheckSystem;
 import org.hibiscususher.core.request.RetrySystem;
+import org.hibiscususher.core.rollout.ConfigurationQuerySystem;
 import org.hibiscususher.core.rollout.FreshnessSystem;
-import org.hibiscususher.core.rollout.HistorySystem;
-import org.hibiscususher.core.rollout.NoteSystem;
+import org.hibiscususher.core.rollout.NoteCommitSystem;
 import org.hibiscususher.core.rollout.RollOutSystem;
 import org.hibiscususher.core.world.Tick;
 
@@ -53,13 +53,13 @@
     NOTE {
         @Override
         void run(Tick tick) {
-            NoteSystem.run(tick);
+            NoteCommitSystem.run(tick);
         }
     },
     HISTORY {
         @Override
         void run(Tick tick) {
-            HistorySystem.run(tick);
+            ConfigurationQuerySystem.run(tick);
         }
     },
     RECHECK {
--- a/core/src/main/java/org/hibiscususher/core/control/StatusSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/control/StatusSystem.java
@@ -38,7 +38,7 @@
                 Math.max(world.freshness().knownRevision(), world.configuration().revision()),
                 age(tick, node.storeContactMs()),
                 Freshness.ageMs(world, tick.nowMs()),
-                node.stage().admits() && Freshness.vouches(world, tick.nowMs()),
+                node.stage().admits() && Freshness.isFresh(world, tick.nowMs()),
                 waiting,
                 running,
                 world.members().rows().stream().map(m -> peer(tick, m)).toList());
--- a/core/src/main/java/org/hibiscususher/core/maintenance/FleetRecords.java
+++ b/core/src/main/java/org/hibiscususher/core/maintenance/FleetRecords.java
@@ -52,7 +52,7 @@
         World world = tick.world();
         FleetSyncRow sync = world.fleetSync();
         return world.node().stage() == NodeStage.SERVING
-                && Freshness.vouches(world, tick.nowMs())
+                && Freshness.isFresh(world, tick.nowMs())
                 && sync.callId() == 0
                 && sync.version() > 0
                 && sync.epoch() == world.membership().record().epoch()
--- a/core/src/main/java/org/hibiscususher/core/note/AcceptedNote.java
+++ b/core/src/main/java/org/hibiscususher/core/note/AcceptedNote.java
@@ -13,9 +13,9 @@
  * @param summary one line for the history
  * @param writtenMs when it was written, in milliseconds since 1970 of the writer's wall clock
  * @param digest digest of what it asks for; tells a repeated note from another with the same id
- * @param changes what it changed, in one line
+ * @param changeSummary what it changed, in one line
  * @param delta what it changed; {@link ConfigurationDelta#NONE} if not whole
- * @param whole whether the delta is here; a large one is found in the snapshot alone
+ * @param hasDelta whether the delta is here; a large one is found in the snapshot alone
  */
 public record AcceptedNote(
         long revision,
@@ -24,9 +24,9 @@
         String summary,
         long writtenMs,
         String digest,
-        String changes,
+        String changeSummary,
         ConfigurationDelta delta,
-        boolean whole) {
+        boolean hasDelta) {
     private static final int FIXED_BYTES = 200;
 
     /** Checks the fields. */
@@ -35,7 +35,7 @@
         requireNonNull(author);
         requireNonNull(summary);
         requireNonNull(digest);
-        requireNonNull(changes);
+        requireNonNull(changeSummary);
         requireNonNull(delta);
         if (revision < 1) {
             throw new IllegalArgumentException("revision: " + revision);
@@ -51,7 +51,7 @@
                 summary,
                 writtenMs,
                 digest,
-                changes,
+                changeSummary,
                 ConfigurationDelta.NONE,
                 false);
     }
--- a/core/src/main/java/org/hibiscususher/core/note/WholeChecker.java
+++ b/core/src/main/java/org/hibiscususher/core/note/ConsistencyChecker.java
@@ -17,28 +17,29 @@
 import org.hibiscususher.core.config.QueueSpec;
 
 /** Checks a configuration across its declarations; places findings in the note that made it. */
-final class WholeChecker {
+final class ConsistencyChecker {
     private final Configuration mBefore;
     private final Configuration mAfter;
     private final ConfigurationDelta mDelta;
-    private final Map<String, Place> mPlaces;
+    private final Map<String, SourceLocation> mPlaces;
     private final Set<String> mWithdrawn;
-    private final Place mNotePlace;
+    private final SourceLocation mNotePlace;
     private final List<Finding> mFindings = new ArrayList<>();
 
-    private WholeChecker(
+    private ConsistencyChecker(
             ReleaseNote note,
             Configuration before,
             Configuration after,
-            Map<String, Place> places,
+            Map<String, SourceLocation> places,
             Set<String> withdrawn) {
         mBefore = before;
         mAfter = after;
         mDelta = ConfigurationDelta.between(before, after);
         mPlaces = places;
         mWithdrawn = withdrawn;
-        String file = places.values().stream().findFirst().map(Place::file).orElse(note.id());
-        mNotePlace = new Place(file, 1, 1);
+        String file =
+                places.values().stream().findFirst().map(SourceLocation::file).orElse(note.id());
+        mNotePlace = new SourceLocation(file, 1, 1);
     }
 
     /**
@@ -54,9 +55,9 @@
             ReleaseNote note,
             Configuration before,
             Configuration after,
-            Map<String, Place> places,
+            Map<String, SourceLocation> places,
             Set<String> withdrawn) {
-        WholeChecker checker = new WholeChecker(note, before, after, places, withdrawn);
+        ConsistencyChecker checker = new ConsistencyChecker(note, before, after, places, withdrawn);
         checker.checkNotEmpty();
         checker.checkHosts();
         checker.checkKeys();
@@ -161,7 +162,7 @@
     }
 
     private void checkPool(PoolSpec pool, List<HostSpec> hosts) {
-        Place place = placeOf("pool " + pool.id());
+        SourceLocation place = placeOf("pool " + pool.id());
         int out = pool.budget().maxUnavailable();
         int outPerZone = pool.budget().maxUnavailablePerZone();
         if (outPerZone > out) {
@@ -208,7 +209,7 @@
         }
     }
 
-    private void checkZones(PoolSpec pool, List<HostSpec> hosts, Place place) {
+    private void checkZones(PoolSpec pool, List<HostSpec> hosts, SourceLocation place) {
         SortedMap<String, Integer> zones = new TreeMap<>();
         hosts.forEach(h -> zones.merge(h.zone(), 1, Integer::sum));
         int outPerZone = pool.budget().maxUnavailablePerZone();
@@ -240,9 +241,9 @@
         }
     }
 
-    private Place placeOf(String... names) {
+    private SourceLocation placeOf(String... names) {
         for (String name : names) {
-            Place place = mPlaces.get(name);
+            SourceLocation place = mPlaces.get(name);
             if (place != null) {
                 return place;
             }
@@ -250,11 +251,11 @@
         return mNotePlace;
     }
 
-    private void error(Place place, String message) {
+    private void error(SourceLocation place, String message) {
         mFindings.add(new Finding(place, message));
     }
 
-    private void warn(Place place, String message) {
+    private void warn(SourceLocation place, String message) {
         mFindings.add(new Finding(place, Severity.WARNING, message));
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/note/Declarations.java
+++ b/core/src/main/java/org/hibiscususher/core/note/Declarations.java
@@ -17,11 +17,11 @@
  * @param queues queues
  */
 public record Declarations(
-        List<Placed<PoolSpec>> pools,
-        List<Placed<HostSpec>> hosts,
-        List<Placed<TeamSpec>> teams,
-        List<Placed<KeySpec>> keys,
-        List<Placed<QueueSpec>> queues) {
+        List<Located<PoolSpec>> pools,
+        List<Located<HostSpec>> hosts,
+        List<Located<TeamSpec>> teams,
+        List<Located<KeySpec>> keys,
+        List<Located<QueueSpec>> queues) {
     /** No declarations. */
     public static final Declarations NONE =
             new Declarations(List.of(), List.of(), List.of(), List.of(), List.of());
--- a/core/src/main/java/org/hibiscususher/core/note/Placed.java
+++ b/core/src/main/java/org/hibiscususher/core/note/Located.java
@@ -3,16 +3,16 @@
 import static java.util.Objects.requireNonNull;
 
 /**
- * A declaration and the place where it stands.
+ * A declaration and the location where it stands.
  *
  * @param value the declaration
- * @param place where it stands
+ * @param location where it stands
  * @param <T> type of the declaration
  */
-public record Placed<T>(T value, Place place) {
+public record Located<T>(T value, SourceLocation location) {
     /** Checks the fields. */
-    public Placed {
+    public Located {
         requireNonNull(value);
-        requireNonNull(place);
+        requireNonNull(location);
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/note/CheckedNote.java
+++ b/core/src/main/java/org/hibiscususher/core/note/NoteCheckResult.java
@@ -10,14 +10,15 @@
  * A release note after its check.
  *
  * @param findings all that was found, in order of place
- * @param result the configuration with the note applied; of use only without errors
+ * @param configuration the configuration with the note applied; of use only without errors
  * @param delta what leads to the result
  */
-public record CheckedNote(List<Finding> findings, Configuration result, ConfigurationDelta delta) {
+public record NoteCheckResult(
+        List<Finding> findings, Configuration configuration, ConfigurationDelta delta) {
     /** Copies the findings. */
-    public CheckedNote {
+    public NoteCheckResult {
         findings = List.copyOf(findings);
-        requireNonNull(result);
+        requireNonNull(configuration);
         requireNonNull(delta);
     }
 
--- a/core/src/main/java/org/hibiscususher/core/note/NoteChecker.java
+++ b/core/src/main/java/org/hibiscususher/core/note/NoteChecker.java
@@ -22,7 +22,7 @@
     private final ReleaseNote mNote;
     private final Configuration mBefore;
     private final List<Finding> mFindings = new ArrayList<>();
-    private final Map<String, Place> mPlaces = new LinkedHashMap<>();
+    private final Map<String, SourceLocation> mPlaces = new LinkedHashMap<>();
     private final Set<String> mWithdrawn = new LinkedHashSet<>();
 
     private NoteChecker(ReleaseNote note, Configuration before) {
@@ -39,11 +39,11 @@
      * @param before the configuration that it applies to
      * @return every finding, and the configuration that results
      */
-    public static CheckedNote check(ReleaseNote note, Configuration before) {
+    public static NoteCheckResult check(ReleaseNote note, Configuration before) {
         return new NoteChecker(note, before).run();
     }
 
-    private CheckedNote run() {
+    private NoteCheckResult run() {
         Declarations added = mNote.added();
         Declarations changed = mNote.changed();
         Withdrawals gone = mNote.withdrawn();
@@ -90,55 +90,56 @@
         Configuration after =
                 new Configuration(mBefore.revision() + 1, pools, hosts, teams, keys, queues);
         ConfigurationDelta delta = ConfigurationDelta.between(mBefore, after);
-        mFindings.addAll(WholeChecker.check(mNote, mBefore, after, mPlaces, mWithdrawn));
-        mFindings.sort(Finding.BY_PLACE);
-        return new CheckedNote(mFindings, after, delta);
+        mFindings.addAll(ConsistencyChecker.check(mNote, mBefore, after, mPlaces, mWithdrawn));
+        mFindings.sort(Finding.BY_LOCATION);
+        return new NoteCheckResult(mFindings, after, delta);
     }
 
     private <T> SortedMap<String, T> apply(
             String type,
             SortedMap<String, T> before,
-            List<Placed<T>> added,
-            List<Placed<T>> changed,
-            List<Placed<String>> withdrawn,
+            List<Located<T>> added,
+            List<Located<T>> changed,
+            List<Located<String>> withdrawn,
             Function<T, String> idOf) {
         SortedMap<String, T> after = new TreeMap<>(before);
-        Map<String, Place> seen = new LinkedHashMap<>();
-        for (Placed<T> item : added) {
+        Map<String, SourceLocation> seen = new LinkedHashMap<>();
+        for (Located<T> item : added) {
             String id = idOf.apply(item.value());
-            note(type, id, item.place(), seen);
+            note(type, id, item.location(), seen);
             if (before.containsKey(id)) {
-                find(item.place(), type + " " + id + " exists; list it under \"changed\"");
+                find(item.location(), type + " " + id + " exists; list it under \"changed\"");
             }
             after.put(id, item.value());
         }
-        for (Placed<T> item : changed) {
+        for (Located<T> item : changed) {
             String id = idOf.apply(item.value());
-            note(type, id, item.place(), seen);
+            note(type, id, item.location(), seen);
             if (!before.containsKey(id)) {
-                find(item.place(), type + " " + id + " does not exist; list it under \"added\"");
+                find(item.location(), type + " " + id + " does not exist; list it under \"added\"");
             }
             after.put(id, item.value());
         }
-        for (Placed<String> item : withdrawn) {
-            note(type, item.value(), item.place(), seen);
+        for (Located<String> item : withdrawn) {
+            note(type, item.value(), item.location(), seen);
             mWithdrawn.add(type + " " + item.value());
             if (after.remove(item.value()) == null) {
-                find(item.place(), type + " " + item.value() + " does not exist");
+                find(item.location(), type + " " + item.value() + " does not exist");
             }
         }
         return after;
     }
 
-    private void note(String type, String id, Place place, Map<String, Place> seen) {
-        Place earlier = seen.putIfAbsent(id, place);
+    private void note(
+            String type, String id, SourceLocation place, Map<String, SourceLocation> seen) {
+        SourceLocation earlier = seen.putIfAbsent(id, place);
         if (earlier != null) {
             find(place, type + " " + id + " stands in this note already, at " + earlier);
         }
         mPlaces.put(type + " " + id, place);
     }
 
-    private void find(Place place, String message) {
+    private void find(SourceLocation place, String message) {
         mFindings.add(new Finding(place, message));
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/note/NoteDigest.java
+++ b/core/src/main/java/org/hibiscususher/core/note/NoteDigest.java
@@ -29,7 +29,7 @@
         ids(text, section + " hosts", declarations.hosts());
         ids(text, section + " teams", declarations.teams());
         text.append(section).append(" keys\n");
-        for (Placed<KeySpec> key : declarations.keys()) {
+        for (Located<KeySpec> key : declarations.keys()) {
             KeySpec spec = key.value();
             text.append(spec.id()).append(' ').append(spec.team()).append(' ');
             text.append(spec.digest().toHex()).append('\n');
@@ -37,7 +37,7 @@
         ids(text, section + " queues", declarations.queues());
     }
 
-    private static void ids(StringBuilder text, String section, List<? extends Placed<?>> items) {
+    private static void ids(StringBuilder text, String section, List<? extends Located<?>> items) {
         text.append(section).append('\n');
         items.forEach(i -> text.append(i.value()).append('\n'));
     }
--- a/core/src/main/java/org/hibiscususher/core/note/ReleaseNote.java
+++ b/core/src/main/java/org/hibiscususher/core/note/ReleaseNote.java
@@ -10,7 +10,7 @@
  * @param id the note's own id; the same id sent twice is one note
  * @param author who wrote it
  * @param summary one line for the history
- * @param base the revision that the author looked at; empty to take the newest
+ * @param baseRevision the revision that the author looked at; empty to take the newest
  * @param added new declarations
  * @param changed declarations that replace those with the same id
  * @param withdrawn ids of declarations to remove
@@ -19,7 +19,7 @@
         String id,
         String author,
         String summary,
-        OptionalLong base,
+        OptionalLong baseRevision,
         Declarations added,
         Declarations changed,
         Withdrawals withdrawn) {
@@ -28,7 +28,7 @@
         requireNonNull(id);
         requireNonNull(author);
         requireNonNull(summary);
-        requireNonNull(base);
+        requireNonNull(baseRevision);
         requireNonNull(added);
         requireNonNull(changed);
         requireNonNull(withdrawn);
--- a/core/src/main/java/org/hibiscususher/core/note/Place.java
+++ b/core/src/main/java/org/hibiscususher/core/note/SourceLocation.java
@@ -9,9 +9,9 @@
  * @param line line number, from 1
  * @param column column number, from 1
  */
-public record Place(String file, int line, int column) {
+public record SourceLocation(String file, int line, int column) {
     /** Checks the fields. */
-    public Place {
+    public SourceLocation {
         requireNonNull(file);
         if (line < 1 || column < 1) {
             throw new IllegalArgumentException("lines and columns start at 1");
--- a/core/src/main/java/org/hibiscususher/core/note/Withdrawals.java
+++ b/core/src/main/java/org/hibiscususher/core/note/Withdrawals.java
@@ -12,11 +12,11 @@
  * @param queues ids of queues
  */
 public record Withdrawals(
-        List<Placed<String>> pools,
-        List<Placed<String>> hosts,
-        List<Placed<String>> teams,
-        List<Placed<String>> keys,
-        List<Placed<String>> queues) {
+        List<Located<String>> pools,
+        List<Located<String>> hosts,
+        List<Located<String>> teams,
+        List<Located<String>> keys,
+        List<Located<String>> queues) {
     /** No withdrawals. */
     public static final Withdrawals NONE =
             new Withdrawals(List.of(), List.of(), List.of(), List.of(), List.of());
--- a/core/src/main/java/org/hibiscususher/core/request/AdmissionSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/request/AdmissionSystem.java
@@ -62,7 +62,7 @@
         if (!world.node().stage().admits()) {
             return Optional.of(Refusal.ENTRY_LEAVING);
         }
-        if (!Freshness.vouches(world, tick.nowMs())) {
+        if (!Freshness.isFresh(world, tick.nowMs())) {
             return Optional.of(Refusal.CONFIGURATION_STALE);
         }
         QueueSpec queue = world.configuration().queues().get(arrival.queue());
--- a/core/src/main/java/org/hibiscususher/core/request/PlacementSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/request/PlacementSystem.java
@@ -41,7 +41,7 @@
             }
         }
         lanes.removeIf(l -> !open(world, l));
-        if (lanes.isEmpty() || !Freshness.vouches(world, tick.nowMs())) {
+        if (lanes.isEmpty() || !Freshness.isFresh(world, tick.nowMs())) {
             return;
         }
         LaneOrder order = LaneOrder.of(tick, lanes);
--- a/core/src/main/java/org/hibiscususher/core/rollout/Revisions.java
+++ b/core/src/main/java/org/hibiscususher/core/rollout/ActiveConfiguration.java
@@ -15,10 +15,10 @@
 import org.hibiscususher.core.world.World;
 
 /** Puts revisions in force on this entry; a revision never goes back. */
-final class Revisions {
+final class ActiveConfiguration {
     private static final int RECENT_NOTES = 256;
 
-    private Revisions() {}
+    private ActiveConfiguration() {}
 
     /**
      * Puts in force what the notes lead to, as far as they follow the present revision without a
@@ -26,23 +26,23 @@
      *
      * @param notes notes that are known to have been written, in order
      */
-    static void advance(Tick tick, List<AcceptedNote> notes) {
+    static void applyNotes(Tick tick, List<AcceptedNote> notes) {
         Configuration next = tick.world().configuration();
         for (AcceptedNote note : notes) {
             if (note.revision() <= next.revision()) {
                 continue;
             }
-            if (note.revision() != next.revision() + 1 || !note.whole()) {
+            if (note.revision() != next.revision() + 1 || !note.hasDelta()) {
                 break;
             }
             next = note.delta().applyTo(next);
             remember(tick.world(), note);
         }
-        putInForce(tick, next);
+        activate(tick, next);
     }
 
     /** Puts a configuration in force that is known to have been written, if it is newer. */
-    static void putInForce(Tick tick, Configuration next) {
+    static void activate(Tick tick, Configuration next) {
         World world = tick.world();
         if (next.revision() <= world.configuration().revision()) {
             return;
--- a/core/src/main/java/org/hibiscususher/core/rollout/HistorySystem.java
+++ b/core/src/main/java/org/hibiscususher/core/rollout/ConfigurationQuerySystem.java
@@ -23,10 +23,10 @@
 import org.hibiscususher.core.world.Tick;
 
 /** Answers operators what is in force, how it came about, and what a note would lead to. */
-public final class HistorySystem {
+public final class ConfigurationQuerySystem {
     private static final int WAIT_LIMIT_MS = 10_000;
 
-    private HistorySystem() {}
+    private ConfigurationQuerySystem() {}
 
     /** Answers what is known here and reads what is not. */
     public static void run(Tick tick) {
@@ -59,7 +59,7 @@
     private static void begin(Tick tick, HistoryAsked asked) {
         HeadRecord head = tick.world().head().record();
         List<AcceptedNote> relayed =
-                Revisions.notesAfter(tick.world(), head.revision()).orElse(List.of());
+                ActiveConfiguration.notesAfter(tick.world(), head.revision()).orElse(List.of());
         HistoryQueryRow query =
                 new HistoryQueryRow(
                                 asked.callId(),
--- a/core/src/main/java/org/hibiscususher/core/rollout/Freshness.java
+++ b/core/src/main/java/org/hibiscususher/core/rollout/Freshness.java
@@ -13,13 +13,13 @@
 
     /**
      * Returns whether the configuration in force here is known to be current to within {@link
-     * #boundMs}.
+     * #maxAgeMs}.
      *
      * @param nowMs milliseconds of the tick's clock
      */
-    public static boolean vouches(World world, long nowMs) {
+    public static boolean isFresh(World world, long nowMs) {
         long ageMs = ageMs(world, nowMs);
-        return world.node().stage() != NodeStage.EXPELLED && ageMs >= 0 && ageMs <= boundMs(world);
+        return world.node().stage() != NodeStage.EXPELLED && ageMs >= 0 && ageMs <= maxAgeMs(world);
     }
 
     /**
@@ -30,7 +30,7 @@
      * than T plus the bound. Entries with contact to the store stop earlier: the bound then counts
      * from the time of the write itself.
      */
-    public static long boundMs(World world) {
+    public static long maxAgeMs(World world) {
         return world.settings().freshnessMs();
     }
 
--- a/core/src/main/java/org/hibiscususher/core/rollout/FreshnessSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/rollout/FreshnessSystem.java
@@ -145,7 +145,7 @@
         }
         vouchAsOf(world, row.readMs());
         long ageMs = Freshness.ageMs(world, tick.nowMs());
-        if (ageMs < 0 || ageMs > Freshness.boundMs(world) / READS_PER_BOUND) {
+        if (ageMs < 0 || ageMs > Freshness.maxAgeMs(world) / READS_PER_BOUND) {
             for (EvidenceRow evidence : world.evidence().rows()) {
                 vouchAsOf(world, evidence.freshMs());
             }
@@ -195,7 +195,7 @@
         World world = tick.world();
         long nowMs = tick.nowMs();
         world.headReads().removeIf(c -> nowMs - c.sinceMs() >= READ_LIMIT_MS);
-        long boundMs = Freshness.boundMs(world);
+        long boundMs = Freshness.maxAgeMs(world);
         boolean answers = nowMs - world.freshness().readMs() <= boundMs / 2;
         long intervalMs = boundMs / (answers ? READS_PER_BOUND : READS_PER_BOUND_UNANSWERED);
         long askedMs = world.freshness().askedMs();
--- a/core/src/main/java/org/hibiscususher/core/rollout/HeadPlan.java
+++ b/core/src/main/java/org/hibiscususher/core/rollout/HeadUpdate.java
@@ -18,7 +18,7 @@
  * @param head the head
  * @param writes records that the head names; each name tells its content
  */
-record HeadPlan(HeadRecord head, List<Write> writes) {
+record HeadUpdate(HeadRecord head, List<Write> writes) {
     /** Most bytes of notes in a head, about. */
     static final int HEAD_BYTES = 16 * 1024;
 
@@ -29,7 +29,7 @@
     record Write(RecordKey key, StoreRecord value) {}
 
     /** Copies the list. */
-    HeadPlan {
+    HeadUpdate {
         writes = List.copyOf(writes);
     }
 
@@ -40,14 +40,14 @@
      * @param note the note
      * @param result the configuration with the note applied
      */
-    static HeadPlan of(HeadRecord head, AcceptedNote note, Configuration result) {
+    static HeadUpdate of(HeadRecord head, AcceptedNote note, Configuration result) {
         int bytes = head.notes().stream().mapToInt(AcceptedNote::estimatedBytes).sum();
         boolean fits =
                 bytes + note.estimatedBytes() <= HEAD_BYTES && head.notes().size() < HEAD_NOTES;
         return fits ? appended(head, note) : folded(head, note, result);
     }
 
-    private static HeadPlan appended(HeadRecord head, AcceptedNote note) {
+    private static HeadUpdate appended(HeadRecord head, AcceptedNote note) {
         List<AcceptedNote> notes = new ArrayList<>(head.notes());
         notes.add(note);
         HeadRecord next =
@@ -57,11 +57,11 @@
                         head.snapshot(),
                         head.history(),
                         notes);
-        return new HeadPlan(next, List.of());
+        return new HeadUpdate(next, List.of());
     }
 
     /** Moves the head's notes to the history and starts a new head from a snapshot. */
-    private static HeadPlan folded(HeadRecord head, AcceptedNote note, Configuration result) {
+    private static HeadUpdate folded(HeadRecord head, AcceptedNote note, Configuration result) {
         List<Write> writes = new ArrayList<>();
         String history = head.history();
         if (!head.notes().isEmpty()) {
@@ -80,6 +80,6 @@
         AcceptedNote kept = note.estimatedBytes() <= HEAD_BYTES ? note : note.withoutDelta();
         HeadRecord next =
                 new HeadRecord(note.revision(), note.revision(), snapshot, history, List.of(kept));
-        return new HeadPlan(next, writes);
+        return new HeadUpdate(next, writes);
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/rollout/NoteSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/rollout/NoteCommitSystem.java
@@ -18,8 +18,8 @@
 import org.hibiscususher.core.message.SwapResult;
 import org.hibiscususher.core.message.VersionedRecord;
 import org.hibiscususher.core.note.AcceptedNote;
-import org.hibiscususher.core.note.CheckedNote;
 import org.hibiscususher.core.note.Finding;
+import org.hibiscususher.core.note.NoteCheckResult;
 import org.hibiscususher.core.note.NoteChecker;
 import org.hibiscususher.core.note.NoteDigest;
 import org.hibiscususher.core.world.FoldWriteRow;
@@ -31,11 +31,11 @@
 import org.hibiscususher.core.world.World;
 
 /** Brings operators' release notes into force, each by one compare-and-swap of the head. */
-public final class NoteSystem {
+public final class NoteCommitSystem {
     private static final int FIRST_RETRY_MS = 100;
     private static final int MAX_RETRY_MS = 1_600;
 
-    private NoteSystem() {}
+    private NoteCommitSystem() {}
 
     /** Moves each note one step on. */
     public static void run(Tick tick) {
@@ -160,17 +160,18 @@
 
     private static void check(Tick tick, PendingNoteRow row) {
         HeadRecord head = row.plan().base();
-        if (row.note().base().isPresent() && row.note().base().getAsLong() != head.revision()) {
+        if (row.note().baseRevision().isPresent()
+                && row.note().baseRevision().getAsLong() != head.revision()) {
             answer(
                     tick,
                     row,
                     NoteResult.CONFLICT,
                     head.revision(),
-                    conflict(row.note().base().getAsLong(), head),
+                    conflict(row.note().baseRevision().getAsLong(), head),
                     List.of());
             return;
         }
-        CheckedNote checked = NoteChecker.check(row.note(), tick.world().configuration());
+        NoteCheckResult checked = NoteChecker.check(row.note(), tick.world().configuration());
         if (!checked.acceptable()) {
             answer(
                     tick,
@@ -192,14 +193,14 @@
                         checked.delta().summary(),
                         checked.delta(),
                         true);
-        HeadPlan plan = HeadPlan.of(head, accepted, checked.result());
+        HeadUpdate plan = HeadUpdate.of(head, accepted, checked.configuration());
         PendingNoteRow planned = row.withPlan(row.plan().checked(plan.head(), checked.findings()));
         if (plan.writes().isEmpty()) {
             writeHead(tick, planned);
             return;
         }
         put(tick, planned.waitingFor(PendingNoteState.FOLDING, 0));
-        for (HeadPlan.Write write : plan.writes()) {
+        for (HeadUpdate.Write write : plan.writes()) {
             fold(tick, new FoldWriteRow(0, row.callId(), write.key(), write.value(), -1));
         }
         tick.emit(
@@ -289,7 +290,7 @@
             case SWAPPED -> {
                 HeadRecord next = row.plan().next();
                 tick.world().headTable().update(World.SELF, h -> h.known(next));
-                Revisions.advance(tick, next.notes());
+                ActiveConfiguration.applyNotes(tick, next.notes());
                 for (MemberRow member : tick.world().members().rows()) {
                     RollOutSystem.relayTo(tick, member);
                 }
@@ -335,8 +336,8 @@
         boolean rollingOut = row.state() == PendingNoteState.ROLLING_OUT;
         boolean membersKnown = rollingOut && row.storeCallId() == 0 && row.retryAtMs() < 0;
         if (membersKnown && world.configuration().revision() >= row.revision()) {
-            Confirmation confirmation =
-                    Confirmation.of(world, row.revision(), row.writtenMs(), tick.nowMs());
+            RollOutConfirmation confirmation =
+                    RollOutConfirmation.of(world, row.revision(), row.writtenMs(), tick.nowMs());
             if (confirmation.complete()) {
                 answer(
                         tick,
@@ -352,8 +353,8 @@
             return;
         }
         if (rollingOut) {
-            Confirmation confirmation =
-                    Confirmation.of(world, row.revision(), row.writtenMs(), tick.nowMs());
+            RollOutConfirmation confirmation =
+                    RollOutConfirmation.of(world, row.revision(), row.writtenMs(), tick.nowMs());
             String detail = "written, but not confirmed by " + confirmation.laggards(world);
             List<Finding> warnings = row.plan().warnings();
             answer(tick, row, NoteResult.WRITTEN, row.revision(), detail, warnings);
--- a/core/src/main/java/org/hibiscususher/core/rollout/Confirmation.java
+++ b/core/src/main/java/org/hibiscususher/core/rollout/RollOutConfirmation.java
@@ -13,14 +13,14 @@
  * @param lagging what is known of each member that may take work without the revision
  * @param stopped what is known of each member that has not confirmed it and takes no work
  */
-record Confirmation(List<String> lagging, List<String> stopped) {
+record RollOutConfirmation(List<String> lagging, List<String> stopped) {
     /** Covers clocks that run at slightly different rates. */
     private static final int MARGIN_MS = 500;
 
     private static final double MS_PER_SECOND = 1_000;
 
     /** Copies the lists. */
-    Confirmation {
+    RollOutConfirmation {
         lagging = List.copyOf(lagging);
         stopped = List.copyOf(stopped);
     }
@@ -33,17 +33,17 @@
      * @param writtenMs when it was known to be written, in milliseconds of the caller's clock
      * @param nowMs now
      */
-    static Confirmation of(World world, long revision, long writtenMs, long nowMs) {
+    static RollOutConfirmation of(World world, long revision, long writtenMs, long nowMs) {
         List<String> lagging = new ArrayList<>();
         List<String> stopped = new ArrayList<>();
         for (MemberRow member : world.members().rows()) {
             if (member.revision() >= revision || !mayTakeWork(member)) {
                 continue;
             }
-            boolean lapsed = nowMs - writtenMs >= Freshness.boundMs(world) + MARGIN_MS;
+            boolean lapsed = nowMs - writtenMs >= Freshness.maxAgeMs(world) + MARGIN_MS;
             (lapsed ? stopped : lagging).add(describe(member, nowMs));
         }
-        return new Confirmation(lagging, stopped);
+        return new RollOutConfirmation(lagging, stopped);
     }
 
     private static boolean mayTakeWork(MemberRow member) {
--- a/core/src/main/java/org/hibiscususher/core/rollout/RollOutSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/rollout/RollOutSystem.java
@@ -74,7 +74,7 @@
         for (PeerReceived received : tick.inputs(PeerReceived.class)) {
             for (var item : received.message().items()) {
                 if (item instanceof Relay relay) {
-                    Revisions.advance(tick, relay.notes());
+                    ActiveConfiguration.applyNotes(tick, relay.notes());
                 }
             }
         }
@@ -84,7 +84,7 @@
         for (RecordRead read : tick.inputs(RecordRead.class)) {
             if (read.found().isPresent()
                     && read.found().get().value() instanceof SnapshotRecord snapshot) {
-                Revisions.putInForce(tick, snapshot.configuration());
+                ActiveConfiguration.activate(tick, snapshot.configuration());
             }
         }
     }
@@ -116,7 +116,7 @@
         World world = tick.world();
         HeadRecord head = world.head().record();
         if (head.revision() > world.configuration().revision()) {
-            Revisions.advance(tick, head.notes());
+            ActiveConfiguration.applyNotes(tick, head.notes());
         }
         if (world.configuration().revision() < head.snapshotRevision()) {
             ask(tick, new RecordKey(RecordKind.SNAPSHOT, head.snapshot()));
@@ -162,7 +162,8 @@
         String id = member.member().id();
         long revision = world.configuration().revision();
         world.relays().put(id, new RelayRow(id, revision, tick.nowMs()));
-        List<AcceptedNote> notes = Revisions.notesAfter(world, member.revision()).orElse(List.of());
+        List<AcceptedNote> notes =
+                ActiveConfiguration.notesAfter(world, member.revision()).orElse(List.of());
         List<AcceptedNote> sent = new ArrayList<>();
         int bytes = 0;
         for (AcceptedNote note : notes) {
--- a/core/src/test/java/org/hibiscususher/core/note/NoteCheckerTest.java
+++ b/core/src/test/java/org/hibiscususher/core/note/NoteCheckerTest.java
@@ -10,7 +10,7 @@
 import org.junit.jupiter.api.Test;
 
 class NoteCheckerTest {
-    private static final Place PLACE = new Place("note.yaml", 3, 7);
+    private static final SourceLocation PLACE = new SourceLocation("note.yaml", 3, 7);
 
     private static ReleaseNote note(Declarations added, Withdrawals withdrawn) {
         return new ReleaseNote(
@@ -21,7 +21,7 @@
         return new Declarations(
                 List.of(),
                 List.of(),
-                List.of(new Placed<>(new TeamSpec(id, 1, 4), PLACE)),
+                List.of(new Located<>(new TeamSpec(id, 1, 4), PLACE)),
                 List.of(),
                 List.of());
     }
@@ -30,11 +30,11 @@
     class Accepted {
         @Test
         void addsToTheRevision() {
-            CheckedNote checked =
+            NoteCheckResult checked =
                     NoteChecker.check(note(team("a"), Withdrawals.NONE), Configuration.EMPTY);
             assertThat(checked.findings()).isEmpty();
-            assertThat(checked.result().revision()).isEqualTo(1);
-            assertThat(checked.result().teams()).containsOnlyKeys("a");
+            assertThat(checked.configuration().revision()).isEqualTo(1);
+            assertThat(checked.configuration().teams()).containsOnlyKeys("a");
         }
     }
 
@@ -44,8 +44,8 @@
         void namesThePlaceOfWhatExists() {
             Configuration before =
                     NoteChecker.check(note(team("a"), Withdrawals.NONE), Configuration.EMPTY)
-                            .result();
-            CheckedNote checked = NoteChecker.check(note(team("a"), Withdrawals.NONE), before);
+                            .configuration();
+            NoteCheckResult checked = NoteChecker.check(note(team("a"), Withdrawals.NONE), before);
             assertThat(checked.findings())
                     .containsExactly(
                             new Finding(PLACE, "team a exists; list it under \"changed\""));
@@ -57,10 +57,10 @@
                     new Withdrawals(
                             List.of(),
                             List.of(),
-                            List.of(new Placed<>("b", PLACE)),
+                            List.of(new Located<>("b", PLACE)),
                             List.of(),
                             List.of());
-            CheckedNote checked =
+            NoteCheckResult checked =
                     NoteChecker.check(note(Declarations.NONE, gone), Configuration.EMPTY);
             assertThat(checked.findings())
                     .containsExactly(new Finding(PLACE, "team b does not exist"));
--- a/standin/src/test/java/org/hibiscususher/standin/rollout/NoteFilesTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/rollout/NoteFilesTest.java
@@ -14,8 +14,8 @@
 import org.hibiscususher.core.message.StoreRecord.HeadRecord;
 import org.hibiscususher.core.message.StoreRecord.SnapshotRecord;
 import org.hibiscususher.core.note.AcceptedNote;
-import org.hibiscususher.core.note.CheckedNote;
 import org.hibiscususher.core.note.Finding;
+import org.hibiscususher.core.note.NoteCheckResult;
 import org.hibiscususher.core.note.NoteChecker;
 import org.hibiscususher.core.note.NoteDigest;
 import org.hibiscususher.core.note.ReleaseNote;
@@ -42,10 +42,10 @@
     }
 
     private static Configuration apply(ReleaseNote note, Configuration before) {
-        CheckedNote checked = NoteChecker.check(note, before);
+        NoteCheckResult checked = NoteChecker.check(note, before);
         assertThat(checked.findings()).isEmpty();
-        assertThat(checked.delta().applyTo(before)).isEqualTo(checked.result());
-        return checked.result();
+        assertThat(checked.delta().applyTo(before)).isEqualTo(checked.configuration());
+        return checked.configuration();
     }
 
     /** Applies the notes of a site in the order of their names. */
@@ -147,7 +147,7 @@
                             Configuration.EMPTY);
             ParsedNote parsed = read(GOLDEN.resolve("whole-check.yaml"));
             assertThat(parsed.findings()).isEmpty();
-            CheckedNote checked = NoteChecker.check(parsed.note(), before);
+            NoteCheckResult checked = NoteChecker.check(parsed.note(), before);
             assertThat(checked.acceptable()).isFalse();
             assertGolden("whole-check.txt", lines(checked.findings()));
         }
--- a/standin/src/test/java/org/hibiscususher/standin/rollout/RollOutTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/rollout/RollOutTest.java
@@ -305,7 +305,7 @@
             assertThat(answer.result()).isEqualTo(NoteResult.ACCEPTED);
             assertThat(mSite.inForce("e3").hosts()).hasSize(3_802);
             assertThat(mSite.head().notes()).hasSize(1);
-            assertThat(mSite.head().notes().get(0).whole()).isFalse();
+            assertThat(mSite.head().notes().get(0).hasDelta()).isFalse();
             mSite.applyTeams(2);
             assertThat(mSite.statesInForce("e1", "e2", "e3")).hasSize(1);
         }
--- a/standin/src/test/java/org/hibiscususher/standin/virtual/FreshnessTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/virtual/FreshnessTest.java
@@ -30,7 +30,7 @@
     }
 
     private boolean vouches(String id) {
-        return Freshness.vouches(mSite.entries().get(id).world(), mSite.nowMs());
+        return Freshness.isFresh(mSite.entries().get(id).world(), mSite.nowMs());
     }
 
     /** Calls every entry again and again for a time, and returns the requests. */
--- a/wire/src/main/java/org/hibiscususher/wire/json/HistoryJson.java
+++ b/wire/src/main/java/org/hibiscususher/wire/json/HistoryJson.java
@@ -71,8 +71,8 @@
                     .put("summary", note.summary())
                     .put("writtenMs", note.writtenMs())
                     .put("digest", note.digest())
-                    .put("changes", note.changes());
-            if (note.whole()) {
+                    .put("changes", note.changeSummary());
+            if (note.hasDelta()) {
                 node.set("delta", ConfigurationJson.writeDelta(note.delta()));
             }
         }
@@ -82,7 +82,7 @@
     static List<AcceptedNote> readNotes(JsonNode array) {
         List<AcceptedNote> notes = new ArrayList<>();
         for (JsonNode node : array) {
-            boolean whole = node.has("delta");
+            boolean hasDelta = node.has("delta");
             notes.add(
                     new AcceptedNote(
                             node.path("revision").asLong(),
@@ -92,10 +92,10 @@
                             node.path("writtenMs").asLong(),
                             node.path("digest").asText(),
                             node.path("changes").asText(),
-                            whole
+                            hasDelta
                                     ? ConfigurationJson.readDelta(node.path("delta"))
                                     : ConfigurationDelta.NONE,
-                            whole));
+                            hasDelta));
         }
         return notes;
     }
--- a/wire/src/main/java/org/hibiscususher/wire/json/OperatorJson.java
+++ b/wire/src/main/java/org/hibiscususher/wire/json/OperatorJson.java
@@ -17,8 +17,8 @@
 import org.hibiscususher.core.message.StatusReport;
 import org.hibiscususher.core.message.WaveReport;
 import org.hibiscususher.core.note.Finding;
-import org.hibiscususher.core.note.Place;
 import org.hibiscususher.core.note.Severity;
+import org.hibiscususher.core.note.SourceLocation;
 
 /** Translates answers to operators to JSON and back. Thread-safe. */
 public final class OperatorJson {
@@ -104,9 +104,9 @@
         ArrayNode array = root.putArray("findings");
         for (Finding finding : findings) {
             array.addObject()
-                    .put("file", finding.place().file())
-                    .put("line", finding.place().line())
-                    .put("column", finding.place().column())
+                    .put("file", finding.location().file())
+                    .put("line", finding.location().line())
+                    .put("column", finding.location().column())
                     .put("severity", finding.severity().name())
                     .put("message", finding.message());
         }
@@ -115,8 +115,8 @@
     private static List<Finding> readFindings(JsonNode root) {
         List<Finding> findings = new ArrayList<>();
         for (JsonNode n : root.path("findings")) {
-            Place place =
-                    new Place(
+            SourceLocation place =
+                    new SourceLocation(
                             n.path("file").asText(),
                             n.path("line").asInt(),
                             n.path("column").asInt());
--- a/wire/src/main/java/org/hibiscususher/wire/yaml/Findings.java
+++ b/wire/src/main/java/org/hibiscususher/wire/yaml/Findings.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.hibiscususher.core.note.Finding;
-import org.hibiscususher.core.note.Place;
+import org.hibiscususher.core.note.SourceLocation;
 import org.snakeyaml.engine.v2.exceptions.Mark;
 
 /** Collects findings in one file. Not thread-safe. */
@@ -16,17 +16,17 @@
         mFile = file;
     }
 
-    void add(Place place, String message) {
+    void add(SourceLocation place, String message) {
         mFindings.add(new Finding(place, message));
     }
 
-    Place placeOf(Optional<Mark> mark) {
-        return mark.map(m -> new Place(mFile, m.getLine() + 1, m.getColumn() + 1))
-                .orElse(new Place(mFile, 1, 1));
+    SourceLocation placeOf(Optional<Mark> mark) {
+        return mark.map(m -> new SourceLocation(mFile, m.getLine() + 1, m.getColumn() + 1))
+                .orElse(new SourceLocation(mFile, 1, 1));
     }
 
     /** Returns the findings in order of place. */
     List<Finding> list() {
-        return mFindings.stream().sorted(Finding.BY_PLACE).toList();
+        return mFindings.stream().sorted(Finding.BY_LOCATION).toList();
     }
 }
--- a/wire/src/main/java/org/hibiscususher/wire/yaml/NoteReader.java
+++ b/wire/src/main/java/org/hibiscususher/wire/yaml/NoteReader.java
@@ -15,7 +15,7 @@
 import org.hibiscususher.core.config.QueueSpec;
 import org.hibiscususher.core.config.TeamSpec;
 import org.hibiscususher.core.note.Declarations;
-import org.hibiscususher.core.note.Placed;
+import org.hibiscususher.core.note.Located;
 import org.hibiscususher.core.note.ReleaseNote;
 import org.hibiscususher.core.note.Withdrawals;
 
@@ -80,10 +80,10 @@
         return read;
     }
 
-    private static <T> List<Placed<T>> each(YamlMap map, String key, Function<YamlMap, T> reader) {
-        List<Placed<T>> items = new ArrayList<>();
+    private static <T> List<Located<T>> each(YamlMap map, String key, Function<YamlMap, T> reader) {
+        List<Located<T>> items = new ArrayList<>();
         for (YamlMap item : map.maps(key)) {
-            items.add(new Placed<>(reader.apply(item), item.place()));
+            items.add(new Located<>(reader.apply(item), item.place()));
         }
         return items;
     }
--- a/wire/src/main/java/org/hibiscususher/wire/yaml/YamlDocument.java
+++ b/wire/src/main/java/org/hibiscususher/wire/yaml/YamlDocument.java
@@ -3,7 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.hibiscususher.core.note.Finding;
-import org.hibiscususher.core.note.Place;
+import org.hibiscususher.core.note.SourceLocation;
 import org.snakeyaml.engine.v2.api.LoadSettings;
 import org.snakeyaml.engine.v2.api.lowlevel.Compose;
 import org.snakeyaml.engine.v2.exceptions.MarkedYamlEngineException;
@@ -42,13 +42,13 @@
             if (node.isPresent() && node.get() instanceof MappingNode map) {
                 return new YamlDocument(findings, YamlMap.of(findings, map));
             }
-            findings.add(new Place(file, 1, 1), "expected a mapping of keys to values");
+            findings.add(new SourceLocation(file, 1, 1), "expected a mapping of keys to values");
         } catch (MarkedYamlEngineException e) {
             findings.add(findings.placeOf(e.getProblemMark()), "not YAML: " + e.getProblem());
         } catch (YamlEngineException e) {
-            findings.add(new Place(file, 1, 1), "not YAML: " + e.getMessage());
+            findings.add(new SourceLocation(file, 1, 1), "not YAML: " + e.getMessage());
         }
-        return new YamlDocument(findings, YamlMap.empty(findings, new Place(file, 1, 1)));
+        return new YamlDocument(findings, YamlMap.empty(findings, new SourceLocation(file, 1, 1)));
     }
 
     /** Returns the mapping at the top; empty if the text has none. */
--- a/wire/src/main/java/org/hibiscususher/wire/yaml/YamlMap.java
+++ b/wire/src/main/java/org/hibiscususher/wire/yaml/YamlMap.java
@@ -8,8 +8,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.regex.Pattern;
-import org.hibiscususher.core.note.Place;
-import org.hibiscususher.core.note.Placed;
+import org.hibiscususher.core.note.Located;
+import org.hibiscususher.core.note.SourceLocation;
 import org.snakeyaml.engine.v2.nodes.MappingNode;
 import org.snakeyaml.engine.v2.nodes.Node;
 import org.snakeyaml.engine.v2.nodes.NodeTuple;
@@ -27,15 +27,15 @@
     private static final int MAX_PORT = 65_535;
 
     private final Findings mFindings;
-    private final Place mPlace;
+    private final SourceLocation mPlace;
     private final Map<String, NodeTuple> mUnread = new LinkedHashMap<>();
 
-    private YamlMap(Findings findings, Place place) {
+    private YamlMap(Findings findings, SourceLocation place) {
         mFindings = findings;
         mPlace = place;
     }
 
-    static YamlMap empty(Findings findings, Place place) {
+    static YamlMap empty(Findings findings, SourceLocation place) {
         return new YamlMap(findings, place);
     }
 
@@ -43,7 +43,7 @@
         YamlMap map = new YamlMap(findings, findings.placeOf(node.getStartMark()));
         for (NodeTuple tuple : node.getValue()) {
             Node key = tuple.getKeyNode();
-            Place place = findings.placeOf(key.getStartMark());
+            SourceLocation place = findings.placeOf(key.getStartMark());
             if (!(key instanceof ScalarNode scalar)) {
                 findings.add(place, "expected a plain key");
             } else if (map.mUnread.putIfAbsent(scalar.getValue(), tuple) != null) {
@@ -54,7 +54,7 @@
     }
 
     /** Returns where the mapping starts. */
-    public Place place() {
+    public SourceLocation place() {
         return mPlace;
     }
 
@@ -217,12 +217,12 @@
     }
 
     /** Reads a list of names with their places, or returns an empty one if it is not there. */
-    public List<Placed<String>> names(String key) {
-        List<Placed<String>> names = new ArrayList<>();
+    public List<Located<String>> names(String key) {
+        List<Located<String>> names = new ArrayList<>();
         for (Node item : items(key)) {
-            Place place = mFindings.placeOf(item.getStartMark());
+            SourceLocation place = mFindings.placeOf(item.getStartMark());
             if (item instanceof ScalarNode node) {
-                names.add(new Placed<>(nameIn(node), place));
+                names.add(new Located<>(nameIn(node), place));
             } else {
                 mFindings.add(place, "expected a name");
             }
@@ -245,7 +245,7 @@
     /** Adds a finding for each key that was not read. */
     public void close(String... known) {
         for (Map.Entry<String, NodeTuple> entry : mUnread.entrySet()) {
-            Place place = mFindings.placeOf(entry.getValue().getKeyNode().getStartMark());
+            SourceLocation place = mFindings.placeOf(entry.getValue().getKeyNode().getStartMark());
             mFindings.add(
                     place,
                     "unknown key \""
