--- a/core/src/main/java/org/hibiscususher/core/request/SchedulingOrder.java
+++ b/core/src/main/java/org/hibiscususher/core/request/SchedulingOrder.java
@@ -8,12 +8,12 @@
 import java.util.Set;
 import org.hibiscususher.core.config.QueueKind;
 import org.hibiscususher.core.config.TeamSpec;
-import org.hibiscususher.core.message.TeamDue;
-import org.hibiscususher.core.world.CreditRow;
-import org.hibiscususher.core.world.PoolDuesRow;
-import org.hibiscususher.core.world.RequestLane;
+import org.hibiscususher.core.message.TeamEntitlement;
+import org.hibiscususher.core.world.PoolEntitlementsRow;
 import org.hibiscususher.core.world.RequestRow;
 import org.hibiscususher.core.world.RequestState;
+import org.hibiscususher.core.world.SchedulingClass;
+import org.hibiscususher.core.world.TeamDeficitRow;
 import org.hibiscususher.core.world.Tick;
 import org.hibiscususher.core.world.World;
 
@@ -32,46 +32,49 @@
     private static final double MILLI = 1_000;
 
     private final Tick mTick;
-    private final Map<CreditRow.Key, Double> mCredits = new LinkedHashMap<>();
+    private final Map<TeamDeficitRow.Key, Double> mCredits = new LinkedHashMap<>();
 
     private SchedulingOrder(Tick tick) {
         mTick = tick;
     }
 
     /** Returns the order of the lanes of a tick, and adds up what their teams fell short of. */
-    static SchedulingOrder of(Tick tick, Collection<RequestLane> lanes) {
+    static SchedulingOrder of(Tick tick, Collection<SchedulingClass> lanes) {
         SchedulingOrder order = new SchedulingOrder(tick);
         Set<String> pools = new LinkedHashSet<>();
         lanes.forEach(l -> pools.add(l.pool()));
-        Map<CreditRow.Key, Integer> running = new LinkedHashMap<>();
-        for (RequestLane lane : tick.world().requests().groups()) {
+        Map<TeamDeficitRow.Key, Integer> running = new LinkedHashMap<>();
+        for (SchedulingClass lane : tick.world().requests().groups()) {
             if (pools.contains(lane.pool())) {
                 int count = lane.state().placeable() ? 0 : order.size(lane);
-                running.merge(new CreditRow.Key(lane.pool(), lane.team()), count, Integer::sum);
+                running.merge(
+                        new TeamDeficitRow.Key(lane.pool(), lane.team()), count, Integer::sum);
             }
         }
         running.forEach(order::addUp);
         pools.forEach(order::level);
-        tick.world().credits().removeIf(c -> tick.nowMs() - c.atMs() >= DUES_EXPIRY_MS);
+        tick.world().teamDeficits().removeIf(c -> tick.nowMs() - c.updatedMs() >= DUES_EXPIRY_MS);
         return order;
     }
 
-    private int size(RequestLane lane) {
+    private int size(SchedulingClass lane) {
         return mTick.world().requests().group(lane).size();
     }
 
-    private void addUp(CreditRow.Key key, int running) {
+    private void addUp(TeamDeficitRow.Key key, int running) {
         World world = mTick.world();
         double due = due(key);
-        CreditRow before = world.credits().find(key).orElse(new CreditRow(key, 0, mTick.nowMs()));
-        long stepMs = Math.min(LONGEST_STEP_MS, mTick.nowMs() - before.atMs());
+        TeamDeficitRow before =
+                world.teamDeficits().find(key).orElse(new TeamDeficitRow(key, 0, mTick.nowMs()));
+        long stepMs = Math.min(LONGEST_STEP_MS, mTick.nowMs() - before.updatedMs());
         double sum = before.slotMs() + (due - running) * stepMs;
         mCredits.put(key, waits(key) ? sum : 0);
     }
 
-    private boolean waits(CreditRow.Key key) {
+    private boolean waits(TeamDeficitRow.Key key) {
         for (QueueKind kind : QueueKind.values()) {
-            RequestLane lane = new RequestLane(RequestState.WAITING, kind, key.pool(), key.team());
+            SchedulingClass lane =
+                    new SchedulingClass(RequestState.WAITING, kind, key.pool(), key.team());
             if (size(lane) > 0) {
                 return true;
             }
@@ -83,31 +86,31 @@
     private void level(String pool) {
         double sum = 0;
         int teams = 0;
-        for (Map.Entry<CreditRow.Key, Double> entry : mCredits.entrySet()) {
+        for (Map.Entry<TeamDeficitRow.Key, Double> entry : mCredits.entrySet()) {
             if (entry.getKey().pool().equals(pool) && waits(entry.getKey())) {
                 sum += entry.getValue();
                 teams++;
             }
         }
         double mean = teams == 0 ? 0 : sum / teams;
-        for (Map.Entry<CreditRow.Key, Double> entry : mCredits.entrySet()) {
-            CreditRow.Key key = entry.getKey();
+        for (Map.Entry<TeamDeficitRow.Key, Double> entry : mCredits.entrySet()) {
+            TeamDeficitRow.Key key = entry.getKey();
             if (key.pool().equals(pool)) {
                 double credit = waits(key) ? entry.getValue() - mean : 0;
                 double kept = Math.max(-MOST_CREDIT_MS, Math.min(MOST_CREDIT_MS, credit));
                 entry.setValue(kept);
-                mTick.world().credits().put(key, new CreditRow(key, kept, mTick.nowMs()));
+                mTick.world().teamDeficits().put(key, new TeamDeficitRow(key, kept, mTick.nowMs()));
             }
         }
     }
 
-    private double due(CreditRow.Key key) {
-        PoolDuesRow row = mTick.world().poolDues().find(key.pool()).orElse(null);
-        if (row == null || mTick.nowMs() - row.atMs() >= DUES_EXPIRY_MS) {
+    private double due(TeamDeficitRow.Key key) {
+        PoolEntitlementsRow row = mTick.world().poolEntitlements().find(key.pool()).orElse(null);
+        if (row == null || mTick.nowMs() - row.receivedMs() >= DUES_EXPIRY_MS) {
             TeamSpec team = mTick.world().configuration().teams().get(key.team());
             return team == null ? 0 : team.share();
         }
-        for (TeamDue due : row.teams()) {
+        for (TeamEntitlement due : row.teams()) {
             if (due.team().equals(key.team())) {
                 return due.milliSlots() / MILLI;
             }
@@ -116,26 +119,26 @@
     }
 
     /** Notes that a request of a lane was started. */
-    void recordStart(RequestLane lane) {
+    void recordStart(SchedulingClass lane) {
         mCredits.merge(keyOf(lane), -START_COST_MS, Double::sum);
     }
 
-    private static CreditRow.Key keyOf(RequestLane lane) {
-        return new CreditRow.Key(lane.pool(), lane.team());
+    private static TeamDeficitRow.Key keyOf(SchedulingClass lane) {
+        return new TeamDeficitRow.Key(lane.pool(), lane.team());
     }
 
     /** Returns the lane whose turn it is. */
-    RequestLane next(Collection<RequestLane> lanes) {
+    SchedulingClass next(Collection<SchedulingClass> lanes) {
         return lanes.stream()
                 .min(
-                        Comparator.comparingDouble((RequestLane l) -> -mCredits.get(keyOf(l)))
+                        Comparator.comparingDouble((SchedulingClass l) -> -mCredits.get(keyOf(l)))
                                 .thenComparing(this::rank)
-                                .thenComparing(RequestLane::pool)
-                                .thenComparing(RequestLane::team))
+                                .thenComparing(SchedulingClass::pool)
+                                .thenComparing(SchedulingClass::team))
                 .orElseThrow();
     }
 
-    private int rank(RequestLane lane) {
+    private int rank(SchedulingClass lane) {
         RequestRow head = mTick.world().requests().group(lane).iterator().next();
         long half = (head.arrivedMs() + head.startByMs()) / 2;
         boolean old = lane.kind().ordinal() > 0 && mTick.nowMs() >= half;
--- a/core/src/main/java/org/hibiscususher/core/request/WaitingCounts.java
+++ b/core/src/main/java/org/hibiscususher/core/request/WaitingCounts.java
@@ -3,8 +3,8 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import org.hibiscususher.core.config.QueueSpec;
-import org.hibiscususher.core.world.RequestLane;
 import org.hibiscususher.core.world.RequestRow;
+import org.hibiscususher.core.world.SchedulingClass;
 import org.hibiscususher.core.world.World;
 
 /**
@@ -25,7 +25,7 @@
     /** Counts the requests that are unsent now. */
     static WaitingCounts of(World world) {
         WaitingCounts counts = new WaitingCounts();
-        for (RequestLane lane : world.requests().groups()) {
+        for (SchedulingClass lane : world.requests().groups()) {
             if (lane.state().unsent()) {
                 world.requests().group(lane).forEach(counts::add);
             }
--- a/core/src/main/java/org/hibiscususher/core/rollout/ActiveConfiguration.java
+++ b/core/src/main/java/org/hibiscususher/core/rollout/ActiveConfiguration.java
@@ -76,9 +76,9 @@
     }
 
     private static void replaceKeys(World world, Configuration next) {
-        world.keys().clear();
+        world.accessKeys().clear();
         for (KeySpec key : next.keys().values()) {
-            world.keys().put(key.digest(), key);
+            world.accessKeys().put(key.digest(), key);
         }
     }
 
--- a/core/src/main/java/org/hibiscususher/core/rollout/ConfigurationQuerySystem.java
+++ b/core/src/main/java/org/hibiscususher/core/rollout/ConfigurationQuerySystem.java
@@ -2,15 +2,15 @@
 
 import java.util.List;
 import java.util.Optional;
-import org.hibiscususher.core.message.Input.ExportAsked;
-import org.hibiscususher.core.message.Input.HistoryAsked;
-import org.hibiscususher.core.message.Input.NoteCheckAsked;
+import org.hibiscususher.core.message.Input.ExportRequested;
+import org.hibiscususher.core.message.Input.HistoryRequested;
+import org.hibiscususher.core.message.Input.NoteCheckRequested;
 import org.hibiscususher.core.message.Input.RecordRead;
 import org.hibiscususher.core.message.Input.StoreFailed;
-import org.hibiscususher.core.message.Output.AnswerExport;
-import org.hibiscususher.core.message.Output.AnswerHistory;
-import org.hibiscususher.core.message.Output.AnswerNoteCheck;
 import org.hibiscususher.core.message.Output.ReadRecord;
+import org.hibiscususher.core.message.Output.ReplyToExport;
+import org.hibiscususher.core.message.Output.ReplyToHistory;
+import org.hibiscususher.core.message.Output.ReplyToNoteCheck;
 import org.hibiscususher.core.message.RecordKey;
 import org.hibiscususher.core.message.RecordKind;
 import org.hibiscususher.core.message.StoreRecord.HeadRecord;
@@ -30,17 +30,17 @@
 
     /** Answers what is known here and reads what is not. */
     public static void run(Tick tick) {
-        for (ExportAsked asked : tick.inputs(ExportAsked.class)) {
-            tick.emit(new AnswerExport(asked.callId(), tick.world().configuration()));
+        for (ExportRequested asked : tick.inputs(ExportRequested.class)) {
+            tick.emit(new ReplyToExport(asked.callId(), tick.world().configuration()));
         }
-        for (NoteCheckAsked asked : tick.inputs(NoteCheckAsked.class)) {
+        for (NoteCheckRequested asked : tick.inputs(NoteCheckRequested.class)) {
             var configuration = tick.world().configuration();
             var checked = NoteChecker.check(asked.note(), configuration);
             tick.emit(
-                    new AnswerNoteCheck(
+                    new ReplyToNoteCheck(
                             asked.callId(), configuration.revision(), checked.findings()));
         }
-        for (HistoryAsked asked : tick.inputs(HistoryAsked.class)) {
+        for (HistoryRequested asked : tick.inputs(HistoryRequested.class)) {
             begin(tick, asked);
         }
         for (RecordRead read : tick.inputs(RecordRead.class)) {
@@ -56,23 +56,23 @@
         }
     }
 
-    private static void begin(Tick tick, HistoryAsked asked) {
+    private static void begin(Tick tick, HistoryRequested asked) {
         HeadRecord head = tick.world().head().record();
         List<AcceptedNote> relayed =
                 ActiveConfiguration.notesAfter(tick.world(), head.revision()).orElse(List.of());
         HistoryQueryRow query =
                 new HistoryQueryRow(
                                 asked.callId(),
-                                asked.which(),
+                                asked.selector(),
                                 asked.limit(),
                                 List.of(),
                                 0,
                                 tick.nowMs())
-                        .with(relayed)
-                        .with(head.notes());
-        boolean byId = !asked.which().isEmpty() && !isRevision(asked.which());
-        if (byId && !query.full() && !head.history().isEmpty()) {
-            read(tick, query, new RecordKey(RecordKind.NOTE, asked.which()));
+                        .withMatches(relayed)
+                        .withMatches(head.notes());
+        boolean byId = !asked.selector().isEmpty() && !isRevision(asked.selector());
+        if (byId && !query.isComplete() && !head.history().isEmpty()) {
+            read(tick, query, new RecordKey(RecordKind.NOTE, asked.selector()));
         } else {
             goOn(tick, query, head.history());
         }
@@ -88,13 +88,13 @@
         } else if (found.get().value() instanceof NoteRecord note) {
             goOn(tick, query, note.history());
         } else if (found.get().value() instanceof HistoryRecord history) {
-            goOn(tick, query.with(history.notes()), history.previous());
+            goOn(tick, query.withMatches(history.notes()), history.previous());
         }
     }
 
     /** Reads the next older record, unless enough was found or none is left. */
     private static void goOn(Tick tick, HistoryQueryRow query, String older) {
-        if (query.full() || older.isEmpty()) {
+        if (query.isComplete() || older.isEmpty()) {
             answer(tick, query);
         } else {
             read(tick, query, new RecordKey(RecordKind.HISTORY, older));
@@ -108,8 +108,9 @@
     }
 
     private static void answer(Tick tick, HistoryQueryRow query) {
-        boolean missing = !query.which().isEmpty() && query.found().isEmpty();
-        String detail = missing ? "no accepted note has the revision or id " + query.which() : "";
+        boolean missing = !query.selector().isEmpty() && query.found().isEmpty();
+        String detail =
+                missing ? "no accepted note has the revision or id " + query.selector() : "";
         end(tick, query, detail);
     }
 
@@ -119,7 +120,7 @@
 
     private static void end(Tick tick, HistoryQueryRow query, String detail) {
         tick.world().historyQueries().remove(query.callId());
-        tick.emit(new AnswerHistory(query.callId(), query.found(), detail));
+        tick.emit(new ReplyToHistory(query.callId(), query.found(), detail));
     }
 
     private static Optional<HistoryQueryRow> find(Tick tick, long storeCallId) {
--- a/core/src/main/java/org/hibiscususher/core/rollout/Freshness.java
+++ b/core/src/main/java/org/hibiscususher/core/rollout/Freshness.java
@@ -37,7 +37,7 @@
     /** Returns for how long the configuration is known to be current, -1 if it isn't known. */
     public static long ageMs(World world, long nowMs) {
         FreshnessRow row = world.freshness();
-        return row.vouchedMs() < 0 ? -1 : nowMs - row.vouchedMs();
+        return row.currentAsOfMs() < 0 ? -1 : nowMs - row.currentAsOfMs();
     }
 
     /**
--- a/core/src/main/java/org/hibiscususher/core/rollout/FreshnessSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/rollout/FreshnessSystem.java
@@ -14,11 +14,11 @@
 import org.hibiscususher.core.message.StoreRecord.HeadRecord;
 import org.hibiscususher.core.message.SwapResult;
 import org.hibiscususher.core.message.VersionedRecord;
-import org.hibiscususher.core.world.EvidenceRow;
 import org.hibiscususher.core.world.FreshnessRow;
 import org.hibiscususher.core.world.LivenessRow;
 import org.hibiscususher.core.world.MemberRow;
 import org.hibiscususher.core.world.NodeRow;
+import org.hibiscususher.core.world.PeerFreshnessRow;
 import org.hibiscususher.core.world.PendingNoteRow;
 import org.hibiscususher.core.world.StoreCallRow;
 import org.hibiscususher.core.world.Tick;
@@ -67,7 +67,7 @@
             return;
         }
         world.nodeTable().put(World.SELF, node.withResumed(tick.nowMs()));
-        world.freshnessTable().update(World.SELF, FreshnessRow::withoutVouch);
+        world.freshnessTable().update(World.SELF, FreshnessRow::invalidated);
         tick.count("process.paused");
         tick.emit(new LogEvent("event=paused ms=" + gapMs));
     }
@@ -92,7 +92,9 @@
                     .ifPresent(
                             c ->
                                     world.freshnessTable()
-                                            .update(World.SELF, f -> f.withRead(c.sinceMs())));
+                                            .update(
+                                                    World.SELF,
+                                                    f -> f.withReadAnswered(c.sinceMs())));
         }
         for (RecordWatched watched : tick.inputs(RecordWatched.class)) {
             know(world, watched.record());
@@ -109,7 +111,7 @@
     }
 
     private static void know(World world, long revision) {
-        world.freshnessTable().update(World.SELF, f -> f.withKnown(revision));
+        world.freshnessTable().update(World.SELF, f -> f.withKnownRevision(revision));
     }
 
     private static void takeSwaps(Tick tick) {
@@ -130,10 +132,10 @@
         World world = tick.world();
         long known = Math.max(message.revision(), message.knownRevision());
         know(world, known);
-        world.evidence()
+        world.peerFreshness()
                 .update(
                         message.from(),
-                        e -> e.heard(message.acknowledged(), known, message.freshAgeMs()));
+                        e -> e.withReceived(message.acknowledged(), known, message.freshAgeMs()));
     }
 
     /** Moves the time of vouching forward, unless a newer revision is known but not in force. */
@@ -143,11 +145,11 @@
         if (row.knownRevision() > world.configuration().revision()) {
             return;
         }
-        vouchAsOf(world, row.readMs());
+        vouchAsOf(world, row.answeredReadSentMs());
         long ageMs = Freshness.ageMs(world, tick.nowMs());
         if (ageMs < 0 || ageMs > Freshness.maxAgeMs(world) / READS_PER_BOUND) {
-            for (EvidenceRow evidence : world.evidence().rows()) {
-                vouchAsOf(world, evidence.freshMs());
+            for (PeerFreshnessRow evidence : world.peerFreshness().rows()) {
+                vouchAsOf(world, evidence.currentAsOfMs());
             }
             vouchAsOf(world, unanimousMs(tick));
         }
@@ -155,7 +157,7 @@
 
     private static void vouchAsOf(World world, long asOfMs) {
         if (asOfMs >= world.node().resumedMs()) {
-            world.freshnessTable().update(World.SELF, f -> f.withVouched(asOfMs));
+            world.freshnessTable().update(World.SELF, f -> f.withCurrentAsOf(asOfMs));
         }
     }
 
@@ -181,9 +183,9 @@
                 return -1;
             }
             long saidMs =
-                    world.evidence()
+                    world.peerFreshness()
                             .find(member.member().id())
-                            .map(EvidenceRow::confirmedMs)
+                            .map(PeerFreshnessRow::acknowledgedSentMs)
                             .orElse(-1L);
             asOfMs = Math.min(asOfMs, saidMs);
         }
@@ -196,16 +198,16 @@
         long nowMs = tick.nowMs();
         world.headReads().removeIf(c -> nowMs - c.sinceMs() >= READ_LIMIT_MS);
         long boundMs = Freshness.maxAgeMs(world);
-        boolean answers = nowMs - world.freshness().readMs() <= boundMs / 2;
+        boolean answers = nowMs - world.freshness().answeredReadSentMs() <= boundMs / 2;
         long intervalMs = boundMs / (answers ? READS_PER_BOUND : READS_PER_BOUND_UNANSWERED);
-        long askedMs = world.freshness().askedMs();
+        long askedMs = world.freshness().readSentMs();
         if (askedMs >= 0 && nowMs - askedMs < intervalMs
                 || world.headReads().size() >= MAX_READS_OUT) {
             return;
         }
         long callId = tick.nextCallId();
         world.headReads().put(callId, new StoreCallRow(callId, nowMs));
-        world.freshnessTable().update(World.SELF, f -> f.withAsked(nowMs));
+        world.freshnessTable().update(World.SELF, f -> f.withReadSent(nowMs));
         tick.count("store.read-head");
         tick.emit(new ReadRecord(callId, RecordKey.HEAD));
     }
--- a/core/src/main/java/org/hibiscususher/core/rollout/NoteCommitSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/rollout/NoteCommitSystem.java
@@ -7,9 +7,9 @@
 import org.hibiscususher.core.message.Input.RecordSwapped;
 import org.hibiscususher.core.message.Input.StoreFailed;
 import org.hibiscususher.core.message.NoteResult;
-import org.hibiscususher.core.message.Output.AnswerNote;
 import org.hibiscususher.core.message.Output.LogEvent;
 import org.hibiscususher.core.message.Output.ReadRecord;
+import org.hibiscususher.core.message.Output.ReplyToNote;
 import org.hibiscususher.core.message.Output.SwapRecord;
 import org.hibiscususher.core.message.RecordKey;
 import org.hibiscususher.core.message.RecordKind;
@@ -22,7 +22,7 @@
 import org.hibiscususher.core.note.NoteCheckResult;
 import org.hibiscususher.core.note.NoteChecker;
 import org.hibiscususher.core.note.NoteDigest;
-import org.hibiscususher.core.world.FoldWriteRow;
+import org.hibiscususher.core.world.CompactionWriteRow;
 import org.hibiscususher.core.world.MemberRow;
 import org.hibiscususher.core.world.NotePlan;
 import org.hibiscususher.core.world.PendingNoteRow;
@@ -64,15 +64,15 @@
 
     private static void settleRead(Tick tick, PendingNoteRow row, Optional<VersionedRecord> found) {
         switch (row.state()) {
-            case READING -> takeHead(tick, row.answered(), found);
+            case READING -> takeHead(tick, row.withStoreAnswer(), found);
             case LOOKING_UP -> {
                 if (found.isPresent() && found.get().value() instanceof NoteRecord known) {
                     recognise(tick, row, known.revision(), known.digest());
                 } else {
-                    put(tick, row.answered().waitingFor(PendingNoteState.CATCHING_UP, 0));
+                    put(tick, row.withStoreAnswer().withStoreCall(PendingNoteState.CATCHING_UP, 0));
                 }
             }
-            default -> put(tick, row.answered());
+            default -> put(tick, row.withStoreAnswer());
         }
     }
 
@@ -86,7 +86,7 @@
         }
         PendingNoteRow planned = row.withPlan(NotePlan.of(version, head));
         if (head.history().isEmpty()) {
-            put(tick, planned.waitingFor(PendingNoteState.CATCHING_UP, 0));
+            put(tick, planned.withStoreCall(PendingNoteState.CATCHING_UP, 0));
             return;
         }
         // Asked after the head was read: a note that left the head before then is found.
@@ -199,9 +199,9 @@
             writeHead(tick, planned);
             return;
         }
-        put(tick, planned.waitingFor(PendingNoteState.FOLDING, 0));
+        put(tick, planned.withStoreCall(PendingNoteState.FOLDING, 0));
         for (HeadUpdate.Write write : plan.writes()) {
-            fold(tick, new FoldWriteRow(0, row.callId(), write.key(), write.value(), -1));
+            fold(tick, new CompactionWriteRow(0, row.callId(), write.key(), write.value(), -1));
         }
         tick.emit(
                 new LogEvent(
@@ -235,28 +235,28 @@
 
     private static void writeHead(Tick tick, PendingNoteRow row) {
         long callId = tick.nextCallId();
-        put(tick, row.waitingFor(PendingNoteState.WRITING, callId));
+        put(tick, row.withStoreCall(PendingNoteState.WRITING, callId));
         tick.emit(new SwapRecord(callId, RecordKey.HEAD, row.plan().version(), row.plan().next()));
     }
 
-    private static void fold(Tick tick, FoldWriteRow write) {
+    private static void fold(Tick tick, CompactionWriteRow write) {
         long callId = tick.nextCallId();
-        FoldWriteRow out =
-                new FoldWriteRow(callId, write.noteCallId(), write.key(), write.value(), -1);
-        tick.world().foldWrites().put(callId, out);
+        CompactionWriteRow out =
+                new CompactionWriteRow(callId, write.noteCallId(), write.key(), write.value(), -1);
+        tick.world().compactionWrites().put(callId, out);
         tick.emit(new SwapRecord(callId, write.key(), 0, write.value()));
     }
 
     /** Writes the head once every record that it names is written. */
     private static void writeFolds(Tick tick, PendingNoteRow row) {
         boolean done = true;
-        for (FoldWriteRow write : tick.world().foldWrites().rows()) {
+        for (CompactionWriteRow write : tick.world().compactionWrites().rows()) {
             if (write.noteCallId() != row.callId()) {
                 continue;
             }
             done = false;
             if (write.retryAtMs() >= 0 && tick.nowMs() >= write.retryAtMs()) {
-                tick.world().foldWrites().remove(write.storeCallId());
+                tick.world().compactionWrites().remove(write.storeCallId());
                 fold(tick, write);
             }
         }
@@ -268,7 +268,7 @@
     private static void settleSwaps(Tick tick) {
         for (RecordSwapped swapped : tick.inputs(RecordSwapped.class)) {
             tick.world()
-                    .foldWrites()
+                    .compactionWrites()
                     .find(swapped.callId())
                     .ifPresent(w -> settleFold(tick, w, swapped.result()));
             find(tick, swapped.callId()).ifPresent(r -> settleHead(tick, r, swapped.result()));
@@ -276,12 +276,12 @@
     }
 
     /** A conflict means that the record, whose name tells its content, is there already. */
-    private static void settleFold(Tick tick, FoldWriteRow write, SwapResult result) {
+    private static void settleFold(Tick tick, CompactionWriteRow write, SwapResult result) {
         if (result == SwapResult.UNKNOWN) {
-            FoldWriteRow later = write.retryAt(tick.nowMs() + FIRST_RETRY_MS);
-            tick.world().foldWrites().put(write.storeCallId(), later);
+            CompactionWriteRow later = write.withRetryAt(tick.nowMs() + FIRST_RETRY_MS);
+            tick.world().compactionWrites().put(write.storeCallId(), later);
         } else {
-            tick.world().foldWrites().remove(write.storeCallId());
+            tick.world().compactionWrites().remove(write.storeCallId());
         }
     }
 
@@ -289,7 +289,7 @@
         switch (result) {
             case SWAPPED -> {
                 HeadRecord next = row.plan().next();
-                tick.world().headTable().update(World.SELF, h -> h.known(next));
+                tick.world().headTable().update(World.SELF, h -> h.withHead(next));
                 ActiveConfiguration.applyNotes(tick, next.notes());
                 for (MemberRow member : tick.world().members().rows()) {
                     RollOutSystem.relayTo(tick, member);
@@ -302,13 +302,13 @@
             }
             default -> {
                 tick.count("note.answer-lost");
-                retry(tick, row.unsure(), PendingNoteState.READING);
+                retry(tick, row.withUncertainWrite(), PendingNoteState.READING);
             }
         }
     }
 
     private static void written(Tick tick, PendingNoteRow row, long revision) {
-        put(tick, row.written(revision, tick.nowMs()));
+        put(tick, row.withWritten(revision, tick.nowMs()));
     }
 
     private static void settleFailures(Tick tick) {
@@ -321,12 +321,12 @@
         tick.count("note.store-retry");
         int doublings = Math.min(row.failures(), Integer.numberOfTrailingZeros(16));
         long delayMs = Math.min(MAX_RETRY_MS, (long) FIRST_RETRY_MS << doublings);
-        put(tick, row.retryAt(from, tick.nowMs() + delayMs));
+        put(tick, row.withRetryAt(from, tick.nowMs() + delayMs));
     }
 
     private static void read(Tick tick, PendingNoteRow row, PendingNoteState state, RecordKey key) {
         long callId = tick.nextCallId();
-        put(tick, row.waitingFor(state, callId));
+        put(tick, row.withStoreCall(state, callId));
         tick.emit(new ReadRecord(callId, key));
     }
 
@@ -395,8 +395,8 @@
             String detail,
             List<Finding> findings) {
         tick.world().pendingNotes().remove(row.callId());
-        tick.world().foldWrites().removeIf(w -> w.noteCallId() == row.callId());
+        tick.world().compactionWrites().removeIf(w -> w.noteCallId() == row.callId());
         tick.count("note." + result.name().toLowerCase(java.util.Locale.ROOT));
-        tick.emit(new AnswerNote(row.callId(), result, revision, detail, findings));
+        tick.emit(new ReplyToNote(row.callId(), result, revision, detail, findings));
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/rollout/RollOutSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/rollout/RollOutSystem.java
@@ -3,12 +3,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import org.hibiscususher.core.message.Input.PeerReceived;
+import org.hibiscususher.core.message.Input.PeerMessageReceived;
 import org.hibiscususher.core.message.Input.RecordRead;
 import org.hibiscususher.core.message.Input.RecordWatched;
 import org.hibiscususher.core.message.Input.StoreFailed;
 import org.hibiscususher.core.message.Output.ReadRecord;
-import org.hibiscususher.core.message.PeerItem.Relay;
+import org.hibiscususher.core.message.PeerItem.NoteRelay;
 import org.hibiscususher.core.message.RecordKey;
 import org.hibiscususher.core.message.RecordKind;
 import org.hibiscususher.core.message.StoreRecord;
@@ -66,14 +66,14 @@
             if (head.revision() < tick.world().head().record().revision()) {
                 tick.count("configuration.older-shown");
             }
-            tick.world().headTable().update(World.SELF, h -> h.known(head));
+            tick.world().headTable().update(World.SELF, h -> h.withHead(head));
         }
     }
 
     private static void takeRelays(Tick tick) {
-        for (PeerReceived received : tick.inputs(PeerReceived.class)) {
+        for (PeerMessageReceived received : tick.inputs(PeerMessageReceived.class)) {
             for (var item : received.message().items()) {
-                if (item instanceof Relay relay) {
+                if (item instanceof NoteRelay relay) {
                     ActiveConfiguration.applyNotes(tick, relay.notes());
                 }
             }
@@ -139,7 +139,7 @@
         World world = tick.world();
         long revision = world.configuration().revision();
         for (MemberRow member : world.members().rows()) {
-            if (member.revision() >= revision || !member.member().state().mayHold()) {
+            if (member.revision() >= revision || !member.member().state().mayHoldPermits()) {
                 continue;
             }
             long dueMs = world.revision().sinceMs() + turnOf(world, member) * RELAY_DELAY_MS;
@@ -175,7 +175,7 @@
         }
         if (!sent.isEmpty()) {
             tick.count("relay.sent");
-            tick.tell(id, new Relay(sent));
+            tick.send(id, new NoteRelay(sent));
         }
     }
 
@@ -184,7 +184,7 @@
         String self = world.node().identity().id();
         long before =
                 world.members().rows().stream()
-                        .filter(m -> m.member().state().allocates())
+                        .filter(m -> m.member().state().mayAllocate())
                         .filter(m -> !m.member().id().equals(lagging.member().id()))
                         .filter(m -> m.revision() >= world.configuration().revision())
                         .filter(m -> m.member().id().compareTo(self) < 0)
--- a/core/src/main/java/org/hibiscususher/core/world/AbandonedRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/AbandonedRequestRow.java
@@ -4,6 +4,6 @@
  * A request whose caller waits no longer while a target may be busy with it.
  *
  * @param requestId the request
- * @param untilMs when its longest run time is over, in milliseconds of the caller's clock
+ * @param endsByMs when its longest run time is over, in milliseconds of the caller's clock
  */
-public record AbandonedRow(long requestId, long untilMs) {}
+public record AbandonedRequestRow(long requestId, long endsByMs) {}
--- a/core/src/main/java/org/hibiscususher/core/world/FoldWriteRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/CompactionWriteRow.java
@@ -15,16 +15,16 @@
  * @param retryAtMs when it is written again, in milliseconds of the caller's clock; -1 while the
  *     write is out
  */
-public record FoldWriteRow(
+public record CompactionWriteRow(
         long storeCallId, long noteCallId, RecordKey key, StoreRecord value, long retryAtMs) {
     /** Checks the fields. */
-    public FoldWriteRow {
+    public CompactionWriteRow {
         requireNonNull(key);
         requireNonNull(value);
     }
 
     /** Returns a copy that waits for a further try. */
-    public FoldWriteRow retryAt(long atMs) {
-        return new FoldWriteRow(storeCallId, noteCallId, key, value, atMs);
+    public CompactionWriteRow withRetryAt(long atMs) {
+        return new CompactionWriteRow(storeCallId, noteCallId, key, value, atMs);
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/world/DeadMemberRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/DeadMemberRow.java
@@ -9,9 +9,9 @@
  *
  * @param member the member
  * @param sinceMs when this entry first saw it as dead, in milliseconds of the caller's clock
- * @param restMs how long what it held rests, in milliseconds
+ * @param reclaimDelayMs how long what it held rests, in milliseconds
  */
-public record DeadMemberRow(Member member, long sinceMs, long restMs) {
+public record DeadMemberRow(Member member, long sinceMs, long reclaimDelayMs) {
     /** Checks the fields. */
     public DeadMemberRow {
         requireNonNull(member);
--- a/core/src/main/java/org/hibiscususher/core/world/ReportRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/DemandReportRow.java
@@ -11,12 +11,13 @@
  *
  * @param group the group
  * @param allocator the allocator
- * @param atMs when
+ * @param sentMs when
  * @param teams the work by team
  */
-public record ReportRow(PermitGroup group, MemberKey allocator, long atMs, List<TeamDemand> teams) {
+public record DemandReportRow(
+        PermitGroup group, MemberKey allocator, long sentMs, List<TeamDemand> teams) {
     /** Copies the list. */
-    public ReportRow {
+    public DemandReportRow {
         requireNonNull(group);
         requireNonNull(allocator);
         teams = List.copyOf(teams);
--- a/core/src/main/java/org/hibiscususher/core/world/FleetSyncRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/FleetSyncRow.java
@@ -8,8 +8,8 @@
  * @param sentMs when the newest read was sent, -1 if none was
  * @param sentEpoch the epoch known when the newest read was sent
  * @param callId the read that is out, 0 if none
- * @param revision the configuration that was last brought together with the records
- * @param steppedMs when maintenance was last decided, -1 if never
+ * @param reconciledRevision the configuration that was last brought together with the records
+ * @param maintenanceRunMs when maintenance was last decided, -1 if never
  */
 public record FleetSyncRow(
         long version,
@@ -17,8 +17,8 @@
         long sentMs,
         long sentEpoch,
         long callId,
-        long revision,
-        long steppedMs) {
+        long reconciledRevision,
+        long maintenanceRunMs) {
     private static final long UNKNOWN_EPOCH = -1;
 
     /** The row before the first read. */
@@ -30,27 +30,31 @@
     }
 
     /** Returns a copy after a read was sent. */
-    public FleetSyncRow sent(long nowMs, long atEpoch, long call) {
-        return new FleetSyncRow(version, epoch, nowMs, atEpoch, call, revision, steppedMs);
+    public FleetSyncRow withReadSent(long nowMs, long atEpoch, long call) {
+        return new FleetSyncRow(
+                version, epoch, nowMs, atEpoch, call, reconciledRevision, maintenanceRunMs);
     }
 
     /** Returns a copy after the read that is out was answered. */
-    public FleetSyncRow answered(long upToVersion) {
-        return new FleetSyncRow(upToVersion, sentEpoch, sentMs, sentEpoch, 0, revision, steppedMs);
+    public FleetSyncRow withReadAnswered(long upToVersion) {
+        return new FleetSyncRow(
+                upToVersion, sentEpoch, sentMs, sentEpoch, 0, reconciledRevision, maintenanceRunMs);
     }
 
     /** Returns a copy after the read that is out failed. */
-    public FleetSyncRow failed() {
-        return new FleetSyncRow(version, UNKNOWN_EPOCH, sentMs, sentEpoch, 0, revision, steppedMs);
+    public FleetSyncRow withReadFailed() {
+        return new FleetSyncRow(
+                version, UNKNOWN_EPOCH, sentMs, sentEpoch, 0, reconciledRevision, maintenanceRunMs);
     }
 
     /** Returns a copy after a configuration was brought together with the records. */
-    public FleetSyncRow withRevision(long value) {
-        return new FleetSyncRow(version, epoch, sentMs, sentEpoch, callId, value, steppedMs);
+    public FleetSyncRow withReconciledRevision(long value) {
+        return new FleetSyncRow(version, epoch, sentMs, sentEpoch, callId, value, maintenanceRunMs);
     }
 
     /** Returns a copy after maintenance was decided. */
-    public FleetSyncRow stepped(long nowMs) {
-        return new FleetSyncRow(version, epoch, sentMs, sentEpoch, callId, revision, nowMs);
+    public FleetSyncRow withMaintenanceRun(long nowMs) {
+        return new FleetSyncRow(
+                version, epoch, sentMs, sentEpoch, callId, reconciledRevision, nowMs);
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/world/FormerHomeRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/FormerCoordinatorRow.java
@@ -7,16 +7,16 @@
  *
  * @param id member id
  * @param epoch epoch of the record that showed it
- * @param sinceMs since when it is known to grant no keys, in milliseconds, -1 if it is not known
+ * @param stoppedMs since when it is known to grant no keys, in milliseconds, -1 if it is not known
  */
-public record FormerHomeRow(String id, long epoch, long sinceMs) {
+public record FormerCoordinatorRow(String id, long epoch, long stoppedMs) {
     /** Checks the fields. */
-    public FormerHomeRow {
+    public FormerCoordinatorRow {
         requireNonNull(id);
     }
 
     /** Returns whether the member is known to grant no more keys. */
-    public boolean settled() {
-        return sinceMs >= 0;
+    public boolean hasStopped() {
+        return stoppedMs >= 0;
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/world/HeadRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/HeadRow.java
@@ -19,7 +19,7 @@
     }
 
     /** Returns the row after a head has been seen or written; an older one changes nothing. */
-    public HeadRow known(HeadRecord head) {
+    public HeadRow withHead(HeadRecord head) {
         return head.revision() > record.revision() ? new HeadRow(head) : this;
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/world/HoldingRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/HoldingRow.java
@@ -11,7 +11,7 @@
  * @param claimed how many were held when the claim to the allocator was made
  * @param granted count granted since then
  * @param returned count returned since then
- * @param returnSeen count returned that the allocator has acknowledged
+ * @param acknowledgedReturns count returned that the allocator has acknowledged
  * @param sentMs when the returned count was last sent, -1 if never
  * @param inUse how many of those held are in use by requests
  */
@@ -20,7 +20,7 @@
         int claimed,
         long granted,
         long returned,
-        long returnSeen,
+        long acknowledgedReturns,
         long sentMs,
         int inUse) {
     /** Checks that no more are in use than are held. */
@@ -48,39 +48,41 @@
     }
 
     /** Returns whether the allocator has yet to acknowledge a return. */
-    public boolean unseen() {
-        return returned > returnSeen;
+    public boolean hasUnacknowledgedReturn() {
+        return returned > acknowledgedReturns;
     }
 
     /** Returns a copy with more, or with a negative number fewer, in use. */
-    public HoldingRow withInUse(int change) {
-        return new HoldingRow(key, claimed, granted, returned, returnSeen, sentMs, inUse + change);
+    public HoldingRow plusInUse(int change) {
+        return new HoldingRow(
+                key, claimed, granted, returned, acknowledgedReturns, sentMs, inUse + change);
     }
 
     /** Returns a copy that counts from now on. */
-    public HoldingRow rebased() {
+    public HoldingRow withCountsRestarted() {
         return new HoldingRow(key, held(), 0, 0, 0, -1, inUse);
     }
 
     /** Returns a copy with at least the given count granted. */
     public HoldingRow withGranted(long count) {
         long grown = Math.max(granted, count);
-        return new HoldingRow(key, claimed, grown, returned, returnSeen, sentMs, inUse);
+        return new HoldingRow(key, claimed, grown, returned, acknowledgedReturns, sentMs, inUse);
     }
 
     /** Returns a copy with more returned. */
-    public HoldingRow withReturned(int more) {
-        return new HoldingRow(key, claimed, granted, returned + more, returnSeen, -1, inUse);
+    public HoldingRow plusReturned(int more) {
+        return new HoldingRow(
+                key, claimed, granted, returned + more, acknowledgedReturns, -1, inUse);
     }
 
     /** Returns a copy with at least the given count acknowledged. */
-    public HoldingRow withReturnSeen(long count) {
-        long grown = Math.max(returnSeen, count);
+    public HoldingRow withAcknowledgedReturns(long count) {
+        long grown = Math.max(acknowledgedReturns, count);
         return new HoldingRow(key, claimed, granted, returned, grown, sentMs, inUse);
     }
 
     /** Returns a copy whose returned count was sent at a time. */
     public HoldingRow withSent(long nowMs) {
-        return new HoldingRow(key, claimed, granted, returned, returnSeen, nowMs, inUse);
+        return new HoldingRow(key, claimed, granted, returned, acknowledgedReturns, nowMs, inUse);
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/world/HostRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/HostRow.java
@@ -11,10 +11,15 @@
  * @param pool the pool that it serves now
  * @param stage whether it takes work
  * @param consecutiveFaults attempts in a row that failed through the host's fault
- * @param restUntilMs no attempt is sent before this time, in milliseconds of the caller's clock
+ * @param quarantinedUntilMs no attempt is sent before this time, in milliseconds of the caller's
+ *     clock
  */
 public record HostRow(
-        HostSpec spec, String pool, HostStage stage, int consecutiveFaults, long restUntilMs) {
+        HostSpec spec,
+        String pool,
+        HostStage stage,
+        int consecutiveFaults,
+        long quarantinedUntilMs) {
     /** Checks the fields. */
     public HostRow {
         requireNonNull(spec);
@@ -24,7 +29,7 @@
 
     /** Returns a copy with another declaration. */
     public HostRow withSpec(HostSpec value) {
-        return new HostRow(value, pool, stage, consecutiveFaults, restUntilMs);
+        return new HostRow(value, pool, stage, consecutiveFaults, quarantinedUntilMs);
     }
 
     /** Returns a copy with another record of faults. */
@@ -34,6 +39,6 @@
 
     /** Returns a copy that serves a pool in a stage. */
     public HostRow withService(String inPool, HostStage inStage) {
-        return new HostRow(spec, inPool, inStage, consecutiveFaults, restUntilMs);
+        return new HostRow(spec, inPool, inStage, consecutiveFaults, quarantinedUntilMs);
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/world/HostStage.java
+++ b/core/src/main/java/org/hibiscususher/core/world/HostStage.java
@@ -16,7 +16,7 @@
     }
 
     /** Returns whether new work may be sent to the host and its slots may be granted. */
-    public boolean takesWork() {
+    public boolean acceptsWork() {
         return mTakesWork;
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/world/OnceClaimRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/IdempotencyClaimRow.java
@@ -11,21 +11,25 @@
  * @param sinceMs when the stage began, in milliseconds
  * @param sentMs when the home was last told, -1 if not yet
  */
-public record OnceClaimRow(
-        long requestId, OnceKey key, OnceClaimStage stage, long sinceMs, long sentMs) {
+public record IdempotencyClaimRow(
+        long requestId,
+        IdempotencyKey key,
+        IdempotencyClaimStage stage,
+        long sinceMs,
+        long sentMs) {
     /** Checks the fields. */
-    public OnceClaimRow {
+    public IdempotencyClaimRow {
         requireNonNull(key);
         requireNonNull(stage);
     }
 
     /** Returns a copy in another stage. */
-    public OnceClaimRow withStage(OnceClaimStage value, long nowMs) {
-        return new OnceClaimRow(requestId, key, value, nowMs, -1);
+    public IdempotencyClaimRow withStage(IdempotencyClaimStage value, long nowMs) {
+        return new IdempotencyClaimRow(requestId, key, value, nowMs, -1);
     }
 
     /** Returns a copy after the home was told. */
-    public OnceClaimRow withSent(long nowMs) {
-        return new OnceClaimRow(requestId, key, stage, sinceMs, nowMs);
+    public IdempotencyClaimRow withSent(long nowMs) {
+        return new IdempotencyClaimRow(requestId, key, stage, sinceMs, nowMs);
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/world/OnceClaimStage.java
+++ b/core/src/main/java/org/hibiscususher/core/world/IdempotencyClaimStage.java
@@ -1,7 +1,7 @@
 package org.hibiscususher.core.world;
 
 /** The stages of a request's claim to its idempotency key. */
-public enum OnceClaimStage {
+public enum IdempotencyClaimStage {
     /** Asks the key's home whether the key is new. */
     ASKING(true),
     /** The home has said that the key is new and remembers it. */
@@ -11,12 +11,12 @@
 
     private final boolean mTalks;
 
-    OnceClaimStage(boolean talks) {
+    IdempotencyClaimStage(boolean talks) {
         mTalks = talks;
     }
 
     /** Returns whether the home is told, again and again, until it answers. */
-    public boolean talks() {
+    public boolean awaitsReply() {
         return mTalks;
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/world/OnceKey.java
+++ b/core/src/main/java/org/hibiscususher/core/world/IdempotencyKey.java
@@ -12,14 +12,14 @@
  * @param high first 64 bits
  * @param low last 64 bits
  */
-public record OnceKey(long high, long low) {
+public record IdempotencyKey(long high, long low) {
     private static final int TEXT_LENGTH = 36;
     private static final int TIME_ORDERED_VERSION = 7;
     private static final int RFC_VARIANT = 2;
     private static final int TIME_SHIFT = 16;
 
     /** Returns the key that a text stands for, or empty if it is no UUID of version 7. */
-    public static Optional<OnceKey> parse(String text) {
+    public static Optional<IdempotencyKey> parse(String text) {
         if (text.length() != TEXT_LENGTH) {
             return Optional.empty();
         }
@@ -28,7 +28,8 @@
             boolean ordered = id.version() == TIME_ORDERED_VERSION && id.variant() == RFC_VARIANT;
             return ordered
                     ? Optional.of(
-                            new OnceKey(id.getMostSignificantBits(), id.getLeastSignificantBits()))
+                            new IdempotencyKey(
+                                    id.getMostSignificantBits(), id.getLeastSignificantBits()))
                     : Optional.empty();
         } catch (IllegalArgumentException e) {
             return Optional.empty();
@@ -41,7 +42,7 @@
     }
 
     /** Returns the name by which the key's home is chosen. */
-    public String homeName() {
+    public String hashedName() {
         return "once:" + Long.toHexString(high) + Long.toHexString(low);
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/world/OnceKeyRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/IdempotencyKeyRow.java
@@ -11,21 +11,21 @@
  * @param requestId the request there
  * @param released whether that request has ended without a run
  */
-public record OnceKeyRow(
-        OnceKey key, String claimant, long incarnation, long requestId, boolean released) {
+public record IdempotencyKeyRow(
+        IdempotencyKey key, String claimant, long incarnation, long requestId, boolean released) {
     /** Checks the fields. */
-    public OnceKeyRow {
+    public IdempotencyKeyRow {
         requireNonNull(key);
         requireNonNull(claimant);
     }
 
     /** Returns whether a request is the one that claimed the key. */
-    public boolean isOf(String member, long memberIncarnation, long request) {
+    public boolean isClaimedBy(String member, long memberIncarnation, long request) {
         return claimant.equals(member) && incarnation == memberIncarnation && requestId == request;
     }
 
     /** Returns a copy whose request has ended without a run. */
-    public OnceKeyRow withReleased() {
-        return new OnceKeyRow(key, claimant, incarnation, requestId, true);
+    public IdempotencyKeyRow withReleased() {
+        return new IdempotencyKeyRow(key, claimant, incarnation, requestId, true);
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/world/LedgerRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/LedgerRow.java
@@ -14,7 +14,7 @@
  * @param unclaimed how many members without an answer may hold; of no account once all answered
  * @param accounts the members that hold, or have held, some
  */
-public record LedgerRow(PermitKey key, int unclaimed, List<Account> accounts) {
+public record LedgerRow(PermitKey key, int unclaimed, List<MemberAccount> accounts) {
     /** Copies the list. */
     public LedgerRow {
         requireNonNull(key);
@@ -24,20 +24,20 @@
     /** Returns how many all members that have answered hold at most. */
     public int outstanding() {
         int sum = 0;
-        for (Account account : accounts) {
+        for (MemberAccount account : accounts) {
             sum += account.outstanding();
         }
         return sum;
     }
 
     /** Returns the account of a member, or empty. */
-    public Optional<Account> account(MemberKey member) {
+    public Optional<MemberAccount> account(MemberKey member) {
         return accounts.stream().filter(a -> a.member().equals(member)).findFirst();
     }
 
     /** Returns a copy with an account in place of the member's former one. */
-    public LedgerRow withAccount(Account account) {
-        List<Account> changed = new ArrayList<>(accounts);
+    public LedgerRow withAccount(MemberAccount account) {
+        List<MemberAccount> changed = new ArrayList<>(accounts);
         changed.removeIf(a -> a.member().equals(account.member()));
         changed.add(account);
         return new LedgerRow(key, unclaimed, changed);
@@ -52,7 +52,7 @@
     /**
      * Returns a copy of which members without an answer may hold more, or with less than 0 fewer.
      */
-    public LedgerRow withUnclaimed(int change) {
+    public LedgerRow plusUnclaimed(int change) {
         return new LedgerRow(key, Math.max(0, unclaimed + change), accounts);
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/world/LendPolicy.java
+++ b/core/src/main/java/org/hibiscususher/core/world/LendPolicy.java
@@ -18,12 +18,12 @@
     }
 
     /** Returns for how long a pool must be short before it borrows, in milliseconds. */
-    public int shortMs() {
+    public int borrowDelayMs() {
         return mShortMs;
     }
 
     /** Returns for how long a pool must have enough before it gives back, in milliseconds. */
-    public int enoughMs() {
+    public int returnDelayMs() {
         return mEnoughMs;
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/world/DemandRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/MemberDemandRow.java
@@ -11,12 +11,12 @@
  *
  * @param key the group and the member
  * @param sequence of the message that brought it
- * @param atMs when it came
+ * @param receivedMs when it came
  * @param teams the work by team
  */
-public record DemandRow(Key key, long sequence, long atMs, List<TeamDemand> teams) {
+public record MemberDemandRow(Key key, long sequence, long receivedMs, List<TeamDemand> teams) {
     /** Copies the list. */
-    public DemandRow {
+    public MemberDemandRow {
         requireNonNull(key);
         teams = List.copyOf(teams);
     }
--- a/core/src/main/java/org/hibiscususher/core/world/MemberRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/MemberRow.java
@@ -9,10 +9,10 @@
  *
  * @param member what the membership record shows
  * @param lastHeardMs when it was last heard, in milliseconds of the caller's clock, -1 if never
- * @param lastSentMs when it was last sent a message, -1 if never
- * @param sent highest sequence sent to it
- * @param received highest sequence received from it
- * @param acknowledged highest sequence that it has acknowledged
+ * @param lastSentMs when it was last sentSequence a message, -1 if never
+ * @param sentSequence highest sequence sentSequence to it
+ * @param receivedSequence highest sequence receivedSequence from it
+ * @param acknowledgedSequence highest sequence that it has acknowledgedSequence
  * @param epoch newest epoch that it is known to know
  * @param revision revision that it is known to have in force
  * @param storeContactMs its last contact with the store, as far as known, -1 if never
@@ -21,9 +21,9 @@
         Member member,
         long lastHeardMs,
         long lastSentMs,
-        long sent,
-        long received,
-        long acknowledged,
+        long sentSequence,
+        long receivedSequence,
+        long acknowledgedSequence,
         long epoch,
         long revision,
         long storeContactMs) {
@@ -43,23 +43,23 @@
                 value,
                 lastHeardMs,
                 lastSentMs,
-                sent,
-                received,
-                acknowledged,
+                sentSequence,
+                receivedSequence,
+                acknowledgedSequence,
                 epoch,
                 revision,
                 storeContactMs);
     }
 
-    /** Returns a copy after one more message was sent. */
+    /** Returns a copy after one more message was sentSequence. */
     public MemberRow withSent(long nowMs) {
         return new MemberRow(
                 member,
                 lastHeardMs,
                 nowMs,
-                sent + 1,
-                received,
-                acknowledged,
+                sentSequence + 1,
+                receivedSequence,
+                acknowledgedSequence,
                 epoch,
                 revision,
                 storeContactMs);
--- a/core/src/main/java/org/hibiscususher/core/world/EvidenceRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/PeerFreshnessRow.java
@@ -8,27 +8,32 @@
  *
  * @param probeSequence a sequence sent to the member and not yet acknowledged, 0 if none
  * @param probeMs when it was sent, in milliseconds of the caller's clock
- * @param confirmedSequence newest probe that was acknowledged, 0 if none
- * @param confirmedMs when that one was sent, -1 if none
+ * @param acknowledgedSequence newest probe that was acknowledged, 0 if none
+ * @param acknowledgedSentMs when that one was sent, -1 if none
  * @param knownRevision newest revision that the member is known to know of
- * @param freshMs time as of which the member's revision was current, -1 if not known
+ * @param currentAsOfMs time as of which the member's revision was current, -1 if not known
  */
-public record EvidenceRow(
+public record PeerFreshnessRow(
         long probeSequence,
         long probeMs,
-        long confirmedSequence,
-        long confirmedMs,
+        long acknowledgedSequence,
+        long acknowledgedSentMs,
         long knownRevision,
-        long freshMs) {
+        long currentAsOfMs) {
     /** The row of a member that was never heard. */
-    public static final EvidenceRow NONE = new EvidenceRow(0, -1, 0, -1, 0, -1);
+    public static final PeerFreshnessRow NONE = new PeerFreshnessRow(0, -1, 0, -1, 0, -1);
 
     /** Returns a copy after a message was sent to the member. */
-    public EvidenceRow sent(long sequence, long nowMs) {
+    public PeerFreshnessRow withSent(long sequence, long nowMs) {
         return probeSequence > 0
                 ? this
-                : new EvidenceRow(
-                        sequence, nowMs, confirmedSequence, confirmedMs, knownRevision, freshMs);
+                : new PeerFreshnessRow(
+                        sequence,
+                        nowMs,
+                        acknowledgedSequence,
+                        acknowledgedSentMs,
+                        knownRevision,
+                        currentAsOfMs);
     }
 
     /**
@@ -38,19 +43,19 @@
      * @param known newest revision that the member knows of
      * @param freshAgeMs age of the member's own knowledge when it sent the message, -1 if none
      */
-    public EvidenceRow heard(long acknowledged, long known, long freshAgeMs) {
+    public PeerFreshnessRow withReceived(long acknowledged, long known, long freshAgeMs) {
         boolean answersProbe = probeSequence > 0 && acknowledged >= probeSequence;
-        boolean answersOld = confirmedSequence > 0 && acknowledged >= confirmedSequence;
-        long sentAfterMs = answersProbe ? probeMs : answersOld ? confirmedMs : -1;
+        boolean answersOld = acknowledgedSequence > 0 && acknowledged >= acknowledgedSequence;
+        long sentAfterMs = answersProbe ? probeMs : answersOld ? acknowledgedSentMs : -1;
         long fresh =
                 sentAfterMs < 0 || freshAgeMs < 0
-                        ? freshMs
-                        : Math.max(freshMs, sentAfterMs - freshAgeMs);
-        return new EvidenceRow(
+                        ? currentAsOfMs
+                        : Math.max(currentAsOfMs, sentAfterMs - freshAgeMs);
+        return new PeerFreshnessRow(
                 answersProbe ? 0 : probeSequence,
                 answersProbe ? -1 : probeMs,
-                answersProbe ? probeSequence : confirmedSequence,
-                answersProbe ? probeMs : confirmedMs,
+                answersProbe ? probeSequence : acknowledgedSequence,
+                answersProbe ? probeMs : acknowledgedSentMs,
                 Math.max(knownRevision, known),
                 fresh);
     }
--- a/core/src/main/java/org/hibiscususher/core/world/PendingNoteRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/PendingNoteRow.java
@@ -58,7 +58,7 @@
     }
 
     /** Returns a copy in another state that waits for a store call, 0 for none. */
-    public PendingNoteRow waitingFor(PendingNoteState value, long storeCall) {
+    public PendingNoteRow withStoreCall(PendingNoteState value, long storeCall) {
         return with(value, storeCall, plan, revision, writtenMs, mayBeWritten, failures, -1);
     }
 
@@ -69,22 +69,22 @@
     }
 
     /** Returns a copy that is known to have become a revision. */
-    public PendingNoteRow written(long value, long nowMs) {
+    public PendingNoteRow withWritten(long value, long nowMs) {
         return with(PendingNoteState.ROLLING_OUT, 0, plan, value, nowMs, mayBeWritten, 0, nowMs);
     }
 
     /** Returns a copy whose write had no answer. */
-    public PendingNoteRow unsure() {
+    public PendingNoteRow withUncertainWrite() {
         return with(state, storeCallId, plan, revision, writtenMs, true, failures, retryAtMs);
     }
 
     /** Returns a copy that tries again from a state on at a time. */
-    public PendingNoteRow retryAt(PendingNoteState from, long atMs) {
+    public PendingNoteRow withRetryAt(PendingNoteState from, long atMs) {
         return with(from, 0, plan, revision, writtenMs, mayBeWritten, failures + 1, atMs);
     }
 
     /** Returns a copy after a store call was answered. */
-    public PendingNoteRow answered() {
+    public PendingNoteRow withStoreAnswer() {
         return with(state, 0, plan, revision, writtenMs, mayBeWritten, 0, -1);
     }
 
--- a/core/src/main/java/org/hibiscususher/core/world/PendingWaveRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/PendingWaveRow.java
@@ -3,20 +3,21 @@
 import static java.util.Objects.requireNonNull;
 
 import java.util.Optional;
-import org.hibiscususher.core.message.Input.WaveAsked;
+import org.hibiscususher.core.message.Input.WaveCommandReceived;
 import org.hibiscususher.core.message.StoreRecord.WaveRecord;
 
 /**
  * An operator's command about the maintenance wave that waits for the store.
  *
- * @param asked the command
- * @param wanted the record that is being written; empty until the present one was read
+ * @param command the command
+ * @param newRecord the record that is being written; empty until the present one was read
  * @param sinceMs when the command came, in milliseconds of the caller's clock
  */
-public record PendingWaveRow(WaveAsked asked, Optional<WaveRecord> wanted, long sinceMs) {
+public record PendingWaveRow(
+        WaveCommandReceived command, Optional<WaveRecord> newRecord, long sinceMs) {
     /** Checks the fields. */
     public PendingWaveRow {
-        requireNonNull(asked);
-        requireNonNull(wanted);
+        requireNonNull(command);
+        requireNonNull(newRecord);
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/world/TotalRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/PermitLimitRow.java
@@ -8,12 +8,12 @@
  * How many permits there may be.
  *
  * @param key the permits
- * @param total the limit in force
- * @param highest the highest limit that was known
+ * @param limit the limit in force
+ * @param highestLimit the highestLimit limit that was known
  */
-public record TotalRow(PermitKey key, int total, int highest) {
+public record PermitLimitRow(PermitKey key, int limit, int highestLimit) {
     /** Checks the fields. */
-    public TotalRow {
+    public PermitLimitRow {
         requireNonNull(key);
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/world/PlatformHostRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/PlatformHostRow.java
@@ -17,7 +17,7 @@
     }
 
     /** Returns whether the host is gone or going. */
-    public boolean lost() {
+    public boolean goneOrLeaving() {
         return !listed || host.leaving();
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/world/PoolNeedRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/PoolShortfallRow.java
@@ -8,11 +8,11 @@
  * @param pool the pool
  * @param hosts how many; negative if it has more than it needs
  * @param sinceMs since when it has been short or has had too many, in milliseconds
- * @param heardMs when it was last heard, in milliseconds of the caller's clock
+ * @param reportedMs when it was last heard, in milliseconds of the caller's clock
  */
-public record PoolNeedRow(String pool, int hosts, long sinceMs, long heardMs) {
+public record PoolShortfallRow(String pool, int hosts, long sinceMs, long reportedMs) {
     /** Checks the fields. */
-    public PoolNeedRow {
+    public PoolShortfallRow {
         requireNonNull(pool);
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/world/QueueLoadRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/QueueStatsRow.java
@@ -11,7 +11,7 @@
  * @param retryTokens what is left for retries; each costs one
  * @param refilledMs when tokens were last added for time passed, in milliseconds
  */
-public record QueueLoadRow(
+public record QueueStatsRow(
         String queue, int samples, double meanRunMs, double retryTokens, long refilledMs) {
     private static final int ENOUGH_SAMPLES = 16;
     private static final double MAX_TOKENS = 20;
@@ -19,17 +19,17 @@
     private static final double TOKENS_PER_MS = 0.001;
 
     /** Checks the fields. */
-    public QueueLoadRow {
+    public QueueStatsRow {
         requireNonNull(queue);
     }
 
     /** Returns the row of a queue of which nothing is known. */
-    public static QueueLoadRow of(String queue, long nowMs) {
-        return new QueueLoadRow(queue, 0, 0, MAX_TOKENS, nowMs);
+    public static QueueStatsRow of(String queue, long nowMs) {
+        return new QueueStatsRow(queue, 0, 0, MAX_TOKENS, nowMs);
     }
 
     /** Returns whether enough run times were seen to judge by their mean. */
-    public boolean known() {
+    public boolean hasEnoughSamples() {
         return samples >= ENOUGH_SAMPLES;
     }
 
@@ -39,21 +39,21 @@
     }
 
     /** Returns a copy after a whole answer. */
-    public QueueLoadRow answered(long runMs) {
+    public QueueStatsRow withRunTime(long runMs) {
         int seen = Math.min(samples + 1, ENOUGH_SAMPLES);
         double mean = meanRunMs + (runMs - meanRunMs) / seen;
         double tokens = Math.min(MAX_TOKENS, retryTokens + TOKENS_PER_ANSWER);
-        return new QueueLoadRow(queue, seen, mean, tokens, refilledMs);
+        return new QueueStatsRow(queue, seen, mean, tokens, refilledMs);
     }
 
     /** Returns a copy with the tokens that time has brought. */
-    public QueueLoadRow refilled(long nowMs) {
+    public QueueStatsRow withRefilledTokens(long nowMs) {
         double tokens = Math.min(MAX_TOKENS, retryTokens + (nowMs - refilledMs) * TOKENS_PER_MS);
-        return new QueueLoadRow(queue, samples, meanRunMs, tokens, nowMs);
+        return new QueueStatsRow(queue, samples, meanRunMs, tokens, nowMs);
     }
 
     /** Returns a copy after a retry. */
-    public QueueLoadRow retried() {
-        return new QueueLoadRow(queue, samples, meanRunMs, retryTokens - 1, refilledMs);
+    public QueueStatsRow withRetry() {
+        return new QueueStatsRow(queue, samples, meanRunMs, retryTokens - 1, refilledMs);
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/world/WaveDoneRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/RebootedHostRow.java
@@ -9,9 +9,9 @@
  * @param wave the wave
  * @param sinceMs when this entry learned of it, in milliseconds of the caller's clock
  */
-public record WaveDoneRow(String host, String wave, long sinceMs) {
+public record RebootedHostRow(String host, String wave, long sinceMs) {
     /** Checks the fields. */
-    public WaveDoneRow {
+    public RebootedHostRow {
         requireNonNull(host);
         requireNonNull(wave);
     }
--- a/core/src/main/java/org/hibiscususher/core/world/RequestRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/RequestRow.java
@@ -57,12 +57,12 @@
     }
 
     /** Returns the requests with which it competes for permits, or shares them. */
-    public RequestLane lane() {
-        return new RequestLane(state, kind, pool, team);
+    public SchedulingClass schedulingClass() {
+        return new SchedulingClass(state, kind, pool, team);
     }
 
     /** Returns a copy that runs a further attempt on a host. */
-    public RequestRow started(long nowMs, String host, List<PermitKey> using) {
+    public RequestRow withAttempt(long nowMs, String host, List<PermitKey> using) {
         List<String> tried = new ArrayList<>(triedHosts);
         tried.add(host);
         return new RequestRow(
@@ -100,12 +100,12 @@
     }
 
     /** Returns a copy whose idempotency key was found to be new. */
-    public RequestRow claimed() {
+    public RequestRow withKeyClaimed() {
         return withState(RequestState.WAITING, List.of());
     }
 
     /** Returns a copy that waits for a further attempt. */
-    public RequestRow waitingAgain(boolean ranPerhaps) {
+    public RequestRow requeued(boolean ranPerhaps) {
         return new RequestRow(
                 arrival,
                 team,
--- a/core/src/main/java/org/hibiscususher/core/world/RequestLane.java
+++ b/core/src/main/java/org/hibiscususher/core/world/SchedulingClass.java
@@ -12,9 +12,9 @@
  * @param pool where they run
  * @param team whose they are
  */
-public record RequestLane(RequestState state, QueueKind kind, String pool, String team) {
+public record SchedulingClass(RequestState state, QueueKind kind, String pool, String team) {
     /** Checks the fields. */
-    public RequestLane {
+    public SchedulingClass {
         requireNonNull(state);
         requireNonNull(kind);
         requireNonNull(pool);
--- a/core/src/main/java/org/hibiscususher/core/world/CreditRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/TeamDeficitRow.java
@@ -7,11 +7,11 @@
  *
  * @param key the pool and the team
  * @param slotMs slots due less slots in use, added up over time, in slot-milliseconds
- * @param atMs when it was last added up
+ * @param updatedMs when it was last added up
  */
-public record CreditRow(Key key, double slotMs, long atMs) {
+public record TeamDeficitRow(Key key, double slotMs, long updatedMs) {
     /** Checks the fields. */
-    public CreditRow {
+    public TeamDeficitRow {
         requireNonNull(key);
     }
 
--- a/core/src/main/java/org/hibiscususher/core/world/Tick.java
+++ b/core/src/main/java/org/hibiscususher/core/world/Tick.java
@@ -66,7 +66,7 @@
     }
 
     /** Adds something to the next message to a member. */
-    public void tell(String memberId, PeerItem item) {
+    public void send(String memberId, PeerItem item) {
         mItems.computeIfAbsent(memberId, id -> new ArrayList<>()).add(requireNonNull(item));
     }
 
--- a/core/src/main/java/org/hibiscususher/core/world/World.java
+++ b/core/src/main/java/org/hibiscususher/core/world/World.java
@@ -27,43 +27,43 @@
     private final Table<Long, AcceptedNote> mRecentNotes = Table.create();
     private final Table<String, RelayRow> mRelays = Table.create();
     private final Table<Long, HistoryQueryRow> mHistoryQueries = Table.create();
-    private final Table<Long, FoldWriteRow> mFoldWrites = Table.create();
+    private final Table<Long, CompactionWriteRow> mFoldWrites = Table.create();
     private final Table<String, MembershipRow> mMembership = Table.create();
     private final Table<String, MemberRow> mMembers = Table.create();
     private final Table<String, MembershipCallRow> mMembershipCall = Table.create();
     private final Table<String, LivenessRow> mLiveness = Table.create();
     private final Table<DeadMemberRow.Key, DeadMemberRow> mDeadMembers = Table.create();
     private final Table<String, FreshnessRow> mFreshness = Table.create();
-    private final Table<String, EvidenceRow> mEvidence = Table.create();
+    private final Table<String, PeerFreshnessRow> mEvidence = Table.create();
     private final Table<Long, StoreCallRow> mHeadReads = Table.create();
     private final Table<String, HostListRow> mHostList = Table.create();
     private final Table<KeyDigest, KeySpec> mKeys = Table.create();
     private final GroupedTable<String, HostRow, String> mHosts =
             GroupedTable.createBy(HostRow::pool);
-    private final Table<String, EscrowRow> mEscrow = Table.create();
-    private final GroupedTable<PermitKey, TotalRow, PermitGroup> mTotals =
+    private final Table<String, EscrowSyncRow> mEscrow = Table.create();
+    private final GroupedTable<PermitKey, PermitLimitRow, PermitGroup> mTotals =
             GroupedTable.createBy(t -> t.key().permitGroup());
     private final GroupedTable<PermitKey, HoldingRow, PermitGroup> mHoldings =
             GroupedTable.createBy(h -> h.key().permitGroup());
-    private final Table<PermitGroup, AttachmentRow> mAttachments = Table.create();
-    private final Table<PermitGroup, ReportRow> mReports = Table.create();
-    private final Table<PermitGroup, TenureRow> mTenures = Table.create();
+    private final Table<PermitGroup, AllocatorBindingRow> mAttachments = Table.create();
+    private final Table<PermitGroup, DemandReportRow> mReports = Table.create();
+    private final Table<PermitGroup, AllocatorTermRow> mTenures = Table.create();
     private final GroupedTable<PermitKey, LedgerRow, PermitGroup> mLedger =
             GroupedTable.createBy(l -> l.key().permitGroup());
-    private final GroupedTable<DemandRow.Key, DemandRow, PermitGroup> mDemands =
+    private final GroupedTable<MemberDemandRow.Key, MemberDemandRow, PermitGroup> mDemands =
             GroupedTable.createBy(d -> d.key().group());
-    private final GroupedTable<DemandRow.Key, AdviceRow, PermitGroup> mAdvice =
+    private final GroupedTable<MemberDemandRow.Key, SentAllocationRow, PermitGroup> mAdvice =
             GroupedTable.createBy(a -> a.key().group());
-    private final Table<String, PoolDuesRow> mPoolDues = Table.create();
-    private final Table<CreditRow.Key, CreditRow> mCredits = Table.create();
-    private final GroupedTable<Long, RequestRow, RequestLane> mRequests =
-            GroupedTable.createBy(RequestRow::lane);
-    private final Table<Long, AbandonedRow> mAbandoned = Table.create();
-    private final Table<String, QueueLoadRow> mQueueLoads = Table.create();
-    private final Table<Long, OnceClaimRow> mOnceClaims = Table.create();
-    private final Table<OnceKey, OnceKeyRow> mOnceKeys = Table.create();
-    private final Table<String, OnceTenureRow> mOnceTenure = Table.create();
-    private final Table<String, FormerHomeRow> mFormerHomes = Table.create();
+    private final Table<String, PoolEntitlementsRow> mPoolDues = Table.create();
+    private final Table<TeamDeficitRow.Key, TeamDeficitRow> mCredits = Table.create();
+    private final GroupedTable<Long, RequestRow, SchedulingClass> mRequests =
+            GroupedTable.createBy(RequestRow::schedulingClass);
+    private final Table<Long, AbandonedRequestRow> mAbandoned = Table.create();
+    private final Table<String, QueueStatsRow> mQueueLoads = Table.create();
+    private final Table<Long, IdempotencyClaimRow> mOnceClaims = Table.create();
+    private final Table<IdempotencyKey, IdempotencyKeyRow> mOnceKeys = Table.create();
+    private final Table<String, CoordinatorTermRow> mOnceTenure = Table.create();
+    private final Table<String, FormerCoordinatorRow> mFormerHomes = Table.create();
     private final Table<Long, PendingNoteRow> mPendingNotes = Table.create();
     private final Table<RecordKind, StoreCallRow> mStoreCalls = Table.create();
     private final Table<RecordKey, FleetRow> mFleet = Table.create();
@@ -73,9 +73,9 @@
     private final Table<String, PlatformHostRow> mPlatformHosts = Table.create();
     private final Table<String, OutageRow> mOutages = Table.create();
     private final Table<String, RebootRow> mReboots = Table.create();
-    private final Table<String, WaveDoneRow> mWaveDone = Table.create();
+    private final Table<String, RebootedHostRow> mWaveDone = Table.create();
     private final Table<Long, PendingWaveRow> mPendingWaves = Table.create();
-    private final Table<String, PoolNeedRow> mPoolNeeds = Table.create();
+    private final Table<String, PoolShortfallRow> mPoolNeeds = Table.create();
     private final Table<String, ControlSettings> mSettings = Table.create();
 
     private World() {}
@@ -88,10 +88,10 @@
         world.mHead.put(SELF, HeadRow.UNSEEN);
         world.mMembership.put(SELF, MembershipRow.UNSEEN);
         world.mFleetSync.put(SELF, FleetSyncRow.NEVER);
-        world.mEscrow.put(SELF, EscrowRow.NONE);
+        world.mEscrow.put(SELF, EscrowSyncRow.NONE);
         world.mMembershipCall.put(SELF, MembershipCallRow.NONE);
         world.mFreshness.put(SELF, FreshnessRow.NONE);
-        world.mOnceTenure.put(SELF, OnceTenureRow.NONE);
+        world.mOnceTenure.put(SELF, CoordinatorTermRow.NONE);
         world.mHostList.put(SELF, HostListRow.NONE);
         world.mSettings.put(SELF, settings);
         return world;
@@ -143,7 +143,7 @@
     }
 
     /** Returns the records that heads to come will name, by the store call that writes them. */
-    public Table<Long, FoldWriteRow> foldWrites() {
+    public Table<Long, CompactionWriteRow> compactionWrites() {
         return mFoldWrites;
     }
 
@@ -208,12 +208,12 @@
     }
 
     /** Returns what each other entry has said of the configuration, by member id. */
-    public Table<String, EvidenceRow> evidence() {
+    public Table<String, PeerFreshnessRow> peerFreshness() {
         return mEvidence;
     }
 
     /** Returns the keys in force by the digest of their secret. */
-    public Table<KeyDigest, KeySpec> keys() {
+    public Table<KeyDigest, KeySpec> accessKeys() {
         return mKeys;
     }
 
@@ -223,17 +223,17 @@
     }
 
     /** Returns what the escrow has taken in. */
-    public EscrowRow escrow() {
+    public EscrowSyncRow escrowSync() {
         return mEscrow.find(SELF).orElseThrow();
     }
 
     /** Returns the table of the one row about the escrow. */
-    public Table<String, EscrowRow> escrowTable() {
+    public Table<String, EscrowSyncRow> escrowSyncTable() {
         return mEscrow;
     }
 
     /** Returns how many permits there may be. */
-    public GroupedTable<PermitKey, TotalRow, PermitGroup> totals() {
+    public GroupedTable<PermitKey, PermitLimitRow, PermitGroup> permitLimits() {
         return mTotals;
     }
 
@@ -243,17 +243,17 @@
     }
 
     /** Returns the allocators that this entry follows. */
-    public Table<PermitGroup, AttachmentRow> attachments() {
+    public Table<PermitGroup, AllocatorBindingRow> allocatorBindings() {
         return mAttachments;
     }
 
     /** Returns the demand that this entry has reported to allocators. */
-    public Table<PermitGroup, ReportRow> reports() {
+    public Table<PermitGroup, DemandReportRow> demandReports() {
         return mReports;
     }
 
     /** Returns the groups of permits that this entry allocates. */
-    public Table<PermitGroup, TenureRow> tenures() {
+    public Table<PermitGroup, AllocatorTermRow> allocatorTerms() {
         return mTenures;
     }
 
@@ -263,62 +263,62 @@
     }
 
     /** Returns the demand of the members for the permits that this entry allocates. */
-    public GroupedTable<DemandRow.Key, DemandRow, PermitGroup> demands() {
+    public GroupedTable<MemberDemandRow.Key, MemberDemandRow, PermitGroup> memberDemands() {
         return mDemands;
     }
 
     /** Returns what this entry, as allocator, has told the members. */
-    public GroupedTable<DemandRow.Key, AdviceRow, PermitGroup> advice() {
+    public GroupedTable<MemberDemandRow.Key, SentAllocationRow, PermitGroup> sentAllocations() {
         return mAdvice;
     }
 
     /** Returns what the teams are due at this entry by pool. */
-    public Table<String, PoolDuesRow> poolDues() {
+    public Table<String, PoolEntitlementsRow> poolEntitlements() {
         return mPoolDues;
     }
 
     /** Returns how far teams have fallen short of what they were due at this entry. */
-    public Table<CreditRow.Key, CreditRow> credits() {
+    public Table<TeamDeficitRow.Key, TeamDeficitRow> teamDeficits() {
         return mCredits;
     }
 
     /** Returns the requests at hand, in order of arrival, grouped by what they wait for or use. */
-    public GroupedTable<Long, RequestRow, RequestLane> requests() {
+    public GroupedTable<Long, RequestRow, SchedulingClass> requests() {
         return mRequests;
     }
 
     /** Returns the requests that were abandoned while running, by id. */
-    public Table<Long, AbandonedRow> abandoned() {
+    public Table<Long, AbandonedRequestRow> abandonedRequests() {
         return mAbandoned;
     }
 
     /** Returns what was learnt of each queue. */
-    public Table<String, QueueLoadRow> queueLoads() {
+    public Table<String, QueueStatsRow> queueStats() {
         return mQueueLoads;
     }
 
     /** Returns the claims of requests at hand to their idempotency keys, by request. */
-    public Table<Long, OnceClaimRow> onceClaims() {
+    public Table<Long, IdempotencyClaimRow> idempotencyClaims() {
         return mOnceClaims;
     }
 
     /** Returns the idempotency keys that this entry remembers as their home. */
-    public Table<OnceKey, OnceKeyRow> onceKeys() {
+    public Table<IdempotencyKey, IdempotencyKeyRow> idempotencyKeys() {
         return mOnceKeys;
     }
 
     /** Returns since when this entry may be the home of idempotency keys. */
-    public OnceTenureRow onceTenure() {
+    public CoordinatorTermRow coordinatorTerm() {
         return mOnceTenure.find(SELF).orElseThrow();
     }
 
     /** Returns the table of the one row about this entry as a home of idempotency keys. */
-    public Table<String, OnceTenureRow> onceTenureTable() {
+    public Table<String, CoordinatorTermRow> coordinatorTermTable() {
         return mOnceTenure;
     }
 
     /** Returns the members that were homes of idempotency keys, by member id. */
-    public Table<String, FormerHomeRow> formerHomes() {
+    public Table<String, FormerCoordinatorRow> formerCoordinators() {
         return mFormerHomes;
     }
 
@@ -333,7 +333,7 @@
     }
 
     /** Returns the records about hosts as last seen. */
-    public Table<RecordKey, FleetRow> fleet() {
+    public Table<RecordKey, FleetRow> fleetRecords() {
         return mFleet;
     }
 
@@ -348,7 +348,7 @@
     }
 
     /** Returns the writes of records about hosts that are out. */
-    public Table<RecordKey, StoreCallRow> fleetCalls() {
+    public Table<RecordKey, StoreCallRow> fleetWrites() {
         return mFleetCalls;
     }
 
@@ -373,7 +373,7 @@
     }
 
     /** Returns the hosts that are rebooted in the newest wave, by wave and host. */
-    public Table<String, WaveDoneRow> waveDone() {
+    public Table<String, RebootedHostRow> rebootedHosts() {
         return mWaveDone;
     }
 
@@ -383,7 +383,7 @@
     }
 
     /** Returns how many hosts pools are short of, by pool. */
-    public Table<String, PoolNeedRow> poolNeeds() {
+    public Table<String, PoolShortfallRow> poolShortfalls() {
         return mPoolNeeds;
     }
 
--- a/core/src/test/java/org/hibiscususher/core/rollout/RollOutSystemTest.java
+++ b/core/src/test/java/org/hibiscususher/core/rollout/RollOutSystemTest.java
@@ -75,7 +75,7 @@
 
     private List<Output> relay(List<AcceptedNote> notes) {
         return tick(
-                new Input.PeerReceived(
+                new Input.PeerMessageReceived(
                         new PeerMessage(
                                 "e2",
                                 1,
@@ -87,7 +87,7 @@
                                 0,
                                 0,
                                 0,
-                                List.of(new PeerItem.Relay(notes)))));
+                                List.of(new PeerItem.NoteRelay(notes)))));
     }
 
     private void assertInForce(long revision) {
--- a/daemon/src/main/java/org/hibiscususher/daemon/Daemon.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/Daemon.java
@@ -88,31 +88,31 @@
     private void handle(Output output) {
         if (output instanceof Output.StartAttempt start) {
             mExchanges.start(start);
-        } else if (output instanceof Output.Refuse refuse) {
+        } else if (output instanceof Output.RefuseRequest refuse) {
             mExchanges.refuse(refuse);
-        } else if (output instanceof Output.SendPeer send) {
+        } else if (output instanceof Output.SendPeerMessage send) {
             mPeers.send(send);
-        } else if (output instanceof Output.ReadHosts) {
+        } else if (output instanceof Output.ReadHostList) {
             mStore.readHosts();
         } else if (output instanceof Output.ReadRecord read) {
             mStore.read(read);
         } else if (output instanceof Output.SwapRecord swap) {
             mStore.swap(swap);
-        } else if (output instanceof Output.ReadFleet read) {
+        } else if (output instanceof Output.ReadFleetRecords read) {
             mStore.readFleet(read);
         } else if (output instanceof Output.RebootHost reboot) {
             mStore.reboot(reboot);
-        } else if (output instanceof Output.AnswerWave answer) {
+        } else if (output instanceof Output.ReplyToWave answer) {
             mCalls.complete(answer.callId(), answer);
-        } else if (output instanceof Output.AnswerNote answer) {
+        } else if (output instanceof Output.ReplyToNote answer) {
             mCalls.complete(answer.callId(), answer);
-        } else if (output instanceof Output.AnswerNoteCheck answer) {
+        } else if (output instanceof Output.ReplyToNoteCheck answer) {
             mCalls.complete(answer.callId(), answer);
-        } else if (output instanceof Output.AnswerHistory answer) {
+        } else if (output instanceof Output.ReplyToHistory answer) {
             mCalls.complete(answer.callId(), answer);
-        } else if (output instanceof Output.AnswerExport answer) {
+        } else if (output instanceof Output.ReplyToExport answer) {
             mCalls.complete(answer.callId(), answer);
-        } else if (output instanceof Output.AnswerStatus answer) {
+        } else if (output instanceof Output.ReplyToStatus answer) {
             mCalls.complete(answer.callId(), answer);
         } else if (output instanceof Output.Count count) {
             mMetrics.counter(count.counter()).inc();
@@ -134,7 +134,7 @@
     public boolean shutDown() throws InterruptedException {
         mFront.stopAccepting();
         mExchanges.setLeaving();
-        mInbox.add(new Input.ShutdownAsked());
+        mInbox.add(new Input.ShutdownRequested());
         long startNs = System.nanoTime();
         boolean left = mDone.await(POLL_MS, TimeUnit.MILLISECONDS);
         while (!left && msSince(startNs) < mExchanges.longestRunLimitMs() + LEAVE_TIMEOUT_MS) {
--- a/daemon/src/main/java/org/hibiscususher/daemon/admin/AdminServer.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/admin/AdminServer.java
@@ -29,12 +29,12 @@
 import org.hibiscususher.core.message.Input;
 import org.hibiscususher.core.message.NoteResult;
 import org.hibiscususher.core.message.Output;
-import org.hibiscususher.core.message.Output.AnswerExport;
-import org.hibiscususher.core.message.Output.AnswerHistory;
-import org.hibiscususher.core.message.Output.AnswerNote;
-import org.hibiscususher.core.message.Output.AnswerNoteCheck;
-import org.hibiscususher.core.message.Output.AnswerStatus;
-import org.hibiscususher.core.message.Output.AnswerWave;
+import org.hibiscususher.core.message.Output.ReplyToExport;
+import org.hibiscususher.core.message.Output.ReplyToHistory;
+import org.hibiscususher.core.message.Output.ReplyToNote;
+import org.hibiscususher.core.message.Output.ReplyToNoteCheck;
+import org.hibiscususher.core.message.Output.ReplyToStatus;
+import org.hibiscususher.core.message.Output.ReplyToWave;
 import org.hibiscususher.core.message.WaveCommand;
 import org.hibiscususher.wire.http.Addresses;
 import org.hibiscususher.wire.json.OperatorJson;
@@ -102,14 +102,14 @@
                 case "GET /export" ->
                         ask(
                                 context,
-                                Input.ExportAsked::new,
-                                AnswerExport.class,
+                                Input.ExportRequested::new,
+                                ReplyToExport.class,
                                 a -> text(NoteWriter.write(a.configuration())));
                 case "GET /status" ->
                         ask(
                                 context,
-                                Input.StatusAsked::new,
-                                AnswerStatus.class,
+                                Input.StatusRequested::new,
+                                ReplyToStatus.class,
                                 a -> OperatorJson.encodeStatus(a.report()));
                 case "GET /metrics" ->
                         reply(context, HttpResponseStatus.OK, text(MetricsPage.of(mMetrics)));
@@ -150,8 +150,8 @@
             String which = parameter(uri, "which", "");
             ask(
                     context,
-                    id -> new Input.HistoryAsked(id, which, HISTORY_NOTES),
-                    AnswerHistory.class,
+                    id -> new Input.HistoryRequested(id, which, HISTORY_NOTES),
+                    ReplyToHistory.class,
                     OperatorJson::encodeHistory);
         }
 
@@ -161,11 +161,11 @@
             if (parsed.findings().isEmpty()) {
                 ask(
                         context,
-                        id -> new Input.NoteCheckAsked(id, parsed.note()),
-                        AnswerNoteCheck.class,
+                        id -> new Input.NoteCheckRequested(id, parsed.note()),
+                        ReplyToNoteCheck.class,
                         OperatorJson::encodeNoteCheck);
             } else {
-                AnswerNoteCheck answer = new AnswerNoteCheck(0, 0, parsed.findings());
+                ReplyToNoteCheck answer = new ReplyToNoteCheck(0, 0, parsed.findings());
                 reply(context, HttpResponseStatus.OK, OperatorJson.encodeNoteCheck(answer));
             }
         }
@@ -176,13 +176,13 @@
             if (!parsed.findings().isEmpty()) {
                 answer(
                         context,
-                        new AnswerNote(
+                        new ReplyToNote(
                                 0, NoteResult.FAULTY, 0, "nothing was changed", parsed.findings()));
                 return;
             }
             long wallMs = System.currentTimeMillis();
             mCalls.call(id -> new Input.NoteSubmitted(id, parsed.note(), wallMs))
-                    .thenAccept(a -> answer(context, (AnswerNote) a));
+                    .thenAccept(a -> answer(context, (ReplyToNote) a));
         }
 
         private void wave(ChannelHandlerContext context, FullHttpRequest request) {
@@ -197,16 +197,16 @@
                 return;
             }
             List<String> pools = words.subList(1, words.size());
-            mCalls.call(id -> new Input.WaveAsked(id, command.get(), pools))
+            mCalls.call(id -> new Input.WaveCommandReceived(id, command.get(), pools))
                     .thenAccept(
                             a ->
                                     reply(
                                             context,
                                             HttpResponseStatus.OK,
-                                            OperatorJson.encodeWave(((AnswerWave) a).report())));
+                                            OperatorJson.encodeWave(((ReplyToWave) a).report())));
         }
 
-        private static void answer(ChannelHandlerContext context, AnswerNote answer) {
+        private static void answer(ChannelHandlerContext context, ReplyToNote answer) {
             HttpResponseStatus status =
                     switch (answer.result()) {
                         case ACCEPTED -> HttpResponseStatus.OK;
--- a/daemon/src/main/java/org/hibiscususher/daemon/front/Attempt.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/front/Attempt.java
@@ -15,7 +15,7 @@
 import org.hibiscususher.core.message.AttemptOutcome;
 import org.hibiscususher.core.message.Input;
 import org.hibiscususher.core.message.Input.AttemptEnded;
-import org.hibiscususher.core.message.Input.TargetDone;
+import org.hibiscususher.core.message.Input.TargetFinished;
 import org.hibiscususher.core.message.Output.StartAttempt;
 import org.hibiscususher.daemon.control.Inbox;
 
@@ -232,7 +232,7 @@
             mConnection.close();
         }
         if (stage == AttemptStage.ABANDONED) {
-            mInbox.add(new TargetDone(mStart.requestId(), mStart.attempt()));
+            mInbox.add(new TargetFinished(mStart.requestId(), mStart.attempt()));
         } else {
             mInbox.add(ended(outcome));
             mExchange.attemptEnded(outcome);
--- a/daemon/src/main/java/org/hibiscususher/daemon/front/ExchangeTable.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/front/ExchangeTable.java
@@ -10,7 +10,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.hibiscususher.core.message.Input;
-import org.hibiscususher.core.message.Output.Refuse;
+import org.hibiscususher.core.message.Output.RefuseRequest;
 import org.hibiscususher.core.message.Output.StartAttempt;
 import org.hibiscususher.core.message.Refusal;
 import org.hibiscususher.daemon.control.Inbox;
@@ -65,7 +65,7 @@
     }
 
     /** Ends a request without an answer from a target. */
-    public void refuse(Refuse refuse) {
+    public void refuse(RefuseRequest refuse) {
         Exchange exchange = mExchanges.get(refuse.requestId());
         if (exchange != null) {
             exchange.refuse(refuse.refusal());
--- a/daemon/src/main/java/org/hibiscususher/daemon/front/RefusalResponse.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/front/RefusalResponse.java
@@ -19,7 +19,7 @@
                 "{\"reason\":\""
                         + refusal.code()
                         + "\",\"ran\":\""
-                        + refusal.ran().code()
+                        + refusal.executionStatus().code()
                         + "\"}\n";
         FullHttpResponse response =
                 new DefaultFullHttpResponse(
@@ -30,7 +30,7 @@
                 .set(HttpHeaderNames.CONTENT_TYPE, "application/json")
                 .set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes())
                 .set("Refusal-Reason", refusal.code())
-                .set("Ran", refusal.ran().code());
+                .set("Ran", refusal.executionStatus().code());
         if (closing) {
             HttpUtil.setKeepAlive(response, false);
         }
--- a/daemon/src/main/java/org/hibiscususher/daemon/peer/PeerLink.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/peer/PeerLink.java
@@ -11,8 +11,8 @@
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
-import org.hibiscususher.core.message.Input.PeerRefused;
-import org.hibiscususher.core.message.Output.SendPeer;
+import org.hibiscususher.core.message.Input.PeerConnectionRefused;
+import org.hibiscususher.core.message.Output.SendPeerMessage;
 import org.hibiscususher.wire.http.Addresses;
 import org.hibiscususher.wire.peer.PeerCodec;
 
@@ -31,9 +31,9 @@
     private final long mSinceNs;
     private final ChannelFuture mConnecting;
     private volatile long mUsedNs;
-    private final AtomicReference<SendPeer> mPending = new AtomicReference<>();
+    private final AtomicReference<SendPeerMessage> mPending = new AtomicReference<>();
 
-    private PeerLink(Bootstrap bootstrap, SendPeer first, long nowNs) {
+    private PeerLink(Bootstrap bootstrap, SendPeerMessage first, long nowNs) {
         mMember = first.memberId();
         mIncarnation = first.message().toIncarnation();
         mAddress = first.address();
@@ -52,17 +52,20 @@
      * @param refusals takes a refusal of the connection
      */
     static PeerLink connect(
-            Bootstrap bootstrap, SendPeer first, long nowNs, Consumer<PeerRefused> refusals) {
+            Bootstrap bootstrap,
+            SendPeerMessage first,
+            long nowNs,
+            Consumer<PeerConnectionRefused> refusals) {
         PeerLink link = new PeerLink(bootstrap, requireNonNull(first), nowNs);
         link.mConnecting.addListener((ChannelFuture done) -> link.connected(done, refusals));
         return link;
     }
 
-    private void connected(ChannelFuture done, Consumer<PeerRefused> refusals) {
+    private void connected(ChannelFuture done, Consumer<PeerConnectionRefused> refusals) {
         if (done.isSuccess()) {
             flush();
         } else if (isRefusal(done.cause())) {
-            refusals.accept(new PeerRefused(mMember, mIncarnation));
+            refusals.accept(new PeerConnectionRefused(mMember, mIncarnation));
         }
     }
 
@@ -79,7 +82,7 @@
     }
 
     /** Returns whether the link leads to the process that a message is meant for. */
-    boolean leadsTo(SendPeer send) {
+    boolean leadsTo(SendPeerMessage send) {
         return mAddress.equals(send.address()) && mIncarnation == send.message().toIncarnation();
     }
 
@@ -99,7 +102,7 @@
     }
 
     /** Sends a message, keeps it until the connection stands, or drops it. */
-    void send(SendPeer send, long nowNs) {
+    void send(SendPeerMessage send, long nowNs) {
         mUsedNs = nowNs;
         mPending.set(send);
         if (mConnecting.isSuccess()) {
@@ -108,7 +111,7 @@
     }
 
     private void flush() {
-        SendPeer send = mPending.getAndSet(null);
+        SendPeerMessage send = mPending.getAndSet(null);
         Channel channel = mConnecting.channel();
         if (send != null && channel.isWritable()) {
             channel.writeAndFlush(Unpooled.wrappedBuffer(PeerCodec.encode(send.message())));
--- a/daemon/src/main/java/org/hibiscususher/daemon/peer/PeerLinks.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/peer/PeerLinks.java
@@ -22,8 +22,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.hibiscususher.core.message.Input;
-import org.hibiscususher.core.message.Input.PeerRefused;
-import org.hibiscususher.core.message.Output.SendPeer;
+import org.hibiscususher.core.message.Input.PeerConnectionRefused;
+import org.hibiscususher.core.message.Output.SendPeerMessage;
 import org.hibiscususher.core.message.PeerMessage;
 import org.hibiscususher.daemon.control.Inbox;
 import org.hibiscususher.wire.http.Addresses;
@@ -94,7 +94,7 @@
      *
      * <p>Never waits: what one peer does not take has no effect on the others.
      */
-    public void send(SendPeer send) {
+    public void send(SendPeerMessage send) {
         long nowNs = mClock.getAsLong();
         PeerLink link = mLinks.get(send.memberId());
         if (link != null && !link.leadsTo(send)) {
@@ -142,7 +142,7 @@
         return nowNs - heardNs >= UNHEARD_NS;
     }
 
-    private PeerLink connect(SendPeer send, long nowNs) {
+    private PeerLink connect(SendPeerMessage send, long nowNs) {
         Bootstrap bootstrap =
                 new Bootstrap()
                         .group(mGroup)
@@ -153,7 +153,7 @@
         return PeerLink.connect(bootstrap, send, nowNs, this::refused);
     }
 
-    private void refused(PeerRefused refused) {
+    private void refused(PeerConnectionRefused refused) {
         LOG.log(Level.DEBUG, "event=peer-refused member=" + refused.memberId());
         mInbox.offer(refused);
     }
@@ -180,7 +180,7 @@
             frame.readBytes(bytes);
             PeerMessage message = PeerCodec.decode(bytes);
             mHeardNs.put(message.from(), mClock.getAsLong());
-            mInbox.offer(new Input.PeerReceived(message));
+            mInbox.offer(new Input.PeerMessageReceived(message));
         }
 
         @Override
--- a/daemon/src/main/java/org/hibiscususher/daemon/store/StoreOutputHandler.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/store/StoreOutputHandler.java
@@ -8,7 +8,7 @@
 import java.util.Optional;
 import org.hibiscususher.core.message.FleetRecord;
 import org.hibiscususher.core.message.Input;
-import org.hibiscususher.core.message.Output.ReadFleet;
+import org.hibiscususher.core.message.Output.ReadFleetRecords;
 import org.hibiscususher.core.message.Output.ReadRecord;
 import org.hibiscususher.core.message.Output.RebootHost;
 import org.hibiscususher.core.message.Output.SwapRecord;
@@ -103,7 +103,7 @@
     }
 
     /** Reads the records about hosts that have changed. */
-    public void readFleet(ReadFleet read) {
+    public void readFleet(ReadFleetRecords read) {
         mStore.changes(RecordCodec.fleetPrefix(), read.sinceVersion())
                 .whenComplete(
                         (changes, failure) -> {
@@ -115,7 +115,7 @@
                         });
     }
 
-    private void answer(ReadFleet read, PlatformStore.Changes changes) {
+    private void answer(ReadFleetRecords read, PlatformStore.Changes changes) {
         List<FleetRecord> records = new ArrayList<>();
         changes.values()
                 .forEach(
@@ -130,7 +130,7 @@
                                 LOG.log(Level.ERROR, "event=record-malformed key=" + name, e);
                             }
                         });
-        mInbox.add(new Input.FleetRead(read.callId(), changes.version(), records));
+        mInbox.add(new Input.FleetRecordsRead(read.callId(), changes.version(), records));
     }
 
     /** Asks the platform to reboot a host. */
@@ -144,7 +144,7 @@
                                             : accepted
                                                     ? RebootResult.ACCEPTED
                                                     : RebootResult.MISMATCH;
-                            mInbox.add(new Input.RebootAnswered(call.host(), call.token(), result));
+                            mInbox.add(new Input.RebootResponse(call.host(), call.token(), result));
                         });
     }
 
--- a/daemon/src/test/java/org/hibiscususher/daemon/front/FrontAttemptsTest.java
+++ b/daemon/src/test/java/org/hibiscususher/daemon/front/FrontAttemptsTest.java
@@ -6,7 +6,7 @@
 import org.hibiscususher.core.message.AttemptOutcome;
 import org.hibiscususher.core.message.Input.RequestArrived;
 import org.hibiscususher.core.message.Input.RequestCancelled;
-import org.hibiscususher.core.message.Input.TargetDone;
+import org.hibiscususher.core.message.Input.TargetFinished;
 import org.hibiscususher.core.message.Refusal;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -48,7 +48,7 @@
             assertThat(mCaller.readTo("}\n")).contains("may-have-run");
             assertThat(mRig.inputsLeft()).isZero();
             mTarget.send(OK);
-            assertThat(mRig.next(TargetDone.class).requestId()).isEqualTo(arrival.requestId());
+            assertThat(mRig.next(TargetFinished.class).requestId()).isEqualTo(arrival.requestId());
         }
 
         @Test
@@ -58,7 +58,7 @@
             mTarget.accept().read(4);
             assertEnded(AttemptOutcome.TIMED_OUT);
             mRig.refuse(arrival, Refusal.OUTCOME_UNKNOWN);
-            mRig.next(TargetDone.class);
+            mRig.next(TargetFinished.class);
             assertThat(mTarget.isClosedByEntry()).isTrue();
         }
 
@@ -127,7 +127,7 @@
             assertEnded(AttemptOutcome.CALLER_GONE);
             assertThat(mRig.inputsLeft()).isZero();
             mTarget.send(OK);
-            assertThat(mRig.next(TargetDone.class).requestId()).isEqualTo(arrival.requestId());
+            assertThat(mRig.next(TargetFinished.class).requestId()).isEqualTo(arrival.requestId());
         }
 
         @Test
@@ -136,7 +136,7 @@
             mCaller.close();
             assertEnded(AttemptOutcome.CALLER_GONE);
             mTarget.closeConnection();
-            mRig.next(TargetDone.class);
+            mRig.next(TargetFinished.class);
         }
 
         @Test
@@ -146,7 +146,7 @@
             mTarget.accept().read(4);
             mCaller.close();
             assertEnded(AttemptOutcome.CALLER_GONE);
-            mRig.next(TargetDone.class);
+            mRig.next(TargetFinished.class);
             assertThat(mTarget.isClosedByEntry()).isTrue();
         }
 
@@ -159,7 +159,7 @@
             assertThat(mRig.becomesBusy(64 * 1024)).isTrue();
             mCaller.close();
             assertEnded(AttemptOutcome.CALLER_GONE);
-            mRig.next(TargetDone.class);
+            mRig.next(TargetFinished.class);
             sender.join();
         }
 
--- a/daemon/src/test/java/org/hibiscususher/daemon/front/FrontHarness.java
+++ b/daemon/src/test/java/org/hibiscususher/daemon/front/FrontHarness.java
@@ -13,7 +13,7 @@
 import org.hibiscususher.core.message.Input;
 import org.hibiscususher.core.message.Input.AttemptEnded;
 import org.hibiscususher.core.message.Input.RequestArrived;
-import org.hibiscususher.core.message.Output.Refuse;
+import org.hibiscususher.core.message.Output.RefuseRequest;
 import org.hibiscususher.core.message.Output.StartAttempt;
 import org.hibiscususher.core.message.Refusal;
 import org.hibiscususher.daemon.control.Inbox;
@@ -85,7 +85,7 @@
     }
 
     void refuse(RequestArrived arrival, Refusal refusal) {
-        mExchanges.refuse(new Refuse(arrival.requestId(), refusal));
+        mExchanges.refuse(new RefuseRequest(arrival.requestId(), refusal));
     }
 
     /** Returns the bytes of buffers that were taken and not released. */
--- a/daemon/src/test/java/org/hibiscususher/daemon/peer/PeerLinksTest.java
+++ b/daemon/src/test/java/org/hibiscususher/daemon/peer/PeerLinksTest.java
@@ -16,9 +16,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.hibiscususher.core.message.Input;
-import org.hibiscususher.core.message.Input.PeerReceived;
-import org.hibiscususher.core.message.Input.PeerRefused;
-import org.hibiscususher.core.message.Output.SendPeer;
+import org.hibiscususher.core.message.Input.PeerConnectionRefused;
+import org.hibiscususher.core.message.Input.PeerMessageReceived;
+import org.hibiscususher.core.message.Output.SendPeerMessage;
 import org.hibiscususher.core.message.PeerMessage;
 import org.hibiscususher.daemon.control.Inbox;
 import org.junit.jupiter.api.AfterEach;
@@ -59,10 +59,10 @@
         }
     }
 
-    private static SendPeer message(String address, long toIncarnation, long sequence) {
+    private static SendPeerMessage message(String address, long toIncarnation, long sequence) {
         PeerMessage message =
                 new PeerMessage("e1", 5, toIncarnation, sequence, 0, 1, 0, -1, -1, 0, List.of());
-        return new SendPeer("e2", address, message);
+        return new SendPeerMessage("e2", address, message);
     }
 
     private void send(String address, long toIncarnation, long sequence) {
@@ -83,7 +83,7 @@
     }
 
     private long nextSequence() {
-        return next(mOtherInbox, PeerReceived.class).message().sequence();
+        return next(mOtherInbox, PeerMessageReceived.class).message().sequence();
     }
 
     @Nested
@@ -91,20 +91,21 @@
         @Test
         void nameTheProcessThatWasExpected() {
             send(freeAddress(), 77, 1);
-            assertThat(next(mInbox, PeerRefused.class)).isEqualTo(new PeerRefused("e2", 77));
+            assertThat(next(mInbox, PeerConnectionRefused.class))
+                    .isEqualTo(new PeerConnectionRefused("e2", 77));
         }
 
         @Test
         void areRepeatedOnlyAfterAWait() {
             String address = freeAddress();
             send(address, 77, 1);
-            next(mInbox, PeerRefused.class);
+            next(mInbox, PeerConnectionRefused.class);
             pass(249);
             send(address, 77, 2);
             assertThat(mInbox.drain()).isEmpty();
             pass(1);
             send(address, 77, 3);
-            assertThat(next(mInbox, PeerRefused.class).incarnation()).isEqualTo(77);
+            assertThat(next(mInbox, PeerConnectionRefused.class).incarnation()).isEqualTo(77);
         }
 
         @Test
@@ -135,7 +136,7 @@
         void followAChangedAddress() {
             listen(mAddress, mOtherInbox);
             send(freeAddress(), 7, 1);
-            next(mInbox, PeerRefused.class);
+            next(mInbox, PeerConnectionRefused.class);
             send(mAddress, 7, 2);
             assertThat(nextSequence()).isEqualTo(2);
         }
@@ -157,9 +158,9 @@
         void reachOthersWhileOnePeerTakesNothing() throws IOException {
             listen(mAddress, mOtherInbox);
             try (ServerSocket deaf = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-                SendPeer lost = message("127.0.0.1:" + deaf.getLocalPort(), 7, 1);
+                SendPeerMessage lost = message("127.0.0.1:" + deaf.getLocalPort(), 7, 1);
                 for (int i = 0; i < 100_000; i++) {
-                    mLinks.send(new SendPeer("e3", lost.address(), lost.message()));
+                    mLinks.send(new SendPeerMessage("e3", lost.address(), lost.message()));
                 }
                 send(mAddress, 7, 2);
                 assertThat(nextSequence()).isEqualTo(2);
--- a/standin/src/main/java/org/hibiscususher/standin/bench/EntriesRun.java
+++ b/standin/src/main/java/org/hibiscususher/standin/bench/EntriesRun.java
@@ -6,7 +6,7 @@
 import org.hibiscususher.core.message.PermitGroup;
 import org.hibiscususher.core.world.ControlSettings;
 import org.hibiscususher.core.world.EscrowPolicy;
-import org.hibiscususher.core.world.RequestLane;
+import org.hibiscususher.core.world.SchedulingClass;
 import org.hibiscususher.standin.virtual.EntryCondition;
 import org.hibiscususher.standin.virtual.VirtualEntry;
 import org.hibiscususher.standin.virtual.VirtualRequest;
@@ -67,7 +67,7 @@
     private String allocator() {
         PermitGroup group = PermitGroup.pool("p2");
         return mSite.entries().values().stream()
-                .filter(e -> e.world().tenures().contains(group))
+                .filter(e -> e.world().allocatorTerms().contains(group))
                 .findFirst()
                 .orElseThrow()
                 .id();
@@ -101,7 +101,7 @@
             if (entry.condition() == EntryCondition.DEAD) {
                 continue;
             }
-            for (RequestLane lane : entry.world().requests().groups()) {
+            for (SchedulingClass lane : entry.world().requests().groups()) {
                 int pool = Integer.parseInt(lane.pool().substring(1));
                 int customer = Integer.parseInt(lane.team().substring(1));
                 int count = entry.world().requests().group(lane).size();
--- a/standin/src/main/java/org/hibiscususher/standin/bench/RollOutBench.java
+++ b/standin/src/main/java/org/hibiscususher/standin/bench/RollOutBench.java
@@ -5,7 +5,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Locale;
-import org.hibiscususher.core.message.Output.AnswerNote;
+import org.hibiscususher.core.message.Output.ReplyToNote;
 import org.hibiscususher.core.note.ReleaseNote;
 import org.hibiscususher.standin.virtual.EntryCondition;
 import org.hibiscususher.standin.virtual.VirtualEntry;
@@ -101,7 +101,7 @@
                 inForce = true;
                 everywhere.add(site.nowMs() - startMs);
             }
-            AnswerNote given = site.noteAnswers().get(call);
+            ReplyToNote given = site.noteAnswers().get(call);
             if (!answer && given != null) {
                 answer = true;
                 answered.add(site.nowMs() - startMs);
--- a/standin/src/main/java/org/hibiscususher/standin/bench/RollOutSizes.java
+++ b/standin/src/main/java/org/hibiscususher/standin/bench/RollOutSizes.java
@@ -79,7 +79,7 @@
     }
 
     private static int relayBytes(List<AcceptedNote> notes) {
-        List<PeerItem> items = List.of(new PeerItem.Relay(notes));
+        List<PeerItem> items = List.of(new PeerItem.NoteRelay(notes));
         return PeerCodec.encode(new PeerMessage("e1", 1, 1, 1, 1, 1, 1, 1, 1, 1, items)).length;
     }
 
--- a/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualPlatform.java
+++ b/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualPlatform.java
@@ -10,7 +10,7 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.hibiscususher.core.message.Input;
-import org.hibiscususher.core.message.Input.RebootAnswered;
+import org.hibiscususher.core.message.Input.RebootResponse;
 import org.hibiscususher.core.message.Output.RebootHost;
 import org.hibiscususher.core.message.PlatformHost;
 import org.hibiscususher.core.message.RebootResult;
@@ -103,7 +103,7 @@
                             delayMs,
                             () ->
                                     receiver.accept(
-                                            new RebootAnswered(call.host(), call.token(), shown)));
+                                            new RebootResponse(call.host(), call.token(), shown)));
                 });
     }
 
--- a/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualSite.java
+++ b/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualSite.java
@@ -13,17 +13,17 @@
 import org.hibiscususher.core.message.Input.AttemptEnded;
 import org.hibiscususher.core.message.Input.HostListRead;
 import org.hibiscususher.core.message.Input.NoteSubmitted;
-import org.hibiscususher.core.message.Input.PeerReceived;
-import org.hibiscususher.core.message.Input.PeerRefused;
+import org.hibiscususher.core.message.Input.PeerConnectionRefused;
+import org.hibiscususher.core.message.Input.PeerMessageReceived;
 import org.hibiscususher.core.message.Input.RequestArrived;
 import org.hibiscususher.core.message.Input.RequestCancelled;
-import org.hibiscususher.core.message.Input.ShutdownAsked;
-import org.hibiscususher.core.message.Input.TargetDone;
-import org.hibiscususher.core.message.Input.WaveAsked;
+import org.hibiscususher.core.message.Input.ShutdownRequested;
+import org.hibiscususher.core.message.Input.TargetFinished;
+import org.hibiscususher.core.message.Input.WaveCommandReceived;
 import org.hibiscususher.core.message.Output;
-import org.hibiscususher.core.message.Output.AnswerNote;
-import org.hibiscususher.core.message.Output.AnswerWave;
-import org.hibiscususher.core.message.Output.SendPeer;
+import org.hibiscususher.core.message.Output.ReplyToNote;
+import org.hibiscususher.core.message.Output.ReplyToWave;
+import org.hibiscususher.core.message.Output.SendPeerMessage;
 import org.hibiscususher.core.message.Output.StartAttempt;
 import org.hibiscususher.core.message.PlatformHost;
 import org.hibiscususher.core.message.WaveCommand;
@@ -48,11 +48,11 @@
     private final VirtualNetwork mNetwork;
     private final VirtualStore mStore = new VirtualStore(mTimeline);
     private final VirtualPlatform mPlatform = new VirtualPlatform(mTimeline, this::target);
-    private final Map<Long, AnswerWave> mWaveAnswers = new LinkedHashMap<>();
+    private final Map<Long, ReplyToWave> mWaveAnswers = new LinkedHashMap<>();
     private final Map<String, VirtualEntry> mEntries = new LinkedHashMap<>();
     private final Map<String, VirtualTarget> mTargets = new LinkedHashMap<>();
     private final Map<Long, VirtualRequest> mRequests = new LinkedHashMap<>();
-    private final Map<Long, AnswerNote> mNoteAnswers = new LinkedHashMap<>();
+    private final Map<Long, ReplyToNote> mNoteAnswers = new LinkedHashMap<>();
     private final Map<String, Long> mCounters = new LinkedHashMap<>();
     private final List<String> mEvents = new ArrayList<>();
     private final ControlSettings mSettings;
@@ -108,7 +108,7 @@
     }
 
     /** Returns the answers to release notes by call. */
-    public Map<Long, AnswerNote> noteAnswers() {
+    public Map<Long, ReplyToNote> noteAnswers() {
         return mNoteAnswers;
     }
 
@@ -148,12 +148,12 @@
     /** Hands an operator's command about the maintenance wave to an entry; returns the call. */
     public long wave(String entry, WaveCommand command, List<String> pools) {
         long callId = ++mIds;
-        mEntries.get(entry).receive(new WaveAsked(callId, command, pools));
+        mEntries.get(entry).receive(new WaveCommandReceived(callId, command, pools));
         return callId;
     }
 
     /** Returns the answers about the maintenance wave by call. */
-    public Map<Long, AnswerWave> waveAnswers() {
+    public Map<Long, ReplyToWave> waveAnswers() {
         return mWaveAnswers;
     }
 
@@ -209,7 +209,7 @@
 
     /** Asks an entry to finish its work and leave. */
     public void shutDown(String id) {
-        mEntries.get(id).receive(new ShutdownAsked());
+        mEntries.get(id).receive(new ShutdownRequested());
     }
 
     /** Gives every running entry the platform's list of hosts. */
@@ -293,22 +293,22 @@
         } else if (output instanceof Output.SwapRecord swap) {
             entry.addStoreCall();
             mStore.swap(entry.id(), swap, entry::receive);
-        } else if (output instanceof SendPeer send) {
+        } else if (output instanceof SendPeerMessage send) {
             sendPeer(entry, send);
         } else if (output instanceof StartAttempt start) {
             startAttempt(entry, start);
-        } else if (output instanceof Output.Refuse refuse) {
+        } else if (output instanceof Output.RefuseRequest refuse) {
             VirtualRequest request = mRequests.get(refuse.requestId());
             if (!request.over()) {
                 request.refuse(refuse.refusal(), nowMs());
             }
-        } else if (output instanceof Output.ReadFleet read) {
+        } else if (output instanceof Output.ReadFleetRecords read) {
             mStore.readFleet(entry.id(), read, entry::receive);
         } else if (output instanceof Output.RebootHost reboot) {
             mPlatform.reboot(reboot, entry::receive);
-        } else if (output instanceof AnswerWave answer) {
+        } else if (output instanceof ReplyToWave answer) {
             mWaveAnswers.put(answer.callId(), answer);
-        } else if (output instanceof AnswerNote answer) {
+        } else if (output instanceof ReplyToNote answer) {
             mNoteAnswers.put(answer.callId(), answer);
         } else if (output instanceof Output.Count count) {
             mCounters.merge(count.counter(), 1L, Long::sum);
@@ -320,7 +320,7 @@
         }
     }
 
-    private void sendPeer(VirtualEntry from, SendPeer send) {
+    private void sendPeer(VirtualEntry from, SendPeerMessage send) {
         if (mMeasuresBytes) {
             from.addSent(PeerCodec.encode(send.message()).length);
         }
@@ -331,9 +331,10 @@
                     VirtualEntry to = mEntries.get(send.memberId());
                     if (to == null || to.condition() == EntryCondition.DEAD) {
                         from.receive(
-                                new PeerRefused(send.memberId(), send.message().toIncarnation()));
+                                new PeerConnectionRefused(
+                                        send.memberId(), send.message().toIncarnation()));
                     } else {
-                        to.receive(new PeerReceived(send.message()));
+                        to.receive(new PeerMessageReceived(send.message()));
                     }
                 });
     }
@@ -384,7 +385,7 @@
 
     private void finishAbandoned(VirtualEntry entry, StartAttempt start) {
         if (entry.condition() != EntryCondition.DEAD) {
-            entry.receive(new TargetDone(start.requestId(), start.attempt()));
+            entry.receive(new TargetFinished(start.requestId(), start.attempt()));
         }
     }
 
@@ -397,10 +398,10 @@
             return;
         }
         if (request.cancelled()) {
-            entry.receive(new TargetDone(start.requestId(), start.attempt()));
+            entry.receive(new TargetFinished(start.requestId(), start.attempt()));
             return;
         }
-        if (!request.over() && outcome.answered()) {
+        if (!request.over() && outcome.hasResponse()) {
             request.answer(nowMs());
         } else if (!request.over() && outcome == AttemptOutcome.TRUNCATED) {
             request.cutShort(nowMs());
--- a/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualStore.java
+++ b/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualStore.java
@@ -10,12 +10,12 @@
 import java.util.function.Consumer;
 import org.hibiscususher.core.message.FleetRecord;
 import org.hibiscususher.core.message.Input;
-import org.hibiscususher.core.message.Input.FleetRead;
+import org.hibiscususher.core.message.Input.FleetRecordsRead;
 import org.hibiscususher.core.message.Input.RecordRead;
 import org.hibiscususher.core.message.Input.RecordSwapped;
 import org.hibiscususher.core.message.Input.RecordWatched;
 import org.hibiscususher.core.message.Input.StoreFailed;
-import org.hibiscususher.core.message.Output.ReadFleet;
+import org.hibiscususher.core.message.Output.ReadFleetRecords;
 import org.hibiscususher.core.message.Output.ReadRecord;
 import org.hibiscususher.core.message.Output.SwapRecord;
 import org.hibiscususher.core.message.RecordKey;
@@ -96,21 +96,21 @@
                 receiver);
     }
 
-    void readFleet(String entry, ReadFleet read, Consumer<Input> receiver) {
+    void readFleet(String entry, ReadFleetRecords read, Consumer<Input> receiver) {
         mReads++;
         Input failed = new StoreFailed(read.callId());
         reach(entry, () -> changes(read), failed, receiver);
     }
 
-    private Input changes(ReadFleet read) {
+    private Input changes(ReadFleetRecords read) {
         List<FleetRecord> found = new ArrayList<>();
         mRecords.forEach(
                 (key, record) -> {
-                    if (key.kind().fleet() && record.version() > read.sinceVersion()) {
+                    if (key.kind().isFleet() && record.version() > read.sinceVersion()) {
                         found.add(new FleetRecord(key, record));
                     }
                 });
-        return new FleetRead(read.callId(), mVersion, found);
+        return new FleetRecordsRead(read.callId(), mVersion, found);
     }
 
     void swap(String entry, SwapRecord swap, Consumer<Input> receiver) {
@@ -149,7 +149,7 @@
 
     private void show(
             String entry, Consumer<Input> receiver, RecordKey key, VersionedRecord record) {
-        if (key.kind().fleet()) {
+        if (key.kind().isFleet()) {
             return;
         }
         if (mFault.shows() && !mWatchesFrozen && !mCutOff.contains(entry)) {
--- a/standin/src/test/java/org/hibiscususher/standin/golden/Recorder.java
+++ b/standin/src/test/java/org/hibiscususher/standin/golden/Recorder.java
@@ -5,8 +5,8 @@
 import java.util.List;
 import java.util.Map;
 import org.hibiscususher.core.config.KeyDigest;
-import org.hibiscususher.core.message.Output.AnswerNote;
-import org.hibiscususher.core.message.Output.AnswerWave;
+import org.hibiscususher.core.message.Output.ReplyToNote;
+import org.hibiscususher.core.message.Output.ReplyToWave;
 import org.hibiscususher.core.message.WaveCommand;
 import org.hibiscususher.core.world.ControlSettings;
 import org.hibiscususher.standin.store.StoreFault;
@@ -134,15 +134,15 @@
             String event = mSite.events().get(mEvents);
             line(event.substring(event.indexOf(' ') + 1));
         }
-        for (Map.Entry<Long, AnswerNote> answer : mSite.noteAnswers().entrySet()) {
+        for (Map.Entry<Long, ReplyToNote> answer : mSite.noteAnswers().entrySet()) {
             if (!mCalls.contains(answer.getKey())) {
                 mCalls.add(answer.getKey());
-                AnswerNote a = answer.getValue();
+                ReplyToNote a = answer.getValue();
                 line("answer: " + a.result() + " revision=" + a.revision() + ": " + a.detail());
                 a.findings().forEach(f -> line("  " + f));
             }
         }
-        for (Map.Entry<Long, AnswerWave> answer : mSite.waveAnswers().entrySet()) {
+        for (Map.Entry<Long, ReplyToWave> answer : mSite.waveAnswers().entrySet()) {
             if (!mCalls.contains(answer.getKey())) {
                 mCalls.add(answer.getKey());
                 line("answer: " + answer.getValue().report());
@@ -160,7 +160,7 @@
             return "answered, ran " + request.runs() + " time" + (request.runs() == 1 ? "" : "s");
         }
         return request.refusal()
-                .map(r -> "refused " + r.code() + ", " + r.ran().code())
+                .map(r -> "refused " + r.code() + ", " + r.executionStatus().code())
                 .orElse("its entry died");
     }
 
--- a/standin/src/test/java/org/hibiscususher/standin/matrix/Mutant.java
+++ b/standin/src/test/java/org/hibiscususher/standin/matrix/Mutant.java
@@ -34,7 +34,7 @@
         @Override
         void tamper(VirtualEntry entry) {
             PermitKey key = PermitKey.slot("quick", "h5");
-            HoldingRow used = HoldingRow.none(key).withGranted(1).withInUse(1);
+            HoldingRow used = HoldingRow.none(key).withGranted(1).plusInUse(1);
             entry.world().holdings().put(key, used);
         }
     },
@@ -43,7 +43,7 @@
         @Override
         void tamper(VirtualEntry entry) {
             KeyDigest digest = KeyDigest.ofSecret(Scene.STRANGER);
-            entry.world().keys().put(digest, new KeySpec("forged", "gamma", digest));
+            entry.world().accessKeys().put(digest, new KeySpec("forged", "gamma", digest));
         }
     },
     /** Queues running requests again. */
--- a/standin/src/test/java/org/hibiscususher/standin/matrix/Promise.java
+++ b/standin/src/test/java/org/hibiscususher/standin/matrix/Promise.java
@@ -7,9 +7,9 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Stream;
+import org.hibiscususher.core.message.ExecutionStatus;
 import org.hibiscususher.core.message.PermitKey;
 import org.hibiscususher.core.message.PermitKind;
-import org.hibiscususher.core.message.Ran;
 import org.hibiscususher.core.world.HoldingRow;
 import org.hibiscususher.standin.virtual.EntryCondition;
 import org.hibiscususher.standin.virtual.VirtualEntry;
@@ -93,7 +93,14 @@
         Optional<String> violation(Scene scene) {
             return scene.recent()
                     .filter(r -> r.runs() > 0)
-                    .filter(r -> r.refusal().map(f -> f.ran() == Ran.NOT_RUN).orElse(false))
+                    .filter(
+                            r ->
+                                    r.refusal()
+                                            .map(
+                                                    f ->
+                                                            f.executionStatus()
+                                                                    == ExecutionStatus.NOT_RUN)
+                                            .orElse(false))
                     .map(r -> "request " + r.arrival().requestId() + " ran " + r.runs() + " times")
                     .findFirst();
         }
--- a/standin/src/test/java/org/hibiscususher/standin/matrix/Scene.java
+++ b/standin/src/test/java/org/hibiscususher/standin/matrix/Scene.java
@@ -335,7 +335,7 @@
                 .hosts()
                 .find(host)
                 .map(HostRow::stage)
-                .map(s -> s.takesWork())
+                .map(s -> s.acceptsWork())
                 .orElse(true);
     }
 
--- a/standin/src/test/java/org/hibiscususher/standin/matrix/SceneLoad.java
+++ b/standin/src/test/java/org/hibiscususher/standin/matrix/SceneLoad.java
@@ -5,7 +5,7 @@
 import java.util.Random;
 import java.util.UUID;
 import java.util.stream.Stream;
-import org.hibiscususher.core.message.Ran;
+import org.hibiscususher.core.message.ExecutionStatus;
 import org.hibiscususher.core.message.Refusal;
 import org.hibiscususher.standin.virtual.EntryCondition;
 import org.hibiscususher.standin.virtual.VirtualRequest;
@@ -84,7 +84,9 @@
         boolean unknown =
                 request.cancelled()
                         || request.cutShort()
-                        || request.refusal().map(f -> f.ran() == Ran.MAY_HAVE_RUN).orElse(false);
+                        || request.refusal()
+                                .map(f -> f.executionStatus() == ExecutionStatus.MAY_HAVE_RUN)
+                                .orElse(false);
         boolean duplicate = request.refusal().filter(Refusal.DUPLICATE::equals).isPresent();
         if (unknown && !duplicate) {
             List<String> alive = alive().filter(e -> !e.equals(request.entry())).toList();
--- a/standin/src/test/java/org/hibiscususher/standin/request/OnceTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/request/OnceTest.java
@@ -9,7 +9,7 @@
 import java.util.Random;
 import org.hibiscususher.core.membership.RendezvousHash;
 import org.hibiscususher.core.message.Refusal;
-import org.hibiscususher.core.world.OnceKey;
+import org.hibiscususher.core.world.IdempotencyKey;
 import org.hibiscususher.standin.virtual.EntryCondition;
 import org.hibiscususher.standin.virtual.TargetFault;
 import org.hibiscususher.standin.virtual.VirtualRequest;
@@ -32,9 +32,10 @@
     }
 
     private String homeOf(String key) {
-        OnceKey parsed = OnceKey.parse(key).orElseThrow();
+        IdempotencyKey parsed = IdempotencyKey.parse(key).orElseThrow();
         return RendezvousHash.choose(
-                        parsed.homeName(), mSite.entries().get("e1").world().membership().record())
+                        parsed.hashedName(),
+                        mSite.entries().get("e1").world().membership().record())
                 .orElseThrow();
     }
 
@@ -69,8 +70,8 @@
             String key = RequestSite.key(mSite);
             VirtualRequest first = order(mSite, "e1", key);
             mSite.run(3_000);
-            assertThat(first.refusal().map(Refusal::ran))
-                    .isEqualTo(Optional.of(Refusal.WAIT_LIMIT.ran()));
+            assertThat(first.refusal().map(Refusal::executionStatus))
+                    .isEqualTo(Optional.of(Refusal.WAIT_LIMIT.executionStatus()));
             RequestSite.HOSTS.forEach(h -> mSite.target(h).setFault(TargetFault.NONE));
             mSite.run(40_000);
             VirtualRequest second = order(mSite, "e2", key);
@@ -154,7 +155,8 @@
         void areForgottenAfterAWhile() {
             order(mSite, "e1", RequestSite.key(mSite));
             mSite.run(320_000);
-            assertThat(mSite.entries().values()).allMatch(e -> e.world().onceKeys().size() == 0);
+            assertThat(mSite.entries().values())
+                    .allMatch(e -> e.world().idempotencyKeys().size() == 0);
         }
     }
 
--- a/standin/src/test/java/org/hibiscususher/standin/request/RequestLifeTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/request/RequestLifeTest.java
@@ -6,7 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
-import org.hibiscususher.core.message.Ran;
+import org.hibiscususher.core.message.ExecutionStatus;
 import org.hibiscususher.core.message.Refusal;
 import org.hibiscususher.standin.virtual.EntryCondition;
 import org.hibiscususher.standin.virtual.TargetFault;
@@ -88,7 +88,10 @@
 
         private void check(VirtualRequest request) {
             assertThat(request.over()).isTrue();
-            boolean saysNotRun = request.refusal().map(r -> r.ran() == Ran.NOT_RUN).orElse(false);
+            boolean saysNotRun =
+                    request.refusal()
+                            .map(r -> r.executionStatus() == ExecutionStatus.NOT_RUN)
+                            .orElse(false);
             if (saysNotRun) {
                 assertThat(request.runs()).as("runs of what was not run").isZero();
             }
@@ -212,7 +215,7 @@
                 mSite.run(10);
                 long resting =
                         mSite.entries().get("e1").world().hosts().rows().stream()
-                                .filter(h -> h.restUntilMs() > mSite.nowMs() + 150)
+                                .filter(h -> h.quarantinedUntilMs() > mSite.nowMs() + 150)
                                 .filter(h -> h.consecutiveFaults() >= 3)
                                 .count();
                 assertThat(resting).isLessThanOrEqualTo(1);
--- a/standin/src/test/java/org/hibiscususher/standin/request/RequestSite.java
+++ b/standin/src/test/java/org/hibiscususher/standin/request/RequestSite.java
@@ -69,8 +69,8 @@
         for (VirtualEntry entry : site.entries().values()) {
             if (entry.condition() == EntryCondition.RUNNING) {
                 assertThat(entry.world().requests().rows()).as(entry.id()).isEmpty();
-                assertThat(entry.world().abandoned().rows()).as(entry.id()).isEmpty();
-                assertThat(entry.world().onceClaims().rows()).as(entry.id()).isEmpty();
+                assertThat(entry.world().abandonedRequests().rows()).as(entry.id()).isEmpty();
+                assertThat(entry.world().idempotencyClaims().rows()).as(entry.id()).isEmpty();
                 assertThat(entry.world().holdings().rows())
                         .as(entry.id())
                         .allMatch(h -> h.inUse() == 0);
--- a/standin/src/test/java/org/hibiscususher/standin/rollout/RollOutSite.java
+++ b/standin/src/test/java/org/hibiscususher/standin/rollout/RollOutSite.java
@@ -6,7 +6,7 @@
 import org.hibiscususher.core.config.Configuration;
 import org.hibiscususher.core.config.KeyDigest;
 import org.hibiscususher.core.message.NoteResult;
-import org.hibiscususher.core.message.Output.AnswerNote;
+import org.hibiscususher.core.message.Output.ReplyToNote;
 import org.hibiscususher.core.message.RecordKey;
 import org.hibiscususher.core.message.StoreRecord.HeadRecord;
 import org.hibiscususher.core.note.ReleaseNote;
@@ -40,7 +40,7 @@
                   queues: [{name: lookups, pool: parts, wait limit ms: 9000}]
                 """
                         .formatted(KeyDigest.ofSecret("fitters").toHex());
-        AnswerNote answer = apply("e1", note(opening));
+        ReplyToNote answer = apply("e1", note(opening));
         if (answer.result() != NoteResult.ACCEPTED) {
             throw new IllegalStateException(answer.toString());
         }
@@ -73,14 +73,14 @@
     }
 
     /** Sends a note and waits for the answer, for the tool's longest wait at most. */
-    AnswerNote apply(String entry, ReleaseNote note) {
+    ReplyToNote apply(String entry, ReleaseNote note) {
         return await(mSite.submit(entry, note), 20_000);
     }
 
     /** Applies further notes, each of one team. */
     void applyTeams(int n) {
         for (int i = 0; i < n; i++) {
-            AnswerNote answer = apply("e1", teamNote("team-note-" + mTeams, "anna"));
+            ReplyToNote answer = apply("e1", teamNote("team-note-" + mTeams, "anna"));
             if (answer.result() != NoteResult.ACCEPTED) {
                 throw new IllegalStateException(answer.toString());
             }
@@ -88,7 +88,7 @@
     }
 
     /** Lets time pass until a call is answered, or the limit is over. */
-    AnswerNote await(long call, long limitMs) {
+    ReplyToNote await(long call, long limitMs) {
         long end = mSite.nowMs() + limitMs;
         while (!mSite.noteAnswers().containsKey(call) && mSite.nowMs() < end) {
             mSite.run(1);
--- a/standin/src/test/java/org/hibiscususher/standin/rollout/RollOutTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/rollout/RollOutTest.java
@@ -4,7 +4,7 @@
 
 import java.util.List;
 import org.hibiscususher.core.message.NoteResult;
-import org.hibiscususher.core.message.Output.AnswerNote;
+import org.hibiscususher.core.message.Output.ReplyToNote;
 import org.hibiscususher.core.message.Refusal;
 import org.hibiscususher.core.note.ReleaseNote;
 import org.hibiscususher.standin.store.StoreFault;
@@ -26,7 +26,7 @@
             ReleaseNote first = mSite.teamNote("first", "berta");
             mSite.apply("e1", first);
             mSite.applyTeams(others);
-            AnswerNote again = mSite.apply("e2", first);
+            ReplyToNote again = mSite.apply("e2", first);
             assertThat(again.result()).isEqualTo(NoteResult.ACCEPTED);
             assertThat(again.revision()).isEqualTo(2);
             assertThat(mSite.head().revision()).isEqualTo(2 + others);
@@ -37,7 +37,7 @@
         void isNotMistakenForAnotherWithItsId(int others) {
             mSite.apply("e1", mSite.teamNote("first", "berta"));
             mSite.applyTeams(others);
-            AnswerNote other = mSite.apply("e2", mSite.teamNote("first", "carl"));
+            ReplyToNote other = mSite.apply("e2", mSite.teamNote("first", "carl"));
             assertThat(other.result()).isEqualTo(NoteResult.CONFLICT);
             assertThat(other.detail()).contains("note first is revision 2 already");
         }
@@ -62,7 +62,7 @@
             long call = mSite.site().submit("e1", mSite.teamNote("n", "berta"));
             mSite.site().run(4_000);
             mSite.site().store().setFault(StoreFault.NONE);
-            AnswerNote answer = mSite.await(call, 13_000);
+            ReplyToNote answer = mSite.await(call, 13_000);
             assertThat(answer.result()).isEqualTo(NoteResult.ACCEPTED);
             assertThat(mSite.head().revision()).isEqualTo(2);
             assertThat(mSite.statesInForce("e1", "e2", "e3")).hasSize(1);
@@ -83,7 +83,7 @@
         @Test
         void thatLastAreToldAndChangeNothing() {
             mSite.site().store().setFault(StoreFault.DOWN);
-            AnswerNote answer = mSite.apply("e1", mSite.teamNote("n", "berta"));
+            ReplyToNote answer = mSite.apply("e1", mSite.teamNote("n", "berta"));
             assertThat(answer.result()).isEqualTo(NoteResult.UNAVAILABLE);
             assertThat(answer.detail()).contains("nothing was changed");
             mSite.site().store().setFault(StoreFault.NONE);
@@ -111,7 +111,7 @@
             long one = mSite.site().submit("e1", mSite.teamNote("one", "berta", "base: 1"));
             long two = mSite.site().submit("e2", mSite.teamNote("two", "carl", "base: 1"));
             assertThat(mSite.await(one, 20_000).result()).isEqualTo(NoteResult.ACCEPTED);
-            AnswerNote lost = mSite.await(two, 20_000);
+            ReplyToNote lost = mSite.await(two, 20_000);
             assertThat(lost.result()).isEqualTo(NoteResult.CONFLICT);
             assertThat(lost.detail())
                     .isEqualTo(
@@ -162,7 +162,7 @@
         void namesTheMemberThatIsLost() {
             mSite.site().kill("e3");
             long start = mSite.site().nowMs();
-            AnswerNote answer = mSite.apply("e1", mSite.teamNote("n", "berta"));
+            ReplyToNote answer = mSite.apply("e1", mSite.teamNote("n", "berta"));
             assertThat(answer.result()).isEqualTo(NoteResult.ACCEPTED);
             assertThat(mSite.site().nowMs() - start).isLessThan(10_000);
         }
@@ -175,7 +175,7 @@
             while (!mSite.site().noteAnswers().containsKey(call)) {
                 mSite.site().run(1);
             }
-            AnswerNote answer = mSite.site().noteAnswers().get(call);
+            ReplyToNote answer = mSite.site().noteAnswers().get(call);
             assertThat(answer.result()).isEqualTo(NoteResult.ACCEPTED);
             assertThat(answer.detail()).contains("e3 (revision 1, last heard ");
             VirtualRequest request = mSite.site().call("e3", "lookups", "fitters", 10);
@@ -274,7 +274,7 @@
             mSite.site().submit("e1", note);
             mSite.site().run(deathMs);
             mSite.site().kill("e1");
-            AnswerNote answer = mSite.apply("e2", note);
+            ReplyToNote answer = mSite.apply("e2", note);
             assertThat(answer.result()).isEqualTo(NoteResult.ACCEPTED);
             assertThat(answer.revision()).isEqualTo(33);
             assertThat(mSite.head().snapshotRevision()).isEqualTo(33);
@@ -298,7 +298,7 @@
                         "    - {name: big-%d, address: \"10.0.%d.%d:1\", zone: z1, pool: parts}%n"
                                 .formatted(i, i / 250, i % 250));
             }
-            AnswerNote answer =
+            ReplyToNote answer =
                     mSite.apply(
                             "e1",
                             RollOutSite.note("note: big\nauthor: a\nadded:\n  hosts:\n" + hosts));
--- a/standin/src/test/java/org/hibiscususher/standin/virtual/EscrowSite.java
+++ b/standin/src/test/java/org/hibiscususher/standin/virtual/EscrowSite.java
@@ -116,7 +116,7 @@
     VirtualEntry allocator(PermitKey key) {
         return mSite.entries().values().stream()
                 .filter(e -> e.condition() == EntryCondition.RUNNING)
-                .filter(e -> e.world().tenures().contains(key.permitGroup()))
+                .filter(e -> e.world().allocatorTerms().contains(key.permitGroup()))
                 .findFirst()
                 .orElseThrow();
     }
--- a/standin/src/test/java/org/hibiscususher/standin/virtual/EscrowTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/virtual/EscrowTest.java
@@ -75,12 +75,22 @@
             mSite.pause(allocator);
             mEscrow.mark(allocator, MemberState.SILENT, true);
             mEscrow.load(2_000, 100);
-            assertThat(mEscrow.allocator(H1).world().tenures().find(H1.permitGroup()).orElseThrow())
-                    .matches(t -> t.inDoubt(), "in doubt");
+            assertThat(
+                            mEscrow.allocator(H1)
+                                    .world()
+                                    .allocatorTerms()
+                                    .find(H1.permitGroup())
+                                    .orElseThrow())
+                    .matches(t -> t.awaitsClaims(), "in doubt");
             mSite.resume(allocator);
             mEscrow.load(500, 100);
-            assertThat(mEscrow.allocator(H1).world().tenures().find(H1.permitGroup()).orElseThrow())
-                    .matches(t -> !t.inDoubt(), "settled");
+            assertThat(
+                            mEscrow.allocator(H1)
+                                    .world()
+                                    .allocatorTerms()
+                                    .find(H1.permitGroup())
+                                    .orElseThrow())
+                    .matches(t -> !t.awaitsClaims(), "settled");
         }
 
         @ParameterizedTest
--- a/wire/src/main/java/org/hibiscususher/wire/json/FleetJson.java
+++ b/wire/src/main/java/org/hibiscususher/wire/json/FleetJson.java
@@ -33,12 +33,12 @@
         ObjectNode root = JsonNodeFactory.instance.objectNode();
         if (record instanceof HostRecord host) {
             return root.put("pool", host.pool())
-                    .put("declared", host.declared())
+                    .put("declared", host.declaredPool())
                     .put("generation", host.generation());
         }
         if (record instanceof OutageRecord outages) {
             root.put("wave", outages.wave());
-            writeNames(root.putArray("done"), outages.done());
+            writeNames(root.putArray("done"), outages.rebooted());
             ObjectNode out = root.putObject("outages");
             outages.outages().forEach((host, outage) -> out.set(host, writeOutage(outage)));
             return root;
--- a/wire/src/main/java/org/hibiscususher/wire/json/OperatorJson.java
+++ b/wire/src/main/java/org/hibiscususher/wire/json/OperatorJson.java
@@ -11,9 +11,9 @@
 import java.util.List;
 import org.hibiscususher.core.message.MemberState;
 import org.hibiscususher.core.message.NoteResult;
-import org.hibiscususher.core.message.Output.AnswerHistory;
-import org.hibiscususher.core.message.Output.AnswerNote;
-import org.hibiscususher.core.message.Output.AnswerNoteCheck;
+import org.hibiscususher.core.message.Output.ReplyToHistory;
+import org.hibiscususher.core.message.Output.ReplyToNote;
+import org.hibiscususher.core.message.Output.ReplyToNoteCheck;
 import org.hibiscususher.core.message.StatusReport;
 import org.hibiscususher.core.message.WaveReport;
 import org.hibiscususher.core.note.Finding;
@@ -27,7 +27,7 @@
     private OperatorJson() {}
 
     /** Returns the answer to a release note as JSON. */
-    public static byte[] encodeNoteAnswer(AnswerNote answer) {
+    public static byte[] encodeNoteAnswer(ReplyToNote answer) {
         ObjectNode root = JsonNodeFactory.instance.objectNode();
         root.put("result", answer.result().name())
                 .put("revision", answer.revision())
@@ -41,10 +41,10 @@
      *
      * @throws IOException if they stand for none
      */
-    public static AnswerNote decodeNoteAnswer(byte[] bytes) throws IOException {
+    public static ReplyToNote decodeNoteAnswer(byte[] bytes) throws IOException {
         JsonNode root = MAPPER.readTree(bytes);
         try {
-            return new AnswerNote(
+            return new ReplyToNote(
                     0,
                     NoteResult.valueOf(root.path("result").asText()),
                     root.path("revision").asLong(),
@@ -56,7 +56,7 @@
     }
 
     /** Returns the answer to the check of a release note as JSON. */
-    public static byte[] encodeNoteCheck(AnswerNoteCheck answer) {
+    public static byte[] encodeNoteCheck(ReplyToNoteCheck answer) {
         ObjectNode root = JsonNodeFactory.instance.objectNode();
         root.put("revision", answer.revision());
         writeFindings(root, answer.findings());
@@ -68,17 +68,17 @@
      *
      * @throws IOException if they stand for none
      */
-    public static AnswerNoteCheck decodeNoteCheck(byte[] bytes) throws IOException {
+    public static ReplyToNoteCheck decodeNoteCheck(byte[] bytes) throws IOException {
         JsonNode root = MAPPER.readTree(bytes);
         try {
-            return new AnswerNoteCheck(0, root.path("revision").asLong(), readFindings(root));
+            return new ReplyToNoteCheck(0, root.path("revision").asLong(), readFindings(root));
         } catch (IllegalArgumentException e) {
             throw new IOException("malformed answer to the check of a release note", e);
         }
     }
 
     /** Returns accepted notes as JSON. */
-    public static byte[] encodeHistory(AnswerHistory answer) {
+    public static byte[] encodeHistory(ReplyToHistory answer) {
         ObjectNode root = JsonNodeFactory.instance.objectNode();
         root.put("detail", answer.detail());
         root.set("notes", HistoryJson.writeNotes(answer.notes()));
@@ -90,10 +90,10 @@
      *
      * @throws IOException if they stand for none
      */
-    public static AnswerHistory decodeHistory(byte[] bytes) throws IOException {
+    public static ReplyToHistory decodeHistory(byte[] bytes) throws IOException {
         JsonNode root = MAPPER.readTree(bytes);
         try {
-            return new AnswerHistory(
+            return new ReplyToHistory(
                     0, HistoryJson.readNotes(root.path("notes")), root.path("detail").asText());
         } catch (IllegalArgumentException e) {
             throw new IOException("malformed history", e);
@@ -198,11 +198,11 @@
                 .put("total", report.total())
                 .put("done", report.done());
         ArrayNode out = root.putArray("out");
-        for (WaveReport.Out host : report.out()) {
+        for (WaveReport.OutOfServiceHost host : report.out()) {
             out.addObject()
                     .put("host", host.host())
                     .put("pool", host.pool())
-                    .put("doing", host.doing())
+                    .put("doing", host.activity())
                     .put("sinceMs", host.sinceMs());
         }
         return bytes(root);
@@ -218,10 +218,10 @@
         if (!root.path("ok").isBoolean()) {
             throw new IOException("malformed answer about a maintenance wave");
         }
-        List<WaveReport.Out> out = new ArrayList<>();
+        List<WaveReport.OutOfServiceHost> out = new ArrayList<>();
         for (JsonNode n : root.path("out")) {
             out.add(
-                    new WaveReport.Out(
+                    new WaveReport.OutOfServiceHost(
                             n.path("host").asText(),
                             n.path("pool").asText(),
                             n.path("doing").asText(),
--- a/wire/src/main/java/org/hibiscususher/wire/peer/EscrowCodec.java
+++ b/wire/src/main/java/org/hibiscususher/wire/peer/EscrowCodec.java
@@ -9,7 +9,7 @@
 import org.hibiscususher.core.message.PermitKey;
 import org.hibiscususher.core.message.PermitKind;
 import org.hibiscususher.core.message.TeamDemand;
-import org.hibiscususher.core.message.TeamDue;
+import org.hibiscususher.core.message.TeamEntitlement;
 import org.hibiscususher.wire.generated.Peer;
 
 /** Translates the items about permits in escrow. */
@@ -22,46 +22,47 @@
      * @throws IllegalArgumentException if it is not about permits
      */
     static void encode(PeerItem item, Peer.PeerItem.Builder builder) {
-        if (item instanceof PeerItem.Claim claim) {
+        if (item instanceof PeerItem.PermitClaim claim) {
             builder.setClaim(encodeClaim(claim));
-        } else if (item instanceof PeerItem.ClaimAsked asked) {
+        } else if (item instanceof PeerItem.PermitClaimRequest asked) {
             builder.getClaimAskedBuilder()
                     .setEpoch(asked.epoch())
                     .setGroup(encodeGroup(asked.group()));
-        } else if (item instanceof PeerItem.Granted granted) {
-            builder.setGranted(encodeCount(granted.basis(), granted.permit(), granted.granted()));
-        } else if (item instanceof PeerItem.Returned returned) {
+        } else if (item instanceof PeerItem.GrantCount granted) {
+            builder.setGranted(
+                    encodeCount(granted.claimEpoch(), granted.permit(), granted.granted()));
+        } else if (item instanceof PeerItem.ReturnCount returned) {
             builder.setReturned(
-                    encodeCount(returned.basis(), returned.permit(), returned.returned()));
-        } else if (item instanceof PeerItem.GrantSeen seen) {
-            builder.setGrantSeen(encodeCount(seen.basis(), seen.permit(), seen.granted()));
-        } else if (item instanceof PeerItem.ReturnSeen seen) {
-            builder.setReturnSeen(encodeCount(seen.basis(), seen.permit(), seen.returned()));
-        } else if (item instanceof PeerItem.Target target) {
+                    encodeCount(returned.claimEpoch(), returned.permit(), returned.returned()));
+        } else if (item instanceof PeerItem.GrantAck seen) {
+            builder.setGrantSeen(encodeCount(seen.claimEpoch(), seen.permit(), seen.granted()));
+        } else if (item instanceof PeerItem.ReturnAck seen) {
+            builder.setReturnSeen(encodeCount(seen.claimEpoch(), seen.permit(), seen.returned()));
+        } else if (item instanceof PeerItem.PermitTarget target) {
             builder.getTargetBuilder()
-                    .setBasis(target.basis())
+                    .setBasis(target.claimEpoch())
                     .setGroup(encodeGroup(target.group()))
                     .setMain(target.main())
                     .setLongRuns(target.longRuns());
         } else if (item instanceof PeerItem.Demand demand) {
             builder.setDemand(encodeDemand(demand));
-        } else if (item instanceof PeerItem.Dues dues) {
+        } else if (item instanceof PeerItem.PoolEntitlements dues) {
             builder.setDues(encodeDues(dues));
         } else {
             throw new IllegalArgumentException("no encoding for " + item.getClass());
         }
     }
 
-    private static Peer.Claim encodeClaim(PeerItem.Claim claim) {
+    private static Peer.Claim encodeClaim(PeerItem.PermitClaim claim) {
         Peer.Claim.Builder builder =
                 Peer.Claim.newBuilder()
-                        .setBasis(claim.basis())
+                        .setBasis(claim.claimEpoch())
                         .setGroup(encodeGroup(claim.group()));
         for (ClaimedPermit permit : claim.permits()) {
             builder.addPermitsBuilder()
                     .setPermit(encodePermit(permit.permit()))
                     .setHeld(permit.held())
-                    .setHighest(permit.highest());
+                    .setHighest(permit.highestLimit());
         }
         return builder.build();
     }
@@ -88,9 +89,9 @@
         return builder.build();
     }
 
-    private static Peer.Dues encodeDues(PeerItem.Dues dues) {
+    private static Peer.Dues encodeDues(PeerItem.PoolEntitlements dues) {
         Peer.Dues.Builder builder = Peer.Dues.newBuilder().setPool(dues.pool());
-        for (TeamDue team : dues.teams()) {
+        for (TeamEntitlement team : dues.teams()) {
             builder.addTeamsBuilder().setTeam(team.team()).setMilliSlots(team.milliSlots());
         }
         return builder.build();
@@ -121,31 +122,31 @@
         return switch (item.getItemCase()) {
             case CLAIM -> decodeClaim(item.getClaim());
             case CLAIM_ASKED ->
-                    new PeerItem.ClaimAsked(
+                    new PeerItem.PermitClaimRequest(
                             item.getClaimAsked().getEpoch(),
                             decodeGroup(item.getClaimAsked().getGroup()));
             case GRANTED -> {
                 Peer.Count count = item.getGranted();
-                yield new PeerItem.Granted(
+                yield new PeerItem.GrantCount(
                         count.getBasis(), decodePermit(count.getPermit()), count.getCount());
             }
             case RETURNED -> {
                 Peer.Count count = item.getReturned();
-                yield new PeerItem.Returned(
+                yield new PeerItem.ReturnCount(
                         count.getBasis(), decodePermit(count.getPermit()), count.getCount());
             }
             case GRANT_SEEN -> {
                 Peer.Count count = item.getGrantSeen();
-                yield new PeerItem.GrantSeen(
+                yield new PeerItem.GrantAck(
                         count.getBasis(), decodePermit(count.getPermit()), count.getCount());
             }
             case RETURN_SEEN -> {
                 Peer.Count count = item.getReturnSeen();
-                yield new PeerItem.ReturnSeen(
+                yield new PeerItem.ReturnAck(
                         count.getBasis(), decodePermit(count.getPermit()), count.getCount());
             }
             case TARGET ->
-                    new PeerItem.Target(
+                    new PeerItem.PermitTarget(
                             item.getTarget().getBasis(),
                             decodeGroup(item.getTarget().getGroup()),
                             item.getTarget().getMain(),
@@ -156,7 +157,7 @@
         };
     }
 
-    private static PeerItem.Claim decodeClaim(Peer.Claim claim) {
+    private static PeerItem.PermitClaim decodeClaim(Peer.Claim claim) {
         List<ClaimedPermit> permits =
                 claim.getPermitsList().stream()
                         .map(
@@ -166,7 +167,7 @@
                                                 p.getHeld(),
                                                 p.getHighest()))
                         .toList();
-        return new PeerItem.Claim(claim.getBasis(), decodeGroup(claim.getGroup()), permits);
+        return new PeerItem.PermitClaim(claim.getBasis(), decodeGroup(claim.getGroup()), permits);
     }
 
     private static PeerItem.Demand decodeDemand(Peer.Demand demand) {
@@ -184,12 +185,12 @@
         return new PeerItem.Demand(decodeGroup(demand.getGroup()), teams);
     }
 
-    private static PeerItem.Dues decodeDues(Peer.Dues dues) {
-        List<TeamDue> teams =
+    private static PeerItem.PoolEntitlements decodeDues(Peer.Dues dues) {
+        List<TeamEntitlement> teams =
                 dues.getTeamsList().stream()
-                        .map(t -> new TeamDue(t.getTeam(), t.getMilliSlots()))
+                        .map(t -> new TeamEntitlement(t.getTeam(), t.getMilliSlots()))
                         .toList();
-        return new PeerItem.Dues(dues.getPool(), teams);
+        return new PeerItem.PoolEntitlements(dues.getPool(), teams);
     }
 
     private static PermitGroup decodeGroup(Peer.PermitGroup group) {
--- a/wire/src/main/java/org/hibiscususher/wire/peer/PeerCodec.java
+++ b/wire/src/main/java/org/hibiscususher/wire/peer/PeerCodec.java
@@ -69,7 +69,7 @@
 
     private static Peer.PeerItem encodeItem(PeerItem item) {
         Peer.PeerItem.Builder builder = Peer.PeerItem.newBuilder();
-        if (item instanceof PeerItem.Relay relay) {
+        if (item instanceof PeerItem.NoteRelay relay) {
             builder.getRelayBuilder()
                     .setNotes(ByteString.copyFrom(RecordCodec.encodeNotes(relay.notes())));
         } else if (item instanceof PeerItem.FleetRelay relay) {
@@ -79,7 +79,7 @@
                     .setValue(
                             ByteString.copyFrom(
                                     RecordCodec.encode(relay.record().record().value())));
-        } else if (item instanceof PeerItem.PoolNeed need) {
+        } else if (item instanceof PeerItem.PoolShortfall need) {
             builder.getPoolNeedBuilder().setPool(need.pool()).setHosts(need.hosts());
         } else if (!OnceItemCodec.encode(item, builder)) {
             EscrowCodec.encode(item, builder);
@@ -90,11 +90,11 @@
     private static PeerItem decodeItem(Peer.PeerItem item) throws IOException {
         return switch (item.getItemCase()) {
             case RELAY ->
-                    new PeerItem.Relay(
+                    new PeerItem.NoteRelay(
                             RecordCodec.decodeNotes(item.getRelay().getNotes().toByteArray()));
             case FLEET_RELAY -> decodeFleetRelay(item.getFleetRelay());
             case POOL_NEED ->
-                    new PeerItem.PoolNeed(
+                    new PeerItem.PoolShortfall(
                             item.getPoolNeed().getPool(), item.getPoolNeed().getHosts());
             case ONCE_ASKED, ONCE_ANSWERED, ONCE_RELEASED, ONCE_FORGOTTEN ->
                     OnceItemCodec.decode(item);
@@ -105,7 +105,7 @@
     private static PeerItem decodeFleetRelay(Peer.FleetRelay relay) throws IOException {
         RecordKey key =
                 RecordCodec.parseKey(relay.getKey())
-                        .filter(k -> k.kind().fleet())
+                        .filter(k -> k.kind().isFleet())
                         .orElseThrow(() -> new IOException("unknown record " + relay.getKey()));
         StoreRecord value = RecordCodec.decode(key, relay.getValue().toByteArray());
         VersionedRecord record = new VersionedRecord(relay.getVersion(), value);
--- a/wire/src/test/java/org/hibiscususher/wire/format/FormatSamples.java
+++ b/wire/src/test/java/org/hibiscususher/wire/format/FormatSamples.java
@@ -28,9 +28,9 @@
 import org.hibiscususher.core.job.JobState;
 import org.hibiscususher.core.job.Resources;
 import org.hibiscususher.core.job.StepSpec;
-import org.hibiscususher.core.message.ClaimResult;
 import org.hibiscususher.core.message.ClaimedPermit;
 import org.hibiscususher.core.message.FleetRecord;
+import org.hibiscususher.core.message.IdempotencyClaimResult;
 import org.hibiscususher.core.message.Member;
 import org.hibiscususher.core.message.MemberState;
 import org.hibiscususher.core.message.Outage;
@@ -42,7 +42,7 @@
 import org.hibiscususher.core.message.RecordKind;
 import org.hibiscususher.core.message.StoreRecord;
 import org.hibiscususher.core.message.TeamDemand;
-import org.hibiscususher.core.message.TeamDue;
+import org.hibiscususher.core.message.TeamEntitlement;
 import org.hibiscususher.core.message.VersionedRecord;
 import org.hibiscususher.core.message.WaveState;
 import org.hibiscususher.core.note.AcceptedNote;
@@ -223,28 +223,32 @@
                 18,
                 19,
                 List.of(
-                        new PeerItem.Relay(List.of(NOTE)),
-                        new PeerItem.Claim(
+                        new PeerItem.NoteRelay(List.of(NOTE)),
+                        new PeerItem.PermitClaim(
                                 1,
                                 PermitGroup.team("t1"),
                                 List.of(new ClaimedPermit(PermitKey.unit("t1"), 2, 3))),
-                        new PeerItem.ClaimAsked(2, pool),
-                        new PeerItem.Granted(3, slot, 4),
-                        new PeerItem.Returned(5, PermitKey.longRun("p1"), 6),
-                        new PeerItem.GrantSeen(7, slot, 8),
-                        new PeerItem.ReturnSeen(9, slot, 10),
-                        new PeerItem.Target(11, pool, 12, 13),
+                        new PeerItem.PermitClaimRequest(2, pool),
+                        new PeerItem.GrantCount(3, slot, 4),
+                        new PeerItem.ReturnCount(5, PermitKey.longRun("p1"), 6),
+                        new PeerItem.GrantAck(7, slot, 8),
+                        new PeerItem.ReturnAck(9, slot, 10),
+                        new PeerItem.PermitTarget(11, pool, 12, 13),
                         new PeerItem.Demand(pool, List.of(new TeamDemand("t1", 1, 2, 3, 4))),
-                        new PeerItem.Dues("p1", List.of(new TeamDue("t1", 1_500))),
+                        new PeerItem.PoolEntitlements(
+                                "p1", List.of(new TeamEntitlement("t1", 1_500))),
                         new PeerItem.FleetRelay(
                                 new FleetRecord(HOST_KEY, new VersionedRecord(21, HOST))),
-                        new PeerItem.PoolNeed("p1", -2),
-                        new PeerItem.OnceAsked(31, 32, 33, 34),
-                        new PeerItem.OnceAnswered(35, 36, 37, 38, ClaimResult.GRANTED),
-                        new PeerItem.OnceAnswered(35, 36, 37, 38, ClaimResult.DUPLICATE),
-                        new PeerItem.OnceAnswered(35, 36, 37, 38, ClaimResult.NOT_VOUCHED),
-                        new PeerItem.OnceReleased(39, 40, 41),
-                        new PeerItem.OnceForgotten(42, 43)));
+                        new PeerItem.PoolShortfall("p1", -2),
+                        new PeerItem.IdempotencyClaim(31, 32, 33, 34),
+                        new PeerItem.IdempotencyClaimReply(
+                                35, 36, 37, 38, IdempotencyClaimResult.GRANTED),
+                        new PeerItem.IdempotencyClaimReply(
+                                35, 36, 37, 38, IdempotencyClaimResult.DUPLICATE),
+                        new PeerItem.IdempotencyClaimReply(
+                                35, 36, 37, 38, IdempotencyClaimResult.NOT_VOUCHED),
+                        new PeerItem.IdempotencyRelease(39, 40, 41),
+                        new PeerItem.IdempotencyReleaseAck(42, 43)));
     }
 
     /** Returns the calls and answers that entries forward to the owner of the scheduling. */
