Rename the codecs and the HTTP client of wire to the terms of the field

LinkMessage and LinkCodec become ForwardMessage and ForwardCodec, with the components request, response, relinquishTo and handoverFrom. StoredRecordCodec becomes SchedulerRecordCodec, HttpCaller becomes OneShotHttpClient, and methods of YamlMap and RecordCodec say what they do. Encodings stay as they are.

--- a/cli/src/main/java/org/hibiscususher/cli/Invocation.java
+++ b/cli/src/main/java/org/hibiscususher/cli/Invocation.java
@@ -13,7 +13,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
-import org.hibiscususher.wire.http.HttpCaller;
+import org.hibiscususher.wire.http.OneShotHttpClient;
 
 /**
  * One run of a command.
@@ -54,8 +54,8 @@
     private byte[] call(HttpMethod method, String path, byte[] body) throws IOException {
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         try {
-            return HttpCaller.create(group, TIMEOUT_MS)
-                    .call(daemon, method, path, body)
+            return OneShotHttpClient.create(group, TIMEOUT_MS)
+                    .send(daemon, method, path, body)
                     .get()
                     .body();
         } catch (ExecutionException e) {
--- a/daemon/src/main/java/org/hibiscususher/daemon/forward/ForwardClient.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/forward/ForwardClient.java
@@ -21,7 +21,7 @@
 import org.hibiscususher.core.scheduler.message.SchedulerInput.PredecessorRelinquished;
 import org.hibiscususher.daemon.control.Inbox;
 import org.hibiscususher.wire.http.Addresses;
-import org.hibiscususher.wire.scheduler.LinkMessage;
+import org.hibiscususher.wire.scheduler.ForwardMessage;
 
 /**
  * Passes requests on to the entry that owns the scheduling, over one connection.
@@ -75,7 +75,7 @@
 
     /** Passes a request on; it ends with an answer or a {@link ForwardFailed}. */
     public void send(long callId, String address, JobRequest call) {
-        send(address, LinkMessage.of(callId, call));
+        send(address, ForwardMessage.of(callId, call));
     }
 
     /** Asks the owner of an earlier term to give no more orders; tells when it has agreed. */
@@ -87,16 +87,16 @@
                                 mInbox.add(new PredecessorRelinquished(generation));
                             }
                         });
-        send(address, LinkMessage.ofYield(callId, generation));
+        send(address, ForwardMessage.relinquishRequest(callId, generation));
     }
 
     /** Offers the ownership to another entry, which does not tell what it makes of it. */
     public void offer(String address, long generation) {
         long callId = mCalls.add(answer -> {});
-        send(address, LinkMessage.ofOffer(callId, generation));
+        send(address, ForwardMessage.handoverOffer(callId, generation));
     }
 
-    private void send(String address, LinkMessage message) {
+    private void send(String address, ForwardMessage message) {
         mLoop.execute(() -> connect(address, channel -> write(channel, address, message)));
     }
 
@@ -116,7 +116,7 @@
         mConnecting.addListener(f -> then.accept((ChannelFuture) f));
     }
 
-    private void write(ChannelFuture connected, String address, LinkMessage message) {
+    private void write(ChannelFuture connected, String address, ForwardMessage message) {
         long callId = message.callId();
         if (!connected.isSuccess()) {
             mInbox.add(new ForwardFailed(callId, address, false));
@@ -128,9 +128,9 @@
         mLoop.schedule(() -> timeOut(callId), ANSWER_TIMEOUT_MS, TimeUnit.MILLISECONDS);
     }
 
-    private void received(LinkMessage message) {
+    private void received(ForwardMessage message) {
         if (mSent.remove(message.callId()) != null) {
-            message.answer().ifPresent(answer -> mCalls.answer(message.callId(), answer));
+            message.response().ifPresent(answer -> mCalls.answer(message.callId(), answer));
         }
     }
 
--- a/daemon/src/main/java/org/hibiscususher/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/forward/ForwardServer.java
@@ -17,7 +17,7 @@
 import org.hibiscususher.core.scheduler.message.SchedulerInput.RequestReceived;
 import org.hibiscususher.daemon.control.Inbox;
 import org.hibiscususher.wire.http.Addresses;
-import org.hibiscususher.wire.scheduler.LinkMessage;
+import org.hibiscususher.wire.scheduler.ForwardMessage;
 
 /** Takes requests that other entries pass on. */
 public final class ForwardServer {
@@ -58,8 +58,11 @@
     }
 
     private static void receive(
-            Channel channel, LinkMessage message, PendingCalls calls, Inbox<SchedulerInput> inbox) {
-        message.call()
+            Channel channel,
+            ForwardMessage message,
+            PendingCalls calls,
+            Inbox<SchedulerInput> inbox) {
+        message.request()
                 .ifPresent(
                         call ->
                                 take(
@@ -68,7 +71,7 @@
                                         id -> new RequestReceived(id, call),
                                         calls,
                                         inbox));
-        message.yieldTo()
+        message.relinquishTo()
                 .ifPresent(
                         generation ->
                                 take(
@@ -77,7 +80,7 @@
                                         id -> new RelinquishRequested(id, generation),
                                         calls,
                                         inbox));
-        message.offerOf()
+        message.handoverFrom()
                 .ifPresent(
                         generation ->
                                 take(
@@ -94,13 +97,15 @@
             LongFunction<SchedulerInput> input,
             PendingCalls calls,
             Inbox<SchedulerInput> inbox) {
-        long id = calls.add(answer -> LinkPipeline.send(channel, LinkMessage.of(remoteId, answer)));
+        long id =
+                calls.add(
+                        answer -> LinkPipeline.send(channel, ForwardMessage.of(remoteId, answer)));
         if (id == 0 || !inbox.offer(input.apply(id))) {
             JobResponse answer =
                     JobResponse.refusal(
                             JobResponseKind.OVERLOADED, RETRY_AFTER_MS, "too-many-requests");
             calls.answer(id, answer);
-            LinkPipeline.send(channel, LinkMessage.of(remoteId, answer));
+            LinkPipeline.send(channel, ForwardMessage.of(remoteId, answer));
         }
     }
 }
--- a/daemon/src/main/java/org/hibiscususher/daemon/forward/LinkPipeline.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/forward/LinkPipeline.java
@@ -13,8 +13,8 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.util.function.BiConsumer;
-import org.hibiscususher.wire.scheduler.LinkCodec;
-import org.hibiscususher.wire.scheduler.LinkMessage;
+import org.hibiscususher.wire.scheduler.ForwardCodec;
+import org.hibiscususher.wire.scheduler.ForwardMessage;
 
 /** Frames and translates messages on a connection between entries. */
 final class LinkPipeline {
@@ -24,7 +24,7 @@
     private LinkPipeline() {}
 
     /** Adds the handlers to a connection; {@code receiver} takes its messages. */
-    static void add(Channel channel, BiConsumer<Channel, LinkMessage> receiver) {
+    static void add(Channel channel, BiConsumer<Channel, ForwardMessage> receiver) {
         channel.pipeline()
                 .addLast(
                         new LengthFieldBasedFrameDecoder(
@@ -34,23 +34,23 @@
     }
 
     /** Sends a message. */
-    static ChannelFuture send(Channel channel, LinkMessage message) {
-        return channel.writeAndFlush(Unpooled.wrappedBuffer(LinkCodec.encode(message)));
+    static ChannelFuture send(Channel channel, ForwardMessage message) {
+        return channel.writeAndFlush(Unpooled.wrappedBuffer(ForwardCodec.encode(message)));
     }
 
     private static final class Receiver extends SimpleChannelInboundHandler<ByteBuf> {
         private static final Logger LOG = System.getLogger(LinkPipeline.class.getName());
 
-        private final BiConsumer<Channel, LinkMessage> mReceiver;
+        private final BiConsumer<Channel, ForwardMessage> mReceiver;
 
-        Receiver(BiConsumer<Channel, LinkMessage> receiver) {
+        Receiver(BiConsumer<Channel, ForwardMessage> receiver) {
             mReceiver = receiver;
         }
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, ByteBuf frame)
                 throws IOException {
-            LinkMessage message = LinkCodec.decode(ByteBufUtil.getBytes(frame));
+            ForwardMessage message = ForwardCodec.decode(ByteBufUtil.getBytes(frame));
             mReceiver.accept(context.channel(), message);
         }
 
--- a/daemon/src/main/java/org/hibiscususher/daemon/settings/SettingsReader.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/settings/SettingsReader.java
@@ -29,7 +29,8 @@
                         root.address("operators"),
                         root.address("platform"),
                         control(root.map("control")));
-        root.close("member", "zone", "callers", "peers", "operators", "platform", "control");
+        root.reportUnknownKeys(
+                "member", "zone", "callers", "peers", "operators", "platform", "control");
         return new ParsedSettings(settings, document.findings());
     }
 
@@ -45,7 +46,7 @@
                         map.integer("pause ms", 1, MAX_MS, base.pauseMs()),
                         base.lendPolicy(),
                         base.escrowPolicy());
-        map.close(
+        map.reportUnknownKeys(
                 "heartbeat ms",
                 "silence ms",
                 "freshness ms",
--- a/daemon/src/main/java/org/hibiscususher/daemon/store/EtcdStore.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/store/EtcdStore.java
@@ -21,8 +21,8 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 import org.hibiscususher.core.message.PlatformHost;
-import org.hibiscususher.wire.http.HttpCaller;
 import org.hibiscususher.wire.http.HttpReply;
+import org.hibiscususher.wire.http.OneShotHttpClient;
 
 /** Speaks the JSON gateway of the etcd v3 key-value protocol. Thread-safe. */
 public final class EtcdStore implements PlatformStore {
@@ -32,14 +32,14 @@
 
     private final EventLoopGroup mGroup;
     private final String mAddress;
-    private final HttpCaller mCaller;
+    private final OneShotHttpClient mCaller;
     private final Set<String> mWatched = ConcurrentHashMap.newKeySet();
     private final Map<String, VersionedValue> mLastRead = new ConcurrentHashMap<>();
 
     private EtcdStore(EventLoopGroup group, String address) {
         mGroup = group;
         mAddress = address;
-        mCaller = HttpCaller.create(group, CALL_TIMEOUT_MS);
+        mCaller = OneShotHttpClient.create(group, CALL_TIMEOUT_MS);
     }
 
     /**
@@ -120,7 +120,7 @@
 
     @Override
     public CompletableFuture<List<PlatformHost>> hosts() {
-        return mCaller.call(mAddress, HttpMethod.GET, "/platform/hosts", new byte[0])
+        return mCaller.send(mAddress, HttpMethod.GET, "/platform/hosts", new byte[0])
                 .thenApply(EtcdStore::parse)
                 .thenApply(
                         root -> {
@@ -164,14 +164,14 @@
     public CompletableFuture<Boolean> reboot(String host, String bootId, String token) {
         ObjectNode root = object().put("bootId", bootId).put("token", token);
         byte[] body = root.toString().getBytes(StandardCharsets.UTF_8);
-        return mCaller.call(mAddress, HttpMethod.POST, "/platform/hosts/" + host + "/reboot", body)
+        return mCaller.send(mAddress, HttpMethod.POST, "/platform/hosts/" + host + "/reboot", body)
                 .thenApply(EtcdStore::parse)
                 .thenApply(reply -> reply.path("accepted").asBoolean());
     }
 
     private CompletableFuture<JsonNode> call(String path, JsonNode body) {
         byte[] bytes = body.toString().getBytes(StandardCharsets.UTF_8);
-        return mCaller.call(mAddress, HttpMethod.POST, path, bytes).thenApply(EtcdStore::parse);
+        return mCaller.send(mAddress, HttpMethod.POST, path, bytes).thenApply(EtcdStore::parse);
     }
 
     private static JsonNode parse(HttpReply reply) {
--- a/daemon/src/main/java/org/hibiscususher/daemon/store/StoreOutputs.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/store/StoreOutputs.java
@@ -39,7 +39,7 @@
     /** Watches a record. */
     public void watch(RecordKey key) {
         mStore.watch(
-                RecordCodec.keyOf(key),
+                RecordCodec.storeKey(key),
                 value -> {
                     try {
                         mInbox.add(new Input.RecordWatched(key, decode(key, value)));
@@ -51,7 +51,7 @@
 
     /** Reads a record. */
     public void read(ReadRecord read) {
-        mStore.get(RecordCodec.keyOf(read.key()))
+        mStore.get(RecordCodec.storeKey(read.key()))
                 .whenComplete(
                         (found, failure) -> {
                             if (failure != null) {
@@ -89,7 +89,7 @@
     /** Writes a record if its version is as expected. */
     public void swap(SwapRecord swap) {
         mStore.compareAndSwap(
-                        RecordCodec.keyOf(swap.key()),
+                        RecordCodec.storeKey(swap.key()),
                         swap.expectedVersion(),
                         RecordCodec.encode(swap.value()))
                 .whenComplete(
@@ -121,7 +121,7 @@
                 .forEach(
                         (name, value) -> {
                             try {
-                                Optional<RecordKey> key = RecordCodec.parseKey(name);
+                                Optional<RecordKey> key = RecordCodec.parseStoreKey(name);
                                 if (key.isPresent()) {
                                     records.add(
                                             new FleetRecord(key.get(), decode(key.get(), value)));
--- a/standin/src/main/java/org/hibiscususher/standin/load/LoadSite.java
+++ b/standin/src/main/java/org/hibiscususher/standin/load/LoadSite.java
@@ -16,8 +16,8 @@
 import org.hibiscususher.standin.HttpServer;
 import org.hibiscususher.standin.store.StoreMain;
 import org.hibiscususher.standin.target.TargetMain;
-import org.hibiscususher.wire.http.HttpCaller;
 import org.hibiscususher.wire.http.HttpReply;
+import org.hibiscususher.wire.http.OneShotHttpClient;
 
 /** A store and a target in this process and one daemon in its own, all on loopback addresses. */
 final class LoadSite implements AutoCloseable {
@@ -70,7 +70,7 @@
     static LoadSite start(EventLoopGroup group)
             throws IOException, InterruptedException, ExecutionException {
         LoadSite site = new LoadSite();
-        HttpCaller caller = HttpCaller.create(group, TIMEOUT_MS);
+        OneShotHttpClient caller = OneShotHttpClient.create(group, TIMEOUT_MS);
         String note =
                 """
                 note: load
@@ -96,11 +96,11 @@
         return site;
     }
 
-    private boolean accepts(HttpCaller caller, String note) throws InterruptedException {
+    private boolean accepts(OneShotHttpClient caller, String note) throws InterruptedException {
         try {
             byte[] bytes = note.getBytes(StandardCharsets.UTF_8);
-            caller.call(mOperators, HttpMethod.POST, "/notes", bytes).get();
-            HttpReply answer = caller.call(mCallers, HttpMethod.GET, "/load/x", new byte[0]).get();
+            caller.send(mOperators, HttpMethod.POST, "/notes", bytes).get();
+            HttpReply answer = caller.send(mCallers, HttpMethod.GET, "/load/x", new byte[0]).get();
             return answer.status() == KEY_MISSING;
         } catch (ExecutionException e) {
             return false;
--- a/standin/src/main/java/org/hibiscususher/standin/quickstart/QuickstartMain.java
+++ b/standin/src/main/java/org/hibiscususher/standin/quickstart/QuickstartMain.java
@@ -14,8 +14,8 @@
 import org.hibiscususher.standin.HttpServer;
 import org.hibiscususher.standin.store.StoreMain;
 import org.hibiscususher.standin.target.TargetMain;
-import org.hibiscususher.wire.http.HttpCaller;
 import org.hibiscususher.wire.http.HttpReply;
+import org.hibiscususher.wire.http.OneShotHttpClient;
 
 /** Runs the main job once: store, two targets and a daemon in one process, one request shown. */
 public final class QuickstartMain {
@@ -41,7 +41,7 @@
                             store.address(),
                             ControlSettings.DEFAULT);
             Daemon daemon = Daemon.start(settings);
-            HttpCaller caller = HttpCaller.create(group, TIMEOUT_MS);
+            OneShotHttpClient caller = OneShotHttpClient.create(group, TIMEOUT_MS);
             String note = note(first.address(), second.address());
             System.out.println(note);
             show("release note", caller, settings.operators(), HttpMethod.POST, "/notes", note);
@@ -56,14 +56,14 @@
 
     private static void show(
             String what,
-            HttpCaller caller,
+            OneShotHttpClient caller,
             String address,
             HttpMethod method,
             String path,
             String body)
             throws InterruptedException, ExecutionException {
         byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
-        HttpReply reply = caller.call(address, method, path, bytes).get();
+        HttpReply reply = caller.send(address, method, path, bytes).get();
         System.out.println(
                 what
                         + " -> "
--- a/wire/src/main/java/org/hibiscususher/wire/http/HttpCaller.java
+++ b/wire/src/main/java/org/hibiscususher/wire/http/OneShotHttpClient.java
@@ -24,13 +24,13 @@
 import java.util.concurrent.TimeUnit;
 
 /** Makes HTTP calls with whole bodies, one connection a call. Thread-safe. */
-public final class HttpCaller {
+public final class OneShotHttpClient {
     private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
 
     private final EventLoopGroup mGroup;
     private final int mTimeoutMs;
 
-    private HttpCaller(EventLoopGroup group, int timeoutMs) {
+    private OneShotHttpClient(EventLoopGroup group, int timeoutMs) {
         mGroup = group;
         mTimeoutMs = timeoutMs;
     }
@@ -41,8 +41,8 @@
      * @param group event loops that carry the calls; the owner closes them
      * @param timeoutMs longest silence of the other side, in milliseconds
      */
-    public static HttpCaller create(EventLoopGroup group, int timeoutMs) {
-        return new HttpCaller(group, timeoutMs);
+    public static OneShotHttpClient create(EventLoopGroup group, int timeoutMs) {
+        return new OneShotHttpClient(group, timeoutMs);
     }
 
     /**
@@ -53,7 +53,7 @@
      * @param path path and query
      * @param body bytes of the body; may be empty
      */
-    public CompletableFuture<HttpReply> call(
+    public CompletableFuture<HttpReply> send(
             String address, HttpMethod method, String path, byte[] body) {
         CompletableFuture<HttpReply> reply = new CompletableFuture<>();
         FullHttpRequest request =
--- a/wire/src/main/java/org/hibiscususher/wire/json/RecordCodec.java
+++ b/wire/src/main/java/org/hibiscususher/wire/json/RecordCodec.java
@@ -30,7 +30,7 @@
     private RecordCodec() {}
 
     /** Returns the key in the platform's store. */
-    public static String keyOf(RecordKey key) {
+    public static String storeKey(RecordKey key) {
         String path = PREFIX + key.kind().path();
         return key.name().isEmpty() ? path : path + "/" + key.name();
     }
@@ -41,7 +41,7 @@
     }
 
     /** Returns the record that a key in the platform's store names, or empty. */
-    public static Optional<RecordKey> parseKey(String key) {
+    public static Optional<RecordKey> parseStoreKey(String key) {
         for (RecordKind kind : RecordKind.values()) {
             String path = PREFIX + kind.path();
             if (key.equals(path)) {
@@ -95,7 +95,7 @@
                 case HOST, OUTAGES, WAVE -> FleetJson.read(key, MAPPER.readTree(bytes));
             };
         } catch (IllegalArgumentException e) {
-            throw new IOException("malformed record " + keyOf(key), e);
+            throw new IOException("malformed record " + storeKey(key), e);
         }
     }
 
--- a/wire/src/main/java/org/hibiscususher/wire/peer/EscrowCodec.java
+++ b/wire/src/main/java/org/hibiscususher/wire/peer/EscrowItemCodec.java
@@ -13,8 +13,8 @@
 import org.hibiscususher.wire.generated.Peer;
 
 /** Translates the items about permits in escrow. */
-final class EscrowCodec {
-    private EscrowCodec() {}
+final class EscrowItemCodec {
+    private EscrowItemCodec() {}
 
     /**
      * Sets the item in the builder.
--- a/wire/src/main/java/org/hibiscususher/wire/peer/OnceItemCodec.java
+++ b/wire/src/main/java/org/hibiscususher/wire/peer/IdempotencyItemCodec.java
@@ -6,8 +6,8 @@
 import org.hibiscususher.wire.generated.Peer;
 
 /** Translates the items about idempotency keys. */
-final class OnceItemCodec {
-    private OnceItemCodec() {}
+final class IdempotencyItemCodec {
+    private IdempotencyItemCodec() {}
 
     /** Encodes an item, or returns false if it is of another kind. */
     static boolean encode(PeerItem item, Peer.PeerItem.Builder builder) {
--- a/wire/src/main/java/org/hibiscususher/wire/peer/PeerCodec.java
+++ b/wire/src/main/java/org/hibiscususher/wire/peer/PeerCodec.java
@@ -74,15 +74,15 @@
                     .setNotes(ByteString.copyFrom(RecordCodec.encodeNotes(relay.notes())));
         } else if (item instanceof PeerItem.FleetRelay relay) {
             builder.getFleetRelayBuilder()
-                    .setKey(RecordCodec.keyOf(relay.record().key()))
+                    .setKey(RecordCodec.storeKey(relay.record().key()))
                     .setVersion(relay.record().record().version())
                     .setValue(
                             ByteString.copyFrom(
                                     RecordCodec.encode(relay.record().record().value())));
         } else if (item instanceof PeerItem.PoolNeed need) {
             builder.getPoolNeedBuilder().setPool(need.pool()).setHosts(need.hosts());
-        } else if (!OnceItemCodec.encode(item, builder)) {
-            EscrowCodec.encode(item, builder);
+        } else if (!IdempotencyItemCodec.encode(item, builder)) {
+            EscrowItemCodec.encode(item, builder);
         }
         return builder.build();
     }
@@ -97,14 +97,14 @@
                     new PeerItem.PoolNeed(
                             item.getPoolNeed().getPool(), item.getPoolNeed().getHosts());
             case ONCE_ASKED, ONCE_ANSWERED, ONCE_RELEASED, ONCE_FORGOTTEN ->
-                    OnceItemCodec.decode(item);
-            default -> EscrowCodec.decode(item);
+                    IdempotencyItemCodec.decode(item);
+            default -> EscrowItemCodec.decode(item);
         };
     }
 
     private static PeerItem decodeFleetRelay(Peer.FleetRelay relay) throws IOException {
         RecordKey key =
-                RecordCodec.parseKey(relay.getKey())
+                RecordCodec.parseStoreKey(relay.getKey())
                         .filter(k -> k.kind().fleet())
                         .orElseThrow(() -> new IOException("unknown record " + relay.getKey()));
         StoreRecord value = RecordCodec.decode(key, relay.getValue().toByteArray());
--- a/wire/src/main/java/org/hibiscususher/wire/scheduler/LinkCodec.java
+++ b/wire/src/main/java/org/hibiscususher/wire/scheduler/ForwardCodec.java
@@ -10,18 +10,18 @@
 import org.hibiscususher.wire.generated.SchedulerProto;
 
 /** Translates messages between entries. */
-public final class LinkCodec {
-    private LinkCodec() {}
+public final class ForwardCodec {
+    private ForwardCodec() {}
 
     /** Returns a message's bytes. */
-    public static byte[] encode(LinkMessage message) {
+    public static byte[] encode(ForwardMessage message) {
         SchedulerProto.Link.Builder builder =
                 SchedulerProto.Link.newBuilder().setCallId(message.callId());
-        message.call().ifPresent(call -> builder.setCall(encode(call)));
-        message.answer().ifPresent(answer -> builder.setAnswer(encode(answer)));
-        message.yieldTo()
+        message.request().ifPresent(request -> builder.setCall(encode(request)));
+        message.response().ifPresent(response -> builder.setAnswer(encode(response)));
+        message.relinquishTo()
                 .ifPresent(generation -> builder.getYieldBuilder().setGeneration(generation));
-        message.offerOf()
+        message.handoverFrom()
                 .ifPresent(generation -> builder.getOfferBuilder().setGeneration(generation));
         return builder.build().toByteArray();
     }
@@ -53,13 +53,16 @@
      *
      * @throws IOException if they stand for none
      */
-    public static LinkMessage decode(byte[] bytes) throws IOException {
+    public static ForwardMessage decode(byte[] bytes) throws IOException {
         SchedulerProto.Link link = SchedulerProto.Link.parseFrom(bytes);
         return switch (link.getBodyCase()) {
-            case CALL -> LinkMessage.of(link.getCallId(), decode(link.getCall()));
-            case ANSWER -> LinkMessage.of(link.getCallId(), decode(link.getAnswer()));
-            case YIELD -> LinkMessage.ofYield(link.getCallId(), link.getYield().getGeneration());
-            case OFFER -> LinkMessage.ofOffer(link.getCallId(), link.getOffer().getGeneration());
+            case CALL -> ForwardMessage.of(link.getCallId(), decode(link.getCall()));
+            case ANSWER -> ForwardMessage.of(link.getCallId(), decode(link.getAnswer()));
+            case YIELD ->
+                    ForwardMessage.relinquishRequest(
+                            link.getCallId(), link.getYield().getGeneration());
+            case OFFER ->
+                    ForwardMessage.handoverOffer(link.getCallId(), link.getOffer().getGeneration());
             default -> throw new IOException("a message without a body");
         };
     }
--- a/wire/src/main/java/org/hibiscususher/wire/scheduler/StoredRecordCodec.java
+++ b/wire/src/main/java/org/hibiscususher/wire/scheduler/SchedulerRecordCodec.java
@@ -14,8 +14,8 @@
 import org.hibiscususher.wire.generated.SchedulerProto;
 
 /** Translates the scheduler's records in the store. */
-public final class StoredRecordCodec {
-    private StoredRecordCodec() {}
+public final class SchedulerRecordCodec {
+    private SchedulerRecordCodec() {}
 
     /**
      * Returns a record's bytes.
@@ -164,7 +164,7 @@
                             mark.getFailedRunsList(),
                             mark.getCheckpoint()));
         }
-        JobState state = LinkCodec.constant(JobState.values(), progress.getState());
+        JobState state = ForwardCodec.constant(JobState.values(), progress.getState());
         return new StoredRecord.Progress(progress.getId(), state, steps, tasks);
     }
 
--- a/wire/src/main/java/org/hibiscususher/wire/yaml/NoteReader.java
+++ b/wire/src/main/java/org/hibiscususher/wire/yaml/NoteReader.java
@@ -51,7 +51,8 @@
         Declarations added = declarations(root.map("added"));
         Declarations changed = declarations(root.map("changed"));
         Withdrawals withdrawn = withdrawals(root.map("withdrawn"));
-        root.close("note", "author", "summary", "base", "added", "changed", "withdrawn");
+        root.reportUnknownKeys(
+                "note", "author", "summary", "base", "added", "changed", "withdrawn");
         ReleaseNote note = new ReleaseNote(id, author, summary, base, added, changed, withdrawn);
         return new ParsedNote(note, document.findings());
     }
@@ -64,7 +65,7 @@
                         each(map, "teams", NoteReader::team),
                         each(map, "keys", NoteReader::key),
                         each(map, "queues", NoteReader::queue));
-        map.close("pools", "hosts", "teams", "keys", "queues");
+        map.reportUnknownKeys("pools", "hosts", "teams", "keys", "queues");
         return read;
     }
 
@@ -76,7 +77,7 @@
                         map.names("teams"),
                         map.names("keys"),
                         map.names("queues"));
-        map.close("pools", "hosts", "teams", "keys", "queues");
+        map.reportUnknownKeys("pools", "hosts", "teams", "keys", "queues");
         return read;
     }
 
@@ -97,7 +98,7 @@
                                 map.integer("hosts out at most", 1, MAX_HOSTS, 1),
                                 map.integer("hosts out at most per zone", 1, MAX_HOSTS, 1)),
                         map.flag("spare", false));
-        map.close(
+        map.reportUnknownKeys(
                 "name",
                 "quick reserve",
                 "hosts out at most",
@@ -119,7 +120,7 @@
                                 map.integer("cores", 0, MAX_LIMIT, 0),
                                 map.integer("memory gb", 0, MAX_LIMIT, 0),
                                 map.integer("accelerators", 0, MAX_LIMIT, 0)));
-        map.close(
+        map.reportUnknownKeys(
                 "name",
                 "address",
                 "zone",
@@ -138,7 +139,7 @@
                         map.name("name"),
                         map.integer("share", 1, MAX_SHARE),
                         map.integer("upper limit", 0, MAX_LIMIT));
-        map.close("name", "share", "upper limit");
+        map.reportUnknownKeys("name", "share", "upper limit");
         return team;
     }
 
@@ -150,9 +151,10 @@
         try {
             digest = KeyDigest.ofHex(hex);
         } catch (IllegalArgumentException e) {
-            map.find("expected a digest of 64 hexadecimal digits; \"hibiscususher key\" makes one");
+            map.addFinding(
+                    "expected a digest of 64 hexadecimal digits; \"hibiscususher key\" makes one");
         }
-        map.close("name", "team", "digest");
+        map.reportUnknownKeys("name", "team", "digest");
         return new KeySpec(id, team, digest);
     }
 
@@ -168,7 +170,7 @@
                         map.integer("waiting at most", 1, MAX_LIMIT, DEFAULT_MAX_WAITING),
                         map.integer("wait limit ms", 1, MAX_MS, DEFAULT_WAIT_MS),
                         map.integer("run limit ms", 1, MAX_MS, DEFAULT_RUN_MS));
-        map.close(
+        map.reportUnknownKeys(
                 "name",
                 "pool",
                 "kind",
--- a/wire/src/main/java/org/hibiscususher/wire/yaml/YamlMap.java
+++ b/wire/src/main/java/org/hibiscususher/wire/yaml/YamlMap.java
@@ -18,7 +18,8 @@
 
 /**
  * A mapping of a YAML file. Readers return a default where a value is missing or wrong, and add a
- * finding; {@link #close} adds a finding for each key that was not read. Not thread-safe.
+ * finding; {@link #reportUnknownKeys} adds a finding for each key that was not read. Not
+ * thread-safe.
  */
 public final class YamlMap {
     private static final Pattern NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,62}");
@@ -59,7 +60,7 @@
     }
 
     /** Adds a finding at the start of the mapping. */
-    public void find(String message) {
+    public void addFinding(String message) {
         mFindings.add(mPlace, message);
     }
 
@@ -243,7 +244,7 @@
     }
 
     /** Adds a finding for each key that was not read. */
-    public void close(String... known) {
+    public void reportUnknownKeys(String... known) {
         for (Map.Entry<String, NodeTuple> entry : mUnread.entrySet()) {
             Place place = mFindings.placeOf(entry.getValue().getKeyNode().getStartMark());
             mFindings.add(
@@ -257,7 +258,7 @@
 
     private Optional<ScalarNode> required(String key) {
         if (!has(key)) {
-            find("\"" + key + "\" is missing");
+            addFinding("\"" + key + "\" is missing");
         }
         return scalar(key);
     }
--- a/wire/src/test/java/org/hibiscususher/wire/format/FormatSamples.java
+++ b/wire/src/test/java/org/hibiscususher/wire/format/FormatSamples.java
@@ -52,9 +52,9 @@
 import org.hibiscususher.core.scheduler.message.UsedExecutor;
 import org.hibiscususher.wire.json.RecordCodec;
 import org.hibiscususher.wire.peer.PeerCodec;
-import org.hibiscususher.wire.scheduler.LinkCodec;
-import org.hibiscususher.wire.scheduler.LinkMessage;
-import org.hibiscususher.wire.scheduler.StoredRecordCodec;
+import org.hibiscususher.wire.scheduler.ForwardCodec;
+import org.hibiscususher.wire.scheduler.ForwardMessage;
+import org.hibiscususher.wire.scheduler.SchedulerRecordCodec;
 
 /** One value of each stored record and of each message between entries, with no field left out. */
 final class FormatSamples {
@@ -248,20 +248,21 @@
     }
 
     /** Returns the calls and answers that entries forward to the owner of the scheduling. */
-    static Map<String, LinkMessage> linkMessages() {
-        Map<String, LinkMessage> messages = new LinkedHashMap<>();
+    static Map<String, ForwardMessage> linkMessages() {
+        Map<String, ForwardMessage> messages = new LinkedHashMap<>();
         for (JobRequestKind kind : JobRequestKind.values()) {
             messages.put(
                     "call-" + kind,
-                    LinkMessage.of(
+                    ForwardMessage.of(
                             4, new JobRequest(kind, "h", "/p/", "key", Optional.of(SPEC), 2)));
         }
         for (JobResponseKind kind : JobResponseKind.values()) {
             messages.put(
-                    "answer-" + kind, LinkMessage.of(5, JobResponse.refusal(kind, 1_500, "why")));
+                    "answer-" + kind,
+                    ForwardMessage.of(5, JobResponse.refusal(kind, 1_500, "why")));
         }
-        messages.put("yield", LinkMessage.ofYield(6, 7));
-        messages.put("offer", LinkMessage.ofOffer(8, 9));
+        messages.put("yield", ForwardMessage.relinquishRequest(6, 7));
+        messages.put("offer", ForwardMessage.handoverOffer(8, 9));
         return messages;
     }
 
@@ -269,14 +270,15 @@
     static Map<String, byte[]> encoded() throws IOException {
         Map<String, byte[]> encoded = new LinkedHashMap<>();
         for (var record : records().entrySet()) {
-            encoded.put(RecordCodec.keyOf(record.getKey()), RecordCodec.encode(record.getValue()));
+            encoded.put(
+                    RecordCodec.storeKey(record.getKey()), RecordCodec.encode(record.getValue()));
         }
         for (StoredRecord record : schedulerRecords()) {
-            encoded.put("scheduler/" + record.name().kind(), StoredRecordCodec.encode(record));
+            encoded.put("scheduler/" + record.name().kind(), SchedulerRecordCodec.encode(record));
         }
         encoded.put("peer", PeerCodec.encode(peerMessage()));
         for (var message : linkMessages().entrySet()) {
-            encoded.put(message.getKey(), LinkCodec.encode(message.getValue()));
+            encoded.put(message.getKey(), ForwardCodec.encode(message.getValue()));
         }
         return encoded;
     }
--- a/wire/src/test/java/org/hibiscususher/wire/format/FormatTest.java
+++ b/wire/src/test/java/org/hibiscususher/wire/format/FormatTest.java
@@ -15,9 +15,9 @@
 import org.hibiscususher.core.scheduler.message.StoredRecord;
 import org.hibiscususher.wire.json.RecordCodec;
 import org.hibiscususher.wire.peer.PeerCodec;
-import org.hibiscususher.wire.scheduler.LinkCodec;
-import org.hibiscususher.wire.scheduler.LinkMessage;
-import org.hibiscususher.wire.scheduler.StoredRecordCodec;
+import org.hibiscususher.wire.scheduler.ForwardCodec;
+import org.hibiscususher.wire.scheduler.ForwardMessage;
+import org.hibiscususher.wire.scheduler.SchedulerRecordCodec;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -73,7 +73,7 @@
             Map<String, byte[]> written = written();
             for (var entry : FormatSamples.records().entrySet()) {
                 RecordKey key = entry.getKey();
-                byte[] bytes = written.get(RecordCodec.keyOf(key));
+                byte[] bytes = written.get(RecordCodec.storeKey(key));
                 StoreRecord record = RecordCodec.decode(key, bytes);
                 assertThat(record).isEqualTo(entry.getValue());
                 assertThat(expanded(RecordCodec.encode(record))).isEqualTo(expanded(bytes));
@@ -85,9 +85,9 @@
             Map<String, byte[]> written = written();
             for (StoredRecord record : FormatSamples.schedulerRecords()) {
                 byte[] bytes = written.get("scheduler/" + record.name().kind());
-                StoredRecord decoded = StoredRecordCodec.decode(bytes);
+                StoredRecord decoded = SchedulerRecordCodec.decode(bytes);
                 assertThat(decoded).isEqualTo(record);
-                assertThat(StoredRecordCodec.encode(decoded)).isEqualTo(bytes);
+                assertThat(SchedulerRecordCodec.encode(decoded)).isEqualTo(bytes);
             }
         }
 
@@ -97,7 +97,7 @@
             assertThat(PeerCodec.decode(written.get("peer")))
                     .isEqualTo(FormatSamples.peerMessage());
             for (var message : FormatSamples.linkMessages().entrySet()) {
-                LinkMessage decoded = LinkCodec.decode(written.get(message.getKey()));
+                ForwardMessage decoded = ForwardCodec.decode(written.get(message.getKey()));
                 assertThat(decoded).isEqualTo(message.getValue());
             }
         }
--- a/wire/src/test/java/org/hibiscususher/wire/scheduler/StoredRecordCodecTest.java
+++ b/wire/src/test/java/org/hibiscususher/wire/scheduler/SchedulerRecordCodecTest.java
@@ -26,7 +26,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
-class StoredRecordCodecTest {
+class SchedulerRecordCodecTest {
     private static final StepSpec STEP =
             new StepSpec(
                     3,
@@ -69,15 +69,16 @@
     class Records {
         @Test
         void ofAWavesStatusAreInAnotherFormat() {
-            assertThatThrownBy(() -> StoredRecordCodec.encode(new StoredRecord.WaveStatus(1, true)))
+            assertThatThrownBy(
+                            () -> SchedulerRecordCodec.encode(new StoredRecord.WaveStatus(1, true)))
                     .isInstanceOf(IllegalArgumentException.class);
         }
 
         @Test
         void thatAreNoneAreRefused() {
-            assertThatThrownBy(() -> StoredRecordCodec.decode(new byte[] {1, 2, 3}))
+            assertThatThrownBy(() -> SchedulerRecordCodec.decode(new byte[] {1, 2, 3}))
                     .isInstanceOf(IOException.class);
-            assertThatThrownBy(() -> StoredRecordCodec.decode(new byte[0]))
+            assertThatThrownBy(() -> SchedulerRecordCodec.decode(new byte[0]))
                     .isInstanceOf(IOException.class);
         }
     }
@@ -85,7 +86,8 @@
     @ParameterizedTest
     @MethodSource("records")
     void keepsEachRecord(StoredRecord record) throws IOException {
-        assertThat(StoredRecordCodec.decode(StoredRecordCodec.encode(record))).isEqualTo(record);
+        assertThat(SchedulerRecordCodec.decode(SchedulerRecordCodec.encode(record)))
+                .isEqualTo(record);
     }
 
     @Nested
@@ -95,13 +97,13 @@
             JobRequest call =
                     new JobRequest(JobRequestKind.SUBMIT, "h", "/p/", "key", Optional.of(SPEC), 2);
             JobResponse answer = JobResponse.refusal(JobResponseKind.OVERLOADED, 1_500, "why");
-            for (LinkMessage message :
+            for (ForwardMessage message :
                     List.of(
-                            LinkMessage.of(4, call),
-                            LinkMessage.of(5, answer),
-                            LinkMessage.ofYield(6, 7),
-                            LinkMessage.ofOffer(8, 9))) {
-                assertThat(LinkCodec.decode(LinkCodec.encode(message))).isEqualTo(message);
+                            ForwardMessage.of(4, call),
+                            ForwardMessage.of(5, answer),
+                            ForwardMessage.relinquishRequest(6, 7),
+                            ForwardMessage.handoverOffer(8, 9))) {
+                assertThat(ForwardCodec.decode(ForwardCodec.encode(message))).isEqualTo(message);
             }
         }
     }
