--- a/daemon/src/main/java/org/hibiscususher/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/forward/ForwardServer.java
@@ -98,13 +98,13 @@
             PendingCalls calls,
             Inbox<SchedulerInput> inbox) {
         long id =
-                calls.add(
+                calls.register(
                         answer -> LinkPipeline.send(channel, ForwardMessage.of(remoteId, answer)));
         if (id == 0 || !inbox.offer(input.apply(id))) {
             JobResponse answer =
                     JobResponse.refusal(
                             JobResponseKind.OVERLOADED, RETRY_AFTER_MS, "too-many-requests");
-            calls.answer(id, answer);
+            calls.complete(id, answer);
             LinkPipeline.send(channel, ForwardMessage.of(remoteId, answer));
         }
     }
