--- a/standin/src/main/java/org/hibiscususher/standin/bench/EntriesRun.java
+++ b/standin/src/main/java/org/hibiscususher/standin/bench/EntriesRun.java
@@ -7,7 +7,7 @@
 import org.hibiscususher.core.world.ControlSettings;
 import org.hibiscususher.core.world.EscrowPolicy;
 import org.hibiscususher.core.world.SchedulingClass;
-import org.hibiscususher.standin.virtual.EntryCondition;
+import org.hibiscususher.standin.virtual.ProcessState;
 import org.hibiscususher.standin.virtual.VirtualEntry;
 import org.hibiscususher.standin.virtual.VirtualRequest;
 import org.hibiscususher.standin.virtual.VirtualSite;
@@ -37,8 +37,8 @@
     /** Returns the messages that were sent between entries while the arrivals came. */
     long run(List<Arrival> arrivals) {
         open();
-        mSite.network().setBehaviour(LATENCY_MS, mScenario.jitterMs(), mScenario.loss(), 0);
-        long before = mSite.network().messages();
+        mSite.network().setLinkBehaviour(LATENCY_MS, mScenario.jitterMs(), mScenario.loss(), 0);
+        long before = mSite.network().messageCount();
         int next = 0;
         for (int ms = 0; ms < Scenario.DURATION_MS; ms++) {
             if (mScenario.kills() && ms == Scenario.DURATION_MS / 2) {
@@ -51,7 +51,7 @@
             sample();
         }
         mQuick.forEach(this::recordWait);
-        return mSite.network().messages() - before;
+        return mSite.network().messageCount() - before;
     }
 
     private void open() {
@@ -59,7 +59,7 @@
             mSite.start("e" + i, mBenchSite.zone(i));
         }
         mSite.run(SETTLE_MS);
-        mSite.submit("e0", NoteReader.read("bench", mBenchSite.note(mCustomers)).note());
+        mSite.submitNote("e0", NoteReader.read("bench", mBenchSite.note(mCustomers)).note());
         mSite.run(SETTLE_MS);
     }
 
@@ -77,10 +77,10 @@
         String team = mCustomers.get(arrival.customer()).team();
         String queue = (arrival.kind() == QueueKind.QUICK ? "quick" : "long") + arrival.pool();
         int entry = arrival.entry();
-        while (mSite.entries().get("e" + entry).condition() == EntryCondition.DEAD) {
+        while (mSite.entries().get("e" + entry).processState() == ProcessState.DEAD) {
             entry = (entry + 1) % BenchSite.ENTRIES;
         }
-        VirtualRequest request = mSite.call("e" + entry, queue, team, arrival.runMs());
+        VirtualRequest request = mSite.sendRequest("e" + entry, queue, team, arrival.runMs());
         if (arrival.kind() == QueueKind.QUICK) {
             mQuick.add(request);
         }
@@ -98,7 +98,7 @@
         int[][] waiting = new int[mBenchSite.pools()][mCustomers.size()];
         int[][] running = new int[mBenchSite.pools()][mCustomers.size()];
         for (VirtualEntry entry : mSite.entries().values()) {
-            if (entry.condition() == EntryCondition.DEAD) {
+            if (entry.processState() == ProcessState.DEAD) {
                 continue;
             }
             for (SchedulingClass lane : entry.world().requests().groups()) {
@@ -115,12 +115,12 @@
     private void checkLimits() {
         boolean violated = false;
         for (VirtualTarget target : mSite.targets().values()) {
-            violated |= target.running() > BenchSite.SLOTS_PER_HOST;
+            violated |= target.runningRequests() > BenchSite.SLOTS_PER_HOST;
         }
         for (Customer customer : mCustomers) {
             int running = 0;
             for (VirtualTarget target : mSite.targets().values()) {
-                running += target.running(customer.team());
+                running += target.runningRequests(customer.team());
             }
             violated |= running > customer.upperLimit();
         }
--- a/standin/src/main/java/org/hibiscususher/standin/bench/RollOutBench.java
+++ b/standin/src/main/java/org/hibiscususher/standin/bench/RollOutBench.java
@@ -7,7 +7,7 @@
 import java.util.Locale;
 import org.hibiscususher.core.message.Output.ReplyToNote;
 import org.hibiscususher.core.note.ReleaseNote;
-import org.hibiscususher.standin.virtual.EntryCondition;
+import org.hibiscususher.standin.virtual.ProcessState;
 import org.hibiscususher.standin.virtual.VirtualEntry;
 import org.hibiscususher.standin.virtual.VirtualSite;
 import org.hibiscususher.wire.yaml.NoteReader;
@@ -92,7 +92,7 @@
             List<Long> answered) {
         long startMs = site.nowMs();
         long revision = newest(site) + 1;
-        long call = site.submit("e1", note(number));
+        long call = site.submitNote("e1", note(number));
         boolean inForce = false;
         boolean answer = !spread.answers();
         while (site.nowMs() - startMs < LIMIT_MS && !(inForce && answer)) {
@@ -101,7 +101,7 @@
                 inForce = true;
                 everywhere.add(site.nowMs() - startMs);
             }
-            ReplyToNote given = site.noteAnswers().get(call);
+            ReplyToNote given = site.noteReplies().get(call);
             if (!answer && given != null) {
                 answer = true;
                 answered.add(site.nowMs() - startMs);
@@ -112,7 +112,7 @@
 
     private static boolean inForceEverywhere(VirtualSite site, long revision) {
         return site.entries().values().stream()
-                .filter(e -> e.condition() == EntryCondition.RUNNING)
+                .filter(e -> e.processState() == ProcessState.RUNNING)
                 .allMatch(e -> e.world().configuration().revision() >= revision);
     }
 
--- a/standin/src/main/java/org/hibiscususher/standin/bench/RollOutCondition.java
+++ b/standin/src/main/java/org/hibiscususher/standin/bench/RollOutCondition.java
@@ -37,7 +37,7 @@
     LOSSY_LINKS("links lose 20%, up to 50 ms late") {
         @Override
         void begin(VirtualSite site) {
-            site.network().setBehaviour(1, 50, 0.2, 0.1);
+            site.network().setLinkBehaviour(1, 50, 0.2, 0.1);
         }
     },
     /** One entry reaches its peers only. */
--- a/standin/src/main/java/org/hibiscususher/standin/bench/WaveBench.java
+++ b/standin/src/main/java/org/hibiscususher/standin/bench/WaveBench.java
@@ -59,13 +59,13 @@
     private void run(String seed) {
         WaveSite.open(mSite, ENTRIES, POOLS, HOSTS_PER_POOL, ZONES, 0);
         mSite.platform().setRebootMs(REBOOT_MS);
-        mSite.listHosts(LIST_LAG_MS);
+        mSite.startHostListUpdates(LIST_LAG_MS);
         load(10_000);
         long writes = mSite.store().writes();
         long reads = mSite.store().reads();
-        mSite.wave("e1", WaveCommand.PLAN, List.of());
+        mSite.sendWaveCommand("e1", WaveCommand.PLAN, List.of());
         load(1_000);
-        mSite.wave("e1", WaveCommand.START, List.of());
+        mSite.sendWaveCommand("e1", WaveCommand.START, List.of());
         long startMs = mSite.nowMs();
         while (!done() && mSite.nowMs() - startMs < LIMIT_MS) {
             load(STEP_MS);
@@ -80,17 +80,17 @@
                 mOutMs / MS_PER_SECOND,
                 (double) mOutMs / waveMs,
                 mMostOut,
-                mCalls.stream().filter(VirtualRequest::answered).count(),
+                mCalls.stream().filter(VirtualRequest::isAnswered).count(),
                 mSite.platform().violations().size()
-                        + mCalls.stream().filter(c -> c.runs() > 0 && lost(c)).count(),
-                mCalls.stream().filter(c -> c.refusal().isPresent() && c.runs() == 0).count(),
+                        + mCalls.stream().filter(c -> c.runCount() > 0 && lost(c)).count(),
+                mCalls.stream().filter(c -> c.refusal().isPresent() && c.runCount() == 0).count(),
                 mSite.store().writes() - writes,
                 mSite.store().reads() - reads,
                 done() ? "" : "  NOT DONE");
     }
 
     private static boolean lost(VirtualRequest call) {
-        return call.over() && !call.answered();
+        return call.isFinished() && !call.isAnswered();
     }
 
     private boolean done() {
@@ -108,7 +108,7 @@
             for (VirtualEntry entry : mSite.entries().values()) {
                 for (int pool = 0; pool < POOLS; pool++) {
                     int runMs = RUN_MS / 2 + mSite.random().nextInt(RUN_MS);
-                    mCalls.add(mSite.call(entry.id(), "q" + pool, "fitters", runMs));
+                    mCalls.add(mSite.sendRequest(entry.id(), "q" + pool, "fitters", runMs));
                 }
             }
         }
--- a/standin/src/main/java/org/hibiscususher/standin/bench/WaveSite.java
+++ b/standin/src/main/java/org/hibiscususher/standin/bench/WaveSite.java
@@ -41,7 +41,7 @@
             }
             for (int h = 0; h < count; h++) {
                 String id = "p" + p + "-" + h;
-                site.platform().add(id);
+                site.platform().addHost(id);
                 hostLines.append(
                         "    - {name: %s, address: \"127.0.0.1:%d\", zone: z%d, pool: p%d}%n"
                                 .formatted(id, port++, h % zones, p));
@@ -63,10 +63,10 @@
                                 hostLines,
                                 queueLines,
                                 KeyDigest.ofSecret("fitters").toHex());
-        long call = site.submit("e1", NoteReader.read("note", note).note());
+        long call = site.submitNote("e1", NoteReader.read("note", note).note());
         site.run(SETTLE_MS);
-        if (site.noteAnswers().get(call).result() != NoteResult.ACCEPTED) {
-            throw new IllegalStateException("not accepted: " + site.noteAnswers().get(call));
+        if (site.noteReplies().get(call).result() != NoteResult.ACCEPTED) {
+            throw new IllegalStateException("not accepted: " + site.noteReplies().get(call));
         }
     }
 }
--- a/standin/src/main/java/org/hibiscususher/standin/capacity/CapacityBench.java
+++ b/standin/src/main/java/org/hibiscususher/standin/capacity/CapacityBench.java
@@ -118,15 +118,15 @@
             site.start("e" + i, "z" + i % 3);
         }
         site.run(SETTLE_MS);
-        long call = site.submit("e0", NoteReader.read("note", size.note()).note());
+        long call = site.submitNote("e0", NoteReader.read("note", size.note()).note());
         site.run(SETTLE_MS);
-        if (!site.noteAnswers().containsKey(call)
-                || site.noteAnswers().get(call).result() != NoteResult.ACCEPTED) {
-            throw new IllegalStateException("the opening note: " + site.noteAnswers().get(call));
+        if (!site.noteReplies().containsKey(call)
+                || site.noteReplies().get(call).result() != NoteResult.ACCEPTED) {
+            throw new IllegalStateException("the opening note: " + site.noteReplies().get(call));
         }
         load(site, size);
         site.run(SETTLE_MS);
-        site.setMeasuresBytes(true);
+        site.setCountsMessageBytes(true);
         Cost before = totals(site);
         site.run(MEASURE_MS);
         Cost after = totals(site);
@@ -171,17 +171,16 @@
         for (int i = 0; i < count; i++) {
             String entry = "e" + random.nextInt(size.members());
             String queue = "q" + random.nextInt(size.pools());
-            site.call(entry, queue, "t" + random.nextInt(size.teams()), RUN_MS);
+            site.sendRequest(entry, queue, "t" + random.nextInt(size.teams()), RUN_MS);
         }
-        site.requests().values().removeIf(r -> r.over());
-        site.timeline().after(everyMs, () -> request(site, size, random));
+        site.requests().values().removeIf(r -> r.isFinished());
+        site.clock().after(everyMs, () -> request(site, size, random));
     }
 
     private static void change(VirtualSite site, SiteSize size, int number) {
         String entry = "e" + number % size.members();
-        site.submit(entry, NoteReader.read("note", size.change(number)).note());
-        site.timeline()
-                .after(MS_PER_DAY / size.notesPerDay(), () -> change(site, size, number + 1));
+        site.submitNote(entry, NoteReader.read("note", size.change(number)).note());
+        site.clock().after(MS_PER_DAY / size.notesPerDay(), () -> change(site, size, number + 1));
     }
 
     private static long usedHeap() {
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/RunWatch.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/InvariantChecker.java
@@ -17,14 +17,14 @@
 import org.hibiscususher.core.job.TaskKey;
 
 /** Checks what callers and executors see against the promises. */
-public final class RunWatch {
+public final class InvariantChecker {
     /** Time in which only one entry may give orders for a host, in milliseconds. */
     private static final long HOLDER_MS = 3_000;
 
     /** Time after the answer to a cancellation in which runs may still start, in milliseconds. */
     private static final long CANCEL_MS = 3_000;
 
-    private final List<Breach> mBreaches = new ArrayList<>();
+    private final List<InvariantViolation> mViolations = new ArrayList<>();
     private final Map<TaskKey, Set<String>> mRunning = new HashMap<>();
     private final Map<TaskKey, Integer> mFailed = new HashMap<>();
     private final Set<TaskKey> mDone = new HashSet<>();
@@ -43,19 +43,19 @@
     private record HostHolder(String entry, long orderedMs) {}
 
     /** Sets the most that a team may have running. */
-    public void limit(String team, Resources limit) {
+    public void setTeamLimit(String team, Resources limit) {
         mLimits.put(team, limit);
     }
 
     /** Notes that a caller hands a job in. */
-    public void submitted(String job, JobSpec spec, String team, int attempts) {
+    public void recordSubmission(String job, JobSpec spec, String team, int attempts) {
         mSpecs.put(job, spec);
         mTeams.put(job, team);
         mAttempts.put(job, attempts);
     }
 
     /** Notes the answer to a job. */
-    public void answered(String job, JobResponseKind kind) {
+    public void recordResponse(String job, JobResponseKind kind) {
         switch (kind) {
             case ACCEPTED -> mAccepted.add(job);
             case UNKNOWN -> mUncertain.add(job);
@@ -64,12 +64,12 @@
     }
 
     /** Notes that a cancellation was answered. */
-    public void cancelled(String job, long nowMs) {
+    public void recordCancellation(String job, long nowMs) {
         mCancelled.putIfAbsent(job, nowMs);
     }
 
     /** Checks the state that a caller is shown. */
-    public void shown(String job, JobState state, long nowMs) {
+    public void checkReportedState(String job, JobState state, long nowMs) {
         if (state != JobState.DONE) {
             return;
         }
@@ -77,93 +77,97 @@
         for (int k = 0; k < spec.occurrences(); k++) {
             for (int i = 0; i < spec.steps().size(); i++) {
                 if (!isStepDone(new StepKey(job, k, i))) {
-                    breach(SchedulerPromise.SHOWN_DONE_IS_DONE, nowMs, job);
+                    violate(SchedulerInvariant.REPORTED_DONE_IS_DONE, nowMs, job);
                 }
             }
         }
     }
 
     /** Checks that an accepted job is known. */
-    public void unknown(String job, long nowMs) {
+    public void checkUnknownJob(String job, long nowMs) {
         if (mAccepted.contains(job)) {
-            breach(SchedulerPromise.ACCEPTED_IS_KEPT, nowMs, job);
+            violate(SchedulerInvariant.ACCEPTED_JOB_NOT_LOST, nowMs, job);
         }
     }
 
     /** Checks a run that an executor begins. */
-    public void started(TaskKey task, String executor, boolean draining, long nowMs) {
+    public void recordStart(TaskKey task, String executor, boolean draining, long nowMs) {
         String job = task.jobId();
         JobSpec spec = mSpecs.get(job);
         StepSpec step = spec.steps().get(task.stepKey().step());
         Set<String> running = mRunning.computeIfAbsent(task, t -> new HashSet<>());
         if (!running.isEmpty()) {
             String text = task.text() + " on " + running + " and " + executor;
-            breach(SchedulerPromise.ONE_RUN_AT_A_TIME, nowMs, text);
+            violate(SchedulerInvariant.ONE_RUN_AT_A_TIME, nowMs, text);
         }
         running.add(executor);
         if (mNoted.contains(task)) {
-            breach(SchedulerPromise.DONE_STAYS_DONE, nowMs, task.text());
+            violate(SchedulerInvariant.FINISHED_TASK_NOT_RERUN, nowMs, task.text());
         }
         for (int before : step.dependsOn()) {
             if (!isStepDone(task.stepKey().sibling(before))) {
-                breach(SchedulerPromise.STEP_ORDER, nowMs, task.text());
+                violate(SchedulerInvariant.STEP_DEPENDENCIES, nowMs, task.text());
             }
         }
         if (!step.service() && mFailed.getOrDefault(task, 0) >= mAttempts.get(job)) {
-            breach(SchedulerPromise.ATTEMPTS, nowMs, task.text());
+            violate(SchedulerInvariant.ATTEMPT_LIMIT, nowMs, task.text());
         }
         if (nowMs - mCancelled.getOrDefault(job, nowMs) > CANCEL_MS) {
-            breach(SchedulerPromise.CANCELLED_STAYS_CANCELLED, nowMs, task.text());
+            violate(SchedulerInvariant.NO_START_AFTER_CANCELLATION, nowMs, task.text());
         }
         boolean refusedOnly =
                 mRefused.contains(job) && !mAccepted.contains(job) && !mUncertain.contains(job);
         if (refusedOnly) {
-            breach(SchedulerPromise.REFUSED_NEVER_RUNS, nowMs, task.text());
+            violate(SchedulerInvariant.REJECTED_JOB_NEVER_RUNS, nowMs, task.text());
         }
         if (draining) {
-            breach(SchedulerPromise.DRAINING_GETS_NOTHING, nowMs, task.text());
+            violate(SchedulerInvariant.NO_START_ON_DRAINING_EXECUTOR, nowMs, task.text());
         }
-        use(task, step.demand(), nowMs);
+        addTeamUse(task, step.demand(), nowMs);
     }
 
-    private void use(TaskKey task, Resources demand, long nowMs) {
+    private void addTeamUse(TaskKey task, Resources demand, long nowMs) {
         String team = mTeams.get(task.jobId());
         Resources use = mTeamUse.getOrDefault(team, Resources.NONE).plus(demand);
         mTeamUse.put(team, use);
         if (!use.staysWithin(mLimits.getOrDefault(team, Resources.NONE))) {
-            breach(SchedulerPromise.TEAM_LIMIT, nowMs, team + " uses " + use);
+            violate(SchedulerInvariant.TEAM_LIMIT, nowMs, team + " uses " + use);
         }
     }
 
     /** Checks what an executor is told to run against what it can. */
-    public void reserved(String executor, Resources reserved, Resources capacity, long nowMs) {
+    public void checkReservation(
+            String executor, Resources reserved, Resources capacity, long nowMs) {
         if (!reserved.fitsIn(capacity)) {
-            breach(SchedulerPromise.CAPACITY, nowMs, executor + " reserves " + reserved);
+            violate(
+                    SchedulerInvariant.EXECUTOR_CAPACITY,
+                    nowMs,
+                    executor + " reserves " + reserved);
         }
     }
 
     /** Checks how many hosts of a wave are away. */
-    public void away(int hosts, int cap, long nowMs) {
+    public void checkHostsOutOfService(int hosts, int cap, long nowMs) {
         if (hosts > cap) {
-            breach(SchedulerPromise.WAVE_CAP, nowMs, hosts + " hosts are away");
+            violate(SchedulerInvariant.WAVE_HOST_LIMIT, nowMs, hosts + " hosts are away");
         }
     }
 
     /** Notes that an entry gives an order for a host. */
-    public void hostOrdered(String host, String entry, long nowMs) {
+    public void recordHostOrder(String host, String entry, long nowMs) {
         HostHolder before = mHolders.put(host, new HostHolder(entry, nowMs));
         if (before != null
                 && !before.entry().equals(entry)
                 && nowMs - before.orderedMs() < HOLDER_MS) {
-            breach(
-                    SchedulerPromise.ONE_HOLDER_A_HOST,
+            violate(
+                    SchedulerInvariant.ONE_COORDINATOR_PER_HOST,
                     nowMs,
                     host + " is ordered by " + entry + " just after " + before.entry());
         }
     }
 
     /** Notes that a run has ended; {@code kind} is empty if it ended with its executor. */
-    public void ended(TaskKey task, String executor, Optional<RunOutcome> kind) {
+    public void recordEnd(TaskKey task, String executor, Optional<RunOutcome> kind) {
         Set<String> running = mRunning.getOrDefault(task, new HashSet<>());
         if (running.remove(executor)) {
             StepSpec step = mSpecs.get(task.jobId()).steps().get(task.stepKey().step());
@@ -175,7 +179,7 @@
     }
 
     /** Notes that an end as done was acknowledged to its executor. */
-    public void noted(TaskKey task) {
+    public void recordAcknowledgment(TaskKey task) {
         mNoted.add(task);
     }
 
@@ -189,17 +193,17 @@
         return true;
     }
 
-    private void breach(SchedulerPromise promise, long nowMs, String text) {
-        mBreaches.add(new Breach(promise, nowMs, text));
+    private void violate(SchedulerInvariant promise, long nowMs, String text) {
+        mViolations.add(new InvariantViolation(promise, nowMs, text));
     }
 
     /** Returns the jobs that were accepted. */
-    public Set<String> accepted() {
+    public Set<String> acceptedJobs() {
         return Set.copyOf(mAccepted);
     }
 
     /** Returns what was broken. */
-    public List<Breach> breaches() {
-        return List.copyOf(mBreaches);
+    public List<InvariantViolation> violations() {
+        return List.copyOf(mViolations);
     }
 }
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/SchedulerSite.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/SchedulerSite.java
@@ -48,13 +48,13 @@
     private static final long REPORT_LINGERS_MS = 3_500;
     static final Resources CAPACITY = Resources.of(8_000, 16_000, 0);
 
-    private final SiteClock mClock = new SiteClock();
+    private final VirtualClock mClock = new VirtualClock();
     private final Random mRandom;
-    private final RunWatch mWatch = new RunWatch();
-    private final VirtualKv mKv;
+    private final InvariantChecker mInvariants = new InvariantChecker();
+    private final VirtualKeyValueStore mKv;
     private final Map<String, VirtualNode> mNodes = new LinkedHashMap<>();
     private final Map<String, VirtualExecutor> mExecutors = new LinkedHashMap<>();
-    private final SiteCallers mCallers;
+    private final VirtualCallers mCallers;
     private final List<String> mLog = new ArrayList<>();
     private final Resources mLimit;
     private final Set<String> mEnded = new HashSet<>();
@@ -63,10 +63,10 @@
 
     private SchedulerSite(int nodes, int executors, Resources limit, long seed) {
         mRandom = new Random(seed);
-        mCallers = new SiteCallers(this, mRandom);
-        mKv = new VirtualKv(mClock, mRandom);
+        mCallers = new VirtualCallers(this, mRandom);
+        mKv = new VirtualKeyValueStore(mClock, mRandom);
         mLimit = limit;
-        mWatch.limit(SiteCallers.TEAM, limit);
+        mInvariants.setTeamLimit(VirtualCallers.TEAM, limit);
         for (int i = 0; i < executors; i++) {
             String id = "x" + i;
             ExecutorReport report =
@@ -81,7 +81,7 @@
                             false,
                             0,
                             1);
-            mExecutors.put(id, new VirtualExecutor(mClock, mRandom, mWatch, report));
+            mExecutors.put(id, new VirtualExecutor(mClock, mRandom, mInvariants, report));
         }
         for (int i = 0; i < nodes; i++) {
             mNodes.put("n" + i, new VirtualNode(this, "n" + i));
@@ -97,20 +97,21 @@
      * @param executors executors
      * @param seed of all that is random
      */
-    public static SchedulerSite of(int nodes, int executors, long seed) {
+    public static SchedulerSite create(int nodes, int executors, long seed) {
         return new SchedulerSite(nodes, executors, Resources.of(1_000_000, 0, 0), seed);
     }
 
     /** Creates a site whose team may have only so much running. */
-    public static SchedulerSite limited(int nodes, int executors, Resources limit, long seed) {
+    public static SchedulerSite createWithTeamLimit(
+            int nodes, int executors, Resources limit, long seed) {
         return new SchedulerSite(nodes, executors, limit, seed);
     }
 
-    SiteClock clock() {
+    VirtualClock clock() {
         return mClock;
     }
 
-    VirtualKv kv() {
+    VirtualKeyValueStore store() {
         return mKv;
     }
 
@@ -127,35 +128,35 @@
     }
 
     /** Has the operators order the maintenance of all hosts, with at most {@code cap} away. */
-    public void beginWave(int cap) {
+    public void startWave(int cap) {
         List<String> ids = reports().stream().map(ExecutorReport::host).toList();
         WaveOrder wave = new WaveOrder(1, ids, WAVE_MS, cap);
         mHosts = Optional.of(new VirtualHosts(this, mRandom, wave));
         mWaves = List.of(wave);
         mNodes.values().stream()
                 .filter(VirtualNode::isUp)
-                .forEach(n -> n.add(new WaveOrdered(wave)));
-        reportAgain();
+                .forEach(n -> n.receive(new WaveOrdered(wave)));
+        reportPeriodically();
     }
 
     /** Has the executors report as often as they do on the platform, changed or not. */
-    private void reportAgain() {
+    private void reportPeriodically() {
         mNodes.values().forEach(VirtualNode::executorsChanged);
-        mClock.after(REPORT_MS, this::reportAgain);
+        mClock.after(REPORT_MS, this::reportPeriodically);
     }
 
     /** Returns whether each host of the wave has been maintained, and operators are told so. */
     public boolean isWaveDone() {
-        StoredRecord status = mKv.record(RecordName.of(RecordKind.WAVE_STATUS, "1")).orElse(null);
+        StoredRecord status = mKv.find(RecordName.of(RecordKind.WAVE_STATUS, "1")).orElse(null);
         return mHosts.filter(VirtualHosts::allMaintained).isPresent()
                 && status instanceof StoredRecord.WaveStatus told
                 && told.done();
     }
 
     /** Loses a share of the answers to orders for hosts for a time. */
-    public void loseHostAnswers(double share, long forMs) {
-        mHosts.ifPresent(hosts -> hosts.loseAnswers(share));
-        mClock.after(forMs, () -> mHosts.ifPresent(hosts -> hosts.loseAnswers(0)));
+    public void dropHostOrderResponses(double share, long forMs) {
+        mHosts.ifPresent(hosts -> hosts.dropResponses(share));
+        mClock.after(forMs, () -> mHosts.ifPresent(hosts -> hosts.dropResponses(0)));
     }
 
     /** Ends an executor for good; its report lingers for a while. */
@@ -185,7 +186,7 @@
                         false,
                         0,
                         mClock.nowMs());
-        mExecutors.put(id, new VirtualExecutor(mClock, mRandom, mWatch, report));
+        mExecutors.put(id, new VirtualExecutor(mClock, mRandom, mInvariants, report));
         mNodes.values().forEach(VirtualNode::executorsChanged);
         return id;
     }
@@ -201,13 +202,13 @@
                 .toList();
     }
 
-    JobConfiguration plan() {
-        JobPolicy terms = new JobPolicy("queue", POOL, 0, SiteCallers.ATTEMPTS, 2, 500, false);
+    JobConfiguration configuration() {
+        JobPolicy terms = new JobPolicy("queue", POOL, 0, VirtualCallers.ATTEMPTS, 2, 500, false);
         return new JobConfiguration(
                 1,
-                List.of(new JobQueue(SiteCallers.HOST, SiteCallers.PREFIX, false, terms)),
+                List.of(new JobQueue(VirtualCallers.HOST, VirtualCallers.PREFIX, false, terms)),
                 List.of(new JobPool(POOL, true, false)),
-                List.of(new JobTeam(SiteCallers.TEAM, 1, mLimit, Set.of(SiteCallers.KEY))));
+                List.of(new JobTeam(VirtualCallers.TEAM, 1, mLimit, Set.of(VirtualCallers.KEY))));
     }
 
     StepSpec step(TaskKey task) {
@@ -215,8 +216,8 @@
     }
 
     /** Returns what callers and executors saw. */
-    public RunWatch watch() {
-        return mWatch;
+    public InvariantChecker invariants() {
+        return mInvariants;
     }
 
     void log(String node, SchedulerOutput.Log line) {
@@ -242,21 +243,21 @@
     }
 
     /** Does something later. */
-    public void at(long delayMs, Runnable task) {
+    public void schedule(long delayMs, Runnable task) {
         mClock.after(delayMs, task);
     }
 
     /** Returns the entry that owns the scheduling, if there is one. */
     public Optional<String> owner() {
         return mNodes.values().stream()
-                .filter(VirtualNode::owns)
+                .filter(VirtualNode::isOwner)
                 .map(VirtualNode::name)
                 .findFirst();
     }
 
     /** Returns the number of entries that believe to own the scheduling. */
-    public long owners() {
-        return mNodes.values().stream().filter(VirtualNode::owns).count();
+    public long ownerCount() {
+        return mNodes.values().stream().filter(VirtualNode::isOwner).count();
     }
 
     /** Ends an entry at once and starts it again later. */
@@ -276,8 +277,8 @@
     }
 
     /** Asks an entry to stop in good order; it starts again later. */
-    public void stop(String node, long downMs) {
-        mNodes.get(node).add(new ShutdownRequested());
+    public void shutDown(String node, long downMs) {
+        mNodes.get(node).receive(new ShutdownRequested());
         mClock.after(downMs, () -> kill(node, 1));
     }
 
@@ -293,28 +294,28 @@
     }
 
     /** Takes the store away from one entry for a time. */
-    public void cutOff(String node, long forMs) {
+    public void cutOffFromStore(String node, long forMs) {
         mKv.cutOff(node, true);
-        mNodes.get(node).add(new StoreReachabilityChanged(false));
+        mNodes.get(node).receive(new StoreReachabilityChanged(false));
         mClock.after(
                 forMs,
                 () -> {
                     mKv.cutOff(node, false);
-                    mNodes.get(node).add(new StoreReachabilityChanged(true));
+                    mNodes.get(node).receive(new StoreReachabilityChanged(true));
                     mNodes.get(node).storeChanged();
                 });
     }
 
     /** Loses a share of the store's answers for a time. */
-    public void loseAnswers(double share, boolean late, long forMs) {
-        mKv.loseAnswers(share, late);
-        mClock.after(forMs, () -> mKv.loseAnswers(0, false));
+    public void dropCommitResponses(double share, boolean late, long forMs) {
+        mKv.dropCommitResponses(share, late);
+        mClock.after(forMs, () -> mKv.dropCommitResponses(0, false));
     }
 
     /** Makes an executor silent for a time; what it runs goes on. */
-    public void darken(String executor, long forMs) {
-        mExecutors.get(executor).setDark(true);
-        mClock.after(forMs, () -> mExecutors.get(executor).setDark(false));
+    public void silenceExecutor(String executor, long forMs) {
+        mExecutors.get(executor).setSilent(true);
+        mClock.after(forMs, () -> mExecutors.get(executor).setSilent(false));
     }
 
     /** Makes an executor begin another life. */
@@ -325,14 +326,14 @@
 
     /** Makes executors carry out a share of orders late and without an answer. */
     public void delayOrders(double share, long forMs) {
-        mExecutors.values().forEach(x -> x.setLateShare(share));
-        mClock.after(forMs, () -> mExecutors.values().forEach(x -> x.setLateShare(0)));
+        mExecutors.values().forEach(x -> x.setDelayedOrderShare(share));
+        mClock.after(forMs, () -> mExecutors.values().forEach(x -> x.setDelayedOrderShare(0)));
     }
 
     /** Makes an executor fail all that it starts for a time. */
-    public void failAll(String executor, long forMs) {
-        mExecutors.get(executor).setFailsAll(true);
-        mClock.after(forMs, () -> mExecutors.get(executor).setFailsAll(false));
+    public void failAllRuns(String executor, long forMs) {
+        mExecutors.get(executor).setFailsAllRuns(true);
+        mClock.after(forMs, () -> mExecutors.get(executor).setFailsAllRuns(false));
     }
 
     /** Cuts an entry off from an executor for a time. */
@@ -359,12 +360,12 @@
         return states.isEmpty() ? JobState.QUEUED : states.get(states.size() - 1);
     }
 
-    void answered(long callId, JobResponse answer) {
-        mCallers.answered(callId, answer);
+    void deliverResponse(long callId, JobResponse answer) {
+        mCallers.deliverResponse(callId, answer);
     }
 
     /** Returns the entries that run. */
-    List<VirtualNode> nodesUp() {
+    List<VirtualNode> runningNodes() {
         return mNodes.values().stream().filter(VirtualNode::isUp).toList();
     }
 
@@ -372,48 +373,49 @@
         VirtualNode to = mNodes.get(forward.address());
         if (!to.isUp()) {
             mClock.after(
-                    LINK_MS, () -> from.add(new ForwardFailed(forward.callId(), to.name(), false)));
+                    LINK_MS,
+                    () -> from.receive(new ForwardFailed(forward.callId(), to.name(), false)));
         } else {
             mClock.after(
                     LINK_MS,
-                    () -> to.add(new RequestReceived(forward.callId(), forward.request())));
+                    () -> to.receive(new RequestReceived(forward.callId(), forward.request())));
         }
     }
 
-    void askYield(SchedulerOutput.AskRelinquish ask, Consumer<SchedulerInput> answer) {
+    void askToRelinquish(SchedulerOutput.AskRelinquish ask, Consumer<SchedulerInput> answer) {
         VirtualNode to = mNodes.get(ask.address());
         if (to.isUp()) {
             long id =
-                    mCallers.await(
+                    mCallers.registerCall(
                             reply -> answer.accept(new PredecessorRelinquished(ask.generation())));
-            mClock.after(LINK_MS, () -> to.add(new RelinquishRequested(id, ask.generation())));
+            mClock.after(LINK_MS, () -> to.receive(new RelinquishRequested(id, ask.generation())));
         }
     }
 
-    void offer(SchedulerOutput.OfferHandover offer) {
+    void offerHandover(SchedulerOutput.OfferHandover offer) {
         VirtualNode to = mNodes.get(offer.address());
         if (to.isUp()) {
-            long id = mCallers.await(reply -> {});
-            mClock.after(LINK_MS, () -> to.add(new HandoverOffered(id, offer.generation())));
+            long id = mCallers.registerCall(reply -> {});
+            mClock.after(LINK_MS, () -> to.receive(new HandoverOffered(id, offer.generation())));
         }
     }
 
     /** Returns how many tasks wait at the owner; -1 if there is none. */
-    public int waitingTasks() {
+    public int taskCount() {
         return mNodes.values().stream()
-                .filter(VirtualNode::owns)
+                .filter(VirtualNode::isOwner)
                 .map(n -> n.world().tasks().size())
                 .findFirst()
                 .orElse(-1);
     }
 
     /** Returns how many runs the owner knows of; 0 if there is no owner. */
-    public int runs() {
+    public int runCount() {
         return owner().map(o -> mNodes.get(o).world().runs().size()).orElse(0);
     }
 
     /** Returns how many runs the owner knows of on an executor; 0 if there is no owner. */
-    public int runsOn(String executor) {
+    public int runCountOn(String executor) {
         return owner().map(o -> mNodes.get(o).world().runs().group(executor).size()).orElse(0);
     }
 }
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/SiteCallers.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualCallers.java
@@ -15,7 +15,7 @@
 import org.hibiscususher.core.scheduler.message.SchedulerInput.RequestReceived;
 
 /** The callers of a site: they hand jobs in, cancel them and ask for them, and try again. */
-final class SiteCallers {
+final class VirtualCallers {
     static final String HOST = "site.example";
     static final String PREFIX = "/queue/";
     static final String KEY = "secret";
@@ -28,18 +28,18 @@
     private static final int MAX_TRIES = 60;
 
     private final SchedulerSite mSite;
-    private final SiteClock mClock;
-    private final RunWatch mWatch;
+    private final VirtualClock mClock;
+    private final InvariantChecker mInvariants;
     private final Random mRandom;
     private final Map<String, JobSpec> mSpecs = new HashMap<>();
     private final Map<Long, Consumer<JobResponse>> mCalls = new HashMap<>();
     private long mNextCall = 1;
     private int mNextJob;
 
-    SiteCallers(SchedulerSite site, Random random) {
+    VirtualCallers(SchedulerSite site, Random random) {
         mSite = site;
         mClock = site.clock();
-        mWatch = site.watch();
+        mInvariants = site.invariants();
         mRandom = random;
     }
 
@@ -49,14 +49,14 @@
     }
 
     /** Returns the id of a new call; {@code sink} gets its answer. */
-    long await(Consumer<JobResponse> sink) {
+    long registerCall(Consumer<JobResponse> sink) {
         long id = mNextCall++;
         mCalls.put(id, sink);
         return id;
     }
 
     /** Takes in the answer to a call. */
-    void answered(long callId, JobResponse answer) {
+    void deliverResponse(long callId, JobResponse answer) {
         Consumer<JobResponse> sink = mCalls.remove(callId);
         if (sink != null) {
             mClock.after(LINK_MS, () -> sink.accept(answer));
@@ -67,7 +67,7 @@
     String submit(JobSpec spec) {
         String id = String.format("%016x", ++mNextJob);
         mSpecs.put(id, spec);
-        mWatch.submitted(id, spec, TEAM, ATTEMPTS);
+        mInvariants.recordSubmission(id, spec, TEAM, ATTEMPTS);
         trySubmit(id, spec, 1);
         return id;
     }
@@ -76,7 +76,7 @@
         call(
                 JobRequest.of(JobRequestKind.SUBMIT, HOST, PREFIX + id, KEY, Optional.of(spec)),
                 answer -> {
-                    mWatch.answered(id, answer.kind());
+                    mInvariants.recordResponse(id, answer.kind());
                     if (answer.kind() != JobResponseKind.ACCEPTED && attempt < MAX_TRIES) {
                         mClock.after(RETRY_MS, () -> trySubmit(id, spec, attempt + 1));
                     }
@@ -89,7 +89,7 @@
                 JobRequest.of(JobRequestKind.CANCEL, HOST, PREFIX + id, KEY, Optional.empty()),
                 answer -> {
                     if (answer.kind() == JobResponseKind.CANCELLED) {
-                        mWatch.cancelled(id, mClock.nowMs());
+                        mInvariants.recordCancellation(id, mClock.nowMs());
                     } else if (answer.kind() != JobResponseKind.NO_JOB) {
                         mClock.after(RETRY_MS, () -> cancel(id));
                     }
@@ -102,16 +102,16 @@
                 JobRequest.of(JobRequestKind.QUERY, HOST, PREFIX + id, KEY, Optional.empty()),
                 answer -> {
                     if (answer.kind() == JobResponseKind.STATE) {
-                        mWatch.shown(id, answer.state(), mClock.nowMs());
+                        mInvariants.checkReportedState(id, answer.state(), mClock.nowMs());
                         result.accept(Optional.of(answer.state()));
                     } else if (answer.kind() == JobResponseKind.NO_JOB) {
-                        mWatch.unknown(id, mClock.nowMs());
+                        mInvariants.checkUnknownJob(id, mClock.nowMs());
                     }
                 });
     }
 
     private void call(JobRequest call, Consumer<JobResponse> sink) {
-        List<VirtualNode> up = mSite.nodesUp();
+        List<VirtualNode> up = mSite.runningNodes();
         if (up.isEmpty()) {
             mClock.after(RETRY_MS, () -> sink.accept(JobResponse.of(JobResponseKind.UNKNOWN)));
             return;
@@ -125,8 +125,8 @@
                         sink.accept(answer);
                     }
                 };
-        long id = await(once);
+        long id = registerCall(once);
         mClock.after(TIMEOUT_MS, () -> once.accept(JobResponse.of(JobResponseKind.UNKNOWN)));
-        node.add(new RequestReceived(id, call));
+        node.receive(new RequestReceived(id, call));
     }
 }
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/SiteClock.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualClock.java
@@ -4,7 +4,7 @@
 import java.util.PriorityQueue;
 
 /** Virtual time and what is due in it. */
-final class SiteClock {
+final class VirtualClock {
     private final PriorityQueue<Due> mDue =
             new PriorityQueue<>(Comparator.comparingLong(Due::atMs).thenComparingLong(Due::order));
     private long mNowMs;
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualExecutor.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualExecutor.java
@@ -40,9 +40,9 @@
     private static final int LATE_SPREAD_MS = 6_000;
     private static final long MAX_HOLD_MS = 6_000;
 
-    private final SiteClock mClock;
+    private final VirtualClock mClock;
     private final Random mRandom;
-    private final RunWatch mWatch;
+    private final InvariantChecker mInvariants;
     private final Map<TaskKey, Active> mRunning = new LinkedHashMap<>();
     private final Map<TaskKey, Integer> mHighest = new HashMap<>();
     private final List<FinishedRun> mEnds = new ArrayList<>();
@@ -58,10 +58,11 @@
     private boolean mDark;
     private boolean mEnded;
 
-    VirtualExecutor(SiteClock clock, Random random, RunWatch watch, ExecutorReport report) {
+    VirtualExecutor(
+            VirtualClock clock, Random random, InvariantChecker invariants, ExecutorReport report) {
         mClock = clock;
         mRandom = random;
-        mWatch = watch;
+        mInvariants = invariants;
         mReport = report;
         mBornMs = report.startedAtMs();
     }
@@ -72,15 +73,15 @@
         return mReport;
     }
 
-    void setLateShare(double share) {
+    void setDelayedOrderShare(double share) {
         mLateShare = share;
     }
 
-    void setFailsAll(boolean fails) {
+    void setFailsAllRuns(boolean fails) {
         mFailsAll = fails;
     }
 
-    void setDark(boolean dark) {
+    void setSilent(boolean dark) {
         mDark = dark;
     }
 
@@ -94,7 +95,7 @@
 
     /** Ends everything, for good. */
     void end() {
-        mRunning.keySet().forEach(task -> mWatch.ended(task, id(), Optional.empty()));
+        mRunning.keySet().forEach(task -> mInvariants.recordEnd(task, id(), Optional.empty()));
         mRunning.clear();
         mEnded = true;
     }
@@ -104,7 +105,7 @@
         if (mEnded) {
             return;
         }
-        mRunning.keySet().forEach(task -> mWatch.ended(task, id(), Optional.empty()));
+        mRunning.keySet().forEach(task -> mInvariants.recordEnd(task, id(), Optional.empty()));
         mRunning.clear();
         mHighest.clear();
         mEnds.clear();
@@ -142,11 +143,11 @@
             Consumer<SchedulerInput> answer) {
         boolean order = !(output instanceof SendHeartbeat);
         if (mDark || mEnded || mCutFrom.contains(node)) {
-            mClock.after(SILENCE_MS, () -> answer.accept(silence(output)));
+            mClock.after(SILENCE_MS, () -> answer.accept(noAnswer(output)));
         } else if (order && mRandom.nextDouble() < mLateShare) {
             long lateMs = MIN_LATE_MS + mRandom.nextInt(LATE_SPREAD_MS);
             mClock.after(lateMs, () -> carryOut(output, steps, input -> {}));
-            mClock.after(SILENCE_MS, () -> answer.accept(silence(output)));
+            mClock.after(SILENCE_MS, () -> answer.accept(noAnswer(output)));
         } else {
             mClock.after(
                     LINK_MS,
@@ -158,7 +159,7 @@
         }
     }
 
-    private static SchedulerInput silence(SchedulerOutput output) {
+    private static SchedulerInput noAnswer(SchedulerOutput output) {
         if (output instanceof SendHeartbeat hold) {
             return new HeartbeatFailed(hold.callId(), hold.executor(), HeartbeatFailure.NO_ANSWER);
         } else if (output instanceof StartRun start) {
@@ -174,7 +175,7 @@
             Function<TaskKey, StepSpec> steps,
             Consumer<SchedulerInput> answer) {
         if (output instanceof SendHeartbeat hold) {
-            hold(hold, answer);
+            heartbeat(hold, answer);
         } else if (output instanceof StartRun start) {
             StartResult result = start(start, steps.apply(start.task()));
             answer.accept(
@@ -185,16 +186,16 @@
         }
     }
 
-    private void hold(SendHeartbeat hold, Consumer<SchedulerInput> answer) {
+    private void heartbeat(SendHeartbeat hold, Consumer<SchedulerInput> answer) {
         if (hold.fence() < mFence) {
             answer.accept(new HeartbeatFailed(hold.callId(), id(), HeartbeatFailure.FENCED));
             return;
         }
         mFence = hold.fence();
-        extend(hold.leaseDeadlineMs());
+        extendLease(hold.leaseDeadlineMs());
         for (FinishedRun end : mEnds) {
             if (end.sequence() <= hold.acknowledgedSequence() && end.outcome() == RunOutcome.DONE) {
-                mWatch.noted(end.task());
+                mInvariants.recordAcknowledgment(end.task());
             }
         }
         mEnds.removeIf(end -> end.sequence() <= hold.acknowledgedSequence());
@@ -203,7 +204,7 @@
                 () -> {
                     if (!answered[0]) {
                         answered[0] = true;
-                        answer.accept(lists(hold));
+                        answer.accept(heartbeatResponse(hold));
                     }
                 };
         if (hold.waitMs() == 0 || !mEnds.isEmpty()) {
@@ -214,7 +215,7 @@
         }
     }
 
-    private HeartbeatAnswered lists(SendHeartbeat hold) {
+    private HeartbeatAnswered heartbeatResponse(SendHeartbeat hold) {
         List<ReportedRun> runs = new ArrayList<>();
         mRunning.forEach(
                 (task, active) ->
@@ -223,7 +224,7 @@
         return new HeartbeatAnswered(hold.callId(), id(), mBornMs, clockMs(), runs, mEnds);
     }
 
-    private void extend(long deadlineMs) {
+    private void extendLease(long deadlineMs) {
         long endMs = Math.min(deadlineMs, clockMs() + MAX_HOLD_MS);
         if (endMs > mLeaseEndMs) {
             mLeaseEndMs = endMs;
@@ -254,7 +255,7 @@
         if (start.deadlineMs() <= clockMs()) {
             return StartResult.LATE;
         }
-        extend(start.deadlineMs());
+        extendLease(start.deadlineMs());
         Resources reserved = step.reserved();
         for (Active active : mRunning.values()) {
             reserved = reserved.plus(active.step().reserved());
@@ -263,7 +264,7 @@
             return StartResult.NO_ROOM;
         }
         mRunning.put(start.task(), new Active(start.run(), step, start.checkpoint()));
-        mWatch.started(start.task(), id(), mReport.draining(), mClock.nowMs());
+        mInvariants.recordStart(start.task(), id(), mReport.draining(), mClock.nowMs());
         long bornMs = mBornMs;
         if (!step.service()) {
             RunOutcome kind = mFailsAll ? RunOutcome.FAILED : RunOutcome.DONE;
@@ -304,7 +305,7 @@
         Active active = mRunning.remove(task);
         mHighest.merge(task, active.run(), Math::max);
         mEnds.add(new FinishedRun(++mEndNumber, task, active.run(), kind, ""));
-        mWatch.ended(task, id(), Optional.of(kind));
+        mInvariants.recordEnd(task, id(), Optional.of(kind));
         List<Runnable> waiting = List.copyOf(mWaiting);
         mWaiting.clear();
         waiting.forEach(Runnable::run);
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualHosts.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualHosts.java
@@ -25,9 +25,9 @@
     private static final long SILENCE_MS = 1_500;
     private static final long MAINTENANCE_MS = 2_000;
 
-    private final SiteClock mClock;
+    private final VirtualClock mClock;
     private final Random mRandom;
-    private final RunWatch mWatch;
+    private final InvariantChecker mInvariants;
     private final SchedulerSite mSite;
     private final WaveOrder mWave;
     private final Map<String, String> mExecutors = new LinkedHashMap<>();
@@ -39,14 +39,14 @@
     VirtualHosts(SchedulerSite site, Random random, WaveOrder wave) {
         mSite = site;
         mClock = site.clock();
-        mWatch = site.watch();
+        mInvariants = site.invariants();
         mRandom = random;
         mWave = wave;
         site.reports().forEach(report -> mExecutors.put(report.host(), report.id()));
     }
 
     /** Loses a share of the answers to orders. */
-    void loseAnswers(double share) {
+    void dropResponses(double share) {
         mLostShare = share;
     }
 
@@ -84,7 +84,7 @@
         mClock.after(
                 ANSWER_MS,
                 () -> {
-                    HostOrderResult result = begin(node, order);
+                    HostOrderResult result = startMaintenance(node, order);
                     HostOrderResult told = lost ? HostOrderResult.NO_ANSWER : result;
                     mClock.after(
                             lost ? SILENCE_MS : ANSWER_MS,
@@ -95,15 +95,16 @@
                 });
     }
 
-    private HostOrderResult begin(String node, MaintainHost order) {
+    private HostOrderResult startMaintenance(String node, MaintainHost order) {
         String host = order.host();
-        mWatch.hostOrdered(host, node, mClock.nowMs());
+        mInvariants.recordHostOrder(host, node, mClock.nowMs());
         if (mMaintained.contains(host)) {
             return HostOrderResult.DONE;
         }
         mMaintained.add(host);
         mAway.add(host);
-        mWatch.away(mAway.size(), mWave.maxConcurrentHosts(), mClock.nowMs());
+        mInvariants.checkHostsOutOfService(
+                mAway.size(), mWave.maxConcurrentHosts(), mClock.nowMs());
         ExecutorReport ended = mSite.endExecutor(mExecutors.get(host));
         mClock.after(
                 MAINTENANCE_MS,
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualKv.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualKeyValueStore.java
@@ -35,12 +35,12 @@
 import org.hibiscususher.core.scheduler.world.SchedulerTiming;
 
 /** The platform's store: records with revisions, conditions and leases, and its faults. */
-final class VirtualKv {
+final class VirtualKeyValueStore {
     private static final long ANSWER_MS = 4;
     private static final long LATE_MS = 2_500;
     private static final long SILENCE_MS = 600;
 
-    private final SiteClock mClock;
+    private final VirtualClock mClock;
     private final Random mRandom;
     private final Map<RecordName, Item> mItems = new LinkedHashMap<>();
     private final Map<Long, Long> mLeases = new HashMap<>();
@@ -52,7 +52,7 @@
     private long mRevision = 1;
     private long mNextLease = 100;
 
-    VirtualKv(SiteClock clock, Random random) {
+    VirtualKeyValueStore(VirtualClock clock, Random random) {
         mClock = clock;
         mRandom = random;
     }
@@ -69,7 +69,7 @@
     }
 
     /** Loses the answers to a share of commits; late ones take effect seconds later. */
-    void loseAnswers(double share, boolean late) {
+    void dropCommitResponses(double share, boolean late) {
         mLostShare = share;
         mLate = late;
     }
@@ -82,13 +82,13 @@
         }
     }
 
-    boolean isAway(String node) {
+    boolean isUnreachable(String node) {
         return mDown || mCutOff.contains(node);
     }
 
     /** Carries out a call of a node; {@code answer} gets the input that answers it. */
     void call(String node, SchedulerOutput output, Consumer<SchedulerInput> answer) {
-        if (isAway(node)) {
+        if (isUnreachable(node)) {
             mClock.after(SILENCE_MS, () -> answer.accept(failure(output, false)));
             return;
         }
@@ -118,11 +118,11 @@
     }
 
     private SchedulerInput carryOut(SchedulerOutput output) {
-        endLeases();
+        expireLeases();
         if (output instanceof GrantLease grant) {
             long lease = mNextLease++;
             mLeases.put(lease, mClock.nowMs() + grant.ttlMs());
-            mClock.after(grant.ttlMs() + 1, this::endLeases);
+            mClock.after(grant.ttlMs() + 1, this::expireLeases);
             return new LeaseGranted(grant.callId(), lease, grant.ttlMs());
         } else if (output instanceof RenewLease renew) {
             return renew(renew);
@@ -138,7 +138,7 @@
         }
         long ttlMs = SchedulerTiming.DEFAULT.ownerTtlMs();
         mLeases.put(renew.leaseId(), mClock.nowMs() + ttlMs);
-        mClock.after(ttlMs + 1, this::endLeases);
+        mClock.after(ttlMs + 1, this::expireLeases);
         return new LeaseRenewed(renew.callId());
     }
 
@@ -159,7 +159,7 @@
             mItems.put(write.record().name(), item);
         }
         commit.removals().forEach(mItems::remove);
-        changed();
+        notifyListeners();
         return new Committed(commit.callId(), mRevision);
     }
 
@@ -171,7 +171,7 @@
     }
 
     /** Returns the record of a name, if there is one. */
-    Optional<StoredRecord> record(RecordName name) {
+    Optional<StoredRecord> find(RecordName name) {
         return Optional.ofNullable(mItems.get(name)).map(Item::record);
     }
 
@@ -185,7 +185,7 @@
         return new RecordsLoaded(load.callId(), records);
     }
 
-    private void endLeases() {
+    private void expireLeases() {
         Set<Long> ended = new HashSet<>();
         mLeases.forEach(
                 (lease, endMs) -> {
@@ -199,11 +199,11 @@
         mLeases.keySet().removeAll(ended);
         if (mItems.values().removeIf(item -> ended.contains(item.leaseId()))) {
             mRevision++;
-            changed();
+            notifyListeners();
         }
     }
 
-    private void changed() {
+    private void notifyListeners() {
         mListeners.forEach(Runnable::run);
     }
 
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualNode.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualNode.java
@@ -60,7 +60,7 @@
         return mScheduler.world();
     }
 
-    boolean owns() {
+    boolean isOwner() {
         return mUp && mScheduler.world().term().get().isScheduling();
     }
 
@@ -80,10 +80,10 @@
                                 Math.floorMod(mName.hashCode(), 40),
                                 SchedulerTiming.DEFAULT));
         long life = mLife;
-        add(new ConfigurationUpdated(mSite.plan(), 1));
-        mSite.waves().forEach(wave -> add(new WaveOrdered(wave)));
+        receive(new ConfigurationUpdated(mSite.configuration(), 1));
+        mSite.waves().forEach(wave -> receive(new WaveOrdered(wave)));
         mSite.clock().after(1, () -> storeChanged());
-        periodic(life);
+        tickPeriodically(life);
     }
 
     /** Ends the process at once. */
@@ -101,24 +101,24 @@
                         forMs,
                         () -> {
                             mFrozen = false;
-                            wake();
+                            scheduleTick();
                         });
     }
 
-    private void periodic(long life) {
+    private void tickPeriodically(long life) {
         if (life == mLife) {
-            wake();
-            mSite.clock().after(TICK_MS, () -> periodic(life));
+            scheduleTick();
+            mSite.clock().after(TICK_MS, () -> tickPeriodically(life));
         }
     }
 
     /** Hands an input to the process, if it still is the one that it is meant for. */
-    void add(SchedulerInput input) {
+    void receive(SchedulerInput input) {
         mInputs.add(input);
-        wake();
+        scheduleTick();
     }
 
-    private void wake() {
+    private void scheduleTick() {
         if (mUp && !mScheduled && !mFrozen) {
             mScheduled = true;
             mSite.clock().after(1, this::tick);
@@ -140,23 +140,23 @@
 
     /** Tells the process what the store holds, as its watches do. */
     void storeChanged() {
-        if (mUp && !mSite.kv().isAway(mName)) {
-            add(new OwnershipUpdated(mSite.kv().ownership()));
+        if (mUp && !mSite.store().isUnreachable(mName)) {
+            receive(new OwnershipUpdated(mSite.store().ownership()));
         }
     }
 
     /** Tells the owner of the executors, as its watch does. */
     void executorsChanged() {
-        if (mUp && mFollowing && !mSite.kv().isAway(mName)) {
-            add(new ExecutorsListed(mSite.reports()));
+        if (mUp && mFollowing && !mSite.store().isUnreachable(mName)) {
+            receive(new ExecutorsListed(mSite.reports()));
         }
     }
 
-    private Consumer<SchedulerInput> answers() {
+    private Consumer<SchedulerInput> inputSink() {
         long life = mLife;
         return input -> {
             if (life == mLife) {
-                add(input);
+                receive(input);
             }
         };
     }
@@ -165,28 +165,28 @@
         if (output instanceof SchedulerOutput.Log line) {
             mSite.log(mName, line);
         } else if (output instanceof Respond answer) {
-            mSite.answered(answer.callId(), answer.response());
+            mSite.deliverResponse(answer.callId(), answer.response());
         } else if (output instanceof Forward forward) {
             mSite.forward(this, forward);
         } else if (output instanceof SchedulerOutput.AskRelinquish ask) {
-            mSite.askYield(ask, answers());
+            mSite.askToRelinquish(ask, inputSink());
         } else if (output instanceof SchedulerOutput.OfferHandover offer) {
-            mSite.offer(offer);
+            mSite.offerHandover(offer);
         } else if (output instanceof WatchExecutors follow) {
             mFollowing = follow.enabled();
             mSite.clock().after(2, this::executorsChanged);
         } else if (output instanceof ListHosts list) {
             mSite.hosts()
                     .ifPresentOrElse(
-                            hosts -> hosts.list(list, answers()),
-                            () -> answers().accept(new HostListFailed(list.callId())));
+                            hosts -> hosts.list(list, inputSink()),
+                            () -> inputSink().accept(new HostListFailed(list.callId())));
         } else if (output instanceof MaintainHost order) {
-            mSite.hosts().ifPresent(hosts -> hosts.maintain(mName, order, answers()));
+            mSite.hosts().ifPresent(hosts -> hosts.maintain(mName, order, inputSink()));
         } else if (output instanceof GrantLease
                 || output instanceof RenewLease
                 || output instanceof Commit
                 || output instanceof LoadRecords) {
-            mSite.kv().call(mName, output, answers());
+            mSite.store().call(mName, output, inputSink());
         } else {
             toExecutor(output);
         }
@@ -203,7 +203,7 @@
         }
         VirtualExecutor target = mSite.executor(executor);
         if (target != null) {
-            target.call(mName, output, mSite::step, answers());
+            target.call(mName, output, mSite::step, inputSink());
         }
     }
 }
--- a/standin/src/main/java/org/hibiscususher/standin/store/StoreFault.java
+++ b/standin/src/main/java/org/hibiscususher/standin/store/StoreFault.java
@@ -26,17 +26,17 @@
     }
 
     /** Returns whether calls take effect. */
-    public boolean acts() {
+    public boolean appliesCalls() {
         return mActs;
     }
 
     /** Returns whether calls are answered. */
-    public boolean answers() {
+    public boolean sendsResponses() {
         return mAnswers;
     }
 
     /** Returns whether watches show changes. */
-    public boolean shows() {
+    public boolean notifiesWatches() {
         return mShows;
     }
 
--- a/standin/src/main/java/org/hibiscususher/standin/store/StoreHandler.java
+++ b/standin/src/main/java/org/hibiscususher/standin/store/StoreHandler.java
@@ -49,7 +49,7 @@
             reply(context, JsonNodeFactory.instance.objectNode());
             return;
         }
-        if (!mState.fault().acts()) {
+        if (!mState.fault().appliesCalls()) {
             return;
         }
         JsonNode call = body.isEmpty() ? MAPPER.createObjectNode() : MAPPER.readTree(body);
@@ -61,12 +61,12 @@
                                     reboot.group(1),
                                     call.path("bootId").asText(),
                                     call.path("token").asText());
-            replyLater(context, MAPPER.createObjectNode().put("accepted", accepted));
+            replyAfterDelay(context, MAPPER.createObjectNode().put("accepted", accepted));
             return;
         }
         switch (request.uri()) {
-            case "/v3/kv/range" -> replyLater(context, range(call));
-            case "/v3/kv/txn" -> replyLater(context, transact(call));
+            case "/v3/kv/range" -> replyAfterDelay(context, range(call));
+            case "/v3/kv/txn" -> replyAfterDelay(context, transact(call));
             case "/v3/watch" -> watch(context.channel(), call.path("create_request"));
             case "/platform/hosts" -> {
                 if (request.method() == HttpMethod.POST) {
@@ -74,7 +74,7 @@
                 }
                 ObjectNode hosts = MAPPER.createObjectNode();
                 mState.platformHosts().writeTo(hosts.putArray("hosts"));
-                replyLater(context, hosts);
+                replyAfterDelay(context, hosts);
             }
             default -> context.close();
         }
@@ -115,10 +115,11 @@
         JsonNode put = call.path("success").get(0).path("request_put");
         String key = put.path("key").asText();
         boolean swapped =
-                mState.swap(key, compare.path("mod_revision").asLong(), put.path("value").asText());
-        if (swapped && mState.fault().shows()) {
-            mState.watches(key).removeIf(c -> !c.isActive());
-            mState.watches(key).forEach(c -> show(c, key));
+                mState.compareAndSet(
+                        key, compare.path("mod_revision").asLong(), put.path("value").asText());
+        if (swapped && mState.fault().notifiesWatches()) {
+            mState.watchChannels(key).removeIf(c -> !c.isActive());
+            mState.watchChannels(key).forEach(c -> sendWatchEvent(c, key));
         }
         return header().put("succeeded", swapped);
     }
@@ -128,13 +129,13 @@
         HttpUtil.setTransferEncodingChunked(head, true);
         channel.writeAndFlush(head);
         String key = create.path("key").asText();
-        mState.watches(key).add(channel);
+        mState.watchChannels(key).add(channel);
         if (mState.entries().contains(key)) {
-            show(channel, key);
+            sendWatchEvent(channel, key);
         }
     }
 
-    private void show(Channel channel, String key) {
+    private void sendWatchEvent(Channel channel, String key) {
         ObjectNode line = MAPPER.createObjectNode();
         line.putObject("result")
                 .putArray("events")
@@ -158,8 +159,8 @@
                 .put("mod_revision", Long.toString(entry.revision()));
     }
 
-    private void replyLater(ChannelHandlerContext context, JsonNode body) {
-        if (!mState.fault().answers()) {
+    private void replyAfterDelay(ChannelHandlerContext context, JsonNode body) {
+        if (!mState.fault().sendsResponses()) {
             return;
         }
         context.executor()
--- a/standin/src/main/java/org/hibiscususher/standin/store/StoreState.java
+++ b/standin/src/main/java/org/hibiscususher/standin/store/StoreState.java
@@ -39,7 +39,7 @@
     }
 
     /** Writes a value if its revision is as expected; returns whether it was written. */
-    boolean swap(String key, long expected, String value) {
+    boolean compareAndSet(String key, long expected, String value) {
         long current = mEntries.find(key).map(Entry::revision).orElse(0L);
         if (current != expected) {
             return false;
@@ -49,7 +49,7 @@
         return true;
     }
 
-    List<Channel> watches(String key) {
+    List<Channel> watchChannels(String key) {
         return mWatches.computeIfAbsent(key, k -> new ArrayList<>());
     }
 }
--- a/standin/src/main/java/org/hibiscususher/standin/target/TargetHandler.java
+++ b/standin/src/main/java/org/hibiscususher/standin/target/TargetHandler.java
@@ -20,9 +20,9 @@
     private static final String RUNS_PATH = "/stand-in/runs";
 
     private final String mHost;
-    private final RunLog mRuns;
+    private final RunCounter mRuns;
 
-    TargetHandler(String host, RunLog runs) {
+    TargetHandler(String host, RunCounter runs) {
         mHost = host;
         mRuns = runs;
     }
@@ -30,10 +30,10 @@
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
         if (request.uri().equals(RUNS_PATH)) {
-            reply(context, mRuns.text());
+            reply(context, mRuns.toText());
             return;
         }
-        mRuns.add(request.headers().get("Request-Name", "-"));
+        mRuns.increment(request.headers().get("Request-Name", "-"));
         String answer =
                 mHost
                         + " ran "
--- a/standin/src/main/java/org/hibiscususher/standin/target/TargetMain.java
+++ b/standin/src/main/java/org/hibiscususher/standin/target/TargetMain.java
@@ -14,7 +14,7 @@
 
     /** Starts the stand-in on an address. */
     public static HttpServer listen(String address, String host) throws IOException {
-        RunLog runs = new RunLog();
+        RunCounter runs = new RunCounter();
         return HttpServer.listen(address, () -> new TargetHandler(host, runs));
     }
 }
--- a/standin/src/main/java/org/hibiscususher/standin/virtual/EntryCondition.java
+++ b/standin/src/main/java/org/hibiscususher/standin/virtual/ProcessState.java
@@ -1,7 +1,7 @@
 package org.hibiscususher.standin.virtual;
 
 /** The conditions of an entry's process. */
-public enum EntryCondition {
+public enum ProcessState {
     /** Runs. */
     RUNNING(true, true),
     /** Stopped by the system for a while; what reaches it waits. */
@@ -12,16 +12,16 @@
     private final boolean mRuns;
     private final boolean mReceives;
 
-    EntryCondition(boolean runs, boolean receives) {
+    ProcessState(boolean runs, boolean receives) {
         mRuns = runs;
         mReceives = receives;
     }
 
-    boolean runs() {
+    boolean isRunning() {
         return mRuns;
     }
 
-    boolean receives() {
+    boolean acceptsInput() {
         return mReceives;
     }
 }
--- a/standin/src/main/java/org/hibiscususher/standin/virtual/TargetFault.java
+++ b/standin/src/main/java/org/hibiscususher/standin/virtual/TargetFault.java
@@ -9,13 +9,13 @@
     /** Takes no connection. */
     UNREACHABLE(false, 0, AttemptOutcome.NOT_CONNECTED),
     /** Says that it runs nothing more. */
-    CLOSING(false, 0, AttemptOutcome.DECLINED),
+    DECLINING(false, 0, AttemptOutcome.DECLINED),
     /** Runs each request and breaks off before it answers. */
-    FAILING(true, 0.1, AttemptOutcome.BROKEN),
+    BROKEN_CONNECTION(true, 0.1, AttemptOutcome.BROKEN),
     /** Runs each request and answers soon with an error of the server. */
-    ERRORS(true, 0.1, AttemptOutcome.SERVER_ERROR),
+    SERVER_ERRORS(true, 0.1, AttemptOutcome.SERVER_ERROR),
     /** Runs each request and breaks off in the middle of the answer. */
-    SHORT_BODY(true, 1, AttemptOutcome.TRUNCATED),
+    TRUNCATED_RESPONSE(true, 1, AttemptOutcome.TRUNCATED),
     /** Runs five times as long as usual. */
     SLOW(true, 5, AttemptOutcome.ANSWERED);
 
@@ -30,12 +30,12 @@
     }
 
     /** Returns whether requests run. */
-    boolean runs() {
+    boolean runsRequests() {
         return mRuns;
     }
 
     /** Returns the run time as a multiple of the usual one. */
-    double duration() {
+    double runTimeFactor() {
         return mDuration;
     }
 
--- a/standin/src/main/java/org/hibiscususher/standin/virtual/Timeline.java
+++ b/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualClock.java
@@ -6,7 +6,7 @@
 import java.util.PriorityQueue;
 
 /** Tasks in order of virtual time. Not thread-safe. */
-public final class Timeline {
+public final class VirtualClock {
     private final PriorityQueue<Task> mTasks =
             new PriorityQueue<>(
                     Comparator.comparingLong(Task::atMs).thenComparingLong(Task::sequence));
@@ -15,7 +15,7 @@
 
     private record Task(long atMs, long sequence, Runnable action) {}
 
-    Timeline(long startMs) {
+    VirtualClock(long startMs) {
         mNowMs = startMs;
     }
 
--- a/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualEntry.java
+++ b/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualEntry.java
@@ -19,7 +19,7 @@
     private final NodeIdentity mIdentity;
     private final ControlNode mNode;
     private final List<Input> mInputs = new ArrayList<>();
-    private EntryCondition mCondition = EntryCondition.RUNNING;
+    private ProcessState mProcessState = ProcessState.RUNNING;
     private long mLastTickMs;
     private long mTicks;
     private long mTickNs;
@@ -48,8 +48,8 @@
     }
 
     /** Returns whether the process runs, is paused, or has ended. */
-    public EntryCondition condition() {
-        return mCondition;
+    public ProcessState processState() {
+        return mProcessState;
     }
 
     /** Returns how many ticks have run. */
@@ -77,22 +77,22 @@
         return mStoreCalls;
     }
 
-    void addSent(int bytes) {
+    void recordSentMessage(int bytes) {
         mSentMessages++;
         mSentBytes += bytes;
     }
 
-    void addStoreCall() {
+    void recordStoreCall() {
         mStoreCalls++;
     }
 
-    void setCondition(EntryCondition condition) {
-        mCondition = condition;
+    void setProcessState(ProcessState processState) {
+        mProcessState = processState;
     }
 
     /** Adds an input for the next tick, unless the process has ended. */
     void receive(Input input) {
-        if (mCondition.receives()) {
+        if (mProcessState.acceptsInput()) {
             mInputs.add(input);
         }
     }
@@ -100,7 +100,7 @@
     /** Runs a tick if the process runs and one is due. */
     List<Output> tickIfDue(long nowMs) {
         boolean due = !mInputs.isEmpty() || nowMs - mLastTickMs >= TICK_MS;
-        if (!mCondition.runs() || !due) {
+        if (!mProcessState.isRunning() || !due) {
             return List.of();
         }
         mLastTickMs = nowMs;
--- a/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualNetwork.java
+++ b/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualNetwork.java
@@ -6,7 +6,7 @@
 
 /** Links between entries: latency, loss, doubling and cuts, from one seeded source. */
 public final class VirtualNetwork {
-    private final Timeline mTimeline;
+    private final VirtualClock mClock;
     private final Random mRandom;
     private final Set<Link> mCut = new HashSet<>();
     private int mLatencyMs = 1;
@@ -17,8 +17,8 @@
 
     private record Link(String from, String to) {}
 
-    VirtualNetwork(Timeline timeline, Random random) {
-        mTimeline = timeline;
+    VirtualNetwork(VirtualClock clock, Random random) {
+        mClock = clock;
         mRandom = random;
     }
 
@@ -32,7 +32,7 @@
     }
 
     /** Mends all links. */
-    public void mendAll() {
+    public void restoreAllLinks() {
         mCut.clear();
     }
 
@@ -44,7 +44,7 @@
      * @param loss part of the messages that are lost, 0 to 1
      * @param doubling part of the messages that arrive twice, 0 to 1
      */
-    public void setBehaviour(int latencyMs, int jitterMs, double loss, double doubling) {
+    public void setLinkBehaviour(int latencyMs, int jitterMs, double loss, double doubling) {
         mLatencyMs = latencyMs;
         mJitterMs = jitterMs;
         mLoss = loss;
@@ -52,24 +52,24 @@
     }
 
     /** Returns how many messages have been sent. */
-    public long messages() {
+    public long messageCount() {
         return mMessages;
     }
 
     /** Returns whether messages get from one entry to another. */
-    public boolean connects(String from, String to) {
+    public boolean isConnected(String from, String to) {
         return !mCut.contains(new Link(from, to));
     }
 
     void send(String from, String to, Runnable delivery) {
         mMessages++;
-        if (!connects(from, to) || mRandom.nextDouble() < mLoss) {
+        if (!isConnected(from, to) || mRandom.nextDouble() < mLoss) {
             return;
         }
         int copies = mRandom.nextDouble() < mDoubling ? 2 : 1;
         for (int i = 0; i < copies; i++) {
             int jitter = mJitterMs == 0 ? 0 : mRandom.nextInt(mJitterMs + 1);
-            mTimeline.after(mLatencyMs + jitter, delivery);
+            mClock.after(mLatencyMs + jitter, delivery);
         }
     }
 }
--- a/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualPlatform.java
+++ b/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualPlatform.java
@@ -20,7 +20,7 @@
     private static final int LATENCY_MS = 2;
     private static final int TIMEOUT_MS = 2_000;
 
-    private final Timeline mTimeline;
+    private final VirtualClock mClock;
     private final Function<String, VirtualTarget> mTargets;
     private final Map<String, Integer> mBoots = new LinkedHashMap<>();
     private final Map<String, String> mTokens = new LinkedHashMap<>();
@@ -31,13 +31,13 @@
     private int mRebootMs = 5_000;
     private boolean mLosesAnswers;
 
-    VirtualPlatform(Timeline timeline, Function<String, VirtualTarget> targets) {
-        mTimeline = timeline;
+    VirtualPlatform(VirtualClock clock, Function<String, VirtualTarget> targets) {
+        mClock = clock;
         mTargets = targets;
     }
 
     /** Adds a target host to the list. */
-    public void add(String host) {
+    public void addHost(String host) {
         mBoots.put(host, 1);
     }
 
@@ -47,35 +47,35 @@
     }
 
     /** Sets whether answers to reboots are lost after they took effect. */
-    public void setLosesAnswers(boolean value) {
+    public void setDropsRebootResponses(boolean value) {
         mLosesAnswers = value;
     }
 
     /** Lets a host not come back from its next reboot. */
-    public void setNeverBack(String host) {
+    public void setFailsNextReboot(String host) {
         mNeverBack.add(host);
     }
 
-    /** Lets a host fail until {@link #restore}. */
-    public void lose(String host) {
+    /** Lets a host fail until {@link #restoreHost}. */
+    public void failHost(String host) {
         mGone.add(host);
         mTargets.apply(host).setFault(TargetFault.UNREACHABLE);
     }
 
     /** Brings a lost host back, booted anew. */
-    public void restore(String host) {
+    public void restoreHost(String host) {
         mGone.remove(host);
         mBoots.merge(host, 1, Integer::sum);
         mTargets.apply(host).setFault(TargetFault.NONE);
     }
 
     /** Returns whether a host is lost or reboots. */
-    public boolean down(String host) {
+    public boolean isDown(String host) {
         return mGone.contains(host);
     }
 
     /** Returns how many times each host was rebooted on demand. */
-    public Map<String, Integer> reboots() {
+    public Map<String, Integer> rebootCounts() {
         return mReboots;
     }
 
@@ -93,13 +93,13 @@
     }
 
     void reboot(RebootHost call, Consumer<Input> receiver) {
-        mTimeline.after(
+        mClock.after(
                 LATENCY_MS,
                 () -> {
                     RebootResult result = carryOut(call);
                     int delayMs = mLosesAnswers ? TIMEOUT_MS : LATENCY_MS;
                     RebootResult shown = mLosesAnswers ? RebootResult.UNKNOWN : result;
-                    mTimeline.after(
+                    mClock.after(
                             delayMs,
                             () ->
                                     receiver.accept(
@@ -116,14 +116,15 @@
             return RebootResult.MISMATCH;
         }
         VirtualTarget target = mTargets.apply(host);
-        if (target.running() > 0) {
-            mViolations.add(host + " rebooted with " + target.running() + " requests running");
+        if (target.runningRequests() > 0) {
+            mViolations.add(
+                    host + " rebooted with " + target.runningRequests() + " requests running");
         }
         mTokens.put(host, call.token());
         mReboots.merge(host, 1, Integer::sum);
-        lose(host);
+        failHost(host);
         if (!mNeverBack.remove(host)) {
-            mTimeline.after(mRebootMs, () -> restore(host));
+            mClock.after(mRebootMs, () -> restoreHost(host));
         }
         return RebootResult.ACCEPTED;
     }
--- a/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualRequest.java
+++ b/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualRequest.java
@@ -69,22 +69,22 @@
     }
 
     /** Returns how many times a target ran it. */
-    public int runs() {
+    public int runCount() {
         return mRuns;
     }
 
     /** Returns whether its caller has the whole answer. */
-    public boolean answered() {
+    public boolean isAnswered() {
         return mAnswered;
     }
 
     /** Returns whether its caller has seen an answer that broke off. */
-    public boolean cutShort() {
+    public boolean isTruncated() {
         return mCutShort;
     }
 
     /** Returns whether its caller went away. */
-    public boolean cancelled() {
+    public boolean isCancelled() {
         return mCancelled;
     }
 
@@ -94,11 +94,11 @@
     }
 
     /** Returns whether its caller waits for nothing more. */
-    public boolean over() {
+    public boolean isFinished() {
         return mEndedMs >= 0;
     }
 
-    void ran(long nowMs) {
+    void recordRun(long nowMs) {
         mRuns++;
         mLastRunMs = nowMs;
         mStartedMs = mStartedMs < 0 ? nowMs : mStartedMs;
@@ -109,7 +109,7 @@
         mEndedMs = nowMs;
     }
 
-    void cutShort(long nowMs) {
+    void truncate(long nowMs) {
         mCutShort = true;
         mEndedMs = nowMs;
     }
--- a/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualSite.java
+++ b/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualSite.java
@@ -43,11 +43,11 @@
     private static final int TARGET_LATENCY_MS = 1;
     private static final int LIST_INTERVAL_MS = 1_000;
 
-    private final Timeline mTimeline = new Timeline(START_MS);
+    private final VirtualClock mClock = new VirtualClock(START_MS);
     private final Random mRandom;
     private final VirtualNetwork mNetwork;
-    private final VirtualStore mStore = new VirtualStore(mTimeline);
-    private final VirtualPlatform mPlatform = new VirtualPlatform(mTimeline, this::target);
+    private final VirtualStore mStore = new VirtualStore(mClock);
+    private final VirtualPlatform mPlatform = new VirtualPlatform(mClock, this::target);
     private final Map<Long, ReplyToWave> mWaveAnswers = new LinkedHashMap<>();
     private final Map<String, VirtualEntry> mEntries = new LinkedHashMap<>();
     private final Map<String, VirtualTarget> mTargets = new LinkedHashMap<>();
@@ -63,7 +63,7 @@
 
     private VirtualSite(long seed, ControlSettings settings) {
         mRandom = new Random(seed);
-        mNetwork = new VirtualNetwork(mTimeline, mRandom);
+        mNetwork = new VirtualNetwork(mClock, mRandom);
         mSettings = settings;
     }
 
@@ -74,12 +74,12 @@
 
     /** Returns the virtual time in milliseconds. */
     public long nowMs() {
-        return mTimeline.nowMs();
+        return mClock.nowMs();
     }
 
     /** Returns the tasks to come. */
-    public Timeline timeline() {
-        return mTimeline;
+    public VirtualClock clock() {
+        return mClock;
     }
 
     /** Returns the site's one source of chance. */
@@ -108,7 +108,7 @@
     }
 
     /** Returns the answers to release notes by call. */
-    public Map<Long, ReplyToNote> noteAnswers() {
+    public Map<Long, ReplyToNote> noteReplies() {
         return mNoteAnswers;
     }
 
@@ -133,27 +133,27 @@
     }
 
     /** Shows every entry the platform's list once a second, as it was some time before. */
-    public void listHosts(int lagMs) {
+    public void startHostListUpdates(int lagMs) {
         List<PlatformHost> hosts = new ArrayList<>(mPlatform.hosts());
         for (VirtualEntry entry : mEntries.values()) {
-            if (entry.condition() != EntryCondition.DEAD) {
+            if (entry.processState() != ProcessState.DEAD) {
                 String bootId = Long.toString(entry.identity().incarnation());
                 hosts.add(new PlatformHost(entry.id(), false, bootId));
             }
         }
-        mTimeline.after(lagMs, () -> showHosts(hosts));
-        mTimeline.after(LIST_INTERVAL_MS, () -> listHosts(lagMs));
+        mClock.after(lagMs, () -> publishHosts(hosts));
+        mClock.after(LIST_INTERVAL_MS, () -> startHostListUpdates(lagMs));
     }
 
     /** Hands an operator's command about the maintenance wave to an entry; returns the call. */
-    public long wave(String entry, WaveCommand command, List<String> pools) {
+    public long sendWaveCommand(String entry, WaveCommand command, List<String> pools) {
         long callId = ++mIds;
         mEntries.get(entry).receive(new WaveCommandReceived(callId, command, pools));
         return callId;
     }
 
     /** Returns the answers about the maintenance wave by call. */
-    public Map<Long, ReplyToWave> waveAnswers() {
+    public Map<Long, ReplyToWave> waveReplies() {
         return mWaveAnswers;
     }
 
@@ -173,7 +173,7 @@
     }
 
     /** Sets whether messages between entries are encoded to count their bytes. */
-    public void setMeasuresBytes(boolean measures) {
+    public void setCountsMessageBytes(boolean measures) {
         mMeasuresBytes = measures;
     }
 
@@ -188,10 +188,10 @@
 
     /** Ends an entry at once, without a word. */
     public void kill(String id) {
-        mEntries.get(id).setCondition(EntryCondition.DEAD);
+        mEntries.get(id).setProcessState(ProcessState.DEAD);
         mStore.unwatch(id);
         for (VirtualRequest request : mRequests.values()) {
-            if (request.entry().equals(id) && !request.over()) {
+            if (request.entry().equals(id) && !request.isFinished()) {
                 request.cancel(nowMs());
             }
         }
@@ -199,12 +199,12 @@
 
     /** Stops an entry's process for a while; what reaches it waits. */
     public void pause(String id) {
-        mEntries.get(id).setCondition(EntryCondition.PAUSED);
+        mEntries.get(id).setProcessState(ProcessState.PAUSED);
     }
 
     /** Lets a paused entry go on. */
     public void resume(String id) {
-        mEntries.get(id).setCondition(EntryCondition.RUNNING);
+        mEntries.get(id).setProcessState(ProcessState.RUNNING);
     }
 
     /** Asks an entry to finish its work and leave. */
@@ -213,24 +213,24 @@
     }
 
     /** Gives every running entry the platform's list of hosts. */
-    public void showHosts(List<PlatformHost> hosts) {
+    public void publishHosts(List<PlatformHost> hosts) {
         mEntries.values().forEach(e -> e.receive(new HostListRead(hosts)));
     }
 
     /** Hands a release note to an entry and returns the id of the call. */
-    public long submit(String entry, ReleaseNote note) {
+    public long submitNote(String entry, ReleaseNote note) {
         long callId = ++mIds;
         mEntries.get(entry).receive(new NoteSubmitted(callId, note, nowMs()));
         return callId;
     }
 
     /** Hands a request to an entry, as a caller of a team whose secret is its own name. */
-    public VirtualRequest call(String entry, String queue, String team, int runMs) {
-        return call(entry, queue, team, runMs, true, "");
+    public VirtualRequest sendRequest(String entry, String queue, String team, int runMs) {
+        return sendRequest(entry, queue, team, runMs, true, "");
     }
 
     /** Hands a request to an entry, with what decides whether it may run again. */
-    public VirtualRequest call(
+    public VirtualRequest sendRequest(
             String entry,
             String queue,
             String team,
@@ -248,7 +248,7 @@
                         Capacity.NONE);
         VirtualRequest request = new VirtualRequest(entry, arrival, team, runMs, nowMs());
         mRequests.put(arrival.requestId(), request);
-        if (mEntries.get(entry).condition() == EntryCondition.DEAD) {
+        if (mEntries.get(entry).processState() == ProcessState.DEAD) {
             request.cancel(nowMs());
         } else {
             mEntries.get(entry).receive(arrival);
@@ -258,7 +258,7 @@
 
     /** Lets the caller of a request go away. */
     public void cancel(VirtualRequest request) {
-        if (request.over()) {
+        if (request.isFinished()) {
             return;
         }
         request.cancel(nowMs());
@@ -277,7 +277,7 @@
     public void run(long ms) {
         long end = nowMs() + ms;
         while (nowMs() < end) {
-            mTimeline.advance();
+            mClock.advance();
             for (VirtualEntry entry : List.copyOf(mEntries.values())) {
                 mBeforeTick.accept(entry);
                 entry.tickIfDue(nowMs()).forEach(o -> carryOut(entry, o));
@@ -288,10 +288,10 @@
 
     private void carryOut(VirtualEntry entry, Output output) {
         if (output instanceof Output.ReadRecord read) {
-            entry.addStoreCall();
+            entry.recordStoreCall();
             mStore.read(entry.id(), read, entry::receive);
         } else if (output instanceof Output.SwapRecord swap) {
-            entry.addStoreCall();
+            entry.recordStoreCall();
             mStore.swap(entry.id(), swap, entry::receive);
         } else if (output instanceof SendPeerMessage send) {
             sendPeer(entry, send);
@@ -299,7 +299,7 @@
             startAttempt(entry, start);
         } else if (output instanceof Output.RefuseRequest refuse) {
             VirtualRequest request = mRequests.get(refuse.requestId());
-            if (!request.over()) {
+            if (!request.isFinished()) {
                 request.refuse(refuse.refusal(), nowMs());
             }
         } else if (output instanceof Output.ReadFleetRecords read) {
@@ -315,21 +315,21 @@
         } else if (output instanceof Output.LogEvent log) {
             mEvents.add(nowMs() - START_MS + " " + entry.id() + " " + log.event());
         } else if (output instanceof Output.ShutdownDone) {
-            entry.setCondition(EntryCondition.DEAD);
+            entry.setProcessState(ProcessState.DEAD);
             mStore.unwatch(entry.id());
         }
     }
 
     private void sendPeer(VirtualEntry from, SendPeerMessage send) {
         if (mMeasuresBytes) {
-            from.addSent(PeerCodec.encode(send.message()).length);
+            from.recordSentMessage(PeerCodec.encode(send.message()).length);
         }
         mNetwork.send(
                 from.id(),
                 send.memberId(),
                 () -> {
                     VirtualEntry to = mEntries.get(send.memberId());
-                    if (to == null || to.condition() == EntryCondition.DEAD) {
+                    if (to == null || to.processState() == ProcessState.DEAD) {
                         from.receive(
                                 new PeerConnectionRefused(
                                         send.memberId(), send.message().toIncarnation()));
@@ -342,49 +342,49 @@
     private void startAttempt(VirtualEntry entry, StartAttempt start) {
         VirtualTarget target = target(start.host());
         VirtualRequest request = mRequests.get(start.requestId());
-        if (request.cancelled()) {
+        if (request.isCancelled()) {
             entry.receive(
                     new AttemptEnded(start.requestId(), start.attempt(), AttemptOutcome.CANCELLED));
             return;
         }
         VirtualTarget.RunKey key =
                 new VirtualTarget.RunKey(entry.id(), start.requestId(), start.attempt());
-        mTimeline.after(
+        mClock.after(
                 TARGET_LATENCY_MS,
                 () -> {
                     TargetFault fault = target.fault();
-                    if (!fault.runs()) {
+                    if (!fault.runsRequests()) {
                         entry.receive(
                                 new AttemptEnded(
                                         start.requestId(), start.attempt(), fault.outcome()));
                         return;
                     }
-                    request.ran(nowMs());
-                    target.begin(key, request.team(), nowMs());
-                    long durationMs = Math.max(1, (long) (request.runMs() * fault.duration()));
-                    mTimeline.after(durationMs, () -> target.end(key));
+                    request.recordRun(nowMs());
+                    target.startRun(key, request.team(), nowMs());
+                    long durationMs = Math.max(1, (long) (request.runMs() * fault.runTimeFactor()));
+                    mClock.after(durationMs, () -> target.endRun(key));
                     long answerMs = durationMs + TARGET_LATENCY_MS;
                     if (answerMs > start.runLimitMs()) {
-                        mTimeline.after(start.runLimitMs(), () -> timeOut(entry, request, start));
-                        mTimeline.after(
+                        mClock.after(start.runLimitMs(), () -> timeOut(entry, request, start));
+                        mClock.after(
                                 Math.min(answerMs, start.longestRunMs()),
                                 () -> finishAbandoned(entry, start));
                     } else {
-                        mTimeline.after(
+                        mClock.after(
                                 answerMs, () -> deliver(entry, request, start, fault.outcome()));
                     }
                 });
     }
 
     private void timeOut(VirtualEntry entry, VirtualRequest request, StartAttempt start) {
-        if (entry.condition() != EntryCondition.DEAD && !request.cancelled()) {
+        if (entry.processState() != ProcessState.DEAD && !request.isCancelled()) {
             entry.receive(
                     new AttemptEnded(start.requestId(), start.attempt(), AttemptOutcome.TIMED_OUT));
         }
     }
 
     private void finishAbandoned(VirtualEntry entry, StartAttempt start) {
-        if (entry.condition() != EntryCondition.DEAD) {
+        if (entry.processState() != ProcessState.DEAD) {
             entry.receive(new TargetFinished(start.requestId(), start.attempt()));
         }
     }
@@ -394,17 +394,17 @@
             VirtualRequest request,
             StartAttempt start,
             AttemptOutcome outcome) {
-        if (entry.condition() == EntryCondition.DEAD) {
+        if (entry.processState() == ProcessState.DEAD) {
             return;
         }
-        if (request.cancelled()) {
+        if (request.isCancelled()) {
             entry.receive(new TargetFinished(start.requestId(), start.attempt()));
             return;
         }
-        if (!request.over() && outcome.hasResponse()) {
+        if (!request.isFinished() && outcome.hasResponse()) {
             request.answer(nowMs());
-        } else if (!request.over() && outcome == AttemptOutcome.TRUNCATED) {
-            request.cutShort(nowMs());
+        } else if (!request.isFinished() && outcome == AttemptOutcome.TRUNCATED) {
+            request.truncate(nowMs());
         }
         entry.receive(new AttemptEnded(start.requestId(), start.attempt(), outcome));
     }
--- a/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualStore.java
+++ b/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualStore.java
@@ -28,7 +28,7 @@
     private static final int LATENCY_MS = 2;
     private static final int TIMEOUT_MS = 2_000;
 
-    private final Timeline mTimeline;
+    private final VirtualClock mClock;
     private final Map<RecordKey, VersionedRecord> mRecords = new LinkedHashMap<>();
     private final Map<String, Consumer<Input>> mWatchers = new LinkedHashMap<>();
     private final Set<String> mCutOff = new HashSet<>();
@@ -38,8 +38,8 @@
     private long mReads;
     private long mWrites;
 
-    VirtualStore(Timeline timeline) {
-        mTimeline = timeline;
+    VirtualStore(VirtualClock clock) {
+        mClock = clock;
     }
 
     /** Sets how the store misbehaves from now on. */
@@ -79,7 +79,7 @@
     /** Gives an entry every record that is watched, and each later change. */
     void watch(String entry, Consumer<Input> receiver) {
         mWatchers.put(entry, receiver);
-        mRecords.forEach((k, r) -> show(entry, receiver, k, r));
+        mRecords.forEach((k, r) -> notifyWatcher(entry, receiver, k, r));
     }
 
     void unwatch(String entry) {
@@ -89,7 +89,7 @@
     void read(String entry, ReadRecord read, Consumer<Input> receiver) {
         mReads++;
         Input failed = new StoreFailed(read.callId());
-        reach(
+        callStore(
                 entry,
                 () -> new RecordRead(read.callId(), read.key(), find(read.key())),
                 failed,
@@ -99,10 +99,10 @@
     void readFleet(String entry, ReadFleetRecords read, Consumer<Input> receiver) {
         mReads++;
         Input failed = new StoreFailed(read.callId());
-        reach(entry, () -> changes(read), failed, receiver);
+        callStore(entry, () -> fleetChanges(read), failed, receiver);
     }
 
-    private Input changes(ReadFleetRecords read) {
+    private Input fleetChanges(ReadFleetRecords read) {
         List<FleetRecord> found = new ArrayList<>();
         mRecords.forEach(
                 (key, record) -> {
@@ -116,22 +116,22 @@
     void swap(String entry, SwapRecord swap, Consumer<Input> receiver) {
         mWrites++;
         Input failed = new RecordSwapped(swap.callId(), swap.key(), SwapResult.UNKNOWN);
-        reach(entry, () -> apply(swap), failed, receiver);
+        callStore(entry, () -> apply(swap), failed, receiver);
     }
 
-    private void reach(
+    private void callStore(
             String entry,
             java.util.function.Supplier<Input> call,
             Input failed,
             Consumer<Input> receiver) {
-        mTimeline.after(
+        mClock.after(
                 LATENCY_MS,
                 () -> {
-                    boolean acts = mFault.acts() && !mCutOff.contains(entry);
+                    boolean acts = mFault.appliesCalls() && !mCutOff.contains(entry);
                     Input answer = acts ? call.get() : failed;
-                    boolean answers = acts && mFault.answers();
+                    boolean answers = acts && mFault.sendsResponses();
                     int delayMs = answers ? LATENCY_MS + mFault.delayMs() : TIMEOUT_MS;
-                    mTimeline.after(delayMs, () -> receiver.accept(answers ? answer : failed));
+                    mClock.after(delayMs, () -> receiver.accept(answers ? answer : failed));
                 });
     }
 
@@ -143,17 +143,17 @@
         VersionedRecord written = new VersionedRecord(++mVersion, swap.value());
         mRecords.put(swap.key(), written);
         List<Map.Entry<String, Consumer<Input>>> watchers = new ArrayList<>(mWatchers.entrySet());
-        watchers.forEach(w -> show(w.getKey(), w.getValue(), swap.key(), written));
+        watchers.forEach(w -> notifyWatcher(w.getKey(), w.getValue(), swap.key(), written));
         return new RecordSwapped(swap.callId(), swap.key(), SwapResult.SWAPPED);
     }
 
-    private void show(
+    private void notifyWatcher(
             String entry, Consumer<Input> receiver, RecordKey key, VersionedRecord record) {
         if (key.kind().isFleet()) {
             return;
         }
-        if (mFault.shows() && !mWatchesFrozen && !mCutOff.contains(entry)) {
-            mTimeline.after(
+        if (mFault.notifiesWatches() && !mWatchesFrozen && !mCutOff.contains(entry)) {
+            mClock.after(
                     LATENCY_MS + mFault.delayMs(),
                     () -> receiver.accept(new RecordWatched(key, record)));
         }
--- a/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualTarget.java
+++ b/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualTarget.java
@@ -34,37 +34,37 @@
     }
 
     /** Returns how many requests are running. */
-    public int running() {
+    public int runningRequests() {
         return mRunning.size();
     }
 
     /** Returns how many requests of a team are running. */
-    public int running(String team) {
+    public int runningRequests(String team) {
         return (int) mRunning.values().stream().filter(team::equals).count();
     }
 
     /** Returns whether requests that an entry started are running. */
-    public boolean runsFor(String entry) {
+    public boolean isRunningFor(String entry) {
         return mRunning.keySet().stream().anyMatch(k -> k.entry().equals(entry));
     }
 
     /** Returns the most requests that were running at a time. */
-    public int mostRunning() {
+    public int maxConcurrentRequests() {
         return mMostRunning;
     }
 
     /** Returns when the last run began, in virtual milliseconds, -1 if none has. */
-    public long lastBeginMs() {
+    public long lastStartMs() {
         return mLastBeginMs;
     }
 
-    void begin(RunKey key, String team, long nowMs) {
+    void startRun(RunKey key, String team, long nowMs) {
         mLastBeginMs = nowMs;
         mRunning.put(key, team);
         mMostRunning = Math.max(mMostRunning, mRunning.size());
     }
 
-    void end(RunKey key) {
+    void endRun(RunKey key) {
         mRunning.remove(key);
     }
 }
--- a/standin/src/test/java/org/hibiscususher/standin/golden/Recorder.java
+++ b/standin/src/test/java/org/hibiscususher/standin/golden/Recorder.java
@@ -32,9 +32,9 @@
     private int mRequests;
 
     Recorder() {
-        HOSTS.forEach(mSite.platform()::add);
+        HOSTS.forEach(mSite.platform()::addHost);
         mSite.platform().setRebootMs(REBOOT_MS);
-        mSite.listHosts(LIST_LAG_MS);
+        mSite.startHostListUpdates(LIST_LAG_MS);
         for (String entry : List.of("e1", "e2", "e3")) {
             mSite.start(entry, "z" + entry.substring(1));
         }
@@ -56,11 +56,11 @@
                   queues: [{name: lookups, pool: parts}, {name: letters, pool: office}]
                 """
                         .formatted(KeyDigest.ofSecret("fitters").toHex());
-        mSite.submit("e1", NoteReader.read("opening", note).note());
+        mSite.submitNote("e1", NoteReader.read("opening", note).note());
         mSite.run(1_000);
         mStartMs = mSite.nowMs();
         mEvents = mSite.events().size();
-        mCalls.addAll(mSite.noteAnswers().keySet());
+        mCalls.addAll(mSite.noteReplies().keySet());
     }
 
     String text() {
@@ -106,19 +106,19 @@
         line("operator sends note " + parsed.note().id() + " to " + entry);
         parsed.findings().forEach(f -> line("  " + f));
         if (parsed.findings().isEmpty()) {
-            mSite.submit(entry, parsed.note());
+            mSite.submitNote(entry, parsed.note());
         }
     }
 
     void call(String entry, String queue, String team, int runMs) {
         String name = "request " + ++mRequests;
         line(name + " of " + team + " to " + queue + " through " + entry);
-        mOpen.put(mSite.call(entry, queue, team, runMs), name);
+        mOpen.put(mSite.sendRequest(entry, queue, team, runMs), name);
     }
 
     void wave(String entry, WaveCommand command, String... pools) {
         line("operator says " + command + " to " + entry);
-        mSite.wave(entry, command, List.of(pools));
+        mSite.sendWaveCommand(entry, command, List.of(pools));
     }
 
     /** Lets time pass and writes down what is seen. */
@@ -134,7 +134,7 @@
             String event = mSite.events().get(mEvents);
             line(event.substring(event.indexOf(' ') + 1));
         }
-        for (Map.Entry<Long, ReplyToNote> answer : mSite.noteAnswers().entrySet()) {
+        for (Map.Entry<Long, ReplyToNote> answer : mSite.noteReplies().entrySet()) {
             if (!mCalls.contains(answer.getKey())) {
                 mCalls.add(answer.getKey());
                 ReplyToNote a = answer.getValue();
@@ -142,22 +142,25 @@
                 a.findings().forEach(f -> line("  " + f));
             }
         }
-        for (Map.Entry<Long, ReplyToWave> answer : mSite.waveAnswers().entrySet()) {
+        for (Map.Entry<Long, ReplyToWave> answer : mSite.waveReplies().entrySet()) {
             if (!mCalls.contains(answer.getKey())) {
                 mCalls.add(answer.getKey());
                 line("answer: " + answer.getValue().report());
             }
         }
         for (VirtualRequest request : List.copyOf(mOpen.keySet())) {
-            if (request.over()) {
+            if (request.isFinished()) {
                 line(mOpen.remove(request) + ": " + outcome(request));
             }
         }
     }
 
     private static String outcome(VirtualRequest request) {
-        if (request.answered()) {
-            return "answered, ran " + request.runs() + " time" + (request.runs() == 1 ? "" : "s");
+        if (request.isAnswered()) {
+            return "answered, ran "
+                    + request.runCount()
+                    + " time"
+                    + (request.runCount() == 1 ? "" : "s");
         }
         return request.refusal()
                 .map(r -> "refused " + r.code() + ", " + r.executionStatus().code())
--- a/standin/src/test/java/org/hibiscususher/standin/maintenance/MaintenanceSite.java
+++ b/standin/src/test/java/org/hibiscususher/standin/maintenance/MaintenanceSite.java
@@ -22,7 +22,7 @@
 import org.hibiscususher.core.message.WaveState;
 import org.hibiscususher.core.world.ControlSettings;
 import org.hibiscususher.core.world.HoldingRow;
-import org.hibiscususher.standin.virtual.EntryCondition;
+import org.hibiscususher.standin.virtual.ProcessState;
 import org.hibiscususher.standin.virtual.VirtualEntry;
 import org.hibiscususher.standin.virtual.VirtualRequest;
 import org.hibiscususher.standin.virtual.VirtualSite;
@@ -63,13 +63,13 @@
     /** Returns the calls whose callers saw no whole answer, though their target was not lost. */
     List<VirtualRequest> cut() {
         return mCalls.stream()
-                .filter(r -> r.over() && !r.answered() && !r.cancelled())
-                .filter(r -> r.refusal().isEmpty() || r.runs() > 0)
+                .filter(r -> r.isFinished() && !r.isAnswered() && !r.isCancelled())
+                .filter(r -> r.refusal().isEmpty() || r.runCount() > 0)
                 .toList();
     }
 
     long answered() {
-        return mCalls.stream().filter(VirtualRequest::answered).count();
+        return mCalls.stream().filter(VirtualRequest::isAnswered).count();
     }
 
     void setLoaded(boolean value) {
@@ -79,9 +79,9 @@
     void apply(String text) {
         ParsedNote parsed = NoteReader.read("note", text);
         assertThat(parsed.findings()).isEmpty();
-        long call = mSite.submit("e1", parsed.note());
+        long call = mSite.submitNote("e1", parsed.note());
         mSite.run(1_500);
-        assertThat(mSite.noteAnswers().get(call).result()).isEqualTo(NoteResult.ACCEPTED);
+        assertThat(mSite.noteReplies().get(call).result()).isEqualTo(NoteResult.ACCEPTED);
     }
 
     /** Opens pools a and b of some hosts each, over three zones, with a budget of 2 and 1. */
@@ -90,7 +90,7 @@
         for (String pool : List.of("a", "b")) {
             for (int i = 1; i <= hostsPerPool; i++) {
                 String id = pool + i;
-                mSite.platform().add(id);
+                mSite.platform().addHost(id);
                 hosts.append(hostLine(id, i, pool));
             }
         }
@@ -110,7 +110,7 @@
                     - {name: qb, pool: b, run limit ms: 6000}
                 """
                         .formatted(hosts, KeyDigest.ofSecret("fitters").toHex()));
-        mSite.listHosts(LIST_LAG_MS);
+        mSite.startHostListUpdates(LIST_LAG_MS);
     }
 
     static String hostLine(String id, int i, String pool) {
@@ -123,7 +123,7 @@
         for (long end = mSite.nowMs() + ms; mSite.nowMs() < end; ) {
             if (mLoaded) {
                 for (VirtualEntry entry : mSite.entries().values()) {
-                    if (entry.condition() == EntryCondition.RUNNING) {
+                    if (entry.processState() == ProcessState.RUNNING) {
                         mCalls.add(call(entry, "qa"));
                         mCalls.add(call(entry, "qb"));
                     }
@@ -134,7 +134,7 @@
     }
 
     private VirtualRequest call(VirtualEntry entry, String queue) {
-        return mSite.call(entry.id(), queue, "fitters", runMs());
+        return mSite.sendRequest(entry.id(), queue, "fitters", runMs());
     }
 
     /** Returns a run time: mostly short, now and then several seconds. */
@@ -143,9 +143,9 @@
     }
 
     long startWave() {
-        mSite.wave("e1", WaveCommand.PLAN, List.of());
+        mSite.sendWaveCommand("e1", WaveCommand.PLAN, List.of());
         run(500);
-        long call = mSite.wave("e1", WaveCommand.START, List.of());
+        long call = mSite.sendWaveCommand("e1", WaveCommand.START, List.of());
         run(500);
         return call;
     }
@@ -181,7 +181,7 @@
             String host = spec.id();
             String pool = poolOf(host);
             Optional<Outage> outage = outage(pool, host);
-            boolean down = mSite.platform().down(host);
+            boolean down = mSite.platform().isDown(host);
             if (outage.isPresent() || down) {
                 out.computeIfAbsent(pool, p -> new ArrayList<>()).add(spec.zone());
             }
@@ -225,7 +225,7 @@
 
     private void checkIdle(String host, Optional<Outage> outage) {
         VirtualTarget target = mSite.target(host);
-        if (outage.filter(Outage::idle).isPresent() && target.running() > 0) {
+        if (outage.filter(Outage::idle).isPresent() && target.runningRequests() > 0) {
             mViolations.add(host + " runs work while it is out");
         }
         if (outage.isEmpty()) {
@@ -239,7 +239,7 @@
     private void checkPools(String host) {
         String seen = "";
         for (VirtualEntry entry : mSite.entries().values()) {
-            if (!entry.condition().equals(EntryCondition.DEAD)) {
+            if (!entry.processState().equals(ProcessState.DEAD)) {
                 for (HoldingRow row : entry.world().holdings().rows()) {
                     boolean slot = row.key().kind() == PermitKind.SLOT;
                     if (slot && row.key().name().equals(host) && row.inUse() > 0) {
--- a/standin/src/test/java/org/hibiscususher/standin/maintenance/MaintenanceTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/maintenance/MaintenanceTest.java
@@ -46,7 +46,7 @@
             mSite.run(3_000);
             assertThat(mSite.poolOf("a1")).isEqualTo("b");
             assertThat(mSite.cut()).isEmpty();
-            long before = mSite.site().target("a1").mostRunning();
+            long before = mSite.site().target("a1").maxConcurrentRequests();
             assertThat(before).isPositive();
         }
 
@@ -122,24 +122,24 @@
 
         @Test
         void settleLostAnswers() {
-            mSite.site().platform().setLosesAnswers(true);
+            mSite.site().platform().setDropsRebootResponses(true);
             mSite.startWave();
             mSite.run(12_000);
             mSite.site().store().setFault(StoreFault.LOSES_ANSWERS);
             mSite.run(8_000);
             mSite.site().store().setFault(StoreFault.NONE);
-            mSite.site().platform().setLosesAnswers(false);
+            mSite.site().platform().setDropsRebootResponses(false);
             mSite.runWave(WAVE_LIMIT_MS);
             assertDone();
         }
 
         @Test
         void countHostsThatAreLostAlready() {
-            mSite.site().platform().lose("a1");
+            mSite.site().platform().failHost("a1");
             mSite.run(5_000);
             mSite.startWave();
             mSite.run(30_000);
-            mSite.site().platform().restore("a1");
+            mSite.site().platform().restoreHost("a1");
             mSite.runWave(WAVE_LIMIT_MS);
             assertDone();
         }
@@ -147,31 +147,31 @@
         @Test
         void pauseWhenHostsDoNotComeBack() {
             for (int i = 1; i <= HOSTS; i++) {
-                mSite.site().platform().setNeverBack("a" + i);
-                mSite.site().platform().setNeverBack("b" + i);
+                mSite.site().platform().setFailsNextReboot("a" + i);
+                mSite.site().platform().setFailsNextReboot("b" + i);
             }
             mSite.startWave();
             mSite.run(140_000);
             assertThat(mSite.wave().orElseThrow().state()).isEqualTo(WaveState.PAUSED);
             assertThat(mSite.wave().orElseThrow().detail()).contains("hosts failed");
-            assertThat(mSite.site().platform().reboots().size()).isLessThan(HOSTS);
+            assertThat(mSite.site().platform().rebootCounts().size()).isLessThan(HOSTS);
         }
 
         @Test
         void takeNoFurtherHostWhilePaused() {
             mSite.startWave();
-            long call = mSite.site().wave("e2", WaveCommand.PAUSE, List.of());
+            long call = mSite.site().sendWaveCommand("e2", WaveCommand.PAUSE, List.of());
             mSite.run(15_000);
-            assertThat(mSite.site().waveAnswers().get(call).report().ok()).isTrue();
-            int before = mSite.site().platform().reboots().size();
+            assertThat(mSite.site().waveReplies().get(call).report().ok()).isTrue();
+            int before = mSite.site().platform().rebootCounts().size();
             mSite.run(15_000);
-            assertThat(mSite.site().platform().reboots().size()).isEqualTo(before);
+            assertThat(mSite.site().platform().rebootCounts().size()).isEqualTo(before);
         }
 
         private void assertDone() {
             assertThat(mSite.wave().orElseThrow().state()).isEqualTo(WaveState.DONE);
-            assertThat(mSite.site().platform().reboots()).hasSize(2 * HOSTS);
-            assertThat(mSite.site().platform().reboots().values()).containsOnly(1);
+            assertThat(mSite.site().platform().rebootCounts()).hasSize(2 * HOSTS);
+            assertThat(mSite.site().platform().rebootCounts().values()).containsOnly(1);
         }
     }
 }
--- a/standin/src/test/java/org/hibiscususher/standin/matrix/Fault.java
+++ b/standin/src/test/java/org/hibiscususher/standin/matrix/Fault.java
@@ -3,7 +3,7 @@
 import java.util.List;
 import org.hibiscususher.core.config.Configuration;
 import org.hibiscususher.standin.store.StoreFault;
-import org.hibiscususher.standin.virtual.EntryCondition;
+import org.hibiscususher.standin.virtual.ProcessState;
 import org.hibiscususher.standin.virtual.TargetFault;
 import org.hibiscususher.standin.virtual.VirtualEntry;
 import org.hibiscususher.standin.virtual.VirtualRequest;
@@ -23,14 +23,14 @@
         @Override
         void inject(Scene scene, String entry) {
             scene.kill(entry);
-            scene.site().timeline().after(RESTART_MS, () -> scene.restart(entry));
+            scene.site().clock().after(RESTART_MS, () -> scene.restart(entry));
         }
     },
     /** The entry's process is stopped past every lease and goes on. */
     PAUSED {
         @Override
         void inject(Scene scene, String entry) {
-            if (scene.entry(entry).condition() == EntryCondition.RUNNING) {
+            if (scene.entry(entry).processState() == ProcessState.RUNNING) {
                 scene.site().pause(entry);
             }
         }
@@ -62,7 +62,7 @@
     MESSAGES_UNRELIABLE {
         @Override
         void inject(Scene scene, String entry) {
-            scene.site().network().setBehaviour(1, 40, 0.3, 0.3);
+            scene.site().network().setLinkBehaviour(1, 40, 0.3, 0.3);
         }
     },
     /** The store does nothing. */
@@ -111,21 +111,21 @@
     TARGETS_CLOSING {
         @Override
         void inject(Scene scene, String entry) {
-            scene.breakTargets(TargetFault.CLOSING);
+            scene.breakTargets(TargetFault.DECLINING);
         }
     },
     /** Half of the targets fail all that they start. */
     TARGETS_FAILING {
         @Override
         void inject(Scene scene, String entry) {
-            scene.breakTargets(TargetFault.FAILING);
+            scene.breakTargets(TargetFault.BROKEN_CONNECTION);
         }
     },
     /** Half of the targets cut their answers short. */
     TARGETS_CUTTING_SHORT {
         @Override
         void inject(Scene scene, String entry) {
-            scene.breakTargets(TargetFault.SHORT_BODY);
+            scene.breakTargets(TargetFault.TRUNCATED_RESPONSE);
         }
     },
     /** Half of the targets are slow; some answers come after the run limit. */
@@ -142,7 +142,7 @@
             VirtualSite site = scene.site();
             List<VirtualRequest> open =
                     site.requests().values().stream()
-                            .filter(r -> !r.over())
+                            .filter(r -> !r.isFinished())
                             .filter(r -> scene.alive(r.entry()))
                             .toList();
             open.forEach(site::cancel);
@@ -166,7 +166,7 @@
             for (VirtualEntry lost : List.copyOf(scene.site().entries().values())) {
                 if (lost.identity().zone().equals(zone)) {
                     scene.kill(lost.id());
-                    scene.site().timeline().after(ZONE_MS, () -> scene.restart(lost.id()));
+                    scene.site().clock().after(ZONE_MS, () -> scene.restart(lost.id()));
                 }
             }
             scene.hostsOf(zone)
--- a/standin/src/test/java/org/hibiscususher/standin/matrix/Promise.java
+++ b/standin/src/test/java/org/hibiscususher/standin/matrix/Promise.java
@@ -11,7 +11,7 @@
 import org.hibiscususher.core.message.PermitKey;
 import org.hibiscususher.core.message.PermitKind;
 import org.hibiscususher.core.world.HoldingRow;
-import org.hibiscususher.standin.virtual.EntryCondition;
+import org.hibiscususher.standin.virtual.ProcessState;
 import org.hibiscususher.standin.virtual.VirtualEntry;
 import org.hibiscususher.standin.virtual.VirtualRequest;
 
@@ -36,8 +36,8 @@
         @Override
         Optional<String> violation(Scene scene) {
             return scene.site().targets().values().stream()
-                    .filter(t -> t.running() > Scene.SLOTS)
-                    .map(t -> t.id() + " runs " + t.running())
+                    .filter(t -> t.runningRequests() > Scene.SLOTS)
+                    .map(t -> t.id() + " runs " + t.runningRequests())
                     .findFirst();
         }
     },
@@ -52,8 +52,8 @@
                     if (key.kind() != PermitKind.SLOT || row.inUse() == 0) {
                         continue;
                     }
-                    boolean ended = entry.condition() == EntryCondition.DEAD;
-                    if (ended && !scene.site().target(key.name()).runsFor(entry.id())) {
+                    boolean ended = entry.processState() == ProcessState.DEAD;
+                    if (ended && !scene.site().target(key.name()).isRunningFor(entry.id())) {
                         continue;
                     }
                     String other = pools.putIfAbsent(key.name(), key.group());
@@ -70,7 +70,7 @@
         @Override
         Optional<String> violation(Scene scene) {
             return scene.recent()
-                    .filter(r -> r.runs() > 0)
+                    .filter(r -> r.runCount() > 0)
                     .filter(r -> r.team().equals(Scene.STRANGER) || scene.afterWithdrawal(r))
                     .map(r -> "request " + r.arrival().requestId() + " of " + r.team() + " ran")
                     .findFirst();
@@ -81,7 +81,7 @@
         @Override
         Optional<String> violation(Scene scene) {
             return scene.recent()
-                    .filter(r -> r.over() && !r.cancelled())
+                    .filter(r -> r.isFinished() && !r.isCancelled())
                     .filter(r -> r.lastRunMs() > r.endedMs())
                     .map(r -> "request " + r.arrival().requestId() + " ran after its end")
                     .findFirst();
@@ -92,7 +92,7 @@
         @Override
         Optional<String> violation(Scene scene) {
             return scene.recent()
-                    .filter(r -> r.runs() > 0)
+                    .filter(r -> r.runCount() > 0)
                     .filter(
                             r ->
                                     r.refusal()
@@ -101,7 +101,13 @@
                                                             f.executionStatus()
                                                                     == ExecutionStatus.NOT_RUN)
                                             .orElse(false))
-                    .map(r -> "request " + r.arrival().requestId() + " ran " + r.runs() + " times")
+                    .map(
+                            r ->
+                                    "request "
+                                            + r.arrival().requestId()
+                                            + " ran "
+                                            + r.runCount()
+                                            + " times")
                     .findFirst();
         }
     },
@@ -114,7 +120,7 @@
             for (VirtualRequest request : (Iterable<VirtualRequest>) once::iterator) {
                 String id = request.arrival().idempotencyKey();
                 String name = id.isEmpty() ? "#" + request.arrival().requestId() : id;
-                if (runs.merge(name, request.runs(), Integer::sum) > 1) {
+                if (runs.merge(name, request.runCount(), Integer::sum) > 1) {
                     return Optional.of(name + " ran " + runs.get(name) + " times");
                 }
             }
--- a/standin/src/test/java/org/hibiscususher/standin/matrix/Scene.java
+++ b/standin/src/test/java/org/hibiscususher/standin/matrix/Scene.java
@@ -16,7 +16,7 @@
 import org.hibiscususher.core.world.ControlSettings;
 import org.hibiscususher.core.world.HostRow;
 import org.hibiscususher.standin.store.StoreFault;
-import org.hibiscususher.standin.virtual.EntryCondition;
+import org.hibiscususher.standin.virtual.ProcessState;
 import org.hibiscususher.standin.virtual.TargetFault;
 import org.hibiscususher.standin.virtual.VirtualEntry;
 import org.hibiscususher.standin.virtual.VirtualRequest;
@@ -92,7 +92,7 @@
 
     /** Starts the entries, the configuration, the load and the checks. */
     void open() {
-        HOSTS.keySet().stream().sorted().forEach(mSite.platform()::add);
+        HOSTS.keySet().stream().sorted().forEach(mSite.platform()::addHost);
         mSite.platform().setRebootMs(REBOOT_MS);
         for (int i = 1; i <= 4; i++) {
             mSite.start("e" + i, "z" + (i % 2 + 1));
@@ -119,7 +119,7 @@
     }
 
     boolean alive(String id) {
-        return entry(id).condition() == EntryCondition.RUNNING;
+        return entry(id).processState() == ProcessState.RUNNING;
     }
 
     List<String> others(String id) {
@@ -139,13 +139,13 @@
     }
 
     void kill(String id) {
-        if (entry(id).condition() != EntryCondition.DEAD) {
+        if (entry(id).processState() != ProcessState.DEAD) {
             mSite.kill(id);
         }
     }
 
     void restart(String id) {
-        if (entry(id).condition() == EntryCondition.DEAD) {
+        if (entry(id).processState() == ProcessState.DEAD) {
             mSite.start(id, entry(id).identity().zone());
         }
     }
@@ -153,24 +153,24 @@
     void breakTargets(TargetFault fault) {
         HOSTS.keySet().stream()
                 .sorted()
-                .filter(h -> zoneOf(h).equals("z1") && !mSite.platform().down(h))
+                .filter(h -> zoneOf(h).equals("z1") && !mSite.platform().isDown(h))
                 .forEach(h -> mSite.target(h).setFault(fault));
     }
 
     /** Ends every fault that does not end by itself. */
     void mend() {
         mSite.store().setFault(StoreFault.NONE);
-        mSite.network().mendAll();
-        mSite.network().setBehaviour(1, 0, 0, 0);
+        mSite.network().restoreAllLinks();
+        mSite.network().setLinkBehaviour(1, 0, 0, 0);
         mHostListFrozen = false;
         for (VirtualEntry entry : List.copyOf(mSite.entries().values())) {
             mSite.store().setReachable(entry.id(), true);
-            if (entry.condition() == EntryCondition.PAUSED) {
+            if (entry.processState() == ProcessState.PAUSED) {
                 mSite.resume(entry.id());
             }
         }
         mSite.targets().values().stream()
-                .filter(t -> !mSite.platform().down(t.id()))
+                .filter(t -> !mSite.platform().isDown(t.id()))
                 .forEach(t -> t.setFault(TargetFault.NONE));
     }
 
@@ -182,21 +182,23 @@
         if (!mHostListFrozen) {
             mHostList = new ArrayList<>(mSite.platform().hosts());
             for (VirtualEntry entry : mSite.entries().values()) {
-                if (entry.condition() != EntryCondition.DEAD) {
+                if (entry.processState() != ProcessState.DEAD) {
                     String bootId = Long.toString(entry.identity().incarnation());
                     mHostList.add(new PlatformHost(entry.id(), false, bootId));
                 }
             }
         }
-        mSite.showHosts(List.copyOf(mHostList));
-        mSite.timeline().after(HOST_LIST_EVERY_MS, this::showHosts);
+        mSite.publishHosts(List.copyOf(mHostList));
+        mSite.clock().after(HOST_LIST_EVERY_MS, this::showHosts);
     }
 
     /** Plans and starts a wave over all pools. */
     void startWave(String entry) {
-        mSite.wave(entry, WaveCommand.PLAN, List.of("quick", "long"));
-        mSite.timeline()
-                .after(WAVE_START_MS, () -> mSite.wave(entry, WaveCommand.START, List.of()));
+        mSite.sendWaveCommand(entry, WaveCommand.PLAN, List.of("quick", "long"));
+        mSite.clock()
+                .after(
+                        WAVE_START_MS,
+                        () -> mSite.sendWaveCommand(entry, WaveCommand.START, List.of()));
     }
 
     /** Returns the hosts of a pool that a wave has taken down and that are not back. */
@@ -204,7 +206,7 @@
         return HOSTS.keySet().stream()
                 .sorted()
                 .filter(h -> HOSTS.get(h).equals(pool))
-                .filter(mSite.platform()::down)
+                .filter(mSite.platform()::isDown)
                 .toList();
     }
 
@@ -221,7 +223,7 @@
         if (!parsed.findings().isEmpty()) {
             throw new IllegalArgumentException(parsed.findings().toString());
         }
-        mSite.submit(entry, parsed.note());
+        mSite.submitNote(entry, parsed.note());
     }
 
     /** Hands many requests of one team to an entry. */
@@ -237,7 +239,7 @@
     }
 
     int running(String team) {
-        return mSite.targets().values().stream().mapToInt(t -> t.running(team)).sum();
+        return mSite.targets().values().stream().mapToInt(t -> t.runningRequests(team)).sum();
     }
 
     int allowedRunning(String team) {
@@ -253,7 +255,7 @@
     Optional<String> startedOnDrained() {
         for (Map.Entry<String, Long> drained : mDrainedMs.entrySet()) {
             VirtualTarget target = mSite.target(drained.getKey());
-            if (target.lastBeginMs() > drained.getValue() + SECONDS_MS) {
+            if (target.lastStartMs() > drained.getValue() + SECONDS_MS) {
                 return Optional.of(target.id() + " got new work in graceful shutdown");
             }
         }
@@ -267,7 +269,7 @@
     }
 
     long acceptedRevision() {
-        return mSite.noteAnswers().values().stream()
+        return mSite.noteReplies().values().stream()
                 .filter(a -> a.result() == NoteResult.ACCEPTED)
                 .mapToLong(a -> a.revision())
                 .max()
@@ -275,7 +277,8 @@
     }
 
     boolean admits(VirtualEntry entry) {
-        return entry.condition() == EntryCondition.RUNNING && entry.world().node().stage().admits();
+        return entry.processState() == ProcessState.RUNNING
+                && entry.world().node().stage().admits();
     }
 
     private void afterStep() {
@@ -320,7 +323,7 @@
         for (String host : HOSTS.keySet()) {
             boolean drained =
                     mSite.entries().values().stream()
-                            .filter(e -> e.condition() != EntryCondition.DEAD)
+                            .filter(e -> e.processState() != ProcessState.DEAD)
                             .anyMatch(e -> !takesWork(e, host));
             if (drained) {
                 mDrainedMs.putIfAbsent(host, mSite.nowMs());
@@ -343,19 +346,19 @@
     private List<String> stuck() {
         List<String> stuck = new ArrayList<>();
         mSite.requests().values().stream()
-                .filter(r -> !r.over())
+                .filter(r -> !r.isFinished())
                 .limit(3)
                 .forEach(r -> stuck.add("request " + r.arrival().requestId() + " never ends"));
         List<VirtualRequest> probes = new ArrayList<>();
         for (String entry : mSite.entries().keySet()) {
             if (alive(entry)) {
-                probes.add(mSite.call(entry, "lookups", "gamma", 20));
-                probes.add(mSite.call(entry, "reports", "gamma", 20));
+                probes.add(mSite.sendRequest(entry, "lookups", "gamma", 20));
+                probes.add(mSite.sendRequest(entry, "reports", "gamma", 20));
             }
         }
         mSite.run(PROBE_MS);
         probes.stream()
-                .filter(r -> !r.answered())
+                .filter(r -> !r.isAnswered())
                 .limit(3)
                 .forEach(
                         r ->
--- a/standin/src/test/java/org/hibiscususher/standin/matrix/SceneLoad.java
+++ b/standin/src/test/java/org/hibiscususher/standin/matrix/SceneLoad.java
@@ -7,7 +7,7 @@
 import java.util.stream.Stream;
 import org.hibiscususher.core.message.ExecutionStatus;
 import org.hibiscususher.core.message.Refusal;
-import org.hibiscususher.standin.virtual.EntryCondition;
+import org.hibiscususher.standin.virtual.ProcessState;
 import org.hibiscususher.standin.virtual.VirtualRequest;
 import org.hibiscususher.standin.virtual.VirtualSite;
 
@@ -45,7 +45,7 @@
 
     private Stream<String> alive() {
         return mSite.entries().keySet().stream()
-                .filter(e -> mSite.entries().get(e).condition() == EntryCondition.RUNNING);
+                .filter(e -> mSite.entries().get(e).processState() == ProcessState.RUNNING);
     }
 
     private void callOften() {
@@ -59,7 +59,7 @@
                         dice == 0 ? Scene.STRANGER : Scene.TEAMS.get(dice % Scene.TEAMS.size()));
             }
         }
-        mSite.timeline().after(CALL_EVERY_MS, this::callOften);
+        mSite.clock().after(CALL_EVERY_MS, this::callOften);
     }
 
     void call(String entry, String team) {
@@ -72,18 +72,18 @@
 
     private void send(
             String entry, String queue, String team, int runMs, boolean idempotent, String id) {
-        VirtualRequest request = mSite.call(entry, queue, team, runMs, idempotent, id);
+        VirtualRequest request = mSite.sendRequest(entry, queue, team, runMs, idempotent, id);
         mRecent.add(request);
         if (!id.isEmpty()) {
-            mSite.timeline().after(RESEND_MS, () -> sendAgain(request, queue, RESEND_MS));
+            mSite.clock().after(RESEND_MS, () -> sendAgain(request, queue, RESEND_MS));
         }
     }
 
     /** Sends a request with an idempotency key again, once, when its outcome is not known. */
     private void sendAgain(VirtualRequest request, String queue, long waitedMs) {
         boolean unknown =
-                request.cancelled()
-                        || request.cutShort()
+                request.isCancelled()
+                        || request.isTruncated()
                         || request.refusal()
                                 .map(f -> f.executionStatus() == ExecutionStatus.MAY_HAVE_RUN)
                                 .orElse(false);
@@ -92,7 +92,7 @@
             List<String> alive = alive().filter(e -> !e.equals(request.entry())).toList();
             if (!alive.isEmpty()) {
                 VirtualRequest again =
-                        mSite.call(
+                        mSite.sendRequest(
                                 alive.get(mRandom.nextInt(alive.size())),
                                 queue,
                                 request.team(),
@@ -101,9 +101,8 @@
                                 request.arrival().idempotencyKey());
                 mRecent.add(again);
             }
-        } else if (!request.over() && waitedMs < RECENT_MS / 2) {
-            mSite.timeline()
-                    .after(RESEND_MS, () -> sendAgain(request, queue, waitedMs + RESEND_MS));
+        } else if (!request.isFinished() && waitedMs < RECENT_MS / 2) {
+            mSite.clock().after(RESEND_MS, () -> sendAgain(request, queue, waitedMs + RESEND_MS));
         }
     }
 
--- a/standin/src/test/java/org/hibiscususher/standin/matrix/Step.java
+++ b/standin/src/test/java/org/hibiscususher/standin/matrix/Step.java
@@ -43,7 +43,7 @@
         @Override
         Optional<String> reached(Scene scene) {
             for (VirtualRequest request : scene.site().requests().values()) {
-                if (!request.over() && request.runs() > 0) {
+                if (!request.isFinished() && request.runCount() > 0) {
                     scene.site().cancel(request);
                     return Optional.of(request.entry());
                 }
--- a/standin/src/test/java/org/hibiscususher/standin/request/OnceTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/request/OnceTest.java
@@ -10,7 +10,7 @@
 import org.hibiscususher.core.membership.RendezvousHash;
 import org.hibiscususher.core.message.Refusal;
 import org.hibiscususher.core.world.IdempotencyKey;
-import org.hibiscususher.standin.virtual.EntryCondition;
+import org.hibiscususher.standin.virtual.ProcessState;
 import org.hibiscususher.standin.virtual.TargetFault;
 import org.hibiscususher.standin.virtual.VirtualRequest;
 import org.hibiscususher.standin.virtual.VirtualSite;
@@ -24,11 +24,11 @@
     private final VirtualSite mSite = RequestSite.open(5);
 
     private static VirtualRequest order(VirtualSite site, String entry, String key) {
-        return site.call(entry, "lookups", "fitters", 30, false, key);
+        return site.sendRequest(entry, "lookups", "fitters", 30, false, key);
     }
 
     private static int totalRuns(List<VirtualRequest> requests) {
-        return requests.stream().mapToInt(VirtualRequest::runs).sum();
+        return requests.stream().mapToInt(VirtualRequest::runCount).sum();
     }
 
     private String homeOf(String key) {
@@ -60,7 +60,7 @@
             mSite.run(500);
             List<VirtualRequest> all = List.of(first, second, third);
             assertThat(totalRuns(all)).isEqualTo(1);
-            assertThat(all).filteredOn(VirtualRequest::answered).hasSize(1);
+            assertThat(all).filteredOn(VirtualRequest::isAnswered).hasSize(1);
             assertThat(third.refusal()).contains(Refusal.DUPLICATE);
         }
 
@@ -76,12 +76,12 @@
             mSite.run(40_000);
             VirtualRequest second = order(mSite, "e2", key);
             mSite.run(1_000);
-            assertThat(second.answered()).isTrue();
+            assertThat(second.isAnswered()).isTrue();
         }
 
         @Test
         void stayUnknownWhenTheFirstWas() {
-            RequestSite.HOSTS.forEach(h -> mSite.target(h).setFault(TargetFault.FAILING));
+            RequestSite.HOSTS.forEach(h -> mSite.target(h).setFault(TargetFault.BROKEN_CONNECTION));
             String key = RequestSite.key(mSite);
             VirtualRequest first = order(mSite, "e1", key);
             mSite.run(500);
@@ -96,16 +96,16 @@
             String key = keyWithHome("e3");
             VirtualRequest first = order(mSite, "e1", key);
             mSite.run(500);
-            assertThat(first.answered()).isTrue();
+            assertThat(first.isAnswered()).isTrue();
             mSite.kill("e3");
             mSite.run(20_000);
             VirtualRequest second = order(mSite, "e2", key);
             mSite.run(2_000);
             assertThat(second.refusal()).contains(Refusal.ID_NOT_VOUCHED);
-            assertThat(second.runs()).isZero();
+            assertThat(second.runCount()).isZero();
             VirtualRequest fresh = order(mSite, "e2", RequestSite.key(mSite));
             mSite.run(2_000);
-            assertThat(fresh.answered()).isTrue();
+            assertThat(fresh.isAnswered()).isTrue();
         }
 
         @Test
@@ -119,7 +119,7 @@
             VirtualRequest fresh = order(mSite, "e1", sameHome(later, key));
             mSite.run(2_000);
             assertThat(request.refusal()).contains(Refusal.ID_NOT_VOUCHED);
-            assertThat(fresh.over()).isTrue();
+            assertThat(fresh.isFinished()).isTrue();
         }
 
         private String sameHome(String key, String like) {
@@ -166,7 +166,7 @@
         @ValueSource(longs = {21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 32})
         void noKeyRunsTwice(long seed) {
             VirtualSite site = RequestSite.open(seed);
-            site.network().setBehaviour(1, 40, 0.15, 0.15);
+            site.network().setLinkBehaviour(1, 40, 0.15, 0.15);
             Map<String, List<VirtualRequest>> orders = new LinkedHashMap<>();
             Random random = site.random();
             for (int step = 0; step < 500; step++) {
@@ -174,10 +174,10 @@
                 send(site, random, orders);
                 site.run(random.nextInt(150));
             }
-            site.network().setBehaviour(1, 0, 0, 0);
-            site.network().mendAll();
+            site.network().setLinkBehaviour(1, 0, 0, 0);
+            site.network().restoreAllLinks();
             site.entries().values().stream()
-                    .filter(e -> e.condition() == EntryCondition.PAUSED)
+                    .filter(e -> e.processState() == ProcessState.PAUSED)
                     .toList()
                     .forEach(e -> site.resume(e.id()));
             site.run(30_000);
@@ -206,30 +206,30 @@
         private void disturb(VirtualSite site, Random random) {
             String entry = RequestSite.ENTRIES.get(random.nextInt(3));
             String other = RequestSite.ENTRIES.get(random.nextInt(3));
-            EntryCondition condition = site.entries().get(entry).condition();
+            ProcessState condition = site.entries().get(entry).processState();
             switch (random.nextInt(60)) {
                 case 0 -> {
-                    if (condition == EntryCondition.RUNNING) {
+                    if (condition == ProcessState.RUNNING) {
                         site.kill(entry);
                     }
                 }
                 case 1, 2, 3 -> {
-                    if (condition == EntryCondition.DEAD) {
+                    if (condition == ProcessState.DEAD) {
                         site.start(entry, "z1");
                     }
                 }
                 case 4 -> {
-                    if (condition == EntryCondition.RUNNING) {
+                    if (condition == ProcessState.RUNNING) {
                         site.pause(entry);
                     }
                 }
                 case 5, 6, 7 -> {
-                    if (condition == EntryCondition.PAUSED) {
+                    if (condition == ProcessState.PAUSED) {
                         site.resume(entry);
                     }
                 }
                 case 8 -> site.network().setCut(entry, other, true);
-                case 9, 10 -> site.network().mendAll();
+                case 9, 10 -> site.network().restoreAllLinks();
                 case 11 -> site.store().setReachable(entry, false);
                 case 12, 13 -> site.store().setReachable(entry, true);
                 default -> {
--- a/standin/src/test/java/org/hibiscususher/standin/request/RequestLifeTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/request/RequestLifeTest.java
@@ -8,7 +8,7 @@
 import java.util.Random;
 import org.hibiscususher.core.message.ExecutionStatus;
 import org.hibiscususher.core.message.Refusal;
-import org.hibiscususher.standin.virtual.EntryCondition;
+import org.hibiscususher.standin.virtual.ProcessState;
 import org.hibiscususher.standin.virtual.TargetFault;
 import org.hibiscususher.standin.virtual.VirtualRequest;
 import org.hibiscususher.standin.virtual.VirtualSite;
@@ -27,7 +27,7 @@
     private List<VirtualRequest> calls(int count, String team, int runMs) {
         List<VirtualRequest> requests = new ArrayList<>();
         for (int i = 0; i < count; i++) {
-            requests.add(mSite.call("e1", "lookups", team, runMs));
+            requests.add(mSite.sendRequest("e1", "lookups", team, runMs));
         }
         return requests;
     }
@@ -42,7 +42,7 @@
         @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
         void areToldTruthfullyUnderFaults(long seed) {
             VirtualSite site = RequestSite.open(seed);
-            site.network().setBehaviour(1, 5, 0.05, 0.05);
+            site.network().setLinkBehaviour(1, 5, 0.05, 0.05);
             Random random = site.random();
             for (int step = 0; step < 400; step++) {
                 act(site, random);
@@ -80,26 +80,26 @@
                     for (int i = 0; i < count; i++) {
                         boolean idempotent = random.nextBoolean();
                         int runMs = 1 + random.nextInt(random.nextInt(10) == 0 ? 5_000 : 100);
-                        site.call(entry, "lookups", team, runMs, idempotent, "");
+                        site.sendRequest(entry, "lookups", team, runMs, idempotent, "");
                     }
                 }
             }
         }
 
         private void check(VirtualRequest request) {
-            assertThat(request.over()).isTrue();
+            assertThat(request.isFinished()).isTrue();
             boolean saysNotRun =
                     request.refusal()
                             .map(r -> r.executionStatus() == ExecutionStatus.NOT_RUN)
                             .orElse(false);
             if (saysNotRun) {
-                assertThat(request.runs()).as("runs of what was not run").isZero();
+                assertThat(request.runCount()).as("runs of what was not run").isZero();
             }
-            if (request.answered()) {
-                assertThat(request.runs()).isPositive();
+            if (request.isAnswered()) {
+                assertThat(request.runCount()).isPositive();
             }
             if (!request.arrival().idempotent()) {
-                assertThat(request.runs()).isLessThanOrEqualTo(1);
+                assertThat(request.runCount()).isLessThanOrEqualTo(1);
             }
         }
     }
@@ -124,14 +124,14 @@
             assertThat(refused(requests, Refusal.WAIT_LIMIT)).isPositive();
             assertThat(mSite.counters().get("admission.refused-early")).isPositive();
             mSite.run(QUIET_MS);
-            assertThat(requests).filteredOn(VirtualRequest::answered).hasSizeGreaterThan(10);
+            assertThat(requests).filteredOn(VirtualRequest::isAnswered).hasSizeGreaterThan(10);
         }
 
         @Test
         void shedAWaveOfCancellationsInOneTick() {
             List<VirtualRequest> requests = calls(60, "fitters", 2_000);
             mSite.run(50);
-            long ran = requests.stream().filter(r -> r.runs() > 0).count();
+            long ran = requests.stream().filter(r -> r.runCount() > 0).count();
             requests.forEach(mSite::cancel);
             mSite.run(20);
             assertThat(mSite.entries().get("e1").world().requests().rows())
@@ -139,7 +139,7 @@
                     .allMatch(r -> !r.permits().isEmpty());
             mSite.run(QUIET_MS);
             RequestSite.assertIdle(mSite);
-            assertThat(requests.stream().filter(r -> r.runs() > 0).count()).isEqualTo(ran);
+            assertThat(requests.stream().filter(r -> r.runCount() > 0).count()).isEqualTo(ran);
         }
     }
 
@@ -155,32 +155,32 @@
                 mSite.run(20);
             }
             mSite.run(QUIET_MS);
-            assertThat(requests).allMatch(VirtualRequest::answered);
+            assertThat(requests).allMatch(VirtualRequest::isAnswered);
         }
 
         @Test
         void goToAnotherZone() {
-            mSite.target("h1").setFault(TargetFault.FAILING);
-            mSite.target("h2").setFault(TargetFault.FAILING);
+            mSite.target("h1").setFault(TargetFault.BROKEN_CONNECTION);
+            mSite.target("h2").setFault(TargetFault.BROKEN_CONNECTION);
             List<VirtualRequest> requests = new ArrayList<>();
             for (int i = 0; i < 8; i++) {
                 requests.addAll(calls(1, "fitters", 20));
                 mSite.run(500);
             }
-            assertThat(requests).allMatch(VirtualRequest::answered);
-            assertThat(requests).extracting(VirtualRequest::runs).contains(2).doesNotContain(3);
+            assertThat(requests).allMatch(VirtualRequest::isAnswered);
+            assertThat(requests).extracting(VirtualRequest::runCount).contains(2).doesNotContain(3);
         }
 
         @Test
         void endWithTheBudgetWhenEveryHostFails() {
-            RequestSite.HOSTS.forEach(h -> mSite.target(h).setFault(TargetFault.FAILING));
+            RequestSite.HOSTS.forEach(h -> mSite.target(h).setFault(TargetFault.BROKEN_CONNECTION));
             for (int i = 0; i < 200; i++) {
                 calls(1, "fitters", 10);
                 mSite.run(5);
             }
             mSite.run(QUIET_MS);
-            long runs = mSite.requests().values().stream().mapToInt(VirtualRequest::runs).sum();
-            long started = mSite.requests().values().stream().filter(r -> r.runs() > 0).count();
+            long runs = mSite.requests().values().stream().mapToInt(VirtualRequest::runCount).sum();
+            long started = mSite.requests().values().stream().filter(r -> r.runCount() > 0).count();
             assertThat(mSite.counters().get("retry.budget-spent")).isPositive();
             assertThat(runs).isLessThanOrEqualTo(started + 25);
         }
@@ -190,7 +190,7 @@
     class Outliers {
         @Test
         void doNotAttractWorkByFailingFast() {
-            mSite.target("h1").setFault(TargetFault.ERRORS);
+            mSite.target("h1").setFault(TargetFault.SERVER_ERRORS);
             List<VirtualRequest> requests = new ArrayList<>();
             for (int i = 0; i < 400; i++) {
                 requests.addAll(calls(1, "fitters", 100));
@@ -202,7 +202,7 @@
             mSite.run(40_000);
             calls(24, "fitters", 100);
             mSite.run(50);
-            assertThat(mSite.target("h1").running()).isPositive();
+            assertThat(mSite.target("h1").runningRequests()).isPositive();
         }
 
         @Test
@@ -232,11 +232,11 @@
             mSite.run(100);
             mSite.shutDown("e1");
             mSite.run(20);
-            VirtualRequest late = mSite.call("e1", "lookups", "fitters", 10);
+            VirtualRequest late = mSite.sendRequest("e1", "lookups", "fitters", 10);
             mSite.run(QUIET_MS);
-            assertThat(running).allMatch(VirtualRequest::answered);
+            assertThat(running).allMatch(VirtualRequest::isAnswered);
             assertThat(late.refusal()).contains(Refusal.ENTRY_LEAVING);
-            assertThat(mSite.entries().get("e1").condition()).isEqualTo(EntryCondition.DEAD);
+            assertThat(mSite.entries().get("e1").processState()).isEqualTo(ProcessState.DEAD);
         }
     }
 }
--- a/standin/src/test/java/org/hibiscususher/standin/request/RequestSite.java
+++ b/standin/src/test/java/org/hibiscususher/standin/request/RequestSite.java
@@ -7,7 +7,7 @@
 import org.hibiscususher.core.config.KeyDigest;
 import org.hibiscususher.core.message.NoteResult;
 import org.hibiscususher.core.world.ControlSettings;
-import org.hibiscususher.standin.virtual.EntryCondition;
+import org.hibiscususher.standin.virtual.ProcessState;
 import org.hibiscususher.standin.virtual.VirtualEntry;
 import org.hibiscususher.standin.virtual.VirtualSite;
 import org.hibiscususher.wire.yaml.NoteReader;
@@ -50,9 +50,9 @@
                         .formatted(
                                 KeyDigest.ofSecret("fitters").toHex(),
                                 KeyDigest.ofSecret("hotels").toHex());
-        long call = site.submit("e1", NoteReader.read("note", note).note());
+        long call = site.submitNote("e1", NoteReader.read("note", note).note());
         site.run(SETTLE_MS);
-        assertThat(site.noteAnswers().get(call).result()).isEqualTo(NoteResult.ACCEPTED);
+        assertThat(site.noteReplies().get(call).result()).isEqualTo(NoteResult.ACCEPTED);
         return site;
     }
 
@@ -67,7 +67,7 @@
     /** Checks that no entry that runs has a request at hand or a permit in use. */
     static void assertIdle(VirtualSite site) {
         for (VirtualEntry entry : site.entries().values()) {
-            if (entry.condition() == EntryCondition.RUNNING) {
+            if (entry.processState() == ProcessState.RUNNING) {
                 assertThat(entry.world().requests().rows()).as(entry.id()).isEmpty();
                 assertThat(entry.world().abandonedRequests().rows()).as(entry.id()).isEmpty();
                 assertThat(entry.world().idempotencyClaims().rows()).as(entry.id()).isEmpty();
--- a/standin/src/test/java/org/hibiscususher/standin/rollout/RollOutSite.java
+++ b/standin/src/test/java/org/hibiscususher/standin/rollout/RollOutSite.java
@@ -74,7 +74,7 @@
 
     /** Sends a note and waits for the answer, for the tool's longest wait at most. */
     ReplyToNote apply(String entry, ReleaseNote note) {
-        return await(mSite.submit(entry, note), 20_000);
+        return await(mSite.submitNote(entry, note), 20_000);
     }
 
     /** Applies further notes, each of one team. */
@@ -90,10 +90,10 @@
     /** Lets time pass until a call is answered, or the limit is over. */
     ReplyToNote await(long call, long limitMs) {
         long end = mSite.nowMs() + limitMs;
-        while (!mSite.noteAnswers().containsKey(call) && mSite.nowMs() < end) {
+        while (!mSite.noteReplies().containsKey(call) && mSite.nowMs() < end) {
             mSite.run(1);
         }
-        return mSite.noteAnswers().get(call);
+        return mSite.noteReplies().get(call);
     }
 
     /** Returns the configuration in force on an entry. */
--- a/standin/src/test/java/org/hibiscususher/standin/rollout/RollOutTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/rollout/RollOutTest.java
@@ -45,8 +45,8 @@
         @Test
         void isOneNoteWhenSentThroughTwoEntriesAtOnce() {
             ReleaseNote note = mSite.teamNote("twice", "berta");
-            long one = mSite.site().submit("e1", note);
-            long two = mSite.site().submit("e2", note);
+            long one = mSite.site().submitNote("e1", note);
+            long two = mSite.site().submitNote("e2", note);
             assertThat(mSite.await(one, 20_000).revision()).isEqualTo(2);
             assertThat(mSite.await(two, 20_000).revision()).isEqualTo(2);
             assertThat(mSite.head().revision()).isEqualTo(2);
@@ -59,7 +59,7 @@
         @EnumSource(StoreFault.class)
         void thatPassDoNoHarm(StoreFault fault) {
             mSite.site().store().setFault(fault);
-            long call = mSite.site().submit("e1", mSite.teamNote("n", "berta"));
+            long call = mSite.site().submitNote("e1", mSite.teamNote("n", "berta"));
             mSite.site().run(4_000);
             mSite.site().store().setFault(StoreFault.NONE);
             ReplyToNote answer = mSite.await(call, 13_000);
@@ -71,7 +71,7 @@
         @ParameterizedTest
         @ValueSource(ints = {1, 3, 5, 6, 7, 9, 12})
         void thatBeginAtAnyStepLoseNoAnswer(int startMs) {
-            long call = mSite.site().submit("e1", mSite.teamNote("n", "berta"));
+            long call = mSite.site().submitNote("e1", mSite.teamNote("n", "berta"));
             mSite.site().run(startMs);
             mSite.site().store().setFault(StoreFault.LOSES_ANSWERS);
             mSite.site().run(3_000);
@@ -94,7 +94,7 @@
         @Test
         void thatLoseTheAnswerForGoodAreToldAsUnknown() {
             long writes = mSite.site().store().writes();
-            long call = mSite.site().submit("e1", mSite.teamNote("n", "berta"));
+            long call = mSite.site().submitNote("e1", mSite.teamNote("n", "berta"));
             while (mSite.site().store().writes() == writes) {
                 mSite.site().run(1);
             }
@@ -108,8 +108,8 @@
     class Races {
         @Test
         void nameTheOtherRevisionWhenTheNoteHasABase() {
-            long one = mSite.site().submit("e1", mSite.teamNote("one", "berta", "base: 1"));
-            long two = mSite.site().submit("e2", mSite.teamNote("two", "carl", "base: 1"));
+            long one = mSite.site().submitNote("e1", mSite.teamNote("one", "berta", "base: 1"));
+            long two = mSite.site().submitNote("e2", mSite.teamNote("two", "carl", "base: 1"));
             assertThat(mSite.await(one, 20_000).result()).isEqualTo(NoteResult.ACCEPTED);
             ReplyToNote lost = mSite.await(two, 20_000);
             assertThat(lost.result()).isEqualTo(NoteResult.CONFLICT);
@@ -122,9 +122,9 @@
 
         @Test
         void areSettledByCheckingAgainOtherwise() {
-            long one = mSite.site().submit("e1", mSite.teamNote("one", "berta"));
-            long two = mSite.site().submit("e2", mSite.teamNote("two", "carl"));
-            long three = mSite.site().submit("e2", mSite.teamNote("three", "carl"));
+            long one = mSite.site().submitNote("e1", mSite.teamNote("one", "berta"));
+            long two = mSite.site().submitNote("e2", mSite.teamNote("two", "carl"));
+            long three = mSite.site().submitNote("e2", mSite.teamNote("three", "carl"));
             assertThat(mSite.await(one, 20_000).result()).isEqualTo(NoteResult.ACCEPTED);
             assertThat(mSite.await(two, 20_000).result()).isEqualTo(NoteResult.ACCEPTED);
             assertThat(mSite.await(three, 20_000).result()).isEqualTo(NoteResult.ACCEPTED);
@@ -139,8 +139,8 @@
                     author: %s
                     added: {teams: [{name: same, share: %d, upper limit: 1}]}
                     """;
-            long one = mSite.site().submit("e1", RollOutSite.note(text.formatted("a", "b", 1)));
-            long two = mSite.site().submit("e2", RollOutSite.note(text.formatted("c", "d", 2)));
+            long one = mSite.site().submitNote("e1", RollOutSite.note(text.formatted("a", "b", 1)));
+            long two = mSite.site().submitNote("e2", RollOutSite.note(text.formatted("c", "d", 2)));
             assertThat(mSite.await(one, 20_000).result()).isEqualTo(NoteResult.ACCEPTED);
             assertThat(mSite.await(two, 20_000).result()).isEqualTo(NoteResult.FAULTY);
             assertThat(mSite.inForce("e3").teams().get("same").share()).isEqualTo(1);
@@ -171,14 +171,14 @@
         @ValueSource(booleans = {true, false})
         void isNotSaidBeforeAMemberThatLagsHasStopped(boolean silent) {
             cutOff("e3", silent);
-            long call = mSite.site().submit("e1", mSite.teamNote("n", "berta"));
-            while (!mSite.site().noteAnswers().containsKey(call)) {
+            long call = mSite.site().submitNote("e1", mSite.teamNote("n", "berta"));
+            while (!mSite.site().noteReplies().containsKey(call)) {
                 mSite.site().run(1);
             }
-            ReplyToNote answer = mSite.site().noteAnswers().get(call);
+            ReplyToNote answer = mSite.site().noteReplies().get(call);
             assertThat(answer.result()).isEqualTo(NoteResult.ACCEPTED);
             assertThat(answer.detail()).contains("e3 (revision 1, last heard ");
-            VirtualRequest request = mSite.site().call("e3", "lookups", "fitters", 10);
+            VirtualRequest request = mSite.site().sendRequest("e3", "lookups", "fitters", 10);
             mSite.site().run(100);
             assertThat(request.refusal()).contains(Refusal.CONFIGURATION_STALE);
         }
@@ -186,7 +186,7 @@
         @Test
         void isNotSaidWhenTheMembersCannotBeRead() {
             long writes = mSite.site().store().writes();
-            long call = mSite.site().submit("e1", mSite.teamNote("n", "berta"));
+            long call = mSite.site().submitNote("e1", mSite.teamNote("n", "berta"));
             while (mSite.site().store().writes() == writes) {
                 mSite.site().run(1);
             }
@@ -227,17 +227,17 @@
 
         private void assertRefused(String withdrawn, Refusal refusal) {
             for (int i = 0; i < 4; i++) {
-                mSite.site().call("e2", "lookups", "fitters", 5_000);
+                mSite.site().sendRequest("e2", "lookups", "fitters", 5_000);
             }
             mSite.site().run(100);
-            VirtualRequest waiting = mSite.site().call("e2", "lookups", "fitters", 10);
+            VirtualRequest waiting = mSite.site().sendRequest("e2", "lookups", "fitters", 10);
             mSite.site().run(100);
-            assertThat(waiting.over()).isFalse();
+            assertThat(waiting.isFinished()).isFalse();
             mSite.apply(
                     "e1",
                     RollOutSite.note("note: w\nauthor: a\nwithdrawn: {%s}\n".formatted(withdrawn)));
             assertThat(waiting.refusal()).contains(refusal);
-            assertThat(waiting.runs()).isZero();
+            assertThat(waiting.runCount()).isZero();
         }
     }
 
@@ -271,7 +271,7 @@
         void survivesTheWritersDeathAtEveryStepOfAFold(int deathMs) {
             mSite.applyTeams(31);
             ReleaseNote note = mSite.teamNote("folds", "berta");
-            mSite.site().submit("e1", note);
+            mSite.site().submitNote("e1", note);
             mSite.site().run(deathMs);
             mSite.site().kill("e1");
             ReplyToNote answer = mSite.apply("e2", note);
--- a/standin/src/test/java/org/hibiscususher/standin/scheduler/ExplainedFailureTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/scheduler/ExplainedFailureTest.java
@@ -10,7 +10,7 @@
 
 /** Breaks a request in three ways, and finds the cause from its id and the log lines alone. */
 class ExplainedFailureTest {
-    private final SchedulerSite mSite = SchedulerSite.of(3, 4, 11);
+    private final SchedulerSite mSite = SchedulerSite.create(3, 4, 11);
 
     @BeforeEach
     void start() {
@@ -85,7 +85,7 @@
             String job = mSite.submit(Jobs.oneStep(1, 9_000));
             mSite.run(400);
             String executor = field(event(lines(job), "start"), "executor");
-            mSite.darken(executor, 3_000);
+            mSite.silenceExecutor(executor, 3_000);
             mSite.cancel(job);
             mSite.run(2_500);
             List<String> lines = lines(job);
--- a/standin/src/test/java/org/hibiscususher/standin/scheduler/RunWatchTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/scheduler/InvariantCheckerTest.java
@@ -14,28 +14,28 @@
 import org.junit.jupiter.api.Test;
 
 /** Shows that each check of the site finds what breaks its promise. */
-class RunWatchTest {
+class InvariantCheckerTest {
     private static final String JOB = "0000000000000001";
     private static final TaskKey FIRST = new StepKey(JOB, 0, 0).task(0);
     private static final TaskKey SECOND = new StepKey(JOB, 0, 1).task(0);
 
-    private final RunWatch mWatch = new RunWatch();
+    private final InvariantChecker mWatch = new InvariantChecker();
 
     @BeforeEach
     void submit() {
-        mWatch.submitted(JOB, Jobs.twoSteps(1, 100), "team", 2);
+        mWatch.recordSubmission(JOB, Jobs.twoSteps(1, 100), "team", 2);
     }
 
     private void start(TaskKey task, String executor, long nowMs) {
-        mWatch.started(task, executor, false, nowMs);
+        mWatch.recordStart(task, executor, false, nowMs);
     }
 
     private void end(TaskKey task, String executor, RunOutcome kind) {
-        mWatch.ended(task, executor, Optional.of(kind));
+        mWatch.recordEnd(task, executor, Optional.of(kind));
     }
 
-    private void assertBroken(SchedulerPromise promise) {
-        assertThat(mWatch.breaches()).extracting(Breach::promise).contains(promise);
+    private void assertBroken(SchedulerInvariant promise) {
+        assertThat(mWatch.violations()).extracting(InvariantViolation::invariant).contains(promise);
     }
 
     @Nested
@@ -46,14 +46,14 @@
             end(FIRST, "x", RunOutcome.DONE);
             start(SECOND, "x", 2);
             end(SECOND, "x", RunOutcome.DONE);
-            mWatch.shown(JOB, JobState.DONE, 3);
-            assertThat(mWatch.breaches()).isEmpty();
+            mWatch.checkReportedState(JOB, JobState.DONE, 3);
+            assertThat(mWatch.violations()).isEmpty();
         }
 
         @Test
         void isBrokenByAStepBeforeItsTurn() {
             start(SECOND, "x", 1);
-            assertBroken(SchedulerPromise.STEP_ORDER);
+            assertBroken(SchedulerInvariant.STEP_DEPENDENCIES);
         }
     }
 
@@ -63,16 +63,16 @@
         void atTheSameTimeAreFound() {
             start(FIRST, "x", 1);
             start(FIRST, "y", 2);
-            assertBroken(SchedulerPromise.ONE_RUN_AT_A_TIME);
+            assertBroken(SchedulerInvariant.ONE_RUN_AT_A_TIME);
         }
 
         @Test
         void afterANotedEndAreFound() {
             start(FIRST, "x", 1);
             end(FIRST, "x", RunOutcome.DONE);
-            mWatch.noted(FIRST);
+            mWatch.recordAcknowledgment(FIRST);
             start(FIRST, "x", 2);
-            assertBroken(SchedulerPromise.DONE_STAYS_DONE);
+            assertBroken(SchedulerInvariant.FINISHED_TASK_NOT_RERUN);
         }
 
         @Test
@@ -81,40 +81,40 @@
                 start(FIRST, "x", i);
                 end(FIRST, "x", RunOutcome.FAILED);
             }
-            assertBroken(SchedulerPromise.ATTEMPTS);
+            assertBroken(SchedulerInvariant.ATTEMPT_LIMIT);
         }
 
         @Test
         void beyondATeamsLimitAreFound() {
-            mWatch.limit("team", Resources.of(500, 0, 0));
+            mWatch.setTeamLimit("team", Resources.of(500, 0, 0));
             start(FIRST, "x", 1);
-            assertBroken(SchedulerPromise.TEAM_LIMIT);
+            assertBroken(SchedulerInvariant.TEAM_LIMIT);
         }
 
         @Test
         void beyondAnExecutorsCapacityAreFound() {
-            mWatch.reserved("x", Resources.of(2, 0, 0), Resources.of(1, 0, 0), 1);
-            assertBroken(SchedulerPromise.CAPACITY);
+            mWatch.checkReservation("x", Resources.of(2, 0, 0), Resources.of(1, 0, 0), 1);
+            assertBroken(SchedulerInvariant.EXECUTOR_CAPACITY);
         }
 
         @Test
         void onADrainingExecutorAreFound() {
-            mWatch.started(FIRST, "x", true, 1);
-            assertBroken(SchedulerPromise.DRAINING_GETS_NOTHING);
+            mWatch.recordStart(FIRST, "x", true, 1);
+            assertBroken(SchedulerInvariant.NO_START_ON_DRAINING_EXECUTOR);
         }
 
         @Test
         void longAfterACancellationAreFound() {
-            mWatch.cancelled(JOB, 1_000);
+            mWatch.recordCancellation(JOB, 1_000);
             start(FIRST, "x", 4_001);
-            assertBroken(SchedulerPromise.CANCELLED_STAYS_CANCELLED);
+            assertBroken(SchedulerInvariant.NO_START_AFTER_CANCELLATION);
         }
 
         @Test
         void ofARefusedJobAreFound() {
-            mWatch.answered(JOB, JobResponseKind.UNAVAILABLE);
+            mWatch.recordResponse(JOB, JobResponseKind.UNAVAILABLE);
             start(FIRST, "x", 1);
-            assertBroken(SchedulerPromise.REFUSED_NEVER_RUNS);
+            assertBroken(SchedulerInvariant.REJECTED_JOB_NEVER_RUNS);
         }
     }
 
@@ -122,15 +122,15 @@
     class Answers {
         @Test
         void thatShowAnUnfinishedJobAsDoneAreFound() {
-            mWatch.shown(JOB, JobState.DONE, 1);
-            assertBroken(SchedulerPromise.SHOWN_DONE_IS_DONE);
+            mWatch.checkReportedState(JOB, JobState.DONE, 1);
+            assertBroken(SchedulerInvariant.REPORTED_DONE_IS_DONE);
         }
 
         @Test
         void thatDoNotKnowAnAcceptedJobAreFound() {
-            mWatch.answered(JOB, JobResponseKind.ACCEPTED);
-            mWatch.unknown(JOB, 1);
-            assertBroken(SchedulerPromise.ACCEPTED_IS_KEPT);
+            mWatch.recordResponse(JOB, JobResponseKind.ACCEPTED);
+            mWatch.checkUnknownJob(JOB, 1);
+            assertBroken(SchedulerInvariant.ACCEPTED_JOB_NOT_LOST);
         }
     }
 
@@ -138,18 +138,18 @@
     class Waves {
         @Test
         void beyondTheirCapAreFound() {
-            mWatch.away(3, 2, 1);
-            assertBroken(SchedulerPromise.WAVE_CAP);
+            mWatch.checkHostsOutOfService(3, 2, 1);
+            assertBroken(SchedulerInvariant.WAVE_HOST_LIMIT);
         }
 
         @Test
         void orderedByTwoEntriesInTurnAreFound() {
-            mWatch.hostOrdered("h", "n0", 1_000);
-            mWatch.hostOrdered("h", "n0", 1_500);
-            mWatch.hostOrdered("h", "n1", 4_600);
-            assertThat(mWatch.breaches()).isEmpty();
-            mWatch.hostOrdered("h", "n0", 5_000);
-            assertBroken(SchedulerPromise.ONE_HOLDER_A_HOST);
+            mWatch.recordHostOrder("h", "n0", 1_000);
+            mWatch.recordHostOrder("h", "n0", 1_500);
+            mWatch.recordHostOrder("h", "n1", 4_600);
+            assertThat(mWatch.violations()).isEmpty();
+            mWatch.recordHostOrder("h", "n0", 5_000);
+            assertBroken(SchedulerInvariant.ONE_COORDINATOR_PER_HOST);
         }
     }
 }
--- a/standin/src/test/java/org/hibiscususher/standin/scheduler/SchedulerSiteTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/scheduler/SchedulerSiteTest.java
@@ -31,7 +31,7 @@
             int tasks = 1 + random.nextInt(6);
             long taskMs = 100 + random.nextInt(900);
             boolean two = random.nextBoolean();
-            site.at(
+            site.schedule(
                     atMs,
                     () ->
                             jobs.add(
@@ -40,32 +40,32 @@
                                                     ? Jobs.twoSteps(tasks, taskMs)
                                                     : Jobs.oneStep(tasks, taskMs))));
         }
-        site.at(500, () -> cancelLater(site, site.submit(Jobs.lasting(3)), 9_000));
-        site.at(2_500, () -> cancelLater(site, site.submit(Jobs.oneStep(4, 3_000)), 700));
+        site.schedule(500, () -> cancelLater(site, site.submit(Jobs.lasting(3)), 9_000));
+        site.schedule(2_500, () -> cancelLater(site, site.submit(Jobs.oneStep(4, 3_000)), 700));
         return jobs;
     }
 
     private static void cancelLater(SchedulerSite site, String job, long delayMs) {
-        site.at(delayMs, () -> site.cancel(job));
+        site.schedule(delayMs, () -> site.cancel(job));
     }
 
     private static void assertAllServed(SchedulerSite site, List<String> jobs) {
-        assertThat(site.watch().breaches()).isEmpty();
-        assertThat(site.watch().accepted()).containsAll(jobs);
+        assertThat(site.invariants().violations()).isEmpty();
+        assertThat(site.invariants().acceptedJobs()).containsAll(jobs);
         for (String job : jobs) {
             assertThat(site.stateOf(job)).as(job).isIn(JobState.DONE, JobState.FAILED);
         }
-        assertThat(site.watch().breaches()).isEmpty();
+        assertThat(site.invariants().violations()).isEmpty();
     }
 
     @Nested
     class Calm {
-        private final SchedulerSite mSite = SchedulerSite.of(3, 4, 1);
+        private final SchedulerSite mSite = SchedulerSite.create(3, 4, 1);
 
         @Test
         void hasOneOwner() {
             mSite.run(1_000);
-            assertThat(mSite.owners()).isEqualTo(1);
+            assertThat(mSite.ownerCount()).isEqualTo(1);
         }
 
         @Test
@@ -84,7 +84,7 @@
             assertThat(mSite.stateOf(job)).isEqualTo(JobState.RUNNING);
             mSite.run(700);
             assertThat(mSite.stateOf(job)).isEqualTo(JobState.DONE);
-            assertThat(mSite.watch().breaches()).isEmpty();
+            assertThat(mSite.invariants().violations()).isEmpty();
         }
 
         @Test
@@ -95,7 +95,7 @@
             mSite.cancel(job);
             mSite.run(1_000);
             assertThat(mSite.stateOf(job)).isEqualTo(JobState.CANCELLED);
-            assertThat(mSite.waitingTasks()).isZero();
+            assertThat(mSite.taskCount()).isZero();
         }
 
         @Test
@@ -111,18 +111,18 @@
         @Test
         void keepATeamWithinItsLimit() {
             Resources limit = Resources.of(3_000, 0, 0);
-            SchedulerSite site = SchedulerSite.limited(2, 4, limit, 2);
+            SchedulerSite site = SchedulerSite.createWithTeamLimit(2, 4, limit, 2);
             site.run(1_500);
             String job = site.submit(Jobs.oneStep(12, 200));
             site.run(2_500);
             assertThat(site.stateOf(job)).isEqualTo(JobState.DONE);
-            assertThat(site.watch().breaches()).isEmpty();
+            assertThat(site.invariants().violations()).isEmpty();
         }
     }
 
     @Nested
     class Takeover {
-        private final SchedulerSite mSite = SchedulerSite.of(3, 4, 3);
+        private final SchedulerSite mSite = SchedulerSite.create(3, 4, 3);
 
         @Test
         void followsAnOwnerThatIsKilledWithinSeconds() {
@@ -135,7 +135,7 @@
             assertThat(mSite.owner()).isPresent().isNotEqualTo(Optional.of(before));
             mSite.run(2_000);
             assertThat(mSite.stateOf(job)).isEqualTo(JobState.DONE);
-            assertThat(mSite.watch().breaches()).isEmpty();
+            assertThat(mSite.invariants().violations()).isEmpty();
         }
 
         @Test
@@ -143,18 +143,18 @@
             mSite.run(1_500);
             String job = mSite.submit(Jobs.oneStep(4, 500));
             mSite.run(30);
-            assertThat(mSite.watch().accepted()).contains(job);
+            assertThat(mSite.invariants().acceptedJobs()).contains(job);
             mSite.killAll(1_200);
             mSite.run(9_000);
             assertThat(mSite.stateOf(job)).isEqualTo(JobState.DONE);
-            assertThat(mSite.watch().breaches()).isEmpty();
+            assertThat(mSite.invariants().violations()).isEmpty();
         }
 
         @Test
         void followsAnOwnerThatStopsWithoutAPause() {
             mSite.run(1_500);
             String before = mSite.owner().orElseThrow();
-            mSite.stop(before, 3_500);
+            mSite.shutDown(before, 3_500);
             mSite.run(300);
             assertThat(mSite.owner()).isPresent().isNotEqualTo(Optional.of(before));
         }
@@ -166,12 +166,12 @@
             String before = mSite.owner().orElseThrow();
             String job = mSite.submit(Jobs.oneStep(4, 800));
             mSite.run(300);
-            mSite.cutOff(before, 8_000);
+            mSite.cutOffFromStore(before, 8_000);
             mSite.run(400);
             assertThat(mSite.owner()).isPresent().isNotEqualTo(Optional.of(before));
             mSite.run(1_000);
             assertThat(mSite.stateOf(job)).isEqualTo(JobState.DONE);
-            assertThat(mSite.watch().breaches()).isEmpty();
+            assertThat(mSite.invariants().violations()).isEmpty();
         }
 
         /** The load of the first seed that broke: the store is away from the owner alone. */
@@ -184,7 +184,7 @@
                 jobs.add(mSite.submit(Jobs.twoSteps(4, 600)));
             }
             mSite.run(50);
-            mSite.cutOff(before, 8_000);
+            mSite.cutOffFromStore(before, 8_000);
             mSite.run(12_000);
             assertAllServed(mSite, jobs);
         }
@@ -195,16 +195,16 @@
         /** The load of a day on which a host was ordered away late, just after it got work. */
         @Test
         void movesTheWorkOfAnExecutorThatNeverAnswersAgain() {
-            SchedulerSite site = SchedulerSite.of(3, 4, 5);
+            SchedulerSite site = SchedulerSite.create(3, 4, 5);
             site.run(1_500);
             site.submit(Jobs.lasting(3));
             site.run(500);
-            assertThat(site.runsOn("x1")).isPositive();
-            site.darken("x1", 60_000);
+            assertThat(site.runCountOn("x1")).isPositive();
+            site.silenceExecutor("x1", 60_000);
             site.run(6_000);
-            assertThat(site.runsOn("x1")).isZero();
-            assertThat(site.runs()).isEqualTo(3);
-            assertThat(site.watch().breaches()).isEmpty();
+            assertThat(site.runCountOn("x1")).isZero();
+            assertThat(site.runCount()).isEqualTo(3);
+            assertThat(site.invariants().violations()).isEmpty();
         }
     }
 
@@ -214,9 +214,9 @@
 
         @Test
         void areDoneWhileTheSiteWorks() {
-            SchedulerSite site = SchedulerSite.of(3, 6, 7);
+            SchedulerSite site = SchedulerSite.create(3, 6, 7);
             List<String> jobs = busyDay(site, new Random(7));
-            site.beginWave(CAP);
+            site.startWave(CAP);
             site.run(DAY_MS + REST_MS);
             assertThat(site.isWaveDone()).isTrue();
             assertAllServed(site, jobs);
@@ -227,14 +227,14 @@
         void areDoneWhateverFails(SiteFault fault) {
             for (int seed = 1; seed <= SEEDS_PER_FAULT; seed++) {
                 Random random = new Random(seed);
-                SchedulerSite site = SchedulerSite.of(4, 6, seed);
+                SchedulerSite site = SchedulerSite.create(4, 6, seed);
                 List<String> jobs = busyDay(site, random);
                 int startMs = 1_000 + random.nextInt(6_000);
-                site.at(startMs, () -> site.beginWave(CAP));
-                site.at(startMs, () -> site.loseHostAnswers(0.3, 5_000));
-                site.at(startMs + random.nextInt(6_000), () -> fault.strike(site, random));
+                site.schedule(startMs, () -> site.startWave(CAP));
+                site.schedule(startMs, () -> site.dropHostOrderResponses(0.3, 5_000));
+                site.schedule(startMs + random.nextInt(6_000), () -> fault.strike(site, random));
                 site.run(DAY_MS + REST_MS);
-                assertThat(site.watch().breaches()).as("seed " + seed).isEmpty();
+                assertThat(site.invariants().violations()).as("seed " + seed).isEmpty();
                 assertThat(site.isWaveDone()).as("seed " + seed).isTrue();
                 assertAllServed(site, jobs);
             }
@@ -256,11 +256,11 @@
         void breakNoPromiseAlone(SiteFault fault) {
             for (int seed = 1; seed <= SEEDS_PER_FAULT; seed++) {
                 Random random = new Random(seed);
-                SchedulerSite site = SchedulerSite.of(4, 5, seed);
+                SchedulerSite site = SchedulerSite.create(4, 5, seed);
                 List<String> jobs = busyDay(site, random);
-                site.at(3_000 + random.nextInt(12_000), () -> fault.strike(site, random));
+                site.schedule(3_000 + random.nextInt(12_000), () -> fault.strike(site, random));
                 site.run(DAY_MS + REST_MS);
-                assertThat(site.watch().breaches()).as("seed " + seed).isEmpty();
+                assertThat(site.invariants().violations()).as("seed " + seed).isEmpty();
                 assertAllServed(site, jobs);
             }
         }
@@ -271,13 +271,13 @@
             KnownRed.passOver("breakNoPromiseInPairs " + first + " " + second);
             int seed = 100 * first.ordinal() + second.ordinal();
             Random random = new Random(seed);
-            SchedulerSite site = SchedulerSite.of(4, 5, seed);
+            SchedulerSite site = SchedulerSite.create(4, 5, seed);
             List<String> jobs = busyDay(site, random);
             int firstMs = 3_000 + random.nextInt(8_000);
-            site.at(firstMs, () -> first.strike(site, random));
-            site.at(firstMs + random.nextInt(4_000), () -> second.strike(site, random));
+            site.schedule(firstMs, () -> first.strike(site, random));
+            site.schedule(firstMs + random.nextInt(4_000), () -> second.strike(site, random));
             site.run(DAY_MS + REST_MS);
-            assertThat(site.watch().breaches()).isEmpty();
+            assertThat(site.invariants().violations()).isEmpty();
             assertAllServed(site, jobs);
         }
     }
--- a/standin/src/test/java/org/hibiscususher/standin/scheduler/SiteFault.java
+++ b/standin/src/test/java/org/hibiscususher/standin/scheduler/SiteFault.java
@@ -23,13 +23,14 @@
     OWNER_STOPPED {
         @Override
         void strike(SchedulerSite site, Random random) {
-            site.owner().ifPresent(owner -> site.stop(owner, 3_500));
+            site.owner().ifPresent(owner -> site.shutDown(owner, 3_500));
         }
     },
     OWNER_CUT_FROM_STORE {
         @Override
         void strike(SchedulerSite site, Random random) {
-            site.owner().ifPresent(owner -> site.cutOff(owner, 1_000 + random.nextInt(8_000)));
+            site.owner()
+                    .ifPresent(owner -> site.cutOffFromStore(owner, 1_000 + random.nextInt(8_000)));
         }
     },
     OWNER_CUT_FROM_EXECUTOR {
@@ -53,19 +54,19 @@
     ANSWERS_LOST {
         @Override
         void strike(SchedulerSite site, Random random) {
-            site.loseAnswers(0.35, false, 4_500);
+            site.dropCommitResponses(0.35, false, 4_500);
         }
     },
     ANSWERS_LOST_WRITES_LATE {
         @Override
         void strike(SchedulerSite site, Random random) {
-            site.loseAnswers(0.35, true, 4_500);
+            site.dropCommitResponses(0.35, true, 4_500);
         }
     },
     EXECUTOR_DARK {
         @Override
         void strike(SchedulerSite site, Random random) {
-            site.darken("x1", 1_000 + random.nextInt(7_000));
+            site.silenceExecutor("x1", 1_000 + random.nextInt(7_000));
         }
     },
     EXECUTOR_RESTARTED {
@@ -77,7 +78,7 @@
     EXECUTOR_FAILS_ALL {
         @Override
         void strike(SchedulerSite site, Random random) {
-            site.failAll("x0", 4_000);
+            site.failAllRuns("x0", 4_000);
         }
     },
     ORDERS_LATE {
@@ -89,11 +90,11 @@
     OWNERS_STOPPED_IN_SERIES {
         @Override
         void strike(SchedulerSite site, Random random) {
-            site.darken("x1", 900);
+            site.silenceExecutor("x1", 900);
             for (int i = 0; i < 3; i++) {
-                site.at(
+                site.schedule(
                         50 + i * (200 + random.nextInt(200)),
-                        () -> site.owner().ifPresent(owner -> site.stop(owner, 3_500)));
+                        () -> site.owner().ifPresent(owner -> site.shutDown(owner, 3_500)));
             }
         }
     };
--- a/standin/src/test/java/org/hibiscususher/standin/virtual/EscrowSite.java
+++ b/standin/src/test/java/org/hibiscususher/standin/virtual/EscrowSite.java
@@ -67,16 +67,16 @@
     }
 
     void apply(String note) {
-        long call = mSite.submit(firstRunning(), NoteReader.read("note", note).note());
-        for (int i = 0; i < 200 && !mSite.noteAnswers().containsKey(call); i++) {
+        long call = mSite.submitNote(firstRunning(), NoteReader.read("note", note).note());
+        for (int i = 0; i < 200 && !mSite.noteReplies().containsKey(call); i++) {
             mSite.run(100);
         }
-        assertThat(mSite.noteAnswers().get(call).result()).isEqualTo(NoteResult.ACCEPTED);
+        assertThat(mSite.noteReplies().get(call).result()).isEqualTo(NoteResult.ACCEPTED);
     }
 
     private String firstRunning() {
         return mSite.entries().values().stream()
-                .filter(e -> e.condition() == EntryCondition.RUNNING)
+                .filter(e -> e.processState() == ProcessState.RUNNING)
                 .findFirst()
                 .orElseThrow()
                 .id();
@@ -115,7 +115,7 @@
     /** Returns the entry that allocates a group of permits. */
     VirtualEntry allocator(PermitKey key) {
         return mSite.entries().values().stream()
-                .filter(e -> e.condition() == EntryCondition.RUNNING)
+                .filter(e -> e.processState() == ProcessState.RUNNING)
                 .filter(e -> e.world().allocatorTerms().contains(key.permitGroup()))
                 .findFirst()
                 .orElseThrow();
@@ -134,9 +134,9 @@
             for (VirtualEntry entry : mSite.entries().values()) {
                 int dice = mSite.random().nextInt(12);
                 String team = dice % 2 == 0 ? "fitters" : "sellers";
-                if (dice < 3 && entry.condition() != EntryCondition.DEAD) {
+                if (dice < 3 && entry.processState() != ProcessState.DEAD) {
                     String queue = dice == 2 ? "batches" : "lookups";
-                    mSite.call(entry.id(), queue, team, 1 + mSite.random().nextInt(runMs));
+                    mSite.sendRequest(entry.id(), queue, team, 1 + mSite.random().nextInt(runMs));
                 }
             }
             mSite.run(10);
@@ -147,7 +147,7 @@
     int held(PermitKey key) {
         int held = 0;
         for (VirtualEntry entry : mSite.entries().values()) {
-            if (entry.condition() != EntryCondition.DEAD) {
+            if (entry.processState() != ProcessState.DEAD) {
                 held += entry.world().holdings().find(key).map(HoldingRow::held).orElse(0);
             }
         }
@@ -167,13 +167,17 @@
 
     private void audit() {
         for (VirtualTarget target : mSite.targets().values()) {
-            assertThat(target.running()).as("running on " + target.id()).isLessThanOrEqualTo(SLOTS);
+            assertThat(target.runningRequests())
+                    .as("running on " + target.id())
+                    .isLessThanOrEqualTo(SLOTS);
             check(PermitKey.slot("parts", target.id()), SLOTS);
         }
         mLimits.forEach(
                 (team, limit) -> {
                     int running =
-                            mSite.targets().values().stream().mapToInt(t -> t.running(team)).sum();
+                            mSite.targets().values().stream()
+                                    .mapToInt(t -> t.runningRequests(team))
+                                    .sum();
                     int allowed = check(PermitKey.unit(team), limit);
                     assertThat(running).as("running of " + team).isLessThanOrEqualTo(allowed);
                 });
--- a/standin/src/test/java/org/hibiscususher/standin/virtual/EscrowTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/virtual/EscrowTest.java
@@ -27,9 +27,9 @@
         @ValueSource(longs = {1, 2, 3})
         void thatLoseDoubleAndReorderMessagesNeitherLoseNorDoublePermits(long seed) {
             EscrowSite escrow = new EscrowSite(seed);
-            escrow.site().network().setBehaviour(1, 30, 0.2, 0.2);
+            escrow.site().network().setLinkBehaviour(1, 30, 0.2, 0.2);
             escrow.load(3_000, 60);
-            escrow.site().network().setBehaviour(1, 0, 0, 0);
+            escrow.site().network().setLinkBehaviour(1, 0, 0, 0);
             escrow.site().run(4_000);
             for (PermitKey key : new PermitKey[] {H1, FITTERS, PermitKey.longRun("parts")}) {
                 LedgerRow row = escrow.allocator(key).world().ledger().find(key).orElseThrow();
@@ -98,7 +98,7 @@
         void mayComeAndGoInAnyOrder(long seed) {
             EscrowSite escrow = new EscrowSite(seed);
             Random random = new Random(seed);
-            escrow.site().network().setBehaviour(1, 20, 0.1, 0.1);
+            escrow.site().network().setLinkBehaviour(1, 20, 0.1, 0.1);
             for (int i = 0; i < 12; i++) {
                 disturb(escrow, "e" + (1 + random.nextInt(4)), random.nextInt(4));
                 escrow.load(200, 100);
@@ -151,7 +151,7 @@
             for (int i = 0; i < 600; i++) {
                 mSite.run(1);
                 boolean back = EscrowQueries.allSlotsReturned(mEscrow.allocator(H1).world(), "h1");
-                assertThat(back && mSite.target("h1").running() > 0).isFalse();
+                assertThat(back && mSite.target("h1").runningRequests() > 0).isFalse();
             }
             assertThat(EscrowQueries.allSlotsReturned(mEscrow.allocator(H1).world(), "h1"))
                     .isTrue();
--- a/standin/src/test/java/org/hibiscususher/standin/virtual/FreshnessTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/virtual/FreshnessTest.java
@@ -38,7 +38,7 @@
         List<VirtualRequest> requests = new ArrayList<>();
         for (long end = mSite.nowMs() + ms; mSite.nowMs() < end; mSite.run(50)) {
             for (String id : mMembers.ids()) {
-                requests.add(mSite.call(id, "lookups", "fitters", 10));
+                requests.add(mSite.sendRequest(id, "lookups", "fitters", 10));
             }
         }
         return requests;
@@ -113,7 +113,7 @@
         LOSSY_LINKS_WITHOUT_STORE {
             @Override
             void begin(Members members) {
-                members.site().network().setBehaviour(5, 200, 0.3, 0.3);
+                members.site().network().setLinkBehaviour(5, 200, 0.3, 0.3);
                 members.site().store().setReachable("e3", false);
             }
         },
@@ -123,7 +123,7 @@
                 members.cut("e3", true, true, true);
                 members.site().store().setReachable("e3", false);
                 members.site().pause("e3");
-                members.site().timeline().after(2_500, () -> members.site().resume("e3"));
+                members.site().clock().after(2_500, () -> members.site().resume("e3"));
             }
         },
         ANOTHER_MEMBER_DEAD {
@@ -157,10 +157,10 @@
             assertThat(requests)
                     .filteredOn(r -> r.arrivedMs() > endMs)
                     .isNotEmpty()
-                    .allMatch(r -> r.runs() == 0);
+                    .allMatch(r -> r.runCount() == 0);
             assertThat(requests)
                     .filteredOn(r -> r.refusal().isPresent())
-                    .allMatch(r -> r.runs() == 0);
+                    .allMatch(r -> r.runCount() == 0);
         }
     }
 
@@ -171,10 +171,10 @@
             mMembers.cut("e3", true, true, true);
             mSite.store().setReachable("e3", false);
             mSite.run(BOUND_MS + 100);
-            VirtualRequest request = mSite.call("e3", "lookups", "fitters", 10);
+            VirtualRequest request = mSite.sendRequest("e3", "lookups", "fitters", 10);
             mSite.run(100);
             assertThat(request.refusal()).contains(Refusal.CONFIGURATION_STALE);
-            assertThat(request.runs()).isZero();
+            assertThat(request.runCount()).isZero();
             assertThat(mMembers.ids()).filteredOn(FreshnessTest.this::vouches).hasSize(3);
         }
 
@@ -195,7 +195,7 @@
         void areOutlivedByTheWordOfAllMembers() {
             mSite.store().setFault(StoreFault.DOWN);
             mSite.run(10_000);
-            assertThat(callAll(60_000)).filteredOn(r -> !r.answered()).hasSizeLessThan(10);
+            assertThat(callAll(60_000)).filteredOn(r -> !r.isAnswered()).hasSizeLessThan(10);
         }
 
         @Test
@@ -238,12 +238,12 @@
             mSite.pause("e3");
             mSite.run(1_500);
             mMembers.cut("e3", true, true, true);
-            VirtualRequest request = mSite.call("e3", "lookups", "fitters", 10);
+            VirtualRequest request = mSite.sendRequest("e3", "lookups", "fitters", 10);
             mSite.resume("e3");
             mSite.run(100);
             assertThat(entry.world().node().resumedMs()).isGreaterThan(mSite.nowMs() - 200);
             assertThat(request.refusal()).contains(Refusal.CONFIGURATION_STALE);
-            assertThat(request.runs()).isZero();
+            assertThat(request.runCount()).isZero();
         }
 
         @Test
--- a/standin/src/test/java/org/hibiscususher/standin/virtual/Members.java
+++ b/standin/src/test/java/org/hibiscususher/standin/virtual/Members.java
@@ -113,7 +113,7 @@
 
     /** Gives every entry the platform's list, with the named hosts alone. */
     void showHosts(List<String> ids) {
-        mSite.showHosts(ids.stream().map(id -> new PlatformHost(id, false, "")).toList());
+        mSite.publishHosts(ids.stream().map(id -> new PlatformHost(id, false, "")).toList());
     }
 
     List<String> ids() {
@@ -145,6 +145,6 @@
     private void submit(String note) {
         var parsed = NoteReader.read("note", note);
         assertThat(parsed.findings()).isEmpty();
-        mSite.submit("e1", parsed.note());
+        mSite.submitNote("e1", parsed.note());
     }
 }
--- a/standin/src/test/java/org/hibiscususher/standin/virtual/MembershipTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/virtual/MembershipTest.java
@@ -33,15 +33,15 @@
 
         @Test
         void leaveOnceTheirWorkIsOver() {
-            VirtualRequest request = mSite.call("e2", "lookups", "fitters", 1_500);
+            VirtualRequest request = mSite.sendRequest("e2", "lookups", "fitters", 1_500);
             mSite.run(100);
             mSite.shutDown("e2");
             mSite.run(500);
             assertThat(mMembers.state("e2")).contains(MemberState.LEAVING);
             mSite.run(3_000);
-            assertThat(request.answered()).isTrue();
+            assertThat(request.isAnswered()).isTrue();
             assertThat(mMembers.state("e2")).isEmpty();
-            assertThat(mSite.entries().get("e2").condition()).isEqualTo(EntryCondition.DEAD);
+            assertThat(mSite.entries().get("e2").processState()).isEqualTo(ProcessState.DEAD);
         }
 
         @Test
@@ -169,10 +169,10 @@
             mMembers.showHosts(List.of("e1", "e2", "e3", "e5"));
             mMembers.awaitState("e4", MemberState.DEAD, 3_000);
             mSite.resume("e4");
-            VirtualRequest request = mSite.call("e4", "lookups", "fitters", 10);
+            VirtualRequest request = mSite.sendRequest("e4", "lookups", "fitters", 10);
             mSite.run(1_000);
-            assertThat(request.runs()).isZero();
-            assertThat(mSite.entries().get("e4").condition()).isEqualTo(EntryCondition.DEAD);
+            assertThat(request.runCount()).isZero();
+            assertThat(mSite.entries().get("e4").processState()).isEqualTo(ProcessState.DEAD);
         }
     }
 
--- a/standin/src/test/java/org/hibiscususher/standin/virtual/VirtualSiteTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/virtual/VirtualSiteTest.java
@@ -34,24 +34,24 @@
                   queues: [{name: lookups, pool: parts}]
                 """
                         .formatted(KeyDigest.ofSecret("fitters").toHex());
-        long call = mSite.submit("e1", NoteReader.read("note", note).note());
+        long call = mSite.submitNote("e1", NoteReader.read("note", note).note());
         mSite.run(500);
-        assertThat(mSite.noteAnswers().get(call).result()).isEqualTo(NoteResult.ACCEPTED);
+        assertThat(mSite.noteReplies().get(call).result()).isEqualTo(NoteResult.ACCEPTED);
     }
 
     @Nested
     class Requests {
         @Test
         void areAnsweredOnce() {
-            VirtualRequest request = mSite.call("e2", "lookups", "fitters", 50);
+            VirtualRequest request = mSite.sendRequest("e2", "lookups", "fitters", 50);
             mSite.run(200);
-            assertThat(request.answered()).isTrue();
-            assertThat(request.runs()).isEqualTo(1);
+            assertThat(request.isAnswered()).isTrue();
+            assertThat(request.runCount()).isEqualTo(1);
         }
 
         @Test
         void areRefusedWithoutAKeyInForce() {
-            VirtualRequest request = mSite.call("e2", "lookups", "strangers", 50);
+            VirtualRequest request = mSite.sendRequest("e2", "lookups", "strangers", 50);
             mSite.run(200);
             assertThat(request.refusal()).contains(Refusal.KEY_UNKNOWN);
         }
