Describe the store stand-in by its calls and faults

Comments named the faults only in private words. They now say which calls are applied, answered and watched, and why a repeated reboot token is accepted.

--- a/standin/src/main/java/org/hibiscususher/standin/store/PlatformHosts.java
+++ b/standin/src/main/java/org/hibiscususher/standin/store/PlatformHosts.java
@@ -7,23 +7,29 @@
 import org.hibiscususher.core.message.PlatformHost;
 import org.hibiscususher.core.table.Table;
 
-/** The platform's hosts; a reboot here is over at once. Belongs to the server's one thread. */
+/**
+ * Table of the hosts that the platform lists. A reboot completes immediately. Confined to the
+ * server's event loop thread.
+ */
 final class PlatformHosts {
     private final Table<String, PlatformHost> mHosts = Table.create();
+
+    /** Token of the last accepted reboot, by host id. */
     private final Map<String, String> mTokens = new HashMap<>();
 
-    /** Replaces all hosts by those of a list. */
+    /** Replaces all hosts with those of a JSON array. */
     void replace(JsonNode list) {
         mHosts.clear();
-        for (JsonNode n : list) {
-            String id = n.path("id").asText();
+        for (JsonNode host : list) {
+            String id = host.path("id").asText();
             mHosts.put(
                     id,
-                    new PlatformHost(id, n.path("leaving").asBoolean(), n.path("bootId").asText()));
+                    new PlatformHost(
+                            id, host.path("leaving").asBoolean(), host.path("bootId").asText()));
         }
     }
 
-    /** Adds the hosts to a JSON list. */
+    /** Appends the hosts to a JSON array. */
     void writeTo(ArrayNode list) {
         for (PlatformHost host : mHosts.rows()) {
             list.addObject()
@@ -33,7 +39,16 @@
         }
     }
 
-    /** Reboots a host if its boot id is as expected; a repeated token gives the same answer. */
+    /**
+     * Reboots a host if its boot id is the expected one. A call that repeats the token of the last
+     * accepted reboot is accepted without a second reboot, so that a caller may retry a call whose
+     * response was lost.
+     *
+     * @param id host id
+     * @param bootId boot id that the caller expects the host to have
+     * @param token idempotency token of the order
+     * @return whether the order is accepted
+     */
     boolean reboot(String id, String bootId, String token) {
         if (token.equals(mTokens.get(id))) {
             return true;
--- a/standin/src/main/java/org/hibiscususher/standin/store/StoreFault.java
+++ b/standin/src/main/java/org/hibiscususher/standin/store/StoreFault.java
@@ -1,47 +1,56 @@
 package org.hibiscususher.standin.store;
 
-/** How the store misbehaves. */
+/**
+ * Faults that a simulated store can have. The {@code /fault} endpoint selects a fault by the name
+ * of its constant.
+ */
 public enum StoreFault {
-    /** Works. */
+    /** No fault. */
     NONE(true, true, true, 0),
-    /** Does nothing and answers nothing. */
+    /** Neither applies calls nor sends responses. */
     DOWN(false, false, false, 0),
-    /** Answers late. */
+    /**
+     * Applies calls and sends responses 800 ms late. The simulated store delays watch events too.
+     */
     SLOW(true, true, true, 800),
-    /** Carries out calls and answers nothing. */
+    /** Applies calls but sends no responses, so that callers don't know the outcome. */
     LOSES_ANSWERS(true, false, true, 0),
-    /** Shows nothing on watches. */
+    /** Handles calls normally but sends no watch events. */
     FROZEN_WATCH(true, true, false, 0);
 
-    private final boolean mActs;
-    private final boolean mAnswers;
-    private final boolean mShows;
-    private final int mDelayMs;
+    private final boolean mAppliesCalls;
+    private final boolean mSendsResponses;
+    private final boolean mNotifiesWatches;
+    private final int mResponseDelayMs;
 
-    StoreFault(boolean acts, boolean answers, boolean shows, int delayMs) {
-        mActs = acts;
-        mAnswers = answers;
-        mShows = shows;
-        mDelayMs = delayMs;
+    StoreFault(
+            boolean appliesCalls,
+            boolean sendsResponses,
+            boolean notifiesWatches,
+            int responseDelayMs) {
+        mAppliesCalls = appliesCalls;
+        mSendsResponses = sendsResponses;
+        mNotifiesWatches = notifiesWatches;
+        mResponseDelayMs = responseDelayMs;
     }
 
     /** Returns whether calls take effect. */
     public boolean appliesCalls() {
-        return mActs;
+        return mAppliesCalls;
     }
 
-    /** Returns whether calls are answered. */
+    /** Returns whether responses are sent. */
     public boolean sendsResponses() {
-        return mAnswers;
+        return mSendsResponses;
     }
 
-    /** Returns whether watches show changes. */
+    /** Returns whether changes are sent to watches. */
     public boolean notifiesWatches() {
-        return mShows;
+        return mNotifiesWatches;
     }
 
-    /** Returns the delay of answers, in milliseconds. */
+    /** Returns the extra delay of responses, in milliseconds. */
     public int delayMs() {
-        return mDelayMs;
+        return mResponseDelayMs;
     }
 }
--- a/standin/src/main/java/org/hibiscususher/standin/store/StoreHandler.java
+++ b/standin/src/main/java/org/hibiscususher/standin/store/StoreHandler.java
@@ -28,11 +28,15 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
-/** Answers calls of the JSON gateway of the etcd v3 protocol, as far as the system uses it. */
+/**
+ * Serves the part of etcd's v3 JSON gateway that the system under test uses (range, transaction,
+ * watch), the platform's host list and reboots, and {@code /fault}, by which a test selects the
+ * {@link StoreFault}.
+ */
 final class StoreHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
-    private static final Pattern REBOOT = Pattern.compile("/platform/hosts/([^/]+)/reboot");
+    private static final Pattern REBOOT_PATH = Pattern.compile("/platform/hosts/([^/]+)/reboot");
 
     private final StoreState mState;
 
@@ -52,25 +56,25 @@
         if (!mState.fault().appliesCalls()) {
             return;
         }
-        JsonNode call = body.isEmpty() ? MAPPER.createObjectNode() : MAPPER.readTree(body);
-        Matcher reboot = REBOOT.matcher(request.uri());
+        JsonNode parameters = body.isEmpty() ? MAPPER.createObjectNode() : MAPPER.readTree(body);
+        Matcher reboot = REBOOT_PATH.matcher(request.uri());
         if (reboot.matches()) {
             boolean accepted =
                     mState.platformHosts()
                             .reboot(
                                     reboot.group(1),
-                                    call.path("bootId").asText(),
-                                    call.path("token").asText());
+                                    parameters.path("bootId").asText(),
+                                    parameters.path("token").asText());
             replyAfterDelay(context, MAPPER.createObjectNode().put("accepted", accepted));
             return;
         }
         switch (request.uri()) {
-            case "/v3/kv/range" -> replyAfterDelay(context, range(call));
-            case "/v3/kv/txn" -> replyAfterDelay(context, transact(call));
-            case "/v3/watch" -> watch(context.channel(), call.path("create_request"));
+            case "/v3/kv/range" -> replyAfterDelay(context, range(parameters));
+            case "/v3/kv/txn" -> replyAfterDelay(context, transact(parameters));
+            case "/v3/watch" -> watch(context.channel(), parameters.path("create_request"));
             case "/platform/hosts" -> {
                 if (request.method() == HttpMethod.POST) {
-                    mState.platformHosts().replace(call.path("hosts"));
+                    mState.platformHosts().replace(parameters.path("hosts"));
                 }
                 ObjectNode hosts = MAPPER.createObjectNode();
                 mState.platformHosts().writeTo(hosts.putArray("hosts"));
@@ -80,27 +84,32 @@
         }
     }
 
-    private ObjectNode range(JsonNode call) {
+    /**
+     * Handles a read of one key or of a range of keys. A read of one key reports the count even if
+     * {@code min_mod_revision} excludes the value, so that the caller can tell an unchanged key
+     * from a missing one.
+     */
+    private ObjectNode range(JsonNode parameters) {
         ObjectNode reply = header();
-        if (call.has("range_end")) {
-            ArrayNode found = reply.putArray("kvs");
-            String first = decode(call.path("key").asText());
-            String end = decode(call.path("range_end").asText());
-            long sinceRevision = call.path("min_mod_revision").asLong();
+        if (parameters.has("range_end")) {
+            ArrayNode kvs = reply.putArray("kvs");
+            String first = decode(parameters.path("key").asText());
+            String end = decode(parameters.path("range_end").asText());
+            long minRevision = parameters.path("min_mod_revision").asLong();
             for (StoreState.Entry entry : mState.entries().rows()) {
                 String key = decode(entry.key());
-                boolean within = key.compareTo(first) >= 0 && key.compareTo(end) < 0;
-                if (within && entry.revision() >= sinceRevision) {
-                    found.add(keyValue(entry));
+                boolean inRange = key.compareTo(first) >= 0 && key.compareTo(end) < 0;
+                if (inRange && entry.revision() >= minRevision) {
+                    kvs.add(keyValue(entry));
                 }
             }
             return reply;
         }
-        Optional<StoreState.Entry> entry = mState.entries().find(call.path("key").asText());
+        Optional<StoreState.Entry> entry = mState.entries().find(parameters.path("key").asText());
         if (entry.isPresent()) {
             reply.put("count", "1");
         }
-        long minRevision = call.path("min_mod_revision").asLong();
+        long minRevision = parameters.path("min_mod_revision").asLong();
         entry.filter(e -> e.revision() >= minRevision)
                 .ifPresent(e -> reply.putArray("kvs").add(keyValue(e)));
         return reply;
@@ -110,9 +119,10 @@
         return new String(Base64.getDecoder().decode(key), StandardCharsets.UTF_8);
     }
 
-    private ObjectNode transact(JsonNode call) {
-        JsonNode compare = call.path("compare").get(0);
-        JsonNode put = call.path("success").get(0).path("request_put");
+    /** Handles a transaction of one comparison of a revision and one write. */
+    private ObjectNode transact(JsonNode parameters) {
+        JsonNode compare = parameters.path("compare").get(0);
+        JsonNode put = parameters.path("success").get(0).path("request_put");
         String key = put.path("key").asText();
         boolean swapped =
                 mState.compareAndSet(
@@ -124,10 +134,12 @@
         return header().put("succeeded", swapped);
     }
 
+    /** Opens a watch: a chunked response of one line of JSON for each change of the key. */
     private void watch(Channel channel, JsonNode create) {
-        HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
-        HttpUtil.setTransferEncodingChunked(head, true);
-        channel.writeAndFlush(head);
+        HttpResponse responseHead =
+                new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+        HttpUtil.setTransferEncodingChunked(responseHead, true);
+        channel.writeAndFlush(responseHead);
         String key = create.path("key").asText();
         mState.watchChannels(key).add(channel);
         if (mState.entries().contains(key)) {
@@ -135,6 +147,7 @@
         }
     }
 
+    /** Sends the current value of a key to a watch. */
     private void sendWatchEvent(Channel channel, String key) {
         ObjectNode line = MAPPER.createObjectNode();
         line.putObject("result")
@@ -146,6 +159,7 @@
         channel.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)));
     }
 
+    /** Returns a response that holds only the header with the store's revision. */
     private ObjectNode header() {
         ObjectNode reply = MAPPER.createObjectNode();
         reply.putObject("header").put("revision", Long.toString(mState.revision()));
@@ -159,6 +173,7 @@
                 .put("mod_revision", Long.toString(entry.revision()));
     }
 
+    /** Sends a response after the delay of the fault, or never if the fault drops responses. */
     private void replyAfterDelay(ChannelHandlerContext context, JsonNode body) {
         if (!mState.fault().sendsResponses()) {
             return;
--- a/standin/src/main/java/org/hibiscususher/standin/store/StoreState.java
+++ b/standin/src/main/java/org/hibiscususher/standin/store/StoreState.java
@@ -7,7 +7,10 @@
 import java.util.Map;
 import org.hibiscususher.core.table.Table;
 
-/** The keys, watches and faults of the store. Belongs to the server's one thread. */
+/**
+ * State of the store stand-in: keys, watches, platform hosts and the current fault. Confined to the
+ * server's event loop thread.
+ */
 final class StoreState {
     private final Table<String, Entry> mEntries = Table.create();
     private final Map<String, List<Channel>> mWatches = new HashMap<>();
@@ -15,7 +18,13 @@
     private StoreFault mFault = StoreFault.NONE;
     private long mRevision;
 
-    /** A value and the revision of its last change. */
+    /**
+     * A stored value.
+     *
+     * @param key key in base64, as the gateway sends it
+     * @param value value in base64
+     * @param revision revision of the store that last changed the value
+     */
     record Entry(String key, String value, long revision) {}
 
     Table<String, Entry> entries() {
@@ -38,7 +47,12 @@
         return mRevision;
     }
 
-    /** Writes a value if its revision is as expected; returns whether it was written. */
+    /**
+     * Writes a value if the key has the expected revision.
+     *
+     * @param expected revision that the key must have; 0 if it must not exist
+     * @return whether the value was written
+     */
     boolean compareAndSet(String key, long expected, String value) {
         long current = mEntries.find(key).map(Entry::revision).orElse(0L);
         if (current != expected) {
@@ -49,6 +63,7 @@
         return true;
     }
 
+    /** Returns the mutable list of connections that watch a key. */
     List<Channel> watchChannels(String key) {
         return mWatches.computeIfAbsent(key, k -> new ArrayList<>());
     }
--- a/standin/src/main/java/org/hibiscususher/standin/store/package-info.java
+++ b/standin/src/main/java/org/hibiscususher/standin/store/package-info.java
@@ -1,2 +1,5 @@
-/** A stand-in for the platform's key-value store and list of hosts. */
+/**
+ * HTTP stand-in for the platform's key-value store, host list and reboots, with faults that a test
+ * selects.
+ */
 package org.hibiscususher.standin.store;
