--- a/standin/src/main/java/org/hibiscususher/standin/target/RunCounter.java
+++ b/standin/src/main/java/org/hibiscususher/standin/target/RunCounter.java
@@ -3,7 +3,10 @@
 import java.util.Map;
 import java.util.TreeMap;
 
-/** Counts the runs of each named request. Belongs to the server's one thread. */
+/**
+ * Counts how many times each named request ran, so that a test can detect duplicate runs. Confined
+ * to the server's event loop thread.
+ */
 final class RunCounter {
     private final Map<String, Integer> mRuns = new TreeMap<>();
 
@@ -11,10 +14,12 @@
         mRuns.merge(name, 1, Integer::sum);
     }
 
-    /** Returns a line for each name: the name and how many times it ran. */
+    /**
+     * Returns one line for each request name, in order of name: the name, a space and the count.
+     */
     String toText() {
         StringBuilder text = new StringBuilder();
-        mRuns.forEach((name, runs) -> text.append(name).append(' ').append(runs).append('\n'));
+        mRuns.forEach((name, count) -> text.append(name).append(' ').append(count).append('\n'));
         return text.toString();
     }
 }
--- a/standin/src/main/java/org/hibiscususher/standin/target/TargetHandler.java
+++ b/standin/src/main/java/org/hibiscususher/standin/target/TargetHandler.java
@@ -13,43 +13,44 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Answers each request with the host's name, the path and the body, after a run time, and tells how
- * many times each named request has run.
+ * Responds to each request with the host's name, the path and the request's body. The header {@code
+ * Run-Ms} sets the delay of the response, and {@code Request-Name} the name under which the run is
+ * counted. {@code /stand-in/runs} returns the counts.
  */
 final class TargetHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
     private static final String RUNS_PATH = "/stand-in/runs";
 
     private final String mHost;
-    private final RunCounter mRuns;
+    private final RunCounter mRunCounter;
 
-    TargetHandler(String host, RunCounter runs) {
+    TargetHandler(String host, RunCounter runCounter) {
         mHost = host;
-        mRuns = runs;
+        mRunCounter = runCounter;
     }
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
         if (request.uri().equals(RUNS_PATH)) {
-            reply(context, mRuns.toText());
+            reply(context, mRunCounter.toText());
             return;
         }
-        mRuns.increment(request.headers().get("Request-Name", "-"));
-        String answer =
+        mRunCounter.increment(request.headers().get("Request-Name", "-"));
+        String body =
                 mHost
                         + " ran "
                         + request.uri()
                         + " "
                         + request.content().toString(StandardCharsets.UTF_8);
         int runMs = request.headers().getInt("Run-Ms", 0);
-        context.executor().schedule(() -> reply(context, answer), runMs, TimeUnit.MILLISECONDS);
+        context.executor().schedule(() -> reply(context, body), runMs, TimeUnit.MILLISECONDS);
     }
 
-    private static void reply(ChannelHandlerContext context, String answer) {
+    private static void reply(ChannelHandlerContext context, String body) {
         FullHttpResponse response =
                 new DefaultFullHttpResponse(
                         HttpVersion.HTTP_1_1,
                         HttpResponseStatus.OK,
-                        Unpooled.copiedBuffer(answer, StandardCharsets.UTF_8));
+                        Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
         context.writeAndFlush(response);
     }
--- a/standin/src/main/java/org/hibiscususher/standin/target/TargetMain.java
+++ b/standin/src/main/java/org/hibiscususher/standin/target/TargetMain.java
@@ -3,18 +3,27 @@
 import java.io.IOException;
 import org.hibiscususher.standin.HttpServer;
 
-/** Runs the stand-in for a target host. */
+/** Starts the stand-in for a target host as a process. */
 public final class TargetMain {
     private TargetMain() {}
 
-    /** Runs until the process is ended; the arguments are the address and the host's name. */
+    /**
+     * Serves until the process is killed, after printing the address that it listens on.
+     *
+     * @param args the address to listen on, and the host's name
+     */
     public static void main(String[] args) throws IOException {
         System.out.println("listening " + listen(args[0], args[1]).address());
     }
 
-    /** Starts the stand-in on an address. */
+    /**
+     * Starts the stand-in within this process.
+     *
+     * @param address address to listen on
+     * @param host host name that responses contain
+     */
     public static HttpServer listen(String address, String host) throws IOException {
-        RunCounter runs = new RunCounter();
-        return HttpServer.listen(address, () -> new TargetHandler(host, runs));
+        RunCounter runCounter = new RunCounter();
+        return HttpServer.listen(address, () -> new TargetHandler(host, runCounter));
     }
 }
--- a/standin/src/main/java/org/hibiscususher/standin/target/package-info.java
+++ b/standin/src/main/java/org/hibiscususher/standin/target/package-info.java
@@ -1,2 +1,2 @@
-/** A stand-in for a target host's executor. */
+/** HTTP stand-in for the executor of a target host. */
 package org.hibiscususher.standin.target;
