Describe the simulated site in terms of discrete event simulation

Comments and fields used private words such as mend, gone or went away. They now give units, special values and what each fault does to an attempt.

--- a/standin/src/main/java/org/hibiscususher/standin/virtual/ProcessState.java
+++ b/standin/src/main/java/org/hibiscususher/standin/virtual/ProcessState.java
@@ -1,27 +1,27 @@
 package org.hibiscususher.standin.virtual;
 
-/** The conditions of an entry's process. */
+/** States of a simulated entry's process. */
 public enum ProcessState {
-    /** Runs. */
+    /** The process runs. */
     RUNNING(true, true),
-    /** Stopped by the system for a while; what reaches it waits. */
+    /** The operating system has suspended the process; its inputs accumulate until it resumes. */
     PAUSED(false, true),
-    /** Has ended. */
+    /** The process has ended; its inputs are dropped. */
     DEAD(false, false);
 
-    private final boolean mRuns;
-    private final boolean mReceives;
+    private final boolean mRunning;
+    private final boolean mAcceptsInput;
 
-    ProcessState(boolean runs, boolean receives) {
-        mRuns = runs;
-        mReceives = receives;
+    ProcessState(boolean running, boolean acceptsInput) {
+        mRunning = running;
+        mAcceptsInput = acceptsInput;
     }
 
     boolean isRunning() {
-        return mRuns;
+        return mRunning;
     }
 
     boolean acceptsInput() {
-        return mReceives;
+        return mAcceptsInput;
     }
 }
--- a/standin/src/main/java/org/hibiscususher/standin/virtual/TargetFault.java
+++ b/standin/src/main/java/org/hibiscususher/standin/virtual/TargetFault.java
@@ -2,44 +2,44 @@
 
 import org.hibiscususher.core.message.AttemptOutcome;
 
-/** How a target misbehaves. */
+/** Faults that a simulated target can have. */
 public enum TargetFault {
-    /** Works. */
+    /** No fault. */
     NONE(true, 1, AttemptOutcome.ANSWERED),
-    /** Takes no connection. */
+    /** Connections fail. */
     UNREACHABLE(false, 0, AttemptOutcome.NOT_CONNECTED),
-    /** Says that it runs nothing more. */
+    /** Declines each request without running it, as a target that shuts down does. */
     DECLINING(false, 0, AttemptOutcome.DECLINED),
-    /** Runs each request and breaks off before it answers. */
+    /** Runs each request for a tenth of its run time, then drops the connection unanswered. */
     BROKEN_CONNECTION(true, 0.1, AttemptOutcome.BROKEN),
-    /** Runs each request and answers soon with an error of the server. */
+    /** Runs each request for a tenth of its run time, then responds with a server error. */
     SERVER_ERRORS(true, 0.1, AttemptOutcome.SERVER_ERROR),
-    /** Runs each request and breaks off in the middle of the answer. */
+    /** Runs each request and drops the connection in the middle of the response. */
     TRUNCATED_RESPONSE(true, 1, AttemptOutcome.TRUNCATED),
-    /** Runs five times as long as usual. */
+    /** Takes five times the request's run time. */
     SLOW(true, 5, AttemptOutcome.ANSWERED);
 
-    private final boolean mRuns;
-    private final double mDuration;
+    private final boolean mRunsRequests;
+    private final double mRunTimeFactor;
     private final AttemptOutcome mOutcome;
 
-    TargetFault(boolean runs, double duration, AttemptOutcome outcome) {
-        mRuns = runs;
-        mDuration = duration;
+    TargetFault(boolean runsRequests, double runTimeFactor, AttemptOutcome outcome) {
+        mRunsRequests = runsRequests;
+        mRunTimeFactor = runTimeFactor;
         mOutcome = outcome;
     }
 
-    /** Returns whether requests run. */
+    /** Returns whether the target runs the requests that it gets. */
     boolean runsRequests() {
-        return mRuns;
+        return mRunsRequests;
     }
 
-    /** Returns the run time as a multiple of the usual one. */
+    /** Returns the factor by which the fault multiplies the run time of a request. */
     double runTimeFactor() {
-        return mDuration;
+        return mRunTimeFactor;
     }
 
-    /** Returns what the entry sees. */
+    /** Returns the outcome of the attempt that the entry sees. */
     AttemptOutcome outcome() {
         return mOutcome;
     }
--- a/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualClock.java
+++ b/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualClock.java
@@ -5,15 +5,18 @@
 import java.util.Comparator;
 import java.util.PriorityQueue;
 
-/** Tasks in order of virtual time. Not thread-safe. */
+/**
+ * Virtual clock with a queue of events. Events that are due at the same millisecond run in the
+ * order in which they were added, so that a run is reproducible. Not thread-safe.
+ */
 public final class VirtualClock {
-    private final PriorityQueue<Task> mTasks =
+    private final PriorityQueue<Event> mEvents =
             new PriorityQueue<>(
-                    Comparator.comparingLong(Task::atMs).thenComparingLong(Task::sequence));
+                    Comparator.comparingLong(Event::atMs).thenComparingLong(Event::sequence));
     private long mNowMs;
     private long mSequence;
 
-    private record Task(long atMs, long sequence, Runnable action) {}
+    private record Event(long atMs, long sequence, Runnable action) {}
 
     VirtualClock(long startMs) {
         mNowMs = startMs;
@@ -24,16 +27,21 @@
         return mNowMs;
     }
 
-    /** Runs an action after a delay in milliseconds, after others due at the same time. */
+    /**
+     * Schedules an action.
+     *
+     * @param delayMs delay from now, in milliseconds
+     * @param action runs after the actions that were scheduled earlier for the same time
+     */
     public void after(long delayMs, Runnable action) {
-        mTasks.add(new Task(mNowMs + delayMs, mSequence++, requireNonNull(action)));
+        mEvents.add(new Event(mNowMs + delayMs, mSequence++, requireNonNull(action)));
     }
 
-    /** Moves the time on by one millisecond and runs what is due. */
+    /** Advances the time by one millisecond and runs the actions that are due. */
     void advance() {
         mNowMs++;
-        while (!mTasks.isEmpty() && mTasks.peek().atMs() <= mNowMs) {
-            mTasks.poll().action().run();
+        while (!mEvents.isEmpty() && mEvents.peek().atMs() <= mNowMs) {
+            mEvents.poll().action().run();
         }
     }
 }
--- a/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualEntry.java
+++ b/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualEntry.java
@@ -11,9 +11,12 @@
 import org.hibiscususher.core.world.NodeIdentity;
 import org.hibiscususher.core.world.World;
 
-/** One entry: the real control node, and the inputs that wait for its next tick. */
+/**
+ * Simulated process of an entry: the production {@link ControlNode}, and the inputs that wait for
+ * its next tick.
+ */
 public final class VirtualEntry {
-    private static final long TICK_MS = 10;
+    private static final long TICK_INTERVAL_MS = 10;
     private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
 
     private final NodeIdentity mIdentity;
@@ -32,47 +35,49 @@
         mNode = ControlNode.create(identity, settings, nowMs);
     }
 
-    /** Returns the member id. */
+    /** Returns the id of the entry within the membership. */
     public String id() {
         return mIdentity.id();
     }
 
-    /** Returns who the process is. */
+    /** Returns the identity of the process, which includes its incarnation. */
     public NodeIdentity identity() {
         return mIdentity;
     }
 
-    /** Returns the tables, for reading between ticks. */
+    /** Returns the node's tables. Callers only read them, and only between ticks. */
     public World world() {
         return mNode.world();
     }
 
-    /** Returns whether the process runs, is paused, or has ended. */
+    /** Returns the state of the process. */
     public ProcessState processState() {
         return mProcessState;
     }
 
-    /** Returns how many ticks have run. */
+    /** Returns the number of ticks run. */
     public long ticks() {
         return mTicks;
     }
 
-    /** Returns the processor time that the ticks have taken, in nanoseconds. */
+    /** Returns the CPU time used by the ticks, in nanoseconds. */
     public long tickNs() {
         return mTickNs;
     }
 
-    /** Returns how many bytes of messages to peers have been sent, if the site measures that. */
+    /**
+     * Returns the total size of the messages sent to peers, in bytes; 0 unless the site counts it.
+     */
     public long sentBytes() {
         return mSentBytes;
     }
 
-    /** Returns how many messages to peers have been sent, if the site measures that. */
+    /** Returns the number of messages sent to peers; 0 unless the site counts their bytes. */
     public long sentMessages() {
         return mSentMessages;
     }
 
-    /** Returns how many calls of the store have been made. */
+    /** Returns the number of reads and writes of single records sent to the store. */
     public long storeCalls() {
         return mStoreCalls;
     }
@@ -90,16 +95,21 @@
         mProcessState = processState;
     }
 
-    /** Adds an input for the next tick, unless the process has ended. */
+    /** Queues an input for the next tick, unless the process has ended. */
     void receive(Input input) {
         if (mProcessState.acceptsInput()) {
             mInputs.add(input);
         }
     }
 
-    /** Runs a tick if the process runs and one is due. */
+    /**
+     * Runs a tick if the process runs and has inputs or has not ticked for {@link
+     * #TICK_INTERVAL_MS}.
+     *
+     * @return the tick's outputs; empty if no tick was due
+     */
     List<Output> tickIfDue(long nowMs) {
-        boolean due = !mInputs.isEmpty() || nowMs - mLastTickMs >= TICK_MS;
+        boolean due = !mInputs.isEmpty() || nowMs - mLastTickMs >= TICK_INTERVAL_MS;
         if (!mProcessState.isRunning() || !due) {
             return List.of();
         }
--- a/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualNetwork.java
+++ b/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualNetwork.java
@@ -4,16 +4,19 @@
 import java.util.Random;
 import java.util.Set;
 
-/** Links between entries: latency, loss, doubling and cuts, from one seeded source. */
+/**
+ * Simulated links between entries. They delay, reorder, lose and duplicate messages at random, and
+ * can be cut in each direction.
+ */
 public final class VirtualNetwork {
     private final VirtualClock mClock;
     private final Random mRandom;
-    private final Set<Link> mCut = new HashSet<>();
+    private final Set<Link> mCutLinks = new HashSet<>();
     private int mLatencyMs = 1;
     private int mJitterMs;
     private double mLoss;
-    private double mDoubling;
-    private long mMessages;
+    private double mDuplication;
+    private long mMessageCount;
 
     private record Link(String from, String to) {}
 
@@ -22,54 +25,62 @@
         mRandom = random;
     }
 
-    /** Cuts or mends the link from one entry to another, in that direction. */
+    /**
+     * Cuts or restores the link from one entry to another; the opposite direction is unaffected.
+     */
     public void setCut(String from, String to, boolean cut) {
         if (cut) {
-            mCut.add(new Link(from, to));
+            mCutLinks.add(new Link(from, to));
         } else {
-            mCut.remove(new Link(from, to));
+            mCutLinks.remove(new Link(from, to));
         }
     }
 
-    /** Mends all links. */
+    /** Restores all links that were cut. */
     public void restoreAllLinks() {
-        mCut.clear();
+        mCutLinks.clear();
     }
 
     /**
-     * Sets how links behave.
+     * Sets latency, loss and duplication of all links.
      *
-     * @param latencyMs one way, in milliseconds
-     * @param jitterMs most that is added to it at random; messages overtake each other
-     * @param loss part of the messages that are lost, 0 to 1
-     * @param doubling part of the messages that arrive twice, 0 to 1
+     * @param latencyMs least one-way latency, in milliseconds
+     * @param jitterMs greatest random addition to the latency, in milliseconds; reorders messages
+     *     if positive
+     * @param loss probability that a message is lost, 0 to 1
+     * @param duplication probability that a message arrives twice, 0 to 1
      */
-    public void setLinkBehaviour(int latencyMs, int jitterMs, double loss, double doubling) {
+    public void setLinkBehaviour(int latencyMs, int jitterMs, double loss, double duplication) {
         mLatencyMs = latencyMs;
         mJitterMs = jitterMs;
         mLoss = loss;
-        mDoubling = doubling;
+        mDuplication = duplication;
     }
 
-    /** Returns how many messages have been sent. */
+    /** Returns the number of messages sent, lost ones included. */
     public long messageCount() {
-        return mMessages;
+        return mMessageCount;
     }
 
-    /** Returns whether messages get from one entry to another. */
+    /** Returns whether the link from one entry to another is not cut. */
     public boolean isConnected(String from, String to) {
-        return !mCut.contains(new Link(from, to));
+        return !mCutLinks.contains(new Link(from, to));
     }
 
+    /**
+     * Sends a message.
+     *
+     * @param delivery runs once for each copy that arrives
+     */
     void send(String from, String to, Runnable delivery) {
-        mMessages++;
+        mMessageCount++;
         if (!isConnected(from, to) || mRandom.nextDouble() < mLoss) {
             return;
         }
-        int copies = mRandom.nextDouble() < mDoubling ? 2 : 1;
+        int copies = mRandom.nextDouble() < mDuplication ? 2 : 1;
         for (int i = 0; i < copies; i++) {
-            int jitter = mJitterMs == 0 ? 0 : mRandom.nextInt(mJitterMs + 1);
-            mClock.after(mLatencyMs + jitter, delivery);
+            int jitterDelayMs = mJitterMs == 0 ? 0 : mRandom.nextInt(mJitterMs + 1);
+            mClock.after(mLatencyMs + jitterDelayMs, delivery);
         }
     }
 }
--- a/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualPlatform.java
+++ b/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualPlatform.java
@@ -15,104 +15,123 @@
 import org.hibiscususher.core.message.PlatformHost;
 import org.hibiscususher.core.message.RebootResult;
 
-/** The platform's power over target hosts in virtual time: reboots, losses, and a late list. */
+/**
+ * Simulated platform: its list of target hosts, their reboots and their failures. Records a
+ * violation if a host is rebooted while it runs requests, as a reboot would kill them.
+ */
 public final class VirtualPlatform {
     private static final int LATENCY_MS = 2;
+
+    /** Time after which the caller of a reboot stops waiting for the response. */
     private static final int TIMEOUT_MS = 2_000;
 
     private final VirtualClock mClock;
     private final Function<String, VirtualTarget> mTargets;
-    private final Map<String, Integer> mBoots = new LinkedHashMap<>();
-    private final Map<String, String> mTokens = new LinkedHashMap<>();
-    private final Set<String> mGone = new HashSet<>();
-    private final Set<String> mNeverBack = new HashSet<>();
-    private final Map<String, Integer> mReboots = new LinkedHashMap<>();
+
+    /** Number of times each host was booted; part of its boot id. */
+    private final Map<String, Integer> mBootNumbers = new LinkedHashMap<>();
+
+    /** Token of the last accepted reboot, by host. */
+    private final Map<String, String> mRebootTokens = new LinkedHashMap<>();
+
+    private final Set<String> mDownHosts = new HashSet<>();
+    private final Set<String> mFailsNextReboot = new HashSet<>();
+    private final Map<String, Integer> mRebootCounts = new LinkedHashMap<>();
     private final List<String> mViolations = new ArrayList<>();
-    private int mRebootMs = 5_000;
-    private boolean mLosesAnswers;
+    private int mRebootDurationMs = 5_000;
+    private boolean mDropsRebootResponses;
 
     VirtualPlatform(VirtualClock clock, Function<String, VirtualTarget> targets) {
         mClock = clock;
         mTargets = targets;
     }
 
-    /** Adds a target host to the list. */
+    /** Adds a target host that is up to the list. */
     public void addHost(String host) {
-        mBoots.put(host, 1);
+        mBootNumbers.put(host, 1);
     }
 
-    /** Sets how long a reboot takes, in milliseconds. */
-    public void setRebootMs(int value) {
-        mRebootMs = value;
+    /** Sets the duration of a reboot, in milliseconds. */
+    public void setRebootMs(int durationMs) {
+        mRebootDurationMs = durationMs;
     }
 
-    /** Sets whether answers to reboots are lost after they took effect. */
-    public void setDropsRebootResponses(boolean value) {
-        mLosesAnswers = value;
+    /** Sets whether responses to reboot orders are lost although the orders take effect. */
+    public void setDropsRebootResponses(boolean drops) {
+        mDropsRebootResponses = drops;
     }
 
-    /** Lets a host not come back from its next reboot. */
+    /** Makes a host stay down after its next reboot, until it is restored. */
     public void setFailsNextReboot(String host) {
-        mNeverBack.add(host);
+        mFailsNextReboot.add(host);
     }
 
-    /** Lets a host fail until {@link #restoreHost}. */
+    /** Takes a host down until {@link #restoreHost}. */
     public void failHost(String host) {
-        mGone.add(host);
+        mDownHosts.add(host);
         mTargets.apply(host).setFault(TargetFault.UNREACHABLE);
     }
 
-    /** Brings a lost host back, booted anew. */
+    /** Brings a host up with a new boot id and no fault. */
     public void restoreHost(String host) {
-        mGone.remove(host);
-        mBoots.merge(host, 1, Integer::sum);
+        mDownHosts.remove(host);
+        mBootNumbers.merge(host, 1, Integer::sum);
         mTargets.apply(host).setFault(TargetFault.NONE);
     }
 
-    /** Returns whether a host is lost or reboots. */
+    /** Returns whether a host is down, after a failure or for a reboot. */
     public boolean isDown(String host) {
-        return mGone.contains(host);
+        return mDownHosts.contains(host);
     }
 
-    /** Returns how many times each host was rebooted on demand. */
+    /** Returns the number of accepted reboot orders, by host. */
     public Map<String, Integer> rebootCounts() {
-        return mReboots;
+        return mRebootCounts;
     }
 
-    /** Returns the reboots that cut work short. */
+    /** Returns a description of each reboot that interrupted running requests. */
     public List<String> violations() {
         return mViolations;
     }
 
-    /** Returns the target hosts that are up, with their boot ids. */
+    /** Returns the platform's list: the target hosts that are up, with their boot ids. */
     public List<PlatformHost> hosts() {
-        return mBoots.entrySet().stream()
-                .filter(e -> !mGone.contains(e.getKey()))
+        return mBootNumbers.entrySet().stream()
+                .filter(e -> !mDownHosts.contains(e.getKey()))
                 .map(e -> new PlatformHost(e.getKey(), false, bootId(e.getKey())))
                 .toList();
     }
 
-    void reboot(RebootHost call, Consumer<Input> receiver) {
+    /**
+     * Handles an order to reboot a host.
+     *
+     * @param receiver gets the response
+     */
+    void reboot(RebootHost order, Consumer<Input> receiver) {
         mClock.after(
                 LATENCY_MS,
                 () -> {
-                    RebootResult result = carryOut(call);
-                    int delayMs = mLosesAnswers ? TIMEOUT_MS : LATENCY_MS;
-                    RebootResult shown = mLosesAnswers ? RebootResult.UNKNOWN : result;
+                    RebootResult result = applyReboot(order);
+                    int delayMs = mDropsRebootResponses ? TIMEOUT_MS : LATENCY_MS;
+                    RebootResult reported = mDropsRebootResponses ? RebootResult.UNKNOWN : result;
                     mClock.after(
                             delayMs,
                             () ->
                                     receiver.accept(
-                                            new RebootResponse(call.host(), call.token(), shown)));
+                                            new RebootResponse(
+                                                    order.host(), order.token(), reported)));
                 });
     }
 
-    private RebootResult carryOut(RebootHost call) {
-        String host = call.host();
-        if (Optional.ofNullable(mTokens.get(host)).filter(call.token()::equals).isPresent()) {
+    /** Applies a reboot order once for each token, and only to the boot that it names. */
+    private RebootResult applyReboot(RebootHost order) {
+        String host = order.host();
+        if (Optional.ofNullable(mRebootTokens.get(host))
+                .filter(order.token()::equals)
+                .isPresent()) {
             return RebootResult.ACCEPTED;
         }
-        if (!bootId(host).equals(call.bootId()) || mGone.contains(host)) {
+        if (!bootId(host).equals(order.bootId()) || mDownHosts.contains(host)) {
             return RebootResult.MISMATCH;
         }
         VirtualTarget target = mTargets.apply(host);
@@ -120,16 +139,16 @@
             mViolations.add(
                     host + " rebooted with " + target.runningRequests() + " requests running");
         }
-        mTokens.put(host, call.token());
-        mReboots.merge(host, 1, Integer::sum);
+        mRebootTokens.put(host, order.token());
+        mRebootCounts.merge(host, 1, Integer::sum);
         failHost(host);
-        if (!mNeverBack.remove(host)) {
-            mClock.after(mRebootMs, () -> restoreHost(host));
+        if (!mFailsNextReboot.remove(host)) {
+            mClock.after(mRebootDurationMs, () -> restoreHost(host));
         }
         return RebootResult.ACCEPTED;
     }
 
     private String bootId(String host) {
-        return host + "-boot-" + mBoots.get(host);
+        return host + "-boot-" + mBootNumbers.get(host);
     }
 }
--- a/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualRequest.java
+++ b/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualRequest.java
@@ -4,19 +4,21 @@
 import org.hibiscususher.core.message.Input.RequestArrived;
 import org.hibiscususher.core.message.Refusal;
 
-/** A request of a caller and what became of it. */
+/**
+ * A request of a simulated caller, with the outcome that the caller saw and its runs on targets.
+ */
 public final class VirtualRequest {
     private final String mEntry;
     private final RequestArrived mArrival;
     private final String mTeam;
     private final int mRunMs;
     private final long mArrivedMs;
-    private long mStartedMs = -1;
-    private long mEndedMs = -1;
+    private long mFirstRunMs = -1;
+    private long mFinishedMs = -1;
     private long mLastRunMs = -1;
-    private int mRuns;
+    private int mRunCount;
     private boolean mAnswered;
-    private boolean mCutShort;
+    private boolean mTruncated;
     private boolean mCancelled;
     private Optional<Refusal> mRefusal = Optional.empty();
 
@@ -28,22 +30,22 @@
         mArrivedMs = arrivedMs;
     }
 
-    /** Returns the entry that took it. */
+    /** Returns the id of the entry to which the caller sent it. */
     public String entry() {
         return mEntry;
     }
 
-    /** Returns what the caller sent. */
+    /** Returns the input by which the entry learned of it. */
     public RequestArrived arrival() {
         return mArrival;
     }
 
-    /** Returns the team that sent it. */
+    /** Returns the team of the caller. */
     public String team() {
         return mTeam;
     }
 
-    /** Returns how long it runs on a target that works, in milliseconds. */
+    /** Returns its run time on a target without a fault, in milliseconds. */
     public int runMs() {
         return mRunMs;
     }
@@ -53,74 +55,77 @@
         return mArrivedMs;
     }
 
-    /** Returns when its first run began, -1 if it did not run. */
+    /** Returns when its first run began, in virtual milliseconds; -1 if it has not run. */
     public long startedMs() {
-        return mStartedMs;
+        return mFirstRunMs;
     }
 
-    /** Returns when its last run began, -1 if it did not run. */
+    /** Returns when its last run began, in virtual milliseconds; -1 if it has not run. */
     public long lastRunMs() {
         return mLastRunMs;
     }
 
-    /** Returns when its caller had an answer or a refusal, -1 if not yet. */
+    /**
+     * Returns when its caller got a response or refusal or disconnected, in virtual milliseconds;
+     * -1 if the caller still waits.
+     */
     public long endedMs() {
-        return mEndedMs;
+        return mFinishedMs;
     }
 
-    /** Returns how many times a target ran it. */
+    /** Returns the number of times that targets began to run it. */
     public int runCount() {
-        return mRuns;
+        return mRunCount;
     }
 
-    /** Returns whether its caller has the whole answer. */
+    /** Returns whether its caller got a complete response. */
     public boolean isAnswered() {
         return mAnswered;
     }
 
-    /** Returns whether its caller has seen an answer that broke off. */
+    /** Returns whether its caller got a truncated response. */
     public boolean isTruncated() {
-        return mCutShort;
+        return mTruncated;
     }
 
-    /** Returns whether its caller went away. */
+    /** Returns whether its caller disconnected, or its entry's process ended, before a response. */
     public boolean isCancelled() {
         return mCancelled;
     }
 
-    /** Returns why it was refused, or empty. */
+    /** Returns the reason of its refusal, or empty if it was not refused. */
     public Optional<Refusal> refusal() {
         return mRefusal;
     }
 
-    /** Returns whether its caller waits for nothing more. */
+    /** Returns whether its caller no longer waits for a response. */
     public boolean isFinished() {
-        return mEndedMs >= 0;
+        return mFinishedMs >= 0;
     }
 
     void recordRun(long nowMs) {
-        mRuns++;
+        mRunCount++;
         mLastRunMs = nowMs;
-        mStartedMs = mStartedMs < 0 ? nowMs : mStartedMs;
+        mFirstRunMs = mFirstRunMs < 0 ? nowMs : mFirstRunMs;
     }
 
-    void answer(long nowMs) {
+    void recordResponse(long nowMs) {
         mAnswered = true;
-        mEndedMs = nowMs;
+        mFinishedMs = nowMs;
     }
 
-    void truncate(long nowMs) {
-        mCutShort = true;
-        mEndedMs = nowMs;
+    void recordTruncation(long nowMs) {
+        mTruncated = true;
+        mFinishedMs = nowMs;
     }
 
-    void cancel(long nowMs) {
+    void recordCancellation(long nowMs) {
         mCancelled = true;
-        mEndedMs = nowMs;
+        mFinishedMs = nowMs;
     }
 
-    void refuse(Refusal refusal, long nowMs) {
+    void recordRefusal(Refusal refusal, long nowMs) {
         mRefusal = Optional.of(refusal);
-        mEndedMs = nowMs;
+        mFinishedMs = nowMs;
     }
 }
--- a/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualSite.java
+++ b/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualSite.java
@@ -35,31 +35,35 @@
 import org.hibiscususher.wire.peer.PeerCodec;
 
 /**
- * A site in virtual time: real control nodes, and fakes at their interfaces. Not thread-safe; two
- * sites with the same seed and the same calls do the same.
+ * Deterministic simulation of a site in virtual time: production control nodes, connected to a
+ * simulated network, store, platform, targets and callers. Two sites with the same seed and the
+ * same calls behave identically, so that a failure found with a seed can be reproduced. Not
+ * thread-safe.
  */
 public final class VirtualSite {
     private static final long START_MS = 1_000_000;
     private static final int TARGET_LATENCY_MS = 1;
-    private static final int LIST_INTERVAL_MS = 1_000;
+    private static final int HOST_LIST_INTERVAL_MS = 1_000;
 
     private final VirtualClock mClock = new VirtualClock(START_MS);
     private final Random mRandom;
     private final VirtualNetwork mNetwork;
     private final VirtualStore mStore = new VirtualStore(mClock);
     private final VirtualPlatform mPlatform = new VirtualPlatform(mClock, this::target);
-    private final Map<Long, ReplyToWave> mWaveAnswers = new LinkedHashMap<>();
+    private final Map<Long, ReplyToWave> mWaveReplies = new LinkedHashMap<>();
     private final Map<String, VirtualEntry> mEntries = new LinkedHashMap<>();
     private final Map<String, VirtualTarget> mTargets = new LinkedHashMap<>();
     private final Map<Long, VirtualRequest> mRequests = new LinkedHashMap<>();
-    private final Map<Long, ReplyToNote> mNoteAnswers = new LinkedHashMap<>();
+    private final Map<Long, ReplyToNote> mNoteReplies = new LinkedHashMap<>();
     private final Map<String, Long> mCounters = new LinkedHashMap<>();
     private final List<String> mEvents = new ArrayList<>();
     private final ControlSettings mSettings;
     private Consumer<VirtualEntry> mBeforeTick = entry -> {};
-    private Runnable mAfterStep = () -> {};
-    private boolean mMeasuresBytes;
-    private long mIds;
+    private Runnable mAfterMillisecond = () -> {};
+    private boolean mCountsMessageBytes;
+
+    /** Last id given to a request or to an operator's call. */
+    private long mLastId;
 
     private VirtualSite(long seed, ControlSettings settings) {
         mRandom = new Random(seed);
@@ -67,7 +71,12 @@
         mSettings = settings;
     }
 
-    /** Creates a site without entries. */
+    /**
+     * Creates a site without entries.
+     *
+     * @param seed seed of everything random in the site
+     * @param settings control settings of all entries
+     */
     public static VirtualSite create(long seed, ControlSettings settings) {
         return new VirtualSite(seed, settings);
     }
@@ -77,12 +86,12 @@
         return mClock.nowMs();
     }
 
-    /** Returns the tasks to come. */
+    /** Returns the clock, by which tests schedule actions. */
     public VirtualClock clock() {
         return mClock;
     }
 
-    /** Returns the site's one source of chance. */
+    /** Returns the only source of randomness; a second one would make runs irreproducible. */
     public Random random() {
         return mRandom;
     }
@@ -92,47 +101,54 @@
         return mNetwork;
     }
 
-    /** Returns the platform's store. */
+    /** Returns the simulated store. */
     public VirtualStore store() {
         return mStore;
     }
 
-    /** Returns the entries by id, ended ones included until they are started again. */
+    /** Returns the latest process of each entry, running or ended, by entry id. */
     public Map<String, VirtualEntry> entries() {
         return mEntries;
     }
 
-    /** Returns the requests by id, in order of arrival. */
+    /** Returns all requests sent so far, by id and in order of arrival. */
     public Map<Long, VirtualRequest> requests() {
         return mRequests;
     }
 
-    /** Returns the answers to release notes by call. */
+    /** Returns the replies to release notes, by call id. */
     public Map<Long, ReplyToNote> noteReplies() {
-        return mNoteAnswers;
+        return mNoteReplies;
     }
 
-    /** Returns the counters of all entries, added up. */
+    /** Returns the sums of each counter over all entries. */
     public Map<String, Long> counters() {
         return mCounters;
     }
 
-    /** Returns the events that the entries have logged, each as {@code time entry event}. */
+    /**
+     * Returns the events that the entries have logged, each as {@code time entry event}. The time
+     * is in milliseconds since the start of the site.
+     */
     public List<String> events() {
         return mEvents;
     }
 
-    /** Returns a target, made when it is first asked for. */
+    /** Returns the target of a host, creating it if there is none. */
     public VirtualTarget target(String host) {
         return mTargets.computeIfAbsent(host, VirtualTarget::new);
     }
 
-    /** Returns the platform's power over target hosts. */
+    /** Returns the simulated platform. */
     public VirtualPlatform platform() {
         return mPlatform;
     }
 
-    /** Shows every entry the platform's list once a second, as it was some time before. */
+    /**
+     * Sends the platform's list of hosts to every entry once a second from now on.
+     *
+     * @param lagMs age of each list when it arrives, in milliseconds
+     */
     public void startHostListUpdates(int lagMs) {
         List<PlatformHost> hosts = new ArrayList<>(mPlatform.hosts());
         for (VirtualEntry entry : mEntries.values()) {
@@ -142,42 +158,50 @@
             }
         }
         mClock.after(lagMs, () -> publishHosts(hosts));
-        mClock.after(LIST_INTERVAL_MS, () -> startHostListUpdates(lagMs));
+        mClock.after(HOST_LIST_INTERVAL_MS, () -> startHostListUpdates(lagMs));
     }
 
-    /** Hands an operator's command about the maintenance wave to an entry; returns the call. */
+    /**
+     * Sends an operator's command about the maintenance wave to an entry.
+     *
+     * @param pools pools whose hosts the command concerns
+     * @return id of the call, the key of its reply in {@link #waveReplies}
+     */
     public long sendWaveCommand(String entry, WaveCommand command, List<String> pools) {
-        long callId = ++mIds;
+        long callId = ++mLastId;
         mEntries.get(entry).receive(new WaveCommandReceived(callId, command, pools));
         return callId;
     }
 
-    /** Returns the answers about the maintenance wave by call. */
+    /** Returns the replies to commands about the maintenance wave, by call id. */
     public Map<Long, ReplyToWave> waveReplies() {
-        return mWaveAnswers;
+        return mWaveReplies;
     }
 
-    /** Returns the targets by host. */
+    /** Returns the targets by host name. */
     public Map<String, VirtualTarget> targets() {
         return mTargets;
     }
 
-    /** Sets what is done to an entry before each of its ticks; tests break entries by it. */
+    /**
+     * Sets an action that runs for each entry once every virtual millisecond, before the entry may
+     * tick. Tests corrupt an entry's tables with it.
+     */
     public void setBeforeTick(Consumer<VirtualEntry> action) {
         mBeforeTick = action;
     }
 
-    /** Sets what is done after each virtual millisecond; tests check their invariants by it. */
+    /** Sets an action that runs after each virtual millisecond. Tests check invariants with it. */
     public void setAfterStep(Runnable action) {
-        mAfterStep = action;
+        mAfterMillisecond = action;
     }
 
-    /** Sets whether messages between entries are encoded to count their bytes. */
-    public void setCountsMessageBytes(boolean measures) {
-        mMeasuresBytes = measures;
+    /** Sets whether messages between entries are encoded and their bytes counted. */
+    public void setCountsMessageBytes(boolean counts) {
+        mCountsMessageBytes = counts;
     }
 
-    /** Starts an entry, or starts one again that has ended. */
+    /** Starts a process of an entry, in place of the entry's former process if there was one. */
     public VirtualEntry start(String id, String zone) {
         NodeIdentity identity = new NodeIdentity(id, nowMs(), id + ":1", zone);
         VirtualEntry entry = new VirtualEntry(identity, mSettings, nowMs());
@@ -186,50 +210,65 @@
         return entry;
     }
 
-    /** Ends an entry at once, without a word. */
+    /** Ends an entry's process without notice, which disconnects the callers that wait at it. */
     public void kill(String id) {
         mEntries.get(id).setProcessState(ProcessState.DEAD);
         mStore.unwatch(id);
         for (VirtualRequest request : mRequests.values()) {
             if (request.entry().equals(id) && !request.isFinished()) {
-                request.cancel(nowMs());
+                request.recordCancellation(nowMs());
             }
         }
     }
 
-    /** Stops an entry's process for a while; what reaches it waits. */
+    /** Suspends an entry's process; its inputs accumulate until {@link #resume}. */
     public void pause(String id) {
         mEntries.get(id).setProcessState(ProcessState.PAUSED);
     }
 
-    /** Lets a paused entry go on. */
+    /** Resumes an entry's suspended process. */
     public void resume(String id) {
         mEntries.get(id).setProcessState(ProcessState.RUNNING);
     }
 
-    /** Asks an entry to finish its work and leave. */
+    /** Requests an orderly shutdown: the entry finishes its work and leaves the membership. */
     public void shutDown(String id) {
         mEntries.get(id).receive(new ShutdownRequested());
     }
 
-    /** Gives every running entry the platform's list of hosts. */
+    /** Sends a list of the platform's hosts to every entry whose process has not ended. */
     public void publishHosts(List<PlatformHost> hosts) {
-        mEntries.values().forEach(e -> e.receive(new HostListRead(hosts)));
+        mEntries.values().forEach(entry -> entry.receive(new HostListRead(hosts)));
     }
 
-    /** Hands a release note to an entry and returns the id of the call. */
+    /**
+     * Submits a release note to an entry.
+     *
+     * @return id of the call, the key of its reply in {@link #noteReplies}
+     */
     public long submitNote(String entry, ReleaseNote note) {
-        long callId = ++mIds;
+        long callId = ++mLastId;
         mEntries.get(entry).receive(new NoteSubmitted(callId, note, nowMs()));
         return callId;
     }
 
-    /** Hands a request to an entry, as a caller of a team whose secret is its own name. */
+    /**
+     * Sends a request that is idempotent and has no idempotency key to an entry. The secret of a
+     * team is the team's name.
+     *
+     * @param runMs run time on a target without a fault, in milliseconds
+     */
     public VirtualRequest sendRequest(String entry, String queue, String team, int runMs) {
         return sendRequest(entry, queue, team, runMs, true, "");
     }
 
-    /** Hands a request to an entry, with what decides whether it may run again. */
+    /**
+     * Sends a request to an entry. The secret of a team is the team's name.
+     *
+     * @param runMs run time on a target without a fault, in milliseconds
+     * @param idempotent whether the request may run again after an attempt with unknown outcome
+     * @param idempotencyKey key by which duplicates of the request are detected; empty for none
+     */
     public VirtualRequest sendRequest(
             String entry,
             String queue,
@@ -239,7 +278,7 @@
             String idempotencyKey) {
         RequestArrived arrival =
                 new RequestArrived(
-                        ++mIds,
+                        ++mLastId,
                         queue,
                         Optional.of(KeyDigest.ofSecret(team)),
                         idempotent,
@@ -249,44 +288,53 @@
         VirtualRequest request = new VirtualRequest(entry, arrival, team, runMs, nowMs());
         mRequests.put(arrival.requestId(), request);
         if (mEntries.get(entry).processState() == ProcessState.DEAD) {
-            request.cancel(nowMs());
+            request.recordCancellation(nowMs());
         } else {
             mEntries.get(entry).receive(arrival);
         }
         return request;
     }
 
-    /** Lets the caller of a request go away. */
+    /** Disconnects the caller of a request, unless it no longer waits. */
     public void cancel(VirtualRequest request) {
         if (request.isFinished()) {
             return;
         }
-        request.cancel(nowMs());
+        request.recordCancellation(nowMs());
         VirtualEntry entry = mEntries.get(request.entry());
         long id = request.arrival().requestId();
-        Optional<RequestRow> running =
-                entry.world().requests().find(id).filter(r -> r.state() == RequestState.RUNNING);
+        Optional<RequestRow> runningRow =
+                entry.world()
+                        .requests()
+                        .find(id)
+                        .filter(row -> row.state() == RequestState.RUNNING);
         entry.receive(
-                running.isEmpty()
+                runningRow.isEmpty()
                         ? new RequestCancelled(id)
                         : new AttemptEnded(
-                                id, running.get().attempt(), AttemptOutcome.CALLER_GONE));
+                                id, runningRow.get().attempt(), AttemptOutcome.CALLER_GONE));
     }
 
-    /** Lets virtual time pass; every entry ticks when it has inputs or a tick is due. */
+    /**
+     * Advances virtual time in steps of a millisecond. In each step, the actions that are due run,
+     * and then each entry ticks if it has inputs or a tick is due.
+     *
+     * @param ms how far to advance, in milliseconds
+     */
     public void run(long ms) {
-        long end = nowMs() + ms;
-        while (nowMs() < end) {
+        long endMs = nowMs() + ms;
+        while (nowMs() < endMs) {
             mClock.advance();
             for (VirtualEntry entry : List.copyOf(mEntries.values())) {
                 mBeforeTick.accept(entry);
-                entry.tickIfDue(nowMs()).forEach(o -> carryOut(entry, o));
+                entry.tickIfDue(nowMs()).forEach(output -> execute(entry, output));
             }
-            mAfterStep.run();
+            mAfterMillisecond.run();
         }
     }
 
-    private void carryOut(VirtualEntry entry, Output output) {
+    /** Executes an output of an entry's tick. */
+    private void execute(VirtualEntry entry, Output output) {
         if (output instanceof Output.ReadRecord read) {
             entry.recordStoreCall();
             mStore.read(entry.id(), read, entry::receive);
@@ -300,16 +348,16 @@
         } else if (output instanceof Output.RefuseRequest refuse) {
             VirtualRequest request = mRequests.get(refuse.requestId());
             if (!request.isFinished()) {
-                request.refuse(refuse.refusal(), nowMs());
+                request.recordRefusal(refuse.refusal(), nowMs());
             }
         } else if (output instanceof Output.ReadFleetRecords read) {
             mStore.readFleet(entry.id(), read, entry::receive);
         } else if (output instanceof Output.RebootHost reboot) {
             mPlatform.reboot(reboot, entry::receive);
-        } else if (output instanceof ReplyToWave answer) {
-            mWaveAnswers.put(answer.callId(), answer);
-        } else if (output instanceof ReplyToNote answer) {
-            mNoteAnswers.put(answer.callId(), answer);
+        } else if (output instanceof ReplyToWave reply) {
+            mWaveReplies.put(reply.callId(), reply);
+        } else if (output instanceof ReplyToNote reply) {
+            mNoteReplies.put(reply.callId(), reply);
         } else if (output instanceof Output.Count count) {
             mCounters.merge(count.counter(), 1L, Long::sum);
         } else if (output instanceof Output.LogEvent log) {
@@ -320,8 +368,9 @@
         }
     }
 
+    /** Sends a message to a peer. A sender whose peer has no process gets a refused connection. */
     private void sendPeer(VirtualEntry from, SendPeerMessage send) {
-        if (mMeasuresBytes) {
+        if (mCountsMessageBytes) {
             from.recordSentMessage(PeerCodec.encode(send.message()).length);
         }
         mNetwork.send(
@@ -339,6 +388,10 @@
                 });
     }
 
+    /**
+     * Runs a request on a target. If the response is later than the run limit, the entry sees a
+     * timeout at the limit, and later the end of the run that it abandoned.
+     */
     private void startAttempt(VirtualEntry entry, StartAttempt start) {
         VirtualTarget target = target(start.host());
         VirtualRequest request = mRequests.get(start.requestId());
@@ -363,19 +416,20 @@
                     target.startRun(key, request.team(), nowMs());
                     long durationMs = Math.max(1, (long) (request.runMs() * fault.runTimeFactor()));
                     mClock.after(durationMs, () -> target.endRun(key));
-                    long answerMs = durationMs + TARGET_LATENCY_MS;
-                    if (answerMs > start.runLimitMs()) {
+                    long responseMs = durationMs + TARGET_LATENCY_MS;
+                    if (responseMs > start.runLimitMs()) {
                         mClock.after(start.runLimitMs(), () -> timeOut(entry, request, start));
                         mClock.after(
-                                Math.min(answerMs, start.longestRunMs()),
+                                Math.min(responseMs, start.longestRunMs()),
                                 () -> finishAbandoned(entry, start));
                     } else {
                         mClock.after(
-                                answerMs, () -> deliver(entry, request, start, fault.outcome()));
+                                responseMs, () -> deliver(entry, request, start, fault.outcome()));
                     }
                 });
     }
 
+    /** Reports that an attempt has exceeded its run limit. */
     private void timeOut(VirtualEntry entry, VirtualRequest request, StartAttempt start) {
         if (entry.processState() != ProcessState.DEAD && !request.isCancelled()) {
             entry.receive(
@@ -383,12 +437,14 @@
         }
     }
 
+    /** Reports that the run of an attempt that had timed out has ended, or counts as ended. */
     private void finishAbandoned(VirtualEntry entry, StartAttempt start) {
         if (entry.processState() != ProcessState.DEAD) {
             entry.receive(new TargetFinished(start.requestId(), start.attempt()));
         }
     }
 
+    /** Delivers the outcome of an attempt to the entry and, if it has a response, to the caller. */
     private void deliver(
             VirtualEntry entry,
             VirtualRequest request,
@@ -402,9 +458,9 @@
             return;
         }
         if (!request.isFinished() && outcome.hasResponse()) {
-            request.answer(nowMs());
+            request.recordResponse(nowMs());
         } else if (!request.isFinished() && outcome == AttemptOutcome.TRUNCATED) {
-            request.truncate(nowMs());
+            request.recordTruncation(nowMs());
         }
         entry.receive(new AttemptEnded(start.requestId(), start.attempt(), outcome));
     }
--- a/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualTarget.java
+++ b/standin/src/main/java/org/hibiscususher/standin/virtual/VirtualTarget.java
@@ -3,15 +3,24 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 
-/** A target host: what runs on it now, and how it misbehaves. */
+/** Simulated target host: the requests that it runs now, and its fault. */
 public final class VirtualTarget {
     private final String mId;
-    private final Map<RunKey, String> mRunning = new LinkedHashMap<>();
+
+    /** Team of each running request. */
+    private final Map<RunKey, String> mRunningTeams = new LinkedHashMap<>();
+
     private TargetFault mFault = TargetFault.NONE;
-    private int mMostRunning;
-    private long mLastBeginMs = -1;
+    private int mMaxConcurrentRequests;
+    private long mLastStartMs = -1;
 
-    /** Names one attempt. */
+    /**
+     * Identifies one run.
+     *
+     * @param entry id of the entry that started it
+     * @param requestId id of the request
+     * @param attempt number of the attempt to run the request
+     */
     record RunKey(String entry, long requestId, int attempt) {}
 
     VirtualTarget(String id) {
@@ -23,48 +32,48 @@
         return mId;
     }
 
-    /** Sets how the target misbehaves from now on. */
+    /** Sets the fault of runs that start from now on. */
     public void setFault(TargetFault fault) {
         mFault = fault;
     }
 
-    /** Returns how the target misbehaves. */
+    /** Returns the current fault. */
     public TargetFault fault() {
         return mFault;
     }
 
-    /** Returns how many requests are running. */
+    /** Returns the number of running requests. */
     public int runningRequests() {
-        return mRunning.size();
+        return mRunningTeams.size();
     }
 
-    /** Returns how many requests of a team are running. */
+    /** Returns the number of running requests of a team. */
     public int runningRequests(String team) {
-        return (int) mRunning.values().stream().filter(team::equals).count();
+        return (int) mRunningTeams.values().stream().filter(team::equals).count();
     }
 
-    /** Returns whether requests that an entry started are running. */
+    /** Returns whether a request that an entry started is running. */
     public boolean isRunningFor(String entry) {
-        return mRunning.keySet().stream().anyMatch(k -> k.entry().equals(entry));
+        return mRunningTeams.keySet().stream().anyMatch(k -> k.entry().equals(entry));
     }
 
-    /** Returns the most requests that were running at a time. */
+    /** Returns the greatest number of requests that ran at the same time. */
     public int maxConcurrentRequests() {
-        return mMostRunning;
+        return mMaxConcurrentRequests;
     }
 
-    /** Returns when the last run began, in virtual milliseconds, -1 if none has. */
+    /** Returns when the last run began, in virtual milliseconds; -1 if there was none. */
     public long lastStartMs() {
-        return mLastBeginMs;
+        return mLastStartMs;
     }
 
     void startRun(RunKey key, String team, long nowMs) {
-        mLastBeginMs = nowMs;
-        mRunning.put(key, team);
-        mMostRunning = Math.max(mMostRunning, mRunning.size());
+        mLastStartMs = nowMs;
+        mRunningTeams.put(key, team);
+        mMaxConcurrentRequests = Math.max(mMaxConcurrentRequests, mRunningTeams.size());
     }
 
     void endRun(RunKey key) {
-        mRunning.remove(key);
+        mRunningTeams.remove(key);
     }
 }
--- a/standin/src/main/java/org/hibiscususher/standin/virtual/package-info.java
+++ b/standin/src/main/java/org/hibiscususher/standin/virtual/package-info.java
@@ -1,5 +1,7 @@
 /**
- * Small fakes at the interfaces of the core, in virtual time: peer links, store, host list, targets
- * and callers. Everything runs on the calling thread and depends on nothing but the seed.
+ * Deterministic simulation of entries in virtual time. The entries run the production control code;
+ * the links between them, the store, the platform, the targets and the callers are fakes.
+ * Everything runs on the calling thread, and a run depends only on its seed and on the calls of the
+ * test.
  */
 package org.hibiscususher.standin.virtual;
