--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/InvariantChecker.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/InvariantChecker.java
@@ -16,193 +16,243 @@
 import org.hibiscususher.core.job.StepSpec;
 import org.hibiscususher.core.job.TaskKey;
 
-/** Checks what callers and executors see against the promises. */
+/**
+ * Records what callers, executors and hosts of a simulated site observe, and checks it against the
+ * {@link SchedulerInvariant}s. It sees only these observations and none of the scheduler's tables,
+ * so that a fault in the tables can't hide a violation.
+ */
 public final class InvariantChecker {
-    /** Time in which only one entry may give orders for a host, in milliseconds. */
-    private static final long HOLDER_MS = 3_000;
+    /** Time after an order for a host in which no other entry may give one, in milliseconds. */
+    private static final long HOST_COORDINATOR_MS = 3_000;
 
-    /** Time after the answer to a cancellation in which runs may still start, in milliseconds. */
-    private static final long CANCEL_MS = 3_000;
+    /**
+     * Time after a confirmed cancellation in which runs may still start, in milliseconds; their
+     * orders may already have been on the way.
+     */
+    private static final long CANCELLATION_GRACE_MS = 3_000;
 
     private final List<InvariantViolation> mViolations = new ArrayList<>();
+
+    /** Executors that run each task now. */
     private final Map<TaskKey, Set<String>> mRunning = new HashMap<>();
-    private final Map<TaskKey, Integer> mFailed = new HashMap<>();
-    private final Set<TaskKey> mDone = new HashSet<>();
-    private final Set<TaskKey> mNoted = new HashSet<>();
+
+    private final Map<TaskKey, Integer> mFailedRuns = new HashMap<>();
+    private final Set<TaskKey> mDoneTasks = new HashSet<>();
+    private final Set<TaskKey> mAcknowledgedTasks = new HashSet<>();
     private final Map<String, JobSpec> mSpecs = new HashMap<>();
     private final Map<String, String> mTeams = new HashMap<>();
-    private final Map<String, Integer> mAttempts = new HashMap<>();
-    private final Set<String> mAccepted = new HashSet<>();
-    private final Set<String> mRefused = new HashSet<>();
-    private final Set<String> mUncertain = new HashSet<>();
-    private final Map<String, Long> mCancelled = new HashMap<>();
+    /** Number of failed runs after which a task must not start again, by job. */
+    private final Map<String, Integer> mMaxFailures = new HashMap<>();
+    private final Set<String> mAcceptedJobs = new HashSet<>();
+    private final Set<String> mRejectedJobs = new HashSet<>();
+    private final Set<String> mUncertainJobs = new HashSet<>();
+
+    /** Virtual time at which each cancellation was first confirmed, by job. */
+    private final Map<String, Long> mCancelledAtMs = new HashMap<>();
+
+    /** Total demand of the running tasks, by team. */
     private final Map<String, Resources> mTeamUse = new HashMap<>();
-    private final Map<String, Resources> mLimits = new HashMap<>();
-    private final Map<String, HostHolder> mHolders = new HashMap<>();
+    private final Map<String, Resources> mTeamLimits = new HashMap<>();
+    private final Map<String, HostCoordinator> mHostCoordinators = new HashMap<>();
 
-    private record HostHolder(String entry, long orderedMs) {}
+    /**
+     * The last entry that ordered the maintenance of a host.
+     *
+     * @param entry name of the entry
+     * @param orderedMs virtual time of the order, in milliseconds
+     */
+    private record HostCoordinator(String entry, long orderedMs) {}
 
-    /** Sets the most that a team may have running. */
+    /**
+     * Sets the resources that the running tasks of a team may demand in total. A team without a limit
+     * may run nothing.
+     */
     public void setTeamLimit(String team, Resources limit) {
-        mLimits.put(team, limit);
+        mTeamLimits.put(team, limit);
     }
 
-    /** Notes that a caller hands a job in. */
-    public void recordSubmission(String job, JobSpec spec, String team, int attempts) {
+    /**
+     * Records a job before its first submission.
+     *
+     * @param job job id
+     * @param team team of the caller
+     * @param maxFailures number of failed runs after which a task must not start again
+     */
+    public void recordSubmission(String job, JobSpec spec, String team, int maxFailures) {
         mSpecs.put(job, spec);
         mTeams.put(job, team);
-        mAttempts.put(job, attempts);
+        mMaxFailures.put(job, maxFailures);
     }
 
-    /** Notes the answer to a job. */
+    /**
+     * Records the response to a submission. After {@link JobResponseKind#UNKNOWN}, the job may run
+     * or not.
+     */
     public void recordResponse(String job, JobResponseKind kind) {
         switch (kind) {
-            case ACCEPTED -> mAccepted.add(job);
-            case UNKNOWN -> mUncertain.add(job);
-            default -> mRefused.add(job);
+            case ACCEPTED -> mAcceptedJobs.add(job);
+            case UNKNOWN -> mUncertainJobs.add(job);
+            default -> mRejectedJobs.add(job);
         }
     }
 
-    /** Notes that a cancellation was answered. */
+    /** Records that the cancellation of a job was confirmed. */
     public void recordCancellation(String job, long nowMs) {
-        mCancelled.putIfAbsent(job, nowMs);
+        mCancelledAtMs.putIfAbsent(job, nowMs);
     }
 
-    /** Checks the state that a caller is shown. */
+    /** Checks a job state that was reported to a caller. */
     public void checkReportedState(String job, JobState state, long nowMs) {
         if (state != JobState.DONE) {
             return;
         }
         JobSpec spec = mSpecs.get(job);
-        for (int k = 0; k < spec.occurrences(); k++) {
-            for (int i = 0; i < spec.steps().size(); i++) {
-                if (!isStepDone(new StepKey(job, k, i))) {
-                    violate(SchedulerInvariant.REPORTED_DONE_IS_DONE, nowMs, job);
+        for (int occurrence = 0; occurrence < spec.occurrences(); occurrence++) {
+            for (int step = 0; step < spec.steps().size(); step++) {
+                if (!isStepDone(new StepKey(job, occurrence, step))) {
+                    addViolation(SchedulerInvariant.REPORTED_DONE_IS_DONE, nowMs, job);
                 }
             }
         }
     }
 
-    /** Checks that an accepted job is known. */
+    /** Checks a response to a caller that a job is unknown. */
     public void checkUnknownJob(String job, long nowMs) {
-        if (mAccepted.contains(job)) {
-            violate(SchedulerInvariant.ACCEPTED_JOB_NOT_LOST, nowMs, job);
+        if (mAcceptedJobs.contains(job)) {
+            addViolation(SchedulerInvariant.ACCEPTED_JOB_NOT_LOST, nowMs, job);
         }
     }
 
-    /** Checks a run that an executor begins. */
+    /**
+     * Records a run that an executor starts, and checks that it may start.
+     *
+     * @param draining whether the executor drains
+     */
     public void recordStart(TaskKey task, String executor, boolean draining, long nowMs) {
         String job = task.jobId();
         JobSpec spec = mSpecs.get(job);
         StepSpec step = spec.steps().get(task.stepKey().step());
-        Set<String> running = mRunning.computeIfAbsent(task, t -> new HashSet<>());
-        if (!running.isEmpty()) {
-            String text = task.text() + " on " + running + " and " + executor;
-            violate(SchedulerInvariant.ONE_RUN_AT_A_TIME, nowMs, text);
-        }
-        running.add(executor);
-        if (mNoted.contains(task)) {
-            violate(SchedulerInvariant.FINISHED_TASK_NOT_RERUN, nowMs, task.text());
-        }
-        for (int before : step.dependsOn()) {
-            if (!isStepDone(task.stepKey().sibling(before))) {
-                violate(SchedulerInvariant.STEP_DEPENDENCIES, nowMs, task.text());
+        Set<String> executors = mRunning.computeIfAbsent(task, t -> new HashSet<>());
+        if (!executors.isEmpty()) {
+            String detail = task.text() + " on " + executors + " and " + executor;
+            addViolation(SchedulerInvariant.ONE_RUN_AT_A_TIME, nowMs, detail);
+        }
+        executors.add(executor);
+        if (mAcknowledgedTasks.contains(task)) {
+            addViolation(SchedulerInvariant.FINISHED_TASK_NOT_RERUN, nowMs, task.text());
+        }
+        for (int dependency : step.dependsOn()) {
+            if (!isStepDone(task.stepKey().sibling(dependency))) {
+                addViolation(SchedulerInvariant.STEP_DEPENDENCIES, nowMs, task.text());
             }
         }
-        if (!step.service() && mFailed.getOrDefault(task, 0) >= mAttempts.get(job)) {
-            violate(SchedulerInvariant.ATTEMPT_LIMIT, nowMs, task.text());
+        if (!step.service() && mFailedRuns.getOrDefault(task, 0) >= mMaxFailures.get(job)) {
+            addViolation(SchedulerInvariant.ATTEMPT_LIMIT, nowMs, task.text());
         }
-        if (nowMs - mCancelled.getOrDefault(job, nowMs) > CANCEL_MS) {
-            violate(SchedulerInvariant.NO_START_AFTER_CANCELLATION, nowMs, task.text());
+        if (nowMs - mCancelledAtMs.getOrDefault(job, nowMs) > CANCELLATION_GRACE_MS) {
+            addViolation(SchedulerInvariant.NO_START_AFTER_CANCELLATION, nowMs, task.text());
         }
-        boolean refusedOnly =
-                mRefused.contains(job) && !mAccepted.contains(job) && !mUncertain.contains(job);
-        if (refusedOnly) {
-            violate(SchedulerInvariant.REJECTED_JOB_NEVER_RUNS, nowMs, task.text());
+        boolean alwaysRejected =
+                mRejectedJobs.contains(job)
+                        && !mAcceptedJobs.contains(job)
+                        && !mUncertainJobs.contains(job);
+        if (alwaysRejected) {
+            addViolation(SchedulerInvariant.REJECTED_JOB_NEVER_RUNS, nowMs, task.text());
         }
         if (draining) {
-            violate(SchedulerInvariant.NO_START_ON_DRAINING_EXECUTOR, nowMs, task.text());
+            addViolation(SchedulerInvariant.NO_START_ON_DRAINING_EXECUTOR, nowMs, task.text());
         }
         addTeamUse(task, step.demand(), nowMs);
     }
 
+    /** Adds the demand of a started task to its team's use, and checks the team's limit. */
     private void addTeamUse(TaskKey task, Resources demand, long nowMs) {
         String team = mTeams.get(task.jobId());
         Resources use = mTeamUse.getOrDefault(team, Resources.NONE).plus(demand);
         mTeamUse.put(team, use);
-        if (!use.staysWithin(mLimits.getOrDefault(team, Resources.NONE))) {
-            violate(SchedulerInvariant.TEAM_LIMIT, nowMs, team + " uses " + use);
+        if (!use.staysWithin(mTeamLimits.getOrDefault(team, Resources.NONE))) {
+            addViolation(SchedulerInvariant.TEAM_LIMIT, nowMs, team + " uses " + use);
         }
     }
 
-    /** Checks what an executor is told to run against what it can. */
+    /** Checks the resources that an executor reserves for its runs against its capacity. */
     public void checkReservation(
             String executor, Resources reserved, Resources capacity, long nowMs) {
         if (!reserved.fitsIn(capacity)) {
-            violate(
+            addViolation(
                     SchedulerInvariant.EXECUTOR_CAPACITY,
                     nowMs,
                     executor + " reserves " + reserved);
         }
     }
 
-    /** Checks how many hosts of a wave are away. */
-    public void checkHostsOutOfService(int hosts, int cap, long nowMs) {
-        if (hosts > cap) {
-            violate(SchedulerInvariant.WAVE_HOST_LIMIT, nowMs, hosts + " hosts are away");
+    /**
+     * Checks the number of hosts of a wave that are out of service at once.
+     *
+     * @param maxHosts greatest number that the wave allows
+     */
+    public void checkHostsOutOfService(int hosts, int maxHosts, long nowMs) {
+        if (hosts > maxHosts) {
+            addViolation(
+                    SchedulerInvariant.WAVE_HOST_LIMIT, nowMs, hosts + " hosts are out of service");
         }
     }
 
-    /** Notes that an entry gives an order for a host. */
+    /** Records that an entry ordered the maintenance of a host. */
     public void recordHostOrder(String host, String entry, long nowMs) {
-        HostHolder before = mHolders.put(host, new HostHolder(entry, nowMs));
-        if (before != null
-                && !before.entry().equals(entry)
-                && nowMs - before.orderedMs() < HOLDER_MS) {
-            violate(
+        HostCoordinator previous = mHostCoordinators.put(host, new HostCoordinator(entry, nowMs));
+        if (previous != null
+                && !previous.entry().equals(entry)
+                && nowMs - previous.orderedMs() < HOST_COORDINATOR_MS) {
+            addViolation(
                     SchedulerInvariant.ONE_COORDINATOR_PER_HOST,
                     nowMs,
-                    host + " is ordered by " + entry + " just after " + before.entry());
+                    host + " was ordered by " + entry + " shortly after " + previous.entry());
         }
     }
 
-    /** Notes that a run has ended; {@code kind} is empty if it ended with its executor. */
-    public void recordEnd(TaskKey task, String executor, Optional<RunOutcome> kind) {
-        Set<String> running = mRunning.getOrDefault(task, new HashSet<>());
-        if (running.remove(executor)) {
+    /**
+     * Records the end of a run.
+     *
+     * @param outcome outcome of the run; empty if it was killed with its executor
+     */
+    public void recordEnd(TaskKey task, String executor, Optional<RunOutcome> outcome) {
+        Set<String> executors = mRunning.getOrDefault(task, new HashSet<>());
+        if (executors.remove(executor)) {
             StepSpec step = mSpecs.get(task.jobId()).steps().get(task.stepKey().step());
             mTeamUse.merge(mTeams.get(task.jobId()), step.demand(), Resources::minus);
         }
-        kind.filter(k -> k == RunOutcome.DONE).ifPresent(k -> mDone.add(task));
-        kind.filter(k -> k == RunOutcome.FAILED)
-                .ifPresent(k -> mFailed.merge(task, 1, Integer::sum));
+        outcome.filter(o -> o == RunOutcome.DONE).ifPresent(o -> mDoneTasks.add(task));
+        outcome.filter(o -> o == RunOutcome.FAILED)
+                .ifPresent(o -> mFailedRuns.merge(task, 1, Integer::sum));
     }
 
-    /** Notes that an end as done was acknowledged to its executor. */
+    /** Records that the scheduler acknowledged a run of a task as done to the run's executor. */
     public void recordAcknowledgment(TaskKey task) {
-        mNoted.add(task);
+        mAcknowledgedTasks.add(task);
     }
 
+    /** Returns whether each task of a step has a run that ended as done. */
     private boolean isStepDone(StepKey key) {
-        int count = mSpecs.get(key.jobId()).steps().get(key.step()).count();
-        for (int i = 0; i < count; i++) {
-            if (!mDone.contains(key.task(i))) {
+        int tasks = mSpecs.get(key.jobId()).steps().get(key.step()).count();
+        for (int i = 0; i < tasks; i++) {
+            if (!mDoneTasks.contains(key.task(i))) {
                 return false;
             }
         }
         return true;
     }
 
-    private void violate(SchedulerInvariant promise, long nowMs, String text) {
-        mViolations.add(new InvariantViolation(promise, nowMs, text));
+    private void addViolation(SchedulerInvariant invariant, long nowMs, String detail) {
+        mViolations.add(new InvariantViolation(invariant, nowMs, detail));
     }
 
-    /** Returns the jobs that were accepted. */
+    /** Returns the ids of the jobs that were accepted. */
     public Set<String> acceptedJobs() {
-        return Set.copyOf(mAccepted);
+        return Set.copyOf(mAcceptedJobs);
     }
 
-    /** Returns what was broken. */
+    /** Returns the violations found so far, in order of time. */
     public List<InvariantViolation> violations() {
         return List.copyOf(mViolations);
     }
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/InvariantViolation.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/InvariantViolation.java
@@ -3,14 +3,14 @@
 import static java.util.Objects.requireNonNull;
 
 /**
- * A promise that was broken.
+ * A violation of an invariant, found during a simulation.
  *
- * @param invariant the invariant
- * @param atMs when, in virtual milliseconds
- * @param detail what happened
+ * @param invariant the invariant that does not hold
+ * @param atMs virtual time of the violation, in milliseconds
+ * @param detail the job, task, team, host or executor concerned, and what it did
  */
 public record InvariantViolation(SchedulerInvariant invariant, long atMs, String detail) {
-    /** Checks the parts. */
+    /** Checks that no component is null. */
     public InvariantViolation {
         requireNonNull(invariant);
         requireNonNull(detail);
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/SchedulerInvariant.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/SchedulerInvariant.java
@@ -1,31 +1,31 @@
 package org.hibiscususher.standin.scheduler;
 
-/** What must hold for jobs whatever fails. */
+/** Invariants of the scheduler that must hold under any combination of simulated faults. */
 public enum SchedulerInvariant {
-    /** A task never runs twice at a time on executors that are up. */
+    /** A task never has two concurrent runs on executors that are up. */
     ONE_RUN_AT_A_TIME,
-    /** A task whose end was acknowledged as done does not start again. */
+    /** A task does not start again after the scheduler acknowledged a run of it as done. */
     FINISHED_TASK_NOT_RERUN,
-    /** A step starts only after the steps that it waits for. */
+    /** A step starts only after all steps that it depends on are done. */
     STEP_DEPENDENCIES,
-    /** A task starts at most as often as failed runs allow. */
+    /** A task that is no service does not start again after as many failed runs as its job allows. */
     ATTEMPT_LIMIT,
-    /** A team never has more running than its limit. */
+    /** The running tasks of a team never demand more resources than the team's limit. */
     TEAM_LIMIT,
-    /** An executor is never told to run more than it can. */
+    /** An executor never reserves more resources than its capacity. */
     EXECUTOR_CAPACITY,
-    /** Nothing of a cancelled job starts later than some seconds after the answer. */
+    /** No task of a job starts more than three seconds after its cancellation was confirmed. */
     NO_START_AFTER_CANCELLATION,
-    /** A job that is shown as done is done. */
+    /** A job that a caller sees as done has no unfinished task. */
     REPORTED_DONE_IS_DONE,
-    /** An accepted job is known for good. */
+    /** No entry reports an accepted job as unknown. */
     ACCEPTED_JOB_NOT_LOST,
-    /** A job that was only refused never runs. */
+    /** A job never runs if each submission of it was rejected. */
     REJECTED_JOB_NEVER_RUNS,
-    /** At most the cap's number of a wave's hosts is away. */
+    /** No more hosts of a maintenance wave are out of service at once than the wave allows. */
     WAVE_HOST_LIMIT,
-    /** Two entries never give orders for the same host within the time of a lease. */
+    /** Two entries never order the maintenance of the same host within three seconds. */
     ONE_COORDINATOR_PER_HOST,
-    /** A draining executor gets no new runs. */
+    /** No run starts on a draining executor. */
     NO_START_ON_DRAINING_EXECUTOR
 }
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/SchedulerSite.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/SchedulerSite.java
@@ -37,36 +37,50 @@
 import org.hibiscususher.core.scheduler.message.StoredRecord;
 import org.hibiscususher.core.scheduler.message.WaveOrder;
 
-/** A site in virtual time: entries that run the real scheduler, a store, executors and callers. */
+/**
+ * Deterministic simulation of a site in virtual time: entries that run the production scheduler,
+ * with a simulated store, executors, hosts and callers. Faults are injected by its methods, and
+ * {@link #invariants} records violations. A run depends only on the seed and on the calls of the
+ * test.
+ */
 public final class SchedulerSite {
-    /** Name of the queue's pool. */
+    /** Name of the only pool. */
     public static final String POOL = "pool";
 
-    private static final long LINK_MS = 1;
-    private static final long WAVE_MS = 60_000;
-    private static final long REPORT_MS = 1_500;
-    private static final long REPORT_LINGERS_MS = 3_500;
+    private static final long LINK_LATENCY_MS = 1;
+    private static final long WAVE_DURATION_MS = 60_000;
+
+    /** Interval at which the platform sends the list of executors during a wave. */
+    private static final long REPORT_INTERVAL_MS = 1_500;
+
+    /** Time that the platform continues to list an executor after its end. */
+    private static final long STALE_REPORT_MS = 3_500;
+
+    /** Capacity of each executor. */
     static final Resources CAPACITY = Resources.of(8_000, 16_000, 0);
 
     private final VirtualClock mClock = new VirtualClock();
     private final Random mRandom;
     private final InvariantChecker mInvariants = new InvariantChecker();
-    private final VirtualKeyValueStore mKv;
+    private final VirtualKeyValueStore mStore;
     private final Map<String, VirtualNode> mNodes = new LinkedHashMap<>();
     private final Map<String, VirtualExecutor> mExecutors = new LinkedHashMap<>();
     private final VirtualCallers mCallers;
-    private final List<String> mLog = new ArrayList<>();
-    private final Resources mLimit;
-    private final Set<String> mEnded = new HashSet<>();
+    private final List<String> mLogLines = new ArrayList<>();
+    private final Resources mTeamLimit;
+
+    /** Ended executors that the platform no longer lists. */
+    private final Set<String> mUnlistedExecutors = new HashSet<>();
+
     private Optional<VirtualHosts> mHosts = Optional.empty();
     private List<WaveOrder> mWaves = List.of();
 
-    private SchedulerSite(int nodes, int executors, Resources limit, long seed) {
+    private SchedulerSite(int nodes, int executors, Resources teamLimit, long seed) {
         mRandom = new Random(seed);
         mCallers = new VirtualCallers(this, mRandom);
-        mKv = new VirtualKeyValueStore(mClock, mRandom);
-        mLimit = limit;
-        mInvariants.setTeamLimit(VirtualCallers.TEAM, limit);
+        mStore = new VirtualKeyValueStore(mClock, mRandom);
+        mTeamLimit = teamLimit;
+        mInvariants.setTeamLimit(VirtualCallers.TEAM, teamLimit);
         for (int i = 0; i < executors; i++) {
             String id = "x" + i;
             ExecutorReport report =
@@ -86,25 +100,36 @@
         for (int i = 0; i < nodes; i++) {
             mNodes.put("n" + i, new VirtualNode(this, "n" + i));
         }
-        mKv.onChange(() -> mNodes.values().forEach(n -> mClock.after(LINK_MS, n::storeChanged)));
+        mStore.onChange(
+                () ->
+                        mNodes.values()
+                                .forEach(
+                                        node -> mClock.after(LINK_LATENCY_MS, node::storeChanged)));
         mNodes.values().forEach(VirtualNode::start);
     }
 
     /**
      * Creates a site and starts its entries.
      *
-     * @param nodes entries
-     * @param executors executors
-     * @param seed of all that is random
+     * @param nodes number of entries
+     * @param executors number of executors, each on its own host
+     * @param seed seed of everything random in the site
      */
     public static SchedulerSite create(int nodes, int executors, long seed) {
         return new SchedulerSite(nodes, executors, Resources.of(1_000_000, 0, 0), seed);
     }
 
-    /** Creates a site whose team may have only so much running. */
+    /**
+     * Creates a site with a limit for its team, and starts its entries.
+     *
+     * @param nodes number of entries
+     * @param executors number of executors, each on its own host
+     * @param teamLimit resources that the team's running tasks may demand in total
+     * @param seed seed of everything random in the site
+     */
     public static SchedulerSite createWithTeamLimit(
-            int nodes, int executors, Resources limit, long seed) {
-        return new SchedulerSite(nodes, executors, limit, seed);
+            int nodes, int executors, Resources teamLimit, long seed) {
+        return new SchedulerSite(nodes, executors, teamLimit, seed);
     }
 
     VirtualClock clock() {
@@ -112,7 +137,7 @@
     }
 
     VirtualKeyValueStore store() {
-        return mKv;
+        return mStore;
     }
 
     VirtualExecutor executor(String id) {
@@ -127,51 +152,71 @@
         return mHosts;
     }
 
-    /** Has the operators order the maintenance of all hosts, with at most {@code cap} away. */
-    public void startWave(int cap) {
+    /**
+     * Starts a maintenance wave over the hosts of all executors.
+     *
+     * @param maxHosts greatest number of hosts out of service at once
+     */
+    public void startWave(int maxHosts) {
         List<String> ids = reports().stream().map(ExecutorReport::host).toList();
-        WaveOrder wave = new WaveOrder(1, ids, WAVE_MS, cap);
+        WaveOrder wave = new WaveOrder(1, ids, WAVE_DURATION_MS, maxHosts);
         mHosts = Optional.of(new VirtualHosts(this, mRandom, wave));
         mWaves = List.of(wave);
         mNodes.values().stream()
                 .filter(VirtualNode::isUp)
-                .forEach(n -> n.receive(new WaveOrdered(wave)));
+                .forEach(node -> node.receive(new WaveOrdered(wave)));
         reportPeriodically();
     }
 
-    /** Has the executors report as often as they do on the platform, changed or not. */
+    /** Sends the list of executors now and at each interval, whether it changed or not. */
     private void reportPeriodically() {
         mNodes.values().forEach(VirtualNode::executorsChanged);
-        mClock.after(REPORT_MS, this::reportPeriodically);
+        mClock.after(REPORT_INTERVAL_MS, this::reportPeriodically);
     }
 
-    /** Returns whether each host of the wave has been maintained, and operators are told so. */
+    /**
+     * Returns whether the maintenance of each host of the wave has started and the stored status of
+     * the wave reports it as done.
+     */
     public boolean isWaveDone() {
-        StoredRecord status = mKv.find(RecordName.of(RecordKind.WAVE_STATUS, "1")).orElse(null);
-        return mHosts.filter(VirtualHosts::allMaintained).isPresent()
-                && status instanceof StoredRecord.WaveStatus told
-                && told.done();
+        StoredRecord status = mStore.find(RecordName.of(RecordKind.WAVE_STATUS, "1")).orElse(null);
+        return mHosts.filter(VirtualHosts::allMaintenanceStarted).isPresent()
+                && status instanceof StoredRecord.WaveStatus waveStatus
+                && waveStatus.done();
     }
 
-    /** Loses a share of the answers to orders for hosts for a time. */
+    /**
+     * Drops responses to maintenance orders for a time; the orders still take effect.
+     *
+     * @param share probability that a response is dropped, 0 to 1
+     */
     public void dropHostOrderResponses(double share, long forMs) {
         mHosts.ifPresent(hosts -> hosts.dropResponses(share));
         mClock.after(forMs, () -> mHosts.ifPresent(hosts -> hosts.dropResponses(0)));
     }
 
-    /** Ends an executor for good; its report lingers for a while. */
+    /**
+     * Kills an executor for good. The platform continues to list it for a while.
+     *
+     * @return the last report of the executor
+     */
     ExecutorReport endExecutor(String id) {
         mExecutors.get(id).end();
         mClock.after(
-                REPORT_LINGERS_MS,
+                STALE_REPORT_MS,
                 () -> {
-                    mEnded.add(id);
+                    mUnlistedExecutors.add(id);
                     mNodes.values().forEach(VirtualNode::executorsChanged);
                 });
         return mExecutors.get(id).report();
     }
 
-    /** Begins an executor in place of one that has ended; returns its id. */
+    /**
+     * Starts an executor with a new id in place of an ended one.
+     *
+     * @param ended last report of the ended executor
+     * @return id of the new executor
+     */
     String addExecutor(ExecutorReport ended) {
         String id = ended.id() + "n";
         ExecutorReport report =
@@ -195,59 +240,66 @@
         return List.copyOf(mNodes.keySet());
     }
 
+    /** Returns the platform's list of executors. */
     List<ExecutorReport> reports() {
         return mExecutors.values().stream()
                 .map(VirtualExecutor::report)
-                .filter(report -> !mEnded.contains(report.id()))
+                .filter(report -> !mUnlistedExecutors.contains(report.id()))
                 .toList();
     }
 
+    /** Returns a configuration with one queue, one pool and one team. */
     JobConfiguration configuration() {
-        JobPolicy terms = new JobPolicy("queue", POOL, 0, VirtualCallers.ATTEMPTS, 2, 500, false);
+        JobPolicy policy =
+                new JobPolicy("queue", POOL, 0, VirtualCallers.MAX_FAILURES, 2, 500, false);
         return new JobConfiguration(
                 1,
-                List.of(new JobQueue(VirtualCallers.HOST, VirtualCallers.PREFIX, false, terms)),
+                List.of(new JobQueue(VirtualCallers.HOST, VirtualCallers.PREFIX, false, policy)),
                 List.of(new JobPool(POOL, true, false)),
-                List.of(new JobTeam(VirtualCallers.TEAM, 1, mLimit, Set.of(VirtualCallers.KEY))));
+                List.of(
+                        new JobTeam(
+                                VirtualCallers.TEAM, 1, mTeamLimit, Set.of(VirtualCallers.KEY))));
     }
 
     StepSpec step(TaskKey task) {
         return mCallers.spec(task.jobId()).steps().get(task.stepKey().step());
     }
 
-    /** Returns what callers and executors saw. */
+    /**
+     * Returns the checker of the invariants, which records all that callers and executors observe.
+     */
     public InvariantChecker invariants() {
         return mInvariants;
     }
 
-    void log(String node, SchedulerOutput.Log line) {
-        mLog.add(
+    void log(String node, SchedulerOutput.Log event) {
+        mLogLines.add(
                 "ms="
                         + mClock.nowMs()
                         + " node="
                         + node
                         + " event="
-                        + line.event()
+                        + event.event()
                         + " "
-                        + line.line());
+                        + event.line());
     }
 
-    /** Returns the lines that all entries have written, in order. */
+    /** Returns the structured log lines of all entries, in order of time. */
     public List<String> logLines() {
-        return List.copyOf(mLog);
+        return List.copyOf(mLogLines);
     }
 
-    /** Lets time pass. */
+    /** Advances virtual time by a number of milliseconds. */
     public void run(long ms) {
         mClock.runUntil(mClock.nowMs() + ms);
     }
 
-    /** Does something later. */
-    public void schedule(long delayMs, Runnable task) {
-        mClock.after(delayMs, task);
+    /** Schedules an action after a delay in milliseconds. */
+    public void schedule(long delayMs, Runnable action) {
+        mClock.after(delayMs, action);
     }
 
-    /** Returns the entry that owns the scheduling, if there is one. */
+    /** Returns the name of the first entry that believes that it owns the scheduling, or empty. */
     public Optional<String> owner() {
         return mNodes.values().stream()
                 .filter(VirtualNode::isOwner)
@@ -255,104 +307,132 @@
                 .findFirst();
     }
 
-    /** Returns the number of entries that believe to own the scheduling. */
+    /** Returns the number of entries that believe that they own the scheduling. */
     public long ownerCount() {
         return mNodes.values().stream().filter(VirtualNode::isOwner).count();
     }
 
-    /** Ends an entry at once and starts it again later. */
+    /**
+     * Kills an entry's process without notice and starts a new one later.
+     *
+     * @param downMs time until the new process starts, in milliseconds
+     */
     public void kill(String node, long downMs) {
         mNodes.get(node).kill();
         mClock.after(downMs, () -> mNodes.get(node).start());
     }
 
-    /** Ends all entries at once and starts them again later. */
+    /**
+     * Kills the processes of all entries without notice and starts new ones later.
+     *
+     * @param downMs time until the new processes start, in milliseconds
+     */
     public void killAll(long downMs) {
         mNodes.keySet().forEach(node -> kill(node, downMs));
     }
 
-    /** Stops an entry from running for a time. */
+    /** Suspends an entry's process for a time; its inputs accumulate. */
     public void freeze(String node, long forMs) {
         mNodes.get(node).freeze(forMs);
     }
 
-    /** Asks an entry to stop in good order; it starts again later. */
+    /**
+     * Requests an orderly shutdown of an entry, then kills its process and starts a new one.
+     *
+     * @param downMs time until the process is killed, in milliseconds
+     */
     public void shutDown(String node, long downMs) {
         mNodes.get(node).receive(new ShutdownRequested());
         mClock.after(downMs, () -> kill(node, 1));
     }
 
-    /** Takes the store away from everybody for a time. */
+    /** Makes the store unreachable to all entries for a time. */
     public void storeDown(long forMs) {
-        mKv.setDown(true);
+        mStore.setDown(true);
         mClock.after(
                 forMs,
                 () -> {
-                    mKv.setDown(false);
+                    mStore.setDown(false);
                     mNodes.values().forEach(VirtualNode::storeChanged);
                 });
     }
 
-    /** Takes the store away from one entry for a time. */
+    /** Makes the store unreachable to one entry for a time. */
     public void cutOffFromStore(String node, long forMs) {
-        mKv.cutOff(node, true);
+        mStore.cutOff(node, true);
         mNodes.get(node).receive(new StoreReachabilityChanged(false));
         mClock.after(
                 forMs,
                 () -> {
-                    mKv.cutOff(node, false);
+                    mStore.cutOff(node, false);
                     mNodes.get(node).receive(new StoreReachabilityChanged(true));
                     mNodes.get(node).storeChanged();
                 });
     }
 
-    /** Loses a share of the store's answers for a time. */
-    public void dropCommitResponses(double share, boolean late, long forMs) {
-        mKv.dropCommitResponses(share, late);
-        mClock.after(forMs, () -> mKv.dropCommitResponses(0, false));
+    /**
+     * Drops responses to commits for a time.
+     *
+     * @param share probability that the response to a commit is dropped, 0 to 1
+     * @param delayed whether these commits also take effect only after their callers see them fail
+     */
+    public void dropCommitResponses(double share, boolean delayed, long forMs) {
+        mStore.dropCommitResponses(share, delayed);
+        mClock.after(forMs, () -> mStore.dropCommitResponses(0, false));
     }
 
-    /** Makes an executor silent for a time; what it runs goes on. */
+    /** Makes an executor unreachable for a time; its runs continue while its lease is valid. */
     public void silenceExecutor(String executor, long forMs) {
         mExecutors.get(executor).setSilent(true);
         mClock.after(forMs, () -> mExecutors.get(executor).setSilent(false));
     }
 
-    /** Makes an executor begin another life. */
+    /** Kills an executor and starts a new incarnation of it. */
     public void restartExecutor(String executor) {
         mExecutors.get(executor).restart();
-        mNodes.values().forEach(n -> mClock.after(LINK_MS, n::executorsChanged));
+        mNodes.values().forEach(node -> mClock.after(LINK_LATENCY_MS, node::executorsChanged));
     }
 
-    /** Makes executors carry out a share of orders late and without an answer. */
+    /**
+     * Makes executors apply orders seconds late and without a response for a time.
+     *
+     * @param share probability that an order is delayed, 0 to 1
+     */
     public void delayOrders(double share, long forMs) {
         mExecutors.values().forEach(x -> x.setDelayedOrderShare(share));
         mClock.after(forMs, () -> mExecutors.values().forEach(x -> x.setDelayedOrderShare(0)));
     }
 
-    /** Makes an executor fail all that it starts for a time. */
+    /** Makes all runs that an executor starts within a time fail. */
     public void failAllRuns(String executor, long forMs) {
         mExecutors.get(executor).setFailsAllRuns(true);
         mClock.after(forMs, () -> mExecutors.get(executor).setFailsAllRuns(false));
     }
 
-    /** Cuts an entry off from an executor for a time. */
+    /** Makes an executor unreachable to one entry for a time. */
     public void cutLink(String node, String executor, long forMs) {
         mExecutors.get(executor).cutFrom(node, true);
         mClock.after(forMs, () -> mExecutors.get(executor).cutFrom(node, false));
     }
 
-    /** Hands a job in, again and again until it is accepted; returns its id. */
+    /**
+     * Submits a job, and repeats the submission until it is accepted or the tries are used up.
+     *
+     * @return id of the job
+     */
     public String submit(JobSpec spec) {
         return mCallers.submit(spec);
     }
 
-    /** Cancels a job, again and again until that is answered. */
+    /** Cancels a job, and repeats that until the job is cancelled or reported unknown. */
     public void cancel(String id) {
         mCallers.cancel(id);
     }
 
-    /** Returns the state of a job that callers are shown once all is calm. */
+    /**
+     * Queries the state of a job and advances virtual time by 200 ms to receive it. Meant for a
+     * site without faults: without a response in that time, the result is {@link JobState#QUEUED}.
+     */
     public JobState stateOf(String id) {
         List<JobState> states = new ArrayList<>();
         mCallers.query(id, state -> state.ifPresent(states::add));
@@ -360,47 +440,59 @@
         return states.isEmpty() ? JobState.QUEUED : states.get(states.size() - 1);
     }
 
-    void deliverResponse(long callId, JobResponse answer) {
-        mCallers.deliverResponse(callId, answer);
+    void deliverResponse(long callId, JobResponse response) {
+        mCallers.deliverResponse(callId, response);
     }
 
-    /** Returns the entries that run. */
+    /** Returns the entries whose processes have not ended. */
     List<VirtualNode> runningNodes() {
         return mNodes.values().stream().filter(VirtualNode::isUp).toList();
     }
 
+    /**
+     * Forwards a request to another entry, or reports a failure if that entry's process has ended.
+     */
     void forward(VirtualNode from, Forward forward) {
         VirtualNode to = mNodes.get(forward.address());
         if (!to.isUp()) {
             mClock.after(
-                    LINK_MS,
+                    LINK_LATENCY_MS,
                     () -> from.receive(new ForwardFailed(forward.callId(), to.name(), false)));
         } else {
             mClock.after(
-                    LINK_MS,
+                    LINK_LATENCY_MS,
                     () -> to.receive(new RequestReceived(forward.callId(), forward.request())));
         }
     }
 
-    void askToRelinquish(SchedulerOutput.AskRelinquish ask, Consumer<SchedulerInput> answer) {
+    /**
+     * Asks an entry to relinquish the ownership; the request is lost if its process has ended.
+     *
+     * @param sink gets the confirmation
+     */
+    void askToRelinquish(SchedulerOutput.AskRelinquish ask, Consumer<SchedulerInput> sink) {
         VirtualNode to = mNodes.get(ask.address());
         if (to.isUp()) {
             long id =
                     mCallers.registerCall(
-                            reply -> answer.accept(new PredecessorRelinquished(ask.generation())));
-            mClock.after(LINK_MS, () -> to.receive(new RelinquishRequested(id, ask.generation())));
+                            response -> sink.accept(new PredecessorRelinquished(ask.generation())));
+            mClock.after(
+                    LINK_LATENCY_MS,
+                    () -> to.receive(new RelinquishRequested(id, ask.generation())));
         }
     }
 
+    /** Offers the ownership to an entry; the offer is lost if its process has ended. */
     void offerHandover(SchedulerOutput.OfferHandover offer) {
         VirtualNode to = mNodes.get(offer.address());
         if (to.isUp()) {
-            long id = mCallers.registerCall(reply -> {});
-            mClock.after(LINK_MS, () -> to.receive(new HandoverOffered(id, offer.generation())));
+            long id = mCallers.registerCall(response -> {});
+            mClock.after(
+                    LINK_LATENCY_MS, () -> to.receive(new HandoverOffered(id, offer.generation())));
         }
     }
 
-    /** Returns how many tasks wait at the owner; -1 if there is none. */
+    /** Returns the number of tasks that the owner has; -1 if there is no owner. */
     public int taskCount() {
         return mNodes.values().stream()
                 .filter(VirtualNode::isOwner)
@@ -409,13 +501,14 @@
                 .orElse(-1);
     }
 
-    /** Returns how many runs the owner knows of; 0 if there is no owner. */
+    /** Returns the number of runs that the owner has; 0 if there is no owner. */
     public int runCount() {
-        return owner().map(o -> mNodes.get(o).world().runs().size()).orElse(0);
+        return owner().map(name -> mNodes.get(name).world().runs().size()).orElse(0);
     }
 
-    /** Returns how many runs the owner knows of on an executor; 0 if there is no owner. */
+    /** Returns the number of runs that the owner has on an executor; 0 if there is no owner. */
     public int runCountOn(String executor) {
-        return owner().map(o -> mNodes.get(o).world().runs().group(executor).size()).orElse(0);
+        return owner().map(name -> mNodes.get(name).world().runs().group(executor).size())
+                .orElse(0);
     }
 }
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualCallers.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualCallers.java
@@ -14,27 +14,35 @@
 import org.hibiscususher.core.job.JobState;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.RequestReceived;
 
-/** The callers of a site: they hand jobs in, cancel them and ask for them, and try again. */
+/**
+ * Simulated callers of a site. They submit, cancel and query jobs through random entries, repeat
+ * calls that fail, and record the responses with the invariant checker.
+ */
 final class VirtualCallers {
     static final String HOST = "site.example";
     static final String PREFIX = "/queue/";
     static final String KEY = "secret";
     static final String TEAM = "team";
-    static final int ATTEMPTS = 3;
 
-    private static final long LINK_MS = 1;
-    private static final long RETRY_MS = 300;
+    /** Number of failed runs of a task at which its job fails. */
+    static final int MAX_FAILURES = 3;
+
+    private static final long LINK_LATENCY_MS = 1;
+    private static final long RETRY_DELAY_MS = 300;
+
+    /** Time after which a caller stops waiting for the response to a call. */
     private static final long TIMEOUT_MS = 3_000;
-    private static final int MAX_TRIES = 60;
+
+    private static final int MAX_SUBMISSIONS = 60;
 
     private final SchedulerSite mSite;
     private final VirtualClock mClock;
     private final InvariantChecker mInvariants;
     private final Random mRandom;
     private final Map<String, JobSpec> mSpecs = new HashMap<>();
-    private final Map<Long, Consumer<JobResponse>> mCalls = new HashMap<>();
-    private long mNextCall = 1;
-    private int mNextJob;
+    private final Map<Long, Consumer<JobResponse>> mPendingCalls = new HashMap<>();
+    private long mNextCallId = 1;
+    private int mLastJobNumber;
 
     VirtualCallers(SchedulerSite site, Random random) {
         mSite = site;
@@ -43,31 +51,40 @@
         mRandom = random;
     }
 
-    /** Returns what was handed in as a job. */
+    /** Returns the specification of a submitted job. */
     JobSpec spec(String job) {
         return mSpecs.get(job);
     }
 
-    /** Returns the id of a new call; {@code sink} gets its answer. */
+    /**
+     * Registers a call.
+     *
+     * @param sink gets the response; it is called at most once
+     * @return id of the call
+     */
     long registerCall(Consumer<JobResponse> sink) {
-        long id = mNextCall++;
-        mCalls.put(id, sink);
+        long id = mNextCallId++;
+        mPendingCalls.put(id, sink);
         return id;
     }
 
-    /** Takes in the answer to a call. */
-    void deliverResponse(long callId, JobResponse answer) {
-        Consumer<JobResponse> sink = mCalls.remove(callId);
+    /** Delivers the response to a pending call; ignores responses to other calls. */
+    void deliverResponse(long callId, JobResponse response) {
+        Consumer<JobResponse> sink = mPendingCalls.remove(callId);
         if (sink != null) {
-            mClock.after(LINK_MS, () -> sink.accept(answer));
+            mClock.after(LINK_LATENCY_MS, () -> sink.accept(response));
         }
     }
 
-    /** Hands a job in, again and again until it is accepted; returns its id. */
+    /**
+     * Submits a job, and repeats the submission until it is accepted or the tries are used up.
+     *
+     * @return id of the job
+     */
     String submit(JobSpec spec) {
-        String id = String.format("%016x", ++mNextJob);
+        String id = String.format("%016x", ++mLastJobNumber);
         mSpecs.put(id, spec);
-        mInvariants.recordSubmission(id, spec, TEAM, ATTEMPTS);
+        mInvariants.recordSubmission(id, spec, TEAM, MAX_FAILURES);
         trySubmit(id, spec, 1);
         return id;
     }
@@ -75,58 +92,70 @@
     private void trySubmit(String id, JobSpec spec, int attempt) {
         call(
                 JobRequest.of(JobRequestKind.SUBMIT, HOST, PREFIX + id, KEY, Optional.of(spec)),
-                answer -> {
-                    mInvariants.recordResponse(id, answer.kind());
-                    if (answer.kind() != JobResponseKind.ACCEPTED && attempt < MAX_TRIES) {
-                        mClock.after(RETRY_MS, () -> trySubmit(id, spec, attempt + 1));
+                response -> {
+                    mInvariants.recordResponse(id, response.kind());
+                    if (response.kind() != JobResponseKind.ACCEPTED && attempt < MAX_SUBMISSIONS) {
+                        mClock.after(RETRY_DELAY_MS, () -> trySubmit(id, spec, attempt + 1));
                     }
                 });
     }
 
-    /** Cancels a job, again and again until that is answered. */
+    /** Cancels a job, and repeats that until the job is cancelled or reported unknown. */
     void cancel(String id) {
         call(
                 JobRequest.of(JobRequestKind.CANCEL, HOST, PREFIX + id, KEY, Optional.empty()),
-                answer -> {
-                    if (answer.kind() == JobResponseKind.CANCELLED) {
+                response -> {
+                    if (response.kind() == JobResponseKind.CANCELLED) {
                         mInvariants.recordCancellation(id, mClock.nowMs());
-                    } else if (answer.kind() != JobResponseKind.NO_JOB) {
-                        mClock.after(RETRY_MS, () -> cancel(id));
+                    } else if (response.kind() != JobResponseKind.NO_JOB) {
+                        mClock.after(RETRY_DELAY_MS, () -> cancel(id));
                     }
                 });
     }
 
-    /** Asks for a job's state; {@code result} gets it unless nobody can tell. */
+    /**
+     * Queries a job's state once.
+     *
+     * @param result gets the state; it is not called if the response contains none
+     */
     void query(String id, Consumer<Optional<JobState>> result) {
         call(
                 JobRequest.of(JobRequestKind.QUERY, HOST, PREFIX + id, KEY, Optional.empty()),
-                answer -> {
-                    if (answer.kind() == JobResponseKind.STATE) {
-                        mInvariants.checkReportedState(id, answer.state(), mClock.nowMs());
-                        result.accept(Optional.of(answer.state()));
-                    } else if (answer.kind() == JobResponseKind.NO_JOB) {
+                response -> {
+                    if (response.kind() == JobResponseKind.STATE) {
+                        mInvariants.checkReportedState(id, response.state(), mClock.nowMs());
+                        result.accept(Optional.of(response.state()));
+                    } else if (response.kind() == JobResponseKind.NO_JOB) {
                         mInvariants.checkUnknownJob(id, mClock.nowMs());
                     }
                 });
     }
 
-    private void call(JobRequest call, Consumer<JobResponse> sink) {
-        List<VirtualNode> up = mSite.runningNodes();
-        if (up.isEmpty()) {
-            mClock.after(RETRY_MS, () -> sink.accept(JobResponse.of(JobResponseKind.UNKNOWN)));
+    /**
+     * Sends a request to a random running entry.
+     *
+     * @param sink gets the response, or {@link JobResponseKind#UNKNOWN} after the timeout or if no
+     *     entry runs
+     */
+    private void call(JobRequest request, Consumer<JobResponse> sink) {
+        List<VirtualNode> running = mSite.runningNodes();
+        if (running.isEmpty()) {
+            mClock.after(
+                    RETRY_DELAY_MS, () -> sink.accept(JobResponse.of(JobResponseKind.UNKNOWN)));
             return;
         }
-        VirtualNode node = up.get(mRandom.nextInt(up.size()));
-        boolean[] answered = {false};
-        Consumer<JobResponse> once =
-                answer -> {
-                    if (!answered[0]) {
-                        answered[0] = true;
-                        sink.accept(answer);
+        VirtualNode node = running.get(mRandom.nextInt(running.size()));
+        boolean[] completed = {false};
+        Consumer<JobResponse> firstResponse =
+                response -> {
+                    if (!completed[0]) {
+                        completed[0] = true;
+                        sink.accept(response);
                     }
                 };
-        long id = registerCall(once);
-        mClock.after(TIMEOUT_MS, () -> once.accept(JobResponse.of(JobResponseKind.UNKNOWN)));
-        node.receive(new RequestReceived(id, call));
+        long id = registerCall(firstResponse);
+        mClock.after(
+                TIMEOUT_MS, () -> firstResponse.accept(JobResponse.of(JobResponseKind.UNKNOWN)));
+        node.receive(new RequestReceived(id, request));
     }
 }
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualClock.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualClock.java
@@ -3,32 +3,36 @@
 import java.util.Comparator;
 import java.util.PriorityQueue;
 
-/** Virtual time and what is due in it. */
+/**
+ * Virtual clock with a queue of events. Events that are due at the same millisecond run in the
+ * order in which they were added, so that a run is reproducible.
+ */
 final class VirtualClock {
-    private final PriorityQueue<Due> mDue =
-            new PriorityQueue<>(Comparator.comparingLong(Due::atMs).thenComparingLong(Due::order));
+    private final PriorityQueue<Event> mEvents =
+            new PriorityQueue<>(
+                    Comparator.comparingLong(Event::atMs).thenComparingLong(Event::sequence));
     private long mNowMs;
-    private long mOrder;
+    private long mNextSequence;
 
-    /** Returns the time in milliseconds. */
+    /** Returns the virtual time in milliseconds. */
     long nowMs() {
         return mNowMs;
     }
 
-    /** Runs something later. */
-    void after(long delayMs, Runnable task) {
-        mDue.add(new Due(mNowMs + Math.max(0, delayMs), mOrder++, task));
+    /** Schedules an action; a negative delay counts as none. */
+    void after(long delayMs, Runnable action) {
+        mEvents.add(new Event(mNowMs + Math.max(0, delayMs), mNextSequence++, action));
     }
 
-    /** Runs everything that is due until a time. */
+    /** Runs, in order, the actions that are due until a time, and sets the clock to that time. */
     void runUntil(long untilMs) {
-        while (!mDue.isEmpty() && mDue.peek().atMs() <= untilMs) {
-            Due due = mDue.poll();
-            mNowMs = due.atMs();
-            due.task().run();
+        while (!mEvents.isEmpty() && mEvents.peek().atMs() <= untilMs) {
+            Event event = mEvents.poll();
+            mNowMs = event.atMs();
+            event.action().run();
         }
         mNowMs = untilMs;
     }
 
-    private record Due(long atMs, long order, Runnable task) {}
+    private record Event(long atMs, long sequence, Runnable action) {}
 }
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualExecutor.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualExecutor.java
@@ -31,31 +31,55 @@
 import org.hibiscususher.core.scheduler.message.StartResult;
 import org.hibiscususher.core.scheduler.message.StopResult;
 
-/** An executor: runs tasks under a lease, refuses earlier owners, lists ends until acknowledged. */
+/**
+ * Simulated executor. It runs tasks only while its lease is valid, rejects orders of former owners
+ * by their fence, and reports each finished run until the scheduler acknowledges it. Deadlines in
+ * orders are times of the executor's own clock, which starts at 0 with each incarnation.
+ */
 final class VirtualExecutor {
-    private static final long LINK_MS = 1;
-    private static final long KILL_MS = 100;
-    private static final long SILENCE_MS = 500;
-    private static final long MIN_LATE_MS = 2_000;
-    private static final int LATE_SPREAD_MS = 6_000;
-    private static final long MAX_HOLD_MS = 6_000;
+    private static final long LINK_LATENCY_MS = 1;
+
+    /** Time from a stop order to the end of the run. */
+    private static final long STOP_MS = 100;
+
+    /** Time after which the sender of a call without a response sees it fail. */
+    private static final long NO_ANSWER_MS = 500;
+
+    /** Least delay of a delayed order. */
+    private static final long MIN_ORDER_DELAY_MS = 2_000;
+
+    /** Range of the random addition to the delay of a delayed order. */
+    private static final int ORDER_DELAY_SPREAD_MS = 6_000;
+
+    /** Longest time from now to which an order can extend the lease. */
+    private static final long MAX_LEASE_MS = 6_000;
 
     private final VirtualClock mClock;
     private final Random mRandom;
     private final InvariantChecker mInvariants;
-    private final Map<TaskKey, Active> mRunning = new LinkedHashMap<>();
-    private final Map<TaskKey, Integer> mHighest = new HashMap<>();
-    private final List<FinishedRun> mEnds = new ArrayList<>();
-    private final List<Runnable> mWaiting = new ArrayList<>();
-    private final Set<String> mCutFrom = new HashSet<>();
+    private final Map<TaskKey, ActiveRun> mRunning = new LinkedHashMap<>();
+
+    /** Highest run number finished or ordered to stop; a start of no higher number is outdated. */
+    private final Map<TaskKey, Integer> mHighestRuns = new HashMap<>();
+
+    /** Finished runs that the scheduler has not acknowledged. */
+    private final List<FinishedRun> mFinishedRuns = new ArrayList<>();
+
+    /** Replies to heartbeats that wait for a run to finish. */
+    private final List<Runnable> mPendingReplies = new ArrayList<>();
+
+    private final Set<String> mCutOffNodes = new HashSet<>();
     private ExecutorReport mReport;
-    private long mBornMs;
+    private long mStartedAtMs;
+
+    /** Highest fence seen; orders with a lower one come from a former owner. */
     private long mFence;
-    private long mLeaseEndMs;
-    private long mEndNumber;
-    private double mLateShare;
-    private boolean mFailsAll;
-    private boolean mDark;
+
+    private long mLeaseDeadlineMs;
+    private long mLastSequence;
+    private double mDelayedOrderShare;
+    private boolean mFailsAllRuns;
+    private boolean mSilent;
     private boolean mEnded;
 
     VirtualExecutor(
@@ -64,55 +88,62 @@
         mRandom = random;
         mInvariants = invariants;
         mReport = report;
-        mBornMs = report.startedAtMs();
+        mStartedAtMs = report.startedAtMs();
     }
 
-    private record Active(int run, StepSpec step, String checkpoint) {}
+    /**
+     * A run in progress.
+     *
+     * @param run number of the run among the runs of its task
+     * @param step step of the task
+     * @param checkpoint checkpoint that the run started from; empty for none
+     */
+    private record ActiveRun(int run, StepSpec step, String checkpoint) {}
 
     ExecutorReport report() {
         return mReport;
     }
 
     void setDelayedOrderShare(double share) {
-        mLateShare = share;
+        mDelayedOrderShare = share;
     }
 
     void setFailsAllRuns(boolean fails) {
-        mFailsAll = fails;
+        mFailsAllRuns = fails;
     }
 
-    void setSilent(boolean dark) {
-        mDark = dark;
+    void setSilent(boolean silent) {
+        mSilent = silent;
     }
 
     void cutFrom(String node, boolean cut) {
         if (cut) {
-            mCutFrom.add(node);
+            mCutOffNodes.add(node);
         } else {
-            mCutFrom.remove(node);
+            mCutOffNodes.remove(node);
         }
     }
 
-    /** Ends everything, for good. */
+    /** Kills the executor and its runs for good. */
     void end() {
         mRunning.keySet().forEach(task -> mInvariants.recordEnd(task, id(), Optional.empty()));
         mRunning.clear();
         mEnded = true;
     }
 
-    /** Ends everything and begins another life that knows nothing. */
+    /** Kills the executor's runs and starts a new incarnation with no state; not after its end. */
     void restart() {
         if (mEnded) {
             return;
         }
         mRunning.keySet().forEach(task -> mInvariants.recordEnd(task, id(), Optional.empty()));
         mRunning.clear();
-        mHighest.clear();
-        mEnds.clear();
-        mEndNumber = 0;
+        mHighestRuns.clear();
+        mFinishedRuns.clear();
+        mLastSequence = 0;
         mFence = 0;
-        mLeaseEndMs = 0;
-        mBornMs = mClock.nowMs() + 1;
+        mLeaseDeadlineMs = 0;
+        mStartedAtMs = mClock.nowMs() + 1;
         mReport =
                 new ExecutorReport(
                         mReport.id(),
@@ -124,44 +155,57 @@
                         mReport.capacity(),
                         false,
                         0,
-                        mBornMs);
+                        mStartedAtMs);
     }
 
     private String id() {
         return mReport.id();
     }
 
+    /**
+     * Returns the time of the executor's own clock, in milliseconds since its incarnation began.
+     */
     private long clockMs() {
-        return mClock.nowMs() - mBornMs;
+        return mClock.nowMs() - mStartedAtMs;
     }
 
-    /** Carries out an order of a node. */
+    /**
+     * Handles a call of a node, subject to the simulated faults.
+     *
+     * @param output a heartbeat, start order or stop order
+     * @param steps returns the step of a task
+     * @param sink gets the response or the failure
+     */
     void call(
             String node,
             SchedulerOutput output,
             Function<TaskKey, StepSpec> steps,
-            Consumer<SchedulerInput> answer) {
+            Consumer<SchedulerInput> sink) {
         boolean order = !(output instanceof SendHeartbeat);
-        if (mDark || mEnded || mCutFrom.contains(node)) {
-            mClock.after(SILENCE_MS, () -> answer.accept(noAnswer(output)));
-        } else if (order && mRandom.nextDouble() < mLateShare) {
-            long lateMs = MIN_LATE_MS + mRandom.nextInt(LATE_SPREAD_MS);
-            mClock.after(lateMs, () -> carryOut(output, steps, input -> {}));
-            mClock.after(SILENCE_MS, () -> answer.accept(noAnswer(output)));
+        if (mSilent || mEnded || mCutOffNodes.contains(node)) {
+            mClock.after(NO_ANSWER_MS, () -> sink.accept(noAnswer(output)));
+        } else if (order && mRandom.nextDouble() < mDelayedOrderShare) {
+            long delayMs = MIN_ORDER_DELAY_MS + mRandom.nextInt(ORDER_DELAY_SPREAD_MS);
+            mClock.after(delayMs, () -> execute(output, steps, input -> {}));
+            mClock.after(NO_ANSWER_MS, () -> sink.accept(noAnswer(output)));
         } else {
             mClock.after(
-                    LINK_MS,
+                    LINK_LATENCY_MS,
                     () ->
-                            carryOut(
+                            execute(
                                     output,
                                     steps,
-                                    input -> mClock.after(LINK_MS, () -> answer.accept(input))));
+                                    input ->
+                                            mClock.after(
+                                                    LINK_LATENCY_MS, () -> sink.accept(input))));
         }
     }
 
+    /** Returns the failure that the sender of an unanswered call sees. */
     private static SchedulerInput noAnswer(SchedulerOutput output) {
-        if (output instanceof SendHeartbeat hold) {
-            return new HeartbeatFailed(hold.callId(), hold.executor(), HeartbeatFailure.NO_ANSWER);
+        if (output instanceof SendHeartbeat request) {
+            return new HeartbeatFailed(
+                    request.callId(), request.executor(), HeartbeatFailure.NO_ANSWER);
         } else if (output instanceof StartRun start) {
             return new StartCallCompleted(
                     start.callId(), start.task(), start.run(), StartResult.NO_ANSWER);
@@ -170,86 +214,95 @@
         return new StopCallCompleted(stop.callId(), stop.task(), stop.run(), StopResult.NO_ANSWER);
     }
 
-    private void carryOut(
+    private void execute(
             SchedulerOutput output,
             Function<TaskKey, StepSpec> steps,
-            Consumer<SchedulerInput> answer) {
-        if (output instanceof SendHeartbeat hold) {
-            heartbeat(hold, answer);
+            Consumer<SchedulerInput> sink) {
+        if (output instanceof SendHeartbeat request) {
+            heartbeat(request, sink);
         } else if (output instanceof StartRun start) {
             StartResult result = start(start, steps.apply(start.task()));
-            answer.accept(
-                    new StartCallCompleted(start.callId(), start.task(), start.run(), result));
+            sink.accept(new StartCallCompleted(start.callId(), start.task(), start.run(), result));
         } else if (output instanceof StopRun stop) {
-            answer.accept(
-                    new StopCallCompleted(stop.callId(), stop.task(), stop.run(), stop(stop)));
+            sink.accept(new StopCallCompleted(stop.callId(), stop.task(), stop.run(), stop(stop)));
         }
     }
 
-    private void heartbeat(SendHeartbeat hold, Consumer<SchedulerInput> answer) {
-        if (hold.fence() < mFence) {
-            answer.accept(new HeartbeatFailed(hold.callId(), id(), HeartbeatFailure.FENCED));
+    /**
+     * Extends the lease and discards the acknowledged finished runs. The response waits, up to the
+     * time that the request allows, until there is a finished run to report.
+     */
+    private void heartbeat(SendHeartbeat request, Consumer<SchedulerInput> sink) {
+        if (request.fence() < mFence) {
+            sink.accept(new HeartbeatFailed(request.callId(), id(), HeartbeatFailure.FENCED));
             return;
         }
-        mFence = hold.fence();
-        extendLease(hold.leaseDeadlineMs());
-        for (FinishedRun end : mEnds) {
-            if (end.sequence() <= hold.acknowledgedSequence() && end.outcome() == RunOutcome.DONE) {
-                mInvariants.recordAcknowledgment(end.task());
+        mFence = request.fence();
+        extendLease(request.leaseDeadlineMs());
+        for (FinishedRun finished : mFinishedRuns) {
+            if (finished.sequence() <= request.acknowledgedSequence()
+                    && finished.outcome() == RunOutcome.DONE) {
+                mInvariants.recordAcknowledgment(finished.task());
             }
         }
-        mEnds.removeIf(end -> end.sequence() <= hold.acknowledgedSequence());
-        boolean[] answered = {false};
+        mFinishedRuns.removeIf(finished -> finished.sequence() <= request.acknowledgedSequence());
+        boolean[] replied = {false};
         Runnable reply =
                 () -> {
-                    if (!answered[0]) {
-                        answered[0] = true;
-                        answer.accept(heartbeatResponse(hold));
+                    if (!replied[0]) {
+                        replied[0] = true;
+                        sink.accept(heartbeatResponse(request));
                     }
                 };
-        if (hold.waitMs() == 0 || !mEnds.isEmpty()) {
+        if (request.waitMs() == 0 || !mFinishedRuns.isEmpty()) {
             reply.run();
         } else {
-            mWaiting.add(reply);
-            mClock.after(hold.waitMs(), reply);
+            mPendingReplies.add(reply);
+            mClock.after(request.waitMs(), reply);
         }
     }
 
-    private HeartbeatAnswered heartbeatResponse(SendHeartbeat hold) {
+    private HeartbeatAnswered heartbeatResponse(SendHeartbeat request) {
         List<ReportedRun> runs = new ArrayList<>();
         mRunning.forEach(
                 (task, active) ->
                         runs.add(
                                 new ReportedRun(task, active.run(), active.checkpoint(), 100, -1)));
-        return new HeartbeatAnswered(hold.callId(), id(), mBornMs, clockMs(), runs, mEnds);
+        return new HeartbeatAnswered(
+                request.callId(), id(), mStartedAtMs, clockMs(), runs, mFinishedRuns);
     }
 
+    /** Extends the lease; when it expires, all runs end as {@link RunOutcome#LAPSED}. */
     private void extendLease(long deadlineMs) {
-        long endMs = Math.min(deadlineMs, clockMs() + MAX_HOLD_MS);
-        if (endMs > mLeaseEndMs) {
-            mLeaseEndMs = endMs;
-            long bornMs = mBornMs;
+        long newDeadlineMs = Math.min(deadlineMs, clockMs() + MAX_LEASE_MS);
+        if (newDeadlineMs > mLeaseDeadlineMs) {
+            mLeaseDeadlineMs = newDeadlineMs;
+            long startedAtMs = mStartedAtMs;
             mClock.after(
-                    endMs - clockMs() + 1,
+                    newDeadlineMs - clockMs() + 1,
                     () -> {
-                        if (bornMs == mBornMs && clockMs() > mLeaseEndMs) {
+                        if (startedAtMs == mStartedAtMs && clockMs() > mLeaseDeadlineMs) {
                             List.copyOf(mRunning.keySet())
-                                    .forEach(task -> end(task, RunOutcome.LAPSED));
+                                    .forEach(task -> finish(task, RunOutcome.LAPSED));
                         }
                     });
         }
     }
 
+    /**
+     * Starts a run, unless its order is from a former owner, outdated, past its deadline, or
+     * demands more than the free capacity. A repeated order is confirmed without a second run.
+     */
     private StartResult start(StartRun start, StepSpec step) {
         if (start.fence() < mFence) {
             return StartResult.FENCED;
         }
         mFence = start.fence();
-        Active there = mRunning.get(start.task());
-        if (there != null && there.run() == start.run()) {
+        ActiveRun current = mRunning.get(start.task());
+        if (current != null && current.run() == start.run()) {
             return StartResult.STARTED;
         }
-        if (start.run() <= mHighest.getOrDefault(start.task(), 0) || there != null) {
+        if (start.run() <= mHighestRuns.getOrDefault(start.task(), 0) || current != null) {
             return StartResult.OLD;
         }
         if (start.deadlineMs() <= clockMs()) {
@@ -257,57 +310,59 @@
         }
         extendLease(start.deadlineMs());
         Resources reserved = step.reserved();
-        for (Active active : mRunning.values()) {
+        for (ActiveRun active : mRunning.values()) {
             reserved = reserved.plus(active.step().reserved());
         }
         if (!reserved.fitsIn(mReport.capacity())) {
             return StartResult.NO_ROOM;
         }
-        mRunning.put(start.task(), new Active(start.run(), step, start.checkpoint()));
+        mRunning.put(start.task(), new ActiveRun(start.run(), step, start.checkpoint()));
         mInvariants.recordStart(start.task(), id(), mReport.draining(), mClock.nowMs());
-        long bornMs = mBornMs;
+        long startedAtMs = mStartedAtMs;
         if (!step.service()) {
-            RunOutcome kind = mFailsAll ? RunOutcome.FAILED : RunOutcome.DONE;
+            RunOutcome outcome = mFailsAllRuns ? RunOutcome.FAILED : RunOutcome.DONE;
             mClock.after(
                     Math.max(1, step.estimateMs()),
                     () -> {
-                        Active active = mRunning.get(start.task());
-                        boolean same = active != null && active.run() == start.run();
-                        if (same && bornMs == mBornMs) {
-                            end(start.task(), kind);
+                        ActiveRun active = mRunning.get(start.task());
+                        boolean sameRun = active != null && active.run() == start.run();
+                        if (sameRun && startedAtMs == mStartedAtMs) {
+                            finish(start.task(), outcome);
                         }
                     });
         }
         return StartResult.STARTED;
     }
 
+    /** Stops a run, and rejects a start of it that arrives later. */
     private StopResult stop(StopRun stop) {
         if (stop.fence() < mFence) {
             return StopResult.FENCED;
         }
         mFence = stop.fence();
-        mHighest.merge(stop.task(), stop.run(), Math::max);
-        Active active = mRunning.get(stop.task());
+        mHighestRuns.merge(stop.task(), stop.run(), Math::max);
+        ActiveRun active = mRunning.get(stop.task());
         if (active != null && active.run() == stop.run()) {
             mClock.after(
-                    KILL_MS,
+                    STOP_MS,
                     () -> {
-                        Active now = mRunning.get(stop.task());
-                        if (now != null && now.run() == stop.run()) {
-                            end(stop.task(), RunOutcome.STOPPED);
+                        ActiveRun current = mRunning.get(stop.task());
+                        if (current != null && current.run() == stop.run()) {
+                            finish(stop.task(), RunOutcome.STOPPED);
                         }
                     });
         }
         return StopResult.STOPPED;
     }
 
-    private void end(TaskKey task, RunOutcome kind) {
-        Active active = mRunning.remove(task);
-        mHighest.merge(task, active.run(), Math::max);
-        mEnds.add(new FinishedRun(++mEndNumber, task, active.run(), kind, ""));
-        mInvariants.recordEnd(task, id(), Optional.of(kind));
-        List<Runnable> waiting = List.copyOf(mWaiting);
-        mWaiting.clear();
-        waiting.forEach(Runnable::run);
+    /** Ends a run, stores its outcome until it is acknowledged, and sends the pending replies. */
+    private void finish(TaskKey task, RunOutcome outcome) {
+        ActiveRun active = mRunning.remove(task);
+        mHighestRuns.merge(task, active.run(), Math::max);
+        mFinishedRuns.add(new FinishedRun(++mLastSequence, task, active.run(), outcome, ""));
+        mInvariants.recordEnd(task, id(), Optional.of(outcome));
+        List<Runnable> replies = List.copyOf(mPendingReplies);
+        mPendingReplies.clear();
+        replies.forEach(Runnable::run);
     }
 }
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualHosts.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualHosts.java
@@ -19,23 +19,32 @@
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.MaintainHost;
 import org.hibiscususher.core.scheduler.message.WaveOrder;
 
-/** The platform's hosts: each carries an executor, and ends it when it is maintained. */
+/**
+ * Simulated hosts of the platform, all part of one wave. Each runs an executor, which the
+ * maintenance of the host kills and replaces by another one.
+ */
 final class VirtualHosts {
-    private static final long ANSWER_MS = 10;
-    private static final long SILENCE_MS = 1_500;
-    private static final long MAINTENANCE_MS = 2_000;
+    private static final long LATENCY_MS = 10;
+
+    /** Time after which the sender of an order without a response sees it fail. */
+    private static final long NO_ANSWER_MS = 1_500;
+
+    private static final long MAINTENANCE_DURATION_MS = 2_000;
 
     private final VirtualClock mClock;
     private final Random mRandom;
     private final InvariantChecker mInvariants;
     private final SchedulerSite mSite;
     private final WaveOrder mWave;
+
+    /** Id of the current executor, by host. */
     private final Map<String, String> mExecutors = new LinkedHashMap<>();
-    private final Set<String> mAway = new HashSet<>();
-    private final Set<String> mMaintained = new HashSet<>();
-    private double mLostShare;
 
-    /** Creates the hosts of a site's executors, all of them part of a wave. */
+    private final Set<String> mOutOfService = new HashSet<>();
+    private final Set<String> mMaintenanceStarted = new HashSet<>();
+    private double mDroppedResponseShare;
+
+    /** Creates the hosts of a site's current executors. */
     VirtualHosts(SchedulerSite site, Random random, WaveOrder wave) {
         mSite = site;
         mClock = site.clock();
@@ -45,71 +54,80 @@
         site.reports().forEach(report -> mExecutors.put(report.host(), report.id()));
     }
 
-    /** Loses a share of the answers to orders. */
+    /**
+     * Drops responses to maintenance orders; the orders still take effect.
+     *
+     * @param share probability that a response is dropped, 0 to 1
+     */
     void dropResponses(double share) {
-        mLostShare = share;
+        mDroppedResponseShare = share;
     }
 
-    /** Returns whether all hosts of the wave have been maintained. */
-    boolean allMaintained() {
-        return mMaintained.containsAll(mWave.hosts());
+    /** Returns whether the maintenance of each host of the wave has at least started. */
+    boolean allMaintenanceStarted() {
+        return mMaintenanceStarted.containsAll(mWave.hosts());
     }
 
-    /** Answers a node that asks for the list. */
-    void list(ListHosts list, Consumer<SchedulerInput> answer) {
+    /** Responds to a request for the list of hosts. */
+    void list(ListHosts list, Consumer<SchedulerInput> sink) {
         mClock.after(
-                ANSWER_MS,
+                LATENCY_MS,
                 () -> {
                     List<HostReport> hosts = new ArrayList<>();
                     mExecutors.forEach((host, executor) -> hosts.add(report(host, executor)));
-                    answer.accept(new HostsListed(list.callId(), hosts));
+                    sink.accept(new HostsListed(list.callId(), hosts));
                 });
     }
 
     private HostReport report(String host, String executor) {
-        boolean away = mAway.contains(host);
+        boolean outOfService = mOutOfService.contains(host);
         return new HostReport(
                 host,
                 SchedulerSite.POOL,
-                away ? HostState.MAINTENANCE : HostState.UP,
+                outOfService ? HostState.MAINTENANCE : HostState.UP,
                 "zone",
                 List.of(),
                 SchedulerSite.CAPACITY,
-                away ? "" : executor);
+                outOfService ? "" : executor);
     }
 
-    /** Carries out an order of a node. */
-    void maintain(String node, MaintainHost order, Consumer<SchedulerInput> answer) {
-        boolean lost = mRandom.nextDouble() < mLostShare;
+    /**
+     * Handles a node's order to maintain a host.
+     *
+     * @param sink gets the result
+     */
+    void maintain(String node, MaintainHost order, Consumer<SchedulerInput> sink) {
+        boolean dropped = mRandom.nextDouble() < mDroppedResponseShare;
         mClock.after(
-                ANSWER_MS,
+                LATENCY_MS,
                 () -> {
                     HostOrderResult result = startMaintenance(node, order);
-                    HostOrderResult told = lost ? HostOrderResult.NO_ANSWER : result;
+                    HostOrderResult reported = dropped ? HostOrderResult.NO_ANSWER : result;
                     mClock.after(
-                            lost ? SILENCE_MS : ANSWER_MS,
+                            dropped ? NO_ANSWER_MS : LATENCY_MS,
                             () ->
-                                    answer.accept(
+                                    sink.accept(
                                             new HostOrderCompleted(
-                                                    order.callId(), order.host(), told)));
+                                                    order.callId(), order.host(), reported)));
                 });
     }
 
+    /** Takes a host out of service for its maintenance; a repeated order has no effect. */
     private HostOrderResult startMaintenance(String node, MaintainHost order) {
         String host = order.host();
         mInvariants.recordHostOrder(host, node, mClock.nowMs());
-        if (mMaintained.contains(host)) {
+        if (mMaintenanceStarted.contains(host)) {
             return HostOrderResult.DONE;
         }
-        mMaintained.add(host);
-        mAway.add(host);
+        mMaintenanceStarted.add(host);
+        mOutOfService.add(host);
         mInvariants.checkHostsOutOfService(
-                mAway.size(), mWave.maxConcurrentHosts(), mClock.nowMs());
+                mOutOfService.size(), mWave.maxConcurrentHosts(), mClock.nowMs());
         ExecutorReport ended = mSite.endExecutor(mExecutors.get(host));
         mClock.after(
-                MAINTENANCE_MS,
+                MAINTENANCE_DURATION_MS,
                 () -> {
-                    mAway.remove(host);
+                    mOutOfService.remove(host);
                     mExecutors.put(host, mSite.addExecutor(ended));
                 });
         return HostOrderResult.DONE;
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualKeyValueStore.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualKeyValueStore.java
@@ -34,32 +34,49 @@
 import org.hibiscususher.core.scheduler.message.StoredRecord;
 import org.hibiscususher.core.scheduler.world.SchedulerTiming;
 
-/** The platform's store: records with revisions, conditions and leases, and its faults. */
+/**
+ * Simulated key-value store of the platform: records with revisions, conditional commits, and
+ * leases whose expiry removes the records bound to them.
+ */
 final class VirtualKeyValueStore {
-    private static final long ANSWER_MS = 4;
-    private static final long LATE_MS = 2_500;
-    private static final long SILENCE_MS = 600;
+    private static final long ROUND_TRIP_MS = 4;
+
+    /** Time after which a delayed commit takes effect; the caller has seen it fail by then. */
+    private static final long DELAYED_COMMIT_MS = 2_500;
+
+    /** Time after which the caller of a call without a response sees it fail. */
+    private static final long NO_ANSWER_MS = 600;
 
     private final VirtualClock mClock;
     private final Random mRandom;
     private final Map<RecordName, Item> mItems = new LinkedHashMap<>();
-    private final Map<Long, Long> mLeases = new HashMap<>();
+
+    /** Virtual time of expiry in milliseconds, by lease id. */
+    private final Map<Long, Long> mLeaseDeadlinesMs = new HashMap<>();
+
     private final List<Runnable> mListeners = new ArrayList<>();
-    private final Set<String> mCutOff = new HashSet<>();
+    private final Set<String> mCutOffNodes = new HashSet<>();
     private boolean mDown;
-    private double mLostShare;
-    private boolean mLate;
+    private double mDroppedResponseShare;
+    private boolean mDelaysCommits;
     private long mRevision = 1;
-    private long mNextLease = 100;
+    private long mNextLeaseId = 100;
 
     VirtualKeyValueStore(VirtualClock clock, Random random) {
         mClock = clock;
         mRandom = random;
     }
 
+    /**
+     * A stored record.
+     *
+     * @param record the record
+     * @param revision revision of the store that last changed it
+     * @param leaseId lease whose expiry removes it
+     */
     private record Item(StoredRecord record, long revision, long leaseId) {}
 
-    /** Calls something back after each change. */
+    /** Adds a listener that runs after each change of the records. */
     void onChange(Runnable listener) {
         mListeners.add(listener);
     }
@@ -68,44 +85,61 @@
         mDown = down;
     }
 
-    /** Loses the answers to a share of commits; late ones take effect seconds later. */
-    void dropCommitResponses(double share, boolean late) {
-        mLostShare = share;
-        mLate = late;
+    /**
+     * Drops responses to commits, whose callers then don't know the outcome.
+     *
+     * @param share probability that the response to a commit is dropped, 0 to 1
+     * @param delayed whether these commits also take effect only after their callers see them fail
+     */
+    void dropCommitResponses(double share, boolean delayed) {
+        mDroppedResponseShare = share;
+        mDelaysCommits = delayed;
     }
 
     void cutOff(String node, boolean cut) {
         if (cut) {
-            mCutOff.add(node);
+            mCutOffNodes.add(node);
         } else {
-            mCutOff.remove(node);
+            mCutOffNodes.remove(node);
         }
     }
 
+    /** Returns whether a node can't reach the store. */
     boolean isUnreachable(String node) {
-        return mDown || mCutOff.contains(node);
+        return mDown || mCutOffNodes.contains(node);
     }
 
-    /** Carries out a call of a node; {@code answer} gets the input that answers it. */
-    void call(String node, SchedulerOutput output, Consumer<SchedulerInput> answer) {
+    /**
+     * Handles a call of a node.
+     *
+     * @param output a lease grant or renewal, a commit, or a load
+     * @param sink gets the response or the failure
+     */
+    void call(String node, SchedulerOutput output, Consumer<SchedulerInput> sink) {
         if (isUnreachable(node)) {
-            mClock.after(SILENCE_MS, () -> answer.accept(failure(output, false)));
+            mClock.after(NO_ANSWER_MS, () -> sink.accept(failure(output, false)));
             return;
         }
-        boolean lost = output instanceof Commit && mRandom.nextDouble() < mLostShare;
-        if (lost) {
-            long takesEffectMs = mLate ? LATE_MS : ANSWER_MS / 2;
-            mClock.after(takesEffectMs, () -> carryOut(output));
-            mClock.after(SILENCE_MS, () -> answer.accept(failure(output, true)));
+        boolean dropsResponse =
+                output instanceof Commit && mRandom.nextDouble() < mDroppedResponseShare;
+        if (dropsResponse) {
+            long effectDelayMs = mDelaysCommits ? DELAYED_COMMIT_MS : ROUND_TRIP_MS / 2;
+            mClock.after(effectDelayMs, () -> execute(output));
+            mClock.after(NO_ANSWER_MS, () -> sink.accept(failure(output, true)));
         } else {
-            mClock.after(ANSWER_MS / 2, () -> reply(answer, carryOut(output)));
+            mClock.after(ROUND_TRIP_MS / 2, () -> reply(sink, execute(output)));
         }
     }
 
-    private void reply(Consumer<SchedulerInput> answer, SchedulerInput input) {
-        mClock.after(ANSWER_MS / 2, () -> answer.accept(input));
+    private void reply(Consumer<SchedulerInput> sink, SchedulerInput input) {
+        mClock.after(ROUND_TRIP_MS / 2, () -> sink.accept(input));
     }
 
+    /**
+     * Returns the failure that the caller sees.
+     *
+     * @param uncertain whether a commit may have taken effect
+     */
     private static SchedulerInput failure(SchedulerOutput output, boolean uncertain) {
         if (output instanceof GrantLease grant) {
             return new LeaseDenied(grant.callId());
@@ -117,13 +151,13 @@
         return new LoadFailed(((LoadRecords) output).callId());
     }
 
-    private SchedulerInput carryOut(SchedulerOutput output) {
+    private SchedulerInput execute(SchedulerOutput output) {
         expireLeases();
         if (output instanceof GrantLease grant) {
-            long lease = mNextLease++;
-            mLeases.put(lease, mClock.nowMs() + grant.ttlMs());
+            long leaseId = mNextLeaseId++;
+            mLeaseDeadlinesMs.put(leaseId, mClock.nowMs() + grant.ttlMs());
             mClock.after(grant.ttlMs() + 1, this::expireLeases);
-            return new LeaseGranted(grant.callId(), lease, grant.ttlMs());
+            return new LeaseGranted(grant.callId(), leaseId, grant.ttlMs());
         } else if (output instanceof RenewLease renew) {
             return renew(renew);
         } else if (output instanceof Commit commit) {
@@ -133,24 +167,25 @@
     }
 
     private SchedulerInput renew(RenewLease renew) {
-        if (!mLeases.containsKey(renew.leaseId())) {
+        if (!mLeaseDeadlinesMs.containsKey(renew.leaseId())) {
             return new LeaseNotRenewed(renew.callId(), true);
         }
         long ttlMs = SchedulerTiming.DEFAULT.ownerTtlMs();
-        mLeases.put(renew.leaseId(), mClock.nowMs() + ttlMs);
+        mLeaseDeadlinesMs.put(renew.leaseId(), mClock.nowMs() + ttlMs);
         mClock.after(ttlMs + 1, this::expireLeases);
         return new LeaseRenewed(renew.callId());
     }
 
+    /** Applies all writes and removals if each guarded record has the expected revision. */
     private SchedulerInput commit(Commit commit) {
         List<LoadedRecord> current = new ArrayList<>();
-        boolean holds = true;
+        boolean guardsHold = true;
         for (RecordGuard guard : commit.guards()) {
             LoadedRecord loaded = loaded(guard.name());
             current.add(loaded);
-            holds &= loaded.revision() == guard.revision();
+            guardsHold &= loaded.revision() == guard.revision();
         }
-        if (!holds) {
+        if (!guardsHold) {
             return new CommitConflict(commit.callId(), current);
         }
         mRevision++;
@@ -163,6 +198,7 @@
         return new Committed(commit.callId(), mRevision);
     }
 
+    /** Returns a record with its revision, or revision 0 and no record if it does not exist. */
     private LoadedRecord loaded(RecordName name) {
         Item item = mItems.get(name);
         return item == null
@@ -170,11 +206,12 @@
                 : new LoadedRecord(name, item.revision(), Optional.of(item.record()));
     }
 
-    /** Returns the record of a name, if there is one. */
+    /** Returns the record stored under a name, or empty. */
     Optional<StoredRecord> find(RecordName name) {
         return Optional.ofNullable(mItems.get(name)).map(Item::record);
     }
 
+    /** Returns all records except those of the ownership, which nodes watch. */
     private SchedulerInput load(LoadRecords load) {
         List<LoadedRecord> records = new ArrayList<>();
         for (RecordName name : mItems.keySet()) {
@@ -185,19 +222,20 @@
         return new RecordsLoaded(load.callId(), records);
     }
 
+    /** Removes expired leases and the records bound to them. */
     private void expireLeases() {
-        Set<Long> ended = new HashSet<>();
-        mLeases.forEach(
-                (lease, endMs) -> {
-                    if (endMs <= mClock.nowMs()) {
-                        ended.add(lease);
+        Set<Long> expired = new HashSet<>();
+        mLeaseDeadlinesMs.forEach(
+                (leaseId, deadlineMs) -> {
+                    if (deadlineMs <= mClock.nowMs()) {
+                        expired.add(leaseId);
                     }
                 });
-        if (ended.isEmpty()) {
+        if (expired.isEmpty()) {
             return;
         }
-        mLeases.keySet().removeAll(ended);
-        if (mItems.values().removeIf(item -> ended.contains(item.leaseId()))) {
+        mLeaseDeadlinesMs.keySet().removeAll(expired);
+        if (mItems.values().removeIf(item -> expired.contains(item.leaseId()))) {
             mRevision++;
             notifyListeners();
         }
@@ -207,7 +245,7 @@
         mListeners.forEach(Runnable::run);
     }
 
-    /** Returns who owns the scheduling. */
+    /** Returns the records of the ownership, as a watch of them shows it. */
     Ownership ownership() {
         Item owner = mItems.get(RecordName.OWNER);
         Item term = mItems.get(RecordName.TERM);
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualNode.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualNode.java
@@ -27,20 +27,29 @@
 import org.hibiscususher.core.scheduler.world.SchedulerTiming;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
 
-/** An entry: the real scheduler, with its outputs carried out in virtual time. */
+/**
+ * Simulated process of an entry: the production {@link Scheduler}, whose outputs are executed in
+ * virtual time.
+ */
 final class VirtualNode {
-    private static final long TICK_MS = 20;
+    private static final long TICK_INTERVAL_MS = 20;
 
     private final SchedulerSite mSite;
     private final String mName;
     private Scheduler mScheduler;
     private List<SchedulerInput> mInputs = new ArrayList<>();
-    private long mLife;
+
+    /** Changes with each start and end; results for another process number are dropped. */
+    private long mProcessNumber;
+
     private boolean mUp;
-    private boolean mFrozen;
+    private boolean mSuspended;
+
+    /** Total time suspended, by which the steady clock lags behind. */
     private long mSuspendedMs;
-    private boolean mScheduled;
-    private boolean mFollowing;
+
+    private boolean mTickScheduled;
+    private boolean mWatchesExecutors;
 
     VirtualNode(SchedulerSite site, String name) {
         mSite = site;
@@ -55,20 +64,21 @@
         return mUp;
     }
 
-    /** Returns the tables. */
+    /** Returns the tables of the current process. Callers only read them. */
     SchedulerWorld world() {
         return mScheduler.world();
     }
 
+    /** Returns whether the process runs and believes that it owns the scheduling. */
     boolean isOwner() {
         return mUp && mScheduler.world().term().get().isScheduling();
     }
 
-    /** Starts a process that knows nothing. */
+    /** Starts a new process with no state except the configuration and the ordered waves. */
     void start() {
-        mLife++;
+        mProcessNumber++;
         mUp = true;
-        mFollowing = false;
+        mWatchesExecutors = false;
         mInputs = new ArrayList<>();
         mScheduler =
                 Scheduler.create(
@@ -79,101 +89,110 @@
                                 mSite.nodes(),
                                 Math.floorMod(mName.hashCode(), 40),
                                 SchedulerTiming.DEFAULT));
-        long life = mLife;
+        long process = mProcessNumber;
         receive(new ConfigurationUpdated(mSite.configuration(), 1));
         mSite.waves().forEach(wave -> receive(new WaveOrdered(wave)));
         mSite.clock().after(1, () -> storeChanged());
-        tickPeriodically(life);
+        tickPeriodically(process);
     }
 
-    /** Ends the process at once. */
+    /** Kills the process without notice. */
     void kill() {
         mUp = false;
-        mLife++;
+        mProcessNumber++;
     }
 
-    /** Suspends the process for a time, which its steady clock does not count. */
+    /**
+     * Suspends the process for a time. Its steady clock stops meanwhile, as the clock of a
+     * suspended virtual machine does, while the wall clock continues.
+     */
     void freeze(long forMs) {
-        mFrozen = true;
+        mSuspended = true;
         mSuspendedMs += forMs;
         mSite.clock()
                 .after(
                         forMs,
                         () -> {
-                            mFrozen = false;
+                            mSuspended = false;
                             scheduleTick();
                         });
     }
 
-    private void tickPeriodically(long life) {
-        if (life == mLife) {
+    /** Schedules a tick now and at each interval while the process is the current one. */
+    private void tickPeriodically(long process) {
+        if (process == mProcessNumber) {
             scheduleTick();
-            mSite.clock().after(TICK_MS, () -> tickPeriodically(life));
+            mSite.clock().after(TICK_INTERVAL_MS, () -> tickPeriodically(process));
         }
     }
 
-    /** Hands an input to the process, if it still is the one that it is meant for. */
+    /** Queues an input for the next tick, and schedules that tick. */
     void receive(SchedulerInput input) {
         mInputs.add(input);
         scheduleTick();
     }
 
+    /** Schedules a tick, unless one is scheduled or the process can't run. */
     private void scheduleTick() {
-        if (mUp && !mScheduled && !mFrozen) {
-            mScheduled = true;
+        if (mUp && !mTickScheduled && !mSuspended) {
+            mTickScheduled = true;
             mSite.clock().after(1, this::tick);
         }
     }
 
     private void tick() {
-        mScheduled = false;
-        if (!mUp || mFrozen) {
+        mTickScheduled = false;
+        if (!mUp || mSuspended) {
             return;
         }
         List<SchedulerInput> inputs = mInputs;
         mInputs = new ArrayList<>();
         long nowMs = mSite.clock().nowMs();
         for (SchedulerOutput output : mScheduler.tick(nowMs - mSuspendedMs, nowMs, inputs)) {
-            carryOut(output);
+            execute(output);
         }
     }
 
-    /** Tells the process what the store holds, as its watches do. */
+    /** Sends the process the current ownership, as its watch of the store does. */
     void storeChanged() {
         if (mUp && !mSite.store().isUnreachable(mName)) {
             receive(new OwnershipUpdated(mSite.store().ownership()));
         }
     }
 
-    /** Tells the owner of the executors, as its watch does. */
+    /** Sends the list of executors to a process that watches them. */
     void executorsChanged() {
-        if (mUp && mFollowing && !mSite.store().isUnreachable(mName)) {
+        if (mUp && mWatchesExecutors && !mSite.store().isUnreachable(mName)) {
             receive(new ExecutorsListed(mSite.reports()));
         }
     }
 
+    /**
+     * Returns a sink for responses, which drops those that arrive after the current process ended.
+     */
     private Consumer<SchedulerInput> inputSink() {
-        long life = mLife;
+        long process = mProcessNumber;
         return input -> {
-            if (life == mLife) {
+            if (process == mProcessNumber) {
                 receive(input);
             }
         };
     }
 
-    private void carryOut(SchedulerOutput output) {
-        if (output instanceof SchedulerOutput.Log line) {
-            mSite.log(mName, line);
-        } else if (output instanceof Respond answer) {
-            mSite.deliverResponse(answer.callId(), answer.response());
+    /** Executes an output of a tick. */
+    private void execute(SchedulerOutput output) {
+        if (output instanceof SchedulerOutput.Log logLine) {
+            mSite.log(mName, logLine);
+        } else if (output instanceof Respond respond) {
+            mSite.deliverResponse(respond.callId(), respond.response());
         } else if (output instanceof Forward forward) {
             mSite.forward(this, forward);
         } else if (output instanceof SchedulerOutput.AskRelinquish ask) {
             mSite.askToRelinquish(ask, inputSink());
         } else if (output instanceof SchedulerOutput.OfferHandover offer) {
             mSite.offerHandover(offer);
-        } else if (output instanceof WatchExecutors follow) {
-            mFollowing = follow.enabled();
+        } else if (output instanceof WatchExecutors watch) {
+            mWatchesExecutors = watch.enabled();
             mSite.clock().after(2, this::executorsChanged);
         } else if (output instanceof ListHosts list) {
             mSite.hosts()
@@ -188,14 +207,15 @@
                 || output instanceof LoadRecords) {
             mSite.store().call(mName, output, inputSink());
         } else {
-            toExecutor(output);
+            sendToExecutor(output);
         }
     }
 
-    private void toExecutor(SchedulerOutput output) {
+    /** Sends a heartbeat, start order or stop order; drops it if the executor does not exist. */
+    private void sendToExecutor(SchedulerOutput output) {
         String executor = "";
-        if (output instanceof SendHeartbeat hold) {
-            executor = hold.executor();
+        if (output instanceof SendHeartbeat heartbeat) {
+            executor = heartbeat.executor();
         } else if (output instanceof StartRun start) {
             executor = start.executor();
         } else if (output instanceof StopRun stop) {
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/package-info.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/package-info.java
@@ -1,5 +1,5 @@
 /**
- * A site of schedulers, a store and executors in virtual time, with faults and checks of what must
- * hold.
+ * Deterministic simulation of schedulers with a store, hosts, executors and callers in virtual
+ * time, with injected faults and checks of the scheduler's invariants.
  */
 package org.hibiscususher.standin.scheduler;
