--- a/core/src/main/java/org/hibiscususher/core/note/AcceptedNote.java
+++ b/core/src/main/java/org/hibiscususher/core/note/AcceptedNote.java
@@ -5,17 +5,21 @@
 import org.hibiscususher.core.config.ConfigurationDelta;
 
 /**
- * A release note that was accepted, as the history keeps it.
+ * A release note that was committed to the configuration history.
  *
- * @param revision the revision that it became, 1 or more
- * @param id the note's own id
- * @param author who wrote it
- * @param summary one line for the history
- * @param writtenMs when it was written, in milliseconds since 1970 of the writer's wall clock
- * @param digest digest of what it asks for; tells a repeated note from another with the same id
- * @param changeSummary what it changed, in one line
- * @param delta what it changed; {@link ConfigurationDelta#NONE} if not whole
- * @param hasDelta whether the delta is here; a large one is found in the snapshot alone
+ * @param revision the configuration revision that the note created, from 1
+ * @param id the id that the author gave the note, unique within the history
+ * @param author name of the author, as the note gives it
+ * @param summary the author's description of the note in one line; may be empty
+ * @param writtenMs when the committing entry received the note, in milliseconds since 1970 by the
+ *     entry's wall clock
+ * @param digest {@link NoteDigest} of the requested changes; distinguishes a note that is submitted
+ *     again from a different note with the same id
+ * @param changeSummary counts of added or replaced and of removed declarations by type, in one line
+ * @param delta difference to the previous revision; {@link ConfigurationDelta#NONE} if {@code
+ *     hasDelta} is false
+ * @param hasDelta whether the delta is present; it is left out where it is too large for the head
+ *     record, and the result is then found only in the snapshot of this revision
  */
 public record AcceptedNote(
         long revision,
@@ -27,9 +31,10 @@
         String changeSummary,
         ConfigurationDelta delta,
         boolean hasDelta) {
-    private static final int FIXED_BYTES = 200;
+    /** Allowance for the other fields and for the syntax of the encoding. */
+    private static final int OVERHEAD_BYTES = 200;
 
-    /** Checks the fields. */
+    /** Checks that the fields are present and the revision is 1 or more. */
     public AcceptedNote {
         requireNonNull(id);
         requireNonNull(author);
@@ -38,7 +43,7 @@
         requireNonNull(changeSummary);
         requireNonNull(delta);
         if (revision < 1) {
-            throw new IllegalArgumentException("revision: " + revision);
+            throw new IllegalArgumentException("revision must be 1 or more: " + revision);
         }
     }
 
@@ -56,9 +61,9 @@
                 false);
     }
 
-    /** Returns about how many bytes the note takes in the platform's store. */
+    /** Returns the approximate size of the note in the platform's store, in bytes. */
     public int estimatedBytes() {
-        return FIXED_BYTES
+        return OVERHEAD_BYTES
                 + id.length()
                 + author.length()
                 + summary.length()
--- a/core/src/main/java/org/hibiscususher/core/note/ConsistencyChecker.java
+++ b/core/src/main/java/org/hibiscususher/core/note/ConsistencyChecker.java
@@ -16,48 +16,63 @@
 import org.hibiscususher.core.config.PoolSpec;
 import org.hibiscususher.core.config.QueueSpec;
 
-/** Checks a configuration across its declarations; places findings in the note that made it. */
+/**
+ * Checks that the declarations of a configuration are consistent with each other, and reports each
+ * finding at the location of the release note that is most likely its cause.
+ *
+ * <p>Guards against references to undeclared objects, hosts with the same address, keys with the
+ * same digest, and pools that maintenance or the reserve for quick requests could leave without a
+ * usable slot.
+ */
 final class ConsistencyChecker {
     private final Configuration mBefore;
     private final Configuration mAfter;
     private final ConfigurationDelta mDelta;
-    private final Map<String, SourceLocation> mPlaces;
+
+    /** Locations of the objects that the note names, by type and id as in {@code host h1}. */
+    private final Map<String, SourceLocation> mLocations;
+
+    /** The objects that the note withdraws, by type and id. */
     private final Set<String> mWithdrawn;
-    private final SourceLocation mNotePlace;
+
+    /** Start of the note; the location of findings about objects that the note does not name. */
+    private final SourceLocation mNoteLocation;
+
     private final List<Finding> mFindings = new ArrayList<>();
 
     private ConsistencyChecker(
             ReleaseNote note,
             Configuration before,
             Configuration after,
-            Map<String, SourceLocation> places,
+            Map<String, SourceLocation> locations,
             Set<String> withdrawn) {
         mBefore = before;
         mAfter = after;
         mDelta = ConfigurationDelta.between(before, after);
-        mPlaces = places;
+        mLocations = locations;
         mWithdrawn = withdrawn;
         String file =
-                places.values().stream().findFirst().map(SourceLocation::file).orElse(note.id());
-        mNotePlace = new SourceLocation(file, 1, 1);
+                locations.values().stream().findFirst().map(SourceLocation::file).orElse(note.id());
+        mNoteLocation = new SourceLocation(file, 1, 1);
     }
 
     /**
-     * Checks a configuration; takes linear time.
+     * Checks a configuration in linear time and returns the findings, in no particular order.
      *
-     * @param note the note that leads to it
+     * @param note the note that leads to the configuration
      * @param before the configuration that the note applies to
-     * @param after the configuration that results
-     * @param places places of what the note names, by type and id
-     * @param withdrawn what the note withdraws, by type and id
+     * @param after the configuration with the note applied
+     * @param locations locations of the objects that the note names, by type and id
+     * @param withdrawn the objects that the note withdraws, by type and id
      */
     static List<Finding> check(
             ReleaseNote note,
             Configuration before,
             Configuration after,
-            Map<String, SourceLocation> places,
+            Map<String, SourceLocation> locations,
             Set<String> withdrawn) {
-        ConsistencyChecker checker = new ConsistencyChecker(note, before, after, places, withdrawn);
+        ConsistencyChecker checker =
+                new ConsistencyChecker(note, before, after, locations, withdrawn);
         checker.checkNotEmpty();
         checker.checkHosts();
         checker.checkKeys();
@@ -67,22 +82,22 @@
     }
 
     private void checkNotEmpty() {
-        if (mPlaces.isEmpty()) {
-            error(
-                    mNotePlace,
-                    "the note names nothing; expected \"added\", \"changed\" or \"withdrawn\"");
+        if (mLocations.isEmpty()) {
+            addError(
+                    mNoteLocation,
+                    "the note changes nothing; expected \"added\", \"changed\" or \"withdrawn\"");
         }
     }
 
     private void checkHosts() {
-        Map<String, String> addresses = new LinkedHashMap<>();
+        Map<String, String> hostsByAddress = new LinkedHashMap<>();
         for (HostSpec host : mAfter.hosts().values()) {
             String name = "host " + host.id();
-            require(mAfter.pools(), "pool", host.pool(), name);
-            String other = addresses.putIfAbsent(host.address(), host.id());
+            requireDeclared(mAfter.pools(), "pool", host.pool(), name);
+            String other = hostsByAddress.putIfAbsent(host.address(), host.id());
             if (other != null) {
-                error(
-                        placeOf(name, "host " + other),
+                addError(
+                        locationOf(name, "host " + other),
                         "hosts "
                                 + other
                                 + " and "
@@ -95,167 +110,183 @@
     }
 
     private void checkKeys() {
-        Map<KeyDigest, String> digests = new LinkedHashMap<>();
+        Map<KeyDigest, String> keysByDigest = new LinkedHashMap<>();
         for (KeySpec key : mAfter.keys().values()) {
             String name = "key " + key.id();
-            require(mAfter.teams(), "team", key.team(), name);
-            String other = digests.putIfAbsent(key.digest(), key.id());
+            requireDeclared(mAfter.teams(), "team", key.team(), name);
+            String other = keysByDigest.putIfAbsent(key.digest(), key.id());
             if (other != null) {
-                error(
-                        placeOf(name, "key " + other),
+                addError(
+                        locationOf(name, "key " + other),
                         "keys "
                                 + other
                                 + " and "
                                 + key.id()
-                                + " have the same digest; expected a secret of its own for each");
+                                + " have the same digest; expected a different secret for each key");
             }
         }
     }
 
     private void checkQueues() {
-        Set<String> served = new LinkedHashSet<>();
-        mAfter.hosts().values().forEach(h -> served.add(h.pool()));
+        Set<String> poolsWithHosts = new LinkedHashSet<>();
+        mAfter.hosts().values().forEach(h -> poolsWithHosts.add(h.pool()));
         for (QueueSpec queue : mAfter.queues().values()) {
             String name = "queue " + queue.id();
-            require(mAfter.pools(), "pool", queue.pool(), name);
-            queue.openTeam().ifPresent(t -> require(mAfter.teams(), "team", t, name));
-            boolean touched =
-                    mPlaces.containsKey(name) || mPlaces.containsKey("pool " + queue.pool());
-            if (touched && !served.contains(queue.pool())) {
-                warn(
-                        placeOf(name, "pool " + queue.pool()),
+            requireDeclared(mAfter.pools(), "pool", queue.pool(), name);
+            queue.openTeam().ifPresent(t -> requireDeclared(mAfter.teams(), "team", t, name));
+            boolean affected =
+                    mLocations.containsKey(name) || mLocations.containsKey("pool " + queue.pool());
+            if (affected && !poolsWithHosts.contains(queue.pool())) {
+                addWarning(
+                        locationOf(name, "pool " + queue.pool()),
                         name + " runs on pool " + queue.pool() + ", which has no host yet");
             }
         }
     }
 
     private void checkPools() {
-        Map<String, List<HostSpec>> hosts = new LinkedHashMap<>();
+        Map<String, List<HostSpec>> hostsByPool = new LinkedHashMap<>();
         for (HostSpec host : mAfter.hosts().values()) {
-            hosts.computeIfAbsent(host.pool(), p -> new ArrayList<>()).add(host);
+            hostsByPool.computeIfAbsent(host.pool(), p -> new ArrayList<>()).add(host);
         }
-        Set<String> touched = poolsTouched();
+        Set<String> affected = affectedPools();
         for (PoolSpec pool : mAfter.pools().values()) {
-            if (touched.contains(pool.id())) {
-                checkPool(pool, hosts.getOrDefault(pool.id(), List.of()));
+            if (affected.contains(pool.id())) {
+                checkPool(pool, hostsByPool.getOrDefault(pool.id(), List.of()));
             }
         }
     }
 
-    /** Returns the pools that the note changes, or whose hosts it changes. */
-    private Set<String> poolsTouched() {
-        Set<String> touched = new LinkedHashSet<>();
-        mDelta.pools().put().forEach(p -> touched.add(p.id()));
+    /** Returns the ids of the pools that the note declares, or that gain, lose or change a host. */
+    private Set<String> affectedPools() {
+        Set<String> affected = new LinkedHashSet<>();
+        mDelta.pools().put().forEach(p -> affected.add(p.id()));
         for (HostSpec host : mDelta.hosts().put()) {
-            touched.add(host.pool());
-            addPoolBefore(touched, host.id());
+            affected.add(host.pool());
+            addPreviousPool(affected, host.id());
         }
-        mDelta.hosts().removed().forEach(id -> addPoolBefore(touched, id));
-        return touched;
+        mDelta.hosts().removed().forEach(id -> addPreviousPool(affected, id));
+        return affected;
     }
 
-    private void addPoolBefore(Set<String> touched, String hostId) {
+    private void addPreviousPool(Set<String> affected, String hostId) {
         HostSpec before = mBefore.hosts().get(hostId);
         if (before != null) {
-            touched.add(before.pool());
+            affected.add(before.pool());
         }
     }
 
     private void checkPool(PoolSpec pool, List<HostSpec> hosts) {
-        SourceLocation place = placeOf("pool " + pool.id());
-        int out = pool.budget().maxUnavailable();
-        int outPerZone = pool.budget().maxUnavailablePerZone();
-        if (outPerZone > out) {
-            error(
-                    place,
+        SourceLocation location = locationOf("pool " + pool.id());
+        int maxOut = pool.budget().maxUnavailable();
+        int maxOutPerZone = pool.budget().maxUnavailablePerZone();
+        if (maxOutPerZone > maxOut) {
+            addError(
+                    location,
                     "pool "
                             + pool.id()
                             + " may have "
-                            + outPerZone
+                            + maxOutPerZone
                             + " hosts out per zone and "
-                            + out
+                            + maxOut
                             + " in all; expected no more per zone than in all");
         }
         if (hosts.isEmpty()) {
             return;
         }
         if (hosts.size() == 1) {
-            warn(place, "pool " + pool.id() + " has one host; its maintenance stops the pool");
-        } else if (out >= hosts.size()) {
-            error(
-                    place,
+            addWarning(
+                    location,
+                    "pool " + pool.id() + " has one host; maintenance of that host stops the pool");
+        } else if (maxOut >= hosts.size()) {
+            addError(
+                    location,
                     "pool "
                             + pool.id()
                             + " has "
                             + hosts.size()
                             + " hosts and may have "
-                            + out
+                            + maxOut
                             + " out; expected "
                             + (hosts.size() - 1)
                             + " out at most");
         }
-        checkZones(pool, hosts, place);
+        checkZones(pool, hosts, location);
         int slots = hosts.stream().mapToInt(HostSpec::slots).sum();
         if (pool.quickReserve() >= slots) {
-            error(
-                    place,
+            addError(
+                    location,
                     "pool "
                             + pool.id()
-                            + " keeps "
+                            + " reserves "
                             + pool.quickReserve()
-                            + " slots for quick work and has "
+                            + " slots for quick requests and has "
                             + slots
-                            + "; expected fewer than it has");
+                            + "; expected a reserve below that");
         }
     }
 
-    private void checkZones(PoolSpec pool, List<HostSpec> hosts, SourceLocation place) {
-        SortedMap<String, Integer> zones = new TreeMap<>();
-        hosts.forEach(h -> zones.merge(h.zone(), 1, Integer::sum));
-        int outPerZone = pool.budget().maxUnavailablePerZone();
-        zones.forEach(
-                (zone, n) -> {
-                    if (n > 1 && outPerZone >= n) {
-                        warn(
-                                place,
+    private void checkZones(PoolSpec pool, List<HostSpec> hosts, SourceLocation location) {
+        SortedMap<String, Integer> hostCounts = new TreeMap<>();
+        hosts.forEach(h -> hostCounts.merge(h.zone(), 1, Integer::sum));
+        int maxOutPerZone = pool.budget().maxUnavailablePerZone();
+        hostCounts.forEach(
+                (zone, count) -> {
+                    if (count > 1 && maxOutPerZone >= count) {
+                        addWarning(
+                                location,
                                 "pool "
                                         + pool.id()
                                         + " may have all its "
-                                        + n
+                                        + count
                                         + " hosts in zone "
                                         + zone
-                                        + " out at a time");
+                                        + " out of service at once");
                     }
                 });
     }
 
-    private void require(SortedMap<String, ?> known, String type, String id, String user) {
-        if (known.containsKey(id)) {
+    /**
+     * Reports a reference to an object that is not declared.
+     *
+     * @param declared the declared objects of the type, by id
+     * @param type type of the object referred to
+     * @param id id of the object referred to
+     * @param referrer type and id of the object with the reference
+     */
+    private void requireDeclared(
+            SortedMap<String, ?> declared, String type, String id, String referrer) {
+        if (declared.containsKey(id)) {
             return;
         }
-        String used = type + " " + id;
-        if (mWithdrawn.contains(used)) {
-            error(placeOf(used), used + " is withdrawn, but " + user + " still needs it");
+        String referent = type + " " + id;
+        if (mWithdrawn.contains(referent)) {
+            addError(
+                    locationOf(referent),
+                    referent + " is withdrawn, but " + referrer + " still needs it");
         } else {
-            error(placeOf(user), user + " needs " + used + ", which is not declared");
+            addError(
+                    locationOf(referrer),
+                    referrer + " needs " + referent + ", which is not declared");
         }
     }
 
-    private SourceLocation placeOf(String... names) {
+    /** Returns the location of the first of the objects that the note names. */
+    private SourceLocation locationOf(String... names) {
         for (String name : names) {
-            SourceLocation place = mPlaces.get(name);
-            if (place != null) {
-                return place;
+            SourceLocation location = mLocations.get(name);
+            if (location != null) {
+                return location;
             }
         }
-        return mNotePlace;
+        return mNoteLocation;
     }
 
-    private void error(SourceLocation place, String message) {
-        mFindings.add(new Finding(place, message));
+    private void addError(SourceLocation location, String message) {
+        mFindings.add(new Finding(location, message));
     }
 
-    private void warn(SourceLocation place, String message) {
-        mFindings.add(new Finding(place, Severity.WARNING, message));
+    private void addWarning(SourceLocation location, String message) {
+        mFindings.add(new Finding(location, Severity.WARNING, message));
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/note/Declarations.java
+++ b/core/src/main/java/org/hibiscususher/core/note/Declarations.java
@@ -8,13 +8,14 @@
 import org.hibiscususher.core.config.TeamSpec;
 
 /**
- * Whole declarations, as the sections "added" and "changed" of a release note list them.
+ * Complete declarations of objects, as the sections "added" and "changed" of a release note list
+ * them.
  *
- * @param pools pools
- * @param hosts hosts
- * @param teams teams
- * @param keys keys
- * @param queues queues
+ * @param pools declared pools, in the order of the note
+ * @param hosts declared hosts, in the order of the note
+ * @param teams declared teams, in the order of the note
+ * @param keys declared API keys, in the order of the note
+ * @param queues declared queues, in the order of the note
  */
 public record Declarations(
         List<Located<PoolSpec>> pools,
--- a/core/src/main/java/org/hibiscususher/core/note/Located.java
+++ b/core/src/main/java/org/hibiscususher/core/note/Located.java
@@ -3,14 +3,14 @@
 import static java.util.Objects.requireNonNull;
 
 /**
- * A declaration and the location where it stands.
+ * A value read from a text file, with its location for findings.
  *
- * @param value the declaration
- * @param location where it stands
- * @param <T> type of the declaration
+ * @param value the value
+ * @param location where the file gives the value
+ * @param <T> type of the value
  */
 public record Located<T>(T value, SourceLocation location) {
-    /** Checks the fields. */
+    /** Checks that the fields are present. */
     public Located {
         requireNonNull(value);
         requireNonNull(location);
--- a/core/src/main/java/org/hibiscususher/core/note/Severity.java
+++ b/core/src/main/java/org/hibiscususher/core/note/Severity.java
@@ -1,10 +1,10 @@
 package org.hibiscususher.core.note;
 
-/** How much a finding matters. */
+/** Whether a finding leads to the rejection of the file. */
 public enum Severity {
-    /** The file can't be taken as it stands. */
+    /** The file is rejected. */
     ERROR(""),
-    /** The file may be taken, but may not mean what its author wants. */
+    /** The file is accepted, but its effect is probably not what the author intended. */
     WARNING("warning: ");
 
     private final String mPrefix;
@@ -13,7 +13,7 @@
         mPrefix = prefix;
     }
 
-    /** Returns what stands before the message of a finding. */
+    /** Returns the text printed before the message of a finding; empty for errors. */
     public String prefix() {
         return mPrefix;
     }
--- a/core/src/main/java/org/hibiscususher/core/note/Withdrawals.java
+++ b/core/src/main/java/org/hibiscususher/core/note/Withdrawals.java
@@ -3,13 +3,13 @@
 import java.util.List;
 
 /**
- * Ids that the section "withdrawn" of a release note lists.
+ * Ids of the objects to remove, as the section "withdrawn" of a release note lists them.
  *
- * @param pools ids of pools
- * @param hosts ids of hosts
- * @param teams ids of teams
- * @param keys ids of keys
- * @param queues ids of queues
+ * @param pools ids of the pools to remove
+ * @param hosts ids of the hosts to remove
+ * @param teams ids of the teams to remove
+ * @param keys ids of the API keys to remove
+ * @param queues ids of the queues to remove
  */
 public record Withdrawals(
         List<Located<String>> pools,
--- a/core/src/main/java/org/hibiscususher/core/note/package-info.java
+++ b/core/src/main/java/org/hibiscususher/core/note/package-info.java
@@ -1,2 +1,5 @@
-/** Release notes: what operators add, change and withdraw, and the check of a note as a whole. */
+/**
+ * Release notes, by which operators change the configuration, and the check of a note against the
+ * configuration that it applies to.
+ */
 package org.hibiscususher.core.note;
--- a/core/src/test/java/org/hibiscususher/core/note/NoteCheckerTest.java
+++ b/core/src/test/java/org/hibiscususher/core/note/NoteCheckerTest.java
@@ -10,7 +10,7 @@
 import org.junit.jupiter.api.Test;
 
 class NoteCheckerTest {
-    private static final SourceLocation PLACE = new SourceLocation("note.yaml", 3, 7);
+    private static final SourceLocation LOCATION = new SourceLocation("note.yaml", 3, 7);
 
     private static ReleaseNote note(Declarations added, Withdrawals withdrawn) {
         return new ReleaseNote(
@@ -21,15 +21,15 @@
         return new Declarations(
                 List.of(),
                 List.of(),
-                List.of(new Located<>(new TeamSpec(id, 1, 4), PLACE)),
+                List.of(new Located<>(new TeamSpec(id, 1, 4), LOCATION)),
                 List.of(),
                 List.of());
     }
 
     @Nested
-    class Accepted {
+    class AcceptedNotes {
         @Test
-        void addsToTheRevision() {
+        void incrementsTheRevisionAndAddsTheTeam() {
             NoteCheckResult checked =
                     NoteChecker.check(note(team("a"), Withdrawals.NONE), Configuration.EMPTY);
             assertThat(checked.findings()).isEmpty();
@@ -39,31 +39,31 @@
     }
 
     @Nested
-    class Refused {
+    class RejectedNotes {
         @Test
-        void namesThePlaceOfWhatExists() {
+        void reportsTheLocationOfAnAddedTeamThatExists() {
             Configuration before =
                     NoteChecker.check(note(team("a"), Withdrawals.NONE), Configuration.EMPTY)
                             .configuration();
             NoteCheckResult checked = NoteChecker.check(note(team("a"), Withdrawals.NONE), before);
             assertThat(checked.findings())
                     .containsExactly(
-                            new Finding(PLACE, "team a exists; list it under \"changed\""));
+                            new Finding(LOCATION, "team a exists; list it under \"changed\""));
         }
 
         @Test
-        void namesThePlaceOfWhatDoesNotExist() {
-            Withdrawals gone =
+        void reportsTheLocationOfAWithdrawnTeamThatDoesNotExist() {
+            Withdrawals withdrawn =
                     new Withdrawals(
                             List.of(),
                             List.of(),
-                            List.of(new Located<>("b", PLACE)),
+                            List.of(new Located<>("b", LOCATION)),
                             List.of(),
                             List.of());
             NoteCheckResult checked =
-                    NoteChecker.check(note(Declarations.NONE, gone), Configuration.EMPTY);
+                    NoteChecker.check(note(Declarations.NONE, withdrawn), Configuration.EMPTY);
             assertThat(checked.findings())
-                    .containsExactly(new Finding(PLACE, "team b does not exist"));
+                    .containsExactly(new Finding(LOCATION, "team b does not exist"));
         }
     }
 }
