--- a/core/src/main/java/org/hibiscususher/core/maintenance/WaveMonitorSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/maintenance/WaveMonitorSystem.java
@@ -3,7 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import org.hibiscususher.core.membership.Rendezvous;
+import org.hibiscususher.core.membership.RendezvousHash;
 import org.hibiscususher.core.message.OutageReason;
 import org.hibiscususher.core.message.Output.LogEvent;
 import org.hibiscususher.core.message.RecordKey;
@@ -11,8 +11,8 @@
 import org.hibiscususher.core.message.WaveState;
 import org.hibiscususher.core.world.HostRow;
 import org.hibiscususher.core.world.OutageRow;
+import org.hibiscususher.core.world.RebootedHostRow;
 import org.hibiscususher.core.world.Tick;
-import org.hibiscususher.core.world.WaveDoneRow;
 import org.hibiscususher.core.world.World;
 
 /**
@@ -39,9 +39,12 @@
             return;
         }
         World world = tick.world();
-        Optional<WaveRecord> wave = FleetRecords.wave(world).filter(w -> w.state().takesHosts());
+        Optional<WaveRecord> wave = FleetRecords.wave(world).filter(w -> w.state().mayTakeHosts());
         boolean isMonitor =
-                wave.flatMap(w -> Rendezvous.choose("wave:" + w.id(), world.membership().record()))
+                wave.flatMap(
+                                w ->
+                                        RendezvousHash.choose(
+                                                "wave:" + w.id(), world.membership().record()))
                         .filter(world.node().identity().id()::equals)
                         .isPresent();
         if (!isMonitor || !FleetRecords.canDraft(world, RecordKey.WAVE)) {
@@ -83,12 +86,15 @@
                 failed.add(row.host());
             }
         }
-        List<WaveDoneRow> rebooted =
-                world.waveDone().rows().stream().filter(r -> r.wave().equals(wave.id())).toList();
-        for (WaveDoneRow row :
+        List<RebootedHostRow> rebooted =
+                world.rebootedHosts().rows().stream()
+                        .filter(r -> r.wave().equals(wave.id()))
+                        .toList();
+        for (RebootedHostRow row :
                 rebooted.subList(Math.max(0, rebooted.size() - RECENT_HOSTS), rebooted.size())) {
             Optional<HostRow> host = world.hosts().find(row.host());
-            boolean quarantined = host.filter(h -> h.restUntilMs() > tick.nowMs()).isPresent();
+            boolean quarantined =
+                    host.filter(h -> h.quarantinedUntilMs() > tick.nowMs()).isPresent();
             if (quarantined || BudgetCheck.isLost(world, row.host())) {
                 failed.add(row.host());
             }
--- a/core/src/main/java/org/hibiscususher/core/membership/LifeSigns.java
+++ b/core/src/main/java/org/hibiscususher/core/membership/FailureDetector.java
@@ -4,8 +4,8 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.hibiscususher.core.message.Input.HostListRead;
-import org.hibiscususher.core.message.Input.PeerRefused;
-import org.hibiscususher.core.message.LifeSign;
+import org.hibiscususher.core.message.Input.PeerConnectionRefused;
+import org.hibiscususher.core.message.LivenessObservation;
 import org.hibiscususher.core.message.Member;
 import org.hibiscususher.core.message.MemberState;
 import org.hibiscususher.core.message.Output.LogEvent;
@@ -17,7 +17,7 @@
 import org.hibiscususher.core.world.World;
 
 /** Collects signs of other entries' life and end, and decides when this entry acts on them. */
-final class LifeSigns {
+final class FailureDetector {
     /** Refused connections that prove an end. */
     private static final int REFUSALS = 3;
 
@@ -33,12 +33,12 @@
     /** Time that the member next in order leaves to the one before it, in milliseconds. */
     private static final int STAGGER_MS = 500;
 
-    private LifeSigns() {}
+    private FailureDetector() {}
 
     /** Takes in this tick's refused connections and lists of the platform's hosts. */
-    static void take(Tick tick) {
+    static void update(Tick tick) {
         World world = tick.world();
-        for (PeerRefused refused : tick.inputs(PeerRefused.class)) {
+        for (PeerConnectionRefused refused : tick.inputs(PeerConnectionRefused.class)) {
             world.members()
                     .find(refused.memberId())
                     .filter(m -> m.member().incarnation() == refused.incarnation())
@@ -55,7 +55,7 @@
 
     private static void takeRefusal(Tick tick, MemberRow member) {
         String id = member.member().id();
-        tick.world().liveness().update(id, l -> l.refused(tick.nowMs()));
+        tick.world().liveness().update(id, l -> l.withRefusal(tick.nowMs()));
         LivenessRow row = tick.world().liveness().find(id).orElseThrow();
         if (row.refusals() >= REFUSALS && tick.nowMs() - row.firstRefusedMs() >= REFUSALS_SPAN_MS) {
             end(tick, id, "refused");
@@ -64,9 +64,10 @@
 
     private static void takeList(Tick tick, MemberRow member, boolean shown) {
         String id = member.member().id();
-        tick.world().liveness().update(id, l -> l.listed(shown));
-        boolean missing = tick.world().liveness().find(id).orElseThrow().missing() >= MISSING_LISTS;
-        if (missing && !Links.hears(tick.world(), member, tick.nowMs())) {
+        tick.world().liveness().update(id, l -> l.withHostList(shown));
+        boolean missing =
+                tick.world().liveness().find(id).orElseThrow().missedLists() >= MISSING_LISTS;
+        if (missing && !PeerMessages.isHeard(tick.world(), member, tick.nowMs())) {
             end(tick, id, "not-listed");
         }
     }
@@ -75,26 +76,30 @@
         if (tick.world().liveness().find(id).filter(LivenessRow::hasEnded).isPresent()) {
             return;
         }
-        tick.world().liveness().update(id, l -> l.ended(tick.nowMs()));
+        tick.world().liveness().update(id, l -> l.withEnded(tick.nowMs()));
         tick.count("membership.ended-" + proof);
         tick.emit(new LogEvent("event=member-ended member=" + id + " proof=" + proof));
     }
 
     /** Returns the sign of a member on which this entry should act now. */
-    static LifeSign of(Tick tick, Member member) {
+    static LivenessObservation evaluate(Tick tick, Member member) {
         World world = tick.world();
         long nowMs = tick.nowMs();
         MemberRow row = world.members().find(member.id()).orElseThrow();
         LivenessRow life = world.liveness().find(member.id()).orElseThrow();
         if (life.hasEnded()) {
-            return isTurn(tick, member, life.endedMs()) ? LifeSign.ENDED : LifeSign.NONE;
+            return isTurn(tick, member, life.endedMs())
+                    ? LivenessObservation.ENDED
+                    : LivenessObservation.NONE;
         }
         if (member.state() == MemberState.SILENT) {
             boolean heard =
-                    life.backMs() >= 0
+                    life.heardAgainMs() >= 0
                             && nowMs - row.lastHeardMs()
-                                    <= HEARD_HEARTBEATS * Links.heartbeatMs(world);
-            return heard && isTurn(tick, member, life.backMs()) ? LifeSign.HEARD : LifeSign.NONE;
+                                    <= HEARD_HEARTBEATS * PeerMessages.heartbeatMs(world);
+            return heard && isTurn(tick, member, life.heardAgainMs())
+                    ? LivenessObservation.HEARD
+                    : LivenessObservation.NONE;
         }
         long silentMs = silentSinceMs(world, row, life);
         boolean silent =
@@ -102,14 +107,16 @@
                         && nowMs >= silentMs
                         && world.node().confirmed()
                         && heardHalfLately(tick);
-        return silent && isTurn(tick, member, silentMs) ? LifeSign.SILENT : LifeSign.NONE;
+        return silent && isTurn(tick, member, silentMs)
+                ? LivenessObservation.SILENT
+                : LivenessObservation.NONE;
     }
 
     /** Returns the time from which a member counts as silent unless it is heard before. */
     private static long silentSinceMs(World world, MemberRow row, LivenessRow life) {
         NodeRow node = world.node();
         long last = Math.max(row.lastHeardMs(), Math.max(life.sinceMs(), node.resumedMs()));
-        return last + (Links.silenceMs(world) << life.recoveries());
+        return last + (PeerMessages.silenceMs(world) << life.recoveries());
     }
 
     /**
@@ -117,20 +124,22 @@
      *
      * <p>The others do it when they hear it; it waits for them first.
      */
-    static boolean ownRecovery(Tick tick) {
+    static boolean shouldRestoreSelf(Tick tick) {
         World world = tick.world();
         boolean othersCan =
                 world.members().rows().stream()
                         .filter(m -> m.member().state() == MemberState.ACTIVE)
-                        .anyMatch(m -> Links.hears(world, m, tick.nowMs()));
-        return !othersCan && hearsHalf(tick);
+                        .anyMatch(m -> PeerMessages.isHeard(world, m, tick.nowMs()));
+        return !othersCan && hearsAtLeastHalf(tick);
     }
 
     /** Returns whether this entry hears enough members to trust that it is not itself cut off. */
-    static boolean hearsHalf(Tick tick) {
+    static boolean hearsAtLeastHalf(Tick tick) {
         List<MemberRow> others = tick.world().members().rows();
         long heard =
-                others.stream().filter(m -> Links.hears(tick.world(), m, tick.nowMs())).count();
+                others.stream()
+                        .filter(m -> PeerMessages.isHeard(tick.world(), m, tick.nowMs()))
+                        .count();
         return 2 * (heard + 1) >= others.size() + 1;
     }
 
@@ -143,7 +152,7 @@
     private static boolean heardHalfLately(Tick tick) {
         World world = tick.world();
         List<MemberRow> others = world.members().rows();
-        long sinceMs = tick.nowMs() - HEARD_HEARTBEATS * Links.heartbeatMs(world);
+        long sinceMs = tick.nowMs() - HEARD_HEARTBEATS * PeerMessages.heartbeatMs(world);
         long heard = others.stream().filter(m -> m.lastHeardMs() >= sinceMs).count();
         return 2 * (heard + 1) >= others.size() + 1;
     }
@@ -160,10 +169,10 @@
                 world.members().rows().stream()
                         .filter(m -> m.member().state() == MemberState.ACTIVE)
                         .filter(m -> !m.member().id().equals(about.id()))
-                        .filter(m -> Links.hears(world, m, tick.nowMs()))
+                        .filter(m -> PeerMessages.isHeard(world, m, tick.nowMs()))
                         .map(m -> m.member().id())
                         .toList();
-        int rank = Rendezvous.rank(about.id(), world.node().identity().id(), others);
+        int rank = RendezvousHash.rank(about.id(), world.node().identity().id(), others);
         return tick.nowMs() - dueMs >= (long) STAGGER_MS * rank;
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/request/WaitingCounts.java
+++ b/core/src/main/java/org/hibiscususher/core/request/WaitingCounts.java
@@ -3,8 +3,8 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import org.hibiscususher.core.config.QueueSpec;
-import org.hibiscususher.core.world.RequestLane;
 import org.hibiscususher.core.world.RequestRow;
+import org.hibiscususher.core.world.SchedulingClass;
 import org.hibiscususher.core.world.World;
 
 /**
@@ -25,7 +25,7 @@
     /** Counts the requests that are unsent now. */
     static WaitingCounts of(World world) {
         WaitingCounts counts = new WaitingCounts();
-        for (RequestLane lane : world.requests().groups()) {
+        for (SchedulingClass lane : world.requests().groups()) {
             if (lane.state().unsent()) {
                 world.requests().group(lane).forEach(counts::add);
             }
@@ -51,7 +51,7 @@
      * two thirds of the queue, several get equal parts, and some places are always free for a team
      * that has none waiting.
      */
-    boolean hasPlace(QueueSpec queue, String team) {
+    boolean hasFreePlace(QueueSpec queue, String team) {
         int free = queue.maxWaiting() - mByQueue.getOrDefault(queue.id(), 0);
         return free > 0 && waiting(queue.id(), team) < TEAM_FACTOR * free;
     }
