--- a/core/src/main/java/org/hibiscususher/core/rollout/ActiveConfiguration.java
+++ b/core/src/main/java/org/hibiscususher/core/rollout/ActiveConfiguration.java
@@ -14,17 +14,24 @@
 import org.hibiscususher.core.world.Tick;
 import org.hibiscususher.core.world.World;
 
-/** Puts revisions in force on this entry; a revision never goes back. */
+/**
+ * Replaces the active configuration of this entry, by newer revisions only.
+ *
+ * <p>A delayed watch event, read or relay may deliver an older revision than the active one; to
+ * activate it would bring back withdrawn keys and old limits.
+ */
 final class ActiveConfiguration {
-    private static final int RECENT_NOTES = 256;
+    /** Newest notes kept for relaying to members that lag. */
+    private static final int MAX_RECENT_NOTES = 256;
 
     private ActiveConfiguration() {}
 
     /**
-     * Puts in force what the notes lead to, as far as they follow the present revision without a
-     * gap.
+     * Applies notes to the active configuration, up to the first one that does not follow it
+     * without a gap or whose delta is missing.
      *
-     * @param notes notes that are known to have been written, in order
+     * @param notes notes that are known to be written, in order of revision; those that are active
+     *     already are skipped
      */
     static void applyNotes(Tick tick, List<AcceptedNote> notes) {
         Configuration next = tick.world().configuration();
@@ -36,12 +43,16 @@
                 break;
             }
             next = note.delta().applyTo(next);
-            remember(tick.world(), note);
+            keepForRelay(tick.world(), note);
         }
         activate(tick, next);
     }
 
-    /** Puts a configuration in force that is known to have been written, if it is newer. */
+    /**
+     * Activates a configuration if it is newer than the active one.
+     *
+     * @param next a configuration that is known to be written
+     */
     static void activate(Tick tick, Configuration next) {
         World world = tick.world();
         if (next.revision() <= world.configuration().revision()) {
@@ -54,8 +65,8 @@
     }
 
     /**
-     * Returns the remembered notes that follow a revision, up to the present one; empty if some are
-     * not remembered.
+     * Returns the notes after a revision up to the active one, in order; empty if some of them are
+     * not kept here.
      */
     static Optional<List<AcceptedNote>> notesAfter(World world, long revision) {
         List<AcceptedNote> notes = new ArrayList<>();
@@ -69,10 +80,10 @@
         return Optional.of(notes);
     }
 
-    private static void remember(World world, AcceptedNote note) {
+    private static void keepForRelay(World world, AcceptedNote note) {
         world.recentNotes().put(note.revision(), note);
-        long oldest = note.revision() - RECENT_NOTES;
-        world.recentNotes().removeIf(n -> n.revision() <= oldest);
+        long newestDropped = note.revision() - MAX_RECENT_NOTES;
+        world.recentNotes().removeIf(n -> n.revision() <= newestDropped);
     }
 
     private static void replaceKeys(World world, Configuration next) {
@@ -82,7 +93,9 @@
         }
     }
 
-    /** Takes in the declared hosts; withdrawn ones stay until they are idle. */
+    /**
+     * Adds and updates the declared hosts; the rows of withdrawn hosts stay until they are idle.
+     */
     private static void replaceHosts(World world, Configuration next) {
         for (HostSpec spec : next.hosts().values()) {
             Optional<HostRow> row = world.hosts().find(spec.id());
--- a/core/src/main/java/org/hibiscususher/core/rollout/ConfigurationQuerySystem.java
+++ b/core/src/main/java/org/hibiscususher/core/rollout/ConfigurationQuerySystem.java
@@ -22,82 +22,98 @@
 import org.hibiscususher.core.world.HistoryQueryRow;
 import org.hibiscususher.core.world.Tick;
 
-/** Answers operators what is in force, how it came about, and what a note would lead to. */
+/**
+ * Answers operators' queries: exports of the active configuration, checks of release notes, and
+ * queries of the history of notes.
+ *
+ * <p>Exports and checks are answered from the tables in the same tick. The newest notes are in the
+ * head; older ones are read from the store record by record, newest first.
+ */
 public final class ConfigurationQuerySystem {
-    private static final int WAIT_LIMIT_MS = 10_000;
+    /** Time after selector a history query is answered with the notes found so far. */
+    private static final int QUERY_TIMEOUT_MS = 10_000;
 
     private ConfigurationQuerySystem() {}
 
-    /** Answers what is known here and reads what is not. */
+    /** Answers the queries whose answer is known here, and reads older notes for the others. */
     public static void run(Tick tick) {
-        for (ExportRequested asked : tick.inputs(ExportRequested.class)) {
-            tick.emit(new ReplyToExport(asked.callId(), tick.world().configuration()));
+        for (ExportRequested request : tick.inputs(ExportRequested.class)) {
+            tick.emit(new ReplyToExport(request.callId(), tick.world().configuration()));
         }
-        for (NoteCheckRequested asked : tick.inputs(NoteCheckRequested.class)) {
+        for (NoteCheckRequested request : tick.inputs(NoteCheckRequested.class)) {
             var configuration = tick.world().configuration();
-            var checked = NoteChecker.check(asked.note(), configuration);
+            var checked = NoteChecker.check(request.note(), configuration);
             tick.emit(
                     new ReplyToNoteCheck(
-                            asked.callId(), configuration.revision(), checked.findings()));
+                            request.callId(), configuration.revision(), checked.findings()));
         }
-        for (HistoryRequested asked : tick.inputs(HistoryRequested.class)) {
-            begin(tick, asked);
+        for (HistoryRequested request : tick.inputs(HistoryRequested.class)) {
+            start(tick, request);
         }
         for (RecordRead read : tick.inputs(RecordRead.class)) {
-            find(tick, read.callId()).ifPresent(q -> settle(tick, q, read.found()));
+            findByStoreCall(tick, read.callId()).ifPresent(q -> applyRecord(tick, q, read.found()));
         }
         for (StoreFailed failed : tick.inputs(StoreFailed.class)) {
-            find(tick, failed.callId()).ifPresent(q -> giveUp(tick, q));
+            findByStoreCall(tick, failed.callId()).ifPresent(q -> replyIncomplete(tick, q));
         }
         for (HistoryQueryRow query : tick.world().historyQueries().rows()) {
-            if (tick.nowMs() - query.sinceMs() >= WAIT_LIMIT_MS) {
-                giveUp(tick, query);
+            if (tick.nowMs() - query.sinceMs() >= QUERY_TIMEOUT_MS) {
+                replyIncomplete(tick, query);
             }
         }
     }
 
-    private static void begin(Tick tick, HistoryRequested asked) {
+    /**
+     * Collects the matching notes that are known here, then reads the store if some may be missing.
+     *
+     * <p>The notes that peers relayed may be newer than the newest head that was read.
+     */
+    private static void start(Tick tick, HistoryRequested request) {
         HeadRecord head = tick.world().head().record();
-        List<AcceptedNote> relayed =
+        List<AcceptedNote> newer =
                 ActiveConfiguration.notesAfter(tick.world(), head.revision()).orElse(List.of());
         HistoryQueryRow query =
                 new HistoryQueryRow(
-                                asked.callId(),
-                                asked.selector(),
-                                asked.limit(),
+                                request.callId(),
+                                request.selector(),
+                                request.limit(),
                                 List.of(),
                                 0,
                                 tick.nowMs())
-                        .withMatches(relayed)
+                        .withMatches(newer)
                         .withMatches(head.notes());
-        boolean byId = !asked.selector().isEmpty() && !isRevision(asked.selector());
+        boolean byId = !request.selector().isEmpty() && !isRevision(request.selector());
         if (byId && !query.isComplete() && !head.history().isEmpty()) {
-            read(tick, query, new RecordKey(RecordKind.NOTE, asked.selector()));
+            read(tick, query, new RecordKey(RecordKind.NOTE, request.selector()));
         } else {
-            goOn(tick, query, head.history());
+            readOlder(tick, query, head.history());
         }
     }
 
-    private static boolean isRevision(String which) {
-        return which.chars().allMatch(Character::isDigit);
+    private static boolean isRevision(String selector) {
+        return selector.chars().allMatch(Character::isDigit);
     }
 
-    private static void settle(Tick tick, HistoryQueryRow query, Optional<VersionedRecord> found) {
+    /** Continues a query with the record that was read; an absent one ends the query. */
+    private static void applyRecord(
+            Tick tick, HistoryQueryRow query, Optional<VersionedRecord> found) {
         if (found.isEmpty()) {
-            answer(tick, query);
+            reply(tick, query);
         } else if (found.get().value() instanceof NoteRecord note) {
-            goOn(tick, query, note.history());
+            readOlder(tick, query, note.history());
         } else if (found.get().value() instanceof HistoryRecord history) {
-            goOn(tick, query.withMatches(history.notes()), history.previous());
+            readOlder(tick, query.withMatches(history.notes()), history.previous());
         }
     }
 
-    /** Reads the next older record, unless enough was found or none is left. */
-    private static void goOn(Tick tick, HistoryQueryRow query, String older) {
-        if (query.isComplete() || older.isEmpty()) {
-            answer(tick, query);
+    /**
+     * Reads the next older history record, or answers if enough notes were found or none is older.
+     */
+    private static void readOlder(Tick tick, HistoryQueryRow query, String olderName) {
+        if (query.isComplete() || olderName.isEmpty()) {
+            reply(tick, query);
         } else {
-            read(tick, query, new RecordKey(RecordKind.HISTORY, older));
+            read(tick, query, new RecordKey(RecordKind.HISTORY, olderName));
         }
     }
 
@@ -107,23 +123,23 @@
         tick.emit(new ReadRecord(callId, key));
     }
 
-    private static void answer(Tick tick, HistoryQueryRow query) {
+    private static void reply(Tick tick, HistoryQueryRow query) {
         boolean missing = !query.selector().isEmpty() && query.found().isEmpty();
         String detail =
                 missing ? "no accepted note has the revision or id " + query.selector() : "";
-        end(tick, query, detail);
+        sendReply(tick, query, detail);
     }
 
-    private static void giveUp(Tick tick, HistoryQueryRow query) {
-        end(tick, query, "the platform's store gave no answer; older notes are not shown");
+    private static void replyIncomplete(Tick tick, HistoryQueryRow query) {
+        sendReply(tick, query, "the platform's store did not answer; older notes are not shown");
     }
 
-    private static void end(Tick tick, HistoryQueryRow query, String detail) {
+    private static void sendReply(Tick tick, HistoryQueryRow query, String detail) {
         tick.world().historyQueries().remove(query.callId());
         tick.emit(new ReplyToHistory(query.callId(), query.found(), detail));
     }
 
-    private static Optional<HistoryQueryRow> find(Tick tick, long storeCallId) {
+    private static Optional<HistoryQueryRow> findByStoreCall(Tick tick, long storeCallId) {
         return tick.world().historyQueries().rows().stream()
                 .filter(q -> q.storeCallId() == storeCallId)
                 .findFirst();
--- a/core/src/main/java/org/hibiscususher/core/rollout/Freshness.java
+++ b/core/src/main/java/org/hibiscususher/core/rollout/Freshness.java
@@ -7,15 +7,22 @@
 import org.hibiscususher.core.world.NodeStage;
 import org.hibiscususher.core.world.World;
 
-/** Answers whether this entry may act on its configuration, and whether it may write a new one. */
+/**
+ * Decides whether this entry may act on its active configuration, and whether it may write a new
+ * revision.
+ *
+ * <p>An entry without contact to the store and its peers can't learn that a key was withdrawn or a
+ * limit lowered. So it stops admitting and starting requests once its configuration is no longer
+ * known to be current.
+ */
 public final class Freshness {
     private Freshness() {}
 
     /**
-     * Returns whether the configuration in force here is known to be current to within {@link
-     * #maxAgeMs}.
+     * Returns whether the active configuration was the newest at some time within the last {@link
+     * #maxAgeMs}; always false on an entry that the membership record shows as ended.
      *
-     * @param nowMs milliseconds of the tick's clock
+     * @param nowMs the current time, in milliseconds of the tick's clock
      */
     public static boolean isFresh(World world, long nowMs) {
         long ageMs = ageMs(world, nowMs);
@@ -23,38 +30,41 @@
     }
 
     /**
-     * Returns the bound of freshness, in milliseconds.
+     * Returns the maximum age of a fresh configuration, in milliseconds.
      *
-     * <p>An entry that has learnt at a time T, by an answer of the store, that a revision is
-     * written may rely on this: no entry that lacks the revision admits or starts a request later
-     * than T plus the bound. Entries with contact to the store stop earlier: the bound then counts
-     * from the time of the write itself.
+     * <p>If an entry learns at a time T, from the store, that a revision is written, then no entry
+     * that lacks the revision admits or starts a request after T plus this age. Entries in contact
+     * with the store stop earlier: for them the age counts from the write itself.
      */
     public static long maxAgeMs(World world) {
         return world.settings().freshnessMs();
     }
 
-    /** Returns for how long the configuration is known to be current, -1 if it isn't known. */
+    /**
+     * Returns the milliseconds since the time as of which the active configuration is known to have
+     * been the newest, -1 if there is no such time.
+     */
     public static long ageMs(World world, long nowMs) {
         FreshnessRow row = world.freshness();
         return row.currentAsOfMs() < 0 ? -1 : nowMs - row.currentAsOfMs();
     }
 
     /**
-     * Returns whether this entry may write a new head of the configuration.
+     * Returns whether this entry may write a new head of the configuration's history.
      *
-     * <p>It may while the membership record shows it as active and every member that takes work has
-     * known so. Members without contact to the store can then tell from each other's word that
-     * nothing was written: nobody whom they don't know can have done it.
+     * <p>It may while the membership record shows this process as active and every member that
+     * accepts work has confirmed an epoch of the record that does. Members without contact to the
+     * store conclude from confirmations by all members they know that no newer revision was
+     * written; a writer that one of them does not know yet would make that conclusion wrong.
      */
     public static boolean mayWriteHead(World world) {
         long incarnation = world.node().identity().incarnation();
-        Optional<Member> own =
+        Optional<Member> self =
                 world.membership().record().members().stream()
                         .filter(m -> m.id().equals(world.node().identity().id()))
                         .filter(m -> m.incarnation() == incarnation)
                         .findFirst();
         return world.node().confirmed()
-                && own.map(m -> m.state() == MemberState.ACTIVE).orElse(false);
+                && self.map(m -> m.state() == MemberState.ACTIVE).orElse(false);
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/rollout/FreshnessSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/rollout/FreshnessSystem.java
@@ -24,41 +24,57 @@
 import org.hibiscususher.core.world.Tick;
 import org.hibiscususher.core.world.World;
 
-/** Keeps track of how current this entry's configuration is known to be. */
+/**
+ * Tracks the time as of which this entry's active configuration is known to be the newest.
+ *
+ * <p>The evidence is, in order of preference: an answered read of the head, which shows the newest
+ * revision as of the time the read was sent; a peer that reports how fresh its own configuration
+ * is; and confirmations by all members that could have written a newer revision that they know of
+ * none. The last two keep entries serving while the store can't be reached.
+ */
 public final class FreshnessSystem {
-    /** Reads of the head in one bound of freshness while the store answers. */
-    private static final int READS_PER_BOUND = 8;
+    /** Reads of the head within the maximum age while the store answers. */
+    private static final int READS_PER_MAX_AGE = 8;
 
-    /** Reads of the head in one bound of freshness while the store does not answer. */
-    private static final int READS_PER_BOUND_UNANSWERED = 4;
+    /** Reads of the head within the maximum age while the store does not answer. */
+    private static final int READS_PER_MAX_AGE_UNANSWERED = 4;
 
-    /** Most reads of the head that are out at a time. */
-    private static final int MAX_READS_OUT = 4;
+    /** Most unanswered reads of the head at a time. */
+    private static final int MAX_PENDING_READS = 4;
 
-    /** Age at which a read of the head is given up, in milliseconds. */
-    private static final int READ_LIMIT_MS = 5_000;
+    /** Age at which an unanswered read of the head is abandoned, in milliseconds. */
+    private static final int READ_TIMEOUT_MS = 5_000;
 
     /**
-     * Time after which a member marked silent counts as unable to write a new head, in
-     * milliseconds; longer than a store call takes at most.
+     * Time after which a member that the record shows as silent counts as unable to write a new
+     * head, in milliseconds; longer than a store call lasts at most, so that a write that the
+     * member sent before has ended.
      */
-    private static final int SILENT_REST_MS = 5_000;
+    private static final int SILENT_WRITER_MS = 5_000;
 
     private FreshnessSystem() {}
 
-    /** Takes in what the store and the peers tell, and reads the head when that is due. */
+    /**
+     * Applies the evidence from the store and the peers, and reads the head if a read is due.
+     *
+     * @param tick the current tick
+     */
     public static void run(Tick tick) {
         detectPause(tick);
-        noteContact(tick);
-        takeReads(tick);
-        takeSwaps(tick);
+        recordStoreContact(tick);
+        applyReads(tick);
+        applyOwnWrites(tick);
         for (PeerMessage message : PeerMessages.accepted(tick)) {
-            takeMessage(tick, message);
+            applyMessage(tick, message);
         }
-        vouch(tick);
+        advanceFreshness(tick);
         pollHead(tick);
     }
 
+    /**
+     * Discards the evidence after a pause of the process, so that no request is admitted before the
+     * configuration has been confirmed anew.
+     */
     private static void detectPause(Tick tick) {
         World world = tick.world();
         NodeRow node = world.node();
@@ -72,7 +88,8 @@
         tick.emit(new LogEvent("event=paused ms=" + gapMs));
     }
 
-    private static void noteContact(Tick tick) {
+    /** Records that the store can be reached, which any answer or watch event shows. */
+    private static void recordStoreContact(Tick tick) {
         boolean contact =
                 !tick.inputs(RecordRead.class).isEmpty()
                         || !tick.inputs(RecordWatched.class).isEmpty()
@@ -83,10 +100,11 @@
         }
     }
 
-    private static void takeReads(Tick tick) {
+    /** Records the revisions that the store shows, and when the answered reads were sent. */
+    private static void applyReads(Tick tick) {
         World world = tick.world();
         for (RecordRead read : tick.inputs(RecordRead.class)) {
-            read.found().ifPresent(r -> know(world, r));
+            read.found().ifPresent(r -> recordKnown(world, r));
             world.headReads()
                     .remove(read.callId())
                     .ifPresent(
@@ -97,24 +115,25 @@
                                                     f -> f.withReadAnswered(c.sinceMs())));
         }
         for (RecordWatched watched : tick.inputs(RecordWatched.class)) {
-            know(world, watched.record());
+            recordKnown(world, watched.record());
         }
         for (StoreFailed failed : tick.inputs(StoreFailed.class)) {
             world.headReads().remove(failed.callId());
         }
     }
 
-    private static void know(World world, VersionedRecord record) {
+    private static void recordKnown(World world, VersionedRecord record) {
         if (record.value() instanceof HeadRecord head) {
-            know(world, head.revision());
+            recordKnown(world, head.revision());
         }
     }
 
-    private static void know(World world, long revision) {
+    private static void recordKnown(World world, long revision) {
         world.freshnessTable().update(World.SELF, f -> f.withKnownRevision(revision));
     }
 
-    private static void takeSwaps(Tick tick) {
+    /** Records the revisions that this entry has written. */
+    private static void applyOwnWrites(Tick tick) {
         World world = tick.world();
         for (RecordSwapped swapped : tick.inputs(RecordSwapped.class)) {
             if (swapped.key().kind() != RecordKind.HEAD || swapped.result() != SwapResult.SWAPPED) {
@@ -122,87 +141,98 @@
             }
             for (PendingNoteRow note : world.pendingNotes().rows()) {
                 if (note.storeCallId() == swapped.callId()) {
-                    know(world, note.plan().next().revision());
+                    recordKnown(world, note.plan().next().revision());
                 }
             }
         }
     }
 
-    private static void takeMessage(Tick tick, PeerMessage message) {
+    /** Records the newest revision that a peer knows and how fresh its configuration is. */
+    private static void applyMessage(Tick tick, PeerMessage message) {
         World world = tick.world();
         long known = Math.max(message.revision(), message.knownRevision());
-        know(world, known);
+        recordKnown(world, known);
         world.peerFreshness()
                 .update(
                         message.from(),
-                        e -> e.withReceived(message.acknowledged(), known, message.freshAgeMs()));
+                        f -> f.withReceived(message.acknowledged(), known, message.freshAgeMs()));
     }
 
-    /** Moves the time of vouching forward, unless a newer revision is known but not in force. */
-    private static void vouch(Tick tick) {
+    /**
+     * Moves the time of freshness forward, unless a newer revision is known but not yet active.
+     *
+     * <p>The peers' evidence is used only if the store's is older than one interval of reads.
+     */
+    private static void advanceFreshness(Tick tick) {
         World world = tick.world();
         FreshnessRow row = world.freshness();
         if (row.knownRevision() > world.configuration().revision()) {
             return;
         }
-        vouchAsOf(world, row.answeredReadSentMs());
+        recordFreshAsOf(world, row.answeredReadSentMs());
         long ageMs = Freshness.ageMs(world, tick.nowMs());
-        if (ageMs < 0 || ageMs > Freshness.maxAgeMs(world) / READS_PER_BOUND) {
-            for (PeerFreshnessRow evidence : world.peerFreshness().rows()) {
-                vouchAsOf(world, evidence.currentAsOfMs());
+        if (ageMs < 0 || ageMs > Freshness.maxAgeMs(world) / READS_PER_MAX_AGE) {
+            for (PeerFreshnessRow peer : world.peerFreshness().rows()) {
+                recordFreshAsOf(world, peer.currentAsOfMs());
             }
-            vouchAsOf(world, unanimousMs(tick));
+            recordFreshAsOf(world, allConfirmedMs(tick));
         }
     }
 
-    private static void vouchAsOf(World world, long asOfMs) {
+    /** Records evidence as of a time, unless it is from before the last pause of the process. */
+    private static void recordFreshAsOf(World world, long asOfMs) {
         if (asOfMs >= world.node().resumedMs()) {
             world.freshnessTable().update(World.SELF, f -> f.withCurrentAsOf(asOfMs));
         }
     }
 
     /**
-     * Returns the time as of which no member knew of a newer revision, -1 if some member that could
-     * have written one has not said so.
+     * Returns the time as of which no member knew of a newer revision, in milliseconds of the
+     * tick's clock; -1 if a member that could have written one has not confirmed that, or if a
+     * member knows a newer epoch and thus perhaps members that this entry does not know.
      */
-    private static long unanimousMs(Tick tick) {
+    private static long allConfirmedMs(Tick tick) {
         World world = tick.world();
         if (world.membership().version() == 0 || !world.node().stage().member()) {
             return -1;
         }
         long asOfMs = tick.nowMs();
         for (MemberRow member : world.members().rows()) {
-            LivenessRow life = world.liveness().find(member.member().id()).orElseThrow();
-            boolean rested =
-                    life.state() == MemberState.SILENT
-                            && tick.nowMs() - life.sinceMs() >= SILENT_REST_MS;
-            if (life.hasEnded() || rested) {
+            LivenessRow liveness = world.liveness().find(member.member().id()).orElseThrow();
+            boolean canWriteNoMore =
+                    liveness.state() == MemberState.SILENT
+                            && tick.nowMs() - liveness.sinceMs() >= SILENT_WRITER_MS;
+            if (liveness.hasEnded() || canWriteNoMore) {
                 continue;
             }
             if (member.epoch() > world.membership().record().epoch()) {
                 return -1;
             }
-            long saidMs =
+            long confirmedMs =
                     world.peerFreshness()
                             .find(member.member().id())
                             .map(PeerFreshnessRow::acknowledgedSentMs)
                             .orElse(-1L);
-            asOfMs = Math.min(asOfMs, saidMs);
+            asOfMs = Math.min(asOfMs, confirmedMs);
         }
         return asOfMs;
     }
 
-    /** Reads the head now and then: a watch may have frozen, and shows no time. */
+    /**
+     * Reads the head at intervals. The watch alone does not suffice: it may stop delivering without
+     * an error, and its events don't show as of which time they are current.
+     */
     private static void pollHead(Tick tick) {
         World world = tick.world();
         long nowMs = tick.nowMs();
-        world.headReads().removeIf(c -> nowMs - c.sinceMs() >= READ_LIMIT_MS);
-        long boundMs = Freshness.maxAgeMs(world);
-        boolean answers = nowMs - world.freshness().answeredReadSentMs() <= boundMs / 2;
-        long intervalMs = boundMs / (answers ? READS_PER_BOUND : READS_PER_BOUND_UNANSWERED);
-        long askedMs = world.freshness().readSentMs();
-        if (askedMs >= 0 && nowMs - askedMs < intervalMs
-                || world.headReads().size() >= MAX_READS_OUT) {
+        world.headReads().removeIf(c -> nowMs - c.sinceMs() >= READ_TIMEOUT_MS);
+        long maxAgeMs = Freshness.maxAgeMs(world);
+        boolean storeAnswers = nowMs - world.freshness().answeredReadSentMs() <= maxAgeMs / 2;
+        long intervalMs =
+                maxAgeMs / (storeAnswers ? READS_PER_MAX_AGE : READS_PER_MAX_AGE_UNANSWERED);
+        long lastSentMs = world.freshness().readSentMs();
+        if (lastSentMs >= 0 && nowMs - lastSentMs < intervalMs
+                || world.headReads().size() >= MAX_PENDING_READS) {
             return;
         }
         long callId = tick.nextCallId();
--- a/core/src/main/java/org/hibiscususher/core/rollout/HeadUpdate.java
+++ b/core/src/main/java/org/hibiscususher/core/rollout/HeadUpdate.java
@@ -13,19 +13,29 @@
 import org.hibiscususher.core.note.AcceptedNote;
 
 /**
- * The head that follows another, and the records that have to be written before it.
+ * The next head of the configuration's history, and the records that have to be written before it.
  *
- * @param head the head
- * @param writes records that the head names; each name tells its content
+ * <p>Every entry polls the head to stay fresh, so the head is kept small: once its notes exceed a
+ * limit, they are compacted into a snapshot and a history record. The name of each record
+ * determines its content. So the records of an update whose writer stopped before the head was
+ * written stay unreferenced, and a second writer of the same record changes nothing.
+ *
+ * @param head the head to write
+ * @param writes records that the head refers to, to be written before it
  */
 record HeadUpdate(HeadRecord head, List<Write> writes) {
-    /** Most bytes of notes in a head, about. */
-    static final int HEAD_BYTES = 16 * 1024;
+    /** Limit on the estimated size of the notes in a head, in bytes. */
+    static final int MAX_NOTE_BYTES = 16 * 1024;
 
-    /** Most notes in a head. */
-    static final int HEAD_NOTES = 32;
+    /** Limit on the number of notes in a head. */
+    static final int MAX_NOTES = 32;
 
-    /** A record to write once. */
+    /**
+     * A record to create unless it exists.
+     *
+     * @param key where to write the record
+     * @param value the record
+     */
     record Write(RecordKey key, StoreRecord value) {}
 
     /** Copies the list. */
@@ -34,19 +44,20 @@
     }
 
     /**
-     * Plans the head with one more note.
+     * Returns the update that adds a note to the history.
      *
-     * @param head the head now
-     * @param note the note
+     * @param head the newest head
+     * @param note the note to add
      * @param result the configuration with the note applied
      */
     static HeadUpdate of(HeadRecord head, AcceptedNote note, Configuration result) {
         int bytes = head.notes().stream().mapToInt(AcceptedNote::estimatedBytes).sum();
         boolean fits =
-                bytes + note.estimatedBytes() <= HEAD_BYTES && head.notes().size() < HEAD_NOTES;
-        return fits ? appended(head, note) : folded(head, note, result);
+                bytes + note.estimatedBytes() <= MAX_NOTE_BYTES && head.notes().size() < MAX_NOTES;
+        return fits ? appended(head, note) : compacted(head, note, result);
     }
 
+    /** Adds the note to those in the head; no other record is needed. */
     private static HeadUpdate appended(HeadRecord head, AcceptedNote note) {
         List<AcceptedNote> notes = new ArrayList<>(head.notes());
         notes.add(note);
@@ -60,8 +71,14 @@
         return new HeadUpdate(next, List.of());
     }
 
-    /** Moves the head's notes to the history and starts a new head from a snapshot. */
-    private static HeadUpdate folded(HeadRecord head, AcceptedNote note, Configuration result) {
+    /**
+     * Moves the head's notes to a history record and starts a new head from a snapshot that
+     * includes the note.
+     *
+     * <p>Each moved note also gets a record under its own id, by which a note that is submitted
+     * again is recognised.
+     */
+    private static HeadUpdate compacted(HeadRecord head, AcceptedNote note, Configuration result) {
         List<Write> writes = new ArrayList<>();
         String history = head.history();
         if (!head.notes().isEmpty()) {
@@ -70,14 +87,14 @@
             writes.add(new Write(new RecordKey(RecordKind.HISTORY, history), older));
         }
         for (AcceptedNote older : head.notes()) {
-            NoteRecord place = new NoteRecord(older.revision(), older.digest(), history);
-            writes.add(new Write(new RecordKey(RecordKind.NOTE, older.id()), place));
+            NoteRecord moved = new NoteRecord(older.revision(), older.digest(), history);
+            writes.add(new Write(new RecordKey(RecordKind.NOTE, older.id()), moved));
         }
         String snapshot = note.revision() + "-" + note.digest();
         writes.add(
                 new Write(
                         new RecordKey(RecordKind.SNAPSHOT, snapshot), new SnapshotRecord(result)));
-        AcceptedNote kept = note.estimatedBytes() <= HEAD_BYTES ? note : note.withoutDelta();
+        AcceptedNote kept = note.estimatedBytes() <= MAX_NOTE_BYTES ? note : note.withoutDelta();
         HeadRecord next =
                 new HeadRecord(note.revision(), note.revision(), snapshot, history, List.of(kept));
         return new HeadUpdate(next, writes);
--- a/core/src/main/java/org/hibiscususher/core/rollout/NoteCommitSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/rollout/NoteCommitSystem.java
@@ -30,14 +30,26 @@
 import org.hibiscususher.core.world.Tick;
 import org.hibiscususher.core.world.World;
 
-/** Brings operators' release notes into force, each by one compare-and-swap of the head. */
+/**
+ * Commits operators' release notes to the configuration's history, and answers each operator once
+ * the roll-out is confirmed or the wait for it is over.
+ *
+ * <p>A note takes effect by one compare-and-swap of the head, so that it is applied as a whole or
+ * not at all. If another note was committed in between, the swap conflicts and the note is checked
+ * again on the new head. If the answer to the swap is lost, the head is read again and the note is
+ * recognised by its id and digest, so that it is never applied twice.
+ */
 public final class NoteCommitSystem {
     private static final int FIRST_RETRY_MS = 100;
     private static final int MAX_RETRY_MS = 1_600;
 
+    /** Doublings of the first retry delay until it reaches the maximum. */
+    private static final int MAX_DOUBLINGS =
+            Integer.numberOfTrailingZeros(MAX_RETRY_MS / FIRST_RETRY_MS);
+
     private NoteCommitSystem() {}
 
-    /** Moves each note one step on. */
+    /** Applies the answers of the store, then advances each pending note by one step. */
     public static void run(Tick tick) {
         for (NoteSubmitted submitted : tick.inputs(NoteSubmitted.class)) {
             PendingNoteRow row =
@@ -45,29 +57,29 @@
                             submitted.callId(), submitted.note(), submitted.wallMs(), tick.nowMs());
             put(tick, row);
         }
-        settleReads(tick);
-        settleSwaps(tick);
-        settleFailures(tick);
+        applyReads(tick);
+        applySwaps(tick);
+        retryFailed(tick);
         for (PendingNoteRow row : tick.world().pendingNotes().rows()) {
-            proceed(tick, row);
+            advance(tick, row);
         }
         for (PendingNoteRow row : tick.world().pendingNotes().rows()) {
-            confirm(tick, row);
+            replyIfDone(tick, row);
         }
     }
 
-    private static void settleReads(Tick tick) {
+    private static void applyReads(Tick tick) {
         for (RecordRead read : tick.inputs(RecordRead.class)) {
-            find(tick, read.callId()).ifPresent(r -> settleRead(tick, r, read.found()));
+            findByStoreCall(tick, read.callId()).ifPresent(r -> applyRead(tick, r, read.found()));
         }
     }
 
-    private static void settleRead(Tick tick, PendingNoteRow row, Optional<VersionedRecord> found) {
+    private static void applyRead(Tick tick, PendingNoteRow row, Optional<VersionedRecord> found) {
         switch (row.state()) {
-            case READING -> takeHead(tick, row.withStoreAnswer(), found);
+            case READING -> applyHead(tick, row.withStoreAnswer(), found);
             case LOOKING_UP -> {
                 if (found.isPresent() && found.get().value() instanceof NoteRecord known) {
-                    recognise(tick, row, known.revision(), known.digest());
+                    resolveCommitted(tick, row, known.revision(), known.digest());
                 } else {
                     put(tick, row.withStoreAnswer().withStoreCall(PendingNoteState.CATCHING_UP, 0));
                 }
@@ -76,12 +88,13 @@
         }
     }
 
-    private static void takeHead(Tick tick, PendingNoteRow row, Optional<VersionedRecord> found) {
+    /** Bases the note on the head that was read, unless its id is in the history already. */
+    private static void applyHead(Tick tick, PendingNoteRow row, Optional<VersionedRecord> found) {
         long version = found.map(VersionedRecord::version).orElse(0L);
         HeadRecord head = found.map(r -> (HeadRecord) r.value()).orElse(HeadRecord.EMPTY);
         Optional<AcceptedNote> known = head.find(row.note().id());
         if (known.isPresent()) {
-            recognise(tick, row, known.get().revision(), known.get().digest());
+            resolveCommitted(tick, row, known.get().revision(), known.get().digest());
             return;
         }
         PendingNoteRow planned = row.withPlan(NotePlan.of(version, head));
@@ -89,7 +102,8 @@
             put(tick, planned.withStoreCall(PendingNoteState.CATCHING_UP, 0));
             return;
         }
-        // Asked after the head was read: a note that left the head before then is found.
+        // Looked up only after the head was read: a note that compaction moved out of the head
+        // before that read has a record of its own by now.
         read(
                 tick,
                 planned,
@@ -97,10 +111,14 @@
                 new RecordKey(RecordKind.NOTE, row.note().id()));
     }
 
-    /** Deals with a note whose id is in the history. */
-    private static void recognise(Tick tick, PendingNoteRow row, long revision, String digest) {
+    /**
+     * Continues a note whose id is in the history: it has been committed if the digests are equal,
+     * else the id belongs to a different note.
+     */
+    private static void resolveCommitted(
+            Tick tick, PendingNoteRow row, long revision, String digest) {
         if (digest.equals(NoteDigest.of(row.note()))) {
-            written(tick, row, revision);
+            awaitRollOut(tick, row, revision);
             return;
         }
         String detail =
@@ -108,12 +126,12 @@
                         + row.note().id()
                         + " is revision "
                         + revision
-                        + " already and asked for something else; nothing was changed, give this"
-                        + " note an id of its own";
-        answer(tick, row, NoteResult.CONFLICT, revision, detail, List.of());
+                        + " already, with different changes; nothing was changed, submit this"
+                        + " note under another id";
+        reply(tick, row, NoteResult.CONFLICT, revision, detail, List.of());
     }
 
-    private static void proceed(Tick tick, PendingNoteRow row) {
+    private static void advance(Tick tick, PendingNoteRow row) {
         boolean due = row.retryAtMs() >= 0 && tick.nowMs() >= row.retryAtMs();
         switch (row.state()) {
             case READING -> {
@@ -130,22 +148,25 @@
                             new RecordKey(RecordKind.NOTE, row.note().id()));
                 }
             }
-            case CATCHING_UP -> catchUp(tick, row);
-            case FOLDING -> writeFolds(tick, row);
+            case CATCHING_UP -> checkOnceCurrent(tick, row);
+            case FOLDING -> writeHeadOnceRecordsExist(tick, row);
             case ROLLING_OUT -> {
                 if (due) {
-                    // Members that joined until now have to confirm too.
+                    // Members that have joined in the meantime have to confirm as well.
                     read(tick, row, PendingNoteState.ROLLING_OUT, RecordKey.MEMBERSHIP);
                 }
             }
             default -> {
-                // Waits for the answer to its write.
+                // Waits for the answer to the write of the head.
             }
         }
     }
 
-    /** Checks the note once the configuration that it builds on is in force here. */
-    private static void catchUp(Tick tick, PendingNoteRow row) {
+    /**
+     * Checks the note once the configuration of the head that was read is active here; reads the
+     * head again if a newer configuration is.
+     */
+    private static void checkOnceCurrent(Tick tick, PendingNoteRow row) {
         if (!Freshness.mayWriteHead(tick.world())) {
             return;
         }
@@ -154,26 +175,27 @@
         if (revision > base) {
             read(tick, row, PendingNoteState.READING, RecordKey.HEAD);
         } else if (revision == base) {
-            check(tick, row);
+            checkAndWrite(tick, row);
         }
     }
 
-    private static void check(Tick tick, PendingNoteRow row) {
+    /** Checks the note against the newest head, and starts to write it if it has no errors. */
+    private static void checkAndWrite(Tick tick, PendingNoteRow row) {
         HeadRecord head = row.plan().base();
         if (row.note().baseRevision().isPresent()
                 && row.note().baseRevision().getAsLong() != head.revision()) {
-            answer(
+            reply(
                     tick,
                     row,
                     NoteResult.CONFLICT,
                     head.revision(),
-                    conflict(row.note().baseRevision().getAsLong(), head),
+                    conflictDetail(row.note().baseRevision().getAsLong(), head),
                     List.of());
             return;
         }
         NoteCheckResult checked = NoteChecker.check(row.note(), tick.world().configuration());
         if (!checked.acceptable()) {
-            answer(
+            reply(
                     tick,
                     row,
                     NoteResult.FAULTY,
@@ -193,25 +215,27 @@
                         checked.delta().summary(),
                         checked.delta(),
                         true);
-        HeadUpdate plan = HeadUpdate.of(head, accepted, checked.configuration());
-        PendingNoteRow planned = row.withPlan(row.plan().checked(plan.head(), checked.findings()));
-        if (plan.writes().isEmpty()) {
+        HeadUpdate update = HeadUpdate.of(head, accepted, checked.configuration());
+        PendingNoteRow planned =
+                row.withPlan(row.plan().checked(update.head(), checked.findings()));
+        if (update.writes().isEmpty()) {
             writeHead(tick, planned);
             return;
         }
         put(tick, planned.withStoreCall(PendingNoteState.FOLDING, 0));
-        for (HeadUpdate.Write write : plan.writes()) {
-            fold(tick, new CompactionWriteRow(0, row.callId(), write.key(), write.value(), -1));
+        for (HeadUpdate.Write write : update.writes()) {
+            writeRecord(
+                    tick, new CompactionWriteRow(0, row.callId(), write.key(), write.value(), -1));
         }
         tick.emit(
                 new LogEvent(
                         "event=history-folded revision="
                                 + head.revision()
                                 + " records="
-                                + plan.writes().size()));
+                                + update.writes().size()));
     }
 
-    private static String conflict(long base, HeadRecord head) {
+    private static String conflictDetail(long base, HeadRecord head) {
         if (base > head.revision()) {
             return "the note builds on revision "
                     + base
@@ -239,44 +263,51 @@
         tick.emit(new SwapRecord(callId, RecordKey.HEAD, row.plan().version(), row.plan().next()));
     }
 
-    private static void fold(Tick tick, CompactionWriteRow write) {
+    /** Creates a record that the new head refers to, unless the record exists. */
+    private static void writeRecord(Tick tick, CompactionWriteRow write) {
         long callId = tick.nextCallId();
-        CompactionWriteRow out =
+        CompactionWriteRow sent =
                 new CompactionWriteRow(callId, write.noteCallId(), write.key(), write.value(), -1);
-        tick.world().compactionWrites().put(callId, out);
+        tick.world().compactionWrites().put(callId, sent);
         tick.emit(new SwapRecord(callId, write.key(), 0, write.value()));
     }
 
-    /** Writes the head once every record that it names is written. */
-    private static void writeFolds(Tick tick, PendingNoteRow row) {
-        boolean done = true;
+    /**
+     * Repeats failed writes of records, and writes the head once every record it refers to exists.
+     */
+    private static void writeHeadOnceRecordsExist(Tick tick, PendingNoteRow row) {
+        boolean allWritten = true;
         for (CompactionWriteRow write : tick.world().compactionWrites().rows()) {
             if (write.noteCallId() != row.callId()) {
                 continue;
             }
-            done = false;
+            allWritten = false;
             if (write.retryAtMs() >= 0 && tick.nowMs() >= write.retryAtMs()) {
                 tick.world().compactionWrites().remove(write.storeCallId());
-                fold(tick, write);
+                writeRecord(tick, write);
             }
         }
-        if (done && Freshness.mayWriteHead(tick.world())) {
+        if (allWritten && Freshness.mayWriteHead(tick.world())) {
             writeHead(tick, row);
         }
     }
 
-    private static void settleSwaps(Tick tick) {
+    private static void applySwaps(Tick tick) {
         for (RecordSwapped swapped : tick.inputs(RecordSwapped.class)) {
             tick.world()
                     .compactionWrites()
                     .find(swapped.callId())
-                    .ifPresent(w -> settleFold(tick, w, swapped.result()));
-            find(tick, swapped.callId()).ifPresent(r -> settleHead(tick, r, swapped.result()));
+                    .ifPresent(w -> applyRecordWrite(tick, w, swapped.result()));
+            findByStoreCall(tick, swapped.callId())
+                    .ifPresent(r -> applyHeadWrite(tick, r, swapped.result()));
         }
     }
 
-    /** A conflict means that the record, whose name tells its content, is there already. */
-    private static void settleFold(Tick tick, CompactionWriteRow write, SwapResult result) {
+    /**
+     * Applies the result of writing a record that the head refers to. A conflict means that the
+     * record exists already: its name determines its content, so that counts as written.
+     */
+    private static void applyRecordWrite(Tick tick, CompactionWriteRow write, SwapResult result) {
         if (result == SwapResult.UNKNOWN) {
             CompactionWriteRow later = write.withRetryAt(tick.nowMs() + FIRST_RETRY_MS);
             tick.world().compactionWrites().put(write.storeCallId(), later);
@@ -285,7 +316,11 @@
         }
     }
 
-    private static void settleHead(Tick tick, PendingNoteRow row, SwapResult result) {
+    /**
+     * Applies the result of the compare-and-swap of the head. A committed note is relayed at once,
+     * and a conflict starts again from the new head.
+     */
+    private static void applyHeadWrite(Tick tick, PendingNoteRow row, SwapResult result) {
         switch (result) {
             case SWAPPED -> {
                 HeadRecord next = row.plan().next();
@@ -294,7 +329,7 @@
                 for (MemberRow member : tick.world().members().rows()) {
                     RollOutSystem.relayTo(tick, member);
                 }
-                written(tick, row, next.revision());
+                awaitRollOut(tick, row, next.revision());
             }
             case CONFLICT -> {
                 tick.count("note.raced");
@@ -307,19 +342,21 @@
         }
     }
 
-    private static void written(Tick tick, PendingNoteRow row, long revision) {
+    /** Starts to wait until the members confirm a revision that is known to be written. */
+    private static void awaitRollOut(Tick tick, PendingNoteRow row, long revision) {
         put(tick, row.withWritten(revision, tick.nowMs()));
     }
 
-    private static void settleFailures(Tick tick) {
+    private static void retryFailed(Tick tick) {
         for (StoreFailed failed : tick.inputs(StoreFailed.class)) {
-            find(tick, failed.callId()).ifPresent(r -> retry(tick, r, r.state()));
+            findByStoreCall(tick, failed.callId()).ifPresent(r -> retry(tick, r, r.state()));
         }
     }
 
+    /** Repeats the store call of a state after a delay that doubles with each failure in a row. */
     private static void retry(Tick tick, PendingNoteRow row, PendingNoteState from) {
         tick.count("note.store-retry");
-        int doublings = Math.min(row.failures(), Integer.numberOfTrailingZeros(16));
+        int doublings = Math.min(row.failures(), MAX_DOUBLINGS);
         long delayMs = Math.min(MAX_RETRY_MS, (long) FIRST_RETRY_MS << doublings);
         put(tick, row.withRetryAt(from, tick.nowMs() + delayMs));
     }
@@ -330,16 +367,18 @@
         tick.emit(new ReadRecord(callId, key));
     }
 
-    /** Answers the operator if the note is in force everywhere or the wait is over. */
-    private static void confirm(Tick tick, PendingNoteRow row) {
+    /**
+     * Answers the operator if the roll-out of the note is confirmed or the longest wait is over.
+     */
+    private static void replyIfDone(Tick tick, PendingNoteRow row) {
         World world = tick.world();
         boolean rollingOut = row.state() == PendingNoteState.ROLLING_OUT;
-        boolean membersKnown = rollingOut && row.storeCallId() == 0 && row.retryAtMs() < 0;
-        if (membersKnown && world.configuration().revision() >= row.revision()) {
+        boolean membersRead = rollingOut && row.storeCallId() == 0 && row.retryAtMs() < 0;
+        if (membersRead && world.configuration().revision() >= row.revision()) {
             RollOutConfirmation confirmation =
                     RollOutConfirmation.of(world, row.revision(), row.writtenMs(), tick.nowMs());
             if (confirmation.complete()) {
-                answer(
+                reply(
                         tick,
                         row,
                         NoteResult.ACCEPTED,
@@ -355,29 +394,29 @@
         if (rollingOut) {
             RollOutConfirmation confirmation =
                     RollOutConfirmation.of(world, row.revision(), row.writtenMs(), tick.nowMs());
-            String detail = "written, but not confirmed by " + confirmation.laggards(world);
+            String detail = "written, but not confirmed by " + confirmation.describeLagging(world);
             List<Finding> warnings = row.plan().warnings();
-            answer(tick, row, NoteResult.WRITTEN, row.revision(), detail, warnings);
+            reply(tick, row, NoteResult.WRITTEN, row.revision(), detail, warnings);
         } else {
-            answer(tick, row, NoteResult.UNAVAILABLE, 0, unavailable(world, row), List.of());
+            reply(tick, row, NoteResult.UNAVAILABLE, 0, unavailableDetail(world, row), List.of());
         }
     }
 
-    private static String unavailable(World world, PendingNoteRow row) {
+    private static String unavailableDetail(World world, PendingNoteRow row) {
         if (row.mayBeWritten() || row.state() == PendingNoteState.WRITING) {
             return "the platform's store did not say whether the note was written; send the same"
-                    + " note again to learn it";
+                    + " note again to find out";
         }
         if (!Freshness.mayWriteHead(world)) {
             return world.node().identity().id()
-                    + " is not known to every member yet; nothing was changed, send the same note"
+                    + " is not yet known to every member; nothing was changed, send the same note"
                     + " to another entry";
         }
         return "the platform's store gave no answer; nothing was changed, send the same note"
                 + " again";
     }
 
-    private static Optional<PendingNoteRow> find(Tick tick, long storeCallId) {
+    private static Optional<PendingNoteRow> findByStoreCall(Tick tick, long storeCallId) {
         return tick.world().pendingNotes().rows().stream()
                 .filter(r -> r.storeCallId() == storeCallId)
                 .findFirst();
@@ -387,7 +426,7 @@
         tick.world().pendingNotes().put(row.callId(), row);
     }
 
-    private static void answer(
+    private static void reply(
             Tick tick,
             PendingNoteRow row,
             NoteResult result,
--- a/core/src/main/java/org/hibiscususher/core/rollout/RollOutConfirmation.java
+++ b/core/src/main/java/org/hibiscususher/core/rollout/RollOutConfirmation.java
@@ -8,88 +8,103 @@
 import org.hibiscususher.core.world.World;
 
 /**
- * Which members have a revision in force.
+ * Which members have activated a revision, as far as this entry knows.
  *
- * @param lagging what is known of each member that may take work without the revision
- * @param stopped what is known of each member that has not confirmed it and takes no work
+ * <p>An operator who withdraws a key must not be told that the note is in force while some member
+ * may still admit requests with the key. A member that can't be reached counts as harmless only
+ * once its freshness has run out, because it admits nothing from then on.
+ *
+ * @param lagging descriptions of the members that have not confirmed the revision and may still
+ *     admit requests without it
+ * @param stale descriptions of the members that have not confirmed the revision, but admit no
+ *     requests because their freshness has run out
  */
-record RollOutConfirmation(List<String> lagging, List<String> stopped) {
-    /** Covers clocks that run at slightly different rates. */
-    private static final int MARGIN_MS = 500;
+record RollOutConfirmation(List<String> lagging, List<String> stale) {
+    /** Allowance for clocks that run at slightly different rates. */
+    private static final int CLOCK_MARGIN_MS = 500;
 
     private static final double MS_PER_SECOND = 1_000;
 
     /** Copies the lists. */
     RollOutConfirmation {
         lagging = List.copyOf(lagging);
-        stopped = List.copyOf(stopped);
+        stale = List.copyOf(stale);
     }
 
     /**
-     * Looks at every member.
+     * Determines which of the members that may admit requests have not confirmed a revision.
      *
-     * @param world the tables
-     * @param revision the revision
-     * @param writtenMs when it was known to be written, in milliseconds of the caller's clock
-     * @param nowMs now
+     * @param world the tables of this entry
+     * @param revision the revision to confirm
+     * @param writtenMs when this entry learnt that the revision is written, in milliseconds of the
+     *     tick's clock
+     * @param nowMs the current time, in milliseconds of the tick's clock
      */
     static RollOutConfirmation of(World world, long revision, long writtenMs, long nowMs) {
         List<String> lagging = new ArrayList<>();
-        List<String> stopped = new ArrayList<>();
+        List<String> stale = new ArrayList<>();
         for (MemberRow member : world.members().rows()) {
-            if (member.revision() >= revision || !mayTakeWork(member)) {
+            if (member.revision() >= revision || !mayAdmit(member)) {
                 continue;
             }
-            boolean lapsed = nowMs - writtenMs >= Freshness.maxAgeMs(world) + MARGIN_MS;
-            (lapsed ? stopped : lagging).add(describe(member, nowMs));
+            boolean freshnessExpired =
+                    nowMs - writtenMs >= Freshness.maxAgeMs(world) + CLOCK_MARGIN_MS;
+            (freshnessExpired ? stale : lagging).add(describeMember(member, nowMs));
         }
-        return new RollOutConfirmation(lagging, stopped);
+        return new RollOutConfirmation(lagging, stale);
     }
 
-    private static boolean mayTakeWork(MemberRow member) {
+    private static boolean mayAdmit(MemberRow member) {
         MemberState state = member.member().state();
         return state == MemberState.ACTIVE || state == MemberState.SILENT;
     }
 
-    private static String describe(MemberRow member, long nowMs) {
-        String heard =
+    private static String describeMember(MemberRow member, long nowMs) {
+        String peerContact =
                 member.lastHeardMs() < 0
                         ? "never heard"
-                        : "last heard " + seconds(nowMs - member.lastHeardMs()) + " ago";
-        String store =
+                        : "last heard " + formatSeconds(nowMs - member.lastHeardMs()) + " ago";
+        String storeContact =
                 member.storeContactMs() < 0
                         ? ""
-                        : ", store contact " + seconds(nowMs - member.storeContactMs()) + " ago";
+                        : ", store contact "
+                                + formatSeconds(nowMs - member.storeContactMs())
+                                + " ago";
         return member.member().id()
                 + " (revision "
                 + member.revision()
                 + ", "
-                + heard
-                + store
+                + peerContact
+                + storeContact
                 + ")";
     }
 
-    private static String seconds(long ms) {
+    private static String formatSeconds(long ms) {
         return String.format(Locale.ROOT, "%.1f s", ms / MS_PER_SECOND);
     }
 
-    /** Returns whether every member that may take work has the revision in force. */
+    /** Returns whether no member may still admit requests without the revision. */
     boolean complete() {
         return lagging.isEmpty();
     }
 
-    /** Returns a line for the operator of an accepted note. */
+    /** Returns one line for operators about the roll-out, if the confirmation is complete. */
     String detail() {
-        if (stopped.isEmpty()) {
+        if (stale.isEmpty()) {
             return "in force on every member";
         }
-        return "in force on every member that takes work; "
-                + String.join(", ", stopped)
-                + " can take none until it has caught up";
+        return "in force on every member that admits requests; members that admit none until they"
+                + " have this revision: "
+                + String.join(", ", stale);
     }
 
-    /** Returns the members that have not confirmed, and why. */
-    String laggards(World world) {
+    /**
+     * Returns the members that have not confirmed, for operators.
+     *
+     * <p>If no member lags, the confirmation is missing because this entry has not read the members
+     * again or has not activated the revision; then it names itself.
+     */
+    String describeLagging(World world) {
         if (lagging.isEmpty()) {
             return world.node().identity().id()
                     + " (revision "
--- a/core/src/main/java/org/hibiscususher/core/rollout/RollOutSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/rollout/RollOutSystem.java
@@ -23,45 +23,59 @@
 import org.hibiscususher.core.world.World;
 
 /**
- * Follows the configuration's history, by watch, by poll and by what other members relay.
+ * Activates new revisions of the configuration on this entry, learnt from the watch and the reads
+ * of the head and from notes that other members relay, and relays notes to members that lag.
  *
- * <p>Only what the store has shown or confirmed is put in force or relayed.
+ * <p>Only revisions that the store has shown or confirmed are activated or relayed. A revision
+ * whose write is still unanswered might never be written, and another one could get its number.
  */
 public final class RollOutSystem {
+    /** Time between a failed read of a snapshot and the next one. */
     private static final int RETRY_MS = 250;
-    private static final int LOST_CALL_MS = 3_000;
+
+    /** Time after which a read of a snapshot without any answer is repeated. */
+    private static final int READ_TIMEOUT_MS = 3_000;
+
+    /** Time by which the members that can relay are staggered, in order of id. */
     private static final int RELAY_DELAY_MS = 100;
+
+    /** Time after which notes are relayed again to a member that still lags. */
     private static final int RELAY_REPEAT_MS = 1_000;
-    private static final int RELAY_BYTES = 32 * 1024;
+
+    /** Limit on the estimated size of the notes in one relay. */
+    private static final int MAX_RELAY_BYTES = 32 * 1024;
 
     private RollOutSystem() {}
 
-    /** Puts newer revisions in force, asks for what is missing and tells members that lag. */
+    /**
+     * Activates newer revisions, reads a missing snapshot, and relays notes to members that lag.
+     */
     public static void run(Tick tick) {
-        takeHeads(tick);
-        takeRelays(tick);
-        takeSnapshots(tick);
-        clearCalls(tick);
-        follow(tick);
-        relay(tick);
+        recordHeads(tick);
+        applyRelays(tick);
+        applySnapshots(tick);
+        completeSnapshotReads(tick);
+        catchUpWithHead(tick);
+        relayToLagging(tick);
     }
 
-    private static void takeHeads(Tick tick) {
+    private static void recordHeads(Tick tick) {
         for (RecordWatched watched : tick.inputs(RecordWatched.class)) {
             if (watched.key().kind() == RecordKind.HEAD) {
-                takeHead(tick, watched.record().value());
+                recordHead(tick, watched.record().value());
             }
         }
         for (RecordRead read : tick.inputs(RecordRead.class)) {
             if (read.key().kind() == RecordKind.HEAD) {
-                takeHead(
+                recordHead(
                         tick,
                         read.found().<StoreRecord>map(r -> r.value()).orElse(HeadRecord.EMPTY));
             }
         }
     }
 
-    private static void takeHead(Tick tick, StoreRecord record) {
+    /** Keeps a head if it is the newest so far, and counts those that are older. */
+    private static void recordHead(Tick tick, StoreRecord record) {
         if (record instanceof HeadRecord head) {
             if (head.revision() < tick.world().head().record().revision()) {
                 tick.count("configuration.older-shown");
@@ -70,7 +84,7 @@
         }
     }
 
-    private static void takeRelays(Tick tick) {
+    private static void applyRelays(Tick tick) {
         for (PeerMessageReceived received : tick.inputs(PeerMessageReceived.class)) {
             for (var item : received.message().items()) {
                 if (item instanceof NoteRelay relay) {
@@ -80,7 +94,7 @@
         }
     }
 
-    private static void takeSnapshots(Tick tick) {
+    private static void applySnapshots(Tick tick) {
         for (RecordRead read : tick.inputs(RecordRead.class)) {
             if (read.found().isPresent()
                     && read.found().get().value() instanceof SnapshotRecord snapshot) {
@@ -89,44 +103,49 @@
         }
     }
 
-    /** Lets the next snapshot be asked for at once, or after a while if this one was not found. */
-    private static void clearCalls(Tick tick) {
+    /** Allows the next read of a snapshot: at once after a found one, else after a delay. */
+    private static void completeSnapshotReads(Tick tick) {
         for (RecordRead read : tick.inputs(RecordRead.class)) {
-            endCall(tick, read.callId(), read.found().isPresent());
+            completeSnapshotRead(tick, read.callId(), read.found().isPresent());
         }
         for (StoreFailed failed : tick.inputs(StoreFailed.class)) {
-            endCall(tick, failed.callId(), false);
+            completeSnapshotRead(tick, failed.callId(), false);
         }
     }
 
-    private static void endCall(Tick tick, long callId, boolean found) {
+    private static void completeSnapshotRead(Tick tick, long callId, boolean found) {
         Table<RecordKind, StoreCallRow> calls = tick.world().storeCalls();
-        boolean ours =
+        boolean pending =
                 calls.find(RecordKind.SNAPSHOT).filter(c -> c.callId() == callId).isPresent();
-        if (ours && found) {
+        if (pending && found) {
             calls.remove(RecordKind.SNAPSHOT);
-        } else if (ours) {
-            long sinceMs = tick.nowMs() - LOST_CALL_MS + RETRY_MS;
+        } else if (pending) {
+            // Dated back so that the timeout of the read ends after the delay of a retry.
+            long sinceMs = tick.nowMs() - READ_TIMEOUT_MS + RETRY_MS;
             calls.put(RecordKind.SNAPSHOT, new StoreCallRow(0, sinceMs));
         }
     }
 
-    /** Brings the newest known head into force, or asks for the snapshot that is missing. */
-    private static void follow(Tick tick) {
+    /**
+     * Activates the newest known head, or reads its snapshot if this entry's configuration is older
+     * than the first note in the head.
+     */
+    private static void catchUpWithHead(Tick tick) {
         World world = tick.world();
         HeadRecord head = world.head().record();
         if (head.revision() > world.configuration().revision()) {
             ActiveConfiguration.applyNotes(tick, head.notes());
         }
         if (world.configuration().revision() < head.snapshotRevision()) {
-            ask(tick, new RecordKey(RecordKind.SNAPSHOT, head.snapshot()));
+            readIfDue(tick, new RecordKey(RecordKind.SNAPSHOT, head.snapshot()));
         }
     }
 
-    private static void ask(Tick tick, RecordKey key) {
+    /** Reads a record unless a read of its kind is pending or has just failed. */
+    private static void readIfDue(Tick tick, RecordKey key) {
         World world = tick.world();
         Optional<StoreCallRow> call = world.storeCalls().find(key.kind());
-        if (call.isPresent() && tick.nowMs() - call.get().sinceMs() < LOST_CALL_MS) {
+        if (call.isPresent() && tick.nowMs() - call.get().sinceMs() < READ_TIMEOUT_MS) {
             return;
         }
         long callId = tick.nextCallId();
@@ -134,29 +153,35 @@
         tick.emit(new ReadRecord(callId, key));
     }
 
-    /** Relays notes to the members that lag; the members take turns, so that few repeat it. */
-    private static void relay(Tick tick) {
+    /**
+     * Relays notes to the members that lag. The members that can do so are staggered in order of
+     * id, so that one relay usually reaches the lagging member before the next one is sent.
+     */
+    private static void relayToLagging(Tick tick) {
         World world = tick.world();
         long revision = world.configuration().revision();
         for (MemberRow member : world.members().rows()) {
             if (member.revision() >= revision || !member.member().state().mayHoldPermits()) {
                 continue;
             }
-            long dueMs = world.revision().sinceMs() + turnOf(world, member) * RELAY_DELAY_MS;
+            long dueMs = world.revision().sinceMs() + relayRank(world, member) * RELAY_DELAY_MS;
             String id = member.member().id();
-            boolean repeats =
+            boolean sentRecently =
                     world.relays()
                             .find(id)
                             .filter(r -> r.revision() >= revision)
                             .filter(r -> tick.nowMs() - r.sentMs() < RELAY_REPEAT_MS)
                             .isPresent();
-            if (tick.nowMs() >= dueMs && !repeats) {
+            if (tick.nowMs() >= dueMs && !sentRecently) {
                 relayTo(tick, member);
             }
         }
     }
 
-    /** Sends a member the notes that it lacks, if all of them are remembered here. */
+    /**
+     * Sends a member the notes that it lacks, if all of them are kept here, up to the limit of one
+     * relay.
+     */
     static void relayTo(Tick tick, MemberRow member) {
         World world = tick.world();
         String id = member.member().id();
@@ -168,7 +193,7 @@
         int bytes = 0;
         for (AcceptedNote note : notes) {
             bytes += note.estimatedBytes();
-            if (bytes > RELAY_BYTES) {
+            if (bytes > MAX_RELAY_BYTES) {
                 break;
             }
             sent.add(note);
@@ -179,8 +204,8 @@
         }
     }
 
-    /** Returns the place of this entry among the members that can tell a member, from 1. */
-    private static long turnOf(World world, MemberRow lagging) {
+    /** Returns the rank by id of this entry among the members that can relay, from 1. */
+    private static long relayRank(World world, MemberRow lagging) {
         String self = world.node().identity().id();
         long before =
                 world.members().rows().stream()
--- a/core/src/test/java/org/hibiscususher/core/rollout/RollOutSystemTest.java
+++ b/core/src/test/java/org/hibiscususher/core/rollout/RollOutSystemTest.java
@@ -32,7 +32,9 @@
                     new NodeIdentity("e1", 1, "127.0.0.1:1", "z1"), ControlSettings.DEFAULT, 0);
     private long mNowMs;
 
-    /** Returns the note that sets the one team's share to the revision. */
+    /**
+     * Returns a note that sets the share of the only team to the revision, to tell states apart.
+     */
     private static AcceptedNote note(long revision) {
         TeamSpec team = new TeamSpec("fitters", (int) revision, 1);
         ConfigurationDelta delta =
@@ -53,27 +55,32 @@
         return notes;
     }
 
-    private static HeadRecord head(long snapshot, long to) {
-        return new HeadRecord(to, snapshot, "s" + snapshot, "", notes(snapshot + 1, to));
+    private static HeadRecord head(long snapshotRevision, long revision) {
+        return new HeadRecord(
+                revision,
+                snapshotRevision,
+                "s" + snapshotRevision,
+                "",
+                notes(snapshotRevision + 1, revision));
     }
 
     private static Configuration configuration(long revision) {
-        Configuration at = Configuration.EMPTY;
+        Configuration state = Configuration.EMPTY;
         for (AcceptedNote note : notes(1, revision)) {
-            at = note.delta().applyTo(at);
+            state = note.delta().applyTo(state);
         }
-        return at;
+        return state;
     }
 
     private List<Output> tick(Input... inputs) {
         return mNode.tick(++mNowMs, List.of(inputs));
     }
 
-    private List<Output> watch(long version, StoreRecord record) {
+    private List<Output> deliverHead(long version, StoreRecord record) {
         return tick(new Input.RecordWatched(RecordKey.HEAD, new VersionedRecord(version, record)));
     }
 
-    private List<Output> relay(List<AcceptedNote> notes) {
+    private List<Output> deliverRelay(List<AcceptedNote> notes) {
         return tick(
                 new Input.PeerMessageReceived(
                         new PeerMessage(
@@ -90,56 +97,56 @@
                                 List.of(new PeerItem.NoteRelay(notes)))));
     }
 
-    private void assertInForce(long revision) {
+    private void assertActive(long revision) {
         assertThat(mNode.world().configuration()).isEqualTo(configuration(revision));
     }
 
     @Nested
     class Revisions {
         @Test
-        void goForwardByHeadAndRelay() {
-            watch(1, head(0, 2));
-            assertInForce(2);
-            relay(notes(1, 4));
-            assertInForce(4);
+        void advanceByHeadAndByRelay() {
+            deliverHead(1, head(0, 2));
+            assertActive(2);
+            deliverRelay(notes(1, 4));
+            assertActive(4);
         }
 
         @Test
-        void neverGoBackWhateverIsShown() {
-            watch(9, head(0, 5));
-            watch(8, head(0, 3));
-            assertInForce(5);
-            relay(notes(1, 4));
-            assertInForce(5);
+        void areNotReplacedByOlderHeadsRelaysOrSnapshots() {
+            deliverHead(9, head(0, 5));
+            deliverHead(8, head(0, 3));
+            assertActive(5);
+            deliverRelay(notes(1, 4));
+            assertActive(5);
             tick(snapshotRead(7, 2));
-            assertInForce(5);
-            watch(10, head(0, 6));
-            assertInForce(6);
+            assertActive(5);
+            deliverHead(10, head(0, 6));
+            assertActive(6);
         }
 
         @Test
-        void neverGoBackToAnOlderSnapshot() {
-            watch(1, head(10, 12));
+        void areNotReplacedByAnOlderSnapshotAfterANewerOne() {
+            deliverHead(1, head(10, 12));
             tick(snapshotRead(1, 10));
-            assertInForce(12);
+            assertActive(12);
             tick(snapshotRead(1, 2));
-            assertInForce(12);
+            assertActive(12);
         }
 
         @Test
-        void leaveNoGap() {
-            watch(1, head(0, 2));
-            relay(notes(4, 6));
-            assertInForce(2);
+        void ignoreNotesAfterAGap() {
+            deliverHead(1, head(0, 2));
+            deliverRelay(notes(4, 6));
+            assertActive(2);
         }
     }
 
     @Nested
     class Snapshots {
         @Test
-        void areReadWhenTheHeadsNotesDoNotReachBack() {
-            List<Output> outputs = watch(1, head(10, 12));
-            assertInForce(0);
+        void areReadWhenTheFirstNoteInTheHeadIsTooNew() {
+            List<Output> outputs = deliverHead(1, head(10, 12));
+            assertActive(0);
             RecordKey key = new RecordKey(RecordKind.SNAPSHOT, "s10");
             Output.ReadRecord read =
                     outputs.stream()
@@ -148,21 +155,21 @@
                             .findFirst()
                             .orElseThrow();
             tick(snapshotRead(read.callId(), 10));
-            assertInForce(12);
+            assertActive(12);
         }
 
         @Test
-        void areNotAskedForInEveryTickWhenTheStoreFails() {
-            watch(1, head(10, 12));
-            int asked = 0;
+        void areNotReadInEveryTickWhileTheStoreFails() {
+            deliverHead(1, head(10, 12));
+            int reads = 0;
             for (int i = 0; i < 200; i++) {
-                List<Output> outputs = tick(new Input.StoreFailed(lastSnapshotCall()));
-                asked += (int) outputs.stream().filter(this::asksForSnapshot).count();
+                List<Output> outputs = tick(new Input.StoreFailed(pendingSnapshotCallId()));
+                reads += (int) outputs.stream().filter(this::isSnapshotRead).count();
             }
-            assertThat(asked).isLessThanOrEqualTo(1);
+            assertThat(reads).isLessThanOrEqualTo(1);
         }
 
-        private long lastSnapshotCall() {
+        private long pendingSnapshotCallId() {
             return mNode.world()
                     .storeCalls()
                     .find(RecordKind.SNAPSHOT)
@@ -170,7 +177,7 @@
                     .orElse(0L);
         }
 
-        private boolean asksForSnapshot(Output output) {
+        private boolean isSnapshotRead(Output output) {
             return output instanceof Output.ReadRecord read
                     && read.key().kind() == RecordKind.SNAPSHOT;
         }
