--- a/core/src/main/java/org/hibiscususher/core/note/ConsistencyChecker.java
+++ b/core/src/main/java/org/hibiscususher/core/note/ConsistencyChecker.java
@@ -122,7 +122,8 @@
                                 + other
                                 + " and "
                                 + key.id()
-                                + " have the same digest; expected a different secret for each key");
+                                + " have the same digest; expected a different secret for"
+                                + " each key");
             }
         }
     }
