Reword the YAML reader and writer of wire

Comments and private names left open what a reader gets for a missing or invalid value and what an unread key means. They now say so, a location is called location as in core, and the findings on duplicate keys and invalid YAML use YAML's terms. Reads and limits are unchanged.

--- a/wire/src/main/java/org/hibiscususher/wire/yaml/NoteReader.java
+++ b/wire/src/main/java/org/hibiscususher/wire/yaml/NoteReader.java
@@ -19,24 +19,25 @@
 import org.hibiscususher.core.note.ReleaseNote;
 import org.hibiscususher.core.note.Withdrawals;
 
-/** Reads release notes from YAML. */
+/** Reads release notes, which operators write in YAML. */
 public final class NoteReader {
     private static final int MAX_HOSTS = 100_000;
     private static final int MAX_SLOTS = 10_000;
     private static final int MAX_SHARE = 1_000_000;
-    private static final int MAX_LIMIT = 1_000_000;
-    private static final int MAX_MS = 24 * 60 * 60 * 1000;
+    private static final int MAX_COUNT = 1_000_000;
+    private static final int MAX_LIMIT_MS = 24 * 60 * 60 * 1000;
     private static final int DEFAULT_MAX_WAITING = 1_000;
-    private static final int DEFAULT_WAIT_MS = 2_500;
-    private static final int DEFAULT_RUN_MS = 30_000;
+    private static final int DEFAULT_WAIT_LIMIT_MS = 2_500;
+    private static final int DEFAULT_RUN_LIMIT_MS = 30_000;
 
     private NoteReader() {}
 
     /**
-     * Reads a release note.
+     * Reads a release note and checks the form of each value. Whether the note fits the
+     * configuration in force is not checked here.
      *
-     * @param file name for the findings
-     * @param text the YAML
+     * @param file name of the file, for the findings
+     * @param text content of the file
      */
     public static ParsedNote read(String file, String text) {
         YamlDocument document = YamlDocument.parse(file, text);
@@ -44,33 +45,34 @@
         String id = root.name("note");
         String author = root.text("author");
         String summary = root.text("summary", "");
-        OptionalLong base =
+        OptionalLong baseRevision =
                 root.has("base")
                         ? OptionalLong.of(root.integer("base", 0, Integer.MAX_VALUE))
                         : OptionalLong.empty();
-        Declarations added = declarations(root.map("added"));
-        Declarations changed = declarations(root.map("changed"));
-        Withdrawals withdrawn = withdrawals(root.map("withdrawn"));
+        Declarations added = readDeclarations(root.map("added"));
+        Declarations changed = readDeclarations(root.map("changed"));
+        Withdrawals withdrawn = readWithdrawals(root.map("withdrawn"));
         root.reportUnknownKeys(
                 "note", "author", "summary", "base", "added", "changed", "withdrawn");
-        ReleaseNote note = new ReleaseNote(id, author, summary, base, added, changed, withdrawn);
+        ReleaseNote note =
+                new ReleaseNote(id, author, summary, baseRevision, added, changed, withdrawn);
         return new ParsedNote(note, document.findings());
     }
 
-    private static Declarations declarations(YamlMap map) {
-        Declarations read =
+    private static Declarations readDeclarations(YamlMap map) {
+        Declarations declarations =
                 new Declarations(
-                        each(map, "pools", NoteReader::pool),
-                        each(map, "hosts", NoteReader::host),
-                        each(map, "teams", NoteReader::team),
-                        each(map, "keys", NoteReader::key),
-                        each(map, "queues", NoteReader::queue));
+                        readAll(map, "pools", NoteReader::readPool),
+                        readAll(map, "hosts", NoteReader::readHost),
+                        readAll(map, "teams", NoteReader::readTeam),
+                        readAll(map, "keys", NoteReader::readKey),
+                        readAll(map, "queues", NoteReader::readQueue));
         map.reportUnknownKeys("pools", "hosts", "teams", "keys", "queues");
-        return read;
+        return declarations;
     }
 
-    private static Withdrawals withdrawals(YamlMap map) {
-        Withdrawals read =
+    private static Withdrawals readWithdrawals(YamlMap map) {
+        Withdrawals withdrawals =
                 new Withdrawals(
                         map.names("pools"),
                         map.names("hosts"),
@@ -78,22 +80,23 @@
                         map.names("keys"),
                         map.names("queues"));
         map.reportUnknownKeys("pools", "hosts", "teams", "keys", "queues");
-        return read;
+        return withdrawals;
     }
 
-    private static <T> List<Located<T>> each(YamlMap map, String key, Function<YamlMap, T> reader) {
+    private static <T> List<Located<T>> readAll(
+            YamlMap map, String key, Function<YamlMap, T> reader) {
         List<Located<T>> items = new ArrayList<>();
         for (YamlMap item : map.maps(key)) {
-            items.add(new Located<>(reader.apply(item), item.place()));
+            items.add(new Located<>(reader.apply(item), item.location()));
         }
         return items;
     }
 
-    private static PoolSpec pool(YamlMap map) {
+    private static PoolSpec readPool(YamlMap map) {
         PoolSpec pool =
                 new PoolSpec(
                         map.name("name"),
-                        map.integer("quick reserve", 0, MAX_LIMIT, 0),
+                        map.integer("quick reserve", 0, MAX_COUNT, 0),
                         new AvailabilityBudget(
                                 map.integer("hosts out at most", 1, MAX_HOSTS, 1),
                                 map.integer("hosts out at most per zone", 1, MAX_HOSTS, 1)),
@@ -107,7 +110,7 @@
         return pool;
     }
 
-    private static HostSpec host(YamlMap map) {
+    private static HostSpec readHost(YamlMap map) {
         HostSpec host =
                 new HostSpec(
                         map.name("name"),
@@ -117,9 +120,9 @@
                         map.name("pool"),
                         map.integer("slots", 1, MAX_SLOTS, 8),
                         new Capacity(
-                                map.integer("cores", 0, MAX_LIMIT, 0),
-                                map.integer("memory gb", 0, MAX_LIMIT, 0),
-                                map.integer("accelerators", 0, MAX_LIMIT, 0)));
+                                map.integer("cores", 0, MAX_COUNT, 0),
+                                map.integer("memory gb", 0, MAX_COUNT, 0),
+                                map.integer("accelerators", 0, MAX_COUNT, 0)));
         map.reportUnknownKeys(
                 "name",
                 "address",
@@ -133,23 +136,24 @@
         return host;
     }
 
-    private static TeamSpec team(YamlMap map) {
+    private static TeamSpec readTeam(YamlMap map) {
         TeamSpec team =
                 new TeamSpec(
                         map.name("name"),
                         map.integer("share", 1, MAX_SHARE),
-                        map.integer("upper limit", 0, MAX_LIMIT));
+                        map.integer("upper limit", 0, MAX_COUNT));
         map.reportUnknownKeys("name", "share", "upper limit");
         return team;
     }
 
-    private static KeySpec key(YamlMap map) {
+    private static KeySpec readKey(YamlMap map) {
         String id = map.name("name");
         String team = map.name("team");
-        String hex = map.text("digest");
+        String digestHex = map.text("digest");
+        // A placeholder, unless the text is a digest.
         KeyDigest digest = KeyDigest.ofSecret("");
         try {
-            digest = KeyDigest.ofHex(hex);
+            digest = KeyDigest.ofHex(digestHex);
         } catch (IllegalArgumentException e) {
             map.addFinding(
                     "expected a digest of 64 hexadecimal digits; \"hibiscususher key\" makes one");
@@ -158,7 +162,7 @@
         return new KeySpec(id, team, digest);
     }
 
-    private static QueueSpec queue(YamlMap map) {
+    private static QueueSpec readQueue(YamlMap map) {
         QueueSpec queue =
                 new QueueSpec(
                         map.name("name"),
@@ -167,9 +171,9 @@
                         map.has("open to all as team")
                                 ? Optional.of(map.name("open to all as team"))
                                 : Optional.empty(),
-                        map.integer("waiting at most", 1, MAX_LIMIT, DEFAULT_MAX_WAITING),
-                        map.integer("wait limit ms", 1, MAX_MS, DEFAULT_WAIT_MS),
-                        map.integer("run limit ms", 1, MAX_MS, DEFAULT_RUN_MS));
+                        map.integer("waiting at most", 1, MAX_COUNT, DEFAULT_MAX_WAITING),
+                        map.integer("wait limit ms", 1, MAX_LIMIT_MS, DEFAULT_WAIT_LIMIT_MS),
+                        map.integer("run limit ms", 1, MAX_LIMIT_MS, DEFAULT_RUN_LIMIT_MS));
         map.reportUnknownKeys(
                 "name",
                 "pool",
--- a/wire/src/main/java/org/hibiscususher/wire/yaml/NoteWriter.java
+++ b/wire/src/main/java/org/hibiscususher/wire/yaml/NoteWriter.java
@@ -12,14 +12,14 @@
 import org.hibiscususher.core.config.QueueSpec;
 import org.hibiscususher.core.config.TeamSpec;
 
-/** Writes declarations as YAML in the form of a release note. */
+/** Writes declarations as YAML, in the form in which {@link NoteReader} reads them. */
 public final class NoteWriter {
     private NoteWriter() {}
 
     /**
-     * Returns a release note that leads from the empty configuration to the given one.
+     * Returns a release note that adds the declarations of a configuration to an empty one.
      *
-     * <p>The revision that it becomes is another.
+     * <p>Accepting the note yields a revision with a number of its own, not the exported one.
      */
     public static String write(Configuration configuration) {
         StringBuilder text = new StringBuilder();
@@ -27,47 +27,48 @@
         text.append("author: export\n");
         text.append("summary: state in force at revision ").append(configuration.revision());
         text.append("\nadded:\n");
-        add(text, "  ", "pools", configuration.pools().values(), NoteWriter::pool);
-        add(text, "  ", "hosts", configuration.hosts().values(), NoteWriter::host);
-        add(text, "  ", "teams", configuration.teams().values(), NoteWriter::team);
-        add(text, "  ", "keys", configuration.keys().values(), NoteWriter::key);
-        add(text, "  ", "queues", configuration.queues().values(), NoteWriter::queue);
+        appendSection(text, "  ", "pools", configuration.pools().values(), NoteWriter::formatPool);
+        appendSection(text, "  ", "hosts", configuration.hosts().values(), NoteWriter::formatHost);
+        appendSection(text, "  ", "teams", configuration.teams().values(), NoteWriter::formatTeam);
+        appendSection(text, "  ", "keys", configuration.keys().values(), NoteWriter::formatKey);
+        appendSection(
+                text, "  ", "queues", configuration.queues().values(), NoteWriter::formatQueue);
         return text.toString();
     }
 
-    /** Returns what a delta puts and removes, for reading. */
+    /** Returns the changes of a revision as text for operators; it is not a release note. */
     public static String write(ConfigurationDelta delta) {
         StringBuilder text = new StringBuilder();
-        edits(text, "pools", delta.pools(), NoteWriter::pool);
-        edits(text, "hosts", delta.hosts(), NoteWriter::host);
-        edits(text, "teams", delta.teams(), NoteWriter::team);
-        edits(text, "keys", delta.keys(), NoteWriter::key);
-        edits(text, "queues", delta.queues(), NoteWriter::queue);
+        appendEdits(text, "pools", delta.pools(), NoteWriter::formatPool);
+        appendEdits(text, "hosts", delta.hosts(), NoteWriter::formatHost);
+        appendEdits(text, "teams", delta.teams(), NoteWriter::formatTeam);
+        appendEdits(text, "keys", delta.keys(), NoteWriter::formatKey);
+        appendEdits(text, "queues", delta.queues(), NoteWriter::formatQueue);
         return text.toString();
     }
 
-    private static <T> void edits(
-            StringBuilder text, String type, Edits<T> edits, Function<T, String> writer) {
-        add(text, "", type + " added or changed", edits.put(), writer);
-        add(text, "", type + " withdrawn", edits.removed(), id -> id);
+    private static <T> void appendEdits(
+            StringBuilder text, String type, Edits<T> edits, Function<T, String> formatter) {
+        appendSection(text, "", type + " added or changed", edits.put(), formatter);
+        appendSection(text, "", type + " withdrawn", edits.removed(), id -> id);
     }
 
-    private static <T> void add(
+    private static <T> void appendSection(
             StringBuilder text,
             String indent,
             String type,
             Collection<T> items,
-            Function<T, String> writer) {
+            Function<T, String> formatter) {
         if (items.isEmpty()) {
             return;
         }
         text.append(indent).append(type).append(":\n");
         for (T item : items) {
-            text.append(indent).append("  - ").append(writer.apply(item)).append('\n');
+            text.append(indent).append("  - ").append(formatter.apply(item)).append('\n');
         }
     }
 
-    private static String pool(PoolSpec pool) {
+    private static String formatPool(PoolSpec pool) {
         return ("{name: %s, quick reserve: %d, hosts out at most: %d,"
                         + " hosts out at most per zone: %d, spare: %s}")
                 .formatted(
@@ -78,7 +79,7 @@
                         pool.spare() ? "yes" : "no");
     }
 
-    private static String host(HostSpec host) {
+    private static String formatHost(HostSpec host) {
         String rack = host.rack().isEmpty() ? "" : ", rack: " + quote(host.rack());
         return ("{name: %s, address: %s, zone: %s%s, pool: %s, slots: %d, cores: %d,"
                         + " memory gb: %d, accelerators: %d}")
@@ -94,17 +95,17 @@
                         host.capacity().accelerators());
     }
 
-    private static String team(TeamSpec team) {
+    private static String formatTeam(TeamSpec team) {
         return "{name: %s, share: %d, upper limit: %d}"
                 .formatted(team.id(), team.share(), team.upperLimit());
     }
 
-    private static String key(KeySpec key) {
+    private static String formatKey(KeySpec key) {
         return "{name: %s, team: %s, digest: \"%s\"}"
                 .formatted(key.id(), key.team(), key.digest().toHex());
     }
 
-    private static String queue(QueueSpec queue) {
+    private static String formatQueue(QueueSpec queue) {
         String open = queue.openTeam().map(t -> ", open to all as team: " + t).orElse("");
         return ("{name: %s, pool: %s, kind: %s%s, waiting at most: %d, wait limit ms: %d,"
                         + " run limit ms: %d}")
@@ -118,6 +119,7 @@
                         queue.runLimitMs());
     }
 
+    /** Returns a double-quoted YAML scalar of ASCII characters. */
     private static String quote(String value) {
         StringBuilder quoted = new StringBuilder("\"");
         for (char c : value.toCharArray()) {
--- a/wire/src/main/java/org/hibiscususher/wire/yaml/ParsedNote.java
+++ b/wire/src/main/java/org/hibiscususher/wire/yaml/ParsedNote.java
@@ -7,13 +7,14 @@
 import org.hibiscususher.core.note.ReleaseNote;
 
 /**
- * A release note as read from YAML.
+ * The result of reading a release note from YAML.
  *
- * @param note the note; of use only without findings
- * @param findings all that is wrong with the text
+ * @param note the note. If there are findings, it holds placeholders for missing or invalid values
+ *     and must not be used.
+ * @param findings all errors in the text, in order of line and column; empty if the text is valid
  */
 public record ParsedNote(ReleaseNote note, List<Finding> findings) {
-    /** Copies the findings. */
+    /** Rejects null components and copies the list. */
     public ParsedNote {
         requireNonNull(note);
         findings = List.copyOf(findings);
--- a/wire/src/main/java/org/hibiscususher/wire/yaml/YamlDocument.java
+++ b/wire/src/main/java/org/hibiscususher/wire/yaml/YamlDocument.java
@@ -11,7 +11,10 @@
 import org.snakeyaml.engine.v2.nodes.MappingNode;
 import org.snakeyaml.engine.v2.nodes.Node;
 
-/** A YAML file that is read as a whole: every finding is collected with its place. */
+/**
+ * A parsed YAML file. Errors are collected as findings with line and column rather than thrown, so
+ * that the author sees all of them at once. Not thread-safe.
+ */
 public final class YamlDocument {
     private static final int MAX_CODE_POINTS = 16 * 1024 * 1024;
 
@@ -24,10 +27,11 @@
     }
 
     /**
-     * Parses a text.
+     * Parses YAML. Text that is not valid YAML, or whose top level is not a mapping, yields a
+     * finding and an empty mapping.
      *
-     * @param file name for the findings
-     * @param text the text; one that is not YAML, or not a mapping, gives a finding
+     * @param file name of the file, for the findings
+     * @param text content of the file
      */
     public static YamlDocument parse(String file, String text) {
         Findings findings = new Findings(file);
@@ -35,6 +39,7 @@
                 LoadSettings.builder()
                         .setLabel(file)
                         .setCodePointLimit(MAX_CODE_POINTS)
+                        // Nested aliases would let a small file describe a huge document.
                         .setMaxAliasesForCollections(0)
                         .build();
         try {
@@ -44,19 +49,20 @@
             }
             findings.add(new SourceLocation(file, 1, 1), "expected a mapping of keys to values");
         } catch (MarkedYamlEngineException e) {
-            findings.add(findings.placeOf(e.getProblemMark()), "not YAML: " + e.getProblem());
+            findings.add(
+                    findings.locationOf(e.getProblemMark()), "invalid YAML: " + e.getProblem());
         } catch (YamlEngineException e) {
-            findings.add(new SourceLocation(file, 1, 1), "not YAML: " + e.getMessage());
+            findings.add(new SourceLocation(file, 1, 1), "invalid YAML: " + e.getMessage());
         }
         return new YamlDocument(findings, YamlMap.empty(findings, new SourceLocation(file, 1, 1)));
     }
 
-    /** Returns the mapping at the top; empty if the text has none. */
+    /** Returns the mapping at the top level; empty if the text has none. */
     public YamlMap root() {
         return mRoot;
     }
 
-    /** Returns what was found so far. */
+    /** Returns the findings so far, in order of line and column. */
     public List<Finding> findings() {
         return mFindings.list();
     }
--- a/wire/src/main/java/org/hibiscususher/wire/yaml/YamlMap.java
+++ b/wire/src/main/java/org/hibiscususher/wire/yaml/YamlMap.java
@@ -17,9 +17,13 @@
 import org.snakeyaml.engine.v2.nodes.SequenceNode;
 
 /**
- * A mapping of a YAML file. Readers return a default where a value is missing or wrong, and add a
- * finding; {@link #reportUnknownKeys} adds a finding for each key that was not read. Not
- * thread-safe.
+ * A mapping of a YAML file, whose values are read by key, each key once.
+ *
+ * <p>A missing or invalid value adds a finding and yields a placeholder, so that reading continues
+ * and one pass finds all errors. The values must not be used if there are findings.
+ *
+ * <p>After the last value, {@link #reportUnknownKeys} adds a finding for each key that was not
+ * read. Without it, a misspelled key would be ignored and its default would apply. Not thread-safe.
  */
 public final class YamlMap {
     private static final Pattern NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,62}");
@@ -28,60 +32,63 @@
     private static final int MAX_PORT = 65_535;
 
     private final Findings mFindings;
-    private final SourceLocation mPlace;
+    private final SourceLocation mLocation;
     private final Map<String, NodeTuple> mUnread = new LinkedHashMap<>();
 
-    private YamlMap(Findings findings, SourceLocation place) {
+    private YamlMap(Findings findings, SourceLocation location) {
         mFindings = findings;
-        mPlace = place;
+        mLocation = location;
     }
 
-    static YamlMap empty(Findings findings, SourceLocation place) {
-        return new YamlMap(findings, place);
+    static YamlMap empty(Findings findings, SourceLocation location) {
+        return new YamlMap(findings, location);
     }
 
     static YamlMap of(Findings findings, MappingNode node) {
-        YamlMap map = new YamlMap(findings, findings.placeOf(node.getStartMark()));
+        YamlMap map = new YamlMap(findings, findings.locationOf(node.getStartMark()));
         for (NodeTuple tuple : node.getValue()) {
             Node key = tuple.getKeyNode();
-            SourceLocation place = findings.placeOf(key.getStartMark());
+            SourceLocation location = findings.locationOf(key.getStartMark());
             if (!(key instanceof ScalarNode scalar)) {
-                findings.add(place, "expected a plain key");
+                findings.add(location, "expected a scalar as the key");
             } else if (map.mUnread.putIfAbsent(scalar.getValue(), tuple) != null) {
-                findings.add(place, "\"" + scalar.getValue() + "\" stands twice");
+                findings.add(location, "duplicate key \"" + scalar.getValue() + "\"");
             }
         }
         return map;
     }
 
     /** Returns where the mapping starts. */
-    public SourceLocation place() {
-        return mPlace;
+    public SourceLocation location() {
+        return mLocation;
     }
 
-    /** Adds a finding at the start of the mapping. */
+    /** Adds an error at the start of the mapping. */
     public void addFinding(String message) {
-        mFindings.add(mPlace, message);
+        mFindings.add(mLocation, message);
     }
 
-    /** Returns whether the key is there and was not read yet. */
+    /** Returns whether the mapping has the key and it has not been read yet. */
     public boolean has(String key) {
         return mUnread.containsKey(key);
     }
 
-    /** Reads a name that must be there: letters, digits, dots, dashes and underscores. */
+    /**
+     * Reads a required name: up to 63 letters, digits, dots, dashes and underscores, of which the
+     * first is a letter or digit. An invalid name adds a finding and is returned unchanged.
+     */
     public String name(String key) {
         Optional<ScalarNode> node = required(key);
         if (node.isEmpty()) {
             return "?";
         }
-        return nameIn(node.get());
+        return checkName(node.get());
     }
 
-    private String nameIn(ScalarNode node) {
+    private String checkName(ScalarNode node) {
         if (!NAME.matcher(node.getValue()).matches()) {
             mFindings.add(
-                    mFindings.placeOf(node.getStartMark()),
+                    mFindings.locationOf(node.getStartMark()),
                     "expected a name of letters, digits, dots, dashes and underscores, found \""
                             + node.getValue()
                             + "\"");
@@ -89,30 +96,33 @@
         return node.getValue();
     }
 
-    /** Reads a text that must be there. */
+    /** Reads a required text. */
     public String text(String key) {
         return required(key).map(ScalarNode::getValue).orElse("?");
     }
 
-    /** Reads a text, or returns the default if it is not there. */
-    public String text(String key, String otherwise) {
-        return scalar(key).map(ScalarNode::getValue).orElse(otherwise);
+    /** Reads a text, or returns the default if the key is absent. */
+    public String text(String key, String defaultValue) {
+        return scalar(key).map(ScalarNode::getValue).orElse(defaultValue);
     }
 
-    /** Reads an IP number and port that must be there. */
+    /**
+     * Reads a required IP number and port, as {@code 192.0.2.1:8080} or {@code [2001:db8::1]:8080}.
+     * Host names are invalid.
+     */
     public String address(String key) {
         Optional<ScalarNode> node = required(key);
         if (node.isEmpty()) {
             return "0.0.0.0:1";
         }
         String value = node.get().getValue();
-        boolean right =
+        boolean valid =
                 ADDRESS.matcher(value).matches()
                         && Integer.parseInt(value.substring(value.lastIndexOf(':') + 1))
                                 <= MAX_PORT;
-        if (!right) {
+        if (!valid) {
             mFindings.add(
-                    mFindings.placeOf(node.get().getStartMark()),
+                    mFindings.locationOf(node.get().getStartMark()),
                     "expected an IP number and port such as 192.0.2.1:8080, found \""
                             + value
                             + "\"");
@@ -121,27 +131,40 @@
         return value;
     }
 
-    /** Reads a whole number that must be there, between the bounds, both included. */
+    /**
+     * Reads a required whole number, in which underscores are ignored.
+     *
+     * @param key key of the number
+     * @param min lowest number allowed, returned if the number is missing or invalid
+     * @param max highest number allowed
+     */
     public int integer(String key, int min, int max) {
-        return required(key).map(n -> integerIn(n, min, max)).orElse(min);
+        return required(key).map(n -> parseInteger(n, min, max)).orElse(min);
     }
 
-    /** Reads a whole number between the bounds, or returns the default if it is not there. */
-    public int integer(String key, int min, int max, int otherwise) {
-        return scalar(key).map(n -> integerIn(n, min, max)).orElse(otherwise);
+    /**
+     * Reads a whole number, in which underscores are ignored.
+     *
+     * @param key key of the number
+     * @param min lowest number allowed, returned if the number is invalid
+     * @param max highest number allowed
+     * @param defaultValue returned if the key is absent
+     */
+    public int integer(String key, int min, int max, int defaultValue) {
+        return scalar(key).map(n -> parseInteger(n, min, max)).orElse(defaultValue);
     }
 
-    private int integerIn(ScalarNode node, int min, int max) {
+    private int parseInteger(ScalarNode node, int min, int max) {
         try {
             int value = Integer.parseInt(node.getValue().replace("_", ""));
             if (value >= min && value <= max) {
                 return value;
             }
         } catch (NumberFormatException e) {
-            // Told below, together with numbers out of bounds.
+            // Reported below, like a number out of bounds.
         }
         mFindings.add(
-                mFindings.placeOf(node.getStartMark()),
+                mFindings.locationOf(node.getStartMark()),
                 "expected a whole number from "
                         + min
                         + " to "
@@ -152,11 +175,14 @@
         return min;
     }
 
-    /** Reads yes or no, or returns the default if it is not there. */
-    public boolean flag(String key, boolean otherwise) {
+    /**
+     * Reads {@code yes}, {@code no}, {@code true} or {@code false} in any case, or returns the
+     * default if the key is absent.
+     */
+    public boolean flag(String key, boolean defaultValue) {
         Optional<ScalarNode> node = scalar(key);
         if (node.isEmpty()) {
-            return otherwise;
+            return defaultValue;
         }
         switch (node.get().getValue().toLowerCase(Locale.ROOT)) {
             case "yes", "true":
@@ -165,17 +191,17 @@
                 return false;
             default:
                 mFindings.add(
-                        mFindings.placeOf(node.get().getStartMark()),
+                        mFindings.locationOf(node.get().getStartMark()),
                         "expected yes or no, found \"" + node.get().getValue() + "\"");
-                return otherwise;
+                return defaultValue;
         }
     }
 
-    /** Reads the name of an enum's constant in lower case, or returns the default. */
-    public <E extends Enum<E>> E choice(String key, Class<E> type, E otherwise) {
+    /** Reads the lower-case name of an enum constant; returns the default if the key is absent. */
+    public <E extends Enum<E>> E choice(String key, Class<E> type, E defaultValue) {
         Optional<ScalarNode> node = scalar(key);
         if (node.isEmpty()) {
-            return otherwise;
+            return defaultValue;
         }
         List<String> names = new ArrayList<>();
         for (E constant : type.getEnumConstants()) {
@@ -186,52 +212,56 @@
             names.add(name);
         }
         mFindings.add(
-                mFindings.placeOf(node.get().getStartMark()),
+                mFindings.locationOf(node.get().getStartMark()),
                 "expected one of " + names + ", found \"" + node.get().getValue() + "\"");
-        return otherwise;
+        return defaultValue;
     }
 
-    /** Reads a mapping, or returns an empty one if it is not there. */
+    /** Reads a mapping, or returns an empty one if the key is absent. */
     public YamlMap map(String key) {
         NodeTuple tuple = mUnread.remove(key);
         if (tuple == null) {
-            return empty(mFindings, mPlace);
+            return empty(mFindings, mLocation);
         }
         if (tuple.getValueNode() instanceof MappingNode node) {
             return of(mFindings, node);
         }
-        mFindings.add(mFindings.placeOf(tuple.getValueNode().getStartMark()), "expected a mapping");
-        return empty(mFindings, mPlace);
+        mFindings.add(
+                mFindings.locationOf(tuple.getValueNode().getStartMark()), "expected a mapping");
+        return empty(mFindings, mLocation);
     }
 
-    /** Reads a list of mappings, or returns an empty one if it is not there. */
+    /** Reads a list of mappings, or returns an empty one if the key is absent. */
     public List<YamlMap> maps(String key) {
         List<YamlMap> maps = new ArrayList<>();
-        for (Node item : items(key)) {
+        for (Node item : sequence(key)) {
             if (item instanceof MappingNode node) {
                 maps.add(of(mFindings, node));
             } else {
-                mFindings.add(mFindings.placeOf(item.getStartMark()), "expected a mapping");
+                mFindings.add(mFindings.locationOf(item.getStartMark()), "expected a mapping");
             }
         }
         return maps;
     }
 
-    /** Reads a list of names with their places, or returns an empty one if it is not there. */
+    /**
+     * Reads a list of names, of the form that {@link #name} requires, each with its location;
+     * returns an empty list if the key is absent.
+     */
     public List<Located<String>> names(String key) {
         List<Located<String>> names = new ArrayList<>();
-        for (Node item : items(key)) {
-            SourceLocation place = mFindings.placeOf(item.getStartMark());
+        for (Node item : sequence(key)) {
+            SourceLocation location = mFindings.locationOf(item.getStartMark());
             if (item instanceof ScalarNode node) {
-                names.add(new Located<>(nameIn(node), place));
+                names.add(new Located<>(checkName(node), location));
             } else {
-                mFindings.add(place, "expected a name");
+                mFindings.add(location, "expected a name");
             }
         }
         return names;
     }
 
-    private List<Node> items(String key) {
+    private List<Node> sequence(String key) {
         NodeTuple tuple = mUnread.remove(key);
         if (tuple == null) {
             return List.of();
@@ -239,16 +269,21 @@
         if (tuple.getValueNode() instanceof SequenceNode node) {
             return node.getValue();
         }
-        mFindings.add(mFindings.placeOf(tuple.getValueNode().getStartMark()), "expected a list");
+        mFindings.add(mFindings.locationOf(tuple.getValueNode().getStartMark()), "expected a list");
         return List.of();
     }
 
-    /** Adds a finding for each key that was not read. */
+    /**
+     * Adds an error for each key that has not been read; to be called after the last value.
+     *
+     * @param known all keys that the mapping may have, for the message
+     */
     public void reportUnknownKeys(String... known) {
         for (Map.Entry<String, NodeTuple> entry : mUnread.entrySet()) {
-            SourceLocation place = mFindings.placeOf(entry.getValue().getKeyNode().getStartMark());
+            SourceLocation location =
+                    mFindings.locationOf(entry.getValue().getKeyNode().getStartMark());
             mFindings.add(
-                    place,
+                    location,
                     "unknown key \""
                             + entry.getKey()
                             + "\"; expected one of "
@@ -272,7 +307,7 @@
             return Optional.of(node);
         }
         mFindings.add(
-                mFindings.placeOf(tuple.getValueNode().getStartMark()),
+                mFindings.locationOf(tuple.getValueNode().getStartMark()),
                 "expected a value for \"" + key + "\"");
         return Optional.empty();
     }
--- a/wire/src/main/java/org/hibiscususher/wire/yaml/package-info.java
+++ b/wire/src/main/java/org/hibiscususher/wire/yaml/package-info.java
@@ -1,2 +1,5 @@
-/** Reads YAML with the place of every finding. */
+/**
+ * Reads release notes and other YAML files of operators, and writes release notes. All errors of a
+ * file are reported at once, each with its line and column.
+ */
 package org.hibiscususher.wire.yaml;
