--- a/wire/src/main/java/org/hibiscususher/wire/json/ConfigurationJson.java
+++ b/wire/src/main/java/org/hibiscususher/wire/json/ConfigurationJson.java
@@ -24,7 +24,13 @@
 import org.hibiscususher.core.config.QueueSpec;
 import org.hibiscususher.core.config.TeamSpec;
 
-/** Translates a configuration to JSON and back. */
+/**
+ * Converts a configuration, or the change from one revision to the next, to JSON and back.
+ *
+ * <p>The declarations of a type are an object with a field for each, named by its id. A change has
+ * them under {@code put}, and the removed ids under {@code removed}; types without a change are
+ * absent.
+ */
 final class ConfigurationJson {
     private ConfigurationJson() {}
 
@@ -42,11 +48,11 @@
     static Configuration read(JsonNode root) {
         return new Configuration(
                 root.path("revision").asLong(),
-                each(root.path("pools"), ConfigurationJson::readPool),
-                each(root.path("hosts"), ConfigurationJson::readHost),
-                each(root.path("teams"), ConfigurationJson::readTeam),
-                each(root.path("keys"), ConfigurationJson::readKey),
-                each(root.path("queues"), ConfigurationJson::readQueue));
+                readAll(root.path("pools"), ConfigurationJson::readPool),
+                readAll(root.path("hosts"), ConfigurationJson::readHost),
+                readAll(root.path("teams"), ConfigurationJson::readTeam),
+                readAll(root.path("keys"), ConfigurationJson::readKey),
+                readAll(root.path("queues"), ConfigurationJson::readQueue));
     }
 
     static ObjectNode writeDelta(ConfigurationDelta delta) {
@@ -89,14 +95,15 @@
     private static <T> Edits<T> readEdits(JsonNode node, BiFunction<String, JsonNode, T> reader) {
         List<String> removed = new ArrayList<>();
         node.path("removed").forEach(n -> removed.add(n.asText()));
-        return new Edits<>(List.copyOf(each(node.path("put"), reader).values()), removed);
+        return new Edits<>(List.copyOf(readAll(node.path("put"), reader).values()), removed);
     }
 
-    private static <T> SortedMap<String, T> each(
+    private static <T> SortedMap<String, T> readAll(
             JsonNode map, BiFunction<String, JsonNode, T> reader) {
-        SortedMap<String, T> read = new TreeMap<>();
-        map.properties().forEach(e -> read.put(e.getKey(), reader.apply(e.getKey(), e.getValue())));
-        return read;
+        SortedMap<String, T> items = new TreeMap<>();
+        map.properties()
+                .forEach(e -> items.put(e.getKey(), reader.apply(e.getKey(), e.getValue())));
+        return items;
     }
 
     private static void writePool(ObjectNode map, PoolSpec pool) {
--- a/wire/src/main/java/org/hibiscususher/wire/json/FleetJson.java
+++ b/wire/src/main/java/org/hibiscususher/wire/json/FleetJson.java
@@ -17,18 +17,18 @@
 import org.hibiscususher.core.message.StoreRecord.WaveRecord;
 import org.hibiscususher.core.message.WaveState;
 
-/** Translates records about hosts to JSON and back. */
+/** Converts records about hosts to JSON and back. */
 final class FleetJson {
     private FleetJson() {}
 
-    /** Returns whether a record is one about hosts. */
+    /** Returns whether a record is about hosts, so that {@link #write} accepts it. */
     static boolean covers(StoreRecord record) {
         return record instanceof HostRecord
                 || record instanceof OutageRecord
                 || record instanceof WaveRecord;
     }
 
-    /** Returns a record about hosts as JSON; what stands in its key is left out. */
+    /** Returns a record about hosts as JSON, without the host or pool that its key contains. */
     static ObjectNode write(StoreRecord record) {
         ObjectNode root = JsonNodeFactory.instance.objectNode();
         if (record instanceof HostRecord host) {
@@ -50,9 +50,12 @@
     }
 
     /**
-     * Returns the record that the JSON stands for.
+     * Returns a record about hosts from JSON.
      *
-     * @throws IllegalArgumentException if it stands for none
+     * @param key key of the record, which holds its kind and the host or pool
+     * @param root the stored value
+     * @throws IllegalArgumentException if the key's kind isn't about hosts, or an enum constant is
+     *     unknown
      */
     static StoreRecord read(RecordKey key, JsonNode root) {
         return switch (key.kind()) {
@@ -69,7 +72,7 @@
                             WaveState.valueOf(root.path("state").asText()),
                             root.path("detail").asText(),
                             readNames(root.path("hosts")));
-            default -> throw new IllegalArgumentException("not about hosts: " + key);
+            default -> throw new IllegalArgumentException("not a record about hosts: " + key);
         };
     }
 
--- a/wire/src/main/java/org/hibiscususher/wire/json/HistoryJson.java
+++ b/wire/src/main/java/org/hibiscususher/wire/json/HistoryJson.java
@@ -12,7 +12,10 @@
 import org.hibiscususher.core.message.StoreRecord.NoteRecord;
 import org.hibiscususher.core.note.AcceptedNote;
 
-/** Translates the head and the history of the configuration to JSON and back. */
+/**
+ * Converts the records of the configuration's history to JSON and back: the head, older notes, and
+ * the index of notes by id. A note whose delta is not kept with it has no field {@code delta}.
+ */
 final class HistoryJson {
     private HistoryJson() {}
 
--- a/wire/src/main/java/org/hibiscususher/wire/json/OperatorJson.java
+++ b/wire/src/main/java/org/hibiscususher/wire/json/OperatorJson.java
@@ -20,26 +20,32 @@
 import org.hibiscususher.core.note.Severity;
 import org.hibiscususher.core.note.SourceLocation;
 
-/** Translates answers to operators to JSON and back. Thread-safe. */
+/**
+ * Converts replies to operators to JSON and back: the daemon writes them and the command line tool
+ * reads them. Thread-safe.
+ *
+ * <p>The id of the operator's call is not written. It has a meaning within the daemon alone and
+ * reads as 0.
+ */
 public final class OperatorJson {
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
     private OperatorJson() {}
 
-    /** Returns the answer to a release note as JSON. */
-    public static byte[] encodeNoteAnswer(ReplyToNote answer) {
+    /** Returns the reply to a release note as JSON. */
+    public static byte[] encodeNoteAnswer(ReplyToNote reply) {
         ObjectNode root = JsonNodeFactory.instance.objectNode();
-        root.put("result", answer.result().name())
-                .put("revision", answer.revision())
-                .put("detail", answer.detail());
-        writeFindings(root, answer.findings());
+        root.put("result", reply.result().name())
+                .put("revision", reply.revision())
+                .put("detail", reply.detail());
+        writeFindings(root, reply.findings());
         return bytes(root);
     }
 
     /**
-     * Returns the answer to a release note that the bytes stand for; its call id is 0.
+     * Returns the reply to a release note that JSON bytes encode.
      *
-     * @throws IOException if they stand for none
+     * @throws IOException if the bytes are malformed or hold an unknown result
      */
     public static ReplyToNote decodeNoteAnswer(byte[] bytes) throws IOException {
         JsonNode root = MAPPER.readTree(bytes);
@@ -51,44 +57,44 @@
                     root.path("detail").asText(),
                     readFindings(root));
         } catch (IllegalArgumentException e) {
-            throw new IOException("malformed answer to a release note", e);
+            throw new IOException("malformed reply to a release note", e);
         }
     }
 
-    /** Returns the answer to the check of a release note as JSON. */
-    public static byte[] encodeNoteCheck(ReplyToNoteCheck answer) {
+    /** Returns the reply to the check of a release note as JSON. */
+    public static byte[] encodeNoteCheck(ReplyToNoteCheck reply) {
         ObjectNode root = JsonNodeFactory.instance.objectNode();
-        root.put("revision", answer.revision());
-        writeFindings(root, answer.findings());
+        root.put("revision", reply.revision());
+        writeFindings(root, reply.findings());
         return bytes(root);
     }
 
     /**
-     * Returns the answer to the check of a release note that the bytes stand for.
+     * Returns the reply to the check of a release note that JSON bytes encode.
      *
-     * @throws IOException if they stand for none
+     * @throws IOException if the bytes are malformed
      */
     public static ReplyToNoteCheck decodeNoteCheck(byte[] bytes) throws IOException {
         JsonNode root = MAPPER.readTree(bytes);
         try {
             return new ReplyToNoteCheck(0, root.path("revision").asLong(), readFindings(root));
         } catch (IllegalArgumentException e) {
-            throw new IOException("malformed answer to the check of a release note", e);
+            throw new IOException("malformed reply to the check of a release note", e);
         }
     }
 
-    /** Returns accepted notes as JSON. */
-    public static byte[] encodeHistory(ReplyToHistory answer) {
+    /** Returns the accepted release notes that an operator asked for as JSON. */
+    public static byte[] encodeHistory(ReplyToHistory reply) {
         ObjectNode root = JsonNodeFactory.instance.objectNode();
-        root.put("detail", answer.detail());
-        root.set("notes", HistoryJson.writeNotes(answer.notes()));
+        root.put("detail", reply.detail());
+        root.set("notes", HistoryJson.writeNotes(reply.notes()));
         return bytes(root);
     }
 
     /**
-     * Returns the accepted notes that the bytes stand for.
+     * Returns the accepted release notes that JSON bytes encode.
      *
-     * @throws IOException if they stand for none
+     * @throws IOException if the bytes are malformed
      */
     public static ReplyToHistory decodeHistory(byte[] bytes) throws IOException {
         JsonNode root = MAPPER.readTree(bytes);
@@ -96,7 +102,7 @@
             return new ReplyToHistory(
                     0, HistoryJson.readNotes(root.path("notes")), root.path("detail").asText());
         } catch (IllegalArgumentException e) {
-            throw new IOException("malformed history", e);
+            throw new IOException("malformed list of release notes", e);
         }
     }
 
@@ -115,13 +121,13 @@
     private static List<Finding> readFindings(JsonNode root) {
         List<Finding> findings = new ArrayList<>();
         for (JsonNode n : root.path("findings")) {
-            SourceLocation place =
+            SourceLocation location =
                     new SourceLocation(
                             n.path("file").asText(),
                             n.path("line").asInt(),
                             n.path("column").asInt());
             Severity severity = Severity.valueOf(n.path("severity").asText());
-            findings.add(new Finding(place, severity, n.path("message").asText()));
+            findings.add(new Finding(location, severity, n.path("message").asText()));
         }
         return findings;
     }
@@ -153,9 +159,9 @@
     }
 
     /**
-     * Returns the status that the bytes stand for.
+     * Returns the status that JSON bytes encode.
      *
-     * @throws IOException if they stand for none
+     * @throws IOException if the bytes are malformed or hold an unknown member state
      */
     public static StatusReport decodeStatus(byte[] bytes) throws IOException {
         JsonNode root = MAPPER.readTree(bytes);
@@ -172,7 +178,7 @@
                                 n.path("storeAgeMs").asLong()));
             }
         } catch (IllegalArgumentException e) {
-            throw new IOException("malformed status", e);
+            throw new IOException("malformed status of an entry", e);
         }
         return new StatusReport(
                 root.path("member").asText(),
@@ -188,7 +194,7 @@
                 peers);
     }
 
-    /** Returns an answer about the maintenance wave as JSON. */
+    /** Returns the status of the maintenance wave as JSON. */
     public static byte[] encodeWave(WaveReport report) {
         ObjectNode root = JsonNodeFactory.instance.objectNode();
         root.put("ok", report.ok())
@@ -209,14 +215,14 @@
     }
 
     /**
-     * Returns the answer about the maintenance wave that the bytes stand for.
+     * Returns the status of the maintenance wave that JSON bytes encode.
      *
-     * @throws IOException if they stand for none
+     * @throws IOException if the bytes are malformed or lack the field {@code ok}
      */
     public static WaveReport decodeWave(byte[] bytes) throws IOException {
         JsonNode root = MAPPER.readTree(bytes);
         if (!root.path("ok").isBoolean()) {
-            throw new IOException("malformed answer about a maintenance wave");
+            throw new IOException("malformed status of a maintenance wave");
         }
         List<WaveReport.OutOfServiceHost> out = new ArrayList<>();
         for (JsonNode n : root.path("out")) {
--- a/wire/src/main/java/org/hibiscususher/wire/json/RecordCodec.java
+++ b/wire/src/main/java/org/hibiscususher/wire/json/RecordCodec.java
@@ -22,28 +22,38 @@
 import org.hibiscususher.core.message.StoreRecord.SnapshotRecord;
 import org.hibiscususher.core.note.AcceptedNote;
 
-/** Translates records of the platform's store to JSON bytes and back. Thread-safe. */
+/**
+ * Encodes the records of configuration, membership and hosts in the platform's store as JSON and
+ * decodes them, and maps their keys. Thread-safe.
+ *
+ * <p>A build must read what earlier builds stored. A missing field reads as empty text, 0 or false;
+ * a missing or unknown enum constant is an error. The scheduler's records have {@link
+ * org.hibiscususher.wire.scheduler.SchedulerRecordCodec}.
+ */
 public final class RecordCodec {
     private static final ObjectMapper MAPPER = new ObjectMapper();
-    private static final String PREFIX = "hibiscususher/";
+    private static final String KEY_PREFIX = "hibiscususher/";
 
     private RecordCodec() {}
 
-    /** Returns the key in the platform's store. */
+    /** Returns the key under which a record is in the platform's store. */
     public static String storeKey(RecordKey key) {
-        String path = PREFIX + key.kind().path();
+        String path = KEY_PREFIX + key.kind().path();
         return key.name().isEmpty() ? path : path + "/" + key.name();
     }
 
-    /** Returns the prefix of the keys of all records about hosts. */
+    /** Returns the prefix of the store keys of all records about hosts, and of no others. */
     public static String fleetPrefix() {
-        return PREFIX + RecordKind.FLEET_PREFIX;
+        return KEY_PREFIX + RecordKind.FLEET_PREFIX;
     }
 
-    /** Returns the record that a key in the platform's store names, or empty. */
+    /**
+     * Returns the record that a key in the platform's store identifies; empty for the key of
+     * another system or a kind of record that this build doesn't know.
+     */
     public static Optional<RecordKey> parseStoreKey(String key) {
         for (RecordKind kind : RecordKind.values()) {
-            String path = PREFIX + kind.path();
+            String path = KEY_PREFIX + kind.path();
             if (key.equals(path)) {
                 return Optional.of(new RecordKey(kind, ""));
             }
@@ -54,7 +64,7 @@
         return Optional.empty();
     }
 
-    /** Returns the record as JSON; records that may be large are compressed by gzip. */
+    /** Returns a record as JSON; snapshots and history, which may be large, in the gzip format. */
     public static byte[] encode(StoreRecord record) {
         if (record instanceof HeadRecord head) {
             return bytes(HistoryJson.writeHead(head));
@@ -78,9 +88,10 @@
     }
 
     /**
-     * Returns the record of the given kind that the bytes stand for.
+     * Returns the record that stored bytes encode.
      *
-     * @throws IOException if they stand for none
+     * @param key key under which the bytes were stored, which determines their format
+     * @throws IOException if the bytes are malformed or hold an unknown enum constant
      */
     public static StoreRecord decode(RecordKey key, byte[] bytes) throws IOException {
         try {
@@ -99,21 +110,21 @@
         }
     }
 
-    /** Returns accepted notes as JSON. */
+    /** Returns accepted notes as JSON, in the given order. */
     public static byte[] encodeNotes(List<AcceptedNote> notes) {
         return bytes(HistoryJson.writeNotes(notes));
     }
 
     /**
-     * Returns the accepted notes that the bytes stand for.
+     * Returns the accepted notes that JSON bytes encode.
      *
-     * @throws IOException if they stand for none
+     * @throws IOException if the bytes are malformed
      */
     public static List<AcceptedNote> decodeNotes(byte[] bytes) throws IOException {
         try {
             return HistoryJson.readNotes(MAPPER.readTree(bytes));
         } catch (IllegalArgumentException e) {
-            throw new IOException("malformed notes", e);
+            throw new IOException("malformed list of release notes", e);
         }
     }
 
@@ -125,7 +136,7 @@
         try {
             return MAPPER.writeValueAsBytes(node);
         } catch (JsonProcessingException e) {
-            throw new IllegalStateException("a tree of values can always be written", e);
+            throw new IllegalStateException("a JSON tree in memory can always be written", e);
         }
     }
 
--- a/wire/src/main/java/org/hibiscususher/wire/json/package-info.java
+++ b/wire/src/main/java/org/hibiscususher/wire/json/package-info.java
@@ -1,2 +1,2 @@
-/** Translates records of the platform's store to JSON and back. */
+/** JSON encodings of records in the platform's store and of replies to operators. */
 package org.hibiscususher.wire.json;
