--- a/wire/src/main/java/org/hibiscususher/wire/peer/EscrowItemCodec.java
+++ b/wire/src/main/java/org/hibiscususher/wire/peer/EscrowItemCodec.java
@@ -12,32 +12,32 @@
 import org.hibiscususher.core.message.TeamEntitlement;
 import org.hibiscususher.wire.generated.Peer;
 
-/** Translates the items about permits in escrow. */
+/** Encodes the items about permits in escrow as protobuf and decodes them. */
 final class EscrowItemCodec {
     private EscrowItemCodec() {}
 
     /**
      * Sets the item in the builder.
      *
-     * @throws IllegalArgumentException if it is not about permits
+     * @throws IllegalArgumentException if the item is not about permits in escrow
      */
     static void encode(PeerItem item, Peer.PeerItem.Builder builder) {
         if (item instanceof PeerItem.PermitClaim claim) {
             builder.setClaim(encodeClaim(claim));
-        } else if (item instanceof PeerItem.PermitClaimRequest asked) {
+        } else if (item instanceof PeerItem.PermitClaimRequest request) {
             builder.getClaimAskedBuilder()
-                    .setEpoch(asked.epoch())
-                    .setGroup(encodeGroup(asked.group()));
+                    .setEpoch(request.epoch())
+                    .setGroup(encodeGroup(request.group()));
         } else if (item instanceof PeerItem.GrantCount granted) {
             builder.setGranted(
                     encodeCount(granted.claimEpoch(), granted.permit(), granted.granted()));
         } else if (item instanceof PeerItem.ReturnCount returned) {
             builder.setReturned(
                     encodeCount(returned.claimEpoch(), returned.permit(), returned.returned()));
-        } else if (item instanceof PeerItem.GrantAck seen) {
-            builder.setGrantSeen(encodeCount(seen.claimEpoch(), seen.permit(), seen.granted()));
-        } else if (item instanceof PeerItem.ReturnAck seen) {
-            builder.setReturnSeen(encodeCount(seen.claimEpoch(), seen.permit(), seen.returned()));
+        } else if (item instanceof PeerItem.GrantAck ack) {
+            builder.setGrantSeen(encodeCount(ack.claimEpoch(), ack.permit(), ack.granted()));
+        } else if (item instanceof PeerItem.ReturnAck ack) {
+            builder.setReturnSeen(encodeCount(ack.claimEpoch(), ack.permit(), ack.returned()));
         } else if (item instanceof PeerItem.PermitTarget target) {
             builder.getTargetBuilder()
                     .setBasis(target.claimEpoch())
@@ -46,8 +46,8 @@
                     .setLongRuns(target.longRuns());
         } else if (item instanceof PeerItem.Demand demand) {
             builder.setDemand(encodeDemand(demand));
-        } else if (item instanceof PeerItem.PoolEntitlements dues) {
-            builder.setDues(encodeDues(dues));
+        } else if (item instanceof PeerItem.PoolEntitlements entitlements) {
+            builder.setDues(encodeEntitlements(entitlements));
         } else {
             throw new IllegalArgumentException("no encoding for " + item.getClass());
         }
@@ -67,9 +67,9 @@
         return builder.build();
     }
 
-    private static Peer.Count encodeCount(long basis, PermitKey permit, long count) {
+    private static Peer.Count encodeCount(long claimEpoch, PermitKey permit, long count) {
         return Peer.Count.newBuilder()
-                .setBasis(basis)
+                .setBasis(claimEpoch)
                 .setPermit(encodePermit(permit))
                 .setCount(count)
                 .build();
@@ -89,9 +89,9 @@
         return builder.build();
     }
 
-    private static Peer.Dues encodeDues(PeerItem.PoolEntitlements dues) {
-        Peer.Dues.Builder builder = Peer.Dues.newBuilder().setPool(dues.pool());
-        for (TeamEntitlement team : dues.teams()) {
+    private static Peer.Dues encodeEntitlements(PeerItem.PoolEntitlements entitlements) {
+        Peer.Dues.Builder builder = Peer.Dues.newBuilder().setPool(entitlements.pool());
+        for (TeamEntitlement team : entitlements.teams()) {
             builder.addTeamsBuilder().setTeam(team.team()).setMilliSlots(team.milliSlots());
         }
         return builder.build();
@@ -104,6 +104,7 @@
                 .build();
     }
 
+    /** Encodes a key without its name if that equals the group, as it does for all but slots. */
     private static Peer.PermitKey encodePermit(PermitKey key) {
         Peer.PermitKey.Builder builder =
                 Peer.PermitKey.newBuilder().setKind(key.kind().ordinal()).setGroup(key.group());
@@ -114,9 +115,10 @@
     }
 
     /**
-     * Returns the item that the protobuf stands for.
+     * Returns the item that protobuf encodes.
      *
-     * @throws IOException if it is of no known kind
+     * @throws IOException if the item has a type that this build doesn't know
+     * @throws IndexOutOfBoundsException if it has an enum ordinal that this build doesn't know
      */
     static PeerItem decode(Peer.PeerItem item) throws IOException {
         return switch (item.getItemCase()) {
@@ -152,8 +154,8 @@
                             item.getTarget().getMain(),
                             item.getTarget().getLongRuns());
             case DEMAND -> decodeDemand(item.getDemand());
-            case DUES -> decodeDues(item.getDues());
-            default -> throw new IOException("unknown item in a message between entries");
+            case DUES -> decodeEntitlements(item.getDues());
+            default -> throw new IOException("unknown type of item in a message between entries");
         };
     }
 
@@ -185,18 +187,19 @@
         return new PeerItem.Demand(decodeGroup(demand.getGroup()), teams);
     }
 
-    private static PeerItem.PoolEntitlements decodeDues(Peer.Dues dues) {
+    private static PeerItem.PoolEntitlements decodeEntitlements(Peer.Dues entitlements) {
         List<TeamEntitlement> teams =
-                dues.getTeamsList().stream()
+                entitlements.getTeamsList().stream()
                         .map(t -> new TeamEntitlement(t.getTeam(), t.getMilliSlots()))
                         .toList();
-        return new PeerItem.PoolEntitlements(dues.getPool(), teams);
+        return new PeerItem.PoolEntitlements(entitlements.getPool(), teams);
     }
 
     private static PermitGroup decodeGroup(Peer.PermitGroup group) {
         return new PermitGroup(GroupKind.values()[group.getKind()], group.getName());
     }
 
+    /** Decodes a key; a name that was left out equals the group. */
     private static PermitKey decodePermit(Peer.PermitKey key) {
         String name = key.getName().isEmpty() ? key.getGroup() : key.getName();
         return new PermitKey(PermitKind.values()[key.getKind()], key.getGroup(), name);
--- a/wire/src/main/java/org/hibiscususher/wire/peer/IdempotencyItemCodec.java
+++ b/wire/src/main/java/org/hibiscususher/wire/peer/IdempotencyItemCodec.java
@@ -5,34 +5,34 @@
 import org.hibiscususher.core.message.PeerItem;
 import org.hibiscususher.wire.generated.Peer;
 
-/** Translates the items about idempotency keys. */
+/** Encodes the items about claims of idempotency keys as protobuf and decodes them. */
 final class IdempotencyItemCodec {
     private IdempotencyItemCodec() {}
 
-    /** Encodes an item, or returns false if it is of another kind. */
+    /** Sets the item in the builder; returns false if it is not about idempotency keys. */
     static boolean encode(PeerItem item, Peer.PeerItem.Builder builder) {
-        if (item instanceof PeerItem.IdempotencyClaim asked) {
+        if (item instanceof PeerItem.IdempotencyClaim claim) {
             builder.getOnceAskedBuilder()
-                    .setRequestId(asked.requestId())
-                    .setHigh(asked.high())
-                    .setLow(asked.low())
-                    .setAskedMs(asked.sentMs());
-        } else if (item instanceof PeerItem.IdempotencyClaimReply answered) {
+                    .setRequestId(claim.requestId())
+                    .setHigh(claim.high())
+                    .setLow(claim.low())
+                    .setAskedMs(claim.sentMs());
+        } else if (item instanceof PeerItem.IdempotencyClaimReply reply) {
             builder.getOnceAnsweredBuilder()
-                    .setIncarnation(answered.incarnation())
-                    .setRequestId(answered.requestId())
-                    .setHigh(answered.high())
-                    .setLow(answered.low())
-                    .setResult(answered.result().ordinal());
-        } else if (item instanceof PeerItem.IdempotencyRelease released) {
+                    .setIncarnation(reply.incarnation())
+                    .setRequestId(reply.requestId())
+                    .setHigh(reply.high())
+                    .setLow(reply.low())
+                    .setResult(reply.result().ordinal());
+        } else if (item instanceof PeerItem.IdempotencyRelease release) {
             builder.getOnceReleasedBuilder()
-                    .setRequestId(released.requestId())
-                    .setHigh(released.high())
-                    .setLow(released.low());
-        } else if (item instanceof PeerItem.IdempotencyReleaseAck forgotten) {
+                    .setRequestId(release.requestId())
+                    .setHigh(release.high())
+                    .setLow(release.low());
+        } else if (item instanceof PeerItem.IdempotencyReleaseAck ack) {
             builder.getOnceForgottenBuilder()
-                    .setIncarnation(forgotten.incarnation())
-                    .setRequestId(forgotten.requestId());
+                    .setIncarnation(ack.incarnation())
+                    .setRequestId(ack.requestId());
         } else {
             return false;
         }
@@ -40,9 +40,10 @@
     }
 
     /**
-     * Returns the item that a message stands for.
+     * Returns the item that protobuf encodes.
      *
-     * @throws IOException if it is of another kind
+     * @throws IOException if the item is not about idempotency keys
+     * @throws IndexOutOfBoundsException if it has an enum ordinal that this build doesn't know
      */
     static PeerItem decode(Peer.PeerItem item) throws IOException {
         return switch (item.getItemCase()) {
@@ -68,7 +69,7 @@
                     new PeerItem.IdempotencyReleaseAck(
                             item.getOnceForgotten().getIncarnation(),
                             item.getOnceForgotten().getRequestId());
-            default -> throw new IOException("unknown item in a message between entries");
+            default -> throw new IOException("unknown type of item in a message between entries");
         };
     }
 }
--- a/wire/src/main/java/org/hibiscususher/wire/peer/PeerCodec.java
+++ b/wire/src/main/java/org/hibiscususher/wire/peer/PeerCodec.java
@@ -14,11 +14,15 @@
 import org.hibiscususher.wire.generated.Peer;
 import org.hibiscususher.wire.json.RecordCodec;
 
-/** Translates messages between entries to protobuf bytes and back. Thread-safe. */
+/**
+ * Encodes {@link PeerMessage} as protobuf and decodes it. Thread-safe.
+ *
+ * <p>Release notes and records about hosts are carried in the JSON of the platform's store.
+ */
 public final class PeerCodec {
     private PeerCodec() {}
 
-    /** Returns the message as protobuf. */
+    /** Returns the protobuf encoding of a message. */
     public static byte[] encode(PeerMessage message) {
         Peer.PeerMessage.Builder builder =
                 Peer.PeerMessage.newBuilder()
@@ -39,9 +43,10 @@
     }
 
     /**
-     * Returns the message that the bytes stand for.
+     * Returns the message that protobuf bytes encode.
      *
-     * @throws IOException if they stand for none
+     * @throws IOException if the bytes are malformed, or any item has a type or an enum ordinal
+     *     that this build doesn't know
      */
     public static PeerMessage decode(byte[] bytes) throws IOException {
         try {
@@ -79,8 +84,8 @@
                     .setValue(
                             ByteString.copyFrom(
                                     RecordCodec.encode(relay.record().record().value())));
-        } else if (item instanceof PeerItem.PoolShortfall need) {
-            builder.getPoolNeedBuilder().setPool(need.pool()).setHosts(need.hosts());
+        } else if (item instanceof PeerItem.PoolShortfall shortfall) {
+            builder.getPoolNeedBuilder().setPool(shortfall.pool()).setHosts(shortfall.hosts());
         } else if (!IdempotencyItemCodec.encode(item, builder)) {
             EscrowItemCodec.encode(item, builder);
         }
@@ -106,7 +111,11 @@
         RecordKey key =
                 RecordCodec.parseStoreKey(relay.getKey())
                         .filter(k -> k.kind().isFleet())
-                        .orElseThrow(() -> new IOException("unknown record " + relay.getKey()));
+                        .orElseThrow(
+                                () ->
+                                        new IOException(
+                                                "not the key of a record about hosts: "
+                                                        + relay.getKey()));
         StoreRecord value = RecordCodec.decode(key, relay.getValue().toByteArray());
         VersionedRecord record = new VersionedRecord(relay.getVersion(), value);
         return new PeerItem.FleetRelay(new FleetRecord(key, record));
