--- a/wire/src/main/java/org/hibiscususher/wire/scheduler/ForwardCodec.java
+++ b/wire/src/main/java/org/hibiscususher/wire/scheduler/ForwardCodec.java
@@ -9,11 +9,11 @@
 import org.hibiscususher.core.job.JobState;
 import org.hibiscususher.wire.generated.SchedulerProto;
 
-/** Translates messages between entries. */
+/** Encodes {@link ForwardMessage} as protobuf and decodes it. Thread-safe. */
 public final class ForwardCodec {
     private ForwardCodec() {}
 
-    /** Returns a message's bytes. */
+    /** Returns the protobuf encoding of a message. */
     public static byte[] encode(ForwardMessage message) {
         SchedulerProto.Link.Builder builder =
                 SchedulerProto.Link.newBuilder().setCallId(message.callId());
@@ -26,70 +26,79 @@
         return builder.build().toByteArray();
     }
 
-    private static SchedulerProto.Call encode(JobRequest call) {
+    private static SchedulerProto.Call encode(JobRequest request) {
         SchedulerProto.Call.Builder builder =
                 SchedulerProto.Call.newBuilder()
-                        .setKind(call.kind().ordinal())
-                        .setHost(call.hostName())
-                        .setPath(call.path())
-                        .setKey(call.apiKey())
-                        .setHops(call.hops());
-        call.spec().ifPresent(spec -> builder.setSpec(SpecCodec.encode(spec)));
+                        .setKind(request.kind().ordinal())
+                        .setHost(request.hostName())
+                        .setPath(request.path())
+                        .setKey(request.apiKey())
+                        .setHops(request.hops());
+        request.spec().ifPresent(spec -> builder.setSpec(SpecCodec.encode(spec)));
         return builder.build();
     }
 
-    private static SchedulerProto.Answer encode(JobResponse answer) {
+    private static SchedulerProto.Answer encode(JobResponse response) {
         return SchedulerProto.Answer.newBuilder()
-                .setKind(answer.kind().ordinal())
-                .setState(answer.state().ordinal())
-                .setPending(answer.pending())
-                .setRetryAfterMs(answer.retryAfterMs())
-                .setReason(answer.reason())
+                .setKind(response.kind().ordinal())
+                .setState(response.state().ordinal())
+                .setPending(response.pending())
+                .setRetryAfterMs(response.retryAfterMs())
+                .setReason(response.reason())
                 .build();
     }
 
     /**
-     * Returns the message that bytes stand for.
+     * Returns the message that protobuf bytes encode.
      *
-     * @throws IOException if they stand for none
+     * @throws IOException if the bytes are malformed, or hold a type of message or an enum ordinal
+     *     that this build doesn't know
      */
     public static ForwardMessage decode(byte[] bytes) throws IOException {
-        SchedulerProto.Link link = SchedulerProto.Link.parseFrom(bytes);
-        return switch (link.getBodyCase()) {
-            case CALL -> ForwardMessage.of(link.getCallId(), decode(link.getCall()));
-            case ANSWER -> ForwardMessage.of(link.getCallId(), decode(link.getAnswer()));
+        SchedulerProto.Link message = SchedulerProto.Link.parseFrom(bytes);
+        return switch (message.getBodyCase()) {
+            case CALL -> ForwardMessage.of(message.getCallId(), decode(message.getCall()));
+            case ANSWER -> ForwardMessage.of(message.getCallId(), decode(message.getAnswer()));
             case YIELD ->
                     ForwardMessage.relinquishRequest(
-                            link.getCallId(), link.getYield().getGeneration());
+                            message.getCallId(), message.getYield().getGeneration());
             case OFFER ->
-                    ForwardMessage.handoverOffer(link.getCallId(), link.getOffer().getGeneration());
-            default -> throw new IOException("a message without a body");
+                    ForwardMessage.handoverOffer(
+                            message.getCallId(), message.getOffer().getGeneration());
+            default -> throw new IOException("message between entries has no known body");
         };
     }
 
-    private static JobRequest decode(SchedulerProto.Call call) throws IOException {
+    private static JobRequest decode(SchedulerProto.Call request) throws IOException {
         return new JobRequest(
-                constant(JobRequestKind.values(), call.getKind()),
-                call.getHost(),
-                call.getPath(),
-                call.getKey(),
-                call.hasSpec() ? Optional.of(SpecCodec.decode(call.getSpec())) : Optional.empty(),
-                call.getHops());
+                enumConstant(JobRequestKind.values(), request.getKind()),
+                request.getHost(),
+                request.getPath(),
+                request.getKey(),
+                request.hasSpec()
+                        ? Optional.of(SpecCodec.decode(request.getSpec()))
+                        : Optional.empty(),
+                request.getHops());
     }
 
-    private static JobResponse decode(SchedulerProto.Answer answer) throws IOException {
+    private static JobResponse decode(SchedulerProto.Answer response) throws IOException {
         return new JobResponse(
-                constant(JobResponseKind.values(), answer.getKind()),
-                constant(JobState.values(), answer.getState()),
-                answer.getPending(),
-                answer.getRetryAfterMs(),
-                answer.getReason());
+                enumConstant(JobResponseKind.values(), response.getKind()),
+                enumConstant(JobState.values(), response.getState()),
+                response.getPending(),
+                response.getRetryAfterMs(),
+                response.getReason());
     }
 
-    static <E> E constant(E[] values, int number) throws IOException {
-        if (number < 0 || number >= values.length) {
-            throw new IOException("unknown constant " + number);
+    /**
+     * Returns the enum constant with an ordinal.
+     *
+     * @throws IOException if there is none, as when a newer build has added a constant
+     */
+    static <E> E enumConstant(E[] values, int ordinal) throws IOException {
+        if (ordinal < 0 || ordinal >= values.length) {
+            throw new IOException("unknown enum ordinal " + ordinal);
         }
-        return values[number];
+        return values[ordinal];
     }
 }
--- a/wire/src/main/java/org/hibiscususher/wire/scheduler/SchedulerRecordCodec.java
+++ b/wire/src/main/java/org/hibiscususher/wire/scheduler/SchedulerRecordCodec.java
@@ -13,14 +13,19 @@
 import org.hibiscususher.core.scheduler.message.UsedExecutor;
 import org.hibiscususher.wire.generated.SchedulerProto;
 
-/** Translates the scheduler's records in the store. */
+/**
+ * Encodes the scheduler's records in the store as protobuf and decodes them. Thread-safe.
+ *
+ * <p>Records outlive the process that wrote them: a build must read what earlier builds stored.
+ */
 public final class SchedulerRecordCodec {
     private SchedulerRecordCodec() {}
 
     /**
-     * Returns a record's bytes.
+     * Returns the protobuf encoding of a record.
      *
-     * @throws IllegalArgumentException for a wave's status, which is in the operators' format
+     * @throws IllegalArgumentException for {@link StoredRecord.WaveStatus}, which operators read
+     *     and which is not stored as protobuf
      */
     public static byte[] encode(StoredRecord record) {
         SchedulerProto.Record.Builder builder = SchedulerProto.Record.newBuilder();
@@ -55,7 +60,7 @@
         } else if (record instanceof StoredRecord.HostOrders orders) {
             builder.getHostOrdersBuilder().addAllHosts(orders.hosts());
         } else {
-            throw new IllegalArgumentException("not stored in this form: " + record.name());
+            throw new IllegalArgumentException("not stored as protobuf: " + record.name());
         }
         return builder.build().toByteArray();
     }
@@ -81,27 +86,28 @@
                 SchedulerProto.Progress.newBuilder()
                         .setId(progress.id())
                         .setState(progress.state().ordinal());
-        for (StepProgress mark : progress.steps()) {
+        for (StepProgress step : progress.steps()) {
             builder.addStepsBuilder()
-                    .setOccurrence(mark.occurrence())
-                    .setStep(mark.step())
-                    .setDone(ByteString.copyFrom(mark.doneTasks().toByteArray()));
+                    .setOccurrence(step.occurrence())
+                    .setStep(step.step())
+                    .setDone(ByteString.copyFrom(step.doneTasks().toByteArray()));
         }
-        for (TaskProgress mark : progress.tasks()) {
+        for (TaskProgress task : progress.tasks()) {
             builder.addTasksBuilder()
-                    .setOccurrence(mark.occurrence())
-                    .setStep(mark.step())
-                    .setIndex(mark.index())
-                    .addAllFailedRuns(mark.failedRuns())
-                    .setCheckpoint(mark.checkpoint());
+                    .setOccurrence(task.occurrence())
+                    .setStep(task.step())
+                    .setIndex(task.index())
+                    .addAllFailedRuns(task.failedRuns())
+                    .setCheckpoint(task.checkpoint());
         }
         return builder.build();
     }
 
     /**
-     * Returns the record that bytes stand for.
+     * Returns the record that protobuf bytes encode.
      *
-     * @throws IOException if they stand for none
+     * @throws IOException if the bytes are malformed, or hold a type of record or an enum ordinal
+     *     that this build doesn't know
      */
     public static StoredRecord decode(byte[] bytes) throws IOException {
         SchedulerProto.Record record = SchedulerProto.Record.parseFrom(bytes);
@@ -126,12 +132,12 @@
                     new StoredRecord.Wave(
                             record.getWave().getWave(), record.getWave().getBegunList());
             case HOST_ORDERS -> new StoredRecord.HostOrders(record.getHostOrders().getHostsList());
-            default -> throw new IOException("a record without a body");
+            default -> throw new IOException("stored record has no known body");
         };
     }
 
     private static StoredRecord decode(SchedulerProto.Job job) {
-        JobPolicy terms =
+        JobPolicy policy =
                 new JobPolicy(
                         job.getQueue(),
                         job.getPool(),
@@ -142,7 +148,7 @@
                         job.getAdvised());
         return new StoredRecord.Job(
                 job.getId(),
-                terms,
+                policy,
                 job.getTeam(),
                 SpecCodec.decode(job.getSpec()),
                 job.getAcceptedMs());
@@ -150,21 +156,21 @@
 
     private static StoredRecord decode(SchedulerProto.Progress progress) throws IOException {
         List<StepProgress> steps = new ArrayList<>();
-        for (SchedulerProto.StepMark mark : progress.getStepsList()) {
-            BigInteger done = new BigInteger(1, mark.getDone().toByteArray());
-            steps.add(new StepProgress(mark.getOccurrence(), mark.getStep(), done));
+        for (SchedulerProto.StepMark step : progress.getStepsList()) {
+            BigInteger doneTasks = new BigInteger(1, step.getDone().toByteArray());
+            steps.add(new StepProgress(step.getOccurrence(), step.getStep(), doneTasks));
         }
         List<TaskProgress> tasks = new ArrayList<>();
-        for (SchedulerProto.TaskMark mark : progress.getTasksList()) {
+        for (SchedulerProto.TaskMark task : progress.getTasksList()) {
             tasks.add(
                     new TaskProgress(
-                            mark.getOccurrence(),
-                            mark.getStep(),
-                            mark.getIndex(),
-                            mark.getFailedRunsList(),
-                            mark.getCheckpoint()));
+                            task.getOccurrence(),
+                            task.getStep(),
+                            task.getIndex(),
+                            task.getFailedRunsList(),
+                            task.getCheckpoint()));
         }
-        JobState state = ForwardCodec.constant(JobState.values(), progress.getState());
+        JobState state = ForwardCodec.enumConstant(JobState.values(), progress.getState());
         return new StoredRecord.Progress(progress.getId(), state, steps, tasks);
     }
 
--- a/wire/src/main/java/org/hibiscususher/wire/scheduler/SpecCodec.java
+++ b/wire/src/main/java/org/hibiscususher/wire/scheduler/SpecCodec.java
@@ -7,7 +7,7 @@
 import org.hibiscususher.core.job.StepSpec;
 import org.hibiscususher.wire.generated.SchedulerProto;
 
-/** Translates jobs as they were handed in. */
+/** Encodes {@link JobSpec} as protobuf and decodes it. Does not validate the job. */
 final class SpecCodec {
     private SpecCodec() {}
 
--- a/wire/src/main/java/org/hibiscususher/wire/scheduler/package-info.java
+++ b/wire/src/main/java/org/hibiscususher/wire/scheduler/package-info.java
@@ -1,4 +1,5 @@
 /**
- * Translates what the scheduler stores, and what entries pass on to its owner, to and from bytes.
+ * Protobuf encodings of the scheduler's records and of the messages by which entries forward
+ * requests to its owner. The messages are declared in {@code scheduler.proto}.
  */
 package org.hibiscususher.wire.scheduler;
--- a/wire/src/test/java/org/hibiscususher/wire/scheduler/SchedulerRecordCodecTest.java
+++ b/wire/src/test/java/org/hibiscususher/wire/scheduler/SchedulerRecordCodecTest.java
@@ -66,16 +66,16 @@
     }
 
     @Nested
-    class Records {
+    class InvalidRecords {
         @Test
-        void ofAWavesStatusAreInAnotherFormat() {
+        void rejectsWaveStatusOnEncoding() {
             assertThatThrownBy(
                             () -> SchedulerRecordCodec.encode(new StoredRecord.WaveStatus(1, true)))
                     .isInstanceOf(IllegalArgumentException.class);
         }
 
         @Test
-        void thatAreNoneAreRefused() {
+        void rejectsMalformedBytesAndMissingBody() {
             assertThatThrownBy(() -> SchedulerRecordCodec.decode(new byte[] {1, 2, 3}))
                     .isInstanceOf(IOException.class);
             assertThatThrownBy(() -> SchedulerRecordCodec.decode(new byte[0]))
@@ -85,22 +85,22 @@
 
     @ParameterizedTest
     @MethodSource("records")
-    void keepsEachRecord(StoredRecord record) throws IOException {
+    void restoresEachRecord(StoredRecord record) throws IOException {
         assertThat(SchedulerRecordCodec.decode(SchedulerRecordCodec.encode(record)))
                 .isEqualTo(record);
     }
 
     @Nested
-    class Links {
+    class ForwardMessages {
         @Test
-        void keepRequestsAndAnswers() throws IOException {
-            JobRequest call =
+        void areRestoredFromTheirEncoding() throws IOException {
+            JobRequest request =
                     new JobRequest(JobRequestKind.SUBMIT, "h", "/p/", "key", Optional.of(SPEC), 2);
-            JobResponse answer = JobResponse.refusal(JobResponseKind.OVERLOADED, 1_500, "why");
+            JobResponse response = JobResponse.refusal(JobResponseKind.OVERLOADED, 1_500, "why");
             for (ForwardMessage message :
                     List.of(
-                            ForwardMessage.of(4, call),
-                            ForwardMessage.of(5, answer),
+                            ForwardMessage.of(4, request),
+                            ForwardMessage.of(5, response),
                             ForwardMessage.relinquishRequest(6, 7),
                             ForwardMessage.handoverOffer(8, 9))) {
                 assertThat(ForwardCodec.decode(ForwardCodec.encode(message))).isEqualTo(message);
