Reword the HTTP client, package comments and format test of wire

The client's comments state timeout, size limit and failures; the format test calls the stored file the reference. Names of tests say what is checked.

--- a/wire/src/main/java/org/hibiscususher/wire/http/Addresses.java
+++ b/wire/src/main/java/org/hibiscususher/wire/http/Addresses.java
@@ -2,11 +2,15 @@
 
 import java.net.InetSocketAddress;
 
-/** Parses addresses of IP numbers and ports. */
+/** Parses socket addresses. */
 public final class Addresses {
     private Addresses() {}
 
-    /** Returns the socket address for an IP number and port such as {@code 192.0.2.1:80}. */
+    /**
+     * Returns the socket address for text such as {@code 192.0.2.1:80} or {@code [2001:db8::1]:80}.
+     *
+     * @param address IP number and port. A host name would be resolved, which blocks the thread.
+     */
     public static InetSocketAddress parse(String address) {
         int colon = address.lastIndexOf(':');
         String ip = address.substring(0, colon).replace("[", "").replace("]", "");
--- a/wire/src/main/java/org/hibiscususher/wire/http/HttpReply.java
+++ b/wire/src/main/java/org/hibiscususher/wire/http/HttpReply.java
@@ -1,9 +1,9 @@
 package org.hibiscususher.wire.http;
 
 /**
- * A whole answer.
+ * A complete HTTP response.
  *
- * @param status HTTP status
- * @param body bytes of the body; callers must not change them
+ * @param status status code
+ * @param body bytes of the body, not copied; the receiver must not change them
  */
 public record HttpReply(int status, byte[] body) {}
--- a/wire/src/main/java/org/hibiscususher/wire/http/OneShotHttpClient.java
+++ b/wire/src/main/java/org/hibiscususher/wire/http/OneShotHttpClient.java
@@ -23,9 +23,12 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
-/** Makes HTTP calls with whole bodies, one connection a call. Thread-safe. */
+/**
+ * An HTTP client that opens a connection for each request and closes it after the response. Bodies
+ * are held in memory whole, so it suits occasional requests with small bodies. Thread-safe.
+ */
 public final class OneShotHttpClient {
-    private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
+    private static final int MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
 
     private final EventLoopGroup mGroup;
     private final int mTimeoutMs;
@@ -36,22 +39,25 @@
     }
 
     /**
-     * Creates a caller.
+     * Creates a client.
      *
-     * @param group event loops that carry the calls; the owner closes them
-     * @param timeoutMs longest silence of the other side, in milliseconds
+     * @param group event loops that run the requests; whoever created them shuts them down
+     * @param timeoutMs how long to wait for the connection, and then each time for further bytes
+     *     from the server, in milliseconds
      */
     public static OneShotHttpClient create(EventLoopGroup group, int timeoutMs) {
         return new OneShotHttpClient(group, timeoutMs);
     }
 
     /**
-     * Sends a request and gives the whole answer, or fails with an {@link IOException}.
+     * Sends a request and returns a future of the response, whatever its status. The future fails
+     * with an {@link IOException} if no complete response arrives in time, or one whose body
+     * exceeds {@value #MAX_RESPONSE_BYTES} bytes.
      *
-     * @param address IP number and port
-     * @param method method
-     * @param path path and query
-     * @param body bytes of the body; may be empty
+     * @param address IP number and port of the server, as {@link Addresses#parse} reads it
+     * @param method HTTP method
+     * @param path path and query of the request URI
+     * @param body bytes of the request's body; may be empty
      */
     public CompletableFuture<HttpReply> send(
             String address, HttpMethod method, String path, byte[] body) {
@@ -68,7 +74,7 @@
                         .group(mGroup)
                         .channel(NioSocketChannel.class)
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, mTimeoutMs)
-                        .handler(new Pipeline(reply, mTimeoutMs));
+                        .handler(new PipelineInitializer(reply, mTimeoutMs));
         bootstrap
                 .connect(Addresses.parse(address))
                 .addListener(
@@ -79,17 +85,17 @@
                                 request.release();
                                 reply.completeExceptionally(
                                         new IOException(
-                                                "no connection to " + address, connected.cause()));
+                                                "can't connect to " + address, connected.cause()));
                             }
                         });
         return reply;
     }
 
-    private static final class Pipeline extends ChannelInitializer<Channel> {
+    private static final class PipelineInitializer extends ChannelInitializer<Channel> {
         private final CompletableFuture<HttpReply> mReply;
         private final int mTimeoutMs;
 
-        Pipeline(CompletableFuture<HttpReply> reply, int timeoutMs) {
+        PipelineInitializer(CompletableFuture<HttpReply> reply, int timeoutMs) {
             mReply = reply;
             mTimeoutMs = timeoutMs;
         }
@@ -99,15 +105,16 @@
             channel.pipeline()
                     .addLast(new ReadTimeoutHandler(mTimeoutMs, TimeUnit.MILLISECONDS))
                     .addLast(new HttpClientCodec())
-                    .addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
-                    .addLast(new Receiver(mReply));
+                    .addLast(new HttpObjectAggregator(MAX_RESPONSE_BYTES))
+                    .addLast(new ResponseHandler(mReply));
         }
     }
 
-    private static final class Receiver extends SimpleChannelInboundHandler<FullHttpResponse> {
+    private static final class ResponseHandler
+            extends SimpleChannelInboundHandler<FullHttpResponse> {
         private final CompletableFuture<HttpReply> mReply;
 
-        Receiver(CompletableFuture<HttpReply> reply) {
+        ResponseHandler(CompletableFuture<HttpReply> reply) {
             mReply = reply;
         }
 
@@ -121,12 +128,13 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext context) {
-            mReply.completeExceptionally(new IOException("closed before a whole answer came"));
+            mReply.completeExceptionally(
+                    new IOException("connection closed before the response was complete"));
         }
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            mReply.completeExceptionally(new IOException("call failed", cause));
+            mReply.completeExceptionally(new IOException("HTTP request failed", cause));
             context.close();
         }
     }
--- a/wire/src/main/java/org/hibiscususher/wire/http/package-info.java
+++ b/wire/src/main/java/org/hibiscususher/wire/http/package-info.java
@@ -1,2 +1,2 @@
-/** A small HTTP client for whole messages, on Netty's codec. */
+/** An HTTP client for occasional requests and small responses, on Netty's event loops. */
 package org.hibiscususher.wire.http;
--- a/wire/src/test/java/org/hibiscususher/wire/format/FormatSamples.java
+++ b/wire/src/test/java/org/hibiscususher/wire/format/FormatSamples.java
@@ -56,7 +56,7 @@
 import org.hibiscususher.wire.scheduler.ForwardMessage;
 import org.hibiscususher.wire.scheduler.SchedulerRecordCodec;
 
-/** One value of each stored record and of each message between entries, with no field left out. */
+/** A sample of each stored record and of each message between entries, with all fields given. */
 final class FormatSamples {
     private static final Configuration CONFIGURATION =
             new Configuration(
@@ -144,7 +144,7 @@
 
     private FormatSamples() {}
 
-    /** Returns the records of the product's own store, by key. */
+    /** Returns the records of configuration, membership and hosts, by key. */
     static Map<RecordKey, StoreRecord> records() {
         Map<RecordKey, StoreRecord> records = new LinkedHashMap<>();
         records.put(
@@ -190,7 +190,7 @@
         return records;
     }
 
-    /** Returns the records that the scheduler stores. */
+    /** Returns the scheduler's records. */
     static List<StoredRecord> schedulerRecords() {
         return List.of(
                 new StoredRecord.Owner("n", 5, "a:1"),
@@ -207,7 +207,7 @@
                 new StoredRecord.HostOrders(List.of("h1", "h2")));
     }
 
-    /** Returns a message between entries with an item of each type. */
+    /** Returns a message with an item of each type. */
     static PeerMessage peerMessage() {
         PermitGroup pool = PermitGroup.pool("p1");
         PermitKey slot = PermitKey.slot("p1", "h1");
@@ -251,8 +251,8 @@
                         new PeerItem.IdempotencyReleaseAck(42, 43)));
     }
 
-    /** Returns the calls and answers that entries forward to the owner of the scheduling. */
-    static Map<String, ForwardMessage> linkMessages() {
+    /** Returns the messages between an entry and the owner of the scheduling, by sample name. */
+    static Map<String, ForwardMessage> forwardMessages() {
         Map<String, ForwardMessage> messages = new LinkedHashMap<>();
         for (JobRequestKind kind : JobRequestKind.values()) {
             messages.put(
@@ -270,7 +270,7 @@
         return messages;
     }
 
-    /** Returns the encoded form of every sample, by name. */
+    /** Returns the encoding of each sample, by its name in the reference file. */
     static Map<String, byte[]> encoded() throws IOException {
         Map<String, byte[]> encoded = new LinkedHashMap<>();
         for (var record : records().entrySet()) {
@@ -281,7 +281,7 @@
             encoded.put("scheduler/" + record.name().kind(), SchedulerRecordCodec.encode(record));
         }
         encoded.put("peer", PeerCodec.encode(peerMessage()));
-        for (var message : linkMessages().entrySet()) {
+        for (var message : forwardMessages().entrySet()) {
             encoded.put(message.getKey(), ForwardCodec.encode(message.getValue()));
         }
         return encoded;
--- a/wire/src/test/java/org/hibiscususher/wire/format/FormatTest.java
+++ b/wire/src/test/java/org/hibiscususher/wire/format/FormatTest.java
@@ -22,26 +22,31 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * Guards the formats of stored records and of messages between entries.
+ * Compares the formats of stored records and of messages between entries with those of an earlier
+ * build.
  *
- * <p>The resource {@code format/0.1.0.txt} was written by an earlier build. It is never written
- * anew: a difference means that an entry can no longer read what another build stored or sent.
+ * <p>The resource {@code format/0.1.0.txt} holds the samples as the earlier build encoded them: on
+ * each line a name and the bytes in hexadecimal. It must never be regenerated: a difference means
+ * that an entry can no longer read what another build stored or sent.
  */
 class FormatTest {
     private static final int GZIP_FIRST_BYTE = 0x1f;
 
-    private static Map<String, byte[]> written() throws IOException {
-        Map<String, byte[]> written = new LinkedHashMap<>();
+    private static Map<String, byte[]> reference() throws IOException {
+        Map<String, byte[]> reference = new LinkedHashMap<>();
         try (InputStream in = FormatTest.class.getResourceAsStream("/format/0.1.0.txt")) {
             new String(in.readAllBytes(), StandardCharsets.UTF_8)
                     .lines()
                     .map(line -> line.split(" "))
-                    .forEach(line -> written.put(line[0], HexFormat.of().parseHex(line[1])));
+                    .forEach(line -> reference.put(line[0], HexFormat.of().parseHex(line[1])));
         }
-        return written;
+        return reference;
     }
 
-    /** Expands compressed bytes: other versions of the JDK may compress them in another way. */
+    /**
+     * Returns the expanded form of gzip bytes, and other bytes unchanged. Versions of the JDK may
+     * compress the same bytes differently, so that the compressed forms can't be compared.
+     */
     private static byte[] expanded(byte[] bytes) throws IOException {
         if (bytes.length == 0 || bytes[0] != GZIP_FIRST_BYTE) {
             return bytes;
@@ -54,14 +59,14 @@
     @Nested
     class Encode {
         @Test
-        void writesTheBytesOfTheEarlierBuild() throws IOException {
-            Map<String, byte[]> written = written();
+        void matchesBytesOfEarlierBuild() throws IOException {
+            Map<String, byte[]> reference = reference();
             Map<String, byte[]> encoded = FormatSamples.encoded();
-            assertThat(encoded.keySet()).containsExactlyElementsOf(written.keySet());
+            assertThat(encoded.keySet()).containsExactlyElementsOf(reference.keySet());
             for (var entry : encoded.entrySet()) {
                 assertThat(expanded(entry.getValue()))
                         .as(entry.getKey())
-                        .isEqualTo(expanded(written.get(entry.getKey())));
+                        .isEqualTo(expanded(reference.get(entry.getKey())));
             }
         }
     }
@@ -69,11 +74,11 @@
     @Nested
     class Decode {
         @Test
-        void readsRecordsOfTheProductsStore() throws IOException {
-            Map<String, byte[]> written = written();
+        void readsStoreRecords() throws IOException {
+            Map<String, byte[]> reference = reference();
             for (var entry : FormatSamples.records().entrySet()) {
                 RecordKey key = entry.getKey();
-                byte[] bytes = written.get(RecordCodec.storeKey(key));
+                byte[] bytes = reference.get(RecordCodec.storeKey(key));
                 StoreRecord record = RecordCodec.decode(key, bytes);
                 assertThat(record).isEqualTo(entry.getValue());
                 assertThat(expanded(RecordCodec.encode(record))).isEqualTo(expanded(bytes));
@@ -81,10 +86,10 @@
         }
 
         @Test
-        void readsRecordsOfTheScheduler() throws IOException {
-            Map<String, byte[]> written = written();
+        void readsSchedulerRecords() throws IOException {
+            Map<String, byte[]> reference = reference();
             for (StoredRecord record : FormatSamples.schedulerRecords()) {
-                byte[] bytes = written.get("scheduler/" + record.name().kind());
+                byte[] bytes = reference.get("scheduler/" + record.name().kind());
                 StoredRecord decoded = SchedulerRecordCodec.decode(bytes);
                 assertThat(decoded).isEqualTo(record);
                 assertThat(SchedulerRecordCodec.encode(decoded)).isEqualTo(bytes);
@@ -93,11 +98,11 @@
 
         @Test
         void readsMessagesBetweenEntries() throws IOException {
-            Map<String, byte[]> written = written();
-            assertThat(PeerCodec.decode(written.get("peer")))
+            Map<String, byte[]> reference = reference();
+            assertThat(PeerCodec.decode(reference.get("peer")))
                     .isEqualTo(FormatSamples.peerMessage());
-            for (var message : FormatSamples.linkMessages().entrySet()) {
-                ForwardMessage decoded = ForwardCodec.decode(written.get(message.getKey()));
+            for (var message : FormatSamples.forwardMessages().entrySet()) {
+                ForwardMessage decoded = ForwardCodec.decode(reference.get(message.getKey()));
                 assertThat(decoded).isEqualTo(message.getValue());
             }
         }
