Reword the daemon's event log

What is dropped, and which events are exempt from the rate limit, was told in words private to the project. Comments, private names and test names become terms of the field; no behaviour changes.

--- a/daemon/src/main/java/org/hibiscususher/daemon/log/EventLog.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/log/EventLog.java
@@ -13,56 +13,58 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Writes one line an event to standard output, on a thread of its own.
+ * A structured log that writes one line per event to a stream, on a thread of its own.
  *
- * <p>Callers never wait: a line that finds the queue full, or that exceeds its event's share of a
- * second, is left out and counted; the count is written with the next line of that event. Events
- * named as vital are only left out if the queue is full. Thread-safe.
+ * <p>{@link #log} never blocks, so that a slow reader of the output can't stall the control thread
+ * or an event loop. A line is dropped if the queue is full or if its event has used up its lines of
+ * the current second; the next line of that event reports the number of dropped lines as {@code
+ * left_out}. Events that are exempt from the rate limit are dropped only if the queue is full.
+ * Thread-safe.
  */
 public final class EventLog implements AutoCloseable {
-    private static final int CAPACITY = 8_192;
-    private static final int MAX_LINES_PER_EVENT_AND_SECOND = 400;
+    private static final int QUEUE_CAPACITY_LINES = 8_192;
+    private static final int MAX_LINES_PER_EVENT_PER_SECOND = 400;
     private static final long SECOND_MS = 1_000;
-    private static final long IDLE_WAIT_MS = 500;
+    private static final long POLL_TIMEOUT_MS = 500;
 
-    private final BlockingQueue<String> mQueue = new ArrayBlockingQueue<>(CAPACITY);
-    private final Map<String, Share> mShares = new HashMap<>();
-    private final Set<String> mVital;
+    private final BlockingQueue<String> mQueue = new ArrayBlockingQueue<>(QUEUE_CAPACITY_LINES);
+    private final Map<String, EventQuota> mQuotas = new HashMap<>();
+    private final Set<String> mRateLimitExempt;
     private final String mNode;
     private final PrintStream mOut;
-    private final Thread mWriter = new Thread(this::write, "log");
+    private final Thread mWriter = new Thread(this::writeLines, "log");
     private volatile boolean mClosed;
 
-    private EventLog(String node, Set<String> vital, PrintStream out) {
+    private EventLog(String node, Set<String> rateLimitExempt, PrintStream out) {
         mNode = node;
-        mVital = Set.copyOf(vital);
+        mRateLimitExempt = Set.copyOf(rateLimitExempt);
         mOut = out;
     }
 
     /**
-     * Starts a log.
+     * Starts a log and its thread.
      *
-     * @param node name of the entry, in each line
-     * @param vital events that are written however many there are
-     * @param out where the lines go
+     * @param node name of this process, written in each line
+     * @param rateLimitExempt names of events to which the rate limit does not apply
+     * @param out stream to which the lines are written
      */
-    public static EventLog start(String node, Set<String> vital, PrintStream out) {
-        EventLog log = new EventLog(requireNonNull(node), vital, out);
+    public static EventLog start(String node, Set<String> rateLimitExempt, PrintStream out) {
+        EventLog log = new EventLog(requireNonNull(node), rateLimitExempt, out);
         log.mWriter.setDaemon(true);
         log.mWriter.start();
         return log;
     }
 
     /**
-     * Writes a line.
+     * Queues a line.
      *
      * @param event name of the event
-     * @param line key=value pairs
+     * @param line fields of the event as {@code key=value} pairs, separated by spaces
      */
     public void log(String event, String line) {
         long wallMs = System.currentTimeMillis();
-        long leftOut = admit(event, wallMs);
-        if (leftOut < 0) {
+        long dropped = admit(event, wallMs);
+        if (dropped < 0) {
             return;
         }
         String text =
@@ -74,38 +76,42 @@
                         + event
                         + " "
                         + line
-                        + (leftOut > 0 ? " left_out=" + leftOut : "");
+                        + (dropped > 0 ? " left_out=" + dropped : "");
         if (!mQueue.offer(text)) {
-            countLeftOut(event);
+            countDropped(event);
         }
     }
 
-    /** Returns how many lines of the event were left out before; -1 if this one is, too. */
+    /**
+     * Returns how many lines of the event were dropped since the last one that was queued, or -1 if
+     * this line is to be dropped as well.
+     */
     private synchronized long admit(String event, long wallMs) {
-        Share share = mShares.computeIfAbsent(event, e -> new Share());
-        if (wallMs / SECOND_MS != share.mSecond) {
-            share.mSecond = wallMs / SECOND_MS;
-            share.mLines = 0;
+        EventQuota quota = mQuotas.computeIfAbsent(event, e -> new EventQuota());
+        if (wallMs / SECOND_MS != quota.mEpochSecond) {
+            quota.mEpochSecond = wallMs / SECOND_MS;
+            quota.mLinesThisSecond = 0;
         }
-        share.mLines++;
-        if (share.mLines > MAX_LINES_PER_EVENT_AND_SECOND && !mVital.contains(event)) {
-            share.mLeftOut++;
+        quota.mLinesThisSecond++;
+        if (quota.mLinesThisSecond > MAX_LINES_PER_EVENT_PER_SECOND
+                && !mRateLimitExempt.contains(event)) {
+            quota.mDropped++;
             return -1;
         }
-        long leftOut = share.mLeftOut;
-        share.mLeftOut = 0;
-        return leftOut;
+        long dropped = quota.mDropped;
+        quota.mDropped = 0;
+        return dropped;
     }
 
-    private synchronized void countLeftOut(String event) {
-        mShares.computeIfAbsent(event, e -> new Share()).mLeftOut++;
+    private synchronized void countDropped(String event) {
+        mQuotas.computeIfAbsent(event, e -> new EventQuota()).mDropped++;
     }
 
-    private void write() {
+    private void writeLines() {
         List<String> lines = new ArrayList<>();
         try {
             while (!mClosed || !mQueue.isEmpty()) {
-                String first = mQueue.poll(IDLE_WAIT_MS, TimeUnit.MILLISECONDS);
+                String first = mQueue.poll(POLL_TIMEOUT_MS, TimeUnit.MILLISECONDS);
                 if (first == null) {
                     continue;
                 }
@@ -120,21 +126,21 @@
         }
     }
 
-    /** Writes what is left and ends. */
+    /** Writes the queued lines and ends the thread; waits a bounded time for it. */
     @Override
     public void close() {
         mClosed = true;
         try {
-            mWriter.join(IDLE_WAIT_MS * 2);
+            mWriter.join(POLL_TIMEOUT_MS * 2);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
 
-    /** What was written of an event in the current second. */
-    private static final class Share {
-        private long mSecond;
-        private long mLines;
-        private long mLeftOut;
+    /** Lines of one event in the current second, and lines dropped since the last queued one. */
+    private static final class EventQuota {
+        private long mEpochSecond;
+        private long mLinesThisSecond;
+        private long mDropped;
     }
 }
--- a/daemon/src/main/java/org/hibiscususher/daemon/log/package-info.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/log/package-info.java
@@ -1,2 +1,2 @@
-/** Structured log lines, bounded and never blocking. */
+/** Structured log that is rate-limited and never blocks its callers. */
 package org.hibiscususher.daemon.log;
--- a/daemon/src/test/java/org/hibiscususher/daemon/log/EventLogTest.java
+++ b/daemon/src/test/java/org/hibiscususher/daemon/log/EventLogTest.java
@@ -13,18 +13,18 @@
 import org.junit.jupiter.api.Timeout;
 
 class EventLogTest {
-    private static final int FLOOD = 50_000;
+    private static final int FLOOD_LINES = 50_000;
 
     private final ByteArrayOutputStream mOut = new ByteArrayOutputStream();
 
-    private long count(String event) {
+    private long countWritten(String event) {
         return mOut.toString(StandardCharsets.UTF_8)
                 .lines()
                 .filter(line -> line.contains("event=" + event + " "))
                 .count();
     }
 
-    private long leftOut(String event) {
+    private long dropped(String event) {
         return mOut.toString(StandardCharsets.UTF_8)
                 .lines()
                 .filter(line -> line.contains("event=" + event + " "))
@@ -39,27 +39,27 @@
     @Nested
     class Flood {
         @Test
-        void isCutDownAndCounted() throws InterruptedException {
+        void isRateLimitedAndDroppedLinesAreCounted() throws InterruptedException {
             EventLog log = EventLog.start("n", Set.of(), new PrintStream(mOut, true));
-            for (int i = 0; i < FLOOD; i++) {
-                log.log("often", "i=" + i);
+            for (int i = 0; i < FLOOD_LINES; i++) {
+                log.log("frequent", "i=" + i);
             }
             Thread.sleep(1_100);
-            log.log("often", "last=true");
+            log.log("frequent", "last=true");
             log.close();
-            assertThat(count("often")).isLessThan(FLOOD / 10);
-            assertThat(count("often") + leftOut("often")).isEqualTo(FLOOD + 1);
+            assertThat(countWritten("frequent")).isLessThan(FLOOD_LINES / 10);
+            assertThat(countWritten("frequent") + dropped("frequent")).isEqualTo(FLOOD_LINES + 1);
         }
 
         @Test
-        void doesNotTouchVitalEvents() {
-            EventLog log = EventLog.start("n", Set.of("vital"), new PrintStream(mOut, true));
+        void doesNotDropExemptEvents() {
+            EventLog log = EventLog.start("n", Set.of("exempt"), new PrintStream(mOut, true));
             for (int i = 0; i < 2_000; i++) {
-                log.log("often", "i=" + i);
-                log.log("vital", "i=" + i);
+                log.log("frequent", "i=" + i);
+                log.log("exempt", "i=" + i);
             }
             log.close();
-            assertThat(count("vital")).isEqualTo(2_000);
+            assertThat(countWritten("exempt")).isEqualTo(2_000);
         }
     }
 
@@ -67,24 +67,25 @@
     class BlockedOutput {
         @Test
         @Timeout(5)
-        void doesNotHoldCallersUp() {
-            CountDownLatch never = new CountDownLatch(1);
-            OutputStream stuck =
+        void doesNotBlockCallers() {
+            CountDownLatch unblock = new CountDownLatch(1);
+            OutputStream blockedStream =
                     new OutputStream() {
                         @Override
                         public void write(int b) {
                             try {
-                                never.await();
+                                unblock.await();
                             } catch (InterruptedException e) {
                                 Thread.currentThread().interrupt();
                             }
                         }
                     };
-            EventLog log = EventLog.start("n", Set.of("vital"), new PrintStream(stuck, true));
-            for (int i = 0; i < FLOOD; i++) {
-                log.log("vital", "i=" + i);
+            EventLog log =
+                    EventLog.start("n", Set.of("exempt"), new PrintStream(blockedStream, true));
+            for (int i = 0; i < FLOOD_LINES; i++) {
+                log.log("exempt", "i=" + i);
             }
-            never.countDown();
+            unblock.countDown();
         }
     }
 }
