--- a/daemon/src/main/java/org/hibiscususher/daemon/admin/AdminServer.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/admin/AdminServer.java
@@ -42,20 +42,26 @@
 import org.hibiscususher.wire.yaml.NoteWriter;
 import org.hibiscususher.wire.yaml.ParsedNote;
 
-/** Serves operators: release notes, status, metrics. */
+/**
+ * HTTP server for operators: release notes, configuration export, maintenance waves, status and
+ * metrics.
+ *
+ * <p>Requests that need control state become inputs of the control thread; the response is written
+ * when the control thread has replied, so that no event loop waits.
+ */
 public final class AdminServer {
     private static final int MAX_NOTE_BYTES = 16 * 1024 * 1024;
-    private static final int HISTORY_NOTES = 100;
+    private static final int MAX_HISTORY_NOTES = 100;
 
     private AdminServer() {}
 
     /**
-     * Starts to listen.
+     * Binds the server to an address.
      *
-     * @param group event loops; the owner closes them
-     * @param address IP number and port
-     * @param calls calls to the control thread
-     * @param metrics what to show under {@code /metrics}
+     * @param group event loops of the server's connections; the caller closes them
+     * @param address IP number and port to listen on
+     * @param calls submits requests to the control thread
+     * @param metrics metrics shown under {@code /metrics}
      * @throws IOException if the address can't be bound
      */
     public static void listen(
@@ -94,51 +100,52 @@
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
             QueryStringDecoder uri = new QueryStringDecoder(request.uri());
-            String call = request.method().name() + " " + uri.path();
-            switch (call) {
-                case "POST /notes" -> note(context, request, uri);
-                case "POST /notes/check" -> check(context, request, uri);
-                case "GET /notes" -> history(context, uri);
+            String route = request.method().name() + " " + uri.path();
+            switch (route) {
+                case "POST /notes" -> handleNote(context, request, uri);
+                case "POST /notes/check" -> handleNoteCheck(context, request, uri);
+                case "GET /notes" -> handleHistory(context, uri);
                 case "GET /export" ->
-                        ask(
+                        queryControl(
                                 context,
                                 Input.ExportRequested::new,
                                 ReplyToExport.class,
-                                a -> text(NoteWriter.write(a.configuration())));
+                                a -> utf8(NoteWriter.write(a.configuration())));
                 case "GET /status" ->
-                        ask(
+                        queryControl(
                                 context,
                                 Input.StatusRequested::new,
                                 ReplyToStatus.class,
                                 a -> OperatorJson.encodeStatus(a.report()));
                 case "GET /metrics" ->
-                        reply(context, HttpResponseStatus.OK, text(MetricsPage.of(mMetrics)));
-                case "POST /wave" -> wave(context, request);
-                default -> reply(context, HttpResponseStatus.NOT_FOUND, new byte[0]);
+                        respond(context, HttpResponseStatus.OK, utf8(MetricsPage.of(mMetrics)));
+                case "POST /wave" -> handleWave(context, request);
+                default -> respond(context, HttpResponseStatus.NOT_FOUND, new byte[0]);
             }
         }
 
-        private <T extends Output> void ask(
+        /** Submits a request to the control thread and responds with its encoded reply. */
+        private <T extends Output> void queryControl(
                 ChannelHandlerContext context,
                 LongFunction<Input> input,
                 Class<T> type,
                 Function<T, byte[]> encoder) {
-            mCalls.call(input)
+            mCalls.submit(input)
                     .thenAccept(
                             a ->
-                                    reply(
+                                    respond(
                                             context,
                                             HttpResponseStatus.OK,
                                             encoder.apply(type.cast(a))));
         }
 
-        private static byte[] text(String text) {
+        private static byte[] utf8(String text) {
             return text.getBytes(StandardCharsets.UTF_8);
         }
 
-        private static String parameter(QueryStringDecoder uri, String name, String otherwise) {
+        private static String parameter(QueryStringDecoder uri, String name, String defaultValue) {
             List<String> values = uri.parameters().getOrDefault(name, List.of());
-            return values.isEmpty() ? otherwise : values.get(0);
+            return values.isEmpty() ? defaultValue : values.get(0);
         }
 
         private static ParsedNote parse(FullHttpRequest request, QueryStringDecoder uri) {
@@ -146,46 +153,46 @@
             return NoteReader.read(parameter(uri, "file", "note"), text);
         }
 
-        private void history(ChannelHandlerContext context, QueryStringDecoder uri) {
+        private void handleHistory(ChannelHandlerContext context, QueryStringDecoder uri) {
             String which = parameter(uri, "which", "");
-            ask(
+            queryControl(
                     context,
-                    id -> new Input.HistoryRequested(id, which, HISTORY_NOTES),
+                    id -> new Input.HistoryRequested(id, which, MAX_HISTORY_NOTES),
                     ReplyToHistory.class,
                     OperatorJson::encodeHistory);
         }
 
-        private void check(
+        private void handleNoteCheck(
                 ChannelHandlerContext context, FullHttpRequest request, QueryStringDecoder uri) {
             ParsedNote parsed = parse(request, uri);
             if (parsed.findings().isEmpty()) {
-                ask(
+                queryControl(
                         context,
                         id -> new Input.NoteCheckRequested(id, parsed.note()),
                         ReplyToNoteCheck.class,
                         OperatorJson::encodeNoteCheck);
             } else {
-                ReplyToNoteCheck answer = new ReplyToNoteCheck(0, 0, parsed.findings());
-                reply(context, HttpResponseStatus.OK, OperatorJson.encodeNoteCheck(answer));
+                ReplyToNoteCheck reply = new ReplyToNoteCheck(0, 0, parsed.findings());
+                respond(context, HttpResponseStatus.OK, OperatorJson.encodeNoteCheck(reply));
             }
         }
 
-        private void note(
+        private void handleNote(
                 ChannelHandlerContext context, FullHttpRequest request, QueryStringDecoder uri) {
             ParsedNote parsed = parse(request, uri);
             if (!parsed.findings().isEmpty()) {
-                answer(
+                respondNote(
                         context,
                         new ReplyToNote(
                                 0, NoteResult.FAULTY, 0, "nothing was changed", parsed.findings()));
                 return;
             }
             long wallMs = System.currentTimeMillis();
-            mCalls.call(id -> new Input.NoteSubmitted(id, parsed.note(), wallMs))
-                    .thenAccept(a -> answer(context, (ReplyToNote) a));
+            mCalls.submit(id -> new Input.NoteSubmitted(id, parsed.note(), wallMs))
+                    .thenAccept(a -> respondNote(context, (ReplyToNote) a));
         }
 
-        private void wave(ChannelHandlerContext context, FullHttpRequest request) {
+        private void handleWave(ChannelHandlerContext context, FullHttpRequest request) {
             List<String> words =
                     List.of(request.content().toString(StandardCharsets.UTF_8).trim().split(" +"));
             Optional<WaveCommand> command =
@@ -193,32 +200,32 @@
                             .filter(c -> c.name().equalsIgnoreCase(words.get(0)))
                             .findFirst();
             if (command.isEmpty()) {
-                reply(context, HttpResponseStatus.BAD_REQUEST, new byte[0]);
+                respond(context, HttpResponseStatus.BAD_REQUEST, new byte[0]);
                 return;
             }
             List<String> pools = words.subList(1, words.size());
-            mCalls.call(id -> new Input.WaveCommandReceived(id, command.get(), pools))
+            mCalls.submit(id -> new Input.WaveCommandReceived(id, command.get(), pools))
                     .thenAccept(
                             a ->
-                                    reply(
+                                    respond(
                                             context,
                                             HttpResponseStatus.OK,
                                             OperatorJson.encodeWave(((ReplyToWave) a).report())));
         }
 
-        private static void answer(ChannelHandlerContext context, ReplyToNote answer) {
+        private static void respondNote(ChannelHandlerContext context, ReplyToNote reply) {
             HttpResponseStatus status =
-                    switch (answer.result()) {
+                    switch (reply.result()) {
                         case ACCEPTED -> HttpResponseStatus.OK;
                         case WRITTEN -> HttpResponseStatus.ACCEPTED;
                         case FAULTY -> HttpResponseStatus.UNPROCESSABLE_ENTITY;
                         case CONFLICT -> HttpResponseStatus.CONFLICT;
                         case UNAVAILABLE -> HttpResponseStatus.SERVICE_UNAVAILABLE;
                     };
-            reply(context, status, OperatorJson.encodeNoteAnswer(answer));
+            respond(context, status, OperatorJson.encodeNoteAnswer(reply));
         }
 
-        private static void reply(
+        private static void respond(
                 ChannelHandlerContext context, HttpResponseStatus status, byte[] body) {
             FullHttpResponse response =
                     new DefaultFullHttpResponse(
--- a/daemon/src/main/java/org/hibiscususher/daemon/admin/OperatorCalls.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/admin/OperatorCalls.java
@@ -9,33 +9,43 @@
 import org.hibiscususher.core.message.Output;
 import org.hibiscususher.daemon.control.Inbox;
 
-/** Calls of operators that wait for the control thread's answer. Thread-safe. */
+/** Operators' requests that await a reply of the control thread, by call id. Thread-safe. */
 public final class OperatorCalls {
-    private final Map<Long, CompletableFuture<Output>> mCalls = new ConcurrentHashMap<>();
-    private final AtomicLong mIds = new AtomicLong();
+    private final Map<Long, CompletableFuture<Output>> mPending = new ConcurrentHashMap<>();
+    private final AtomicLong mLastId = new AtomicLong();
     private final Inbox<Input> mInbox;
 
     private OperatorCalls(Inbox<Input> inbox) {
         mInbox = inbox;
     }
 
-    /** Creates an empty table of calls. */
+    /**
+     * Creates an empty table of calls.
+     *
+     * @param inbox receives the requests
+     */
     public static OperatorCalls create(Inbox<Input> inbox) {
         return new OperatorCalls(inbox);
     }
 
-    /** Answers a call. */
-    public void complete(long callId, Output answer) {
-        CompletableFuture<Output> call = mCalls.remove(callId);
+    /** Completes a call with the control thread's reply; ignores an unknown call id. */
+    public void complete(long callId, Output reply) {
+        CompletableFuture<Output> call = mPending.remove(callId);
         if (call != null) {
-            call.complete(answer);
+            call.complete(reply);
         }
     }
 
-    CompletableFuture<Output> call(LongFunction<Input> input) {
-        long id = mIds.incrementAndGet();
+    /**
+     * Submits a request to the control thread.
+     *
+     * @param input creates the request's input from its call id
+     * @return future of the reply
+     */
+    CompletableFuture<Output> submit(LongFunction<Input> input) {
+        long id = mLastId.incrementAndGet();
         CompletableFuture<Output> call = new CompletableFuture<>();
-        mCalls.put(id, call);
+        mPending.put(id, call);
         mInbox.add(input.apply(id));
         return call;
     }
--- a/daemon/src/main/java/org/hibiscususher/daemon/admin/package-info.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/admin/package-info.java
@@ -1,2 +1,2 @@
-/** The operators' HTTP interface. */
+/** HTTP interface for operators. */
 package org.hibiscususher.daemon.admin;
