--- a/daemon/src/main/java/org/hibiscususher/daemon/settings/DaemonSettings.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/settings/DaemonSettings.java
@@ -5,15 +5,15 @@
 import org.hibiscususher.core.world.ControlSettings;
 
 /**
- * The settings of one entry.
+ * Settings of one entry, as given in its settings file.
  *
- * @param member member id, unique among the entry hosts
- * @param zone availability zone
- * @param callers IP number and port where callers connect
- * @param peers IP number and port where other entries connect
- * @param operators IP number and port where operators connect
+ * @param member member id, unique among the entries
+ * @param zone availability zone in which the entry runs
+ * @param callers IP number and port to listen on for callers
+ * @param peers IP number and port to listen on for other entries
+ * @param operators IP number and port to listen on for operators
  * @param platform IP number and port of the platform's store
- * @param control times and limits of the decisions
+ * @param control timeouts and limits of the control thread's decisions
  */
 public record DaemonSettings(
         String member,
@@ -23,7 +23,7 @@
         String operators,
         String platform,
         ControlSettings control) {
-    /** Checks the fields. */
+    /** Rejects null components. */
     public DaemonSettings {
         requireNonNull(member);
         requireNonNull(zone);
--- a/daemon/src/main/java/org/hibiscususher/daemon/settings/ParsedSettings.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/settings/ParsedSettings.java
@@ -6,13 +6,13 @@
 import org.hibiscususher.core.note.Finding;
 
 /**
- * Settings as read from YAML.
+ * Result of reading a settings file.
  *
- * @param settings the settings; of use only without findings
- * @param findings all that is wrong with the text
+ * @param settings settings as far as they could be read; valid only if there are no findings
+ * @param findings errors in the text, with their positions
  */
 public record ParsedSettings(DaemonSettings settings, List<Finding> findings) {
-    /** Copies the findings. */
+    /** Rejects null settings and copies the findings. */
     public ParsedSettings {
         requireNonNull(settings);
         findings = List.copyOf(findings);
--- a/daemon/src/main/java/org/hibiscususher/daemon/settings/SettingsReader.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/settings/SettingsReader.java
@@ -6,16 +6,17 @@
 
 /** Reads the daemon's settings from YAML. */
 public final class SettingsReader {
-    private static final int MAX_MS = 60_000;
+    private static final int MAX_DURATION_MS = 60_000;
     private static final int MAX_ATTEMPTS = 10;
 
     private SettingsReader() {}
 
     /**
-     * Reads settings.
+     * Reads settings; a missing key of the control section has its default.
      *
-     * @param file name for the findings
-     * @param text the YAML
+     * @param file name of the file, for the positions of findings
+     * @param text content of the file
+     * @return settings, and every error in the text rather than the first only
      */
     public static ParsedSettings read(String file, String text) {
         YamlDocument document = YamlDocument.parse(file, text);
@@ -35,17 +36,18 @@
     }
 
     private static ControlSettings control(YamlMap map) {
-        ControlSettings base = ControlSettings.DEFAULT;
+        ControlSettings defaults = ControlSettings.DEFAULT;
         ControlSettings read =
                 new ControlSettings(
-                        map.integer("heartbeat ms", 1, MAX_MS, base.heartbeatMs()),
-                        map.integer("silence ms", 1, MAX_MS, base.silenceMs()),
-                        map.integer("freshness ms", 1, MAX_MS, base.freshnessMs()),
-                        map.integer("roll-out wait ms", 1, MAX_MS, base.rollOutWaitMs()),
-                        map.integer("attempts at most", 1, MAX_ATTEMPTS, base.maxAttempts()),
-                        map.integer("pause ms", 1, MAX_MS, base.pauseMs()),
-                        base.lendPolicy(),
-                        base.escrowPolicy());
+                        map.integer("heartbeat ms", 1, MAX_DURATION_MS, defaults.heartbeatMs()),
+                        map.integer("silence ms", 1, MAX_DURATION_MS, defaults.silenceMs()),
+                        map.integer("freshness ms", 1, MAX_DURATION_MS, defaults.freshnessMs()),
+                        map.integer(
+                                "roll-out wait ms", 1, MAX_DURATION_MS, defaults.rollOutWaitMs()),
+                        map.integer("attempts at most", 1, MAX_ATTEMPTS, defaults.maxAttempts()),
+                        map.integer("pause ms", 1, MAX_DURATION_MS, defaults.pauseMs()),
+                        defaults.lendPolicy(),
+                        defaults.escrowPolicy());
         map.reportUnknownKeys(
                 "heartbeat ms",
                 "silence ms",
--- a/daemon/src/main/java/org/hibiscususher/daemon/settings/package-info.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/settings/package-info.java
@@ -1,2 +1,2 @@
-/** The daemon's settings, read from YAML and checked as a whole. */
+/** The daemon's settings: reads them from YAML and reports all errors of a file at once. */
 package org.hibiscususher.daemon.settings;
--- a/daemon/src/test/java/org/hibiscususher/daemon/settings/SettingsReaderTest.java
+++ b/daemon/src/test/java/org/hibiscususher/daemon/settings/SettingsReaderTest.java
@@ -12,9 +12,9 @@
 
 class SettingsReaderTest {
     @Nested
-    class Page {
+    class SettingsPage {
         @Test
-        void showsTheDefaults() throws IOException {
+        void listsDefaults() throws IOException {
             String page = Files.readString(Path.of("..", "docs", "SETTINGS.md"));
             String sample = page.split("```yaml\n|```\n")[1];
             ParsedSettings parsed = SettingsReader.read("sample", sample);
@@ -26,7 +26,7 @@
     @Nested
     class Findings {
         @Test
-        void areReportedTogetherWithTheirPlaces() {
+        void areAllReportedWithPositions() {
             String text =
                     """
                     member: e1
