--- a/daemon/src/main/java/org/hibiscususher/daemon/control/ControlThread.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/control/ControlThread.java
@@ -12,17 +12,20 @@
 import org.agrona.concurrent.IdleStrategy;
 
 /**
- * The one thread that owns the control state.
+ * The single thread that reads and changes the control state.
  *
- * <p>It sleeps until the next tick is due or an input comes, runs a tick, and hands the outputs on.
+ * <p>It parks until an input arrives or the next tick is due, runs a tick, and passes the outputs
+ * to their handler. After each tick it pauses, so that inputs collect into batches: a tick has a
+ * fixed cost, and one tick per input would saturate the thread under load.
  */
 public final class ControlThread implements AutoCloseable {
     private static final Logger LOG = System.getLogger(ControlThread.class.getName());
 
     /**
-     * Least rest between two ticks, in nanoseconds; a tick that took longer is followed by as much.
+     * Shortest pause after a tick, in nanoseconds. After a tick that took longer, the pause is as
+     * long as the tick, so that the thread uses at most half of a processor.
      */
-    private static final long MIN_REST_NS = 1_000_000;
+    private static final long MIN_PAUSE_NS = 1_000_000;
 
     private static final long NS_PER_MS = 1_000_000;
 
@@ -35,27 +38,31 @@
     /**
      * Starts the thread.
      *
-     * @param node control state
-     * @param clock clock of the ticks
-     * @param inbox where inputs come from
-     * @param handler carries out the outputs
-     * @param tickMs longest time between two ticks, in milliseconds
+     * @param tickHandler control state, which no other thread may use
+     * @param clock clock in milliseconds that never goes back
+     * @param inbox queue from which inputs are read
+     * @param outputHandler carries out the outputs
+     * @param tickMs longest time between two ticks without an input, in milliseconds
      */
     public static <I, O> ControlThread start(
-            TickHandler<I, O> node,
+            TickHandler<I, O> tickHandler,
             EpochClock clock,
             Inbox<I> inbox,
-            OutputHandler<O> handler,
+            OutputHandler<O> outputHandler,
             long tickMs) {
-        Ticker<I, O> ticker = new Ticker<>(requireNonNull(node), clock, inbox, handler, tickMs);
+        TickAgent<I, O> agent =
+                new TickAgent<>(requireNonNull(tickHandler), clock, inbox, outputHandler, tickMs);
         AgentRunner runner =
                 new AgentRunner(
-                        new InboxIdleStrategy(inbox, tickMs), ControlThread::fail, null, ticker);
+                        new InboxIdleStrategy(inbox, tickMs),
+                        ControlThread::logFailure,
+                        null,
+                        agent);
         AgentRunner.startOnThread(runner);
         return new ControlThread(runner);
     }
 
-    private static void fail(Throwable cause) {
+    private static void logFailure(Throwable cause) {
         LOG.log(Level.ERROR, "event=tick-failed", cause);
     }
 
@@ -64,31 +71,31 @@
         mRunner.close();
     }
 
-    private static final class Ticker<I, O> implements Agent {
-        private final TickHandler<I, O> mNode;
+    private static final class TickAgent<I, O> implements Agent {
+        private final TickHandler<I, O> mTickHandler;
         private final EpochClock mClock;
         private final Inbox<I> mInbox;
-        private final OutputHandler<O> mHandler;
+        private final OutputHandler<O> mOutputHandler;
         private final long mTickMs;
         private long mLastTickMs;
-        private long mNextTickNs = System.nanoTime();
+        private long mPauseEndNs = System.nanoTime();
 
-        Ticker(
-                TickHandler<I, O> node,
+        TickAgent(
+                TickHandler<I, O> tickHandler,
                 EpochClock clock,
                 Inbox<I> inbox,
-                OutputHandler<O> handler,
+                OutputHandler<O> outputHandler,
                 long tickMs) {
-            mNode = node;
+            mTickHandler = tickHandler;
             mClock = clock;
             mInbox = inbox;
-            mHandler = handler;
+            mOutputHandler = outputHandler;
             mTickMs = tickMs;
         }
 
         @Override
         public int doWork() {
-            rest();
+            pause();
             List<I> inputs = mInbox.drain();
             long nowMs = mClock.time();
             if (inputs.isEmpty() && nowMs - mLastTickMs < mTickMs) {
@@ -96,19 +103,19 @@
             }
             mLastTickMs = nowMs;
             long startNs = System.nanoTime();
-            for (O output : mNode.tick(nowMs, inputs)) {
-                mHandler.handle(output);
+            for (O output : mTickHandler.tick(nowMs, inputs)) {
+                mOutputHandler.handle(output);
             }
             long endNs = System.nanoTime();
-            mNextTickNs = endNs + Math.max(MIN_REST_NS, endNs - startNs);
+            mPauseEndNs = endNs + Math.max(MIN_PAUSE_NS, endNs - startNs);
             return inputs.size();
         }
 
-        /** Sleeps until the next tick may begin, so that inputs collect. */
-        private void rest() {
-            long leftNs = mNextTickNs - System.nanoTime();
-            if (leftNs > 0) {
-                LockSupport.parkNanos(this, leftNs);
+        /** Parks until the pause after the last tick is over. */
+        private void pause() {
+            long remainingNs = mPauseEndNs - System.nanoTime();
+            if (remainingNs > 0) {
+                LockSupport.parkNanos(this, remainingNs);
             }
         }
 
@@ -118,7 +125,7 @@
         }
     }
 
-    /** Sleeps until an input comes or the next tick is due. */
+    /** Parks until an input arrives or the next tick is due. */
     private static final class InboxIdleStrategy implements IdleStrategy {
         private final Inbox<?> mInbox;
         private final long mTickMs;
@@ -142,7 +149,7 @@
 
         @Override
         public void reset() {
-            // Keeps no state.
+            // There is no state to reset.
         }
     }
 }
--- a/daemon/src/main/java/org/hibiscususher/daemon/control/MonotonicClock.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/control/MonotonicClock.java
@@ -4,16 +4,17 @@
 import org.agrona.concurrent.EpochClock;
 
 /**
- * Milliseconds since the epoch that never go back.
+ * Clock of milliseconds since 1970 that never goes back.
  *
- * <p>The clock follows the system's wall clock, so that the clocks of long-running entries stay
- * together; it makes up for a difference slowly, so that a step of the wall clock does not look
- * like a pause. Thread-safe.
+ * <p>It advances with the elapsed time of the process and is slewed towards the system's wall
+ * clock, so that the clocks of long-running entries don't drift apart. A step of the wall clock is
+ * not followed at once, because the control thread would take it for a pause of the process.
+ * Differences of up to 1 ms are not corrected. Thread-safe.
  */
 public final class MonotonicClock implements EpochClock {
     private static final long NS_PER_MS = 1_000_000;
 
-    /** Part of the time passed by which the clock may run faster or slower, as a shift. */
+    /** Largest correction as a right shift of the elapsed time: 6 is 1/64, about 1.6 %. */
     private static final int SLEW_SHIFT = 6;
 
     private final LongSupplier mWallMs;
@@ -21,11 +22,17 @@
     private long mTimeNs;
     private long mLastNs;
 
-    /** Creates a clock that starts at the system's wall clock. */
+    /** Creates a clock that starts at the current time of the system's wall clock. */
     public MonotonicClock() {
         this(System::currentTimeMillis, System::nanoTime);
     }
 
+    /**
+     * Creates a clock.
+     *
+     * @param wallMs wall clock in milliseconds since 1970, which may step in either direction
+     * @param elapsedNs nanoseconds since an arbitrary origin, which never decrease
+     */
     MonotonicClock(LongSupplier wallMs, LongSupplier elapsedNs) {
         mWallMs = wallMs;
         mElapsedNs = elapsedNs;
@@ -36,13 +43,13 @@
     @Override
     public synchronized long time() {
         long nowNs = mElapsedNs.getAsLong();
-        long passedNs = nowNs - mLastNs;
+        long sinceLastNs = nowNs - mLastNs;
         mLastNs = nowNs;
-        mTimeNs += passedNs;
-        long errorNs = mWallMs.getAsLong() * NS_PER_MS - mTimeNs;
-        long limitNs = passedNs >> SLEW_SHIFT;
-        if (Math.abs(errorNs) > NS_PER_MS) {
-            mTimeNs += Math.max(-limitNs, Math.min(limitNs, errorNs));
+        mTimeNs += sinceLastNs;
+        long offsetNs = mWallMs.getAsLong() * NS_PER_MS - mTimeNs;
+        long maxSlewNs = sinceLastNs >> SLEW_SHIFT;
+        if (Math.abs(offsetNs) > NS_PER_MS) {
+            mTimeNs += Math.max(-maxSlewNs, Math.min(maxSlewNs, offsetNs));
         }
         return mTimeNs / NS_PER_MS;
     }
--- a/daemon/src/main/java/org/hibiscususher/daemon/control/TickHandler.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/control/TickHandler.java
@@ -3,19 +3,19 @@
 import java.util.List;
 
 /**
- * Control state that runs in ticks.
+ * Control state that changes only in ticks, each of which turns inputs into outputs.
  *
- * @param <I> the type of the inputs
- * @param <O> the type of the outputs
+ * @param <I> type of the inputs
+ * @param <O> type of the outputs
  */
 @FunctionalInterface
 public interface TickHandler<I, O> {
     /**
-     * Runs every system once.
+     * Runs one tick.
      *
-     * @param nowMs milliseconds of the control thread's clock; never decreases
-     * @param inputs what happened since the last tick, in order
-     * @return what is to be done, in order
+     * @param nowMs time of the control thread's clock, in milliseconds; never decreases
+     * @param inputs events since the last tick, in the order in which they arrived
+     * @return actions to carry out, in order
      */
     List<O> tick(long nowMs, List<I> inputs);
 }
--- a/daemon/src/main/java/org/hibiscususher/daemon/control/package-info.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/control/package-info.java
@@ -1,2 +1,2 @@
-/** The control thread: collects inputs, runs ticks, hands on outputs. */
+/** The control thread: collects inputs, runs ticks and dispatches their outputs. */
 package org.hibiscususher.daemon.control;
