Reword the daemon's peer connections

Refusal, silence and idleness of a connection had vague names. Comments, private names and test names become terms of the field; no behaviour changes.

--- a/daemon/src/main/java/org/hibiscususher/daemon/peer/PeerLink.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/peer/PeerLink.java
@@ -17,28 +17,29 @@
 import org.hibiscususher.wire.peer.PeerCodec;
 
 /**
- * One connection to one process of another entry.
+ * An outgoing connection to one incarnation of another entry.
  *
- * <p>The newest message that comes while the connection is being set up is sent once it stands.
- * Messages for which the connection has no room are dropped. Thread-safe.
+ * <p>Never queues more than one message, so that a stalled peer can't fill the memory: until the
+ * connection is established only the newest message is kept, and a message is dropped if the send
+ * buffer is full. Thread-safe.
  */
 final class PeerLink {
-    private static final String REFUSED = "Connection refused";
+    private static final String REFUSED_MESSAGE_PREFIX = "Connection refused";
 
     private final String mMember;
     private final long mIncarnation;
     private final String mAddress;
-    private final long mSinceNs;
+    private final long mCreatedNs;
     private final ChannelFuture mConnecting;
-    private volatile long mUsedNs;
+    private volatile long mLastSendNs;
     private final AtomicReference<SendPeerMessage> mPending = new AtomicReference<>();
 
     private PeerLink(Bootstrap bootstrap, SendPeerMessage first, long nowNs) {
         mMember = first.memberId();
         mIncarnation = first.message().toIncarnation();
         mAddress = first.address();
-        mSinceNs = nowNs;
-        mUsedNs = nowNs;
+        mCreatedNs = nowNs;
+        mLastSendNs = nowNs;
         mPending.set(first);
         mConnecting = bootstrap.connect(Addresses.parse(mAddress));
     }
@@ -46,64 +47,72 @@
     /**
      * Connects to the receiver of a message and sends it.
      *
-     * @param bootstrap how to connect
-     * @param first the message
-     * @param nowNs nanoseconds of the process's clock
-     * @param refusals takes a refusal of the connection
+     * @param bootstrap client configuration of the connection
+     * @param first the first message to send; it names the address and the incarnation
+     * @param nowNs current time of the process's monotonic clock, in nanoseconds
+     * @param onRefused called on an event loop if the remote host refuses the connection
      */
     static PeerLink connect(
             Bootstrap bootstrap,
             SendPeerMessage first,
             long nowNs,
-            Consumer<PeerConnectionRefused> refusals) {
+            Consumer<PeerConnectionRefused> onRefused) {
         PeerLink link = new PeerLink(bootstrap, requireNonNull(first), nowNs);
-        link.mConnecting.addListener((ChannelFuture done) -> link.connected(done, refusals));
+        link.mConnecting.addListener((ChannelFuture future) -> link.onConnected(future, onRefused));
         return link;
     }
 
-    private void connected(ChannelFuture done, Consumer<PeerConnectionRefused> refusals) {
-        if (done.isSuccess()) {
+    private void onConnected(ChannelFuture future, Consumer<PeerConnectionRefused> onRefused) {
+        if (future.isSuccess()) {
             flush();
-        } else if (isRefusal(done.cause())) {
-            refusals.accept(new PeerConnectionRefused(mMember, mIncarnation));
+        } else if (isRefusal(future.cause())) {
+            onRefused.accept(new PeerConnectionRefused(mMember, mIncarnation));
         }
     }
 
     /**
-     * Returns whether the other side itself refused, which its system does when no process listens.
+     * Returns whether the remote host refused the connection, which its operating system does if no
+     * process listens at the address.
      *
-     * <p>The JDK reports an unreachable network by the same type; only the text tells them apart. A
-     * text in another language counts as no refusal, which is the safe side.
+     * <p>A refusal serves as evidence that the process has ended. The JDK throws the same exception
+     * type if the network is unreachable, and only the message differs. A message in another
+     * language does not count as a refusal, which is safe: a running process is never taken for
+     * ended.
      */
     static boolean isRefusal(Throwable cause) {
         return cause instanceof ConnectException
                 && !(cause instanceof ConnectTimeoutException)
-                && Optional.ofNullable(cause.getMessage()).orElse("").startsWith(REFUSED);
+                && Optional.ofNullable(cause.getMessage())
+                        .orElse("")
+                        .startsWith(REFUSED_MESSAGE_PREFIX);
     }
 
-    /** Returns whether the link leads to the process that a message is meant for. */
-    boolean leadsTo(SendPeerMessage send) {
+    /** Returns whether this is a connection to the message's address and incarnation. */
+    boolean isFor(SendPeerMessage send) {
         return mAddress.equals(send.address()) && mIncarnation == send.message().toIncarnation();
     }
 
-    /** Returns whether the connection could not be set up or has broken. */
+    /** Returns whether the connection could not be established or is closed. */
     boolean isBroken() {
         return mConnecting.isDone() && !mConnecting.channel().isActive();
     }
 
-    /** Returns when the link was made, in nanoseconds of the process's clock. */
-    long sinceNs() {
-        return mSinceNs;
+    /** Returns when the connection was started, in nanoseconds of the process's clock. */
+    long createdNs() {
+        return mCreatedNs;
     }
 
-    /** Returns when a message was last handed over, in nanoseconds of the process's clock. */
-    long usedNs() {
-        return mUsedNs;
+    /** Returns when {@link #send} was last called, in nanoseconds of the process's clock. */
+    long lastSendNs() {
+        return mLastSendNs;
     }
 
-    /** Sends a message, keeps it until the connection stands, or drops it. */
+    /**
+     * Sends a message, or keeps it until the connection is established, in place of an earlier one.
+     * Drops it if the send buffer is full.
+     */
     void send(SendPeerMessage send, long nowNs) {
-        mUsedNs = nowNs;
+        mLastSendNs = nowNs;
         mPending.set(send);
         if (mConnecting.isSuccess()) {
             flush();
--- a/daemon/src/main/java/org/hibiscususher/daemon/peer/PeerLinks.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/peer/PeerLinks.java
@@ -30,40 +30,40 @@
 import org.hibiscususher.wire.peer.PeerCodec;
 
 /**
- * Sends messages to other entries and receives theirs, one connection for each direction.
+ * Sends messages to other entries and receives theirs, on one connection for each direction.
  *
- * <p>A message that can't be sent soon is dropped: the core's messages are safe to lose. Messages
- * are sent from one thread; they arrive on the event loops.
+ * <p>A message that can't be sent soon is dropped; the protocol tolerates the loss of any message.
+ * {@link #send} must be called by one thread only. Messages are received on the event loops.
  */
 public final class PeerLinks {
     private static final Logger LOG = System.getLogger(PeerLinks.class.getName());
     private static final int CONNECT_TIMEOUT_MS = 1_000;
-    private static final long RECONNECT_NS = TimeUnit.MILLISECONDS.toNanos(250);
-    private static final long UNHEARD_NS = TimeUnit.SECONDS.toNanos(3);
-    private static final long IDLE_NS = TimeUnit.SECONDS.toNanos(10);
+    private static final long RECONNECT_INTERVAL_NS = TimeUnit.MILLISECONDS.toNanos(250);
+    private static final long SILENCE_TIMEOUT_NS = TimeUnit.SECONDS.toNanos(3);
+    private static final long IDLE_TIMEOUT_NS = TimeUnit.SECONDS.toNanos(10);
     private static final int MAX_FRAME_BYTES = 4 * 1024 * 1024;
     private static final int LENGTH_BYTES = 4;
 
     private final EventLoopGroup mGroup;
     private final Inbox<Input> mInbox;
-    private final LongSupplier mClock;
+    private final LongSupplier mClockNs;
     private final Map<String, PeerLink> mLinks = new ConcurrentHashMap<>();
-    private final Map<String, Long> mHeardNs = new ConcurrentHashMap<>();
-    private long mSweptNs;
+    private final Map<String, Long> mLastReceivedNs = new ConcurrentHashMap<>();
+    private long mLastSweepNs;
 
-    private PeerLinks(EventLoopGroup group, Inbox<Input> inbox, LongSupplier clock) {
+    private PeerLinks(EventLoopGroup group, Inbox<Input> inbox, LongSupplier clockNs) {
         mGroup = group;
         mInbox = inbox;
-        mClock = clock;
-        mSweptNs = clock.getAsLong();
+        mClockNs = clockNs;
+        mLastSweepNs = clockNs.getAsLong();
     }
 
     /**
-     * Listens for other entries.
+     * Binds the server for other entries' connections.
      *
-     * @param group event loops; the owner closes them
-     * @param address IP number and port
-     * @param inbox takes the messages
+     * @param group event loops of all connections; the caller closes them
+     * @param address IP number and port to listen on
+     * @param inbox receives the messages and the refused connections
      * @throws IOException if the address can't be bound
      */
     public static PeerLinks listen(EventLoopGroup group, String address, Inbox<Input> inbox)
@@ -71,11 +71,11 @@
         return listen(group, address, inbox, System::nanoTime);
     }
 
-    /** Listens for other entries, by a clock that gives nanoseconds. */
+    /** Binds the server, with a monotonic clock in nanoseconds in place of the system's. */
     static PeerLinks listen(
-            EventLoopGroup group, String address, Inbox<Input> inbox, LongSupplier clock)
+            EventLoopGroup group, String address, Inbox<Input> inbox, LongSupplier clockNs)
             throws IOException {
-        PeerLinks links = new PeerLinks(group, inbox, clock);
+        PeerLinks links = new PeerLinks(group, inbox, clockNs);
         ChannelFuture bound =
                 new ServerBootstrap()
                         .group(group)
@@ -90,20 +90,20 @@
     }
 
     /**
-     * Sends a message, or drops it if the connection has no room.
+     * Sends a message, or drops it if the send buffer of the connection is full.
      *
-     * <p>Never waits: what one peer does not take has no effect on the others.
+     * <p>Never blocks, so that a peer that does not read can't delay messages to the others.
      */
     public void send(SendPeerMessage send) {
-        long nowNs = mClock.getAsLong();
+        long nowNs = mClockNs.getAsLong();
         PeerLink link = mLinks.get(send.memberId());
-        if (link != null && !link.leadsTo(send)) {
+        if (link != null && !link.isFor(send)) {
             link.close();
             link = null;
         }
         if (link == null) {
             mLinks.put(send.memberId(), connect(send, nowNs));
-        } else if (mustReconnect(send.memberId(), link, nowNs)) {
+        } else if (shouldReconnect(send.memberId(), link, nowNs)) {
             link.close();
             mLinks.put(send.memberId(), connect(send, nowNs));
         } else {
@@ -112,34 +112,36 @@
         closeIdle(nowNs);
     }
 
-    /** Closes the links over which nothing was sent for long. */
+    /** Closes the connections to members to which nothing was sent for the idle timeout. */
     private void closeIdle(long nowNs) {
-        if (nowNs - mSweptNs < RECONNECT_NS) {
+        if (nowNs - mLastSweepNs < RECONNECT_INTERVAL_NS) {
             return;
         }
-        mSweptNs = nowNs;
+        mLastSweepNs = nowNs;
         for (Map.Entry<String, PeerLink> entry : mLinks.entrySet()) {
-            if (nowNs - entry.getValue().usedNs() >= IDLE_NS) {
+            if (nowNs - entry.getValue().lastSendNs() >= IDLE_TIMEOUT_NS) {
                 entry.getValue().close();
                 mLinks.remove(entry.getKey());
-                mHeardNs.remove(entry.getKey());
+                mLastReceivedNs.remove(entry.getKey());
             }
         }
     }
 
     /**
-     * Returns whether to set up the connection anew: it broke, or the member is not heard.
+     * Returns whether to replace the connection: it is broken, or nothing was received from the
+     * member for the silence timeout.
      *
-     * <p>A connection across a cut that has healed would otherwise stay silent for as long as the
-     * system waits between retransmissions.
+     * <p>After a network partition, a connection from before it would otherwise stay silent until
+     * the next TCP retransmission, whose interval has grown during the partition.
      */
-    private boolean mustReconnect(String member, PeerLink link, long nowNs) {
-        long ageNs = nowNs - link.sinceNs();
+    private boolean shouldReconnect(String member, PeerLink link, long nowNs) {
+        long ageNs = nowNs - link.createdNs();
         if (link.isBroken()) {
-            return ageNs >= RECONNECT_NS;
+            return ageNs >= RECONNECT_INTERVAL_NS;
         }
-        long heardNs = Math.max(mHeardNs.getOrDefault(member, link.sinceNs()), link.sinceNs());
-        return nowNs - heardNs >= UNHEARD_NS;
+        long lastReceivedNs =
+                Math.max(mLastReceivedNs.getOrDefault(member, link.createdNs()), link.createdNs());
+        return nowNs - lastReceivedNs >= SILENCE_TIMEOUT_NS;
     }
 
     private PeerLink connect(SendPeerMessage send, long nowNs) {
@@ -150,10 +152,10 @@
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
                         .option(ChannelOption.TCP_NODELAY, true)
                         .handler(pipeline());
-        return PeerLink.connect(bootstrap, send, nowNs, this::refused);
+        return PeerLink.connect(bootstrap, send, nowNs, this::onRefused);
     }
 
-    private void refused(PeerConnectionRefused refused) {
+    private void onRefused(PeerConnectionRefused refused) {
         LOG.log(Level.DEBUG, "event=peer-refused member=" + refused.memberId());
         mInbox.offer(refused);
     }
@@ -179,7 +181,7 @@
             byte[] bytes = new byte[frame.readableBytes()];
             frame.readBytes(bytes);
             PeerMessage message = PeerCodec.decode(bytes);
-            mHeardNs.put(message.from(), mClock.getAsLong());
+            mLastReceivedNs.put(message.from(), mClockNs.getAsLong());
             mInbox.offer(new Input.PeerMessageReceived(message));
         }
 
--- a/daemon/src/main/java/org/hibiscususher/daemon/peer/package-info.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/peer/package-info.java
@@ -1,2 +1,2 @@
-/** Links to the other entries. */
+/** Connections to the other entries, which carry the messages between their control threads. */
 package org.hibiscususher.daemon.peer;
--- a/daemon/src/test/java/org/hibiscususher/daemon/peer/PeerLinksTest.java
+++ b/daemon/src/test/java/org/hibiscususher/daemon/peer/PeerLinksTest.java
@@ -32,7 +32,7 @@
 
     private final EventLoopGroup mGroup =
             new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
-    private final AtomicLong mClock = new AtomicLong();
+    private final AtomicLong mClockNs = new AtomicLong();
     private final Inbox<Input> mInbox = new Inbox<>();
     private final Inbox<Input> mOtherInbox = new Inbox<>();
     private final Deque<Input> mInputs = new ArrayDeque<>();
@@ -45,7 +45,7 @@
 
     private PeerLinks listen(String address, Inbox<Input> inbox) {
         try {
-            return PeerLinks.listen(mGroup, address, inbox, mClock::get);
+            return PeerLinks.listen(mGroup, address, inbox, mClockNs::get);
         } catch (IOException e) {
             throw new AssertionError(e);
         }
@@ -69,8 +69,8 @@
         mLinks.send(message(address, toIncarnation, sequence));
     }
 
-    private void pass(long ms) {
-        mClock.addAndGet(TimeUnit.MILLISECONDS.toNanos(ms));
+    private void advanceClock(long ms) {
+        mClockNs.addAndGet(TimeUnit.MILLISECONDS.toNanos(ms));
     }
 
     private <T extends Input> T next(Inbox<Input> inbox, Class<T> type) {
@@ -89,27 +89,27 @@
     @Nested
     class Refusals {
         @Test
-        void nameTheProcessThatWasExpected() {
+        void reportExpectedIncarnation() {
             send(freeAddress(), 77, 1);
             assertThat(next(mInbox, PeerConnectionRefused.class))
                     .isEqualTo(new PeerConnectionRefused("e2", 77));
         }
 
         @Test
-        void areRepeatedOnlyAfterAWait() {
+        void areLimitedByReconnectInterval() {
             String address = freeAddress();
             send(address, 77, 1);
             next(mInbox, PeerConnectionRefused.class);
-            pass(249);
+            advanceClock(249);
             send(address, 77, 2);
             assertThat(mInbox.drain()).isEmpty();
-            pass(1);
+            advanceClock(1);
             send(address, 77, 3);
             assertThat(next(mInbox, PeerConnectionRefused.class).incarnation()).isEqualTo(77);
         }
 
         @Test
-        void areNotSeenInOtherFailures() {
+        void areDistinguishedFromOtherFailures() {
             assertThat(PeerLink.isRefusal(new ConnectException("Connection refused: x"))).isTrue();
             assertThat(PeerLink.isRefusal(new ConnectException("Network is unreachable")))
                     .isFalse();
@@ -124,7 +124,7 @@
         private final String mAddress = freeAddress();
 
         @Test
-        void thatOpenTheLinkArrive() {
+        void areDeliveredFromTheFirst() {
             listen(mAddress, mOtherInbox);
             send(mAddress, 7, 1);
             assertThat(nextSequence()).isEqualTo(1);
@@ -133,7 +133,7 @@
         }
 
         @Test
-        void followAChangedAddress() {
+        void areSentToChangedAddress() {
             listen(mAddress, mOtherInbox);
             send(freeAddress(), 7, 1);
             next(mInbox, PeerConnectionRefused.class);
@@ -142,25 +142,29 @@
         }
 
         @Test
-        void goOverANewLinkWhenThePeerIsNotHeard() throws IOException {
+        void useNewConnectionAfterSilence() throws IOException {
             try (ServerSocket server = new ServerSocket(0, 9, InetAddress.getLoopbackAddress())) {
                 server.setSoTimeout(WAIT_MS);
                 String address = "127.0.0.1:" + server.getLocalPort();
                 send(address, 7, 1);
                 server.accept();
-                pass(3_000);
+                advanceClock(3_000);
                 send(address, 7, 2);
                 assertThat(server.accept().isConnected()).isTrue();
             }
         }
 
         @Test
-        void reachOthersWhileOnePeerTakesNothing() throws IOException {
+        void reachOtherPeersWhileOneDoesNotRead() throws IOException {
             listen(mAddress, mOtherInbox);
-            try (ServerSocket deaf = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-                SendPeerMessage lost = message("127.0.0.1:" + deaf.getLocalPort(), 7, 1);
+            try (ServerSocket unreadServer =
+                    new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+                SendPeerMessage undelivered =
+                        message("127.0.0.1:" + unreadServer.getLocalPort(), 7, 1);
                 for (int i = 0; i < 100_000; i++) {
-                    mLinks.send(new SendPeerMessage("e3", lost.address(), lost.message()));
+                    mLinks.send(
+                            new SendPeerMessage(
+                                    "e3", undelivered.address(), undelivered.message()));
                 }
                 send(mAddress, 7, 2);
                 assertThat(nextSequence()).isEqualTo(2);
