--- a/daemon/src/main/java/org/hibiscususher/daemon/store/EtcdStore.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/store/EtcdStore.java
@@ -24,7 +24,7 @@
 import org.hibiscususher.wire.http.HttpReply;
 import org.hibiscususher.wire.http.OneShotHttpClient;
 
-/** Speaks the JSON gateway of the etcd v3 key-value protocol. Thread-safe. */
+/** Client of the JSON gateway of etcd v3 and of the platform's host API. Thread-safe. */
 public final class EtcdStore implements PlatformStore {
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final int CALL_TIMEOUT_MS = 2_000;
@@ -32,20 +32,20 @@
 
     private final EventLoopGroup mGroup;
     private final String mAddress;
-    private final OneShotHttpClient mCaller;
+    private final OneShotHttpClient mHttpClient;
     private final Set<String> mWatched = ConcurrentHashMap.newKeySet();
     private final Map<String, VersionedValue> mLastRead = new ConcurrentHashMap<>();
 
     private EtcdStore(EventLoopGroup group, String address) {
         mGroup = group;
         mAddress = address;
-        mCaller = OneShotHttpClient.create(group, CALL_TIMEOUT_MS);
+        mHttpClient = OneShotHttpClient.create(group, CALL_TIMEOUT_MS);
     }
 
     /**
-     * Creates a client; nothing is sent yet.
+     * Creates a client, which connects on its first call.
      *
-     * @param group event loops that carry the calls; the owner closes them
+     * @param group event loops of the client's connections; the caller closes them
      * @param address IP number and port of the store
      */
     public static EtcdStore create(EventLoopGroup group, String address) {
@@ -53,20 +53,22 @@
     }
 
     /**
-     * Reads a value. Of a watched key that was read before, the store is asked for the value only
-     * if it has changed since: such keys are read often.
+     * {@inheritDoc}
+     *
+     * <p>Watched keys are read often. If such a key was read before, the store sends its value only
+     * if it has changed since; else the value of the last read is returned.
      */
     @Override
     public CompletableFuture<Optional<VersionedValue>> get(String key) {
         VersionedValue last = mLastRead.get(key);
-        ObjectNode range = object().put("key", encode(key));
+        ObjectNode range = newObject().put("key", encode(key));
         if (last != null) {
             range.put("min_mod_revision", Long.toString(last.version() + 1));
         }
-        return call("/v3/kv/range", range).thenApply(reply -> found(key, last, reply));
+        return call("/v3/kv/range", range).thenApply(reply -> parseRange(key, last, reply));
     }
 
-    private Optional<VersionedValue> found(String key, VersionedValue last, JsonNode reply) {
+    private Optional<VersionedValue> parseRange(String key, VersionedValue last, JsonNode reply) {
         if (!reply.path("kvs").isEmpty()) {
             VersionedValue value = valueOf(reply.path("kvs").get(0));
             if (mWatched.contains(key)) {
@@ -74,6 +76,7 @@
             }
             return Optional.of(value);
         }
+        // The count includes a key whose value is left out because it is not newer.
         boolean unchanged = last != null && reply.path("count").asLong() > 0;
         return unchanged ? Optional.of(last) : Optional.empty();
     }
@@ -81,7 +84,7 @@
     @Override
     public CompletableFuture<Boolean> compareAndSwap(
             String key, long expectedVersion, byte[] value) {
-        ObjectNode root = object();
+        ObjectNode root = newObject();
         root.putArray("compare")
                 .addObject()
                 .put("key", encode(key))
@@ -99,38 +102,40 @@
     @Override
     public void watch(String key, Consumer<VersionedValue> consumer) {
         mWatched.add(key);
-        ObjectNode root = object();
+        ObjectNode root = newObject();
+        // From the first revision on, so that a repeated watch misses no write.
         root.putObject("create_request").put("key", encode(key)).put("start_revision", "1");
         EtcdWatch.start(
                 mGroup,
                 mAddress,
                 root.toString().getBytes(StandardCharsets.UTF_8),
-                line -> accept(line, consumer));
+                line -> deliver(line, consumer));
     }
 
-    private static void accept(String line, Consumer<VersionedValue> consumer) {
+    private static void deliver(String line, Consumer<VersionedValue> consumer) {
         try {
             for (JsonNode event : MAPPER.readTree(line).path("result").path("events")) {
                 consumer.accept(valueOf(event.path("kv")));
             }
         } catch (IOException e) {
-            throw new UncheckedIOException("malformed line of a watch", e);
+            throw new UncheckedIOException("malformed event in a watch stream", e);
         }
     }
 
     @Override
     public CompletableFuture<List<PlatformHost>> hosts() {
-        return mCaller.send(mAddress, HttpMethod.GET, "/platform/hosts", new byte[0])
+        return mHttpClient
+                .send(mAddress, HttpMethod.GET, "/platform/hosts", new byte[0])
                 .thenApply(EtcdStore::parse)
                 .thenApply(
                         root -> {
                             List<PlatformHost> hosts = new ArrayList<>();
-                            for (JsonNode n : root.path("hosts")) {
+                            for (JsonNode host : root.path("hosts")) {
                                 hosts.add(
                                         new PlatformHost(
-                                                n.path("id").asText(),
-                                                n.path("leaving").asBoolean(),
-                                                n.path("bootId").asText()));
+                                                host.path("id").asText(),
+                                                host.path("leaving").asBoolean(),
+                                                host.path("bootId").asText()));
                             }
                             return hosts;
                         });
@@ -138,9 +143,9 @@
 
     @Override
     public CompletableFuture<Changes> changes(String prefix, long sinceVersion) {
-        ObjectNode root = object();
+        ObjectNode root = newObject();
         root.put("key", encode(prefix))
-                .put("range_end", encode(endOf(prefix)))
+                .put("range_end", encode(prefixEnd(prefix)))
                 .put("min_mod_revision", Long.toString(sinceVersion + 1));
         return call("/v3/kv/range", root)
                 .thenApply(
@@ -154,29 +159,33 @@
                         });
     }
 
-    /** Returns the first key after all that begin with a prefix. */
-    private static String endOf(String prefix) {
+    /**
+     * Returns the exclusive end of the range of all keys with a prefix, which must not be empty.
+     */
+    private static String prefixEnd(String prefix) {
         int last = prefix.length() - 1;
         return prefix.substring(0, last) + (char) (prefix.charAt(last) + 1);
     }
 
     @Override
     public CompletableFuture<Boolean> reboot(String host, String bootId, String token) {
-        ObjectNode root = object().put("bootId", bootId).put("token", token);
+        ObjectNode root = newObject().put("bootId", bootId).put("token", token);
         byte[] body = root.toString().getBytes(StandardCharsets.UTF_8);
-        return mCaller.send(mAddress, HttpMethod.POST, "/platform/hosts/" + host + "/reboot", body)
+        return mHttpClient
+                .send(mAddress, HttpMethod.POST, "/platform/hosts/" + host + "/reboot", body)
                 .thenApply(EtcdStore::parse)
                 .thenApply(reply -> reply.path("accepted").asBoolean());
     }
 
     private CompletableFuture<JsonNode> call(String path, JsonNode body) {
         byte[] bytes = body.toString().getBytes(StandardCharsets.UTF_8);
-        return mCaller.send(mAddress, HttpMethod.POST, path, bytes).thenApply(EtcdStore::parse);
+        return mHttpClient.send(mAddress, HttpMethod.POST, path, bytes).thenApply(EtcdStore::parse);
     }
 
     private static JsonNode parse(HttpReply reply) {
         if (reply.status() != STATUS_OK) {
-            throw new CompletionException(new IOException("store answered " + reply.status()));
+            throw new CompletionException(
+                    new IOException("store responded with status " + reply.status()));
         }
         try {
             return MAPPER.readTree(reply.body());
@@ -199,7 +208,7 @@
         return Base64.getEncoder().encodeToString(key.getBytes(StandardCharsets.UTF_8));
     }
 
-    private static ObjectNode object() {
+    private static ObjectNode newObject() {
         return JsonNodeFactory.instance.objectNode();
     }
 }
--- a/daemon/src/main/java/org/hibiscususher/daemon/store/EtcdWatch.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/store/EtcdWatch.java
@@ -26,29 +26,46 @@
 import java.util.function.Consumer;
 import org.hibiscususher.wire.http.Addresses;
 
-/** One watch of the store: a request whose answer is lines without end. */
+/**
+ * One watch of the store: a streaming request to etcd whose response has one line of JSON for each
+ * batch of events and does not end.
+ */
 final class EtcdWatch {
     private static final Logger LOG = System.getLogger(EtcdWatch.class.getName());
     private static final int CONNECT_TIMEOUT_MS = 2_000;
-    private static final long RETRY_MS = 500;
+    private static final long RETRY_DELAY_MS = 500;
 
     private final EventLoopGroup mGroup;
     private final String mAddress;
-    private final byte[] mRequest;
-    private final Consumer<String> mLines;
+    private final byte[] mRequestBody;
+    private final Consumer<String> mLineConsumer;
 
     private EtcdWatch(
-            EventLoopGroup group, String address, byte[] request, Consumer<String> lines) {
+            EventLoopGroup group,
+            String address,
+            byte[] requestBody,
+            Consumer<String> lineConsumer) {
         mGroup = group;
         mAddress = address;
-        mRequest = request;
-        mLines = lines;
+        mRequestBody = requestBody;
+        mLineConsumer = lineConsumer;
     }
 
-    /** Starts a watch that is set up again whenever it breaks. */
+    /**
+     * Starts a watch, which is repeated after a delay whenever its connection fails or closes,
+     * until the event loops shut down.
+     *
+     * @param group event loops of the connection
+     * @param address IP number and port of the store
+     * @param requestBody JSON of the watch request
+     * @param lineConsumer called on an event loop with each line of the response
+     */
     static void start(
-            EventLoopGroup group, String address, byte[] request, Consumer<String> lines) {
-        new EtcdWatch(group, address, request, lines).connect();
+            EventLoopGroup group,
+            String address,
+            byte[] requestBody,
+            Consumer<String> lineConsumer) {
+        new EtcdWatch(group, address, requestBody, lineConsumer).connect();
     }
 
     private void connect() {
@@ -66,12 +83,12 @@
                             }
                         })
                 .connect(Addresses.parse(mAddress))
-                .addListener((ChannelFuture connected) -> connected(connected));
+                .addListener((ChannelFuture future) -> onConnected(future));
     }
 
-    private void connected(ChannelFuture connected) {
-        if (!connected.isSuccess()) {
-            retryLater();
+    private void onConnected(ChannelFuture future) {
+        if (!future.isSuccess()) {
+            scheduleRetry();
             return;
         }
         FullHttpRequest request =
@@ -79,38 +96,39 @@
                         HttpVersion.HTTP_1_1,
                         HttpMethod.POST,
                         "/v3/watch",
-                        Unpooled.wrappedBuffer(mRequest));
+                        Unpooled.wrappedBuffer(mRequestBody));
         request.headers()
                 .set(HttpHeaderNames.HOST, mAddress)
-                .set(HttpHeaderNames.CONTENT_LENGTH, mRequest.length);
-        connected.channel().writeAndFlush(request);
-        connected.channel().closeFuture().addListener(closed -> retryLater());
+                .set(HttpHeaderNames.CONTENT_LENGTH, mRequestBody.length);
+        future.channel().writeAndFlush(request);
+        future.channel().closeFuture().addListener(closed -> scheduleRetry());
     }
 
-    private void retryLater() {
+    private void scheduleRetry() {
         if (!mGroup.isShuttingDown()) {
-            mGroup.schedule(this::connect, RETRY_MS, TimeUnit.MILLISECONDS);
+            mGroup.schedule(this::connect, RETRY_DELAY_MS, TimeUnit.MILLISECONDS);
         }
     }
 
-    /** Splits the body into lines. */
+    /** Splits the response body into lines; keeps an incomplete last line for the next chunk. */
     private final class LineHandler extends SimpleChannelInboundHandler<HttpObject> {
-        private ByteBuf mPending = Unpooled.EMPTY_BUFFER;
+        private ByteBuf mUnconsumed = Unpooled.EMPTY_BUFFER;
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
             if (!(message instanceof HttpContent content)) {
                 return;
             }
-            ByteBuf all = Unpooled.copiedBuffer(mPending, content.content());
-            int end = all.indexOf(all.readerIndex(), all.writerIndex(), (byte) '\n');
-            while (end >= 0) {
-                int length = end - all.readerIndex();
-                mLines.accept(all.readCharSequence(length, StandardCharsets.UTF_8).toString());
-                all.skipBytes(1);
-                end = all.indexOf(all.readerIndex(), all.writerIndex(), (byte) '\n');
+            ByteBuf unread = Unpooled.copiedBuffer(mUnconsumed, content.content());
+            int newline = unread.indexOf(unread.readerIndex(), unread.writerIndex(), (byte) '\n');
+            while (newline >= 0) {
+                int length = newline - unread.readerIndex();
+                mLineConsumer.accept(
+                        unread.readCharSequence(length, StandardCharsets.UTF_8).toString());
+                unread.skipBytes(1);
+                newline = unread.indexOf(unread.readerIndex(), unread.writerIndex(), (byte) '\n');
             }
-            mPending = all;
+            mUnconsumed = unread;
         }
 
         @Override
--- a/daemon/src/main/java/org/hibiscususher/daemon/store/StoreOutputHandler.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/store/StoreOutputHandler.java
@@ -19,7 +19,10 @@
 import org.hibiscususher.daemon.control.Inbox;
 import org.hibiscususher.wire.json.RecordCodec;
 
-/** Carries out the core's calls of the platform's store and gives the answers back as inputs. */
+/**
+ * Carries out the control thread's reads and writes of the platform's store and adds their results
+ * to its inbox.
+ */
 public final class StoreOutputHandler {
     private static final Logger LOG = System.getLogger(StoreOutputHandler.class.getName());
 
@@ -31,12 +34,17 @@
         mInbox = inbox;
     }
 
-    /** Creates the link between the core and a store. */
+    /**
+     * Creates a handler.
+     *
+     * @param store store to read and write
+     * @param inbox receives the results
+     */
     public static StoreOutputHandler create(PlatformStore store, Inbox<Input> inbox) {
         return new StoreOutputHandler(store, inbox);
     }
 
-    /** Watches a record. */
+    /** Watches a record; each version adds an input, except one that can't be decoded. */
     public void watch(RecordKey key) {
         mStore.watch(
                 RecordCodec.storeKey(key),
@@ -49,7 +57,7 @@
                 });
     }
 
-    /** Reads a record. */
+    /** Reads a record; a record that can't be decoded counts as a failed read. */
     public void read(ReadRecord read) {
         mStore.get(RecordCodec.storeKey(read.key()))
                 .whenComplete(
@@ -57,12 +65,12 @@
                             if (failure != null) {
                                 mInbox.add(new Input.StoreFailed(read.callId()));
                             } else {
-                                answer(read, found);
+                                reportRead(read, found);
                             }
                         });
     }
 
-    private void answer(ReadRecord read, Optional<VersionedValue> found) {
+    private void reportRead(ReadRecord read, Optional<VersionedValue> found) {
         try {
             Optional<VersionedRecord> record =
                     found.isPresent()
@@ -75,7 +83,11 @@
         }
     }
 
-    /** Reads the platform's list of hosts; a failure gives no input. */
+    /**
+     * Reads the platform's list of hosts.
+     *
+     * <p>A failed read adds no input, because the control thread reads the list regularly.
+     */
     public void readHosts() {
         mStore.hosts()
                 .whenComplete(
@@ -86,7 +98,11 @@
                         });
     }
 
-    /** Writes a record if its version is as expected. */
+    /**
+     * Writes a record if its version is as expected.
+     *
+     * <p>After a failed call, the result is unknown: the record may have been written.
+     */
     public void swap(SwapRecord swap) {
         mStore.compareAndSwap(
                         RecordCodec.storeKey(swap.key()),
@@ -102,7 +118,7 @@
                         });
     }
 
-    /** Reads the records about hosts that have changed. */
+    /** Reads the records about hosts that have changed; skips records that can't be decoded. */
     public void readFleet(ReadFleetRecords read) {
         mStore.changes(RecordCodec.fleetPrefix(), read.sinceVersion())
                 .whenComplete(
@@ -110,12 +126,12 @@
                             if (failure != null) {
                                 mInbox.add(new Input.StoreFailed(read.callId()));
                             } else {
-                                answer(read, changes);
+                                reportFleet(read, changes);
                             }
                         });
     }
 
-    private void answer(ReadFleetRecords read, PlatformStore.Changes changes) {
+    private void reportFleet(ReadFleetRecords read, PlatformStore.Changes changes) {
         List<FleetRecord> records = new ArrayList<>();
         changes.values()
                 .forEach(
@@ -133,9 +149,13 @@
         mInbox.add(new Input.FleetRecordsRead(read.callId(), changes.version(), records));
     }
 
-    /** Asks the platform to reboot a host. */
-    public void reboot(RebootHost call) {
-        mStore.reboot(call.host(), call.bootId(), call.token())
+    /**
+     * Asks the platform to reboot a host.
+     *
+     * <p>After a failed call, the result is unknown: the host may be rebooting.
+     */
+    public void reboot(RebootHost reboot) {
+        mStore.reboot(reboot.host(), reboot.bootId(), reboot.token())
                 .whenComplete(
                         (accepted, failure) -> {
                             RebootResult result =
@@ -144,7 +164,9 @@
                                             : accepted
                                                     ? RebootResult.ACCEPTED
                                                     : RebootResult.MISMATCH;
-                            mInbox.add(new Input.RebootResponse(call.host(), call.token(), result));
+                            mInbox.add(
+                                    new Input.RebootResponse(
+                                            reboot.host(), reboot.token(), result));
                         });
     }
 
--- a/daemon/src/main/java/org/hibiscususher/daemon/store/VersionedValue.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/store/VersionedValue.java
@@ -3,13 +3,13 @@
 import static java.util.Objects.requireNonNull;
 
 /**
- * A value of the platform's store.
+ * A value of the platform's store with its version.
  *
- * @param version grows with each write, 1 or more
- * @param value bytes; callers must not change them
+ * @param version revision of the store in which the value was last written, 1 or more
+ * @param value content; not copied, and must not be modified
  */
 public record VersionedValue(long version, byte[] value) {
-    /** Checks the fields. */
+    /** Rejects a null value. */
     public VersionedValue {
         requireNonNull(value);
     }
--- a/daemon/src/main/java/org/hibiscususher/daemon/store/package-info.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/store/package-info.java
@@ -1,2 +1,2 @@
-/** The platform's key-value store and list of hosts, over HTTP and JSON. */
+/** Client of the platform's key-value store and host API, over HTTP and JSON. */
 package org.hibiscususher.daemon.store;
