Reword the daemon's forwarding

LinkPipeline becomes ForwardPipeline, as its messages are ForwardMessage now. Comments, private names and test names become terms of the field; no behaviour changes.

--- a/daemon/src/main/java/org/hibiscususher/daemon/forward/ForwardClient.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/forward/ForwardClient.java
@@ -24,21 +24,27 @@
 import org.hibiscususher.wire.scheduler.ForwardMessage;
 
 /**
- * Passes requests on to the entry that owns the scheduling, over one connection.
+ * Sends requests to the entry that owns the scheduling, over one connection.
  *
- * <p>All state belongs to one event loop; {@link #forward} may be called on any thread.
+ * <p>All state is confined to one event loop; the public methods may be called on any thread.
  */
 public final class ForwardClient {
     private static final int CONNECT_TIMEOUT_MS = 300;
 
-    /** Silence after which a request counts as lost and its connection as dead. */
-    private static final int ANSWER_TIMEOUT_MS = 1_500;
+    /**
+     * Time without a response after which a request counts as lost, in milliseconds. Its connection
+     * then counts as dead and is closed, which fails the other requests on it as well.
+     */
+    private static final int RESPONSE_TIMEOUT_MS = 1_500;
 
     private final EventLoop mLoop;
     private final Bootstrap mBootstrap;
     private final PendingCalls mCalls;
     private final Inbox<SchedulerInput> mInbox;
-    private final Map<Long, Channel> mSent = new HashMap<>();
+
+    /** Connection on which each request without a response was sent, by call id. */
+    private final Map<Long, Channel> mUnanswered = new HashMap<>();
+
     private String mAddress = "";
     private ChannelFuture mConnecting;
 
@@ -56,7 +62,8 @@
                                 new ChannelInitializer<Channel>() {
                                     @Override
                                     protected void initChannel(Channel channel) {
-                                        LinkPipeline.add(channel, (c, m) -> received(m));
+                                        ForwardPipeline.addHandlers(
+                                                channel, (c, m) -> onMessage(m));
                                     }
                                 });
     }
@@ -64,35 +71,57 @@
     /**
      * Creates a client.
      *
-     * @param group event loops; the owner closes them
-     * @param calls takes the answers
-     * @param inbox hears of requests that got none
+     * @param group event loops, of which the client uses one; the caller closes them
+     * @param calls completed with the responses
+     * @param inbox receives a {@link ForwardFailed} for each request without a response
      */
     public static ForwardClient create(
             EventLoopGroup group, PendingCalls calls, Inbox<SchedulerInput> inbox) {
         return new ForwardClient(group.next(), calls, inbox);
     }
 
-    /** Passes a request on; it ends with an answer or a {@link ForwardFailed}. */
-    public void forward(long callId, String address, JobRequest call) {
-        send(address, ForwardMessage.of(callId, call));
+    /**
+     * Forwards a request.
+     *
+     * <p>Its call is then completed with a response, or the inbox receives a {@link ForwardFailed}.
+     *
+     * @param callId id of the call in {@link PendingCalls}
+     * @param address IP number and port of the owner
+     * @param request request of a caller
+     */
+    public void forward(long callId, String address, JobRequest request) {
+        send(address, ForwardMessage.of(callId, request));
     }
 
-    /** Asks the owner of an earlier term to give no more orders; tells when it has agreed. */
+    /**
+     * Asks the owner of an earlier term to send no more orders; once it has agreed, the inbox
+     * receives a {@link PredecessorRelinquished}.
+     *
+     * @param address IP number and port of the earlier owner
+     * @param generation generation of this entry's term
+     */
     public void requestRelinquish(String address, long generation) {
         long callId =
                 mCalls.register(
-                        answer -> {
-                            if (answer.kind() == JobResponseKind.ACCEPTED) {
+                        response -> {
+                            if (response.kind() == JobResponseKind.ACCEPTED) {
                                 mInbox.add(new PredecessorRelinquished(generation));
                             }
                         });
         send(address, ForwardMessage.relinquishRequest(callId, generation));
     }
 
-    /** Offers the ownership to another entry, which does not tell what it makes of it. */
+    /**
+     * Offers the ownership to another entry.
+     *
+     * <p>The response only confirms receipt and is ignored: whether the entry takes the ownership
+     * over shows in the store.
+     *
+     * @param address IP number and port of the other entry
+     * @param generation generation of the term that this entry offers to end
+     */
     public void offerHandover(String address, long generation) {
-        long callId = mCalls.register(answer -> {});
+        long callId = mCalls.register(response -> {});
         send(address, ForwardMessage.handoverOffer(callId, generation));
     }
 
@@ -100,20 +129,26 @@
         mLoop.execute(() -> connect(address, channel -> write(channel, address, message)));
     }
 
-    private void connect(String address, Consumer<ChannelFuture> then) {
-        boolean usable =
+    /**
+     * Calls the listener once a connection to the address is established or has failed.
+     *
+     * <p>Uses the current connection if it leads to the address and is not closed, else replaces
+     * it.
+     */
+    private void connect(String address, Consumer<ChannelFuture> listener) {
+        boolean reusable =
                 mConnecting != null
                         && mAddress.equals(address)
                         && (!mConnecting.isDone() || mConnecting.channel().isActive());
-        if (!usable) {
+        if (!reusable) {
             if (mConnecting != null) {
                 mConnecting.channel().close();
             }
             mAddress = address;
             mConnecting = mBootstrap.connect(Addresses.parse(address));
-            mConnecting.channel().closeFuture().addListener(f -> closed((ChannelFuture) f));
+            mConnecting.channel().closeFuture().addListener(f -> onClosed((ChannelFuture) f));
         }
-        mConnecting.addListener(f -> then.accept((ChannelFuture) f));
+        mConnecting.addListener(f -> listener.accept((ChannelFuture) f));
     }
 
     private void write(ChannelFuture connected, String address, ForwardMessage message) {
@@ -123,34 +158,37 @@
             return;
         }
         Channel channel = connected.channel();
-        mSent.put(callId, channel);
-        LinkPipeline.send(channel, message);
-        mLoop.schedule(() -> timeOut(callId), ANSWER_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+        mUnanswered.put(callId, channel);
+        ForwardPipeline.send(channel, message);
+        mLoop.schedule(() -> onTimeout(callId), RESPONSE_TIMEOUT_MS, TimeUnit.MILLISECONDS);
     }
 
-    private void received(ForwardMessage message) {
-        if (mSent.remove(message.callId()) != null) {
-            message.response().ifPresent(answer -> mCalls.complete(message.callId(), answer));
+    private void onMessage(ForwardMessage message) {
+        if (mUnanswered.remove(message.callId()) != null) {
+            message.response().ifPresent(response -> mCalls.complete(message.callId(), response));
         }
     }
 
-    private void timeOut(long callId) {
-        Channel channel = mSent.get(callId);
+    private void onTimeout(long callId) {
+        Channel channel = mUnanswered.get(callId);
         if (channel != null) {
             channel.close();
         }
     }
 
-    private void closed(ChannelFuture closed) {
+    /**
+     * Fails the requests without a response on a closed connection; they may have been received.
+     */
+    private void onClosed(ChannelFuture closed) {
         List<Long> lost = new ArrayList<>();
-        mSent.forEach(
+        mUnanswered.forEach(
                 (id, channel) -> {
                     if (channel == closed.channel()) {
                         lost.add(id);
                     }
                 });
         for (long id : lost) {
-            mSent.remove(id);
+            mUnanswered.remove(id);
             String address = String.valueOf(closed.channel().remoteAddress());
             mInbox.add(new ForwardFailed(id, address, true));
         }
--- a/daemon/src/main/java/org/hibiscususher/daemon/forward/ForwardPipeline.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/forward/ForwardPipeline.java
@@ -16,15 +16,20 @@
 import org.hibiscususher.wire.scheduler.ForwardCodec;
 import org.hibiscususher.wire.scheduler.ForwardMessage;
 
-/** Frames and translates messages on a connection between entries. */
-final class LinkPipeline {
+/** Channel handlers that frame, encode and decode messages between entries. */
+final class ForwardPipeline {
     private static final int MAX_FRAME_BYTES = 1024 * 1024;
     private static final int LENGTH_BYTES = 4;
 
-    private LinkPipeline() {}
+    private ForwardPipeline() {}
 
-    /** Adds the handlers to a connection; {@code receiver} takes its messages. */
-    static void add(Channel channel, BiConsumer<Channel, ForwardMessage> receiver) {
+    /**
+     * Adds the handlers to a new connection.
+     *
+     * @param channel connection to or from another entry
+     * @param receiver called on the connection's event loop with each message
+     */
+    static void addHandlers(Channel channel, BiConsumer<Channel, ForwardMessage> receiver) {
         channel.pipeline()
                 .addLast(
                         new LengthFieldBasedFrameDecoder(
@@ -33,13 +38,13 @@
                 .addLast(new Receiver(receiver));
     }
 
-    /** Sends a message. */
+    /** Encodes and sends a message, without waiting. */
     static ChannelFuture send(Channel channel, ForwardMessage message) {
         return channel.writeAndFlush(Unpooled.wrappedBuffer(ForwardCodec.encode(message)));
     }
 
     private static final class Receiver extends SimpleChannelInboundHandler<ByteBuf> {
-        private static final Logger LOG = System.getLogger(LinkPipeline.class.getName());
+        private static final Logger LOG = System.getLogger(ForwardPipeline.class.getName());
 
         private final BiConsumer<Channel, ForwardMessage> mReceiver;
 
--- a/daemon/src/main/java/org/hibiscususher/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/forward/ForwardServer.java
@@ -19,19 +19,19 @@
 import org.hibiscususher.wire.http.Addresses;
 import org.hibiscususher.wire.scheduler.ForwardMessage;
 
-/** Takes requests that other entries pass on. */
+/** Server for requests that other entries forward. */
 public final class ForwardServer {
     private static final long RETRY_AFTER_MS = 1_000;
 
     private ForwardServer() {}
 
     /**
-     * Starts to listen.
+     * Binds the server to an address.
      *
-     * @param group event loops; the owner closes them
-     * @param address IP number and port
-     * @param calls keeps where answers go
-     * @param inbox takes the requests
+     * @param group event loops of the server's connections; the caller closes them
+     * @param address IP number and port to listen on
+     * @param calls registers where the response of each request is sent
+     * @param inbox receives the requests
      * @throws IOException if the address can't be bound
      */
     public static void listen(
@@ -46,8 +46,8 @@
                                 new ChannelInitializer<Channel>() {
                                     @Override
                                     protected void initChannel(Channel channel) {
-                                        LinkPipeline.add(
-                                                channel, (c, m) -> receive(c, m, calls, inbox));
+                                        ForwardPipeline.addHandlers(
+                                                channel, (c, m) -> dispatch(c, m, calls, inbox));
                                     }
                                 })
                         .bind(Addresses.parse(address))
@@ -57,24 +57,24 @@
         }
     }
 
-    private static void receive(
+    private static void dispatch(
             Channel channel,
             ForwardMessage message,
             PendingCalls calls,
             Inbox<SchedulerInput> inbox) {
         message.request()
                 .ifPresent(
-                        call ->
-                                take(
+                        request ->
+                                submit(
                                         channel,
                                         message.callId(),
-                                        id -> new RequestReceived(id, call),
+                                        id -> new RequestReceived(id, request),
                                         calls,
                                         inbox));
         message.relinquishTo()
                 .ifPresent(
                         generation ->
-                                take(
+                                submit(
                                         channel,
                                         message.callId(),
                                         id -> new RelinquishRequested(id, generation),
@@ -83,7 +83,7 @@
         message.handoverFrom()
                 .ifPresent(
                         generation ->
-                                take(
+                                submit(
                                         channel,
                                         message.callId(),
                                         id -> new HandoverOffered(id, generation),
@@ -91,21 +91,30 @@
                                         inbox));
     }
 
-    private static void take(
+    /**
+     * Adds an input to the inbox and registers its response; responds that the entry is overloaded
+     * if there are too many pending calls or inputs.
+     *
+     * @param remoteCallId call id of the other entry, which the response carries
+     * @param input creates the input from the local call id
+     */
+    private static void submit(
             Channel channel,
-            long remoteId,
+            long remoteCallId,
             LongFunction<SchedulerInput> input,
             PendingCalls calls,
             Inbox<SchedulerInput> inbox) {
         long id =
                 calls.register(
-                        answer -> LinkPipeline.send(channel, ForwardMessage.of(remoteId, answer)));
+                        response ->
+                                ForwardPipeline.send(
+                                        channel, ForwardMessage.of(remoteCallId, response)));
         if (id == 0 || !inbox.offer(input.apply(id))) {
-            JobResponse answer =
+            JobResponse response =
                     JobResponse.refusal(
                             JobResponseKind.OVERLOADED, RETRY_AFTER_MS, "too-many-requests");
-            calls.complete(id, answer);
-            LinkPipeline.send(channel, ForwardMessage.of(remoteId, answer));
+            calls.complete(id, response);
+            ForwardPipeline.send(channel, ForwardMessage.of(remoteCallId, response));
         }
     }
 }
--- a/daemon/src/main/java/org/hibiscususher/daemon/forward/PendingCalls.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/forward/PendingCalls.java
@@ -8,36 +8,37 @@
 import java.util.function.Consumer;
 import org.hibiscususher.core.job.JobResponse;
 
-/** The requests that were handed to the control thread and wait for an answer. Thread-safe. */
+/** Requests that await a response of the control thread, by call id. Thread-safe. */
 public final class PendingCalls {
     private static final int MAX_PENDING = 20_000;
 
     private final ConcurrentMap<Long, Consumer<JobResponse>> mSinks = new ConcurrentHashMap<>();
-    private final AtomicLong mNextId = new AtomicLong();
+    private final AtomicLong mLastId = new AtomicLong();
 
     /**
-     * Keeps where an answer goes, and returns the id of the request; 0 if there are too many.
+     * Registers a request.
      *
-     * @param sink takes the answer, on any thread
+     * @param sink called with the response, on any thread
+     * @return call id of the request, 0 if too many requests are pending
      */
     public long register(Consumer<JobResponse> sink) {
         if (mSinks.size() >= MAX_PENDING) {
             return 0;
         }
-        long id = mNextId.incrementAndGet();
+        long id = mLastId.incrementAndGet();
         mSinks.put(id, requireNonNull(sink));
         return id;
     }
 
-    /** Hands an answer to where it goes; an id that is not known is passed over. */
-    public void complete(long id, JobResponse answer) {
+    /** Passes a response to the sink of its request; ignores an unknown call id. */
+    public void complete(long id, JobResponse response) {
         Consumer<JobResponse> sink = mSinks.remove(id);
         if (sink != null) {
-            sink.accept(answer);
+            sink.accept(response);
         }
     }
 
-    /** Returns how many requests wait. */
+    /** Returns the number of pending requests. */
     public int size() {
         return mSinks.size();
     }
--- a/daemon/src/main/java/org/hibiscususher/daemon/forward/package-info.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/forward/package-info.java
@@ -1,2 +1,2 @@
-/** Passes callers' requests on to the owner of the scheduling, and its answers back. */
+/** Forwarding of callers' requests to the entry that owns the scheduling. */
 package org.hibiscususher.daemon.forward;
