--- a/daemon/src/main/java/org/hibiscususher/daemon/Daemon.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/Daemon.java
@@ -27,33 +27,48 @@
 import org.hibiscususher.daemon.store.EtcdStore;
 import org.hibiscususher.daemon.store.StoreOutputHandler;
 
-/** One running entry: all its parts, wired together. */
+/**
+ * One entry: the servers, clients and control thread of its process, connected to each other.
+ *
+ * <p>All events reach the control thread through one inbox. Each output of a tick is dispatched to
+ * the component that carries it out.
+ */
 public final class Daemon implements AutoCloseable {
-    private static final long TICK_MS = 10;
+    /** Longest time between two ticks without an input, in milliseconds. */
+    private static final long TICK_INTERVAL_MS = 10;
 
     private static final Logger LOG = System.getLogger(Daemon.class.getName());
     private static final long CLOSE_TIMEOUT_MS = 2_000;
+
+    /** Time to leave the membership record once the last attempt has ended, in milliseconds. */
     private static final long LEAVE_TIMEOUT_MS = 30_000;
-    private static final long WRITE_TIMEOUT_MS = 5_000;
-    private static final long POLL_MS = 20;
+
+    /** Time for the last responses to reach their callers, in milliseconds. */
+    private static final long RESPONSE_WRITE_TIMEOUT_MS = 5_000;
+
+    private static final long POLL_INTERVAL_MS = 20;
     private static final int MAX_EVENT_LOOPS = 4;
 
-    private final EventLoopGroup mGroup;
+    private final EventLoopGroup mEventLoops;
     private final Inbox<Input> mInbox = new Inbox<>();
     private final MetricRegistry mMetrics = new MetricRegistry();
-    private final CountDownLatch mDone = new CountDownLatch(1);
+    private final CountDownLatch mShutdownDone = new CountDownLatch(1);
     private final ExchangeTable mExchanges;
-    private final OperatorCalls mCalls;
-    private final StoreOutputHandler mStore;
-    private final PeerLinks mPeers;
-    private final FrontServer mFront;
-    private final ControlThread mControl;
+    private final OperatorCalls mOperatorCalls;
+    private final StoreOutputHandler mStoreOutputs;
+    private final PeerLinks mPeerLinks;
+    private final FrontServer mFrontServer;
+    private final ControlThread mControlThread;
 
     private Daemon(DaemonSettings settings) throws IOException {
-        mGroup = new MultiThreadIoEventLoopGroup(eventLoops(), NioIoHandler.newFactory());
+        mEventLoops = new MultiThreadIoEventLoopGroup(eventLoopCount(), NioIoHandler.newFactory());
         mExchanges = ExchangeTable.create(mInbox, mMetrics);
-        mCalls = OperatorCalls.create(mInbox);
-        mStore = StoreOutputHandler.create(EtcdStore.create(mGroup, settings.platform()), mInbox);
+        mOperatorCalls = OperatorCalls.create(mInbox);
+        mStoreOutputs =
+                StoreOutputHandler.create(
+                        EtcdStore.create(mEventLoops, settings.platform()), mInbox);
+        // Registers every counter now, so that the metrics page lists refusals that have not
+        // occurred with the value 0.
         for (Refusal refusal : Refusal.values()) {
             mMetrics.counter("refusal." + refusal.code());
         }
@@ -61,17 +76,21 @@
         long nowMs = clock.time();
         NodeIdentity identity =
                 new NodeIdentity(settings.member(), nowMs, settings.peers(), settings.zone());
-        mPeers = PeerLinks.listen(mGroup, settings.peers(), mInbox);
-        mFront = FrontServer.listen(mGroup, settings.callers(), mExchanges);
-        AdminServer.listen(mGroup, settings.operators(), mCalls, mMetrics);
+        mPeerLinks = PeerLinks.listen(mEventLoops, settings.peers(), mInbox);
+        mFrontServer = FrontServer.listen(mEventLoops, settings.callers(), mExchanges);
+        AdminServer.listen(mEventLoops, settings.operators(), mOperatorCalls, mMetrics);
         ControlNode node = ControlNode.create(identity, settings.control(), nowMs);
-        mControl = ControlThread.start(node::tick, clock, mInbox, this::handle, TICK_MS);
-        mStore.watch(RecordKey.HEAD);
-        mStore.watch(RecordKey.MEMBERSHIP);
+        mControlThread =
+                ControlThread.start(node::tick, clock, mInbox, this::handle, TICK_INTERVAL_MS);
+        mStoreOutputs.watch(RecordKey.HEAD);
+        mStoreOutputs.watch(RecordKey.MEMBERSHIP);
     }
 
-    /** Returns how many threads carry traffic: few, so that each finds more to do at a time. */
-    private static int eventLoops() {
+    /**
+     * Returns the number of threads that carry traffic. Few threads handle more events each time
+     * that they wake up.
+     */
+    private static int eventLoopCount() {
         int processors = Runtime.getRuntime().availableProcessors();
         return Math.max(1, Math.min(MAX_EVENT_LOOPS, processors / 2));
     }
@@ -79,6 +98,7 @@
     /**
      * Starts an entry.
      *
+     * @param settings settings without findings
      * @throws IOException if one of its addresses can't be bound
      */
     public static Daemon start(DaemonSettings settings) throws IOException {
@@ -91,72 +111,74 @@
         } else if (output instanceof Output.RefuseRequest refuse) {
             mExchanges.refuse(refuse);
         } else if (output instanceof Output.SendPeerMessage send) {
-            mPeers.send(send);
+            mPeerLinks.send(send);
         } else if (output instanceof Output.ReadHostList) {
-            mStore.readHosts();
+            mStoreOutputs.readHosts();
         } else if (output instanceof Output.ReadRecord read) {
-            mStore.read(read);
+            mStoreOutputs.read(read);
         } else if (output instanceof Output.SwapRecord swap) {
-            mStore.swap(swap);
+            mStoreOutputs.swap(swap);
         } else if (output instanceof Output.ReadFleetRecords read) {
-            mStore.readFleet(read);
+            mStoreOutputs.readFleet(read);
         } else if (output instanceof Output.RebootHost reboot) {
-            mStore.reboot(reboot);
-        } else if (output instanceof Output.ReplyToWave answer) {
-            mCalls.complete(answer.callId(), answer);
-        } else if (output instanceof Output.ReplyToNote answer) {
-            mCalls.complete(answer.callId(), answer);
-        } else if (output instanceof Output.ReplyToNoteCheck answer) {
-            mCalls.complete(answer.callId(), answer);
-        } else if (output instanceof Output.ReplyToHistory answer) {
-            mCalls.complete(answer.callId(), answer);
-        } else if (output instanceof Output.ReplyToExport answer) {
-            mCalls.complete(answer.callId(), answer);
-        } else if (output instanceof Output.ReplyToStatus answer) {
-            mCalls.complete(answer.callId(), answer);
+            mStoreOutputs.reboot(reboot);
+        } else if (output instanceof Output.ReplyToWave reply) {
+            mOperatorCalls.complete(reply.callId(), reply);
+        } else if (output instanceof Output.ReplyToNote reply) {
+            mOperatorCalls.complete(reply.callId(), reply);
+        } else if (output instanceof Output.ReplyToNoteCheck reply) {
+            mOperatorCalls.complete(reply.callId(), reply);
+        } else if (output instanceof Output.ReplyToHistory reply) {
+            mOperatorCalls.complete(reply.callId(), reply);
+        } else if (output instanceof Output.ReplyToExport reply) {
+            mOperatorCalls.complete(reply.callId(), reply);
+        } else if (output instanceof Output.ReplyToStatus reply) {
+            mOperatorCalls.complete(reply.callId(), reply);
         } else if (output instanceof Output.Count count) {
             mMetrics.counter(count.counter()).inc();
         } else if (output instanceof Output.LogEvent log) {
             LOG.log(Level.INFO, log.event());
         } else if (output instanceof Output.ShutdownDone) {
-            mDone.countDown();
+            mShutdownDone.countDown();
         }
     }
 
     /**
-     * Asks the entry to finish its work and leave, and waits until it has left.
+     * Shuts the entry down: it accepts no more connections, completes the requests that it holds
+     * and leaves the membership record.
      *
-     * <p>It waits no longer than the longest run limit and some time to leave the membership
-     * record.
+     * <p>Waits at most for the longest run of any attempt so far plus fixed timeouts for leaving
+     * the membership record and for writing the last responses. Then closes the entry in any case.
      *
-     * @return whether the entry has finished all and left
+     * @return whether all requests were completed and the entry has left the membership record
      */
     public boolean shutDown() throws InterruptedException {
-        mFront.stopAccepting();
+        mFrontServer.stopAccepting();
         mExchanges.setLeaving();
         mInbox.add(new Input.ShutdownRequested());
         long startNs = System.nanoTime();
-        boolean left = mDone.await(POLL_MS, TimeUnit.MILLISECONDS);
-        while (!left && msSince(startNs) < mExchanges.longestRunLimitMs() + LEAVE_TIMEOUT_MS) {
-            left = mDone.await(POLL_MS, TimeUnit.MILLISECONDS);
+        boolean hasLeft = mShutdownDone.await(POLL_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        while (!hasLeft && elapsedMs(startNs) < mExchanges.longestRunMs() + LEAVE_TIMEOUT_MS) {
+            hasLeft = mShutdownDone.await(POLL_INTERVAL_MS, TimeUnit.MILLISECONDS);
         }
-        long leftNs = System.nanoTime();
-        while (mExchanges.size() > 0 && msSince(leftNs) < WRITE_TIMEOUT_MS) {
-            Thread.sleep(POLL_MS);
+        long leftAtNs = System.nanoTime();
+        while (mExchanges.size() > 0 && elapsedMs(leftAtNs) < RESPONSE_WRITE_TIMEOUT_MS) {
+            Thread.sleep(POLL_INTERVAL_MS);
         }
-        boolean finished = left && mExchanges.size() == 0;
+        boolean finished = hasLeft && mExchanges.size() == 0;
         close();
         return finished;
     }
 
-    private static long msSince(long startNs) {
+    private static long elapsedMs(long startNs) {
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNs);
     }
 
     @Override
     public void close() {
-        mControl.close();
-        mGroup.shutdownGracefully(0, CLOSE_TIMEOUT_MS, TimeUnit.MILLISECONDS)
+        mControlThread.close();
+        mEventLoops
+                .shutdownGracefully(0, CLOSE_TIMEOUT_MS, TimeUnit.MILLISECONDS)
                 .awaitUninterruptibly(CLOSE_TIMEOUT_MS);
     }
 }
--- a/daemon/src/main/java/org/hibiscususher/daemon/DaemonMain.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/DaemonMain.java
@@ -13,10 +13,11 @@
 import org.hibiscususher.daemon.settings.SettingsReader;
 
 /**
- * The command {@code hibiscususherd}.
+ * Entry point of the daemon, {@code hibiscususherd}.
  *
- * <p>Exit codes: 0 after a graceful shutdown or a clean check, 1 if the entry can't start or can't
- * finish its work when asked to stop, 2 if the command line or the settings are wrong.
+ * <p>Exit codes: 0 after a graceful shutdown or a check without findings; 1 if the entry can't
+ * start, or can't complete its requests and leave when it is stopped; 2 if the command line or the
+ * settings are invalid.
  */
 public final class DaemonMain {
     private static final int EXIT_FAILED = 1;
@@ -26,7 +27,10 @@
 
     private DaemonMain() {}
 
-    /** Runs the daemon until it is asked to stop. */
+    /**
+     * Starts the daemon and returns; it runs until a signal such as SIGTERM starts the shutdown
+     * hook.
+     */
     public static void main(String[] args) throws InterruptedException {
         System.setProperty("java.util.logging.SimpleFormatter.format", LOG_FORMAT);
         int code = run(args, System.out, System.err);
@@ -35,6 +39,7 @@
         }
     }
 
+    /** Returns the exit code; 0 also if the daemon was started and keeps running. */
     static int run(String[] args, PrintStream out, PrintStream err) throws InterruptedException {
         Options options =
                 new Options()
@@ -43,23 +48,27 @@
                         .addOption(null, "help", false, "show this help")
                         .addOption(null, "version", false, "show the version");
         try {
-            CommandLine line = new DefaultParser().parse(options, args);
-            if (line.hasOption("help")) {
+            CommandLine commandLine = new DefaultParser().parse(options, args);
+            if (commandLine.hasOption("help")) {
                 HelpFormatter.builder()
                         .get()
                         .printHelp(
                                 "hibiscususherd --config FILE [--check]", "", options, "", false);
                 return 0;
             }
-            if (line.hasOption("version")) {
+            if (commandLine.hasOption("version")) {
                 out.println("hibiscususherd " + VERSION);
                 return 0;
             }
-            if (!line.hasOption("config")) {
+            if (!commandLine.hasOption("config")) {
                 err.println("hibiscususherd: --config FILE is missing; see --help");
                 return EXIT_USAGE;
             }
-            return start(Path.of(line.getOptionValue("config")), line.hasOption("check"), out, err);
+            return checkOrStart(
+                    Path.of(commandLine.getOptionValue("config")),
+                    commandLine.hasOption("check"),
+                    out,
+                    err);
         } catch (ParseException e) {
             err.println("hibiscususherd: " + e.getMessage() + "; see --help");
             return EXIT_USAGE;
@@ -69,7 +78,7 @@
         }
     }
 
-    private static int start(Path file, boolean checkOnly, PrintStream out, PrintStream err)
+    private static int checkOrStart(Path file, boolean checkOnly, PrintStream out, PrintStream err)
             throws IOException, InterruptedException {
         ParsedSettings parsed = SettingsReader.read(file.toString(), Files.readString(file));
         parsed.findings().forEach(err::println);
@@ -81,7 +90,7 @@
             return 0;
         }
         Daemon daemon = Daemon.start(parsed.settings());
-        Thread hook =
+        Thread shutdownHook =
                 new Thread(
                         () -> {
                             int code = EXIT_FAILED;
@@ -90,10 +99,11 @@
                             } catch (InterruptedException e) {
                                 Thread.currentThread().interrupt();
                             }
+                            // System.exit() would block forever in a shutdown hook.
                             Runtime.getRuntime().halt(code);
                         },
                         "shutdown");
-        Runtime.getRuntime().addShutdownHook(hook);
+        Runtime.getRuntime().addShutdownHook(shutdownHook);
         return 0;
     }
 }
--- a/daemon/src/main/java/org/hibiscususher/daemon/front/Attempt.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/front/Attempt.java
@@ -20,60 +20,66 @@
 import org.hibiscususher.daemon.control.Inbox;
 
 /**
- * One sending of a request to a target. Reports its end exactly once.
+ * One attempt to run a request on a target.
  *
- * <p>Belongs to the event loop of the caller's connection, on which the connection to the target
- * runs as well.
+ * <p>Reports its outcome to the control thread exactly once. If the caller stops waiting while the
+ * target may still be running, the outcome is reported at once and the connection stays open; a
+ * {@link TargetDone} follows when the target responds, closes the connection or exceeds the longest
+ * run. Until then the target still uses the capacity.
+ *
+ * <p>Confined to the event loop of the caller's connection, which the connection to the target
+ * shares.
  */
 final class Attempt {
     private final Exchange mExchange;
     private final StartAttempt mStart;
     private final Inbox<Input> mInbox;
-    private final TargetConnectionPool mConnections;
+    private final TargetConnectionPool mConnectionPool;
     private AttemptStage mStage = AttemptStage.CONNECTING;
     private TargetConnection mConnection;
-    private Future<?> mRunLimit;
-    private Future<?> mLongestRun;
-    private boolean mReused;
-    private boolean mWritten;
-    private boolean mReusable;
-    private boolean mInformational;
+    private Future<?> mRunLimitTimer;
+    private Future<?> mLongestRunTimer;
+    private boolean mOnReusedConnection;
+    private boolean mRequestWritten;
+    private boolean mKeepAlive;
+    private boolean mSkippingInformational;
     private boolean mServerError;
 
     Attempt(
             Exchange exchange,
             StartAttempt start,
             Inbox<Input> inbox,
-            TargetConnectionPool connections) {
+            TargetConnectionPool connectionPool) {
         mExchange = exchange;
         mStart = start;
         mInbox = inbox;
-        mConnections = connections;
+        mConnectionPool = connectionPool;
     }
 
     /**
-     * Takes an idle connection or makes one, and sends the request.
+     * Sends the request on an idle connection or a new one.
      *
-     * <p>Work that must not run twice gets a connection of its own: on an idle one that the target
-     * is about to close, it would end as unknown without need.
+     * <p>A request that is not idempotent gets a new connection. If the target closes an idle
+     * connection just as the request is sent, it is unknown whether the request has run; only an
+     * idempotent request can then be repeated.
      */
-    void begin() {
+    void start() {
         TargetConnection idle =
-                mExchange.idempotent() ? mConnections.takeIdle(mStart.address()) : null;
+                mExchange.idempotent() ? mConnectionPool.pollIdle(mStart.address()) : null;
         if (idle == null) {
-            mConnections.connect(mStart.address(), this::connected);
+            mConnectionPool.connect(mStart.address(), this::onConnected);
         } else {
-            mReused = true;
+            mOnReusedConnection = true;
             send(idle);
         }
     }
 
-    private void connected(TargetConnection connection) {
-        if (mStage == AttemptStage.OVER || mStage == AttemptStage.ABANDONED) {
+    private void onConnected(TargetConnection connection) {
+        if (mStage == AttemptStage.ENDED || mStage == AttemptStage.ABANDONED) {
             connection.close();
-            end(mStage.whenClosed());
-        } else if (!connection.active()) {
-            end(mStage.whenClosed());
+            end(mStage.outcomeIfClosed());
+        } else if (!connection.isActive()) {
+            end(mStage.outcomeIfClosed());
         } else {
             send(connection);
         }
@@ -82,83 +88,80 @@
     private void send(TargetConnection connection) {
         mStage = AttemptStage.SENT;
         mConnection = connection;
-        mWritten = false;
-        if (mRunLimit == null) {
-            mRunLimit =
+        mRequestWritten = false;
+        if (mRunLimitTimer == null) {
+            mRunLimitTimer =
                     connection
                             .eventLoop()
-                            .schedule(
-                                    this::runLimitPassed,
-                                    mStart.runLimitMs(),
-                                    TimeUnit.MILLISECONDS);
-            mLongestRun =
+                            .schedule(this::onRunLimit, mStart.runLimitMs(), TimeUnit.MILLISECONDS);
+            mLongestRunTimer =
                     connection
                             .eventLoop()
                             .schedule(
-                                    () -> end(mStage.whenClosed()),
+                                    () -> end(mStage.outcomeIfClosed()),
                                     mStart.longestRunMs(),
                                     TimeUnit.MILLISECONDS);
         }
-        FullHttpRequest request = mExchange.requestFor(mStart.address());
-        connection.send(this, request, () -> mWritten = true);
+        FullHttpRequest request = mExchange.requestTo(mStart.address());
+        connection.send(this, request, () -> mRequestWritten = true);
     }
 
-    /** Tells the caller's side that no answer came in time; the target may still be running. */
-    private void runLimitPassed() {
+    /** Ends the attempt for the caller without a response; the target may still be running. */
+    private void onRunLimit() {
         if (mStage == AttemptStage.SENT) {
             mStage = AttemptStage.ABANDONED;
-            mInbox.add(ended(AttemptOutcome.TIMED_OUT));
-            mExchange.attemptEnded(AttemptOutcome.TIMED_OUT);
+            mInbox.add(inputFor(AttemptOutcome.TIMED_OUT));
+            mExchange.onAttemptEnded(AttemptOutcome.TIMED_OUT);
         }
     }
 
-    /** Takes a part of the target's answer, and releases it. */
-    void received(HttpObject message) {
+    /** Handles a part of the target's response; takes over its reference count. */
+    void onMessage(HttpObject message) {
         if (message.decoderResult().isFailure()) {
             ReferenceCountUtil.release(message);
-            end(mStage.whenClosed());
+            end(mStage.outcomeIfClosed());
             return;
         }
         if (message instanceof HttpResponse response) {
-            head(response);
+            onHead(response);
         }
         if (message instanceof HttpContent content) {
-            body(content);
+            onContent(content);
         }
     }
 
-    private void head(HttpResponse response) {
+    private void onHead(HttpResponse response) {
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-            mInformational = true;
+            mSkippingInformational = true;
             if (response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
-                end(mStage.whenClosed());
+                end(mStage.outcomeIfClosed());
             }
             return;
         }
-        mReusable = HttpUtil.isKeepAlive(response);
+        mKeepAlive = HttpUtil.isKeepAlive(response);
         mServerError = response.status().codeClass() == HttpStatusClass.SERVER_ERROR;
         if (mStage != AttemptStage.SENT) {
             return;
         }
-        if (MessageHeaders.saysNotRun(response)) {
+        if (MessageHeaders.isNotRun(response)) {
             end(AttemptOutcome.DECLINED);
-        } else if (!MessageHeaders.showsItsEnd(response, mExchange.method())) {
+        } else if (!MessageHeaders.isDelimited(response, mExchange.method())) {
             end(AttemptOutcome.BROKEN);
         } else {
-            mStage = AttemptStage.ANSWERING;
-            mExchange.answer(response);
+            mStage = AttemptStage.RESPONDING;
+            mExchange.forwardHead(response);
         }
     }
 
-    private void body(HttpContent content) {
+    private void onContent(HttpContent content) {
         boolean last = content instanceof LastHttpContent;
-        if (mInformational) {
-            mInformational = !last;
+        if (mSkippingInformational) {
+            mSkippingInformational = !last;
             content.release();
             return;
         }
-        if (mStage == AttemptStage.ANSWERING) {
-            mExchange.answer(content);
+        if (mStage == AttemptStage.RESPONDING) {
+            mExchange.forwardContent(content);
             if (!last && !mExchange.callerWritable()) {
                 mConnection.setReading(false);
             }
@@ -166,67 +169,75 @@
             content.release();
         }
         if (last) {
-            answered();
+            onLastContent();
         }
     }
 
-    private void answered() {
-        if (mStage == AttemptStage.OVER) {
+    private void onLastContent() {
+        if (mStage == AttemptStage.ENDED) {
             return;
         }
-        if (mReusable && mWritten && mExchange.method() != HttpMethod.CONNECT) {
-            mConnections.giveBack(mConnection);
+        if (mKeepAlive && mRequestWritten && mExchange.method() != HttpMethod.CONNECT) {
+            mConnectionPool.release(mConnection);
             mConnection = null;
         }
         end(mServerError ? AttemptOutcome.SERVER_ERROR : AttemptOutcome.ANSWERED);
     }
 
-    /** Passes on to the caller what was read. */
-    void readComplete() {
-        if (mStage == AttemptStage.ANSWERING) {
+    /** Flushes the parts of the response that were written to the caller. */
+    void onReadComplete() {
+        if (mStage == AttemptStage.RESPONDING) {
             mExchange.flush();
         }
     }
 
-    /** Reads on once the caller's connection takes more bytes. */
-    void callerWritable() {
+    /** Resumes reading from the target, which pauses while the caller's send buffer is full. */
+    void resumeReading() {
         if (mConnection != null) {
             mConnection.setReading(true);
         }
     }
 
-    /** Notes that the target closed the connection. */
-    void closed() {
-        boolean staleConnection = mStage == AttemptStage.SENT && mReused;
-        if (staleConnection) {
-            mReused = false;
+    /**
+     * Handles the end of the connection to the target.
+     *
+     * <p>If an idle connection was reused and closes before a response, the target has most likely
+     * closed it for being idle; the request, which is idempotent, is sent again on a new one.
+     */
+    void onClosed() {
+        boolean wasStale = mStage == AttemptStage.SENT && mOnReusedConnection;
+        if (wasStale) {
+            mOnReusedConnection = false;
             mConnection = null;
-            mConnections.connect(mStart.address(), this::connected);
+            mConnectionPool.connect(mStart.address(), this::onConnected);
         } else {
-            end(mStage.whenClosed());
+            end(mStage.outcomeIfClosed());
         }
     }
 
-    /** Notes that the caller went away. */
-    void callerGone() {
+    /**
+     * Handles the end of the caller's connection: cancels the attempt if nothing was sent, else
+     * reads and drops the response.
+     */
+    void onCallerDisconnected() {
         if (mStage == AttemptStage.CONNECTING) {
             end(AttemptOutcome.CANCELLED);
-        } else if (mStage != AttemptStage.OVER && mStage != AttemptStage.ABANDONED) {
+        } else if (mStage != AttemptStage.ENDED && mStage != AttemptStage.ABANDONED) {
             mStage = AttemptStage.ABANDONED;
-            mInbox.add(ended(AttemptOutcome.CALLER_GONE));
-            callerWritable();
+            mInbox.add(inputFor(AttemptOutcome.CALLER_GONE));
+            resumeReading();
         }
     }
 
     private void end(AttemptOutcome outcome) {
         AttemptStage stage = mStage;
-        if (stage == AttemptStage.OVER) {
+        if (stage == AttemptStage.ENDED) {
             return;
         }
-        mStage = AttemptStage.OVER;
-        if (mRunLimit != null) {
-            mRunLimit.cancel(false);
-            mLongestRun.cancel(false);
+        mStage = AttemptStage.ENDED;
+        if (mRunLimitTimer != null) {
+            mRunLimitTimer.cancel(false);
+            mLongestRunTimer.cancel(false);
         }
         if (mConnection != null) {
             mConnection.close();
@@ -234,12 +245,12 @@
         if (stage == AttemptStage.ABANDONED) {
             mInbox.add(new TargetFinished(mStart.requestId(), mStart.attempt()));
         } else {
-            mInbox.add(ended(outcome));
-            mExchange.attemptEnded(outcome);
+            mInbox.add(inputFor(outcome));
+            mExchange.onAttemptEnded(outcome);
         }
     }
 
-    private AttemptEnded ended(AttemptOutcome outcome) {
+    private AttemptEnded inputFor(AttemptOutcome outcome) {
         return new AttemptEnded(mStart.requestId(), mStart.attempt(), outcome);
     }
 }
--- a/daemon/src/main/java/org/hibiscususher/daemon/front/AttemptStage.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/front/AttemptStage.java
@@ -2,27 +2,30 @@
 
 import org.hibiscususher.core.message.AttemptOutcome;
 
-/** The stages of one attempt on a target. */
+/**
+ * Stage of an attempt on a target; decides which outcome is reported if the connection to the
+ * target ends.
+ */
 enum AttemptStage {
-    /** The connection is being made; no byte was sent. */
+    /** The connection is being established; no byte was sent. */
     CONNECTING(AttemptOutcome.NOT_CONNECTED),
-    /** Bytes were sent and no answer has begun. */
+    /** The request is being or has been sent; no response has been forwarded. */
     SENT(AttemptOutcome.BROKEN),
-    /** Bytes of the answer were passed on to the caller. */
-    ANSWERING(AttemptOutcome.TRUNCATED),
-    /** The caller waits no longer; the answer is read and dropped. */
+    /** A part of the response was forwarded to the caller. */
+    RESPONDING(AttemptOutcome.TRUNCATED),
+    /** The caller no longer waits; the response is read and dropped. */
     ABANDONED(AttemptOutcome.CALLER_GONE),
-    /** Its end was reported. */
-    OVER(AttemptOutcome.CALLER_GONE);
+    /** The outcome was reported and nothing more follows. */
+    ENDED(AttemptOutcome.CALLER_GONE);
 
-    private final AttemptOutcome mWhenClosed;
+    private final AttemptOutcome mOutcomeIfClosed;
 
-    AttemptStage(AttemptOutcome whenClosed) {
-        mWhenClosed = whenClosed;
+    AttemptStage(AttemptOutcome outcomeIfClosed) {
+        mOutcomeIfClosed = outcomeIfClosed;
     }
 
-    /** Returns what it means that the target closed the connection. */
-    AttemptOutcome whenClosed() {
-        return mWhenClosed;
+    /** Returns the outcome if the connection to the target ends in this stage. */
+    AttemptOutcome outcomeIfClosed() {
+        return mOutcomeIfClosed;
     }
 }
--- a/daemon/src/main/java/org/hibiscususher/daemon/front/Exchange.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/front/Exchange.java
@@ -22,10 +22,11 @@
 import org.hibiscususher.core.message.Refusal;
 
 /**
- * One request on the traffic side: what the caller sent, and the attempt that is under way.
+ * One request of a caller and its current attempt on a target, if any.
  *
- * <p>All state belongs to the event loop of the caller's connection. The request ends once: with an
- * answer, a refusal, a broken connection, or because its caller went away.
+ * <p>State is confined to the event loop of the caller's connection. The exchange ends exactly
+ * once: with a response, with a refusal, with a reset of the caller's connection, or because the
+ * caller has disconnected.
  */
 final class Exchange {
     private final ExchangeTable mExchanges;
@@ -33,10 +34,10 @@
     private final Channel mCaller;
     private final FullHttpRequest mRequest;
     private final ParsedRequest mParsed;
-    private final int mBytes;
+    private final int mBodyBytes;
     private Attempt mAttempt;
-    private boolean mAnswerBegun;
-    private boolean mOver;
+    private boolean mResponseStarted;
+    private boolean mEnded;
 
     Exchange(
             ExchangeTable exchanges,
@@ -48,16 +49,16 @@
         mCaller = caller;
         mRequest = request;
         mParsed = parsed;
-        mBytes = request.content().readableBytes();
+        mBodyBytes = request.content().readableBytes();
     }
 
     long id() {
         return mId;
     }
 
-    /** Returns the size of the request's body, which is kept until the request ends. */
-    int bytes() {
-        return mBytes;
+    /** Returns the size of the request's body in bytes; it is held until the exchange ends. */
+    int bodyBytes() {
+        return mBodyBytes;
     }
 
     boolean idempotent() {
@@ -68,14 +69,14 @@
         return mRequest.method();
     }
 
-    /** Sends the request to a target. May be called on any thread. */
+    /** Starts an attempt on a target. May be called on any thread. */
     void start(StartAttempt start) {
-        mCaller.eventLoop().execute(() -> begin(start));
+        mCaller.eventLoop().execute(() -> startAttempt(start));
     }
 
-    private void begin(StartAttempt start) {
-        if (mOver) {
-            mExchanges.cancelled(start);
+    private void startAttempt(StartAttempt start) {
+        if (mEnded) {
+            mExchanges.reportCancelled(start);
             return;
         }
         mAttempt =
@@ -83,52 +84,63 @@
                         this,
                         start,
                         mExchanges.inbox(),
-                        mExchanges.connections(mCaller.eventLoop()));
-        mAttempt.begin();
+                        mExchanges.connectionPool(mCaller.eventLoop()));
+        mAttempt.start();
     }
 
-    /** Answers the caller without a target. May be called on any thread. */
+    /**
+     * Ends the exchange with a refusal. May be called on any thread.
+     *
+     * <p>Resets the caller's connection if a response has started, since a refusal can't follow it.
+     */
     void refuse(Refusal refusal) {
-        mCaller.eventLoop().execute(() -> answerRefusal(refusal));
+        mCaller.eventLoop().execute(() -> sendRefusal(refusal));
     }
 
-    private void answerRefusal(Refusal refusal) {
-        if (mOver) {
+    private void sendRefusal(Refusal refusal) {
+        if (mEnded) {
             return;
         }
-        if (mAnswerBegun) {
-            breakOff();
+        if (mResponseStarted) {
+            resetCaller();
         } else {
-            mExchanges.track(
+            mExchanges.trackWrite(
                     mCaller.writeAndFlush(
                             RefusalResponse.of(mCaller, refusal, mExchanges.leaving())));
         }
-        finish();
+        end();
     }
 
-    /** Notes that the caller went away. Called on the event loop. */
-    void callerGone() {
-        if (mOver) {
+    /** Handles the end of the caller's connection. Called on the event loop. */
+    void onCallerDisconnected() {
+        if (mEnded) {
             return;
         }
         if (mAttempt == null) {
             mExchanges.inbox().add(new RequestCancelled(mId));
         } else {
-            mAttempt.callerGone();
+            mAttempt.onCallerDisconnected();
         }
-        finish();
-    }
-
-    /** Returns the request as the target shall get it. */
-    FullHttpRequest requestFor(String address) {
+        end();
+    }
+
+    /**
+     * Returns the request to send to a target.
+     *
+     * <p>It lacks the headers of the caller's connection, and the caller's secret, which targets
+     * must not see.
+     *
+     * @param address IP number and port of the target
+     */
+    FullHttpRequest requestTo(String address) {
         HttpHeaders headers = mRequest.headers().copy();
         MessageHeaders.removeHopByHop(headers);
         headers.remove(HttpHeaderNames.AUTHORIZATION)
                 .remove(HttpHeaderNames.EXPECT)
                 .remove(HttpHeaderNames.CONTENT_LENGTH)
                 .set(HttpHeaderNames.HOST, address);
-        if (mBytes > 0 || !bodiless(method())) {
-            headers.set(HttpHeaderNames.CONTENT_LENGTH, mBytes);
+        if (mBodyBytes > 0 || !usuallyHasNoBody(method())) {
+            headers.set(HttpHeaderNames.CONTENT_LENGTH, mBodyBytes);
         }
         return new DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1,
@@ -139,33 +151,38 @@
                 DefaultHttpHeadersFactory.trailersFactory().newEmptyHeaders());
     }
 
-    private static boolean bodiless(HttpMethod method) {
+    private static boolean usuallyHasNoBody(HttpMethod method) {
         return method.equals(HttpMethod.GET) || method.equals(HttpMethod.HEAD);
     }
 
-    /** Passes the head of an answer on to the caller. */
-    void answer(HttpResponse response) {
-        mAnswerBegun = true;
+    /**
+     * Forwards the status and headers of a response to the caller.
+     *
+     * <p>A chunked body stays chunked only for callers of HTTP/1.1; for older ones the end of the
+     * connection ends the body.
+     */
+    void forwardHead(HttpResponse response) {
+        mResponseStarted = true;
         HttpHeaders headers = response.headers().copy();
         boolean chunked = HttpUtil.isTransferEncodingChunked(response);
         MessageHeaders.removeHopByHop(headers);
-        HttpResponse answer =
+        HttpResponse forwarded =
                 new DefaultHttpResponse(HttpVersion.HTTP_1_1, response.status(), headers);
         if (chunked && mRequest.protocolVersion().isKeepAliveDefault()) {
-            HttpUtil.setTransferEncodingChunked(answer, true);
+            HttpUtil.setTransferEncodingChunked(forwarded, true);
         }
         if (mExchanges.leaving()) {
-            HttpUtil.setKeepAlive(answer, false);
+            HttpUtil.setKeepAlive(forwarded, false);
         }
-        mCaller.write(answer);
+        mCaller.write(forwarded);
     }
 
-    /** Passes a part of an answer's body on to the caller. */
-    void answer(HttpContent content) {
+    /** Forwards a part of a response's body to the caller; takes over its reference count. */
+    void forwardContent(HttpContent content) {
         boolean last = content instanceof LastHttpContent;
-        ChannelFuture written = mCaller.write(content);
+        ChannelFuture lastWrite = mCaller.write(content);
         if (last) {
-            mExchanges.track(written);
+            mExchanges.trackWrite(lastWrite);
         }
         if (!mCaller.isWritable()) {
             mCaller.flush();
@@ -180,27 +197,27 @@
         return mCaller.isWritable();
     }
 
-    /** Reads more of the answer now that the caller's connection takes it. */
-    void whenWritable() {
+    /** Resumes reading the response once the caller's send buffer has free space. */
+    void onCallerWritable() {
         if (mAttempt != null) {
-            mAttempt.callerWritable();
+            mAttempt.resumeReading();
         }
     }
 
-    /** Notes the end of the attempt; the control thread decides what follows. */
-    void attemptEnded(AttemptOutcome outcome) {
+    /** Handles the outcome of the attempt; without a response the control thread decides. */
+    void onAttemptEnded(AttemptOutcome outcome) {
         mAttempt = null;
-        if (mOver) {
+        if (mEnded) {
             return;
         }
         switch (outcome) {
             case ANSWERED, SERVER_ERROR -> {
                 mCaller.flush();
-                finish();
+                end();
             }
             case TRUNCATED -> {
-                breakOff();
-                finish();
+                resetCaller();
+                end();
             }
             default -> {
                 // The control thread starts another attempt or refuses the request.
@@ -208,21 +225,26 @@
         }
     }
 
-    /** Resets the connection, so that the caller can't take a part for the whole. */
-    private void breakOff() {
+    /**
+     * Resets the caller's connection.
+     *
+     * <p>An orderly close would mark the end of a response without a length, so that the caller
+     * would take a truncated response for a complete one.
+     */
+    private void resetCaller() {
         mCaller.config().setOption(ChannelOption.SO_LINGER, 0);
         mCaller.close();
     }
 
-    private void finish() {
-        mOver = true;
+    private void end() {
+        mEnded = true;
         mExchanges.remove(this);
         mRequest.release();
-        FrontHandler.next(mCaller);
+        FrontHandler.startNext(mCaller);
     }
 
-    /** Returns the report that an attempt never began because its caller had gone. */
-    static AttemptEnded neverBegun(StartAttempt start) {
+    /** Returns the input for an attempt that did not start because its caller had disconnected. */
+    static AttemptEnded cancelledBeforeStart(StartAttempt start) {
         return new AttemptEnded(start.requestId(), start.attempt(), AttemptOutcome.CANCELLED);
     }
 }
--- a/daemon/src/main/java/org/hibiscususher/daemon/front/ExchangeTable.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/front/ExchangeTable.java
@@ -15,18 +15,21 @@
 import org.hibiscususher.core.message.Refusal;
 import org.hibiscususher.daemon.control.Inbox;
 
-/** The requests at hand on the traffic side, by id, within bounds. Thread-safe. */
+/**
+ * The open exchanges by id, bounded in number and in the total size of their request bodies, so
+ * that a flood of requests can't exhaust the memory. Thread-safe.
+ */
 public final class ExchangeTable {
     private static final int MAX_EXCHANGES = 16_384;
-    private static final int MAX_BODY_BYTES = 64 * 1024 * 1024;
+    private static final int MAX_TOTAL_BODY_BYTES = 64 * 1024 * 1024;
 
     private final Map<Long, Exchange> mExchanges = new ConcurrentHashMap<>();
-    private final Map<EventLoop, TargetConnectionPool> mConnections = new ConcurrentHashMap<>();
-    private final AtomicLong mIds = new AtomicLong();
-    private final AtomicInteger mCount = new AtomicInteger();
-    private final AtomicInteger mWriting = new AtomicInteger();
-    private final AtomicLong mBytes = new AtomicLong();
-    private final AtomicInteger mLongestRunLimitMs = new AtomicInteger();
+    private final Map<EventLoop, TargetConnectionPool> mConnectionPools = new ConcurrentHashMap<>();
+    private final AtomicLong mLastId = new AtomicLong();
+    private final AtomicInteger mOpen = new AtomicInteger();
+    private final AtomicInteger mUnwrittenResponses = new AtomicInteger();
+    private final AtomicLong mBodyBytes = new AtomicLong();
+    private final AtomicInteger mLongestRunMs = new AtomicInteger();
     private final Inbox<Input> mInbox;
     private final MetricRegistry mMetrics;
     private final ByteBufAllocator mAllocator;
@@ -41,8 +44,8 @@
     /**
      * Creates an empty table of exchanges.
      *
-     * @param inbox takes what happens to requests
-     * @param metrics counts refusals that need no decision of the control thread
+     * @param inbox receives the arrival of requests and the outcomes of attempts
+     * @param metrics counts the refusals that are made without the control thread
      */
     public static ExchangeTable create(Inbox<Input> inbox, MetricRegistry metrics) {
         return create(inbox, metrics, PooledByteBufAllocator.DEFAULT);
@@ -53,18 +56,18 @@
         return new ExchangeTable(inbox, metrics, allocator);
     }
 
-    /** Sends a request to a target. */
+    /** Starts an attempt; reports it as cancelled if its exchange has ended. */
     public void start(StartAttempt start) {
-        mLongestRunLimitMs.accumulateAndGet(start.longestRunMs(), Math::max);
+        mLongestRunMs.accumulateAndGet(start.longestRunMs(), Math::max);
         Exchange exchange = mExchanges.get(start.requestId());
         if (exchange == null) {
-            cancelled(start);
+            reportCancelled(start);
         } else {
             exchange.start(start);
         }
     }
 
-    /** Ends a request without an answer from a target. */
+    /** Ends an exchange with a refusal; ignores an unknown request id. */
     public void refuse(RefuseRequest refuse) {
         Exchange exchange = mExchanges.get(refuse.requestId());
         if (exchange != null) {
@@ -72,25 +75,25 @@
         }
     }
 
-    /** Tells callers from now on to send their next requests elsewhere. */
+    /** From now on, closes callers' connections after the current response. */
     public void setLeaving() {
         mLeaving = true;
     }
 
-    /** Returns the longest run limit of any attempt so far, in milliseconds. */
-    public int longestRunLimitMs() {
-        return mLongestRunLimitMs.get();
+    /** Returns the longest time for which any attempt so far may run, in milliseconds. */
+    public int longestRunMs() {
+        return mLongestRunMs.get();
     }
 
-    /** Returns how many requests are at hand or have an answer that is not wholly written. */
+    /** Returns the number of open exchanges and of responses not yet completely written. */
     public int size() {
-        return mCount.get() + mWriting.get();
+        return mOpen.get() + mUnwrittenResponses.get();
     }
 
-    /** Counts an answer as not wholly written until its last write is done. */
-    void track(ChannelFuture lastWrite) {
-        mWriting.incrementAndGet();
-        lastWrite.addListener((ChannelFuture done) -> mWriting.decrementAndGet());
+    /** Counts a response as not completely written until its last write is done. */
+    void trackWrite(ChannelFuture lastWrite) {
+        mUnwrittenResponses.incrementAndGet();
+        lastWrite.addListener((ChannelFuture done) -> mUnwrittenResponses.decrementAndGet());
     }
 
     boolean leaving() {
@@ -105,21 +108,21 @@
         return mAllocator;
     }
 
-    /** Returns the connections to targets of an event loop; for use on that loop alone. */
-    TargetConnectionPool connections(EventLoop loop) {
-        return mConnections.computeIfAbsent(loop, l -> new TargetConnectionPool(l, mAllocator));
+    /** Returns an event loop's connections to targets; to be used on that event loop only. */
+    TargetConnectionPool connectionPool(EventLoop loop) {
+        return mConnectionPools.computeIfAbsent(loop, l -> new TargetConnectionPool(l, mAllocator));
     }
 
     long nextId() {
-        return mIds.incrementAndGet();
+        return mLastId.incrementAndGet();
     }
 
-    /** Adds an exchange unless the bounds are reached; returns whether it was added. */
+    /** Adds an exchange unless a bound is exceeded; returns whether it was added. */
     boolean add(Exchange exchange) {
-        int count = mCount.incrementAndGet();
-        long bytes = mBytes.addAndGet(exchange.bytes());
+        int open = mOpen.incrementAndGet();
+        long bodyBytes = mBodyBytes.addAndGet(exchange.bodyBytes());
         mExchanges.put(exchange.id(), exchange);
-        boolean fits = count <= MAX_EXCHANGES && bytes <= MAX_BODY_BYTES;
+        boolean fits = open <= MAX_EXCHANGES && bodyBytes <= MAX_TOTAL_BODY_BYTES;
         if (!fits) {
             remove(exchange);
         }
@@ -128,17 +131,17 @@
 
     void remove(Exchange exchange) {
         if (mExchanges.remove(exchange.id(), exchange)) {
-            mCount.decrementAndGet();
-            mBytes.addAndGet(-exchange.bytes());
+            mOpen.decrementAndGet();
+            mBodyBytes.addAndGet(-exchange.bodyBytes());
         }
     }
 
-    /** Reports that an attempt never began because its caller had gone. */
-    void cancelled(StartAttempt start) {
-        mInbox.add(Exchange.neverBegun(start));
+    /** Reports that an attempt did not start because its caller had disconnected. */
+    void reportCancelled(StartAttempt start) {
+        mInbox.add(Exchange.cancelledBeforeStart(start));
     }
 
-    /** Counts a refusal that the traffic side has made. */
+    /** Counts a refusal that was made without the control thread. */
     void countRefusal(Refusal refusal) {
         mMetrics.counter("refusal." + refusal.code()).inc();
     }
--- a/daemon/src/main/java/org/hibiscususher/daemon/front/FrontHandler.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/front/FrontHandler.java
@@ -11,10 +11,11 @@
 import org.hibiscususher.core.message.Refusal;
 
 /**
- * Reads callers' requests from one connection and deals with them one at a time.
+ * Handles the requests of one caller's connection, one at a time.
  *
- * <p>It reads on while a request is under way, to see the caller go, and stops reading once a
- * further request waits.
+ * <p>Keeps reading while an exchange is open, since the end of the connection is noticed only by
+ * reading. Stops once another, pipelined request has been read, which bounds the memory that a
+ * caller can fill.
  */
 final class FrontHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
     private final ExchangeTable mExchanges;
@@ -26,16 +27,16 @@
         mExchanges = exchanges;
     }
 
-    /** Deals with the next request of a caller after one has ended. */
-    static void next(Channel caller) {
+    /** Handles the caller's next request after an exchange has ended. */
+    static void startNext(Channel caller) {
         FrontHandler handler = caller.pipeline().get(FrontHandler.class);
         if (handler != null) {
             handler.mCurrent = null;
-            caller.eventLoop().execute(() -> handler.takePipelined(caller));
+            caller.eventLoop().execute(() -> handler.handleNextPipelined(caller));
         }
     }
 
-    private void takePipelined(Channel caller) {
+    private void handleNextPipelined(Channel caller) {
         if (mCurrent != null || !caller.isActive()) {
             return;
         }
@@ -43,21 +44,21 @@
         if (request == null) {
             caller.config().setAutoRead(true);
         } else {
-            take(caller, request);
+            handle(caller, request);
         }
     }
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
         if (mCurrent == null && mPipelined.isEmpty()) {
-            take(context.channel(), request);
+            handle(context.channel(), request);
         } else {
             mPipelined.add(request);
             context.channel().config().setAutoRead(false);
         }
     }
 
-    private void take(Channel caller, FullHttpRequest request) {
+    private void handle(Channel caller, FullHttpRequest request) {
         Optional<ParsedRequest> parsed = ParsedRequest.of(request);
         if (parsed.isEmpty()) {
             request.release();
@@ -68,7 +69,7 @@
         Exchange exchange = new Exchange(mExchanges, caller, request, parsed.get());
         mCurrent = exchange;
         if (!mExchanges.add(exchange)
-                || !mExchanges.inbox().offer(parsed.get().arrived(exchange.id()))) {
+                || !mExchanges.inbox().offer(parsed.get().toInput(exchange.id()))) {
             mExchanges.countRefusal(Refusal.ENTRY_OVERLOADED);
             exchange.refuse(Refusal.ENTRY_OVERLOADED);
         }
@@ -77,7 +78,7 @@
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext context) {
         if (context.channel().isWritable() && mCurrent != null) {
-            mCurrent.whenWritable();
+            mCurrent.onCallerWritable();
         }
         context.fireChannelWritabilityChanged();
     }
@@ -94,7 +95,7 @@
         mPipelined.forEach(FullHttpRequest::release);
         mPipelined.clear();
         if (mCurrent != null) {
-            mCurrent.callerGone();
+            mCurrent.onCallerDisconnected();
         }
     }
 
--- a/daemon/src/main/java/org/hibiscususher/daemon/front/FrontServer.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/front/FrontServer.java
@@ -17,7 +17,7 @@
 import java.net.InetSocketAddress;
 import org.hibiscususher.wire.http.Addresses;
 
-/** Listens for callers. */
+/** HTTP server for callers. */
 public final class FrontServer {
     private static final int MAX_REQUEST_BYTES = 1024 * 1024;
     private static final int MAX_CONNECTIONS = 4_096;
@@ -30,11 +30,11 @@
     }
 
     /**
-     * Starts to listen.
+     * Binds the server to an address.
      *
-     * @param group event loops; the owner closes them
-     * @param address IP number and port; port 0 takes a free one
-     * @param exchanges takes the requests
+     * @param group event loops of the server's connections; the caller closes them
+     * @param address IP number and port to listen on; port 0 selects a free port
+     * @param exchanges receives the requests
      * @throws IOException if the address can't be bound
      */
     public static FrontServer listen(EventLoopGroup group, String address, ExchangeTable exchanges)
@@ -75,13 +75,13 @@
                 .addLast(new FrontHandler(exchanges));
     }
 
-    /** Returns the IP number and port. */
+    /** Returns the IP number and port on which the server listens. */
     public String address() {
         InetSocketAddress address = (InetSocketAddress) mChannel.localAddress();
         return address.getAddress().getHostAddress() + ":" + address.getPort();
     }
 
-    /** Takes no more connections; those that are open go on. */
+    /** Stops accepting connections; open connections continue. */
     public void stopAccepting() {
         mChannel.close();
     }
--- a/daemon/src/main/java/org/hibiscususher/daemon/front/MessageHeaders.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/front/MessageHeaders.java
@@ -9,9 +9,9 @@
 import io.netty.handler.codec.http.HttpUtil;
 import java.util.List;
 
-/** Reads and cleans the headers of requests and answers. */
+/** Interprets the headers of requests and responses, and removes those not to be forwarded. */
 final class MessageHeaders {
-    /** A target answers with {@code Not-Run: true} if it did not run the request. */
+    /** Header of a target's response, with the value {@code true} if it did not run the request. */
     private static final String NOT_RUN = "Not-Run";
 
     private static final List<CharSequence> HOP_BY_HOP =
@@ -28,7 +28,10 @@
 
     private MessageHeaders() {}
 
-    /** Removes the headers that concern one connection only; the body's length stays. */
+    /**
+     * Removes the hop-by-hop headers, and those that the Connection header names. Content-Length
+     * stays even if it is named, since the body could not be delimited without it.
+     */
     static void removeHopByHop(HttpHeaders headers) {
         for (String line : headers.getAll(HttpHeaderNames.CONNECTION)) {
             for (String name : line.split(",")) {
@@ -41,17 +44,17 @@
         HOP_BY_HOP.forEach(headers::remove);
     }
 
-    /** Returns whether a target says in the documented way that it did not run the request. */
-    static boolean saysNotRun(HttpResponse response) {
+    /** Returns whether a target declares by header that it did not run the request. */
+    static boolean isNotRun(HttpResponse response) {
         return "true".equalsIgnoreCase(response.headers().get(NOT_RUN));
     }
 
     /**
-     * Returns whether the end of an answer can be told from a break of the connection.
+     * Returns whether the end of a response is marked other than by the end of its connection.
      *
-     * <p>An answer that ends with its connection can't be told from one that was cut short.
+     * <p>Without a length or chunks, a truncated response looks like a complete one.
      */
-    static boolean showsItsEnd(HttpResponse response, HttpMethod method) {
+    static boolean isDelimited(HttpResponse response, HttpMethod method) {
         if (method.equals(HttpMethod.HEAD) || hasNoBody(response.status())) {
             return true;
         }
--- a/daemon/src/main/java/org/hibiscususher/daemon/front/ParsedRequest.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/front/ParsedRequest.java
@@ -13,15 +13,17 @@
 import org.hibiscususher.core.message.Input.RequestArrived;
 
 /**
- * What a caller's request asks for.
+ * A caller's request as parsed from its path and headers.
  *
- * @param queue the first segment of the path
- * @param targetPath the rest of the path and the query, as the target gets it
- * @param key digest of the secret that came with it
- * @param idempotent whether running it twice does no harm
- * @param idempotencyKey id that the caller sends again with the same request; empty if none
- * @param waitLimitMs longest wait that the caller asks for, in milliseconds; 0 for the queue's
- * @param needs declared needs
+ * @param queue name of the queue, the first segment of the path
+ * @param targetPath rest of the path and the query, which are sent to the target
+ * @param key digest of the bearer token; empty if the request has none
+ * @param idempotent whether the request may be run twice, as declared by the caller or else by its
+ *     method
+ * @param idempotencyKey key by which the caller marks repetitions of a request; empty for none
+ * @param waitLimitMs longest time that the request may wait to be started, in milliseconds; 0 for
+ *     the limit of the queue
+ * @param needs capacity that the request needs, as the caller declares it
  */
 record ParsedRequest(
         String queue,
@@ -33,7 +35,7 @@
         Capacity needs) {
     private static final String BEARER = "Bearer ";
     private static final String IDEMPOTENT_HEADER = "Idempotent";
-    private static final Set<HttpMethod> IDEMPOTENT =
+    private static final Set<HttpMethod> IDEMPOTENT_METHODS =
             Set.of(
                     HttpMethod.GET,
                     HttpMethod.HEAD,
@@ -41,7 +43,7 @@
                     HttpMethod.DELETE,
                     HttpMethod.OPTIONS);
 
-    /** Checks the fields. */
+    /** Rejects null components. */
     ParsedRequest {
         requireNonNull(queue);
         requireNonNull(targetPath);
@@ -50,7 +52,7 @@
         requireNonNull(needs);
     }
 
-    /** Returns what a request asks for, or empty if it is malformed. */
+    /** Returns the parsed request, or empty if it is malformed. */
     static Optional<ParsedRequest> of(FullHttpRequest request) {
         if (request.decoderResult().isFailure() || !request.uri().startsWith("/")) {
             return Optional.empty();
@@ -68,31 +70,35 @@
         String path = query < 0 ? uri : uri.substring(0, query);
         int slash = path.indexOf('/', 1);
         String queue = path.substring(1, slash < 0 ? path.length() : slash);
-        String rest = slash < 0 ? "/" + uri.substring(path.length()) : uri.substring(slash);
+        String restOfPath = slash < 0 ? "/" + uri.substring(path.length()) : uri.substring(slash);
         HttpHeaders headers = request.headers();
         return new ParsedRequest(
                 queue,
-                rest,
-                digestOf(headers.get(HttpHeaderNames.AUTHORIZATION)),
-                idempotent(request),
+                restOfPath,
+                digestOfBearer(headers.get(HttpHeaderNames.AUTHORIZATION)),
+                isIdempotent(request),
                 headers.get("Idempotency-Key", ""),
-                amount(headers, "Wait-Limit-Ms"),
+                nonNegativeInt(headers, "Wait-Limit-Ms"),
                 new Capacity(
-                        amount(headers, "Needs-Cores"),
-                        amount(headers, "Needs-Memory-Gb"),
-                        amount(headers, "Needs-Accelerators")));
+                        nonNegativeInt(headers, "Needs-Cores"),
+                        nonNegativeInt(headers, "Needs-Memory-Gb"),
+                        nonNegativeInt(headers, "Needs-Accelerators")));
     }
 
-    private static boolean idempotent(FullHttpRequest request) {
+    private static boolean isIdempotent(FullHttpRequest request) {
         String declared = request.headers().get(IDEMPOTENT_HEADER);
         if (declared == null) {
-            return IDEMPOTENT.contains(request.method());
+            return IDEMPOTENT_METHODS.contains(request.method());
         }
         return "true".equalsIgnoreCase(declared.trim());
     }
 
-    /** Returns the amount in a header, 0 if there is none; throws if it is no amount. */
-    private static int amount(HttpHeaders headers, String name) {
+    /**
+     * Returns the number in a header, 0 if the header is missing.
+     *
+     * @throws IllegalArgumentException if the header is not a number of 0 or more
+     */
+    private static int nonNegativeInt(HttpHeaders headers, String name) {
         String value = headers.get(name);
         int amount = value == null ? 0 : Integer.parseInt(value.trim());
         if (amount < 0) {
@@ -101,15 +107,15 @@
         return amount;
     }
 
-    private static Optional<KeyDigest> digestOf(String authorization) {
+    private static Optional<KeyDigest> digestOfBearer(String authorization) {
         if (authorization == null || !authorization.startsWith(BEARER)) {
             return Optional.empty();
         }
         return Optional.of(KeyDigest.ofSecret(authorization.substring(BEARER.length()).trim()));
     }
 
-    /** Returns the input for the control thread. */
-    RequestArrived arrived(long requestId) {
+    /** Returns the input that reports the request to the control thread. */
+    RequestArrived toInput(long requestId) {
         return new RequestArrived(
                 requestId, queue, key, idempotent, idempotencyKey, waitLimitMs, needs);
     }
--- a/daemon/src/main/java/org/hibiscususher/daemon/front/RefusalResponse.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/front/RefusalResponse.java
@@ -9,11 +9,17 @@
 import io.netty.handler.codec.http.HttpVersion;
 import org.hibiscususher.core.message.Refusal;
 
-/** Builds the answers that tell callers of refusals. */
+/** Builds the HTTP responses for refused requests. */
 final class RefusalResponse {
     private RefusalResponse() {}
 
-    /** Returns the answer; it ends the caller's connection if so asked. */
+    /**
+     * Returns the response to a refused request.
+     *
+     * @param caller connection that allocates the response
+     * @param refusal reason, which is written to the body and to the headers
+     * @param closing whether the connection is closed after the response
+     */
     static FullHttpResponse of(Channel caller, Refusal refusal, boolean closing) {
         String body =
                 "{\"reason\":\""
--- a/daemon/src/main/java/org/hibiscususher/daemon/front/RefusalStatus.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/front/RefusalStatus.java
@@ -3,7 +3,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import org.hibiscususher.core.message.Refusal;
 
-/** Maps refusals to HTTP statuses. */
+/** Maps refusals to HTTP status codes. */
 final class RefusalStatus {
     private RefusalStatus() {}
 
--- a/daemon/src/main/java/org/hibiscususher/daemon/front/RequestAggregator.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/front/RequestAggregator.java
@@ -8,7 +8,12 @@
 import io.netty.handler.codec.http.HttpUtil;
 import org.hibiscususher.core.message.Refusal;
 
-/** Collects whole requests and refuses those that are too large. */
+/**
+ * Assembles complete requests and refuses those with too large a body.
+ *
+ * <p>In place of the empty responses of its superclass, sends ones that name the refusal, and
+ * counts them.
+ */
 final class RequestAggregator extends HttpObjectAggregator {
     private final ExchangeTable mExchanges;
 
--- a/daemon/src/main/java/org/hibiscususher/daemon/front/TargetConnection.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/front/TargetConnection.java
@@ -9,17 +9,22 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.util.ReferenceCountUtil;
 
-/** A connection to a target, which carries one attempt at a time. Belongs to its event loop. */
+/**
+ * A connection to a target, which carries one attempt at a time.
+ *
+ * <p>Confined to its event loop. Closes itself if the target sends bytes without an attempt, which
+ * could otherwise be taken for the response to the next one.
+ */
 final class TargetConnection extends SimpleChannelInboundHandler<HttpObject> {
-    private final TargetConnectionPool mOwner;
+    private final TargetConnectionPool mPool;
     private final String mAddress;
     private Channel mChannel;
     private Attempt mAttempt;
     private long mIdleSinceNs;
 
-    TargetConnection(TargetConnectionPool owner, String address) {
+    TargetConnection(TargetConnectionPool pool, String address) {
         super(false);
-        mOwner = owner;
+        mPool = pool;
         mAddress = address;
     }
 
@@ -35,7 +40,7 @@
         return mChannel.eventLoop();
     }
 
-    boolean active() {
+    boolean isActive() {
         return mChannel.isActive();
     }
 
@@ -43,22 +48,28 @@
         return mIdleSinceNs;
     }
 
-    /** Sends a request for an attempt, which then gets all that the target sends. */
-    void send(Attempt attempt, FullHttpRequest request, Runnable whenWritten) {
+    /**
+     * Sends the request of an attempt.
+     *
+     * @param attempt receives the target's response
+     * @param request request to send
+     * @param onWritten called when the whole request is written
+     */
+    void send(Attempt attempt, FullHttpRequest request, Runnable onWritten) {
         mAttempt = attempt;
         mChannel.writeAndFlush(request)
                 .addListener(
                         (ChannelFuture written) -> {
                             if (written.isSuccess()) {
-                                whenWritten.run();
+                                onWritten.run();
                             } else {
                                 mChannel.close();
                             }
                         });
     }
 
-    /** Ends the use by the current attempt. */
-    void idle(long nowNs) {
+    /** Detaches the current attempt, so that the connection can be reused. */
+    void markIdle(long nowNs) {
         mAttempt = null;
         mIdleSinceNs = nowNs;
         setReading(true);
@@ -68,7 +79,7 @@
         mChannel.config().setAutoRead(reading);
     }
 
-    /** Closes the connection; the attempt hears no more of it. */
+    /** Closes the connection without notifying the attempt. */
     void close() {
         mAttempt = null;
         mChannel.close();
@@ -80,25 +91,25 @@
             ReferenceCountUtil.release(message);
             context.close();
         } else {
-            mAttempt.received(message);
+            mAttempt.onMessage(message);
         }
     }
 
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
         if (mAttempt != null) {
-            mAttempt.readComplete();
+            mAttempt.onReadComplete();
         }
         context.fireChannelReadComplete();
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-        mOwner.closed(this);
+        mPool.onClosed(this);
         Attempt attempt = mAttempt;
         mAttempt = null;
         if (attempt != null) {
-            attempt.closed();
+            attempt.onClosed();
         }
     }
 
--- a/daemon/src/main/java/org/hibiscususher/daemon/front/TargetConnectionPool.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/front/TargetConnectionPool.java
@@ -17,10 +17,10 @@
 import java.util.function.Consumer;
 import org.hibiscususher.wire.http.Addresses;
 
-/** Makes and keeps the connections to targets of one event loop, to which it belongs. */
+/** Pool of one event loop's connections to targets. Confined to that event loop. */
 final class TargetConnectionPool {
     private static final int CONNECT_TIMEOUT_MS = 1_000;
-    private static final int MAX_IDLE = 256;
+    private static final int MAX_IDLE_CONNECTIONS = 256;
     private static final int MAX_IDLE_PER_ADDRESS = 8;
     private static final long IDLE_TIMEOUT_NS = TimeUnit.SECONDS.toNanos(5);
     private static final long SWEEP_INTERVAL_MS = 1_000;
@@ -29,7 +29,7 @@
     private final Bootstrap mBootstrap;
     private final Map<String, Deque<TargetConnection>> mIdle = new HashMap<>();
     private int mIdleCount;
-    private boolean mSweeping;
+    private boolean mSweepScheduled;
 
     TargetConnectionPool(EventLoop loop, ByteBufAllocator allocator) {
         mLoop = loop;
@@ -42,8 +42,12 @@
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS);
     }
 
-    /** Returns an idle connection to an address, or null if there is none. */
-    TargetConnection takeIdle(String address) {
+    /**
+     * Removes and returns an idle connection to an address, or returns null if there is none.
+     *
+     * <p>Returns the one used last, which the target is least likely to have closed for being idle.
+     */
+    TargetConnection pollIdle(String address) {
         Deque<TargetConnection> idle = mIdle.get(address);
         TargetConnection connection = idle == null ? null : idle.peekLast();
         if (connection != null) {
@@ -52,7 +56,13 @@
         return connection;
     }
 
-    /** Makes a connection and hands it over, active or not, in a later task of the event loop. */
+    /**
+     * Opens a connection.
+     *
+     * @param address IP number and port of the target
+     * @param receiver called in a later task of the event loop with the connection, which is not
+     *     active if it could not be established
+     */
     void connect(String address, Consumer<TargetConnection> receiver) {
         TargetConnection connection = new TargetConnection(this, address);
         ChannelFuture connected =
@@ -72,25 +82,27 @@
         connected.addListener((ChannelFuture done) -> receiver.accept(connection));
     }
 
-    /** Keeps a connection for a later attempt, or closes it if there are enough. */
-    void giveBack(TargetConnection connection) {
+    /** Keeps a connection for reuse, or closes it if the pool is full or it is not active. */
+    void release(TargetConnection connection) {
         Deque<TargetConnection> idle =
                 mIdle.computeIfAbsent(connection.address(), a -> new ArrayDeque<>());
-        if (mIdleCount >= MAX_IDLE || idle.size() >= MAX_IDLE_PER_ADDRESS || !connection.active()) {
+        if (mIdleCount >= MAX_IDLE_CONNECTIONS
+                || idle.size() >= MAX_IDLE_PER_ADDRESS
+                || !connection.isActive()) {
             connection.close();
             return;
         }
-        connection.idle(System.nanoTime());
+        connection.markIdle(System.nanoTime());
         idle.addLast(connection);
         mIdleCount++;
-        if (!mSweeping) {
-            mSweeping = true;
+        if (!mSweepScheduled) {
+            mSweepScheduled = true;
             scheduleSweep();
         }
     }
 
-    /** Forgets a connection that was closed. */
-    void closed(TargetConnection connection) {
+    /** Removes a closed connection. */
+    void onClosed(TargetConnection connection) {
         removeIdle(connection);
     }
 
@@ -108,6 +120,7 @@
         mLoop.schedule(this::sweep, SWEEP_INTERVAL_MS, TimeUnit.MILLISECONDS);
     }
 
+    /** Closes the connections that have been idle for too long. */
     private void sweep() {
         long nowNs = System.nanoTime();
         mIdle.values().stream()
@@ -115,8 +128,8 @@
                 .filter(c -> nowNs - c.idleSinceNs() >= IDLE_TIMEOUT_NS)
                 .toList()
                 .forEach(TargetConnection::close);
-        mSweeping = mIdleCount > 0;
-        if (mSweeping) {
+        mSweepScheduled = mIdleCount > 0;
+        if (mSweepScheduled) {
             scheduleSweep();
         }
     }
--- a/daemon/src/main/java/org/hibiscususher/daemon/front/package-info.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/front/package-info.java
@@ -1,2 +1,2 @@
-/** Traffic: callers' requests, targets' answers. */
+/** HTTP front end: receives callers' requests, sends them to targets and forwards the responses. */
 package org.hibiscususher.daemon.front;
--- a/daemon/src/main/java/org/hibiscususher/daemon/package-info.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/package-info.java
@@ -1,2 +1,5 @@
-/** The daemon: front end for callers, links to peers and targets, and the control thread. */
+/**
+ * The daemon of an entry: the HTTP front end for callers, connections to targets, peers and the
+ * platform's store, the operators' interface, and the control thread.
+ */
 package org.hibiscususher.daemon;
--- a/daemon/src/test/java/org/hibiscususher/daemon/front/CallerSocket.java
+++ b/daemon/src/test/java/org/hibiscususher/daemon/front/CallerSocket.java
@@ -7,15 +7,15 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 
-/** A caller's connection on the level of bytes. */
+/** A caller's connection, over which a test sends and receives raw bytes. */
 final class CallerSocket implements AutoCloseable {
     private static final int TIMEOUT_MS = 10_000;
-    private static final int SMALL_BUFFER = 64 * 1024;
+    private static final int RECEIVE_BUFFER_BYTES = 64 * 1024;
 
     private final Socket mSocket = new Socket();
 
     CallerSocket(String address) throws IOException {
-        mSocket.setReceiveBufferSize(SMALL_BUFFER);
+        mSocket.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
         mSocket.setSoTimeout(TIMEOUT_MS);
         int port = Integer.parseInt(address.substring(address.lastIndexOf(':') + 1));
         mSocket.connect(new InetSocketAddress("127.0.0.1", port), TIMEOUT_MS);
@@ -26,7 +26,7 @@
         return this;
     }
 
-    /** Reads up to and including the given text. */
+    /** Reads up to and including a text; fails if the connection closes before. */
     String readTo(String end) throws IOException {
         InputStream in = mSocket.getInputStream();
         ByteArrayOutputStream read = new ByteArrayOutputStream();
@@ -40,8 +40,8 @@
         return read.toString(StandardCharsets.ISO_8859_1);
     }
 
-    /** Reads a number of bytes and returns how many of them are wrong. */
-    int readCounting(int count, char expected) throws IOException {
+    /** Reads a number of bytes; returns how many are missing or not the expected character. */
+    int countMismatches(int count, char expected) throws IOException {
         byte[] bytes = mSocket.getInputStream().readNBytes(count);
         int wrong = count - bytes.length;
         for (byte read : bytes) {
@@ -55,7 +55,7 @@
         return new String(mSocket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
     }
 
-    /** Returns whether the connection ends with a reset. */
+    /** Reads until the connection ends; returns whether it was reset or timed out. */
     boolean isReset() {
         try {
             readToClose();
--- a/daemon/src/test/java/org/hibiscususher/daemon/front/FrontFixture.java
+++ b/daemon/src/test/java/org/hibiscususher/daemon/front/FrontFixture.java
@@ -8,7 +8,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 
-/** A traffic side on real sockets, with a caller and a target that follow a script. */
+/** Base of tests of the front end over real sockets, with a caller and a target under control. */
 abstract class FrontFixture {
     static final String GET = "GET /lookups/seals?a=b HTTP/1.1\r\nHost: x\r\n\r\n";
     static final String POST =
@@ -16,39 +16,42 @@
     static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
     static final String NOT_RUN = "\"ran\":\"not-run\"}\n";
 
-    FrontHarness mRig;
+    FrontHarness mHarness;
     ScriptedTarget mTarget;
     CallerSocket mCaller;
 
     @BeforeEach
     void open() throws IOException {
-        mRig = new FrontHarness();
+        mHarness = new FrontHarness();
         mTarget = new ScriptedTarget();
-        mCaller = new CallerSocket(mRig.address());
+        mCaller = new CallerSocket(mHarness.address());
     }
 
+    /** Fails if an exchange, a buffer or an unexpected input is left over. */
     @AfterEach
-    void leavesNothingBehind() throws IOException {
+    void closeAndCheckForLeaks() throws IOException {
         mCaller.close();
         mTarget.close();
-        assertThat(mRig.becomesIdle()).as("bytes in use: %s", mRig.bytesInUse()).isTrue();
-        mRig.close();
-        assertThat(mRig.inputsLeft()).isZero();
+        assertThat(mHarness.awaitIdle()).as("bytes in use: %s", mHarness.bytesInUse()).isTrue();
+        mHarness.close();
+        assertThat(mHarness.unreadInputs()).isZero();
     }
 
-    RequestArrived sent(String request) throws IOException {
+    /** Sends a request as the caller; returns the input that reports its arrival. */
+    RequestArrived sendRequest(String request) throws IOException {
         mCaller.send(request);
-        return mRig.arrival();
+        return mHarness.nextArrival();
     }
 
-    RequestArrived running(String request) throws IOException {
-        RequestArrived arrival = sent(request);
-        mRig.start(arrival, 1, mTarget);
+    /** Sends a request as the caller, starts it on the target, and reads it there. */
+    RequestArrived startRequest(String request) throws IOException {
+        RequestArrived arrival = sendRequest(request);
+        mHarness.start(arrival, 1, mTarget);
         mTarget.accept().read(request.endsWith("body") ? 4 : 0);
         return arrival;
     }
 
-    /** Lets the target send a large answer while the test goes on. */
+    /** Makes the target send a large response on another thread, which is returned. */
     Thread sendInBackground(int size) {
         Thread sender =
                 new Thread(
@@ -67,7 +70,7 @@
         return sender;
     }
 
-    void assertEnded(AttemptOutcome outcome) {
-        assertThat(mRig.ended().outcome()).isEqualTo(outcome);
+    void assertOutcome(AttemptOutcome outcome) {
+        assertThat(mHarness.nextAttemptEnded().outcome()).isEqualTo(outcome);
     }
 }
--- a/daemon/src/test/java/org/hibiscususher/daemon/front/FrontHarness.java
+++ b/daemon/src/test/java/org/hibiscususher/daemon/front/FrontHarness.java
@@ -18,7 +18,7 @@
 import org.hibiscususher.core.message.Refusal;
 import org.hibiscususher.daemon.control.Inbox;
 
-/** The real front over sockets, with the test in place of the control thread. */
+/** The real front end over sockets, with the test in place of the control thread. */
 final class FrontHarness implements AutoCloseable {
     static final int LONG_RUN_MS = 60_000;
     private static final long WAIT_NS = TimeUnit.SECONDS.toNanos(10);
@@ -45,11 +45,11 @@
         return mExchanges;
     }
 
-    long refusals(Refusal refusal) {
+    long countRefusals(Refusal refusal) {
         return mMetrics.counter("refusal." + refusal.code()).getCount();
     }
 
-    /** Returns the next input, which must be of the given type. */
+    /** Waits for the next input, which must be of a given type, and returns it. */
     <T extends Input> T next(Class<T> type) {
         long deadline = System.nanoTime() + WAIT_NS;
         while (mInputs.isEmpty() && System.nanoTime() < deadline) {
@@ -59,13 +59,13 @@
         return type.cast(mInputs.remove());
     }
 
-    /** Returns the next request. */
-    RequestArrived arrival() {
+    /** Waits for the next input, which must be the arrival of a request. */
+    RequestArrived nextArrival() {
         return next(RequestArrived.class);
     }
 
-    /** Returns the end of the attempt under way. */
-    AttemptEnded ended() {
+    /** Waits for the next input, which must be the end of an attempt. */
+    AttemptEnded nextAttemptEnded() {
         return next(AttemptEnded.class);
     }
 
@@ -88,13 +88,13 @@
         mExchanges.refuse(new RefuseRequest(arrival.requestId(), refusal));
     }
 
-    /** Returns the bytes of buffers that were taken and not released. */
+    /** Returns the size of the allocated buffers that have not been released, in bytes. */
     long bytesInUse() {
         return mAllocator.metric().usedDirectMemory() + mAllocator.metric().usedHeapMemory();
     }
 
-    /** Waits until no request is at hand and no buffer is in use; returns whether it is so. */
-    boolean becomesIdle() {
+    /** Waits until no exchange is open and no buffer in use; returns false if the time runs out. */
+    boolean awaitIdle() {
         long deadline = System.nanoTime() + WAIT_NS;
         while (mExchanges.size() > 0 || bytesInUse() > 0) {
             if (System.nanoTime() > deadline) {
@@ -106,8 +106,8 @@
         return true;
     }
 
-    /** Waits until that many bytes of buffers are in use; returns whether it is so. */
-    boolean becomesBusy(long bytes) {
+    /** Waits until so many bytes of buffers are in use; returns false if the time runs out. */
+    boolean awaitBytesInUse(long bytes) {
         long deadline = System.nanoTime() + WAIT_NS;
         while (bytesInUse() < bytes && System.nanoTime() < deadline) {
             mInbox.await(POLL_NS);
@@ -115,8 +115,8 @@
         return bytesInUse() >= bytes;
     }
 
-    /** Returns how many inputs have come that the test has not taken. */
-    int inputsLeft() {
+    /** Returns how many inputs have arrived that the test has not read. */
+    int unreadInputs() {
         mInputs.addAll(mInbox.drain());
         return mInputs.size();
     }
--- a/daemon/src/test/java/org/hibiscususher/daemon/front/FrontRequestsTest.java
+++ b/daemon/src/test/java/org/hibiscususher/daemon/front/FrontRequestsTest.java
@@ -12,52 +12,52 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** What callers send. */
+/** Tests how callers' requests are read, refused and sent to targets. */
 class FrontRequestsTest extends FrontFixture {
     @Nested
-    class Callers {
+    class Requests {
         @Test
-        void mayPipeline() throws IOException {
+        void areHandledOneByOneWhenPipelined() throws IOException {
             mCaller.send(GET + POST + GET);
             for (int i = 0; i < 3; i++) {
-                RequestArrived arrival = mRig.arrival();
-                assertThat(mRig.inputsLeft()).isZero();
-                mRig.refuse(arrival, Refusal.values()[i]);
+                RequestArrived arrival = mHarness.nextArrival();
+                assertThat(mHarness.unreadInputs()).isZero();
+                mHarness.refuse(arrival, Refusal.values()[i]);
                 assertThat(mCaller.readTo("}\n")).contains(Refusal.values()[i].code());
             }
         }
 
         @Test
-        void whoWantToCloseAreClosed() throws IOException {
-            running("GET /lookups/x HTTP/1.1\r\nConnection: close\r\n\r\n");
+        void withConnectionCloseCloseConnection() throws IOException {
+            startRequest("GET /lookups/x HTTP/1.1\r\nConnection: close\r\n\r\n");
             mTarget.send(OK);
             assertThat(mCaller.readToClose()).endsWith("ok");
-            assertEnded(AttemptOutcome.ANSWERED);
+            assertOutcome(AttemptOutcome.ANSWERED);
         }
 
         @Test
-        void areToldToGoElsewhereWhenTheEntryLeaves() throws IOException {
-            running(GET);
-            mRig.exchanges().setLeaving();
+        void closeConnectionWhileEntryLeaves() throws IOException {
+            startRequest(GET);
+            mHarness.exchanges().setLeaving();
             mTarget.send(OK);
             assertThat(mCaller.readToClose().toLowerCase()).contains("connection: close");
-            assertEnded(AttemptOutcome.ANSWERED);
+            assertOutcome(AttemptOutcome.ANSWERED);
         }
 
         @Test
-        void whoExpectContinueGetIt() throws IOException {
+        void thatExpectContinueReceiveIt() throws IOException {
             mCaller.send(
                     "POST /lookups/x HTTP/1.1\r\nExpect: 100-continue\r\n"
                             + "Content-Length: 4\r\n\r\n");
             assertThat(mCaller.readTo("\r\n\r\n")).startsWith("HTTP/1.1 100");
-            RequestArrived arrival = sent("body");
-            mRig.start(arrival, 1, mTarget);
+            RequestArrived arrival = sendRequest("body");
+            mHarness.start(arrival, 1, mTarget);
             assertThat(mTarget.accept().read(4).toLowerCase())
                     .doesNotContain("expect")
                     .endsWith("body");
             mTarget.send(OK);
             mCaller.readTo("ok");
-            assertEnded(AttemptOutcome.ANSWERED);
+            assertOutcome(AttemptOutcome.ANSWERED);
         }
 
         @ParameterizedTest
@@ -67,10 +67,10 @@
                     "POST /lookups/x HTTP/1.1\r\nExpect: 100-continue\r\n"
                             + "Content-Length: 9999999\r\n\r\n"
                 })
-        void whoSendTooMuchAreRefused(String request) throws IOException {
+        void thatAreTooLargeAreRefused(String request) throws IOException {
             mCaller.send(request);
             assertThat(mCaller.readTo("}\n")).startsWith("HTTP/1.1 413").endsWith(NOT_RUN);
-            assertThat(mRig.refusals(Refusal.REQUEST_TOO_LARGE)).isEqualTo(1);
+            assertThat(mHarness.countRefusals(Refusal.REQUEST_TOO_LARGE)).isEqualTo(1);
         }
 
         @ParameterizedTest
@@ -85,10 +85,10 @@
                     "POST /x HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
                     "nonsense\r\n\r\n"
                 })
-        void whoCannotBeUnderstoodAreRefused(String request) throws IOException {
+        void thatAreMalformedAreRefused(String request) throws IOException {
             mCaller.send(request);
             assertThat(mCaller.readToClose()).startsWith("HTTP/1.1 400").endsWith(NOT_RUN);
-            assertThat(mRig.refusals(Refusal.REQUEST_MALFORMED)).isEqualTo(1);
+            assertThat(mHarness.countRefusals(Refusal.REQUEST_MALFORMED)).isEqualTo(1);
         }
     }
 
@@ -103,32 +103,32 @@
             "//a,'',/a",
             "/,'',/"
         })
-        void nameTheQueueFirst(String path, String queue, String rest) throws IOException {
-            RequestArrived arrival = running("GET " + path + " HTTP/1.1\r\n\r\n");
+        void startWithQueueName(String path, String queue, String rest) throws IOException {
+            RequestArrived arrival = startRequest("GET " + path + " HTTP/1.1\r\n\r\n");
             assertThat(arrival.queue()).isEqualTo(queue);
             mTarget.send(OK);
             mCaller.readTo("ok");
-            assertEnded(AttemptOutcome.ANSWERED);
-            mRig.start(sent("GET " + path + " HTTP/1.1\r\n\r\n"), 1, mTarget);
+            assertOutcome(AttemptOutcome.ANSWERED);
+            mHarness.start(sendRequest("GET " + path + " HTTP/1.1\r\n\r\n"), 1, mTarget);
             assertThat(mTarget.read(0)).startsWith("GET " + rest + " HTTP/1.1\r\n");
             mTarget.send(OK);
             mCaller.readTo("ok");
-            assertEnded(AttemptOutcome.ANSWERED);
+            assertOutcome(AttemptOutcome.ANSWERED);
         }
     }
 
     @Nested
     class Headers {
         @Test
-        void ofOneConnectionAndTheKeyStayHere() throws IOException {
+        void ofConnectionAndSecretAreNotForwarded() throws IOException {
             RequestArrived arrival =
-                    sent(
+                    sendRequest(
                             "POST /lookups/x HTTP/1.1\r\nAuthorization: Bearer secret\r\n"
                                     + "Connection: keep-alive, X-Hop, Content-Length\r\n"
                                     + "X-Hop: 1\r\nTE: trailers\r\nUpgrade: h2c\r\nX-End: 2\r\n"
                                     + "Idempotency-Key: k\r\nTransfer-Encoding: chunked\r\n\r\n"
                                     + "2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n");
-            mRig.start(arrival, 1, mTarget);
+            mHarness.start(arrival, 1, mTarget);
             String seen = mTarget.accept().read(4).toLowerCase();
             assertThat(seen)
                     .contains("x-end: 2", "idempotency-key: k", "content-length: 4")
@@ -140,34 +140,35 @@
             assertThat(mCaller.readTo("ok").toLowerCase())
                     .contains("x-end: 3")
                     .doesNotContain("x-back", "keep-alive");
-            assertEnded(AttemptOutcome.ANSWERED);
+            assertOutcome(AttemptOutcome.ANSWERED);
         }
 
         @Test
-        void sayWhetherRunningTwiceDoesHarm() throws IOException {
-            assertThat(refused("GET", "").idempotent()).isTrue();
-            assertThat(refused("POST", "").idempotent()).isFalse();
-            assertThat(refused("POST", "Idempotent: true\r\n").idempotent()).isTrue();
-            assertThat(refused("POST", "Idempotent: false\r\n").idempotent()).isFalse();
-            assertThat(refused("PUT", "Idempotent: false\r\n").idempotent()).isFalse();
+        void declareIdempotence() throws IOException {
+            assertThat(refuse("GET", "").idempotent()).isTrue();
+            assertThat(refuse("POST", "").idempotent()).isFalse();
+            assertThat(refuse("POST", "Idempotent: true\r\n").idempotent()).isTrue();
+            assertThat(refuse("POST", "Idempotent: false\r\n").idempotent()).isFalse();
+            assertThat(refuse("PUT", "Idempotent: false\r\n").idempotent()).isFalse();
         }
 
-        private RequestArrived refused(String method, String header) throws IOException {
+        private RequestArrived refuse(String method, String header) throws IOException {
             RequestArrived arrival =
-                    sent(method + " /q/x HTTP/1.1\r\n" + header + "Content-Length: 0\r\n\r\n");
-            mRig.refuse(arrival, Refusal.KEY_MISSING);
+                    sendRequest(
+                            method + " /q/x HTTP/1.1\r\n" + header + "Content-Length: 0\r\n\r\n");
+            mHarness.refuse(arrival, Refusal.KEY_MISSING);
             mCaller.readTo("}\n");
             return arrival;
         }
     }
 
     @Test
-    void aSecondRefusalIsIgnored() throws IOException {
-        RequestArrived arrival = sent(GET);
-        mRig.refuse(arrival, Refusal.KEY_MISSING);
-        mRig.refuse(arrival, Refusal.WAIT_LIMIT);
+    void secondRefusalIsIgnored() throws IOException {
+        RequestArrived arrival = sendRequest(GET);
+        mHarness.refuse(arrival, Refusal.KEY_MISSING);
+        mHarness.refuse(arrival, Refusal.WAIT_LIMIT);
         assertThat(mCaller.readTo("}\n")).contains("key-missing");
-        mRig.refuse(sent(GET), Refusal.QUEUE_FULL);
+        mHarness.refuse(sendRequest(GET), Refusal.QUEUE_FULL);
         assertThat(mCaller.readTo("}\n")).contains("queue-full");
     }
 }
--- a/daemon/src/test/java/org/hibiscususher/daemon/front/FrontResponsesTest.java
+++ b/daemon/src/test/java/org/hibiscususher/daemon/front/FrontResponsesTest.java
@@ -11,102 +11,102 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** Answers of targets on their way to callers, whole and broken. */
+/** Tests how targets' responses are forwarded to callers, complete and incomplete ones. */
 class FrontResponsesTest extends FrontFixture {
     @Nested
-    class Answers {
+    class CompleteResponses {
         @Test
-        void arriveWholeOnAConnectionThatStaysOpen() throws IOException {
-            running(GET);
+        void keepCallerConnectionOpen() throws IOException {
+            startRequest(GET);
             mTarget.send(OK);
             assertThat(mCaller.readTo("ok")).startsWith("HTTP/1.1 200 OK");
-            assertEnded(AttemptOutcome.ANSWERED);
-            running(POST);
+            assertOutcome(AttemptOutcome.ANSWERED);
+            startRequest(POST);
             mTarget.send("HTTP/1.1 500 Oops\r\nContent-Length: 2\r\n\r\nno");
             assertThat(mCaller.readTo("no")).startsWith("HTTP/1.1 500 Oops");
-            assertEnded(AttemptOutcome.SERVER_ERROR);
+            assertOutcome(AttemptOutcome.SERVER_ERROR);
         }
 
         @Test
-        void areStreamedNoFasterThanTheCallerReads() throws Exception {
+        void areStreamedWithBoundedBuffering() throws Exception {
             int size = 32 * 1024 * 1024;
-            running(GET);
+            startRequest(GET);
             Thread sender = sendInBackground(size);
             mCaller.readTo("\r\n\r\n");
-            long most = 0;
+            long maxBytesInUse = 0;
             for (int i = 0; i < 64; i++) {
-                assertThat(mCaller.readCounting(size / 64, 'x')).isZero();
-                most = Math.max(most, mRig.bytesInUse());
+                assertThat(mCaller.countMismatches(size / 64, 'x')).isZero();
+                maxBytesInUse = Math.max(maxBytesInUse, mHarness.bytesInUse());
             }
             sender.join();
-            assertEnded(AttemptOutcome.ANSWERED);
-            assertThat(most).isLessThan(2 * 1024 * 1024);
+            assertOutcome(AttemptOutcome.ANSWERED);
+            assertThat(maxBytesInUse).isLessThan(2 * 1024 * 1024);
         }
 
         @Test
-        void withoutABodyEndAtOnce() throws IOException {
-            running("HEAD /lookups/x HTTP/1.1\r\n\r\n");
+        void withoutBodyEndAfterHeaders() throws IOException {
+            startRequest("HEAD /lookups/x HTTP/1.1\r\n\r\n");
             mTarget.send("HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n");
             assertThat(mCaller.readTo("\r\n\r\n").toLowerCase()).contains("content-length: 99");
-            assertEnded(AttemptOutcome.ANSWERED);
-            running(POST);
+            assertOutcome(AttemptOutcome.ANSWERED);
+            startRequest(POST);
             mTarget.send("HTTP/1.1 204 No Content\r\n\r\n");
             assertThat(mCaller.readTo("\r\n\r\n")).startsWith("HTTP/1.1 204");
-            assertEnded(AttemptOutcome.ANSWERED);
-            running(POST);
+            assertOutcome(AttemptOutcome.ANSWERED);
+            startRequest(POST);
             mTarget.send("HTTP/1.1 304 Not Modified\r\n\r\n");
             assertThat(mCaller.readTo("\r\n\r\n")).startsWith("HTTP/1.1 304");
-            assertEnded(AttemptOutcome.ANSWERED);
+            assertOutcome(AttemptOutcome.ANSWERED);
         }
 
         @Test
-        void followProvisionalOnes() throws IOException {
-            running(GET);
+        void areForwardedAfterInformationalResponses() throws IOException {
+            startRequest(GET);
             mTarget.send("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\n" + OK);
             assertThat(mCaller.readTo("ok")).startsWith("HTTP/1.1 200 OK");
-            assertEnded(AttemptOutcome.ANSWERED);
+            assertOutcome(AttemptOutcome.ANSWERED);
         }
 
         @Test
-        void mayComeBeforeTheRequestWasTakenWhole() throws IOException {
+        void areForwardedBeforeWholeRequestIsWritten() throws IOException {
             int size = 1024 * 1024;
             RequestArrived arrival =
-                    sent(
+                    sendRequest(
                             "POST /lookups/x HTTP/1.1\r\nContent-Length: "
                                     + size
                                     + "\r\n\r\n"
                                     + "b".repeat(size));
-            mRig.start(arrival, 1, mTarget);
+            mHarness.start(arrival, 1, mTarget);
             mTarget.accept().read(0);
             mTarget.send(OK);
             assertThat(mCaller.readTo("ok")).startsWith("HTTP/1.1 200 OK");
-            assertEnded(AttemptOutcome.ANSWERED);
+            assertOutcome(AttemptOutcome.ANSWERED);
             mTarget.closeConnection();
         }
 
         @Test
-        void areChunkedForCallersThatKnowChunks() throws IOException {
-            running(GET);
+        void stayChunkedForHttp11Callers() throws IOException {
+            startRequest(GET);
             mTarget.send(
                     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n");
             assertThat(mCaller.readTo("0\r\n\r\n").toLowerCase())
                     .contains("transfer-encoding: chunked")
                     .endsWith("\r\n\r\n2\r\nok\r\n0\r\n\r\n");
-            assertEnded(AttemptOutcome.ANSWERED);
+            assertOutcome(AttemptOutcome.ANSWERED);
         }
 
         @Test
-        void endWithTheConnectionOfOldCallers() throws IOException {
-            running("GET /lookups/x HTTP/1.0\r\n\r\n");
+        void endWithConnectionForHttp10Callers() throws IOException {
+            startRequest("GET /lookups/x HTTP/1.0\r\n\r\n");
             mTarget.send(
                     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n");
             assertThat(mCaller.readToClose()).endsWith("\r\n\r\nok").doesNotContain("chunked");
-            assertEnded(AttemptOutcome.ANSWERED);
+            assertOutcome(AttemptOutcome.ANSWERED);
         }
     }
 
     @Nested
-    class BrokenAnswers {
+    class IncompleteResponses {
         @ParameterizedTest
         @ValueSource(
                 strings = {
@@ -115,21 +115,21 @@
                     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n",
                     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\nzz\r\n"
                 })
-        void breakTheCallersConnection(String part) throws IOException {
-            running(GET);
+        void resetCallerConnection(String part) throws IOException {
+            startRequest(GET);
             mTarget.send(part);
             mTarget.closeConnection();
-            assertEnded(AttemptOutcome.TRUNCATED);
+            assertOutcome(AttemptOutcome.TRUNCATED);
             assertThat(mCaller.isReset()).isTrue();
         }
 
         @Test
-        void resetOldCallersToo() throws IOException {
-            running("GET /lookups/x HTTP/1.0\r\n\r\n");
+        void resetHttp10CallerConnection() throws IOException {
+            startRequest("GET /lookups/x HTTP/1.0\r\n\r\n");
             mTarget.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n");
             mCaller.readTo("short");
             mTarget.closeConnection();
-            assertEnded(AttemptOutcome.TRUNCATED);
+            assertOutcome(AttemptOutcome.TRUNCATED);
             assertThat(mCaller.isReset()).isTrue();
         }
 
@@ -144,24 +144,24 @@
                     "HTTP/1.1 101 Switching Protocols\r\n\r\n",
                     "nonsense\r\n\r\n"
                 })
-        void thatNeverBeganLeaveTheOutcomeUnknown(String part) throws IOException {
-            RequestArrived arrival = running(POST);
+        void thatCanNotBeForwardedLeaveOutcomeUnknown(String part) throws IOException {
+            RequestArrived arrival = startRequest(POST);
             mTarget.send(part);
             mTarget.closeConnection();
-            assertEnded(AttemptOutcome.BROKEN);
-            mRig.refuse(arrival, Refusal.OUTCOME_UNKNOWN);
+            assertOutcome(AttemptOutcome.BROKEN);
+            mHarness.refuse(arrival, Refusal.OUTCOME_UNKNOWN);
             assertThat(mCaller.readTo("}\n")).startsWith("HTTP/1.1 504").contains("may-have-run");
         }
 
         @Test
-        void areNeverFollowedByARefusal() throws IOException {
-            RequestArrived arrival = running(GET);
+        void areNotFollowedByRefusal() throws IOException {
+            RequestArrived arrival = startRequest(GET);
             mTarget.send("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort");
             mCaller.readTo("short");
-            mRig.refuse(arrival, Refusal.WAIT_LIMIT);
+            mHarness.refuse(arrival, Refusal.WAIT_LIMIT);
             assertThat(mCaller.isReset()).isTrue();
             mTarget.closeConnection();
-            assertEnded(AttemptOutcome.TRUNCATED);
+            assertOutcome(AttemptOutcome.TRUNCATED);
         }
     }
 }
--- a/daemon/src/test/java/org/hibiscususher/daemon/front/ScriptedTarget.java
+++ b/daemon/src/test/java/org/hibiscususher/daemon/front/ScriptedTarget.java
@@ -7,10 +7,10 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 
-/** A target whose answers the test writes byte by byte. */
+/** A target whose responses a test sends as raw bytes. */
 final class ScriptedTarget implements AutoCloseable {
     private static final int TIMEOUT_MS = 10_000;
-    private static final int SMALL_BUFFER = 64 * 1024;
+    private static final int SEND_BUFFER_BYTES = 64 * 1024;
 
     private final ServerSocket mServer;
     private Socket mSocket;
@@ -24,14 +24,15 @@
         return "127.0.0.1:" + mServer.getLocalPort();
     }
 
+    /** Accepts the next connection, which becomes the current one. */
     ScriptedTarget accept() throws IOException {
         mSocket = mServer.accept();
         mSocket.setSoTimeout(TIMEOUT_MS);
-        mSocket.setSendBufferSize(SMALL_BUFFER);
+        mSocket.setSendBufferSize(SEND_BUFFER_BYTES);
         return this;
     }
 
-    /** Reads the head of a request and a body of the given size. */
+    /** Reads the head of a request and a body of a given size; returns both. */
     String read(int bodyBytes) throws IOException {
         InputStream in = mSocket.getInputStream();
         StringBuilder head = new StringBuilder();
@@ -50,13 +51,13 @@
         return this;
     }
 
-    /** Closes the current connection in the ordinary way. */
+    /** Closes the current connection in an orderly way, without a reset. */
     void closeConnection() throws IOException {
         mSocket.close();
     }
 
-    /** Returns whether the entry has closed the current connection. */
-    boolean isClosedByEntry() {
+    /** Reads from the current connection; returns whether it has ended, failed or timed out. */
+    boolean isClosedByFrontEnd() {
         try {
             return mSocket.getInputStream().read() < 0;
         } catch (IOException e) {
