Reword the operators' tool

Three summaries of its help text change, which no test matches. Comments, private names and test names become terms of the field; no behaviour changes.

--- a/cli/src/main/java/org/hibiscususher/cli/CliMain.java
+++ b/cli/src/main/java/org/hibiscususher/cli/CliMain.java
@@ -11,14 +11,14 @@
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
 
-/** The command {@code hibiscususher}; its exit codes are those of {@link ExitCode}. */
+/** Entry point of the operators' tool, {@code hibiscususher}; exits with an {@link ExitCode}. */
 public final class CliMain {
     private static final String VERSION = "0.1.0";
     private static final String DEFAULT_DAEMON = "127.0.0.1:7003";
 
     private CliMain() {}
 
-    /** Runs one command. */
+    /** Runs one command and exits the process. */
     public static void main(String[] args) {
         System.exit(run(args, System.in, System.out, System.err).code());
     }
@@ -30,25 +30,27 @@
                         .addOption(null, "help", false, "show this help")
                         .addOption(null, "version", false, "show the version");
         try {
-            CommandLine line = new DefaultParser().parse(options, args);
-            if (line.hasOption("help")) {
-                help(out);
+            CommandLine commandLine = new DefaultParser().parse(options, args);
+            if (commandLine.hasOption("help")) {
+                printHelp(out);
                 return ExitCode.OK;
             }
-            if (line.hasOption("version")) {
+            if (commandLine.hasOption("version")) {
                 out.println("hibiscususher " + VERSION);
                 return ExitCode.OK;
             }
-            List<String> words = line.getArgList();
-            Optional<Command> command = Command.find(words);
+            List<String> arguments = commandLine.getArgList();
+            Optional<Command> command = Command.find(arguments);
             if (command.isEmpty()) {
                 err.println("hibiscususher: unknown command; see --help");
                 return ExitCode.USAGE;
             }
-            String operand = command.get().operand(words);
-            String daemon = line.getOptionValue("daemon", DEFAULT_DAEMON);
+            String operands = command.get().operands(arguments);
+            String daemon = commandLine.getOptionValue("daemon", DEFAULT_DAEMON);
             return command.get()
-                    .run(new Invocation(daemon, line.hasOption("daemon"), operand, in, out));
+                    .run(
+                            new Invocation(
+                                    daemon, commandLine.hasOption("daemon"), operands, in, out));
         } catch (ParseException e) {
             err.println("hibiscususher: " + e.getMessage() + "; see --help");
             return ExitCode.USAGE;
@@ -61,7 +63,7 @@
         }
     }
 
-    private static void help(PrintStream out) {
+    private static void printHelp(PrintStream out) {
         out.println("usage: hibiscususher [--daemon IP:PORT] COMMAND");
         for (Command command : Command.values()) {
             out.printf("  %-20s %s%n", command.usage(), command.summary());
--- a/cli/src/main/java/org/hibiscususher/cli/Command.java
+++ b/cli/src/main/java/org/hibiscususher/cli/Command.java
@@ -21,46 +21,53 @@
 import org.hibiscususher.wire.yaml.NoteReader;
 import org.hibiscususher.wire.yaml.ParsedNote;
 
-/** The tool's commands. */
+/**
+ * The tool's commands.
+ *
+ * <p>A command is recognized by its usage text: lower-case words are its name, words in capitals
+ * its operands, and a last operand that ends in {@code ...} stands for any number of arguments.
+ */
 enum Command {
     NOTE_CHECK(
             "note check FILE",
             "check a release note without applying it; with --daemon, against the state in force") {
         @Override
-        ExitCode run(Invocation call) throws IOException {
-            String file = call.operand();
+        ExitCode run(Invocation invocation) throws IOException {
+            String file = invocation.operands();
             ParsedNote parsed = NoteReader.read(file, Files.readString(Path.of(file)));
             List<Finding> findings = parsed.findings();
             String against = "";
-            if (findings.isEmpty() && call.daemonGiven()) {
-                byte[] reply = call.post("/notes/check", file, Files.readString(Path.of(file)));
-                ReplyToNoteCheck answer = OperatorJson.decodeNoteCheck(reply);
-                findings = answer.findings();
-                against = " against revision " + answer.revision();
+            if (findings.isEmpty() && invocation.daemonGiven()) {
+                byte[] body =
+                        invocation.post("/notes/check", file, Files.readString(Path.of(file)));
+                ReplyToNoteCheck reply = OperatorJson.decodeNoteCheck(body);
+                findings = reply.findings();
+                against = " against revision " + reply.revision();
             }
-            findings.forEach(call.out()::println);
+            findings.forEach(invocation.out()::println);
             if (findings.stream().anyMatch(f -> f.severity() == Severity.ERROR)) {
                 return ExitCode.FINDINGS;
             }
-            call.out().println(file + ": no errors" + against);
+            invocation.out().println(file + ": no errors" + against);
             return ExitCode.OK;
         }
     },
     NOTE_APPLY("note apply FILE", "send a release note and wait until it is in force") {
         @Override
-        ExitCode run(Invocation call) throws IOException {
-            String file = call.operand();
-            byte[] reply = call.post("/notes", file, Files.readString(Path.of(file)));
-            ReplyToNote answer = OperatorJson.decodeNoteAnswer(reply);
-            call.out()
+        ExitCode run(Invocation invocation) throws IOException {
+            String file = invocation.operands();
+            byte[] body = invocation.post("/notes", file, Files.readString(Path.of(file)));
+            ReplyToNote reply = OperatorJson.decodeNoteAnswer(body);
+            invocation
+                    .out()
                     .println(
-                            answer.result().name().toLowerCase(java.util.Locale.ROOT)
+                            reply.result().name().toLowerCase(java.util.Locale.ROOT)
                                     + " revision="
-                                    + answer.revision()
+                                    + reply.revision()
                                     + ": "
-                                    + answer.detail());
-            answer.findings().forEach(call.out()::println);
-            return switch (answer.result()) {
+                                    + reply.detail());
+            reply.findings().forEach(invocation.out()::println);
+            return switch (reply.result()) {
                 case ACCEPTED -> ExitCode.OK;
                 case WRITTEN -> ExitCode.NOT_CONFIRMED;
                 case FAULTY -> ExitCode.FINDINGS;
@@ -71,83 +78,87 @@
     },
     NOTE_HISTORY("note history", "list the accepted notes, newest first") {
         @Override
-        ExitCode run(Invocation call) throws IOException {
-            ReplyToHistory answer = OperatorJson.decodeHistory(call.get("/notes"));
-            call.out().print(HistoryFormatter.list(answer));
+        ExitCode run(Invocation invocation) throws IOException {
+            ReplyToHistory reply = OperatorJson.decodeHistory(invocation.get("/notes"));
+            invocation.out().print(HistoryFormatter.formatList(reply));
             return ExitCode.OK;
         }
     },
     NOTE_SHOW("note show WHICH", "show an accepted note by its revision or id") {
         @Override
-        ExitCode run(Invocation call) throws IOException {
-            String which = URLEncoder.encode(call.operand(), StandardCharsets.UTF_8);
-            ReplyToHistory answer = OperatorJson.decodeHistory(call.get("/notes?which=" + which));
-            call.out().print(HistoryFormatter.show(answer));
-            return answer.notes().isEmpty() ? ExitCode.FAILED : ExitCode.OK;
+        ExitCode run(Invocation invocation) throws IOException {
+            String which = URLEncoder.encode(invocation.operands(), StandardCharsets.UTF_8);
+            ReplyToHistory reply =
+                    OperatorJson.decodeHistory(invocation.get("/notes?which=" + which));
+            invocation.out().print(HistoryFormatter.formatNotes(reply));
+            return reply.notes().isEmpty() ? ExitCode.FAILED : ExitCode.OK;
         }
     },
     EXPORT("export", "print the state in force as one release note") {
         @Override
-        ExitCode run(Invocation call) throws IOException {
-            call.out().write(call.get("/export"));
+        ExitCode run(Invocation invocation) throws IOException {
+            invocation.out().write(invocation.get("/export"));
             return ExitCode.OK;
         }
     },
-    STATUS("status", "show how the entries are") {
+    STATUS("status", "show the state of the daemon and of the other entries") {
         @Override
-        ExitCode run(Invocation call) throws IOException {
-            StatusReport report = OperatorJson.decodeStatus(call.get("/status"));
-            call.out().print(StatusFormatter.of(report));
+        ExitCode run(Invocation invocation) throws IOException {
+            StatusReport report = OperatorJson.decodeStatus(invocation.get("/status"));
+            invocation.out().print(StatusFormatter.format(report));
             return ExitCode.OK;
         }
     },
     WAVE_PLAN("wave plan POOL...", "plan to reboot every host of the pools, or of all pools") {
         @Override
-        ExitCode run(Invocation call) throws IOException {
-            return WaveCalls.call(call, "plan");
+        ExitCode run(Invocation invocation) throws IOException {
+            return WaveCalls.run(invocation, "plan");
         }
     },
     WAVE_START("wave start", "start or resume the maintenance wave") {
         @Override
-        ExitCode run(Invocation call) throws IOException {
-            return WaveCalls.call(call, "start");
+        ExitCode run(Invocation invocation) throws IOException {
+            return WaveCalls.run(invocation, "start");
         }
     },
-    WAVE_PAUSE("wave pause", "take no further host; those that are out come back") {
+    WAVE_PAUSE("wave pause", "reboot no further hosts; hosts already out of service return") {
         @Override
-        ExitCode run(Invocation call) throws IOException {
-            return WaveCalls.call(call, "pause");
+        ExitCode run(Invocation invocation) throws IOException {
+            return WaveCalls.run(invocation, "pause");
         }
     },
     WAVE_SHOW("wave show", "show the maintenance wave and the hosts out of service") {
         @Override
-        ExitCode run(Invocation call) throws IOException {
-            return WaveCalls.call(call, "show");
+        ExitCode run(Invocation invocation) throws IOException {
+            return WaveCalls.run(invocation, "show");
         }
     },
-    TRACE("trace ID FILE...", "print what the logs in the files say of a job, in order") {
+    TRACE(
+            "trace ID FILE...",
+            "print a job's log lines and related events from the files, by time") {
         @Override
-        ExitCode run(Invocation call) throws IOException {
-            String[] words = call.operand().split(" ");
+        ExitCode run(Invocation invocation) throws IOException {
+            String[] operands = invocation.operands().split(" ");
             List<String> lines = new ArrayList<>();
-            for (String file : Arrays.asList(words).subList(1, words.length)) {
+            for (String file : Arrays.asList(operands).subList(1, operands.length)) {
                 lines.addAll(Files.readAllLines(Path.of(file)));
             }
-            List<String> trace = JobTrace.of(words[0], lines);
-            trace.forEach(call.out()::println);
+            List<String> trace = JobTrace.of(operands[0], lines);
+            trace.forEach(invocation.out()::println);
             return trace.isEmpty() ? ExitCode.FAILED : ExitCode.OK;
         }
     },
     KEY("key", "read a secret from standard input and print its digest") {
         @Override
-        ExitCode run(Invocation call) throws IOException {
-            String secret = new String(call.in().readAllBytes(), StandardCharsets.UTF_8).strip();
-            call.out().println(KeyDigest.ofSecret(secret).toHex());
+        ExitCode run(Invocation invocation) throws IOException {
+            String secret =
+                    new String(invocation.in().readAllBytes(), StandardCharsets.UTF_8).strip();
+            invocation.out().println(KeyDigest.ofSecret(secret).toHex());
             return ExitCode.OK;
         }
     };
 
-    private static final String MANY = "...";
+    private static final String VARIADIC_SUFFIX = "...";
 
     private final String mUsage;
     private final String mSummary;
@@ -165,36 +176,41 @@
         return mSummary;
     }
 
-    /** Runs the command. */
-    abstract ExitCode run(Invocation call) throws IOException;
+    /**
+     * Runs the command and prints its result.
+     *
+     * @throws IOException if a file can't be read or the daemon can't be reached
+     */
+    abstract ExitCode run(Invocation invocation) throws IOException;
 
-    /** Returns the command that the words start with, or empty. */
-    static Optional<Command> find(List<String> words) {
+    /** Returns the command whose name and number of operands the arguments match, or empty. */
+    static Optional<Command> find(List<String> arguments) {
         for (Command command : values()) {
-            List<String> name = command.words();
-            int operands = command.hasOperand() ? 1 : 0;
-            boolean counts =
-                    command.mUsage.endsWith(MANY)
-                            ? words.size() >= name.size()
-                            : words.size() == name.size() + operands;
-            if (counts && words.subList(0, name.size()).equals(name)) {
+            List<String> name = command.nameWords();
+            int operandCount = command.hasOperand() ? 1 : 0;
+            boolean countFits =
+                    command.mUsage.endsWith(VARIADIC_SUFFIX)
+                            ? arguments.size() >= name.size()
+                            : arguments.size() == name.size() + operandCount;
+            if (countFits && arguments.subList(0, name.size()).equals(name)) {
                 return Optional.of(command);
             }
         }
         return Optional.empty();
     }
 
-    /** Returns what follows the command's name, joined by spaces. */
-    String operand(List<String> words) {
-        return String.join(" ", words.subList(words().size(), words.size()));
+    /** Returns the arguments after the command's name, joined by spaces. */
+    String operands(List<String> arguments) {
+        return String.join(" ", arguments.subList(nameWords().size(), arguments.size()));
     }
 
     private boolean hasOperand() {
-        return !mUsage.endsWith(MANY) && Character.isUpperCase(mUsage.charAt(mUsage.length() - 1));
+        return !mUsage.endsWith(VARIADIC_SUFFIX)
+                && Character.isUpperCase(mUsage.charAt(mUsage.length() - 1));
     }
 
-    /** Returns the command's name: the words of its usage that are not operands. */
-    private List<String> words() {
+    /** Returns the words of the command's name. */
+    private List<String> nameWords() {
         return Stream.of(mUsage.split(" "))
                 .filter(word -> Character.isLowerCase(word.charAt(0)))
                 .toList();
--- a/cli/src/main/java/org/hibiscususher/cli/ExitCode.java
+++ b/cli/src/main/java/org/hibiscususher/cli/ExitCode.java
@@ -1,18 +1,18 @@
 package org.hibiscususher.cli;
 
-/** Exit codes of the tool. */
+/** Exit codes of the tool; the help text lists them under the names of the constants. */
 enum ExitCode {
-    /** Done. */
+    /** The command was carried out. */
     OK(0),
-    /** The daemon can't be reached, or the call failed. */
+    /** The daemon can't be reached, or it did not carry out the command. */
     FAILED(1),
-    /** The command line is wrong. */
+    /** The command line is invalid. */
     USAGE(2),
-    /** The note has findings. */
+    /** The release note has errors; nothing was changed. */
     FINDINGS(3),
-    /** Another note came first. */
+    /** The release note conflicts with another one that was accepted before. */
     CONFLICT(4),
-    /** Written, but not yet confirmed in force everywhere. */
+    /** The release note is written, but not confirmed to be in force on all entries. */
     NOT_CONFIRMED(5);
 
     private final int mCode;
--- a/cli/src/main/java/org/hibiscususher/cli/HistoryFormatter.java
+++ b/cli/src/main/java/org/hibiscususher/cli/HistoryFormatter.java
@@ -8,49 +8,49 @@
 import org.hibiscususher.core.note.AcceptedNote;
 import org.hibiscususher.wire.yaml.NoteWriter;
 
-/** Writes accepted notes for a terminal. */
+/** Formats accepted release notes for a terminal. */
 final class HistoryFormatter {
-    private static final DateTimeFormatter TIME =
+    private static final DateTimeFormatter TIME_FORMAT =
             DateTimeFormatter.ofPattern("yyyy-MM-dd HH:mm:ss'Z'").withZone(ZoneOffset.UTC);
 
     private HistoryFormatter() {}
 
-    /** Returns one line a note. */
-    static String list(ReplyToHistory answer) {
+    /** Returns a table with one row for each note. */
+    static String formatList(ReplyToHistory reply) {
         StringBuilder text = new StringBuilder();
-        text.append(line("REVISION", "WRITTEN", "AUTHOR", "NOTE", "CHANGES", "SUMMARY"));
-        for (AcceptedNote note : answer.notes()) {
+        text.append(row("REVISION", "WRITTEN", "AUTHOR", "NOTE", "CHANGES", "SUMMARY"));
+        for (AcceptedNote note : reply.notes()) {
             text.append(
-                    line(
+                    row(
                             Long.toString(note.revision()),
-                            time(note),
+                            formatTime(note),
                             note.author(),
                             note.id(),
                             note.changeSummary(),
                             note.summary()));
         }
-        return text.append(detail(answer)).toString();
+        return text.append(detailLine(reply)).toString();
     }
 
-    /** Returns all that is known of the notes. */
-    static String show(ReplyToHistory answer) {
+    /** Returns all fields of each note, and its content unless that was too large to keep. */
+    static String formatNotes(ReplyToHistory reply) {
         StringBuilder text = new StringBuilder();
-        for (AcceptedNote note : answer.notes()) {
+        for (AcceptedNote note : reply.notes()) {
             text.append("revision: ").append(note.revision()).append('\n');
             text.append("note: ").append(note.id()).append('\n');
             text.append("author: ").append(note.author()).append('\n');
             text.append("summary: ").append(note.summary()).append('\n');
-            text.append("written: ").append(time(note)).append('\n');
+            text.append("written: ").append(formatTime(note)).append('\n');
             text.append("changes: ").append(note.changeSummary()).append('\n');
             text.append(
                     note.hasDelta()
                             ? NoteWriter.write(note.delta())
                             : "too large to list; \"export\" shows the state in force\n");
         }
-        return text.append(detail(answer)).toString();
+        return text.append(detailLine(reply)).toString();
     }
 
-    private static String line(
+    private static String row(
             String revision,
             String time,
             String author,
@@ -70,11 +70,11 @@
                 .concat("\n");
     }
 
-    private static String time(AcceptedNote note) {
-        return TIME.format(Instant.ofEpochMilli(note.writtenMs()));
+    private static String formatTime(AcceptedNote note) {
+        return TIME_FORMAT.format(Instant.ofEpochMilli(note.writtenMs()));
     }
 
-    private static String detail(ReplyToHistory answer) {
-        return answer.detail().isEmpty() ? "" : answer.detail() + "\n";
+    private static String detailLine(ReplyToHistory reply) {
+        return reply.detail().isEmpty() ? "" : reply.detail() + "\n";
     }
 }
--- a/cli/src/main/java/org/hibiscususher/cli/Invocation.java
+++ b/cli/src/main/java/org/hibiscususher/cli/Invocation.java
@@ -16,42 +16,60 @@
 import org.hibiscususher.wire.http.OneShotHttpClient;
 
 /**
- * One run of a command.
+ * One invocation of a command, with access to the daemon.
  *
- * @param daemon IP number and port of a daemon's operator interface
- * @param daemonGiven whether the command line names the daemon
- * @param operand the command's operand; empty if it has none
+ * @param daemon IP number and port of a daemon's operators' interface
+ * @param daemonGiven whether the command line names the daemon; else it is the default
+ * @param operands the command's operands, joined by spaces; empty if it has none
  * @param in standard input
  * @param out standard output
  */
 record Invocation(
-        String daemon, boolean daemonGiven, String operand, InputStream in, PrintStream out) {
+        String daemon, boolean daemonGiven, String operands, InputStream in, PrintStream out) {
     private static final int TIMEOUT_MS = 30_000;
 
     Invocation {
         requireNonNull(daemon);
-        requireNonNull(operand);
+        requireNonNull(operands);
         requireNonNull(in);
         requireNonNull(out);
     }
 
-    /** Returns the body of the answer to a GET. */
+    /**
+     * Sends a GET request.
+     *
+     * @param path path and query
+     * @return body of the response, whatever its status
+     */
     byte[] get(String path) throws IOException {
-        return call(HttpMethod.GET, path, new byte[0]);
+        return request(HttpMethod.GET, path, new byte[0]);
     }
 
-    /** Returns the body of the answer to a POST of a file's text. */
+    /**
+     * Sends the content of a file by a POST request.
+     *
+     * @param path path without a query
+     * @param file name of the file, which the daemon uses in the positions of findings
+     * @param body content of the file
+     * @return body of the response, whatever its status
+     */
     byte[] post(String path, String file, String body) throws IOException {
         String query = "?file=" + URLEncoder.encode(file, StandardCharsets.UTF_8);
-        return call(HttpMethod.POST, path + query, body.getBytes(StandardCharsets.UTF_8));
+        return request(HttpMethod.POST, path + query, body.getBytes(StandardCharsets.UTF_8));
     }
 
-    /** Returns the body of the answer to a POST. */
+    /**
+     * Sends a POST request.
+     *
+     * @param path path and query
+     * @param body text to send
+     * @return body of the response, whatever its status
+     */
     byte[] post(String path, String body) throws IOException {
-        return call(HttpMethod.POST, path, body.getBytes(StandardCharsets.UTF_8));
+        return request(HttpMethod.POST, path, body.getBytes(StandardCharsets.UTF_8));
     }
 
-    private byte[] call(HttpMethod method, String path, byte[] body) throws IOException {
+    private byte[] request(HttpMethod method, String path, byte[] body) throws IOException {
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         try {
             return OneShotHttpClient.create(group, TIMEOUT_MS)
--- a/cli/src/main/java/org/hibiscususher/cli/JobTrace.java
+++ b/cli/src/main/java/org/hibiscususher/cli/JobTrace.java
@@ -9,18 +9,22 @@
 import java.util.regex.Pattern;
 
 /**
- * One job's life, from the log lines of several processes.
+ * Extracts the history of one job from the log lines of several processes.
  *
- * <p>Lines that name the job come with those that changed what the processes believed meanwhile:
- * who owns the scheduling, whether the store was reached, and how the job's executors were.
+ * <p>Besides the lines that mention the job, it contains the events that can explain them: changes
+ * of the scheduling owner, losses of the store, and events of the executors that ran the job.
  */
 final class JobTrace {
-    /** Time around the job's own lines from which other lines are taken, in milliseconds. */
-    private static final long AROUND_MS = 3_000;
+    /**
+     * Time before the first and after the last line about the job from which related events are
+     * included, in milliseconds.
+     */
+    private static final long CONTEXT_MARGIN_MS = 3_000;
 
-    private static final Pattern LINE = Pattern.compile("ms=(\\d+) node=(\\S+) event=(\\S+)(.*)");
-    private static final Pattern EXECUTOR = Pattern.compile("executor=(\\S+)");
-    private static final Set<String> OWNERSHIP =
+    private static final Pattern LINE_PATTERN =
+            Pattern.compile("ms=(\\d+) node=(\\S+) event=(\\S+)(.*)");
+    private static final Pattern EXECUTOR_PATTERN = Pattern.compile("executor=(\\S+)");
+    private static final Set<String> CONTEXT_EVENTS =
             Set.of(
                     "owner-taken",
                     "owner-lost",
@@ -33,46 +37,64 @@
 
     private JobTrace() {}
 
-    private record Line(long atMs, String node, String event, String rest) {
-        boolean names(String id) {
-            return rest.contains(id);
+    /**
+     * A parsed log line.
+     *
+     * @param atMs time of the event, in milliseconds since 1970 by the clock of its process
+     * @param node name of the process
+     * @param event name of the event
+     * @param fields rest of the line: {@code key=value} pairs
+     */
+    private record Line(long atMs, String node, String event, String fields) {
+        boolean mentions(String jobId) {
+            return fields.contains(jobId);
         }
     }
 
-    /** Returns the trace; empty if no line names the job. */
-    static List<String> of(String id, List<String> lines) {
+    /**
+     * Returns the trace of a job, one line for each event.
+     *
+     * @param jobId id of the job, as written in the logs
+     * @param lines lines of all log files in any order; others than log lines are ignored
+     * @return lines in order of time, with times relative to the first line about the job; empty if
+     *     no line mentions the job
+     */
+    static List<String> of(String jobId, List<String> lines) {
         List<Line> parsed = parse(lines);
-        List<Line> own = parsed.stream().filter(line -> line.names(id)).toList();
-        if (own.isEmpty()) {
+        List<Line> jobLines = parsed.stream().filter(line -> line.mentions(jobId)).toList();
+        if (jobLines.isEmpty()) {
             return List.of();
         }
         Set<String> executors = new HashSet<>();
-        for (Line line : own) {
-            Matcher matcher = EXECUTOR.matcher(line.rest());
+        for (Line line : jobLines) {
+            Matcher matcher = EXECUTOR_PATTERN.matcher(line.fields());
             if (matcher.find()) {
                 executors.add(matcher.group(1));
             }
         }
-        long firstMs = own.get(0).atMs();
-        long lastMs = own.get(own.size() - 1).atMs();
+        long firstMs = jobLines.get(0).atMs();
+        long lastMs = jobLines.get(jobLines.size() - 1).atMs();
         List<String> trace = new ArrayList<>();
         for (Line line : parsed) {
-            boolean near = line.atMs() >= firstMs - AROUND_MS && line.atMs() <= lastMs + AROUND_MS;
-            if (line.names(id) || near && isContext(line, executors)) {
+            boolean isNear =
+                    line.atMs() >= firstMs - CONTEXT_MARGIN_MS
+                            && line.atMs() <= lastMs + CONTEXT_MARGIN_MS;
+            if (line.mentions(jobId) || isNear && isContext(line, executors)) {
                 trace.add(
                         String.format(
                                 "%+8d ms %-14s %-20s%s",
-                                line.atMs() - firstMs, line.node(), line.event(), line.rest()));
+                                line.atMs() - firstMs, line.node(), line.event(), line.fields()));
             }
         }
         return trace;
     }
 
+    /** Returns whether a line concerns the scheduling owner, the store, or one of the executors. */
     private static boolean isContext(Line line, Set<String> executors) {
-        if (OWNERSHIP.contains(line.event())) {
+        if (CONTEXT_EVENTS.contains(line.event())) {
             return true;
         }
-        Matcher matcher = EXECUTOR.matcher(line.rest());
+        Matcher matcher = EXECUTOR_PATTERN.matcher(line.fields());
         return line.event().startsWith("executor-")
                 && matcher.find()
                 && executors.contains(matcher.group(1));
@@ -81,7 +103,7 @@
     private static List<Line> parse(List<String> lines) {
         List<Line> parsed = new ArrayList<>();
         for (String line : lines) {
-            Matcher matcher = LINE.matcher(line);
+            Matcher matcher = LINE_PATTERN.matcher(line);
             if (matcher.find()) {
                 parsed.add(
                         new Line(
--- a/cli/src/main/java/org/hibiscususher/cli/StatusFormatter.java
+++ b/cli/src/main/java/org/hibiscususher/cli/StatusFormatter.java
@@ -3,16 +3,17 @@
 import java.util.Locale;
 import org.hibiscususher.core.message.StatusReport;
 
-/** Writes an entry's status for a terminal. */
+/** Formats the status of an entry and its peers for a terminal. */
 final class StatusFormatter {
     private static final double MS_PER_SECOND = 1_000;
     private static final String ROW = "  %-16s  %-8s  %-12s  %8s  %-11s  %-11s  %s";
 
     private StatusFormatter() {}
 
-    static String of(StatusReport report) {
+    /** Returns a line about the entry, one about its configuration, and a row for each peer. */
+    static String format(StatusReport report) {
         StringBuilder text = new StringBuilder();
-        line(
+        appendLine(
                 text,
                 "%s: %s, %s, revision %d, epoch %d, %d waiting, %d running",
                 report.member(),
@@ -22,55 +23,58 @@
                 report.epoch(),
                 report.waiting(),
                 report.running());
-        line(
+        appendLine(
                 text,
                 "  configuration known to be current as of %s, store answered %s",
-                age(report.freshAgeMs()),
-                age(report.storeAgeMs()));
-        long newest = newest(report);
-        if (report.revision() < newest) {
-            line(text, "  LAGS: revision %d is written, but not in force here", newest);
+                formatAge(report.freshAgeMs()),
+                formatAge(report.storeAgeMs()));
+        long newestRevision = newestRevision(report);
+        if (report.revision() < newestRevision) {
+            appendLine(
+                    text, "  LAGS: revision %d is written, but not in force here", newestRevision);
         }
         if (!report.peers().isEmpty()) {
-            line(text, ROW, "ENTRY", "STATE", "ZONE", "REVISION", "HEARD", "STORE", "");
+            appendLine(text, ROW, "ENTRY", "STATE", "ZONE", "REVISION", "HEARD", "STORE", "");
         }
         for (StatusReport.Peer peer : report.peers()) {
-            line(
+            appendLine(
                     text,
                     ROW,
                     peer.member(),
                     peer.state().name().toLowerCase(Locale.ROOT),
                     peer.zone(),
                     Long.toString(peer.revision()),
-                    age(peer.silentMs()),
-                    age(peer.storeAgeMs()),
-                    lag(peer, newest));
+                    formatAge(peer.silentMs()),
+                    formatAge(peer.storeAgeMs()),
+                    lag(peer, newestRevision));
         }
         return text.toString();
     }
 
-    private static long newest(StatusReport report) {
-        long newest = Math.max(report.newestRevision(), report.revision());
+    /** Returns the newest revision that the entry or one of its peers is known to have. */
+    private static long newestRevision(StatusReport report) {
+        long newestRevision = Math.max(report.newestRevision(), report.revision());
         for (StatusReport.Peer peer : report.peers()) {
-            newest = Math.max(newest, peer.revision());
+            newestRevision = Math.max(newestRevision, peer.revision());
         }
-        return newest;
+        return newestRevision;
     }
 
-    private static String lag(StatusReport.Peer peer, long newest) {
-        if (peer.revision() >= newest) {
+    private static String lag(StatusReport.Peer peer, long newestRevision) {
+        if (peer.revision() >= newestRevision) {
             return "";
         }
-        String behind = "LAGS by " + (newest - peer.revision());
-        return peer.silentMs() < 0 ? behind + ", never heard" : behind;
+        String lag = "LAGS by " + (newestRevision - peer.revision());
+        return peer.silentMs() < 0 ? lag + ", never heard" : lag;
     }
 
-    private static void line(StringBuilder text, String format, Object... values) {
+    private static void appendLine(StringBuilder text, String format, Object... values) {
         String line = String.format(Locale.ROOT, format, values);
         text.append(line.stripTrailing()).append(System.lineSeparator());
     }
 
-    private static String age(long ms) {
+    /** Formats a number of milliseconds; negative values stand for an event that never occurred. */
+    private static String formatAge(long ms) {
         return ms < 0 ? "never" : String.format(Locale.ROOT, "%.1f s ago", ms / MS_PER_SECOND);
     }
 }
--- a/cli/src/main/java/org/hibiscususher/cli/WaveCalls.java
+++ b/cli/src/main/java/org/hibiscususher/cli/WaveCalls.java
@@ -5,21 +5,27 @@
 import org.hibiscususher.core.message.WaveReport;
 import org.hibiscususher.wire.json.OperatorJson;
 
-/** Sends commands about the maintenance wave and writes the answers for a terminal. */
+/** Sends commands about the maintenance wave to the daemon and prints its reports. */
 final class WaveCalls {
     private static final int MS_PER_SECOND = 1_000;
 
     private WaveCalls() {}
 
-    /** Sends a command and prints the answer. */
-    static ExitCode call(Invocation call, String command) throws IOException {
-        String body = (command + " " + call.operand()).trim();
-        WaveReport report = OperatorJson.decodeWave(call.post("/wave", body));
-        call.out().print(of(report));
+    /**
+     * Sends a command and prints the report that the daemon returns.
+     *
+     * @param invocation invocation, whose operands are names of pools or empty
+     * @param command name of the command, in lower case
+     */
+    static ExitCode run(Invocation invocation, String command) throws IOException {
+        String body = (command + " " + invocation.operands()).trim();
+        WaveReport report = OperatorJson.decodeWave(invocation.post("/wave", body));
+        invocation.out().print(format(report));
         return report.ok() ? ExitCode.OK : ExitCode.FAILED;
     }
 
-    static String of(WaveReport report) {
+    /** Formats the state of the wave, and a line for each host out of service. */
+    static String format(WaveReport report) {
         StringBuilder text = new StringBuilder();
         if (!report.ok()) {
             return "not done: " + report.detail() + "\n";
--- a/cli/src/main/java/org/hibiscususher/cli/package-info.java
+++ b/cli/src/main/java/org/hibiscususher/cli/package-info.java
@@ -1,2 +1,2 @@
-/** The operators' command-line tool. */
+/** The operators' command-line tool, a client of the daemon's HTTP interface for operators. */
 package org.hibiscususher.cli;
--- a/cli/src/test/java/org/hibiscususher/cli/JobTraceTest.java
+++ b/cli/src/test/java/org/hibiscususher/cli/JobTraceTest.java
@@ -16,27 +16,27 @@
                     "ms=5600 node=e1 event=executor-silent executor=x2 failure=NO_ANSWER",
                     "ms=6000 node=e2 event=owner-taken generation=2 fence=9",
                     "ms=90000 node=e2 event=owner-taken generation=3 fence=99",
-                    "no line of ours");
+                    "not a structured log line");
 
     @Nested
     class Trace {
         private final List<String> mTrace = JobTrace.of("aa", LOGS);
 
         @Test
-        void tellsTheJobsOwnLinesInTheirOrder() {
+        void ordersLinesAboutJobByTime() {
             assertThat(mTrace.get(0)).contains("accepted").contains("+0 ms");
             assertThat(mTrace.get(1)).contains("start").contains("+1000 ms");
         }
 
         @Test
-        void tellsWhatHappenedToItsExecutorsAndTheOwnership() {
+        void includesEventsOfItsExecutorsAndOfOwnership() {
             assertThat(mTrace).hasSize(4);
             assertThat(mTrace.get(2)).contains("executor=x1");
             assertThat(mTrace.get(3)).contains("fence=9");
         }
 
         @Test
-        void isEmptyForAnUnknownId() {
+        void isEmptyForUnknownJob() {
             assertThat(JobTrace.of("cc", LOGS)).isEmpty();
         }
     }
