--- a/daemon/src/main/java/org/hibiscususher/daemon/control/ControlThread.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/control/ControlThread.java
@@ -39,7 +39,7 @@
      * Starts the thread.
      *
      * @param tickHandler control state, which no other thread may use
-     * @param clock clock in milliseconds that never goes back
+     * @param clock clock in milliseconds that never decreases
      * @param inbox queue from which inputs are read
      * @param outputHandler carries out the outputs
      * @param tickMs longest time between two ticks without an input, in milliseconds
--- a/daemon/src/main/java/org/hibiscususher/daemon/control/MonotonicClock.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/control/MonotonicClock.java
@@ -4,7 +4,7 @@
 import org.agrona.concurrent.EpochClock;
 
 /**
- * Clock of milliseconds since 1970 that never goes back.
+ * Clock of milliseconds since 1970 that never decreases.
  *
  * <p>It advances with the elapsed time of the process and is slewed towards the system's wall
  * clock, so that the clocks of long-running entries don't drift apart. A step of the wall clock is
--- a/daemon/src/main/java/org/hibiscususher/daemon/front/Attempt.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/front/Attempt.java
@@ -115,7 +115,7 @@
         }
     }
 
-    /** Handles a part of the target's response; takes over its reference count. */
+    /** Forwards a part of the target's response to the caller, or releases it. */
     void onMessage(HttpObject message) {
         if (message.decoderResult().isFailure()) {
             ReferenceCountUtil.release(message);
--- a/daemon/src/main/java/org/hibiscususher/daemon/front/Exchange.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/front/Exchange.java
@@ -177,7 +177,7 @@
         mCaller.write(forwarded);
     }
 
-    /** Forwards a part of a response's body to the caller; takes over its reference count. */
+    /** Forwards a part of a response's body to the caller; it is released once written. */
     void forwardContent(HttpContent content) {
         boolean last = content instanceof LastHttpContent;
         ChannelFuture lastWrite = mCaller.write(content);
