--- a/core/src/main/java/org/hibiscususher/core/world/AllocatorBindingRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/AllocatorBindingRow.java
@@ -5,15 +5,17 @@
 import org.hibiscususher.core.message.PermitGroup;
 
 /**
- * The allocator that this entry follows for a group of permits.
+ * Binds a group of permits at this entry to the allocator that grants them.
  *
  * @param group the group
- * @param allocator the allocator
- * @param claimEpoch the epoch from which the holdings of the group count
- * @param claimAcknowledged whether the allocator has taken in the claim
- * @param claimSentMs when the claim was last sent, -1 if never
- * @param dueMs when the group is to be looked at again
- * @param targetSequence of the message from which the targets came
+ * @param allocator the process that allocates the group
+ * @param claimEpoch membership epoch of the claim sent to the allocator; grants and returns are
+ *     counted from that claim
+ * @param claimAcknowledged whether the allocator has acknowledged the claim
+ * @param claimSentMs when the claim was last sent, in milliseconds, -1 if never
+ * @param dueMs when the group is to be processed again, in milliseconds, {@link #NEVER} if not
+ * @param targetSequence sequence of the message that brought the targets; targets in earlier
+ *     messages are ignored
  * @param mainTarget how many slots or units to keep
  * @param longRunTarget how many permits for long runs to keep
  */
@@ -27,26 +29,29 @@
         long targetSequence,
         int mainTarget,
         int longRunTarget) {
-    /** Time of a group at which nothing is due. */
+    /** Due time of a group that has nothing to send. */
     public static final long NEVER = Long.MAX_VALUE;
 
-    /** Checks the fields. */
+    /** Rejects null components. */
     public AllocatorBindingRow {
         requireNonNull(group);
         requireNonNull(allocator);
     }
 
-    /** Returns the row of a group whose claim is still to be sent. */
+    /** Returns a new binding whose claim is yet to be sent. It is due at once. */
     public static AllocatorBindingRow of(PermitGroup group, MemberKey allocator, long claimEpoch) {
         return new AllocatorBindingRow(group, allocator, claimEpoch, false, -1, 0, 0, 0, 0);
     }
 
-    /** Returns a copy that is to be looked at again at a time, or earlier if that was so before. */
+    /**
+     * Returns a copy that is due at the given time or at its present due time, whichever is
+     * earlier.
+     */
     public AllocatorBindingRow withDueBy(long atMs) {
         return withDueAt(Math.min(dueMs, atMs));
     }
 
-    /** Returns a copy that is to be looked at again at a time. */
+    /** Returns a copy that is due at the given time. */
     public AllocatorBindingRow withDueAt(long atMs) {
         return new AllocatorBindingRow(
                 group,
@@ -60,7 +65,7 @@
                 longRunTarget);
     }
 
-    /** Returns a copy whose claim was sent at a time. */
+    /** Returns a copy whose claim was sent at the given time. */
     public AllocatorBindingRow withClaimSent(long nowMs) {
         return new AllocatorBindingRow(
                 group,
@@ -74,7 +79,10 @@
                 longRunTarget);
     }
 
-    /** Returns a copy with targets that came with a message; it is due at once. */
+    /**
+     * Returns a copy with new targets, which also acknowledge the claim. It is due at once, to
+     * return permits above the targets.
+     */
     public AllocatorBindingRow withTargets(long messageSequence, int main, int longRuns) {
         return new AllocatorBindingRow(
                 group,
--- a/core/src/main/java/org/hibiscususher/core/world/CompactionWriteRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/CompactionWriteRow.java
@@ -6,24 +6,23 @@
 import org.hibiscususher.core.message.StoreRecord;
 
 /**
- * A record that has to be written before a head may name it.
+ * A write of a record that has to be stored before a new head may refer to it.
  *
- * @param storeCallId the write
- * @param noteCallId the operator's call whose note needs it
- * @param key where it is written
+ * @param storeCallId id of the store call that writes the record
+ * @param noteCallId call of the operator whose note needs the new head
+ * @param key key of the record
  * @param value the record
- * @param retryAtMs when it is written again, in milliseconds of the caller's clock; -1 while the
- *     write is out
+ * @param retryAtMs when the write is repeated, in milliseconds; -1 while it is pending
  */
 public record CompactionWriteRow(
         long storeCallId, long noteCallId, RecordKey key, StoreRecord value, long retryAtMs) {
-    /** Checks the fields. */
+    /** Rejects null components. */
     public CompactionWriteRow {
         requireNonNull(key);
         requireNonNull(value);
     }
 
-    /** Returns a copy that waits for a further try. */
+    /** Returns a copy that is written again at the given time. */
     public CompactionWriteRow withRetryAt(long atMs) {
         return new CompactionWriteRow(storeCallId, noteCallId, key, value, atMs);
     }
--- a/core/src/main/java/org/hibiscususher/core/world/ControlSettings.java
+++ b/core/src/main/java/org/hibiscususher/core/world/ControlSettings.java
@@ -3,14 +3,19 @@
 import static java.util.Objects.requireNonNull;
 
 /**
- * Times and limits of the decisions.
+ * The configurable times and limits of the control state.
  *
- * @param heartbeatMs longest time between two messages to a peer, in milliseconds
- * @param silenceMs a peer that was not heard for this long is silent, in milliseconds
- * @param freshnessMs an entry that can't vouch for this long admits nothing, in milliseconds
- * @param rollOutWaitMs longest wait of an operator for a note to be in force, in milliseconds
- * @param maxAttempts most attempts of a request, 1 or more
- * @param pauseMs a process between whose ticks more time passes was paused, in milliseconds
+ * @param heartbeatMs longest time between two messages to another member, in milliseconds, 1 or
+ *     more; longer in a large fleet
+ * @param silenceMs time without a message after which a member counts as silent, in milliseconds, 1
+ *     or more
+ * @param freshnessMs age of the newest proof that the configuration is current above which an entry
+ *     admits no requests, in milliseconds, 1 or more
+ * @param rollOutWaitMs longest time that an operator's call waits for a note to be in force, in
+ *     milliseconds, 1 or more
+ * @param maxAttempts largest number of attempts of a request, 1 or more
+ * @param pauseMs time between two ticks above which the process counts as having been paused, in
+ *     milliseconds, 1 or more; proofs from before the pause are then dropped
  * @param lendPolicy when spare pools lend hosts
  * @param escrowPolicy how permits are shared among the entries
  */
@@ -23,7 +28,7 @@
         int pauseMs,
         LendPolicy lendPolicy,
         EscrowPolicy escrowPolicy) {
-    /** The defaults. */
+    /** The default settings. */
     public static final ControlSettings DEFAULT =
             new ControlSettings(
                     200,
@@ -35,7 +40,7 @@
                     LendPolicy.HYSTERESIS,
                     EscrowPolicy.ESCROW);
 
-    /** Checks that every value is 1 or more. */
+    /** Rejects null policies and numbers less than 1. */
     public ControlSettings {
         requireNonNull(lendPolicy);
         requireNonNull(escrowPolicy);
@@ -45,11 +50,11 @@
                 || rollOutWaitMs < 1
                 || maxAttempts < 1
                 || pauseMs < 1) {
-            throw new IllegalArgumentException("times and limits are 1 or more");
+            throw new IllegalArgumentException("times and limits must be 1 or more");
         }
     }
 
-    /** Returns a copy with another way to lend hosts. */
+    /** Returns a copy with another policy for lending hosts. */
     public ControlSettings withLendPolicy(LendPolicy value) {
         return new ControlSettings(
                 heartbeatMs,
@@ -62,7 +67,7 @@
                 escrowPolicy);
     }
 
-    /** Returns a copy with another way to share permits. */
+    /** Returns a copy with another policy for sharing permits. */
     public ControlSettings withEscrowPolicy(EscrowPolicy value) {
         return new ControlSettings(
                 heartbeatMs,
--- a/core/src/main/java/org/hibiscususher/core/world/CoordinatorTermRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/CoordinatorTermRow.java
@@ -1,33 +1,40 @@
 package org.hibiscususher.core.world;
 
 /**
- * Since when this entry may be the home of idempotency keys.
+ * Since when this entry can prove that no other process coordinates its share of the idempotency
+ * keys.
  *
- * @param epoch epoch of the membership record last looked at
- * @param requiredEpoch epoch that every other member must have known; 0 while this entry is no home
- * @param sinceMs when they all had, in milliseconds, -1 if they have not
- * @param sweptMs when old keys were last forgotten, in milliseconds
+ * <p>A process that hasn't heard yet that this entry is active may still grant keys for which this
+ * entry is now the coordinator. So the term begins only when every other member is known to have
+ * heard of it; otherwise the same key could be granted twice.
+ *
+ * @param epoch epoch of the membership record that was last handled
+ * @param requiredEpoch membership epoch that every other member must know before the term begins; 0
+ *     while this entry is not an active member
+ * @param sinceMs when all members were known to know it, in milliseconds; -1 if the term has not
+ *     begun
+ * @param sweptMs when expired keys were last removed, in milliseconds
  */
 public record CoordinatorTermRow(long epoch, long requiredEpoch, long sinceMs, long sweptMs) {
-    /** The row before the membership record has been seen. */
+    /** The row before the first membership record. */
     public static final CoordinatorTermRow NONE = new CoordinatorTermRow(0, 0, -1, 0);
 
-    /** Returns a copy that has looked at a record. */
+    /** Returns a copy after a membership record was handled. */
     public CoordinatorTermRow withEpoch(long value) {
         return new CoordinatorTermRow(value, requiredEpoch, sinceMs, sweptMs);
     }
 
-    /** Returns a copy whose tenure is to begin anew at an epoch. */
+    /** Returns a copy whose term begins anew once every other member knows the given epoch. */
     public CoordinatorTermRow withRequiredEpoch(long value) {
         return new CoordinatorTermRow(epoch, value, -1, sweptMs);
     }
 
-    /** Returns a copy whose tenure has begun. */
+    /** Returns a copy whose term began at the given time. */
     public CoordinatorTermRow withSince(long value) {
         return new CoordinatorTermRow(epoch, requiredEpoch, value, sweptMs);
     }
 
-    /** Returns a copy after old keys were forgotten. */
+    /** Returns a copy whose expired keys were removed at the given time. */
     public CoordinatorTermRow withSwept(long value) {
         return new CoordinatorTermRow(epoch, requiredEpoch, sinceMs, value);
     }
--- a/core/src/main/java/org/hibiscususher/core/world/DeadMemberRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/DeadMemberRow.java
@@ -5,31 +5,33 @@
 import org.hibiscususher.core.message.Member;
 
 /**
- * An ended process that the membership record still shows.
+ * A process that has ended but is still listed in the membership record, until its permits are
+ * reclaimed.
  *
- * @param member the member
- * @param sinceMs when this entry first saw it as dead, in milliseconds of the caller's clock
- * @param reclaimDelayMs how long what it held rests, in milliseconds
+ * @param member the member as listed
+ * @param sinceMs when this entry first saw it listed as dead, in milliseconds of the tick clock
+ * @param reclaimDelayMs least time for which it stays listed: the longest run of any queue when it
+ *     was first seen dead, plus a margin, in milliseconds
  */
 public record DeadMemberRow(Member member, long sinceMs, long reclaimDelayMs) {
-    /** Checks the fields. */
+    /** Rejects null components. */
     public DeadMemberRow {
         requireNonNull(member);
     }
 
     /**
-     * Names an ended process.
+     * Identifies an ended process.
      *
-     * @param id the member id
-     * @param incarnation the incarnation
+     * @param id member id
+     * @param incarnation tells the processes of one member id apart
      */
     public record Key(String id, long incarnation) {
-        /** Checks the fields. */
+        /** Rejects null components. */
         public Key {
             requireNonNull(id);
         }
 
-        /** Returns the name of a member's process. */
+        /** Returns the key of a member's process. */
         public static Key of(Member member) {
             return new Key(member.id(), member.incarnation());
         }
--- a/core/src/main/java/org/hibiscususher/core/world/EscrowSyncRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/EscrowSyncRow.java
@@ -1,18 +1,23 @@
 package org.hibiscususher.core.world;
 
 /**
- * What the escrow has taken in so far.
+ * The versions of the inputs that the escrow has applied, so that a tick without a change of these
+ * skips the update.
  *
- * @param epoch the epoch
- * @param revision the revision
- * @param hostsVersion the version of the hosts' table
- * @param longestRunMs the longest run limit ever known, in milliseconds
+ * @param epoch applied membership epoch, -1 if none
+ * @param revision applied revision of the configuration, -1 if none
+ * @param hostsVersion applied version of the table of hosts, -1 if none
+ * @param longestRunMs the longest run of any queue known so far, in milliseconds; never decreases,
+ *     since requests that started under an earlier configuration may still run
  */
 public record EscrowSyncRow(long epoch, long revision, long hostsVersion, int longestRunMs) {
-    /** The row before anything was taken in. */
+    /** The row before anything was applied. */
     public static final EscrowSyncRow NONE = new EscrowSyncRow(-1, -1, -1, 0);
 
-    /** Returns a copy that has taken in no epoch. */
+    /**
+     * Returns a copy with no applied epoch, so that the next membership record is applied even if
+     * its epoch is the same.
+     */
     public EscrowSyncRow withoutEpoch() {
         return new EscrowSyncRow(-1, revision, hostsVersion, longestRunMs);
     }
--- a/core/src/main/java/org/hibiscususher/core/world/FleetRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/FleetRow.java
@@ -5,13 +5,13 @@
 import org.hibiscususher.core.message.FleetRecord;
 
 /**
- * A record about hosts as last seen.
+ * The newest known version of a record about hosts.
  *
  * @param record the record
- * @param sinceMs when it was first seen here, in milliseconds of the caller's clock
+ * @param sinceMs when this version was first seen here, in milliseconds of the tick clock
  */
 public record FleetRow(FleetRecord record, long sinceMs) {
-    /** Checks the fields. */
+    /** Rejects null components. */
     public FleetRow {
         requireNonNull(record);
     }
--- a/core/src/main/java/org/hibiscususher/core/world/FormerCoordinatorRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/FormerCoordinatorRow.java
@@ -3,14 +3,16 @@
 import static java.util.Objects.requireNonNull;
 
 /**
- * A member that was home of idempotency keys and, by the membership record, is so no more.
+ * A member that is no longer active by the membership record but may still grant idempotency keys,
+ * until it knows that record.
  *
  * @param id member id
- * @param epoch epoch of the record that showed it
- * @param stoppedMs since when it is known to grant no keys, in milliseconds, -1 if it is not known
+ * @param epoch epoch of the record that first showed the member as not active
+ * @param stoppedMs when the member was first known to grant no more keys, in milliseconds; -1 if
+ *     that is not known
  */
 public record FormerCoordinatorRow(String id, long epoch, long stoppedMs) {
-    /** Checks the fields. */
+    /** Rejects null components. */
     public FormerCoordinatorRow {
         requireNonNull(id);
     }
--- a/core/src/main/java/org/hibiscususher/core/world/FreshnessRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/FreshnessRow.java
@@ -3,13 +3,13 @@
 /**
  * How current the configuration in force here is known to be.
  *
- * @param readSentMs when a read of the head was last sent, in milliseconds of the caller's clock,
- *     -1 if never
- * @param answeredReadSentMs when the newest answered read of the head was sent, -1 if none was
- *     answered
+ * @param readSentMs when a read of the head was last sent, in milliseconds of the tick clock, -1 if
+ *     never
+ * @param answeredReadSentMs when the newest read of the head that was answered had been sent, -1 if
+ *     none was answered
  * @param knownRevision newest revision that this entry knows to be written
- * @param currentAsOfMs time as of which the configuration in force here was current, -1 if not
- *     known
+ * @param currentAsOfMs latest time at which the configuration in force here is proven to have been
+ *     current, -1 if there is no proof
  */
 public record FreshnessRow(
         long readSentMs, long answeredReadSentMs, long knownRevision, long currentAsOfMs) {
@@ -21,27 +21,33 @@
         return new FreshnessRow(nowMs, answeredReadSentMs, knownRevision, currentAsOfMs);
     }
 
-    /** Returns a copy after an answered read that was sent at the given time. */
+    /**
+     * Returns a copy after an answer to the read that was sent at the given time. The record is as
+     * new as the sending of the read, not as its answer.
+     */
     public FreshnessRow withReadAnswered(long sentMs) {
         return new FreshnessRow(
                 readSentMs, Math.max(answeredReadSentMs, sentMs), knownRevision, currentAsOfMs);
     }
 
-    /** Returns a copy that knows of a written revision. */
+    /** Returns a copy that knows of a written revision; an older one changes nothing. */
     public FreshnessRow withKnownRevision(long revision) {
         return revision <= knownRevision
                 ? this
                 : new FreshnessRow(readSentMs, answeredReadSentMs, revision, currentAsOfMs);
     }
 
-    /** Returns a copy whose configuration was current as of a time or as of a later one. */
+    /**
+     * Returns a copy with a proof that the configuration was current at a time; an earlier time
+     * changes nothing.
+     */
     public FreshnessRow withCurrentAsOf(long asOfMs) {
         return asOfMs <= currentAsOfMs
                 ? this
                 : new FreshnessRow(readSentMs, answeredReadSentMs, knownRevision, asOfMs);
     }
 
-    /** Returns a copy that vouches for nothing and asks at once. */
+    /** Returns a copy without proof, whose next read is due at once. */
     public FreshnessRow invalidated() {
         return new FreshnessRow(-1, -1, knownRevision, -1);
     }
--- a/core/src/main/java/org/hibiscususher/core/world/HistoryQueryRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/HistoryQueryRow.java
@@ -7,14 +7,14 @@
 import org.hibiscususher.core.note.AcceptedNote;
 
 /**
- * An operator's question about accepted notes.
+ * An operator's query of accepted notes that is being answered from the head and the history.
  *
- * @param callId the operator's call
+ * @param callId id of the operator's call
  * @param selector the revision or the id of one note; empty for the newest ones
- * @param limit most notes to give
- * @param found the notes found so far, newest first
- * @param storeCallId the read that it waits for
- * @param sinceMs when it came, in milliseconds of the caller's clock
+ * @param limit largest number of notes to return
+ * @param found the matching notes found so far, newest first
+ * @param storeCallId id of the pending read of older notes, 0 before the first
+ * @param sinceMs when the query arrived, in milliseconds of the tick clock
  */
 public record HistoryQueryRow(
         long callId,
@@ -23,13 +23,13 @@
         List<AcceptedNote> found,
         long storeCallId,
         long sinceMs) {
-    /** Copies the list. */
+    /** Makes a defensive copy of the list. */
     public HistoryQueryRow {
         requireNonNull(selector);
         found = List.copyOf(found);
     }
 
-    /** Returns a copy with those of the given notes that are asked for; newest first. */
+    /** Returns a copy with the matches among older notes appended. */
     public HistoryQueryRow withMatches(List<AcceptedNote> notes) {
         List<AcceptedNote> all = new ArrayList<>(found);
         for (int i = notes.size() - 1; i >= 0 && all.size() < limit; i--) {
@@ -45,7 +45,7 @@
         return new HistoryQueryRow(callId, selector, limit, found, storeCall, sinceMs);
     }
 
-    /** Returns whether nothing more is to be found. */
+    /** Returns whether the note or as many notes as wanted were found. */
     public boolean isComplete() {
         return found.size() >= (selector.isEmpty() ? limit : 1);
     }
--- a/core/src/main/java/org/hibiscususher/core/world/HostListRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/HostListRow.java
@@ -1,10 +1,10 @@
 package org.hibiscususher.core.world;
 
 /**
- * What this entry knows of its reads of the platform's list of hostCount.
+ * The state of this entry's reads of the platform's list of hosts.
  *
- * @param requestedMs when it last asked, in milliseconds of the caller's clock, -1 if never
- * @param hostCount length of the newest list
+ * @param requestedMs when a read was last requested, in milliseconds of the tick clock, -1 if never
+ * @param hostCount number of hosts in the newest list
  */
 public record HostListRow(long requestedMs, int hostCount) {
     /** The row before the first read. */
--- a/core/src/main/java/org/hibiscususher/core/world/HostRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/HostRow.java
@@ -5,14 +5,14 @@
 import org.hibiscususher.core.config.HostSpec;
 
 /**
- * A target host as this entry sees it.
+ * A target host as known to this entry.
  *
  * @param spec its declaration
  * @param pool the pool that it serves now
- * @param stage whether it takes work
- * @param consecutiveFaults attempts in a row that failed through the host's fault
- * @param quarantinedUntilMs no attempt is sent before this time, in milliseconds of the caller's
- *     clock
+ * @param stage whether it accepts work
+ * @param consecutiveFaults number of its latest attempts in a row that failed by the host's fault
+ * @param quarantinedUntilMs time on the tick clock before which the host is quarantined, in
+ *     milliseconds
  */
 public record HostRow(
         HostSpec spec,
@@ -20,7 +20,7 @@
         HostStage stage,
         int consecutiveFaults,
         long quarantinedUntilMs) {
-    /** Checks the fields. */
+    /** Rejects null components. */
     public HostRow {
         requireNonNull(spec);
         requireNonNull(pool);
@@ -32,12 +32,12 @@
         return new HostRow(value, pool, stage, consecutiveFaults, quarantinedUntilMs);
     }
 
-    /** Returns a copy with another record of faults. */
-    public HostRow withFaults(int faults, long restUntil) {
-        return new HostRow(spec, pool, stage, faults, restUntil);
+    /** Returns a copy with the given number of faults and end of quarantine. */
+    public HostRow withFaults(int faults, long untilMs) {
+        return new HostRow(spec, pool, stage, faults, untilMs);
     }
 
-    /** Returns a copy that serves a pool in a stage. */
+    /** Returns a copy that serves a pool in the given stage. */
     public HostRow withService(String inPool, HostStage inStage) {
         return new HostRow(spec, inPool, inStage, consecutiveFaults, quarantinedUntilMs);
     }
--- a/core/src/main/java/org/hibiscususher/core/world/HostStage.java
+++ b/core/src/main/java/org/hibiscususher/core/world/HostStage.java
@@ -1,22 +1,22 @@
 package org.hibiscususher.core.world;
 
-/** Whether a target host takes work. */
+/** Whether a target host accepts work. */
 public enum HostStage {
-    /** Takes work. */
+    /** Accepts work. */
     IN_SERVICE(true),
-    /** In graceful shutdown: its slots are recalled, what runs on it finishes. */
+    /** Draining: its slots are returned once idle, and requests that run on it finish. */
     RECALLED(false),
-    /** Idle and out of service, as for a reboot. */
+    /** Idle and out of service, such as for a reboot. */
     OUT(false);
 
-    private final boolean mTakesWork;
+    private final boolean mAcceptsWork;
 
-    HostStage(boolean takesWork) {
-        mTakesWork = takesWork;
+    HostStage(boolean acceptsWork) {
+        mAcceptsWork = acceptsWork;
     }
 
-    /** Returns whether new work may be sent to the host and its slots may be granted. */
+    /** Returns whether requests may be sent to the host and its slots may be granted. */
     public boolean acceptsWork() {
-        return mTakesWork;
+        return mAcceptsWork;
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/world/IdempotencyClaimStage.java
+++ b/core/src/main/java/org/hibiscususher/core/world/IdempotencyClaimStage.java
@@ -2,21 +2,21 @@
 
 /** The stages of a request's claim to its idempotency key. */
 public enum IdempotencyClaimStage {
-    /** Asks the key's home whether the key is new. */
+    /** Asks the key's coordinator whether the key is new. */
     ASKING(true),
-    /** The home has said that the key is new and remembers it. */
+    /** The coordinator has granted the key to the request. */
     HELD(false),
-    /** The request ended without a run: the home may forget the key. */
+    /** The request ended without a run and gives the key back, so that it can be claimed again. */
     RELEASING(true);
 
-    private final boolean mTalks;
+    private final boolean mAwaitsReply;
 
-    IdempotencyClaimStage(boolean talks) {
-        mTalks = talks;
+    IdempotencyClaimStage(boolean awaitsReply) {
+        mAwaitsReply = awaitsReply;
     }
 
-    /** Returns whether the home is told, again and again, until it answers. */
+    /** Returns whether messages to the coordinator are repeated in this stage until it replies. */
     public boolean awaitsReply() {
-        return mTalks;
+        return mAwaitsReply;
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/world/IdempotencyKey.java
+++ b/core/src/main/java/org/hibiscususher/core/world/IdempotencyKey.java
@@ -4,10 +4,10 @@
 import java.util.UUID;
 
 /**
- * An idempotency key: a UUID of version 7 (RFC 9562), which carries its time.
+ * An idempotency key: a UUID of version 7 (RFC 9562), which contains the time of its creation.
  *
- * <p>The team is no part of it: a key of access that moves to another team between two sendings
- * must not make a second run of the first.
+ * <p>The team is not part of the key: if an access key were moved to another team between two
+ * sendings of a request, the second would otherwise count as new and the request would run twice.
  *
  * @param high first 64 bits
  * @param low last 64 bits
@@ -18,15 +18,16 @@
     private static final int RFC_VARIANT = 2;
     private static final int TIME_SHIFT = 16;
 
-    /** Returns the key that a text stands for, or empty if it is no UUID of version 7. */
+    /** Parses a key; returns empty if the text is not a UUID of version 7. */
     public static Optional<IdempotencyKey> parse(String text) {
         if (text.length() != TEXT_LENGTH) {
             return Optional.empty();
         }
         try {
             UUID id = UUID.fromString(text);
-            boolean ordered = id.version() == TIME_ORDERED_VERSION && id.variant() == RFC_VARIANT;
-            return ordered
+            boolean timeOrdered =
+                    id.version() == TIME_ORDERED_VERSION && id.variant() == RFC_VARIANT;
+            return timeOrdered
                     ? Optional.of(
                             new IdempotencyKey(
                                     id.getMostSignificantBits(), id.getLeastSignificantBits()))
@@ -36,12 +37,14 @@
         }
     }
 
-    /** Returns when the caller made the key, in milliseconds since 1970 of the caller's clock. */
+    /**
+     * Returns when the caller created the key, in milliseconds since 1970 of the caller's clock.
+     */
     public long timeMs() {
         return high >>> TIME_SHIFT;
     }
 
-    /** Returns the name by which the key's home is chosen. */
+    /** Returns the name that is hashed to choose the key's coordinator. */
     public String hashedName() {
         return "once:" + Long.toHexString(high) + Long.toHexString(low);
     }
--- a/core/src/main/java/org/hibiscususher/core/world/LedgerRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/LedgerRow.java
@@ -8,20 +8,21 @@
 import org.hibiscususher.core.message.PermitKey;
 
 /**
- * What an allocator knows of the holders of a permit.
+ * An allocator's accounts of the members that hold permits of one key.
  *
- * @param key the permits
- * @param unclaimed how many members without an answer may hold; of no account once all answered
- * @param accounts the members that hold, or have held, some
+ * @param key key of the permits
+ * @param unclaimed upper bound of the permits held by members that have not sent a claim; no longer
+ *     used once all have
+ * @param accounts the accounts of the members that hold or have held permits
  */
 public record LedgerRow(PermitKey key, int unclaimed, List<MemberAccount> accounts) {
-    /** Copies the list. */
+    /** Makes a defensive copy of the list. */
     public LedgerRow {
         requireNonNull(key);
         accounts = List.copyOf(accounts);
     }
 
-    /** Returns how many all members that have answered hold at most. */
+    /** Returns how many the members that have sent a claim may hold together. */
     public int outstanding() {
         int sum = 0;
         for (MemberAccount account : accounts) {
@@ -35,7 +36,7 @@
         return accounts.stream().filter(a -> a.member().equals(member)).findFirst();
     }
 
-    /** Returns a copy with an account in place of the member's former one. */
+    /** Returns a copy with the account of a member added or replaced. */
     public LedgerRow withAccount(MemberAccount account) {
         List<MemberAccount> changed = new ArrayList<>(accounts);
         changed.removeIf(a -> a.member().equals(account.member()));
@@ -50,7 +51,8 @@
     }
 
     /**
-     * Returns a copy of which members without an answer may hold more, or with less than 0 fewer.
+     * Returns a copy with the given number more unclaimed, or fewer, but not less than 0, if it is
+     * negative.
      */
     public LedgerRow plusUnclaimed(int change) {
         return new LedgerRow(key, Math.max(0, unclaimed + change), accounts);
--- a/core/src/main/java/org/hibiscususher/core/world/LendPolicy.java
+++ b/core/src/main/java/org/hibiscususher/core/world/LendPolicy.java
@@ -1,29 +1,34 @@
 package org.hibiscususher.core.world;
 
-/** When spare pools lend hosts and take them back. */
+/** When spare pools lend hosts to other pools and take them back. */
 public enum LendPolicy {
-    /** Lends nothing; a baseline to measure against. */
+    /** Never lends; a baseline for measurements. */
     NONE(Integer.MAX_VALUE, Integer.MAX_VALUE),
-    /** Lends and takes back at once; a baseline to measure against. */
+    /** Lends and takes back without delay; a baseline for measurements. */
     EAGER(0, 0),
-    /** Lends when a pool has been short for a while, takes back when it has long had enough. */
+    /**
+     * Lends and takes back after delays, so that hosts don't go back and forth with short changes
+     * of demand. The delay before a return is longer, as demand may rise again.
+     */
     HYSTERESIS(1_500, 15_000);
 
-    private final int mShortMs;
-    private final int mEnoughMs;
+    private final int mBorrowDelayMs;
+    private final int mReturnDelayMs;
 
-    LendPolicy(int shortMs, int enoughMs) {
-        mShortMs = shortMs;
-        mEnoughMs = enoughMs;
+    LendPolicy(int borrowDelayMs, int returnDelayMs) {
+        mBorrowDelayMs = borrowDelayMs;
+        mReturnDelayMs = returnDelayMs;
     }
 
-    /** Returns for how long a pool must be short before it borrows, in milliseconds. */
+    /** Returns how long a pool must lack hosts before it borrows, in milliseconds. */
     public int borrowDelayMs() {
-        return mShortMs;
+        return mBorrowDelayMs;
     }
 
-    /** Returns for how long a pool must have enough before it gives back, in milliseconds. */
+    /**
+     * Returns how long a pool must have hosts to spare before it gives one back, in milliseconds.
+     */
     public int returnDelayMs() {
-        return mEnoughMs;
+        return mReturnDelayMs;
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/world/MemberDemandRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/MemberDemandRow.java
@@ -7,28 +7,28 @@
 import org.hibiscususher.core.message.TeamDemand;
 
 /**
- * Work of one member for a group of permits, as it last reported.
+ * A member's demand for a group of permits by its last report.
  *
  * @param key the group and the member
- * @param sequence of the message that brought it
- * @param receivedMs when it came
- * @param teams the work by team
+ * @param sequence sequence of the message that brought it
+ * @param receivedMs when it was received, in milliseconds
+ * @param teams the demand by team
  */
 public record MemberDemandRow(Key key, long sequence, long receivedMs, List<TeamDemand> teams) {
-    /** Copies the list. */
+    /** Makes a defensive copy of the list. */
     public MemberDemandRow {
         requireNonNull(key);
         teams = List.copyOf(teams);
     }
 
     /**
-     * Names a group and a member.
+     * Identifies a group and a member.
      *
      * @param group the group
-     * @param member the member
+     * @param member the member's process
      */
     public record Key(PermitGroup group, MemberKey member) {
-        /** Checks the fields. */
+        /** Rejects null components. */
         public Key {
             requireNonNull(group);
             requireNonNull(member);
--- a/core/src/main/java/org/hibiscususher/core/world/MemberKey.java
+++ b/core/src/main/java/org/hibiscususher/core/world/MemberKey.java
@@ -3,13 +3,13 @@
 import static java.util.Objects.requireNonNull;
 
 /**
- * Names one process of a member.
+ * Identifies one process of a member.
  *
- * @param id the member id
- * @param incarnation the incarnation
+ * @param id member id
+ * @param incarnation tells the processes of one member id apart; grows with each start
  */
 public record MemberKey(String id, long incarnation) {
-    /** Checks the fields. */
+    /** Rejects null components. */
     public MemberKey {
         requireNonNull(id);
     }
--- a/core/src/main/java/org/hibiscususher/core/world/MemberRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/MemberRow.java
@@ -5,17 +5,20 @@
 import org.hibiscususher.core.message.Member;
 
 /**
- * Another entry as this one sees it.
+ * Another entry as known to this one.
  *
- * @param member what the membership record shows
- * @param lastHeardMs when it was last heard, in milliseconds of the caller's clock, -1 if never
- * @param lastSentMs when it was last sentSequence a message, -1 if never
- * @param sentSequence highest sequence sentSequence to it
- * @param receivedSequence highest sequence receivedSequence from it
- * @param acknowledgedSequence highest sequence that it has acknowledgedSequence
- * @param epoch newest epoch that it is known to know
+ * @param member the member as listed in the membership record
+ * @param lastHeardMs when a message was last received from it, in milliseconds of the tick clock,
+ *     -1 if never
+ * @param lastSentMs when a message was last sent to it, in milliseconds of the tick clock, -1 if
+ *     never
+ * @param sentSequence highest sequence sent to it, 0 if none
+ * @param receivedSequence highest sequence received from it, 0 if none
+ * @param acknowledgedSequence highest sequence that it has acknowledged, 0 if none
+ * @param epoch newest membership epoch that it is known to know
  * @param revision revision that it is known to have in force
- * @param storeContactMs its last contact with the store, as far as known, -1 if never
+ * @param storeContactMs its last contact with the store by its own reports, in milliseconds of this
+ *     entry's tick clock, -1 if never
  */
 public record MemberRow(
         Member member,
@@ -27,17 +30,17 @@
         long epoch,
         long revision,
         long storeContactMs) {
-    /** Checks the fields. */
+    /** Rejects null components. */
     public MemberRow {
         requireNonNull(member);
     }
 
-    /** Returns the row of a member that was never heard. */
+    /** Returns the row of a member from which no message was received. */
     public static MemberRow of(Member member) {
         return new MemberRow(member, -1, -1, 0, 0, 0, 0, 0, -1);
     }
 
-    /** Returns a copy for a changed entry of the membership record. */
+    /** Returns a copy with a changed listing in the membership record. */
     public MemberRow withMember(Member value) {
         return new MemberRow(
                 value,
@@ -51,7 +54,7 @@
                 storeContactMs);
     }
 
-    /** Returns a copy after one more message was sentSequence. */
+    /** Returns a copy after sending it the next message. */
     public MemberRow withSent(long nowMs) {
         return new MemberRow(
                 member,
--- a/core/src/main/java/org/hibiscususher/core/world/MembershipRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/MembershipRow.java
@@ -7,14 +7,14 @@
 /**
  * The membership record as last seen.
  *
- * @param version its version in the store, 0 if it has not been seen
+ * @param version its version in the store, 0 if it was not seen
  * @param record the record
  */
 public record MembershipRow(long version, MembershipRecord record) {
-    /** The row before the record has been seen. */
+    /** The row before the record was seen. */
     public static final MembershipRow UNSEEN = new MembershipRow(0, MembershipRecord.EMPTY);
 
-    /** Checks the fields. */
+    /** Rejects null components. */
     public MembershipRow {
         requireNonNull(record);
     }
--- a/core/src/main/java/org/hibiscususher/core/world/NodeRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/NodeRow.java
@@ -3,15 +3,17 @@
 import static java.util.Objects.requireNonNull;
 
 /**
- * What this process knows of itself.
+ * The state of this process.
  *
- * @param identity who it is
- * @param stage whether it takes work
- * @param lastTickMs when the last tick ran, in milliseconds of the caller's clock
- * @param storeContactMs when the store last answered, -1 if never
- * @param resumedMs when the process started or last went on after a pause
- * @param activeEpoch epoch in which the record began to show it as active, 0 if it does not
- * @param confirmed whether every member that takes work has known that epoch or a later one
+ * @param identity its identity
+ * @param stage whether it admits work
+ * @param lastTickMs when the last tick ran, in milliseconds of the tick clock
+ * @param storeContactMs when the store last responded, in milliseconds, -1 if never
+ * @param resumedMs when the process started or last resumed after a pause, in milliseconds
+ * @param activeEpoch membership epoch at which the record began to list it as active, 0 if it is
+ *     not listed so
+ * @param confirmed whether every member that accepts work is known to know that epoch or a later
+ *     one
  */
 public record NodeRow(
         NodeIdentity identity,
@@ -21,7 +23,7 @@
         long resumedMs,
         long activeEpoch,
         boolean confirmed) {
-    /** Checks the fields. */
+    /** Rejects null components. */
     public NodeRow {
         requireNonNull(identity);
         requireNonNull(stage);
@@ -44,29 +46,32 @@
                 identity, value, lastTickMs, storeContactMs, resumedMs, activeEpoch, confirmed);
     }
 
-    /** Returns a copy with another time of the last tick. */
+    /** Returns a copy after a tick at the given time. */
     public NodeRow withLastTick(long value) {
         return new NodeRow(
                 identity, stage, value, storeContactMs, resumedMs, activeEpoch, confirmed);
     }
 
-    /** Returns a copy with another time of contact with the store. */
+    /** Returns a copy after a response of the store at the given time. */
     public NodeRow withStoreContact(long value) {
         return new NodeRow(identity, stage, lastTickMs, value, resumedMs, activeEpoch, confirmed);
     }
 
-    /** Returns a copy after a pause that has just ended. */
+    /** Returns a copy that resumed after a pause at the given time. */
     public NodeRow withResumed(long value) {
         return new NodeRow(
                 identity, stage, lastTickMs, storeContactMs, value, activeEpoch, confirmed);
     }
 
-    /** Returns a copy that the record shows as active since an epoch, not yet confirmed. */
+    /**
+     * Returns a copy that is listed as active since the given epoch, not yet confirmed; 0 if it is
+     * not listed so.
+     */
     public NodeRow withActiveEpoch(long value) {
         return new NodeRow(identity, stage, lastTickMs, storeContactMs, resumedMs, value, false);
     }
 
-    /** Returns a copy whose present activity every other member has known. */
+    /** Returns a copy whose being active is known to every other member that is not silent. */
     public NodeRow withConfirmed() {
         return new NodeRow(
                 identity, stage, lastTickMs, storeContactMs, resumedMs, activeEpoch, true);
--- a/core/src/main/java/org/hibiscususher/core/world/NodeStage.java
+++ b/core/src/main/java/org/hibiscususher/core/world/NodeStage.java
@@ -1,14 +1,17 @@
 package org.hibiscususher.core.world;
 
-/** The stages in the life of an entry. */
+/** The stages of an entry's process. */
 public enum NodeStage {
-    /** Not yet a member. */
+    /** Waits to be listed in the membership record. */
     JOINING(false, false),
-    /** Takes work. */
+    /** Admits work. */
     SERVING(true, true),
-    /** Finishes its work and leaves. */
+    /** Finishes its requests and leaves the membership. */
     LEAVING(false, true),
-    /** The record shows that the others take this process for ended; finishes what runs. */
+    /**
+     * The other members have declared this process ended or removed it; it finishes its running
+     * requests.
+     */
     EXPELLED(false, false),
     /** Nothing is left to finish. */
     GONE(false, false);
@@ -21,12 +24,12 @@
         mMember = member;
     }
 
-    /** Returns whether new work is admitted. */
+    /** Returns whether requests are admitted. */
     public boolean admits() {
         return mAdmits;
     }
 
-    /** Returns whether the process is a member in its own eyes. */
+    /** Returns whether the process considers itself a member. */
     public boolean member() {
         return mMember;
     }
--- a/core/src/main/java/org/hibiscususher/core/world/OutageRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/OutageRow.java
@@ -5,15 +5,15 @@
 import org.hibiscususher.core.message.Outage;
 
 /**
- * How long a host has been in the present step of its outage, as this entry saw it.
+ * The present step of a host's outage, as seen by this entry.
  *
  * @param host the host
- * @param outage the step
- * @param sinceMs when it was first seen, in milliseconds of the caller's clock
- * @param reported whether it was reported as late
+ * @param outage the outage as last recorded
+ * @param sinceMs when this step was first seen, in milliseconds of the tick clock
+ * @param reported whether the host was already reported as draining for too long
  */
 public record OutageRow(String host, Outage outage, long sinceMs, boolean reported) {
-    /** Checks the fields. */
+    /** Rejects null components. */
     public OutageRow {
         requireNonNull(host);
         requireNonNull(outage);
--- a/core/src/main/java/org/hibiscususher/core/world/PeerFreshnessRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/PeerFreshnessRow.java
@@ -1,17 +1,22 @@
 package org.hibiscususher.core.world;
 
 /**
- * What another entry has said of the configuration, and no earlier than when.
+ * What a member has reported about the configuration, with a lower bound of when it did.
  *
  * <p>A message that acknowledges a sequence was sent after that sequence was. So the time at which
- * this entry sent the sequence bounds the age of the message, without a common clock.
+ * this entry sent the sequence is a lower bound of the time at which the message was sent. No
+ * common clock is needed, and a message that was delayed proves nothing newer.
  *
- * @param probeSequence a sequence sent to the member and not yet acknowledged, 0 if none
- * @param probeMs when it was sent, in milliseconds of the caller's clock
- * @param acknowledgedSequence newest probe that was acknowledged, 0 if none
- * @param acknowledgedSentMs when that one was sent, -1 if none
+ * @param probeSequence a sequence sent to the member that it has not acknowledged yet, 0 if none;
+ *     the next one is recorded only once this is acknowledged
+ * @param probeMs when that sequence was sent, in milliseconds of the tick clock, -1 if there is
+ *     none
+ * @param acknowledgedSequence newest recorded sequence that was acknowledged, 0 if none
+ * @param acknowledgedSentMs when that sequence was sent, in milliseconds of the tick clock, -1 if
+ *     there is none
  * @param knownRevision newest revision that the member is known to know of
- * @param currentAsOfMs time as of which the member's revision was current, -1 if not known
+ * @param currentAsOfMs latest time at which the member's revision is proven to have been current,
+ *     -1 if there is no proof
  */
 public record PeerFreshnessRow(
         long probeSequence,
@@ -20,7 +25,7 @@
         long acknowledgedSentMs,
         long knownRevision,
         long currentAsOfMs) {
-    /** The row of a member that was never heard. */
+    /** The row of a member from which no message was received. */
     public static final PeerFreshnessRow NONE = new PeerFreshnessRow(0, -1, 0, -1, 0, -1);
 
     /** Returns a copy after a message was sent to the member. */
@@ -41,22 +46,25 @@
      *
      * @param acknowledged highest sequence that the message acknowledges
      * @param known newest revision that the member knows of
-     * @param freshAgeMs age of the member's own knowledge when it sent the message, -1 if none
+     * @param freshAgeMs age of the member's own proof when it sent the message, in milliseconds, -1
+     *     if it had none
      */
     public PeerFreshnessRow withReceived(long acknowledged, long known, long freshAgeMs) {
-        boolean answersProbe = probeSequence > 0 && acknowledged >= probeSequence;
-        boolean answersOld = acknowledgedSequence > 0 && acknowledged >= acknowledgedSequence;
-        long sentAfterMs = answersProbe ? probeMs : answersOld ? acknowledgedSentMs : -1;
-        long fresh =
-                sentAfterMs < 0 || freshAgeMs < 0
+        boolean acknowledgesProbe = probeSequence > 0 && acknowledged >= probeSequence;
+        boolean acknowledgesEarlier =
+                acknowledgedSequence > 0 && acknowledged >= acknowledgedSequence;
+        long sentNoEarlierThanMs =
+                acknowledgesProbe ? probeMs : acknowledgesEarlier ? acknowledgedSentMs : -1;
+        long provenMs =
+                sentNoEarlierThanMs < 0 || freshAgeMs < 0
                         ? currentAsOfMs
-                        : Math.max(currentAsOfMs, sentAfterMs - freshAgeMs);
+                        : Math.max(currentAsOfMs, sentNoEarlierThanMs - freshAgeMs);
         return new PeerFreshnessRow(
-                answersProbe ? 0 : probeSequence,
-                answersProbe ? -1 : probeMs,
-                answersProbe ? probeSequence : acknowledgedSequence,
-                answersProbe ? probeMs : acknowledgedSentMs,
+                acknowledgesProbe ? 0 : probeSequence,
+                acknowledgesProbe ? -1 : probeMs,
+                acknowledgesProbe ? probeSequence : acknowledgedSequence,
+                acknowledgesProbe ? probeMs : acknowledgedSentMs,
                 Math.max(knownRevision, known),
-                fresh);
+                provenMs);
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/world/PendingNoteState.java
+++ b/core/src/main/java/org/hibiscususher/core/world/PendingNoteState.java
@@ -1,17 +1,17 @@
 package org.hibiscususher.core.world;
 
-/** The states of a release note on its way into force. */
+/** The steps of a release note from its arrival to being in force. */
 public enum PendingNoteState {
-    /** The newest head is being read. */
+    /** Reads the newest head. */
     READING,
-    /** The store is being asked whether the note was accepted long ago. */
+    /** Looks up whether the note is in the history, for one that was submitted before. */
     LOOKING_UP,
-    /** Waits until the head's configuration is in force here, to be checked against it. */
+    /** Waits until the head's configuration is in force here, to check the note against it. */
     CATCHING_UP,
-    /** The records that the new head will name are being written. */
+    /** Writes the records to which a compacted head will refer. */
     FOLDING,
-    /** The new head is being written. */
+    /** Writes the new head. */
     WRITING,
-    /** Written; members are confirming it. */
+    /** Written; waits until the members confirm that it is in force. */
     ROLLING_OUT
 }
--- a/core/src/main/java/org/hibiscususher/core/world/PendingWaveRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/PendingWaveRow.java
@@ -10,12 +10,12 @@
  * An operator's command about the maintenance wave that waits for the store.
  *
  * @param command the command
- * @param newRecord the record that is being written; empty until the present one was read
- * @param sinceMs when the command came, in milliseconds of the caller's clock
+ * @param newRecord the wave's record that is being written; empty until the present one was read
+ * @param sinceMs when the command arrived, in milliseconds of the tick clock
  */
 public record PendingWaveRow(
         WaveCommandReceived command, Optional<WaveRecord> newRecord, long sinceMs) {
-    /** Checks the fields. */
+    /** Rejects null components. */
     public PendingWaveRow {
         requireNonNull(command);
         requireNonNull(newRecord);
--- a/core/src/main/java/org/hibiscususher/core/world/PermitLimitRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/PermitLimitRow.java
@@ -5,14 +5,15 @@
 import org.hibiscususher.core.message.PermitKey;
 
 /**
- * How many permits there may be.
+ * How many permits of one key may exist.
  *
- * @param key the permits
+ * @param key key of the permits
  * @param limit the limit in force
- * @param highestLimit the highestLimit limit that was known
+ * @param highestLimit the highest limit ever known; after the limit was lowered, members may still
+ *     hold that many
  */
 public record PermitLimitRow(PermitKey key, int limit, int highestLimit) {
-    /** Checks the fields. */
+    /** Rejects null components. */
     public PermitLimitRow {
         requireNonNull(key);
     }
--- a/core/src/main/java/org/hibiscususher/core/world/PoolEntitlementsRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/PoolEntitlementsRow.java
@@ -6,16 +6,16 @@
 import org.hibiscususher.core.message.TeamEntitlement;
 
 /**
- * What the teams are due of a pool at this entry, as the allocator last reported.
+ * The teams' entitlements to slots of a pool at this entry, as the allocator last reported them.
  *
  * @param pool the pool
- * @param sequence of the message that brought it
- * @param receivedMs when it came
- * @param teams what each team is due
+ * @param sequence sequence of the message that brought them
+ * @param receivedMs when they were received, in milliseconds
+ * @param teams the entitlements by team
  */
 public record PoolEntitlementsRow(
         String pool, long sequence, long receivedMs, List<TeamEntitlement> teams) {
-    /** Copies the list. */
+    /** Makes a defensive copy of the list. */
     public PoolEntitlementsRow {
         requireNonNull(pool);
         teams = List.copyOf(teams);
--- a/core/src/main/java/org/hibiscususher/core/world/RebootRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/RebootRow.java
@@ -5,20 +5,20 @@
 import org.hibiscususher.core.message.RebootResult;
 
 /**
- * A reboot that this entry has asked the platform for.
+ * A reboot that this entry has requested from the platform.
  *
- * @param token names the reboot
- * @param result what is known of the newest call
- * @param sentMs when the newest call was sent, in milliseconds of the caller's clock, -1 if never
+ * @param token identifies the reboot
+ * @param result result of the newest call; {@code UNKNOWN} before there is one
+ * @param sentMs when the newest call was sent, in milliseconds of the tick clock, -1 if never
  */
 public record RebootRow(String token, RebootResult result, long sentMs) {
-    /** Checks the fields. */
+    /** Rejects null components. */
     public RebootRow {
         requireNonNull(token);
         requireNonNull(result);
     }
 
-    /** Returns a copy after a call was answered. */
+    /** Returns a copy with the result of a call. */
     public RebootRow withResult(RebootResult value) {
         return new RebootRow(token, value, sentMs);
     }
--- a/core/src/main/java/org/hibiscususher/core/world/RelayRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/RelayRow.java
@@ -3,14 +3,14 @@
 import static java.util.Objects.requireNonNull;
 
 /**
- * The notes that were last relayed to a member.
+ * The latest relay of notes to a member, so that it is not repeated too soon.
  *
  * @param memberId the member
- * @param revision newest revision relayed
- * @param sentMs when, in milliseconds of the caller's clock
+ * @param revision newest revision that was relayed
+ * @param sentMs when it was sent, in milliseconds of the tick clock
  */
 public record RelayRow(String memberId, long revision, long sentMs) {
-    /** Checks the fields. */
+    /** Rejects null components. */
     public RelayRow {
         requireNonNull(memberId);
     }
--- a/core/src/main/java/org/hibiscususher/core/world/RequestRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/RequestRow.java
@@ -10,20 +10,21 @@
 import org.hibiscususher.core.message.PermitKey;
 
 /**
- * A request at hand.
+ * An open request.
  *
- * @param arrival what the caller sent
- * @param team the team under which it runs
- * @param pool the pool that it runs in
+ * @param arrival the request as it arrived
+ * @param team the team to which it is charged
+ * @param pool the pool in which it runs
  * @param kind the kind of its queue
- * @param runLimitMs longest run, in milliseconds
- * @param arrivedMs when it arrived, in milliseconds of the caller's clock
- * @param startByMs when it must have started
- * @param state where it stands
+ * @param runLimitMs longest time that its caller waits for a response to begin, in milliseconds
+ * @param arrivedMs when it arrived, in milliseconds of the tick clock
+ * @param startByMs time on the tick clock at which it is refused if it is still waiting, in
+ *     milliseconds
+ * @param state what it waits for
  * @param attempt number of the current attempt, 0 before the first
- * @param startedMs when the current attempt started, -1 before the first
- * @param mayHaveRun whether an earlier attempt may have run
- * @param triedHosts hosts that were tried, in order
+ * @param startedMs when the current attempt started, in milliseconds, -1 before the first
+ * @param mayHaveRun whether a target may have run an earlier attempt
+ * @param triedHosts hosts of all attempts, in order
  * @param permits permits that the current attempt uses
  */
 public record RequestRow(
@@ -40,7 +41,7 @@
         boolean mayHaveRun,
         List<String> triedHosts,
         List<PermitKey> permits) {
-    /** Copies the lists. */
+    /** Rejects null components and makes defensive copies of the lists. */
     public RequestRow {
         requireNonNull(arrival);
         requireNonNull(team);
@@ -56,12 +57,12 @@
         return arrival.requestId();
     }
 
-    /** Returns the requests with which it competes for permits, or shares them. */
+    /** Returns the class of requests with which it competes for permits. */
     public SchedulingClass schedulingClass() {
         return new SchedulingClass(state, kind, pool, team);
     }
 
-    /** Returns a copy that runs a further attempt on a host. */
+    /** Returns a copy that runs another attempt on a host. */
     public RequestRow withAttempt(long nowMs, String host, List<PermitKey> using) {
         List<String> tried = new ArrayList<>(triedHosts);
         tried.add(host);
@@ -99,13 +100,13 @@
                 using);
     }
 
-    /** Returns a copy whose idempotency key was found to be new. */
+    /** Returns a copy whose idempotency key was granted and that now waits for permits. */
     public RequestRow withKeyClaimed() {
         return withState(RequestState.WAITING, List.of());
     }
 
-    /** Returns a copy that waits for a further attempt. */
-    public RequestRow requeued(boolean ranPerhaps) {
+    /** Returns a copy that waits for another attempt and uses no permits. */
+    public RequestRow requeued(boolean attemptMayHaveRun) {
         return new RequestRow(
                 arrival,
                 team,
@@ -117,12 +118,12 @@
                 RequestState.WAITING,
                 attempt,
                 startedMs,
-                mayHaveRun || ranPerhaps,
+                mayHaveRun || attemptMayHaveRun,
                 triedHosts,
                 List.of());
     }
 
-    /** Returns a copy that is admitted to a queue for a team. */
+    /** Returns a copy that belongs to a queue and is charged to a team. */
     public RequestRow admittedTo(QueueSpec queue, String forTeam) {
         return new RequestRow(
                 arrival,
--- a/core/src/main/java/org/hibiscususher/core/world/RequestState.java
+++ b/core/src/main/java/org/hibiscususher/core/world/RequestState.java
@@ -1,14 +1,14 @@
 package org.hibiscususher.core.world;
 
-/** The states of a request at hand. */
+/** The states of an open request. */
 public enum RequestState {
-    /** Waits to hear whether its idempotency key is new. */
+    /** Waits for the coordinator of its idempotency key. */
     CLAIMING(false),
     /** Waits for permits. */
     WAITING(true),
     /** Was sent to a target. */
     RUNNING(false),
-    /** Ended for its caller while the target may still be busy with it. */
+    /** Has ended for its caller while the target may still be busy with it. */
     ABANDONED(false);
 
     private final boolean mPlaceable;
@@ -17,7 +17,7 @@
         mPlaceable = placeable;
     }
 
-    /** Returns whether the request has not been sent, or not again. */
+    /** Returns whether no attempt of the request is under way. */
     public boolean unsent() {
         return this == CLAIMING || this == WAITING;
     }
--- a/core/src/main/java/org/hibiscususher/core/world/RevisionRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/RevisionRow.java
@@ -8,10 +8,10 @@
  * The configuration in force here.
  *
  * @param configuration the configuration
- * @param sinceMs when it came into force here, in milliseconds of the caller's clock
+ * @param sinceMs when it came into force here, in milliseconds of the tick clock
  */
 public record RevisionRow(Configuration configuration, long sinceMs) {
-    /** Checks the fields. */
+    /** Rejects null components. */
     public RevisionRow {
         requireNonNull(configuration);
     }
--- a/core/src/main/java/org/hibiscususher/core/world/SchedulingClass.java
+++ b/core/src/main/java/org/hibiscususher/core/world/SchedulingClass.java
@@ -5,15 +5,16 @@
 import org.hibiscususher.core.config.QueueKind;
 
 /**
- * Names the requests that wait for, or use, the same kinds of permits.
+ * Identifies requests that need the same permits and are in the same state, so that they are
+ * counted and ordered as one.
  *
- * @param state where they stand
- * @param kind how long they run
- * @param pool where they run
- * @param team whose they are
+ * @param state the state of the requests
+ * @param kind the kind of their queues
+ * @param pool the pool in which they run
+ * @param team the team to which they are charged
  */
 public record SchedulingClass(RequestState state, QueueKind kind, String pool, String team) {
-    /** Checks the fields. */
+    /** Rejects null components. */
     public SchedulingClass {
         requireNonNull(state);
         requireNonNull(kind);
--- a/core/src/main/java/org/hibiscususher/core/world/StoreCallRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/StoreCallRow.java
@@ -1,9 +1,9 @@
 package org.hibiscususher.core.world;
 
 /**
- * A call of the platform's store that a system waits for.
+ * A pending call to the platform's store.
  *
- * @param callId the call
- * @param sinceMs when it was made, in milliseconds of the caller's clock
+ * @param callId id of the call
+ * @param sinceMs when it was sent, in milliseconds of the tick clock
  */
 public record StoreCallRow(long callId, long sinceMs) {}
--- a/core/src/main/java/org/hibiscususher/core/world/Tick.java
+++ b/core/src/main/java/org/hibiscususher/core/world/Tick.java
@@ -12,9 +12,13 @@
 import org.hibiscususher.core.message.PeerItem;
 
 /**
- * One run of all systems: the time, what happened since the last one, and what is to be done.
+ * One run of all systems: gives them the time, the inputs since the last run and the tables, and
+ * collects their outputs.
  *
- * <p>Not thread-safe. Systems read the inputs, change the tables and emit outputs.
+ * <p>The tick clock is the time that the caller passes to each tick; it never decreases, and all
+ * times in the tables are of this clock unless stated otherwise.
+ *
+ * <p>Not thread-safe.
  */
 public final class Tick {
     private final World mWorld;
@@ -28,9 +32,9 @@
      * Creates a tick.
      *
      * @param world the tables
-     * @param nowMs milliseconds of the caller's clock; never decreases
-     * @param inputs what happened since the last tick, in order
-     * @param callIds gives ids of store calls
+     * @param nowMs time of the tick clock in milliseconds; never decreases
+     * @param inputs the inputs since the last tick, in order
+     * @param callIds generates ids of store calls
      */
     public Tick(World world, long nowMs, List<Input> inputs, LongSupplier callIds) {
         mWorld = requireNonNull(world);
@@ -44,7 +48,7 @@
         return mWorld;
     }
 
-    /** Returns the time in milliseconds of the caller's clock. */
+    /** Returns the time of the tick clock in milliseconds. */
     public long nowMs() {
         return mNowMs;
     }
@@ -60,22 +64,22 @@
         return found;
     }
 
-    /** Adds something to be done. */
+    /** Adds an action to carry out after the tick. */
     public void emit(Output output) {
         mOutputs.add(requireNonNull(output));
     }
 
-    /** Adds something to the next message to a member. */
+    /** Adds an item to the message that the tick sends to a member. */
     public void send(String memberId, PeerItem item) {
         mItems.computeIfAbsent(memberId, id -> new ArrayList<>()).add(requireNonNull(item));
     }
 
-    /** Returns what this tick has to say to a member, in order. */
+    /** Returns the items added for a member, in order. */
     public List<PeerItem> itemsFor(String memberId) {
         return List.copyOf(mItems.getOrDefault(memberId, List.of()));
     }
 
-    /** Counts an event by reason. */
+    /** Increments a counter. */
     public void count(String counter) {
         emit(new Output.Count(counter));
     }
@@ -85,7 +89,7 @@
         return mCallIds.getAsLong();
     }
 
-    /** Returns what is to be done, in order. */
+    /** Returns the actions to carry out, in order. */
     public List<Output> outputs() {
         return List.copyOf(mOutputs);
     }
--- a/core/src/main/java/org/hibiscususher/core/world/World.java
+++ b/core/src/main/java/org/hibiscususher/core/world/World.java
@@ -13,12 +13,13 @@
 import org.hibiscususher.core.table.Table;
 
 /**
- * All tables of one entry. Not thread-safe: it belongs to the control thread.
+ * All tables of one entry.
  *
- * <p>Tables with a single row hold it under {@link #SELF}.
+ * <p>Not thread-safe: they belong to the control thread. Tables with a single row hold it under
+ * {@link #SELF}.
  */
 public final class World {
-    /** Id of the row in tables that have just one. */
+    /** Key of the row in single-row tables. */
     public static final String SELF = "self";
 
     private final Table<String, NodeRow> mNode = Table.create();
@@ -27,55 +28,55 @@
     private final Table<Long, AcceptedNote> mRecentNotes = Table.create();
     private final Table<String, RelayRow> mRelays = Table.create();
     private final Table<Long, HistoryQueryRow> mHistoryQueries = Table.create();
-    private final Table<Long, CompactionWriteRow> mFoldWrites = Table.create();
+    private final Table<Long, CompactionWriteRow> mCompactionWrites = Table.create();
     private final Table<String, MembershipRow> mMembership = Table.create();
     private final Table<String, MemberRow> mMembers = Table.create();
     private final Table<String, MembershipCallRow> mMembershipCall = Table.create();
     private final Table<String, LivenessRow> mLiveness = Table.create();
     private final Table<DeadMemberRow.Key, DeadMemberRow> mDeadMembers = Table.create();
     private final Table<String, FreshnessRow> mFreshness = Table.create();
-    private final Table<String, PeerFreshnessRow> mEvidence = Table.create();
+    private final Table<String, PeerFreshnessRow> mPeerFreshness = Table.create();
     private final Table<Long, StoreCallRow> mHeadReads = Table.create();
     private final Table<String, HostListRow> mHostList = Table.create();
-    private final Table<KeyDigest, KeySpec> mKeys = Table.create();
+    private final Table<KeyDigest, KeySpec> mAccessKeys = Table.create();
     private final GroupedTable<String, HostRow, String> mHosts =
             GroupedTable.createBy(HostRow::pool);
-    private final Table<String, EscrowSyncRow> mEscrow = Table.create();
-    private final GroupedTable<PermitKey, PermitLimitRow, PermitGroup> mTotals =
-            GroupedTable.createBy(t -> t.key().permitGroup());
+    private final Table<String, EscrowSyncRow> mEscrowSync = Table.create();
+    private final GroupedTable<PermitKey, PermitLimitRow, PermitGroup> mPermitLimits =
+            GroupedTable.createBy(l -> l.key().permitGroup());
     private final GroupedTable<PermitKey, HoldingRow, PermitGroup> mHoldings =
             GroupedTable.createBy(h -> h.key().permitGroup());
-    private final Table<PermitGroup, AllocatorBindingRow> mAttachments = Table.create();
-    private final Table<PermitGroup, DemandReportRow> mReports = Table.create();
-    private final Table<PermitGroup, AllocatorTermRow> mTenures = Table.create();
+    private final Table<PermitGroup, AllocatorBindingRow> mAllocatorBindings = Table.create();
+    private final Table<PermitGroup, DemandReportRow> mDemandReports = Table.create();
+    private final Table<PermitGroup, AllocatorTermRow> mAllocatorTerms = Table.create();
     private final GroupedTable<PermitKey, LedgerRow, PermitGroup> mLedger =
             GroupedTable.createBy(l -> l.key().permitGroup());
-    private final GroupedTable<MemberDemandRow.Key, MemberDemandRow, PermitGroup> mDemands =
+    private final GroupedTable<MemberDemandRow.Key, MemberDemandRow, PermitGroup> mMemberDemands =
             GroupedTable.createBy(d -> d.key().group());
-    private final GroupedTable<MemberDemandRow.Key, SentAllocationRow, PermitGroup> mAdvice =
-            GroupedTable.createBy(a -> a.key().group());
-    private final Table<String, PoolEntitlementsRow> mPoolDues = Table.create();
-    private final Table<TeamDeficitRow.Key, TeamDeficitRow> mCredits = Table.create();
+    private final GroupedTable<MemberDemandRow.Key, SentAllocationRow, PermitGroup>
+            mSentAllocations = GroupedTable.createBy(s -> s.key().group());
+    private final Table<String, PoolEntitlementsRow> mPoolEntitlements = Table.create();
+    private final Table<TeamDeficitRow.Key, TeamDeficitRow> mTeamDeficits = Table.create();
     private final GroupedTable<Long, RequestRow, SchedulingClass> mRequests =
             GroupedTable.createBy(RequestRow::schedulingClass);
-    private final Table<Long, AbandonedRequestRow> mAbandoned = Table.create();
-    private final Table<String, QueueStatsRow> mQueueLoads = Table.create();
-    private final Table<Long, IdempotencyClaimRow> mOnceClaims = Table.create();
-    private final Table<IdempotencyKey, IdempotencyKeyRow> mOnceKeys = Table.create();
-    private final Table<String, CoordinatorTermRow> mOnceTenure = Table.create();
-    private final Table<String, FormerCoordinatorRow> mFormerHomes = Table.create();
+    private final Table<Long, AbandonedRequestRow> mAbandonedRequests = Table.create();
+    private final Table<String, QueueStatsRow> mQueueStats = Table.create();
+    private final Table<Long, IdempotencyClaimRow> mIdempotencyClaims = Table.create();
+    private final Table<IdempotencyKey, IdempotencyKeyRow> mIdempotencyKeys = Table.create();
+    private final Table<String, CoordinatorTermRow> mCoordinatorTerm = Table.create();
+    private final Table<String, FormerCoordinatorRow> mFormerCoordinators = Table.create();
     private final Table<Long, PendingNoteRow> mPendingNotes = Table.create();
     private final Table<RecordKind, StoreCallRow> mStoreCalls = Table.create();
-    private final Table<RecordKey, FleetRow> mFleet = Table.create();
+    private final Table<RecordKey, FleetRow> mFleetRecords = Table.create();
     private final Table<String, FleetSyncRow> mFleetSync = Table.create();
-    private final Table<RecordKey, StoreCallRow> mFleetCalls = Table.create();
+    private final Table<RecordKey, StoreCallRow> mFleetWrites = Table.create();
     private final Table<RecordKey, FleetRecord> mFleetDrafts = Table.create();
     private final Table<String, PlatformHostRow> mPlatformHosts = Table.create();
     private final Table<String, OutageRow> mOutages = Table.create();
     private final Table<String, RebootRow> mReboots = Table.create();
-    private final Table<String, RebootedHostRow> mWaveDone = Table.create();
+    private final Table<String, RebootedHostRow> mRebootedHosts = Table.create();
     private final Table<Long, PendingWaveRow> mPendingWaves = Table.create();
-    private final Table<String, PoolShortfallRow> mPoolNeeds = Table.create();
+    private final Table<String, PoolShortfallRow> mPoolShortfalls = Table.create();
     private final Table<String, ControlSettings> mSettings = Table.create();
 
     private World() {}
@@ -88,21 +89,21 @@
         world.mHead.put(SELF, HeadRow.UNSEEN);
         world.mMembership.put(SELF, MembershipRow.UNSEEN);
         world.mFleetSync.put(SELF, FleetSyncRow.NEVER);
-        world.mEscrow.put(SELF, EscrowSyncRow.NONE);
+        world.mEscrowSync.put(SELF, EscrowSyncRow.NONE);
         world.mMembershipCall.put(SELF, MembershipCallRow.NONE);
         world.mFreshness.put(SELF, FreshnessRow.NONE);
-        world.mOnceTenure.put(SELF, CoordinatorTermRow.NONE);
+        world.mCoordinatorTerm.put(SELF, CoordinatorTermRow.NONE);
         world.mHostList.put(SELF, HostListRow.NONE);
         world.mSettings.put(SELF, settings);
         return world;
     }
 
-    /** Returns what this process knows of itself. */
+    /** Returns the state of this process. */
     public NodeRow node() {
         return mNode.find(SELF).orElseThrow();
     }
 
-    /** Returns the table of the one row about this process. */
+    /** Returns the single-row table of {@link #node}. */
     public Table<String, NodeRow> nodeTable() {
         return mNode;
     }
@@ -112,22 +113,22 @@
         return revision().configuration();
     }
 
-    /** Returns the row of the configuration in force here. */
+    /** Returns the configuration in force here and since when. */
     public RevisionRow revision() {
         return mRevision.find(SELF).orElseThrow();
     }
 
-    /** Returns the table of the one row about the configuration. */
+    /** Returns the single-row table of {@link #revision}. */
     public Table<String, RevisionRow> revisionTable() {
         return mRevision;
     }
 
-    /** Returns the newest known head of the configuration's history. */
+    /** Returns the newest head of the configuration known to be written. */
     public HeadRow head() {
         return mHead.find(SELF).orElseThrow();
     }
 
-    /** Returns the table of the one row about the head. */
+    /** Returns the single-row table of {@link #head}. */
     public Table<String, HeadRow> headTable() {
         return mHead;
     }
@@ -137,17 +138,17 @@
         return mRecentNotes;
     }
 
-    /** Returns what was last relayed, by member. */
+    /** Returns the latest relays of notes by member id. */
     public Table<String, RelayRow> relays() {
         return mRelays;
     }
 
-    /** Returns the records that heads to come will name, by the store call that writes them. */
+    /** Returns the writes of records to which new heads will refer, by store call. */
     public Table<Long, CompactionWriteRow> compactionWrites() {
-        return mFoldWrites;
+        return mCompactionWrites;
     }
 
-    /** Returns the operators' questions about accepted notes, by call. */
+    /** Returns the operators' queries of accepted notes by call. */
     public Table<Long, HistoryQueryRow> historyQueries() {
         return mHistoryQueries;
     }
@@ -157,64 +158,64 @@
         return mMembership.find(SELF).orElseThrow();
     }
 
-    /** Returns the table of the one row about the membership record. */
+    /** Returns the single-row table of {@link #membership}. */
     public Table<String, MembershipRow> membershipTable() {
         return mMembership;
     }
 
-    /** Returns the other entries that may be alive, by member id. */
+    /** Returns the other members that may be alive, by member id. */
     public Table<String, MemberRow> members() {
         return mMembers;
     }
 
-    /** Returns how this entry reaches the membership record. */
+    /** Returns the state of the store calls for the membership record. */
     public MembershipCallRow membershipCall() {
         return mMembershipCall.find(SELF).orElseThrow();
     }
 
-    /** Returns the table of the one row about calls for the membership record. */
+    /** Returns the single-row table of {@link #membershipCall}. */
     public Table<String, MembershipCallRow> membershipCallTable() {
         return mMembershipCall;
     }
 
-    /** Returns what speaks for and against each other entry being alive, by member id. */
+    /** Returns the evidence for and against each other member being alive, by member id. */
     public Table<String, LivenessRow> liveness() {
         return mLiveness;
     }
 
-    /** Returns the ended processes that the membership record still shows. */
+    /** Returns the ended processes that are still listed in the membership record. */
     public Table<DeadMemberRow.Key, DeadMemberRow> deadMembers() {
         return mDeadMembers;
     }
 
-    /** Returns how current the configuration is known to be from this entry's own reads. */
+    /** Returns how current the configuration in force here is known to be. */
     public FreshnessRow freshness() {
         return mFreshness.find(SELF).orElseThrow();
     }
 
-    /** Returns the table of the one row about freshness. */
+    /** Returns the single-row table of {@link #freshness}. */
     public Table<String, FreshnessRow> freshnessTable() {
         return mFreshness;
     }
 
-    /** Returns the table of the one row about reads of the platform's list of hosts. */
+    /** Returns the single-row table of the reads of the platform's list of hosts. */
     public Table<String, HostListRow> hostListTable() {
         return mHostList;
     }
 
-    /** Returns the reads of the head that are out, by call. */
+    /** Returns the pending reads of the head by call. */
     public Table<Long, StoreCallRow> headReads() {
         return mHeadReads;
     }
 
-    /** Returns what each other entry has said of the configuration, by member id. */
+    /** Returns what the other members have reported about the configuration, by member id. */
     public Table<String, PeerFreshnessRow> peerFreshness() {
-        return mEvidence;
+        return mPeerFreshness;
     }
 
-    /** Returns the keys in force by the digest of their secret. */
+    /** Returns the access keys in force by the digest of their secret. */
     public Table<KeyDigest, KeySpec> accessKeys() {
-        return mKeys;
+        return mAccessKeys;
     }
 
     /** Returns the target hosts by id, grouped by the pool that they serve. */
@@ -222,119 +223,128 @@
         return mHosts;
     }
 
-    /** Returns what the escrow has taken in. */
+    /** Returns the versions of the inputs that the escrow has applied. */
     public EscrowSyncRow escrowSync() {
-        return mEscrow.find(SELF).orElseThrow();
+        return mEscrowSync.find(SELF).orElseThrow();
     }
 
-    /** Returns the table of the one row about the escrow. */
+    /** Returns the single-row table of {@link #escrowSync}. */
     public Table<String, EscrowSyncRow> escrowSyncTable() {
-        return mEscrow;
+        return mEscrowSync;
     }
 
-    /** Returns how many permits there may be. */
+    /** Returns how many permits of each key may exist, grouped by permit group. */
     public GroupedTable<PermitKey, PermitLimitRow, PermitGroup> permitLimits() {
-        return mTotals;
+        return mPermitLimits;
     }
 
-    /** Returns the permits that this entry holds. */
+    /** Returns the permits that this entry holds, grouped by permit group. */
     public GroupedTable<PermitKey, HoldingRow, PermitGroup> holdings() {
         return mHoldings;
     }
 
-    /** Returns the allocators that this entry follows. */
+    /** Returns the allocator of each group of permits. */
     public Table<PermitGroup, AllocatorBindingRow> allocatorBindings() {
-        return mAttachments;
+        return mAllocatorBindings;
     }
 
-    /** Returns the demand that this entry has reported to allocators. */
+    /** Returns the demand that this entry last reported to the allocator of each group. */
     public Table<PermitGroup, DemandReportRow> demandReports() {
-        return mReports;
+        return mDemandReports;
     }
 
-    /** Returns the groups of permits that this entry allocates. */
+    /** Returns the terms of this entry as allocator, by group. */
     public Table<PermitGroup, AllocatorTermRow> allocatorTerms() {
-        return mTenures;
+        return mAllocatorTerms;
     }
 
-    /** Returns the holders of the permits that this entry allocates. */
+    /** Returns the accounts of the permits that this entry allocates, grouped by permit group. */
     public GroupedTable<PermitKey, LedgerRow, PermitGroup> ledger() {
         return mLedger;
     }
 
-    /** Returns the demand of the members for the permits that this entry allocates. */
+    /**
+     * Returns the members' demand for the permits that this entry allocates, grouped by permit
+     * group.
+     */
     public GroupedTable<MemberDemandRow.Key, MemberDemandRow, PermitGroup> memberDemands() {
-        return mDemands;
+        return mMemberDemands;
     }
 
-    /** Returns what this entry, as allocator, has told the members. */
+    /**
+     * Returns the targets and entitlements that this entry, as allocator, has last sent to each
+     * member, grouped by permit group.
+     */
     public GroupedTable<MemberDemandRow.Key, SentAllocationRow, PermitGroup> sentAllocations() {
-        return mAdvice;
+        return mSentAllocations;
     }
 
-    /** Returns what the teams are due at this entry by pool. */
+    /** Returns the teams' entitlements at this entry by pool. */
     public Table<String, PoolEntitlementsRow> poolEntitlements() {
-        return mPoolDues;
+        return mPoolEntitlements;
     }
 
-    /** Returns how far teams have fallen short of what they were due at this entry. */
+    /** Returns the deficits of the teams at this entry. */
     public Table<TeamDeficitRow.Key, TeamDeficitRow> teamDeficits() {
-        return mCredits;
+        return mTeamDeficits;
     }
 
-    /** Returns the requests at hand, in order of arrival, grouped by what they wait for or use. */
+    /** Returns the open requests in order of arrival, grouped by scheduling class. */
     public GroupedTable<Long, RequestRow, SchedulingClass> requests() {
         return mRequests;
     }
 
-    /** Returns the requests that were abandoned while running, by id. */
+    /** Returns the requests that were abandoned while a target was running them, by request id. */
     public Table<Long, AbandonedRequestRow> abandonedRequests() {
-        return mAbandoned;
+        return mAbandonedRequests;
     }
 
-    /** Returns what was learnt of each queue. */
+    /** Returns the statistics and retry budgets by queue. */
     public Table<String, QueueStatsRow> queueStats() {
-        return mQueueLoads;
+        return mQueueStats;
     }
 
-    /** Returns the claims of requests at hand to their idempotency keys, by request. */
+    /** Returns the open requests' claims to their idempotency keys, by request id. */
     public Table<Long, IdempotencyClaimRow> idempotencyClaims() {
-        return mOnceClaims;
+        return mIdempotencyClaims;
     }
 
-    /** Returns the idempotency keys that this entry remembers as their home. */
+    /** Returns the claimed idempotency keys of which this entry is the coordinator. */
     public Table<IdempotencyKey, IdempotencyKeyRow> idempotencyKeys() {
-        return mOnceKeys;
+        return mIdempotencyKeys;
     }
 
-    /** Returns since when this entry may be the home of idempotency keys. */
+    /** Returns the term of this entry as coordinator of idempotency keys. */
     public CoordinatorTermRow coordinatorTerm() {
-        return mOnceTenure.find(SELF).orElseThrow();
+        return mCoordinatorTerm.find(SELF).orElseThrow();
     }
 
-    /** Returns the table of the one row about this entry as a home of idempotency keys. */
+    /** Returns the single-row table of {@link #coordinatorTerm}. */
     public Table<String, CoordinatorTermRow> coordinatorTermTable() {
-        return mOnceTenure;
+        return mCoordinatorTerm;
     }
 
-    /** Returns the members that were homes of idempotency keys, by member id. */
+    /**
+     * Returns the members that may still grant idempotency keys though they are no longer active,
+     * by member id.
+     */
     public Table<String, FormerCoordinatorRow> formerCoordinators() {
-        return mFormerHomes;
+        return mFormerCoordinators;
     }
 
-    /** Returns the release notes that operators wait for, by call. */
+    /** Returns the submitted release notes for which operators wait, by call. */
     public Table<Long, PendingNoteRow> pendingNotes() {
         return mPendingNotes;
     }
 
-    /** Returns the store calls that are out, by kind of record. */
+    /** Returns the pending store calls of the roll-out, by kind of record. */
     public Table<RecordKind, StoreCallRow> storeCalls() {
         return mStoreCalls;
     }
 
-    /** Returns the records about hosts as last seen. */
+    /** Returns the newest known records about hosts. */
     public Table<RecordKey, FleetRow> fleetRecords() {
-        return mFleet;
+        return mFleetRecords;
     }
 
     /** Returns how current the records about hosts are. */
@@ -342,52 +352,54 @@
         return mFleetSync.find(SELF).orElseThrow();
     }
 
-    /** Returns the table of the one row about how current the records about hosts are. */
+    /** Returns the single-row table of {@link #fleetSync}. */
     public Table<String, FleetSyncRow> fleetSyncTable() {
         return mFleetSync;
     }
 
-    /** Returns the writes of records about hosts that are out. */
+    /** Returns the pending writes of records about hosts. */
     public Table<RecordKey, StoreCallRow> fleetWrites() {
-        return mFleetCalls;
+        return mFleetWrites;
     }
 
-    /** Returns the records about hosts that this tick is about to write. */
+    /** Returns the records about hosts that are to be written at the end of this tick. */
     public Table<RecordKey, FleetRecord> fleetDrafts() {
         return mFleetDrafts;
     }
 
-    /** Returns the platform's list of hosts by id. */
+    /** Returns the hosts of the platform's lists by id. */
     public Table<String, PlatformHostRow> platformHosts() {
         return mPlatformHosts;
     }
 
-    /** Returns the outages under way, by host. */
+    /** Returns the present outages by host. */
     public Table<String, OutageRow> outages() {
         return mOutages;
     }
 
-    /** Returns the reboots that this entry has asked for, by host. */
+    /** Returns the reboots that this entry has requested, by host. */
     public Table<String, RebootRow> reboots() {
         return mReboots;
     }
 
-    /** Returns the hosts that are rebooted in the newest wave, by wave and host. */
+    /** Returns the hosts that were rebooted in the newest wave, by wave and host. */
     public Table<String, RebootedHostRow> rebootedHosts() {
-        return mWaveDone;
+        return mRebootedHosts;
     }
 
-    /** Returns the operators' commands about the maintenance wave, by call. */
+    /**
+     * Returns the operators' commands about the maintenance wave that wait for the store, by call.
+     */
     public Table<Long, PendingWaveRow> pendingWaves() {
         return mPendingWaves;
     }
 
-    /** Returns how many hosts pools are short of, by pool. */
+    /** Returns how many hosts each pool lacks, by pool. */
     public Table<String, PoolShortfallRow> poolShortfalls() {
-        return mPoolNeeds;
+        return mPoolShortfalls;
     }
 
-    /** Returns the times and limits of the decisions. */
+    /** Returns the configurable times and limits. */
     public ControlSettings settings() {
         return mSettings.find(SELF).orElseThrow();
     }
--- a/core/src/main/java/org/hibiscususher/core/world/package-info.java
+++ b/core/src/main/java/org/hibiscususher/core/world/package-info.java
@@ -1,2 +1,2 @@
-/** The tables of an entry and their rows, and the tick that systems work on. */
+/** The tables of an entry, their immutable rows, and the tick that the systems run in. */
 package org.hibiscususher.core.world;
