--- a/core/src/main/java/org/hibiscususher/core/world/IdempotencyKey.java
+++ b/core/src/main/java/org/hibiscususher/core/world/IdempotencyKey.java
@@ -15,8 +15,10 @@
 public record IdempotencyKey(long high, long low) {
     private static final int TEXT_LENGTH = 36;
     private static final int TIME_ORDERED_VERSION = 7;
-    private static final int RFC_VARIANT = 2;
-    private static final int TIME_SHIFT = 16;
+    private static final int RFC_9562_VARIANT = 2;
+
+    /** Bits below the time stamp in the first 64 bits. */
+    private static final int TIME_SHIFT_BITS = 16;
 
     /** Parses a key; returns empty if the text is not a UUID of version 7. */
     public static Optional<IdempotencyKey> parse(String text) {
@@ -26,7 +28,7 @@
         try {
             UUID id = UUID.fromString(text);
             boolean timeOrdered =
-                    id.version() == TIME_ORDERED_VERSION && id.variant() == RFC_VARIANT;
+                    id.version() == TIME_ORDERED_VERSION && id.variant() == RFC_9562_VARIANT;
             return timeOrdered
                     ? Optional.of(
                             new IdempotencyKey(
@@ -41,7 +43,7 @@
      * Returns when the caller created the key, in milliseconds since 1970 of the caller's clock.
      */
     public long timeMs() {
-        return high >>> TIME_SHIFT;
+        return high >>> TIME_SHIFT_BITS;
     }
 
     /** Returns the name that is hashed to choose the key's coordinator. */
--- a/core/src/main/java/org/hibiscususher/core/world/LivenessRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/LivenessRow.java
@@ -7,8 +7,9 @@
  *
  * @param state its state in the membership record last handled
  * @param sinceMs when this entry first saw it in that state, in milliseconds of the tick clock
- * @param recoveries how often it was silent and was heard again, up to a maximum; each doubles the
- *     silence after which it counts as silent, so that a flapping member causes fewer changes
+ * @param recoveries how often it was marked silent and was heard again, up to a maximum; each
+ *     doubles the silence after which it counts as silent, so that a flapping member causes fewer
+ *     changes
  * @param heardAgainMs when it was first heard after it was marked silent, in milliseconds, -1 if it
  *     was not
  * @param refusals number of refused connections since it was last heard
@@ -26,6 +27,7 @@
         long firstRefusedMs,
         int missedLists,
         long endedMs) {
+    /** Bounds the time after which a member counts as silent to 32 times the silence limit. */
     private static final int MAX_RECOVERIES = 5;
 
     /** Returns the row of a member that was first seen at the given time. */
--- a/core/src/main/java/org/hibiscususher/core/world/QueueStatsRow.java
+++ b/core/src/main/java/org/hibiscususher/core/world/QueueStatsRow.java
@@ -18,7 +18,11 @@
         String queue, int samples, double meanRunMs, double retryTokens, long refilledMs) {
     private static final int ENOUGH_SAMPLES = 16;
     private static final double MAX_TOKENS = 20;
+
+    /** Allows retries of a fifth of the complete responses. */
     private static final double TOKENS_PER_RESPONSE = 0.2;
+
+    /** Allows one retry a second of a queue that gets no responses. */
     private static final double TOKENS_PER_MS = 0.001;
 
     /** Rejects null components. */
