Reword core.request in terms of the field

Comments, private names and locals used words that only their author could resolve, and gave rules without the hazard behind them. No behaviour changes.

--- a/core/src/main/java/org/hibiscususher/core/request/AdmissionSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/request/AdmissionSystem.java
@@ -18,15 +18,21 @@
 import org.hibiscususher.core.world.Tick;
 import org.hibiscususher.core.world.World;
 
-/** Admits requests to their queues, or refuses them. */
+/**
+ * Admits arriving requests to their queues, or refuses them.
+ *
+ * <p>A request is refused at once when it cannot run or is not expected to start within its wait
+ * limit, so that its caller does not wait in vain. An admitted request that is not idempotent and
+ * has an idempotency key first claims that key; any other can be placed immediately.
+ */
 public final class AdmissionSystem {
     private AdmissionSystem() {}
 
-    /** Admits or refuses the requests that have arrived, and forgets cancelled ones. */
+    /** Handles the arrivals since the last tick, and drops unsent requests that were cancelled. */
     public static void run(Tick tick) {
         List<RequestArrived> arrivals = tick.inputs(RequestArrived.class);
         if (!arrivals.isEmpty()) {
-            takeIn(tick, arrivals);
+            admitOrRefuse(tick, arrivals);
         }
         for (RequestCancelled cancelled : tick.inputs(RequestCancelled.class)) {
             tick.world()
@@ -43,11 +49,11 @@
         IdempotencyKeyClaims.close(tick, row.id(), row.mayHaveRun());
     }
 
-    private static void takeIn(Tick tick, List<RequestArrived> arrivals) {
+    private static void admitOrRefuse(Tick tick, List<RequestArrived> arrivals) {
         WaitingCounts counts = WaitingCounts.of(tick.world());
         Map<String, PoolCapacity> pools = new LinkedHashMap<>();
         for (RequestArrived arrival : arrivals) {
-            Optional<Refusal> refusal = refusalOf(tick, arrival, counts, pools);
+            Optional<Refusal> refusal = findRefusal(tick, arrival, counts, pools);
             if (refusal.isPresent()) {
                 Refusals.refuse(tick, arrival.requestId(), refusal.get());
             } else {
@@ -56,7 +62,7 @@
         }
     }
 
-    private static Optional<Refusal> refusalOf(
+    private static Optional<Refusal> findRefusal(
             Tick tick,
             RequestArrived arrival,
             WaitingCounts counts,
@@ -79,7 +85,7 @@
         if (team.isEmpty()) {
             return Optional.of(Refusal.KEY_UNKNOWN);
         }
-        if (claims(arrival) && IdempotencyKey.parse(arrival.idempotencyKey()).isEmpty()) {
+        if (needsKeyClaim(arrival) && IdempotencyKey.parse(arrival.idempotencyKey()).isEmpty()) {
             return Optional.of(Refusal.IDEMPOTENCY_KEY_MALFORMED);
         }
         if (team.get().upperLimit() == 0) {
@@ -98,7 +104,12 @@
         return waitRefusal(tick, arrival, queue, team.get(), counts, pool);
     }
 
-    /** Refuses at once what can't start in time, going by the run times seen of late. */
+    /**
+     * Returns a refusal if the expected wait exceeds the request's wait limit.
+     *
+     * <p>The wait is estimated from the mean of recent run times; until enough run times of the
+     * queue have been observed, no request is refused for this reason.
+     */
     private static Optional<Refusal> waitRefusal(
             Tick tick,
             RequestArrived arrival,
@@ -107,16 +118,16 @@
             WaitingCounts counts,
             PoolCapacity pool) {
         World world = tick.world();
-        Optional<QueueStatsRow> load =
+        Optional<QueueStatsRow> stats =
                 world.queueStats().find(queue.id()).filter(QueueStatsRow::hasEnoughSamples);
-        if (load.isEmpty()) {
+        if (stats.isEmpty()) {
             return Optional.empty();
         }
         int waiting = counts.waiting(queue.id(), team.id());
-        double leastMs =
+        double expectedWaitMs =
                 pool.minWaitMs(
-                        world, team.id(), team.upperLimit(), waiting, load.get().meanRunMs());
-        if (leastMs <= waitLimitMs(arrival, queue)) {
+                        world, team.id(), team.upperLimit(), waiting, stats.get().meanRunMs());
+        if (expectedWaitMs <= waitLimitMs(arrival, queue)) {
             return Optional.empty();
         }
         tick.count("admission.refused-early");
@@ -131,7 +142,7 @@
         return team.map(t -> world.configuration().teams().get(t));
     }
 
-    private static boolean claims(RequestArrived arrival) {
+    private static boolean needsKeyClaim(RequestArrived arrival) {
         return !arrival.idempotent() && !arrival.idempotencyKey().isEmpty();
     }
 
@@ -144,7 +155,7 @@
     private static RequestRow admit(Tick tick, RequestArrived arrival) {
         World world = tick.world();
         QueueSpec queue = world.configuration().queues().get(arrival.queue());
-        boolean claims = claims(arrival);
+        boolean needsKeyClaim = needsKeyClaim(arrival);
         RequestRow row =
                 new RequestRow(
                         arrival,
@@ -154,14 +165,14 @@
                         queue.runLimitMs(),
                         tick.nowMs(),
                         tick.nowMs() + waitLimitMs(arrival, queue),
-                        claims ? RequestState.CLAIMING : RequestState.WAITING,
+                        needsKeyClaim ? RequestState.CLAIMING : RequestState.WAITING,
                         0,
                         -1,
                         false,
                         List.of(),
                         List.of());
         world.requests().put(arrival.requestId(), row);
-        if (claims) {
+        if (needsKeyClaim) {
             IdempotencyKeyClaims.open(tick, row);
         }
         tick.count("request.admitted");
--- a/core/src/main/java/org/hibiscususher/core/request/IdempotencyKeyClaims.java
+++ b/core/src/main/java/org/hibiscususher/core/request/IdempotencyKeyClaims.java
@@ -16,15 +16,25 @@
 import org.hibiscususher.core.world.Tick;
 import org.hibiscususher.core.world.World;
 
-/** The claims of requests at hand to their idempotency keys: asks, takes answers, gives back. */
+/**
+ * The claims of this entry's requests to their idempotency keys.
+ *
+ * <p>A message to a key's coordinator may be lost, and the coordinator may change. A claim or a
+ * release is therefore sent again, to the present coordinator, until it is answered or times out.
+ */
 final class IdempotencyKeyClaims {
-    private static final int REPEAT_MS = 100;
-    private static final int ASK_LIMIT_MS = 1_000;
-    private static final int RELEASE_LIMIT_MS = 3_000;
+    /** Time between two messages about the same claim, in milliseconds. */
+    private static final int RESEND_INTERVAL_MS = 100;
+
+    /** Time after which a request whose claim was not answered is refused, in milliseconds. */
+    private static final int CLAIM_TIMEOUT_MS = 1_000;
+
+    /** Time after which an unacknowledged release is abandoned, in milliseconds. */
+    private static final int RELEASE_TIMEOUT_MS = 3_000;
 
     private IdempotencyKeyClaims() {}
 
-    /** Opens the claim of a request that was admitted. */
+    /** Opens the claim of a request that has just been admitted; its key must be well-formed. */
     static void open(Tick tick, RequestRow row) {
         IdempotencyKey key = IdempotencyKey.parse(row.arrival().idempotencyKey()).orElseThrow();
         IdempotencyClaimRow claim =
@@ -33,7 +43,12 @@
         tick.world().idempotencyClaims().put(row.id(), claim);
     }
 
-    /** Ends the claim of a request, if it has one; gives the key back if nothing ran. */
+    /**
+     * Ends the claim of a request, if it has one.
+     *
+     * @param mayHaveRun whether the request may have run; only if not, its key is released, so that
+     *     the caller can send the request again under the same key
+     */
     static void close(Tick tick, long requestId, boolean mayHaveRun) {
         if (mayHaveRun) {
             tick.world().idempotencyClaims().remove(requestId);
@@ -46,7 +61,7 @@
         }
     }
 
-    /** Tells the homes what they have not answered yet, and gives up what takes too long. */
+    /** Sends claims and releases that are not answered yet, and abandons those that time out. */
     static void run(Tick tick) {
         if (tick.world().idempotencyClaims().size() == 0) {
             return;
@@ -55,85 +70,86 @@
             if (!claim.stage().awaitsReply()) {
                 continue;
             }
-            if (isOverdue(tick, claim)) {
-                giveUp(tick, claim);
-            } else if (claim.sentMs() < 0 || tick.nowMs() - claim.sentMs() >= REPEAT_MS) {
+            if (isTimedOut(tick, claim)) {
+                abandon(tick, claim);
+            } else if (claim.sentMs() < 0 || tick.nowMs() - claim.sentMs() >= RESEND_INTERVAL_MS) {
                 tick.world()
                         .idempotencyClaims()
                         .put(claim.requestId(), claim.withSent(tick.nowMs()));
-                talk(tick, claim);
+                sendToCoordinator(tick, claim);
             }
         }
     }
 
-    private static boolean isOverdue(Tick tick, IdempotencyClaimRow claim) {
+    private static boolean isTimedOut(Tick tick, IdempotencyClaimRow claim) {
         long ageMs = tick.nowMs() - claim.sinceMs();
         return ageMs
                 >= (claim.stage() == IdempotencyClaimStage.ASKING
-                        ? ASK_LIMIT_MS
-                        : RELEASE_LIMIT_MS);
+                        ? CLAIM_TIMEOUT_MS
+                        : RELEASE_TIMEOUT_MS);
     }
 
-    private static void giveUp(Tick tick, IdempotencyClaimRow claim) {
+    private static void abandon(Tick tick, IdempotencyClaimRow claim) {
         if (claim.stage() == IdempotencyClaimStage.ASKING) {
             tick.count("once.home-silent");
-            rowOf(tick, claim).ifPresent(r -> Refusals.refuse(tick, r, Refusal.ID_NOT_VOUCHED));
+            findClaimingRequest(tick, claim)
+                    .ifPresent(r -> Refusals.refuse(tick, r, Refusal.ID_NOT_VOUCHED));
         } else {
             tick.count("once.release-unanswered");
             tick.world().idempotencyClaims().remove(claim.requestId());
         }
     }
 
-    private static Optional<RequestRow> rowOf(Tick tick, IdempotencyClaimRow claim) {
+    private static Optional<RequestRow> findClaimingRequest(Tick tick, IdempotencyClaimRow claim) {
         return tick.world()
                 .requests()
                 .find(claim.requestId())
                 .filter(r -> r.state() == RequestState.CLAIMING);
     }
 
-    private static void talk(Tick tick, IdempotencyClaimRow claim) {
+    private static void sendToCoordinator(Tick tick, IdempotencyClaimRow claim) {
         World world = tick.world();
         IdempotencyKey key = claim.key();
         NodeIdentity self = world.node().identity();
-        Optional<String> home =
+        Optional<String> coordinator =
                 RendezvousHash.choose(key.hashedName(), world.membership().record());
-        if (home.isEmpty()) {
+        if (coordinator.isEmpty()) {
             return;
         }
-        boolean asking = claim.stage() == IdempotencyClaimStage.ASKING;
+        boolean isClaim = claim.stage() == IdempotencyClaimStage.ASKING;
         long id = claim.requestId();
-        if (!home.get().equals(self.id())) {
+        if (!coordinator.get().equals(self.id())) {
             tick.send(
-                    home.get(),
-                    asking
+                    coordinator.get(),
+                    isClaim
                             ? new IdempotencyClaim(id, key.high(), key.low(), tick.nowMs())
                             : new IdempotencyRelease(id, key.high(), key.low()));
-        } else if (asking) {
+        } else if (isClaim) {
             IdempotencyKeyCoordinator.claim(tick, key, self.id(), self.incarnation(), id)
-                    .ifPresent(r -> settle(tick, claim, r));
+                    .ifPresent(r -> applyResult(tick, claim, r));
         } else {
             IdempotencyKeyCoordinator.release(tick, key, self.id(), self.incarnation(), id);
             world.idempotencyClaims().remove(id);
         }
     }
 
-    /** Takes the answer of a home. */
-    static void onResult(Tick tick, IdempotencyClaimReply answer) {
+    /** Applies a coordinator's answer to a claim; answers to an earlier incarnation are ignored. */
+    static void onResult(Tick tick, IdempotencyClaimReply reply) {
         NodeIdentity self = tick.world().node().identity();
-        if (answer.incarnation() != self.incarnation()) {
+        if (reply.incarnation() != self.incarnation()) {
             return;
         }
         tick.world()
                 .idempotencyClaims()
-                .find(answer.requestId())
+                .find(reply.requestId())
                 .filter(c -> c.stage() == IdempotencyClaimStage.ASKING)
-                .filter(c -> c.key().high() == answer.high() && c.key().low() == answer.low())
-                .ifPresent(c -> settle(tick, c, answer.result()));
+                .filter(c -> c.key().high() == reply.high() && c.key().low() == reply.low())
+                .ifPresent(c -> applyResult(tick, c, reply.result()));
     }
 
-    private static void settle(
+    private static void applyResult(
             Tick tick, IdempotencyClaimRow claim, IdempotencyClaimResult result) {
-        Optional<RequestRow> row = rowOf(tick, claim);
+        Optional<RequestRow> row = findClaimingRequest(tick, claim);
         if (result.refusal().isPresent()) {
             tick.world().idempotencyClaims().remove(claim.requestId());
             row.ifPresent(r -> Refusals.refuse(tick, r, result.refusal().get()));
--- a/core/src/main/java/org/hibiscususher/core/request/OutlierSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/request/OutlierSystem.java
@@ -13,30 +13,45 @@
 import org.hibiscususher.core.world.World;
 
 /**
- * Sets hosts aside that fail what they start, within the pool's availability budget, and lets one
- * request at a time through to find out whether they work again.
+ * Quarantines hosts whose attempts keep failing, and probes them with one request at a time until
+ * they work again.
+ *
+ * <p>A fault that looks like a host's may lie in the requests or affect every host alike.
+ * Quarantines therefore stay within the pool's availability budget, and failures after a start do
+ * not count towards a quarantine while at least half of the pool's other hosts fail as well. A
+ * failing host that the budget keeps in service is throttled instead.
  */
 public final class OutlierSystem {
-    private static final int FAULTS_TO_REST = 3;
-    private static final int FIRST_REST_MS = 1_000;
-    private static final int MAX_REST_MS = 5_000;
+    /** Consecutive faults after which a host is quarantined. */
+    private static final int FAULTS_TO_QUARANTINE = 3;
+
+    /** Length of the first quarantine, in milliseconds; doubles with each failed probe. */
+    private static final int FIRST_QUARANTINE_MS = 1_000;
+
+    private static final int MAX_QUARANTINE_MS = 5_000;
+
+    /** Bound of the shift that doubles the quarantine. */
     private static final int MAX_DOUBLINGS = 5;
 
-    /** How long a probe keeps other requests away, unless its end is known before. */
-    private static final int PROBE_MS = 2_000;
+    /** How long a probe keeps other requests away unless it ends earlier, in milliseconds. */
+    private static final int PROBE_LIMIT_MS = 2_000;
 
-    /** How long a host is left alone that fails and that the budget keeps in service. */
-    private static final int PACE_MS = 100;
+    /** Pause between attempts on a failing host that the budget keeps in service, in ms. */
+    private static final int THROTTLE_MS = 100;
 
-    /** How long a host is left alone that has declined work, as in a graceful shutdown. */
-    private static final int DECLINED_REST_MS = 1_000;
+    /** Pause after a host declined work, as in a graceful shutdown, in milliseconds. */
+    private static final int DECLINED_PAUSE_MS = 1_000;
 
-    /** After this time a probe need not be idempotent. */
-    private static final int PROBE_PATIENCE_MS = 5_000;
+    /**
+     * Time after the end of a quarantine from which a request that is not idempotent may serve as
+     * the probe, in milliseconds. Idempotent requests are preferred because they can be retried if
+     * the probe fails.
+     */
+    private static final int ANY_PROBE_AFTER_MS = 5_000;
 
     private OutlierSystem() {}
 
-    /** Takes in how attempts have ended since the last tick. */
+    /** Handles the outcomes of the attempts that have ended since the last tick. */
     public static void run(Tick tick) {
         World world = tick.world();
         for (AttemptEnded ended : tick.inputs(AttemptEnded.class)) {
@@ -44,60 +59,65 @@
                     .find(ended.requestId())
                     .filter(r -> r.state() == RequestState.RUNNING)
                     .filter(r -> r.attempt() == ended.attempt())
-                    .ifPresent(r -> judge(tick, r, ended.outcome()));
+                    .ifPresent(r -> applyOutcome(tick, r, ended.outcome()));
         }
     }
 
-    private static void judge(Tick tick, RequestRow row, AttemptOutcome outcome) {
+    private static void applyOutcome(Tick tick, RequestRow row, AttemptOutcome outcome) {
         Optional<HostRow> found = tick.world().hosts().find(row.host());
         if (found.isEmpty()) {
             return;
         }
         HostRow host = found.get();
         if (outcome == AttemptOutcome.DECLINED) {
-            rest(tick, host, host.consecutiveFaults(), DECLINED_REST_MS);
-        } else if (outcome.isHostFault() && (!rests(tick, host) || isProbe(host, row))) {
-            fault(tick, host, outcome);
+            pause(tick, host, host.consecutiveFaults(), DECLINED_PAUSE_MS);
+        } else if (outcome.isHostFault() && (!isQuarantined(tick, host) || isProbe(host, row))) {
+            recordFault(tick, host, outcome);
         } else if (outcome == AttemptOutcome.ANSWERED && host.consecutiveFaults() > 0) {
             tick.world().hosts().put(host.spec().id(), host.withFaults(0, 0));
         }
     }
 
-    private static void fault(Tick tick, HostRow host, AttemptOutcome outcome) {
-        boolean blamable = outcome.notRun() || !othersFailToo(tick.world(), host);
+    private static void recordFault(Tick tick, HostRow host, AttemptOutcome outcome) {
+        boolean hostAtFault = outcome.notRun() || !halfOfOthersFail(tick.world(), host);
         int seen = host.consecutiveFaults() + 1;
-        int faults = blamable ? seen : Math.min(seen, FAULTS_TO_REST - 1);
+        int faults = hostAtFault ? seen : Math.min(seen, FAULTS_TO_QUARANTINE - 1);
         HostRow marked = host.withFaults(faults, host.quarantinedUntilMs());
         tick.world().hosts().put(host.spec().id(), marked);
-        if (faults < FAULTS_TO_REST) {
+        if (faults < FAULTS_TO_QUARANTINE) {
             return;
         }
         if (budgetAllows(tick, host)) {
-            int doublings = Math.min(faults - FAULTS_TO_REST, MAX_DOUBLINGS);
-            int restMs = Math.min(FIRST_REST_MS << doublings, MAX_REST_MS);
+            int doublings = Math.min(faults - FAULTS_TO_QUARANTINE, MAX_DOUBLINGS);
+            int pauseMs = Math.min(FIRST_QUARANTINE_MS << doublings, MAX_QUARANTINE_MS);
             tick.count("outlier.set-aside");
-            rest(tick, marked, faults, restMs);
+            pause(tick, marked, faults, pauseMs);
         } else {
             tick.count("outlier.budget-spent");
-            rest(tick, marked, faults, PACE_MS);
+            pause(tick, marked, faults, THROTTLE_MS);
         }
     }
 
-    private static void rest(Tick tick, HostRow host, int faults, int restMs) {
-        long untilMs = tick.nowMs() + restMs;
+    /** Keeps requests from a host for a time, with the given count of consecutive faults. */
+    private static void pause(Tick tick, HostRow host, int faults, int pauseMs) {
+        long untilMs = tick.nowMs() + pauseMs;
         tick.world().hosts().put(host.spec().id(), host.withFaults(faults, untilMs));
     }
 
     /**
-     * Returns whether at least half of the pool's other hosts fail as well: then the requests are
-     * at fault rather than the host.
+     * Returns whether at least half of the pool's other hosts fail as well, which suggests that the
+     * requests are at fault rather than the host.
      */
-    private static boolean othersFailToo(World world, HostRow host) {
+    private static boolean halfOfOthersFail(World world, HostRow host) {
         List<HostRow> others = others(world, host);
         long failing = others.stream().filter(h -> h.consecutiveFaults() > 0).count();
         return !others.isEmpty() && 2 * failing >= others.size();
     }
 
+    /**
+     * Returns whether the pool's availability budget allows this host to be quarantined, with at
+     * least one other host of the pool left in service.
+     */
     private static boolean budgetAllows(Tick tick, HostRow host) {
         World world = tick.world();
         AvailabilityBudget budget =
@@ -105,7 +125,7 @@
                         .map(PoolSpec::budget)
                         .orElse(AvailabilityBudget.ONE_HOST);
         List<HostRow> others = others(world, host);
-        List<HostRow> out = others.stream().filter(h -> isOut(tick, h)).toList();
+        List<HostRow> out = others.stream().filter(h -> isOutOfService(tick, h)).toList();
         long inZone = out.stream().filter(h -> h.spec().zone().equals(host.spec().zone())).count();
         return out.size() < others.size()
                 && out.size() < budget.maxUnavailable()
@@ -119,38 +139,38 @@
                 .toList();
     }
 
-    private static boolean isOut(Tick tick, HostRow host) {
-        return !host.stage().acceptsWork() || rests(tick, host);
+    private static boolean isOutOfService(Tick tick, HostRow host) {
+        return !host.stage().acceptsWork() || isQuarantined(tick, host);
     }
 
-    private static boolean rests(Tick tick, HostRow host) {
-        return host.consecutiveFaults() >= FAULTS_TO_REST
+    private static boolean isQuarantined(Tick tick, HostRow host) {
+        return host.consecutiveFaults() >= FAULTS_TO_QUARANTINE
                 && host.quarantinedUntilMs() > tick.nowMs();
     }
 
-    /** Returns whether the present rest began with the start of the given request. */
+    /** Returns whether the present pause began when the given request was started as a probe. */
     private static boolean isProbe(HostRow host, RequestRow row) {
-        long restMs = host.quarantinedUntilMs() - row.startedMs();
-        return restMs == PROBE_MS || restMs == PACE_MS;
+        long pauseMs = host.quarantinedUntilMs() - row.startedMs();
+        return pauseMs == PROBE_LIMIT_MS || pauseMs == THROTTLE_MS;
     }
 
-    /** Returns whether a host that takes work may get this request now. */
+    /** Returns whether outlier detection lets a host that is in service run this request now. */
     static boolean allowsStart(Tick tick, HostRow host, RequestRow row) {
-        long restedMs = tick.nowMs() - host.quarantinedUntilMs();
-        if (restedMs < 0) {
+        long sincePauseMs = tick.nowMs() - host.quarantinedUntilMs();
+        if (sincePauseMs < 0) {
             return false;
         }
-        return host.consecutiveFaults() < FAULTS_TO_REST
+        return host.consecutiveFaults() < FAULTS_TO_QUARANTINE
                 || row.arrival().idempotent()
-                || restedMs >= PROBE_PATIENCE_MS;
+                || sincePauseMs >= ANY_PROBE_AFTER_MS;
     }
 
-    /** Notes that a request was started on a host: a probe keeps further ones away for a while. */
+    /** Records a start; on a host that is due for a probe, it holds back further requests. */
     static void recordStart(Tick tick, HostRow host) {
-        if (host.consecutiveFaults() >= FAULTS_TO_REST) {
+        if (host.consecutiveFaults() >= FAULTS_TO_QUARANTINE) {
             tick.count("outlier.probe");
-            int restMs = budgetAllows(tick, host) ? PROBE_MS : PACE_MS;
-            rest(tick, host, host.consecutiveFaults(), restMs);
+            int pauseMs = budgetAllows(tick, host) ? PROBE_LIMIT_MS : THROTTLE_MS;
+            pause(tick, host, host.consecutiveFaults(), pauseMs);
         }
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/request/PlacementSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/request/PlacementSystem.java
@@ -16,113 +16,128 @@
 import org.hibiscususher.core.world.Tick;
 import org.hibiscususher.core.world.World;
 
-/** Starts waiting requests on hosts for which this entry holds permits. */
+/**
+ * Starts waiting requests on hosts for which this entry holds permits.
+ *
+ * <p>An attempt needs a permit of each kind that applies: a slot of the host, a unit of the team's
+ * upper limit and, for long work, a long-run permit of the pool. Nothing starts while this entry's
+ * configuration is not known to be current, since a newer one may forbid it.
+ */
 public final class PlacementSystem {
-    /** How many requests of a lane are tried when the first ones fit no idle host. */
-    private static final int TRIED_PER_LANE = 8;
+    /** Requests of a scheduling class that are tried in turn while none fits an idle host. */
+    private static final int MAX_TRIED_PER_CLASS = 8;
 
-    /** Time between two searches for requests that have waited too long, in milliseconds. */
-    private static final int REFUSE_EVERY_MS = 10;
+    /** Interval between two searches for requests past their wait limit, in milliseconds. */
+    private static final int EXPIRY_CHECK_INTERVAL_MS = 10;
 
     private PlacementSystem() {}
 
-    /** Refuses requests that have waited too long and starts as many others as permits allow. */
+    /** Refuses requests past their wait limit and starts as many others as permits allow. */
     public static void run(Tick tick) {
         World world = tick.world();
-        boolean refuses =
-                tick.nowMs() / REFUSE_EVERY_MS != world.node().lastTickMs() / REFUSE_EVERY_MS;
-        Set<SchedulingClass> lanes = new LinkedHashSet<>();
-        for (SchedulingClass lane : List.copyOf(world.requests().groups())) {
-            if (lane.state().placeable()) {
-                if (refuses) {
-                    refuseLate(tick, lane);
+        boolean checksExpiry =
+                tick.nowMs() / EXPIRY_CHECK_INTERVAL_MS
+                        != world.node().lastTickMs() / EXPIRY_CHECK_INTERVAL_MS;
+        Set<SchedulingClass> classes = new LinkedHashSet<>();
+        for (SchedulingClass schedulingClass : List.copyOf(world.requests().groups())) {
+            if (schedulingClass.state().placeable()) {
+                if (checksExpiry) {
+                    refuseExpired(tick, schedulingClass);
                 }
-                lanes.add(lane);
+                classes.add(schedulingClass);
             }
         }
-        lanes.removeIf(l -> !open(world, l));
-        if (lanes.isEmpty() || !Freshness.isFresh(world, tick.nowMs())) {
+        classes.removeIf(c -> !canStart(world, c));
+        if (classes.isEmpty() || !Freshness.isFresh(world, tick.nowMs())) {
             return;
         }
-        SchedulingOrder order = SchedulingOrder.of(tick, lanes);
-        while (!lanes.isEmpty()) {
-            SchedulingClass lane = order.next(lanes);
-            if (open(world, lane) && startOne(tick, lane)) {
-                order.recordStart(lane);
+        SchedulingOrder order = SchedulingOrder.of(tick, classes);
+        // A class is done when it is empty, or lacks permits or a host that fits its requests.
+        while (!classes.isEmpty()) {
+            SchedulingClass schedulingClass = order.next(classes);
+            if (canStart(world, schedulingClass) && startOne(tick, schedulingClass)) {
+                order.recordStart(schedulingClass);
             } else {
-                lanes.remove(lane);
+                classes.remove(schedulingClass);
             }
-            if (world.requests().group(lane).isEmpty()) {
-                lanes.remove(lane);
+            if (world.requests().group(schedulingClass).isEmpty()) {
+                classes.remove(schedulingClass);
             }
         }
     }
 
-    private static void refuseLate(Tick tick, SchedulingClass lane) {
-        List<RequestRow> late = new ArrayList<>();
-        for (RequestRow row : tick.world().requests().group(lane)) {
+    private static void refuseExpired(Tick tick, SchedulingClass schedulingClass) {
+        List<RequestRow> expired = new ArrayList<>();
+        for (RequestRow row : tick.world().requests().group(schedulingClass)) {
             if (tick.nowMs() >= row.startByMs()) {
-                late.add(row);
+                expired.add(row);
             }
         }
-        for (RequestRow row : late) {
-            Refusals.refuse(tick, row, waitRefusal(tick.world(), row));
+        for (RequestRow row : expired) {
+            Refusals.refuse(tick, row, expiryRefusal(tick.world(), row));
         }
     }
 
-    private static Refusal waitRefusal(World world, RequestRow row) {
+    private static Refusal expiryRefusal(World world, RequestRow row) {
         return Permits.idle(world, PermitKey.unit(row.team())) == 0
                 ? Refusal.TEAM_AT_LIMIT
                 : Refusal.WAIT_LIMIT;
     }
 
-    /** Returns whether a lane has requests and the permits that they need on any host. */
-    private static boolean open(World world, SchedulingClass lane) {
-        return !world.requests().group(lane).isEmpty()
-                && Permits.idle(world, Permits.neededOnAnyHost(lane))
-                && Permits.idleSlots(world, lane.pool()) > 0;
+    /**
+     * Returns whether a scheduling class has requests, the permits that they need whatever the
+     * host, and an idle slot in its pool.
+     */
+    private static boolean canStart(World world, SchedulingClass schedulingClass) {
+        return !world.requests().group(schedulingClass).isEmpty()
+                && Permits.idle(world, Permits.neededOnAnyHost(schedulingClass))
+                && Permits.idleSlots(world, schedulingClass.pool()) > 0;
     }
 
-    private static boolean startOne(Tick tick, SchedulingClass lane) {
+    private static boolean startOne(Tick tick, SchedulingClass schedulingClass) {
         World world = tick.world();
         int tried = 0;
-        for (RequestRow row : world.requests().group(lane)) {
-            Optional<HostRow> host = hostFor(tick, row);
+        for (RequestRow row : world.requests().group(schedulingClass)) {
+            Optional<HostRow> host = findHost(tick, row);
             if (host.isPresent()) {
                 start(tick, row, host.get());
                 return true;
             }
             tried++;
-            if (tried == TRIED_PER_LANE) {
+            if (tried == MAX_TRIED_PER_CLASS) {
                 return false;
             }
         }
         return false;
     }
 
-    private static Optional<HostRow> hostFor(Tick tick, RequestRow row) {
+    /**
+     * Returns the host for a request's next attempt, or empty if none can run it now.
+     *
+     * <p>Prefers zones that were not tried, then the host with the most idle slots.
+     */
+    private static Optional<HostRow> findHost(Tick tick, RequestRow row) {
         HostRow best = null;
         int mostIdle = 0;
-        boolean bestElsewhere = false;
+        boolean bestInUntriedZone = false;
         Set<String> zones = triedZones(tick.world(), row);
         for (HostRow host : tick.world().hosts().group(row.pool())) {
             int idle = idleSlots(tick.world(), host);
-            if (idle > 0 && takes(tick, host, row)) {
-                boolean elsewhere = !zones.contains(host.spec().zone());
-                boolean better = elsewhere == bestElsewhere ? idle > mostIdle : elsewhere;
+            if (idle > 0 && accepts(tick, host, row)) {
+                boolean inUntriedZone = !zones.contains(host.spec().zone());
+                boolean better =
+                        inUntriedZone == bestInUntriedZone ? idle > mostIdle : inUntriedZone;
                 if (better) {
                     best = host;
                     mostIdle = idle;
-                    bestElsewhere = elsewhere;
+                    bestInUntriedZone = inUntriedZone;
                 }
             }
         }
         return Optional.ofNullable(best);
     }
 
-    /**
-     * Returns the zones of the hosts that were tried: a further attempt goes elsewhere if it can.
-     */
+    /** Returns the zones of the hosts that were tried already; a retry prefers other zones. */
     private static Set<String> triedZones(World world, RequestRow row) {
         Set<String> zones = new LinkedHashSet<>();
         for (String host : row.triedHosts()) {
@@ -131,7 +146,7 @@
         return zones;
     }
 
-    private static boolean takes(Tick tick, HostRow host, RequestRow row) {
+    private static boolean accepts(Tick tick, HostRow host, RequestRow row) {
         return host.stage().acceptsWork()
                 && OutlierSystem.allowsStart(tick, host, row)
                 && host.spec().capacity().fits(row.arrival().needs())
--- a/core/src/main/java/org/hibiscususher/core/request/PoolCapacity.java
+++ b/core/src/main/java/org/hibiscususher/core/request/PoolCapacity.java
@@ -13,12 +13,12 @@
 import org.hibiscususher.core.world.World;
 
 /**
- * What a pool can run, as of one tick.
+ * The capacity of a pool as of one tick.
  *
- * @param slots slots of all hosts of the pool that take work
- * @param held slots of the pool that this entry holds
- * @param entries how many entries take work
- * @param capacities the different capacities of its hosts
+ * @param slots slots of all hosts of the pool that are in service
+ * @param held slots of the pool for which this entry holds permits
+ * @param entries active entries among which the slots are shared, 1 or more
+ * @param capacities the distinct capacities of the pool's hosts, whether in service or not
  */
 record PoolCapacity(int slots, int held, int entries, Set<Capacity> capacities) {
     /** Copies the set. */
@@ -26,7 +26,7 @@
         capacities = Set.copyOf(capacities);
     }
 
-    /** Returns the view of a pool. */
+    /** Computes the capacity of a pool, which may have no hosts. */
     static PoolCapacity of(World world, String pool) {
         int slots = 0;
         Set<Capacity> capacities = new LinkedHashSet<>();
@@ -50,26 +50,36 @@
         return (int) Math.max(1, active);
     }
 
+    /** Returns whether any host belongs to the pool, whether in service or not. */
     boolean hasHosts() {
         return !capacities.isEmpty();
     }
 
+    /** Returns whether some host of the pool is large enough for the given needs. */
     boolean fits(Capacity needs) {
         return capacities.stream().anyMatch(c -> c.fits(needs));
     }
 
     /**
-     * Returns the least time that requests of one team take to get through this entry, in
-     * milliseconds: as if no other team asked and this entry had its even part of the pool.
+     * Returns a lower bound of the wait of a team's next request at this entry, in milliseconds.
+     *
+     * <p>The bound assumes that no other team has work here, and that this entry gets at least an
+     * even part of the pool's slots and of the team's upper limit.
+     *
+     * @param world the tables of this entry
+     * @param team the team
+     * @param upperLimit most requests that the team may have running in the whole fleet
+     * @param waiting requests of the team that wait in the queue already
+     * @param meanRunMs mean run time of the queue's requests, in milliseconds
      */
     double minWaitMs(World world, String team, int upperLimit, int waiting, double meanRunMs) {
-        int ownUnits =
+        int heldUnits =
                 Optional.of(PermitKey.unit(team))
                         .flatMap(k -> world.holdings().find(k))
                         .map(HoldingRow::held)
                         .orElse(0);
-        int places = Math.max(held, slots / entries);
-        int units = Math.max(ownUnits, upperLimit / entries);
-        return waiting * meanRunMs / Math.max(1, Math.min(places, units));
+        int usableSlots = Math.max(held, slots / entries);
+        int usableUnits = Math.max(heldUnits, upperLimit / entries);
+        return waiting * meanRunMs / Math.max(1, Math.min(usableSlots, usableUnits));
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/request/RevalidationSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/request/RevalidationSystem.java
@@ -9,11 +9,19 @@
 import org.hibiscususher.core.world.Tick;
 import org.hibiscususher.core.world.World;
 
-/** Checks waiting requests again when a new revision has come into force. */
+/**
+ * Revalidates waiting requests when a new revision of the configuration comes into force.
+ *
+ * <p>They were admitted under an earlier revision. Without this check, a request whose key has been
+ * withdrawn since then could still start.
+ */
 public final class RevalidationSystem {
     private RevalidationSystem() {}
 
-    /** Refuses waiting requests whose key, team or queue is gone, and moves the others along. */
+    /**
+     * Refuses waiting requests whose key, team or queue is no longer declared, and assigns the
+     * others to the team and pool that are declared for them now.
+     */
     public static void run(Tick tick) {
         World world = tick.world();
         if (world.revision().sinceMs() != tick.nowMs()) {
@@ -21,12 +29,12 @@
         }
         for (RequestRow row : world.requests().rows()) {
             if (row.state().unsent()) {
-                recheck(tick, row);
+                revalidate(tick, row);
             }
         }
     }
 
-    private static void recheck(Tick tick, RequestRow row) {
+    private static void revalidate(Tick tick, RequestRow row) {
         World world = tick.world();
         Configuration configuration = world.configuration();
         QueueSpec queue = configuration.queues().get(row.arrival().queue());
--- a/core/src/main/java/org/hibiscususher/core/request/WaitingCounts.java
+++ b/core/src/main/java/org/hibiscususher/core/request/WaitingCounts.java
@@ -8,12 +8,14 @@
 import org.hibiscususher.core.world.World;
 
 /**
- * Counts unsent requests by queue and by team within a queue, for the length of one tick.
+ * Counts the unsent requests of each queue, and of each team within a queue, during one tick.
  *
- * <p>Counting takes one pass over those requests; each admission afterwards takes constant time.
+ * <p>Creation takes time linear in the number of unsent requests; every other method takes constant
+ * time.
  */
 final class WaitingCounts {
-    private static final int TEAM_FACTOR = 2;
+    /** A team may have this many times as many requests waiting as the queue has free places. */
+    private static final int WAITING_PER_FREE_PLACE = 2;
 
     private final Map<String, Integer> mByQueue = new LinkedHashMap<>();
     private final Map<QueueTeam, Integer> mByTeam = new LinkedHashMap<>();
@@ -25,34 +27,35 @@
     /** Counts the requests that are unsent now. */
     static WaitingCounts of(World world) {
         WaitingCounts counts = new WaitingCounts();
-        for (SchedulingClass lane : world.requests().groups()) {
-            if (lane.state().unsent()) {
-                world.requests().group(lane).forEach(counts::add);
+        for (SchedulingClass schedulingClass : world.requests().groups()) {
+            if (schedulingClass.state().unsent()) {
+                world.requests().group(schedulingClass).forEach(counts::add);
             }
         }
         return counts;
     }
 
+    /** Counts a request that has been admitted since. */
     void add(RequestRow row) {
         String queue = row.arrival().queue();
         mByQueue.merge(queue, 1, Integer::sum);
         mByTeam.merge(new QueueTeam(queue, row.team()), 1, Integer::sum);
     }
 
-    /** Returns how many requests of a team wait in a queue. */
+    /** Returns how many unsent requests a team has in a queue. */
     int waiting(String queue, String team) {
         return mByTeam.getOrDefault(new QueueTeam(queue, team), 0);
     }
 
     /**
-     * Returns whether a queue takes one more request of a team.
+     * Returns whether a queue has a free place for one more request of a team.
      *
-     * <p>A team may have waiting up to twice as many as there are free places. So a team alone gets
-     * two thirds of the queue, several get equal parts, and some places are always free for a team
-     * that has none waiting.
+     * <p>A team may have up to twice as many requests waiting as the queue has free places. A team
+     * alone thus gets two thirds of the queue, several teams get equal parts, and no team can fill
+     * the queue and shut out a team that has nothing waiting.
      */
     boolean hasFreePlace(QueueSpec queue, String team) {
         int free = queue.maxWaiting() - mByQueue.getOrDefault(queue.id(), 0);
-        return free > 0 && waiting(queue.id(), team) < TEAM_FACTOR * free;
+        return free > 0 && waiting(queue.id(), team) < WAITING_PER_FREE_PLACE * free;
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/request/package-info.java
+++ b/core/src/main/java/org/hibiscususher/core/request/package-info.java
@@ -1,2 +1,2 @@
-/** A request's life: admission, placement, attempts, retries. */
+/** The path of a request through an entry: admission, placement, attempts and retries. */
 package org.hibiscususher.core.request;
