Reword core.membership in terms of the field

The comments and private names spoke of signs of life, turns and rests. Names of tests follow. No behaviour changes.

--- a/core/src/main/java/org/hibiscususher/core/membership/HostListSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/membership/HostListSystem.java
@@ -6,19 +6,22 @@
 import org.hibiscususher.core.world.Tick;
 import org.hibiscususher.core.world.World;
 
-/** Reads the platform's list of hosts, the more seldom the longer it is. */
+/**
+ * Reads the platform's list of hosts at an interval that grows with the length of the list.
+ *
+ * <p>The platform sends the whole list each time, so a fixed interval would make the traffic grow
+ * with the fleet.
+ */
 public final class HostListSystem {
-    /** Least time between two reads, in milliseconds. */
-    private static final int INTERVAL_MS = 2_000;
+    /** Least interval between two reads, in milliseconds. */
+    private static final int MIN_INTERVAL_MS = 2_000;
 
-    /**
-     * Time added for each host of the list, in milliseconds; holds a node to some 4 KB a second.
-     */
+    /** Added to the interval for each host, in milliseconds; limits an entry to some 4 KB/s. */
     private static final int INTERVAL_MS_PER_HOST = 15;
 
     private HostListSystem() {}
 
-    /** Notes the length of new lists and asks for the next one when that is due. */
+    /** Records the length of lists that have arrived, and requests the next one when it is due. */
     public static void run(Tick tick) {
         World world = tick.world();
         for (HostListRead list : tick.inputs(HostListRead.class)) {
@@ -26,7 +29,7 @@
             world.hostListTable().update(World.SELF, r -> new HostListRow(r.requestedMs(), hosts));
         }
         HostListRow row = world.hostListTable().find(World.SELF).orElseThrow();
-        long intervalMs = INTERVAL_MS + (long) INTERVAL_MS_PER_HOST * row.hostCount();
+        long intervalMs = MIN_INTERVAL_MS + (long) INTERVAL_MS_PER_HOST * row.hostCount();
         boolean due = row.requestedMs() < 0 || tick.nowMs() - row.requestedMs() >= intervalMs;
         if (due && world.node().stage().member()) {
             world.hostListTable().put(World.SELF, new HostListRow(tick.nowMs(), row.hostCount()));
--- a/core/src/main/java/org/hibiscususher/core/membership/MembershipChanges.java
+++ b/core/src/main/java/org/hibiscususher/core/membership/MembershipChanges.java
@@ -14,17 +14,22 @@
 import org.hibiscususher.core.world.Tick;
 import org.hibiscususher.core.world.World;
 
-/** Works out how the membership record should change by this entry's hand. */
+/**
+ * Computes the next state of the membership record, as far as it is for this entry to write it.
+ *
+ * <p>A live member is removed from the record only by itself, once it holds nothing; any other
+ * member is first marked as dead, and stays so until its work must be over.
+ */
 final class MembershipChanges {
-    /** Added to the longest run of any queue before a dead member is forgotten, in milliseconds. */
-    private static final int REST_MARGIN_MS = 5_000;
+    /** Added to the longest run time of any queue before a dead member is removed, in ms. */
+    private static final int RECLAIM_MARGIN_MS = 5_000;
 
     private static final Comparator<Member> ORDER =
             Comparator.comparing(Member::id).thenComparingLong(Member::incarnation);
 
     private MembershipChanges() {}
 
-    /** Returns the record's entry of this very process unless it is shown as dead. */
+    /** Returns the member in the record that is this incarnation, unless it is shown as dead. */
     static Optional<Member> findSelf(World world) {
         NodeIdentity self = world.node().identity();
         return world.membership().record().members().stream()
@@ -33,20 +38,26 @@
                 .findFirst();
     }
 
-    /** Returns how long what a member held rests after its end, in milliseconds. */
-    static long retentionMs(World world) {
-        return REST_MARGIN_MS
+    /**
+     * Returns how long a dead member stays in the record and its permits are not reclaimed, in
+     * milliseconds.
+     *
+     * <p>Targets may run the work of an ended process for so long. If its permits were granted to
+     * others earlier, hosts would run more than their limits.
+     */
+    static long reclaimDelayMs(World world) {
+        return RECLAIM_MARGIN_MS
                 + world.configuration().queues().values().stream()
                         .mapToInt(QueueSpec::longestRunMs)
                         .max()
                         .orElse(0);
     }
 
-    /** Returns the members as they should stand in the record, in order. */
+    /** Returns the members that the next record should show, ordered by id and incarnation. */
     static List<Member> nextMembers(Tick tick) {
         List<Member> next = new ArrayList<>();
         for (Member member : tick.world().membership().record().members()) {
-            nextMembers(tick, member).ifPresent(next::add);
+            nextState(tick, member).ifPresent(next::add);
         }
         if (tick.world().node().stage() == NodeStage.JOINING) {
             next.add(memberOf(tick.world().node().identity()));
@@ -55,60 +66,64 @@
         return next;
     }
 
-    private static Optional<Member> nextMembers(Tick tick, Member member) {
+    /** Returns the next state of a member in the record, or empty if it is to be removed. */
+    private static Optional<Member> nextState(Tick tick, Member member) {
         World world = tick.world();
         if (world.node().stage() == NodeStage.JOINING) {
             return Optional.of(replaces(world.node().identity(), member) ? dead(member) : member);
         }
         if (findSelf(world).filter(member::equals).isPresent()) {
-            return nextOwn(tick, member);
+            return nextSelf(tick, member);
         }
         if (member.state() == MemberState.DEAD) {
-            return rested(tick, member) ? Optional.empty() : Optional.of(member);
+            return mayRemove(tick, member) ? Optional.empty() : Optional.of(member);
         }
         MemberState state = member.state().next(FailureDetector.evaluate(tick, member));
         return Optional.of(withState(member, state));
     }
 
-    /** Returns whether a process that listens at its address proves that a member has ended. */
+    /** Returns whether a member has the id or the address of this process, which proves its end. */
     private static boolean replaces(NodeIdentity self, Member member) {
         return member.id().equals(self.id()) || member.address().equals(self.peerAddress());
     }
 
-    private static Optional<Member> nextOwn(Tick tick, Member own) {
+    /** Returns the next state of this entry itself, or empty if it is to be removed. */
+    private static Optional<Member> nextSelf(Tick tick, Member self) {
         if (tick.world().node().stage() == NodeStage.LEAVING) {
-            return own.state() == MemberState.LEAVING && mayGo(tick)
+            return self.state() == MemberState.LEAVING && mayLeave(tick)
                     ? Optional.empty()
-                    : Optional.of(withState(own, MemberState.LEAVING));
+                    : Optional.of(withState(self, MemberState.LEAVING));
         }
         boolean recovers =
-                own.state() == MemberState.SILENT && FailureDetector.shouldRestoreSelf(tick);
-        return Optional.of(recovers ? withState(own, MemberState.ACTIVE) : own);
+                self.state() == MemberState.SILENT && FailureDetector.shouldRestoreSelf(tick);
+        return Optional.of(recovers ? withState(self, MemberState.ACTIVE) : self);
     }
 
-    /** Returns whether this entry has no work left and has given back what it can. */
-    private static boolean mayGo(Tick tick) {
+    /** Returns whether this entry has no work left and has returned the permits that it can. */
+    private static boolean mayLeave(Tick tick) {
         World world = tick.world();
         if (world.requests().size() > 0) {
             return false;
         }
         boolean holdsNothing = world.holdings().rows().stream().allMatch(h -> h.held() == 0);
-        boolean nobodyTakes =
+        boolean nobodyAllocates =
                 world.members().rows().stream().noneMatch(m -> m.member().state().mayAllocate());
-        return holdsNothing || nobodyTakes && holdsOnlyIdle(world);
+        return holdsNothing || nobodyAllocates && holdsOnlyIdle(world);
     }
 
     private static boolean holdsOnlyIdle(World world) {
         return world.holdings().rows().stream().mapToInt(HoldingRow::inUse).allMatch(n -> n == 0);
     }
 
-    private static boolean rested(Tick tick, Member member) {
+    /** Returns whether a dead member is to be removed now, and by this entry. */
+    private static boolean mayRemove(Tick tick, Member member) {
         World world = tick.world();
         Optional<DeadMemberRow> row = world.deadMembers().find(DeadMemberRow.Key.of(member));
         if (row.isEmpty()) {
             return false;
         }
-        long dueMs = row.get().sinceMs() + Math.max(row.get().reclaimDelayMs(), retentionMs(world));
+        long dueMs =
+                row.get().sinceMs() + Math.max(row.get().reclaimDelayMs(), reclaimDelayMs(world));
         return tick.nowMs() >= dueMs && FailureDetector.isTurn(tick, member, dueMs);
     }
 
--- a/core/src/main/java/org/hibiscususher/core/membership/MembershipStoreCalls.java
+++ b/core/src/main/java/org/hibiscususher/core/membership/MembershipStoreCalls.java
@@ -18,43 +18,50 @@
 import org.hibiscususher.core.world.Tick;
 import org.hibiscususher.core.world.World;
 
-/** Reads and writes the membership record, one call at a time and never faster than a bound. */
+/**
+ * Reads and writes the membership record in the platform's store.
+ *
+ * <p>At most one call is in flight. Waits after failures and conflicts differ by member, so that
+ * the members do not load a store that recovers all at once, nor conflict again.
+ */
 final class MembershipStoreCalls {
-    /** Time between two reads when nothing calls for one, in milliseconds. */
-    private static final int POLL_MS = 5_000;
+    /** Interval between reads while nothing suggests a newer record, in milliseconds. */
+    private static final int POLL_INTERVAL_MS = 5_000;
 
-    /** Wait for a watch before the record is read instead, in milliseconds. */
-    private static final int CATCH_UP_MS = 200;
+    /**
+     * Time that the store's watch has to show a newer record before it is read, in milliseconds.
+     */
+    private static final int WATCH_WAIT_MS = 200;
 
-    /** Wait after the first failure, in milliseconds; doubles with each further one. */
-    private static final int RETRY_MS = 250;
+    /** Delay after the first failed call, in milliseconds; doubles with each further one. */
+    private static final int FIRST_RETRY_MS = 250;
 
-    /** Time from a failed call after which an answer to another one ends the wait. */
-    private static final int CONTACT_WAIT_MS = 1_000;
+    /** Age of a failed call from which an answer to another store call ends the delay, in ms. */
+    private static final int RECOVERY_MS = 1_000;
 
-    /** Spread of the waits after conflicts, in milliseconds; one less than a power of two. */
-    private static final int CONFLICT_MASK = 127;
+    /** Longest delay after a conflict, in milliseconds; a bit mask, one less than a power of 2. */
+    private static final int CONFLICT_DELAY_MASK = 127;
 
-    /** Doublings of that wait at most. */
+    /** Largest number of doublings of the delay after failures. */
     private static final int MAX_DOUBLINGS = 4;
 
-    /** Spread of that wait and of the polls over the members, in milliseconds. */
+    /** Range over which members spread their delays after failures and their reads, in ms. */
     private static final int SPREAD_MS = 500;
 
-    /** Age at which a call counts as failed, in milliseconds. */
-    private static final int CALL_LIMIT_MS = 10_000;
+    /** Time after which a call without an answer counts as failed, in milliseconds. */
+    private static final int CALL_TIMEOUT_MS = 10_000;
 
     private MembershipStoreCalls() {}
 
-    /** Settles the call that is out and makes the next one that is due. */
+    /** Handles the result of the call in flight, and makes the next call when one is due. */
     static void run(Tick tick) {
-        settle(tick);
+        handleResult(tick);
         World world = tick.world();
         MembershipCallRow call = world.membershipCall();
         NodeStage stage = world.node().stage();
-        boolean out = call.callId() != 0;
-        boolean follows = stage == NodeStage.JOINING || stage.member();
-        if (out || !follows || waits(tick, call)) {
+        boolean inFlight = call.callId() != 0;
+        boolean usesRecord = stage == NodeStage.JOINING || stage.member();
+        if (inFlight || !usesRecord || mustWait(tick, call)) {
             return;
         }
         if (call.readFirst() || pollIsDue(tick, call)) {
@@ -62,7 +69,7 @@
             return;
         }
         if (stage == NodeStage.JOINING) {
-            outnumber(world);
+            raiseIncarnation(world);
         }
         MembershipRow row = world.membership();
         List<Member> next = MembershipChanges.nextMembers(tick);
@@ -71,22 +78,22 @@
         }
     }
 
-    /** Returns whether to leave the store alone; an answer to another call shortens the wait. */
-    private static boolean waits(Tick tick, MembershipCallRow call) {
-        boolean answersAgain =
+    /** Returns whether the next call must wait; an answer to another store call ends the wait. */
+    private static boolean mustWait(Tick tick, MembershipCallRow call) {
+        boolean storeAnswersAgain =
                 call.failures() > 0
-                        && tick.world().node().storeContactMs() >= call.sentMs() + CONTACT_WAIT_MS;
-        return tick.nowMs() < call.notBeforeMs() && !answersAgain;
+                        && tick.world().node().storeContactMs() >= call.sentMs() + RECOVERY_MS;
+        return tick.nowMs() < call.notBeforeMs() && !storeAnswersAgain;
     }
 
-    private static void settle(Tick tick) {
+    private static void handleResult(Tick tick) {
         long callId = tick.world().membershipCall().callId();
         if (callId == 0) {
             return;
         }
         for (RecordRead read : tick.inputs(RecordRead.class)) {
             if (read.callId() == callId) {
-                update(tick, tick.world().membershipCall().withRead());
+                putCall(tick, tick.world().membershipCall().withRead());
             }
         }
         for (RecordSwapped swapped : tick.inputs(RecordSwapped.class)) {
@@ -99,29 +106,35 @@
                 fail(tick, true);
             } else {
                 boolean conflict = swapped.result() == SwapResult.CONFLICT;
-                long waitMs = conflict ? turnMs(tick.world()) : CATCH_UP_MS;
-                update(tick, tick.world().membershipCall().withWrite(tick.nowMs() + waitMs));
+                long waitMs = conflict ? conflictDelayMs(tick.world()) : WATCH_WAIT_MS;
+                putCall(tick, tick.world().membershipCall().withWrite(tick.nowMs() + waitMs));
             }
         }
         boolean failed =
                 tick.inputs(StoreFailed.class).stream().anyMatch(f -> f.callId() == callId);
-        boolean late = tick.nowMs() - tick.world().membershipCall().sentMs() >= CALL_LIMIT_MS;
-        if (tick.world().membershipCall().callId() == callId && (failed || late)) {
-            fail(tick, late);
+        boolean timedOut = tick.nowMs() - tick.world().membershipCall().sentMs() >= CALL_TIMEOUT_MS;
+        if (tick.world().membershipCall().callId() == callId && (failed || timedOut)) {
+            fail(tick, timedOut);
         }
     }
 
+    /**
+     * Records a failed call.
+     *
+     * @param wrote whether the call may have been a write that took effect; the record is then read
+     *     before it is written again
+     */
     private static void fail(Tick tick, boolean wrote) {
         MembershipCallRow call = tick.world().membershipCall();
-        long waitMs = (long) RETRY_MS << Math.min(call.failures(), MAX_DOUBLINGS);
+        long waitMs = (long) FIRST_RETRY_MS << Math.min(call.failures(), MAX_DOUBLINGS);
         tick.count("membership.store-failed");
-        update(tick, call.withFailure(wrote, tick.nowMs() + waitMs + spreadMs(tick.world())));
+        putCall(tick, call.withFailure(wrote, tick.nowMs() + waitMs + spreadMs(tick.world())));
     }
 
-    /** Returns how long to wait after a conflict, unlike other members and unlike last time. */
-    private static long turnMs(World world) {
+    /** Returns the delay after a conflict, which differs by member and by epoch. */
+    private static long conflictDelayMs(World world) {
         long epoch = world.membership().record().epoch();
-        return Hashing.hash(epoch ^ world.node().identity().id().hashCode(), CONFLICT_MASK);
+        return Hashing.hash(epoch ^ world.node().identity().id().hashCode(), CONFLICT_DELAY_MASK);
     }
 
     private static long spreadMs(World world) {
@@ -130,14 +143,20 @@
 
     private static boolean pollIsDue(Tick tick, MembershipCallRow call) {
         World world = tick.world();
-        long agoMs = tick.nowMs() - call.sentMs();
+        long sinceCallMs = tick.nowMs() - call.sentMs();
         long epoch = world.membership().record().epoch();
         boolean behind = world.members().rows().stream().anyMatch(m -> m.epoch() > epoch);
-        return agoMs >= POLL_MS + spreadMs(world) || behind && agoMs >= CATCH_UP_MS;
+        return sinceCallMs >= POLL_INTERVAL_MS + spreadMs(world)
+                || behind && sinceCallMs >= WATCH_WAIT_MS;
     }
 
-    /** Makes this process's incarnation greater than all that the record shows at its id. */
-    private static void outnumber(World world) {
+    /**
+     * Raises this process's incarnation above all that the record shows for its id.
+     *
+     * <p>The incarnation may not have grown across a restart; the record would then take this
+     * process for the earlier one.
+     */
+    private static void raiseIncarnation(World world) {
         NodeIdentity self = world.node().identity();
         long newest =
                 world.membership().record().members().stream()
@@ -154,20 +173,20 @@
 
     private static void read(Tick tick) {
         long callId = tick.nextCallId();
-        update(tick, tick.world().membershipCall().withCall(callId, tick.nowMs()));
+        putCall(tick, tick.world().membershipCall().withCall(callId, tick.nowMs()));
         tick.count("membership.read");
         tick.emit(new ReadRecord(callId, RecordKey.MEMBERSHIP));
     }
 
     private static void swap(Tick tick, MembershipRow row, List<Member> members) {
         long callId = tick.nextCallId();
-        update(tick, tick.world().membershipCall().withCall(callId, tick.nowMs()));
+        putCall(tick, tick.world().membershipCall().withCall(callId, tick.nowMs()));
         tick.count("membership.write");
         MembershipRecord next = new MembershipRecord(row.record().epoch() + 1, members);
         tick.emit(new SwapRecord(callId, RecordKey.MEMBERSHIP, row.version(), next));
     }
 
-    private static void update(Tick tick, MembershipCallRow row) {
+    private static void putCall(Tick tick, MembershipCallRow row) {
         tick.world().membershipCallTable().put(World.SELF, row);
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/membership/MembershipSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/membership/MembershipSystem.java
@@ -23,33 +23,33 @@
 import org.hibiscususher.core.world.Tick;
 import org.hibiscususher.core.world.World;
 
-/** Follows the membership record, and moves this entry through the stages of its life. */
+/** Applies the membership record to the tables, and advances this entry's own stage. */
 public final class MembershipSystem {
     private MembershipSystem() {}
 
-    /** Takes in the record and the peers' messages, and writes the changes that are due. */
+    /** Applies the peers' messages and newer records, and writes the changes that are due. */
     public static void run(Tick tick) {
         for (PeerMessage message : PeerMessages.accepted(tick)) {
-            hear(tick, message);
+            applyMessage(tick, message);
         }
-        takeRecords(tick);
+        applyRecords(tick);
         FailureDetector.update(tick);
         if (!tick.inputs(ShutdownRequested.class).isEmpty()) {
             enter(tick, NodeStage.LEAVING);
         }
-        moveOn(tick);
+        advanceStage(tick);
         confirm(tick);
         MembershipStoreCalls.run(tick);
     }
 
-    private static void hear(Tick tick, PeerMessage message) {
+    private static void applyMessage(Tick tick, PeerMessage message) {
         World world = tick.world();
         world.members().update(message.from(), row -> heard(row, message, tick.nowMs()));
         world.liveness().update(message.from(), l -> l.withHeard(tick.nowMs()));
     }
 
     private static MemberRow heard(MemberRow row, PeerMessage message, long nowMs) {
-        long contact =
+        long storeContactMs =
                 message.storeAgeMs() < 0
                         ? row.storeContactMs()
                         : Math.max(row.storeContactMs(), nowMs - message.storeAgeMs());
@@ -62,25 +62,26 @@
                 Math.max(row.acknowledgedSequence(), message.acknowledged()),
                 Math.max(row.epoch(), message.epoch()),
                 Math.max(row.revision(), message.revision()),
-                contact);
+                storeContactMs);
     }
 
-    private static void takeRecords(Tick tick) {
+    private static void applyRecords(Tick tick) {
         for (RecordWatched watched : tick.inputs(RecordWatched.class)) {
-            take(tick, watched.record());
+            applyRecord(tick, watched.record());
         }
         for (RecordRead read : tick.inputs(RecordRead.class)) {
-            read.found().ifPresent(r -> take(tick, r));
+            read.found().ifPresent(r -> applyRecord(tick, r));
         }
     }
 
-    private static void take(Tick tick, VersionedRecord seen) {
+    /** Applies a record of the store if it is the membership and newer than the one in force. */
+    private static void applyRecord(Tick tick, VersionedRecord versioned) {
         World world = tick.world();
-        if (!(seen.value() instanceof MembershipRecord record)
-                || seen.version() <= world.membership().version()) {
+        if (!(versioned.value() instanceof MembershipRecord record)
+                || versioned.version() <= world.membership().version()) {
             return;
         }
-        world.membershipTable().put(World.SELF, new MembershipRow(seen.version(), record));
+        world.membershipTable().put(World.SELF, new MembershipRow(versioned.version(), record));
         world.membershipCallTable().update(World.SELF, c -> c.withRecordSeen());
         Set<String> live = new LinkedHashSet<>();
         Set<DeadMemberRow.Key> dead = new LinkedHashSet<>();
@@ -88,10 +89,10 @@
         for (Member member : record.members()) {
             if (member.state() == MemberState.DEAD) {
                 dead.add(DeadMemberRow.Key.of(member));
-                takeDead(tick, member);
+                applyDead(tick, member);
             } else if (!member.id().equals(self)) {
                 live.add(member.id());
-                takeLive(tick, member);
+                applyLive(tick, member);
             }
         }
         world.members().removeIf(m -> !live.contains(m.member().id()));
@@ -108,16 +109,16 @@
                                 + dead.size()));
     }
 
-    private static void takeDead(Tick tick, Member member) {
+    private static void applyDead(Tick tick, Member member) {
         World world = tick.world();
         DeadMemberRow.Key key = DeadMemberRow.Key.of(member);
         if (!world.deadMembers().contains(key)) {
-            long restMs = MembershipChanges.retentionMs(world);
-            world.deadMembers().put(key, new DeadMemberRow(member, tick.nowMs(), restMs));
+            long delayMs = MembershipChanges.reclaimDelayMs(world);
+            world.deadMembers().put(key, new DeadMemberRow(member, tick.nowMs(), delayMs));
         }
     }
 
-    private static void takeLive(Tick tick, Member member) {
+    private static void applyLive(Tick tick, Member member) {
         World world = tick.world();
         String id = member.id();
         Optional<MemberRow> known =
@@ -134,43 +135,44 @@
         }
     }
 
-    /** Moves this entry to the stage that the record and its own work call for. */
-    private static void moveOn(Tick tick) {
+    /** Advances this entry to the stage that follows from the record and its remaining requests. */
+    private static void advanceStage(Tick tick) {
         World world = tick.world();
-        Optional<Member> own = MembershipChanges.findSelf(world);
-        noteOwnState(tick, own);
+        Optional<Member> self = MembershipChanges.findSelf(world);
+        updateActiveEpoch(tick, self);
         boolean idle = world.requests().size() == 0;
         switch (world.node().stage()) {
             case JOINING -> {
-                if (own.isPresent()) {
+                if (self.isPresent()) {
                     enter(tick, NodeStage.SERVING);
                 }
             }
             case SERVING -> {
-                if (own.isEmpty()) {
+                if (self.isEmpty()) {
                     enter(tick, NodeStage.EXPELLED);
                 }
             }
             case LEAVING -> {
-                if (own.isEmpty() && idle && world.membershipCall().callId() == 0) {
-                    end(tick);
+                if (self.isEmpty() && idle && world.membershipCall().callId() == 0) {
+                    finish(tick);
                 }
             }
             case EXPELLED -> {
                 if (idle) {
-                    end(tick);
+                    finish(tick);
                 }
             }
             default -> {
-                // Nothing is left to do.
+                // GONE is the last stage.
             }
         }
     }
 
-    private static void noteOwnState(Tick tick, Optional<Member> own) {
+    /** Records the epoch in which the record began to show this entry as active, or 0. */
+    private static void updateActiveEpoch(Tick tick, Optional<Member> self) {
         World world = tick.world();
         NodeRow node = world.node();
-        boolean active = own.map(m -> m.state() == MemberState.ACTIVE).orElse(false);
+        boolean active = self.map(m -> m.state() == MemberState.ACTIVE).orElse(false);
         if (active && node.activeEpoch() == 0) {
             long epoch = world.membership().record().epoch();
             world.nodeTable().put(World.SELF, node.withActiveEpoch(epoch));
@@ -184,12 +186,17 @@
         tick.emit(new LogEvent("event=" + stage.name().toLowerCase(java.util.Locale.ROOT)));
     }
 
-    private static void end(Tick tick) {
+    private static void finish(Tick tick) {
         enter(tick, NodeStage.GONE);
         tick.emit(new ShutdownDone());
     }
 
-    /** Notes when every member that takes work knows that this entry is active. */
+    /**
+     * Records when every member that the record does not show as silent knows that this entry is
+     * active.
+     *
+     * <p>Until then this entry writes no configuration and reports no member as silent.
+     */
     private static void confirm(Tick tick) {
         World world = tick.world();
         NodeRow node = world.node();
--- a/core/src/main/java/org/hibiscususher/core/membership/PeerMessageSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/membership/PeerMessageSystem.java
@@ -10,11 +10,15 @@
 import org.hibiscususher.core.world.Tick;
 import org.hibiscususher.core.world.World;
 
-/** Sends each member one message with all that the tick has to say to it, or a heartbeat. */
+/**
+ * Sends each member the items that this tick has for it in one message, or a heartbeat when due.
+ *
+ * <p>Runs last in a tick, so that the message has the items of every other system.
+ */
 public final class PeerMessageSystem {
     private PeerMessageSystem() {}
 
-    /** Sends the messages of this tick. */
+    /** Sends a message to every member for which there are items or a heartbeat is due. */
     public static void run(Tick tick) {
         World world = tick.world();
         long heartbeatMs = PeerMessages.heartbeatMs(world);
@@ -32,7 +36,7 @@
         World world = tick.world();
         NodeRow node = world.node();
         String id = member.member().id();
-        long storeAge = node.storeContactMs() < 0 ? -1 : tick.nowMs() - node.storeContactMs();
+        long storeAgeMs = node.storeContactMs() < 0 ? -1 : tick.nowMs() - node.storeContactMs();
         MemberRow sent = member.withSent(tick.nowMs());
         world.members().put(id, sent);
         world.peerFreshness().update(id, e -> e.withSent(sent.sentSequence(), tick.nowMs()));
@@ -45,7 +49,7 @@
                         member.receivedSequence(),
                         world.membership().record().epoch(),
                         world.configuration().revision(),
-                        storeAge,
+                        storeAgeMs,
                         freshAgeMs,
                         world.freshness().knownRevision(),
                         items);
--- a/core/src/main/java/org/hibiscususher/core/membership/PeerMessages.java
+++ b/core/src/main/java/org/hibiscususher/core/membership/PeerMessages.java
@@ -8,23 +8,23 @@
 import org.hibiscususher.core.world.Tick;
 import org.hibiscususher.core.world.World;
 
-/** What holds for the links between entries. */
+/** The rules of the messages between entries: heartbeats, silence, and which messages count. */
 public final class PeerMessages {
     /**
-     * Time between two heartbeats for each other member, in milliseconds; bounds the heartbeats of
-     * an entry to 62 a second.
+     * Heartbeat interval for each other member, in milliseconds. It bounds the heartbeats that an
+     * entry sends to 62 a second, however many members there are.
      */
     private static final int HEARTBEAT_MS_PER_MEMBER = 16;
 
-    /** Heartbeats that may be missing before a member counts as silent. */
+    /** Heartbeat intervals without a message after which a member may count as silent. */
     private static final int HEARTBEATS_PER_SILENCE = 3;
 
     private PeerMessages() {}
 
     /** Returns the longest time between two messages to a peer, in milliseconds. */
     public static long heartbeatMs(World world) {
-        int least = world.settings().heartbeatMs();
-        return Math.max(least, HEARTBEAT_MS_PER_MEMBER * (long) world.members().size());
+        int configuredMs = world.settings().heartbeatMs();
+        return Math.max(configuredMs, HEARTBEAT_MS_PER_MEMBER * (long) world.members().size());
     }
 
     /** Returns how long a member may go unheard before it counts as silent, in milliseconds. */
@@ -34,8 +34,11 @@
     }
 
     /**
-     * Returns whether a message comes from the process that the membership record shows, and was
-     * meant for this process and not for an earlier one at the same place.
+     * Returns whether a message was sent by the incarnation that the membership record shows, to
+     * this incarnation.
+     *
+     * <p>A delayed message of an ended process, or to an earlier process with this id, would
+     * otherwise be applied to tables that it does not refer to.
      */
     public static boolean isCurrent(World world, PeerMessage message) {
         return message.toIncarnation() == world.node().identity().incarnation()
@@ -45,7 +48,7 @@
                         .isPresent();
     }
 
-    /** Returns the messages of this tick that are accepted, in order. */
+    /** Returns the messages of this tick that are between current incarnations, in order. */
     public static List<PeerMessage> accepted(Tick tick) {
         return tick.inputs(PeerMessageReceived.class).stream()
                 .map(PeerMessageReceived::message)
@@ -53,7 +56,7 @@
                 .toList();
     }
 
-    /** Returns whether a member has been heard within the silence limit. */
+    /** Returns whether a message of a member has arrived within the silence limit. */
     static boolean isHeard(World world, MemberRow member, long nowMs) {
         return member.lastHeardMs() >= 0 && nowMs - member.lastHeardMs() < silenceMs(world);
     }
--- a/core/src/main/java/org/hibiscususher/core/membership/package-info.java
+++ b/core/src/main/java/org/hibiscususher/core/membership/package-info.java
@@ -1,2 +1,2 @@
-/** Membership of entries: joining, leaving, silence and death. */
+/** Membership of the entries: joining, leaving, failure detection and messages between members. */
 package org.hibiscususher.core.membership;
--- a/core/src/test/java/org/hibiscususher/core/membership/PeerMessagesTest.java
+++ b/core/src/test/java/org/hibiscususher/core/membership/PeerMessagesTest.java
@@ -24,7 +24,7 @@
         mWorld.members().put("e2", MemberRow.of(peer));
     }
 
-    private boolean accepts(String from, long incarnation, long toIncarnation) {
+    private boolean isCurrent(String from, long incarnation, long toIncarnation) {
         return PeerMessages.isCurrent(
                 mWorld,
                 new PeerMessage(
@@ -32,25 +32,25 @@
     }
 
     @Nested
-    class Messages {
+    class CurrentMessages {
         @Test
-        void comeFromTheProcessInTheRecord() {
-            assertThat(accepts("e2", 20, 10)).isTrue();
-            assertThat(accepts("e2", 19, 10)).isFalse();
-            assertThat(accepts("e2", 21, 10)).isFalse();
-            assertThat(accepts("e3", 20, 10)).isFalse();
+        void comeFromTheIncarnationInTheRecord() {
+            assertThat(isCurrent("e2", 20, 10)).isTrue();
+            assertThat(isCurrent("e2", 19, 10)).isFalse();
+            assertThat(isCurrent("e2", 21, 10)).isFalse();
+            assertThat(isCurrent("e3", 20, 10)).isFalse();
         }
 
         @Test
-        void areMeantForThisProcess() {
-            assertThat(accepts("e2", 20, 9)).isFalse();
+        void areAddressedToThisIncarnation() {
+            assertThat(isCurrent("e2", 20, 9)).isFalse();
         }
     }
 
     @Nested
-    class Heartbeats {
+    class HeartbeatInterval {
         @Test
-        void comeSeldomerInALargeSite() {
+        void growsWithTheNumberOfMembers() {
             assertThat(PeerMessages.heartbeatMs(mWorld)).isEqualTo(200);
             for (int i = 3; i <= 64; i++) {
                 Member peer = new Member("e" + i, 20, "e:1", "z", MemberState.ACTIVE);
