Reword core.control and core.table in terms of the field

The comments now give the meaning of the order of the systems and the limits of the table views; removal by id and row, which neither updates groups nor the version, says so. No behaviour changes.

--- a/core/src/main/java/org/hibiscususher/core/control/ControlNode.java
+++ b/core/src/main/java/org/hibiscususher/core/control/ControlNode.java
@@ -14,11 +14,12 @@
 /**
  * The control state of one entry and the systems that run over it.
  *
- * <p>A tick depends on nothing but the tables, the time and the inputs. Not thread-safe.
+ * <p>The outputs of a tick depend only on the tables, the time and the inputs, so a run can be
+ * repeated exactly. Not thread-safe: it belongs to the control thread.
  */
 public final class ControlNode {
     private final World mWorld;
-    private final MutableLong mCallId = new MutableLong();
+    private final MutableLong mLastCallId = new MutableLong();
 
     private ControlNode(World world) {
         mWorld = world;
@@ -27,9 +28,9 @@
     /**
      * Creates the control state of an entry that has just started.
      *
-     * @param identity who the entry is
-     * @param settings times and limits
-     * @param nowMs milliseconds of the caller's clock
+     * @param identity id, incarnation, address and zone of the entry
+     * @param settings times and limits of the decisions
+     * @param nowMs time of the caller's clock, in milliseconds
      */
     public static ControlNode create(NodeIdentity identity, ControlSettings settings, long nowMs) {
         requireNonNull(identity);
@@ -40,12 +41,12 @@
     /**
      * Runs every system once.
      *
-     * @param nowMs milliseconds of the caller's clock; never decreases
-     * @param inputs what happened since the last tick, in order
-     * @return what is to be done, in order
+     * @param nowMs time of the caller's clock, in milliseconds; never decreases
+     * @param inputs events since the last tick, in order
+     * @return actions for the caller to perform, in order
      */
     public List<Output> tick(long nowMs, List<Input> inputs) {
-        Tick tick = new Tick(mWorld, nowMs, inputs, mCallId::incrementAndGet);
+        Tick tick = new Tick(mWorld, nowMs, inputs, mLastCallId::incrementAndGet);
         for (Phase phase : Phase.values()) {
             phase.run(tick);
         }
@@ -53,7 +54,7 @@
         return tick.outputs();
     }
 
-    /** Returns the tables, for reading between ticks on the control thread. */
+    /** Returns the tables; for reading between ticks, on the control thread only. */
     public World world() {
         return mWorld;
     }
--- a/core/src/main/java/org/hibiscususher/core/control/Phase.java
+++ b/core/src/main/java/org/hibiscususher/core/control/Phase.java
@@ -24,7 +24,14 @@
 import org.hibiscususher.core.rollout.RollOutSystem;
 import org.hibiscususher.core.world.Tick;
 
-/** The systems, in the order in which each tick runs them. */
+/**
+ * The systems of an entry, in the order in which each tick runs them.
+ *
+ * <p>The order matters: a system sees what those before it have changed in the same tick. Evidence
+ * and configuration come first, then the ends of attempts, which release permits, then admission
+ * and placement, which use them. {@link #PEER_MESSAGE} comes last, as it sends what the others have
+ * for the peers.
+ */
 enum Phase {
     FRESHNESS {
         @Override
--- a/core/src/main/java/org/hibiscususher/core/control/StatusSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/control/StatusSystem.java
@@ -10,14 +10,14 @@
 import org.hibiscususher.core.world.Tick;
 import org.hibiscususher.core.world.World;
 
-/** Answers operators how this entry is. */
+/** Answers operators' queries about the state of this entry. */
 final class StatusSystem {
     private StatusSystem() {}
 
-    /** Answers the calls that have come since the last tick. */
+    /** Answers the queries that have arrived since the last tick. */
     static void run(Tick tick) {
-        for (StatusRequested asked : tick.inputs(StatusRequested.class)) {
-            tick.emit(new ReplyToStatus(asked.callId(), report(tick)));
+        for (StatusRequested query : tick.inputs(StatusRequested.class)) {
+            tick.emit(new ReplyToStatus(query.callId(), report(tick)));
         }
     }
 
@@ -36,7 +36,7 @@
                 world.membership().record().epoch(),
                 world.configuration().revision(),
                 Math.max(world.freshness().knownRevision(), world.configuration().revision()),
-                age(tick, node.storeContactMs()),
+                ageMs(tick, node.storeContactMs()),
                 Freshness.ageMs(world, tick.nowMs()),
                 node.stage().admits() && Freshness.isFresh(world, tick.nowMs()),
                 waiting,
@@ -50,11 +50,12 @@
                 row.member().state(),
                 row.member().zone(),
                 row.revision(),
-                age(tick, row.lastHeardMs()),
-                age(tick, row.storeContactMs()));
+                ageMs(tick, row.lastHeardMs()),
+                ageMs(tick, row.storeContactMs()));
     }
 
-    private static long age(Tick tick, long sinceMs) {
+    /** Returns the time since the given one, in milliseconds, or -1 if the given one is -1. */
+    private static long ageMs(Tick tick, long sinceMs) {
         return sinceMs < 0 ? -1 : tick.nowMs() - sinceMs;
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/control/package-info.java
+++ b/core/src/main/java/org/hibiscususher/core/control/package-info.java
@@ -1,2 +1,2 @@
-/** The order of the systems and the control node that runs them. */
+/** The control loop of an entry: its state and the order of the systems that run over it. */
 package org.hibiscususher.core.control;
--- a/core/src/main/java/org/hibiscususher/core/table/GroupedTable.java
+++ b/core/src/main/java/org/hibiscususher/core/table/GroupedTable.java
@@ -10,9 +10,10 @@
 import java.util.function.Function;
 
 /**
- * A table that also finds its rows by a group that each row names.
+ * A table with an index that finds rows by group.
  *
- * <p>Keeping the groups costs constant time for each change. Not thread-safe.
+ * <p>A function maps each row to its group. Each change updates the index in constant time. Not
+ * thread-safe: a table belongs to the control thread.
  *
  * @param <K> the type of the ids
  * @param <R> the type of the rows
@@ -26,18 +27,29 @@
         mGroupOf = groupOf;
     }
 
-    /** Creates an empty table whose rows belong to the groups that the function names. */
+    /**
+     * Creates an empty table.
+     *
+     * @param groupOf returns the group of a row; must depend on the row alone
+     */
     public static <K, R, G> GroupedTable<K, R, G> createBy(Function<R, G> groupOf) {
         return new GroupedTable<>(requireNonNull(groupOf));
     }
 
-    /** Returns a live, unmodifiable view of the rows of a group, in the order they came to it. */
+    /**
+     * Returns an unmodifiable view of the rows of a group, in the order in which they joined it.
+     *
+     * <p>The view follows changes of the table while the group has rows; it must not be iterated
+     * across a change.
+     */
     public Collection<R> group(G group) {
         return Collections.unmodifiableCollection(
                 mGroups.getOrDefault(group, Collections.emptyMap()).values());
     }
 
-    /** Returns a live, unmodifiable view of the groups that have rows. */
+    /**
+     * Returns an unmodifiable view of the groups that have rows; it follows changes of the table.
+     */
     public Set<G> groups() {
         return Collections.unmodifiableSet(mGroups.keySet());
     }
--- a/core/src/main/java/org/hibiscususher/core/table/SingleRowTable.java
+++ b/core/src/main/java/org/hibiscususher/core/table/SingleRowTable.java
@@ -5,7 +5,7 @@
 /**
  * Holds exactly one immutable row.
  *
- * <p>Not thread-safe: it belongs to the control thread.
+ * <p>The row is replaced, never changed. Not thread-safe: a table belongs to the control thread.
  *
  * @param <R> the type of the row
  */
@@ -16,7 +16,7 @@
         mRow = requireNonNull(row);
     }
 
-    /** Creates a holder of the given row. */
+    /** Creates a table that holds the given row. */
     public static <R> SingleRowTable<R> of(R row) {
         return new SingleRowTable<>(row);
     }
--- a/core/src/main/java/org/hibiscususher/core/table/Table.java
+++ b/core/src/main/java/org/hibiscususher/core/table/Table.java
@@ -14,8 +14,8 @@
 /**
  * Holds immutable rows by id, in insertion order.
  *
- * <p>A row is replaced, never changed. Look-up and replacement take constant time. Not thread-safe:
- * a table belongs to the control thread.
+ * <p>A row is replaced, never changed. A replaced row keeps its place in the order. Look-up and
+ * replacement take constant time. Not thread-safe: a table belongs to the control thread.
  *
  * @param <K> the type of the ids; neither ids nor rows may be null
  * @param <R> the type of the rows
@@ -52,7 +52,7 @@
         }
     }
 
-    /** Replaces the row with the given id, if there is one, by the result of the operator. */
+    /** Replaces the row with the given id by the result of the operator; does nothing if none. */
     public void update(K id, UnaryOperator<R> operator) {
         R row = mRows.get(requireNonNull(id));
         if (row != null) {
@@ -60,7 +60,7 @@
         }
     }
 
-    /** Removes the row with the given id and returns it, or empty. */
+    /** Removes the row with the given id, and returns it, or empty if there was none. */
     public Optional<R> remove(K id) {
         Optional<R> row = Optional.ofNullable(mRows.remove(requireNonNull(id)));
         if (row.isPresent()) {
@@ -69,7 +69,7 @@
         return row;
     }
 
-    /** Removes all rows that match the predicate and returns how many there were. */
+    /** Removes all rows that match the predicate, and returns how many were removed. */
     public int removeIf(Predicate<R> predicate) {
         int before = mRows.size();
         Iterator<Map.Entry<K, R>> entries = mRows.entrySet().iterator();
@@ -83,7 +83,12 @@
         return before - mRows.size();
     }
 
-    /** Removes all rows whose id and row match the predicate and returns how many there were. */
+    /**
+     * Removes all rows whose id and row match the predicate, and returns how many were removed.
+     *
+     * <p>Unlike the other changes, this one neither calls {@link #onChange} nor advances the {@link
+     * #version}. It must not be used on a grouped table.
+     */
     public int removeIf(BiPredicate<K, R> predicate) {
         int n = mRows.size();
         mRows.entrySet().removeIf(e -> predicate.test(e.getKey(), e.getValue()));
@@ -95,10 +100,10 @@
     }
 
     /**
-     * Returns the rows as they are now, in insertion order of their ids.
+     * Returns an immutable snapshot of the rows, in insertion order of their ids.
      *
-     * <p>Takes constant time when no row changed since the last call, else linear time. Later
-     * changes do not show in the list.
+     * <p>Takes constant time when no row has changed since the last call, else linear time. The
+     * table may be changed while the snapshot is iterated.
      */
     public List<R> rows() {
         if (mSnapshotStale) {
@@ -118,7 +123,7 @@
         removeIf(row -> true);
     }
 
-    /** Returns a number that grows with every change. */
+    /** Returns a number that grows with each row that is added, replaced or removed. */
     public long version() {
         return mVersion;
     }
--- a/core/src/main/java/org/hibiscususher/core/table/package-info.java
+++ b/core/src/main/java/org/hibiscususher/core/table/package-info.java
@@ -1,2 +1,2 @@
-/** Tables: the only mutable containers of the core. */
+/** Tables of immutable rows by id: the only mutable containers of the core. */
 package org.hibiscususher.core.table;
