Reword core.config in terms of the field

Parameter comments repeated their names, and messages of exceptions did not say which declaration is wrong. They now give meaning, unit and range.

--- a/core/src/main/java/org/hibiscususher/core/config/Capacity.java
+++ b/core/src/main/java/org/hibiscususher/core/config/Capacity.java
@@ -5,20 +5,23 @@
  *
  * @param cores processor cores, 0 or more
  * @param memoryGb memory in gigabytes, 0 or more
- * @param accelerators accelerators, 0 or more
+ * @param accelerators number of accelerators, such as GPUs, 0 or more
  */
 public record Capacity(int cores, int memoryGb, int accelerators) {
-    /** Nothing declared. */
+    /** No resources; also stands for needs that are not declared. */
     public static final Capacity NONE = new Capacity(0, 0, 0);
 
     /** Checks that no amount is negative. */
     public Capacity {
         if (cores < 0 || memoryGb < 0 || accelerators < 0) {
-            throw new IllegalArgumentException("negative capacity");
+            throw new IllegalArgumentException(
+                    "capacity is negative: " + cores + ", " + memoryGb + ", " + accelerators);
         }
     }
 
-    /** Returns whether a host with this capacity can run something that needs the given one. */
+    /**
+     * Returns whether a host with this capacity has enough of each resource for the given needs.
+     */
     public boolean fits(Capacity needs) {
         return needs.cores <= cores
                 && needs.memoryGb <= memoryGb
--- a/core/src/main/java/org/hibiscususher/core/config/Configuration.java
+++ b/core/src/main/java/org/hibiscususher/core/config/Configuration.java
@@ -6,13 +6,13 @@
 import java.util.TreeMap;
 
 /**
- * All that the operators have declared, as of one revision. Immutable; maps iterate by id.
+ * Everything that the operators have declared, as of one revision. Immutable; maps iterate by id.
  *
- * @param revision number of accepted release notes, 0 for the empty configuration
+ * @param revision number of release notes accepted so far, 0 for the empty configuration
  * @param pools pools by id
  * @param hosts hosts by id
  * @param teams teams by id
- * @param keys keys by id
+ * @param keys access keys by id
  * @param queues queues by id
  */
 public record Configuration(
--- a/core/src/main/java/org/hibiscususher/core/config/ConfigurationDelta.java
+++ b/core/src/main/java/org/hibiscususher/core/config/ConfigurationDelta.java
@@ -5,12 +5,12 @@
 import java.util.StringJoiner;
 
 /**
- * What leads from one revision of the configuration to the next. Immutable.
+ * The difference between one revision of the configuration and the next. Immutable.
  *
  * @param pools edits of pools
  * @param hosts edits of hosts
  * @param teams edits of teams
- * @param keys edits of keys
+ * @param keys edits of access keys
  * @param queues edits of queues
  */
 public record ConfigurationDelta(
@@ -24,10 +24,13 @@
             new ConfigurationDelta(
                     Edits.none(), Edits.none(), Edits.none(), Edits.none(), Edits.none());
 
+    /** Estimate of the stored size of one declaration, in bytes. */
     private static final int PUT_BYTES = 200;
+
+    /** Estimate of the stored size of one removed id, in bytes. */
     private static final int REMOVED_BYTES = 24;
 
-    /** Checks the fields. */
+    /** Checks that no field is null. */
     public ConfigurationDelta {
         requireNonNull(pools);
         requireNonNull(hosts);
@@ -36,7 +39,9 @@
         requireNonNull(queues);
     }
 
-    /** Returns the delta that leads from one configuration to another; takes linear time. */
+    /**
+     * Returns the delta from one configuration to another, whatever their revisions. Linear time.
+     */
     public static ConfigurationDelta between(Configuration before, Configuration after) {
         return new ConfigurationDelta(
                 Edits.between(before.pools(), after.pools()),
@@ -46,7 +51,7 @@
                 Edits.between(before.queues(), after.queues()));
     }
 
-    /** Returns the configuration that follows the given one. */
+    /** Returns the given configuration with this delta applied; its revision is one higher. */
     public Configuration applyTo(Configuration before) {
         return new Configuration(
                 before.revision() + 1,
@@ -57,7 +62,7 @@
                 queues.applyTo(before.queues(), QueueSpec::id));
     }
 
-    /** Returns about how many bytes the delta takes in the platform's store. */
+    /** Returns an estimate of the delta's size in the platform's store, in bytes. */
     public int estimatedBytes() {
         int puts =
                 pools.put().size()
@@ -74,7 +79,7 @@
         return puts * PUT_BYTES + removals * REMOVED_BYTES;
     }
 
-    /** Returns one line for operators, as {@code hosts +2 -1, keys -1}. */
+    /** Returns a summary for operators on one line, as {@code hosts +2 -1, keys -1}. */
     public String summary() {
         StringJoiner line = new StringJoiner(", ");
         add(line, "pools", pools);
--- a/core/src/main/java/org/hibiscususher/core/config/Edits.java
+++ b/core/src/main/java/org/hibiscususher/core/config/Edits.java
@@ -7,10 +7,10 @@
 import java.util.function.Function;
 
 /**
- * What a change does to the declarations of one type. Immutable.
+ * The edits that a delta makes to the declarations of one type. Immutable.
  *
- * @param put declarations that are new or replace those with the same id
- * @param removed ids of declarations that are gone
+ * @param put declarations to add, or to replace those with the same id
+ * @param removed ids of declarations to remove
  * @param <T> type of the declarations
  */
 public record Edits<T>(List<T> put, List<String> removed) {
@@ -20,22 +20,22 @@
         removed = List.copyOf(removed);
     }
 
-    /** Returns edits that do nothing. */
+    /** Returns an empty set of edits. */
     public static <T> Edits<T> none() {
         return new Edits<>(List.of(), List.of());
     }
 
-    /** Returns whether nothing is edited. */
+    /** Returns whether there are no edits. */
     public boolean isEmpty() {
         return put.isEmpty() && removed.isEmpty();
     }
 
-    /** Returns how many declarations are put or removed. */
+    /** Returns how many declarations are added, replaced or removed. */
     public int size() {
         return put.size() + removed.size();
     }
 
-    /** Returns the edits that lead from one map to another; takes linear time. */
+    /** Returns the edits that turn one map into another. Takes linear time. */
     static <T> Edits<T> between(SortedMap<String, T> before, SortedMap<String, T> after) {
         return new Edits<>(
                 after.entrySet().stream()
@@ -45,7 +45,11 @@
                 before.keySet().stream().filter(id -> !after.containsKey(id)).toList());
     }
 
-    /** Returns the map with the edits applied. */
+    /**
+     * Returns the map with the edits applied; the given map stays as it is.
+     *
+     * @param idOf returns the id of a declaration
+     */
     SortedMap<String, T> applyTo(SortedMap<String, T> before, Function<T, String> idOf) {
         if (isEmpty()) {
             return before;
--- a/core/src/main/java/org/hibiscususher/core/config/KeySpec.java
+++ b/core/src/main/java/org/hibiscususher/core/config/KeySpec.java
@@ -3,14 +3,14 @@
 import static java.util.Objects.requireNonNull;
 
 /**
- * Declares a key that lets its holders hand in work for a team.
+ * Declares an access key, whose holders may submit requests for a team.
  *
- * @param id unique name, safe to show
- * @param team the team
- * @param digest digest of the secret
+ * @param id unique name of the key; not secret
+ * @param team id of the team for which the requests run
+ * @param digest digest of the key's secret
  */
 public record KeySpec(String id, String team, KeyDigest digest) {
-    /** Checks the fields. */
+    /** Checks that no field is null. */
     public KeySpec {
         requireNonNull(id);
         requireNonNull(team);
--- a/core/src/main/java/org/hibiscususher/core/config/QueueKind.java
+++ b/core/src/main/java/org/hibiscususher/core/config/QueueKind.java
@@ -1,8 +1,13 @@
 package org.hibiscususher.core.config;
 
-/** How long the work of a queue runs, which decides what slots it may take. */
+/**
+ * Classifies queues by how long their work runs, which decides how many slots of a pool it may use.
+ *
+ * <p>Without a reserve, long work could occupy all slots, and quick work would have to wait for a
+ * long run to end.
+ */
 public enum QueueKind {
-    /** Short look-ups: may take every slot of the pool. */
+    /** Short look-ups, which may use every slot of the pool. */
     QUICK {
         @Override
         public int maxSlots(int poolSlots, int quickReserve) {
@@ -10,7 +15,7 @@
         }
     },
 
-    /** Long runs: leave the pool's quick reserve free. */
+    /** Long runs, which must leave the pool's quick reserve free. */
     LONG {
         @Override
         public int maxSlots(int poolSlots, int quickReserve) {
@@ -18,6 +23,11 @@
         }
     };
 
-    /** Returns how many of the pool's slots work of this kind may hold at a time. */
+    /**
+     * Returns how many of a pool's slots work of this kind may use at a time.
+     *
+     * @param poolSlots slots of the pool, 0 or more
+     * @param quickReserve slots that long work must leave free, 0 or more
+     */
     public abstract int maxSlots(int poolSlots, int quickReserve);
 }
--- a/core/src/main/java/org/hibiscususher/core/config/QueueSpec.java
+++ b/core/src/main/java/org/hibiscususher/core/config/QueueSpec.java
@@ -7,13 +7,13 @@
 /**
  * Declares a queue: a class of work that runs on one pool.
  *
- * @param id unique name; callers use it as the first segment of the path
- * @param pool where the work runs
- * @param kind how long the work runs
- * @param openTeam the team under whose share work without a key runs; empty if a key is needed
- * @param maxWaiting most requests waiting in one entry, 1 or more
- * @param waitLimitMs longest wait for a start, in milliseconds, 1 or more
- * @param runLimitMs longest that a caller waits for a run, in milliseconds, 1 or more
+ * @param id unique name of the queue; callers give it as the first segment of the path
+ * @param pool id of the pool whose hosts run the work
+ * @param kind whether the work is quick or long
+ * @param openTeam id of the team that requests without a key count for; empty if a key is required
+ * @param maxWaiting most requests that may wait in one entry, 1 or more
+ * @param waitLimitMs longest wait for the first start, in milliseconds, 1 or more
+ * @param runLimitMs longest time that a caller waits for an attempt, in milliseconds, 1 or more
  */
 public record QueueSpec(
         String id,
@@ -23,17 +23,24 @@
         int maxWaiting,
         int waitLimitMs,
         int runLimitMs) {
-    /** How many times its limit a run may last before it counts as over. */
+    /** Multiple of its limit that a run may last before it counts as over. */
     private static final int OVERRUN_FACTOR = 4;
 
-    /** Checks the fields. */
+    /** Checks that no field is null, and that every limit is 1 or more. */
     public QueueSpec {
         requireNonNull(id);
         requireNonNull(pool);
         requireNonNull(kind);
         requireNonNull(openTeam);
         if (maxWaiting < 1 || waitLimitMs < 1 || runLimitMs < 1) {
-            throw new IllegalArgumentException("limits of a queue are 1 or more");
+            throw new IllegalArgumentException(
+                    "limits of a queue must be 1 or more: "
+                            + maxWaiting
+                            + ", "
+                            + waitLimitMs
+                            + " ms, "
+                            + runLimitMs
+                            + " ms");
         }
     }
 
@@ -43,10 +50,13 @@
     }
 
     /**
-     * Returns the time after which a run counts as over whatever its target says, in milliseconds.
+     * Returns the time after which a run counts as over even if its target has not reported its
+     * end, in milliseconds.
      *
-     * <p>Run limits are declared by people and often passed: the caller is told at the limit, but
-     * the permits stay in use until the target answers or closes, or this time is over.
+     * <p>Run limits are estimates by people, and runs often exceed them. At the limit, only the
+     * caller's wait ends. The permits stay in use until the target answers, or closes the
+     * connection, or this time has passed; otherwise the host would get new work while the old run
+     * still uses its slot.
      *
      * @param runLimitMs run limit of the queue, in milliseconds
      */
--- a/core/src/main/java/org/hibiscususher/core/config/package-info.java
+++ b/core/src/main/java/org/hibiscususher/core/config/package-info.java
@@ -1,4 +1,5 @@
 /**
- * The operators' configuration in force: immutable declarations of pools, hosts, teams and keys.
+ * The operators' configuration: immutable declarations of pools, hosts, teams, access keys and
+ * queues, and the differences between its revisions.
  */
 package org.hibiscususher.core.config;
