--- a/core/src/test/java/org/hibiscususher/core/ShapeTest.java
+++ b/core/src/test/java/org/hibiscususher/core/ShapeTest.java
@@ -10,7 +10,10 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
-/** Keeps the agreed shape of the core. */
+/**
+ * Checks the architecture of the core: decisions without input or output, immutable data, and
+ * systems without state.
+ */
 class ShapeTest {
     private static final String CORE = "org.hibiscususher.core..";
     private static final JavaClasses CLASSES =
@@ -21,7 +24,7 @@
     @Nested
     class Dependencies {
         @Test
-        void areAgronaAndTheJdkAlone() {
+        void areOnlyAgronaAndTheJdk() {
             classes()
                     .should()
                     .onlyDependOnClassesThat()
@@ -76,7 +79,7 @@
         }
 
         @Test
-        void isHeldInRecordsWhereRowsAreMeant() {
+        void keepsRowsInRecords() {
             classes().that().haveSimpleNameEndingWith("Row").should().beRecords().check(CLASSES);
         }
     }
@@ -84,7 +87,7 @@
     @Nested
     class Systems {
         @Test
-        void keepNoStateOfTheirOwn() {
+        void haveNoMutableState() {
             fields().that()
                     .areDeclaredInClassesThat()
                     .haveSimpleNameEndingWith("System")
