--- a/core/src/main/java/org/hibiscususher/core/membership/MembershipSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/membership/MembershipSystem.java
@@ -44,11 +44,11 @@
 
     private static void applyMessage(Tick tick, PeerMessage message) {
         World world = tick.world();
-        world.members().update(message.from(), row -> heard(row, message, tick.nowMs()));
+        world.members().update(message.from(), row -> withMessage(row, message, tick.nowMs()));
         world.liveness().update(message.from(), l -> l.withHeard(tick.nowMs()));
     }
 
-    private static MemberRow heard(MemberRow row, PeerMessage message, long nowMs) {
+    private static MemberRow withMessage(MemberRow row, PeerMessage message, long nowMs) {
         long storeContactMs =
                 message.storeAgeMs() < 0
                         ? row.storeContactMs()
--- a/core/src/main/java/org/hibiscususher/core/request/OutlierSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/request/OutlierSystem.java
@@ -63,6 +63,12 @@
         }
     }
 
+    /**
+     * Applies the outcome of an attempt to its host.
+     *
+     * <p>While a host is quarantined, only faults of its probe count. Other attempts were started
+     * before the quarantine and say nothing about the host's present state.
+     */
     private static void applyOutcome(Tick tick, RequestRow row, AttemptOutcome outcome) {
         Optional<HostRow> found = tick.world().hosts().find(row.host());
         if (found.isEmpty()) {
@@ -78,6 +84,12 @@
         }
     }
 
+    /**
+     * Counts a fault, and quarantines or throttles the host if it has had too many in a row.
+     *
+     * <p>A request that the host did not run cannot have caused the fault. Any other fault leaves
+     * the count below a quarantine while the other hosts fail as well.
+     */
     private static void recordFault(Tick tick, HostRow host, AttemptOutcome outcome) {
         boolean hostAtFault = outcome.notRun() || !halfOfOthersFail(tick.world(), host);
         int seen = host.consecutiveFaults() + 1;
--- a/core/src/main/java/org/hibiscususher/core/request/PoolCapacity.java
+++ b/core/src/main/java/org/hibiscususher/core/request/PoolCapacity.java
@@ -38,10 +38,10 @@
         for (HoldingRow holding : world.holdings().group(PermitGroup.pool(pool))) {
             held += holding.key().kind() == PermitKind.SLOT ? holding.held() : 0;
         }
-        return new PoolCapacity(slots, held, entries(world), capacities);
+        return new PoolCapacity(slots, held, activeEntries(world), capacities);
     }
 
-    private static int entries(World world) {
+    private static int activeEntries(World world) {
         long active =
                 world.membership().record().members().stream()
                         .map(Member::state)
