--- a/core/src/main/java/org/hibiscususher/core/request/IdempotencyKeyCoordinator.java
+++ b/core/src/main/java/org/hibiscususher/core/request/IdempotencyKeyCoordinator.java
@@ -29,7 +29,7 @@
  * <p>The coordinator therefore grants a key only if every process that may have been the key's
  * coordinator before is known to have stopped granting it, and only if the key was made after that,
  * by the timestamp that it carries: an earlier coordinator can then not have granted it. Any other
- * key is answered with {@link ClaimResult#NOT_VOUCHED}.
+ * key is answered with {@link IdempotencyClaimResult#NOT_VOUCHED}.
  */
 final class IdempotencyKeyCoordinator {
     /** How long keys are remembered, in milliseconds since the timestamp that they carry. */
