--- a/core/src/main/java/org/hibiscususher/core/config/AvailabilityBudget.java
+++ b/core/src/main/java/org/hibiscususher/core/config/AvailabilityBudget.java
@@ -14,10 +14,7 @@
     public AvailabilityBudget {
         if (maxUnavailable < 1 || maxUnavailablePerZone < 1) {
             throw new IllegalArgumentException(
-                    "an availability budget must allow one host or more: "
-                            + maxUnavailable
-                            + ", per zone "
-                            + maxUnavailablePerZone);
+                    "an availability budget must allow one host or more");
         }
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/config/Capacity.java
+++ b/core/src/main/java/org/hibiscususher/core/config/Capacity.java
@@ -14,8 +14,7 @@
     /** Checks that no amount is negative. */
     public Capacity {
         if (cores < 0 || memoryGb < 0 || accelerators < 0) {
-            throw new IllegalArgumentException(
-                    "capacity is negative: " + cores + ", " + memoryGb + ", " + accelerators);
+            throw new IllegalArgumentException("a capacity must not be negative");
         }
     }
 
--- a/core/src/main/java/org/hibiscususher/core/config/QueueSpec.java
+++ b/core/src/main/java/org/hibiscususher/core/config/QueueSpec.java
@@ -33,14 +33,7 @@
         requireNonNull(kind);
         requireNonNull(openTeam);
         if (maxWaiting < 1 || waitLimitMs < 1 || runLimitMs < 1) {
-            throw new IllegalArgumentException(
-                    "limits of a queue must be 1 or more: "
-                            + maxWaiting
-                            + ", "
-                            + waitLimitMs
-                            + " ms, "
-                            + runLimitMs
-                            + " ms");
+            throw new IllegalArgumentException("limits of a queue must be 1 or more");
         }
     }
 
