--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/InvariantChecker.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/InvariantChecker.java
@@ -41,8 +41,10 @@
     private final Set<TaskKey> mAcknowledgedTasks = new HashSet<>();
     private final Map<String, JobSpec> mSpecs = new HashMap<>();
     private final Map<String, String> mTeams = new HashMap<>();
+
     /** Number of failed runs after which a task must not start again, by job. */
     private final Map<String, Integer> mMaxFailures = new HashMap<>();
+
     private final Set<String> mAcceptedJobs = new HashSet<>();
     private final Set<String> mRejectedJobs = new HashSet<>();
     private final Set<String> mUncertainJobs = new HashSet<>();
@@ -52,6 +54,7 @@
 
     /** Total demand of the running tasks, by team. */
     private final Map<String, Resources> mTeamUse = new HashMap<>();
+
     private final Map<String, Resources> mTeamLimits = new HashMap<>();
     private final Map<String, HostCoordinator> mHostCoordinators = new HashMap<>();
 
@@ -64,8 +67,8 @@
     private record HostCoordinator(String entry, long orderedMs) {}
 
     /**
-     * Sets the resources that the running tasks of a team may demand in total. A team without a limit
-     * may run nothing.
+     * Sets the resources that the running tasks of a team may demand in total. A team without a
+     * limit may run nothing.
      */
     public void setTeamLimit(String team, Resources limit) {
         mTeamLimits.put(team, limit);
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/SchedulerInvariant.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/SchedulerInvariant.java
@@ -8,7 +8,9 @@
     FINISHED_TASK_NOT_RERUN,
     /** A step starts only after all steps that it depends on are done. */
     STEP_DEPENDENCIES,
-    /** A task that is no service does not start again after as many failed runs as its job allows. */
+    /**
+     * A task that is no service does not start again after as many failed runs as its job allows.
+     */
     ATTEMPT_LIMIT,
     /** The running tasks of a team never demand more resources than the team's limit. */
     TEAM_LIMIT,
