Name the benchmarks' classes and figures in terms of the field

Contender, nearness, due and stretches of other wording were private to the project. The classes are now AllocationMethod, EntrySimulation, CentralScheduler, BenchMetrics, BenchResult, PropagationPath, ConfigurationSizes and WaveSiteSetup; comments give units, percentiles and the reason for each reference. Printed columns and rows are unchanged.

--- a/standin/src/main/java/org/hibiscususher/standin/bench/Arrival.java
+++ b/standin/src/main/java/org/hibiscususher/standin/bench/Arrival.java
@@ -3,13 +3,13 @@
 import org.hibiscususher.core.config.QueueKind;
 
 /**
- * A request of the experiment.
+ * A request of the generated workload.
  *
- * @param atMs when it arrives, in milliseconds from the start
- * @param pool number of its pool
- * @param customer number of its customer
- * @param kind how long it runs
- * @param runMs its run time, in milliseconds
- * @param entry number of the entry that it reaches
+ * @param atMs arrival time, in milliseconds from the start of the run
+ * @param pool index of its pool in the site, from 0
+ * @param customer index of its customer in {@link Scenario#customers}
+ * @param kind whether it goes to the pool's queue of quick or of long requests
+ * @param runMs run time once started, in milliseconds
+ * @param entry index of the entry that the caller sends it to, from 0
  */
 record Arrival(int atMs, int pool, int customer, QueueKind kind, int runMs, int entry) {}
--- a/standin/src/main/java/org/hibiscususher/standin/bench/BenchMain.java
+++ b/standin/src/main/java/org/hibiscususher/standin/bench/BenchMain.java
@@ -7,37 +7,43 @@
 import java.util.List;
 import java.util.Locale;
 
-/** Runs the experiment and prints a table; a CSV file goes to {@code target/bench.csv}. */
+/**
+ * Compares the allocation methods on every site and scenario.
+ *
+ * <p>Prints a table and writes the same figures to {@code target/bench.csv}. All methods of a
+ * scenario and seed get the same requests.
+ */
 public final class BenchMain {
     private static final Path CSV = Path.of("target", "bench.csv");
 
     private BenchMain() {}
 
     /**
-     * Runs every scenario whose name begins with one of the arguments, or all of them.
+     * Runs the benchmark.
      *
-     * <p>An argument that is a number is a seed; without any, seed 1 is used.
+     * @param args prefixes of the names of the scenarios to run, in any case, all scenarios if
+     *     there are none; arguments of digits only are seeds, by default seed 1
      */
     public static void main(String[] args) throws IOException {
         List<Long> seeds = new ArrayList<>();
-        List<String> names = new ArrayList<>();
+        List<String> prefixes = new ArrayList<>();
         for (String arg : args) {
             if (arg.chars().allMatch(Character::isDigit)) {
                 seeds.add(Long.valueOf(arg));
             } else {
-                names.add(arg.toUpperCase(Locale.ROOT));
+                prefixes.add(arg.toUpperCase(Locale.ROOT));
             }
         }
         if (seeds.isEmpty()) {
             seeds.add(1L);
         }
-        List<String> csv = new ArrayList<>(List.of(Figures.CSV_HEAD));
+        List<String> csv = new ArrayList<>(List.of(BenchResult.CSV_HEADER));
         System.out.println(
                 "site scenario contender seed: nearness median / worst twentieth, windows,"
                         + " quick wait p50 p99 p99.9 ms, stranded, violations, messages/s/entry");
         for (BenchSite site : BenchSite.values()) {
             for (Scenario scenario : Scenario.values()) {
-                if (names.isEmpty() || names.stream().anyMatch(scenario.name()::startsWith)) {
+                if (prefixes.isEmpty() || prefixes.stream().anyMatch(scenario.name()::startsWith)) {
                     seeds.forEach(seed -> run(site, scenario, seed, csv));
                 }
             }
@@ -48,23 +54,23 @@
 
     private static void run(BenchSite site, Scenario scenario, long seed, List<String> csv) {
         List<Arrival> arrivals = scenario.arrivals(site, seed);
-        for (Contender contender : Contender.values()) {
-            Meter meter = new Meter(site, scenario.customers());
-            long messages = contender.run(site, scenario, seed, arrivals, meter);
-            Figures figures = meter.figures();
+        for (AllocationMethod method : AllocationMethod.values()) {
+            BenchMetrics metrics = new BenchMetrics(site, scenario.customers());
+            long messages = method.run(site, scenario, seed, arrivals, metrics);
+            BenchResult result = metrics.result();
             System.out.printf(
                     Locale.ROOT,
                     "%-8s %-22s %-12s %d: %s  %4d%n",
                     site,
                     scenario,
-                    contender,
+                    method,
                     seed,
-                    figures.text(),
+                    result.text(),
                     messages * 1_000 / Scenario.DURATION_MS / BenchSite.ENTRIES);
             csv.add(
-                    String.join(",", site.name(), scenario.name(), contender.name(), "" + seed)
+                    String.join(",", site.name(), scenario.name(), method.name(), "" + seed)
                             + ","
-                            + figures.csv()
+                            + result.csv()
                             + ","
                             + messages);
         }
--- a/standin/src/main/java/org/hibiscususher/standin/bench/BenchSite.java
+++ b/standin/src/main/java/org/hibiscususher/standin/bench/BenchSite.java
@@ -4,44 +4,49 @@
 import java.util.List;
 import org.hibiscususher.core.config.KeyDigest;
 
-/** The two sites, in the sizes of today. */
+/** The sites of the benchmark, with their present numbers of zones and hosts. */
 enum BenchSite {
-    /** Four zones; five services of eight executors each. */
+    /** Four zones; five pools of eight hosts each. */
     OBROTOWA(4, List.of(8, 8, 8, 8, 8)),
-    /** Three zones; five services with 35 executors in all. */
+    /** Three zones; five pools with 35 hosts in all. */
     OFFICE(3, List.of(6, 6, 8, 9, 6));
 
+    /** The default of release notes, as {@link #note} sets no number of slots. */
     static final int SLOTS_PER_HOST = 8;
+
     static final int ENTRIES = 9;
-    static final int WAIT_LIMIT_MS = 2_500;
+    static final int QUICK_WAIT_LIMIT_MS = 2_500;
     static final int LONG_WAIT_LIMIT_MS = 60_000;
     static final int RUN_LIMIT_MS = 5_000;
 
     private final int mZones;
-    private final List<Integer> mHosts;
+    private final List<Integer> mHostsPerPool;
 
-    BenchSite(int zones, List<Integer> hosts) {
+    BenchSite(int zones, List<Integer> hostsPerPool) {
         mZones = zones;
-        mHosts = hosts;
+        mHostsPerPool = hostsPerPool;
     }
 
     int pools() {
-        return mHosts.size();
+        return mHostsPerPool.size();
     }
 
+    /** Returns the slots of all hosts of a pool. */
     int slots(int pool) {
-        return mHosts.get(pool) * SLOTS_PER_HOST;
+        return mHostsPerPool.get(pool) * SLOTS_PER_HOST;
     }
 
+    /** Returns how many slots of a pool long requests must leave free: one per host. */
     int quickReserve(int pool) {
-        return mHosts.get(pool);
+        return mHostsPerPool.get(pool);
     }
 
+    /** Returns the zone of an entry; entries are spread over the zones in turn. */
     String zone(int entry) {
         return "z" + entry % mZones;
     }
 
-    /** Returns the release note that declares the site. */
+    /** Returns the release note, as YAML, that declares the site and its customers. */
     String note(List<Customer> customers) {
         List<String> lines = new ArrayList<>();
         lines.add("note: opening\nauthor: bench\nadded:\n  pools:");
@@ -51,7 +56,7 @@
         lines.add("  hosts:");
         int port = 0;
         for (int p = 0; p < pools(); p++) {
-            for (int h = 0; h < mHosts.get(p); h++) {
+            for (int h = 0; h < mHostsPerPool.get(p); h++) {
                 port++;
                 lines.add(
                         "    - {name: p%dh%d, address: \"127.0.0.1:%d\", zone: z%d, pool: p%d}"
@@ -72,13 +77,13 @@
         }
         lines.add("  queues:");
         for (int p = 0; p < pools(); p++) {
-            lines.add(queue("quick", p, WAIT_LIMIT_MS));
-            lines.add(queue("long", p, LONG_WAIT_LIMIT_MS));
+            lines.add(queueLine("quick", p, QUICK_WAIT_LIMIT_MS));
+            lines.add(queueLine("long", p, LONG_WAIT_LIMIT_MS));
         }
         return String.join("\n", lines);
     }
 
-    private static String queue(String kind, int pool, int waitLimitMs) {
+    private static String queueLine(String kind, int pool, int waitLimitMs) {
         return ("    - {name: %s%d, pool: p%d, kind: %s, waiting at most: 5000,"
                         + " wait limit ms: %d, run limit ms: %d}")
                 .formatted(kind, pool, pool, kind, waitLimitMs, RUN_LIMIT_MS);
--- a/standin/src/main/java/org/hibiscususher/standin/bench/RollOutSizes.java
+++ b/standin/src/main/java/org/hibiscususher/standin/bench/ConfigurationSizes.java
@@ -25,30 +25,39 @@
 import org.hibiscususher.wire.json.RecordCodec;
 import org.hibiscususher.wire.peer.PeerCodec;
 
-/** Measures the encoded sizes of the configuration's records at the target size. */
-final class RollOutSizes {
+/**
+ * Prints the encoded sizes of the configuration's records for a site of the largest size aimed at,
+ * and the bytes that an entry receives for them.
+ */
+final class ConfigurationSizes {
     private static final int HOSTS = 3_800;
     private static final int POOLS = 244;
     private static final int TEAMS = 300;
     private static final int KEYS = 600;
+
+    /** Notes in the head record at most. */
     private static final int HEAD_NOTES = 32;
+
     private static final double NOTES_PER_S = 3_300 / 86_400.0;
-    private static final double BASE64 = 4 / 3.0;
 
-    private RollOutSizes() {}
+    /** Growth of a record's value in the watch events of the store, which are in Base64. */
+    private static final double BASE64_FACTOR = 4 / 3.0;
+
+    private ConfigurationSizes() {}
 
+    /** Prints one line per size. */
     static void print(PrintStream out) {
-        Configuration target = target();
+        Configuration target = targetConfiguration();
         AcceptedNote whole = note(1, ConfigurationDelta.between(Configuration.EMPTY, target));
         int wholeBytes = bytes(new HeadRecord(1, 0, "", "", List.of(whole)));
         int snapshotBytes = RecordCodec.encode(new SnapshotRecord(target)).length;
         List<AcceptedNote> notes = new ArrayList<>();
-        long allHeads = 0;
+        long allHeadBytes = 0;
         for (int i = 1; i <= HEAD_NOTES; i++) {
-            notes.add(note(i, oneKey(i)));
-            allHeads += bytes(new HeadRecord(i, 0, "1-0123456789", "1", notes));
+            notes.add(note(i, addKey(i)));
+            allHeadBytes += bytes(new HeadRecord(i, 0, "1-0123456789", "1", notes));
         }
-        double headBytes = allHeads / (double) HEAD_NOTES;
+        double headBytes = allHeadBytes / (double) HEAD_NOTES;
         int relayBytes = relayBytes(notes.subList(0, 1));
         out.printf(
                 Locale.ROOT,
@@ -61,17 +70,17 @@
         out.printf(Locale.ROOT, "snapshot, compressed, bytes: %d%n", snapshotBytes);
         out.printf(Locale.ROOT, "head of 1 to 32 notes of one key, mean bytes: %.0f%n", headBytes);
         out.printf(Locale.ROOT, "relay of one note, bytes: %d%n", relayBytes);
-        double headPerNote = headBytes * BASE64;
+        double headBytesPerNote = headBytes * BASE64_FACTOR;
         out.printf(
                 Locale.ROOT,
                 "received by an entry per note by watch: whole %.0f, head %.0f bytes%n",
-                wholeBytes * BASE64,
-                headPerNote);
+                wholeBytes * BASE64_FACTOR,
+                headBytesPerNote);
         out.printf(
                 Locale.ROOT,
                 "by watch and one relay, at 3300 notes a day: whole %.0f, head %.1f bytes/s%n",
-                (wholeBytes * BASE64 + wholeBytes) * NOTES_PER_S,
-                (headPerNote + relayBytes) * NOTES_PER_S);
+                (wholeBytes * BASE64_FACTOR + wholeBytes) * NOTES_PER_S,
+                (headBytesPerNote + relayBytes) * NOTES_PER_S);
     }
 
     private static int bytes(HeadRecord head) {
@@ -96,7 +105,7 @@
                 true);
     }
 
-    private static ConfigurationDelta oneKey(int number) {
+    private static ConfigurationDelta addKey(int number) {
         return new ConfigurationDelta(
                 Edits.none(),
                 Edits.none(),
@@ -110,7 +119,7 @@
                 "key-" + number, "team-" + number % TEAMS, KeyDigest.ofSecret("s" + number));
     }
 
-    private static Configuration target() {
+    private static Configuration targetConfiguration() {
         var pools = new TreeMap<String, PoolSpec>();
         var hosts = new TreeMap<String, HostSpec>();
         var teams = new TreeMap<String, TeamSpec>();
--- a/standin/src/main/java/org/hibiscususher/standin/bench/Customer.java
+++ b/standin/src/main/java/org/hibiscususher/standin/bench/Customer.java
@@ -3,18 +3,24 @@
 import java.util.List;
 
 /**
- * A team of the experiment.
+ * A customer of the workload, which is a team of the configuration.
  *
- * @param team its name
- * @param share its share
- * @param upperLimit most that it may have running
- * @param part its part of all demand, relative to the others'
+ * @param team name of the team
+ * @param share its weight when customers compete for slots
+ * @param upperLimit most requests that it may have running in the whole site
+ * @param demandWeight its part of all requests, relative to the other customers'
  */
-record Customer(String team, int share, int upperLimit, int part) {
+record Customer(String team, int share, int upperLimit, int demandWeight) {
+    /** More than the slots of any site. */
     private static final int NO_LIMIT = 1_000;
+
     private static final int TIGHT_LIMIT = 20;
 
-    /** Returns six customers, two of them large and one that asks for far more than its share. */
+    /**
+     * Returns six customers: two large ones, and {@code t3}, whose demand far exceeds its share.
+     *
+     * @param tightLimits whether their upper limits are low enough to bind
+     */
     static List<Customer> six(boolean tightLimits) {
         int limit = tightLimits ? TIGHT_LIMIT : NO_LIMIT;
         return List.of(
--- a/standin/src/main/java/org/hibiscususher/standin/bench/EntriesRun.java
+++ b/standin/src/main/java/org/hibiscususher/standin/bench/EntrySimulation.java
@@ -14,47 +14,57 @@
 import org.hibiscususher.standin.virtual.VirtualTarget;
 import org.hibiscususher.wire.yaml.NoteReader;
 
-/** Runs the arrivals of a scenario through real control nodes. */
-final class EntriesRun {
+/** Runs a workload in virtual time through the real control code of nine entries. */
+final class EntrySimulation {
     private static final int SETTLE_MS = 3_000;
-    private static final int LATENCY_MS = 1;
+    private static final int NETWORK_LATENCY_MS = 1;
 
     private final BenchSite mBenchSite;
     private final Scenario mScenario;
     private final List<Customer> mCustomers;
-    private final Meter mMeter;
+    private final BenchMetrics mMetrics;
     private final VirtualSite mSite;
-    private final List<VirtualRequest> mQuick = new ArrayList<>();
+    private final List<VirtualRequest> mQuickRequests = new ArrayList<>();
 
-    EntriesRun(BenchSite site, Scenario scenario, EscrowPolicy policy, long seed, Meter meter) {
+    EntrySimulation(
+            BenchSite site,
+            Scenario scenario,
+            EscrowPolicy policy,
+            long seed,
+            BenchMetrics metrics) {
         mBenchSite = site;
         mScenario = scenario;
         mCustomers = scenario.customers();
-        mMeter = meter;
+        mMetrics = metrics;
         mSite = VirtualSite.create(seed, ControlSettings.DEFAULT.withEscrowPolicy(policy));
     }
 
-    /** Returns the messages that were sent between entries while the arrivals came. */
+    /**
+     * Runs the workload in steps of one millisecond.
+     *
+     * @param arrivals requests in order of arrival
+     * @return messages sent between entries, those of the start not counted
+     */
     long run(List<Arrival> arrivals) {
-        open();
-        mSite.network().setBehaviour(LATENCY_MS, mScenario.jitterMs(), mScenario.loss(), 0);
-        long before = mSite.network().messages();
+        startSite();
+        mSite.network().setBehaviour(NETWORK_LATENCY_MS, mScenario.jitterMs(), mScenario.loss(), 0);
+        long messagesBefore = mSite.network().messages();
         int next = 0;
         for (int ms = 0; ms < Scenario.DURATION_MS; ms++) {
-            if (mScenario.kills() && ms == Scenario.DURATION_MS / 2) {
+            if (mScenario.killsAllocator() && ms == Scenario.DURATION_MS / 2) {
                 mSite.kill(allocator());
             }
             for (; next < arrivals.size() && arrivals.get(next).atMs() == ms; next++) {
-                call(arrivals.get(next));
+                send(arrivals.get(next));
             }
             mSite.run(1);
             sample();
         }
-        mQuick.forEach(this::recordWait);
-        return mSite.network().messages() - before;
+        mQuickRequests.forEach(this::recordWait);
+        return mSite.network().messages() - messagesBefore;
     }
 
-    private void open() {
+    private void startSite() {
         for (int i = 0; i < BenchSite.ENTRIES; i++) {
             mSite.start("e" + i, mBenchSite.zone(i));
         }
@@ -63,7 +73,7 @@
         mSite.run(SETTLE_MS);
     }
 
-    /** Returns the entry that allocates the pool which is in its burst. */
+    /** Returns the allocator of pool 2, whose burst lasts while the entry is killed. */
     private String allocator() {
         PermitGroup group = PermitGroup.pool("p2");
         return mSite.entries().values().stream()
@@ -73,7 +83,8 @@
                 .id();
     }
 
-    private void call(Arrival arrival) {
+    /** Sends a request to its entry, or to the next one that is alive. */
+    private void send(Arrival arrival) {
         String team = mCustomers.get(arrival.customer()).team();
         String queue = (arrival.kind() == QueueKind.QUICK ? "quick" : "long") + arrival.pool();
         int entry = arrival.entry();
@@ -82,15 +93,20 @@
         }
         VirtualRequest request = mSite.call("e" + entry, queue, team, arrival.runMs());
         if (arrival.kind() == QueueKind.QUICK) {
-            mQuick.add(request);
+            mQuickRequests.add(request);
         }
     }
 
+    /**
+     * Records the wait without the latency of the network. A refused request counts as one that
+     * waited to its limit; one that still waits at the end isn't counted.
+     */
     private void recordWait(VirtualRequest request) {
         if (request.startedMs() >= 0) {
-            mMeter.quickWaited(request.startedMs() - request.arrivedMs() - LATENCY_MS);
+            mMetrics.recordQuickWait(
+                    request.startedMs() - request.arrivedMs() - NETWORK_LATENCY_MS);
         } else if (request.refusal().isPresent()) {
-            mMeter.quickWaited(BenchSite.WAIT_LIMIT_MS);
+            mMetrics.recordQuickWait(BenchSite.QUICK_WAIT_LIMIT_MS);
         }
     }
 
@@ -101,14 +117,14 @@
             if (entry.condition() == EntryCondition.DEAD) {
                 continue;
             }
-            for (SchedulingClass lane : entry.world().requests().groups()) {
-                int pool = Integer.parseInt(lane.pool().substring(1));
-                int customer = Integer.parseInt(lane.team().substring(1));
-                int count = entry.world().requests().group(lane).size();
-                (lane.state().placeable() ? waiting : running)[pool][customer] += count;
+            for (SchedulingClass group : entry.world().requests().groups()) {
+                int pool = Integer.parseInt(group.pool().substring(1));
+                int customer = Integer.parseInt(group.team().substring(1));
+                int count = entry.world().requests().group(group).size();
+                (group.state().placeable() ? waiting : running)[pool][customer] += count;
             }
         }
-        mMeter.sample(waiting, running);
+        mMetrics.sample(waiting, running);
         checkLimits();
     }
 
@@ -125,7 +141,7 @@
             violated |= running > customer.upperLimit();
         }
         if (violated) {
-            mMeter.violated();
+            mMetrics.recordViolation();
         }
     }
 }
--- a/standin/src/main/java/org/hibiscususher/standin/bench/RollOutBench.java
+++ b/standin/src/main/java/org/hibiscususher/standin/bench/RollOutBench.java
@@ -13,69 +13,71 @@
 import org.hibiscususher.wire.yaml.NoteReader;
 
 /**
- * Measures in virtual time how long a release note takes to be in force everywhere, by each way of
- * spreading it and under each fault.
+ * Measures how long a release note takes to be in force on all entries, by propagation path and
+ * fault, in virtual time.
+ *
+ * <p>Also prints the encoded sizes of the records that propagate it.
  */
 public final class RollOutBench {
     private static final int ENTRIES = 9;
-    private static final int NOTES = 40;
+    private static final int NOTES_PER_SEED = 40;
     private static final int[] SEEDS = {1, 2, 3};
     private static final int SETTLE_MS = 2_000;
-    private static final int LIMIT_MS = 20_000;
+    private static final int TIME_LIMIT_MS = 20_000;
     private static final double MEDIAN = 0.5;
 
     private RollOutBench() {}
 
-    /** Prints one table of times and one of sizes. */
+    /** Prints a table of times and the record sizes; takes no arguments. */
     public static void main(String[] args) {
         PrintStream out = System.out;
         out.printf(
                 Locale.ROOT,
                 "entries=%d notes=%d per seed, seeds=1,2,3; times in ms, median / worst%n%n",
                 ENTRIES,
-                NOTES);
+                NOTES_PER_SEED);
         out.println(
                 "| condition | spread by | in force everywhere | answered | not in 20 s |"
                         + " store calls a note |");
         out.println("|---|---|---|---|---|---|");
         for (RollOutCondition condition : RollOutCondition.values()) {
-            for (RollOutSpread spread : RollOutSpread.values()) {
-                out.println(measure(condition, spread));
+            for (PropagationPath path : PropagationPath.values()) {
+                out.println(measure(condition, path));
             }
         }
         out.println();
-        RollOutSizes.print(out);
+        ConfigurationSizes.print(out);
     }
 
-    private static String measure(RollOutCondition condition, RollOutSpread spread) {
-        List<Long> everywhere = new ArrayList<>();
-        List<Long> answered = new ArrayList<>();
+    private static String measure(RollOutCondition condition, PropagationPath path) {
+        List<Long> inForceMs = new ArrayList<>();
+        List<Long> repliedMs = new ArrayList<>();
         long calls = 0;
         int missed = 0;
         for (int seed : SEEDS) {
-            VirtualSite site = open(seed, spread);
-            condition.begin(site);
-            spread.begin(site);
-            long before = site.store().reads() + site.store().writes();
-            for (int i = 0; i < NOTES; i++) {
-                missed += apply(site, spread, i, everywhere, answered) ? 0 : 1;
+            VirtualSite site = startSite(seed, path);
+            condition.inject(site);
+            path.disableOtherPaths(site);
+            long callsBefore = site.store().reads() + site.store().writes();
+            for (int i = 0; i < NOTES_PER_SEED; i++) {
+                missed += applyNote(site, path, i, inForceMs, repliedMs) ? 0 : 1;
             }
-            calls += site.store().reads() + site.store().writes() - before;
+            calls += site.store().reads() + site.store().writes() - callsBefore;
         }
         return String.format(
                 Locale.ROOT,
                 "| %s | %s | %s | %s | %d of %d | %.0f |",
                 condition.label(),
-                spread.label(),
-                text(everywhere),
-                text(answered),
+                path.label(),
+                text(inForceMs),
+                text(repliedMs),
                 missed,
-                NOTES * SEEDS.length,
-                calls / (double) (NOTES * SEEDS.length));
+                NOTES_PER_SEED * SEEDS.length,
+                calls / (double) (NOTES_PER_SEED * SEEDS.length));
     }
 
-    private static VirtualSite open(int seed, RollOutSpread spread) {
-        VirtualSite site = VirtualSite.create(seed, spread.settings());
+    private static VirtualSite startSite(int seed, PropagationPath path) {
+        VirtualSite site = VirtualSite.create(seed, path.settings());
         for (int i = 1; i <= ENTRIES; i++) {
             site.start("e" + i, "z" + (i % 3 + 1));
         }
@@ -83,28 +85,34 @@
         return site;
     }
 
-    /** Applies one note; returns whether it was in force everywhere within the limit. */
-    private static boolean apply(
+    /**
+     * Submits one note and waits until it is in force and the operator has the reply.
+     *
+     * @param inForceMs gets the time until the note was in force on all running entries
+     * @param repliedMs gets the time until the operator had the reply, if the path measures it
+     * @return whether the note was in force within the time limit
+     */
+    private static boolean applyNote(
             VirtualSite site,
-            RollOutSpread spread,
+            PropagationPath path,
             int number,
-            List<Long> everywhere,
-            List<Long> answered) {
+            List<Long> inForceMs,
+            List<Long> repliedMs) {
         long startMs = site.nowMs();
-        long revision = newest(site) + 1;
+        long revision = newestRevision(site) + 1;
         long call = site.submit("e1", note(number));
         boolean inForce = false;
-        boolean answer = !spread.answers();
-        while (site.nowMs() - startMs < LIMIT_MS && !(inForce && answer)) {
+        boolean replied = !path.repliesToOperator();
+        while (site.nowMs() - startMs < TIME_LIMIT_MS && !(inForce && replied)) {
             site.run(1);
             if (!inForce && inForceEverywhere(site, revision)) {
                 inForce = true;
-                everywhere.add(site.nowMs() - startMs);
+                inForceMs.add(site.nowMs() - startMs);
             }
-            ReplyToNote given = site.noteAnswers().get(call);
-            if (!answer && given != null) {
-                answer = true;
-                answered.add(site.nowMs() - startMs);
+            ReplyToNote reply = site.noteAnswers().get(call);
+            if (!replied && reply != null) {
+                replied = true;
+                repliedMs.add(site.nowMs() - startMs);
             }
         }
         return inForce;
@@ -116,7 +124,7 @@
                 .allMatch(e -> e.world().configuration().revision() >= revision);
     }
 
-    private static long newest(VirtualSite site) {
+    private static long newestRevision(VirtualSite site) {
         return site.entries().values().stream()
                 .map(VirtualEntry::world)
                 .mapToLong(w -> w.configuration().revision())
@@ -130,6 +138,7 @@
         return NoteReader.read("note", text).note();
     }
 
+    /** Returns the median and the greatest time, or a dash if there are none. */
     private static String text(List<Long> times) {
         if (times.isEmpty()) {
             return "-";
--- a/standin/src/main/java/org/hibiscususher/standin/bench/RollOutCondition.java
+++ b/standin/src/main/java/org/hibiscususher/standin/bench/RollOutCondition.java
@@ -3,47 +3,47 @@
 import org.hibiscususher.standin.store.StoreFault;
 import org.hibiscususher.standin.virtual.VirtualSite;
 
-/** Under what faults a roll-out is measured. */
+/** The faults under which roll-outs are measured. */
 enum RollOutCondition {
     /** No faults. */
     HEALTHY("healthy") {
         @Override
-        void begin(VirtualSite site) {
-            // Nothing fails.
+        void inject(VirtualSite site) {
+            // No fault.
         }
     },
-    /** Every answer and event of the store comes 800 ms late. */
+    /** Every response and watch event of the store is delayed by 800 ms. */
     SLOW_STORE("store 800 ms late") {
         @Override
-        void begin(VirtualSite site) {
+        void inject(VirtualSite site) {
             site.store().setFault(StoreFault.SLOW);
         }
     },
-    /** One entry's process has ended. */
+    /** The process of one entry has ended. */
     MEMBER_DEAD("a member dead") {
         @Override
-        void begin(VirtualSite site) {
+        void inject(VirtualSite site) {
             site.kill("e9");
         }
     },
-    /** One entry's process is paused, and its connections stay open. */
+    /** The process of one entry is paused, and its connections stay open. */
     MEMBER_PAUSED("a member paused") {
         @Override
-        void begin(VirtualSite site) {
+        void inject(VirtualSite site) {
             site.pause("e9");
         }
     },
-    /** Messages between entries are lost, doubled and late. */
+    /** Messages between entries are lost (20%), duplicated (10%) and delayed (up to 50 ms). */
     LOSSY_LINKS("links lose 20%, up to 50 ms late") {
         @Override
-        void begin(VirtualSite site) {
+        void inject(VirtualSite site) {
             site.network().setBehaviour(1, 50, 0.2, 0.1);
         }
     },
-    /** One entry reaches its peers only. */
+    /** One entry reaches its peers but not the store. */
     ENTRY_CUT_OFF("an entry without the store") {
         @Override
-        void begin(VirtualSite site) {
+        void inject(VirtualSite site) {
             site.store().setReachable("e9", false);
         }
     };
@@ -54,10 +54,11 @@
         mLabel = label;
     }
 
+    /** Returns the row name in the printed table. */
     String label() {
         return mLabel;
     }
 
-    /** Lets the faults begin. */
-    abstract void begin(VirtualSite site);
+    /** Injects the fault. */
+    abstract void inject(VirtualSite site);
 }
--- a/standin/src/main/java/org/hibiscususher/standin/bench/Scenario.java
+++ b/standin/src/main/java/org/hibiscususher/standin/bench/Scenario.java
@@ -5,31 +5,47 @@
 import java.util.Random;
 import org.hibiscususher.core.config.QueueKind;
 
-/** What the callers do and what goes wrong. */
+/** Workloads of the callers, and the faults meanwhile. The names are written to the results. */
 enum Scenario {
-    /** Bursts of five times the mean on each queue in turn; callers on every entry. */
+    /** Quick requests: bursts of five times the mean on each pool in turn, sent to all entries. */
     BURSTS(false, false, false, 0, 0, false),
-    /** The same, with each team's callers on two entries. */
+    /** As {@link #BURSTS}, but each customer sends to two entries only. */
     BURSTS_TWO_ENTRIES(false, true, false, 0, 0, false),
-    /** The same as {@link #BURSTS}, with upper limits that bind. */
+    /** As {@link #BURSTS}, with upper limits of the customers low enough to bind. */
     BURSTS_TIGHT_LIMITS(false, false, true, 0, 0, false),
-    /** The same, with a twentieth of the messages lost and up to 5 ms of jitter. */
+    /** As {@link #BURSTS}, with 5% of the messages lost and up to 5 ms of jitter. */
     BURSTS_LOSS(false, false, false, 0.05, 5, false),
-    /** The same, with an allocating entry killed in the middle. */
+    /** As {@link #BURSTS}, with the allocator of a pool killed halfway, in the pool's burst. */
     BURSTS_KILL(false, false, false, 0, 0, true),
-    /** Long runs that fill every pool, and quick look-ups between them. */
+    /** Long requests beyond the capacity of every pool, and quick ones within the reserve. */
     LONG_FILL(true, false, false, 0, 0, false),
-    /** The same, with each team's callers on two entries. */
+    /** As {@link #LONG_FILL}, but each customer sends to two entries only. */
     LONG_FILL_TWO_ENTRIES(true, true, false, 0, 0, false);
 
     static final int DURATION_MS = 20_000;
+
+    /** Mean run time of quick requests. */
     static final int QUICK_MS = 50;
+
+    /** How long the burst of one pool lasts before that of the next begins. */
     private static final int BURST_MS = 4_000;
+
+    /** Mean run time of long requests. */
     private static final int LONG_MS = 2_000;
+
+    /** Mean load of a pool by quick requests, as a fraction of its slots. */
     private static final double MEAN_LOAD = 0.3;
-    private static final double BURST = 5;
-    private static final double BETWEEN = 0.05;
+
+    /** Load of a pool in its burst, relative to the mean. */
+    private static final double BURST_FACTOR = 5;
+
+    /** Load of a pool outside its burst, relative to the mean. */
+    private static final double IDLE_FACTOR = 0.05;
+
+    /** Load by quick requests beside long ones, as a fraction of the quick reserve. */
     private static final double QUICK_LOAD_OF_RESERVE = 0.4;
+
+    /** Load of a pool by long requests, as a fraction of its slots. */
     private static final double LONG_LOAD = 1.3;
 
     private final boolean mLongFill;
@@ -37,7 +53,7 @@
     private final boolean mTightLimits;
     private final double mLoss;
     private final int mJitterMs;
-    private final boolean mKill;
+    private final boolean mKillsAllocator;
 
     Scenario(
             boolean longFill,
@@ -45,29 +61,32 @@
             boolean tightLimits,
             double loss,
             int jitterMs,
-            boolean kill) {
+            boolean killsAllocator) {
         mLongFill = longFill;
         mTwoEntries = twoEntries;
         mTightLimits = tightLimits;
         mLoss = loss;
         mJitterMs = jitterMs;
-        mKill = kill;
+        mKillsAllocator = killsAllocator;
     }
 
     List<Customer> customers() {
         return Customer.six(mTightLimits);
     }
 
+    /** Returns the probability, 0 to 1, that a message between entries is lost. */
     double loss() {
         return mLoss;
     }
 
+    /** Returns the greatest extra delay of a message between entries, in milliseconds. */
     int jitterMs() {
         return mJitterMs;
     }
 
-    boolean kills() {
-        return mKill;
+    /** Returns whether an allocator is killed halfway. */
+    boolean killsAllocator() {
+        return mKillsAllocator;
     }
 
     /** Returns the requests in order of arrival, the same for the same seed. */
@@ -93,8 +112,8 @@
         if (mLongFill) {
             return site.quickReserve(pool) * QUICK_LOAD_OF_RESERVE / QUICK_MS;
         }
-        boolean bursts = ms / BURST_MS % site.pools() == pool;
-        return site.slots(pool) * MEAN_LOAD * (bursts ? BURST : BETWEEN) / QUICK_MS;
+        boolean inBurst = ms / BURST_MS % site.pools() == pool;
+        return site.slots(pool) * MEAN_LOAD * (inBurst ? BURST_FACTOR : IDLE_FACTOR) / QUICK_MS;
     }
 
     private double longPerMs(BenchSite site, int pool) {
@@ -112,17 +131,19 @@
         return new Arrival(ms, pool, customer, kind, runMs, entry);
     }
 
+    /** Returns a random customer, by demand. */
     private int customer(Random random) {
         List<Customer> customers = customers();
-        int dice = random.nextInt(customers.stream().mapToInt(Customer::part).sum());
+        int draw = random.nextInt(customers.stream().mapToInt(Customer::demandWeight).sum());
         int customer = 0;
-        while (dice >= customers.get(customer).part()) {
-            dice -= customers.get(customer).part();
+        while (draw >= customers.get(customer).demandWeight()) {
+            draw -= customers.get(customer).demandWeight();
             customer++;
         }
         return customer;
     }
 
+    /** Returns a Poisson-distributed number by Knuth's method, for small means. */
     private static int poisson(Random random, double mean) {
         double limit = Math.exp(-mean);
         double product = random.nextDouble();
--- a/standin/src/main/java/org/hibiscususher/standin/bench/WaveBench.java
+++ b/standin/src/main/java/org/hibiscususher/standin/bench/WaveBench.java
@@ -18,9 +18,11 @@
 import org.hibiscususher.standin.virtual.VirtualSite;
 
 /**
- * Measures a whole maintenance wave on a site of five pools of eight hosts in virtual time.
+ * Measures a whole maintenance wave over five pools of eight hosts under load, in virtual time.
  *
- * <p>The time of one host at a time is the sum of the hosts' outages in the same run.
+ * <p>Prints the length of the wave beside the time that the hosts would take one after the other,
+ * which is the sum of their outages in the same run. The column {@code cut} counts the reboots that
+ * interrupted requests and the requests that ran without being answered.
  */
 public final class WaveBench {
     private static final int ENTRIES = 9;
@@ -28,24 +30,36 @@
     private static final int HOSTS_PER_POOL = 8;
     private static final int ZONES = 4;
     private static final int REBOOT_MS = 60_000;
+
+    /** Age of the platform's list of hosts when the entries get it. */
     private static final int LIST_LAG_MS = 5_000;
+
     private static final int STEP_MS = 100;
+
+    /** Mean run time of a request. */
     private static final int RUN_MS = 2_000;
+
+    /** Interval at which each entry gets one request for each pool. */
     private static final int LOAD_INTERVAL_MS = 500;
-    private static final long LIMIT_MS = 4 * 60 * 60 * 1_000L;
+
+    private static final long TIME_LIMIT_MS = 4 * 60 * 60 * 1_000L;
     private static final double MS_PER_SECOND = 1_000;
 
     private final VirtualSite mSite;
-    private final List<VirtualRequest> mCalls = new ArrayList<>();
-    private final Map<String, Long> mOutSince = new HashMap<>();
-    private long mOutMs;
-    private int mMostOut;
+    private final List<VirtualRequest> mRequests = new ArrayList<>();
+    private final Map<String, Long> mOutSinceMs = new HashMap<>();
+    private long mTotalOutageMs;
+    private int mMaxHostsOut;
 
     private WaveBench(long seed) {
         mSite = VirtualSite.create(seed, ControlSettings.DEFAULT);
     }
 
-    /** Runs the measurement; the arguments are seeds, by default 1, 2 and 3. */
+    /**
+     * Runs one wave per seed and prints a line for each.
+     *
+     * @param args seeds; by default 1, 2 and 3
+     */
     public static void main(String[] args) {
         List<String> seeds = args.length == 0 ? List.of("1", "2", "3") : List.of(args);
         System.out.println(
@@ -57,19 +71,19 @@
     }
 
     private void run(String seed) {
-        WaveSite.open(mSite, ENTRIES, POOLS, HOSTS_PER_POOL, ZONES, 0);
+        WaveSiteSetup.open(mSite, ENTRIES, POOLS, HOSTS_PER_POOL, ZONES, 0);
         mSite.platform().setRebootMs(REBOOT_MS);
         mSite.listHosts(LIST_LAG_MS);
-        load(10_000);
-        long writes = mSite.store().writes();
-        long reads = mSite.store().reads();
+        runLoad(10_000);
+        long writesBefore = mSite.store().writes();
+        long readsBefore = mSite.store().reads();
         mSite.wave("e1", WaveCommand.PLAN, List.of());
-        load(1_000);
+        runLoad(1_000);
         mSite.wave("e1", WaveCommand.START, List.of());
         long startMs = mSite.nowMs();
-        while (!done() && mSite.nowMs() - startMs < LIMIT_MS) {
-            load(STEP_MS);
-            observe();
+        while (!isDone() && mSite.nowMs() - startMs < TIME_LIMIT_MS) {
+            runLoad(STEP_MS);
+            sampleOutages();
         }
         long waveMs = mSite.nowMs() - startMs;
         System.out.printf(
@@ -77,30 +91,31 @@
                 "%4s  %6.0f  %15.0f  %5.2f  %8d  %8d  %3d  %7d  %6d  %5d%s%n",
                 seed,
                 waveMs / MS_PER_SECOND,
-                mOutMs / MS_PER_SECOND,
-                (double) mOutMs / waveMs,
-                mMostOut,
-                mCalls.stream().filter(VirtualRequest::answered).count(),
+                mTotalOutageMs / MS_PER_SECOND,
+                (double) mTotalOutageMs / waveMs,
+                mMaxHostsOut,
+                mRequests.stream().filter(VirtualRequest::answered).count(),
                 mSite.platform().violations().size()
-                        + mCalls.stream().filter(c -> c.runs() > 0 && lost(c)).count(),
-                mCalls.stream().filter(c -> c.refusal().isPresent() && c.runs() == 0).count(),
-                mSite.store().writes() - writes,
-                mSite.store().reads() - reads,
-                done() ? "" : "  NOT DONE");
+                        + mRequests.stream().filter(r -> r.runs() > 0 && isLost(r)).count(),
+                mRequests.stream().filter(r -> r.refusal().isPresent() && r.runs() == 0).count(),
+                mSite.store().writes() - writesBefore,
+                mSite.store().reads() - readsBefore,
+                isDone() ? "" : "  NOT DONE");
     }
 
-    private static boolean lost(VirtualRequest call) {
-        return call.over() && !call.answered();
+    private static boolean isLost(VirtualRequest request) {
+        return request.over() && !request.answered();
     }
 
-    private boolean done() {
+    private boolean isDone() {
         return mSite.store()
                 .find(RecordKey.WAVE)
                 .map(r -> ((WaveRecord) r.value()).state() == WaveState.DONE)
                 .orElse(false);
     }
 
-    private void load(long ms) {
+    /** Runs the site for a time while all entries get requests for all pools. */
+    private void runLoad(long ms) {
         for (long end = mSite.nowMs() + ms; mSite.nowMs() < end; mSite.run(STEP_MS)) {
             if (mSite.nowMs() % LOAD_INTERVAL_MS != 0) {
                 continue;
@@ -108,14 +123,15 @@
             for (VirtualEntry entry : mSite.entries().values()) {
                 for (int pool = 0; pool < POOLS; pool++) {
                     int runMs = RUN_MS / 2 + mSite.random().nextInt(RUN_MS);
-                    mCalls.add(mSite.call(entry.id(), "q" + pool, "fitters", runMs));
+                    mRequests.add(mSite.call(entry.id(), "q" + pool, "fitters", runMs));
                 }
             }
         }
     }
 
-    private void observe() {
-        int out = 0;
+    /** Records which hosts are out of service, by the outage records in the store. */
+    private void sampleOutages() {
+        int hostsOut = 0;
         for (int pool = 0; pool < POOLS; pool++) {
             Optional<OutageRecord> record =
                     mSite.store()
@@ -123,15 +139,15 @@
                             .map(r -> (OutageRecord) r.value());
             Map<String, Outage> outages = new HashMap<>();
             record.ifPresent(r -> outages.putAll(r.outages()));
-            out += outages.size();
-            outages.keySet().forEach(h -> mOutSince.putIfAbsent(h, mSite.nowMs()));
+            hostsOut += outages.size();
+            outages.keySet().forEach(h -> mOutSinceMs.putIfAbsent(h, mSite.nowMs()));
             String prefix = "p" + pool + "-";
-            for (String host : List.copyOf(mOutSince.keySet())) {
+            for (String host : List.copyOf(mOutSinceMs.keySet())) {
                 if (host.startsWith(prefix) && !outages.containsKey(host)) {
-                    mOutMs += mSite.nowMs() - mOutSince.remove(host);
+                    mTotalOutageMs += mSite.nowMs() - mOutSinceMs.remove(host);
                 }
             }
         }
-        mMostOut = Math.max(mMostOut, out);
+        mMaxHostsOut = Math.max(mMaxHostsOut, hostsOut);
     }
 }
--- a/standin/src/main/java/org/hibiscususher/standin/bench/WaveSite.java
+++ b/standin/src/main/java/org/hibiscususher/standin/bench/WaveSiteSetup.java
@@ -5,18 +5,24 @@
 import org.hibiscususher.standin.virtual.VirtualSite;
 import org.hibiscususher.wire.yaml.NoteReader;
 
-/** Opens sites for the measurements of maintenance. */
-final class WaveSite {
+/** Sets up simulated sites for the measurements of maintenance. */
+final class WaveSiteSetup {
     private static final int FIRST_PORT = 1_000;
     private static final int SETTLE_MS = 4_000;
 
-    private WaveSite() {}
+    private WaveSiteSetup() {}
 
     /**
-     * Starts entries and declares pools {@code p0}, {@code p1} and so on, each with hosts of eight
-     * slots over the zones and a queue {@code q0}, {@code q1} and so on, and a spare pool.
+     * Starts entries {@code e1}, {@code e2} and so on, and applies a release note that declares
+     * pools {@code p0}, {@code p1} and so on, each with hosts of eight slots in turn over the
+     * zones, a queue {@code q0}, {@code q1} and so on for each of them, and a spare pool.
      *
+     * @param entries number of entries, 1 or more
+     * @param pools number of pools, the spare pool not counted
+     * @param hosts hosts of each pool
+     * @param zones number of zones
      * @param spareHosts hosts of the spare pool; 0 for no spare pool
+     * @throws IllegalStateException if the release note is not accepted
      */
     static void open(
             VirtualSite site, int entries, int pools, int hosts, int zones, int spareHosts) {
@@ -66,7 +72,9 @@
         long call = site.submit("e1", NoteReader.read("note", note).note());
         site.run(SETTLE_MS);
         if (site.noteAnswers().get(call).result() != NoteResult.ACCEPTED) {
-            throw new IllegalStateException("not accepted: " + site.noteAnswers().get(call));
+            throw new IllegalStateException(
+                    "the release note of the site was not accepted: "
+                            + site.noteAnswers().get(call));
         }
     }
 }
