Say what the capacity benchmark varies and measures

Comments left open what a cost covers and why the first run is thrown away. They now give units and special values, Cost is ControlCost, and the exceptions name the bad values. Printed columns are unchanged.

--- a/standin/src/main/java/org/hibiscususher/standin/capacity/CapacityBench.java
+++ b/standin/src/main/java/org/hibiscususher/standin/capacity/CapacityBench.java
@@ -15,28 +15,36 @@
 import org.hibiscususher.wire.yaml.NoteReader;
 
 /**
- * Measures the cost of control over four or more sizes of each kind, and the slopes.
+ * Measures how the cost of the control code grows with each dimension of a site.
  *
- * <p>Runs the real decisions in virtual time on one thread; the network and the store are fakes, so
- * that processor time is that of the decisions alone.
+ * <p>Varies one dimension at a time over four or more sizes, and prints the slope of each cost.
+ * Runs the real control code in virtual time on one thread. The network and the store are fakes, so
+ * that the processor time is that of the control code alone.
  */
 public final class CapacityBench {
     private static final long SEED = 5;
     private static final long SETTLE_MS = 4_000;
     private static final long MEASURE_MS = 10_000;
     private static final long MS_PER_DAY = 24L * 60 * 60 * 1000;
-    private static final int RUN_MS = 50;
+    private static final int REQUEST_RUN_MS = 50;
+
+    /** The size that is varied: 9 entries, 5 pools, 6 teams, 40 hosts, no notes, 200 requests/s. */
     private static final SiteSize BASE = new SiteSize(9, 5, 6, 40, 0, 200);
 
     private CapacityBench() {}
 
-    /** Prints a table and writes a CSV file; the one argument is the file. */
+    /**
+     * Prints a table and writes a CSV file.
+     *
+     * @param args path of the CSV file; by default {@code target/capacity.csv}
+     */
     public static void main(String[] args) throws IOException {
         Path file = Path.of(args.length > 0 ? args[0] : "target/capacity.csv");
         Files.createDirectories(file.toAbsolutePath().getParent());
         System.out.println("seed " + SEED + ", base " + BASE);
         try (PrintWriter csv = new PrintWriter(Files.newBufferedWriter(file))) {
             csv.println("kind,size,corePercent,bytesPerS,messagesPerS,storeCallsPerS,heapBytes");
+            // The first run warms up the JIT compiler; its result is discarded.
             measure(BASE);
             sweep(csv, "members", List.of(3, 9, 18, 36, 64), BASE::withMembers);
             sweep(csv, "pools", List.of(5, 10, 20, 40), n -> BASE.withHosts(80).withPools(n));
@@ -49,14 +57,14 @@
     }
 
     private static void sweep(
-            PrintWriter csv, String kind, List<Integer> sizes, IntFunction<SiteSize> sizeOf) {
+            PrintWriter csv, String dimension, List<Integer> sizes, IntFunction<SiteSize> sizeOf) {
         System.out.printf(
                 "%n%-10s %9s %12s %12s %12s %12s%n",
-                kind, "core %", "bytes/s", "messages/s", "store/s", "heap KB");
+                dimension, "core %", "bytes/s", "messages/s", "store/s", "heap KB");
         double[] x = new double[sizes.size()];
         double[][] y = new double[5][sizes.size()];
         for (int i = 0; i < x.length; i++) {
-            Cost cost = measure(sizeOf.apply(sizes.get(i)));
+            ControlCost cost = measure(sizeOf.apply(sizes.get(i)));
             x[i] = sizes.get(i);
             y[0][i] = cost.corePercent();
             y[1][i] = cost.bytesPerSecond();
@@ -75,7 +83,7 @@
             csv.printf(
                     Locale.ROOT,
                     "%s,%d,%.4f,%.1f,%.2f,%.3f,%.0f%n",
-                    kind,
+                    dimension,
                     sizes.get(i),
                     y[0][i],
                     y[1][i],
@@ -94,7 +102,7 @@
                 slope(x, y[4]));
     }
 
-    /** Returns the slope of the least-squares line. */
+    /** Returns the slope of the least-squares line through points that differ in x. */
     static double slope(double[] x, double[] y) {
         double meanX = 0;
         double meanY = 0;
@@ -111,77 +119,84 @@
         return product / square;
     }
 
-    private static Cost measure(SiteSize size) {
+    private static ControlCost measure(SiteSize size) {
         long heapBefore = usedHeap();
         VirtualSite site = VirtualSite.create(SEED, ControlSettings.DEFAULT);
         for (int i = 0; i < size.members(); i++) {
             site.start("e" + i, "z" + i % 3);
         }
         site.run(SETTLE_MS);
-        long call = site.submit("e0", NoteReader.read("note", size.note()).note());
+        long noteCall = site.submit("e0", NoteReader.read("note", size.initialNote()).note());
         site.run(SETTLE_MS);
-        if (!site.noteAnswers().containsKey(call)
-                || site.noteAnswers().get(call).result() != NoteResult.ACCEPTED) {
-            throw new IllegalStateException("the opening note: " + site.noteAnswers().get(call));
+        if (!site.noteAnswers().containsKey(noteCall)
+                || site.noteAnswers().get(noteCall).result() != NoteResult.ACCEPTED) {
+            throw new IllegalStateException(
+                    "the release note of the site was not accepted: "
+                            + site.noteAnswers().get(noteCall));
         }
-        load(site, size);
+        startLoad(site, size);
         site.run(SETTLE_MS);
         site.setMeasuresBytes(true);
-        Cost before = totals(site);
+        ControlCost before = totals(site);
         site.run(MEASURE_MS);
-        Cost after = totals(site);
+        ControlCost after = totals(site);
         double seconds = MEASURE_MS / 1000.0;
-        double n = size.members();
-        return new Cost(
-                100 * (after.corePercent() - before.corePercent()) / 1e9 / seconds / n,
-                (after.bytesPerSecond() - before.bytesPerSecond()) / seconds / n,
-                (after.messagesPerSecond() - before.messagesPerSecond()) / seconds / n,
-                (after.storeCallsPerSecond() - before.storeCallsPerSecond()) / seconds / n,
-                (usedHeap() - heapBefore) / n);
+        double entries = size.members();
+        return new ControlCost(
+                100 * (after.corePercent() - before.corePercent()) / 1e9 / seconds / entries,
+                (after.bytesPerSecond() - before.bytesPerSecond()) / seconds / entries,
+                (after.messagesPerSecond() - before.messagesPerSecond()) / seconds / entries,
+                (after.storeCallsPerSecond() - before.storeCallsPerSecond()) / seconds / entries,
+                (usedHeap() - heapBefore) / entries);
     }
 
-    /** Returns sums over the entries in the place of rates. */
-    private static Cost totals(VirtualSite site) {
+    /**
+     * Returns sums over all entries since the start: nanoseconds in the place of the percentage,
+     * and counts in the place of rates; the heap is 0.
+     */
+    private static ControlCost totals(VirtualSite site) {
         double ns = 0;
         double bytes = 0;
         double messages = 0;
-        double calls = 0;
+        double storeCalls = 0;
         for (VirtualEntry entry : site.entries().values()) {
             ns += entry.tickNs();
             bytes += entry.sentBytes();
             messages += entry.sentMessages();
-            calls += entry.storeCalls();
+            storeCalls += entry.storeCalls();
         }
-        return new Cost(ns, bytes, messages, calls, 0);
+        return new ControlCost(ns, bytes, messages, storeCalls, 0);
     }
 
-    private static void load(VirtualSite site, SiteSize size) {
+    private static void startLoad(VirtualSite site, SiteSize size) {
         Random random = new Random(SEED);
         if (size.requestsPerSecond() > 0) {
-            request(site, size, random);
+            sendRequests(site, size, random);
         }
         if (size.notesPerDay() > 0) {
-            change(site, size, 0);
+            submitChange(site, size, 0);
         }
     }
 
-    private static void request(VirtualSite site, SiteSize size, Random random) {
-        int everyMs = Math.max(1, 1000 / size.requestsPerSecond());
-        int count = Math.max(1, size.requestsPerSecond() * everyMs / 1000);
+    /** Sends requests now and, at a fixed interval, for the rest of the run. */
+    private static void sendRequests(VirtualSite site, SiteSize size, Random random) {
+        int intervalMs = Math.max(1, 1000 / size.requestsPerSecond());
+        int count = Math.max(1, size.requestsPerSecond() * intervalMs / 1000);
         for (int i = 0; i < count; i++) {
             String entry = "e" + random.nextInt(size.members());
             String queue = "q" + random.nextInt(size.pools());
-            site.call(entry, queue, "t" + random.nextInt(size.teams()), RUN_MS);
+            site.call(entry, queue, "t" + random.nextInt(size.teams()), REQUEST_RUN_MS);
         }
         site.requests().values().removeIf(r -> r.over());
-        site.timeline().after(everyMs, () -> request(site, size, random));
+        site.timeline().after(intervalMs, () -> sendRequests(site, size, random));
     }
 
-    private static void change(VirtualSite site, SiteSize size, int number) {
+    /** Submits a release note now and, at a fixed interval, for the rest of the run. */
+    private static void submitChange(VirtualSite site, SiteSize size, int number) {
         String entry = "e" + number % size.members();
-        site.submit(entry, NoteReader.read("note", size.change(number)).note());
+        site.submit(entry, NoteReader.read("note", size.changeNote(number)).note());
         site.timeline()
-                .after(MS_PER_DAY / size.notesPerDay(), () -> change(site, size, number + 1));
+                .after(MS_PER_DAY / size.notesPerDay(), () -> submitChange(site, size, number + 1));
     }
 
     private static long usedHeap() {
--- a/standin/src/main/java/org/hibiscususher/standin/capacity/SiteSize.java
+++ b/standin/src/main/java/org/hibiscususher/standin/capacity/SiteSize.java
@@ -3,23 +3,34 @@
 import org.hibiscususher.core.config.KeyDigest;
 
 /**
- * The size of a site.
+ * The dimensions of a simulated site and of its load.
  *
- * @param members entries, 1 or more
- * @param pools pools, 1 or more
- * @param teams teams, 1 or more
- * @param hosts target hosts, at least one a pool
- * @param notesPerDay release notes a day
- * @param requestsPerSecond requests a second in the whole site
+ * @param members number of entries, 1 or more
+ * @param pools number of pools, 1 or more
+ * @param teams number of teams, 1 or more
+ * @param hosts number of target hosts, at least one per pool
+ * @param notesPerDay release notes per day; 0 for none
+ * @param requestsPerSecond requests per second in the whole site; 0 for none
  */
 record SiteSize(
         int members, int pools, int teams, int hosts, int notesPerDay, int requestsPerSecond) {
     private static final int ZONES = 16;
-    private static final int SLOTS = 8;
+    private static final int SLOTS_PER_HOST = 8;
 
     SiteSize {
         if (members < 1 || pools < 1 || teams < 1 || hosts < pools || notesPerDay < 0) {
-            throw new IllegalArgumentException("a site has members, pools, teams and hosts");
+            throw new IllegalArgumentException(
+                    "members, pools and teams must be 1 or more, hosts at least as many as pools,"
+                            + " and notesPerDay 0 or more: members="
+                            + members
+                            + ", pools="
+                            + pools
+                            + ", teams="
+                            + teams
+                            + ", hosts="
+                            + hosts
+                            + ", notesPerDay="
+                            + notesPerDay);
         }
     }
 
@@ -47,13 +58,13 @@
         return new SiteSize(members, pools, teams, hosts, notesPerDay, value);
     }
 
-    /** Returns the release note that declares the site. */
-    String note() {
+    /** Returns the release note, as YAML, that declares the site. */
+    String initialNote() {
         StringBuilder note = new StringBuilder("note: opening\nauthor: bench\nadded:\n  pools:\n");
-        int perPool = hosts / pools;
+        int hostsPerPool = hosts / pools;
         for (int i = 0; i < pools; i++) {
             note.append("    - {name: p").append(i);
-            if (perPool > 2) {
+            if (hostsPerPool > 2) {
                 note.append(", quick reserve: 2");
             }
             note.append("}\n");
@@ -73,7 +84,7 @@
                     .append(", pool: p")
                     .append(i % pools)
                     .append(", slots: ")
-                    .append(SLOTS)
+                    .append(SLOTS_PER_HOST)
                     .append("}\n");
         }
         note.append("  teams:\n");
@@ -83,7 +94,7 @@
                     .append(", share: ")
                     .append(1 + i % 5)
                     .append(", upper limit: ")
-                    .append(Math.max(8, hosts * SLOTS / 4))
+                    .append(Math.max(8, hosts * SLOTS_PER_HOST / 4))
                     .append("}\n");
         }
         note.append("  keys:\n");
@@ -103,14 +114,19 @@
         return note.toString();
     }
 
-    /** Returns a release note that changes a team. */
-    String change(int number) {
+    /**
+     * Returns a release note, as YAML, that changes the limits of one team.
+     *
+     * @param number number of the note, from 0; it decides the team and makes the note differ from
+     *     those before
+     */
+    String changeNote(int number) {
         return "note: change-"
                 + number
                 + "\nauthor: bench\nchanged:\n  teams:\n    - {name: t"
                 + number % teams
                 + ", share: 3, upper limit: "
-                + (Math.max(8, hosts * SLOTS / 4) + number % 7)
+                + (Math.max(8, hosts * SLOTS_PER_HOST / 4) + number % 7)
                 + "}\n";
     }
 }
--- a/standin/src/main/java/org/hibiscususher/standin/capacity/package-info.java
+++ b/standin/src/main/java/org/hibiscususher/standin/capacity/package-info.java
@@ -1,2 +1,2 @@
-/** Measures what control costs an entry, and how that grows with each size of a site. */
+/** A benchmark of the cost of the control code per entry, and its growth with the site's size. */
 package org.hibiscususher.standin.capacity;
