Describe the load generator as open-loop and give its limits

OpenLoop is OpenLoopClient; its comment explains coordinated omission, and the usage error of a bad plan gives the ranges. Printed results are unchanged.

--- a/standin/src/main/java/org/hibiscususher/standin/load/LoadMain.java
+++ b/standin/src/main/java/org/hibiscususher/standin/load/LoadMain.java
@@ -12,8 +12,8 @@
 import org.apache.commons.cli.ParseException;
 
 /**
- * The command {@code load}: the same open-loop load straight to a target and through an entry, in
- * one run, and what the entry adds and costs.
+ * Sends the same open-loop load directly to a target and through an entry, and prints the latency
+ * that the entry adds and the processor time that it uses.
  */
 public final class LoadMain {
     private static final int EXIT_USAGE = 2;
@@ -21,7 +21,11 @@
 
     private LoadMain() {}
 
-    /** Runs the comparison and prints it. */
+    /**
+     * Runs the comparison and prints its result.
+     *
+     * @param args options {@code --rate}, {@code --seconds} and {@code --connections}
+     */
     public static void main(String[] args)
             throws IOException, InterruptedException, ExecutionException {
         Options options =
@@ -53,40 +57,42 @@
     private static void compare(EventLoopGroup group, LoadPlan plan, LoadSite site)
             throws InterruptedException, ExecutionException {
         System.out.println("plan: " + plan);
-        straight(group, plan, site);
-        through(group, plan, site);
-        LoadResult straight = straight(group, plan, site);
-        System.out.println("straight: " + straight.text());
-        long cpuMs = site.daemonCpuMs();
-        LoadResult through = through(group, plan, site);
-        long usedMs = site.daemonCpuMs() - cpuMs;
-        System.out.println("through:  " + through.text());
+        // The first run of each warms up the JIT compilers; its result is discarded.
+        runDirect(group, plan, site);
+        runThroughEntry(group, plan, site);
+        LoadResult direct = runDirect(group, plan, site);
+        System.out.println("straight: " + direct.text());
+        long cpuBeforeMs = site.daemonCpuMs();
+        LoadResult throughEntry = runThroughEntry(group, plan, site);
+        long usedMs = site.daemonCpuMs() - cpuBeforeMs;
+        System.out.println("through:  " + throughEntry.text());
         System.out.printf(
                 "added: p50=%dus p99=%dus; ratio of p50: %.2f%n",
-                added(straight, through, 50),
-                added(straight, through, 99),
-                (double) through.latencyUs().getValueAtPercentile(50)
-                        / Math.max(1, straight.latencyUs().getValueAtPercentile(50)));
+                addedUs(direct, throughEntry, 50),
+                addedUs(direct, throughEntry, 99),
+                (double) throughEntry.latencyUs().getValueAtPercentile(50)
+                        / Math.max(1, direct.latencyUs().getValueAtPercentile(50)));
         System.out.printf(
                 "daemon: cpu=%dms cores=%.2f per-request=%.0fus requests-per-core=%.0f/s%n",
                 usedMs,
-                (double) usedMs / through.elapsedMs(),
-                usedMs * 1_000.0 / Math.max(1, through.answered()),
-                through.answered() * 1_000.0 / Math.max(1, usedMs));
+                (double) usedMs / throughEntry.elapsedMs(),
+                usedMs * 1_000.0 / Math.max(1, throughEntry.answered()),
+                throughEntry.answered() * 1_000.0 / Math.max(1, usedMs));
     }
 
-    private static long added(LoadResult straight, LoadResult through, double percentile) {
-        return through.latencyUs().getValueAtPercentile(percentile)
-                - straight.latencyUs().getValueAtPercentile(percentile);
+    /** Returns how much more latency a percentile has through the entry, in microseconds. */
+    private static long addedUs(LoadResult direct, LoadResult throughEntry, double percentile) {
+        return throughEntry.latencyUs().getValueAtPercentile(percentile)
+                - direct.latencyUs().getValueAtPercentile(percentile);
     }
 
-    private static LoadResult straight(EventLoopGroup group, LoadPlan plan, LoadSite site)
+    private static LoadResult runDirect(EventLoopGroup group, LoadPlan plan, LoadSite site)
             throws InterruptedException, ExecutionException {
-        return OpenLoop.run(group, plan, site.target(), "/x", LoadSite.SECRET).get();
+        return OpenLoopClient.run(group, plan, site.target(), "/x", LoadSite.SECRET).get();
     }
 
-    private static LoadResult through(EventLoopGroup group, LoadPlan plan, LoadSite site)
+    private static LoadResult runThroughEntry(EventLoopGroup group, LoadPlan plan, LoadSite site)
             throws InterruptedException, ExecutionException {
-        return OpenLoop.run(group, plan, site.entry(), "/load/x", LoadSite.SECRET).get();
+        return OpenLoopClient.run(group, plan, site.entry(), "/load/x", LoadSite.SECRET).get();
     }
 }
--- a/standin/src/main/java/org/hibiscususher/standin/load/LoadPlan.java
+++ b/standin/src/main/java/org/hibiscususher/standin/load/LoadPlan.java
@@ -1,18 +1,17 @@
 package org.hibiscususher.standin.load;
 
 /**
- * How much load is made.
+ * The load of one run.
  *
- * @param ratePerS requests a second, 1 to 100,000
- * @param seconds length of each run, 1 to 60
- * @param connections most connections to one side, 1 to 1,024
+ * @param ratePerS requests per second, 1 to 100,000
+ * @param seconds length of the run in seconds, 1 to 60
+ * @param connections most connections open at a time, 1 to 1,024
  */
 record LoadPlan(int ratePerS, int seconds, int connections) {
     private static final int MAX_RATE = 100_000;
     private static final int MAX_SECONDS = 60;
     private static final int MAX_CONNECTIONS = 1_024;
 
-    /** Checks the bounds. */
     LoadPlan {
         if (ratePerS < 1
                 || ratePerS > MAX_RATE
@@ -21,16 +20,17 @@
                 || connections < 1
                 || connections > MAX_CONNECTIONS) {
             throw new IllegalArgumentException(
-                    "rate: "
+                    "rate must be from 1 to 100000, seconds from 1 to 60 and connections from 1 to"
+                            + " 1024; rate="
                             + ratePerS
-                            + ", seconds: "
+                            + ", seconds="
                             + seconds
-                            + ", connections: "
+                            + ", connections="
                             + connections);
         }
     }
 
-    /** Returns how many requests the run makes. */
+    /** Returns how many requests the run sends. */
     int requests() {
         return ratePerS * seconds;
     }
--- a/standin/src/main/java/org/hibiscususher/standin/load/LoadSite.java
+++ b/standin/src/main/java/org/hibiscususher/standin/load/LoadSite.java
@@ -19,35 +19,43 @@
 import org.hibiscususher.wire.http.HttpReply;
 import org.hibiscususher.wire.http.OneShotHttpClient;
 
-/** A store and a target in this process and one daemon in its own, all on loopback addresses. */
+/**
+ * A fake store and a target in this process and one daemon in a process of its own, all on loopback
+ * addresses.
+ *
+ * <p>The daemon has its own process so that its processor time can be told apart from that of the
+ * load generator.
+ */
 final class LoadSite implements AutoCloseable {
+    /** API key of the callers. */
     static final String SECRET = "load";
+
     private static final int TIMEOUT_MS = 30_000;
-    private static final int POLL_MS = 100;
+    private static final int POLL_INTERVAL_MS = 100;
 
-    /** Status for a request without a key on a queue that is in force. */
-    private static final int KEY_MISSING = 401;
+    /** Status of a request without an API key, which shows that the queue is in force. */
+    private static final int STATUS_KEY_MISSING = 401;
 
     private final HttpServer mStore;
     private final HttpServer mTarget;
     private final Process mDaemon;
-    private final String mCallers = freeAddress();
-    private final String mOperators = freeAddress();
-    private final Path mSettings;
+    private final String mCallerAddress = freeAddress();
+    private final String mOperatorAddress = freeAddress();
+    private final Path mSettingsFile;
 
     private LoadSite() throws IOException {
         mStore = StoreMain.listen("127.0.0.1:0");
         mTarget = TargetMain.listen("127.0.0.1:0", "host-1");
-        mSettings = Files.createTempFile("load", ".yaml");
+        mSettingsFile = Files.createTempFile("load", ".yaml");
         Files.writeString(
-                mSettings,
+                mSettingsFile,
                 String.join(
                         "\n",
                         "member: entry-1",
                         "zone: zone-1",
-                        "callers: " + mCallers,
+                        "callers: " + mCallerAddress,
                         "peers: " + freeAddress(),
-                        "operators: " + mOperators,
+                        "operators: " + mOperatorAddress,
                         "platform: " + mStore.address(),
                         ""));
         mDaemon =
@@ -60,17 +68,21 @@
                                 System.getProperty("java.class.path"),
                                 DaemonMain.class.getName(),
                                 "--config",
-                                mSettings.toString())
+                                mSettingsFile.toString())
                         .redirectErrorStream(true)
                         .redirectOutput(ProcessBuilder.Redirect.DISCARD)
                         .start();
     }
 
-    /** Starts the processes and waits until the daemon serves a queue {@code load}. */
+    /**
+     * Starts the processes and waits until the daemon serves a queue {@code load}.
+     *
+     * @throws IOException if the daemon doesn't serve the queue within 30 seconds
+     */
     static LoadSite start(EventLoopGroup group)
             throws IOException, InterruptedException, ExecutionException {
         LoadSite site = new LoadSite();
-        OneShotHttpClient caller = OneShotHttpClient.create(group, TIMEOUT_MS);
+        OneShotHttpClient client = OneShotHttpClient.create(group, TIMEOUT_MS);
         String note =
                 """
                 note: load
@@ -86,22 +98,28 @@
         long deadline = System.nanoTime() + Duration.ofMillis(TIMEOUT_MS).toNanos();
         boolean ready = false;
         while (!ready && System.nanoTime() < deadline) {
-            ready = site.accepts(caller, note);
-            Thread.sleep(POLL_MS);
+            ready = site.isReady(client, note);
+            Thread.sleep(POLL_INTERVAL_MS);
         }
         if (!ready) {
             site.close();
-            throw new IOException("the daemon does not serve");
+            throw new IOException(
+                    "the daemon did not serve the queue within " + TIMEOUT_MS + " ms");
         }
         return site;
     }
 
-    private boolean accepts(OneShotHttpClient caller, String note) throws InterruptedException {
+    /**
+     * Submits the release note and returns whether its queue is in force. Called until it is, as
+     * the daemon doesn't listen yet at first.
+     */
+    private boolean isReady(OneShotHttpClient client, String note) throws InterruptedException {
         try {
             byte[] bytes = note.getBytes(StandardCharsets.UTF_8);
-            caller.send(mOperators, HttpMethod.POST, "/notes", bytes).get();
-            HttpReply answer = caller.send(mCallers, HttpMethod.GET, "/load/x", new byte[0]).get();
-            return answer.status() == KEY_MISSING;
+            client.send(mOperatorAddress, HttpMethod.POST, "/notes", bytes).get();
+            HttpReply reply =
+                    client.send(mCallerAddress, HttpMethod.GET, "/load/x", new byte[0]).get();
+            return reply.status() == STATUS_KEY_MISSING;
         } catch (ExecutionException e) {
             return false;
         }
@@ -113,15 +131,17 @@
         }
     }
 
+    /** Returns the address at which the daemon accepts requests of callers. */
     String entry() {
-        return mCallers;
+        return mCallerAddress;
     }
 
+    /** Returns the address of the target. */
     String target() {
         return mTarget.address();
     }
 
-    /** Returns the processor time that the daemon has used, in milliseconds. */
+    /** Returns the processor time that the daemon has used, in milliseconds; 0 if not known. */
     long daemonCpuMs() {
         return mDaemon.toHandle().info().totalCpuDuration().orElse(Duration.ZERO).toMillis();
     }
@@ -131,6 +151,6 @@
         mDaemon.destroyForcibly();
         mStore.close();
         mTarget.close();
-        Files.deleteIfExists(mSettings);
+        Files.deleteIfExists(mSettingsFile);
     }
 }
--- a/standin/src/main/java/org/hibiscususher/standin/load/OpenLoop.java
+++ b/standin/src/main/java/org/hibiscususher/standin/load/OpenLoopClient.java
@@ -27,13 +27,20 @@
 import org.hibiscususher.wire.http.Addresses;
 
 /**
- * Sends requests at a fixed rate, whether or not earlier ones were answered, and times each from
- * when it was due. All state belongs to the one event loop of the group.
+ * An open-loop load generator: sends requests at a fixed rate, whether or not earlier ones were
+ * answered, and measures each latency from the time when the request was due.
+ *
+ * <p>Measured from the time of sending, a stalled server would hold back the requests that it
+ * delays, and the latencies would miss the stall (coordinated omission). All state is confined to
+ * the one event loop of the group.
  */
-final class OpenLoop {
+final class OpenLoopClient {
     private static final long NS_PER_S = 1_000_000_000L;
-    private static final long PUMP_INTERVAL_US = 500;
-    private static final long DRAIN_NS = 5 * NS_PER_S;
+    private static final long SEND_INTERVAL_US = 500;
+
+    /** How long after the last request was due responses are awaited. */
+    private static final long DRAIN_TIMEOUT_NS = 5 * NS_PER_S;
+
     private static final int MAX_BODY_BYTES = 64 * 1024;
     private static final int SIGNIFICANT_DIGITS = 3;
 
@@ -43,15 +50,15 @@
     private final String mPath;
     private final String mSecret;
     private final Histogram mLatencyUs = new Histogram(SIGNIFICANT_DIGITS);
-    private final Deque<Channel> mIdle = new ArrayDeque<>();
+    private final Deque<Channel> mIdleChannels = new ArrayDeque<>();
     private final CompletableFuture<LoadResult> mResult = new CompletableFuture<>();
     private long mStartNs;
-    private int mOpen;
+    private int mOpenChannels;
     private int mSent;
     private int mAnswered;
     private int mFailed;
 
-    private OpenLoop(
+    private OpenLoopClient(
             EventLoopGroup group, LoadPlan plan, String address, String path, String secret) {
         mGroup = group;
         mPlan = plan;
@@ -60,50 +67,61 @@
         mSecret = secret;
     }
 
-    /** Runs the plan against an address and gives the result. */
+    /**
+     * Runs a plan.
+     *
+     * @param group group of one event loop
+     * @param address IP address and port to connect to
+     * @param path path of all requests
+     * @param secret API key of the caller
+     * @return completes with the result when the run ends
+     */
     static CompletableFuture<LoadResult> run(
             EventLoopGroup group, LoadPlan plan, String address, String path, String secret) {
-        OpenLoop loop = new OpenLoop(group, plan, address, path, secret);
-        group.next().execute(loop::begin);
-        return loop.mResult;
+        OpenLoopClient client = new OpenLoopClient(group, plan, address, path, secret);
+        group.next().execute(client::start);
+        return client.mResult;
     }
 
-    private void begin() {
+    private void start() {
         mStartNs = System.nanoTime();
-        pump();
+        sendDue();
     }
 
-    private void pump() {
+    /** Sends the requests that are due, as far as there are connections, and schedules itself. */
+    private void sendDue() {
         long nowNs = System.nanoTime();
-        long due = Math.min(mPlan.requests(), (nowNs - mStartNs) * mPlan.ratePerS() / NS_PER_S);
-        while (mSent < due && (!mIdle.isEmpty() || mOpen < mPlan.connections())) {
+        long dueCount =
+                Math.min(mPlan.requests(), (nowNs - mStartNs) * mPlan.ratePerS() / NS_PER_S);
+        while (mSent < dueCount
+                && (!mIdleChannels.isEmpty() || mOpenChannels < mPlan.connections())) {
             long dueNs = mStartNs + mSent * NS_PER_S / mPlan.ratePerS();
             mSent++;
-            Channel channel = mIdle.pollLast();
+            Channel channel = mIdleChannels.pollLast();
             if (channel == null) {
                 connect(dueNs);
             } else {
                 send(channel, dueNs);
             }
         }
-        boolean all = mAnswered + mFailed == mPlan.requests();
-        boolean late = nowNs - mStartNs > mPlan.seconds() * NS_PER_S + DRAIN_NS;
-        if (all || late) {
-            end(nowNs);
+        boolean complete = mAnswered + mFailed == mPlan.requests();
+        boolean timedOut = nowNs - mStartNs > mPlan.seconds() * NS_PER_S + DRAIN_TIMEOUT_NS;
+        if (complete || timedOut) {
+            finish(nowNs);
         } else {
-            mGroup.next().schedule(this::pump, PUMP_INTERVAL_US, TimeUnit.MICROSECONDS);
+            mGroup.next().schedule(this::sendDue, SEND_INTERVAL_US, TimeUnit.MICROSECONDS);
         }
     }
 
-    private void end(long nowNs) {
-        mIdle.forEach(Channel::close);
-        int unanswered = mPlan.requests() - mAnswered;
+    private void finish(long nowNs) {
+        mIdleChannels.forEach(Channel::close);
+        int failed = mPlan.requests() - mAnswered;
         long elapsedMs = TimeUnit.NANOSECONDS.toMillis(nowNs - mStartNs);
-        mResult.complete(new LoadResult(mAnswered, unanswered, mLatencyUs.copy(), elapsedMs));
+        mResult.complete(new LoadResult(mAnswered, failed, mLatencyUs.copy(), elapsedMs));
     }
 
     private void connect(long dueNs) {
-        mOpen++;
+        mOpenChannels++;
         new Bootstrap()
                 .group(mGroup)
                 .channel(NioSocketChannel.class)
@@ -124,7 +142,7 @@
                             if (connected.isSuccess()) {
                                 send(connected.channel(), dueNs);
                             } else {
-                                mOpen--;
+                                mOpenChannels--;
                                 mFailed++;
                             }
                         });
@@ -141,8 +159,9 @@
         channel.writeAndFlush(request);
     }
 
-    /** Takes the answers of one connection. */
+    /** Handles the responses of one connection. */
     private final class Receiver extends SimpleChannelInboundHandler<FullHttpResponse> {
+        /** When the request in flight was due, by {@link System#nanoTime}; -1 if there is none. */
         private long mDueNs = -1;
 
         @Override
@@ -154,13 +173,13 @@
                 mFailed++;
             }
             mDueNs = -1;
-            mIdle.addLast(context.channel());
+            mIdleChannels.addLast(context.channel());
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext context) {
-            mOpen--;
-            mIdle.remove(context.channel());
+            mOpenChannels--;
+            mIdleChannels.remove(context.channel());
             if (mDueNs >= 0) {
                 mFailed++;
             }
--- a/standin/src/main/java/org/hibiscususher/standin/load/package-info.java
+++ b/standin/src/main/java/org/hibiscususher/standin/load/package-info.java
@@ -1,2 +1,4 @@
-/** A load tool that compares calls through an entry with calls straight to a target. */
+/**
+ * A load generator that compares requests through an entry with requests sent directly to a target.
+ */
 package org.hibiscususher.standin.load;
