--- a/standin/src/main/java/org/hibiscususher/standin/HttpServer.java
+++ b/standin/src/main/java/org/hibiscususher/standin/HttpServer.java
@@ -17,7 +17,11 @@
 import java.util.function.Supplier;
 import org.hibiscususher.wire.http.Addresses;
 
-/** A small HTTP server with one event loop, for stand-ins. */
+/**
+ * An HTTP server with one event loop, on which the fakes of this module run.
+ *
+ * <p>Handlers get whole requests, with bodies of up to 16 MiB.
+ */
 public final class HttpServer implements AutoCloseable {
     private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
     private static final long CLOSE_TIMEOUT_MS = 1_000;
@@ -31,10 +35,10 @@
     }
 
     /**
-     * Starts to listen.
+     * Binds the address and starts to accept connections.
      *
-     * @param address IP number and port; port 0 takes a free one
-     * @param handlers makes the handler of each connection; all run on one thread
+     * @param address IP address and port; port 0 lets the system choose a free port
+     * @param handlers creates the handler of each connection; all handlers run on one thread
      * @throws IOException if the address can't be bound
      */
     public static HttpServer listen(String address, Supplier<ChannelHandler> handlers)
@@ -63,7 +67,7 @@
         return new HttpServer(group, bound.channel());
     }
 
-    /** Returns the IP number and port. */
+    /** Returns the bound IP address and port, {@code ip:port}. */
     public String address() {
         InetSocketAddress address = (InetSocketAddress) mChannel.localAddress();
         return address.getAddress().getHostAddress() + ":" + address.getPort();
--- a/standin/src/main/java/org/hibiscususher/standin/package-info.java
+++ b/standin/src/main/java/org/hibiscususher/standin/package-info.java
@@ -1,2 +1,5 @@
-/** Stand-ins for the platform, targets and callers; not shipped. */
+/**
+ * Fakes of the platform, the store, target hosts and callers, for tests, benchmarks and the quick
+ * start. No part of a release.
+ */
 package org.hibiscususher.standin;
--- a/standin/src/main/java/org/hibiscususher/standin/quickstart/QuickstartMain.java
+++ b/standin/src/main/java/org/hibiscususher/standin/quickstart/QuickstartMain.java
@@ -8,6 +8,7 @@
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
 import org.hibiscususher.core.world.ControlSettings;
 import org.hibiscususher.daemon.Daemon;
 import org.hibiscususher.daemon.settings.DaemonSettings;
@@ -17,14 +18,17 @@
 import org.hibiscususher.wire.http.HttpReply;
 import org.hibiscususher.wire.http.OneShotHttpClient;
 
-/** Runs the main job once: store, two targets and a daemon in one process, one request shown. */
+/**
+ * Shows the path of one request: starts a fake store, two targets and a daemon in one process,
+ * applies a release note, and prints the responses to a request and to one that is refused.
+ */
 public final class QuickstartMain {
     private static final int TIMEOUT_MS = 20_000;
     private static final String ANY_PORT = "127.0.0.1:0";
 
     private QuickstartMain() {}
 
-    /** Runs the main job and stops. */
+    /** Runs the demonstration; takes no arguments. */
     public static void main(String[] args)
             throws IOException, InterruptedException, ExecutionException {
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -41,31 +45,33 @@
                             store.address(),
                             ControlSettings.DEFAULT);
             Daemon daemon = Daemon.start(settings);
-            OneShotHttpClient caller = OneShotHttpClient.create(group, TIMEOUT_MS);
+            OneShotHttpClient client = OneShotHttpClient.create(group, TIMEOUT_MS);
             String note = note(first.address(), second.address());
             System.out.println(note);
-            show("release note", caller, settings.operators(), HttpMethod.POST, "/notes", note);
-            show("request", caller, settings.callers(), HttpMethod.GET, "/lookups/seals/42", "");
-            show("refusal", caller, settings.callers(), HttpMethod.GET, "/elsewhere/1", "");
+            sendAndPrint(
+                    "release note", client, settings.operators(), HttpMethod.POST, "/notes", note);
+            sendAndPrint(
+                    "request", client, settings.callers(), HttpMethod.GET, "/lookups/seals/42", "");
+            sendAndPrint("refusal", client, settings.callers(), HttpMethod.GET, "/elsewhere/1", "");
             daemon.shutDown();
             System.out.println("stopped");
         } finally {
-            group.shutdownGracefully(0, TIMEOUT_MS, java.util.concurrent.TimeUnit.MILLISECONDS);
+            group.shutdownGracefully(0, TIMEOUT_MS, TimeUnit.MILLISECONDS);
         }
     }
 
-    private static void show(
-            String what,
-            OneShotHttpClient caller,
+    private static void sendAndPrint(
+            String title,
+            OneShotHttpClient client,
             String address,
             HttpMethod method,
             String path,
             String body)
             throws InterruptedException, ExecutionException {
         byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
-        HttpReply reply = caller.send(address, method, path, bytes).get();
+        HttpReply reply = client.send(address, method, path, bytes).get();
         System.out.println(
-                what
+                title
                         + " -> "
                         + reply.status()
                         + " "
--- a/standin/src/main/java/org/hibiscususher/standin/quickstart/package-info.java
+++ b/standin/src/main/java/org/hibiscususher/standin/quickstart/package-info.java
@@ -1,2 +1,2 @@
-/** The main job in one process: store, targets, a daemon, one request. */
+/** A demonstration in one process: a fake store, two targets, a daemon and one request. */
 package org.hibiscususher.standin.quickstart;
