--- a/standin/src/main/java/org/hibiscususher/standin/bench/EntrySimulation.java
+++ b/standin/src/main/java/org/hibiscususher/standin/bench/EntrySimulation.java
@@ -7,7 +7,7 @@
 import org.hibiscususher.core.world.ControlSettings;
 import org.hibiscususher.core.world.EscrowPolicy;
 import org.hibiscususher.core.world.SchedulingClass;
-import org.hibiscususher.standin.virtual.EntryCondition;
+import org.hibiscususher.standin.virtual.ProcessState;
 import org.hibiscususher.standin.virtual.VirtualEntry;
 import org.hibiscususher.standin.virtual.VirtualRequest;
 import org.hibiscususher.standin.virtual.VirtualSite;
@@ -47,8 +47,9 @@
      */
     long run(List<Arrival> arrivals) {
         startSite();
-        mSite.network().setBehaviour(NETWORK_LATENCY_MS, mScenario.jitterMs(), mScenario.loss(), 0);
-        long messagesBefore = mSite.network().messages();
+        mSite.network()
+                .setLinkBehaviour(NETWORK_LATENCY_MS, mScenario.jitterMs(), mScenario.loss(), 0);
+        long messagesBefore = mSite.network().messageCount();
         int next = 0;
         for (int ms = 0; ms < Scenario.DURATION_MS; ms++) {
             if (mScenario.killsAllocator() && ms == Scenario.DURATION_MS / 2) {
@@ -61,7 +62,7 @@
             sample();
         }
         mQuickRequests.forEach(this::recordWait);
-        return mSite.network().messages() - messagesBefore;
+        return mSite.network().messageCount() - messagesBefore;
     }
 
     private void startSite() {
@@ -69,7 +70,7 @@
             mSite.start("e" + i, mBenchSite.zone(i));
         }
         mSite.run(SETTLE_MS);
-        mSite.submit("e0", NoteReader.read("bench", mBenchSite.note(mCustomers)).note());
+        mSite.submitNote("e0", NoteReader.read("bench", mBenchSite.note(mCustomers)).note());
         mSite.run(SETTLE_MS);
     }
 
@@ -88,10 +89,10 @@
         String team = mCustomers.get(arrival.customer()).team();
         String queue = (arrival.kind() == QueueKind.QUICK ? "quick" : "long") + arrival.pool();
         int entry = arrival.entry();
-        while (mSite.entries().get("e" + entry).condition() == EntryCondition.DEAD) {
+        while (mSite.entries().get("e" + entry).processState() == ProcessState.DEAD) {
             entry = (entry + 1) % BenchSite.ENTRIES;
         }
-        VirtualRequest request = mSite.call("e" + entry, queue, team, arrival.runMs());
+        VirtualRequest request = mSite.sendRequest("e" + entry, queue, team, arrival.runMs());
         if (arrival.kind() == QueueKind.QUICK) {
             mQuickRequests.add(request);
         }
@@ -114,7 +115,7 @@
         int[][] waiting = new int[mBenchSite.pools()][mCustomers.size()];
         int[][] running = new int[mBenchSite.pools()][mCustomers.size()];
         for (VirtualEntry entry : mSite.entries().values()) {
-            if (entry.condition() == EntryCondition.DEAD) {
+            if (entry.processState() == ProcessState.DEAD) {
                 continue;
             }
             for (SchedulingClass group : entry.world().requests().groups()) {
@@ -131,12 +132,12 @@
     private void checkLimits() {
         boolean violated = false;
         for (VirtualTarget target : mSite.targets().values()) {
-            violated |= target.running() > BenchSite.SLOTS_PER_HOST;
+            violated |= target.runningRequests() > BenchSite.SLOTS_PER_HOST;
         }
         for (Customer customer : mCustomers) {
             int running = 0;
             for (VirtualTarget target : mSite.targets().values()) {
-                running += target.running(customer.team());
+                running += target.runningRequests(customer.team());
             }
             violated |= running > customer.upperLimit();
         }
--- a/standin/src/main/java/org/hibiscususher/standin/bench/RollOutBench.java
+++ b/standin/src/main/java/org/hibiscususher/standin/bench/RollOutBench.java
@@ -7,7 +7,7 @@
 import java.util.Locale;
 import org.hibiscususher.core.message.Output.ReplyToNote;
 import org.hibiscususher.core.note.ReleaseNote;
-import org.hibiscususher.standin.virtual.EntryCondition;
+import org.hibiscususher.standin.virtual.ProcessState;
 import org.hibiscususher.standin.virtual.VirtualEntry;
 import org.hibiscususher.standin.virtual.VirtualSite;
 import org.hibiscususher.wire.yaml.NoteReader;
@@ -100,7 +100,7 @@
             List<Long> repliedMs) {
         long startMs = site.nowMs();
         long revision = newestRevision(site) + 1;
-        long call = site.submit("e1", note(number));
+        long call = site.submitNote("e1", note(number));
         boolean inForce = false;
         boolean replied = !path.repliesToOperator();
         while (site.nowMs() - startMs < TIME_LIMIT_MS && !(inForce && replied)) {
@@ -109,7 +109,7 @@
                 inForce = true;
                 inForceMs.add(site.nowMs() - startMs);
             }
-            ReplyToNote reply = site.noteAnswers().get(call);
+            ReplyToNote reply = site.noteReplies().get(call);
             if (!replied && reply != null) {
                 replied = true;
                 repliedMs.add(site.nowMs() - startMs);
@@ -120,7 +120,7 @@
 
     private static boolean inForceEverywhere(VirtualSite site, long revision) {
         return site.entries().values().stream()
-                .filter(e -> e.condition() == EntryCondition.RUNNING)
+                .filter(e -> e.processState() == ProcessState.RUNNING)
                 .allMatch(e -> e.world().configuration().revision() >= revision);
     }
 
--- a/standin/src/main/java/org/hibiscususher/standin/bench/WaveBench.java
+++ b/standin/src/main/java/org/hibiscususher/standin/bench/WaveBench.java
@@ -73,13 +73,13 @@
     private void run(String seed) {
         WaveSiteSetup.open(mSite, ENTRIES, POOLS, HOSTS_PER_POOL, ZONES, 0);
         mSite.platform().setRebootMs(REBOOT_MS);
-        mSite.listHosts(LIST_LAG_MS);
+        mSite.startHostListUpdates(LIST_LAG_MS);
         runLoad(10_000);
         long writesBefore = mSite.store().writes();
         long readsBefore = mSite.store().reads();
-        mSite.wave("e1", WaveCommand.PLAN, List.of());
+        mSite.sendWaveCommand("e1", WaveCommand.PLAN, List.of());
         runLoad(1_000);
-        mSite.wave("e1", WaveCommand.START, List.of());
+        mSite.sendWaveCommand("e1", WaveCommand.START, List.of());
         long startMs = mSite.nowMs();
         while (!isDone() && mSite.nowMs() - startMs < TIME_LIMIT_MS) {
             runLoad(STEP_MS);
@@ -94,17 +94,19 @@
                 mTotalOutageMs / MS_PER_SECOND,
                 (double) mTotalOutageMs / waveMs,
                 mMaxHostsOut,
-                mRequests.stream().filter(VirtualRequest::answered).count(),
+                mRequests.stream().filter(VirtualRequest::isAnswered).count(),
                 mSite.platform().violations().size()
-                        + mRequests.stream().filter(r -> r.runs() > 0 && isLost(r)).count(),
-                mRequests.stream().filter(r -> r.refusal().isPresent() && r.runs() == 0).count(),
+                        + mRequests.stream().filter(r -> r.runCount() > 0 && isLost(r)).count(),
+                mRequests.stream()
+                        .filter(r -> r.refusal().isPresent() && r.runCount() == 0)
+                        .count(),
                 mSite.store().writes() - writesBefore,
                 mSite.store().reads() - readsBefore,
                 isDone() ? "" : "  NOT DONE");
     }
 
     private static boolean isLost(VirtualRequest request) {
-        return request.over() && !request.answered();
+        return request.isFinished() && !request.isAnswered();
     }
 
     private boolean isDone() {
@@ -123,7 +125,7 @@
             for (VirtualEntry entry : mSite.entries().values()) {
                 for (int pool = 0; pool < POOLS; pool++) {
                     int runMs = RUN_MS / 2 + mSite.random().nextInt(RUN_MS);
-                    mRequests.add(mSite.call(entry.id(), "q" + pool, "fitters", runMs));
+                    mRequests.add(mSite.sendRequest(entry.id(), "q" + pool, "fitters", runMs));
                 }
             }
         }
--- a/standin/src/main/java/org/hibiscususher/standin/bench/WaveSiteSetup.java
+++ b/standin/src/main/java/org/hibiscususher/standin/bench/WaveSiteSetup.java
@@ -47,7 +47,7 @@
             }
             for (int h = 0; h < count; h++) {
                 String id = "p" + p + "-" + h;
-                site.platform().add(id);
+                site.platform().addHost(id);
                 hostLines.append(
                         "    - {name: %s, address: \"127.0.0.1:%d\", zone: z%d, pool: p%d}%n"
                                 .formatted(id, port++, h % zones, p));
@@ -69,12 +69,12 @@
                                 hostLines,
                                 queueLines,
                                 KeyDigest.ofSecret("fitters").toHex());
-        long call = site.submit("e1", NoteReader.read("note", note).note());
+        long call = site.submitNote("e1", NoteReader.read("note", note).note());
         site.run(SETTLE_MS);
-        if (site.noteAnswers().get(call).result() != NoteResult.ACCEPTED) {
+        if (site.noteReplies().get(call).result() != NoteResult.ACCEPTED) {
             throw new IllegalStateException(
                     "the release note of the site was not accepted: "
-                            + site.noteAnswers().get(call));
+                            + site.noteReplies().get(call));
         }
     }
 }
--- a/standin/src/main/java/org/hibiscususher/standin/capacity/CapacityBench.java
+++ b/standin/src/main/java/org/hibiscususher/standin/capacity/CapacityBench.java
@@ -126,17 +126,17 @@
             site.start("e" + i, "z" + i % 3);
         }
         site.run(SETTLE_MS);
-        long noteCall = site.submit("e0", NoteReader.read("note", size.initialNote()).note());
+        long noteCall = site.submitNote("e0", NoteReader.read("note", size.initialNote()).note());
         site.run(SETTLE_MS);
-        if (!site.noteAnswers().containsKey(noteCall)
-                || site.noteAnswers().get(noteCall).result() != NoteResult.ACCEPTED) {
+        if (!site.noteReplies().containsKey(noteCall)
+                || site.noteReplies().get(noteCall).result() != NoteResult.ACCEPTED) {
             throw new IllegalStateException(
                     "the release note of the site was not accepted: "
-                            + site.noteAnswers().get(noteCall));
+                            + site.noteReplies().get(noteCall));
         }
         startLoad(site, size);
         site.run(SETTLE_MS);
-        site.setMeasuresBytes(true);
+        site.setCountsMessageBytes(true);
         ControlCost before = totals(site);
         site.run(MEASURE_MS);
         ControlCost after = totals(site);
@@ -185,17 +185,17 @@
         for (int i = 0; i < count; i++) {
             String entry = "e" + random.nextInt(size.members());
             String queue = "q" + random.nextInt(size.pools());
-            site.call(entry, queue, "t" + random.nextInt(size.teams()), REQUEST_RUN_MS);
+            site.sendRequest(entry, queue, "t" + random.nextInt(size.teams()), REQUEST_RUN_MS);
         }
-        site.requests().values().removeIf(r -> r.over());
-        site.timeline().after(intervalMs, () -> sendRequests(site, size, random));
+        site.requests().values().removeIf(r -> r.isFinished());
+        site.clock().after(intervalMs, () -> sendRequests(site, size, random));
     }
 
     /** Submits a release note now and, at a fixed interval, for the rest of the run. */
     private static void submitChange(VirtualSite site, SiteSize size, int number) {
         String entry = "e" + number % size.members();
-        site.submit(entry, NoteReader.read("note", size.changeNote(number)).note());
-        site.timeline()
+        site.submitNote(entry, NoteReader.read("note", size.changeNote(number)).note());
+        site.clock()
                 .after(MS_PER_DAY / size.notesPerDay(), () -> submitChange(site, size, number + 1));
     }
 
