Explain the benchmark's sums and take the load plan's ranges from its constants

The sums of slot time and the scheduler's lists had no unit or meaning. The usage error of a bad load plan repeated the limits as text; it now prints the constants.

--- a/standin/src/main/java/org/hibiscususher/standin/bench/BenchMetrics.java
+++ b/standin/src/main/java/org/hibiscususher/standin/bench/BenchMetrics.java
@@ -18,14 +18,26 @@
 
     private final BenchSite mSite;
     private final List<Customer> mCustomers;
+
+    /** Slot time used in the current window, by pool and customer. */
     private final double[][] mUsedSlotMs;
+
+    /** Slot time of the fair shares in the current window, by pool and customer. */
     private final double[][] mEntitledSlotMs;
+
+    /** Samples of the current window in which demand filled the pool, by pool. */
     private final int[] mSaturatedMs;
+
     private final List<Double> mAttainment = new ArrayList<>();
     private final Histogram mQuickWaits = new Histogram(SIGNIFICANT_DIGITS);
     private int mSamples;
+
+    /** Slot time that was idle although a waiting request could have used it. */
     private double mStrandedSlotMs;
+
+    /** Slot time of pools while a request waited that its customer's limit allowed to start. */
     private double mContendedSlotMs;
+
     private long mViolations;
 
     BenchMetrics(BenchSite site, List<Customer> customers) {
@@ -112,6 +124,7 @@
         mViolations++;
     }
 
+    /** Returns the figures of all samples so far; an unfinished window is left out. */
     BenchResult result() {
         List<Double> sorted = new ArrayList<>(mAttainment);
         Collections.sort(sorted);
--- a/standin/src/main/java/org/hibiscususher/standin/bench/CentralScheduler.java
+++ b/standin/src/main/java/org/hibiscususher/standin/bench/CentralScheduler.java
@@ -19,10 +19,15 @@
     private final List<Customer> mCustomers;
     private final boolean mFifo;
     private final BenchMetrics mMetrics;
+
+    /** Waiting requests, a queue for each pool, customer and kind; see {@link #queue}. */
     private final List<Deque<Arrival>> mWaiting = new ArrayList<>();
+
     private final int[][] mWaitingCount;
     private final int[][] mRunningCount;
     private final int[] mLongRunningCount;
+
+    /** Requests that finish at each millisecond from the start of the run. */
     private final List<List<Arrival>> mFinishingAtMs = new ArrayList<>();
 
     /**
--- a/standin/src/main/java/org/hibiscususher/standin/bench/PropagationPath.java
+++ b/standin/src/main/java/org/hibiscususher/standin/bench/PropagationPath.java
@@ -19,7 +19,7 @@
     /** Relay by other entries only. */
     RELAY("relay only", true, true, false);
 
-    /** The entries' bound of freshness without polls; the interval of polls depends on it. */
+    /** Bound of freshness if polls are disabled; the poll interval is a fraction of it. */
     private static final int LONG_FRESHNESS_MS = 60_000;
 
     private final String mLabel;
--- a/standin/src/main/java/org/hibiscususher/standin/bench/WaveBench.java
+++ b/standin/src/main/java/org/hibiscususher/standin/bench/WaveBench.java
@@ -47,8 +47,13 @@
 
     private final VirtualSite mSite;
     private final List<VirtualRequest> mRequests = new ArrayList<>();
+
+    /** Start of the current outage of each host that is out of service. */
     private final Map<String, Long> mOutSinceMs = new HashMap<>();
+
+    /** Sum of the lengths of all finished outages. */
     private long mTotalOutageMs;
+
     private int mMaxHostsOut;
 
     private WaveBench(long seed) {
--- a/standin/src/main/java/org/hibiscususher/standin/load/LoadPlan.java
+++ b/standin/src/main/java/org/hibiscususher/standin/load/LoadPlan.java
@@ -20,8 +20,13 @@
                 || connections < 1
                 || connections > MAX_CONNECTIONS) {
             throw new IllegalArgumentException(
-                    "rate must be from 1 to 100000, seconds from 1 to 60 and connections from 1 to"
-                            + " 1024; rate="
+                    "rate must be from 1 to "
+                            + MAX_RATE
+                            + ", seconds from 1 to "
+                            + MAX_SECONDS
+                            + " and connections from 1 to "
+                            + MAX_CONNECTIONS
+                            + ": rate="
                             + ratePerS
                             + ", seconds="
                             + seconds
