Reword the golden tests in the terms of the field

The names were figurative (a session plays, a recorder says). The commands are now a GoldenScenario whose transcript a TranscriptRecorder records. File names and texts of the golden files are unchanged.

--- a/standin/src/test/java/org/hibiscususher/standin/golden/GoldenTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/golden/GoldenTest.java
@@ -9,23 +9,27 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
-/** Compares whole sessions with their golden files; {@code bin/golden} writes them anew. */
+/**
+ * Compares the transcript of each {@link GoldenScenario} with its golden file. A difference means
+ * that operators or callers see something else than before. {@code bin/golden} sets the system
+ * property {@code golden.write}, with which the files are rewritten from the current transcripts.
+ */
 class GoldenTest {
-    private static final Path FOLDER = Path.of("src", "test", "resources", "golden");
+    private static final Path GOLDEN_FOLDER = Path.of("src", "test", "resources", "golden");
 
     @Nested
-    class Sessions {
+    class Scenarios {
         @ParameterizedTest
-        @EnumSource(Session.class)
-        void areAsWritten(Session session) throws IOException {
-            Recorder recorder = new Recorder();
-            session.play(recorder);
-            Path file = FOLDER.resolve(session.file());
+        @EnumSource(GoldenScenario.class)
+        void matchTheirGoldenFiles(GoldenScenario scenario) throws IOException {
+            TranscriptRecorder recorder = new TranscriptRecorder();
+            scenario.run(recorder);
+            Path file = GOLDEN_FOLDER.resolve(scenario.fileName());
             if (Boolean.getBoolean("golden.write")) {
-                Files.createDirectories(FOLDER);
-                Files.writeString(file, recorder.text());
+                Files.createDirectories(GOLDEN_FOLDER);
+                Files.writeString(file, recorder.transcript());
             }
-            assertThat(recorder.text()).isEqualTo(Files.readString(file));
+            assertThat(recorder.transcript()).isEqualTo(Files.readString(file));
         }
     }
 }
