Reword the fault matrix in the terms of fault injection

Promises are invariants, steps are injection points, a scene is a fault scenario. Comments say which failure each constant simulates or checks. Order of the constants (seeds), literals of notes and all numbers are unchanged; texts of violations are reworded.

--- a/standin/src/test/java/org/hibiscususher/standin/matrix/Fault.java
+++ b/standin/src/test/java/org/hibiscususher/standin/matrix/Fault.java
@@ -9,174 +9,185 @@
 import org.hibiscususher.standin.virtual.VirtualRequest;
 import org.hibiscususher.standin.virtual.VirtualSite;
 
-/** The columns of the fault matrix: what goes wrong. */
+/**
+ * The columns of the fault matrix: what fails.
+ *
+ * <p>Where a fault affects a single entry, that is the entry reported by the {@link
+ * InjectionPoint}.
+ */
 enum Fault {
-    /** The entry's process ends at once. */
+    /** The entry's process is killed. */
     KILLED {
         @Override
-        void inject(Scene scene, String entry) {
-            scene.kill(entry);
+        void inject(FaultScenario scenario, String entry) {
+            scenario.kill(entry);
         }
     },
-    /** The entry's process ends at once and starts again soon after. */
+    /** The entry's process is killed and restarted soon after as a new incarnation. */
     RESTARTED {
         @Override
-        void inject(Scene scene, String entry) {
-            scene.kill(entry);
-            scene.site().timeline().after(RESTART_MS, () -> scene.restart(entry));
+        void inject(FaultScenario scenario, String entry) {
+            scenario.kill(entry);
+            scenario.site().timeline().after(RESTART_DELAY_MS, () -> scenario.restart(entry));
         }
     },
-    /** The entry's process is stopped past every lease and goes on. */
+    /** The entry's process is suspended until all its leases have expired, then resumed. */
     PAUSED {
         @Override
-        void inject(Scene scene, String entry) {
-            if (scene.entry(entry).condition() == EntryCondition.RUNNING) {
-                scene.site().pause(entry);
+        void inject(FaultScenario scenario, String entry) {
+            if (scenario.entry(entry).condition() == EntryCondition.RUNNING) {
+                scenario.site().pause(entry);
             }
         }
     },
-    /** What the entry sends to its peers is lost. */
+    /** Messages from the entry to its peers are lost; those from its peers arrive. */
     CUT_ONE_WAY {
         @Override
-        void inject(Scene scene, String entry) {
-            scene.others(entry).forEach(o -> scene.site().network().setCut(entry, o, true));
+        void inject(FaultScenario scenario, String entry) {
+            scenario.others(entry).forEach(o -> scenario.site().network().setCut(entry, o, true));
         }
     },
-    /** The entry and its peers lose each other. */
+    /** Messages between the entry and its peers are lost in both directions. */
     CUT_BOTH_WAYS {
         @Override
-        void inject(Scene scene, String entry) {
-            CUT_ONE_WAY.inject(scene, entry);
-            scene.others(entry).forEach(o -> scene.site().network().setCut(o, entry, true));
+        void inject(FaultScenario scenario, String entry) {
+            CUT_ONE_WAY.inject(scenario, entry);
+            scenario.others(entry).forEach(o -> scenario.site().network().setCut(o, entry, true));
         }
     },
-    /** The entry loses its peers and the store. */
+    /** The entry reaches neither its peers nor the store. */
     ISOLATED {
         @Override
-        void inject(Scene scene, String entry) {
-            CUT_BOTH_WAYS.inject(scene, entry);
-            scene.site().store().setReachable(entry, false);
+        void inject(FaultScenario scenario, String entry) {
+            CUT_BOTH_WAYS.inject(scenario, entry);
+            scenario.site().store().setReachable(entry, false);
         }
     },
-    /** Messages between entries are lost, doubled and overtake each other. */
+    /** Messages between all entries are delayed, lost, duplicated and reordered. */
     MESSAGES_UNRELIABLE {
         @Override
-        void inject(Scene scene, String entry) {
-            scene.site().network().setBehaviour(1, 40, 0.3, 0.3);
+        void inject(FaultScenario scenario, String entry) {
+            scenario.site().network().setBehaviour(1, 40, 0.3, 0.3);
         }
     },
-    /** The store does nothing. */
+    /** The store neither executes nor answers calls. */
     STORE_DOWN {
         @Override
-        void inject(Scene scene, String entry) {
-            scene.site().store().setFault(StoreFault.DOWN);
+        void inject(FaultScenario scenario, String entry) {
+            scenario.site().store().setFault(StoreFault.DOWN);
         }
     },
-    /** The store answers late. */
+    /** The store answers with a delay. */
     STORE_SLOW {
         @Override
-        void inject(Scene scene, String entry) {
-            scene.site().store().setFault(StoreFault.SLOW);
+        void inject(FaultScenario scenario, String entry) {
+            scenario.site().store().setFault(StoreFault.SLOW);
         }
     },
-    /** The store's answers are lost after the writes have taken effect. */
+    /** The store executes calls, but its answers are lost: writers can't know the outcome. */
     STORE_LOSES_ANSWERS {
         @Override
-        void inject(Scene scene, String entry) {
-            scene.site().store().setFault(StoreFault.LOSES_ANSWERS);
+        void inject(FaultScenario scenario, String entry) {
+            scenario.site().store().setFault(StoreFault.LOSES_ANSWERS);
         }
     },
-    /** Watches show nothing. */
+    /** Watches of the store deliver no changes. */
     WATCH_FROZEN {
         @Override
-        void inject(Scene scene, String entry) {
-            scene.site().store().setFault(StoreFault.FROZEN_WATCH);
+        void inject(FaultScenario scenario, String entry) {
+            scenario.site().store().setFault(StoreFault.FROZEN_WATCH);
         }
     },
-    /** The platform's list still shows what has gone and lacks what has come. */
+    /** The platform's host list is stale: ended hosts stay listed, new ones are missing. */
     HOST_LIST_STALE {
         @Override
-        void inject(Scene scene, String entry) {
-            scene.freezeHostList();
+        void inject(FaultScenario scenario, String entry) {
+            scenario.freezeHostList();
         }
     },
-    /** Half of the targets take no connection. */
+    /** The targets of one zone, half of all, accept no connection. */
     TARGETS_UNREACHABLE {
         @Override
-        void inject(Scene scene, String entry) {
-            scene.breakTargets(TargetFault.UNREACHABLE);
+        void inject(FaultScenario scenario, String entry) {
+            scenario.setTargetFault(TargetFault.UNREACHABLE);
         }
     },
-    /** Half of the targets decline everything. */
+    /** The targets of one zone decline every request, as during their shutdown. */
     TARGETS_CLOSING {
         @Override
-        void inject(Scene scene, String entry) {
-            scene.breakTargets(TargetFault.CLOSING);
+        void inject(FaultScenario scenario, String entry) {
+            scenario.setTargetFault(TargetFault.CLOSING);
         }
     },
-    /** Half of the targets fail all that they start. */
+    /** The targets of one zone start each request and close the connection before answering. */
     TARGETS_FAILING {
         @Override
-        void inject(Scene scene, String entry) {
-            scene.breakTargets(TargetFault.FAILING);
+        void inject(FaultScenario scenario, String entry) {
+            scenario.setTargetFault(TargetFault.FAILING);
         }
     },
-    /** Half of the targets cut their answers short. */
+    /** The targets of one zone truncate each response. */
     TARGETS_CUTTING_SHORT {
         @Override
-        void inject(Scene scene, String entry) {
-            scene.breakTargets(TargetFault.SHORT_BODY);
+        void inject(FaultScenario scenario, String entry) {
+            scenario.setTargetFault(TargetFault.SHORT_BODY);
         }
     },
-    /** Half of the targets are slow; some answers come after the run limit. */
+    /** The targets of one zone are slow, some responses exceed the run limit. */
     TARGETS_SLOW {
         @Override
-        void inject(Scene scene, String entry) {
-            scene.breakTargets(TargetFault.SLOW);
+        void inject(FaultScenario scenario, String entry) {
+            scenario.setTargetFault(TargetFault.SLOW);
         }
     },
-    /** All callers go away at once. */
+    /** All callers disconnect at the same time. */
     CANCELLATIONS {
         @Override
-        void inject(Scene scene, String entry) {
-            VirtualSite site = scene.site();
+        void inject(FaultScenario scenario, String entry) {
+            VirtualSite site = scenario.site();
             List<VirtualRequest> open =
                     site.requests().values().stream()
                             .filter(r -> !r.over())
-                            .filter(r -> scene.alive(r.entry()))
+                            .filter(r -> scenario.isRunning(r.entry()))
                             .toList();
             open.forEach(site::cancel);
         }
     },
-    /** Two operators change the same team through two entries. */
+    /** Two operators change the same team through two entries, based on the same revision. */
     OPERATORS_RACING {
         @Override
-        void inject(Scene scene, String entry) {
-            Configuration seen = scene.entry(entry).world().configuration();
-            String other = scene.others(entry).get(0);
-            scene.submit(entry, SceneNotes.limit("race-one", 7, seen.revision()));
-            scene.submit(other, SceneNotes.limit("race-two", 5, seen.revision()));
+        void inject(FaultScenario scenario, String entry) {
+            Configuration current = scenario.entry(entry).world().configuration();
+            String other = scenario.others(entry).get(0);
+            scenario.submit(entry, ScenarioNotes.changeLimit("race-one", 7, current.revision()));
+            scenario.submit(other, ScenarioNotes.changeLimit("race-two", 5, current.revision()));
         }
     },
-    /** All entries and targets of a zone are lost. */
+    /** All entries and targets of the entry's zone fail; its entries restart after a while. */
     ZONE_LOST {
         @Override
-        void inject(Scene scene, String entry) {
-            String zone = scene.entry(entry).identity().zone();
-            for (VirtualEntry lost : List.copyOf(scene.site().entries().values())) {
+        void inject(FaultScenario scenario, String entry) {
+            String zone = scenario.entry(entry).identity().zone();
+            for (VirtualEntry lost : List.copyOf(scenario.site().entries().values())) {
                 if (lost.identity().zone().equals(zone)) {
-                    scene.kill(lost.id());
-                    scene.site().timeline().after(ZONE_MS, () -> scene.restart(lost.id()));
+                    scenario.kill(lost.id());
+                    scenario.site()
+                            .timeline()
+                            .after(ZONE_RESTART_DELAY_MS, () -> scenario.restart(lost.id()));
                 }
             }
-            scene.hostsOf(zone)
-                    .forEach(h -> scene.site().target(h).setFault(TargetFault.UNREACHABLE));
+            scenario.hostsOf(zone)
+                    .forEach(h -> scenario.site().target(h).setFault(TargetFault.UNREACHABLE));
         }
     };
 
-    private static final long RESTART_MS = 300;
-    private static final long ZONE_MS = 3_000;
+    private static final long RESTART_DELAY_MS = 300;
+    private static final long ZONE_RESTART_DELAY_MS = 3_000;
 
-    /** Lets the fault begin; {@link Scene#mend} ends it. */
-    abstract void inject(Scene scene, String entry);
+    /**
+     * Starts the fault; {@link FaultScenario#clearFaults} ends it.
+     *
+     * @param entry id of the entry to which the injection point applies
+     */
+    abstract void inject(FaultScenario scenario, String entry);
 }
--- a/standin/src/test/java/org/hibiscususher/standin/matrix/FaultMatrixTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/matrix/FaultMatrixTest.java
@@ -9,31 +9,40 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
-/** Every fault at every step, alone and in pairs, over the real decisions in virtual time. */
+/**
+ * Injects every {@link Fault}, alone and in pairs, at every {@link InjectionPoint} and checks every
+ * {@link Invariant}. The control nodes are the real ones; network, store, platform and targets are
+ * simulated in virtual time. Each run is reproducible: its seed is the base seed plus the ordinal
+ * of the injection point.
+ */
 class FaultMatrixTest {
-    private static final long SEED = 20_261_204;
+    private static final long BASE_SEED = 20_261_204;
 
-    /** One cell that did not hold. */
-    private static Stream<String> failures(Step step, List<Fault> faults) {
-        Scene.Outcome outcome = new Scene(SEED + step.ordinal()).play(step, faults);
-        List<String> found = new ArrayList<>();
-        outcome.violations().forEach((p, v) -> found.add(step + " " + faults + " " + p + ": " + v));
-        outcome.stuck().forEach(s -> found.add(step + " " + faults + " " + s));
-        if (!outcome.reached()) {
-            found.add(step + " " + faults + " step not reached");
+    /** Runs one cell of the matrix and returns a description of each failure, or nothing. */
+    private static Stream<String> failuresOf(InjectionPoint point, List<Fault> faults) {
+        FaultScenario.Result result =
+                new FaultScenario(BASE_SEED + point.ordinal()).run(point, faults);
+        List<String> failures = new ArrayList<>();
+        result.violations()
+                .forEach(
+                        (invariant, v) ->
+                                failures.add(point + " " + faults + " " + invariant + ": " + v));
+        result.unrecovered().forEach(s -> failures.add(point + " " + faults + " " + s));
+        if (!result.reached()) {
+            failures.add(point + " " + faults + " injection point not reached");
         }
-        return found.stream();
+        return failures.stream();
     }
 
     @Nested
     class SingleFaults {
         @ParameterizedTest
-        @EnumSource(Step.class)
-        void keepEveryPromise(Step step) {
+        @EnumSource(InjectionPoint.class)
+        void violateNoInvariant(InjectionPoint point) {
             List<String> failures =
                     Stream.of(Fault.values())
                             .parallel()
-                            .flatMap(f -> failures(step, List.of(f)))
+                            .flatMap(f -> failuresOf(point, List.of(f)))
                             .toList();
             assertThat(failures).isEmpty();
         }
@@ -42,8 +51,8 @@
     @Nested
     class PairsOfFaults {
         @ParameterizedTest
-        @EnumSource(Step.class)
-        void keepEveryPromise(Step step) {
+        @EnumSource(InjectionPoint.class)
+        void violateNoInvariant(InjectionPoint point) {
             List<List<Fault>> pairs = new ArrayList<>();
             for (Fault first : Fault.values()) {
                 for (Fault second : Fault.values()) {
@@ -52,7 +61,8 @@
                     }
                 }
             }
-            List<String> failures = pairs.parallelStream().flatMap(p -> failures(step, p)).toList();
+            List<String> failures =
+                    pairs.parallelStream().flatMap(p -> failuresOf(point, p)).toList();
             assertThat(failures).isEmpty();
         }
     }
--- a/standin/src/test/java/org/hibiscususher/standin/matrix/Mutant.java
+++ b/standin/src/test/java/org/hibiscususher/standin/matrix/Mutant.java
@@ -18,38 +18,42 @@
 import org.hibiscususher.core.world.World;
 import org.hibiscususher.standin.virtual.VirtualEntry;
 
-/** Deliberately broken systems: each changes tables between ticks so that one promise breaks. */
+/**
+ * Deliberately broken systems, which show that the checks of {@link Invariant} detect violations: a
+ * check that can never fail would make the fault matrix pass without testing anything. Each mutant
+ * changes the tables of the entries between ticks so that the listed invariants are violated.
+ */
 enum Mutant {
-    /** Invents units and slots. */
-    INVENTS_PERMITS(Promise.UPPER_LIMIT, Promise.HOST_SLOTS) {
+    /** Adds permits (units and slots) that no allocator has granted. */
+    INVENTS_PERMITS(Invariant.UPPER_LIMIT, Invariant.HOST_SLOTS) {
         @Override
-        void tamper(VirtualEntry entry) {
-            invent(entry.world(), PermitKey.unit("alpha"));
-            invent(entry.world(), PermitKey.unit("beta"));
-            invent(entry.world(), PermitKey.slot("quick", "h1"));
+        void corrupt(VirtualEntry entry) {
+            addPermits(entry.world(), PermitKey.unit("alpha"));
+            addPermits(entry.world(), PermitKey.unit("beta"));
+            addPermits(entry.world(), PermitKey.slot("quick", "h1"));
         }
     },
-    /** Uses slots of a host for another pool than the one that it serves. */
-    SERVES_TWO_POOLS(Promise.ONE_POOL) {
+    /** Uses a slot of a host in a pool to which the host does not belong. */
+    SERVES_TWO_POOLS(Invariant.ONE_POOL_PER_HOST) {
         @Override
-        void tamper(VirtualEntry entry) {
+        void corrupt(VirtualEntry entry) {
             PermitKey key = PermitKey.slot("quick", "h5");
             HoldingRow used = HoldingRow.none(key).withGranted(1).plusInUse(1);
             entry.world().holdings().put(key, used);
         }
     },
-    /** Takes a key that was never given. */
-    TAKES_STRANGERS(Promise.KEYS) {
+    /** Accepts an access key that no release note has added. */
+    ACCEPTS_UNKNOWN_KEY(Invariant.VALID_KEYS_ONLY) {
         @Override
-        void tamper(VirtualEntry entry) {
-            KeyDigest digest = KeyDigest.ofSecret(Scene.STRANGER);
+        void corrupt(VirtualEntry entry) {
+            KeyDigest digest = KeyDigest.ofSecret(FaultScenario.UNKNOWN_TEAM);
             entry.world().accessKeys().put(digest, new KeySpec("forged", "gamma", digest));
         }
     },
-    /** Queues running requests again. */
-    FORGETS_ATTEMPTS(Promise.AT_MOST_ONCE) {
+    /** Returns running requests to the queue, so that they run a second time. */
+    REQUEUES_RUNNING_REQUESTS(Invariant.AT_MOST_ONCE) {
         @Override
-        void tamper(VirtualEntry entry) {
+        void corrupt(VirtualEntry entry) {
             for (RequestRow row : entry.world().requests().rows()) {
                 if (row.state() == RequestState.RUNNING && row.attempt() == 1) {
                     entry.world()
@@ -59,10 +63,10 @@
             }
         }
     },
-    /** Queues requests again that have ended. */
-    REVIVES_REQUESTS(Promise.ENDS_ONCE) {
+    /** Returns finished requests to the queue, from copies kept under the negated request id. */
+    REQUEUES_FINISHED_REQUESTS(Invariant.NO_RUN_AFTER_END) {
         @Override
-        void tamper(VirtualEntry entry) {
+        void corrupt(VirtualEntry entry) {
             for (RequestRow row : entry.world().requests().rows()) {
                 if (row.state() == RequestState.RUNNING) {
                     long copy = -row.id();
@@ -72,18 +76,18 @@
             entry.world().requests().rows().stream()
                     .filter(r -> !entry.world().requests().contains(r.id()))
                     .findFirst()
-                    .ifPresent(r -> revive(entry.world(), r));
+                    .ifPresent(r -> requeue(entry.world(), r));
         }
 
-        private void revive(World world, RequestRow row) {
+        private void requeue(World world, RequestRow row) {
             world.requests().remove(-row.id());
             world.requests().put(row.id(), row.withState(RequestState.WAITING, List.of()));
         }
     },
-    /** Lets the wait limit strike while requests run. */
-    REFUSES_RUNNING(Promise.NOT_RUN) {
+    /** Expires the wait limit of running requests, so that they are refused as not run. */
+    EXPIRES_RUNNING_REQUESTS(Invariant.NOT_RUN_IS_TRUE) {
         @Override
-        void tamper(VirtualEntry entry) {
+        void corrupt(VirtualEntry entry) {
             for (RequestRow row : entry.world().requests().rows()) {
                 if (row.state() == RequestState.RUNNING) {
                     entry.world().requests().put(row.id(), expired(row));
@@ -108,50 +112,52 @@
                     List.of());
         }
     },
-    /** Shuts a host down on one entry and leaves it in service on the others. */
-    DRAINS_ALONE(Promise.DRAINED_TARGET) {
+    /** Drains a host on one entry only; the others keep sending it work. */
+    DRAINS_ON_ONE_ENTRY(Invariant.NO_WORK_ON_DRAINED_HOST) {
         @Override
-        void tamper(VirtualEntry entry) {
+        void corrupt(VirtualEntry entry) {
             if (entry.id().equals("e1")) {
                 entry.world().hosts().update("h1", h -> h.withService("quick", HostStage.RECALLED));
             }
         }
     },
-    /** Forgets which slots are out, so that hosts count as idle while they run work. */
-    FORGETS_SLOTS(Promise.NOTHING_CUT) {
+    /** Drops the allocation ledger of slots, so that hosts that run requests count as idle. */
+    FORGETS_GRANTED_SLOTS(Invariant.REBOOTS_IDLE_HOSTS_ONLY) {
         @Override
-        void tamper(VirtualEntry entry) {
+        void corrupt(VirtualEntry entry) {
             entry.world().ledger().rows().stream()
                     .filter(l -> l.key().kind() == PermitKind.SLOT)
                     .forEach(l -> entry.world().ledger().remove(l.key()));
         }
     },
-    /** Believes that any number of hosts may be down. */
-    IGNORES_BUDGETS(Promise.AVAILABILITY_BUDGET) {
+    /** Raises the availability budgets until any number of hosts may be out of service. */
+    IGNORES_AVAILABILITY_BUDGET(Invariant.AVAILABILITY_BUDGET) {
         @Override
-        void tamper(VirtualEntry entry) {
+        void corrupt(VirtualEntry entry) {
             World world = entry.world();
-            Configuration seen = world.configuration();
+            Configuration current = world.configuration();
             SortedMap<String, PoolSpec> pools = new TreeMap<>();
-            for (PoolSpec pool : seen.pools().values()) {
-                AvailabilityBudget any = new AvailabilityBudget(ANY_NUMBER, ANY_NUMBER);
-                pools.put(pool.id(), new PoolSpec(pool.id(), pool.quickReserve(), any, false));
+            for (PoolSpec pool : current.pools().values()) {
+                AvailabilityBudget unlimited = new AvailabilityBudget(ANY_NUMBER, ANY_NUMBER);
+                pools.put(
+                        pool.id(), new PoolSpec(pool.id(), pool.quickReserve(), unlimited, false));
             }
-            Configuration loose =
+            Configuration relaxed =
                     new Configuration(
-                            seen.revision(),
+                            current.revision(),
                             pools,
-                            seen.hosts(),
-                            seen.teams(),
-                            seen.keys(),
-                            seen.queues());
-            world.revisionTable().put(World.SELF, new RevisionRow(loose, 0));
+                            current.hosts(),
+                            current.teams(),
+                            current.keys(),
+                            current.queues());
+            world.revisionTable().put(World.SELF, new RevisionRow(relaxed, 0));
         }
     },
-    /** Falls back to the configuration before the first note, now and then. */
-    GOES_BACK(Promise.FORWARD_ONLY, Promise.IN_FORCE_EVERYWHERE) {
+    /** Reverts each entry, after its first 300 ticks, to the empty configuration. */
+    REVERTS_CONFIGURATION(
+            Invariant.REVISION_NEVER_DECREASES, Invariant.ACCEPTED_REVISION_IN_FORCE) {
         @Override
-        void tamper(VirtualEntry entry) {
+        void corrupt(VirtualEntry entry) {
             if (entry.ticks() > 300) {
                 entry.world()
                         .revisionTable()
@@ -160,34 +166,36 @@
         }
     };
 
-    private static final int INVENTED = 40;
+    private static final int INVENTED_PERMITS = 40;
     private static final int ANY_NUMBER = 99;
 
-    private final List<Promise> mBroken;
+    private final List<Invariant> mViolated;
 
-    Mutant(Promise... broken) {
-        mBroken = List.of(broken);
+    Mutant(Invariant... violated) {
+        mViolated = List.of(violated);
     }
 
-    /** Returns the promises that the mutant breaks. */
-    List<Promise> broken() {
-        return mBroken;
+    /** Returns the invariants that the mutant must violate. */
+    List<Invariant> violated() {
+        return mViolated;
     }
 
-    /** Returns the step in which the mutant is looked at. */
-    Step step() {
-        return this == FORGETS_SLOTS || this == IGNORES_BUDGETS
-                ? Step.WAVE_REBOOTING
-                : Step.REQUEST_WAITING;
+    /**
+     * Returns the injection point to which a scenario with this mutant runs; no fault is injected.
+     */
+    InjectionPoint point() {
+        return this == FORGETS_GRANTED_SLOTS || this == IGNORES_AVAILABILITY_BUDGET
+                ? InjectionPoint.WAVE_REBOOTING
+                : InjectionPoint.REQUEST_WAITING;
     }
 
-    /** Breaks an entry before one of its ticks. */
-    abstract void tamper(VirtualEntry entry);
+    /** Changes the tables of an entry; called for each entry in each virtual millisecond. */
+    abstract void corrupt(VirtualEntry entry);
 
-    private static void invent(World world, PermitKey key) {
+    private static void addPermits(World world, PermitKey key) {
         HoldingRow row = world.holdings().find(key).orElse(HoldingRow.none(key));
-        if (row.held() < INVENTED) {
-            world.holdings().put(key, row.withGranted(row.granted() + INVENTED));
+        if (row.held() < INVENTED_PERMITS) {
+            world.holdings().put(key, row.withGranted(row.granted() + INVENTED_PERMITS));
         }
     }
 }
--- a/standin/src/test/java/org/hibiscususher/standin/matrix/MutantTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/matrix/MutantTest.java
@@ -9,39 +9,44 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
-/** Shows that each checker of the fault matrix fails on a system that is broken on purpose. */
+/**
+ * Shows that the check of each invariant fails on a deliberately broken system and passes on the
+ * unmodified one.
+ */
 class MutantTest {
     private static final long SEED = 11;
 
     @Nested
-    class Broken {
+    class Mutants {
         @ParameterizedTest
         @EnumSource(Mutant.class)
-        void isFound(Mutant mutant) {
-            Scene scene = new Scene(SEED);
-            scene.site().setBeforeTick(mutant::tamper);
-            Scene.Outcome outcome = scene.play(mutant.step(), List.of());
-            assertThat(outcome.violations()).containsKeys(mutant.broken().toArray(Promise[]::new));
+        void violateTheirInvariants(Mutant mutant) {
+            FaultScenario scenario = new FaultScenario(SEED);
+            scenario.site().setBeforeTick(mutant::corrupt);
+            FaultScenario.Result result = scenario.run(mutant.point(), List.of());
+            assertThat(result.violations())
+                    .containsKeys(mutant.violated().toArray(Invariant[]::new));
         }
     }
 
     @Nested
-    class Sound {
+    class UnmodifiedSystem {
         @Test
-        void breaksNothingWithoutFaults() {
-            Scene.Outcome outcome = new Scene(SEED).play(Step.REQUEST_WAITING, List.of());
-            assertThat(outcome.violations()).isEmpty();
-            assertThat(outcome.stuck()).isEmpty();
+        void violatesNoInvariantWithoutFaults() {
+            FaultScenario.Result result =
+                    new FaultScenario(SEED).run(InjectionPoint.REQUEST_WAITING, List.of());
+            assertThat(result.violations()).isEmpty();
+            assertThat(result.unrecovered()).isEmpty();
         }
     }
 
     @Nested
-    class Checkers {
+    class Invariants {
         @ParameterizedTest
-        @EnumSource(Promise.class)
-        void haveMutants(Promise promise) {
-            assertThat(Arrays.stream(Mutant.values()).flatMap(m -> m.broken().stream()))
-                    .contains(promise);
+        @EnumSource(Invariant.class)
+        void areEachViolatedByAMutant(Invariant invariant) {
+            assertThat(Arrays.stream(Mutant.values()).flatMap(m -> m.violated().stream()))
+                    .contains(invariant);
         }
     }
 }
--- a/standin/src/test/java/org/hibiscususher/standin/matrix/SceneNotes.java
+++ b/standin/src/test/java/org/hibiscususher/standin/matrix/ScenarioNotes.java
@@ -3,12 +3,16 @@
 import java.util.Map;
 import org.hibiscususher.core.config.KeyDigest;
 
-/** The release notes of a scene. */
-final class SceneNotes {
-    private SceneNotes() {}
+/** The release notes of the fault scenarios, in the YAML that operators write. */
+final class ScenarioNotes {
+    private ScenarioNotes() {}
 
-    /** Returns the first note: all hosts in their pools, teams, keys and queues. */
-    static String opening(Map<String, String> hosts) {
+    /**
+     * Returns the initial note, which adds the pools, hosts, teams, keys and queues.
+     *
+     * @param hosts pool of each host
+     */
+    static String initial(Map<String, String> hosts) {
         StringBuilder note = new StringBuilder("note: opening\nauthor: anna\nadded:\n");
         note.append("  pools:\n    - {name: quick, hosts out at most: 2, ")
                 .append("hosts out at most per zone: 1}\n")
@@ -22,20 +26,20 @@
                                         .append(", address: \"127.0.0.1:")
                                         .append(h.substring(1))
                                         .append("\", zone: ")
-                                        .append(Scene.zoneOf(h))
+                                        .append(FaultScenario.zoneOf(h))
                                         .append(", pool: ")
                                         .append(hosts.get(h))
                                         .append(", slots: ")
-                                        .append(Scene.SLOTS)
+                                        .append(FaultScenario.SLOTS_PER_HOST)
                                         .append("}\n"));
         note.append("  teams:\n");
-        Scene.TEAMS.forEach(
+        FaultScenario.TEAMS.forEach(
                 t ->
                         note.append("    - {name: ")
                                 .append(t)
                                 .append(", share: 1, upper limit: 6}\n"));
         note.append("  keys:\n");
-        Scene.TEAMS.forEach(
+        FaultScenario.TEAMS.forEach(
                 t ->
                         note.append("    - {name: ")
                                 .append(t)
@@ -45,20 +49,24 @@
                                 .append(KeyDigest.ofSecret(t).toHex())
                                 .append("}\n"));
         return note.append("  queues:\n    - {name: lookups, pool: quick, run limit ms: ")
-                .append(Scene.RUN_LIMIT_MS)
+                .append(FaultScenario.RUN_LIMIT_MS)
                 .append("}\n    - {name: reports, pool: long, kind: long, run limit ms: ")
-                .append(Scene.RUN_LIMIT_MS)
+                .append(FaultScenario.RUN_LIMIT_MS)
                 .append("}\n")
                 .toString();
     }
 
-    /** Returns a note that changes a team's upper limit. */
-    static String limit(String id, int limit) {
-        return limit(id, limit, -1);
+    /** Returns a note without a base revision that changes the upper limit of {@code alpha}. */
+    static String changeLimit(String id, int limit) {
+        return changeLimit(id, limit, -1);
     }
 
-    /** Returns the same note, made for a revision. */
-    static String limit(String id, int limit, long base) {
+    /**
+     * Returns a note that changes the upper limit of the team {@code alpha}.
+     *
+     * @param base revision on which the note is based, negative for none
+     */
+    static String changeLimit(String id, int limit, long base) {
         return "note: "
                 + id
                 + "\nauthor: carl\n"
@@ -68,23 +76,23 @@
                 + "}\n";
     }
 
-    /** Returns a note that withdraws a key. */
-    static String withdrawal() {
+    /** Returns a note that withdraws the key of the team {@code beta}. */
+    static String withdrawKey() {
         return "note: withdrawal\nauthor: dora\nwithdrawn:\n  keys: [beta-key]\n";
     }
 
-    /** Returns a note that moves a host to a pool. */
-    static String move(String host, String pool) {
+    /** Returns a note that moves a host to another pool. */
+    static String moveHost(String host, String pool) {
         return "note: move\nauthor: dora\nchanged:\n  hosts:\n    - {name: "
                 + host
                 + ", address: \"127.0.0.1:"
                 + host.substring(1)
                 + "\", zone: "
-                + Scene.zoneOf(host)
+                + FaultScenario.zoneOf(host)
                 + ", pool: "
                 + pool
                 + ", slots: "
-                + Scene.SLOTS
+                + FaultScenario.SLOTS_PER_HOST
                 + "}\n";
     }
 }
