--- a/standin/src/test/java/org/hibiscususher/standin/process/WholePathTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/process/EndToEndTest.java
@@ -14,21 +14,24 @@
 import org.junit.jupiter.api.TestInstance;
 import org.junit.jupiter.api.io.TempDir;
 
-/** One path from end to end through three daemons, two targets and the store as processes. */
+/**
+ * Requests and operator commands end to end through three daemons, two targets and the store, each
+ * a process of its own. The processes are shared by all tests, which therefore depend on no order.
+ */
 @TestInstance(TestInstance.Lifecycle.PER_CLASS)
-class WholePathTest {
+class EndToEndTest {
     private static final List<String> ENTRIES = List.of("entry-1", "entry-2", "entry-3");
     private static final String SECRET = "the-fitters-secret";
 
-    private Site mSite;
+    private ProcessSite mSite;
 
     @BeforeAll
     void startProcesses(@TempDir Path folder) throws IOException, InterruptedException {
-        mSite = new Site(folder);
-        String first = mSite.target("host-1");
-        String second = mSite.target("host-2");
+        mSite = new ProcessSite(folder);
+        String first = mSite.startTarget("host-1");
+        String second = mSite.startTarget("host-2");
         for (String entry : ENTRIES) {
-            mSite.daemon(entry);
+            mSite.startDaemon(entry);
         }
         String note =
                 """
@@ -58,25 +61,26 @@
                                 KeyDigest.ofSecret(SECRET).toHex(),
                                 KeyDigest.ofSecret("spare").toHex(),
                                 KeyDigest.ofSecret("closed").toHex());
-        Site.ToolRun applied = mSite.tool("entry-1", "note", "apply", mSite.note("one", note));
+        ProcessSite.CliResult applied =
+                mSite.runCli("entry-1", "note", "apply", mSite.writeNote("one", note));
         assertThat(applied.output()).startsWith("accepted revision=1");
         assertThat(applied.exitCode()).isZero();
     }
 
     @AfterAll
-    void endProcesses() {
+    void stopProcesses() {
         mSite.close();
     }
 
     @Nested
     class Requests {
         @Test
-        void areAnsweredWholeByEveryEntry() throws IOException, InterruptedException {
+        void getACompleteResponseFromEveryEntry() throws IOException, InterruptedException {
             for (String entry : ENTRIES) {
-                HttpResponse<String> answer =
+                HttpResponse<String> response =
                         mSite.call(entry, "POST", "/lookups/seals/42?a=b", SECRET);
-                assertThat(answer.statusCode()).isEqualTo(200);
-                assertThat(answer.body()).matches("host-[12] ran /seals/42\\?a=b body");
+                assertThat(response.statusCode()).isEqualTo(200);
+                assertThat(response.body()).matches("host-[12] ran /seals/42\\?a=b body");
             }
         }
     }
@@ -84,7 +88,7 @@
     @Nested
     class Refusals {
         @Test
-        void nameTheirReasonAndSayThatNothingRan() throws IOException, InterruptedException {
+        void reportTheirReasonAndThatNothingRan() throws IOException, InterruptedException {
             assertRefused("/lookups/x", "", 401, "key-missing");
             assertRefused("/lookups/x", "wrong", 403, "key-unknown");
             assertRefused("/elsewhere/x", SECRET, 404, "queue-unknown");
@@ -93,7 +97,7 @@
         }
 
         @Test
-        void includeAWithdrawnKeyOnEveryEntry() throws IOException, InterruptedException {
+        void applyToAWithdrawnKeyOnEveryEntry() throws IOException, InterruptedException {
             String note =
                     """
                     note: spare-key-withdrawn
@@ -103,18 +107,18 @@
                     """;
             assertThat(mSite.call("entry-3", "GET", "/lookups/x", "spare").statusCode())
                     .isEqualTo(200);
-            mSite.tool("entry-2", "note", "apply", mSite.note("two", note));
+            mSite.runCli("entry-2", "note", "apply", mSite.writeNote("two", note));
             for (String entry : ENTRIES) {
-                HttpResponse<String> answer = mSite.call(entry, "GET", "/lookups/x", "spare");
-                assertThat(answer.statusCode()).isEqualTo(403);
+                HttpResponse<String> response = mSite.call(entry, "GET", "/lookups/x", "spare");
+                assertThat(response.statusCode()).isEqualTo(403);
             }
         }
 
         private void assertRefused(String path, String secret, int status, String reason)
                 throws IOException, InterruptedException {
-            HttpResponse<String> answer = mSite.call("entry-2", "GET", path, secret);
-            assertThat(answer.statusCode()).isEqualTo(status);
-            assertThat(answer.body())
+            HttpResponse<String> response = mSite.call("entry-2", "GET", path, secret);
+            assertThat(response.statusCode()).isEqualTo(status);
+            assertThat(response.body())
                     .isEqualTo("{\"reason\":\"" + reason + "\",\"ran\":\"not-run\"}\n");
             assertThat(mSite.page("entry-2", "/metrics"))
                     .containsPattern(
@@ -125,37 +129,38 @@
     @Nested
     class Operators {
         @Test
-        void getFindingsWithPlaces() throws IOException, InterruptedException {
-            String file = mSite.note("bad", "note: bad\nauthor: carl\nadded:\n  hats: []\n");
-            Site.ToolRun run = mSite.tool("entry-1", "note", "check", file);
+        void getFindingsWithLineAndColumn() throws IOException, InterruptedException {
+            String file = mSite.writeNote("bad", "note: bad\nauthor: carl\nadded:\n  hats: []\n");
+            ProcessSite.CliResult run = mSite.runCli("entry-1", "note", "check", file);
             assertThat(run.output()).contains(file + ":4:3: unknown key \"hats\"");
             assertThat(run.exitCode()).isEqualTo(3);
         }
 
         @Test
-        void seeWhoChangedWhat() throws IOException, InterruptedException {
-            Site.ToolRun list = mSite.tool("entry-3", "note", "history");
+        void canReadTheHistoryOfNotes() throws IOException, InterruptedException {
+            ProcessSite.CliResult list = mSite.runCli("entry-3", "note", "history");
             assertThat(list.output()).contains("opening", "anna", "pools +2, hosts +2");
-            Site.ToolRun one = mSite.tool("entry-3", "note", "show", "opening");
+            ProcessSite.CliResult one = mSite.runCli("entry-3", "note", "show", "opening");
             assertThat(one.output()).contains("revision: 1", "teams added or changed:");
-            Site.ToolRun none = mSite.tool("entry-3", "note", "show", "nothing");
+            ProcessSite.CliResult none = mSite.runCli("entry-3", "note", "show", "nothing");
             assertThat(none.output()).contains("no accepted note has the revision or id nothing");
             assertThat(none.exitCode()).isEqualTo(1);
         }
 
         @Test
-        void printTheStateInForceAndCheckAgainstIt() throws IOException, InterruptedException {
-            String exported = mSite.tool("entry-2", "export").output();
+        void canExportTheConfigurationAndCheckANoteAgainstIt()
+                throws IOException, InterruptedException {
+            String exported = mSite.runCli("entry-2", "export").output();
             assertThat(exported).contains("- {name: lookups, pool: parts, kind: quick");
-            String file = mSite.note("exported", exported);
-            Site.ToolRun check = mSite.tool("entry-2", "note", "check", file);
+            String file = mSite.writeNote("exported", exported);
+            ProcessSite.CliResult check = mSite.runCli("entry-2", "note", "check", file);
             assertThat(check.output()).contains("host host-1 exists; list it under \"changed\"");
             assertThat(check.exitCode()).isEqualTo(3);
         }
 
         @Test
-        void seeTheOtherEntries() throws IOException, InterruptedException {
-            Site.ToolRun run = mSite.tool("entry-1", "status");
+        void seeAllEntriesInTheStatus() throws IOException, InterruptedException {
+            ProcessSite.CliResult run = mSite.runCli("entry-1", "status");
             assertThat(run.output()).contains("entry-1: serving", "entry-2", "entry-3");
         }
     }
@@ -163,7 +168,7 @@
     @Nested
     class Secrets {
         @Test
-        void neverShow() throws IOException, InterruptedException {
+        void appearInNoLogMetricOrStatus() throws IOException, InterruptedException {
             mSite.call("entry-1", "GET", "/lookups/x", SECRET);
             for (String entry : ENTRIES) {
                 assertThat(mSite.log(entry)).doesNotContain(SECRET);
--- a/standin/src/test/java/org/hibiscususher/standin/process/EntryShutdownTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/process/EntryShutdownTest.java
@@ -13,18 +13,21 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-/** The planned stop of an entry's process. */
+/**
+ * Graceful shutdown of an entry's process: a restart for an update must fail no open request, and
+ * callers must learn that they can resend new requests to another entry.
+ */
 class EntryShutdownTest {
     private static final String SECRET = "the-fitters-secret";
 
-    private Site mSite;
+    private ProcessSite mSite;
 
     @BeforeEach
     void startProcesses(@TempDir Path folder) throws IOException, InterruptedException {
-        mSite = new Site(folder);
-        String target = mSite.target("host-1");
-        mSite.daemon("entry-1");
-        mSite.daemon("entry-2");
+        mSite = new ProcessSite(folder);
+        String target = mSite.startTarget("host-1");
+        mSite.startDaemon("entry-1");
+        mSite.startDaemon("entry-2");
         String note =
                 """
                 note: opening
@@ -37,32 +40,33 @@
                   queues: [{name: lookups, pool: parts}]
                 """
                         .formatted(target, KeyDigest.ofSecret(SECRET).toHex());
-        Site.ToolRun applied = mSite.tool("entry-1", "note", "apply", mSite.note("one", note));
+        ProcessSite.CliResult applied =
+                mSite.runCli("entry-1", "note", "apply", mSite.writeNote("one", note));
         assertThat(applied.output()).startsWith("accepted revision=1");
     }
 
     @AfterEach
-    void endProcesses() {
+    void stopProcesses() {
         mSite.close();
     }
 
-    private CompletableFuture<HttpResponse<String>> call(int runMs) {
+    private CompletableFuture<HttpResponse<String>> sendToLeavingEntry(int runMs) {
         return mSite.callAsync("entry-1", "POST", "/lookups/x", SECRET, runMs);
     }
 
     @Nested
-    class AStop {
+    class PlannedStop {
         @Test
-        void cutsNoRequestAndRefusesNewOnes() throws IOException, InterruptedException {
-            CompletableFuture<HttpResponse<String>> slow = call(4_000);
-            CompletableFuture<HttpResponse<String>> quick = call(0);
+        void completesOpenRequestsAndRefusesNewOnes() throws IOException, InterruptedException {
+            CompletableFuture<HttpResponse<String>> slow = sendToLeavingEntry(4_000);
+            CompletableFuture<HttpResponse<String>> quick = sendToLeavingEntry(0);
             assertThat(quick.join().statusCode()).isEqualTo(200);
             CompletableFuture<Integer> exitCode =
-                    CompletableFuture.supplyAsync(() -> mSite.stopped("entry-1"));
+                    CompletableFuture.supplyAsync(() -> mSite.stopAndGetExitCode("entry-1"));
             mSite.awaitStatus("entry-1", "\"leaving\"");
-            HttpResponse<String> late = call(0).join();
-            assertThat(late.body()).contains("entry-leaving").contains("not-run");
-            assertThat(late.headers().firstValue("Connection")).contains("close");
+            HttpResponse<String> refused = sendToLeavingEntry(0).join();
+            assertThat(refused.body()).contains("entry-leaving").contains("not-run");
+            assertThat(refused.headers().firstValue("Connection")).contains("close");
             assertThat(slow.join().body()).startsWith("host-1 ran /x");
             assertThat(exitCode.join()).isZero();
             assertThat(mSite.call("entry-2", "GET", "/lookups/x", SECRET).statusCode())
--- a/standin/src/test/java/org/hibiscususher/standin/process/EtcdStoreTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/process/EtcdStoreTest.java
@@ -15,23 +15,27 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
+/**
+ * The client of the etcd gateway against the stand-in store over HTTP. The client caches the value
+ * of a watched key; a stale cache would return the value before the last change.
+ */
 class EtcdStoreTest {
     private final EventLoopGroup mGroup =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private HttpServer mServer;
     private EtcdStore mStore;
-    private EtcdStore mOther;
+    private EtcdStore mWriter;
 
     @BeforeEach
-    void start() throws IOException {
+    void startStore() throws IOException {
         mServer = StoreMain.listen("127.0.0.1:0");
         mStore = EtcdStore.create(mGroup, mServer.address());
-        mOther = EtcdStore.create(mGroup, mServer.address());
+        mWriter = EtcdStore.create(mGroup, mServer.address());
         mStore.watch("k", value -> {});
     }
 
     @AfterEach
-    void stop() {
+    void stopStore() {
         mServer.close();
         mGroup.shutdownGracefully();
     }
@@ -43,12 +47,12 @@
     @Nested
     class WatchedKeys {
         @Test
-        void areReadAgainOnlyIfChanged() throws InterruptedException, ExecutionException {
+        void returnTheLatestValue() throws InterruptedException, ExecutionException {
             assertThat(read()).isEmpty();
-            assertThat(mOther.compareAndSwap("k", 0, "one".getBytes()).get()).isTrue();
+            assertThat(mWriter.compareAndSwap("k", 0, "one".getBytes()).get()).isTrue();
             assertThat(read()).isEqualTo("1 one");
             assertThat(read()).isEqualTo("1 one");
-            assertThat(mOther.compareAndSwap("k", 1, "two".getBytes()).get()).isTrue();
+            assertThat(mWriter.compareAndSwap("k", 1, "two".getBytes()).get()).isTrue();
             assertThat(read()).isEqualTo("2 two");
             assertThat(read()).isEqualTo("2 two");
         }
--- a/standin/src/test/java/org/hibiscususher/standin/process/LoadCaller.java
+++ b/standin/src/test/java/org/hibiscususher/standin/process/LoadGenerator.java
@@ -17,46 +17,47 @@
 import java.util.stream.IntStream;
 
 /**
- * Callers on threads of their own that send non-idempotent requests, one after the other, and go to
- * the next entry when an entry takes no connection or says that a request did not run.
+ * Generates load on the entries until it is closed. Each thread sends non-idempotent requests one
+ * after the other. A request is resent to the next entry only if an entry refused the connection or
+ * reported that the request did not run, so that no resend can make a request run twice.
  */
-final class LoadCaller implements AutoCloseable {
+final class LoadGenerator implements AutoCloseable {
     private static final Duration TIMEOUT = Duration.ofSeconds(20);
-    private static final int MAX_TRIES = 50;
-    private static final long RETRY_MS = 100;
+    private static final int MAX_ATTEMPTS = 50;
+    private static final long RETRY_DELAY_MS = 100;
 
-    private final Site mSite;
+    private final ProcessSite mSite;
     private final List<String> mEntries;
     private final String mSecret;
     private final AtomicBoolean mStopped = new AtomicBoolean();
-    private final AtomicInteger mNames = new AtomicInteger();
+    private final AtomicInteger mRequestCount = new AtomicInteger();
     private final Map<String, String> mOutcomes = new ConcurrentSkipListMap<>();
     private final List<Thread> mThreads;
     private final HttpClient mHttp =
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
 
-    LoadCaller(Site site, List<String> entries, String secret, int threads) {
+    LoadGenerator(ProcessSite site, List<String> entries, String secret, int threads) {
         mSite = site;
         mEntries = entries;
         mSecret = secret;
         mThreads =
                 IntStream.range(0, threads)
-                        .mapToObj(i -> new Thread(this::callOften, "caller-" + i))
+                        .mapToObj(i -> new Thread(this::sendUntilStopped, "caller-" + i))
                         .toList();
         mThreads.forEach(Thread::start);
     }
 
-    /** Returns what became of each named request: "answered", or what went wrong. */
+    /** Returns the outcome of each request by name: "answered", or a description of the failure. */
     Map<String, String> outcomes() {
         return mOutcomes;
     }
 
-    private void callOften() {
+    private void sendUntilStopped() {
         while (!mStopped.get()) {
-            int number = mNames.incrementAndGet();
+            int number = mRequestCount.incrementAndGet();
             String name = "request-" + number;
             try {
-                mOutcomes.put(name, call(name, number));
+                mOutcomes.put(name, sendWithRetries(name, number));
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
                 return;
@@ -64,13 +65,14 @@
         }
     }
 
-    private String call(String name, int number) throws InterruptedException {
-        String last = "";
-        for (int i = 0; i < MAX_TRIES; i++) {
+    private String sendWithRetries(String name, int number) throws InterruptedException {
+        String lastFailure = "";
+        for (int i = 0; i < MAX_ATTEMPTS; i++) {
             String entry = mEntries.get((number + i) % mEntries.size());
             HttpRequest request =
                     HttpRequest.newBuilder(
-                                    URI.create("http://" + mSite.callers(entry) + "/lookups/x"))
+                                    URI.create(
+                                            "http://" + mSite.callerAddress(entry) + "/lookups/x"))
                             .timeout(TIMEOUT)
                             .header("Authorization", "Bearer " + mSecret)
                             .header("Request-Name", name)
@@ -78,22 +80,22 @@
                             .POST(BodyPublishers.ofString(name))
                             .build();
             try {
-                HttpResponse<String> answer = mHttp.send(request, BodyHandlers.ofString());
-                if (answer.statusCode() == 200) {
-                    return answer.body().endsWith(name) ? "answered" : "wrong answer";
+                HttpResponse<String> response = mHttp.send(request, BodyHandlers.ofString());
+                if (response.statusCode() == 200) {
+                    return response.body().endsWith(name) ? "answered" : "wrong response";
                 }
-                if (!answer.body().contains("\"not-run\"")) {
-                    return answer.body();
+                if (!response.body().contains("\"not-run\"")) {
+                    return response.body();
                 }
-                last = answer.body();
+                lastFailure = response.body();
             } catch (ConnectException e) {
-                last = "refused connection";
+                lastFailure = "connection refused";
             } catch (IOException e) {
                 return "broken by " + entry + ": " + e;
             }
-            Thread.sleep(RETRY_MS);
+            Thread.sleep(RETRY_DELAY_MS);
         }
-        return "given up: " + last;
+        return "abandoned: " + lastFailure;
     }
 
     @Override
--- a/standin/src/test/java/org/hibiscususher/standin/process/MembershipProcessTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/process/MembershipProcessTest.java
@@ -10,40 +10,41 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
+/** Changes of the membership when the process of an entry is killed or shut down. */
 class MembershipProcessTest {
     @TempDir private Path mFolder;
-    private Site mSite;
+    private ProcessSite mSite;
 
     @BeforeEach
     void startProcesses() throws IOException, InterruptedException {
-        mSite = new Site(mFolder);
-        mSite.daemon("entry-1");
-        mSite.daemon("entry-2");
+        mSite = new ProcessSite(mFolder);
+        mSite.startDaemon("entry-1");
+        mSite.startDaemon("entry-2");
         mSite.awaitStatus("entry-1", "entry-2", true);
     }
 
     @AfterEach
-    void endProcesses() {
+    void stopProcesses() {
         mSite.close();
     }
 
     @Nested
     class KilledProcesses {
         @Test
-        void areProvenDeadByTheirRefusingPortAndReplaced()
+        void areRemovedAfterAConnectionRefusalAndMayRejoin()
                 throws IOException, InterruptedException {
             mSite.kill("entry-2");
             mSite.awaitStatus("entry-1", "entry-2", false);
             assertThat(mSite.log("entry-1")).contains("member=entry-2 proof=refused");
-            mSite.daemon("entry-2");
+            mSite.startDaemon("entry-2");
             mSite.awaitStatus("entry-1", "entry-2", true);
         }
     }
 
     @Nested
-    class StoppedProcesses {
+    class ShutDownProcesses {
         @Test
-        void leaveTheRecord() throws IOException, InterruptedException {
+        void leaveTheMembershipWithoutBeingDeclaredDead() throws IOException, InterruptedException {
             mSite.stop("entry-2");
             mSite.awaitStatus("entry-1", "entry-2", false);
             assertThat(mSite.log("entry-1")).doesNotContain("dead=1", "proof=");
--- a/standin/src/test/java/org/hibiscususher/standin/process/ProcessFaultTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/process/ProcessFaultTest.java
@@ -17,26 +17,28 @@
 import org.junit.jupiter.api.io.TempDir;
 
 /**
- * Faults of real processes: replaced, killed, stopped; the store out of order; racing operators.
+ * Faults of real processes under load: entries restarted, killed and suspended, a store outage, and
+ * concurrent operators. Callers must lose no request to a planned restart, and no request may run
+ * twice.
  */
 class ProcessFaultTest {
     private static final List<String> ENTRIES = List.of("entry-1", "entry-2", "entry-3");
     private static final String SECRET = "the-fitters-secret";
     private static final int CALLERS = 6;
-    private static final long PAUSE_MS = 6_000;
-    private static final long MEANWHILE_MS = 1_000;
+    private static final long FAULT_DURATION_MS = 6_000;
+    private static final long LOAD_MS = 1_000;
 
-    private Site mSite;
-    private String mFirst;
-    private String mSecond;
+    private ProcessSite mSite;
+    private String mFirstTarget;
+    private String mSecondTarget;
 
     @BeforeEach
     void startProcesses(@TempDir Path folder) throws IOException, InterruptedException {
-        mSite = new Site(folder);
-        mFirst = mSite.target("host-1");
-        mSecond = mSite.target("host-2");
+        mSite = new ProcessSite(folder);
+        mFirstTarget = mSite.startTarget("host-1");
+        mSecondTarget = mSite.startTarget("host-2");
         for (String entry : ENTRIES) {
-            mSite.daemon(entry);
+            mSite.startDaemon(entry);
         }
         String note =
                 """
@@ -51,78 +53,80 @@
                   keys: [{name: key, team: fitters, digest: %s}]
                   queues: [{name: lookups, pool: parts}]
                 """
-                        .formatted(mFirst, mSecond, KeyDigest.ofSecret(SECRET).toHex());
+                        .formatted(mFirstTarget, mSecondTarget, KeyDigest.ofSecret(SECRET).toHex());
         assertThat(apply("entry-1", "opening", note).output()).startsWith("accepted");
     }
 
     @AfterEach
-    void endProcesses() {
+    void stopProcesses() {
         mSite.close();
     }
 
-    private Site.ToolRun apply(String entry, String name, String note)
+    private ProcessSite.CliResult apply(String entry, String name, String note)
             throws IOException, InterruptedException {
-        return mSite.tool(entry, "note", "apply", mSite.note(name, note));
+        return mSite.runCli(entry, "note", "apply", mSite.writeNote(name, note));
     }
 
-    private Map<String, Integer> runs() throws IOException, InterruptedException {
-        Map<String, Integer> runs = new HashMap<>(mSite.runs(mFirst));
-        mSite.runs(mSecond).forEach((name, n) -> runs.merge(name, n, Integer::sum));
+    /** Returns how many times each request ran, summed over the targets. */
+    private Map<String, Integer> runCounts() throws IOException, InterruptedException {
+        Map<String, Integer> runs = new HashMap<>(mSite.runCounts(mFirstTarget));
+        mSite.runCounts(mSecondTarget).forEach((name, n) -> runs.merge(name, n, Integer::sum));
         return runs;
     }
 
     @Nested
-    class Replacement {
+    class Restart {
         @Test
-        void ofEveryEntryLosesAndDoublesNothing() throws IOException, InterruptedException {
+        void ofEveryEntryAnswersEachRequestAndRunsItOnce()
+                throws IOException, InterruptedException {
             Map<String, String> outcomes;
-            try (LoadCaller caller = new LoadCaller(mSite, ENTRIES, SECRET, CALLERS)) {
+            try (LoadGenerator load = new LoadGenerator(mSite, ENTRIES, SECRET, CALLERS)) {
                 for (String entry : ENTRIES) {
-                    Thread.sleep(MEANWHILE_MS);
+                    Thread.sleep(LOAD_MS);
                     assertThat(mSite.stop(entry)).isIn(0, 143);
-                    mSite.startAgain(entry);
+                    mSite.restartDaemon(entry);
                 }
-                Thread.sleep(MEANWHILE_MS);
-                outcomes = caller.outcomes();
+                Thread.sleep(LOAD_MS);
+                outcomes = load.outcomes();
             }
             assertThat(outcomes).hasSizeGreaterThan(CALLERS);
             assertThat(outcomes.values()).containsOnly("answered");
-            assertThat(runs()).containsOnlyKeys(outcomes.keySet());
-            assertThat(runs().values()).containsOnly(1);
+            assertThat(runCounts()).containsOnlyKeys(outcomes.keySet());
+            assertThat(runCounts().values()).containsOnly(1);
         }
     }
 
     @Nested
     class Kill {
         @Test
-        void ofAnEntryDoublesNothingAndLeavesTheOthersAtWork()
+        void ofAnEntryRunsNoRequestTwiceAndOthersContinue()
                 throws IOException, InterruptedException {
             Map<String, String> outcomes;
-            try (LoadCaller caller = new LoadCaller(mSite, ENTRIES, SECRET, CALLERS)) {
-                Thread.sleep(MEANWHILE_MS);
+            try (LoadGenerator load = new LoadGenerator(mSite, ENTRIES, SECRET, CALLERS)) {
+                Thread.sleep(LOAD_MS);
                 mSite.kill("entry-2");
-                Thread.sleep(PAUSE_MS);
-                outcomes = caller.outcomes();
+                Thread.sleep(FAULT_DURATION_MS);
+                outcomes = load.outcomes();
             }
             assertThat(outcomes.values())
                     .allMatch(o -> o.equals("answered") || o.startsWith("broken by entry-2"));
-            assertThat(runs().values()).containsOnly(1);
+            assertThat(runCounts().values()).containsOnly(1);
             assertThat(mSite.call("entry-1", "GET", "/lookups/x", SECRET).statusCode())
                     .isEqualTo(200);
         }
     }
 
     @Nested
-    class Pause {
+    class Suspension {
         @Test
-        void letsNoWithdrawnKeyThrough() throws IOException, InterruptedException {
+        void doesNotMakeAnEntryAcceptAWithdrawnKey() throws IOException, InterruptedException {
             mSite.pause("entry-2");
-            Site.ToolRun withdrawn =
+            ProcessSite.CliResult withdrawn =
                     apply(
                             "entry-1",
                             "withdrawal",
                             "note: gone\nauthor: anna\nwithdrawn:\n  keys: [key]\n");
-            Thread.sleep(PAUSE_MS);
+            Thread.sleep(FAULT_DURATION_MS);
             mSite.resume("entry-2");
             assertThat(mSite.call("entry-2", "GET", "/lookups/x", SECRET).statusCode())
                     .isIn(403, 503);
@@ -135,16 +139,16 @@
     @Nested
     class StoreOutage {
         @Test
-        void stopsNotesAndNoRequests() throws IOException, InterruptedException {
+        void rejectsNotesButRequestsContinue() throws IOException, InterruptedException {
             String note =
                     "note: more\nauthor: anna\nchanged:\n"
                             + "  teams: [{name: fitters, share: 2, upper limit: 14}]\n";
             Map<String, String> outcomes;
-            try (LoadCaller caller = new LoadCaller(mSite, ENTRIES, SECRET, CALLERS)) {
-                mSite.storeFault(StoreFault.DOWN);
+            try (LoadGenerator load = new LoadGenerator(mSite, ENTRIES, SECRET, CALLERS)) {
+                mSite.setStoreFault(StoreFault.DOWN);
                 assertThat(apply("entry-1", "more", note).exitCode()).isEqualTo(1);
-                mSite.storeFault(StoreFault.NONE);
-                outcomes = caller.outcomes();
+                mSite.setStoreFault(StoreFault.NONE);
+                outcomes = load.outcomes();
             }
             assertThat(outcomes.values()).containsOnly("answered");
             assertThat(apply("entry-1", "more", note).exitCode()).isZero();
@@ -154,14 +158,15 @@
     @Nested
     class RacingOperators {
         @Test
-        void seeOneNoteAcceptedAndOneConflict() throws IOException, InterruptedException {
-            CompletableFuture<Site.ToolRun> one = race("entry-1", "one", 5);
-            CompletableFuture<Site.ToolRun> two = race("entry-2", "two", 6);
+        void getOneAcceptanceAndOneConflict() throws IOException, InterruptedException {
+            CompletableFuture<ProcessSite.CliResult> one = race("entry-1", "one", 5);
+            CompletableFuture<ProcessSite.CliResult> two = race("entry-2", "two", 6);
             assertThat(List.of(one.join().exitCode(), two.join().exitCode()))
                     .containsExactlyInAnyOrder(0, 4);
         }
 
-        private CompletableFuture<Site.ToolRun> race(String entry, String name, int limit) {
+        private CompletableFuture<ProcessSite.CliResult> race(
+                String entry, String name, int limit) {
             String note =
                     "note: "
                             + name
--- a/standin/src/test/java/org/hibiscususher/standin/process/Site.java
+++ b/standin/src/test/java/org/hibiscususher/standin/process/ProcessSite.java
@@ -29,44 +29,51 @@
 import org.hibiscususher.standin.store.StoreMain;
 import org.hibiscususher.standin.target.TargetMain;
 
-/** Processes of a small site on loopback addresses, ended when the site is closed. */
-final class Site implements AutoCloseable {
+/**
+ * A site of real processes on loopback addresses: the stand-in store, targets and daemons. Closing
+ * the site kills them. Each process writes its output to a file in the folder of the site.
+ */
+final class ProcessSite implements AutoCloseable {
     private static final Duration CALL_TIMEOUT = Duration.ofSeconds(30);
     private static final long START_TIMEOUT_MS = 30_000;
     private static final long POLL_MS = 50;
 
     private final Path mFolder;
     private final Map<String, Process> mProcesses = new LinkedHashMap<>();
-    private final Map<String, String> mCallers = new LinkedHashMap<>();
-    private final Map<String, String> mOperators = new LinkedHashMap<>();
+    private final Map<String, String> mCallerAddresses = new LinkedHashMap<>();
+    private final Map<String, String> mOperatorAddresses = new LinkedHashMap<>();
     private final HttpClient mHttp =
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
-    private final String mStore = freeAddress();
+    private final String mStoreAddress = freeAddress();
 
-    Site(Path folder) throws IOException, InterruptedException {
+    ProcessSite(Path folder) throws IOException, InterruptedException {
         mFolder = folder;
-        java("store", StoreMain.class, mStore);
-        awaitListening(mStore);
+        startJava("store", StoreMain.class, mStoreAddress);
+        awaitListening(mStoreAddress);
     }
 
+    /**
+     * Returns a loopback address with a free port. The port is released before the process binds
+     * it, so that another process may take it in between.
+     */
     static String freeAddress() throws IOException {
         try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             return "127.0.0.1:" + socket.getLocalPort();
         }
     }
 
-    /** Starts a target and returns its address. */
-    String target(String host) throws IOException, InterruptedException {
+    /** Starts a target, waits until it accepts connections, and returns its address. */
+    String startTarget(String host) throws IOException, InterruptedException {
         String address = freeAddress();
-        java(host, TargetMain.class, address, host);
+        startJava(host, TargetMain.class, address, host);
         awaitListening(address);
         return address;
     }
 
-    /** Starts a daemon at addresses of its own and waits until it serves. */
-    void daemon(String member) throws IOException, InterruptedException {
-        String callers = freeAddress();
-        String operators = freeAddress();
+    /** Writes the settings of a new daemon with free ports, starts it and waits until it serves. */
+    void startDaemon(String member) throws IOException, InterruptedException {
+        String callerAddress = freeAddress();
+        String operatorAddress = freeAddress();
         Path file = mFolder.resolve(member + ".yaml");
         Files.writeString(
                 file,
@@ -74,41 +81,41 @@
                         "\n",
                         "member: " + member,
                         "zone: zone-1",
-                        "callers: " + callers,
+                        "callers: " + callerAddress,
                         "peers: " + freeAddress(),
-                        "operators: " + operators,
-                        "platform: " + mStore,
+                        "operators: " + operatorAddress,
+                        "platform: " + mStoreAddress,
                         ""));
-        mCallers.put(member, callers);
-        mOperators.put(member, operators);
-        startAgain(member);
+        mCallerAddresses.put(member, callerAddress);
+        mOperatorAddresses.put(member, operatorAddress);
+        restartDaemon(member);
     }
 
-    /** Starts a daemon at the addresses that it had before and waits until it serves. */
-    void startAgain(String member) throws IOException, InterruptedException {
+    /** Starts a daemon with its existing settings and addresses, and waits until it serves. */
+    void restartDaemon(String member) throws IOException, InterruptedException {
         Path file = mFolder.resolve(member + ".yaml");
-        String operators = mOperators.get(member);
-        java(member, DaemonMain.class, "--config", file.toString());
-        awaitListening(operators);
+        String operatorAddress = mOperatorAddresses.get(member);
+        startJava(member, DaemonMain.class, "--config", file.toString());
+        awaitListening(operatorAddress);
         try {
             awaitStatus(member, "\"serving\"", true);
         } catch (ConnectException e) {
-            boolean ended = !mProcesses.get(member).isAlive();
-            throw new IOException(member + " ended=" + ended + " printed: " + log(member), e);
+            boolean exited = !mProcesses.get(member).isAlive();
+            throw new IOException(member + " exited=" + exited + ", output: " + log(member), e);
         }
     }
 
-    /** Ends a process at once. */
+    /** Kills a process and waits until it has ended. */
     void kill(String name) {
         mProcesses.get(name).destroyForcibly().onExit().join();
     }
 
-    /** Stops a process until {@link #resume}. */
+    /** Suspends a process until {@link #resume}. */
     void pause(String name) throws IOException, InterruptedException {
         signal("-STOP", name);
     }
 
-    /** Lets a stopped process go on. */
+    /** Resumes a suspended process. */
     void resume(String name) throws IOException, InterruptedException {
         signal("-CONT", name);
     }
@@ -118,17 +125,17 @@
         new ProcessBuilder("kill", signal, id).start().waitFor();
     }
 
-    /** Sets how the store misbehaves from now on. */
-    void storeFault(StoreFault fault) throws IOException, InterruptedException {
+    /** Makes the store fail in the given way from now on. */
+    void setStoreFault(StoreFault fault) throws IOException, InterruptedException {
         HttpRequest request =
-                HttpRequest.newBuilder(URI.create("http://" + mStore + "/fault"))
+                HttpRequest.newBuilder(URI.create("http://" + mStoreAddress + "/fault"))
                         .POST(BodyPublishers.ofString(fault.name()))
                         .build();
         mHttp.send(request, BodyHandlers.discarding());
     }
 
-    /** Returns how many times each named request has run on a target. */
-    Map<String, Integer> runs(String address) throws IOException, InterruptedException {
+    /** Returns how many times each request, by its {@code Request-Name}, has run on a target. */
+    Map<String, Integer> runCounts(String address) throws IOException, InterruptedException {
         HttpRequest request =
                 HttpRequest.newBuilder(URI.create("http://" + address + "/stand-in/runs"))
                         .timeout(CALL_TIMEOUT)
@@ -142,33 +149,33 @@
         return runs;
     }
 
-    /** Returns where callers connect to a daemon. */
-    String callers(String member) {
-        return mCallers.get(member);
+    /** Returns the address at which a daemon accepts callers' requests. */
+    String callerAddress(String member) {
+        return mCallerAddresses.get(member);
     }
 
-    /** Runs the operators' tool against a daemon and returns its exit code and output. */
-    ToolRun tool(String member, String... words) throws IOException, InterruptedException {
-        List<String> args = new ArrayList<>(List.of("--daemon", mOperators.get(member)));
-        args.addAll(Arrays.asList(words));
+    /** Runs the command line tool against a daemon and waits until it exits. */
+    CliResult runCli(String member, String... command) throws IOException, InterruptedException {
+        List<String> args = new ArrayList<>(List.of("--daemon", mOperatorAddresses.get(member)));
+        args.addAll(Arrays.asList(command));
         Path log = Files.createTempFile(mFolder, "tool", ".log");
         Process process = start(log, CliMain.class, args.toArray(String[]::new));
         process.waitFor();
-        return new ToolRun(process.exitValue(), Files.readString(log));
+        return new CliResult(process.exitValue(), Files.readString(log));
     }
 
     /** Writes a release note to a file and returns its path. */
-    String note(String name, String text) throws IOException {
+    String writeNote(String name, String text) throws IOException {
         Path file = mFolder.resolve(name + ".yaml");
         Files.writeString(file, text);
         return file.toString();
     }
 
-    /** Sends a request to a daemon; the secret may be empty. */
+    /** Sends a request to a daemon and waits for the response; an empty secret sends no key. */
     HttpResponse<String> call(String member, String method, String path, String secret)
             throws IOException, InterruptedException {
         HttpRequest.Builder request =
-                HttpRequest.newBuilder(URI.create("http://" + mCallers.get(member) + path))
+                HttpRequest.newBuilder(URI.create("http://" + mCallerAddresses.get(member) + path))
                         .timeout(CALL_TIMEOUT)
                         .method(method, BodyPublishers.ofString("body"));
         if (!secret.isEmpty()) {
@@ -177,11 +184,15 @@
         return mHttp.send(request.build(), BodyHandlers.ofString());
     }
 
-    /** Sends a request with a body to a daemon and a run time to the target. */
+    /**
+     * Sends a request to a daemon without waiting.
+     *
+     * @param runMs run time that the stand-in target simulates, in milliseconds
+     */
     CompletableFuture<HttpResponse<String>> callAsync(
             String member, String method, String path, String secret, int runMs) {
         HttpRequest request =
-                HttpRequest.newBuilder(URI.create("http://" + mCallers.get(member) + path))
+                HttpRequest.newBuilder(URI.create("http://" + mCallerAddresses.get(member) + path))
                         .timeout(CALL_TIMEOUT)
                         .method(method, BodyPublishers.ofString("body"))
                         .header("Authorization", "Bearer " + secret)
@@ -190,44 +201,52 @@
         return mHttp.sendAsync(request, BodyHandlers.ofString());
     }
 
-    /** Waits until a daemon's status contains a text. */
+    /**
+     * Waits until a daemon's status contains a text.
+     *
+     * @throws IOException if it does not within the start timeout
+     */
     void awaitStatus(String member, String text) throws IOException, InterruptedException {
         long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(START_TIMEOUT_MS);
         while (!status(member).contains(text)) {
             if (System.nanoTime() > deadline) {
-                throw new IOException(member + " does not show " + text);
+                throw new IOException(member + "'s status does not contain " + text);
             }
             Thread.sleep(POLL_MS);
         }
     }
 
-    /** Returns a page of a daemon's operator interface. */
+    /** Returns the response body of a path of a daemon's operator interface. */
     String page(String member, String path) throws IOException, InterruptedException {
         HttpRequest request =
-                HttpRequest.newBuilder(URI.create("http://" + mOperators.get(member) + path))
+                HttpRequest.newBuilder(
+                                URI.create("http://" + mOperatorAddresses.get(member) + path))
                         .timeout(CALL_TIMEOUT)
                         .build();
         return mHttp.send(request, BodyHandlers.ofString()).body();
     }
 
+    /** Returns the status page of a daemon, as JSON. */
     String status(String member) throws IOException, InterruptedException {
         return page(member, "/status");
     }
 
-    /** Returns what a process has printed. */
+    /** Returns the output of a process so far, stdout and stderr. */
     String log(String name) throws IOException {
         return Files.readString(mFolder.resolve(name + ".log"));
     }
 
-    /** Asks a process to stop and returns its exit code. */
+    /** Terminates a process gracefully (SIGTERM) and returns its exit code. */
     int stop(String name) throws InterruptedException {
         Process process = mProcesses.get(name);
         process.destroy();
         return process.waitFor();
     }
 
-    /** Asks a process to stop and returns its exit code, -1 if the wait was interrupted. */
-    int stopped(String name) {
+    /**
+     * Terminates a process gracefully and returns its exit code, -1 if the wait was interrupted.
+     */
+    int stopAndGetExitCode(String name) {
         try {
             return stop(name);
         } catch (InterruptedException e) {
@@ -236,19 +255,20 @@
         }
     }
 
-    /** Waits until a daemon's status contains a text, or no longer does. */
+    /** Waits until a daemon's status contains a text, or until it does not. */
     void awaitStatus(String member, String text, boolean present)
             throws IOException, InterruptedException {
         long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(START_TIMEOUT_MS);
         while (status(member).contains(text) != present) {
             if (System.nanoTime() > deadline) {
-                throw new IOException(member + " shows otherwise: " + status(member));
+                throw new IOException(
+                        member + "'s status did not change as expected: " + status(member));
             }
             Thread.sleep(POLL_MS);
         }
     }
 
-    private void java(String name, Class<?> main, String... args) throws IOException {
+    private void startJava(String name, Class<?> main, String... args) throws IOException {
         mProcesses.put(name, start(mFolder.resolve(name + ".log"), main, args));
     }
 
@@ -293,6 +313,6 @@
         mProcesses.values().forEach(p -> p.onExit().join());
     }
 
-    /** One run of the operators' tool. */
-    record ToolRun(int exitCode, String output) {}
+    /** The result of a run of the command line tool; the output holds stdout and stderr. */
+    record CliResult(int exitCode, String output) {}
 }
