--- a/standin/src/test/java/org/hibiscususher/standin/golden/TranscriptRecorder.java
+++ b/standin/src/test/java/org/hibiscususher/standin/golden/TranscriptRecorder.java
@@ -38,9 +38,9 @@
     private int mRequestCount;
 
     TranscriptRecorder() {
-        HOSTS.forEach(mSite.platform()::add);
+        HOSTS.forEach(mSite.platform()::addHost);
         mSite.platform().setRebootMs(REBOOT_DURATION_MS);
-        mSite.listHosts(HOST_LIST_LAG_MS);
+        mSite.startHostListUpdates(HOST_LIST_LAG_MS);
         for (String entry : List.of("e1", "e2", "e3")) {
             mSite.start(entry, "z" + entry.substring(1));
         }
@@ -62,11 +62,11 @@
                   queues: [{name: lookups, pool: parts}, {name: letters, pool: office}]
                 """
                         .formatted(KeyDigest.ofSecret("fitters").toHex());
-        mSite.submit("e1", NoteReader.read("opening", note).note());
+        mSite.submitNote("e1", NoteReader.read("opening", note).note());
         mSite.run(1_000);
         mStartMs = mSite.nowMs();
         mRecordedEvents = mSite.events().size();
-        mRecordedCallIds.addAll(mSite.noteAnswers().keySet());
+        mRecordedCallIds.addAll(mSite.noteReplies().keySet());
     }
 
     /** Returns all lines recorded so far. */
@@ -128,7 +128,7 @@
         append("operator sends note " + parsed.note().id() + " to " + entry);
         parsed.findings().forEach(f -> append("  " + f));
         if (parsed.findings().isEmpty()) {
-            mSite.submit(entry, parsed.note());
+            mSite.submitNote(entry, parsed.note());
         }
     }
 
@@ -140,13 +140,13 @@
     void sendRequest(String entry, String queue, String team, int runMs) {
         String name = "request " + ++mRequestCount;
         append(name + " of " + team + " to " + queue + " through " + entry);
-        mOpenRequests.put(mSite.call(entry, queue, team, runMs), name);
+        mOpenRequests.put(mSite.sendRequest(entry, queue, team, runMs), name);
     }
 
     /** Sends an operator's maintenance wave command; the pools matter for a plan only. */
     void sendWaveCommand(String entry, WaveCommand command, String... pools) {
         append("operator says " + command + " to " + entry);
-        mSite.wave(entry, command, List.of(pools));
+        mSite.sendWaveCommand(entry, command, List.of(pools));
     }
 
     /** Advances virtual time and records events, responses and outcomes as they appear. */
@@ -162,7 +162,7 @@
             String event = mSite.events().get(mRecordedEvents);
             append(event.substring(event.indexOf(' ') + 1));
         }
-        for (Map.Entry<Long, ReplyToNote> response : mSite.noteAnswers().entrySet()) {
+        for (Map.Entry<Long, ReplyToNote> response : mSite.noteReplies().entrySet()) {
             if (!mRecordedCallIds.contains(response.getKey())) {
                 mRecordedCallIds.add(response.getKey());
                 ReplyToNote reply = response.getValue();
@@ -176,22 +176,25 @@
                 reply.findings().forEach(f -> append("  " + f));
             }
         }
-        for (Map.Entry<Long, ReplyToWave> response : mSite.waveAnswers().entrySet()) {
+        for (Map.Entry<Long, ReplyToWave> response : mSite.waveReplies().entrySet()) {
             if (!mRecordedCallIds.contains(response.getKey())) {
                 mRecordedCallIds.add(response.getKey());
                 append("answer: " + response.getValue().report());
             }
         }
         for (VirtualRequest request : List.copyOf(mOpenRequests.keySet())) {
-            if (request.over()) {
+            if (request.isFinished()) {
                 append(mOpenRequests.remove(request) + ": " + outcome(request));
             }
         }
     }
 
     private static String outcome(VirtualRequest request) {
-        if (request.answered()) {
-            return "answered, ran " + request.runs() + " time" + (request.runs() == 1 ? "" : "s");
+        if (request.isAnswered()) {
+            return "answered, ran "
+                    + request.runCount()
+                    + " time"
+                    + (request.runCount() == 1 ? "" : "s");
         }
         return request.refusal()
                 .map(r -> "refused " + r.code() + ", " + r.executionStatus().code())
--- a/standin/src/test/java/org/hibiscususher/standin/matrix/Fault.java
+++ b/standin/src/test/java/org/hibiscususher/standin/matrix/Fault.java
@@ -3,7 +3,7 @@
 import java.util.List;
 import org.hibiscususher.core.config.Configuration;
 import org.hibiscususher.standin.store.StoreFault;
-import org.hibiscususher.standin.virtual.EntryCondition;
+import org.hibiscususher.standin.virtual.ProcessState;
 import org.hibiscususher.standin.virtual.TargetFault;
 import org.hibiscususher.standin.virtual.VirtualEntry;
 import org.hibiscususher.standin.virtual.VirtualRequest;
@@ -28,14 +28,14 @@
         @Override
         void inject(FaultScenario scenario, String entry) {
             scenario.kill(entry);
-            scenario.site().timeline().after(RESTART_DELAY_MS, () -> scenario.restart(entry));
+            scenario.site().clock().after(RESTART_DELAY_MS, () -> scenario.restart(entry));
         }
     },
     /** The entry's process is suspended until all its leases have expired, then resumed. */
     PAUSED {
         @Override
         void inject(FaultScenario scenario, String entry) {
-            if (scenario.entry(entry).condition() == EntryCondition.RUNNING) {
+            if (scenario.entry(entry).processState() == ProcessState.RUNNING) {
                 scenario.site().pause(entry);
             }
         }
@@ -67,7 +67,7 @@
     MESSAGES_UNRELIABLE {
         @Override
         void inject(FaultScenario scenario, String entry) {
-            scenario.site().network().setBehaviour(1, 40, 0.3, 0.3);
+            scenario.site().network().setLinkBehaviour(1, 40, 0.3, 0.3);
         }
     },
     /** The store neither executes nor answers calls. */
@@ -116,21 +116,21 @@
     TARGETS_CLOSING {
         @Override
         void inject(FaultScenario scenario, String entry) {
-            scenario.setTargetFault(TargetFault.CLOSING);
+            scenario.setTargetFault(TargetFault.DECLINING);
         }
     },
     /** The targets of one zone start each request and close the connection before answering. */
     TARGETS_FAILING {
         @Override
         void inject(FaultScenario scenario, String entry) {
-            scenario.setTargetFault(TargetFault.FAILING);
+            scenario.setTargetFault(TargetFault.BROKEN_CONNECTION);
         }
     },
     /** The targets of one zone truncate each response. */
     TARGETS_CUTTING_SHORT {
         @Override
         void inject(FaultScenario scenario, String entry) {
-            scenario.setTargetFault(TargetFault.SHORT_BODY);
+            scenario.setTargetFault(TargetFault.TRUNCATED_RESPONSE);
         }
     },
     /** The targets of one zone are slow, some responses exceed the run limit. */
@@ -147,7 +147,7 @@
             VirtualSite site = scenario.site();
             List<VirtualRequest> open =
                     site.requests().values().stream()
-                            .filter(r -> !r.over())
+                            .filter(r -> !r.isFinished())
                             .filter(r -> scenario.isRunning(r.entry()))
                             .toList();
             open.forEach(site::cancel);
@@ -172,7 +172,7 @@
                 if (lost.identity().zone().equals(zone)) {
                     scenario.kill(lost.id());
                     scenario.site()
-                            .timeline()
+                            .clock()
                             .after(ZONE_RESTART_DELAY_MS, () -> scenario.restart(lost.id()));
                 }
             }
--- a/standin/src/test/java/org/hibiscususher/standin/matrix/FaultScenario.java
+++ b/standin/src/test/java/org/hibiscususher/standin/matrix/FaultScenario.java
@@ -16,7 +16,7 @@
 import org.hibiscususher.core.world.ControlSettings;
 import org.hibiscususher.core.world.HostRow;
 import org.hibiscususher.standin.store.StoreFault;
-import org.hibiscususher.standin.virtual.EntryCondition;
+import org.hibiscususher.standin.virtual.ProcessState;
 import org.hibiscususher.standin.virtual.TargetFault;
 import org.hibiscususher.standin.virtual.VirtualEntry;
 import org.hibiscususher.standin.virtual.VirtualRequest;
@@ -111,7 +111,7 @@
 
     /** Starts the entries and the checks, applies the initial release note and starts the load. */
     void startSite() {
-        HOSTS.keySet().stream().sorted().forEach(mSite.platform()::add);
+        HOSTS.keySet().stream().sorted().forEach(mSite.platform()::addHost);
         mSite.platform().setRebootMs(REBOOT_DURATION_MS);
         for (int i = 1; i <= 4; i++) {
             mSite.start("e" + i, "z" + (i % 2 + 1));
@@ -141,7 +141,7 @@
 
     /** Returns whether the process of an entry is neither dead nor suspended. */
     boolean isRunning(String id) {
-        return entry(id).condition() == EntryCondition.RUNNING;
+        return entry(id).processState() == ProcessState.RUNNING;
     }
 
     /** Returns the ids of all other entries, including dead ones. */
@@ -165,14 +165,14 @@
 
     /** Kills an entry, unless it is dead already. */
     void kill(String id) {
-        if (entry(id).condition() != EntryCondition.DEAD) {
+        if (entry(id).processState() != ProcessState.DEAD) {
             mSite.kill(id);
         }
     }
 
     /** Starts a dead entry as a new incarnation; does nothing if it is not dead. */
     void restart(String id) {
-        if (entry(id).condition() == EntryCondition.DEAD) {
+        if (entry(id).processState() == ProcessState.DEAD) {
             mSite.start(id, entry(id).identity().zone());
         }
     }
@@ -181,24 +181,24 @@
     void setTargetFault(TargetFault fault) {
         HOSTS.keySet().stream()
                 .sorted()
-                .filter(h -> zoneOf(h).equals("z1") && !mSite.platform().down(h))
+                .filter(h -> zoneOf(h).equals("z1") && !mSite.platform().isDown(h))
                 .forEach(h -> mSite.target(h).setFault(fault));
     }
 
     /** Ends every fault that does not end on its own. */
     void clearFaults() {
         mSite.store().setFault(StoreFault.NONE);
-        mSite.network().mendAll();
-        mSite.network().setBehaviour(1, 0, 0, 0);
+        mSite.network().restoreAllLinks();
+        mSite.network().setLinkBehaviour(1, 0, 0, 0);
         mHostListFrozen = false;
         for (VirtualEntry entry : List.copyOf(mSite.entries().values())) {
             mSite.store().setReachable(entry.id(), true);
-            if (entry.condition() == EntryCondition.PAUSED) {
+            if (entry.processState() == ProcessState.PAUSED) {
                 mSite.resume(entry.id());
             }
         }
         mSite.targets().values().stream()
-                .filter(t -> !mSite.platform().down(t.id()))
+                .filter(t -> !mSite.platform().isDown(t.id()))
                 .forEach(t -> t.setFault(TargetFault.NONE));
     }
 
@@ -212,21 +212,23 @@
         if (!mHostListFrozen) {
             mHostList = new ArrayList<>(mSite.platform().hosts());
             for (VirtualEntry entry : mSite.entries().values()) {
-                if (entry.condition() != EntryCondition.DEAD) {
+                if (entry.processState() != ProcessState.DEAD) {
                     String bootId = Long.toString(entry.identity().incarnation());
                     mHostList.add(new PlatformHost(entry.id(), false, bootId));
                 }
             }
         }
-        mSite.showHosts(List.copyOf(mHostList));
-        mSite.timeline().after(HOST_LIST_INTERVAL_MS, this::publishHostList);
+        mSite.publishHosts(List.copyOf(mHostList));
+        mSite.clock().after(HOST_LIST_INTERVAL_MS, this::publishHostList);
     }
 
     /** Plans a maintenance wave over all pools and starts it a little later. */
     void startWave(String entry) {
-        mSite.wave(entry, WaveCommand.PLAN, List.of("quick", "long"));
-        mSite.timeline()
-                .after(WAVE_START_DELAY_MS, () -> mSite.wave(entry, WaveCommand.START, List.of()));
+        mSite.sendWaveCommand(entry, WaveCommand.PLAN, List.of("quick", "long"));
+        mSite.clock()
+                .after(
+                        WAVE_START_DELAY_MS,
+                        () -> mSite.sendWaveCommand(entry, WaveCommand.START, List.of()));
     }
 
     /** Returns the hosts of a pool that a wave is rebooting. */
@@ -234,7 +236,7 @@
         return HOSTS.keySet().stream()
                 .sorted()
                 .filter(h -> HOSTS.get(h).equals(pool))
-                .filter(mSite.platform()::down)
+                .filter(mSite.platform()::isDown)
                 .toList();
     }
 
@@ -258,7 +260,7 @@
         if (!parsed.findings().isEmpty()) {
             throw new IllegalArgumentException(parsed.findings().toString());
         }
-        mSite.submit(entry, parsed.note());
+        mSite.submitNote(entry, parsed.note());
     }
 
     /** Sends requests of the team {@code alpha} to an entry and returns the entry. */
@@ -276,7 +278,7 @@
 
     /** Returns how many requests of a team run on all targets together. */
     int running(String team) {
-        return mSite.targets().values().stream().mapToInt(t -> t.running(team)).sum();
+        return mSite.targets().values().stream().mapToInt(t -> t.runningRequests(team)).sum();
     }
 
     /**
@@ -298,7 +300,7 @@
     Optional<String> workStartedOnDrainedHost() {
         for (Map.Entry<String, Long> drained : mDrainedSinceMs.entrySet()) {
             VirtualTarget target = mSite.target(drained.getKey());
-            if (target.lastBeginMs() > drained.getValue() + PROPAGATION_LIMIT_MS) {
+            if (target.lastStartMs() > drained.getValue() + PROPAGATION_LIMIT_MS) {
                 return Optional.of(target.id() + " got a new request while drained");
             }
         }
@@ -313,7 +315,7 @@
 
     /** Returns the highest revision reported to an operator as accepted, 0 if none. */
     long acceptedRevision() {
-        return mSite.noteAnswers().values().stream()
+        return mSite.noteReplies().values().stream()
                 .filter(a -> a.result() == NoteResult.ACCEPTED)
                 .mapToLong(a -> a.revision())
                 .max()
@@ -322,7 +324,8 @@
 
     /** Returns whether an entry runs and admits requests. */
     boolean admits(VirtualEntry entry) {
-        return entry.condition() == EntryCondition.RUNNING && entry.world().node().stage().admits();
+        return entry.processState() == ProcessState.RUNNING
+                && entry.world().node().stage().admits();
     }
 
     private void checkInvariants() {
@@ -374,7 +377,7 @@
         for (String host : HOSTS.keySet()) {
             boolean drained =
                     mSite.entries().values().stream()
-                            .filter(e -> e.condition() != EntryCondition.DEAD)
+                            .filter(e -> e.processState() != ProcessState.DEAD)
                             .anyMatch(e -> !acceptsWork(e, host));
             if (drained) {
                 mDrainedSinceMs.putIfAbsent(host, mSite.nowMs());
@@ -399,20 +402,20 @@
     private List<String> unrecovered() {
         List<String> unrecovered = new ArrayList<>();
         mSite.requests().values().stream()
-                .filter(r -> !r.over())
+                .filter(r -> !r.isFinished())
                 .limit(3)
                 .forEach(
                         r -> unrecovered.add("request " + r.arrival().requestId() + " never ends"));
         List<VirtualRequest> probes = new ArrayList<>();
         for (String entry : mSite.entries().keySet()) {
             if (isRunning(entry)) {
-                probes.add(mSite.call(entry, "lookups", "gamma", 20));
-                probes.add(mSite.call(entry, "reports", "gamma", 20));
+                probes.add(mSite.sendRequest(entry, "lookups", "gamma", 20));
+                probes.add(mSite.sendRequest(entry, "reports", "gamma", 20));
             }
         }
         mSite.run(PROBE_TIMEOUT_MS);
         probes.stream()
-                .filter(r -> !r.answered())
+                .filter(r -> !r.isAnswered())
                 .limit(3)
                 .forEach(
                         r ->
--- a/standin/src/test/java/org/hibiscususher/standin/matrix/InjectionPoint.java
+++ b/standin/src/test/java/org/hibiscususher/standin/matrix/InjectionPoint.java
@@ -47,7 +47,7 @@
         @Override
         Optional<String> reached(FaultScenario scenario) {
             for (VirtualRequest request : scenario.site().requests().values()) {
-                if (!request.over() && request.runs() > 0) {
+                if (!request.isFinished() && request.runCount() > 0) {
                     scenario.site().cancel(request);
                     return Optional.of(request.entry());
                 }
--- a/standin/src/test/java/org/hibiscususher/standin/matrix/Invariant.java
+++ b/standin/src/test/java/org/hibiscususher/standin/matrix/Invariant.java
@@ -11,7 +11,7 @@
 import org.hibiscususher.core.message.PermitKey;
 import org.hibiscususher.core.message.PermitKind;
 import org.hibiscususher.core.world.HoldingRow;
-import org.hibiscususher.standin.virtual.EntryCondition;
+import org.hibiscususher.standin.virtual.ProcessState;
 import org.hibiscususher.standin.virtual.VirtualEntry;
 import org.hibiscususher.standin.virtual.VirtualRequest;
 
@@ -40,8 +40,8 @@
         @Override
         Optional<String> violation(FaultScenario scenario) {
             return scenario.site().targets().values().stream()
-                    .filter(t -> t.running() > FaultScenario.SLOTS_PER_HOST)
-                    .map(t -> t.id() + " runs " + t.running() + " requests")
+                    .filter(t -> t.runningRequests() > FaultScenario.SLOTS_PER_HOST)
+                    .map(t -> t.id() + " runs " + t.runningRequests() + " requests")
                     .findFirst();
         }
     },
@@ -56,8 +56,8 @@
                     if (key.kind() != PermitKind.SLOT || row.inUse() == 0) {
                         continue;
                     }
-                    boolean dead = entry.condition() == EntryCondition.DEAD;
-                    if (dead && !scenario.site().target(key.name()).runsFor(entry.id())) {
+                    boolean dead = entry.processState() == ProcessState.DEAD;
+                    if (dead && !scenario.site().target(key.name()).isRunningFor(entry.id())) {
                         continue;
                     }
                     String other = pools.putIfAbsent(key.name(), key.group());
@@ -74,7 +74,7 @@
         @Override
         Optional<String> violation(FaultScenario scenario) {
             return scenario.recent()
-                    .filter(r -> r.runs() > 0)
+                    .filter(r -> r.runCount() > 0)
                     .filter(
                             r ->
                                     r.team().equals(FaultScenario.UNKNOWN_TEAM)
@@ -88,7 +88,7 @@
         @Override
         Optional<String> violation(FaultScenario scenario) {
             return scenario.recent()
-                    .filter(r -> r.over() && !r.cancelled())
+                    .filter(r -> r.isFinished() && !r.isCancelled())
                     .filter(r -> r.lastRunMs() > r.endedMs())
                     .map(r -> "request " + r.arrival().requestId() + " ran after it had ended")
                     .findFirst();
@@ -99,7 +99,7 @@
         @Override
         Optional<String> violation(FaultScenario scenario) {
             return scenario.recent()
-                    .filter(r -> r.runs() > 0)
+                    .filter(r -> r.runCount() > 0)
                     .filter(
                             r ->
                                     r.refusal()
@@ -108,7 +108,13 @@
                                                             f.executionStatus()
                                                                     == ExecutionStatus.NOT_RUN)
                                             .orElse(false))
-                    .map(r -> "request " + r.arrival().requestId() + " ran " + r.runs() + " times")
+                    .map(
+                            r ->
+                                    "request "
+                                            + r.arrival().requestId()
+                                            + " ran "
+                                            + r.runCount()
+                                            + " times")
                     .findFirst();
         }
     },
@@ -122,7 +128,7 @@
             for (VirtualRequest request : (Iterable<VirtualRequest>) nonIdempotent::iterator) {
                 String key = request.arrival().idempotencyKey();
                 String name = key.isEmpty() ? "#" + request.arrival().requestId() : key;
-                if (runs.merge(name, request.runs(), Integer::sum) > 1) {
+                if (runs.merge(name, request.runCount(), Integer::sum) > 1) {
                     return Optional.of(name + " ran " + runs.get(name) + " times");
                 }
             }
--- a/standin/src/test/java/org/hibiscususher/standin/matrix/ScenarioLoad.java
+++ b/standin/src/test/java/org/hibiscususher/standin/matrix/ScenarioLoad.java
@@ -7,7 +7,7 @@
 import java.util.stream.Stream;
 import org.hibiscususher.core.message.ExecutionStatus;
 import org.hibiscususher.core.message.Refusal;
-import org.hibiscususher.standin.virtual.EntryCondition;
+import org.hibiscususher.standin.virtual.ProcessState;
 import org.hibiscususher.standin.virtual.VirtualRequest;
 import org.hibiscususher.standin.virtual.VirtualSite;
 
@@ -54,7 +54,7 @@
 
     private Stream<String> runningEntries() {
         return mSite.entries().keySet().stream()
-                .filter(e -> mSite.entries().get(e).condition() == EntryCondition.RUNNING);
+                .filter(e -> mSite.entries().get(e).processState() == ProcessState.RUNNING);
     }
 
     private void callPeriodically() {
@@ -70,7 +70,7 @@
                                 : FaultScenario.TEAMS.get(choice % FaultScenario.TEAMS.size()));
             }
         }
-        mSite.timeline().after(CALL_INTERVAL_MS, this::callPeriodically);
+        mSite.clock().after(CALL_INTERVAL_MS, this::callPeriodically);
     }
 
     /** Sends a request with random run time, idempotence and idempotency key. */
@@ -84,10 +84,10 @@
 
     private void send(
             String entry, String queue, String team, int runMs, boolean idempotent, String key) {
-        VirtualRequest request = mSite.call(entry, queue, team, runMs, idempotent, key);
+        VirtualRequest request = mSite.sendRequest(entry, queue, team, runMs, idempotent, key);
         mRecent.add(request);
         if (!key.isEmpty()) {
-            mSite.timeline()
+            mSite.clock()
                     .after(
                             RESEND_INTERVAL_MS,
                             () -> resendIfUnknown(request, queue, RESEND_INTERVAL_MS));
@@ -100,8 +100,8 @@
      */
     private void resendIfUnknown(VirtualRequest request, String queue, long waitedMs) {
         boolean unknown =
-                request.cancelled()
-                        || request.cutShort()
+                request.isCancelled()
+                        || request.isTruncated()
                         || request.refusal()
                                 .map(f -> f.executionStatus() == ExecutionStatus.MAY_HAVE_RUN)
                                 .orElse(false);
@@ -111,7 +111,7 @@
                     runningEntries().filter(e -> !e.equals(request.entry())).toList();
             if (!running.isEmpty()) {
                 VirtualRequest resent =
-                        mSite.call(
+                        mSite.sendRequest(
                                 running.get(mRandom.nextInt(running.size())),
                                 queue,
                                 request.team(),
@@ -120,8 +120,8 @@
                                 request.arrival().idempotencyKey());
                 mRecent.add(resent);
             }
-        } else if (!request.over() && waitedMs < RETENTION_MS / 2) {
-            mSite.timeline()
+        } else if (!request.isFinished() && waitedMs < RETENTION_MS / 2) {
+            mSite.clock()
                     .after(
                             RESEND_INTERVAL_MS,
                             () -> resendIfUnknown(request, queue, waitedMs + RESEND_INTERVAL_MS));
