--- a/standin/src/test/java/org/hibiscususher/standin/process/EntryShutdownTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/process/EntryShutdownTest.java
@@ -62,7 +62,7 @@
             CompletableFuture<HttpResponse<String>> quick = sendToLeavingEntry(0);
             assertThat(quick.join().statusCode()).isEqualTo(200);
             CompletableFuture<Integer> exitCode =
-                    CompletableFuture.supplyAsync(() -> mSite.stopAndGetExitCode("entry-1"));
+                    CompletableFuture.supplyAsync(() -> mSite.stopUnchecked("entry-1"));
             mSite.awaitStatus("entry-1", "\"leaving\"");
             HttpResponse<String> refused = sendToLeavingEntry(0).join();
             assertThat(refused.body()).contains("entry-leaving").contains("not-run");
--- a/standin/src/test/java/org/hibiscususher/standin/process/ProcessSite.java
+++ b/standin/src/test/java/org/hibiscususher/standin/process/ProcessSite.java
@@ -243,10 +243,8 @@
         return process.waitFor();
     }
 
-    /**
-     * Terminates a process gracefully and returns its exit code, -1 if the wait was interrupted.
-     */
-    int stopAndGetExitCode(String name) {
+    /** Like {@link #stop}, but returns -1 if the wait was interrupted, for use in lambdas. */
+    int stopUnchecked(String name) {
         try {
             return stop(name);
         } catch (InterruptedException e) {
