Reword the maintenance tests of standin

The fixture named its checks by promises and bare verbs. It now says which guarantees of moves and waves are checked after each virtual millisecond; locals and test names follow. No check changes.

--- a/standin/src/test/java/org/hibiscususher/standin/maintenance/MaintenanceSite.java
+++ b/standin/src/test/java/org/hibiscususher/standin/maintenance/MaintenanceSite.java
@@ -30,16 +30,23 @@
 import org.hibiscususher.wire.yaml.NoteReader;
 import org.hibiscususher.wire.yaml.ParsedNote;
 
-/** A site with pools under load whose promises are checked after every virtual millisecond. */
+/**
+ * A virtual site with two pools under steady load.
+ *
+ * <p>After every virtual millisecond it checks what maintenance must never break: planned outages
+ * stay within each pool's availability budget, a host reported idle runs no request, and slot
+ * permits for a host are in use under one pool only.
+ */
 final class MaintenanceSite {
-    static final int LIST_LAG_MS = 2_000;
+    /** Age of the platform's host list when entries read it, in milliseconds. */
+    static final int HOST_LIST_LAG_MS = 2_000;
 
     private final VirtualSite mSite;
     private final List<String> mViolations = new ArrayList<>();
-    private final List<VirtualRequest> mCalls = new ArrayList<>();
-    private final Map<String, Integer> mOutBefore = new HashMap<>();
-    private final Map<String, Long> mRecalledMs = new HashMap<>();
-    private boolean mLoaded = true;
+    private final List<VirtualRequest> mRequests = new ArrayList<>();
+    private final Map<String, Integer> mHostsOutBefore = new HashMap<>();
+    private final Map<String, Long> mOutageSeenMs = new HashMap<>();
+    private boolean mLoadEnabled = true;
 
     MaintenanceSite(long seed, int entries) {
         mSite = VirtualSite.create(seed, ControlSettings.DEFAULT);
@@ -47,45 +54,57 @@
             mSite.start("e" + i, "z" + (i % 3));
         }
         mSite.run(500);
-        mSite.setAfterStep(this::check);
+        mSite.setAfterStep(this::checkGuarantees);
     }
 
     VirtualSite site() {
         return mSite;
     }
 
+    /** Returns the guarantees broken so far, those that the platform observed included. */
     List<String> violations() {
         List<String> all = new ArrayList<>(mViolations);
         all.addAll(mSite.platform().violations());
         return all;
     }
 
-    /** Returns the calls whose callers saw no whole answer, though their target was not lost. */
-    List<VirtualRequest> cut() {
-        return mCalls.stream()
+    /**
+     * Returns the finished requests that started on a host but got no complete response, and those
+     * that ended without a response, refusal or cancellation. None are expected unless a host is
+     * lost.
+     */
+    List<VirtualRequest> interruptedRequests() {
+        return mRequests.stream()
                 .filter(r -> r.over() && !r.answered() && !r.cancelled())
                 .filter(r -> r.refusal().isEmpty() || r.runs() > 0)
                 .toList();
     }
 
-    long answered() {
-        return mCalls.stream().filter(VirtualRequest::answered).count();
+    long answeredCount() {
+        return mRequests.stream().filter(VirtualRequest::answered).count();
     }
 
-    void setLoaded(boolean value) {
-        mLoaded = value;
+    void setLoadEnabled(boolean value) {
+        mLoadEnabled = value;
     }
 
+    /** Applies a release note and asserts that it is accepted. */
     void apply(String text) {
         ParsedNote parsed = NoteReader.read("note", text);
         assertThat(parsed.findings()).isEmpty();
-        long call = mSite.submit("e1", parsed.note());
+        long callId = mSite.submit("e1", parsed.note());
         mSite.run(1_500);
-        assertThat(mSite.noteAnswers().get(call).result()).isEqualTo(NoteResult.ACCEPTED);
+        assertThat(mSite.noteAnswers().get(callId).result()).isEqualTo(NoteResult.ACCEPTED);
     }
 
-    /** Opens pools a and b of some hosts each, over three zones, with a budget of 2 and 1. */
-    void open(int hostsPerPool) {
+    /**
+     * Creates pools a and b with queues qa and qb.
+     *
+     * <p>Each pool has an availability budget of 2 hosts, 1 of them per zone.
+     *
+     * @param hostsPerPool hosts of each pool, spread over zones z0 to z2
+     */
+    void createPools(int hostsPerPool) {
         StringBuilder hosts = new StringBuilder();
         for (String pool : List.of("a", "b")) {
             for (int i = 1; i <= hostsPerPool; i++) {
@@ -110,22 +129,27 @@
                     - {name: qb, pool: b, run limit ms: 6000}
                 """
                         .formatted(hosts, KeyDigest.ofSecret("fitters").toHex()));
-        mSite.listHosts(LIST_LAG_MS);
+        mSite.listHosts(HOST_LIST_LAG_MS);
     }
 
+    /**
+     * Returns the line of a release note that declares a host with 4 slots.
+     *
+     * @param i number of the host within its pool; decides its zone and port
+     */
     static String hostLine(String id, int i, String pool) {
         return "    - {name: %s, address: \"127.0.0.1:%d\", zone: z%d, pool: %s, slots: 4}\n"
                 .formatted(id, 100 * id.charAt(0) + i, i % 3, pool);
     }
 
-    /** Runs with a call at each running entry and queue every 20 ms. */
+    /** Runs for a time while every running entry gets one request per queue every 20 ms. */
     void run(long ms) {
         for (long end = mSite.nowMs() + ms; mSite.nowMs() < end; ) {
-            if (mLoaded) {
+            if (mLoadEnabled) {
                 for (VirtualEntry entry : mSite.entries().values()) {
                     if (entry.condition() == EntryCondition.RUNNING) {
-                        mCalls.add(call(entry, "qa"));
-                        mCalls.add(call(entry, "qb"));
+                        mRequests.add(call(entry, "qa"));
+                        mRequests.add(call(entry, "qb"));
                     }
                 }
             }
@@ -134,27 +158,29 @@
     }
 
     private VirtualRequest call(VirtualEntry entry, String queue) {
-        return mSite.call(entry.id(), queue, "fitters", runMs());
+        return mSite.call(entry.id(), queue, "fitters", randomRunMs());
     }
 
-    /** Returns a run time: mostly short, now and then several seconds. */
-    private int runMs() {
+    /** Returns a random run time: 4 s for one request in 50, under 90 ms for the others. */
+    private int randomRunMs() {
         return mSite.random().nextInt(50) == 0 ? 4_000 : 30 + mSite.random().nextInt(60);
     }
 
+    /** Plans and starts a wave over all pools; returns the id of the start command. */
     long startWave() {
         mSite.wave("e1", WaveCommand.PLAN, List.of());
         run(500);
-        long call = mSite.wave("e1", WaveCommand.START, List.of());
+        long callId = mSite.wave("e1", WaveCommand.START, List.of());
         run(500);
-        return call;
+        return callId;
     }
 
+    /** Returns the stored wave record, or empty. */
     Optional<WaveRecord> wave() {
         return mSite.store().find(RecordKey.WAVE).map(r -> (WaveRecord) r.value());
     }
 
-    /** Runs until the wave is done or the time is up; returns how long that took. */
+    /** Runs until the wave is done or the limit has passed; returns the elapsed milliseconds. */
     long runWave(long limitMs) {
         long startMs = mSite.nowMs();
         while (mSite.nowMs() - startMs < limitMs
@@ -164,6 +190,7 @@
         return mSite.nowMs() - startMs;
     }
 
+    /** Returns the pool that the store assigns a host to, empty if the host is not stored. */
     String poolOf(String host) {
         return mSite.store()
                 .find(RecordKey.host(host))
@@ -175,24 +202,25 @@
         return mSite.entries().get("e1").world().configuration();
     }
 
-    private void check() {
-        Map<String, List<String>> out = new HashMap<>();
+    private void checkGuarantees() {
+        Map<String, List<String>> zonesOfHostsOut = new HashMap<>();
         for (HostSpec spec : configuration().hosts().values()) {
             String host = spec.id();
             String pool = poolOf(host);
             Optional<Outage> outage = outage(pool, host);
             boolean down = mSite.platform().down(host);
             if (outage.isPresent() || down) {
-                out.computeIfAbsent(pool, p -> new ArrayList<>()).add(spec.zone());
+                zonesOfHostsOut.computeIfAbsent(pool, p -> new ArrayList<>()).add(spec.zone());
             }
             checkIdle(host, outage);
-            checkPools(host);
+            checkUsedInOnePool(host);
         }
         for (String pool : configuration().pools().keySet()) {
-            checkBudget(pool, out.getOrDefault(pool, List.of()));
+            checkBudget(pool, zonesOfHostsOut.getOrDefault(pool, List.of()));
         }
     }
 
+    /** Returns the stored outage of a host, if it is for the current generation of its record. */
     private Optional<Outage> outage(String pool, String host) {
         long generation =
                 mSite.store()
@@ -205,49 +233,59 @@
                 .filter(o -> o.generation() == generation);
     }
 
-    /** No planned outage may be added when the pool is at its budget. */
+    /**
+     * Checks the number of hosts out against the pool's budget, in total and per zone.
+     *
+     * <p>Only an increase beyond the budget is a violation: lost hosts alone may exceed it, but no
+     * planned outage may be added then.
+     */
     private void checkBudget(String pool, List<String> zones) {
         AvailabilityBudget budget = configuration().pools().get(pool).budget();
-        check(pool, zones.size(), budget.maxUnavailable());
+        checkIncrease(pool, zones.size(), budget.maxUnavailable());
         for (String zone : List.of("z0", "z1", "z2")) {
             int inZone = (int) zones.stream().filter(zone::equals).count();
-            check(pool + "/" + zone, inZone, budget.maxUnavailablePerZone());
+            checkIncrease(pool + "/" + zone, inZone, budget.maxUnavailablePerZone());
         }
     }
 
-    private void check(String place, int out, int budget) {
-        int before = mOutBefore.getOrDefault(place, 0);
+    private void checkIncrease(String scope, int out, int budget) {
+        int before = mHostsOutBefore.getOrDefault(scope, 0);
         if (out > before && out > budget) {
-            mViolations.add(place + " has " + out + " hosts out at " + mSite.nowMs());
+            mViolations.add(scope + " has " + out + " hosts out at " + mSite.nowMs() + " ms");
         }
-        mOutBefore.put(place, out);
+        mHostsOutBefore.put(scope, out);
     }
 
     private void checkIdle(String host, Optional<Outage> outage) {
         VirtualTarget target = mSite.target(host);
         if (outage.filter(Outage::idle).isPresent() && target.running() > 0) {
-            mViolations.add(host + " runs work while it is out");
+            mViolations.add(host + " runs requests while its outage is marked idle");
         }
         if (outage.isEmpty()) {
-            mRecalledMs.remove(host);
+            mOutageSeenMs.remove(host);
         } else {
-            mRecalledMs.putIfAbsent(host, mSite.nowMs());
+            mOutageSeenMs.putIfAbsent(host, mSite.nowMs());
         }
     }
 
-    /** Permits for a host may be in use under one pool at most. */
-    private void checkPools(String host) {
-        String seen = "";
+    /** Checks that slot permits for a host are in use under one pool at most. */
+    private void checkUsedInOnePool(String host) {
+        String poolInUse = "";
         for (VirtualEntry entry : mSite.entries().values()) {
             if (!entry.condition().equals(EntryCondition.DEAD)) {
                 for (HoldingRow row : entry.world().holdings().rows()) {
                     boolean slot = row.key().kind() == PermitKind.SLOT;
                     if (slot && row.key().name().equals(host) && row.inUse() > 0) {
                         String pool = row.key().group();
-                        if (!seen.isEmpty() && !seen.equals(pool)) {
-                            mViolations.add(host + " is used in " + seen + " and " + pool);
+                        if (!poolInUse.isEmpty() && !poolInUse.equals(pool)) {
+                            mViolations.add(
+                                    host
+                                            + " has slots in use in pools "
+                                            + poolInUse
+                                            + " and "
+                                            + pool);
                         }
-                        seen = pool;
+                        poolInUse = pool;
                     }
                 }
             }
--- a/standin/src/test/java/org/hibiscususher/standin/maintenance/MaintenanceTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/maintenance/MaintenanceTest.java
@@ -12,28 +12,33 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
+/**
+ * Tests host moves and maintenance waves in virtual time, with requests arriving throughout.
+ *
+ * <p>Every test also asserts that no guarantee checked by {@link MaintenanceSite} was broken.
+ */
 class MaintenanceTest {
-    private static final int HOSTS = 6;
+    private static final int HOSTS_PER_POOL = 6;
     private static final long WAVE_LIMIT_MS = 180_000;
 
     private final MaintenanceSite mSite = new MaintenanceSite(11, 3);
 
     @BeforeEach
-    void open() {
-        mSite.open(HOSTS);
+    void createPools() {
+        mSite.createPools(HOSTS_PER_POOL);
         mSite.run(4_000);
     }
 
     @AfterEach
-    void promisesHold() {
+    void assertGuaranteesHeld() {
         assertThat(mSite.violations()).isEmpty();
-        assertThat(mSite.answered()).isPositive();
+        assertThat(mSite.answeredCount()).isPositive();
     }
 
     @Nested
     class Moves {
         @Test
-        void bringAHostIntoItsNewPoolAndCutNothing() {
+        void changeThePoolWithoutInterruptingRequests() {
             mSite.apply(
                     """
                     note: move
@@ -45,29 +50,29 @@
                             .formatted(MaintenanceSite.hostLine("a1", 1, "b")));
             mSite.run(3_000);
             assertThat(mSite.poolOf("a1")).isEqualTo("b");
-            assertThat(mSite.cut()).isEmpty();
-            long before = mSite.site().target("a1").mostRunning();
-            assertThat(before).isPositive();
+            assertThat(mSite.interruptedRequests()).isEmpty();
+            long mostRunning = mSite.site().target("a1").mostRunning();
+            assertThat(mostRunning).isPositive();
         }
 
         @Test
-        void keepToTheBudget() {
+        void ofAlmostAllHostsStayWithinTheBudget() {
             StringBuilder hosts = new StringBuilder();
-            IntStream.rangeClosed(1, HOSTS - 1)
+            IntStream.rangeClosed(1, HOSTS_PER_POOL - 1)
                     .forEach(i -> hosts.append(MaintenanceSite.hostLine("a" + i, i, "b")));
             mSite.apply("note: move\nauthor: anna\nchanged:\n  hosts:\n" + hosts);
             mSite.run(10_000);
             assertThat(mSite.poolOf("a5")).isEqualTo("b");
-            assertThat(mSite.cut()).isEmpty();
+            assertThat(mSite.interruptedRequests()).isEmpty();
         }
 
         @Test
-        void drainAWithdrawnHost() {
+        void ofWithdrawnHostsDrainBeforeRemoval() {
             mSite.apply("note: gone\nauthor: anna\nwithdrawn:\n  hosts: [a1]\n");
             mSite.run(3_000);
             assertThat(mSite.poolOf("a1")).isEmpty();
             assertThat(mSite.site().entries().get("e2").world().hosts().contains("a1")).isFalse();
-            assertThat(mSite.cut()).isEmpty();
+            assertThat(mSite.interruptedRequests()).isEmpty();
         }
     }
 
@@ -77,23 +82,23 @@
         void rebootEveryHostOnce() {
             mSite.startWave();
             mSite.runWave(WAVE_LIMIT_MS);
-            assertDone();
-            assertThat(mSite.cut()).isEmpty();
+            assertEveryHostRebootedOnce();
+            assertThat(mSite.interruptedRequests()).isEmpty();
         }
 
         @Test
-        void waitWhileTheStoreIsDown() {
+        void resumeAfterStoreOutage() {
             mSite.startWave();
             mSite.run(1_000);
             mSite.site().store().setFault(StoreFault.DOWN);
             mSite.run(20_000);
             mSite.site().store().setFault(StoreFault.NONE);
             mSite.runWave(WAVE_LIMIT_MS);
-            assertDone();
+            assertEveryHostRebootedOnce();
         }
 
         @Test
-        void goOnWhenEntriesDieAndStartAgain() {
+        void completeAlthoughEntriesAreKilledAndRestarted() {
             mSite.startWave();
             for (String entry : List.of("e1", "e2", "e3")) {
                 mSite.run(7_000);
@@ -103,11 +108,11 @@
                 mSite.run(8_000);
             }
             mSite.runWave(WAVE_LIMIT_MS);
-            assertDone();
+            assertEveryHostRebootedOnce();
         }
 
         @Test
-        void goOnWhenEntriesArePaused() {
+        void completeAlthoughEntriesArePaused() {
             mSite.startWave();
             for (String entry : List.of("e1", "e2", "e3")) {
                 mSite.run(5_000);
@@ -117,11 +122,11 @@
                 mSite.run(3_000);
             }
             mSite.runWave(WAVE_LIMIT_MS);
-            assertDone();
+            assertEveryHostRebootedOnce();
         }
 
         @Test
-        void settleLostAnswers() {
+        void rebootOnceAlthoughResponsesAreLost() {
             mSite.site().platform().setLosesAnswers(true);
             mSite.startWave();
             mSite.run(12_000);
@@ -130,23 +135,23 @@
             mSite.site().store().setFault(StoreFault.NONE);
             mSite.site().platform().setLosesAnswers(false);
             mSite.runWave(WAVE_LIMIT_MS);
-            assertDone();
+            assertEveryHostRebootedOnce();
         }
 
         @Test
-        void countHostsThatAreLostAlready() {
+        void countLostHostsAgainstTheBudget() {
             mSite.site().platform().lose("a1");
             mSite.run(5_000);
             mSite.startWave();
             mSite.run(30_000);
             mSite.site().platform().restore("a1");
             mSite.runWave(WAVE_LIMIT_MS);
-            assertDone();
+            assertEveryHostRebootedOnce();
         }
 
         @Test
-        void pauseWhenHostsDoNotComeBack() {
-            for (int i = 1; i <= HOSTS; i++) {
+        void pauseWhenHostsFailToReboot() {
+            for (int i = 1; i <= HOSTS_PER_POOL; i++) {
                 mSite.site().platform().setNeverBack("a" + i);
                 mSite.site().platform().setNeverBack("b" + i);
             }
@@ -154,23 +159,23 @@
             mSite.run(140_000);
             assertThat(mSite.wave().orElseThrow().state()).isEqualTo(WaveState.PAUSED);
             assertThat(mSite.wave().orElseThrow().detail()).contains("hosts failed");
-            assertThat(mSite.site().platform().reboots().size()).isLessThan(HOSTS);
+            assertThat(mSite.site().platform().reboots().size()).isLessThan(HOSTS_PER_POOL);
         }
 
         @Test
-        void takeNoFurtherHostWhilePaused() {
+        void rebootNoFurtherHostWhilePaused() {
             mSite.startWave();
-            long call = mSite.site().wave("e2", WaveCommand.PAUSE, List.of());
+            long callId = mSite.site().wave("e2", WaveCommand.PAUSE, List.of());
             mSite.run(15_000);
-            assertThat(mSite.site().waveAnswers().get(call).report().ok()).isTrue();
-            int before = mSite.site().platform().reboots().size();
+            assertThat(mSite.site().waveAnswers().get(callId).report().ok()).isTrue();
+            int rebootsBefore = mSite.site().platform().reboots().size();
             mSite.run(15_000);
-            assertThat(mSite.site().platform().reboots().size()).isEqualTo(before);
+            assertThat(mSite.site().platform().reboots().size()).isEqualTo(rebootsBefore);
         }
 
-        private void assertDone() {
+        private void assertEveryHostRebootedOnce() {
             assertThat(mSite.wave().orElseThrow().state()).isEqualTo(WaveState.DONE);
-            assertThat(mSite.site().platform().reboots()).hasSize(2 * HOSTS);
+            assertThat(mSite.site().platform().reboots()).hasSize(2 * HOSTS_PER_POOL);
             assertThat(mSite.site().platform().reboots().values()).containsOnly(1);
         }
     }
