Reword the request tests of standin

OnceTest spoke of homes and vouching without saying what for. It is now DuplicateRequestTest and says how the coordinator of a key decides; RequestLifeTest is RequestLifecycleTest. No check changes.

--- a/standin/src/test/java/org/hibiscususher/standin/request/OnceTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/request/DuplicateRequestTest.java
@@ -19,11 +19,18 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** Requests that must not run twice, sent again by their callers, in virtual time. */
-class OnceTest {
+/**
+ * Tests in virtual time that requests with the same idempotency key run at most once.
+ *
+ * <p>Each key has one entry as its coordinator, chosen by rendezvous hash. The coordinator grants
+ * the right to run; an entry that became coordinator after the key's timestamp can't know whether
+ * its predecessor granted it, so it refuses with ID_NOT_VOUCHED.
+ */
+class DuplicateRequestTest {
     private final VirtualSite mSite = RequestSite.open(5);
 
-    private static VirtualRequest order(VirtualSite site, String entry, String key) {
+    /** Sends a request that must not run twice. */
+    private static VirtualRequest send(VirtualSite site, String entry, String key) {
         return site.call(entry, "lookups", "fitters", 30, false, key);
     }
 
@@ -31,7 +38,7 @@
         return requests.stream().mapToInt(VirtualRequest::runs).sum();
     }
 
-    private String homeOf(String key) {
+    private String coordinatorOf(String key) {
         IdempotencyKey parsed = IdempotencyKey.parse(key).orElseThrow();
         return RendezvousHash.choose(
                         parsed.hashedName(),
@@ -39,24 +46,24 @@
                 .orElseThrow();
     }
 
-    /** Returns a key of the present time whose home is, or is not, the given entry. */
-    private String keyWithHome(String entry) {
+    /** Returns a key with the current timestamp whose coordinator is the given entry. */
+    private String keyCoordinatedBy(String entry) {
         String key = RequestSite.key(mSite);
-        while (!homeOf(key).equals(entry)) {
+        while (!coordinatorOf(key).equals(entry)) {
             key = RequestSite.key(mSite);
         }
         return key;
     }
 
     @Nested
-    class KeysSentAgain {
+    class ResentKeys {
         @Test
-        void runOnceWhateverTheEntry() {
+        void runOnceThroughAnyEntry() {
             String key = RequestSite.key(mSite);
-            VirtualRequest first = order(mSite, "e1", key);
-            VirtualRequest second = order(mSite, "e2", key);
+            VirtualRequest first = send(mSite, "e1", key);
+            VirtualRequest second = send(mSite, "e2", key);
             mSite.run(500);
-            VirtualRequest third = order(mSite, "e3", key);
+            VirtualRequest third = send(mSite, "e3", key);
             mSite.run(500);
             List<VirtualRequest> all = List.of(first, second, third);
             assertThat(totalRuns(all)).isEqualTo(1);
@@ -65,95 +72,99 @@
         }
 
         @Test
-        void mayRunAfterATrueNotRun() {
+        void mayRunAfterRefusalWithoutRun() {
             RequestSite.HOSTS.forEach(h -> mSite.target(h).setFault(TargetFault.UNREACHABLE));
             String key = RequestSite.key(mSite);
-            VirtualRequest first = order(mSite, "e1", key);
+            VirtualRequest first = send(mSite, "e1", key);
             mSite.run(3_000);
             assertThat(first.refusal().map(Refusal::executionStatus))
                     .isEqualTo(Optional.of(Refusal.WAIT_LIMIT.executionStatus()));
             RequestSite.HOSTS.forEach(h -> mSite.target(h).setFault(TargetFault.NONE));
             mSite.run(40_000);
-            VirtualRequest second = order(mSite, "e2", key);
+            VirtualRequest second = send(mSite, "e2", key);
             mSite.run(1_000);
             assertThat(second.answered()).isTrue();
         }
 
         @Test
-        void stayUnknownWhenTheFirstWas() {
+        void areDuplicatesWhileTheFirstOutcomeIsUnknown() {
             RequestSite.HOSTS.forEach(h -> mSite.target(h).setFault(TargetFault.FAILING));
             String key = RequestSite.key(mSite);
-            VirtualRequest first = order(mSite, "e1", key);
+            VirtualRequest first = send(mSite, "e1", key);
             mSite.run(500);
             assertThat(first.refusal()).contains(Refusal.OUTCOME_UNKNOWN);
-            VirtualRequest second = order(mSite, "e2", key);
+            VirtualRequest second = send(mSite, "e2", key);
             mSite.run(500);
             assertThat(second.refusal()).contains(Refusal.DUPLICATE);
         }
 
         @Test
-        void areNotVouchedForByAHomeThatTookOver() {
-            String key = keyWithHome("e3");
-            VirtualRequest first = order(mSite, "e1", key);
+        void areRefusedByCoordinatorThatReplacedDeadOne() {
+            String key = keyCoordinatedBy("e3");
+            VirtualRequest first = send(mSite, "e1", key);
             mSite.run(500);
             assertThat(first.answered()).isTrue();
             mSite.kill("e3");
             mSite.run(20_000);
-            VirtualRequest second = order(mSite, "e2", key);
+            VirtualRequest second = send(mSite, "e2", key);
             mSite.run(2_000);
             assertThat(second.refusal()).contains(Refusal.ID_NOT_VOUCHED);
             assertThat(second.runs()).isZero();
-            VirtualRequest fresh = order(mSite, "e2", RequestSite.key(mSite));
+            VirtualRequest fresh = send(mSite, "e2", RequestSite.key(mSite));
             mSite.run(2_000);
             assertThat(fresh.answered()).isTrue();
         }
 
         @Test
-        void areNotVouchedForWhileASilentHomeMayStillGrant() {
-            String key = keyWithHome("e3");
+        void areRefusedWhileSilentCoordinatorMayStillGrant() {
+            String key = keyCoordinatedBy("e3");
             mSite.pause("e3");
             mSite.run(20_000);
             String later = RequestSite.key(mSite);
-            assertThat(homeOf(key)).isNotEqualTo("e3");
-            VirtualRequest request = order(mSite, "e1", key);
-            VirtualRequest fresh = order(mSite, "e1", sameHome(later, key));
+            assertThat(coordinatorOf(key)).isNotEqualTo("e3");
+            VirtualRequest request = send(mSite, "e1", key);
+            VirtualRequest fresh = send(mSite, "e1", withCoordinatorOf(key, later));
             mSite.run(2_000);
             assertThat(request.refusal()).contains(Refusal.ID_NOT_VOUCHED);
             assertThat(fresh.over()).isTrue();
         }
 
-        private String sameHome(String key, String like) {
-            return homeOf(key).equals(homeOf(like)) ? key : keyWithHome(homeOf(like));
+        /** Returns the candidate if both keys have the same coordinator, else a new such key. */
+        private String withCoordinatorOf(String key, String candidate) {
+            String coordinator = coordinatorOf(key);
+            return coordinatorOf(candidate).equals(coordinator)
+                    ? candidate
+                    : keyCoordinatedBy(coordinator);
         }
     }
 
     @Nested
     class Keys {
         @Test
-        void mustBeTimeOrdered() {
-            VirtualRequest random = order(mSite, "e1", "0b9b1f9e-6d3c-4f58-9a77-3f4f2c1d5e6f");
-            VirtualRequest word = order(mSite, "e1", "order-17");
+        void mustBeTimeOrderedUuids() {
+            VirtualRequest randomUuid = send(mSite, "e1", "0b9b1f9e-6d3c-4f58-9a77-3f4f2c1d5e6f");
+            VirtualRequest plainText = send(mSite, "e1", "order-17");
             mSite.run(100);
-            assertThat(random.refusal()).contains(Refusal.IDEMPOTENCY_KEY_MALFORMED);
-            assertThat(word.refusal()).contains(Refusal.IDEMPOTENCY_KEY_MALFORMED);
+            assertThat(randomUuid.refusal()).contains(Refusal.IDEMPOTENCY_KEY_MALFORMED);
+            assertThat(plainText.refusal()).contains(Refusal.IDEMPOTENCY_KEY_MALFORMED);
         }
 
         @Test
-        void ofTheFutureOrTheFarPastAreNotVouchedFor() {
-            String early = RequestSite.key(mSite);
+        void withFutureOrExpiredTimestampAreRefused() {
+            String expired = RequestSite.key(mSite);
             mSite.run(301_000);
-            VirtualRequest old = order(mSite, "e1", early);
-            long ahead = mSite.nowMs() + 4_000 << 16 | 0x7001;
-            String future = new java.util.UUID(ahead, Long.MIN_VALUE | 5).toString();
-            VirtualRequest next = order(mSite, "e2", future);
+            VirtualRequest past = send(mSite, "e1", expired);
+            long futureBits = mSite.nowMs() + 4_000 << 16 | 0x7001;
+            String future = new java.util.UUID(futureBits, Long.MIN_VALUE | 5).toString();
+            VirtualRequest early = send(mSite, "e2", future);
             mSite.run(2_000);
-            assertThat(old.refusal()).contains(Refusal.ID_NOT_VOUCHED);
-            assertThat(next.refusal()).contains(Refusal.ID_NOT_VOUCHED);
+            assertThat(past.refusal()).contains(Refusal.ID_NOT_VOUCHED);
+            assertThat(early.refusal()).contains(Refusal.ID_NOT_VOUCHED);
         }
 
         @Test
-        void areForgottenAfterAWhile() {
-            order(mSite, "e1", RequestSite.key(mSite));
+        void areDroppedAfterTheirRetention() {
+            send(mSite, "e1", RequestSite.key(mSite));
             mSite.run(320_000);
             assertThat(mSite.entries().values())
                     .allMatch(e -> e.world().idempotencyKeys().size() == 0);
@@ -164,14 +175,14 @@
     class UnderFaults {
         @ParameterizedTest
         @ValueSource(longs = {21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 32})
-        void noKeyRunsTwice(long seed) {
+        void keysRunAtMostOnce(long seed) {
             VirtualSite site = RequestSite.open(seed);
             site.network().setBehaviour(1, 40, 0.15, 0.15);
-            Map<String, List<VirtualRequest>> orders = new LinkedHashMap<>();
+            Map<String, List<VirtualRequest>> requestsByKey = new LinkedHashMap<>();
             Random random = site.random();
             for (int step = 0; step < 500; step++) {
-                disturb(site, random);
-                send(site, random, orders);
+                injectFault(site, random);
+                sendNewOrKnownKey(site, random, requestsByKey);
                 site.run(random.nextInt(150));
             }
             site.network().setBehaviour(1, 0, 0, 0);
@@ -181,29 +192,33 @@
                     .toList()
                     .forEach(e -> site.resume(e.id()));
             site.run(30_000);
-            orders.values().forEach(o -> assertThat(totalRuns(o)).isLessThanOrEqualTo(1));
-            long ran = orders.values().stream().filter(o -> totalRuns(o) == 1).count();
-            assertThat(ran).as("keys that ran, of %s", orders.size()).isGreaterThan(5);
+            requestsByKey
+                    .values()
+                    .forEach(sent -> assertThat(totalRuns(sent)).isLessThanOrEqualTo(1));
+            long ran = requestsByKey.values().stream().filter(sent -> totalRuns(sent) == 1).count();
+            assertThat(ran).as("keys that ran, of %s", requestsByKey.size()).isGreaterThan(5);
             RequestSite.assertIdle(site);
         }
 
-        private void send(
-                VirtualSite site, Random random, Map<String, List<VirtualRequest>> orders) {
+        /** Sends a new key, or with probability 2/3 one of the last 40, through a random entry. */
+        private void sendNewOrKnownKey(
+                VirtualSite site, Random random, Map<String, List<VirtualRequest>> requestsByKey) {
             String entry = RequestSite.ENTRIES.get(random.nextInt(3));
-            List<String> keys = List.copyOf(orders.keySet());
-            boolean again = !keys.isEmpty() && random.nextInt(3) > 0;
+            List<String> keys = List.copyOf(requestsByKey.keySet());
+            boolean resend = !keys.isEmpty() && random.nextInt(3) > 0;
             int recent = Math.min(keys.size(), 40);
             String key =
-                    again
+                    resend
                             ? keys.get(keys.size() - 1 - random.nextInt(recent))
                             : RequestSite.key(site);
             List<VirtualRequest> sent =
-                    new java.util.ArrayList<>(orders.getOrDefault(key, List.of()));
-            sent.add(order(site, entry, key));
-            orders.put(key, sent);
+                    new java.util.ArrayList<>(requestsByKey.getOrDefault(key, List.of()));
+            sent.add(send(site, entry, key));
+            requestsByKey.put(key, sent);
         }
 
-        private void disturb(VirtualSite site, Random random) {
+        /** Injects or ends a random fault: killed or paused entries, cut links, no store access. */
+        private void injectFault(VirtualSite site, Random random) {
             String entry = RequestSite.ENTRIES.get(random.nextInt(3));
             String other = RequestSite.ENTRIES.get(random.nextInt(3));
             EntryCondition condition = site.entries().get(entry).condition();
@@ -233,7 +248,7 @@
                 case 11 -> site.store().setReachable(entry, false);
                 case 12, 13 -> site.store().setReachable(entry, true);
                 default -> {
-                    // All goes on as it is.
+                    // No change in most steps.
                 }
             }
         }
--- a/standin/src/test/java/org/hibiscususher/standin/request/RequestLifeTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/request/RequestLifecycleTest.java
@@ -18,13 +18,15 @@
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** The decisions over a request's life, in virtual time. */
-class RequestLifeTest {
-    private static final int QUIET_MS = 14_000;
+/** Tests admission, retry, quarantine and shutdown decisions for requests in virtual time. */
+class RequestLifecycleTest {
+    /** Time in which every request and abandoned run ends, in milliseconds. */
+    private static final int DRAIN_MS = 14_000;
 
     private final VirtualSite mSite = RequestSite.open(11);
 
-    private List<VirtualRequest> calls(int count, String team, int runMs) {
+    /** Sends idempotent requests to entry e1. */
+    private List<VirtualRequest> send(int count, String team, int runMs) {
         List<VirtualRequest> requests = new ArrayList<>();
         for (int i = 0; i < count; i++) {
             requests.add(mSite.call("e1", "lookups", team, runMs));
@@ -32,7 +34,7 @@
         return requests;
     }
 
-    private static long refused(List<VirtualRequest> requests, Refusal refusal) {
+    private static long countRefused(List<VirtualRequest> requests, Refusal refusal) {
         return requests.stream().filter(r -> r.refusal().equals(Optional.of(refusal))).count();
     }
 
@@ -40,23 +42,24 @@
     class Outcomes {
         @ParameterizedTest
         @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
-        void areToldTruthfullyUnderFaults(long seed) {
+        void matchTheActualRunsUnderFaults(long seed) {
             VirtualSite site = RequestSite.open(seed);
             site.network().setBehaviour(1, 5, 0.05, 0.05);
             Random random = site.random();
             for (int step = 0; step < 400; step++) {
-                act(site, random);
+                sendOrDisturb(site, random);
                 site.run(random.nextInt(30));
             }
             RequestSite.HOSTS.forEach(h -> site.target(h).setFault(TargetFault.NONE));
-            site.run(QUIET_MS);
+            site.run(DRAIN_MS);
             for (VirtualRequest request : site.requests().values()) {
-                check(request);
+                assertOutcomeMatchesRuns(request);
             }
             RequestSite.assertIdle(site);
         }
 
-        private void act(VirtualSite site, Random random) {
+        /** Mostly sends requests; otherwise sets a target fault, cancels, or restarts an entry. */
+        private void sendOrDisturb(VirtualSite site, Random random) {
             String entry = RequestSite.ENTRIES.get(random.nextInt(3));
             switch (random.nextInt(12)) {
                 case 0 ->
@@ -86,14 +89,14 @@
             }
         }
 
-        private void check(VirtualRequest request) {
+        private void assertOutcomeMatchesRuns(VirtualRequest request) {
             assertThat(request.over()).isTrue();
-            boolean saysNotRun =
+            boolean reportedAsNotRun =
                     request.refusal()
                             .map(r -> r.executionStatus() == ExecutionStatus.NOT_RUN)
                             .orElse(false);
-            if (saysNotRun) {
-                assertThat(request.runs()).as("runs of what was not run").isZero();
+            if (reportedAsNotRun) {
+                assertThat(request.runs()).as("runs of a request reported as not run").isZero();
             }
             if (request.answered()) {
                 assertThat(request.runs()).isPositive();
@@ -107,29 +110,29 @@
     @Nested
     class Queues {
         @Test
-        void keepPlacesForOtherTeams() {
-            List<VirtualRequest> many = calls(500, "fitters", 500);
-            List<VirtualRequest> few = calls(20, "hotels", 10);
+        void reserveCapacityForOtherTeams() {
+            List<VirtualRequest> many = send(500, "fitters", 500);
+            List<VirtualRequest> few = send(20, "hotels", 10);
             mSite.run(3_000);
-            assertThat(refused(many, Refusal.QUEUE_FULL)).isPositive();
-            assertThat(refused(few, Refusal.QUEUE_FULL)).isZero();
+            assertThat(countRefused(many, Refusal.QUEUE_FULL)).isPositive();
+            assertThat(countRefused(few, Refusal.QUEUE_FULL)).isZero();
         }
 
         @Test
-        void refuseAtOnceWhatCannotStartInTime() {
-            calls(20, "fitters", 900);
-            mSite.run(QUIET_MS);
-            List<VirtualRequest> requests = calls(60, "fitters", 900);
+        void refuseEarlyWhatCannotStartWithinItsWaitLimit() {
+            send(20, "fitters", 900);
+            mSite.run(DRAIN_MS);
+            List<VirtualRequest> requests = send(60, "fitters", 900);
             mSite.run(20);
-            assertThat(refused(requests, Refusal.WAIT_LIMIT)).isPositive();
+            assertThat(countRefused(requests, Refusal.WAIT_LIMIT)).isPositive();
             assertThat(mSite.counters().get("admission.refused-early")).isPositive();
-            mSite.run(QUIET_MS);
+            mSite.run(DRAIN_MS);
             assertThat(requests).filteredOn(VirtualRequest::answered).hasSizeGreaterThan(10);
         }
 
         @Test
-        void shedAWaveOfCancellationsInOneTick() {
-            List<VirtualRequest> requests = calls(60, "fitters", 2_000);
+        void dropManyCancelledRequestsInOneTick() {
+            List<VirtualRequest> requests = send(60, "fitters", 2_000);
             mSite.run(50);
             long ran = requests.stream().filter(r -> r.runs() > 0).count();
             requests.forEach(mSite::cancel);
@@ -137,7 +140,7 @@
             assertThat(mSite.entries().get("e1").world().requests().rows())
                     .hasSize((int) ran)
                     .allMatch(r -> !r.permits().isEmpty());
-            mSite.run(QUIET_MS);
+            mSite.run(DRAIN_MS);
             RequestSite.assertIdle(mSite);
             assertThat(requests.stream().filter(r -> r.runs() > 0).count()).isEqualTo(ran);
         }
@@ -147,24 +150,24 @@
     class Retries {
         @ParameterizedTest
         @EnumSource(names = {"UNREACHABLE", "CLOSING", "FAILING"})
-        void rescueIdempotentWorkFromAFaultyHost(TargetFault fault) {
+        void completeIdempotentRequestsOfFaultyHost(TargetFault fault) {
             mSite.target("h1").setFault(fault);
             List<VirtualRequest> requests = new ArrayList<>();
             for (int i = 0; i < 50; i++) {
-                requests.addAll(calls(1, "fitters", 20));
+                requests.addAll(send(1, "fitters", 20));
                 mSite.run(20);
             }
-            mSite.run(QUIET_MS);
+            mSite.run(DRAIN_MS);
             assertThat(requests).allMatch(VirtualRequest::answered);
         }
 
         @Test
-        void goToAnotherZone() {
+        void preferAnotherZone() {
             mSite.target("h1").setFault(TargetFault.FAILING);
             mSite.target("h2").setFault(TargetFault.FAILING);
             List<VirtualRequest> requests = new ArrayList<>();
             for (int i = 0; i < 8; i++) {
-                requests.addAll(calls(1, "fitters", 20));
+                requests.addAll(send(1, "fitters", 20));
                 mSite.run(500);
             }
             assertThat(requests).allMatch(VirtualRequest::answered);
@@ -172,13 +175,13 @@
         }
 
         @Test
-        void endWithTheBudgetWhenEveryHostFails() {
+        void stopAtTheRetryBudgetWhenEveryHostFails() {
             RequestSite.HOSTS.forEach(h -> mSite.target(h).setFault(TargetFault.FAILING));
             for (int i = 0; i < 200; i++) {
-                calls(1, "fitters", 10);
+                send(1, "fitters", 10);
                 mSite.run(5);
             }
-            mSite.run(QUIET_MS);
+            mSite.run(DRAIN_MS);
             long runs = mSite.requests().values().stream().mapToInt(VirtualRequest::runs).sum();
             long started = mSite.requests().values().stream().filter(r -> r.runs() > 0).count();
             assertThat(mSite.counters().get("retry.budget-spent")).isPositive();
@@ -189,36 +192,36 @@
     @Nested
     class Outliers {
         @Test
-        void doNotAttractWorkByFailingFast() {
+        void areQuarantinedAlthoughTheyRespondFast() {
             mSite.target("h1").setFault(TargetFault.ERRORS);
             List<VirtualRequest> requests = new ArrayList<>();
             for (int i = 0; i < 400; i++) {
-                requests.addAll(calls(1, "fitters", 100));
+                requests.addAll(send(1, "fitters", 100));
                 mSite.run(10);
             }
-            long before = mSite.counters().get("attempt.server-error");
-            assertThat(before).isLessThan(20);
+            long serverErrors = mSite.counters().get("attempt.server-error");
+            assertThat(serverErrors).isLessThan(20);
             mSite.target("h1").setFault(TargetFault.NONE);
             mSite.run(40_000);
-            calls(24, "fitters", 100);
+            send(24, "fitters", 100);
             mSite.run(50);
             assertThat(mSite.target("h1").running()).isPositive();
         }
 
         @Test
-        void staySetAsideOnlyWithinTheBudget() {
+        void areQuarantinedOnlyWithinTheBudget() {
             mSite.target("h1").setFault(TargetFault.UNREACHABLE);
             mSite.target("h2").setFault(TargetFault.UNREACHABLE);
             mSite.target("h3").setFault(TargetFault.UNREACHABLE);
             for (int i = 0; i < 200; i++) {
-                calls(2, "fitters", 20);
+                send(2, "fitters", 20);
                 mSite.run(10);
-                long resting =
+                long quarantined =
                         mSite.entries().get("e1").world().hosts().rows().stream()
                                 .filter(h -> h.quarantinedUntilMs() > mSite.nowMs() + 150)
                                 .filter(h -> h.consecutiveFaults() >= 3)
                                 .count();
-                assertThat(resting).isLessThanOrEqualTo(1);
+                assertThat(quarantined).isLessThanOrEqualTo(1);
             }
             assertThat(mSite.counters().get("outlier.budget-spent")).isPositive();
         }
@@ -227,13 +230,13 @@
     @Nested
     class LeavingEntries {
         @Test
-        void finishWhatRunsAndRefuseTheRest() {
-            List<VirtualRequest> running = calls(10, "fitters", 1_500);
+        void finishRunningRequestsAndRefuseNewOnes() {
+            List<VirtualRequest> running = send(10, "fitters", 1_500);
             mSite.run(100);
             mSite.shutDown("e1");
             mSite.run(20);
             VirtualRequest late = mSite.call("e1", "lookups", "fitters", 10);
-            mSite.run(QUIET_MS);
+            mSite.run(DRAIN_MS);
             assertThat(running).allMatch(VirtualRequest::answered);
             assertThat(late.refusal()).contains(Refusal.ENTRY_LEAVING);
             assertThat(mSite.entries().get("e1").condition()).isEqualTo(EntryCondition.DEAD);
--- a/standin/src/test/java/org/hibiscususher/standin/request/RequestSite.java
+++ b/standin/src/test/java/org/hibiscususher/standin/request/RequestSite.java
@@ -12,14 +12,17 @@
 import org.hibiscususher.standin.virtual.VirtualSite;
 import org.hibiscususher.wire.yaml.NoteReader;
 
-/** A small site in virtual time: three entries, four hosts in two zones, two teams. */
+/** A virtual site with three entries, one pool of four hosts in two zones, and two teams. */
 final class RequestSite {
     static final List<String> ENTRIES = List.of("e1", "e2", "e3");
     static final List<String> HOSTS = List.of("h1", "h2", "h3", "h4");
-    private static final int SETTLE_MS = 8_000;
+
+    /** Time for the first configuration to reach all entries, in milliseconds. */
+    private static final int ROLL_OUT_MS = 8_000;
 
     private RequestSite() {}
 
+    /** Creates the site and waits until its configuration is in force. */
     static VirtualSite open(long seed) {
         VirtualSite site = VirtualSite.create(seed, ControlSettings.DEFAULT);
         for (int i = 0; i < ENTRIES.size(); i++) {
@@ -50,21 +53,21 @@
                         .formatted(
                                 KeyDigest.ofSecret("fitters").toHex(),
                                 KeyDigest.ofSecret("hotels").toHex());
-        long call = site.submit("e1", NoteReader.read("note", note).note());
-        site.run(SETTLE_MS);
-        assertThat(site.noteAnswers().get(call).result()).isEqualTo(NoteResult.ACCEPTED);
+        long callId = site.submit("e1", NoteReader.read("note", note).note());
+        site.run(ROLL_OUT_MS);
+        assertThat(site.noteAnswers().get(callId).result()).isEqualTo(NoteResult.ACCEPTED);
         return site;
     }
 
-    /** Returns an idempotency key of the present time. */
+    /** Returns a new idempotency key, a version 7 UUID with the current virtual time. */
     static String key(VirtualSite site) {
-        long time = site.nowMs();
-        long high = time << 16 | 0x7000 | site.random().nextInt(0x1000);
+        long timestampMs = site.nowMs();
+        long high = timestampMs << 16 | 0x7000 | site.random().nextInt(0x1000);
         long low = 0x8000_0000_0000_0000L | site.random().nextLong() >>> 2;
         return new UUID(high, low).toString();
     }
 
-    /** Checks that no entry that runs has a request at hand or a permit in use. */
+    /** Asserts that running entries have no pending requests or claims and use no permits. */
     static void assertIdle(VirtualSite site) {
         for (VirtualEntry entry : site.entries().values()) {
             if (entry.condition() == EntryCondition.RUNNING) {
