Reword the roll-out tests of standin

Test names told stories of sent and settled notes. They now name the commit, conflict and reply that is expected; NoteFilesTest is ReleaseNoteFilesTest. No check changes.

--- a/standin/src/test/java/org/hibiscususher/standin/rollout/NoteFilesTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/rollout/ReleaseNoteFilesTest.java
@@ -29,7 +29,8 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
-class NoteFilesTest {
+/** Tests reading, checking, exporting and encoding the release notes of files. */
+class ReleaseNoteFilesTest {
     private static final Path EXAMPLES = Path.of("..", "examples");
     private static final Path GOLDEN = Path.of("src", "test", "resources", "golden");
 
@@ -37,10 +38,11 @@
         return NoteReader.read(file.getFileName().toString(), Files.readString(file));
     }
 
-    private static String lines(List<Finding> findings) {
+    private static String joinLines(List<Finding> findings) {
         return findings.stream().map(f -> f + "\n").collect(Collectors.joining());
     }
 
+    /** Checks a note, asserts that its delta yields the checked configuration, and returns that. */
     private static Configuration apply(ReleaseNote note, Configuration before) {
         NoteCheckResult checked = NoteChecker.check(note, before);
         assertThat(checked.findings()).isEmpty();
@@ -48,24 +50,24 @@
         return checked.configuration();
     }
 
-    /** Applies the notes of a site in the order of their names. */
+    /** Applies the notes of an example site in the order of their file names. */
     private static Configuration site(String name) throws IOException {
-        Configuration at = Configuration.EMPTY;
+        Configuration configuration = Configuration.EMPTY;
         try (Stream<Path> files = Files.list(EXAMPLES.resolve(name))) {
             for (Path file : files.sorted().toList()) {
                 ParsedNote parsed = read(file);
                 assertThat(parsed.findings()).isEmpty();
-                at = apply(parsed.note(), at);
+                configuration = apply(parsed.note(), configuration);
             }
         }
-        return at;
+        return configuration;
     }
 
     @Nested
     class Examples {
         @ParameterizedTest
         @CsvSource({"obrotowa,40,4", "office,35,3"})
-        void haveTheSitesOfToday(String name, int hosts, int zones) throws IOException {
+        void matchTheExpectedSites(String name, int hosts, int zones) throws IOException {
             Configuration site = site(name);
             assertThat(site.hosts()).hasSize(hosts);
             assertThat(site.hosts().values().stream().map(h -> h.zone()).distinct()).hasSize(zones);
@@ -78,17 +80,17 @@
     class Export {
         @ParameterizedTest
         @ValueSource(strings = {"obrotowa", "office"})
-        void leadsToTheSameState(String name) throws IOException {
+        void recreatesTheConfiguration(String name) throws IOException {
             Configuration site = site(name);
             ParsedNote exported = NoteReader.read("export", NoteWriter.write(site));
             assertThat(exported.findings()).isEmpty();
-            Configuration again = apply(exported.note(), Configuration.EMPTY);
-            assertThat(again.pools()).isEqualTo(site.pools());
-            assertThat(again.hosts()).isEqualTo(site.hosts());
-            assertThat(again.teams()).isEqualTo(site.teams());
-            assertThat(again.keys()).isEqualTo(site.keys());
-            assertThat(again.queues()).isEqualTo(site.queues());
-            assertThat(NoteWriter.write(again).lines().skip(3))
+            Configuration imported = apply(exported.note(), Configuration.EMPTY);
+            assertThat(imported.pools()).isEqualTo(site.pools());
+            assertThat(imported.hosts()).isEqualTo(site.hosts());
+            assertThat(imported.teams()).isEqualTo(site.teams());
+            assertThat(imported.keys()).isEqualTo(site.keys());
+            assertThat(imported.queues()).isEqualTo(site.queues());
+            assertThat(NoteWriter.write(imported).lines().skip(3))
                     .containsExactlyElementsOf(NoteWriter.write(site).lines().skip(3).toList());
         }
     }
@@ -97,7 +99,7 @@
     class Records {
         @ParameterizedTest
         @ValueSource(strings = {"obrotowa", "office"})
-        void areTheSameAfterTheirEncoding(String name) throws IOException {
+        void areEqualAfterEncodingAndDecoding(String name) throws IOException {
             Configuration site = site(name);
             ReleaseNote note =
                     NoteReader.read("n", "note: n\nauthor: a\nwithdrawn: {keys: [k]}\n").note();
@@ -134,13 +136,13 @@
     @Nested
     class Findings {
         @Test
-        void ofTheTextAreReportedTogether() throws IOException {
+        void fromParsingAreReportedTogether() throws IOException {
             ParsedNote parsed = read(GOLDEN.resolve("text-check.yaml"));
-            assertGolden("text-check.txt", lines(parsed.findings()));
+            assertGolden("text-check.txt", joinLines(parsed.findings()));
         }
 
         @Test
-        void ofTheWholeAreReportedTogether() throws IOException {
+        void fromTheConfigurationCheckAreReportedTogether() throws IOException {
             Configuration before =
                     apply(
                             read(GOLDEN.resolve("whole-check-before.yaml")).note(),
@@ -149,7 +151,7 @@
             assertThat(parsed.findings()).isEmpty();
             NoteCheckResult checked = NoteChecker.check(parsed.note(), before);
             assertThat(checked.acceptable()).isFalse();
-            assertGolden("whole-check.txt", lines(checked.findings()));
+            assertGolden("whole-check.txt", joinLines(checked.findings()));
         }
 
         private void assertGolden(String name, String text) throws IOException {
--- a/standin/src/test/java/org/hibiscususher/standin/rollout/RollOutSite.java
+++ b/standin/src/test/java/org/hibiscususher/standin/rollout/RollOutSite.java
@@ -14,10 +14,13 @@
 import org.hibiscususher.standin.virtual.VirtualSite;
 import org.hibiscususher.wire.yaml.NoteReader;
 
-/** Three entries in virtual time, and short ways to send them release notes. */
+/**
+ * A virtual site with three entries, one pool of two hosts, one team and one queue, with helpers to
+ * roll out release notes.
+ */
 final class RollOutSite {
     private final VirtualSite mSite;
-    private int mTeams;
+    private int mAddedTeams;
 
     RollOutSite(long seed) {
         mSite = VirtualSite.create(seed, ControlSettings.DEFAULT);
@@ -40,9 +43,9 @@
                   queues: [{name: lookups, pool: parts, wait limit ms: 9000}]
                 """
                         .formatted(KeyDigest.ofSecret("fitters").toHex());
-        ReplyToNote answer = apply("e1", note(opening));
-        if (answer.result() != NoteResult.ACCEPTED) {
-            throw new IllegalStateException(answer.toString());
+        ReplyToNote reply = apply("e1", note(opening));
+        if (reply.result() != NoteResult.ACCEPTED) {
+            throw new IllegalStateException("first note was not accepted: " + reply);
         }
     }
 
@@ -50,6 +53,7 @@
         return mSite;
     }
 
+    /** Parses the YAML text of a release note. */
     static ReleaseNote note(String text) {
         return NoteReader.read("note", text).note();
     }
@@ -59,8 +63,13 @@
         return teamNote(id, author, "");
     }
 
-    /** Returns a note that adds one more team and builds on a revision. */
-    ReleaseNote teamNote(String id, String author, String base) {
+    /**
+     * Returns a note that adds one more team.
+     *
+     * @param baseLine line {@code base: <revision>} with the revision that the note requires to be
+     *     current, or empty
+     */
+    ReleaseNote teamNote(String id, String author, String baseLine) {
         return note(
                 """
                 note: %s
@@ -69,31 +78,35 @@
                 %s
                 added: {teams: [{name: team-%d, share: 1, upper limit: 1}]}
                 """
-                        .formatted(id, author, base, ++mTeams));
+                        .formatted(id, author, baseLine, ++mAddedTeams));
     }
 
-    /** Sends a note and waits for the answer, for the tool's longest wait at most. */
+    /** Sends a note and waits for the reply, up to 20 s as the command-line tool does at most. */
     ReplyToNote apply(String entry, ReleaseNote note) {
         return await(mSite.submit(entry, note), 20_000);
     }
 
-    /** Applies further notes, each of one team. */
-    void applyTeams(int n) {
-        for (int i = 0; i < n; i++) {
-            ReplyToNote answer = apply("e1", teamNote("team-note-" + mTeams, "anna"));
-            if (answer.result() != NoteResult.ACCEPTED) {
-                throw new IllegalStateException(answer.toString());
+    /** Applies a number of notes that add one team each; all must be accepted. */
+    void applyTeams(int count) {
+        for (int i = 0; i < count; i++) {
+            ReplyToNote reply = apply("e1", teamNote("team-note-" + mAddedTeams, "anna"));
+            if (reply.result() != NoteResult.ACCEPTED) {
+                throw new IllegalStateException("note was not accepted: " + reply);
             }
         }
     }
 
-    /** Lets time pass until a call is answered, or the limit is over. */
-    ReplyToNote await(long call, long limitMs) {
+    /**
+     * Runs until a call has its reply or the limit has passed.
+     *
+     * @return the reply, null if there is none within the limit
+     */
+    ReplyToNote await(long callId, long limitMs) {
         long end = mSite.nowMs() + limitMs;
-        while (!mSite.noteAnswers().containsKey(call) && mSite.nowMs() < end) {
+        while (!mSite.noteAnswers().containsKey(callId) && mSite.nowMs() < end) {
             mSite.run(1);
         }
-        return mSite.noteAnswers().get(call);
+        return mSite.noteAnswers().get(callId);
     }
 
     /** Returns the configuration in force on an entry. */
@@ -101,14 +114,14 @@
         return mSite.entries().get(entry).world().configuration();
     }
 
-    /** Returns the different configurations in force on the entries. */
-    Set<String> statesInForce(String... entries) {
-        Set<String> states = new TreeSet<>();
-        List.of(entries).forEach(e -> states.add(inForce(e).toString()));
-        return states;
+    /** Returns the distinct configurations in force on the entries, as text. */
+    Set<String> distinctConfigurations(String... entries) {
+        Set<String> configurations = new TreeSet<>();
+        List.of(entries).forEach(e -> configurations.add(inForce(e).toString()));
+        return configurations;
     }
 
-    /** Returns the head as the store has it. */
+    /** Returns the stored head record of the configuration. */
     HeadRecord head() {
         return (HeadRecord) mSite.store().find(RecordKey.HEAD).orElseThrow().value();
     }
--- a/standin/src/test/java/org/hibiscususher/standin/rollout/RollOutTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/rollout/RollOutTest.java
@@ -15,26 +15,32 @@
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
+/**
+ * Tests that release notes are committed once and in order, and reach every entry.
+ *
+ * <p>The first note of {@link RollOutSite} is revision 1; the head record keeps at most 32 notes
+ * before they are compacted into a snapshot.
+ */
 class RollOutTest {
     private final RollOutSite mSite = new RollOutSite(11);
 
     @Nested
-    class SameNoteAgain {
+    class ResentNotes {
         @ParameterizedTest
         @ValueSource(ints = {0, 1, 31, 40, 100})
-        void isRecognisedAfterOthers(int others) {
+        void keepTheirRevisionAfterOtherNotes(int others) {
             ReleaseNote first = mSite.teamNote("first", "berta");
             mSite.apply("e1", first);
             mSite.applyTeams(others);
-            ReplyToNote again = mSite.apply("e2", first);
-            assertThat(again.result()).isEqualTo(NoteResult.ACCEPTED);
-            assertThat(again.revision()).isEqualTo(2);
+            ReplyToNote resent = mSite.apply("e2", first);
+            assertThat(resent.result()).isEqualTo(NoteResult.ACCEPTED);
+            assertThat(resent.revision()).isEqualTo(2);
             assertThat(mSite.head().revision()).isEqualTo(2 + others);
         }
 
         @ParameterizedTest
         @ValueSource(ints = {0, 40})
-        void isNotMistakenForAnotherWithItsId(int others) {
+        void conflictIfOnlyTheirIdIsTheSame(int others) {
             mSite.apply("e1", mSite.teamNote("first", "berta"));
             mSite.applyTeams(others);
             ReplyToNote other = mSite.apply("e2", mSite.teamNote("first", "carl"));
@@ -43,12 +49,12 @@
         }
 
         @Test
-        void isOneNoteWhenSentThroughTwoEntriesAtOnce() {
+        void areCommittedOnceThroughTwoEntriesAtOnce() {
             ReleaseNote note = mSite.teamNote("twice", "berta");
-            long one = mSite.site().submit("e1", note);
-            long two = mSite.site().submit("e2", note);
-            assertThat(mSite.await(one, 20_000).revision()).isEqualTo(2);
-            assertThat(mSite.await(two, 20_000).revision()).isEqualTo(2);
+            long firstCall = mSite.site().submit("e1", note);
+            long secondCall = mSite.site().submit("e2", note);
+            assertThat(mSite.await(firstCall, 20_000).revision()).isEqualTo(2);
+            assertThat(mSite.await(secondCall, 20_000).revision()).isEqualTo(2);
             assertThat(mSite.head().revision()).isEqualTo(2);
         }
     }
@@ -57,63 +63,63 @@
     class StoreFaults {
         @ParameterizedTest
         @EnumSource(StoreFault.class)
-        void thatPassDoNoHarm(StoreFault fault) {
+        void thatEndDoNotPreventTheCommit(StoreFault fault) {
             mSite.site().store().setFault(fault);
-            long call = mSite.site().submit("e1", mSite.teamNote("n", "berta"));
+            long callId = mSite.site().submit("e1", mSite.teamNote("n", "berta"));
             mSite.site().run(4_000);
             mSite.site().store().setFault(StoreFault.NONE);
-            ReplyToNote answer = mSite.await(call, 13_000);
-            assertThat(answer.result()).isEqualTo(NoteResult.ACCEPTED);
+            ReplyToNote reply = mSite.await(callId, 13_000);
+            assertThat(reply.result()).isEqualTo(NoteResult.ACCEPTED);
             assertThat(mSite.head().revision()).isEqualTo(2);
-            assertThat(mSite.statesInForce("e1", "e2", "e3")).hasSize(1);
+            assertThat(mSite.distinctConfigurations("e1", "e2", "e3")).hasSize(1);
         }
 
         @ParameterizedTest
         @ValueSource(ints = {1, 3, 5, 6, 7, 9, 12})
-        void thatBeginAtAnyStepLoseNoAnswer(int startMs) {
-            long call = mSite.site().submit("e1", mSite.teamNote("n", "berta"));
+        void thatLoseResponsesFromAnyStepStillGetReply(int startMs) {
+            long callId = mSite.site().submit("e1", mSite.teamNote("n", "berta"));
             mSite.site().run(startMs);
             mSite.site().store().setFault(StoreFault.LOSES_ANSWERS);
             mSite.site().run(3_000);
             mSite.site().store().setFault(StoreFault.NONE);
-            assertThat(mSite.await(call, 13_000).result()).isEqualTo(NoteResult.ACCEPTED);
+            assertThat(mSite.await(callId, 13_000).result()).isEqualTo(NoteResult.ACCEPTED);
             assertThat(mSite.head().revision()).isEqualTo(2);
         }
 
         @Test
-        void thatLastAreToldAndChangeNothing() {
+        void thatLastAreReportedAndNothingIsCommitted() {
             mSite.site().store().setFault(StoreFault.DOWN);
-            ReplyToNote answer = mSite.apply("e1", mSite.teamNote("n", "berta"));
-            assertThat(answer.result()).isEqualTo(NoteResult.UNAVAILABLE);
-            assertThat(answer.detail()).contains("nothing was changed");
+            ReplyToNote reply = mSite.apply("e1", mSite.teamNote("n", "berta"));
+            assertThat(reply.result()).isEqualTo(NoteResult.UNAVAILABLE);
+            assertThat(reply.detail()).contains("nothing was changed");
             mSite.site().store().setFault(StoreFault.NONE);
             mSite.site().run(5_000);
             assertThat(mSite.head().revision()).isEqualTo(1);
         }
 
         @Test
-        void thatLoseTheAnswerForGoodAreToldAsUnknown() {
+        void thatLoseTheResponseToTheWriteAreReportedAsUnknown() {
             long writes = mSite.site().store().writes();
-            long call = mSite.site().submit("e1", mSite.teamNote("n", "berta"));
+            long callId = mSite.site().submit("e1", mSite.teamNote("n", "berta"));
             while (mSite.site().store().writes() == writes) {
                 mSite.site().run(1);
             }
             mSite.site().store().setFault(StoreFault.LOSES_ANSWERS);
-            assertThat(mSite.await(call, 20_000).detail())
+            assertThat(mSite.await(callId, 20_000).detail())
                     .contains("did not say whether the note was written");
         }
     }
 
     @Nested
-    class Races {
+    class ConcurrentNotes {
         @Test
-        void nameTheOtherRevisionWhenTheNoteHasABase() {
-            long one = mSite.site().submit("e1", mSite.teamNote("one", "berta", "base: 1"));
-            long two = mSite.site().submit("e2", mSite.teamNote("two", "carl", "base: 1"));
-            assertThat(mSite.await(one, 20_000).result()).isEqualTo(NoteResult.ACCEPTED);
-            ReplyToNote lost = mSite.await(two, 20_000);
-            assertThat(lost.result()).isEqualTo(NoteResult.CONFLICT);
-            assertThat(lost.detail())
+        void conflictIfTheyHaveTheSameBase() {
+            long firstCall = mSite.site().submit("e1", mSite.teamNote("one", "berta", "base: 1"));
+            long secondCall = mSite.site().submit("e2", mSite.teamNote("two", "carl", "base: 1"));
+            assertThat(mSite.await(firstCall, 20_000).result()).isEqualTo(NoteResult.ACCEPTED);
+            ReplyToNote rejected = mSite.await(secondCall, 20_000);
+            assertThat(rejected.result()).isEqualTo(NoteResult.CONFLICT);
+            assertThat(rejected.detail())
                     .isEqualTo(
                             "the note builds on revision 1, but revision 2 by berta came first"
                                     + " (note one: one more team); nothing was changed");
@@ -121,89 +127,95 @@
         }
 
         @Test
-        void areSettledByCheckingAgainOtherwise() {
-            long one = mSite.site().submit("e1", mSite.teamNote("one", "berta"));
-            long two = mSite.site().submit("e2", mSite.teamNote("two", "carl"));
-            long three = mSite.site().submit("e2", mSite.teamNote("three", "carl"));
-            assertThat(mSite.await(one, 20_000).result()).isEqualTo(NoteResult.ACCEPTED);
-            assertThat(mSite.await(two, 20_000).result()).isEqualTo(NoteResult.ACCEPTED);
-            assertThat(mSite.await(three, 20_000).result()).isEqualTo(NoteResult.ACCEPTED);
+        void areAllCommittedIfTheyHaveNoBase() {
+            long firstCall = mSite.site().submit("e1", mSite.teamNote("one", "berta"));
+            long secondCall = mSite.site().submit("e2", mSite.teamNote("two", "carl"));
+            long thirdCall = mSite.site().submit("e2", mSite.teamNote("three", "carl"));
+            assertThat(mSite.await(firstCall, 20_000).result()).isEqualTo(NoteResult.ACCEPTED);
+            assertThat(mSite.await(secondCall, 20_000).result()).isEqualTo(NoteResult.ACCEPTED);
+            assertThat(mSite.await(thirdCall, 20_000).result()).isEqualTo(NoteResult.ACCEPTED);
             assertThat(mSite.head().revision()).isEqualTo(4);
         }
 
         @Test
-        void refuseWhatTheOtherNoteMadeWrong() {
+        void areFaultyIfAnotherInvalidatedThem() {
             String text =
                     """
                     note: %s
                     author: %s
                     added: {teams: [{name: same, share: %d, upper limit: 1}]}
                     """;
-            long one = mSite.site().submit("e1", RollOutSite.note(text.formatted("a", "b", 1)));
-            long two = mSite.site().submit("e2", RollOutSite.note(text.formatted("c", "d", 2)));
-            assertThat(mSite.await(one, 20_000).result()).isEqualTo(NoteResult.ACCEPTED);
-            assertThat(mSite.await(two, 20_000).result()).isEqualTo(NoteResult.FAULTY);
+            long firstCall =
+                    mSite.site().submit("e1", RollOutSite.note(text.formatted("a", "b", 1)));
+            long secondCall =
+                    mSite.site().submit("e2", RollOutSite.note(text.formatted("c", "d", 2)));
+            assertThat(mSite.await(firstCall, 20_000).result()).isEqualTo(NoteResult.ACCEPTED);
+            assertThat(mSite.await(secondCall, 20_000).result()).isEqualTo(NoteResult.FAULTY);
             assertThat(mSite.inForce("e3").teams().get("same").share()).isEqualTo(1);
         }
     }
 
     @Nested
-    class Accepted {
+    class AcceptedReplies {
         @Test
-        void comesFastWhenAllIsWell() {
-            long start = mSite.site().nowMs();
+        void arriveWithinTwoSecondsWithoutFaults() {
+            long startMs = mSite.site().nowMs();
             assertThat(mSite.apply("e1", mSite.teamNote("n", "berta")).result())
                     .isEqualTo(NoteResult.ACCEPTED);
-            assertThat(mSite.site().nowMs() - start).isLessThan(2_000);
-            assertThat(mSite.statesInForce("e1", "e2", "e3")).hasSize(1);
+            assertThat(mSite.site().nowMs() - startMs).isLessThan(2_000);
+            assertThat(mSite.distinctConfigurations("e1", "e2", "e3")).hasSize(1);
         }
 
         @Test
-        void namesTheMemberThatIsLost() {
+        void arriveWithinTenSecondsOfMembersDeath() {
             mSite.site().kill("e3");
-            long start = mSite.site().nowMs();
-            ReplyToNote answer = mSite.apply("e1", mSite.teamNote("n", "berta"));
-            assertThat(answer.result()).isEqualTo(NoteResult.ACCEPTED);
-            assertThat(mSite.site().nowMs() - start).isLessThan(10_000);
+            long startMs = mSite.site().nowMs();
+            ReplyToNote reply = mSite.apply("e1", mSite.teamNote("n", "berta"));
+            assertThat(reply.result()).isEqualTo(NoteResult.ACCEPTED);
+            assertThat(mSite.site().nowMs() - startMs).isLessThan(10_000);
         }
 
         @ParameterizedTest
         @ValueSource(booleans = {true, false})
-        void isNotSaidBeforeAMemberThatLagsHasStopped(boolean silent) {
+        void waitUntilLaggingMemberServesNoLonger(boolean silent) {
             cutOff("e3", silent);
-            long call = mSite.site().submit("e1", mSite.teamNote("n", "berta"));
-            while (!mSite.site().noteAnswers().containsKey(call)) {
+            long callId = mSite.site().submit("e1", mSite.teamNote("n", "berta"));
+            while (!mSite.site().noteAnswers().containsKey(callId)) {
                 mSite.site().run(1);
             }
-            ReplyToNote answer = mSite.site().noteAnswers().get(call);
-            assertThat(answer.result()).isEqualTo(NoteResult.ACCEPTED);
-            assertThat(answer.detail()).contains("e3 (revision 1, last heard ");
+            ReplyToNote reply = mSite.site().noteAnswers().get(callId);
+            assertThat(reply.result()).isEqualTo(NoteResult.ACCEPTED);
+            assertThat(reply.detail()).contains("e3 (revision 1, last heard ");
             VirtualRequest request = mSite.site().call("e3", "lookups", "fitters", 10);
             mSite.site().run(100);
             assertThat(request.refusal()).contains(Refusal.CONFIGURATION_STALE);
         }
 
         @Test
-        void isNotSaidWhenTheMembersCannotBeRead() {
+        void areNotSentWhileTheMembershipIsUnreadable() {
             long writes = mSite.site().store().writes();
-            long call = mSite.site().submit("e1", mSite.teamNote("n", "berta"));
+            long callId = mSite.site().submit("e1", mSite.teamNote("n", "berta"));
             while (mSite.site().store().writes() == writes) {
                 mSite.site().run(1);
             }
             mSite.site().run(4);
             mSite.site().store().setFault(StoreFault.DOWN);
-            assertThat(mSite.await(call, 20_000).result()).isEqualTo(NoteResult.WRITTEN);
+            assertThat(mSite.await(callId, 20_000).result()).isEqualTo(NoteResult.WRITTEN);
         }
 
         @Test
-        void comesWithoutTheStoreOfAMemberThatPeersReach() {
+        void arriveAlthoughMemberReadsTheNoteFromPeersOnly() {
             mSite.site().store().setReachable("e3", false);
             assertThat(mSite.apply("e1", mSite.teamNote("n", "berta")).result())
                     .isEqualTo(NoteResult.ACCEPTED);
             assertThat(mSite.inForce("e3").revision()).isEqualTo(2);
         }
 
-        /** Cuts an entry off from store and peers; it may still be heard. */
+        /**
+         * Stops an entry from receiving anything from the store and its peers.
+         *
+         * @param silent whether its own messages are lost too
+         */
         private void cutOff(String entry, boolean silent) {
             mSite.site().store().setReachable(entry, false);
             for (String other : mSite.site().entries().keySet()) {
@@ -217,15 +229,15 @@
     class WaitingRequests {
         @Test
         void areRefusedWhenTheirKeyIsWithdrawn() {
-            assertRefused("keys: [fitters-key]", Refusal.KEY_UNKNOWN);
+            assertWaitingRequestRefused("keys: [fitters-key]", Refusal.KEY_UNKNOWN);
         }
 
         @Test
         void areRefusedWhenTheirQueueIsWithdrawn() {
-            assertRefused("queues: [lookups]", Refusal.QUEUE_UNKNOWN);
+            assertWaitingRequestRefused("queues: [lookups]", Refusal.QUEUE_UNKNOWN);
         }
 
-        private void assertRefused(String withdrawn, Refusal refusal) {
+        private void assertWaitingRequestRefused(String withdrawn, Refusal refusal) {
             for (int i = 0; i < 4; i++) {
                 mSite.site().call("e2", "lookups", "fitters", 5_000);
             }
@@ -242,20 +254,20 @@
     }
 
     @Nested
-    class History {
+    class CommitHistory {
         @ParameterizedTest
         @ValueSource(ints = {10, 40, 75})
-        void bringsANewEntryIntoTheSameState(int notes) {
-            mSite.applyTeams(notes);
+        void givesNewEntryTheConfiguration(int teamNotes) {
+            mSite.applyTeams(teamNotes);
             mSite.site().start("e4", "z1");
             mSite.site().run(1_000);
-            assertThat(mSite.inForce("e4").revision()).isEqualTo(notes + 1);
-            assertThat(mSite.statesInForce("e1", "e4")).hasSize(1);
+            assertThat(mSite.inForce("e4").revision()).isEqualTo(teamNotes + 1);
+            assertThat(mSite.distinctConfigurations("e1", "e4")).hasSize(1);
             assertThat(mSite.head().notes().size()).isLessThanOrEqualTo(32);
         }
 
         @Test
-        void bringsANewEntryIntoTheSameStateFromTheStoreAlone() {
+        void givesNewEntryTheConfigurationFromTheStoreAlone() {
             mSite.applyTeams(75);
             for (String other : List.of("e1", "e2", "e3")) {
                 mSite.site().network().setCut(other, "e4", true);
@@ -263,26 +275,27 @@
             mSite.site().start("e4", "z1");
             mSite.site().run(1_000);
             assertThat(mSite.inForce("e4").revision()).isEqualTo(76);
-            assertThat(mSite.statesInForce("e1", "e4")).hasSize(1);
+            assertThat(mSite.distinctConfigurations("e1", "e4")).hasSize(1);
         }
 
         @ParameterizedTest
         @ValueSource(ints = {1, 3, 5, 6, 7, 8, 9, 10, 11, 12, 14, 16, 20})
-        void survivesTheWritersDeathAtEveryStepOfAFold(int deathMs) {
+        void survivesTheWritersDeathDuringCompaction(int killMs) {
             mSite.applyTeams(31);
-            ReleaseNote note = mSite.teamNote("folds", "berta");
+            ReleaseNote note = mSite.teamNote("compacts", "berta");
             mSite.site().submit("e1", note);
-            mSite.site().run(deathMs);
+            mSite.site().run(killMs);
             mSite.site().kill("e1");
-            ReplyToNote answer = mSite.apply("e2", note);
-            assertThat(answer.result()).isEqualTo(NoteResult.ACCEPTED);
-            assertThat(answer.revision()).isEqualTo(33);
+            ReplyToNote reply = mSite.apply("e2", note);
+            assertThat(reply.result()).isEqualTo(NoteResult.ACCEPTED);
+            assertThat(reply.revision()).isEqualTo(33);
             assertThat(mSite.head().snapshotRevision()).isEqualTo(33);
-            assertThat(mSite.statesInForce("e2", "e3")).hasSize(1);
-            assertThat(mSite.apply("e3", RollOutSite.note(oldest())).revision()).isEqualTo(2);
+            assertThat(mSite.distinctConfigurations("e2", "e3")).hasSize(1);
+            assertThat(mSite.apply("e3", RollOutSite.note(oldestTeamNote())).revision())
+                    .isEqualTo(2);
         }
 
-        private String oldest() {
+        private String oldestTeamNote() {
             return """
             note: team-note-0
             author: anna
@@ -298,16 +311,16 @@
                         "    - {name: big-%d, address: \"10.0.%d.%d:1\", zone: z1, pool: parts}%n"
                                 .formatted(i, i / 250, i % 250));
             }
-            ReplyToNote answer =
+            ReplyToNote reply =
                     mSite.apply(
                             "e1",
                             RollOutSite.note("note: big\nauthor: a\nadded:\n  hosts:\n" + hosts));
-            assertThat(answer.result()).isEqualTo(NoteResult.ACCEPTED);
+            assertThat(reply.result()).isEqualTo(NoteResult.ACCEPTED);
             assertThat(mSite.inForce("e3").hosts()).hasSize(3_802);
             assertThat(mSite.head().notes()).hasSize(1);
             assertThat(mSite.head().notes().get(0).hasDelta()).isFalse();
             mSite.applyTeams(2);
-            assertThat(mSite.statesInForce("e1", "e2", "e3")).hasSize(1);
+            assertThat(mSite.distinctConfigurations("e1", "e2", "e3")).hasSize(1);
         }
     }
 }
