Reword the tests of the virtual site

Members hid that it is a fixture and what it checks. It is now MembershipSite; class comments state the hazard that membership, freshness and escrow guard against. No check changes.

--- a/standin/src/test/java/org/hibiscususher/standin/virtual/EscrowSite.java
+++ b/standin/src/test/java/org/hibiscususher/standin/virtual/EscrowSite.java
@@ -20,13 +20,20 @@
 import org.hibiscususher.core.world.HostStage;
 import org.hibiscususher.wire.yaml.NoteReader;
 
-/** Four entries, one pool of two hosts and two teams, audited after each virtual millisecond. */
+/**
+ * A virtual site with four entries, one pool of two hosts, and two teams.
+ *
+ * <p>After every virtual millisecond it checks that no permit is held twice: the permits held by
+ * all live processes, and the requests running on the hosts, stay within the limits.
+ */
 final class EscrowSite {
     static final int RUN_LIMIT_MS = 400;
+
+    /** Slots of each host. */
     static final int SLOTS = 4;
 
     private final VirtualSite mSite;
-    private final Map<String, Integer> mLimits = new HashMap<>();
+    private final Map<String, Integer> mTeamLimits = new HashMap<>();
     private final Map<PermitKey, Integer> mHeldBefore = new HashMap<>();
 
     EscrowSite(long seed) {
@@ -57,24 +64,25 @@
                         .formatted(
                                 KeyDigest.ofSecret("fitters").toHex(),
                                 KeyDigest.ofSecret("sellers").toHex()));
-        mLimits.put("fitters", 7);
-        mLimits.put("sellers", 3);
-        mSite.setAfterStep(this::audit);
+        mTeamLimits.put("fitters", 7);
+        mTeamLimits.put("sellers", 3);
+        mSite.setAfterStep(this::checkLimits);
     }
 
     VirtualSite site() {
         return mSite;
     }
 
+    /** Applies a release note through a running entry and asserts that it is accepted. */
     void apply(String note) {
-        long call = mSite.submit(firstRunning(), NoteReader.read("note", note).note());
-        for (int i = 0; i < 200 && !mSite.noteAnswers().containsKey(call); i++) {
+        long callId = mSite.submit(firstRunningEntry(), NoteReader.read("note", note).note());
+        for (int i = 0; i < 200 && !mSite.noteAnswers().containsKey(callId); i++) {
             mSite.run(100);
         }
-        assertThat(mSite.noteAnswers().get(call).result()).isEqualTo(NoteResult.ACCEPTED);
+        assertThat(mSite.noteAnswers().get(callId).result()).isEqualTo(NoteResult.ACCEPTED);
     }
 
-    private String firstRunning() {
+    private String firstRunningEntry() {
         return mSite.entries().values().stream()
                 .filter(e -> e.condition() == EntryCondition.RUNNING)
                 .findFirst()
@@ -82,17 +90,25 @@
                 .id();
     }
 
-    /** Lowers or raises a team's upper limit. */
+    /**
+     * Changes a team's upper limit.
+     *
+     * <p>Until the note is accepted, the checks allow the higher of both limits.
+     */
     void setLimit(String team, int limit) {
-        mLimits.merge(team, limit, Math::max);
+        mTeamLimits.merge(team, limit, Math::max);
         apply(
                 "note: n%d\nauthor: anna\nchanged:\n  teams: [{name: %s, upper limit: %d}]\n"
                         .formatted(mSite.nowMs(), team, limit));
-        mLimits.put(team, limit);
+        mTeamLimits.put(team, limit);
     }
 
-    /** Writes another state of a member into the membership record, or removes it. */
-    void mark(String id, MemberState state, boolean listed) {
+    /**
+     * Writes the membership record with another state of a member, or without the member.
+     *
+     * @param listed false to remove the member
+     */
+    void writeMemberState(String id, MemberState state, boolean listed) {
         VersionedRecord found = mSite.store().find(RecordKey.MEMBERSHIP).orElseThrow();
         MembershipRecord record = (MembershipRecord) found.value();
         List<Member> members = new ArrayList<>();
@@ -112,7 +128,7 @@
         mSite.run(5);
     }
 
-    /** Returns the entry that allocates a group of permits. */
+    /** Returns the running entry that is the allocator of the group of a permit. */
     VirtualEntry allocator(PermitKey key) {
         return mSite.entries().values().stream()
                 .filter(e -> e.condition() == EntryCondition.RUNNING)
@@ -121,29 +137,37 @@
                 .orElseThrow();
     }
 
-    /** Sets a host's stage on all entries. */
+    /** Sets the stage of a host in the tables of all entries. */
     void setStage(String host, HostStage stage) {
         mSite.entries()
                 .values()
                 .forEach(e -> e.world().hosts().update(host, h -> h.withService(h.pool(), stage)));
     }
 
-    /** Lets every running entry's callers ask for much, for a while. */
-    void load(int ms, int runMs) {
+    /**
+     * Runs for a time under random load.
+     *
+     * <p>Every 10 ms each entry that has not ended gets a request with probability 1/4; a third of
+     * the requests are for the long queue.
+     *
+     * @param ms duration, in milliseconds
+     * @param maxRunMs longest run of a request, in milliseconds
+     */
+    void runUnderLoad(int ms, int maxRunMs) {
         for (int i = 0; i < ms; i += 10) {
             for (VirtualEntry entry : mSite.entries().values()) {
-                int dice = mSite.random().nextInt(12);
-                String team = dice % 2 == 0 ? "fitters" : "sellers";
-                if (dice < 3 && entry.condition() != EntryCondition.DEAD) {
-                    String queue = dice == 2 ? "batches" : "lookups";
-                    mSite.call(entry.id(), queue, team, 1 + mSite.random().nextInt(runMs));
+                int choice = mSite.random().nextInt(12);
+                String team = choice % 2 == 0 ? "fitters" : "sellers";
+                if (choice < 3 && entry.condition() != EntryCondition.DEAD) {
+                    String queue = choice == 2 ? "batches" : "lookups";
+                    mSite.call(entry.id(), queue, team, 1 + mSite.random().nextInt(maxRunMs));
                 }
             }
             mSite.run(10);
         }
     }
 
-    /** Returns how many permits all processes that have not ended hold. */
+    /** Returns the number of permits held by all processes that have not ended. */
     int held(PermitKey key) {
         int held = 0;
         for (VirtualEntry entry : mSite.entries().values()) {
@@ -154,8 +178,8 @@
         return held;
     }
 
-    /** Returns whether the allocator has as many permits out as given within a time. */
-    boolean reaches(PermitKey key, int count, int withinMs) {
+    /** Runs until the allocator's count of outstanding permits has a value or the time is up. */
+    boolean awaitOutstanding(PermitKey key, int count, int withinMs) {
         for (int i = 0; i < withinMs; i++) {
             mSite.run(1);
             if (allocator(key).world().ledger().find(key).orElseThrow().outstanding() == count) {
@@ -165,26 +189,36 @@
         return false;
     }
 
-    private void audit() {
+    private void checkLimits() {
         for (VirtualTarget target : mSite.targets().values()) {
-            assertThat(target.running()).as("running on " + target.id()).isLessThanOrEqualTo(SLOTS);
-            check(PermitKey.slot("parts", target.id()), SLOTS);
+            assertThat(target.running())
+                    .as("requests running on " + target.id())
+                    .isLessThanOrEqualTo(SLOTS);
+            checkHeld(PermitKey.slot("parts", target.id()), SLOTS);
         }
-        mLimits.forEach(
+        mTeamLimits.forEach(
                 (team, limit) -> {
                     int running =
                             mSite.targets().values().stream().mapToInt(t -> t.running(team)).sum();
-                    int allowed = check(PermitKey.unit(team), limit);
-                    assertThat(running).as("running of " + team).isLessThanOrEqualTo(allowed);
+                    int allowed = checkHeld(PermitKey.unit(team), limit);
+                    assertThat(running)
+                            .as("requests running for " + team)
+                            .isLessThanOrEqualTo(allowed);
                 });
-        check(PermitKey.longRun("parts"), 2 * SLOTS - 2);
+        checkHeld(PermitKey.longRun("parts"), 2 * SLOTS - 2);
     }
 
-    /** Checks that no more is held than the limit, or than before if a lowered limit came later. */
-    private int check(PermitKey key, int limit) {
+    /**
+     * Checks that the permits held don't exceed the limit.
+     *
+     * <p>After the limit was lowered, more may still be held, but not more than a millisecond ago.
+     *
+     * @return the number of permits that may be held
+     */
+    private int checkHeld(PermitKey key, int limit) {
         int allowed = Math.max(limit, mHeldBefore.getOrDefault(key, 0));
         int held = held(key);
-        assertThat(held).as("held of " + key).isLessThanOrEqualTo(allowed);
+        assertThat(held).as("permits held of " + key).isLessThanOrEqualTo(allowed);
         mHeldBefore.put(key, held);
         return allowed;
     }
--- a/standin/src/test/java/org/hibiscususher/standin/virtual/EscrowTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/virtual/EscrowTest.java
@@ -14,6 +14,11 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
+/**
+ * Tests that permits are neither lost nor granted twice, whatever happens to links and members.
+ *
+ * <p>{@link EscrowSite} also checks all limits after every virtual millisecond.
+ */
 class EscrowTest {
     private static final PermitKey H1 = PermitKey.slot("parts", "h1");
     private static final PermitKey FITTERS = PermitKey.unit("fitters");
@@ -25,10 +30,10 @@
     class Links {
         @ParameterizedTest
         @ValueSource(longs = {1, 2, 3})
-        void thatLoseDoubleAndReorderMessagesNeitherLoseNorDoublePermits(long seed) {
+        void withLossDuplicationAndReorderingKeepThePermitCount(long seed) {
             EscrowSite escrow = new EscrowSite(seed);
             escrow.site().network().setBehaviour(1, 30, 0.2, 0.2);
-            escrow.load(3_000, 60);
+            escrow.runUnderLoad(3_000, 60);
             escrow.site().network().setBehaviour(1, 0, 0, 0);
             escrow.site().run(4_000);
             for (PermitKey key : new PermitKey[] {H1, FITTERS, PermitKey.longRun("parts")}) {
@@ -42,85 +47,86 @@
     @Nested
     class Members {
         @Test
-        void thatAllocateAreReplacedOnceTheyAreDead() {
-            mEscrow.load(300, 100);
+        void whoseAllocatorDiedGetAnother() {
+            mEscrow.runUnderLoad(300, 100);
             String allocator = mEscrow.allocator(H1).id();
             mSite.kill(allocator);
-            mEscrow.load(200, 100);
-            mEscrow.mark(allocator, MemberState.DEAD, true);
-            mEscrow.load(500, 100);
+            mEscrow.runUnderLoad(200, 100);
+            mEscrow.writeMemberState(allocator, MemberState.DEAD, true);
+            mEscrow.runUnderLoad(500, 100);
             assertThat(mEscrow.allocator(H1).id()).isNotEqualTo(allocator);
             mSite.run(QueueSpec.longestRunMs(EscrowSite.RUN_LIMIT_MS));
             assertThat(mEscrow.held(H1)).isEqualTo(EscrowSite.SLOTS);
         }
 
         @Test
-        void thatDiedLeaveTheirPermitsToRest() {
-            String holder = otherThan(mEscrow.allocator(H1).id());
-            int before = mEscrow.held(H1);
+        void thatDiedKeepTheirPermitsForTheLongestRun() {
+            String holder = holderOtherThan(mEscrow.allocator(H1).id());
+            int heldByAll = mEscrow.held(H1);
             mSite.kill(holder);
-            int without = mEscrow.held(H1);
-            assertThat(without).isLessThan(before);
-            mEscrow.mark(holder, MemberState.DEAD, true);
+            int heldByOthers = mEscrow.held(H1);
+            assertThat(heldByOthers).isLessThan(heldByAll);
+            mEscrow.writeMemberState(holder, MemberState.DEAD, true);
             mSite.run(QueueSpec.longestRunMs(EscrowSite.RUN_LIMIT_MS) - 100);
-            assertThat(mEscrow.held(H1)).isEqualTo(without);
+            assertThat(mEscrow.held(H1)).isEqualTo(heldByOthers);
             mSite.run(400);
-            assertThat(mEscrow.held(H1)).isEqualTo(before);
+            assertThat(mEscrow.held(H1)).isEqualTo(heldByAll);
         }
 
         @Test
-        void thatAreSilentKeepTheirPermitsUnderANewAllocator() {
+        void thatAreSilentKeepTheirPermitsUnderNewAllocator() {
             String allocator = mEscrow.allocator(H1).id();
-            mEscrow.load(300, 100);
+            mEscrow.runUnderLoad(300, 100);
             mSite.pause(allocator);
-            mEscrow.mark(allocator, MemberState.SILENT, true);
-            mEscrow.load(2_000, 100);
+            mEscrow.writeMemberState(allocator, MemberState.SILENT, true);
+            mEscrow.runUnderLoad(2_000, 100);
             assertThat(
                             mEscrow.allocator(H1)
                                     .world()
                                     .allocatorTerms()
                                     .find(H1.permitGroup())
                                     .orElseThrow())
-                    .matches(t -> t.awaitsClaims(), "in doubt");
+                    .matches(t -> t.awaitsClaims(), "awaits claims");
             mSite.resume(allocator);
-            mEscrow.load(500, 100);
+            mEscrow.runUnderLoad(500, 100);
             assertThat(
                             mEscrow.allocator(H1)
                                     .world()
                                     .allocatorTerms()
                                     .find(H1.permitGroup())
                                     .orElseThrow())
-                    .matches(t -> !t.awaitsClaims(), "settled");
+                    .matches(t -> !t.awaitsClaims(), "has all claims");
         }
 
         @ParameterizedTest
         @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
-        void mayComeAndGoInAnyOrder(long seed) {
+        void mayPauseDieAndRestartInAnyOrder(long seed) {
             EscrowSite escrow = new EscrowSite(seed);
             Random random = new Random(seed);
             escrow.site().network().setBehaviour(1, 20, 0.1, 0.1);
             for (int i = 0; i < 12; i++) {
-                disturb(escrow, "e" + (1 + random.nextInt(4)), random.nextInt(4));
-                escrow.load(200, 100);
+                injectChange(escrow, "e" + (1 + random.nextInt(4)), random.nextInt(4));
+                escrow.runUnderLoad(200, 100);
             }
         }
 
-        private void disturb(EscrowSite escrow, String id, int kind) {
+        /** Pauses or restarts an entry, or changes a limit; the membership record follows. */
+        private void injectChange(EscrowSite escrow, String id, int kind) {
             VirtualSite site = escrow.site();
             switch (kind) {
                 case 0 -> {
                     site.pause(id);
-                    escrow.mark(id, MemberState.SILENT, true);
-                    escrow.load(300, 100);
+                    escrow.writeMemberState(id, MemberState.SILENT, true);
+                    escrow.runUnderLoad(300, 100);
                     site.resume(id);
-                    escrow.mark(id, MemberState.ACTIVE, true);
+                    escrow.writeMemberState(id, MemberState.ACTIVE, true);
                 }
                 case 1 -> {
                     site.kill(id);
-                    escrow.load(100, 100);
-                    escrow.mark(id, MemberState.DEAD, true);
-                    escrow.load(EscrowSite.RUN_LIMIT_MS + 50, 100);
-                    escrow.mark(id, MemberState.DEAD, false);
+                    escrow.runUnderLoad(100, 100);
+                    escrow.writeMemberState(id, MemberState.DEAD, true);
+                    escrow.runUnderLoad(EscrowSite.RUN_LIMIT_MS + 50, 100);
+                    escrow.writeMemberState(id, MemberState.DEAD, false);
                     site.start(id, "z1");
                 }
                 case 2 -> escrow.setLimit("fitters", 3);
@@ -132,36 +138,38 @@
     @Nested
     class Limits {
         @Test
-        void thatAreLoweredWhileFullTakePermitsAsTheyComeFree() {
-            mEscrow.load(500, 300);
+        void thatAreLoweredRevokePermitsAsTheyBecomeFree() {
+            mEscrow.runUnderLoad(500, 300);
             mEscrow.setLimit("fitters", 2);
-            mEscrow.load(1_000, 100);
+            mEscrow.runUnderLoad(1_000, 100);
             assertThat(mEscrow.held(FITTERS)).isEqualTo(2);
             mEscrow.setLimit("fitters", 7);
-            assertThat(mEscrow.reaches(FITTERS, 7, 200)).isTrue();
+            assertThat(mEscrow.awaitOutstanding(FITTERS, 7, 200)).isTrue();
         }
     }
 
     @Nested
-    class Hosts {
+    class RecalledHosts {
         @Test
-        void areAllBackOnceNothingRunsOnThemAnyMore() {
-            mEscrow.load(500, 300);
+        void returnAllSlotsOnlyAfterTheirLastRun() {
+            mEscrow.runUnderLoad(500, 300);
             mEscrow.setStage("h1", HostStage.RECALLED);
             for (int i = 0; i < 600; i++) {
                 mSite.run(1);
-                boolean back = EscrowQueries.allSlotsReturned(mEscrow.allocator(H1).world(), "h1");
-                assertThat(back && mSite.target("h1").running() > 0).isFalse();
+                boolean returned =
+                        EscrowQueries.allSlotsReturned(mEscrow.allocator(H1).world(), "h1");
+                assertThat(returned && mSite.target("h1").running() > 0).isFalse();
             }
             assertThat(EscrowQueries.allSlotsReturned(mEscrow.allocator(H1).world(), "h1"))
                     .isTrue();
             assertThat(mEscrow.held(H1)).isZero();
             mEscrow.setStage("h1", HostStage.IN_SERVICE);
-            assertThat(mEscrow.reaches(H1, EscrowSite.SLOTS, 300)).isTrue();
+            assertThat(mEscrow.awaitOutstanding(H1, EscrowSite.SLOTS, 300)).isTrue();
         }
     }
 
-    private String otherThan(String id) {
+    /** Returns an entry, other than the given one, that holds slots of host h1. */
+    private String holderOtherThan(String id) {
         return mSite.entries().values().stream()
                 .filter(e -> !e.id().equals(id))
                 .filter(e -> e.world().holdings().find(H1).map(h -> h.held() > 0).orElse(false))
--- a/standin/src/test/java/org/hibiscususher/standin/virtual/Members.java
+++ b/standin/src/test/java/org/hibiscususher/standin/virtual/MembershipSite.java
@@ -16,20 +16,28 @@
 import org.hibiscususher.core.world.NodeStage;
 import org.hibiscususher.wire.yaml.NoteReader;
 
-/** A virtual site of some entries whose membership is checked after every millisecond. */
-final class Members {
-    private static final List<String> GROUPS = List.of("pool:parts", "pool:spare", "team:fitters");
+/**
+ * A virtual site for tests of membership.
+ *
+ * <p>After every virtual millisecond it checks that no entry goes back to an earlier epoch of the
+ * membership record, and that in each epoch at most one process is the allocator of a permit group:
+ * two allocators would grant the same permits twice.
+ */
+final class MembershipSite {
+    private static final List<String> PERMIT_GROUPS =
+            List.of("pool:parts", "pool:spare", "team:fitters");
 
     private final VirtualSite mSite;
-    private final Map<VirtualEntry, Long> mEpochs = new HashMap<>();
-    private final Map<String, VirtualEntry> mAllocators = new HashMap<>();
-    private final int mSize;
+    private final Map<VirtualEntry, Long> mLastEpochs = new HashMap<>();
+    private final Map<String, VirtualEntry> mAllocatorsByEpoch = new HashMap<>();
+    private final int mEntryCount;
 
-    Members(long seed, int size) {
+    /** Starts entries e1, e2, ... over three zones and waits until they have joined. */
+    MembershipSite(long seed, int entryCount) {
         mSite = VirtualSite.create(seed, ControlSettings.DEFAULT);
-        mSize = size;
-        mSite.setAfterStep(this::check);
-        for (int i = 1; i <= size; i++) {
+        mEntryCount = entryCount;
+        mSite.setAfterStep(this::checkEpochs);
+        for (int i = 1; i <= entryCount; i++) {
             mSite.start("e" + i, "z" + i % 3);
         }
         mSite.run(3_000);
@@ -39,20 +47,20 @@
         return mSite;
     }
 
-    /** Checks that epochs never go back and that a group has one allocator in an epoch. */
-    private void check() {
+    /** Checks that epochs never decrease and that a group has one allocator in an epoch. */
+    private void checkEpochs() {
         for (VirtualEntry entry : mSite.entries().values()) {
             MembershipRecord record = entry.world().membership().record();
-            long before = mEpochs.getOrDefault(entry, -1L);
+            long before = mLastEpochs.getOrDefault(entry, -1L);
             assertThat(record.epoch()).as("epoch at %s", entry.id()).isGreaterThanOrEqualTo(before);
             if (record.epoch() == before || !entry.world().node().stage().member()) {
                 continue;
             }
-            mEpochs.put(entry, record.epoch());
-            for (String group : GROUPS) {
+            mLastEpochs.put(entry, record.epoch());
+            for (String group : PERMIT_GROUPS) {
                 if (RendezvousHash.choose(group, record).equals(Optional.of(entry.id()))) {
                     VirtualEntry other =
-                            mAllocators.putIfAbsent(record.epoch() + " " + group, entry);
+                            mAllocatorsByEpoch.putIfAbsent(record.epoch() + " " + group, entry);
                     assertThat(other == null || other == entry)
                             .as("one allocator of %s in epoch %d", group, record.epoch())
                             .isTrue();
@@ -61,11 +69,12 @@
         }
     }
 
+    /** Returns the stored membership record. */
     MembershipRecord record() {
         return (MembershipRecord) mSite.store().find(RecordKey.MEMBERSHIP).orElseThrow().value();
     }
 
-    /** Returns the state of the newest process of a member, or empty. */
+    /** Returns the state of a member's latest incarnation, empty if it is not in the record. */
     Optional<MemberState> state(String id) {
         return record().members().stream()
                 .filter(m -> m.id().equals(id))
@@ -73,55 +82,69 @@
                 .map(m -> m.state());
     }
 
-    long count(MemberState state) {
+    /** Returns the number of recorded incarnations in a state. */
+    long countInState(MemberState state) {
         return record().members().stream().filter(m -> m.state() == state).count();
     }
 
-    boolean serves(String id) {
+    /** Returns whether an entry accepts requests. */
+    boolean isServing(String id) {
         return mSite.entries().get(id).world().node().stage() == NodeStage.SERVING;
     }
 
     /**
-     * Lets time pass until the newest process of a member has a state; returns how long it took.
+     * Runs until a member's latest incarnation has a state, and fails if that exceeds the limit.
+     *
+     * @return the elapsed virtual time, in milliseconds
      */
     long awaitState(String id, MemberState state, long limitMs) {
-        long start = mSite.nowMs();
-        while (!state(id).equals(Optional.of(state)) && mSite.nowMs() - start < limitMs) {
+        long startMs = mSite.nowMs();
+        while (!state(id).equals(Optional.of(state)) && mSite.nowMs() - startMs < limitMs) {
             mSite.run(10);
         }
         assertThat(state(id)).contains(state);
-        return mSite.nowMs() - start;
+        return mSite.nowMs() - startMs;
     }
 
-    /** Cuts or mends links between an entry and all others. */
-    void cut(String id, boolean to, boolean from, boolean cut) {
-        for (int i = 1; i <= mSize; i++) {
-            if (to) {
+    /**
+     * Cuts or restores the links between an entry and all others.
+     *
+     * @param inbound whether to change the links to the entry
+     * @param outbound whether to change the links from the entry
+     * @param cut true to cut them, false to restore them
+     */
+    void setLinksCut(String id, boolean inbound, boolean outbound, boolean cut) {
+        for (int i = 1; i <= mEntryCount; i++) {
+            if (inbound) {
                 mSite.network().setCut("e" + i, id, cut);
             }
-            if (from) {
+            if (outbound) {
                 mSite.network().setCut(id, "e" + i, cut);
             }
         }
     }
 
-    /** Ends an entry in such a way that nothing answers at its address. */
-    void vanish(String id) {
-        cut(id, true, true, true);
+    /**
+     * Kills an entry after cutting its links.
+     *
+     * <p>Peers then get no refused connection, which would prove that the process has ended.
+     */
+    void killUnreachable(String id) {
+        setLinksCut(id, true, true, true);
         mSite.kill(id);
     }
 
-    /** Gives every entry the platform's list, with the named hosts alone. */
-    void showHosts(List<String> ids) {
+    /** Sends every entry a platform host list that consists of the given hosts. */
+    void publishHostList(List<String> ids) {
         mSite.showHosts(ids.stream().map(id -> new PlatformHost(id, false, "")).toList());
     }
 
-    List<String> ids() {
+    List<String> entryIds() {
         return mSite.entries().keySet().stream().toList();
     }
 
-    /** Puts a pool, a team with a key and a queue in force everywhere. */
-    void open() {
+    /** Rolls out a pool of one host, a team with a key, and a queue. */
+    void openQueue() {
         submit(
                 """
                 note: opening
@@ -137,7 +160,7 @@
         mSite.run(2_000);
     }
 
-    /** Withdraws the key through the first entry. */
+    /** Submits a release note through e1 that withdraws the key of the team. */
     void withdrawKey() {
         submit("note: closing\nauthor: anna\nwithdrawn: {keys: [k]}\n");
     }
--- a/standin/src/test/java/org/hibiscususher/standin/virtual/VirtualSiteTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/virtual/VirtualSiteTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
+/** Smoke tests of {@link VirtualSite}: one configuration, one request. */
 class VirtualSiteTest {
     private final VirtualSite mSite = VirtualSite.create(7, ControlSettings.DEFAULT);
 
@@ -34,15 +35,15 @@
                   queues: [{name: lookups, pool: parts}]
                 """
                         .formatted(KeyDigest.ofSecret("fitters").toHex());
-        long call = mSite.submit("e1", NoteReader.read("note", note).note());
+        long callId = mSite.submit("e1", NoteReader.read("note", note).note());
         mSite.run(500);
-        assertThat(mSite.noteAnswers().get(call).result()).isEqualTo(NoteResult.ACCEPTED);
+        assertThat(mSite.noteAnswers().get(callId).result()).isEqualTo(NoteResult.ACCEPTED);
     }
 
     @Nested
     class Requests {
         @Test
-        void areAnsweredOnce() {
+        void runOnceAndGetTheirResponse() {
             VirtualRequest request = mSite.call("e2", "lookups", "fitters", 50);
             mSite.run(200);
             assertThat(request.answered()).isTrue();
@@ -50,7 +51,7 @@
         }
 
         @Test
-        void areRefusedWithoutAKeyInForce() {
+        void areRefusedWithUnknownKey() {
             VirtualRequest request = mSite.call("e2", "lookups", "strangers", 50);
             mSite.run(200);
             assertThat(request.refusal()).contains(Refusal.KEY_UNKNOWN);
