--- a/standin/src/test/java/org/hibiscususher/standin/maintenance/MaintenanceSite.java
+++ b/standin/src/test/java/org/hibiscususher/standin/maintenance/MaintenanceSite.java
@@ -22,7 +22,7 @@
 import org.hibiscususher.core.message.WaveState;
 import org.hibiscususher.core.world.ControlSettings;
 import org.hibiscususher.core.world.HoldingRow;
-import org.hibiscususher.standin.virtual.EntryCondition;
+import org.hibiscususher.standin.virtual.ProcessState;
 import org.hibiscususher.standin.virtual.VirtualEntry;
 import org.hibiscususher.standin.virtual.VirtualRequest;
 import org.hibiscususher.standin.virtual.VirtualSite;
@@ -75,13 +75,13 @@
      */
     List<VirtualRequest> interruptedRequests() {
         return mRequests.stream()
-                .filter(r -> r.over() && !r.answered() && !r.cancelled())
-                .filter(r -> r.refusal().isEmpty() || r.runs() > 0)
+                .filter(r -> r.isFinished() && !r.isAnswered() && !r.isCancelled())
+                .filter(r -> r.refusal().isEmpty() || r.runCount() > 0)
                 .toList();
     }
 
     long answeredCount() {
-        return mRequests.stream().filter(VirtualRequest::answered).count();
+        return mRequests.stream().filter(VirtualRequest::isAnswered).count();
     }
 
     void setLoadEnabled(boolean value) {
@@ -92,9 +92,9 @@
     void apply(String text) {
         ParsedNote parsed = NoteReader.read("note", text);
         assertThat(parsed.findings()).isEmpty();
-        long callId = mSite.submit("e1", parsed.note());
+        long callId = mSite.submitNote("e1", parsed.note());
         mSite.run(1_500);
-        assertThat(mSite.noteAnswers().get(callId).result()).isEqualTo(NoteResult.ACCEPTED);
+        assertThat(mSite.noteReplies().get(callId).result()).isEqualTo(NoteResult.ACCEPTED);
     }
 
     /**
@@ -109,7 +109,7 @@
         for (String pool : List.of("a", "b")) {
             for (int i = 1; i <= hostsPerPool; i++) {
                 String id = pool + i;
-                mSite.platform().add(id);
+                mSite.platform().addHost(id);
                 hosts.append(hostLine(id, i, pool));
             }
         }
@@ -129,7 +129,7 @@
                     - {name: qb, pool: b, run limit ms: 6000}
                 """
                         .formatted(hosts, KeyDigest.ofSecret("fitters").toHex()));
-        mSite.listHosts(HOST_LIST_LAG_MS);
+        mSite.startHostListUpdates(HOST_LIST_LAG_MS);
     }
 
     /**
@@ -147,7 +147,7 @@
         for (long end = mSite.nowMs() + ms; mSite.nowMs() < end; ) {
             if (mLoadEnabled) {
                 for (VirtualEntry entry : mSite.entries().values()) {
-                    if (entry.condition() == EntryCondition.RUNNING) {
+                    if (entry.processState() == ProcessState.RUNNING) {
                         mRequests.add(call(entry, "qa"));
                         mRequests.add(call(entry, "qb"));
                     }
@@ -158,7 +158,7 @@
     }
 
     private VirtualRequest call(VirtualEntry entry, String queue) {
-        return mSite.call(entry.id(), queue, "fitters", randomRunMs());
+        return mSite.sendRequest(entry.id(), queue, "fitters", randomRunMs());
     }
 
     /** Returns a random run time: 4 s for one request in 50, under 90 ms for the others. */
@@ -168,9 +168,9 @@
 
     /** Plans and starts a wave over all pools; returns the id of the start command. */
     long startWave() {
-        mSite.wave("e1", WaveCommand.PLAN, List.of());
+        mSite.sendWaveCommand("e1", WaveCommand.PLAN, List.of());
         run(500);
-        long callId = mSite.wave("e1", WaveCommand.START, List.of());
+        long callId = mSite.sendWaveCommand("e1", WaveCommand.START, List.of());
         run(500);
         return callId;
     }
@@ -208,7 +208,7 @@
             String host = spec.id();
             String pool = poolOf(host);
             Optional<Outage> outage = outage(pool, host);
-            boolean down = mSite.platform().down(host);
+            boolean down = mSite.platform().isDown(host);
             if (outage.isPresent() || down) {
                 zonesOfHostsOut.computeIfAbsent(pool, p -> new ArrayList<>()).add(spec.zone());
             }
@@ -258,7 +258,7 @@
 
     private void checkIdle(String host, Optional<Outage> outage) {
         VirtualTarget target = mSite.target(host);
-        if (outage.filter(Outage::idle).isPresent() && target.running() > 0) {
+        if (outage.filter(Outage::idle).isPresent() && target.runningRequests() > 0) {
             mViolations.add(host + " runs requests while its outage is marked idle");
         }
         if (outage.isEmpty()) {
@@ -272,7 +272,7 @@
     private void checkUsedInOnePool(String host) {
         String poolInUse = "";
         for (VirtualEntry entry : mSite.entries().values()) {
-            if (!entry.condition().equals(EntryCondition.DEAD)) {
+            if (!entry.processState().equals(ProcessState.DEAD)) {
                 for (HoldingRow row : entry.world().holdings().rows()) {
                     boolean slot = row.key().kind() == PermitKind.SLOT;
                     if (slot && row.key().name().equals(host) && row.inUse() > 0) {
--- a/standin/src/test/java/org/hibiscususher/standin/maintenance/MaintenanceTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/maintenance/MaintenanceTest.java
@@ -51,7 +51,7 @@
             mSite.run(3_000);
             assertThat(mSite.poolOf("a1")).isEqualTo("b");
             assertThat(mSite.interruptedRequests()).isEmpty();
-            long mostRunning = mSite.site().target("a1").mostRunning();
+            long mostRunning = mSite.site().target("a1").maxConcurrentRequests();
             assertThat(mostRunning).isPositive();
         }
 
@@ -127,24 +127,24 @@
 
         @Test
         void rebootOnceAlthoughResponsesAreLost() {
-            mSite.site().platform().setLosesAnswers(true);
+            mSite.site().platform().setDropsRebootResponses(true);
             mSite.startWave();
             mSite.run(12_000);
             mSite.site().store().setFault(StoreFault.LOSES_ANSWERS);
             mSite.run(8_000);
             mSite.site().store().setFault(StoreFault.NONE);
-            mSite.site().platform().setLosesAnswers(false);
+            mSite.site().platform().setDropsRebootResponses(false);
             mSite.runWave(WAVE_LIMIT_MS);
             assertEveryHostRebootedOnce();
         }
 
         @Test
         void countLostHostsAgainstTheBudget() {
-            mSite.site().platform().lose("a1");
+            mSite.site().platform().failHost("a1");
             mSite.run(5_000);
             mSite.startWave();
             mSite.run(30_000);
-            mSite.site().platform().restore("a1");
+            mSite.site().platform().restoreHost("a1");
             mSite.runWave(WAVE_LIMIT_MS);
             assertEveryHostRebootedOnce();
         }
@@ -152,31 +152,31 @@
         @Test
         void pauseWhenHostsFailToReboot() {
             for (int i = 1; i <= HOSTS_PER_POOL; i++) {
-                mSite.site().platform().setNeverBack("a" + i);
-                mSite.site().platform().setNeverBack("b" + i);
+                mSite.site().platform().setFailsNextReboot("a" + i);
+                mSite.site().platform().setFailsNextReboot("b" + i);
             }
             mSite.startWave();
             mSite.run(140_000);
             assertThat(mSite.wave().orElseThrow().state()).isEqualTo(WaveState.PAUSED);
             assertThat(mSite.wave().orElseThrow().detail()).contains("hosts failed");
-            assertThat(mSite.site().platform().reboots().size()).isLessThan(HOSTS_PER_POOL);
+            assertThat(mSite.site().platform().rebootCounts().size()).isLessThan(HOSTS_PER_POOL);
         }
 
         @Test
         void rebootNoFurtherHostWhilePaused() {
             mSite.startWave();
-            long callId = mSite.site().wave("e2", WaveCommand.PAUSE, List.of());
+            long callId = mSite.site().sendWaveCommand("e2", WaveCommand.PAUSE, List.of());
             mSite.run(15_000);
-            assertThat(mSite.site().waveAnswers().get(callId).report().ok()).isTrue();
-            int rebootsBefore = mSite.site().platform().reboots().size();
+            assertThat(mSite.site().waveReplies().get(callId).report().ok()).isTrue();
+            int rebootsBefore = mSite.site().platform().rebootCounts().size();
             mSite.run(15_000);
-            assertThat(mSite.site().platform().reboots().size()).isEqualTo(rebootsBefore);
+            assertThat(mSite.site().platform().rebootCounts().size()).isEqualTo(rebootsBefore);
         }
 
         private void assertEveryHostRebootedOnce() {
             assertThat(mSite.wave().orElseThrow().state()).isEqualTo(WaveState.DONE);
-            assertThat(mSite.site().platform().reboots()).hasSize(2 * HOSTS_PER_POOL);
-            assertThat(mSite.site().platform().reboots().values()).containsOnly(1);
+            assertThat(mSite.site().platform().rebootCounts()).hasSize(2 * HOSTS_PER_POOL);
+            assertThat(mSite.site().platform().rebootCounts().values()).containsOnly(1);
         }
     }
 }
--- a/standin/src/test/java/org/hibiscususher/standin/request/RequestSite.java
+++ b/standin/src/test/java/org/hibiscususher/standin/request/RequestSite.java
@@ -7,7 +7,7 @@
 import org.hibiscususher.core.config.KeyDigest;
 import org.hibiscususher.core.message.NoteResult;
 import org.hibiscususher.core.world.ControlSettings;
-import org.hibiscususher.standin.virtual.EntryCondition;
+import org.hibiscususher.standin.virtual.ProcessState;
 import org.hibiscususher.standin.virtual.VirtualEntry;
 import org.hibiscususher.standin.virtual.VirtualSite;
 import org.hibiscususher.wire.yaml.NoteReader;
@@ -53,9 +53,9 @@
                         .formatted(
                                 KeyDigest.ofSecret("fitters").toHex(),
                                 KeyDigest.ofSecret("hotels").toHex());
-        long callId = site.submit("e1", NoteReader.read("note", note).note());
+        long callId = site.submitNote("e1", NoteReader.read("note", note).note());
         site.run(ROLL_OUT_MS);
-        assertThat(site.noteAnswers().get(callId).result()).isEqualTo(NoteResult.ACCEPTED);
+        assertThat(site.noteReplies().get(callId).result()).isEqualTo(NoteResult.ACCEPTED);
         return site;
     }
 
@@ -70,7 +70,7 @@
     /** Asserts that running entries have no pending requests or claims and use no permits. */
     static void assertIdle(VirtualSite site) {
         for (VirtualEntry entry : site.entries().values()) {
-            if (entry.condition() == EntryCondition.RUNNING) {
+            if (entry.processState() == ProcessState.RUNNING) {
                 assertThat(entry.world().requests().rows()).as(entry.id()).isEmpty();
                 assertThat(entry.world().abandonedRequests().rows()).as(entry.id()).isEmpty();
                 assertThat(entry.world().idempotencyClaims().rows()).as(entry.id()).isEmpty();
--- a/standin/src/test/java/org/hibiscususher/standin/rollout/RollOutSite.java
+++ b/standin/src/test/java/org/hibiscususher/standin/rollout/RollOutSite.java
@@ -83,7 +83,7 @@
 
     /** Sends a note and waits for the reply, up to 20 s as the command-line tool does at most. */
     ReplyToNote apply(String entry, ReleaseNote note) {
-        return await(mSite.submit(entry, note), 20_000);
+        return await(mSite.submitNote(entry, note), 20_000);
     }
 
     /** Applies a number of notes that add one team each; all must be accepted. */
@@ -103,10 +103,10 @@
      */
     ReplyToNote await(long callId, long limitMs) {
         long end = mSite.nowMs() + limitMs;
-        while (!mSite.noteAnswers().containsKey(callId) && mSite.nowMs() < end) {
+        while (!mSite.noteReplies().containsKey(callId) && mSite.nowMs() < end) {
             mSite.run(1);
         }
-        return mSite.noteAnswers().get(callId);
+        return mSite.noteReplies().get(callId);
     }
 
     /** Returns the configuration in force on an entry. */
--- a/standin/src/test/java/org/hibiscususher/standin/rollout/RollOutTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/rollout/RollOutTest.java
@@ -51,8 +51,8 @@
         @Test
         void areCommittedOnceThroughTwoEntriesAtOnce() {
             ReleaseNote note = mSite.teamNote("twice", "berta");
-            long firstCall = mSite.site().submit("e1", note);
-            long secondCall = mSite.site().submit("e2", note);
+            long firstCall = mSite.site().submitNote("e1", note);
+            long secondCall = mSite.site().submitNote("e2", note);
             assertThat(mSite.await(firstCall, 20_000).revision()).isEqualTo(2);
             assertThat(mSite.await(secondCall, 20_000).revision()).isEqualTo(2);
             assertThat(mSite.head().revision()).isEqualTo(2);
@@ -65,7 +65,7 @@
         @EnumSource(StoreFault.class)
         void thatEndDoNotPreventTheCommit(StoreFault fault) {
             mSite.site().store().setFault(fault);
-            long callId = mSite.site().submit("e1", mSite.teamNote("n", "berta"));
+            long callId = mSite.site().submitNote("e1", mSite.teamNote("n", "berta"));
             mSite.site().run(4_000);
             mSite.site().store().setFault(StoreFault.NONE);
             ReplyToNote reply = mSite.await(callId, 13_000);
@@ -77,7 +77,7 @@
         @ParameterizedTest
         @ValueSource(ints = {1, 3, 5, 6, 7, 9, 12})
         void thatLoseResponsesFromAnyStepStillGetReply(int startMs) {
-            long callId = mSite.site().submit("e1", mSite.teamNote("n", "berta"));
+            long callId = mSite.site().submitNote("e1", mSite.teamNote("n", "berta"));
             mSite.site().run(startMs);
             mSite.site().store().setFault(StoreFault.LOSES_ANSWERS);
             mSite.site().run(3_000);
@@ -100,7 +100,7 @@
         @Test
         void thatLoseTheResponseToTheWriteAreReportedAsUnknown() {
             long writes = mSite.site().store().writes();
-            long callId = mSite.site().submit("e1", mSite.teamNote("n", "berta"));
+            long callId = mSite.site().submitNote("e1", mSite.teamNote("n", "berta"));
             while (mSite.site().store().writes() == writes) {
                 mSite.site().run(1);
             }
@@ -114,8 +114,10 @@
     class ConcurrentNotes {
         @Test
         void conflictIfTheyHaveTheSameBase() {
-            long firstCall = mSite.site().submit("e1", mSite.teamNote("one", "berta", "base: 1"));
-            long secondCall = mSite.site().submit("e2", mSite.teamNote("two", "carl", "base: 1"));
+            long firstCall =
+                    mSite.site().submitNote("e1", mSite.teamNote("one", "berta", "base: 1"));
+            long secondCall =
+                    mSite.site().submitNote("e2", mSite.teamNote("two", "carl", "base: 1"));
             assertThat(mSite.await(firstCall, 20_000).result()).isEqualTo(NoteResult.ACCEPTED);
             ReplyToNote rejected = mSite.await(secondCall, 20_000);
             assertThat(rejected.result()).isEqualTo(NoteResult.CONFLICT);
@@ -128,9 +130,9 @@
 
         @Test
         void areAllCommittedIfTheyHaveNoBase() {
-            long firstCall = mSite.site().submit("e1", mSite.teamNote("one", "berta"));
-            long secondCall = mSite.site().submit("e2", mSite.teamNote("two", "carl"));
-            long thirdCall = mSite.site().submit("e2", mSite.teamNote("three", "carl"));
+            long firstCall = mSite.site().submitNote("e1", mSite.teamNote("one", "berta"));
+            long secondCall = mSite.site().submitNote("e2", mSite.teamNote("two", "carl"));
+            long thirdCall = mSite.site().submitNote("e2", mSite.teamNote("three", "carl"));
             assertThat(mSite.await(firstCall, 20_000).result()).isEqualTo(NoteResult.ACCEPTED);
             assertThat(mSite.await(secondCall, 20_000).result()).isEqualTo(NoteResult.ACCEPTED);
             assertThat(mSite.await(thirdCall, 20_000).result()).isEqualTo(NoteResult.ACCEPTED);
@@ -146,9 +148,9 @@
                     added: {teams: [{name: same, share: %d, upper limit: 1}]}
                     """;
             long firstCall =
-                    mSite.site().submit("e1", RollOutSite.note(text.formatted("a", "b", 1)));
+                    mSite.site().submitNote("e1", RollOutSite.note(text.formatted("a", "b", 1)));
             long secondCall =
-                    mSite.site().submit("e2", RollOutSite.note(text.formatted("c", "d", 2)));
+                    mSite.site().submitNote("e2", RollOutSite.note(text.formatted("c", "d", 2)));
             assertThat(mSite.await(firstCall, 20_000).result()).isEqualTo(NoteResult.ACCEPTED);
             assertThat(mSite.await(secondCall, 20_000).result()).isEqualTo(NoteResult.FAULTY);
             assertThat(mSite.inForce("e3").teams().get("same").share()).isEqualTo(1);
@@ -179,14 +181,14 @@
         @ValueSource(booleans = {true, false})
         void waitUntilLaggingMemberServesNoLonger(boolean silent) {
             cutOff("e3", silent);
-            long callId = mSite.site().submit("e1", mSite.teamNote("n", "berta"));
-            while (!mSite.site().noteAnswers().containsKey(callId)) {
+            long callId = mSite.site().submitNote("e1", mSite.teamNote("n", "berta"));
+            while (!mSite.site().noteReplies().containsKey(callId)) {
                 mSite.site().run(1);
             }
-            ReplyToNote reply = mSite.site().noteAnswers().get(callId);
+            ReplyToNote reply = mSite.site().noteReplies().get(callId);
             assertThat(reply.result()).isEqualTo(NoteResult.ACCEPTED);
             assertThat(reply.detail()).contains("e3 (revision 1, last heard ");
-            VirtualRequest request = mSite.site().call("e3", "lookups", "fitters", 10);
+            VirtualRequest request = mSite.site().sendRequest("e3", "lookups", "fitters", 10);
             mSite.site().run(100);
             assertThat(request.refusal()).contains(Refusal.CONFIGURATION_STALE);
         }
@@ -194,7 +196,7 @@
         @Test
         void areNotSentWhileTheMembershipIsUnreadable() {
             long writes = mSite.site().store().writes();
-            long callId = mSite.site().submit("e1", mSite.teamNote("n", "berta"));
+            long callId = mSite.site().submitNote("e1", mSite.teamNote("n", "berta"));
             while (mSite.site().store().writes() == writes) {
                 mSite.site().run(1);
             }
@@ -239,17 +241,17 @@
 
         private void assertWaitingRequestRefused(String withdrawn, Refusal refusal) {
             for (int i = 0; i < 4; i++) {
-                mSite.site().call("e2", "lookups", "fitters", 5_000);
+                mSite.site().sendRequest("e2", "lookups", "fitters", 5_000);
             }
             mSite.site().run(100);
-            VirtualRequest waiting = mSite.site().call("e2", "lookups", "fitters", 10);
+            VirtualRequest waiting = mSite.site().sendRequest("e2", "lookups", "fitters", 10);
             mSite.site().run(100);
-            assertThat(waiting.over()).isFalse();
+            assertThat(waiting.isFinished()).isFalse();
             mSite.apply(
                     "e1",
                     RollOutSite.note("note: w\nauthor: a\nwithdrawn: {%s}\n".formatted(withdrawn)));
             assertThat(waiting.refusal()).contains(refusal);
-            assertThat(waiting.runs()).isZero();
+            assertThat(waiting.runCount()).isZero();
         }
     }
 
@@ -283,7 +285,7 @@
         void survivesTheWritersDeathDuringCompaction(int killMs) {
             mSite.applyTeams(31);
             ReleaseNote note = mSite.teamNote("compacts", "berta");
-            mSite.site().submit("e1", note);
+            mSite.site().submitNote("e1", note);
             mSite.site().run(killMs);
             mSite.site().kill("e1");
             ReplyToNote reply = mSite.apply("e2", note);
--- a/standin/src/test/java/org/hibiscususher/standin/scheduler/FailureDiagnosisTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/scheduler/FailureDiagnosisTest.java
@@ -10,7 +10,7 @@
 
 /** Tests that log lines alone explain why a job was refused, was late or kept running. */
 class FailureDiagnosisTest {
-    private final SchedulerSite mSite = SchedulerSite.of(3, 4, 11);
+    private final SchedulerSite mSite = SchedulerSite.create(3, 4, 11);
 
     @BeforeEach
     void startEntries() {
@@ -87,7 +87,7 @@
             String job = mSite.submit(JobSpecs.oneStep(1, 9_000));
             mSite.run(400);
             String executor = field(firstLineOf(linesWith(job), "start"), "executor");
-            mSite.darken(executor, 3_000);
+            mSite.silenceExecutor(executor, 3_000);
             mSite.cancel(job);
             mSite.run(2_500);
             List<String> lines = linesWith(job);
--- a/standin/src/test/java/org/hibiscususher/standin/scheduler/SchedulerSiteTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/scheduler/SchedulerSiteTest.java
@@ -18,7 +18,7 @@
 
 /**
  * Runs the scheduler of several entries in virtual time, without faults and with every fault and
- * pair of faults, and checks each {@link SchedulerPromise}.
+ * pair of faults, and checks each {@link SchedulerInvariant}.
  */
 class SchedulerSiteTest {
     private static final int SEEDS_PER_FAULT = 8;
@@ -42,7 +42,7 @@
             int tasks = 1 + random.nextInt(6);
             long taskMs = 100 + random.nextInt(900);
             boolean hasTwoSteps = random.nextBoolean();
-            site.at(
+            site.schedule(
                     atMs,
                     () ->
                             jobs.add(
@@ -51,33 +51,33 @@
                                                     ? JobSpecs.twoSteps(tasks, taskMs)
                                                     : JobSpecs.oneStep(tasks, taskMs))));
         }
-        site.at(500, () -> cancelLater(site, site.submit(JobSpecs.service(3)), 9_000));
-        site.at(2_500, () -> cancelLater(site, site.submit(JobSpecs.oneStep(4, 3_000)), 700));
+        site.schedule(500, () -> cancelLater(site, site.submit(JobSpecs.service(3)), 9_000));
+        site.schedule(2_500, () -> cancelLater(site, site.submit(JobSpecs.oneStep(4, 3_000)), 700));
         return jobs;
     }
 
     private static void cancelLater(SchedulerSite site, String job, long delayMs) {
-        site.at(delayMs, () -> site.cancel(job));
+        site.schedule(delayMs, () -> site.cancel(job));
     }
 
-    /** Asserts that all jobs were accepted and have ended, and that no promise was broken. */
+    /** Asserts that all jobs were accepted and have ended, and that no invariant was violated. */
     private static void assertAllEnded(SchedulerSite site, List<String> jobs) {
-        assertThat(site.watch().breaches()).isEmpty();
-        assertThat(site.watch().accepted()).containsAll(jobs);
+        assertThat(site.invariants().violations()).isEmpty();
+        assertThat(site.invariants().acceptedJobs()).containsAll(jobs);
         for (String job : jobs) {
             assertThat(site.stateOf(job)).as(job).isIn(JobState.DONE, JobState.FAILED);
         }
-        assertThat(site.watch().breaches()).isEmpty();
+        assertThat(site.invariants().violations()).isEmpty();
     }
 
     @Nested
     class WithoutFaults {
-        private final SchedulerSite mSite = SchedulerSite.of(3, 4, 1);
+        private final SchedulerSite mSite = SchedulerSite.create(3, 4, 1);
 
         @Test
         void oneEntryBecomesOwner() {
             mSite.run(1_000);
-            assertThat(mSite.owners()).isEqualTo(1);
+            assertThat(mSite.ownerCount()).isEqualTo(1);
         }
 
         @Test
@@ -96,7 +96,7 @@
             assertThat(mSite.stateOf(job)).isEqualTo(JobState.RUNNING);
             mSite.run(700);
             assertThat(mSite.stateOf(job)).isEqualTo(JobState.DONE);
-            assertThat(mSite.watch().breaches()).isEmpty();
+            assertThat(mSite.invariants().violations()).isEmpty();
         }
 
         @Test
@@ -107,7 +107,7 @@
             mSite.cancel(job);
             mSite.run(1_000);
             assertThat(mSite.stateOf(job)).isEqualTo(JobState.CANCELLED);
-            assertThat(mSite.waitingTasks()).isZero();
+            assertThat(mSite.taskCount()).isZero();
         }
 
         @Test
@@ -123,18 +123,18 @@
         @Test
         void boundTheRunningTasksOfTheTeam() {
             Resources limit = Resources.of(3_000, 0, 0);
-            SchedulerSite site = SchedulerSite.limited(2, 4, limit, 2);
+            SchedulerSite site = SchedulerSite.createWithTeamLimit(2, 4, limit, 2);
             site.run(1_500);
             String job = site.submit(JobSpecs.oneStep(12, 200));
             site.run(2_500);
             assertThat(site.stateOf(job)).isEqualTo(JobState.DONE);
-            assertThat(site.watch().breaches()).isEmpty();
+            assertThat(site.invariants().violations()).isEmpty();
         }
     }
 
     @Nested
     class Takeover {
-        private final SchedulerSite mSite = SchedulerSite.of(3, 4, 3);
+        private final SchedulerSite mSite = SchedulerSite.create(3, 4, 3);
 
         @Test
         void happensWithinSecondsAfterTheOwnerIsKilled() {
@@ -147,7 +147,7 @@
             assertThat(mSite.owner()).isPresent().isNotEqualTo(Optional.of(formerOwner));
             mSite.run(2_000);
             assertThat(mSite.stateOf(job)).isEqualTo(JobState.DONE);
-            assertThat(mSite.watch().breaches()).isEmpty();
+            assertThat(mSite.invariants().violations()).isEmpty();
         }
 
         @Test
@@ -155,18 +155,18 @@
             mSite.run(1_500);
             String job = mSite.submit(JobSpecs.oneStep(4, 500));
             mSite.run(30);
-            assertThat(mSite.watch().accepted()).contains(job);
+            assertThat(mSite.invariants().acceptedJobs()).contains(job);
             mSite.killAll(1_200);
             mSite.run(9_000);
             assertThat(mSite.stateOf(job)).isEqualTo(JobState.DONE);
-            assertThat(mSite.watch().breaches()).isEmpty();
+            assertThat(mSite.invariants().violations()).isEmpty();
         }
 
         @Test
         void happensAtOnceAfterTheOwnerShutsDown() {
             mSite.run(1_500);
             String formerOwner = mSite.owner().orElseThrow();
-            mSite.stop(formerOwner, 3_500);
+            mSite.shutDown(formerOwner, 3_500);
             mSite.run(300);
             assertThat(mSite.owner()).isPresent().isNotEqualTo(Optional.of(formerOwner));
         }
@@ -181,12 +181,12 @@
             String formerOwner = mSite.owner().orElseThrow();
             String job = mSite.submit(JobSpecs.oneStep(4, 800));
             mSite.run(300);
-            mSite.cutOff(formerOwner, 8_000);
+            mSite.cutOffFromStore(formerOwner, 8_000);
             mSite.run(400);
             assertThat(mSite.owner()).isPresent().isNotEqualTo(Optional.of(formerOwner));
             mSite.run(1_000);
             assertThat(mSite.stateOf(job)).isEqualTo(JobState.DONE);
-            assertThat(mSite.watch().breaches()).isEmpty();
+            assertThat(mSite.invariants().violations()).isEmpty();
         }
 
         /**
@@ -202,7 +202,7 @@
                 jobs.add(mSite.submit(JobSpecs.twoSteps(4, 600)));
             }
             mSite.run(50);
-            mSite.cutOff(formerOwner, 8_000);
+            mSite.cutOffFromStore(formerOwner, 8_000);
             mSite.run(12_000);
             assertAllEnded(mSite, jobs);
         }
@@ -216,16 +216,16 @@
          */
         @Test
         void loseTheirRunsToOtherExecutors() {
-            SchedulerSite site = SchedulerSite.of(3, 4, 5);
+            SchedulerSite site = SchedulerSite.create(3, 4, 5);
             site.run(1_500);
             site.submit(JobSpecs.service(3));
             site.run(500);
-            assertThat(site.runsOn("x1")).isPositive();
-            site.darken("x1", 60_000);
+            assertThat(site.runCountOn("x1")).isPositive();
+            site.silenceExecutor("x1", 60_000);
             site.run(6_000);
-            assertThat(site.runsOn("x1")).isZero();
-            assertThat(site.runs()).isEqualTo(3);
-            assertThat(site.watch().breaches()).isEmpty();
+            assertThat(site.runCountOn("x1")).isZero();
+            assertThat(site.runCount()).isEqualTo(3);
+            assertThat(site.invariants().violations()).isEmpty();
         }
     }
 
@@ -235,9 +235,9 @@
 
         @Test
         void completeUnderLoad() {
-            SchedulerSite site = SchedulerSite.of(3, 6, 7);
+            SchedulerSite site = SchedulerSite.create(3, 6, 7);
             List<String> jobs = submitLoad(site, new Random(7));
-            site.beginWave(MAX_HOSTS_OUT);
+            site.startWave(MAX_HOSTS_OUT);
             site.run(LOAD_MS + DRAIN_MS);
             assertThat(site.isWaveDone()).isTrue();
             assertAllEnded(site, jobs);
@@ -248,14 +248,14 @@
         void completeDespiteEachFault(SiteFault fault) {
             for (int seed = 1; seed <= SEEDS_PER_FAULT; seed++) {
                 Random random = new Random(seed);
-                SchedulerSite site = SchedulerSite.of(4, 6, seed);
+                SchedulerSite site = SchedulerSite.create(4, 6, seed);
                 List<String> jobs = submitLoad(site, random);
                 int startMs = 1_000 + random.nextInt(6_000);
-                site.at(startMs, () -> site.beginWave(MAX_HOSTS_OUT));
-                site.at(startMs, () -> site.loseHostAnswers(0.3, 5_000));
-                site.at(startMs + random.nextInt(6_000), () -> fault.inject(site, random));
+                site.schedule(startMs, () -> site.startWave(MAX_HOSTS_OUT));
+                site.schedule(startMs, () -> site.dropHostOrderResponses(0.3, 5_000));
+                site.schedule(startMs + random.nextInt(6_000), () -> fault.inject(site, random));
                 site.run(LOAD_MS + DRAIN_MS);
-                assertThat(site.watch().breaches()).as("seed " + seed).isEmpty();
+                assertThat(site.invariants().violations()).as("seed " + seed).isEmpty();
                 assertThat(site.isWaveDone()).as("seed " + seed).isTrue();
                 assertAllEnded(site, jobs);
             }
@@ -274,31 +274,31 @@
 
         @ParameterizedTest
         @EnumSource(SiteFault.class)
-        void breakNoPromiseAlone(SiteFault fault) {
+        void violateNoInvariantAlone(SiteFault fault) {
             for (int seed = 1; seed <= SEEDS_PER_FAULT; seed++) {
                 Random random = new Random(seed);
-                SchedulerSite site = SchedulerSite.of(4, 5, seed);
+                SchedulerSite site = SchedulerSite.create(4, 5, seed);
                 List<String> jobs = submitLoad(site, random);
-                site.at(3_000 + random.nextInt(12_000), () -> fault.inject(site, random));
+                site.schedule(3_000 + random.nextInt(12_000), () -> fault.inject(site, random));
                 site.run(LOAD_MS + DRAIN_MS);
-                assertThat(site.watch().breaches()).as("seed " + seed).isEmpty();
+                assertThat(site.invariants().violations()).as("seed " + seed).isEmpty();
                 assertAllEnded(site, jobs);
             }
         }
 
         @ParameterizedTest
         @MethodSource("faultPairs")
-        void breakNoPromiseInPairs(SiteFault first, SiteFault second) {
-            KnownFailures.skipIfListed("breakNoPromiseInPairs " + first + " " + second);
+        void violateNoInvariantInPairs(SiteFault first, SiteFault second) {
+            KnownFailures.skipIfListed("violateNoInvariantInPairs " + first + " " + second);
             int seed = 100 * first.ordinal() + second.ordinal();
             Random random = new Random(seed);
-            SchedulerSite site = SchedulerSite.of(4, 5, seed);
+            SchedulerSite site = SchedulerSite.create(4, 5, seed);
             List<String> jobs = submitLoad(site, random);
             int firstMs = 3_000 + random.nextInt(8_000);
-            site.at(firstMs, () -> first.inject(site, random));
-            site.at(firstMs + random.nextInt(4_000), () -> second.inject(site, random));
+            site.schedule(firstMs, () -> first.inject(site, random));
+            site.schedule(firstMs + random.nextInt(4_000), () -> second.inject(site, random));
             site.run(LOAD_MS + DRAIN_MS);
-            assertThat(site.watch().breaches()).isEmpty();
+            assertThat(site.invariants().violations()).isEmpty();
             assertAllEnded(site, jobs);
         }
     }
--- a/standin/src/test/java/org/hibiscususher/standin/scheduler/SiteFault.java
+++ b/standin/src/test/java/org/hibiscususher/standin/scheduler/SiteFault.java
@@ -3,7 +3,7 @@
 import java.util.Random;
 
 /**
- * Faults that the scheduler must survive without breaking a {@link SchedulerPromise}.
+ * Faults that the scheduler must survive without violating a {@link SchedulerInvariant}.
  *
  * <p>Each hits the component where it does most harm, such as the owner. Tests choose the moment at
  * random; constants keep their order because their ordinals select the seeds of pairs.
@@ -32,14 +32,15 @@
     OWNER_STOPPED {
         @Override
         void inject(SchedulerSite site, Random random) {
-            site.owner().ifPresent(owner -> site.stop(owner, 3_500));
+            site.owner().ifPresent(owner -> site.shutDown(owner, 3_500));
         }
     },
     /** The store is unreachable for the owner alone, for 1 to 9 s. */
     OWNER_CUT_FROM_STORE {
         @Override
         void inject(SchedulerSite site, Random random) {
-            site.owner().ifPresent(owner -> site.cutOff(owner, 1_000 + random.nextInt(8_000)));
+            site.owner()
+                    .ifPresent(owner -> site.cutOffFromStore(owner, 1_000 + random.nextInt(8_000)));
         }
     },
     /** The owner can't reach one executor for 6 s, while the others can. */
@@ -67,21 +68,21 @@
     STORE_RESPONSES_LOST {
         @Override
         void inject(SchedulerSite site, Random random) {
-            site.loseAnswers(0.35, false, 4_500);
+            site.dropCommitResponses(0.35, false, 4_500);
         }
     },
     /** The same, but those commits take effect seconds late. */
     STORE_RESPONSES_LOST_WRITES_LATE {
         @Override
         void inject(SchedulerSite site, Random random) {
-            site.loseAnswers(0.35, true, 4_500);
+            site.dropCommitResponses(0.35, true, 4_500);
         }
     },
     /** An executor responds to nothing for 1 to 8 s, while its runs continue. */
     EXECUTOR_SILENT {
         @Override
         void inject(SchedulerSite site, Random random) {
-            site.darken("x1", 1_000 + random.nextInt(7_000));
+            site.silenceExecutor("x1", 1_000 + random.nextInt(7_000));
         }
     },
     /** An executor restarts: its runs end and it knows no earlier state. */
@@ -95,7 +96,7 @@
     EXECUTOR_FAILS_ALL_RUNS {
         @Override
         void inject(SchedulerSite site, Random random) {
-            site.failAll("x0", 4_000);
+            site.failAllRuns("x0", 4_000);
         }
     },
     /** Executors carry out 30% of the orders seconds late and without a response, for 5 s. */
@@ -109,11 +110,11 @@
     OWNERS_STOPPED_IN_SERIES {
         @Override
         void inject(SchedulerSite site, Random random) {
-            site.darken("x1", 900);
+            site.silenceExecutor("x1", 900);
             for (int i = 0; i < 3; i++) {
-                site.at(
+                site.schedule(
                         50 + i * (200 + random.nextInt(200)),
-                        () -> site.owner().ifPresent(owner -> site.stop(owner, 3_500)));
+                        () -> site.owner().ifPresent(owner -> site.shutDown(owner, 3_500)));
             }
         }
     };
--- a/standin/src/test/java/org/hibiscususher/standin/virtual/EscrowSite.java
+++ b/standin/src/test/java/org/hibiscususher/standin/virtual/EscrowSite.java
@@ -75,16 +75,16 @@
 
     /** Applies a release note through a running entry and asserts that it is accepted. */
     void apply(String note) {
-        long callId = mSite.submit(firstRunningEntry(), NoteReader.read("note", note).note());
-        for (int i = 0; i < 200 && !mSite.noteAnswers().containsKey(callId); i++) {
+        long callId = mSite.submitNote(firstRunningEntry(), NoteReader.read("note", note).note());
+        for (int i = 0; i < 200 && !mSite.noteReplies().containsKey(callId); i++) {
             mSite.run(100);
         }
-        assertThat(mSite.noteAnswers().get(callId).result()).isEqualTo(NoteResult.ACCEPTED);
+        assertThat(mSite.noteReplies().get(callId).result()).isEqualTo(NoteResult.ACCEPTED);
     }
 
     private String firstRunningEntry() {
         return mSite.entries().values().stream()
-                .filter(e -> e.condition() == EntryCondition.RUNNING)
+                .filter(e -> e.processState() == ProcessState.RUNNING)
                 .findFirst()
                 .orElseThrow()
                 .id();
@@ -131,7 +131,7 @@
     /** Returns the running entry that is the allocator of the group of a permit. */
     VirtualEntry allocator(PermitKey key) {
         return mSite.entries().values().stream()
-                .filter(e -> e.condition() == EntryCondition.RUNNING)
+                .filter(e -> e.processState() == ProcessState.RUNNING)
                 .filter(e -> e.world().allocatorTerms().contains(key.permitGroup()))
                 .findFirst()
                 .orElseThrow();
@@ -158,9 +158,10 @@
             for (VirtualEntry entry : mSite.entries().values()) {
                 int choice = mSite.random().nextInt(12);
                 String team = choice % 2 == 0 ? "fitters" : "sellers";
-                if (choice < 3 && entry.condition() != EntryCondition.DEAD) {
+                if (choice < 3 && entry.processState() != ProcessState.DEAD) {
                     String queue = choice == 2 ? "batches" : "lookups";
-                    mSite.call(entry.id(), queue, team, 1 + mSite.random().nextInt(maxRunMs));
+                    mSite.sendRequest(
+                            entry.id(), queue, team, 1 + mSite.random().nextInt(maxRunMs));
                 }
             }
             mSite.run(10);
@@ -171,7 +172,7 @@
     int held(PermitKey key) {
         int held = 0;
         for (VirtualEntry entry : mSite.entries().values()) {
-            if (entry.condition() != EntryCondition.DEAD) {
+            if (entry.processState() != ProcessState.DEAD) {
                 held += entry.world().holdings().find(key).map(HoldingRow::held).orElse(0);
             }
         }
@@ -191,7 +192,7 @@
 
     private void checkLimits() {
         for (VirtualTarget target : mSite.targets().values()) {
-            assertThat(target.running())
+            assertThat(target.runningRequests())
                     .as("requests running on " + target.id())
                     .isLessThanOrEqualTo(SLOTS);
             checkHeld(PermitKey.slot("parts", target.id()), SLOTS);
@@ -199,7 +200,9 @@
         mTeamLimits.forEach(
                 (team, limit) -> {
                     int running =
-                            mSite.targets().values().stream().mapToInt(t -> t.running(team)).sum();
+                            mSite.targets().values().stream()
+                                    .mapToInt(t -> t.runningRequests(team))
+                                    .sum();
                     int allowed = checkHeld(PermitKey.unit(team), limit);
                     assertThat(running)
                             .as("requests running for " + team)
--- a/standin/src/test/java/org/hibiscususher/standin/virtual/EscrowTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/virtual/EscrowTest.java
@@ -32,9 +32,9 @@
         @ValueSource(longs = {1, 2, 3})
         void withLossDuplicationAndReorderingKeepThePermitCount(long seed) {
             EscrowSite escrow = new EscrowSite(seed);
-            escrow.site().network().setBehaviour(1, 30, 0.2, 0.2);
+            escrow.site().network().setLinkBehaviour(1, 30, 0.2, 0.2);
             escrow.runUnderLoad(3_000, 60);
-            escrow.site().network().setBehaviour(1, 0, 0, 0);
+            escrow.site().network().setLinkBehaviour(1, 0, 0, 0);
             escrow.site().run(4_000);
             for (PermitKey key : new PermitKey[] {H1, FITTERS, PermitKey.longRun("parts")}) {
                 LedgerRow row = escrow.allocator(key).world().ledger().find(key).orElseThrow();
@@ -103,7 +103,7 @@
         void mayPauseDieAndRestartInAnyOrder(long seed) {
             EscrowSite escrow = new EscrowSite(seed);
             Random random = new Random(seed);
-            escrow.site().network().setBehaviour(1, 20, 0.1, 0.1);
+            escrow.site().network().setLinkBehaviour(1, 20, 0.1, 0.1);
             for (int i = 0; i < 12; i++) {
                 injectChange(escrow, "e" + (1 + random.nextInt(4)), random.nextInt(4));
                 escrow.runUnderLoad(200, 100);
@@ -158,7 +158,7 @@
                 mSite.run(1);
                 boolean returned =
                         EscrowQueries.allSlotsReturned(mEscrow.allocator(H1).world(), "h1");
-                assertThat(returned && mSite.target("h1").running() > 0).isFalse();
+                assertThat(returned && mSite.target("h1").runningRequests() > 0).isFalse();
             }
             assertThat(EscrowQueries.allSlotsReturned(mEscrow.allocator(H1).world(), "h1"))
                     .isTrue();
--- a/standin/src/test/java/org/hibiscususher/standin/virtual/FreshnessTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/virtual/FreshnessTest.java
@@ -44,7 +44,7 @@
         List<VirtualRequest> requests = new ArrayList<>();
         for (long end = mSite.nowMs() + ms; mSite.nowMs() < end; mSite.run(50)) {
             for (String id : mMembership.entryIds()) {
-                requests.add(mSite.call(id, "lookups", "fitters", 10));
+                requests.add(mSite.sendRequest(id, "lookups", "fitters", 10));
             }
         }
         return requests;
@@ -129,7 +129,7 @@
         CUT_FROM_STORE_WITH_LOSSY_LINKS {
             @Override
             void begin(MembershipSite membership) {
-                membership.site().network().setBehaviour(5, 200, 0.3, 0.3);
+                membership.site().network().setLinkBehaviour(5, 200, 0.3, 0.3);
                 membership.site().store().setReachable("e3", false);
             }
         },
@@ -140,7 +140,7 @@
                 membership.setLinksCut("e3", true, true, true);
                 membership.site().store().setReachable("e3", false);
                 membership.site().pause("e3");
-                membership.site().timeline().after(2_500, () -> membership.site().resume("e3"));
+                membership.site().clock().after(2_500, () -> membership.site().resume("e3"));
             }
         },
         /** Another member is killed. */
@@ -176,10 +176,10 @@
             assertThat(requests)
                     .filteredOn(r -> r.arrivedMs() > endMs)
                     .isNotEmpty()
-                    .allMatch(r -> r.runs() == 0);
+                    .allMatch(r -> r.runCount() == 0);
             assertThat(requests)
                     .filteredOn(r -> r.refusal().isPresent())
-                    .allMatch(r -> r.runs() == 0);
+                    .allMatch(r -> r.runCount() == 0);
         }
     }
 
@@ -190,10 +190,10 @@
             mMembership.setLinksCut("e3", true, true, true);
             mSite.store().setReachable("e3", false);
             mSite.run(FRESHNESS_BOUND_MS + 100);
-            VirtualRequest request = mSite.call("e3", "lookups", "fitters", 10);
+            VirtualRequest request = mSite.sendRequest("e3", "lookups", "fitters", 10);
             mSite.run(100);
             assertThat(request.refusal()).contains(Refusal.CONFIGURATION_STALE);
-            assertThat(request.runs()).isZero();
+            assertThat(request.runCount()).isZero();
             assertThat(mMembership.entryIds()).filteredOn(FreshnessTest.this::isFresh).hasSize(3);
         }
 
@@ -214,7 +214,7 @@
         void areBridgedWhileAllMembersRespond() {
             mSite.store().setFault(StoreFault.DOWN);
             mSite.run(10_000);
-            assertThat(callAll(60_000)).filteredOn(r -> !r.answered()).hasSizeLessThan(10);
+            assertThat(callAll(60_000)).filteredOn(r -> !r.isAnswered()).hasSizeLessThan(10);
         }
 
         @Test
@@ -257,12 +257,12 @@
             mSite.pause("e3");
             mSite.run(1_500);
             mMembership.setLinksCut("e3", true, true, true);
-            VirtualRequest request = mSite.call("e3", "lookups", "fitters", 10);
+            VirtualRequest request = mSite.sendRequest("e3", "lookups", "fitters", 10);
             mSite.resume("e3");
             mSite.run(100);
             assertThat(entry.world().node().resumedMs()).isGreaterThan(mSite.nowMs() - 200);
             assertThat(request.refusal()).contains(Refusal.CONFIGURATION_STALE);
-            assertThat(request.runs()).isZero();
+            assertThat(request.runCount()).isZero();
         }
 
         @Test
--- a/standin/src/test/java/org/hibiscususher/standin/virtual/MembershipSite.java
+++ b/standin/src/test/java/org/hibiscususher/standin/virtual/MembershipSite.java
@@ -136,7 +136,7 @@
 
     /** Sends every entry a platform host list that consists of the given hosts. */
     void publishHostList(List<String> ids) {
-        mSite.showHosts(ids.stream().map(id -> new PlatformHost(id, false, "")).toList());
+        mSite.publishHosts(ids.stream().map(id -> new PlatformHost(id, false, "")).toList());
     }
 
     List<String> entryIds() {
@@ -168,6 +168,6 @@
     private void submit(String note) {
         var parsed = NoteReader.read("note", note);
         assertThat(parsed.findings()).isEmpty();
-        mSite.submit("e1", parsed.note());
+        mSite.submitNote("e1", parsed.note());
     }
 }
