--- a/standin/src/test/java/org/hibiscususher/standin/maintenance/MaintenanceSite.java
+++ b/standin/src/test/java/org/hibiscususher/standin/maintenance/MaintenanceSite.java
@@ -148,8 +148,8 @@
             if (mLoadEnabled) {
                 for (VirtualEntry entry : mSite.entries().values()) {
                     if (entry.processState() == ProcessState.RUNNING) {
-                        mRequests.add(call(entry, "qa"));
-                        mRequests.add(call(entry, "qb"));
+                        mRequests.add(sendRequest(entry, "qa"));
+                        mRequests.add(sendRequest(entry, "qb"));
                     }
                 }
             }
@@ -157,7 +157,7 @@
         }
     }
 
-    private VirtualRequest call(VirtualEntry entry, String queue) {
+    private VirtualRequest sendRequest(VirtualEntry entry, String queue) {
         return mSite.sendRequest(entry.id(), queue, "fitters", randomRunMs());
     }
 
--- a/standin/src/test/java/org/hibiscususher/standin/request/DuplicateRequestTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/request/DuplicateRequestTest.java
@@ -221,25 +221,25 @@
         private void injectFault(VirtualSite site, Random random) {
             String entry = RequestSite.ENTRIES.get(random.nextInt(3));
             String other = RequestSite.ENTRIES.get(random.nextInt(3));
-            ProcessState condition = site.entries().get(entry).processState();
+            ProcessState state = site.entries().get(entry).processState();
             switch (random.nextInt(60)) {
                 case 0 -> {
-                    if (condition == ProcessState.RUNNING) {
+                    if (state == ProcessState.RUNNING) {
                         site.kill(entry);
                     }
                 }
                 case 1, 2, 3 -> {
-                    if (condition == ProcessState.DEAD) {
+                    if (state == ProcessState.DEAD) {
                         site.start(entry, "z1");
                     }
                 }
                 case 4 -> {
-                    if (condition == ProcessState.RUNNING) {
+                    if (state == ProcessState.RUNNING) {
                         site.pause(entry);
                     }
                 }
                 case 5, 6, 7 -> {
-                    if (condition == ProcessState.PAUSED) {
+                    if (state == ProcessState.PAUSED) {
                         site.resume(entry);
                     }
                 }
--- a/standin/src/test/java/org/hibiscususher/standin/rollout/RollOutSite.java
+++ b/standin/src/test/java/org/hibiscususher/standin/rollout/RollOutSite.java
@@ -102,8 +102,8 @@
      * @return the reply, null if there is none within the limit
      */
     ReplyToNote await(long callId, long limitMs) {
-        long end = mSite.nowMs() + limitMs;
-        while (!mSite.noteReplies().containsKey(callId) && mSite.nowMs() < end) {
+        long endMs = mSite.nowMs() + limitMs;
+        while (!mSite.noteReplies().containsKey(callId) && mSite.nowMs() < endMs) {
             mSite.run(1);
         }
         return mSite.noteReplies().get(callId);
--- a/standin/src/test/java/org/hibiscususher/standin/virtual/FreshnessTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/virtual/FreshnessTest.java
@@ -40,7 +40,7 @@
     }
 
     /** Sends a request to every entry every 50 ms for a time; returns the requests. */
-    private List<VirtualRequest> callAll(long ms) {
+    private List<VirtualRequest> sendToAllEntries(long ms) {
         List<VirtualRequest> requests = new ArrayList<>();
         for (long end = mSite.nowMs() + ms; mSite.nowMs() < end; mSite.run(50)) {
             for (String id : mMembership.entryIds()) {
@@ -166,7 +166,7 @@
             long writtenMs = -1;
             List<VirtualRequest> requests = new ArrayList<>();
             for (int i = 0; i < 200; i++) {
-                requests.addAll(callAll(50));
+                requests.addAll(sendToAllEntries(50));
                 long currentVersion = mSite.store().find(RecordKey.HEAD).orElseThrow().version();
                 writtenMs = writtenMs < 0 && currentVersion > version ? mSite.nowMs() : writtenMs;
             }
@@ -214,7 +214,7 @@
         void areBridgedWhileAllMembersRespond() {
             mSite.store().setFault(StoreFault.DOWN);
             mSite.run(10_000);
-            assertThat(callAll(60_000)).filteredOn(r -> !r.isAnswered()).hasSizeLessThan(10);
+            assertThat(sendToAllEntries(60_000)).filteredOn(r -> !r.isAnswered()).hasSizeLessThan(10);
         }
 
         @Test
