--- a/standin/src/test/java/org/hibiscususher/standin/virtual/FreshnessTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/virtual/FreshnessTest.java
@@ -214,7 +214,9 @@
         void areBridgedWhileAllMembersRespond() {
             mSite.store().setFault(StoreFault.DOWN);
             mSite.run(10_000);
-            assertThat(sendToAllEntries(60_000)).filteredOn(r -> !r.isAnswered()).hasSizeLessThan(10);
+            assertThat(sendToAllEntries(60_000))
+                    .filteredOn(r -> !r.isAnswered())
+                    .hasSizeLessThan(10);
         }
 
         @Test
