--- a/standin/src/test/java/org/hibiscususher/standin/scheduler/InvariantCheckerTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/scheduler/InvariantCheckerTest.java
@@ -13,143 +13,145 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
-/** Shows that each check of the site finds what breaks its promise. */
+/** Tests that {@link InvariantChecker} reports a violation of each {@link SchedulerInvariant}. */
 class InvariantCheckerTest {
     private static final String JOB = "0000000000000001";
     private static final TaskKey FIRST = new StepKey(JOB, 0, 0).task(0);
     private static final TaskKey SECOND = new StepKey(JOB, 0, 1).task(0);
 
-    private final InvariantChecker mWatch = new InvariantChecker();
+    private final InvariantChecker mChecker = new InvariantChecker();
 
     @BeforeEach
-    void submit() {
-        mWatch.recordSubmission(JOB, Jobs.twoSteps(1, 100), "team", 2);
+    void submitJob() {
+        mChecker.recordSubmission(JOB, JobSpecs.twoSteps(1, 100), "team", 2);
     }
 
     private void start(TaskKey task, String executor, long nowMs) {
-        mWatch.recordStart(task, executor, false, nowMs);
+        mChecker.recordStart(task, executor, false, nowMs);
     }
 
-    private void end(TaskKey task, String executor, RunOutcome kind) {
-        mWatch.recordEnd(task, executor, Optional.of(kind));
+    private void end(TaskKey task, String executor, RunOutcome outcome) {
+        mChecker.recordEnd(task, executor, Optional.of(outcome));
     }
 
-    private void assertBroken(SchedulerInvariant promise) {
-        assertThat(mWatch.violations()).extracting(InvariantViolation::invariant).contains(promise);
+    private void assertViolated(SchedulerInvariant invariant) {
+        assertThat(mChecker.violations())
+                .extracting(InvariantViolation::invariant)
+                .contains(invariant);
     }
 
     @Nested
-    class Order {
+    class StepDependencies {
         @Test
-        void isKeptByARunAfterAnother() {
+        void areMetWhenStepsRunInSequence() {
             start(FIRST, "x", 1);
             end(FIRST, "x", RunOutcome.DONE);
             start(SECOND, "x", 2);
             end(SECOND, "x", RunOutcome.DONE);
-            mWatch.checkReportedState(JOB, JobState.DONE, 3);
-            assertThat(mWatch.violations()).isEmpty();
+            mChecker.checkReportedState(JOB, JobState.DONE, 3);
+            assertThat(mChecker.violations()).isEmpty();
         }
 
         @Test
-        void isBrokenByAStepBeforeItsTurn() {
+        void areViolatedWhenStepStartsTooEarly() {
             start(SECOND, "x", 1);
-            assertBroken(SchedulerInvariant.STEP_DEPENDENCIES);
+            assertViolated(SchedulerInvariant.STEP_DEPENDENCIES);
         }
     }
 
     @Nested
     class Runs {
         @Test
-        void atTheSameTimeAreFound() {
+        void ofOneTaskAtTheSameTimeAreReported() {
             start(FIRST, "x", 1);
             start(FIRST, "y", 2);
-            assertBroken(SchedulerInvariant.ONE_RUN_AT_A_TIME);
+            assertViolated(SchedulerInvariant.ONE_RUN_AT_A_TIME);
         }
 
         @Test
-        void afterANotedEndAreFound() {
+        void afterAcknowledgedCompletionAreReported() {
             start(FIRST, "x", 1);
             end(FIRST, "x", RunOutcome.DONE);
-            mWatch.recordAcknowledgment(FIRST);
+            mChecker.recordAcknowledgment(FIRST);
             start(FIRST, "x", 2);
-            assertBroken(SchedulerInvariant.FINISHED_TASK_NOT_RERUN);
+            assertViolated(SchedulerInvariant.FINISHED_TASK_NOT_RERUN);
         }
 
         @Test
-        void beyondTheAttemptsAreFound() {
+        void beyondTheAttemptLimitAreReported() {
             for (int i = 0; i < 3; i++) {
                 start(FIRST, "x", i);
                 end(FIRST, "x", RunOutcome.FAILED);
             }
-            assertBroken(SchedulerInvariant.ATTEMPT_LIMIT);
+            assertViolated(SchedulerInvariant.ATTEMPT_LIMIT);
         }
 
         @Test
-        void beyondATeamsLimitAreFound() {
-            mWatch.setTeamLimit("team", Resources.of(500, 0, 0));
+        void beyondTheTeamLimitAreReported() {
+            mChecker.setTeamLimit("team", Resources.of(500, 0, 0));
             start(FIRST, "x", 1);
-            assertBroken(SchedulerInvariant.TEAM_LIMIT);
+            assertViolated(SchedulerInvariant.TEAM_LIMIT);
         }
 
         @Test
-        void beyondAnExecutorsCapacityAreFound() {
-            mWatch.checkReservation("x", Resources.of(2, 0, 0), Resources.of(1, 0, 0), 1);
-            assertBroken(SchedulerInvariant.EXECUTOR_CAPACITY);
+        void beyondTheExecutorCapacityAreReported() {
+            mChecker.checkReservation("x", Resources.of(2, 0, 0), Resources.of(1, 0, 0), 1);
+            assertViolated(SchedulerInvariant.EXECUTOR_CAPACITY);
         }
 
         @Test
-        void onADrainingExecutorAreFound() {
-            mWatch.recordStart(FIRST, "x", true, 1);
-            assertBroken(SchedulerInvariant.NO_START_ON_DRAINING_EXECUTOR);
+        void onDrainingExecutorAreReported() {
+            mChecker.recordStart(FIRST, "x", true, 1);
+            assertViolated(SchedulerInvariant.NO_START_ON_DRAINING_EXECUTOR);
         }
 
         @Test
-        void longAfterACancellationAreFound() {
-            mWatch.recordCancellation(JOB, 1_000);
+        void laterThanTheCancellationGraceAreReported() {
+            mChecker.recordCancellation(JOB, 1_000);
             start(FIRST, "x", 4_001);
-            assertBroken(SchedulerInvariant.NO_START_AFTER_CANCELLATION);
+            assertViolated(SchedulerInvariant.NO_START_AFTER_CANCELLATION);
         }
 
         @Test
-        void ofARefusedJobAreFound() {
-            mWatch.recordResponse(JOB, JobResponseKind.UNAVAILABLE);
+        void ofRejectedJobAreReported() {
+            mChecker.recordResponse(JOB, JobResponseKind.UNAVAILABLE);
             start(FIRST, "x", 1);
-            assertBroken(SchedulerInvariant.REJECTED_JOB_NEVER_RUNS);
+            assertViolated(SchedulerInvariant.REJECTED_JOB_NEVER_RUNS);
         }
     }
 
     @Nested
-    class Answers {
+    class Responses {
         @Test
-        void thatShowAnUnfinishedJobAsDoneAreFound() {
-            mWatch.checkReportedState(JOB, JobState.DONE, 1);
-            assertBroken(SchedulerInvariant.REPORTED_DONE_IS_DONE);
+        void thatShowUnfinishedJobAsDoneAreReported() {
+            mChecker.checkReportedState(JOB, JobState.DONE, 1);
+            assertViolated(SchedulerInvariant.REPORTED_DONE_IS_DONE);
         }
 
         @Test
-        void thatDoNotKnowAnAcceptedJobAreFound() {
-            mWatch.recordResponse(JOB, JobResponseKind.ACCEPTED);
-            mWatch.checkUnknownJob(JOB, 1);
-            assertBroken(SchedulerInvariant.ACCEPTED_JOB_NOT_LOST);
+        void withoutAnAcceptedJobAreReported() {
+            mChecker.recordResponse(JOB, JobResponseKind.ACCEPTED);
+            mChecker.checkUnknownJob(JOB, 1);
+            assertViolated(SchedulerInvariant.ACCEPTED_JOB_NOT_LOST);
         }
     }
 
     @Nested
-    class Waves {
+    class MaintenanceWaves {
         @Test
-        void beyondTheirCapAreFound() {
-            mWatch.checkHostsOutOfService(3, 2, 1);
-            assertBroken(SchedulerInvariant.WAVE_HOST_LIMIT);
+        void beyondTheirHostLimitAreReported() {
+            mChecker.checkHostsOutOfService(3, 2, 1);
+            assertViolated(SchedulerInvariant.WAVE_HOST_LIMIT);
         }
 
         @Test
-        void orderedByTwoEntriesInTurnAreFound() {
-            mWatch.recordHostOrder("h", "n0", 1_000);
-            mWatch.recordHostOrder("h", "n0", 1_500);
-            mWatch.recordHostOrder("h", "n1", 4_600);
-            assertThat(mWatch.violations()).isEmpty();
-            mWatch.recordHostOrder("h", "n0", 5_000);
-            assertBroken(SchedulerInvariant.ONE_COORDINATOR_PER_HOST);
+        void orderedByTwoEntriesWithinOneLeaseAreReported() {
+            mChecker.recordHostOrder("h", "n0", 1_000);
+            mChecker.recordHostOrder("h", "n0", 1_500);
+            mChecker.recordHostOrder("h", "n1", 4_600);
+            assertThat(mChecker.violations()).isEmpty();
+            mChecker.recordHostOrder("h", "n0", 5_000);
+            assertViolated(SchedulerInvariant.ONE_COORDINATOR_PER_HOST);
         }
     }
 }
