--- a/standin/src/test/java/org/hibiscususher/standin/request/RequestLifecycleTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/request/RequestLifecycleTest.java
@@ -149,7 +149,7 @@
     @Nested
     class Retries {
         @ParameterizedTest
-        @EnumSource(names = {"UNREACHABLE", "CLOSING", "FAILING"})
+        @EnumSource(names = {"UNREACHABLE", "DECLINING", "BROKEN_CONNECTION"})
         void completeIdempotentRequestsOfFaultyHost(TargetFault fault) {
             mSite.target("h1").setFault(fault);
             List<VirtualRequest> requests = new ArrayList<>();
