Keep a task with an unanswered start on its executor, and repeat its stop sooner

Cause: an order to start that got no answer may reach the executor's next incarnation, which knows neither fence nor stop. The task had been started on another executor meanwhile, so it ran twice; or it was done and ran again, since the order to stop was repeated each 150 ms only and was late itself.

Change: while the executor answers heartbeats, the task starts only there, where it has one run at a time; a restarted executor is told to stop the run each 40 ms until it answers.

--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/RunOrderSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/RunOrderSystem.java
@@ -25,6 +25,13 @@
     /** Delay before a failed stop order is repeated, in milliseconds. */
     private static final long STOP_RETRY_MS = 150;
 
+    /**
+     * Interval at which a restarted executor is told to stop the run of a late start order, until it
+     * answers, in milliseconds. Any of these orders may be late too, and the run starts if it
+     * arrives before the first of them.
+     */
+    private static final long LATE_START_STOP_INTERVAL_MS = 40;
+
     /** Time without new runs after an executor rejected a run that did not fit, in milliseconds. */
     private static final long NO_ROOM_QUARANTINE_MS = 150;
 
@@ -127,7 +134,8 @@
         for (UncertainStartRow row : tick.world().uncertainStarts().rows()) {
             if (tick.nowMs() - row.detectedMs() > MAX_START_DELAY_MS) {
                 tick.world().uncertainStarts().remove(row.key());
-            } else if (row.cancelPending() && tick.nowMs() - row.cancelSentMs() > STOP_RETRY_MS) {
+            } else if (row.cancelPending()
+                    && tick.nowMs() - row.cancelSentMs() >= LATE_START_STOP_INTERVAL_MS) {
                 tick.world().uncertainStarts().put(row.key(), row.withCancelSent(tick.nowMs()));
                 RunLifecycle.requestStopOfUnknownRun(
                         tick, row.executor(), row.key().task(), row.key().run());
--- a/core/src/main/java/org/hibiscususher/core/scheduler/placement/ExecutorSelector.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/placement/ExecutorSelector.java
@@ -50,9 +50,15 @@
         return Optional.ofNullable(best);
     }
 
-    /** Returns whether label, placement token and the limit per executor permit a run. */
+    /**
+     * Returns whether label, placement token, the limit per executor and an unanswered start order
+     * of the task permit a run.
+     */
     private static boolean isAllowed(
             SchedulerTick tick, ExecutorRow row, TaskRow task, StepSpec spec) {
+        if (!UncertainStarts.mayStartOn(tick.world(), task.key(), row.id())) {
+            return false;
+        }
         String label = spec.requiredLabel();
         if (!label.isEmpty() && !row.report().labels().contains(label)) {
             return false;
--- a/standin/src/test/java/org/hibiscususher/standin/scheduler/SchedulerSiteTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/scheduler/SchedulerSiteTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Runs the scheduler of several entries in virtual time, without faults and with every fault and
@@ -229,6 +230,29 @@
         }
     }
 
+    @Nested
+    class LateOrders {
+        /**
+         * Guards against a start order that reaches the next incarnation of its executor before the
+         * order to stop it does, because that one is late as well. Each seed once let a task that
+         * was done start again.
+         */
+        @ParameterizedTest
+        @ValueSource(ints = {3, 6})
+        void startNothingOnARestartedExecutor(int seed) {
+            Random random = new Random(seed);
+            SchedulerSite site = SchedulerSite.create(4, 5, seed);
+            List<String> jobs = submitLoad(site, random);
+            int lateMs = 3_000 + random.nextInt(8_000);
+            site.schedule(lateMs, () -> SiteFault.ORDERS_LATE.inject(site, random));
+            site.schedule(
+                    lateMs + random.nextInt(4_000),
+                    () -> SiteFault.EXECUTOR_RESTARTED.inject(site, random));
+            site.run(LOAD_MS + DRAIN_MS);
+            assertAllEnded(site, jobs);
+        }
+    }
+
     @Nested
     class MaintenanceWaves {
         private static final int MAX_HOSTS_OUT = 2;
