Keep a failure within a tick from costing more than what was malformed

Change: each system, and within the systems each input, is attempted on its own; a failure is logged (part-failed) and counted. A request whose handling fails is answered that its outcome is unknown. A stored job whose steps contradict each other is left out with a log line.

--- a/core/src/main/java/org/hibiscususher/core/scheduler/control/Scheduler.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/control/Scheduler.java
@@ -30,7 +30,8 @@
     }
 
     /**
-     * Runs every system once.
+     * Runs every system once. One that fails doesn't keep the others from running, and the outputs
+     * up to its failure stand.
      *
      * @param nowMs milliseconds of a steady clock; never decreases
      * @param wallMs milliseconds since the epoch
@@ -41,7 +42,7 @@
         SchedulerTick tick =
                 new SchedulerTick(mWorld, nowMs, wallMs, inputs, mCallId::incrementAndGet);
         for (SchedulerPhase phase : SchedulerPhase.values()) {
-            phase.run(tick);
+            tick.attempt(phase.name(), () -> phase.run(tick));
         }
         return tick.outputs();
     }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/ExecutorSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/ExecutorSystem.java
@@ -62,24 +62,26 @@
                 && !tick.world().term().get().stage().isOwner()) {
             return;
         }
-        for (SchedulerInput input : tick.inputs()) {
-            if (input instanceof ExecutorsListed listed) {
-                applyRegistrations(tick, listed.reports());
-            } else if (input instanceof ExecutorUpdated seen) {
-                applyRegistration(tick, seen.report());
-            } else if (input instanceof ExecutorRemoved gone) {
-                markMissing(tick, gone.id());
-            } else if (input instanceof HeartbeatAnswered answered) {
-                applyHeartbeat(tick, answered);
-            } else if (input instanceof HeartbeatFailed failed) {
-                applyFailure(tick, failed);
-            }
-        }
+        tick.forEachInput(SchedulerInput.class, input -> apply(tick, input));
         for (ExecutorRow row : tick.world().executors().rows()) {
             expireLease(tick, row);
         }
     }
 
+    private static void apply(SchedulerTick tick, SchedulerInput input) {
+        if (input instanceof ExecutorsListed listed) {
+            applyRegistrations(tick, listed.reports());
+        } else if (input instanceof ExecutorUpdated seen) {
+            applyRegistration(tick, seen.report());
+        } else if (input instanceof ExecutorRemoved gone) {
+            markMissing(tick, gone.id());
+        } else if (input instanceof HeartbeatAnswered answered) {
+            applyHeartbeat(tick, answered);
+        } else if (input instanceof HeartbeatFailed failed) {
+            applyFailure(tick, failed);
+        }
+    }
+
     /** Applies the complete list of registrations in the store. */
     private static void applyRegistrations(SchedulerTick tick, List<ExecutorReport> reports) {
         Set<String> ids = new HashSet<>();
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/RunOrderSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/RunOrderSystem.java
@@ -26,8 +26,8 @@
     private static final long STOP_RETRY_MS = 150;
 
     /**
-     * Interval at which a restarted executor is told to stop the run of a late start order, until it
-     * answers, in milliseconds. Any of these orders may be late too, and the run starts if it
+     * Interval at which a restarted executor is told to stop the run of a late start order, until
+     * it answers, in milliseconds. Any of these orders may be late too, and the run starts if it
      * arrives before the first of them.
      */
     private static final long LATE_START_STOP_INTERVAL_MS = 40;
@@ -54,28 +54,32 @@
         if (!tick.world().term().get().isScheduling()) {
             return;
         }
-        for (StartCallCompleted answer : tick.inputs(StartCallCompleted.class)) {
-            RunRow run = tick.world().runs().find(answer.task()).orElse(null);
-            if (run != null && run.run() == answer.run() && run.callId() == answer.callId()) {
-                applyStartResult(tick, run, answer.result());
-            }
-        }
-        for (StopCallCompleted answer : tick.inputs(StopCallCompleted.class)) {
-            if (answer.result() != StopResult.NO_ANSWER) {
-                StartKey key = new StartKey(answer.task(), answer.run());
-                tick.world().uncertainStarts().update(key, r -> r.withCancelPending(false));
-            }
-            RunRow run = tick.world().runs().find(answer.task()).orElse(null);
-            if (run != null && run.run() == answer.run() && run.callId() == answer.callId()) {
-                applyStopResult(tick, run, answer.result());
-            }
-        }
+        tick.forEachInput(StartCallCompleted.class, answer -> applyStartAnswer(tick, answer));
+        tick.forEachInput(StopCallCompleted.class, answer -> applyStopAnswer(tick, answer));
         if (Authority.mayOrderExecutors(tick)) {
             repeatStops(tick);
             stopUncertainStarts(tick);
         }
     }
 
+    private static void applyStartAnswer(SchedulerTick tick, StartCallCompleted answer) {
+        RunRow run = tick.world().runs().find(answer.task()).orElse(null);
+        if (run != null && run.run() == answer.run() && run.callId() == answer.callId()) {
+            applyStartResult(tick, run, answer.result());
+        }
+    }
+
+    private static void applyStopAnswer(SchedulerTick tick, StopCallCompleted answer) {
+        if (answer.result() != StopResult.NO_ANSWER) {
+            StartKey key = new StartKey(answer.task(), answer.run());
+            tick.world().uncertainStarts().update(key, r -> r.withCancelPending(false));
+        }
+        RunRow run = tick.world().runs().find(answer.task()).orElse(null);
+        if (run != null && run.run() == answer.run() && run.callId() == answer.callId()) {
+            applyStopResult(tick, run, answer.result());
+        }
+    }
+
     private static void applyStartResult(SchedulerTick tick, RunRow run, StartResult result) {
         SchedulerWorld world = tick.world();
         if (result != StartResult.STARTED) {
--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/WaveSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/WaveSystem.java
@@ -28,9 +28,7 @@
     /** Applies the results of orders, then advances the waves and all operations on hosts. */
     public static void run(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
-        for (HostOrderCompleted answer : tick.inputs(HostOrderCompleted.class)) {
-            HostOperations.handleOrderResult(tick, answer);
-        }
+        tick.forEachInput(HostOrderCompleted.class, a -> HostOperations.handleOrderResult(tick, a));
         if (world.hostList().get().listedMs() == 0 || !Authority.mayOrderHosts(tick)) {
             return;
         }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/JobRequestSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/JobRequestSystem.java
@@ -50,26 +50,36 @@
         for (PendingRequestRow pending : tick.world().pendingRequests().rows()) {
             if (pending.stage() == PendingRequestStage.AWAITING_OWNER) {
                 tick.world().pendingRequests().remove(pending.callId());
-                route(tick, pending);
+                routeOrAnswer(tick, pending);
             }
         }
         for (RequestReceived received : tick.inputs(RequestReceived.class)) {
-            route(
+            routeOrAnswer(
                     tick,
                     PendingRequestRow.received(
                             received.callId(), received.request(), tick.nowMs()));
         }
-        for (ForwardAnswered answered : tick.inputs(ForwardAnswered.class)) {
-            takeForwarded(tick, answered.callId())
-                    .ifPresent(pending -> passOn(tick, pending, answered.response()));
-        }
-        for (ForwardFailed failed : tick.inputs(ForwardFailed.class)) {
-            takeForwarded(tick, failed.callId())
-                    .ifPresent(pending -> routeAgain(tick, pending, failed));
-        }
+        tick.forEachInput(
+                ForwardAnswered.class,
+                answered ->
+                        takeForwarded(tick, answered.callId())
+                                .ifPresent(pending -> passOn(tick, pending, answered.response())));
+        tick.forEachInput(
+                ForwardFailed.class,
+                failed ->
+                        takeForwarded(tick, failed.callId())
+                                .ifPresent(pending -> routeAgain(tick, pending, failed)));
         answerOverdueForwards(tick);
     }
 
+    /** Routes a request; one whose handling fails is answered that its outcome is unknown. */
+    private static void routeOrAnswer(SchedulerTick tick, PendingRequestRow pending) {
+        if (!tick.attempt("request", () -> route(tick, pending))) {
+            tick.world().pendingRequests().remove(pending.callId());
+            JobRequestRejection.reject(tick, pending, JobResponseKind.UNKNOWN, "internal-error");
+        }
+    }
+
     /** Removes and returns the row of a forwarded request; empty if it was answered already. */
     private static Optional<PendingRequestRow> takeForwarded(SchedulerTick tick, long callId) {
         Optional<PendingRequestRow> forwarded =
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/CommitSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/CommitSystem.java
@@ -55,19 +55,21 @@
 
     /** Applies the store's answer to the commit in flight, then answers overdue requests. */
     public static void handleResults(SchedulerTick tick) {
-        for (SchedulerInput input : tick.inputs()) {
-            long awaited = tick.world().commit().get().map(CommitRow::callId).orElse(0L);
-            if (input instanceof Committed committed && committed.callId() == awaited) {
-                applyCommitted(tick, committed.revision(), Map.of());
-            } else if (input instanceof CommitConflict conflict && conflict.callId() == awaited) {
-                applyConflict(tick, conflict.current());
-            } else if (input instanceof CommitFailed failed && failed.callId() == awaited) {
-                applyFailure(tick, failed);
-            }
-        }
+        tick.forEachInput(SchedulerInput.class, input -> apply(tick, input));
         answerOverdueRequests(tick);
     }
 
+    private static void apply(SchedulerTick tick, SchedulerInput input) {
+        long awaited = tick.world().commit().get().map(CommitRow::callId).orElse(0L);
+        if (input instanceof Committed committed && committed.callId() == awaited) {
+            applyCommitted(tick, committed.revision(), Map.of());
+        } else if (input instanceof CommitConflict conflict && conflict.callId() == awaited) {
+            applyConflict(tick, conflict.current());
+        } else if (input instanceof CommitFailed failed && failed.callId() == awaited) {
+            applyFailure(tick, failed);
+        }
+    }
+
     /** Sends the next commit, or repeats the one in flight if that is due. */
     public static void send(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/Takeover.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/Takeover.java
@@ -55,17 +55,20 @@
         }
         for (LoadedRecord loaded : records) {
             if (loaded.record().orElse(null) instanceof StoredRecord.Job job) {
-                world.jobs().put(job.id(), toRow(tick, job));
+                restoreJob(tick, job);
             }
         }
         // Progress records need the rows of their jobs, which the loop above has added.
         for (LoadedRecord loaded : records) {
-            loaded.record().ifPresent(record -> restoreRecord(tick, record));
+            String part = "restore-" + loaded.name().kind();
+            loaded.record().ifPresent(r -> tick.attempt(part, () -> restoreRecord(tick, r)));
         }
         TermRow term = world.term().get();
         world.term().set(term.withCall(TermStage.OWNING, 0, 0));
         for (JobRow job : world.jobs().rows()) {
-            JobLifecycle.activateDueOccurrences(tick, job.id());
+            tick.attempt(
+                    "restore-occurrences",
+                    () -> JobLifecycle.activateDueOccurrences(tick, job.id()));
         }
         world.ownershipClaim()
                 .get()
@@ -83,6 +86,17 @@
                         + (tick.nowMs() - term.startedAtMs()));
     }
 
+    /** Adds the row of a job, unless its steps contradict each other: no task of it could start. */
+    private static void restoreJob(SchedulerTick tick, StoredRecord.Job job) {
+        String error = job.spec().validationError();
+        if (error.isEmpty()) {
+            tick.world().jobs().put(job.id(), toRow(tick, job));
+        } else {
+            tick.log("record-invalid", "job=" + job.id() + " cause=\"" + error + "\"");
+            tick.count("record-invalid");
+        }
+    }
+
     /**
      * Marks as certain all tasks that the earlier owner did not report as unsettled on its release.
      *
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/TermSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/TermSystem.java
@@ -73,9 +73,7 @@
     /** Applies the inputs that concern the ownership, then sends the calls that are due. */
     public static void run(SchedulerTick tick) {
         detectSuspension(tick);
-        for (SchedulerInput input : tick.inputs()) {
-            apply(tick, input);
-        }
+        tick.forEachInput(SchedulerInput.class, input -> apply(tick, input));
         advance(tick);
     }
 
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerTick.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerTick.java
@@ -4,6 +4,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.hibiscususher.core.scheduler.message.SchedulerInput;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput;
@@ -69,6 +70,37 @@
         return found;
     }
 
+    /**
+     * Applies a handler to the inputs of one type, in order. An input whose handling fails is lost;
+     * those behind it are handled.
+     */
+    public <T extends SchedulerInput> void forEachInput(
+            Class<T> type, Consumer<? super T> handler) {
+        for (T input : inputs(type)) {
+            attempt(input.getClass().getSimpleName(), () -> handler.accept(input));
+        }
+    }
+
+    /**
+     * Runs a part of the tick. Its failure is logged and counted, and the tick continues, so that
+     * one malformed row or input can't stop the scheduler.
+     *
+     * @param part name of the part, for the log
+     * @return whether it succeeded
+     */
+    public boolean attempt(String part, Runnable action) {
+        try {
+            action.run();
+            return true;
+        } catch (RuntimeException e) {
+            StackTraceElement[] trace = e.getStackTrace();
+            String place = trace.length == 0 ? "unknown" : trace[0].toString();
+            log("part-failed", "part=" + part + " cause=\"" + e + "\" at=" + place);
+            count("part-failed." + part);
+            return false;
+        }
+    }
+
     /** Returns all inputs, in order. */
     public List<SchedulerInput> inputs() {
         return mInputs;
