Share a full pool by the teams' weights, and reject what would end too late

Cause: nothing read a team's weight, so a team with ten times its usual delayed all others; and a job was accepted if all waiting work of the pool would end within 15 s, whatever its own deadline, whichever jobs start before it, and as if services left the whole pool to it.

A job is rejected at once if what starts before it, divided by what services leave of the pool and of the hosts on their way, takes longer than three times the job's objective. The owner logs the demand of each pool once a second.

--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/HostMoveSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/HostMoveSystem.java
@@ -36,6 +36,9 @@
     /** Time between two rounds of moves, in milliseconds. */
     private static final long INTERVAL_MS = 50;
 
+    /** Time between two log lines on the demand of a pool, in milliseconds. */
+    private static final long LOG_INTERVAL_MS = 1_000;
+
     /** Part of all hosts that may be moving at a time, in percent. */
     private static final int MAX_MOVING_PERCENT = 60;
 
@@ -64,6 +67,7 @@
         Map<String, PoolDemand> demands = demands(tick, hostCpuMillis);
         MovableHosts movable =
                 MovableHosts.select(tick, demands, SURPLUS_RESERVE_PERCENT, hostCpuMillis);
+        logDemands(tick, demands);
         for (PoolDemand demand : demands.values()) {
             int missing = demand.missingHosts(DEMAND_RESERVE_PERCENT, hostCpuMillis);
             while (missing > 0 && moving < maxMoving) {
@@ -79,6 +83,16 @@
         returnToSparePool(tick, movable);
     }
 
+    /**
+     * Logs the demand of each pool from time to time, so that the wait of a job can be explained.
+     */
+    private static void logDemands(SchedulerTick tick, Map<String, PoolDemand> demands) {
+        long periodMs = tick.nowMs() % LOG_INTERVAL_MS;
+        if (periodMs < INTERVAL_MS) {
+            demands.values().forEach(demand -> tick.log("pool-demand", demand.describe()));
+        }
+    }
+
     /** Returns the average processor capacity of a host, in thousandths of a core. */
     private static long hostCpuMillis(SchedulerWorld world) {
         return (long)
--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/PoolDemand.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/PoolDemand.java
@@ -29,6 +29,8 @@
         long offeredCpuMillis) {
     private static final int FULL_PERCENT = 100;
 
+    private static final int MILLIS_PER_CORE = 1_000;
+
     /** Maximum number of hosts that a round of moves adds for stuck tasks. */
     private static final int MAX_HOSTS_FOR_STUCK = 2;
 
@@ -80,4 +82,24 @@
         int minHosts = Math.max(keptHosts, spreadHosts);
         return stuckTasks > 0 ? 0 : Math.max(0, hosts - Math.max(minHosts, neededHosts));
     }
+
+    /** Returns the fields of a log line, with processor capacity in cores. */
+    String describe() {
+        return "pool="
+                + pool
+                + " hosts="
+                + hosts
+                + " cores="
+                + capacityCpuMillis / MILLIS_PER_CORE
+                + " used="
+                + usedCpuMillis / MILLIS_PER_CORE
+                + " services="
+                + serviceCpuMillis / MILLIS_PER_CORE
+                + " waiting="
+                + waitingCpuMillis / MILLIS_PER_CORE
+                + " offered="
+                + offeredCpuMillis / MILLIS_PER_CORE
+                + " stuck="
+                + stuckTasks;
+    }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/BacklogLimit.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/BacklogLimit.java
@@ -1,60 +1,138 @@
 package org.hibiscususher.core.scheduler.job;
 
+import java.util.HashMap;
+import java.util.Map;
 import org.hibiscususher.core.job.StepSpec;
+import org.hibiscususher.core.scheduler.placement.StartPriority;
+import org.hibiscususher.core.scheduler.placement.TeamShares;
 import org.hibiscususher.core.scheduler.world.ExecutorRow;
+import org.hibiscususher.core.scheduler.world.HostOperationRow;
+import org.hibiscususher.core.scheduler.world.JobRow;
+import org.hibiscususher.core.scheduler.world.RunRow;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
 import org.hibiscususher.core.scheduler.world.TaskGroup;
 import org.hibiscususher.core.scheduler.world.TaskRow;
 import org.hibiscususher.core.scheduler.world.TaskState;
 
 /**
- * Rejects new jobs of a pool whose backlog is too long.
+ * Rejects a new job that would end too late to be of use.
  *
- * <p>Guards against demand beyond the capacity of all hosts, under which jobs would wait longer and
- * longer. The expected wait of a new job is the estimated work of the waiting tasks divided by the
- * processor capacity of the pool. Rejected callers are told to retry when the backlog should have
- * shrunk, with a jitter so that they don't all return at the same time.
+ * <p>Answers demand beyond the capacity of all hosts, under which jobs would wait longer and
+ * longer. The expected wait is the estimated work of the waiting tasks that start before the job's,
+ * divided by the processor capacity that services leave in the pool, with the hosts on their way to
+ * it. So a team that floods a pool is rejected sooner than the others, whose jobs start before its
+ * own. Rejected callers are told to retry when the backlog should have shrunk, with a jitter so
+ * that they don't all return at the same time.
  */
 final class BacklogLimit {
     /** Longest expected wait with which jobs are accepted, in milliseconds. */
     private static final long MAX_WAIT_MS = 15_000;
 
+    /** Multiple of its objective after which the result of a job is of no use. */
+    private static final int USEFUL_OBJECTIVES = 3;
+
     private static final long MAX_RETRY_AFTER_MS = 10_000;
     private static final long MIN_RETRY_AFTER_MS = 1_000;
 
     /** Range of the jitter that is added to the retry time, in milliseconds. */
     private static final int RETRY_JITTER_MS = 2_000;
 
+    /** Part of a pool's capacity that short jobs get in the long run at least, in percent. */
+    private static final int MIN_AVAILABLE_PERCENT = 10;
+
     private BacklogLimit() {}
 
     /**
      * Returns after how many milliseconds the caller of a job should retry, or 0 if the job is
      * accepted. Service tasks don't count towards the backlog, since they have no end.
+     *
+     * @param nowMs the time on the steady clock
      */
-    static long retryAfterMs(SchedulerWorld world, String pool, String job) {
-        long cpuMillis = 0;
+    static long retryAfterMs(SchedulerWorld world, JobRow job, long nowMs) {
+        String pool = job.policy().pool();
+        long cpuMillis = availableCpuMillis(world, pool);
+        if (cpuMillis == 0 || job.spec().isService()) {
+            return 0;
+        }
+        TeamShares shares = TeamShares.of(world, pool);
+        StartPriority priority = StartPriority.of(world, job, shares, nowMs);
+        long waitMs = workAhead(world, pool, priority, shares, nowMs) / cpuMillis;
+        return retryAfterMs(waitMs, maxWaitMs(job), job.id().hashCode());
+    }
+
+    /** Returns the processor capacity of a pool without services, in thousandths of a core. */
+    private static long availableCpuMillis(SchedulerWorld world, String pool) {
+        long capacityMillis = 0;
+        long serviceMillis = 0;
+        int executors = 0;
         for (ExecutorRow row : world.executors().group(pool)) {
-            cpuMillis += row.report().capacity().cpuMillis();
+            capacityMillis += row.report().capacity().cpuMillis();
+            executors++;
+            for (RunRow run : world.runs().group(row.id())) {
+                serviceMillis += isService(world, run) ? run.reserved().cpuMillis() : 0;
+            }
+        }
+        long perHostMillis = capacityMillis / Math.max(1, executors);
+        for (HostOperationRow row : world.hostOperations().rows()) {
+            capacityMillis += row.destinationPool().equals(pool) ? perHostMillis : 0;
         }
+        return Math.max(
+                capacityMillis - serviceMillis, capacityMillis * MIN_AVAILABLE_PERCENT / 100);
+    }
+
+    private static boolean isService(SchedulerWorld world, RunRow run) {
+        return JobLifecycle.findSpec(world, run.task().stepKey())
+                .filter(StepSpec::service)
+                .isPresent();
+    }
+
+    /**
+     * Returns the estimated work of the waiting tasks that start before a new job, in thousandths
+     * of a core times milliseconds.
+     */
+    private static long workAhead(
+            SchedulerWorld world,
+            String pool,
+            StartPriority priority,
+            TeamShares shares,
+            long nowMs) {
+        Map<String, Boolean> ahead = new HashMap<>();
         long workMillis = 0;
         for (TaskRow task : world.tasks().group(new TaskGroup(pool, TaskState.WAITING))) {
-            StepSpec spec = JobLifecycle.findSpec(world, task.key().stepKey()).orElseThrow();
-            workMillis += spec.service() ? 0 : spec.reserved().cpuMillis() * spec.estimateMs();
+            JobRow job = world.jobs().find(task.key().jobId()).orElseThrow();
+            boolean isAhead =
+                    ahead.computeIfAbsent(
+                            job.id(),
+                            id ->
+                                    StartPriority.of(world, job, shares, nowMs).compareTo(priority)
+                                            <= 0);
+            StepSpec spec = job.spec().steps().get(task.key().stepKey().step());
+            if (isAhead && !spec.service()) {
+                workMillis += spec.reserved().cpuMillis() * spec.estimateMs();
+            }
         }
-        return cpuMillis == 0 ? 0 : retryAfterMs(workMillis / cpuMillis, job.hashCode());
+        return workMillis;
+    }
+
+    /** Returns the longest wait after which a job still ends in time to be of use. */
+    private static long maxWaitMs(JobRow job) {
+        long criticalPathMs = job.spec().criticalPathMs();
+        long usefulMs = USEFUL_OBJECTIVES * job.policy().objectiveFor(criticalPathMs);
+        return Math.max(0, Math.min(MAX_WAIT_MS, usefulMs - criticalPathMs));
     }
 
     /**
      * Returns after how many milliseconds a caller should retry, or 0 if its job is accepted.
      *
      * @param waitMs expected wait of a new job, in milliseconds
+     * @param maxWaitMs longest wait with which it is accepted, in milliseconds
      * @param jitterSeed decides the jitter; should differ between callers
      */
-    static long retryAfterMs(long waitMs, int jitterSeed) {
-        if (waitMs <= MAX_WAIT_MS) {
+    static long retryAfterMs(long waitMs, long maxWaitMs, int jitterSeed) {
+        if (waitMs <= maxWaitMs) {
             return 0;
         }
-        long afterMs = Math.max(MIN_RETRY_AFTER_MS, waitMs - MAX_WAIT_MS);
+        long afterMs = Math.max(MIN_RETRY_AFTER_MS, waitMs - maxWaitMs);
         return Math.min(MAX_RETRY_AFTER_MS, afterMs) + Math.floorMod(jitterSeed, RETRY_JITTER_MS);
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/JobRequestDecision.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/JobRequestDecision.java
@@ -133,18 +133,21 @@
             }
             return;
         }
-        long retryAfterMs = BacklogLimit.retryAfterMs(world, queue.policy().pool(), id);
         JobSpec spec = pending.request().spec().orElse(JobSpec.once("", List.of()));
         Optional<String> problem = JobValidation.findProblem(world, queue, spec, id);
         if (problem.isPresent()) {
             JobRequestRejection.reject(tick, pending, JobResponseKind.INVALID, problem.get());
-        } else if (retryAfterMs > 0 && !spec.isService()) {
+            return;
+        }
+        JobRow job = newJob(tick, queue, team, spec, id);
+        long retryAfterMs = BacklogLimit.retryAfterMs(world, job, tick.nowMs());
+        if (retryAfterMs > 0) {
             JobRequestRejection.reject(
                     tick, pending, JobResponseKind.OVERLOADED, "backlog", retryAfterMs);
         } else if (isStoreUnreachable(tick)) {
             JobRequestRejection.reject(tick, pending, JobResponseKind.UNAVAILABLE, "store-away");
         } else {
-            world.jobs().put(id, newJob(tick, queue, team, spec, id));
+            world.jobs().put(id, job);
             awaitStore(tick, pending, id);
         }
     }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/placement/PlacementSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/placement/PlacementSystem.java
@@ -92,6 +92,7 @@
         if (capacity.isEmpty()) {
             return;
         }
+        TeamShares shares = TeamShares.of(world, group.pool());
         Map<StartPriority, List<TaskRow>> waiting = new TreeMap<>();
         Map<String, StartPriority> priorities = new HashMap<>();
         for (TaskRow task : world.tasks().group(group)) {
@@ -99,7 +100,7 @@
             if (job != null && !task.uncertain() && task.notBeforeMs() <= tick.nowMs()) {
                 StartPriority priority =
                         priorities.computeIfAbsent(
-                                job.id(), id -> StartPriority.of(world, job, tick.nowMs()));
+                                job.id(), id -> StartPriority.of(world, job, shares, tick.nowMs()));
                 waiting.computeIfAbsent(priority, p -> new ArrayList<>()).add(task);
             }
         }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/placement/StartPriority.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/placement/StartPriority.java
@@ -1,5 +1,7 @@
 package org.hibiscususher.core.scheduler.placement;
 
+import static java.lang.Boolean.compare;
+
 import org.hibiscususher.core.job.StepKey;
 import org.hibiscususher.core.job.StepSpec;
 import org.hibiscususher.core.scheduler.world.JobRow;
@@ -10,20 +12,23 @@
  * Decides the order in which the waiting tasks of a pool start; the least one starts first.
  *
  * <p>Services come first, then queues of higher priority. Within a priority, jobs that can still
- * meet their deadline come first, those with the least remaining work ahead, because this lets the
- * most jobs meet it when demand is several times the pool's capacity for some seconds. The other
- * jobs follow, oldest first, so that none of them starves.
+ * meet their deadline come first: those of teams within their share ahead of the others, and among
+ * them those with the least remaining work, because this lets the most jobs meet their deadline
+ * when demand is several times the pool's capacity for some seconds. The other jobs follow, oldest
+ * first, so that none of them starves.
  *
  * @param service whether the task runs until its job is cancelled
  * @param queuePriority priority of the job's queue; 0 comes first
  * @param canMeetDeadline whether the job can still finish by its deadline, going by its estimates
+ * @param overShare whether the job's team uses more than its share of the pool
  * @param remainingCoreMs estimated remaining work of the job, in core-milliseconds
  * @param arrivedMs when the job arrived, on the steady clock
  */
-record StartPriority(
+public record StartPriority(
         boolean service,
         int queuePriority,
         boolean canMeetDeadline,
+        boolean overShare,
         long remainingCoreMs,
         long arrivedMs)
         implements Comparable<StartPriority> {
@@ -31,9 +36,11 @@
      * Returns the priority of a job's tasks. For a scheduled job, the remaining work is that of its
      * first occurrence.
      *
+     * @param shares the teams' shares of the job's pool
      * @param nowMs the time on the steady clock
      */
-    static StartPriority of(SchedulerWorld world, JobRow job, long nowMs) {
+    public static StartPriority of(
+            SchedulerWorld world, JobRow job, TeamShares shares, long nowMs) {
         long remainingMs = 0;
         long remainingCoreMs = 0;
         for (int i = 0; i < job.spec().steps().size(); i++) {
@@ -43,22 +50,23 @@
             remainingCoreMs += step.workCoreMs() * remainingTasks / step.count();
             remainingMs += remainingTasks > 0 ? step.estimateMs() : 0;
         }
-        boolean canMeetDeadline = nowMs + remainingMs <= job.deadlineMs();
         return new StartPriority(
                 job.spec().isService(),
                 job.policy().priority(),
-                canMeetDeadline,
+                nowMs + remainingMs <= job.deadlineMs(),
+                shares.isOverShare(job.team()),
                 remainingCoreMs,
                 job.arrivedMs());
     }
 
     @Override
     public int compareTo(StartPriority other) {
-        int result = Boolean.compare(other.service, service);
+        int result = compare(other.service, service);
         result = result != 0 ? result : Integer.compare(queuePriority, other.queuePriority);
-        result = result != 0 ? result : Boolean.compare(other.canMeetDeadline, canMeetDeadline);
+        result = result != 0 ? result : compare(other.canMeetDeadline, canMeetDeadline);
         if (result == 0 && canMeetDeadline) {
-            result = Long.compare(remainingCoreMs, other.remainingCoreMs);
+            result = compare(overShare, other.overShare);
+            result = result != 0 ? result : Long.compare(remainingCoreMs, other.remainingCoreMs);
         }
         return result != 0 ? result : Long.compare(arrivedMs, other.arrivedMs);
     }
--- a/core/src/test/java/org/hibiscususher/core/scheduler/control/SchedulerTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/control/SchedulerTest.java
@@ -18,6 +18,7 @@
 import org.hibiscususher.core.job.Resources;
 import org.hibiscususher.core.job.StepKey;
 import org.hibiscususher.core.job.StepSpec;
+import org.hibiscususher.core.scheduler.SchedulerWorlds;
 import org.hibiscususher.core.scheduler.message.LoadedRecord;
 import org.hibiscususher.core.scheduler.message.SchedulerInput;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.ConfigurationUpdated;
@@ -69,8 +70,9 @@
         return mScheduler.tick(NOW_MS, NOW_MS, List.of(inputs));
     }
 
-    /** Adds a task without a job: a state that no system expects. */
+    /** Adds a task without a job to a pool in use: a state that no system expects. */
     private void addOrphan() {
+        SchedulerWorlds.addExecutor(mWorld, "x", "p", Resources.of(1_000, 1_000, 0), NOW_MS);
         StepKey step = new StepKey("lost", 0, 0);
         mWorld.tasks()
                 .put(
--- a/core/src/test/java/org/hibiscususher/core/scheduler/job/BacklogLimitTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/job/BacklogLimitTest.java
@@ -3,23 +3,41 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
+import org.hibiscususher.core.job.JobPolicy;
+import org.hibiscususher.core.job.JobSpec;
+import org.hibiscususher.core.job.JobState;
+import org.hibiscususher.core.job.Resources;
+import org.hibiscususher.core.job.StepKey;
+import org.hibiscususher.core.job.StepSpec;
+import org.hibiscususher.core.job.TaskKey;
+import org.hibiscususher.core.scheduler.SchedulerWorlds;
+import org.hibiscususher.core.scheduler.world.JobRow;
+import org.hibiscususher.core.scheduler.world.RunRow;
+import org.hibiscususher.core.scheduler.world.RunStage;
+import org.hibiscususher.core.scheduler.world.SchedulerWorld;
+import org.hibiscususher.core.scheduler.world.StopReason;
+import org.hibiscususher.core.scheduler.world.TaskRow;
+import org.hibiscususher.core.scheduler.world.TaskState;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
 class BacklogLimitTest {
+    private static final long MAX_WAIT_MS = 15_000;
+
     @Nested
     class RetryAfterMs {
         @Test
         void isZeroWhileExpectedWaitIsBelowLimit() {
-            assertThat(BacklogLimit.retryAfterMs(14_000, 5)).isZero();
+            assertThat(BacklogLimit.retryAfterMs(14_000, MAX_WAIT_MS, 5)).isZero();
         }
 
         @Test
         void growsWithBacklogWithinItsBounds() {
-            assertThat(BacklogLimit.retryAfterMs(20_000, 0)).isEqualTo(5_000);
-            assertThat(BacklogLimit.retryAfterMs(15_001, 0)).isEqualTo(1_000);
-            assertThat(BacklogLimit.retryAfterMs(90_000, 0)).isEqualTo(10_000);
+            assertThat(BacklogLimit.retryAfterMs(20_000, MAX_WAIT_MS, 0)).isEqualTo(5_000);
+            assertThat(BacklogLimit.retryAfterMs(15_001, MAX_WAIT_MS, 0)).isEqualTo(1_000);
+            assertThat(BacklogLimit.retryAfterMs(90_000, MAX_WAIT_MS, 0)).isEqualTo(10_000);
         }
     }
 
@@ -34,9 +52,142 @@
             for (int i = 0; i < 100; i++) {
                 times.add(
                         BacklogLimit.retryAfterMs(
-                                30_000, Integer.toHexString(i * 7919).hashCode()));
+                                30_000, MAX_WAIT_MS, Integer.toHexString(i * 7919).hashCode()));
             }
             assertThat(times.size()).isGreaterThan(50);
         }
     }
+
+    /**
+     * A pool whose waiting work takes ten seconds, most of it in one large job. Before, a job was
+     * accepted whenever all of that would have ended within 15 s, whatever its own deadline, and as
+     * if services left the whole pool to it.
+     */
+    @Nested
+    class FullPool {
+        private static final long NOW_MS = 50_000;
+        private static final long HOST_CPU_MILLIS = 10_000;
+
+        private final SchedulerWorld mWorld = SchedulerWorlds.ofOwner(NOW_MS);
+
+        FullPool() {
+            Resources host = Resources.of(HOST_CPU_MILLIS, 100_000, 0);
+            SchedulerWorlds.addExecutor(mWorld, "x", "p", host, NOW_MS);
+            addWaiting(job("large", "team", 90, 1_000, false));
+            addWaiting(job("small", "team", 10, 1_000, false));
+        }
+
+        private JobRow job(String id, String team, int tasks, long taskMs, boolean service) {
+            StepSpec step =
+                    new StepSpec(
+                            tasks,
+                            Resources.of(1_000, 1, 0),
+                            taskMs,
+                            List.of(),
+                            false,
+                            false,
+                            false,
+                            "",
+                            "",
+                            0,
+                            false,
+                            service,
+                            "",
+                            0,
+                            false,
+                            0);
+            JobSpec spec = JobSpec.once("x", List.of(step));
+            JobPolicy policy = new JobPolicy("q", "p", 0, 3, 1.6, 600, false);
+            return new JobRow(
+                    id,
+                    policy,
+                    team,
+                    spec,
+                    NOW_MS,
+                    NOW_MS,
+                    JobState.QUEUED,
+                    true,
+                    JobState.QUEUED,
+                    0,
+                    0,
+                    NOW_MS,
+                    1,
+                    false,
+                    0);
+        }
+
+        private void addWaiting(JobRow job) {
+            mWorld.jobs().put(job.id(), job);
+            StepKey step = new StepKey(job.id(), 0, 0);
+            int count = job.spec().steps().get(0).count();
+            for (int i = 0; i < count; i++) {
+                mWorld.tasks()
+                        .put(
+                                step.task(i),
+                                new TaskRow(
+                                        step.task(i),
+                                        "p",
+                                        TaskState.WAITING,
+                                        0,
+                                        Set.of(),
+                                        "",
+                                        NOW_MS,
+                                        0,
+                                        "",
+                                        false));
+            }
+        }
+
+        private boolean accepts(JobRow job) {
+            return BacklogLimit.retryAfterMs(mWorld, job, NOW_MS) == 0;
+        }
+
+        @Test
+        void acceptsAJobThatStartsBeforeMostOfWhatWaits() {
+            assertThat(accepts(job("new", "team", 20, 100, false))).isTrue();
+        }
+
+        @Test
+        void rejectsAJobThatWouldEndTooLateToBeOfUse() {
+            assertThat(accepts(job("new", "team", 950, 100, false))).isFalse();
+        }
+
+        @Test
+        void countsTheCapacityThatServicesHold() {
+            JobRow accepted = job("new", "team", 30, 400, false);
+            assertThat(accepts(accepted)).isTrue();
+            JobRow service = job("service", "team", 8, 0, true);
+            mWorld.jobs().put(service.id(), service);
+            for (int i = 0; i < 8; i++) {
+                TaskKey task = new StepKey("service", 0, 0).task(i);
+                Resources demand = Resources.of(1_000, 1, 0);
+                mWorld.runs()
+                        .put(
+                                task,
+                                new RunRow(
+                                        task,
+                                        1,
+                                        "x",
+                                        "team",
+                                        demand,
+                                        demand,
+                                        RunStage.RUNNING,
+                                        StopReason.NONE,
+                                        1,
+                                        NOW_MS,
+                                        NOW_MS,
+                                        "",
+                                        0,
+                                        -1,
+                                        100,
+                                        NOW_MS));
+            }
+            assertThat(accepts(accepted)).isFalse();
+        }
+
+        @Test
+        void acceptsServices() {
+            assertThat(accepts(job("new", "team", 950, 0, true))).isTrue();
+        }
+    }
 }
--- a/core/src/test/java/org/hibiscususher/core/scheduler/placement/StartPriorityTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/placement/StartPriorityTest.java
@@ -14,16 +14,16 @@
 
     private static StartPriority priority(
             boolean canMeetDeadline, long remainingCoreMs, long arrivedMs) {
-        return new StartPriority(false, 0, canMeetDeadline, remainingCoreMs, arrivedMs);
+        return new StartPriority(false, 0, canMeetDeadline, false, remainingCoreMs, arrivedMs);
     }
 
     @Nested
     class Comparison {
         @Test
         void putsServicesAndUrgentQueuesFirst() {
-            StartPriority service = new StartPriority(true, 0, true, 0, 9);
-            StartPriority urgent = new StartPriority(false, 0, false, 9, 9);
-            StartPriority other = new StartPriority(false, 1, true, 1, 1);
+            StartPriority service = new StartPriority(true, 0, true, false, 0, 9);
+            StartPriority urgent = new StartPriority(false, 0, false, false, 9, 9);
+            StartPriority other = new StartPriority(false, 1, true, false, 1, 1);
             assertThat(service).isLessThan(urgent);
             assertThat(urgent).isLessThan(other);
         }
