--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/HostMoveSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/HostMoveSystem.java
@@ -167,7 +167,8 @@
             capacityCpuMillis += row.report().capacity().cpuMillis();
             for (RunRow run : world.runs().group(row.id())) {
                 usedCpuMillis += run.reserved().cpuMillis();
-                serviceCpuMillis += isService(world, run) ? run.reserved().cpuMillis() : 0;
+                serviceCpuMillis +=
+                        JobLifecycle.isService(world, run) ? run.reserved().cpuMillis() : 0;
             }
         }
         for (HostOperationRow row : world.hostOperations().rows()) {
@@ -211,10 +212,4 @@
         }
         return spreadHosts;
     }
-
-    private static boolean isService(SchedulerWorld world, RunRow run) {
-        return JobLifecycle.findSpec(world, run.task().stepKey())
-                .filter(StepSpec::service)
-                .isPresent();
-    }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/BacklogLimit.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/BacklogLimit.java
@@ -69,7 +69,8 @@
             capacityMillis += row.report().capacity().cpuMillis();
             executors++;
             for (RunRow run : world.runs().group(row.id())) {
-                serviceMillis += isService(world, run) ? run.reserved().cpuMillis() : 0;
+                serviceMillis +=
+                        JobLifecycle.isService(world, run) ? run.reserved().cpuMillis() : 0;
             }
         }
         long perHostMillis = capacityMillis / Math.max(1, executors);
@@ -80,12 +81,6 @@
                 capacityMillis - serviceMillis, capacityMillis * MIN_AVAILABLE_PERCENT / 100);
     }
 
-    private static boolean isService(SchedulerWorld world, RunRow run) {
-        return JobLifecycle.findSpec(world, run.task().stepKey())
-                .filter(StepSpec::service)
-                .isPresent();
-    }
-
     /**
      * Returns the estimated work of the waiting tasks that start before a new job, in thousandths
      * of a core times milliseconds.
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/JobLifecycle.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/JobLifecycle.java
@@ -20,6 +20,7 @@
 import org.hibiscususher.core.scheduler.world.JobRow;
 import org.hibiscususher.core.scheduler.world.PendingRequestRow;
 import org.hibiscususher.core.scheduler.world.PendingRequestStage;
+import org.hibiscususher.core.scheduler.world.RunRow;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
 import org.hibiscususher.core.scheduler.world.StepRow;
@@ -330,6 +331,11 @@
         return found;
     }
 
+    /** Returns whether a run is one of a service, which runs until its job is cancelled. */
+    public static boolean isService(SchedulerWorld world, RunRow run) {
+        return findSpec(world, run.task().stepKey()).filter(StepSpec::service).isPresent();
+    }
+
     /** Returns the specification of a step; empty if its job is unknown or lacks the step. */
     public static Optional<StepSpec> findSpec(SchedulerWorld world, StepKey key) {
         return world.jobs()
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/JobRequestDecision.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/JobRequestDecision.java
@@ -145,7 +145,13 @@
             JobRequestRejection.reject(
                     tick, pending, JobResponseKind.OVERLOADED, "backlog", retryAfterMs);
         } else if (isStoreUnreachable(tick)) {
-            JobRequestRejection.reject(tick, pending, JobResponseKind.UNAVAILABLE, "store-away");
+            JobRequestRejection.reject(
+                    tick,
+                    pending,
+                    JobResponseKind.UNAVAILABLE,
+                    "store-away",
+                    OutageRetry.afterMs(
+                            tick.world().storeHealth().get(), tick.nowMs(), id.hashCode()));
         } else {
             world.jobs().put(id, job);
             awaitStore(tick, pending, id);
--- a/core/src/main/java/org/hibiscususher/core/scheduler/placement/TeamShares.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/placement/TeamShares.java
@@ -41,7 +41,7 @@
         Map<String, Long> usedCpuMillis = new HashMap<>();
         for (ExecutorRow executor : world.executors().group(pool)) {
             for (RunRow run : world.runs().group(executor.id())) {
-                if (!isService(world, run)) {
+                if (!JobLifecycle.isService(world, run)) {
                     usedCpuMillis.merge(run.team(), run.reserved().cpuMillis(), Long::sum);
                 }
             }
@@ -54,12 +54,6 @@
         return of(usedCpuMillis, world.configuration().get().configuration().teams());
     }
 
-    private static boolean isService(SchedulerWorld world, RunRow run) {
-        return JobLifecycle.findSpec(world, run.task().stepKey())
-                .filter(spec -> spec.service())
-                .isPresent();
-    }
-
     /**
      * Returns the shares of teams.
      *
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/CommitSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/CommitSystem.java
@@ -7,6 +7,7 @@
 import org.hibiscususher.core.job.JobRequestKind;
 import org.hibiscususher.core.job.JobResponse;
 import org.hibiscususher.core.job.JobResponseKind;
+import org.hibiscususher.core.scheduler.job.OutageRetry;
 import org.hibiscususher.core.scheduler.message.LoadedRecord;
 import org.hibiscususher.core.scheduler.message.RecordKind;
 import org.hibiscususher.core.scheduler.message.RecordName;
@@ -59,9 +60,6 @@
      */
     private static final long OVERLAP_DELAY_MS = 25;
 
-    /** When a rejected caller should try again, in milliseconds. */
-    private static final long RETRY_AFTER_MS = 1_000;
-
     private CommitSystem() {}
 
     /** Applies the store's answers to the commits in flight, then answers overdue requests. */
@@ -259,6 +257,9 @@
         tick.world().pendingRequests().remove(request.callId());
         tick.log("refused", "job=" + request.job() + " kind=" + kind + " reason=" + reason);
         tick.count("refused." + reason);
-        tick.emit(new Respond(request.callId(), JobResponse.refusal(kind, RETRY_AFTER_MS, reason)));
+        long afterMs =
+                OutageRetry.afterMs(
+                        tick.world().storeHealth().get(), tick.nowMs(), request.job().hashCode());
+        tick.emit(new Respond(request.callId(), JobResponse.refusal(kind, afterMs, reason)));
     }
 }
