--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/HostOperations.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/HostOperations.java
@@ -6,10 +6,12 @@
 import org.hibiscususher.core.scheduler.executor.RunLifecycle;
 import org.hibiscususher.core.scheduler.message.HostReport;
 import org.hibiscususher.core.scheduler.message.HostState;
+import org.hibiscususher.core.scheduler.message.OrderValidity;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.HostOrderCompleted;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.MaintainHost;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.MoveHost;
 import org.hibiscususher.core.scheduler.message.StoredRecord;
+import org.hibiscususher.core.scheduler.term.Authority;
 import org.hibiscususher.core.scheduler.world.HostOperationRow;
 import org.hibiscususher.core.scheduler.world.HostOperationStep;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
@@ -172,10 +174,11 @@
         world.hostOperations()
                 .put(row.host(), row.withStep(HostOperationStep.ORDERED, callId, tick.nowMs()));
         tick.log("host-order", describe(row) + " fence=" + fence);
+        OrderValidity validity = Authority.hostOrderValidity(tick);
         tick.emit(
                 row.destinationPool().isEmpty()
-                        ? new MaintainHost(callId, row.host(), row.wave(), fence)
-                        : new MoveHost(callId, row.host(), row.destinationPool(), fence));
+                        ? new MaintainHost(callId, row.host(), row.wave(), fence, validity)
+                        : new MoveHost(callId, row.host(), row.destinationPool(), fence, validity));
     }
 
     /** Returns whether the cap of the host's wave allows it to go out of service now. */
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/SchedulerOutput.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/SchedulerOutput.java
@@ -207,8 +207,10 @@
      * @param host host id
      * @param pool destination
      * @param fence fence of this owner
+     * @param validity until when the order may be sent
      */
-    record MoveHost(long callId, String host, String pool, long fence) implements SchedulerOutput {}
+    record MoveHost(long callId, String host, String pool, long fence, OrderValidity validity)
+            implements SchedulerOutput {}
 
     /**
      * Orders the platform to start the maintenance of a host.
@@ -217,8 +219,9 @@
      * @param host host id
      * @param wave number of the wave that the host belongs to
      * @param fence fence of this owner
+     * @param validity until when the order may be sent
      */
-    record MaintainHost(long callId, String host, long wave, long fence)
+    record MaintainHost(long callId, String host, long wave, long fence, OrderValidity validity)
             implements SchedulerOutput {}
 
     /**
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/Authority.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/Authority.java
@@ -1,5 +1,6 @@
 package org.hibiscususher.core.scheduler.term;
 
+import org.hibiscususher.core.scheduler.message.OrderValidity;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 import org.hibiscususher.core.scheduler.world.TermRow;
 import org.hibiscususher.core.scheduler.world.TermStage;
@@ -49,6 +50,12 @@
                 && tick.nowMs() < term.validUntilMs();
     }
 
+    /** Returns until when orders for hosts that are decided on in this tick may be sent. */
+    public static OrderValidity hostOrderValidity(SchedulerTick tick) {
+        long validUntilMs = tick.world().term().get().validUntilMs();
+        return new OrderValidity(validUntilMs, tick.wallMs() + validUntilMs - tick.nowMs());
+    }
+
     /** Returns whether the process answers callers' requests itself instead of forwarding them. */
     public static boolean mayDecideRequests(SchedulerTick tick) {
         TermRow term = tick.world().term().get();
