Test executors that fall silent around the end of their lease

Report of other operators: the running work of a machine that was only silent was started again elsewhere. For silences from 0.25 to 7 s and clocks 2% slow and fast no task runs twice, and a silence shorter than the lease costs no run.

--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/SchedulerSite.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/SchedulerSite.java
@@ -398,6 +398,11 @@
         mClock.after(forMs, () -> mExecutors.get(executor).setSilent(false));
     }
 
+    /** Sets the speed of an executor's clock, in thousandths of that of virtual time. */
+    public void setClockRate(String executor, long thousandths) {
+        mExecutors.get(executor).setClockRate(thousandths);
+    }
+
     /** Kills an executor and starts a new incarnation of it. */
     public void restartExecutor(String executor) {
         mExecutors.get(executor).restart();
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualExecutor.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualExecutor.java
@@ -54,6 +54,8 @@
     /** Longest time from now to which an order can extend the lease. */
     private static final long MAX_LEASE_MS = 6_000;
 
+    private static final long TRUE_CLOCK_RATE = 1_000;
+
     private final VirtualClock mClock;
     private final Random mRandom;
     private final InvariantChecker mInvariants;
@@ -72,6 +74,9 @@
     private ExecutorReport mReport;
     private long mStartedAtMs;
 
+    /** Speed of the executor's clock, in thousandths of that of virtual time. */
+    private long mClockRate = TRUE_CLOCK_RATE;
+
     /** Highest fence seen; orders with a lower one come from a former owner. */
     private long mFence;
 
@@ -166,7 +171,12 @@
      * Returns the time of the executor's own clock, in milliseconds since its incarnation began.
      */
     private long clockMs() {
-        return mClock.nowMs() - mStartedAtMs;
+        return (mClock.nowMs() - mStartedAtMs) * mClockRate / TRUE_CLOCK_RATE;
+    }
+
+    /** Sets the speed of the executor's clock, in thousandths of that of virtual time. */
+    void setClockRate(long thousandths) {
+        mClockRate = thousandths;
     }
 
     /**
@@ -279,7 +289,7 @@
             mLeaseDeadlineMs = newDeadlineMs;
             long startedAtMs = mStartedAtMs;
             mClock.after(
-                    newDeadlineMs - clockMs() + 1,
+                    (newDeadlineMs - clockMs() + 1) * TRUE_CLOCK_RATE / mClockRate + 1,
                     () -> {
                         if (startedAtMs == mStartedAtMs && clockMs() > mLeaseDeadlineMs) {
                             List.copyOf(mRunning.keySet())
--- a/standin/src/test/java/org/hibiscususher/standin/scheduler/SchedulerSiteTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/scheduler/SchedulerSiteTest.java
@@ -228,6 +228,47 @@
             assertThat(site.runCount()).isEqualTo(3);
             assertThat(site.invariants().violations()).isEmpty();
         }
+
+        /**
+         * An executor that is silent for any time around the end of its lease, by a clock that may
+         * be 2% slow or fast, has none of its tasks run a second time beside it.
+         *
+         * @param clockRate speed of its clock, in thousandths
+         */
+        @ParameterizedTest
+        @ValueSource(longs = {980, 1_000, 1_020})
+        void runNothingTwiceAroundTheEndOfTheirLease(long clockRate) {
+            for (long silentMs = 250; silentMs <= 7_000; silentMs += 250) {
+                SchedulerSite site = SchedulerSite.create(3, 4, silentMs);
+                site.setClockRate("x1", clockRate);
+                site.run(1_500);
+                List<String> jobs = new ArrayList<>();
+                for (int i = 0; i < 8; i++) {
+                    jobs.add(site.submit(JobSpecs.oneStep(4, 2_500)));
+                }
+                site.run(300);
+                site.silenceExecutor("x1", silentMs);
+                site.run(DRAIN_MS);
+                assertThat(site.invariants().violations()).as("silent " + silentMs).isEmpty();
+                assertAllEnded(site, jobs);
+            }
+        }
+
+        /** A pause in the reports that is shorter than the lease costs no run. */
+        @ParameterizedTest
+        @ValueSource(longs = {500, 1_000, 1_500, 2_000})
+        void keepTheirRunsWhileTheirLeaseLasts(long silentMs) {
+            SchedulerSite site = SchedulerSite.create(3, 4, 5);
+            site.run(1_500);
+            site.submit(JobSpecs.service(3));
+            site.run(2_500);
+            int runs = site.runCountOn("x1");
+            assertThat(runs).isPositive();
+            site.silenceExecutor("x1", silentMs);
+            site.run(silentMs + 1_000);
+            assertThat(site.runCountOn("x1")).isEqualTo(runs);
+            assertThat(site.logLines()).noneMatch(l -> l.contains("reason=lease-ended"));
+        }
     }
 
     @Nested
