--- a/core/src/test/java/org/hibiscususher/core/scheduler/control/SchedulerTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/control/SchedulerTest.java
@@ -199,4 +199,47 @@
             assertThat(mWorld.tasks().contains(new StepKey("sound", 0, 0).task(0))).isTrue();
         }
     }
+
+    /** A process that has just started, beside a store whose answers may be old. */
+    @Nested
+    class Restart {
+        private final Scheduler mRestarted =
+                Scheduler.create(
+                        new SchedulerSettings("n", 2, "n", List.of(), 0, SchedulerTiming.DEFAULT));
+
+        private JobResponseKind query(String key) {
+            JobRequest request =
+                    JobRequest.of(JobRequestKind.QUERY, "host", "/q/01", key, Optional.empty());
+            return responseKind(tickRestarted(new RequestReceived(1, request)));
+        }
+
+        private List<SchedulerOutput> tickRestarted(SchedulerInput input) {
+            return mRestarted.tick(NOW_MS, NOW_MS, List.of(input));
+        }
+
+        private ConfigurationUpdated configuration(long version, String... keys) {
+            return new ConfigurationUpdated(
+                    new JobConfiguration(
+                            version,
+                            List.of(new JobQueue("host", "/q/", false, POLICY)),
+                            List.of(new JobPool("p", true, false)),
+                            List.of(new JobTeam("t", 1, Resources.NONE, Set.of(keys)))),
+                    version);
+        }
+
+        @Test
+        void admitsNobodyBeforeItKnowsAConfiguration() {
+            mRestarted.world().term().set(term(TermStage.OWNING, 0));
+            assertThat(query("withdrawn")).isEqualTo(JobResponseKind.UNAVAILABLE);
+        }
+
+        @Test
+        void doesNotAdmitAWithdrawnKeyByAnOlderConfiguration() {
+            mRestarted.world().term().set(term(TermStage.OWNING, 0));
+            tickRestarted(configuration(8, "valid"));
+            tickRestarted(configuration(7, "valid", "withdrawn"));
+            assertThat(query("withdrawn")).isEqualTo(JobResponseKind.NO_KEY);
+            assertThat(query("valid")).isEqualTo(JobResponseKind.NO_JOB);
+        }
+    }
 }
--- a/standin/src/test/java/org/hibiscususher/standin/scheduler/SchedulerSiteTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/scheduler/SchedulerSiteTest.java
@@ -323,6 +323,31 @@
         }
     }
 
+    @Nested
+    class Restarts {
+        /** The stored list of executors in use still names one that left before the restart. */
+        @Test
+        void doNotBringBackAnExecutorThatHasLeft() {
+            SchedulerSite site = SchedulerSite.create(3, 4, 17);
+            site.run(1_500);
+            site.submit(JobSpecs.oneStep(8, 300));
+            site.run(1_000);
+            site.endExecutor("x1");
+            site.killAll(1_000);
+            site.run(2_500);
+            int linesBefore = site.logLines().size();
+            List<String> jobs = new ArrayList<>();
+            for (int i = 0; i < 10; i++) {
+                jobs.add(site.submit(JobSpecs.oneStep(8, 300)));
+            }
+            site.run(DRAIN_MS);
+            List<String> lines = site.logLines();
+            assertThat(lines.subList(linesBefore, lines.size()))
+                    .noneMatch(l -> l.contains("event=start ") && l.contains("executor=x1 "));
+            assertAllEnded(site, jobs);
+        }
+    }
+
     @Nested
     class MaintenanceWaves {
         private static final int MAX_HOSTS_OUT = 2;
