Let the load of a short time count only while it rises, and log what a backlog decided

Change: the 0.3 s average counts only while it is over twice the load before it. The decision on a backlog is a record, and its numbers are logged.

--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/OfferedLoad.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/OfferedLoad.java
@@ -10,19 +10,23 @@
  * The offered load of each pool: the processor capacity that keeps up with recently sent jobs.
  *
  * <p>Answers queues whose demand rises to several times its mean within a moment, by turns. The
- * load is averaged over a second; a pool with many jobs shows its rise sooner, by those of a
- * shorter time alone.
+ * load is averaged over a second. While it rises steeply in a pool with many jobs, those of a
+ * shorter time count alone, so that hosts begin to move at once; they don't otherwise, because
+ * their load fluctuates.
  */
 final class OfferedLoad {
     /** Time over which arriving work is averaged, in milliseconds. */
     private static final long WINDOW_MS = 1_000;
 
-    /** Time over which the work of many jobs is averaged, in milliseconds. */
+    /** Time over which the work is averaged while it rises, in milliseconds. */
     private static final long SHORT_WINDOW_MS = 300;
 
     /** Fewest jobs in the short window for which their mean size says enough. */
     private static final int MIN_JOBS = 8;
 
+    /** Factor between the load of the short window and the one before it from which it rises. */
+    private static final long RISE_FACTOR = 2;
+
     private static final long MS_PER_SECOND = 1_000;
 
     private OfferedLoad() {}
@@ -39,35 +43,48 @@
      * @param nowMs the time on the steady clock
      */
     static Map<String, Long> byPool(List<JobRow> jobs, long nowMs) {
-        Map<String, Long> work = new HashMap<>();
-        Map<String, Long> recentWork = new HashMap<>();
-        Map<String, Integer> recentJobs = new HashMap<>();
+        Map<String, Arrivals> arrivals = new HashMap<>();
         for (int i = jobs.size() - 1; i >= 0; i--) {
             JobRow job = jobs.get(i);
             long ageMs = nowMs - job.arrivedMs();
             if (ageMs > WINDOW_MS) {
                 break;
             }
-            String pool = job.policy().pool();
-            work.merge(pool, job.spec().workCoreMs(), Long::sum);
-            if (ageMs <= SHORT_WINDOW_MS) {
-                recentWork.merge(pool, job.spec().workCoreMs(), Long::sum);
-                recentJobs.merge(pool, 1, Integer::sum);
-            }
+            long coreMs = job.spec().workCoreMs();
+            boolean recent = ageMs <= SHORT_WINDOW_MS;
+            arrivals.merge(
+                    job.policy().pool(),
+                    recent ? new Arrivals(0, coreMs, 1) : new Arrivals(coreMs, 0, 0),
+                    Arrivals::plus);
         }
         Map<String, Long> load = new HashMap<>();
-        work.forEach((pool, coreMs) -> load.put(pool, cpuMillis(coreMs, WINDOW_MS)));
-        recentWork.forEach(
-                (pool, coreMs) -> {
-                    if (recentJobs.get(pool) >= MIN_JOBS) {
-                        load.merge(pool, cpuMillis(coreMs, SHORT_WINDOW_MS), Math::max);
-                    }
-                });
+        arrivals.forEach((pool, arrived) -> load.put(pool, arrived.cpuMillis()));
         return load;
     }
 
-    /** Returns the capacity that takes up work at the rate at which it arrived. */
-    private static long cpuMillis(long workCoreMs, long windowMs) {
-        return workCoreMs * MS_PER_SECOND / windowMs;
+    /**
+     * Work that arrived within the window.
+     *
+     * @param earlierCoreMs work that arrived before the short window, in core-milliseconds
+     * @param recentCoreMs work that arrived in the short window, in core-milliseconds
+     * @param recentJobs jobs that arrived in the short window
+     */
+    private record Arrivals(long earlierCoreMs, long recentCoreMs, int recentJobs) {
+        Arrivals plus(Arrivals other) {
+            return new Arrivals(
+                    earlierCoreMs + other.earlierCoreMs,
+                    recentCoreMs + other.recentCoreMs,
+                    recentJobs + other.recentJobs);
+        }
+
+        /** Returns the capacity that takes up the work at the rate at which it arrives. */
+        long cpuMillis() {
+            long recentMillis = recentCoreMs * MS_PER_SECOND / SHORT_WINDOW_MS;
+            long earlierMillis = earlierCoreMs * MS_PER_SECOND / (WINDOW_MS - SHORT_WINDOW_MS);
+            boolean rises = recentMillis > RISE_FACTOR * earlierMillis;
+            return rises && recentJobs >= MIN_JOBS
+                    ? recentMillis
+                    : (earlierCoreMs + recentCoreMs) * MS_PER_SECOND / WINDOW_MS;
+        }
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/BacklogLimit.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/BacklogLimit.java
@@ -43,21 +43,51 @@
     private BacklogLimit() {}
 
     /**
-     * Returns after how many milliseconds the caller of a job should retry, or 0 if the job is
-     * accepted. Service tasks don't count towards the backlog, since they have no end.
+     * Why a job is accepted or rejected.
+     *
+     * @param waitMs expected wait of the job, in milliseconds
+     * @param maxWaitMs longest wait with which it is accepted, in milliseconds
+     * @param overShare whether its team uses more than its share of the pool
+     */
+    record Decision(long waitMs, long maxWaitMs, boolean overShare) {
+        /** Accepts a job whatever the backlog. */
+        static final Decision ACCEPTED = new Decision(0, 0, false);
+
+        /** Returns whether the job is rejected. */
+        boolean rejects() {
+            return waitMs > maxWaitMs;
+        }
+
+        /**
+         * Returns after how many milliseconds the caller should retry, or 0 if the job is accepted.
+         *
+         * @param jitterSeed decides the jitter; should differ between callers
+         */
+        long retryAfterMs(int jitterSeed) {
+            if (!rejects()) {
+                return 0;
+            }
+            long afterMs = Math.max(MIN_RETRY_AFTER_MS, waitMs - maxWaitMs);
+            return Math.min(MAX_RETRY_AFTER_MS, afterMs)
+                    + Math.floorMod(jitterSeed, RETRY_JITTER_MS);
+        }
+    }
+
+    /**
+     * Decides on a new job. Service tasks don't count towards the backlog, since they have no end.
      *
      * @param nowMs the time on the steady clock
      */
-    static long retryAfterMs(SchedulerWorld world, JobRow job, long nowMs) {
+    static Decision decide(SchedulerWorld world, JobRow job, long nowMs) {
         String pool = job.policy().pool();
         long cpuMillis = availableCpuMillis(world, pool);
         if (cpuMillis == 0 || job.spec().isService()) {
-            return 0;
+            return Decision.ACCEPTED;
         }
         TeamShares shares = TeamShares.of(world, pool);
         StartPriority priority = StartPriority.of(world, job, shares, nowMs);
         long waitMs = workAhead(world, pool, priority, shares, nowMs) / cpuMillis;
-        return retryAfterMs(waitMs, maxWaitMs(job), job.id().hashCode());
+        return new Decision(waitMs, maxWaitMs(job), shares.isOverShare(job.team()));
     }
 
     /** Returns the processor capacity of a pool without services, in thousandths of a core. */
@@ -115,19 +145,4 @@
         long usefulMs = USEFUL_OBJECTIVES * job.policy().objectiveFor(criticalPathMs);
         return Math.max(0, Math.min(MAX_WAIT_MS, usefulMs - criticalPathMs));
     }
-
-    /**
-     * Returns after how many milliseconds a caller should retry, or 0 if its job is accepted.
-     *
-     * @param waitMs expected wait of a new job, in milliseconds
-     * @param maxWaitMs longest wait with which it is accepted, in milliseconds
-     * @param jitterSeed decides the jitter; should differ between callers
-     */
-    static long retryAfterMs(long waitMs, long maxWaitMs, int jitterSeed) {
-        if (waitMs <= maxWaitMs) {
-            return 0;
-        }
-        long afterMs = Math.max(MIN_RETRY_AFTER_MS, waitMs - maxWaitMs);
-        return Math.min(MAX_RETRY_AFTER_MS, afterMs) + Math.floorMod(jitterSeed, RETRY_JITTER_MS);
-    }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/JobRequestDecision.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/JobRequestDecision.java
@@ -140,10 +140,9 @@
             return;
         }
         JobRow job = newJob(tick, queue, team, spec, id);
-        long retryAfterMs = BacklogLimit.retryAfterMs(world, job, tick.nowMs());
-        if (retryAfterMs > 0) {
-            JobRequestRejection.reject(
-                    tick, pending, JobResponseKind.OVERLOADED, "backlog", retryAfterMs);
+        BacklogLimit.Decision backlog = BacklogLimit.decide(world, job, tick.nowMs());
+        if (backlog.rejects()) {
+            rejectForBacklog(tick, pending, job, backlog);
         } else if (isStoreUnreachable(tick)) {
             JobRequestRejection.reject(
                     tick,
@@ -158,6 +157,33 @@
         }
     }
 
+    private static void rejectForBacklog(
+            SchedulerTick tick,
+            PendingRequestRow pending,
+            JobRow job,
+            BacklogLimit.Decision backlog) {
+        tick.log(
+                "backlog",
+                "job="
+                        + job.id()
+                        + " pool="
+                        + job.policy().pool()
+                        + " team="
+                        + job.team()
+                        + " wait_ms="
+                        + backlog.waitMs()
+                        + " max_wait_ms="
+                        + backlog.maxWaitMs()
+                        + " over_share="
+                        + backlog.overShare());
+        JobRequestRejection.reject(
+                tick,
+                pending,
+                JobResponseKind.OVERLOADED,
+                "backlog",
+                backlog.retryAfterMs(job.id().hashCode()));
+    }
+
     /** Returns the row of a job that is not stored yet. */
     private static JobRow newJob(
             SchedulerTick tick, JobQueue queue, Optional<JobTeam> team, JobSpec spec, String id) {
--- a/core/src/test/java/org/hibiscususher/core/scheduler/host/OfferedLoadTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/host/OfferedLoadTest.java
@@ -24,14 +24,16 @@
 
         private final List<JobRow> mJobs = new ArrayList<>();
 
+        private long mArrivedMs = START_MS;
+
         private void arrive(int jobsPerSecond, long forMs) {
             for (long i = 0; i * 1_000 < forMs * jobsPerSecond; i++) {
                 StepSpec step =
                         StepSpec.of(1, Resources.of(JOB_CORE_MILLIS, 1, 0), 1_000, List.of());
-                long atMs = START_MS + i * 1_000 / jobsPerSecond;
+                long atMs = mArrivedMs + i * 1_000 / jobsPerSecond;
                 mJobs.add(
                         new JobRow(
-                                "j" + i,
+                                "j" + mJobs.size(),
                                 POLICY,
                                 "t",
                                 JobSpec.once("x", List.of(step)),
@@ -47,6 +49,7 @@
                                 false,
                                 0));
             }
+            mArrivedMs += forMs;
         }
 
         private double seenJobsPerSecond(long afterMs) {
@@ -61,6 +64,14 @@
             assertThat(seenJobsPerSecond(300)).isBetween(50.0, 70.0);
         }
 
+        /** Otherwise hosts stay that the next queue's turn needs. */
+        @Test
+        void isAveragedOverASecondAsSoonAsItNoLongerRises() {
+            arrive(60, 700);
+            arrive(90, 300);
+            assertThat(seenJobsPerSecond(1_000)).isBetween(60.0, 75.0);
+        }
+
         @Test
         void isAveragedOverASecondWhereJobsAreFew() {
             arrive(10, 300);
--- a/core/src/test/java/org/hibiscususher/core/scheduler/job/BacklogLimitTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/job/BacklogLimitTest.java
@@ -26,18 +26,22 @@
 class BacklogLimitTest {
     private static final long MAX_WAIT_MS = 15_000;
 
+    private static long retryAfterMs(long waitMs, int jitterSeed) {
+        return new BacklogLimit.Decision(waitMs, MAX_WAIT_MS, false).retryAfterMs(jitterSeed);
+    }
+
     @Nested
     class RetryAfterMs {
         @Test
         void isZeroWhileExpectedWaitIsBelowLimit() {
-            assertThat(BacklogLimit.retryAfterMs(14_000, MAX_WAIT_MS, 5)).isZero();
+            assertThat(retryAfterMs(14_000, 5)).isZero();
         }
 
         @Test
         void growsWithBacklogWithinItsBounds() {
-            assertThat(BacklogLimit.retryAfterMs(20_000, MAX_WAIT_MS, 0)).isEqualTo(5_000);
-            assertThat(BacklogLimit.retryAfterMs(15_001, MAX_WAIT_MS, 0)).isEqualTo(1_000);
-            assertThat(BacklogLimit.retryAfterMs(90_000, MAX_WAIT_MS, 0)).isEqualTo(10_000);
+            assertThat(retryAfterMs(20_000, 0)).isEqualTo(5_000);
+            assertThat(retryAfterMs(15_001, 0)).isEqualTo(1_000);
+            assertThat(retryAfterMs(90_000, 0)).isEqualTo(10_000);
         }
     }
 
@@ -50,9 +54,7 @@
         void spreadsRetriesOfCallersRejectedTogether() {
             Set<Long> times = new HashSet<>();
             for (int i = 0; i < 100; i++) {
-                times.add(
-                        BacklogLimit.retryAfterMs(
-                                30_000, MAX_WAIT_MS, Integer.toHexString(i * 7919).hashCode()));
+                times.add(retryAfterMs(30_000, Integer.toHexString(i * 7919).hashCode()));
             }
             assertThat(times.size()).isGreaterThan(50);
         }
@@ -139,7 +141,7 @@
         }
 
         private boolean accepts(JobRow job) {
-            return BacklogLimit.retryAfterMs(mWorld, job, NOW_MS) == 0;
+            return !BacklogLimit.decide(mWorld, job, NOW_MS).rejects();
         }
 
         @Test
