--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/SchedulerSite.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/SchedulerSite.java
@@ -1,14 +1,12 @@
 package org.hibiscususher.standin.scheduler;
 
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
-import java.util.function.Consumer;
 import org.hibiscususher.core.job.JobConfiguration;
 import org.hibiscususher.core.job.JobPolicy;
 import org.hibiscususher.core.job.JobPool;
@@ -23,18 +21,10 @@
 import org.hibiscususher.core.scheduler.message.ExecutorReport;
 import org.hibiscususher.core.scheduler.message.RecordKind;
 import org.hibiscususher.core.scheduler.message.RecordName;
-import org.hibiscususher.core.scheduler.message.SchedulerInput;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.ForwardAnswered;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.ForwardFailed;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.HandoverOffered;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.PredecessorRelinquished;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.RelinquishRequested;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.RequestReceived;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.ShutdownRequested;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.StoreReachabilityChanged;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.WaveOrdered;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput;
-import org.hibiscususher.core.scheduler.message.SchedulerOutput.Forward;
 import org.hibiscususher.core.scheduler.message.StoredRecord;
 import org.hibiscususher.core.scheduler.message.WaveOrder;
 
@@ -50,17 +40,11 @@
 
     private static final long LINK_LATENCY_MS = 1;
 
-    /** Time without a response after which a forwarded request counts as lost, in milliseconds. */
-    private static final long LINK_TIMEOUT_MS = 1_500;
-
     private static final long WAVE_DURATION_MS = 60_000;
 
     /** Interval at which the platform sends the list of executors during a wave. */
     private static final long REPORT_INTERVAL_MS = 1_500;
 
-    /** Time that the platform continues to list an executor after its end. */
-    private static final long STALE_REPORT_MS = 3_500;
-
     /** Capacity of each executor. */
     static final Resources CAPACITY = Resources.of(8_000, 16_000, 0);
 
@@ -69,20 +53,20 @@
     private final InvariantChecker mInvariants = new InvariantChecker();
     private final VirtualKeyValueStore mStore;
     private final Map<String, VirtualNode> mNodes = new LinkedHashMap<>();
-    private final Map<String, VirtualExecutor> mExecutors = new LinkedHashMap<>();
+    private final VirtualExecutors mExecutors;
     private final VirtualCallers mCallers;
+    private final VirtualLinks mLinks;
     private final List<String> mLogLines = new ArrayList<>();
     private final Resources mTeamLimit;
 
-    /** Ended executors that the platform no longer lists. */
-    private final Set<String> mUnlistedExecutors = new HashSet<>();
-
     private Optional<VirtualHosts> mHosts = Optional.empty();
     private List<WaveOrder> mWaves = List.of();
 
     private SchedulerSite(int nodes, int executors, Resources teamLimit, long seed) {
         mRandom = new Random(seed);
         mCallers = new VirtualCallers(this, mRandom);
+        mLinks = new VirtualLinks(mClock, mCallers, mNodes);
+        mExecutors = new VirtualExecutors(mClock, mRandom, mInvariants);
         mStore = new VirtualKeyValueStore(mClock, mRandom);
         mTeamLimit = teamLimit;
         mInvariants.setTeamLimit(VirtualCallers.TEAM, teamLimit);
@@ -100,7 +84,7 @@
                             false,
                             0,
                             1);
-            mExecutors.put(id, new VirtualExecutor(mClock, mRandom, mInvariants, report));
+            mExecutors.add(report);
         }
         for (int i = 0; i < nodes; i++) {
             mNodes.put("n" + i, new VirtualNode(this, "n" + i));
@@ -206,14 +190,7 @@
      * @return the last report of the executor
      */
     ExecutorReport endExecutor(String id) {
-        mExecutors.get(id).end();
-        mClock.after(
-                STALE_REPORT_MS,
-                () -> {
-                    mUnlistedExecutors.add(id);
-                    mNodes.values().forEach(VirtualNode::executorsChanged);
-                });
-        return mExecutors.get(id).report();
+        return mExecutors.end(id, this::reportExecutors);
     }
 
     /**
@@ -223,34 +200,22 @@
      * @return id of the new executor
      */
     String addExecutor(ExecutorReport ended) {
-        String id = ended.id() + "n";
-        ExecutorReport report =
-                new ExecutorReport(
-                        id,
-                        ended.pool(),
-                        id + ":1",
-                        ended.zone(),
-                        ended.host(),
-                        ended.labels(),
-                        ended.capacity(),
-                        false,
-                        0,
-                        mClock.nowMs());
-        mExecutors.put(id, new VirtualExecutor(mClock, mRandom, mInvariants, report));
-        mNodes.values().forEach(VirtualNode::executorsChanged);
+        String id = mExecutors.replace(ended);
+        reportExecutors();
         return id;
     }
 
+    private void reportExecutors() {
+        mNodes.values().forEach(VirtualNode::executorsChanged);
+    }
+
     List<String> nodes() {
         return List.copyOf(mNodes.keySet());
     }
 
     /** Returns the platform's list of executors. */
     List<ExecutorReport> reports() {
-        return mExecutors.values().stream()
-                .map(VirtualExecutor::report)
-                .filter(report -> !mUnlistedExecutors.contains(report.id()))
-                .toList();
+        return mExecutors.reports();
     }
 
     /** Returns a configuration with one queue, one pool and one team. */
@@ -415,8 +380,8 @@
      * @param share probability that an order is delayed, 0 to 1
      */
     public void delayOrders(double share, long forMs) {
-        mExecutors.values().forEach(x -> x.setDelayedOrderShare(share));
-        mClock.after(forMs, () -> mExecutors.values().forEach(x -> x.setDelayedOrderShare(0)));
+        mExecutors.all().forEach(x -> x.setDelayedOrderShare(share));
+        mClock.after(forMs, () -> mExecutors.all().forEach(x -> x.setDelayedOrderShare(0)));
     }
 
     /** Makes all runs that an executor starts within a time fail. */
@@ -456,6 +421,11 @@
         return states.isEmpty() ? JobState.QUEUED : states.get(states.size() - 1);
     }
 
+    /** Returns the links between the entries. */
+    VirtualLinks links() {
+        return mLinks;
+    }
+
     void deliverResponse(long callId, JobResponse response) {
         mCallers.deliverResponse(callId, response);
     }
@@ -465,61 +435,6 @@
         return mNodes.values().stream().filter(VirtualNode::isUp).toList();
     }
 
-    /**
-     * Forwards a request to another entry, or reports a failure if that entry's process has ended
-     * or doesn't answer in time.
-     */
-    void forward(VirtualNode from, Forward forward) {
-        VirtualNode to = mNodes.get(forward.address());
-        if (!to.isUp()) {
-            mClock.after(
-                    LINK_LATENCY_MS,
-                    () -> from.receive(new ForwardFailed(forward.callId(), to.name(), false)));
-        } else {
-            long linkId =
-                    mCallers.registerCall(
-                            response ->
-                                    from.receive(new ForwardAnswered(forward.callId(), response)));
-            mClock.after(
-                    LINK_LATENCY_MS,
-                    () -> to.receive(new RequestReceived(linkId, forward.request())));
-            mClock.after(
-                    LINK_TIMEOUT_MS,
-                    () -> {
-                        if (mCallers.abandonCall(linkId)) {
-                            from.receive(new ForwardFailed(forward.callId(), to.name(), true));
-                        }
-                    });
-        }
-    }
-
-    /**
-     * Asks an entry to relinquish the ownership; the request is lost if its process has ended.
-     *
-     * @param sink gets the confirmation
-     */
-    void askToRelinquish(SchedulerOutput.AskRelinquish ask, Consumer<SchedulerInput> sink) {
-        VirtualNode to = mNodes.get(ask.address());
-        if (to.isUp()) {
-            long id =
-                    mCallers.registerCall(
-                            response -> sink.accept(new PredecessorRelinquished(ask.generation())));
-            mClock.after(
-                    LINK_LATENCY_MS,
-                    () -> to.receive(new RelinquishRequested(id, ask.generation())));
-        }
-    }
-
-    /** Offers the ownership to an entry; the offer is lost if its process has ended. */
-    void offerHandover(SchedulerOutput.OfferHandover offer) {
-        VirtualNode to = mNodes.get(offer.address());
-        if (to.isUp()) {
-            long id = mCallers.registerCall(response -> {});
-            mClock.after(
-                    LINK_LATENCY_MS, () -> to.receive(new HandoverOffered(id, offer.generation())));
-        }
-    }
-
     /** Returns the number of tasks that the owner has; -1 if there is no owner. */
     public int taskCount() {
         return mNodes.values().stream()
--- /dev/null
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualLinks.java
@@ -0,0 +1,93 @@
+package org.hibiscususher.standin.scheduler;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.Map;
+import java.util.function.Consumer;
+import org.hibiscususher.core.scheduler.message.SchedulerInput;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.ForwardAnswered;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.ForwardFailed;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.HandoverOffered;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.PredecessorRelinquished;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.RelinquishRequested;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.RequestReceived;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput.Forward;
+
+/** The links between the entries of a simulated site. */
+final class VirtualLinks {
+    private static final long LINK_LATENCY_MS = 1;
+
+    /** Time without a response after which a forwarded request counts as lost, in milliseconds. */
+    private static final long LINK_TIMEOUT_MS = 1_500;
+
+    private final VirtualClock mClock;
+    private final VirtualCallers mCallers;
+    private final Map<String, VirtualNode> mNodes;
+
+    /**
+     * Creates the links.
+     *
+     * @param nodes entries by name, to which the site may still add some
+     */
+    VirtualLinks(VirtualClock clock, VirtualCallers callers, Map<String, VirtualNode> nodes) {
+        mClock = requireNonNull(clock);
+        mCallers = requireNonNull(callers);
+        mNodes = requireNonNull(nodes);
+    }
+
+    /**
+     * Forwards a request to another entry, or reports a failure if that entry's process has ended
+     * or doesn't answer in time.
+     */
+    void forward(VirtualNode from, Forward forward) {
+        VirtualNode to = mNodes.get(forward.address());
+        if (!to.isUp()) {
+            mClock.after(
+                    LINK_LATENCY_MS,
+                    () -> from.receive(new ForwardFailed(forward.callId(), to.name(), false)));
+        } else {
+            long linkId =
+                    mCallers.registerCall(
+                            response ->
+                                    from.receive(new ForwardAnswered(forward.callId(), response)));
+            mClock.after(
+                    LINK_LATENCY_MS,
+                    () -> to.receive(new RequestReceived(linkId, forward.request())));
+            mClock.after(
+                    LINK_TIMEOUT_MS,
+                    () -> {
+                        if (mCallers.abandonCall(linkId)) {
+                            from.receive(new ForwardFailed(forward.callId(), to.name(), true));
+                        }
+                    });
+        }
+    }
+
+    /**
+     * Asks an entry to relinquish the ownership; the request is lost if its process has ended.
+     *
+     * @param sink gets the confirmation
+     */
+    void askToRelinquish(SchedulerOutput.AskRelinquish ask, Consumer<SchedulerInput> sink) {
+        VirtualNode to = mNodes.get(ask.address());
+        if (to.isUp()) {
+            long id =
+                    mCallers.registerCall(
+                            response -> sink.accept(new PredecessorRelinquished(ask.generation())));
+            mClock.after(
+                    LINK_LATENCY_MS,
+                    () -> to.receive(new RelinquishRequested(id, ask.generation())));
+        }
+    }
+
+    /** Offers the ownership to an entry; the offer is lost if its process has ended. */
+    void offerHandover(SchedulerOutput.OfferHandover offer) {
+        VirtualNode to = mNodes.get(offer.address());
+        if (to.isUp()) {
+            long id = mCallers.registerCall(response -> {});
+            mClock.after(
+                    LINK_LATENCY_MS, () -> to.receive(new HandoverOffered(id, offer.generation())));
+        }
+    }
+}
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualNode.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualNode.java
@@ -186,11 +186,11 @@
         } else if (output instanceof Respond respond) {
             mSite.deliverResponse(respond.callId(), respond.response());
         } else if (output instanceof Forward forward) {
-            mSite.forward(this, forward);
+            mSite.links().forward(this, forward);
         } else if (output instanceof SchedulerOutput.AskRelinquish ask) {
-            mSite.askToRelinquish(ask, inputSink());
+            mSite.links().askToRelinquish(ask, inputSink());
         } else if (output instanceof SchedulerOutput.OfferHandover offer) {
-            mSite.offerHandover(offer);
+            mSite.links().offerHandover(offer);
         } else if (output instanceof WatchExecutors watch) {
             mWatchesExecutors = watch.enabled();
             mSite.clock().after(2, this::executorsChanged);
