--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/OfferedLoad.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/OfferedLoad.java
@@ -9,10 +9,10 @@
 /**
  * The offered load of each pool: the processor capacity that keeps up with recently sent jobs.
  *
- * <p>Answers queues whose demand rises to several times its mean within a moment, by turns. The
- * load is averaged over a second. While it rises steeply in a pool with many jobs, those of a
- * shorter time count alone, so that hosts begin to move at once; they don't otherwise, because
- * their load fluctuates.
+ * <p>Answers queues whose demand rises to several times its mean within a moment. The load is
+ * averaged over a second. While it rises steeply in a pool with many jobs, those of a shorter time
+ * count alone, so that hosts begin to move at once; they don't otherwise, because their load
+ * fluctuates.
  */
 final class OfferedLoad {
     /** Time over which arriving work is averaged, in milliseconds. */
--- a/core/src/test/java/org/hibiscususher/core/scheduler/host/OfferedLoadTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/host/OfferedLoadTest.java
@@ -19,7 +19,7 @@
 
     /** Jobs of one second on ten cores each, which begin to arrive at once. */
     @Nested
-    class BeginOfATurn {
+    class SurgeOnset {
         private static final long JOB_CORE_MILLIS = 10_000;
 
         private final List<JobRow> mJobs = new ArrayList<>();
@@ -64,7 +64,7 @@
             assertThat(seenJobsPerSecond(300)).isBetween(50.0, 70.0);
         }
 
-        /** Otherwise hosts stay that the next queue's turn needs. */
+        /** Otherwise hosts stay that the surge of another queue needs. */
         @Test
         void isAveragedOverASecondAsSoonAsItNoLongerRises() {
             arrive(60, 700);
