Accept what was established while the event loop had no processor, then stop listening

The task that closes the listener 10 ms after a stop runs at once if it is overdue when the loop comes to it, without a look at the connections that were established meanwhile; these are reset with their requests.

Ruled out: lost requests of open connections (the other cases passed).

Change: the task schedules the close for the loop's next round, which accepts first.

--- a/daemon/src/main/java/org/hibiscususher/daemon/front/FrontServer.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/front/FrontServer.java
@@ -106,7 +106,7 @@
      */
     public void stopAccepting() throws InterruptedException {
         mChannel.eventLoop()
-                .schedule(() -> mChannel.close(), LAST_ACCEPT_MS, TimeUnit.MILLISECONDS)
+                .schedule(this::closeAfterAccepting, LAST_ACCEPT_MS, TimeUnit.MILLISECONDS)
                 .sync();
         mChannel.closeFuture().sync();
         // An accepted connection is opened by a task that is queued before its listener closes.
@@ -115,6 +115,14 @@
         }
     }
 
+    /**
+     * Closes the listener after its event loop has looked for connections once more. A task that is
+     * overdue runs without that, and the loop may have had no processor since the last time.
+     */
+    private void closeAfterAccepting() {
+        mChannel.eventLoop().schedule(() -> mChannel.close(), 1, TimeUnit.MILLISECONDS);
+    }
+
     /** Returns the number of open connections. */
     public int connectionCount() {
         return mCallers.size();
--- a/daemon/src/test/java/org/hibiscususher/daemon/front/FrontHarness.java
+++ b/daemon/src/test/java/org/hibiscususher/daemon/front/FrontHarness.java
@@ -5,9 +5,11 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.EventExecutor;
 import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import org.hibiscususher.core.config.QueueSpec;
@@ -94,6 +96,30 @@
         mServer.stopAccepting();
     }
 
+    /**
+     * Keeps all event loops busy until the latch is released; returns once they are. Requests that
+     * arrive meanwhile are read afterwards.
+     */
+    void blockEventLoops(CountDownLatch released) throws InterruptedException {
+        for (EventExecutor loop : mGroup) {
+            CountDownLatch blocked = new CountDownLatch(1);
+            loop.execute(
+                    () -> {
+                        blocked.countDown();
+                        awaitUninterruptibly(released);
+                    });
+            blocked.await();
+        }
+    }
+
+    private static void awaitUninterruptibly(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** Closes idle connections for some time; returns whether none is left. */
     boolean drain() {
         long deadline = System.nanoTime() + DRAIN_NS;
--- a/daemon/src/test/java/org/hibiscususher/daemon/front/FrontShutdownTest.java
+++ b/daemon/src/test/java/org/hibiscususher/daemon/front/FrontShutdownTest.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import org.hibiscususher.core.message.AttemptOutcome;
 import org.hibiscususher.core.message.Input.RequestArrived;
 import org.hibiscususher.core.message.Input.RequestCancelled;
@@ -17,6 +18,9 @@
 class FrontShutdownTest extends FrontFixture {
     private static final int CALLERS = 45;
 
+    /** Longer than a listener waits for the connections established so far. */
+    private static final long BUSY_MS = 50;
+
     @Nested
     class Leaving {
         @Test
@@ -123,6 +127,33 @@
                 caller.close();
             }
         }
+
+        /**
+         * Guards against a listener that closes before its event loop, which had no processor for
+         * some time, has accepted what was established meanwhile.
+         */
+        @Test
+        void acceptsWhatWasEstablishedWhileTheEventLoopsWereBusy() throws Exception {
+            CountDownLatch released = new CountDownLatch(1);
+            mHarness.blockEventLoops(released);
+            CallerSocket caller = new CallerSocket(mHarness.address()).send(GET);
+            Thread stopper = new Thread(this::stopAccepting);
+            stopper.start();
+            Thread.sleep(BUSY_MS);
+            released.countDown();
+            stopper.join();
+            mHarness.refuse(mHarness.nextArrival(), Refusal.ENTRY_LEAVING);
+            assertThat(caller.readTo("}\n")).endsWith(NOT_RUN);
+            caller.close();
+        }
+
+        private void stopAccepting() {
+            try {
+                mHarness.stopAccepting();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
     }
 
     @Nested
