--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/BacklogLimit.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/BacklogLimit.java
@@ -74,14 +74,16 @@
     }
 
     /**
-     * Decides on a new job. Service tasks don't count towards the backlog, since they have no end.
+     * Decides on a new job. Service tasks don't count towards the backlog, since they have no end;
+     * the backlog at the times of a scheduled job isn't known yet.
      *
      * @param nowMs the time on the steady clock
      */
     static Decision decide(SchedulerWorld world, JobRow job, long nowMs) {
         String pool = job.policy().pool();
         long cpuMillis = availableCpuMillis(world, pool);
-        if (cpuMillis == 0 || job.spec().isService()) {
+        boolean startsLater = job.spec().isScheduled();
+        if (cpuMillis == 0 || job.spec().isService() || startsLater) {
             return Decision.ACCEPTED;
         }
         TeamShares shares = TeamShares.of(world, pool);
--- a/core/src/test/java/org/hibiscususher/core/scheduler/job/BacklogLimitTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/job/BacklogLimitTest.java
@@ -187,6 +187,31 @@
             assertThat(accepts(accepted)).isFalse();
         }
 
+        @Test
+        void acceptsJobsThatStartAtSetTimes() {
+            JobRow once = job("new", "team", 950, 100, false);
+            JobSpec spec = new JobSpec("x", once.spec().steps(), 3, NOW_MS + 60_000, 1_000);
+            JobRow scheduled =
+                    new JobRow(
+                            "new",
+                            once.policy(),
+                            "team",
+                            spec,
+                            NOW_MS,
+                            NOW_MS,
+                            JobState.QUEUED,
+                            true,
+                            JobState.QUEUED,
+                            0,
+                            0,
+                            NOW_MS,
+                            3,
+                            false,
+                            0);
+            assertThat(accepts(once)).isFalse();
+            assertThat(accepts(scheduled)).isTrue();
+        }
+
         @Test
         void acceptsServices() {
             assertThat(accepts(job("new", "team", 950, 0, true))).isTrue();
