Log a job's decided and stored state with each end of a run

Whether the owner didn't wait for the store at all, or took the outcome for stored, could not be told apart: run-ended named neither state. It now has state= and stored=.

--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/FinishedRuns.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/FinishedRuns.java
@@ -43,6 +43,27 @@
                         .find(finished.task())
                         .filter(r -> r.run() == finished.run() && r.executor().equals(executor))
                         .orElse(null);
+        logEnd(tick, executor, finished, job, run != null);
+        if (run != null) {
+            world.runs().remove(run.task());
+            ExecutorHealth.recordEnd(tick, executor);
+        }
+        if (job == null || !job.acceptsRuns()) {
+            return;
+        }
+        JobLifecycle.activateForReportedRun(tick, finished.task().stepKey());
+        applyToTask(tick, executor, finished, run);
+        long version = world.jobs().find(job.id()).map(JobRow::version).orElse(0L);
+        FinishedRunKey key = new FinishedRunKey(executor, finished.sequence());
+        world.finishedRuns().put(key, new FinishedRunRow(key, job.id(), version));
+    }
+
+    private static void logEnd(
+            SchedulerTick tick,
+            String executor,
+            FinishedRun finished,
+            JobRow job,
+            boolean current) {
         tick.log(
                 "run-ended",
                 "job="
@@ -58,20 +79,12 @@
                         + " number="
                         + finished.sequence()
                         + " current="
-                        + (run != null));
+                        + current
+                        + " state="
+                        + (job == null ? "unknown" : job.state())
+                        + " stored="
+                        + (job == null ? "unknown" : job.storedState()));
         tick.count("run-ended." + finished.outcome());
-        if (run != null) {
-            world.runs().remove(run.task());
-            ExecutorHealth.recordEnd(tick, executor);
-        }
-        if (job == null || !job.acceptsRuns()) {
-            return;
-        }
-        JobLifecycle.activateForReportedRun(tick, finished.task().stepKey());
-        applyToTask(tick, executor, finished, run);
-        long version = world.jobs().find(job.id()).map(JobRow::version).orElse(0L);
-        FinishedRunKey key = new FinishedRunKey(executor, finished.sequence());
-        world.finishedRuns().put(key, new FinishedRunRow(key, job.id(), version));
     }
 
     private static void applyToTask(
