Acknowledge ends of a finished job only once its final state is stored

Cause: FinishedRuns kept an end for the store only while its job accepted runs, which ends with the decision, not with its commit; HeartbeatSystem acknowledges at once what is not kept. Mend: every end of a known job is kept with the version of the job at that time, which for a job that has ended is that of its final state; jobs that failed or are done had the same gap.

--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/FinishedRuns.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/FinishedRuns.java
@@ -48,14 +48,27 @@
             world.runs().remove(run.task());
             ExecutorHealth.recordEnd(tick, executor);
         }
-        if (job == null || !job.acceptsRuns()) {
+        if (job == null) {
             return;
         }
-        JobLifecycle.activateForReportedRun(tick, finished.task().stepKey());
-        applyToTask(tick, executor, finished, run);
-        long version = world.jobs().find(job.id()).map(JobRow::version).orElse(0L);
+        if (job.acceptsRuns()) {
+            JobLifecycle.activateForReportedRun(tick, finished.task().stepKey());
+            applyToTask(tick, executor, finished, run);
+        }
+        keepUntilStored(world, executor, finished);
+    }
+
+    /**
+     * Keeps a finished run until the store holds its outcome, or the final state of its job, which
+     * makes the outcome irrelevant. A final state that is not stored can still be lost with this
+     * owner; the next one would run the tasks again.
+     */
+    private static void keepUntilStored(
+            SchedulerWorld world, String executor, FinishedRun finished) {
+        String job = finished.task().jobId();
+        long version = world.jobs().find(job).map(JobRow::version).orElse(0L);
         FinishedRunKey key = new FinishedRunKey(executor, finished.sequence());
-        world.finishedRuns().put(key, new FinishedRunRow(key, job.id(), version));
+        world.finishedRuns().put(key, new FinishedRunRow(key, job, version));
     }
 
     private static void logEnd(
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/SchedulerSite.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/SchedulerSite.java
@@ -410,6 +410,11 @@
         mCallers.cancel(id);
     }
 
+    /** Cancels a job with one request, whatever the response. */
+    public void cancelOnce(String id) {
+        mCallers.cancelOnce(id, kind -> {});
+    }
+
     /**
      * Queries the state of a job and advances virtual time by 200 ms to receive it. Meant for a
      * site without faults: without a response in that time, the result is {@link JobState#QUEUED}.
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualCallers.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualCallers.java
@@ -108,14 +108,32 @@
 
     /** Cancels a job, and repeats that until the job is cancelled or reported unknown. */
     void cancel(String id) {
+        cancelOnce(
+                id,
+                kind -> {
+                    if (!endsCancellation(kind)) {
+                        mClock.after(RETRY_DELAY_MS, () -> cancel(id));
+                    }
+                });
+    }
+
+    private static boolean endsCancellation(JobResponseKind kind) {
+        return kind == JobResponseKind.CANCELLED || kind == JobResponseKind.NO_JOB;
+    }
+
+    /**
+     * Cancels a job with one request.
+     *
+     * @param result gets the kind of the response
+     */
+    void cancelOnce(String id, Consumer<JobResponseKind> result) {
         call(
                 JobRequest.of(JobRequestKind.CANCEL, HOST, PREFIX + id, KEY, Optional.empty()),
                 response -> {
                     if (response.kind() == JobResponseKind.CANCELLED) {
                         mInvariants.recordCancellation(id, mClock.nowMs());
-                    } else if (response.kind() != JobResponseKind.NO_JOB) {
-                        mClock.after(RETRY_DELAY_MS, () -> cancel(id));
                     }
+                    result.accept(response.kind());
                 });
     }
 
--- a/standin/src/test/java/org/hibiscususher/standin/scheduler/SchedulerSiteTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/scheduler/SchedulerSiteTest.java
@@ -271,6 +271,46 @@
         }
     }
 
+    /** Guards against jobs cancelled in an outage whose done tasks the next owner starts again. */
+    @Nested
+    class CancellationWhileTheStoreIsAway {
+        private static final long TASK_MS = 1_500;
+
+        private final SchedulerSite mSite = SchedulerSite.create(5, 4, 23);
+
+        /**
+         * Cancels a job once, just before its tasks end and after a fault of the store has begun,
+         * and kills the owner after the ends.
+         */
+        private void cancelThenLoseTheOwner(Runnable fault) {
+            mSite.run(1_500);
+            String job = mSite.submit(JobSpecs.oneStep(8, TASK_MS));
+            mSite.schedule(TASK_MS - 400, fault);
+            mSite.schedule(TASK_MS - 10, () -> mSite.cancelOnce(job));
+            mSite.schedule(
+                    TASK_MS + 600, () -> mSite.owner().ifPresent(o -> mSite.kill(o, 20_000)));
+            mSite.run(DRAIN_MS);
+            assertThat(mSite.invariants().violations()).isEmpty();
+            assertThat(mSite.stateOf(job)).isIn(JobState.CANCELLED, JobState.DONE);
+        }
+
+        @ParameterizedTest
+        @ValueSource(longs = {500, 1_500, 3_000, 4_500, 8_000})
+        void leavesDoneTasksDoneIfItIsDown(long downMs) {
+            cancelThenLoseTheOwner(() -> mSite.storeDown(downMs));
+        }
+
+        @Test
+        void leavesDoneTasksDoneIfItIsSlow() {
+            cancelThenLoseTheOwner(() -> mSite.slowStore(2_500, 6_000));
+        }
+
+        @Test
+        void leavesDoneTasksDoneIfItsAnswersAreLost() {
+            cancelThenLoseTheOwner(() -> mSite.dropCommitResponses(1, true, 3_000));
+        }
+    }
+
     @Nested
     class ManyJobsOverASlowStore {
         /** Longest time from a submission to the start of an urgent job that the target allows. */
