--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/JobSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/JobSystem.java
@@ -30,14 +30,18 @@
 
     /**
      * Requests the removal of a job's records, or removes its row once the store no longer has
-     * them. A row removed earlier would leave records that the next owner loads again.
+     * them. A row removed earlier would leave records that the next owner loads again; one removed
+     * before its final state is stored would leave a job that the next owner runs again.
      */
     private static void removeFinished(SchedulerWorld world, JobRow job) {
         RecordName progress = RecordName.of(RecordKind.PROGRESS, job.id());
+        if (job.isDirty()) {
+            return;
+        }
         if (!world.revisions().contains(progress)) {
             world.jobs().remove(job.id());
             world.pendingRemovals().remove(progress);
-        } else if (!job.isDirty() && !world.pendingRemovals().contains(progress)) {
+        } else if (!world.pendingRemovals().contains(progress)) {
             world.pendingRemovals().put(progress, 0L);
         }
     }
