Let the lists of a restarted executor decide on its runs, not its report

Cause: a report or a heartbeat that shows a restart was applied to all runs of the executor, also to those whose orders were answered after that reading was taken, that is, maybe by the new incarnation. The answer 421 of another executor at the address was applied in the same way. Mend: a report of another start time makes the owner ask at once, without a wait; a run is dropped only if its order was answered before the heartbeat was sent whose list lacks it. What was sent or answered after a 421 was asked for stays.

--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/ExecutorSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/ExecutorSystem.java
@@ -131,12 +131,33 @@
                         .find(report.id())
                         .map(ExecutorSessionRow::startedAtMs)
                         .orElse(0L);
-        if (report.startedAtMs() > knownStartMs && knownStartMs != 0) {
-            tick.log("executor-reborn", "executor=" + report.id() + " by=report");
-            RunLifecycle.handleRestart(tick, report.id(), "reborn");
+        boolean news = before == null || before.report().startedAtMs() != report.startedAtMs();
+        boolean bothKnown = knownStartMs != 0 && report.startedAtMs() != 0;
+        if (news && bothKnown && report.startedAtMs() != knownStartMs) {
+            tick.log(
+                    "executor-reborn",
+                    "executor="
+                            + report.id()
+                            + " by=report known="
+                            + knownStartMs
+                            + " reported="
+                            + report.startedAtMs());
+            verifyIncarnation(tick, report.id());
         }
     }
 
+    /**
+     * Asks an executor at once which incarnation it is and what it runs.
+     *
+     * <p>A report may be read long after it was written, so it doesn't tell which incarnation has
+     * answered the orders sent meanwhile. The heartbeat in flight is abandoned: an earlier
+     * incarnation can't answer it any more. Until an answer arrives, the executor counts as silent
+     * and gets no new runs.
+     */
+    private static void verifyIncarnation(SchedulerTick tick, String executor) {
+        tick.world().executorSessions().update(executor, s -> s.withHeartbeatFailed(tick.nowMs()));
+    }
+
     /** Applies that the registration of an executor is no longer in the store. */
     private static void markMissing(SchedulerTick tick, String id) {
         ExecutorRow row = tick.world().executors().find(id).orElse(null);
@@ -157,7 +178,7 @@
         }
         if (session.startedAtMs() != 0 && session.startedAtMs() != answer.startedAtMs()) {
             tick.log("executor-reborn", "executor=" + id + " by=answer");
-            RunLifecycle.handleRestart(tick, id, "reborn");
+            RunLifecycle.handleRestart(tick, id);
             session =
                     ExecutorSessionRow.initial(id, session.leaseEndMs())
                             .withHeartbeatSent(
@@ -302,7 +323,8 @@
                             + (session.leaseEndMs() - tick.nowMs()));
         }
         if (failed.failure() == HeartbeatFailure.OTHER_LIFE) {
-            RunLifecycle.endIncarnation(tick, failed.executor(), "other-life");
+            RunLifecycle.endIncarnation(
+                    tick, failed.executor(), "other-life", session.heartbeatSentMs());
             world.executorSessions()
                     .update(
                             failed.executor(),
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/RunLifecycle.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/RunLifecycle.java
@@ -1,6 +1,5 @@
 package org.hibiscususher.core.scheduler.executor;
 
-import java.util.ArrayList;
 import java.util.List;
 import org.hibiscususher.core.job.TaskKey;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.StopRun;
@@ -84,21 +83,35 @@
     }
 
     /**
-     * Applies that an incarnation of an executor has ended, and with it all its runs. Finished runs
-     * that were not acknowledged yet are dropped, since nothing lists them any more.
+     * Applies that an incarnation of an executor has ended, and with it its runs. A run whose order
+     * was sent or answered after that reading may belong to the next incarnation; the answer to
+     * that order or the next heartbeat tells.
      *
      * @param reason cause for the log and the counter
+     * @param readMs when the reading was requested that shows the end, on the steady clock
      */
-    public static void endIncarnation(SchedulerTick tick, String executor, String reason) {
+    static void endIncarnation(SchedulerTick tick, String executor, String reason, long readMs) {
         SchedulerWorld world = tick.world();
         for (RunRow run : List.copyOf(world.runs().group(executor))) {
-            removeAndRequeue(tick, run, reason, 0);
+            if (Math.max(run.sentMs(), run.orderAnsweredMs()) < readMs) {
+                removeAndRequeue(tick, run, reason, 0);
+            }
         }
+        dropFinishedRuns(world, executor);
+        long leaseEndMs =
+                world.executorSessions()
+                        .find(executor)
+                        .map(ExecutorSessionRow::leaseEndMs)
+                        .orElse(0L);
+        world.executorSessions().put(executor, ExecutorSessionRow.initial(executor, leaseEndMs));
+        world.executors().update(executor, ExecutorRow::asConfirmed);
+    }
+
+    /** Drops finished runs that were not acknowledged yet and that nothing lists any more. */
+    private static void dropFinishedRuns(SchedulerWorld world, String executor) {
         for (FinishedRunRow finished : List.copyOf(world.finishedRuns().group(executor))) {
             world.finishedRuns().remove(finished.key());
         }
-        world.executorSessions().put(executor, ExecutorSessionRow.initial(executor, 0));
-        world.executors().update(executor, ExecutorRow::asConfirmed);
     }
 
     /**
@@ -109,34 +122,30 @@
     public static void removeExecutor(SchedulerTick tick, String executor, String reason) {
         SchedulerWorld world = tick.world();
         tick.log("executor-gone", "executor=" + executor + " reason=" + reason);
-        endIncarnation(tick, executor, reason);
+        endIncarnation(tick, executor, reason, Long.MAX_VALUE);
         world.executors().remove(executor);
         world.executorSessions().remove(executor);
         world.executorHealth().remove(executor);
     }
 
     /**
-     * Applies that an executor has restarted under the same id.
+     * Applies that an executor has restarted under the same id, as its answer to a heartbeat shows.
+     * The lists in that answer then decide on the runs that either incarnation has answered for.
      *
      * <p>A start order that the earlier incarnation did not answer may still reach the new one. Its
      * run is therefore ordered to stop instead of being requeued: otherwise the task could run
      * twice.
-     *
-     * @param reason cause for the log and the counter
      */
-    public static void handleRestart(SchedulerTick tick, String executor, String reason) {
+    static void handleRestart(SchedulerTick tick, String executor) {
         SchedulerWorld world = tick.world();
-        List<RunRow> uncertain = new ArrayList<>();
-        for (RunRow run : world.runs().group(executor)) {
+        dropFinishedRuns(world, executor);
+        for (RunRow run : List.copyOf(world.runs().group(executor))) {
             boolean unanswered =
                     run.stage() == RunStage.SENT || run.reason() == StopReason.UNCERTAIN_START;
             if (unanswered) {
-                uncertain.add(run);
+                requestStop(tick, run, StopReason.UNCERTAIN_START);
             }
         }
-        uncertain.forEach(run -> world.runs().remove(run.task()));
-        endIncarnation(tick, executor, reason);
-        uncertain.forEach(run -> requestStop(tick, run, StopReason.UNCERTAIN_START));
         for (UncertainStartRow row : world.uncertainStarts().rows()) {
             if (row.executor().equals(executor)) {
                 world.uncertainStarts().put(row.key(), row.withCancelPending(true));
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/RunOrderSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/RunOrderSystem.java
@@ -93,7 +93,7 @@
             }
             case NO_ANSWER -> RunLifecycle.handleUnansweredStart(tick, run);
             case FENCED -> StepDown.run(tick, "fenced-by-executor");
-            case OTHER_LIFE -> RunLifecycle.endIncarnation(tick, run.executor(), "other-life");
+            case OTHER_LIFE -> applyOtherIncarnation(tick, run);
             case NO_ROOM -> {
                 ExecutorHealth.quarantine(tick, run.executor(), NO_ROOM_QUARANTINE_MS, "no-room");
                 RunLifecycle.removeAndRequeue(tick, run, "refused", 0);
@@ -113,6 +113,14 @@
         }
     }
 
+    /**
+     * Applies that another incarnation than the one that an order was meant for has answered it.
+     */
+    private static void applyOtherIncarnation(SchedulerTick tick, RunRow run) {
+        RunLifecycle.removeAndRequeue(tick, run, "other-life", 0);
+        RunLifecycle.endIncarnation(tick, run.executor(), "other-life", run.sentMs());
+    }
+
     private static void applyStopResult(SchedulerTick tick, RunRow run, StopResult result) {
         switch (result) {
             case STOPPED, REFUSED -> {
@@ -120,7 +128,7 @@
                 requestHeartbeat(tick, run.executor());
             }
             case FENCED -> StepDown.run(tick, "fenced-by-executor");
-            case OTHER_LIFE -> RunLifecycle.endIncarnation(tick, run.executor(), "other-life");
+            case OTHER_LIFE -> applyOtherIncarnation(tick, run);
             default -> tick.world().runs().put(run.task(), run.withOrderAnswered(0));
         }
     }
--- /dev/null
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/executor/ExecutorRestartTest.java
@@ -0,0 +1,209 @@
+package org.hibiscususher.core.scheduler.executor;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Set;
+import org.hibiscususher.core.job.FinishedRun;
+import org.hibiscususher.core.job.ReportedRun;
+import org.hibiscususher.core.job.Resources;
+import org.hibiscususher.core.job.StepKey;
+import org.hibiscususher.core.job.TaskKey;
+import org.hibiscususher.core.scheduler.SchedulerWorlds;
+import org.hibiscususher.core.scheduler.message.ExecutorReport;
+import org.hibiscususher.core.scheduler.message.HeartbeatFailure;
+import org.hibiscususher.core.scheduler.message.SchedulerInput;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.ExecutorUpdated;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.HeartbeatAnswered;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.HeartbeatFailed;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.StartCallCompleted;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput.SendHeartbeat;
+import org.hibiscususher.core.scheduler.message.StartResult;
+import org.hibiscususher.core.scheduler.world.RunRow;
+import org.hibiscususher.core.scheduler.world.RunStage;
+import org.hibiscususher.core.scheduler.world.SchedulerTick;
+import org.hibiscususher.core.scheduler.world.SchedulerWorld;
+import org.hibiscususher.core.scheduler.world.StopReason;
+import org.hibiscususher.core.scheduler.world.TaskRow;
+import org.hibiscususher.core.scheduler.world.TaskState;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/**
+ * An executor that restarts under its id. The tests guard against readings that are older than the
+ * answers of the new incarnation: its runs must not be taken for those of the earlier one.
+ */
+class ExecutorRestartTest {
+    private static final long START_MS = 10_000;
+    private static final String EXECUTOR = "x";
+    private static final StepKey STEP = new StepKey("j", 0, 0);
+
+    /** Answered long before the restart. */
+    private static final TaskKey OLD = STEP.task(0);
+
+    /** Answered by the new incarnation. */
+    private static final TaskKey NEW = STEP.task(1);
+
+    private final SchedulerWorld mWorld = SchedulerWorlds.ofOwner(START_MS);
+    private long mCallId = 100;
+    private long mNowMs = START_MS;
+
+    @BeforeEach
+    void setUp() {
+        SchedulerWorlds.addExecutor(mWorld, EXECUTOR, "p", Resources.of(9_000, 9, 0), START_MS);
+        addRun(OLD, 1);
+    }
+
+    private void addRun(TaskKey task, long callId) {
+        Resources core = Resources.of(1, 1, 0);
+        mWorld.tasks()
+                .put(
+                        task,
+                        new TaskRow(
+                                task,
+                                "p",
+                                TaskState.ACTIVE,
+                                1,
+                                Set.of(),
+                                "",
+                                mNowMs,
+                                0,
+                                "",
+                                false));
+        mWorld.runs()
+                .put(
+                        task,
+                        new RunRow(
+                                task,
+                                1,
+                                EXECUTOR,
+                                "team",
+                                core,
+                                core,
+                                RunStage.SENT,
+                                StopReason.NONE,
+                                callId,
+                                mNowMs,
+                                0,
+                                "",
+                                0,
+                                -1,
+                                100,
+                                mNowMs));
+        tick(10, new StartCallCompleted(callId, task, 1, StartResult.STARTED));
+    }
+
+    private List<SchedulerOutput> tick(long afterMs, SchedulerInput... inputs) {
+        mNowMs += afterMs;
+        SchedulerTick tick =
+                new SchedulerTick(mWorld, mNowMs, mNowMs, List.of(inputs), () -> ++mCallId);
+        ExecutorSystem.run(tick);
+        RunOrderSystem.run(tick);
+        HeartbeatSystem.run(tick);
+        return tick.outputs();
+    }
+
+    private static SendHeartbeat heartbeat(List<SchedulerOutput> outputs) {
+        return outputs.stream()
+                .filter(SendHeartbeat.class::isInstance)
+                .map(SendHeartbeat.class::cast)
+                .findFirst()
+                .orElseThrow();
+    }
+
+    /** Returns the heartbeat in flight, as far as an answer needs it. */
+    private long callInFlight() {
+        return mWorld.executorSessions().find(EXECUTOR).orElseThrow().heartbeatCallId();
+    }
+
+    private static ExecutorUpdated report(long startedAtMs) {
+        return new ExecutorUpdated(
+                new ExecutorReport(
+                        EXECUTOR,
+                        "p",
+                        "x:1",
+                        "z",
+                        "h",
+                        List.of(),
+                        Resources.of(9_000, 9, 0),
+                        false,
+                        0,
+                        startedAtMs));
+    }
+
+    private static HeartbeatAnswered answer(
+            long callId, long startedAtMs, List<FinishedRun> finished, TaskKey... running) {
+        List<ReportedRun> runs =
+                Arrays.stream(running).map(t -> new ReportedRun(t, 1, "", 10, -1)).toList();
+        return new HeartbeatAnswered(callId, EXECUTOR, startedAtMs, 1, runs, finished);
+    }
+
+    private HeartbeatAnswered answerOfNewIncarnation(TaskKey... running) {
+        return answer(callInFlight(), 2, List.of(), running);
+    }
+
+    private boolean hasRun(TaskKey task) {
+        return mWorld.runs().contains(task);
+    }
+
+    @Nested
+    class ReportThatIsReadLate {
+        @BeforeEach
+        void startRunAndReadReport() {
+            addRun(NEW, 2);
+        }
+
+        @Test
+        void leavesTheRunsToTheNextHeartbeat() {
+            SendHeartbeat check = heartbeat(tick(300, report(2)));
+            assertThat(hasRun(NEW)).isTrue();
+            assertThat(check.waitMs()).isZero();
+            tick(5, answerOfNewIncarnation(NEW));
+            assertThat(hasRun(NEW)).isTrue();
+            assertThat(hasRun(OLD)).isFalse();
+            assertThat(mWorld.tasks().find(OLD).orElseThrow().state()).isEqualTo(TaskState.WAITING);
+        }
+
+        @Test
+        void isCheckedOnce() {
+            tick(300, report(2));
+            long check = callInFlight();
+            tick(1, report(2));
+            assertThat(callInFlight()).isEqualTo(check);
+        }
+
+        @Test
+        void changesNothingIfTheIncarnationHasAnsweredAlready() {
+            tick(5, answerOfNewIncarnation(NEW));
+            long next = callInFlight();
+            tick(300, report(2));
+            assertThat(callInFlight()).isEqualTo(next);
+            assertThat(hasRun(NEW)).isTrue();
+        }
+    }
+
+    @Nested
+    class HeartbeatThatWasSentBeforeAnOrderWasAnswered {
+        @Test
+        void saysNothingOfThatRun() {
+            addRun(NEW, 2);
+            tick(5, answer(callInFlight(), 2, List.of()));
+            assertThat(hasRun(OLD)).isTrue();
+            assertThat(hasRun(NEW)).isTrue();
+            tick(5, answerOfNewIncarnation(NEW));
+            assertThat(hasRun(NEW)).isTrue();
+            assertThat(hasRun(OLD)).isFalse();
+        }
+
+        @Test
+        void saysNothingOfThatRunIfAnotherExecutorAnswersIt() {
+            long earlier = callInFlight();
+            addRun(NEW, 2);
+            tick(5, new HeartbeatFailed(earlier, EXECUTOR, HeartbeatFailure.OTHER_LIFE));
+            assertThat(hasRun(NEW)).isTrue();
+        }
+    }
+}
