Acknowledge no ends to an executor that may have restarted

The numbers of ends begin anew with each incarnation. A heartbeat to a silent executor, or to one whose report shows a restart, named the number that the earlier incarnation had reached: the new one would forget its first ends before anybody saw them, and their tasks would run again. It is now 0 until the executor has answered.

--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/HeartbeatSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/HeartbeatSystem.java
@@ -103,6 +103,9 @@
         boolean extend = !unconfirmed;
         long leaseMs = world.settings().timing().executorLeaseMs();
         long deadlineMs = extend ? session.executorClockAt(tick.nowMs()) + leaseMs : 0;
+        // The numbers of ends begin anew with each incarnation, and a silent executor may have
+        // restarted: the ends of a new incarnation must not be acknowledged unseen.
+        long acknowledgedSequence = unconfirmed ? 0 : session.acknowledgedSequence();
         long callId = tick.nextCallId();
         long leaseEndMs = extend ? leaseEndMs(session, deadlineMs) : 0;
         world.executorSessions()
@@ -115,7 +118,7 @@
                         row.id(),
                         row.report().address(),
                         term.fence(),
-                        session.acknowledgedSequence(),
+                        acknowledgedSequence,
                         deadlineMs,
                         waitMs));
     }
--- a/core/src/test/java/org/hibiscususher/core/scheduler/executor/ExecutorRestartTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/executor/ExecutorRestartTest.java
@@ -206,4 +206,22 @@
             assertThat(hasRun(NEW)).isTrue();
         }
     }
+
+    @Nested
+    class Acknowledgment {
+        @Test
+        void isNotSentToAnIncarnationThatHasNotAnswered() {
+            mWorld.executorSessions()
+                    .update(EXECUTOR, s -> s.withAppliedSequence(57).withAcknowledgedSequence(57));
+            assertThat(heartbeat(tick(300, report(2))).acknowledgedSequence()).isZero();
+        }
+
+        @Test
+        void isNotSentToASilentExecutor() {
+            mWorld.executorSessions()
+                    .update(EXECUTOR, s -> s.withAppliedSequence(57).withAcknowledgedSequence(57));
+            tick(300, new HeartbeatFailed(callInFlight(), EXECUTOR, HeartbeatFailure.NO_ANSWER));
+            assertThat(heartbeat(tick(150)).acknowledgedSequence()).isZero();
+        }
+    }
 }
