--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/ExecutorSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/ExecutorSystem.java
@@ -155,9 +155,25 @@
      * and gets no new runs.
      */
     private static void verifyIncarnation(SchedulerTick tick, String executor) {
+        extendLeaseOfUnknownClock(tick, executor);
         tick.world().executorSessions().update(executor, s -> s.withHeartbeatFailed(tick.nowMs()));
     }
 
+    /**
+     * Allows for the longest lease on an executor that has restarted. Orders sent meanwhile named
+     * their deadline on the clock of the earlier incarnation, which may be far ahead of that of the
+     * new one.
+     */
+    private static void extendLeaseOfUnknownClock(SchedulerTick tick, String executor) {
+        SchedulerWorld world = tick.world();
+        if (!world.runs().group(executor).isEmpty()) {
+            long untilMs =
+                    HeartbeatSystem.leaseEndMs(
+                            tick.nowMs(), world.settings().timing().maxExecutorLeaseMs());
+            world.executorSessions().update(executor, s -> s.withLeaseExtendedTo(untilMs));
+        }
+    }
+
     /** Applies that the registration of an executor is no longer in the store. */
     private static void markMissing(SchedulerTick tick, String id) {
         ExecutorRow row = tick.world().executors().find(id).orElse(null);
@@ -179,8 +195,14 @@
         if (session.startedAtMs() != 0 && session.startedAtMs() != answer.startedAtMs()) {
             tick.log("executor-reborn", "executor=" + id + " by=answer");
             RunLifecycle.handleRestart(tick, id);
+            extendLeaseOfUnknownClock(tick, id);
+            long leaseEndMs =
+                    world.executorSessions()
+                            .find(id)
+                            .map(ExecutorSessionRow::leaseEndMs)
+                            .orElse(0L);
             session =
-                    ExecutorSessionRow.initial(id, session.leaseEndMs())
+                    ExecutorSessionRow.initial(id, leaseEndMs)
                             .withHeartbeatSent(
                                     answer.callId(),
                                     session.heartbeatFence(),
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/HeartbeatSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/HeartbeatSystem.java
@@ -130,7 +130,16 @@
      * @param deadlineMs end of the lease on the executor's clock, in milliseconds
      */
     public static long leaseEndMs(ExecutorSessionRow session, long deadlineMs) {
-        long leftMs = (deadlineMs - session.executorClockMs()) * 100 / MIN_CLOCK_RATE_PERCENT;
-        return session.clockReadAtMs() + leftMs + LEASE_MARGIN_MS;
+        return leaseEndMs(session.clockReadAtMs(), deadlineMs - session.executorClockMs());
+    }
+
+    /**
+     * Returns the time on our steady clock at which a lease has certainly expired.
+     *
+     * @param fromMs when it began or was renewed, on our steady clock
+     * @param leaseMs its duration on the executor's clock, in milliseconds
+     */
+    static long leaseEndMs(long fromMs, long leaseMs) {
+        return fromMs + leaseMs * 100 / MIN_CLOCK_RATE_PERCENT + LEASE_MARGIN_MS;
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerTiming.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerTiming.java
@@ -9,6 +9,7 @@
  *     executors; a later owner waits that long before it restarts runs of executors out of its
  *     reach
  * @param executorLeaseMs duration of an executor's lease, renewed by heartbeats
+ * @param maxExecutorLeaseMs longest lease that an executor grants; it shortens longer ones
  * @param startValidMs how long an executor may carry out a start order after it was sent
  * @param hostOrderGapMs how long a new owner waits before it orders a host that the earlier owner
  *     may have ordered
@@ -19,10 +20,11 @@
         long renewalIntervalMs,
         long ownerGraceMs,
         long executorLeaseMs,
+        long maxExecutorLeaseMs,
         long startValidMs,
         long hostOrderGapMs,
         long unavailableAfterMs) {
     /** The default times. */
     public static final SchedulerTiming DEFAULT =
-            new SchedulerTiming(1_500, 400, 5_000, 4_000, 1_500, 3_200, 4_500);
+            new SchedulerTiming(1_500, 400, 5_000, 4_000, 6_000, 1_500, 3_200, 4_500);
 }
--- a/core/src/test/java/org/hibiscususher/core/scheduler/executor/ExecutorRestartTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/executor/ExecutorRestartTest.java
@@ -224,4 +224,26 @@
             assertThat(heartbeat(tick(150)).acknowledgedSequence()).isZero();
         }
     }
+
+    @Nested
+    class Lease {
+        /** Longest lease that an executor grants, on a clock that is 3% slow, and a margin. */
+        private static final long MAX_LEASE_MS = 6_300;
+
+        /** The deadline of an order may be far ahead of the clock of the new incarnation. */
+        @Test
+        void mayBeTheLongestOneAfterARestart() {
+            addRun(NEW, 2);
+            tick(300, report(2));
+            long restartMs = mNowMs;
+            while (mNowMs < restartMs + MAX_LEASE_MS - 300) {
+                tick(
+                        200,
+                        new HeartbeatFailed(callInFlight(), EXECUTOR, HeartbeatFailure.NO_ANSWER));
+                assertThat(hasRun(NEW)).isTrue();
+            }
+            tick(500, new HeartbeatFailed(callInFlight(), EXECUTOR, HeartbeatFailure.NO_ANSWER));
+            assertThat(hasRun(NEW)).isFalse();
+        }
+    }
 }
