Repeat the stop of a late start that an earlier incarnation has answered

After a restart a start that got no answer is stopped on the new incarnation until that answers. An answer of the earlier incarnation that was read after the restart was taken for it, so that the late start could still be carried out. It now counts only once an order has been sent since. ExecutorRestartTest$StopOfAnUncertainStart failed before.

--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/RunLifecycle.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/RunLifecycle.java
@@ -148,7 +148,7 @@
         }
         for (UncertainStartRow row : world.uncertainStarts().rows()) {
             if (row.executor().equals(executor)) {
-                world.uncertainStarts().put(row.key(), row.withCancelPending(true));
+                world.uncertainStarts().put(row.key(), row.withCancelPending());
             }
         }
     }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/RunOrderSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/RunOrderSystem.java
@@ -72,7 +72,7 @@
     private static void applyStopAnswer(SchedulerTick tick, StopCallCompleted answer) {
         if (answer.result() != StopResult.NO_ANSWER) {
             StartKey key = new StartKey(answer.task(), answer.run());
-            tick.world().uncertainStarts().update(key, r -> r.withCancelPending(false));
+            tick.world().uncertainStarts().update(key, UncertainStartRow::withCancelAnswered);
         }
         RunRow run = tick.world().runs().find(answer.task()).orElse(null);
         if (run != null && run.run() == answer.run() && run.callId() == answer.callId()) {
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/UncertainStartRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/UncertainStartRow.java
@@ -24,10 +24,19 @@
         requireNonNull(executor);
     }
 
-    /** Returns this row with a stop order to the current incarnation pending or confirmed. */
-    public UncertainStartRow withCancelPending(boolean newCancelPending) {
+    /** Returns this row with a stop order pending to an incarnation that has not been sent one. */
+    public UncertainStartRow withCancelPending() {
+        return new UncertainStartRow(key, executor, detectedMs, true, 0);
+    }
+
+    /**
+     * Returns this row after an answer to a stop order. It doesn't count if no order has been sent
+     * since the executor restarted: the earlier incarnation has given it.
+     */
+    public UncertainStartRow withCancelAnswered() {
+        boolean counts = cancelSentMs != 0;
         return new UncertainStartRow(
-                key, executor, detectedMs, newCancelPending, newCancelPending ? 0 : cancelSentMs);
+                key, executor, detectedMs, cancelPending && !counts, cancelSentMs);
     }
 
     /** Returns this row after sending a stop order. */
--- a/core/src/test/java/org/hibiscususher/core/scheduler/executor/ExecutorRestartTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/executor/ExecutorRestartTest.java
@@ -18,9 +18,12 @@
 import org.hibiscususher.core.scheduler.message.SchedulerInput.HeartbeatAnswered;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.HeartbeatFailed;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.StartCallCompleted;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.StopCallCompleted;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.SendHeartbeat;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput.StopRun;
 import org.hibiscususher.core.scheduler.message.StartResult;
+import org.hibiscususher.core.scheduler.message.StopResult;
 import org.hibiscususher.core.scheduler.world.RunRow;
 import org.hibiscususher.core.scheduler.world.RunStage;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
@@ -246,4 +249,24 @@
             assertThat(hasRun(NEW)).isFalse();
         }
     }
+
+    @Nested
+    class StopOfAnUncertainStart {
+        /** The earlier incarnation's answer to a stop order does not bind the new one. */
+        @Test
+        void isRepeatedAfterAnAnswerFromBefore() {
+            mWorld.runs().update(OLD, r -> r.asStopping(StopReason.NONE, 7, mNowMs));
+            RunLifecycle.handleUnansweredStart(
+                    new SchedulerTick(mWorld, mNowMs, mNowMs, List.of(), () -> ++mCallId),
+                    mWorld.runs().find(OLD).orElseThrow());
+            long earlierStop = mCallId;
+            List<SchedulerOutput> outputs =
+                    tick(
+                            100,
+                            answerOfNewIncarnation(),
+                            new StopCallCompleted(earlierStop, OLD, 1, StopResult.STOPPED));
+            assertThat(outputs.stream().filter(StopRun.class::isInstance)).isNotEmpty();
+            assertThat(tick(50).stream().filter(StopRun.class::isInstance)).isNotEmpty();
+        }
+    }
 }
