Keep a silent executor that has answered an order since the hosts were listed

A list of hosts that is older than an executor's answer to an order removed the executor, and its runs were started elsewhere; the list may show the host while it was down. LostExecutorSystemTest$Keeps has the case, which failed before.

--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/LostExecutorSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/LostExecutorSystem.java
@@ -61,7 +61,8 @@
     }
 
     /**
-     * Returns whether an executor is silent and has not responded since the list was requested.
+     * Returns whether an executor is silent and has answered no heartbeat, and no order of a run
+     * that it has, since the list was requested.
      *
      * @param sentMs when the list was requested; it may not show an executor seen later
      */
@@ -71,6 +72,11 @@
                         .find(row.id())
                         .map(ExecutorSessionRow::lastAnswerMs)
                         .orElse(0L);
-        return isSilent(world, row) && lastAnswerMs < sentMs && row.firstSeenMs() < sentMs;
+        boolean answeredOrder =
+                world.runs().group(row.id()).stream().anyMatch(r -> r.orderAnsweredMs() >= sentMs);
+        return isSilent(world, row)
+                && lastAnswerMs < sentMs
+                && !answeredOrder
+                && row.firstSeenMs() < sentMs;
     }
 }
--- a/core/src/test/java/org/hibiscususher/core/scheduler/executor/LostExecutorSystemTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/executor/LostExecutorSystemTest.java
@@ -4,6 +4,8 @@
 
 import java.util.List;
 import org.hibiscususher.core.job.Resources;
+import org.hibiscususher.core.job.StepKey;
+import org.hibiscususher.core.job.TaskKey;
 import org.hibiscususher.core.scheduler.SchedulerWorlds;
 import org.hibiscususher.core.scheduler.message.ExecutorReport;
 import org.hibiscususher.core.scheduler.message.HostReport;
@@ -11,8 +13,11 @@
 import org.hibiscususher.core.scheduler.world.ExecutorRow;
 import org.hibiscususher.core.scheduler.world.ExecutorSessionRow;
 import org.hibiscususher.core.scheduler.world.HostListRow;
+import org.hibiscususher.core.scheduler.world.RunRow;
+import org.hibiscususher.core.scheduler.world.RunStage;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
+import org.hibiscususher.core.scheduler.world.StopReason;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -96,6 +101,33 @@
             assertThat(isRemoved()).isFalse();
         }
 
+        /** It may have restarted since; the list shows the host while it was down. */
+        @Test
+        void executorThatAnsweredAnOrderAfterListWasRequested() {
+            addHost("h1", HostState.DOWN, "x1");
+            TaskKey task = new StepKey("j", 0, 0).task(0);
+            RunRow sent =
+                    new RunRow(
+                            task,
+                            1,
+                            "x1",
+                            "team",
+                            Resources.NONE,
+                            Resources.NONE,
+                            RunStage.SENT,
+                            StopReason.NONE,
+                            1,
+                            REQUESTED_MS,
+                            0,
+                            "",
+                            0,
+                            -1,
+                            100,
+                            0);
+            mWorld.runs().put(task, sent.asRunning(REQUESTED_MS + 5));
+            assertThat(isRemoved()).isFalse();
+        }
+
         @Test
         void allExecutorsIfListNamesNone() {
             mWorld.hosts().clear();
