Log what the answer to a cancellation depends on

No line told whether the owner knew the job, held its commit in flight, or had lost its lease. The new line cancel has state=, stored=, in_flight= and lease_left_ms=. The search for a commit in flight, which stood twice, is now a method of SchedulerWorld.

--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/JobRequestDecision.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/JobRequestDecision.java
@@ -10,6 +10,8 @@
 import org.hibiscususher.core.job.JobSpec;
 import org.hibiscususher.core.job.JobState;
 import org.hibiscususher.core.job.JobTeam;
+import org.hibiscususher.core.scheduler.message.RecordKind;
+import org.hibiscususher.core.scheduler.message.RecordName;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.Respond;
 import org.hibiscususher.core.scheduler.world.CommitRow;
 import org.hibiscususher.core.scheduler.world.JobRow;
@@ -99,6 +101,7 @@
     private static void cancel(
             SchedulerTick tick, PendingRequestRow pending, JobQueue queue, String id) {
         Optional<JobRow> job = find(tick, queue, id);
+        logCancellation(tick, id);
         if (job.isEmpty()) {
             tick.emit(new Respond(pending.callId(), JobResponse.of(JobResponseKind.NO_JOB)));
         } else if (job.get().storedState().isFinal()) {
@@ -109,6 +112,23 @@
         }
     }
 
+    private static void logCancellation(SchedulerTick tick, String id) {
+        SchedulerWorld world = tick.world();
+        Optional<JobRow> job = world.jobs().find(id);
+        tick.log(
+                "cancel",
+                "job="
+                        + id
+                        + " state="
+                        + job.map(j -> j.state().name()).orElse("unknown")
+                        + " stored="
+                        + job.map(JobRow::stored).orElse(false)
+                        + " in_flight="
+                        + world.isCommitInFlight(RecordName.of(RecordKind.JOB, id))
+                        + " lease_left_ms="
+                        + (world.term().get().validUntilMs() - tick.nowMs()));
+    }
+
     /** Keeps a request until the store holds the change of the job, or until it is overdue. */
     private static void awaitStore(SchedulerTick tick, PendingRequestRow pending, String id) {
         tick.world()
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/CommitSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/CommitSystem.java
@@ -236,7 +236,7 @@
     private static void answerIfOverdue(SchedulerTick tick, PendingRequestRow request, long ageMs) {
         SchedulerWorld world = tick.world();
         boolean unreachable = world.storeHealth().get().isUnreachable(tick.nowMs());
-        boolean inFlight = isInFlight(world, request.job());
+        boolean inFlight = world.isCommitInFlight(RecordName.of(RecordKind.JOB, request.job()));
         boolean submit = request.request().kind() == JobRequestKind.SUBMIT;
         if (submit && unreachable && !inFlight) {
             world.jobs().remove(request.job());
@@ -246,12 +246,6 @@
         }
     }
 
-    /** Returns whether a commit in flight writes a job's record. */
-    private static boolean isInFlight(SchedulerWorld world, String job) {
-        RecordName name = RecordName.of(RecordKind.JOB, job);
-        return world.commits().rows().stream().anyMatch(commit -> commit.names(name));
-    }
-
     private static void respond(
             SchedulerTick tick, PendingRequestRow request, JobResponseKind kind, String reason) {
         tick.world().pendingRequests().remove(request.callId());
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/StepDown.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/StepDown.java
@@ -46,12 +46,8 @@
         }
     }
 
-    /** Returns whether a commit in flight writes a record of a job. */
     private static boolean isInFlight(SchedulerWorld world, String job) {
-        return world.commits().rows().stream()
-                .anyMatch(
-                        commit ->
-                                commit.names(RecordName.of(RecordKind.JOB, job))
-                                        || commit.names(RecordName.of(RecordKind.PROGRESS, job)));
+        return world.isCommitInFlight(RecordName.of(RecordKind.JOB, job))
+                || world.isCommitInFlight(RecordName.of(RecordKind.PROGRESS, job));
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerWorld.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerWorld.java
@@ -138,6 +138,11 @@
         return mCommits;
     }
 
+    /** Returns whether a commit in flight writes or removes a record. */
+    public boolean isCommitInFlight(RecordName name) {
+        return mCommits.rows().stream().anyMatch(commit -> commit.names(name));
+    }
+
     /** Returns the revisions of the stored records. */
     public Table<RecordName, Long> revisions() {
         return mRevisions;
