Cancel a job whose commit is in flight instead of denying it

Cause: requests looked jobs up among the stored ones only, so a job whose commit was in flight did not exist for a cancellation or a query. Mend: a job is found once its commit is on the way; its cancellation waits until the store holds it, and the job doesn't run. A job that certainly will not be stored is removed at once, and only then unknown.

--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/JobLifecycle.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/JobLifecycle.java
@@ -39,7 +39,10 @@
 public final class JobLifecycle {
     private JobLifecycle() {}
 
-    /** Marks a new job as stored, answers its submission, and activates its first steps. */
+    /**
+     * Marks a new job as stored, answers its submission and queries, and activates its first steps,
+     * unless it was cancelled meanwhile.
+     */
     public static void markStored(SchedulerTick tick, String id) {
         SchedulerWorld world = tick.world();
         JobRow job = world.jobs().find(id).orElse(null);
@@ -63,9 +66,21 @@
                         + (tick.nowMs() - job.arrivedMs()));
         tick.count("accepted");
         respond(tick, id, JobRequestKind.SUBMIT, JobResponse.of(JobResponseKind.ACCEPTED));
+        respond(tick, id, JobRequestKind.QUERY, JobResponse.ofState(job.visibleState()));
         activateDueOccurrences(tick, id);
     }
 
+    /**
+     * Removes a job that the store certainly doesn't hold and will not hold, and answers the
+     * requests that waited to learn that.
+     */
+    public static void removeUnstored(SchedulerTick tick, String id) {
+        tick.world().jobs().remove(id);
+        JobResponse unknown = JobResponse.of(JobResponseKind.NO_JOB);
+        respond(tick, id, JobRequestKind.CANCEL, unknown);
+        respond(tick, id, JobRequestKind.QUERY, unknown);
+    }
+
     /**
      * Marks a job's progress as stored; if the job is finished, answers requests to cancel it.
      *
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/JobRequestDecision.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/JobRequestDecision.java
@@ -67,11 +67,15 @@
             tick.emit(new Respond(pending.callId(), JobResponse.ofPending(queuedJobs)));
             return;
         }
-        JobResponse response =
-                find(tick, queue, id)
-                        .map(j -> JobResponse.ofState(visibleState(j)))
-                        .orElse(JobResponse.of(JobResponseKind.NO_JOB));
-        tick.emit(new Respond(pending.callId(), response));
+        Optional<JobRow> job = find(tick, queue, id);
+        if (job.isEmpty()) {
+            respondUnknownJob(tick, pending);
+        } else if (job.get().stored()) {
+            JobResponse response = JobResponse.ofState(job.get().visibleState());
+            tick.emit(new Respond(pending.callId(), response));
+        } else {
+            awaitStore(tick, pending, id);
+        }
     }
 
     /** Returns whether a job of the queue is accepted but has not started. */
@@ -81,29 +85,27 @@
                 && job.policy().queue().equals(queue.name());
     }
 
+    /** Returns a job of the queue, whether it is stored or its commit is on the way. */
     private static Optional<JobRow> find(SchedulerTick tick, JobQueue queue, String id) {
-        return tick.world()
-                .jobs()
-                .find(id)
-                .filter(j -> j.stored() && j.policy().queue().equals(queue.name()));
+        return tick.world().jobs().find(id).filter(j -> j.policy().queue().equals(queue.name()));
     }
 
-    /**
-     * Returns the state that callers may see. A final state is shown only once it is stored,
-     * because the next owner would continue the job otherwise.
-     */
-    private static JobState visibleState(JobRow job) {
-        boolean visible = !job.state().isFinal() || job.storedState() == job.state();
-        return visible ? job.state() : JobState.RUNNING;
+    private static void respondUnknownJob(SchedulerTick tick, PendingRequestRow pending) {
+        tick.emit(new Respond(pending.callId(), JobResponse.of(JobResponseKind.NO_JOB)));
     }
 
-    /** Cancels a job; a job that is already final gets the same answer. */
+    /**
+     * Cancels a job; a job that is already final gets the same answer.
+     *
+     * <p>A job whose commit is in flight is cancelled as well: the store may hold it already or
+     * later, and then it must not run.
+     */
     private static void cancel(
             SchedulerTick tick, PendingRequestRow pending, JobQueue queue, String id) {
         Optional<JobRow> job = find(tick, queue, id);
         logCancellation(tick, id);
         if (job.isEmpty()) {
-            tick.emit(new Respond(pending.callId(), JobResponse.of(JobResponseKind.NO_JOB)));
+            respondUnknownJob(tick, pending);
         } else if (job.get().storedState().isFinal()) {
             tick.emit(new Respond(pending.callId(), JobResponse.of(JobResponseKind.CANCELLED)));
         } else {
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/CommitSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/CommitSystem.java
@@ -4,9 +4,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.hibiscususher.core.job.JobRequestKind;
 import org.hibiscususher.core.job.JobResponse;
 import org.hibiscususher.core.job.JobResponseKind;
+import org.hibiscususher.core.scheduler.job.JobLifecycle;
 import org.hibiscususher.core.scheduler.job.OutageRetry;
 import org.hibiscususher.core.scheduler.message.LoadedRecord;
 import org.hibiscususher.core.scheduler.message.RecordKind;
@@ -21,6 +24,7 @@
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.Respond;
 import org.hibiscususher.core.scheduler.world.CommitPurpose;
 import org.hibiscususher.core.scheduler.world.CommitRow;
+import org.hibiscususher.core.scheduler.world.JobRow;
 import org.hibiscususher.core.scheduler.world.PendingRequestRow;
 import org.hibiscususher.core.scheduler.world.PendingRequestStage;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
@@ -62,10 +66,14 @@
 
     private CommitSystem() {}
 
-    /** Applies the store's answers to the commits in flight, then answers overdue requests. */
+    /**
+     * Applies the store's answers to the commits in flight, answers overdue requests, then removes
+     * the jobs that will not be stored.
+     */
     public static void handleResults(SchedulerTick tick) {
         tick.forEachInput(SchedulerInput.class, input -> apply(tick, input));
         answerOverdueRequests(tick);
+        removeUnstoredJobs(tick);
     }
 
     private static void apply(SchedulerTick tick, SchedulerInput input) {
@@ -221,7 +229,11 @@
         SchedulerWorld world = tick.world();
         for (PendingRequestRow request : world.pendingRequests().rows()) {
             long ageMs = tick.nowMs() - request.waitingSinceMs();
-            if (request.stage() == PendingRequestStage.AWAITING_STORE && ageMs > REJECT_AFTER_MS) {
+            // Rejecting a submission may have answered other requests on its job.
+            boolean waiting =
+                    request.stage() == PendingRequestStage.AWAITING_STORE
+                            && world.pendingRequests().contains(request.callId());
+            if (waiting && ageMs > REJECT_AFTER_MS) {
                 answerIfOverdue(tick, request, ageMs);
             }
         }
@@ -239,13 +251,40 @@
         boolean inFlight = world.isCommitInFlight(RecordName.of(RecordKind.JOB, request.job()));
         boolean submit = request.request().kind() == JobRequestKind.SUBMIT;
         if (submit && unreachable && !inFlight) {
-            world.jobs().remove(request.job());
+            JobLifecycle.removeUnstored(tick, request.job());
             respond(tick, request, JobResponseKind.UNAVAILABLE, "store-away");
         } else if (ageMs > UNKNOWN_AFTER_MS) {
             respond(tick, request, JobResponseKind.UNKNOWN, "store-silent");
         }
     }
 
+    /**
+     * Removes the jobs that no commit in flight writes and no submission waits for, as after a
+     * conflict. Nothing can store them any more.
+     */
+    private static void removeUnstoredJobs(SchedulerTick tick) {
+        SchedulerWorld world = tick.world();
+        List<JobRow> unstored = world.jobs().rows().stream().filter(j -> !j.stored()).toList();
+        if (unstored.isEmpty()) {
+            return;
+        }
+        Set<String> submitted = jobsOfWaitingSubmissions(world);
+        for (JobRow job : unstored) {
+            if (!submitted.contains(job.id())
+                    && !world.isCommitInFlight(RecordName.of(RecordKind.JOB, job.id()))) {
+                JobLifecycle.removeUnstored(tick, job.id());
+            }
+        }
+    }
+
+    private static Set<String> jobsOfWaitingSubmissions(SchedulerWorld world) {
+        return world.pendingRequests().rows().stream()
+                .filter(p -> p.stage() == PendingRequestStage.AWAITING_STORE)
+                .filter(p -> p.request().kind() == JobRequestKind.SUBMIT)
+                .map(PendingRequestRow::job)
+                .collect(Collectors.toSet());
+    }
+
     private static void respond(
             SchedulerTick tick, PendingRequestRow request, JobResponseKind kind, String reason) {
         tick.world().pendingRequests().remove(request.callId());
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/JobRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/JobRow.java
@@ -170,6 +170,14 @@
         return stored && !state.isFinal();
     }
 
+    /**
+     * Returns the state that callers may see. A final state is shown only once it is stored,
+     * because the next owner would continue the job otherwise.
+     */
+    public JobState visibleState() {
+        return state.isFinal() && storedState != state ? JobState.RUNNING : state;
+    }
+
     /** Returns the time by which the job should be done, in milliseconds of the steady clock. */
     public long deadlineMs() {
         return arrivedMs + policy.objectiveFor(spec.criticalPathMs());
