Deny jobs and count them only while the owner's lease holds

Cause: whether an owner decides on requests did not depend on its lease, so that it answered from tables that a later owner had moved on from. Mend: that a job is unknown, and how many wait, is answered only while the lease is certainly valid. Otherwise the request waits as it does without an owner, 0.12 s, for the lease, for the later owner, or to be refused. A stored final state is answered as before. Tests: JobRequestDecisionTest$LeaseThatMayHaveRunOut failed in 2 of 3 before.

--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/JobRequestDecision.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/JobRequestDecision.java
@@ -13,6 +13,7 @@
 import org.hibiscususher.core.scheduler.message.RecordKind;
 import org.hibiscususher.core.scheduler.message.RecordName;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.Respond;
+import org.hibiscususher.core.scheduler.term.Authority;
 import org.hibiscususher.core.scheduler.world.CommitRow;
 import org.hibiscususher.core.scheduler.world.JobRow;
 import org.hibiscususher.core.scheduler.world.PendingRequestRow;
@@ -64,7 +65,7 @@
         if (id.isEmpty()) {
             long queuedJobs =
                     tick.world().jobs().rows().stream().filter(j -> isPending(j, queue)).count();
-            tick.emit(new Respond(pending.callId(), JobResponse.ofPending(queuedJobs)));
+            respondIfLeaseHolds(tick, pending, JobResponse.ofPending(queuedJobs));
             return;
         }
         Optional<JobRow> job = find(tick, queue, id);
@@ -91,7 +92,17 @@
     }
 
     private static void respondUnknownJob(SchedulerTick tick, PendingRequestRow pending) {
-        tick.emit(new Respond(pending.callId(), JobResponse.of(JobResponseKind.NO_JOB)));
+        respondIfLeaseHolds(tick, pending, JobResponse.of(JobResponseKind.NO_JOB));
+    }
+
+    /** Answers with what a later owner could contradict, unless there may be one. */
+    private static void respondIfLeaseHolds(
+            SchedulerTick tick, PendingRequestRow pending, JobResponse response) {
+        if (Authority.mayDenyJobs(tick)) {
+            tick.emit(new Respond(pending.callId(), response));
+        } else {
+            JobRequestSystem.awaitOwner(tick, pending);
+        }
     }
 
     /**
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/JobRequestSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/JobRequestSystem.java
@@ -168,10 +168,17 @@
                 && pending.request().hops() == 0
                 && !world.nodeState().get().storeReachable()) {
             forward(tick, pending, otherEntry(world, pending));
-        } else if (tick.nowMs() - pending.waitingSinceMs() > ownerWaitMs(pending)) {
+        } else {
+            awaitOwner(tick, pending);
+        }
+    }
+
+    /** Keeps a request until there is an owner that can answer it, or rejects it as overdue. */
+    static void awaitOwner(SchedulerTick tick, PendingRequestRow pending) {
+        if (tick.nowMs() - pending.waitingSinceMs() > ownerWaitMs(pending)) {
             JobRequestRejection.reject(tick, pending, JobResponseKind.UNAVAILABLE, "no-owner");
         } else {
-            world.pendingRequests().put(pending.callId(), pending);
+            tick.world().pendingRequests().put(pending.callId(), pending);
         }
     }
 
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/Authority.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/Authority.java
@@ -56,6 +56,14 @@
         return new OrderValidity(validUntilMs, tick.wallMs() + validUntilMs - tick.nowMs());
     }
 
+    /**
+     * Returns whether the process may answer that a job is unknown, or how many are waiting: only
+     * while its lease is certainly valid, since a later owner may have accepted jobs meanwhile.
+     */
+    public static boolean mayDenyJobs(SchedulerTick tick) {
+        return tick.nowMs() < tick.world().term().get().validUntilMs();
+    }
+
     /** Returns whether the process answers callers' requests itself instead of forwarding them. */
     public static boolean mayDecideRequests(SchedulerTick tick) {
         TermRow term = tick.world().term().get();
--- a/core/src/test/java/org/hibiscususher/core/scheduler/job/JobRequestDecisionTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/job/JobRequestDecisionTest.java
@@ -15,6 +15,7 @@
 import org.hibiscususher.core.job.JobResponse;
 import org.hibiscususher.core.job.JobResponseKind;
 import org.hibiscususher.core.job.JobSpec;
+import org.hibiscususher.core.job.JobState;
 import org.hibiscususher.core.job.JobTeam;
 import org.hibiscususher.core.job.Resources;
 import org.hibiscususher.core.job.StepSpec;
@@ -193,4 +194,54 @@
             assertThat(responseTo(2)).contains(JobResponseKind.NO_JOB);
         }
     }
+
+    /** Guards against an owner that denies a job which a later owner has accepted. */
+    @Nested
+    class LeaseThatMayHaveRunOut {
+        @BeforeEach
+        void runOut() {
+            tick(10);
+            setLeaseLeft(-100);
+        }
+
+        @Test
+        void leavesTheAnswerOpenUntilItIsRenewed() {
+            tick(
+                    10,
+                    request(1, JobRequestKind.CANCEL, JOB),
+                    request(2, JobRequestKind.QUERY, JOB),
+                    request(3, JobRequestKind.QUERY, ""));
+            assertThat(responseTo(1)).isEmpty();
+            assertThat(responseTo(2)).isEmpty();
+            assertThat(responseTo(3)).isEmpty();
+            setLeaseLeft(1_000);
+            tick(10);
+            assertThat(responseTo(1)).contains(JobResponseKind.NO_JOB);
+            assertThat(responseTo(2)).contains(JobResponseKind.NO_JOB);
+            assertThat(responseTo(3)).contains(JobResponseKind.PENDING);
+        }
+
+        @Test
+        void isNotWaitedForLong() {
+            tick(10, request(1, JobRequestKind.CANCEL, JOB));
+            tick(200);
+            assertThat(responseTo(1)).contains(JobResponseKind.UNAVAILABLE);
+        }
+
+        @Test
+        void doesNotMatterForAFinalStateThatIsStored() {
+            setLeaseLeft(1_000);
+            tick(10, request(1, JobRequestKind.SUBMIT, JOB));
+            tick(10, new Committed(lastCommit().callId(), 40));
+            mWorld.jobs()
+                    .update(
+                            JOB,
+                            j ->
+                                    j.withState(JobState.DONE, mNowMs)
+                                            .withStoredVersion(1, JobState.DONE, mNowMs));
+            setLeaseLeft(-100);
+            tick(10, request(2, JobRequestKind.CANCEL, JOB));
+            assertThat(responseTo(2)).contains(JobResponseKind.CANCELLED);
+        }
+    }
 }
