Take a run for gone only by a list that names everything

Cause: an executor lists at most 500 ends that are not acknowledged. A run that a cut-off list lacks was taken for lost, and by a new owner for one that never was. Evidence: run-gone reason=not-listed for runs whose run-ended how=DONE follows once the store is back. Mend: a heartbeat's answer says whether it is complete; only a complete one says that a run is gone or that an executor holds nothing unknown.

--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/ExecutorSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/ExecutorSystem.java
@@ -226,7 +226,9 @@
                 session.withHeartbeatAnswered(
                         answer.startedAtMs(), answer.executorClockMs(), tick.nowMs());
         world.executorSessions().put(id, session);
-        world.executors().update(id, ExecutorRow::asConfirmed);
+        if (answer.complete()) {
+            world.executors().update(id, ExecutorRow::asConfirmed);
+        }
         Set<TaskKey> reportedTasks = new HashSet<>();
         for (FinishedRun finished : answer.finishedRuns()) {
             reportedTasks.add(finished.task());
@@ -241,7 +243,10 @@
             reportedTasks.add(run.task());
             applyRun(tick, id, run);
         }
-        requeueUnlistedRuns(tick, id, reportedTasks, sentMs);
+        // A run that a cut-off list lacks may have ended; a later list names its outcome.
+        if (answer.complete()) {
+            requeueUnlistedRuns(tick, id, reportedTasks, sentMs);
+        }
     }
 
     /** Applies a run that an executor lists; orders it to stop if no task needs it. */
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/SchedulerInput.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/SchedulerInput.java
@@ -218,6 +218,8 @@
      * @param executorClockMs time on the executor's clock, in milliseconds
      * @param runs runs that are in progress there
      * @param finishedRuns finished runs that are not acknowledged
+     * @param complete whether the lists name all runs in progress and all finished ones that are
+     *     not acknowledged; otherwise the rest follows once some are acknowledged
      */
     record HeartbeatAnswered(
             long callId,
@@ -225,7 +227,8 @@
             long startedAtMs,
             long executorClockMs,
             List<ReportedRun> runs,
-            List<FinishedRun> finishedRuns)
+            List<FinishedRun> finishedRuns,
+            boolean complete)
             implements SchedulerInput {
         /** Copies the lists. */
         public HeartbeatAnswered {
--- a/core/src/test/java/org/hibiscususher/core/scheduler/executor/ExecutorRestartTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/executor/ExecutorRestartTest.java
@@ -141,7 +141,7 @@
             long callId, long startedAtMs, List<FinishedRun> finished, TaskKey... running) {
         List<ReportedRun> runs =
                 Arrays.stream(running).map(t -> new ReportedRun(t, 1, "", 10, -1)).toList();
-        return new HeartbeatAnswered(callId, EXECUTOR, startedAtMs, 1, runs, finished);
+        return new HeartbeatAnswered(callId, EXECUTOR, startedAtMs, 1, runs, finished, true);
     }
 
     private HeartbeatAnswered answerOfNewIncarnation(TaskKey... running) {
--- a/core/src/test/java/org/hibiscususher/core/scheduler/executor/HeartbeatSystemTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/executor/HeartbeatSystemTest.java
@@ -89,7 +89,7 @@
 
     private static HeartbeatAnswered answer(SendHeartbeat heartbeat, FinishedRun... finished) {
         return new HeartbeatAnswered(
-                heartbeat.callId(), EXECUTOR, 1, 300, List.of(), List.of(finished));
+                heartbeat.callId(), EXECUTOR, 1, 300, List.of(), List.of(finished), true);
     }
 
     private static FinishedRun finished(int sequence, RunOutcome outcome) {
--- a/core/src/test/java/org/hibiscususher/core/scheduler/executor/OddRunsTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/executor/OddRunsTest.java
@@ -55,7 +55,7 @@
     }
 
     private void answer(List<ReportedRun> runs, List<FinishedRun> finished) {
-        HeartbeatAnswered answer = new HeartbeatAnswered(5, "x", 1, 1, runs, finished);
+        HeartbeatAnswered answer = new HeartbeatAnswered(5, "x", 1, 1, runs, finished, true);
         ExecutorSystem.run(new SchedulerTick(mWorld, NOW_MS, NOW_MS, List.of(answer), () -> 1));
     }
 
--- a/core/src/test/java/org/hibiscususher/core/scheduler/executor/StragglerSystemTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/executor/StragglerSystemTest.java
@@ -122,7 +122,7 @@
         }
 
         private List<StopReason> stopReasons() {
-            SchedulerInput answer = new HeartbeatAnswered(1, "x", 1, 1, List.of(), List.of());
+            SchedulerInput answer = new HeartbeatAnswered(1, "x", 1, 1, List.of(), List.of(), true);
             StragglerSystem.run(
                     new SchedulerTick(mWorld, NOW_MS, NOW_MS, List.of(answer), () -> 1));
             return mWorld.runs().rows().stream().map(RunRow::reason).toList();
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualExecutor.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualExecutor.java
@@ -42,6 +42,9 @@
     /** Time from a stop order to the end of the run. */
     private static final long STOP_MS = 100;
 
+    /** Most finished runs in one response to a heartbeat. */
+    private static final int MAX_LISTED_FINISHED_RUNS = 500;
+
     /** Time after which the sender of a call without a response sees it fail. */
     private static final long NO_ANSWER_MS = 500;
 
@@ -278,8 +281,15 @@
                 (task, active) ->
                         runs.add(
                                 new ReportedRun(task, active.run(), active.checkpoint(), 100, -1)));
+        int listed = Math.min(MAX_LISTED_FINISHED_RUNS, mFinishedRuns.size());
         return new HeartbeatAnswered(
-                request.callId(), id(), mStartedAtMs, clockMs(), runs, mFinishedRuns);
+                request.callId(),
+                id(),
+                mStartedAtMs,
+                clockMs(),
+                runs,
+                mFinishedRuns.subList(0, listed),
+                listed < MAX_LISTED_FINISHED_RUNS);
     }
 
     /** Extends the lease; when it expires, all runs end as {@link RunOutcome#LAPSED}. */
--- a/standin/src/test/java/org/hibiscususher/standin/scheduler/JobSpecs.java
+++ b/standin/src/test/java/org/hibiscususher/standin/scheduler/JobSpecs.java
@@ -21,6 +21,16 @@
         return JobSpec.once("run", List.of(StepSpec.of(tasks, CORE, taskMs, List.of())));
     }
 
+    /**
+     * Returns a job of one step of tasks that each demand a hundredth of a core.
+     *
+     * @param taskMs run time of each task, in milliseconds
+     */
+    static JobSpec small(int tasks, long taskMs) {
+        Resources demand = Resources.of(10, 1, 0);
+        return JobSpec.once("run", List.of(StepSpec.of(tasks, demand, taskMs, List.of())));
+    }
+
     /**
      * Returns a job of two steps, of which the second depends on the first.
      *
--- a/standin/src/test/java/org/hibiscususher/standin/scheduler/SchedulerSiteTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/scheduler/SchedulerSiteTest.java
@@ -311,6 +311,40 @@
         }
     }
 
+    /** Guards against lists of finished runs that are cut off: what they lack has not vanished. */
+    @Nested
+    class ManyEndsWhileTheStoreIsAway {
+        /** Tasks that fit on the two executors at the same time. */
+        private static final int TASKS = 1_200;
+
+        private final SchedulerSite mSite = SchedulerSite.create(3, 2, 29);
+
+        @ParameterizedTest
+        @ValueSource(longs = {1_500, 4_500, 8_000})
+        void areNotTakenForLostRuns(long downMs) {
+            runThroughAnOutage(downMs);
+        }
+
+        @Test
+        void areNotTakenForLostRunsByTheNextOwner() {
+            mSite.schedule(
+                    3_500, () -> mSite.owner().ifPresent(owner -> mSite.kill(owner, 20_000)));
+            runThroughAnOutage(4_500);
+        }
+
+        private void runThroughAnOutage(long downMs) {
+            mSite.run(1_500);
+            List<String> jobs = new ArrayList<>();
+            for (int i = 0; i < TASKS / 100; i++) {
+                jobs.add(mSite.submit(JobSpecs.small(100, 600)));
+            }
+            mSite.schedule(300, () -> mSite.storeDown(downMs));
+            mSite.run(DRAIN_MS);
+            assertAllEnded(mSite, jobs);
+            assertThat(mSite.logLines()).noneMatch(l -> l.contains("reason=not-listed"));
+        }
+    }
+
     @Nested
     class ManyJobsOverASlowStore {
         /** Longest time from a submission to the start of an urgent job that the target allows. */
