Store the job that a test of a final state starts from

The case took the commit of the executors in use for that of its job, which was then not stored; it now asserts that the submission is accepted first.

--- a/core/src/test/java/org/hibiscususher/core/scheduler/job/JobRequestDecisionTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/job/JobRequestDecisionTest.java
@@ -232,7 +232,9 @@
         void doesNotMatterForAFinalStateThatIsStored() {
             setLeaseLeft(1_000);
             tick(10, request(1, JobRequestKind.SUBMIT, JOB));
-            tick(10, new Committed(lastCommit().callId(), 40));
+            tick(30, new Committed(lastCommit().callId(), 40));
+            tick(30, new Committed(lastCommit().callId(), 41));
+            assertThat(responseTo(1)).contains(JobResponseKind.ACCEPTED);
             mWorld.jobs()
                     .update(
                             JOB,
