Let a restarted virtual executor leave open polls unanswered; share a test's job

A long poll that a restart interrupts was answered by the next incarnation in the virtual site, which real executors don't do. Tests of single systems take their running job from one place.

--- a/core/src/test/java/org/hibiscususher/core/scheduler/SchedulerWorlds.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/SchedulerWorlds.java
@@ -1,10 +1,15 @@
 package org.hibiscususher.core.scheduler;
 
 import java.util.List;
+import org.hibiscususher.core.job.JobPolicy;
+import org.hibiscususher.core.job.JobSpec;
+import org.hibiscususher.core.job.JobState;
 import org.hibiscususher.core.job.Resources;
+import org.hibiscususher.core.job.StepSpec;
 import org.hibiscususher.core.scheduler.message.ExecutorReport;
 import org.hibiscususher.core.scheduler.world.ExecutorRow;
 import org.hibiscususher.core.scheduler.world.ExecutorSessionRow;
+import org.hibiscususher.core.scheduler.world.JobRow;
 import org.hibiscususher.core.scheduler.world.SchedulerSettings;
 import org.hibiscususher.core.scheduler.world.SchedulerTiming;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
@@ -55,4 +60,25 @@
         world.executorSessions()
                 .put(id, ExecutorSessionRow.initial(id, 0).withHeartbeatAnswered(1, 1, answeredMs));
     }
+
+    /** Returns a stored job of one step that has started. One failed run fails it. */
+    public static JobRow runningJob(String id, int tasks, long nowMs) {
+        StepSpec step = StepSpec.of(tasks, Resources.of(1, 1, 0), 1, List.of());
+        return new JobRow(
+                id,
+                new JobPolicy("q", "p", 0, 1, 1, 500, false),
+                "team",
+                JobSpec.once("x", List.of(step)),
+                nowMs,
+                nowMs,
+                JobState.RUNNING,
+                true,
+                JobState.RUNNING,
+                0,
+                0,
+                nowMs,
+                1,
+                false,
+                0);
+    }
 }
--- a/core/src/test/java/org/hibiscususher/core/scheduler/executor/HeartbeatSystemTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/executor/HeartbeatSystemTest.java
@@ -5,13 +5,10 @@
 import java.util.List;
 import java.util.stream.Stream;
 import org.hibiscususher.core.job.FinishedRun;
-import org.hibiscususher.core.job.JobPolicy;
-import org.hibiscususher.core.job.JobSpec;
 import org.hibiscususher.core.job.JobState;
 import org.hibiscususher.core.job.Resources;
 import org.hibiscususher.core.job.RunOutcome;
 import org.hibiscususher.core.job.StepKey;
-import org.hibiscususher.core.job.StepSpec;
 import org.hibiscususher.core.scheduler.SchedulerWorlds;
 import org.hibiscususher.core.scheduler.job.JobLifecycle;
 import org.hibiscususher.core.scheduler.message.SchedulerInput;
@@ -41,30 +38,10 @@
     @BeforeEach
     void setUp() {
         SchedulerWorlds.addExecutor(mWorld, EXECUTOR, "p", Resources.of(9_000, 9, 0), START_MS);
-        mWorld.jobs().put(JOB, storedJob());
+        mWorld.jobs().put(JOB, SchedulerWorlds.runningJob(JOB, 2, START_MS));
         JobLifecycle.activateDueOccurrences(tickWith(List.of()), JOB);
     }
 
-    private static JobRow storedJob() {
-        StepSpec step = StepSpec.of(2, Resources.of(1, 1, 0), 1, List.of());
-        return new JobRow(
-                JOB,
-                new JobPolicy("q", "p", 0, 1, 1, 500, false),
-                "team",
-                JobSpec.once("x", List.of(step)),
-                START_MS,
-                START_MS,
-                JobState.RUNNING,
-                true,
-                JobState.RUNNING,
-                0,
-                0,
-                START_MS,
-                1,
-                false,
-                0);
-    }
-
     private SchedulerTick tickWith(List<SchedulerInput> inputs) {
         return new SchedulerTick(mWorld, mNowMs, mNowMs, inputs, () -> ++mCallId);
     }
--- a/core/src/test/java/org/hibiscususher/core/scheduler/job/JobSystemTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/job/JobSystemTest.java
@@ -3,15 +3,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
-import org.hibiscususher.core.job.JobPolicy;
-import org.hibiscususher.core.job.JobSpec;
 import org.hibiscususher.core.job.JobState;
-import org.hibiscususher.core.job.Resources;
-import org.hibiscususher.core.job.StepSpec;
 import org.hibiscususher.core.scheduler.SchedulerWorlds;
 import org.hibiscususher.core.scheduler.message.RecordKind;
 import org.hibiscususher.core.scheduler.message.RecordName;
-import org.hibiscususher.core.scheduler.world.JobRow;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
 import org.junit.jupiter.api.BeforeEach;
@@ -29,25 +24,7 @@
 
     @BeforeEach
     void setUp() {
-        StepSpec step = StepSpec.of(1, Resources.of(1, 1, 0), 1, List.of());
-        JobRow job =
-                new JobRow(
-                        JOB,
-                        new JobPolicy("q", "p", 0, 1, 1, 500, false),
-                        "team",
-                        JobSpec.once("x", List.of(step)),
-                        START_MS,
-                        START_MS,
-                        JobState.RUNNING,
-                        true,
-                        JobState.RUNNING,
-                        0,
-                        0,
-                        START_MS,
-                        1,
-                        false,
-                        0);
-        mWorld.jobs().put(JOB, job);
+        mWorld.jobs().put(JOB, SchedulerWorlds.runningJob(JOB, 1, START_MS));
         JobLifecycle.finish(tickAt(START_MS), JOB, JobState.CANCELLED, "test");
     }
 
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualExecutor.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualExecutor.java
@@ -148,6 +148,7 @@
         mRunning.clear();
         mHighestRuns.clear();
         mFinishedRuns.clear();
+        mPendingReplies.clear();
         mLastSequence = 0;
         mFence = 0;
         mLeaseDeadlineMs = 0;
@@ -243,7 +244,8 @@
 
     /**
      * Extends the lease and discards the acknowledged finished runs. The response waits, up to the
-     * time that the request allows, until there is a finished run to report.
+     * time that the request allows, until there is a finished run to report; if the executor
+     * restarts meanwhile, there is none.
      */
     private void heartbeat(SendHeartbeat request, Consumer<SchedulerInput> sink) {
         if (request.fence() < mFence) {
@@ -260,11 +262,16 @@
         }
         mFinishedRuns.removeIf(finished -> finished.sequence() <= request.acknowledgedSequence());
         boolean[] replied = {false};
+        long startedAtMs = mStartedAtMs;
         Runnable reply =
                 () -> {
                     if (!replied[0]) {
                         replied[0] = true;
-                        sink.accept(heartbeatResponse(request));
+                        if (startedAtMs == mStartedAtMs) {
+                            sink.accept(heartbeatResponse(request));
+                        } else {
+                            mClock.after(NO_ANSWER_MS, () -> sink.accept(noAnswer(request)));
+                        }
                     }
                 };
         if (request.waitMs() == 0 || !mFinishedRuns.isEmpty()) {
--- a/standin/src/test/java/org/hibiscususher/standin/scheduler/SchedulerSiteTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/scheduler/SchedulerSiteTest.java
@@ -433,10 +433,11 @@
             site.run(1_500);
             List<String> jobs = new ArrayList<>();
             for (int i = 0; i < 100; i++) {
-                site.schedule(i * 70L, () -> jobs.add(site.submit(JobSpecs.oneStep(4, 700))));
+                site.schedule(i * 70L, () -> jobs.add(site.submit(JobSpecs.oneStep(4, 900))));
             }
             for (int i = 0; i < 10; i++) {
-                site.schedule(500 + i * 700L, () -> site.restartExecutor("x1", delayMs));
+                int restarted = i % 4;
+                site.schedule(500 + i * 700L, () -> site.restartExecutor("x" + restarted, delayMs));
             }
             site.run(LOAD_MS + DRAIN_MS);
             assertAllEnded(site, jobs);
