Look for a job that can't be stored only where that may have come true

Each tick looked through all jobs for it, with thousands of them kept after their end. It is now looked at when its commit is dropped, or a request that waited for it is answered.

--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/CommitSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/CommitSystem.java
@@ -4,8 +4,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
-import java.util.stream.Collectors;
 import org.hibiscususher.core.job.JobRequestKind;
 import org.hibiscususher.core.job.JobResponse;
 import org.hibiscususher.core.job.JobResponseKind;
@@ -22,9 +20,9 @@
 import org.hibiscususher.core.scheduler.message.SchedulerOutput;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.Commit;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.Respond;
+import org.hibiscususher.core.scheduler.message.StoredRecord;
 import org.hibiscususher.core.scheduler.world.CommitPurpose;
 import org.hibiscususher.core.scheduler.world.CommitRow;
-import org.hibiscususher.core.scheduler.world.JobRow;
 import org.hibiscususher.core.scheduler.world.PendingRequestRow;
 import org.hibiscususher.core.scheduler.world.PendingRequestStage;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
@@ -66,14 +64,10 @@
 
     private CommitSystem() {}
 
-    /**
-     * Applies the store's answers to the commits in flight, answers overdue requests, then removes
-     * the jobs that will not be stored.
-     */
+    /** Applies the store's answers to the commits in flight, then answers overdue requests. */
     public static void handleResults(SchedulerTick tick) {
         tick.forEachInput(SchedulerInput.class, input -> apply(tick, input));
         answerOverdueRequests(tick);
-        removeUnstoredJobs(tick);
     }
 
     private static void apply(SchedulerTick tick, SchedulerInput input) {
@@ -193,7 +187,7 @@
         } else {
             tick.log("commit-conflict", "records=" + revisions);
             revisions.forEach((name, revision) -> world.revisions().put(name, revision));
-            world.commits().remove(commit.id());
+            drop(tick, commit);
         }
     }
 
@@ -220,7 +214,7 @@
         if (updated.uncertain()) {
             world.commits().put(updated.id(), updated);
         } else {
-            world.commits().remove(updated.id());
+            drop(tick, updated);
         }
     }
 
@@ -258,31 +252,34 @@
         }
     }
 
-    /**
-     * Removes the jobs that no commit in flight writes and no submission waits for, as after a
-     * conflict. Nothing can store them any more.
-     */
-    private static void removeUnstoredJobs(SchedulerTick tick) {
-        SchedulerWorld world = tick.world();
-        List<JobRow> unstored = world.jobs().rows().stream().filter(j -> !j.stored()).toList();
-        if (unstored.isEmpty()) {
-            return;
-        }
-        Set<String> submitted = jobsOfWaitingSubmissions(world);
-        for (JobRow job : unstored) {
-            if (!submitted.contains(job.id())
-                    && !world.isCommitInFlight(RecordName.of(RecordKind.JOB, job.id()))) {
-                JobLifecycle.removeUnstored(tick, job.id());
+    /** Drops a commit that had no effect; its changes go into the next commits. */
+    private static void drop(SchedulerTick tick, CommitRow commit) {
+        tick.world().commits().remove(commit.id());
+        for (RecordWrite write : commit.writes()) {
+            if (write.record() instanceof StoredRecord.Job job) {
+                removeIfUnstorable(tick, job.id());
             }
         }
     }
 
-    private static Set<String> jobsOfWaitingSubmissions(SchedulerWorld world) {
+    /** Removes a job that is not stored, if no commit in flight or submission can store it. */
+    private static void removeIfUnstorable(SchedulerTick tick, String id) {
+        SchedulerWorld world = tick.world();
+        boolean unstored = world.jobs().find(id).filter(j -> !j.stored()).isPresent();
+        if (unstored
+                && !isSubmissionWaiting(world, id)
+                && !world.isCommitInFlight(RecordName.of(RecordKind.JOB, id))) {
+            JobLifecycle.removeUnstored(tick, id);
+        }
+    }
+
+    private static boolean isSubmissionWaiting(SchedulerWorld world, String job) {
         return world.pendingRequests().rows().stream()
-                .filter(p -> p.stage() == PendingRequestStage.AWAITING_STORE)
-                .filter(p -> p.request().kind() == JobRequestKind.SUBMIT)
-                .map(PendingRequestRow::job)
-                .collect(Collectors.toSet());
+                .anyMatch(
+                        p ->
+                                p.stage() == PendingRequestStage.AWAITING_STORE
+                                        && p.job().equals(job)
+                                        && p.request().kind() == JobRequestKind.SUBMIT);
     }
 
     private static void respond(
@@ -294,5 +291,6 @@
                 OutageRetry.afterMs(
                         tick.world().storeHealth().get(), tick.nowMs(), request.job().hashCode());
         tick.emit(new Respond(request.callId(), JobResponse.refusal(kind, afterMs, reason)));
+        removeIfUnstorable(tick, request.job());
     }
 }
