--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/ExecutorSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/ExecutorSystem.java
@@ -108,9 +108,9 @@
                         .find(report.id())
                         .map(ExecutorSessionRow::startedAtMs)
                         .orElse(0L);
-        boolean news = before == null || before.report().startedAtMs() != report.startedAtMs();
+        boolean differs = before == null || before.report().startedAtMs() != report.startedAtMs();
         boolean bothKnown = knownStartMs != 0 && report.startedAtMs() != 0;
-        if (news && bothKnown && report.startedAtMs() != knownStartMs) {
+        if (differs && bothKnown && report.startedAtMs() != knownStartMs) {
             tick.log(
                     "executor-reborn",
                     "executor="
