--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/HeartbeatResults.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/HeartbeatResults.java
@@ -53,7 +53,7 @@
             return;
         }
         if (session.startedAtMs() != 0 && session.startedAtMs() != answer.startedAtMs()) {
-            session = restarted(tick, session, answer.callId());
+            session = restarted(tick, session, answer);
         }
         logIfReached(tick, session, answer);
         long sentMs = session.heartbeatSentMs();
@@ -80,9 +80,16 @@
      * heartbeat in flight that it answers.
      */
     private static ExecutorSessionRow restarted(
-            SchedulerTick tick, ExecutorSessionRow session, long callId) {
+            SchedulerTick tick, ExecutorSessionRow session, HeartbeatAnswered answer) {
         String id = session.executor();
-        tick.log("executor-reborn", "executor=" + id + " by=answer");
+        tick.log(
+                "executor-reborn",
+                "executor="
+                        + id
+                        + " by=answer known="
+                        + session.startedAtMs()
+                        + " reported="
+                        + answer.startedAtMs());
         RunLifecycle.handleRestart(tick, id);
         extendLeaseOfUnknownClock(tick, id);
         long leaseEndMs =
@@ -92,7 +99,8 @@
                         .map(ExecutorSessionRow::leaseEndMs)
                         .orElse(0L);
         return ExecutorSessionRow.initial(id, leaseEndMs)
-                .withHeartbeatSent(callId, session.heartbeatFence(), session.heartbeatSentMs(), 0);
+                .withHeartbeatSent(
+                        answer.callId(), session.heartbeatFence(), session.heartbeatSentMs(), 0);
     }
 
     /**
@@ -122,7 +130,9 @@
                             + " runs="
                             + answer.runs().size()
                             + " ends="
-                            + answer.finishedRuns().size());
+                            + answer.finishedRuns().size()
+                            + " incarnation="
+                            + answer.startedAtMs());
         }
     }
 
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/RunLifecycle.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/RunLifecycle.java
@@ -78,10 +78,36 @@
         SchedulerWorld world = tick.world();
         world.runs().remove(run.task());
         world.tasks().update(run.task(), t -> t.asWaiting(tick.nowMs(), delayMs, run.checkpoint()));
-        tick.log("run-gone", describe(run) + " reason=" + reason);
+        tick.log("run-gone", describe(run) + " reason=" + reason + knowledge(tick, run));
         tick.count("run-gone." + reason);
     }
 
+    /**
+     * Returns what the removal of a run rests on, as fields of a log line: the ages of its order,
+     * of the answer to it (-1 for none) and of the executor's last answer to a heartbeat, how long
+     * the executor's lease may still last, all in milliseconds, and the known incarnation.
+     */
+    private static String knowledge(SchedulerTick tick, RunRow run) {
+        ExecutorSessionRow session =
+                tick.world()
+                        .executorSessions()
+                        .find(run.executor())
+                        .orElse(ExecutorSessionRow.initial(run.executor(), 0));
+        boolean answered = run.orderAnsweredMs() != 0;
+        return " stage="
+                + run.stage()
+                + " order_age_ms="
+                + (tick.nowMs() - run.sentMs())
+                + " answer_age_ms="
+                + (answered ? tick.nowMs() - run.orderAnsweredMs() : -1)
+                + " executor_age_ms="
+                + (tick.nowMs() - session.lastAnswerMs())
+                + " lease_left_ms="
+                + (session.leaseEndMs() - tick.nowMs())
+                + " incarnation="
+                + session.startedAtMs();
+    }
+
     /**
      * Applies that an incarnation of an executor has ended, and with it its runs. A run whose order
      * was sent or answered after that reading may belong to the next incarnation; the answer to
