Send no start order after its validity, and take one that was not sent as such

One way to it: an owner that is paused, or whose start waits for a connection, sends it after it has given the run up at the end of the executor's lease. An incarnation whose clock began anew accepts such an order, since its deadline is far ahead there. A start that no connection carried is no longer uncertain: it is requeued at once, and the executor gets no new runs for 0.5 s.

The answer to a start also tells the executor's clock now, which nothing reads yet.

--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/RunOrderSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/RunOrderSystem.java
@@ -38,6 +38,9 @@
     /** Time without new runs after an executor reported itself unhealthy, in milliseconds. */
     private static final long UNHEALTHY_QUARANTINE_MS = 500;
 
+    /** Time without new runs after no connection to an executor was open, in milliseconds. */
+    private static final long NOT_SENT_QUARANTINE_MS = 500;
+
     /** Time within which a start order without a response may be carried out, in milliseconds. */
     private static final long MAX_START_DELAY_MS = 14_000;
 
@@ -103,6 +106,11 @@
                         tick, run.executor(), UNHEALTHY_QUARANTINE_MS, "unhealthy");
                 RunLifecycle.removeAndRequeue(tick, run, "refused", 0);
             }
+            case NOT_SENT -> {
+                ExecutorHealth.quarantine(
+                        tick, run.executor(), NOT_SENT_QUARANTINE_MS, "not-connected");
+                RunLifecycle.removeAndRequeue(tick, run, "not-sent", 0);
+            }
             case NO_TICKET -> {
                 world.advice().remove(run.task().stepKey());
                 RunLifecycle.removeAndRequeue(tick, run, "refused", 0);
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/SchedulerInput.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/SchedulerInput.java
@@ -254,9 +254,20 @@
      * @param task task that the run executes
      * @param run number of the run
      * @param result result of the call, which may be that no answer arrived
+     * @param executorClockMs time on the executor's clock when it answered, in milliseconds; {@link
+     *     #UNKNOWN_CLOCK_MS} if no answer said so
      */
-    record StartCallCompleted(long callId, TaskKey task, int run, StartResult result)
-            implements SchedulerInput {}
+    record StartCallCompleted(
+            long callId, TaskKey task, int run, StartResult result, long executorClockMs)
+            implements SchedulerInput {
+        /** Stands for an executor's clock that no answer told. */
+        public static final long UNKNOWN_CLOCK_MS = -1;
+
+        /** Creates the result of a call whose answer, if any, did not tell the clock. */
+        public StartCallCompleted(long callId, TaskKey task, int run, StartResult result) {
+            this(callId, task, run, result, UNKNOWN_CLOCK_MS);
+        }
+    }
 
     /**
      * The call that carried a stop order completed, with or without an answer.
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/SchedulerOutput.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/SchedulerOutput.java
@@ -136,6 +136,7 @@
      * @param placementToken token that allows the step to run there; empty if none is needed
      * @param deadlineMs until when the executor may carry out the order, on its own clock in
      *     milliseconds
+     * @param validity until when the order may be sent
      */
     record StartRun(
             long callId,
@@ -147,7 +148,8 @@
             String payload,
             String checkpoint,
             String placementToken,
-            long deadlineMs)
+            long deadlineMs,
+            OrderValidity validity)
             implements SchedulerOutput {}
 
     /**
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/StartResult.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/StartResult.java
@@ -20,6 +20,8 @@
     OTHER_LIFE(false),
     /** The executor does not understand the order. */
     INVALID(false),
+    /** No connection was open, or the order was no longer valid; it was certainly not sent. */
+    NOT_SENT(false),
     /** No usable answer arrived: the order may have been carried out, or may still be. */
     NO_ANSWER(true);
 
--- a/core/src/main/java/org/hibiscususher/core/scheduler/placement/PlacementSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/placement/PlacementSystem.java
@@ -276,6 +276,7 @@
                         task.checkpoint(),
                         AdviceSystem.placementToken(tick, task.key().stepKey(), executor.id())
                                 .orElse(""),
-                        deadlineMs));
+                        deadlineMs,
+                        Authority.startValidity(tick)));
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/Authority.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/Authority.java
@@ -2,6 +2,7 @@
 
 import org.hibiscususher.core.scheduler.message.OrderValidity;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
+import org.hibiscususher.core.scheduler.world.SchedulerTiming;
 import org.hibiscususher.core.scheduler.world.TermRow;
 import org.hibiscususher.core.scheduler.world.TermStage;
 
@@ -52,8 +53,21 @@
 
     /** Returns until when orders for hosts that are decided on in this tick may be sent. */
     public static OrderValidity hostOrderValidity(SchedulerTick tick) {
-        long validUntilMs = tick.world().term().get().validUntilMs();
-        return new OrderValidity(validUntilMs, tick.wallMs() + validUntilMs - tick.nowMs());
+        return validUntil(tick, tick.world().term().get().validUntilMs());
+    }
+
+    /**
+     * Returns until when orders to start runs that are decided on in this tick may be sent: while
+     * the executor may carry them out, and no longer than the owner may order executors.
+     */
+    public static OrderValidity startValidity(SchedulerTick tick) {
+        SchedulerTiming timing = tick.world().settings().timing();
+        long authorityEndMs = tick.world().term().get().validUntilMs() + timing.ownerGraceMs();
+        return validUntil(tick, Math.min(tick.nowMs() + timing.startValidMs(), authorityEndMs));
+    }
+
+    private static OrderValidity validUntil(SchedulerTick tick, long untilMs) {
+        return new OrderValidity(untilMs, tick.wallMs() + untilMs - tick.nowMs());
     }
 
     /**
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualExecutor.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualExecutor.java
@@ -236,7 +236,9 @@
             heartbeat(request, sink);
         } else if (output instanceof StartRun start) {
             StartResult result = start(start, steps.apply(start.task()));
-            sink.accept(new StartCallCompleted(start.callId(), start.task(), start.run(), result));
+            sink.accept(
+                    new StartCallCompleted(
+                            start.callId(), start.task(), start.run(), result, clockMs()));
         } else if (output instanceof StopRun stop) {
             sink.accept(new StopCallCompleted(stop.callId(), stop.task(), stop.run(), stop(stop)));
         }
