Keep a task on a silent executor that may have restarted unseen for its longest lease

Cause: the bound after which a start without an answer counts as settled was the owner's idea of the executor's lease, on the clock of the incarnation that it knew.

Now a start without an answer holds its task until the longest lease has passed since its connection was reset, also if the executor's registration is missing. The answer to a start tells the clock: one that is behind what the known incarnation's can show is checked like a report of another start time, which counts with the longest lease too. Other runs of the executor are given up as before.

--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/ExecutorSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/ExecutorSystem.java
@@ -131,7 +131,7 @@
      * incarnation can't answer it any more. Until an answer arrives, the executor counts as silent
      * and gets no new runs.
      */
-    private static void verifyIncarnation(SchedulerTick tick, String executor) {
+    static void verifyIncarnation(SchedulerTick tick, String executor) {
         HeartbeatResults.extendLeaseOfUnknownClock(tick, executor);
         tick.world().executorSessions().update(executor, s -> s.withHeartbeatFailed(tick.nowMs()));
     }
@@ -156,13 +156,20 @@
         if (session == null || tick.nowMs() <= session.leaseEndMs()) {
             return;
         }
-        if (!world.runs().group(row.id()).isEmpty() && session.consecutiveFailures() > 0) {
+        if (session.consecutiveFailures() > 0) {
             for (RunRow run : List.copyOf(world.runs().group(row.id()))) {
-                RunLifecycle.removeAndRequeue(tick, run, "lease-ended", 0);
+                if (UncertainTime.isOver(tick, run)) {
+                    RunLifecycle.removeAndRequeue(tick, run, "lease-ended", 0);
+                }
             }
         }
+        boolean mayRun =
+                world.runs().group(row.id()).stream()
+                        .anyMatch(run -> !UncertainTime.isOver(tick, run));
         boolean missing =
-                row.missingSinceMs() != 0 && tick.nowMs() - row.missingSinceMs() > MAX_MISSING_MS;
+                !mayRun
+                        && row.missingSinceMs() != 0
+                        && tick.nowMs() - row.missingSinceMs() > MAX_MISSING_MS;
         if (missing && (session.consecutiveFailures() > 0 || row.report().address().isEmpty())) {
             RunLifecycle.removeExecutor(tick, row.id(), "missing");
         }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/RunOrderSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/RunOrderSystem.java
@@ -69,6 +69,10 @@
         RunRow run = tick.world().runs().find(answer.task()).orElse(null);
         if (run != null && run.run() == answer.run() && run.callId() == answer.callId()) {
             applyStartResult(tick, run, answer.result());
+            if (answer.result() == StartResult.STARTED
+                    && IncarnationClock.beganAnew(tick, run, answer.executorClockMs())) {
+                ExecutorSystem.verifyIncarnation(tick, run.executor());
+            }
         }
     }
 
--- a/core/src/main/java/org/hibiscususher/core/scheduler/placement/PlacementSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/placement/PlacementSystem.java
@@ -211,6 +211,34 @@
         }
     }
 
+    /** Returns the row of a run whose order to start is being sent. */
+    private static RunRow newRun(
+            SchedulerTick tick,
+            JobRow job,
+            TaskRow task,
+            StepSpec spec,
+            String executor,
+            int runNumber,
+            long callId) {
+        return new RunRow(
+                task.key(),
+                runNumber,
+                executor,
+                job.team(),
+                spec.demand(),
+                spec.reserved(),
+                RunStage.SENT,
+                StopReason.NONE,
+                callId,
+                tick.nowMs(),
+                0,
+                task.checkpoint(),
+                0,
+                -1,
+                100,
+                tick.nowMs());
+    }
+
     /** Sends the order to start a run, and adds the run to the tables. */
     private static void sendStart(
             SchedulerTick tick,
@@ -233,24 +261,7 @@
                         session.withLeaseExtendedTo(
                                 HeartbeatSystem.leaseEndMs(session, deadlineMs)));
         world.tasks().put(task.key(), task.asActive(runNumber));
-        RunRow run =
-                new RunRow(
-                        task.key(),
-                        runNumber,
-                        executor.id(),
-                        job.team(),
-                        spec.demand(),
-                        spec.reserved(),
-                        RunStage.SENT,
-                        StopReason.NONE,
-                        callId,
-                        tick.nowMs(),
-                        0,
-                        task.checkpoint(),
-                        0,
-                        -1,
-                        100,
-                        tick.nowMs());
+        RunRow run = newRun(tick, job, task, spec, executor.id(), runNumber, callId);
         world.runs().put(task.key(), run);
         tick.log(
                 "start",
--- a/core/src/test/java/org/hibiscususher/core/scheduler/executor/ExecutorRestartTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/executor/ExecutorRestartTest.java
@@ -14,6 +14,7 @@
 import org.hibiscususher.core.scheduler.message.ExecutorReport;
 import org.hibiscususher.core.scheduler.message.HeartbeatFailure;
 import org.hibiscususher.core.scheduler.message.SchedulerInput;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.ExecutorRemoved;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.ExecutorUpdated;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.HeartbeatAnswered;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.HeartbeatFailed;
@@ -61,6 +62,17 @@
     }
 
     private void addRun(TaskKey task, long callId) {
+        addSentRun(task, callId);
+        tick(10, new StartCallCompleted(callId, task, 1, StartResult.STARTED));
+    }
+
+    /** Adds a run whose start order gets no answer. */
+    private void addUnansweredRun(TaskKey task, long callId) {
+        addSentRun(task, callId);
+        tick(450, new StartCallCompleted(callId, task, 1, StartResult.NO_ANSWER));
+    }
+
+    private void addSentRun(TaskKey task, long callId) {
         Resources core = Resources.of(1, 1, 0);
         mWorld.tasks()
                 .put(
@@ -96,7 +108,6 @@
                                 -1,
                                 100,
                                 mNowMs));
-        tick(10, new StartCallCompleted(callId, task, 1, StartResult.STARTED));
     }
 
     private List<SchedulerOutput> tick(long afterMs, SchedulerInput... inputs) {
@@ -269,4 +280,79 @@
             assertThat(tick(50).stream().filter(StopRun.class::isInstance)).isNotEmpty();
         }
     }
+
+    /**
+     * Guards against tasks that start elsewhere while an incarnation that nobody has seen may run
+     * them: its clock began anew, so a start holds there for the longest lease.
+     */
+    @Nested
+    class RestartThatIsNotSeen {
+        private static final long CLOCK_MS = 50_000;
+
+        private HeartbeatAnswered answerAt(long clockMs) {
+            List<ReportedRun> runs = List.of(new ReportedRun(OLD, 1, "", 10, -1));
+            return new HeartbeatAnswered(
+                    callInFlight(), EXECUTOR, 1, clockMs, runs, List.of(), true);
+        }
+
+        private HeartbeatFailed silence() {
+            return new HeartbeatFailed(callInFlight(), EXECUTOR, HeartbeatFailure.NO_ANSWER);
+        }
+
+        /** Leaves heartbeats unanswered until a time; returns when the run was given up. */
+        private long giveUpTimeOf(TaskKey task, long untilMs) {
+            while (mNowMs < untilMs) {
+                tick(100, silence());
+                if (!hasRun(task)) {
+                    return mNowMs;
+                }
+            }
+            return Long.MAX_VALUE;
+        }
+
+        @Test
+        void keepsAnUnansweredStartForTheLongestLease() {
+            addUnansweredRun(NEW, 2);
+            long unansweredMs = mNowMs;
+            long gaveUpMs = giveUpTimeOf(NEW, unansweredMs + 10_000);
+            assertThat(gaveUpMs - unansweredMs).isBetween(6_180L, 6_500L);
+        }
+
+        @Test
+        void givesUpAnAnsweredStartAtTheEndOfItsLease() {
+            addUnansweredRun(NEW, 2);
+            long silentMs = mNowMs;
+            assertThat(giveUpTimeOf(OLD, silentMs + 10_000) - silentMs).isLessThan(4_500);
+        }
+
+        @Test
+        void keepsAnUnansweredStartThoughTheRegistrationIsMissing() {
+            addUnansweredRun(NEW, 2);
+            long unansweredMs = mNowMs;
+            tick(1, new ExecutorRemoved(EXECUTOR));
+            long gaveUpMs = giveUpTimeOf(NEW, unansweredMs + 10_000);
+            assertThat(gaveUpMs - unansweredMs).isBetween(6_180L, 6_500L);
+        }
+
+        @Test
+        void isCheckedIfTheAnswerToAStartTellsAnEarlierClock() {
+            tick(5, answerAt(CLOCK_MS));
+            addSentRun(NEW, 2);
+            List<SchedulerOutput> outputs =
+                    tick(300, new StartCallCompleted(2, NEW, 1, StartResult.STARTED, 150));
+            assertThat(heartbeat(outputs).waitMs()).isZero();
+            long startedMs = mNowMs;
+            assertThat(giveUpTimeOf(NEW, startedMs + 10_000) - startedMs).isGreaterThan(6_180);
+        }
+
+        @Test
+        void isNotSuspectedIfTheAnswerToAStartTellsASlowClock() {
+            tick(5, answerAt(CLOCK_MS));
+            long inFlight = callInFlight();
+            mNowMs += 1_000;
+            addSentRun(NEW, 2);
+            tick(5, new StartCallCompleted(2, NEW, 1, StartResult.STARTED, CLOCK_MS + 985));
+            assertThat(callInFlight()).isEqualTo(inFlight);
+        }
+    }
 }
