Play terms in series while the first owner keeps an executor of its own; red

ThirdOwner: the first owner is apart from the store, the other entries and all executors but one; the second reaches all but that one.

--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/SchedulerSite.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/SchedulerSite.java
@@ -307,6 +307,17 @@
         mNodes.get(node).freeze(forMs);
     }
 
+    /** Pauses an entry's process for a time in which its steady clock runs on. */
+    public void pause(String node, long forMs) {
+        mNodes.get(node).pause(forMs);
+    }
+
+    /** Cuts an entry off from all other entries for a time; callers and the rest reach it. */
+    public void isolate(String node, long forMs) {
+        mLinks.isolate(node, true);
+        mClock.after(forMs, () -> mLinks.isolate(node, false));
+    }
+
     /**
      * Requests an orderly shutdown of an entry, then kills its process and starts a new one.
      *
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualLinks.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualLinks.java
@@ -2,7 +2,9 @@
 
 import static java.util.Objects.requireNonNull;
 
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.hibiscususher.core.scheduler.message.SchedulerInput;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.ForwardAnswered;
@@ -25,6 +27,9 @@
     private final VirtualCallers mCallers;
     private final Map<String, VirtualNode> mNodes;
 
+    /** Entries that exchange no messages with others. */
+    private final Set<String> mIsolated = new HashSet<>();
+
     /**
      * Creates the links.
      *
@@ -36,21 +41,37 @@
         mNodes = requireNonNull(nodes);
     }
 
+    /** Cuts an entry off from all others, or connects it again. Messages on their way arrive. */
+    void isolate(String node, boolean isolated) {
+        if (isolated) {
+            mIsolated.add(node);
+        } else {
+            mIsolated.remove(node);
+        }
+    }
+
+    private boolean isCut(VirtualNode from, VirtualNode to) {
+        return from != to && (mIsolated.contains(from.name()) || mIsolated.contains(to.name()));
+    }
+
     /**
      * Forwards a request to another entry, or reports a failure if that entry's process has ended
      * or doesn't answer in time.
      */
     void forward(VirtualNode from, Forward forward) {
         VirtualNode to = mNodes.get(forward.address());
-        if (!to.isUp()) {
+        if (!to.isUp() || isCut(from, to)) {
             mClock.after(
                     LINK_LATENCY_MS,
                     () -> from.receive(new ForwardFailed(forward.callId(), to.name(), false)));
         } else {
             long linkId =
                     mCallers.registerCall(
-                            response ->
-                                    from.receive(new ForwardAnswered(forward.callId(), response)));
+                            response -> {
+                                if (!isCut(from, to)) {
+                                    from.receive(new ForwardAnswered(forward.callId(), response));
+                                }
+                            });
             mClock.after(
                     LINK_LATENCY_MS,
                     () -> to.receive(new RequestReceived(linkId, forward.request())));
@@ -69,12 +90,17 @@
      *
      * @param sink gets the confirmation
      */
-    void askToRelinquish(SchedulerOutput.AskRelinquish ask, Consumer<SchedulerInput> sink) {
+    void askToRelinquish(
+            VirtualNode from, SchedulerOutput.AskRelinquish ask, Consumer<SchedulerInput> sink) {
         VirtualNode to = mNodes.get(ask.address());
-        if (to.isUp()) {
+        if (to.isUp() && !isCut(from, to)) {
             long id =
                     mCallers.registerCall(
-                            response -> sink.accept(new PredecessorRelinquished(ask.generation())));
+                            response -> {
+                                if (!isCut(from, to)) {
+                                    sink.accept(new PredecessorRelinquished(ask.generation()));
+                                }
+                            });
             mClock.after(
                     LINK_LATENCY_MS,
                     () -> to.receive(new RelinquishRequested(id, ask.generation())));
@@ -82,9 +108,9 @@
     }
 
     /** Offers the ownership to an entry; the offer is lost if its process has ended. */
-    void offerHandover(SchedulerOutput.OfferHandover offer) {
+    void offerHandover(VirtualNode from, SchedulerOutput.OfferHandover offer) {
         VirtualNode to = mNodes.get(offer.address());
-        if (to.isUp()) {
+        if (to.isUp() && !isCut(from, to)) {
             long id = mCallers.registerCall(response -> {});
             mClock.after(
                     LINK_LATENCY_MS, () -> to.receive(new HandoverOffered(id, offer.generation())));
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualNode.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualNode.java
@@ -118,6 +118,12 @@
                         });
     }
 
+    /** Pauses the process for a time. Its steady clock runs on, as for a starved process. */
+    void pause(long forMs) {
+        freeze(forMs);
+        mSuspendedMs -= forMs;
+    }
+
     /** Schedules a tick now and at each interval while the process is the current one. */
     private void tickPeriodically(long process) {
         if (process == mProcessNumber) {
@@ -188,9 +194,9 @@
         } else if (output instanceof Forward forward) {
             mSite.links().forward(this, forward);
         } else if (output instanceof SchedulerOutput.AskRelinquish ask) {
-            mSite.links().askToRelinquish(ask, inputSink());
+            mSite.links().askToRelinquish(this, ask, inputSink());
         } else if (output instanceof SchedulerOutput.OfferHandover offer) {
-            mSite.links().offerHandover(offer);
+            mSite.links().offerHandover(this, offer);
         } else if (output instanceof WatchExecutors watch) {
             mWatchesExecutors = watch.enabled();
             mSite.clock().after(2, this::executorsChanged);
--- /dev/null
+++ b/standin/src/test/java/org/hibiscususher/standin/scheduler/OwnersInSeriesTest.java
@@ -0,0 +1,151 @@
+package org.hibiscususher.standin.scheduler;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.hibiscususher.standin.scheduler.SiteAssertions.assertAllEnded;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.BiConsumer;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/**
+ * Plays terms that follow each other within seconds, while the first owner is cut off from the
+ * store and from the other entries, goes on for its grace period, and reaches an executor that
+ * later owners don't reach.
+ */
+class OwnersInSeriesTest {
+    /** Executor that only the first owner reaches. */
+    private static final String EXECUTOR = "x0";
+
+    /** Time after which the jobs of a case must have ended, in milliseconds. */
+    private static final long DRAIN_MS = 45_000;
+
+    /** How long later owners don't reach the executor, in milliseconds. */
+    private static final long LINK_CUT_MS = 16_000;
+
+    /** A site whose first owner has started runs on all executors; some tasks wait. */
+    private static final class Case {
+        private final SchedulerSite mSite;
+        private final List<String> mJobs = new ArrayList<>();
+        private final String mFirst;
+
+        Case(long seed) {
+            mSite = SchedulerSite.create(4, 4, seed);
+            mSite.run(1_500);
+            mFirst = mSite.owner().orElseThrow();
+            for (int i = 0; i < 3; i++) {
+                mJobs.add(mSite.submit(JobSpecs.oneStep(6, 14_000)));
+                mJobs.add(mSite.submit(JobSpecs.oneStep(8, 1_700)));
+            }
+            mSite.run(300);
+        }
+
+        /** Leaves the first owner and the executor only each other, apart from the store. */
+        void separate(long forMs) {
+            mSite.isolate(mFirst, forMs);
+            mSite.reports().stream()
+                    .filter(report -> !report.id().equals(EXECUTOR))
+                    .forEach(report -> mSite.cutLink(mFirst, report.id(), forMs));
+            mSite.nodes().stream()
+                    .filter(node -> !node.equals(mFirst))
+                    .forEach(node -> mSite.cutLink(node, EXECUTOR, LINK_CUT_MS));
+        }
+
+        void cutFirstOwnerOff(long forMs) {
+            mSite.cutOffFromStore(mFirst, forMs);
+            separate(forMs);
+        }
+
+        /** Runs until another entry owns the scheduling; returns its name. */
+        String runUntilSuccession() {
+            for (int i = 0; i < 10_000; i++) {
+                mSite.run(1);
+                for (VirtualNode node : mSite.runningNodes()) {
+                    if (node.isOwner() && !node.name().equals(mFirst)) {
+                        return node.name();
+                    }
+                }
+            }
+            throw new AssertionError("no later owner");
+        }
+
+        /** Runs to the end; returns the first violation, after the name of the case. */
+        Optional<String> violation(String name) {
+            mSite.run(DRAIN_MS);
+            Optional<String> first =
+                    mSite.invariants().violations().stream().findFirst().map(v -> name + ": " + v);
+            if (first.isEmpty()) {
+                assertAllEnded(mSite, mJobs);
+            }
+            return first;
+        }
+    }
+
+    /** How the term of the second owner ends. */
+    private enum TermEnd {
+        KILLED((site, node) -> site.kill(node, 30_000)),
+        KILLED_AND_BACK_AT_ONCE((site, node) -> site.kill(node, 50)),
+        STOPPED((site, node) -> site.shutDown(node, 3_500)),
+        CUT_OFF_FROM_STORE((site, node) -> site.cutOffFromStore(node, 4_000));
+
+        private final BiConsumer<SchedulerSite, String> mAction;
+
+        TermEnd(BiConsumer<SchedulerSite, String> action) {
+            mAction = action;
+        }
+
+        void apply(SchedulerSite site, String node) {
+            mAction.accept(site, node);
+        }
+    }
+
+    /**
+     * Guards against a third owner that counts only with orders of the second: the first may still
+     * extend leases.
+     */
+    @Nested
+    class ThirdOwner {
+        @ParameterizedTest
+        @EnumSource(TermEnd.class)
+        void waitsForTheGraceOfTheFirst(TermEnd end) {
+            List<String> violations = new ArrayList<>();
+            for (long cutMs : List.of(3_000L, 6_000L, 9_000L)) {
+                for (long termMs = 100; termMs <= 6_000; termMs += 590) {
+                    Case played = new Case(termMs);
+                    played.cutFirstOwnerOff(cutMs);
+                    String second = played.runUntilSuccession();
+                    played.mSite.schedule(termMs, () -> end.apply(played.mSite, second));
+                    played.violation("cut " + cutMs + " term " + termMs).ifPresent(violations::add);
+                }
+            }
+            assertThat(violations).isEmpty();
+        }
+    }
+
+    /**
+     * Guards against a successor that starts before the lease of the owner that offered its term
+     * has ended, and is cut off from it before it can ask it to stop.
+     */
+    @Nested
+    class OwnerThatIsCutOffAfterItsOffer {
+        @Test
+        void hasItsGraceCountedFromTheEndOfItsLease() {
+            List<String> violations = new ArrayList<>();
+            for (long seed = 1; seed <= 8; seed++) {
+                for (long afterMs = 160; afterMs <= 220; afterMs += 12) {
+                    Case played = new Case(seed);
+                    played.mSite.run(50 * seed);
+                    played.mSite.cutOffFromStore(played.mFirst, 9_000);
+                    played.mSite.schedule(afterMs, () -> played.separate(9_000));
+                    played.violation("seed " + seed + " after " + afterMs)
+                            .ifPresent(violations::add);
+                }
+            }
+            assertThat(violations).isEmpty();
+        }
+    }
+}
--- a/standin/src/test/java/org/hibiscususher/standin/scheduler/SchedulerSiteTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/scheduler/SchedulerSiteTest.java
@@ -1,6 +1,7 @@
 package org.hibiscususher.standin.scheduler;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.hibiscususher.standin.scheduler.SiteAssertions.assertAllEnded;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -62,16 +63,6 @@
         site.schedule(delayMs, () -> site.cancel(job));
     }
 
-    /** Asserts that all jobs were accepted and have ended, and that no invariant was violated. */
-    private static void assertAllEnded(SchedulerSite site, List<String> jobs) {
-        assertThat(site.invariants().violations()).isEmpty();
-        assertThat(site.invariants().acceptedJobs()).containsAll(jobs);
-        for (String job : jobs) {
-            assertThat(site.stateOf(job)).as(job).isIn(JobState.DONE, JobState.FAILED);
-        }
-        assertThat(site.invariants().violations()).isEmpty();
-    }
-
     @Nested
     class WithoutFaults {
         private final SchedulerSite mSite = SchedulerSite.create(3, 4, 1);
