Count the grace of every earlier owner, from the end of its lease

Cause: a new owner counted only with the grace period of its direct predecessor. An owner before that, apart from the store and from the later owners but not from an executor, goes on extending the executor's lease for its 5 s; the third owner, whose predecessor had stopped in order, had yielded or had run on the same node, started the executor's tasks elsewhere after 4.2 s. And the grace of an owner that offers its term counts from the end of its lease, up to 1.3 s after its successor began.

Now a claim notes for how long after it earlier owners may order: the direct predecessor, which may confirm that it has stopped, and all before it, whose time runs from when this process first read of the predecessor's term. Nothing is stored for this, so entries of both builds work together.

--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/Ownership.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/Ownership.java
@@ -25,4 +25,9 @@
         requireNonNull(owner);
         requireNonNull(term);
     }
+
+    /** Returns the number of the newest term; 0 if there has been none. */
+    public long generation() {
+        return term.map(StoredRecord.Term::generation).orElse(0L);
+    }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/Takeover.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/Takeover.java
@@ -17,6 +17,7 @@
 import org.hibiscususher.core.scheduler.world.ExecutorSessionRow;
 import org.hibiscususher.core.scheduler.world.HostOrderRow;
 import org.hibiscususher.core.scheduler.world.JobRow;
+import org.hibiscususher.core.scheduler.world.OwnershipClaimRow;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 import org.hibiscususher.core.scheduler.world.SchedulerTiming;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
@@ -202,18 +203,18 @@
      * Returns until when an unreachable executor may still run tasks of an earlier owner, on the
      * steady clock.
      *
-     * <p>The earlier owner may have renewed the executor's lease just before this term started and,
-     * unless it is known to have stopped, may do so for its grace period after that. The executor
-     * measures the lease on its own clock, which may be slower than this one.
+     * <p>Each earlier owner may have renewed the executor's lease just before this term started
+     * and, unless it is known to have stopped, may do so for its grace period after that. The
+     * executor measures the lease on its own clock, which may be slower than this one.
      */
     private static long inheritedLeaseEndMs(SchedulerTick tick) {
         SchedulerTiming timing = tick.world().settings().timing();
         TermRow term = tick.world().term().get();
+        OwnershipClaimRow claim = tick.world().ownershipClaim().get();
         long maxLeaseMs =
                 timing.executorLeaseMs() * 100 / HeartbeatSystem.MIN_CLOCK_RATE_PERCENT
                         + LEASE_SLACK_MS;
-        return term.startedAtMs()
-                + maxLeaseMs
-                + (term.predecessorReleased() ? 0 : timing.ownerGraceMs());
+        long predecessorMs = term.predecessorReleased() ? 0 : claim.predecessorGraceMs();
+        return term.startedAtMs() + maxLeaseMs + Math.max(predecessorMs, claim.earlierGraceMs());
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/TermSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/TermSystem.java
@@ -155,7 +155,7 @@
     private static void applyOwnership(SchedulerTick tick, Ownership updated) {
         SchedulerWorld world = tick.world();
         Ownership previous = world.ownership().get().ownership();
-        world.ownership().set(new OwnershipRow(true, updated, tick.nowMs()));
+        world.ownership().set(world.ownership().get().withReport(updated, tick.nowMs()));
         if (!updated.owner().equals(previous.owner())) {
             tick.log(
                     "owner-seen",
@@ -217,7 +217,7 @@
             return;
         }
         OwnershipClaimRow claim =
-                toClaimRow(current, self, term.sentMs() + granted.ttlMs() - LEASE_MARGIN_MS);
+                toClaimRow(tick, current, term.sentMs() + granted.ttlMs() - LEASE_MARGIN_MS);
         long callId = tick.nextCallId();
         world.ownershipClaim().set(claim);
         world.term()
@@ -246,17 +246,40 @@
     }
 
     private static OwnershipClaimRow toClaimRow(
-            Ownership current, SchedulerSettings self, long validUntilMs) {
+            SchedulerTick tick, Ownership current, long validUntilMs) {
+        SchedulerSettings self = tick.world().settings();
         Optional<StoredRecord.Term> previous = current.term();
         return new OwnershipClaimRow(
-                previous.map(StoredRecord.Term::generation).orElse(0L) + 1,
+                current.generation() + 1,
                 validUntilMs,
                 previous.map(StoredRecord.Term::node).orElse(""),
                 previous.map(StoredRecord.Term::address).orElse(""),
                 previous.map(t -> hasStopped(t, self)).orElse(true),
+                predecessorGraceMs(current, self.timing()),
+                earlierGraceMs(tick, current),
                 previous.filter(StoredRecord.Term::released).map(StoredRecord.Term::unsettled));
     }
 
+    /**
+     * Returns for how long after a claim its predecessor may send orders if it has not stopped.
+     * Without its record, its lease has expired; one that offered a handover may still hold it.
+     */
+    private static long predecessorGraceMs(Ownership current, SchedulerTiming timing) {
+        return timing.ownerGraceMs() + (current.owner().isPresent() ? timing.ownerTtlMs() : 0);
+    }
+
+    /**
+     * Returns for how long after a claim the owners before its predecessor may send orders. That
+     * the predecessor has stopped says nothing of them: it may have taken over a moment ago. Their
+     * time ran when its term began, at the latest when this process first read of it.
+     */
+    private static long earlierGraceMs(SchedulerTick tick, Ownership current) {
+        SchedulerTiming timing = tick.world().settings().timing();
+        long seenMs = tick.nowMs() - tick.world().ownership().get().termSeenMs();
+        boolean none = current.generation() <= 1;
+        return none ? 0 : Math.max(0, timing.ownerGraceMs() + timing.ownerTtlMs() - seenMs);
+    }
+
     /**
      * Returns whether the owner of an earlier term is known to send no more orders: it released the
      * ownership, or it ran on this entry and thus is this process or one that this process
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/OwnershipClaimRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/OwnershipClaimRow.java
@@ -17,6 +17,10 @@
  *     empty if there was none
  * @param predecessorReleased whether that owner certainly sends no more orders: it released the
  *     ownership, ran on this node, or never existed
+ * @param predecessorGraceMs for how long after the claim that owner may send orders if it has not
+ *     stopped, in milliseconds
+ * @param earlierGraceMs for how long after the claim owners before that one may send orders, in
+ *     milliseconds
  * @param unsettled what that owner reported as unsettled when it released the ownership, see {@link
  *     StoredRecord.Term#unsettled()}; empty if it did not release
  */
@@ -26,10 +30,12 @@
         String predecessor,
         String predecessorAddress,
         boolean predecessorReleased,
+        long predecessorGraceMs,
+        long earlierGraceMs,
         Optional<List<String>> unsettled) {
     /** No attempt yet. */
     public static final OwnershipClaimRow NONE =
-            new OwnershipClaimRow(0, 0, "", "", true, Optional.empty());
+            new OwnershipClaimRow(0, 0, "", "", true, 0, 0, Optional.empty());
 
     /** Rejects null components. */
     public OwnershipClaimRow {
