Play an earlier owner that takes an executor's runs for lapsed which a later owner holds; red

Two owners suffice. The first is apart from the store and the other entries and reaches one executor; the second reaches the others, adopts the runs there and extends their leases.

--- a/standin/src/test/java/org/hibiscususher/standin/scheduler/OwnersInSeriesTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/scheduler/OwnersInSeriesTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Plays terms that follow each other within seconds, while the first owner is cut off from the
@@ -27,19 +28,31 @@
     /** How long later owners don't reach the executor, in milliseconds. */
     private static final long LINK_CUT_MS = 16_000;
 
-    /** A site whose first owner has started runs on all executors; some tasks wait. */
+    /** Number of pairs of jobs that leave no executor room; some tasks wait. */
+    private static final int FULL_LOAD = 3;
+
+    /** Number of pairs of jobs that leave each executor room. */
+    private static final int LIGHT_LOAD = 1;
+
+    /** A site whose first owner has started runs on all executors. */
     private static final class Case {
         private final SchedulerSite mSite;
         private final List<String> mJobs = new ArrayList<>();
         private final String mFirst;
 
-        Case(long seed) {
+        /**
+         * Starts the site and a load of long and short tasks.
+         *
+         * @param pairs number of jobs of each of the two kinds
+         * @param shortMs run time of a short task, in milliseconds
+         */
+        Case(long seed, int pairs, long shortMs) {
             mSite = SchedulerSite.create(4, 4, seed);
             mSite.run(1_500);
             mFirst = mSite.owner().orElseThrow();
-            for (int i = 0; i < 3; i++) {
+            for (int i = 0; i < pairs; i++) {
                 mJobs.add(mSite.submit(JobSpecs.oneStep(6, 14_000)));
-                mJobs.add(mSite.submit(JobSpecs.oneStep(8, 1_700)));
+                mJobs.add(mSite.submit(JobSpecs.oneStep(8, shortMs)));
             }
             mSite.run(300);
         }
@@ -85,6 +98,26 @@
         }
     }
 
+    /**
+     * Guards against an owner in its grace period that takes the runs of an executor for lapsed
+     * because it doesn't reach it: a later owner may have reached it, and extend its lease.
+     */
+    @Nested
+    class EarlierOwnerThatDoesNotReachAnExecutor {
+        @ParameterizedTest
+        @ValueSource(longs = {1_000, 3_000, 4_000})
+        void startsNoTaskOfItElsewhere(long shortMs) {
+            List<String> violations = new ArrayList<>();
+            for (long seed = 1; seed <= 8; seed++) {
+                Case played = new Case(seed, LIGHT_LOAD, shortMs);
+                played.mSite.run(50 * seed);
+                played.cutFirstOwnerOff(9_000);
+                played.violation("seed " + seed).ifPresent(violations::add);
+            }
+            assertThat(violations).isEmpty();
+        }
+    }
+
     /** How the term of the second owner ends. */
     private enum TermEnd {
         KILLED((site, node) -> site.kill(node, 30_000)),
@@ -115,7 +148,7 @@
             List<String> violations = new ArrayList<>();
             for (long cutMs : List.of(3_000L, 6_000L, 9_000L)) {
                 for (long termMs = 100; termMs <= 6_000; termMs += 590) {
-                    Case played = new Case(termMs);
+                    Case played = new Case(termMs, FULL_LOAD, 1_700);
                     played.cutFirstOwnerOff(cutMs);
                     String second = played.runUntilSuccession();
                     played.mSite.schedule(termMs, () -> end.apply(played.mSite, second));
@@ -137,7 +170,7 @@
             List<String> violations = new ArrayList<>();
             for (long seed = 1; seed <= 8; seed++) {
                 for (long afterMs = 160; afterMs <= 220; afterMs += 12) {
-                    Case played = new Case(seed);
+                    Case played = new Case(seed, FULL_LOAD, 1_700);
                     played.mSite.run(50 * seed);
                     played.mSite.cutOffFromStore(played.mFirst, 9_000);
                     played.mSite.schedule(afterMs, () -> played.separate(9_000));
