Take no lease for expired while a later owner may extend it

Cause: an owner that is cut off from the store and from some executors goes on for its grace period. It took the runs of the executors that it doesn't reach for ended once their lease had expired by its own last order, and started their tasks on an executor that it still reached. But a later owner had reached those executors, adopted the runs and extended the leases. The class of fault: what a predecessor knows of a lease says nothing once somebody else may renew it.

Now an owner presumes that a lease has expired only while its own lease in the store holds and it has not offered its term. Until then such runs stay in its tables; a later owner knows of them. The same for tasks that wait for an inherited executor to answer.

--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/ExecutorSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/ExecutorSystem.java
@@ -10,6 +10,7 @@
 import org.hibiscususher.core.scheduler.message.SchedulerInput.ExecutorsListed;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.HeartbeatAnswered;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.HeartbeatFailed;
+import org.hibiscususher.core.scheduler.term.Authority;
 import org.hibiscususher.core.scheduler.world.ExecutorRow;
 import org.hibiscususher.core.scheduler.world.ExecutorSessionRow;
 import org.hibiscususher.core.scheduler.world.RunRow;
@@ -40,8 +41,8 @@
             return;
         }
         tick.forEachInput(SchedulerInput.class, input -> apply(tick, input));
-        for (ExecutorRow row : tick.world().executors().rows()) {
-            expireLease(tick, row);
+        if (Authority.mayPresumeLeasesExpired(tick)) {
+            tick.world().executors().rows().forEach(row -> expireLease(tick, row));
         }
     }
 
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/UncertainTaskSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/UncertainTaskSystem.java
@@ -1,6 +1,7 @@
 package org.hibiscususher.core.scheduler.executor;
 
 import java.util.List;
+import org.hibiscususher.core.scheduler.term.Authority;
 import org.hibiscususher.core.scheduler.world.ExecutorRow;
 import org.hibiscususher.core.scheduler.world.ExecutorSessionRow;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
@@ -45,7 +46,8 @@
                             .find(row.id())
                             .map(ExecutorSessionRow::leaseEndMs)
                             .orElse(0L);
-            if (row.inherited() && tick.nowMs() <= leaseEndMs) {
+            boolean expired = tick.nowMs() > leaseEndMs && Authority.mayPresumeLeasesExpired(tick);
+            if (row.inherited() && !expired) {
                 return false;
             }
         }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/Authority.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/Authority.java
@@ -3,6 +3,7 @@
 import org.hibiscususher.core.scheduler.message.OrderValidity;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 import org.hibiscususher.core.scheduler.world.SchedulerTiming;
+import org.hibiscususher.core.scheduler.world.SchedulerWorld;
 import org.hibiscususher.core.scheduler.world.TermRow;
 import org.hibiscususher.core.scheduler.world.TermStage;
 
@@ -78,6 +79,17 @@
         return tick.nowMs() < tick.world().term().get().validUntilMs();
     }
 
+    /**
+     * Returns whether the process may take the lease of an executor for expired that it doesn't
+     * reach: only while nobody else can own the scheduling. A later owner may reach the executor
+     * and extend its lease, so that its runs go on.
+     */
+    public static boolean mayPresumeLeasesExpired(SchedulerTick tick) {
+        SchedulerWorld world = tick.world();
+        return tick.nowMs() < world.term().get().validUntilMs()
+                && world.handover().get().offersSent() == 0;
+    }
+
     /** Returns whether the process answers callers' requests itself instead of forwarding them. */
     public static boolean mayDecideRequests(SchedulerTick tick) {
         TermRow term = tick.world().term().get();
