Wait for the longest lease that an earlier owner's last order can have given

The wait counted the usual lease from the start of the new term. But the earlier owner may have started a run on an incarnation that nobody had seen, which holds the longest lease; it may yield up to 1.5 s later; and one whose release took effect without its knowledge goes on renewing leases. Now the longest lease counts, from the yield if there is one, and a release stops no renewals until it is confirmed. A release also names the tasks whose start had no answer.

--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/Commits.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/Commits.java
@@ -30,6 +30,7 @@
 import org.hibiscususher.core.scheduler.world.TaskRow;
 import org.hibiscususher.core.scheduler.world.TermRow;
 import org.hibiscususher.core.scheduler.world.TermStage;
+import org.hibiscususher.core.scheduler.world.UncertainStartRow;
 
 /** Builds commits from the changes that have to be stored, and updates the tables afterwards. */
 final class Commits {
@@ -241,6 +242,9 @@
         for (RunRow run : world.runs().rows()) {
             unsettled.add(run.task().text());
         }
+        for (UncertainStartRow start : world.uncertainStarts().rows()) {
+            unsettled.add(start.key().task().text());
+        }
         for (TaskRow task : world.tasks().rows()) {
             if (task.uncertain()) {
                 unsettled.add(task.key().text());
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/Takeover.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/Takeover.java
@@ -19,7 +19,6 @@
 import org.hibiscususher.core.scheduler.world.JobRow;
 import org.hibiscususher.core.scheduler.world.OwnershipClaimRow;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
-import org.hibiscususher.core.scheduler.world.SchedulerTiming;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
 import org.hibiscususher.core.scheduler.world.TaskRow;
 import org.hibiscususher.core.scheduler.world.TermRow;
@@ -187,14 +186,19 @@
 
     /**
      * Takes the grace period off the lease ends of inherited executors, after the earlier owner has
-     * confirmed that it sends no more orders.
+     * confirmed that it sends no more orders. It may have sent some until now. An executor that has
+     * answered this owner keeps the lease end that this owner's own orders may have brought.
      */
     static void shortenLeaseWaits(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
-        long untilMs = inheritedLeaseEndMs(tick);
+        long graceEndMs =
+                world.term().get().startedAtMs() + world.ownershipClaim().get().earlierGraceMs();
+        long untilMs = Math.max(tick.nowMs(), graceEndMs) + longestLeaseMs(tick);
         for (ExecutorRow row : world.executors().rows()) {
-            if (row.inherited()) {
-                world.executorSessions().update(row.id(), c -> c.withLeaseEndAt(untilMs));
+            ExecutorSessionRow session = world.executorSessions().find(row.id()).orElse(null);
+            if (row.inherited() && session != null && session.lastAnswerMs() == 0) {
+                long endMs = Math.min(session.leaseEndMs(), untilMs);
+                world.executorSessions().put(row.id(), session.withLeaseEndAt(endMs));
             }
         }
     }
@@ -203,18 +207,25 @@
      * Returns until when an unreachable executor may still run tasks of an earlier owner, on the
      * steady clock.
      *
-     * <p>Each earlier owner may have renewed the executor's lease just before this term started
-     * and, unless it is known to have stopped, may do so for its grace period after that. The
-     * executor measures the lease on its own clock, which may be slower than this one.
+     * <p>Each earlier owner may have sent the executor an order just before this term started and,
+     * unless it is known to have stopped, may do so for its grace period after that.
      */
     private static long inheritedLeaseEndMs(SchedulerTick tick) {
-        SchedulerTiming timing = tick.world().settings().timing();
         TermRow term = tick.world().term().get();
         OwnershipClaimRow claim = tick.world().ownershipClaim().get();
-        long maxLeaseMs =
-                timing.executorLeaseMs() * 100 / HeartbeatSystem.MIN_CLOCK_RATE_PERCENT
-                        + LEASE_SLACK_MS;
         long predecessorMs = term.predecessorReleased() ? 0 : claim.predecessorGraceMs();
-        return term.startedAtMs() + maxLeaseMs + Math.max(predecessorMs, claim.earlierGraceMs());
+        return term.startedAtMs()
+                + Math.max(predecessorMs, claim.earlierGraceMs())
+                + longestLeaseMs(tick);
+    }
+
+    /**
+     * Returns for how long an order of an earlier owner may hold an executor's runs. Its clock may
+     * be slower than this one, and it may have restarted unseen just before: the deadline of the
+     * order is then far ahead of its clock, and the longest lease counts.
+     */
+    private static long longestLeaseMs(SchedulerTick tick) {
+        long maxLeaseMs = tick.world().settings().timing().maxExecutorLeaseMs();
+        return maxLeaseMs * 100 / HeartbeatSystem.MIN_CLOCK_RATE_PERCENT + LEASE_SLACK_MS;
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/TermSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/TermSystem.java
@@ -281,12 +281,13 @@
     }
 
     /**
-     * Returns whether the owner of an earlier term is known to send no more orders: it released the
-     * ownership, or it ran on this entry and thus is this process or one that this process
-     * replaced.
+     * Returns whether the owner of an earlier term is known to send no more orders: it ran on this
+     * entry and thus is this process or one that this process replaced. One that released the
+     * ownership starts no runs, but may not know yet that its release took effect, and renew
+     * leases.
      */
     private static boolean hasStopped(StoredRecord.Term term, SchedulerSettings self) {
-        return term.released() || term.node().equals(self.node());
+        return term.node().equals(self.node());
     }
 
     /**
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/OwnershipClaimRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/OwnershipClaimRow.java
@@ -15,8 +15,8 @@
  * @param predecessor node name of the previous term's owner; empty if there was none
  * @param predecessorAddress IP number and port at which that owner accepts forwarded requests;
  *     empty if there was none
- * @param predecessorReleased whether that owner certainly sends no more orders: it released the
- *     ownership, ran on this node, or never existed
+ * @param predecessorReleased whether that owner certainly sends no more orders: it ran on this
+ *     node, or never existed
  * @param predecessorGraceMs for how long after the claim that owner may send orders if it has not
  *     stopped, in milliseconds
  * @param earlierGraceMs for how long after the claim owners before that one may send orders, in
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualLinks.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualLinks.java
@@ -18,6 +18,12 @@
 
 /** The links between the entries of a simulated site. */
 final class VirtualLinks {
+    /** Time for which a request to relinquish waits for its answer, in milliseconds. */
+    private static final long RELINQUISH_TIMEOUT_MS = 1_450;
+
+    /** Interval at which a message that waits in a cut is tried again, in milliseconds. */
+    private static final long RETRY_MS = 50;
+
     private static final long LINK_LATENCY_MS = 1;
 
     /** Time without a response after which a forwarded request counts as lost, in milliseconds. */
@@ -86,14 +92,27 @@
     }
 
     /**
-     * Asks an entry to relinquish the ownership; the request is lost if its process has ended.
+     * Asks an entry to relinquish the ownership; the request is lost if its process has ended, and
+     * waits in a cut of the link, as in a connection, until the sender gives it up.
      *
      * @param sink gets the confirmation
      */
     void askToRelinquish(
             VirtualNode from, SchedulerOutput.AskRelinquish ask, Consumer<SchedulerInput> sink) {
+        askToRelinquish(from, ask, sink, mClock.nowMs() + RELINQUISH_TIMEOUT_MS);
+    }
+
+    private void askToRelinquish(
+            VirtualNode from,
+            SchedulerOutput.AskRelinquish ask,
+            Consumer<SchedulerInput> sink,
+            long untilMs) {
         VirtualNode to = mNodes.get(ask.address());
-        if (to.isUp() && !isCut(from, to)) {
+        if (isCut(from, to)) {
+            if (mClock.nowMs() < untilMs) {
+                mClock.after(RETRY_MS, () -> askToRelinquish(from, ask, sink, untilMs));
+            }
+        } else if (to.isUp()) {
             long id =
                     mCallers.registerCall(
                             response -> {
