--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/ExecutorSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/ExecutorSystem.java
@@ -159,14 +159,14 @@
         }
         if (session.consecutiveFailures() > 0) {
             for (RunRow run : List.copyOf(world.runs().group(row.id()))) {
-                if (UncertainTime.isOver(tick, run)) {
+                if (UnansweredStart.hasCertainlyEnded(tick, run)) {
                     RunLifecycle.removeAndRequeue(tick, run, "lease-ended", 0);
                 }
             }
         }
         boolean mayRun =
                 world.runs().group(row.id()).stream()
-                        .anyMatch(run -> !UncertainTime.isOver(tick, run));
+                        .anyMatch(run -> !UnansweredStart.hasCertainlyEnded(tick, run));
         boolean missing =
                 !mayRun
                         && row.missingSinceMs() != 0
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/LostExecutorSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/LostExecutorSystem.java
@@ -3,11 +3,15 @@
 import java.util.HashMap;
 import java.util.Map;
 import org.hibiscususher.core.scheduler.message.HostReport;
+import org.hibiscususher.core.scheduler.term.Authority;
 import org.hibiscususher.core.scheduler.world.ExecutorRow;
 import org.hibiscususher.core.scheduler.world.ExecutorSessionRow;
 import org.hibiscususher.core.scheduler.world.HostListRow;
+import org.hibiscususher.core.scheduler.world.RunRow;
+import org.hibiscususher.core.scheduler.world.RunStage;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
+import org.hibiscususher.core.scheduler.world.UncertainStartRow;
 
 /**
  * Removes silent executors that, by the platform's list of hosts, no longer run.
@@ -24,7 +28,9 @@
     public static void run(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
         HostListRow list = world.hostList().get();
-        if (list.listedMs() != tick.nowMs() || !world.term().get().isScheduling()) {
+        boolean mayRemove =
+                world.term().get().isScheduling() && Authority.mayPresumeLeasesExpired(tick);
+        if (list.listedMs() != tick.nowMs() || !mayRemove) {
             return;
         }
         Map<String, HostReport> hosts = new HashMap<>();
@@ -62,7 +68,7 @@
 
     /**
      * Returns whether an executor is silent and has answered no heartbeat, and no order of a run
-     * that it has, since the list was requested.
+     * that it has, since the list was requested, and no order to start one was on its way then.
      *
      * @param sentMs when the list was requested; it may not show an executor seen later
      */
@@ -72,11 +78,24 @@
                         .find(row.id())
                         .map(ExecutorSessionRow::lastAnswerMs)
                         .orElse(0L);
-        boolean answeredOrder =
-                world.runs().group(row.id()).stream().anyMatch(r -> r.orderAnsweredMs() >= sentMs);
+        boolean mayHaveStartedRun =
+                world.runs().group(row.id()).stream()
+                                .anyMatch(r -> r.orderAnsweredMs() >= sentMs || isOnItsWay(r))
+                        || world.uncertainStarts().rows().stream()
+                                .anyMatch(s -> isUnansweredSince(s, row.id(), sentMs));
         return isSilent(world, row)
                 && lastAnswerMs < sentMs
-                && !answeredOrder
+                && !mayHaveStartedRun
                 && row.firstSeenMs() < sentMs;
     }
+
+    /** Returns whether an order to start a run may arrive after the executor has restarted. */
+    private static boolean isOnItsWay(RunRow run) {
+        return run.stage() == RunStage.SENT;
+    }
+
+    private static boolean isUnansweredSince(
+            UncertainStartRow start, String executor, long sentMs) {
+        return start.executor().equals(executor) && start.detectedMs() >= sentMs;
+    }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/RunLifecycle.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/RunLifecycle.java
@@ -130,6 +130,7 @@
                         .map(ExecutorSessionRow::leaseEndMs)
                         .orElse(0L);
         world.executorSessions().put(executor, ExecutorSessionRow.initial(executor, leaseEndMs));
+        HeartbeatResults.extendLeaseOfUnknownClock(tick, executor);
         world.executors().update(executor, ExecutorRow::asConfirmed);
     }
 
@@ -166,9 +167,9 @@
         SchedulerWorld world = tick.world();
         dropFinishedRuns(world, executor);
         for (RunRow run : List.copyOf(world.runs().group(executor))) {
-            boolean unanswered =
-                    run.stage() == RunStage.SENT || run.reason() == StopReason.UNCERTAIN_START;
-            if (unanswered) {
+            if (run.stage() == RunStage.SENT) {
+                handleUnansweredStart(tick, run);
+            } else if (run.reason() == StopReason.UNCERTAIN_START) {
                 requestStop(tick, run, StopReason.UNCERTAIN_START);
             }
         }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/RunOrderSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/RunOrderSystem.java
@@ -68,11 +68,11 @@
     private static void applyStartAnswer(SchedulerTick tick, StartCallCompleted answer) {
         RunRow run = tick.world().runs().find(answer.task()).orElse(null);
         if (run != null && run.run() == answer.run() && run.callId() == answer.callId()) {
-            applyStartResult(tick, run, answer.result());
-            if (answer.result() == StartResult.STARTED
-                    && IncarnationClock.beganAnew(tick, run, answer.executorClockMs())) {
+            // An order that was refused may have extended the lease there as well.
+            if (IncarnationClock.beganAnew(tick, run, answer.executorClockMs())) {
                 ExecutorSystem.verifyIncarnation(tick, run.executor());
             }
+            applyStartResult(tick, run, answer.result());
         }
     }
 
--- a/core/src/test/java/org/hibiscususher/core/scheduler/executor/ExecutorRestartTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/executor/ExecutorRestartTest.java
@@ -51,6 +51,8 @@
     /** Answered by the new incarnation. */
     private static final TaskKey NEW = STEP.task(1);
 
+    private static final TaskKey THIRD = STEP.task(2);
+
     private final SchedulerWorld mWorld = SchedulerWorlds.ofOwner(START_MS);
     private long mCallId = 100;
     private long mNowMs = START_MS;
@@ -345,6 +347,37 @@
             assertThat(giveUpTimeOf(NEW, startedMs + 10_000) - startedMs).isGreaterThan(6_180);
         }
 
+        /** Each start extends the lease of all runs on the executor. */
+        @Test
+        void keepsAnUnansweredStartForTheLeaseOfALaterOne() {
+            addSentRun(NEW, 2);
+            tick(440);
+            addSentRun(THIRD, 3);
+            tick(10, new StartCallCompleted(2, NEW, 1, StartResult.NO_ANSWER));
+            tick(440, new StartCallCompleted(3, THIRD, 1, StartResult.NO_ANSWER));
+            long lastArrivalMs = mNowMs;
+            long gaveUpMs = giveUpTimeOf(NEW, lastArrivalMs + 10_000);
+            assertThat(gaveUpMs - lastArrivalMs).isBetween(6_180L, 6_500L);
+        }
+
+        @Test
+        void isCheckedIfARefusalOfAStartTellsAnEarlierClock() {
+            tick(5, answerAt(CLOCK_MS));
+            addSentRun(NEW, 2);
+            List<SchedulerOutput> outputs =
+                    tick(300, new StartCallCompleted(2, NEW, 1, StartResult.NO_ROOM, 150));
+            assertThat(heartbeat(outputs).waitMs()).isZero();
+        }
+
+        /** An order on its way when a restart is seen may reach the new incarnation afterwards. */
+        @Test
+        void keepsAStartThatIsOnItsWayWhenTheRestartIsSeen() {
+            addSentRun(NEW, 2);
+            tick(5, answerOfNewIncarnation());
+            tick(445, new StartCallCompleted(2, NEW, 1, StartResult.NO_ANSWER));
+            assertThat(mWorld.uncertainStarts().rows()).hasSize(1);
+        }
+
         @Test
         void isNotSuspectedIfTheAnswerToAStartTellsASlowClock() {
             tick(5, answerAt(CLOCK_MS));
--- a/core/src/test/java/org/hibiscususher/core/scheduler/executor/LostExecutorSystemTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/executor/LostExecutorSystemTest.java
@@ -17,7 +17,9 @@
 import org.hibiscususher.core.scheduler.world.RunStage;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
+import org.hibiscususher.core.scheduler.world.StartKey;
 import org.hibiscususher.core.scheduler.world.StopReason;
+import org.hibiscususher.core.scheduler.world.UncertainStartRow;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -37,6 +39,8 @@
         addHost("h0", HostState.UP, "x0");
     }
 
+    private static final TaskKey TASK = new StepKey("j", 0, 0).task(0);
+
     private void addExecutor(String id, boolean prior, int failures) {
         ExecutorReport report =
                 new ExecutorReport(
@@ -105,29 +109,59 @@
         @Test
         void executorThatAnsweredAnOrderAfterListWasRequested() {
             addHost("h1", HostState.DOWN, "x1");
-            TaskKey task = new StepKey("j", 0, 0).task(0);
-            RunRow sent =
-                    new RunRow(
-                            task,
-                            1,
-                            "x1",
-                            "team",
-                            Resources.NONE,
-                            Resources.NONE,
-                            RunStage.SENT,
-                            StopReason.NONE,
-                            1,
-                            REQUESTED_MS,
-                            0,
-                            "",
-                            0,
-                            -1,
-                            100,
-                            0);
-            mWorld.runs().put(task, sent.asRunning(REQUESTED_MS + 5));
+            addSentRun();
+            mWorld.runs().update(TASK, run -> run.asRunning(REQUESTED_MS + 5));
+            assertThat(isRemoved()).isFalse();
+        }
+
+        /** Its host may be back under the same id when the order arrives. */
+        @Test
+        void executorToWhichAStartIsOnItsWay() {
+            addHost("h1", HostState.DOWN, "x1");
+            addSentRun();
             assertThat(isRemoved()).isFalse();
         }
 
+        @Test
+        void executorWithAStartThatWasFoundUnansweredAfterListWasRequested() {
+            addHost("h1", HostState.DOWN, "x1");
+            StartKey start = new StartKey(TASK, 1);
+            mWorld.uncertainStarts()
+                    .put(start, new UncertainStartRow(start, "x1", REQUESTED_MS + 5, false, 0));
+            assertThat(isRemoved()).isFalse();
+        }
+
+        /** A later owner may have adopted its runs. */
+        @Test
+        void executorOfAnOwnerThatMayHaveBeenReplaced() {
+            addHost("h1", HostState.DOWN, "x1");
+            mWorld.term().set(mWorld.term().get().withValidUntil(NOW_MS - 1));
+            assertThat(isRemoved()).isFalse();
+        }
+
+        private void addSentRun() {
+            mWorld.runs()
+                    .put(
+                            TASK,
+                            new RunRow(
+                                    TASK,
+                                    1,
+                                    "x1",
+                                    "team",
+                                    Resources.NONE,
+                                    Resources.NONE,
+                                    RunStage.SENT,
+                                    StopReason.NONE,
+                                    1,
+                                    REQUESTED_MS,
+                                    0,
+                                    "",
+                                    0,
+                                    -1,
+                                    100,
+                                    0));
+        }
+
         @Test
         void allExecutorsIfListNamesNone() {
             mWorld.hosts().clear();
