Play an executor that restarts unseen under an owner that is replaced; red

An order names its deadline on the clock of the incarnation that its owner knows. The next incarnation's clock began anew, so it grants the longest lease, 6 s, whereas a later owner that doesn't reach the executor counts with 4 s from the last order of the earlier one. The heartbeat that follows an end by 0.2 s, while that end is not stored, carries the old clock.

OwnersInSeriesTest fails on this commit.

--- a/standin/src/test/java/org/hibiscususher/standin/scheduler/OwnersInSeriesTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/scheduler/OwnersInSeriesTest.java
@@ -63,6 +63,11 @@
             mSite.reports().stream()
                     .filter(report -> !report.id().equals(EXECUTOR))
                     .forEach(report -> mSite.cutLink(mFirst, report.id(), forMs));
+            cutExecutorFromOthers();
+        }
+
+        /** Leaves the first owner as the only one that reaches the executor. */
+        void cutExecutorFromOthers() {
             mSite.nodes().stream()
                     .filter(node -> !node.equals(mFirst))
                     .forEach(node -> mSite.cutLink(node, EXECUTOR, LINK_CUT_MS));
@@ -118,6 +123,51 @@
         }
     }
 
+    /**
+     * Guards against a lease longer than a later owner counts with: an order that names its
+     * deadline on the clock of an earlier incarnation holds for the longest lease on the next one.
+     */
+    @Nested
+    class ExecutorThatRestartsUnseen {
+        /** Run time of a task at whose end the executor restarts, in milliseconds. */
+        private static final long SHORT_MS = 5_600;
+
+        /** Round trip of a slow store, which delays the acknowledgment of ends, in milliseconds. */
+        private static final long SLOW_STORE_MS = 200;
+
+        /** Time until entries read the report of the new incarnation, in milliseconds. */
+        private static final long REPORT_DELAY_MS = 400;
+
+        @Test
+        void startsNothingTwiceInTheGraceOfAnEarlierOwner() {
+            List<String> violations = new ArrayList<>();
+            for (long atMs = 5_250; atMs <= 5_500; atMs += 25) {
+                Case played = new Case(1, LIGHT_LOAD, SHORT_MS);
+                played.cutFirstOwnerOff(9_000);
+                played.mSite.schedule(atMs, () -> played.mSite.restartExecutor(EXECUTOR));
+                played.violation("restart " + atMs).ifPresent(violations::add);
+            }
+            assertThat(violations).isEmpty();
+        }
+
+        @ParameterizedTest
+        @ValueSource(longs = {300, 800})
+        void startsNothingTwiceAfterItsOwnerHasStopped(long stopAfterMs) {
+            List<String> violations = new ArrayList<>();
+            for (long atMs = 5_250; atMs <= 5_500; atMs += 25) {
+                Case played = new Case(1, LIGHT_LOAD, SHORT_MS);
+                played.cutExecutorFromOthers();
+                played.mSite.slowStore(SLOW_STORE_MS, atMs + stopAfterMs);
+                played.mSite.schedule(
+                        atMs, () -> played.mSite.restartExecutor(EXECUTOR, REPORT_DELAY_MS));
+                played.mSite.schedule(
+                        atMs + stopAfterMs, () -> played.mSite.shutDown(played.mFirst, 3_500));
+                played.violation("restart " + atMs).ifPresent(violations::add);
+            }
+            assertThat(violations).isEmpty();
+        }
+    }
+
     /** How the term of the second owner ends. */
     private enum TermEnd {
         KILLED((site, node) -> site.kill(node, 30_000)),
