--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/SchedulerSite.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/SchedulerSite.java
@@ -360,8 +360,18 @@
 
     /** Makes an executor unreachable for a time; its runs continue while its lease is valid. */
     public void silenceExecutor(String executor, long forMs) {
-        mExecutors.get(executor).setSilent(true);
-        mClock.after(forMs, () -> mExecutors.get(executor).setSilent(false));
+        cutExecutor(executor, LinkState.SILENT, forMs);
+    }
+
+    /** Cuts the links between an executor and all entries for a time. */
+    void cutExecutor(String executor, LinkState state, long forMs) {
+        mExecutors.get(executor).setLinkState(state);
+        mClock.after(forMs, () -> mExecutors.get(executor).setLinkState(LinkState.OPEN));
+    }
+
+    /** Suspends an executor's process for a time. */
+    void suspendExecutor(String executor, long forMs) {
+        mExecutors.get(executor).suspend(forMs);
     }
 
     /** Sets the speed of an executor's clock, in thousandths of that of virtual time. */
@@ -403,8 +413,8 @@
 
     /** Makes an executor unreachable to one entry for a time. */
     public void cutLink(String node, String executor, long forMs) {
-        mExecutors.get(executor).cutFrom(node, true);
-        mClock.after(forMs, () -> mExecutors.get(executor).cutFrom(node, false));
+        mExecutors.get(executor).setLinkState(node, LinkState.SILENT);
+        mClock.after(forMs, () -> mExecutors.get(executor).setLinkState(node, LinkState.OPEN));
     }
 
     /**
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualExecutor.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualExecutor.java
@@ -2,13 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
-import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.hibiscususher.core.job.FinishedRun;
@@ -37,8 +36,6 @@
  * orders are times of the executor's own clock, which starts at 0 with each incarnation.
  */
 final class VirtualExecutor {
-    private static final long LINK_LATENCY_MS = 1;
-
     /** Time from a stop order to the end of the run. */
     private static final long STOP_MS = 100;
 
@@ -73,7 +70,12 @@
     /** Replies to heartbeats that wait for a run to finish. */
     private final List<Runnable> mPendingReplies = new ArrayList<>();
 
-    private final Set<String> mCutOffNodes = new HashSet<>();
+    /** The links to the entries, by entry. */
+    private final Map<String, ExecutorLink> mLinks = new HashMap<>();
+
+    /** State of the links to entries that have not called yet. */
+    private LinkState mLinkState = LinkState.OPEN;
+
     private ExecutorReport mReport;
     private long mStartedAtMs;
 
@@ -87,7 +89,7 @@
     private long mLastSequence;
     private double mDelayedOrderShare;
     private boolean mFailsAllRuns;
-    private boolean mSilent;
+    private long mSuspendedUntilMs;
     private boolean mEnded;
 
     VirtualExecutor(
@@ -120,16 +122,30 @@
         mFailsAllRuns = fails;
     }
 
-    void setSilent(boolean silent) {
-        mSilent = silent;
+    /** Sets the state of the links to all entries. */
+    void setLinkState(LinkState state) {
+        mLinkState = state;
+        mLinks.values().forEach(link -> link.setState(state));
     }
 
-    void cutFrom(String node, boolean cut) {
-        if (cut) {
-            mCutOffNodes.add(node);
-        } else {
-            mCutOffNodes.remove(node);
-        }
+    /** Sets the state of the link to one entry. */
+    void setLinkState(String node, LinkState state) {
+        link(node).setState(state);
+    }
+
+    private ExecutorLink link(String node) {
+        return mLinks.computeIfAbsent(
+                node,
+                n -> {
+                    ExecutorLink link = new ExecutorLink(mClock);
+                    link.setState(mLinkState);
+                    return link;
+                });
+    }
+
+    /** Suspends the process: what it receives is carried out later. Its clock and leases go on. */
+    void suspend(long forMs) {
+        mSuspendedUntilMs = mClock.nowMs() + forMs;
     }
 
     /** Kills the executor and its runs for good. */
@@ -149,6 +165,8 @@
         mHighestRuns.clear();
         mFinishedRuns.clear();
         mPendingReplies.clear();
+        mLinks.values().forEach(ExecutorLink::endConnections);
+        mSuspendedUntilMs = 0;
         mLastSequence = 0;
         mFence = 0;
         mLeaseDeadlineMs = 0;
@@ -187,31 +205,69 @@
      * Handles a call of a node, subject to the simulated faults.
      *
      * @param output a heartbeat, start order or stop order
+     * @param maySend whether the call may still be sent if a connection opens late
      * @param steps returns the step of a task
      * @param sink gets the response or the failure
      */
     void call(
             String node,
             SchedulerOutput output,
+            BooleanSupplier maySend,
             Function<TaskKey, StepSpec> steps,
             Consumer<SchedulerInput> sink) {
         boolean order = !(output instanceof SendHeartbeat);
-        if (mSilent || mEnded || mCutOffNodes.contains(node)) {
+        if (mEnded) {
             mClock.after(NO_ANSWER_MS, () -> sink.accept(noAnswer(output)));
-        } else if (order && mRandom.nextDouble() < mDelayedOrderShare) {
+        } else if (link(node).isOpen() && order && mRandom.nextDouble() < mDelayedOrderShare) {
             long delayMs = MIN_ORDER_DELAY_MS + mRandom.nextInt(ORDER_DELAY_SPREAD_MS);
             mClock.after(delayMs, () -> execute(output, steps, input -> {}));
             mClock.after(NO_ANSWER_MS, () -> sink.accept(noAnswer(output)));
+        } else {
+            long waitMs = output instanceof SendHeartbeat heartbeat ? heartbeat.waitMs() : 0;
+            link(node)
+                    .send(
+                            new ExecutorCall(
+                                    order ? CallKind.ORDER : CallKind.HEARTBEAT,
+                                    mClock.nowMs(),
+                                    NO_ANSWER_MS + waitMs,
+                                    maySend,
+                                    answers -> executeWhenAwake(output, steps, answers),
+                                    noAnswer(output),
+                                    notSent(output),
+                                    sink));
+        }
+    }
+
+    /** Returns what the sender of a call sees if no connection carried it. */
+    private static SchedulerInput notSent(SchedulerOutput output) {
+        return output instanceof StartRun start
+                ? new StartCallCompleted(
+                        start.callId(), start.task(), start.run(), StartResult.NOT_SENT)
+                : noAnswer(output);
+    }
+
+    /** Carries out a call, and answers it, when the process is not suspended. */
+    private void executeWhenAwake(
+            SchedulerOutput output,
+            Function<TaskKey, StepSpec> steps,
+            Consumer<SchedulerInput> sink) {
+        whenAwake(() -> execute(output, steps, answer -> whenAwake(() -> sink.accept(answer))));
+    }
+
+    /** Runs an action now, or when the process goes on; not if it has restarted then. */
+    private void whenAwake(Runnable action) {
+        long restMs = mSuspendedUntilMs - mClock.nowMs();
+        long startedAtMs = mStartedAtMs;
+        if (restMs <= 0) {
+            action.run();
         } else {
             mClock.after(
-                    LINK_LATENCY_MS,
-                    () ->
-                            execute(
-                                    output,
-                                    steps,
-                                    input ->
-                                            mClock.after(
-                                                    LINK_LATENCY_MS, () -> sink.accept(input))));
+                    restMs,
+                    () -> {
+                        if (startedAtMs == mStartedAtMs) {
+                            action.run();
+                        }
+                    });
         }
     }
 
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualNode.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualNode.java
@@ -223,7 +223,14 @@
         }
         VirtualExecutor target = mSite.executor(executor);
         if (target != null) {
-            target.call(mName, output, mSite::step, inputSink());
+            target.call(mName, output, () -> isValid(output), mSite::step, inputSink());
         }
     }
+
+    /** Returns whether an output may still be sent by the clocks of the process. */
+    private boolean isValid(SchedulerOutput output) {
+        long nowMs = mSite.clock().nowMs();
+        return !(output instanceof StartRun start)
+                || !start.validity().isOver(nowMs - mSuspendedMs, nowMs);
+    }
 }
--- a/standin/src/test/java/org/hibiscususher/standin/scheduler/SchedulerSiteTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/scheduler/SchedulerSiteTest.java
@@ -25,53 +25,6 @@
 class SchedulerSiteTest {
     private static final int SEEDS_PER_FAULT = 8;
 
-    /** Period in which jobs are submitted, in milliseconds. */
-    private static final long LOAD_MS = 20_000;
-
-    /** Period after the load in which all jobs must end, in milliseconds. */
-    private static final long DRAIN_MS = 25_000;
-
-    /**
-     * Schedules the submission of jobs of several kinds over {@link #LOAD_MS}.
-     *
-     * @return the ids of the submitted jobs that are not cancelled, filled while the site runs
-     */
-    private static List<String> submitLoad(SchedulerSite site, Random random) {
-        List<String> jobs = new ArrayList<>();
-        site.run(1_000);
-        for (int i = 0; i < 60; i++) {
-            long atMs = random.nextInt((int) LOAD_MS);
-            int tasks = 1 + random.nextInt(6);
-            long taskMs = 100 + random.nextInt(900);
-            boolean hasTwoSteps = random.nextBoolean();
-            site.schedule(
-                    atMs,
-                    () ->
-                            jobs.add(
-                                    site.submit(
-                                            hasTwoSteps
-                                                    ? JobSpecs.twoSteps(tasks, taskMs)
-                                                    : JobSpecs.oneStep(tasks, taskMs))));
-        }
-        site.schedule(500, () -> cancelLater(site, site.submit(JobSpecs.service(3)), 9_000));
-        site.schedule(2_500, () -> cancelLater(site, site.submit(JobSpecs.oneStep(4, 3_000)), 700));
-        return jobs;
-    }
-
-    private static void cancelLater(SchedulerSite site, String job, long delayMs) {
-        site.schedule(delayMs, () -> site.cancel(job));
-    }
-
-    /** Asserts that all jobs were accepted and have ended, and that no invariant was violated. */
-    private static void assertAllEnded(SchedulerSite site, List<String> jobs) {
-        assertThat(site.invariants().violations()).isEmpty();
-        assertThat(site.invariants().acceptedJobs()).containsAll(jobs);
-        for (String job : jobs) {
-            assertThat(site.stateOf(job)).as(job).isIn(JobState.DONE, JobState.FAILED);
-        }
-        assertThat(site.invariants().violations()).isEmpty();
-    }
-
     @Nested
     class WithoutFaults {
         private final SchedulerSite mSite = SchedulerSite.create(3, 4, 1);
@@ -114,9 +67,9 @@
 
         @Test
         void allJobsEndUnderLoad() {
-            List<String> jobs = submitLoad(mSite, new Random(1));
-            mSite.run(LOAD_MS + DRAIN_MS);
-            assertAllEnded(mSite, jobs);
+            List<String> jobs = SiteJobs.submitLoad(mSite, new Random(1));
+            mSite.run(SiteJobs.LOAD_MS + SiteJobs.DRAIN_MS);
+            SiteJobs.assertAllEnded(mSite, jobs);
         }
     }
 
@@ -206,7 +159,7 @@
             mSite.run(50);
             mSite.cutOffFromStore(formerOwner, 8_000);
             mSite.run(12_000);
-            assertAllEnded(mSite, jobs);
+            SiteJobs.assertAllEnded(mSite, jobs);
         }
     }
 
@@ -249,9 +202,9 @@
                 }
                 site.run(300);
                 site.silenceExecutor("x1", silentMs);
-                site.run(DRAIN_MS);
+                site.run(SiteJobs.DRAIN_MS);
                 assertThat(site.invariants().violations()).as("silent " + silentMs).isEmpty();
-                assertAllEnded(site, jobs);
+                SiteJobs.assertAllEnded(site, jobs);
             }
         }
 
@@ -290,7 +243,7 @@
             mSite.schedule(TASK_MS - 10, () -> mSite.cancelOnce(job));
             mSite.schedule(
                     TASK_MS + 600, () -> mSite.owner().ifPresent(o -> mSite.kill(o, 20_000)));
-            mSite.run(DRAIN_MS);
+            mSite.run(SiteJobs.DRAIN_MS);
             assertThat(mSite.invariants().violations()).isEmpty();
             assertThat(mSite.stateOf(job)).isIn(JobState.CANCELLED, JobState.DONE);
         }
@@ -340,8 +293,8 @@
                 jobs.add(mSite.submit(JobSpecs.small(100, 600)));
             }
             mSite.schedule(300, () -> mSite.storeDown(downMs));
-            mSite.run(DRAIN_MS);
-            assertAllEnded(mSite, jobs);
+            mSite.run(SiteJobs.DRAIN_MS);
+            SiteJobs.assertAllEnded(mSite, jobs);
             assertThat(mSite.logLines()).noneMatch(l -> l.contains("reason=not-listed"));
         }
     }
@@ -370,8 +323,8 @@
             }
             site.run(LOAD_SECONDS * 1_000 + MAX_START_MS);
             assertThat(site.invariants().acceptedJobs()).containsAll(jobs);
-            site.run(DRAIN_MS);
-            assertAllEnded(site, jobs);
+            site.run(SiteJobs.DRAIN_MS);
+            SiteJobs.assertAllEnded(site, jobs);
         }
     }
 
@@ -387,14 +340,14 @@
         void startNothingOnARestartedExecutor(int seed) {
             Random random = new Random(seed);
             SchedulerSite site = SchedulerSite.create(4, 5, seed);
-            List<String> jobs = submitLoad(site, random);
+            List<String> jobs = SiteJobs.submitLoad(site, random);
             int lateMs = 3_000 + random.nextInt(8_000);
             site.schedule(lateMs, () -> SiteFault.ORDERS_LATE.inject(site, random));
             site.schedule(
                     lateMs + random.nextInt(4_000),
                     () -> SiteFault.EXECUTOR_RESTARTED.inject(site, random));
-            site.run(LOAD_MS + DRAIN_MS);
-            assertAllEnded(site, jobs);
+            site.run(SiteJobs.LOAD_MS + SiteJobs.DRAIN_MS);
+            SiteJobs.assertAllEnded(site, jobs);
         }
     }
 
@@ -415,11 +368,11 @@
             for (int i = 0; i < 10; i++) {
                 jobs.add(site.submit(JobSpecs.oneStep(8, 300)));
             }
-            site.run(DRAIN_MS);
+            site.run(SiteJobs.DRAIN_MS);
             List<String> lines = site.logLines();
             assertThat(lines.subList(linesBefore, lines.size()))
                     .noneMatch(l -> l.contains("event=start ") && l.contains("executor=x1 "));
-            assertAllEnded(site, jobs);
+            SiteJobs.assertAllEnded(site, jobs);
         }
     }
 
@@ -439,8 +392,8 @@
                 int restarted = i % 4;
                 site.schedule(500 + i * 700L, () -> site.restartExecutor("x" + restarted, delayMs));
             }
-            site.run(LOAD_MS + DRAIN_MS);
-            assertAllEnded(site, jobs);
+            site.run(SiteJobs.LOAD_MS + SiteJobs.DRAIN_MS);
+            SiteJobs.assertAllEnded(site, jobs);
         }
     }
 
@@ -461,7 +414,7 @@
                             site.schedule(cancelAfterMs, () -> site.cancelOnce(job));
                         });
             }
-            site.run(LOAD_MS + DRAIN_MS);
+            site.run(SiteJobs.LOAD_MS + SiteJobs.DRAIN_MS);
             assertThat(site.invariants().violations()).isEmpty();
         }
 
@@ -496,11 +449,11 @@
         @Test
         void completeUnderLoad() {
             SchedulerSite site = SchedulerSite.create(3, 6, 7);
-            List<String> jobs = submitLoad(site, new Random(7));
+            List<String> jobs = SiteJobs.submitLoad(site, new Random(7));
             site.startWave(MAX_HOSTS_OUT);
-            site.run(LOAD_MS + DRAIN_MS);
+            site.run(SiteJobs.LOAD_MS + SiteJobs.DRAIN_MS);
             assertThat(site.isWaveDone()).isTrue();
-            assertAllEnded(site, jobs);
+            SiteJobs.assertAllEnded(site, jobs);
         }
 
         @ParameterizedTest
@@ -509,15 +462,15 @@
             for (int seed = 1; seed <= SEEDS_PER_FAULT; seed++) {
                 Random random = new Random(seed);
                 SchedulerSite site = SchedulerSite.create(4, 6, seed);
-                List<String> jobs = submitLoad(site, random);
+                List<String> jobs = SiteJobs.submitLoad(site, random);
                 int startMs = 1_000 + random.nextInt(6_000);
                 site.schedule(startMs, () -> site.startWave(MAX_HOSTS_OUT));
                 site.schedule(startMs, () -> site.dropHostOrderResponses(0.3, 5_000));
                 site.schedule(startMs + random.nextInt(6_000), () -> fault.inject(site, random));
-                site.run(LOAD_MS + DRAIN_MS);
+                site.run(SiteJobs.LOAD_MS + SiteJobs.DRAIN_MS);
                 assertThat(site.invariants().violations()).as("seed " + seed).isEmpty();
                 assertThat(site.isWaveDone()).as("seed " + seed).isTrue();
-                assertAllEnded(site, jobs);
+                SiteJobs.assertAllEnded(site, jobs);
             }
         }
     }
@@ -538,11 +491,11 @@
             for (int seed = 1; seed <= SEEDS_PER_FAULT; seed++) {
                 Random random = new Random(seed);
                 SchedulerSite site = SchedulerSite.create(4, 5, seed);
-                List<String> jobs = submitLoad(site, random);
+                List<String> jobs = SiteJobs.submitLoad(site, random);
                 site.schedule(3_000 + random.nextInt(12_000), () -> fault.inject(site, random));
-                site.run(LOAD_MS + DRAIN_MS);
+                site.run(SiteJobs.LOAD_MS + SiteJobs.DRAIN_MS);
                 assertThat(site.invariants().violations()).as("seed " + seed).isEmpty();
-                assertAllEnded(site, jobs);
+                SiteJobs.assertAllEnded(site, jobs);
             }
         }
 
@@ -553,13 +506,13 @@
             int seed = 100 * first.ordinal() + second.ordinal();
             Random random = new Random(seed);
             SchedulerSite site = SchedulerSite.create(4, 5, seed);
-            List<String> jobs = submitLoad(site, random);
+            List<String> jobs = SiteJobs.submitLoad(site, random);
             int firstMs = 3_000 + random.nextInt(8_000);
             site.schedule(firstMs, () -> first.inject(site, random));
             site.schedule(firstMs + random.nextInt(4_000), () -> second.inject(site, random));
-            site.run(LOAD_MS + DRAIN_MS);
+            site.run(SiteJobs.LOAD_MS + SiteJobs.DRAIN_MS);
             assertThat(site.invariants().violations()).isEmpty();
-            assertAllEnded(site, jobs);
+            SiteJobs.assertAllEnded(site, jobs);
         }
     }
 }
