--- a/standin/src/test/java/org/hibiscususher/standin/scheduler/JobSpecs.java
+++ b/standin/src/test/java/org/hibiscususher/standin/scheduler/JobSpecs.java
@@ -31,6 +31,34 @@
         return JobSpec.once("run", List.of(StepSpec.of(tasks, demand, taskMs, List.of())));
     }
 
+    /**
+     * Returns a job of one step of tasks that each run on another executor and demand a hundredth
+     * of a core.
+     *
+     * @param taskMs run time of each task, in milliseconds
+     */
+    static JobSpec spread(int tasks, long taskMs) {
+        StepSpec step =
+                new StepSpec(
+                        tasks,
+                        Resources.of(10, 1, 0),
+                        taskMs,
+                        List.of(),
+                        false,
+                        false,
+                        false,
+                        "",
+                        "",
+                        1,
+                        false,
+                        false,
+                        "image",
+                        0,
+                        false,
+                        0);
+        return JobSpec.once("run", List.of(step));
+    }
+
     /**
      * Returns a job of two steps, of which the second depends on the first.
      *
--- a/standin/src/test/java/org/hibiscususher/standin/scheduler/RestartPlay.java
+++ b/standin/src/test/java/org/hibiscususher/standin/scheduler/RestartPlay.java
@@ -23,6 +23,9 @@
     private static final long TASK_MS = 7_000;
 
     private static final long SUBMISSION_INTERVAL_MS = 60;
+    /** Most jobs that are submitted at the same time. */
+    private static final int MAX_TOGETHER = 4;
+
     private static final long SUBMISSIONS_MS = 3_000;
     private static final long REPORT_DELAY_MS = 30_000;
     private static final long DRAIN_MS = 27_000;
@@ -40,8 +43,11 @@
         SchedulerSite site = SchedulerSite.create(3, 4, seed);
         site.run(1_500);
         List<String> jobs = new ArrayList<>();
+        // Only orders at the same time open several connections.
+        int together = 1 + (int) (seed % MAX_TOGETHER);
         for (long atMs = 0; atMs < SUBMISSIONS_MS; atMs += SUBMISSION_INTERVAL_MS) {
-            site.schedule(atMs, () -> jobs.add(site.submit(JobSpecs.small(4, TASK_MS))));
+            long jobMs = atMs - atMs % (together * SUBMISSION_INTERVAL_MS);
+            site.schedule(jobMs, () -> jobs.add(site.submit(JobSpecs.spread(3, TASK_MS))));
         }
         site.schedule(restartMs, () -> site.restartExecutor(EXECUTOR, REPORT_DELAY_MS));
         site.schedule(restartMs + cutMs, () -> site.cutExecutor(EXECUTOR, cut, cutForMs));
