--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/ExecutorCall.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/ExecutorCall.java
@@ -25,7 +25,14 @@
         SchedulerInput noAnswer,
         SchedulerInput notSent,
         Consumer<SchedulerInput> sink) {
+    /** Returns when the entry gives it up. */
     long giveUpMs() {
         return sentMs + timeoutMs;
     }
+
+    /** Returns this call, sent at another time. */
+    ExecutorCall sentAt(long newSentMs) {
+        return new ExecutorCall(
+                kind, newSentMs, timeoutMs, maySend, execution, noAnswer, notSent, sink);
+    }
 }
