--- a/standin/src/test/java/org/hibiscususher/standin/scheduler/OwnersInSeriesTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/scheduler/OwnersInSeriesTest.java
@@ -1,7 +1,7 @@
 package org.hibiscususher.standin.scheduler;
 
 import static org.assertj.core.api.Assertions.assertThat;
-import static org.hibiscususher.standin.scheduler.SiteAssertions.assertAllEnded;
+import static org.hibiscususher.standin.scheduler.SiteJobs.assertAllEnded;
 
 import java.util.ArrayList;
 import java.util.List;
