--- a/standin/src/test/java/org/hibiscususher/standin/scheduler/ExecutorsRestartedUnseenTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/scheduler/ExecutorsRestartedUnseenTest.java
@@ -68,8 +68,7 @@
     class CutWithAnotherOwner {
         private static final long CUT_MS = 250;
 
-        private static void sweepWithOwner(
-                long afterMs, BiConsumer<SchedulerSite, String> change) {
+        private static void sweepWithOwner(long afterMs, BiConsumer<SchedulerSite, String> change) {
             sweep(
                     LinkState.ONE_WAY,
                     CUT_MS,
@@ -122,8 +121,7 @@
         }
 
         private static void suspend(SchedulerSite site, long forMs) {
-            site.schedule(
-                    SUSPENDED_MS, () -> site.suspendExecutor(RestartPlay.EXECUTOR, forMs));
+            site.schedule(SUSPENDED_MS, () -> site.suspendExecutor(RestartPlay.EXECUTOR, forMs));
         }
     }
 }
--- a/standin/src/test/java/org/hibiscususher/standin/scheduler/RestartPlay.java
+++ b/standin/src/test/java/org/hibiscususher/standin/scheduler/RestartPlay.java
@@ -18,15 +18,24 @@
  * @param load what the jobs run
  * @param storeMs how long answers of the store take until the restart, in milliseconds
  */
-record RestartPlay(long seed, long restartMs, long cutMs, long cutForMs, LinkState cut, RestartLoad load, long storeMs) {
+record RestartPlay(
+        long seed,
+        long restartMs,
+        long cutMs,
+        long cutForMs,
+        LinkState cut,
+        RestartLoad load,
+        long storeMs) {
     static final String EXECUTOR = "x1";
 
     private static final long SUBMISSION_INTERVAL_MS = 60;
+
     /** Most jobs that are submitted at the same time. */
     private static final int MAX_TOGETHER = 4;
 
     private static final long SUBMISSIONS_MS = 3_000;
     private static final long REPORT_DELAY_MS = 30_000;
+
     /** Age of the executors when the load begins: their clocks are far ahead of a new one. */
     private static final long AGE_MS = 12_000;
 
@@ -49,7 +58,9 @@
         int together = 1 + (int) (seed % MAX_TOGETHER);
         for (long atMs = 0; atMs < SUBMISSIONS_MS; atMs += SUBMISSION_INTERVAL_MS) {
             long jobMs = atMs - atMs % (together * SUBMISSION_INTERVAL_MS);
-            site.schedule(jobMs, () -> jobs.add(site.submit(JobSpecs.spread(3, load.taskMs(jobMs, restartMs)))));
+            site.schedule(
+                    jobMs,
+                    () -> jobs.add(site.submit(JobSpecs.spread(3, load.taskMs(jobMs, restartMs)))));
         }
         site.slowStore(storeMs, restartMs);
         site.schedule(restartMs, () -> site.restartExecutor(EXECUTOR, REPORT_DELAY_MS));
