Step down when a later owner is read of while the own claim is in flight

An owner whose lease has expired claims again and keeps its tables. A report of another entry's later term that arrived before the claim was answered was ignored, and nothing reported it again: the entry went on scheduling with its old tables for its grace period. Now only a report of its own term, which the claim itself may have written, is left to the answer. OwnershipReclaimTest: two of three red before.

--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/TermSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/TermSystem.java
@@ -172,13 +172,19 @@
         if (!owner || updated.termRevision() < term.fence()) {
             return;
         }
-        if (updated.termRevision() > term.fence() && !term.stage().equals(TermStage.CLAIMING)) {
+        boolean maybeOwnClaim = term.stage() == TermStage.CLAIMING && isOwnTerm(world, updated);
+        if (updated.termRevision() > term.fence() && !maybeOwnClaim) {
             StepDown.run(tick, "later-owner");
         } else if (updated.owner().isEmpty() && term.stage() == TermStage.OWNING) {
             reclaimExpiredLease(tick);
         }
     }
 
+    /** Returns whether this entry began the newest term, maybe with a claim not answered yet. */
+    private static boolean isOwnTerm(SchedulerWorld world, Ownership updated) {
+        return updated.term().filter(t -> t.node().equals(world.settings().node())).isPresent();
+    }
+
     /**
      * Claims the ownership again at once after the lease has expired in the store while no other
      * entry has claimed it. The tables are kept: nobody else can have changed the records.
