--- a/standin/src/test/java/org/hibiscususher/standin/scheduler/ExecutorsRestartedUnseenTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/scheduler/ExecutorsRestartedUnseenTest.java
@@ -124,4 +124,28 @@
             site.schedule(SUSPENDED_MS, () -> site.suspendExecutor(RestartPlay.EXECUTOR, forMs));
         }
     }
+
+    /** Guards against a renewal that reaches the new incarnation while no run is known there. */
+    @Nested
+    class EndsNotStored {
+        private static final long STORE_MS = 400;
+        private static final long CUT_FOR_MS = 7_000;
+
+        @ParameterizedTest
+        @ValueSource(longs = {50, 250, 500})
+        void leadToNoSecondRun(long cutMs) {
+            for (long ms = FIRST_RESTART_MS; ms <= LAST_RESTART_MS; ms += RESTART_STEP_MS) {
+                RestartPlay play =
+                        new RestartPlay(
+                                cutMs + ms,
+                                ms,
+                                cutMs,
+                                CUT_FOR_MS,
+                                LinkState.ONE_WAY,
+                                RestartLoad.SHORT_BEFORE_THE_RESTART,
+                                STORE_MS);
+                assertThat(play.failure(site -> {})).isEmpty();
+            }
+        }
+    }
 }
