Bound the pause after a tick, which doubled a suspension of the process

The thread pauses after a tick for as long as the tick took, to use at most half of a processor; a tick during which the process is suspended takes that long too. The pause is now at most 50 ms.

--- a/daemon/src/main/java/org/hibiscususher/daemon/control/ControlThread.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/control/ControlThread.java
@@ -27,6 +27,12 @@
      */
     private static final long MIN_PAUSE_NS = 1_000_000;
 
+    /**
+     * Longest pause after a tick, in nanoseconds. A tick also takes long because the process was
+     * suspended meanwhile, and must not leave the inputs unread for as long again.
+     */
+    private static final long MAX_PAUSE_NS = 50_000_000;
+
     private static final long NS_PER_MS = 1_000_000;
 
     private final AgentRunner mRunner;
@@ -105,7 +111,8 @@
             long startNs = System.nanoTime();
             mTickHandler.tick(nowMs, inputs).forEach(this::carryOut);
             long endNs = System.nanoTime();
-            mPauseEndNs = endNs + Math.max(MIN_PAUSE_NS, endNs - startNs);
+            long pauseNs = Math.min(MAX_PAUSE_NS, Math.max(MIN_PAUSE_NS, endNs - startNs));
+            mPauseEndNs = endNs + pauseNs;
             return inputs.size();
         }
 
