--- a/review/src-2/Executor.java
+++ b/review/src-2/Executor.java
@@ -7,13 +7,15 @@
 /**
  * A stand-in of an executor. The text of a submission tells it what to run: {@code cpu=} in
  * thousandths of a core, {@code ms=} of work (0 for work without an end), {@code gang=} with the
- * number of members, and {@code save=} with the milliseconds of work between two checkpoints.
+ * number of members, {@code save=} with the milliseconds of work between two checkpoints, {@code
+ * serve=1} if it serves its own users, and {@code fill=1} if it fills beside others.
  */
 final class Executor {
     static final int CPU = 64_000;
     static final int MEMORY_MB = 131_072;
     static final long HEARTBEAT_MS = 1_500;
     private static final int STARTED_WORK_MS = 1;
+    private static final long QUIET_TAIL_MS = 40;
 
     /** One run. */
     static final class Run {
@@ -23,7 +25,7 @@
         String checkpoint = "";
         long startedMs;
         long workingSinceMs;
-        long doneBeforeMs;
+        int speedPercent = 100;
         long stopAtMs = Long.MAX_VALUE;
 
         int field(String name) {
@@ -40,7 +42,7 @@
         }
 
         long workMs(long nowMs) {
-            return doneBeforeMs + (works() ? nowMs - workingSinceMs : 0);
+            return works() ? nowMs - workingSinceMs : 0;
         }
     }
 
@@ -63,8 +65,11 @@
     private boolean mUp = true;
     boolean mDraining;
 
-    /** Time on the way to the executor's zone and back, in milliseconds. */
-    volatile long mRoundTripMs;
+    /** Until when the executor is cut off from all entries; it runs on. */
+    private long mCutUntilMs;
+
+    /** Until when the executor fails orders that set a speed. */
+    long mFaultyUntilMs;
 
     Executor(Fleet fleet, String ip, String id, String machine, String service, String rack)
             throws Exception {
@@ -89,8 +94,10 @@
     }
 
     private Http.Response handle(Http.Request request) throws Exception {
-        Fleet.sleep(mRoundTripMs);
         synchronized (mFleet) {
+            if (!mUp || isCut()) {
+                return null;
+            }
             String expected = request.headers().get("expect-executor");
             if (expected != null && !expected.equals(mId)) {
                 return answer(421, Json.object());
@@ -99,10 +106,21 @@
                     && mFleet.mHoldsStart.test(this, request.json())) {
                 return holdStart(request.json());
             }
-            return carryOut(request);
+            Http.Response response = carryOut(request);
+            return isCut() ? null : response;
         }
     }
 
+    private boolean isCut() {
+        return Fleet.now() < mCutUntilMs;
+    }
+
+    /** Cuts the executor off: nothing of the entries reaches it, and nothing of it them. */
+    void cut(long forMs) {
+        mFleet.record(mId + " is cut off for ms=" + forMs);
+        mCutUntilMs = Fleet.now() + forMs;
+    }
+
     /** Leaves an order to start unanswered and carries it out later. */
     private Http.Response holdStart(Map<String, Object> body) {
         String what = Json.text(body, "task") + " run=" + Json.number(body, "run") + " on " + mId;
@@ -141,7 +159,7 @@
             case "/api/hold":
                 return hold(body);
             case "/api/pace":
-                return answer(200, Json.object());
+                return pace(body);
             default:
                 return answer(404, Json.object());
         }
@@ -190,8 +208,8 @@
         run.spec = Json.text(body, "spec");
         run.checkpoint = Json.text(body, "checkpoint_state");
         run.startedMs = Fleet.now();
-        long used = mRuns.values().stream().mapToLong(r -> r.field("cpu")).sum();
-        if (used + run.field("cpu") > CPU) {
+        long used = mRuns.values().stream().mapToLong(Executor::reserved).sum();
+        if (used + reserved(run) > CPU) {
             return conflict("room");
         }
         mRuns.put(task, run);
@@ -199,6 +217,10 @@
         return answer(200, Json.object());
     }
 
+    private static int reserved(Run run) {
+        return run.field("fill") > 0 ? 0 : run.field("cpu");
+    }
+
     private Http.Response stop(Map<String, Object> body) {
         String task = Json.text(body, "task");
         int number = (int) Json.number(body, "run");
@@ -212,6 +234,31 @@
         return answer(200, Json.object());
     }
 
+    private Http.Response pace(Map<String, Object> body) {
+        Run run = mRuns.get(Json.text(body, "task"));
+        long percent = Json.number(body, "percent");
+        boolean healthy = Fleet.now() >= mFaultyUntilMs;
+        mFleet.record("pace " + Json.text(body, "task") + " on " + mId + " percent=" + percent
+                + " healthy=" + healthy);
+        if (!healthy) {
+            return answer(503, Json.object());
+        }
+        if (run != null && run.number == Json.number(body, "run")) {
+            run.speedPercent = (int) percent;
+        }
+        return answer(200, Json.object());
+    }
+
+    /** Returns the tail of the response times of a work item that serves, in milliseconds. */
+    long tailMs() {
+        int fillPercent =
+                mRuns.values().stream()
+                        .filter(run -> run.field("fill") > 0)
+                        .mapToInt(run -> run.speedPercent)
+                        .sum();
+        return QUIET_TAIL_MS + fillPercent * 8L / 10;
+    }
+
     private Http.Response hold(Map<String, Object> body) throws InterruptedException {
         extend(Json.number(body, "deadline_ms"));
         long seen = Json.number(body, "seen_upto");
@@ -237,8 +284,8 @@
         return Math.min(99, workMs * 100 / run.field("ms"));
     }
 
-    private static long load(Run run) {
-        return run.works() ? run.field("cpu") : 0;
+    private long load(Run run) {
+        return run.field("serve") > 0 ? tailMs() : run.works() ? run.field("cpu") : 0;
     }
 
     /** Ends runs whose time has come, and reports to the store. */
--- a/review/src-2/Store.java
+++ b/review/src-2/Store.java
@@ -199,8 +199,13 @@
 
     /** Writes an item as the operator or an executor does. */
     synchronized void write(String key, Map<String, Object> value) {
+        write(key, Json.write(value).getBytes(java.nio.charset.StandardCharsets.UTF_8));
+    }
+
+    /** Writes any bytes, as another writer may do. */
+    synchronized void write(String key, byte[] value) {
         mRevision++;
-        put(key, Base64.getEncoder().encodeToString(Json.write(value).getBytes()), 0);
+        put(key, Base64.getEncoder().encodeToString(value), 0);
         notifyAll();
     }
 
