--- a/review/src-2/TenantLimit.java
+++ b/review/src-2/TenantLimit.java
@@ -32,6 +32,9 @@
                     Json.object(
                             "count", 2, "cpu", ITEM_CPU, "mem_mb", 512, "est_ms", WORK_MS));
         }
+        for (int i = 0; used(fleet) < CAP_CPU && i < 100; i++) {
+            Fleet.sleep(50);
+        }
         if (used(fleet) < CAP_CPU) {
             return Deployment.NOT_RUN;
         }
