--- a/review/src-2/GangCheckpoints.java
+++ b/review/src-2/GangCheckpoints.java
@@ -25,11 +25,11 @@
                 Json.object(
                         "count", MEMBERS, "cpu", 40_000, "mem_mb", 4_096, "est_ms", 9_000,
                         "checkpoint", true, "gang", true);
-        String spec = "cpu=40000 ms=9000 gang=" + MEMBERS + " save=2000";
+        String spec = "cpu=40000 ms=9000 gang=" + MEMBERS + " save=500";
         if (site.submit(JOB, spec, step).status() != 200) {
             return Deployment.NOT_RUN;
         }
-        if (site.mTrouble && !crashAfterSecondCheckpoint(site.mFleet)) {
+        if (site.mTrouble && !crashAfterFourthCheckpoint(site.mFleet)) {
             return Deployment.NOT_RUN;
         }
         boolean done = site.awaitState(JOB, "done", 60_000);
@@ -37,12 +37,12 @@
         return judge(site.mFleet, done);
     }
 
-    /** Crashes the executor of the first member shortly after the gang's second checkpoint. */
-    private static boolean crashAfterSecondCheckpoint(Fleet fleet) {
+    /** Crashes the executor of the first member shortly after the gang's fourth checkpoint. */
+    private static boolean crashAfterFourthCheckpoint(Fleet fleet) {
         for (long untilMs = Fleet.now() + 20_000; Fleet.now() < untilMs; Fleet.sleep(2)) {
             synchronized (fleet) {
                 Executor executor = fleet.executorOf(MEMBER);
-                if (executor != null && executor.mRuns.get(MEMBER).checkpoint.endsWith("-2")) {
+                if (executor != null && executor.mRuns.get(MEMBER).checkpoint.endsWith("-4")) {
                     fleet.crash(executor);
                     return true;
                 }
