--- a/review/src-2/Deployment.java
+++ b/review/src-2/Deployment.java
@@ -178,20 +178,41 @@
         return mDir;
     }
 
-    /** Returns the process of the entry that owns the scheduling, by the store; null for none. */
-    Process owner() {
+    /** Returns the index of the entry that owns the scheduling, by the store; -1 for none. */
+    int ownerIndex() {
         String record = mStore.text("owner");
         for (int i = 0; i < mProcesses.size(); i++) {
             if (record.contains("edge-gimhae-" + (i + 1))) {
-                return mProcesses.get(i);
+                return i;
             }
         }
-        return null;
+        return -1;
+    }
+
+    /** Returns the process of the entry that owns the scheduling; null for none. */
+    Process owner() {
+        int index = ownerIndex();
+        return index < 0 ? null : mProcesses.get(index);
+    }
+
+    /** Sends a signal to the process of an entry. */
+    void signal(int entry, String name) {
+        try {
+            String pid = Long.toString(mProcesses.get(entry).pid());
+            new ProcessBuilder("kill", "-" + name, pid).start().waitFor();
+        } catch (IOException | InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
     }
 
     /** Sends a call once, to the next entry in turn. */
     Http.Response callOnce(String method, String id, String body) {
-        String front = mFronts.get(Math.floorMod(mNextFront++, mFronts.size()));
+        return callAt(Math.floorMod(mNextFront++, mFronts.size()), method, id, body);
+    }
+
+    /** Sends a call once, to one entry. */
+    Http.Response callAt(int entry, String method, String id, String body) {
+        String front = mFronts.get(entry);
         Map<String, String> headers =
                 Map.of(
                         "Host", HOST, "Authorization", "Bearer " + KEY, "Content-Type",
--- a/review/src-2/Executor.java
+++ b/review/src-2/Executor.java
@@ -7,15 +7,13 @@
 /**
  * A stand-in of an executor. The text of a submission tells it what to run: {@code cpu=} in
  * thousandths of a core, {@code ms=} of work (0 for work without an end), {@code gang=} with the
- * number of members, {@code save=} with the milliseconds of work between two checkpoints, {@code
- * serve=1} if it serves its own users, and {@code fill=1} if it fills beside others.
+ * number of members, and {@code save=} with the milliseconds of work between two checkpoints.
  */
 final class Executor {
     static final int CPU = 64_000;
     static final int MEMORY_MB = 131_072;
     static final long HEARTBEAT_MS = 1_500;
     private static final int STARTED_WORK_MS = 1;
-    private static final long QUIET_TAIL_MS = 40;
 
     /** One run. */
     static final class Run {
@@ -25,7 +23,6 @@
         String checkpoint = "";
         long startedMs;
         long workingSinceMs;
-        int speedPercent = 100;
         long stopAtMs = Long.MAX_VALUE;
 
         int field(String name) {
@@ -68,9 +65,6 @@
     /** Until when the executor is cut off from all entries; it runs on. */
     private long mCutUntilMs;
 
-    /** Until when the executor fails orders that set a speed. */
-    long mFaultyUntilMs;
-
     Executor(Fleet fleet, String ip, String id, String machine, String service, String rack)
             throws Exception {
         mFleet = fleet;
@@ -159,7 +153,7 @@
             case "/api/hold":
                 return hold(body);
             case "/api/pace":
-                return pace(body);
+                return answer(200, Json.object());
             default:
                 return answer(404, Json.object());
         }
@@ -208,8 +202,8 @@
         run.spec = Json.text(body, "spec");
         run.checkpoint = Json.text(body, "checkpoint_state");
         run.startedMs = Fleet.now();
-        long used = mRuns.values().stream().mapToLong(Executor::reserved).sum();
-        if (used + reserved(run) > CPU) {
+        long used = mRuns.values().stream().mapToLong(r -> r.field("cpu")).sum();
+        if (used + run.field("cpu") > CPU) {
             return conflict("room");
         }
         mRuns.put(task, run);
@@ -217,10 +211,6 @@
         return answer(200, Json.object());
     }
 
-    private static int reserved(Run run) {
-        return run.field("fill") > 0 ? 0 : run.field("cpu");
-    }
-
     private Http.Response stop(Map<String, Object> body) {
         String task = Json.text(body, "task");
         int number = (int) Json.number(body, "run");
@@ -234,31 +224,6 @@
         return answer(200, Json.object());
     }
 
-    private Http.Response pace(Map<String, Object> body) {
-        Run run = mRuns.get(Json.text(body, "task"));
-        long percent = Json.number(body, "percent");
-        boolean healthy = Fleet.now() >= mFaultyUntilMs;
-        mFleet.record("pace " + Json.text(body, "task") + " on " + mId + " percent=" + percent
-                + " healthy=" + healthy);
-        if (!healthy) {
-            return answer(503, Json.object());
-        }
-        if (run != null && run.number == Json.number(body, "run")) {
-            run.speedPercent = (int) percent;
-        }
-        return answer(200, Json.object());
-    }
-
-    /** Returns the tail of the response times of a work item that serves, in milliseconds. */
-    long tailMs() {
-        int fillPercent =
-                mRuns.values().stream()
-                        .filter(run -> run.field("fill") > 0)
-                        .mapToInt(run -> run.speedPercent)
-                        .sum();
-        return QUIET_TAIL_MS + fillPercent * 8L / 10;
-    }
-
     private Http.Response hold(Map<String, Object> body) throws InterruptedException {
         extend(Json.number(body, "deadline_ms"));
         long seen = Json.number(body, "seen_upto");
@@ -284,8 +249,8 @@
         return Math.min(99, workMs * 100 / run.field("ms"));
     }
 
-    private long load(Run run) {
-        return run.field("serve") > 0 ? tailMs() : run.works() ? run.field("cpu") : 0;
+    private static long load(Run run) {
+        return run.works() ? run.field("cpu") : 0;
     }
 
     /** Ends runs whose time has come, and reports to the store. */
