--- a/review/src-2/Deployment.java
+++ b/review/src-2/Deployment.java
@@ -20,6 +20,9 @@
     static final String SERVICE = "permits";
     private static final int DEADLINE_MS = 3_000;
 
+    /** Cap of the tenant, out of reach. */
+    private static final int TENANT_CPU = 1_808_141;
+
     final Store mStore;
     final Fleet mFleet;
     final boolean mTrouble = !"0".equals(System.getenv("TROUBLE"));
@@ -27,17 +30,11 @@
     private final List<Process> mProcesses = new ArrayList<>();
     private final List<String> mFronts = new ArrayList<>();
     private final List<String> mReadies = new ArrayList<>();
-    private final int mTenantCpu;
+    private final String mHint;
     private int mNextFront;
 
-    /** Starts a deployment whose tenant has a cap that is out of reach. */
-    Deployment(Path record, int entries, int executors) throws Exception {
-        this(record, entries, executors, 1_808_141);
-    }
-
     /** Starts a store, executors of one service, and entries, and waits until these are ready. */
-    Deployment(Path record, int entries, int executors, int tenantCpu) throws Exception {
-        mTenantCpu = tenantCpu;
+    Deployment(Path record, int entries, int executors) throws Exception {
         mStore = new Store("127.0.0.2");
         mFleet = new Fleet(mStore, record);
         Runtime.getRuntime().addShutdownHook(new Thread(this::close));
@@ -46,6 +43,7 @@
         }
         writeConfiguration(1, "r-4jcda9r");
         String machines = mFleet.serveMachines("127.0.0.3");
+        mHint = mFleet.serveHint("127.0.0.4");
         int base = freePorts(entries);
         for (int i = 0; i < entries; i++) {
             start(i, entries, base, machines);
@@ -67,7 +65,7 @@
         Map<String, Object> tenant =
                 Json.object(
                         "name", "cugo130", "api_keys", List.of(KEY), "weight", 24, "cap",
-                        Json.object("cpu", mTenantCpu, "mem_mb", 2_606_127, "gpu", 0));
+                        Json.object("cpu", TENANT_CPU, "mem_mb", 2_606_127, "gpu", 0));
         mStore.write(
                 "op/config",
                 Json.object(
@@ -137,9 +135,10 @@
                 "bounds",
                 Json.object(
                         "max_hold_ms", Fleet.MAX_HOLD_MS, "lease_ms", 3_000, "notice_ms", 4_500,
-                        "gang_wait_ms", Fleet.GANG_WAIT_MS, "kill_ms", 400, "cancel_ms", 3_000,
+                        "gang_wait_ms", 3_000, "kill_ms", 400, "cancel_ms", 3_000,
                         "visible_ms", 3_000, "config_apply_ms", 2_000));
         settings.put("control_mode", "invoke");
+        settings.put("hint", mHint);
         settings.put("platform", Json.object("addr", mStore.address(), "form", "kv"));
         settings.put("cloud", Json.object("addr", machines, "rate_per_s", 64.0));
         Path file = mDir.resolve("entry" + entry + ".json");
@@ -174,10 +173,6 @@
         throw new IOException("not ready: " + address);
     }
 
-    Path logs() {
-        return mDir;
-    }
-
     /** Returns the index of the entry that owns the scheduling, by the store; -1 for none. */
     int ownerIndex() {
         String record = mStore.text("owner");
@@ -212,10 +207,15 @@
 
     /** Sends a call once, to one entry. */
     Http.Response callAt(int entry, String method, String id, String body) {
+        return callAt(entry, KEY, method, id, body);
+    }
+
+    /** Sends a call of a tenant once, to one entry. */
+    Http.Response callAt(int entry, String key, String method, String id, String body) {
         String front = mFronts.get(entry);
         Map<String, String> headers =
                 Map.of(
-                        "Host", HOST, "Authorization", "Bearer " + KEY, "Content-Type",
+                        "Host", HOST, "Authorization", "Bearer " + key, "Content-Type",
                         "application/json", "Deadline-Ms", Integer.toString(DEADLINE_MS));
         Http.Response response =
                 Http.call(front, method, PREFIX + id, headers, body, DEADLINE_MS);
--- a/review/src-2/Executor.java
+++ b/review/src-2/Executor.java
@@ -6,8 +6,7 @@
 
 /**
  * A stand-in of an executor. The text of a submission tells it what to run: {@code cpu=} in
- * thousandths of a core, {@code ms=} of work (0 for work without an end), {@code gang=} with the
- * number of members, and {@code save=} with the milliseconds of work between two checkpoints.
+ * thousandths of a core, and {@code ms=} of work (0 for work without an end).
  */
 final class Executor {
     static final int CPU = 64_000;
@@ -20,8 +19,6 @@
         String task;
         int number;
         String spec;
-        String checkpoint = "";
-        long startedMs;
         long workingSinceMs;
         long stopAtMs = Long.MAX_VALUE;
 
@@ -59,11 +56,6 @@
     private long mDeadlineMs;
     private long mSequence;
     private long mReportDueMs;
-    private boolean mUp = true;
-    boolean mDraining;
-
-    /** Until when the executor is cut off from all entries; it runs on. */
-    private long mCutUntilMs;
 
     Executor(Fleet fleet, String ip, String id, String machine, String service, String rack)
             throws Exception {
@@ -75,10 +67,6 @@
         mHttp = Http.listen(ip, this::handle);
     }
 
-    boolean isUp() {
-        return mUp;
-    }
-
     String address() {
         return mHttp.address();
     }
@@ -89,54 +77,14 @@
 
     private Http.Response handle(Http.Request request) throws Exception {
         synchronized (mFleet) {
-            if (!mUp || isCut()) {
-                return null;
-            }
             String expected = request.headers().get("expect-executor");
             if (expected != null && !expected.equals(mId)) {
                 return answer(421, Json.object());
             }
-            if (request.path().equals("/api/run-start")
-                    && mFleet.mHoldsStart.test(this, request.json())) {
-                return holdStart(request.json());
-            }
-            Http.Response response = carryOut(request);
-            return isCut() ? null : response;
+            return carryOut(request);
         }
     }
 
-    private boolean isCut() {
-        return Fleet.now() < mCutUntilMs;
-    }
-
-    /** Cuts the executor off: nothing of the entries reaches it, and nothing of it them. */
-    void cut(long forMs) {
-        mFleet.record(mId + " is cut off for ms=" + forMs);
-        mCutUntilMs = Fleet.now() + forMs;
-    }
-
-    /** Leaves an order to start unanswered and carries it out later. */
-    private Http.Response holdStart(Map<String, Object> body) {
-        String what = Json.text(body, "task") + " run=" + Json.number(body, "run") + " on " + mId;
-        mFleet.record("unanswered start " + what);
-        long delayMs = mFleet.mStartDelayMs;
-        Http.start(
-                "late-start",
-                () -> {
-                    Fleet.sleep(delayMs);
-                    synchronized (mFleet) {
-                        String result = "executor is gone";
-                        if (mUp) {
-                            Http.Response response =
-                                    fenced(body) ? conflict("fence") : start(body);
-                            result = response.status() + " " + response.body();
-                        }
-                        mFleet.record("late start carried out " + what + ": " + result);
-                    }
-                });
-        return null;
-    }
-
     private Http.Response carryOut(Http.Request request) throws Exception {
         Map<String, Object> body = request.json();
         if (request.path().equals("/healthz")) {
@@ -196,12 +144,13 @@
         if (there != null || number <= mClosed.getOrDefault(task, 0)) {
             return conflict("old");
         }
+        if (mFleet.lacksTicket(task, mId, Json.text(body, "ticket"))) {
+            return conflict("ticket");
+        }
         Run run = new Run();
         run.task = task;
         run.number = number;
         run.spec = Json.text(body, "spec");
-        run.checkpoint = Json.text(body, "checkpoint_state");
-        run.startedMs = Fleet.now();
         long used = mRuns.values().stream().mapToLong(r -> r.field("cpu")).sum();
         if (used + run.field("cpu") > CPU) {
             return conflict("room");
@@ -229,12 +178,12 @@
         long seen = Json.number(body, "seen_upto");
         mEnds.removeIf(end -> (long) end.get(0) <= seen);
         long untilMs = Fleet.now() + Math.min(2_000, Json.number(body, "wait_ms"));
-        while (mUp && mEnds.isEmpty() && Fleet.now() < untilMs) {
+        while (mEnds.isEmpty() && Fleet.now() < untilMs) {
             mFleet.wait(untilMs - Fleet.now());
         }
         List<Object> running = new ArrayList<>();
         for (Run run : mRuns.values()) {
-            running.add(List.of(run.task, run.number, run.checkpoint, percent(run), load(run)));
+            running.add(List.of(run.task, run.number, "", percent(run), load(run)));
         }
         List<Object> finished = new ArrayList<>(mEnds.subList(0, Math.min(500, mEnds.size())));
         return answer(
@@ -273,13 +222,10 @@
         Map<String, Object> report =
                 Json.object(
                         "service", mService, "addr", address(), "zone", "gimhae", "version", "v1",
-                        "slots", 8, "state", mDraining ? "draining" : "ready", "cold_left_ms", 0,
+                        "slots", 8, "state", "ready", "cold_left_ms", 0,
                         "capacity", Json.object("cpu", CPU, "mem_mb", MEMORY_MB, "gpu", 0),
                         "labels", mLabels, "machine", mMachine, "clock_ms", clock(), "born",
                         mBornMs, "seq", mSequence);
-        if (mDraining) {
-            report.put("remaining_ms", 2_000);
-        }
         mFleet.mStore.write("servers/" + mId, report);
     }
 
@@ -287,12 +233,6 @@
     void close(Run run, String how) {
         mRuns.remove(run.task);
         mClosed.merge(run.task, run.number, Math::max);
-        mEnds.add(List.of(++mLastEnd, run.task, run.number, how, run.checkpoint));
-    }
-
-    /** Ends the executor and all that it runs, without a word. */
-    void crash() {
-        mUp = false;
-        mHttp.close();
+        mEnds.add(List.of(++mLastEnd, run.task, run.number, how, ""));
     }
 }
--- a/review/src-2/Fleet.java
+++ b/review/src-2/Fleet.java
@@ -4,37 +4,43 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.function.BiPredicate;
+import java.util.Set;
 
 /** The stand-ins of the executors, and what they have seen. */
 final class Fleet {
     static final long MAX_HOLD_MS = 6_000;
     static final long STOP_MS = 100;
-    static final long GANG_WAIT_MS = 3_000;
     private static final long FAST_MS = 5;
     private static final long START_NS = System.nanoTime();
 
     /** An order to start that an executor has carried out. */
-    record Start(
-            long atMs, String executor, String task, int run, String checkpoint, String spec) {}
+    record Start(long atMs, String executor, String task, int run) {}
 
     /** The end of a run. */
-    record End(long atMs, String executor, String task, int run, String how, String checkpoint) {}
+    record End(long atMs, String executor, String task, int run, String how) {}
 
     final Store mStore;
     final List<Executor> mExecutors = new ArrayList<>();
     final List<Start> mStarts = new ArrayList<>();
     final List<End> mEnds = new ArrayList<>();
-    private final Map<String, Integer> mSaves = new HashMap<>();
     private final PrintWriter mRecord;
 
-    /** Decides which orders to start are left unanswered; asked with the fleet's lock held. */
-    BiPredicate<Executor, Map<String, Object>> mHoldsStart = (executor, body) -> false;
-
-    long mStartDelayMs = 2_000;
     private Http mCloud;
+    private Http mHint;
+
+    /** Time of the hint service for a call and for each worker named; tickets are valid for long. */
+    static final long DECIDE_MS = 100;
+
+    static final long EACH_MS = 10;
+    static final long TICKET_MS = 3_000;
+
+    /** Steps of which only holders of a ticket may start work items, by the id of the job. */
+    final Set<String> mTicketed = new HashSet<>();
+
+    private final Map<String, Long> mTickets = new HashMap<>();
 
     Fleet(Store store, Path record) throws IOException {
         mStore = store;
@@ -85,24 +91,63 @@
             Map<String, Object> machine =
                     Json.object(
                             "machine", executor.mMachine, "pool", executor.mService, "state",
-                            executor.isUp() ? "up" : "down", "zone", "gimhae", "labels",
+                            "up", "zone", "gimhae", "labels",
                             executor.mLabels, "capacity",
                             Json.object("cpu", Executor.CPU, "mem_mb", Executor.MEMORY_MB));
-            machine.put("id", executor.isUp() ? executor.mId : null);
+            machine.put("id", executor.mId);
             machines.add(machine);
         }
         return new Http.Response(
                 200, Json.write(Json.object("machines", machines, "next_token", null)));
     }
 
+    /** Serves the hint service, one call at a time; it allows all executors. */
+    String serveHint(String ip) throws IOException {
+        Object turn = new Object();
+        mHint =
+                Http.listen(
+                        ip,
+                        request -> {
+                            synchronized (turn) {
+                                return advise(request.json());
+                            }
+                        });
+        return mHint.address();
+    }
+
+    private Http.Response advise(Map<String, Object> body) {
+        String step = Json.text(body, "step");
+        @SuppressWarnings("unchecked")
+        List<String> workers = (List<String>) body.get("workers");
+        sleep(DECIDE_MS + EACH_MS * workers.size());
+        List<Object> allowed = new ArrayList<>();
+        synchronized (this) {
+            for (String worker : workers) {
+                String ticket = "t-" + step + "-" + worker;
+                mTickets.put(ticket, now() + TICKET_MS);
+                allowed.add(List.of(worker, ticket));
+            }
+            record("advice for " + step + " on " + workers.size() + " executors");
+        }
+        return new Http.Response(
+                200, Json.write(Json.object("allowed", allowed, "valid_ms", TICKET_MS)));
+    }
+
+    /** Returns whether a work item of a queue with a hint lacks a valid ticket for an executor. */
+    boolean lacksTicket(String task, String executor, String ticket) {
+        String step = task.substring(0, task.lastIndexOf('.'));
+        boolean valid =
+                ticket.equals("t-" + step + "-" + executor)
+                        && mTickets.getOrDefault(ticket, 0L) >= now();
+        return mTicketed.contains(task.substring(0, task.indexOf('.'))) && !valid;
+    }
+
     private void run() {
         while (true) {
             synchronized (this) {
                 long nowMs = now();
                 for (Executor executor : mExecutors) {
-                    if (executor.isUp()) {
-                        executor.tick(nowMs);
-                    }
+                    executor.tick(nowMs);
                 }
                 work(nowMs);
             }
@@ -110,121 +155,37 @@
         }
     }
 
-    private static String gangOf(Executor.Run run) {
-        boolean gang = run.field("gang") > 0;
-        String task = run.task;
-        return (gang ? task.substring(0, task.lastIndexOf('.')) : task) + "#" + run.number;
-    }
-
-    /** Returns the runs that work together with a run, with their executors. */
-    private Map<Executor.Run, Executor> members(Executor.Run run) {
-        Map<Executor.Run, Executor> members = new HashMap<>();
-        for (Executor executor : mExecutors) {
-            for (Executor.Run other : executor.isUp() ? executor.mRuns.values() : List.<Executor.Run>of()) {
-                if (gangOf(other).equals(gangOf(run))) {
-                    members.put(other, executor);
-                }
-            }
-        }
-        return members;
-    }
-
     /** Lets all runs advance. */
     private void work(long nowMs) {
         for (Executor executor : mExecutors) {
-            for (Executor.Run run : executor.isUp() ? List.copyOf(executor.mRuns.values()) : List.<Executor.Run>of()) {
-                if (executor.mRuns.get(run.task) == run) {
-                    work(executor, run, nowMs);
-                }
+            for (Executor.Run run : List.copyOf(executor.mRuns.values())) {
+                work(executor, run, nowMs);
             }
         }
     }
 
     private void work(Executor executor, Executor.Run run, long nowMs) {
-        Map<Executor.Run, Executor> members = members(run);
         if (!run.works()) {
-            if (members.size() >= Math.max(1, run.field("gang"))) {
-                members.keySet().forEach(member -> member.workingSinceMs = nowMs);
-            } else if (nowMs - run.startedMs > GANG_WAIT_MS) {
-                end(executor, run, "alone");
-            }
-            return;
-        }
-        if (run.field("ms") > 0 && run.workMs(nowMs) >= run.field("ms")) {
-            members.forEach((member, at) -> close(at, member, "done"));
-            return;
-        }
-        if (run.field("save") > 0) {
-            int count = (int) ((nowMs - run.workingSinceMs) / run.field("save"));
-            String gang = gangOf(run);
-            if (count > mSaves.getOrDefault(gang, 0)) {
-                mSaves.put(gang, count);
-                String value = gang.replace('#', '-') + "-" + count;
-                members.keySet().forEach(member -> member.checkpoint = value);
-                record("saved " + value);
-            }
+            run.workingSinceMs = nowMs;
+        } else if (run.field("ms") > 0 && run.workMs(nowMs) >= run.field("ms")) {
+            end(executor, run, "done");
         }
     }
 
     void started(Executor executor, Executor.Run run) {
-        mStarts.add(
-                new Start(
-                        now(), executor.mId, run.task, run.number, run.checkpoint, run.spec));
-        record(
-                "started " + run.task + " run=" + run.number + " on " + executor.mId
-                        + " checkpoint=" + run.checkpoint);
+        mStarts.add(new Start(now(), executor.mId, run.task, run.number));
+        record("started " + run.task + " run=" + run.number + " on " + executor.mId);
     }
 
-    /** Ends a run; the other members of its gang end with it. */
     void end(Executor executor, Executor.Run run, String how) {
-        Map<Executor.Run, Executor> members = members(run);
-        boolean worked = run.works();
-        close(executor, run, how);
-        members.remove(run);
-        if (worked) {
-            members.forEach((member, at) -> close(at, member, "broken"));
-        }
-    }
-
-    private void close(Executor executor, Executor.Run run, String how) {
         executor.close(run, how);
-        mEnds.add(new End(now(), executor.mId, run.task, run.number, how, run.checkpoint));
-        record(
-                "ended " + run.task + " run=" + run.number + " on " + executor.mId + " how=" + how
-                        + " saved=" + run.checkpoint);
-        notifyAll();
-    }
-
-    /** Crashes an executor: its channels are reset, and what it ran is gone. */
-    synchronized void crash(Executor executor) {
-        record("crash of " + executor.mId);
-        List<Executor.Run> runs = List.copyOf(executor.mRuns.values());
-        Map<Executor.Run, Executor> others = new HashMap<>();
-        runs.stream().filter(Executor.Run::works).forEach(run -> others.putAll(members(run)));
-        runs.forEach(others::remove);
-        executor.mRuns.clear();
-        executor.crash();
-        others.forEach((member, at) -> close(at, member, "broken"));
+        mEnds.add(new End(now(), executor.mId, run.task, run.number, how));
+        record("ended " + run.task + " run=" + run.number + " on " + executor.mId + " how=" + how);
         notifyAll();
-        Http.start(
-                "removal",
-                () -> {
-                    sleep(3 * Executor.HEARTBEAT_MS);
-                    mStore.delete("servers/" + executor.mId);
-                });
-    }
-
-    /** Returns the executor of a task's current run, or null. */
-    synchronized Executor executorOf(String task) {
-        return mExecutors.stream()
-                .filter(e -> e.isUp() && e.mRuns.containsKey(task))
-                .findFirst()
-                .orElse(null);
     }
 
     synchronized long running(String job) {
         return mExecutors.stream()
-                .filter(Executor::isUp)
                 .flatMap(e -> e.mRuns.keySet().stream())
                 .filter(task -> task.startsWith(job + "."))
                 .count();
