Jobs keep the address under which they were submitted

A job's record now names the host and path of its submission, so that it can be told from the name of its queue, which is a label of one version of the configuration. Records of earlier versions have no address and stay readable: FormatTest compares their bytes. JobRow holds the record in place of a copy of its fields; the two ways to make a row are factories of it. No behaviour changes.

--- a/core/src/main/java/org/hibiscususher/core/job/JobRequest.java
+++ b/core/src/main/java/org/hibiscususher/core/job/JobRequest.java
@@ -41,6 +41,11 @@
         return new JobRequest(kind, hostName, path, apiKey, spec, 0);
     }
 
+    /** Returns the address to which the request was sent. */
+    public JobAddress address() {
+        return new JobAddress(hostName, path);
+    }
+
     /** Returns this request as forwarded by another entry. */
     public JobRequest forwarded() {
         return new JobRequest(kind, hostName, path, apiKey, spec, hops + 1);
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/JobRequestDecision.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/JobRequestDecision.java
@@ -13,6 +13,7 @@
 import org.hibiscususher.core.scheduler.message.RecordKind;
 import org.hibiscususher.core.scheduler.message.RecordName;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.Respond;
+import org.hibiscususher.core.scheduler.message.StoredRecord;
 import org.hibiscususher.core.scheduler.term.Authority;
 import org.hibiscususher.core.scheduler.world.CommitRow;
 import org.hibiscususher.core.scheduler.world.JobRow;
@@ -31,6 +32,9 @@
     /** Age of an unanswered commit above which the store counts as unreachable, in milliseconds. */
     private static final long STORE_UNREACHABLE_MS = 700;
 
+    /** What a submission without content asks for; no job has no steps. */
+    private static final JobSpec NO_SPEC = JobSpec.once("", List.of());
+
     private JobRequestDecision() {}
 
     /** Finds the queue and the team of a request, and carries it out. */
@@ -166,13 +170,14 @@
             }
             return;
         }
-        JobSpec spec = pending.request().spec().orElse(JobSpec.once("", List.of()));
-        Optional<String> problem = JobValidation.findProblem(world, queue, spec, id);
+        JobRequest request = pending.request();
+        JobSpec spec = request.spec().orElse(NO_SPEC);
+        Optional<String> problem = JobValidation.findProblem(spec, id);
         if (problem.isPresent()) {
             JobRequestRejection.reject(tick, pending, JobResponseKind.INVALID, problem.get());
             return;
         }
-        JobRow job = newJob(tick, queue, team, spec, id);
+        JobRow job = newJob(tick, request, queue, team, id);
         BacklogLimit.Decision backlog = BacklogLimit.decide(world, job, tick.nowMs());
         if (backlog.rejects()) {
             rejectForBacklog(tick, pending, job, backlog);
@@ -219,23 +224,20 @@
 
     /** Returns the row of a job that is not stored yet. */
     private static JobRow newJob(
-            SchedulerTick tick, JobQueue queue, Optional<JobTeam> team, JobSpec spec, String id) {
-        return new JobRow(
-                id,
-                queue.policy(),
-                team.map(JobTeam::name).orElse(JobTeam.ANONYMOUS),
-                spec,
-                tick.wallMs(),
-                tick.nowMs(),
-                JobState.QUEUED,
-                false,
-                JobState.QUEUED,
-                0,
-                0,
-                tick.nowMs(),
-                spec.steps().size() * spec.occurrences(),
-                false,
-                0);
+            SchedulerTick tick,
+            JobRequest request,
+            JobQueue queue,
+            Optional<JobTeam> team,
+            String id) {
+        StoredRecord.Job record =
+                new StoredRecord.Job(
+                        id,
+                        queue.policy(),
+                        request.address(),
+                        team.map(JobTeam::name).orElse(JobTeam.ANONYMOUS),
+                        request.spec().orElse(NO_SPEC),
+                        tick.wallMs());
+        return JobRow.received(record, tick.nowMs());
     }
 
     /** Returns whether commits keep failing, or all in flight have been unanswered for too long. */
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/StoredRecord.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/StoredRecord.java
@@ -3,6 +3,7 @@
 import static java.util.Objects.requireNonNull;
 
 import java.util.List;
+import org.hibiscususher.core.job.JobAddress;
 import org.hibiscususher.core.job.JobPolicy;
 import org.hibiscususher.core.job.JobSpec;
 import org.hibiscususher.core.job.JobState;
@@ -70,16 +71,24 @@
      *
      * @param id job id
      * @param policy policy of its queue at that time
+     * @param address where the caller submitted it
      * @param team name of its team; empty if the caller sent no known API key
      * @param spec what the caller submitted
      * @param acceptedMs when it arrived, in milliseconds since the epoch
      */
-    record Job(String id, JobPolicy policy, String team, JobSpec spec, long acceptedMs)
+    record Job(
+            String id,
+            JobPolicy policy,
+            JobAddress address,
+            String team,
+            JobSpec spec,
+            long acceptedMs)
             implements StoredRecord {
         /** Rejects null components. */
         public Job {
             requireNonNull(id);
             requireNonNull(policy);
+            requireNonNull(address);
             requireNonNull(team);
             requireNonNull(spec);
         }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/Commits.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/Commits.java
@@ -94,18 +94,13 @@
                 world.jobs()
                         .find(request.job())
                         .filter(j -> !j.stored())
-                        .map(Commits::toRecord)
+                        .map(JobRow::record)
                         .filter(r -> !records.contains(r) && !inFlight.contains(r.name()))
                         .ifPresent(records::add);
             }
         }
     }
 
-    private static StoredRecord toRecord(JobRow job) {
-        return new StoredRecord.Job(
-                job.id(), job.policy(), job.team(), job.spec(), job.acceptedWallMs());
-    }
-
     /**
      * Adds the progress of jobs that have changed.
      *
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/Takeover.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/Takeover.java
@@ -3,7 +3,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import org.hibiscususher.core.job.JobState;
 import org.hibiscususher.core.job.Resources;
 import org.hibiscususher.core.scheduler.executor.HeartbeatSystem;
 import org.hibiscususher.core.scheduler.job.JobLifecycle;
@@ -112,22 +111,7 @@
 
     private static JobRow toRow(SchedulerTick tick, StoredRecord.Job job) {
         long ageMs = Math.max(0, tick.wallMs() - job.acceptedMs());
-        return new JobRow(
-                job.id(),
-                job.policy(),
-                job.team(),
-                job.spec(),
-                job.acceptedMs(),
-                tick.nowMs() - ageMs,
-                JobState.QUEUED,
-                true,
-                JobState.QUEUED,
-                0,
-                0,
-                tick.nowMs(),
-                job.spec().steps().size() * job.spec().occurrences(),
-                true,
-                0);
+        return JobRow.inherited(job, tick.nowMs() - ageMs, tick.nowMs());
     }
 
     private static void restoreRecord(SchedulerTick tick, StoredRecord record) {
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/JobRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/JobRow.java
@@ -5,15 +5,12 @@
 import org.hibiscususher.core.job.JobPolicy;
 import org.hibiscususher.core.job.JobSpec;
 import org.hibiscususher.core.job.JobState;
+import org.hibiscususher.core.scheduler.message.StoredRecord;
 
 /**
  * A job.
  *
- * @param id job id
- * @param policy policy of its queue when it was accepted
- * @param team name of its team; empty if the caller sent no known API key
- * @param spec what the caller submitted
- * @param acceptedWallMs when it arrived, in milliseconds since the epoch
+ * @param record the job as it was received, which the store keeps
  * @param arrivedMs when it arrived, in milliseconds of the steady clock
  * @param state state that this owner has determined; callers see a final one only once it is stored
  * @param stored whether the store holds the job
@@ -29,11 +26,7 @@
  *     not
  */
 public record JobRow(
-        String id,
-        JobPolicy policy,
-        String team,
-        JobSpec spec,
-        long acceptedWallMs,
+        StoredRecord.Job record,
         long arrivedMs,
         JobState state,
         boolean stored,
@@ -46,14 +39,66 @@
         long endedMs) {
     /** Rejects null components. */
     public JobRow {
-        requireNonNull(id);
-        requireNonNull(policy);
-        requireNonNull(team);
-        requireNonNull(spec);
+        requireNonNull(record);
         requireNonNull(state);
         requireNonNull(storedState);
     }
 
+    /** Returns the row of a job that has just arrived and is not stored yet. */
+    public static JobRow received(StoredRecord.Job record, long nowMs) {
+        return queued(record, nowMs, nowMs, false, false);
+    }
+
+    /**
+     * Returns the row of a job that an earlier owner accepted.
+     *
+     * @param arrivedMs when it arrived, in milliseconds of the steady clock
+     * @param nowMs current time in milliseconds of the steady clock
+     */
+    public static JobRow inherited(StoredRecord.Job record, long arrivedMs, long nowMs) {
+        return queued(record, arrivedMs, nowMs, true, true);
+    }
+
+    private static JobRow queued(
+            StoredRecord.Job record,
+            long arrivedMs,
+            long nowMs,
+            boolean stored,
+            boolean inherited) {
+        return new JobRow(
+                record,
+                arrivedMs,
+                JobState.QUEUED,
+                stored,
+                JobState.QUEUED,
+                0,
+                0,
+                nowMs,
+                record.spec().steps().size() * record.spec().occurrences(),
+                inherited,
+                0);
+    }
+
+    /** Returns the job's id. */
+    public String id() {
+        return record.id();
+    }
+
+    /** Returns the policy of its queue when it was accepted. */
+    public JobPolicy policy() {
+        return record.policy();
+    }
+
+    /** Returns the name of its team; empty if the caller sent no known API key. */
+    public String team() {
+        return record.team();
+    }
+
+    /** Returns what the caller submitted. */
+    public JobSpec spec() {
+        return record.spec();
+    }
+
     /**
      * Returns this job in another state.
      *
@@ -63,11 +108,7 @@
      */
     public JobRow withState(JobState newState, long newEndedMs) {
         return new JobRow(
-                id,
-                policy,
-                team,
-                spec,
-                acceptedWallMs,
+                record,
                 arrivedMs,
                 newState,
                 stored,
@@ -83,11 +124,7 @@
     /** Returns this job with a change that must be stored. */
     public JobRow withChange(long nowMs) {
         return new JobRow(
-                id,
-                policy,
-                team,
-                spec,
-                acceptedWallMs,
+                record,
                 arrivedMs,
                 state,
                 stored,
@@ -103,11 +140,7 @@
     /** Returns this job once the store holds it. */
     public JobRow asStored() {
         return new JobRow(
-                id,
-                policy,
-                team,
-                spec,
-                acceptedWallMs,
+                record,
                 arrivedMs,
                 state,
                 true,
@@ -123,11 +156,7 @@
     /** Returns this job once the store holds a version of its progress with the given state. */
     public JobRow withStoredVersion(long newVersion, JobState newState, long nowMs) {
         return new JobRow(
-                id,
-                policy,
-                team,
-                spec,
-                acceptedWallMs,
+                record,
                 arrivedMs,
                 state,
                 stored,
@@ -143,11 +172,7 @@
     /** Returns this job with one step fewer to do. */
     public JobRow withStepDone() {
         return new JobRow(
-                id,
-                policy,
-                team,
-                spec,
-                acceptedWallMs,
+                record,
                 arrivedMs,
                 state,
                 stored,
@@ -180,6 +205,6 @@
 
     /** Returns the time by which the job should be done, in milliseconds of the steady clock. */
     public long deadlineMs() {
-        return arrivedMs + policy.objectiveFor(spec.criticalPathMs());
+        return arrivedMs + policy().objectiveFor(spec().criticalPathMs());
     }
 }
--- a/core/src/test/java/org/hibiscususher/core/scheduler/SchedulerWorlds.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/SchedulerWorlds.java
@@ -1,12 +1,14 @@
 package org.hibiscususher.core.scheduler;
 
 import java.util.List;
+import org.hibiscususher.core.job.JobAddress;
 import org.hibiscususher.core.job.JobPolicy;
 import org.hibiscususher.core.job.JobSpec;
 import org.hibiscususher.core.job.JobState;
 import org.hibiscususher.core.job.Resources;
 import org.hibiscususher.core.job.StepSpec;
 import org.hibiscususher.core.scheduler.message.ExecutorReport;
+import org.hibiscususher.core.scheduler.message.StoredRecord;
 import org.hibiscususher.core.scheduler.world.ExecutorRow;
 import org.hibiscususher.core.scheduler.world.ExecutorSessionRow;
 import org.hibiscususher.core.scheduler.world.JobRow;
@@ -65,11 +67,13 @@
     public static JobRow runningJob(String id, int tasks, long nowMs) {
         StepSpec step = StepSpec.of(tasks, Resources.of(1, 1, 0), 1, List.of());
         return new JobRow(
-                id,
-                new JobPolicy("q", "p", 0, 1, 1, 500, false),
-                "team",
-                JobSpec.once("x", List.of(step)),
-                nowMs,
+                new StoredRecord.Job(
+                        id,
+                        new JobPolicy("q", "p", 0, 1, 1, 500, false),
+                        JobAddress.UNKNOWN,
+                        "team",
+                        JobSpec.once("x", List.of(step)),
+                        nowMs),
                 nowMs,
                 JobState.RUNNING,
                 true,
--- a/core/src/test/java/org/hibiscususher/core/scheduler/control/SchedulerTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/control/SchedulerTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.hibiscususher.core.job.JobAddress;
 import org.hibiscususher.core.job.JobConfiguration;
 import org.hibiscususher.core.job.JobPolicy;
 import org.hibiscususher.core.job.JobPool;
@@ -186,7 +187,13 @@
             List<Integer> dependsOn = dependency < 0 ? List.of() : List.of(dependency);
             StepSpec step = StepSpec.of(1, Resources.of(1, 1, 0), 1, dependsOn);
             StoredRecord.Job job =
-                    new StoredRecord.Job(id, POLICY, "t", JobSpec.once("x", List.of(step)), NOW_MS);
+                    new StoredRecord.Job(
+                            id,
+                            POLICY,
+                            JobAddress.UNKNOWN,
+                            "t",
+                            JobSpec.once("x", List.of(step)),
+                            NOW_MS);
             return new LoadedRecord(job.name(), 3, Optional.of(job));
         }
 
--- a/core/src/test/java/org/hibiscususher/core/scheduler/executor/OddRunsTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/executor/OddRunsTest.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.hibiscususher.core.job.FinishedRun;
+import org.hibiscususher.core.job.JobAddress;
 import org.hibiscususher.core.job.JobPolicy;
 import org.hibiscususher.core.job.JobSpec;
 import org.hibiscususher.core.job.JobState;
@@ -17,6 +18,7 @@
 import org.hibiscususher.core.job.TaskKey;
 import org.hibiscususher.core.scheduler.SchedulerWorlds;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.HeartbeatAnswered;
+import org.hibiscususher.core.scheduler.message.StoredRecord;
 import org.hibiscususher.core.scheduler.world.ExecutorSessionRow;
 import org.hibiscususher.core.scheduler.world.JobRow;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
@@ -46,8 +48,18 @@
                 .put(
                         "a",
                         new JobRow(
-                                "a", policy, "team", spec, 0, 0, state, true, state, 0, 0, 0, 1,
-                                false, 0));
+                                new StoredRecord.Job(
+                                        "a", policy, JobAddress.UNKNOWN, "team", spec, 0),
+                                0,
+                                state,
+                                true,
+                                state,
+                                0,
+                                0,
+                                0,
+                                1,
+                                false,
+                                0));
         mWorld.steps().put(STEP, new StepRow(STEP, BigInteger.ZERO, 2, 0));
         SchedulerWorlds.addExecutor(mWorld, "x", "p", core, NOW_MS);
         mWorld.executorSessions()
@@ -135,11 +147,13 @@
                     .put(
                             "c",
                             new JobRow(
-                                    "c",
-                                    policy,
-                                    "team",
-                                    JobSpec.once("run", steps),
-                                    0,
+                                    new StoredRecord.Job(
+                                            "c",
+                                            policy,
+                                            JobAddress.UNKNOWN,
+                                            "team",
+                                            JobSpec.once("run", steps),
+                                            0),
                                     0,
                                     state,
                                     true,
--- a/core/src/test/java/org/hibiscususher/core/scheduler/executor/StragglerSystemTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/executor/StragglerSystemTest.java
@@ -4,6 +4,7 @@
 
 import java.math.BigInteger;
 import java.util.List;
+import org.hibiscususher.core.job.JobAddress;
 import org.hibiscususher.core.job.JobPolicy;
 import org.hibiscususher.core.job.JobSpec;
 import org.hibiscususher.core.job.JobState;
@@ -13,6 +14,7 @@
 import org.hibiscususher.core.scheduler.SchedulerWorlds;
 import org.hibiscususher.core.scheduler.message.SchedulerInput;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.HeartbeatAnswered;
+import org.hibiscususher.core.scheduler.message.StoredRecord;
 import org.hibiscususher.core.scheduler.world.ExecutorSessionRow;
 import org.hibiscususher.core.scheduler.world.JobRow;
 import org.hibiscususher.core.scheduler.world.RunRow;
@@ -81,11 +83,8 @@
                     .put(
                             id,
                             new JobRow(
-                                    id,
-                                    terms,
-                                    "team",
-                                    spec,
-                                    0,
+                                    new StoredRecord.Job(
+                                            id, terms, JobAddress.UNKNOWN, "team", spec, 0),
                                     0,
                                     JobState.RUNNING,
                                     true,
--- a/core/src/test/java/org/hibiscususher/core/scheduler/host/EvictionTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/host/EvictionTest.java
@@ -4,6 +4,7 @@
 
 import java.math.BigInteger;
 import java.util.List;
+import org.hibiscususher.core.job.JobAddress;
 import org.hibiscususher.core.job.JobPolicy;
 import org.hibiscususher.core.job.JobSpec;
 import org.hibiscususher.core.job.JobState;
@@ -13,6 +14,7 @@
 import org.hibiscususher.core.job.StepSpec;
 import org.hibiscususher.core.scheduler.message.ExecutorReport;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.StopRun;
+import org.hibiscususher.core.scheduler.message.StoredRecord;
 import org.hibiscususher.core.scheduler.world.ExecutorRow;
 import org.hibiscususher.core.scheduler.world.ExecutorSessionRow;
 import org.hibiscususher.core.scheduler.world.JobRow;
@@ -52,11 +54,13 @@
                 .put(
                         STEP.jobId(),
                         new JobRow(
-                                STEP.jobId(),
-                                new JobPolicy("q", "pool", 0, 2, 1, 500, false),
-                                "team",
-                                spec,
-                                0,
+                                new StoredRecord.Job(
+                                        STEP.jobId(),
+                                        new JobPolicy("q", "pool", 0, 2, 1, 500, false),
+                                        JobAddress.UNKNOWN,
+                                        "team",
+                                        spec,
+                                        0),
                                 0,
                                 JobState.RUNNING,
                                 true,
--- a/core/src/test/java/org/hibiscususher/core/scheduler/host/OfferedLoadTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/host/OfferedLoadTest.java
@@ -4,11 +4,13 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.hibiscususher.core.job.JobAddress;
 import org.hibiscususher.core.job.JobPolicy;
 import org.hibiscususher.core.job.JobSpec;
 import org.hibiscususher.core.job.JobState;
 import org.hibiscususher.core.job.Resources;
 import org.hibiscususher.core.job.StepSpec;
+import org.hibiscususher.core.scheduler.message.StoredRecord;
 import org.hibiscususher.core.scheduler.world.JobRow;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -33,11 +35,13 @@
                 long atMs = mArrivedMs + i * 1_000 / jobsPerSecond;
                 mJobs.add(
                         new JobRow(
-                                "j" + mJobs.size(),
-                                POLICY,
-                                "t",
-                                JobSpec.once("x", List.of(step)),
-                                atMs,
+                                new StoredRecord.Job(
+                                        "j" + mJobs.size(),
+                                        POLICY,
+                                        JobAddress.UNKNOWN,
+                                        "t",
+                                        JobSpec.once("x", List.of(step)),
+                                        atMs),
                                 atMs,
                                 JobState.QUEUED,
                                 true,
--- a/core/src/test/java/org/hibiscususher/core/scheduler/job/BacklogLimitTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/job/BacklogLimitTest.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import org.hibiscususher.core.job.JobAddress;
 import org.hibiscususher.core.job.JobPolicy;
 import org.hibiscususher.core.job.JobSpec;
 import org.hibiscususher.core.job.JobState;
@@ -13,6 +14,7 @@
 import org.hibiscususher.core.job.StepSpec;
 import org.hibiscususher.core.job.TaskKey;
 import org.hibiscususher.core.scheduler.SchedulerWorlds;
+import org.hibiscususher.core.scheduler.message.StoredRecord;
 import org.hibiscususher.core.scheduler.world.JobRow;
 import org.hibiscususher.core.scheduler.world.RunRow;
 import org.hibiscususher.core.scheduler.world.RunStage;
@@ -101,11 +103,7 @@
             JobSpec spec = JobSpec.once("x", List.of(step));
             JobPolicy policy = new JobPolicy("q", "p", 0, 3, 1.6, 600, false);
             return new JobRow(
-                    id,
-                    policy,
-                    team,
-                    spec,
-                    NOW_MS,
+                    new StoredRecord.Job(id, policy, JobAddress.UNKNOWN, team, spec, NOW_MS),
                     NOW_MS,
                     JobState.QUEUED,
                     true,
@@ -193,11 +191,8 @@
             JobSpec spec = new JobSpec("x", once.spec().steps(), 3, NOW_MS + 60_000, 1_000);
             JobRow scheduled =
                     new JobRow(
-                            "new",
-                            once.policy(),
-                            "team",
-                            spec,
-                            NOW_MS,
+                            new StoredRecord.Job(
+                                    "new", once.policy(), JobAddress.UNKNOWN, "team", spec, NOW_MS),
                             NOW_MS,
                             JobState.QUEUED,
                             true,
--- a/core/src/test/java/org/hibiscususher/core/scheduler/term/CommitSystemTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/term/CommitSystemTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.hibiscususher.core.job.JobAddress;
 import org.hibiscususher.core.job.JobPolicy;
 import org.hibiscususher.core.job.JobRequest;
 import org.hibiscususher.core.job.JobRequestKind;
@@ -49,11 +50,8 @@
             String id = "j" + i;
             JobRow job =
                     new JobRow(
-                            id,
-                            POLICY,
-                            "team",
-                            SPEC,
-                            mNowMs,
+                            new StoredRecord.Job(
+                                    id, POLICY, JobAddress.UNKNOWN, "team", SPEC, mNowMs),
                             mNowMs,
                             JobState.QUEUED,
                             false,
--- a/core/src/test/java/org/hibiscususher/core/scheduler/term/StepDownTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/term/StepDownTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.hibiscususher.core.job.JobAddress;
 import org.hibiscususher.core.job.JobPolicy;
 import org.hibiscususher.core.job.JobRequest;
 import org.hibiscususher.core.job.JobRequestKind;
@@ -80,6 +81,7 @@
                 new StoredRecord.Job(
                         JOB,
                         new JobPolicy("q", "p", 0, 2, 1, 500, false),
+                        JobAddress.UNKNOWN,
                         "team",
                         JobSpec.once("", List.of()),
                         NOW_MS);
--- a/wire/src/main/java/org/hibiscususher/wire/scheduler/SchedulerRecordCodec.java
+++ b/wire/src/main/java/org/hibiscususher/wire/scheduler/SchedulerRecordCodec.java
@@ -5,6 +5,7 @@
 import java.math.BigInteger;
 import java.util.ArrayList;
 import java.util.List;
+import org.hibiscususher.core.job.JobAddress;
 import org.hibiscususher.core.job.JobPolicy;
 import org.hibiscususher.core.job.JobState;
 import org.hibiscususher.core.scheduler.message.StepProgress;
@@ -75,6 +76,8 @@
                 .setExtension(job.policy().criticalPathFactor())
                 .setObjectiveMs(job.policy().slackMs())
                 .setAdvised(job.policy().needsPlacementToken())
+                .setHost(job.address().hostName())
+                .setPath(job.address().path())
                 .setTeam(job.team())
                 .setSpec(SpecCodec.encode(job.spec()))
                 .setAcceptedMs(job.acceptedMs())
@@ -149,6 +152,7 @@
         return new StoredRecord.Job(
                 job.getId(),
                 policy,
+                new JobAddress(job.getHost(), job.getPath()),
                 job.getTeam(),
                 SpecCodec.decode(job.getSpec()),
                 job.getAcceptedMs());
--- a/wire/src/test/java/org/hibiscususher/wire/format/FormatSamples.java
+++ b/wire/src/test/java/org/hibiscususher/wire/format/FormatSamples.java
@@ -19,6 +19,7 @@
 import org.hibiscususher.core.config.QueueKind;
 import org.hibiscususher.core.config.QueueSpec;
 import org.hibiscususher.core.config.TeamSpec;
+import org.hibiscususher.core.job.JobAddress;
 import org.hibiscususher.core.job.JobPolicy;
 import org.hibiscususher.core.job.JobRequest;
 import org.hibiscususher.core.job.JobRequestKind;
@@ -196,7 +197,12 @@
                 new StoredRecord.Owner("n", 5, "a:1"),
                 new StoredRecord.Term(7, "n", 5, true, "a:1", List.of("j", "j.0.0.1")),
                 new StoredRecord.Job(
-                        "id", new JobPolicy("q", "p", 1, 2, 1.6, 600, true), "t", SPEC, 99),
+                        "id",
+                        new JobPolicy("q", "p", 1, 2, 1.6, 600, true),
+                        JobAddress.UNKNOWN,
+                        "t",
+                        SPEC,
+                        99),
                 new StoredRecord.Progress(
                         "id",
                         JobState.CANCELLED,
--- a/wire/src/test/java/org/hibiscususher/wire/scheduler/SchedulerRecordCodecTest.java
+++ b/wire/src/test/java/org/hibiscususher/wire/scheduler/SchedulerRecordCodecTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.stream.Stream;
+import org.hibiscususher.core.job.JobAddress;
 import org.hibiscususher.core.job.JobPolicy;
 import org.hibiscususher.core.job.JobRequest;
 import org.hibiscususher.core.job.JobRequestKind;
@@ -54,7 +55,12 @@
                 new StoredRecord.Owner("n", 5, "a:1"),
                 new StoredRecord.Term(7, "n", 5, true, "a:1", List.of("j", "j.0.0.1")),
                 new StoredRecord.Job(
-                        "id", new JobPolicy("q", "p", 1, 2, 1.6, 600, true), "t", SPEC, 99),
+                        "id",
+                        new JobPolicy("q", "p", 1, 2, 1.6, 600, true),
+                        JobAddress.UNKNOWN,
+                        "t",
+                        SPEC,
+                        99),
                 new StoredRecord.Progress(
                         "id",
                         JobState.RUNNING,
