--- a/core/src/main/java/org/hibiscususher/core/job/JobConfiguration.java
+++ b/core/src/main/java/org/hibiscususher/core/job/JobConfiguration.java
@@ -33,8 +33,7 @@
     public Optional<JobQueue> route(String host, String path) {
         JobQueue best = null;
         for (JobQueue queue : queues) {
-            if (queue.hostName().equals(host)
-                    && path.startsWith(queue.pathPrefix())
+            if (queue.matches(host, path)
                     && (best == null || queue.pathPrefix().length() > best.pathPrefix().length())) {
                 best = queue;
             }
@@ -42,6 +41,20 @@
         return Optional.ofNullable(best);
     }
 
+    /**
+     * Returns whether a queue is the one that a job belongs to now: the queue that the job's
+     * address selects or, if there is none, the queue that has the name of the job's.
+     *
+     * @param address where the job was submitted
+     * @param name name of its queue when it was accepted
+     */
+    public boolean isQueueOf(JobQueue queue, JobAddress address, String name) {
+        boolean candidate =
+                queue.matches(address.hostName(), address.path()) || queue.name().equals(name);
+        return candidate
+                && route(address.hostName(), address.path()).map(queue::equals).orElse(true);
+    }
+
     /** Returns the team that an API key belongs to, or empty. */
     public Optional<JobTeam> teamByApiKey(String key) {
         return teams.stream().filter(t -> t.apiKeys().contains(key)).findFirst();
--- a/core/src/main/java/org/hibiscususher/core/job/JobQueue.java
+++ b/core/src/main/java/org/hibiscususher/core/job/JobQueue.java
@@ -19,6 +19,11 @@
         requireNonNull(policy);
     }
 
+    /** Returns whether requests to a host and path may be for this queue. */
+    public boolean matches(String host, String path) {
+        return hostName.equals(host) && path.startsWith(pathPrefix);
+    }
+
     /** Returns the name of the queue. */
     public String name() {
         return policy.queue();
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/JobRequestDecision.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/JobRequestDecision.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.hibiscususher.core.job.JobConfiguration;
+import org.hibiscususher.core.job.JobId;
 import org.hibiscususher.core.job.JobQueue;
 import org.hibiscususher.core.job.JobRequest;
 import org.hibiscususher.core.job.JobResponse;
@@ -10,8 +11,6 @@
 import org.hibiscususher.core.job.JobSpec;
 import org.hibiscususher.core.job.JobState;
 import org.hibiscususher.core.job.JobTeam;
-import org.hibiscususher.core.scheduler.message.RecordKind;
-import org.hibiscususher.core.scheduler.message.RecordName;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.Respond;
 import org.hibiscususher.core.scheduler.message.StoredRecord;
 import org.hibiscususher.core.scheduler.term.Authority;
@@ -59,7 +58,7 @@
         switch (request.kind()) {
             case SUBMIT -> submit(tick, pending, queue.get(), team, id);
             case QUERY -> query(tick, pending, queue.get(), id);
-            default -> cancel(tick, pending, queue.get(), id);
+            default -> cancel(tick, pending);
         }
     }
 
@@ -67,32 +66,38 @@
     private static void query(
             SchedulerTick tick, PendingRequestRow pending, JobQueue queue, String id) {
         if (id.isEmpty()) {
-            long queuedJobs =
-                    tick.world().jobs().rows().stream().filter(j -> isPending(j, queue)).count();
-            respondIfLeaseHolds(tick, pending, JobResponse.ofPending(queuedJobs));
+            respondIfLeaseHolds(tick, pending, JobResponse.ofPending(countPending(tick, queue)));
             return;
         }
-        Optional<JobRow> job = find(tick, queue, id);
+        Optional<JobRow> job = find(tick, pending.request());
         if (job.isEmpty()) {
             respondUnknownJob(tick, pending);
         } else if (job.get().stored()) {
             JobResponse response = JobResponse.ofState(job.get().visibleState());
             tick.emit(new Respond(pending.callId(), response));
         } else {
-            awaitStore(tick, pending, id);
+            awaitStore(tick, pending, job.get().id());
         }
     }
 
-    /** Returns whether a job of the queue is accepted but has not started. */
-    private static boolean isPending(JobRow job, JobQueue queue) {
-        return job.stored()
-                && job.state() == JobState.QUEUED
-                && job.policy().queue().equals(queue.name());
+    /** Returns the number of jobs of a queue that are accepted but have not started. */
+    private static long countPending(SchedulerTick tick, JobQueue queue) {
+        JobConfiguration configuration = tick.world().configuration().get().configuration();
+        return tick.world().jobs().rows().stream()
+                .filter(j -> j.stored() && j.state() == JobState.QUEUED)
+                .map(JobRow::record)
+                .filter(r -> configuration.isQueueOf(queue, r.address(), r.policy().queue()))
+                .count();
     }
 
-    /** Returns a job of the queue, whether it is stored or its commit is on the way. */
-    private static Optional<JobRow> find(SchedulerTick tick, JobQueue queue, String id) {
-        return tick.world().jobs().find(id).filter(j -> j.policy().queue().equals(queue.name()));
+    /**
+     * Returns the job that a request names, whether it is stored or its commit is on the way.
+     *
+     * <p>The id alone names it. The queue that the path selects need not be the one to which the
+     * job was submitted, since each configuration may name and cut queues otherwise.
+     */
+    private static Optional<JobRow> find(SchedulerTick tick, JobRequest request) {
+        return JobId.atEndOf(request.path()).flatMap(id -> tick.world().jobs().find(id));
     }
 
     private static void respondUnknownJob(SchedulerTick tick, PendingRequestRow pending) {
@@ -115,33 +120,33 @@
      * <p>A job whose commit is in flight is cancelled as well: the store may hold it already or
      * later, and then it must not run.
      */
-    private static void cancel(
-            SchedulerTick tick, PendingRequestRow pending, JobQueue queue, String id) {
-        Optional<JobRow> job = find(tick, queue, id);
-        logCancellation(tick, id);
+    private static void cancel(SchedulerTick tick, PendingRequestRow pending) {
+        Optional<JobRow> job = find(tick, pending.request());
+        logCancellation(tick, pending.request(), job);
         if (job.isEmpty()) {
             respondUnknownJob(tick, pending);
         } else if (job.get().storedState().isFinal()) {
             tick.emit(new Respond(pending.callId(), JobResponse.of(JobResponseKind.CANCELLED)));
         } else {
-            JobLifecycle.finish(tick, id, JobState.CANCELLED, "caller");
-            awaitStore(tick, pending, id);
+            JobLifecycle.finish(tick, job.get().id(), JobState.CANCELLED, "caller");
+            awaitStore(tick, pending, job.get().id());
         }
     }
 
-    private static void logCancellation(SchedulerTick tick, String id) {
+    private static void logCancellation(
+            SchedulerTick tick, JobRequest request, Optional<JobRow> job) {
         SchedulerWorld world = tick.world();
-        Optional<JobRow> job = world.jobs().find(id);
+        boolean inFlight = job.filter(j -> world.isCommitInFlight(j.record().name())).isPresent();
         tick.log(
                 "cancel",
-                "job="
-                        + id
+                "call="
+                        + request.path()
                         + " state="
                         + job.map(j -> j.state().name()).orElse("unknown")
                         + " stored="
                         + job.map(JobRow::stored).orElse(false)
                         + " in_flight="
-                        + world.isCommitInFlight(RecordName.of(RecordKind.JOB, id))
+                        + inFlight
                         + " lease_left_ms="
                         + (world.term().get().validUntilMs() - tick.nowMs()));
     }
@@ -161,12 +166,12 @@
             Optional<JobTeam> team,
             String id) {
         SchedulerWorld world = tick.world();
-        Optional<JobRow> existing = world.jobs().find(id);
+        Optional<JobRow> existing = find(tick, pending.request());
         if (existing.isPresent()) {
             if (existing.get().stored()) {
                 tick.emit(new Respond(pending.callId(), JobResponse.of(JobResponseKind.ACCEPTED)));
             } else {
-                awaitStore(tick, pending, id);
+                awaitStore(tick, pending, existing.get().id());
             }
             return;
         }
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/SchedulerSite.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/SchedulerSite.java
@@ -63,6 +63,9 @@
     private Optional<VirtualHosts> mHosts = Optional.empty();
     private List<WaveOrder> mWaves = List.of();
 
+    /** Version of the configuration; each one gives the only queue another name. */
+    private long mVersion = 1;
+
     private SchedulerSite(int nodes, int executors, Resources teamLimit, long seed) {
         mRandom = new Random(seed);
         mCallers = new VirtualCallers(this, mRandom);
@@ -219,12 +222,22 @@
         return mExecutors.reports();
     }
 
-    /** Returns a configuration with one queue, one pool and one team. */
+    /**
+     * Replaces the queue by one with another name and the same host and prefix. Entries learn that
+     * from the store.
+     */
+    public void replaceQueue() {
+        mVersion++;
+        mNodes.values().forEach(node -> mClock.after(LINK_LATENCY_MS, node::storeChanged));
+    }
+
+    /** Returns the configuration in force, with one queue, one pool and one team. */
     JobConfiguration configuration() {
         JobPolicy policy =
-                new JobPolicy("queue", POOL, 0, VirtualCallers.MAX_FAILURES, 2, 500, false);
+                new JobPolicy(
+                        "queue" + mVersion, POOL, 0, VirtualCallers.MAX_FAILURES, 2, 500, false);
         return new JobConfiguration(
-                1,
+                mVersion,
                 List.of(new JobQueue(VirtualCallers.HOST, VirtualCallers.PREFIX, false, policy)),
                 List.of(new JobPool(POOL, true, false)),
                 List.of(
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualCallers.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualCallers.java
@@ -142,6 +142,8 @@
                 response -> {
                     if (response.kind() == JobResponseKind.CANCELLED) {
                         mInvariants.recordCancellation(id, mClock.nowMs());
+                    } else if (response.kind() == JobResponseKind.NO_JOB) {
+                        mInvariants.checkUnknownJob(id, mClock.nowMs());
                     }
                     result.accept(response.kind());
                 });
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualNode.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualNode.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
+import org.hibiscususher.core.job.JobConfiguration;
 import org.hibiscususher.core.scheduler.control.Scheduler;
 import org.hibiscususher.core.scheduler.message.SchedulerInput;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.ConfigurationUpdated;
@@ -51,6 +52,9 @@
     private boolean mTickScheduled;
     private boolean mWatchesExecutors;
 
+    /** Version of the configuration that the process has received. */
+    private long mVersion;
+
     VirtualNode(SchedulerSite site, String name) {
         mSite = site;
         mName = name;
@@ -90,7 +94,7 @@
                                 Math.floorMod(mName.hashCode(), 40),
                                 SchedulerTiming.DEFAULT));
         long process = mProcessNumber;
-        receive(new ConfigurationUpdated(mSite.configuration(), 1));
+        receiveConfiguration();
         mSite.waves().forEach(wave -> receive(new WaveOrdered(wave)));
         mSite.clock().after(1, () -> storeChanged());
         tickPeriodically(process);
@@ -159,10 +163,22 @@
         }
     }
 
-    /** Sends the process the current ownership, as its watch of the store does. */
+    private void receiveConfiguration() {
+        JobConfiguration configuration = mSite.configuration();
+        mVersion = configuration.version();
+        receive(new ConfigurationUpdated(configuration, mVersion));
+    }
+
+    /**
+     * Sends the process the current ownership and a new configuration, as its watch of the store
+     * does.
+     */
     void storeChanged() {
         if (mUp && !mSite.store().isUnreachable(mName)) {
             receive(new OwnershipUpdated(mSite.store().ownership()));
+            if (mSite.configuration().version() != mVersion) {
+                receiveConfiguration();
+            }
         }
     }
 
--- a/standin/src/test/java/org/hibiscususher/standin/scheduler/SiteFault.java
+++ b/standin/src/test/java/org/hibiscususher/standin/scheduler/SiteFault.java
@@ -124,6 +124,14 @@
         void inject(SchedulerSite site, Random random) {
             site.slowStore(200, 6_000);
         }
+    },
+    /** Two changes of the configuration, up to 2 s apart, each give the queue another name. */
+    QUEUE_REPLACED {
+        @Override
+        void inject(SchedulerSite site, Random random) {
+            site.replaceQueue();
+            site.schedule(random.nextInt(2_000), site::replaceQueue);
+        }
     };
 
     /** Injects the fault now; a lasting fault ends by itself. */
