--- a/core/src/main/java/org/hibiscususher/core/job/JobResponseKind.java
+++ b/core/src/main/java/org/hibiscususher/core/job/JobResponseKind.java
@@ -12,7 +12,7 @@
     CANCELLED,
     /** No queue has this host name and path. */
     NO_QUEUE,
-    /** The queue has no such job. */
+    /** There is no such job, or its submission came after it was cancelled and isn't accepted. */
     NO_JOB,
     /** The API key is missing or unknown, and the queue requires one. */
     NO_KEY,
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/JobLifecycle.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/JobLifecycle.java
@@ -71,14 +71,16 @@
     }
 
     /**
-     * Removes a job that the store certainly doesn't hold and will not hold, and answers the
-     * requests that waited to learn that.
+     * Removes a job that the store certainly doesn't hold and will not hold. A cancellation of it
+     * outlives it, since its submission may be repeated.
      */
     public static void removeUnstored(SchedulerTick tick, String id) {
+        Optional<JobRow> job = tick.world().jobs().find(id);
         tick.world().jobs().remove(id);
-        JobResponse unknown = JobResponse.of(JobResponseKind.NO_JOB);
-        respond(tick, id, JobRequestKind.CANCEL, unknown);
-        respond(tick, id, JobRequestKind.QUERY, unknown);
+        respond(tick, id, JobRequestKind.QUERY, JobResponse.of(JobResponseKind.NO_JOB));
+        if (job.filter(j -> j.state() == JobState.CANCELLED).isPresent()) {
+            JobCancellations.add(tick, id);
+        }
     }
 
     /**
@@ -105,17 +107,21 @@
     /** Answers the requests of one kind that wait until a job is stored. */
     private static void respond(
             SchedulerTick tick, String id, JobRequestKind kind, JobResponse response) {
-        SchedulerWorld world = tick.world();
-        for (PendingRequestRow request : world.pendingRequests().rows()) {
-            if (request.stage() == PendingRequestStage.AWAITING_STORE
-                    && request.job().equals(id)
-                    && request.request().kind() == kind) {
+        for (PendingRequestRow request : requestsAwaitingStore(tick.world(), id)) {
+            if (request.request().kind() == kind) {
                 tick.emit(new Respond(request.callId(), response));
-                world.pendingRequests().remove(request.callId());
+                tick.world().pendingRequests().remove(request.callId());
             }
         }
     }
 
+    /** Returns the requests that wait until the store holds a change of a job. */
+    static List<PendingRequestRow> requestsAwaitingStore(SchedulerWorld world, String id) {
+        return world.pendingRequests().rows().stream()
+                .filter(r -> r.stage() == PendingRequestStage.AWAITING_STORE && r.job().equals(id))
+                .toList();
+    }
+
     /** Activates the first steps of those occurrences of a job that are due. */
     public static void activateDueOccurrences(SchedulerTick tick, String id) {
         SchedulerWorld world = tick.world();
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/JobRequestDecision.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/JobRequestDecision.java
@@ -11,9 +11,12 @@
 import org.hibiscususher.core.job.JobSpec;
 import org.hibiscususher.core.job.JobState;
 import org.hibiscususher.core.job.JobTeam;
+import org.hibiscususher.core.scheduler.message.RecordKind;
+import org.hibiscususher.core.scheduler.message.RecordName;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.Respond;
 import org.hibiscususher.core.scheduler.message.StoredRecord;
 import org.hibiscususher.core.scheduler.term.Authority;
+import org.hibiscususher.core.scheduler.world.CancellationRow;
 import org.hibiscususher.core.scheduler.world.CommitRow;
 import org.hibiscususher.core.scheduler.world.JobRow;
 import org.hibiscususher.core.scheduler.world.PendingRequestRow;
@@ -121,32 +124,53 @@
      * later, and then it must not run.
      */
     private static void cancel(SchedulerTick tick, PendingRequestRow pending) {
-        Optional<JobRow> job = find(tick, pending.request());
-        logCancellation(tick, pending.request(), job);
+        String id = JobId.atEndOf(pending.request().path()).orElse("");
+        Optional<JobRow> job = tick.world().jobs().find(id);
+        logCancellation(tick, id, job);
         if (job.isEmpty()) {
-            respondUnknownJob(tick, pending);
+            cancelUnknownJob(tick, pending, id);
         } else if (job.get().storedState().isFinal()) {
             tick.emit(new Respond(pending.callId(), JobResponse.of(JobResponseKind.CANCELLED)));
         } else {
-            JobLifecycle.finish(tick, job.get().id(), JobState.CANCELLED, "caller");
-            awaitStore(tick, pending, job.get().id());
+            JobLifecycle.finish(tick, id, JobState.CANCELLED, "caller");
+            awaitStore(tick, pending, id);
         }
     }
 
-    private static void logCancellation(
-            SchedulerTick tick, JobRequest request, Optional<JobRow> job) {
+    /**
+     * Cancels a job of which nothing is known. Its submission may still be under way, so the
+     * response that there is none waits until the store holds the cancellation.
+     *
+     * @param id job id; empty if the path ends with none, so that no submission can name the job
+     */
+    private static void cancelUnknownJob(SchedulerTick tick, PendingRequestRow pending, String id) {
+        if (id.isEmpty() || JobCancellations.isStored(tick, id)) {
+            respondUnknownJob(tick, pending);
+        } else if (!Authority.mayDenyJobs(tick)) {
+            JobRequestSystem.awaitOwner(tick, pending);
+        } else if (isStoreUnreachable(tick)) {
+            rejectForOutage(tick, pending, id);
+        } else if (!JobCancellations.hasRoom(tick.world(), id)) {
+            JobRequestRejection.reject(
+                    tick, pending, JobResponseKind.OVERLOADED, "too-many-cancellations");
+        } else {
+            JobCancellations.add(tick, id);
+            awaitStore(tick, pending, id);
+        }
+    }
+
+    private static void logCancellation(SchedulerTick tick, String id, Optional<JobRow> job) {
         SchedulerWorld world = tick.world();
-        boolean inFlight = job.filter(j -> world.isCommitInFlight(j.record().name())).isPresent();
         tick.log(
                 "cancel",
-                "call="
-                        + request.path()
+                "job="
+                        + id
                         + " state="
                         + job.map(j -> j.state().name()).orElse("unknown")
                         + " stored="
                         + job.map(JobRow::stored).orElse(false)
                         + " in_flight="
-                        + inFlight
+                        + world.isCommitInFlight(RecordName.of(RecordKind.JOB, id))
                         + " lease_left_ms="
                         + (world.term().get().validUntilMs() - tick.nowMs()));
     }
@@ -175,6 +199,15 @@
             }
             return;
         }
+        Optional<CancellationRow> cancellation = JobCancellations.find(tick, id);
+        if (cancellation.isPresent()) {
+            if (cancellation.get().stored()) {
+                JobCancellations.rejectSubmission(tick, pending);
+            } else {
+                awaitStore(tick, pending, id);
+            }
+            return;
+        }
         JobRequest request = pending.request();
         JobSpec spec = request.spec().orElse(NO_SPEC);
         Optional<String> problem = JobValidation.findProblem(spec, id);
@@ -187,19 +220,22 @@
         if (backlog.rejects()) {
             rejectForBacklog(tick, pending, job, backlog);
         } else if (isStoreUnreachable(tick)) {
-            JobRequestRejection.reject(
-                    tick,
-                    pending,
-                    JobResponseKind.UNAVAILABLE,
-                    "store-away",
-                    OutageRetry.afterMs(
-                            tick.world().storeHealth().get(), tick.nowMs(), id.hashCode()));
+            rejectForOutage(tick, pending, id);
         } else {
             world.jobs().put(id, job);
             awaitStore(tick, pending, id);
         }
     }
 
+    private static void rejectForOutage(SchedulerTick tick, PendingRequestRow pending, String id) {
+        JobRequestRejection.reject(
+                tick,
+                pending,
+                JobResponseKind.UNAVAILABLE,
+                "store-away",
+                OutageRetry.afterMs(tick.world().storeHealth().get(), tick.nowMs(), id.hashCode()));
+    }
+
     private static void rejectForBacklog(
             SchedulerTick tick,
             PendingRequestRow pending,
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/JobSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/JobSystem.java
@@ -4,13 +4,14 @@
 import org.hibiscususher.core.scheduler.message.RecordName;
 import org.hibiscususher.core.scheduler.world.JobRow;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
+import org.hibiscususher.core.scheduler.world.SchedulerTiming;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
 
-/** Activates the occurrences of scheduled jobs when they are due, and removes old finished jobs. */
+/**
+ * Activates the occurrences of scheduled jobs when they are due, and removes old finished jobs and
+ * old cancellations.
+ */
 public final class JobSystem {
-    /** Time for which callers can query a job after it has finished, in milliseconds. */
-    private static final long RETENTION_MS = 180_000;
-
     private JobSystem() {}
 
     /** Processes all jobs; only the owner does so. */
@@ -22,10 +23,15 @@
         for (JobRow job : world.jobs().rows()) {
             if (job.acceptsRuns() && job.spec().isScheduled()) {
                 JobLifecycle.activateDueOccurrences(tick, job.id());
-            } else if (job.state().isFinal() && tick.nowMs() - job.endedMs() > RETENTION_MS) {
+            } else if (job.state().isFinal() && isExpired(job, tick.nowMs())) {
                 removeFinished(world, job);
             }
         }
+        JobCancellations.removeExpired(tick);
+    }
+
+    private static boolean isExpired(JobRow job, long nowMs) {
+        return nowMs - job.endedMs() > SchedulerTiming.JOB_RETENTION_MS;
     }
 
     /**
@@ -42,7 +48,7 @@
             world.jobs().remove(job.id());
             world.pendingRemovals().remove(progress);
         } else if (!world.pendingRemovals().contains(progress)) {
-            world.pendingRemovals().put(progress, 0L);
+            world.pendingRemovals().put(progress, progress);
         }
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/RecordKind.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/RecordKind.java
@@ -12,6 +12,8 @@
     JOB(true),
     /** The state of a job and the progress of its tasks. */
     PROGRESS(true),
+    /** The cancellation of a job that no submission had named before. */
+    CANCELLATION(true),
     /** The executors on which runs may be in progress. */
     EXECUTORS,
     /** The hosts of a wave whose maintenance has started. */
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/StoredRecord.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/StoredRecord.java
@@ -123,6 +123,24 @@
         }
     }
 
+    /**
+     * The cancellation of a job that no submission had named before. While it is stored, no job
+     * with the id is accepted.
+     *
+     * @param job id of the job
+     */
+    record Cancellation(String job) implements StoredRecord {
+        /** Rejects null. */
+        public Cancellation {
+            requireNonNull(job);
+        }
+
+        @Override
+        public RecordName name() {
+            return RecordName.of(RecordKind.CANCELLATION, job);
+        }
+    }
+
     /**
      * The executors on which runs may be in progress. An executor is named here before the first
      * run is started on it, so that a new owner knows where runs may be.
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/Commits.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/Commits.java
@@ -10,6 +10,7 @@
 import java.util.function.Predicate;
 import org.hibiscususher.core.job.JobRequestKind;
 import org.hibiscususher.core.job.JobState;
+import org.hibiscususher.core.scheduler.job.JobCancellations;
 import org.hibiscususher.core.scheduler.job.JobLifecycle;
 import org.hibiscususher.core.scheduler.job.JobProgress;
 import org.hibiscususher.core.scheduler.message.RecordGuard;
@@ -17,6 +18,7 @@
 import org.hibiscususher.core.scheduler.message.RecordName;
 import org.hibiscususher.core.scheduler.message.RecordWrite;
 import org.hibiscususher.core.scheduler.message.StoredRecord;
+import org.hibiscususher.core.scheduler.world.CancellationRow;
 import org.hibiscususher.core.scheduler.world.CommitPurpose;
 import org.hibiscususher.core.scheduler.world.CommitRow;
 import org.hibiscususher.core.scheduler.world.HostOrderRow;
@@ -49,8 +51,8 @@
      * Returns the next commit, or empty if nothing has to be stored now. It names no record of a
      * commit in flight.
      *
-     * <p>What callers wait for comes first: new jobs, then jobs that have reached a final state.
-     * Records are removed only if there is nothing to write.
+     * <p>What callers wait for comes first: new jobs, cancellations of unknown jobs, then jobs that
+     * have reached a final state. Records are removed only if there is nothing to write.
      */
     static Optional<CommitRow> next(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
@@ -59,6 +61,7 @@
         Map<String, Long> versions = new HashMap<>();
         boolean releasing = world.term().get().stage() == TermStage.RELEASING;
         addNewJobs(world, inFlight, records);
+        addCancellations(world, inFlight, records);
         addProgress(tick, inFlight, records, versions, JobState::isFinal, 0);
         addPendingRecords(world, inFlight, records);
         addProgress(
@@ -101,6 +104,18 @@
         }
     }
 
+    private static void addCancellations(
+            SchedulerWorld world, Set<RecordName> inFlight, List<StoredRecord> records) {
+        for (CancellationRow row : world.cancellations().rows()) {
+            if (records.size() >= MAX_RECORDS) {
+                return;
+            }
+            if (!row.stored() && !inFlight.contains(row.record().name())) {
+                records.add(row.record());
+            }
+        }
+    }
+
     /**
      * Adds the progress of jobs that have changed.
      *
@@ -149,17 +164,16 @@
         }
     }
 
-    /** Returns the records of jobs whose retention has ended, both of a job or none. */
+    /** Returns the records whose retention has ended; both of a job or none. */
     private static List<RecordName> removableRecords(
             SchedulerWorld world, Set<RecordName> inFlight) {
         List<RecordName> names = new ArrayList<>();
-        for (JobRow job : world.jobs().rows()) {
-            RecordName progress = RecordName.of(RecordKind.PROGRESS, job.id());
-            if (names.size() < MAX_RECORDS - 1
-                    && world.pendingRemovals().contains(progress)
-                    && !inFlight.contains(progress)) {
-                names.add(RecordName.of(RecordKind.JOB, job.id()));
-                names.add(progress);
+        for (RecordName name : world.pendingRemovals().rows()) {
+            if (names.size() < MAX_RECORDS - 1 && !inFlight.contains(name)) {
+                if (name.kind() == RecordKind.PROGRESS) {
+                    names.add(RecordName.of(RecordKind.JOB, name.id()));
+                }
+                names.add(name);
             }
         }
         return names;
@@ -265,6 +279,8 @@
         } else if (record instanceof StoredRecord.Progress progress) {
             JobLifecycle.markProgressStored(
                     tick, progress, versions.getOrDefault(progress.id(), 0L));
+        } else if (record instanceof StoredRecord.Cancellation cancellation) {
+            JobCancellations.markStored(tick, cancellation);
         } else {
             if (record instanceof StoredRecord.Executors executors) {
                 executors
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/StepDown.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/StepDown.java
@@ -1,7 +1,5 @@
 package org.hibiscususher.core.scheduler.term;
 
-import org.hibiscususher.core.scheduler.message.RecordKind;
-import org.hibiscususher.core.scheduler.message.RecordName;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.WatchExecutors;
 import org.hibiscususher.core.scheduler.world.PendingRequestRow;
 import org.hibiscususher.core.scheduler.world.PendingRequestStage;
@@ -39,15 +37,10 @@
         SchedulerWorld world = tick.world();
         for (PendingRequestRow request : world.pendingRequests().rows()) {
             if (request.stage() == PendingRequestStage.AWAITING_STORE) {
-                boolean uncertain = isInFlight(world, request.job());
+                boolean uncertain = world.isJobCommitInFlight(request.job());
                 world.pendingRequests()
                         .put(request.callId(), request.awaitingOwner(uncertain, tick.nowMs()));
             }
         }
     }
-
-    private static boolean isInFlight(SchedulerWorld world, String job) {
-        return world.isCommitInFlight(RecordName.of(RecordKind.JOB, job))
-                || world.isCommitInFlight(RecordName.of(RecordKind.PROGRESS, job));
-    }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/Takeover.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/Takeover.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import org.hibiscususher.core.job.Resources;
 import org.hibiscususher.core.scheduler.executor.HeartbeatSystem;
+import org.hibiscususher.core.scheduler.job.JobCancellations;
 import org.hibiscususher.core.scheduler.job.JobLifecycle;
 import org.hibiscususher.core.scheduler.job.JobProgress;
 import org.hibiscususher.core.scheduler.message.ExecutorReport;
@@ -118,6 +119,8 @@
         SchedulerWorld world = tick.world();
         if (record instanceof StoredRecord.Progress progress) {
             JobProgress.restore(tick, progress);
+        } else if (record instanceof StoredRecord.Cancellation cancellation) {
+            JobCancellations.restore(tick, cancellation);
         } else if (record instanceof StoredRecord.Executors executors) {
             world.usedExecutors().set(executors);
             executors.executors().forEach(e -> inheritExecutor(tick, e));
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerTiming.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerTiming.java
@@ -24,6 +24,12 @@
         long startValidMs,
         long hostOrderGapMs,
         long unavailableAfterMs) {
+    /**
+     * Time for which a job can be queried after it has finished, and for which the cancellation of
+     * an unknown job is kept, in milliseconds.
+     */
+    public static final long JOB_RETENTION_MS = 180_000;
+
     /** The default times. */
     public static final SchedulerTiming DEFAULT =
             new SchedulerTiming(1_500, 400, 5_000, 4_000, 6_000, 1_500, 3_200, 4_500);
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerWorld.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerWorld.java
@@ -2,12 +2,14 @@
 
 import static java.util.Objects.requireNonNull;
 
+import java.util.Arrays;
 import java.util.List;
 import org.hibiscususher.core.job.JobConfiguration;
 import org.hibiscususher.core.job.StepKey;
 import org.hibiscususher.core.job.TaskKey;
 import org.hibiscususher.core.scheduler.message.HostReport;
 import org.hibiscususher.core.scheduler.message.Ownership;
+import org.hibiscususher.core.scheduler.message.RecordKind;
 import org.hibiscususher.core.scheduler.message.RecordName;
 import org.hibiscususher.core.scheduler.message.StoredRecord;
 import org.hibiscususher.core.table.GroupedTable;
@@ -38,8 +40,9 @@
     private final Table<Long, CommitRow> mCommits = Table.create();
     private final Table<RecordName, Long> mRevisions = Table.create();
     private final Table<RecordName, StoredRecord> mPendingRecords = Table.create();
-    private final Table<RecordName, Long> mPendingRemovals = Table.create();
+    private final Table<RecordName, RecordName> mPendingRemovals = Table.create();
     private final Table<String, JobRow> mJobs = Table.create();
+    private final Table<String, CancellationRow> mCancellations = Table.create();
     private final Table<StepKey, StepRow> mSteps = Table.create();
     private final GroupedTable<TaskKey, TaskRow, TaskGroup> mTasks =
             GroupedTable.createBy(TaskRow::group);
@@ -143,6 +146,13 @@
         return mCommits.rows().stream().anyMatch(commit -> commit.names(name));
     }
 
+    /** Returns whether a commit in flight writes or removes any record of a job. */
+    public boolean isJobCommitInFlight(String id) {
+        return Arrays.stream(RecordKind.values())
+                .filter(RecordKind::isOfJob)
+                .anyMatch(kind -> isCommitInFlight(RecordName.of(kind, id)));
+    }
+
     /** Returns the revisions of the stored records. */
     public Table<RecordName, Long> revisions() {
         return mRevisions;
@@ -154,10 +164,10 @@
     }
 
     /**
-     * Returns the progress records that must be removed together with their jobs, by name; the
-     * values are not used.
+     * Returns the records to be removed, by name: progress, which is removed together with its job,
+     * and cancellations.
      */
-    public Table<RecordName, Long> pendingRemovals() {
+    public Table<RecordName, RecordName> pendingRemovals() {
         return mPendingRemovals;
     }
 
@@ -166,6 +176,11 @@
         return mJobs;
     }
 
+    /** Returns the cancellations of jobs that no submission had named before, by job id. */
+    public Table<String, CancellationRow> cancellations() {
+        return mCancellations;
+    }
+
     /** Returns the activated steps by key. */
     public Table<StepKey, StepRow> steps() {
         return mSteps;
@@ -268,6 +283,7 @@
                 mPendingRecords,
                 mPendingRemovals,
                 mJobs,
+                mCancellations,
                 mSteps,
                 mTasks,
                 mRuns,
--- a/core/src/test/java/org/hibiscususher/core/scheduler/job/JobOwner.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/job/JobOwner.java
@@ -1,6 +1,7 @@
 package org.hibiscususher.core.scheduler.job;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -31,6 +32,7 @@
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.StartRun;
 import org.hibiscususher.core.scheduler.message.StoredRecord;
 import org.hibiscususher.core.scheduler.world.SchedulerSettings;
+import org.hibiscususher.core.scheduler.world.SchedulerTick;
 import org.hibiscususher.core.scheduler.world.SchedulerTiming;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
 import org.hibiscususher.core.scheduler.world.TermRow;
@@ -45,6 +47,7 @@
     private static final long START_MS = 10_000;
     private static final long FENCE = 5;
     private static final long LOAD_CALL_ID = 9;
+    private static final long COMMIT_GAP_MS = 30;
     private static final long LONG_LEASE_MS = 600_000;
 
     private final Scheduler mScheduler =
@@ -53,6 +56,7 @@
     private final SchedulerWorld mWorld = mScheduler.world();
     private final List<SchedulerOutput> mOutputs = new ArrayList<>();
     private long mNowMs = START_MS;
+    private final Set<Long> mStored = new HashSet<>();
     private long mRevision = 100;
     private long mVersion;
 
@@ -66,6 +70,13 @@
         owner.configure(queue("q", "/q/"));
         SchedulerWorlds.addExecutor(
                 owner.mWorld, "x", "p", Resources.of(9_000, 9, 0), owner.mNowMs);
+        owner.mWorld
+                .executorSessions()
+                .update(
+                        "x",
+                        session ->
+                                session.withHeartbeatSent(1, FENCE, owner.mNowMs, 0)
+                                        .withHeartbeatAnswered(1, 1, owner.mNowMs));
         return owner;
     }
 
@@ -131,15 +142,40 @@
         mOutputs.addAll(mScheduler.tick(mNowMs, mNowMs, List.of(inputs)));
     }
 
-    /** Lets the store hold the last commit, after some time. */
-    void storeLastCommit(long afterMs) {
-        tick(afterMs, new Committed(lastCommit().callId(), ++mRevision));
+    /** Returns a tick without inputs, to change the tables directly. */
+    SchedulerTick emptyTick() {
+        return new SchedulerTick(mWorld, mNowMs, mNowMs, List.of(), () -> 1);
+    }
+
+    /** Lets the store carry out all commits, after some time, until there are no more. */
+    void storeCommits(long afterMs) {
+        tick(afterMs);
+        List<Commit> open = openCommits();
+        while (!open.isEmpty()) {
+            for (Commit commit : open) {
+                mStored.add(commit.callId());
+                tick(1, new Committed(commit.callId(), ++mRevision));
+            }
+            tick(COMMIT_GAP_MS);
+            open = openCommits();
+        }
+    }
+
+    private List<Commit> openCommits() {
+        return outputs(Commit.class)
+                .filter(c -> !mStored.contains(c.callId()))
+                .filter(c -> isInFlight(c.callId()))
+                .toList();
+    }
+
+    private boolean isInFlight(long callId) {
+        return mWorld.commits().rows().stream().anyMatch(c -> c.callId() == callId);
     }
 
     /** Submits a job, which the store holds then. */
     void accept(long callId, String path) {
         tick(10, request(callId, JobRequestKind.SUBMIT, path));
-        storeLastCommit(30);
+        storeCommits(10);
     }
 
     /** Returns a request to the queue under "/q/". */
--- a/core/src/test/java/org/hibiscususher/core/scheduler/job/JobRequestDecisionTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/job/JobRequestDecisionTest.java
@@ -84,9 +84,11 @@
                     new CommitConflict(
                             mCommit.callId(),
                             List.of(new LoadedRecord(RECORD, 0, Optional.empty()))));
-            assertThat(responseTo(2)).contains(JobResponseKind.NO_JOB);
+            assertThat(responseTo(2)).isEmpty();
             assertThat(responseTo(3)).contains(JobResponseKind.NO_JOB);
             assertThat(mOwner.world().jobs().contains(JOB)).isFalse();
+            mOwner.storeCommits(10);
+            assertThat(responseTo(2)).contains(JobResponseKind.NO_JOB);
         }
 
         @Test
@@ -101,13 +103,28 @@
     @Nested
     class JobThatIsRefused {
         @Test
-        void isUnknownToACancellationThatWaits() {
+        void isNotCancelledForGoodWhileTheStoreIsAway() {
             tick(10, requestFor(1, JobRequestKind.SUBMIT, JOB));
             tick(10, requestFor(2, JobRequestKind.CANCEL, JOB));
             for (int i = 0; i < 5; i++) {
                 tick(200, new CommitFailed(lastCommit().callId(), false, false));
             }
             assertThat(responseTo(1)).contains(JobResponseKind.UNAVAILABLE);
+            assertThat(responseTo(2)).isEmpty();
+            tick(300);
+            assertThat(responseTo(2)).contains(JobResponseKind.UNKNOWN);
+        }
+
+        @Test
+        void isUnknownToACancellationThatWaitsOnceTheStoreHoldsThat() {
+            tick(10, requestFor(1, JobRequestKind.SUBMIT, JOB));
+            tick(10, requestFor(2, JobRequestKind.CANCEL, JOB));
+            for (int i = 0; i < 5; i++) {
+                tick(160, new CommitFailed(lastCommit().callId(), false, false));
+            }
+            assertThat(responseTo(1)).contains(JobResponseKind.UNAVAILABLE);
+            tick(160);
+            mOwner.storeCommits(10);
             assertThat(responseTo(2)).contains(JobResponseKind.NO_JOB);
         }
     }
@@ -133,9 +150,11 @@
             assertThat(responseTo(3)).isEmpty();
             mOwner.setLeaseLeft(1_000);
             tick(10);
-            assertThat(responseTo(1)).contains(JobResponseKind.NO_JOB);
+            assertThat(responseTo(1)).isEmpty();
             assertThat(responseTo(2)).contains(JobResponseKind.NO_JOB);
             assertThat(responseTo(3)).contains(JobResponseKind.PENDING);
+            mOwner.storeCommits(10);
+            assertThat(responseTo(1)).contains(JobResponseKind.NO_JOB);
         }
 
         @Test
--- a/core/src/test/java/org/hibiscususher/core/scheduler/job/RouteChangeTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/job/RouteChangeTest.java
@@ -38,7 +38,7 @@
         assertThat(owner.ask(11, JobRequestKind.SUBMIT, path).kind())
                 .isEqualTo(JobResponseKind.ACCEPTED);
         owner.tick(10, request(12, JobRequestKind.CANCEL, path));
-        owner.storeLastCommit(10);
+        owner.storeCommits(10);
         assertThat(owner.responseTo(12)).contains(JobResponseKind.CANCELLED);
         assertThat(owner.world().jobs().find(JOB).orElseThrow().state())
                 .isEqualTo(JobState.CANCELLED);
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/SchedulerSite.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/SchedulerSite.java
@@ -12,7 +12,6 @@
 import org.hibiscususher.core.job.JobPool;
 import org.hibiscususher.core.job.JobQueue;
 import org.hibiscususher.core.job.JobResponse;
-import org.hibiscususher.core.job.JobResponseKind;
 import org.hibiscususher.core.job.JobSpec;
 import org.hibiscususher.core.job.JobState;
 import org.hibiscususher.core.job.JobTeam;
@@ -466,16 +465,20 @@
 
     /**
      * Cancels a job with one request, whatever the response. A job that is reported unknown must
-     * not run any more, so it must not be submitted again.
+     * not run any more.
      */
     public void cancelOnce(String id) {
-        mCallers.cancelOnce(
-                id,
-                kind -> {
-                    if (kind == JobResponseKind.NO_JOB) {
-                        mInvariants.recordCancellation(id, mClock.nowMs());
-                    }
-                });
+        mCallers.cancelOnce(id, kind -> {});
+    }
+
+    /**
+     * Submits a job to an entry, which reads it after the caller has given up, and cancels it then
+     * at any entry. It must not run after that was confirmed.
+     *
+     * @return id of the job
+     */
+    public String submitAndWithdraw(String node, JobSpec spec) {
+        return mCallers.submitAndWithdraw(mNodes.get(node), spec);
     }
 
     /**
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualCallers.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualCallers.java
@@ -97,17 +97,45 @@
      * @return id of the job
      */
     String submit(JobSpec spec, int maxTries) {
+        String id = newJob(spec);
+        trySubmit(id, spec, maxTries);
+        return id;
+    }
+
+    /**
+     * Submits a job with one request to an entry, and cancels it at any entry as soon as the
+     * request has timed out.
+     *
+     * @return id of the job
+     */
+    String submitAndWithdraw(VirtualNode node, JobSpec spec) {
+        String id = newJob(spec);
+        mInvariants.recordRequest(id);
+        callAt(
+                node,
+                submission(id, spec),
+                response -> {
+                    mInvariants.recordResponse(id, response.kind(), mClock.nowMs());
+                    cancel(id);
+                });
+        return id;
+    }
+
+    private String newJob(JobSpec spec) {
         String id = String.format("%016x", ++mLastJobNumber);
         mSpecs.put(id, spec);
         mInvariants.recordSubmission(id, spec, TEAM, MAX_FAILURES);
-        trySubmit(id, spec, maxTries);
         return id;
     }
 
+    private static JobRequest submission(String id, JobSpec spec) {
+        return JobRequest.of(JobRequestKind.SUBMIT, HOST, PREFIX + id, KEY, Optional.of(spec));
+    }
+
     private void trySubmit(String id, JobSpec spec, int triesLeft) {
         mInvariants.recordRequest(id);
         call(
-                JobRequest.of(JobRequestKind.SUBMIT, HOST, PREFIX + id, KEY, Optional.of(spec)),
+                submission(id, spec),
                 response -> {
                     mInvariants.recordResponse(id, response.kind(), mClock.nowMs());
                     if (response.kind() != JobResponseKind.ACCEPTED && triesLeft > 1) {
@@ -140,11 +168,12 @@
         call(
                 JobRequest.of(JobRequestKind.CANCEL, HOST, PREFIX + id, KEY, Optional.empty()),
                 response -> {
-                    if (response.kind() == JobResponseKind.CANCELLED) {
-                        mInvariants.recordCancellation(id, mClock.nowMs());
-                    } else if (response.kind() == JobResponseKind.NO_JOB) {
+                    if (response.kind() == JobResponseKind.NO_JOB) {
                         mInvariants.checkUnknownJob(id, mClock.nowMs());
                     }
+                    if (endsCancellation(response.kind())) {
+                        mInvariants.recordCancellation(id, mClock.nowMs());
+                    }
                     result.accept(response.kind());
                 });
     }
@@ -180,7 +209,11 @@
                     RETRY_DELAY_MS, () -> sink.accept(JobResponse.of(JobResponseKind.UNKNOWN)));
             return;
         }
-        VirtualNode node = running.get(mRandom.nextInt(running.size()));
+        callAt(running.get(mRandom.nextInt(running.size())), request, sink);
+    }
+
+    /** Sends a request to an entry. The entry may read it later than the caller waits for it. */
+    private void callAt(VirtualNode node, JobRequest request, Consumer<JobResponse> sink) {
         boolean[] completed = {false};
         Consumer<JobResponse> firstResponse =
                 response -> {
--- a/standin/src/test/java/org/hibiscususher/standin/scheduler/SchedulerSiteTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/scheduler/SchedulerSiteTest.java
@@ -440,6 +440,42 @@
         void holdsIfTheOwnerIsCutOff() {
             play(site -> site.cutOffFromStore(site.owner().orElseThrow(), 4_500));
         }
+
+        /** A submission waits at the frozen entry while the next owner is asked to cancel it. */
+        @ParameterizedTest
+        @ValueSource(longs = {2_500, 4_000, 6_500})
+        void holdsIfTheOwnerIsFrozen(long frozenMs) {
+            play(site -> site.freeze(site.owner().orElseThrow(), frozenMs));
+        }
+
+        @ParameterizedTest
+        @ValueSource(longs = {3_200, 5_000})
+        void holdsIfAnotherEntryIsFrozen(long frozenMs) {
+            play(site -> withdrawFromFrozenEntry(site, frozenMs));
+        }
+
+        /** The next owner must know what its predecessor has cancelled. */
+        @ParameterizedTest
+        @ValueSource(longs = {3_300, 3_900})
+        void holdsIfTheOwnerIsKilledBeforeTheSubmissionIsRead(long killedMs) {
+            play(
+                    site -> {
+                        String owner = site.owner().orElseThrow();
+                        withdrawFromFrozenEntry(site, 7_000);
+                        site.schedule(killedMs, () -> site.kill(owner, 20_000));
+                    });
+        }
+
+        /** Freezes an entry that is not the owner, with submissions that callers then cancel. */
+        private static void withdrawFromFrozenEntry(SchedulerSite site, long frozenMs) {
+            String owner = site.owner().orElseThrow();
+            String other =
+                    site.nodes().stream().filter(n -> !n.equals(owner)).findFirst().orElseThrow();
+            site.freeze(other, frozenMs);
+            for (int i = 0; i < 8; i++) {
+                site.submitAndWithdraw(other, JobSpecs.twoSteps(1, 6_000));
+            }
+        }
     }
 
     @Nested
--- a/standin/src/test/java/org/hibiscususher/standin/scheduler/SiteFault.java
+++ b/standin/src/test/java/org/hibiscususher/standin/scheduler/SiteFault.java
@@ -1,5 +1,6 @@
 package org.hibiscususher.standin.scheduler;
 
+import java.util.List;
 import java.util.Random;
 
 /**
@@ -132,6 +133,28 @@
             site.replaceQueue();
             site.schedule(random.nextInt(2_000), site::replaceQueue);
         }
+    },
+    /**
+     * An entry is suspended for 3 to 7 s, whose callers give up after 3 s and cancel at the other
+     * entries what it has not read.
+     */
+    CALLERS_OF_SUSPENDED_ENTRY_GIVE_UP {
+        @Override
+        void inject(SchedulerSite site, Random random) {
+            List<String> nodes = site.nodes();
+            String node = nodes.get(random.nextInt(nodes.size()));
+            long suspendedMs = 3_000 + random.nextInt(4_000);
+            if (random.nextBoolean()) {
+                site.freeze(node, suspendedMs);
+            } else {
+                site.pause(node, suspendedMs);
+            }
+            for (int i = 0; i < 5; i++) {
+                site.schedule(
+                        random.nextInt(500),
+                        () -> site.submitAndWithdraw(node, JobSpecs.twoSteps(2, 4_000)));
+            }
+        }
     };
 
     /** Injects the fault now; a lasting fault ends by itself. */
--- a/wire/src/main/java/org/hibiscususher/wire/scheduler/SchedulerRecordCodec.java
+++ b/wire/src/main/java/org/hibiscususher/wire/scheduler/SchedulerRecordCodec.java
@@ -47,6 +47,8 @@
             builder.setJob(encode(job));
         } else if (record instanceof StoredRecord.Progress progress) {
             builder.setProgress(encode(progress));
+        } else if (record instanceof StoredRecord.Cancellation cancellation) {
+            builder.getCancellationBuilder().setJob(cancellation.job());
         } else if (record instanceof StoredRecord.Executors executors) {
             executors
                     .executors()
@@ -130,6 +132,7 @@
                             record.getTerm().getOpenList());
             case JOB -> decode(record.getJob());
             case PROGRESS -> decode(record.getProgress());
+            case CANCELLATION -> new StoredRecord.Cancellation(record.getCancellation().getJob());
             case EXECUTORS -> decode(record.getExecutors());
             case WAVE ->
                     new StoredRecord.Wave(
--- a/wire/src/test/java/org/hibiscususher/wire/scheduler/SchedulerRecordCodecTest.java
+++ b/wire/src/test/java/org/hibiscususher/wire/scheduler/SchedulerRecordCodecTest.java
@@ -66,6 +66,7 @@
                         JobState.RUNNING,
                         List.of(new StepProgress(1, 0, BigInteger.valueOf(5).shiftLeft(70))),
                         List.of(new TaskProgress(1, 0, 3, List.of(1, 1001), "saved"))),
+                new StoredRecord.Cancellation("id"),
                 new StoredRecord.Executors(List.of(new UsedExecutor("x", "p"))),
                 new StoredRecord.Wave(3, List.of("h1", "h2")),
                 new StoredRecord.HostOrders(List.of("h1", "h2")));
