--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/SchedulerSite.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/SchedulerSite.java
@@ -6,15 +6,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
-import java.util.Set;
 import org.hibiscususher.core.job.JobConfiguration;
-import org.hibiscususher.core.job.JobPolicy;
-import org.hibiscususher.core.job.JobPool;
-import org.hibiscususher.core.job.JobQueue;
 import org.hibiscususher.core.job.JobResponse;
 import org.hibiscususher.core.job.JobSpec;
 import org.hibiscususher.core.job.JobState;
-import org.hibiscususher.core.job.JobTeam;
 import org.hibiscususher.core.job.Resources;
 import org.hibiscususher.core.job.StepSpec;
 import org.hibiscususher.core.job.TaskKey;
@@ -57,21 +52,18 @@
     private final VirtualCallers mCallers;
     private final VirtualLinks mLinks;
     private final List<String> mLogLines = new ArrayList<>();
-    private final Resources mTeamLimit;
+    private final VirtualConfiguration mConfiguration;
 
     private Optional<VirtualHosts> mHosts = Optional.empty();
     private List<WaveOrder> mWaves = List.of();
 
-    /** Version of the configuration; each one gives the only queue another name. */
-    private long mVersion = 1;
-
     private SchedulerSite(int nodes, int executors, Resources teamLimit, long seed) {
         mRandom = new Random(seed);
         mCallers = new VirtualCallers(this, mRandom);
         mLinks = new VirtualLinks(mClock, mCallers, mNodes);
         mExecutors = new VirtualExecutors(mClock, mRandom, mInvariants);
         mStore = new VirtualKeyValueStore(mClock, mRandom);
-        mTeamLimit = teamLimit;
+        mConfiguration = new VirtualConfiguration(teamLimit);
         mInvariants.setTeamLimit(VirtualCallers.TEAM, teamLimit);
         for (int i = 0; i < executors; i++) {
             String id = "x" + i;
@@ -226,22 +218,13 @@
      * from the store.
      */
     public void replaceQueue() {
-        mVersion++;
+        mConfiguration.replaceQueue();
         mNodes.values().forEach(node -> mClock.after(LINK_LATENCY_MS, node::storeChanged));
     }
 
-    /** Returns the configuration in force, with one queue, one pool and one team. */
+    /** Returns the configuration in force. */
     JobConfiguration configuration() {
-        JobPolicy policy =
-                new JobPolicy(
-                        "queue" + mVersion, POOL, 0, VirtualCallers.MAX_FAILURES, 2, 500, false);
-        return new JobConfiguration(
-                mVersion,
-                List.of(new JobQueue(VirtualCallers.HOST, VirtualCallers.PREFIX, false, policy)),
-                List.of(new JobPool(POOL, true, false)),
-                List.of(
-                        new JobTeam(
-                                VirtualCallers.TEAM, 1, mTeamLimit, Set.of(VirtualCallers.KEY))));
+        return mConfiguration.current();
     }
 
     StepSpec step(TaskKey task) {
