--- a/core/src/test/java/org/hibiscususher/core/scheduler/host/MovableHostsTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/host/MovableHostsTest.java
@@ -52,10 +52,16 @@
     }
 
     private MovableHosts select() {
-        PoolDemand calm = new PoolDemand("calm", 3, 2 * HOST_CPU, 0, 3 * HOST_CPU, 0, 0, 0, 0);
+        return select(
+                Map.of(
+                        "calm",
+                        new PoolDemand("calm", 3, 2 * HOST_CPU, 0, 3 * HOST_CPU, 0, 0, 0, 0)));
+    }
+
+    private MovableHosts select(Map<String, PoolDemand> demands) {
         return MovableHosts.select(
                 new SchedulerTick(mWorld, NOW_MS, NOW_MS, List.of(), () -> 1),
-                Map.of("calm", calm),
+                demands,
                 0,
                 HOST_CPU);
     }
@@ -74,6 +80,13 @@
             assertThat(select().pollHostFor("calm")).isEmpty();
         }
 
+        /** Accepted jobs may still wait in a pool that a later configuration has withdrawn. */
+        @Test
+        void returnsNoHostOfAPoolThatIsNotDeclared() {
+            MovableHosts movable = select(Map.of());
+            assertThat(movable.pollHostFor("first")).isEmpty();
+        }
+
         @Test
         void skipsHostThatJoinedJustNow() {
             for (int i = 0; i < 3; i++) {
--- a/core/src/test/java/org/hibiscususher/core/scheduler/job/JobOwner.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/job/JobOwner.java
@@ -1,6 +1,7 @@
 package org.hibiscususher.core.scheduler.job;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -90,23 +91,35 @@
         return owner;
     }
 
-    /** Returns a queue of the only pool. */
+    /** Returns a queue of the pool of the executor. */
     static JobQueue queue(String name, String prefix) {
-        return new JobQueue("host", prefix, true, new JobPolicy(name, "p", 0, 3, 2, 500, false));
+        return queue(name, prefix, "p");
     }
 
-    /** Puts a configuration with these queues alone in force. */
+    static JobQueue queue(String name, String prefix, String pool) {
+        return new JobQueue("host", prefix, true, new JobPolicy(name, pool, 0, 3, 2, 500, false));
+    }
+
+    /** Puts a configuration with these queues and their pools alone in force. */
     void configure(JobQueue... queues) {
         mVersion++;
         JobConfiguration configuration =
                 new JobConfiguration(
                         mVersion,
                         List.of(queues),
-                        List.of(new JobPool("p", true, false)),
+                        pools(queues),
                         List.of(new JobTeam("t", 1, Resources.NONE, Set.of("key"))));
         tick(0, new ConfigurationUpdated(configuration, mVersion));
     }
 
+    private static List<JobPool> pools(JobQueue... queues) {
+        return Arrays.stream(queues)
+                .map(queue -> queue.policy().pool())
+                .distinct()
+                .map(pool -> new JobPool(pool, true, false))
+                .toList();
+    }
+
     void setLeaseLeft(long leftMs) {
         setTerm(TermStage.OWNING, leftMs);
     }
@@ -223,6 +236,10 @@
         return outputs(StartRun.class).findAny().isPresent();
     }
 
+    boolean startsRunOf(String job) {
+        return outputs(StartRun.class).anyMatch(start -> start.task().jobId().equals(job));
+    }
+
     private <T extends SchedulerOutput> Stream<T> outputs(Class<T> type) {
         return mOutputs.stream().filter(type::isInstance).map(type::cast);
     }
--- a/core/src/test/java/org/hibiscususher/core/scheduler/job/RouteChangeTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/job/RouteChangeTest.java
@@ -121,6 +121,20 @@
         }
     }
 
+    @Nested
+    class QueueWithAnotherPool {
+        /** Its tasks start on executors of a pool that is no longer declared. */
+        @Test
+        void leavesItsJobsWhereTheyWereAccepted() {
+            String second = "0000000000000002";
+            mOwner.tick(10, request(2, JobRequestKind.SUBMIT, "/q/" + second));
+            mOwner.configure(queue("q", "/q/", "other"));
+            assertThat(mOwner.startsRunOf(second)).isFalse();
+            mOwner.storeCommits(10);
+            assertThat(mOwner.startsRunOf(second)).isTrue();
+        }
+    }
+
     /** Records of a version that kept the name of the queue alone. */
     @Nested
     class JobWithoutAnAddress {
