--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/SchedulerSite.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/SchedulerSite.java
@@ -14,13 +14,10 @@
 import org.hibiscususher.core.job.StepSpec;
 import org.hibiscususher.core.job.TaskKey;
 import org.hibiscususher.core.scheduler.message.ExecutorReport;
-import org.hibiscususher.core.scheduler.message.RecordKind;
-import org.hibiscususher.core.scheduler.message.RecordName;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.ShutdownRequested;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.StoreReachabilityChanged;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.WaveOrdered;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput;
-import org.hibiscususher.core.scheduler.message.StoredRecord;
 import org.hibiscususher.core.scheduler.message.WaveOrder;
 
 /**
@@ -35,14 +32,9 @@
 
     private static final long LINK_LATENCY_MS = 1;
 
-    private static final long WAVE_DURATION_MS = 60_000;
-
     /** Interval at which the platform sends the list of executors during a wave. */
     private static final long REPORT_INTERVAL_MS = 1_500;
 
-    /** Capacity of each executor. */
-    static final Resources CAPACITY = Resources.of(8_000, 16_000, 0);
-
     private final VirtualClock mClock = new VirtualClock();
     private final Random mRandom;
     private final InvariantChecker mInvariants = new InvariantChecker();
@@ -51,12 +43,10 @@
     private final VirtualExecutors mExecutors;
     private final VirtualCallers mCallers;
     private final VirtualLinks mLinks;
+    private final VirtualWave mWave;
     private final List<String> mLogLines = new ArrayList<>();
     private final VirtualConfiguration mConfiguration;
 
-    private Optional<VirtualHosts> mHosts = Optional.empty();
-    private List<WaveOrder> mWaves = List.of();
-
     private SchedulerSite(int nodes, int executors, Resources teamLimit, long seed) {
         mRandom = new Random(seed);
         mCallers = new VirtualCallers(this, mRandom);
@@ -65,22 +55,8 @@
         mStore = new VirtualKeyValueStore(mClock, mRandom);
         mConfiguration = new VirtualConfiguration(teamLimit);
         mInvariants.setTeamLimit(VirtualCallers.TEAM, teamLimit);
-        for (int i = 0; i < executors; i++) {
-            String id = "x" + i;
-            ExecutorReport report =
-                    new ExecutorReport(
-                            id,
-                            POOL,
-                            id + ":1",
-                            "zone",
-                            "h" + i,
-                            List.of("a", "r" + i / 2),
-                            CAPACITY,
-                            false,
-                            0,
-                            1);
-            mExecutors.add(report);
-        }
+        mExecutors.addInitial(executors);
+        mWave = new VirtualWave(this, mRandom);
         for (int i = 0; i < nodes; i++) {
             mNodes.put("n" + i, new VirtualNode(this, "n" + i));
         }
@@ -129,11 +105,11 @@
     }
 
     List<WaveOrder> waves() {
-        return mWaves;
+        return mWave.orders();
     }
 
     Optional<VirtualHosts> hosts() {
-        return mHosts;
+        return mWave.hosts();
     }
 
     /**
@@ -142,10 +118,7 @@
      * @param maxHosts greatest number of hosts out of service at once
      */
     public void startWave(int maxHosts) {
-        List<String> ids = reports().stream().map(ExecutorReport::host).toList();
-        WaveOrder wave = new WaveOrder(1, ids, WAVE_DURATION_MS, maxHosts);
-        mHosts = Optional.of(new VirtualHosts(this, mRandom, wave));
-        mWaves = List.of(wave);
+        WaveOrder wave = mWave.start(maxHosts);
         mNodes.values().stream()
                 .filter(VirtualNode::isUp)
                 .forEach(node -> node.receive(new WaveOrdered(wave)));
@@ -163,10 +136,7 @@
      * the wave reports it as done.
      */
     public boolean isWaveDone() {
-        StoredRecord status = mStore.find(RecordName.of(RecordKind.WAVE_STATUS, "1")).orElse(null);
-        return mHosts.filter(VirtualHosts::allMaintenanceStarted).isPresent()
-                && status instanceof StoredRecord.WaveStatus waveStatus
-                && waveStatus.done();
+        return mWave.isDone();
     }
 
     /**
@@ -175,8 +145,7 @@
      * @param share probability that a response is dropped, 0 to 1
      */
     public void dropHostOrderResponses(double share, long forMs) {
-        mHosts.ifPresent(hosts -> hosts.dropResponses(share));
-        mClock.after(forMs, () -> mHosts.ifPresent(hosts -> hosts.dropResponses(0)));
+        mWave.dropOrderResponses(share, forMs);
     }
 
     /**
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualExecutors.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualExecutors.java
@@ -9,10 +9,14 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import org.hibiscususher.core.job.Resources;
 import org.hibiscususher.core.scheduler.message.ExecutorReport;
 
 /** The executors of a simulated site, and the platform's list of them. */
 final class VirtualExecutors {
+    /** Capacity of each executor. */
+    static final Resources CAPACITY = Resources.of(8_000, 16_000, 0);
+
     /** Time that the platform continues to list an executor after its end. */
     private static final long STALE_REPORT_MS = 3_500;
 
@@ -30,6 +34,25 @@
         mInvariants = requireNonNull(invariants);
     }
 
+    /** Starts a number of executors, each on its own host and two in a rack. */
+    void addInitial(int count) {
+        for (int i = 0; i < count; i++) {
+            String id = "x" + i;
+            add(
+                    new ExecutorReport(
+                            id,
+                            SchedulerSite.POOL,
+                            id + ":1",
+                            "zone",
+                            "h" + i,
+                            List.of("a", "r" + i / 2),
+                            CAPACITY,
+                            false,
+                            0,
+                            1));
+        }
+    }
+
     /** Starts an executor. */
     void add(ExecutorReport report) {
         mExecutors.put(report.id(), new VirtualExecutor(mClock, mRandom, mInvariants, report));
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualHosts.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualHosts.java
@@ -87,7 +87,7 @@
                 outOfService ? HostState.MAINTENANCE : HostState.UP,
                 "zone",
                 List.of(),
-                SchedulerSite.CAPACITY,
+                VirtualExecutors.CAPACITY,
                 outOfService ? "" : executor);
     }
 
