Tick time by system and age of commits are measured and logged

In a flood of submissions the owner's commits and its lease renewals fell behind, and neither logs nor metrics told whether the control thread or the store was the cause. The log event tick-slow names the systems of a tick of 20 ms or more, commit-slow the commits of 200 ms or more; the metrics page has histograms of both, and of the records of a commit. Decisions read no clock for it: the scheduler gets a clock for measurements alone. SchedulerTest$SlowTick.

--- a/core/src/main/java/org/hibiscususher/core/scheduler/control/Scheduler.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/control/Scheduler.java
@@ -3,6 +3,7 @@
 import static java.util.Objects.requireNonNull;
 
 import java.util.List;
+import java.util.function.LongSupplier;
 import org.agrona.collections.MutableLong;
 import org.hibiscususher.core.scheduler.message.SchedulerInput;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput;
@@ -18,15 +19,28 @@
  */
 public final class Scheduler {
     private final SchedulerWorld mWorld;
+    private final LongSupplier mNanoClock;
     private final MutableLong mCallId = new MutableLong();
 
-    private Scheduler(SchedulerWorld world) {
+    private Scheduler(SchedulerWorld world, LongSupplier nanoClock) {
         mWorld = world;
+        mNanoClock = nanoClock;
     }
 
     /** Creates the scheduler of a process that has just started; it owns nothing yet. */
     public static Scheduler create(SchedulerSettings settings) {
-        return new Scheduler(SchedulerWorld.create(requireNonNull(settings)));
+        return create(settings, () -> 0);
+    }
+
+    /**
+     * Creates the scheduler of a process that has just started; it owns nothing yet.
+     *
+     * @param nanoClock clock in nanoseconds by which the time of each system is measured; no
+     *     decision depends on it
+     */
+    public static Scheduler create(SchedulerSettings settings, LongSupplier nanoClock) {
+        return new Scheduler(
+                SchedulerWorld.create(requireNonNull(settings)), requireNonNull(nanoClock));
     }
 
     /**
@@ -41,9 +55,12 @@
     public List<SchedulerOutput> tick(long nowMs, long wallMs, List<SchedulerInput> inputs) {
         SchedulerTick tick =
                 new SchedulerTick(mWorld, nowMs, wallMs, inputs, mCallId::incrementAndGet);
+        TickTimes times = TickTimes.start(mNanoClock.getAsLong());
         for (SchedulerPhase phase : SchedulerPhase.values()) {
             tick.attempt(phase.name(), () -> phase.run(tick));
+            times.record(phase, mNanoClock.getAsLong());
         }
+        times.report(tick);
         return tick.outputs();
     }
 
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/CommitSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/CommitSystem.java
@@ -17,8 +17,8 @@
 import org.hibiscususher.core.scheduler.message.SchedulerInput.CommitConflict;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.CommitFailed;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.Committed;
-import org.hibiscususher.core.scheduler.message.SchedulerOutput;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.Commit;
+import org.hibiscususher.core.scheduler.message.SchedulerOutput.Measure;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.Respond;
 import org.hibiscususher.core.scheduler.message.StoredRecord;
 import org.hibiscususher.core.scheduler.world.CommitPurpose;
@@ -53,6 +53,9 @@
 
     private static final int MAX_TIMEOUT_MS = 1_500;
 
+    /** Age from which a commit that took effect is logged as slow, in milliseconds. */
+    private static final long SLOW_COMMIT_MS = 200;
+
     /** Most commits in flight. */
     private static final int MAX_IN_FLIGHT = 8;
 
@@ -150,7 +153,7 @@
         SchedulerWorld world = tick.world();
         world.commits().remove(commit.id());
         world.storeHealth().set(world.storeHealth().get().withSuccess(tick.nowMs()));
-        tick.emit(new SchedulerOutput.Measure("store.commit", tick.nowMs() - commit.sentMs()));
+        measure(tick, commit);
         for (RecordName name : commit.removals()) {
             world.revisions().remove(name);
             world.pendingRemovals().remove(name);
@@ -165,6 +168,26 @@
         }
     }
 
+    private static void measure(SchedulerTick tick, CommitRow commit) {
+        long ageMs = tick.nowMs() - commit.sentMs();
+        tick.emit(new Measure("store.commit", ageMs));
+        tick.emit(new Measure("store.commit-records", commit.writes().size()));
+        if (ageMs >= SLOW_COMMIT_MS) {
+            tick.log(
+                    "commit-slow",
+                    "age_ms="
+                            + ageMs
+                            + " attempts="
+                            + commit.attempts()
+                            + " records="
+                            + commit.writes().size()
+                            + " in_flight="
+                            + tick.world().commits().rows().size()
+                            + " pending_requests="
+                            + tick.world().pendingRequests().rows().size());
+        }
+    }
+
     /**
      * Applies that the conditions of a commit did not hold.
      *
--- a/core/src/test/java/org/hibiscususher/core/scheduler/control/SchedulerTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/control/SchedulerTest.java
@@ -249,4 +249,37 @@
             assertThat(query("valid")).isEqualTo(JobResponseKind.NO_JOB);
         }
     }
+
+    /** Slow ticks that the log doesn't explain. */
+    @Nested
+    class SlowTick {
+        private static final long STEP_NS = 3_000_000;
+
+        private long mNs;
+
+        @Test
+        void logsWhichSystemsTookLong() {
+            Scheduler scheduler =
+                    Scheduler.create(
+                            new SchedulerSettings(
+                                    "n", 1, "n", List.of(), 0, SchedulerTiming.DEFAULT),
+                            () -> mNs += STEP_NS);
+            List<SchedulerOutput> outputs = scheduler.tick(NOW_MS, NOW_MS, List.of());
+            assertThat(outputs)
+                    .filteredOn(o -> o instanceof SchedulerOutput.Log log && isTickSlow(log))
+                    .singleElement()
+                    .asString()
+                    .contains("PLACEMENT=3");
+        }
+
+        private boolean isTickSlow(SchedulerOutput.Log log) {
+            return log.event().equals("tick-slow");
+        }
+
+        @Test
+        void logsNothingOfAFastTick() {
+            assertThat(tick())
+                    .noneMatch(o -> o instanceof SchedulerOutput.Log log && isTickSlow(log));
+        }
+    }
 }
