The owner decides on submissions without a pass over all tasks and runs

The backlog of a pool is now derived at most once in 25 ms and searched by priority, and jobs on their way to the store count; jobs and pending requests are indexed by what they wait for; full batches of new jobs are sent in the tick that fills them.

--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/BacklogLimit.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/BacklogLimit.java
@@ -1,18 +1,9 @@
 package org.hibiscususher.core.scheduler.job;
 
-import java.util.HashMap;
-import java.util.Map;
-import org.hibiscususher.core.job.StepSpec;
 import org.hibiscususher.core.scheduler.placement.StartPriority;
-import org.hibiscususher.core.scheduler.placement.TeamShares;
-import org.hibiscususher.core.scheduler.world.ExecutorRow;
-import org.hibiscususher.core.scheduler.world.HostOperationRow;
 import org.hibiscususher.core.scheduler.world.JobRow;
-import org.hibiscususher.core.scheduler.world.RunRow;
+import org.hibiscususher.core.scheduler.world.PoolBacklogRow;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
-import org.hibiscususher.core.scheduler.world.TaskGroup;
-import org.hibiscususher.core.scheduler.world.TaskRow;
-import org.hibiscususher.core.scheduler.world.TaskState;
 
 /**
  * Rejects a new job that would end too late to be of use.
@@ -37,9 +28,6 @@
     /** Range of the jitter that is added to the retry time, in milliseconds. */
     private static final int RETRY_JITTER_MS = 2_000;
 
-    /** Part of a pool's capacity that short jobs get in the long run at least, in percent. */
-    private static final int MIN_AVAILABLE_PERCENT = 10;
-
     private BacklogLimit() {}
 
     /**
@@ -80,65 +68,17 @@
      * @param nowMs the time on the steady clock
      */
     static Decision decide(SchedulerWorld world, JobRow job, long nowMs) {
-        String pool = job.policy().pool();
-        long cpuMillis = availableCpuMillis(world, pool);
         boolean startsLater = job.spec().isScheduled();
-        if (cpuMillis == 0 || job.spec().isService() || startsLater) {
+        if (job.spec().isService() || startsLater) {
             return Decision.ACCEPTED;
         }
-        TeamShares shares = TeamShares.of(world, pool);
-        StartPriority priority = StartPriority.of(world, job, shares, nowMs);
-        long waitMs = workAhead(world, pool, priority, shares, nowMs) / cpuMillis;
-        return new Decision(waitMs, maxWaitMs(job), shares.isOverShare(job.team()));
-    }
-
-    /** Returns the processor capacity of a pool without services, in thousandths of a core. */
-    private static long availableCpuMillis(SchedulerWorld world, String pool) {
-        long capacityMillis = 0;
-        long serviceMillis = 0;
-        int executors = 0;
-        for (ExecutorRow row : world.executors().group(pool)) {
-            capacityMillis += row.report().capacity().cpuMillis();
-            executors++;
-            for (RunRow run : world.runs().group(row.id())) {
-                serviceMillis +=
-                        JobLifecycle.isService(world, run) ? run.reserved().cpuMillis() : 0;
-            }
-        }
-        long perHostMillis = capacityMillis / Math.max(1, executors);
-        for (HostOperationRow row : world.hostOperations().rows()) {
-            capacityMillis += row.destinationPool().equals(pool) ? perHostMillis : 0;
-        }
-        return Math.max(
-                capacityMillis - serviceMillis, capacityMillis * MIN_AVAILABLE_PERCENT / 100);
-    }
-
-    /**
-     * Returns the estimated work of the waiting tasks that start before a new job, in thousandths
-     * of a core times milliseconds.
-     */
-    private static long workAhead(
-            SchedulerWorld world,
-            String pool,
-            StartPriority priority,
-            TeamShares shares,
-            long nowMs) {
-        Map<String, Boolean> ahead = new HashMap<>();
-        long workMillis = 0;
-        for (TaskRow task : world.tasks().group(new TaskGroup(pool, TaskState.WAITING))) {
-            JobRow job = world.jobs().find(task.key().jobId()).orElseThrow();
-            boolean isAhead =
-                    ahead.computeIfAbsent(
-                            job.id(),
-                            id ->
-                                    StartPriority.of(world, job, shares, nowMs).compareTo(priority)
-                                            <= 0);
-            StepSpec spec = job.spec().steps().get(task.key().stepKey().step());
-            if (isAhead && !spec.service()) {
-                workMillis += spec.reserved().cpuMillis() * spec.estimateMs();
-            }
+        PoolBacklogRow backlog = PoolBacklogs.current(world, job.policy().pool(), nowMs);
+        if (backlog.cpuMillis() == 0) {
+            return Decision.ACCEPTED;
         }
-        return workMillis;
+        StartPriority priority = StartPriority.of(world, job, backlog.shares(), nowMs);
+        long waitMs = backlog.workAhead(priority) / backlog.cpuMillis();
+        return new Decision(waitMs, maxWaitMs(job), backlog.shares().isOverShare(job.team()));
     }
 
     /** Returns the longest wait after which a job still ends in time to be of use. */
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/JobLifecycle.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/JobLifecycle.java
@@ -116,9 +116,9 @@
     }
 
     /** Returns the requests that wait until the store holds a change of a job. */
-    static List<PendingRequestRow> requestsAwaitingStore(SchedulerWorld world, String id) {
-        return world.pendingRequests().rows().stream()
-                .filter(r -> r.stage() == PendingRequestStage.AWAITING_STORE && r.job().equals(id))
+    public static List<PendingRequestRow> requestsAwaitingStore(SchedulerWorld world, String id) {
+        return world.pendingRequests().group(id).stream()
+                .filter(r -> r.stage() == PendingRequestStage.AWAITING_STORE)
                 .toList();
     }
 
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/JobRequestDecision.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/JobRequestDecision.java
@@ -223,6 +223,7 @@
             rejectForOutage(tick, pending, id);
         } else {
             world.jobs().put(id, job);
+            PoolBacklogs.add(world, job, tick.nowMs());
             awaitStore(tick, pending, id);
         }
     }
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/PoolBacklogs.java
@@ -0,0 +1,132 @@
+package org.hibiscususher.core.scheduler.job;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.hibiscususher.core.job.StepSpec;
+import org.hibiscususher.core.scheduler.placement.StartPriority;
+import org.hibiscususher.core.scheduler.placement.TeamShares;
+import org.hibiscususher.core.scheduler.world.ExecutorRow;
+import org.hibiscususher.core.scheduler.world.HostOperationRow;
+import org.hibiscususher.core.scheduler.world.JobRow;
+import org.hibiscususher.core.scheduler.world.JobStage;
+import org.hibiscususher.core.scheduler.world.PoolBacklogRow;
+import org.hibiscususher.core.scheduler.world.QueuedWork;
+import org.hibiscususher.core.scheduler.world.RunRow;
+import org.hibiscususher.core.scheduler.world.SchedulerWorld;
+import org.hibiscususher.core.scheduler.world.TaskGroup;
+import org.hibiscususher.core.scheduler.world.TaskRow;
+import org.hibiscususher.core.scheduler.world.TaskState;
+
+/**
+ * Keeps the backlog of each pool, by which new jobs are accepted or rejected.
+ *
+ * <p>Answers submissions that come faster than a pass over all tasks and runs for each of them
+ * would allow. Such passes make ticks longer, more submissions collect meanwhile, and in the end
+ * the renewal of leases and commits comes too late. A backlog is derived at most once in {@link
+ * #MAX_AGE_MS}; jobs that are accepted meanwhile are added to it.
+ */
+final class PoolBacklogs {
+    /** Age up to which a backlog is used, in milliseconds. */
+    static final long MAX_AGE_MS = 25;
+
+    /** Part of a pool's capacity that short jobs get in the long run at least, in percent. */
+    private static final int MIN_AVAILABLE_PERCENT = 10;
+
+    private PoolBacklogs() {}
+
+    /** Returns the backlog of a pool, derived anew if it is too old. */
+    static PoolBacklogRow current(SchedulerWorld world, String pool, long nowMs) {
+        PoolBacklogRow known = world.poolBacklogs().find(pool).orElse(null);
+        if (known != null
+                && nowMs - known.takenMs() < MAX_AGE_MS
+                && hasCapacityAsIn(world, known)) {
+            return known;
+        }
+        PoolBacklogRow derived = derive(world, pool, nowMs);
+        world.poolBacklogs().put(pool, derived);
+        return derived;
+    }
+
+    /** Returns whether a pool has any executor exactly if a backlog of it has capacity. */
+    private static boolean hasCapacityAsIn(SchedulerWorld world, PoolBacklogRow backlog) {
+        return world.executors().group(backlog.pool()).isEmpty() == (backlog.cpuMillis() == 0);
+    }
+
+    /** Adds a job that has just been accepted to the backlog of its pool. */
+    static void add(SchedulerWorld world, JobRow job, long nowMs) {
+        if (!job.spec().isService() && !job.spec().isScheduled()) {
+            world.poolBacklogs()
+                    .update(
+                            job.policy().pool(),
+                            backlog ->
+                                    backlog.with(firstWork(world, job, backlog.shares(), nowMs)));
+        }
+    }
+
+    private static PoolBacklogRow derive(SchedulerWorld world, String pool, long nowMs) {
+        TeamShares shares = TeamShares.of(world, pool);
+        List<QueuedWork> queued = new ArrayList<>();
+        workByJob(world, pool)
+                .forEach((id, work) -> queued.add(queuedWork(world, id, work, shares, nowMs)));
+        for (JobRow job : world.jobs().group(JobStage.UNSTORED)) {
+            boolean counts = !job.state().isFinal() && job.policy().pool().equals(pool);
+            if (counts && !job.spec().isService() && !job.spec().isScheduled()) {
+                queued.add(firstWork(world, job, shares, nowMs));
+            }
+        }
+        return PoolBacklogRow.of(pool, nowMs, availableCpuMillis(world, pool), shares, queued);
+    }
+
+    /** Returns the estimated work of the waiting tasks in a pool, by job id. */
+    private static Map<String, Long> workByJob(SchedulerWorld world, String pool) {
+        Map<String, Long> workByJob = new HashMap<>();
+        for (TaskRow task : world.tasks().group(new TaskGroup(pool, TaskState.WAITING))) {
+            StepSpec spec = JobLifecycle.findSpec(world, task.key().stepKey()).orElseThrow();
+            workByJob.merge(task.key().jobId(), spec.service() ? 0 : taskWork(spec), Long::sum);
+        }
+        return workByJob;
+    }
+
+    private static QueuedWork queuedWork(
+            SchedulerWorld world, String id, long work, TeamShares shares, long nowMs) {
+        JobRow job = world.jobs().find(id).orElseThrow();
+        return new QueuedWork(StartPriority.of(world, job, shares, nowMs), work);
+    }
+
+    private static long taskWork(StepSpec spec) {
+        return spec.reserved().cpuMillis() * spec.estimateMs();
+    }
+
+    /** Returns the work of the steps with which a job begins once the store holds it. */
+    private static QueuedWork firstWork(
+            SchedulerWorld world, JobRow job, TeamShares shares, long nowMs) {
+        long work = 0;
+        for (StepSpec spec : job.spec().steps()) {
+            work += spec.dependsOn().isEmpty() ? spec.count() * taskWork(spec) : 0;
+        }
+        return new QueuedWork(StartPriority.of(world, job, shares, nowMs), work);
+    }
+
+    /** Returns the processor capacity of a pool without services, in thousandths of a core. */
+    private static long availableCpuMillis(SchedulerWorld world, String pool) {
+        long capacityMillis = 0;
+        long serviceMillis = 0;
+        int executors = 0;
+        for (ExecutorRow row : world.executors().group(pool)) {
+            capacityMillis += row.report().capacity().cpuMillis();
+            executors++;
+            for (RunRow run : world.runs().group(row.id())) {
+                serviceMillis +=
+                        JobLifecycle.isService(world, run) ? run.reserved().cpuMillis() : 0;
+            }
+        }
+        long perHostMillis = capacityMillis / Math.max(1, executors);
+        for (HostOperationRow row : world.hostOperations().rows()) {
+            capacityMillis += row.destinationPool().equals(pool) ? perHostMillis : 0;
+        }
+        return Math.max(
+                capacityMillis - serviceMillis, capacityMillis * MIN_AVAILABLE_PERCENT / 100);
+    }
+}
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/CommitSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/CommitSystem.java
@@ -103,12 +103,20 @@
                 emit(tick, commit.withRetry(tick.nextCallId()));
             }
         }
-        if (mayOverlap(tick)) {
-            Commits.next(tick).ifPresent(commit -> emit(tick, commit));
+        while (mayOverlap(tick)) {
+            Optional<CommitRow> next = Commits.next(tick);
+            if (next.isEmpty()) {
+                return;
+            }
+            emit(tick, next.get());
         }
     }
 
-    /** Returns whether another commit may be sent beside those in flight. */
+    /**
+     * Returns whether another commit may be sent beside those in flight. A batch of new jobs that
+     * is full doesn't wait for further changes, so that in a surge of submissions neither the
+     * number of ticks nor the store's answers limit how many are stored.
+     */
     private static boolean mayOverlap(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
         List<CommitRow> inFlight = world.commits().rows();
@@ -120,7 +128,7 @@
         long latestMs = inFlight.get(inFlight.size() - 1).sentMs();
         return !releasing
                 && inFlight.size() < MAX_IN_FLIGHT
-                && tick.nowMs() - latestMs >= OVERLAP_DELAY_MS;
+                && (tick.nowMs() - latestMs >= OVERLAP_DELAY_MS || Commits.isBatchFull(world));
     }
 
     private static void emit(SchedulerTick tick, CommitRow commit) {
@@ -296,13 +304,9 @@
         }
     }
 
-    private static boolean isSubmissionWaiting(SchedulerWorld world, String job) {
-        return world.pendingRequests().rows().stream()
-                .anyMatch(
-                        p ->
-                                p.stage() == PendingRequestStage.AWAITING_STORE
-                                        && p.job().equals(job)
-                                        && p.request().kind() == JobRequestKind.SUBMIT);
+    static boolean isSubmissionWaiting(SchedulerWorld world, String job) {
+        return JobLifecycle.requestsAwaitingStore(world, job).stream()
+                .anyMatch(p -> p.request().kind() == JobRequestKind.SUBMIT);
     }
 
     private static void respond(
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/Commits.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/Commits.java
@@ -8,7 +8,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
-import org.hibiscususher.core.job.JobRequestKind;
 import org.hibiscususher.core.job.JobState;
 import org.hibiscususher.core.scheduler.job.JobCancellations;
 import org.hibiscususher.core.scheduler.job.JobLifecycle;
@@ -23,8 +22,7 @@
 import org.hibiscususher.core.scheduler.world.CommitRow;
 import org.hibiscususher.core.scheduler.world.HostOrderRow;
 import org.hibiscususher.core.scheduler.world.JobRow;
-import org.hibiscususher.core.scheduler.world.PendingRequestRow;
-import org.hibiscususher.core.scheduler.world.PendingRequestStage;
+import org.hibiscususher.core.scheduler.world.JobStage;
 import org.hibiscususher.core.scheduler.world.RunRow;
 import org.hibiscususher.core.scheduler.world.SchedulerSettings;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
@@ -86,20 +84,25 @@
         return names;
     }
 
+    /** Returns whether the new jobs that no commit in flight stores fill a commit. */
+    static boolean isBatchFull(SchedulerWorld world) {
+        if (world.jobs().group(JobStage.UNSTORED).size() < MAX_RECORDS) {
+            return false;
+        }
+        List<StoredRecord> records = new ArrayList<>();
+        addNewJobs(world, recordsInFlight(world), records);
+        return records.size() >= MAX_RECORDS;
+    }
+
     private static void addNewJobs(
             SchedulerWorld world, Set<RecordName> inFlight, List<StoredRecord> records) {
-        for (PendingRequestRow request : world.pendingRequests().rows()) {
+        for (JobRow job : world.jobs().group(JobStage.UNSTORED)) {
             if (records.size() >= MAX_RECORDS) {
                 return;
             }
-            if (request.stage() == PendingRequestStage.AWAITING_STORE
-                    && request.request().kind() == JobRequestKind.SUBMIT) {
-                world.jobs()
-                        .find(request.job())
-                        .filter(j -> !j.stored())
-                        .map(JobRow::record)
-                        .filter(r -> !records.contains(r) && !inFlight.contains(r.name()))
-                        .ifPresent(records::add);
+            if (!inFlight.contains(job.record().name())
+                    && CommitSystem.isSubmissionWaiting(world, job.id())) {
+                records.add(job.record());
             }
         }
     }
@@ -131,14 +134,12 @@
             Map<String, Long> versions,
             Predicate<JobState> states,
             long minAgeMs) {
-        for (JobRow job : tick.world().jobs().rows()) {
+        for (JobRow job : tick.world().jobs().group(JobStage.DIRTY)) {
             if (records.size() >= MAX_RECORDS) {
                 return;
             }
             boolean due = tick.nowMs() - job.dirtySinceMs() >= minAgeMs;
-            if (job.stored()
-                    && job.isDirty()
-                    && due
+            if (due
                     && states.test(job.state())
                     && !versions.containsKey(job.id())
                     && !inFlight.contains(RecordName.of(RecordKind.PROGRESS, job.id()))) {
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/JobRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/JobRow.java
@@ -190,6 +190,11 @@
         return version > storedVersion;
     }
 
+    /** Returns what has to be stored of the job. */
+    public JobStage stage() {
+        return JobStage.of(this);
+    }
+
     /** Returns whether runs of the job may be started now. */
     public boolean acceptsRuns() {
         return stored && !state.isFinal();
--- /dev/null
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/QueuedWork.java
@@ -0,0 +1,18 @@
+package org.hibiscususher.core.scheduler.world;
+
+import static java.util.Objects.requireNonNull;
+
+import org.hibiscususher.core.scheduler.placement.StartPriority;
+
+/**
+ * The tasks of one job that wait for executors.
+ *
+ * @param priority order in which they start
+ * @param work estimated work of the tasks, in thousandths of a core times milliseconds
+ */
+public record QueuedWork(StartPriority priority, long work) {
+    /** Rejects null components. */
+    public QueuedWork {
+        requireNonNull(priority);
+    }
+}
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerWorld.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerWorld.java
@@ -41,7 +41,8 @@
     private final Table<RecordName, Long> mRevisions = Table.create();
     private final Table<RecordName, StoredRecord> mPendingRecords = Table.create();
     private final Table<RecordName, RecordName> mPendingRemovals = Table.create();
-    private final Table<String, JobRow> mJobs = Table.create();
+    private final GroupedTable<String, JobRow, JobStage> mJobs =
+            GroupedTable.createBy(JobRow::stage);
     private final Table<String, CancellationRow> mCancellations = Table.create();
     private final Table<StepKey, StepRow> mSteps = Table.create();
     private final GroupedTable<TaskKey, TaskRow, TaskGroup> mTasks =
@@ -58,7 +59,9 @@
     private final Table<StepKey, AdviceRow> mAdvice = Table.create();
     private final SingleRowTable<AdviceRequestRow> mAdviceRequest =
             SingleRowTable.of(AdviceRequestRow.NONE);
-    private final Table<Long, PendingRequestRow> mPendingRequests = Table.create();
+    private final GroupedTable<Long, PendingRequestRow, String> mPendingRequests =
+            GroupedTable.createBy(PendingRequestRow::job);
+    private final Table<String, PoolBacklogRow> mPoolBacklogs = Table.create();
     private final Table<Long, WaveRow> mWaves = Table.create();
     private final Table<String, HostReport> mHosts = Table.create();
     private final Table<String, HostOperationRow> mHostOperations = Table.create();
@@ -171,8 +174,8 @@
         return mPendingRemovals;
     }
 
-    /** Returns the jobs by id. */
-    public Table<String, JobRow> jobs() {
+    /** Returns the jobs by id, grouped by what has to be stored of them. */
+    public GroupedTable<String, JobRow, JobStage> jobs() {
         return mJobs;
     }
 
@@ -231,11 +234,19 @@
         return mAdviceRequest;
     }
 
-    /** Returns the callers' requests that are not answered yet, by call id. */
-    public Table<Long, PendingRequestRow> pendingRequests() {
+    /**
+     * Returns the callers' requests that are not answered yet, by call id, grouped by the job that
+     * must be stored before they are.
+     */
+    public GroupedTable<Long, PendingRequestRow, String> pendingRequests() {
         return mPendingRequests;
     }
 
+    /** Returns the waiting work of each pool by name, as last derived from the other tables. */
+    public Table<String, PoolBacklogRow> poolBacklogs() {
+        return mPoolBacklogs;
+    }
+
     /** Returns the maintenance waves by number. */
     public Table<Long, WaveRow> waves() {
         return mWaves;
@@ -293,6 +304,7 @@
                 mFinishedRuns,
                 mUncertainStarts,
                 mAdvice,
+                mPoolBacklogs,
                 mHosts,
                 mHostOperations,
                 mHostOrders);
--- a/core/src/test/java/org/hibiscususher/core/scheduler/term/CommitSystemTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/term/CommitSystemTest.java
@@ -101,13 +101,30 @@
     class Overlap {
         @Test
         void sendsFurtherRecordsWhileTheStoreIsSlow() {
-            submit(0, 30);
+            submit(0, 10);
             assertThat(tick(0)).hasSize(1);
+            submit(10, 10);
             assertThat(tick(5)).isEmpty();
             assertThat(tick(30)).hasSize(1);
+            submit(20, 10);
             assertThat(tick(30)).hasSize(1);
         }
 
+        /**
+         * Guards against a surge of submissions of which each tick stores one batch, however many
+         * wait.
+         */
+        @Test
+        void sendsFullBatchesAtOnceUpToTheLimit() {
+            submit(0, 30);
+            List<Commit> commits = tick(0);
+            assertThat(commits).extracting(c -> c.writes().size()).containsExactly(13, 13);
+            assertThat(tick(5)).isEmpty();
+            submit(30, 200);
+            assertThat(tick(1)).hasSize(6);
+            assertThat(tick(1)).isEmpty();
+        }
+
         @Test
         void namesEachRecordInOneCommitOnly() {
             submit(0, 40);
