Ticks are measured with 10,000 waiting tasks (bin/bench tick); free capacity is checked by two bounds

A check whether a step may fit passed over the executors of the pool for each waiting step. It now tries the executor on which the last demand fitted, and keeps the smallest demand that fits nowhere.

--- a/core/src/main/java/org/hibiscususher/core/scheduler/placement/FreeCapacity.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/placement/FreeCapacity.java
@@ -21,11 +21,14 @@
     private final Map<String, Integer> mRunCounts = new HashMap<>();
 
     /**
-     * The last demand that fitted on no executor, or null. From one check to the next, free
+     * The smallest demand that fitted on no executor, or null. From one check to the next, free
      * capacity never grows, so a demand of at least this size need not be checked again.
      */
     private Resources mUnfitting;
 
+    /** The executor on which a demand fitted last, to be tried first; or null. */
+    private String mRoomiest;
+
     private FreeCapacity() {}
 
     /** Returns the free capacity of the executors of a pool that accept runs. */
@@ -71,11 +74,19 @@
         if (mUnfitting != null && mUnfitting.fitsIn(reserved)) {
             return false;
         }
-        boolean fits = mFree.values().stream().anyMatch(reserved::fitsIn);
-        if (!fits) {
+        if (mRoomiest != null && reserved.fitsIn(mFree.get(mRoomiest))) {
+            return true;
+        }
+        for (Map.Entry<String, Resources> executor : mFree.entrySet()) {
+            if (reserved.fitsIn(executor.getValue())) {
+                mRoomiest = executor.getKey();
+                return true;
+            }
+        }
+        if (mUnfitting == null || reserved.fitsIn(mUnfitting)) {
             mUnfitting = reserved;
         }
-        return fits;
+        return false;
     }
 
     /** Returns whether no executor of the pool accepts runs. */
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerWorld.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerWorld.java
@@ -2,6 +2,7 @@
 
 import static java.util.Objects.requireNonNull;
 
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import org.hibiscususher.core.job.JobConfiguration;
@@ -196,7 +197,13 @@
 
     /** Returns the groups of the tasks that wait in a pool. */
     public List<TaskGroup> waitingGroups(String pool) {
-        return mTasks.groups().stream().filter(group -> group.isWaitingIn(pool)).toList();
+        List<TaskGroup> waiting = new ArrayList<>();
+        for (TaskGroup group : mTasks.groups()) {
+            if (group.isWaitingIn(pool)) {
+                waiting.add(group);
+            }
+        }
+        return waiting;
     }
 
     /** Returns the runs by task, grouped by executor. */
--- a/standin/src/main/java/org/hibiscususher/standin/bench/BenchMain.java
+++ b/standin/src/main/java/org/hibiscususher/standin/bench/BenchMain.java
@@ -16,13 +16,17 @@
 public final class BenchMain {
     private static final Path CSV = Path.of("target", "bench.csv");
 
+    /** Waiting tasks while the scheduler's ticks are measured. */
+    private static final int WAITING_TASKS = 10_000;
+
     private BenchMain() {}
 
     /**
      * Runs the benchmark.
      *
      * @param args prefixes of the names of the scenarios to run, in any case, all scenarios if
-     *     there are none; arguments of digits only are seeds, by default seed 1
+     *     there are none; {@code tick} measures the scheduler's ticks; arguments of digits only are
+     *     seeds, by default seed 1
      */
     public static void main(String[] args) throws IOException {
         List<Long> seeds = new ArrayList<>();
@@ -37,6 +41,12 @@
         if (seeds.isEmpty()) {
             seeds.add(1L);
         }
+        if (prefixes.remove("TICK")) {
+            TickBench.run(WAITING_TASKS);
+            if (prefixes.isEmpty()) {
+                return;
+            }
+        }
         List<String> csv = new ArrayList<>(List.of(BenchResult.CSV_HEADER));
         System.out.println(
                 "site scenario contender seed: nearness median / worst twentieth, windows,"
