Entries refuse submissions that the owner could not decide on in time

Cause: an entry forwarded every submission at once. In a flood they waited in the owner's queue until forwards timed out, for all teams, and a new owner received all of them together.

What may have reached an owner is never refused. Requests carry the time at which their bytes were read.

--- a/core/src/main/java/org/hibiscususher/core/scheduler/control/SchedulerPhase.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/control/SchedulerPhase.java
@@ -1,5 +1,6 @@
 package org.hibiscususher.core.scheduler.control;
 
+import org.hibiscususher.core.scheduler.admission.ForwardLimitSystem;
 import org.hibiscususher.core.scheduler.executor.DrainingExecutorSystem;
 import org.hibiscususher.core.scheduler.executor.ExecutorSystem;
 import org.hibiscususher.core.scheduler.executor.HeartbeatSystem;
@@ -76,6 +77,12 @@
             NodeLifecycleSystem.run(tick);
         }
     },
+    FORWARD_LIMIT {
+        @Override
+        void run(SchedulerTick tick) {
+            ForwardLimitSystem.run(tick);
+        }
+    },
     JOB_REQUEST {
         @Override
         void run(SchedulerTick tick) {
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/JobCancellations.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/JobCancellations.java
@@ -5,7 +5,6 @@
 import org.hibiscususher.core.job.JobResponse;
 import org.hibiscususher.core.job.JobResponseKind;
 import org.hibiscususher.core.scheduler.message.RecordName;
-import org.hibiscususher.core.scheduler.message.SchedulerOutput.Respond;
 import org.hibiscususher.core.scheduler.message.StoredRecord;
 import org.hibiscususher.core.scheduler.world.CancellationRow;
 import org.hibiscususher.core.scheduler.world.PendingRequestRow;
@@ -66,7 +65,7 @@
                 rejectSubmission(tick, request);
             } else {
                 JobResponse unknown = JobResponse.of(JobResponseKind.NO_JOB);
-                tick.emit(new Respond(request.callId(), unknown));
+                tick.emit(request.respond(unknown));
             }
         }
     }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/JobLifecycle.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/JobLifecycle.java
@@ -15,7 +15,6 @@
 import org.hibiscususher.core.job.TaskKey;
 import org.hibiscususher.core.scheduler.executor.RunLifecycle;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput;
-import org.hibiscususher.core.scheduler.message.SchedulerOutput.Respond;
 import org.hibiscususher.core.scheduler.message.StoredRecord;
 import org.hibiscususher.core.scheduler.world.JobRow;
 import org.hibiscususher.core.scheduler.world.PendingRequestRow;
@@ -109,7 +108,7 @@
             SchedulerTick tick, String id, JobRequestKind kind, JobResponse response) {
         for (PendingRequestRow request : requestsAwaitingStore(tick.world(), id)) {
             if (request.request().kind() == kind) {
-                tick.emit(new Respond(request.callId(), response));
+                tick.emit(request.respond(response));
                 tick.world().pendingRequests().remove(request.callId());
             }
         }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/JobRequestDecision.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/JobRequestDecision.java
@@ -11,9 +11,9 @@
 import org.hibiscususher.core.job.JobSpec;
 import org.hibiscususher.core.job.JobState;
 import org.hibiscususher.core.job.JobTeam;
+import org.hibiscususher.core.job.OwnerLoad;
 import org.hibiscususher.core.scheduler.message.RecordKind;
 import org.hibiscususher.core.scheduler.message.RecordName;
-import org.hibiscususher.core.scheduler.message.SchedulerOutput.Respond;
 import org.hibiscususher.core.scheduler.message.StoredRecord;
 import org.hibiscususher.core.scheduler.term.Authority;
 import org.hibiscususher.core.scheduler.world.CancellationRow;
@@ -77,7 +77,7 @@
             respondUnknownJob(tick, pending);
         } else if (job.get().stored()) {
             JobResponse response = JobResponse.ofState(job.get().visibleState());
-            tick.emit(new Respond(pending.callId(), response));
+            tick.emit(pending.respond(response));
         } else {
             awaitStore(tick, pending, job.get().id());
         }
@@ -111,7 +111,7 @@
     private static void respondIfLeaseHolds(
             SchedulerTick tick, PendingRequestRow pending, JobResponse response) {
         if (Authority.mayDenyJobs(tick)) {
-            tick.emit(new Respond(pending.callId(), response));
+            tick.emit(pending.respond(response));
         } else {
             JobRequestSystem.awaitOwner(tick, pending);
         }
@@ -130,7 +130,7 @@
         if (job.isEmpty()) {
             cancelUnknownJob(tick, pending, id);
         } else if (job.get().storedState().isFinal()) {
-            tick.emit(new Respond(pending.callId(), JobResponse.of(JobResponseKind.CANCELLED)));
+            tick.emit(pending.respond(JobResponse.of(JobResponseKind.CANCELLED)));
         } else {
             JobLifecycle.finish(tick, id, JobState.CANCELLED, "caller");
             awaitStore(tick, pending, id);
@@ -193,7 +193,7 @@
         Optional<JobRow> existing = find(tick, pending.request());
         if (existing.isPresent()) {
             if (existing.get().stored()) {
-                tick.emit(new Respond(pending.callId(), JobResponse.of(JobResponseKind.ACCEPTED)));
+                tick.emit(pending.respond(JobResponse.of(JobResponseKind.ACCEPTED)));
             } else {
                 awaitStore(tick, pending, existing.get().id());
             }
@@ -258,12 +258,22 @@
                         + backlog.overShare());
         JobRequestRejection.reject(
                 tick,
-                pending,
+                pending.withOwnerLoad(extendedTo(pending, job, backlog)),
                 JobResponseKind.OVERLOADED,
                 "backlog",
                 backlog.retryAfterMs(job.id().hashCode()));
     }
 
+    /**
+     * Returns the load that extends a refusal to submissions with at least the same work, for as
+     * long as the backlog needs to shrink to what would be accepted.
+     */
+    private static Optional<OwnerLoad> extendedTo(
+            PendingRequestRow pending, JobRow job, BacklogLimit.Decision backlog) {
+        long rejectMs = backlog.waitMs() - backlog.maxWaitMs();
+        return pending.ownerLoad().map(load -> load.rejecting(rejectMs, job.spec().workCoreMs()));
+    }
+
     /** Returns the row of a job that is not stored yet. */
     private static JobRow newJob(
             SchedulerTick tick,
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/JobRequestRejection.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/JobRequestRejection.java
@@ -2,7 +2,6 @@
 
 import org.hibiscususher.core.job.JobResponse;
 import org.hibiscususher.core.job.JobResponseKind;
-import org.hibiscususher.core.scheduler.message.SchedulerOutput.Respond;
 import org.hibiscususher.core.scheduler.world.PendingRequestRow;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 
@@ -41,6 +40,6 @@
                         + " retry_after_ms="
                         + retryAfterMs);
         tick.count("refused." + reason);
-        tick.emit(new Respond(pending.callId(), JobResponse.refusal(kind, retryAfterMs, reason)));
+        tick.emit(pending.respond(JobResponse.refusal(kind, retryAfterMs, reason)));
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/JobRequestSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/JobRequestSystem.java
@@ -5,15 +5,17 @@
 import java.util.Optional;
 import org.hibiscususher.core.job.JobResponse;
 import org.hibiscususher.core.job.JobResponseKind;
+import org.hibiscususher.core.job.OwnerLoad;
+import org.hibiscususher.core.scheduler.admission.ForwardAdmission;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.ForwardAnswered;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.ForwardFailed;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.RequestReceived;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.Forward;
-import org.hibiscususher.core.scheduler.message.SchedulerOutput.Respond;
 import org.hibiscususher.core.scheduler.message.StoredRecord;
 import org.hibiscususher.core.scheduler.term.Authority;
 import org.hibiscususher.core.scheduler.world.PendingRequestRow;
 import org.hibiscususher.core.scheduler.world.PendingRequestStage;
+import org.hibiscususher.core.scheduler.world.RequestQueueRow;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
 
@@ -44,34 +46,45 @@
 
     /**
      * Handles new requests, those that wait for an owner, and the outcomes of those that were
-     * forwarded.
+     * forwarded. Outcomes come first, because they make room for further requests at the owner.
      */
     public static void run(SchedulerTick tick) {
+        List<RequestReceived> arrived = tick.inputs(RequestReceived.class);
+        RequestQueueRow queue = tick.world().requestQueue().get();
+        tick.world().requestQueue().set(queue.nextTick(oldestAgeMs(arrived, tick.nowMs())));
+        tick.forEachInput(
+                ForwardAnswered.class,
+                answered ->
+                        takeForwarded(tick, answered.callId())
+                                .ifPresent(pending -> passOn(tick, pending, answered.response())));
         for (PendingRequestRow pending : tick.world().pendingRequests().rows()) {
             if (pending.stage() == PendingRequestStage.AWAITING_OWNER) {
                 tick.world().pendingRequests().remove(pending.callId());
                 routeOrAnswer(tick, pending);
             }
         }
-        for (RequestReceived received : tick.inputs(RequestReceived.class)) {
-            routeOrAnswer(
-                    tick,
-                    PendingRequestRow.received(
-                            received.callId(), received.request(), tick.nowMs()));
-        }
-        tick.forEachInput(
-                ForwardAnswered.class,
-                answered ->
-                        takeForwarded(tick, answered.callId())
-                                .ifPresent(pending -> passOn(tick, pending, answered.response())));
         tick.forEachInput(
                 ForwardFailed.class,
                 failed ->
                         takeForwarded(tick, failed.callId())
                                 .ifPresent(pending -> routeAgain(tick, pending, failed)));
+        for (RequestReceived received : arrived) {
+            routeOrAnswer(
+                    tick,
+                    PendingRequestRow.received(
+                            received.callId(),
+                            received.request(),
+                            received.arrivedMs(),
+                            tick.nowMs()));
+        }
         answerOverdueForwards(tick);
     }
 
+    /** Returns for how long the oldest of the requests has waited for this tick. */
+    private static long oldestAgeMs(List<RequestReceived> arrived, long nowMs) {
+        return arrived.stream().mapToLong(r -> nowMs - r.arrivedMs()).reduce(0, Math::max);
+    }
+
     /** Routes a request; one whose handling fails is answered that its outcome is unknown. */
     private static void routeOrAnswer(SchedulerTick tick, PendingRequestRow pending) {
         if (!tick.attempt("request", () -> route(tick, pending))) {
@@ -96,9 +109,13 @@
             SchedulerTick tick, PendingRequestRow pending, JobResponse response) {
         if (response.kind().deniesEffect()) {
             JobRequestRejection.reject(
-                    tick, pending, response.kind(), response.reason(), response.retryAfterMs());
+                    tick,
+                    pending.withOwnerLoad(response.ownerLoad()),
+                    response.kind(),
+                    response.reason(),
+                    response.retryAfterMs());
         } else {
-            tick.emit(new Respond(pending.callId(), response));
+            tick.emit(pending.respond(response));
         }
     }
 
@@ -146,9 +163,23 @@
         }
     }
 
-    /** Forwards a request and keeps it until its outcome is known. */
+    /** Forwards a request, unless the owner could not decide on it in time. */
     private static void forward(SchedulerTick tick, PendingRequestRow pending, String address) {
-        PendingRequestRow forwarded = pending.asForwarded(tick.nowMs());
+        ForwardAdmission.findRefusal(tick, pending)
+                .ifPresentOrElse(
+                        refusal -> refuse(tick, pending, refusal),
+                        () -> send(tick, pending, address));
+    }
+
+    private static void refuse(SchedulerTick tick, PendingRequestRow pending, JobResponse refusal) {
+        JobRequestRejection.reject(
+                tick, pending, refusal.kind(), refusal.reason(), refusal.retryAfterMs());
+    }
+
+    /** Sends a request to another entry and keeps it until its outcome is known. */
+    private static void send(SchedulerTick tick, PendingRequestRow pending, String address) {
+        String team = ForwardAdmission.teamOf(tick.world(), pending.request());
+        PendingRequestRow forwarded = pending.asForwarded(team, tick.nowMs());
         tick.world().pendingRequests().put(forwarded.callId(), forwarded);
         tick.emit(new Forward(forwarded.callId(), address, forwarded.request()));
     }
@@ -159,7 +190,7 @@
         Optional<StoredRecord.Owner> owner = world.ownership().get().ownership().owner();
         boolean selfOrNone = owner.map(o -> o.node().equals(world.settings().node())).orElse(true);
         if (Authority.mayDecideRequests(tick)) {
-            JobRequestDecision.handle(tick, pending);
+            decide(tick, pending);
         } else if (!selfOrNone
                 && !world.term().get().stage().isOwner()
                 && pending.request().hops() < MAX_HOPS) {
@@ -173,6 +204,16 @@
         }
     }
 
+    /** Decides on a request as the owner, which tells its load with the response. */
+    private static void decide(SchedulerTick tick, PendingRequestRow pending) {
+        RequestQueueRow queue = tick.world().requestQueue().get();
+        if (pending.isSubmission()) {
+            tick.world().requestQueue().set(queue.afterDecision());
+        }
+        OwnerLoad load = OwnerLoad.ofQueue(queue.queueMs());
+        JobRequestDecision.handle(tick, pending.withOwnerLoad(Optional.of(load)));
+    }
+
     /** Keeps a request until there is an owner that can answer it, or rejects it as overdue. */
     static void awaitOwner(SchedulerTick tick, PendingRequestRow pending) {
         if (tick.nowMs() - pending.waitingSinceMs() > ownerWaitMs(pending)) {
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/SchedulerInput.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/SchedulerInput.java
@@ -24,8 +24,10 @@
      *
      * @param callId id that the response must name
      * @param request request; it carries the number of entries that have forwarded it
+     * @param arrivedMs when its bytes were read, in milliseconds of the steady clock
      */
-    record RequestReceived(long callId, JobRequest request) implements SchedulerInput {}
+    record RequestReceived(long callId, JobRequest request, long arrivedMs)
+            implements SchedulerInput {}
 
     /**
      * The entry to which a request was forwarded responded.
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/CommitSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/CommitSystem.java
@@ -19,7 +19,6 @@
 import org.hibiscususher.core.scheduler.message.SchedulerInput.Committed;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.Commit;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.Measure;
-import org.hibiscususher.core.scheduler.message.SchedulerOutput.Respond;
 import org.hibiscususher.core.scheduler.message.StoredRecord;
 import org.hibiscususher.core.scheduler.world.CommitPurpose;
 import org.hibiscususher.core.scheduler.world.CommitRow;
@@ -317,7 +316,7 @@
         long afterMs =
                 OutageRetry.afterMs(
                         tick.world().storeHealth().get(), tick.nowMs(), request.job().hashCode());
-        tick.emit(new Respond(request.callId(), JobResponse.refusal(kind, afterMs, reason)));
+        tick.emit(request.respond(JobResponse.refusal(kind, afterMs, reason)));
         removeIfUnstorable(tick, request.job());
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerWorld.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerWorld.java
@@ -4,6 +4,7 @@
 
 import java.util.Arrays;
 import java.util.List;
+import java.util.Optional;
 import org.hibiscususher.core.job.JobConfiguration;
 import org.hibiscususher.core.job.StepKey;
 import org.hibiscususher.core.job.TaskKey;
@@ -61,6 +62,11 @@
             SingleRowTable.of(AdviceRequestRow.NONE);
     private final GroupedTable<Long, PendingRequestRow, String> mPendingRequests =
             GroupedTable.createBy(PendingRequestRow::job);
+    private final SingleRowTable<RequestQueueRow> mRequestQueue =
+            SingleRowTable.of(RequestQueueRow.EMPTY);
+    private final SingleRowTable<ForwardLimitRow> mForwardLimit =
+            SingleRowTable.of(ForwardLimitRow.initial(Optional.empty(), 0));
+    private final Table<TeamQueue, TeamRejectionRow> mTeamRejections = Table.create();
     private final Table<String, PoolBacklogRow> mPoolBacklogs = Table.create();
     private final Table<Long, WaveRow> mWaves = Table.create();
     private final Table<String, HostReport> mHosts = Table.create();
@@ -242,6 +248,21 @@
         return mPendingRequests;
     }
 
+    /** Returns for how long requests wait until this process decides on them. */
+    public SingleRowTable<RequestQueueRow> requestQueue() {
+        return mRequestQueue;
+    }
+
+    /** Returns how many unanswered submissions this entry may have at the owner. */
+    public SingleRowTable<ForwardLimitRow> forwardLimit() {
+        return mForwardLimit;
+    }
+
+    /** Returns the refusals that the owner has extended to further submissions. */
+    public Table<TeamQueue, TeamRejectionRow> teamRejections() {
+        return mTeamRejections;
+    }
+
     /** Returns the waiting work of each pool by name, as last derived from the other tables. */
     public Table<String, PoolBacklogRow> poolBacklogs() {
         return mPoolBacklogs;
--- a/core/src/test/java/org/hibiscususher/core/scheduler/control/NodeLifecycleSystemTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/control/NodeLifecycleSystemTest.java
@@ -97,7 +97,8 @@
             runSystem(NOTICED_MS, new ConnectionsDrained());
             JobRequest request =
                     JobRequest.of(JobRequestKind.QUERY, "c", "/queue/", "", Optional.empty());
-            mWorld.pendingRequests().put(1L, PendingRequestRow.received(1, request, LATER_MS));
+            mWorld.pendingRequests()
+                    .put(1L, PendingRequestRow.received(1, request, LATER_MS, LATER_MS));
             releaseOwnership();
             assertThat(runSystem(LATER_MS)).isEmpty();
             mWorld.pendingRequests().remove(1L);
--- a/core/src/test/java/org/hibiscususher/core/scheduler/control/SchedulerTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/control/SchedulerTest.java
@@ -122,7 +122,8 @@
                                                                 1,
                                                                 Resources.of(1, 1, 0),
                                                                 1,
-                                                                List.of()))))));
+                                                                List.of()))))),
+                        NOW_MS);
         private final RequestReceived mQuery =
                 new RequestReceived(
                         2,
@@ -131,7 +132,8 @@
                                 "host",
                                 "/q/0000000000000002",
                                 "key",
-                                Optional.empty()));
+                                Optional.empty()),
+                        NOW_MS);
 
         @Test
         void isAnsweredThatItsOutcomeIsUnknown() {
@@ -217,7 +219,7 @@
         private JobResponseKind query(String key) {
             JobRequest request =
                     JobRequest.of(JobRequestKind.QUERY, "host", "/q/01", key, Optional.empty());
-            return responseKind(tickRestarted(new RequestReceived(1, request)));
+            return responseKind(tickRestarted(new RequestReceived(1, request, NOW_MS)));
         }
 
         private List<SchedulerOutput> tickRestarted(SchedulerInput input) {
--- a/core/src/test/java/org/hibiscususher/core/scheduler/job/JobOwner.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/job/JobOwner.java
@@ -47,6 +47,10 @@
 
     private static final long START_MS = 10_000;
     private static final long FENCE = 5;
+
+    /** Arrival time of requests, which counts as that of the tick that handles them. */
+    private static final long ON_TICK_MS = Long.MAX_VALUE;
+
     private static final long LOAD_CALL_ID = 9;
     private static final long COMMIT_GAP_MS = 30;
     private static final long LONG_LEASE_MS = 600_000;
@@ -199,7 +203,8 @@
     static RequestReceived request(long callId, JobRequestKind kind, String path) {
         Optional<JobSpec> spec =
                 kind == JobRequestKind.SUBMIT ? Optional.of(SPEC) : Optional.empty();
-        return new RequestReceived(callId, JobRequest.of(kind, "host", path, "key", spec));
+        return new RequestReceived(
+                callId, JobRequest.of(kind, "host", path, "key", spec), ON_TICK_MS);
     }
 
     /** Sends a request and returns its response, which must come at once. */
--- a/core/src/test/java/org/hibiscususher/core/scheduler/job/JobRequestSystemTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/job/JobRequestSystemTest.java
@@ -50,7 +50,7 @@
     void setUp() {
         mWorld.nodeState().set(NodeStateRow.INITIAL.withReady(true));
         setOwner("b", B);
-        assertThat(run(NOW_MS, new RequestReceived(1, REQUEST)))
+        assertThat(run(NOW_MS, new RequestReceived(1, REQUEST, NOW_MS)))
                 .containsExactly(new Forward(1, B, REQUEST.forwarded()));
     }
 
--- a/core/src/test/java/org/hibiscususher/core/scheduler/term/CommitSystemTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/term/CommitSystemTest.java
@@ -68,7 +68,7 @@
             mWorld.pendingRequests()
                     .put(
                             (long) i,
-                            PendingRequestRow.received(i, request, mNowMs)
+                            PendingRequestRow.received(i, request, mNowMs, mNowMs)
                                     .awaitingStore(id, mNowMs));
         }
     }
--- a/core/src/test/java/org/hibiscususher/core/scheduler/term/StepDownTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/term/StepDownTest.java
@@ -44,7 +44,10 @@
     void setUp() {
         mWorld.nodeState().set(NodeStateRow.INITIAL.withReady(true));
         mWorld.pendingRequests()
-                .put(1L, PendingRequestRow.received(1, REQUEST, NOW_MS).awaitingStore(JOB, NOW_MS));
+                .put(
+                        1L,
+                        PendingRequestRow.received(1, REQUEST, NOW_MS, NOW_MS)
+                                .awaitingStore(JOB, NOW_MS));
     }
 
     private void setOwner(Optional<StoredRecord.Owner> owner) {
--- a/daemon/src/main/java/org/hibiscususher/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/hibiscususher/daemon/forward/ForwardServer.java
@@ -9,6 +9,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.io.IOException;
 import java.util.function.LongFunction;
+import java.util.function.LongSupplier;
 import org.hibiscususher.core.job.JobResponse;
 import org.hibiscususher.core.job.JobResponseKind;
 import org.hibiscususher.core.scheduler.message.SchedulerInput;
@@ -32,10 +33,15 @@
      * @param address IP number and port to listen on
      * @param calls registers where the response of each request is sent
      * @param inbox receives the requests
+     * @param clockMs steady clock of the control thread, in milliseconds, by which requests arrive
      * @throws IOException if the address can't be bound
      */
     public static void listen(
-            EventLoopGroup group, String address, PendingCalls calls, Inbox<SchedulerInput> inbox)
+            EventLoopGroup group,
+            String address,
+            PendingCalls calls,
+            Inbox<SchedulerInput> inbox,
+            LongSupplier clockMs)
             throws IOException {
         ChannelFuture bound =
                 new ServerBootstrap()
@@ -47,7 +53,8 @@
                                     @Override
                                     protected void initChannel(Channel channel) {
                                         ForwardPipeline.addHandlers(
-                                                channel, (c, m) -> dispatch(c, m, calls, inbox));
+                                                channel,
+                                                (c, m) -> dispatch(c, m, calls, inbox, clockMs));
                                     }
                                 })
                         .bind(Addresses.parse(address))
@@ -61,14 +68,16 @@
             Channel channel,
             ForwardMessage message,
             PendingCalls calls,
-            Inbox<SchedulerInput> inbox) {
+            Inbox<SchedulerInput> inbox,
+            LongSupplier clockMs) {
+        long arrivedMs = clockMs.getAsLong();
         message.request()
                 .ifPresent(
                         request ->
                                 submit(
                                         channel,
                                         message.callId(),
-                                        id -> new RequestReceived(id, request),
+                                        id -> new RequestReceived(id, request, arrivedMs),
                                         calls,
                                         inbox));
         message.relinquishTo()
--- a/daemon/src/test/java/org/hibiscususher/daemon/forward/ForwardServerTest.java
+++ b/daemon/src/test/java/org/hibiscususher/daemon/forward/ForwardServerTest.java
@@ -32,6 +32,7 @@
 
 /** The server of an entry, and another entry that forwards requests to it. */
 class ForwardServerTest {
+    private static final long ARRIVED_MS = 42;
     private static final int READ_TIMEOUT_MS = 500;
     private static final int MAX_DROPPABLE_INPUTS = 1 << 16;
     private static final int MAX_PENDING = 20_000;
@@ -48,7 +49,7 @@
     @BeforeEach
     void setUp() throws IOException {
         int port = freePort();
-        ForwardServer.listen(mLoops, "127.0.0.1:" + port, mCalls, mInbox);
+        ForwardServer.listen(mLoops, "127.0.0.1:" + port, mCalls, mInbox, () -> ARRIVED_MS);
         mOther = new Socket(InetAddress.getLoopbackAddress(), port);
         mOther.setSoTimeout(READ_TIMEOUT_MS);
     }
@@ -123,6 +124,17 @@
         }
     }
 
+    @Nested
+    class ArrivedRequest {
+        /** Guards against a queue age that leaves out the time in the inbox. */
+        @Test
+        void hasTheTimeAtWhichItWasRead() throws IOException {
+            sendRequest(7);
+            RequestReceived received = (RequestReceived) nextInputs().get(0);
+            assertThat(received.arrivedMs()).isEqualTo(ARRIVED_MS);
+        }
+    }
+
     @Nested
     class MalformedMessage {
         @Test
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/SchedulerSite.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/SchedulerSite.java
@@ -47,6 +47,9 @@
     private final List<String> mLogLines = new ArrayList<>();
     private final VirtualConfiguration mConfiguration;
 
+    /** Time that the owner needs for each submission, in milliseconds. */
+    private long mDecisionMs;
+
     private SchedulerSite(int nodes, int executors, Resources teamLimit, long seed) {
         mRandom = new Random(seed);
         mCallers = new VirtualCallers(this, mRandom);
@@ -191,6 +194,27 @@
         mNodes.values().forEach(node -> mClock.after(LINK_LATENCY_MS, node::storeChanged));
     }
 
+    /** Adds a team without a limit, of which entries learn from the store. */
+    void addTeam(String name) {
+        mConfiguration.addTeam(name);
+        mNodes.values().forEach(node -> mClock.after(LINK_LATENCY_MS, node::storeChanged));
+    }
+
+    /** Makes the owner need a time for each submission, in milliseconds. */
+    void setDecisionMs(long decisionMs) {
+        mDecisionMs = decisionMs;
+    }
+
+    /** Returns the time that the owner needs for each submission, in milliseconds. */
+    long decisionMs() {
+        return mDecisionMs;
+    }
+
+    /** Returns the callers. */
+    VirtualCallers callers() {
+        return mCallers;
+    }
+
     /** Returns the configuration in force. */
     JobConfiguration configuration() {
         return mConfiguration.current();
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualCallers.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualCallers.java
@@ -12,7 +12,6 @@
 import org.hibiscususher.core.job.JobResponseKind;
 import org.hibiscususher.core.job.JobSpec;
 import org.hibiscususher.core.job.JobState;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.RequestReceived;
 
 /**
  * Simulated callers of a site. They submit, cancel and query jobs through random entries, repeat
@@ -121,15 +120,46 @@
         return id;
     }
 
+    /**
+     * Submits a job of a team with one request to a random running entry.
+     *
+     * @param sink gets the response
+     * @return id of the job
+     */
+    String submitOnce(String team, JobSpec spec, Consumer<JobResponse> sink) {
+        String id = newJob(team, spec);
+        mInvariants.recordRequest(id);
+        call(
+                submission(id, keyOf(team), spec),
+                response -> {
+                    mInvariants.recordResponse(id, response.kind(), mClock.nowMs());
+                    sink.accept(response);
+                });
+        return id;
+    }
+
+    /** Returns the API key of a team. */
+    static String keyOf(String team) {
+        return team.equals(TEAM) ? KEY : KEY + "-" + team;
+    }
+
     private String newJob(JobSpec spec) {
+        return newJob(TEAM, spec);
+    }
+
+    private String newJob(String team, JobSpec spec) {
         String id = String.format("%016x", ++mLastJobNumber);
         mSpecs.put(id, spec);
-        mInvariants.recordSubmission(id, spec, TEAM, MAX_FAILURES);
+        mInvariants.recordSubmission(id, spec, team, MAX_FAILURES);
         return id;
     }
 
     private static JobRequest submission(String id, JobSpec spec) {
-        return JobRequest.of(JobRequestKind.SUBMIT, HOST, PREFIX + id, KEY, Optional.of(spec));
+        return submission(id, KEY, spec);
+    }
+
+    private static JobRequest submission(String id, String key, JobSpec spec) {
+        return JobRequest.of(JobRequestKind.SUBMIT, HOST, PREFIX + id, key, Optional.of(spec));
     }
 
     private void trySubmit(String id, JobSpec spec, int triesLeft) {
@@ -225,6 +255,6 @@
         long id = registerCall(firstResponse);
         mClock.after(
                 TIMEOUT_MS, () -> firstResponse.accept(JobResponse.of(JobResponseKind.UNKNOWN)));
-        node.receive(new RequestReceived(id, request));
+        node.receiveRequest(id, request);
     }
 }
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualLinks.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualLinks.java
@@ -12,7 +12,6 @@
 import org.hibiscususher.core.scheduler.message.SchedulerInput.HandoverOffered;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.PredecessorRelinquished;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.RelinquishRequested;
-import org.hibiscususher.core.scheduler.message.SchedulerInput.RequestReceived;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.Forward;
 
@@ -78,9 +77,7 @@
                                     from.receive(new ForwardAnswered(forward.callId(), response));
                                 }
                             });
-            mClock.after(
-                    LINK_LATENCY_MS,
-                    () -> to.receive(new RequestReceived(linkId, forward.request())));
+            mClock.after(LINK_LATENCY_MS, () -> to.receiveRequest(linkId, forward.request()));
             mClock.after(
                     LINK_TIMEOUT_MS,
                     () -> {
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualNode.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualNode.java
@@ -4,12 +4,15 @@
 import java.util.List;
 import java.util.function.Consumer;
 import org.hibiscususher.core.job.JobConfiguration;
+import org.hibiscususher.core.job.JobRequest;
+import org.hibiscususher.core.job.JobRequestKind;
 import org.hibiscususher.core.scheduler.control.Scheduler;
 import org.hibiscususher.core.scheduler.message.SchedulerInput;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.ConfigurationUpdated;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.ExecutorsListed;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.HostListFailed;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.OwnershipUpdated;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.RequestReceived;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.WaveOrdered;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.Commit;
@@ -49,6 +52,12 @@
     /** Total time suspended, by which the steady clock lags behind. */
     private long mSuspendedMs;
 
+    /** When the last suspension ends, in virtual time. */
+    private long mResumesAtMs;
+
+    /** Until when the last tick takes, in virtual time. */
+    private long mBusyUntilMs;
+
     private boolean mTickScheduled;
     private boolean mWatchesExecutors;
 
@@ -82,6 +91,7 @@
     void start() {
         mProcessNumber++;
         mUp = true;
+        mBusyUntilMs = 0;
         mWatchesExecutors = false;
         mInputs = new ArrayList<>();
         mScheduler =
@@ -113,6 +123,7 @@
     void freeze(long forMs) {
         mSuspended = true;
         mSuspendedMs += forMs;
+        mResumesAtMs = Math.max(mResumesAtMs, mSite.clock().nowMs() + forMs);
         mSite.clock()
                 .after(
                         forMs,
@@ -136,6 +147,12 @@
         }
     }
 
+    /** Queues a request, which a suspended process reads once it runs again. */
+    void receiveRequest(long callId, JobRequest request) {
+        long readAtMs = Math.max(mSite.clock().nowMs(), mResumesAtMs);
+        receive(new RequestReceived(callId, request, readAtMs - mSuspendedMs));
+    }
+
     /** Queues an input for the next tick, and schedules that tick. */
     void receive(SchedulerInput input) {
         mInputs.add(input);
@@ -146,7 +163,7 @@
     private void scheduleTick() {
         if (mUp && !mTickScheduled && !mSuspended) {
             mTickScheduled = true;
-            mSite.clock().after(1, this::tick);
+            mSite.clock().after(Math.max(1, mBusyUntilMs - mSite.clock().nowMs()), this::tick);
         }
     }
 
@@ -158,11 +175,45 @@
         List<SchedulerInput> inputs = mInputs;
         mInputs = new ArrayList<>();
         long nowMs = mSite.clock().nowMs();
-        for (SchedulerOutput output : mScheduler.tick(nowMs - mSuspendedMs, nowMs, inputs)) {
-            execute(output);
+        long tookMs = decisionMs(inputs);
+        mBusyUntilMs = nowMs + tookMs;
+        List<SchedulerOutput> outputs = mScheduler.tick(nowMs - mSuspendedMs, nowMs, inputs);
+        if (tookMs == 0) {
+            outputs.forEach(this::execute);
+        } else {
+            executeLater(outputs, tookMs);
         }
     }
 
+    /**
+     * Returns how long the process needs for the submissions in a tick; 0 unless it is the owner.
+     */
+    private long decisionMs(List<SchedulerInput> inputs) {
+        return isOwner()
+                ? mSite.decisionMs()
+                        * inputs.stream()
+                                .filter(i -> i instanceof RequestReceived r && isSubmission(r))
+                                .count()
+                : 0;
+    }
+
+    private static boolean isSubmission(RequestReceived received) {
+        return received.request().kind() == JobRequestKind.SUBMIT;
+    }
+
+    /** Executes the outputs of a tick at its end, unless the process has ended by then. */
+    private void executeLater(List<SchedulerOutput> outputs, long tookMs) {
+        long process = mProcessNumber;
+        mSite.clock()
+                .after(
+                        tookMs,
+                        () -> {
+                            if (process == mProcessNumber) {
+                                outputs.forEach(this::execute);
+                            }
+                        });
+    }
+
     private void receiveConfiguration() {
         JobConfiguration configuration = mSite.configuration();
         mVersion = configuration.version();
--- a/wire/src/main/java/org/hibiscususher/wire/scheduler/ForwardCodec.java
+++ b/wire/src/main/java/org/hibiscususher/wire/scheduler/ForwardCodec.java
@@ -7,6 +7,7 @@
 import org.hibiscususher.core.job.JobResponse;
 import org.hibiscususher.core.job.JobResponseKind;
 import org.hibiscususher.core.job.JobState;
+import org.hibiscususher.core.job.OwnerLoad;
 import org.hibiscususher.wire.generated.SchedulerProto;
 
 /** Encodes {@link ForwardMessage} as protobuf and decodes it. Thread-safe. */
@@ -39,12 +40,22 @@
     }
 
     private static SchedulerProto.Answer encode(JobResponse response) {
-        return SchedulerProto.Answer.newBuilder()
-                .setKind(response.kind().ordinal())
-                .setState(response.state().ordinal())
-                .setPending(response.pending())
-                .setRetryAfterMs(response.retryAfterMs())
-                .setReason(response.reason())
+        SchedulerProto.Answer.Builder builder =
+                SchedulerProto.Answer.newBuilder()
+                        .setKind(response.kind().ordinal())
+                        .setState(response.state().ordinal())
+                        .setPending(response.pending())
+                        .setRetryAfterMs(response.retryAfterMs())
+                        .setReason(response.reason());
+        response.ownerLoad().ifPresent(load -> builder.setOwnerLoad(encode(load)));
+        return builder.build();
+    }
+
+    private static SchedulerProto.OwnerLoad encode(OwnerLoad load) {
+        return SchedulerProto.OwnerLoad.newBuilder()
+                .setQueueMs(load.queueMs())
+                .setRejectMs(load.rejectMs())
+                .setMinWorkCoreMs(load.minWorkCoreMs())
                 .build();
     }
 
@@ -87,7 +98,17 @@
                 enumConstant(JobState.values(), response.getState()),
                 response.getPending(),
                 response.getRetryAfterMs(),
-                response.getReason());
+                response.getReason(),
+                response.hasOwnerLoad()
+                        ? Optional.of(decode(response.getOwnerLoad()))
+                        : Optional.empty());
+    }
+
+    private static OwnerLoad decode(SchedulerProto.OwnerLoad load) {
+        return new OwnerLoad(
+                Math.max(0, load.getQueueMs()),
+                Math.max(0, load.getRejectMs()),
+                Math.max(0, load.getMinWorkCoreMs()));
     }
 
     /**
--- a/wire/src/test/java/org/hibiscususher/wire/scheduler/SchedulerRecordCodecTest.java
+++ b/wire/src/test/java/org/hibiscususher/wire/scheduler/SchedulerRecordCodecTest.java
@@ -16,12 +16,14 @@
 import org.hibiscususher.core.job.JobResponseKind;
 import org.hibiscususher.core.job.JobSpec;
 import org.hibiscususher.core.job.JobState;
+import org.hibiscususher.core.job.OwnerLoad;
 import org.hibiscususher.core.job.Resources;
 import org.hibiscususher.core.job.StepSpec;
 import org.hibiscususher.core.scheduler.message.StepProgress;
 import org.hibiscususher.core.scheduler.message.StoredRecord;
 import org.hibiscususher.core.scheduler.message.TaskProgress;
 import org.hibiscususher.core.scheduler.message.UsedExecutor;
+import org.hibiscususher.wire.generated.SchedulerProto;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -113,5 +115,28 @@
                 assertThat(ForwardCodec.decode(ForwardCodec.encode(message))).isEqualTo(message);
             }
         }
+
+        /** Guards against a load that another entry doesn't learn of, or learns of wrongly. */
+        @Test
+        void restoreTheLoadOfTheOwner() throws IOException {
+            OwnerLoad load = new OwnerLoad(120, 250, 4_000);
+            JobResponse response =
+                    JobResponse.of(JobResponseKind.ACCEPTED).withOwnerLoad(Optional.of(load));
+            byte[] bytes = ForwardCodec.encode(ForwardMessage.of(5, response));
+            assertThat(ForwardCodec.decode(bytes).response()).contains(response);
+        }
+
+        /** Guards against answers of an earlier version that read as those of an idle owner. */
+        @Test
+        void withoutALoadTellNone() throws IOException {
+            byte[] bytes =
+                    SchedulerProto.Link.newBuilder()
+                            .setCallId(5)
+                            .setAnswer(SchedulerProto.Answer.newBuilder().setReason("why"))
+                            .build()
+                            .toByteArray();
+            JobResponse response = ForwardCodec.decode(bytes).response().orElseThrow();
+            assertThat(response.ownerLoad()).isEmpty();
+        }
     }
 }
