The scheduler starts nothing in a zone that operators have evacuated

No code read the operators' request to evacuate a zone. Without a key the table is empty and nothing changes.

--- a/core/src/main/java/org/hibiscususher/core/scheduler/control/SchedulerPhase.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/control/SchedulerPhase.java
@@ -1,5 +1,6 @@
 package org.hibiscususher.core.scheduler.control;
 
+import org.hibiscususher.core.scheduler.evacuation.ZoneEvacuationSystem;
 import org.hibiscususher.core.scheduler.executor.DrainingExecutorSystem;
 import org.hibiscususher.core.scheduler.executor.ExecutorSystem;
 import org.hibiscususher.core.scheduler.executor.HeartbeatSystem;
@@ -64,6 +65,12 @@
             RunOrderSystem.run(tick);
         }
     },
+    ZONE_EVACUATION {
+        @Override
+        void run(SchedulerTick tick) {
+            ZoneEvacuationSystem.run(tick);
+        }
+    },
     UNCERTAIN_TASK {
         @Override
         void run(SchedulerTick tick) {
--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/HostMoveSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/HostMoveSystem.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import org.hibiscususher.core.job.JobPool;
 import org.hibiscususher.core.job.StepSpec;
+import org.hibiscususher.core.scheduler.evacuation.ZoneEvacuations;
 import org.hibiscususher.core.scheduler.job.JobLifecycle;
 import org.hibiscususher.core.scheduler.message.HostReport;
 import org.hibiscususher.core.scheduler.term.Authority;
@@ -138,7 +139,7 @@
 
     /**
      * Measures the demand of a pool. Executors that get no new runs now, because they are silent,
-     * draining, cordoned or no longer registered, don't count.
+     * draining, cordoned, in an evacuated zone or no longer registered, don't count.
      */
     private static PoolDemand demandOf(
             SchedulerTick tick,
@@ -160,6 +161,7 @@
             if (row.cordoned()
                     || row.report().draining()
                     || row.missingSinceMs() != 0
+                    || ZoneEvacuations.isEvacuated(world, row)
                     || isSilent) {
                 continue;
             }
@@ -172,7 +174,7 @@
             }
         }
         for (HostOperationRow row : world.hostOperations().rows()) {
-            if (row.destinationPool().equals(pool)) {
+            if (row.destinationPool().equals(pool) && !ZoneEvacuations.isEvacuated(world, row)) {
                 hosts++;
                 capacityCpuMillis += hostCpuMillis;
             }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/HostOperations.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/HostOperations.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.Set;
+import org.hibiscususher.core.scheduler.evacuation.ZoneEvacuations;
 import org.hibiscususher.core.scheduler.executor.RunLifecycle;
 import org.hibiscususher.core.scheduler.message.HostReport;
 import org.hibiscususher.core.scheduler.message.HostState;
@@ -146,6 +147,14 @@
 
     /** Advances an operation by the step that is due, if any. */
     static void advance(SchedulerTick tick, HostOperationRow row) {
+        boolean isMove = !row.destinationPool().isEmpty();
+        if (isMove
+                && row.step() == HostOperationStep.EMPTYING
+                && ZoneEvacuations.isEvacuated(tick.world(), row)) {
+            tick.log("host-move-abandoned", describe(row) + " reason=zone-evacuated");
+            abandon(tick, row);
+            return;
+        }
         switch (row.step()) {
             case EMPTYING, UNANSWERED -> emptyHost(tick, row);
             case ORDERED -> {
--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/MovableHosts.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/MovableHosts.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.hibiscususher.core.job.JobPool;
+import org.hibiscususher.core.scheduler.evacuation.ZoneEvacuations;
 import org.hibiscususher.core.scheduler.message.HostReport;
 import org.hibiscususher.core.scheduler.message.HostState;
 import org.hibiscususher.core.scheduler.world.ExecutorHealthRow;
@@ -66,6 +67,7 @@
         for (HostReport host : world.hosts().rows()) {
             if (host.state() != HostState.UP
                     || world.hostOperations().contains(host.id())
+                    || ZoneEvacuations.isEvacuated(world, host)
                     || HostOrderSystem.isDeferred(tick, host.id())) {
                 continue;
             }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/PoolBacklogs.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/PoolBacklogs.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import org.hibiscususher.core.job.StepSpec;
+import org.hibiscususher.core.scheduler.evacuation.ZoneEvacuations;
 import org.hibiscususher.core.scheduler.placement.StartPriority;
 import org.hibiscususher.core.scheduler.placement.TeamShares;
 import org.hibiscususher.core.scheduler.world.ExecutorRow;
@@ -49,9 +50,9 @@
         return derived;
     }
 
-    /** Returns whether a pool has any executor exactly if a backlog of it has capacity. */
+    /** Returns whether a pool has any usable executor exactly if a backlog of it has capacity. */
     private static boolean hasCapacityAsIn(SchedulerWorld world, PoolBacklogRow backlog) {
-        return world.executors().group(backlog.pool()).isEmpty() == (backlog.cpuMillis() == 0);
+        return ZoneEvacuations.isEvacuated(world, backlog.pool()) == (backlog.cpuMillis() == 0);
     }
 
     /** Adds a job that has just been accepted to the backlog of its pool. */
@@ -109,12 +110,18 @@
         return new QueuedWork(StartPriority.of(world, job, shares, nowMs), work);
     }
 
-    /** Returns the processor capacity of a pool without services, in thousandths of a core. */
+    /**
+     * Returns the processor capacity of a pool without services and evacuated zones, in thousandths
+     * of a core.
+     */
     private static long availableCpuMillis(SchedulerWorld world, String pool) {
         long capacityMillis = 0;
         long serviceMillis = 0;
         int executors = 0;
         for (ExecutorRow row : world.executors().group(pool)) {
+            if (ZoneEvacuations.isEvacuated(world, row)) {
+                continue;
+            }
             capacityMillis += row.report().capacity().cpuMillis();
             executors++;
             for (RunRow run : world.runs().group(row.id())) {
@@ -124,7 +131,9 @@
         }
         long perHostMillis = capacityMillis / Math.max(1, executors);
         for (HostOperationRow row : world.hostOperations().rows()) {
-            capacityMillis += row.destinationPool().equals(pool) ? perHostMillis : 0;
+            boolean arrives =
+                    row.destinationPool().equals(pool) && !ZoneEvacuations.isEvacuated(world, row);
+            capacityMillis += arrives ? perHostMillis : 0;
         }
         return Math.max(
                 capacityMillis - serviceMillis, capacityMillis * MIN_AVAILABLE_PERCENT / 100);
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/SchedulerInput.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/SchedulerInput.java
@@ -93,6 +93,20 @@
      */
     record WaveWithdrawn(long wave) implements SchedulerInput {}
 
+    /**
+     * The operators' request to evacuate an availability zone was read.
+     *
+     * @param zone name of the zone
+     */
+    record ZoneEvacuationRequested(String zone) implements SchedulerInput {}
+
+    /**
+     * The operators withdrew the evacuation of an availability zone.
+     *
+     * @param zone name of the zone
+     */
+    record ZoneEvacuationWithdrawn(String zone) implements SchedulerInput {}
+
     /**
      * The records of the ownership were read.
      *
--- a/core/src/main/java/org/hibiscususher/core/scheduler/placement/FreeCapacity.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/placement/FreeCapacity.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import org.hibiscususher.core.job.Resources;
+import org.hibiscususher.core.scheduler.evacuation.ZoneEvacuations;
 import org.hibiscususher.core.scheduler.world.ExecutorRow;
 import org.hibiscususher.core.scheduler.world.ExecutorSessionRow;
 import org.hibiscususher.core.scheduler.world.RunRow;
@@ -39,7 +40,7 @@
                     free = free.minus(run.reserved());
                 }
                 capacity.mExecutors.put(row.id(), row);
-                capacity.mFree.put(row.id(), free);
+                capacity.mFree.put(row.id(), ZoneEvacuations.startableCapacity(tick, row, free));
                 capacity.mRunCounts.put(row.id(), world.runs().group(row.id()).size());
             }
         }
@@ -51,7 +52,8 @@
      *
      * <p>The store must name it among the executors in use, and it must have confirmed this owner's
      * fence, so that it rejects orders of an earlier owner. It must also be answering, and be
-     * neither draining, quarantined, nor on a host that is about to leave service.
+     * neither draining, quarantined, on a host that is about to leave service, nor in an evacuated
+     * zone.
      */
     static boolean acceptsRuns(SchedulerTick tick, ExecutorRow row) {
         ExecutorSessionRow session = tick.world().executorSessions().find(row.id()).orElse(null);
@@ -59,6 +61,7 @@
                 && row.recorded()
                 && !row.cordoned()
                 && !row.report().draining()
+                && !ZoneEvacuations.isEvacuated(tick.world(), row)
                 && row.missingSinceMs() == 0
                 && session.consecutiveFailures() == 0
                 && session.lastAnswerMs() != 0
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerWorld.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerWorld.java
@@ -63,6 +63,7 @@
             GroupedTable.createBy(PendingRequestRow::job);
     private final Table<String, PoolBacklogRow> mPoolBacklogs = Table.create();
     private final Table<Long, WaveRow> mWaves = Table.create();
+    private final Table<String, ZoneEvacuationRow> mZoneEvacuations = Table.create();
     private final Table<String, HostReport> mHosts = Table.create();
     private final Table<String, HostOperationRow> mHostOperations = Table.create();
     private final SingleRowTable<Long> mMovesDecidedMs = SingleRowTable.of(0L);
@@ -252,6 +253,11 @@
         return mWaves;
     }
 
+    /** Returns the evacuated availability zones by name, which are kept across terms. */
+    public Table<String, ZoneEvacuationRow> zoneEvacuations() {
+        return mZoneEvacuations;
+    }
+
     /** Returns the hosts by id, as last listed. */
     public Table<String, HostReport> hosts() {
         return mHosts;
--- a/core/src/test/java/org/hibiscususher/core/scheduler/host/MovableHostsTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/host/MovableHostsTest.java
@@ -14,6 +14,7 @@
 import org.hibiscususher.core.scheduler.world.HostOrderRow;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
+import org.hibiscususher.core.scheduler.world.ZoneEvacuationRow;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -103,6 +104,15 @@
             assertThat(select().pollHostFor("first")).isEmpty();
         }
 
+        /** A host that moves gets runs in its new pool, so one of an evacuated zone must stay. */
+        @Test
+        void skipsHostsOfAnEvacuatedZone() {
+            mWorld.zoneEvacuations().put("z", ZoneEvacuationRow.requested("z", NOW_MS));
+            assertThat(select().pollHostFor("first")).isEmpty();
+            mWorld.zoneEvacuations().remove("z");
+            assertThat(select().pollHostFor("first")).isPresent();
+        }
+
         @Test
         void skipsHostThatTheEarlierOwnerMayHaveOrdered() {
             for (int i = 0; i < 3; i++) {
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/InvariantChecker.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/InvariantChecker.java
@@ -63,6 +63,9 @@
     private final Map<String, Resources> mTeamLimits = new HashMap<>();
     private final Map<String, HostCoordinator> mHostCoordinators = new HashMap<>();
 
+    /** Virtual time from which no run may start in an evacuated zone, by zone. */
+    private final Map<String, Long> mEvacuatedFromMs = new HashMap<>();
+
     /**
      * The last entry that ordered the maintenance of a host.
      *
@@ -146,6 +149,23 @@
         }
     }
 
+    /** Forbids starts in a zone from a virtual time on. */
+    public void forbidStartsInZone(String zone, long fromMs) {
+        mEvacuatedFromMs.put(zone, fromMs);
+    }
+
+    /** Allows starts in a zone again. */
+    public void allowStartsInZone(String zone) {
+        mEvacuatedFromMs.remove(zone);
+    }
+
+    /** Checks that a run may start in the zone of its executor. */
+    public void checkStartInZone(TaskKey task, String zone, long nowMs) {
+        if (nowMs > mEvacuatedFromMs.getOrDefault(zone, Long.MAX_VALUE)) {
+            addViolation(SchedulerInvariant.NO_START_IN_EVACUATED_ZONE, nowMs, task.text());
+        }
+    }
+
     /**
      * Records a run that an executor starts, and checks that it may start.
      *
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualExecutor.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualExecutor.java
@@ -403,6 +403,7 @@
         }
         mRunning.put(start.task(), new ActiveRun(start.run(), step, start.checkpoint()));
         mInvariants.recordStart(start.task(), id(), mReport.draining(), mClock.nowMs());
+        mInvariants.checkStartInZone(start.task(), mReport.zone(), mClock.nowMs());
         long startedAtMs = mStartedAtMs;
         if (!step.service()) {
             RunOutcome outcome = mFailsAllRuns ? RunOutcome.FAILED : RunOutcome.DONE;
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualExecutors.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualExecutors.java
@@ -43,7 +43,7 @@
                             id,
                             SchedulerSite.POOL,
                             id + ":1",
-                            "zone",
+                            VirtualZones.zoneOf(i),
                             "h" + i,
                             List.of("a", "r" + i / 2),
                             CAPACITY,
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualHosts.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualHosts.java
@@ -85,7 +85,7 @@
                 host,
                 SchedulerSite.POOL,
                 outOfService ? HostState.MAINTENANCE : HostState.UP,
-                "zone",
+                VirtualZones.zoneOf(Integer.parseInt(host.substring(1))),
                 List.of(),
                 VirtualExecutors.CAPACITY,
                 outOfService ? "" : executor);
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualNode.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualNode.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.hibiscususher.core.job.JobConfiguration;
 import org.hibiscususher.core.scheduler.control.Scheduler;
@@ -11,6 +12,8 @@
 import org.hibiscususher.core.scheduler.message.SchedulerInput.HostListFailed;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.OwnershipUpdated;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.WaveOrdered;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.ZoneEvacuationRequested;
+import org.hibiscususher.core.scheduler.message.SchedulerInput.ZoneEvacuationWithdrawn;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.Commit;
 import org.hibiscususher.core.scheduler.message.SchedulerOutput.Forward;
@@ -55,6 +58,9 @@
     /** Version of the configuration that the process has received. */
     private long mVersion;
 
+    /** Zones whose evacuation the process has received. */
+    private Set<String> mEvacuatedZones = Set.of();
+
     VirtualNode(SchedulerSite site, String name) {
         mSite = site;
         mName = name;
@@ -83,6 +89,7 @@
         mProcessNumber++;
         mUp = true;
         mWatchesExecutors = false;
+        mEvacuatedZones = Set.of();
         mInputs = new ArrayList<>();
         mScheduler =
                 Scheduler.create(
@@ -175,6 +182,7 @@
      */
     void storeChanged() {
         if (mUp && !mSite.store().isUnreachable(mName)) {
+            receiveEvacuations();
             receive(new OwnershipUpdated(mSite.store().ownership()));
             if (mSite.configuration().version() != mVersion) {
                 receiveConfiguration();
@@ -182,6 +190,22 @@
         }
     }
 
+    /** Sends the requests to evacuate zones, and their withdrawals, that are new to the process. */
+    private void receiveEvacuations() {
+        Set<String> evacuated = mSite.zones().evacuated();
+        for (String zone : mEvacuatedZones) {
+            if (!evacuated.contains(zone)) {
+                receive(new ZoneEvacuationWithdrawn(zone));
+            }
+        }
+        for (String zone : evacuated) {
+            if (!mEvacuatedZones.contains(zone)) {
+                receive(new ZoneEvacuationRequested(zone));
+            }
+        }
+        mEvacuatedZones = evacuated;
+    }
+
     /** Sends the list of executors to a process that watches them. */
     void executorsChanged() {
         if (mUp && mWatchesExecutors && !mSite.store().isUnreachable(mName)) {
--- a/standin/src/test/java/org/hibiscususher/standin/scheduler/InvariantCheckerTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/scheduler/InvariantCheckerTest.java
@@ -59,6 +59,26 @@
         }
     }
 
+    @Nested
+    class EvacuatedZone {
+        @Test
+        void mayGetRunsUntilTheLimitAndAfterItsRestore() {
+            mChecker.forbidStartsInZone("z", 5);
+            mChecker.checkStartInZone(FIRST, "z", 5);
+            mChecker.checkStartInZone(FIRST, "y", 6);
+            mChecker.allowStartsInZone("z");
+            mChecker.checkStartInZone(FIRST, "z", 7);
+            assertThat(mChecker.violations()).isEmpty();
+        }
+
+        @Test
+        void isReportedWithALaterStart() {
+            mChecker.forbidStartsInZone("z", 5);
+            mChecker.checkStartInZone(FIRST, "z", 6);
+            assertViolated(SchedulerInvariant.NO_START_IN_EVACUATED_ZONE);
+        }
+    }
+
     @Nested
     class Runs {
         @Test
