Tasks with a checkpoint leave an evacuated zone while there is room elsewhere

Runs in an evacuated zone went on to their end, also those that could continue elsewhere without loss. A task that saves checkpoints and has saved one is stopped now if an executor outside the zone has room for it beside the waiting tasks and the moves under way, and within maxUnavailable. Gangs and services without a checkpoint stay. The limit of unavailable tasks moves out of Eviction unchanged (StepAvailability), since both use it.

--- a/core/src/main/java/org/hibiscususher/core/scheduler/evacuation/ZoneEvacuationSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/evacuation/ZoneEvacuationSystem.java
@@ -22,7 +22,7 @@
 public final class ZoneEvacuationSystem {
     private ZoneEvacuationSystem() {}
 
-    /** Applies requests and withdrawals in order, then ends gradual restores that are complete. */
+    /** Applies requests and withdrawals in order, then moves runs and ends gradual restores. */
     public static void run(SchedulerTick tick) {
         SchedulerWorld world = tick.world();
         for (SchedulerInput input : tick.inputs()) {
@@ -37,6 +37,7 @@
                 world.zoneEvacuations().remove(row.zone());
             }
         }
+        CheckpointMoves.run(tick);
     }
 
     private static void evacuate(SchedulerTick tick, String zone) {
--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/Eviction.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/Eviction.java
@@ -1,10 +1,9 @@
 package org.hibiscususher.core.scheduler.host;
 
 import java.util.List;
-import org.hibiscususher.core.job.StepKey;
 import org.hibiscususher.core.job.StepSpec;
-import org.hibiscususher.core.job.TaskKey;
 import org.hibiscususher.core.scheduler.executor.RunLifecycle;
+import org.hibiscususher.core.scheduler.executor.StepAvailability;
 import org.hibiscususher.core.scheduler.job.JobLifecycle;
 import org.hibiscususher.core.scheduler.world.RunRow;
 import org.hibiscususher.core.scheduler.world.RunStage;
@@ -23,11 +22,6 @@
     /** Time that runs get to finish by themselves, in milliseconds. */
     private static final long MAX_WAIT_MS = 2_500;
 
-    /** Age up to which a heartbeat response shows that tasks are available, in milliseconds. */
-    private static final long MAX_RESPONSE_AGE_MS = 1_500;
-
-    private static final int FULL_PERCENT = 100;
-
     private Eviction() {}
 
     /**
@@ -47,7 +41,10 @@
             if (run.stage() != RunStage.RUNNING || spec == null) {
                 continue;
             }
-            boolean allowed = spec.service() ? mayBecomeUnavailable(tick, run, spec) : overdue;
+            boolean allowed =
+                    spec.service()
+                            ? StepAvailability.mayBecomeUnavailable(tick, run, spec)
+                            : overdue;
             if (allowed) {
                 RunLifecycle.requestStop(tick, run, StopReason.EVICTED);
             }
@@ -66,37 +63,4 @@
                         .filter(s -> s.lastAnswerMs() != 0)
                         .isPresent();
     }
-
-    /** Returns whether the limit of a step lets one more of its tasks become unavailable. */
-    private static boolean mayBecomeUnavailable(SchedulerTick tick, RunRow run, StepSpec spec) {
-        if (spec.maxUnavailable() <= 0) {
-            return true;
-        }
-        int unavailable = 0;
-        StepKey step = run.task().stepKey();
-        for (int i = 0; i < spec.count(); i++) {
-            if (i != run.task().index() && !isAvailable(tick, step.task(i))) {
-                unavailable++;
-            }
-        }
-        return unavailable < spec.maxUnavailable();
-    }
-
-    /** Returns whether a task is fully available, by a recent response of its executor. */
-    private static boolean isAvailable(SchedulerTick tick, TaskKey task) {
-        RunRow run = tick.world().runs().find(task).orElse(null);
-        if (run == null
-                || run.stage() != RunStage.RUNNING
-                || run.progressPercent() < FULL_PERCENT) {
-            return false;
-        }
-        return tick.world()
-                .executorSessions()
-                .find(run.executor())
-                .filter(
-                        s ->
-                                s.consecutiveFailures() == 0
-                                        && tick.nowMs() - s.lastAnswerMs() < MAX_RESPONSE_AGE_MS)
-                .isPresent();
-    }
 }
