Run times are learned from finished runs

RunSampling adds the duration of each first, undisturbed run to a RunTimeRow by image, or by queue, step and shape. Nothing uses it yet.

--- a/core/src/main/java/org/hibiscususher/core/job/StepSpec.java
+++ b/core/src/main/java/org/hibiscususher/core/job/StepSpec.java
@@ -84,6 +84,16 @@
      * which has no end.
      */
     public long workCoreMs() {
-        return service ? 0 : count * Math.max(1, demand.cpuMillis()) * estimateMs / 1_000;
+        return workCoreMs(estimateMs);
+    }
+
+    /**
+     * Returns the work of the whole step, in core-milliseconds, if a task takes the given time; 0
+     * for a service step.
+     *
+     * @param taskMs duration of a task, in milliseconds
+     */
+    public long workCoreMs(long taskMs) {
+        return service ? 0 : count * Math.max(1, demand.cpuMillis()) * taskMs / 1_000;
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/FinishedRuns.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/FinishedRuns.java
@@ -6,6 +6,7 @@
 import org.hibiscususher.core.job.StepKey;
 import org.hibiscususher.core.job.StepSpec;
 import org.hibiscususher.core.job.TaskKey;
+import org.hibiscususher.core.scheduler.estimate.RunSampling;
 import org.hibiscususher.core.scheduler.job.JobLifecycle;
 import org.hibiscususher.core.scheduler.world.FinishedRunKey;
 import org.hibiscususher.core.scheduler.world.FinishedRunRow;
@@ -45,6 +46,7 @@
                         .orElse(null);
         logEnd(tick, executor, finished, job, run != null);
         if (run != null) {
+            RunSampling.record(tick, finished, run);
             world.runs().remove(run.task());
             ExecutorHealth.recordEnd(tick, executor);
         }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/RunLifecycle.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/RunLifecycle.java
@@ -23,7 +23,7 @@
      * <p>Each term has a range of its own, since an executor rejects a run whose number is not
      * above earlier ones, and a new owner may not know the last number that its predecessor gave.
      */
-    static final int RUNS_PER_TERM = 1_000;
+    public static final int RUNS_PER_TERM = 1_000;
 
     private RunLifecycle() {}
 
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerWorld.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerWorld.java
@@ -7,6 +7,7 @@
 import org.hibiscususher.core.job.JobConfiguration;
 import org.hibiscususher.core.job.StepKey;
 import org.hibiscususher.core.job.TaskKey;
+import org.hibiscususher.core.scheduler.estimate.RunTimeKey;
 import org.hibiscususher.core.scheduler.message.HostReport;
 import org.hibiscususher.core.scheduler.message.Ownership;
 import org.hibiscususher.core.scheduler.message.RecordKind;
@@ -62,6 +63,7 @@
     private final GroupedTable<Long, PendingRequestRow, String> mPendingRequests =
             GroupedTable.createBy(PendingRequestRow::job);
     private final Table<String, PoolBacklogRow> mPoolBacklogs = Table.create();
+    private final Table<RunTimeKey, RunTimeRow> mRunTimes = Table.create();
     private final Table<Long, WaveRow> mWaves = Table.create();
     private final Table<String, HostReport> mHosts = Table.create();
     private final Table<String, HostOperationRow> mHostOperations = Table.create();
@@ -247,6 +249,11 @@
         return mPoolBacklogs;
     }
 
+    /** Returns the run times that finished runs have shown, by which steps are alike. */
+    public Table<RunTimeKey, RunTimeRow> runTimes() {
+        return mRunTimes;
+    }
+
     /** Returns the maintenance waves by number. */
     public Table<Long, WaveRow> waves() {
         return mWaves;
@@ -305,6 +312,7 @@
                 mUncertainStarts,
                 mAdvice,
                 mPoolBacklogs,
+                mRunTimes,
                 mHosts,
                 mHostOperations,
                 mHostOrders);
