Order of starts, backlog and demand go by learned run times

StartPriority, PoolBacklogs (and with it BacklogLimit and Retry-After) and OfferedLoad multiplied work by the declared estimate, which is off by a half on the larger deployments. They use RunTimes.expect now, which is the declared estimate until eight runs on four executors say otherwise. What a job is promised (its deadline, the longest wait) stays by its declaration.

StartPriorityTest, OfferedLoadTest and BacklogLimitTest pass, with four new cases that need run times to be learned. OfferedLoadTest passes a world to byPool, nothing else of it is changed.

--- a/core/src/main/java/org/hibiscususher/core/scheduler/host/OfferedLoad.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/host/OfferedLoad.java
@@ -3,8 +3,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.hibiscususher.core.scheduler.estimate.RunTimes;
 import org.hibiscususher.core.scheduler.world.JobRow;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
+import org.hibiscususher.core.scheduler.world.SchedulerWorld;
 
 /**
  * The offered load of each pool: the processor capacity that keeps up with recently sent jobs.
@@ -33,16 +35,17 @@
 
     /** Returns the offered load by name of pool, in thousandths of a core. */
     static Map<String, Long> byPool(SchedulerTick tick) {
-        return byPool(tick.world().jobs().rows(), tick.nowMs());
+        return byPool(tick.world(), tick.world().jobs().rows(), tick.nowMs());
     }
 
     /**
      * Returns the offered load by name of pool, in thousandths of a core.
      *
+     * @param world tables, for the expected run times
      * @param jobs jobs in the order of their arrival
      * @param nowMs the time on the steady clock
      */
-    static Map<String, Long> byPool(List<JobRow> jobs, long nowMs) {
+    static Map<String, Long> byPool(SchedulerWorld world, List<JobRow> jobs, long nowMs) {
         Map<String, Arrivals> arrivals = new HashMap<>();
         for (int i = jobs.size() - 1; i >= 0; i--) {
             JobRow job = jobs.get(i);
@@ -50,7 +53,7 @@
             if (ageMs > WINDOW_MS) {
                 break;
             }
-            long coreMs = job.spec().workCoreMs();
+            long coreMs = RunTimes.workCoreMs(world, job);
             boolean recent = ageMs <= SHORT_WINDOW_MS;
             arrivals.merge(
                     job.policy().pool(),
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/PoolBacklogs.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/PoolBacklogs.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import org.hibiscususher.core.job.StepSpec;
+import org.hibiscususher.core.scheduler.estimate.RunTimes;
 import org.hibiscususher.core.scheduler.placement.StartPriority;
 import org.hibiscususher.core.scheduler.placement.TeamShares;
 import org.hibiscususher.core.scheduler.world.ExecutorRow;
@@ -83,8 +84,8 @@
     private static Map<String, Long> workByJob(SchedulerWorld world, String pool) {
         Map<String, Long> workByJob = new HashMap<>();
         for (TaskRow task : world.tasks().group(new TaskGroup(pool, TaskState.WAITING))) {
-            StepSpec spec = JobLifecycle.findSpec(world, task.key().stepKey()).orElseThrow();
-            workByJob.merge(task.key().jobId(), spec.service() ? 0 : taskWork(spec), Long::sum);
+            JobRow job = world.jobs().find(task.key().jobId()).orElseThrow();
+            workByJob.merge(job.id(), taskWork(world, job, task.key().stepKey().step()), Long::sum);
         }
         return workByJob;
     }
@@ -95,16 +96,21 @@
         return new QueuedWork(StartPriority.of(world, job, shares, nowMs), work);
     }
 
-    private static long taskWork(StepSpec spec) {
-        return spec.reserved().cpuMillis() * spec.estimateMs();
+    /** Returns the expected work of a task of a step; 0 for a service, which has no end. */
+    private static long taskWork(SchedulerWorld world, JobRow job, int stepNumber) {
+        StepSpec spec = job.spec().steps().get(stepNumber);
+        return spec.service()
+                ? 0
+                : spec.reserved().cpuMillis() * RunTimes.expect(world, job, stepNumber).medianMs();
     }
 
     /** Returns the work of the steps with which a job begins once the store holds it. */
     private static QueuedWork firstWork(
             SchedulerWorld world, JobRow job, TeamShares shares, long nowMs) {
         long work = 0;
-        for (StepSpec spec : job.spec().steps()) {
-            work += spec.dependsOn().isEmpty() ? spec.count() * taskWork(spec) : 0;
+        for (int i = 0; i < job.spec().steps().size(); i++) {
+            StepSpec spec = job.spec().steps().get(i);
+            work += spec.dependsOn().isEmpty() ? spec.count() * taskWork(world, job, i) : 0;
         }
         return new QueuedWork(StartPriority.of(world, job, shares, nowMs), work);
     }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/placement/StartPriority.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/placement/StartPriority.java
@@ -4,6 +4,7 @@
 
 import org.hibiscususher.core.job.StepKey;
 import org.hibiscususher.core.job.StepSpec;
+import org.hibiscususher.core.scheduler.estimate.RunTimes;
 import org.hibiscususher.core.scheduler.world.JobRow;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
 import org.hibiscususher.core.scheduler.world.StepRow;
@@ -19,9 +20,10 @@
  *
  * @param service whether the task runs until its job is cancelled
  * @param queuePriority priority of the job's queue; 0 comes first
- * @param canMeetDeadline whether the job can still finish by its deadline, going by its estimates
+ * @param canMeetDeadline whether the job can still finish by its deadline, going by the expected
+ *     run times
  * @param overShare whether the job's team uses more than its share of the pool
- * @param remainingCoreMs estimated remaining work of the job, in core-milliseconds
+ * @param remainingCoreMs expected remaining work of the job, in core-milliseconds
  * @param arrivedMs when the job arrived, on the steady clock
  */
 public record StartPriority(
@@ -47,8 +49,9 @@
             StepSpec step = job.spec().steps().get(i);
             StepRow row = world.steps().find(new StepKey(job.id(), 0, i)).orElse(null);
             int remainingTasks = row == null ? step.count() : row.remaining();
-            remainingCoreMs += step.workCoreMs() * remainingTasks / step.count();
-            remainingMs += remainingTasks > 0 ? step.estimateMs() : 0;
+            long taskMs = RunTimes.expect(world, job, i).medianMs();
+            remainingCoreMs += step.workCoreMs(taskMs) * remainingTasks / step.count();
+            remainingMs += remainingTasks > 0 ? taskMs : 0;
         }
         return new StartPriority(
                 job.spec().isService(),
--- a/core/src/test/java/org/hibiscususher/core/scheduler/SchedulerWorlds.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/SchedulerWorlds.java
@@ -1,17 +1,21 @@
 package org.hibiscususher.core.scheduler;
 
 import java.util.List;
+import java.util.stream.IntStream;
 import org.hibiscususher.core.job.JobAddress;
 import org.hibiscususher.core.job.JobPolicy;
 import org.hibiscususher.core.job.JobSpec;
 import org.hibiscususher.core.job.JobState;
 import org.hibiscususher.core.job.Resources;
 import org.hibiscususher.core.job.StepSpec;
+import org.hibiscususher.core.scheduler.estimate.RunTimeKey;
+import org.hibiscususher.core.scheduler.estimate.RunTimeSample;
 import org.hibiscususher.core.scheduler.message.ExecutorReport;
 import org.hibiscususher.core.scheduler.message.StoredRecord;
 import org.hibiscususher.core.scheduler.world.ExecutorRow;
 import org.hibiscususher.core.scheduler.world.ExecutorSessionRow;
 import org.hibiscususher.core.scheduler.world.JobRow;
+import org.hibiscususher.core.scheduler.world.RunTimeRow;
 import org.hibiscususher.core.scheduler.world.SchedulerSettings;
 import org.hibiscususher.core.scheduler.world.SchedulerTiming;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
@@ -85,4 +89,15 @@
                 false,
                 0);
     }
+
+    /** Adds the run times of eight finished runs of a job's first step, on eight executors. */
+    public static void addRunTimes(SchedulerWorld world, JobRow job, long durationMs) {
+        RunTimeKey key = RunTimeKey.of(job, 0);
+        long declaredMs = job.spec().steps().get(0).estimateMs();
+        List<RunTimeSample> samples =
+                IntStream.range(0, 8)
+                        .mapToObj(i -> new RunTimeSample("e" + i, durationMs, declaredMs))
+                        .toList();
+        world.runTimes().put(key, RunTimeRow.of(key, samples, 0));
+    }
 }
--- a/core/src/test/java/org/hibiscususher/core/scheduler/host/OfferedLoadTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/host/OfferedLoadTest.java
@@ -10,8 +10,10 @@
 import org.hibiscususher.core.job.JobState;
 import org.hibiscususher.core.job.Resources;
 import org.hibiscususher.core.job.StepSpec;
+import org.hibiscususher.core.scheduler.SchedulerWorlds;
 import org.hibiscususher.core.scheduler.message.StoredRecord;
 import org.hibiscususher.core.scheduler.world.JobRow;
+import org.hibiscususher.core.scheduler.world.SchedulerWorld;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -24,6 +26,7 @@
     class SurgeOnset {
         private static final long JOB_CORE_MILLIS = 10_000;
 
+        private final SchedulerWorld mWorld = SchedulerWorlds.ofOwner(START_MS);
         private final List<JobRow> mJobs = new ArrayList<>();
 
         private long mArrivedMs = START_MS;
@@ -57,7 +60,8 @@
         }
 
         private double seenJobsPerSecond(long afterMs) {
-            long cpuMillis = OfferedLoad.byPool(mJobs, START_MS + afterMs).getOrDefault("p", 0L);
+            long cpuMillis =
+                    OfferedLoad.byPool(mWorld, mJobs, START_MS + afterMs).getOrDefault("p", 0L);
             return (double) cpuMillis / JOB_CORE_MILLIS;
         }
 
@@ -82,6 +86,14 @@
             assertThat(seenJobsPerSecond(300)).isBetween(2.0, 4.0);
         }
 
+        /** Hosts came for half of the work if it took twice as long as estimated. */
+        @Test
+        void countsTheWorkThatIsLearned() {
+            arrive(10, 300);
+            SchedulerWorlds.addRunTimes(mWorld, mJobs.get(0), 2_000);
+            assertThat(seenJobsPerSecond(300)).isBetween(5.0, 7.0);
+        }
+
         @Test
         void isForgottenAfterASecond() {
             arrive(60, 300);
--- a/core/src/test/java/org/hibiscususher/core/scheduler/job/BacklogLimitTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/job/BacklogLimitTest.java
@@ -234,6 +234,16 @@
                     .isEqualTo(derived.takenMs());
         }
 
+        /** Callers were told to return while the work ahead of them took half as long again. */
+        @Test
+        void expectsTheWaitThatRunTimesShow() {
+            JobRow job = job("new", "team", 40, 400, false);
+            assertThat(BacklogLimit.decide(mWorld, job, NOW_MS).waitMs()).isEqualTo(1_000);
+            SchedulerWorlds.addRunTimes(mWorld, job("small", "team", 10, 1_000, false), 1_550);
+            long laterMs = NOW_MS + PoolBacklogs.MAX_AGE_MS;
+            assertThat(BacklogLimit.decide(mWorld, job, laterMs).waitMs()).isEqualTo(1_550);
+        }
+
         @Test
         void acceptsServices() {
             assertThat(accepts(job("new", "team", 950, 0, true))).isTrue();
--- a/core/src/test/java/org/hibiscususher/core/scheduler/placement/StartPriorityTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/placement/StartPriorityTest.java
@@ -6,6 +6,15 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Random;
+import org.hibiscususher.core.job.JobAddress;
+import org.hibiscususher.core.job.JobPolicy;
+import org.hibiscususher.core.job.JobSpec;
+import org.hibiscususher.core.job.Resources;
+import org.hibiscususher.core.job.StepSpec;
+import org.hibiscususher.core.scheduler.SchedulerWorlds;
+import org.hibiscususher.core.scheduler.message.StoredRecord;
+import org.hibiscususher.core.scheduler.world.JobRow;
+import org.hibiscususher.core.scheduler.world.SchedulerWorld;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -40,6 +49,44 @@
         }
     }
 
+    /** Two jobs of different queues, whose estimates are the same. */
+    @Nested
+    class LearnedRunTimes {
+        private static final long NOW_MS = 50_000;
+
+        private final SchedulerWorld mWorld = SchedulerWorlds.ofOwner(NOW_MS);
+
+        private JobRow job(String queue) {
+            StepSpec step = StepSpec.of(4, Resources.of(1_000, 1, 0), 500, List.of());
+            JobPolicy policy = new JobPolicy(queue, "p", 0, 3, 1.6, 600, false);
+            JobSpec spec = JobSpec.once("x", List.of(step));
+            return JobRow.received(
+                    new StoredRecord.Job(queue, policy, JobAddress.UNKNOWN, "t", spec, 0), NOW_MS);
+        }
+
+        private StartPriority of(JobRow job) {
+            return StartPriority.of(mWorld, job, TeamShares.of(mWorld, "p"), NOW_MS);
+        }
+
+        /** Jobs that take twice as long as estimated held up those that don't. */
+        @Test
+        void putTheJobLastThatTakesLonger() {
+            assertThat(of(job("a"))).isEqualByComparingTo(of(job("b")));
+            SchedulerWorlds.addRunTimes(mWorld, job("a"), 1_000);
+            assertThat(of(job("a"))).isGreaterThan(of(job("b")));
+            assertThat(of(job("a")).remainingCoreMs()).isEqualTo(4_000);
+            assertThat(of(job("a")).canMeetDeadline()).isTrue();
+        }
+
+        /** A job that can't end in time took the place of one that could. */
+        @Test
+        void tellThatADeadlineCannotBeMet() {
+            SchedulerWorlds.addRunTimes(mWorld, job("a"), 2_000);
+            assertThat(of(job("a")).canMeetDeadline()).isFalse();
+            assertThat(of(job("b")).canMeetDeadline()).isTrue();
+        }
+    }
+
     /** Jobs that demand four times the capacity of their pool, for 4.5 seconds. */
     @Nested
     class Overload {
