Learned run times survive a change of owner

Each new owner would have learned anew, with some tens of runs a key. It waits for no other record, and none waits for it.

--- a/core/src/main/java/org/hibiscususher/core/scheduler/control/SchedulerPhase.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/control/SchedulerPhase.java
@@ -1,5 +1,6 @@
 package org.hibiscususher.core.scheduler.control;
 
+import org.hibiscususher.core.scheduler.estimate.RunTimeRecordSystem;
 import org.hibiscususher.core.scheduler.executor.DrainingExecutorSystem;
 import org.hibiscususher.core.scheduler.executor.ExecutorSystem;
 import org.hibiscususher.core.scheduler.executor.HeartbeatSystem;
@@ -154,6 +155,12 @@
             HeartbeatSystem.run(tick);
         }
     },
+    RUN_TIME_RECORD {
+        @Override
+        void run(SchedulerTick tick) {
+            RunTimeRecordSystem.run(tick);
+        }
+    },
     COMMIT {
         @Override
         void run(SchedulerTick tick) {
--- a/core/src/main/java/org/hibiscususher/core/scheduler/estimate/RunTimes.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/estimate/RunTimes.java
@@ -2,6 +2,8 @@
 
 import java.util.Comparator;
 import java.util.List;
+import org.hibiscususher.core.scheduler.message.RunTimeSamples;
+import org.hibiscususher.core.scheduler.message.StoredRecord;
 import org.hibiscususher.core.scheduler.world.JobRow;
 import org.hibiscususher.core.scheduler.world.RunTimeRow;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
@@ -52,13 +54,26 @@
         RunTimeRow before =
                 world.runTimes().find(key).orElse(RunTimeRow.of(key, List.of(), tick.nowMs()));
         RunTimeRow after = before.with(sample, tick.nowMs());
-        world.runTimes().put(key, after);
+        boolean changed = after.prediction().differsFrom(after.noted());
+        world.runTimes().put(key, changed ? after.asNoted() : after);
         evictOldest(world);
-        if (after.prediction().differsFrom(before.prediction())) {
+        if (changed) {
+            world.runTimeRecord().set(world.runTimeRecord().get().asChanged());
             logChange(tick, after);
         }
     }
 
+    /** Restores the rows that an earlier owner stored. */
+    public static void restore(SchedulerTick tick, StoredRecord.RunTimes record) {
+        for (RunTimeSamples row : record.rows()) {
+            tick.world()
+                    .runTimes()
+                    .put(row.key(), RunTimeRow.of(row.key(), row.samples(), tick.nowMs()));
+            evictOldest(tick.world());
+        }
+        tick.log("run-times", "restored=" + record.rows().size());
+    }
+
     private static void evictOldest(SchedulerWorld world) {
         if (world.runTimes().size() > MAX_ROWS) {
             world.runTimes().rows().stream()
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/RecordKind.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/RecordKind.java
@@ -21,7 +21,9 @@
     /** The hosts that the owner may have ordered recently. */
     HOST_ORDERS,
     /** The status of a wave, for operators. */
-    WAVE_STATUS;
+    WAVE_STATUS,
+    /** The run times that finished runs have shown. */
+    RUN_TIMES;
 
     private final boolean mOfJob;
 
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/RecordName.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/RecordName.java
@@ -21,6 +21,9 @@
     /** The record of the hosts with orders. */
     public static final RecordName HOST_ORDERS = new RecordName(RecordKind.HOST_ORDERS, "");
 
+    /** The record of learned run times. */
+    public static final RecordName RUN_TIMES = new RecordName(RecordKind.RUN_TIMES, "");
+
     /** Rejects null components. */
     public RecordName {
         requireNonNull(kind);
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/StoredRecord.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/StoredRecord.java
@@ -207,4 +207,21 @@
             return RecordName.of(RecordKind.WAVE_STATUS, Long.toString(wave));
         }
     }
+
+    /**
+     * The run times that finished runs have shown. Losing it costs only what was learned.
+     *
+     * @param rows samples of the steps that are alike, those sampled longest ago first
+     */
+    record RunTimes(List<RunTimeSamples> rows) implements StoredRecord {
+        /** Copies the list. */
+        public RunTimes {
+            rows = List.copyOf(rows);
+        }
+
+        @Override
+        public RecordName name() {
+            return RecordName.RUN_TIMES;
+        }
+    }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/Commits.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/Commits.java
@@ -151,20 +151,25 @@
 
     /**
      * Adds the records of executors, hosts and waves. One commit at a time has such records, since
-     * the status of a wave must not be stored ahead of the wave.
+     * the status of a wave must not be stored ahead of the wave. That of run times depends on no
+     * other one, and no other one waits for it.
      */
     private static void addPendingRecords(
             SchedulerWorld world, Set<RecordName> inFlight, List<StoredRecord> records) {
-        if (inFlight.stream().anyMatch(name -> !name.kind().isOfJob())) {
-            return;
-        }
+        boolean othersInFlight = inFlight.stream().anyMatch(Commits::isOrdered);
         for (StoredRecord record : world.pendingRecords().rows()) {
-            if (records.size() < MAX_RECORDS) {
+            boolean mayGo =
+                    isOrdered(record.name()) ? !othersInFlight : !inFlight.contains(record.name());
+            if (mayGo && records.size() < MAX_RECORDS) {
                 records.add(record);
             }
         }
     }
 
+    private static boolean isOrdered(RecordName name) {
+        return !name.kind().isOfJob() && name.kind() != RecordKind.RUN_TIMES;
+    }
+
     /** Returns the records whose retention has ended; both of a job or none. */
     private static List<RecordName> removableRecords(
             SchedulerWorld world, Set<RecordName> inFlight) {
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/Takeover.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/Takeover.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Set;
 import org.hibiscususher.core.job.Resources;
+import org.hibiscususher.core.scheduler.estimate.RunTimes;
 import org.hibiscususher.core.scheduler.executor.HeartbeatSystem;
 import org.hibiscususher.core.scheduler.job.JobCancellations;
 import org.hibiscususher.core.scheduler.job.JobLifecycle;
@@ -127,6 +128,8 @@
         } else if (record instanceof StoredRecord.HostOrders orders) {
             world.recordedHostOrders().set(orders);
             orders.hosts().forEach(host -> delayHostOrders(tick, host));
+        } else if (record instanceof StoredRecord.RunTimes runTimes) {
+            RunTimes.restore(tick, runTimes);
         } else if (record instanceof StoredRecord.Wave wave) {
             world.waves()
                     .update(
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/RunTimeRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/RunTimeRow.java
@@ -15,10 +15,15 @@
  * @param key which steps
  * @param samples durations of finished runs, newest last
  * @param prediction what they tell of the next runs
+ * @param noted the prediction that was last logged and written to the store, or is about to be
  * @param sampledMs when the last one was added, in milliseconds of the steady clock
  */
 public record RunTimeRow(
-        RunTimeKey key, List<RunTimeSample> samples, RunTimePrediction prediction, long sampledMs) {
+        RunTimeKey key,
+        List<RunTimeSample> samples,
+        RunTimePrediction prediction,
+        RunTimePrediction noted,
+        long sampledMs) {
     /** Most samples in a row. More would show a change of behavior later. */
     public static final int MAX_SAMPLES = 32;
 
@@ -29,12 +34,19 @@
     public RunTimeRow {
         requireNonNull(key);
         requireNonNull(prediction);
+        requireNonNull(noted);
         samples = List.copyOf(samples);
     }
 
-    /** Returns the row with the given samples, newest last. */
+    /** Returns the row with the given samples, newest last, whose prediction is noted. */
     public static RunTimeRow of(RunTimeKey key, List<RunTimeSample> samples, long sampledMs) {
-        return new RunTimeRow(key, samples, RunTimeStatistics.predict(samples), sampledMs);
+        RunTimePrediction prediction = RunTimeStatistics.predict(samples);
+        return new RunTimeRow(key, samples, prediction, prediction, sampledMs);
+    }
+
+    /** Returns this row with its prediction noted. */
+    public RunTimeRow asNoted() {
+        return new RunTimeRow(key, samples, prediction, prediction, sampledMs);
     }
 
     /** Returns this row with another sample, in place of the oldest one if there is no room. */
@@ -47,7 +59,7 @@
         } else if (next.size() > MAX_SAMPLES) {
             next.remove(0);
         }
-        return of(key, next, nowMs);
+        return new RunTimeRow(key, next, RunTimeStatistics.predict(next), noted, nowMs);
     }
 
     private int oldestOf(String executor) {
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerWorld.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerWorld.java
@@ -64,6 +64,8 @@
             GroupedTable.createBy(PendingRequestRow::job);
     private final Table<String, PoolBacklogRow> mPoolBacklogs = Table.create();
     private final Table<RunTimeKey, RunTimeRow> mRunTimes = Table.create();
+    private final SingleRowTable<RunTimeRecordRow> mRunTimeRecord =
+            SingleRowTable.of(RunTimeRecordRow.INITIAL);
     private final Table<Long, WaveRow> mWaves = Table.create();
     private final Table<String, HostReport> mHosts = Table.create();
     private final Table<String, HostOperationRow> mHostOperations = Table.create();
@@ -254,6 +256,11 @@
         return mRunTimes;
     }
 
+    /** Returns whether the record of run times has to be written. */
+    public SingleRowTable<RunTimeRecordRow> runTimeRecord() {
+        return mRunTimeRecord;
+    }
+
     /** Returns the maintenance waves by number. */
     public Table<Long, WaveRow> waves() {
         return mWaves;
@@ -288,6 +295,7 @@
     public void clearOwnerTables() {
         mUsedExecutors.set(new StoredRecord.Executors(List.of()));
         mHostList.set(new HostListRow(0, 0, 0));
+        mRunTimeRecord.set(RunTimeRecordRow.INITIAL);
         mRecordedHostOrders.set(new StoredRecord.HostOrders(List.of()));
         for (Table<?, ?> table : ownerTables()) {
             table.clear();
--- a/wire/src/main/java/org/hibiscususher/wire/scheduler/SchedulerRecordCodec.java
+++ b/wire/src/main/java/org/hibiscususher/wire/scheduler/SchedulerRecordCodec.java
@@ -62,6 +62,8 @@
             builder.getWaveBuilder().setWave(wave.wave()).addAllBegun(wave.startedHosts());
         } else if (record instanceof StoredRecord.HostOrders orders) {
             builder.getHostOrdersBuilder().addAllHosts(orders.hosts());
+        } else if (record instanceof StoredRecord.RunTimes runTimes) {
+            builder.setRunTimes(RunTimesCodec.encode(runTimes));
         } else {
             throw new IllegalArgumentException("not stored as protobuf: " + record.name());
         }
@@ -138,6 +140,7 @@
                     new StoredRecord.Wave(
                             record.getWave().getWave(), record.getWave().getBegunList());
             case HOST_ORDERS -> new StoredRecord.HostOrders(record.getHostOrders().getHostsList());
+            case RUN_TIMES -> RunTimesCodec.decode(record.getRunTimes());
             default -> throw new IOException("stored record has no known body");
         };
     }
--- a/wire/src/test/java/org/hibiscususher/wire/scheduler/SchedulerRecordCodecTest.java
+++ b/wire/src/test/java/org/hibiscususher/wire/scheduler/SchedulerRecordCodecTest.java
@@ -18,10 +18,14 @@
 import org.hibiscususher.core.job.JobState;
 import org.hibiscususher.core.job.Resources;
 import org.hibiscususher.core.job.StepSpec;
+import org.hibiscususher.core.scheduler.estimate.RunTimeKey;
+import org.hibiscususher.core.scheduler.estimate.RunTimeSample;
+import org.hibiscususher.core.scheduler.message.RunTimeSamples;
 import org.hibiscususher.core.scheduler.message.StepProgress;
 import org.hibiscususher.core.scheduler.message.StoredRecord;
 import org.hibiscususher.core.scheduler.message.TaskProgress;
 import org.hibiscususher.core.scheduler.message.UsedExecutor;
+import org.hibiscususher.wire.generated.SchedulerProto;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -69,11 +73,35 @@
                 new StoredRecord.Cancellation("id"),
                 new StoredRecord.Executors(List.of(new UsedExecutor("x", "p"))),
                 new StoredRecord.Wave(3, List.of("h1", "h2")),
-                new StoredRecord.HostOrders(List.of("h1", "h2")));
+                new StoredRecord.HostOrders(List.of("h1", "h2")),
+                runTimes());
+    }
+
+    private static StoredRecord.RunTimes runTimes() {
+        RunTimeKey shape = new RunTimeKey("", "q", 1, 8, Resources.of(1_024, 256, 2));
+        RunTimeKey image = new RunTimeKey("image", "", 0, 0, Resources.NONE);
+        List<RunTimeSample> samples =
+                List.of(new RunTimeSample("x", 700, 500), new RunTimeSample("y", 9_000, 0));
+        return new StoredRecord.RunTimes(
+                List.of(
+                        new RunTimeSamples(shape, samples),
+                        new RunTimeSamples(image, samples.subList(1, 2))));
     }
 
     @Nested
     class InvalidRecords {
+        /** A sample without its executor would end the takeover that reads it. */
+        @Test
+        void rejectsSamplesWithoutAllParts() {
+            SchedulerProto.Record.Builder record = SchedulerProto.Record.newBuilder();
+            record.getRunTimesBuilder().addRowsBuilder().addExecutor(0).addDurationMs(7);
+            assertThatThrownBy(() -> SchedulerRecordCodec.decode(record.build().toByteArray()))
+                    .isInstanceOf(IOException.class);
+            record.getRunTimesBuilder().getRowsBuilder(0).addDeclaredMs(7);
+            assertThatThrownBy(() -> SchedulerRecordCodec.decode(record.build().toByteArray()))
+                    .isInstanceOf(IOException.class);
+        }
+
         @Test
         void rejectsWaveStatusOnEncoding() {
             assertThatThrownBy(
