--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualExecutor.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualExecutor.java
@@ -89,6 +89,7 @@
     private long mLastSequence;
     private double mDelayedOrderShare;
     private boolean mFailsAllRuns;
+    private int mRunTimeFactor = 1;
     private long mSuspendedUntilMs;
     private boolean mEnded;
 
@@ -122,6 +123,11 @@
         mFailsAllRuns = fails;
     }
 
+    /** Sets how many times as long as estimated runs take that start from now on. */
+    void setRunTimeFactor(int factor) {
+        mRunTimeFactor = factor;
+    }
+
     /** Sets the state of the links to all entries. */
     void setLinkState(LinkState state) {
         mLinkState = state;
@@ -407,7 +413,7 @@
         if (!step.service()) {
             RunOutcome outcome = mFailsAllRuns ? RunOutcome.FAILED : RunOutcome.DONE;
             mClock.after(
-                    Math.max(1, step.estimateMs()),
+                    Math.max(1, mRunTimeFactor * step.estimateMs()),
                     () -> {
                         ActiveRun active = mRunning.get(start.task());
                         boolean sameRun = active != null && active.run() == start.run();
