--- a/core/src/main/java/org/hibiscususher/core/scheduler/control/SchedulerPhase.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/control/SchedulerPhase.java
@@ -1,6 +1,7 @@
 package org.hibiscususher.core.scheduler.control;
 
 import org.hibiscususher.core.scheduler.admission.ForwardLimitSystem;
+import org.hibiscususher.core.scheduler.estimate.RunTimeRecordSystem;
 import org.hibiscususher.core.scheduler.evacuation.ZoneEvacuationSystem;
 import org.hibiscususher.core.scheduler.executor.DrainingExecutorSystem;
 import org.hibiscususher.core.scheduler.executor.ExecutorSystem;
@@ -168,6 +169,12 @@
             HeartbeatSystem.run(tick);
         }
     },
+    RUN_TIME_RECORD {
+        @Override
+        void run(SchedulerTick tick) {
+            RunTimeRecordSystem.run(tick);
+        }
+    },
     COMMIT {
         @Override
         void run(SchedulerTick tick) {
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerWorld.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerWorld.java
@@ -9,6 +9,7 @@
 import org.hibiscususher.core.job.JobConfiguration;
 import org.hibiscususher.core.job.StepKey;
 import org.hibiscususher.core.job.TaskKey;
+import org.hibiscususher.core.scheduler.estimate.RunTimeKey;
 import org.hibiscususher.core.scheduler.message.HostReport;
 import org.hibiscususher.core.scheduler.message.Ownership;
 import org.hibiscususher.core.scheduler.message.RecordKind;
@@ -69,6 +70,9 @@
             SingleRowTable.of(ForwardLimitRow.initial(Optional.empty(), 0));
     private final Table<TeamQueue, TeamRejectionRow> mTeamRejections = Table.create();
     private final Table<String, PoolBacklogRow> mPoolBacklogs = Table.create();
+    private final Table<RunTimeKey, RunTimeRow> mRunTimes = Table.create();
+    private final SingleRowTable<RunTimeRecordRow> mRunTimeRecord =
+            SingleRowTable.of(RunTimeRecordRow.INITIAL);
     private final Table<Long, WaveRow> mWaves = Table.create();
     private final Table<String, ZoneEvacuationRow> mZoneEvacuations = Table.create();
     private final Table<String, HostReport> mHosts = Table.create();
@@ -281,6 +285,16 @@
         return mPoolBacklogs;
     }
 
+    /** Returns the run times that finished runs have shown, by which steps are alike. */
+    public Table<RunTimeKey, RunTimeRow> runTimes() {
+        return mRunTimes;
+    }
+
+    /** Returns whether the record of run times has to be written. */
+    public SingleRowTable<RunTimeRecordRow> runTimeRecord() {
+        return mRunTimeRecord;
+    }
+
     /** Returns the maintenance waves by number. */
     public Table<Long, WaveRow> waves() {
         return mWaves;
@@ -320,6 +334,7 @@
     public void clearOwnerTables() {
         mUsedExecutors.set(new StoredRecord.Executors(List.of()));
         mHostList.set(new HostListRow(0, 0, 0));
+        mRunTimeRecord.set(RunTimeRecordRow.INITIAL);
         mRecordedHostOrders.set(new StoredRecord.HostOrders(List.of()));
         for (Table<?, ?> table : ownerTables()) {
             table.clear();
@@ -344,6 +359,7 @@
                 mUncertainStarts,
                 mAdvice,
                 mPoolBacklogs,
+                mRunTimes,
                 mHosts,
                 mHostOperations,
                 mHostOrders);
--- a/standin/src/main/java/org/hibiscususher/standin/bench/TickBench.java
+++ b/standin/src/main/java/org/hibiscususher/standin/bench/TickBench.java
@@ -220,7 +220,7 @@
                         "/q" + number % POOLS + "/" + id,
                         "key",
                         Optional.of(spec(800)));
-        return new RequestReceived(number, request);
+        return new RequestReceived(number, request, mNowMs);
     }
 
     private void tick(List<SchedulerInput> inputs) {
