Sound runs that were ahead at their first report are not taken for hung

Review of the merged parts: a run that a new owner adopts at 40 percent, or that continues from a checkpoint, looked as if it had taken no time for what it had done, so that 0.8 s without a further percent counted as a hang: runs of 200 s were stopped a second after a takeover and all their executors quarantined (a probe of the review; the new case of StragglerSystemTest replays it). Progress now counts from the first report to this owner. The hang rule by finished runs allows for the declared estimate if it is longer, since one image may do work of different sizes; sibling tasks of a service that are at work are evidence; a run that alone makes no progress for 60 s is stopped, since its job would never end. What similar runs let expect is looked up in one place.

--- a/core/src/main/java/org/hibiscususher/core/scheduler/estimate/RunSampling.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/estimate/RunSampling.java
@@ -18,7 +18,7 @@
 import org.hibiscususher.core.scheduler.world.TaskRow;
 
 /**
- * Decides which finished runs tell how long like runs take, and adds these to the samples.
+ * Decides which finished runs tell how long similar runs take, and adds these to the samples.
  *
  * <p>A run counts only if nothing but the work and the executor decided on its duration. Runs of
  * best-effort steps are left out, since they have the processor time that others leave; these are
@@ -51,19 +51,18 @@
 
     /**
      * Returns whether this owner started the run, as the first one of its task and without a
-     * checkpoint. Of a job that an earlier owner accepted that isn't known.
+     * checkpoint. That isn't known for a job that an earlier owner accepted.
      */
     private static boolean isFirstStart(SchedulerWorld world, JobRow job, RunRow run) {
         TaskRow task = world.tasks().find(run.task()).orElse(null);
-        long firstRun = (world.term().get().generation() - 1) * RunLifecycle.RUNS_PER_TERM + 1;
         return task != null
                 && !job.inherited()
-                && run.run() == firstRun
+                && RunLifecycle.startsInTerm(run.run()) == 1
                 && task.failedRuns().isEmpty()
                 && task.checkpoint().isEmpty();
     }
 
-    /** Returns whether the run went on to its end at full speed on a healthy executor. */
+    /** Returns whether this owner saw the run on a healthy executor until its end. */
     private static boolean isUndisturbed(SchedulerTick tick, RunRow run) {
         ExecutorSessionRow session =
                 tick.world().executorSessions().find(run.executor()).orElse(null);
--- a/core/src/main/java/org/hibiscususher/core/scheduler/estimate/RunTimeKey.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/estimate/RunTimeKey.java
@@ -7,8 +7,8 @@
 import org.hibiscususher.core.scheduler.world.JobRow;
 
 /**
- * Names steps whose runs are expected to take alike: those of the same image or, without an image,
- * those of the same position and shape in jobs of the same queue.
+ * Names steps whose runs are expected to take equally long: those of the same image or, without an
+ * image, those of the same position and shape in jobs of the same queue.
  *
  * @param image software that the tasks run; empty if not known, and then the other parts count
  * @param queue name of the queue
--- a/core/src/main/java/org/hibiscususher/core/scheduler/estimate/RunTimePrediction.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/estimate/RunTimePrediction.java
@@ -44,8 +44,8 @@
         return by.estimate(this, declaredMs);
     }
 
-    /** Returns whether this prediction differs from another one by more than a fifth. */
-    public boolean differsFrom(RunTimePrediction other) {
+    /** Returns whether this prediction differs from another one by a notable part. */
+    public boolean differsNotably(RunTimePrediction other) {
         return source != other.source
                 || source != EstimateSource.DECLARED
                         && (isNotable(medianMs, other.medianMs)
--- a/core/src/main/java/org/hibiscususher/core/scheduler/estimate/RunTimeRecordSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/estimate/RunTimeRecordSystem.java
@@ -48,7 +48,7 @@
                 rows.subList(Math.max(0, rows.size() - MAX_STORED_ROWS), rows.size()));
     }
 
-    /** Returns the rows that tell something. */
+    /** Returns the rows with enough samples and a key short enough to store. */
     private static Stream<RunTimeRow> storable(SchedulerWorld world) {
         return world.runTimes().rows().stream()
                 .filter(row -> row.prediction().isSupported())
--- a/core/src/main/java/org/hibiscususher/core/scheduler/estimate/RunTimeStatistics.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/estimate/RunTimeStatistics.java
@@ -10,7 +10,7 @@
 /** Computes predictions from samples. */
 public final class RunTimeStatistics {
     /** Part of the samples that may come from one executor, as a divisor. */
-    static final int EXECUTOR_PART = 4;
+    public static final int EXECUTOR_PART = 4;
 
     /** Range of the median ratio within which the declared estimate holds. */
     private static final double MIN_HELD_RATIO = 2.0 / 3;
@@ -67,7 +67,7 @@
     }
 
     /**
-     * Returns the newest samples of each executor, as many that none has more than a quarter; empty
+     * Returns the newest samples of each executor, so many that none has more than a quarter; empty
      * if fewer than four executors have any.
      */
     private static List<RunTimeSample> limitByExecutor(List<RunTimeSample> samples) {
@@ -106,8 +106,8 @@
     }
 
     /**
-     * Returns the 95th percentile by the median. The rank is rounded down, so that a single outlier
-     * is never the percentile itself.
+     * Returns the 95th percentile divided by the median. The rank is rounded down, so that a single
+     * outlier is never the percentile itself.
      */
     private static double spread(double[] sorted) {
         if (sorted.length == 0) {
--- a/core/src/main/java/org/hibiscususher/core/scheduler/estimate/RunTimes.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/estimate/RunTimes.java
@@ -2,18 +2,20 @@
 
 import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
 import org.hibiscususher.core.scheduler.message.RunTimeSamples;
 import org.hibiscususher.core.scheduler.message.StoredRecord;
 import org.hibiscususher.core.scheduler.world.JobRow;
+import org.hibiscususher.core.scheduler.world.RunRow;
 import org.hibiscususher.core.scheduler.world.RunTimeRow;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
 
 /**
- * Expects of a run what earlier runs of like steps took.
+ * Predicts run times from earlier runs of similar steps.
  *
- * <p>Answers estimates that are off by a factor which the scheduler can see only afterwards. Where
- * they hold, or little is known, the declared estimate is kept.
+ * <p>For declared estimates that are off by a factor, which shows only in finished runs. Where they
+ * hold, or little is known, the declared estimate is kept.
  */
 public final class RunTimes {
     /** Most rows in the table; the one that was sampled longest ago is evicted. */
@@ -33,6 +35,23 @@
                 .orElse(RunTimeEstimate.declared(declaredMs));
     }
 
+    /**
+     * Returns what similar runs on other executors let expect of a run, or empty if too few of them
+     * have finished.
+     */
+    public static Optional<RunTimeEstimate> expectFromOthers(SchedulerWorld world, RunRow run) {
+        JobRow job = world.jobs().find(run.task().jobId()).orElse(null);
+        int step = run.task().stepKey().step();
+        if (job == null || step >= job.spec().steps().size()) {
+            return Optional.empty();
+        }
+        return world.runTimes()
+                .find(RunTimeKey.of(job, step))
+                .map(row -> row.predictionWithout(run.executor()))
+                .filter(RunTimePrediction::isSupported)
+                .map(others -> others.estimate(job.spec().steps().get(step).estimateMs()));
+    }
+
     /** Returns the expected work of a step in core-milliseconds; 0 for a service step. */
     public static long workCoreMs(SchedulerWorld world, JobRow job, int stepNumber) {
         long medianMs = expect(world, job, stepNumber).medianMs();
@@ -54,8 +73,8 @@
         RunTimeRow before =
                 world.runTimes().find(key).orElse(RunTimeRow.of(key, List.of(), tick.nowMs()));
         RunTimeRow after = before.with(sample, tick.nowMs());
-        boolean changed = after.prediction().differsFrom(after.noted());
-        world.runTimes().put(key, changed ? after.asNoted() : after);
+        boolean changed = after.prediction().differsNotably(after.published());
+        world.runTimes().put(key, changed ? after.asPublished() : after);
         evictOldest(world);
         if (changed) {
             world.runTimeRecord().set(world.runTimeRecord().get().asChanged());
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/HangEvidence.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/HangEvidence.java
@@ -2,17 +2,15 @@
 
 import org.hibiscususher.core.job.StepKey;
 import org.hibiscususher.core.job.StepSpec;
-import org.hibiscususher.core.scheduler.estimate.RunTimeKey;
-import org.hibiscususher.core.scheduler.estimate.RunTimePrediction;
+import org.hibiscususher.core.scheduler.estimate.RunTimes;
 import org.hibiscususher.core.scheduler.job.JobLifecycle;
-import org.hibiscususher.core.scheduler.world.JobRow;
 import org.hibiscususher.core.scheduler.world.RunRow;
 import org.hibiscususher.core.scheduler.world.RunStage;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
 
 /**
- * What shows that a run without progress hangs. An estimate alone never does: progress is reported
- * in whole percent, so a long run shows none for seconds or minutes.
+ * What shows that a run without progress hangs. A declared estimate only lengthens the time
+ * allowed: progress is reported in whole percent, so a long run shows none for seconds or minutes.
  */
 enum HangEvidence {
     /** Runs of the same step on other executors have made progress since this one did. */
@@ -26,7 +24,7 @@
             for (int i = 0; i < scanned && found < MIN_SIMILAR_RUNS; i++) {
                 int index = (run.task().index() + 1 + i) % spec.count();
                 RunRow other = world.runs().find(step.task(index)).orElse(null);
-                if (other != null && isAhead(other, run)) {
+                if (other != null && isAhead(other, run, spec)) {
                     found++;
                     slowestMs = Math.max(slowestMs, perPercentMs(other));
                 }
@@ -34,25 +32,19 @@
             return found < MIN_SIMILAR_RUNS ? NEVER : allowance(spec, slowestMs);
         }
     },
-    /** Runs of like steps on other executors have finished in less time. */
+    /** Runs of similar steps on other executors have finished in less time. */
     FINISHED_RUNS {
         @Override
         long maxStallMs(SchedulerWorld world, RunRow run, StepSpec spec) {
-            JobRow job = world.jobs().find(run.task().jobId()).orElse(null);
-            if (job == null || spec.service()) {
+            if (spec.service()) {
                 return NEVER;
             }
-            RunTimePrediction others =
-                    world.runTimes()
-                            .find(RunTimeKey.of(job, run.task().stepKey().step()))
-                            .map(row -> row.predictionWithout(run.executor()))
-                            .filter(RunTimePrediction::isSupported)
-                            .orElse(null);
-            if (others == null) {
-                return NEVER;
-            }
-            long p95Ms = others.estimate(spec.estimateMs()).p95Ms();
-            return Math.max(MIN_STALL_MS, p95Ms * MAX_MISSED_PERCENTS / FULL_PERCENT);
+            // The work behind one image may differ, which the declared estimate can tell.
+            return RunTimes.expectFromOthers(world, run)
+                    .map(others -> Math.max(others.p95Ms(), spec.estimateMs()))
+                    .map(longMs -> longMs * MAX_MISSED_PERCENTS / FULL_PERCENT)
+                    .map(missedMs -> Math.max(MIN_STALL_MS, missedMs))
+                    .orElse(NEVER);
         }
     },
     /** No run of the executor makes progress. */
@@ -73,6 +65,13 @@
             }
             return longestMs;
         }
+    },
+    /** The run alone has made no progress for very long, while others on its executor do. */
+    RUN_ALONE {
+        @Override
+        long maxStallMs(SchedulerWorld world, RunRow run, StepSpec spec) {
+            return spec.service() ? NEVER : Math.max(MAX_STALL_MS, spec.estimateMs());
+        }
     };
 
     /** Result if there is no such evidence. */
@@ -88,14 +87,21 @@
      * Time without any progress from the start after which a run counts as hung if nothing but its
      * own executor is known, in milliseconds. Runs of up to 1,000 s show progress by then.
      */
-    private static final long MIN_UNSTARTED_STALL_MS = 10_000;
+    private static final long MIN_STALL_WITHOUT_PROGRESS_MS = 10_000;
 
-    /** Part of the declared estimate that such a run may take, in percent; estimates are rough. */
-    private static final long UNSTARTED_ESTIMATE_PERCENT = 30;
+    /**
+     * Time without progress after which a run counts as hung whatever else is known, in
+     * milliseconds. A task that takes so long for a percent is stopped once or a few times, since
+     * each earlier run doubles the time; one that hangs would keep its job from ever ending.
+     */
+    private static final long MAX_STALL_MS = 60_000;
+
+    /** Part of the declared estimate that a run may take without any progress, in percent. */
+    private static final long ESTIMATE_PERCENT_WITHOUT_PROGRESS = 30;
 
     /**
-     * Percents of progress, each as long as usual, that a run may miss. One task in thirty takes
-     * seven times its usual time, single ones twelve times, and reports whole percents.
+     * Percents of progress, each as long as usual, that a run may miss. A run that is several times
+     * slower than the others still makes progress in that time.
      */
     private static final long MAX_MISSED_PERCENTS = 20;
 
@@ -125,21 +131,30 @@
         if (stalledMs <= allowance(spec, 0)) {
             return false;
         }
-        int earlierRuns = Math.max(0, run.run() % RunLifecycle.RUNS_PER_TERM - 1);
+        int earlierRuns = Math.max(0, RunLifecycle.startsInTerm(run.run()) - 1);
         return stalledMs >> Math.min(MAX_DOUBLINGS, earlierRuns) > maxStallMs(world, run, spec);
     }
 
-    private static boolean isAhead(RunRow other, RunRow run) {
+    /**
+     * Returns whether a run of the same step makes progress elsewhere while the given one doesn't.
+     * A service task at work reports no further progress.
+     */
+    private static boolean isAhead(RunRow other, RunRow run, StepSpec spec) {
+        boolean progresses =
+                other.gainedPercent() > 0 && other.lastProgressMs() > run.lastProgressMs();
+        boolean atWork = spec.service() && other.progressPercent() >= FULL_PERCENT;
         return other.stage() == RunStage.RUNNING
                 && !other.executor().equals(run.executor())
-                && other.progressPercent() > 0
-                && other.lastProgressMs() > run.lastProgressMs();
+                && (progresses || atWork);
     }
 
-    /** Returns how long a run has taken for each percent, in milliseconds. */
+    /**
+     * Returns how long a run has taken for each percent since its first report, in milliseconds; 0
+     * if it has gained none.
+     */
     private static long perPercentMs(RunRow run) {
-        long activeMs = Math.max(0, run.lastProgressMs() - run.orderAnsweredMs());
-        return activeMs / Math.max(1, run.progressPercent());
+        long activeMs = Math.max(0, run.lastProgressMs() - run.firstReport().atMs());
+        return run.gainedPercent() <= 0 ? 0 : activeMs / run.gainedPercent();
     }
 
     private static long allowance(StepSpec spec, long perPercentMs) {
@@ -149,10 +164,10 @@
 
     /** Returns how long a run may stall by what it has shown itself. */
     private static long ownAllowance(RunRow run, StepSpec spec) {
-        if (run.progressPercent() > 0 || spec.service()) {
+        if (run.gainedPercent() > 0 || spec.service()) {
             return allowance(spec, perPercentMs(run));
         }
-        long byEstimateMs = spec.estimateMs() * UNSTARTED_ESTIMATE_PERCENT / FULL_PERCENT;
-        return Math.max(MIN_UNSTARTED_STALL_MS, byEstimateMs);
+        long byEstimateMs = spec.estimateMs() * ESTIMATE_PERCENT_WITHOUT_PROGRESS / FULL_PERCENT;
+        return Math.max(MIN_STALL_WITHOUT_PROGRESS_MS, byEstimateMs);
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/HeartbeatResults.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/HeartbeatResults.java
@@ -14,6 +14,7 @@
 import org.hibiscususher.core.scheduler.term.StepDown;
 import org.hibiscususher.core.scheduler.world.ExecutorRow;
 import org.hibiscususher.core.scheduler.world.ExecutorSessionRow;
+import org.hibiscususher.core.scheduler.world.FirstReport;
 import org.hibiscususher.core.scheduler.world.JobRow;
 import org.hibiscususher.core.scheduler.world.RunRow;
 import org.hibiscususher.core.scheduler.world.RunStage;
@@ -202,9 +203,11 @@
                         reported.progressPercent(),
                         reported.load(),
                         100,
-                        tick.nowMs());
+                        tick.nowMs(),
+                        new FirstReport(reported.progressPercent(), tick.nowMs()));
         world.runs().put(run.task(), run);
-        // Silent executors may hold failed runs of the task, which count against its attempts.
+        // Silent executors may hold failed runs, which count against the task's attempts. Services
+        // have no limit of attempts, and a restart must not wait for silent executors.
         TaskRow adopted =
                 spec.service() ? task.asActive(reported.run()) : task.asAdopted(reported.run());
         world.tasks().put(task.key(), adopted);
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/RunLifecycle.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/RunLifecycle.java
@@ -23,10 +23,15 @@
      * <p>Each term has a range of its own, since an executor rejects a run whose number is not
      * above earlier ones, and a new owner may not know the last number that its predecessor gave.
      */
-    public static final int RUNS_PER_TERM = 1_000;
+    private static final int RUNS_PER_TERM = 1_000;
 
     private RunLifecycle() {}
 
+    /** Returns how often the task of a run had been started in the run's term, with this run. */
+    public static int startsInTerm(int run) {
+        return run % RUNS_PER_TERM;
+    }
+
     /** Returns the number of the next run of a task, above all numbers that earlier owners gave. */
     public static int nextRunNumber(SchedulerWorld world, TaskRow task) {
         long lastEarlierNumber = (world.term().get().generation() - 1) * RUNS_PER_TERM;
--- a/core/src/main/java/org/hibiscususher/core/scheduler/executor/StragglerSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/executor/StragglerSystem.java
@@ -8,12 +8,10 @@
 import java.util.Set;
 import org.hibiscususher.core.job.StepSpec;
 import org.hibiscususher.core.scheduler.estimate.RunTimeEstimate;
-import org.hibiscususher.core.scheduler.estimate.RunTimeKey;
-import org.hibiscususher.core.scheduler.estimate.RunTimePrediction;
+import org.hibiscususher.core.scheduler.estimate.RunTimes;
 import org.hibiscususher.core.scheduler.job.JobLifecycle;
 import org.hibiscususher.core.scheduler.message.SchedulerInput.HeartbeatAnswered;
 import org.hibiscususher.core.scheduler.term.Authority;
-import org.hibiscususher.core.scheduler.world.JobRow;
 import org.hibiscususher.core.scheduler.world.RunRow;
 import org.hibiscususher.core.scheduler.world.RunStage;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
@@ -23,10 +21,10 @@
 /**
  * Stops runs that hang, and runs on slow executors, so that they continue elsewhere.
  *
- * <p>An executor can be slow or hang although it responds to heartbeats. Estimates are rough, so
- * nothing is concluded from them: an executor is slow if runs of several jobs on it take far longer
- * than like runs did on other executors, and a run hangs only by {@link HangEvidence}. A run that
- * merely takes longer than expected continues to its end.
+ * <p>An executor can be slow or hang although it responds to heartbeats. A declared estimate alone
+ * stops no run: an executor is slow if runs of several jobs on it take far longer than similar runs
+ * did on other executors, and a run hangs only by {@link HangEvidence}. A run that merely takes
+ * longer than expected continues to its end.
  */
 public final class StragglerSystem {
     /** Age from which the speed of a run is judged, in milliseconds. */
@@ -100,7 +98,7 @@
         List<RunRow> slow = new ArrayList<>();
         Set<String> jobs = new HashSet<>();
         for (RunRow run : runs) {
-            if (isSlow(tick, run)) {
+            if (isFarSlower(tick, run)) {
                 slow.add(run);
                 jobs.add(run.task().jobId());
             }
@@ -110,7 +108,7 @@
         }
         ExecutorHealth.quarantine(tick, executor, SLOW_QUARANTINE_MS, "slow");
         for (RunRow run : slow) {
-            if (run.run() % RunLifecycle.RUNS_PER_TERM <= MAX_STOPPED_RUNS) {
+            if (RunLifecycle.startsInTerm(run.run()) <= MAX_STOPPED_RUNS) {
                 RunLifecycle.requestStop(tick, run, StopReason.STALLED);
             }
         }
@@ -128,20 +126,15 @@
                 && run.speedLimitPercent() >= FULL_PERCENT;
     }
 
-    /** Returns whether a run is far slower than like runs were on other executors. */
-    private static boolean isSlow(SchedulerTick tick, RunRow run) {
+    /** Returns whether a run is far slower than similar runs were on other executors. */
+    private static boolean isFarSlower(SchedulerTick tick, RunRow run) {
         SchedulerWorld world = tick.world();
         StepSpec spec = JobLifecycle.findSpec(world, run.task().stepKey()).orElse(null);
-        JobRow job = world.jobs().find(run.task().jobId()).orElse(null);
         long ageMs = tick.nowMs() - run.orderAnsweredMs();
-        if (job == null || !isJudgeable(run, spec) || spec.service() || ageMs < MIN_AGE_MS) {
+        if (!isJudgeable(run, spec) || spec.service()) {
             return false;
         }
-        return world.runTimes()
-                .find(RunTimeKey.of(job, run.task().stepKey().step()))
-                .map(row -> row.predictionWithout(run.executor()))
-                .filter(RunTimePrediction::isSupported)
-                .map(others -> others.estimate(spec.estimateMs()))
+        return RunTimes.expectFromOthers(world, run)
                 .filter(others -> isSlow(ageMs, run.progressPercent(), others))
                 .isPresent();
     }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/placement/PlacementSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/placement/PlacementSystem.java
@@ -21,6 +21,7 @@
 import org.hibiscususher.core.scheduler.term.Authority;
 import org.hibiscususher.core.scheduler.world.ExecutorRow;
 import org.hibiscususher.core.scheduler.world.ExecutorSessionRow;
+import org.hibiscususher.core.scheduler.world.FirstReport;
 import org.hibiscususher.core.scheduler.world.JobRow;
 import org.hibiscususher.core.scheduler.world.RunRow;
 import org.hibiscususher.core.scheduler.world.RunStage;
@@ -259,7 +260,8 @@
                 0,
                 -1,
                 100,
-                tick.nowMs());
+                tick.nowMs(),
+                FirstReport.NONE);
     }
 
     /** Sends the order to start a run, and adds the run to the tables. */
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/RunRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/RunRow.java
@@ -26,6 +26,7 @@
  * @param load last reported load, see {@link ReportedRun#load()}; -1 for none
  * @param speedLimitPercent part of its full speed to which it has been throttled; 100 if it is not
  * @param lastProgressMs when its reported progress or saved state last changed
+ * @param firstReport the first progress that was reported to this owner
  */
 public record RunRow(
         TaskKey task,
@@ -43,9 +44,11 @@
         int progressPercent,
         long load,
         int speedLimitPercent,
-        long lastProgressMs) {
+        long lastProgressMs,
+        FirstReport firstReport) {
     /** Rejects null components. */
     public RunRow {
+        requireNonNull(firstReport);
         requireNonNull(task);
         requireNonNull(executor);
         requireNonNull(team);
@@ -56,6 +59,52 @@
         requireNonNull(checkpoint);
     }
 
+    /**
+     * Creates a run that this owner has followed since the answer to its start order, without any
+     * progress at that time.
+     */
+    public RunRow(
+            TaskKey task,
+            int run,
+            String executor,
+            String team,
+            Resources demand,
+            Resources reserved,
+            RunStage stage,
+            StopReason reason,
+            long callId,
+            long sentMs,
+            long orderAnsweredMs,
+            String checkpoint,
+            int progressPercent,
+            long load,
+            int speedLimitPercent,
+            long lastProgressMs) {
+        this(
+                task,
+                run,
+                executor,
+                team,
+                demand,
+                reserved,
+                stage,
+                reason,
+                callId,
+                sentMs,
+                orderAnsweredMs,
+                checkpoint,
+                progressPercent,
+                load,
+                speedLimitPercent,
+                lastProgressMs,
+                new FirstReport(0, orderAnsweredMs));
+    }
+
+    /** Returns the progress that was reported since the first report, in percent. */
+    public int gainedPercent() {
+        return firstReport.isPresent() ? progressPercent - firstReport.percent() : 0;
+    }
+
     /** Returns this run, confirmed to be on its executor. */
     public RunRow asRunning(long nowMs) {
         return new RunRow(
@@ -74,7 +123,8 @@
                 progressPercent,
                 load,
                 speedLimitPercent,
-                nowMs);
+                nowMs,
+                firstReport);
     }
 
     /** Returns this run after sending an order to stop it. */
@@ -95,7 +145,8 @@
                 progressPercent,
                 load,
                 speedLimitPercent,
-                lastProgressMs);
+                lastProgressMs,
+                firstReport);
     }
 
     /**
@@ -120,7 +171,8 @@
                 progressPercent,
                 load,
                 speedLimitPercent,
-                lastProgressMs);
+                lastProgressMs,
+                firstReport);
     }
 
     /** Returns this run with what its executor reports of it. */
@@ -144,7 +196,10 @@
                 report.progressPercent() != progressPercent
                                 || !report.checkpoint().equals(checkpoint)
                         ? nowMs
-                        : lastProgressMs);
+                        : lastProgressMs,
+                firstReport.isPresent()
+                        ? firstReport
+                        : new FirstReport(report.progressPercent(), nowMs));
     }
 
     /** Returns this run throttled to a part of its full speed, in percent. */
@@ -165,6 +220,7 @@
                 progressPercent,
                 load,
                 newSpeedLimitPercent,
-                lastProgressMs);
+                lastProgressMs,
+                firstReport);
     }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/RunTimeRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/RunTimeRow.java
@@ -15,37 +15,37 @@
  * @param key which steps
  * @param samples durations of finished runs, newest last
  * @param prediction what they tell of the next runs
- * @param noted the prediction that was last logged and written to the store, or is about to be
+ * @param published prediction last logged and queued for the store
  * @param sampledMs when the last one was added, in milliseconds of the steady clock
  */
 public record RunTimeRow(
         RunTimeKey key,
         List<RunTimeSample> samples,
         RunTimePrediction prediction,
-        RunTimePrediction noted,
+        RunTimePrediction published,
         long sampledMs) {
     /** Most samples in a row. More would show a change of behavior later. */
     public static final int MAX_SAMPLES = 32;
 
     /** Most samples from one executor. */
-    private static final int MAX_OF_EXECUTOR = MAX_SAMPLES / 4;
+    private static final int MAX_OF_EXECUTOR = MAX_SAMPLES / RunTimeStatistics.EXECUTOR_PART;
 
     /** Rejects null components and copies the list. */
     public RunTimeRow {
         requireNonNull(key);
         requireNonNull(prediction);
-        requireNonNull(noted);
+        requireNonNull(published);
         samples = List.copyOf(samples);
     }
 
-    /** Returns the row with the given samples, newest last, whose prediction is noted. */
+    /** Returns the row with the given samples, newest last, with its prediction as published. */
     public static RunTimeRow of(RunTimeKey key, List<RunTimeSample> samples, long sampledMs) {
         RunTimePrediction prediction = RunTimeStatistics.predict(samples);
         return new RunTimeRow(key, samples, prediction, prediction, sampledMs);
     }
 
-    /** Returns this row with its prediction noted. */
-    public RunTimeRow asNoted() {
+    /** Returns this row with its prediction published. */
+    public RunTimeRow asPublished() {
         return new RunTimeRow(key, samples, prediction, prediction, sampledMs);
     }
 
@@ -59,7 +59,7 @@
         } else if (next.size() > MAX_SAMPLES) {
             next.remove(0);
         }
-        return new RunTimeRow(key, next, RunTimeStatistics.predict(next), noted, nowMs);
+        return new RunTimeRow(key, next, RunTimeStatistics.predict(next), published, nowMs);
     }
 
     private int oldestOf(String executor) {
--- a/core/src/test/java/org/hibiscususher/core/scheduler/executor/StragglerSystemTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/executor/StragglerSystemTest.java
@@ -22,6 +22,7 @@
 import org.hibiscususher.core.scheduler.message.SchedulerInput.HeartbeatAnswered;
 import org.hibiscususher.core.scheduler.message.StoredRecord;
 import org.hibiscususher.core.scheduler.world.ExecutorSessionRow;
+import org.hibiscususher.core.scheduler.world.FirstReport;
 import org.hibiscususher.core.scheduler.world.JobRow;
 import org.hibiscususher.core.scheduler.world.RunRow;
 import org.hibiscususher.core.scheduler.world.RunStage;
@@ -113,9 +114,8 @@
                                         percent,
                                         r.load(),
                                         r.speedLimitPercent(),
-                                        r.progressPercent() == percent
-                                                ? r.lastProgressMs()
-                                                : atMs));
+                                        r.progressPercent() == percent ? r.lastProgressMs() : atMs,
+                                        r.firstReport()));
     }
 
     /** Has the executors answer heartbeats. */
@@ -202,6 +202,50 @@
         }
     }
 
+    /** Sound runs whose first report to this owner shows progress that they made before. */
+    @Nested
+    class RunsAheadAtTheFirstReport {
+        private void adopt(String job, int index, int percent) {
+            mWorld.runs()
+                    .update(
+                            new StepKey(job, 0, 0).task(index),
+                            r ->
+                                    new RunRow(
+                                            r.task(),
+                                            r.run(),
+                                            r.executor(),
+                                            r.team(),
+                                            r.demand(),
+                                            r.reserved(),
+                                            r.stage(),
+                                            r.reason(),
+                                            0,
+                                            START_MS,
+                                            START_MS,
+                                            "",
+                                            percent,
+                                            -1,
+                                            100,
+                                            START_MS,
+                                            new FirstReport(percent, START_MS)));
+        }
+
+        /** Guards against runs of 200 s that are stopped a second after a takeover. */
+        @Test
+        void areNotTakenForFasterThanTheyAre() {
+            addSpreadJob("a", 200_000);
+            for (int i = 0; i < 8; i++) {
+                adopt("a", i, 40);
+            }
+            for (long atMs = 0; atMs <= 20_000; atMs += 125) {
+                int executor = (int) (atMs / 125 % 8);
+                progress("a", executor, (int) (40 + atMs / 2_000), START_MS + atMs);
+                answer(START_MS + atMs, "x" + executor);
+                assertAllSpared(START_MS + atMs);
+            }
+        }
+    }
+
     /** Rough estimates, with which all runs are sound. */
     @Nested
     class RoughEstimates {
@@ -236,7 +280,7 @@
         }
     }
 
-    /** Jobs of one task each on one executor; like runs took 500 ms on others. */
+    /** Jobs of one task each on one executor; similar runs took 500 ms on others. */
     @Nested
     class SlowExecutor {
         private void addSlowRuns(int samples) {
