A pause of the owner is no load, and repeats of submissions under way are never refused

A submission repeated at the same entry while the first is under way was refused as team-backlog, though the first may be stored; it passes (ForwardLimitSystemTest). A failing store got up to eight full batches at its first attempt; it gets one (CommitSystemTest). What the store holds of a job is named StoreState.

--- a/core/src/main/java/org/hibiscususher/core/job/JobSpec.java
+++ b/core/src/main/java/org/hibiscususher/core/job/JobSpec.java
@@ -46,6 +46,14 @@
         return steps.stream().anyMatch(StepSpec::service);
     }
 
+    /**
+     * Returns whether the backlog decides on the acceptance. Services, which have no end, and
+     * scheduled jobs, whose backlog isn't known yet, are always accepted.
+     */
+    public boolean isLimitedByBacklog() {
+        return !isService() && !isScheduled();
+    }
+
     /** Returns the estimated work of one occurrence, in core-milliseconds. */
     public long workCoreMs() {
         return steps.stream().mapToLong(StepSpec::workCoreMs).sum();
--- a/core/src/main/java/org/hibiscususher/core/scheduler/admission/EntryRefusal.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/admission/EntryRefusal.java
@@ -7,7 +7,7 @@
 
 /** Why an entry refuses a submission by itself, in the order in which the reasons are checked. */
 enum EntryRefusal {
-    /** The owner has just refused the like and extended that to further submissions. */
+    /** The owner has just refused a similar submission of the team. */
     TEAM_BACKLOG("team-backlog") {
         @Override
         OptionalLong retryAfterMs(SchedulerWorld world, EntrySubmission submission, long nowMs) {
@@ -25,8 +25,7 @@
         OptionalLong retryAfterMs(SchedulerWorld world, EntrySubmission submission, long nowMs) {
             UnansweredForwards unanswered = UnansweredForwards.count(world);
             ForwardLimitRow row = world.forwardLimit().get();
-            if (ForwardLimit.admits(row, unanswered, submission.team())
-                    || UnansweredForwards.hasPath(world, submission.path())) {
+            if (ForwardLimit.admits(row, unanswered, submission.team())) {
                 return OptionalLong.empty();
             }
             ForwardRates rates = row.recent().withRefusal(nowMs);
--- a/core/src/main/java/org/hibiscususher/core/scheduler/admission/ForwardAdmission.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/admission/ForwardAdmission.java
@@ -31,13 +31,17 @@
      * Returns the refusal of a request that is about to be forwarded, or empty if it may be.
      *
      * <p>Only submissions that have reached no owner are refused, so that "not run" is true: what
-     * may have arrived, and what another entry has admitted, always passes.
+     * may have arrived, repeats of what this entry has under way, and what another entry has
+     * admitted always pass.
      */
     public static Optional<JobResponse> findRefusal(SchedulerTick tick, PendingRequestRow pending) {
         if (!pending.isSubmission() || pending.uncertain() || pending.origin().isAdmitted()) {
             return Optional.empty();
         }
         EntrySubmission submission = EntrySubmission.of(tick.world(), pending.request());
+        if (UnansweredForwards.hasPath(tick.world(), submission.path())) {
+            return Optional.empty();
+        }
         for (EntryRefusal refusal : EntryRefusal.values()) {
             OptionalLong afterMs = refusal.retryAfterMs(tick.world(), submission, tick.nowMs());
             if (afterMs.isPresent()) {
--- a/core/src/main/java/org/hibiscususher/core/scheduler/admission/ForwardLimit.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/admission/ForwardLimit.java
@@ -5,8 +5,8 @@
 /**
  * Decides how many unanswered submissions an entry may have at the owner, and whose.
  *
- * <p>Answers submissions that come faster than the owner can decide on them. They would wait in its
- * queue until their callers give up, and the renewal of its lease behind them.
+ * <p>Protects the owner from submissions that come faster than it can decide on them. They would
+ * wait in its queue until their callers give up, and the renewal of its lease behind them.
  */
 final class ForwardLimit {
     /** Age of the owner's oldest request below which the limit grows, in milliseconds. */
@@ -22,7 +22,7 @@
     private static final long REDUCTION_INTERVAL_MS = 100;
 
     /** Multiple of the limit up to which teams within their part of it pass. */
-    private static final int TOTAL_LIMITS = 2;
+    private static final int MAX_TOTAL_FACTOR = 2;
 
     private ForwardLimit() {}
 
@@ -35,7 +35,7 @@
         int evenPart = Math.max(1, row.limit() / unanswered.teamsWith(team));
         return unanswered.total() < row.limit()
                 || unanswered.of(team) < evenPart
-                        && unanswered.totalWithin(evenPart) < TOTAL_LIMITS * row.limit();
+                        && unanswered.totalWithin(evenPart) < MAX_TOTAL_FACTOR * row.limit();
     }
 
     /**
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/BacklogLimit.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/BacklogLimit.java
@@ -68,8 +68,7 @@
      * @param nowMs the time on the steady clock
      */
     static Decision decide(SchedulerWorld world, JobRow job, long nowMs) {
-        boolean startsLater = job.spec().isScheduled();
-        if (job.spec().isService() || startsLater) {
+        if (!job.spec().isLimitedByBacklog()) {
             return Decision.ACCEPTED;
         }
         PoolBacklogRow backlog = PoolBacklogs.current(world, job.policy().pool(), nowMs);
@@ -77,7 +76,7 @@
             return Decision.ACCEPTED;
         }
         StartPriority priority = StartPriority.of(world, job, backlog.shares(), nowMs);
-        long waitMs = backlog.workAhead(priority) / backlog.cpuMillis();
+        long waitMs = backlog.coreMicrosAhead(priority) / backlog.cpuMillis();
         return new Decision(waitMs, maxWaitMs(job), backlog.shares().isOverShare(job.team()));
     }
 
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/JobRequestDecision.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/JobRequestDecision.java
@@ -258,7 +258,7 @@
                         + backlog.overShare());
         JobRequestRejection.reject(
                 tick,
-                pending.withOwnerLoad(extendedTo(pending, job, backlog)),
+                pending.withOwnerLoad(loadWithRejection(pending, job, backlog)),
                 JobResponseKind.OVERLOADED,
                 "backlog",
                 backlog.retryAfterMs(job.id().hashCode()));
@@ -268,7 +268,7 @@
      * Returns the load that extends a refusal to submissions with at least the same work, for as
      * long as the backlog needs to shrink to what would be accepted.
      */
-    private static Optional<OwnerLoad> extendedTo(
+    private static Optional<OwnerLoad> loadWithRejection(
             PendingRequestRow pending, JobRow job, BacklogLimit.Decision backlog) {
         long rejectMs = backlog.waitMs() - backlog.maxWaitMs();
         return pending.ownerLoad().map(load -> load.rejecting(rejectMs, job.spec().workCoreMs()));
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/JobRequestSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/JobRequestSystem.java
@@ -46,38 +46,43 @@
 
     /**
      * Handles new requests, those that wait for an owner, and the outcomes of those that were
-     * forwarded. Outcomes come first, because they make room for further requests at the owner.
+     * forwarded. Answers come first, because they make room for further requests at the owner.
      */
     public static void run(SchedulerTick tick) {
         List<RequestReceived> arrived = tick.inputs(RequestReceived.class);
         RequestQueueRow queue = tick.world().requestQueue().get();
         tick.world().requestQueue().set(queue.nextTick(oldestAgeMs(arrived, tick.nowMs())));
+        passOnAnswers(tick);
+        routeWaiting(tick);
+        tick.forEachInput(
+                ForwardFailed.class,
+                failed ->
+                        takeForwarded(tick, failed.callId())
+                                .ifPresent(pending -> routeAgain(tick, pending, failed)));
+        arrived.forEach(received -> routeOrAnswer(tick, pendingRow(received, tick.nowMs())));
+        answerOverdueForwards(tick);
+    }
+
+    private static void passOnAnswers(SchedulerTick tick) {
         tick.forEachInput(
                 ForwardAnswered.class,
                 answered ->
                         takeForwarded(tick, answered.callId())
                                 .ifPresent(pending -> passOn(tick, pending, answered.response())));
+    }
+
+    private static void routeWaiting(SchedulerTick tick) {
         for (PendingRequestRow pending : tick.world().pendingRequests().rows()) {
             if (pending.stage() == PendingRequestStage.AWAITING_OWNER) {
                 tick.world().pendingRequests().remove(pending.callId());
                 routeOrAnswer(tick, pending);
             }
         }
-        tick.forEachInput(
-                ForwardFailed.class,
-                failed ->
-                        takeForwarded(tick, failed.callId())
-                                .ifPresent(pending -> routeAgain(tick, pending, failed)));
-        for (RequestReceived received : arrived) {
-            routeOrAnswer(
-                    tick,
-                    PendingRequestRow.received(
-                            received.callId(),
-                            received.request(),
-                            received.arrivedMs(),
-                            tick.nowMs()));
-        }
-        answerOverdueForwards(tick);
+    }
+
+    private static PendingRequestRow pendingRow(RequestReceived received, long nowMs) {
+        return PendingRequestRow.received(
+                received.callId(), received.request(), received.arrivedMs(), nowMs);
     }
 
     /** Returns for how long the oldest of the requests has waited for this tick. */
--- a/core/src/main/java/org/hibiscususher/core/scheduler/job/PoolBacklogs.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/job/PoolBacklogs.java
@@ -12,20 +12,20 @@
 import org.hibiscususher.core.scheduler.world.ExecutorRow;
 import org.hibiscususher.core.scheduler.world.HostOperationRow;
 import org.hibiscususher.core.scheduler.world.JobRow;
-import org.hibiscususher.core.scheduler.world.JobStage;
 import org.hibiscususher.core.scheduler.world.PoolBacklogRow;
 import org.hibiscususher.core.scheduler.world.QueuedWork;
 import org.hibiscususher.core.scheduler.world.RunRow;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
+import org.hibiscususher.core.scheduler.world.StoreState;
 import org.hibiscususher.core.scheduler.world.TaskGroup;
 
 /**
  * Keeps the backlog of each pool, by which new jobs are accepted or rejected.
  *
- * <p>Answers submissions that come faster than a pass over all tasks and runs for each of them
- * would allow. Such passes make ticks longer, more submissions collect meanwhile, and in the end
- * the renewal of leases and commits comes too late. A backlog is derived at most once in {@link
- * #MAX_AGE_MS}; jobs that are accepted meanwhile are added to it.
+ * <p>Keeps a decision short when submissions come faster than passes over all tasks and runs for
+ * each of them would allow. Such passes make ticks longer, more submissions collect meanwhile, and
+ * in the end leases are renewed and commits are sent too late. A backlog is derived at most once in
+ * {@link #MAX_AGE_MS}; jobs that are accepted meanwhile are added to it.
  */
 final class PoolBacklogs {
     /** Age up to which a backlog is used, in milliseconds. */
@@ -41,7 +41,7 @@
         PoolBacklogRow known = world.poolBacklogs().find(pool).orElse(null);
         if (known != null
                 && nowMs - known.takenMs() < MAX_AGE_MS
-                && hasCapacityAsIn(world, known)) {
+                && isCapacityUnchanged(world, known)) {
             return known;
         }
         PoolBacklogRow derived = derive(world, pool, nowMs);
@@ -50,13 +50,14 @@
     }
 
     /** Returns whether a pool has any usable executor exactly if a backlog of it has capacity. */
-    private static boolean hasCapacityAsIn(SchedulerWorld world, PoolBacklogRow backlog) {
-        return ZoneEvacuations.isEvacuated(world, backlog.pool()) == (backlog.cpuMillis() == 0);
+    private static boolean isCapacityUnchanged(SchedulerWorld world, PoolBacklogRow backlog) {
+        return ZoneEvacuations.hasNoUsableExecutor(world, backlog.pool())
+                == (backlog.cpuMillis() == 0);
     }
 
     /** Adds a job that has just been accepted to the backlog of its pool. */
     static void add(SchedulerWorld world, JobRow job, long nowMs) {
-        if (!job.spec().isService() && !job.spec().isScheduled()) {
+        if (job.spec().isLimitedByBacklog()) {
             world.poolBacklogs()
                     .update(
                             job.policy().pool(),
@@ -70,22 +71,23 @@
         List<QueuedWork> queued = new ArrayList<>();
         workByJob(world, pool)
                 .forEach((id, work) -> queued.add(queuedWork(world, id, work, shares, nowMs)));
-        for (JobRow job : world.jobs().group(JobStage.UNSTORED)) {
+        for (JobRow job : world.jobs().group(StoreState.UNSTORED)) {
             boolean counts = !job.state().isFinal() && job.policy().pool().equals(pool);
-            if (counts && !job.spec().isService() && !job.spec().isScheduled()) {
+            if (counts && job.spec().isLimitedByBacklog()) {
                 queued.add(firstWork(world, job, shares, nowMs));
             }
         }
         return PoolBacklogRow.of(pool, nowMs, availableCpuMillis(world, pool), shares, queued);
     }
 
-    /** Returns the estimated work of the waiting tasks in a pool, by job id. */
+    /** Returns the expected work of the waiting tasks in a pool by job id, in core-microseconds. */
     private static Map<String, Long> workByJob(SchedulerWorld world, String pool) {
         Map<String, Long> workByJob = new HashMap<>();
         for (TaskGroup group : world.waitingGroups(pool)) {
             JobRow job = world.jobs().find(group.step().jobId()).orElseThrow();
-            long taskWork = taskWork(world, job, group.step().step());
-            workByJob.merge(job.id(), world.tasks().group(group).size() * taskWork, Long::sum);
+            long taskCoreMicros = taskCoreMicros(world, job, group.step().step());
+            workByJob.merge(
+                    job.id(), world.tasks().group(group).size() * taskCoreMicros, Long::sum);
         }
         return workByJob;
     }
@@ -96,8 +98,11 @@
         return new QueuedWork(StartPriority.of(world, job, shares, nowMs), work);
     }
 
-    /** Returns the expected work of a task of a step; 0 for a service, which has no end. */
-    private static long taskWork(SchedulerWorld world, JobRow job, int stepNumber) {
+    /**
+     * Returns the expected work of a task of a step, in core-microseconds; 0 for a service, which
+     * has no end, and for a best-effort step, which reserves no processor time.
+     */
+    private static long taskCoreMicros(SchedulerWorld world, JobRow job, int stepNumber) {
         StepSpec spec = job.spec().steps().get(stepNumber);
         return spec.service()
                 ? 0
@@ -110,7 +115,7 @@
         long work = 0;
         for (int i = 0; i < job.spec().steps().size(); i++) {
             StepSpec spec = job.spec().steps().get(i);
-            work += spec.dependsOn().isEmpty() ? spec.count() * taskWork(world, job, i) : 0;
+            work += spec.dependsOn().isEmpty() ? spec.count() * taskCoreMicros(world, job, i) : 0;
         }
         return new QueuedWork(StartPriority.of(world, job, shares, nowMs), work);
     }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/message/RecordKind.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/message/RecordKind.java
@@ -23,7 +23,12 @@
     /** The status of a wave, for operators. */
     WAVE_STATUS,
     /** The run times that finished runs have shown. */
-    RUN_TIMES;
+    RUN_TIMES {
+        @Override
+        public boolean isSequential() {
+            return false;
+        }
+    };
 
     private final boolean mOfJob;
 
@@ -39,4 +44,12 @@
     public boolean isOfJob() {
         return mOfJob;
     }
+
+    /**
+     * Returns whether one commit at a time may have records of this kind, because they depend on
+     * each other: the status of a wave must not be stored ahead of the wave.
+     */
+    public boolean isSequential() {
+        return !mOfJob;
+    }
 }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/CommitSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/CommitSystem.java
@@ -127,7 +127,12 @@
         long latestMs = inFlight.get(inFlight.size() - 1).sentMs();
         return !releasing
                 && inFlight.size() < MAX_IN_FLIGHT
-                && (tick.nowMs() - latestMs >= OVERLAP_DELAY_MS || Commits.isBatchFull(world));
+                && (tick.nowMs() - latestMs >= OVERLAP_DELAY_MS || isBatchDue(world));
+    }
+
+    /** Returns whether a full batch should go at once; not to a store that fails. */
+    private static boolean isBatchDue(SchedulerWorld world) {
+        return !world.storeHealth().get().isFailing() && Commits.isBatchFull(world);
     }
 
     private static void emit(SchedulerTick tick, CommitRow commit) {
--- a/core/src/main/java/org/hibiscususher/core/scheduler/term/Commits.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/term/Commits.java
@@ -22,11 +22,11 @@
 import org.hibiscususher.core.scheduler.world.CommitRow;
 import org.hibiscususher.core.scheduler.world.HostOrderRow;
 import org.hibiscususher.core.scheduler.world.JobRow;
-import org.hibiscususher.core.scheduler.world.JobStage;
 import org.hibiscususher.core.scheduler.world.RunRow;
 import org.hibiscususher.core.scheduler.world.SchedulerSettings;
 import org.hibiscususher.core.scheduler.world.SchedulerTick;
 import org.hibiscususher.core.scheduler.world.SchedulerWorld;
+import org.hibiscususher.core.scheduler.world.StoreState;
 import org.hibiscususher.core.scheduler.world.TaskRow;
 import org.hibiscususher.core.scheduler.world.TermRow;
 import org.hibiscususher.core.scheduler.world.TermStage;
@@ -86,7 +86,7 @@
 
     /** Returns whether the new jobs that no commit in flight stores fill a commit. */
     static boolean isBatchFull(SchedulerWorld world) {
-        if (world.jobs().group(JobStage.UNSTORED).size() < MAX_RECORDS) {
+        if (world.jobs().group(StoreState.UNSTORED).size() < MAX_RECORDS) {
             return false;
         }
         List<StoredRecord> records = new ArrayList<>();
@@ -96,7 +96,7 @@
 
     private static void addNewJobs(
             SchedulerWorld world, Set<RecordName> inFlight, List<StoredRecord> records) {
-        for (JobRow job : world.jobs().group(JobStage.UNSTORED)) {
+        for (JobRow job : world.jobs().group(StoreState.UNSTORED)) {
             if (records.size() >= MAX_RECORDS) {
                 return;
             }
@@ -134,7 +134,7 @@
             Map<String, Long> versions,
             Predicate<JobState> states,
             long minAgeMs) {
-        for (JobRow job : tick.world().jobs().group(JobStage.DIRTY)) {
+        for (JobRow job : tick.world().jobs().group(StoreState.DIRTY)) {
             if (records.size() >= MAX_RECORDS) {
                 return;
             }
@@ -149,27 +149,21 @@
         }
     }
 
-    /**
-     * Adds the records of executors, hosts and waves. One commit at a time has such records, since
-     * the status of a wave must not be stored ahead of the wave. That of run times depends on no
-     * other one, and no other one waits for it.
-     */
+    /** Adds the records that are not of jobs. One commit at a time has sequential ones. */
     private static void addPendingRecords(
             SchedulerWorld world, Set<RecordName> inFlight, List<StoredRecord> records) {
-        boolean othersInFlight = inFlight.stream().anyMatch(Commits::isOrdered);
+        boolean othersInFlight = inFlight.stream().anyMatch(name -> name.kind().isSequential());
         for (StoredRecord record : world.pendingRecords().rows()) {
             boolean mayGo =
-                    isOrdered(record.name()) ? !othersInFlight : !inFlight.contains(record.name());
+                    record.name().kind().isSequential()
+                            ? !othersInFlight
+                            : !inFlight.contains(record.name());
             if (mayGo && records.size() < MAX_RECORDS) {
                 records.add(record);
             }
         }
     }
 
-    private static boolean isOrdered(RecordName name) {
-        return !name.kind().isOfJob() && name.kind() != RecordKind.RUN_TIMES;
-    }
-
     /** Returns the records whose retention has ended; both of a job or none. */
     private static List<RecordName> removableRecords(
             SchedulerWorld world, Set<RecordName> inFlight) {
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/JobRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/JobRow.java
@@ -190,9 +190,9 @@
         return version > storedVersion;
     }
 
-    /** Returns what has to be stored of the job. */
-    public JobStage stage() {
-        return JobStage.of(this);
+    /** Returns what the store holds of the job. */
+    public StoreState storeState() {
+        return StoreState.of(this);
     }
 
     /** Returns whether runs of the job may be started now. */
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/QueuedWork.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/QueuedWork.java
@@ -8,9 +8,9 @@
  * The tasks of one job that wait for executors.
  *
  * @param priority order in which they start
- * @param work estimated work of the tasks, in thousandths of a core times milliseconds
+ * @param coreMicros estimated work of the tasks, in core-microseconds
  */
-public record QueuedWork(StartPriority priority, long work) {
+public record QueuedWork(StartPriority priority, long coreMicros) {
     /** Rejects null components. */
     public QueuedWork {
         requireNonNull(priority);
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/RequestQueueRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/RequestQueueRow.java
@@ -18,15 +18,25 @@
     /** Submissions in a tick from which on they account for most of its time. */
     private static final int MIN_SAMPLE = 16;
 
+    /**
+     * Greatest cost of a submission, in microseconds. A tick that took longer for each was delayed
+     * by something else, such as a pause of the process.
+     */
+    private static final long MAX_COST_MICROS = 5_000;
+
     private static final long MICROS_PER_MS = 1_000;
 
     /**
-     * Returns the queue at the start of the next tick.
+     * Returns the queue at the start of the next tick. After a tick with few submissions, what a
+     * submission costs is forgotten by half.
      *
      * @param newOldestMs age of the oldest request that arrived since the start of the last tick
      */
     public RequestQueueRow nextTick(long newOldestMs) {
-        long cost = decided < MIN_SAMPLE ? costMicros : newOldestMs * MICROS_PER_MS / decided;
+        long cost =
+                decided < MIN_SAMPLE
+                        ? costMicros / 2
+                        : Math.min(MAX_COST_MICROS, newOldestMs * MICROS_PER_MS / decided);
         return new RequestQueueRow(newOldestMs, 0, cost);
     }
 
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerWorld.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/SchedulerWorld.java
@@ -44,8 +44,8 @@
     private final Table<RecordName, Long> mRevisions = Table.create();
     private final Table<RecordName, StoredRecord> mPendingRecords = Table.create();
     private final Table<RecordName, RecordName> mPendingRemovals = Table.create();
-    private final GroupedTable<String, JobRow, JobStage> mJobs =
-            GroupedTable.createBy(JobRow::stage);
+    private final GroupedTable<String, JobRow, StoreState> mJobs =
+            GroupedTable.createBy(JobRow::storeState);
     private final Table<String, CancellationRow> mCancellations = Table.create();
     private final Table<StepKey, StepRow> mSteps = Table.create();
     private final GroupedTable<TaskKey, TaskRow, TaskGroup> mTasks =
@@ -186,8 +186,8 @@
         return mPendingRemovals;
     }
 
-    /** Returns the jobs by id, grouped by what has to be stored of them. */
-    public GroupedTable<String, JobRow, JobStage> jobs() {
+    /** Returns the jobs by id, grouped by what the store holds of them. */
+    public GroupedTable<String, JobRow, StoreState> jobs() {
         return mJobs;
     }
 
@@ -336,6 +336,7 @@
         mHostList.set(new HostListRow(0, 0, 0));
         mRunTimeRecord.set(RunTimeRecordRow.INITIAL);
         mRecordedHostOrders.set(new StoredRecord.HostOrders(List.of()));
+        mRequestQueue.set(RequestQueueRow.EMPTY);
         for (Table<?, ?> table : ownerTables()) {
             table.clear();
         }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/JobStage.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/StoreState.java
@@ -1,7 +1,7 @@
 package org.hibiscususher.core.scheduler.world;
 
-/** What has to be stored of a job. */
-public enum JobStage {
+/** What the store holds of a job. */
+public enum StoreState {
     /** The store doesn't hold the job yet. */
     UNSTORED,
     /** The store holds the job, but not its latest progress. */
@@ -9,8 +9,8 @@
     /** The store holds all of the job. */
     STORED;
 
-    /** Returns the stage of a job. */
-    static JobStage of(JobRow job) {
+    /** Returns the state of a job. */
+    static StoreState of(JobRow job) {
         if (!job.stored()) {
             return UNSTORED;
         }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/TaskGroup.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/TaskGroup.java
@@ -23,7 +23,7 @@
         requireNonNull(step);
     }
 
-    /** Returns whether the tasks wait in a pool, and may start there if it has room. */
+    /** Returns whether the tasks wait in a pool, whether certain or not. */
     boolean isWaitingIn(String name) {
         return state == TaskState.WAITING && pool.equals(name);
     }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/world/ZoneEvacuationRow.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/world/ZoneEvacuationRow.java
@@ -44,7 +44,7 @@
     }
 
     /** Returns whether the zone is like any other again. */
-    public boolean isRestored(long nowMs) {
+    public boolean isRestoreOver(long nowMs) {
         return stage == ZoneStage.RESTORING && nowMs - sinceMs >= RESTORE_MS;
     }
 
--- a/core/src/test/java/org/hibiscususher/core/scheduler/admission/ForwardLimitSystemTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/admission/ForwardLimitSystemTest.java
@@ -192,6 +192,30 @@
             assertThat(refusalOf(submission("b", WORK_CORE_MS), NOW_MS)).isEmpty();
         }
 
+        /** Guards against 429 for a job whose first submission may be stored already. */
+        @Test
+        void passesRepeatsOfWhatIsUnderWay() {
+            PendingRequestRow first = submission("a", WORK_CORE_MS).asForwarded("a", NOW_MS);
+            mWorld.pendingRequests().put(first.callId(), first);
+            PendingRequestRow repeat =
+                    PendingRequestRow.received(
+                            99, submission("a", WORK_CORE_MS).request(), NOW_MS, NOW_MS);
+            assertThat(refusalOf(repeat, NOW_MS)).isEqualTo("team-backlog");
+            PendingRequestRow same =
+                    PendingRequestRow.received(98, callersRequest(first), NOW_MS, NOW_MS);
+            assertThat(refusalOf(same, NOW_MS)).isEmpty();
+        }
+
+        private JobRequest callersRequest(PendingRequestRow forwarded) {
+            JobRequest request = forwarded.request();
+            return JobRequest.of(
+                    request.kind(),
+                    request.hostName(),
+                    request.path(),
+                    request.apiKey(),
+                    request.spec());
+        }
+
         @Test
         void givesTheRestOfTheOwnersTimeToRetry() {
             SchedulerTick tick =
--- a/core/src/test/java/org/hibiscususher/core/scheduler/term/CommitSystemTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/term/CommitSystemTest.java
@@ -125,6 +125,15 @@
             assertThat(tick(1)).isEmpty();
         }
 
+        /** Guards against a store that fails and gets all that waits at the first attempt. */
+        @Test
+        void sendsOneBatchToAStoreThatFails() {
+            submit(0, 60);
+            mWorld.storeHealth().set(mWorld.storeHealth().get().withFailure(mNowMs - 1_000));
+            assertThat(tick(0)).hasSize(1);
+            assertThat(tick(5)).isEmpty();
+        }
+
         @Test
         void namesEachRecordInOneCommitOnly() {
             submit(0, 40);
