Executors of unknown zones get no runs while a zone is evacuated; names and pages read anew

Review of the merged parts: after a takeover an executor that reports no zone counted as outside every evacuated zone until the hosts were listed (ZoneEvacuationSystemTest). A newcomer's reading of the whole change: names, comments and pages that misled.

--- a/core/src/main/java/org/hibiscususher/core/scheduler/evacuation/CheckpointMoves.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/evacuation/CheckpointMoves.java
@@ -28,7 +28,7 @@
  */
 final class CheckpointMoves {
     /** Time between two decisions on the moves out of a zone, in milliseconds. */
-    static final long INTERVAL_MS = 100;
+    static final long DECISION_INTERVAL_MS = 100;
 
     private CheckpointMoves() {}
 
@@ -38,7 +38,7 @@
             return;
         }
         for (ZoneEvacuationRow row : tick.world().zoneEvacuations().rows()) {
-            boolean due = tick.nowMs() - row.movesDecidedMs() >= INTERVAL_MS;
+            boolean due = tick.nowMs() - row.movesDecidedMs() >= DECISION_INTERVAL_MS;
             if (row.isEvacuated() && due) {
                 tick.world().zoneEvacuations().put(row.zone(), row.withMovesDecided(tick.nowMs()));
                 moveRunsOf(tick, row.zone());
--- a/core/src/main/java/org/hibiscususher/core/scheduler/evacuation/ZoneEvacuationSystem.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/evacuation/ZoneEvacuationSystem.java
@@ -33,7 +33,7 @@
             }
         }
         for (ZoneEvacuationRow row : world.zoneEvacuations().rows()) {
-            if (row.isRestored(tick.nowMs())) {
+            if (row.isRestoreOver(tick.nowMs())) {
                 world.zoneEvacuations().remove(row.zone());
             }
         }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/evacuation/ZoneEvacuations.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/evacuation/ZoneEvacuations.java
@@ -17,19 +17,32 @@
 
     private ZoneEvacuations() {}
 
-    /** Returns whether an executor is in a zone that is evacuated. */
+    /**
+     * Returns whether an executor is in a zone that is evacuated, or may be because its zone isn't
+     * known.
+     */
     public static boolean isEvacuated(SchedulerWorld world, ExecutorRow executor) {
-        return find(world, executor).filter(ZoneEvacuationRow::isEvacuated).isPresent();
+        if (world.zoneEvacuations().size() == 0) {
+            return false;
+        }
+        String zone = zoneOf(world, executor);
+        return zone.isEmpty()
+                ? world.zoneEvacuations().rows().stream().anyMatch(ZoneEvacuationRow::isEvacuated)
+                : isEvacuated(world, zone);
     }
 
-    /** Returns whether a host is in a zone that is evacuated. */
-    public static boolean isEvacuated(SchedulerWorld world, HostReport host) {
+    private static boolean isEvacuated(SchedulerWorld world, String zone) {
         return world.zoneEvacuations()
-                .find(host.zone())
+                .find(zone)
                 .filter(ZoneEvacuationRow::isEvacuated)
                 .isPresent();
     }
 
+    /** Returns whether a host is in a zone that is evacuated. */
+    public static boolean isEvacuated(SchedulerWorld world, HostReport host) {
+        return isEvacuated(world, host.zone());
+    }
+
     /** Returns whether the host of an operation is in a zone that is evacuated. */
     public static boolean isEvacuated(SchedulerWorld world, HostOperationRow operation) {
         return world.zoneEvacuations().size() > 0
@@ -39,8 +52,8 @@
                         .isPresent();
     }
 
-    /** Returns whether all executors of a pool are in zones that are evacuated, or it has none. */
-    public static boolean isEvacuated(SchedulerWorld world, String pool) {
+    /** Returns whether a pool has no executor outside evacuated zones. */
+    public static boolean hasNoUsableExecutor(SchedulerWorld world, String pool) {
         return world.executors().group(pool).stream().allMatch(row -> isEvacuated(world, row));
     }
 
--- a/core/src/main/java/org/hibiscususher/core/scheduler/placement/FreeCapacity.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/placement/FreeCapacity.java
@@ -25,10 +25,10 @@
      * The smallest demand that fitted on no executor, or null. From one check to the next, free
      * capacity never grows, so a demand of at least this size need not be checked again.
      */
-    private Resources mUnfitting;
+    private Resources mSmallestUnfitting;
 
-    /** The executor on which a demand fitted last, to be tried first; or null. */
-    private String mRoomiest;
+    /** Executor on which the last demand fitted, which is tried first; null if none. */
+    private String mLastFitting;
 
     private FreeCapacity() {}
 
@@ -74,20 +74,20 @@
 
     /** Returns whether a demand fits on some executor, going by its size alone. */
     boolean mayFit(Resources reserved) {
-        if (mUnfitting != null && mUnfitting.fitsIn(reserved)) {
+        if (mSmallestUnfitting != null && mSmallestUnfitting.fitsIn(reserved)) {
             return false;
         }
-        if (mRoomiest != null && reserved.fitsIn(mFree.get(mRoomiest))) {
+        if (mLastFitting != null && reserved.fitsIn(mFree.get(mLastFitting))) {
             return true;
         }
         for (Map.Entry<String, Resources> executor : mFree.entrySet()) {
             if (reserved.fitsIn(executor.getValue())) {
-                mRoomiest = executor.getKey();
+                mLastFitting = executor.getKey();
                 return true;
             }
         }
-        if (mUnfitting == null || reserved.fitsIn(mUnfitting)) {
-            mUnfitting = reserved;
+        if (mSmallestUnfitting == null || reserved.fitsIn(mSmallestUnfitting)) {
+            mSmallestUnfitting = reserved;
         }
         return false;
     }
--- a/core/src/main/java/org/hibiscususher/core/scheduler/placement/TeamShares.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/placement/TeamShares.java
@@ -28,9 +28,6 @@
      */
     private static final double TOLERANCE = 2;
 
-    /** Shares of a pool in which no team uses more than its share. */
-    public static final TeamShares NONE_OVER = new TeamShares(Set.of());
-
     private final Set<String> mOverShare;
 
     private TeamShares(Set<String> overShare) {
--- a/core/src/test/java/org/hibiscususher/core/scheduler/evacuation/ZoneEvacuationSystemTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/evacuation/ZoneEvacuationSystemTest.java
@@ -100,7 +100,16 @@
             assertThat(isEvacuated("in")).isTrue();
             assertThat(isEvacuated("silent")).isTrue();
             assertThat(isEvacuated("out")).isFalse();
-            assertThat(ZoneEvacuations.isEvacuated(mWorld, "p")).isFalse();
+            assertThat(ZoneEvacuations.hasNoUsableExecutor(mWorld, "p")).isFalse();
+        }
+
+        /** Guards against a start before the first listing of hosts tells the zone. */
+        @Test
+        void coversExecutorsWhoseZoneIsNotKnown() {
+            addExecutor("unknown", "", "no-host");
+            assertThat(isEvacuated("unknown")).isFalse();
+            tick(NOW_MS, REQUEST);
+            assertThat(isEvacuated("unknown")).isTrue();
         }
 
         /** Each writing of the key is reported, and a new listing reports all of them. */
--- a/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualNode.java
+++ b/standin/src/main/java/org/hibiscususher/standin/scheduler/VirtualNode.java
@@ -58,7 +58,7 @@
     /** When the last suspension ends, in virtual time. */
     private long mResumesAtMs;
 
-    /** Until when the last tick takes, in virtual time. */
+    /** When the last tick ends, in virtual time. */
     private long mBusyUntilMs;
 
     private boolean mTickScheduled;
