One task of each step of a job is sampled

The estimates of a job's tasks are off alike, so that two wide jobs filled a window of 32 samples. One task of each step counts now, another one in each job, so that it takes eight jobs to depart from the declared estimate. RunSamplingTest; LearnedRunTimesTest runs 16 jobs in place of 4, of which one sample each is left.

--- a/core/src/main/java/org/hibiscususher/core/scheduler/estimate/RunSampling.java
+++ b/core/src/main/java/org/hibiscususher/core/scheduler/estimate/RunSampling.java
@@ -40,7 +40,10 @@
         }
         int step = run.task().stepKey().step();
         StepSpec spec = job.spec().steps().get(step);
-        if (isFirstStart(world, job, run) && isUndisturbed(tick, run) && isNear(world, spec, run)) {
+        if (isSampledTask(run, spec)
+                && isFirstStart(world, job, run)
+                && isUndisturbed(tick, run)
+                && isNear(world, spec, run)) {
             long durationMs = tick.nowMs() - run.orderAnsweredMs();
             RunTimes.add(
                     tick,
@@ -49,6 +52,20 @@
         }
     }
 
+    /**
+     * Returns whether the run is of the one task of its step that is sampled. The estimates of a
+     * job's tasks are off alike, so that the samples of two wide jobs would fill a window and pass
+     * for what all jobs do. Which task it is differs between jobs, as the executors do then.
+     */
+    private static boolean isSampledTask(RunRow run, StepSpec spec) {
+        return run.task().index() == sampledIndex(run.task().jobId(), spec.count());
+    }
+
+    /** Returns the index of the task of a step that is sampled. */
+    static int sampledIndex(String job, int count) {
+        return Math.floorMod(job.hashCode(), count);
+    }
+
     /**
      * Returns whether this owner started the run, as the first one of its task and without a
      * checkpoint. That isn't known for a job that an earlier owner accepted.
--- a/core/src/test/java/org/hibiscususher/core/scheduler/estimate/RunSamplingTest.java
+++ b/core/src/test/java/org/hibiscususher/core/scheduler/estimate/RunSamplingTest.java
@@ -38,7 +38,7 @@
     private static final long NOW_MS = 10_000;
     private static final long DURATION_MS = 700;
     private static final Resources CORE = Resources.of(1_000, 100, 0);
-    private static final StepKey STEP = new StepKey("a", 0, 0);
+    private static final StepKey STEP = new StepKey("b", 0, 0);
 
     /** Number of the first run of a task in the generation of the tables. */
     private static final int FIRST_RUN = 1_001;
@@ -77,7 +77,7 @@
     private void addJob(boolean inherited, StepSpec spec) {
         StoredRecord.Job record =
                 new StoredRecord.Job(
-                        "a",
+                        "b",
                         new JobPolicy("q", "p", 0, 2, 1, 500, false),
                         JobAddress.UNKNOWN,
                         "team",
@@ -87,7 +87,7 @@
                 inherited
                         ? JobRow.inherited(record, 0, NOW_MS)
                         : JobRow.received(record, 0).asStored();
-        mWorld.jobs().put("a", job);
+        mWorld.jobs().put("b", job);
         mWorld.steps().put(STEP, new StepRow(STEP, BigInteger.ZERO, spec.count(), 0));
     }
 
@@ -136,7 +136,11 @@
     }
 
     private List<RunTimeSample> samplesAfter(RunOutcome outcome) {
-        RunRow run = mWorld.runs().find(STEP.task(0)).orElseThrow();
+        return samplesAfter(outcome, 0);
+    }
+
+    private List<RunTimeSample> samplesAfter(RunOutcome outcome, int index) {
+        RunRow run = mWorld.runs().find(STEP.task(index)).orElseThrow();
         RunSampling.record(
                 new SchedulerTick(mWorld, NOW_MS, NOW_MS, List.of(), () -> 1),
                 new FinishedRun(1, run.task(), run.run(), outcome, ""),
@@ -176,6 +180,13 @@
             assertThat(samplesAfter(outcome)).isEmpty();
         }
 
+        /** Guards against two wide jobs that fill a window with their own errors. */
+        @Test
+        void asAnotherTaskOfAStepThatIsSampled() {
+            addRun(1, "x");
+            assertThat(samplesAfter(RunOutcome.DONE, 1)).isEmpty();
+        }
+
         @Test
         void onceItWasOrderedToStop() {
             mWorld.runs()
--- a/standin/src/test/java/org/hibiscususher/standin/scheduler/LearnedRunTimesTest.java
+++ b/standin/src/test/java/org/hibiscususher/standin/scheduler/LearnedRunTimesTest.java
@@ -13,13 +13,16 @@
 class LearnedRunTimesTest {
     private final SchedulerSite mSite = SchedulerSite.create(3, 4, 5);
 
+    /** One task of each is sampled. */
+    private static final int JOBS = 16;
+
     private void runJobs() {
         for (ExecutorReport report : mSite.reports()) {
             mSite.executor(report.id()).setRunTimeFactor(4);
         }
         mSite.run(1_500);
         List<String> jobs = new ArrayList<>();
-        for (int i = 0; i < 4; i++) {
+        for (int i = 0; i < JOBS; i++) {
             jobs.add(mSite.submit(JobSpecs.spread(4, 100)));
             mSite.run(1_000);
         }
