--- a/review/src-3/Entry.java
+++ b/review/src-3/Entry.java
@@ -81,7 +81,7 @@
         site.record.line(name, "process starts, id " + process.pid());
     }
 
-    /** Returns when this process last took the ownership by its log, in log order; -1 if never. */
+    /** Returns the last line of the log that says that this process took the ownership; null if none. */
     String lastOwnerLine() throws IOException {
         String last = null;
         for (String line : Files.readAllLines(log)) {
