--- a/review/src-3/Executor.java
+++ b/review/src-3/Executor.java
@@ -188,12 +188,17 @@
                 }
                 return null;
             }
+            long delayMs = call.path().equals("/api/run-start") ? site.lateMs(this, call) : 0;
+            if (delayMs > 0) {
+                site.carryOutLate(this, call, delayMs);
+                return null;
+            }
             Web.Reply reply = answer(call);
             return cut || gone ? null : reply;
         }
     }
 
-    private Web.Reply answer(Web.Call call) throws Exception {
+    Web.Reply answer(Web.Call call) throws Exception {
         if (call.path().equals("/healthz")) {
             return Web.reply(200);
         }
--- a/review/src-3/Site.java
+++ b/review/src-3/Site.java
@@ -100,7 +100,8 @@
                     if (executor.silentMs() >= HEARTBEAT_MS) {
                         executor.beat();
                     }
-                    if (executor.silentMs() >= 3 * HEARTBEAT_MS) {
+                    boolean replaced = executors().stream().anyMatch(e -> e != executor && e.id.equals(executor.id));
+                    if (executor.silentMs() >= 3 * HEARTBEAT_MS && !replaced) {
                         store.delete("servers/" + executor.id);
                     }
                 }
@@ -123,11 +124,16 @@
         return live;
     }
 
-    /** Starts a new life of an executor on a machine. */
+    /** Starts a new life of an executor on a machine, with a new id. */
     final Executor addExecutor(String machine, int cpu, boolean guards) throws Exception {
+        return addExecutor("i-" + machine + "-" + ++lastExecutor, machine, cpu, guards);
+    }
+
+    /** Starts a new life of an executor on a machine. */
+    final Executor addExecutor(String id, String machine, int cpu, boolean guards) throws Exception {
         Executor executor;
         synchronized (this) {
-            executor = new Executor(this, "i-" + machine + "-" + ++lastExecutor, machine, cpu, guards);
+            executor = new Executor(this, id, machine, cpu, guards);
             machines.put(machine, new Machine(machine, cpu, "up", executor));
         }
         lives.add(executor);
@@ -294,6 +300,36 @@
         }
     }
 
+    /** Returns how late an executor carries out an order to start, in milliseconds; 0 if at once. */
+    long lateMs(Executor executor, Web.Call call) {
+        return 0;
+    }
+
+    /** Carries out an order without an answer, at whatever life of the executor there is then. */
+    final void carryOutLate(Executor executor, Web.Call call, long delayMs) {
+        String what = call.body().path("task").asText() + " run " + call.body().path("run").asInt();
+        record.line(executor.id, "leaves the order to start " + what + " unanswered");
+        Thread thread =
+                new Thread(
+                        () -> {
+                            try {
+                                Thread.sleep(delayMs);
+                                synchronized (this) {
+                                    for (Executor life : executors()) {
+                                        if (life.id.equals(executor.id)) {
+                                            record.line(life.id, "carries out the order to start " + what + " late");
+                                            record.line(life.id, "late answer " + life.answer(call).status());
+                                        }
+                                    }
+                                }
+                            } catch (Exception e) {
+                                e.printStackTrace();
+                            }
+                        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
     /** Called when an executor starts a run. */
     void onStart(Executor executor, Executor.Run run) {}
 
