--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -3,7 +3,7 @@
 cd "$(dirname "$0")/../.." || exit 2
 rm -f review/15/record.txt
 timeout -k 5 118 java -Xmx256m -Dsun.net.httpserver.nodelay=true \
-    -cp "target/review-3:target/platform/lib/*" LimitCase review/15/record.txt
+    -cp "target/review-3:target/platform/lib/*" QuotaCase review/15/record.txt
 code=$?
 [ "$code" -le 1 ] && grep -q ' verdict ' review/15/record.txt && exit "$code"
 exit 2
--- a/review/src-3/Site.java
+++ b/review/src-3/Site.java
@@ -240,7 +240,7 @@
         }
     }
 
-    final Task kindOf(String task) {
+    Task kindOf(String task) {
         return kinds.get(task.substring(0, task.lastIndexOf('.')));
     }
 
